--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that measure; these may start processes."""
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The two binaries: damaskwindd and damaskwind."""
--- /dev/null
+++ b/packages/control/src/damaskwind/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control replica: replicated log, intents, audit trail, claim holder."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Placement, load bound, limits, retries, claims, membership, replication; pure."""
--- /dev/null
+++ b/packages/model/src/damaskwind/model/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and errors that every other package speaks; pure."""
--- /dev/null
+++ b/packages/router/src/damaskwind/router/__init__.py
@@ -0,0 +1,1 @@
+"""The process between callers and targets."""
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -0,0 +1,182 @@
+"""Read and check the daemon's settings file.
+
+One TOML file describes one process: `[node]` says who and where it is, and
+either `[router]` or `[control]` what it does.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import NamedTuple
+
+from damaskwind.model.checking import check_table
+from damaskwind.model.exception import SettingsError
+from damaskwind.model.targets import Address
+
+__all__ = [
+    "ControlSettings",
+    "NodeSettings",
+    "ReplicaSettings",
+    "RouterSettings",
+    "Settings",
+    "check_settings",
+    "parse_address",
+    "read_settings",
+]
+
+
+class NodeSettings(NamedTuple):
+    """Who this process is. `cluster_key` authenticates the system's own messages."""
+
+    node_id: str
+    cluster: str
+    cluster_key: str
+    region: str
+    failure_domain: str
+    log_level: str = "INFO"
+    log_format: str = "auto"
+
+
+class ReplicaSettings(NamedTuple):
+    """A control replica that this process may talk to: `address` for grpclib."""
+
+    replica_id: str
+    address: str
+    failure_domain: str
+
+
+class RouterSettings(NamedTuple):
+    """The router. Addresses are `IP:port`; port 0 takes a free one.
+
+    `datagram_address` is where other routers reach it by UDP, `peer_address`
+    by grpclib. `seeds` are the datagram addresses of some routers, `replicas`
+    the control replicas. `state_file`, when set, keeps the highest revision
+    over a restart. `configuration_file` serves a fixed configuration without
+    any control replica.
+    """
+
+    http_address: str
+    datagram_address: str
+    peer_address: str
+    announce_key: str
+    seeds: tuple[str, ...] = ()
+    replicas: tuple[ReplicaSettings, ...] = ()
+    control_bytes_per_s: int = 4096
+    drain_delay_s: float = 5.0
+    drain_limit_s: float = 120.0
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 30.0
+    explain_records: int = 10_000
+    state_file: str = ""
+    configuration_file: str = ""
+    ready_file: str = ""
+
+
+class ControlSettings(NamedTuple):
+    """The control replica. `operator_address` serves the intent API over HTTP.
+
+    `bootstrap_replicas` are the first members of a new cluster; a replica with
+    an empty data folder that is not among them waits to be added.
+    `bootstrap_operator_key_hash` (SHA-256 in hex) lets the first operator in.
+    """
+
+    replica_address: str
+    operator_address: str
+    data_folder: str
+    bootstrap_replicas: tuple[ReplicaSettings, ...] = ()
+    bootstrap_operator_key_hash: str = ""
+    election_timeout_s: float = 1.0
+    heartbeat_s: float = 0.2
+    snapshot_every_entries: int = 1000
+    plan_ttl_s: float = 900.0
+    ready_file: str = ""
+
+
+class Settings(NamedTuple):
+    """A whole settings file."""
+
+    node: NodeSettings
+    router: RouterSettings | None = None
+    control: ControlSettings | None = None
+
+
+_TABLES = {"node": NodeSettings, "router": RouterSettings, "control": ControlSettings}
+_ADDRESS_FIELDS = ("http_address", "datagram_address", "peer_address")
+_ADDRESS_FIELDS += ("replica_address", "operator_address")
+_LOG_FORMATS = ("auto", "json", "text")
+
+
+def parse_address(text: str) -> Address:
+    """Split `IP:port`; raise `ValueError` when it is not one.
+
+    >>> parse_address("127.0.0.1:8080")
+    Address(host='127.0.0.1', port=8080)
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"expected IP:port, got '{text}'")
+    return Address(host, int(port))
+
+
+def _address_mistakes(table: NamedTuple, path: str) -> list[str]:
+    """Name the addresses of a table that are none."""
+    named = [(name, getattr(table, name)) for name in _ADDRESS_FIELDS if hasattr(table, name)]
+    named += [(f"seeds[{i}]", text) for i, text in enumerate(getattr(table, "seeds", ()))]
+    replicas = getattr(table, "replicas", ()) or getattr(table, "bootstrap_replicas", ())
+    named += [(f"replica {replica.replica_id}", replica.address) for replica in replicas]
+    mistakes = []
+    for name, text in named:
+        try:
+            parse_address(text)
+        except ValueError as error:
+            mistakes.append(f"{path}.{name}: {error}")
+    return mistakes
+
+
+def _range_mistakes(table: NamedTuple, path: str) -> list[str]:
+    """Name the numbers that are not positive where they must be."""
+    mistakes = []
+    for name, value in table._asdict().items():
+        if isinstance(value, int | float) and value < 0:
+            mistakes.append(f"{path}.{name}: expected a number of at least 0, got {value}")
+    return mistakes
+
+
+def check_settings(raw: dict) -> Settings:
+    """Turn a parsed file into settings; raise `SettingsError` with every mistake."""
+    mistakes = [
+        f"{name}: unknown table; expected node, router or control"
+        for name in raw
+        if name not in _TABLES
+    ]
+    values = {}
+    for name, kind in _TABLES.items():
+        if name not in raw:
+            continue
+        checked = check_table(raw[name], kind, name)
+        mistakes += checked.mistakes
+        if checked.value is not None:
+            values[name] = checked.value
+            mistakes += _address_mistakes(checked.value, name)
+            mistakes += _range_mistakes(checked.value, name)
+    if "node" not in raw:
+        mistakes.append("node: missing table")
+    if "router" not in raw and "control" not in raw:
+        mistakes.append("router or control: one of the two tables is needed")
+    node = values.get("node")
+    if node is not None and node.log_format not in _LOG_FORMATS:
+        mistakes.append(f"node.log_format: expected one of {', '.join(_LOG_FORMATS)}")
+    if mistakes:
+        raise SettingsError(mistakes)
+    return Settings(**values)
+
+
+def read_settings(path: Path) -> Settings:
+    """Read and check the settings file at `path`."""
+    try:
+        with path.open("rb") as file:
+            raw = tomllib.load(file)
+    except OSError as error:
+        raise SettingsError([f"{path.name}: {error.strerror}"]) from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError([f"{path.name}: not TOML: {error}"]) from error
+    return check_settings(raw)
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,140 @@
+"""Run every test module in a process of its own and print one count.
+
+Each module gets a fresh interpreter, since Twisted's reactor is one per
+process, and runs under trial on the asyncio reactor. The counts are read from
+trial's own summary. Doctests of the pure packages run as one more job.
+"""
+
+import re
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+WORKERS = 6
+MODULE_TIMEOUT_S = 280
+SUMMARY = re.compile(r"^(PASSED|FAILED)(?: \((.*)\))?$", re.MULTILINE)
+RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
+DOCTEST_PACKAGES = ("model", "decisions")
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+class ModuleResult(NamedTuple):
+    """What one test module gave: its name, counts, seconds and output."""
+
+    name: str
+    passed: int
+    failed: int
+    duration_s: float
+    output: str
+
+
+def module_name(path: Path) -> str:
+    """Return the dotted name of the module at `path` below a `src` folder."""
+    parts = path.with_suffix("").parts
+    return ".".join(parts[parts.index("src") + 1 :])
+
+
+def run_module(name: str) -> ModuleResult:
+    """Run one module under trial and count from trial's summary."""
+    started_s = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        command = [sys.executable, "-m", "twisted.trial", "--reactor=asyncio"]
+        command += ["--temp-directory", f"{folder}/trial", name]
+        try:
+            done = subprocess.run(
+                command, cwd=folder, capture_output=True, text=True, timeout=MODULE_TIMEOUT_S
+            )
+            output = done.stdout + done.stderr
+            exit_code = done.returncode
+        except subprocess.TimeoutExpired as error:
+            output = f"{error.stdout or ''}\ntimed out after {MODULE_TIMEOUT_S} s"
+            exit_code = -1
+    return count(name, output, exit_code, time.monotonic() - started_s)
+
+
+def count(name: str, output: str, exit_code: int, duration_s: float) -> ModuleResult:
+    """Turn trial's output into counts; anything unclear is one failure."""
+    ran = RAN.findall(output)
+    summary = SUMMARY.findall(output)
+    if not ran or not summary:
+        return ModuleResult(name, 0, 1, duration_s, output)
+    total = int(ran[-1])
+    words = dict(re.findall(r"(\w+)=(\d+)", summary[-1][1]))
+    failed = sum(int(words.get(word, 0)) for word in ("failures", "errors", "unexpectedSuccesses"))
+    if exit_code != 0 and failed == 0:
+        failed = 1
+    skipped = int(words.get("skips", 0))
+    return ModuleResult(name, max(total - failed - skipped, 0), failed, duration_s, output)
+
+
+def run_doctests() -> ModuleResult:
+    """Run the doctests of the pure packages in one process."""
+    started_s = time.monotonic()
+    program = "; ".join(
+        (
+            "import doctest, importlib, sys",
+            "results = [doctest.testmod(importlib.import_module(name)) for name in sys.argv[1:]]",
+            "print('DOCTEST', sum(r.attempted for r in results), sum(r.failed for r in results))",
+        )
+    )
+    names = []
+    for package in DOCTEST_PACKAGES:
+        for path in sorted((ROOT / "packages" / package / "src").rglob("*.py")):
+            if "tests" not in path.parts and ">>>" in path.read_text(encoding="utf-8"):
+                names.append(module_name(path).removesuffix(".__init__"))
+    done = subprocess.run(
+        [sys.executable, "-c", program, *names], capture_output=True, text=True, timeout=120
+    )
+    found = re.search(r"^DOCTEST (\d+) (\d+)$", done.stdout, re.MULTILINE)
+    duration_s = time.monotonic() - started_s
+    if not found:
+        return ModuleResult("doctests", 0, 1, duration_s, done.stdout + done.stderr)
+    attempted, failed = int(found[1]), int(found[2])
+    return ModuleResult("doctests", attempted - failed, failed, duration_s, done.stdout)
+
+
+def known_red() -> set[str]:
+    """Return the modules whose failure is known, one a line before a comma."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {line.split(",")[0].strip() for line in lines if line.strip()}
+
+
+def main() -> int:
+    """Run what was asked for, or everything, and print the count last."""
+    wanted = sys.argv[1:]
+    paths = sorted(ROOT.glob("packages/*/src/**/tests/test_*.py"))
+    names = [module_name(path) for path in paths]
+    if wanted:
+        names = [name for name in names if any(part in name for part in wanted)]
+    with ThreadPoolExecutor(WORKERS) as pool:
+        doctests = None if wanted else pool.submit(run_doctests)
+        results = list(pool.map(run_module, names))
+    if doctests is not None:
+        results.append(doctests.result())
+    red = known_red()
+    for result in results:
+        print(
+            f"{result.name}: {result.passed} passed, {result.failed} failed"
+            f" in {result.duration_s:.1f} s"
+        )
+        if result.failed:
+            print(result.output[-8000:])
+    unexpected = [result for result in results if result.failed and result.name not in red]
+    for result in results:
+        if result.failed and result.name in red:
+            print(f"known red: {result.name}")
+    passed = sum(result.passed for result in results)
+    failed = sum(result.failed for result in results)
+    print(f"{passed} passed, {failed} failed", flush=True)
+    return 1 if unexpected or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
