--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -6,7 +6,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from damaskwind.model.checking import check_table
 from damaskwind.model.exception import SettingsError
@@ -117,31 +117,39 @@
     return Address(host, int(port))
 
 
-def _address_mistakes(table: NamedTuple, path: str) -> list[str]:
-    """Name the addresses of a table that are none."""
-    named = [(name, getattr(table, name)) for name in _ADDRESS_FIELDS if hasattr(table, name)]
-    named += [(f"seeds[{i}]", text) for i, text in enumerate(getattr(table, "seeds", ()))]
-    replicas = getattr(table, "replicas", ()) or getattr(table, "bootstrap_replicas", ())
-    named += [(f"replica {replica.replica_id}", replica.address) for replica in replicas]
+def _named_addresses(table: dict[str, Any]) -> list[tuple[str, Any]]:
+    """List the addresses that a raw table holds, each with its path."""
+    named = [(name, table[name]) for name in _ADDRESS_FIELDS if name in table]
+    seeds = table.get("seeds", ())
+    if isinstance(seeds, list | tuple):
+        named += [(f"seeds[{index}]", text) for index, text in enumerate(seeds)]
+    for key in ("replicas", "bootstrap_replicas"):
+        rows = table.get(key, ())
+        for index, row in enumerate(rows if isinstance(rows, list | tuple) else ()):
+            if isinstance(row, dict) and "address" in row:
+                named.append((f"{key}[{index}].address", row["address"]))
+    return named
+
+
+def _value_mistakes(table: dict[str, Any], path: str) -> list[str]:
+    """Name the addresses that are none and the numbers that are negative.
+
+    The raw table is looked at, so that a mistake of another kind elsewhere in
+    it hides nothing.
+    """
     mistakes = []
-    for name, text in named:
+    for name, text in _named_addresses(table):
         try:
-            parse_address(text)
+            parse_address(str(text))
         except ValueError as error:
             mistakes.append(f"{path}.{name}: {error}")
-    return mistakes
-
-
-def _range_mistakes(table: NamedTuple, path: str) -> list[str]:
-    """Name the numbers that are not positive where they must be."""
-    mistakes = []
-    for name, value in table._asdict().items():
+    for name, value in table.items():
         if isinstance(value, int | float) and value < 0:
             mistakes.append(f"{path}.{name}: expected a number of at least 0, got {value}")
     return mistakes
 
 
-def check_settings(raw: dict) -> Settings:
+def check_settings(raw: dict[str, Any]) -> Settings:
     """Turn a parsed file into settings; raise `SettingsError` with every mistake."""
     mistakes = [
         f"{name}: unknown table; expected node, router or control"
@@ -156,8 +164,8 @@
         mistakes += checked.mistakes
         if checked.value is not None:
             values[name] = checked.value
-            mistakes += _address_mistakes(checked.value, name)
-            mistakes += _range_mistakes(checked.value, name)
+        if isinstance(raw[name], dict):
+            mistakes += _value_mistakes(raw[name], name)
     if "node" not in raw:
         mistakes.append("node: missing table")
     if "router" not in raw and "control" not in raw:
