--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/load/__init__.py
@@ -0,0 +1,1 @@
+"""How loaded each target is now, estimated from lagged reports; pure."""
