--- /dev/null
+++ b/packages/control/src/damaskwind/control/operator_api/__init__.py
@@ -0,0 +1,1 @@
+"""The intent API that operators use over HTTP."""
--- /dev/null
+++ b/packages/control/src/damaskwind/control/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state: configuration, plans, outcomes, orders; deterministic and pure."""
