--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers and targets there are, agreed by gossip; pure."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/messages.py
@@ -0,0 +1,162 @@
+"""The messages that routers send each other, and the records inside them.
+
+All times are ages in seconds, counted by the sender's monotonic clock up to the
+moment of sending, so that no two clocks need to agree.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from damaskwind.model.targets import Address, FencingMode, ModelOffer, TargetKind
+
+__all__ = [
+    "Ack",
+    "Custom",
+    "GoneReason",
+    "IndirectProbe",
+    "Message",
+    "News",
+    "Probe",
+    "RouterRecord",
+    "RouterState",
+    "Sketch",
+    "Summary",
+    "TargetRecord",
+    "Tombstone",
+]
+
+
+class RouterState(IntEnum):
+    """Where a router stands; at equal incarnations the greater state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class GoneReason(IntEnum):
+    """Why a target is gone: by its own word, or because its lease ran out."""
+
+    LAPSED = 0
+    LEAVING = 1
+
+
+class RouterRecord(NamedTuple):
+    """A router as the fleet knows it.
+
+    `address` takes datagrams, `peer_address` calls from other processes.
+    """
+
+    router_id: str
+    incarnation: int
+    state: RouterState
+    failure_domain: str
+    address: Address
+    peer_address: Address
+
+
+class TargetRecord(NamedTuple):
+    """A live target: its announcement without the load, and the age of its last renewal.
+
+    `load_lag_s` is how old a load measurement is when the target sends it.
+    """
+
+    target_id: str
+    incarnation: int
+    sequence: int
+    kind: TargetKind
+    service: str
+    failure_domain: str
+    address: Address
+    lease_s: float
+    age_s: float
+    load_lag_s: float
+    load_tokens: int
+    capacity_tokens: int
+    models: tuple[ModelOffer, ...] = ()
+    fencing: FencingMode = FencingMode.IGNORED
+
+
+class Tombstone(NamedTuple):
+    """A target that is gone, as of an incarnation and a sequence."""
+
+    target_id: str
+    incarnation: int
+    sequence: int
+    reason: GoneReason
+    failure_domain: str
+    age_s: float
+
+
+class Summary(NamedTuple):
+    """The digests of a failure domain's live targets, one for each bucket.
+
+    `age_s` is how long ago a router of that domain vouched for them.
+    """
+
+    failure_domain: str
+    age_s: float
+    digests: bytes
+
+
+class News(NamedTuple):
+    """Records to merge, and the keys of targets whose records the sender wants."""
+
+    routers: tuple[RouterRecord, ...] = ()
+    targets: tuple[TargetRecord, ...] = ()
+    tombstones: tuple[Tombstone, ...] = ()
+    wanted: bytes = b""
+    spills: tuple[bytes, ...] = ()
+
+
+class Probe(NamedTuple):
+    """Ask a router whether it lives, with news and loads on the way.
+
+    The sender's `revision` is the configuration it has in force; `loads` are
+    packed as `damaskwind.decisions.membership.loads` says.
+    """
+
+    nonce: int
+    revision: int
+    sender: RouterRecord
+    loads: bytes = b""
+    summary: Summary | None = None
+    news: News | None = None
+
+
+class Ack(NamedTuple):
+    """Answer a probe, with news and loads on the way."""
+
+    nonce: int
+    revision: int
+    loads: bytes = b""
+    news: News | None = None
+
+
+class IndirectProbe(NamedTuple):
+    """Ask a router to probe another one and to pass its answer on."""
+
+    nonce: int
+    router_id: str
+
+
+class Sketch(NamedTuple):
+    """What the sender holds in some buckets of a failure domain.
+
+    `entries` are eight bytes a target: four of its key, four of its version.
+    """
+
+    failure_domain: str
+    buckets: bytes
+    entries: bytes
+
+
+class Custom(NamedTuple):
+    """Bytes of another part of the router, which shares the socket and the budget."""
+
+    kind: str
+    payload: bytes
+
+
+Message = Probe | Ack | IndirectProbe | Sketch | News | Custom
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/pacing/__init__.py
@@ -0,0 +1,1 @@
+"""The one budget for all control traffic of a router; pure."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/pacing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control pacer."""
--- /dev/null
+++ b/packages/router/src/damaskwind/router/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The UDP shell around the membership core."""
