--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The pure core of the replicated log: roles, votes, replication, membership."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/membership.py
@@ -0,0 +1,106 @@
+"""Change who takes part in the log, one member at a time.
+
+Majorities of two memberships that differ by one voter always overlap, so that
+one change at a time is safe (Ongaro, "Consensus: Bridging Theory and Practice",
+2014, chapter 4), given that a leader first commits an entry of its own term.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+
+import msgspec
+
+from damaskwind.decisions.replication.messages import (
+    ChangeKind,
+    Member,
+    Membership,
+    MembershipChange,
+)
+
+__all__ = [
+    "apply_change",
+    "decode_membership",
+    "encode_membership",
+    "is_majority",
+    "majority_value",
+    "next_repair",
+]
+
+
+def encode_membership(membership: Membership) -> bytes:
+    """Encode a membership as the payload of a log entry."""
+    return msgspec.json.encode(membership)
+
+
+def decode_membership(payload: bytes) -> Membership:
+    """Decode the payload of a membership entry."""
+    return msgspec.json.decode(payload, type=Membership)
+
+
+def is_majority(voters: Collection[Member], answered: Iterable[Member]) -> bool:
+    """Tell whether `answered` holds more than half of the voters.
+
+    >>> a, b, c = (Member(name, "1") for name in "abc")
+    >>> is_majority([a, b, c], [a, b]), is_majority([a, b, c], [a, Member("b", "2")])
+    (True, False)
+    """
+    return 2 * len(set(voters) & set(answered)) > len(voters)
+
+
+def majority_value(voters: Collection[Member], value_of: Callable[[Member], float]) -> float:
+    """Return the highest value that more than half of the voters have reached."""
+    values = sorted((value_of(voter) for voter in voters), reverse=True)
+    return values[len(values) // 2] if values else 0
+
+
+def _without(members: Iterable[Member], member: Member) -> tuple[Member, ...]:
+    return tuple(other for other in members if other != member)
+
+
+def _add_learner(membership: Membership, member: Member) -> Membership | None:
+    if member in membership.voters or member in membership.learners:
+        return None
+    return membership._replace(learners=(*membership.learners, member))
+
+
+def _promote(membership: Membership, member: Member) -> Membership | None:
+    if member not in membership.learners:
+        return None
+    return Membership((*membership.voters, member), _without(membership.learners, member))
+
+
+def _remove(membership: Membership, member: Member) -> Membership | None:
+    if member not in membership.voters and member not in membership.learners:
+        return None
+    changed = Membership(_without(membership.voters, member), _without(membership.learners, member))
+    return changed if changed.voters else None
+
+
+_CHANGES: dict[ChangeKind, Callable[[Membership, Member], Membership | None]] = {
+    ChangeKind.ADD_LEARNER: _add_learner,
+    ChangeKind.PROMOTE: _promote,
+    ChangeKind.REMOVE: _remove,
+}
+
+
+def apply_change(membership: Membership, change: MembershipChange) -> Membership | None:
+    """Return the membership after `change`, or None when it makes no sense."""
+    return _CHANGES[change.kind](membership, change.member)
+
+
+def next_repair(
+    membership: Membership, caught_up: Callable[[Member], bool]
+) -> MembershipChange | None:
+    """Return the next step that brings a caught-up learner in.
+
+    A learner that replaces an earlier identity of the same replica first has
+    that one removed: its disk is gone, and while it counts it only raises the
+    majority.
+    """
+    for learner in membership.learners:
+        if not caught_up(learner):
+            continue
+        for voter in membership.voters:
+            if voter.replica_id == learner.replica_id and len(membership.voters) > 1:
+                return MembershipChange(ChangeKind.REMOVE, voter)
+        return MembershipChange(ChangeKind.PROMOTE, learner)
+    return None
