--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/digests.py
@@ -0,0 +1,157 @@
+"""Digests of what is held for each failure domain, kept as it changes.
+
+The live routers and targets of a domain fall into buckets by their key. The
+digest of a bucket is the XOR of its members' versions, so a change costs one
+step, and two routers hold the same when their digests are equal.
+"""
+
+import struct
+from typing import NamedTuple
+
+import xxhash
+
+from damaskwind.decisions.membership.messages import RouterRecord, TargetRecord
+
+__all__ = [
+    "BUCKETS",
+    "DigestTable",
+    "Member",
+    "fold",
+    "pack_keys",
+    "unpack_keys",
+    "pack_entries",
+    "router_key",
+    "router_version",
+    "target_key",
+    "target_version",
+    "unpack_entries",
+]
+
+BUCKETS = 16
+_ENTRY = struct.Struct(">II")
+_WORD = struct.Struct(">I")
+_ALL = struct.Struct(f">{BUCKETS}I")
+
+
+class Member(NamedTuple):
+    """A router or a target in a bucket."""
+
+    is_router: bool
+    name: str
+    version: int
+
+
+def router_key(router_id: str) -> int:
+    """Return the 32-bit key of a router."""
+    return xxhash.xxh32_intdigest(f"router\0{router_id}")
+
+
+def target_key(target_id: str) -> int:
+    """Return the 32-bit key of a target."""
+    return xxhash.xxh32_intdigest(f"target\0{target_id}")
+
+
+def router_version(record: RouterRecord) -> int:
+    """Return the 32-bit version of a router's record."""
+    text = f"{record.router_id}\0{record.incarnation}\0{record.address}\0{record.peer_address}"
+    return xxhash.xxh32_intdigest(text)
+
+
+def target_version(record: TargetRecord) -> int:
+    """Return the 32-bit version of a target's record.
+
+    What changes with each renewal (sequences, age, load) is left out.
+    """
+    offers = sorted((offer.model, offer.version, sorted(offer.adapters)) for offer in record.models)
+    parts = (
+        record.target_id,
+        record.incarnation,
+        str(record.kind),
+        record.service,
+        str(record.address),
+        round(record.lease_s, 3),
+        record.capacity_tokens,
+        offers,
+        str(record.fencing),
+    )
+    return xxhash.xxh32_intdigest(repr(parts))
+
+
+def fold(digests: bytes) -> bytes:
+    """Return four bytes that stand for the digests of all buckets."""
+    return xxhash.xxh32_digest(digests)
+
+
+def pack_entries(entries: list[tuple[int, int]]) -> bytes:
+    """Pack (key, version) pairs for a sketch."""
+    return b"".join(_ENTRY.pack(*entry) for entry in entries)
+
+
+def unpack_entries(packed: bytes) -> dict[int, int]:
+    """Return the versions of a sketch by key; a cut entry at its end is left out."""
+    whole = len(packed) // _ENTRY.size * _ENTRY.size
+    return dict(_ENTRY.iter_unpack(packed[:whole]))
+
+
+def pack_keys(keys: list[int]) -> bytes:
+    """Pack keys whose records are wanted."""
+    return b"".join(_WORD.pack(key) for key in keys)
+
+
+def unpack_keys(packed: bytes) -> list[int]:
+    """Return the keys whose records are wanted."""
+    whole = len(packed) // _WORD.size * _WORD.size
+    return [key for (key,) in _WORD.iter_unpack(packed[:whole])]
+
+
+class DigestTable:
+    """The buckets of every failure domain."""
+
+    def __init__(self) -> None:
+        self._digests: dict[str, list[int]] = {}
+        self._buckets: dict[tuple[str, int], dict[int, Member]] = {}
+        self._members: dict[int, tuple[str, Member]] = {}
+
+    def put(self, failure_domain: str, key: int, member: Member) -> None:
+        """Hold a member, in place of its former version."""
+        held = self._members.get(key)
+        if held == (failure_domain, member):
+            return
+        self.drop(key)
+        self._members[key] = (failure_domain, member)
+        self._buckets.setdefault((failure_domain, key % BUCKETS), {})[key] = member
+        digests = self._digests.setdefault(failure_domain, [0] * BUCKETS)
+        digests[key % BUCKETS] ^= member.version
+
+    def drop(self, key: int) -> None:
+        """Forget a member."""
+        held = self._members.pop(key, None)
+        if held is None:
+            return
+        failure_domain, member = held
+        del self._buckets[failure_domain, key % BUCKETS][key]
+        self._digests[failure_domain][key % BUCKETS] ^= member.version
+
+    def member(self, key: int) -> Member | None:
+        """Return the member with this key."""
+        held = self._members.get(key)
+        return held[1] if held else None
+
+    def domains(self) -> list[str]:
+        """Return the failure domains seen so far."""
+        return list(self._digests)
+
+    def digests(self, failure_domain: str) -> bytes:
+        """Return the digests of all buckets of a domain."""
+        return _ALL.pack(*self._digests.get(failure_domain, [0] * BUCKETS))
+
+    def bucket(self, failure_domain: str, bucket: int) -> dict[int, Member]:
+        """Return the members of a bucket by key."""
+        return self._buckets.get((failure_domain, bucket), {})
+
+    def differing(self, failure_domain: str, digests: bytes) -> list[int]:
+        """Return the buckets whose digests differ from those given."""
+        if len(digests) != _ALL.size:
+            return []
+        mine = self._digests.get(failure_domain, [0] * BUCKETS)
+        return [i for i, value in enumerate(_ALL.unpack(digests)) if value != mine[i]]
--- a/packages/decisions/src/damaskwind/decisions/membership/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/messages.py
@@ -7,10 +7,12 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.model.targets import Address, FencingMode, ModelOffer, TargetKind
 
 __all__ = [
     "Ack",
+    "Compare",
     "Custom",
     "GoneReason",
     "IndirectProbe",
@@ -57,14 +59,17 @@
 
 
 class TargetRecord(NamedTuple):
-    """A live target: its announcement without the load, and the age of its last renewal.
+    """A live target: its announcement, and the age of its last renewal.
 
-    `load_lag_s` is how old a load measurement is when the target sends it.
+    `sequence` is that of the announcement, `renewed_sequence` that of the last
+    renewal heard since. `load_lag_s` is how old a load measurement is when the
+    target sends it.
     """
 
     target_id: str
     incarnation: int
     sequence: int
+    renewed_sequence: int
     kind: TargetKind
     service: str
     failure_domain: str
@@ -90,9 +95,10 @@
 
 
 class Summary(NamedTuple):
-    """The digests of a failure domain's live targets, one for each bucket.
+    """The digest of a failure domain's live routers and targets.
 
-    `age_s` is how long ago a router of that domain vouched for them.
+    `age_s` is how long ago a router of that domain vouched for it. `digests`
+    holds four bytes in all, or four bytes for each bucket in a `Compare`.
     """
 
     failure_domain: str
@@ -107,7 +113,7 @@
     targets: tuple[TargetRecord, ...] = ()
     tombstones: tuple[Tombstone, ...] = ()
     wanted: bytes = b""
-    spills: tuple[bytes, ...] = ()
+    spills: tuple[SpillNote, ...] = ()
 
 
 class Probe(NamedTuple):
@@ -121,17 +127,22 @@
     revision: int
     sender: RouterRecord
     loads: bytes = b""
-    summary: Summary | None = None
+    summaries: tuple[Summary, ...] = ()
     news: News | None = None
 
 
 class Ack(NamedTuple):
-    """Answer a probe, with news and loads on the way."""
+    """Answer a probe, with news and loads on the way.
+
+    A router that did not know the prober introduces itself as `sender`.
+    """
 
     nonce: int
     revision: int
     loads: bytes = b""
+    summaries: tuple[Summary, ...] = ()
     news: News | None = None
+    sender: RouterRecord | None = None
 
 
 class IndirectProbe(NamedTuple):
@@ -141,6 +152,12 @@
     router_id: str
 
 
+class Compare(NamedTuple):
+    """Ask a router whose digest differs to compare bucket by bucket."""
+
+    summary: Summary
+
+
 class Sketch(NamedTuple):
     """What the sender holds in some buckets of a failure domain.
 
@@ -159,4 +176,4 @@
     payload: bytes
 
 
-Message = Probe | Ack | IndirectProbe | Sketch | News | Custom
+Message = Probe | Ack | IndirectProbe | Compare | Sketch | News | Custom
--- a/packages/decisions/src/damaskwind/decisions/membership/outputs.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/outputs.py
@@ -1,9 +1,10 @@
 """What the membership core returns: datagrams to send and events to handle."""
 
-from enum import IntEnum
 from typing import NamedTuple
 
 from damaskwind.decisions.membership.messages import GoneReason, Message, RouterRecord
+from damaskwind.decisions.pacing.urgency import Urgency
+from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.model.targets import Address, LoadReport, TargetView
 
 __all__ = [
@@ -22,17 +23,6 @@
 ]
 
 
-class Urgency(IntEnum):
-    """The order in which the pacer serves sends; lower goes first."""
-
-    LEAVE = 0
-    PROBE = 1
-    JOIN = 2
-    LIMITS = 3
-    REPAIR = 4
-    ROUTINE = 5
-
-
 class AnnouncementOutcome(NamedTuple):
     """What became of an announcement; a stale one names the incarnation known."""
 
@@ -90,9 +80,9 @@
 
 
 class SpillHeard(NamedTuple):
-    """Spill notes of routers in this failure domain, as their publisher packed them."""
+    """Spill notes of routers in this failure domain."""
 
-    notes: tuple[bytes, ...]
+    notes: tuple[SpillNote, ...]
 
 
 Event = (
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/pacing/urgency.py
@@ -0,0 +1,27 @@
+"""The urgency of control sends and how long each may wait for the budget."""
+
+from enum import IntEnum
+
+__all__ = ["MAX_WAIT_S", "Urgency"]
+
+
+class Urgency(IntEnum):
+    """The order in which the pacer serves sends; lower goes first."""
+
+    LEAVE = 0
+    PROBE = 1
+    JOIN = 2
+    LIMITS = 3
+    REPAIR = 4
+    ROUTINE = 5
+
+
+# A probe that waits longer than its timeout would only accuse a live router.
+MAX_WAIT_S: dict[Urgency, float] = {
+    Urgency.LEAVE: 20.0,
+    Urgency.PROBE: 0.4,
+    Urgency.JOIN: 10.0,
+    Urgency.LIMITS: 2.0,
+    Urgency.REPAIR: 3.0,
+    Urgency.ROUTINE: 1.5,
+}
--- a/packages/router/src/damaskwind/router/membership/service.py
+++ b/packages/router/src/damaskwind/router/membership/service.py
@@ -5,7 +5,9 @@
 from typing import Any, NamedTuple
 
 from damaskwind.decisions.membership.messages import RouterRecord
-from damaskwind.decisions.membership.outputs import AnnouncementOutcome, Event, Urgency
+from damaskwind.decisions.membership.outputs import AnnouncementOutcome, Event
+from damaskwind.decisions.pacing.urgency import Urgency
+from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.model.targets import Address, LoadReport, TargetAnnouncement, TargetView
 
 __all__ = ["MembershipService", "MembershipSettings"]
@@ -50,8 +52,8 @@
     def publish_revision(self, revision: int) -> None:
         """Tell peers which configuration revision is in force here."""
 
-    def publish_spills(self, notes: Iterable[bytes]) -> None:
-        """Pass packed spill notes to the routers of this failure domain."""
+    def publish_spills(self, notes: Iterable[SpillNote]) -> None:
+        """Pass spill notes to the routers of this failure domain."""
 
     def register_kind(self, kind: str, handler: Callable[[str, bytes], None]) -> None:
         """Call `handler(router_id, payload)` for each datagram of this kind."""
