--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/load/bound.py
@@ -0,0 +1,76 @@
+"""Turn the mean load into the levels at which chats spill, and thin them evenly.
+
+Routers that act on the same lagged report at once would empty a target that is
+over its bound and fill another one. So the share of chats that spill grows
+gradually between two levels below the bound, and which chats spill is drawn by a
+hash of chat and target, not by chance: every router spills the same chats, and a
+chat that spilled keeps spilling while the target stays as loaded as it is.
+"""
+
+from typing import NamedTuple
+
+import xxhash
+
+__all__ = ["LoadLevels", "SpillRamp", "levels_for", "spill_draw", "spill_share"]
+
+_DRAW_SCALE = 1.0 / (1 << 64)
+_DRAW_SEED = 0x7468696E
+
+
+class SpillRamp(NamedTuple):
+    """Where spilling starts and is complete, as shares of the way from mean to bound."""
+
+    start: float
+    full: float
+
+
+class LoadLevels(NamedTuple):
+    """The levels of one target in tokens: no chat spills at `start`, all at `full`."""
+
+    start_tokens: float
+    full_tokens: float
+    bound_tokens: float
+
+
+def levels_for(
+    ramp: SpillRamp,
+    mean_tokens: float,
+    load_factor: float,
+    margin_tokens: float,
+    floor_tokens: float,
+    capacity_tokens: float,
+) -> LoadLevels:
+    """Return the levels of a target.
+
+    The error margin is taken off the bound, by at most half of the way to the
+    mean. Below `floor_tokens` a target counts as idle and nothing spills.
+
+    >>> levels_for(SpillRamp(0.5, 1.0), 100.0, 1.4, 10.0, 0.0, 1000.0)
+    LoadLevels(start_tokens=115.0, full_tokens=130.0, bound_tokens=140.0)
+    """
+    room_tokens = mean_tokens * (load_factor - 1.0)
+    safe_room_tokens = max(room_tokens - margin_tokens, room_tokens / 2)
+    start = max(mean_tokens + ramp.start * safe_room_tokens, floor_tokens)
+    full = max(mean_tokens + ramp.full * safe_room_tokens, floor_tokens)
+    bound = max(mean_tokens + room_tokens, floor_tokens)
+    return LoadLevels(
+        min(start, capacity_tokens), min(full, capacity_tokens), min(bound, capacity_tokens)
+    )
+
+
+def spill_share(load_tokens: float, levels: LoadLevels) -> float:
+    """Return the share of chats that spill at a load.
+
+    >>> spill_share(110.0, LoadLevels(100.0, 120.0, 125.0))
+    0.5
+    """
+    if load_tokens <= levels.start_tokens:
+        return 0.0
+    if load_tokens >= levels.full_tokens:
+        return 1.0
+    return (load_tokens - levels.start_tokens) / (levels.full_tokens - levels.start_tokens)
+
+
+def spill_draw(chat_key: bytes, target_seed: int) -> float:
+    """Draw a number in [0, 1) for a chat at a target, the same on every router."""
+    return xxhash.xxh3_64_intdigest(chat_key, target_seed ^ _DRAW_SEED) * _DRAW_SCALE
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/load/estimate.py
@@ -0,0 +1,175 @@
+"""Estimate each target's load from lagged reports, own work and peers' drift.
+
+A report is old when it arrives. What this router has placed since it was
+measured is known exactly and added. What the peers placed, less what the target
+worked off, is taken as a random walk with drift: both its drift and its variance
+per second are learned from successive reports, after own work is taken out. The
+error of an estimate then grows with the square root of the report's age:
+
+    estimate = report + own placements since + drift * age
+    error sd = sqrt(variance per second * age)
+"""
+
+from collections import deque
+from math import exp, sqrt
+
+from damaskwind.model.targets import LoadReport
+
+__all__ = ["LoadBook", "TargetLoad"]
+
+DRIFT_WINDOW_S = 5.0
+VARIANCE_WINDOW_S = 20.0
+MAX_EXTRAPOLATION_S = 2.0
+SILENT_AFTER_S = 15.0
+MIN_STEP_S = 0.05
+
+
+class TargetLoad:
+    """What one router knows of one target's load.
+
+    `capacity_tokens` is 0 until the target has reported it.
+    """
+
+    __slots__ = (
+        "_drift_tokens_per_s",
+        "_measured_s",
+        "_own_in_flight",
+        "_own_since",
+        "_own_since_tokens",
+        "_own_tokens",
+        "_report_tokens",
+        "_variance_per_s",
+        "capacity_tokens",
+    )
+
+    def __init__(self) -> None:
+        self._report_tokens = 0.0
+        self._measured_s: float | None = None
+        self.capacity_tokens = 0
+        self._drift_tokens_per_s = 0.0
+        self._variance_per_s = 0.0
+        self._own_in_flight: dict[str, float] = {}
+        self._own_tokens = 0.0
+        self._own_since: deque[tuple[float, float]] = deque()
+        self._own_since_tokens = 0.0
+
+    def observe(self, report: LoadReport, now_s: float) -> None:
+        """Take in a report; one measured before the last one is ignored."""
+        measured_s = now_s - report.age_s
+        if self._measured_s is not None and measured_s <= self._measured_s:
+            return
+        placed_tokens = self._forget_own_before(measured_s)
+        if self._measured_s is not None:
+            expected_tokens = self._report_tokens + placed_tokens
+            self._learn(report.load_tokens - expected_tokens, measured_s - self._measured_s)
+        self._report_tokens = float(report.load_tokens)
+        self._measured_s = measured_s
+        if report.capacity_tokens > 0:
+            self.capacity_tokens = report.capacity_tokens
+
+    def _learn(self, moved_tokens: float, step_s: float) -> None:
+        """Learn the peers' drift and its variance from the step between two reports."""
+        step_s = max(step_s, MIN_STEP_S)
+        surprise_tokens = moved_tokens - self._drift_tokens_per_s * step_s
+        drift_gain = 1.0 - exp(-step_s / DRIFT_WINDOW_S)
+        variance_gain = 1.0 - exp(-step_s / VARIANCE_WINDOW_S)
+        self._drift_tokens_per_s += drift_gain * surprise_tokens / step_s
+        self._variance_per_s += variance_gain * (
+            surprise_tokens * surprise_tokens / step_s - self._variance_per_s
+        )
+
+    def _forget_own_before(self, measured_s: float) -> float:
+        """Drop own placements that a report covers; return their tokens."""
+        covered_tokens = 0.0
+        while self._own_since and self._own_since[0][0] <= measured_s:
+            covered_tokens += self._own_since.popleft()[1]
+        self._own_since_tokens = sum(tokens for _, tokens in self._own_since)
+        return covered_tokens
+
+    def started(self, request_id: str, need_tokens: float, now_s: float) -> None:
+        """Count work that this router just sent."""
+        self._own_in_flight[request_id] = need_tokens
+        self._own_tokens += need_tokens
+        self._own_since.append((now_s, need_tokens))
+        self._own_since_tokens += need_tokens
+
+    def finished(self, request_id: str, done: bool, now_s: float) -> None:
+        """Take ended work out of what this router has in flight.
+
+        Work that was not done no longer weighs on the target, whatever the last
+        report said; work that was done is part of the drift.
+        """
+        need_tokens = self._own_in_flight.pop(request_id, 0.0)
+        self._own_tokens = self._own_tokens - need_tokens if self._own_in_flight else 0.0
+        if not done:
+            self._own_since.append((now_s, -need_tokens))
+            self._own_since_tokens -= need_tokens
+
+    def age_s(self, now_s: float) -> float | None:
+        """Return how long ago the last report was measured, if there is one."""
+        return None if self._measured_s is None else now_s - self._measured_s
+
+    def estimate_tokens(self, now_s: float, router_count: int) -> float:
+        """Return the estimated work in hand.
+
+        A target that never reported, or not for long, is taken to carry this
+        router's own work once for each router.
+        """
+        if self._measured_s is None or now_s - self._measured_s > SILENT_AFTER_S:
+            return self._own_tokens * router_count
+        ahead_s = min(now_s - self._measured_s, MAX_EXTRAPOLATION_S)
+        estimate = self._report_tokens + self._own_since_tokens + self._drift_tokens_per_s * ahead_s
+        return estimate if estimate > 0.0 else 0.0
+
+    def error_sd_tokens(self, now_s: float) -> float:
+        """Return the standard deviation of the estimate's error."""
+        if self._measured_s is None:
+            return 0.0
+        return sqrt(self._variance_per_s * (now_s - self._measured_s))
+
+
+class LoadBook:
+    """The loads of every target that one router knows.
+
+    >>> book = LoadBook()
+    >>> book.observe("a", LoadReport(100, 1000, 1, 0, 0.5), now_s=10.0)
+    >>> book.started("r1", "a", 30.0, now_s=10.1)
+    >>> book.estimate_tokens("a", now_s=10.2)
+    130.0
+    """
+
+    def __init__(self) -> None:
+        self._loads: dict[str, TargetLoad] = {}
+        self._target_of_request: dict[str, str] = {}
+        self.router_count = 1
+
+    def load(self, target_id: str) -> TargetLoad:
+        """Return a target's record, made on first use."""
+        load = self._loads.get(target_id)
+        if load is None:
+            load = self._loads[target_id] = TargetLoad()
+        return load
+
+    def forget(self, target_id: str) -> None:
+        """Drop a target's record; its requests in flight end without effect."""
+        self._loads.pop(target_id, None)
+
+    def observe(self, target_id: str, report: LoadReport, now_s: float) -> None:
+        """Take in a report on a target."""
+        self.load(target_id).observe(report, now_s)
+
+    def started(self, request_id: str, target_id: str, need_tokens: float, now_s: float) -> None:
+        """Count a request sent to a target."""
+        self._target_of_request[request_id] = target_id
+        self.load(target_id).started(request_id, need_tokens, now_s)
+
+    def finished(self, request_id: str, done: bool, now_s: float) -> None:
+        """End a request; an unknown one is ignored."""
+        target_id = self._target_of_request.pop(request_id, None)
+        load = self._loads.get(target_id) if target_id is not None else None
+        if load is not None:
+            load.finished(request_id, done, now_s)
+
+    def estimate_tokens(self, target_id: str, now_s: float) -> float:
+        """Return the estimated work in hand at a target."""
+        return self.load(target_id).estimate_tokens(now_s, self.router_count)
--- a/packages/decisions/src/damaskwind/decisions/placement/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/messages.py
@@ -66,7 +66,8 @@
 
     `need_tokens` estimates the work: prompt tokens not expected in the cache
     plus tokens to generate. `prefix_digests` is the chat's prefix chain, oldest
-    first. `excluded` names targets that this request has already tried.
+    first. `excluded` names targets that this request has already tried. `is_new`
+    says that the chat has no answer yet, so that no cache is lost wherever it goes.
     """
 
     chat_digest: str
@@ -76,6 +77,7 @@
     failure_domain: str
     pool: PoolName
     excluded: frozenset[str] = frozenset()
+    is_new: bool = False
 
 
 class CandidateNote(NamedTuple):
