--- /dev/null
+++ b/packages/control/src/damaskwind/control/state/command.py
@@ -0,0 +1,131 @@
+"""The commands of the replicated log and their coding.
+
+A command carries all that its outcome depends on, the time included, so that
+every replica decides alike whatever its own clock says.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from damaskwind.model.checking import check_table
+from damaskwind.model.configuration_codec import to_table
+from damaskwind.model.exception import MessageError
+
+__all__ = [
+    "COMMAND_KINDS",
+    "Actor",
+    "ConfirmCommand",
+    "OrderCommand",
+    "PlanCommand",
+    "RecordCommand",
+    "WantedState",
+    "decode_command",
+    "encode_command",
+]
+
+COMMAND_KINDS: dict[str, type] = {}
+
+
+def _command(kind: str) -> Callable[[type], type]:
+    """Register a command under the name that stands in the log."""
+
+    def register(command: type) -> type:
+        COMMAND_KINDS[kind] = command
+        return command
+
+    return register
+
+
+class Actor(NamedTuple):
+    """Who asks, from where, and when by the clock of the replica that was asked."""
+
+    operator: str
+    origin: str
+    now_s: float
+
+
+class WantedState(NamedTuple):
+    """The end state that an order wants of a target: its role and loaded models."""
+
+    role: str
+    models: tuple[str, ...] = ()
+
+
+@_command("plan")
+class PlanCommand(NamedTuple):
+    """Store a plan. `change` was checked against exactly `base_revision`.
+
+    `touches` names the objects it puts or deletes, `affects` those that depend
+    on them.
+    """
+
+    actor: Actor
+    plan_id: str
+    base_revision: int
+    ttl_s: float
+    change: dict[str, Any]
+    difference: tuple[str, ...]
+    touches: tuple[str, ...]
+    affects: tuple[str, ...]
+    warnings: tuple[str, ...]
+
+
+@_command("confirm")
+class ConfirmCommand(NamedTuple):
+    """Confirm a plan; safe to repeat."""
+
+    actor: Actor
+    plan_id: str
+
+
+@_command("order")
+class OrderCommand(NamedTuple):
+    """Order a target into a wanted state; safe to repeat under its `order_id`."""
+
+    actor: Actor
+    order_id: str
+    target_id: str
+    wanted: WantedState
+
+
+@_command("record")
+class RecordCommand(NamedTuple):
+    """Put an operator's act that changes no configuration on the audit trail."""
+
+    actor: Actor
+    action: str
+    subject: str
+    result: str
+
+
+_KIND_OF = {command: kind for kind, command in COMMAND_KINDS.items()}
+
+
+def encode_command(command: Any) -> bytes:
+    """Return a command as the log keeps it.
+
+    >>> actor = Actor("mei", "127.0.0.1", 0.0)
+    >>> decode_command(encode_command(ConfirmCommand(actor, "plan-1"))).plan_id
+    'plan-1'
+    """
+    return msgspec.json.encode({"kind": _KIND_OF[type(command)], **to_table(command)})
+
+
+def decode_command(payload: bytes) -> Any:
+    """Read a command back; raise `MessageError` when it is none that is known."""
+    try:
+        raw = msgspec.json.decode(payload)
+    except msgspec.DecodeError as error:
+        raise MessageError(f"command: not JSON: {error}") from error
+    if not isinstance(raw, dict) or raw.get("kind") not in COMMAND_KINDS:
+        raise MessageError("command: unknown kind")
+    checked = check_table(
+        {name: value for name, value in raw.items() if name != "kind"},
+        COMMAND_KINDS[raw["kind"]],
+        raw["kind"],
+    )
+    if checked.mistakes:
+        raise MessageError("; ".join(checked.mistakes))
+    return checked.value
