--- /dev/null
+++ b/packages/control/src/damaskwind/control/storage/files.py
@@ -0,0 +1,119 @@
+"""The few file operations that the storage needs, behind one small interface.
+
+Tests put a failing one in its place. Every failure becomes a `StorageError`; a
+failed fsync is never tried again, since the kernel may have dropped the pages
+that it could not write.
+"""
+
+import fcntl
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from damaskwind.model.exception import StorageError
+
+__all__ = ["FileSystem", "write_file_durably"]
+
+
+@contextmanager
+def _named(action: str, path: object) -> Iterator[None]:
+    """Turn an `OSError` into a `StorageError` that names the action and the file."""
+    try:
+        yield
+    except OSError as error:
+        raise StorageError(f"{action} {path}: {error.strerror or error}") from error
+
+
+class FileSystem:
+    """The operating system's files."""
+
+    def make_folder(self, path: Path) -> None:
+        """Create a folder and make its entry durable; one that exists is kept."""
+        if path.is_dir():
+            return
+        with _named("create folder", path):
+            path.mkdir(parents=True, exist_ok=True)
+        self.sync_folder(path.parent)
+
+    def lock(self, path: Path) -> int:
+        """Lock a file against other processes and return its descriptor."""
+        with _named("open lock file", path):
+            descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(descriptor)
+            raise StorageError(f"{path.parent}: another process uses this folder") from error
+        return descriptor
+
+    def open_append(self, path: Path) -> int:
+        """Open a file to add to its end; create it when it does not exist."""
+        with _named("open", path):
+            flags = os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
+            return os.open(path, flags, 0o600)
+
+    def close(self, descriptor: int) -> None:
+        """Close a descriptor."""
+        with _named("close", f"descriptor {descriptor}"):
+            os.close(descriptor)
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        """Write all of `data`."""
+        view = memoryview(data)
+        with _named("write", f"descriptor {descriptor}"):
+            while view:
+                view = view[os.write(descriptor, view) :]
+
+    def sync(self, descriptor: int) -> None:
+        """Make what was written durable."""
+        with _named("fsync", f"descriptor {descriptor}"):
+            os.fsync(descriptor)
+
+    def sync_folder(self, path: Path) -> None:
+        """Make creations, renames and removals in a folder durable."""
+        with _named("fsync folder", path):
+            descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+            try:
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+
+    def truncate(self, descriptor: int, size_bytes: int) -> None:
+        """Cut a file."""
+        with _named("truncate", f"descriptor {descriptor}"):
+            os.ftruncate(descriptor, size_bytes)
+
+    def rename(self, source: Path, target: Path) -> None:
+        """Give a file another name, in place of what had it."""
+        with _named("rename", source):
+            os.replace(source, target)
+
+    def remove(self, path: Path) -> None:
+        """Remove a file."""
+        with _named("remove", path):
+            path.unlink(missing_ok=True)
+
+    def read(self, path: Path) -> bytes:
+        """Return a file's content."""
+        with _named("read", path):
+            return path.read_bytes()
+
+    def names(self, path: Path) -> list[str]:
+        """Return the names in a folder, in order."""
+        with _named("list", path):
+            return sorted(os.listdir(path))
+
+
+def write_file_durably(files: FileSystem, path: Path, data: bytes) -> None:
+    """Write a file so that after a crash it is there whole or not at all."""
+    temporary = path.with_name(path.name + ".tmp")
+    files.remove(temporary)
+    descriptor = files.open_append(temporary)
+    try:
+        files.write(descriptor, data)
+        files.sync(descriptor)
+    finally:
+        files.close(descriptor)
+    files.rename(temporary, path)
+    files.sync_folder(path.parent)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/storage/folder.py
@@ -0,0 +1,91 @@
+"""A replica's data folder: its lock and its identity.
+
+The identity is drawn when the folder is first used. A replica that lost its
+disk draws another and is another member of the log, so that it can't vote
+where its former self has voted.
+"""
+
+import secrets
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from damaskwind.control.storage.files import FileSystem, write_file_durably
+from damaskwind.control.storage.frames import encode_frame, file_header, read_frames
+from damaskwind.model.exception import StorageError
+
+__all__ = ["DataFolder", "Identity", "open_data_folder"]
+
+_KIND_IDENTITY = 1
+_IDENTITY_NAME = "identity"
+_LOCK_NAME = "lock"
+
+
+class Identity(NamedTuple):
+    """Whose folder it is, and which life of the disk."""
+
+    cluster: str
+    replica_id: str
+    identity: str
+
+
+class DataFolder(NamedTuple):
+    """An open, locked data folder."""
+
+    path: Path
+    files: FileSystem
+    identity: Identity
+    lock_descriptor: int
+
+    def close(self) -> None:
+        """Give the lock back."""
+        self.files.close(self.lock_descriptor)
+
+
+def _read_identity(files: FileSystem, path: Path) -> Identity:
+    """Read the identity file, which must be whole."""
+    framed = read_frames(files.read(path), _KIND_IDENTITY, path)
+    if len(framed.payloads) != 1 or framed.torn_bytes:
+        raise StorageError(f"{path}: damaged; restore this replica as a new member")
+    return msgspec.msgpack.decode(framed.payloads[0], type=Identity)
+
+
+def _create_identity(files: FileSystem, path: Path, cluster: str, replica_id: str) -> Identity:
+    """Draw an identity and make it durable."""
+    identity = Identity(cluster, replica_id, secrets.token_hex(8))
+    data = file_header(_KIND_IDENTITY) + encode_frame(msgspec.msgpack.encode(identity))
+    write_file_durably(files, path, data)
+    return identity
+
+
+def _load_identity(files: FileSystem, path: Path, cluster: str, replica_id: str) -> Identity:
+    """Return the folder's identity; a folder with a log and without one is refused."""
+    names = files.names(path)
+    if _IDENTITY_NAME not in names:
+        leftover = [name for name in names if name.endswith((".log", ".snapshot"))]
+        if leftover:
+            raise StorageError(f"{path}: has {leftover[0]} but no identity file")
+        return _create_identity(files, path / _IDENTITY_NAME, cluster, replica_id)
+    identity = _read_identity(files, path / _IDENTITY_NAME)
+    if (identity.cluster, identity.replica_id) != (cluster, replica_id):
+        raise StorageError(
+            f"{path}: belongs to replica '{identity.replica_id}' of cluster"
+            f" '{identity.cluster}', not to '{replica_id}' of '{cluster}'"
+        )
+    return identity
+
+
+def open_data_folder(path: Path, cluster: str, replica_id: str, files: FileSystem) -> DataFolder:
+    """Open and lock a data folder; create it and its identity when it is new.
+
+    Raises `StorageError` when another process holds it or it is not ours.
+    """
+    files.make_folder(path)
+    descriptor = files.lock(path / _LOCK_NAME)
+    try:
+        identity = _load_identity(files, path, cluster, replica_id)
+    except BaseException:
+        files.close(descriptor)
+        raise
+    return DataFolder(path, files, identity, descriptor)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/storage/frames.py
@@ -0,0 +1,113 @@
+"""Frames on disk: a marker, a length, a checksum and a payload.
+
+A file starts with a header that names its kind and format version. What was
+made durable by one fsync is one frame, and the next frame is only written
+after that fsync; so a crash can leave at most the last frame torn. A bad frame
+that a sound one follows is therefore not torn but corrupt. The rot of a single
+last frame can't be told from a torn one; the log of the other replicas holds
+what it held.
+"""
+
+import struct
+from pathlib import Path
+from typing import NamedTuple
+
+import xxhash
+
+from damaskwind.model.exception import CorruptLogError
+
+__all__ = ["FORMAT_VERSION", "FramedFile", "encode_frame", "file_header", "read_frames"]
+
+FORMAT_VERSION = 1
+_HEADER = struct.Struct("<8sHH4x")
+_MAGIC = b"DAMASKW\x00"
+_MARKER = b"\xd5DWF"
+_FRAME = struct.Struct("<4sIQ")
+_FRAME_LIMIT_BYTES = 1 << 30
+
+
+class FramedFile(NamedTuple):
+    """The sound frames of a file; `size_bytes` is where they end."""
+
+    payloads: list[bytes]
+    size_bytes: int
+    torn_bytes: int
+
+
+def file_header(kind: int) -> bytes:
+    """Return the header of a file of one kind.
+
+    >>> len(file_header(1))
+    16
+    """
+    return _HEADER.pack(_MAGIC, FORMAT_VERSION, kind)
+
+
+def _checksum(payload: bytes) -> int:
+    """Return the checksum of a payload with its length."""
+    return xxhash.xxh3_64_intdigest(payload, seed=len(payload))
+
+
+def encode_frame(payload: bytes) -> bytes:
+    """Return a payload as a frame."""
+    return _FRAME.pack(_MARKER, len(payload), _checksum(payload)) + payload
+
+
+def _frame_at(data: bytes, offset: int) -> bytes | None:
+    """Return the payload of the sound frame at `offset`, or `None`."""
+    if offset + _FRAME.size > len(data):
+        return None
+    marker, length, checksum = _FRAME.unpack_from(data, offset)
+    start = offset + _FRAME.size
+    if marker != _MARKER or length > _FRAME_LIMIT_BYTES or start + length > len(data):
+        return None
+    payload = data[start : start + length]
+    return payload if _checksum(payload) == checksum else None
+
+
+def _sound_frame_after(data: bytes, offset: int) -> int | None:
+    """Return the offset of the first sound frame after `offset`."""
+    place = data.find(_MARKER, offset + 1)
+    while place >= 0:
+        if _frame_at(data, place) is not None:
+            return place
+        place = data.find(_MARKER, place + 1)
+    return None
+
+
+def _check_header(data: bytes, kind: int, path: Path) -> None:
+    """Refuse a file of another kind or version."""
+    if len(data) < _HEADER.size:
+        raise CorruptLogError(f"{path} at offset 0: header is {len(data)} bytes, not 16")
+    magic, version, found_kind = _HEADER.unpack_from(data)
+    if magic != _MAGIC or found_kind != kind:
+        raise CorruptLogError(f"{path} at offset 0: not a file of this kind")
+    if version != FORMAT_VERSION:
+        raise CorruptLogError(
+            f"{path} at offset 8: format version {version}, this program reads {FORMAT_VERSION}"
+        )
+
+
+def read_frames(data: bytes, kind: int, path: Path) -> FramedFile:
+    """Return the frames of a file's content; a torn tail is left out.
+
+    Raises `CorruptLogError`, which names the file and the offset, when a frame
+    before the last one is bad.
+    """
+    _check_header(data, kind, path)
+    payloads = []
+    offset = _HEADER.size
+    while offset < len(data):
+        payload = _frame_at(data, offset)
+        if payload is None:
+            break
+        payloads.append(payload)
+        offset += _FRAME.size + len(payload)
+    if offset < len(data):
+        sound = _sound_frame_after(data, offset)
+        if sound is not None:
+            raise CorruptLogError(
+                f"{path} at offset {offset}: bad checksum or length, and a sound frame follows"
+                f" at offset {sound}; restore this replica as a new member"
+            )
+    return FramedFile(payloads, offset, len(data) - offset)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/storage/writer.py
@@ -0,0 +1,84 @@
+"""Write the journal from a thread of its own, many changes to one fsync.
+
+While one fsync runs, what comes in waits and shares the next one.
+"""
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from time import monotonic
+from typing import Any
+
+from damaskwind.control.storage.journal import Journal, JournalWrite
+from damaskwind.model.exception import StorageError
+
+__all__ = ["GroupCommitWriter"]
+
+RECENT_SYNCS = 1024
+
+
+class GroupCommitWriter:
+    """Own a journal: take writes from the loop and tell when they are durable.
+
+    `on_durable` gets the writes of each group in order; `on_failure` gets the
+    one `StorageError` after which nothing is written any more.
+    """
+
+    def __init__(
+        self,
+        journal: Journal,
+        on_durable: Callable[[list[JournalWrite]], None],
+        on_failure: Callable[[StorageError], None],
+    ) -> None:
+        self._journal = journal
+        self._on_durable = on_durable
+        self._on_failure = on_failure
+        self._pending: list[JournalWrite] = []
+        self._thread = ThreadPoolExecutor(1, thread_name_prefix="journal")
+        self._running: asyncio.Task | None = None
+        self._failed = False
+        self.group_count = 0
+        self.sync_durations_s: list[float] = []
+
+    def submit(self, write: JournalWrite) -> None:
+        """Queue one write."""
+        if self._failed:
+            return
+        self._pending.append(write)
+        if self._running is None:
+            self._running = asyncio.ensure_future(self._drain())
+
+    async def read_snapshot(self) -> Any:
+        """Return the newest durable snapshot with its data."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._thread, self._journal.read_snapshot)
+
+    async def close(self) -> None:
+        """Finish what was queued and close the journal."""
+        while self._running is not None:
+            await asyncio.wait([self._running])
+        self._thread.shutdown(wait=True)
+        self._journal.close()
+
+    async def _drain(self) -> None:
+        """Write group after group until nothing is queued."""
+        loop = asyncio.get_running_loop()
+        try:
+            while self._pending and not self._failed:
+                group, self._pending = self._pending, []
+                started_s = monotonic()
+                await loop.run_in_executor(self._thread, self._journal.write, group)
+                self._note_duration(monotonic() - started_s)
+                self._on_durable(group)
+        except StorageError as error:
+            self._failed = True
+            self._pending.clear()
+            self._on_failure(error)
+        finally:
+            self._running = None
+
+    def _note_duration(self, duration_s: float) -> None:
+        """Keep the durations of recent groups."""
+        self.group_count += 1
+        self.sync_durations_s.append(duration_s)
+        del self.sync_durations_s[:-RECENT_SYNCS]
