--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys, granted once by a majority of holders."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/health/__init__.py
@@ -0,0 +1,1 @@
+"""Circuit state and outlier ejection of targets."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide limits of client accounts by leased shares."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/limits/messages.py
@@ -0,0 +1,112 @@
+"""The messages between routers and share allocators, and what a limiter decides."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from damaskwind.model.verdict import Refusal
+
+__all__ = [
+    "AccountDemand",
+    "AccountGrant",
+    "AccountLimit",
+    "DemandReport",
+    "LimitDecision",
+    "LimitOutcome",
+    "LimitPolicy",
+    "ShareGrant",
+]
+
+
+class AccountLimit(NamedTuple):
+    """The fleet-wide limit of a client account."""
+
+    max_concurrent_requests: int
+    max_tokens_per_s: float
+
+
+class LimitPolicy(NamedTuple):
+    """How shares are leased.
+
+    `lease_s` is the life of a lease, `renew_s` the time between reports,
+    `idle_s` how long an unused share is kept. `burst_s` is how many seconds of
+    its rate a token bucket holds. `floor_share` of a domain's slice is divided
+    over `floor_routers` routers, whether they exist or not: what a router that
+    no allocator answers may still use. `linger_s` keeps units lent to another
+    domain booked after their lease ends, since their requests may still run.
+    """
+
+    lease_s: float = 6.0
+    renew_s: float = 2.0
+    idle_s: float = 6.0
+    burst_s: float = 2.0
+    wait_s: float = 0.5
+    retry_after_s: float = 1.0
+    floor_share: float = 0.1
+    floor_routers: int = 64
+    linger_s: float = 120.0
+
+
+class AccountDemand(NamedTuple):
+    """What a router holds and wants of one account at one domain's allocator.
+
+    `grant_sequence` is the newest grant applied; the router never goes back to an
+    older one. `held_by` is the allocator that gave it.
+    """
+
+    account: str
+    in_use: int
+    wanted: int
+    wanted_tokens_per_s: int
+    held: int
+    held_tokens_per_s: int
+    held_remaining_ms: int
+    held_by: str
+    grant_sequence: int
+
+
+class DemandReport(NamedTuple):
+    """A router's demand, sent to the router that allocates for these accounts."""
+
+    router_id: str
+    router_domain: str
+    slice_domain: str
+    sequence: int
+    demands: tuple[AccountDemand, ...]
+
+
+class AccountGrant(NamedTuple):
+    """The whole share of one account that a router may use from now on."""
+
+    account: str
+    units: int
+    tokens_per_s: int
+    grant_sequence: int
+
+
+class ShareGrant(NamedTuple):
+    """The answer to the report with `report_sequence`.
+
+    Its leases run from the moment the router sent that report.
+    """
+
+    allocator_id: str
+    slice_domain: str
+    report_sequence: int
+    lease_ms: int
+    grants: tuple[AccountGrant, ...]
+
+
+class LimitOutcome(StrEnum):
+    """Name what the limiter says to a request."""
+
+    ADMITTED = "admitted"
+    WAIT = "wait"
+    REFUSED = "refused"
+
+
+class LimitDecision(NamedTuple):
+    """Admit, wait until `wait_until_s` for a grant and ask again, or refuse."""
+
+    outcome: LimitOutcome
+    wait_until_s: float = 0.0
+    refusal: Refusal | None = None
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Whether, when and how often a request may be sent again."""
