Intent service: plans computed at the replica asked and committed to the log

Free of HTTP. What a proposal may have done is told by the log's own verdict: refused means nothing changed, unknown says how to ask.

--- /dev/null
+++ b/packages/control/src/damaskwind/control/operator_api/intent_service.py
@@ -0,0 +1,263 @@
+"""Turn intents into plans and plans into confirmed changes, through the log.
+
+A plan is computed against the state that a majority held a moment ago and is
+itself committed to the log. Any replica can then show and confirm it, whoever
+leads by then.
+"""
+
+import secrets
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from damaskwind.control.operator_api.difference import affected_objects, difference_lines
+from damaskwind.control.operator_api.plan_warnings import plan_warnings
+from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict, ProposalPort
+from damaskwind.control.operator_api.refusal import OperatorCode, OperatorRefusal
+from damaskwind.control.operator_api.views import outcome_view, plan_view
+from damaskwind.control.state.command import (
+    Actor,
+    ConfirmCommand,
+    OrderCommand,
+    PlanCommand,
+    RecordCommand,
+    WantedState,
+    encode_command,
+)
+from damaskwind.control.state.configuration_machine import ConfigurationMachine, operator_roles
+from damaskwind.control.state.outcome import ApplyResult, ResultStatus, decode_result
+from damaskwind.control.state.plan_book import KEPT_OUTCOMES
+from damaskwind.model.configuration import Configuration
+from damaskwind.model.configuration_change import (
+    ConfigurationChange,
+    change_from_table,
+    change_to_table,
+    check_change,
+    touched_objects,
+)
+from damaskwind.model.exception import ConfigurationError
+
+__all__ = ["IntentLimits", "IntentService", "random_id"]
+
+_PLAN_ATTEMPTS = 4
+_ID_BYTES = 10
+
+ConfigurationCheck = Callable[[Configuration], list[str]]
+
+
+class IntentLimits(NamedTuple):
+    """How long plans live and how long the log is waited for."""
+
+    plan_ttl_s: float = 900.0
+    read_timeout_s: float = 2.0
+    commit_timeout_s: float = 5.0
+
+
+def random_id(prefix: str) -> str:
+    """Return an id that no one else will draw or guess."""
+    return f"{prefix}-{secrets.token_hex(_ID_BYTES)}"
+
+
+class IntentService:
+    """The operators' acts on one replica, free of HTTP."""
+
+    def __init__(
+        self,
+        port: ProposalPort,
+        machine: ConfigurationMachine,
+        limits: IntentLimits,
+        wall_clock: Callable[[], float] = time.time,
+        new_id: Callable[[str], str] = random_id,
+    ) -> None:
+        self._port = port
+        self._machine = machine
+        self._limits = limits
+        self._wall_clock = wall_clock
+        self._new_id = new_id
+
+    def actor(self, operator: str, origin: str) -> Actor:
+        """Return who asks, stamped with this replica's wall clock."""
+        return Actor(operator, origin, self._wall_clock())
+
+    async def read_current(self) -> None:
+        """Wait for what a majority holds; refuse when there is no majority."""
+        if not await self._port.read_current(self._limits.read_timeout_s):
+            raise OperatorRefusal(
+                OperatorCode.NO_QUORUM,
+                "no majority of the control replicas answers; this request changed nothing",
+            )
+
+    def require_role(self, operator: str, role: str) -> None:
+        """Refuse an operator who lacks a role."""
+        if role not in operator_roles(self._machine.configuration, operator):
+            raise OperatorRefusal(OperatorCode.FORBIDDEN, f"'{operator}' lacks the role '{role}'")
+
+    async def _commit(self, command: Any, ask: str) -> ApplyResult:
+        """Commit a command and return its result; refuse truthfully otherwise."""
+        outcome = await self._port.propose(encode_command(command), self._limits.commit_timeout_s)
+        if outcome.verdict is not CommitVerdict.COMMITTED:
+            raise _commit_refusal(outcome, ask)
+        result = decode_result(outcome.result)
+        if result.status is ResultStatus.FORBIDDEN:
+            raise OperatorRefusal(OperatorCode.FORBIDDEN, "the operator lacks the role for this")
+        if result.status is ResultStatus.MALFORMED:
+            raise OperatorRefusal(OperatorCode.FAILED, f"not applied: {result.detail}")
+        return result
+
+    async def plan(self, operator: str, origin: str, intent: Any) -> dict[str, Any]:
+        """Plan an intent and return the plan; nothing changes."""
+        self.require_role(operator, "planner")
+        change = _checked_form(intent)
+        plan_id = self._new_id("plan")
+        for _ in range(_PLAN_ATTEMPTS):
+            base = self._machine.configuration
+            command = self._plan_command(operator, origin, plan_id, base, change)
+            if not command.difference:
+                return {"plan": None, "already_in_force": True, "revision": base.revision}
+            result = await self._commit(command, f"GET /operator/v1/plans/{plan_id}")
+            if result.status is ResultStatus.PLANNED:
+                return {"plan": self._plan_of(command)}
+            await self.read_current()
+        raise OperatorRefusal(
+            OperatorCode.CONFLICT, "the configuration keeps changing; state the intent again"
+        )
+
+    def _plan_command(
+        self,
+        operator: str,
+        origin: str,
+        plan_id: str,
+        base: Configuration,
+        change: ConfigurationChange,
+    ) -> PlanCommand:
+        """Check a change against a base and make it a plan."""
+        mistakes = check_change(base, change)
+        if mistakes:
+            raise _invalid(mistakes)
+        return PlanCommand(
+            actor=self.actor(operator, origin),
+            plan_id=plan_id,
+            base_revision=base.revision,
+            ttl_s=self._limits.plan_ttl_s,
+            change=change_to_table(change),
+            difference=difference_lines(base, change),
+            touches=touched_objects(change),
+            affects=affected_objects(base, change),
+            warnings=plan_warnings(base, change),
+        )
+
+    def _plan_of(self, command: PlanCommand) -> dict[str, Any]:
+        """Return the view of a plan that was just committed."""
+        return plan_view(command, command.actor.now_s, self._wall_clock())
+
+    def show_plan(self, plan_id: str) -> dict[str, Any]:
+        """Return an open plan or the outcome of a closed one, as known here."""
+        outcome = self._machine.plans.outcome(plan_id)
+        if outcome is not None:
+            return {"outcome": outcome_view(outcome)}
+        plan = self._machine.plans.plan(plan_id)
+        if plan is None:
+            raise _unknown_plan(plan_id)
+        return {"plan": plan_view(plan, plan.planned_at_s, self._wall_clock())}
+
+    async def confirm(self, operator: str, origin: str, plan_id: str) -> dict[str, Any]:
+        """Confirm a plan, or return what came of its first confirmation."""
+        command = ConfirmCommand(self.actor(operator, origin), plan_id)
+        result = await self._commit(command, f"GET /operator/v1/plans/{plan_id}")
+        if result.outcome is None:
+            raise _unknown_plan(plan_id)
+        view = {"outcome": outcome_view(result.outcome), "repeated": result.repeated}
+        if result.status is ResultStatus.CONFIRMED:
+            return view
+        raise _closed_unconfirmed(result, view)
+
+    async def order(
+        self, operator: str, origin: str, order_id: str, target_id: str, wanted: WantedState
+    ) -> dict[str, Any]:
+        """Take an order to a target into the log and return its fencing number."""
+        self.require_role(operator, "confirmer")
+        order_id = order_id or self._new_id("order")
+        command = OrderCommand(self.actor(operator, origin), order_id, target_id, wanted)
+        result = await self._commit(command, "POST /operator/v1/orders with the same order_id")
+        return {
+            "order_id": order_id,
+            "fencing_number": result.fencing_number,
+            "repeated": result.repeated,
+        }
+
+    async def change_membership(
+        self,
+        operator: str,
+        origin: str,
+        action: str,
+        replica_id: str,
+        address: str,
+        failure_domain: str,
+    ) -> dict[str, Any]:
+        """Add or remove a replica of the log; the trail tells of it before and after."""
+        self.require_role(operator, "confirmer")
+        subject = f"replica {replica_id}"
+        ask = "GET /operator/v1/replicas"
+        asked = RecordCommand(self.actor(operator, origin), action, subject, "requested")
+        await self._commit(asked, ask)
+        outcome = await self._port.change_membership(
+            action, replica_id, address, failure_domain, self._limits.commit_timeout_s
+        )
+        done = RecordCommand(self.actor(operator, origin), action, subject, str(outcome.verdict))
+        # Best effort: the removal of this very replica may have ended its leadership.
+        await self._port.propose(encode_command(done), self._limits.commit_timeout_s)
+        if outcome.verdict is not CommitVerdict.COMMITTED:
+            raise _commit_refusal(outcome, ask)
+        return {"action": action, "replica_id": replica_id, "verdict": str(outcome.verdict)}
+
+
+def _invalid(mistakes: list[str]) -> OperatorRefusal:
+    """Refuse an intent with all its mistakes."""
+    return OperatorRefusal(
+        OperatorCode.INVALID_INTENT, "the intent has mistakes", mistakes=mistakes
+    )
+
+
+def _checked_form(intent: Any) -> ConfigurationChange:
+    """Read an intent; refuse one of the wrong form."""
+    try:
+        return change_from_table(intent)
+    except ConfigurationError as error:
+        raise _invalid(error.mistakes) from error
+
+
+def _commit_refusal(outcome: CommitOutcome, ask: str) -> OperatorRefusal:
+    """Say truthfully what a proposal that was not seen to commit may have done."""
+    if outcome.verdict is CommitVerdict.REFUSED:
+        return OperatorRefusal(
+            OperatorCode.NO_QUORUM,
+            f"this replica can't commit now; this request changed nothing ({outcome.detail})",
+            leader=outcome.leader_hint,
+        )
+    return OperatorRefusal(
+        OperatorCode.OUTCOME_UNKNOWN,
+        "the outcome is not known yet; asking again or resending is safe",
+        nothing_changed=False,
+        ask=ask,
+    )
+
+
+def _unknown_plan(plan_id: str) -> OperatorRefusal:
+    """Say that a plan is neither open nor among the outcomes remembered."""
+    return OperatorRefusal(
+        OperatorCode.UNKNOWN_PLAN,
+        "no such plan is open, and its outcome is not among the last"
+        f" {KEPT_OUTCOMES} that are remembered; the audit trail tells of older ones",
+        plan_id=plan_id,
+    )
+
+
+def _closed_unconfirmed(result: ApplyResult, view: dict[str, Any]) -> OperatorRefusal:
+    """Say why a plan was closed without coming into force."""
+    if result.status is ResultStatus.CONFLICT:
+        return OperatorRefusal(
+            OperatorCode.CONFLICT,
+            "the configuration changed after the plan was made; plan again",
+            **view,
+        )
+    return OperatorRefusal(OperatorCode.EXPIRED, "the plan has expired; plan again", **view)
--- a/packages/control/src/damaskwind/control/operator_api/plan_warnings.py
+++ b/packages/control/src/damaskwind/control/operator_api/plan_warnings.py
@@ -44,7 +44,7 @@
 
 @_rule
 def _deleted_accounts(before: Configuration, after: Configuration) -> Iterator[str]:
-    for name in before.accounts.keys() - after.accounts.keys():
+    for name in sorted(before.accounts.keys() - after.accounts.keys()):
         yield f"accounts.{name} goes: its callers are refused with 401"
 
 
