--- a/packages/control/src/damaskwind/control/operator_api/intent_service.py
+++ b/packages/control/src/damaskwind/control/operator_api/intent_service.py
@@ -13,7 +13,7 @@
 from damaskwind.control.operator_api.difference import affected_objects, difference_lines
 from damaskwind.control.operator_api.plan_warnings import plan_warnings
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict, ProposalPort
-from damaskwind.control.operator_api.refusal import OperatorCode, OperatorRefusal
+from damaskwind.control.operator_api.refusal import OperatorCode, OperatorRefusedError
 from damaskwind.control.operator_api.views import outcome_view, plan_view
 from damaskwind.control.state.command import (
     Actor,
@@ -82,7 +82,7 @@
     async def read_current(self) -> None:
         """Wait for what a majority holds; refuse when there is no majority."""
         if not await self._port.read_current(self._limits.read_timeout_s):
-            raise OperatorRefusal(
+            raise OperatorRefusedError(
                 OperatorCode.NO_QUORUM,
                 "no majority of the control replicas answers; this request changed nothing",
             )
@@ -90,7 +90,9 @@
     def require_role(self, operator: str, role: str) -> None:
         """Refuse an operator who lacks a role."""
         if role not in operator_roles(self._machine.configuration, operator):
-            raise OperatorRefusal(OperatorCode.FORBIDDEN, f"'{operator}' lacks the role '{role}'")
+            raise OperatorRefusedError(
+                OperatorCode.FORBIDDEN, f"'{operator}' lacks the role '{role}'"
+            )
 
     async def _commit(self, command: Any, ask: str) -> ApplyResult:
         """Commit a command and return its result; refuse truthfully otherwise."""
@@ -99,14 +101,16 @@
             raise _commit_refusal(outcome, ask)
         result = decode_result(outcome.result)
         if result.status is ResultStatus.FORBIDDEN:
-            raise OperatorRefusal(OperatorCode.FORBIDDEN, "the operator lacks the role for this")
+            raise OperatorRefusedError(
+                OperatorCode.FORBIDDEN, "the operator lacks the role for this"
+            )
         if result.status is ResultStatus.MALFORMED:
-            raise OperatorRefusal(OperatorCode.FAILED, f"not applied: {result.detail}")
+            raise OperatorRefusedError(OperatorCode.FAILED, f"not applied: {result.detail}")
         return result
 
     async def plan(self, operator: str, origin: str, intent: Any) -> dict[str, Any]:
         """Plan an intent and return the plan; nothing changes."""
-        self.require_role(operator, "planner")
+        await self._require_role(operator, origin, "planner", "plan")
         change = _checked_form(intent)
         plan_id = self._new_id("plan")
         for _ in range(_PLAN_ATTEMPTS):
@@ -118,7 +122,7 @@
             if result.status is ResultStatus.PLANNED:
                 return {"plan": self._plan_of(command)}
             await self.read_current()
-        raise OperatorRefusal(
+        raise OperatorRefusedError(
             OperatorCode.CONFLICT, "the configuration keeps changing; state the intent again"
         )
 
@@ -175,7 +179,7 @@
         self, operator: str, origin: str, order_id: str, target_id: str, wanted: WantedState
     ) -> dict[str, Any]:
         """Take an order to a target into the log and return its fencing number."""
-        self.require_role(operator, "confirmer")
+        await self._require_role(operator, origin, "confirmer", "order")
         order_id = order_id or self._new_id("order")
         command = OrderCommand(self.actor(operator, origin), order_id, target_id, wanted)
         result = await self._commit(command, "POST /operator/v1/orders with the same order_id")
@@ -195,7 +199,7 @@
         failure_domain: str,
     ) -> dict[str, Any]:
         """Add or remove a replica of the log; the trail tells of it before and after."""
-        self.require_role(operator, "confirmer")
+        await self._require_role(operator, origin, "confirmer", action)
         subject = f"replica {replica_id}"
         ask = "GET /operator/v1/replicas"
         asked = RecordCommand(self.actor(operator, origin), action, subject, "requested")
@@ -211,9 +215,9 @@
         return {"action": action, "replica_id": replica_id, "verdict": str(outcome.verdict)}
 
 
-def _invalid(mistakes: list[str]) -> OperatorRefusal:
+def _invalid(mistakes: list[str]) -> OperatorRefusedError:
     """Refuse an intent with all its mistakes."""
-    return OperatorRefusal(
+    return OperatorRefusedError(
         OperatorCode.INVALID_INTENT, "the intent has mistakes", mistakes=mistakes
     )
 
@@ -226,15 +230,15 @@
         raise _invalid(error.mistakes) from error
 
 
-def _commit_refusal(outcome: CommitOutcome, ask: str) -> OperatorRefusal:
+def _commit_refusal(outcome: CommitOutcome, ask: str) -> OperatorRefusedError:
     """Say truthfully what a proposal that was not seen to commit may have done."""
     if outcome.verdict is CommitVerdict.REFUSED:
-        return OperatorRefusal(
+        return OperatorRefusedError(
             OperatorCode.NO_QUORUM,
             f"this replica can't commit now; this request changed nothing ({outcome.detail})",
             leader=outcome.leader_hint,
         )
-    return OperatorRefusal(
+    return OperatorRefusedError(
         OperatorCode.OUTCOME_UNKNOWN,
         "the outcome is not known yet; asking again or resending is safe",
         nothing_changed=False,
@@ -242,9 +246,9 @@
     )
 
 
-def _unknown_plan(plan_id: str) -> OperatorRefusal:
+def _unknown_plan(plan_id: str) -> OperatorRefusedError:
     """Say that a plan is neither open nor among the outcomes remembered."""
-    return OperatorRefusal(
+    return OperatorRefusedError(
         OperatorCode.UNKNOWN_PLAN,
         "no such plan is open, and its outcome is not among the last"
         f" {KEPT_OUTCOMES} that are remembered; the audit trail tells of older ones",
@@ -252,12 +256,12 @@
     )
 
 
-def _closed_unconfirmed(result: ApplyResult, view: dict[str, Any]) -> OperatorRefusal:
+def _closed_unconfirmed(result: ApplyResult, view: dict[str, Any]) -> OperatorRefusedError:
     """Say why a plan was closed without coming into force."""
     if result.status is ResultStatus.CONFLICT:
-        return OperatorRefusal(
+        return OperatorRefusedError(
             OperatorCode.CONFLICT,
             "the configuration changed after the plan was made; plan again",
             **view,
         )
-    return OperatorRefusal(OperatorCode.EXPIRED, "the plan has expired; plan again", **view)
+    return OperatorRefusedError(OperatorCode.EXPIRED, "the plan has expired; plan again", **view)
--- a/packages/control/src/damaskwind/control/operator_api/refusal.py
+++ b/packages/control/src/damaskwind/control/operator_api/refusal.py
@@ -5,7 +5,7 @@
 
 from damaskwind.model.exception import DamaskwindError
 
-__all__ = ["HTTP_STATUS", "OperatorCode", "OperatorRefusal"]
+__all__ = ["HTTP_STATUS", "OperatorCode", "OperatorRefusedError"]
 
 
 class OperatorCode(StrEnum):
@@ -41,7 +41,7 @@
 }
 
 
-class OperatorRefusal(DamaskwindError):
+class OperatorRefusedError(DamaskwindError):
     """A request of an operator is refused.
 
     `nothing_changed` is true when it is certain that this request changed
--- /dev/null
+++ b/packages/control/src/damaskwind/control/operator_api/router_status.py
@@ -0,0 +1,55 @@
+"""What each router says that it enforces; kept in memory only, never in the log."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+__all__ = ["RouterInForce", "RouterStatusBook", "lag_view"]
+
+_FORGET_AFTER_S = 600.0
+
+
+class RouterInForce(NamedTuple):
+    """The revision that a router enforces, by its own report of `age_s` ago."""
+
+    router_id: str
+    failure_domain: str
+    revision: int
+    age_s: float
+
+
+class _Report(NamedTuple):
+    """A report as it came."""
+
+    failure_domain: str
+    revision: int
+    at_s: float
+
+
+class RouterStatusBook:
+    """The latest report of each router that this replica heard of."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._reports: dict[str, _Report] = {}
+
+    def report(self, router_id: str, failure_domain: str, revision: int) -> None:
+        """Take a router's report of the revision that it has applied."""
+        self._reports[router_id] = _Report(failure_domain, revision, self._clock())
+
+    def in_force(self) -> list[RouterInForce]:
+        """Return the reports by router, without those that are too old."""
+        now_s = self._clock()
+        self._reports = {
+            router_id: report
+            for router_id, report in self._reports.items()
+            if now_s - report.at_s <= _FORGET_AFTER_S
+        }
+        return [
+            RouterInForce(router_id, report.failure_domain, report.revision, now_s - report.at_s)
+            for router_id, report in sorted(self._reports.items())
+        ]
+
+
+def lag_view(routers: list[RouterInForce], revision: int) -> list[dict[str, Any]]:
+    """Return the routers with how many revisions each one is behind."""
+    return [{**router._asdict(), "lag": revision - router.revision} for router in routers]
