--- a/packages/decisions/src/damaskwind/decisions/replication/core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/core.py
@@ -2,26 +2,156 @@
 
 A consensus log after Raft (Ongaro and Ousterhout, "In Search of an
 Understandable Consensus Algorithm", USENIX ATC 2014) with pre-vote, check
-quorum and a lease that counts from send times.
+quorum and a lease that counts from send times. The role chart is `role.toml`.
 """
 
+from collections.abc import Callable
+from pathlib import Path
 from random import Random
+from typing import Any
 
+from damaskwind.decisions.replication.election import (
+    count_votes,
+    on_pre_vote_request,
+    on_pre_vote_response,
+    on_vote_request,
+    on_vote_response,
+    start_pre_vote,
+    start_vote,
+    tick_election,
+)
+from damaskwind.decisions.replication.following import on_append_request, on_snapshot_request
+from damaskwind.decisions.replication.leadership import holds_lease
+from damaskwind.decisions.replication.leading import (
+    check_quorum,
+    on_append_response,
+    settle_leader,
+    start_leading,
+    stop_leading,
+    tick_leader,
+)
 from damaskwind.decisions.replication.log import ReplicatedLog
 from damaskwind.decisions.replication.messages import (
+    AppendRequest,
+    AppendResponse,
     Input,
     Member,
+    Membership,
     Output,
     PersistentState,
+    PreVoteRequest,
+    PreVoteResponse,
+    Propose,
+    ProposeMembership,
+    ReadRequest,
+    Received,
     Snapshot,
+    SnapshotRequest,
+    SnapshotTaken,
+    Tick,
     Timing,
+    VoteRequest,
+    VoteResponse,
+    WritesDurable,
+)
+from damaskwind.decisions.replication.replica import Replica, apply_committed
+from damaskwind.decisions.replication.requests import (
+    on_membership,
+    on_propose,
+    on_read,
+    repair_membership,
 )
+from damaskwind.model.statechart import load_chart, start_machine
 
 __all__ = ["ReplicaCore"]
 
+ROLE_CHART = Path(__file__).with_name("role.toml")
+
+
+class _RoleActions:
+    """The actions that the role chart names."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def start_pre_vote(self) -> None:
+        """Begin a campaign."""
+        start_pre_vote(self._replica)
+
+    def start_vote(self) -> None:
+        """Take a new term."""
+        start_vote(self._replica)
+
+    def start_leading(self) -> None:
+        """Take up leading."""
+        start_leading(self._replica)
+
+    def stop_leading(self) -> None:
+        """Give up leading."""
+        stop_leading(self._replica)
+
+
+def _on_tick(replica: Replica, event: Tick) -> None:
+    if replica.leading is None:
+        tick_election(replica)
+        return
+    repair_membership(replica)
+    tick_leader(replica)
+
+
+def _on_received(replica: Replica, event: Received) -> None:
+    """Drop what is for another identity or is an answer from a stranger."""
+    envelope = event.envelope
+    if envelope.recipient != replica.member or envelope.sender == replica.member:
+        return
+    message = envelope.message
+    if isinstance(message, _RESPONSES) and not _is_known(replica, envelope.sender):
+        return
+    _MESSAGES[type(message)](replica, envelope.sender, message)
+
+
+def _is_known(replica: Replica, member: Member) -> bool:
+    membership = replica.log.membership
+    return member in membership.voters or member in membership.learners
+
+
+def _on_durable(replica: Replica, event: WritesDurable) -> None:
+    replica.outbox.durable(event.write_id)
+
+
+def _on_snapshot_taken(replica: Replica, event: SnapshotTaken) -> None:
+    if replica.log.snapshot.index < event.index <= replica.applied_index:
+        replica.log.compact(replica.log.snapshot_at(event.index), keep_suffix=True)
+
+
+_RESPONSES = (PreVoteResponse, VoteResponse, AppendResponse)
+
+_MESSAGES: dict[type, Callable[[Replica, Member, Any], None]] = {
+    PreVoteRequest: on_pre_vote_request,
+    PreVoteResponse: on_pre_vote_response,
+    VoteRequest: on_vote_request,
+    VoteResponse: on_vote_response,
+    AppendRequest: on_append_request,
+    AppendResponse: on_append_response,
+    SnapshotRequest: on_snapshot_request,
+}
+
+_INPUTS: dict[type, Callable[[Replica, Any], None]] = {
+    Tick: _on_tick,
+    Received: _on_received,
+    Propose: on_propose,
+    ProposeMembership: on_membership,
+    ReadRequest: on_read,
+    WritesDurable: _on_durable,
+    SnapshotTaken: _on_snapshot_taken,
+}
+
 
 class ReplicaCore:
-    """One replica: feed `step` and carry out what it returns, in order."""
+    """One replica: feed `step` and carry out what it returns, in order.
+
+    `now_s` is this machine's monotonic clock; a step back is taken as no step.
+    """
 
     def __init__(
         self,
@@ -32,16 +162,64 @@
         random: Random,
         now_s: float,
     ) -> None:
-        raise NotImplementedError
+        self._replica = Replica(member, state, log, timing, random, now_s)
+        self._replica.role = start_machine(load_chart(ROLE_CHART), _RoleActions(self._replica))
 
     def step(self, event: Input, now_s: float) -> list[Output]:
         """Take one input and return what has to be done, in order."""
-        raise NotImplementedError
+        replica = self._replica
+        replica.now_s = max(replica.now_s, now_s)
+        check_quorum(replica)
+        _INPUTS[type(event)](replica, event)
+        count_votes(replica)
+        settle_leader(replica)
+        apply_committed(replica)
+        return replica.outbox.drain()
 
     def holds_lease(self, now_s: float) -> bool:
         """Tell whether this replica leads and its clock still vouches for it."""
-        raise NotImplementedError
+        return holds_lease(self._replica, max(now_s, self._replica.now_s))
 
     def snapshot_at(self, index: int) -> Snapshot:
         """Return the head of a snapshot of the state applied up to `index`."""
-        raise NotImplementedError
+        return self._replica.log.snapshot_at(index)
+
+    @property
+    def member(self) -> Member:
+        """Return who this replica is."""
+        return self._replica.member
+
+    @property
+    def role(self) -> str:
+        """Return the state of the role chart."""
+        return self._replica.role.state
+
+    @property
+    def term(self) -> int:
+        """Return the present term."""
+        return self._replica.state.term
+
+    @property
+    def leader(self) -> Member | None:
+        """Return the leader this replica follows, itself included."""
+        return self._replica.leader
+
+    @property
+    def membership(self) -> Membership:
+        """Return the newest membership known, committed or not."""
+        return self._replica.log.membership
+
+    @property
+    def commit_index(self) -> int:
+        """Return the last index known to be committed."""
+        return self._replica.commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """Return the last index handed out to be applied."""
+        return self._replica.applied_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the last index of the log."""
+        return self._replica.log.last_index
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/election.py
@@ -0,0 +1,146 @@
+"""Elect a leader: pre-vote, vote, and the rules by which a vote is given.
+
+Pre-vote and the refusal to vote while a leader is heard keep a replica that
+returns from a partition from disturbing anybody (Ongaro 2014, sections 4.2.3
+and 9.6). They also carry the lease: a majority that answered a leader gives no
+vote until the shortest election timeout has passed.
+"""
+
+from damaskwind.decisions.replication.membership import is_majority
+from damaskwind.decisions.replication.messages import (
+    Member,
+    PersistentState,
+    PreVoteRequest,
+    PreVoteResponse,
+    VoteRequest,
+    VoteResponse,
+)
+from damaskwind.decisions.replication.replica import (
+    Replica,
+    adopt_term,
+    enter_term,
+    heard_leader,
+    rearm,
+)
+
+__all__ = [
+    "count_votes",
+    "may_vote_again",
+    "on_pre_vote_request",
+    "on_pre_vote_response",
+    "on_vote_request",
+    "on_vote_response",
+    "start_pre_vote",
+    "start_vote",
+    "tick_election",
+]
+
+
+def tick_election(replica: Replica) -> None:
+    """Start a campaign when no leader has been heard for long."""
+    if replica.now_s < replica.election_due_s:
+        return
+    rearm(replica)
+    replica.leader = None
+    if replica.is_voter():
+        replica.role.feed("election_due")
+
+
+def start_pre_vote(replica: Replica) -> None:
+    """Ask the voters whether they would vote for this replica."""
+    replica.votes = {replica.member}
+    request = PreVoteRequest(replica.state.term + 1, replica.log.last_index, replica.log.last_term)
+    for voter in replica.log.membership.voters:
+        if voter != replica.member:
+            replica.outbox.send_after_state(replica.envelope(voter, request))
+
+
+def start_vote(replica: Replica) -> None:
+    """Vote for itself in a new term and ask the others, once that is durable."""
+    term = replica.state.term + 1
+    enter_term(replica, term, voted_for=replica.member)
+    replica.votes = set()
+    rearm(replica)
+    request = VoteRequest(term, replica.log.last_index, replica.log.last_term)
+    for voter in replica.log.membership.voters:
+        if voter != replica.member:
+            replica.outbox.send_after_state(replica.envelope(voter, request))
+
+
+def count_votes(replica: Replica) -> None:
+    """Move on when a majority has answered yes; its own vote counts once durable."""
+    votes = set(replica.votes)
+    if replica.role.state == "candidate" and replica.outbox.is_state_durable():
+        votes.add(replica.member)
+    if not is_majority(replica.log.membership.voters, votes):
+        return
+    won = {"pre_candidate": "pre_vote_won", "candidate": "vote_won"}.get(replica.role.state)
+    if won is not None:
+        replica.role.feed(won)
+
+
+def on_pre_vote_request(replica: Replica, sender: Member, request: PreVoteRequest) -> None:
+    """Answer whether the vote would be given; nothing changes here."""
+    granted = (
+        request.term > replica.state.term
+        and not _is_led(replica)
+        and _is_log_up_to_date(replica, request.last_index, request.last_term)
+    )
+    response = PreVoteResponse(replica.state.term, request.term, granted)
+    replica.outbox.send_after_state(replica.envelope(sender, response))
+
+
+def on_pre_vote_response(replica: Replica, sender: Member, response: PreVoteResponse) -> None:
+    """Note a pre-vote for the term that this replica asked about."""
+    if response.term > replica.state.term:
+        adopt_term(replica, response.term)
+        return
+    asked_now = response.asked_term == replica.state.term + 1
+    if replica.role.state == "pre_candidate" and asked_now and response.granted:
+        replica.votes.add(sender)
+
+
+def on_vote_request(replica: Replica, sender: Member, request: VoteRequest) -> None:
+    """Give the vote at most once a term, and none while a leader is heard."""
+    if request.term > replica.state.term and not _is_led(replica):
+        granted = _is_log_up_to_date(replica, request.last_index, request.last_term)
+        adopt_term(replica, request.term, sender if granted else None)
+    else:
+        granted = may_vote_again(replica, sender, request)
+        if granted and replica.state.voted_for is None:
+            replica.state = PersistentState(request.term, sender)
+            replica.outbox.write_state(replica.state)
+    if granted:
+        rearm(replica)
+    response = VoteResponse(replica.state.term, granted)
+    replica.outbox.send_after_state(replica.envelope(sender, response))
+
+
+def may_vote_again(replica: Replica, sender: Member, request: VoteRequest) -> bool:
+    """Tell whether the vote of the present term is still free, or already the sender's."""
+    return (
+        request.term == replica.state.term
+        and replica.state.voted_for in (None, sender)
+        and not _is_led(replica)
+        and _is_log_up_to_date(replica, request.last_index, request.last_term)
+    )
+
+
+def on_vote_response(replica: Replica, sender: Member, response: VoteResponse) -> None:
+    """Note a vote for this replica in the present term."""
+    if response.term > replica.state.term:
+        adopt_term(replica, response.term)
+        return
+    in_term = response.term == replica.state.term
+    if replica.role.state == "candidate" and in_term and response.granted:
+        replica.votes.add(sender)
+
+
+def _is_led(replica: Replica) -> bool:
+    """Tell whether this replica leads (its quorum is checked) or hears a leader."""
+    return replica.role.state == "leader" or heard_leader(replica)
+
+
+def _is_log_up_to_date(replica: Replica, last_index: int, last_term: int) -> bool:
+    mine = (replica.log.last_term, replica.log.last_index)
+    return (last_term, last_index) >= mine
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/leading.py
@@ -0,0 +1,265 @@
+"""Lead: replicate, commit, keep checking the quorum, and answer requests."""
+
+from damaskwind.decisions.replication.leadership import (
+    Leadership,
+    PendingRead,
+    Progress,
+    forget_old_rounds,
+    note_answer,
+    quorum_round,
+    quorum_sent_s,
+)
+from damaskwind.decisions.replication.membership import majority_value
+from damaskwind.decisions.replication.messages import (
+    AppendRequest,
+    AppendResponse,
+    BecameLeader,
+    EntryKind,
+    LogEntry,
+    Member,
+    Outcome,
+    ProposalOutcome,
+    ReadReady,
+    ReadRefused,
+    RefusalReason,
+    SendSnapshot,
+    SnapshotRequest,
+    SteppedDown,
+)
+from damaskwind.decisions.replication.replica import Replica, adopt_term, apply_committed, rearm
+
+__all__ = [
+    "add_read",
+    "append_entry",
+    "check_quorum",
+    "is_of_own_term",
+    "on_append_response",
+    "quorum_match",
+    "settle_leader",
+    "start_leading",
+    "stop_leading",
+    "tick_leader",
+]
+
+
+def start_leading(replica: Replica) -> None:
+    """Begin a term with an entry of its own, which commits all before it."""
+    replica.leader = replica.member
+    first_index = replica.log.last_index + 1
+    replica.leading = Leadership(replica.state.term, first_index, replica.now_s)
+    replica.outbox.emit(BecameLeader(replica.state.term))
+    append_entry(replica, EntryKind.NOOP, b"")
+    begin_round(replica, replica.leading)
+
+
+def stop_leading(replica: Replica) -> None:
+    """Tell all who wait that this replica can't answer for them any more."""
+    leadership = replica.leading
+    if leadership is None:
+        return
+    replica.leading = None
+    replica.leader = None
+    rearm(replica)
+    for read in leadership.reads:
+        refused = ReadRefused(read.read_id, RefusalReason.STEPPED_DOWN, None)
+        replica.outbox.emit(refused)
+    for index, proposal_id in leadership.proposals.items():
+        replica.outbox.emit(ProposalOutcome(proposal_id, Outcome.UNKNOWN, index))
+    replica.outbox.emit(SteppedDown(leadership.term))
+
+
+def append_entry(
+    replica: Replica, kind: EntryKind, payload: bytes, proposal_id: str | None = None
+) -> None:
+    """Append an entry of the present term and send it to the peers."""
+    leadership = replica.leading
+    assert leadership is not None
+    entry = LogEntry(replica.log.last_index + 1, leadership.term, kind, payload)
+    replica.log.append((entry,))
+    replica.outbox.append((entry,))
+    if proposal_id is not None:
+        leadership.proposals[entry.index] = proposal_id
+    refresh_peers(replica, leadership)
+    for peer, progress in leadership.peers.items():
+        if not progress.is_probing:
+            send_entries(replica, leadership, peer, progress)
+
+
+def refresh_peers(replica: Replica, leadership: Leadership) -> None:
+    """Keep the progress of just those who are members now."""
+    voters, learners = replica.log.membership
+    members = [member for member in (*voters, *learners) if member != replica.member]
+    next_index = replica.log.last_index + 1
+    known = leadership.peers
+    leadership.peers = {member: known.get(member) or Progress(next_index) for member in members}
+
+
+def begin_round(replica: Replica, leadership: Leadership) -> None:
+    """Send a round to every peer, with the entries it lacks."""
+    forget_old_rounds(replica, leadership)
+    leadership.round_number += 1
+    leadership.round_sent_s[leadership.round_number] = replica.now_s
+    leadership.heartbeat_due_s = replica.now_s + replica.timing.heartbeat_s
+    for peer, progress in leadership.peers.items():
+        send_entries(replica, leadership, peer, progress)
+
+
+def send_entries(
+    replica: Replica, leadership: Leadership, peer: Member, progress: Progress
+) -> None:
+    """Send a peer its next entries, or a snapshot when they are gone."""
+    log = replica.log
+    if progress.next_index <= log.snapshot.index:
+        send_snapshot(replica, leadership, peer, progress)
+    previous_index = max(progress.next_index - 1, log.snapshot.index)
+    last_index = min(log.last_index, previous_index + replica.timing.max_batch_entries)
+    if progress.next_index <= log.snapshot.index:
+        last_index = previous_index
+    request = AppendRequest(
+        term=leadership.term,
+        round_number=leadership.round_number,
+        previous_index=previous_index,
+        previous_term=log.term_at(previous_index) or 0,
+        entries=log.entries(previous_index + 1, last_index),
+        commit_index=replica.commit_index,
+    )
+    replica.outbox.send_after_state(replica.envelope(peer, request))
+    if not progress.is_probing:
+        progress.next_index = last_index + 1
+
+
+def send_snapshot(
+    replica: Replica, leadership: Leadership, peer: Member, progress: Progress
+) -> None:
+    """Send the newest snapshot, but not again before it can have arrived."""
+    if replica.now_s < progress.snapshot_sent_s + replica.timing.election_timeout_min_s:
+        return
+    progress.snapshot_sent_s = replica.now_s
+    snapshot = replica.log.snapshot
+    request = SnapshotRequest(leadership.term, leadership.round_number, snapshot, b"")
+    replica.outbox.emit(SendSnapshot(replica.envelope(peer, request)))
+
+
+def on_append_response(replica: Replica, sender: Member, response: AppendResponse) -> None:
+    """Note how far a peer is, and send it what it lacks."""
+    if response.term > replica.state.term:
+        adopt_term(replica, response.term)
+        return
+    leadership = replica.leading
+    if leadership is None or response.term != leadership.term:
+        return
+    progress = leadership.peers.get(sender)
+    if progress is None:
+        return
+    note_answer(leadership, progress, response.round_number, replica.now_s)
+    if response.accepted:
+        _advance(replica, leadership, sender, progress, response.match_index)
+    else:
+        _retreat(replica, leadership, sender, progress, response.match_index)
+
+
+def _advance(
+    replica: Replica, leadership: Leadership, peer: Member, progress: Progress, match_index: int
+) -> None:
+    """The peer holds all up to `match_index` durably."""
+    progress.match_index = max(progress.match_index, match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    was_probing, progress.is_probing = progress.is_probing, False
+    if was_probing:
+        progress.next_index = progress.match_index + 1
+    if progress.next_index <= replica.log.last_index:
+        send_entries(replica, leadership, peer, progress)
+
+
+def _retreat(
+    replica: Replica, leadership: Leadership, peer: Member, progress: Progress, retry_after: int
+) -> None:
+    """The peer's log does not reach or conflicts: try again further back."""
+    next_index = max(progress.match_index, retry_after) + 1
+    if progress.is_probing and next_index >= progress.next_index:
+        return
+    progress.is_probing = True
+    progress.next_index = next_index
+    send_entries(replica, leadership, peer, progress)
+
+
+def check_quorum(replica: Replica) -> None:
+    """Step down when no majority has answered a round sent recently."""
+    leadership = replica.leading
+    if leadership is None:
+        return
+    silent_s = replica.now_s - quorum_sent_s(replica, leadership)
+    if silent_s >= replica.timing.election_timeout_min_s:
+        replica.role.feed("quorum_lost")
+
+
+def tick_leader(replica: Replica) -> None:
+    """Begin a round when a heartbeat is due."""
+    leadership = replica.leading
+    if leadership is not None and replica.now_s >= leadership.heartbeat_due_s:
+        begin_round(replica, leadership)
+
+
+def settle_leader(replica: Replica) -> None:
+    """Commit what a majority holds, then answer whom that allows to answer."""
+    leadership = replica.leading
+    if leadership is None:
+        return
+    commit_index = quorum_match(replica, leadership)
+    if commit_index > replica.commit_index and is_of_own_term(replica, commit_index):
+        replica.commit_index = commit_index
+    apply_committed(replica)
+    _report_committed(replica, leadership)
+    _answer_reads(replica, leadership)
+    membership = replica.log.membership_at(replica.commit_index)
+    if replica.member not in membership.voters and not replica.is_voter():
+        replica.role.feed("removed")
+
+
+def is_of_own_term(replica: Replica, index: int) -> bool:
+    """Tell whether the entry is of the leader's own term.
+
+    An entry of an earlier term that a majority holds may still be overwritten
+    by a leader of a term in between (the Raft paper's figure 8).
+    """
+    return replica.log.term_at(index) == replica.state.term
+
+
+def quorum_match(replica: Replica, leadership: Leadership) -> int:
+    """Return the last index that a majority of voters holds durably."""
+
+    def match_index(voter: Member) -> int:
+        if voter == replica.member:
+            return replica.outbox.durable_index
+        progress = leadership.peers.get(voter)
+        return progress.match_index if progress else 0
+
+    return int(majority_value(replica.log.membership.voters, match_index))
+
+
+def _report_committed(replica: Replica, leadership: Leadership) -> None:
+    done = [index for index in leadership.proposals if index <= replica.applied_index]
+    for index in done:
+        proposal_id = leadership.proposals.pop(index)
+        replica.outbox.emit(ProposalOutcome(proposal_id, Outcome.COMMITTED, index))
+
+
+def _answer_reads(replica: Replica, leadership: Leadership) -> None:
+    """Answer reads whose round a majority answered; begin the next round if any wait."""
+    answered = quorum_round(replica, leadership)
+    waiting = []
+    for read in leadership.reads:
+        if read.round_number <= answered and read.index <= replica.applied_index:
+            replica.outbox.emit(ReadReady(read.read_id, replica.applied_index))
+        else:
+            waiting.append(read)
+    leadership.reads = waiting
+    is_answered = answered == leadership.round_number
+    if is_answered and any(read.round_number > answered for read in waiting):
+        begin_round(replica, leadership)
+
+
+def add_read(replica: Replica, leadership: Leadership, read_id: str) -> None:
+    """Queue a read for the next round to be sent."""
+    index = max(replica.commit_index, leadership.first_index)
+    leadership.reads.append(PendingRead(read_id, leadership.round_number + 1, index))
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/outbox.py
@@ -0,0 +1,107 @@
+"""Hold each send back until the writes that it depends on are durable."""
+
+from damaskwind.decisions.replication.messages import (
+    AppendEntries,
+    Envelope,
+    InstallSnapshot,
+    LogEntry,
+    Output,
+    PersistentState,
+    Send,
+    Snapshot,
+    TruncateFrom,
+    WriteState,
+)
+
+__all__ = ["Outbox"]
+
+
+class Outbox:
+    """Collect the outputs of a step, number the writes and gate the sends.
+
+    `durable_index` is the last index of the present log that is on disk.
+    """
+
+    def __init__(self, durable_index: int) -> None:
+        self.durable_index = durable_index
+        self._outputs: list[Output] = []
+        self._held: list[tuple[int, Send]] = []
+        self._appended: list[tuple[int, int]] = []
+        self._last_write_id = 0
+        self._state_write_id = 0
+        self._durable_write_id = 0
+
+    def drain(self) -> list[Output]:
+        """Return what has been collected since the last call."""
+        outputs, self._outputs = self._outputs, []
+        return outputs
+
+    def emit(self, output: Output) -> None:
+        """Add an output that depends on no write."""
+        self._outputs.append(output)
+
+    def send_after_state(self, envelope: Envelope) -> None:
+        """Send once the term and the vote are durable."""
+        self._send_after(self._state_write_id, envelope)
+
+    def send_after_writes(self, envelope: Envelope) -> None:
+        """Send once everything written so far is durable."""
+        self._send_after(self._last_write_id, envelope)
+
+    def drop_held(self) -> None:
+        """Forget the sends of an earlier term: nobody waits for them."""
+        self._held.clear()
+
+    def write_state(self, state: PersistentState) -> None:
+        """Write the term and the vote."""
+        self._state_write_id = self._next_write_id()
+        self.emit(WriteState(self._state_write_id, state))
+
+    def append(self, entries: tuple[LogEntry, ...]) -> None:
+        """Write entries to the end of the log."""
+        write_id = self._next_write_id()
+        self._appended.append((write_id, entries[-1].index))
+        self.emit(AppendEntries(write_id, entries))
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at `index` and those after it."""
+        self.emit(TruncateFrom(self._next_write_id(), index))
+        self._clip(index - 1)
+
+    def install(
+        self, snapshot: Snapshot, data: bytes, keep_suffix: bool, commit_index: int
+    ) -> None:
+        """Write a snapshot; before it only `commit_index` is surely the leader's log."""
+        if not keep_suffix:
+            self._clip(commit_index)
+        write_id = self._next_write_id()
+        self._appended.append((write_id, snapshot.index))
+        self.emit(InstallSnapshot(write_id, snapshot, data, keep_suffix))
+
+    def durable(self, write_id: int) -> None:
+        """Note that `write_id` and all writes before it are durable."""
+        self._durable_write_id = max(self._durable_write_id, write_id)
+        done = [index for at, index in self._appended if at <= self._durable_write_id]
+        self._appended = [pair for pair in self._appended if pair[0] > self._durable_write_id]
+        self.durable_index = max([self.durable_index, *done])
+        ready = [send for after, send in self._held if after <= self._durable_write_id]
+        self._held = [pair for pair in self._held if pair[0] > self._durable_write_id]
+        self._outputs.extend(ready)
+
+    def is_state_durable(self) -> bool:
+        """Tell whether the newest term and vote are durable."""
+        return self._state_write_id <= self._durable_write_id
+
+    def _clip(self, last_index: int) -> None:
+        self.durable_index = min(self.durable_index, last_index)
+        self._appended = [(at, min(index, last_index)) for at, index in self._appended]
+
+    def _next_write_id(self) -> int:
+        self._last_write_id += 1
+        return self._last_write_id
+
+    def _send_after(self, write_id: int, envelope: Envelope) -> None:
+        if write_id <= self._durable_write_id:
+            self.emit(Send(envelope))
+        else:
+            self._held.append((write_id, Send(envelope)))
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/replica.py
@@ -0,0 +1,116 @@
+"""The state of one replica, shared by the functions that act on it."""
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from damaskwind.decisions.replication.log import ReplicatedLog
+from damaskwind.decisions.replication.messages import (
+    Apply,
+    Envelope,
+    Member,
+    Message,
+    PersistentState,
+    Timing,
+)
+from damaskwind.decisions.replication.outbox import Outbox
+from damaskwind.model.statechart import Machine
+
+if TYPE_CHECKING:
+    from damaskwind.decisions.replication.leading import Leadership
+
+__all__ = [
+    "Replica",
+    "adopt_term",
+    "apply_committed",
+    "enter_term",
+    "heard_leader",
+    "note_leader",
+    "rearm",
+]
+
+
+class Replica:
+    """What one replica knows. `role` is its running state chart.
+
+    A replica that starts counts as having just heard a leader: it may have
+    promised, before it stopped, to give no vote for a while.
+    """
+
+    role: Machine
+
+    def __init__(
+        self,
+        member: Member,
+        state: PersistentState,
+        log: ReplicatedLog,
+        timing: Timing,
+        random: Random,
+        now_s: float,
+    ) -> None:
+        self.member = member
+        self.state = state
+        self.log = log
+        self.timing = timing
+        self.random = random
+        self.now_s = now_s
+        self.outbox = Outbox(log.last_index)
+        self.commit_index = log.snapshot.index
+        self.applied_index = log.snapshot.index
+        self.leader: Member | None = None
+        self.leader_heard_s = now_s
+        self.election_due_s = now_s
+        self.votes: set[Member] = set()
+        self.leading: Leadership | None = None
+        rearm(self)
+
+    def envelope(self, recipient: Member, message: Message) -> Envelope:
+        """Address a message."""
+        return Envelope(self.member, recipient, message)
+
+    def is_voter(self) -> bool:
+        """Tell whether this member votes by the newest membership it knows."""
+        return self.member in self.log.membership.voters
+
+
+def rearm(replica: Replica) -> None:
+    """Start the election timer anew, for a random time."""
+    timing = replica.timing
+    wait_s = replica.random.uniform(timing.election_timeout_min_s, timing.election_timeout_max_s)
+    replica.election_due_s = replica.now_s + wait_s
+
+
+def note_leader(replica: Replica, leader: Member) -> None:
+    """Follow `leader`, which has just been heard in the present term."""
+    replica.leader = leader
+    replica.leader_heard_s = replica.now_s
+    replica.role.feed("leader_seen")
+    rearm(replica)
+
+
+def heard_leader(replica: Replica) -> bool:
+    """Tell whether a leader was heard so recently that no vote may be given."""
+    silent_s = replica.now_s - replica.leader_heard_s
+    return silent_s < replica.timing.election_timeout_min_s
+
+
+def enter_term(replica: Replica, term: int, voted_for: Member | None) -> None:
+    """Move to a higher term and write it; answers of the old term are dropped."""
+    replica.leader = None
+    replica.state = PersistentState(term, voted_for)
+    replica.outbox.drop_held()
+    replica.outbox.write_state(replica.state)
+
+
+def adopt_term(replica: Replica, term: int, voted_for: Member | None = None) -> None:
+    """Become a follower in a higher term that another replica named."""
+    replica.role.feed("higher_term")
+    enter_term(replica, term, voted_for)
+
+
+def apply_committed(replica: Replica) -> None:
+    """Hand out what is committed and durable here and has not been applied."""
+    last = min(replica.commit_index, replica.outbox.durable_index)
+    if last <= replica.applied_index:
+        return
+    replica.outbox.emit(Apply(replica.log.entries(replica.applied_index + 1, last)))
+    replica.applied_index = last
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/requests.py
@@ -0,0 +1,122 @@
+"""Take what the shell asks of a replica: proposals, members and reads."""
+
+from damaskwind.decisions.replication.leadership import Leadership, Progress, holds_lease
+from damaskwind.decisions.replication.leading import add_read, append_entry
+from damaskwind.decisions.replication.membership import (
+    apply_change,
+    encode_membership,
+    next_repair,
+)
+from damaskwind.decisions.replication.messages import (
+    ChangeKind,
+    EntryKind,
+    Member,
+    MembershipChange,
+    Outcome,
+    ProposalOutcome,
+    Propose,
+    ProposeMembership,
+    ReadReady,
+    ReadRefused,
+    ReadRequest,
+    RefusalReason,
+)
+from damaskwind.decisions.replication.replica import Replica
+
+__all__ = ["is_caught_up", "on_membership", "on_propose", "on_read", "repair_membership"]
+
+
+def on_propose(replica: Replica, request: Propose) -> None:
+    """Append a command if this replica leads."""
+    leadership = replica.leading
+    if leadership is None:
+        _refuse(replica, request.proposal_id, RefusalReason.NOT_LEADER)
+        return
+    if _has_lost_quorum(replica, leadership):
+        _refuse(replica, request.proposal_id, RefusalReason.NO_QUORUM)
+        return
+    append_entry(replica, EntryKind.COMMAND, request.payload, request.proposal_id)
+
+
+def on_membership(replica: Replica, request: ProposeMembership) -> None:
+    """Append a change of members if it makes sense and none is under way."""
+    leadership = replica.leading
+    if leadership is None:
+        _refuse(replica, request.proposal_id, RefusalReason.NOT_LEADER)
+        return
+    if not _may_change(replica, leadership):
+        _refuse(replica, request.proposal_id, RefusalReason.CHANGE_PENDING)
+        return
+    if not _append_change(replica, request.change, request.proposal_id):
+        _refuse(replica, request.proposal_id, RefusalReason.INVALID_CHANGE)
+
+
+def on_read(replica: Replica, request: ReadRequest) -> None:
+    """Answer under the lease if that suffices, else ask a majority first."""
+    leadership = replica.leading
+    if leadership is None:
+        refused = ReadRefused(request.read_id, RefusalReason.NOT_LEADER, replica.leader)
+        replica.outbox.emit(refused)
+        return
+    is_applied = replica.applied_index == replica.commit_index
+    if request.lease_suffices and is_applied and holds_lease(replica, replica.now_s):
+        replica.outbox.emit(ReadReady(request.read_id, replica.applied_index))
+        return
+    add_read(replica, leadership, request.read_id)
+
+
+def repair_membership(replica: Replica) -> None:
+    """Bring a learner in that has caught up, one step at a time."""
+    leadership = replica.leading
+    if leadership is None or not _may_change(replica, leadership):
+        return
+
+    def caught_up(learner: Member) -> bool:
+        progress = leadership.peers.get(learner)
+        return progress is not None and is_caught_up(replica, progress)
+
+    change = next_repair(replica.log.membership, caught_up)
+    if change is not None:
+        _append_change(replica, change, None)
+
+
+def is_caught_up(replica: Replica, progress: Progress) -> bool:
+    """Tell whether a learner holds all that is committed and answers."""
+    silent_s = replica.now_s - progress.heard_s
+    is_answering = silent_s < replica.timing.election_timeout_min_s
+    return is_answering and progress.match_index >= replica.commit_index
+
+
+def _has_lost_quorum(replica: Replica, leadership: Leadership) -> bool:
+    """Tell whether a majority was heard in this term, but not lately."""
+    has_committed = replica.commit_index >= leadership.first_index
+    return has_committed and not holds_lease(replica, replica.now_s)
+
+
+def _may_change(replica: Replica, leadership: Leadership) -> bool:
+    """Tell whether the last change is committed, and an entry of this term too.
+
+    Without the second half two leaders could each change the members by one,
+    away from each other (Ongaro's correction to the single-server change, 2015).
+    """
+    is_settled = replica.log.membership_index <= replica.commit_index
+    return is_settled and replica.commit_index >= leadership.first_index
+
+
+def _append_change(replica: Replica, change: MembershipChange, proposal_id: str | None) -> bool:
+    leadership = replica.leading
+    assert leadership is not None
+    if change.kind is ChangeKind.PROMOTE:
+        progress = leadership.peers.get(change.member)
+        if progress is None or not is_caught_up(replica, progress):
+            return False
+    membership = apply_change(replica.log.membership, change)
+    if membership is None:
+        return False
+    append_entry(replica, EntryKind.MEMBERSHIP, encode_membership(membership), proposal_id)
+    return True
+
+
+def _refuse(replica: Replica, proposal_id: str, reason: RefusalReason) -> None:
+    outcome = ProposalOutcome(proposal_id, Outcome.REFUSED, 0, reason, replica.leader)
+    replica.outbox.emit(outcome)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -0,0 +1,400 @@
+"""Run a small cluster of cores in simulated time, with every fault by order.
+
+Time, delays and losses come from one seeded generator, so that a history is
+repeated exactly by its seed and its orders.
+"""
+
+import heapq
+from collections.abc import Callable
+from functools import partial
+from itertools import count
+from random import Random
+
+import msgspec
+
+from damaskwind.decisions.replication.core import ReplicaCore
+from damaskwind.decisions.replication.log import first_log
+from damaskwind.decisions.replication.membership import decode_membership, is_majority
+from damaskwind.decisions.replication.messages import (
+    AppendEntries,
+    Apply,
+    BecameLeader,
+    ChangeKind,
+    EntryKind,
+    Envelope,
+    Input,
+    InstallSnapshot,
+    LogEntry,
+    Member,
+    Membership,
+    MembershipChange,
+    Outcome,
+    Output,
+    PersistentState,
+    ProposalOutcome,
+    Propose,
+    ProposeMembership,
+    ReadReady,
+    ReadRequest,
+    Received,
+    Send,
+    SendSnapshot,
+    SnapshotTaken,
+    Tick,
+    Timing,
+    TruncateFrom,
+    WritesDurable,
+    WriteState,
+)
+from damaskwind.decisions.replication.tests.disk import Disk
+from damaskwind.decisions.replication.tests.oracle import InvariantError, Oracle
+
+__all__ = ["Cluster", "Network", "Node"]
+
+TICK_S = 0.1
+JOIN_S = 0.7
+SETTLE_S = 40.0
+RATES = (0.96, 1.0, 1.05, 1.0, 0.97)
+
+
+class Network:
+    """Which links are cut and how bad the others are."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.late = 0.0
+
+    def arrivals(self, source: str, target: str) -> list[float]:
+        """Return after how many seconds each copy of a message arrives."""
+        random = self.random
+        if (source, target) in self.cut or random.random() < self.loss:
+            return []
+        copies = 2 if random.random() < self.duplication else 1
+        return [self._delay_s() for _ in range(copies)]
+
+    def _delay_s(self) -> float:
+        if self.random.random() < self.late:
+            return self.random.uniform(0.05, 3.0)
+        return self.random.uniform(0.001, 0.02)
+
+
+class Node:
+    """A machine: its clock, its disk, and the core while it runs."""
+
+    def __init__(self, member: Member, disk: Disk, rate: float) -> None:
+        self.member = member
+        self.disk = disk
+        self.rate = rate
+        self.offset_s = 0.0
+        self.life = 0
+        self.core: ReplicaCore | None = None
+        self.applied: list[LogEntry] = []
+        self.paused_until_s = 0.0
+
+
+class Cluster:
+    """Nodes, network, events in time order, and the oracle that watches."""
+
+    def __init__(self, seed: int, size: int = 3, *, syncs: bool = True, new_identity: bool = True):
+        self.random = Random(seed)
+        self.network = Network(self.random)
+        self.oracle = Oracle()
+        self.timing = Timing()
+        self.syncs = syncs
+        self.new_identity = new_identity
+        self.clocks_are_sound = True
+        self.now_s = 0.0
+        self._numbers = count(1)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._reads: dict[str, tuple[int, bool]] = {}
+        self.nodes: dict[str, Node] = {}
+        members = [Member(name, f"{name}1") for name in "abcde"[:size]]
+        state, entries = first_log(members)
+        for member in members:
+            self._add_node(member, Disk(state, entries))
+
+    # Orders.
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        end_s = self.now_s + duration_s
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, action = heapq.heappop(self._events)
+            action()
+        self.now_s = end_s
+
+    def propose(self, name: str) -> str:
+        """Propose a fresh change at a node; return its id."""
+        proposal_id = f"p{next(self._numbers)}"
+        if self.is_paused(self.nodes[name]):
+            return proposal_id
+        self.feed(self.nodes[name], Propose(proposal_id, proposal_id.encode()))
+        return proposal_id
+
+    def read(self, name: str, by_lease: bool = False) -> str:
+        """Ask a node for a read; return its id."""
+        read_id = f"r{next(self._numbers)}"
+        if self.is_paused(self.nodes[name]):
+            return read_id
+        self._reads[read_id] = (self.oracle.visible_index, by_lease)
+        self.feed(self.nodes[name], ReadRequest(read_id, by_lease))
+        return read_id
+
+    def change(self, name: str, change: MembershipChange) -> None:
+        """Propose a change of members at a node."""
+        proposal_id = f"m{next(self._numbers)}"
+        self.feed(self.nodes[name], ProposeMembership(proposal_id, change))
+
+    def crash(self, name: str) -> None:
+        """Stop a node; what it had not synced is lost."""
+        node = self.nodes[name]
+        if node.core is not None:
+            node.core = None
+            node.life += 1
+            node.disk.crash(self.random)
+
+    def start(self, name: str) -> None:
+        """Start a node from its disk."""
+        node = self.nodes[name]
+        if node.core is None:
+            self._boot(node)
+
+    def lose_disk(self, name: str) -> None:
+        """Stop a node and give it an empty disk, and with it a new identity."""
+        self.crash(name)
+        node = self.nodes[name]
+        node.disk = Disk(PersistentState(), ())
+        if self.new_identity:
+            node.member = Member(name, f"{name}{next(self._numbers)}")
+
+    def add(self) -> None:
+        """Start one more node with an empty disk; it asks to join."""
+        name = next((name for name in "abcdefg" if name not in self.nodes), None)
+        if name is not None:
+            member = Member(name, f"{name}{next(self._numbers)}")
+            self._add_node(member, Disk(PersistentState(), ()))
+
+    def pause(self, name: str, duration_s: float) -> None:
+        """Hold a process for a while; its clock goes on."""
+        self.nodes[name].paused_until_s = self.now_s + duration_s
+
+    def jump_clock(self, name: str, by_s: float) -> None:
+        """Let a clock jump; no lease can be trusted from then on."""
+        self.nodes[name].offset_s += by_s
+        self.clocks_are_sound = False
+
+    def take_snapshot(self, name: str) -> None:
+        """Let a node save its applied state and drop its log."""
+        node = self.nodes[name]
+        if node.core is None or node.core.applied_index <= node.disk.snapshot.index:
+            return
+        if node.disk.cached:
+            return
+        snapshot = node.core.snapshot_at(node.core.applied_index)
+        node.disk.save_snapshot(snapshot, msgspec.msgpack.encode(node.applied))
+        self.feed(node, SnapshotTaken(snapshot.index))
+
+    def heal(self) -> None:
+        """Mend the network."""
+        self.network.cut.clear()
+        self.network.loss = self.network.duplication = self.network.late = 0.0
+
+    def leader(self) -> Node | None:
+        """Return the running leader of the highest term."""
+        leaders = [node for node in self.running() if node.core.role == "leader"]
+        return max(leaders, key=lambda node: node.core.term, default=None)
+
+    def running(self) -> list[Node]:
+        """Return the nodes that run."""
+        return [node for node in self.nodes.values() if node.core is not None]
+
+    def settle(self) -> None:
+        """Mend everything; a majority must then confirm, and see all it confirmed."""
+        self.heal()
+        for name in self.nodes:
+            self.start(name)
+            self.nodes[name].paused_until_s = self.now_s
+        end_s = self.now_s + SETTLE_S
+        while self.now_s < end_s:
+            self.run(1.0)
+            leader = self.leader()
+            if leader is None:
+                continue
+            proposal_id = self.propose(leader.member.replica_id)
+            self.run(0.5)
+            if proposal_id in self.oracle.confirmed:
+                return
+        if self._can_serve():
+            raise InvariantError("no change was confirmed although a majority ran")
+
+    # Events.
+
+    def feed(self, node: Node, event: Input) -> None:
+        """Feed an event to a node's core, if it runs, and carry the outputs out."""
+        if node.core is None:
+            return
+        commit_index = node.core.commit_index
+        members = node.core.membership
+        for output in node.core.step(event, self.clock_s(node)):
+            self._check_promotion(members, commit_index, output)
+            self._carry_out(node, output)
+
+    def clock_s(self, node: Node) -> float:
+        """Return what a node's clock shows."""
+        return self.now_s * node.rate + node.offset_s
+
+    def is_paused(self, node: Node) -> bool:
+        """Tell whether a node's process is held."""
+        return self.now_s < node.paused_until_s
+
+    def _add_node(self, member: Member, disk: Disk) -> None:
+        rate = RATES[len(self.nodes) % len(RATES)]
+        node = self.nodes[member.replica_id] = Node(member, disk, rate)
+        self._boot(node)
+
+    def _boot(self, node: Node) -> None:
+        disk = node.disk
+        log = disk.recover()
+        random = Random(self.random.random())
+        node.core = ReplicaCore(
+            node.member, disk.state, log, self.timing, random, self.clock_s(node)
+        )
+        disk.entries = list(log.entries(log.snapshot.index + 1, log.last_index))
+        node.applied = msgspec.msgpack.decode(disk.data, type=list[LogEntry]) if disk.data else []
+        self._tick(node, node.life)
+        self._ask_to_join(node, node.life)
+
+    def _at(self, delay_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now_s + delay_s, next(self._numbers), action))
+
+    def _tick(self, node: Node, life: int) -> None:
+        if node.life != life:
+            return
+        self._at(TICK_S, partial(self._tick, node, life))
+        if not self.is_paused(node):
+            self.feed(node, Tick())
+
+    def _ask_to_join(self, node: Node, life: int) -> None:
+        if node.life != life or node.core is None:
+            return
+        self._at(JOIN_S, partial(self._ask_to_join, node, life))
+        members = node.core.membership
+        if node.member not in (*members.voters, *members.learners):
+            name = self.random.choice(sorted(self.nodes))
+            if not self.network.arrivals(node.member.replica_id, name):
+                return
+            self.change(name, MembershipChange(ChangeKind.ADD_LEARNER, node.member))
+
+    def _deliver(self, envelope: Envelope) -> None:
+        node = self.nodes.get(envelope.recipient.replica_id)
+        if node is None:
+            return
+        if self.is_paused(node):
+            wait_s = node.paused_until_s - self.now_s
+            self._at(wait_s, partial(self._deliver, envelope))
+            return
+        self.feed(node, Received(envelope))
+
+    def _sync(self, node: Node, life: int, write_id: int) -> None:
+        if node.life != life:
+            return
+        if self.is_paused(node):
+            wait_s = node.paused_until_s - self.now_s
+            self._at(wait_s, partial(self._sync, node, life, write_id))
+            return
+        if self.syncs or self.random.random() < 0.2:
+            node.disk.sync(write_id)
+        self.feed(node, WritesDurable(write_id))
+
+    # Outputs.
+
+    def _carry_out(self, node: Node, output: Output) -> None:
+        handler = _OUTPUTS.get(type(output))
+        if handler is not None:
+            handler(self, node, output)
+
+    def _send(self, node: Node, output: Send) -> None:
+        envelope = output.envelope
+        target = envelope.recipient.replica_id
+        for delay_s in self.network.arrivals(node.member.replica_id, target):
+            self._at(delay_s, partial(self._deliver, envelope))
+
+    def _send_snapshot(self, node: Node, output: SendSnapshot) -> None:
+        message = output.envelope.message._replace(snapshot=node.disk.snapshot, data=node.disk.data)
+        self._send(node, Send(output.envelope._replace(message=message)))
+
+    def _write(self, node: Node, output: AppendEntries | WriteState | TruncateFrom) -> None:
+        node.disk.write(output)
+        delay_s = self.random.uniform(0.001, 0.03)
+        self._at(delay_s, partial(self._sync, node, node.life, output.write_id))
+
+    def _install(self, node: Node, output: InstallSnapshot) -> None:
+        node.applied = msgspec.msgpack.decode(output.data, type=list[LogEntry])
+        for entry in node.applied:
+            self.oracle.applied(entry)
+        self._write(node, output)
+
+    def _apply(self, node: Node, output: Apply) -> None:
+        for entry in output.entries:
+            expected = node.applied[-1].index + 1 if node.applied else 1
+            if entry.index != expected:
+                raise InvariantError(f"{node.member} applied {entry} in place of {expected}")
+            self.oracle.applied(entry)
+            node.applied.append(entry)
+
+    def _outcome(self, node: Node, output: ProposalOutcome) -> None:
+        if output.outcome is Outcome.COMMITTED:
+            self.oracle.committed(output.proposal_id, output.index)
+        elif output.outcome is Outcome.REFUSED:
+            self.oracle.refuse(output.proposal_id)
+
+    def _read_ready(self, node: Node, output: ReadReady) -> None:
+        visible_index, by_lease = self._reads[output.read_id]
+        if by_lease and not self.clocks_are_sound:
+            return
+        self.oracle.read(output.read_id, output.index, visible_index)
+
+    def _became_leader(self, node: Node, output: BecameLeader) -> None:
+        self.oracle.elected(output.term, node.member)
+        if not self.clocks_are_sound:
+            return
+        for other in self.running():
+            is_older = other.core.term < output.term
+            if is_older and other.core.holds_lease(self.clock_s(other)):
+                raise InvariantError(f"{other.member} holds a lease, {node.member} leads")
+
+    def _check_promotion(self, before: Membership, commit_index: int, output: Output) -> None:
+        """Check that a learner counts only once it holds all that was committed."""
+        if not isinstance(output, AppendEntries):
+            return
+        for entry in output.entries:
+            if entry.kind is not EntryKind.MEMBERSHIP:
+                continue
+            after = decode_membership(entry.payload)
+            for member in set(after.voters) & set(before.learners):
+                node = self.nodes[member.replica_id]
+                if node.member == member and node.disk.last_index < commit_index:
+                    raise InvariantError(f"{member} counts but has not caught up")
+
+    def _can_serve(self) -> bool:
+        """Tell whether every membership that a running node knows has a majority."""
+        alive = [node.member for node in self.running()]
+        known = [node.core.membership.voters for node in self.running()]
+        return all(is_majority(voters, alive) for voters in known if voters)
+
+
+_OUTPUTS: dict[type, Callable] = {
+    Send: Cluster._send,
+    SendSnapshot: Cluster._send_snapshot,
+    WriteState: Cluster._write,
+    AppendEntries: Cluster._write,
+    TruncateFrom: Cluster._write,
+    InstallSnapshot: Cluster._install,
+    Apply: Cluster._apply,
+    ProposalOutcome: Cluster._outcome,
+    ReadReady: Cluster._read_ready,
+    BecameLeader: Cluster._became_leader,
+}
