Operators' command line: plan, confirm, show, status, audit, replicas, targets, drain, explain

Endpoints are tried in turn; a request that may have been taken is told from a refusal by the exit code. The audit chain is verified on the operator's side.

--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/operator.py
@@ -0,0 +1,256 @@
+"""The operators' command line `damaskwind`."""
+
+import sys
+from pathlib import Path
+from typing import Any, Literal
+from urllib.parse import quote, urlencode
+
+import defopt
+
+from damaskwind.commands.operator_audit import parse_head, verify_endpoints
+from damaskwind.commands.operator_client import ExitCode, UsageError
+from damaskwind.commands.operator_context import Context, control_command, router_command
+from damaskwind.commands.operator_output import as_json, columns, nested, time_text
+from damaskwind.control.operator_api.authentication import hash_key, make_key
+from damaskwind.model.configuration_change import change_from_table
+from damaskwind.model.configuration_codec import read_table_file
+
+__all__ = ["main"]
+
+_ROOT = "/operator/v1"
+_ENDPOINT_FLAG = "--endpoint"
+
+
+def _path(*parts: str, **query: Any) -> str:
+    """Return a path of the API with its query."""
+    path = "/".join([_ROOT, *(quote(part, safe="") for part in parts)])
+    chosen = {name: value for name, value in query.items() if value not in ("", None)}
+    return f"{path}?{urlencode(chosen)}" if chosen else path
+
+
+def _plan_text(plan: dict[str, Any]) -> str:
+    """Return a plan for people."""
+    parts = [
+        f"plan {plan['id']} on revision {plan['base_revision']},"
+        f" by {plan['planned_by']}, expires in {plan['expires_in_s']:.0f} s",
+        *(f"  {line}" for line in plan["difference"]),
+    ]
+    if plan["affects"]:
+        parts.append(f"affects: {', '.join(plan['affects'])}")
+    parts += [f"WARNING: {warning}" for warning in plan["warnings"]]
+    parts.append(f"nothing has changed; confirm it with: damaskwind confirm {plan['id']}")
+    return "\n".join(parts)
+
+
+@control_command
+def plan(context: Context, file: Path) -> int:
+    """Plan what FILE (TOML) wants; nothing changes until the plan is confirmed.
+
+    :param file: whole objects by kind and name, and names to delete
+    """
+    intent = read_table_file(file)
+    change_from_table(intent)
+    answer = context.client.ask("POST", _path("intents"), intent)
+    if answer.get("plan") is None:
+        text = f"nothing to change: already in force at revision {answer.get('revision')}"
+        context.show(answer, text)
+        return ExitCode.FINE
+    context.show(answer, _plan_text(answer["plan"]))
+    return ExitCode.FINE
+
+
+@control_command
+def confirm(context: Context, plan_id: str) -> int:
+    """Confirm a plan; safe to repeat, the first outcome counts.
+
+    :param plan_id: the plan's id
+    """
+    answer = context.client.ask("POST", _path("plans", plan_id, "confirm"), {})
+    outcome = answer["outcome"]
+    repeated = " (by an earlier request)" if answer.get("repeated") else ""
+    text = f"confirmed{repeated}: revision {outcome['revision']} by {outcome['operator']}"
+    context.show(answer, text)
+    return ExitCode.FINE
+
+
+@control_command
+def show(context: Context, kind: str = "", name: str = "") -> int:
+    """Show the confirmed configuration, a kind of object, one object, or a plan.
+
+    :param kind: accounts, priority_classes, models, services, operators, policy or plan
+    :param name: the object's name or the plan's id
+    """
+    if kind == "plan":
+        answer = context.client.ask("GET", _path("plans", name))
+        shown = answer.get("plan")
+        context.show(answer, _plan_text(shown) if shown else nested(answer))
+        return ExitCode.FINE
+    answer = context.client.ask("GET", _path("configuration", kind=kind, name=name))
+    if name and not answer.get(kind):
+        print(f"no {kind} named '{name}'", file=sys.stderr)
+        return ExitCode.REFUSED
+    context.show(answer, _objects_text(answer))
+    return ExitCode.FINE
+
+
+def _objects_text(answer: dict[str, Any]) -> str:
+    """Return a configuration for people: a table for each kind."""
+    parts = [f"revision {answer.get('revision', 0)}"]
+    for kind, objects in answer.items():
+        if not isinstance(objects, dict) or not objects:
+            continue
+        rows = list(objects.values())
+        is_kind = all(isinstance(row, dict) for row in rows)
+        parts.append(f"{kind}:\n{nested(rows if is_kind else objects, 1)}")
+    return "\n\n".join(parts)
+
+
+@control_command
+def status(context: Context) -> int:
+    """Show every replica, the latest changes, and the revision in force per router."""
+    answers = {}
+    for endpoint in context.client.endpoints:
+        answer = context.client.ask_one(endpoint, "GET", _path("status"))
+        answers[str(endpoint)] = answer.body
+    context.show(answers)
+    good = [body for body in answers.values() if "error" not in body]
+    return ExitCode.FINE if good else ExitCode.REFUSED
+
+
+@control_command
+def audit(context: Context, *, verify: bool = False, known_head: str = "", after: int = -1) -> int:
+    """Show the audit trail's latest entries, or verify the whole of it.
+
+    :param verify: verify the chain of every endpoint
+    :param known_head: SEQUENCE:HASH that an earlier check printed
+    :param after: show the entries after this number rather than the latest
+    """
+    if verify:
+        return _verify(context, known_head)
+    if after < 0:
+        head = context.client.ask("GET", _path("audit", after=0, limit=1))
+        after = max(head["last_sequence"] - 50, 0)
+    answer = context.client.ask("GET", _path("audit", after=after))
+    titles = ("sequence", "time", "operator", "origin", "action", "subject", "result", "revision")
+    rows = [
+        [time_text(item["at_s"]) if title == "time" else item[title] for title in titles]
+        for item in answer["entries"]
+    ]
+    context.show(answer, columns(titles, rows))
+    return ExitCode.FINE
+
+
+def _verify(context: Context, known_head: str) -> int:
+    """Verify the trails and print what was found."""
+    reports = verify_endpoints(context.client, parse_head(known_head))
+    lines = []
+    for report in reports:
+        verdict, head = report.verdict, report.verdict.head
+        if report.error:
+            lines.append(f"{report.endpoint}: not read: {report.error}")
+        elif head is None:
+            lines.append(f"{report.endpoint}: no entries")
+        else:
+            lines.append(
+                f"{report.endpoint}: {'holds' if report.holds else 'BROKEN'}, entries"
+                f" {report.first_sequence} to {head.sequence}; head"
+                f" {head.sequence}:{head.entry_hash}"
+            )
+        lines += [f"  {fault}" for fault in verdict.faults]
+    context.show(
+        [report._asdict() | {"holds": report.holds} for report in reports], "\n".join(lines)
+    )
+    return ExitCode.FINE if all(report.holds for report in reports) else ExitCode.REFUSED
+
+
+@control_command
+def replicas(
+    context: Context,
+    action: Literal["list", "add", "remove"] = "list",
+    replica_id: str = "",
+    address: str = "",
+    failure_domain: str = "",
+) -> int:
+    """List the control replicas, or add or remove one.
+
+    :param action: list, add or remove
+    :param replica_id: whom to add or remove
+    :param address: where the new replica listens for the others, IP:port
+    :param failure_domain: the new replica's failure domain
+    """
+    if action == "list":
+        context.show(context.client.ask("GET", _path("replicas")))
+        return ExitCode.FINE
+    if not replica_id or (action == "add" and not (address and failure_domain)):
+        raise UsageError("replicas: add REPLICA_ID ADDRESS FAILURE_DOMAIN, or remove REPLICA_ID")
+    body = {"action": action, "replica_id": replica_id}
+    body |= {"address": address, "failure_domain": failure_domain}
+    context.show(context.client.ask("POST", _path("replicas"), body, safe_to_resend=False))
+    return ExitCode.FINE
+
+
+@router_command
+def targets(context: Context) -> int:
+    """Show the targets that a router knows."""
+    context.show(context.client.ask("GET", _path("targets"), search=True))
+    return ExitCode.FINE
+
+
+@router_command
+def drain(context: Context, target_id: str) -> int:
+    """Give a target no new work; what is in progress finishes.
+
+    :param target_id: the target's id
+    """
+    path = _path("targets", target_id, "drain")
+    context.show(context.client.ask("POST", path, {}, search=True))
+    return ExitCode.FINE
+
+
+@router_command
+def explain(context: Context, request_id: str) -> int:
+    """Tell what was done with a request, and why.
+
+    :param request_id: the `x-request-id` of the answer
+    """
+    context.show(context.client.ask("GET", _path("requests", request_id), search=True))
+    return ExitCode.FINE
+
+
+def key(*, json: bool = False) -> int:
+    """Make a fresh key and print it with the hash that the configuration holds.
+
+    :param json: print JSON for scripts
+    """
+    fresh = make_key()
+    answer = {"key": fresh, "key_hash": hash_key(fresh)}
+    print(as_json(answer) if json else nested(answer))
+    return ExitCode.FINE
+
+
+COMMANDS = [plan, confirm, show, status, audit, replicas, targets, drain, explain, key]
+
+
+def _join_endpoints(arguments: list[str]) -> list[str]:
+    """Join repeated `--endpoint` options into one comma list.
+
+    >>> _join_endpoints(["status", "--endpoint", "a:1", "--endpoint=b:2"])
+    ['status', '--endpoint', 'a:1,b:2']
+    """
+    kept: list[str] = []
+    endpoints: list[str] = []
+    rest = iter(arguments)
+    for argument in rest:
+        if argument == _ENDPOINT_FLAG:
+            endpoints.append(next(rest, ""))
+        elif argument.startswith(f"{_ENDPOINT_FLAG}="):
+            endpoints.append(argument.partition("=")[2])
+        else:
+            kept.append(argument)
+    return kept + ([_ENDPOINT_FLAG, ",".join(endpoints)] if endpoints else [])
+
+
+def main() -> None:
+    """Parse the command line and exit with the command's code."""
+    arguments = _join_endpoints(sys.argv[1:])
+    sys.exit(int(defopt.run(COMMANDS, argv=arguments) or ExitCode.FINE))
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/operator_client.py
@@ -0,0 +1,196 @@
+"""Ask control replicas or routers over HTTP, one endpoint after the other.
+
+An endpoint that can't be reached, or that can't commit now, is passed over for
+the next one. A request that may already have been taken is only sent again
+when resending is safe; what is then left unknown is said to be unknown.
+"""
+
+import socket
+from collections.abc import Sequence
+from enum import IntEnum
+from http.client import HTTPConnection, HTTPException, HTTPSConnection
+from typing import Any, NamedTuple
+from urllib.parse import urlsplit
+
+import msgspec
+
+from damaskwind.model.exception import DamaskwindError
+
+__all__ = [
+    "Answer",
+    "ExitCode",
+    "OperatorClient",
+    "RequestFailedError",
+    "UsageError",
+    "parse_endpoints",
+]
+
+_SERVICE_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_NOT_FOUND = 404
+_ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class ExitCode(IntEnum):
+    """What the process ends with."""
+
+    FINE = 0
+    REFUSED = 1
+    BAD_USAGE = 2
+    OUTCOME_UNKNOWN = 3
+
+
+class UsageError(DamaskwindError):
+    """The command line, the environment or a file is not usable."""
+
+
+class RequestFailedError(DamaskwindError):
+    """No endpoint gave a good answer; `exit_code` tells a refusal from an unknown outcome."""
+
+    def __init__(self, exit_code: ExitCode, message: str, body: dict[str, Any]) -> None:
+        super().__init__(message)
+        self.exit_code = exit_code
+        self.message = message
+        self.body = body
+
+
+class Endpoint(NamedTuple):
+    """Where a process listens."""
+
+    scheme: str
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.scheme}://{self.host}:{self.port}"
+
+
+class Answer(NamedTuple):
+    """An answer's status and its body read as JSON; 0 when there was none."""
+
+    endpoint: Endpoint
+    status: int
+    body: dict[str, Any]
+    may_have_been_taken: bool = False
+
+    @property
+    def is_good(self) -> bool:
+        """Tell whether the request was done."""
+        return 200 <= self.status < 300
+
+
+def parse_endpoints(text: str) -> list[Endpoint]:
+    """Read a comma list of endpoints; raise `UsageError` when one is malformed.
+
+    >>> [str(endpoint) for endpoint in parse_endpoints("10.0.0.1:80,https://10.0.0.2:443")]
+    ['http://10.0.0.1:80', 'https://10.0.0.2:443']
+    """
+    endpoints = []
+    for item in filter(None, (part.strip() for part in text.split(","))):
+        parts = urlsplit(item if "://" in item else f"http://{item}")
+        try:
+            port = parts.port
+        except ValueError:
+            port = None
+        if parts.scheme not in ("http", "https") or not parts.hostname or port is None:
+            raise UsageError(f"endpoint '{item}': expected IP:port")
+        endpoints.append(Endpoint(parts.scheme, parts.hostname, port))
+    return endpoints
+
+
+class OperatorClient:
+    """The endpoints, the key and the timeout of one command."""
+
+    def __init__(self, endpoints: Sequence[Endpoint], key: str, timeout_s: float) -> None:
+        self.endpoints = tuple(endpoints)
+        self._key = key
+        self._timeout_s = timeout_s
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        safe_to_resend: bool = True,
+        search: bool = False,
+    ) -> dict[str, Any]:
+        """Return the body of the first good answer; raise `RequestFailedError` otherwise.
+
+        With `search`, an endpoint that knows nothing of what is asked for is
+        passed over too.
+        """
+        answers: list[Answer] = []
+        for endpoint in self.endpoints:
+            answer = self.ask_one(endpoint, method, path, body)
+            if answer.is_good:
+                return answer.body
+            answers.append(answer)
+            if not _tries_next(answer, safe_to_resend, search):
+                break
+        raise _failure(answers)
+
+    def ask_one(self, endpoint: Endpoint, method: str, path: str, body: Any = None) -> Answer:
+        """Ask one endpoint once; never raise for what the network does."""
+        kind = HTTPSConnection if endpoint.scheme == "https" else HTTPConnection
+        connection = kind(endpoint.host, endpoint.port, timeout=self._timeout_s)
+        may_have_been_taken = False
+        try:
+            connection.connect()
+            may_have_been_taken = method != "GET"
+            connection.request(method, path, _encoded(body), self._headers(body))
+            response = connection.getresponse()
+            content = response.read(_ANSWER_LIMIT_BYTES)
+        except (OSError, HTTPException) as error:
+            return Answer(endpoint, 0, _network_error(endpoint, error), may_have_been_taken)
+        finally:
+            connection.close()
+        is_unknown = may_have_been_taken and response.status == _GATEWAY_TIMEOUT
+        return Answer(endpoint, response.status, _decoded(content), is_unknown)
+
+    def _headers(self, body: Any) -> dict[str, str]:
+        """Return the headers of a request."""
+        headers = {"authorization": f"Bearer {self._key}", "accept": "application/json"}
+        return headers if body is None else {**headers, "content-type": "application/json"}
+
+
+def _encoded(body: Any) -> bytes | None:
+    """Return a body as JSON."""
+    return None if body is None else msgspec.json.encode(body)
+
+
+def _decoded(content: bytes) -> dict[str, Any]:
+    """Return an answer's body; an empty table when it is not one."""
+    try:
+        body = msgspec.json.decode(content)
+    except msgspec.DecodeError:
+        return {}
+    return body if isinstance(body, dict) else {"items": body}
+
+
+def _network_error(endpoint: Endpoint, error: Exception) -> dict[str, Any]:
+    """Return the body that stands for no answer."""
+    reason = "timed out" if isinstance(error, TimeoutError | socket.timeout) else str(error)
+    return {"error": {"code": "no_answer", "message": f"{endpoint}: {reason or repr(error)}"}}
+
+
+def _tries_next(answer: Answer, safe_to_resend: bool, search: bool) -> bool:
+    """Tell whether another endpoint should be asked after this answer."""
+    if answer.may_have_been_taken:
+        return safe_to_resend
+    if answer.status == _NOT_FOUND:
+        return search
+    return answer.status in (0, _SERVICE_UNAVAILABLE)
+
+
+def _failure(answers: list[Answer]) -> RequestFailedError:
+    """Sum up the answers: unknown if any may have been taken, unless one settled it."""
+    last = answers[-1]
+    settled = not last.may_have_been_taken and last.status not in (0, _SERVICE_UNAVAILABLE)
+    unknown = [answer for answer in answers if answer.may_have_been_taken]
+    shown = last if settled or not unknown else unknown[-1]
+    code = ExitCode.REFUSED if settled or not unknown else ExitCode.OUTCOME_UNKNOWN
+    error = shown.body.get("error", {})
+    message = error.get("message") if isinstance(error, dict) else None
+    return RequestFailedError(
+        code, message or f"{shown.endpoint}: status {shown.status}", shown.body
+    )
--- a/packages/control/src/damaskwind/control/operator_api/intent_service.py
+++ b/packages/control/src/damaskwind/control/operator_api/intent_service.py
@@ -27,6 +27,7 @@
 from damaskwind.control.state.configuration_machine import ConfigurationMachine, operator_roles
 from damaskwind.control.state.outcome import ApplyResult, ResultStatus, decode_result
 from damaskwind.control.state.plan_book import KEPT_OUTCOMES
+from damaskwind.decisions.placement.placer import PLACEMENT_POLICIES
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.configuration_change import (
     ConfigurationChange,
@@ -42,8 +43,6 @@
 _PLAN_ATTEMPTS = 4
 _ID_BYTES = 10
 
-ConfigurationCheck = Callable[[Configuration], list[str]]
-
 
 class IntentLimits(NamedTuple):
     """How long plans live and how long the log is waited for."""
@@ -135,7 +134,7 @@
         change: ConfigurationChange,
     ) -> PlanCommand:
         """Check a change against a base and make it a plan."""
-        mistakes = check_change(base, change)
+        mistakes = check_change(base, change) + _placement_mistakes(change)
         if mistakes:
             raise _invalid(mistakes)
         return PlanCommand(
@@ -230,6 +229,13 @@
         raise _invalid(error.mistakes) from error
 
 
+def _placement_mistakes(change: ConfigurationChange) -> list[str]:
+    """Name a placement policy that no router has."""
+    if change.policy is None or change.policy.placement in PLACEMENT_POLICIES:
+        return []
+    return [f"policy.placement: expected one of {', '.join(sorted(PLACEMENT_POLICIES))}"]
+
+
 def _commit_refusal(outcome: CommitOutcome, ask: str) -> OperatorRefusedError:
     """Say truthfully what a proposal that was not seen to commit may have done."""
     if outcome.verdict is CommitVerdict.REFUSED:
