Router: the whole path from caller to target, thin

Cause: nothing answered a caller. Change: HTTP front, key check, placement on stand-ins, streams relayed as bytes, plain services, drain by state chart. Measured: one streamed and one whole chat through the openai client on one engine; the stand-in's stop still fails the test.

--- /dev/null
+++ b/packages/router/src/damaskwind/router/caller_request.py
@@ -0,0 +1,153 @@
+"""A caller's HTTP request under limits of size and time.
+
+A caller that sends its headers or body too slowly gets 408 and loses its
+connection. A chat over the size limit is read and dropped, so that the caller
+can still read the 413 that the handler sends. A large body for a plain service
+is handed to the handler while it arrives.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from twisted.web.server import Request
+
+from damaskwind.model.reason import REASON_FACES, Reason
+from damaskwind.model.verdict import Refusal, Verdict
+from damaskwind.router.answers import error_body
+from damaskwind.router.upload import Upload
+
+__all__ = ["BUFFERED_BYTES", "SERVICES_PREFIX", "CallerLimits", "CallerRequest"]
+
+SERVICES_PREFIX = b"/services/"
+BUFFERED_BYTES = 65_536
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may take: total seconds for headers and body, bytes for the body."""
+
+    header_timeout_s: float
+    body_timeout_s: float
+    body_limit_bytes: Callable[[], int]
+    new_request_id: Callable[[], str]
+
+
+class CallerRequest(Request):
+    """One request with its deadlines.
+
+    `too_large` is set when its body was dropped; `upload` is set when the body
+    is still arriving as the handler runs.
+    """
+
+    def __init__(self, limits: CallerLimits, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.limits = limits
+        self.request_id = limits.new_request_id()
+        self.too_large = False
+        self.upload: Upload | None = None
+        self._received_bytes = 0
+        self._timer: Any = None
+        self._start_timer(limits.header_timeout_s)
+
+    def _start_timer(self, timeout_s: float) -> None:
+        """Give the caller some seconds for what comes next."""
+        self._timer = self.channel.callLater(timeout_s, self._time_out)
+
+    def _stop_timer(self) -> None:
+        """Let the caller be: it has sent what was waited for."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _time_out(self) -> None:
+        """Tell a slow caller so and drop its connection."""
+        if self.startedWriting or self.upload is not None:
+            self.channel.loseConnection()
+            return
+        detail = "the request did not arrive in time"
+        refusal = Refusal(Reason.CALLER_TIMEOUT, Verdict.NOT_RUN, detail)
+        body = error_body(refusal, self.request_id)
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+            (b"x-request-id", self.request_id.encode()),
+            (b"x-verdict", Verdict.NOT_RUN.value.encode()),
+        ]
+        status = REASON_FACES[Reason.CALLER_TIMEOUT].http_status
+        self.channel.writeHeaders(b"HTTP/1.1", str(status).encode(), b"Request Timeout", headers)
+        self.channel.write(body)
+        self.channel.loseConnection()
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Note that the headers are complete; from here the body's time runs."""
+        self._stop_timer()
+        self._start_timer(self.limits.body_timeout_s)
+        line = self.channel.request_line
+        if line.uri.startswith(SERVICES_PREFIX) and (length is None or length > BUFFERED_BYTES):
+            super().gotLength(0)
+            self.upload = Upload(length, self._pause_upload, self._resume_upload)
+            super().requestReceived(line.method, line.uri, line.version)
+            return
+        self.too_large = length is not None and length > self.limits.body_limit_bytes()
+        super().gotLength(0 if self.too_large else length)
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a piece of the body, pass it on, or drop it when the body is too large."""
+        if self.upload is not None:
+            if self._timer is not None:
+                self._timer.reset(self.limits.body_timeout_s)
+            self.upload.receive(data)
+            return
+        self._received_bytes += len(data)
+        if self._received_bytes > self.limits.body_limit_bytes():
+            self.too_large = True
+        if not self.too_large:
+            super().handleContentChunk(data)
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
+        """Note that the body is complete and let the handler have the request."""
+        self._stop_timer()
+        if self.upload is not None:
+            self.upload.finish()
+            return
+        super().requestReceived(command, path, version)
+
+    def process(self) -> None:
+        """Let the handler have the request; a closing site ends the connection after it."""
+        if self.channel.site.closing:
+            self.end_keep_alive()
+        super().process()
+
+    def end_keep_alive(self) -> None:
+        """Take no other request on this connection."""
+        self.channel.persistent = False
+        if not self.startedWriting:
+            self.setHeader(b"connection", b"close")
+
+    def finish(self) -> None:
+        """End the answer; a body that still arrives ends the connection with it."""
+        if self.upload is not None and not self.upload.complete:
+            self._stop_timer()
+            self.channel.persistent = False
+        super().finish()
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Forget the deadlines of a caller that is gone."""
+        self._stop_timer()
+        if self.upload is not None:
+            self.upload.fail()
+        super().connectionLost(reason)
+
+    def _pause_upload(self) -> None:
+        """Read no more from the caller; the wait is not the caller's."""
+        self._stop_timer()
+        if self.channel is not None and self.channel.transport is not None:
+            self.channel.transport.pauseProducing()
+
+    def _resume_upload(self) -> None:
+        """Read from the caller again."""
+        if self.channel is None or self.channel.transport is None or self.upload.complete:
+            return
+        self._stop_timer()
+        self._start_timer(self.limits.body_timeout_s)
+        self.channel.transport.resumeProducing()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/caller_site.py
@@ -0,0 +1,121 @@
+"""The HTTP factory towards callers: it knows its connections and can close them."""
+
+import socket
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Site
+
+from damaskwind.router.caller_request import CallerLimits, CallerRequest
+
+__all__ = ["CallerSite"]
+
+_IDLE_TIMEOUT_S = 60.0
+_DEAD_PEER_TIMEOUT_S = 30
+_PROBE_INTERVAL_S = 10
+_PROBES = 3
+
+
+class RequestLine(NamedTuple):
+    """The first line of a request."""
+
+    method: bytes = b""
+    uri: bytes = b""
+    version: bytes = b""
+
+
+def _watch_for_dead_peer(transport: Any) -> None:
+    """Let the kernel drop a connection whose peer neither reads nor answers."""
+    transport.setTcpNoDelay(True)
+    transport.setTcpKeepAlive(True)
+    handle = transport.getHandle()
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _DEAD_PEER_TIMEOUT_S)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _DEAD_PEER_TIMEOUT_S * 1000)
+
+
+class CallerChannel(HTTPChannel):
+    """One connection of a caller."""
+
+    request_line = RequestLine()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Enter the connection at the site."""
+        super().connectionMade()
+        _watch_for_dead_peer(self.transport)
+        self.site.channels.add(self)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Keep the first line of each request: a body may be wanted before it ends."""
+        requests = len(self.requests)
+        super().lineReceived(line)
+        if len(self.requests) > requests:
+            self.request_line = RequestLine(*line.split(maxsplit=2)[:3])
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Strike the connection off."""
+        super().connectionLost(reason)
+        self.site.channel_lost(self)
+
+
+class CallerSite(Site):
+    """The factory; `closing` ends each connection after the answer in progress."""
+
+    protocol = CallerChannel
+    noisy = False
+
+    def __init__(self, resource: Any, limits: CallerLimits, reactor: Any) -> None:
+        def make_request(*arguments: Any, **options: Any) -> CallerRequest:
+            return CallerRequest(limits, *arguments, **options)
+
+        super().__init__(
+            resource,
+            requestFactory=make_request,
+            parsePOSTFormSubmission=False,
+            timeout=_IDLE_TIMEOUT_S,
+            reactor=reactor,
+        )
+        self.displayTracebacks = False
+        self.closing = False
+        self.channels: set[CallerChannel] = set()
+        self._watchers: list[Callable[[], None]] = []
+
+    def log(self, request: Any) -> None:
+        """Write no access log: metrics and explain records say more."""
+
+    def channel_lost(self, channel: CallerChannel) -> None:
+        """Forget a connection and tell those who wait for the last one."""
+        self.channels.discard(channel)
+        self._check_empty()
+
+    def end_keep_alive(self) -> None:
+        """Let every connection end after its next answer."""
+        self.closing = True
+        for channel in self.channels:
+            for request in channel.requests:
+                request.end_keep_alive()
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
+
+    def close_all(self) -> None:
+        """Cut every connection."""
+        for channel in list(self.channels):
+            channel.transport.abortConnection()
+
+    def when_empty(self, watcher: Callable[[], None]) -> None:
+        """Call `watcher` once no connection is left."""
+        self._watchers.append(watcher)
+        self._check_empty()
+
+    def _check_empty(self) -> None:
+        """Tell the watchers when the last connection is gone."""
+        if not self.channels:
+            watchers, self._watchers = self._watchers, []
+            for watcher in watchers:
+                watcher()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/engine_client.py
@@ -0,0 +1,140 @@
+"""Talk to model engines: chats, resumes and cancels."""
+
+from typing import Any, NamedTuple
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IResponse
+
+from damaskwind.model.prefix import ModelName
+from damaskwind.model.reason import Reason
+from damaskwind.model.targets import LoadReport, TargetView
+from damaskwind.model.verdict import Verdict
+from damaskwind.router.answer_body import discard, read_whole
+from damaskwind.router.caller import Caller
+from damaskwind.router.target_client import (
+    AttemptError,
+    BytesProducer,
+    TargetCall,
+    TargetClient,
+    path_of,
+)
+
+__all__ = ["EngineChat", "EngineClient", "check_not_run", "header_text", "load_of"]
+
+_CHAT_PATH = b"/v1/chat/completions"
+_CANCEL_TIMEOUT_S = 5.0
+_REFUSAL_LIMIT_BYTES = 65_536
+_CALLERS_FAULT = (400, 413, 422)
+
+
+class EngineChat(NamedTuple):
+    """A chat as an engine gets it."""
+
+    request_id: str
+    name: ModelName
+    priority_rank: int
+    body: bytes
+    idempotency_key: str = ""
+
+
+def header_text(response: IResponse, name: str) -> str:
+    """Return one header of a response, empty when it is not there."""
+    values = response.headers.getRawHeaders(name.encode())
+    return values[0].decode("latin-1") if values else ""
+
+
+def load_of(response: IResponse) -> LoadReport | None:
+    """Return the load that an answer carries, if it does."""
+    load = header_text(response, "x-load-tokens")
+    capacity = header_text(response, "x-capacity-tokens")
+    if not load.isdigit() or not capacity.isdigit():
+        return None
+    return LoadReport(int(load), int(capacity), 0, 0, 0.0)
+
+
+async def check_not_run(response: IResponse) -> None:
+    """Raise `AttemptError` when a target says that it did not run the request."""
+    if response.code >= 400 and header_text(response, "x-verdict") == Verdict.NOT_RUN:
+        await check_refusal(response)
+
+
+async def check_refusal(response: IResponse) -> None:
+    """Raise `AttemptError` when a target answered with an error."""
+    if response.code < 400:
+        return
+    says_not_run = header_text(response, "x-verdict") == Verdict.NOT_RUN
+    verdict = Verdict.NOT_RUN if says_not_run else Verdict.MAY_HAVE_RUN
+    body = await read_whole(response, _REFUSAL_LIMIT_BYTES)
+    text = body[:200].decode("utf-8", "replace")
+    detail = f"the target answered {response.code}: {text}"
+    reason = Reason.BAD_REQUEST if response.code in _CALLERS_FAULT else Reason.TARGET_FAILED
+    raise AttemptError(verdict, reason, detail, suspect=not says_not_run)
+
+
+class EngineClient:
+    """Send requests to engines and check that the answers are theirs."""
+
+    def __init__(self, client: TargetClient) -> None:
+        self._client = client
+
+    async def chat(
+        self, target: TargetView, chat: EngineChat, timeout_s: float, caller: Caller
+    ) -> IResponse:
+        """Return an engine's answer from its headers on; raise `AttemptError` else."""
+        headers = Headers(
+            {
+                b"content-type": [b"application/json"],
+                b"x-request-id": [chat.request_id.encode()],
+                b"x-priority": [str(chat.priority_rank).encode()],
+                b"x-model-version": [chat.name.version.encode()],
+                b"x-adapter": [chat.name.adapter.encode()],
+            }
+        )
+        if chat.idempotency_key:
+            headers.setRawHeaders(b"idempotency-key", [chat.idempotency_key.encode()])
+        body = BytesProducer(chat.body)
+        call = TargetCall(b"POST", target.address, _CHAT_PATH, headers, body)
+        return await self._checked(call, chat.request_id, timeout_s, caller)
+
+    async def resume(
+        self,
+        target: TargetView,
+        request_id: str,
+        from_token: int,
+        timeout_s: float,
+        caller: Caller,
+    ) -> IResponse:
+        """Return the rest of an answer that was cut; raise `AttemptError` when it can't be."""
+        path = path_of("v1", "requests", request_id, "resume")
+        path += b"?from_token=%d" % from_token
+        headers = Headers({b"x-request-id": [request_id.encode()]})
+        call = TargetCall(b"POST", target.address, path, headers, BytesProducer(b""))
+        return await self._checked(call, request_id, timeout_s, caller)
+
+    def cancel(self, target: TargetView, request_id: str) -> Deferred:
+        """Tell an engine that nobody waits for an answer any more."""
+        return ensureDeferred(self._cancel(target, request_id))
+
+    async def _cancel(self, target: TargetView, request_id: str) -> None:
+        """Send the cancel; an engine that can't be reached needs none."""
+        path = path_of("v1", "requests", request_id)
+        call = TargetCall(b"DELETE", target.address, path, Headers())
+        try:
+            response = await self._client.send(call, _CANCEL_TIMEOUT_S)
+            await read_whole(response, _REFUSAL_LIMIT_BYTES)
+        except AttemptError:
+            pass
+
+    async def _checked(
+        self, call: TargetCall, request_id: str, timeout_s: float, caller: Caller
+    ) -> IResponse:
+        """Send a call and make sure that the answer belongs to it."""
+        response: Any = await self._client.send(call, timeout_s, caller)
+        answered_id = header_text(response, "x-request-id")
+        if answered_id != request_id and (answered_id or response.code < 400):
+            discard(response)
+            detail = "the target answered with another request's id"
+            raise AttemptError(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
+        await check_refusal(response)
+        return response
--- /dev/null
+++ b/packages/router/src/damaskwind/router/event_stream.py
@@ -0,0 +1,124 @@
+"""Follow a stream of server-sent events without parsing each token's JSON.
+
+Only whole events pass. Each is counted; the end marker and the few chunks that
+are no token are found by one regular expression over the bytes, so that a token
+costs a search and a count.
+"""
+
+import re
+from typing import Any
+
+import msgspec
+
+__all__ = ["EventScanner", "PassThrough"]
+
+_END = b"\n\n"
+_DONE = b"data: [DONE]"
+_PREFIX = b"data:"
+_SPECIAL = re.compile(rb'data: \[DONE\]|"usage":\s*\{|"finish_reason":\s*"|"role":')
+
+
+def _parse(event: bytes) -> dict[str, Any]:
+    """Return an event's JSON object, or an empty one when it has none."""
+    try:
+        chunk = msgspec.json.decode(event.removeprefix(_PREFIX))
+    except msgspec.DecodeError:
+        return {}
+    return chunk if isinstance(chunk, dict) else {}
+
+
+def _has_token(chunk: dict[str, Any]) -> bool:
+    """Tell whether a chunk carries a generated token."""
+    return any((choice.get("delta") or {}).get("content") for choice in chunk.get("choices") or ())
+
+
+class EventScanner:
+    """Pass the whole events of one answer, counting the tokens delivered.
+
+    `delivered_tokens` is the token from which an engine is asked to resume,
+    `received_chunks` counts what came in, so that a stall can be seen.
+    `complete` is set once the end marker was seen; nothing passes after it.
+
+    >>> scanner = EventScanner(keep_usage=False)
+    >>> scanner.feed(b"data: {}" + _END + b"data: {")
+    b'data: {}\\n\\n'
+    >>> scanner.feed(b"}" + _END + b"data: [DONE]" + _END)
+    b'data: {}\\n\\ndata: [DONE]\\n\\n'
+    >>> scanner.complete
+    True
+    """
+
+    def __init__(self, keep_usage: bool) -> None:
+        self.delivered_tokens = 0
+        self.received_chunks = 0
+        self.complete = False
+        self.usage: dict[str, Any] = {}
+        self._keep_usage = keep_usage
+        self._held = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes in and return those that may pass now."""
+        self.received_chunks += 1
+        if self.complete:
+            return b""
+        if self._held:
+            data = self._held + data
+            self._held = b""
+        if not data.endswith(_END):
+            end = data.rfind(_END) + len(_END)
+            if end < len(_END):
+                self._held = data
+                return b""
+            self._held = data[end:]
+            data = data[:end]
+        if _SPECIAL.search(data) is None:
+            self.delivered_tokens += data.count(_END)
+            return data
+        return b"".join(self._pass_event(event) for event in data.split(_END)[:-1])
+
+    def _pass_event(self, event: bytes) -> bytes:
+        """Count one event and return what of it may pass."""
+        if self.complete:
+            return b""
+        if event == _DONE:
+            self.complete = True
+            return event + _END
+        if _SPECIAL.search(event) is None:
+            self.delivered_tokens += 1
+            return event + _END
+        chunk = _parse(event)
+        self.delivered_tokens += _has_token(chunk)
+        if chunk.get("usage"):
+            self.usage = chunk["usage"]
+            if not chunk.get("choices") and not self._keep_usage:
+                return b""
+        return event + _END
+
+    def end(self, in_order: bool) -> bool:
+        """Tell whether the answer was whole, now that no more comes of it."""
+        return self.complete
+
+    def restart(self) -> None:
+        """Drop the half event of an answer that was cut; a resumed one follows."""
+        self._held = b""
+
+
+class PassThrough:
+    """Pass a plain service's body on as it is; only an orderly end makes it whole."""
+
+    def __init__(self) -> None:
+        self.received_chunks = 0
+        self.complete = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Count and pass a piece."""
+        self.received_chunks += 1
+        return data
+
+    def end(self, in_order: bool) -> bool:
+        """Tell whether the body was whole, now that no more comes of it."""
+        self.complete = in_order
+        return in_order
+
+    def restart(self) -> None:
+        """Do nothing: a plain service's answer is never resumed."""
--- /dev/null
+++ b/packages/router/src/damaskwind/router/front.py
@@ -0,0 +1,127 @@
+"""The router's HTTP routes."""
+
+from typing import Any
+
+import msgspec
+from klein import Klein
+from twisted.internet.defer import Deferred
+from werkzeug.exceptions import MethodNotAllowed, NotFound
+
+from damaskwind.model.checking import check_table
+from damaskwind.model.exception import RefusedError
+from damaskwind.model.reason import Reason
+from damaskwind.model.targets import TargetAnnouncement
+from damaskwind.model.verdict import Refusal, Verdict
+from damaskwind.router.answers import answer_json, refuse, set_outcome
+from damaskwind.router.authentication import bearer_key, same_key
+from damaskwind.router.chat_path import ChatPath
+from damaskwind.router.chat_request import visible_models
+from damaskwind.router.gateway import Gateway
+from damaskwind.router.service_path import ServicePath
+
+__all__ = ["Front"]
+
+
+class Front:
+    """What callers, targets and the platform's balancer can ask of a router."""
+
+    app = Klein()
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        chats: ChatPath,
+        services: ServicePath,
+        membership: Any,
+        announce_key: str,
+        is_ready: Any,
+    ) -> None:
+        self._gateway = gateway
+        self._chats = chats
+        self._services = services
+        self._membership = membership
+        self._announce_key = announce_key
+        self._is_ready = is_ready
+
+    @app.route("/v1/chat/completions", methods=["POST"])
+    def chat(self, request: Any) -> Deferred:
+        """Answer a chat."""
+        return self._gateway.handle(request, self._chats.serve)
+
+    @app.route("/services/", branch=True)
+    def service(self, request: Any) -> Deferred:
+        """Pass a call on to a plain service."""
+        return self._gateway.handle(request, self._services.serve)
+
+    @app.route("/v1/models", methods=["GET"])
+    def models(self, request: Any) -> bytes:
+        """List the models that the account may use."""
+        account = self._gateway.account_of(request)
+        names = visible_models(account, self._gateway.configuration)
+        set_outcome(request, request.request_id, Verdict.RAN)
+        listed = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "damaskwind"}
+            for name in names
+        ]
+        return answer_json(request, 200, {"object": "list", "data": listed})
+
+    @app.route("/livez", methods=["GET"])
+    def live(self, request: Any) -> bytes:
+        """Say that the process runs."""
+        return b"ok\n"
+
+    @app.route("/readyz", methods=["GET"])
+    def ready(self, request: Any) -> bytes:
+        """Say whether the balancer may send requests here."""
+        reason = self._is_ready()
+        request.setResponseCode(503 if reason else 200)
+        return (reason or "ok").encode() + b"\n"
+
+    @app.route("/targets/v1/announcements", methods=["POST"])
+    def announcement(self, request: Any) -> bytes:
+        """Take a target's announcement."""
+        if not same_key(bearer_key(request.getHeader("authorization")), self._announce_key):
+            detail = "the announce key is not valid"
+            raise RefusedError(Refusal(Reason.BAD_KEY, Verdict.NOT_RUN, detail))
+        body = request.content.read()
+        announcement = _parse_announcement(body)
+        outcome = self._membership.announce(announcement, len(body))
+        if not outcome.accepted:
+            return answer_json(request, 409, {"incarnation": outcome.incarnation})
+        next_s = self._membership.next_announcement_s(announcement.lease_s)
+        return answer_json(request, 200, {"next_announcement_s": next_s})
+
+    @app.handle_errors(RefusedError)
+    def refused(self, request: Any, failure: Any) -> bytes:
+        """Answer a refusal that a route raised."""
+        return refuse(request, request.request_id, failure.value.refusal)
+
+    @app.handle_errors(NotFound)
+    def not_found(self, request: Any, failure: Any) -> bytes:
+        """Answer for a path that does not exist."""
+        detail = "there is nothing at this path"
+        refusal = Refusal(Reason.UNKNOWN_SERVICE, Verdict.NOT_RUN, detail)
+        return refuse(request, request.request_id, refusal)
+
+    @app.handle_errors(MethodNotAllowed)
+    def wrong_method(self, request: Any, failure: Any) -> bytes:
+        """Answer for a method that the path does not take."""
+        detail = f"{request.method.decode('latin-1')} is not allowed at this path"
+        refusal = Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, detail)
+        body = refuse(request, request.request_id, refusal)
+        request.setResponseCode(405)
+        return body
+
+
+def _parse_announcement(body: bytes) -> TargetAnnouncement:
+    """Check an announcement; raise `RefusedError` with every mistake."""
+    try:
+        raw = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        refusal = Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, f"not JSON: {error}")
+        raise RefusedError(refusal) from error
+    checked = check_table(raw, TargetAnnouncement, "announcement")
+    if checked.mistakes:
+        detail = "; ".join(checked.mistakes)
+        raise RefusedError(Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, detail))
+    return checked.value
--- /dev/null
+++ b/packages/router/src/damaskwind/router/gateway.py
@@ -0,0 +1,142 @@
+"""Let a caller's request in: who it is, by when it must be answered, and its record."""
+
+from collections.abc import Awaitable, Callable
+from math import isfinite
+from typing import Any, NamedTuple
+
+from loguru import logger
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from damaskwind.model.configuration import ClientAccount, Configuration, PriorityClass
+from damaskwind.model.exception import RefusedError
+from damaskwind.model.reason import Reason
+from damaskwind.model.verdict import Refusal, Verdict
+from damaskwind.router.answers import refuse
+from damaskwind.router.authentication import account_index, bearer_key
+from damaskwind.router.caller import Caller
+from damaskwind.router.explain import ExplainLog, RequestRecord
+
+__all__ = ["Arrival", "Gateway"]
+
+_LAST_CLASS = PriorityClass("none", 9, 1)
+_MAX_KEY_CHARACTERS = 255
+
+
+class Arrival(NamedTuple):
+    """A request that was let in, under the configuration of its arrival."""
+
+    request: Any
+    request_id: str
+    account: ClientAccount
+    priority: PriorityClass
+    configuration: Configuration
+    deadline_s: float
+    idempotency_key: str
+    record: RequestRecord
+    caller: Caller
+
+
+Serve = Callable[[Arrival], Awaitable[bytes | None]]
+
+
+def _bad_request(detail: str) -> RefusedError:
+    """Make the error for a malformed header."""
+    return RefusedError(Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, detail))
+
+
+def _timeout_s(request: Any, limit_s: float) -> float:
+    """Return the caller's own timeout, at most the limit."""
+    text = request.getHeader("x-timeout-s")
+    if text is None:
+        return limit_s
+    try:
+        wanted_s = float(text)
+    except ValueError:
+        wanted_s = 0.0
+    if not isfinite(wanted_s) or wanted_s <= 0:
+        raise _bad_request("'x-timeout-s' must be a positive number")
+    return min(wanted_s, limit_s)
+
+
+def _idempotency_key(request: Any) -> str:
+    """Return the caller's key for the request, if it gave one."""
+    key = request.getHeader("idempotency-key") or ""
+    if len(key) > _MAX_KEY_CHARACTERS or not key.isascii():
+        raise _bad_request(f"'Idempotency-Key' must be at most {_MAX_KEY_CHARACTERS} characters")
+    return key
+
+
+class Gateway:
+    """Authenticate callers, run their requests and turn refusals into answers."""
+
+    def __init__(self, explain: ExplainLog, clock: Any) -> None:
+        self._explain = explain
+        self._clock = clock
+        self.in_progress = 0
+        self.ended: Callable[[RequestRecord], None] = lambda record: None
+        self.set_configuration(Configuration())
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force for all requests from now on."""
+        self.configuration = configuration
+        self._accounts = account_index(configuration)
+
+    def account_of(self, request: Any) -> ClientAccount:
+        """Return the account whose key a request carries."""
+        return self._accounts.owner(bearer_key(request.getHeader("authorization")))
+
+    def handle(self, request: Any, serve: Serve) -> Deferred:
+        """Run one request to its end.
+
+        The Deferred for klein is a separate one, so that nothing but the
+        caller's going away, which `Caller` reports, ends a request early.
+        """
+        answered: Deferred = Deferred(lambda cancelled: None)
+        self.in_progress += 1
+        running = ensureDeferred(self._run(request, serve))
+        running.addBoth(self._finished)
+        running.addBoth(lambda result: None if answered.called else answered.callback(result))
+        return answered
+
+    async def _run(self, request: Any, serve: Serve) -> bytes | None:
+        """Let a request in, serve it, and answer its refusal."""
+        now_s = self._clock.seconds()
+        record = self._explain.start(request.request_id, request.path.decode("latin-1"), now_s)
+        caller = Caller(request)
+        try:
+            return await serve(self._admit(request, record, caller, now_s))
+        except RefusedError as error:
+            refusal = error.refusal
+        except Exception as error:  # a fault of ours must not look like "not run"
+            logger.opt(exception=error).error("request failed", request=request.request_id)
+            refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, "the router failed")
+        record.end(refusal.verdict, refusal.reason, refusal.detail, self._clock.seconds())
+        if caller.gone or request.startedWriting:
+            return None
+        return refuse(request, request.request_id, refusal)
+
+    def _admit(self, request: Any, record: RequestRecord, caller: Caller, now_s: float) -> Arrival:
+        """Check a request's key, size and headers."""
+        configuration = self.configuration
+        account = self.account_of(request)
+        record.account = account.name
+        if request.too_large:
+            detail = f"the body is over {configuration.policy.body_limit_bytes} bytes"
+            raise RefusedError(Refusal(Reason.TOO_LARGE, Verdict.NOT_RUN, detail))
+        timeout_s = _timeout_s(request, configuration.policy.request_timeout_s)
+        return Arrival(
+            request,
+            request.request_id,
+            account,
+            configuration.priority_classes.get(account.priority_class, _LAST_CLASS),
+            configuration,
+            now_s + timeout_s,
+            _idempotency_key(request),
+            record,
+            caller,
+        )
+
+    def _finished(self, result: Any) -> Any:
+        """Count a request out."""
+        self.in_progress -= 1
+        return result
--- /dev/null
+++ b/packages/router/src/damaskwind/router/stream_relay.py
@@ -0,0 +1,138 @@
+"""Pass an engine's stream on to the caller as bytes, with backpressure both ways."""
+
+from enum import StrEnum
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol
+from twisted.web.client import ResponseDone
+from twisted.web.iweb import IResponse
+from zope.interface import implementer
+
+from damaskwind.router.caller import Caller
+from damaskwind.router.event_stream import EventScanner
+
+__all__ = ["RelayEnd", "StreamRelay"]
+
+
+class RelayEnd(StrEnum):
+    """How one engine answer ended."""
+
+    COMPLETE = "complete"
+    CUT = "cut"
+    STALLED = "stalled"
+    CALLER_GONE = "caller_gone"
+
+
+class _Body(Protocol):
+    """The body of one engine answer."""
+
+    def __init__(self, relay: "StreamRelay") -> None:
+        self.ended: Deferred = Deferred()
+        self._relay = relay
+        self._scanner = relay.scanner
+        self._write = relay.request.write
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Pass on what may pass."""
+        passed = self._scanner.feed(data)
+        if passed and not self._relay.caller.gone:
+            self._write(passed)
+        if self._scanner.complete:
+            self._end(RelayEnd.COMPLETE)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Note that no more comes; without its end marker an answer was cut."""
+        whole = self._scanner.end(bool(reason.check(ResponseDone)))
+        self._end(RelayEnd.COMPLETE if whole else RelayEnd.CUT)
+
+    def drop(self, end: RelayEnd) -> None:
+        """Close the engine's connection."""
+        if not self.ended.called:
+            self._end(end)
+            self.transport.loseConnection()
+
+    def _end(self, end: RelayEnd) -> None:
+        """Tell the relay, once; what still follows is read and dropped."""
+        if not self.ended.called:
+            self.transport.resumeProducing()
+            self.ended.callback(end)
+
+
+@implementer(IPushProducer)
+class StreamRelay:
+    """One caller's stream, fed by one engine answer after the other.
+
+    A caller that does not read for `stall_timeout_s` is dropped; an engine
+    that sends nothing for as long while the caller reads counts as cut.
+    """
+
+    def __init__(
+        self,
+        request: Any,
+        caller: Caller,
+        scanner: EventScanner,
+        clock: Any,
+        stall_timeout_s: float,
+    ) -> None:
+        self.request = request
+        self.caller = caller
+        self.scanner = scanner
+        self._clock = clock
+        self._stall_timeout_s = stall_timeout_s
+        self._body: _Body | None = None
+        self._paused = False
+        self._received = -1
+        self._check: Any = None
+        request.registerProducer(self, True)
+        caller.when_gone(self.stopProducing)
+
+    async def relay(self, response: IResponse) -> RelayEnd:
+        """Pass one answer on and return how it ended."""
+        if self.caller.gone:
+            return RelayEnd.CALLER_GONE
+        self.scanner.restart()
+        self._body = _Body(self)
+        self._received = -1
+        self._check = self._clock.callLater(self._stall_timeout_s, self._check_progress)
+        response.deliverBody(self._body)
+        if self._paused:
+            self._body.transport.pauseProducing()
+        end = await self._body.ended
+        self._check.cancel()
+        return end
+
+    def close(self) -> None:
+        """Let the caller's connection be: nothing more is relayed."""
+        if not self.caller.gone:
+            self.request.unregisterProducer()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading from the engine: the caller reads too slowly."""
+        self._paused = True
+        if self._body is not None and not self._body.ended.called:
+            self._body.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read from the engine again."""
+        self._paused = False
+        if self._body is not None and not self._body.ended.called:
+            self._body.transport.resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Drop the engine's answer: the caller has gone."""
+        if self._body is not None:
+            self._body.drop(RelayEnd.CALLER_GONE)
+
+    def _check_progress(self) -> None:
+        """Find out who holds the stream up, if nothing moved since the last check."""
+        self._check = self._clock.callLater(self._stall_timeout_s, self._check_progress)
+        received = self.scanner.received_chunks
+        if received != self._received:
+            self._received = received
+            return
+        if self._paused:
+            self.caller.abort()
+            return
+        self._body.drop(RelayEnd.STALLED)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/target_client.py
@@ -0,0 +1,135 @@
+"""Send one request to one target and say honestly what became of it.
+
+"Not run" is claimed only when the connection was never made, or by the target's
+own word. Once a request may have been written, everything else that fails means
+that it may have run.
+"""
+
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectError, ConnectingCancelledError, UserError
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.client import Agent
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer, IResponse
+from zope.interface import implementer
+
+from damaskwind.model.exception import DamaskwindError
+from damaskwind.model.reason import Reason
+from damaskwind.model.targets import Address
+from damaskwind.model.verdict import Verdict
+from damaskwind.router.caller import Caller
+from damaskwind.router.connection_pool import CheckedConnectionPool
+
+__all__ = ["AttemptError", "BytesProducer", "TargetCall", "TargetClient", "path_of"]
+
+_CONNECT_TIMEOUT_S = 2.0
+_NEVER_CONNECTED = (ConnectError, ConnectingCancelledError, UserError)
+
+
+class AttemptError(DamaskwindError):
+    """One attempt at a target failed; `verdict` says whether it may have run there.
+
+    `suspect` is set when the failure speaks against the target's health.
+    """
+
+    def __init__(
+        self,
+        verdict: Verdict,
+        reason: Reason,
+        detail: str,
+        suspect: bool = True,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.verdict = verdict
+        self.reason = reason
+        self.detail = detail
+        self.suspect = suspect
+        self.retry_after_s = retry_after_s
+
+
+class TargetCall(NamedTuple):
+    """One HTTP request to a target."""
+
+    method: bytes
+    address: Address
+    path: bytes
+    headers: Headers
+    body: Any = None
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """A request body that is already whole."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred:  # noqa: N802
+        """Write the whole body at once."""
+        consumer.write(self.body)
+        done: Deferred = Deferred()
+        done.callback(None)
+        return done
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body was written at once."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body was written at once."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body was written at once."""
+
+
+class TargetClient:
+    """Send requests over one pool of connections."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._clock = IReactorTime(reactor)
+        self._pool = CheckedConnectionPool(reactor)
+        self._agent = Agent(reactor, connectTimeout=_CONNECT_TIMEOUT_S, pool=self._pool)
+
+    async def send(
+        self, call: TargetCall, timeout_s: float, caller: Caller | None = None
+    ) -> IResponse:
+        """Return the response once its headers are here; raise `AttemptError` else.
+
+        A caller that goes away ends the attempt at once.
+        """
+        uri = b"http://%s:%d%s" % (call.address.host.encode(), call.address.port, call.path)
+        waiting = self._agent.request(call.method, uri, call.headers, call.body)
+        timer = self._clock.callLater(max(timeout_s, 0.0), waiting.cancel)
+        if caller is not None:
+            caller.when_gone(waiting.cancel)
+        try:
+            return await waiting
+        except _NEVER_CONNECTED as error:
+            detail = f"the target was not reached: {error}"
+            raise AttemptError(Verdict.NOT_RUN, Reason.TARGET_FAILED, detail) from error
+        except CancelledError as error:
+            detail = "the target did not answer in time"
+            raise AttemptError(Verdict.MAY_HAVE_RUN, Reason.DEADLINE, detail) from error
+        except Exception as error:  # whatever broke after the connection was there
+            detail = f"the target broke off before its answer: {type(error).__name__}"
+            raise AttemptError(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail) from error
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def close(self) -> Deferred:
+        """Close the idle connections."""
+        return self._pool.closeCachedConnections()
+
+
+def path_of(*parts: str) -> bytes:
+    """Join quoted path segments.
+
+    >>> path_of("v1", "requests", "a/b")
+    b'/v1/requests/a%2Fb'
+    """
+    return "".join("/" + quote(part, safe="") for part in parts).encode()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/target_directory.py
@@ -0,0 +1,112 @@
+"""What this router knows of the targets, kept by events and fed to the placers.
+
+Engines and plain services have a placer each, so that neither kind of traffic
+waits behind the other.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from damaskwind.decisions.membership.outputs import Event, LoadHeard, TargetChanged, TargetGone
+from damaskwind.decisions.placement.placer import Placer
+from damaskwind.model.configuration import Policy
+from damaskwind.model.targets import LoadReport, TargetKind, TargetView
+
+__all__ = ["TargetDirectory"]
+
+_SERVICE_PLACEMENT = "two_choices"
+
+
+class TargetDirectory:
+    """The live targets by id, with one placer for each kind."""
+
+    def __init__(
+        self, router_id: str, failure_domain: str, policy: Policy, clock: Any, random: Random
+    ) -> None:
+        self._clock = clock
+        self._views: dict[str, TargetView] = {}
+        self._watchers: list[Callable[[], None]] = []
+        policies = {
+            TargetKind.ENGINE: policy.placement,
+            TargetKind.SERVICE: _SERVICE_PLACEMENT,
+        }
+        self.placers = {
+            kind: Placer(name, router_id, failure_domain, policy.load_factor, random)
+            for kind, name in policies.items()
+        }
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            TargetChanged: self._changed,
+            TargetGone: self._gone,
+            LoadHeard: self._load_heard,
+        }
+
+    def watch(self, watcher: Callable[[], None]) -> None:
+        """Call `watcher` whenever a target may have got room."""
+        self._watchers.append(watcher)
+
+    def handle_event(self, event: Event) -> None:
+        """Take in an event of the membership."""
+        handler = self._handlers.get(type(event))
+        if handler is not None:
+            handler(event)
+            self.room_changed()
+
+    def room_changed(self) -> None:
+        """Tell the watchers that a target may have got room."""
+        for watcher in self._watchers:
+            watcher()
+
+    def set_policy(self, policy: Policy) -> None:
+        """Take a confirmed policy over."""
+        self.placers[TargetKind.ENGINE].set_policy(policy.placement, policy.load_factor)
+
+    def set_router_count(self, count: int) -> None:
+        """Say how many routers share the targets."""
+        for placer in self.placers.values():
+            placer.set_router_count(count)
+
+    def views(self) -> list[TargetView]:
+        """Return every live target."""
+        return list(self._views.values())
+
+    def find(self, target_id: str) -> TargetView | None:
+        """Return a live target."""
+        return self._views.get(target_id)
+
+    def observe_report(self, target_id: str, report: LoadReport) -> None:
+        """Take in a load that came with an answer."""
+        view = self._views.get(target_id)
+        if view is not None:
+            self.placers[view.kind].observe_report(target_id, report, self._clock.seconds())
+
+    def set_ejected(self, target_id: str, ejected: bool) -> None:
+        """Keep a target out while its own failures speak against it, or let it back."""
+        view = self._views.get(target_id)
+        if view is not None and view.ejected != ejected:
+            self._changed(TargetChanged(view._replace(ejected=ejected)))
+            self.room_changed()
+
+    def _changed(self, event: TargetChanged) -> None:
+        """Add or update a target; its ejection outlives a renewal."""
+        known = self._views.get(event.target.target_id)
+        view = event.target
+        if known is not None and known.incarnation == view.incarnation and known is not view:
+            view = view._replace(ejected=view.ejected or known.ejected)
+        self._views[view.target_id] = view
+        self.placers[view.kind].update_target(view, self._clock.seconds())
+        if view.report_age_s >= 0:
+            report = LoadReport(
+                int(view.load_tokens), view.capacity_tokens, 0, 0, view.report_age_s
+            )
+            self.observe_report(view.target_id, report)
+
+    def _gone(self, event: TargetGone) -> None:
+        """Give a target no more work; what is in progress there goes on."""
+        view = self._views.pop(event.target_id, None)
+        if view is not None:
+            self.placers[view.kind].remove_target(event.target_id)
+
+    def _load_heard(self, event: LoadHeard) -> None:
+        """Take in a load that a peer passed on."""
+        self.observe_report(event.target_id, event.report)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/tests/bench.py
@@ -0,0 +1,149 @@
+"""Start a router with stand-ins in this process, for the tests."""
+
+from hashlib import sha256
+from typing import Any
+
+from openai import AsyncOpenAI
+from twisted.internet import reactor
+
+from damaskwind.model.configuration import (
+    ClientAccount,
+    Configuration,
+    Model,
+    ModelGrant,
+    ModelVersion,
+    OperatorKey,
+    Policy,
+    PriorityClass,
+    Service,
+    ServiceRoute,
+)
+from damaskwind.router.process import RouterProcess, start_router
+from damaskwind.runtime.settings import NodeSettings, RouterSettings, Settings
+from damaskwind.standins.engine import EngineStandin
+from damaskwind.standins.service import ServiceStandin
+from damaskwind.standins.settings import AnnounceSettings, EngineSettings, ServiceSettings
+
+__all__ = ["ACCOUNT_KEY", "ANNOUNCE_KEY", "OPERATOR_KEY", "TestBench", "make_configuration"]
+
+ACCOUNT_KEY = "key-of-library"
+OTHER_KEY = "key-of-registry"
+ANNOUNCE_KEY = "announce"
+OPERATOR_KEY = "operator"
+
+
+def hash_of(key: str) -> str:
+    """Return the hash under which a key is kept."""
+    return sha256(key.encode()).hexdigest()
+
+
+def make_configuration(**policy: Any) -> Configuration:
+    """Return a small configuration: two accounts, one model, one plain service."""
+    adapters = ("ledger", "secret")
+    library = ClientAccount(
+        "library",
+        (hash_of(ACCOUNT_KEY),),
+        "normal",
+        500,
+        1e9,
+        (ModelGrant("damask", "1", ("ledger",)),),
+        ("edge-api",),
+    )
+    registry = ClientAccount("registry", (hash_of(OTHER_KEY),), "normal", 2, 1e9)
+    routes = (
+        ServiceRoute("/status", ("GET",), True),
+        ServiceRoute("/migrate", ("POST",), False, 5.0),
+    )
+    return Configuration(
+        revision=1,
+        accounts={"library": library, "registry": registry},
+        priority_classes={"normal": PriorityClass("normal", 0, 1, queue_timeout_s=0.3)},
+        models={
+            "damask": Model(
+                "damask",
+                "damask-pool",
+                "1",
+                (ModelVersion("1", adapters), ModelVersion("2", ())),
+            )
+        },
+        services={
+            "damask-pool": Service("damask-pool", "engine"),
+            "edge-api": Service("edge-api", "service", routes),
+        },
+        operators={"ops": OperatorKey("ops", hash_of(OPERATOR_KEY), ("viewer", "confirmer"))},
+        policy=Policy(**policy),
+    )
+
+
+def make_settings(**router: Any) -> Settings:
+    """Return settings for a router on free ports."""
+    fields = {
+        "http_address": "127.0.0.1:0",
+        "datagram_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "announce_key": ANNOUNCE_KEY,
+        "drain_delay_s": 0.05,
+        "drain_limit_s": 10.0,
+        **router,
+    }
+    node = NodeSettings("router-1", "test", "cluster-key", "local", "local")
+    return Settings(node, RouterSettings(**fields))
+
+
+class TestBench:
+    """A router, its engines and its plain services."""
+
+    def __init__(self) -> None:
+        self.router: RouterProcess
+        self.engines: list[EngineStandin] = []
+        self.services: list[ServiceStandin] = []
+        self.client: AsyncOpenAI
+
+    async def start(
+        self,
+        engines: int = 1,
+        services: int = 0,
+        configuration: Configuration | None = None,
+        engine_fields: dict[str, Any] | None = None,
+        **router: Any,
+    ) -> "TestBench":
+        """Start everything and wait until the router knows the targets."""
+        self.router = await start_router(make_settings(**router), reactor)
+        self.router.apply(configuration or make_configuration())
+        announce = AnnounceSettings((str(self.router.http_address),), ANNOUNCE_KEY, 0.2, 2.0)
+        fields = {"token_interval_s": 0.002, "load_lag_s": 0.0, **(engine_fields or {})}
+        for number in range(engines):
+            settings = EngineSettings(f"engine-{number + 1}", announce=announce, **fields)
+            self.engines.append(EngineStandin(settings, reactor))
+        for number in range(services):
+            settings = ServiceSettings(f"service-{number + 1}", announce=announce)
+            self.services.append(ServiceStandin(settings, reactor))
+        for target in [*self.engines, *self.services]:
+            await target.start()
+        await self.until(lambda: len(self.router.directory.views()) == engines + services)
+        self.client = AsyncOpenAI(
+            api_key=ACCOUNT_KEY, base_url=f"{self.url}/v1", max_retries=0, timeout=20
+        )
+        return self
+
+    @property
+    def url(self) -> str:
+        """Return where the router is."""
+        return f"http://{self.router.http_address}"
+
+    async def until(self, condition: Any, limit_s: float = 10.0) -> None:
+        """Wait until a condition holds; fail after a deadline."""
+        import asyncio
+
+        deadline_s = reactor.seconds() + limit_s
+        while not condition():
+            if reactor.seconds() > deadline_s:
+                raise AssertionError("the condition did not come true in time")
+            await asyncio.sleep(0.005)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.client.close()
+        for target in [*self.engines, *self.services]:
+            await target.stop()
+        await self.router.stop()
