--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/gossip.py
@@ -0,0 +1,211 @@
+"""Choose whom to send what: the probes of a round, their answers, the flooding.
+
+Within a failure domain routers turn to each other by the common ring. Between
+domains only relays speak, one exchange a round and relay, so what a domain's
+border carries does not grow with its size.
+"""
+
+from random import Random
+
+from damaskwind.decisions.membership.digests import pack_keys
+from damaskwind.decisions.membership.messages import (
+    Ack,
+    IndirectProbe,
+    News,
+    Probe,
+    RouterRecord,
+    RouterState,
+)
+from damaskwind.decisions.membership.outputs import Send
+from damaskwind.decisions.membership.parameters import MembershipParameters
+from damaskwind.decisions.membership.prober import Prober, ring_peers
+from damaskwind.decisions.membership.repair import Repair
+from damaskwind.decisions.membership.routers import RouterTable
+from damaskwind.decisions.membership.rumours import Item, RumourQueue, news_of, transmissions_limit
+from damaskwind.decisions.membership.targets import FOREIGN_LEASE_S, TargetTable
+from damaskwind.decisions.pacing.urgency import Urgency
+from damaskwind.decisions.placement.messages import SpillNote
+from damaskwind.model.targets import Address
+
+__all__ = ["Gossip"]
+
+_HEADER_BYTES = 70
+_SUMMARY_BYTES = 40
+_RECORD_BYTES = 90
+_FOREIGN_SUMMARIES = 2
+
+
+def _crosses(item: Item) -> bool:
+    """Tell whether an item matters beyond its failure domain."""
+    if isinstance(item, RouterRecord):
+        return item.state != RouterState.SUSPECT
+    return not isinstance(item, SpillNote)
+
+
+class Gossip:
+    """What one router sends of its own accord."""
+
+    def __init__(
+        self,
+        parameters: MembershipParameters,
+        routers: RouterTable,
+        targets: TargetTable,
+        repair: Repair,
+        prober: Prober,
+        random: Random,
+    ) -> None:
+        self.rumours = RumourQueue()
+        self.introduced: set[str] = set()
+        self.revision = 0
+        self.room_bytes = 0
+        self._parameters = parameters
+        self._routers = routers
+        self._targets = targets
+        self._repair = repair
+        self._prober = prober
+        self._random = random
+        self._foreign_turn = 0
+
+    def round(self, seeds: tuple[Address, ...], now_s: float) -> list[Send]:
+        """Return the probes of one round."""
+        sends = []
+        ring = self._routers.ring(self._routers.me.failure_domain)
+        number = self._prober.round_number
+        for router_id in ring_peers(ring, self._routers.me.router_id, number, 1):
+            sends.append(self._probe(number, self._routers.get(router_id), now_s))
+        if self._routers.is_relay():
+            sends += self._foreign_probe(now_s)
+        lonely = len(self._routers.live()) == 1
+        if lonely or number % self._parameters.rounds_per_lost_probe == 0:
+            sends += self._lost_probe(seeds, now_s)
+        return sends
+
+    def flood(self, now_s: float) -> list[Send]:
+        """Return the datagrams that spread the most urgent news, if there is room."""
+        size_bytes = self._parameters.news_bytes + _HEADER_BYTES
+        peers = self.flood_peers()
+        limit_bytes = min(self.room_bytes // max(len(peers), 1), size_bytes) - _HEADER_BYTES
+        batch = self.rumours.to_flood(limit_bytes, now_s)
+        if batch is None:
+            return []
+        news = news_of(batch.items)
+        across = news_of([item for item in batch.items if _crosses(item)])
+        sends = []
+        for router_id in peers:
+            record = self._routers.get(router_id)
+            near = record.failure_domain == self._routers.me.failure_domain
+            message = news if near else across
+            if message != News():
+                sends.append(Send(router_id, record.address, message, batch.urgency))
+        return sends
+
+    def flood_peers(self) -> list[str]:
+        """Return whom news goes to: some peers, and relays of some other domains."""
+        me = self._routers.me
+        ring = self._routers.ring(me.failure_domain)
+        number = self._prober.round_number
+        peers = ring_peers(ring, me.router_id, number + 1, self._parameters.fanout)
+        if not self._routers.is_relay():
+            return peers
+        others = [name for name in self._routers.domains() if name != me.failure_domain]
+        count = min(self._parameters.foreign_fanout, len(others))
+        for domain in self._random.sample(others, count):
+            peers.append(self._random.choice(self._routers.relays(domain)))
+        return peers
+
+    def ask_others(self, nonce: int, router_id: str) -> list[Send]:
+        """Return the requests to probe a router that did not answer."""
+        me = self._routers.me
+        ring = [name for name in self._routers.ring(me.failure_domain) if name != me.router_id]
+        helpers = [name for name in ring if name != router_id]
+        count = min(self._parameters.indirect_probes, len(helpers))
+        sends = []
+        for name in self._random.sample(helpers, count):
+            address = self._routers.get(name).address
+            sends.append(Send(name, address, IndirectProbe(nonce, router_id), Urgency.PROBE))
+        return sends
+
+    def bare_probe(self, nonce: int, record: RouterRecord) -> Send:
+        """Return a probe with nothing on board but an introduction."""
+        probe = Probe(nonce, self.revision, self._routers.me)
+        return Send(record.router_id, record.address, probe, Urgency.PROBE)
+
+    def ack(self, probe: Probe, sender: RouterRecord | None, knew: bool, now_s: float) -> Ack:
+        """Return the answer to a probe."""
+        near = sender is not None and sender.failure_domain == self._routers.me.failure_domain
+        news = self._carried(sender, near, now_s)
+        bare = len(probe.loads) == 0 and not probe.summaries
+        loads = b"" if bare else self._loads(now_s, near)
+        summaries = () if near or bare else (self._repair.own_summary(),)
+        introduction = None if knew else self._routers.me
+        return Ack(probe.nonce, self.revision, loads, summaries, news, introduction)
+
+    def _probe(self, nonce: int, record: RouterRecord, now_s: float) -> Send:
+        """Return a probe with loads, summaries and news on board."""
+        near = record.failure_domain == self._routers.me.failure_domain
+        self._prober.sent(nonce, record.router_id, now_s)
+        introduction = None if record.router_id in self.introduced else self._routers.me
+        summaries = (self._repair.own_summary(),)
+        if near:
+            summaries += self._repair.foreign_summaries(_FOREIGN_SUMMARIES, FOREIGN_LEASE_S, now_s)
+        probe = Probe(
+            nonce,
+            self.revision,
+            introduction,
+            self._loads(now_s, near),
+            self._overdue(now_s) if near else b"",
+            summaries,
+            self._carried(record, near, now_s),
+        )
+        return Send(record.router_id, record.address, probe, Urgency.PROBE)
+
+    def _foreign_probe(self, now_s: float) -> list[Send]:
+        """Return the probe of a relay to a relay of the next domain."""
+        me = self._routers.me
+        others = [name for name in self._routers.domains() if name != me.failure_domain]
+        if not others:
+            return []
+        self._foreign_turn += 1
+        relays = self._routers.relays(others[self._foreign_turn % len(others)])
+        record = self._routers.get(self._random.choice(relays))
+        return [self._probe(self._prober.side_nonce(), record, now_s)]
+
+    def _lost_probe(self, seeds: tuple[Address, ...], now_s: float) -> list[Send]:
+        """Return a probe to a router held dead or to a seed that nobody lives at."""
+        lost = [(record.router_id, record.address) for record in self._routers.dead()]
+        known = {record.address for record in self._routers.live()}
+        lost += [("", seed) for seed in seeds if seed not in known]
+        if not lost:
+            return []
+        router_id, address = self._random.choice(lost)
+        record = self._routers.get(router_id)
+        news = news_of([record]) if record is not None else None
+        nonce = self._prober.side_nonce()
+        probe = Probe(nonce, self.revision, self._routers.me, news=news)
+        return [Send(router_id, address, probe, Urgency.PROBE)]
+
+    def _loads(self, now_s: float, near: bool) -> bytes:
+        """Return the loads that fit the room."""
+        limit_bytes = min(self._parameters.probe_bytes, self.room_bytes)
+        limit_bytes -= _HEADER_BYTES + _RECORD_BYTES + _SUMMARY_BYTES
+        routers = len(self._routers.ring(self._routers.me.failure_domain))
+        factor = self._parameters.load_transmissions_factor
+        return self._targets.pack_loads(limit_bytes, transmissions_limit(routers, factor), now_s)
+
+    def _overdue(self, now_s: float) -> bytes:
+        """Return the keys of targets whose renewal has not come for long."""
+        keys = self._targets.overdue(self._parameters.overdue_share, now_s)
+        self._random.shuffle(keys)
+        return pack_keys(keys[: self._parameters.overdue_limit])
+
+    def _carried(self, record: RouterRecord | None, near: bool, now_s: float) -> News | None:
+        """Return the news that rides along, with what the peer must refute."""
+        routers = len(self._routers.ring(self._routers.me.failure_domain))
+        limit = transmissions_limit(routers, self._parameters.rumour_transmissions_factor)
+        room = min(self._parameters.carried_bytes, self.room_bytes)
+        items = self.rumours.to_carry(room, limit, now_s, near)
+        if not near:
+            items = [item for item in items if _crosses(item)]
+        if record is not None and record.state != RouterState.ALIVE and record not in items:
+            items.append(record)
+        return news_of(items) if items else None
--- a/packages/decisions/src/damaskwind/decisions/membership/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/messages.py
@@ -107,12 +107,16 @@
 
 
 class News(NamedTuple):
-    """Records to merge, and the keys of targets whose records the sender wants."""
+    """Records to merge, and the keys of those whose records the sender wants.
+
+    A `repair` levels two routers with each other and is not passed on.
+    """
 
     routers: tuple[RouterRecord, ...] = ()
     targets: tuple[TargetRecord, ...] = ()
     tombstones: tuple[Tombstone, ...] = ()
     wanted: bytes = b""
+    repair: bool = False
     spills: tuple[SpillNote, ...] = ()
 
 
@@ -120,13 +124,16 @@
     """Ask a router whether it lives, with news and loads on the way.
 
     The sender's `revision` is the configuration it has in force; `loads` are
-    packed as `damaskwind.decisions.membership.loads` says.
+    packed as `damaskwind.decisions.membership.loads` says. `sender` introduces
+    a router that the other one may not know. `overdue` are the keys of targets
+    whose renewal the sender has not heard for long.
     """
 
     nonce: int
     revision: int
-    sender: RouterRecord
+    sender: RouterRecord | None = None
     loads: bytes = b""
+    overdue: bytes = b""
     summaries: tuple[Summary, ...] = ()
     news: News | None = None
 
--- a/packages/decisions/src/damaskwind/decisions/membership/outputs.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/outputs.py
@@ -24,10 +24,14 @@
 
 
 class AnnouncementOutcome(NamedTuple):
-    """What became of an announcement; a stale one names the incarnation known."""
+    """What became of an announcement; a stale one names the incarnation known.
+
+    `too_large` is set when the announcement does not fit a datagram.
+    """
 
     accepted: bool
     incarnation: int
+    too_large: bool = False
 
 
 class Send(NamedTuple):
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/repair.py
@@ -0,0 +1,157 @@
+"""Level what two routers hold, bucket by bucket.
+
+A router whose digest of a failure domain differs from a peer's sends the
+digests of all buckets (`Compare`). The peer answers with what it holds in some
+of those that differ (`Sketch`). The first sends the records and tombstones
+that the peer lacks and asks for those it lacks itself (`News` with `repair`).
+Each step fits one datagram; what does not fit waits for the next round.
+"""
+
+from random import Random
+
+from damaskwind.decisions.membership.digests import (
+    BUCKETS,
+    DigestTable,
+    Member,
+    fold,
+    pack_entries,
+    pack_keys,
+    unpack_entries,
+    unpack_keys,
+)
+from damaskwind.decisions.membership.messages import Compare, News, Sketch, Summary
+from damaskwind.decisions.membership.routers import RouterTable
+from damaskwind.decisions.membership.rumours import Item, news_of
+from damaskwind.decisions.membership.sizes import estimate_bytes
+from damaskwind.decisions.membership.targets import TargetTable
+
+__all__ = ["Repair"]
+
+_ENTRY_BYTES = 8
+_KEY_BYTES = 4
+_WANTED_LIMIT = 40
+
+
+class Repair:
+    """The anti-entropy of one router, over its tables."""
+
+    def __init__(
+        self,
+        routers: RouterTable,
+        targets: TargetTable,
+        digests: DigestTable,
+        news_bytes: int,
+        random: Random,
+    ) -> None:
+        self._routers = routers
+        self._targets = targets
+        self._digests = digests
+        self._news_bytes = news_bytes
+        self._random = random
+        self._compared_s: dict[str, float] = {}
+        self._turn = 0
+
+    def own_summary(self) -> Summary:
+        """Vouch for the own failure domain."""
+        domain = self._routers.me.failure_domain
+        return Summary(domain, 0.0, fold(self._digests.digests(domain)))
+
+    def foreign_summaries(self, count: int, max_age_s: float, now_s: float) -> tuple[Summary, ...]:
+        """Pass on the vouching for some other domains, in turn."""
+        own = self._routers.me.failure_domain
+        domains = sorted(name for name in self._digests.domains() if name != own)
+        summaries = []
+        for _ in range(min(count, len(domains))):
+            self._turn += 1
+            domain = domains[self._turn % len(domains)]
+            age_s = self._targets.vouched_age_s(domain, now_s)
+            digest = fold(self._digests.digests(domain))
+            summaries.append(Summary(domain, min(age_s, max_age_s), digest))
+        return tuple(summaries)
+
+    def check(self, summary: Summary, now_s: float) -> Compare | None:
+        """Compare a peer's summary; return what to ask it when they differ."""
+        domain = summary.failure_domain
+        digests = self._digests.digests(domain)
+        if fold(digests) == summary.digests:
+            self._vouch(domain, list(range(BUCKETS)), summary.age_s, now_s)
+            return None
+        if now_s - self._compared_s.get(domain, float("-inf")) < 1.0:
+            return None
+        self._compared_s[domain] = now_s
+        return Compare(Summary(domain, self._targets.vouched_age_s(domain, now_s), digests))
+
+    def sketch(self, compare: Compare, now_s: float) -> Sketch | None:
+        """Answer a comparison with what is held in buckets that differ."""
+        summary = compare.summary
+        domain = summary.failure_domain
+        differing = self._digests.differing(domain, summary.digests)
+        equal = [bucket for bucket in range(BUCKETS) if bucket not in differing]
+        if len(summary.digests) == BUCKETS * _KEY_BYTES:
+            self._vouch(domain, equal, summary.age_s, now_s)
+        self._random.shuffle(differing)
+        buckets: list[int] = []
+        entries: list[tuple[int, int]] = []
+        for bucket in differing:
+            members = self._digests.bucket(domain, bucket)
+            if buckets and (len(entries) + len(members)) * _ENTRY_BYTES > self._news_bytes:
+                break
+            buckets.append(bucket)
+            entries += [(key, member.version) for key, member in members.items()]
+        if not buckets:
+            return None
+        limit = self._news_bytes // _ENTRY_BYTES
+        return Sketch(domain, bytes(buckets), pack_entries(entries[:limit]))
+
+    def level(self, sketch: Sketch, now_s: float) -> News | None:
+        """Answer a sketch with what the peer lacks and what is wanted from it."""
+        theirs = unpack_entries(sketch.entries)
+        mine: dict[int, Member] = {}
+        for bucket in sketch.buckets:
+            mine.update(self._digests.bucket(sketch.failure_domain, bucket))
+        items = []
+        for key, member in mine.items():
+            if theirs.get(key) != member.version:
+                items.append(self._record(member, now_s))
+        wanted = []
+        for key in theirs:
+            if key in mine:
+                continue
+            gone = self._targets.tombstones.by_key(key, now_s) or self._routers.dead_by_key(key)
+            if gone is not None:
+                items.append(gone)
+            elif self._digests.member(key) is None:
+                wanted.append(key)
+        return self._news(items, wanted)
+
+    def records(self, wanted: bytes, now_s: float) -> News | None:
+        """Answer a request for records."""
+        members = [self._digests.member(key) for key in unpack_keys(wanted)]
+        return self._news([self._record(member, now_s) for member in members if member], [])
+
+    def _news(self, items: list[Item | None], wanted: list[int]) -> News | None:
+        """Fit items and wanted keys into one message."""
+        self._random.shuffle(items)
+        wanted = wanted[:_WANTED_LIMIT]
+        room = self._news_bytes - len(wanted) * _KEY_BYTES
+        fitting: list[Item] = []
+        for item in items:
+            size_bytes = estimate_bytes(item)
+            if item is None or (size_bytes > room and fitting):
+                continue
+            room -= size_bytes
+            fitting.append(item)
+        if not fitting and not wanted:
+            return None
+        return news_of(fitting)._replace(wanted=pack_keys(wanted), repair=True)
+
+    def _record(self, member: Member, now_s: float) -> Item | None:
+        """Return the record of a router or a target."""
+        if member.is_router:
+            return self._routers.get(member.name)
+        return self._targets.record(member.name, now_s)
+
+    def _vouch(self, domain: str, buckets: list[int], age_s: float, now_s: float) -> None:
+        """Renew the targets of another domain."""
+        if domain != self._routers.me.failure_domain:
+            self._targets.vouch(domain, buckets, age_s, now_s)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/rumours.py
@@ -0,0 +1,155 @@
+"""News to pass on: which items wait, and how often each was sent.
+
+New items are flooded at once to a few peers, and then ride along on probes and
+answers for some rounds. An item that others have already sent to this router
+several times needs no flooding by it (counter-based broadcast, Ni and others,
+MobiCom 1999), which keeps a burst of leaves from multiplying.
+"""
+
+from math import ceil, log2
+from typing import NamedTuple
+
+from damaskwind.decisions.membership.messages import News, RouterRecord, TargetRecord, Tombstone
+from damaskwind.decisions.membership.sizes import estimate_bytes
+from damaskwind.decisions.pacing.urgency import Urgency
+from damaskwind.decisions.placement.messages import SpillNote
+
+__all__ = ["Rumour", "RumourQueue", "news_of", "transmissions_limit"]
+
+COPIES_ENOUGH = 3
+LIFETIME_S = 10.0
+QUEUE_LIMIT = 2000
+
+Item = RouterRecord | TargetRecord | Tombstone | SpillNote
+_FIELDS = {RouterRecord: "routers", TargetRecord: "targets"}
+_FIELDS |= {Tombstone: "tombstones", SpillNote: "spills"}
+
+
+class Rumour:
+    """An item on its way through the fleet."""
+
+    __slots__ = ("born_s", "copies", "flooded", "item", "sends", "size_bytes", "urgency")
+
+    def __init__(self, item: Item, urgency: Urgency, flooded: bool, now_s: float) -> None:
+        self.item = item
+        self.urgency = urgency
+        self.flooded = flooded
+        self.born_s = now_s
+        self.sends = 0
+        self.copies = 0
+        self.size_bytes = estimate_bytes(item)
+
+
+class _Batch(NamedTuple):
+    """Items for one datagram and the urgency of the most urgent one."""
+
+    items: list[Item]
+    urgency: Urgency
+
+
+def news_of(items: list[Item]) -> News:
+    """Sort items into the fields of a message."""
+    fields: dict[str, list[Item]] = {}
+    for item in items:
+        fields.setdefault(_FIELDS[type(item)], []).append(item)
+    return News(**{name: tuple(values) for name, values in fields.items()})
+
+
+def transmissions_limit(routers: int, factor: float) -> int:
+    """Return how often an item is passed on in a group of this many routers.
+
+    >>> transmissions_limit(1, 2.0), transmissions_limit(50, 2.0)
+    (2, 12)
+    """
+    return max(ceil(factor * log2(routers + 1)), 1)
+
+
+def _aged(rumour: "Rumour", now_s: float) -> Item:
+    """Return an item with the time it waited here added to its age."""
+    item = rumour.item
+    if isinstance(item, TargetRecord | Tombstone):
+        return item._replace(age_s=item.age_s + max(now_s - rumour.born_s, 0.0))
+    return item
+
+
+def _key(item: Item) -> tuple[str, str]:
+    """Return what two items about the same thing have in common."""
+    if isinstance(item, RouterRecord):
+        return ("router", item.router_id)
+    if isinstance(item, SpillNote):
+        return ("spill", item.chat_short_digest)
+    return ("target", item.target_id)
+
+
+class RumourQueue:
+    """The items that this router passes on."""
+
+    def __init__(self) -> None:
+        self._rumours: dict[tuple[str, str], Rumour] = {}
+
+    def __len__(self) -> int:
+        return len(self._rumours)
+
+    def add(self, item: Item, urgency: Urgency, now_s: float, flood: bool = True) -> None:
+        """Pass an item on, in place of an older one about the same thing."""
+        self._rumours[_key(item)] = Rumour(item, urgency, not flood, now_s)
+        if len(self._rumours) > QUEUE_LIMIT:
+            worst = max(self._rumours, key=lambda key: self._order(self._rumours[key]))
+            del self._rumours[worst]
+
+    def heard(self, item: Item) -> None:
+        """Count that a peer sent an item that is known already."""
+        rumour = self._rumours.get(_key(item))
+        if rumour is not None:
+            rumour.copies += 1
+
+    def to_flood(self, limit_bytes: int, now_s: float) -> _Batch | None:
+        """Take the items of one flooding datagram, the most urgent first."""
+        items: list[Item] = []
+        urgency = Urgency.ROUTINE
+        room = limit_bytes
+        waiting = [r for r in self._rumours.values() if not r.flooded]
+        for rumour in sorted(waiting, key=self._order):
+            if rumour.copies >= COPIES_ENOUGH:
+                rumour.flooded = True
+                continue
+            if rumour.size_bytes > room:
+                continue
+            room -= rumour.size_bytes
+            rumour.flooded = True
+            rumour.sends += 1
+            items.append(_aged(rumour, now_s))
+            urgency = min(urgency, rumour.urgency)
+        return _Batch(items, urgency) if items else None
+
+    def to_carry(
+        self, limit_bytes: int, max_sends: int, now_s: float, domain_spills: bool
+    ) -> list[Item]:
+        """Take the items that ride along on a probe or an answer."""
+        self._expire(max_sends, now_s)
+        items: list[Item] = []
+        room = limit_bytes
+        for rumour in sorted(self._rumours.values(), key=self._order):
+            if rumour.size_bytes > room:
+                continue
+            if isinstance(rumour.item, SpillNote) and not domain_spills:
+                continue
+            room -= rumour.size_bytes
+            rumour.sends += 1
+            items.append(_aged(rumour, now_s))
+        return items
+
+    def _expire(self, max_sends: int, now_s: float) -> None:
+        """Drop the items that were sent often enough or are old."""
+        done = [
+            key
+            for key, rumour in self._rumours.items()
+            if rumour.flooded and (rumour.sends >= max_sends or now_s - rumour.born_s > LIFETIME_S)
+        ]
+        for key in done:
+            del self._rumours[key]
+
+    @staticmethod
+    def _order(rumour: Rumour) -> tuple[int, int, float]:
+        """Return what puts one item before another: urgent, sent least, old."""
+        return (rumour.urgency, rumour.sends, rumour.born_s)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/targets.py
@@ -0,0 +1,410 @@
+"""The targets that a router knows: leases, tombstones, loads.
+
+A target lives as long as its lease, counted from its last renewal, whoever
+heard it. Renewals travel as packed loads with the age of the announcement, so
+that every router ends the lease at the same moment by itself, without a word.
+Targets of other failure domains are renewed when a router of their domain
+vouches for the whole domain by its digest.
+"""
+
+from enum import Enum
+from heapq import heappop, heappush
+
+from damaskwind.decisions.membership.digests import (
+    BUCKETS,
+    DigestTable,
+    Member,
+    target_key,
+    target_version,
+)
+from damaskwind.decisions.membership.loads import (
+    ENTRY_BYTES,
+    MAX_AGE_S,
+    load_key,
+    pack_load,
+    sequence_step,
+    unpack_loads,
+)
+from damaskwind.decisions.membership.messages import GoneReason, TargetRecord, Tombstone
+from damaskwind.decisions.membership.tombstones import TombstoneTable
+from damaskwind.model.targets import (
+    LoadReport,
+    TargetAnnouncement,
+    TargetState,
+    TargetView,
+)
+
+__all__ = [
+    "FOREIGN_LEASE_S",
+    "MAX_LEASE_S",
+    "HeldTarget",
+    "MergeOutcome",
+    "TargetTable",
+]
+
+MAX_LEASE_S = 60.0
+MIN_LEASE_S = 1.0
+FOREIGN_LEASE_S = 180.0
+_NEVER_S = float("-inf")
+_FRESHER_BY_S = 0.1
+
+
+class MergeOutcome(Enum):
+    """What became of a record that came from a peer."""
+
+    NEW = "new"
+    CHANGED = "changed"
+    RENEWED = "renewed"
+    KNOWN = "known"
+    STALE = "stale"
+    TOMBSTONED = "tombstoned"
+    EXPIRED = "expired"
+
+
+class HeldTarget:
+    """A live target: its record and what changes with each renewal."""
+
+    __slots__ = ("load_key", "measured_at_s", "observed", "record", "renewed_at_s", "transmissions")
+
+    def __init__(self, record: TargetRecord, renewed_at_s: float) -> None:
+        self.record = record
+        self.renewed_at_s = renewed_at_s
+        self.measured_at_s = renewed_at_s - record.load_lag_s
+        self.observed = False
+        self.transmissions = 0
+        self.load_key = load_key(record.target_id, record.incarnation)
+
+
+def _record(announcement: TargetAnnouncement) -> TargetRecord:
+    """Turn a target's announcement into a record of age zero."""
+    load = announcement.load
+    return TargetRecord(
+        announcement.target_id,
+        announcement.incarnation,
+        announcement.sequence,
+        announcement.sequence,
+        announcement.kind,
+        announcement.service,
+        announcement.failure_domain,
+        announcement.address,
+        min(max(announcement.lease_s, MIN_LEASE_S), MAX_LEASE_S),
+        0.0,
+        max(load.age_s, 0.0),
+        load.load_tokens,
+        load.capacity_tokens,
+        announcement.models,
+        announcement.fencing,
+    )
+
+
+def _outlives(record: TargetRecord, tombstone: Tombstone) -> bool:
+    """Tell whether a live record is later than a tombstone."""
+    if record.incarnation != tombstone.incarnation:
+        return record.incarnation > tombstone.incarnation
+    lapsed = tombstone.reason == GoneReason.LAPSED
+    return lapsed and record.renewed_sequence > tombstone.sequence
+
+
+class TargetTable:
+    """All targets that one router knows."""
+
+    def __init__(self, failure_domain: str, digests: DigestTable) -> None:
+        self.failure_domain = failure_domain
+        self.held: dict[str, HeldTarget] = {}
+        self._digests = digests
+        self.tombstones = TombstoneTable()
+        self._by_load_key: dict[int, str] = {}
+        self._fresh_loads: dict[str, None] = {}
+        self._vouched: dict[tuple[str, int], float] = {}
+        self._expiries: list[tuple[float, str]] = []
+
+    # Announcements and records
+
+    def known_incarnation(self, target_id: str) -> int:
+        """Return the highest incarnation known of a target, or -1."""
+        held = self.held.get(target_id)
+        live = held.record.incarnation if held else -1
+        return max(live, self.tombstones.incarnation(target_id))
+
+    def announce(self, announcement: TargetAnnouncement, now_s: float) -> MergeOutcome:
+        """Take a target's own word that it serves."""
+        record = _record(announcement)
+        held = self.held.get(record.target_id)
+        same = held is not None and held.record.incarnation == record.incarnation
+        if same and record.sequence <= held.record.renewed_sequence:
+            return MergeOutcome.STALE
+        return self.merge(record, now_s)
+
+    def announce_leave(self, announcement: TargetAnnouncement, now_s: float) -> Tombstone | None:
+        """Take a target's own word that it leaves; `None` when that is stale.
+
+        A leave ends its incarnation for good, so only a known later incarnation
+        makes it stale, whatever its sequence.
+        """
+        if announcement.incarnation < self.known_incarnation(announcement.target_id):
+            return None
+        tombstone = Tombstone(
+            announcement.target_id,
+            announcement.incarnation,
+            announcement.sequence,
+            GoneReason.LEAVING,
+            announcement.failure_domain,
+            0.0,
+        )
+        self.bury(tombstone, now_s)
+        return tombstone
+
+    def merge(self, record: TargetRecord, now_s: float) -> MergeOutcome:
+        """Take a record, from a target itself or from a peer."""
+        renewed_at_s = now_s - max(record.age_s, 0.0)
+        if now_s >= renewed_at_s + self._lease_s(record):
+            return MergeOutcome.EXPIRED
+        if self.tombstones.forbid(record):
+            return MergeOutcome.TOMBSTONED
+        held = self.held.get(record.target_id)
+        if held is None:
+            self._hold(HeldTarget(record, renewed_at_s))
+            return MergeOutcome.NEW
+        known = held.record
+        if record.incarnation < known.incarnation:
+            return MergeOutcome.STALE
+        if record.incarnation > known.incarnation:
+            self._hold(HeldTarget(record, renewed_at_s))
+            return MergeOutcome.NEW
+        return self._merge_same_incarnation(held, record, renewed_at_s)
+
+    def _merge_same_incarnation(
+        self, held: HeldTarget, record: TargetRecord, renewed_at_s: float
+    ) -> MergeOutcome:
+        """Take a record of the incarnation already held."""
+        known = held.record
+        renewed = record.renewed_sequence > known.renewed_sequence
+        newer = record.sequence > known.sequence
+        changed = newer and target_version(record) != target_version(known)
+        if changed:
+            sequence = max(record.renewed_sequence, known.renewed_sequence)
+            fresher = HeldTarget(
+                record._replace(renewed_sequence=sequence), max(renewed_at_s, held.renewed_at_s)
+            )
+            self._hold(fresher)
+            return MergeOutcome.CHANGED
+        if not renewed:
+            return MergeOutcome.KNOWN
+        self._renew(held, record.renewed_sequence, renewed_at_s)
+        self._set_load(held, record.load_tokens, renewed_at_s - record.load_lag_s, False)
+        return MergeOutcome.RENEWED
+
+    def _hold(self, held: HeldTarget) -> None:
+        """Hold a target anew."""
+        record = held.record
+        former = self.held.get(record.target_id)
+        if former is not None:
+            self._by_load_key.pop(former.load_key, None)
+        self.tombstones.drop(record.target_id)
+        self.held[record.target_id] = held
+        self._by_load_key[held.load_key] = record.target_id
+        self._fresh_loads[record.target_id] = None
+        member = Member(False, record.target_id, target_version(record))
+        self._digests.put(record.failure_domain, target_key(record.target_id), member)
+        heappush(self._expiries, (self.expires_s(held), record.target_id))
+
+    # Leases
+
+    def _lease_s(self, record: TargetRecord) -> float:
+        """Return how long a renewal lasts here."""
+        if record.failure_domain == self.failure_domain:
+            return record.lease_s
+        return max(record.lease_s, FOREIGN_LEASE_S)
+
+    def renewed_at_s(self, held: HeldTarget) -> float:
+        """Return when a target was last known to live."""
+        record = held.record
+        if record.failure_domain == self.failure_domain:
+            return held.renewed_at_s
+        bucket = (record.failure_domain, target_key(record.target_id) % BUCKETS)
+        return max(held.renewed_at_s, self._vouched.get(bucket, _NEVER_S))
+
+    def expires_s(self, held: HeldTarget) -> float:
+        """Return when the lease of a target ends."""
+        return self.renewed_at_s(held) + self._lease_s(held.record)
+
+    def vouch(self, failure_domain: str, buckets: list[int], age_s: float, now_s: float) -> None:
+        """Renew the targets in some buckets of another failure domain."""
+        for bucket in buckets:
+            key = (failure_domain, bucket)
+            self._vouched[key] = max(self._vouched.get(key, _NEVER_S), now_s - max(age_s, 0.0))
+
+    def vouched_age_s(self, failure_domain: str, now_s: float) -> float:
+        """Return how long ago a whole domain was vouched for; 0 for the own one."""
+        if failure_domain == self.failure_domain:
+            return 0.0
+        oldest = min(self._vouched.get((failure_domain, b), _NEVER_S) for b in range(BUCKETS))
+        return now_s - oldest
+
+    def lapse(self, now_s: float) -> list[Tombstone]:
+        """End the leases that are over and return their tombstones."""
+        lapsed = []
+        while self._expiries and self._expiries[0][0] <= now_s:
+            _, target_id = heappop(self._expiries)
+            held = self.held.get(target_id)
+            if held is None:
+                continue
+            expires_s = self.expires_s(held)
+            if expires_s > now_s:
+                heappush(self._expiries, (expires_s, target_id))
+                continue
+            record = held.record
+            tombstone = Tombstone(
+                target_id,
+                record.incarnation,
+                record.renewed_sequence,
+                GoneReason.LAPSED,
+                record.failure_domain,
+                0.0,
+            )
+            self.bury(tombstone, now_s)
+            lapsed.append(tombstone)
+        return lapsed
+
+    def overdue(self, share: float, now_s: float) -> list[int]:
+        """Return the keys of own targets whose lease is used up by this share."""
+        keys = []
+        for target_id, held in self.held.items():
+            record = held.record
+            if record.failure_domain != self.failure_domain:
+                continue
+            if now_s - held.renewed_at_s > share * record.lease_s:
+                keys.append(target_key(target_id))
+        return keys
+
+    # Tombstones
+
+    def bury(self, tombstone: Tombstone, now_s: float) -> bool:
+        """Keep a tombstone and drop the target; tell whether it was news."""
+        held = self.held.get(tombstone.target_id)
+        if held is not None and _outlives(held.record, tombstone):
+            return False
+        if not self.tombstones.put(tombstone, now_s):
+            return False
+        if held is not None:
+            del self.held[tombstone.target_id]
+            self._by_load_key.pop(held.load_key, None)
+            self._fresh_loads.pop(tombstone.target_id, None)
+            self._digests.drop(target_key(tombstone.target_id))
+        return True
+
+    # Loads
+
+    def observe(self, target_id: str, report: LoadReport, now_s: float) -> None:
+        """Take a load that came with an answer; it renews no lease."""
+        held = self.held.get(target_id)
+        if held is not None:
+            self._set_load(held, report.load_tokens, now_s - max(report.age_s, 0.0), True)
+
+    def merge_loads(self, packed: bytes, now_s: float) -> list[str]:
+        """Take a load vector; return the targets whose load is fresher now."""
+        fresher = []
+        for entry in unpack_loads(packed):
+            target_id = self._by_load_key.get(entry.key)
+            if target_id is None or entry.age_s >= MAX_AGE_S:
+                continue
+            held = self.held[target_id]
+            heard_at_s = now_s - entry.age_s
+            lag_s = 0.0 if entry.observed else held.record.load_lag_s
+            step = sequence_step(held.record.renewed_sequence, entry.sequence)
+            if step and not entry.observed:
+                self._renew(held, held.record.renewed_sequence + step, heard_at_s)
+            if self._set_load(held, entry.load_tokens, heard_at_s - lag_s, entry.observed):
+                fresher.append(target_id)
+        return fresher
+
+    def refresh_by_key(self, key: int) -> None:
+        """Pass a target's renewal on once more, since a peer asked for it."""
+        member = self._digests.member(key)
+        held = self.held.get(member.name) if member else None
+        if held is not None:
+            held.transmissions = 0
+            self._fresh_loads[member.name] = None
+
+    def pack_loads(self, limit_bytes: int, max_transmissions: int, now_s: float) -> bytes:
+        """Return the loads that were passed on least, the freshest of them first."""
+        entries = min(limit_bytes // ENTRY_BYTES, len(self._fresh_loads))
+        if entries <= 0:
+            return b""
+        chosen = sorted(self._fresh_loads, key=self._load_order)[:entries]
+        return b"".join(self._pack(target_id, max_transmissions, now_s) for target_id in chosen)
+
+    def _load_order(self, target_id: str) -> tuple[bool, int, float]:
+        """Return what puts one load before another: near, passed on least, fresh."""
+        held = self.held[target_id]
+        foreign = held.record.failure_domain != self.failure_domain
+        return (foreign, held.transmissions, -held.measured_at_s)
+
+    def _pack(self, target_id: str, max_transmissions: int, now_s: float) -> bytes:
+        """Pack one target's load and count that it was passed on."""
+        held = self.held[target_id]
+        held.transmissions += 1
+        # Every other time the load seen on an answer goes out, else the renewal.
+        observed = held.observed and held.transmissions % 2 == 0
+        age_s = now_s - (held.measured_at_s if observed else held.renewed_at_s)
+        if held.transmissions >= max_transmissions or age_s >= MAX_AGE_S:
+            self._fresh_loads.pop(target_id, None)
+        if age_s >= MAX_AGE_S:
+            return b""
+        record = held.record
+        return pack_load(
+            held.load_key, record.renewed_sequence, record.load_tokens, observed, age_s
+        )
+
+    def _renew(self, held: HeldTarget, sequence: int, renewed_at_s: float) -> None:
+        """Move a lease on."""
+        held.record = held.record._replace(renewed_sequence=sequence)
+        held.renewed_at_s = max(held.renewed_at_s, renewed_at_s)
+        held.transmissions = 0
+        self._fresh_loads[held.record.target_id] = None
+
+    def _set_load(
+        self, held: HeldTarget, load_tokens: int, measured_at_s: float, observed: bool
+    ) -> bool:
+        """Take a load when it is fresher than the one held."""
+        if measured_at_s <= held.measured_at_s + _FRESHER_BY_S:
+            return False
+        held.record = held.record._replace(load_tokens=load_tokens)
+        held.measured_at_s = measured_at_s
+        held.observed = observed
+        held.transmissions = min(held.transmissions, 1)
+        self._fresh_loads[held.record.target_id] = None
+        return True
+
+    # Views
+
+    def record(self, target_id: str, now_s: float) -> TargetRecord | None:
+        """Return a target's record with its age, for a peer."""
+        held = self.held.get(target_id)
+        if held is None:
+            return None
+        return held.record._replace(age_s=max(now_s - self.renewed_at_s(held), 0.0))
+
+    def load_report(self, target_id: str, now_s: float) -> LoadReport:
+        """Return the load of a held target with its age."""
+        held = self.held[target_id]
+        age_s = max(now_s - held.measured_at_s, 0.0)
+        return LoadReport(held.record.load_tokens, held.record.capacity_tokens, 0, 0, age_s)
+
+    def view(self, target_id: str, now_s: float) -> TargetView:
+        """Return a held target as the placement wants it."""
+        held = self.held[target_id]
+        record = held.record
+        return TargetView(
+            record.target_id,
+            record.incarnation,
+            record.kind,
+            record.service,
+            record.failure_domain,
+            record.address,
+            TargetState.SERVING,
+            float(record.load_tokens),
+            record.capacity_tokens,
+            max(now_s - held.measured_at_s, 0.0),
+            record.models,
+        )
--- a/packages/decisions/src/damaskwind/decisions/pacing/urgency.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/urgency.py
@@ -18,10 +18,10 @@
 
 # A probe that waits longer than its timeout would only accuse a live router.
 MAX_WAIT_S: dict[Urgency, float] = {
-    Urgency.LEAVE: 20.0,
+    Urgency.LEAVE: 5.0,
     Urgency.PROBE: 0.4,
-    Urgency.JOIN: 10.0,
+    Urgency.JOIN: 2.0,
     Urgency.LIMITS: 2.0,
-    Urgency.REPAIR: 3.0,
-    Urgency.ROUTINE: 1.5,
+    Urgency.REPAIR: 1.0,
+    Urgency.ROUTINE: 1.0,
 }
--- /dev/null
+++ b/packages/router/src/damaskwind/router/membership/codec.py
@@ -0,0 +1,124 @@
+"""Encode, authenticate and check the datagrams between routers.
+
+A datagram is four bytes that stand for the cluster, a tag of twelve bytes
+(keyed BLAKE2b, RFC 7693) over all the rest, and an envelope in MessagePack:
+sender, incarnation, sequence, kind and body. Every way in which a datagram can
+be wrong has a name.
+"""
+
+from enum import StrEnum
+from hashlib import blake2b
+from hmac import compare_digest
+from typing import NamedTuple, get_args
+
+import msgspec
+
+from damaskwind.decisions.membership.messages import Message
+from damaskwind.decisions.membership.sizes import MAX_DATAGRAM_BYTES
+from damaskwind.model.exception import MessageError
+from damaskwind.router.membership.replay import ReplayGuard, ReplayOutcome
+
+__all__ = ["Codec", "DatagramFault", "Received"]
+
+CLUSTER_BYTES = 4
+TAG_BYTES = 12
+_HEAD_BYTES = CLUSTER_BYTES + TAG_BYTES
+_PERSON = b"damaskwind-udp"
+_KINDS: dict[str, type] = {kind.__name__[0:2]: kind for kind in get_args(Message)}
+_KIND_OF = {kind: name for name, kind in _KINDS.items()}
+
+
+class DatagramFault(StrEnum):
+    """Why a datagram was dropped."""
+
+    OVERSIZED = "oversized"
+    TRUNCATED = "truncated"
+    OTHER_CLUSTER = "other_cluster"
+    WRONG_KEY = "wrong_key"
+    MALFORMED = "malformed"
+    UNKNOWN_KIND = "unknown_kind"
+    REPLAYED = "replayed"
+    OLD_INCARNATION = "old_incarnation"
+    ECHOED = "echoed"
+
+
+class _Envelope(NamedTuple):
+    """What stands around each message."""
+
+    sender_id: str
+    incarnation: int
+    sequence: int
+    kind: str
+    body: msgspec.Raw
+
+
+class Received(NamedTuple):
+    """A datagram that passed every check."""
+
+    sender_id: str
+    incarnation: int
+    kind: str
+    message: Message
+
+
+_REPLAY_FAULTS = {
+    ReplayOutcome.REPLAYED: DatagramFault.REPLAYED,
+    ReplayOutcome.OLD_INCARNATION: DatagramFault.OLD_INCARNATION,
+}
+
+
+class Codec:
+    """The encoding of one router, with its sequence and its view of others' sequences."""
+
+    def __init__(self, router_id: str, cluster: str, cluster_key: str) -> None:
+        self._router_id = router_id
+        self._sequence = 0
+        self._cluster = blake2b(cluster.encode(), digest_size=CLUSTER_BYTES).digest()
+        self._key = blake2b(cluster_key.encode()).digest()
+        self._replay = ReplayGuard()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._envelopes = msgspec.msgpack.Decoder(_Envelope)
+        self._bodies = {name: msgspec.msgpack.Decoder(kind) for name, kind in _KINDS.items()}
+
+    def encode(self, message: Message, incarnation: int) -> bytes:
+        """Return the datagram of a message; raise `MessageError` when it is too large."""
+        self._sequence += 1
+        body = msgspec.Raw(self._encoder.encode(message))
+        kind = _KIND_OF[type(message)]
+        envelope = _Envelope(self._router_id, incarnation, self._sequence, kind, body)
+        payload = self._encoder.encode(envelope)
+        datagram = self._cluster + self._tag(payload) + payload
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            raise MessageError(f"a datagram of {len(datagram)} bytes is too large")
+        return datagram
+
+    def decode(self, datagram: bytes) -> Received | DatagramFault:
+        """Return the message of a datagram, or why there is none."""
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            return DatagramFault.OVERSIZED
+        if len(datagram) <= _HEAD_BYTES:
+            return DatagramFault.TRUNCATED
+        if datagram[:CLUSTER_BYTES] != self._cluster:
+            return DatagramFault.OTHER_CLUSTER
+        payload = datagram[_HEAD_BYTES:]
+        if not compare_digest(datagram[CLUSTER_BYTES:_HEAD_BYTES], self._tag(payload)):
+            return DatagramFault.WRONG_KEY
+        try:
+            envelope = self._envelopes.decode(payload)
+            if envelope.kind not in self._bodies:
+                return DatagramFault.UNKNOWN_KIND
+            message = self._bodies[envelope.kind].decode(envelope.body)
+        except (msgspec.DecodeError, RecursionError):
+            return DatagramFault.MALFORMED
+        if envelope.sender_id == self._router_id:
+            return DatagramFault.ECHOED
+        outcome = self._replay.check(envelope.sender_id, envelope.incarnation, envelope.sequence)
+        if outcome in _REPLAY_FAULTS:
+            return _REPLAY_FAULTS[outcome]
+        return Received(envelope.sender_id, envelope.incarnation, envelope.kind, message)
+
+    def _tag(self, payload: bytes) -> bytes:
+        """Return the tag of a payload, which covers the cluster too."""
+        hashed = blake2b(self._cluster, digest_size=TAG_BYTES, key=self._key, person=_PERSON)
+        hashed.update(payload)
+        return hashed.digest()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/membership/replay.py
@@ -0,0 +1,70 @@
+"""Refuse datagrams that were taken before.
+
+The method is the sliding window of IPsec (RFC 4303): for each sender the
+highest sequence and a bit map of those just below it. A sender that restarts
+has a higher incarnation, which starts a new window and ends the old one.
+
+>>> guard = ReplayGuard()
+>>> [guard.check("a", 1, sequence).value for sequence in (5, 4, 5, 4)]
+['fresh', 'fresh', 'replayed', 'replayed']
+"""
+
+from enum import Enum
+
+__all__ = ["ReplayGuard", "ReplayOutcome"]
+
+WINDOW = 256
+SENDERS_LIMIT = 8192
+_MASK = (1 << WINDOW) - 1
+
+
+class ReplayOutcome(Enum):
+    """What a sequence is to the receiver."""
+
+    FRESH = "fresh"
+    REPLAYED = "replayed"
+    OLD_INCARNATION = "old_incarnation"
+
+
+class _Window:
+    """What was taken from one incarnation of a sender."""
+
+    __slots__ = ("highest", "incarnation", "seen")
+
+    def __init__(self, incarnation: int, highest: int) -> None:
+        self.incarnation = incarnation
+        self.highest = highest
+        self.seen = 1
+
+    def take(self, sequence: int) -> bool:
+        """Take a sequence; tell whether it was new."""
+        ahead = sequence - self.highest
+        if ahead > 0:
+            self.seen = (self.seen << min(ahead, WINDOW) | 1) & _MASK
+            self.highest = sequence
+            return True
+        bit = 1 << -ahead if -ahead < WINDOW else 0
+        if not bit or self.seen & bit:
+            return False
+        self.seen |= bit
+        return True
+
+
+class ReplayGuard:
+    """The windows of all senders; the one longest known goes when there are too many."""
+
+    def __init__(self) -> None:
+        self._windows: dict[str, _Window] = {}
+
+    def check(self, sender_id: str, incarnation: int, sequence: int) -> ReplayOutcome:
+        """Take a datagram's numbers."""
+        window = self._windows.get(sender_id)
+        if window is None or incarnation > window.incarnation:
+            self._windows.pop(sender_id, None)
+            self._windows[sender_id] = _Window(incarnation, sequence)
+            if len(self._windows) > SENDERS_LIMIT:
+                del self._windows[next(iter(self._windows))]
+            return ReplayOutcome.FRESH
+        if incarnation < window.incarnation:
+            return ReplayOutcome.OLD_INCARNATION
+        return ReplayOutcome.FRESH if window.take(sequence) else ReplayOutcome.REPLAYED
