--- a/packages/control/src/damaskwind/control/operator_api/intent_service.py
+++ b/packages/control/src/damaskwind/control/operator_api/intent_service.py
@@ -86,12 +86,15 @@
                 "no majority of the control replicas answers; this request changed nothing",
             )
 
-    def require_role(self, operator: str, role: str) -> None:
-        """Refuse an operator who lacks a role."""
-        if role not in operator_roles(self._machine.configuration, operator):
-            raise OperatorRefusedError(
-                OperatorCode.FORBIDDEN, f"'{operator}' lacks the role '{role}'"
-            )
+    async def _require_role(self, operator: str, origin: str, role: str, action: str) -> None:
+        """Refuse an operator who lacks a role, and put the attempt on the trail."""
+        if role in operator_roles(self._machine.configuration, operator):
+            return
+        attempt = RecordCommand(
+            self.actor(operator, origin), action, f"role {role}", str(ResultStatus.FORBIDDEN)
+        )
+        await self._port.propose(encode_command(attempt), self._limits.commit_timeout_s)
+        raise OperatorRefusedError(OperatorCode.FORBIDDEN, f"'{operator}' lacks the role '{role}'")
 
     async def _commit(self, command: Any, ask: str) -> ApplyResult:
         """Commit a command and return its result; refuse truthfully otherwise."""
--- /dev/null
+++ b/packages/control/src/damaskwind/control/operator_api/tests/shared_log.py
@@ -0,0 +1,64 @@
+"""A log shared by several machines, that can refuse, lose answers and lag."""
+
+from collections import deque
+
+from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
+from damaskwind.control.state.configuration_machine import ConfigurationMachine
+
+
+class SharedLog:
+    """Commands in the order in which they were committed."""
+
+    def __init__(self):
+        self.payloads = []
+
+
+class FakeReplica:
+    """One replica's port on the shared log; `moods` tells how next proposals fare.
+
+    `commit` is the ordinary one; `lost_answer` commits and says unknown;
+    `lost_command` says unknown and commits nothing; `refuse` refuses.
+    """
+
+    def __init__(self, log):
+        self.log = log
+        self.machine = ConfigurationMachine()
+        self.moods = deque()
+        self.has_majority = True
+        self.before_propose = None
+
+    def catch_up(self):
+        result = b""
+        for index in range(self.machine.applied_index, len(self.log.payloads)):
+            result = self.machine.apply(index + 1, self.log.payloads[index])
+        return result
+
+    def restart_from_snapshot(self):
+        snapshot = self.machine.snapshot()
+        self.machine.restore(snapshot)
+
+    async def propose(self, payload, timeout_s):
+        if self.before_propose is not None:
+            before, self.before_propose = self.before_propose, None
+            before()
+        mood = self.moods.popleft() if self.moods else "commit"
+        if mood == "refuse" or not self.has_majority:
+            return CommitOutcome(CommitVerdict.REFUSED, leader_hint="other", detail="not leader")
+        if mood == "lost_command":
+            return CommitOutcome(CommitVerdict.UNKNOWN)
+        self.log.payloads.append(payload)
+        result = self.catch_up()
+        if mood == "lost_answer":
+            return CommitOutcome(CommitVerdict.UNKNOWN)
+        return CommitOutcome(CommitVerdict.COMMITTED, result)
+
+    async def read_current(self, timeout_s):
+        if self.has_majority:
+            self.catch_up()
+        return self.has_majority
+
+    def status(self):
+        return {"role": "leader", "members": []}
+
+    async def change_membership(self, action, replica_id, address, failure_domain, timeout_s):
+        return CommitOutcome(CommitVerdict.COMMITTED)
