Router: queue, retries by verdict, ejection of failing targets

Cause: the thin path refused at once and retried by rule of thumb. Change: the admission queue before each pool, the retry decision with its budget, circuits per pool.

--- a/packages/router/src/damaskwind/router/chat_path.py
+++ b/packages/router/src/damaskwind/router/chat_path.py
@@ -12,13 +12,14 @@
 from damaskwind.router.answer_body import read_whole
 from damaskwind.router.answers import error_event, set_outcome
 from damaskwind.router.chat_request import ChatRequest, parse_chat_request
-from damaskwind.router.dispatcher import Dispatcher, Placed, Work
+from damaskwind.router.dispatcher import Dispatcher, Placed
 from damaskwind.router.engine_client import EngineChat, EngineClient, load_of
 from damaskwind.router.event_stream import EventScanner
 from damaskwind.router.gateway import Arrival
 from damaskwind.router.stream_relay import RelayEnd, StreamRelay
 from damaskwind.router.target_client import AttemptError
 from damaskwind.router.target_directory import TargetDirectory
+from damaskwind.router.work import Work
 
 __all__ = ["ChatPath"]
 
--- a/packages/router/src/damaskwind/router/dispatcher.py
+++ b/packages/router/src/damaskwind/router/dispatcher.py
@@ -1,4 +1,4 @@
-"""Find a target for a request, and another one when the verdict allows it.
+"""Send a request to a target, and to another one when the verdict allows it.
 
 A request that certainly did not run may go elsewhere; one that may have run is
 sent again only when it is idempotent, and never once a byte was passed on.
@@ -11,38 +11,21 @@
 from twisted.internet.task import deferLater
 from twisted.web.iweb import IResponse
 
-from damaskwind.decisions.placement.messages import PlacementQuery, PlacementReason
-from damaskwind.model.configuration import ClientAccount, Configuration, PriorityClass
+from damaskwind.decisions.retries.budget import RetryBudget
+from damaskwind.decisions.retries.decision import RetryPolicy, decide_retry
+from damaskwind.model.configuration import Policy
 from damaskwind.model.exception import RefusedError
-from damaskwind.model.reason import Reason
-from damaskwind.model.targets import TargetKind, TargetView
+from damaskwind.model.targets import TargetView
 from damaskwind.model.verdict import Refusal, Verdict, worst_verdict
-from damaskwind.router.caller import Caller
-from damaskwind.router.explain import AttemptRecord, RequestRecord
+from damaskwind.router.explain import AttemptRecord
+from damaskwind.router.placing import Placing
 from damaskwind.router.target_client import AttemptError
-from damaskwind.router.target_directory import TargetDirectory
+from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.work import Work
 
-__all__ = ["Dispatcher", "Placed", "Work"]
+__all__ = ["Dispatcher", "Placed"]
 
-_RETRY_BASE_S = 0.025
-_RETRY_CAP_S = 1.0
-_NO_TARGET_RETRY_S = 2.0
-_OVERLOADED_RETRY_S = 1.0
-
-
-class Work(NamedTuple):
-    """A request that wants a target; `deadline_s` is on the monotonic clock."""
-
-    request_id: str
-    kind: TargetKind
-    account: ClientAccount
-    priority: PriorityClass
-    query: PlacementQuery
-    idempotent: bool
-    total_tokens: float
-    deadline_s: float
-    record: RequestRecord
-    caller: Caller
+Send = Callable[[TargetView], Awaitable[IResponse]]
 
 
 class Placed(NamedTuple):
@@ -53,41 +36,43 @@
     started_s: float
 
 
-Send = Callable[[TargetView], Awaitable[IResponse]]
-
-
 class Dispatcher:
-    """Place requests on targets, count them, and retry by verdict."""
+    """Place requests, send them, and retry by verdict within the budget."""
 
     def __init__(
-        self,
-        directory: TargetDirectory,
-        configuration: Callable[[], Configuration],
-        reactor: Any,
-        random: Random,
+        self, placing: Placing, health: TargetHealth, reactor: Any, random: Random
     ) -> None:
-        self._directory = directory
-        self._configuration = configuration
+        self._placing = placing
+        self._health = health
         self._reactor = reactor
         self._random = random
-        self.in_progress = 0
+        self._policy = RetryPolicy()
+        self._budget = RetryBudget(Policy().retry_share)
+        self.attempt_ended: Callable[[Work, Verdict, str], None] = lambda *ignored: None
+
+    def set_policy(self, policy: Policy) -> None:
+        """Take a confirmed policy over."""
+        self._policy = RetryPolicy(max_attempts=policy.max_attempts)
+        self._budget.share = policy.retry_share
 
     async def run(self, work: Work, send: Send) -> Placed:
         """Return the target that answers; raise `RefusedError` when none does."""
+        self._budget.count_request(self._reactor.seconds())
         failures: list[AttemptError] = []
-        excluded: set[str] = set()
+        tried: frozenset[str] = frozenset()
         while True:
-            target = await self._place(work, frozenset(excluded), failures)
+            target = await self._place(work, tried, failures)
             started_s = self._reactor.seconds()
-            self._started(work, target, started_s)
             try:
                 response = await send(target)
             except AttemptError as error:
                 self._failed(work, target, started_s, error)
                 failures.append(error)
-                excluded.add(target.target_id)
-                self._check_retry(work, failures)
-                await deferLater(self._reactor, self._backoff_s(len(failures)))
+                tried |= {target.target_id}
+                await deferLater(self._reactor, self._retry_delay_s(work, failures))
+            except BaseException:
+                self._placing.end(work, target, False)
+                raise
             else:
                 return Placed(target, response, started_s)
 
@@ -95,64 +80,61 @@
         self, work: Work, placed: Placed, verdict: Verdict, reason: str = "", detail: str = ""
     ) -> None:
         """End a request that a target had begun to answer."""
-        now_s = self._reactor.seconds()
-        done = verdict is Verdict.RAN
-        self._directory.placers[work.kind].finished(work.request_id, done, now_s)
+        self._placing.end(work, placed.target, verdict is Verdict.RAN)
+        if not work.caller.gone:
+            self._health.observe(placed.target, verdict is Verdict.RAN)
         self._note(work, placed.target, placed.started_s, verdict, reason, detail)
-        self._directory.room_changed()
 
     async def _place(
-        self, work: Work, excluded: frozenset[str], failures: list[AttemptError]
+        self, work: Work, tried: frozenset[str], failures: list[AttemptError]
     ) -> TargetView:
-        """Choose a target or refuse."""
-        now_s = self._reactor.seconds()
-        query = work.query._replace(excluded=excluded)
-        choice = self._directory.placers[work.kind].place(query, now_s)
-        work.record.chose(choice, now_s)
-        target = self._directory.find(choice.target_id) if choice.target_id else None
-        if target is not None:
-            return target
-        verdict = worst_verdict([failure.verdict for failure in failures])
-        if choice.reason is PlacementReason.NONE_UNDER_BOUND:
-            detail = "every target is at its load bound"
-            raise RefusedError(Refusal(Reason.OVERLOADED, verdict, detail, _OVERLOADED_RETRY_S))
-        detail = "no live target can serve this request"
-        if failures:
-            detail = failures[-1].detail
-        raise RefusedError(Refusal(Reason.NO_TARGET, verdict, detail, _NO_TARGET_RETRY_S))
-
-    def _started(self, work: Work, target: TargetView, now_s: float) -> None:
-        """Count a request that goes to a target now."""
-        self._directory.placers[work.kind].started(
-            work.request_id,
-            target.target_id,
-            work.query.chat_digest,
-            work.query.need_tokens,
-            now_s,
-        )
+        """Choose a target; a refusal tells of the attempts before it."""
+        try:
+            return await self._placing.place(work, tried)
+        except RefusedError as error:
+            if not failures:
+                raise
+            refusal = self._refusal(failures)
+            raise RefusedError(
+                refusal._replace(retry_after_s=error.refusal.retry_after_s)
+            ) from error
 
     def _failed(
         self, work: Work, target: TargetView, started_s: float, error: AttemptError
     ) -> None:
         """End an attempt that failed before its answer."""
-        now_s = self._reactor.seconds()
-        self._directory.placers[work.kind].finished(work.request_id, False, now_s)
+        self._placing.end(work, target, False)
+        if error.suspect and not work.caller.gone:
+            self._health.observe(target, False)
         self._note(work, target, started_s, error.verdict, error.reason, error.detail)
 
-    def _check_retry(self, work: Work, failures: list[AttemptError]) -> None:
-        """Raise `RefusedError` unless the request may be sent once more."""
+    def _retry_delay_s(self, work: Work, failures: list[AttemptError]) -> float:
+        """Return the wait before the next attempt; raise `RefusedError` when there is none."""
         last = failures[-1]
-        verdict = worst_verdict([failure.verdict for failure in failures])
-        policy = self._configuration().policy
-        safe = last.verdict is Verdict.NOT_RUN or work.idempotent
-        in_time = self._reactor.seconds() < work.deadline_s
-        if safe and in_time and len(failures) < policy.max_attempts and not work.caller.gone:
-            return
-        raise RefusedError(Refusal(last.reason, verdict, last.detail, last.retry_after_s))
+        if work.caller.gone or last.final:
+            raise RefusedError(self._refusal(failures))
+        now_s = self._reactor.seconds()
+        decision = decide_retry(
+            last.verdict,
+            work.idempotent,
+            0,
+            len(failures),
+            work.deadline_s,
+            now_s,
+            self._budget,
+            self._policy,
+            self._random,
+        )
+        work.record.noted(f"retry: {decision.reason}", now_s)
+        if not decision.retry:
+            raise RefusedError(self._refusal(failures))
+        return decision.delay_s
 
-    def _backoff_s(self, attempts: int) -> float:
-        """Return a wait with full jitter."""
-        return self._random.uniform(0, min(_RETRY_CAP_S, _RETRY_BASE_S * 2**attempts))
+    def _refusal(self, failures: list[AttemptError]) -> Refusal:
+        """Make the answer to a request whose attempts failed: the worst verdict counts."""
+        last = failures[-1]
+        verdict = worst_verdict([failure.verdict for failure in failures])
+        return Refusal(last.reason, verdict, last.detail, last.retry_after_s)
 
     def _note(
         self,
@@ -163,11 +145,11 @@
         reason: str,
         detail: str,
     ) -> None:
-        """Write an attempt into the request's record."""
+        """Write an attempt into the request's record and the metrics."""
         record = work.record
         duration_ms = round((self._reactor.seconds() - started_s) * 1000, 2)
         started_ms = record.since_ms(started_s)
-        attempt = AttemptRecord(
-            target.target_id, started_ms, duration_ms, verdict, str(reason), detail
+        record.attempts.append(
+            AttemptRecord(target.target_id, started_ms, duration_ms, verdict, str(reason), detail)
         )
-        record.attempts.append(attempt)
+        self.attempt_ended(work, verdict, str(reason))
--- a/packages/router/src/damaskwind/router/engine_client.py
+++ b/packages/router/src/damaskwind/router/engine_client.py
@@ -68,8 +68,10 @@
     body = await read_whole(response, _REFUSAL_LIMIT_BYTES)
     text = body[:200].decode("utf-8", "replace")
     detail = f"the target answered {response.code}: {text}"
-    reason = Reason.BAD_REQUEST if response.code in _CALLERS_FAULT else Reason.TARGET_FAILED
-    raise AttemptError(verdict, reason, detail, suspect=not says_not_run)
+    callers_fault = response.code in _CALLERS_FAULT
+    reason = Reason.BAD_REQUEST if callers_fault else Reason.TARGET_FAILED
+    suspect = not says_not_run and not callers_fault
+    raise AttemptError(verdict, reason, detail, suspect=suspect, final=callers_fault)
 
 
 class EngineClient:
--- a/packages/router/src/damaskwind/router/membership/codec.py
+++ b/packages/router/src/damaskwind/router/membership/codec.py
@@ -24,7 +24,7 @@
 TAG_BYTES = 12
 _HEAD_BYTES = CLUSTER_BYTES + TAG_BYTES
 _PERSON = b"damaskwind-udp"
-_KINDS: dict[str, type] = {kind.__name__[0:2]: kind for kind in get_args(Message)}
+_KINDS: dict[str, type] = {kind.__name__.lower()[:2]: kind for kind in get_args(Message)}
 _KIND_OF = {kind: name for name, kind in _KINDS.items()}
 
 
--- /dev/null
+++ b/packages/router/src/damaskwind/router/placing.py
@@ -0,0 +1,118 @@
+"""Choose a target for a request: at once, after a wait in the queue, or not at all."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from damaskwind.decisions.admission.queue import QueuedRequest
+from damaskwind.decisions.placement.messages import (
+    CandidateOutcome,
+    PlacementChoice,
+    PlacementReason,
+)
+from damaskwind.model.configuration import Configuration
+from damaskwind.model.exception import RefusedError
+from damaskwind.model.reason import Reason
+from damaskwind.model.targets import TargetView
+from damaskwind.model.verdict import Refusal, Verdict
+from damaskwind.router.target_directory import TargetDirectory
+from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.waiting_room import WaitingRoom
+from damaskwind.router.work import Work
+
+__all__ = ["Placing"]
+
+_NO_TARGET_RETRY_S = 2.0
+
+
+class Placing:
+    """The placers, the health of targets and the queue, put together.
+
+    A target that was chosen is counted as started at once, so that the next
+    choice sees it.
+    """
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        health: TargetHealth,
+        room: WaitingRoom,
+        configuration: Callable[[], Configuration],
+        clock: Any,
+    ) -> None:
+        self._directory = directory
+        self._health = health
+        self._room = room
+        self._configuration = configuration
+        self._clock = clock
+        self.in_flight: Counter[str] = Counter()
+        directory.watch(room.room_changed)
+
+    async def place(self, work: Work, tried: frozenset[str]) -> TargetView:
+        """Return a target that was counted as started; raise `RefusedError` else."""
+        service = work.query.pool.service
+        if self._room.is_empty(service):
+            target = self._attempt(work, tried)
+            if target is not None:
+                return target
+        name = work.priority.name
+        request = QueuedRequest(work.request_id, work.account.name, name, work.deadline_s)
+        work.record.noted("queued", self._clock.seconds())
+        return await self._room.wait(
+            service, request, lambda: self._attempt(work, tried, again=True), work.caller
+        )
+
+    def end(self, work: Work, target: TargetView, done: bool) -> None:
+        """Count a request out of its target."""
+        self.in_flight[target.target_id] -= 1
+        if not self.in_flight[target.target_id]:
+            del self.in_flight[target.target_id]
+        self._directory.placers[work.kind].finished(work.request_id, done, self._clock.seconds())
+        self._directory.room_changed()
+
+    def _attempt(self, work: Work, tried: frozenset[str], again: bool = False) -> TargetView | None:
+        """Choose a target now, or `None` to wait; raise `RefusedError` when none exists."""
+        now_s = self._clock.seconds()
+        excluded = tried | self._health.ejected(work.query.pool.service) | self._full(work)
+        placer = self._directory.placers[work.kind]
+        choice = placer.place(work.query._replace(excluded=excluded), now_s)
+        target = self._directory.find(choice.target_id) if choice.target_id else None
+        if target is not None or not again:
+            work.record.chose(choice, now_s)
+        if target is None:
+            self._check_exists(choice, tried, again)
+            return None
+        self.in_flight[target.target_id] += 1
+        self._health.note_sent(target)
+        placer.started(
+            work.request_id,
+            target.target_id,
+            work.query.chat_digest,
+            work.query.need_tokens,
+            now_s,
+        )
+        return target
+
+    def _full(self, work: Work) -> frozenset[str]:
+        """Return the targets of the pool that have all the requests they may have from here."""
+        if not self.in_flight:
+            return frozenset()
+        service = self._configuration().services.get(work.query.pool.service)
+        if service is None:
+            return frozenset()
+        limit = service.max_concurrent_requests
+        return frozenset(name for name, count in self.in_flight.items() if count >= limit)
+
+    def _check_exists(self, choice: PlacementChoice, tried: frozenset[str], again: bool) -> None:
+        """Raise `RefusedError` when waiting can't help: nobody serves this, or all were tried."""
+        if again:
+            return
+        left = [
+            note
+            for note in choice.candidates
+            if not (note.outcome is CandidateOutcome.EXCLUDED and note.target_id in tried)
+        ]
+        if choice.reason is PlacementReason.NO_TARGET or (tried and not left):
+            detail = "no live target can serve this request"
+            refusal = Refusal(Reason.NO_TARGET, Verdict.NOT_RUN, detail, _NO_TARGET_RETRY_S)
+            raise RefusedError(refusal)
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -21,9 +21,12 @@
 from damaskwind.router.explain import ExplainLog
 from damaskwind.router.front import Front
 from damaskwind.router.gateway import Gateway
+from damaskwind.router.placing import Placing
 from damaskwind.router.service_path import ServicePath
 from damaskwind.router.target_client import TargetClient
 from damaskwind.router.target_directory import TargetDirectory
+from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.waiting_room import WaitingRoom
 from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.settings import Settings, parse_address
 
@@ -49,9 +52,17 @@
         self.membership = LocalAnnouncements(reactor)
         self.membership.subscribe(self.directory.handle_event)
         self.client = TargetClient(reactor)
-        self.dispatcher = Dispatcher(
-            self.directory, lambda: self.gateway.configuration, reactor, random
+        self.health = TargetHealth(reactor, random)
+        self.directory.members_watcher = self.health.set_targets
+        self.room = WaitingRoom(reactor)
+        self.placing = Placing(
+            self.directory,
+            self.health,
+            self.room,
+            lambda: self.gateway.configuration,
+            reactor,
         )
+        self.dispatcher = Dispatcher(self.placing, self.health, reactor, random)
         stall_timeout_s = router.body_timeout_s
         engines = EngineClient(self.client)
         chats = ChatPath(
@@ -95,6 +106,9 @@
         """Put a configuration in force."""
         self.gateway.set_configuration(configuration)
         self.directory.set_policy(configuration.policy)
+        self.health.set_policy(configuration.policy)
+        self.dispatcher.set_policy(configuration.policy)
+        self.room.set_classes(configuration.priority_classes)
         logger.info("configuration in force", revision=configuration.revision)
 
     def listen(self) -> None:
--- a/packages/router/src/damaskwind/router/target_client.py
+++ b/packages/router/src/damaskwind/router/target_client.py
@@ -32,7 +32,8 @@
 class AttemptError(DamaskwindError):
     """One attempt at a target failed; `verdict` says whether it may have run there.
 
-    `suspect` is set when the failure speaks against the target's health.
+    `suspect` is set when the failure speaks against the target's health, `final`
+    when no other target would do better.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         detail: str,
         suspect: bool = True,
         retry_after_s: float | None = None,
+        final: bool = False,
     ) -> None:
         super().__init__(detail)
         self.verdict = verdict
@@ -49,6 +51,7 @@
         self.detail = detail
         self.suspect = suspect
         self.retry_after_s = retry_after_s
+        self.final = final
 
 
 class TargetCall(NamedTuple):
--- a/packages/router/src/damaskwind/router/target_directory.py
+++ b/packages/router/src/damaskwind/router/target_directory.py
@@ -27,6 +27,7 @@
         self._clock = clock
         self._views: dict[str, TargetView] = {}
         self._watchers: list[Callable[[], None]] = []
+        self.members_watcher: Callable[[list[TargetView]], None] = lambda views: None
         policies = {
             TargetKind.ENGINE: policy.placement,
             TargetKind.SERVICE: _SERVICE_PLACEMENT,
@@ -80,20 +81,13 @@
         if view is not None:
             self.placers[view.kind].observe_report(target_id, report, self._clock.seconds())
 
-    def set_ejected(self, target_id: str, ejected: bool) -> None:
-        """Keep a target out while its own failures speak against it, or let it back."""
-        view = self._views.get(target_id)
-        if view is not None and view.ejected != ejected:
-            self._changed(TargetChanged(view._replace(ejected=ejected)))
-            self.room_changed()
-
     def _changed(self, event: TargetChanged) -> None:
-        """Add or update a target; its ejection outlives a renewal."""
-        known = self._views.get(event.target.target_id)
+        """Add or update a target and take in the load that it reported."""
         view = event.target
-        if known is not None and known.incarnation == view.incarnation and known is not view:
-            view = view._replace(ejected=view.ejected or known.ejected)
+        is_new = view.target_id not in self._views
         self._views[view.target_id] = view
+        if is_new:
+            self._members_changed()
         self.placers[view.kind].update_target(view, self._clock.seconds())
         if view.report_age_s >= 0:
             report = LoadReport(
@@ -106,6 +100,11 @@
         view = self._views.pop(event.target_id, None)
         if view is not None:
             self.placers[view.kind].remove_target(event.target_id)
+            self._members_changed()
+
+    def _members_changed(self) -> None:
+        """Tell who follows the live targets."""
+        self.members_watcher(self.views())
 
     def _load_heard(self, event: LoadHeard) -> None:
         """Take in a load that a peer passed on."""
