--- /dev/null
+++ b/benchmarks/placement_scale.py
@@ -0,0 +1,493 @@
+"""Measure placement policies over many routers and engines, decisions alone.
+
+A seeded event loop drives the real placers. An engine is a few lines: a queue of
+prompt tokens, a fixed pace per running answer, and an LRU cache of chat prefixes.
+Chats return after a pause on a random router; reports reach each router late or
+never; two accounts surge, one of them with a single chat key in parallel; engines
+leave, come back with an empty cache, or flap on some routers' lists only.
+
+    .venv/bin/python -m benchmarks.placement_scale --policies bounded_rendezvous,rendezvous
+"""
+
+import argparse
+import heapq
+import time
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+from itertools import count
+from random import Random
+from statistics import fmean, pstdev
+from typing import Any, NamedTuple
+
+import xxhash
+
+from damaskwind.decisions.placement.messages import PlacementQuery, PoolName
+from damaskwind.decisions.placement.placer import Placer
+from damaskwind.decisions.placement.policies import PLACEMENT_POLICIES
+from damaskwind.model.targets import (
+    Address,
+    LoadReport,
+    ModelOffer,
+    TargetKind,
+    TargetState,
+    TargetView,
+)
+
+ORACLE = "all_knowing"
+POOL = PoolName("pool", "m", "1")
+DOMAIN = "d0"
+PACE_TOKENS_PER_S = 22.7
+PREFILL_TOKENS_PER_S = 8000.0
+CACHE_TOKENS = 900_000
+CAPACITY_TOKENS = 200_000
+SYSTEM_TOKENS = 400
+TURN_TOKENS = 60
+MEAN_ANSWER_TOKENS = 285
+MEAN_TURNS = 6
+MEAN_PAUSE_S = 40.0
+REPORT_EVERY_S = 2.0
+PUBLISH_EVERY_S = 0.5
+GOSSIP_EVERY_S = 0.5
+DELAY_CLASSES = 5
+ACCOUNTS = 100
+SURGE_FACTOR = 10
+LOAD_FACTOR = 1.25
+
+
+class Setting(NamedTuple):
+    """One run's size and events."""
+
+    policy: str
+    routers: int
+    engines: int
+    seconds: int
+    warm_up_s: int
+    requests_per_s_per_engine: float
+    churn: bool
+    surge: bool
+    notes: bool
+    seed: int
+
+
+class Chat:
+    """A chat: its account, digest, and the length of its history."""
+
+    __slots__ = ("account", "digest", "history_tokens", "key", "turns_left", "turns_done")
+
+    def __init__(self, account: int, key: str, turns: int) -> None:
+        self.account = account
+        self.key = key
+        self.digest = xxhash.xxh3_128_hexdigest(key.encode())
+        self.history_tokens = 0
+        self.turns_left = turns
+        self.turns_done = 0
+
+
+class Engine:
+    """An engine: work in hand, and an LRU cache of prefixes counted in tokens."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.alive = True
+        self.cache: OrderedDict[str, int] = OrderedDict()
+        self.cached_tokens = 0
+        self.load_tokens = 0.0
+        self.running = 0
+        self.as_of_s = 0.0
+        self.prefill_free_s = 0.0
+        self.published = (0.0, 0.0)
+        self.epoch = 0
+
+    def load_at(self, now_s: float) -> float:
+        """Work the load off up to now and return it."""
+        self.load_tokens -= self.running * PACE_TOKENS_PER_S * (now_s - self.as_of_s)
+        self.as_of_s = now_s
+        return self.load_tokens
+
+    def reuse(self, chat: Chat) -> int:
+        """Return how many tokens of the chat's prompt are cached, without touching them."""
+        shared = self.cache.get(f"account-{chat.account}", 0)
+        return max(self.cache.get(chat.digest, 0), shared)
+
+    def store(self, key: str, tokens: int) -> None:
+        """Cache a prefix and evict the least recently used ones over the limit."""
+        self.cached_tokens += tokens - self.cache.pop(key, 0)
+        self.cache[key] = tokens
+        while self.cached_tokens > CACHE_TOKENS:
+            self.cached_tokens -= self.cache.popitem(last=False)[1]
+
+    def restart(self, now_s: float) -> None:
+        """Lose the cache and all work."""
+        self.cache.clear()
+        self.cached_tokens = self.running = 0
+        self.load_tokens = 0.0
+        self.as_of_s = now_s
+        self.epoch += 1
+
+
+class Fleet:
+    """The event loop: chats, routers and engines of one failure domain."""
+
+    def __init__(self, setting: Setting) -> None:
+        self.setting = setting
+        self.random = Random(setting.seed)
+        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.order = count()
+        self.now_s = 0.0
+        self.engines = {f"engine-{i:04}": Engine(f"engine-{i:04}") for i in range(setting.engines)}
+        self.mean_true = (0.0, -1.0)
+        self.placers = [self._placer(i) for i in range(setting.routers)]
+        self.accounts = [1.0 / (1 + i) ** 0.5 for i in range(ACCOUNTS)]
+        self.counts: Counter[str] = Counter()
+        self.samples: list[tuple[float, ...]] = []
+        self.errors: list[tuple[float, float]] = []
+        self.place_s: deque[float] = deque(maxlen=100_000)
+
+    def _placer(self, number: int) -> Placer:
+        """Make one router's placer that knows every engine."""
+        policy = "rendezvous" if self.setting.policy == ORACLE else self.setting.policy
+        placer = Placer(policy, f"r{number}", DOMAIN, LOAD_FACTOR, Random(number))
+        placer.set_router_count(self.setting.routers)
+        for name in self.engines:
+            placer.update_target(_view(name, TargetState.SERVING), 0.0)
+        return placer
+
+    def at(self, when_s: float, action: Callable[..., None], *arguments: Any) -> None:
+        """Run an action at a time."""
+        heapq.heappush(self.events, (when_s, next(self.order), action, arguments))
+
+    def run(self) -> None:
+        """Run to the end of the setting."""
+        self._plan()
+        while self.events and self.events[0][0] <= self.setting.seconds:
+            self.now_s, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+
+    def _plan(self) -> None:
+        """Lay out the arrivals, reports, gossip, samples, churn and surge."""
+        rate = self.setting.requests_per_s_per_engine * self.setting.engines / MEAN_TURNS
+        self.at(0.0, self.new_chat, rate, None)
+        for engine in self.engines.values():
+            self.at(self.random.random() * REPORT_EVERY_S, self.report, engine)
+        self.at(GOSSIP_EVERY_S, self.gossip)
+        self.at(self.setting.warm_up_s, self.sample)
+        calm_s = self.setting.seconds - self.setting.warm_up_s
+        if self.setting.surge:
+            start_s = self.setting.warm_up_s + calm_s / 3
+            share = sum(self.accounts[10:12]) / sum(self.accounts)
+            self.at(start_s, self.new_chat, rate * share * (SURGE_FACTOR - 1), start_s + calm_s / 3)
+            self.at(start_s, self.burst, start_s + calm_s / 3, rate * share)
+        if self.setting.churn:
+            self.at(self.setting.warm_up_s / 2, self.churn)
+
+    def new_chat(self, rate: float, until_s: float | None) -> None:
+        """Open a chat now and the next one after an exponential gap."""
+        if until_s is not None and self.now_s > until_s:
+            return
+        self.at(self.now_s + self.random.expovariate(rate), self.new_chat, rate, until_s)
+        if until_s is None:
+            account = self.random.choices(range(ACCOUNTS), self.accounts)[0]
+        else:
+            account = self.random.choice((10, 11))
+        turns = 1 + int(self.random.expovariate(1 / (MEAN_TURNS - 0.5)))
+        self.turn(Chat(account, f"chat-{next(self.order)}", turns))
+
+    def burst(self, until_s: float, rate: float) -> None:
+        """Send single requests that all share one chat key."""
+        if self.now_s > until_s:
+            return
+        self.at(self.now_s + self.random.expovariate(rate), self.burst, until_s, rate)
+        self.turn(Chat(11, "batch-key", 1), next(self.order))
+
+    def turn(self, chat: Chat, tail: int = 0, excluded: frozenset[str] = frozenset()) -> None:
+        """Let a chat ask its next question through a random router."""
+        router = self.random.randrange(self.setting.routers)
+        prompt_tokens = (chat.history_tokens or SYSTEM_TOKENS) + TURN_TOKENS
+        new_tokens = TURN_TOKENS if chat.turns_done else prompt_tokens
+        need_tokens = new_tokens + MEAN_ANSWER_TOKENS
+        target_id = self._choose(chat, router, need_tokens, tail, excluded)
+        if target_id is None:
+            self.counts["queued"] += 1
+            self.at(self.now_s + 0.2, self.turn, chat, tail)
+            return
+        engine = self.engines[target_id]
+        if not engine.alive:
+            self.counts["retried"] += 1
+            self.turn(chat, tail, excluded | {target_id})
+            return
+        self._serve(chat, engine, router, prompt_tokens, need_tokens)
+
+    def _choose(
+        self, chat: Chat, router: int, need_tokens: int, tail: int, excluded: frozenset[str]
+    ) -> str | None:
+        """Ask the router's placer, or the all-knowing one."""
+        if self.setting.policy == ORACLE:
+            return self._choose_all_knowing(chat)
+        query = PlacementQuery(
+            chat.digest, (f"{chat.key}-{tail}",), str(chat.account), need_tokens, DOMAIN, POOL
+        )
+        query = query._replace(excluded=excluded, is_new=chat.turns_done == 0)
+        begun_s = time.perf_counter()
+        choice = self.placers[router].place(query, self.now_s)
+        self.place_s.append(time.perf_counter() - begun_s)
+        if self.now_s > self.setting.warm_up_s:
+            self.counts[f"reason {choice.reason}"] += 1
+        return choice.target_id
+
+    def _choose_all_knowing(self, chat: Chat) -> str:
+        """Take the longest cached prefix under the true bound, else the least loaded."""
+        alive = [engine for engine in self.engines.values() if engine.alive]
+        if self.now_s - self.mean_true[1] > 0.1:
+            mean = fmean(engine.load_at(self.now_s) for engine in alive)
+            self.mean_true = (mean, self.now_s)
+        bound = LOAD_FACTOR * self.mean_true[0]
+        holders = [engine for engine in alive if chat.digest in engine.cache]
+        under = [engine for engine in holders if engine.load_at(self.now_s) <= bound]
+        if under:
+            return max(under, key=lambda engine: engine.reuse(chat)).name
+        return min(alive, key=lambda engine: engine.load_at(self.now_s)).name
+
+    def _serve(self, chat: Chat, engine: Engine, router: int, prompt: int, need: int) -> None:
+        """Start a request at an engine and plan its first token and its end."""
+        request_id = str(next(self.order))
+        self.placers[router].started(request_id, engine.name, chat.digest, need, self.now_s)
+        reused = min(engine.reuse(chat), prompt)
+        if self.now_s > self.setting.warm_up_s:
+            self.counts["reused"] += reused
+            self.counts["prompt"] += prompt
+            self.counts["requests"] += 1
+        answer = min(2000, max(16, int(self.random.expovariate(1 / MEAN_ANSWER_TOKENS))))
+        engine.load_at(self.now_s)
+        engine.load_tokens += prompt - reused + answer
+        engine.store(f"account-{chat.account}", SYSTEM_TOKENS)
+        engine.store(chat.digest, prompt)
+        begin_s = max(self.now_s, engine.prefill_free_s)
+        engine.prefill_free_s = begin_s + (prompt - reused) / PREFILL_TOKENS_PER_S
+        arguments = (chat, engine, engine.epoch, router, request_id, prompt - reused, answer)
+        self.at(engine.prefill_free_s, self.first_token, *arguments)
+
+    def first_token(self, *arguments: Any) -> None:
+        """End the prompt, start the answer, and tell the router the published load."""
+        _, engine, epoch, router, _, uncached, answer = arguments
+        if epoch == engine.epoch:
+            engine.load_at(self.now_s)
+            engine.load_tokens -= uncached
+            engine.running += 1
+            self.placers[router].observe_report(engine.name, _report(engine, 0.0), self.now_s)
+        self.at(self.now_s + answer / PACE_TOKENS_PER_S, self.end, *arguments)
+
+    def end(self, *arguments: Any) -> None:
+        """End an answer; the chat returns after a pause."""
+        chat, engine, epoch, router, request_id, _, answer = arguments
+        self.placers[router].finished(request_id, epoch == engine.epoch, self.now_s)
+        if epoch == engine.epoch:
+            engine.load_at(self.now_s)
+            engine.running -= 1
+            chat.history_tokens = (chat.history_tokens or SYSTEM_TOKENS) + TURN_TOKENS + answer
+            engine.store(chat.digest, chat.history_tokens)
+        chat.turns_done += 1
+        chat.turns_left -= 1
+        if chat.turns_left > 0:
+            self.at(self.now_s + self.random.expovariate(1 / MEAN_PAUSE_S), self.turn, chat)
+
+    def report(self, engine: Engine) -> None:
+        """Publish an engine's load and let it reach the routers late or never."""
+        self.at(self.now_s + PUBLISH_EVERY_S, self.report, engine)
+        if not engine.alive:
+            return
+        engine.published = (engine.load_at(self.now_s), self.now_s)
+        if self.random.random() > PUBLISH_EVERY_S / REPORT_EVERY_S:
+            return
+        report = _report(engine, 0.0)
+        for number in range(DELAY_CLASSES):
+            delay_s = self.random.uniform(0.05, 1.0)
+            if self.random.random() > 0.05:
+                self.at(self.now_s + delay_s, self.hear, engine.name, report, delay_s, number)
+
+    def hear(self, name: str, report: LoadReport, delay_s: float, number: int) -> None:
+        """Deliver a report to one class of routers."""
+        aged = report._replace(age_s=delay_s)
+        for placer in self.placers[number::DELAY_CLASSES]:
+            placer.observe_report(name, aged, self.now_s)
+
+    def gossip(self) -> None:
+        """Pass every router's notes to every other one, half a second late."""
+        self.at(self.now_s + GOSSIP_EVERY_S, self.gossip)
+        for number, placer in enumerate(self.placers):
+            notes = placer.take_spill_notes(self.now_s)
+            if self.now_s > self.setting.warm_up_s:
+                self.counts["notes"] += len(notes)
+            if notes and self.setting.notes:
+                self.at(self.now_s + GOSSIP_EVERY_S, self.hear_notes, number, notes)
+
+    def hear_notes(self, sender: int, notes: Any) -> None:
+        """Deliver notes."""
+        for number, placer in enumerate(self.placers):
+            if number != sender:
+                for note in notes:
+                    placer.heard_spill(note, self.now_s)
+
+    def churn(self) -> None:
+        """Stop one engine for a while, and let another one flap on some routers' lists."""
+        period_s = 2000.0 / self.setting.engines
+        self.at(self.now_s + period_s, self.churn)
+        leaver, flapper = self.random.sample(list(self.engines.values()), 2)
+        if leaver.alive:
+            leaver.alive = False
+            leaver.restart(self.now_s)
+            self.tell_all(leaver.name, TargetState.LAPSED)
+            self.at(self.now_s + 15.0, self.come_back, leaver)
+        for placer in self.random.sample(self.placers, (len(self.placers) + 1) // 2):
+            self.tell(placer, flapper.name, TargetState.LAPSED)
+            self.at(self.now_s + 5.0, self.tell, placer, flapper.name, TargetState.SERVING)
+
+    def come_back(self, engine: Engine) -> None:
+        """Start an engine again, with an empty cache."""
+        engine.alive = True
+        engine.as_of_s = self.now_s
+        self.tell_all(engine.name, TargetState.SERVING)
+
+    def tell_all(self, name: str, state: TargetState) -> None:
+        """Let each router learn of a target's state at its own time."""
+        for placer in self.placers:
+            self.at(self.now_s + self.random.uniform(0.0, 2.0), self.tell, placer, name, state)
+
+    def tell(self, placer: Placer, name: str, state: TargetState) -> None:
+        """Change one router's list; a target that left is forgotten."""
+        if state is TargetState.SERVING:
+            placer.update_target(_view(name, state), self.now_s)
+        else:
+            placer.remove_target(name)
+
+    def sample(self) -> None:
+        """Note the true skew, and the estimates' errors at one router."""
+        self.at(self.now_s + 1.0, self.sample)
+        alive = [engine for engine in self.engines.values() if engine.alive]
+        loads = sorted(engine.load_at(self.now_s) for engine in alive)
+        mean = fmean(loads)
+        one_request = TURN_TOKENS + MEAN_ANSWER_TOKENS
+        over = sum(load > LOAD_FACTOR * mean + one_request for load in loads) / len(loads)
+        p99 = loads[int(0.99 * (len(loads) - 1))]
+        self.samples.append((mean, loads[-1] / mean, p99 / mean, over, one_request / mean))
+        placer = self.placers[0]
+        for engine in alive[:: max(1, len(alive) // 50)]:
+            load = placer.book.load(engine.name)
+            error = placer.estimate_tokens(engine.name, self.now_s) - engine.load_tokens
+            self.errors.append((error / mean, load.error_sd_tokens(self.now_s) / mean))
+
+
+def _view(name: str, state: TargetState) -> TargetView:
+    """Return what a router knows of an engine."""
+    offers = (ModelOffer("m", "1"),)
+    address = Address("127.0.0.1", 1)
+    return TargetView(
+        name, 1, TargetKind.ENGINE, "pool", DOMAIN, address, state, 0.0, 0, 0.0, offers
+    )
+
+
+def _report(engine: Engine, age_s: float) -> LoadReport:
+    """Return an engine's published load."""
+    load_tokens = max(0, int(engine.published[0]))
+    return LoadReport(load_tokens, CAPACITY_TOKENS, engine.running, 0, age_s)
+
+
+def _quantile(values: list[float], share: float) -> float:
+    """Return the value below which a share of the values lies."""
+    return sorted(values)[int(share * (len(values) - 1))]
+
+
+def run(setting: Setting) -> Fleet:
+    """Run one setting and print its line."""
+    begun_s = time.perf_counter()
+    fleet = Fleet(setting)
+    fleet.run()
+    maxima = [sample[1] for sample in fleet.samples]
+    slack = [sample[1] - sample[4] for sample in fleet.samples]
+    reuse = fleet.counts["reused"] / max(1, fleet.counts["prompt"])
+    measured_s = setting.seconds - setting.warm_up_s
+    errors = [error for error, _ in fleet.errors]
+    print(
+        f"{setting.policy:20} routers={setting.routers} engines={setting.engines}"
+        f" churn={int(setting.churn)} surge={int(setting.surge)} notes={int(setting.notes)}"
+        f" | reuse={reuse:.3f}"
+        f" | max/mean: mean={fmean(maxima):.3f} p99={_quantile(maxima, 0.99):.3f}"
+        f" max={max(maxima):.3f} less one request max={max(slack):.3f}"
+        f" | engine p99/mean={fmean([sample[2] for sample in fleet.samples]):.3f}"
+        f" | time over={fmean([s > LOAD_FACTOR for s in slack]):.3f}"
+        f" engine-time over={fmean([sample[3] for sample in fleet.samples]):.5f}"
+        f" | error: bias={fmean(errors):+.3f} sd={pstdev(errors):.3f}"
+        f" stated={fmean([sd for _, sd in fleet.errors]):.3f}"
+        f" | notes/s={fleet.counts['notes'] / measured_s:.1f}"
+        f" queued={fleet.counts['queued']} retried={fleet.counts['retried']}"
+        f" | place={1e6 * fmean(fleet.place_s or [0.0]):.0f}us"
+        f" mean load={fmean([s[0] for s in fleet.samples]):.0f}"
+        f" wall={time.perf_counter() - begun_s:.0f}s",
+        flush=True,
+    )
+    reasons = {key: value for key, value in fleet.counts.items() if key.startswith("reason")}
+    total = max(1, sum(reasons.values()))
+    shares = (f"{key[7:]}={value / total:.4f}" for key, value in sorted(reasons.items()))
+    print("    " + " ".join(shares), flush=True)
+    return fleet
+
+
+def _cost(target_count: int, domain_count: int) -> float:
+    """Return the processor time of one placement in microseconds, nothing spilling."""
+    placer = Placer("bounded_rendezvous", "r", "domain-0", LOAD_FACTOR, Random(1))
+    for number in range(target_count):
+        view = _view(f"engine-{number}", TargetState.SERVING)
+        placer.update_target(
+            view._replace(failure_domain=f"domain-{number % domain_count}"), now_s=0.0
+        )
+        report = LoadReport(20_000, CAPACITY_TOKENS, 1, 0, 0.1)
+        placer.observe_report(view.target_id, report, now_s=0.0)
+    queries = [
+        PlacementQuery(xxhash.xxh3_128_hexdigest(str(i).encode()), (), "a", 300, DOMAIN, POOL)
+        for i in range(2000)
+    ]
+    placer.place(queries[0], 0.0)
+    begun_s = time.process_time()
+    for number, query in enumerate(queries):
+        placer.place(query, 0.2 + number / 37)
+    return (time.process_time() - begun_s) / len(queries) * 1e6
+
+
+def main() -> None:
+    """Read the arguments, run each policy, and print the cost of a placement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--policies", default=f"{ORACLE},{','.join(sorted(PLACEMENT_POLICIES))}")
+    parser.add_argument("--routers", default="50")
+    parser.add_argument("--engines", type=int, default=250)
+    parser.add_argument("--seconds", type=int, default=150)
+    parser.add_argument("--warm-up", type=int, default=70)
+    parser.add_argument("--rate", type=float, default=7.7, help="requests per second per engine")
+    parser.add_argument("--steady", action="store_true", help="no churn, no surge")
+    parser.add_argument("--no-surge", action="store_true")
+    parser.add_argument("--no-notes", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--no-cost", action="store_true")
+    arguments = parser.parse_args()
+    for routers in arguments.routers.split(","):
+        for policy in arguments.policies.split(","):
+            run(
+                Setting(
+                    policy,
+                    int(routers),
+                    arguments.engines,
+                    arguments.seconds,
+                    arguments.warm_up,
+                    arguments.rate,
+                    not arguments.steady,
+                    not (arguments.steady or arguments.no_surge),
+                    not arguments.no_notes,
+                    arguments.seed,
+                )
+            )
+    if not arguments.no_cost:
+        for targets, domains in ((10, 1), (250, 1), (1000, 1), (10_000, 40), (10_000, 1)):
+            cost_us = _cost(targets, domains)
+            print(f"{targets} targets in {domains} failure domains: {cost_us:.0f} us per placement")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/decisions/src/damaskwind/decisions/placement/placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/placer.py
@@ -62,7 +62,7 @@
         self._random = random
         self._turns = count(random.randrange(1 << 16))
         self._table = PoolTable(self._near_domains.__contains__)
-        self._book = LoadBook()
+        self.book = LoadBook()
         self._memory = SpillMemory()
         self._means: dict[int, _Mean] = {}
         self._chats_in_flight: Counter[str] = Counter()
@@ -79,7 +79,7 @@
 
     def set_router_count(self, router_count: int) -> None:
         """Say how many routers share the targets."""
-        self._book.router_count = max(1, router_count)
+        self.book.router_count = max(1, router_count)
 
     def update_target(self, view: TargetView, now_s: float) -> None:
         """Add a target or replace what is known of it (its load: see `observe_report`)."""
@@ -88,7 +88,7 @@
     def remove_target(self, target_id: str) -> None:
         """Forget a target."""
         self._table.remove(target_id)
-        self._book.forget(target_id)
+        self.book.forget(target_id)
 
     def targets(self) -> tuple[TargetView, ...]:
         """Return every known target."""
@@ -96,11 +96,11 @@
 
     def estimate_tokens(self, target_id: str, now_s: float) -> float:
         """Return the estimated work in hand at a target."""
-        return self._book.estimate_tokens(target_id, now_s)
+        return self.book.estimate_tokens(target_id, now_s)
 
     def observe_report(self, target_id: str, report: LoadReport, now_s: float) -> None:
         """Take in a load report that arrived now; its `age_s` says when it was measured."""
-        self._book.observe(target_id, report, now_s)
+        self.book.observe(target_id, report, now_s)
 
     def place(self, query: PlacementQuery, now_s: float) -> PlacementChoice:
         """Choose a target. Call `started` when the request is sent there."""
@@ -114,13 +114,13 @@
         self, request_id: str, target_id: str, chat_digest: str, need_tokens: float, now_s: float
     ) -> None:
         """Count a request that was just sent to a target."""
-        self._book.started(request_id, target_id, need_tokens, now_s)
+        self.book.started(request_id, target_id, need_tokens, now_s)
         self._chat_of_request[request_id] = chat_digest
         self._chats_in_flight[chat_digest] += 1
 
     def finished(self, request_id: str, done: bool, now_s: float) -> None:
         """End a request; `done` says that it was served to its end."""
-        self._book.finished(request_id, done, now_s)
+        self.book.finished(request_id, done, now_s)
         chat_digest = self._chat_of_request.pop(request_id, None)
         if chat_digest is None:
             return
@@ -147,7 +147,7 @@
             tier,
             query.chat_digest.encode() + part,
             bool(part),
-            self._book,
+            self.book,
             self._memory,
             mean_tokens,
             self._load_factor,
@@ -179,7 +179,7 @@
             return mean.tokens
         if len(self._means) > MEANS_LIMIT:
             self._means.clear()
-        estimate = self._book.estimate_tokens
+        estimate = self.book.estimate_tokens
         total = sum(estimate(target_id, now_s) for target_id in tier.target_ids)
         mean = self._means[tier.number] = _Mean(total / len(tier.target_ids), now_s)
         return mean.tokens
@@ -194,7 +194,7 @@
         parallel = self._chats_in_flight.get(query.chat_digest, 0) - 1
         if parallel <= 0:
             return b""
-        tokens = parallel * self._book.router_count * query.need_tokens
+        tokens = parallel * self.book.router_count * query.need_tokens
         parts = 1
         while parts < target_count and parts * PART_MEAN_SHARE * mean_tokens < tokens:
             parts *= 2
