--- a/packages/router/src/damaskwind/router/chat_path.py
+++ b/packages/router/src/damaskwind/router/chat_path.py
@@ -72,6 +72,7 @@
             prefix_digests=chat.prefixes,
             account=arrival.account.name,
             need_tokens=chat.need_tokens,
+            is_new=chat.is_new,
             failure_domain=self._failure_domain,
             pool=chat.pool,
         )
--- a/packages/router/src/damaskwind/router/chat_request.py
+++ b/packages/router/src/damaskwind/router/chat_request.py
@@ -40,6 +40,7 @@
     prefixes: tuple[str, ...]
     stream: bool
     wants_usage: bool
+    is_new: bool
     need_tokens: float
     total_tokens: float
     engine_body: bytes
@@ -160,6 +161,7 @@
         tuple(prefix_chain(name, messages)),
         stream,
         bool((fields.get("stream_options") or {}).get("include_usage")),
+        all(message.role != "assistant" for message in messages),
         _prompt_tokens(_new_messages(messages)) + generated,
         _prompt_tokens(messages) + generated,
         _engine_body(fields, name, stream),
--- a/packages/router/src/damaskwind/router/front.py
+++ b/packages/router/src/damaskwind/router/front.py
@@ -1,5 +1,6 @@
 """The router's HTTP routes."""
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -25,8 +26,6 @@
 class Front:
     """What callers, targets and the platform's balancer can ask of a router."""
 
-    app = Klein()
-
     def __init__(
         self,
         gateway: Gateway,
@@ -34,26 +33,37 @@
         services: ServicePath,
         membership: Any,
         announce_key: str,
-        is_ready: Any,
+        not_ready: Callable[[], str],
     ) -> None:
         self._gateway = gateway
         self._chats = chats
         self._services = services
         self._membership = membership
         self._announce_key = announce_key
-        self._is_ready = is_ready
+        self._not_ready = not_ready
+        self.app = Klein()
+        self._install(self.app)
+
+    def _install(self, app: Klein) -> None:
+        """Add the routes and the answers to errors."""
+        app.route("/v1/chat/completions", methods=["POST"])(self.chat)
+        app.route("/v1/models", methods=["GET"])(self.models)
+        app.route("/services/", branch=True)(self.service)
+        app.route("/targets/v1/announcements", methods=["POST"])(self.announcement)
+        app.route("/livez", methods=["GET"])(self.live)
+        app.route("/readyz", methods=["GET"])(self.ready)
+        app.handle_errors(RefusedError)(self.refused)
+        app.handle_errors(NotFound)(self.not_found)
+        app.handle_errors(MethodNotAllowed)(self.wrong_method)
 
-    @app.route("/v1/chat/completions", methods=["POST"])
     def chat(self, request: Any) -> Deferred:
         """Answer a chat."""
         return self._gateway.handle(request, self._chats.serve)
 
-    @app.route("/services/", branch=True)
     def service(self, request: Any) -> Deferred:
         """Pass a call on to a plain service."""
         return self._gateway.handle(request, self._services.serve)
 
-    @app.route("/v1/models", methods=["GET"])
     def models(self, request: Any) -> bytes:
         """List the models that the account may use."""
         account = self._gateway.account_of(request)
@@ -65,19 +75,16 @@
         ]
         return answer_json(request, 200, {"object": "list", "data": listed})
 
-    @app.route("/livez", methods=["GET"])
     def live(self, request: Any) -> bytes:
         """Say that the process runs."""
         return b"ok\n"
 
-    @app.route("/readyz", methods=["GET"])
     def ready(self, request: Any) -> bytes:
         """Say whether the balancer may send requests here."""
-        reason = self._is_ready()
+        reason = self._not_ready()
         request.setResponseCode(503 if reason else 200)
         return (reason or "ok").encode() + b"\n"
 
-    @app.route("/targets/v1/announcements", methods=["POST"])
     def announcement(self, request: Any) -> bytes:
         """Take a target's announcement."""
         if not same_key(bearer_key(request.getHeader("authorization")), self._announce_key):
@@ -91,19 +98,16 @@
         next_s = self._membership.next_announcement_s(announcement.lease_s)
         return answer_json(request, 200, {"next_announcement_s": next_s})
 
-    @app.handle_errors(RefusedError)
     def refused(self, request: Any, failure: Any) -> bytes:
         """Answer a refusal that a route raised."""
         return refuse(request, request.request_id, failure.value.refusal)
 
-    @app.handle_errors(NotFound)
     def not_found(self, request: Any, failure: Any) -> bytes:
         """Answer for a path that does not exist."""
         detail = "there is nothing at this path"
         refusal = Refusal(Reason.UNKNOWN_SERVICE, Verdict.NOT_RUN, detail)
         return refuse(request, request.request_id, refusal)
 
-    @app.handle_errors(MethodNotAllowed)
     def wrong_method(self, request: Any, failure: Any) -> bytes:
         """Answer for a method that the path does not take."""
         detail = f"{request.method.decode('latin-1')} is not allowed at this path"
--- a/packages/router/src/damaskwind/router/gateway.py
+++ b/packages/router/src/damaskwind/router/gateway.py
@@ -104,13 +104,16 @@
         record = self._explain.start(request.request_id, request.path.decode("latin-1"), now_s)
         caller = Caller(request)
         try:
-            return await serve(self._admit(request, record, caller, now_s))
+            body = await serve(self._admit(request, record, caller, now_s))
+            self.ended(record)
+            return body
         except RefusedError as error:
             refusal = error.refusal
         except Exception as error:  # a fault of ours must not look like "not run"
             logger.opt(exception=error).error("request failed", request=request.request_id)
             refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, "the router failed")
         record.end(refusal.verdict, refusal.reason, refusal.detail, self._clock.seconds())
+        self.ended(record)
         if caller.gone or request.startedWriting:
             return None
         return refuse(request, request.request_id, refusal)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/operator_api.py
@@ -0,0 +1,185 @@
+"""What operators can ask of a router: explain, targets, its own state, metrics."""
+
+from collections.abc import Callable
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.web.http_headers import Headers
+
+from damaskwind.model.exception import RefusedError
+from damaskwind.model.reason import Reason
+from damaskwind.model.targets import LoadReport, TargetAnnouncement, TargetState, TargetView
+from damaskwind.model.verdict import Refusal, Verdict
+from damaskwind.router.answer_body import read_whole
+from damaskwind.router.answers import answer_json, refuse
+from damaskwind.router.authentication import bearer_key, operator_index
+from damaskwind.router.explain import ExplainLog, router_of
+from damaskwind.router.gateway import Gateway
+from damaskwind.router.placing import Placing
+from damaskwind.router.target_client import AttemptError, TargetCall, TargetClient, path_of
+from damaskwind.router.target_directory import TargetDirectory
+from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.telemetry import Telemetry
+
+__all__ = ["OperatorApi"]
+
+_DRAIN_ROLES = frozenset(("planner", "confirmer"))
+_FORWARD_TIMEOUT_S = 5.0
+_ANSWER_LIMIT_BYTES = 1_048_576
+_LAST_SEQUENCE = 2**31 - 1
+_FORWARDED = "x-forwarded-by"
+
+
+def _not_found(detail: str) -> RefusedError:
+    """Make the error for something that this router does not know."""
+    return RefusedError(Refusal(Reason.UNKNOWN_SERVICE, Verdict.NOT_RUN, detail))
+
+
+def _leave_of(view: TargetView) -> TargetAnnouncement:
+    """Make the announcement that a target would make to leave; it ends its incarnation."""
+    return TargetAnnouncement(
+        target_id=view.target_id,
+        incarnation=view.incarnation,
+        sequence=_LAST_SEQUENCE,
+        kind=view.kind,
+        service=view.service,
+        failure_domain=view.failure_domain,
+        address=view.address,
+        state=TargetState.LEAVING,
+        lease_s=1.0,
+        load=LoadReport(0, view.capacity_tokens, 0, 0, 0.0),
+        models=view.models,
+    )
+
+
+class OperatorApi:
+    """The routes below `/operator/v1/` and `/metrics`."""
+
+    def __init__(
+        self,
+        router_id: str,
+        gateway: Gateway,
+        explain: ExplainLog,
+        directory: TargetDirectory,
+        health: TargetHealth,
+        placing: Placing,
+        membership: Any,
+        client: TargetClient,
+        telemetry: Telemetry,
+        own_state: Callable[[], dict[str, Any]],
+        clock: Any,
+    ) -> None:
+        self._router_id = router_id
+        self._gateway = gateway
+        self._explain = explain
+        self._directory = directory
+        self._health = health
+        self._placing = placing
+        self._membership = membership
+        self._client = client
+        self._telemetry = telemetry
+        self._own_state = own_state
+        self._clock = clock
+        self.peers: Any = None
+
+    def install(self, app: Klein) -> None:
+        """Add the routes to an application."""
+        root = "/operator/v1"
+        app.route(f"{root}/requests/<request_id>", methods=["GET"])(self.explain)
+        app.route(f"{root}/targets", methods=["GET"])(self.targets)
+        app.route(f"{root}/targets/<target_id>/drain", methods=["POST"])(self.drain)
+        app.route(f"{root}/router", methods=["GET"])(self.router)
+        app.route("/metrics", methods=["GET"])(self.metrics)
+
+    def _check(self, request: Any, roles: frozenset[str] = frozenset()) -> None:
+        """Raise `RefusedError` unless an operator asks who has one of the roles."""
+        operators = operator_index(self._gateway.configuration)
+        operator = operators.owner(bearer_key(request.getHeader("authorization")))
+        if roles and not roles & set(operator.roles):
+            detail = f"one of these roles is needed: {', '.join(sorted(roles))}"
+            raise RefusedError(Refusal(Reason.FORBIDDEN, Verdict.NOT_RUN, detail))
+
+    def explain(self, request: Any, request_id: str) -> bytes | Deferred:
+        """Tell what was done with a request, here or at the router that its id names."""
+        self._check(request)
+        record = self._explain.find(request_id)
+        if record is not None:
+            return answer_json(request, 200, {"router": self._router_id, **record.as_table()})
+        router_id = router_of(request_id)
+        forwarded = request.getHeader(_FORWARDED)
+        if self.peers is None or forwarded or router_id in ("", self._router_id):
+            raise _not_found(f"request '{request_id}' is not known here, or no longer")
+        return ensureDeferred(self._forward(request, request_id, router_id))
+
+    async def _forward(self, request: Any, request_id: str, router_id: str) -> bytes:
+        """Ask the router that a request id names."""
+        address = await self.peers.ask(router_id)
+        if address is None:
+            detail = f"router '{router_id}' can't be asked about request '{request_id}'"
+            refusal = Refusal(Reason.UNKNOWN_SERVICE, Verdict.NOT_RUN, detail)
+            return refuse(request, request.request_id, refusal)
+        headers = Headers({"authorization": [request.getHeader("authorization")]})
+        headers.setRawHeaders(_FORWARDED, [self._router_id])
+        path = path_of("operator", "v1", "requests", request_id)
+        try:
+            response = await self._client.send(
+                TargetCall(b"GET", address, path, headers), _FORWARD_TIMEOUT_S
+            )
+            body = await read_whole(response, _ANSWER_LIMIT_BYTES)
+        except AttemptError as error:
+            refusal = Refusal(error.reason, Verdict.NOT_RUN, error.detail)
+            return refuse(request, request.request_id, refusal)
+        request.setResponseCode(response.code)
+        request.setHeader(b"content-type", b"application/json")
+        return body
+
+    def targets(self, request: Any) -> bytes:
+        """List the targets that this router knows."""
+        self._check(request)
+        return answer_json(request, 200, {"targets": [self._shown(v) for v in self._sorted()]})
+
+    def _sorted(self) -> list[TargetView]:
+        """Return the targets by id."""
+        return sorted(self._directory.views(), key=lambda view: view.target_id)
+
+    def _shown(self, view: TargetView) -> dict[str, Any]:
+        """Return one target as operators see it."""
+        now_s = self._clock.seconds()
+        estimate = self._directory.placers[view.kind].estimate_tokens(view.target_id, now_s)
+        return {
+            "target_id": view.target_id,
+            "kind": view.kind,
+            "service": view.service,
+            "failure_domain": view.failure_domain,
+            "address": str(view.address),
+            "state": view.state,
+            "incarnation": view.incarnation,
+            "circuit": self._health.state(view.service, view.target_id),
+            "estimated_load_tokens": round(estimate, 1),
+            "requests_in_flight_here": self._placing.in_flight.get(view.target_id, 0),
+            "models": [f"{offer.model}@{offer.version}" for offer in view.models],
+        }
+
+    def drain(self, request: Any, target_id: str) -> bytes:
+        """Give a target no new work, here and wherever the news reaches.
+
+        It holds for the target's present incarnation: a restart brings it back.
+        """
+        self._check(request, _DRAIN_ROLES)
+        view = self._directory.find(target_id)
+        if view is None:
+            raise _not_found(f"target '{target_id}' is not known here, or already gone")
+        self._membership.announce(_leave_of(view), 0)
+        answer = {"target_id": target_id, "incarnation": view.incarnation, "state": "leaving"}
+        return answer_json(request, 200, answer)
+
+    def router(self, request: Any) -> bytes:
+        """Tell the state of this router."""
+        self._check(request)
+        return answer_json(request, 200, self._own_state())
+
+    def metrics(self, request: Any) -> bytes:
+        """Return the metrics for a scraper, which needs no key."""
+        request.setHeader(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+        return self._telemetry.metrics.render()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/peer_addresses.py
@@ -0,0 +1,58 @@
+"""Learn where another router listens for HTTP, by a datagram when it is needed."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from damaskwind.decisions.membership.outputs import Urgency
+from damaskwind.runtime.settings import parse_address
+
+__all__ = ["PeerAddresses"]
+
+KIND = "http"
+_ASK = b"?"
+_TIMEOUT_S = 1.0
+
+
+class PeerAddresses:
+    """The HTTP addresses of the routers that were asked for theirs."""
+
+    def __init__(self, membership: Any, clock: Any) -> None:
+        self._membership = membership
+        self._clock = clock
+        self._waiting: dict[str, list[Deferred]] = {}
+        self.own_address = ""
+        membership.register_kind(KIND, self._heard)
+
+    def ask(self, router_id: str) -> Deferred:
+        """Return a Deferred with a router's address, or `None` when it stays silent."""
+        answer: Deferred = Deferred()
+        if not self._membership.send(KIND, router_id, _ASK, Urgency.REPAIR):
+            answer.callback(None)
+            return answer
+        self._waiting.setdefault(router_id, []).append(answer)
+        timer = self._clock.callLater(_TIMEOUT_S, self._tell, router_id, None)
+
+        def stop_timer(result: Any) -> Any:
+            if timer.active():
+                timer.cancel()
+            return result
+
+        return answer.addBoth(stop_timer)
+
+    def _heard(self, router_id: str, payload: bytes) -> None:
+        """Answer a question, or take an answer in."""
+        if payload == _ASK:
+            own = self.own_address.encode()
+            self._membership.send(KIND, router_id, own, Urgency.REPAIR)
+            return
+        try:
+            address = parse_address(payload.decode("ascii"))
+        except (ValueError, UnicodeDecodeError):
+            return
+        self._tell(router_id, address)
+
+    def _tell(self, router_id: str, address: Any) -> None:
+        """Tell everybody who asked for a router's address."""
+        for answer in self._waiting.pop(router_id, []):
+            answer.callback(address)
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -21,11 +21,13 @@
 from damaskwind.router.explain import ExplainLog
 from damaskwind.router.front import Front
 from damaskwind.router.gateway import Gateway
+from damaskwind.router.operator_api import OperatorApi
 from damaskwind.router.placing import Placing
 from damaskwind.router.service_path import ServicePath
 from damaskwind.router.target_client import TargetClient
 from damaskwind.router.target_directory import TargetDirectory
 from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.telemetry import Telemetry
 from damaskwind.router.waiting_room import WaitingRoom
 from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.settings import Settings, parse_address
@@ -47,6 +49,8 @@
         random = Random(secrets.randbits(64))
         self.explain = ExplainLog(router.explain_records)
         self.gateway = Gateway(self.explain, reactor)
+        self.telemetry = Telemetry(node.node_id)
+        self.gateway.ended = self.telemetry.request_ended
         policy = self.gateway.configuration.policy
         self.directory = TargetDirectory(node.node_id, node.failure_domain, policy, reactor, random)
         self.membership = LocalAnnouncements(reactor)
@@ -63,6 +67,8 @@
             reactor,
         )
         self.dispatcher = Dispatcher(self.placing, self.health, reactor, random)
+        self.dispatcher.attempt_ended = self.telemetry.attempt_ended
+        self.telemetry.watch_parts(self.gateway, self.room, self.directory, self.explain)
         stall_timeout_s = router.body_timeout_s
         engines = EngineClient(self.client)
         chats = ChatPath(
@@ -79,7 +85,20 @@
         front = Front(
             self.gateway, chats, services, self.membership, router.announce_key, self.not_ready
         )
-        self.front = front
+        self.operators = OperatorApi(
+            node.node_id,
+            self.gateway,
+            self.explain,
+            self.directory,
+            self.health,
+            self.placing,
+            self.membership,
+            self.client,
+            self.telemetry,
+            self.state,
+            reactor,
+        )
+        self.operators.install(front.app)
         limits = CallerLimits(
             router.header_timeout_s,
             router.body_timeout_s,
@@ -133,11 +152,28 @@
         """Return the bound addresses by name."""
         return {"http_address": str(self.http_address)}
 
+    def state(self) -> dict[str, Any]:
+        """Return what operators see of this router."""
+        node = self.settings.node
+        return {
+            "router_id": node.node_id,
+            "region": node.region,
+            "failure_domain": node.failure_domain,
+            "revision_in_force": self.gateway.configuration.revision,
+            "ready": not self.not_ready(),
+            "not_ready_because": self.not_ready(),
+            "requests_in_progress": self.gateway.in_progress,
+            "requests_queued": len(self.room),
+            "targets": len(self.directory.views()),
+            "addresses": self.addresses(),
+        }
+
     async def stop(self) -> None:
         """Drain, then release everything."""
         await to_future(self._drain.stop())
         self.membership.stop()
         await to_future(self.client.close())
+        self.telemetry.metrics.shutdown()
 
 
 async def start_router(settings: Settings, reactor: Any = None) -> RouterProcess:
--- a/packages/router/src/damaskwind/router/tests/bench.py
+++ b/packages/router/src/damaskwind/router/tests/bench.py
@@ -1,5 +1,6 @@
 """Start a router with stand-ins in this process, for the tests."""
 
+import asyncio
 from hashlib import sha256
 from typing import Any
 
@@ -19,12 +20,20 @@
     ServiceRoute,
 )
 from damaskwind.router.process import RouterProcess, start_router
+from damaskwind.runtime.bridge import to_deferred
 from damaskwind.runtime.settings import NodeSettings, RouterSettings, Settings
 from damaskwind.standins.engine import EngineStandin
 from damaskwind.standins.service import ServiceStandin
 from damaskwind.standins.settings import AnnounceSettings, EngineSettings, ServiceSettings
 
-__all__ = ["ACCOUNT_KEY", "ANNOUNCE_KEY", "OPERATOR_KEY", "TestBench", "make_configuration"]
+__all__ = [
+    "ACCOUNT_KEY",
+    "ANNOUNCE_KEY",
+    "OPERATOR_KEY",
+    "OTHER_KEY",
+    "TestBench",
+    "make_configuration",
+]
 
 ACCOUNT_KEY = "key-of-library"
 OTHER_KEY = "key-of-registry"
@@ -133,14 +142,16 @@
 
     async def until(self, condition: Any, limit_s: float = 10.0) -> None:
         """Wait until a condition holds; fail after a deadline."""
-        import asyncio
-
         deadline_s = reactor.seconds() + limit_s
         while not condition():
             if reactor.seconds() > deadline_s:
                 raise AssertionError("the condition did not come true in time")
             await asyncio.sleep(0.005)
 
+    def stopped(self) -> Any:
+        """Return a Deferred that fires when everything has stopped, for a test's clean-up."""
+        return to_deferred(self.stop())
+
     async def stop(self) -> None:
         """Stop everything."""
         await self.client.close()
