Stand-ins: engine and plain service over HTTP, seeded, with counts and faults

An engine batches continuously, caches prompt prefixes in limited memory, resumes, cancels, exports and imports caches, reports load with a lag, takes orders and announces itself to one router after the other. Its answers follow from the seed and the request, so that a test knows each caller's whole answer.

--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/announcing.py
@@ -0,0 +1,154 @@
+"""Announce a target to one router after the other, as the balancer would."""
+
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.web.client import Agent, HTTPConnectionPool
+
+from damaskwind.model.targets import Address, LoadReport, TargetAnnouncement, TargetState
+from damaskwind.standins.settings import AnnounceSettings
+
+__all__ = ["Announcer", "announcement_body"]
+
+_POST_TIMEOUT_S = 1.0
+_PATH = "/targets/v1/announcements"
+
+
+def announcement_body(announcement: TargetAnnouncement) -> dict[str, Any]:
+    """Return an announcement as the table that goes onto the wire."""
+    body = announcement._asdict()
+    body["address"] = announcement.address._asdict()
+    body["load"] = announcement.load._asdict()
+    body["models"] = [offer._asdict() for offer in announcement.models]
+    return body
+
+
+class Announcer:
+    """Post a target's announcement at intervals, while it is told to.
+
+    `routers` may change at any time. A post that fails goes on to the next
+    router at once, until each had its turn.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: AnnounceSettings,
+        template: TargetAnnouncement,
+        read_load: Callable[[], LoadReport],
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._template = template
+        self._read_load = read_load
+        self._turn = 0
+        self._timer: Any = None
+        self._sequence = 0
+        self._posting = False
+        self._again = False
+        self._active = False
+        self.incarnation = settings.incarnation or time.time_ns() // 1_000_000
+        self.routers: list[str] = list(settings.routers)
+        self.state = TargetState.SERVING
+        self.models = template.models
+        self.accepted = 0
+        agent = Agent(reactor, pool=HTTPConnectionPool(reactor, persistent=False))
+        self._client = HTTPClient(agent)
+
+    def start(self, address: Address) -> None:
+        """Begin to announce the target at `address`."""
+        self._template = self._template._replace(address=address)
+        self._active = True
+        self.announce_now()
+
+    def stop(self) -> None:
+        """Announce no more; nothing is said about it, as in a crash."""
+        self._active = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def restart(self, address: Address) -> None:
+        """Begin again as the next incarnation."""
+        self.incarnation += 1
+        self._sequence = 0
+        self.state = TargetState.SERVING
+        self.start(address)
+
+    def announce_now(self) -> None:
+        """Announce at once and go on from there."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if not self._active:
+            return
+        if self._posting:
+            self._again = True
+            return
+        self._posting = True
+        self._post_in_turn().addBoth(self._posted)
+
+    def _posted(self, result: Any) -> None:
+        """Plan the next announcement."""
+        self._posting = False
+        if not self._active:
+            return
+        if self._again:
+            self._again = False
+            self.announce_now()
+            return
+        self._timer = self._reactor.callLater(self._settings.interval_s, self._due)
+
+    def _due(self) -> None:
+        """Announce because the interval has passed."""
+        self._timer = None
+        self.announce_now()
+
+    def next_announcement(self) -> TargetAnnouncement:
+        """Return the announcement that is due, with the next sequence number."""
+        self._sequence += 1
+        return self._template._replace(
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            state=self.state,
+            load=self._read_load(),
+            models=self.models,
+        )
+
+    @inlineCallbacks
+    def _post_in_turn(self) -> Deferred:
+        """Post to the next router, and past it while routers do not take it."""
+        for _ in range(len(self.routers)):
+            if not self._active or not self.routers:
+                return
+            router = self.routers[self._turn % len(self.routers)]
+            self._turn += 1
+            try:
+                status = yield self._post(router)
+            except Exception:
+                # Whatever went wrong, the balancer would give another router.
+                continue
+            if status == 200:
+                self.accepted += 1
+                return
+
+    @inlineCallbacks
+    def _post(self, router: str) -> Deferred:
+        """Post one announcement and return the status of the answer."""
+        body = json.dumps(announcement_body(self.next_announcement())).encode()
+        response = yield self._client.post(
+            f"http://{router}{_PATH}",
+            data=body,
+            headers={
+                "authorization": f"Bearer {self._settings.key}",
+                "content-type": "application/json",
+            },
+            timeout=_POST_TIMEOUT_S,
+            reactor=self._reactor,
+        )
+        yield response.content()
+        return response.code
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -0,0 +1,389 @@
+"""An engine: what the router meets when it routes a chat.
+
+`EngineStandin` serves the engine's side of `docs/PROTOCOLS.md` on loopback and
+counts its own work in `oracle`. It runs inside the caller's reactor:
+
+    engine = EngineStandin(EngineSettings("engine-1"))
+    await engine.start()
+    engine.address
+    await engine.stop()
+"""
+
+import json
+import random
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from damaskwind.model.prefix import Message, ModelName, prefix_chain
+from damaskwind.model.targets import (
+    Address,
+    FencingMode,
+    LoadReport,
+    ModelOffer,
+    TargetAnnouncement,
+    TargetKind,
+    TargetState,
+)
+from damaskwind.standins.announcing import Announcer
+from damaskwind.standins.answers import answer_tokens, count_tokens
+from damaskwind.standins.batching import Batch, Generation
+from damaskwind.standins.cache_events import CacheEventLog
+from damaskwind.standins.faults import Fault, FaultPlan
+from damaskwind.standins.listening import Listener, abort_connection
+from damaskwind.standins.oracle import Oracle
+from damaskwind.standins.prefix_cache import CachedPrefix, PrefixCache
+from damaskwind.standins.replies import ReplyOptions, stream_reply, whole_reply
+from damaskwind.standins.settings import EngineSettings
+from damaskwind.standins.standin_control import install_control
+
+__all__ = ["EngineStandin", "canonical_messages"]
+
+_SWEEP_INTERVAL_S = 0.5
+_ANSWER_FAULTS = (
+    Fault.OTHERS_ID,
+    Fault.CUT_ANSWER,
+    Fault.WRONG_LENGTH,
+    Fault.NO_END_MARKER,
+    Fault.LATE_EXTRA,
+)
+
+
+def canonical_messages(raw: list[dict[str, Any]]) -> list[Message]:
+    """Return the messages of a body, contents that are no text as canonical JSON."""
+    messages = []
+    for message in raw:
+        content = message.get("content", "")
+        if not isinstance(content, str):
+            content = json.dumps(content, sort_keys=True, separators=(",", ":"))
+        messages.append(Message(message["role"], content))
+    return messages
+
+
+def _header(request: Any, name: str) -> str:
+    """Return a header of a request, empty when it is not there."""
+    return request.getHeader(name) or ""
+
+
+class EngineStandin:
+    """One engine on loopback, seeded; see the module for an example."""
+
+    def __init__(self, settings: EngineSettings, reactor: Any = None) -> None:
+        if reactor is None:
+            from twisted.internet import reactor
+        self.settings = settings
+        self.oracle = Oracle()
+        self._reactor = reactor
+        source = random.Random(f"{settings.seed}/{settings.target_id}")
+        self.faults = FaultPlan(source)
+        self._events = CacheEventLog(settings.event_delay_s, settings.event_loss_share, source)
+        self.cache = PrefixCache(settings.cache_tokens, self._record_event)
+        self.batch = Batch(reactor, settings, self.cache)
+        self._held: dict[str, Generation] = {}
+        self._sweeper = LoopingCall(self._sweep)
+        self._sweeper.clock = reactor
+        self.models: tuple[ModelOffer, ...] = settings.models
+        self.role = "serving"
+        self.highest_fencing_number = 0
+        self._leaving_since_s = float("inf")
+        app = Klein()
+        self._install_routes(app)
+        install_control(app, self)
+        self._listener = Listener(reactor, app, settings.host, settings.port)
+        self.announcer = Announcer(
+            reactor, settings.announce, self._announcement(), self.batch.lagged_load
+        )
+
+    @property
+    def address(self) -> Address:
+        """Return where the engine listens, also while it is down."""
+        return self._listener.address
+
+    def _announcement(self) -> TargetAnnouncement:
+        """Return the announcement without what changes."""
+        settings = self.settings
+        return TargetAnnouncement(
+            target_id=settings.target_id,
+            incarnation=0,
+            sequence=0,
+            kind=TargetKind.ENGINE,
+            service=settings.service,
+            failure_domain=settings.failure_domain,
+            address=Address(settings.host, settings.port),
+            state=TargetState.SERVING,
+            lease_s=settings.announce.lease_s,
+            load=LoadReport(0, settings.capacity_tokens, 0, 0, 0.0),
+            models=settings.models,
+            fencing=settings.fencing,
+        )
+
+    async def start(self) -> None:
+        """Listen and begin to announce."""
+        self._listener.start()
+        self._sweeper.start(_SWEEP_INTERVAL_S, now=False)
+        self.announcer.start(self.address)
+
+    async def stop(self) -> None:
+        """Stop at once, cutting what is in progress, and say nothing about it."""
+        self.announcer.stop()
+        if self._sweeper.running:
+            self._sweeper.stop()
+        self.batch.stop()
+        self._held.clear()
+        await self._listener.stop()
+
+    async def come_back(self, keep_cache: bool = True) -> None:
+        """Start again on the same port as the next incarnation."""
+        if not keep_cache:
+            self.cache.clear()
+        self._leaving_since_s = float("inf")
+        self._listener.start()
+        self._sweeper.start(_SWEEP_INTERVAL_S, now=False)
+        self.announcer.restart(self.address)
+
+    def leave(self) -> None:
+        """Announce the leave; what is in progress goes on."""
+        if self._leaving_since_s == float("inf"):
+            self._leaving_since_s = self._reactor.seconds()
+        self.announcer.state = TargetState.LEAVING
+        self.announcer.announce_now()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is in hand."""
+        return self.batch.load().load_tokens == 0
+
+    def _record_event(self, kind: str, prefix: CachedPrefix) -> None:
+        """Note a cache event."""
+        self._events.record(self._reactor.seconds(), kind, prefix)
+
+    def _sweep(self) -> None:
+        """Let go of generations that nobody came back for."""
+        now_s = self._reactor.seconds()
+        for request_id, generation in list(self._held.items()):
+            if generation.expires_s <= now_s:
+                del self._held[request_id]
+                if not generation.finished:
+                    self.oracle.note("abandoned")
+                    self.batch.cancel(generation)
+
+    def _install_routes(self, app: Klein) -> None:
+        """Add the engine's routes to its application."""
+        app.route("/v1/chat/completions", methods=["POST"])(self._chat)
+        app.route("/v1/requests/<request_id>/resume", methods=["POST"])(self._resume)
+        app.route("/v1/requests/<request_id>", methods=["DELETE"])(self._cancel)
+        app.route("/load", methods=["GET"])(self._load)
+        app.route("/cache-events", methods=["GET"])(self._cache_events)
+        app.route("/kv/<digest>", methods=["GET"])(self._export_kv)
+        app.route("/kv/<digest>", methods=["PUT"])(self._import_kv)
+        app.route("/orders", methods=["POST"])(self._order)
+
+    def _refuse(self, request: Any, status: int, message: str) -> bytes:
+        """Refuse a request for certain."""
+        self.oracle.note("refused")
+        request.setResponseCode(status)
+        request.setHeader("x-verdict", "not-run")
+        return _json(request, {"error": {"message": message, "code": "refused"}})
+
+    def _loaded(self, name: ModelName) -> bool:
+        """Tell whether a model, version and adapter are loaded."""
+        return any(
+            offer.model == name.model
+            and offer.version == name.version
+            and (not name.adapter or name.adapter in offer.adapters)
+            for offer in self.models
+        )
+
+    def _chat(self, request: Any) -> Any:
+        """Take a chat."""
+        if self._reactor.seconds() > self._leaving_since_s + self.oracle.grace_s:
+            self.oracle.note("new_work_after_leaving")
+        try:
+            body = json.loads(request.content.read())
+            messages = canonical_messages(body["messages"])
+            name = ModelName(
+                body["model"], _header(request, "x-model-version"), _header(request, "x-adapter")
+            )
+        except (ValueError, KeyError, TypeError):
+            return self._refuse(request, 400, "malformed body")
+        if self.role != "serving" or not self._loaded(name):
+            return self._refuse(request, 404, "not loaded here")
+        if self.faults.take(Fault.REFUSE):
+            self.oracle.faults[Fault.REFUSE] += 1
+            return self._refuse(request, 503, "no room")
+        generation = self._generation(request, body, name, messages)
+        key = _header(request, "idempotency-key")
+        self.oracle.run(generation.request_id, key, generation.chain[-1].digest)
+        self._held[generation.request_id] = generation
+        return self._answer(request, body, generation)
+
+    def _generation(
+        self, request: Any, body: dict[str, Any], name: ModelName, messages: list[Message]
+    ) -> Generation:
+        """Make the generation that answers a chat."""
+        asked = body.get("max_completion_tokens") or body.get("max_tokens")
+        digests = prefix_chain(name, messages)
+        size_tokens = int(asked or self.settings.default_answer_tokens)
+        answer = answer_tokens(self.settings.seed, digests[-1], size_tokens)
+        messages = [*messages, Message("assistant", "".join(answer))]
+        digests = prefix_chain(name, messages)
+        chain = [
+            CachedPrefix(digest, count_tokens(message.content), parent)
+            for digest, message, parent in zip(digests, messages, ["", *digests], strict=False)
+        ]
+        priority = int(_header(request, "x-priority") or 0)
+        return Generation(
+            _header(request, "x-request-id"), chain, answer, priority, str(body.get("user", ""))
+        )
+
+    def _taken_faults(self) -> frozenset[Fault]:
+        """Use up the faults that hit the answer at hand."""
+        taken = frozenset(fault for fault in _ANSWER_FAULTS if self.faults.take(fault))
+        self.oracle.faults.update(taken)
+        return taken
+
+    def _answer(self, request: Any, body: dict[str, Any], generation: Generation) -> Any:
+        """Run a generation and answer with it, or with a fault instead."""
+        self.batch.submit(generation)
+        for fault in (Fault.RESET_AFTER_READ, Fault.STALL):
+            if self.faults.take(fault):
+                self.oracle.faults[fault] += 1
+                if fault is Fault.RESET_AFTER_READ:
+                    abort_connection(request)
+                return self._wait_for(request, generation, Deferred(), None)
+        faults = self._taken_faults()
+        is_others = Fault.OTHERS_ID in faults
+        size_tokens = len(generation.answer)
+        limited = body.get("max_completion_tokens") or body.get("max_tokens")
+        options = ReplyOptions(
+            model=body["model"],
+            shown_id="another" if is_others else generation.request_id,
+            shown_answer=(
+                answer_tokens(self.settings.seed, "another", size_tokens)
+                if is_others
+                else generation.answer
+            ),
+            finish_reason="length" if limited else "stop",
+            include_usage=bool((body.get("stream_options") or {}).get("include_usage")),
+            faults=faults,
+        )
+        self._set_headers(request, options.shown_id)
+        reply = stream_reply if body.get("stream") else whole_reply
+        done, leave = reply(self._reactor, request, generation, options)
+        return self._wait_for(request, generation, done, leave)
+
+    def _set_headers(self, request: Any, shown_id: str) -> None:
+        """Set the headers that every answer to a chat carries."""
+        load = self.batch.lagged_load()
+        request.setHeader("x-request-id", shown_id)
+        request.setHeader("x-load-tokens", str(load.load_tokens))
+        request.setHeader("x-capacity-tokens", str(load.capacity_tokens))
+
+    def _wait_for(self, request: Any, generation: Generation, done: Deferred, leave: Any) -> Any:
+        """Return `done` and hold the generation for a while after its caller's end."""
+
+        def finished(result: Any) -> Any:
+            generation.expires_s = self._reactor.seconds() + self.settings.resume_hold_s
+            self.oracle.note("finished")
+            return result
+
+        def gone(failure: Any) -> None:
+            generation.expires_s = self._reactor.seconds() + self.settings.resume_hold_s
+            self.oracle.note("caller_gone")
+            if leave is not None:
+                leave()
+
+        done.addCallback(finished)
+        request.notifyFinish().addErrback(gone)
+        return done
+
+    def _resume(self, request: Any, request_id: str) -> Any:
+        """Stream the rest of an answer that is still held."""
+        generation = self._held.get(request_id)
+        from_token = int(request.args.get(b"from_token", [b"0"])[0])
+        if generation is None or generation.cancelled or from_token > generation.produced:
+            request.setResponseCode(404)
+            return _json(request, {"error": {"message": "not held", "code": "not_held"}})
+        self.oracle.note("resumed")
+        generation.expires_s = float("inf")
+        options = ReplyOptions(
+            model=self.models[0].model if self.models else "",
+            shown_id=request_id,
+            shown_answer=generation.answer,
+            finish_reason="stop",
+            include_usage=True,
+            from_token=from_token,
+            faults=self._taken_faults(),
+        )
+        self._set_headers(request, request_id)
+        done, leave = stream_reply(self._reactor, request, generation, options)
+        return self._wait_for(request, generation, done, leave)
+
+    def _cancel(self, request: Any, request_id: str) -> None:
+        """Cancel a generation, known or not."""
+        request.setResponseCode(204)
+        generation = self._held.pop(request_id, None)
+        if generation is not None and not generation.finished:
+            self.oracle.note("cancelled")
+            self.batch.cancel(generation)
+
+    def _load(self, request: Any) -> bytes:
+        """Report the load of a while ago."""
+        return _json(request, self.batch.lagged_load()._asdict())
+
+    def _cache_events(self, request: Any) -> bytes:
+        """Report the cache events after a number."""
+        after = int(request.args.get(b"after", [b"0"])[0])
+        return _json(request, self._events.read(self._reactor.seconds(), after))
+
+    def _export_kv(self, request: Any, digest: str) -> bytes:
+        """Export the cache of a prefix."""
+        chain = self.cache.chain(digest)
+        if not chain:
+            request.setResponseCode(404)
+            return b""
+        self.oracle.note("kv_exported")
+        request.setHeader("content-type", "application/octet-stream")
+        return json.dumps(chain).encode()
+
+    def _import_kv(self, request: Any, digest: str) -> bytes:
+        """Import the cache of a prefix."""
+        try:
+            chain = [CachedPrefix(*link) for link in json.loads(request.content.read())]
+        except (ValueError, TypeError):
+            return self._refuse(request, 400, "malformed cache")
+        if not chain or chain[-1].digest != digest:
+            return self._refuse(request, 400, "another prefix")
+        self.oracle.note("kv_imported")
+        self.cache.store(chain)
+        request.setResponseCode(204)
+        return b""
+
+    def _order(self, request: Any) -> bytes:
+        """Take an order for an end state, unless its number is old and that is checked."""
+        order = json.loads(request.content.read())
+        number = int(order["fencing_number"])
+        is_old = number < self.highest_fencing_number
+        if is_old and self.settings.fencing is FencingMode.CHECKED:
+            self.oracle.note("order_refused")
+            request.setResponseCode(409)
+            return _json(request, {"highest_fencing_number": self.highest_fencing_number})
+        self.oracle.note("order_taken")
+        self.highest_fencing_number = max(number, self.highest_fencing_number)
+        wanted = order["wanted"]
+        self.role = wanted.get("role", self.role)
+        self.models = tuple(
+            ModelOffer(offer["model"], offer["version"], tuple(offer.get("adapters", ())))
+            for offer in wanted["models"]
+        )
+        self.announcer.models = self.models
+        self.announcer.announce_now()
+        return _json(request, {"fencing_number": number})
+
+
+def _json(request: Any, value: Any) -> bytes:
+    """Return a JSON body and name its type."""
+    request.setHeader("content-type", "application/json")
+    return json.dumps(value).encode()
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/faults.py
@@ -0,0 +1,67 @@
+"""The faults that a stand-in shows on demand, seeded."""
+
+import random
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["Fault", "FaultPlan"]
+
+
+class Fault(StrEnum):
+    """Name what a target does wrong.
+
+    `OTHERS_ID` answers with another request's id and text; `CUT_ANSWER` closes
+    the connection in the middle; `WRONG_LENGTH` declares more bytes than it
+    sends; `NO_END_MARKER` ends a stream in order but without `[DONE]`;
+    `RESET_AFTER_READ` runs the request and resets without an answer;
+    `LATE_EXTRA` sends a second answer on the idle connection; `REFUSE` refuses
+    with `x-verdict: not-run`; `STALL` runs the request and never answers.
+    """
+
+    OTHERS_ID = "others_id"
+    CUT_ANSWER = "cut_answer"
+    WRONG_LENGTH = "wrong_length"
+    NO_END_MARKER = "no_end_marker"
+    RESET_AFTER_READ = "reset_after_read"
+    LATE_EXTRA = "late_extra"
+    REFUSE = "refuse"
+    STALL = "stall"
+
+
+class _Armed(NamedTuple):
+    """How many more requests a fault may hit, and which share of them."""
+
+    remaining: int
+    share: float
+
+
+class FaultPlan:
+    """Decide for each request whether a fault hits it.
+
+    >>> plan = FaultPlan(random.Random(1))
+    >>> plan.arm(Fault.REFUSE, count=1)
+    >>> plan.take(Fault.REFUSE), plan.take(Fault.REFUSE)
+    (True, False)
+    """
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+        self._armed: dict[Fault, _Armed] = {}
+
+    def arm(self, fault: Fault, count: int = 1, share: float = 1.0) -> None:
+        """Let a fault hit `share` of the requests until it has hit `count`."""
+        self._armed[fault] = _Armed(count, share)
+
+    def disarm(self) -> None:
+        """Show no more faults."""
+        self._armed.clear()
+
+    def take(self, fault: Fault) -> bool:
+        """Tell whether the fault hits the request at hand, and use it up."""
+        armed = self._armed.get(fault)
+        if armed is None or armed.remaining <= 0:
+            return False
+        if armed.share < 1.0 and self._source.random() >= armed.share:
+            return False
+        self._armed[fault] = armed._replace(remaining=armed.remaining - 1)
+        return True
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/listening.py
@@ -0,0 +1,87 @@
+"""Listen on a port that stays the same over a flap, and break connections."""
+
+import socket
+import struct
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import maybeDeferred
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Site
+
+from damaskwind.model.targets import Address
+from damaskwind.runtime.bridge import to_future
+
+__all__ = ["Listener", "abort_connection", "raw_transport"]
+
+_LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+class _TrackingSite(Site):
+    """A site that knows its connections, so that it can drop them."""
+
+    protocol = HTTPChannel
+    noisy = False
+
+    def __init__(self, resource: Any) -> None:
+        super().__init__(resource)
+        self.connections: list[Any] = []
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """Build a connection's protocol and remember it."""
+        self.connections = [kept for kept in self.connections if _is_open(kept)]
+        protocol = super().buildProtocol(addr)
+        self.connections.append(protocol)
+        return protocol
+
+    def log(self, request: Any) -> None:
+        """Keep no access log."""
+
+
+def _is_open(protocol: Any) -> bool:
+    """Tell whether a connection is still open."""
+    transport = protocol.transport
+    return transport is None or transport.connected
+
+
+class Listener:
+    """Serve a klein application on a port of its own."""
+
+    def __init__(self, reactor: Any, app: Klein, host: str, port: int) -> None:
+        self._reactor = reactor
+        self._site = _TrackingSite(app.resource())
+        self._port: Any = None
+        self.address = Address(host, port)
+
+    def start(self) -> None:
+        """Begin to listen; a port 0 becomes the one that was free."""
+        if self._port is not None:
+            return
+        host, port = self.address
+        self._port = self._reactor.listenTCP(port, self._site, interface=host, backlog=1024)
+        self.address = Address(host, self._port.getHost().port)
+
+    async def stop(self) -> None:
+        """Stop listening and drop every connection, as a crash does."""
+        if self._port is None:
+            return
+        port, self._port = self._port, None
+        for protocol in self._site.connections:
+            if protocol.transport is not None and protocol.transport.connected:
+                protocol.transport.abortConnection()
+        self._site.connections = []
+        await to_future(maybeDeferred(port.stopListening))
+
+
+def raw_transport(request: Any) -> Any:
+    """Return the TCP transport under a request."""
+    return request.channel.transport
+
+
+def abort_connection(request: Any) -> None:
+    """Reset the connection of a request."""
+    transport = raw_transport(request)
+    if transport is None:
+        return
+    transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+    transport.abortConnection()
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/replies.py
@@ -0,0 +1,188 @@
+"""Write an engine's answers, whole or streamed, with the faults asked for."""
+
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from damaskwind.standins.batching import Generation
+from damaskwind.standins.faults import Fault
+from damaskwind.standins.listening import raw_transport
+
+__all__ = ["ReplyOptions", "send_whole", "stream_reply", "whole_reply"]
+
+_LATE_DELAY_S = 0.02
+_MISSING_BYTES = 16
+_LATE_BODY = b'{"id": "chatcmpl-late", "choices": []}'
+_LATE_ANSWER = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nx-request-id: late\r\n"
+    b"content-length: %d\r\n\r\n%s" % (len(_LATE_BODY), _LATE_BODY)
+)
+
+
+class ReplyOptions(NamedTuple):
+    """How to answer: `shown_id` and `shown_answer` are another's under a fault."""
+
+    model: str
+    shown_id: str
+    shown_answer: list[str]
+    finish_reason: str
+    include_usage: bool = False
+    from_token: int = 0
+    faults: frozenset[Fault] = frozenset()
+
+
+def _usage(generation: Generation) -> dict[str, Any]:
+    """Return the usage of a generation."""
+    return {
+        "prompt_tokens": generation.prompt_tokens,
+        "completion_tokens": generation.produced,
+        "total_tokens": generation.prompt_tokens + generation.produced,
+        "prompt_tokens_details": {"cached_tokens": generation.cached_tokens},
+    }
+
+
+def _head(options: ReplyOptions, kind: str) -> dict[str, Any]:
+    """Return the fields that every object of an answer begins with."""
+    return {
+        "id": f"chatcmpl-{options.shown_id}",
+        "object": kind,
+        "created": 0,
+        "model": options.model,
+    }
+
+
+def _event(options: ReplyOptions, choices: list[dict], **extra: Any) -> bytes:
+    """Return one server-sent event."""
+    chunk = _head(options, "chat.completion.chunk") | {"choices": choices} | extra
+    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
+
+
+def _delta(options: ReplyOptions, delta: dict, finish_reason: str | None) -> bytes:
+    """Return the event for one delta."""
+    choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
+    return _event(options, [choice])
+
+
+def _send_late_answer(clock: Any, request: Any) -> None:
+    """Send one more answer on the connection once it is idle."""
+    transport = raw_transport(request)
+
+    def send() -> None:
+        if transport.connected:
+            transport.write(_LATE_ANSWER)
+
+    clock.callLater(_LATE_DELAY_S, send)
+
+
+class _Stream:
+    """Pass the tokens of a generation to one caller as they come."""
+
+    def __init__(
+        self, clock: Any, request: Any, generation: Generation, options: ReplyOptions
+    ) -> None:
+        self._clock = clock
+        self._request = request
+        self._generation = generation
+        self._options = options
+        self.done: Deferred = Deferred()
+        self._open = True
+
+    def begin(self) -> None:
+        """Send the tokens that are there already and listen for the rest."""
+        self._request.setHeader("content-type", "text/event-stream")
+        self._generation.listener = self.hear
+        for index in range(self._options.from_token, self._generation.produced):
+            self.hear(index, self._generation.answer[index])
+        if self._generation.finished:
+            self.hear(self._generation.produced, None)
+
+    def hear(self, index: int, token: str | None) -> None:
+        """Take a token, or the end, of the generation."""
+        if not self._open:
+            return
+        if token is None:
+            self._end()
+            return
+        delta: dict[str, str] = {"content": self._options.shown_answer[index]}
+        if index == 0:
+            delta["role"] = "assistant"
+        self._request.write(_delta(self._options, delta, None))
+        is_middle = index + 1 >= (len(self._generation.answer) + 1) // 2
+        if Fault.CUT_ANSWER in self._options.faults and is_middle:
+            self._open = False
+            raw_transport(self._request).loseConnection()
+
+    def _end(self) -> None:
+        """Send the end of the answer."""
+        self._open = False
+        options = self._options
+        self._request.write(_delta(options, {}, options.finish_reason))
+        if options.include_usage:
+            self._request.write(_event(options, [], usage=_usage(self._generation)))
+        if Fault.NO_END_MARKER not in options.faults:
+            self._request.write(b"data: [DONE]\n\n")
+        if Fault.LATE_EXTRA in options.faults:
+            _send_late_answer(self._clock, self._request)
+        self.done.callback(None)
+
+    def leave(self) -> None:
+        """Write no more: the caller has gone."""
+        self._open = False
+
+
+def stream_reply(
+    clock: Any, request: Any, generation: Generation, options: ReplyOptions
+) -> tuple[Deferred, Callable[[], None]]:
+    """Stream a generation; return when it is done and how to detach the caller."""
+    stream = _Stream(clock, request, generation, options)
+    stream.begin()
+    return stream.done, stream.leave
+
+
+def _whole_body(generation: Generation, options: ReplyOptions) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    message = {"role": "assistant", "content": "".join(options.shown_answer)}
+    choice = {"index": 0, "message": message, "finish_reason": options.finish_reason}
+    answer = _head(options, "chat.completion")
+    answer |= {"choices": [choice], "usage": _usage(generation)}
+    return json.dumps(answer).encode()
+
+
+def send_whole(clock: Any, request: Any, body: bytes, faults: frozenset[Fault]) -> bool:
+    """Send a body with the faults asked for; tell whether the request is over."""
+    if Fault.CUT_ANSWER in faults or Fault.WRONG_LENGTH in faults:
+        missing = _MISSING_BYTES if Fault.WRONG_LENGTH in faults else len(body) // 2
+        shown = body if Fault.WRONG_LENGTH in faults else body[: len(body) // 2]
+        request.setHeader("content-length", str(len(shown) + missing))
+        request.write(shown)
+        raw_transport(request).loseConnection()
+        return False
+    request.setHeader("content-length", str(len(body)))
+    request.write(body)
+    if Fault.LATE_EXTRA in faults:
+        _send_late_answer(clock, request)
+    return True
+
+
+def whole_reply(
+    clock: Any, request: Any, generation: Generation, options: ReplyOptions
+) -> tuple[Deferred, Callable[[], None]]:
+    """Answer in one piece when the generation ends."""
+    done: Deferred = Deferred()
+
+    def hear(index: int, token: str | None) -> None:
+        if token is not None or done.called:
+            return
+        request.setHeader("content-type", "application/json")
+        if send_whole(clock, request, _whole_body(generation, options), options.faults):
+            done.callback(None)
+
+    def leave() -> None:
+        generation.listener = None
+
+    generation.listener = hear
+    if generation.finished:
+        hear(generation.produced, None)
+    return done, leave
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/service.py
@@ -0,0 +1,196 @@
+"""A plain service that counts how often each call ran.
+
+A call is any method on any path. The answer follows from the seed and the
+call. The query may ask for `size_bytes` of body and for a `delay_s`.
+
+    service = ServiceStandin(ServiceSettings("edge-1"))
+    await service.start()
+    service.oracle.runs_by_key
+    await service.stop()
+"""
+
+import json
+import random
+from typing import Any
+
+import xxhash
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from damaskwind.model.targets import (
+    Address,
+    LoadReport,
+    TargetAnnouncement,
+    TargetKind,
+    TargetState,
+)
+from damaskwind.standins.announcing import Announcer
+from damaskwind.standins.batching import LaggedLoad
+from damaskwind.standins.faults import Fault, FaultPlan
+from damaskwind.standins.listening import Listener, abort_connection
+from damaskwind.standins.oracle import Oracle
+from damaskwind.standins.replies import send_whole
+from damaskwind.standins.settings import ServiceSettings
+from damaskwind.standins.standin_control import install_control
+
+__all__ = ["ServiceStandin", "expected_service_answer"]
+
+_CAPACITY_REQUESTS = 64
+_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+_ANSWER_FAULTS = (Fault.OTHERS_ID, Fault.CUT_ANSWER, Fault.WRONG_LENGTH, Fault.LATE_EXTRA)
+
+
+def expected_service_answer(
+    seed: int, method: str, path: str, body: bytes, size_bytes: int = 0
+) -> dict[str, Any]:
+    """Return what a service with `seed` answers to a call, as a table.
+
+    >>> expected_service_answer(1, "GET", "/purge", b"")["path"]
+    '/purge'
+    """
+    digest = xxhash.xxh3_128_hexdigest(f"{seed}/{method}/{path}/".encode() + body)
+    filling = (digest * (size_bytes // len(digest) + 1))[:size_bytes]
+    return {"method": method, "path": path, "digest": digest, "filling": filling}
+
+
+class ServiceStandin:
+    """One target of a plain service on loopback; see the module for an example."""
+
+    def __init__(self, settings: ServiceSettings, reactor: Any = None) -> None:
+        if reactor is None:
+            from twisted.internet import reactor
+        self.settings = settings
+        self.oracle = Oracle()
+        self._reactor = reactor
+        self.faults = FaultPlan(random.Random(f"{settings.seed}/{settings.target_id}"))
+        self._in_hand = 0
+        self._lagged = LaggedLoad(settings.load_lag_s, self._load())
+        self._leaving_since_s = float("inf")
+        app = Klein()
+        install_control(app, self)
+        app.route("/", methods=_METHODS)(self._call)
+        app.route("/<path:path>", methods=_METHODS)(self._call)
+        self._listener = Listener(reactor, app, settings.host, settings.port)
+        self.announcer = Announcer(
+            reactor, settings.announce, self._announcement(), self._lagged_load
+        )
+
+    @property
+    def address(self) -> Address:
+        """Return where the service listens, also while it is down."""
+        return self._listener.address
+
+    def _load(self) -> LoadReport:
+        """Return the load of now: requests in hand."""
+        return LoadReport(self._in_hand, _CAPACITY_REQUESTS, self._in_hand, 0, 0.0)
+
+    def _lagged_load(self) -> LoadReport:
+        """Return the load as it was a lag ago."""
+        return self._lagged.read(self._reactor.seconds())
+
+    def _announcement(self) -> TargetAnnouncement:
+        """Return the announcement without what changes."""
+        settings = self.settings
+        return TargetAnnouncement(
+            target_id=settings.target_id,
+            incarnation=0,
+            sequence=0,
+            kind=TargetKind.SERVICE,
+            service=settings.service,
+            failure_domain=settings.failure_domain,
+            address=Address(settings.host, settings.port),
+            state=TargetState.SERVING,
+            lease_s=settings.announce.lease_s,
+            load=self._load(),
+        )
+
+    async def start(self) -> None:
+        """Listen and begin to announce."""
+        self._listener.start()
+        self.announcer.start(self.address)
+
+    async def stop(self) -> None:
+        """Stop at once, cutting what is in progress, and say nothing about it."""
+        self.announcer.stop()
+        await self._listener.stop()
+
+    async def come_back(self, keep_cache: bool = True) -> None:
+        """Start again on the same port as the next incarnation."""
+        self._leaving_since_s = float("inf")
+        self._listener.start()
+        self.announcer.restart(self.address)
+
+    def leave(self) -> None:
+        """Announce the leave; what is in progress goes on."""
+        if self._leaving_since_s == float("inf"):
+            self._leaving_since_s = self._reactor.seconds()
+        self.announcer.state = TargetState.LEAVING
+        self.announcer.announce_now()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is in hand."""
+        return self._in_hand == 0
+
+    def _call(self, request: Any, path: str = "") -> Any:
+        """Take a call, count it and answer after its duration."""
+        if self._reactor.seconds() > self._leaving_since_s + self.oracle.grace_s:
+            self.oracle.note("new_work_after_leaving")
+        if self.faults.take(Fault.REFUSE):
+            self.oracle.faults[Fault.REFUSE] += 1
+            self.oracle.note("refused")
+            request.setResponseCode(503)
+            request.setHeader("x-verdict", "not-run")
+            return b""
+        body = request.content.read()
+        self.oracle.run(
+            request.getHeader("x-request-id") or "",
+            request.getHeader("idempotency-key") or "",
+            xxhash.xxh3_128_hexdigest(body),
+        )
+        for fault in (Fault.RESET_AFTER_READ, Fault.STALL):
+            if self.faults.take(fault):
+                self.oracle.faults[fault] += 1
+                if fault is Fault.RESET_AFTER_READ:
+                    abort_connection(request)
+                return Deferred()
+        return self._answer_later(request, body)
+
+    def _answer_later(self, request: Any, body: bytes) -> Deferred:
+        """Answer a call when its duration has passed."""
+        delay_s = float(request.args.get(b"delay_s", [self.settings.call_duration_s])[0])
+        done: Deferred = Deferred()
+        self._change_in_hand(1)
+        timer = self._reactor.callLater(delay_s, self._answer, request, body, done)
+
+        def gone(failure: Any) -> None:
+            self.oracle.note("caller_gone")
+            if timer.active():
+                timer.cancel()
+                self._change_in_hand(-1)
+
+        request.notifyFinish().addErrback(gone)
+        return done
+
+    def _change_in_hand(self, difference: int) -> None:
+        """Count a call in or out and note the load."""
+        self._in_hand += difference
+        self._lagged.record(self._reactor.seconds(), self._load())
+
+    def _answer(self, request: Any, body: bytes, done: Deferred) -> None:
+        """Send the answer with the faults that hit it."""
+        self._change_in_hand(-1)
+        self.oracle.note("finished")
+        faults = frozenset(fault for fault in _ANSWER_FAULTS if self.faults.take(fault))
+        self.oracle.faults.update(faults)
+        request_id = request.getHeader("x-request-id") or ""
+        size_bytes = int(request.args.get(b"size_bytes", [b"0"])[0])
+        path = "/another" if Fault.OTHERS_ID in faults else request.path.decode()
+        answer = expected_service_answer(
+            self.settings.seed, request.method.decode(), path, body, size_bytes
+        )
+        request.setHeader("content-type", "application/json")
+        request.setHeader("x-request-id", "another" if Fault.OTHERS_ID in faults else request_id)
+        request.setHeader("x-target", self.settings.target_id)
+        if send_whole(self._reactor, request, json.dumps(answer).encode(), faults):
+            done.callback(None)
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/settings.py
@@ -0,0 +1,65 @@
+"""The settings of the stand-ins: one table for each engine or plain service."""
+
+from typing import NamedTuple
+
+from damaskwind.model.targets import FencingMode, ModelOffer
+
+__all__ = ["AnnounceSettings", "EngineSettings", "ServiceSettings"]
+
+
+class AnnounceSettings(NamedTuple):
+    """How a target announces itself: to one of `routers` (`IP:port`) after the other.
+
+    An `incarnation` of 0 takes one from the wall clock, so that it grows with
+    every start of the process.
+    """
+
+    routers: tuple[str, ...] = ()
+    key: str = ""
+    interval_s: float = 1.0
+    lease_s: float = 6.0
+    incarnation: int = 0
+
+
+class EngineSettings(NamedTuple):
+    """One engine. Engines with the same `seed` give the same answer to a prompt.
+
+    A running request gets one token every `token_interval_s`; the prompt
+    tokens that are not cached are computed at `prefill_tokens_per_s`, shared
+    by all requests. Load reports are `load_lag_s` old and cache events appear
+    after `event_delay_s`; `event_loss_share` of them never do.
+    """
+
+    target_id: str
+    service: str = "damask-pool"
+    failure_domain: str = "local"
+    host: str = "127.0.0.1"
+    port: int = 0
+    seed: int = 1
+    models: tuple[ModelOffer, ...] = (ModelOffer("damask", "1"),)
+    fencing: FencingMode = FencingMode.IGNORED
+    token_interval_s: float = 0.02
+    prefill_tokens_per_s: float = 50_000.0
+    max_running_requests: int = 32
+    capacity_tokens: int = 100_000
+    cache_tokens: int = 50_000
+    default_answer_tokens: int = 16
+    load_lag_s: float = 0.5
+    event_delay_s: float = 0.5
+    event_loss_share: float = 0.0
+    resume_hold_s: float = 5.0
+    announce: AnnounceSettings = AnnounceSettings()
+
+
+class ServiceSettings(NamedTuple):
+    """One target of a plain service; a call takes `call_duration_s`."""
+
+    target_id: str
+    service: str = "edge-api"
+    failure_domain: str = "local"
+    host: str = "127.0.0.1"
+    port: int = 0
+    seed: int = 1
+    call_duration_s: float = 0.0
+    load_lag_s: float = 0.5
+    announce: AnnounceSettings = AnnounceSettings()
