Demonstration: a fleet in one process and a chat through it

Cause: README's first command had nothing behind it. Change: damaskwindd demo starts a router, three engines and a plain service in one process and streams a three-turn chat.

--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/demonstration.py
@@ -0,0 +1,143 @@
+"""Run the demonstration: a small fleet in one process and a chat through it."""
+
+import asyncio
+import json
+import signal
+from typing import Any, NamedTuple
+
+import treq
+
+from damaskwind.commands.demonstration_fleet import (
+    CALLER_KEY,
+    OPERATOR_KEY,
+    DemonstrationFleet,
+)
+from damaskwind.model.exception import DamaskwindError
+from damaskwind.runtime.bridge import to_future
+
+__all__ = ["run_demonstration"]
+
+_SYSTEM_PROMPT = "You answer questions about hardware registers, briefly."
+_QUESTIONS = (
+    "Which racks in hall B hold servers without an asset tag?",
+    "And which of those were audited this year?",
+    "List them by age, oldest first.",
+)
+_END_MARKER = "[DONE]"
+_EXIT_FINE = 0
+_EXIT_FAILED = 1
+
+
+class Turn(NamedTuple):
+    """What came back for one turn of the chat."""
+
+    request_id: str
+    text: str
+    prompt_tokens: int
+    cached_tokens: int
+
+
+def _events(body: bytes) -> list[str]:
+    """Return the data of each server-sent event."""
+    lines = body.decode("utf-8").splitlines()
+    return [line.removeprefix("data: ") for line in lines if line.startswith("data: ")]
+
+
+def _read_turn(request_id: str, body: bytes) -> Turn:
+    """Put the chunks of a streamed answer together; it must be whole."""
+    events = _events(body)
+    if not events or events[-1] != _END_MARKER:
+        raise DamaskwindError(f"the answer to {request_id} was cut short")
+    chunks = [json.loads(event) for event in events[:-1]]
+    words = [
+        choice["delta"].get("content") or ""
+        for chunk in chunks
+        for choice in chunk.get("choices", ())
+    ]
+    usage = next(chunk["usage"] for chunk in reversed(chunks) if chunk.get("usage"))
+    cached_tokens = usage["prompt_tokens_details"]["cached_tokens"]
+    return Turn(request_id, "".join(words), usage["prompt_tokens"], cached_tokens)
+
+
+async def _ask(fleet: DemonstrationFleet, messages: list[dict[str, str]]) -> Turn:
+    """Stream one turn of the chat through the router."""
+    body = {
+        "model": "damask",
+        "messages": messages,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+    }
+    response = await to_future(
+        treq.post(
+            f"{fleet.url}/v1/chat/completions",
+            json=body,
+            headers={"authorization": f"Bearer {CALLER_KEY}"},
+        )
+    )
+    answer = await to_future(treq.content(response))
+    if response.code != 200:
+        raise DamaskwindError(f"{response.code}: {answer.decode(errors='replace')}")
+    request_id = response.headers.getRawHeaders("x-request-id")[0]
+    return _read_turn(request_id, answer)
+
+
+def _shown(turn: Turn, record: dict[str, Any]) -> str:
+    """Say which engine answered, how much was cached, and why it was chosen."""
+    choice = record["choices"][-1]
+    return (
+        f"   {choice['target_id']} answered; {turn.cached_tokens} of {turn.prompt_tokens} prompt"
+        f" tokens were cached; chosen because: {choice['reason']}\n"
+        f"   damaskwind explain {turn.request_id}"
+    )
+
+
+async def _chat(fleet: DemonstrationFleet) -> None:
+    """Hold the chat, a turn after the other, and show what happened to each."""
+    messages = [{"role": "system", "content": _SYSTEM_PROMPT}]
+    for question in _QUESTIONS:
+        messages.append({"role": "user", "content": question})
+        turn = await _ask(fleet, messages)
+        messages.append({"role": "assistant", "content": turn.text})
+        record = await fleet.ask(f"/operator/v1/requests/{turn.request_id}")
+        print(f"-- {question}\n   {turn.text.strip()}\n{_shown(turn, record)}", flush=True)
+
+
+def _introduce(fleet: DemonstrationFleet) -> None:
+    """Print where the fleet is and a line to copy."""
+    body = json.dumps({"model": "damask", "messages": [{"role": "user", "content": "Hello"}]})
+    print(f"router: {fleet.url}   caller key: {CALLER_KEY}   operator key: {OPERATOR_KEY}")
+    print(
+        f"try: curl -s {fleet.url}/v1/chat/completions -H 'Authorization: Bearer {CALLER_KEY}'"
+        f" -H 'Content-Type: application/json' -d '{body}'",
+        flush=True,
+    )
+
+
+async def _wait_for_interrupt() -> None:
+    """Wait until the user presses Ctrl-C."""
+    asked = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, asked.set)
+    print("serving until Ctrl-C", flush=True)
+    await asked.wait()
+
+
+async def run_demonstration(once: bool) -> int:
+    """Start the fleet, hold the chat, and serve on unless `once`.
+
+    Returns the exit code: non-zero if anything failed.
+    """
+    fleet = DemonstrationFleet()
+    try:
+        await fleet.start()
+        _introduce(fleet)
+        await _chat(fleet)
+        if not once:
+            await _wait_for_interrupt()
+    except DamaskwindError as error:
+        print(f"demonstration failed: {error}", flush=True)
+        return _EXIT_FAILED
+    finally:
+        await fleet.stop()
+    return _EXIT_FINE
