--- a/packages/router/src/damaskwind/router/membership/codec.py
+++ b/packages/router/src/damaskwind/router/membership/codec.py
@@ -2,10 +2,12 @@
 
 A datagram is four bytes that stand for the cluster, a tag of twelve bytes
 (keyed BLAKE2b, RFC 7693) over all the rest, and an envelope in MessagePack:
-sender, incarnation, sequence, kind and body. Every way in which a datagram can
+sender, incarnation, sequence, kind and body. A large body is compressed, since
+records of one pool resemble each other. Every way in which a datagram can
 be wrong has a name.
 """
 
+import zlib
 from enum import StrEnum
 from hashlib import blake2b
 from hmac import compare_digest
@@ -22,6 +24,11 @@
 
 CLUSTER_BYTES = 4
 TAG_BYTES = 12
+COMPRESS_FROM_BYTES = 200
+BODY_LIMIT_BYTES = 16_384
+ZLIB_LEVEL = 1
+_COMPRESSED = "z"
+_RAW_HEAD_BYTES = 3
 _HEAD_BYTES = CLUSTER_BYTES + TAG_BYTES
 _PERSON = b"damaskwind-udp"
 _KINDS: dict[str, type] = {kind.__name__.lower()[:2]: kind for kind in get_args(Message)}
@@ -67,6 +74,15 @@
 }
 
 
+def _decompress(packed: bytes) -> bytes:
+    """Return an unpacked body; raise `zlib.error` when it would be too large."""
+    unpacker = zlib.decompressobj()
+    body = unpacker.decompress(packed, BODY_LIMIT_BYTES)
+    if not unpacker.eof:
+        raise zlib.error("body cut or too large")
+    return body
+
+
 class Codec:
     """The encoding of one router, with its sequence and its view of others' sequences."""
 
@@ -83,8 +99,14 @@
     def encode(self, message: Message, incarnation: int) -> bytes:
         """Return the datagram of a message; raise `MessageError` when it is too large."""
         self._sequence += 1
-        body = msgspec.Raw(self._encoder.encode(message))
+        encoded = self._encoder.encode(message)
         kind = _KIND_OF[type(message)]
+        if len(encoded) >= COMPRESS_FROM_BYTES:
+            packed = zlib.compress(encoded, ZLIB_LEVEL)
+            if len(packed) + _RAW_HEAD_BYTES < len(encoded):
+                encoded = self._encoder.encode(packed)
+                kind += _COMPRESSED
+        body = msgspec.Raw(encoded)
         envelope = _Envelope(self._router_id, incarnation, self._sequence, kind, body)
         payload = self._encoder.encode(envelope)
         datagram = self._cluster + self._tag(payload) + payload
@@ -105,17 +127,21 @@
             return DatagramFault.WRONG_KEY
         try:
             envelope = self._envelopes.decode(payload)
-            if envelope.kind not in self._bodies:
+            kind = envelope.kind.removesuffix(_COMPRESSED)
+            if kind not in self._bodies:
                 return DatagramFault.UNKNOWN_KIND
-            message = self._bodies[envelope.kind].decode(envelope.body)
-        except (msgspec.DecodeError, RecursionError):
+            body = envelope.body
+            if kind != envelope.kind:
+                body = _decompress(msgspec.msgpack.decode(body, type=bytes))
+            message = self._bodies[kind].decode(body)
+        except (msgspec.DecodeError, zlib.error, RecursionError):
             return DatagramFault.MALFORMED
         if envelope.sender_id == self._router_id:
             return DatagramFault.ECHOED
         outcome = self._replay.check(envelope.sender_id, envelope.incarnation, envelope.sequence)
         if outcome in _REPLAY_FAULTS:
             return _REPLAY_FAULTS[outcome]
-        return Received(envelope.sender_id, envelope.incarnation, envelope.kind, message)
+        return Received(envelope.sender_id, envelope.incarnation, kind, message)
 
     def _tag(self, payload: bytes) -> bytes:
         """Return the tag of a payload, which covers the cluster too."""
--- a/packages/router/src/damaskwind/router/peer_addresses.py
+++ b/packages/router/src/damaskwind/router/peer_addresses.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred
 
-from damaskwind.decisions.membership.outputs import Urgency
+from damaskwind.decisions.pacing.urgency import Urgency
 from damaskwind.runtime.settings import parse_address
 
 __all__ = ["PeerAddresses"]
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -1,5 +1,6 @@
 """Start and stop a router: its sockets, its parts and how they hang together."""
 
+import asyncio
 import json
 import secrets
 from pathlib import Path
@@ -7,6 +8,7 @@
 from typing import Any
 
 from loguru import logger
+from twisted.internet.defer import ensureDeferred
 
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.configuration_codec import read_configuration_file
@@ -108,6 +110,7 @@
         self.site = CallerSite(front.app.resource(), limits, reactor)
         self.http_address = parse_address(router.http_address)
         self._drain: Drain | None = None
+        self._stopping: asyncio.Future | None = None
 
     def _new_request_id(self) -> str:
         """Return an id that names this router, so that any other can ask it."""
@@ -169,10 +172,16 @@
         }
 
     async def stop(self) -> None:
-        """Drain, then release everything."""
+        """Drain, then release everything; a second call waits for the first."""
+        if self._stopping is None:
+            self._stopping = asyncio.ensure_future(self._stop())
+        await asyncio.shield(self._stopping)
+
+    async def _stop(self) -> None:
+        """Do what `stop` says."""
         await to_future(self._drain.stop())
         self.membership.stop()
-        await to_future(self.client.close())
+        await to_future(ensureDeferred(self.client.close()))
         self.telemetry.metrics.shutdown()
 
 
--- a/packages/router/src/damaskwind/router/target_client.py
+++ b/packages/router/src/damaskwind/router/target_client.py
@@ -9,11 +9,12 @@
 from urllib.parse import quote
 
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectingCancelledError, UserError
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.client import Agent
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer, IResponse
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer, IResponse
 from zope.interface import implementer
 
 from damaskwind.model.exception import DamaskwindError
@@ -26,6 +27,7 @@
 __all__ = ["AttemptError", "BytesProducer", "TargetCall", "TargetClient", "path_of"]
 
 _CONNECT_TIMEOUT_S = 2.0
+_CLOSE_TIMEOUT_S = 1.0
 _NEVER_CONNECTED = (ConnectError, ConnectingCancelledError, UserError)
 
 
@@ -89,13 +91,29 @@
         """Do nothing: the body was written at once."""
 
 
+@implementer(IAgentEndpointFactory)
+class _NumberEndpoints:
+    """Connect to IP numbers: no name is ever looked up."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
+        """Return the endpoint of a URI."""
+        host = uri.host.decode("ascii")
+        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+        return kind(self._reactor, host, uri.port, _CONNECT_TIMEOUT_S)
+
+
 class TargetClient:
     """Send requests over one pool of connections."""
 
     def __init__(self, reactor: Any) -> None:
         self._clock = IReactorTime(reactor)
         self._pool = CheckedConnectionPool(reactor)
-        self._agent = Agent(reactor, connectTimeout=_CONNECT_TIMEOUT_S, pool=self._pool)
+        self._agent = Agent.usingEndpointFactory(reactor, _NumberEndpoints(reactor), self._pool)
+        self._waiting: set[Deferred] = set()
+        self._settled: Deferred | None = None
 
     async def send(
         self, call: TargetCall, timeout_s: float, caller: Caller | None = None
@@ -106,6 +124,7 @@
         """
         uri = b"http://%s:%d%s" % (call.address.host.encode(), call.address.port, call.path)
         waiting = self._agent.request(call.method, uri, call.headers, call.body)
+        self._waiting.add(waiting)
         timer = self._clock.callLater(max(timeout_s, 0.0), waiting.cancel)
         if caller is not None:
             caller.when_gone(waiting.cancel)
@@ -121,12 +140,31 @@
             detail = f"the target broke off before its answer: {type(error).__name__}"
             raise AttemptError(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail) from error
         finally:
+            self._ended(waiting)
             if timer.active():
                 timer.cancel()
 
-    def close(self) -> Deferred:
-        """Close the idle connections."""
-        return self._pool.closeCachedConnections()
+    async def close(self) -> None:
+        """Let what is on its way end, for a short time, and close the connections."""
+        limit = self._clock.callLater(_CLOSE_TIMEOUT_S, self._cancel_all)
+        while self._waiting:
+            self._settled = Deferred()
+            await self._settled
+        if limit.active():
+            limit.cancel()
+        await self._pool.closeCachedConnections()
+
+    def _cancel_all(self) -> None:
+        """Give up on everything that waits for an answer."""
+        for waiting in list(self._waiting):
+            waiting.cancel()
+
+    def _ended(self, waiting: Deferred) -> None:
+        """Note that a request got its answer or failed."""
+        self._waiting.discard(waiting)
+        settled, self._settled = self._settled, None
+        if settled is not None:
+            settled.callback(None)
 
 
 def path_of(*parts: str) -> bytes:
