--- a/packages/standins/src/damaskwind/standins/batching.py
+++ b/packages/standins/src/damaskwind/standins/batching.py
@@ -116,6 +116,11 @@
             loads[generation.user] += generation.load_tokens
         return loads
 
+    def largest_tokens(self) -> int:
+        """Return the work left of the largest request in hand."""
+        in_hand = self._running + self._waiting
+        return max((generation.load_tokens for generation in in_hand), default=0)
+
     def lagged_load(self) -> LoadReport:
         """Return the load as it was a lag ago."""
         return self._lagged.read(self._clock.seconds())
--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -150,6 +150,11 @@
         self.announcer.state = TargetState.LEAVING
         self.announcer.announce_now()
 
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether the engine is up and not leaving."""
+        return self._listener.is_open and self.announcer.state is TargetState.SERVING
+
     @property
     def is_idle(self) -> bool:
         """Tell whether nothing is in hand."""
--- a/packages/standins/src/damaskwind/standins/listening.py
+++ b/packages/standins/src/damaskwind/standins/listening.py
@@ -53,6 +53,11 @@
         self._port: Any = None
         self.address = Address(host, port)
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether it listens."""
+        return self._port is not None
+
     def start(self) -> None:
         """Begin to listen; a port 0 becomes the one that was free."""
         if self._port is not None:
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/tcp_link.py
@@ -0,0 +1,274 @@
+"""One TCP link through the faulty network."""
+
+import random
+from collections import deque
+from typing import Any
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
+from zope.interface import implementer
+
+from damaskwind.model.targets import Address
+from damaskwind.standins.impairment import Direction, Impairment, Shaper
+
+__all__ = ["TcpLink"]
+
+_QUEUE_LIMIT_BYTES = 262_144
+
+
+@implementer(IPushProducer)
+class _Pipe:
+    """Carry one direction of one connection, in order.
+
+    An end of stream travels through the same queue, as `None`.
+    """
+
+    def __init__(self, clock: Any, shaper: Shaper) -> None:
+        self._clock = clock
+        self._shaper = shaper
+        self._queue: deque[tuple[float, bytes | None]] = deque()
+        self._queued_bytes = 0
+        self._timer: Any = None
+        self._sink_full = False
+        self._closed = False
+        self.source: Any = None
+        self.sink: Any = None
+
+    def attach(self, source: Any, sink: Any) -> None:
+        """Join the two transports and send what has come already."""
+        self.source = source
+        self.sink = sink
+        sink.registerProducer(self, True)
+        self.flush()
+
+    def put(self, data: bytes | None) -> None:
+        """Take a piece, or the end, from the source."""
+        if data is not None:
+            data = self._shaper.corrupt(data)
+            self._queued_bytes += len(data)
+        due_s = self._shaper.due_s(self._clock.seconds(), len(data or b""), in_order=True)
+        self._queue.append((due_s, data))
+        if self._queued_bytes > _QUEUE_LIMIT_BYTES and self.source is not None:
+            self.source.pauseProducing()
+        self.flush()
+
+    def flush(self) -> None:
+        """Send every piece that is due and plan for the next."""
+        now_s = self._clock.seconds()
+        while self._can_send() and self._queue[0][0] <= now_s:
+            self._send(self._queue.popleft()[1])
+        if self._can_send() and self._timer is None:
+            self._timer = self._clock.callLater(self._queue[0][0] - now_s, self._due)
+
+    @property
+    def has_queued(self) -> bool:
+        """Tell whether something waits to go out."""
+        return bool(self._queue)
+
+    def _can_send(self) -> bool:
+        """Tell whether anything may go out."""
+        blocked = self._sink_full or self._closed or self._shaper.impairment.blackhole
+        return bool(self._queue) and self.sink is not None and not blocked
+
+    def _send(self, data: bytes | None) -> None:
+        """Write one piece, or close the sink."""
+        if data is None:
+            self.sink.unregisterProducer()
+            self.sink.loseConnection()
+            self.close()
+            return
+        was_full = self._queued_bytes > _QUEUE_LIMIT_BYTES
+        self._queued_bytes -= len(data)
+        self.sink.write(data)
+        if was_full and self._queued_bytes <= _QUEUE_LIMIT_BYTES and self.source.connected:
+            self.source.resumeProducing()
+
+    def _due(self) -> None:
+        """Send because the time has come."""
+        self._timer = None
+        self.flush()
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self._closed = True
+        self._queue.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Hold: the sink's buffer is full."""
+        self._sink_full = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on."""
+        self._sink_full = False
+        self.flush()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Stop: the sink has gone."""
+        self.close()
+
+
+class _Side(Protocol):
+    """One end of a connection through the link."""
+
+    def __init__(self, connection: "_Connection", outgoing: _Pipe) -> None:
+        self._connection = connection
+        self._outgoing = outgoing
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Join the two ends once both are there."""
+        self._connection.side_made()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes from this end to the other."""
+        self._outgoing.put(data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Let the end of this side travel to the other."""
+        self._outgoing.put(None)
+        self._connection.side_lost()
+
+
+class _Connection:
+    """A connection of a caller and the one to the target that belongs to it."""
+
+    def __init__(self, link: "TcpLink") -> None:
+        self._link = link
+        self.to_target = _Pipe(link.clock, link.shapers[0])
+        self.to_caller = _Pipe(link.clock, link.shapers[1])
+        self.caller = _Side(self, self.to_target)
+        self.target = _Side(self, self.to_caller)
+        self._lost_sides = 0
+
+    def side_made(self) -> None:
+        """Connect onwards after the caller came; join when both are there."""
+        if self.target.transport is None:
+            self._link.connect_onwards(self)
+            return
+        if self.caller.transport is not None and self.caller.transport.connected:
+            self.to_target.attach(self.caller.transport, self.target.transport)
+            self.to_caller.attach(self.target.transport, self.caller.transport)
+
+    def side_lost(self) -> None:
+        """Forget the connection when both ends have gone."""
+        self._lost_sides += 1
+        if self._lost_sides == 2:
+            self._link.forget(self)
+
+    def sides(self) -> list[Any]:
+        """Return the transports that are open."""
+        transports = [self.caller.transport, self.target.transport]
+        return [each for each in transports if each is not None and each.connected]
+
+    def abort(self) -> None:
+        """Reset both ends."""
+        self.to_target.close()
+        self.to_caller.close()
+        for transport in self.sides():
+            transport.abortConnection()
+
+    def drop_target_side(self) -> None:
+        """Reset the target's end and leave the caller's open and silent."""
+        self.to_target.close()
+        self.to_caller.close()
+        if self.target.transport is not None and self.target.transport.connected:
+            self.target.transport.abortConnection()
+
+
+class _Accept(ServerFactory):
+    """Take callers."""
+
+    noisy = False
+
+    def __init__(self, link: "TcpLink") -> None:
+        self._link = link
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """Begin a connection."""
+        return self._link.accept()
+
+
+class _Onwards(ClientFactory):
+    """Connect to the target for one caller."""
+
+    noisy = False
+
+    def __init__(self, connection: _Connection) -> None:
+        self._connection = connection
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """Return the target's side."""
+        return self._connection.target
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        """Reset the caller: nobody listens behind the link."""
+        self._connection.abort()
+        self._connection.side_lost()
+
+
+class TcpLink:
+    """Listen on a port of its own and pass connections on to `target`.
+
+    `target` may change at any time; connections there are go on. With
+    `accepting` false new connections are reset.
+    """
+
+    def __init__(self, reactor: Any, target: Address | None, source: random.Random) -> None:
+        self.clock = reactor
+        self.target = target
+        self.accepting = True
+        self.shapers = (Shaper(source), Shaper(source))
+        self.connections: list[_Connection] = []
+        self._port = reactor.listenTCP(0, _Accept(self), interface="127.0.0.1", backlog=512)
+        self.address = Address("127.0.0.1", self._port.getHost().port)
+
+    def accept(self) -> Any:
+        """Begin a connection for a caller."""
+        if not self.accepting or self.target is None:
+            return None
+        connection = _Connection(self)
+        self.connections.append(connection)
+        return connection.caller
+
+    def connect_onwards(self, connection: _Connection) -> None:
+        """Connect to the target, or stay silent while the way there is black."""
+        if self.shapers[0].impairment.blackhole or self.target is None:
+            return
+        self.clock.connectTCP(self.target.host, self.target.port, _Onwards(connection))
+
+    def impair(self, direction: Direction) -> None:
+        """Change how the link behaves from now on."""
+        was_black = self.shapers[0].impairment.blackhole
+        self.shapers[0].impairment = direction.to_target
+        self.shapers[1].impairment = direction.to_caller
+        for connection in self.connections:
+            if was_black and connection.target.transport is None:
+                self.connect_onwards(connection)
+            connection.to_target.flush()
+            connection.to_caller.flush()
+
+    def impairments(self) -> tuple[Impairment, Impairment]:
+        """Return how both directions behave."""
+        return self.shapers[0].impairment, self.shapers[1].impairment
+
+    def cut(self) -> None:
+        """Reset every connection there is."""
+        for connection in list(self.connections):
+            connection.abort()
+
+    def half_open(self) -> None:
+        """Reset every connection at the target's end only."""
+        for connection in list(self.connections):
+            connection.drop_target_side()
+
+    def forget(self, connection: _Connection) -> None:
+        """Drop a connection that has ended."""
+        if connection in self.connections:
+            self.connections.remove(connection)
+
+    def close(self) -> Any:
+        """Stop listening and reset what is there."""
+        self.cut()
+        return self._port.stopListening()
