Claims on idempotency keys: single-decree order and write among holders

Holders keep claims in memory and vote after a restart only once caught up. Cause: promises were not part of the catch-up. Change: they are, a value taken over binds like a promise, and promise replies tell the incarnations known, so that a proposer drops promises that were forgotten meanwhile.

--- a/packages/decisions/src/damaskwind/decisions/claims/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/claims/messages.py
@@ -87,21 +87,25 @@
     ballot: Ballot
 
 
+class Promise(NamedTuple):
+    """A holder's promise together with the incarnation that gave it."""
+
+    holder_id: str
+    incarnation: int
+
+
 class OrderReply(NamedTuple):
-    """A promise, or a rejection with the highest ballot promised."""
+    """A promise, or a rejection with the highest ballot promised.
+
+    `incarnations` are the newest ones that the holder has heard of.
+    """
 
     rejection: Rejection
     incarnation: int
     promised: Ballot | None = None
     accepted: Accepted | None = None
     outcome: Outcome | None = None
-
-
-class Promise(NamedTuple):
-    """A holder's promise together with the incarnation that gave it."""
-
-    holder_id: str
-    incarnation: int
+    incarnations: tuple[Promise, ...] = ()
 
 
 class Write(NamedTuple):
@@ -144,7 +148,8 @@
 
     key: str
     age_s: float
-    accepted: Accepted
+    promised: Ballot | None
+    accepted: Accepted | None = None
     outcome: Outcome | None = None
 
 
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/claims/proposer.py
@@ -0,0 +1,220 @@
+"""Propose a claim on one key to its holders; messages out, replies in.
+
+A round is an order to every holder and then a write to the majority that
+promised first. The value proposed is that with the highest ballot among the
+promises, so that a decision once made stays; only a value whose own request has
+been recorded as `not-run`, and so never will run, may be replaced. A claim that
+ends without a majority is dead in the same way: its request never runs.
+"""
+
+from collections.abc import Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from damaskwind.decisions.claims.holder import majority_of
+from damaskwind.decisions.claims.messages import (
+    Accepted,
+    Ballot,
+    ClaimKind,
+    ClaimOutcome,
+    ClaimValue,
+    Order,
+    OrderReply,
+    Outcome,
+    Promise,
+    Rejection,
+    StoredAnswer,
+    Write,
+    WriteReply,
+)
+from damaskwind.model.reason import Reason
+from damaskwind.model.verdict import Refusal, Verdict
+
+__all__ = ["ClaimProposer", "Phase", "Step", "no_quorum"]
+
+IN_USE_RETRY_AFTER_S = 5.0
+NO_QUORUM_RETRY_AFTER_S = 2.0
+
+
+class Phase(StrEnum):
+    """Name where a round stands."""
+
+    ORDERING = "ordering"
+    WRITING = "writing"
+    FAILED = "failed"
+    DECIDED = "decided"
+
+
+class Step(NamedTuple):
+    """What to send now, each message to its holder, and the end if reached."""
+
+    messages: tuple[tuple[str, Order | Write], ...] = ()
+    outcome: ClaimOutcome | None = None
+
+
+def no_quorum(detail: str) -> ClaimOutcome:
+    """Return the outcome of a claim that no majority of holders answered."""
+    refusal = Refusal(Reason.NO_QUORUM, Verdict.NOT_RUN, detail, NO_QUORUM_RETRY_AFTER_S)
+    return ClaimOutcome(ClaimKind.NO_QUORUM, refusal=refusal)
+
+
+class _Promised(NamedTuple):
+    """A promise as it came back."""
+
+    promise: Promise
+    accepted: Accepted | None
+    outcome: Outcome | None
+
+
+class ClaimProposer:
+    """Run rounds for one claim until it is decided or given up.
+
+    Start a round with `start_round`, feed replies to `take_reply` (`None` for a
+    holder that failed to answer), and when `phase` is `FAILED` start another
+    after a pause.
+    """
+
+    def __init__(self, key: str, value: ClaimValue, holder_ids: Sequence[str]) -> None:
+        self.key = key
+        self.value = value
+        self.holder_ids = tuple(holder_ids)
+        self.phase = Phase.FAILED
+        self.was_full = False
+        self._majority = majority_of(len(self.holder_ids))
+        self._counter = 0
+        self._start_counts()
+
+    def _start_counts(self) -> None:
+        """Forget the replies of the phase before."""
+        self._promised: dict[str, _Promised] = {}
+        self._incarnations: dict[str, int] = {}
+        self._written: set[str] = set()
+        self._failed: set[str] = set()
+        self._proposal: Accepted | None = None
+
+    def start_round(self) -> Step:
+        """Start a round with a ballot above every one heard of."""
+        self._counter += 1
+        self.ballot = Ballot(self._counter, self.value.request_id)
+        self._start_counts()
+        self.phase = Phase.ORDERING
+        order = Order(self.key, self.ballot)
+        return Step(tuple((holder_id, order) for holder_id in self.holder_ids))
+
+    def take_reply(
+        self, holder_id: str, ballot: Ballot, reply: OrderReply | WriteReply | None
+    ) -> Step:
+        """Take the reply to a message sent under `ballot`."""
+        if ballot != self.ballot or self.phase in (Phase.FAILED, Phase.DECIDED):
+            return Step()
+        if reply is None or reply.rejection != Rejection.NONE:
+            return self._take_failure(holder_id, reply)
+        if isinstance(reply, OrderReply):
+            return self._take_promise(holder_id, reply)
+        return self._take_written(holder_id, reply)
+
+    def _take_failure(self, holder_id: str, reply: OrderReply | WriteReply | None) -> Step:
+        """Count a holder out; the round fails when no majority is left.
+
+        While writing, the late failures of holders that were not written to say
+        nothing.
+        """
+        if self.phase == Phase.WRITING and holder_id not in self._promised:
+            return Step()
+        self._failed.add(holder_id)
+        if reply is not None and reply.promised is not None:
+            self._counter = max(self._counter, reply.promised.counter)
+        self.was_full = self.was_full or (reply is not None and reply.rejection == Rejection.FULL)
+        asked = len(self.holder_ids) if self.phase == Phase.ORDERING else len(self._promised)
+        if asked - len(self._failed) < self._majority:
+            self.phase = Phase.FAILED
+        return Step()
+
+    def _take_promise(self, holder_id: str, reply: OrderReply) -> Step:
+        """Count a promise; with a majority choose the value and write it."""
+        if self.phase != Phase.ORDERING:
+            return Step()
+        promise = Promise(holder_id, reply.incarnation)
+        self._promised[holder_id] = _Promised(promise, reply.accepted, reply.outcome)
+        for heard in (promise, *reply.incarnations):
+            newest = max(heard.incarnation, self._incarnations.get(heard.holder_id, 0))
+            self._incarnations[heard.holder_id] = newest
+        self._drop_forgotten()
+        if len(self._promised) < self._majority:
+            return Step()
+        return self._choose()
+
+    def _drop_forgotten(self) -> None:
+        """Drop promises of incarnations that another holder knows to be over."""
+        for holder_id, item in list(self._promised.items()):
+            if item.promise.incarnation < self._incarnations[holder_id]:
+                del self._promised[holder_id]
+                self._take_failure(holder_id, None)
+
+    def _choose(self) -> Step:
+        """Choose the value of the highest ballot, or our own when there is none."""
+        found = [item for item in self._promised.values() if item.accepted is not None]
+        highest = max(found, key=lambda item: item.accepted.ballot, default=None)
+        value = self.value
+        if highest is not None:
+            value = highest.accepted.value
+            ended = self._outcome_of(value)
+            if ended is not None and ended.verdict == Verdict.NOT_RUN:
+                value = self.value
+            elif ended is not None:
+                return self._decide(highest.accepted, ended)
+        return self._write(value)
+
+    def _outcome_of(self, value: ClaimValue) -> Outcome | None:
+        """Return the recorded outcome of a value, from whichever holder knows it."""
+        for item in self._promised.values():
+            if item.accepted is not None and item.accepted.value == value and item.outcome:
+                return item.outcome
+        return None
+
+    def _write(self, value: ClaimValue) -> Step:
+        """Ask the holders that promised to accept a value."""
+        self.phase = Phase.WRITING
+        self._proposal = Accepted(self.ballot, value)
+        self._failed.clear()
+        promises = tuple(item.promise for item in self._promised.values())
+        message = Write(self.key, self.ballot, value, promises)
+        return Step(tuple((holder_id, message) for holder_id in self._promised))
+
+    def _take_written(self, holder_id: str, reply: WriteReply) -> Step:
+        """Count an acceptance; a majority of them decides."""
+        promised = self._promised.get(holder_id)
+        if promised is None or promised.promise.incarnation != reply.incarnation:
+            return self._take_failure(holder_id, None)
+        self._written.add(holder_id)
+        if len(self._written) < self._majority:
+            return Step()
+        return self._decide(self._proposal, None)
+
+    def _decide(self, accepted: Accepted, ended: Outcome | None) -> Step:
+        """End with what the decided value means for our request."""
+        self.phase = Phase.DECIDED
+        if accepted.value.request_id == self.value.request_id:
+            return Step(outcome=ClaimOutcome(ClaimKind.GRANTED, accepted))
+        if accepted.value.request_digest != self.value.request_digest:
+            return Step(outcome=_mismatch(accepted))
+        if ended is not None and ended.answer is not None and ended.answer.complete:
+            return Step(outcome=ClaimOutcome(ClaimKind.DONE, accepted, ended.answer))
+        return Step(outcome=_in_use(accepted, ended))
+
+
+def _mismatch(accepted: Accepted) -> ClaimOutcome:
+    """Refuse a key that was used with another request body."""
+    detail = "the key was used with another request body"
+    refusal = Refusal(Reason.KEY_MISMATCH, Verdict.NOT_RUN, detail)
+    return ClaimOutcome(ClaimKind.MISMATCH, accepted, refusal=refusal)
+
+
+def _in_use(accepted: Accepted, ended: Outcome | None) -> ClaimOutcome:
+    """Refuse a key whose first request has no answer to give, or not yet."""
+    verdict = ended.verdict if ended else Verdict.MAY_HAVE_RUN
+    detail = f"the key belongs to request {accepted.value.request_id}"
+    answer: StoredAnswer | None = ended.answer if ended else None
+    retry_after_s = None if ended else IN_USE_RETRY_AFTER_S
+    refusal = Refusal(Reason.KEY_IN_USE, verdict, detail, retry_after_s)
+    return ClaimOutcome(ClaimKind.IN_USE, accepted, answer, refusal)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/claims/tests/histories.py
@@ -0,0 +1,194 @@
+"""Random histories of claims: drops, duplicates, restarts and racing requests.
+
+The network is a bag of messages from which any may be delivered, once or
+twice, or dropped. Requests for one key race; holders restart empty under a new
+incarnation. The oracle is the list of the requests that ran.
+"""
+
+from random import Random
+from typing import Any, NamedTuple
+
+from damaskwind.decisions.claims.holder import ClaimHolder, HolderPolicy
+from damaskwind.decisions.claims.messages import (
+    Accepted,
+    CatchUpRead,
+    CatchUpReply,
+    ClaimKind,
+    ClaimValue,
+    Order,
+    Outcome,
+    Record,
+    Write,
+)
+from damaskwind.decisions.claims.proposer import ClaimProposer, Phase
+from damaskwind.model.verdict import Verdict
+
+__all__ = ["History", "find_violation"]
+
+KEY = "key"
+STEPS = 160
+
+
+class Envelope(NamedTuple):
+    """A message on its way; `ballot` ties a reply to its round."""
+
+    source: str
+    destination: str
+    message: Any
+    ballot: Any = None
+
+
+class History:
+    """One seeded history of requests that race for one key."""
+
+    def __init__(self, seed: int, holder_class: type = ClaimHolder) -> None:
+        self.random = Random(seed)
+        self.holder_class = holder_class
+        self.holder_ids = [f"h{number}" for number in range(self.random.choice((3, 3, 5, 5)))]
+        self.holders = {name: self.make_holder(name, 1, True) for name in self.holder_ids}
+        self.requests: dict[str, ClaimProposer] = {}
+        self.network: list[Envelope] = []
+        self.ran: list[str] = []
+        self.kinds: list[ClaimKind] = []
+        for number in range(self.random.randint(2, 4)):
+            value = ClaimValue(f"r{number}", "digest")
+            self.requests[f"r{number}"] = ClaimProposer(KEY, value, self.holder_ids)
+        self.idle = list(self.requests)
+        self.restart_share = self.random.choice((0.01, 0.03, 0.06))
+        self.duplicate_share = self.random.choice((0.0, 0.1, 0.3))
+        self.drop_share = self.random.choice((0.0, 0.05, 0.1))
+        self.catch_up_share = self.random.choice((0.0, 0.5, 0.9))
+        self.crash_after_write_share = self.random.choice((0.0, 0.3))
+        self.give_up_share = self.random.choice((0.0, 0.1, 0.3))
+        self.slow_links: dict[tuple[str, str, type], bool] = {}
+
+    def make_holder(self, name: str, incarnation: int, first: bool) -> ClaimHolder:
+        return self.holder_class(
+            name, incarnation, self.holder_ids, HolderPolicy(), 0.0, is_first_start=first
+        )
+
+    def run(self) -> "History":
+        for _ in range(STEPS):
+            self.step()
+        return self
+
+    def step(self) -> None:
+        draw = self.random.random()
+        if draw < self.restart_share:
+            self.restart(self.random.choice(self.holder_ids))
+        elif draw < 0.12:
+            self.ask_catch_up()
+        elif draw < 0.17 or not self.network:
+            self.start_or_give_up()
+        else:
+            self.deliver()
+
+    def restart(self, name: str) -> None:
+        self.holders[name] = self.make_holder(name, self.holders[name].incarnation + 1, False)
+        self.ask_catch_up()
+
+    def ask_catch_up(self) -> None:
+        """Let a holder that does not vote ask all others."""
+        silent = [name for name in self.holder_ids if not self.holders[name].is_voting(0.0)]
+        for name in silent:
+            read = CatchUpRead(name, self.holders[name].incarnation)
+            others = (other for other in self.holder_ids if other != name)
+            self.network += [Envelope(name, other, read) for other in others]
+
+    def start_or_give_up(self) -> None:
+        live = [name for name, item in self.requests.items() if item.phase != Phase.DECIDED]
+        if not live:
+            return
+        name = self.random.choice(live)
+        if name in self.idle or self.random.random() >= self.give_up_share:
+            self.idle = [other for other in self.idle if other != name]
+            self.send(name, self.requests[name].start_round())
+        else:
+            self.end(name, Verdict.NOT_RUN)
+
+    def send(self, name: str, step: Any) -> None:
+        for holder_id, message in step.messages:
+            self.network.append(Envelope(name, holder_id, message, message.ballot))
+
+    def deliver(self) -> None:
+        """Deliver one message; leave a duplicate behind now and then, or drop it."""
+        index = self.pick()
+        draw = self.random.random()
+        duplicate = draw < self.duplicate_share
+        envelope = self.network[index] if duplicate else self.network.pop(index)
+        if draw > 1.0 - self.drop_share:
+            return
+        if envelope.destination in self.holders:
+            self.at_holder(envelope)
+        elif envelope.destination in self.requests:
+            self.at_request(envelope)
+
+    def pick(self) -> int:
+        """Pick a message: a catch-up in haste, seldom one of a link that is slow here."""
+        if self.random.random() < self.catch_up_share:
+            for index, envelope in enumerate(self.network):
+                if isinstance(envelope.message, CatchUpRead | CatchUpReply):
+                    return index
+        for _ in range(8):
+            index = self.random.randrange(len(self.network))
+            envelope = self.network[index]
+            link = (envelope.source, envelope.destination, type(envelope.message))
+            if link not in self.slow_links:
+                self.slow_links[link] = self.random.random() < 0.3
+            if not self.slow_links[link]:
+                break
+        return index
+
+    def at_holder(self, envelope: Envelope) -> None:
+        holder = self.holders[envelope.destination]
+        message = envelope.message
+        if isinstance(message, CatchUpReply):
+            if envelope.ballot == holder.incarnation:
+                holder.take_catch_up(message, 0.0)
+            return
+        handlers = {
+            Order: holder.order,
+            Write: holder.write,
+            Record: holder.record,
+            CatchUpRead: holder.read_all,
+        }
+        reply = handlers[type(message)](message, 0.0)
+        tie = message.incarnation if isinstance(message, CatchUpRead) else envelope.ballot
+        self.network.append(Envelope(envelope.destination, envelope.source, reply, tie))
+        if isinstance(message, Write) and self.random.random() < self.crash_after_write_share:
+            self.restart(envelope.destination)
+
+    def at_request(self, envelope: Envelope) -> None:
+        request = self.requests[envelope.destination]
+        if envelope.ballot is None:
+            return
+        step = request.take_reply(envelope.source, envelope.ballot, envelope.message)
+        self.send(envelope.destination, step)
+        if step.outcome is None:
+            return
+        self.kinds.append(step.outcome.kind)
+        if step.outcome.kind == ClaimKind.GRANTED:
+            self.run_or_refuse(envelope.destination)
+
+    def run_or_refuse(self, name: str) -> None:
+        """Run a granted request, or find no target for it."""
+        verdict = self.random.choice((Verdict.RAN, Verdict.RAN, Verdict.NOT_RUN))
+        if verdict == Verdict.RAN:
+            self.ran.append(name)
+        if self.random.random() < 0.6:
+            self.end(name, verdict)
+
+    def end(self, name: str, verdict: Verdict) -> None:
+        """Record a request's outcome; one that gave up takes no reply from then on."""
+        request = self.requests[name]
+        request.phase = Phase.DECIDED
+        record = Record(KEY, Accepted(request.ballot, request.value), Outcome(verdict))
+        self.network += [Envelope(name, holder_id, record) for holder_id in self.holder_ids]
+
+
+def find_violation(holder_class: type, histories: int, first_seed: int = 0) -> int | None:
+    """Return the first seed whose history ran a key twice, or `None`."""
+    for seed in range(first_seed, first_seed + histories):
+        if len(History(seed, holder_class).run().ran) > 1:
+            return seed
+    return None
