Placement: spill as gradually as the load estimate is uncertain

Cause: fixed narrow ramps react to reports 1 to 2 s old with a loop gain above one; targets swing. Change: the ramp's width is counted in standard deviations of the estimate's error; the home of a chat that is away has a ramp of its own. The bound is not held yet with reports every 2 s.

--- a/packages/decisions/src/damaskwind/decisions/load/bound.py
+++ b/packages/decisions/src/damaskwind/decisions/load/bound.py
@@ -13,15 +13,21 @@
 
 __all__ = ["LoadLevels", "SpillRamp", "levels_for", "spill_draw", "spill_share"]
 
+MIN_HALF_WIDTH_SHARE = 0.02
 _DRAW_SCALE = 1.0 / (1 << 64)
 _DRAW_SEED = 0x7468696E
 
 
 class SpillRamp(NamedTuple):
-    """Where spilling starts and is complete, as shares of the way from mean to bound."""
+    """Where spilling is half complete, and how wide the way there is.
 
-    start: float
-    full: float
+    `centre` is a share of the way from the mean to the bound; `half_width_sds`
+    is counted in standard deviations of the estimate's error, so that the share
+    that spills is near the chance that the target is really over the centre.
+    """
+
+    centre: float
+    half_width_sds: float
 
 
 class LoadLevels(NamedTuple):
@@ -36,22 +42,26 @@
     ramp: SpillRamp,
     mean_tokens: float,
     load_factor: float,
-    margin_tokens: float,
+    error_sd_tokens: float,
     floor_tokens: float,
     capacity_tokens: float,
 ) -> LoadLevels:
     """Return the levels of a target.
 
-    The error margin is taken off the bound, by at most half of the way to the
-    mean. Below `floor_tokens` a target counts as idle and nothing spills.
+    The older the report, the larger the error and the more gradual the spilling:
+    a loop that reacts as sharply to old news as to fresh news swings. Below
+    `floor_tokens` a target counts as idle and nothing spills.
 
-    >>> levels_for(SpillRamp(0.5, 1.0), 100.0, 1.4, 10.0, 0.0, 1000.0)
-    LoadLevels(start_tokens=115.0, full_tokens=130.0, bound_tokens=140.0)
+    >>> levels_for(SpillRamp(0.5, 2.0), 100.0, 1.5, 10.0, 0.0, 1000.0)
+    LoadLevels(start_tokens=105.0, full_tokens=145.0, bound_tokens=150.0)
     """
     room_tokens = mean_tokens * (load_factor - 1.0)
-    safe_room_tokens = max(room_tokens - margin_tokens, room_tokens / 2)
-    start = max(mean_tokens + ramp.start * safe_room_tokens, floor_tokens)
-    full = max(mean_tokens + ramp.full * safe_room_tokens, floor_tokens)
+    centre_tokens = mean_tokens + ramp.centre * room_tokens
+    half_width_tokens = max(
+        ramp.half_width_sds * error_sd_tokens, MIN_HALF_WIDTH_SHARE * mean_tokens
+    )
+    start = max(centre_tokens - half_width_tokens, floor_tokens)
+    full = max(centre_tokens + half_width_tokens, floor_tokens)
     bound = max(mean_tokens + room_tokens, floor_tokens)
     return LoadLevels(
         min(start, capacity_tokens), min(full, capacity_tokens), min(bound, capacity_tokens)
--- a/packages/decisions/src/damaskwind/decisions/placement/bounded.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/bounded.py
@@ -32,9 +32,9 @@
 
 __all__ = ["bounded_rendezvous"]
 
-STAY_RAMP = SpillRamp(0.6, 1.0)
-MOVE_RAMP = SpillRamp(0.0, 0.5)
-ERROR_MARGIN_SDS = 1.0
+STAY_RAMP = SpillRamp(0.6, 1.6)
+MOVE_RAMP = SpillRamp(-0.35, 2.2)
+HOME_RAMP = SpillRamp(0.2, 1.6)
 IDLE_CAPACITY_SHARE = 0.02
 MAX_CANDIDATES = 64
 
@@ -61,7 +61,7 @@
         reason = PlacementReason.SPILL_NOTE if last.from_peer else PlacementReason.RETURNED_TO_LAST
         tried.add(position)
         yield _Candidate(position, 0 if position == home else -1, hold, reason)
-        hold = MOVE_RAMP
+        hold = HOME_RAMP
     if home not in tried:
         tried.add(home)
         yield _Candidate(home, 0, hold, PlacementReason.HOME)
@@ -73,14 +73,14 @@
 def _levels(situation: Situation, target_id: str, ramp: SpillRamp) -> LoadLevels:
     """Return the levels of a target for a ramp."""
     load = situation.book.load(target_id)
-    margin_tokens = ERROR_MARGIN_SDS * load.error_sd_tokens(situation.now_s)
+    error_sd_tokens = load.error_sd_tokens(situation.now_s)
     floor_tokens = IDLE_CAPACITY_SHARE * load.capacity_tokens
     capacity_tokens = load.capacity_tokens or float("inf")
     return levels_for(
         ramp,
         situation.mean_tokens,
         situation.load_factor,
-        margin_tokens,
+        error_sd_tokens,
         floor_tokens,
         capacity_tokens,
     )
