--- a/packages/control/src/damaskwind/control/operator_api/bounded_site.py
+++ b/packages/control/src/damaskwind/control/operator_api/bounded_site.py
@@ -1,4 +1,9 @@
-"""An HTTP site that refuses a body over its limit before the body is read."""
+"""An HTTP site that keeps no body over its limit.
+
+The rest of a body that is too large is read and dropped, so that a caller who
+sends it whole hears the refusal; beyond a multiple of the limit the connection
+is closed.
+"""
 
 from typing import Any
 
@@ -7,6 +12,8 @@
 
 __all__ = ["bounded_site"]
 
+_PAYLOAD_TOO_LARGE = 413
+_DISCARD_MULTIPLE = 16
 _TOO_LARGE = (
     b'{"error":{"code":"request_too_large","message":"the body is over the limit",'
     b'"nothing_changed":true}}'
@@ -17,36 +24,26 @@
     """Return a class of requests that hold no more than the limit."""
 
     class BoundedRequest(Request):
-        """A request that is cut off when its body is announced or grows too large."""
+        """A request that keeps no more than the limit of its body."""
 
         _received_bytes = 0
-        _is_refused = False
-
-        def gotLength(self, length: int | None) -> None:  # noqa: N802 - Twisted's name
-            super().gotLength(length)
-            if length is not None and length > limit_bytes:
-                self._refuse()
 
         def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
             self._received_bytes += len(data)
             if self._received_bytes <= limit_bytes:
                 super().handleContentChunk(data)
-            elif self._received_bytes - len(data) <= limit_bytes:
-                self._refuse()
+            elif self._received_bytes > limit_bytes * _DISCARD_MULTIPLE:
+                self.channel.loseConnection()
 
         def process(self) -> None:
-            # The whole body may already have arrived when it was refused.
-            if not self._is_refused:
+            if self._received_bytes <= limit_bytes:
                 super().process()
-
-        def _refuse(self) -> None:
-            self._is_refused = True
-            head = (
-                b"HTTP/1.1 413 Request Entity Too Large\r\nconnection: close\r\n"
-                b"content-type: application/json\r\ncontent-length: %d\r\n\r\n"
-            )
-            self.channel.transport.write(head % len(_TOO_LARGE) + _TOO_LARGE)
-            self.channel.loseConnection()
+                return
+            self.setResponseCode(_PAYLOAD_TOO_LARGE)
+            self.setHeader("content-type", "application/json")
+            self.setHeader("connection", "close")
+            self.write(_TOO_LARGE)
+            self.finish()
 
     return BoundedRequest
 
--- a/packages/control/src/damaskwind/control/operator_api/tests/shared_log.py
+++ b/packages/control/src/damaskwind/control/operator_api/tests/shared_log.py
@@ -17,7 +17,8 @@
     """One replica's port on the shared log; `moods` tells how next proposals fare.
 
     `commit` is the ordinary one; `lost_answer` commits and says unknown;
-    `lost_command` says unknown and commits nothing; `refuse` refuses.
+    `lost_command` says unknown and commits nothing; `refuse` refuses; `explode`
+    raises an error that quotes the command.
     """
 
     def __init__(self, log):
@@ -44,6 +45,8 @@
         mood = self.moods.popleft() if self.moods else "commit"
         if mood == "refuse" or not self.has_majority:
             return CommitOutcome(CommitVerdict.REFUSED, leader_hint="other", detail="not leader")
+        if mood == "explode":
+            raise RuntimeError(f"unforeseen: {payload!r}")
         if mood == "lost_command":
             return CommitOutcome(CommitVerdict.UNKNOWN)
         self.log.payloads.append(payload)
--- a/packages/control/src/damaskwind/control/state/tests/test_configuration_machine.py
+++ b/packages/control/src/damaskwind/control/state/tests/test_configuration_machine.py
@@ -64,6 +64,7 @@
         self.driven.apply(confirm)
         before = self.driven.machine.snapshot()
         self.driven.machine.apply(2, confirm)
+        self.driven.machine.apply(1, encode_command(plan_command("other", 1, put("batch", 2))))
         self.assertEqual(self.driven.machine.snapshot(), before)
 
     def test_a_plan_resent_with_its_id_is_stored_once(self):
@@ -76,6 +77,11 @@
         result = self.driven.apply(plan_command("p", 7, put("batch", 1)))
         self.assertEqual((result.status, result.revision), (ResultStatus.BASE_MOVED, 0))
 
+    def test_a_plan_by_one_without_the_role_is_not_stored(self):
+        command = plan_command("p", 0, put("batch", 1))._replace(actor=actor(0.0, "gone"))
+        self.assertEqual(self.driven.apply(command).status, ResultStatus.FORBIDDEN)
+        self.assertEqual(self.driven.machine.plans.open_plans(), ())
+
     def test_an_operator_who_is_gone_is_forbidden_and_the_plan_stays_open(self):
         self.driven.apply(plan_command("p", 0, put("batch", 1)))
         result = self.driven.apply(ConfirmCommand(actor(0.0, "gone"), "p"))
