Stand-ins: a cut answer closes its connection also behind a full buffer

Cause: closing the transport under a paused producer waits for a write that never comes, so a large cut answer stayed open for ever. Change: close through the request.

--- a/packages/standins/src/damaskwind/standins/replies.py
+++ b/packages/standins/src/damaskwind/standins/replies.py
@@ -157,7 +157,7 @@
         shown = body if Fault.WRONG_LENGTH in faults else body[: len(body) // 2]
         request.setHeader("content-length", str(len(shown) + missing))
         request.write(shown)
-        raw_transport(request).loseConnection()
+        request.loseConnection()
         return False
     request.setHeader("content-length", str(len(body)))
     request.write(body)
