--- a/packages/standins/src/damaskwind/standins/batching.py
+++ b/packages/standins/src/damaskwind/standins/batching.py
@@ -49,6 +49,11 @@
         self.expires_s = float("inf")
         self.listener: Callable[[int, str | None], None] | None = None
 
+    @property
+    def brought_tokens(self) -> int:
+        """Count the work that the request brought: what was not cached, and its answer."""
+        return self.prompt_tokens - self.cached_tokens + len(self.answer)
+
     @property
     def load_tokens(self) -> int:
         """Count the work that is left."""
@@ -117,9 +122,9 @@
         return loads
 
     def largest_tokens(self) -> int:
-        """Return the work left of the largest request in hand."""
+        """Return the work that the largest request in hand brought with it."""
         in_hand = self._running + self._waiting
-        return max((generation.load_tokens for generation in in_hand), default=0)
+        return max((generation.brought_tokens for generation in in_hand), default=0)
 
     def lagged_load(self) -> LoadReport:
         """Return the load as it was a lag ago."""
--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -20,7 +20,6 @@
 from damaskwind.model.prefix import Message, ModelName, prefix_chain
 from damaskwind.model.targets import (
     Address,
-    FencingMode,
     LoadReport,
     ModelOffer,
     TargetAnnouncement,
@@ -31,6 +30,7 @@
 from damaskwind.standins.answers import answer_tokens, count_tokens
 from damaskwind.standins.batching import Batch, Generation
 from damaskwind.standins.cache_events import CacheEventLog
+from damaskwind.standins.engine_management import answer_json, install_management
 from damaskwind.standins.faults import Fault, FaultPlan
 from damaskwind.standins.listening import Listener, abort_connection
 from damaskwind.standins.oracle import Oracle
@@ -44,6 +44,7 @@
 _SWEEP_INTERVAL_S = 0.5
 _ANSWER_FAULTS = (
     Fault.OTHERS_ID,
+    Fault.OTHERS_TEXT,
     Fault.CUT_ANSWER,
     Fault.WRONG_LENGTH,
     Fault.NO_END_MARKER,
@@ -75,10 +76,10 @@
             from twisted.internet import reactor
         self.settings = settings
         self.oracle = Oracle()
-        self._reactor = reactor
+        self.reactor = reactor
         source = random.Random(f"{settings.seed}/{settings.target_id}")
         self.faults = FaultPlan(source)
-        self._events = CacheEventLog(settings.event_delay_s, settings.event_loss_share, source)
+        self.events = CacheEventLog(settings.event_delay_s, settings.event_loss_share, source)
         self.cache = PrefixCache(settings.cache_tokens, self._record_event)
         self.batch = Batch(reactor, settings, self.cache)
         self._held: dict[str, Generation] = {}
@@ -90,6 +91,7 @@
         self._leaving_since_s = float("inf")
         app = Klein()
         self._install_routes(app)
+        install_management(app, self)
         install_control(app, self)
         self._listener = Listener(reactor, app, settings.host, settings.port)
         self.announcer = Announcer(
@@ -143,17 +145,23 @@
         self._sweeper.start(_SWEEP_INTERVAL_S, now=False)
         self.announcer.restart(self.address)
 
-    def leave(self) -> None:
-        """Announce the leave; what is in progress goes on."""
+    def leave(self, quiet: bool = False) -> None:
+        """Announce the leave; what is in progress goes on.
+
+        A quiet leave is only noted here, so that every router goes on sending
+        work: it stands for routers that ignore a leave.
+        """
         if self._leaving_since_s == float("inf"):
-            self._leaving_since_s = self._reactor.seconds()
+            self._leaving_since_s = self.reactor.seconds()
+        if quiet:
+            return
         self.announcer.state = TargetState.LEAVING
         self.announcer.announce_now()
 
     @property
     def is_serving(self) -> bool:
         """Tell whether the engine is up and not leaving."""
-        return self._listener.is_open and self.announcer.state is TargetState.SERVING
+        return self._listener.is_open and self._leaving_since_s == float("inf")
 
     @property
     def is_idle(self) -> bool:
@@ -162,11 +170,11 @@
 
     def _record_event(self, kind: str, prefix: CachedPrefix) -> None:
         """Note a cache event."""
-        self._events.record(self._reactor.seconds(), kind, prefix)
+        self.events.record(self.reactor.seconds(), kind, prefix)
 
     def _sweep(self) -> None:
         """Let go of generations that nobody came back for."""
-        now_s = self._reactor.seconds()
+        now_s = self.reactor.seconds()
         for request_id, generation in list(self._held.items()):
             if generation.expires_s <= now_s:
                 del self._held[request_id]
@@ -179,18 +187,13 @@
         app.route("/v1/chat/completions", methods=["POST"])(self._chat)
         app.route("/v1/requests/<request_id>/resume", methods=["POST"])(self._resume)
         app.route("/v1/requests/<request_id>", methods=["DELETE"])(self._cancel)
-        app.route("/load", methods=["GET"])(self._load)
-        app.route("/cache-events", methods=["GET"])(self._cache_events)
-        app.route("/kv/<digest>", methods=["GET"])(self._export_kv)
-        app.route("/kv/<digest>", methods=["PUT"])(self._import_kv)
-        app.route("/orders", methods=["POST"])(self._order)
 
-    def _refuse(self, request: Any, status: int, message: str) -> bytes:
+    def refuse(self, request: Any, status: int, message: str) -> bytes:
         """Refuse a request for certain."""
         self.oracle.note("refused")
         request.setResponseCode(status)
         request.setHeader("x-verdict", "not-run")
-        return _json(request, {"error": {"message": message, "code": "refused"}})
+        return answer_json(request, {"error": {"message": message, "code": "refused"}})
 
     def _loaded(self, name: ModelName) -> bool:
         """Tell whether a model, version and adapter are loaded."""
@@ -203,7 +206,7 @@
 
     def _chat(self, request: Any) -> Any:
         """Take a chat."""
-        if self._reactor.seconds() > self._leaving_since_s + self.oracle.grace_s:
+        if self.reactor.seconds() > self._leaving_since_s + self.oracle.grace_s:
             self.oracle.note("new_work_after_leaving")
         try:
             body = json.loads(request.content.read())
@@ -212,12 +215,12 @@
                 body["model"], _header(request, "x-model-version"), _header(request, "x-adapter")
             )
         except (ValueError, KeyError, TypeError):
-            return self._refuse(request, 400, "malformed body")
+            return self.refuse(request, 400, "malformed body")
         if self.role != "serving" or not self._loaded(name):
-            return self._refuse(request, 404, "not loaded here")
+            return self.refuse(request, 404, "not loaded here")
         if self.faults.take(Fault.REFUSE):
             self.oracle.faults[Fault.REFUSE] += 1
-            return self._refuse(request, 503, "no room")
+            return self.refuse(request, 503, "no room")
         generation = self._generation(request, body, name, messages)
         key = _header(request, "idempotency-key")
         self.oracle.run(generation.request_id, key, generation.chain[-1].digest)
@@ -259,12 +262,12 @@
                     abort_connection(request)
                 return self._wait_for(request, generation, Deferred(), None)
         faults = self._taken_faults()
-        is_others = Fault.OTHERS_ID in faults
+        is_others = bool(faults & {Fault.OTHERS_ID, Fault.OTHERS_TEXT})
         size_tokens = len(generation.answer)
         limited = body.get("max_completion_tokens") or body.get("max_tokens")
         options = ReplyOptions(
             model=body["model"],
-            shown_id="another" if is_others else generation.request_id,
+            shown_id="another" if Fault.OTHERS_ID in faults else generation.request_id,
             shown_answer=(
                 answer_tokens(self.settings.seed, "another", size_tokens)
                 if is_others
@@ -272,11 +275,12 @@
             ),
             finish_reason="length" if limited else "stop",
             include_usage=bool((body.get("stream_options") or {}).get("include_usage")),
+            timing_from_s=self.reactor.seconds() if self.settings.show_timing else None,
             faults=faults,
         )
         self._set_headers(request, options.shown_id)
         reply = stream_reply if body.get("stream") else whole_reply
-        done, leave = reply(self._reactor, request, generation, options)
+        done, leave = reply(self.reactor, request, generation, options)
         return self._wait_for(request, generation, done, leave)
 
     def _set_headers(self, request: Any, shown_id: str) -> None:
@@ -290,12 +294,12 @@
         """Return `done` and hold the generation for a while after its caller's end."""
 
         def finished(result: Any) -> Any:
-            generation.expires_s = self._reactor.seconds() + self.settings.resume_hold_s
+            generation.expires_s = self.reactor.seconds() + self.settings.resume_hold_s
             self.oracle.note("finished")
             return result
 
         def gone(failure: Any) -> None:
-            generation.expires_s = self._reactor.seconds() + self.settings.resume_hold_s
+            generation.expires_s = self.reactor.seconds() + self.settings.resume_hold_s
             self.oracle.note("caller_gone")
             if leave is not None:
                 leave()
@@ -310,7 +314,7 @@
         from_token = int(request.args.get(b"from_token", [b"0"])[0])
         if generation is None or generation.cancelled or from_token > generation.produced:
             request.setResponseCode(404)
-            return _json(request, {"error": {"message": "not held", "code": "not_held"}})
+            return answer_json(request, {"error": {"message": "not held", "code": "not_held"}})
         self.oracle.note("resumed")
         generation.expires_s = float("inf")
         options = ReplyOptions(
@@ -323,7 +327,7 @@
             faults=self._taken_faults(),
         )
         self._set_headers(request, request_id)
-        done, leave = stream_reply(self._reactor, request, generation, options)
+        done, leave = stream_reply(self.reactor, request, generation, options)
         return self._wait_for(request, generation, done, leave)
 
     def _cancel(self, request: Any, request_id: str) -> None:
@@ -333,62 +337,3 @@
         if generation is not None and not generation.finished:
             self.oracle.note("cancelled")
             self.batch.cancel(generation)
-
-    def _load(self, request: Any) -> bytes:
-        """Report the load of a while ago."""
-        return _json(request, self.batch.lagged_load()._asdict())
-
-    def _cache_events(self, request: Any) -> bytes:
-        """Report the cache events after a number."""
-        after = int(request.args.get(b"after", [b"0"])[0])
-        return _json(request, self._events.read(self._reactor.seconds(), after))
-
-    def _export_kv(self, request: Any, digest: str) -> bytes:
-        """Export the cache of a prefix."""
-        chain = self.cache.chain(digest)
-        if not chain:
-            request.setResponseCode(404)
-            return b""
-        self.oracle.note("kv_exported")
-        request.setHeader("content-type", "application/octet-stream")
-        return json.dumps(chain).encode()
-
-    def _import_kv(self, request: Any, digest: str) -> bytes:
-        """Import the cache of a prefix."""
-        try:
-            chain = [CachedPrefix(*link) for link in json.loads(request.content.read())]
-        except (ValueError, TypeError):
-            return self._refuse(request, 400, "malformed cache")
-        if not chain or chain[-1].digest != digest:
-            return self._refuse(request, 400, "another prefix")
-        self.oracle.note("kv_imported")
-        self.cache.store(chain)
-        request.setResponseCode(204)
-        return b""
-
-    def _order(self, request: Any) -> bytes:
-        """Take an order for an end state, unless its number is old and that is checked."""
-        order = json.loads(request.content.read())
-        number = int(order["fencing_number"])
-        is_old = number < self.highest_fencing_number
-        if is_old and self.settings.fencing is FencingMode.CHECKED:
-            self.oracle.note("order_refused")
-            request.setResponseCode(409)
-            return _json(request, {"highest_fencing_number": self.highest_fencing_number})
-        self.oracle.note("order_taken")
-        self.highest_fencing_number = max(number, self.highest_fencing_number)
-        wanted = order["wanted"]
-        self.role = wanted.get("role", self.role)
-        self.models = tuple(
-            ModelOffer(offer["model"], offer["version"], tuple(offer.get("adapters", ())))
-            for offer in wanted["models"]
-        )
-        self.announcer.models = self.models
-        self.announcer.announce_now()
-        return _json(request, {"fencing_number": number})
-
-
-def _json(request: Any, value: Any) -> bytes:
-    """Return a JSON body and name its type."""
-    request.setHeader("content-type", "application/json")
-    return json.dumps(value).encode()
--- a/packages/standins/src/damaskwind/standins/faults.py
+++ b/packages/standins/src/damaskwind/standins/faults.py
@@ -10,7 +10,8 @@
 class Fault(StrEnum):
     """Name what a target does wrong.
 
-    `OTHERS_ID` answers with another request's id and text; `CUT_ANSWER` closes
+    `OTHERS_ID` answers with another request's id and text, `OTHERS_TEXT` with
+    another's text under the right id, which no router can see; `CUT_ANSWER` closes
     the connection in the middle; `WRONG_LENGTH` declares more bytes than it
     sends; `NO_END_MARKER` ends a stream in order but without `[DONE]`;
     `RESET_AFTER_READ` runs the request and resets without an answer;
@@ -19,6 +20,7 @@
     """
 
     OTHERS_ID = "others_id"
+    OTHERS_TEXT = "others_text"
     CUT_ANSWER = "cut_answer"
     WRONG_LENGTH = "wrong_length"
     NO_END_MARKER = "no_end_marker"
--- a/packages/standins/src/damaskwind/standins/replies.py
+++ b/packages/standins/src/damaskwind/standins/replies.py
@@ -22,7 +22,10 @@
 
 
 class ReplyOptions(NamedTuple):
-    """How to answer: `shown_id` and `shown_answer` are another's under a fault."""
+    """How to answer: `shown_id` and `shown_answer` are another's under a fault.
+
+    With `timing_from_s`, when the request came, each chunk carries times.
+    """
 
     model: str
     shown_id: str
@@ -30,6 +33,7 @@
     finish_reason: str
     include_usage: bool = False
     from_token: int = 0
+    timing_from_s: float | None = None
     faults: frozenset[Fault] = frozenset()
 
 
@@ -59,10 +63,15 @@
     return b"data: " + json.dumps(chunk).encode() + b"\n\n"
 
 
-def _delta(options: ReplyOptions, delta: dict, finish_reason: str | None) -> bytes:
+def _delta(
+    options: ReplyOptions, delta: dict, finish_reason: str | None, now_s: float = 0.0
+) -> bytes:
     """Return the event for one delta."""
     choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
-    return _event(options, [choice])
+    if options.timing_from_s is None:
+        return _event(options, [choice])
+    timing = {"received_s": options.timing_from_s, "made_s": now_s}
+    return _event(options, [choice], timing=timing)
 
 
 def _send_late_answer(clock: Any, request: Any) -> None:
@@ -108,7 +117,7 @@
         delta: dict[str, str] = {"content": self._options.shown_answer[index]}
         if index == 0:
             delta["role"] = "assistant"
-        self._request.write(_delta(self._options, delta, None))
+        self._request.write(_delta(self._options, delta, None, self._clock.seconds()))
         is_middle = index + 1 >= (len(self._generation.answer) + 1) // 2
         if Fault.CUT_ANSWER in self._options.faults and is_middle:
             self._open = False
--- a/packages/standins/src/damaskwind/standins/service.py
+++ b/packages/standins/src/damaskwind/standins/service.py
@@ -120,10 +120,12 @@
         self._listener.start()
         self.announcer.restart(self.address)
 
-    def leave(self) -> None:
-        """Announce the leave; what is in progress goes on."""
+    def leave(self, quiet: bool = False) -> None:
+        """Announce the leave unless it is `quiet`; what is in progress goes on."""
         if self._leaving_since_s == float("inf"):
             self._leaving_since_s = self._reactor.seconds()
+        if quiet:
+            return
         self.announcer.state = TargetState.LEAVING
         self.announcer.announce_now()
 
--- a/packages/standins/src/damaskwind/standins/settings.py
+++ b/packages/standins/src/damaskwind/standins/settings.py
@@ -27,7 +27,9 @@
     A running request gets one token every `token_interval_s`; the prompt
     tokens that are not cached are computed at `prefill_tokens_per_s`, shared
     by all requests. Load reports are `load_lag_s` old and cache events appear
-    after `event_delay_s`; `event_loss_share` of them never do.
+    after `event_delay_s`; `event_loss_share` of them never do. With
+    `show_timing` each chunk of a stream says when its token was made, by the
+    monotonic clock that all processes of one machine share.
     """
 
     target_id: str
@@ -48,6 +50,7 @@
     event_delay_s: float = 0.5
     event_loss_share: float = 0.0
     resume_hold_s: float = 5.0
+    show_timing: bool = False
     announce: AnnounceSettings = AnnounceSettings()
 
 
--- a/packages/standins/src/damaskwind/standins/standin_control.py
+++ b/packages/standins/src/damaskwind/standins/standin_control.py
@@ -38,7 +38,7 @@
     keep_cache = order.get("keep_cache", True)
     action = order["action"]
     if action == "leave":
-        standin.leave()
+        standin.leave(order.get("quiet", False))
     elif action == "flap":
         await _flap(standin, order.get("down_s", _DEFAULT_DOWN_S), keep_cache)
     elif action == "stop":
