Stateful fuzzing of the replicated log by tools/fuzz.py

Hypothesis makes histories of crashes, lost writes, partitions, late and doubled messages, lost disks, clock jumps and membership changes; an oracle holds the one sequence that all replicas must agree on.

--- a/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -207,6 +207,16 @@
         leaders = [node for node in self.running() if node.core.role == "leader"]
         return max(leaders, key=lambda node: node.core.term, default=None)
 
+    def await_repair(self, name: str, limit_s: float = 12.0) -> bool:
+        """Let time pass until a node's member votes; tell whether it came to that."""
+        end_s = self.now_s + limit_s
+        while self.now_s < end_s:
+            self.run(0.1)
+            leader = self.leader()
+            if leader and self.nodes[name].member in leader.core.membership.voters:
+                return True
+        return False
+
     def running(self) -> list[Node]:
         """Return the nodes that run."""
         return [node for node in self.nodes.values() if node.core is not None]
@@ -382,8 +392,8 @@
     def _can_serve(self) -> bool:
         """Tell whether every membership that a running node knows has a majority."""
         alive = [node.member for node in self.running()]
-        known = [node.core.membership.voters for node in self.running()]
-        return all(is_majority(voters, alive) for voters in known if voters)
+        known = {node.core.membership.voters for node in self.running()} - {()}
+        return bool(known) and all(is_majority(voters, alive) for voters in known)
 
 
 _OUTPUTS: dict[type, Callable] = {
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
@@ -0,0 +1,267 @@
+"""Generate histories of faults with Hypothesis and run them against the oracle."""
+
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager, nullcontext
+from typing import NamedTuple
+
+from hypothesis import HealthCheck, Phase, Verbosity, settings
+from hypothesis import seed as with_seed
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
+
+from damaskwind.decisions.replication.log import LogError
+from damaskwind.decisions.replication.messages import ChangeKind, MembershipChange
+from damaskwind.decisions.replication.tests.cluster import Cluster
+from damaskwind.decisions.replication.tests.oracle import InvariantError
+from damaskwind.decisions.replication.tests.seeded_bugs import SEEDED_BUGS
+
+__all__ = ["FuzzResult", "LogHistory", "fuzz_log", "run_batch"]
+
+FAILURES = (InvariantError, LogError)
+STEPS = 30
+BATCH = 250
+
+nodes = st.integers(0, 6)
+durations_ms = st.sampled_from([5, 20, 100, 400, 1000, 2500])
+
+
+class LogHistory(RuleBasedStateMachine):
+    """One history: orders to a cluster, then mend everything and check."""
+
+    made = 0
+    first_failed: int | None = None
+    cluster_arguments: dict[str, bool] = {}
+
+    @initialize(seed=st.integers(0, 2**32 - 1), size=st.sampled_from([3, 3, 3, 5]))
+    def begin(self, seed: int, size: int) -> None:
+        """Start a cluster and let it elect a leader."""
+        self.cluster = Cluster(seed, size, **type(self).cluster_arguments)
+        self.cluster.run(4.0)
+
+    def name(self, node: int) -> str:
+        """Return a node's name; the lowest number means the leader, if there is one."""
+        leader = self.cluster.leader()
+        if node == 0 and leader is not None:
+            return leader.member.replica_id
+        names = sorted(self.cluster.nodes)
+        return names[node % len(names)]
+
+    @rule(duration_ms=durations_ms)
+    def run_on(self, duration_ms: int) -> None:
+        """Let time pass."""
+        self.cluster.run(duration_ms / 1000)
+
+    @rule(node=nodes, times=st.integers(1, 4), duration_ms=durations_ms)
+    def propose(self, node: int, times: int, duration_ms: int) -> None:
+        """Propose changes at a node."""
+        for _ in range(times):
+            self.cluster.propose(self.name(node))
+        self.cluster.run(duration_ms / 1000)
+
+    @rule(duration_ms=durations_ms)
+    def propose_everywhere(self, duration_ms: int) -> None:
+        """Propose and read at every node, also at one that wrongly thinks it leads."""
+        for name in list(self.cluster.nodes):
+            self.cluster.propose(name)
+            self.cluster.read(name)
+            self.cluster.read(name, by_lease=True)
+        self.cluster.run(duration_ms / 1000)
+
+    @rule(node=nodes, by_lease=st.booleans())
+    def read(self, node: int, by_lease: bool) -> None:
+        """Ask a node for a read."""
+        self.cluster.read(self.name(node), by_lease)
+
+    @rule(node=nodes, duration_ms=durations_ms, restarts=st.booleans())
+    def crash(self, node: int, duration_ms: int, restarts: bool) -> None:
+        """Crash a node, and perhaps start it again after a while."""
+        name = self.name(node)
+        self.cluster.crash(name)
+        self.cluster.run(duration_ms / 1000)
+        if restarts:
+            self.cluster.start(name)
+
+    @rule(restarts=st.booleans())
+    def crash_all(self, restarts: bool) -> None:
+        """Crash every node at once."""
+        for name in self.cluster.nodes:
+            self.cluster.crash(name)
+        self.start_all()
+
+    @rule()
+    def start_all(self) -> None:
+        """Start every node that is down."""
+        for name in self.cluster.nodes:
+            self.cluster.start(name)
+
+    @rule(node=nodes, duration_ms=durations_ms)
+    def lose_disk(self, node: int, duration_ms: int) -> None:
+        """Lose a disk; the replica comes back under a new identity."""
+        name = self.name(node)
+        self.cluster.lose_disk(name)
+        self.cluster.run(duration_ms / 1000)
+        self.cluster.start(name)
+
+    @rule(node=nodes, other=nodes)
+    def lose_two(self, node: int, other: int) -> None:
+        """Lose a disk, have it repaired, and lose another machine right after."""
+        name = self.name(node)
+        self.cluster.lose_disk(name)
+        self.cluster.start(name)
+        self.cluster.await_repair(name)
+        self.lose_disk(other, 1000)
+
+    @rule(node=nodes, other=nodes)
+    def cut_one_way(self, node: int, other: int) -> None:
+        """Cut one direction of a link."""
+        self.cluster.network.cut.add((self.name(node), self.name(other)))
+
+    @rule(node=nodes, duration_ms=durations_ms)
+    def isolate(self, node: int, duration_ms: int) -> None:
+        """Cut a node off from all others."""
+        name = self.name(node)
+        for other in self.cluster.nodes:
+            self.cluster.network.cut |= {(name, other), (other, name)}
+        self.cluster.run(duration_ms / 1000)
+
+    @rule(mask=st.integers(1, 127))
+    def split(self, mask: int) -> None:
+        """Split the cluster into two sides."""
+        names = sorted(self.cluster.nodes)
+        side = {name for at, name in enumerate(names) if mask >> at & 1}
+        for name in names:
+            for other in names:
+                if (name in side) != (other in side):
+                    self.cluster.network.cut.add((name, other))
+
+    @rule()
+    def heal(self) -> None:
+        """Mend the network."""
+        self.cluster.heal()
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.3]),
+        duplication=st.sampled_from([0.0, 0.3]),
+        late=st.sampled_from([0.0, 0.1, 0.4]),
+    )
+    def worsen(self, loss: float, duplication: float, late: float) -> None:
+        """Drop, duplicate and delay messages, so that they also overtake."""
+        network = self.cluster.network
+        network.loss, network.duplication, network.late = loss, duplication, late
+
+    @rule(node=nodes)
+    def take_snapshot(self, node: int) -> None:
+        """Let a node take a snapshot and drop its log."""
+        self.cluster.take_snapshot(self.name(node))
+
+    @rule(node=nodes, by_s=st.sampled_from([-2.0, 0.7, 1.5, 30.0]))
+    def jump_clock(self, node: int, by_s: float) -> None:
+        """Let a clock jump."""
+        self.cluster.jump_clock(self.name(node), by_s)
+
+    @rule(node=nodes, duration_ms=durations_ms)
+    def pause(self, node: int, duration_ms: int) -> None:
+        """Hold a process for a while."""
+        self.cluster.pause(self.name(node), duration_ms / 1000)
+
+    @rule()
+    def add_node(self) -> None:
+        """Start one more replica."""
+        self.cluster.add()
+
+    @rule(node=nodes, other=nodes)
+    def remove(self, node: int, other: int) -> None:
+        """Remove a member."""
+        member = self.cluster.nodes[self.name(other)].member
+        self.cluster.change(self.name(node), MembershipChange(ChangeKind.REMOVE, member))
+
+    def teardown(self) -> None:
+        """Mend everything and check that nothing confirmed is lost."""
+        LogHistory.made += 1
+        failure = sys.exc_info()[1]
+        if isinstance(failure, FAILURES):
+            self.note_failure()
+        elif hasattr(self, "cluster"):
+            try:
+                self.cluster.settle()
+            except FAILURES:
+                self.note_failure()
+                raise
+
+    def note_failure(self) -> None:
+        """Keep which history failed first; those after it only shrink it."""
+        if LogHistory.first_failed is None:
+            LogHistory.first_failed = LogHistory.made
+
+
+class FuzzResult(NamedTuple):
+    """How many histories ran in how long, and the first failure, shrunk.
+
+    `first_failed` is the number of the history that failed first; the later
+    ones were run to shrink it.
+    """
+
+    histories: int
+    duration_s: float
+    first_failed: int | None
+    failure: str | None
+
+
+@contextmanager
+def seeded(bug: str | None) -> Iterator[None]:
+    """Put a bug in on purpose for as long as the context lasts."""
+    patches: Callable[[], AbstractContextManager] = nullcontext
+    arguments: dict[str, bool] = {}
+    if bug is not None:
+        patches, arguments = SEEDED_BUGS[bug]
+    with ExitStack() as stack:
+        stack.enter_context(patches())
+        LogHistory.cluster_arguments = arguments
+        stack.callback(setattr, LogHistory, "cluster_arguments", {})
+        yield
+
+
+def run_batch(seed: int | None, histories: int, shrinks: bool = True) -> None:
+    """Run so many histories; without a seed the same ones every time."""
+    phases = [Phase.generate, Phase.shrink] if shrinks else [Phase.generate]
+    profile = settings(
+        max_examples=histories,
+        stateful_step_count=STEPS,
+        derandomize=seed is None,
+        deadline=None,
+        database=None,
+        phases=phases,
+        verbosity=Verbosity.normal,
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+
+    class Seeded(LogHistory):
+        """The histories of this batch."""
+
+        cluster_arguments = LogHistory.cluster_arguments
+
+    factory = with_seed(seed)(Seeded) if seed is not None else Seeded
+    run_state_machine_as_test(factory, settings=profile)
+
+
+def fuzz_log(seed: int, seconds: float, histories: int, bug: str | None = None) -> FuzzResult:
+    """Run histories until the time or the count is used up, or one fails."""
+    started_s = time.monotonic()
+    LogHistory.made = 0
+    LogHistory.first_failed = None
+    batch = 0
+    failure = None
+    with seeded(bug):
+        while time.monotonic() - started_s < seconds and LogHistory.made < histories:
+            try:
+                run_batch(seed + batch, min(BATCH, histories - LogHistory.made))
+            except Exception as error:
+                notes = "\n".join(getattr(error, "__notes__", ()))
+                failure = f"{type(error).__name__}: {error}\n{notes}"
+                break
+            batch += 1
+    duration_s = time.monotonic() - started_s
+    return FuzzResult(LogHistory.made, duration_s, LogHistory.first_failed, failure)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/seeded_bugs.py
@@ -0,0 +1,114 @@
+"""Bugs put in on purpose, to see that the histories would find them.
+
+Each entry names a context that patches the core and arguments for the cluster.
+"""
+
+from contextlib import AbstractContextManager, nullcontext
+from typing import Any
+from unittest import mock
+
+from damaskwind.decisions.replication import election, leading, requests
+from damaskwind.decisions.replication.leadership import Leadership, Progress, note_answer
+from damaskwind.decisions.replication.membership import majority_value
+from damaskwind.decisions.replication.messages import Envelope, Member, Send, VoteRequest
+from damaskwind.decisions.replication.outbox import Outbox
+from damaskwind.decisions.replication.replica import Replica
+
+__all__ = ["SEEDED_BUGS"]
+
+
+def vote_twice() -> AbstractContextManager:
+    """Give a second vote in the same term."""
+
+    def may_vote_again(replica: Replica, sender: Member, request: VoteRequest) -> bool:
+        mine = (replica.log.last_term, replica.log.last_index)
+        is_in_term = request.term == replica.state.term and replica.role.state != "leader"
+        return is_in_term and (request.last_term, request.last_index) >= mine
+
+    return mock.patch.object(election, "may_vote_again", may_vote_again)
+
+
+def lease_from_receive_time() -> AbstractContextManager:
+    """Count the lease from when an answer came in."""
+
+    def note(leadership: Leadership, progress: Progress, number: int, now_s: float) -> None:
+        note_answer(leadership, progress, number, now_s)
+        leadership.round_sent_s[number] = now_s
+
+    return mock.patch.object(leading, "note_answer", note)
+
+
+def count_learner() -> AbstractContextManager:
+    """Let the answers of learners count towards a majority of the voters."""
+
+    def quorum_match(replica: Replica, leadership: Leadership) -> int:
+        def match_index(member: Member) -> int:
+            if member == replica.member:
+                return replica.outbox.durable_index
+            progress = leadership.peers.get(member)
+            return progress.match_index if progress else 0
+
+        voters, learners = replica.log.membership
+        values = sorted(map(match_index, (*voters, *learners)), reverse=True)
+        return values[len(voters) // 2]
+
+    return mock.patch.object(leading, "quorum_match", quorum_match)
+
+
+def promote_early() -> AbstractContextManager:
+    """Promote a learner that has not caught up."""
+    return mock.patch.object(requests, "is_caught_up", lambda replica, progress: True)
+
+
+def count_before_durable() -> AbstractContextManager:
+    """Let the leader count its own entry before that is on its disk."""
+
+    def quorum_match(replica: Replica, leadership: Leadership) -> int:
+        def match_index(member: Member) -> int:
+            if member == replica.member:
+                return replica.log.last_index
+            progress = leadership.peers.get(member)
+            return progress.match_index if progress else 0
+
+        return int(majority_value(replica.log.membership.voters, match_index))
+
+    return mock.patch.object(leading, "quorum_match", quorum_match)
+
+
+def commit_old_term() -> AbstractContextManager:
+    """Commit entries of an earlier term by counting."""
+    return mock.patch.object(leading, "is_of_own_term", lambda replica, index: True)
+
+
+def vote_while_led() -> AbstractContextManager:
+    """Give votes although a leader is heard."""
+    return mock.patch.object(election, "heard_leader", lambda replica: False)
+
+
+def change_unsettled() -> AbstractContextManager:
+    """Change members before the change under way is committed."""
+    return mock.patch.object(requests, "_may_change", lambda replica, leadership: True)
+
+
+def send_before_durable() -> AbstractContextManager:
+    """Send what depends on a write before the write is durable."""
+
+    def send_now(outbox: Outbox, write_id: int, envelope: Envelope) -> None:
+        outbox.emit(Send(envelope))
+
+    return mock.patch.object(Outbox, "_send_after", send_now)
+
+
+SEEDED_BUGS: dict[str, tuple[Any, dict[str, bool]]] = {
+    "skip_fsync": (nullcontext, {"syncs": False}),
+    "keep_identity": (nullcontext, {"new_identity": False}),
+    "vote_twice": (vote_twice, {}),
+    "send_before_durable": (send_before_durable, {}),
+    "count_before_durable": (count_before_durable, {}),
+    "count_learner": (count_learner, {}),
+    "promote_early": (promote_early, {}),
+    "lease_from_receive_time": (lease_from_receive_time, {}),
+    "commit_old_term": (commit_old_term, {}),
+    "vote_while_led": (vote_while_led, {}),
+    "change_unsettled": (change_unsettled, {}),
+}
--- /dev/null
+++ b/tools/fuzz.py
@@ -0,0 +1,84 @@
+"""Run stateful fuzzing for as long as asked and print the first failure, shrunk.
+
+A target is a function that runs histories from a seed; targets register
+themselves here by a decorator. Without a seed a fresh one is taken and printed,
+so that every run can be repeated.
+"""
+
+import random
+import sys
+from collections.abc import Callable
+from typing import Protocol
+
+import defopt
+
+__all__ = ["FUZZ_TARGETS", "fuzz", "fuzz_target"]
+
+
+class Result(Protocol):
+    """What a target gives back."""
+
+    histories: int
+    duration_s: float
+    first_failed: int | None
+    failure: str | None
+
+
+FuzzTarget = Callable[[int, float, int, str | None], Result]
+
+FUZZ_TARGETS: dict[str, FuzzTarget] = {}
+
+UNBOUNDED = 1_000_000_000
+
+
+def fuzz_target(name: str) -> Callable[[FuzzTarget], FuzzTarget]:
+    """Register a function of seed, seconds, histories and seeded bug."""
+
+    def register(function: FuzzTarget) -> FuzzTarget:
+        FUZZ_TARGETS[name] = function
+        return function
+
+    return register
+
+
+@fuzz_target("log")
+def fuzz_replicated_log(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
+    """Fuzz the pure core of the replicated log against a list of confirmed changes."""
+    from damaskwind.decisions.replication.tests.histories import fuzz_log
+
+    return fuzz_log(seed, seconds, histories, bug)
+
+
+def fuzz(
+    *,
+    seconds: float = 60.0,
+    seed: int | None = None,
+    histories: int = UNBOUNDED,
+    bug: str | None = None,
+    target: str | None = None,
+) -> int:
+    """Fuzz every target, or one, and return 1 if any history failed.
+
+    :param seconds: stop starting histories after so many seconds, for each target
+    :param seed: repeat the run of this seed
+    :param histories: stop after so many histories
+    :param bug: put this bug in on purpose; the run should then fail
+    :param target: fuzz only this target
+    """
+    if seed is None:
+        seed = random.SystemRandom().randrange(2**32)
+    failed = False
+    for name, run in FUZZ_TARGETS.items():
+        if target not in (None, name):
+            continue
+        print(f"{name}: seed {seed}", flush=True)
+        result = run(seed, seconds, histories, bug)
+        print(f"{name}: {result.histories} histories in {result.duration_s:.1f} s")
+        if result.failure is not None:
+            failed = True
+            print(f"{name}: history {result.first_failed} failed; shrunk to\n{result.failure}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(fuzz, short={}))
