Claim holders' service and the routers' client over grpclib

A holder's starts are numbered in its data folder, synced before it answers; the client abandons undecided claims, so that a resend finds the key free.

--- /dev/null
+++ b/packages/control/src/damaskwind/control/claims/__init__.py
@@ -0,0 +1,1 @@
+"""The claim holder of a control process: its service, start and catch-up."""
--- /dev/null
+++ b/packages/control/src/damaskwind/control/claims/catch_up.py
@@ -0,0 +1,81 @@
+"""Let a restarted holder read the others until it may vote."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from loguru import logger
+
+from damaskwind.decisions.claims.codec import decode_claim_message, encode_claim_message
+from damaskwind.decisions.claims.holder import ClaimHolder
+from damaskwind.decisions.claims.messages import CatchUpRead, CatchUpReply, Rejection
+from damaskwind.model.exception import MessageError
+from damaskwind.model.targets import Address
+from damaskwind.wire.authentication import CallSigner
+from damaskwind.wire.claims_grpc import ClaimsStub
+from damaskwind.wire.claims_pb2 import ClaimCall
+
+__all__ = ["catch_up"]
+
+READ_TIMEOUT_S = 30.0
+PAUSE_S = 0.5
+_CALL_ERRORS = (OSError, asyncio.TimeoutError, GRPCError, StreamTerminatedError, MessageError)
+
+
+async def catch_up(
+    holder: ClaimHolder,
+    addresses: Mapping[str, Address],
+    signer: CallSigner,
+    clock: Callable[[], float],
+    pause_s: float = PAUSE_S,
+) -> None:
+    """Read the other holders over and over until `holder` votes.
+
+    `addresses` holds those of the other holders by id; it may change meanwhile.
+    """
+    read: set[str] = set()
+    while not holder.is_voting(clock()):
+        for holder_id, address in list(addresses.items()):
+            if holder_id in read or holder_id == holder.holder_id:
+                continue
+            reply = await _read_one(holder, holder_id, address, signer)
+            if reply is not None and reply.rejection == Rejection.NONE:
+                read.add(holder_id)
+                holder.take_catch_up(reply, clock())
+        if not holder.is_voting(clock()):
+            await asyncio.sleep(pause_s)
+    logger.info("claim holder votes", holder=holder.holder_id, records=len(holder))
+
+
+async def _read_one(
+    holder: ClaimHolder, holder_id: str, address: Address, signer: CallSigner
+) -> CatchUpReply | None:
+    """Read all records of one other holder; `None` when the read was not whole."""
+    read = CatchUpRead(holder.holder_id, holder.incarnation)
+    request = ClaimCall(holder_id=holder_id, body=encode_claim_message(read))
+    channel = Channel(address.host, address.port)
+    try:
+        return await _read_pages(ClaimsStub(channel), request, signer)
+    except _CALL_ERRORS as error:
+        logger.info("claims not read", holder=holder_id, error=str(error) or type(error).__name__)
+        return None
+    finally:
+        channel.close()
+
+
+async def _read_pages(
+    stub: ClaimsStub, request: ClaimCall, signer: CallSigner
+) -> CatchUpReply | None:
+    """Read the pages of a stream and join them."""
+    method = stub.CatchUp
+    metadata = signer.sign(method.name, request.SerializeToString(deterministic=True))
+    pages = []
+    async with method.open(timeout=READ_TIMEOUT_S, metadata=metadata) as stream:
+        await stream.send_message(request, end=True)
+        async for page in stream:
+            pages.append(decode_claim_message(CatchUpReply, page.body))
+    if not pages:
+        return None
+    records = tuple(record for page in pages for record in page.records)
+    return pages[0]._replace(records=records)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/claims/service.py
@@ -0,0 +1,81 @@
+"""Answer the calls of routers and of restarted holders by a `ClaimHolder`."""
+
+from collections.abc import Callable
+from typing import Any
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from loguru import logger
+
+from damaskwind.decisions.claims.codec import decode_claim_message, encode_claim_message
+from damaskwind.decisions.claims.holder import ClaimHolder
+from damaskwind.decisions.claims.messages import CatchUpRead, CatchUpReply, Order, Record, Write
+from damaskwind.model.exception import MessageError
+from damaskwind.wire.authentication import CallVerifier, receive_call
+from damaskwind.wire.claims_grpc import ClaimsBase
+from damaskwind.wire.claims_pb2 import ClaimReply
+
+__all__ = ["ClaimHolderService"]
+
+PAGE_RECORDS = 500
+_PATH = "/damaskwind.claims.Claims/"
+
+
+class ClaimHolderService(ClaimsBase):
+    """The grpclib service of one holder; `clock` gives monotonic seconds."""
+
+    def __init__(
+        self, holder: ClaimHolder, verifier: CallVerifier, clock: Callable[[], float]
+    ) -> None:
+        self.holder = holder
+        self._verifier = verifier
+        self._clock = clock
+
+    async def Order(self, stream: Any) -> None:  # noqa: N802
+        """First phase of a claim."""
+        message = await self._receive(stream, "Order", Order)
+        await self._reply(stream, self.holder.order(message, self._clock()))
+
+    async def Write(self, stream: Any) -> None:  # noqa: N802
+        """Second phase of a claim."""
+        message = await self._receive(stream, "Write", Write)
+        await self._reply(stream, self.holder.write(message, self._clock()))
+
+    async def Record(self, stream: Any) -> None:  # noqa: N802
+        """Keep an outcome."""
+        message = await self._receive(stream, "Record", Record)
+        await self._reply(stream, self.holder.record(message, self._clock()))
+
+    async def CatchUp(self, stream: Any) -> None:  # noqa: N802
+        """Give all records to a holder that restarted."""
+        message = await self._receive(stream, "CatchUp", CatchUpRead)
+        whole = self.holder.read_all(message, self._clock())
+        logger.info(
+            "claims read by a restarted holder",
+            reader=message.holder_id,
+            records=len(whole.records),
+            rejection=str(whole.rejection),
+        )
+        for page in _pages(whole):
+            await self._reply(stream, page)
+
+    async def _receive(self, stream: Any, name: str, kind: type) -> Any:
+        """Receive, verify and decode a call that is meant for this holder."""
+        call = await receive_call(stream, _PATH + name, self._verifier)
+        if call.holder_id != self.holder.holder_id:
+            raise GRPCError(Status.FAILED_PRECONDITION, "other_holder")
+        try:
+            return decode_claim_message(kind, call.body)
+        except MessageError as error:
+            logger.warning("claim message refused", method=name, error=str(error))
+            raise GRPCError(Status.INVALID_ARGUMENT, "malformed") from error
+
+    async def _reply(self, stream: Any, message: Any) -> None:
+        """Send one reply."""
+        await stream.send_message(ClaimReply(body=encode_claim_message(message)))
+
+
+def _pages(whole: CatchUpReply) -> list[CatchUpReply]:
+    """Split a reply so that no message grows large; there is at least one page."""
+    starts = range(0, max(1, len(whole.records)), PAGE_RECORDS)
+    return [whole._replace(records=whole.records[start : start + PAGE_RECORDS]) for start in starts]
--- /dev/null
+++ b/packages/control/src/damaskwind/control/claims/start.py
@@ -0,0 +1,78 @@
+"""Number the starts of a claim holder in its data folder.
+
+Each start gets an incarnation above all earlier ones, synced to disk before the
+holder answers anyone. The first start of all may vote at once: a holder that
+never voted has forgotten nothing. A holder whose data folder was lost must come
+back under a new id.
+"""
+
+import os
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from damaskwind.model.exception import StorageError
+
+__all__ = ["HolderStart", "begin_start"]
+
+FILE_NAME = "claim-holder.json"
+
+
+class HolderStart(NamedTuple):
+    """One start of a holder."""
+
+    incarnation: int
+    is_first_start: bool
+
+
+class _Mark(NamedTuple):
+    """What the file holds."""
+
+    holder_id: str
+    incarnation: int
+
+
+def _read(path: Path, holder_id: str) -> _Mark:
+    """Read the mark of the last start; incarnation 0 when there was none."""
+    try:
+        mark = msgspec.json.decode(path.read_bytes(), type=_Mark)
+    except FileNotFoundError:
+        return _Mark(holder_id, 0)
+    except (OSError, msgspec.DecodeError) as error:
+        raise StorageError(f"{path.name}: {error}") from error
+    if mark.holder_id != holder_id:
+        raise StorageError(f"{path.name}: belongs to holder '{mark.holder_id}'")
+    return mark
+
+
+def _write_synced(path: Path, data: bytes) -> None:
+    """Replace a file so that the new content outlives a crash."""
+    temporary = path.with_suffix(".new")
+    with temporary.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def begin_start(folder: Path, holder_id: str, is_founder: bool) -> HolderStart:
+    """Number this start and sync it; raise `StorageError` when that fails.
+
+    `is_founder` says that this holder was there when its cluster began. One that
+    was added later must catch up at its first start too: it takes the place of
+    another that did vote.
+    """
+    path = folder / FILE_NAME
+    last = _read(path, holder_id)
+    mark = _Mark(holder_id, last.incarnation + 1)
+    try:
+        _write_synced(path, msgspec.json.encode(mark))
+    except OSError as error:
+        raise StorageError(f"{path.name}: {error}") from error
+    return HolderStart(mark.incarnation, is_founder and last.incarnation == 0)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/claims/__init__.py
@@ -0,0 +1,1 @@
+"""The router's client of the claim holders."""
--- /dev/null
+++ b/packages/router/src/damaskwind/router/claims/client.py
@@ -0,0 +1,190 @@
+"""Claim idempotency keys from the holders and record how requests ended."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from loguru import logger
+
+from damaskwind.decisions.claims.codec import decode_claim_message, encode_claim_message
+from damaskwind.decisions.claims.holder import majority_of
+from damaskwind.decisions.claims.messages import (
+    Accepted,
+    ClaimOutcome,
+    ClaimValue,
+    Order,
+    OrderReply,
+    Outcome,
+    Record,
+    RecordReply,
+    Rejection,
+    Write,
+    WriteReply,
+)
+from damaskwind.decisions.claims.proposer import ClaimProposer, Phase, Step, no_quorum
+from damaskwind.model.exception import MessageError
+from damaskwind.model.targets import Address
+from damaskwind.model.verdict import Verdict
+from damaskwind.wire.authentication import CallSigner, call_unary
+from damaskwind.wire.claims_grpc import ClaimsStub
+from damaskwind.wire.claims_pb2 import ClaimCall
+
+__all__ = ["ClaimsClient"]
+
+CALL_TIMEOUT_S = 1.0
+ABANDON_TIMEOUT_S = 2.0
+BACKOFF_FIRST_S = 0.01
+BACKOFF_LIMIT_S = 0.25
+_CALL_ERRORS = (OSError, asyncio.TimeoutError, GRPCError, StreamTerminatedError, MessageError)
+_METHODS = {Order: "Order", Write: "Write", Record: "Record"}
+_REPLIES = {Order: OrderReply, Write: WriteReply, Record: RecordReply}
+
+
+class ClaimsClient:
+    """One router's client of the holders; it owns its connections.
+
+    `holders` names every holder with its address. `clock` gives monotonic
+    seconds. Each claim needs a `request_id` of its own, also when a caller
+    resends: the id names who may run.
+    """
+
+    def __init__(
+        self,
+        holders: Sequence[tuple[str, Address]],
+        cluster: str,
+        cluster_key: str,
+        router_id: str,
+        random: Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._addresses = dict(holders)
+        self._signer = CallSigner(cluster, cluster_key, router_id)
+        self._random = random
+        self._clock = clock
+        self._channels: dict[str, Channel] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    async def claim(
+        self, key: str, request_digest: str, request_id: str, timeout_s: float
+    ) -> ClaimOutcome:
+        """Claim a key for a request; without a majority in time it is `NO_QUORUM`.
+
+        A claim that ends undecided, or whose task is cancelled, is abandoned:
+        the holders are told that its request never runs, so that the key is free
+        for a resend.
+        """
+        value = ClaimValue(request_id, request_digest)
+        proposer = ClaimProposer(key, value, tuple(self._addresses))
+        try:
+            outcome = await asyncio.wait_for(self._run_rounds(proposer), timeout_s)
+        except TimeoutError:
+            self._abandon(proposer)
+            full = "the claim holders are full"
+            return no_quorum(full if proposer.was_full else "no majority of claim holders")
+        except asyncio.CancelledError:
+            self._abandon(proposer)
+            raise
+        return outcome
+
+    async def record(
+        self, key: str, accepted: Accepted, outcome: Outcome, timeout_s: float
+    ) -> bool:
+        """Record how a granted request ended; tell whether a majority keeps it.
+
+        After `not-run` the request must never be sent. All holders are told, also
+        after the majority answered.
+        """
+        message = Record(key, accepted, outcome)
+        calls = [
+            self._spawn(self._call(holder_id, message, timeout_s)) for holder_id in self._addresses
+        ]
+        kept = 0
+        for call in asyncio.as_completed(calls):
+            reply = await call
+            kept += reply is not None and reply.rejection == Rejection.NONE
+            if kept >= majority_of(len(self._addresses)):
+                return True
+        return False
+
+    async def close(self) -> None:
+        """Cancel what is under way and close the connections."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for holder_id in list(self._channels):
+            self._drop_channel(holder_id)
+
+    async def _run_rounds(self, proposer: ClaimProposer) -> ClaimOutcome:
+        """Run rounds, with a growing random pause between them, until one decides."""
+        pause_s = BACKOFF_FIRST_S
+        while True:
+            outcome = await self._run_round(proposer)
+            if outcome is not None:
+                return outcome
+            await asyncio.sleep(self._random.uniform(0.0, pause_s))
+            pause_s = min(BACKOFF_LIMIT_S, 2 * pause_s)
+
+    async def _run_round(self, proposer: ClaimProposer) -> ClaimOutcome | None:
+        """Run one round; `None` when it failed."""
+        replies: asyncio.Queue = asyncio.Queue()
+        step = proposer.start_round()
+        while step.outcome is None and proposer.phase != Phase.FAILED:
+            self._send(step, replies)
+            step = proposer.take_reply(*await replies.get())
+        return step.outcome
+
+    def _send(self, step: Step, replies: asyncio.Queue) -> None:
+        """Send a step's messages; each puts its reply, or `None`, into the queue."""
+
+        async def ask(holder_id: str, message: Any) -> None:
+            reply = await self._call(holder_id, message, CALL_TIMEOUT_S)
+            replies.put_nowait((holder_id, message.ballot, reply))
+
+        for holder_id, message in step.messages:
+            self._spawn(ask(holder_id, message))
+
+    async def _call(self, holder_id: str, message: Any, timeout_s: float) -> Any:
+        """Make one call; `None` when it failed."""
+        kind = type(message)
+        request = ClaimCall(holder_id=holder_id, body=encode_claim_message(message))
+        channel = self._channel(holder_id)
+        method = getattr(ClaimsStub(channel), _METHODS[kind])
+        try:
+            reply = await call_unary(method, request, self._signer, timeout_s)
+            return decode_claim_message(_REPLIES[kind], reply.body)
+        except _CALL_ERRORS as error:
+            detail = str(error) or type(error).__name__
+            logger.debug("claim call failed", holder=holder_id, method=_METHODS[kind], error=detail)
+            if isinstance(error, OSError | asyncio.TimeoutError):
+                self._drop_channel(holder_id, channel)
+            return None
+
+    def _abandon(self, proposer: ClaimProposer) -> None:
+        """Tell the holders, as far as they hear, that a request never runs."""
+        accepted = Accepted(proposer.ballot, proposer.value)
+        message = Record(proposer.key, accepted, Outcome(Verdict.NOT_RUN))
+        for holder_id in self._addresses:
+            self._spawn(self._call(holder_id, message, ABANDON_TIMEOUT_S))
+
+    def _spawn(self, coroutine: Any) -> asyncio.Task:
+        """Run a coroutine as a task that is kept until it ends."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _channel(self, holder_id: str) -> Channel:
+        """Return the connection to a holder, making it when first needed."""
+        channel = self._channels.get(holder_id)
+        if channel is None:
+            address = self._addresses[holder_id]
+            channel = self._channels[holder_id] = Channel(address.host, address.port)
+        return channel
+
+    def _drop_channel(self, holder_id: str, channel: Channel | None = None) -> None:
+        """Close a connection that hangs, unless another took its place already."""
+        if channel is None or self._channels.get(holder_id) is channel:
+            self._channels.pop(holder_id).close()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/claims/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the client of the claim holders."""
--- /dev/null
+++ b/packages/router/src/damaskwind/router/claims/tests/holders.py
@@ -0,0 +1,64 @@
+"""Real claim holders in this process, on ports of their own."""
+
+import asyncio
+import socket
+import time
+
+from grpclib.server import Server
+
+from damaskwind.control.claims.catch_up import catch_up
+from damaskwind.control.claims.service import ClaimHolderService
+from damaskwind.decisions.claims.holder import ClaimHolder, HolderPolicy
+from damaskwind.model.targets import Address
+from damaskwind.wire.authentication import CallSigner, CallVerifier
+
+__all__ = ["CLUSTER", "KEY", "Holders"]
+
+CLUSTER = "test"
+KEY = "cluster-key"
+
+
+class Holders:
+    """A group of holders that can be killed and restarted empty."""
+
+    def __init__(self, count: int = 3, policy: HolderPolicy | None = None) -> None:
+        self.policy = policy or HolderPolicy()
+        self.ids = [f"h{number}" for number in range(count)]
+        self.addresses: dict[str, Address] = {}
+        self.holders: dict[str, ClaimHolder] = {}
+        self._servers: dict[str, Server] = {}
+
+    async def start_all(self) -> None:
+        for holder_id in self.ids:
+            await self.start(holder_id, 1, first=True)
+
+    async def start(self, holder_id: str, incarnation: int, first: bool = False) -> ClaimHolder:
+        """Start a holder, on the port that it had before if any."""
+        holder = ClaimHolder(holder_id, incarnation, self.ids, self.policy, time.monotonic(), first)
+        service = ClaimHolderService(holder, CallVerifier(CLUSTER, KEY), time.monotonic)
+        before = self.addresses.get(holder_id, Address("127.0.0.1", 0))
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(tuple(before))
+        server = Server([service])
+        await server.start(sock=listener)
+        self.addresses[holder_id] = Address(*listener.getsockname())
+        self.holders[holder_id] = holder
+        self._servers[holder_id] = server
+        return holder
+
+    async def kill(self, holder_id: str) -> None:
+        server = self._servers.pop(holder_id)
+        server.close()
+        await server.wait_closed()
+
+    async def catch_up(self, holder_id: str, limit_s: float = 5.0) -> None:
+        """Let a restarted holder read the others until it votes."""
+        others = {name: where for name, where in self.addresses.items() if name != holder_id}
+        signer = CallSigner(CLUSTER, KEY, holder_id)
+        reading = catch_up(self.holders[holder_id], others, signer, time.monotonic, 0.02)
+        await asyncio.wait_for(reading, limit_s)
+
+    async def close(self) -> None:
+        for holder_id in list(self._servers):
+            await self.kill(holder_id)
