--- a/packages/commands/src/damaskwind/commands/operator.py
+++ b/packages/commands/src/damaskwind/commands/operator.py
@@ -11,6 +11,7 @@
 from damaskwind.commands.operator_client import ExitCode, UsageError
 from damaskwind.commands.operator_context import Context, control_command, router_command
 from damaskwind.commands.operator_output import as_json, columns, nested, time_text
+from damaskwind.commands.operator_status import gather_status, status_text
 from damaskwind.control.operator_api.authentication import hash_key, make_key
 from damaskwind.model.configuration_change import change_from_table
 from damaskwind.model.configuration_codec import read_table_file
@@ -108,13 +109,9 @@
 @control_command
 def status(context: Context) -> int:
     """Show every replica, the latest changes, and the revision in force per router."""
-    answers = {}
-    for endpoint in context.client.endpoints:
-        answer = context.client.ask_one(endpoint, "GET", _path("status"))
-        answers[str(endpoint)] = answer.body
-    context.show(answers)
-    good = [body for body in answers.values() if "error" not in body]
-    return ExitCode.FINE if good else ExitCode.REFUSED
+    gathered = gather_status(context.client)
+    context.show(gathered._asdict(), status_text(gathered))
+    return ExitCode.FINE if gathered.replicas or gathered.routers else ExitCode.REFUSED
 
 
 @control_command
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/operator_status.py
@@ -0,0 +1,103 @@
+"""Gather what replicas and routers say of themselves into one picture.
+
+An endpoint may be a replica or a router: each is asked as the one, then as the
+other. What a router says itself goes before what a replica heard of it.
+"""
+
+from typing import Any, NamedTuple
+
+from damaskwind.commands.operator_client import Answer, Endpoint, OperatorClient
+from damaskwind.commands.operator_output import columns
+
+__all__ = ["FleetStatus", "gather_status", "status_text"]
+
+_NOT_FOUND = 404
+_REPLICA_PATH = "/operator/v1/status"
+_ROUTER_PATH = "/operator/v1/router"
+
+
+class FleetStatus(NamedTuple):
+    """Replicas by endpoint, routers by id, and endpoints that did not answer."""
+
+    revision: int
+    replicas: dict[str, dict[str, Any]]
+    routers: dict[str, dict[str, Any]]
+    silent: dict[str, str]
+
+
+def _ask(client: OperatorClient, endpoint: Endpoint) -> tuple[str, Answer]:
+    """Ask an endpoint as a replica, then as a router."""
+    answer = client.ask_one(endpoint, "GET", _REPLICA_PATH)
+    if answer.status != _NOT_FOUND:
+        return "replica", answer
+    return "router", client.ask_one(endpoint, "GET", _ROUTER_PATH)
+
+
+def _heard_of(replicas: dict[str, dict[str, Any]]) -> dict[str, dict[str, Any]]:
+    """Return the newest report that any replica has of each router."""
+    newest: dict[str, dict[str, Any]] = {}
+    for body in replicas.values():
+        for report in body.get("routers", []):
+            known = newest.get(report["router_id"])
+            if known is None or report["age_s"] < known["age_s"]:
+                newest[report["router_id"]] = report
+    return {
+        name: {"revision": item["revision"], "age_s": item["age_s"]}
+        for name, item in newest.items()
+    }
+
+
+def gather_status(client: OperatorClient) -> FleetStatus:
+    """Ask every endpoint and put the answers together."""
+    replicas: dict[str, dict[str, Any]] = {}
+    asked: dict[str, dict[str, Any]] = {}
+    silent: dict[str, str] = {}
+    for endpoint in client.endpoints:
+        kind, answer = _ask(client, endpoint)
+        if not answer.is_good:
+            error = answer.body.get("error")
+            told = error.get("message") if isinstance(error, dict) else None
+            silent[str(endpoint)] = told or f"status {answer.status}"
+        elif kind == "replica":
+            replicas[str(endpoint)] = answer.body
+        else:
+            router_id = str(answer.body.get("router_id", endpoint))
+            revision = answer.body.get("revision_in_force", 0)
+            asked[router_id] = {"revision": revision, "age_s": 0.0}
+    routers = _heard_of(replicas) | asked
+    seen = [body.get("revision", 0) for body in replicas.values()]
+    revision = max(seen + [item["revision"] for item in routers.values()], default=0)
+    for item in routers.values():
+        item["lag"] = revision - item["revision"]
+    return FleetStatus(revision, replicas, routers, silent)
+
+
+def _replica_row(endpoint: str, body: dict[str, Any]) -> list[Any]:
+    """Return the row of one replica."""
+    replica = body.get("replica", {})
+    told = [replica.get(name) for name in ("replica_id", "role", "term", "leader", "is_current")]
+    return [endpoint, *told, body.get("revision"), body.get("audit_head", {}).get("sequence")]
+
+
+def status_text(status: FleetStatus) -> str:
+    """Return the picture for people."""
+    parts = [f"revision {status.revision}"]
+    if status.replicas:
+        titles = ("endpoint", "replica", "role", "term", "leader", "current", "revision", "audit")
+        rows = [_replica_row(name, body) for name, body in status.replicas.items()]
+        parts.append(columns(titles, rows))
+    if status.routers:
+        rows = [
+            (name, item["revision"], item["lag"], item["age_s"])
+            for name, item in sorted(status.routers.items())
+        ]
+        parts.append(columns(("router", "in force", "lag", "told s ago"), rows))
+    newest = max(status.replicas.values(), key=lambda body: body["revision"], default={})
+    if newest.get("changes"):
+        rows = [
+            (note["revision"], note["operator"], note["plan_id"], note["touches"])
+            for note in newest["changes"][-5:]
+        ]
+        parts.append(columns(("revision", "by", "plan", "touches"), rows))
+    parts += [f"no answer from {name}: {why}" for name, why in status.silent.items()]
+    return "\n\n".join(parts)
