--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -0,0 +1,272 @@
+"""Propose and read through whichever replica leads.
+
+What the intent API and the calls of other replicas use. A refusal is certain:
+nothing was changed, and as long as there is time it is tried again at the next
+leader. Anything else than an answer from the leader is `UNKNOWN`.
+"""
+
+import asyncio
+from time import monotonic
+from typing import Any
+
+from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
+from damaskwind.control.replica.address_book import AddressRecord
+from damaskwind.control.replica.replica import Replica
+from damaskwind.control.replica.replicated_state import address_command, machine_command
+from damaskwind.control.replica.transport import CALL_ERRORS, Channels
+from damaskwind.decisions.replication.messages import (
+    ChangeKind,
+    Member,
+    Membership,
+    MembershipChange,
+    Outcome,
+    ProposalOutcome,
+    ReadReady,
+    RefusalReason,
+)
+from damaskwind.model.targets import Address
+from damaskwind.runtime.settings import parse_address
+from damaskwind.wire import replication_pb2
+from damaskwind.wire.authentication import CallSigner, call_unary
+from damaskwind.wire.replication_grpc import ReplicationStub
+
+__all__ = ["LogAccess"]
+
+RETRY_PAUSE_S = 0.05
+READ_ATTEMPT_S = 1.0
+HELLO_TIMEOUT_S = 2.0
+_MAY_RETRY = (RefusalReason.NOT_LEADER, RefusalReason.STEPPED_DOWN)
+
+
+class LogAccess:
+    """The replicated log as the rest of the process uses it."""
+
+    def __init__(self, replica: Replica, signer: CallSigner) -> None:
+        self.replica = replica
+        self._signer = signer
+        self._channels = Channels()
+
+    async def propose(self, payload: bytes, timeout_s: float) -> CommitOutcome:
+        """Propose a command for the state machine and wait until it is applied here."""
+        deadline_s = monotonic() + timeout_s
+        outcome = await self.commit(machine_command(payload), timeout_s)
+        return await self._outcome_here(outcome, deadline_s)
+
+    async def read_current(self, timeout_s: float) -> bool:
+        """Wait until the state here holds all that a majority had confirmed."""
+        deadline_s = monotonic() + timeout_s
+        while self.replica.failure is None:
+            left_s = deadline_s - monotonic()
+            if left_s <= 0:
+                return False
+            index = await self._read_index(min(left_s, READ_ATTEMPT_S))
+            if index is not None:
+                return await self._wait_for(index, deadline_s - monotonic())
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return False
+
+    def status(self) -> dict[str, Any]:
+        """Describe this replica and the members of the log."""
+        core = self.replica.core
+        membership = core.membership
+        return {
+            "replica_id": core.member.replica_id,
+            "identity": core.member.identity,
+            "role": core.role if self.replica.failure is None else "failed",
+            "failure": str(self.replica.failure or ""),
+            "term": core.term,
+            "leader": core.leader.replica_id if core.leader is not None else "",
+            "is_current": self.replica.is_current,
+            "commit_index": core.commit_index,
+            "applied_index": self.replica.state.applied_index,
+            "last_index": core.last_index,
+            "voters": [self._describe(member) for member in membership.voters],
+            "learners": [self._describe(member) for member in membership.learners],
+        }
+
+    async def change_membership(
+        self, action: str, replica_id: str, address: str, failure_domain: str, timeout_s: float
+    ) -> CommitOutcome:
+        """Add or remove one replica; a newcomer learns first and then votes."""
+        request = replication_pb2.ChangeRequest(
+            action=action,
+            replica_id=replica_id,
+            address=address,
+            failure_domain=failure_domain,
+            timeout_ms=int(timeout_s * 1000),
+        )
+        deadline_s = monotonic() + timeout_s
+        outcome = await self.change(request, timeout_s)
+        return await self._outcome_here(outcome, deadline_s)
+
+    async def commit(self, payload: bytes, timeout_s: float) -> ProposalOutcome:
+        """Commit an entry through the leader."""
+        request = replication_pb2.Proposal(payload=payload)
+        return await self._at_leader("Propose", request, timeout_s)
+
+    async def change(
+        self, request: replication_pb2.ChangeRequest, timeout_s: float
+    ) -> ProposalOutcome:
+        """Change the members through the leader."""
+        return await self._at_leader("Change", request, timeout_s)
+
+    async def close(self) -> None:
+        """Close the connections to leaders."""
+        self._channels.close()
+
+    async def propose_here(self, request: Any, timeout_s: float) -> ProposalOutcome:
+        """Propose an entry at this replica, which must lead."""
+        return await self.replica.propose(request.payload, timeout_s)
+
+    async def change_here(self, request: Any, timeout_s: float) -> ProposalOutcome:
+        """Change the members at this replica, which must lead."""
+        if not self.replica.is_leader:
+            return _refused(RefusalReason.NOT_LEADER)
+        if request.action == "remove":
+            return await self._remove_here(request.replica_id, timeout_s)
+        if request.action != "add":
+            return _refused(RefusalReason.INVALID_CHANGE)
+        return await self._add_here(request, timeout_s)
+
+    async def read_index_here(self, timeout_s: float) -> int | None:
+        """Return the index at which a read is current, if this replica leads."""
+        answer = await self.replica.read_index(timeout_s)
+        return answer.index if isinstance(answer, ReadReady) else None
+
+    async def _add_here(self, request: Any, timeout_s: float) -> ProposalOutcome:
+        """Put a newcomer's address in the log, then add it as a learner."""
+        try:
+            address = parse_address(request.address)
+        except ValueError:
+            return _refused(RefusalReason.INVALID_CHANGE)
+        identity = request.identity or await self._ask_identity(request.replica_id, address)
+        if not identity:
+            return _refused(RefusalReason.INVALID_CHANGE)
+        member = Member(request.replica_id, identity)
+        if member in _members(self.replica.core.membership):
+            return _refused(RefusalReason.INVALID_CHANGE)
+        record = AddressRecord(request.replica_id, address, request.failure_domain)
+        noted = await self.replica.propose(address_command(record), timeout_s)
+        if noted.outcome is not Outcome.COMMITTED:
+            return noted
+        change = MembershipChange(ChangeKind.ADD_LEARNER, member)
+        return await self.replica.propose_change(change, timeout_s)
+
+    async def _remove_here(self, replica_id: str, timeout_s: float) -> ProposalOutcome:
+        """Remove the member with an id, the voter first."""
+        members = _members(self.replica.core.membership)
+        member = next((item for item in members if item.replica_id == replica_id), None)
+        if member is None:
+            return _refused(RefusalReason.INVALID_CHANGE)
+        change = MembershipChange(ChangeKind.REMOVE, member)
+        return await self.replica.propose_change(change, timeout_s)
+
+    async def _ask_identity(self, replica_id: str, address: Address) -> str:
+        """Ask the replica at an address who it is; empty when it is another one."""
+        stub = ReplicationStub(self._channels.get(address))
+        try:
+            call = call_unary(
+                stub.Hello, replication_pb2.HelloRequest(), self._signer, HELLO_TIMEOUT_S
+            )
+            reply = await asyncio.wait_for(call, HELLO_TIMEOUT_S)
+        except CALL_ERRORS:
+            self._channels.drop(address)
+            return ""
+        return reply.identity if reply.replica_id == replica_id else ""
+
+    async def _read_index(self, timeout_s: float) -> int | None:
+        """Return a current index from the leader, wherever it is."""
+        if self.replica.is_leader:
+            return await self.read_index_here(timeout_s)
+        request = replication_pb2.ReadIndexRequest(timeout_ms=int(timeout_s * 1000))
+        reply = await self._call_leader("ReadIndex", request, timeout_s)
+        return reply.index if reply is not None and reply.is_current else None
+
+    async def _at_leader(self, method: str, request: Any, timeout_s: float) -> ProposalOutcome:
+        """Have the leader carry a request out; try the next one after a sure refusal."""
+        deadline_s = monotonic() + timeout_s
+        outcome = _refused(RefusalReason.NO_QUORUM)
+        while self.replica.failure is None:
+            left_s = deadline_s - monotonic()
+            if left_s <= 0:
+                return outcome
+            request.timeout_ms = max(int(left_s * 1000), 1)
+            outcome = await self._attempt(method, request, left_s)
+            is_refused = outcome.outcome is Outcome.REFUSED
+            if not is_refused or outcome.reason not in _MAY_RETRY:
+                return outcome
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return outcome
+
+    async def _attempt(self, method: str, request: Any, timeout_s: float) -> ProposalOutcome:
+        """Try once, here or at the leader."""
+        if self.replica.is_leader:
+            here = {"Propose": self.propose_here, "Change": self.change_here}[method]
+            return await here(request, timeout_s)
+        if self._leader_address() is None:
+            return _refused(RefusalReason.NOT_LEADER)
+        reply = await self._call_leader(method, request, timeout_s)
+        if reply is None:
+            return ProposalOutcome("", Outcome.UNKNOWN)
+        reason = RefusalReason(reply.detail) if reply.detail else None
+        return ProposalOutcome("", Outcome(reply.state), reply.index, reason)
+
+    async def _call_leader(self, method: str, request: Any, timeout_s: float) -> Any:
+        """Call the leader; return `None` when no answer came."""
+        address = self._leader_address()
+        if address is None:
+            return None
+        stub = ReplicationStub(self._channels.get(address))
+        try:
+            call = call_unary(getattr(stub, method), request, self._signer, timeout_s)
+            return await asyncio.wait_for(call, timeout_s)
+        except CALL_ERRORS:
+            self._channels.drop(address)
+            return None
+
+    def _leader_address(self) -> Address | None:
+        """Return where the leader listens, unless it is this replica."""
+        leader = self.replica.core.leader
+        if leader is None or leader == self.replica.member:
+            return None
+        return self.replica.state.addresses.address_of(leader.replica_id)
+
+    async def _wait_for(self, index: int, timeout_s: float) -> bool:
+        """Wait until the state here is as far as an index."""
+        state = self.replica.state
+        return await self.replica.wait_until(lambda: state.applied_index >= index, timeout_s)
+
+    async def _outcome_here(self, outcome: ProposalOutcome, deadline_s: float) -> CommitOutcome:
+        """Wait until a committed entry is applied here and return its result."""
+        leader = self.replica.core.leader
+        hint = leader.replica_id if leader is not None else ""
+        if outcome.outcome is not Outcome.COMMITTED:
+            verdict = CommitVerdict(outcome.outcome.value)
+            return CommitOutcome(verdict, b"", hint, str(outcome.reason or ""))
+        left_s = deadline_s - monotonic()
+        if not await self._wait_for(outcome.index, left_s):
+            detail = "committed, but not applied here yet"
+            return CommitOutcome(CommitVerdict.UNKNOWN, b"", hint, detail)
+        result = self.replica.state.result_at(outcome.index) or b""
+        return CommitOutcome(CommitVerdict.COMMITTED, result, hint)
+
+    def _describe(self, member: Member) -> dict[str, str]:
+        """Describe a member."""
+        addresses = self.replica.state.addresses
+        record = addresses.record_of(member.replica_id)
+        return {
+            "replica_id": member.replica_id,
+            "identity": member.identity,
+            "address": str(addresses.address_of(member.replica_id) or ""),
+            "failure_domain": record.failure_domain if record else "",
+        }
+
+
+def _members(membership: Membership) -> tuple[Member, ...]:
+    """Return all members, voters first."""
+    return membership.voters + membership.learners
+
+
+def _refused(reason: RefusalReason) -> ProposalOutcome:
+    """Return a sure refusal."""
+    return ProposalOutcome("", Outcome.REFUSED, 0, reason)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -0,0 +1,125 @@
+"""Found a new cluster, or join one that exists.
+
+Only the first of the bootstrap replicas founds, alone, and only after every
+other one has said that it has no log: so a replica that lost its disk never
+founds a second cluster beside the first. All others, and any that comes back
+without its disk, ask to be added; they learn first and vote later, under the
+identity that their disk has now.
+"""
+
+import asyncio
+from random import Random
+from typing import Any
+
+from loguru import logger
+
+from damaskwind.control.replica.forwarding import LogAccess
+from damaskwind.control.replica.transport import CALL_ERRORS, Channels
+from damaskwind.control.storage.journal import Journal
+from damaskwind.model.targets import Address
+from damaskwind.runtime.settings import ReplicaSettings, parse_address
+from damaskwind.wire import replication_pb2
+from damaskwind.wire.authentication import CallSigner, call_unary
+from damaskwind.wire.replication_grpc import ReplicationStub
+
+__all__ = ["found_or_join"]
+
+RETRY_S = 0.5
+HELLO_TIMEOUT_S = 1.0
+JOIN_TIMEOUT_S = 5.0
+
+
+async def found_or_join(
+    access: LogAccess,
+    journal: Journal,
+    bootstrap: tuple[ReplicaSettings, ...],
+    address: str,
+    failure_domain: str,
+    signer: CallSigner,
+    random: Random,
+) -> None:
+    """Return once this replica is part of a log.
+
+    A replica that is not among the bootstrap ones waits until it is added.
+    """
+    replica = access.replica
+    own_id = replica.member.replica_id
+    others = [item for item in bootstrap if item.replica_id != own_id]
+    is_listed = len(others) < len(bootstrap)
+    channels = Channels()
+    try:
+        while replica.is_running and not replica.has_log:
+            if is_listed:
+                hellos = await _greet(others, channels, signer)
+                with_log = [reply for reply in hellos if reply is not None and reply.has_log]
+                if with_log:
+                    await _ask_to_join(access, with_log, channels, signer, address, failure_domain)
+                elif _may_found(bootstrap, own_id, hellos) and not replica.has_log:
+                    await replica.found(journal)
+                    return
+            await replica.wait_until(lambda: replica.has_log, random.uniform(0, RETRY_S))
+    finally:
+        channels.close()
+
+
+def _may_found(bootstrap: tuple[ReplicaSettings, ...], own_id: str, hellos: list[Any]) -> bool:
+    """Tell whether this replica is the founder and all others are known to be empty."""
+    is_first = bool(bootstrap) and bootstrap[0].replica_id == own_id
+    return is_first and all(reply is not None for reply in hellos)
+
+
+async def _greet(
+    others: list[ReplicaSettings], channels: Channels, signer: CallSigner
+) -> list[Any]:
+    """Ask all others who they are; `None` for those that don't answer."""
+    addresses = [parse_address(item.address) for item in others]
+    calls = [
+        _call(address, "Hello", replication_pb2.HelloRequest(), channels, signer, HELLO_TIMEOUT_S)
+        for address in addresses
+    ]
+    return list(await asyncio.gather(*calls))
+
+
+async def _ask_to_join(
+    access: LogAccess,
+    hellos: list[Any],
+    channels: Channels,
+    signer: CallSigner,
+    address: str,
+    failure_domain: str,
+) -> None:
+    """Ask one replica after another to have this one added."""
+    member = access.replica.member
+    request = replication_pb2.ChangeRequest(
+        action="add",
+        replica_id=member.replica_id,
+        identity=member.identity,
+        address=address,
+        failure_domain=failure_domain,
+        timeout_ms=int(JOIN_TIMEOUT_S * 1000),
+    )
+    for hello in hellos:
+        target = parse_address(hello.address)
+        reply = await _call(target, "Change", request, channels, signer, JOIN_TIMEOUT_S)
+        if reply is not None and reply.state == "committed":
+            logger.info("joined as a learner", replica=member.replica_id)
+            return
+
+
+async def _call(
+    address: Address,
+    method: str,
+    request: Any,
+    channels: Channels,
+    signer: CallSigner,
+    timeout_s: float,
+) -> Any:
+    """Make one call; return `None` when it fails."""
+    stub = ReplicationStub(channels.get(address))
+    try:
+        call = call_unary(getattr(stub, method), request, signer, timeout_s)
+        return await asyncio.wait_for(call, timeout_s)
+    except CALL_ERRORS as error:
+        logger.debug("replica not reached", address=str(address), error=repr(error))
+        channels.drop(address)
+        return None
--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/node.py
@@ -0,0 +1,109 @@
+"""Put one replica together: folder, journal, core, service."""
+
+import asyncio
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+from damaskwind.control.replica.address_book import AddressBook, AddressRecord
+from damaskwind.control.replica.forwarding import LogAccess
+from damaskwind.control.replica.joining import found_or_join
+from damaskwind.control.replica.replica import Replica
+from damaskwind.control.replica.replicated_state import ReplicatedState, StateMachine
+from damaskwind.control.replica.service import ReplicationService
+from damaskwind.control.replica.transport import Transport
+from damaskwind.control.storage.files import FileSystem
+from damaskwind.control.storage.folder import DataFolder, open_data_folder
+from damaskwind.control.storage.journal import Journal, open_journal
+from damaskwind.decisions.replication.messages import Member, Timing
+from damaskwind.runtime.settings import ControlSettings, NodeSettings, parse_address
+from damaskwind.wire.authentication import CallSigner, CallVerifier
+
+__all__ = ["ReplicaNode", "open_replica"]
+
+
+class ReplicaNode(NamedTuple):
+    """A replica that is open but does not run yet."""
+
+    folder: DataFolder
+    journal: Journal
+    replica: Replica
+    access: LogAccess
+    service: ReplicationService
+    signer: CallSigner
+    random: Random
+    tasks: list[asyncio.Task]
+
+    def start(self, node: NodeSettings, control: ControlSettings, address: str) -> None:
+        """Run the replica, whose service listens at `address`."""
+        self.replica.transport.own_address = address
+        self.service.address = address
+        self.replica.start()
+        joining = found_or_join(
+            self.access,
+            self.journal,
+            control.bootstrap_replicas,
+            address,
+            node.failure_domain,
+            self.signer,
+            self.random,
+        )
+        self.tasks.append(asyncio.ensure_future(joining))
+
+    async def stop(self) -> None:
+        """Stop the replica and give its folder back."""
+        for task in self.tasks:
+            task.cancel()
+        await self.replica.stop()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.access.close()
+        self.folder.close()
+
+
+def _timing(control: ControlSettings) -> Timing:
+    """Return the log's periods from the settings."""
+    return Timing(
+        heartbeat_s=control.heartbeat_s,
+        election_timeout_min_s=control.election_timeout_s,
+        election_timeout_max_s=2 * control.election_timeout_s,
+    )
+
+
+def _first_addresses(control: ControlSettings) -> AddressBook:
+    """Return the addresses that the settings name."""
+    records = (
+        AddressRecord(item.replica_id, parse_address(item.address), item.failure_domain)
+        for item in control.bootstrap_replicas
+    )
+    return AddressBook(tuple(records))
+
+
+def open_replica(
+    node: NodeSettings,
+    control: ControlSettings,
+    machine: StateMachine,
+    files: FileSystem,
+    random: Random,
+) -> ReplicaNode:
+    """Recover a replica from its data folder; raise `StorageError` when that fails."""
+    folder = open_data_folder(Path(control.data_folder), node.cluster, node.node_id, files)
+    try:
+        journal = open_journal(folder.path, files)
+        signer = CallSigner(node.cluster, node.cluster_key, node.node_id)
+        addresses = _first_addresses(control)
+        replica = Replica(
+            Member(node.node_id, folder.identity.identity),
+            journal,
+            ReplicatedState(machine, addresses),
+            Transport(signer, addresses.address_of, random),
+            _timing(control),
+            random,
+            control.snapshot_every_entries,
+        )
+    except BaseException:
+        folder.close()
+        raise
+    access = LogAccess(replica, signer)
+    verifier = CallVerifier(node.cluster, node.cluster_key)
+    service = ReplicationService(access, verifier, control.replica_address, node.failure_domain)
+    return ReplicaNode(folder, journal, replica, access, service, signer, random, [])
--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -0,0 +1,363 @@
+"""Drive the replicated log's core: carry its outputs out, in order.
+
+Everything runs in the loop's one thread but the journal's writes. A
+`StorageError` stops the replica for good: it neither votes nor answers any
+more, since it does not know what its disk holds.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from time import monotonic
+from typing import Any
+from uuid import uuid4
+
+from loguru import logger
+
+from damaskwind.control.replica.replicated_state import ReplicatedState
+from damaskwind.control.replica.transport import Transport
+from damaskwind.control.storage.journal import Journal, JournalWrite, TakeSnapshot
+from damaskwind.control.storage.writer import GroupCommitWriter
+from damaskwind.decisions.replication.core import ReplicaCore
+from damaskwind.decisions.replication.log import first_log, recover_log
+from damaskwind.decisions.replication.messages import (
+    AppendEntries,
+    AppendRequest,
+    Apply,
+    BecameLeader,
+    Envelope,
+    Input,
+    InstallSnapshot,
+    Member,
+    MembershipChange,
+    Outcome,
+    ProposalOutcome,
+    Propose,
+    ProposeMembership,
+    ReadReady,
+    ReadRefused,
+    ReadRequest,
+    Received,
+    RefusalReason,
+    Send,
+    SendSnapshot,
+    SnapshotRequest,
+    SnapshotTaken,
+    SteppedDown,
+    Tick,
+    Timing,
+    TruncateFrom,
+    WritesDurable,
+    WriteState,
+)
+from damaskwind.model.exception import StorageError
+
+__all__ = ["Replica"]
+
+TICKS_PER_HEARTBEAT = 4
+
+
+class Replica:
+    """One replica of the log, from its journal up."""
+
+    def __init__(
+        self,
+        member: Member,
+        journal: Journal,
+        state: ReplicatedState,
+        transport: Transport,
+        timing: Timing,
+        random: Random,
+        snapshot_every_entries: int,
+    ) -> None:
+        self.member = member
+        self.state = state
+        self.transport = transport
+        self.timing = timing
+        self.failure: StorageError | None = None
+        self.on_applied: list[Callable[[], None]] = []
+        self.on_failure: list[Callable[[StorageError], None]] = []
+        self._random = random
+        self._snapshot_every_entries = snapshot_every_entries
+        self._snapshot_index = journal.snapshot.index
+        self._taking_snapshot = False
+        self._leader_heard_s = float("-inf")
+        self._answers: dict[str, asyncio.Future] = {}
+        self._waiters: list[tuple[Callable[[], bool], asyncio.Future]] = []
+        self._events: deque[Input] = deque()
+        self._is_stepping = False
+        self._is_stopped = False
+        self._ticker: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self.core = self._make_core(journal)
+        if journal.snapshot.index:
+            state.restore(journal.snapshot.index, journal.read_snapshot()[1])
+        self.writer = GroupCommitWriter(journal, self._note_durable, self._fail)
+
+    def _make_core(self, journal: Journal) -> ReplicaCore:
+        """Build the core upon what is durable."""
+        log = recover_log(journal.snapshot, journal.entries)
+        return ReplicaCore(self.member, journal.state, log, self.timing, self._random, monotonic())
+
+    @property
+    def has_log(self) -> bool:
+        """Tell whether this replica has ever been part of a log."""
+        return self.core.last_index > 0
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether this replica still takes part."""
+        return self.failure is None and not self._is_stopped
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads."""
+        return self.is_running and self.core.role == "leader"
+
+    @property
+    def is_current(self) -> bool:
+        """Tell whether this replica believes that it holds all that is confirmed.
+
+        It is a belief bounded in time: by the lease of a leader, or by having
+        heard from one less than an election timeout ago.
+        """
+        if not self.is_running:
+            return False
+        now_s = monotonic()
+        if self.core.holds_lease(now_s):
+            return True
+        is_fresh = now_s - self._leader_heard_s < self.timing.election_timeout_min_s
+        return is_fresh and self.state.applied_index >= self.core.commit_index
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._tick()
+
+    async def found(self, journal: Journal) -> None:
+        """Write the first log of a new cluster whose only voter is this replica.
+
+        Only for a journal that holds nothing; the other replicas join.
+        """
+        state, entries = first_log((self.member,))
+        writes: list[JournalWrite] = [WriteState(0, state), AppendEntries(0, entries)]
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(None, journal.write, writes)
+        self.core = self._make_core(journal)
+        logger.info("cluster founded", replica=self.member.replica_id)
+
+    async def stop(self) -> None:
+        """Stop ticking, finish the journal's writes and close connections."""
+        self._is_stopped = True
+        if self._ticker is not None:
+            self._ticker.cancel()
+            self._ticker = None
+        self._stop_answers()
+        for task in list(self._tasks):
+            task.cancel()
+        await self.writer.close()
+        await self.transport.close()
+
+    def receive(self, envelope: Envelope) -> None:
+        """Take a message from another replica."""
+        is_from_leader = isinstance(envelope.message, AppendRequest | SnapshotRequest)
+        self.feed(Received(envelope))
+        if is_from_leader and envelope.message.term == self.core.term:
+            self._leader_heard_s = monotonic()
+
+    async def propose(self, payload: bytes, timeout_s: float) -> ProposalOutcome:
+        """Propose a command here; only a leader takes it."""
+        proposal_id = uuid4().hex
+        return await self._ask(proposal_id, Propose(proposal_id, payload), timeout_s)
+
+    async def propose_change(self, change: MembershipChange, timeout_s: float) -> ProposalOutcome:
+        """Propose a change of members here; only a leader takes it."""
+        proposal_id = uuid4().hex
+        return await self._ask(proposal_id, ProposeMembership(proposal_id, change), timeout_s)
+
+    async def read_index(self, timeout_s: float) -> ReadReady | ReadRefused:
+        """Ask a majority for the index at which a read is current."""
+        read_id = uuid4().hex
+        return await self._ask(read_id, ReadRequest(read_id), timeout_s)
+
+    async def wait_until(self, condition: Callable[[], bool], timeout_s: float) -> bool:
+        """Wait until a condition of this replica holds; tell whether it did in time."""
+        if condition():
+            return True
+        waiter = asyncio.get_running_loop().create_future()
+        pair = (condition, waiter)
+        self._waiters.append(pair)
+        try:
+            await asyncio.wait_for(waiter, max(timeout_s, 0.0))
+        except TimeoutError:
+            return condition()
+        finally:
+            if pair in self._waiters:
+                self._waiters.remove(pair)
+        return True
+
+    def feed(self, event: Input) -> None:
+        """Feed the core one input and carry out what it returns.
+
+        An input that arises meanwhile waits its turn; after the end all are dropped.
+        """
+        if not self.is_running:
+            return
+        self._events.append(event)
+        if self._is_stepping:
+            return
+        self._is_stepping = True
+        try:
+            while self._events and self.failure is None:
+                for output in self.core.step(self._events.popleft(), monotonic()):
+                    _HANDLERS[type(output)](self, output)
+        finally:
+            self._is_stepping = False
+        self._consider_snapshot()
+        self._wake()
+
+    async def _ask(self, question_id: str, event: Input, timeout_s: float) -> Any:
+        """Feed a question and wait for its answer."""
+        if not self.is_running:
+            return _no_answer(event)
+        answer = asyncio.get_running_loop().create_future()
+        self._answers[question_id] = answer
+        self.feed(event)
+        try:
+            return await asyncio.wait_for(answer, max(timeout_s, 0.0))
+        except TimeoutError:
+            return _timed_out(event)
+        finally:
+            self._answers.pop(question_id, None)
+
+    def _tick(self) -> None:
+        """Feed a tick and arrange for the next."""
+        loop = asyncio.get_running_loop()
+        period_s = self.timing.heartbeat_s / TICKS_PER_HEARTBEAT
+        self._ticker = loop.call_later(period_s, self._tick)
+        self.feed(Tick())
+
+    def _wake(self) -> None:
+        """Wake those whose condition holds now."""
+        for pair in list(self._waiters):
+            condition, waiter = pair
+            if condition():
+                self._waiters.remove(pair)
+                if not waiter.done():
+                    waiter.set_result(None)
+
+    def _answer(self, question_id: str, answer: Any) -> None:
+        """Answer the question with this id."""
+        waiter = self._answers.get(question_id)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(answer)
+
+    def _stop_answers(self) -> None:
+        """Leave no one waiting: whether a proposal commits is not known any more."""
+        for question_id in list(self._answers):
+            self._answer(question_id, ProposalOutcome(question_id, Outcome.UNKNOWN))
+
+    def _consider_snapshot(self) -> None:
+        """Take a snapshot when enough entries were applied since the last."""
+        index = self.state.applied_index
+        if self._taking_snapshot or index - self._snapshot_index < self._snapshot_every_entries:
+            return
+        self._taking_snapshot = True
+        write = TakeSnapshot(self.core.snapshot_at(index), self.state.snapshot())
+        self.writer.submit(write)
+
+    def _note_durable(self, group: list[JournalWrite]) -> None:
+        """Tell the core what is durable."""
+        numbers = [write.write_id for write in group if not isinstance(write, TakeSnapshot)]
+        if numbers:
+            self.feed(WritesDurable(max(numbers)))
+        for write in group:
+            if isinstance(write, TakeSnapshot):
+                self._taking_snapshot = False
+                self._snapshot_index = max(self._snapshot_index, write.snapshot.index)
+                self.feed(SnapshotTaken(write.snapshot.index))
+
+    def _fail(self, error: StorageError) -> None:
+        """Stop for good."""
+        logger.critical("storage failed; this replica stops", error=str(error))
+        self.failure = error
+        if self._ticker is not None:
+            self._ticker.cancel()
+        self._stop_answers()
+        self._wake()
+        for callback in self.on_failure:
+            callback(error)
+
+    def _write(self, output: Any) -> None:
+        self.writer.submit(output)
+
+    def _send(self, output: Send) -> None:
+        self.transport.send(output.envelope)
+
+    def _send_snapshot(self, output: SendSnapshot) -> None:
+        task = asyncio.ensure_future(self._fill_snapshot(output.envelope))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _fill_snapshot(self, envelope: Envelope) -> None:
+        """Send the newest durable snapshot."""
+        try:
+            snapshot, data = await self.writer.read_snapshot()
+        except StorageError as error:
+            self._fail(error)
+            return
+        message = envelope.message._replace(snapshot=snapshot, data=data)
+        self.transport.send(envelope._replace(message=message))
+
+    def _apply(self, output: Apply) -> None:
+        self.state.apply(output.entries)
+        for callback in self.on_applied:
+            callback()
+
+    def _install(self, output: InstallSnapshot) -> None:
+        self.writer.submit(output)
+        self.state.restore(output.snapshot.index, output.data)
+        self._snapshot_index = output.snapshot.index
+        for callback in self.on_applied:
+            callback()
+
+    def _finish_proposal(self, output: ProposalOutcome) -> None:
+        self._answer(output.proposal_id, output)
+
+    def _finish_read(self, output: ReadReady | ReadRefused) -> None:
+        self._answer(output.read_id, output)
+
+    def _note_role(self, output: BecameLeader | SteppedDown) -> None:
+        event = "became leader" if isinstance(output, BecameLeader) else "stepped down"
+        logger.info(event, replica=self.member.replica_id, term=output.term)
+
+
+def _timed_out(event: Input) -> ProposalOutcome | ReadRefused:
+    """Return what a question without an answer in time comes to."""
+    if isinstance(event, ReadRequest):
+        return ReadRefused(event.read_id, RefusalReason.NO_QUORUM, None)
+    return ProposalOutcome(event.proposal_id, Outcome.UNKNOWN)
+
+
+def _no_answer(event: Input) -> ProposalOutcome | ReadRefused:
+    """Return what a question to a replica that failed comes to."""
+    if isinstance(event, ReadRequest):
+        return ReadRefused(event.read_id, RefusalReason.NO_QUORUM, None)
+    refused = RefusalReason.STEPPED_DOWN
+    return ProposalOutcome(event.proposal_id, Outcome.REFUSED, 0, refused)
+
+
+_HANDLERS: dict[type, Callable[[Replica, Any], None]] = {
+    Send: Replica._send,
+    SendSnapshot: Replica._send_snapshot,
+    WriteState: Replica._write,
+    AppendEntries: Replica._write,
+    TruncateFrom: Replica._write,
+    InstallSnapshot: Replica._install,
+    Apply: Replica._apply,
+    ReadReady: Replica._finish_read,
+    ReadRefused: Replica._finish_read,
+    ProposalOutcome: Replica._finish_proposal,
+    BecameLeader: Replica._note_role,
+    SteppedDown: Replica._note_role,
+}
--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/replicated_state.py
@@ -0,0 +1,93 @@
+"""What the log's commands act on: the state machine and the address book.
+
+The first byte of a command's payload tells which of the two it is for.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol
+
+import msgspec
+
+from damaskwind.control.replica.address_book import AddressBook, AddressRecord
+from damaskwind.decisions.replication.messages import EntryKind, LogEntry
+
+__all__ = ["ReplicatedState", "StateMachine", "address_command", "machine_command"]
+
+_FOR_MACHINE = b"M"
+_FOR_ADDRESSES = b"A"
+KEPT_RESULTS = 4096
+
+
+class StateMachine(Protocol):
+    """A deterministic machine that the log drives."""
+
+    def apply(self, index: int, payload: bytes) -> bytes:
+        """Apply a command and return its result."""
+        ...
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        ...
+
+    def restore(self, payload: bytes) -> None:
+        """Replace the whole state."""
+        ...
+
+
+class _Snapshot(NamedTuple):
+    """The content of a snapshot."""
+
+    addresses: tuple[AddressRecord, ...]
+    machine: bytes
+
+
+def machine_command(payload: bytes) -> bytes:
+    """Return a command for the state machine as the payload of a log entry."""
+    return _FOR_MACHINE + payload
+
+
+def address_command(record: AddressRecord) -> bytes:
+    """Return a replica's address as the payload of a log entry."""
+    return _FOR_ADDRESSES + msgspec.msgpack.encode(record)
+
+
+class ReplicatedState:
+    """Apply entries in order and keep the results of the latest ones."""
+
+    def __init__(self, machine: StateMachine, addresses: AddressBook) -> None:
+        self.addresses = addresses
+        self.applied_index = 0
+        self._machine = machine
+        self._results: OrderedDict[int, bytes] = OrderedDict()
+
+    def apply(self, entries: Iterable[LogEntry]) -> None:
+        """Apply committed entries."""
+        for entry in entries:
+            self.applied_index = entry.index
+            if entry.kind is not EntryKind.COMMAND:
+                continue
+            target, payload = entry.payload[:1], entry.payload[1:]
+            if target == _FOR_ADDRESSES:
+                self.addresses.apply(payload)
+                continue
+            self._results[entry.index] = self._machine.apply(entry.index, payload)
+            while len(self._results) > KEPT_RESULTS:
+                self._results.popitem(last=False)
+
+    def result_at(self, index: int) -> bytes | None:
+        """Return the result of the command at `index`, if it was applied here lately."""
+        return self._results.get(index)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        content = _Snapshot(self.addresses.snapshot(), self._machine.snapshot())
+        return msgspec.msgpack.encode(content)
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replace the whole state by that of a snapshot at `index`."""
+        content = msgspec.msgpack.decode(data, type=_Snapshot)
+        self.addresses.restore(content.addresses)
+        self._machine.restore(content.machine)
+        self._results.clear()
+        self.applied_index = index
--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/tests/cluster.py
@@ -0,0 +1,129 @@
+"""Start replicas of a small machine in this process, on loopback."""
+
+import socket
+import tempfile
+from pathlib import Path
+from random import Random
+
+import msgspec
+from grpclib.server import Server
+
+from damaskwind.control.replica.node import open_replica
+from damaskwind.control.storage.files import FileSystem
+from damaskwind.runtime.settings import ControlSettings, NodeSettings, ReplicaSettings
+
+
+def free_port():
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class ListMachine:
+    """Keep the payloads that were applied."""
+
+    def __init__(self):
+        self.payloads = []
+
+    def apply(self, index, payload):
+        self.payloads.append(payload)
+        return b"%d" % len(self.payloads)
+
+    def snapshot(self):
+        return msgspec.msgpack.encode(self.payloads)
+
+    def restore(self, payload):
+        self.payloads = msgspec.msgpack.decode(payload)
+
+
+class RunningReplica:
+    """One replica with its server."""
+
+    def __init__(self, node, machine, server):
+        self.node = node
+        self.machine = machine
+        self.server = server
+
+    @property
+    def access(self):
+        return self.node.access
+
+    @property
+    def replica(self):
+        return self.node.replica
+
+    async def stop(self):
+        self.server.close()
+        await self.node.stop()
+        await self.server.wait_closed()
+
+
+class ReplicaCluster:
+    """Replicas named a, b, c; every one can be stopped and started again."""
+
+    def __init__(self, case, names="abc", snapshot_every_entries=1000):
+        folder = tempfile.TemporaryDirectory()
+        case.addCleanup(folder.cleanup)
+        self.path = Path(folder.name)
+        self.snapshot_every_entries = snapshot_every_entries
+        self.ports = {name: free_port() for name in names}
+        self.bootstrap = tuple(
+            ReplicaSettings(name, f"127.0.0.1:{self.ports[name]}", f"domain-{name}")
+            for name in names
+        )
+        self.running = {}
+
+    async def start(self, name, files=None, cluster_key="key"):
+        node = NodeSettings(name, "kl", cluster_key, "kl-central", f"domain-{name}")
+        port = self.ports.setdefault(name, 0) or free_port()
+        control = ControlSettings(
+            f"127.0.0.1:{port}",
+            "127.0.0.1:0",
+            str(self.path / name),
+            self.bootstrap,
+            election_timeout_s=0.3,
+            heartbeat_s=0.06,
+            snapshot_every_entries=self.snapshot_every_entries,
+        )
+        machine = ListMachine()
+        opened = open_replica(node, control, machine, files or FileSystem(), Random(name))
+        server = Server([opened.service])
+        await server.start("127.0.0.1", port)
+        opened.start(node, control, f"127.0.0.1:{port}")
+        self.running[name] = RunningReplica(opened, machine, server)
+        return self.running[name]
+
+    async def start_all(self):
+        for item in self.bootstrap:
+            await self.start(item.replica_id)
+        await self.settled(len(self.bootstrap))
+
+    async def stop(self, name):
+        await self.running.pop(name).stop()
+
+    async def stop_all(self):
+        for name in list(self.running):
+            await self.stop(name)
+
+    async def leader(self, timeout_s=15.0):
+        """Return the name of the one leader whose lease holds."""
+        first = next(iter(self.running.values()))
+        await first.replica.wait_until(lambda: self._leader() is not None, timeout_s)
+        return self._leader()
+
+    def _leader(self):
+        for name, item in self.running.items():
+            if item.replica.is_leader and item.replica.is_current:
+                return name
+        return None
+
+    async def settled(self, voters, timeout_s=15.0):
+        """Wait until every running replica knows that so many vote."""
+        for item in self.running.values():
+            core = item.replica
+            held = await core.wait_until(
+                lambda core=core: len(core.core.membership.voters) == voters, timeout_s
+            )
+            if not held:
+                raise AssertionError(f"voters: {core.core.membership}")
--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -0,0 +1,153 @@
+"""Send the log's messages to the other replicas, a call at a time for each.
+
+What is queued while a call is under way goes with the next one. Messages may
+be lost: the log's protocol sends again whatever matters.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from random import Random
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from loguru import logger
+
+from damaskwind.control.replica.codec import encode_envelope
+from damaskwind.decisions.replication.messages import Envelope
+from damaskwind.model.targets import Address
+from damaskwind.wire.authentication import CallSigner, call_unary
+from damaskwind.wire.replication_grpc import ReplicationStub
+from damaskwind.wire.replication_pb2 import CoreMessages
+
+__all__ = ["CALL_ERRORS", "Channels", "Transport"]
+
+CALL_ERRORS = (OSError, asyncio.TimeoutError, GRPCError, StreamTerminatedError)
+QUEUE_LIMIT_MESSAGES = 512
+BATCH_LIMIT_BYTES = 8 * 1024 * 1024
+CALL_TIMEOUT_S = 2.0
+BACKOFF_FIRST_S = 0.05
+BACKOFF_LIMIT_S = 1.0
+
+
+class Channels:
+    """One connection to each address, made when first needed."""
+
+    def __init__(self) -> None:
+        self._channels: dict[Address, Channel] = {}
+
+    def get(self, address: Address) -> Channel:
+        """Return the channel to an address."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = Channel(address.host, address.port)
+        return channel
+
+    def drop(self, address: Address) -> None:
+        """Close the channel to an address; the next use makes another."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        for address in list(self._channels):
+            self.drop(address)
+
+
+class _PeerQueue:
+    """The messages that wait for one replica, and the task that sends them."""
+
+    def __init__(self) -> None:
+        self.bodies: deque[bytes] = deque(maxlen=QUEUE_LIMIT_MESSAGES)
+        self.waiting = asyncio.Event()
+        self.task: asyncio.Task | None = None
+
+
+class Transport:
+    """Send envelopes to replicas by id."""
+
+    def __init__(
+        self,
+        signer: CallSigner,
+        address_of: Callable[[str], Address | None],
+        random: Random,
+    ) -> None:
+        self.own_address = ""
+        self.channels = Channels()
+        self.sent_bytes = 0
+        self._is_closed = False
+        self._signer = signer
+        self._address_of = address_of
+        self._random = random
+        self._queues: dict[str, _PeerQueue] = {}
+
+    def send(self, envelope: Envelope) -> None:
+        """Queue a message."""
+        if self._is_closed:
+            return
+        replica_id = envelope.recipient.replica_id
+        queue = self._queues.get(replica_id)
+        if queue is None:
+            queue = self._queues[replica_id] = _PeerQueue()
+            queue.task = asyncio.ensure_future(self._run(replica_id, queue))
+        queue.bodies.append(encode_envelope(envelope))
+        queue.waiting.set()
+
+    async def close(self) -> None:
+        """Stop all tasks and close all connections.
+
+        A call that ends while it is cancelled may swallow the cancellation, so
+        the tasks look at a flag too.
+        """
+        self._is_closed = True
+        tasks = [queue.task for queue in self._queues.values() if queue.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.channels.close()
+
+    def _next_batch(self, replica_id: str, queue: _PeerQueue) -> CoreMessages:
+        """Take what is queued, up to a size."""
+        batch = CoreMessages(
+            sender_id=self._signer.sender,
+            recipient_id=replica_id,
+            sender_address=self.own_address,
+        )
+        size_bytes = 0
+        while queue.bodies and (not size_bytes or size_bytes < BATCH_LIMIT_BYTES):
+            body = queue.bodies.popleft()
+            size_bytes += len(body)
+            batch.bodies.append(body)
+        return batch
+
+    async def _run(self, replica_id: str, queue: _PeerQueue) -> None:
+        """Send batch after batch; after a failure wait, with full jitter."""
+        backoff_s = BACKOFF_FIRST_S
+        while not self._is_closed:
+            await queue.waiting.wait()
+            queue.waiting.clear()
+            while queue.bodies and not self._is_closed:
+                if await self._send_batch(replica_id, queue):
+                    backoff_s = BACKOFF_FIRST_S
+                    continue
+                queue.bodies.clear()
+                await asyncio.sleep(self._random.uniform(0, backoff_s))
+                backoff_s = min(2 * backoff_s, BACKOFF_LIMIT_S)
+
+    async def _send_batch(self, replica_id: str, queue: _PeerQueue) -> bool:
+        """Send one batch and tell whether it arrived."""
+        batch = self._next_batch(replica_id, queue)
+        address = self._address_of(replica_id)
+        if address is None:
+            return False
+        self.sent_bytes += batch.ByteSize()
+        stub = ReplicationStub(self.channels.get(address))
+        try:
+            call = call_unary(stub.Deliver, batch, self._signer, CALL_TIMEOUT_S)
+            await asyncio.wait_for(call, CALL_TIMEOUT_S)
+        except CALL_ERRORS as error:
+            logger.debug("replica not reached", replica=replica_id, error=repr(error))
+            self.channels.drop(address)
+            return False
+        return True
--- a/packages/wire/src/damaskwind/wire/replication_grpc.py
+++ b/packages/wire/src/damaskwind/wire/replication_grpc.py
@@ -26,6 +26,14 @@
     async def ReadIndex(self, stream: 'grpclib.server.Stream[damaskwind.wire.replication_pb2.ReadIndexRequest, damaskwind.wire.replication_pb2.ReadIndexReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Hello(self, stream: 'grpclib.server.Stream[damaskwind.wire.replication_pb2.HelloRequest, damaskwind.wire.replication_pb2.HelloReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Change(self, stream: 'grpclib.server.Stream[damaskwind.wire.replication_pb2.ChangeRequest, damaskwind.wire.replication_pb2.ProposalOutcome]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/damaskwind.replication.Replication/Deliver': grpclib.const.Handler(
@@ -46,6 +54,18 @@
                 damaskwind.wire.replication_pb2.ReadIndexRequest,
                 damaskwind.wire.replication_pb2.ReadIndexReply,
             ),
+            '/damaskwind.replication.Replication/Hello': grpclib.const.Handler(
+                self.Hello,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                damaskwind.wire.replication_pb2.HelloRequest,
+                damaskwind.wire.replication_pb2.HelloReply,
+            ),
+            '/damaskwind.replication.Replication/Change': grpclib.const.Handler(
+                self.Change,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                damaskwind.wire.replication_pb2.ChangeRequest,
+                damaskwind.wire.replication_pb2.ProposalOutcome,
+            ),
         }
 
 
@@ -70,3 +90,15 @@
             damaskwind.wire.replication_pb2.ReadIndexRequest,
             damaskwind.wire.replication_pb2.ReadIndexReply,
         )
+        self.Hello = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/damaskwind.replication.Replication/Hello',
+            damaskwind.wire.replication_pb2.HelloRequest,
+            damaskwind.wire.replication_pb2.HelloReply,
+        )
+        self.Change = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/damaskwind.replication.Replication/Change',
+            damaskwind.wire.replication_pb2.ChangeRequest,
+            damaskwind.wire.replication_pb2.ProposalOutcome,
+        )
