Placement: the least room over the mean is two requests, not a share of capacity

Cause: with 2% of the capacity as a floor nothing spilled at low load; the figure hung on what engines report as capacity.

--- a/packages/decisions/src/damaskwind/decisions/load/bound.py
+++ b/packages/decisions/src/damaskwind/decisions/load/bound.py
@@ -43,26 +43,27 @@
     mean_tokens: float,
     load_factor: float,
     error_sd_tokens: float,
-    floor_tokens: float,
+    least_room_tokens: float,
     capacity_tokens: float,
 ) -> LoadLevels:
     """Return the levels of a target.
 
     The older the report, the larger the error and the more gradual the spilling:
-    a loop that reacts as sharply to old news as to fresh news swings. Below
-    `floor_tokens` a target counts as idle and nothing spills.
+    a loop that reacts as sharply to old news as to fresh news swings. The way
+    from the mean to the bound is at least `least_room_tokens`: at a low load a
+    request or two would else count as a hot target.
 
     >>> levels_for(SpillRamp(0.5, 2.0), 100.0, 1.5, 10.0, 0.0, 1000.0)
     LoadLevels(start_tokens=105.0, full_tokens=145.0, bound_tokens=150.0)
     """
-    room_tokens = mean_tokens * (load_factor - 1.0)
+    room_tokens = max(mean_tokens * (load_factor - 1.0), least_room_tokens)
     centre_tokens = mean_tokens + ramp.centre * room_tokens
     half_width_tokens = max(
         ramp.half_width_sds * error_sd_tokens, MIN_HALF_WIDTH_SHARE * mean_tokens
     )
-    start = max(centre_tokens - half_width_tokens, floor_tokens)
-    full = max(centre_tokens + half_width_tokens, floor_tokens)
-    bound = max(mean_tokens + room_tokens, floor_tokens)
+    start = max(centre_tokens - half_width_tokens, 0.0)
+    full = centre_tokens + half_width_tokens
+    bound = mean_tokens + room_tokens
     return LoadLevels(
         min(start, capacity_tokens), min(full, capacity_tokens), min(bound, capacity_tokens)
     )
--- a/packages/decisions/src/damaskwind/decisions/placement/bounded.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/bounded.py
@@ -36,7 +36,7 @@
 NEW_RAMP = SpillRamp(0.2, 1.6)
 HOME_RAMP = SpillRamp(0.2, 1.6)
 MOVE_RAMP = SpillRamp(-0.7, 1.6)
-IDLE_CAPACITY_SHARE = 0.02
+LEAST_ROOM_REQUESTS = 2.0
 MAX_CANDIDATES = 64
 
 
@@ -75,14 +75,14 @@
     """Return the levels of a target for a ramp."""
     load = situation.book.load(target_id)
     error_sd_tokens = load.error_sd_tokens(situation.now_s)
-    floor_tokens = IDLE_CAPACITY_SHARE * load.capacity_tokens
+    least_room_tokens = LEAST_ROOM_REQUESTS * situation.query.need_tokens
     capacity_tokens = load.capacity_tokens or float("inf")
     return levels_for(
         ramp,
         situation.mean_tokens,
         situation.load_factor,
         error_sd_tokens,
-        floor_tokens,
+        least_room_tokens,
         capacity_tokens,
     )
 
