Account limits across the fleet by leased shares of per-domain slices

Routers report demand and get whole units and token rates on lease; a smaller grant frees units only once applied or expired; a new allocator renews what it is told of and waits out one lease for the rest.

--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator.py
@@ -0,0 +1,224 @@
+"""Lease shares of accounts' slices to routers; runs on a router of the domain.
+
+Leases in the sense of "Leases: An Efficient Fault-Tolerant Mechanism for
+Distributed File Cache Consistency" (Gray and Cheriton, SOSP 1989): a share that
+is not renewed comes back by itself. What is booked for a router is the most that
+it may hold, whichever of its grants were lost: a smaller grant frees units only
+when the router says that it applied it, or when the larger one has expired. The
+sum of what is booked never exceeds the slice.
+"""
+
+from collections.abc import Mapping, Sequence
+
+from damaskwind.decisions.limits.fair_share import fair_shares
+from damaskwind.decisions.limits.messages import (
+    AccountDemand,
+    AccountGrant,
+    AccountLimit,
+    DemandReport,
+    LimitPolicy,
+    ShareGrant,
+)
+from damaskwind.decisions.limits.slices import divide_limit, floor_of
+
+__all__ = ["ShareAllocator"]
+
+LEASES_PER_TURN = 4
+
+
+class _Lease:
+    """A grant that its router may use until `until_s`.
+
+    Requests let in under it may run on; its units stay booked until `linger_s`.
+    """
+
+    __slots__ = ("linger_s", "sequence", "tokens_per_s", "units", "until_s")
+
+    def __init__(
+        self, sequence: int, units: int, tokens_per_s: int, until_s: float, linger_s: float
+    ) -> None:
+        self.sequence = sequence
+        self.units = units
+        self.tokens_per_s = tokens_per_s
+        self.until_s = until_s
+        self.linger_s = linger_s
+
+
+class _Share:
+    """What one router may hold of one account, and wants."""
+
+    def __init__(self) -> None:
+        self.leases: list[_Lease] = []
+        self.in_use = 0
+        self.wanted = 0
+        self.wanted_tokens_per_s = 0
+        self.until_s = 0.0
+        self.linger_s = 0.0
+
+    def drop_expired(self, now_s: float) -> None:
+        """Drop leases that are over, and what was reported when it is too old."""
+        self.leases = [lease for lease in self.leases if lease.linger_s > now_s]
+        for lease in self.leases:
+            if lease.until_s <= now_s:
+                lease.tokens_per_s = 0
+        if now_s >= self.until_s:
+            self.wanted = self.wanted_tokens_per_s = 0
+        if now_s >= self.linger_s:
+            self.in_use = 0
+
+    def drop_replaced(self, applied_sequence: int) -> None:
+        """Drop leases older than the one that the router says it applied."""
+        self.leases = [lease for lease in self.leases if lease.sequence >= applied_sequence]
+
+    def units(self) -> int:
+        """Return the most units that the router may be using."""
+        return max(self.in_use, max((lease.units for lease in self.leases), default=0))
+
+    def tokens_per_s(self) -> int:
+        """Return the highest rate that the router may be using."""
+        return max((lease.tokens_per_s for lease in self.leases), default=0)
+
+
+class _Account:
+    """The shares of one account, and until when some may be unseen."""
+
+    def __init__(self, blind_until_s: float) -> None:
+        self.shares: dict[str, _Share] = {}
+        self.blind_until_s = blind_until_s
+
+    def drop_expired(self, now_s: float) -> None:
+        """Forget the routers that hold and want nothing any more."""
+        for router_id, share in list(self.shares.items()):
+            share.drop_expired(now_s)
+            if not share.leases and not share.in_use and now_s >= share.until_s:
+                del self.shares[router_id]
+
+
+class ShareAllocator:
+    """Allocate the slices of one failure domain, for the accounts asked about.
+
+    A new allocator can't see what the one before it leased. For one lease it
+    renews what routers say they hold and grants nothing beyond. `is_alone` tells
+    that there is no other router, so that there is nothing to wait for.
+    """
+
+    def __init__(
+        self,
+        router_id: str,
+        domain: str,
+        policy: LimitPolicy,
+        now_s: float,
+        is_alone: bool = False,
+    ) -> None:
+        self.router_id = router_id
+        self.domain = domain
+        self.policy = policy
+        self._blind_until_s = now_s if is_alone else now_s + policy.lease_s
+        self._slices: dict[str, AccountLimit] = {}
+        self._accounts: dict[str, _Account] = {}
+
+    def set_limits(self, limits: Mapping[str, AccountLimit], domains: Sequence[str]) -> None:
+        """Follow the confirmed limits; `domains` must be the same on all routers."""
+        self._slices = {}
+        for account, limit in limits.items():
+            mine = divide_limit(account, limit, domains)[self.domain]
+            floor = floor_of(mine, self.policy)
+            kept = self.policy.floor_routers
+            self._slices[account] = AccountLimit(
+                mine.max_concurrent_requests - kept * floor.max_concurrent_requests,
+                mine.max_tokens_per_s - kept * floor.max_tokens_per_s,
+            )
+        self._accounts = {
+            name: account for name, account in self._accounts.items() if name in self._slices
+        }
+
+    def booked(self, account: str, now_s: float) -> AccountLimit:
+        """Return the most that all routers together may be using of a slice."""
+        known = self._accounts.get(account)
+        if known is None:
+            return AccountLimit(0, 0)
+        known.drop_expired(now_s)
+        shares = known.shares.values()
+        return AccountLimit(
+            sum(share.units() for share in shares),
+            sum(share.tokens_per_s() for share in shares),
+        )
+
+    def take_report(self, report: DemandReport, now_s: float) -> ShareGrant | None:
+        """Answer a router's demand; `None` when it is not for this domain."""
+        if report.slice_domain != self.domain:
+            return None
+        grants = tuple(
+            self._grant(report, demand, now_s)
+            for demand in report.demands
+            if demand.account in self._slices
+        )
+        lease_ms = int(self.policy.lease_s * 1000)
+        return ShareGrant(self.router_id, self.domain, report.sequence, lease_ms, grants)
+
+    def _grant(self, report: DemandReport, demand: AccountDemand, now_s: float) -> AccountGrant:
+        """Decide one account's share for one router and book it."""
+        account = self._accounts.setdefault(demand.account, _Account(self._blind_until_s))
+        account.drop_expired(now_s)
+        share = account.shares.setdefault(report.router_id, _Share())
+        self._adopt(account, share, demand, now_s)
+        share.drop_replaced(demand.applied_sequence)
+        share.in_use = demand.in_use
+        share.wanted = demand.wanted
+        share.wanted_tokens_per_s = demand.wanted_tokens_per_s
+        units = self._units(account, report.router_id, demand.account, now_s)
+        tokens_per_s = self._tokens_per_s(account, report.router_id, demand.account, now_s)
+        is_foreign = report.router_domain != self.domain
+        share.until_s = now_s + self.policy.lease_s
+        share.linger_s = share.until_s + (self.policy.linger_s if is_foreign else 0.0)
+        lease = _Lease(report.sequence, units, tokens_per_s, share.until_s, share.linger_s)
+        share.leases.append(lease)
+        return AccountGrant(demand.account, units, tokens_per_s)
+
+    def _adopt(self, account: _Account, share: _Share, demand: AccountDemand, now_s: float) -> None:
+        """Book what another allocator leased to this router.
+
+        Hearing of such a lease tells that others may hold more of them.
+        """
+        remaining_s = demand.held_remaining_ms / 1000
+        if demand.held_by == self.router_id or remaining_s <= 0 or share.leases:
+            return
+        until_s = now_s + remaining_s
+        account.blind_until_s = max(account.blind_until_s, until_s)
+        others = [other for other in account.shares.values() if other is not share]
+        limit = self._slices[demand.account]
+        free = limit.max_concurrent_requests - sum(other.units() for other in others)
+        free_tokens = limit.max_tokens_per_s - sum(other.tokens_per_s() for other in others)
+        units = max(0, min(demand.held, free))
+        tokens_per_s = max(0, min(demand.held_tokens_per_s, int(free_tokens)))
+        lease = _Lease(demand.applied_sequence, units, tokens_per_s, until_s, until_s)
+        share.leases.append(lease)
+
+    def _turn(self, now_s: float) -> str:
+        """Name the present order for units that can't be divided."""
+        return str(int(now_s // (LEASES_PER_TURN * self.policy.lease_s)))
+
+    def _units(self, account: _Account, router_id: str, name: str, now_s: float) -> int:
+        """Return how many units a router gets now."""
+        share = account.shares[router_id]
+        total = self._slices[name].max_concurrent_requests
+        booked = sum(other.units() for key, other in account.shares.items() if key != router_id)
+        free = max(0, total - booked)
+        if now_s < account.blind_until_s:
+            held = max((lease.units for lease in share.leases), default=0)
+            return min(share.wanted, held, free)
+        wanted = {key: other.wanted for key, other in account.shares.items()}
+        fair = fair_shares(total, wanted, name + self._turn(now_s))[router_id]
+        return min(fair, free)
+
+    def _tokens_per_s(self, account: _Account, router_id: str, name: str, now_s: float) -> int:
+        """Return which token rate a router gets now."""
+        share = account.shares[router_id]
+        total = int(self._slices[name].max_tokens_per_s)
+        others = (other for key, other in account.shares.items() if key != router_id)
+        free = max(0, total - sum(other.tokens_per_s() for other in others))
+        if now_s < account.blind_until_s:
+            return min(share.wanted_tokens_per_s, share.tokens_per_s(), free)
+        wanted = {key: other.wanted_tokens_per_s for key, other in account.shares.items()}
+        fair = fair_shares(total, wanted, name + self._turn(now_s))[router_id]
+        return min(fair, free)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/limits/demand.py
@@ -0,0 +1,71 @@
+"""What a router lately wanted of one account."""
+
+from collections import deque
+from math import exp
+
+__all__ = ["Demand"]
+
+UNMET_S = 1.0
+UNMET_LIMIT = 256
+HEADROOM = 1.5
+
+
+class Demand:
+    """Follow the requests in hand, those not let in, and the rate of tokens.
+
+    What is wanted falls only after `idle_s`, so that a share is not given back
+    between two requests.
+    """
+
+    def __init__(self, idle_s: float) -> None:
+        self.idle_s = idle_s
+        self.in_use = 0
+        self._unmet: deque[float] = deque(maxlen=UNMET_LIMIT)
+        self._peaks: deque[tuple[float, int]] = deque()
+        self._tokens = 0.0
+        self._tokens_s = 0.0
+        self._arrived_s = float("-inf")
+
+    def note_arrival(self, tokens: int, now_s: float) -> None:
+        """Note a request and what it is expected to cost."""
+        self._decay(now_s)
+        self._tokens += tokens
+        self._arrived_s = now_s
+
+    def note_unmet(self, now_s: float) -> None:
+        """Note a request that could not be let in at once."""
+        self._unmet.append(now_s)
+
+    def change_in_use(self, change: int, now_s: float) -> None:
+        """Note a request that was let in or ended."""
+        self._note_peak(now_s)
+        self.in_use = max(0, self.in_use + change)
+        self._note_peak(now_s)
+
+    def wanted(self, now_s: float) -> int:
+        """Return how many requests at once to ask for."""
+        self._note_peak(now_s)
+        while self._unmet and self._unmet[0] <= now_s - UNMET_S:
+            self._unmet.popleft()
+        return max(self._peaks[0][1], self.in_use + len(self._unmet))
+
+    def wanted_tokens_per_s(self, now_s: float) -> int:
+        """Return which rate to ask for; 0 when nothing came and nothing runs."""
+        if not self.in_use and now_s - self._arrived_s >= self.idle_s:
+            return 0
+        self._decay(now_s)
+        return int(HEADROOM * self._tokens / self.idle_s + 0.5)
+
+    def _decay(self, now_s: float) -> None:
+        """Let old arrivals fade."""
+        if now_s > self._tokens_s:
+            self._tokens *= exp((self._tokens_s - now_s) / self.idle_s)
+            self._tokens_s = now_s
+
+    def _note_peak(self, now_s: float) -> None:
+        """Keep the falling sequence of peaks of the last `idle_s`."""
+        while self._peaks and self._peaks[-1][1] <= self.in_use:
+            self._peaks.pop()
+        self._peaks.append((now_s, self.in_use))
+        while len(self._peaks) > 1 and self._peaks[0][0] <= now_s - self.idle_s:
+            self._peaks.popleft()
--- a/packages/decisions/src/damaskwind/decisions/limits/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/messages.py
@@ -28,16 +28,16 @@
     """How shares are leased.
 
     `lease_s` is the life of a lease, `renew_s` the time between reports,
-    `idle_s` how long an unused share is kept. `burst_s` is how many seconds of
-    its rate a token bucket holds. `floor_share` of a domain's slice is divided
+    `idle_s` how long an unused share is kept, `burst_s` how many seconds of its
+    rate a token bucket saves up. `floor_share` of a domain's slice is divided
     over `floor_routers` routers, whether they exist or not: what a router that
     no allocator answers may still use. `linger_s` keeps units lent to another
     domain booked after their lease ends, since their requests may still run.
     """
 
-    lease_s: float = 6.0
-    renew_s: float = 2.0
-    idle_s: float = 6.0
+    lease_s: float = 3.0
+    renew_s: float = 1.0
+    idle_s: float = 3.0
     burst_s: float = 2.0
     wait_s: float = 0.5
     retry_after_s: float = 1.0
@@ -47,21 +47,21 @@
 
 
 class AccountDemand(NamedTuple):
-    """What a router holds and wants of one account at one domain's allocator.
+    """What a router holds and wants of one account from one domain's slice.
 
-    `grant_sequence` is the newest grant applied; the router never goes back to an
-    older one. `held_by` is the allocator that gave it.
+    `applied_sequence` is the newest report whose grant it applied; it never goes
+    back to an older one. `held_by` is the allocator that gave what it holds.
     """
 
     account: str
     in_use: int
     wanted: int
     wanted_tokens_per_s: int
-    held: int
-    held_tokens_per_s: int
-    held_remaining_ms: int
-    held_by: str
-    grant_sequence: int
+    held: int = 0
+    held_tokens_per_s: int = 0
+    held_remaining_ms: int = 0
+    held_by: str = ""
+    applied_sequence: int = 0
 
 
 class DemandReport(NamedTuple):
@@ -80,7 +80,6 @@
     account: str
     units: int
     tokens_per_s: int
-    grant_sequence: int
 
 
 class ShareGrant(NamedTuple):
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
@@ -0,0 +1,123 @@
+"""A fleet of limiters and allocators over a lossy network, in one thread."""
+
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from damaskwind.decisions.limits.allocator import ShareAllocator
+from damaskwind.decisions.limits.limiter import AccountLimiter
+from damaskwind.decisions.limits.messages import AccountLimit, LimitOutcome, LimitPolicy
+
+__all__ = ["Fleet"]
+
+STEP_S = 0.02
+
+
+class Fleet:
+    """Routers named `domain/number`; every one may allocate for its domain."""
+
+    def __init__(self, domains, routers_per_domain, limits, policy=None, **network):
+        self.policy = policy or LimitPolicy()
+        self.random = Random(network.get("seed", 1))
+        self.loss = network.get("loss", 0.0)
+        self.delay_s = network.get("delay_s", 0.002)
+        self.domains = domains
+        self.limits = limits
+        self.now_s = 100.0
+        self.routers = {
+            domain: [f"{domain}/{number}" for number in range(routers_per_domain)]
+            for domain in domains
+        }
+        self.cut: set[str] = set()
+        self.limiters = {}
+        self.allocators = {}
+        self.running: dict[str, list[tuple[float, str]]] = {}
+        self.waiting: list[tuple[str, str, float]] = []
+        self.refused = {}
+        self.served = {}
+        self.sent_reports = []
+        self._queue = []
+        self._order = count()
+        for domain, names in self.routers.items():
+            for name in names:
+                self.start(name, domain, 0.0)
+
+    def start(self, name, domain, began_s):
+        """Start a router, or restart it with its requests lost."""
+        first = 1000 * int(self.now_s)
+        self.limiters[name] = AccountLimiter(name, domain, self.policy, first)
+        self.allocators[name] = ShareAllocator(name, domain, self.policy, began_s)
+        for part in (self.limiters[name], self.allocators[name]):
+            part.set_limits(self.limits, self.domains)
+        self.running[name] = []
+
+    def reach(self, one, other):
+        """Tell whether two routers can talk."""
+        first, second = one.split("/")[0], other.split("/")[0]
+        return first == second or not {first, second} & self.cut
+
+    def post(self, source, target, deliver):
+        """Carry a message, unless it is lost; now and then twice."""
+        if not self.reach(source, target) or self.random.random() < self.loss:
+            return
+        copies = 2 if self.random.random() < self.loss else 1
+        for _ in range(copies):
+            at_s = self.now_s + self.random.uniform(0, 2) * self.delay_s
+            heappush(self._queue, (at_s, next(self._order), deliver))
+
+    def request(self, name, account, duration_s, tokens=10):
+        """Let a request come in at a router."""
+        self.attempt(name, account, duration_s, tokens, None)
+
+    def attempt(self, name, account, duration_s, tokens, until_s):
+        decision = self.limiters[name].admit(account, tokens, self.now_s, until_s)
+        if decision.outcome == LimitOutcome.ADMITTED:
+            self.running[name].append((self.now_s + duration_s, account))
+            self.served[name] = self.served.get(name, 0) + 1
+        elif decision.outcome == LimitOutcome.WAIT:
+            self.waiting.append((name, account, duration_s, tokens, decision.wait_until_s))
+        else:
+            self.refused[name] = self.refused.get(name, 0) + 1
+
+    def step(self):
+        self.now_s += STEP_S
+        while self._queue and self._queue[0][0] <= self.now_s:
+            heappop(self._queue)[2]()
+        waiting, self.waiting = self.waiting, []
+        for item in waiting:
+            self.attempt(*item)
+        for name, limiter in self.limiters.items():
+            self.finish(name, limiter)
+            due_s = limiter.next_report_s()
+            if due_s is not None and due_s <= self.now_s:
+                self.report(name, limiter)
+
+    def finish(self, name, limiter):
+        ended = [account for at_s, account in self.running[name] if at_s <= self.now_s]
+        self.running[name] = [item for item in self.running[name] if item[0] > self.now_s]
+        for account in ended:
+            limiter.release(account, 10, 10, self.now_s)
+
+    def report(self, name, limiter):
+        known = {
+            d: names for d, names in self.routers.items() if names and self.reach(name, names[0])
+        }
+        for target, report in limiter.reports(known, self.now_s):
+            self.sent_reports.append(report)
+            self.post(name, target, lambda t=target, r=report, n=name: self.answer(t, r, n))
+
+    def answer(self, target, report, source):
+        allocator = self.allocators.get(target)
+        if allocator is None:
+            return
+        grant = allocator.take_report(report, self.now_s)
+        if grant is not None and source in self.limiters:
+            limiter = self.limiters[source]
+            self.post(target, source, lambda: limiter.take_grant(grant, self.now_s))
+
+    def total_running(self, account):
+        return sum(item[1] == account for items in self.running.values() for item in items)
+
+    def total_share(self, account):
+        shares = [limiter.share(account, self.now_s) for limiter in self.limiters.values()]
+        return AccountLimit(*(sum(column) for column in zip(*shares, strict=True)))
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/test_fleet.py
@@ -0,0 +1,118 @@
+"""Tests of leased shares over whole fleets, with loss, partitions and restarts."""
+
+from unittest import TestCase
+
+from damaskwind.decisions.limits.messages import AccountLimit
+from damaskwind.decisions.limits.slices import choose_allocator
+from damaskwind.decisions.limits.tests.fleet import STEP_S, Fleet
+
+DOMAINS = ("a", "b", "c")
+
+
+class FleetTest(TestCase):
+    def run_for(self, fleet, duration_s, per_step=None):
+        """Step the fleet and check the limits all the time."""
+        for _ in range(int(duration_s / STEP_S)):
+            if per_step is not None:
+                per_step()
+            fleet.step()
+            for account, limit in fleet.limits.items():
+                share = fleet.total_share(account)
+                self.assertLessEqual(share.max_concurrent_requests, limit.max_concurrent_requests)
+                self.assertLessEqual(share.max_tokens_per_s, limit.max_tokens_per_s)
+                self.assertLessEqual(fleet.total_running(account), limit.max_concurrent_requests)
+
+    def everywhere(self, fleet, account, duration_s=0.2, share=0.2):
+        """Return a load that comes in at all routers alike."""
+
+        def come():
+            for name in fleet.limiters:
+                if fleet.random.random() < share:
+                    fleet.request(name, account, duration_s)
+
+        return come
+
+    def test_two_units_over_eight_routers_serve_any_router_in_turn(self):
+        fleet = Fleet(DOMAINS, 3, {"small": AccountLimit(2, 1000.0)})
+        for name in list(fleet.limiters)[:8]:
+            fleet.request(name, "small", 0.1)
+            self.run_for(fleet, 8.0)
+            self.assertEqual(fleet.served.get(name), 1, name)
+
+    def test_whole_limit_is_usable_from_one_router(self):
+        fleet = Fleet(DOMAINS, 3, {"x": AccountLimit(12, 100_000.0)})
+
+        def come():
+            while fleet.limiters["a/0"].in_use("x") + len(fleet.waiting) < 20:
+                fleet.request("a/0", "x", 60.0)
+
+        self.run_for(fleet, 6.0, come)
+        self.assertEqual(fleet.total_running("x"), 12)
+
+    def test_shares_follow_demand(self):
+        fleet = Fleet(("a",), 4, {"x": AccountLimit(8, 100_000.0)})
+        for busy in ("a/0", "a/1"):
+
+            def come(busy=busy):
+                fleet.request(busy, "x", 0.1)
+
+            self.run_for(fleet, 10.0, come)
+            share = fleet.limiters[busy].share("x", fleet.now_s)
+            self.assertGreaterEqual(share.max_concurrent_requests, 6, busy)
+
+    def test_contended_limit_is_shared_fairly(self):
+        fleet = Fleet(("a",), 4, {"x": AccountLimit(8, 100_000.0)})
+        self.run_for(fleet, 20.0, self.everywhere(fleet, "x", share=0.5))
+        self.assertGreater(min(fleet.served.values()), 0.6 * max(fleet.served.values()))
+
+    def test_limits_hold_under_loss_and_duplicates(self):
+        for seed in range(3):
+            fleet = Fleet(DOMAINS, 3, {"x": AccountLimit(7, 900.0)}, loss=0.3, seed=seed)
+            self.run_for(fleet, 12.0, self.everywhere(fleet, "x"))
+            self.assertGreater(sum(fleet.served.values()), 100)
+
+    def test_cut_off_domain_keeps_to_its_slice_and_comes_back(self):
+        fleet = Fleet(DOMAINS, 2, {"x": AccountLimit(30, 100_000.0)})
+        load = self.everywhere(fleet, "x", duration_s=0.5, share=0.6)
+        self.run_for(fleet, 5.0, load)
+        fleet.cut = {"a"}
+        served = dict(fleet.served)
+        self.run_for(fleet, 10.0, load)
+        for name, before in served.items():
+            self.assertGreater(fleet.served[name], before, name)
+        mine = [fleet.limiters[name].share("x", fleet.now_s) for name in fleet.routers["a"]]
+        self.assertLessEqual(sum(share.max_concurrent_requests for share in mine), 10)
+        fleet.cut = set()
+        self.run_for(fleet, 5.0, load)
+
+    def test_new_allocator_waits_out_what_it_can_not_see(self):
+        fleet = Fleet(("a",), 4, {"x": AccountLimit(8, 1000.0)})
+        load = self.everywhere(fleet, "x")
+        self.run_for(fleet, 5.0, load)
+        gone = choose_allocator("x", fleet.routers["a"])
+        fleet.routers["a"].remove(gone)
+        heir = choose_allocator("x", fleet.routers["a"])
+        fleet.start(heir, "a", fleet.now_s)
+        self.run_for(fleet, 2.0, load)
+        fleet.limiters.pop(gone)
+        fleet.running.pop(gone)
+        self.run_for(fleet, 8.0, load)
+        share = fleet.total_share("x")
+        self.assertGreaterEqual(share.max_concurrent_requests, 6)
+
+    def test_router_without_any_allocator_has_its_floor(self):
+        fleet = Fleet(("a",), 2, {"x": AccountLimit(6400, 6400.0)})
+        self.run_for(fleet, 2.0, self.everywhere(fleet, "x"))
+        fleet.allocators.clear()
+        self.run_for(fleet, 4.0, self.everywhere(fleet, "x"))
+        for limiter in fleet.limiters.values():
+            self.assertEqual(limiter.share("x", fleet.now_s), AccountLimit(10, 10))
+
+    def test_idle_fleet_sends_nothing(self):
+        fleet = Fleet(DOMAINS, 2, {"x": AccountLimit(6, 1000.0)})
+        self.run_for(fleet, 3.0, self.everywhere(fleet, "x"))
+        self.run_for(fleet, 12.0)
+        before = len(fleet.sent_reports)
+        self.run_for(fleet, 5.0)
+        self.assertEqual(len(fleet.sent_reports), before)
+        self.assertEqual(fleet.total_share("x"), AccountLimit(0, 0))
