Follow confirmed configurations: deltas, sealed streams, a router that never goes back

A router without a configuration settles on the highest it hears of unless a current replica answers. A refused connection to a leader that is gone is a sure refusal and tried again; it was unknown.

--- a/packages/control/src/damaskwind/control/replica/forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -9,6 +9,9 @@
 from time import monotonic
 from typing import Any
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
 from damaskwind.control.replica.address_book import AddressRecord
 from damaskwind.control.replica.replica import Replica
@@ -24,20 +27,33 @@
     ReadReady,
     RefusalReason,
 )
+from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.settings import parse_address
 from damaskwind.wire import replication_pb2
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.replication_grpc import ReplicationStub
 
-__all__ = ["LogAccess"]
+__all__ = ["STOPPED", "LogAccess"]
 
 RETRY_PAUSE_S = 0.05
 READ_ATTEMPT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
+STOPPED = "stopped"
 _MAY_RETRY = (RefusalReason.NOT_LEADER, RefusalReason.STEPPED_DOWN)
 
 
+class _NotSentError(DamaskwindError):
+    """A call certainly had no effect."""
+
+
+def _is_not_sent(error: BaseException) -> bool:
+    """Tell whether a failed call certainly had no effect."""
+    if isinstance(error, GRPCError):
+        return error.status is Status.UNAVAILABLE and error.message == STOPPED
+    return isinstance(error, ConnectionRefusedError)
+
+
 class LogAccess:
     """The replicated log as the rest of the process uses it."""
 
@@ -179,7 +195,10 @@
         if self.replica.is_leader:
             return await self.read_index_here(timeout_s)
         request = replication_pb2.ReadIndexRequest(timeout_ms=int(timeout_s * 1000))
-        reply = await self._call_leader("ReadIndex", request, timeout_s)
+        try:
+            reply = await self._call_leader("ReadIndex", request, timeout_s)
+        except _NotSentError:
+            return None
         return reply.index if reply is not None and reply.is_current else None
 
     async def _at_leader(self, method: str, request: Any, timeout_s: float) -> ProposalOutcome:
@@ -205,14 +224,21 @@
             return await here(request, timeout_s)
         if self._leader_address() is None:
             return _refused(RefusalReason.NOT_LEADER)
-        reply = await self._call_leader(method, request, timeout_s)
+        try:
+            reply = await self._call_leader(method, request, timeout_s)
+        except _NotSentError:
+            return _refused(RefusalReason.NOT_LEADER)
         if reply is None:
             return ProposalOutcome("", Outcome.UNKNOWN)
         reason = RefusalReason(reply.detail) if reply.detail else None
         return ProposalOutcome("", Outcome(reply.state), reply.index, reason)
 
     async def _call_leader(self, method: str, request: Any, timeout_s: float) -> Any:
-        """Call the leader; return `None` when no answer came."""
+        """Call the leader; return `None` when no answer came.
+
+        Raises `_NotSentError` when it is certain that nothing was done: the
+        connection was refused, or the replica said that it has stopped.
+        """
         address = self._leader_address()
         if address is None:
             return None
@@ -220,8 +246,10 @@
         try:
             call = call_unary(getattr(stub, method), request, self._signer, timeout_s)
             return await asyncio.wait_for(call, timeout_s)
-        except CALL_ERRORS:
+        except CALL_ERRORS as error:
             self._channels.drop(address)
+            if _is_not_sent(error):
+                raise _NotSentError from error
             return None
 
     def _leader_address(self) -> Address | None:
--- a/packages/control/src/damaskwind/control/replica/service.py
+++ b/packages/control/src/damaskwind/control/replica/service.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from damaskwind.control.replica.codec import decode_envelope
-from damaskwind.control.replica.forwarding import LogAccess
+from damaskwind.control.replica.forwarding import STOPPED, LogAccess
 from damaskwind.decisions.replication.messages import ProposalOutcome
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.settings import parse_address
@@ -89,7 +89,7 @@
         """Receive and verify a call; a replica that has stopped answers none."""
         request = await receive_call(stream, _PATH + method, self._verifier)
         if not self._access.replica.is_running:
-            raise GRPCError(Status.UNAVAILABLE, "stopped")
+            raise GRPCError(Status.UNAVAILABLE, STOPPED)
         return request
 
     def _reply(self, outcome: ProposalOutcome) -> replication_pb2.ProposalOutcome:
--- /dev/null
+++ b/packages/router/src/damaskwind/router/configuration/follower.py
@@ -0,0 +1,304 @@
+"""Follow the confirmed configuration; never move to a lower revision.
+
+One stream to one replica brings each revision as it is confirmed. While no
+replica that is current can be reached, hints from other routers tell of newer
+revisions, which are fetched from those routers. A router without any revision
+first asks everyone it knows and, unless a current replica answers, takes the
+highest it heard of within a settling time: the first to answer may be the one
+that is furthest behind.
+"""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from time import monotonic
+
+from loguru import logger
+
+from damaskwind.model.configuration import Configuration
+from damaskwind.model.exception import MessageError
+from damaskwind.model.targets import Address
+from damaskwind.router.configuration.state_file import read_state_file, write_state_file
+from damaskwind.router.configuration.upstream import Upstream, UpstreamUpdate
+from damaskwind.runtime.settings import ReplicaSettings, parse_address
+from damaskwind.wire.authentication import CallSigner, CallVerifier
+from damaskwind.wire.configuration_history import decode_revision
+from damaskwind.wire.follow_service import HEARTBEAT_S, FollowService
+
+__all__ = ["ConfigurationFollower", "FollowerTiming"]
+
+HINT_ATTEMPTS = 6
+
+
+class FollowerTiming:
+    """Periods of the follower, in seconds."""
+
+    def __init__(
+        self,
+        heartbeat_s: float = HEARTBEAT_S,
+        settle_s: float = 3.0,
+        backoff_first_s: float = 0.5,
+        backoff_limit_s: float = 8.0,
+        hint_delay_s: float = 0.5,
+    ) -> None:
+        self.silence_s = 2.5 * heartbeat_s
+        self.settle_s = settle_s
+        self.backoff_first_s = backoff_first_s
+        self.backoff_limit_s = backoff_limit_s
+        self.hint_delay_s = hint_delay_s
+
+
+class ConfigurationFollower:
+    """Keep one router's configuration.
+
+    `configuration` is what the router enforces: subscribers are called before
+    the revision is reported to anyone. `peers` returns the addresses of other
+    routers at which `service` is served.
+    """
+
+    def __init__(
+        self,
+        router_id: str,
+        failure_domain: str,
+        signer: CallSigner,
+        replicas: tuple[ReplicaSettings, ...],
+        random: Random,
+        state_file: Path | None = None,
+        peers: Callable[[], list[Address]] = list,
+        timing: FollowerTiming | None = None,
+    ) -> None:
+        self.configuration: Configuration | None = None
+        self.service = FollowService(
+            CallVerifier(signer.cluster, signer.cluster_key), _never, _ignore_report
+        )
+        self.source = ""
+        self._random = random
+        self._state_file = state_file
+        self._peers = peers
+        self._timing = timing or FollowerTiming()
+        self._replicas = _near_first(replicas, failure_domain, random)
+        self._upstream = Upstream(router_id, failure_domain, signer)
+        self._subscribers: list[Callable[[Configuration], None]] = []
+        self._candidate: Configuration | None = None
+        self._settling: asyncio.TimerHandle | None = None
+        self._current_until_s = float("-inf")
+        self._highest_heard = 0
+        self._wants_whole = False
+        self._hints: dict[Address, int] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._saving: asyncio.Task | None = None
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force, 0 before any."""
+        return self.configuration.revision if self.configuration is not None else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether a configuration is in force."""
+        return self.configuration is not None
+
+    @property
+    def may_be_behind(self) -> bool:
+        """Tell whether no current replica has confirmed the revision in force lately."""
+        return monotonic() > self._current_until_s or self._highest_heard > self.revision
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes received, with headers as estimated."""
+        return self._upstream.received_bytes
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes sent, with headers as estimated."""
+        return self._upstream.sent_bytes
+
+    def subscribe(self, callback: Callable[[Configuration], None]) -> None:
+        """Have `callback` put each new configuration in force."""
+        self._subscribers.append(callback)
+        if self.configuration is not None:
+            callback(self.configuration)
+
+    async def start(self) -> None:
+        """Take up the state file and begin to follow."""
+        if self._state_file is not None:
+            kept = read_state_file(self._state_file)
+            if kept is not None:
+                self._offer(kept, "state file", is_current=False)
+        self._spawn(self._follow())
+        self._spawn(self._ask_everyone())
+
+    async def stop(self) -> None:
+        """Stop following; the configuration stays."""
+        self._upstream.close()
+        if self._settling is not None:
+            self._settling.cancel()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._saving is not None:
+            await asyncio.wait([self._saving])
+
+    def heard_revision(self, peer_address: Address, revision: int) -> None:
+        """Take a hint that a router enforces a revision; fetch it if it is newer."""
+        self._highest_heard = max(self._highest_heard, revision)
+        if revision <= self.revision:
+            return
+        is_new = peer_address not in self._hints
+        self._hints[peer_address] = max(revision, self._hints.get(peer_address, 0))
+        if is_new:
+            self._spawn(self._fetch_hint(peer_address))
+
+    def _spawn(self, coroutine: object) -> None:
+        """Run a coroutine until this follower stops."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _follow(self) -> None:
+        """Keep a stream to a replica, one replica after another."""
+        backoff_s = self._timing.backoff_first_s
+        turn = 0
+        while self._replicas and not self._upstream.is_closed:
+            address = self._replicas[turn % len(self._replicas)]
+            started_s = monotonic()
+            try:
+                await self._watch(address)
+            except MessageError as error:
+                logger.warning(
+                    "stream of configurations ended", source=str(address), why=str(error)
+                )
+            if monotonic() - started_s > self._timing.silence_s:
+                backoff_s = self._timing.backoff_first_s
+            turn += 1
+            if turn % len(self._replicas) == 0 or len(self._replicas) == 1:
+                await asyncio.sleep(self._random.uniform(0, backoff_s))
+                backoff_s = min(2 * backoff_s, self._timing.backoff_limit_s)
+
+    async def _watch(self, address: Address) -> None:
+        """Follow one replica until it fails, falls silent or is not current."""
+        stale_updates = 0
+        async with self._upstream.watch(address, self._base()) as stream:
+            while not self._upstream.is_closed:
+                update = await stream.next(self._timing.silence_s)
+                self._take(update, f"replica {address}")
+                stale_updates = 0 if update.is_current else stale_updates + 1
+                if stale_updates > 1 and len(self._replicas) > 1:
+                    raise MessageError("replica is not current")
+                await stream.report(self.revision)
+
+    def _base(self) -> int:
+        """Return the revision to which a delta may be sent; 0 asks for the whole."""
+        return 0 if self._wants_whole else self.revision
+
+    def _take(self, update: UpstreamUpdate, source: str) -> None:
+        """Take an update from a replica or a router.
+
+        After one that does not come out as it was sent, the whole is asked for.
+        """
+        encoded = update.encoded
+        self._highest_heard = max(self._highest_heard, encoded.revision)
+        if encoded.body and encoded.revision > self.revision:
+            self._wants_whole = True
+            whole = decode_revision(encoded, self.configuration)
+            self._wants_whole = False
+            self._offer(whole, source, update.is_current)
+        elif encoded.revision < self.revision:
+            logger.debug("lower revision refused", source=source, revision=encoded.revision)
+        if update.is_current and encoded.revision == self.revision:
+            self._current_until_s = monotonic() + self._timing.silence_s
+
+    def _offer(self, whole: Configuration, source: str, is_current: bool) -> None:
+        """Apply a configuration, or hold it back while others may know a higher one."""
+        if whole.revision <= self.revision:
+            return
+        if self.configuration is not None or is_current:
+            self._apply(whole, source)
+            return
+        if self._candidate is None or whole.revision > self._candidate.revision:
+            self._candidate = whole
+            self.source = source
+        if self._settling is None:
+            loop = asyncio.get_running_loop()
+            self._settling = loop.call_later(self._timing.settle_s, self._settle)
+
+    def _settle(self) -> None:
+        """Take the highest revision heard of while settling."""
+        if self.configuration is None and self._candidate is not None:
+            self._apply(self._candidate, self.source)
+
+    def _apply(self, whole: Configuration, source: str) -> None:
+        """Put a configuration in force, then let others know."""
+        self.configuration = whole
+        self._candidate = None
+        self.source = source
+        for callback in self._subscribers:
+            callback(whole)
+        self.service.publish(whole)
+        logger.info("configuration applied", revision=whole.revision, source=source)
+        if self._state_file is not None and self._saving is None:
+            self._saving = asyncio.ensure_future(self._save(self._state_file))
+
+    async def _save(self, path: Path) -> None:
+        """Keep the latest configuration over a restart."""
+        loop = asyncio.get_running_loop()
+        saved = None
+        try:
+            while saved is not self.configuration:
+                saved = self.configuration
+                await loop.run_in_executor(None, write_state_file, path, saved)
+        except OSError as error:
+            logger.warning("state file not written", path=str(path), error=str(error))
+        finally:
+            self._saving = None
+
+    async def _ask_everyone(self) -> None:
+        """Ask all replicas and routers until a configuration is in force."""
+        while not self.is_ready and not self._upstream.is_closed:
+            addresses = dict.fromkeys([*self._replicas, *self._peers()])
+            await asyncio.gather(*(self._fetch(address) for address in addresses))
+            pause_s = self._timing.backoff_first_s
+            await asyncio.sleep(self._random.uniform(pause_s / 2, pause_s))
+
+    async def _fetch_hint(self, address: Address) -> None:
+        """Fetch what a router was said to have, unless it comes by itself first."""
+        pause_s = self._timing.hint_delay_s
+        try:
+            if monotonic() <= self._current_until_s:
+                await asyncio.sleep(self._random.uniform(0, pause_s))
+            for _ in range(HINT_ATTEMPTS):
+                if self._hints[address] <= self.revision or self._upstream.is_closed:
+                    break
+                await self._fetch(address)
+                pause_s *= 2
+                await asyncio.sleep(self._random.uniform(0, pause_s))
+        finally:
+            self._hints.pop(address, None)
+
+    async def _fetch(self, address: Address) -> None:
+        """Fetch the latest revision that one replica or router has."""
+        try:
+            update = await self._upstream.fetch(address, self._base())
+            self._take(update, str(address))
+        except MessageError as error:
+            logger.debug("not fetched", source=str(address), error=str(error))
+
+
+def _never() -> bool:
+    """Say that a router never vouches for being current."""
+    return False
+
+
+def _ignore_report(router_id: str, failure_domain: str, revision: int) -> None:
+    """Drop a report: routers report to replicas."""
+
+
+def _near_first(
+    replicas: tuple[ReplicaSettings, ...], failure_domain: str, random: Random
+) -> list[Address]:
+    """Return the replicas' addresses in random order, those of the own domain first."""
+    shuffled = random.sample(replicas, len(replicas))
+    shuffled.sort(key=lambda replica: replica.failure_domain != failure_domain)
+    return [parse_address(replica.address) for replica in shuffled]
--- /dev/null
+++ b/packages/router/src/damaskwind/router/configuration/state_file.py
@@ -0,0 +1,54 @@
+"""Keep the configuration in force over a restart of the router."""
+
+import os
+from pathlib import Path
+
+import xxhash
+from loguru import logger
+
+from damaskwind.model.configuration import Configuration
+from damaskwind.model.configuration_codec import decode_configuration, encode_configuration
+from damaskwind.model.exception import ConfigurationError
+
+__all__ = ["read_state_file", "write_state_file"]
+
+_DIGEST_BYTES = 16
+
+
+def write_state_file(path: Path, whole: Configuration) -> None:
+    """Replace the file by a configuration, whole or not at all."""
+    data = encode_configuration(whole)
+    temporary = path.with_name(path.name + ".tmp")
+    with temporary.open("wb") as file:
+        file.write(xxhash.xxh3_128_digest(data) + data)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    descriptor = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def read_state_file(path: Path) -> Configuration | None:
+    """Return the configuration in a file; `None` when there is none or it is damaged.
+
+    A damaged file is only a lost hint: the router asks the others, as a new one does.
+    """
+    try:
+        content = path.read_bytes()
+    except FileNotFoundError:
+        return None
+    except OSError as error:
+        logger.warning("state file not read", path=str(path), error=str(error))
+        return None
+    digest, data = content[:_DIGEST_BYTES], content[_DIGEST_BYTES:]
+    if xxhash.xxh3_128_digest(data) != digest:
+        logger.warning("state file damaged; ignored", path=str(path))
+        return None
+    try:
+        return decode_configuration(data)
+    except ConfigurationError as error:
+        logger.warning("state file can't be read; ignored", path=str(path), error=str(error))
+        return None
--- /dev/null
+++ b/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
@@ -0,0 +1,254 @@
+import asyncio
+import tempfile
+from pathlib import Path
+from random import Random
+
+from grpclib.server import Server
+from twisted.trial.unittest import TestCase
+
+from damaskwind.model.configuration import Configuration, PriorityClass
+from damaskwind.model.targets import Address
+from damaskwind.router.configuration.follower import ConfigurationFollower, FollowerTiming
+from damaskwind.router.configuration.state_file import read_state_file, write_state_file
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.settings import ReplicaSettings
+from damaskwind.wire.authentication import CallSigner, CallVerifier
+from damaskwind.wire.follow_service import FollowService
+
+DEADLINE_S = 10.0
+
+
+def revision(number):
+    classes = {"c": PriorityClass("c", 0, number)}
+    return Configuration(number, priority_classes=classes)
+
+
+async def until(condition):
+    """Wait until a condition holds, or fail."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + DEADLINE_S
+    while not condition():
+        if loop.time() > end_s:
+            raise AssertionError("condition never held")
+        await asyncio.sleep(0.005)
+
+
+class CredulousVerifier(CallVerifier):
+    """Let every caller in."""
+
+    def verify(self, method, body, metadata):
+        return "anyone"
+
+
+class Source:
+    """A replica, or a router, that serves configurations."""
+
+    def __init__(self, number=0, is_current=True, verifier=None):
+        self.is_current = is_current
+        self.reports = {}
+        verifier = verifier or CallVerifier("kl", "key")
+        self.calls = 0
+        self.service = FollowService(
+            verifier, lambda: self.is_current, self._report, heartbeat_s=0.1
+        )
+        self.service.publish(revision(number))
+        self.server = None
+
+    def _report(self, router_id, failure_domain, applied):
+        self.reports[router_id] = applied
+        self.calls += 1
+
+    async def start(self):
+        self.server = Server([self.service])
+        await self.server.start("127.0.0.1", 0)
+        port = self.server._server.sockets[0].getsockname()[1]
+        self.address = Address("127.0.0.1", port)
+        return self
+
+    async def stop(self):
+        self.server.close()
+        await self.server.wait_closed()
+
+
+class FollowerTest(TestCase):
+    timeout = 60
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.state_file = Path(folder.name) / "configuration"
+        self.stops = []
+
+    async def source(self, *arguments, **options):
+        source = await Source(*arguments, **options).start()
+        self.stops.append(source)
+        return source
+
+    def follower(self, *sources, peers=(), settle_s=0.3, **options):
+        replicas = tuple(
+            ReplicaSettings(f"r{i}", str(source.address), "d") for i, source in enumerate(sources)
+        )
+        timing = FollowerTiming(0.1, settle_s, 0.05, 0.2, 0.02)
+        follower = ConfigurationFollower(
+            "router-1",
+            "d",
+            CallSigner("kl", "key", "router-1"),
+            replicas,
+            Random(1),
+            peers=lambda: [peer.address for peer in peers],
+            timing=timing,
+            **options,
+        )
+        self.applied = []
+        follower.subscribe(lambda whole: self.applied.append(whole.revision))
+        self.stops.append(follower)
+        return follower
+
+    async def stop_all(self):
+        for item in reversed(self.stops):
+            await item.stop()
+        self.stops.clear()
+
+    @asyncio_test
+    async def test_follows_each_revision_and_reports_what_is_in_force(self):
+        replica = await self.source(3)
+        follower = self.follower(replica)
+        try:
+            await follower.start()
+            await until(lambda: not follower.may_be_behind)
+            self.assertEqual(follower.configuration, revision(3))
+            for number in range(4, 9):
+                replica.service.publish(revision(number))
+                await until(lambda number=number: replica.reports.get("router-1") == number)
+                self.assertEqual(follower.revision, number)
+            self.assertEqual(self.applied, [3, 4, 5, 6, 7, 8])
+            self.assertGreater(follower.received_bytes, 0)
+            self.assertGreater(follower.sent_bytes, 0)
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_restart_with_only_a_replica_that_is_behind_keeps_the_higher_revision(self):
+        write_state_file(self.state_file, revision(7))
+        replica = await self.source(5, is_current=False)
+        follower = self.follower(replica, state_file=self.state_file)
+        try:
+            await follower.start()
+            await until(lambda: follower.is_ready)
+            self.assertEqual((follower.revision, follower.may_be_behind), (7, True))
+            replica.service.publish(revision(6))
+            replica.is_current = True
+            await until(lambda: replica.reports.get("router-1") == 7)
+            self.assertTrue(follower.may_be_behind)
+            replica.service.publish(revision(8))
+            await until(lambda: not follower.may_be_behind)
+            self.assertEqual(self.applied, [7, 8])
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_cut_off_start_takes_the_highest_that_its_domain_knows(self):
+        low, high = await self.source(4, is_current=False), await self.source(9, is_current=False)
+        follower = self.follower(low, peers=[high], settle_s=1.0)
+        try:
+            await follower.start()
+            await until(lambda: follower.is_ready)
+            self.assertEqual(self.applied, [9])
+            self.assertTrue(follower.may_be_behind)
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_with_nothing_at_all_it_is_not_ready(self):
+        lone = await self.source(0, is_current=False)
+        follower = self.follower(lone, settle_s=0.05)
+        try:
+            await follower.start()
+            await until(lambda: lone.reports)
+            self.assertFalse(follower.is_ready)
+            lone.service.publish(revision(1))
+            await until(lambda: follower.is_ready)
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_serves_on_through_a_partition_and_hears_of_news_from_a_router(self):
+        replica, router = await self.source(2), await self.source(2, is_current=False)
+        follower = self.follower(replica)
+        try:
+            await follower.start()
+            await until(lambda: not follower.may_be_behind)
+            replica.is_current = False
+            await until(lambda: follower.may_be_behind)
+            self.assertEqual(follower.configuration, revision(2))
+            router.service.publish(revision(5))
+            follower.heard_revision(router.address, 5)
+            await until(lambda: follower.revision == 5)
+            self.assertTrue(follower.may_be_behind)
+            replica.service.publish(revision(5))
+            replica.is_current = True
+            await until(lambda: not follower.may_be_behind)
+            self.assertEqual(self.applied, [2, 5])
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_leaves_a_replica_that_is_not_current_for_one_that_is(self):
+        stale, good = await self.source(2, is_current=False), await self.source(3)
+        follower = self.follower(stale, good)
+        try:
+            await follower.start()
+            await until(lambda: not follower.may_be_behind)
+            self.assertEqual(follower.revision, 3)
+            await good.stop()
+            stale.service.publish(revision(4))
+            stale.is_current, good.is_current = True, False
+            await until(lambda: follower.revision == 4 and not follower.may_be_behind)
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_source_with_another_key_is_not_believed(self):
+        liar = await self.source(50, verifier=CredulousVerifier("kl", "other"))
+        follower = self.follower(liar, peers=[liar], settle_s=0.05)
+        try:
+            await follower.start()
+            follower.heard_revision(liar.address, 50)
+            await until(lambda: liar.calls > 6)
+            self.assertFalse(follower.is_ready)
+            self.assertTrue(follower.may_be_behind)
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_passes_news_on_to_other_routers(self):
+        replica = await self.source(6)
+        first = self.follower(replica)
+        try:
+            await first.start()
+            await until(lambda: first.is_ready)
+            server = Server([first.service])
+            await server.start("127.0.0.1", 0)
+            port = server._server.sockets[0].getsockname()[1]
+            second = self.follower()
+            await second.start()
+            second.heard_revision(Address("127.0.0.1", port), 6)
+            await until(lambda: second.is_ready)
+            self.assertEqual((second.revision, second.may_be_behind), (6, True))
+            server.close()
+            await server.wait_closed()
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_state_file_is_written_and_a_damaged_one_is_ignored(self):
+        replica = await self.source(3)
+        follower = self.follower(replica, state_file=self.state_file)
+        try:
+            await follower.start()
+            await until(lambda: read_state_file(self.state_file) == revision(3))
+        finally:
+            await self.stop_all()
+        content = self.state_file.read_bytes()
+        self.state_file.write_bytes(content.replace(b"weight", b"WEIGHT"))
+        self.assertIsNone(read_state_file(self.state_file))
--- /dev/null
+++ b/packages/router/src/damaskwind/router/configuration/upstream.py
@@ -0,0 +1,160 @@
+"""Call replicas and other routers for configurations, and count the bytes.
+
+The byte counts add to each message an estimate of its framing: HTTP/2 and gRPC
+heads, one TCP segment with its acknowledgement; and to each connection its
+set-up.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from damaskwind.model.exception import MessageError
+from damaskwind.model.targets import Address
+from damaskwind.wire.authentication import CallSigner
+from damaskwind.wire.configuration_history import EncodedRevision
+from damaskwind.wire.follow_codec import StreamSeal, make_progress, read_update
+from damaskwind.wire.follow_grpc import FollowStub
+from damaskwind.wire.follow_pb2 import FetchRequest
+
+__all__ = ["Upstream", "UpstreamStream", "UpstreamUpdate"]
+
+CALL_ERRORS = (OSError, asyncio.TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
+FETCH_TIMEOUT_S = 5.0
+CONNECT_TIMEOUT_S = 3.0
+MESSAGE_OVERHEAD_BYTES = 14 + 52 + 52
+CONNECTION_BYTES = 700
+CALL_BYTES = 350
+
+
+class UpstreamUpdate(NamedTuple):
+    """A verified update; `is_current` is the sender's word that it knows the latest."""
+
+    encoded: EncodedRevision
+    is_current: bool
+
+
+class UpstreamStream:
+    """An open stream of updates."""
+
+    def __init__(self, owner: "Upstream", stream: Any, metadata: dict[str, str]) -> None:
+        self._owner = owner
+        self._stream = stream
+        key = owner.signer.cluster_key
+        self._updates = StreamSeal(key, "update", metadata)
+        self._progress = StreamSeal(key, "progress", metadata)
+
+    async def next(self, timeout_s: float) -> UpstreamUpdate:
+        """Return the next update; raise `MessageError` when none comes in time."""
+        update = await asyncio.wait_for(self._stream.recv_message(), timeout_s)
+        if update is None:
+            raise MessageError("stream closed")
+        self._owner.count_received(update.ByteSize())
+        self._updates.check(update)
+        return UpstreamUpdate(read_update(update), update.is_current)
+
+    async def report(self, applied_revision: int) -> None:
+        """Say which revision is in force here."""
+        progress = self._progress.seal(self._owner.progress(applied_revision))
+        self._owner.count_sent(progress.ByteSize())
+        await self._stream.send_message(progress)
+
+
+class Upstream:
+    """Make the calls of one router."""
+
+    def __init__(self, router_id: str, failure_domain: str, signer: CallSigner) -> None:
+        self.signer = signer
+        self.received_bytes = 0
+        self.sent_bytes = 0
+        self.is_closed = False
+        self._router_id = router_id
+        self._failure_domain = failure_domain
+        self._channels: set[Channel] = set()
+
+    def progress(self, applied_revision: int) -> Any:
+        """Return what this router says of itself."""
+        return make_progress(self._router_id, self._failure_domain, applied_revision)
+
+    def count_received(self, size_bytes: int) -> None:
+        """Count a message received."""
+        self.received_bytes += size_bytes + MESSAGE_OVERHEAD_BYTES
+
+    def count_sent(self, size_bytes: int) -> None:
+        """Count a message sent."""
+        self.sent_bytes += size_bytes + MESSAGE_OVERHEAD_BYTES
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.is_closed = True
+        for channel in list(self._channels):
+            channel.close()
+
+    @asynccontextmanager
+    async def watch(self, address: Address, applied_revision: int) -> AsyncIterator[UpstreamStream]:
+        """Open a stream of updates; failures of any kind become `MessageError`."""
+        first = self.progress(applied_revision)
+        metadata = self._sign("Watch", first)
+        with self._channel(address) as channel:
+            try:
+                async with FollowStub(channel).Watch.open(metadata=metadata) as stream:
+                    send = stream.send_message(first)
+                    await asyncio.wait_for(send, CONNECT_TIMEOUT_S)
+                    yield UpstreamStream(self, stream, metadata)
+                    await stream.cancel()
+            except CALL_ERRORS as error:
+                raise MessageError(f"{address}: {error!r}") from error
+
+    async def fetch(self, address: Address, applied_revision: int) -> UpstreamUpdate:
+        """Return the latest that a replica or router has, as a change if it can."""
+        request = FetchRequest(applied_revision=applied_revision)
+        metadata = self._sign("Fetch", request)
+        with self._channel(address) as channel:
+            try:
+                call = FollowStub(channel).Fetch(request, metadata=metadata)
+                update = await asyncio.wait_for(call, FETCH_TIMEOUT_S)
+            except CALL_ERRORS as error:
+                raise MessageError(f"{address}: {error!r}") from error
+        self.count_received(update.ByteSize())
+        StreamSeal(self.signer.cluster_key, "update", metadata).check(update)
+        return UpstreamUpdate(read_update(update), update.is_current)
+
+    def _sign(self, method: str, message: Any) -> dict[str, str]:
+        """Sign the opening of a call and count it."""
+        body = message.SerializeToString(deterministic=True)
+        self.count_sent(len(body) + CALL_BYTES)
+        return self.signer.sign(f"/damaskwind.follow.Follow/{method}", body)
+
+    def _channel(self, address: Address) -> "_ChannelUse":
+        """Return a connection for the length of a `with` block."""
+        return _ChannelUse(self, address)
+
+    def keep(self, channel: Channel) -> None:
+        """Remember an open connection and count its set-up."""
+        self._channels.add(channel)
+        self.sent_bytes += CONNECTION_BYTES
+        self.received_bytes += CONNECTION_BYTES
+
+    def forget(self, channel: Channel) -> None:
+        """Close a connection."""
+        self._channels.discard(channel)
+        channel.close()
+
+
+class _ChannelUse:
+    """Open a connection at the start of a block and close it at its end."""
+
+    def __init__(self, owner: Upstream, address: Address) -> None:
+        self._owner = owner
+        self._channel = Channel(address.host, address.port)
+
+    def __enter__(self) -> Channel:
+        self._owner.keep(self._channel)
+        return self._channel
+
+    def __exit__(self, *error: object) -> None:
+        self._owner.forget(self._channel)
