--- a/benchmarks/configuration_costs.py
+++ b/benchmarks/configuration_costs.py
@@ -34,6 +34,7 @@
     encode_configuration,
     to_table,
 )
+from damaskwind.model.configuration_digest import configuration_digest
 
 ACCOUNTS = 1400
 MODELS = 33
@@ -105,6 +106,8 @@
     changed = account(7)._replace(max_tokens_per_s=5.0)
     change = change_from_table({"accounts": {changed.name: to_table(changed)}})
     print(f"configuration of {ACCOUNTS} accounts, {MODELS} models: {len(payload):,} bytes")
+    configuration_digest(whole)
+    print(f"digest after a change: {cost_ms(lambda: configuration_digest(whole)):.1f} ms")
     print(f"encode whole: {cost_ms(lambda: encode_configuration(whole)):.1f} ms")
     print(f"decode and check whole: {cost_ms(lambda: decode_configuration(payload)):.1f} ms")
     print(f"check one change against it: {cost_ms(lambda: check_change(whole, change)):.1f} ms")
--- a/packages/model/src/damaskwind/model/configuration_change.py
+++ b/packages/model/src/damaskwind/model/configuration_change.py
@@ -13,6 +13,8 @@
 
 from typing import Any, NamedTuple
 
+import msgspec
+
 from damaskwind.model.checking import check_table
 from damaskwind.model.configuration import Configuration, Policy
 from damaskwind.model.configuration_checks import OBJECT_KINDS, check_configuration
@@ -22,9 +24,12 @@
 __all__ = [
     "ConfigurationChange",
     "apply_change",
+    "change_between",
     "change_from_table",
     "change_to_table",
     "check_change",
+    "decode_change",
+    "encode_change",
     "touched_objects",
 ]
 
@@ -108,6 +113,40 @@
     return Configuration(revision=before.revision + 1, policy=policy, **objects)
 
 
+def change_between(before: Configuration, after: Configuration) -> ConfigurationChange:
+    """Return the change that leads from one configuration to another.
+
+    >>> change_between(Configuration(), Configuration(policy=Policy(max_attempts=2))).put
+    {}
+    """
+    put: dict[str, dict[str, Any]] = {}
+    delete: dict[str, tuple[str, ...]] = {}
+    for kind in OBJECT_KINDS:
+        old, new = getattr(before, kind), getattr(after, kind)
+        changed = {name: value for name, value in new.items() if old.get(name) != value}
+        gone = tuple(name for name in old if name not in new)
+        if changed:
+            put[kind] = changed
+        if gone:
+            delete[kind] = gone
+    policy = None if before.policy == after.policy else after.policy
+    return ConfigurationChange(put, delete, policy)
+
+
+def encode_change(change: ConfigurationChange) -> bytes:
+    """Return a change as JSON, for a peer that holds its base."""
+    return msgspec.json.encode(change_to_table(change))
+
+
+def decode_change(payload: bytes) -> ConfigurationChange:
+    """Read a change back; raise `ConfigurationError` when it is none."""
+    try:
+        raw = msgspec.json.decode(payload)
+    except msgspec.DecodeError as error:
+        raise ConfigurationError([f"change: not JSON: {error}"]) from error
+    return change_from_table(raw)
+
+
 def check_change(before: Configuration, change: ConfigurationChange) -> list[str]:
     """Return every mistake that a change would bring or that it has itself."""
     mistakes = []
--- a/packages/model/src/damaskwind/model/tests/test_configuration_codec.py
+++ b/packages/model/src/damaskwind/model/tests/test_configuration_codec.py
@@ -23,9 +23,12 @@
 from damaskwind.model.configuration_change import (
     ConfigurationChange,
     apply_change,
+    change_between,
     change_from_table,
     change_to_table,
     check_change,
+    decode_change,
+    encode_change,
 )
 from damaskwind.model.configuration_checks import check_configuration
 from damaskwind.model.configuration_codec import (
@@ -193,6 +196,16 @@
         self.assertEqual((after.revision, after.accounts, after.policy), (8, {}, Policy()))
         self.assertEqual(sorted(after.services), ["edge", "inventory-api", "pool"])
 
+    def test_a_change_between_two_configurations_leads_from_one_to_the_other(self):
+        other = apply_change(
+            SOUND, change_from_table({"policy": {}, "delete": {"accounts": ["clerks"]}})
+        )
+        empty = Configuration(revision=SOUND.revision)
+        for before, after in ((SOUND, other), (other, SOUND), (SOUND, empty), (empty, SOUND)):
+            change = decode_change(encode_change(change_between(before, after)))
+            reached = apply_change(before, change)._replace(revision=after.revision)
+            self.assertEqual(encode_configuration(reached), encode_configuration(after))
+
     def test_deleting_what_is_referred_to_or_unknown_is_a_mistake(self):
         for kind, name, part in (
             ("priority_classes", "interactive", "no priority class"),
