Stand-ins: no default reactor in processes; measure program, unfinished

Cause: an import of klein at the head of a process's module installed the default reactor, so the process never became ready. The classes move to modules that are imported once the asyncio reactor is there. The measure program is here to be run; its figures are not claimed yet.

--- /dev/null
+++ b/benchmarks/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""Measure a whole deployment: load, reuse, skew, control traffic, promises."""
--- /dev/null
+++ b/benchmarks/measuring/all_knowing.py
@@ -0,0 +1,55 @@
+"""Reuse under an all-knowing placement with the same memory at the engines.
+
+It sees every cache at once and ignores load: a chat goes to the engine that
+holds most of its prompt, and a new one to the engine with the fewest tokens
+placed so far. The same engines are down at the same times.
+"""
+
+from collections import Counter
+
+from benchmarks.measuring.calendar_load import Turn
+from damaskwind.model.prefix import Message, ModelName, prefix_chain
+from damaskwind.standins.answers import count_tokens
+from damaskwind.standins.prefix_cache import CachedPrefix, PrefixCache
+
+__all__ = ["all_knowing_reuse", "turn_chain"]
+
+
+def turn_chain(turn: Turn, model: ModelName) -> list[CachedPrefix]:
+    """Return the prefix chain of a turn with its answer at the end."""
+    messages = [*turn.messages, Message("assistant", turn.answer)]
+    digests = prefix_chain(model, messages)
+    return [
+        CachedPrefix(digest, count_tokens(message.content), parent)
+        for digest, message, parent in zip(digests, messages, ["", *digests], strict=False)
+    ]
+
+
+def _is_up(spans: list[tuple[float, float]], at_s: float) -> bool:
+    """Tell whether an engine can take work."""
+    return not any(start_s <= at_s < end_s for start_s, end_s in spans)
+
+
+def all_knowing_reuse(
+    turns: list[Turn],
+    model: ModelName,
+    spans: dict[str, list[tuple[float, float]]],
+    cache_tokens: int,
+) -> Counter[str]:
+    """Return the prompt tokens reused in each phase."""
+    caches = {engine: PrefixCache(cache_tokens) for engine in spans}
+    placed: Counter[str] = Counter()
+    reused: Counter[str] = Counter()
+    for turn in turns:
+        chain = turn_chain(turn, model)
+        digests = [prefix.digest for prefix in chain[:-1]]
+        up = [engine for engine in spans if _is_up(spans[engine], turn.at_s)]
+        held = {engine: caches[engine].peek_tokens(digests) for engine in up}
+        best = max(up, key=lambda engine: (held[engine], -placed[engine]))
+        if held[best] <= chain[0].tokens:
+            # Only the system prompt, which costs little to have everywhere.
+            best = min(up, key=lambda engine: placed[engine])
+        reused[turn.phase] += caches[best].matched_tokens(digests)
+        caches[best].store(chain)
+        placed[best] += chain[-1].tokens
+    return reused
--- /dev/null
+++ b/benchmarks/measuring/calendar_load.py
@@ -0,0 +1,216 @@
+"""A seeded calendar of load: quiet, a workshop, a deadline night, then churn.
+
+The trace is open-loop and whole before the run: a chat's next prompt repeats
+its earlier answers, and those follow from the seed and the request.
+"""
+
+import random
+from typing import NamedTuple
+
+from damaskwind.model.prefix import Message, ModelName
+from damaskwind.standins.answers import TOKEN_BYTES, expected_answer
+
+__all__ = ["Call", "LoadPlan", "Phase", "Turn", "make_phases", "make_trace"]
+
+SYSTEM_PROMPT_TOKENS = 160
+QUESTION_TOKENS = (10, 40)
+ANSWER_TOKENS = (16, 48)
+TURNS_PER_CHAT = 8
+RETURN_SHARE = 0.85
+PAUSE_MEAN_S = 3.0
+PAUSE_LEAST_S = 1.5
+LARGE_WEIGHT = 3.0
+WORKSHOP_FACTOR = 6.0
+DEADLINE_FACTOR = 10.0
+DEADLINE_ACCOUNTS = 2
+CALLS_PER_S = 4.0
+CHURN_BASE = 2.0
+_LETTERS = "abcdefghijklmnopqrstuvwxyz     "
+
+
+class Phase(NamedTuple):
+    """A part of the calendar; `factors` multiply the rates of single accounts."""
+
+    name: str
+    start_s: float
+    duration_s: float
+    base: float
+    factors: dict[str, float]
+
+
+class LoadPlan(NamedTuple):
+    """Who asks, for what and how often."""
+
+    accounts: tuple[str, ...]
+    large: tuple[str, ...]
+    workshop: str
+    model: ModelName
+    turns_per_s: float
+    answer_seed: int
+    routers: int
+
+
+class Turn(NamedTuple):
+    """One request of a chat, with the whole answer that belongs to it."""
+
+    at_s: float
+    phase: str
+    account: str
+    chat: int
+    router: int
+    messages: tuple[Message, ...]
+    answer: str
+    answer_tokens: int
+
+
+class Call(NamedTuple):
+    """One call of a plain service; `key` is empty for an idempotent one."""
+
+    at_s: float
+    phase: str
+    account: str
+    router: int
+    method: str
+    path: str
+    body: bytes
+    key: str
+
+
+class _Chat:
+    """A chat while the trace is made."""
+
+    def __init__(self, number: int, account: str, prompt: Message) -> None:
+        self.number = number
+        self.account = account
+        self.messages = [prompt]
+        self.turns = 0
+        self.ready_s = 0.0
+        self.router = -1
+
+
+def make_phases(plan: LoadPlan, phase_s: float) -> list[Phase]:
+    """Return the calendar."""
+    deadline = dict.fromkeys(plan.large[:DEADLINE_ACCOUNTS], DEADLINE_FACTOR)
+    rows = (
+        ("quiet", 1.0, {}),
+        ("workshop", 1.0, {plan.workshop: WORKSHOP_FACTOR}),
+        ("deadline", 1.0, deadline),
+        ("churn", CHURN_BASE, {}),
+    )
+    return [
+        Phase(name, index * phase_s, phase_s, base, factors)
+        for index, (name, base, factors) in enumerate(rows)
+    ]
+
+
+def _text(source: random.Random, size_tokens: int) -> str:
+    """Return a text of a number of tokens."""
+    return "".join(source.choices(_LETTERS, k=size_tokens * TOKEN_BYTES))
+
+
+class _Maker:
+    """Make the turns of one trace."""
+
+    def __init__(self, plan: LoadPlan, source: random.Random) -> None:
+        self._plan = plan
+        self._source = source
+        self._chats: dict[str, list[_Chat]] = {account: [] for account in plan.accounts}
+        self._prompts = {
+            account: Message("system", _text(source, SYSTEM_PROMPT_TOKENS))
+            for account in plan.accounts
+        }
+        self._made = 0
+
+    def _chat(self, account: str, at_s: float) -> _Chat:
+        """Return a chat that comes back now, or a new one."""
+        waiting = [chat for chat in self._chats[account] if chat.ready_s <= at_s]
+        if waiting and self._source.random() < RETURN_SHARE:
+            return self._source.choice(waiting)
+        chat = _Chat(self._made, account, self._prompts[account])
+        self._made += 1
+        self._chats[account].append(chat)
+        return chat
+
+    def _other_router(self, last: int) -> int:
+        """Return a router that is not the last one."""
+        choices = [number for number in range(self._plan.routers) if number != last]
+        return self._source.choice(choices)
+
+    def turn(self, at_s: float, phase: Phase, account: str) -> Turn:
+        """Make the next turn of a chat of an account."""
+        source, plan = self._source, self._plan
+        chat = self._chat(account, at_s)
+        question = _text(source, source.randint(*QUESTION_TOKENS))
+        chat.messages.append(Message("user", f"{chat.number}/{chat.turns} {question}"))
+        size_tokens = source.randint(*ANSWER_TOKENS)
+        answer = expected_answer(plan.answer_seed, plan.model, chat.messages, size_tokens)
+        chat.router = self._other_router(chat.router)
+        messages = tuple(chat.messages)
+        chat.messages.append(Message("assistant", answer))
+        chat.turns += 1
+        pause_s = PAUSE_LEAST_S + source.expovariate(1 / PAUSE_MEAN_S)
+        chat.ready_s = at_s + pause_s
+        if chat.turns == TURNS_PER_CHAT:
+            self._chats[account].remove(chat)
+        return Turn(
+            at_s, phase.name, account, chat.number, chat.router, messages, answer, size_tokens
+        )
+
+
+def _arrivals(source: random.Random, rate_per_s: float, phase: Phase) -> list[float]:
+    """Draw the arrivals of a Poisson process over a phase."""
+    times = []
+    at_s = phase.start_s + source.expovariate(rate_per_s)
+    while at_s < phase.start_s + phase.duration_s:
+        times.append(at_s)
+        at_s += source.expovariate(rate_per_s)
+    return times
+
+
+def _rates(plan: LoadPlan, phase: Phase) -> dict[str, float]:
+    """Return each account's turns a second in a phase."""
+    weights = {name: LARGE_WEIGHT if name in plan.large else 1.0 for name in plan.accounts}
+    unit = phase.base * plan.turns_per_s / sum(weights.values())
+    return {name: unit * weights[name] * phase.factors.get(name, 1.0) for name in plan.accounts}
+
+
+def _calls(
+    plan: LoadPlan, phase: Phase, paths: dict[str, str], source: random.Random
+) -> list[Call]:
+    """Draw the calls of the plain service in a phase."""
+    calls = []
+    for number, at_s in enumerate(_arrivals(source, CALLS_PER_S, phase)):
+        once = source.random() < 0.5
+        name = f"{phase.name}-{number}"
+        calls.append(
+            Call(
+                at_s,
+                phase.name,
+                source.choice(plan.accounts),
+                source.randrange(plan.routers),
+                "POST" if once else "GET",
+                f"{paths['once' if once else 'status']}/{name}",
+                name.encode() if once else b"",
+                name if once else "",
+            )
+        )
+    return calls
+
+
+def make_trace(
+    plan: LoadPlan, phases: list[Phase], paths: dict[str, str], seed: int
+) -> tuple[list[Turn], list[Call]]:
+    """Make the whole trace; `paths` names a status path and one that runs once."""
+    source = random.Random(seed)
+    maker = _Maker(plan, source)
+    turns: list[Turn] = []
+    calls: list[Call] = []
+    for phase in phases:
+        arrivals = [
+            (at_s, account)
+            for account, rate_per_s in _rates(plan, phase).items()
+            for at_s in _arrivals(source, rate_per_s, phase)
+        ]
+        turns += [maker.turn(at_s, phase, account) for at_s, account in sorted(arrivals)]
+        calls += _calls(plan, phase, paths, source)
+    return turns, calls
--- /dev/null
+++ b/benchmarks/measuring/churn.py
@@ -0,0 +1,51 @@
+"""What happens to the engines in the last phase: one leaves, one joins, two flap."""
+
+from typing import NamedTuple
+
+__all__ = ["ChurnEvent", "churn_events", "down_spans"]
+
+FLAP_DOWN_S = 1.0
+STOP_AFTER_LEAVE_S = 4.0
+JOINED = "joined"
+
+
+class ChurnEvent(NamedTuple):
+    """At `at_s` an engine does something."""
+
+    at_s: float
+    action: str
+    engine: str
+
+
+def churn_events(start_s: float, duration_s: float, engines: list[str]) -> list[ChurnEvent]:
+    """Return what happens in the churn phase, in order."""
+    unit_s = duration_s / 10
+    leaver, first, second = engines[0], engines[-1], engines[1]
+    events = [
+        ChurnEvent(start_s + unit_s, "flap", first),
+        ChurnEvent(start_s + 2 * unit_s, "leave", leaver),
+        ChurnEvent(start_s + 2 * unit_s + STOP_AFTER_LEAVE_S, "stop", leaver),
+        ChurnEvent(start_s + 4 * unit_s, "join", JOINED),
+        ChurnEvent(start_s + 6 * unit_s, "flap", first),
+        ChurnEvent(start_s + 7 * unit_s, "flap", second),
+    ]
+    return sorted(events)
+
+
+def down_spans(
+    events: list[ChurnEvent], engines: list[str]
+) -> dict[str, list[tuple[float, float]]]:
+    """Return when each engine can take no work.
+
+    >>> down_spans([ChurnEvent(2.0, "flap", "a")], ["a", "b"])
+    {'a': [(2.0, 3.0)], 'b': []}
+    """
+    spans: dict[str, list[tuple[float, float]]] = {engine: [] for engine in engines}
+    for event in events:
+        if event.action == "flap":
+            spans[event.engine].append((event.at_s, event.at_s + FLAP_DOWN_S))
+        elif event.action == "leave":
+            spans[event.engine].append((event.at_s, float("inf")))
+        elif event.action == "join":
+            spans[event.engine] = [(float("-inf"), event.at_s)]
+    return spans
--- /dev/null
+++ b/benchmarks/measuring/control_traffic.py
@@ -0,0 +1,117 @@
+"""Watch the control traffic and the resources of every router while a run lasts."""
+
+import asyncio
+import os
+import re
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from benchmarks.measuring.deployment import Deployment, ask
+
+__all__ = ["RouterUse", "TrafficWatch"]
+
+INTERVAL_S = 1.0
+_COUNTER = re.compile(r'^damaskwind_control_traffic\w*\{.*?name="([^"]+)".*?\} ([0-9.e+-]+)$')
+_SENT = "sent_bytes"
+_RECEIVED = "received_bytes"
+_HIGHEST = "highest_second_bytes"
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class RouterUse(NamedTuple):
+    """What one router used over a run; control figures are `None` when it shows none."""
+
+    router: str
+    mean_bytes_per_s: float | None
+    highest_second_bytes: float | None
+    cpu_share: float
+    memory_bytes: int
+
+
+class _Point(NamedTuple):
+    """The bytes of one router up to a time."""
+
+    time_s: float
+    total_bytes: float
+    highest_second_bytes: float
+
+
+def _read_counters(text: str) -> dict[str, float]:
+    """Return the control counters of a metrics page by name."""
+    found = (_COUNTER.match(line) for line in text.splitlines())
+    return {match[1]: float(match[2]) for match in found if match}
+
+
+def _cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def _memory_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+class TrafficWatch:
+    """Poll the metrics of all routers once a second."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._points: dict[str, list[_Point]] = {}
+        self._cpu_from_s: dict[str, float] = {}
+        self._started_s = time.monotonic()
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to poll."""
+        self._started_s = time.monotonic()
+        self._cpu_from_s = {each.name: _cpu_s(each.pid) for each in self._deployment.routers}
+        self._task = asyncio.ensure_future(self._poll())
+
+    async def stop(self) -> list[RouterUse]:
+        """Stop polling and return each router's use."""
+        self._task.cancel()
+        duration_s = time.monotonic() - self._started_s
+        return [self._use(router, duration_s) for router in self._deployment.routers]
+
+    def series(self) -> dict[str, list[tuple[float, float]]]:
+        """Return each router's bytes a second over time."""
+        return {
+            name: [
+                (after.time_s, (after.total_bytes - before.total_bytes) / span_s)
+                for before, after in zip(points, points[1:], strict=False)
+                if (span_s := after.time_s - before.time_s) > 0
+            ]
+            for name, points in self._points.items()
+        }
+
+    async def _poll(self) -> None:
+        """Read every router's page at intervals."""
+        while True:
+            for router in self._deployment.routers:
+                page = await ask("GET", f"{router.ready['http_address']}/metrics")
+                counters = _read_counters(page)
+                if counters:
+                    self._points.setdefault(router.name, []).append(_point(counters))
+            await asyncio.sleep(INTERVAL_S)
+
+    def _use(self, router, duration_s: float) -> RouterUse:
+        """Return what one router used."""
+        cpu_share = (_cpu_s(router.pid) - self._cpu_from_s[router.name]) / duration_s
+        memory_bytes = _memory_bytes(router.pid)
+        points = self._points.get(router.name, [])
+        if len(points) < 2:
+            return RouterUse(router.name, None, None, cpu_share, memory_bytes)
+        span_s = points[-1].time_s - points[0].time_s
+        mean = (points[-1].total_bytes - points[0].total_bytes) / span_s
+        highest = points[-1].highest_second_bytes
+        return RouterUse(router.name, mean, highest, cpu_share, memory_bytes)
+
+
+def _point(counters: dict[str, float]) -> _Point:
+    """Return a point from the counters of one page."""
+    total = sum(value for name, value in counters.items() if name.startswith((_SENT, _RECEIVED)))
+    return _Point(time.monotonic(), total, counters.get(_HIGHEST, 0.0))
--- /dev/null
+++ b/benchmarks/measuring/driver.py
@@ -0,0 +1,250 @@
+"""Drive a trace through routers and note how each request ended."""
+
+import asyncio
+import json
+import time
+from typing import Any, NamedTuple
+
+import treq
+from treq.client import HTTPClient
+from twisted.internet import reactor
+from twisted.web.client import Agent, HTTPConnectionPool
+
+from benchmarks.measuring.calendar_load import Call, Turn
+from benchmarks.measuring.delays import DelayHistogram
+from damaskwind.model.prefix import ModelName
+from damaskwind.runtime.bridge import to_future
+
+__all__ = ["CallOutcome", "Driver", "TurnOutcome"]
+
+REQUEST_TIMEOUT_S = 40.0
+_CONNECTIONS_PER_ROUTER = 128
+_DONE = b"data: [DONE]"
+
+
+class TurnOutcome(NamedTuple):
+    """How a turn ended. `verdict` is empty when the caller was told nothing."""
+
+    turn: Turn
+    request_id: str
+    status: int
+    verdict: str
+    reason: str
+    text: str
+    is_whole: bool
+    prompt_tokens: int
+    cached_tokens: int
+    detail: str = ""
+
+
+class CallOutcome(NamedTuple):
+    """How a call of a plain service ended."""
+
+    call: Call
+    request_id: str
+    status: int
+    verdict: str
+    reason: str
+    answer: dict[str, Any] | None
+    detail: str = ""
+
+
+class _Stream:
+    """What one caller sees of a streamed answer."""
+
+    def __init__(self, asked_s: float, driver: "Driver") -> None:
+        self._asked_s = asked_s
+        self._driver = driver
+        self._rest = b""
+        self._last: tuple[float, float] | None = None
+        self.text: list[str] = []
+        self.is_done = False
+        self.error: dict[str, Any] = {}
+        self.usage: dict[str, Any] = {}
+
+    def take(self, data: bytes) -> None:
+        """Take bytes as they come."""
+        got_s = time.monotonic()
+        events = (self._rest + data).split(b"\n\n")
+        self._rest = events.pop()
+        for event in events:
+            self._take_event(event, got_s)
+
+    def _take_event(self, event: bytes, got_s: float) -> None:
+        """Take one event."""
+        if event.startswith(_DONE):
+            self.is_done = True
+            return
+        lines = [line[5:] for line in event.split(b"\n") if line.startswith(b"data:")]
+        if not lines:
+            return
+        chunk = json.loads(b"".join(lines))
+        if "error" in chunk:
+            self.error = chunk["error"]
+        if chunk.get("usage"):
+            self.usage = chunk["usage"]
+        for choice in chunk.get("choices", ()):
+            if choice["delta"].get("content"):
+                self.text.append(choice["delta"]["content"])
+                self._time(chunk.get("timing"), got_s)
+
+    def _time(self, timing: dict[str, float] | None, got_s: float) -> None:
+        """Record what the path added to a token."""
+        if timing is None:
+            return
+        made_s = timing["made_s"]
+        if self._last is None:
+            added_s = (timing["received_s"] - self._asked_s) + (got_s - made_s)
+            self._driver.first_token.record(added_s)
+        else:
+            last_got_s, last_made_s = self._last
+            self._driver.between_tokens.record((got_s - last_got_s) - (made_s - last_made_s))
+        self._last = (got_s, made_s)
+
+
+def _header(response: Any, name: str) -> str:
+    """Return a header of an answer."""
+    return (response.headers.getRawHeaders(name) or [""])[0]
+
+
+def _error_of(body: bytes) -> dict[str, Any]:
+    """Return the error in a body, empty when there is none."""
+    try:
+        return json.loads(body).get("error", {})
+    except (ValueError, AttributeError):
+        return {}
+
+
+class Driver:
+    """Send turns and calls at their times and keep the outcomes."""
+
+    def __init__(self, routers: list[str], keys: dict[str, str], model: ModelName) -> None:
+        self._routers = routers
+        self._keys = keys
+        self._model = model
+        pool = HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = _CONNECTIONS_PER_ROUTER
+        pool.retryAutomatically = False
+        self._pool = pool
+        self._client = HTTPClient(Agent(reactor, pool=pool))
+        self._chats: dict[int, asyncio.Future] = {}
+        self.first_token = DelayHistogram()
+        self.between_tokens = DelayHistogram()
+        self.turns: list[TurnOutcome] = []
+        self.calls: list[CallOutcome] = []
+
+    async def run(self, turns: list[Turn], calls: list[Call], started_s: float) -> None:
+        """Run a trace whose times count from `started_s`."""
+        jobs = [(turn.at_s, self._run_turn(turn)) for turn in turns]
+        jobs += [(call.at_s, self._run_call(call)) for call in calls]
+        tasks = [asyncio.ensure_future(_later(started_s + at_s, job)) for at_s, job in jobs]
+        await asyncio.gather(*tasks)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await to_future(self._pool.closeCachedConnections())
+
+    async def _run_turn(self, turn: Turn) -> None:
+        """Send a turn once the chat's earlier one has ended."""
+        earlier = self._chats.get(turn.chat)
+        ended = self._chats[turn.chat] = asyncio.get_running_loop().create_future()
+        if earlier is not None:
+            await earlier
+        try:
+            address = self._routers[turn.router]
+            headers = {"authorization": f"Bearer {self._keys[turn.account]}"}
+            self.turns.append(await self.stream(turn, address, headers))
+        finally:
+            ended.set_result(None)
+
+    async def stream(self, turn: Turn, address: str, headers: dict[str, str]) -> TurnOutcome:
+        """Send a turn to an address and read its answer."""
+        body = {
+            "model": self._model.model,
+            "messages": [message._asdict() for message in turn.messages],
+            "max_tokens": turn.answer_tokens,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+            "user": turn.account,
+        }
+        stream = _Stream(time.monotonic(), self)
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                response = await to_future(
+                    self._client.post(
+                        f"http://{address}/v1/chat/completions",
+                        json=body,
+                        headers=headers,
+                        unbuffered=True,
+                    )
+                )
+                if response.code != 200:
+                    return await _refused_turn(turn, response)
+                await to_future(treq.collect(response, stream.take))
+        except Exception as error:
+            return _ended_turn(turn, "", 0, stream, repr(error))
+        return _ended_turn(turn, _header(response, "x-request-id"), 200, stream, "")
+
+    async def _run_call(self, call: Call) -> None:
+        """Send one call of a plain service."""
+        headers = {"authorization": f"Bearer {self._keys[call.account]}"}
+        if call.key:
+            headers["idempotency-key"] = call.key
+        url = f"http://{self._routers[call.router]}{call.path}"
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                sent = self._client.request(call.method, url, data=call.body, headers=headers)
+                response = await to_future(sent)
+                body = await to_future(response.content())
+        except Exception as error:
+            self.calls.append(CallOutcome(call, "", 0, "", "", None, repr(error)))
+            return
+        error = _error_of(body)
+        answer = json.loads(body) if response.code == 200 else None
+        verdict = _header(response, "x-verdict")
+        request_id = _header(response, "x-request-id")
+        reason = str(error.get("code", ""))
+        self.calls.append(CallOutcome(call, request_id, response.code, verdict, reason, answer))
+
+
+async def _later(at_s: float, job: Any) -> None:
+    """Run a job at a time of the monotonic clock."""
+    await asyncio.sleep(max(at_s - time.monotonic(), 0.0))
+    await job
+
+
+async def _refused_turn(turn: Turn, response: Any) -> TurnOutcome:
+    """Return the outcome of a turn that was refused before it streamed."""
+    error = _error_of(await to_future(response.content()))
+    return TurnOutcome(
+        turn,
+        _header(response, "x-request-id"),
+        response.code,
+        _header(response, "x-verdict"),
+        str(error.get("code", "")),
+        "",
+        False,
+        0,
+        0,
+        str(error.get("message", "")),
+    )
+
+
+def _ended_turn(
+    turn: Turn, request_id: str, status: int, stream: _Stream, detail: str
+) -> TurnOutcome:
+    """Return the outcome of a turn that streamed."""
+    is_whole = stream.is_done and not stream.error
+    details = stream.usage.get("prompt_tokens_details") or {}
+    return TurnOutcome(
+        turn,
+        request_id,
+        status,
+        "ran" if is_whole else str(stream.error.get("verdict", "")),
+        str(stream.error.get("code", "")),
+        "".join(stream.text),
+        is_whole,
+        stream.usage.get("prompt_tokens", 0),
+        details.get("cached_tokens", 0),
+        detail or str(stream.error.get("message", "")),
+    )
--- /dev/null
+++ b/benchmarks/measuring/report.py
@@ -0,0 +1,132 @@
+"""Report the figures of all policies as text, JSON and one page of plots."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from benchmarks.measuring.control_traffic import RouterUse
+from benchmarks.measuring.plots import draw_page
+from benchmarks.measuring.run import RunFigures
+from damaskwind.model.configuration_codec import to_table
+
+__all__ = ["broken_promises", "write_reports"]
+
+CONTROL_BUDGET_BYTES = 4096
+GOAL_REUSE_STEADY = 0.95
+GOAL_REUSE_CHURN = 0.85
+_STEADY = ("quiet", "workshop", "deadline")
+
+
+def _highest(routers: list[RouterUse]) -> float | None:
+    """Return the highest second of any router, `None` when none shows it."""
+    shown = [use.highest_second_bytes for use in routers if use.highest_second_bytes is not None]
+    return max(shown, default=None)
+
+
+def _mean(routers: list[RouterUse]) -> float | None:
+    """Return the mean control traffic of the busiest router."""
+    shown = [use.mean_bytes_per_s for use in routers if use.mean_bytes_per_s is not None]
+    return round(max(shown), 1) if shown else None
+
+
+def _percentiles(values: dict[str, float]) -> str:
+    """Return percentiles on one line."""
+    return "/".join(f"{value:g}" for value in values.values())
+
+
+def _rows(run: RunFigures) -> dict[str, Any]:
+    """Return the figures of a policy by label."""
+    skew = run.skew
+    cpu = [use.cpu_share for use in run.routers]
+    memory = [use.memory_bytes for use in run.routers]
+    return {
+        **{f"cache reuse / all-knowing, {phase}": value for phase, value in run.reuse.items()},
+        "skew: highest / mean, worst": skew.worst_ratio,
+        "skew: highest / mean, 95 in 100": skew.p95_ratio,
+        "skew: highest / mean, average": skew.mean_ratio,
+        "skew: worst excess over bound + 1 request, tokens": skew.worst_excess_tokens,
+        "skew: share of samples over that": skew.share_over_bound,
+        "skew: worst account": max(skew.worst_ratio_by_account.values(), default=0.0),
+        "control bytes/s, busiest router, mean": _mean(run.routers),
+        "control bytes/s, busiest router, highest second": _highest(run.routers),
+        "first token, ms, 50/95/99": _percentiles(run.first_token_ms),
+        "first token without router, ms": _percentiles(run.direct_first_token_ms),
+        "between tokens added, ms, 50/95/99": _percentiles(run.between_tokens_ms),
+        "between tokens without router, ms": _percentiles(run.direct_between_tokens_ms),
+        "router processor share, highest": round(max(cpu), 3),
+        "router memory, MB, highest": round(max(memory) / 1e6, 1),
+        "turns and calls": f"{run.turns}+{run.calls}",
+        **{f"ended {end}": count for end, count in sorted(run.ends.items())},
+        **{f"broken: {breach.promise}": breach.count for breach in run.breaches},
+    }
+
+
+def broken_promises(deployment: str, run: RunFigures) -> list[str]:
+    """Name the promises that a run broke, with examples."""
+    lines = [
+        f"{breach.promise}: {breach.count} ({'; '.join(breach.examples)})"
+        for breach in run.breaches
+    ]
+    if run.skew.worst_excess_tokens > 0:
+        lines.append(
+            f"load bound exceeded by {run.skew.worst_excess_tokens} tokens"
+            f" in {run.skew.share_over_bound:.1%} of the samples"
+        )
+    highest = _highest(run.routers)
+    if highest is not None and highest > CONTROL_BUDGET_BYTES:
+        lines.append(f"control traffic of {highest:.0f} bytes in a second")
+    return lines
+
+
+def _goal_lines(run: RunFigures) -> list[str]:
+    """Say which goals of reuse are met."""
+    goals = dict.fromkeys(_STEADY, GOAL_REUSE_STEADY) | {"churn": GOAL_REUSE_CHURN}
+    return [
+        f"goal: reuse in {phase} of {goals[phase]} or more:"
+        f" {'met' if value >= goals[phase] else 'NOT met'} with {value}"
+        for phase, value in run.reuse.items()
+    ]
+
+
+def _table(columns: dict[str, dict[str, Any]]) -> list[str]:
+    """Return the text of a table with a column for each policy."""
+    labels = list(dict.fromkeys(label for rows in columns.values() for label in rows))
+    width = max(map(len, labels))
+    heads = [max(len(name), 14) for name in columns]
+    lines = [" " * width + "".join(f"  {n:>{w}}" for n, w in zip(columns, heads, strict=True))]
+    for label in labels:
+        cells = [
+            f"  {'-' if rows.get(label) is None else rows[label]!s:>{head}}"
+            for rows, head in zip(columns.values(), heads, strict=True)
+        ]
+        lines.append(f"{label:<{width}}{''.join(cells)}")
+    return lines
+
+
+def _comparison(rows: dict[str, dict[str, Any]], earlier: dict[str, Any]) -> list[str]:
+    """Return how each figure differs from an earlier report."""
+    lines = ["", "against the earlier run:"]
+    for policy, figures in rows.items():
+        before = earlier["rows"].get(policy, {})
+        for label, value in figures.items():
+            if label in before and before[label] != value:
+                lines.append(f"  {policy}: {label}: {before[label]} -> {value}")
+    return lines
+
+
+def write_reports(
+    folder: Path, deployment: str, seed: int, runs: list[RunFigures], against: Path | None
+) -> None:
+    """Write all three reports and print the text."""
+    folder.mkdir(parents=True, exist_ok=True)
+    rows = {run.policy: _rows(run) for run in runs}
+    lines = [f"{deployment}, seed {seed}", *_table(rows), *_goal_lines(runs[0])]
+    if against is not None:
+        lines += _comparison(rows, json.loads(against.read_text(encoding="utf-8")))
+    text = "\n".join(lines)
+    print(text)
+    (folder / f"{deployment}.txt").write_text(f"{text}\n", encoding="utf-8")
+    whole = {"deployment": deployment, "seed": seed, "rows": rows, "runs": to_table(runs)}
+    (folder / f"{deployment}.json").write_text(json.dumps(whole), encoding="utf-8")
+    draw_page(folder / f"{deployment}.png", deployment, runs)
+    print(f"reports: {folder}/{deployment}.txt, .json, .png")
--- /dev/null
+++ b/benchmarks/measuring/run.py
@@ -0,0 +1,149 @@
+"""Run the calendar once under one placement policy."""
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from benchmarks.measuring.all_knowing import all_knowing_reuse
+from benchmarks.measuring.calendar_load import Call, Phase, Turn, make_phases, make_trace
+from benchmarks.measuring.churn import (
+    FLAP_DOWN_S,
+    JOINED,
+    ChurnEvent,
+    churn_events,
+    down_spans,
+)
+from benchmarks.measuring.control_traffic import RouterUse, TrafficWatch
+from benchmarks.measuring.deployment import Deployment
+from benchmarks.measuring.driver import Driver
+from benchmarks.measuring.figures import SkewFigures, reuse_by_phase, skew_figures
+from benchmarks.measuring.promises import Breach, count_ends, find_breaches
+
+__all__ = ["FAULTS", "RunFigures", "run_policy"]
+
+START_IN_S = 1.0
+PROBE_TURNS = 40
+_PROBE_GAP_S = 0.02
+
+FAULTS = ("", "ignore_leaving", "crossed_id")
+
+
+class RunFigures(NamedTuple):
+    """All figures of one policy."""
+
+    policy: str
+    turns: int
+    calls: int
+    reuse: dict[str, float]
+    skew: SkewFigures
+    routers: list[RouterUse]
+    first_token_ms: dict[str, float]
+    between_tokens_ms: dict[str, float]
+    direct_first_token_ms: dict[str, float]
+    direct_between_tokens_ms: dict[str, float]
+    ends: dict[str, int]
+    breaches: list[Breach]
+    control_series: dict[str, list[tuple[float, float]]]
+    phases: list[Phase]
+
+
+async def _apply_churn(
+    deployment: Deployment, events: list[ChurnEvent], started_s: float, fault: str
+) -> None:
+    """Let the engines join, leave and flap at their times."""
+    for event in events:
+        await asyncio.sleep(max(started_s + event.at_s - time.monotonic(), 0.0))
+        if event.action == "join":
+            await deployment.join(JOINED)
+            continue
+        order = {"action": event.action, "down_s": FLAP_DOWN_S}
+        order["quiet"] = fault == "ignore_leaving"
+        await deployment.order_life(event.engine, order)
+
+
+async def _arm(deployment: Deployment, fault: str) -> None:
+    """Arm the seeded fault at one engine, when it is one of an engine."""
+    if fault != "crossed_id":
+        return
+    path = f"/targets/{deployment.engines[0]}/faults"
+    for name in ("others_id", "others_text"):
+        await deployment.fleet_ask("POST", path, {"fault": name, "count": 20, "share": 0.2})
+
+
+async def _probe_directly(deployment: Deployment, turns: list[Turn]) -> Driver:
+    """Send some turns to an engine without a router, for the delay of the rest of the path."""
+    driver = Driver([], {}, deployment.model)
+    address = deployment.fleet.ready["targets"][deployment.engines[0]]
+    jobs = []
+    for number, turn in enumerate(turns[:PROBE_TURNS]):
+        headers = {"x-request-id": f"probe-{number}", "x-model-version": deployment.model.version}
+        # Another account's text, so that the run finds nothing of it cached or counted.
+        probe = turn._replace(messages=turn.messages[1:], account="probe")
+        jobs.append(asyncio.ensure_future(driver.stream(probe, address, headers)))
+        await asyncio.sleep(_PROBE_GAP_S)
+    await asyncio.gather(*jobs)
+    await driver.close()
+    return driver
+
+
+async def run_policy(
+    name: str, policy: str, seed: int, phase_s: float, fault: str = ""
+) -> RunFigures:
+    """Start a deployment, drive the calendar through it and work out the figures."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(name, policy, Path(folder))
+        plan = deployment.load_plan()
+        phases = make_phases(plan, phase_s)
+        turns, calls = make_trace(plan, phases, deployment.call_paths(), seed)
+        try:
+            await deployment.start()
+            return await _drive(deployment, phases, turns, calls, fault)
+        finally:
+            await deployment.stop()
+
+
+async def _drive(
+    deployment: Deployment, phases: list[Phase], turns: list[Turn], calls: list[Call], fault: str
+) -> RunFigures:
+    """Drive a trace through a running deployment."""
+    direct = await _probe_directly(deployment, turns)
+    await _arm(deployment, fault)
+    churn = phases[-1]
+    events = churn_events(churn.start_s, churn.duration_s, deployment.engines)
+    watch = TrafficWatch(deployment)
+    driver = Driver(deployment.addresses(), deployment.keys, deployment.model)
+    watch.start()
+    started_s = time.monotonic() + START_IN_S
+    churning = asyncio.ensure_future(_apply_churn(deployment, events, started_s, fault))
+    await driver.run(turns, calls, started_s)
+    await churning
+    routers = await watch.stop()
+    oracles = await deployment.fleet_ask("GET", "/oracle")
+    samples = await deployment.fleet_ask("GET", "/samples")
+    await driver.close()
+    spans = down_spans(events, [*deployment.engines, JOINED])
+    cache_tokens = deployment.engine_table["cache_tokens"]
+    ideal = all_knowing_reuse(turns, deployment.model, spans, cache_tokens)
+    during = [sample for sample in samples if sample["time_s"] >= started_s]
+    root = f"/services/{deployment.profile.service}"
+    return RunFigures(
+        policy=deployment.placement,
+        turns=len(turns),
+        calls=len(calls),
+        reuse=reuse_by_phase(driver.turns, ideal),
+        skew=skew_figures(during, deployment.load_factor, started_s),
+        routers=routers,
+        first_token_ms=driver.first_token.percentiles_ms(),
+        between_tokens_ms=driver.between_tokens.percentiles_ms(),
+        direct_first_token_ms=direct.first_token.percentiles_ms(),
+        direct_between_tokens_ms=direct.between_tokens.percentiles_ms(),
+        ends=count_ends(driver.turns, driver.calls),
+        breaches=find_breaches(driver.turns, driver.calls, oracles, deployment.model, root),
+        control_series={
+            router: [(at_s - started_s, value) for at_s, value in points]
+            for router, points in watch.series().items()
+        },
+        phases=phases,
+    )
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/network_control.py
@@ -0,0 +1,97 @@
+"""A faulty network behind a control address, as a process of its own."""
+
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+from klein import Klein
+
+from damaskwind.runtime.settings import parse_address
+from damaskwind.standins.engine_management import answer_json
+from damaskwind.standins.fault_schedule import seeded_schedule
+from damaskwind.standins.faulty_network import FaultyNetwork
+from damaskwind.standins.impairment import Direction, Impairment
+from damaskwind.standins.listening import Listener
+
+__all__ = ["NetworkProcess"]
+
+
+class NetworkProcess:
+    """A network and its control address."""
+
+    def __init__(self, reactor: Any, ready_file: str, seed: int) -> None:
+        self.network = FaultyNetwork(reactor, seed)
+        self._seed = seed
+        self._ready_file = ready_file
+        app = Klein()
+        app.route("/links", methods=["POST"])(self._add)
+        app.route("/links/<name>/target", methods=["POST"])(self._retarget)
+        app.route("/links/<name>/impair", methods=["POST"])(self._impair)
+        app.route("/links/<name>/<action>", methods=["POST"])(self._act)
+        app.route("/heal", methods=["POST"])(self._heal)
+        app.route("/schedule", methods=["POST"])(self._schedule)
+        self._listener = Listener(reactor, app, "127.0.0.1", 0)
+
+    async def start(self) -> None:
+        """Open the control address and write the ready file."""
+        self._listener.start()
+        path = Path(self._ready_file)
+        partial = path.with_suffix(".partial")
+        ready = {"control_address": str(self._listener.address)}
+        partial.write_text(json.dumps(ready), encoding="utf-8")
+        partial.replace(path)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self.network.stop()
+        await self._listener.stop()
+
+    def _add(self, request: Any) -> bytes:
+        """Open a link and return its address."""
+        order = json.loads(request.content.read())
+        target = parse_address(order["target"]) if order.get("target") else None
+        link = self.network.add_link(order["name"], order["kind"], target)
+        return answer_json(request, {"address": str(link.address)})
+
+    def _retarget(self, request: Any, name: str) -> bytes:
+        """Point a link at another target."""
+        order = json.loads(request.content.read())
+        self.network.links[name].target = parse_address(order["target"])
+        return answer_json(request, {})
+
+    def _impair(self, request: Any, name: str) -> bytes:
+        """Change how a link behaves; for UDP perhaps for one `sender` only."""
+        order = json.loads(request.content.read())
+        direction = Direction(
+            Impairment(**order.get("to_target", {})), Impairment(**order.get("to_caller", {}))
+        )
+        if order.get("sender"):
+            self.network.links[name].impair(direction, order["sender"])
+        else:
+            self.network.links[name].impair(direction)
+        return answer_json(request, {})
+
+    def _act(self, request: Any, name: str, action: str) -> bytes:
+        """Cut a TCP link, make it half-open, or refuse and accept new connections."""
+        link = self.network.links[name]
+        actions = {
+            "cut": link.cut,
+            "half_open": link.half_open,
+            "refuse": lambda: setattr(link, "accepting", False),
+            "accept": lambda: setattr(link, "accepting", True),
+        }
+        actions[action]()
+        return answer_json(request, {})
+
+    def _heal(self, request: Any) -> bytes:
+        """Make every link perfect again."""
+        self.network.heal()
+        return answer_json(request, {})
+
+    def _schedule(self, request: Any) -> bytes:
+        """Draw and run a schedule; return it."""
+        order = json.loads(request.content.read())
+        schedule = seeded_schedule(random.Random(order.get("seed", self._seed)), **order["draw"])
+        self.network.run_schedule(schedule)
+        return answer_json(request, schedule)
--- a/packages/standins/src/damaskwind/standins/prefix_cache.py
+++ b/packages/standins/src/damaskwind/standins/prefix_cache.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import takewhile
 from typing import NamedTuple
 
 __all__ = ["CachedPrefix", "PrefixCache"]
@@ -48,13 +49,17 @@
     def __contains__(self, digest: str) -> bool:
         return digest in self._entries
 
+    def _matched(self, digests: list[str]) -> list[str]:
+        """Return the longest cached prefix."""
+        return list(takewhile(self._entries.__contains__, digests))
+
+    def peek_tokens(self, digests: list[str]) -> int:
+        """Count the tokens of the longest cached prefix without using it."""
+        return sum(self._entries[digest].tokens for digest in self._matched(digests))
+
     def matched_tokens(self, digests: list[str]) -> int:
         """Count the tokens of the longest cached prefix and mark it as used."""
-        matched = []
-        for digest in digests:
-            if digest not in self._entries:
-                break
-            matched.append(digest)
+        matched = self._matched(digests)
         for digest in reversed(matched):
             self._entries.move_to_end(digest)
         return sum(self._entries[digest].tokens for digest in matched)
