--- a/packages/control/src/damaskwind/control/operator_api/http_api.py
+++ b/packages/control/src/damaskwind/control/operator_api/http_api.py
@@ -1,6 +1,7 @@
 """The intent API over HTTP, on klein."""
 
 import re
+import traceback
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
@@ -111,6 +112,12 @@
     return text
 
 
+def _place_of(error: Exception) -> str:
+    """Return the file and line that raised an error."""
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{frame.filename}:{frame.lineno}"
+
+
 class OperatorApi:
     """The HTTP face of one replica towards operators."""
 
@@ -179,9 +186,11 @@
             return msgspec.json.encode(await act(request, caller, **checked))
         except OperatorRefusedError as error:
             return self._refuse(request, error)
-        except Exception:
+        except Exception as error:
             # The text of an unforeseen error may quote the request, and so a key.
-            logger.error("operator request failed", path=request.path.decode("ascii", "replace"))
+            path = request.path.decode("ascii", "replace")
+            kind, place = type(error).__name__, _place_of(error)
+            logger.error("operator request failed", path=path, error=kind, place=place)
             unforeseen = OperatorRefusedError(
                 OperatorCode.FAILED, "internal error; the outcome is not known", False
             )
@@ -215,9 +224,10 @@
         return await self._service.plan(caller.operator, caller.origin, _json_body(request))
 
     async def _plan(self, request: Any, caller: _Caller, plan_id: str) -> Answer:
-        """Show a plan or what came of it, as current as a majority can say."""
+        """Show what came of a plan, which is final, or the plan while it is open."""
         self._require_viewer(caller)
-        await self._service.read_current()
+        if self._machine.plans.outcome(plan_id) is None:
+            await self._service.read_current()
         return self._service.show_plan(plan_id)
 
     async def _confirm(self, request: Any, caller: _Caller, plan_id: str) -> Answer:
--- a/packages/control/src/damaskwind/control/operator_api/tests/test_http_api.py
+++ b/packages/control/src/damaskwind/control/operator_api/tests/test_http_api.py
@@ -55,8 +55,8 @@
     async def change(self, intent, key=ADMIN_KEY):
         status, answer = await self.ask("POST", "/intents", key, intent)
         self.assertEqual(status, 200, answer)
-        path = f"/plans/{answer['plan']['id']}/confirm"
-        status, answer = await self.ask("POST", path, key, {})
+        self.confirmed = f"/plans/{answer['plan']['id']}"
+        status, answer = await self.ask("POST", self.confirmed + "/confirm", key, {})
         self.assertEqual(status, 200, answer)
         return answer
 
@@ -113,6 +113,9 @@
         self.assertEqual((status, answer["error"]["nothing_changed"]), (503, True))
         status, answer = await self.ask("GET", "/configuration")
         self.assertEqual((status, answer["revision"]), (200, 1))
+        for path, wanted in ((self.confirmed, 200), ("/plans/plan-none", 503)):
+            status, answer = await self.ask("GET", path)
+            self.assertEqual(status, wanted, answer)
         self.fleet.replicas[1].moods.append("lost_command")
         status, answer = await self.ask("POST", "/intents", body=priority_class(), at=1)
         self.assertEqual((status, answer["error"]["nothing_changed"]), (504, False))
