One way to tell the change between two configurations, and its digest, for all

Followers coded the whole configuration again for its digest at every revision and the change between two stood twice. wire, follower and model tests: 34 passed.

--- a/packages/control/src/damaskwind/control/operator_api/intent_service.py
+++ b/packages/control/src/damaskwind/control/operator_api/intent_service.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from loguru import logger
+
 from damaskwind.control.operator_api.difference import affected_objects, difference_lines
 from damaskwind.control.operator_api.plan_warnings import plan_warnings
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict, ProposalPort
@@ -139,6 +141,7 @@
         """Check a change against a base and make it a plan."""
         mistakes = check_change(base, change) + _placement_mistakes(change)
         if mistakes:
+            logger.info("intent refused", operator=operator, mistakes=len(mistakes))
             raise _invalid(mistakes)
         return PlanCommand(
             actor=self.actor(operator, origin),
--- a/packages/model/src/damaskwind/model/configuration_change.py
+++ b/packages/model/src/damaskwind/model/configuration_change.py
@@ -116,20 +116,25 @@
 def change_between(before: Configuration, after: Configuration) -> ConfigurationChange:
     """Return the change that leads from one configuration to another.
 
-    >>> change_between(Configuration(), Configuration(policy=Policy(max_attempts=2))).put
+    It always states something: the policy, when nothing differs.
+
+    >>> change_between(Configuration(), Configuration(revision=2)).put
     {}
     """
     put: dict[str, dict[str, Any]] = {}
     delete: dict[str, tuple[str, ...]] = {}
     for kind in OBJECT_KINDS:
         old, new = getattr(before, kind), getattr(after, kind)
-        changed = {name: value for name, value in new.items() if old.get(name) != value}
+        changed = {
+            name: value
+            for name, value in new.items()
+            if old.get(name) is not value and old.get(name) != value
+        }
         gone = tuple(name for name in old if name not in new)
-        if changed:
-            put[kind] = changed
-        if gone:
-            delete[kind] = gone
-    policy = None if before.policy == after.policy else after.policy
+        put |= {kind: changed} if changed else {}
+        delete |= {kind: gone} if gone else {}
+    is_empty = not put and not delete
+    policy = after.policy if is_empty or before.policy != after.policy else None
     return ConfigurationChange(put, delete, policy)
 
 
--- a/packages/wire/src/damaskwind/wire/configuration_history.py
+++ b/packages/wire/src/damaskwind/wire/configuration_history.py
@@ -10,21 +10,18 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-import msgspec
-import xxhash
-
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.configuration_change import (
-    ConfigurationChange,
     apply_change,
-    change_from_table,
-    change_to_table,
+    change_between,
+    decode_change,
+    encode_change,
 )
-from damaskwind.model.configuration_checks import OBJECT_KINDS
 from damaskwind.model.configuration_codec import decode_configuration, encode_configuration
+from damaskwind.model.configuration_digest import configuration_digest
 from damaskwind.model.exception import ConfigurationError, MessageError
 
-__all__ = ["ConfigurationHistory", "EncodedRevision", "change_between", "decode_revision"]
+__all__ = ["ConfigurationHistory", "EncodedRevision", "decode_revision"]
 
 KEPT_REVISIONS = 128
 BODY_LIMIT_BYTES = 32 * 1024 * 1024
@@ -43,34 +40,6 @@
     digest: bytes = b""
 
 
-def _digest(whole: Configuration) -> bytes:
-    """Return the digest of a configuration's canonical coding."""
-    return xxhash.xxh3_128_digest(encode_configuration(whole))
-
-
-def change_between(old: Configuration, new: Configuration) -> ConfigurationChange:
-    """Return the change that leads from one configuration to another.
-
-    >>> change_between(Configuration(), Configuration(revision=2)).put
-    {}
-    """
-    put: dict = {}
-    delete: dict = {}
-    for kind in OBJECT_KINDS:
-        before, after = getattr(old, kind), getattr(new, kind)
-        changed = {
-            name: value
-            for name, value in after.items()
-            if before.get(name) is not value and before.get(name) != value
-        }
-        gone = tuple(name for name in before if name not in after)
-        put |= {kind: changed} if changed else {}
-        delete |= {kind: gone} if gone else {}
-    is_empty = not put and not delete
-    policy = new.policy if is_empty or new.policy != old.policy else None
-    return ConfigurationChange(put, delete, policy)
-
-
 class ConfigurationHistory:
     """The latest configuration and some before it."""
 
@@ -112,12 +81,11 @@
     def _encode(self, base: int) -> EncodedRevision:
         """Encode the latest revision against a base; 0 for the whole."""
         latest = self.latest
-        coded = encode_configuration(latest)
-        digest = xxhash.xxh3_128_digest(coded)
+        digest = configuration_digest(latest)
         if base not in self._kept:
-            return EncodedRevision(latest.revision, False, 0, zlib.compress(coded), digest)
-        change = change_between(self._kept[base], latest)
-        body = zlib.compress(msgspec.json.encode(change_to_table(change)))
+            body = zlib.compress(encode_configuration(latest))
+            return EncodedRevision(latest.revision, False, 0, body, digest)
+        body = zlib.compress(encode_change(change_between(self._kept[base], latest)))
         return EncodedRevision(latest.revision, True, base, body, digest)
 
 
@@ -144,9 +112,9 @@
             whole = _apply_delta(data, encoded, applied)
         else:
             whole = decode_configuration(data)
-    except (ConfigurationError, msgspec.DecodeError) as error:
+    except ConfigurationError as error:
         raise MessageError(f"malformed configuration: {error}") from error
-    if whole.revision != encoded.revision or _digest(whole) != encoded.digest:
+    if whole.revision != encoded.revision or configuration_digest(whole) != encoded.digest:
         raise MessageError(f"revision {encoded.revision} came out different")
     return whole
 
@@ -157,5 +125,4 @@
     """Apply a delta to the configuration that it is meant for."""
     if applied is None or applied.revision != encoded.base_revision:
         raise MessageError(f"delta from revision {encoded.base_revision} does not apply")
-    change = change_from_table(msgspec.json.decode(data))
-    return apply_change(applied, change)._replace(revision=encoded.revision)
+    return apply_change(applied, decode_change(data))._replace(revision=encoded.revision)
