Control process: replica, intent API, claim holder and Follow in one

A replica is founding once all other bootstrap replicas said that they have no log, and keeps that for the life of its disk. The claim holder uses it: before, a holder whose disk was lost before the cluster was founded came back with its old incarnation (seen as 1 not greater than 1 in a test); it now waits for the log.

--- /dev/null
+++ b/packages/control/src/damaskwind/control/claim_holding.py
@@ -0,0 +1,97 @@
+"""Start this process's claim holder once it is known what it may have forgotten.
+
+A holder that was there before its cluster was founded has forgotten nothing at
+its first start. Any other empty one must first read the others; its incarnation
+counts from the wall clock's time at which its disk was new, so that it is above
+those of the disk's earlier lives.
+"""
+
+import asyncio
+from time import monotonic
+from typing import Any
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from damaskwind.control.claims.catch_up import catch_up
+from damaskwind.control.claims.service import ClaimHolderService
+from damaskwind.control.claims.start import begin_start
+from damaskwind.control.replica.node import ReplicaNode
+from damaskwind.decisions.claims.holder import ClaimHolder, HolderPolicy
+from damaskwind.runtime.settings import ReplicaSettings, parse_address
+from damaskwind.wire.authentication import CallVerifier
+from damaskwind.wire.claims_grpc import ClaimsBase
+
+__all__ = ["ClaimHolding", "hold_claims"]
+
+LOG_WAIT_S = 1.0
+
+
+class ClaimHolding(ClaimsBase):
+    """The holder's service; until the holder is there, calls are told to come back."""
+
+    def __init__(self) -> None:
+        self.inner: ClaimHolderService | None = None
+
+    async def Order(self, stream: Any) -> None:  # noqa: N802
+        """First phase of a claim."""
+        await self._service().Order(stream)
+
+    async def Write(self, stream: Any) -> None:  # noqa: N802
+        """Second phase of a claim."""
+        await self._service().Write(stream)
+
+    async def Record(self, stream: Any) -> None:  # noqa: N802
+        """Keep an outcome."""
+        await self._service().Record(stream)
+
+    async def CatchUp(self, stream: Any) -> None:  # noqa: N802
+        """Give all records to a holder that restarted."""
+        await self._service().CatchUp(stream)
+
+    def _service(self) -> ClaimHolderService:
+        if self.inner is None:
+            raise GRPCError(Status.UNAVAILABLE, "starting")
+        return self.inner
+
+
+def _make_holder(node: ReplicaNode, holder_ids: list[str], ttl_s: float) -> ClaimHolder:
+    """Number this start and make the holder."""
+    identity = node.folder.identity
+    is_founding = node.service.is_founding
+    start = begin_start(node.folder.path, identity.replica_id, is_founding)
+    base = 0 if is_founding else identity.created_s
+    return ClaimHolder(
+        identity.replica_id,
+        base + start.incarnation,
+        holder_ids,
+        HolderPolicy(ttl_s=ttl_s),
+        monotonic(),
+        start.is_first_start,
+    )
+
+
+async def hold_claims(
+    holding: ClaimHolding,
+    node: ReplicaNode,
+    verifier: CallVerifier,
+    bootstrap: tuple[ReplicaSettings, ...],
+    ttl_s: float,
+) -> None:
+    """Wait until this replica is part of a log, then start the holder.
+
+    Before there is a log anywhere, a disk that is lost would not be noticed.
+    The holders are the bootstrap replicas; another replica holds no claims.
+    """
+    addresses = {item.replica_id: parse_address(item.address) for item in bootstrap}
+    if node.folder.identity.replica_id not in addresses:
+        return
+    replica = node.replica
+    while not replica.has_log:
+        if not replica.is_running:
+            return
+        await replica.wait_until(lambda: replica.has_log, LOG_WAIT_S)
+    loop = asyncio.get_running_loop()
+    holder = await loop.run_in_executor(None, _make_holder, node, list(addresses), ttl_s)
+    holding.inner = ClaimHolderService(holder, verifier, monotonic)
+    await catch_up(holder, addresses, node.signer, monotonic)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/process.py
@@ -0,0 +1,167 @@
+"""Start and stop a control process: replica, intent API, claims, `Follow`."""
+
+import asyncio
+import json
+import secrets
+import socket
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from grpclib.server import Server
+from loguru import logger
+from twisted.internet.defer import maybeDeferred
+
+from damaskwind.control.claim_holding import ClaimHolding, hold_claims
+from damaskwind.control.operator_api.assembly import make_operator_api
+from damaskwind.control.replica.node import open_replica
+from damaskwind.control.router_reports import RouterReports
+from damaskwind.control.state.configuration_machine import ConfigurationMachine
+from damaskwind.control.storage.files import FileSystem
+from damaskwind.model.exception import StorageError
+from damaskwind.model.targets import Address
+from damaskwind.runtime.bridge import to_future
+from damaskwind.runtime.settings import Settings, parse_address
+from damaskwind.wire.authentication import CallVerifier
+from damaskwind.wire.follow_service import FollowService
+
+__all__ = ["ControlProcess", "start_control"]
+
+CLAIM_TTL_S = 3600.0
+
+
+class ControlProcess:
+    """One running control process.
+
+    `failed` is done, with the `StorageError`, when the replica had to stop.
+    """
+
+    def __init__(self, settings: Settings, reactor: Any, files: FileSystem) -> None:
+        node, control = settings.node, settings.control
+        self.settings = settings
+        self.machine = ConfigurationMachine()
+        self.node = open_replica(node, control, self.machine, files, Random(secrets.randbits(64)))
+        self.failed: asyncio.Future[StorageError] = asyncio.get_running_loop().create_future()
+        self.replica = self.node.replica
+        self.access = self.node.access
+        self.verifier = CallVerifier(node.cluster, node.cluster_key)
+        self.reports = RouterReports(self.replica, self.node.signer)
+        self.follow = FollowService(
+            self.verifier,
+            lambda: self.replica.is_current,
+            self.reports.own.report,
+            self.reports.own_messages,
+        )
+        self.holding = ClaimHolding()
+        self.operator_api, self._archive = make_operator_api(
+            node, control, self.access, self.machine, self.reports.in_force
+        )
+        self._reactor = reactor
+        self._server = Server([self.node.service, self.follow, self.holding])
+        self._is_serving = False
+        self._listener: Any = None
+        self._tasks: list[asyncio.Task] = []
+        self._stopping: asyncio.Future | None = None
+        self.replica_address = parse_address(control.replica_address)
+        self.operator_address = parse_address(control.operator_address)
+        self.replica.on_applied.append(self._applied)
+        self.replica.on_failure.append(self._note_failure)
+
+    async def start(self) -> None:
+        """Open the sockets and run."""
+        control = self.settings.control
+        host, port = self.replica_address
+        listening = socket.create_server((host, port))
+        self.replica_address = Address(host, listening.getsockname()[1])
+        await self._server.start(sock=listening)
+        self._is_serving = True
+        host, port = self.operator_address
+        site = self.operator_api.site()
+        self._listener = self._reactor.listenTCP(port, site, interface=host)
+        self.operator_address = Address(host, self._listener.getHost().port)
+        self.follow.publish(self.machine.configuration)
+        self.node.start(self.settings.node, control, str(self.replica_address))
+        holding = hold_claims(
+            self.holding, self.node, self.verifier, control.bootstrap_replicas, CLAIM_TTL_S
+        )
+        self._spawn(self._guard(holding))
+        self._spawn(self.reports.poll())
+
+    def addresses(self) -> dict[str, str]:
+        """Return the bound addresses by name."""
+        return {
+            "replica_address": str(self.replica_address),
+            "operator_address": str(self.operator_address),
+        }
+
+    def write_ready_file(self) -> None:
+        """Tell whoever started this process its addresses, when a file is set."""
+        path = self.settings.control.ready_file
+        if path:
+            partial = Path(f"{path}.partial")
+            partial.write_text(json.dumps(self.addresses()), encoding="utf-8")
+            partial.replace(path)
+
+    async def stop(self) -> None:
+        """Finish the writes in hand and release everything; safe to call again."""
+        if self._stopping is None:
+            self._stopping = asyncio.ensure_future(self._stop())
+        await asyncio.shield(self._stopping)
+
+    async def _stop(self) -> None:
+        """Do what `stop` says."""
+        if self._listener is not None:
+            await to_future(maybeDeferred(self._listener.stopListening))
+        for task in self._tasks:
+            task.cancel()
+        await self.node.stop()
+        if self._is_serving:
+            self._server.close()
+            await self._server.wait_closed()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.reports.close()
+
+    def _spawn(self, coroutine: Any) -> None:
+        """Run a coroutine until this process stops."""
+        self._tasks.append(asyncio.ensure_future(coroutine))
+
+    async def _guard(self, coroutine: Any) -> None:
+        """Run a coroutine whose `StorageError` ends the process."""
+        try:
+            await coroutine
+        except StorageError as error:
+            self._note_failure(error)
+
+    def _applied(self) -> None:
+        """Let followers and the audit archive have what was just applied."""
+        self.follow.publish(self.machine.configuration)
+        try:
+            self._archive.store_closed(self.machine.trail)
+        except StorageError as error:
+            self._note_failure(error)
+
+    def _note_failure(self, error: StorageError) -> None:
+        """Report a failure of the disk, once."""
+        if not self.failed.done():
+            logger.critical("control process failed", error=str(error))
+            self.failed.set_result(error)
+
+
+async def start_control(
+    settings: Settings, reactor: Any = None, files: FileSystem | None = None
+) -> ControlProcess:
+    """Start a control process on the reactor that is installed and return it.
+
+    Raises `StorageError` when the data folder can't be used.
+    """
+    if reactor is None:
+        from twisted.internet import reactor
+    process = ControlProcess(settings, reactor, files or FileSystem())
+    try:
+        await process.start()
+    except BaseException:
+        await process.stop()
+        raise
+    process.write_ready_file()
+    logger.info("control replica started", **process.addresses())
+    return process
--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -1,10 +1,11 @@
 """Found a new cluster, or join one that exists.
 
-Only the first of the bootstrap replicas founds, alone, and only after every
-other one has said that it has no log: so a replica that lost its disk never
-founds a second cluster beside the first. All others, and any that comes back
-without its disk, ask to be added; they learn first and vote later, under the
-identity that their disk has now.
+A bootstrap replica is founding once it has heard every other one say that it
+has no log. Only the first of them founds, alone, and only after all others are
+founding too: so a replica that lost its disk never founds a second cluster
+beside the first, and each knows whether it was there from the beginning. All
+others, and any that comes back without its disk, ask to be added; they learn
+first and vote later, under the identity that their disk has now.
 """
 
 import asyncio
@@ -14,7 +15,9 @@
 from loguru import logger
 
 from damaskwind.control.replica.forwarding import LogAccess
+from damaskwind.control.replica.service import ReplicationService
 from damaskwind.control.replica.transport import CALL_ERRORS, Channels
+from damaskwind.control.storage.folder import DataFolder
 from damaskwind.control.storage.journal import Journal
 from damaskwind.model.targets import Address
 from damaskwind.runtime.settings import ReplicaSettings, parse_address
@@ -32,8 +35,9 @@
 async def found_or_join(
     access: LogAccess,
     journal: Journal,
+    folder: DataFolder,
+    service: ReplicationService,
     bootstrap: tuple[ReplicaSettings, ...],
-    address: str,
     failure_domain: str,
     signer: CallSigner,
     random: Random,
@@ -49,12 +53,16 @@
     channels = Channels()
     try:
         while replica.is_running and not replica.has_log:
-            if is_listed:
-                hellos = await _greet(others, channels, signer)
-                with_log = [reply for reply in hellos if reply is not None and reply.has_log]
-                if with_log:
-                    await _ask_to_join(access, with_log, channels, signer, address, failure_domain)
-                elif _may_found(bootstrap, own_id, hellos) and not replica.has_log:
+            hellos = await _greet(others, channels, signer) if is_listed else []
+            with_log = [reply for reply in hellos if reply is not None and reply.has_log]
+            if with_log:
+                address = service.address
+                await _ask_to_join(access, with_log, channels, signer, address, failure_domain)
+            elif is_listed and None not in hellos and not replica.has_log:
+                if not service.is_founding:
+                    folder.mark_founding()
+                    service.is_founding = True
+                if _may_found(bootstrap, own_id, hellos):
                     await replica.found(journal)
                     return
             await replica.wait_until(lambda: replica.has_log, random.uniform(0, RETRY_S))
@@ -63,9 +71,8 @@
 
 
 def _may_found(bootstrap: tuple[ReplicaSettings, ...], own_id: str, hellos: list[Any]) -> bool:
-    """Tell whether this replica is the founder and all others are known to be empty."""
-    is_first = bool(bootstrap) and bootstrap[0].replica_id == own_id
-    return is_first and all(reply is not None for reply in hellos)
+    """Tell whether this replica is the founder and all others are founding."""
+    return bootstrap[0].replica_id == own_id and all(reply.is_founding for reply in hellos)
 
 
 async def _greet(
--- a/packages/control/src/damaskwind/control/replica/node.py
+++ b/packages/control/src/damaskwind/control/replica/node.py
@@ -42,8 +42,9 @@
         joining = found_or_join(
             self.access,
             self.journal,
+            self.folder,
+            self.service,
             control.bootstrap_replicas,
-            address,
             node.failure_domain,
             self.signer,
             self.random,
@@ -106,4 +107,5 @@
     access = LogAccess(replica, signer)
     verifier = CallVerifier(node.cluster, node.cluster_key)
     service = ReplicationService(access, verifier, control.replica_address, node.failure_domain)
+    service.is_founding = folder.is_founding
     return ReplicaNode(folder, journal, replica, access, service, signer, random, [])
--- a/packages/control/src/damaskwind/control/replica/service.py
+++ b/packages/control/src/damaskwind/control/replica/service.py
@@ -27,6 +27,7 @@
         self, access: LogAccess, verifier: CallVerifier, address: str, failure_domain: str
     ) -> None:
         self.address = address
+        self.is_founding = False
         self._access = access
         self._verifier = verifier
         self._failure_domain = failure_domain
@@ -82,6 +83,7 @@
             address=self.address,
             failure_domain=self._failure_domain,
             has_log=replica.has_log,
+            is_founding=self.is_founding,
         )
         await stream.send_message(reply)
 
--- a/packages/control/src/damaskwind/control/replica/tests/cluster.py
+++ b/packages/control/src/damaskwind/control/replica/tests/cluster.py
@@ -102,6 +102,18 @@
     async def stop(self, name):
         await self.running.pop(name).stop()
 
+    def isolate(self, name):
+        """Cut a replica off silently: nothing gets in or out, no call fails."""
+        replica = self.running[name].replica
+        replica.transport.send = lambda envelope: None
+        replica.receive = lambda envelope: None
+
+    def heal(self, name):
+        """Undo `isolate`."""
+        replica = self.running[name].replica
+        del replica.transport.send
+        del replica.receive
+
     async def stop_all(self):
         for name in list(self.running):
             await self.stop(name)
--- a/packages/control/src/damaskwind/control/replica/tests/test_cluster.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_cluster.py
@@ -85,6 +85,30 @@
         finally:
             await cluster.stop_all()
 
+    @asyncio_test
+    async def test_leader_that_is_cut_off_silently_stops_confirming_and_loses_nothing(self):
+        cluster = self.make()
+        await cluster.start_all()
+        try:
+            old = await cluster.leader()
+            await self.confirm(cluster, old, b"before")
+            cluster.isolate(old)
+            cut_off = cluster.running[old]
+            lost = asyncio.ensure_future(cut_off.access.propose(b"lost", 3.0))
+            stepped_down = await cut_off.replica.wait_until(
+                lambda: not cut_off.replica.is_leader and not cut_off.replica.is_current, 3.0
+            )
+            self.assertTrue(stepped_down)
+            self.assertFalse(await cut_off.access.read_current(0.5))
+            other = next(name for name in "abc" if name != old)
+            await self.confirm(cluster, other, b"after")
+            self.assertNotEqual((await lost).verdict, COMMITTED)
+            cluster.heal(old)
+            self.assertTrue(await cut_off.access.read_current(10.0))
+            self.assertEqual(cut_off.machine.payloads, [b"before", b"after"])
+        finally:
+            await cluster.stop_all()
+
     @asyncio_test
     async def test_all_restart_after_a_thousand_changes_with_snapshots(self):
         cluster = self.make(snapshot_every_entries=150)
--- a/packages/control/src/damaskwind/control/storage/folder.py
+++ b/packages/control/src/damaskwind/control/storage/folder.py
@@ -7,6 +7,7 @@
 
 import secrets
 from pathlib import Path
+from time import time
 from typing import NamedTuple
 
 import msgspec
@@ -18,16 +19,22 @@
 __all__ = ["DataFolder", "Identity", "open_data_folder"]
 
 _KIND_IDENTITY = 1
+_KIND_FOUNDING = 4
+_FOUNDING_NAME = "founding"
 _IDENTITY_NAME = "identity"
 _LOCK_NAME = "lock"
 
 
 class Identity(NamedTuple):
-    """Whose folder it is, and which life of the disk."""
+    """Whose folder it is, and which life of the disk.
+
+    `created_s` is the wall clock's time at which the folder was first used.
+    """
 
     cluster: str
     replica_id: str
     identity: str
+    created_s: int = 0
 
 
 class DataFolder(NamedTuple):
@@ -38,6 +45,16 @@
     identity: Identity
     lock_descriptor: int
 
+    @property
+    def is_founding(self) -> bool:
+        """Tell whether this replica was there before its cluster was founded."""
+        return _FOUNDING_NAME in self.files.names(self.path)
+
+    def mark_founding(self) -> None:
+        """Keep, for the life of the disk, that there was no cluster before this replica."""
+        data = file_header(_KIND_FOUNDING)
+        write_file_durably(self.files, self.path / _FOUNDING_NAME, data)
+
     def close(self) -> None:
         """Give the lock back."""
         self.files.close(self.lock_descriptor)
@@ -53,7 +70,7 @@
 
 def _create_identity(files: FileSystem, path: Path, cluster: str, replica_id: str) -> Identity:
     """Draw an identity and make it durable."""
-    identity = Identity(cluster, replica_id, secrets.token_hex(8))
+    identity = Identity(cluster, replica_id, secrets.token_hex(8), int(time()))
     data = file_header(_KIND_IDENTITY) + encode_frame(msgspec.msgpack.encode(identity))
     write_file_durably(files, path, data)
     return identity
--- a/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
+++ b/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import tempfile
 from pathlib import Path
 from random import Random
@@ -33,6 +34,13 @@
         await asyncio.sleep(0.005)
 
 
+async def serve(server):
+    """Start a server on a free port and return its address."""
+    listening = socket.create_server(("127.0.0.1", 0))
+    await server.start(sock=listening)
+    return Address(*listening.getsockname())
+
+
 class CredulousVerifier(CallVerifier):
     """Let every caller in."""
 
@@ -60,9 +68,7 @@
 
     async def start(self):
         self.server = Server([self.service])
-        await self.server.start("127.0.0.1", 0)
-        port = self.server._server.sockets[0].getsockname()[1]
-        self.address = Address("127.0.0.1", port)
+        self.address = await serve(self.server)
         return self
 
     async def stop(self):
@@ -228,11 +234,10 @@
             await first.start()
             await until(lambda: first.is_ready)
             server = Server([first.service])
-            await server.start("127.0.0.1", 0)
-            port = server._server.sockets[0].getsockname()[1]
+            address = await serve(server)
             second = self.follower()
             await second.start()
-            second.heard_revision(Address("127.0.0.1", port), 6)
+            second.heard_revision(address, 6)
             await until(lambda: second.is_ready)
             self.assertEqual((second.revision, second.may_be_behind), (6, True))
             server.close()
