Measure: load samples and token times by the clock that processes share

Cause: the reactor's clock is the wall clock, the driver's the monotonic one, so samples from before the run were counted in.

--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -11,6 +11,7 @@
 
 import json
 import random
+import time
 from typing import Any
 
 from klein import Klein
@@ -275,7 +276,7 @@
             ),
             finish_reason="length" if limited else "stop",
             include_usage=bool((body.get("stream_options") or {}).get("include_usage")),
-            timing_from_s=self.reactor.seconds() if self.settings.show_timing else None,
+            timing_from_s=time.monotonic() if self.settings.show_timing else None,
             faults=faults,
         )
         self._set_headers(request, options.shown_id)
--- a/packages/standins/src/damaskwind/standins/replies.py
+++ b/packages/standins/src/damaskwind/standins/replies.py
@@ -1,6 +1,7 @@
 """Write an engine's answers, whole or streamed, with the faults asked for."""
 
 import json
+import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -117,7 +118,7 @@
         delta: dict[str, str] = {"content": self._options.shown_answer[index]}
         if index == 0:
             delta["role"] = "assistant"
-        self._request.write(_delta(self._options, delta, None, self._clock.seconds()))
+        self._request.write(_delta(self._options, delta, None, time.monotonic()))
         is_middle = index + 1 >= (len(self._generation.answer) + 1) // 2
         if Fault.CUT_ANSWER in self._options.faults and is_middle:
             self._open = False
--- a/packages/standins/src/damaskwind/standins/target_fleet.py
+++ b/packages/standins/src/damaskwind/standins/target_fleet.py
@@ -1,6 +1,7 @@
 """A number of engines and plain services behind one control address."""
 
 import json
+import time
 from pathlib import Path
 from typing import Any
 
@@ -80,7 +81,7 @@
         return {"control_address": str(self._listener.address), "targets": targets}
 
     def _sample(self) -> None:
-        """Note the load of every engine now."""
+        """Note the load of every engine now, by the clock that processes share."""
         engines = {
             name: target for name, target in self.targets.items() if hasattr(target, "batch")
         }
@@ -91,7 +92,7 @@
                 by_user.setdefault(user, {})[name] = load_tokens
         self.samples.append(
             {
-                "time_s": self._reactor.seconds(),
+                "time_s": time.monotonic(),
                 "load_tokens": {name: load.load_tokens for name, load in loads.items()},
                 "requests": {
                     name: load.running_requests + load.waiting_requests
