Placement: no herd onto the target that looks idle, also with fresh reports; tests

Cause: the new test that scatters the chats of a hot target failed: with a small error the ramp for moving chats was a step, and only the idle target was under it; and when every candidate was over its level the least loaded one won on all routers. Change: ramps have a least width; the last resort is the chat's first candidate under the bound. The benchmark's reports are now periodic; before, their gaps were geometric, which no announcing target does.

--- a/benchmarks/placement_engines.py
+++ b/benchmarks/placement_engines.py
@@ -50,6 +50,7 @@
         self.as_of_s = 0.0
         self.prefill_free_s = 0.0
         self.published = (0.0, 0.0)
+        self.reported_s = 0.0
         self.epoch = 0
 
     def load_at(self, now_s: float) -> float:
--- a/benchmarks/placement_scale.py
+++ b/benchmarks/placement_scale.py
@@ -246,8 +246,9 @@
         if not engine.alive:
             return
         engine.published = (engine.load_at(self.now_s), self.now_s)
-        if self.random.random() > PUBLISH_EVERY_S / self.setting.report_every_s:
+        if self.now_s - engine.reported_s < self.setting.report_every_s - PUBLISH_EVERY_S / 2:
             return
+        engine.reported_s = self.now_s
         report = engine_report(engine, 0.0)
         for number in range(DELAY_CLASSES):
             delay_s = self.random.uniform(0.05, 1.0)
--- a/packages/decisions/src/damaskwind/decisions/load/bound.py
+++ b/packages/decisions/src/damaskwind/decisions/load/bound.py
@@ -13,7 +13,6 @@
 
 __all__ = ["LoadLevels", "SpillRamp", "levels_for", "spill_draw", "spill_share"]
 
-MIN_HALF_WIDTH_SHARE = 0.02
 _DRAW_SCALE = 1.0 / (1 << 64)
 _DRAW_SEED = 0x7468696E
 
@@ -23,11 +22,13 @@
 
     `centre` is a share of the way from the mean to the bound; `half_width_sds`
     is counted in standard deviations of the estimate's error, so that the share
-    that spills is near the chance that the target is really over the centre.
+    that spills is near the chance that the target is really over the centre. It
+    is never less than `least_half_width`, again a share of the way from the mean.
     """
 
     centre: float
     half_width_sds: float
+    least_half_width: float
 
 
 class LoadLevels(NamedTuple):
@@ -53,13 +54,13 @@
     from the mean to the bound is at least `least_room_tokens`: at a low load a
     request or two would else count as a hot target.
 
-    >>> levels_for(SpillRamp(0.5, 2.0), 100.0, 1.5, 10.0, 0.0, 1000.0)
+    >>> levels_for(SpillRamp(0.5, 2.0, 0.1), 100.0, 1.5, 10.0, 0.0, 1000.0)
     LoadLevels(start_tokens=105.0, full_tokens=145.0, bound_tokens=150.0)
     """
     room_tokens = max(mean_tokens * (load_factor - 1.0), least_room_tokens)
     centre_tokens = mean_tokens + ramp.centre * room_tokens
     half_width_tokens = max(
-        ramp.half_width_sds * error_sd_tokens, MIN_HALF_WIDTH_SHARE * mean_tokens
+        ramp.half_width_sds * error_sd_tokens, ramp.least_half_width * room_tokens
     )
     start = max(centre_tokens - half_width_tokens, 0.0)
     full = centre_tokens + half_width_tokens
--- a/packages/decisions/src/damaskwind/decisions/placement/bounded.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/bounded.py
@@ -32,10 +32,10 @@
 
 __all__ = ["bounded_rendezvous"]
 
-STAY_RAMP = SpillRamp(0.6, 1.6)
-NEW_RAMP = SpillRamp(0.2, 1.6)
-HOME_RAMP = SpillRamp(0.2, 1.6)
-MOVE_RAMP = SpillRamp(-0.7, 1.6)
+STAY_RAMP = SpillRamp(0.6, 1.6, 0.1)
+NEW_RAMP = SpillRamp(0.2, 1.6, 0.3)
+HOME_RAMP = SpillRamp(0.2, 1.6, 0.3)
+MOVE_RAMP = SpillRamp(-0.7, 1.6, 1.2)
 LEAST_ROOM_REQUESTS = 2.0
 MAX_CANDIDATES = 64
 
@@ -111,15 +111,16 @@
     return spill_draw(situation.chat_key, situation.tier.seeds[candidate.position])
 
 
-def _least_loaded_under_bound(notes: list[CandidateNote]) -> CandidateNote | None:
-    """Return the best of the candidates that were only thinned, or over a level below the bound."""
+def _first_under_bound(notes: list[CandidateNote]) -> CandidateNote | None:
+    """Return the chat's first candidate that could take it, when all were over their levels.
+
+    Not the least loaded one: every router would choose the same.
+    """
     refused = (CandidateOutcome.EXCLUDED, CandidateOutcome.FULL)
-    under = [
-        note
-        for note in notes
-        if note.outcome not in refused and note.estimated_load_tokens <= note.bound_tokens
-    ]
-    return min(under, key=lambda note: note.estimated_load_tokens, default=None)
+    for note in notes:
+        if note.outcome not in refused and note.estimated_load_tokens <= note.bound_tokens:
+            return note
+    return None
 
 
 def _remember(situation: Situation, target_id: str, rank: int, last: LastPlace | None) -> None:
@@ -142,8 +143,8 @@
         if note.outcome is CandidateOutcome.CHOSEN:
             _remember(situation, note.target_id, note.rank, last)
             return PlacementChoice(note.target_id, candidate.reason, tuple(notes))
-    second_best = _least_loaded_under_bound(notes)
-    if second_best is None:
+    fallback = _first_under_bound(notes)
+    if fallback is None:
         return PlacementChoice(None, PlacementReason.NONE_UNDER_BOUND, tuple(notes))
-    _remember(situation, second_best.target_id, second_best.rank, last)
-    return PlacementChoice(second_best.target_id, PlacementReason.SPILLED, tuple(notes))
+    _remember(situation, fallback.target_id, fallback.rank, last)
+    return PlacementChoice(fallback.target_id, PlacementReason.SPILLED, tuple(notes))
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_placer.py
@@ -0,0 +1,220 @@
+"""Tests of placement through the placer: homes, spills, churn, many routers."""
+
+from collections import Counter
+from random import Random
+from unittest import TestCase
+
+import xxhash
+
+from damaskwind.decisions.placement.messages import (
+    PlacementQuery,
+    PlacementReason,
+    PoolName,
+)
+from damaskwind.decisions.placement.placer import Placer
+from damaskwind.decisions.placement.policies import PLACEMENT_POLICIES
+from damaskwind.model.targets import (
+    Address,
+    LoadReport,
+    ModelOffer,
+    TargetKind,
+    TargetState,
+    TargetView,
+)
+
+POOL = PoolName("pool", "m", "1")
+NAMES = [f"t{number}" for number in range(10)]
+NEED_TOKENS = 300.0
+
+
+def view(target_id: str, failure_domain: str = "d0", adapters: tuple[str, ...] = ()) -> TargetView:
+    offer = ModelOffer("m", "1", adapters)
+    address = Address("127.0.0.1", 1)
+    state = TargetState.SERVING
+    return TargetView(
+        target_id, 1, TargetKind.ENGINE, "pool", failure_domain, address, state, 0, 0, 0, (offer,)
+    )
+
+
+def query(chat: object, **changes: object) -> PlacementQuery:
+    digest = xxhash.xxh3_128_hexdigest(str(chat).encode())
+    return PlacementQuery(digest, (digest,), "a", NEED_TOKENS, "d0", POOL)._replace(**changes)
+
+
+def placer(policy: str = "bounded_rendezvous", names: list[str] = NAMES, **more: object) -> Placer:
+    made = Placer(policy, "r", "d0", 1.25, Random(1), **more)
+    for name in names:
+        made.update_target(view(name), 0.0)
+    return made
+
+
+def report(made: Placer, loads: dict[str, float], now_s: float, capacity: int = 10**6) -> None:
+    for name, load_tokens in loads.items():
+        made.observe_report(name, LoadReport(int(load_tokens), capacity, 1, 0, 0.0), now_s)
+
+
+def homes(made: Placer, chats: range, now_s: float = 0.1) -> dict[int, str | None]:
+    return {chat: made.place(query(chat), now_s).target_id for chat in chats}
+
+
+class HomeTest(TestCase):
+    """Where chats live while no target is hot."""
+
+    def test_every_router_finds_the_same_home(self) -> None:
+        first, second = placer(), placer(names=NAMES[::-1])
+        self.assertEqual(homes(first, range(200)), homes(second, range(200)))
+
+    def test_homes_are_even_for_one_account(self) -> None:
+        counts = Counter(homes(placer(), range(5000)).values())
+        self.assertLess(max(counts.values()) / 500, 1.2)
+
+    def test_a_target_that_leaves_moves_only_its_chats_and_gets_them_back(self) -> None:
+        made = placer()
+        before = homes(made, range(500))
+        made.remove_target("t3")
+        during = homes(made, range(500))
+        moved = {chat for chat in before if before[chat] != during[chat]}
+        self.assertEqual(moved, {chat for chat, home in before.items() if home == "t3"})
+        self.assertGreater(len({during[chat] for chat in moved}), 5)
+        made.update_target(view("t3"), 1.0)
+        self.assertEqual(homes(made, range(500)), before)
+
+    def test_a_leaving_or_ejected_target_gets_nothing(self) -> None:
+        made = placer()
+        made.update_target(view("t1")._replace(state=TargetState.LEAVING), 0.0)
+        made.update_target(view("t2")._replace(ejected=True), 0.0)
+        self.assertTrue({"t1", "t2"}.isdisjoint(homes(made, range(200)).values()))
+
+    def test_only_targets_that_offer_the_adapter_serve_it(self) -> None:
+        made = placer()
+        made.update_target(view("t4", adapters=("ledger",)), 0.0)
+        wanted = query(1, pool=POOL._replace(adapter="ledger"))
+        self.assertEqual(made.place(wanted, 0.1).target_id, "t4")
+        unknown = query(1, pool=POOL._replace(adapter="none"))
+        self.assertEqual(made.place(unknown, 0.1).reason, PlacementReason.NO_TARGET)
+
+
+class BoundTest(TestCase):
+    """What happens at a hot target."""
+
+    def setUp(self) -> None:
+        self.made = placer()
+        self.home = self.made.place(query("chat"), 0.1).target_id
+        self.hot = dict.fromkeys(NAMES, 10000.0) | {self.home: 20_000.0}
+
+    def test_a_spilled_chat_is_found_again_here_and_at_a_peer(self) -> None:
+        peer = placer()
+        report(self.made, self.hot, 1.0)
+        spilled = self.made.place(query("chat"), 1.0)
+        self.assertEqual(spilled.reason, PlacementReason.SPILLED)
+        self.assertNotEqual(spilled.target_id, self.home)
+        for note in self.made.take_spill_notes(1.1):
+            peer.heard_spill(note, 1.2)
+        cool = dict.fromkeys(NAMES, 10000.0)
+        report(self.made, cool, 2.0)
+        report(peer, cool, 2.0)
+        again, there = self.made.place(query("chat"), 2.0), peer.place(query("chat"), 2.0)
+        self.assertEqual(again[:2], (spilled.target_id, PlacementReason.RETURNED_TO_LAST))
+        self.assertEqual(there[:2], (spilled.target_id, PlacementReason.SPILL_NOTE))
+
+    def test_chats_of_a_hot_target_scatter(self) -> None:
+        idle = next(name for name in NAMES if name != self.home)
+        report(self.made, self.hot | {idle: 5_000.0}, 1.0)
+        chats = [chat for chat, home in homes(placer(), range(3000)).items() if home == self.home]
+        counts = Counter(self.made.place(query(chat), 1.0).target_id for chat in chats)
+        self.assertEqual(counts[self.home], 0)
+        self.assertLess(counts[idle] / len(chats), 0.4)
+
+    def test_routers_that_know_the_same_spill_the_same_chats(self) -> None:
+        peer = placer()
+        warm = dict.fromkeys(NAMES, 10000.0) | {self.home: 11_700.0}
+        for step in range(5):
+            for router in (self.made, peer):
+                report(router, {name: load + 400 * (step % 2) for name, load in warm.items()}, step)
+        mine, theirs = (homes(router, range(2000), 4.0) for router in (self.made, peer))
+        self.assertEqual(mine, theirs)
+        kept = sum(target_id == self.home for target_id in mine.values())
+        self.assertGreater(kept, 20)
+        self.assertLess(kept, 180)
+
+    def test_a_full_pool_says_so(self) -> None:
+        report(self.made, dict.fromkeys(NAMES, 1000.0), 1.0, capacity=900)
+        choice = self.made.place(query("chat"), 1.0)
+        self.assertEqual(choice[:2], (None, PlacementReason.NONE_UNDER_BOUND))
+        self.assertEqual(len(choice.candidates), len(NAMES))
+
+    def test_an_excluded_target_is_not_chosen(self) -> None:
+        for policy in PLACEMENT_POLICIES:
+            made = placer(policy)
+            for _ in range(20):
+                choice = made.place(query("chat", excluded=frozenset(NAMES[:-1])), 0.1)
+                self.assertEqual(choice.target_id, NAMES[-1], policy)
+
+    def test_all_excluded_is_no_target(self) -> None:
+        choice = self.made.place(query("chat", excluded=frozenset(NAMES)), 0.1)
+        self.assertEqual(choice.reason, PlacementReason.NO_TARGET)
+
+    def test_parallel_requests_of_one_chat_are_split(self) -> None:
+        report(self.made, dict.fromkeys(NAMES, 3000.0), 1.0)
+        self.made.set_router_count(50)
+        used = set()
+        for number in range(60):
+            choice = self.made.place(query("batch", prefix_digests=(str(number),)), 1.0)
+            used.add(choice.target_id)
+            digest = query("batch").chat_digest
+            self.made.started(str(number), choice.target_id, digest, NEED_TOKENS, 1.0)
+        self.assertGreater(len(used), 5)
+
+
+class DomainTest(TestCase):
+    """Near failure domains rank together; far ones come after."""
+
+    def _placer(self, **more: object) -> Placer:
+        made = placer(names=[], **more)
+        for number, name in enumerate(NAMES):
+            made.update_target(view(name, f"d{number % 2}"), 0.0)
+        return made
+
+    def test_the_own_failure_domain_comes_first(self) -> None:
+        self.assertEqual(set(homes(self._placer(), range(200)).values()), set(NAMES[::2]))
+
+    def test_near_domains_share_homes(self) -> None:
+        self.assertEqual(
+            set(homes(self._placer(near_domains=("d1",)), range(200)).values()), set(NAMES)
+        )
+
+    def test_a_far_domain_helps_when_the_near_one_is_full(self) -> None:
+        made = self._placer()
+        report(made, dict.fromkeys(NAMES[::2], 1000.0), 1.0, capacity=900)
+        choice = made.place(query("chat"), 1.0)
+        self.assertEqual(choice.reason, PlacementReason.REMOTE_DOMAIN)
+        self.assertIn(choice.target_id, NAMES[1::2])
+
+
+class ManyRoutersTest(TestCase):
+    """Routers that each see a sliver, and all the same old reports."""
+
+    def _worst_ratio(self, policy: str) -> float:
+        """Place rounds of chats from many routers between two reports."""
+        routers = [placer(policy) for _ in range(40)]
+        loads = dict.fromkeys(NAMES, 9500.0) | {"t0": 8_000.0, "t1": 12_000.0}
+        random, worst = Random(3), 0.0
+        for step in range(30):
+            for router in routers:
+                router.set_router_count(len(routers))
+                report(router, loads, float(step))
+            for number in range(60):
+                router = random.choice(routers)
+                chat = query((step, number))
+                target_id = router.place(chat, step + 0.5).target_id
+                router.started(f"{step}/{number}", target_id, chat.chat_digest, 300.0, step + 0.5)
+                loads[target_id] += NEED_TOKENS
+            if step > 5:
+                worst = max(worst, max(loads.values()) / (sum(loads.values()) / len(loads)))
+            loads = {name: load * 0.85 for name, load in loads.items()}
+        return worst
+
+    def test_no_herd_and_no_one_too_many_each(self) -> None:
+        bounded, herd = self._worst_ratio("bounded_rendezvous"), self._worst_ratio("least_loaded")
+        self.assertLess(bounded, 1.25 + NEED_TOKENS / 10_000)
+        self.assertGreater(herd, bounded)
