--- /dev/null
+++ b/benchmarks/router_path.py
@@ -0,0 +1,145 @@
+"""Measure the router's data path beside bare klein and treq in the same run.
+
+    .venv/bin/python benchmarks/router_path.py [--seconds 5] [--streams 100]
+
+Each role runs in a process of its own. Rates per core are counts divided by the
+processor time that the measured process itself used, so that a busy machine
+widens the spread but does not change what is measured.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+from path_roles import ROLES, router_settings
+
+START_TIMEOUT_S = 30
+CLOCK_TICKS_PER_S = 100
+BYTES_PER_MB = 1_000_000
+
+
+class Server(NamedTuple):
+    """A process that listens."""
+
+    process: subprocess.Popen
+    address: str
+
+    def cpu_s(self) -> float:
+        """Return the processor time used so far."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+    def resident_mb(self) -> float:
+        """Return the resident memory."""
+        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        return pages * 4096 / BYTES_PER_MB
+
+
+def start(role: str, *arguments: str) -> Server:
+    """Start a role and read the address that it prints."""
+    command = [sys.executable, __file__, "--role", role, *arguments]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    line = process.stdout.readline()
+    if not line:
+        raise RuntimeError(f"{role} did not start")
+    return Server(process, line.strip())
+
+
+def drive(address: str, kind: str, count: int, seconds: float) -> dict:
+    """Run a caller against an address and return what it counted."""
+    command = [sys.executable, __file__, "--role", "caller", address, kind, str(count)]
+    command.append(str(seconds))
+    done = subprocess.run(command, capture_output=True, text=True, timeout=seconds + 60)
+    if done.returncode:
+        raise RuntimeError(done.stderr[-2000:])
+    return json.loads(done.stdout)
+
+
+def measure_streams(server: Server, streams: int, seconds: float) -> str:
+    """Relay streams and return tokens a second of one core."""
+    before_s = server.cpu_s()
+    counted = drive(server.address, "stream", streams, seconds)
+    used_s = server.cpu_s() - before_s
+    per_core = counted["tokens"] / used_s
+    return (
+        f"{per_core:9.0f} tokens/s per core ({1e6 / per_core:.1f} us a token,"
+        f" {counted['tokens']} tokens, {used_s:.2f} s of processor time)"
+    )
+
+
+def measure_requests(server: Server, connections: int, seconds: float) -> str:
+    """Answer whole requests and return requests a second of one core."""
+    before_s = server.cpu_s()
+    counted = drive(server.address, "whole", connections, seconds)
+    used_s = server.cpu_s() - before_s
+    return (
+        f"{counted['requests'] / used_s:9.0f} requests/s per core"
+        f" ({used_s / counted['requests'] * 1e6:.0f} us a request, {counted['errors']} errors)"
+    )
+
+
+def measure_latency(address: str, seconds: float) -> str:
+    """Ask one request after the other and return the latency."""
+    counted = drive(address, "whole", 1, seconds)
+    shown = [f"p{name} {counted[f'p{name}_ms']:.2f} ms" for name in (50, 95, 99)]
+    return ", ".join(shown)
+
+
+def measure_memory(server: Server, streams: int) -> str:
+    """Hold streams open and return the memory that they take."""
+    idle_mb = server.resident_mb()
+    command = [sys.executable, __file__, "--role", "caller", server.address, "hold", str(streams)]
+    caller = subprocess.Popen([*command, "0"], stdout=subprocess.PIPE, text=True)
+    held = json.loads(caller.stdout.readline())["open"]
+    busy_mb = server.resident_mb()
+    caller.terminate()
+    caller.wait()
+    return f"{(busy_mb - idle_mb) / held * 1000:.1f} MB per thousand open streams ({held} open)"
+
+
+def run(seconds: float, streams: int) -> None:
+    """Start all roles, measure, and print."""
+    with tempfile.TemporaryDirectory() as folder:
+        engine = start("engine")
+        settings = router_settings(Path(folder), engine.address)
+        router = start("router", str(settings), engine.address)
+        bare = start("bare", engine.address)
+        echo = start("echo")
+        servers = [engine, router, bare, echo]
+        try:
+            print(f"resident after start       router {router.resident_mb():.0f} MB")
+            print(f"relay, router              {measure_streams(router, streams, seconds)}")
+            print(f"relay, bare klein + treq   {measure_streams(bare, streams, seconds)}")
+            print(f"requests, router           {measure_requests(router, 16, seconds)}")
+            print(f"requests, bare klein+treq  {measure_requests(bare, 16, seconds)}")
+            print(f"requests, klein echo       {measure_requests(echo, 16, seconds)}")
+            print(f"latency, router            {measure_latency(router.address, seconds)}")
+            print(f"latency, engine alone      {measure_latency(engine.address, seconds)}")
+            print(f"latency, klein echo        {measure_latency(echo.address, seconds)}")
+            print(f"memory, router             {measure_memory(router, 1000)}")
+        finally:
+            for server in servers:
+                server.process.terminate()
+                server.process.wait()
+
+
+def main() -> None:
+    """Run a role, or the whole benchmark."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--role", choices=sorted(ROLES))
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--streams", type=int, default=100)
+    parser.add_argument("arguments", nargs="*")
+    options = parser.parse_args()
+    if options.role:
+        ROLES[options.role](*options.arguments)
+    else:
+        run(options.seconds, options.streams)
+
+
+if __name__ == "__main__":
+    main()
