--- a/packages/decisions/src/damaskwind/decisions/limits/allocator.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator.py
@@ -49,6 +49,7 @@
 
     def __init__(self) -> None:
         self.leases: list[_Lease] = []
+        self.sequence = -1
         self.in_use = 0
         self.wanted = 0
         self.wanted_tokens_per_s = 0
@@ -151,11 +152,17 @@
         grants = tuple(
             self._grant(report, demand, now_s)
             for demand in report.demands
-            if demand.account in self._slices
+            if demand.account in self._slices and self._is_news(report, demand.account)
         )
         lease_ms = int(self.policy.lease_s * 1000)
         return ShareGrant(self.router_id, self.domain, report.sequence, lease_ms, grants)
 
+    def _is_news(self, report: DemandReport, name: str) -> bool:
+        """Tell whether a report is newer than all seen; an overtaken one would lower the use."""
+        account = self._accounts.get(name)
+        share = account.shares.get(report.router_id) if account else None
+        return share is None or report.sequence > share.sequence
+
     def _grant(self, report: DemandReport, demand: AccountDemand, now_s: float) -> AccountGrant:
         """Decide one account's share for one router and book it."""
         account = self._accounts.setdefault(demand.account, _Account(self._blind_until_s))
@@ -163,6 +170,7 @@
         share = account.shares.setdefault(report.router_id, _Share())
         self._adopt(account, share, demand, now_s)
         share.drop_replaced(demand.applied_sequence)
+        share.sequence = report.sequence
         share.in_use = demand.in_use
         share.wanted = demand.wanted
         share.wanted_tokens_per_s = demand.wanted_tokens_per_s
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
@@ -21,6 +21,7 @@
         self.random = Random(network.get("seed", 1))
         self.loss = network.get("loss", 0.0)
         self.delay_s = network.get("delay_s", 0.002)
+        self.allocator_class = network.get("allocator_class", ShareAllocator)
         self.domains = domains
         self.limits = limits
         self.now_s = 100.0
@@ -46,7 +47,7 @@
         """Start a router, or restart it with its requests lost."""
         first = 1000 * int(self.now_s)
         self.limiters[name] = AccountLimiter(name, domain, self.policy, first)
-        self.allocators[name] = ShareAllocator(name, domain, self.policy, began_s)
+        self.allocators[name] = self.allocator_class(name, domain, self.policy, began_s)
         for part in (self.limiters[name], self.allocators[name]):
             part.set_limits(self.limits, self.domains)
         self.running[name] = []
