--- a/packages/decisions/src/damaskwind/decisions/membership/core.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/core.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any
 
+from damaskwind.decisions.membership.announcing import AnnouncementPace
 from damaskwind.decisions.membership.damping import FlapDamper
 from damaskwind.decisions.membership.digests import DigestTable, unpack_keys
 from damaskwind.decisions.membership.gossip import Gossip
@@ -59,9 +60,6 @@
 
 __all__ = ["MembershipCore"]
 
-ANNOUNCEMENT_BYTES = 800
-MIN_ANNOUNCEMENT_S = 2.0
-LEASE_PARTS = 3.2
 _ALWAYS_ROOM = 1 << 30
 _UPKEEP_S = 60.0
 _LEAVING_STATES = (TargetState.LEAVING, TargetState.LAPSED)
@@ -109,7 +107,11 @@
         first_delay_s = random.random() * self.parameters.round_s
         self._prober = Prober(self.parameters.round_s, now_s, first_delay_s)
         self._repair = Repair(
-            self.router_table, self.target_table, digests, self.parameters.news_bytes, random
+            self.router_table,
+            self.target_table,
+            digests,
+            self.parameters.news_bytes,
+            random,
         )
         self._gossip = Gossip(
             self.parameters,
@@ -119,6 +121,10 @@
             self._prober,
             random,
         )
+        self._announcements = AnnouncementPace(
+            self.parameters.announcement_share * self.parameters.control_bytes_per_s,
+            now_s,
+        )
         self._revisions: dict[str, int] = {}
         self._spills_seen: dict[SpillNote, float] = {}
         self._next_upkeep_s = now_s + _UPKEEP_S
@@ -133,6 +139,7 @@
     ) -> tuple[AnnouncementOutcome, Output]:
         """Take a target's announcement."""
         self._advance(now_s)
+        self._announcements.heard(self.now_s)
         target_id = announcement.target_id
         if announcement.state in _LEAVING_STATES:
             tombstone = self.target_table.announce_leave(announcement, self.now_s)
@@ -153,18 +160,18 @@
     def next_announcement_s(self, lease_s: float) -> float:
         """Return when a target should announce itself again.
 
-        The more targets there are for each router, the less often, so that
-        announcements keep to their share of the budget; but a lease must
-        outlast the loss of two announcements.
+        See `AnnouncementPace`.
         """
+        return self._announcements.next_s(lease_s, self._near_targets_per_router(), self.now_s)
+
+    def _near_targets_per_router(self) -> float:
+        """Return how many targets of the own domain there are for each router."""
         domain = self.router_table.me.failure_domain
         targets = sum(
             held.record.failure_domain == domain for held in self.target_table.held.values()
         )
         routers = max(len(self.router_table.ring(domain)), 1)
-        share_bytes_per_s = self.parameters.announcement_share * self.parameters.control_bytes_per_s
-        affordable_s = targets * ANNOUNCEMENT_BYTES / (share_bytes_per_s * routers)
-        return min(max(affordable_s, MIN_ANNOUNCEMENT_S), max(lease_s / LEASE_PARTS, 0.5))
+        return targets / routers
 
     def observe_load(self, target_id: str, report: LoadReport, now_s: float) -> None:
         """Take a load that came with an engine's answer."""
@@ -225,6 +232,8 @@
         for target_id in self._damper.release(self.now_s):
             self._tell_target(target_id)
         if self._prober.start_round(self.now_s):
+            per_router = self._near_targets_per_router()
+            self.target_table.lease_floor_s = self._announcements.lease_floor_s(per_router)
             self._sends += self._gossip.round(self.seeds, self.now_s)
         self._sends += self._gossip.flood(self.now_s)
         self._upkeep()
@@ -334,7 +343,7 @@
         if record.router_id == me.router_id:
             if (record.incarnation, record.state) > (me.incarnation, RouterState.ALIVE):
                 raised = self.router_table.refute(record.incarnation, self.now_s)
-                self._gossip.rumours.add(raised, Urgency.PROBE, self.now_s)
+                self._gossip.rumours.add(raised, Urgency.JOIN, self.now_s)
             return
         change = self.router_table.merge(record, self.now_s)
         if change is None:
@@ -342,8 +351,9 @@
             return
         self._tell_router(change)
         if pass_on:
-            self._gossip.rumours.add(record, _STATE_URGENCY[record.state], self.now_s)
-        if change.gone and record.state == RouterState.DEAD:
+            flood = record.state != RouterState.SUSPECT
+            self._gossip.rumours.add(record, _STATE_URGENCY[record.state], self.now_s, flood)
+        if record.state in (RouterState.SUSPECT, RouterState.DEAD):
             # It may only be out of reach of others: let it refute at once.
             self._send_to(record.router_id, news_of([record]), Urgency.PROBE)
 
@@ -364,7 +374,9 @@
         returns = self._returns(record.target_id, record.incarnation)
         outcome = self.target_table.merge(record, self.now_s)
         if outcome == MergeOutcome.TOMBSTONED:
-            return self.target_table.tombstones.get(record.target_id, self.now_s)
+            tombstone = self.target_table.tombstones.get(record.target_id, self.now_s)
+            near = record.failure_domain == self.router_table.me.failure_domain
+            return None if near and tombstone.reason == GoneReason.LAPSED else tombstone
         if outcome in (MergeOutcome.KNOWN, MergeOutcome.RENEWED):
             self._gossip.rumours.heard(record)
         self._after_target(record.target_id, outcome, returns, pass_on)
@@ -444,7 +456,7 @@
         knew = True
     near = sender is not None and sender.failure_domain == core.router_table.me.failure_domain
     if near:
-        core._prober.hear_round(probe.nonce)
+        core._prober.hear_round(probe.nonce, now_s)
     core._hear_revision(sender, probe.revision)
     core._merge_loads(probe.loads)
     answer = core._repair_with(sender, source)
--- a/packages/decisions/src/damaskwind/decisions/membership/digests.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/digests.py
@@ -43,18 +43,18 @@
 
 def router_key(router_id: str) -> int:
     """Return the 32-bit key of a router."""
-    return xxhash.xxh32_intdigest(f"router\0{router_id}")
+    return xxhash.xxh32_intdigest(f"router\0{router_id}".encode())
 
 
 def target_key(target_id: str) -> int:
     """Return the 32-bit key of a target."""
-    return xxhash.xxh32_intdigest(f"target\0{target_id}")
+    return xxhash.xxh32_intdigest(f"target\0{target_id}".encode())
 
 
 def router_version(record: RouterRecord) -> int:
     """Return the 32-bit version of a router's record."""
     text = f"{record.router_id}\0{record.incarnation}\0{record.address}\0{record.peer_address}"
-    return xxhash.xxh32_intdigest(text)
+    return xxhash.xxh32_intdigest(text.encode())
 
 
 def target_version(record: TargetRecord) -> int:
@@ -74,7 +74,7 @@
         offers,
         str(record.fencing),
     )
-    return xxhash.xxh32_intdigest(repr(parts))
+    return xxhash.xxh32_intdigest(repr(parts).encode())
 
 
 def fold(digests: bytes) -> bytes:
--- a/packages/decisions/src/damaskwind/decisions/membership/gossip.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/gossip.py
@@ -21,25 +21,22 @@
 from damaskwind.decisions.membership.prober import Prober, ring_peers
 from damaskwind.decisions.membership.repair import Repair
 from damaskwind.decisions.membership.routers import RouterTable
-from damaskwind.decisions.membership.rumours import Item, RumourQueue, news_of, transmissions_limit
+from damaskwind.decisions.membership.rumours import RumourQueue, news_of, transmissions_limit
+from damaskwind.decisions.membership.sizes import (
+    estimate_bytes,
+    packed_bytes,
+    unpacked_bytes,
+)
 from damaskwind.decisions.membership.targets import FOREIGN_LEASE_S, TargetTable
 from damaskwind.decisions.pacing.urgency import Urgency
-from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.model.targets import Address
 
 __all__ = ["Gossip"]
 
 _HEADER_BYTES = 70
 _SUMMARY_BYTES = 40
-_RECORD_BYTES = 90
 _FOREIGN_SUMMARIES = 2
-
-
-def _crosses(item: Item) -> bool:
-    """Tell whether an item matters beyond its failure domain."""
-    if isinstance(item, RouterRecord):
-        return item.state != RouterState.SUSPECT
-    return not isinstance(item, SpillNote)
+_SMALLEST_NEWS_BYTES = 120
 
 
 class Gossip:
@@ -65,6 +62,8 @@
         self._prober = prober
         self._random = random
         self._foreign_turn = 0
+        self._flood_turn = 0
+        self._lonely_rounds = 0
 
     def round(self, seeds: tuple[Address, ...], now_s: float) -> list[Send]:
         """Return the probes of one round."""
@@ -75,43 +74,59 @@
             sends.append(self._probe(number, self._routers.get(router_id), now_s))
         if self._routers.is_relay():
             sends += self._foreign_probe(now_s)
-        lonely = len(self._routers.live()) == 1
-        if lonely or number % self._parameters.rounds_per_lost_probe == 0:
+        if self._calls_for_company() or number % self._parameters.rounds_per_lost_probe == 0:
             sends += self._lost_probe(seeds, now_s)
         return sends
 
     def flood(self, now_s: float) -> list[Send]:
-        """Return the datagrams that spread the most urgent news, if there is room."""
-        size_bytes = self._parameters.news_bytes + _HEADER_BYTES
-        peers = self.flood_peers()
-        limit_bytes = min(self.room_bytes // max(len(peers), 1), size_bytes) - _HEADER_BYTES
-        batch = self.rumours.to_flood(limit_bytes, now_s)
-        if batch is None:
-            return []
-        news = news_of(batch.items)
-        across = news_of([item for item in batch.items if _crosses(item)])
+        """Return the datagrams that spread the most urgent news, as far as there is room.
+
+        Each item goes to `fanout` peers, one datagram after the other along the
+        ring; a relay also sends it to `foreign_fanout` other domains.
+        """
         sends = []
-        for router_id in peers:
-            record = self._routers.get(router_id)
-            near = record.failure_domain == self._routers.me.failure_domain
-            message = news if near else across
-            if message != News():
-                sends.append(Send(router_id, record.address, message, batch.urgency))
+        for lane, peers in (("near", self._near_peers()), ("far", self._far_peers())):
+            for router_id in peers:
+                send = self._flood_one(router_id, lane, now_s)
+                if send is None:
+                    break
+                sends.append(send)
         return sends
 
-    def flood_peers(self) -> list[str]:
-        """Return whom news goes to: some peers, and relays of some other domains."""
+    def _flood_one(self, router_id: str, lane: str, now_s: float) -> Send | None:
+        """Return one datagram of news for a peer, if there are any and there is room."""
+        parameters = self._parameters
+        limit_bytes = min(self.room_bytes - _HEADER_BYTES, parameters.news_bytes)
+        if limit_bytes < _SMALLEST_NEWS_BYTES:
+            return None
+        fanout = parameters.fanout if lane == "near" else parameters.foreign_fanout
+        batch = self.rumours.to_flood(unpacked_bytes(limit_bytes), fanout, lane == "far", now_s)
+        if batch is None:
+            return None
+        self.room_bytes -= packed_bytes(sum(map(estimate_bytes, batch.items))) + _HEADER_BYTES
+        record = self._routers.get(router_id)
+        return Send(router_id, record.address, news_of(batch.items), batch.urgency)
+
+    def _near_peers(self) -> list[str]:
+        """Return the next peers of the own domain that news goes to."""
         me = self._routers.me
         ring = self._routers.ring(me.failure_domain)
-        number = self._prober.round_number
-        peers = ring_peers(ring, me.router_id, number + 1, self._parameters.fanout)
+        self._flood_turn += 1
+        return ring_peers(ring, me.router_id, self._flood_turn, self._parameters.fanout)
+
+    def _far_peers(self) -> list[str]:
+        """Return relays of some other domains, for a relay."""
         if not self._routers.is_relay():
-            return peers
+            return []
+        me = self._routers.me
         others = [name for name in self._routers.domains() if name != me.failure_domain]
         count = min(self._parameters.foreign_fanout, len(others))
-        for domain in self._random.sample(others, count):
-            peers.append(self._random.choice(self._routers.relays(domain)))
-        return peers
+        domains = self._random.sample(others, count)
+        return [self._random.choice(self._routers.relays(domain)) for domain in domains]
+
+    def flood_peers(self) -> list[str]:
+        """Return whom the most urgent word goes to at once."""
+        return self._near_peers() + self._far_peers()
 
     def ask_others(self, nonce: int, router_id: str) -> list[Send]:
         """Return the requests to probe a router that did not answer."""
@@ -135,15 +150,27 @@
         near = sender is not None and sender.failure_domain == self._routers.me.failure_domain
         news = self._carried(sender, near, now_s)
         bare = len(probe.loads) == 0 and not probe.summaries
-        loads = b"" if bare else self._loads(now_s, near)
+        loads = b"" if bare else self._loads(now_s, near, news)
         summaries = () if near or bare else (self._repair.own_summary(),)
         introduction = None if knew else self._routers.me
+        if probe.sender is not None and probe.news is None and bare:
+            news = self._introductions(probe.sender)
         return Ack(probe.nonce, self.revision, loads, summaries, news, introduction)
 
+    def _introductions(self, newcomer: RouterRecord) -> News:
+        """Name some routers to one that may know none, those of its domain first."""
+        me = self._routers.me
+        others = [r for r in self._routers.live() if r.router_id not in (me.router_id, newcomer[0])]
+        self._random.shuffle(others)
+        others.sort(key=lambda record: record.failure_domain != newcomer.failure_domain)
+        chosen = [me, *others[: self._parameters.introductions]]
+        return news_of(chosen)._replace(repair=True)
+
     def _probe(self, nonce: int, record: RouterRecord, now_s: float) -> Send:
         """Return a probe with loads, summaries and news on board."""
         near = record.failure_domain == self._routers.me.failure_domain
         self._prober.sent(nonce, record.router_id, now_s)
+        news = self._carried(record, near, now_s)
         introduction = None if record.router_id in self.introduced else self._routers.me
         summaries = (self._repair.own_summary(),)
         if near:
@@ -152,10 +179,10 @@
             nonce,
             self.revision,
             introduction,
-            self._loads(now_s, near),
+            self._loads(now_s, near, news),
             self._overdue(now_s) if near else b"",
             summaries,
-            self._carried(record, near, now_s),
+            news,
         )
         return Send(record.router_id, record.address, probe, Urgency.PROBE)
 
@@ -170,6 +197,18 @@
         record = self._routers.get(self._random.choice(relays))
         return [self._probe(self._prober.side_nonce(), record, now_s)]
 
+    def _calls_for_company(self) -> bool:
+        """Tell whether a router that knows no other should ask a seed in this round.
+
+        It asks ever less often, since a whole fleet may be starting at once.
+        """
+        if len(self._routers.live()) > 1:
+            self._lonely_rounds = 0
+            return False
+        self._lonely_rounds += 1
+        limit = min(self._lonely_rounds, self._parameters.lonely_rounds_limit)
+        return self._random.random() < 1.0 / limit
+
     def _lost_probe(self, seeds: tuple[Address, ...], now_s: float) -> list[Send]:
         """Return a probe to a router held dead or to a seed that nobody lives at."""
         lost = [(record.router_id, record.address) for record in self._routers.dead()]
@@ -184,12 +223,15 @@
         probe = Probe(nonce, self.revision, self._routers.me, news=news)
         return [Send(router_id, address, probe, Urgency.PROBE)]
 
-    def _loads(self, now_s: float, near: bool) -> bytes:
-        """Return the loads that fit the room."""
-        limit_bytes = min(self._parameters.probe_bytes, self.room_bytes)
-        limit_bytes -= _HEADER_BYTES + _RECORD_BYTES + _SUMMARY_BYTES
+    def _loads(self, now_s: float, near: bool, news: News | None) -> bytes:
+        """Return the loads that fit beside the news."""
+        parameters = self._parameters
+        limit_bytes = parameters.probe_bytes if near else parameters.foreign_probe_bytes
+        limit_bytes -= _HEADER_BYTES + _SUMMARY_BYTES
+        if news is not None:
+            limit_bytes -= packed_bytes(estimate_bytes(news))
         routers = len(self._routers.ring(self._routers.me.failure_domain))
-        factor = self._parameters.load_transmissions_factor
+        factor = parameters.load_transmissions_factor
         return self._targets.pack_loads(limit_bytes, transmissions_limit(routers, factor), now_s)
 
     def _overdue(self, now_s: float) -> bytes:
@@ -202,10 +244,8 @@
         """Return the news that rides along, with what the peer must refute."""
         routers = len(self._routers.ring(self._routers.me.failure_domain))
         limit = transmissions_limit(routers, self._parameters.rumour_transmissions_factor)
-        room = min(self._parameters.carried_bytes, self.room_bytes)
+        room = unpacked_bytes(self._parameters.carried_bytes)
         items = self.rumours.to_carry(room, limit, now_s, near)
-        if not near:
-            items = [item for item in items if _crosses(item)]
         if record is not None and record.state != RouterState.ALIVE and record not in items:
             items.append(record)
         return news_of(items) if items else None
--- a/packages/decisions/src/damaskwind/decisions/membership/loads.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/loads.py
@@ -48,7 +48,7 @@
 
 def load_key(target_id: str, incarnation: int) -> int:
     """Return the 24-bit key of one incarnation of a target."""
-    return xxhash.xxh3_64_intdigest(f"{target_id}\0{incarnation}") & _KEY_MASK
+    return xxhash.xxh3_64_intdigest(f"{target_id}\0{incarnation}".encode()) & _KEY_MASK
 
 
 def encode_load(load_tokens: int) -> int:
--- a/packages/decisions/src/damaskwind/decisions/membership/prober.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/prober.py
@@ -31,7 +31,10 @@
 def _offsets(members: int, cycle: int) -> tuple[int, ...]:
     """Return the offsets of one cycle, in an order that is the same everywhere."""
     return tuple(
-        sorted(range(1, members), key=lambda offset: xxhash.xxh32_intdigest(f"{cycle}\0{offset}"))
+        sorted(
+            range(1, members),
+            key=lambda offset: xxhash.xxh32_intdigest(f"{cycle}\0{offset}".encode()),
+        )
     )
 
 
@@ -60,6 +63,7 @@
         self.round_number = 0
         self._round_s = round_s
         self._next_round_s = now_s + first_delay_s
+        self._advanced_s = now_s
         self._side_nonce = 0
         self._outstanding: dict[int, Outstanding] = {}
         self._forwards: dict[int, tuple[str, int, float]] = {}
@@ -69,13 +73,20 @@
         if now_s < self._next_round_s:
             return False
         self._next_round_s = max(self._next_round_s + self._round_s, now_s + self._round_s / 2)
-        self.round_number += 1
+        if now_s - self._advanced_s >= self._round_s / 2:
+            self.round_number += 1
+            self._advanced_s = now_s
         return True
 
-    def hear_round(self, nonce: int) -> None:
-        """Catch up with a peer of the ring whose round is ahead."""
+    def hear_round(self, nonce: int, now_s: float) -> None:
+        """Catch up with a peer of the ring whose round is ahead.
+
+        A router that just caught up does not count its own next round, so the
+        common round advances once in `round_s` and not once for each router.
+        """
         if self.round_number < nonce < self.round_number + _ROUND_LEAP_LIMIT:
             self.round_number = nonce
+            self._advanced_s = now_s
 
     def side_nonce(self) -> int:
         """Return a nonce for a probe outside of the ring."""
--- a/packages/decisions/src/damaskwind/decisions/membership/repair.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/repair.py
@@ -19,10 +19,10 @@
     unpack_entries,
     unpack_keys,
 )
-from damaskwind.decisions.membership.messages import Compare, News, Sketch, Summary
+from damaskwind.decisions.membership.messages import Compare, GoneReason, News, Sketch, Summary
 from damaskwind.decisions.membership.routers import RouterTable
 from damaskwind.decisions.membership.rumours import Item, news_of
-from damaskwind.decisions.membership.sizes import estimate_bytes
+from damaskwind.decisions.membership.sizes import estimate_bytes, unpacked_bytes
 from damaskwind.decisions.membership.targets import TargetTable
 
 __all__ = ["Repair"]
@@ -117,13 +117,25 @@
         for key in theirs:
             if key in mine:
                 continue
-            gone = self._targets.tombstones.by_key(key, now_s) or self._routers.dead_by_key(key)
+            gone = self._gone(key, sketch.failure_domain, now_s)
             if gone is not None:
                 items.append(gone)
             elif self._digests.member(key) is None:
                 wanted.append(key)
         return self._news(items, wanted)
 
+    def _gone(self, key: int, failure_domain: str, now_s: float) -> Item | None:
+        """Return what proves that the router or target of a key is gone.
+
+        A lapse in the own domain proves nothing to a peer that still holds the
+        target: the peer may have heard a renewal that was missed here.
+        """
+        tombstone = self._targets.tombstones.by_key(key, now_s)
+        if tombstone is None:
+            return self._routers.dead_by_key(key)
+        near = failure_domain == self._routers.me.failure_domain
+        return None if near and tombstone.reason == GoneReason.LAPSED else tombstone
+
     def records(self, wanted: bytes, now_s: float) -> News | None:
         """Answer a request for records."""
         members = [self._digests.member(key) for key in unpack_keys(wanted)]
@@ -133,7 +145,7 @@
         """Fit items and wanted keys into one message."""
         self._random.shuffle(items)
         wanted = wanted[:_WANTED_LIMIT]
-        room = self._news_bytes - len(wanted) * _KEY_BYTES
+        room = unpacked_bytes(self._news_bytes - len(wanted) * _KEY_BYTES)
         fitting: list[Item] = []
         for item in items:
             size_bytes = estimate_bytes(item)
--- a/packages/decisions/src/damaskwind/decisions/membership/routers.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/routers.py
@@ -45,7 +45,7 @@
 
 def _rendezvous(failure_domain: str, router_id: str) -> int:
     """Return the weight of a router as relay of its failure domain."""
-    return xxhash.xxh3_64_intdigest(f"{failure_domain}\0{router_id}")
+    return xxhash.xxh3_64_intdigest(f"{failure_domain}\0{router_id}".encode())
 
 
 class RouterTable:
--- a/packages/decisions/src/damaskwind/decisions/membership/rumours.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/rumours.py
@@ -9,31 +9,56 @@
 from math import ceil, log2
 from typing import NamedTuple
 
-from damaskwind.decisions.membership.messages import News, RouterRecord, TargetRecord, Tombstone
+from damaskwind.decisions.membership.messages import (
+    News,
+    RouterRecord,
+    RouterState,
+    TargetRecord,
+    Tombstone,
+)
 from damaskwind.decisions.membership.sizes import estimate_bytes
 from damaskwind.decisions.pacing.urgency import Urgency
 from damaskwind.decisions.placement.messages import SpillNote
 
-__all__ = ["Rumour", "RumourQueue", "news_of", "transmissions_limit"]
+__all__ = ["Rumour", "RumourQueue", "news_of", "split_news", "transmissions_limit"]
 
-COPIES_ENOUGH = 3
+COPIES_ENOUGH = 2
 LIFETIME_S = 10.0
 QUEUE_LIMIT = 2000
+JOINS_LIMIT = 8
+_FLOODED = 1 << 30
 
 Item = RouterRecord | TargetRecord | Tombstone | SpillNote
 _FIELDS = {RouterRecord: "routers", TargetRecord: "targets"}
 _FIELDS |= {Tombstone: "tombstones", SpillNote: "spills"}
 
 
+def crosses(item: Item) -> bool:
+    """Tell whether an item matters beyond its failure domain."""
+    if isinstance(item, RouterRecord):
+        return item.state != RouterState.SUSPECT
+    return not isinstance(item, SpillNote)
+
+
 class Rumour:
     """An item on its way through the fleet."""
 
-    __slots__ = ("born_s", "copies", "flooded", "item", "sends", "size_bytes", "urgency")
-
-    def __init__(self, item: Item, urgency: Urgency, flooded: bool, now_s: float) -> None:
+    __slots__ = (
+        "born_s",
+        "copies",
+        "far_floods",
+        "floods",
+        "item",
+        "sends",
+        "size_bytes",
+        "urgency",
+    )
+
+    def __init__(self, item: Item, urgency: Urgency, flood: bool, now_s: float) -> None:
         self.item = item
         self.urgency = urgency
-        self.flooded = flooded
+        self.floods = 0 if flood else _FLOODED
+        self.far_floods = 0 if flood and crosses(item) else _FLOODED
         self.born_s = now_s
         self.sends = 0
         self.copies = 0
@@ -55,6 +80,20 @@
     return News(**{name: tuple(values) for name, values in fields.items()})
 
 
+def split_news(news: News) -> tuple[News, ...]:
+    """Split the records of a message into two messages; nothing when it can't be split.
+
+    >>> split_news(News(spills=(SpillNote("a", "x"), SpillNote("b", "y"))))[1].spills
+    (SpillNote(chat_short_digest='b', target_id='y'),)
+    """
+    items = [*news.routers, *news.targets, *news.tombstones, *news.spills]
+    if len(items) < 2:
+        return ()
+    middle = len(items) // 2
+    first = news_of(items[:middle])._replace(wanted=news.wanted, repair=news.repair)
+    return first, news_of(items[middle:])._replace(repair=news.repair)
+
+
 def transmissions_limit(routers: int, factor: float) -> int:
     """Return how often an item is passed on in a group of this many routers.
 
@@ -90,9 +129,19 @@
     def __len__(self) -> int:
         return len(self._rumours)
 
+    def _joins(self) -> int:
+        """Return how many joins are on their way."""
+        return sum(rumour.urgency == Urgency.JOIN for rumour in self._rumours.values())
+
     def add(self, item: Item, urgency: Urgency, now_s: float, flood: bool = True) -> None:
-        """Pass an item on, in place of an older one about the same thing."""
-        self._rumours[_key(item)] = Rumour(item, urgency, not flood, now_s)
+        """Pass an item on, in place of an older one about the same thing.
+
+        Joins beyond `JOINS_LIMIT` are left to the repair, which sends each
+        record only to those who lack it.
+        """
+        if urgency == Urgency.JOIN and self._joins() >= JOINS_LIMIT:
+            return
+        self._rumours[_key(item)] = Rumour(item, urgency, flood, now_s)
         if len(self._rumours) > QUEUE_LIMIT:
             worst = max(self._rumours, key=lambda key: self._order(self._rumours[key]))
             del self._rumours[worst]
@@ -103,28 +152,29 @@
         if rumour is not None:
             rumour.copies += 1
 
-    def to_flood(self, limit_bytes: int, now_s: float) -> _Batch | None:
-        """Take the items of one flooding datagram, the most urgent first."""
+    def to_flood(self, limit_bytes: int, fanout: int, far: bool, now_s: float) -> _Batch | None:
+        """Take the items of one flooding datagram, the most urgent first.
+
+        Each item is taken `fanout` times, and as often again for other domains.
+        """
         items: list[Item] = []
         urgency = Urgency.ROUTINE
-        room = limit_bytes
-        waiting = [r for r in self._rumours.values() if not r.flooded]
+        count = "far_floods" if far else "floods"
+        waiting = [r for r in self._rumours.values() if getattr(r, count) < fanout]
         for rumour in sorted(waiting, key=self._order):
             if rumour.copies >= COPIES_ENOUGH:
-                rumour.flooded = True
+                setattr(rumour, count, _FLOODED)
                 continue
-            if rumour.size_bytes > room:
+            if rumour.size_bytes > limit_bytes:
                 continue
-            room -= rumour.size_bytes
-            rumour.flooded = True
+            limit_bytes -= rumour.size_bytes
+            setattr(rumour, count, getattr(rumour, count) + 1)
             rumour.sends += 1
             items.append(_aged(rumour, now_s))
             urgency = min(urgency, rumour.urgency)
         return _Batch(items, urgency) if items else None
 
-    def to_carry(
-        self, limit_bytes: int, max_sends: int, now_s: float, domain_spills: bool
-    ) -> list[Item]:
+    def to_carry(self, limit_bytes: int, max_sends: int, now_s: float, near: bool) -> list[Item]:
         """Take the items that ride along on a probe or an answer."""
         self._expire(max_sends, now_s)
         items: list[Item] = []
@@ -132,7 +182,7 @@
         for rumour in sorted(self._rumours.values(), key=self._order):
             if rumour.size_bytes > room:
                 continue
-            if isinstance(rumour.item, SpillNote) and not domain_spills:
+            if not near and not crosses(rumour.item):
                 continue
             room -= rumour.size_bytes
             rumour.sends += 1
@@ -144,7 +194,7 @@
         done = [
             key
             for key, rumour in self._rumours.items()
-            if rumour.flooded and (rumour.sends >= max_sends or now_s - rumour.born_s > LIFETIME_S)
+            if rumour.sends >= max_sends or now_s - rumour.born_s > LIFETIME_S
         ]
         for key in done:
             del self._rumours[key]
--- a/packages/decisions/src/damaskwind/decisions/membership/sizes.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/sizes.py
@@ -2,17 +2,25 @@
 
 from typing import Any
 
-__all__ = ["MAX_DATAGRAM_BYTES", "RECORD_LIMIT_BYTES", "estimate_bytes"]
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "RECORD_LIMIT_BYTES",
+    "estimate_bytes",
+    "packed_bytes",
+    "unpacked_bytes",
+]
 
 MAX_DATAGRAM_BYTES = 1200
 RECORD_LIMIT_BYTES = 900
+_PACKED_BASE_BYTES = 130
+_PACKING = 6
 
 
 def estimate_bytes(value: Any) -> int:
     """Return at least as many bytes as MessagePack takes for a value.
 
     >>> estimate_bytes(("a", 1, b"xy", None))
-    19
+    18
     """
     if value is None or isinstance(value, bool):
         return 1
@@ -25,3 +33,23 @@
     if isinstance(value, int) and -0x8000_0000 <= value < 0x8000_0000:
         return 5
     return 9
+
+
+def packed_bytes(size_bytes: int) -> int:
+    """Return about how many bytes records of this size take when compressed.
+
+    Measured with records of one pool: the first costs most, the rest a sixth.
+
+    >>> packed_bytes(100), packed_bytes(1200)
+    (100, 330)
+    """
+    return min(size_bytes, _PACKED_BASE_BYTES + size_bytes // _PACKING)
+
+
+def unpacked_bytes(limit_bytes: int) -> int:
+    """Return about how many bytes of records fit a limit once compressed.
+
+    >>> unpacked_bytes(100), unpacked_bytes(330)
+    (100, 1200)
+    """
+    return max(limit_bytes, (limit_bytes - _PACKED_BASE_BYTES) * _PACKING)
--- a/packages/decisions/src/damaskwind/decisions/membership/targets.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/targets.py
@@ -20,6 +20,7 @@
 from damaskwind.decisions.membership.loads import (
     ENTRY_BYTES,
     MAX_AGE_S,
+    PackedLoad,
     load_key,
     pack_load,
     sequence_step,
@@ -46,7 +47,7 @@
 MIN_LEASE_S = 1.0
 FOREIGN_LEASE_S = 180.0
 _NEVER_S = float("-inf")
-_FRESHER_BY_S = 0.1
+_FRESHER_BY_S = 0.5
 
 
 class MergeOutcome(Enum):
@@ -110,6 +111,7 @@
 
     def __init__(self, failure_domain: str, digests: DigestTable) -> None:
         self.failure_domain = failure_domain
+        self.lease_floor_s = 0.0
         self.held: dict[str, HeldTarget] = {}
         self._digests = digests
         self.tombstones = TombstoneTable()
@@ -213,7 +215,7 @@
     def _lease_s(self, record: TargetRecord) -> float:
         """Return how long a renewal lasts here."""
         if record.failure_domain == self.failure_domain:
-            return record.lease_s
+            return max(record.lease_s, self.lease_floor_s)
         return max(record.lease_s, FOREIGN_LEASE_S)
 
     def renewed_at_s(self, held: HeldTarget) -> float:
@@ -273,7 +275,7 @@
             record = held.record
             if record.failure_domain != self.failure_domain:
                 continue
-            if now_s - held.renewed_at_s > share * record.lease_s:
+            if now_s - held.renewed_at_s > share * self._lease_s(record):
                 keys.append(target_key(target_id))
         return keys
 
@@ -308,16 +310,23 @@
             target_id = self._by_load_key.get(entry.key)
             if target_id is None or entry.age_s >= MAX_AGE_S:
                 continue
-            held = self.held[target_id]
-            heard_at_s = now_s - entry.age_s
-            lag_s = 0.0 if entry.observed else held.record.load_lag_s
-            step = sequence_step(held.record.renewed_sequence, entry.sequence)
-            if step and not entry.observed:
-                self._renew(held, held.record.renewed_sequence + step, heard_at_s)
-            if self._set_load(held, entry.load_tokens, heard_at_s - lag_s, entry.observed):
+            if self._merge_load(self.held[target_id], entry, now_s - entry.age_s):
                 fresher.append(target_id)
         return fresher
 
+    def _merge_load(self, held: HeldTarget, entry: PackedLoad, heard_at_s: float) -> bool:
+        """Take one load: a renewal by its sequence, one seen on an answer by its age."""
+        record = held.record
+        if entry.observed:
+            return self._set_load(held, entry.load_tokens, heard_at_s, True)
+        step = sequence_step(record.renewed_sequence, entry.sequence)
+        if not step:
+            # Whoever sent it knows it already: it needs passing on once less.
+            held.transmissions += record.renewed_sequence % 16 == entry.sequence
+            return False
+        self._renew(held, record.renewed_sequence + step, heard_at_s)
+        return self._set_load(held, entry.load_tokens, heard_at_s - record.load_lag_s, False)
+
     def refresh_by_key(self, key: int) -> None:
         """Pass a target's renewal on once more, since a peer asked for it."""
         member = self._digests.member(key)
--- a/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
@@ -1,27 +1,32 @@
 """Hold all control traffic of a router below one budget.
 
-The pacer is a sliding-window rate limiter. It remembers every datagram and
-announcement of the last second, in both directions, headers included, and lets
-a send go only when the window stays within the budget afterwards. A window of
-one second has no burst beyond the budget: whichever second is looked at, what
-the router sent in it was sent within the budget.
-
-What arrives can't be refused any more, so it counts first: received bytes push
-the router's own sends back. What arrives is itself bounded because every peer
-spends at most `SEND_SHARE` of its budget on sends, and because peers choose
-whom they send to by a common ring, so that each of them hits another router.
-
->>> pacer = ControlPacer(1000, now_s=0.0)
+The pacer is a token bucket that fills at the budget's rate and holds
+`BURST_S` seconds of it. Every datagram and announcement counts, in both
+directions and with headers. What arrives can't be refused any more, so it is
+taken from the bucket first, even below zero, and pushes the router's own sends
+back. Leaves, probes and their answers may overdraw the bucket by
+`OVERDRAFT_S`; all else waits until the debt is paid. So over any time T the
+router moves at most budget x (T + BURST_S + OVERDRAFT_S) bytes, plus what its
+peers send beyond that.
+
+What arrives is itself bounded: every router spends at most `SEND_SHARE` of its
+budget on sends in any second, and routers choose whom they send to by a common
+ring, so that each of them hits another one; in the mean a router hears what it
+sends. The rest of the budget is for announcements and for chance. Of the
+sends, `PROBE_SHARE` of the budget is kept for probes and their answers: a
+failure detector that is starved by the news of a failure makes more of them.
+
+>>> pacer = ControlPacer(2000, now_s=0.0)
 >>> pacer.offer("routine", 300, Urgency.ROUTINE, "probe", 0.0)
 >>> pacer.offer("leave", 300, Urgency.LEAVE, "news", 0.0)
 >>> pacer.take(0.0)
 ['leave']
->>> pacer.take(1.1)
+>>> pacer.take(1.0)
 ['routine']
 """
 
 from collections import Counter, deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import Any, NamedTuple
 
@@ -30,7 +35,10 @@
 __all__ = ["SEND_SHARE", "UDP_HEADER_BYTES", "ControlPacer", "PacerCounters"]
 
 UDP_HEADER_BYTES = 28
-SEND_SHARE = 0.45
+SEND_SHARE = 0.4
+PROBE_SHARE = 0.2
+BURST_S = 1.0
+OVERDRAFT_S = 1.0
 WINDOW_S = 1.0
 QUEUE_LIMIT = 512
 
@@ -82,14 +90,17 @@
         self.bytes_per_s = bytes_per_s
         self._started_s = now_s
         self._now_s = now_s
+        self._tokens = bytes_per_s * BURST_S
         self._all = _Window()
         self._sends = _Window()
+        self._probe_sends = _Window()
         self._queue: list[_Waiting] = []
         self._order = count()
         self._sent: Counter[str] = Counter()
         self._received: Counter[str] = Counter()
         self._deferred = 0
         self._dropped = 0
+        self._dropped_items: list[Any] = []
         self._highest = 0
 
     def received(
@@ -111,8 +122,10 @@
             _Waiting(urgency, next(self._order), size_bytes, expires_s, kind, item),
         )
         if len(self._queue) > QUEUE_LIMIT:
-            self._queue.remove(max(self._queue, key=lambda waiting: waiting[:2]))
-            self._dropped += 1
+            worst = max(self._queue, key=lambda waiting: waiting[:2])
+            self._queue.remove(worst)
+            heapify(self._queue)
+            self._drop(worst)
 
     def take(self, now_s: float) -> list[Any]:
         """Return the sends that may go now, the most urgent first."""
@@ -121,28 +134,30 @@
         while self._queue:
             first = self._queue[0]
             if first.expires_s < self._now_s:
-                heappop(self._queue)
-                self._dropped += 1
+                self._drop(heappop(self._queue))
                 continue
-            if not self._allows(first.size_bytes):
+            if not self._allows(first):
                 self._deferred += 1
                 break
             heappop(self._queue)
             self._sends.add(first.size_bytes, self._now_s)
+            if first.urgency == Urgency.PROBE:
+                self._probe_sends.add(first.size_bytes, self._now_s)
             self._sent[first.kind] += first.size_bytes
             self._count(first.size_bytes)
             going.append(first.item)
         return going
 
+    def take_dropped(self) -> list[Any]:
+        """Return the sends that were dropped since the last call."""
+        dropped, self._dropped_items = self._dropped_items, []
+        return dropped
+
     def room_bytes(self, now_s: float) -> int:
-        """Return how many payload bytes could go now beside what waits."""
+        """Return how many payload bytes of news could go now beside what waits."""
         self._advance(now_s)
         waiting = sum(waiting.size_bytes for waiting in self._queue)
-        room = min(
-            self.bytes_per_s - self._all.total_bytes,
-            int(self.bytes_per_s * SEND_SHARE) - self._sends.total_bytes,
-        )
-        return max(room - waiting - UDP_HEADER_BYTES, 0)
+        return max(self._room(Urgency.JOIN) - waiting - UDP_HEADER_BYTES, 0)
 
     def counters(self, now_s: float) -> PacerCounters:
         """Return the counters as of now."""
@@ -158,18 +173,44 @@
             self._highest,
         )
 
+    def reset_counters(self, now_s: float) -> None:
+        """Start the counters anew; what the window holds stays in it."""
+        self._advance(now_s)
+        self._started_s = self._now_s
+        self._sent.clear()
+        self._received.clear()
+        self._deferred = self._dropped = 0
+        self._highest = self._all.total_bytes
+
     def _advance(self, now_s: float) -> None:
         """Move to `now_s`; a clock that goes back stands still instead."""
-        self._now_s = max(self._now_s, now_s)
+        elapsed_s = max(now_s - self._now_s, 0.0)
+        self._now_s += elapsed_s
+        filled = self._tokens + elapsed_s * self.bytes_per_s
+        self._tokens = min(filled, self.bytes_per_s * BURST_S)
         self._all.advance(self._now_s)
         self._sends.advance(self._now_s)
+        self._probe_sends.advance(self._now_s)
+
+    def _drop(self, waiting: _Waiting) -> None:
+        """Give a send up: it waited too long, or too many wait."""
+        self._dropped += 1
+        self._dropped_items.append(waiting.item)
+
+    def _room(self, urgency: Urgency) -> int:
+        """Return how many bytes a send of this urgency may have now."""
+        share = int(self.bytes_per_s * SEND_SHARE) - self._sends.total_bytes
+        if urgency <= Urgency.PROBE:
+            return min(int(self._tokens + self.bytes_per_s * OVERDRAFT_S), share)
+        to_come = int(self.bytes_per_s * PROBE_SHARE) - self._probe_sends.total_bytes
+        return min(int(self._tokens), share) - max(to_come, 0)
 
-    def _allows(self, size_bytes: int) -> bool:
-        """Tell whether a send fits the budget and the share for sends."""
-        fits_all = self._all.total_bytes + size_bytes <= self.bytes_per_s
-        return fits_all and self._sends.total_bytes + size_bytes <= self.bytes_per_s * SEND_SHARE
+    def _allows(self, waiting: _Waiting) -> bool:
+        """Tell whether a send fits the budget, the share for sends and its reserve."""
+        return waiting.size_bytes <= self._room(waiting.urgency)
 
     def _count(self, size_bytes: int) -> None:
         """Count bytes of either direction."""
+        self._tokens -= size_bytes
         self._all.add(size_bytes, self._now_s)
         self._highest = max(self._highest, self._all.total_bytes)
--- a/packages/decisions/src/damaskwind/decisions/pacing/urgency.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/urgency.py
@@ -10,16 +10,16 @@
 
     LEAVE = 0
     PROBE = 1
-    JOIN = 2
-    LIMITS = 3
-    REPAIR = 4
+    LIMITS = 2
+    REPAIR = 3
+    JOIN = 4
     ROUTINE = 5
 
 
 # A probe that waits longer than its timeout would only accuse a live router.
 MAX_WAIT_S: dict[Urgency, float] = {
     Urgency.LEAVE: 5.0,
-    Urgency.PROBE: 0.4,
+    Urgency.PROBE: 0.8,
     Urgency.JOIN: 2.0,
     Urgency.LIMITS: 2.0,
     Urgency.REPAIR: 1.0,
--- a/packages/router/src/damaskwind/router/membership/service.py
+++ b/packages/router/src/damaskwind/router/membership/service.py
@@ -1,16 +1,26 @@
-"""Own the datagram socket of a router and run the membership core on it."""
+"""Own the datagram socket of a router and run its gossip node on it."""
 
+import time
 from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any, NamedTuple
 
-from damaskwind.decisions.membership.messages import RouterRecord
+from loguru import logger
+from twisted.internet.protocol import DatagramProtocol
+from twisted.internet.task import LoopingCall
+
+from damaskwind.decisions.membership.messages import RouterRecord, RouterState
 from damaskwind.decisions.membership.outputs import AnnouncementOutcome, Event
+from damaskwind.decisions.membership.parameters import MembershipParameters
 from damaskwind.decisions.pacing.urgency import Urgency
 from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.model.targets import Address, LoadReport, TargetAnnouncement, TargetView
+from damaskwind.router.membership.node import Datagram, GossipNode
+
+__all__ = ["MembershipService", "MembershipSettings", "boot_time_s"]
 
-__all__ = ["MembershipService", "MembershipSettings"]
+TICK_S = 0.1
+_MAX_PACKET_BYTES = 2048
 
 
 class MembershipSettings(NamedTuple):
@@ -26,46 +36,196 @@
     control_bytes_per_s: int = 4096
 
 
-class MembershipService:
-    """The routers and targets that this router knows, kept by gossip."""
+def boot_time_s() -> float:
+    """Return seconds since boot, those in which the VM was suspended included.
+
+    Leases and tombstones rest on ages, and a monotonic clock that stood still
+    while the rest of the fleet moved on would make old records look young.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class _Port(DatagramProtocol):
+    """Hand datagrams to the service."""
 
-    def __init__(self, settings: MembershipSettings, reactor: Any, random: Random) -> None: ...
+    def __init__(self, received: Callable[[bytes, Address], None]) -> None:
+        self._received = received
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
+        """Take a datagram from Twisted."""
+        self._received(datagram, Address(*addr[:2]))
+
+
+class MembershipService:
+    """The routers and targets that this router knows, kept by gossip.
+
+    `clock` returns monotonic seconds. The incarnation is the wall clock's
+    milliseconds at the start, so that it grows with each restart; should the
+    clock have gone back, the router learns from its peers and goes higher.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        reactor: Any,
+        random: Random,
+        clock: Callable[[], float] = boot_time_s,
+        parameters: MembershipParameters | None = None,
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._random = random
+        self._clock = clock
+        budget = settings.control_bytes_per_s
+        parameters = parameters or MembershipParameters()
+        self._parameters = parameters._replace(control_bytes_per_s=budget)
+        self._handlers: list[Callable[[Event], None]] = []
+        self._kinds: dict[str, Callable[[str, bytes], None]] = {}
+        self._node: GossipNode | None = None
+        self._listener: Any = None
+        self._ticking = LoopingCall(self._tick)
+        self._ticking.clock = reactor
+
+    @property
+    def node(self) -> GossipNode:
+        """Return the gossip node; the service must have been started."""
+        if self._node is None:
+            raise RuntimeError("the membership service was not started")
+        return self._node
 
     def start(self) -> Address:
         """Open the socket and return its address."""
-
-    def stop(self) -> None:
-        """Tell peers that this router leaves and close the socket."""
+        host, port = self._settings.address
+        protocol = _Port(self._received)
+        self._listener = self._reactor.listenUDP(
+            port, protocol, interface=host, maxPacketSize=_MAX_PACKET_BYTES
+        )
+        address = Address(host, self._listener.getHost().port)
+        self._node = self._make_node(address)
+        for kind, handler in self._kinds.items():
+            self._node.register_kind(kind, handler)
+        self._ticking.start(TICK_S, now=False)
+        return address
+
+    def _make_node(self, address: Address) -> GossipNode:
+        """Make the node once the port is known."""
+        settings = self._settings
+        me = RouterRecord(
+            settings.router_id,
+            time.time_ns() // 1_000_000,
+            RouterState.ALIVE,
+            settings.failure_domain,
+            address,
+            settings.peer_address,
+        )
+        node = GossipNode(
+            me,
+            settings.cluster,
+            settings.cluster_key,
+            settings.seeds,
+            self._random,
+            self._clock(),
+            self._parameters,
+        )
+        node.handler = self._publish
+        return node
+
+    def stop(self) -> Any:
+        """Tell peers that this router leaves and close the socket; fires when closed."""
+        if self._listener is None:
+            return None
+        if self._ticking.running:
+            self._ticking.stop()
+        self._post(self.node.leave(self._clock()))
+        listener, self._listener = self._listener, None
+        return listener.stopListening()
 
     def subscribe(self, handler: Callable[[Event], None]) -> None:
         """Call `handler` with every event from now on."""
+        self._handlers.append(handler)
 
     def announce(self, announcement: TargetAnnouncement, body_bytes: int) -> AnnouncementOutcome:
         """Take a target's announcement, which cost `body_bytes` on the wire."""
+        now_s = self._clock()
+        outcome = self.node.announce(announcement, body_bytes, now_s)
+        self._post(self.node.release(now_s))
+        return outcome
 
     def next_announcement_s(self, lease_s: float) -> float:
         """Return when a target with this lease should announce itself again."""
+        return self.node.core.next_announcement_s(lease_s)
 
     def observe_load(self, target_id: str, report: LoadReport) -> None:
         """Take a load that came with an engine's answer."""
+        self.node.observe_load(target_id, report, self._clock())
 
     def publish_revision(self, revision: int) -> None:
         """Tell peers which configuration revision is in force here."""
+        self.node.core.publish_revision(revision)
 
     def publish_spills(self, notes: Iterable[SpillNote]) -> None:
         """Pass spill notes to the routers of this failure domain."""
+        self.node.publish_spills(notes, self._clock())
 
     def register_kind(self, kind: str, handler: Callable[[str, bytes], None]) -> None:
         """Call `handler(router_id, payload)` for each datagram of this kind."""
+        self._kinds[kind] = handler
+        if self._node is not None:
+            self._node.register_kind(kind, handler)
 
     def send(self, kind: str, router_id: str, payload: bytes, urgency: Urgency) -> bool:
         """Queue a datagram of another part; `False` when the router is unknown."""
+        now_s = self._clock()
+        queued = self.node.send(kind, router_id, payload, urgency, now_s)
+        self._post(self.node.release(now_s))
+        return queued
 
     def routers(self) -> list[RouterRecord]:
         """Return the routers held alive, this one among them."""
+        return self.node.core.routers()
 
     def targets(self) -> list[TargetView]:
         """Return the targets that may take work."""
+        return self.node.core.targets(self._clock())
 
     def counters(self) -> dict[str, float]:
         """Return the counters for the metrics by name."""
+        node = self.node
+        paced = node.pacer.counters(self._clock())
+        counters = {f"sent_bytes.{kind}": size for kind, size in paced.sent_bytes.items()}
+        counters |= {f"received_bytes.{kind}": size for kind, size in paced.received_bytes.items()}
+        counters |= {f"faults.{fault.value}": count for fault, count in node.faults.items()}
+        return counters | {
+            "deferred_sends": paced.deferred_sends,
+            "dropped_sends": paced.dropped_sends,
+            "oversized_sends": node.oversized_sends,
+            "mean_bytes_per_s": paced.mean_bytes_per_s,
+            "highest_second_bytes": paced.highest_second_bytes,
+            "suspicions": node.core.suspicions,
+            "routers": len(node.core.routers()),
+            "targets": len(node.core.target_table.held),
+        }
+
+    def _tick(self) -> None:
+        """Do what time asks for."""
+        self._post(self.node.tick(self._clock()))
+
+    def _received(self, payload: bytes, source: Address) -> None:
+        """Take a datagram."""
+        self._post(self.node.receive(payload, source, self._clock()))
+
+    def _post(self, datagrams: list[Datagram]) -> None:
+        """Put datagrams on the wire; one that can't be sent counts as lost."""
+        for datagram in datagrams:
+            try:
+                self._listener.write(datagram.payload, tuple(datagram.address))
+            except OSError as error:
+                logger.debug("datagram to {} not sent: {}", datagram.address, error)
+
+    def _publish(self, event: Event) -> None:
+        """Hand an event to every subscriber; a faulty one does not stop the rest."""
+        for handler in self._handlers:
+            try:
+                handler(event)
+            except Exception:
+                logger.exception("a subscriber failed on {}", type(event).__name__)
