Let a replica campaign until its own removal is committed

Cause: a leader that had appended its own removal and crashed gave no vote, since its log was the longest, and asked for none, since it was no voter by its last entry; nobody could ever win. After that first fix such a leader stepped down before it could commit, since after a restart the membership known as committed is the empty one.

Change: a member campaigns while any membership that may be in force has it as a voter, and a leader that is no voter steps down only when the membership and an entry of its own term are committed.

--- a/packages/decisions/src/damaskwind/decisions/replication/election.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/election.py
@@ -42,7 +42,7 @@
         return
     rearm(replica)
     replica.leader = None
-    if replica.is_voter():
+    if replica.may_campaign():
         replica.role.feed("election_due")
 
 
--- a/packages/decisions/src/damaskwind/decisions/replication/leading.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/leading.py
@@ -211,8 +211,8 @@
     apply_committed(replica)
     _report_committed(replica, leadership)
     _answer_reads(replica, leadership)
-    membership = replica.log.membership_at(replica.commit_index)
-    if replica.member not in membership.voters and not replica.is_voter():
+    is_settled = replica.commit_index >= max(leadership.first_index, replica.log.membership_index)
+    if is_settled and not replica.is_voter():
         replica.role.feed("removed")
 
 
--- a/packages/decisions/src/damaskwind/decisions/replication/log.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/log.py
@@ -73,6 +73,11 @@
         """Return the membership that the log up to `index` implies."""
         return next(value for at, value in reversed(self._memberships) if at <= index)
 
+    def memberships_since(self, index: int) -> list[Membership]:
+        """Return the membership at `index` and all later ones."""
+        later = [value for at, value in self._memberships if at > index]
+        return [self.membership_at(index), *later]
+
     def entries(self, first: int, last: int) -> tuple[LogEntry, ...]:
         """Return the entries from `first` to `last`, both included."""
         base = self.snapshot.index + 1
--- a/packages/decisions/src/damaskwind/decisions/replication/replica.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/replica.py
@@ -71,6 +71,15 @@
         """Tell whether this member votes by the newest membership it knows."""
         return self.member in self.log.membership.voters
 
+    def may_campaign(self) -> bool:
+        """Tell whether this member votes by any membership that may be in force.
+
+        A replica whose own removal is not known to be committed must still
+        campaign: its log may be the longest, and then nobody else can win.
+        """
+        memberships = self.log.memberships_since(self.commit_index)
+        return any(self.member in membership.voters for membership in memberships)
+
 
 def rearm(replica: Replica) -> None:
     """Start the election timer anew, for a random time."""
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -47,9 +47,10 @@
     WriteState,
 )
 from damaskwind.decisions.replication.tests.disk import Disk
+from damaskwind.decisions.replication.tests.machines import SYNC_S, Network, Node
 from damaskwind.decisions.replication.tests.oracle import InvariantError, Oracle
 
-__all__ = ["Cluster", "Network", "Node"]
+__all__ = ["Cluster"]
 
 TICK_S = 0.1
 JOIN_S = 0.7
@@ -57,44 +58,6 @@
 RATES = (0.96, 1.0, 1.05, 1.0, 0.97)
 
 
-class Network:
-    """Which links are cut and how bad the others are."""
-
-    def __init__(self, random: Random) -> None:
-        self.random = random
-        self.cut: set[tuple[str, str]] = set()
-        self.loss = 0.0
-        self.duplication = 0.0
-        self.late = 0.0
-
-    def arrivals(self, source: str, target: str) -> list[float]:
-        """Return after how many seconds each copy of a message arrives."""
-        random = self.random
-        if (source, target) in self.cut or random.random() < self.loss:
-            return []
-        copies = 2 if random.random() < self.duplication else 1
-        return [self._delay_s() for _ in range(copies)]
-
-    def _delay_s(self) -> float:
-        if self.random.random() < self.late:
-            return self.random.uniform(0.05, 3.0)
-        return self.random.uniform(0.001, 0.02)
-
-
-class Node:
-    """A machine: its clock, its disk, and the core while it runs."""
-
-    def __init__(self, member: Member, disk: Disk, rate: float) -> None:
-        self.member = member
-        self.disk = disk
-        self.rate = rate
-        self.offset_s = 0.0
-        self.life = 0
-        self.core: ReplicaCore | None = None
-        self.applied: list[LogEntry] = []
-        self.paused_until_s = 0.0
-
-
 class Cluster:
     """Nodes, network, events in time order, and the oracle that watches."""
 
@@ -102,7 +65,7 @@
         self.random = Random(seed)
         self.network = Network(self.random)
         self.oracle = Oracle()
-        self.timing = Timing()
+        self.timing = Timing(max_batch_entries=self.random.choice([1, 2, 256]))
         self.syncs = syncs
         self.new_identity = new_identity
         self.clocks_are_sound = True
@@ -207,6 +170,22 @@
         leaders = [node for node in self.running() if node.core.role == "leader"]
         return max(leaders, key=lambda node: node.core.term, default=None)
 
+    def has_sound_leader(self) -> bool:
+        """Tell whether a leader runs that a majority has lately answered."""
+        leader = self.leader()
+        return leader is not None and leader.core.holds_lease(self.clock_s(leader))
+
+    def calm(self, limit_s: float = 6.0) -> None:
+        """Mend the network, start all nodes and wait for a leader."""
+        self.heal()
+        for name, node in self.nodes.items():
+            self.start(name)
+            node.paused_until_s = self.now_s
+            node.sync_s = SYNC_S
+        end_s = self.now_s + limit_s
+        while self.now_s < end_s and not self.has_sound_leader():
+            self.run(0.1)
+
     def await_repair(self, name: str, limit_s: float = 12.0) -> bool:
         """Let time pass until a node's member votes; tell whether it came to that."""
         end_s = self.now_s + limit_s
@@ -223,13 +202,10 @@
 
     def settle(self) -> None:
         """Mend everything; a majority must then confirm, and see all it confirmed."""
-        self.heal()
-        for name in self.nodes:
-            self.start(name)
-            self.nodes[name].paused_until_s = self.now_s
+        self.calm()
         end_s = self.now_s + SETTLE_S
         while self.now_s < end_s:
-            self.run(1.0)
+            self.run(0.5)
             leader = self.leader()
             if leader is None:
                 continue
@@ -293,10 +269,10 @@
         self._at(JOIN_S, partial(self._ask_to_join, node, life))
         members = node.core.membership
         if node.member not in (*members.voters, *members.learners):
-            name = self.random.choice(sorted(self.nodes))
-            if not self.network.arrivals(node.member.replica_id, name):
-                return
-            self.change(name, MembershipChange(ChangeKind.ADD_LEARNER, node.member))
+            change = MembershipChange(ChangeKind.ADD_LEARNER, node.member)
+            for name in list(self.nodes):
+                if self.network.arrivals(node.member.replica_id, name):
+                    self.change(name, change)
 
     def _deliver(self, envelope: Envelope) -> None:
         node = self.nodes.get(envelope.recipient.replica_id)
@@ -338,7 +314,7 @@
 
     def _write(self, node: Node, output: AppendEntries | WriteState | TruncateFrom) -> None:
         node.disk.write(output)
-        delay_s = self.random.uniform(0.001, 0.03)
+        delay_s = self.random.uniform(0.001, node.sync_s)
         self._at(delay_s, partial(self._sync, node, node.life, output.write_id))
 
     def _install(self, node: Node, output: InstallSnapshot) -> None:
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
@@ -9,11 +9,19 @@
 from hypothesis import HealthCheck, Phase, Verbosity, settings
 from hypothesis import seed as with_seed
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
 
 from damaskwind.decisions.replication.log import LogError
 from damaskwind.decisions.replication.messages import ChangeKind, MembershipChange
 from damaskwind.decisions.replication.tests.cluster import Cluster
+from damaskwind.decisions.replication.tests.machines import SYNC_S
 from damaskwind.decisions.replication.tests.oracle import InvariantError
 from damaskwind.decisions.replication.tests.seeded_bugs import SEEDED_BUGS
 
@@ -34,11 +42,30 @@
     first_failed: int | None = None
     cluster_arguments: dict[str, bool] = {}
 
-    @initialize(seed=st.integers(0, 2**32 - 1), size=st.sampled_from([3, 3, 3, 5]))
-    def begin(self, seed: int, size: int) -> None:
+    @initialize(
+        seed=st.integers(0, 2**32 - 1),
+        size=st.sampled_from([3, 3, 3, 5]),
+        has_sound_clocks=st.booleans(),
+        patience=st.integers(0, 5),
+    )
+    def begin(self, seed: int, size: int, has_sound_clocks: bool, patience: int) -> None:
         """Start a cluster and let it elect a leader."""
+        self.has_sound_clocks = has_sound_clocks
+        self.patience = patience
+        self.leaderless_steps = 0
         self.cluster = Cluster(seed, size, **type(self).cluster_arguments)
-        self.cluster.run(4.0)
+        self.cluster.calm()
+
+    @invariant()
+    def mend_when_stuck(self) -> None:
+        """Mend a cluster that has long been without a leader: little happens in it."""
+        if self.cluster.has_sound_leader():
+            self.leaderless_steps = 0
+            return
+        self.leaderless_steps += 1
+        if self.leaderless_steps > self.patience:
+            self.leaderless_steps = 0
+            self.cluster.calm()
 
     def name(self, node: int) -> str:
         """Return a node's name; the lowest number means the leader, if there is one."""
@@ -126,6 +153,19 @@
             self.cluster.network.cut |= {(name, other), (other, name)}
         self.cluster.run(duration_ms / 1000)
 
+    @rule(node=nodes, is_outgoing=st.booleans(), duration_ms=durations_ms)
+    def cut_direction(self, node: int, is_outgoing: bool, duration_ms: int) -> None:
+        """Let a node only hear, or only be heard."""
+        name = self.name(node)
+        for other in self.cluster.nodes:
+            self.cluster.network.cut.add((name, other) if is_outgoing else (other, name))
+        self.cluster.run(duration_ms / 1000)
+
+    @rule(node=nodes, sync_s=st.sampled_from([SYNC_S, 0.3, 1.5]))
+    def slow_disk(self, node: int, sync_s: float) -> None:
+        """Let a disk take long to sync."""
+        self.cluster.nodes[self.name(node)].sync_s = sync_s
+
     @rule(mask=st.integers(1, 127))
     def split(self, mask: int) -> None:
         """Split the cluster into two sides."""
@@ -156,6 +196,7 @@
         """Let a node take a snapshot and drop its log."""
         self.cluster.take_snapshot(self.name(node))
 
+    @precondition(lambda self: not self.has_sound_clocks)
     @rule(node=nodes, by_s=st.sampled_from([-2.0, 0.7, 1.5, 30.0]))
     def jump_clock(self, node: int, by_s: float) -> None:
         """Let a clock jump."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/machines.py
@@ -0,0 +1,50 @@
+"""The machines and the network of a simulated cluster."""
+
+from random import Random
+
+from damaskwind.decisions.replication.core import ReplicaCore
+from damaskwind.decisions.replication.messages import LogEntry, Member
+from damaskwind.decisions.replication.tests.disk import Disk
+
+__all__ = ["SYNC_S", "Network", "Node"]
+
+SYNC_S = 0.03
+
+
+class Network:
+    """Which links are cut and how bad the others are."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.late = 0.0
+
+    def arrivals(self, source: str, target: str) -> list[float]:
+        """Return after how many seconds each copy of a message arrives."""
+        random = self.random
+        if (source, target) in self.cut or random.random() < self.loss:
+            return []
+        copies = 2 if random.random() < self.duplication else 1
+        return [self._delay_s() for _ in range(copies)]
+
+    def _delay_s(self) -> float:
+        if self.random.random() < self.late:
+            return self.random.uniform(0.05, 3.0)
+        return self.random.uniform(0.001, 0.02)
+
+
+class Node:
+    """A machine: its clock, its disk, and the core while it runs."""
+
+    def __init__(self, member: Member, disk: Disk, rate: float) -> None:
+        self.member = member
+        self.disk = disk
+        self.rate = rate
+        self.offset_s = 0.0
+        self.life = 0
+        self.core: ReplicaCore | None = None
+        self.applied: list[LogEntry] = []
+        self.paused_until_s = 0.0
+        self.sync_s = SYNC_S
