--- a/packages/decisions/src/damaskwind/decisions/load/estimate.py
+++ b/packages/decisions/src/damaskwind/decisions/load/estimate.py
@@ -11,6 +11,7 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 from math import exp, sqrt
 
 from damaskwind.model.targets import LoadReport
@@ -173,3 +174,10 @@
     def estimate_tokens(self, target_id: str, now_s: float) -> float:
         """Return the estimated work in hand at a target."""
         return self.load(target_id).estimate_tokens(now_s, self.router_count)
+
+    def mean_tokens(self, target_ids: Sequence[str], now_s: float) -> float:
+        """Return the mean estimated work in hand of some targets."""
+        router_count = self.router_count
+        loads = map(self.load, target_ids)
+        total_tokens = sum([load.estimate_tokens(now_s, router_count) for load in loads])
+        return total_tokens / len(target_ids)
--- a/packages/decisions/src/damaskwind/decisions/placement/placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/placer.py
@@ -26,8 +26,8 @@
 # The default policy registers itself on import.
 DEFAULT_POLICY = bounded.bounded_rendezvous.__name__
 MEAN_REFRESH_S = 0.05
-MEAN_REFRESH_S_PER_TARGET = 1e-3
-MAX_MEAN_REFRESH_S = 1.0
+MEAN_REFRESH_S_PER_TARGET = 2e-3
+MAX_MEAN_REFRESH_S = 2.0
 MEANS_LIMIT = 1000
 PART_MEAN_SHARE = 0.25
 _NO_TARGET = PlacementChoice(None, PlacementReason.NO_TARGET, ())
@@ -181,9 +181,8 @@
             return mean.tokens
         if len(self._means) > MEANS_LIMIT:
             self._means.clear()
-        estimate = self.book.estimate_tokens
-        total = sum(estimate(target_id, now_s) for target_id in tier.target_ids)
-        mean = self._means[tier.number] = _Mean(total / len(tier.target_ids), now_s)
+        mean = _Mean(self.book.mean_tokens(tier.target_ids, now_s), now_s)
+        self._means[tier.number] = mean
         return mean.tokens
 
     def _part(self, query: PlacementQuery, mean_tokens: float, target_count: int) -> bytes:
