Router: gossip, configurations, account limits and idempotency keys wired in

Cause: the router kept its own table of targets and a fixed configuration. Change: membership service, follower, leased account limits, claims on idempotency keys.

--- /dev/null
+++ b/packages/router/src/damaskwind/router/account_limits.py
@@ -0,0 +1,205 @@
+"""Hold client accounts to their fleet-wide limits: the shell of limiter and allocator.
+
+Reports and grants travel as datagrams between routers, under the control budget.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from loguru import logger
+from twisted.internet.defer import Deferred
+
+from damaskwind.decisions.limits.allocator import ShareAllocator
+from damaskwind.decisions.limits.limiter import AccountLimiter
+from damaskwind.decisions.limits.messages import (
+    AccountLimit,
+    DemandReport,
+    LimitOutcome,
+    LimitPolicy,
+    ShareGrant,
+)
+from damaskwind.decisions.pacing.urgency import Urgency
+from damaskwind.model.configuration import Configuration
+from damaskwind.model.exception import RefusedError
+from damaskwind.router.work import Work
+
+__all__ = ["AccountLimits"]
+
+REPORT_KIND = "demand"
+GRANT_KIND = "share"
+
+
+class AccountLimits:
+    """Admit requests by the shares that this router holds, and lease shares to others.
+
+    `domains` are the failure domains among which limits are divided; they must be
+    the same on all routers.
+    """
+
+    def __init__(
+        self,
+        router_id: str,
+        failure_domain: str,
+        domains: tuple[str, ...],
+        membership: Any,
+        clock: Any,
+        is_alone: bool,
+    ) -> None:
+        self._router_id = router_id
+        self._domain = failure_domain
+        self._domains = domains
+        self._membership = membership
+        self._clock = clock
+        self._policy = LimitPolicy()
+        first_sequence = time.time_ns() // 1_000_000
+        now_s = clock.seconds()
+        self._blind_until_s = now_s if is_alone else now_s + self._policy.lease_s
+        self._limiter = AccountLimiter(router_id, failure_domain, self._policy, first_sequence)
+        self._allocator = ShareAllocator(router_id, failure_domain, self._policy, now_s, is_alone)
+        self._waiting: list[Deferred] = []
+        self._timer: Any = None
+        self._is_stopped = False
+        membership.register_kind(REPORT_KIND, self._heard_report)
+        membership.register_kind(GRANT_KIND, self._heard_grant)
+
+    @property
+    def is_learning(self) -> bool:
+        """Tell whether shares leased before this start may still be in use unseen."""
+        return self._clock.seconds() < self._blind_until_s
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Follow the confirmed limits."""
+        limits = {
+            name: AccountLimit(account.max_concurrent_requests, account.max_tokens_per_s)
+            for name, account in configuration.accounts.items()
+        }
+        self._limiter.set_limits(limits, self._domains)
+        self._allocator.set_limits(limits, self._domains)
+
+    async def admit(self, work: Work) -> None:
+        """Let a request in, after a wait for a grant if need be, or raise `RefusedError`."""
+        wait_until_s = None
+        tokens = int(work.total_tokens)
+        while True:
+            now_s = self._clock.seconds()
+            decision = self._limiter.admit(work.account.name, tokens, now_s, wait_until_s)
+            self._plan_report()
+            if decision.outcome is LimitOutcome.ADMITTED:
+                return
+            if decision.refusal is not None:
+                raise RefusedError(decision.refusal)
+            wait_until_s = decision.wait_until_s
+            await self._grant_or_time(wait_until_s - now_s, work)
+
+    def release(self, work: Work, used_tokens: int | None) -> None:
+        """Note that an admitted request ended and what it cost, if that is known."""
+        expected = int(work.total_tokens)
+        used = expected if used_tokens is None else used_tokens
+        self._limiter.release(work.account.name, expected, used, self._clock.seconds())
+        self._plan_report()
+        self._wake()
+
+    def stop(self) -> None:
+        """Report no more."""
+        self._is_stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _grant_or_time(self, timeout_s: float, work: Work) -> Deferred:
+        """Return a Deferred that fires at the next grant, release, or after a time."""
+        woken: Deferred = Deferred()
+        timer = self._clock.callLater(max(timeout_s, 0.0), self._fire, woken)
+        self._waiting.append(woken)
+        work.caller.when_gone(lambda: self._fire(woken))
+
+        def stop_timer(result: Any) -> Any:
+            if timer.active():
+                timer.cancel()
+            return result
+
+        return woken.addBoth(stop_timer)
+
+    def _fire(self, woken: Deferred) -> None:
+        """Wake one waiting request."""
+        if woken in self._waiting:
+            self._waiting.remove(woken)
+            woken.callback(None)
+
+    def _wake(self) -> None:
+        """Wake every waiting request."""
+        waiting, self._waiting = self._waiting, []
+        for woken in waiting:
+            woken.callback(None)
+
+    def _plan_report(self) -> None:
+        """Report when the limiter next has something to say."""
+        due_s = self._limiter.next_report_s()
+        if due_s is None or self._is_stopped:
+            return
+        if self._timer is not None:
+            if self._timer.getTime() <= due_s:
+                return
+            self._timer.cancel()
+        delay_s = max(0.0, due_s - self._clock.seconds())
+        self._timer = self._clock.callLater(delay_s, self._report)
+
+    def _report(self) -> None:
+        """Send the reports that are due; one to this router needs no datagram."""
+        self._timer = None
+        now_s = self._clock.seconds()
+        for router_id, report in self._limiter.reports(self._routers(), now_s):
+            if router_id == self._router_id:
+                self._take_report(router_id, report)
+            else:
+                payload = msgspec.msgpack.encode(report)
+                self._membership.send(REPORT_KIND, router_id, payload, Urgency.LIMITS)
+        self._plan_report()
+
+    def _routers(self) -> dict[str, list[str]]:
+        """Return the live routers of each failure domain, this one among them."""
+        routers: dict[str, list[str]] = {self._domain: [self._router_id]}
+        for record in self._membership.routers():
+            if record.router_id != self._router_id:
+                routers.setdefault(record.failure_domain, []).append(record.router_id)
+        return routers
+
+    def _heard_report(self, router_id: str, payload: bytes) -> None:
+        """Take a report from another router."""
+        report = _decode(payload, DemandReport)
+        if report is not None and report.router_id == router_id:
+            self._take_report(router_id, report)
+
+    def _take_report(self, router_id: str, report: DemandReport) -> None:
+        """Answer a report with what its router may use."""
+        grant = self._allocator.take_report(report, self._clock.seconds())
+        if grant is None:
+            return
+        if router_id == self._router_id:
+            self._take_grant(grant)
+        else:
+            payload = msgspec.msgpack.encode(grant)
+            self._membership.send(GRANT_KIND, router_id, payload, Urgency.LIMITS)
+
+    def _heard_grant(self, router_id: str, payload: bytes) -> None:
+        """Take a grant from another router."""
+        grant = _decode(payload, ShareGrant)
+        if grant is not None and grant.allocator_id == router_id:
+            self._take_grant(grant)
+
+    def _take_grant(self, grant: ShareGrant) -> None:
+        """Apply a grant and let waiting requests try again."""
+        self._limiter.take_grant(grant, self._clock.seconds())
+        self._plan_report()
+        self._wake()
+
+
+def _decode(payload: bytes, kind: Callable[..., Any]) -> Any:
+    """Decode a message, or drop one that is malformed."""
+    try:
+        return msgspec.msgpack.decode(payload, type=kind)
+    except msgspec.DecodeError as error:
+        logger.warning("malformed message about limits", error=str(error))
+        return None
--- /dev/null
+++ b/packages/router/src/damaskwind/router/arrival.py
@@ -0,0 +1,23 @@
+"""A caller's request that was let in."""
+
+from typing import Any, NamedTuple
+
+from damaskwind.model.configuration import ClientAccount, Configuration, PriorityClass
+from damaskwind.router.caller import Caller
+from damaskwind.router.explain import RequestRecord
+
+__all__ = ["Arrival"]
+
+
+class Arrival(NamedTuple):
+    """A request that was let in, under the configuration of its arrival."""
+
+    request: Any
+    request_id: str
+    account: ClientAccount
+    priority: PriorityClass
+    configuration: Configuration
+    deadline_s: float
+    idempotency_key: str
+    record: RequestRecord
+    caller: Caller
--- a/packages/router/src/damaskwind/router/caller_request.py
+++ b/packages/router/src/damaskwind/router/caller_request.py
@@ -3,7 +3,8 @@
 A caller that sends its headers or body too slowly gets 408 and loses its
 connection. A chat over the size limit is read and dropped, so that the caller
 can still read the 413 that the handler sends. A large body for a plain service
-is handed to the handler while it arrives.
+is handed to the handler while it arrives, unless it carries an idempotency key:
+then its digest is needed first.
 """
 
 from collections.abc import Callable
@@ -83,7 +84,9 @@
         self._stop_timer()
         self._start_timer(self.limits.body_timeout_s)
         line = self.channel.request_line
-        if line.uri.startswith(SERVICES_PREFIX) and (length is None or length > BUFFERED_BYTES):
+        is_large = length is None or length > BUFFERED_BYTES
+        has_key = self.requestHeaders.hasHeader(b"idempotency-key")
+        if line.uri.startswith(SERVICES_PREFIX) and is_large and not has_key:
             super().gotLength(0)
             self.upload = Upload(length, self._pause_upload, self._resume_upload)
             super().requestReceived(line.method, line.uri, line.version)
--- a/packages/router/src/damaskwind/router/chat_path.py
+++ b/packages/router/src/damaskwind/router/chat_path.py
@@ -1,24 +1,27 @@
 """Answer chats: from the caller's body to the last byte of the engine's answer."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
+import msgspec
 from twisted.web.iweb import IResponse
 
 from damaskwind.decisions.placement.messages import PlacementQuery
 from damaskwind.model.exception import RefusedError
 from damaskwind.model.reason import Reason
-from damaskwind.model.targets import TargetKind, TargetView
+from damaskwind.model.targets import LoadReport, TargetKind, TargetView
 from damaskwind.model.verdict import Refusal, Verdict
 from damaskwind.router.answer_body import read_whole
 from damaskwind.router.answers import error_event, set_outcome
+from damaskwind.router.arrival import Arrival
 from damaskwind.router.chat_request import ChatRequest, parse_chat_request
 from damaskwind.router.dispatcher import Dispatcher, Placed
 from damaskwind.router.engine_client import EngineChat, EngineClient, load_of
 from damaskwind.router.event_stream import EventScanner
-from damaskwind.router.gateway import Arrival
 from damaskwind.router.stream_relay import RelayEnd, StreamRelay
 from damaskwind.router.target_client import AttemptError
 from damaskwind.router.target_directory import TargetDirectory
+from damaskwind.router.telemetry import Telemetry
 from damaskwind.router.work import Work
 
 __all__ = ["ChatPath"]
@@ -35,6 +38,26 @@
     work: Work
 
 
+class _Usage(msgspec.Struct):
+    """The part of an answer that says what it cost."""
+
+    usage: dict[str, Any] | None = None
+
+
+def _total_tokens(usage: dict[str, Any] | None) -> int | None:
+    """Return the tokens that a usage names, if it does."""
+    total = (usage or {}).get("total_tokens")
+    return total if isinstance(total, int) else None
+
+
+def _tokens_of(body: bytes) -> int | None:
+    """Return the tokens that a whole answer cost, if it says so."""
+    try:
+        return _total_tokens(msgspec.json.decode(body, type=_Usage).usage)
+    except msgspec.DecodeError:
+        return None
+
+
 class ChatPath:
     """Serve `POST /v1/chat/completions`."""
 
@@ -44,9 +67,13 @@
         directory: TargetDirectory,
         engines: EngineClient,
         failure_domain: str,
+        telemetry: Telemetry,
+        observe_load: Callable[[str, LoadReport], None],
         reactor: Any,
         stall_timeout_s: float,
     ) -> None:
+        self._telemetry = telemetry
+        self._observe_load = observe_load
         self._dispatcher = dispatcher
         self._directory = directory
         self._engines = engines
@@ -111,6 +138,7 @@
         load = load_of(response)
         if load is not None:
             self._directory.observe_report(target.target_id, load)
+            self._observe_load(target.target_id, load)
         return response
 
     async def _whole(self, one: _Chat, placed: Placed) -> bytes:
@@ -128,7 +156,8 @@
         finally:
             if timer.active():
                 timer.cancel()
-        self._dispatcher.finish(one.work, placed, Verdict.RAN)
+        used_tokens = _tokens_of(body)
+        self._dispatcher.finish(one.work, placed, Verdict.RAN, used_tokens=used_tokens)
         request = one.arrival.request
         set_outcome(request, one.work.request_id, Verdict.RAN)
         request.setHeader(b"content-type", b"application/json")
@@ -152,7 +181,8 @@
                 break
             end = await self._resume(one, placed, relay, scanner.delivered_tokens, end)
         relay.close()
-        await self._end_stream(one, placed, end)
+        self._telemetry.tokens += scanner.delivered_tokens
+        await self._end_stream(one, placed, end, _total_tokens(scanner.usage))
 
     async def _resume(
         self, one: _Chat, placed: Placed, relay: StreamRelay, from_token: int, end: RelayEnd
@@ -167,12 +197,15 @@
             )
         except AttemptError:
             return RelayEnd.CALLER_GONE if one.work.caller.gone else end
+        self._telemetry.streams_resumed += 1
         return await relay.relay(response)
 
-    async def _end_stream(self, one: _Chat, placed: Placed, end: RelayEnd) -> None:
+    async def _end_stream(
+        self, one: _Chat, placed: Placed, end: RelayEnd, used_tokens: int | None
+    ) -> None:
         """End a stream honestly: in order, or with an error and a closed connection."""
         if end is RelayEnd.COMPLETE:
-            self._dispatcher.finish(one.work, placed, Verdict.RAN)
+            self._dispatcher.finish(one.work, placed, Verdict.RAN, used_tokens=used_tokens)
             one.work.record.end(Verdict.RAN, None, "", self._reactor.seconds())
             return
         detail = f"the stream ended before its end marker: {end}"
--- a/packages/router/src/damaskwind/router/dispatcher.py
+++ b/packages/router/src/damaskwind/router/dispatcher.py
@@ -17,6 +17,7 @@
 from damaskwind.model.exception import RefusedError
 from damaskwind.model.targets import TargetView
 from damaskwind.model.verdict import Refusal, Verdict, worst_verdict
+from damaskwind.router.account_limits import AccountLimits
 from damaskwind.router.explain import AttemptRecord
 from damaskwind.router.placing import Placing
 from damaskwind.router.target_client import AttemptError
@@ -40,9 +41,15 @@
     """Place requests, send them, and retry by verdict within the budget."""
 
     def __init__(
-        self, placing: Placing, health: TargetHealth, reactor: Any, random: Random
+        self,
+        placing: Placing,
+        limits: AccountLimits,
+        health: TargetHealth,
+        reactor: Any,
+        random: Random,
     ) -> None:
         self._placing = placing
+        self._limits = limits
         self._health = health
         self._reactor = reactor
         self._random = random
@@ -56,7 +63,19 @@
         self._budget.share = policy.retry_share
 
     async def run(self, work: Work, send: Send) -> Placed:
-        """Return the target that answers; raise `RefusedError` when none does."""
+        """Return the target that answers; raise `RefusedError` when none does.
+
+        What is returned must be handed to `finish` in the end.
+        """
+        await self._limits.admit(work)
+        try:
+            return await self._attempt(work, send)
+        except BaseException:
+            self._limits.release(work, 0)
+            raise
+
+    async def _attempt(self, work: Work, send: Send) -> Placed:
+        """Try one target after the other."""
         self._budget.count_request(self._reactor.seconds())
         failures: list[AttemptError] = []
         tried: frozenset[str] = frozenset()
@@ -77,9 +96,16 @@
                 return Placed(target, response, started_s)
 
     def finish(
-        self, work: Work, placed: Placed, verdict: Verdict, reason: str = "", detail: str = ""
+        self,
+        work: Work,
+        placed: Placed,
+        verdict: Verdict,
+        reason: str = "",
+        detail: str = "",
+        used_tokens: int | None = None,
     ) -> None:
         """End a request that a target had begun to answer."""
+        self._limits.release(work, used_tokens)
         self._placing.end(work, placed.target, verdict is Verdict.RAN)
         if not work.caller.gone:
             self._health.observe(placed.target, verdict is Verdict.RAN)
--- a/packages/router/src/damaskwind/router/gateway.py
+++ b/packages/router/src/damaskwind/router/gateway.py
@@ -1,8 +1,8 @@
 """Let a caller's request in: who it is, by when it must be answered, and its record."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from math import isfinite
-from typing import Any, NamedTuple
+from typing import Any
 
 from loguru import logger
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -12,33 +12,18 @@
 from damaskwind.model.reason import Reason
 from damaskwind.model.verdict import Refusal, Verdict
 from damaskwind.router.answers import refuse
+from damaskwind.router.arrival import Arrival
 from damaskwind.router.authentication import account_index, bearer_key
 from damaskwind.router.caller import Caller
 from damaskwind.router.explain import ExplainLog, RequestRecord
+from damaskwind.router.idempotency import Idempotency, Serve
 
-__all__ = ["Arrival", "Gateway"]
+__all__ = ["Gateway"]
 
 _LAST_CLASS = PriorityClass("none", 9, 1)
 _MAX_KEY_CHARACTERS = 255
 
 
-class Arrival(NamedTuple):
-    """A request that was let in, under the configuration of its arrival."""
-
-    request: Any
-    request_id: str
-    account: ClientAccount
-    priority: PriorityClass
-    configuration: Configuration
-    deadline_s: float
-    idempotency_key: str
-    record: RequestRecord
-    caller: Caller
-
-
-Serve = Callable[[Arrival], Awaitable[bytes | None]]
-
-
 def _bad_request(detail: str) -> RefusedError:
     """Make the error for a malformed header."""
     return RefusedError(Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, detail))
@@ -69,8 +54,9 @@
 class Gateway:
     """Authenticate callers, run their requests and turn refusals into answers."""
 
-    def __init__(self, explain: ExplainLog, clock: Any) -> None:
+    def __init__(self, explain: ExplainLog, idempotency: Idempotency, clock: Any) -> None:
         self._explain = explain
+        self._idempotency = idempotency
         self._clock = clock
         self.in_progress = 0
         self.ended: Callable[[RequestRecord], None] = lambda record: None
@@ -104,7 +90,8 @@
         record = self._explain.start(request.request_id, request.path.decode("latin-1"), now_s)
         caller = Caller(request)
         try:
-            body = await serve(self._admit(request, record, caller, now_s))
+            arrival = self._admit(request, record, caller, now_s)
+            body = await self._idempotency.run(arrival, serve)
             self.ended(record)
             return body
         except RefusedError as error:
--- /dev/null
+++ b/packages/router/src/damaskwind/router/idempotency.py
@@ -0,0 +1,152 @@
+"""Run a request that carries an idempotency key at most once, whoever gets the resend.
+
+The key is claimed from the holders before anything is sent. The answer is kept
+as it passes by, so that a resend gets it again.
+"""
+
+from collections.abc import Awaitable, Callable
+from hashlib import blake2b
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from damaskwind.decisions.claims.key import claim_key, request_digest
+from damaskwind.decisions.claims.messages import (
+    Accepted,
+    ClaimKind,
+    ClaimOutcome,
+    Outcome,
+    StoredAnswer,
+)
+from damaskwind.model.exception import RefusedError
+from damaskwind.model.reason import Reason
+from damaskwind.model.verdict import Refusal, Verdict
+from damaskwind.router.answers import set_outcome
+from damaskwind.router.arrival import Arrival
+from damaskwind.runtime.bridge import to_deferred
+
+__all__ = ["Idempotency"]
+
+ANSWER_LIMIT_BYTES = 4096
+_CLAIM_TIMEOUT_S = 2.0
+_RECORD_TIMEOUT_S = 2.0
+_RETRY_AFTER_S = 1.0
+
+Serve = Callable[[Arrival], Awaitable[bytes | None]]
+
+
+class _Capture:
+    """Keep what is written to a caller, up to a bound, with the digest of all of it."""
+
+    def __init__(self, request: Any) -> None:
+        self._write = request.write
+        self._pieces: list[bytes] = []
+        self._size_bytes = 0
+        self._digest = blake2b(digest_size=16)
+        request.write = self.write
+
+    def write(self, data: bytes) -> None:
+        """Keep a piece and pass it on."""
+        self.note(data)
+        self._write(data)
+
+    def note(self, data: bytes) -> None:
+        """Keep a piece."""
+        self._digest.update(data)
+        self._size_bytes += len(data)
+        if self._size_bytes <= ANSWER_LIMIT_BYTES:
+            self._pieces.append(data)
+
+    def answer(self, request: Any) -> StoredAnswer:
+        """Return the answer as it is kept."""
+        content_type = (request.responseHeaders.getRawHeaders("content-type") or [""])[0]
+        complete = self._size_bytes <= ANSWER_LIMIT_BYTES
+        body = b"".join(self._pieces) if complete else b""
+        return StoredAnswer(request.code, content_type, body, self._digest.hexdigest(), complete)
+
+
+class Idempotency:
+    """Claim keys before requests run and record how they ended."""
+
+    def __init__(self, claims: Any, clock: Any) -> None:
+        self._claims = claims
+        self._clock = clock
+        self._recording: set[Deferred] = set()
+
+    async def run(self, arrival: Arrival, serve: Serve) -> bytes | None:
+        """Serve a request, once for each key when it carries one."""
+        if not arrival.idempotency_key:
+            return await serve(arrival)
+        outcome = await self._claim(arrival)
+        if outcome.kind is ClaimKind.DONE:
+            return self._replay(arrival, outcome.answer)
+        if outcome.kind is not ClaimKind.GRANTED:
+            raise RefusedError(outcome.refusal)
+        return await self._run_claimed(arrival, serve, outcome.accepted)
+
+    async def settle(self) -> None:
+        """Wait until every outcome was offered to the holders."""
+        while self._recording:
+            await next(iter(self._recording))
+
+    async def _claim(self, arrival: Arrival) -> ClaimOutcome:
+        """Claim the key of a request."""
+        if self._claims is None:
+            detail = "no claim holder is configured for idempotency keys"
+            refusal = Refusal(Reason.NO_QUORUM, Verdict.NOT_RUN, detail, _RETRY_AFTER_S)
+            raise RefusedError(refusal)
+        request = arrival.request
+        body = request.content.read()
+        request.content.seek(0)
+        digest = request_digest(
+            request.method.decode("latin-1"), request.uri.decode("latin-1"), body
+        )
+        key = claim_key(arrival.account.name, arrival.idempotency_key)
+        timeout_s = min(_CLAIM_TIMEOUT_S, arrival.deadline_s - self._clock.seconds())
+        claiming = self._claims.claim(key, digest, arrival.request_id, max(timeout_s, 0.0))
+        outcome = await to_deferred(claiming)
+        arrival.record.noted(f"idempotency key {outcome.kind}", self._clock.seconds())
+        return outcome
+
+    def _replay(self, arrival: Arrival, answer: StoredAnswer) -> bytes:
+        """Give the first outcome again."""
+        request = arrival.request
+        request.setResponseCode(answer.http_status)
+        set_outcome(request, arrival.request_id, Verdict.RAN)
+        request.setHeader(b"content-type", answer.content_type.encode())
+        request.setHeader(b"content-length", str(len(answer.body)).encode())
+        arrival.record.end(Verdict.RAN, None, "answered from its claim", self._clock.seconds())
+        return answer.body
+
+    async def _run_claimed(
+        self, arrival: Arrival, serve: Serve, accepted: Accepted
+    ) -> bytes | None:
+        """Serve a request whose key was granted and record how it ended."""
+        capture = _Capture(arrival.request)
+        outcome = Outcome(Verdict.MAY_HAVE_RUN)
+        try:
+            body = await serve(arrival)
+            if body is not None:
+                capture.note(body)
+            ended = arrival.record.ended or {}
+            if ended.get("verdict") is Verdict.RAN:
+                outcome = Outcome(Verdict.RAN, capture.answer(arrival.request))
+            del arrival.request.write
+            return body
+        except RefusedError as error:
+            del arrival.request.write
+            outcome = Outcome(error.refusal.verdict)
+            raise
+        finally:
+            self._record(arrival, accepted, outcome)
+
+    def _record(self, arrival: Arrival, accepted: Accepted, outcome: Outcome) -> None:
+        """Tell the holders how a request ended; the caller need not wait for it."""
+        key = claim_key(arrival.account.name, arrival.idempotency_key)
+        recording = to_deferred(self._claims.record(key, accepted, outcome, _RECORD_TIMEOUT_S))
+        self._recording.add(recording)
+
+        def ended(result: Any) -> None:
+            self._recording.discard(recording)
+
+        recording.addBoth(ended)
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -9,11 +9,13 @@
 
 from loguru import logger
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall
 
+from damaskwind.decisions.membership.outputs import Event, RouterGone, RouterJoined
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.configuration_codec import read_configuration_file
 from damaskwind.model.targets import Address
-from damaskwind.router.announcements import LocalAnnouncements
+from damaskwind.router.account_limits import AccountLimits
 from damaskwind.router.caller_request import CallerLimits
 from damaskwind.router.caller_site import CallerSite
 from damaskwind.router.chat_path import ChatPath
@@ -21,9 +23,12 @@
 from damaskwind.router.drain import Drain
 from damaskwind.router.engine_client import EngineClient
 from damaskwind.router.explain import ExplainLog
+from damaskwind.router.fleet_links import FleetLinks
 from damaskwind.router.front import Front
 from damaskwind.router.gateway import Gateway
+from damaskwind.router.idempotency import Idempotency
 from damaskwind.router.operator_api import OperatorApi
+from damaskwind.router.peer_addresses import PeerAddresses
 from damaskwind.router.placing import Placing
 from damaskwind.router.service_path import ServicePath
 from damaskwind.router.target_client import TargetClient
@@ -38,6 +43,13 @@
 
 _REQUEST_ID_BYTES = 8
 _LISTEN_BACKLOG = 1024
+_SPILL_INTERVAL_S = 0.25
+
+
+def _limit_domains(settings: Settings) -> tuple[str, ...]:
+    """Name the failure domains that share account limits: those of the replicas."""
+    domains = {replica.failure_domain for replica in settings.router.replicas}
+    return tuple(sorted(domains | {settings.node.failure_domain}))
 
 
 class RouterProcess:
@@ -46,21 +58,39 @@
     def __init__(self, settings: Settings, reactor: Any) -> None:
         self.settings = settings
         self._reactor = reactor
-        router = settings.router
-        node = settings.node
         random = Random(secrets.randbits(64))
-        self.explain = ExplainLog(router.explain_records)
-        self.gateway = Gateway(self.explain, reactor)
-        self.telemetry = Telemetry(node.node_id)
+        self.links = FleetLinks(settings, reactor, random)
+        self.membership = self.links.membership
+        self.client = TargetClient(reactor)
+        self.telemetry = Telemetry(settings.node.node_id)
+        self._make_decisions(random)
+        self._make_front()
+        self._spilling = LoopingCall(self._publish_spills)
+        self._spilling.clock = reactor
+        self._drain: Drain | None = None
+        self._stopping: asyncio.Future | None = None
+
+    def _make_decisions(self, random: Random) -> None:
+        """Make what decides on requests: placement, health, queue, limits, retries."""
+        settings, reactor = self.settings, self._reactor
+        node = settings.node
+        self.explain = ExplainLog(settings.router.explain_records)
+        self.idempotency = Idempotency(self.links.claims, reactor)
+        self.gateway = Gateway(self.explain, self.idempotency, reactor)
         self.gateway.ended = self.telemetry.request_ended
         policy = self.gateway.configuration.policy
         self.directory = TargetDirectory(node.node_id, node.failure_domain, policy, reactor, random)
-        self.membership = LocalAnnouncements(reactor)
-        self.membership.subscribe(self.directory.handle_event)
-        self.client = TargetClient(reactor)
         self.health = TargetHealth(reactor, random)
         self.directory.members_watcher = self.health.set_targets
         self.room = WaitingRoom(reactor)
+        self.limits = AccountLimits(
+            node.node_id,
+            node.failure_domain,
+            _limit_domains(settings),
+            self.membership,
+            reactor,
+            is_alone=not settings.router.seeds,
+        )
         self.placing = Placing(
             self.directory,
             self.health,
@@ -68,21 +98,24 @@
             lambda: self.gateway.configuration,
             reactor,
         )
-        self.dispatcher = Dispatcher(self.placing, self.health, reactor, random)
+        self.dispatcher = Dispatcher(self.placing, self.limits, self.health, reactor, random)
         self.dispatcher.attempt_ended = self.telemetry.attempt_ended
-        self.telemetry.watch_parts(self.gateway, self.room, self.directory, self.explain)
-        stall_timeout_s = router.body_timeout_s
-        engines = EngineClient(self.client)
+
+    def _make_front(self) -> None:
+        """Make what callers, targets and operators talk to."""
+        node, router, reactor = self.settings.node, self.settings.router, self._reactor
         chats = ChatPath(
             self.dispatcher,
             self.directory,
-            engines,
+            EngineClient(self.client),
             node.failure_domain,
+            self.telemetry,
+            self.membership.observe_load,
             reactor,
-            stall_timeout_s,
+            router.body_timeout_s,
         )
         services = ServicePath(
-            self.dispatcher, self.client, node.failure_domain, reactor, stall_timeout_s
+            self.dispatcher, self.client, node.failure_domain, reactor, router.body_timeout_s
         )
         front = Front(
             self.gateway, chats, services, self.membership, router.announce_key, self.not_ready
@@ -100,6 +133,7 @@
             self.state,
             reactor,
         )
+        self.operators.peers = PeerAddresses(self.membership, reactor)
         self.operators.install(front.app)
         limits = CallerLimits(
             router.header_timeout_s,
@@ -109,8 +143,6 @@
         )
         self.site = CallerSite(front.app.resource(), limits, reactor)
         self.http_address = parse_address(router.http_address)
-        self._drain: Drain | None = None
-        self._stopping: asyncio.Future | None = None
 
     def _new_request_id(self) -> str:
         """Return an id that names this router, so that any other can ask it."""
@@ -122,18 +154,49 @@
             return "draining"
         if self.gateway.configuration.revision == 0:
             return "no configuration yet"
+        if self.limits.is_learning:
+            return "learning which shares of the account limits are in use"
         return ""
 
     def apply(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
-        self.gateway.set_configuration(configuration)
         self.directory.set_policy(configuration.policy)
         self.health.set_policy(configuration.policy)
         self.dispatcher.set_policy(configuration.policy)
         self.room.set_classes(configuration.priority_classes)
-        logger.info("configuration in force", revision=configuration.revision)
+        self.limits.set_configuration(configuration)
+        self.gateway.set_configuration(configuration)
+        self.directory.room_changed()
+
+    def _handle_event(self, event: Event) -> None:
+        """Take in an event of the membership."""
+        self.directory.handle_event(event)
+        if isinstance(event, RouterJoined | RouterGone):
+            domain = self.settings.node.failure_domain
+            routers = self.membership.routers()
+            near = sum(router.failure_domain == domain for router in routers)
+            self.directory.set_router_count(max(1, near))
 
-    def listen(self) -> None:
+    def _publish_spills(self) -> None:
+        """Tell the peers of this failure domain where chats went that left home."""
+        notes = self.directory.take_spill_notes()
+        if notes:
+            self.membership.publish_spills(notes)
+
+    async def start(self) -> None:
+        """Open every socket; callers come last."""
+        await self.links.start(self._handle_event, self.apply)
+        file = self.settings.router.configuration_file
+        if file:
+            self.apply(read_configuration_file(Path(file)))
+        self._spilling.start(_SPILL_INTERVAL_S, now=False)
+        self.telemetry.watch_parts(self.gateway, self.room, self.directory, self.explain)
+        self.telemetry.watch_control(self.membership.counters)
+        self._listen()
+        self.operators.peers.own_address = str(self.http_address)
+        self._write_ready_file()
+
+    def _listen(self) -> None:
         """Open the socket towards callers."""
         host, port = self.http_address
         listener = self._reactor.listenTCP(port, self.site, interface=host, backlog=_LISTEN_BACKLOG)
@@ -143,7 +206,7 @@
             self.site, listener, self._reactor, router.drain_delay_s, router.drain_limit_s
         )
 
-    def write_ready_file(self) -> None:
+    def _write_ready_file(self) -> None:
         """Tell whoever started this process its addresses, when a file is set."""
         path = self.settings.router.ready_file
         if path:
@@ -153,7 +216,11 @@
 
     def addresses(self) -> dict[str, str]:
         """Return the bound addresses by name."""
-        return {"http_address": str(self.http_address)}
+        return {
+            "http_address": str(self.http_address),
+            "datagram_address": str(self.links.datagram_address),
+            "peer_address": str(self.links.peer_address),
+        }
 
     def state(self) -> dict[str, Any]:
         """Return what operators see of this router."""
@@ -163,12 +230,15 @@
             "region": node.region,
             "failure_domain": node.failure_domain,
             "revision_in_force": self.gateway.configuration.revision,
+            "may_be_behind": self.links.follower.may_be_behind,
             "ready": not self.not_ready(),
             "not_ready_because": self.not_ready(),
             "requests_in_progress": self.gateway.in_progress,
             "requests_queued": len(self.room),
             "targets": len(self.directory.views()),
+            "routers": sorted(router.router_id for router in self.membership.routers()),
             "addresses": self.addresses(),
+            "control_traffic": self.membership.counters(),
         }
 
     async def stop(self) -> None:
@@ -180,8 +250,11 @@
     async def _stop(self) -> None:
         """Do what `stop` says."""
         await to_future(self._drain.stop())
-        self.membership.stop()
+        self._spilling.stop()
+        self.limits.stop()
         await to_future(ensureDeferred(self.client.close()))
+        await to_future(ensureDeferred(self.idempotency.settle()))
+        await self.links.stop()
         self.telemetry.metrics.shutdown()
 
 
@@ -190,9 +263,6 @@
     if reactor is None:
         from twisted.internet import reactor
     process = RouterProcess(settings, reactor)
-    if settings.router.configuration_file:
-        process.apply(read_configuration_file(Path(settings.router.configuration_file)))
-    process.listen()
-    process.write_ready_file()
+    await process.start()
     logger.info("router started", **process.addresses())
     return process
--- a/packages/router/src/damaskwind/router/service_path.py
+++ b/packages/router/src/damaskwind/router/service_path.py
@@ -15,11 +15,11 @@
 from damaskwind.model.verdict import Refusal, Verdict
 from damaskwind.router.answer_body import discard, read_whole
 from damaskwind.router.answers import set_outcome
+from damaskwind.router.arrival import Arrival
 from damaskwind.router.caller_request import BUFFERED_BYTES, SERVICES_PREFIX
 from damaskwind.router.dispatcher import Dispatcher, Placed
 from damaskwind.router.engine_client import check_not_run, header_text
 from damaskwind.router.event_stream import PassThrough
-from damaskwind.router.gateway import Arrival
 from damaskwind.router.stream_relay import RelayEnd, StreamRelay
 from damaskwind.router.target_client import AttemptError, BytesProducer, TargetCall, TargetClient
 from damaskwind.router.work import Work
--- a/packages/router/src/damaskwind/router/target_directory.py
+++ b/packages/router/src/damaskwind/router/target_directory.py
@@ -8,7 +8,14 @@
 from random import Random
 from typing import Any
 
-from damaskwind.decisions.membership.outputs import Event, LoadHeard, TargetChanged, TargetGone
+from damaskwind.decisions.membership.outputs import (
+    Event,
+    LoadHeard,
+    SpillHeard,
+    TargetChanged,
+    TargetGone,
+)
+from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.decisions.placement.placer import Placer
 from damaskwind.model.configuration import Policy
 from damaskwind.model.targets import LoadReport, TargetKind, TargetView
@@ -40,6 +47,7 @@
             TargetChanged: self._changed,
             TargetGone: self._gone,
             LoadHeard: self._load_heard,
+            SpillHeard: self._spill_heard,
         }
 
     def watch(self, watcher: Callable[[], None]) -> None:
@@ -109,3 +117,13 @@
     def _load_heard(self, event: LoadHeard) -> None:
         """Take in a load that a peer passed on."""
         self.observe_report(event.target_id, event.report)
+
+    def _spill_heard(self, event: SpillHeard) -> None:
+        """Learn where chats were last served away from home."""
+        now_s = self._clock.seconds()
+        for note in event.notes:
+            self.placers[TargetKind.ENGINE].heard_spill(note, now_s)
+
+    def take_spill_notes(self) -> tuple[SpillNote, ...]:
+        """Return own notes that the peers have not heard yet."""
+        return self.placers[TargetKind.ENGINE].take_spill_notes(self._clock.seconds())
