Tests of membership, pacer and datagrams; a leaving router tells its peers

A router that left took itself off the ring before it chose whom to tell, so nobody heard it and it was found dead after eight seconds; the test of the core showed it. Peers are chosen first now.

--- a/packages/decisions/src/damaskwind/decisions/membership/core.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/core.py
@@ -192,9 +192,9 @@
     def leave(self, now_s: float) -> Output:
         """Say good-bye; the core sends nothing afterwards."""
         self._advance(now_s)
-        record = self.router_table.leave(self.now_s)
-        news = news_of([record])
-        for router_id in self._gossip.flood_peers():
+        peers = self._gossip.flood_peers()
+        news = news_of([self.router_table.leave(self.now_s)])
+        for router_id in peers:
             self._send_to(router_id, news, Urgency.LEAVE)
         self._left = True
         return self._output()
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/test_core.py
@@ -0,0 +1,187 @@
+from unittest import TestCase
+
+from damaskwind.decisions.membership.messages import News, RouterState, Tombstone
+from damaskwind.decisions.membership.outputs import (
+    LoadHeard,
+    RouterGone,
+    RouterJoined,
+    TargetChanged,
+    TargetGone,
+)
+from damaskwind.decisions.membership.tests.samples import Network, announcement, router
+from damaskwind.model.targets import TargetState
+
+
+def leaving(sequence: int = 2, incarnation: int = 1):
+    return announcement(sequence=sequence, incarnation=incarnation, state=TargetState.LEAVING)
+
+
+class MembershipCoreTest(TestCase):
+    def settled(self, domains: list[str], seed: int = 1) -> Network:
+        network = Network(domains, seed)
+        self.assertTrue(network.until(lambda: network.all_know(len(domains)), 60.0))
+        return network
+
+    def test_eight_routers_in_three_domains_find_each_other(self):
+        network = self.settled(list("abcabcab"))
+        self.assertTrue(network.announce(4, announcement(domain="b")))
+        self.assertTrue(network.until(lambda: network.all_hold(1), 2.0))
+
+    def test_a_leave_reaches_fifty_routers_within_two_seconds(self):
+        network = self.settled(["a"] * 50)
+        network.announce(3, announcement(lease_s=60.0))
+        self.assertTrue(network.until(lambda: network.all_hold(1), 10.0))
+        self.assertTrue(network.announce(7, leaving()))
+        self.assertTrue(network.until(lambda: network.all_hold(0), 2.0))
+        network.run(20.0)
+        self.assertTrue(network.all_hold(0))
+
+    def test_a_stale_announcement_after_the_leave_is_refused_everywhere(self):
+        network = self.settled(["a"] * 5)
+        network.announce(0, announcement(sequence=1))
+        network.announce(1, leaving(sequence=2))
+        network.run(3.0)
+        for index in range(5):
+            self.assertFalse(network.announce(index, announcement(sequence=9)))
+        self.assertTrue(network.announce(2, announcement(incarnation=2)))
+
+    def test_a_router_that_missed_the_leave_is_told(self):
+        network = self.settled(["a"] * 4)
+        network.announce(0, announcement(lease_s=60.0))
+        self.assertTrue(network.until(lambda: network.all_hold(1), 5.0))
+        network.passes = lambda source, target: "router-03" not in (source, target)
+        network.announce(1, leaving())
+        network.run(12.0)
+        self.assertEqual(len(network.core(3).targets(network.now_s)), 1)
+        network.passes = lambda source, target: True
+        self.assertTrue(network.until(lambda: network.all_hold(0), 30.0))
+
+    def test_a_lapse_needs_no_word_and_happens_everywhere(self):
+        network = self.settled(["a"] * 6)
+        network.announce(0, announcement(lease_s=6.0))
+        self.assertTrue(network.until(lambda: network.all_hold(1), 3.0))
+        network.run(7.0)
+        self.assertTrue(network.all_hold(0))
+        reasons = {e.reason.name for _, _, e in network.events if isinstance(e, TargetGone)}
+        self.assertEqual(reasons, {"LAPSED"})
+
+    def test_renewals_heard_by_one_router_keep_the_target_at_all(self):
+        network = self.settled(["a"] * 6)
+        for sequence in range(1, 21):
+            network.announce(0, announcement(sequence=sequence, load_tokens=sequence))
+            network.run(2.0)
+        self.assertTrue(network.all_hold(1))
+        self.assertFalse([e for _, _, e in network.events if isinstance(e, TargetGone)])
+        loads = [e.report for _, name, e in network.events if isinstance(e, LoadHeard)]
+        self.assertGreaterEqual(max(report.load_tokens for report in loads), 18)
+
+    def test_a_path_broken_in_one_direction_accuses_nobody(self):
+        network = self.settled(["a"] * 5)
+        network.events.clear()
+        network.passes = lambda source, target: (source, target) != ("router-01", "router-02")
+        network.run(60.0)
+        self.assertFalse([e for _, _, e in network.events if isinstance(e, RouterGone)])
+
+    def test_a_dead_router_is_found_and_its_restart_welcomed(self):
+        network = self.settled(["a"] * 5)
+        del network.cores[router(2).address]
+        self.assertTrue(network.until(lambda: network.all_know(4), 40.0))
+        network.add(router(2, incarnation=5))
+        self.assertTrue(network.until(lambda: network.all_know(5), 60.0))
+        self.assertGreaterEqual(network.core(0).router_table.get("router-02").incarnation, 5)
+
+    def test_a_restart_with_a_lower_incarnation_rises_above_the_old_one(self):
+        network = self.settled(["a"] * 4)
+        del network.cores[router(2).address]
+        self.assertTrue(network.until(lambda: network.all_know(3), 40.0))
+        network.add(router(2, incarnation=0))
+        self.assertTrue(network.until(lambda: network.all_know(4), 90.0))
+        self.assertGreater(network.core(2).router_table.me.incarnation, 1)
+
+    def test_a_live_router_refutes_its_death(self):
+        network = self.settled(["a"] * 3)
+        core = network.core(1)
+        dead = router(1)._replace(state=RouterState.DEAD, incarnation=4)
+        network.take(core, core.receive("router-00", 1, router(0).address, News((dead,)), 99.0))
+        self.assertEqual(core.router_table.me.incarnation, 5)
+        self.assertEqual(core.router_table.me.state, RouterState.ALIVE)
+
+    def test_a_domain_that_is_cut_off_goes_on_and_merges_again(self):
+        network = self.settled(list("aaabbb"))
+        cut = {"router-03", "router-04", "router-05"}
+        network.announce(0, announcement("in-a", lease_s=60.0))
+        network.announce(3, announcement("in-b", domain="b", lease_s=60.0))
+        self.assertTrue(network.until(lambda: network.all_hold(2), 20.0))
+        network.passes = lambda source, target: (source in cut) == (target in cut)
+        network.run(30.0)
+        self.assertEqual(len(network.core(4).router_table.ring("b")), 3)
+        self.assertEqual(len(network.core(1).router_table.ring("a")), 3)
+        network.announce(4, announcement("new-in-b", domain="b", lease_s=60.0))
+        network.announce(5, announcement("in-b", domain="b", sequence=2, lease_s=60.0))
+        network.announce(1, announcement("in-a", sequence=2, lease_s=60.0))
+        network.passes = lambda source, target: True
+        self.assertTrue(network.until(lambda: network.all_know(6), 120.0))
+        self.assertTrue(network.until(lambda: network.all_hold(3), 60.0))
+
+    def test_a_flapping_target_is_held_back_and_comes_back(self):
+        network = self.settled(["a"])
+        for incarnation in range(1, 6):
+            network.announce(0, announcement(incarnation=incarnation, lease_s=60.0))
+            network.run(0.5)
+            network.announce(0, leaving(incarnation=incarnation))
+            network.run(0.5)
+        network.announce(0, announcement(incarnation=9, lease_s=60.0))
+        changed = [e for _, _, e in network.events if isinstance(e, TargetChanged)]
+        self.assertEqual([e.target.incarnation for e in changed], [1, 2, 3])
+        self.assertEqual(network.core(0).targets(network.now_s), [])
+        self.assertTrue(network.until(lambda: network.all_hold(1), 55.0))
+        self.assertEqual(network.core(0).targets(network.now_s)[0].target_id, "target")
+        gone = [e for _, _, e in network.events if isinstance(e, TargetGone)]
+        self.assertEqual(len(gone), 5)
+
+    def test_doubled_and_reordered_messages_change_nothing(self):
+        network = self.settled(["a"] * 6)
+        network.copies = 3
+        for sequence in range(1, 8):
+            network.announce(sequence % 6, announcement(sequence=sequence))
+            network.run(1.0)
+        self.assertTrue(network.all_hold(1))
+        network.announce(0, leaving(sequence=9))
+        network.run(10.0)
+        self.assertTrue(network.all_hold(0))
+        self.assertTrue(network.all_know(6))
+
+    def test_a_clock_that_goes_back_stands_still(self):
+        network = self.settled(["a"] * 3)
+        network.announce(0, announcement(lease_s=6.0))
+        core = network.core(0)
+        for now_s in (network.now_s - 50.0, -1.0, 0.0):
+            core.tick(now_s)
+            core.announce(announcement(sequence=2), now_s)
+        self.assertEqual(len(core.targets(0.0)), 1)
+        core.tick(core.now_s + 100.0)
+        self.assertEqual(core.targets(0.0), [])
+
+    def test_a_later_tombstone_of_an_unknown_target_stops_its_old_record(self):
+        network = self.settled(["a"] * 2)
+        core = network.core(1)
+        tombstone = Tombstone("target", 3, 5, reason=1, failure_domain="a", age_s=2.0)
+        core.receive("router-00", 1, router(0).address, News(tombstones=(tombstone,)), 50.0)
+        outcome, _ = core.announce(announcement(incarnation=3, sequence=99), 50.0)
+        self.assertFalse(outcome.accepted)
+        self.assertEqual(outcome.incarnation, 3)
+
+    def test_an_announcement_too_large_for_a_datagram_is_refused_by_name(self):
+        network = self.settled(["a"])
+        outcome, _ = network.core(0).announce(announcement("t" * 1000), 50.0)
+        self.assertTrue(outcome.too_large and not outcome.accepted)
+
+    def test_a_router_that_leaves_is_gone_at_once(self):
+        network = self.settled(["a"] * 4)
+        core = network.core(3)
+        network.take(core, core.leave(network.now_s))
+        del network.cores[router(3).address]
+        self.assertTrue(network.until(lambda: network.all_know(3), 2.0))
+        network.run(30.0)
+        joined = [e for _, _, e in network.events[-20:] if isinstance(e, RouterJoined)]
+        self.assertFalse(joined)
--- a/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
@@ -40,6 +40,7 @@
 BURST_S = 1.0
 OVERDRAFT_S = 1.0
 WINDOW_S = 1.0
+LONG_WINDOW_S = 10.0
 QUEUE_LIMIT = 512
 
 
@@ -52,12 +53,14 @@
     dropped_sends: int
     mean_bytes_per_s: float
     highest_second_bytes: int
+    highest_ten_seconds_bytes_per_s: float
 
 
 class _Window:
-    """The bytes of the last second."""
+    """The bytes of the last seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, length_s: float = WINDOW_S) -> None:
+        self._length_s = length_s
         self._entries: deque[tuple[float, int]] = deque()
         self.total_bytes = 0
 
@@ -67,8 +70,8 @@
         self.total_bytes += size_bytes
 
     def advance(self, now_s: float) -> None:
-        """Forget what is a second old."""
-        while self._entries and self._entries[0][0] <= now_s - WINDOW_S:
+        """Forget what is older than the window."""
+        while self._entries and self._entries[0][0] <= now_s - self._length_s:
             self.total_bytes -= self._entries.popleft()[1]
 
 
@@ -92,6 +95,7 @@
         self._now_s = now_s
         self._tokens = bytes_per_s * BURST_S
         self._all = _Window()
+        self._long = _Window(LONG_WINDOW_S)
         self._sends = _Window()
         self._probe_sends = _Window()
         self._queue: list[_Waiting] = []
@@ -102,6 +106,7 @@
         self._dropped = 0
         self._dropped_items: list[Any] = []
         self._highest = 0
+        self._highest_long = 0
 
     def received(
         self, size_bytes: int, kind: str, now_s: float, header_bytes: int = UDP_HEADER_BYTES
@@ -171,6 +176,7 @@
             self._dropped,
             total / elapsed_s,
             self._highest,
+            self._highest_long / LONG_WINDOW_S,
         )
 
     def reset_counters(self, now_s: float) -> None:
@@ -181,6 +187,7 @@
         self._received.clear()
         self._deferred = self._dropped = 0
         self._highest = self._all.total_bytes
+        self._highest_long = self._long.total_bytes
 
     def _advance(self, now_s: float) -> None:
         """Move to `now_s`; a clock that goes back stands still instead."""
@@ -189,6 +196,7 @@
         filled = self._tokens + elapsed_s * self.bytes_per_s
         self._tokens = min(filled, self.bytes_per_s * BURST_S)
         self._all.advance(self._now_s)
+        self._long.advance(self._now_s)
         self._sends.advance(self._now_s)
         self._probe_sends.advance(self._now_s)
 
@@ -213,4 +221,6 @@
         """Count bytes of either direction."""
         self._tokens -= size_bytes
         self._all.add(size_bytes, self._now_s)
+        self._long.add(size_bytes, self._now_s)
+        self._highest_long = max(self._highest_long, self._long.total_bytes)
         self._highest = max(self._highest, self._all.total_bytes)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/pacing/tests/test_pacer.py
@@ -0,0 +1,103 @@
+from unittest import TestCase
+
+from damaskwind.decisions.pacing.pacer import (
+    BURST_S,
+    OVERDRAFT_S,
+    SEND_SHARE,
+    UDP_HEADER_BYTES,
+    ControlPacer,
+)
+from damaskwind.decisions.pacing.urgency import MAX_WAIT_S, Urgency
+
+BUDGET = 4096
+
+
+class ControlPacerTest(TestCase):
+    def setUp(self) -> None:
+        self.pacer = ControlPacer(BUDGET, 0.0)
+
+    def offer(self, name: str, size: int, urgency: Urgency, now_s: float = 0.0) -> None:
+        self.pacer.offer(name, size, urgency, name, now_s)
+
+    def test_the_most_urgent_goes_first_and_equals_in_order(self):
+        for name, urgency in (("r", Urgency.ROUTINE), ("j1", Urgency.JOIN), ("l", Urgency.LEAVE)):
+            self.offer(name, 50, urgency)
+        self.offer("j2", 50, Urgency.JOIN)
+        self.assertEqual(self.pacer.take(0.0), ["l", "j1", "j2", "r"])
+
+    def test_no_second_sends_more_than_its_share(self):
+        for step in range(200):
+            now_s = step * 0.05
+            for urgency in Urgency:
+                self.offer(urgency.name, 300, urgency, now_s)
+            self.pacer.take(now_s)
+            self.assertLessEqual(self.pacer._sends.total_bytes, BUDGET * SEND_SHARE)
+        self.assertGreater(self.pacer.counters(10.0).deferred_sends, 0)
+
+    def test_the_bucket_bounds_any_stretch_when_all_comes_at_once(self):
+        moved = []
+        for step in range(600):
+            now_s = step * 0.05
+            if step % 2 == 0:
+                self.pacer.received(150, "flood", now_s)
+                moved.append((now_s, 150 + UDP_HEADER_BYTES))
+            for urgency in Urgency:
+                self.pacer.offer(400, 400, urgency, "flood", now_s)
+            moved += [(now_s, size + UDP_HEADER_BYTES) for size in self.pacer.take(now_s)]
+        for start in range(0, 30, 5):
+            total = sum(size for when_s, size in moved if start <= when_s < start + 5)
+            self.assertLessEqual(total, BUDGET * (5 + BURST_S + OVERDRAFT_S))
+        self.assertLessEqual(sum(size for _, size in moved), BUDGET * (30 + BURST_S + OVERDRAFT_S))
+
+    def test_what_arrives_pushes_sends_back(self):
+        self.pacer.received(BUDGET, "flood", 0.0)
+        self.offer("news", 200, Urgency.JOIN)
+        self.offer("leave", 200, Urgency.LEAVE)
+        self.assertEqual(self.pacer.take(0.0), ["leave"])
+        self.assertEqual(self.pacer.take(0.1), [])
+        self.assertEqual(self.pacer.take(1.0), ["news"])
+        self.pacer.received(3 * BUDGET, "flood", 1.0)
+        self.offer("leave", 200, Urgency.LEAVE, 1.0)
+        self.assertEqual(self.pacer.take(1.0), [])
+
+    def test_news_leaves_room_for_the_probes_of_the_second(self):
+        for _ in range(20):
+            self.offer("news", 300, Urgency.JOIN)
+        self.pacer.take(0.0)
+        self.offer("probe", 400, Urgency.PROBE)
+        self.offer("ack", 300, Urgency.PROBE)
+        self.assertEqual(self.pacer.take(0.0), ["probe", "ack"])
+
+    def test_a_send_that_waited_too_long_is_dropped_and_reported(self):
+        self.pacer.received(4 * BUDGET, "flood", 0.0)
+        self.offer("probe", 100, Urgency.PROBE)
+        self.assertEqual(self.pacer.take(0.1), [])
+        late_s = MAX_WAIT_S[Urgency.PROBE] + 0.1
+        self.assertEqual(self.pacer.take(late_s), [])
+        self.assertEqual(self.pacer.take_dropped(), ["probe"])
+        self.assertEqual(self.pacer.counters(late_s).dropped_sends, 1)
+
+    def test_a_full_queue_drops_the_least_urgent(self):
+        self.pacer.received(9 * BUDGET, "flood", 0.0)
+        for _ in range(600):
+            self.offer("news", 100, Urgency.ROUTINE)
+        self.offer("leave", 100, Urgency.LEAVE)
+        self.assertEqual(set(self.pacer.take_dropped()), {"news"})
+
+    def test_both_directions_count_with_headers(self):
+        self.offer("probe", 100, Urgency.PROBE)
+        self.pacer.take(0.0)
+        self.pacer.received(50, "ack", 0.5)
+        self.pacer.received(400, "announcement", 0.5, 300)
+        counters = self.pacer.counters(2.0)
+        self.assertEqual(counters.sent_bytes, {"probe": 128})
+        self.assertEqual(counters.received_bytes, {"ack": 78, "announcement": 700})
+        self.assertEqual(counters.highest_second_bytes, 906)
+        self.assertEqual(counters.mean_bytes_per_s, 453)
+
+    def test_a_clock_that_goes_back_gives_no_budget(self):
+        self.pacer.received(3 * BUDGET, "flood", 10.0)
+        self.offer("leave", 200, Urgency.LEAVE, 5.0)
+        self.assertEqual(self.pacer.take(5.0), [])
+        self.assertEqual(self.pacer.take(-100.0), [])
+        self.assertEqual(self.pacer.take(12.0), ["leave"])
--- a/packages/router/src/damaskwind/router/membership/service.py
+++ b/packages/router/src/damaskwind/router/membership/service.py
@@ -201,6 +201,7 @@
             "oversized_sends": node.oversized_sends,
             "mean_bytes_per_s": paced.mean_bytes_per_s,
             "highest_second_bytes": paced.highest_second_bytes,
+            "highest_ten_seconds_bytes_per_s": paced.highest_ten_seconds_bytes_per_s,
             "suspicions": node.core.suspicions,
             "routers": len(node.core.routers()),
             "targets": len(node.core.target_table.held),
--- /dev/null
+++ b/packages/router/src/damaskwind/router/membership/tests/test_codec.py
@@ -0,0 +1,123 @@
+import zlib
+from hashlib import blake2b
+from random import Random
+from unittest import TestCase
+
+import msgspec
+
+from damaskwind.decisions.membership.messages import (
+    Ack,
+    Custom,
+    GoneReason,
+    News,
+    Probe,
+    RouterRecord,
+    RouterState,
+    Sketch,
+    Summary,
+    TargetRecord,
+    Tombstone,
+)
+from damaskwind.model.exception import MessageError
+from damaskwind.model.targets import Address, ModelOffer, TargetKind
+from damaskwind.router.membership.codec import Codec, DatagramFault
+from damaskwind.router.membership.replay import WINDOW
+
+HERE = Address("127.0.0.1", 1)
+ROUTER = RouterRecord("a", 1, RouterState.ALIVE, "domain", HERE, HERE)
+
+
+def target(index: int) -> TargetRecord:
+    offers = (ModelOffer("m", "1", ("x", "y")),)
+    kind = TargetKind.ENGINE
+    return TargetRecord(f"t-{index}", 1, 2, 3, kind, "p", "d", HERE, 6.0, 0.5, 0.1, 9, 99, offers)
+
+
+class CodecTest(TestCase):
+    def setUp(self) -> None:
+        self.sender = Codec("a", "cluster", "key")
+        self.receiver = Codec("b", "cluster", "key")
+
+    def datagram(self, sequence: int = 0) -> bytes:
+        return self.sender.encode(Ack(1, 2), 7)
+
+    def test_every_kind_comes_back_as_it_went(self):
+        news = News(
+            (ROUTER,),
+            tuple(target(index) for index in range(12)),
+            (Tombstone("t", 1, 2, GoneReason.LEAVING, "d", 0.5),),
+            b"keys",
+        )
+        summary = Summary("d", 0.0, b"1234")
+        messages = [
+            news,
+            Probe(1, 2, ROUTER, b"loads", b"", (summary,), news),
+            Ack(1, 2),
+            Sketch("d", b"12", b"12345678"),
+            Custom("limits", b"payload"),
+        ]
+        for message in messages:
+            received = self.receiver.decode(self.sender.encode(message, 7))
+            self.assertEqual(received.message, message)
+            self.assertEqual((received.sender_id, received.incarnation), ("a", 7))
+
+    def test_each_fault_has_its_name(self):
+        whole = self.datagram()
+        other = Codec("a", "elsewhere", "key").encode(Ack(1, 2), 7)
+        wrong = Codec("a", "cluster", "other key").encode(Ack(1, 2), 7)
+        flipped = whole[:-1] + bytes([whole[-1] ^ 1])
+        faults = {
+            b"": DatagramFault.TRUNCATED,
+            whole[:16]: DatagramFault.TRUNCATED,
+            whole[:-1]: DatagramFault.WRONG_KEY,
+            flipped: DatagramFault.WRONG_KEY,
+            wrong: DatagramFault.WRONG_KEY,
+            other: DatagramFault.OTHER_CLUSTER,
+            bytes(1201): DatagramFault.OVERSIZED,
+            self.receiver.encode(Ack(1, 2), 7): DatagramFault.ECHOED,
+        }
+        for datagram, fault in faults.items():
+            self.assertEqual(self.receiver.decode(datagram), fault)
+
+    def signed(self, payload: bytes) -> bytes:
+        cluster = blake2b(b"cluster", digest_size=4).digest()
+        return cluster + self.sender._tag(payload) + payload
+
+    def test_signed_nonsense_is_malformed(self):
+        encode = msgspec.msgpack.encode
+        bomb = encode(zlib.compress(bytes(1 << 20)))
+        cases = {
+            self.signed(b"\xc1"): DatagramFault.MALFORMED,
+            self.signed(encode(["a", 7, 1])): DatagramFault.MALFORMED,
+            self.signed(encode(["a", 7, 1, "ac", ["x"]])): DatagramFault.MALFORMED,
+            self.signed(encode(["a", 7, 1, "zz", []])): DatagramFault.UNKNOWN_KIND,
+            self.signed(encode(["a", 7, 1, "acz", b"not packed"])): DatagramFault.MALFORMED,
+            self.signed(encode(["a", 7, 1, "nez", msgspec.Raw(bomb)])): DatagramFault.MALFORMED,
+        }
+        for datagram, fault in cases.items():
+            self.assertEqual(self.receiver.decode(datagram), fault)
+
+    def test_random_bytes_never_raise(self):
+        random = Random(3)
+        for _ in range(500):
+            payload = random.randbytes(random.randrange(60))
+            self.assertIsInstance(self.receiver.decode(self.signed(payload)), DatagramFault)
+
+    def test_a_replay_is_refused_and_reordering_within_the_window_is_not(self):
+        datagrams = [self.datagram() for _ in range(WINDOW + 10)]
+        self.assertEqual(self.receiver.decode(datagrams[5]).sender_id, "a")
+        self.assertEqual(self.receiver.decode(datagrams[3]).sender_id, "a")
+        self.assertEqual(self.receiver.decode(datagrams[3]), DatagramFault.REPLAYED)
+        self.receiver.decode(datagrams[-1])
+        self.assertEqual(self.receiver.decode(datagrams[4]), DatagramFault.REPLAYED)
+
+    def test_a_restarted_sender_is_heard_and_its_former_life_is_not(self):
+        old = [self.datagram() for _ in range(3)]
+        self.receiver.decode(old[0])
+        reborn = Codec("a", "cluster", "key").encode(Ack(1, 2), 8)
+        self.assertEqual(self.receiver.decode(reborn).incarnation, 8)
+        self.assertEqual(self.receiver.decode(old[1]), DatagramFault.OLD_INCARNATION)
+
+    def test_a_message_too_large_is_not_encoded(self):
+        with self.assertRaises(MessageError):
+            self.sender.encode(Custom("x", Random(1).randbytes(1300)), 7)
