--- a/packages/control/src/damaskwind/control/state/configuration_machine.py
+++ b/packages/control/src/damaskwind/control/state/configuration_machine.py
@@ -200,10 +200,14 @@
             return ApplyResult(ResultStatus.UNKNOWN_PLAN, revision)
         if plan_has_expired(plan, actor.now_s):
             return self._close(actor, plan, ResultStatus.EXPIRED)
-        if plan.base_revision != revision:
+        if self._is_stale(plan):
             return self._close(actor, plan, ResultStatus.CONFLICT)
         return self._commit(actor, plan)
 
+    def _is_stale(self, plan: Plan) -> bool:
+        """Tell whether another change came between a plan and its confirmation."""
+        return plan.base_revision != self._configuration.revision
+
     def _commit(self, actor: Actor, plan: Plan) -> ApplyResult:
         """Bring a plan's change into the configuration."""
         try:
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -49,6 +49,14 @@
     return fuzz_log(seed, seconds, histories, bug)
 
 
+@fuzz_target("configuration")
+def fuzz_configuration(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
+    """Fuzz the state machine of the configuration against a dict and a list."""
+    from damaskwind.control.state.tests.histories import fuzz_machine
+
+    return fuzz_machine(seed, seconds, histories, bug)
+
+
 def fuzz(
     *,
     seconds: float = 60.0,
