--- a/benchmarks/measuring/deployment.py
+++ b/benchmarks/measuring/deployment.py
@@ -15,15 +15,22 @@
 from benchmarks.measuring.calendar_load import LoadPlan
 from damaskwind.model.prefix import ModelName
 from damaskwind.runtime.bridge import to_future
-from damaskwind.standins.harness import DaemonProcess, Harness, wait_until
-from damaskwind.standins.settings_text import to_toml
+from damaskwind.standins.harness import (
+    DaemonProcess,
+    Harness,
+    HarnessError,
+    free_addresses,
+    wait_until,
+)
 
 __all__ = ["DEPLOYMENTS", "Deployment", "DeploymentProfile", "ask"]
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 ANY_PORT = "127.0.0.1:0"
 OPERATOR = "watch"
+BOOTSTRAP_KEY = "key-of-the-first-operator"
 _READY_DEADLINE_S = 30.0
+_PASSING_REFUSALS = ("no_quorum", "outcome_unknown")
 
 
 class DeploymentProfile(NamedTuple):
@@ -90,6 +97,7 @@
         self.profile = DEPLOYMENTS[name]
         self.placement = placement
         self.harness = Harness(folder)
+        self.replicas: list[DaemonProcess] = []
         self.routers: list[DaemonProcess] = []
         self.fleet: DaemonProcess | None = None
         self._source = EXAMPLES / name
@@ -138,33 +146,70 @@
         root = f"/services/{self.profile.service}"
         return {use: f"{root}{path}" for use, path in self.profile.paths.items()}
 
-    def _write_configuration(self) -> Path:
-        """Write the configuration with the keys and the policy of this run."""
-        table = self._configuration
+    def _own_configuration(self) -> dict[str, Any]:
+        """Return the configuration with the keys and the policy of this run."""
+        table = {kind: value for kind, value in self._configuration.items() if kind != "revision"}
         table["policy"]["placement"] = self.placement
         for account, fields in table["accounts"].items():
             fields["key_hashes"] = [_hash(self.keys[account])]
         table["operators"][OPERATOR]["key_hash"] = _hash(self.operator_key)
-        path = self.harness.folder / "configuration.toml"
-        path.write_text(to_toml(table), encoding="utf-8")
-        return path
+        return table
 
     async def start(self) -> None:
-        """Start the routers, then the stand-ins, and wait until each knows the other."""
-        configuration = self._write_configuration()
+        """Start replicas, routers and stand-ins, and wait until each knows the others."""
+        replicas = await self._start_replicas()
+        await self._confirm_configuration()
         first, *others = sorted(self._source.glob("router-*.toml"))
-        self.routers = [await self._start_router(first, configuration, [])]
-        seed = self.routers[0].ready.get("datagram_address")
-        seeds = [seed] if seed else []
-        starting = [self._start_router(path, configuration, seeds) for path in others]
+        self.routers = [await self._start_router(first, replicas, [])]
+        seeds = [self.routers[0].ready["datagram_address"]]
+        starting = [self._start_router(path, replicas, seeds) for path in others]
         self.routers += await asyncio.gather(*starting)
+        await wait_until(self._all_ready, _READY_DEADLINE_S, "readiness of all routers")
         fleet = dict(self._fleet_table)
         fleet["announce"] = {**fleet["announce"], "routers": self.addresses()}
         self.fleet = await self.harness.start_fleet("fleet", fleet)
         await wait_until(self._all_known, _READY_DEADLINE_S, "knowledge of all targets")
 
+    async def _start_replicas(self) -> list[dict[str, str]]:
+        """Start the control replicas and return how routers find them."""
+        tables = {path.stem: _read(path) for path in sorted(self._source.glob("control-*.toml"))}
+        replicas = next(iter(tables.values()))["control"]["bootstrap_replicas"]
+        for replica, address in zip(replicas, free_addresses(len(replicas)), strict=True):
+            replica["address"] = address
+        own = {replica["replica_id"]: replica["address"] for replica in replicas}
+        for name, table in tables.items():
+            folder = self.harness.folder / f"{name}.data"
+            folder.mkdir()
+            table["control"] |= {
+                "replica_address": own[name],
+                "operator_address": ANY_PORT,
+                "data_folder": str(folder),
+                "bootstrap_replicas": replicas,
+                "bootstrap_operator_key_hash": _hash(BOOTSTRAP_KEY),
+            }
+        starting = [self.harness.start_control(name, table) for name, table in tables.items()]
+        self.replicas = list(await asyncio.gather(*starting))
+        return replicas
+
+    async def _confirm_configuration(self) -> None:
+        """Plan and confirm the configuration, as an operator would."""
+        root = f"{self.replicas[0].ready['operator_address']}/operator/v1"
+        objects = self._own_configuration()
+
+        async def planned() -> dict[str, Any] | None:
+            answer = await ask("POST", f"{root}/intents", objects, BOOTSTRAP_KEY)
+            refusal = answer.get("error", {"code": "no_quorum"})
+            if refusal["code"] not in _PASSING_REFUSALS:
+                raise HarnessError(f"the configuration was refused: {refusal}")
+            return answer.get("plan")
+
+        plan = await wait_until(planned, _READY_DEADLINE_S, "a leader among the replicas")
+        outcome = await ask("POST", f"{root}/plans/{plan['id']}/confirm", {}, BOOTSTRAP_KEY)
+        if "outcome" not in outcome:
+            raise HarnessError(f"the configuration was not confirmed: {outcome}")
+
     async def _start_router(
-        self, path: Path, configuration: Path, seeds: list[str]
+        self, path: Path, replicas: list[dict[str, str]], seeds: list[str]
     ) -> DaemonProcess:
         """Start one router."""
         table = _read(path)
@@ -173,13 +218,21 @@
             "datagram_address": ANY_PORT,
             "peer_address": ANY_PORT,
             "seeds": seeds,
-            "replicas": [],
+            "replicas": replicas,
             "state_file": "",
-            "configuration_file": str(configuration),
             "drain_delay_s": 0.1,
         }
         return await self.harness.start_router(path.stem, table)
 
+    async def _all_ready(self) -> bool:
+        """Tell whether every router would take requests."""
+        for address in self.addresses():
+            response = await to_future(treq.get(f"http://{address}/readyz", persistent=False))
+            await to_future(response.content())
+            if response.code != 200:
+                return False
+        return True
+
     def addresses(self) -> list[str]:
         """Return the routers' addresses towards callers."""
         return [router.ready["http_address"] for router in self.routers]
--- a/benchmarks/measuring/run.py
+++ b/benchmarks/measuring/run.py
@@ -97,11 +97,14 @@
         plan = deployment.load_plan()
         phases = make_phases(plan, phase_s)
         turns, calls = make_trace(plan, phases, deployment.call_paths(), seed)
+        begun_s = time.monotonic()
         try:
             await deployment.start()
+            print(f"  started in {time.monotonic() - begun_s:.1f} s", flush=True)
             return await _drive(deployment, phases, turns, calls, fault)
         finally:
             await deployment.stop()
+            print(f"  ended after {time.monotonic() - begun_s:.1f} s", flush=True)
 
 
 async def _drive(
