--- /dev/null
+++ b/benchmarks/control_udp.py
@@ -0,0 +1,140 @@
+"""Run membership services on real UDP sockets of the loopback and print their cost.
+
+All services share one process and reactor; the processor time printed is that
+of the process, divided by the services.
+"""
+
+import time
+from random import Random
+
+import defopt
+from twisted.internet import reactor
+from twisted.internet.task import LoopingCall
+
+from damaskwind.decisions.membership.outputs import TargetGone
+from damaskwind.model.targets import (
+    Address,
+    LoadReport,
+    TargetAnnouncement,
+    TargetKind,
+    TargetState,
+)
+from damaskwind.router.membership.service import MembershipService, MembershipSettings
+
+__all__ = ["main"]
+
+LEASE_S = 15.0
+ANNOUNCEMENT_BYTES = 400
+DOMAINS = ("bangsar-hall", "cyberjaya-a", "shah-alam-b")
+
+
+class Run:
+    """The services and the targets that announce themselves to them."""
+
+    def __init__(self, routers: int, targets: int, seed: int) -> None:
+        self.random = Random(seed)
+        self.services: list[MembershipService] = []
+        self.sequence = 0
+        self.targets = [f"target-{index}" for index in range(targets)]
+        self.left_s: list[float] = []
+        self.heard_s: list[float] = []
+        addresses: list[Address] = []
+        for index in range(routers):
+            settings = MembershipSettings(
+                f"router-{index}",
+                "benchmark",
+                "key",
+                DOMAINS[index % len(DOMAINS)],
+                Address("127.0.0.1", 0),
+                Address("127.0.0.1", 1),
+                tuple(addresses[:2]),
+            )
+            service = MembershipService(settings, reactor, Random(seed + index))
+            service.subscribe(self._heard)
+            addresses.append(service.start())
+            self.services.append(service)
+
+    def _heard(self, event: object) -> None:
+        if isinstance(event, TargetGone) and self.left_s:
+            self.heard_s.append(time.monotonic() - self.left_s[-1])
+
+    def announce_all(self, state: TargetState = TargetState.SERVING) -> None:
+        """Let every target announce itself to a router of its domain."""
+        self.sequence += 1
+        for index, name in enumerate(self.targets):
+            domain = index % len(DOMAINS)
+            near = self.services[domain :: len(DOMAINS)]
+            announcement = TargetAnnouncement(
+                name,
+                1,
+                self.sequence,
+                TargetKind.ENGINE,
+                "pool",
+                DOMAINS[domain],
+                Address("127.0.0.1", 9),
+                state,
+                LEASE_S,
+                LoadReport(self.random.randrange(9999), 10_000, 1, 0, 0.1),
+            )
+            self.random.choice(near).announce(announcement, ANNOUNCEMENT_BYTES)
+
+
+def main(
+    *, routers: int = 8, targets: int = 9, settle_s: float = 15.0, measure_s: float = 20.0
+) -> None:
+    """Run the services, measure them, let all targets leave, and print.
+
+    :param routers: how many services
+    :param targets: how many targets
+    :param settle_s: seconds before measuring
+    :param measure_s: seconds to measure
+    """
+    run = Run(routers, targets, 1)
+    announcing = LoopingCall(run.announce_all)
+    announcing.start(2.0)
+    started = {}
+
+    def measure() -> None:
+        started["cpu_s"] = time.process_time()
+        for service in run.services:
+            service.node.pacer.reset_counters(service._clock())
+
+    def leave() -> None:
+        cpu_s = time.process_time() - started["cpu_s"]
+        core_share = cpu_s / measure_s / routers
+        counters = [service.counters() for service in run.services]
+        print(f"{routers} services, {targets} targets on UDP, {measure_s:.0f} s")
+        print(
+            f"  routers known {sorted({int(c['routers']) for c in counters})},"
+            f" targets known {sorted({int(c['targets']) for c in counters})}"
+        )
+        means = [c["mean_bytes_per_s"] for c in counters]
+        highest = max(c["highest_second_bytes"] for c in counters)
+        print(
+            f"  bytes/s mean {sum(means) / routers:.0f}, worst {max(means):.0f},"
+            f" highest second {highest:.0f}; core {100 * core_share:.2f}% a router;"
+            f" suspicions {sum(int(c['suspicions']) for c in counters)},"
+            f" dropped {sum(int(c['dropped_sends']) for c in counters)}"
+        )
+        announcing.stop()
+        run.left_s.append(time.monotonic())
+        run.announce_all(TargetState.LEAVING)
+
+    def finish() -> None:
+        expected = routers * targets
+        print(
+            f"  leaves heard {len(run.heard_s)} of {expected},"
+            f" the last after {max(run.heard_s, default=0):.2f} s"
+        )
+        for service in run.services:
+            service.stop()
+        reactor.callLater(0.5, reactor.stop)
+
+    reactor.callLater(settle_s, measure)
+    reactor.callLater(settle_s + measure_s, leave)
+    reactor.callLater(settle_s + measure_s + 5.0, finish)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/held.py
@@ -0,0 +1,46 @@
+"""A live target as a router holds it."""
+
+from damaskwind.decisions.membership.loads import load_key
+from damaskwind.decisions.membership.messages import TargetRecord
+from damaskwind.model.targets import TargetAnnouncement
+
+__all__ = ["MAX_LEASE_S", "HeldTarget", "record_of"]
+
+MAX_LEASE_S = 60.0
+MIN_LEASE_S = 1.0
+
+
+class HeldTarget:
+    """A live target: its record and what changes with each renewal."""
+
+    __slots__ = ("load_key", "measured_at_s", "observed", "record", "renewed_at_s", "transmissions")
+
+    def __init__(self, record: TargetRecord, renewed_at_s: float) -> None:
+        self.record = record
+        self.renewed_at_s = renewed_at_s
+        self.measured_at_s = renewed_at_s - record.load_lag_s
+        self.observed = False
+        self.transmissions = 0
+        self.load_key = load_key(record.target_id, record.incarnation)
+
+
+def record_of(announcement: TargetAnnouncement) -> TargetRecord:
+    """Turn a target's announcement into a record of age zero."""
+    load = announcement.load
+    return TargetRecord(
+        announcement.target_id,
+        announcement.incarnation,
+        announcement.sequence,
+        announcement.sequence,
+        announcement.kind,
+        announcement.service,
+        announcement.failure_domain,
+        announcement.address,
+        min(max(announcement.lease_s, MIN_LEASE_S), MAX_LEASE_S),
+        0.0,
+        max(load.age_s, 0.0),
+        load.load_tokens,
+        load.capacity_tokens,
+        announcement.models,
+        announcement.fencing,
+    )
--- a/packages/decisions/src/damaskwind/decisions/membership/targets.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/targets.py
@@ -17,11 +17,11 @@
     target_key,
     target_version,
 )
+from damaskwind.decisions.membership.held import MAX_LEASE_S, HeldTarget, record_of
 from damaskwind.decisions.membership.loads import (
     ENTRY_BYTES,
     MAX_AGE_S,
     PackedLoad,
-    load_key,
     pack_load,
     sequence_step,
     unpack_loads,
@@ -43,8 +43,6 @@
     "TargetTable",
 ]
 
-MAX_LEASE_S = 60.0
-MIN_LEASE_S = 1.0
 FOREIGN_LEASE_S = 180.0
 _NEVER_S = float("-inf")
 _FRESHER_BY_S = 0.5
@@ -62,42 +60,6 @@
     EXPIRED = "expired"
 
 
-class HeldTarget:
-    """A live target: its record and what changes with each renewal."""
-
-    __slots__ = ("load_key", "measured_at_s", "observed", "record", "renewed_at_s", "transmissions")
-
-    def __init__(self, record: TargetRecord, renewed_at_s: float) -> None:
-        self.record = record
-        self.renewed_at_s = renewed_at_s
-        self.measured_at_s = renewed_at_s - record.load_lag_s
-        self.observed = False
-        self.transmissions = 0
-        self.load_key = load_key(record.target_id, record.incarnation)
-
-
-def _record(announcement: TargetAnnouncement) -> TargetRecord:
-    """Turn a target's announcement into a record of age zero."""
-    load = announcement.load
-    return TargetRecord(
-        announcement.target_id,
-        announcement.incarnation,
-        announcement.sequence,
-        announcement.sequence,
-        announcement.kind,
-        announcement.service,
-        announcement.failure_domain,
-        announcement.address,
-        min(max(announcement.lease_s, MIN_LEASE_S), MAX_LEASE_S),
-        0.0,
-        max(load.age_s, 0.0),
-        load.load_tokens,
-        load.capacity_tokens,
-        announcement.models,
-        announcement.fencing,
-    )
-
-
 def _outlives(record: TargetRecord, tombstone: Tombstone) -> bool:
     """Tell whether a live record is later than a tombstone."""
     if record.incarnation != tombstone.incarnation:
@@ -130,7 +92,7 @@
 
     def announce(self, announcement: TargetAnnouncement, now_s: float) -> MergeOutcome:
         """Take a target's own word that it serves."""
-        record = _record(announcement)
+        record = record_of(announcement)
         held = self.held.get(record.target_id)
         same = held is not None and held.record.incarnation == record.incarnation
         if same and record.sequence <= held.record.renewed_sequence:
