--- a/packages/commands/src/damaskwind/commands/operator.py
+++ b/packages/commands/src/damaskwind/commands/operator.py
@@ -13,6 +13,7 @@
 from damaskwind.commands.operator_output import as_json, columns, nested, time_text
 from damaskwind.commands.operator_status import gather_status, status_text
 from damaskwind.control.operator_api.authentication import hash_key, make_key
+from damaskwind.control.operator_api.difference import redacted
 from damaskwind.model.configuration_change import change_from_table
 from damaskwind.model.configuration_codec import read_table_file
 
@@ -95,9 +96,9 @@
 
 
 def _objects_text(answer: dict[str, Any]) -> str:
-    """Return a configuration for people: a table for each kind."""
+    """Return a configuration for people: a table for each kind, keys by fingerprint."""
     parts = [f"revision {answer.get('revision', 0)}"]
-    for kind, objects in answer.items():
+    for kind, objects in redacted(answer).items():
         if not isinstance(objects, dict) or not objects:
             continue
         rows = list(objects.values())
--- a/packages/commands/src/damaskwind/commands/operator_output.py
+++ b/packages/commands/src/damaskwind/commands/operator_output.py
@@ -6,14 +6,20 @@
 
 import msgspec
 
+from damaskwind.model.configuration_codec import to_table
+
 __all__ = ["as_json", "columns", "nested", "time_text"]
 
 _INDENT = "  "
 
 
 def as_json(value: Any) -> str:
-    """Return a value as indented JSON."""
-    return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
+    """Return a value as indented JSON, typed ones as tables by field.
+
+    >>> as_json([])
+    '[]'
+    """
+    return msgspec.json.format(msgspec.json.encode(to_table(value)), indent=2).decode()
 
 
 def time_text(at_s: float) -> str:
@@ -25,8 +31,10 @@
     return datetime.fromtimestamp(at_s, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
 
 
-def _cell(value: Any) -> str:
-    """Return a value as the text of one cell."""
+def _cell(value: Any, key: str = "") -> str:
+    """Return a value as the text of one cell; `key` tells a time from a number."""
+    if key.endswith("at_s") and isinstance(value, int | float):
+        return time_text(value)
     if isinstance(value, float):
         return f"{value:.6g}"
     if isinstance(value, list | tuple):
@@ -59,7 +67,7 @@
 def _table_of(items: list[dict[str, Any]]) -> str:
     """Return tables as rows under all their keys."""
     titles = list(dict.fromkeys(key for item in items for key in item))
-    return columns(titles, [[item.get(title) for title in titles] for item in items])
+    return columns(titles, [[_cell(item.get(title), title) for title in titles] for item in items])
 
 
 def nested(value: Any, depth: int = 0) -> str:
@@ -80,5 +88,5 @@
         if _is_table_list(item) or (isinstance(item, dict) and item):
             lines += [f"{pad}{key}:", nested(item, depth + 1)]
         else:
-            lines.append(f"{pad}{key}: {_cell(item)}")
+            lines.append(f"{pad}{key}: {_cell(item, key)}")
     return "\n".join(lines)
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/tests/test_operator_with_replicas.py
@@ -0,0 +1,143 @@
+"""Tests of the operators' command line against real control replicas."""
+
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from twisted.trial.unittest import TestCase
+
+from damaskwind.commands.operator_client import ExitCode
+from damaskwind.control.operator_api.authentication import hash_key
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.standins.harness import Harness, free_addresses, wait_until
+
+BINARY = Path(sys.executable).with_name("damaskwind")
+DOMAINS = ("bangsar-hall", "cyberjaya-a", "shah-alam-b")
+BOOTSTRAP_KEY = "dw-bootstrap-secret"
+DEADLINE_S = 60.0
+
+
+def run_blocking(arguments, environment):
+    return subprocess.run(
+        [str(BINARY), *arguments], capture_output=True, text=True, timeout=60, env=environment
+    )
+
+
+def settings_of(index, addresses):
+    replicas = [
+        {"replica_id": f"control-{i}", "address": address, "failure_domain": DOMAINS[i]}
+        for i, address in enumerate(addresses[:3])
+    ]
+    node = {"node_id": f"control-{index}", "cluster": "test", "cluster_key": "key"}
+    node |= {"region": "kl-central", "failure_domain": DOMAINS[index]}
+    control = {"replica_address": addresses[index], "operator_address": addresses[3 + index]}
+    control["bootstrap_operator_key_hash"] = hash_key(BOOTSTRAP_KEY)
+    return {"node": node, "control": control | {"bootstrap_replicas": replicas}}
+
+
+class OperatorWithReplicasTest(TestCase):
+    def setUp(self):
+        self.temporary = TemporaryDirectory()
+        self.folder = Path(self.temporary.name)
+        self.harness = Harness(self.folder)
+        self.addresses = free_addresses(6)
+        self.key = BOOTSTRAP_KEY
+
+    def tearDown(self):
+        stopping = asyncio_test(self.harness.stop)()
+        return stopping.addBoth(lambda result: (self.temporary.cleanup(), result)[1])
+
+    async def start_all(self):
+        for index in range(3):
+            table = settings_of(index, self.addresses)
+            table["control"]["data_folder"] = str(self.folder / f"data-{index}")
+            await self.harness.start_control(f"control-{index}", table)
+        await wait_until(self.all_vote, DEADLINE_S, "three voters at each replica")
+
+    async def all_vote(self):
+        _code, told = await self.tell("status", "--json")
+        replicas = [body["replica"] for body in told["replicas"].values()]
+        return len(replicas) == 3 and all(len(body["voters"]) == 3 for body in replicas)
+
+    async def run_command(self, *arguments, at=(0, 1, 2)):
+        endpoints = ",".join(self.addresses[3 + index] for index in at)
+        environment = {"DAMASKWIND_ENDPOINTS": endpoints, "DAMASKWIND_KEY": self.key}
+        return await asyncio.to_thread(run_blocking, arguments, environment)
+
+    async def tell(self, *arguments, at=(0, 1, 2)):
+        done = await self.run_command(*arguments, at=at)
+        return done.returncode, json.loads(done.stdout) if done.stdout else done.stderr
+
+    async def plan(self, text, at=(0, 1, 2)):
+        path = self.folder / "intent.toml"
+        path.write_text(text, encoding="utf-8")
+        code, told = await self.tell("plan", str(path), "--json", at=at)
+        self.assertEqual(code, ExitCode.FINE, told)
+        return told["plan"]["id"]
+
+    async def confirm(self, plan_id, at=(0, 1, 2)):
+        code, told = await self.tell("confirm", plan_id, "--json", at=at)
+        self.assertEqual(code, ExitCode.FINE, told)
+        return told["outcome"]["revision"], told["repeated"]
+
+    async def confirm_somewhere(self, plan_id):
+        """Confirm as an operator would who resends until the outcome is known."""
+        done = await self.run_command("confirm", plan_id)
+        return done.returncode == ExitCode.FINE
+
+    async def leader(self):
+        _code, told = await self.tell("status", "--json")
+        named = {body["replica"]["leader"] for body in told["replicas"].values()}
+        return int(named.pop().rsplit("-", 1)[1]) if len(named) == 1 and "" not in named else None
+
+    @asyncio_test
+    async def test_confirmations_outlive_the_leader_and_a_restart_of_all(self):
+        await self.start_all()
+        key = "dw-operator-secret"
+        operator = f'[operators.mei]\nkey_hash = "{hash_key(key)}"\n'
+        first = await self.plan(operator + 'roles = ["planner", "confirmer"]\n', at=(0,))
+        self.assertEqual(await self.confirm(first, at=(1,)), (1, False))
+        self.assertEqual(await self.confirm(first, at=(2,)), (1, True))
+        self.key = key
+        batch = "[priority_classes.batch]\nrank = 5\nweight = 1\n"
+        planned = await self.plan(batch)
+        rival = await self.plan(batch.replace("batch", "night"))
+        leads = await wait_until(lambda: self.leader_number(), DEADLINE_S, "a leader")
+        await self.harness.processes[f"control-{leads - 1}"].kill()
+        await wait_until(
+            lambda: self.confirm_somewhere(planned), DEADLINE_S, "a confirmation without it"
+        )
+        self.assertEqual(await self.confirm(planned), (2, True))
+        code, told = await self.tell("confirm", rival, "--json")
+        self.assertEqual(code, ExitCode.REFUSED)
+        self.assertEqual(told["error"]["outcome"]["conflicts"][0]["plan_id"], planned)
+        for name in self.harness.processes:
+            await self.harness.processes[name].kill()
+        for name in self.harness.processes:
+            await self.harness.restart(name)
+        await wait_until(
+            lambda: self.confirm_somewhere(planned), DEADLINE_S, "the first outcome again"
+        )
+        self.assertEqual(await self.confirm(planned), (2, True))
+        await wait_until(self.all_verified, DEADLINE_S, "the same sound trail at each replica")
+        for index in (0, 1):
+            await self.harness.processes[f"control-{index}"].kill()
+        done = await self.run_command("plan", str(self.folder / "intent.toml"))
+        self.assertEqual(done.returncode, ExitCode.REFUSED)
+        self.assertIn("changed nothing", done.stderr)
+        logs = "".join(each.log_tail() for each in self.harness.processes.values())
+        for secret in (key, BOOTSTRAP_KEY, hash_key(key)):
+            self.assertNotIn(secret, logs)
+
+    async def leader_number(self):
+        """Return the leader's number from one on, so that it counts as true."""
+        index = await self.leader()
+        return None if index is None else index + 1
+
+    async def all_verified(self):
+        code, told = await self.tell("audit", "--verify", "--json")
+        heads = {report["verdict"]["head"]["sequence"] for report in told if report["holds"]}
+        return code == ExitCode.FINE and len(told) == 3 and len(heads) == 1
