--- a/packages/decisions/src/damaskwind/decisions/placement/placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/placer.py
@@ -66,6 +66,7 @@
         self.book = LoadBook()
         self._memory = SpillMemory()
         self._means: dict[int, _Mean] = {}
+        self._chosen_in: dict[str, Tier] = {}
         self._chats_in_flight: Counter[str] = Counter()
         self._chat_of_request: dict[str, str] = {}
         self.set_policy(policy_name, load_factor)
@@ -89,6 +90,7 @@
     def remove_target(self, target_id: str) -> None:
         """Forget a target."""
         self._table.remove(target_id)
+        self._chosen_in.pop(target_id, None)
         self.book.forget(target_id)
 
     def targets(self) -> tuple[TargetView, ...]:
@@ -116,6 +118,7 @@
     ) -> None:
         """Count a request that was just sent to a target."""
         self.book.started(request_id, target_id, need_tokens, now_s)
+        self._raise_mean(target_id, need_tokens)
         self._chat_of_request[request_id] = chat_digest
         self._chats_in_flight[chat_digest] += 1
 
@@ -156,7 +159,10 @@
             self._turns,
             now_s,
         )
-        return self._policy(situation)
+        choice = self._policy(situation)
+        if choice.target_id is not None:
+            self._chosen_in[choice.target_id] = tier
+        return choice
 
     def _place_far(
         self, pool: Pool, query: PlacementQuery, now_s: float, near_choice: PlacementChoice
@@ -172,6 +178,18 @@
         reason = PlacementReason.NONE_UNDER_BOUND if candidates else PlacementReason.NO_TARGET
         return PlacementChoice(None, reason, candidates)
 
+    def _raise_mean(self, target_id: str, need_tokens: float) -> None:
+        """Count a request in the mean that is kept, as its target's own load does.
+
+        Else a burst within one refresh would stand over the bound of a mean that
+        does not know of it, on targets that are all nearly idle.
+        """
+        tier = self._chosen_in.get(target_id)
+        mean = self._means.get(tier.number) if tier is not None else None
+        if mean is not None:
+            raised_tokens = mean.tokens + need_tokens / len(tier.target_ids)
+            self._means[tier.number] = mean._replace(tokens=raised_tokens)
+
     def _mean_tokens(self, tier: Tier, now_s: float) -> float:
         """Return the mean estimated load of a tier, computed again when it is old."""
         refresh_s = MEAN_REFRESH_S + MEAN_REFRESH_S_PER_TARGET * len(tier.target_ids)
