Account limits: book running requests past a lost lease, report accounts together

Change: units of a router that is not heard of stay booked for the longest request, until membership says that it died (set_routers). A burst on a small share no longer meets a refusal while the fleet-wide rate is free: the rate asked for pays the debt off in time.

--- a/packages/decisions/src/damaskwind/decisions/limits/allocator.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator.py
@@ -8,7 +8,7 @@
 sum of what is booked never exceeds the slice.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from damaskwind.decisions.limits.fair_share import fair_shares
 from damaskwind.decisions.limits.messages import (
@@ -55,6 +55,13 @@
         self.wanted_tokens_per_s = 0
         self.until_s = 0.0
         self.linger_s = 0.0
+        self.is_own = False
+
+    def stop_lingering(self) -> None:
+        """Book nothing beyond the leases: the router's requests ended with it."""
+        self.linger_s = self.until_s
+        for lease in self.leases:
+            lease.linger_s = lease.until_s
 
     def drop_expired(self, now_s: float) -> None:
         """Drop leases that are over, and what was reported when it is too old."""
@@ -133,6 +140,17 @@
             name: account for name, account in self._accounts.items() if name in self._slices
         }
 
+    def set_routers(self, alive: Collection[str]) -> None:
+        """Follow which routers of the own domain live.
+
+        The units of one that died come free with its leases. One of another domain
+        may be cut off only, and its units linger.
+        """
+        for account in self._accounts.values():
+            for router_id, share in account.shares.items():
+                if share.is_own and router_id not in alive:
+                    share.stop_lingering()
+
     def booked(self, account: str, now_s: float) -> AccountLimit:
         """Return the most that all routers together may be using of a slice."""
         known = self._accounts.get(account)
@@ -176,9 +194,9 @@
         share.wanted_tokens_per_s = demand.wanted_tokens_per_s
         units = self._units(account, report.router_id, demand.account, now_s)
         tokens_per_s = self._tokens_per_s(account, report.router_id, demand.account, now_s)
-        is_foreign = report.router_domain != self.domain
+        share.is_own = report.router_domain == self.domain
         share.until_s = now_s + self.policy.lease_s
-        share.linger_s = share.until_s + (self.policy.linger_s if is_foreign else 0.0)
+        share.linger_s = share.until_s + self.policy.linger_s
         lease = _Lease(report.sequence, units, tokens_per_s, share.until_s, share.linger_s)
         share.leases.append(lease)
         return AccountGrant(demand.account, units, tokens_per_s)
--- a/packages/decisions/src/damaskwind/decisions/limits/demand.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/demand.py
@@ -7,7 +7,7 @@
 
 UNMET_S = 1.0
 UNMET_LIMIT = 256
-HEADROOM = 1.5
+HEADROOM = 4.0
 
 
 class Demand:
@@ -42,12 +42,16 @@
         self.in_use = max(0, self.in_use + change)
         self._note_peak(now_s)
 
+    def unmet(self, now_s: float) -> int:
+        """Return how many requests were lately not let in at once."""
+        while self._unmet and self._unmet[0] <= now_s - UNMET_S:
+            self._unmet.popleft()
+        return len(self._unmet)
+
     def wanted(self, now_s: float) -> int:
         """Return how many requests at once to ask for."""
         self._note_peak(now_s)
-        while self._unmet and self._unmet[0] <= now_s - UNMET_S:
-            self._unmet.popleft()
-        return max(self._peaks[0][1], self.in_use + len(self._unmet))
+        return max(self._peaks[0][1], self.in_use + self.unmet(now_s))
 
     def wanted_tokens_per_s(self, now_s: float) -> int:
         """Return which rate to ask for; 0 when nothing came and nothing runs."""
--- a/packages/decisions/src/damaskwind/decisions/limits/holding.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/holding.py
@@ -115,7 +115,7 @@
         wait_s = self._bucket.wait_s(rate, now_s)
         if wait_s is not None and wait_s <= self.policy.wait_s:
             return False
-        return self._is_short(now_s) or rate >= self.demand.wanted_tokens_per_s(now_s) > 0
+        return self._is_short(now_s) or rate >= int(self._limit.max_tokens_per_s)
 
     def retry_after_s(self, now_s: float) -> float:
         """Return when a refused caller may come back."""
@@ -175,7 +175,7 @@
         """Tell whether an allocator that could not be told has let go by itself."""
         held = self._held.get(domain)
         asked_s = held.until_s if held else self.reported_s + self.policy.lease_s
-        return now_s >= asked_s + (self.policy.linger_s if domain != self.domain else 0.0)
+        return now_s >= asked_s + self.policy.linger_s
 
     def _live(self, domain: str, now_s: float) -> _Held | None:
         """Return the lease from a domain's slice if it holds anything now."""
@@ -212,7 +212,7 @@
         units = min(self.demand.wanted(now_s), self._limit.max_concurrent_requests)
         rate = self.demand.wanted_tokens_per_s(now_s)
         if units or rate:
-            rate = max(1, rate, int(self._bucket.debt() / self.policy.idle_s))
+            rate = max(1, rate, self._rate_for_debt(now_s))
         rate = min(rate, int(self._limit.max_tokens_per_s))
         floor = self._floor
         return (
@@ -220,6 +220,11 @@
             max(0, rate - int(floor.max_tokens_per_s)),
         )
 
+    def _rate_for_debt(self, now_s: float) -> int:
+        """Return the rate that pays the debt off, in time for those who wait if any do."""
+        within_s = self.policy.wait_s / 2 if self.demand.unmet(now_s) else self.policy.idle_s
+        return int(self._bucket.debt() / within_s)
+
     def _demand(
         self, account: str, domain: str, units: int, rate: int, now_s: float
     ) -> AccountDemand:
--- a/packages/decisions/src/damaskwind/decisions/limits/limiter.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/limiter.py
@@ -78,7 +78,7 @@
         until_s = wait_until_s
         if until_s is None:
             holding.demand.note_unmet(now_s)
-            self._due_s.setdefault(account, now_s + self.policy.renew_s)
+            self._due_s.setdefault(account, self._next_renewal_s(now_s))
             until_s = now_s + self.policy.wait_s
         if holding.is_hopeless(now_s) or now_s >= until_s:
             return self._refuse("the account's limit is reached", holding.retry_after_s(now_s))
@@ -86,6 +86,11 @@
             self._hasten(account, holding, now_s)
         return LimitDecision(LimitOutcome.WAIT, until_s)
 
+    def _next_renewal_s(self, now_s: float) -> float:
+        """Return when all accounts are reported next: together, so that datagrams are few."""
+        renew_s = self.policy.renew_s
+        return (now_s // renew_s + 1) * renew_s
+
     def _hasten(self, account: str, holding: AccountHolding, now_s: float) -> None:
         """Report an account soon, but not much more often than its reports go out."""
         soon_s = max(now_s, holding.reported_s + URGENT_GAP_S)
@@ -98,7 +103,7 @@
             return
         was_over = holding.is_over_share(now_s)
         holding.release(expected_tokens - used_tokens, now_s)
-        self._due_s.setdefault(account, now_s + self.policy.renew_s)
+        self._due_s.setdefault(account, self._next_renewal_s(now_s))
         if was_over:
             self._hasten(account, holding, now_s)
 
@@ -121,7 +126,7 @@
                 del self._due_s[account]
             else:
                 holding.reported_s = now_s
-                self._due_s[account] = now_s + self.policy.renew_s
+                self._due_s[account] = self._next_renewal_s(now_s)
         return [
             report
             for (domain, allocator), demands in batches.items()
--- a/packages/decisions/src/damaskwind/decisions/limits/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/messages.py
@@ -31,13 +31,14 @@
     `idle_s` how long an unused share is kept, `burst_s` how many seconds of its
     rate a token bucket saves up. `floor_share` of a domain's slice is divided
     over `floor_routers` routers, whether they exist or not: what a router that
-    no allocator answers may still use. `linger_s` keeps units lent to another
-    domain booked after their lease ends, since their requests may still run.
+    no allocator answers may still use. `linger_s` keeps the units of a router that
+    is not heard of, and not known to be dead, booked after their lease ended,
+    since their requests may still run; it covers the longest request.
     """
 
-    lease_s: float = 3.0
-    renew_s: float = 1.0
-    idle_s: float = 3.0
+    lease_s: float = 6.0
+    renew_s: float = 2.0
+    idle_s: float = 6.0
     burst_s: float = 2.0
     wait_s: float = 0.5
     retry_after_s: float = 1.0
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
@@ -17,7 +17,7 @@
     """Routers named `domain/number`; every one may allocate for its domain."""
 
     def __init__(self, domains, routers_per_domain, limits, policy=None, **network):
-        self.policy = policy or LimitPolicy()
+        self.policy = policy or LimitPolicy(lease_s=3.0, renew_s=1.0, idle_s=3.0)
         self.random = Random(network.get("seed", 1))
         self.loss = network.get("loss", 0.0)
         self.delay_s = network.get("delay_s", 0.002)
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/histories.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/histories.py
@@ -64,6 +64,8 @@
         allocator = self.allocator_class(heir, domain, fleet.policy, fleet.now_s)
         allocator.set_limits(fleet.limits, DOMAINS)
         fleet.allocators[heir] = allocator
+        for name in fleet.routers[domain]:
+            fleet.allocators[name].set_routers(fleet.routers[domain])
 
     def is_broken(self) -> bool:
         share = self.fleet.total_share(ACCOUNT)
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/test_fleet.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/test_fleet.py
@@ -108,6 +108,23 @@
         for limiter in fleet.limiters.values():
             self.assertEqual(limiter.share("x", fleet.now_s), AccountLimit(10, 10))
 
+    def test_units_of_a_dead_router_come_free_with_its_lease(self):
+        fleet = Fleet(("a",), 3, {"x": AccountLimit(2, 1000.0)})
+        dead = next(
+            name for name in fleet.routers["a"] if name != choose_allocator("x", fleet.routers["a"])
+        )
+        for _ in range(2):
+            fleet.request(dead, "x", 60.0)
+        self.run_for(fleet, 1.0)
+        self.assertEqual(fleet.total_running("x"), 2)
+        fleet.limiters.pop(dead)
+        fleet.running.pop(dead)
+        allocator = fleet.allocators[choose_allocator("x", fleet.routers["a"])]
+        self.run_for(fleet, 10.0)
+        self.assertEqual(allocator.booked("x", fleet.now_s).max_concurrent_requests, 2)
+        allocator.set_routers([name for name in fleet.routers["a"] if name != dead])
+        self.assertEqual(allocator.booked("x", fleet.now_s).max_concurrent_requests, 0)
+
     def test_idle_fleet_sends_nothing(self):
         fleet = Fleet(DOMAINS, 2, {"x": AccountLimit(6, 1000.0)})
         self.run_for(fleet, 3.0, self.everywhere(fleet, "x"))
--- a/packages/router/src/damaskwind/router/claims/tests/holders.py
+++ b/packages/router/src/damaskwind/router/claims/tests/holders.py
@@ -37,7 +37,7 @@
         holder = ClaimHolder(holder_id, incarnation, self.ids, self.policy, time.monotonic(), first)
         service = ClaimHolderService(holder, CallVerifier(CLUSTER, KEY), time.monotonic)
         before = self.addresses.get(holder_id, Address("127.0.0.1", 0))
-        listener = socket.socket()
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(tuple(before))
         server = Server([service])
