--- a/packages/control/src/damaskwind/control/operator_api/intent_service.py
+++ b/packages/control/src/damaskwind/control/operator_api/intent_service.py
@@ -30,6 +30,7 @@
 from damaskwind.control.state.outcome import ApplyResult, ResultStatus, decode_result
 from damaskwind.control.state.plan_book import KEPT_OUTCOMES
 from damaskwind.decisions.placement.placer import PLACEMENT_POLICIES
+from damaskwind.decisions.replication.messages import RefusalReason
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.configuration_change import (
     ConfigurationChange,
@@ -101,7 +102,8 @@
     async def _commit(self, command: Any, ask: str) -> ApplyResult:
         """Commit a command and return its result; refuse truthfully otherwise."""
         outcome = await self._port.propose(encode_command(command), self._limits.commit_timeout_s)
-        if outcome.verdict is not CommitVerdict.COMMITTED:
+        # A replica that caught up by a snapshot has the state but no result of the command.
+        if outcome.verdict is not CommitVerdict.COMMITTED or not outcome.result:
             raise _commit_refusal(outcome, ask)
         result = decode_result(outcome.result)
         if result.status is ResultStatus.FORBIDDEN:
@@ -215,6 +217,11 @@
         done = RecordCommand(self.actor(operator, origin), action, subject, str(outcome.verdict))
         # Best effort: the removal of this very replica may have ended its leadership.
         await self._port.propose(encode_command(done), self._limits.commit_timeout_s)
+        if outcome.detail == RefusalReason.INVALID_CHANGE:
+            raise OperatorRefusedError(
+                OperatorCode.BAD_REQUEST,
+                f"'{action}' of '{replica_id}' is no change that can be made to the replicas",
+            )
         if outcome.verdict is not CommitVerdict.COMMITTED:
             raise _commit_refusal(outcome, ask)
         return {"action": action, "replica_id": replica_id, "verdict": str(outcome.verdict)}
--- a/packages/control/src/damaskwind/control/operator_api/tests/shared_log.py
+++ b/packages/control/src/damaskwind/control/operator_api/tests/shared_log.py
@@ -16,7 +16,7 @@
 class FakeReplica:
     """One replica's port on the shared log; `moods` tells how next proposals fare.
 
-    `commit` is the ordinary one; `lost_answer` commits and says unknown;
+    `commit` is the ordinary one; `no_result` commits without telling the result; `lost_answer` commits and says unknown;
     `lost_command` says unknown and commits nothing; `refuse` refuses; `explode`
     raises an error that quotes the command.
     """
@@ -53,6 +53,8 @@
         result = self.catch_up()
         if mood == "lost_answer":
             return CommitOutcome(CommitVerdict.UNKNOWN)
+        if mood == "no_result":
+            result = b""
         return CommitOutcome(CommitVerdict.COMMITTED, result)
 
     async def read_current(self, timeout_s):
@@ -64,4 +66,6 @@
         return {"role": "leader", "members": []}
 
     async def change_membership(self, action, replica_id, address, failure_domain, timeout_s):
+        if replica_id == "unknown":
+            return CommitOutcome(CommitVerdict.REFUSED, detail="invalid-change")
         return CommitOutcome(CommitVerdict.COMMITTED)
--- a/packages/control/src/damaskwind/control/operator_api/tests/test_http_api.py
+++ b/packages/control/src/damaskwind/control/operator_api/tests/test_http_api.py
@@ -143,6 +143,9 @@
         body = {"action": "remove", "replica_id": "control-9"}
         status, answer = await self.ask("POST", "/replicas", body=body)
         self.assertEqual(status, 200, answer)
+        wrong = {"action": "remove", "replica_id": "unknown"}
+        status, answer = await self.ask("POST", "/replicas", body=wrong)
+        self.assertEqual((status, answer["error"]["nothing_changed"]), (400, True))
         status, answer = await self.ask("POST", "/replicas", VIEWER_KEY, body)
         self.assertEqual(status, 403)
         status, answer = await self.ask("GET", "/status", VIEWER_KEY)
--- a/packages/control/src/damaskwind/control/operator_api/tests/test_intent_service.py
+++ b/packages/control/src/damaskwind/control/operator_api/tests/test_intent_service.py
@@ -91,6 +91,16 @@
         self.assertEqual(again["outcome"]["revision"], 2)
         self.assertEqual(fleet.revision(2), 3)
 
+    @asyncio_test
+    async def test_a_commit_without_its_result_is_not_known_and_told_when_resent(self):
+        fleet = await started_fleet()
+        plan = await fleet.plan(0, "mei", priority_class("batch", 5))
+        fleet.replicas[0].moods.append("no_result")
+        unknown = await self.refusal(fleet.confirm(0, "mei", plan["id"]))
+        self.assertEqual(unknown.code, OperatorCode.OUTCOME_UNKNOWN)
+        again = await fleet.confirm(1, "mei", plan["id"])
+        self.assertEqual((again["repeated"], again["outcome"]["revision"]), (True, 2))
+
     @asyncio_test
     async def test_confirm_that_was_lost_before_the_log_commits_when_resent(self):
         fleet = await started_fleet()
