Leases wait for the gossip: warm-up, and no lease below 3.5 mean renewal gaps

A fleet of 50 routers and 250 targets that started cold at 5% loss stayed congested: routers ended leases whose renewals the crowded gossip had not brought yet, and the returning targets crowded it further. Leaves are passed on until four copies were heard.

--- a/packages/decisions/src/damaskwind/decisions/membership/core.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/core.py
@@ -10,6 +10,7 @@
 
 from damaskwind.decisions.membership.announcing import AnnouncementPace
 from damaskwind.decisions.membership.handlers import HANDLERS
+from damaskwind.decisions.membership.held import MAX_LEASE_S
 from damaskwind.decisions.membership.messages import (
     GoneReason,
     Message,
@@ -69,6 +70,8 @@
         )
         self._next_upkeep_s = now_s + _UPKEEP_S
         self._left = False
+        self._started_s = now_s
+        self.target_table.lease_floor_s = self._lease_floor_s()
 
     @property
     def now_s(self) -> float:
@@ -116,6 +119,14 @@
         routers = max(len(self.router_table.ring(domain)), 1)
         return targets / routers
 
+    def _lease_floor_s(self) -> float:
+        """Return the shortest lease that the gossip can keep up now."""
+        if self.now_s < self._started_s + self.parameters.warm_up_s:
+            return MAX_LEASE_S
+        by_budget_s = self._announcements.lease_floor_s(self._near_targets_per_router())
+        by_gap_s = self.parameters.gaps_per_lease * self.target_table.renewal_gap_s
+        return min(max(by_budget_s, by_gap_s), MAX_LEASE_S)
+
     def observe_load(self, target_id: str, report: LoadReport, now_s: float) -> None:
         """Take a load that came with an engine's answer."""
         self._state.advance(now_s)
@@ -175,8 +186,7 @@
         for target_id in self._state.damper.release(self.now_s):
             self._state.tell_target(target_id)
         if self._prober.start_round(self.now_s):
-            per_router = self._near_targets_per_router()
-            self.target_table.lease_floor_s = self._announcements.lease_floor_s(per_router)
+            self.target_table.lease_floor_s = self._lease_floor_s()
             self._state.sends += self._gossip.round(self.seeds, self.now_s)
         self._state.sends += self._gossip.flood(self.now_s)
         self._upkeep()
--- a/packages/decisions/src/damaskwind/decisions/membership/parameters.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/parameters.py
@@ -11,7 +11,11 @@
     A round probes one peer. `suspicion_s` is the time a suspect has to refute.
     `fanout` counts the peers that news is flooded to in the own domain,
     `foreign_fanout` the other domains that a relay passes it to.
-    `overdue_share` of a lease without a renewal makes a router ask its peers.
+    For `warm_up_s` after its start a router lets no lease of its domain end
+    before the longest one, and later none before `gaps_per_lease` times the
+    mean gap between the renewals that it hears: a lease must not judge targets
+    by the state of the gossip. `overdue_share` of a lease without a renewal
+    makes a router ask its peers.
     """
 
     control_bytes_per_s: int = 4096
@@ -33,4 +37,6 @@
     overdue_share: float = 0.5
     overdue_limit: int = 12
     rounds_per_lost_probe: int = 5
+    warm_up_s: float = 90.0
+    gaps_per_lease: float = 3.5
     announcement_share: float = 0.16
--- a/packages/decisions/src/damaskwind/decisions/membership/rumours.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/rumours.py
@@ -23,6 +23,7 @@
 __all__ = ["Rumour", "RumourQueue", "news_of", "split_news", "transmissions_limit"]
 
 COPIES_ENOUGH = 2
+COPIES_OF_LEAVES_ENOUGH = 4
 LIFETIME_S = 10.0
 QUEUE_LIMIT = 2000
 JOINS_LIMIT = 8
@@ -45,6 +46,7 @@
 
     __slots__ = (
         "born_s",
+        "copies_enough",
         "copies",
         "far_floods",
         "floods",
@@ -62,6 +64,8 @@
         self.born_s = now_s
         self.sends = 0
         self.copies = 0
+        leaves = urgency == Urgency.LEAVE
+        self.copies_enough = COPIES_OF_LEAVES_ENOUGH if leaves else COPIES_ENOUGH
         self.size_bytes = estimate_bytes(item)
 
 
@@ -162,7 +166,7 @@
         count = "far_floods" if far else "floods"
         waiting = [r for r in self._rumours.values() if getattr(r, count) < fanout]
         for rumour in sorted(waiting, key=self._order):
-            if rumour.copies >= COPIES_ENOUGH:
+            if rumour.copies >= rumour.copies_enough:
                 setattr(rumour, count, _FLOODED)
                 continue
             if rumour.size_bytes > limit_bytes:
--- a/packages/decisions/src/damaskwind/decisions/membership/targets.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/targets.py
@@ -46,6 +46,7 @@
 FOREIGN_LEASE_S = 180.0
 _NEVER_S = float("-inf")
 _FRESHER_BY_S = 0.5
+_GAP_WEIGHT = 0.02
 
 
 class MergeOutcome(Enum):
@@ -74,6 +75,7 @@
     def __init__(self, failure_domain: str, digests: DigestTable) -> None:
         self.failure_domain = failure_domain
         self.lease_floor_s = 0.0
+        self.renewal_gap_s = 0.0
         self.held: dict[str, HeldTarget] = {}
         self._digests = digests
         self.tombstones = TombstoneTable()
@@ -329,6 +331,9 @@
 
     def _renew(self, held: HeldTarget, sequence: int, renewed_at_s: float) -> None:
         """Move a lease on."""
+        if held.record.failure_domain == self.failure_domain:
+            gap_s = max(renewed_at_s - held.renewed_at_s, 0.0)
+            self.renewal_gap_s += _GAP_WEIGHT * (gap_s - self.renewal_gap_s)
         held.record = held.record._replace(renewed_sequence=sequence)
         held.renewed_at_s = max(held.renewed_at_s, renewed_at_s)
         held.transmissions = 0
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/samples.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/samples.py
@@ -70,6 +70,7 @@
         self, me: RouterRecord, parameters: MembershipParameters | None = None
     ) -> MembershipCore:
         seeds = (router(0).address,)
+        parameters = parameters or MembershipParameters(warm_up_s=0.0)
         core = MembershipCore(me, seeds, Random(self.random.random()), self.now_s, parameters)
         self.cores[me.address] = core
         return core
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/test_core.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/test_core.py
@@ -8,6 +8,7 @@
     TargetChanged,
     TargetGone,
 )
+from damaskwind.decisions.membership.parameters import MembershipParameters
 from damaskwind.decisions.membership.tests.samples import Network, announcement, router
 from damaskwind.model.targets import TargetState
 
@@ -65,6 +66,15 @@
         reasons = {e.reason.name for _, _, e in network.events if isinstance(e, TargetGone)}
         self.assertEqual(reasons, {"LAPSED"})
 
+    def test_a_router_that_just_started_judges_no_target_by_its_lease(self):
+        network = Network([])
+        core = network.add(router(0), MembershipParameters(warm_up_s=90.0))
+        core.announce(announcement(lease_s=6.0), 0.0)
+        core.tick(50.0)
+        self.assertEqual(len(core.targets(50.0)), 1)
+        core.tick(61.0)
+        self.assertEqual(core.targets(61.0), [])
+
     def test_renewals_heard_by_one_router_keep_the_target_at_all(self):
         network = self.settled(["a"] * 6)
         for sequence in range(1, 21):
