--- a/packages/decisions/src/damaskwind/decisions/load/estimate.py
+++ b/packages/decisions/src/damaskwind/decisions/load/estimate.py
@@ -18,7 +18,7 @@
 
 __all__ = ["LoadBook", "TargetLoad"]
 
-DRIFT_WINDOW_S = 5.0
+DRIFT_WINDOW_S = 30.0
 VARIANCE_WINDOW_S = 20.0
 MAX_EXTRAPOLATION_S = 2.0
 SILENT_AFTER_S = 15.0
@@ -33,6 +33,7 @@
 
     __slots__ = (
         "_drift_tokens_per_s",
+        "_learned_s",
         "_measured_s",
         "_own_in_flight",
         "_own_since",
@@ -49,6 +50,7 @@
         self.capacity_tokens = 0
         self._drift_tokens_per_s = 0.0
         self._variance_per_s = 0.0
+        self._learned_s = 0.0
         self._own_in_flight: dict[str, float] = {}
         self._own_tokens = 0.0
         self._own_since: deque[tuple[float, float]] = deque()
@@ -72,8 +74,9 @@
         """Learn the peers' drift and its variance from the step between two reports."""
         step_s = max(step_s, MIN_STEP_S)
         surprise_tokens = moved_tokens - self._drift_tokens_per_s * step_s
-        drift_gain = 1.0 - exp(-step_s / DRIFT_WINDOW_S)
-        variance_gain = 1.0 - exp(-step_s / VARIANCE_WINDOW_S)
+        self._learned_s += step_s
+        drift_gain = _gain(step_s, self._learned_s, DRIFT_WINDOW_S)
+        variance_gain = _gain(step_s, self._learned_s, VARIANCE_WINDOW_S)
         self._drift_tokens_per_s += drift_gain * surprise_tokens / step_s
         self._variance_per_s += variance_gain * (
             surprise_tokens * surprise_tokens / step_s - self._variance_per_s
@@ -129,6 +132,11 @@
         return sqrt(self._variance_per_s * (now_s - self._measured_s))
 
 
+def _gain(step_s: float, learned_s: float, window_s: float) -> float:
+    """Weigh a step as in a plain mean while little is known, then as in a window's mean."""
+    return max(1.0 - exp(-step_s / window_s), step_s / learned_s)
+
+
 class LoadBook:
     """The loads of every target that one router knows.
 
