Announce commits at once; benchmark of the control plane

Before, other replicas and their followers learned of a commit with the next heartbeat: confirm at another replica p50 203 ms, confirm to in force p50 164 ms (8 followers, 10 accounts, one process, busy machine; benchmarks.control_plane). The leader now begins a round after it applied; many commits share one. A starting follower waits for its stream before it asks everyone: it fetched the whole configuration four times.

--- /dev/null
+++ b/benchmarks/control_cluster.py
@@ -0,0 +1,148 @@
+"""Run control replicas and followers in this process, for measurements."""
+
+import asyncio
+import hashlib
+import socket
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+from grpclib.server import Server
+
+from damaskwind.control.operator_api.intent_service import IntentLimits, IntentService
+from damaskwind.control.replica.node import ReplicaNode, open_replica
+from damaskwind.control.state.configuration_machine import ConfigurationMachine
+from damaskwind.control.storage.files import FileSystem
+from damaskwind.router.configuration.follower import ConfigurationFollower
+from damaskwind.runtime.settings import ControlSettings, NodeSettings, ReplicaSettings
+from damaskwind.wire.authentication import CallSigner, CallVerifier
+from damaskwind.wire.follow_service import FollowService
+
+__all__ = [
+    "BOOTSTRAP",
+    "ORIGIN",
+    "RunningReplica",
+    "account_table",
+    "base_intent",
+    "make_follower",
+    "start_replica",
+    "start_replicas",
+]
+
+BOOTSTRAP = "bootstrap"
+ORIGIN = "127.0.0.1"
+CLUSTER = "measured"
+KEY = "cluster-key"
+WAIT_S = 30.0
+
+
+class RunningReplica(NamedTuple):
+    """One replica with all that it serves, and how long recovering its files took."""
+
+    node: ReplicaNode
+    machine: ConfigurationMachine
+    intents: IntentService
+    server: Server
+    recovery_s: float
+
+    async def stop(self) -> None:
+        """Stop the replica."""
+        await self.node.stop()
+        self.server.close()
+        await self.server.wait_closed()
+
+
+def _free_address() -> str:
+    """Return an address on loopback that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def start_replica(
+    folder: Path, name: str, bootstrap: tuple[ReplicaSettings, ...], snapshot_every_entries: int
+) -> RunningReplica:
+    """Start one replica of the configuration's log."""
+    mine = next(item for item in bootstrap if item.replica_id == name)
+    node = NodeSettings(name, CLUSTER, KEY, "region", mine.failure_domain)
+    control = ControlSettings(
+        mine.address,
+        "127.0.0.1:0",
+        str(folder / name),
+        bootstrap,
+        snapshot_every_entries=snapshot_every_entries,
+    )
+    machine = ConfigurationMachine()
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    opened = open_replica(node, control, machine, FileSystem(), Random(name))
+    recovery_s = loop.time() - started_s
+    replica = opened.replica
+    verifier = CallVerifier(CLUSTER, KEY)
+    follow = FollowService(verifier, lambda: replica.is_current, lambda *report: None)
+    replica.on_applied.append(lambda: follow.publish(machine.configuration))
+    server = Server([opened.service, follow])
+    host, _, port = mine.address.partition(":")
+    await server.start(host, int(port))
+    opened.start(node, control, mine.address)
+    intents = IntentService(opened.access, machine, IntentLimits())
+    return RunningReplica(opened, machine, intents, server, recovery_s)
+
+
+async def start_replicas(
+    folder: Path, count: int, snapshot_every_entries: int = 1000
+) -> tuple[list[RunningReplica], tuple[ReplicaSettings, ...]]:
+    """Start a cluster and wait until all vote and one leads; the leader comes first."""
+    bootstrap = tuple(
+        ReplicaSettings(f"replica-{i}", _free_address(), f"domain-{i}") for i in range(count)
+    )
+    running = [
+        await start_replica(folder, item.replica_id, bootstrap, snapshot_every_entries)
+        for item in bootstrap
+    ]
+
+    def is_settled() -> bool:
+        cores = [item.node.replica.core for item in running]
+        all_vote = all(len(core.membership.voters) == count for core in cores)
+        return all_vote and any(core.role == "leader" for core in cores)
+
+    if not await running[0].node.replica.wait_until(is_settled, WAIT_S):
+        raise RuntimeError("no cluster came about")
+    running.sort(key=lambda item: not item.node.replica.is_leader)
+    return running, bootstrap
+
+
+def make_follower(
+    name: str, bootstrap: tuple[ReplicaSettings, ...], domain: str
+) -> ConfigurationFollower:
+    """Return a follower that is not started yet."""
+    return ConfigurationFollower(name, domain, CallSigner(CLUSTER, KEY, name), bootstrap, Random(1))
+
+
+def account_table(name: str, concurrent: int) -> dict[str, Any]:
+    """Return a client account as operators state it."""
+    return {
+        "key_hashes": [hashlib.sha256(f"{name}-{i}".encode()).hexdigest() for i in range(2)],
+        "priority_class": "interactive",
+        "max_concurrent_requests": concurrent,
+        "max_tokens_per_s": 20000.0,
+        "models": [{"model": "damask", "version": "1"}],
+    }
+
+
+def base_intent(account_count: int) -> dict[str, Any]:
+    """Return the first intent of a fleet: a model, its pool and client accounts."""
+    return {
+        "priority_classes": {"interactive": {"rank": 0, "weight": 4}},
+        "models": {
+            "damask": {
+                "service": "pool",
+                "default_version": "1",
+                "versions": [{"version": "1"}],
+            }
+        },
+        "services": {"pool": {"kind": "engine"}},
+        "accounts": {
+            f"account-{i}": account_table(f"account-{i}", 32) for i in range(account_count)
+        },
+    }
--- /dev/null
+++ b/benchmarks/control_plane.py
@@ -0,0 +1,251 @@
+"""Measure the control plane: confirms, restart, time to in force, bytes, memory.
+
+    .venv/bin/python -m benchmarks.control_plane
+
+Three replicas and the followers share one process and one loop here, so that
+latencies are upper bounds; the memory is that of a `damaskwindd control` process
+of its own.
+"""
+
+import argparse
+import asyncio
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from statistics import quantiles
+
+from loguru import logger
+
+from benchmarks.control_cluster import (
+    BOOTSTRAP,
+    ORIGIN,
+    RunningReplica,
+    account_table,
+    base_intent,
+    make_follower,
+    start_replica,
+    start_replicas,
+)
+from damaskwind.control.state.command import Actor, RecordCommand, encode_command
+
+FSYNC_BYTES = 600
+DEADLINE_S = 30.0
+SNAPSHOT_NEVER = 10**9
+SNAPSHOT_EVERY = 900
+
+
+def spread(values_s: list[float]) -> str:
+    """Return the median and the 99th of a hundred, in milliseconds."""
+    cuts = quantiles(values_s, n=100)
+    return f"p50 {cuts[49] * 1000:.2f} ms, p99 {cuts[98] * 1000:.2f} ms (n={len(values_s)})"
+
+
+def fsync_times(folder: Path, count: int) -> list[float]:
+    """Append and fsync, over and over, and return how long each took."""
+    durations_s = []
+    descriptor = os.open(folder / "probe", os.O_CREAT | os.O_WRONLY | os.O_APPEND)
+    try:
+        for _ in range(count):
+            started_s = time.perf_counter()
+            os.write(descriptor, b"x" * FSYNC_BYTES)
+            os.fsync(descriptor)
+            durations_s.append(time.perf_counter() - started_s)
+    finally:
+        os.close(descriptor)
+    return durations_s
+
+
+def record(number: int) -> bytes:
+    """Return a command that only adds to the audit trail."""
+    actor = Actor(BOOTSTRAP, ORIGIN, float(number))
+    return encode_command(RecordCommand(actor, "measure", f"change {number}", "noted"))
+
+
+async def change(replica: RunningReplica, intent: dict) -> tuple[float, float]:
+    """Plan and confirm an intent; return the seconds that each took."""
+    started_s = time.perf_counter()
+    plan = await replica.intents.plan(BOOTSTRAP, ORIGIN, intent)
+    planned_s = time.perf_counter()
+    await replica.intents.confirm(BOOTSTRAP, ORIGIN, plan["plan"]["id"])
+    return planned_s - started_s, time.perf_counter() - planned_s
+
+
+async def measure_confirms(folder: Path, sequential: int, parallel: int) -> None:
+    """Print confirm latency beside fsync time, and confirms a second."""
+    print(f"fsync of {FSYNC_BYTES} appended bytes: {spread(fsync_times(folder, sequential))}")
+    running, _ = await start_replicas(folder, 3)
+    leader, other = running[0], running[1]
+    await change(leader, base_intent(10))
+    for label, replica in (("the leader", leader), ("another replica", other)):
+        times = []
+        for number in range(sequential // 2):
+            intent = {"accounts": {"account-1": account_table("account-1", number % 7 + 1)}}
+            times.append((await change(replica, intent))[1])
+        print(f"confirm at {label}, one at a time: {spread(times)}")
+    syncs_s = leader.node.replica.writer.sync_durations_s
+    print(f"journal write with fsync in that run: {spread(syncs_s)}")
+    groups = leader.node.replica.writer.group_count
+    started_s = time.perf_counter()
+    for first in range(0, parallel, 64):
+        calls = [leader.node.access.propose(record(first + i), DEADLINE_S) for i in range(64)]
+        await asyncio.gather(*calls)
+    seconds = time.perf_counter() - started_s
+    groups = leader.node.replica.writer.group_count - groups
+    count = -(-parallel // 64) * 64
+    print(
+        f"commits, 64 at a time: {count / seconds:.0f} a second, {count / groups:.1f} to one fsync"
+    )
+    for replica in running:
+        await replica.stop()
+
+
+async def measure_restart(folder: Path, changes: int, snapshot_every_entries: int) -> None:
+    """Print how long a replica takes to come back after some changes."""
+    running, bootstrap = await start_replicas(folder, 1, snapshot_every_entries)
+    replica = running[0]
+    await change(replica, base_intent(10))
+    for first in range(0, changes, 100):
+        calls = [replica.node.access.propose(record(first + i), DEADLINE_S) for i in range(100)]
+        await asyncio.gather(*calls)
+    last_index = replica.node.replica.state.applied_index
+    await replica.stop()
+    started_s = time.perf_counter()
+    back = await start_replica(folder, "replica-0", bootstrap, snapshot_every_entries)
+    replayed = await back.node.replica.wait_until(
+        lambda: back.node.replica.state.applied_index >= last_index, DEADLINE_S
+    )
+    seconds = time.perf_counter() - started_s
+    kind = (
+        "no snapshot"
+        if snapshot_every_entries == SNAPSHOT_NEVER
+        else f"a snapshot every {SNAPSHOT_EVERY}"
+    )
+    size_bytes = sum(path.stat().st_size for path in (folder / "replica-0").glob("*.*"))
+    print(
+        f"restart after {changes} changes, {kind}: files {back.recovery_s * 1000:.0f} ms,"
+        f" state current after {seconds * 1000:.0f} ms with the election of 1 to 2 s,"
+        f" {size_bytes / 1024:.0f} KiB on disk, complete: {replayed}"
+    )
+    await back.stop()
+
+
+async def measure_in_force(
+    folder: Path, accounts: int, followers: int, changes: int, idle_s: float
+) -> None:
+    """Print the time from a confirm to in force, and the bytes of a follower."""
+    running, bootstrap = await start_replicas(folder, 3)
+    await change(running[0], base_intent(accounts))
+    books = [make_follower(f"router-{i}", bootstrap, f"domain-{i % 3}") for i in range(followers)]
+    applied: dict[int, list[float]] = {}
+    for follower in books:
+        follower.subscribe(
+            lambda whole: applied.setdefault(whole.revision, []).append(time.perf_counter())
+        )
+        await follower.start()
+    while not all(follower.is_ready for follower in books):
+        await asyncio.sleep(0.05)
+    first_bytes = books[0].received_bytes + books[0].sent_bytes
+    await asyncio.sleep(idle_s)
+    idle = (books[0].received_bytes + books[0].sent_bytes - first_bytes) / idle_s
+    delays_s: list[float] = []
+    before = books[0].received_bytes + books[0].sent_bytes
+    started_s = time.perf_counter()
+    for number in range(changes):
+        intent = {"accounts": {"account-1": account_table("account-1", number % 7 + 1)}}
+        await change(running[0], intent)
+        confirmed_s = time.perf_counter()
+        revision = running[0].machine.configuration.revision
+        while len(applied.get(revision, ())) < followers:
+            await asyncio.sleep(0.001)
+        delays_s += [max(at_s - confirmed_s, 0.0) for at_s in applied[revision]]
+    spent = books[0].received_bytes + books[0].sent_bytes - before
+    per_change = (spent - idle * (time.perf_counter() - started_s)) / changes
+    print(
+        f"{accounts} accounts, {followers} followers: confirm to in force {spread(delays_s)},"
+        f" most {max(delays_s) * 1000:.1f} ms"
+    )
+    print(
+        f"{accounts} accounts: first configuration {first_bytes} bytes, idle {idle:.0f} bytes a"
+        f" second, {per_change:.0f} bytes a change (both directions, heads estimated)"
+    )
+    for item in (*books, *running):
+        await item.stop()
+
+
+def resident_kib(pid: int) -> int:
+    """Return the resident memory of a process."""
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    raise RuntimeError("no VmRSS")
+
+
+def measure_memory(folder: Path) -> None:
+    """Print the memory of a control process of its own after start."""
+    ready = folder / "ready"
+    settings = folder / "control.toml"
+    settings.write_text(
+        '[node]\nnode_id = "a"\ncluster = "measured"\ncluster_key = "k"\n'
+        'region = "r"\nfailure_domain = "d"\n'
+        '[control]\nreplica_address = "127.0.0.1:0"\noperator_address = "127.0.0.1:0"\n'
+        f'data_folder = "{folder / "data"}"\nready_file = "{ready}"\n'
+        '[[control.bootstrap_replicas]]\nreplica_id = "a"\naddress = "127.0.0.1:0"\n'
+        'failure_domain = "d"\n',
+        encoding="utf-8",
+    )
+    daemon = Path(sys.executable).with_name("damaskwindd")
+    process = subprocess.Popen(
+        [daemon, "control", str(settings)], stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL
+    )
+    try:
+        deadline_s = time.monotonic() + DEADLINE_S
+        while not ready.exists() and time.monotonic() < deadline_s:
+            time.sleep(0.05)
+        time.sleep(3.0)
+        print(
+            f"memory of one control process after start: {resident_kib(process.pid) / 1024:.0f} MiB"
+        )
+    finally:
+        process.terminate()
+        process.wait(timeout=DEADLINE_S)
+
+
+def main() -> None:
+    """Run what was asked for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sequential", type=int, default=400)
+    parser.add_argument("--parallel", type=int, default=3200)
+    parser.add_argument("--changes", type=int, default=200)
+    parser.add_argument("--followers", type=int, default=8)
+    parser.add_argument("--idle-s", type=float, default=30.0)
+    parser.add_argument("--accounts", type=int, nargs="*", default=[10, 1400])
+    parser.add_argument("--folder", type=Path, default=None, help="a folder on the disk to measure")
+    options = parser.parse_args()
+    logger.remove()
+    with tempfile.TemporaryDirectory(dir=options.folder) as name:
+        base = Path(name)
+
+        def fresh(part: str) -> Path:
+            path = base / part
+            path.mkdir()
+            return path
+
+        asyncio.run(measure_confirms(fresh("confirms"), options.sequential, options.parallel))
+        for changes in (1000, 10_000):
+            for every in (SNAPSHOT_EVERY, SNAPSHOT_NEVER):
+                part = fresh(f"restart-{changes}-{every}")
+                asyncio.run(measure_restart(part, changes, every))
+        for accounts in options.accounts:
+            part = fresh(f"force-{accounts}")
+            scenario = measure_in_force(
+                part, accounts, options.followers, options.changes, options.idle_s
+            )
+            asyncio.run(scenario)
+        measure_memory(fresh("memory"))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -56,6 +56,7 @@
 __all__ = ["Replica"]
 
 TICKS_PER_HEARTBEAT = 4
+ANNOUNCEMENT = "commit-announcement"
 
 
 class Replica:
@@ -86,6 +87,8 @@
         self._answers: dict[str, asyncio.Future] = {}
         self._waiters: list[tuple[Callable[[], bool], asyncio.Future]] = []
         self._events: deque[Input] = deque()
+        self._is_announcing = False
+        self._announced_index = 0
         self._is_stepping = False
         self._is_stopped = False
         self._ticker: asyncio.TimerHandle | None = None
@@ -313,6 +316,20 @@
         self.state.apply(output.entries)
         for callback in self.on_applied:
             callback()
+        if self.is_leader:
+            self._announce_commit()
+
+    def _announce_commit(self) -> None:
+        """Have the leader begin a round, which carries the commit index.
+
+        The others would learn of it with the next heartbeat only. A read
+        begins a round as soon as none is under way, so that many commits share
+        one.
+        """
+        if not self._is_announcing and self.state.applied_index > self._announced_index:
+            self._is_announcing = True
+            self._announced_index = self.state.applied_index
+            self._events.append(ReadRequest(ANNOUNCEMENT))
 
     def _install(self, output: InstallSnapshot) -> None:
         self.writer.submit(output)
@@ -325,6 +342,11 @@
         self._answer(output.proposal_id, output)
 
     def _finish_read(self, output: ReadReady | ReadRefused) -> None:
+        if output.read_id == ANNOUNCEMENT:
+            self._is_announcing = False
+            if self.is_leader:
+                self._announce_commit()
+            return
         self._answer(output.read_id, output)
 
     def _note_role(self, output: BecameLeader | SteppedDown) -> None:
--- a/packages/router/src/damaskwind/router/configuration/follower.py
+++ b/packages/router/src/damaskwind/router/configuration/follower.py
@@ -255,7 +255,11 @@
             self._saving = None
 
     async def _ask_everyone(self) -> None:
-        """Ask all replicas and routers until a configuration is in force."""
+        """Ask all replicas and routers until a configuration is in force.
+
+        The stream from a current replica mostly makes this needless.
+        """
+        await asyncio.sleep(self._timing.hint_delay_s)
         while not self.is_ready and not self._upstream.is_closed:
             addresses = dict.fromkeys([*self._replicas, *self._peers()])
             await asyncio.gather(*(self._fetch(address) for address in addresses))
