--- a/packages/control/src/damaskwind/control/replica/transport.py
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -26,6 +26,7 @@
 QUEUE_LIMIT_MESSAGES = 512
 BATCH_LIMIT_BYTES = 8 * 1024 * 1024
 CALL_TIMEOUT_S = 2.0
+SLOWEST_BYTES_PER_S = 1024 * 1024
 BACKOFF_FIRST_S = 0.05
 BACKOFF_LIMIT_S = 1.0
 
@@ -141,11 +142,13 @@
         address = self._address_of(replica_id)
         if address is None:
             return False
-        self.sent_bytes += batch.ByteSize()
+        size_bytes = batch.ByteSize()
+        timeout_s = CALL_TIMEOUT_S + size_bytes / SLOWEST_BYTES_PER_S
+        self.sent_bytes += size_bytes
         stub = ReplicationStub(self.channels.get(address))
         try:
-            call = call_unary(stub.Deliver, batch, self._signer, CALL_TIMEOUT_S)
-            await asyncio.wait_for(call, CALL_TIMEOUT_S)
+            call = call_unary(stub.Deliver, batch, self._signer, timeout_s)
+            await asyncio.wait_for(call, timeout_s)
         except CALL_ERRORS as error:
             logger.debug("replica not reached", replica=replica_id, error=repr(error))
             self.channels.drop(address)
--- a/packages/wire/src/damaskwind/wire/authentication.py
+++ b/packages/wire/src/damaskwind/wire/authentication.py
@@ -41,7 +41,7 @@
 
 REPLAY_WINDOW_CALLS = 4096
 REMEMBERED_STARTS = 16_384
-MESSAGE_LIMIT_BYTES = 16 * 1024 * 1024
+MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024
 _FIELDS = ("x-cluster", "x-sender", "x-start", "x-counter")
 _MAC_FIELD = "x-mac"
 
--- a/packages/wire/src/damaskwind/wire/tests/test_authentication.py
+++ b/packages/wire/src/damaskwind/wire/tests/test_authentication.py
@@ -1,6 +1,7 @@
 import unittest
 
 from damaskwind.wire.authentication import (
+    MESSAGE_LIMIT_BYTES,
     AuthenticationError,
     AuthenticationOutcome,
     CallSigner,
@@ -56,5 +57,10 @@
         self.verifier.verify(METHOD, b"body", latest)
         self.assertEqual(self.refuse(old), AuthenticationOutcome.REPLAYED)
 
+    def test_oversized_body_is_refused_before_it_is_hashed(self):
+        body = bytes(MESSAGE_LIMIT_BYTES + 1)
+        outcome = self.refuse({}, body=body)
+        self.assertEqual(outcome, AuthenticationOutcome.TOO_LARGE)
+
     def test_macs_differ_by_purpose(self):
         self.assertNotEqual(message_mac("key", "a", b"x"), message_mac("key", "b", b"x"))
