--- a/benchmarks/router_path.py
+++ b/benchmarks/router_path.py
@@ -101,6 +101,23 @@
     return f"{(busy_mb - idle_mb) / held * 1000:.1f} MB per thousand open streams ({held} open)"
 
 
+def relay_bare(streams: int, seconds: float) -> str:
+    """Relay streams with klein and treq alone, on an engine of its own."""
+    engine = start("engine")
+    bare = start("bare", engine.address)
+    try:
+        return measure_streams(bare, streams, seconds)
+    finally:
+        stop([bare, engine])
+
+
+def stop(servers: list[Server]) -> None:
+    """End processes and wait for them."""
+    for server in servers:
+        server.process.terminate()
+        server.process.wait()
+
+
 def run(seconds: float, streams: int) -> None:
     """Start all roles, measure, and print."""
     with tempfile.TemporaryDirectory() as folder:
@@ -109,22 +126,20 @@
         router = start("router", str(settings), engine.address)
         bare = start("bare", engine.address)
         echo = start("echo")
-        servers = [engine, router, bare, echo]
         try:
             print(f"resident after start       router {router.resident_mb():.0f} MB")
             print(f"relay, router              {measure_streams(router, streams, seconds)}")
-            print(f"relay, bare klein + treq   {measure_streams(bare, streams, seconds)}")
+            print(f"relay, bare klein + treq   {relay_bare(streams, seconds)}")
             print(f"requests, router           {measure_requests(router, 16, seconds)}")
             print(f"requests, bare klein+treq  {measure_requests(bare, 16, seconds)}")
             print(f"requests, klein echo       {measure_requests(echo, 16, seconds)}")
             print(f"latency, router            {measure_latency(router.address, seconds)}")
+            print(f"latency, bare klein+treq   {measure_latency(bare.address, seconds)}")
             print(f"latency, engine alone      {measure_latency(engine.address, seconds)}")
             print(f"latency, klein echo        {measure_latency(echo.address, seconds)}")
-            print(f"memory, router             {measure_memory(router, 1000)}")
+            print(f"memory, router             {measure_memory(router, 1000)}", flush=True)
         finally:
-            for server in servers:
-                server.process.terminate()
-                server.process.wait()
+            stop([router, bare, echo, engine])
 
 
 def main() -> None:
