--- a/packages/wire/src/damaskwind/wire/configuration_history.py
+++ b/packages/wire/src/damaskwind/wire/configuration_history.py
@@ -12,6 +12,7 @@
 
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.configuration_change import (
+    ConfigurationChange,
     apply_change,
     change_between,
     decode_change,
@@ -23,7 +24,7 @@
 
 __all__ = ["ConfigurationHistory", "EncodedRevision", "decode_revision"]
 
-KEPT_REVISIONS = 128
+KEPT_STEPS = 8192
 BODY_LIMIT_BYTES = 32 * 1024 * 1024
 
 
@@ -40,12 +41,30 @@
     digest: bytes = b""
 
 
+class _Step(NamedTuple):
+    """What one step of the history touched: kinds and names, and the policy or not."""
+
+    base_revision: int
+    names: frozenset[tuple[str, str]]
+    has_policy: bool
+
+
+def _step_of(old: Configuration, change: ConfigurationChange) -> _Step:
+    """Return the step that a change made."""
+    put = {(kind, name) for kind, objects in change.put.items() for name in objects}
+    gone = {(kind, name) for kind, names in change.delete.items() for name in names}
+    return _Step(old.revision, frozenset(put | gone), change.policy is not None)
+
+
 class ConfigurationHistory:
-    """The latest configuration and some before it."""
+    """The latest configuration, and what each revision before it lacks.
+
+    Of earlier revisions only the names that each step touched are kept.
+    """
 
     def __init__(self) -> None:
         self.latest: Configuration | None = None
-        self._kept: OrderedDict[int, Configuration] = OrderedDict()
+        self._steps: OrderedDict[int, _Step] = OrderedDict()
         self._encoded: dict[int, EncodedRevision] = {}
 
     @property
@@ -61,19 +80,21 @@
         if whole.revision in (0, self.revision):
             return False
         if whole.revision < self.revision:
-            self._kept.clear()
+            self._steps.clear()
+        elif self.latest is not None:
+            step = _step_of(self.latest, change_between(self.latest, whole))
+            self._steps[step.base_revision] = step
         self.latest = whole
         self._encoded.clear()
-        self._kept[whole.revision] = whole
-        while len(self._kept) > KEPT_REVISIONS:
-            self._kept.popitem(last=False)
+        while len(self._steps) > KEPT_STEPS:
+            self._steps.popitem(last=False)
         return True
 
     def encode_for(self, applied_revision: int) -> EncodedRevision:
         """Return what a follower at a revision needs; nothing if it is not behind."""
         if self.latest is None or applied_revision >= self.latest.revision:
             return EncodedRevision(self.revision)
-        base = applied_revision if applied_revision in self._kept else 0
+        base = applied_revision if applied_revision in self._steps else 0
         if base not in self._encoded:
             self._encoded[base] = self._encode(base)
         return self._encoded[base]
@@ -82,12 +103,30 @@
         """Encode the latest revision against a base; 0 for the whole."""
         latest = self.latest
         digest = configuration_digest(latest)
-        if base not in self._kept:
+        if base not in self._steps:
             body = zlib.compress(encode_configuration(latest))
             return EncodedRevision(latest.revision, False, 0, body, digest)
-        body = zlib.compress(encode_change(change_between(self._kept[base], latest)))
+        body = zlib.compress(encode_change(self._change_since(base)))
         return EncodedRevision(latest.revision, True, base, body, digest)
 
+    def _change_since(self, base: int) -> ConfigurationChange:
+        """Return the change that leads from a base to the latest revision."""
+        put: dict = {}
+        delete: dict = {}
+        has_policy = False
+        for step in self._steps.values():
+            if step.base_revision < base:
+                continue
+            has_policy = has_policy or step.has_policy
+            for kind, name in step.names:
+                objects = getattr(self.latest, kind)
+                if name in objects:
+                    put.setdefault(kind, {})[name] = objects[name]
+                else:
+                    delete.setdefault(kind, {})[name] = None
+        gone = {kind: tuple(names) for kind, names in delete.items()}
+        return ConfigurationChange(put, gone, self.latest.policy if has_policy else None)
+
 
 def _decompress(body: bytes) -> bytes:
     """Decompress a body; refuse one that is malformed or too large."""
--- a/packages/wire/src/damaskwind/wire/tests/test_configuration_history.py
+++ b/packages/wire/src/damaskwind/wire/tests/test_configuration_history.py
@@ -33,7 +33,26 @@
     def test_delta_is_small_and_an_unknown_base_gets_the_whole(self):
         delta, whole = self.history.encode_for(19), self.history.encode_for(0)
         self.assertLess(len(delta.body) * 3, len(whole.body))
-        self.assertFalse(ConfigurationHistory.encode_for(self.history, -1).is_delta)
+        self.assertFalse(self.history.encode_for(-1).is_delta)
+
+    def test_object_that_was_deleted_and_put_again_is_there(self):
+        history = ConfigurationHistory()
+        gone = revision(1)._replace(revision=2, services={})
+        for whole in (revision(1), gone, revision(1)._replace(revision=3)):
+            history.set(whole)
+        for applied in (revision(1), gone):
+            encoded = history.encode_for(applied.revision)
+            self.assertTrue(encoded.is_delta)
+            self.assertEqual(decode_revision(encoded, applied), history.latest)
+
+    def test_revision_skipped_by_a_snapshot_is_no_base(self):
+        self.history.set(revision(30))
+        self.assertTrue(self.history.encode_for(20).is_delta)
+        self.assertFalse(self.history.encode_for(25).is_delta)
+
+    def test_lower_revision_forgets_the_history(self):
+        self.history.set(revision(3))
+        self.assertFalse(self.history.encode_for(2).is_delta)
 
     def test_revision_without_a_difference_still_moves(self):
         self.history.set(revision(20)._replace(revision=21))
