--- a/packages/control/src/damaskwind/control/operator_api/tests/shared_log.py
+++ b/packages/control/src/damaskwind/control/operator_api/tests/shared_log.py
@@ -16,9 +16,9 @@
 class FakeReplica:
     """One replica's port on the shared log; `moods` tells how next proposals fare.
 
-    `commit` is the ordinary one; `no_result` commits without telling the result; `lost_answer` commits and says unknown;
-    `lost_command` says unknown and commits nothing; `refuse` refuses; `explode`
-    raises an error that quotes the command.
+    `commit` is the ordinary one; `no_result` commits without telling the result;
+    `lost_answer` commits and says unknown; `lost_command` says unknown and commits
+    nothing; `refuse` refuses; `explode` raises an error that quotes the command.
     """
 
     def __init__(self, log):
--- a/packages/model/src/damaskwind/model/checking.py
+++ b/packages/model/src/damaskwind/model/checking.py
@@ -38,7 +38,7 @@
 
 def _check_value(raw: Any, kind: Any, path: str) -> CheckedTable:
     """Check one value against a type, recursing into nested tables and lists."""
-    if _is_tuple_type(kind) and isinstance(raw, dict):
+    if _is_tuple_type(kind) and not isinstance(raw, kind):
         return check_table(raw, kind, path)
     arguments = getattr(kind, "__args__", ())
     if getattr(kind, "__origin__", None) is tuple and _is_tuple_type(arguments[0]):
--- a/packages/model/src/damaskwind/model/tests/test_configuration_codec.py
+++ b/packages/model/src/damaskwind/model/tests/test_configuration_codec.py
@@ -88,6 +88,7 @@
     (("accounts", "two words"), to_table(SOUND.accounts["clerks"]), "a name is malformed"),
     (("priority_classes", "interactive", "weight"), 0, "weight: expected 1 to"),
     (("priority_classes", "b"), {"rank": 0, "weight": 1}, "same rank as 'interactive'"),
+    (("models", "chat", "versions", 0), ["v1"], "versions[0]: expected a table"),
     (("models", "chat", "service"), "gone", "no service 'gone'"),
     (("models", "chat", "service"), "inventory-api", "not a pool of engines"),
     (("models", "chat", "default_version"), "v9", "not among the versions"),
