Stand-ins: announce to different routers at first, and as late as routers ask

Cause: every target began with the same router, so nine announcements met one router in the same second, and the answer's next_announcement_s was not followed.

--- a/packages/standins/src/damaskwind/standins/announcing.py
+++ b/packages/standins/src/damaskwind/standins/announcing.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import xxhash
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.web.client import Agent, HTTPConnectionPool
@@ -30,8 +31,10 @@
 class Announcer:
     """Post a target's announcement at intervals, while it is told to.
 
-    `routers` may change at any time. A post that fails goes on to the next
-    router at once, until each had its turn.
+    It announces at `interval_s`, or later when the router that took the last
+    one asks for that. `routers` may change at any time. Targets begin at
+    different routers, drawn from their id, as a balancer would spread them. A
+    post that fails goes on to the next router at once, until each had its turn.
     """
 
     def __init__(
@@ -45,11 +48,12 @@
         self._settings = settings
         self._template = template
         self._read_load = read_load
-        self._turn = 0
+        self._turn = xxhash.xxh3_64_intdigest(template.target_id.encode())
         self._timer: Any = None
         self._sequence = 0
         self._posting = False
         self._again = False
+        self._wait_s = settings.interval_s
         self._active = False
         self.incarnation = settings.incarnation or time.time_ns() // 1_000_000
         self.routers: list[str] = list(settings.routers)
@@ -101,7 +105,7 @@
             self._again = False
             self.announce_now()
             return
-        self._timer = self._reactor.callLater(self._settings.interval_s, self._due)
+        self._timer = self._reactor.callLater(self._wait_s, self._due)
 
     def _due(self) -> None:
         """Announce because the interval has passed."""
@@ -128,17 +132,17 @@
             router = self.routers[self._turn % len(self.routers)]
             self._turn += 1
             try:
-                status = yield self._post(router)
+                taken = yield self._post(router)
             except Exception:
                 # Whatever went wrong, the balancer would give another router.
                 continue
-            if status == 200:
+            if taken:
                 self.accepted += 1
                 return
 
     @inlineCallbacks
     def _post(self, router: str) -> Deferred:
-        """Post one announcement and return the status of the answer."""
+        """Post one announcement; return whether it was taken."""
         body = json.dumps(announcement_body(self.next_announcement())).encode()
         response = yield self._client.post(
             f"http://{router}{_PATH}",
@@ -150,5 +154,9 @@
             timeout=_POST_TIMEOUT_S,
             reactor=self._reactor,
         )
-        yield response.content()
-        return response.code
+        answer = yield response.content()
+        if response.code != 200:
+            return False
+        asked_s = float(json.loads(answer)["next_announcement_s"])
+        self._wait_s = max(self._settings.interval_s, asked_s)
+        return True
