Membership at 2,100 routers and 10,000 targets: loads of far domains are not sorted

Every probe sorted the loads of the whole fleet, every tick looked through all routers for suspects.

--- a/packages/decisions/src/damaskwind/decisions/membership/routers.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/routers.py
@@ -56,6 +56,7 @@
         self._digests = digests
         self._records: dict[str, RouterRecord] = {}
         self._changed_at_s: dict[str, float] = {}
+        self._suspects: set[str] = set()
         self._rings: dict[str, list[str]] = {}
         self._put(me, 0.0)
 
@@ -64,6 +65,9 @@
         self._records[record.router_id] = record
         self._changed_at_s[record.router_id] = now_s
         self._rings.clear()
+        self._suspects.discard(record.router_id)
+        if record.state == RouterState.SUSPECT:
+            self._suspects.add(record.router_id)
         key = router_key(record.router_id)
         if record.state in _LIVE_STATES:
             member = Member(True, record.router_id, router_version(record))
@@ -146,12 +150,8 @@
 
     def suspects_since(self, since_s: float) -> list[RouterRecord]:
         """Return the routers under suspicion since before `since_s`."""
-        return [
-            record
-            for record in self._records.values()
-            if record.state == RouterState.SUSPECT
-            and self._changed_at_s[record.router_id] <= since_s
-        ]
+        old = sorted(name for name in self._suspects if self._changed_at_s[name] <= since_s)
+        return [self._records[name] for name in old]
 
     def forget(self, now_s: float) -> None:
         """Drop the routers that have been gone for long."""
--- a/packages/decisions/src/damaskwind/decisions/membership/targets.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/targets.py
@@ -9,6 +9,7 @@
 
 from enum import Enum
 from heapq import heappop, heappush
+from itertools import islice
 
 from damaskwind.decisions.membership.digests import (
     BUCKETS,
@@ -80,7 +81,8 @@
         self._digests = digests
         self.tombstones = TombstoneTable()
         self._by_load_key: dict[int, str] = {}
-        self._fresh_loads: dict[str, None] = {}
+        self._fresh_near: dict[str, None] = {}
+        self._fresh_far: dict[str, None] = {}
         self._vouched: dict[tuple[str, int], float] = {}
         self._expiries: list[tuple[float, str]] = []
 
@@ -169,7 +171,7 @@
         self.tombstones.drop(record.target_id)
         self.held[record.target_id] = held
         self._by_load_key[held.load_key] = record.target_id
-        self._fresh_loads[record.target_id] = None
+        self._freshen(record)
         member = Member(False, record.target_id, target_version(record))
         self._digests.put(record.failure_domain, target_key(record.target_id), member)
         heappush(self._expiries, (self.expires_s(held), record.target_id))
@@ -255,7 +257,7 @@
         if held is not None:
             del self.held[tombstone.target_id]
             self._by_load_key.pop(held.load_key, None)
-            self._fresh_loads.pop(tombstone.target_id, None)
+            self._settle(tombstone.target_id)
             self._digests.drop(target_key(tombstone.target_id))
         return True
 
@@ -297,21 +299,32 @@
         held = self.held.get(member.name) if member else None
         if held is not None:
             held.transmissions = 0
-            self._fresh_loads[member.name] = None
+            self._freshen(held.record)
 
     def pack_loads(self, limit_bytes: int, max_transmissions: int, now_s: float) -> bytes:
-        """Return the loads that were passed on least, the freshest of them first."""
-        entries = min(limit_bytes // ENTRY_BYTES, len(self._fresh_loads))
-        if entries <= 0:
-            return b""
-        chosen = sorted(self._fresh_loads, key=self._load_order)[:entries]
+        """Return the loads that were passed on least, the freshest of them first.
+
+        Those of other domains fill what room the own domain leaves.
+        """
+        entries = max(limit_bytes // ENTRY_BYTES, 0)
+        chosen = sorted(self._fresh_near, key=self._load_order)[:entries]
+        chosen += islice(self._fresh_far, entries - len(chosen))
         return b"".join(self._pack(target_id, max_transmissions, now_s) for target_id in chosen)
 
-    def _load_order(self, target_id: str) -> tuple[bool, int, float]:
-        """Return what puts one load before another: near, passed on least, fresh."""
+    def _load_order(self, target_id: str) -> tuple[int, float]:
+        """Return what puts one load before another: passed on least, fresh."""
         held = self.held[target_id]
-        foreign = held.record.failure_domain != self.failure_domain
-        return (foreign, held.transmissions, -held.measured_at_s)
+        return (held.transmissions, -held.measured_at_s)
+
+    def _freshen(self, record: TargetRecord) -> None:
+        """Mark a target's load to be passed on."""
+        near = record.failure_domain == self.failure_domain
+        (self._fresh_near if near else self._fresh_far)[record.target_id] = None
+
+    def _settle(self, target_id: str) -> None:
+        """Pass a target's load on no more."""
+        self._fresh_near.pop(target_id, None)
+        self._fresh_far.pop(target_id, None)
 
     def _pack(self, target_id: str, max_transmissions: int, now_s: float) -> bytes:
         """Pack one target's load and count that it was passed on."""
@@ -321,7 +334,7 @@
         observed = held.observed and held.transmissions % 2 == 0
         age_s = now_s - (held.measured_at_s if observed else held.renewed_at_s)
         if held.transmissions >= max_transmissions or age_s >= MAX_AGE_S:
-            self._fresh_loads.pop(target_id, None)
+            self._settle(target_id)
         if age_s >= MAX_AGE_S:
             return b""
         record = held.record
@@ -337,7 +350,7 @@
         held.record = held.record._replace(renewed_sequence=sequence)
         held.renewed_at_s = max(held.renewed_at_s, renewed_at_s)
         held.transmissions = 0
-        self._fresh_loads[held.record.target_id] = None
+        self._freshen(held.record)
 
     def _set_load(
         self, held: HeldTarget, load_tokens: int, measured_at_s: float, observed: bool
@@ -349,7 +362,7 @@
         held.measured_at_s = measured_at_s
         held.observed = observed
         held.transmissions = min(held.transmissions, 1)
-        self._fresh_loads[held.record.target_id] = None
+        self._freshen(held.record)
         return True
 
     # Views
