--- a/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
@@ -117,6 +117,12 @@
         self._received[kind] += size_bytes
         self._count(size_bytes)
 
+    def sent_elsewhere(self, size_bytes: int, kind: str, now_s: float) -> None:
+        """Count control bytes that went another way, such as a stream; they can't wait."""
+        self._advance(now_s)
+        self._sent[kind] += size_bytes
+        self._count(size_bytes)
+
     def offer(self, item: Any, size_bytes: int, urgency: Urgency, kind: str, now_s: float) -> None:
         """Queue a send; `take` returns it when the budget allows."""
         self._advance(now_s)
--- a/packages/decisions/src/damaskwind/decisions/pacing/tests/test_pacer.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/tests/test_pacer.py
@@ -95,6 +95,12 @@
         self.assertEqual(counters.highest_second_bytes, 906)
         self.assertEqual(counters.mean_bytes_per_s, 453)
 
+    def test_bytes_of_streams_are_charged_too(self):
+        self.pacer.sent_elsewhere(2 * BUDGET, "follow", 0.0)
+        self.offer("news", 200, Urgency.JOIN)
+        self.assertEqual(self.pacer.take(0.5), [])
+        self.assertEqual(self.pacer.counters(0.5).sent_bytes, {"follow": 2 * BUDGET})
+
     def test_a_clock_that_goes_back_gives_no_budget(self):
         self.pacer.received(3 * BUDGET, "flood", 10.0)
         self.offer("leave", 200, Urgency.LEAVE, 5.0)
--- a/packages/router/src/damaskwind/router/membership/service.py
+++ b/packages/router/src/damaskwind/router/membership/service.py
@@ -180,6 +180,12 @@
         self._post(self.node.release(now_s))
         return queued
 
+    def count_control(self, kind: str, sent_bytes: int, received_bytes: int) -> None:
+        """Charge control bytes that went by streams or calls to the budget."""
+        now_s = self._clock()
+        self.node.pacer.sent_elsewhere(sent_bytes, kind, now_s)
+        self.node.pacer.received(received_bytes, kind, now_s, header_bytes=0)
+
     def routers(self) -> list[RouterRecord]:
         """Return the routers held alive, this one among them."""
         return self.node.core.routers()
