Probes carry more loads while there is room; leaves cross domains more surely

News still goes first: the extra is given only while 500 bytes of news could go.

At 16 domains one leave of eight missed a domain for 4 s: copies heard from neighbours ended the flooding to other domains. Leaves don't count them now, and relays pass news to four domains instead of three.

--- a/packages/decisions/src/damaskwind/decisions/membership/gossip.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/gossip.py
@@ -227,6 +227,8 @@
         """Return the loads that fit beside the news."""
         parameters = self._parameters
         limit_bytes = parameters.probe_bytes if near else parameters.foreign_probe_bytes
+        if near and self.room_bytes >= parameters.spare_room_bytes:
+            limit_bytes += parameters.spare_probe_bytes
         limit_bytes -= _HEADER_BYTES + _SUMMARY_BYTES
         if news is not None:
             limit_bytes -= packed_bytes(estimate_bytes(news))
--- a/packages/decisions/src/damaskwind/decisions/membership/parameters.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/parameters.py
@@ -9,6 +9,8 @@
     """How often, how much and how patiently a router gossips.
 
     A round probes one peer. `suspicion_s` is the time a suspect has to refute.
+    Probes take `probe_bytes`, and `spare_probe_bytes` more of loads while there
+    is room for `spare_room_bytes` of news, so that news goes before fresher loads.
     `fanout` counts the peers that news is flooded to in the own domain,
     `foreign_fanout` the other domains that a relay passes it to.
     For `warm_up_s` after its start a router lets no lease of its domain end
@@ -25,8 +27,10 @@
     indirect_probes: int = 2
     suspicion_s: float = 4.0
     fanout: int = 3
-    foreign_fanout: int = 3
+    foreign_fanout: int = 4
     probe_bytes: int = 360
+    spare_probe_bytes: int = 250
+    spare_room_bytes: int = 500
     carried_bytes: int = 110
     foreign_probe_bytes: int = 240
     introductions: int = 6
--- a/packages/decisions/src/damaskwind/decisions/membership/rumours.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/rumours.py
@@ -166,7 +166,9 @@
         count = "far_floods" if far else "floods"
         waiting = [r for r in self._rumours.values() if getattr(r, count) < fanout]
         for rumour in sorted(waiting, key=self._order):
-            if rumour.copies >= rumour.copies_enough:
+            # Copies heard from neighbours say nothing about other domains.
+            far_leave = far and rumour.urgency == Urgency.LEAVE
+            if rumour.copies >= rumour.copies_enough and not far_leave:
                 setattr(rumour, count, _FLOODED)
                 continue
             if rumour.size_bytes > limit_bytes:
