Tests of the replicated log: durability, votes, lease, members, faults

The fixed part of the fuzzing runs 35 histories and checks that four bugs put in on purpose are found.

--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_core.py
@@ -0,0 +1,210 @@
+"""The core alone: what it holds back, counts, refuses and drops."""
+
+from random import Random
+from unittest import TestCase
+
+from damaskwind.decisions.replication.core import ReplicaCore
+from damaskwind.decisions.replication.log import ReplicatedLog, first_log
+from damaskwind.decisions.replication.messages import (
+    AppendRequest,
+    AppendResponse,
+    BecameLeader,
+    ChangeKind,
+    EntryKind,
+    Envelope,
+    LogEntry,
+    Member,
+    MembershipChange,
+    Outcome,
+    Output,
+    PersistentState,
+    PreVoteResponse,
+    ProposalOutcome,
+    Propose,
+    ProposeMembership,
+    ReadReady,
+    ReadRefused,
+    ReadRequest,
+    Received,
+    RefusalReason,
+    Send,
+    Snapshot,
+    Tick,
+    Timing,
+    VoteRequest,
+    VoteResponse,
+    WritesDurable,
+    WriteState,
+)
+
+A, B, C = (Member(name, f"{name}1") for name in "abc")
+OLD_B = Member("b", "b0")
+
+
+def make_core(voters: tuple[Member, ...] = (A, B, C)) -> ReplicaCore:
+    """Make replica a of a new cluster at time 0."""
+    state, entries = first_log(voters)
+    return ReplicaCore(A, state, ReplicatedLog(Snapshot(), entries), Timing(), Random(1), 0.0)
+
+
+def receive(core: ReplicaCore, sender: Member, message: object, now_s: float) -> list[Output]:
+    """Feed a message for replica a."""
+    return core.step(Received(Envelope(sender, A, message)), now_s)
+
+
+def sent(outputs: list[Output], kind: type) -> list:
+    """Return the messages of one type that go out."""
+    messages = [output.envelope.message for output in outputs if isinstance(output, Send)]
+    return [message for message in messages if isinstance(message, kind)]
+
+
+def some(outputs: list[Output], kind: type) -> list:
+    """Return the outputs of one type."""
+    return [output for output in outputs if isinstance(output, kind)]
+
+
+def make_leader() -> ReplicaCore:
+    """Have replica a elected at time 3.0 with b's vote; nothing is committed yet."""
+    core = make_core()
+    core.step(Tick(), 3.0)
+    receive(core, B, PreVoteResponse(1, 2, True), 3.0)
+    core.step(WritesDurable(1), 3.0)
+    receive(core, B, VoteResponse(2, True), 3.0)
+    return core
+
+
+def make_settled_leader() -> ReplicaCore:
+    """Have its first entry committed at 3.1."""
+    core = make_leader()
+    core.step(WritesDurable(2), 3.1)
+    receive(core, B, AppendResponse(2, 1, True, 2), 3.1)
+    return core
+
+
+class DurabilityTest(TestCase):
+    """Nothing goes out before the write that it depends on."""
+
+    def test_vote_waits_for_its_write(self) -> None:
+        core = make_core()
+        outputs = receive(core, B, VoteRequest(2, 1, 1), 5.0)
+        self.assertEqual(some(outputs, WriteState)[0].state, PersistentState(2, B))
+        self.assertEqual(sent(outputs, VoteResponse), [])
+        outputs = core.step(WritesDurable(1), 5.1)
+        self.assertEqual(sent(outputs, VoteResponse), [VoteResponse(2, True)])
+
+    def test_append_answer_waits_for_its_write(self) -> None:
+        core = make_core()
+        entry = LogEntry(2, 1, EntryKind.NOOP, b"")
+        outputs = receive(core, B, AppendRequest(1, 1, 1, 1, (entry,), 2), 0.1)
+        self.assertEqual(sent(outputs, AppendResponse), [])
+        self.assertEqual(core.applied_index, 1)
+        outputs = core.step(WritesDurable(1), 0.2)
+        self.assertEqual(sent(outputs, AppendResponse), [AppendResponse(1, 1, True, 2)])
+        self.assertEqual(core.applied_index, 2)
+
+    def test_candidate_counts_its_own_vote_only_once_durable(self) -> None:
+        core = make_core((A,))
+        core.step(Tick(), 3.0)
+        self.assertEqual(core.role, "candidate")
+        self.assertEqual(some(core.step(WritesDurable(1), 3.1), BecameLeader), [BecameLeader(2)])
+
+    def test_leader_counts_its_own_entry_only_once_durable(self) -> None:
+        core = make_leader()
+        receive(core, B, AppendResponse(2, 1, True, 2), 3.1)
+        self.assertEqual(core.commit_index, 0)
+        core.step(WritesDurable(2), 3.2)
+        self.assertEqual(core.commit_index, 2)
+
+    def test_answers_of_an_earlier_term_are_dropped(self) -> None:
+        core = make_core()
+        entry = LogEntry(2, 1, EntryKind.NOOP, b"")
+        receive(core, B, AppendRequest(1, 1, 1, 1, (entry,), 1), 0.1)
+        receive(core, C, AppendRequest(2, 1, 1, 1, (), 1), 0.2)
+        answers = sent(core.step(WritesDurable(9), 0.3), AppendResponse)
+        self.assertEqual({answer.term for answer in answers}, {2})
+
+
+class VoteTest(TestCase):
+    """Who gets a vote, and whose vote counts."""
+
+    def test_no_vote_while_a_leader_is_heard(self) -> None:
+        core = make_core()
+        receive(core, B, AppendRequest(1, 1, 1, 1, (), 1), 4.0)
+        outputs = receive(core, C, VoteRequest(9, 9, 9), 4.9)
+        self.assertEqual(sent(outputs, VoteResponse), [VoteResponse(1, False)])
+        self.assertEqual(core.term, 1)
+
+    def test_no_vote_right_after_a_restart(self) -> None:
+        outputs = receive(make_core(), C, VoteRequest(2, 1, 1), 0.9)
+        self.assertEqual(sent(outputs, VoteResponse), [VoteResponse(1, False)])
+
+    def test_old_identity_neither_votes_nor_is_spoken_to(self) -> None:
+        core = make_core()
+        core.step(Tick(), 3.0)
+        receive(core, OLD_B, PreVoteResponse(1, 2, True), 3.0)
+        self.assertEqual(core.role, "pre_candidate")
+        stale = Envelope(B, Member("a", "a0"), VoteRequest(5, 9, 9))
+        self.assertEqual(core.step(Received(stale), 9.0), [])
+
+
+class LeaseTest(TestCase):
+    """An isolated leader learns from its peers' silence that it is one."""
+
+    def test_lease_counts_from_the_send_time(self) -> None:
+        core = make_settled_leader()
+        self.assertTrue(core.holds_lease(3.89))
+        self.assertFalse(core.holds_lease(3.91))
+
+    def test_isolated_leader_steps_down_and_refuses(self) -> None:
+        core = make_settled_leader()
+        core.step(ReadRequest("r1"), 3.2)
+        outputs = core.step(Propose("p1", b"x"), 3.95)
+        expected = ProposalOutcome("p1", Outcome.REFUSED, 0, RefusalReason.NO_QUORUM, A)
+        self.assertEqual(some(outputs, ProposalOutcome), [expected])
+        outputs = core.step(Tick(), 4.0)
+        expected = ReadRefused("r1", RefusalReason.STEPPED_DOWN, None)
+        self.assertEqual(some(outputs, ReadRefused), [expected])
+        self.assertEqual(core.role, "follower")
+
+    def test_leader_that_slept_refuses_its_next_read(self) -> None:
+        core = make_settled_leader()
+        outputs = core.step(ReadRequest("r1", lease_suffices=True), 60.0)
+        self.assertEqual(some(outputs, ReadReady), [])
+        self.assertEqual(some(outputs, ReadRefused)[0].reason, RefusalReason.NOT_LEADER)
+
+    def test_read_waits_for_a_round_sent_after_it(self) -> None:
+        core = make_settled_leader()
+        core.step(ReadRequest("r1"), 3.2)
+        outputs = receive(core, B, AppendResponse(2, 1, True, 2), 3.3)
+        self.assertEqual(some(outputs, ReadReady), [])
+        outputs = receive(core, B, AppendResponse(2, 2, True, 2), 3.4)
+        self.assertEqual(some(outputs, ReadReady), [ReadReady("r1", 2)])
+
+
+class MembershipTest(TestCase):
+    """One change at a time, and not before an entry of the leader's own term."""
+
+    def change(self, core: ReplicaCore, kind: ChangeKind, member: Member) -> RefusalReason | None:
+        """Propose a change and return why it was refused at once."""
+        request = ProposeMembership("m", MembershipChange(kind, member))
+        outcomes = some(core.step(request, 3.2), ProposalOutcome)
+        return outcomes[0].reason if outcomes else None
+
+    def test_change_waits_for_an_entry_of_the_own_term(self) -> None:
+        reason = self.change(make_leader(), ChangeKind.REMOVE, C)
+        self.assertEqual(reason, RefusalReason.CHANGE_PENDING)
+
+    def test_one_change_at_a_time(self) -> None:
+        core = make_settled_leader()
+        self.assertIsNone(self.change(core, ChangeKind.ADD_LEARNER, Member("d", "d1")))
+        reason = self.change(core, ChangeKind.REMOVE, C)
+        self.assertEqual(reason, RefusalReason.CHANGE_PENDING)
+
+    def test_learner_is_not_promoted_before_it_caught_up(self) -> None:
+        core = make_settled_leader()
+        learner = Member("d", "d1")
+        self.change(core, ChangeKind.ADD_LEARNER, learner)
+        core.step(WritesDurable(3), 3.3)
+        receive(core, B, AppendResponse(2, 1, True, 3), 3.3)
+        reason = self.change(core, ChangeKind.PROMOTE, learner)
+        self.assertEqual(reason, RefusalReason.INVALID_CHANGE)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_histories.py
@@ -0,0 +1,34 @@
+"""A small fixed part of the fuzzing, and proof that it would find a bug.
+
+`tools/fuzz.py` runs as many histories as there is time for.
+"""
+
+from unittest import TestCase
+
+from damaskwind.decisions.replication.tests.histories import (
+    FAILURES,
+    LogHistory,
+    run_batch,
+    seeded,
+)
+
+HISTORIES = 35
+BUG_HISTORIES = 200
+QUICK_BUGS = ("skip_fsync", "vote_twice", "promote_early", "count_before_durable")
+
+
+class HistoriesTest(TestCase):
+    """The same histories every time."""
+
+    def setUp(self) -> None:
+        LogHistory.made = 0
+        LogHistory.first_failed = None
+
+    def test_no_history_breaks_an_invariant(self) -> None:
+        run_batch(None, HISTORIES)
+        self.assertGreaterEqual(LogHistory.made, HISTORIES)
+
+    def test_bugs_put_in_on_purpose_are_found(self) -> None:
+        for bug in QUICK_BUGS:
+            with self.subTest(bug), seeded(bug), self.assertRaises(FAILURES):
+                run_batch(None, BUG_HISTORIES, shrinks=False)
