Demonstration: configuration through a control replica, planned and confirmed

Cause: the demonstration read its configuration from a file, past the control plane. Change: an embedded replica elects itself, the plan of the demonstration is confirmed through the intent API, the router follows.

--- a/packages/commands/src/damaskwind/commands/demonstration.py
+++ b/packages/commands/src/damaskwind/commands/demonstration.py
@@ -105,7 +105,9 @@
 def _introduce(fleet: DemonstrationFleet) -> None:
     """Print where the fleet is and a line to copy."""
     body = json.dumps({"model": "damask", "messages": [{"role": "user", "content": "Hello"}]})
+    print(f"confirmed plan {fleet.plan['id']}: {len(fleet.plan['difference'])} changes in force")
     print(f"router: {fleet.url}   caller key: {CALLER_KEY}   operator key: {OPERATOR_KEY}")
+    print(f"operators: damaskwind status --endpoint {fleet.control.operator_address}")
     print(
         f"try: curl -s {fleet.url}/v1/chat/completions -H 'Authorization: Bearer {CALLER_KEY}'"
         f" -H 'Content-Type: application/json' -d '{body}'",
--- a/packages/commands/src/damaskwind/commands/demonstration_fleet.py
+++ b/packages/commands/src/damaskwind/commands/demonstration_fleet.py
@@ -1,14 +1,19 @@
-"""Build the demonstration's fleet in one process: router, engines, a plain service."""
+"""Build the demonstration's fleet in one process: control replica, router and targets."""
 
 import asyncio
 import json
 import shutil
 import tempfile
+import tomllib
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
 import treq
 
+from damaskwind.control.operator_api.authentication import hash_key
+from damaskwind.control.process import ControlProcess, start_control
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.router.process import RouterProcess, start_router
 from damaskwind.runtime.bridge import to_future
@@ -42,7 +47,19 @@
     }
 
 
-def _router_settings(folder: Path) -> Settings:
+def _control_settings(folder: Path) -> Settings:
+    """Return the settings of the only control replica."""
+    control = {
+        "replica_address": _ANY_PORT,
+        "operator_address": _ANY_PORT,
+        "data_folder": str(folder / "control-1"),
+        "bootstrap_replicas": [_replica("control-1", "127.0.0.1:0")],
+        "bootstrap_operator_key_hash": hash_key(OPERATOR_KEY),
+    }
+    return check_settings({"node": _node("control-1"), "control": control})
+
+
+def _router_settings(replica_address: str) -> Settings:
     """Return the router's settings."""
     router = {
         "http_address": _ANY_PORT,
@@ -51,18 +68,25 @@
         "announce_key": _ANNOUNCE_KEY,
         "drain_delay_s": 0.0,
         "drain_limit_s": 5.0,
-        "configuration_file": str(_CONFIGURATION),
+        "replicas": [_replica("control-1", replica_address)],
     }
     return check_settings({"node": _node("router-1"), "router": router})
 
 
+def _replica(replica_id: str, address: str) -> dict[str, Any]:
+    """Return a row that names a replica."""
+    return {"replica_id": replica_id, "address": address, "failure_domain": _FAILURE_DOMAIN}
+
+
 class DemonstrationFleet:
     """The parts of the demonstration, started and stopped together."""
 
     def __init__(self) -> None:
         self._folder = Path(tempfile.mkdtemp(prefix="damaskwind-demo-"))
         self._targets: list[EngineStandin | ServiceStandin] = []
+        self.control: ControlProcess | None = None
         self.router: RouterProcess | None = None
+        self.plan: dict[str, Any] = {}
 
     @property
     def url(self) -> str:
@@ -70,10 +94,22 @@
         return f"http://{self.router.http_address}"
 
     async def start(self) -> None:
-        """Start every part and wait until the router knows its targets."""
-        self.router = await start_router(_router_settings(self._folder))
+        """Start every part, confirm the configuration, and wait until all is in force."""
+        self.control = await start_control(_control_settings(self._folder))
+        self.router = await start_router(_router_settings(str(self.control.replica_address)))
+        await self._wait_until("a leader", self._has_leader)
+        await self._confirm_configuration()
+        await self._wait_until("the configuration in force", self._is_ready)
         await self._start_targets()
-        await self._wait_for_targets()
+        await self._wait_until("all targets", self._knows_targets)
+
+    async def _confirm_configuration(self) -> None:
+        """Plan what the file wants and confirm the plan, as an operator would."""
+        with _CONFIGURATION.open("rb") as file:
+            intent = tomllib.load(file)
+        planned = await self.ask_control("POST", "/operator/v1/intents", intent)
+        self.plan = planned["plan"]
+        await self.ask_control("POST", f"/operator/v1/plans/{self.plan['id']}/confirm")
 
     async def _start_targets(self) -> None:
         """Start the stand-ins; they announce themselves to the router."""
@@ -88,22 +124,46 @@
         for target in self._targets:
             await target.start()
 
-    async def _wait_for_targets(self) -> None:
-        """Wait until the router lists every target, or fail after a while."""
-        deadline_s = asyncio.get_running_loop().time() + _READY_TIMEOUT_S
-        while len((await self.ask("/operator/v1/targets"))["targets"]) < len(self._targets):
-            if asyncio.get_running_loop().time() > deadline_s:
-                raise DamaskwindError("the targets did not show up at the router in time")
+    async def _has_leader(self) -> bool:
+        """Tell whether the replica leads and answers as current."""
+        return self.control.replica.is_current
+
+    async def _is_ready(self) -> bool:
+        """Tell whether the router would take requests."""
+        response = await to_future(treq.get(f"{self.url}/readyz"))
+        await to_future(treq.content(response))
+        return response.code == HTTPStatus.OK
+
+    async def _knows_targets(self) -> bool:
+        """Tell whether the router lists every target."""
+        return len((await self.ask("/operator/v1/targets"))["targets"]) == len(self._targets)
+
+    async def _wait_until(self, what: str, holds: Callable[[], Awaitable[bool]]) -> None:
+        """Wait until a condition holds, or fail after a while."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + _READY_TIMEOUT_S
+        while not await holds():
+            if loop.time() > deadline_s:
+                raise DamaskwindError(f"{what} did not show up in time")
             await asyncio.sleep(_POLL_S)
 
     async def ask(self, path: str) -> dict[str, Any]:
         """Ask the router something as an operator."""
+        return await self._ask("GET", f"{self.url}{path}", None)
+
+    async def ask_control(self, method: str, path: str, body: Any = None) -> dict[str, Any]:
+        """Ask the control replica something as an operator."""
+        return await self._ask(method, f"http://{self.control.operator_address}{path}", body)
+
+    async def _ask(self, method: str, url: str, body: Any) -> dict[str, Any]:
+        """Send one call with the operator's key and return its JSON answer."""
         headers = {"authorization": f"Bearer {OPERATOR_KEY}"}
-        response = await to_future(treq.get(f"{self.url}{path}", headers=headers))
-        body = await to_future(treq.content(response))
-        if response.code != 200:
-            raise DamaskwindError(f"{path}: {response.code} {body.decode(errors='replace')}")
-        return json.loads(body)
+        call = treq.request(method, url, headers=headers, **({"json": body} if body else {}))
+        response = await to_future(call)
+        answer = await to_future(treq.content(response))
+        if response.code >= HTTPStatus.BAD_REQUEST:
+            raise DamaskwindError(f"{url}: {response.code} {answer.decode(errors='replace')}")
+        return json.loads(answer)
 
     async def stop(self) -> None:
         """Stop every part and remove the folder."""
@@ -111,4 +171,6 @@
             await self.router.stop()
         for target in self._targets:
             await target.stop()
+        if self.control is not None:
+            await self.control.stop()
         shutil.rmtree(self._folder, ignore_errors=True)
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/tests/test_operator_audit.py
@@ -0,0 +1,55 @@
+"""Tests of verifying several replicas' trails against each other."""
+
+from unittest import TestCase
+
+from damaskwind.commands.operator_audit import verify_endpoints
+from damaskwind.commands.operator_client import Answer, parse_endpoints
+from damaskwind.control.audit.entry import AuditEvent, entry_hash
+from damaskwind.control.audit.trail import AuditTrail
+
+
+def entries(count):
+    trail = AuditTrail()
+    for number in range(count):
+        trail.append(AuditEvent(1.0, "mei", "10.0.0.7", "plan", f"p{number}", "planned", 0))
+    return list(trail.entries())
+
+
+class FakeClient:
+    """Replicas that show entries in pages of three."""
+
+    def __init__(self, *trails):
+        self.endpoints = parse_endpoints(",".join(f"10.0.0.{i}:1" for i in range(len(trails))))
+        self.trails = dict(zip(self.endpoints, trails, strict=True))
+
+    def ask_one(self, endpoint, method, path, body=None):
+        trail = self.trails[endpoint]
+        if trail is None:
+            return Answer(endpoint, 0, {"error": {"message": "refused"}})
+        after = int(path.split("after=")[1].split("&")[0])
+        page = [entry._asdict() for entry in trail if entry.sequence > after][:3]
+        return Answer(endpoint, 200, {"entries": page})
+
+
+class VerifyEndpointsTest(TestCase):
+    def holds(self, *trails, known=None):
+        return [report.holds for report in verify_endpoints(FakeClient(*trails), known)]
+
+    def test_a_gap_that_another_replica_fills_is_no_fault(self):
+        whole = entries(10)
+        with_gap = whole[:3] + whole[6:]
+        self.assertEqual(self.holds(whole, with_gap, whole[4:], []), [True] * 4)
+        self.assertEqual(self.holds(with_gap), [False])
+        self.assertEqual(self.holds(with_gap, whole[:5]), [False, True])
+
+    def test_a_gap_filled_by_another_chain_is_a_fault(self):
+        whole = entries(10)
+        other = whole[4]._replace(operator="lin", entry_hash="")
+        other = other._replace(entry_hash=entry_hash(other))
+        self.assertEqual(self.holds(whole[:3] + whole[5:], [whole[3], other]), [False, True])
+
+    def test_replicas_that_differ_or_do_not_answer_are_told(self):
+        whole = entries(5)
+        changed = whole[4]._replace(operator="lin")
+        changed = changed._replace(entry_hash=entry_hash(changed))
+        self.assertEqual(self.holds(whole, [*whole[:4], changed], None), [True, False, False])
