--- a/packages/router/src/damaskwind/router/chat_path.py
+++ b/packages/router/src/damaskwind/router/chat_path.py
@@ -125,7 +125,8 @@
             one.chat.engine_body,
             one.arrival.idempotency_key,
         )
-        timeout_s = one.work.deadline_s - self._reactor.seconds()
+        sent_s = self._reactor.seconds()
+        timeout_s = one.work.deadline_s - sent_s
         if one.chat.stream:
             first_byte_s = one.arrival.configuration.policy.first_byte_timeout_s
             timeout_s = min(timeout_s, first_byte_s)
@@ -135,7 +136,7 @@
             if error.verdict is not Verdict.NOT_RUN:
                 self._engines.cancel(target, one.work.request_id)
             raise
-        load = load_of(response)
+        load = load_of(response, self._reactor.seconds() - sent_s)
         if load is not None:
             self._directory.observe_report(target.target_id, load)
             self._observe_load(target.target_id, load)
--- a/packages/router/src/damaskwind/router/engine_client.py
+++ b/packages/router/src/damaskwind/router/engine_client.py
@@ -44,13 +44,17 @@
     return values[0].decode("latin-1") if values else ""
 
 
-def load_of(response: IResponse) -> LoadReport | None:
-    """Return the load that an answer carries, if it does."""
+def load_of(response: IResponse, age_s: float) -> LoadReport | None:
+    """Return the load that an answer carries, if it does.
+
+    An engine may write its headers long before it sends them, with the first
+    token; `age_s`, since the request was sent, is the most that they can be old.
+    """
     load = header_text(response, "x-load-tokens")
     capacity = header_text(response, "x-capacity-tokens")
     if not load.isdigit() or not capacity.isdigit():
         return None
-    return LoadReport(int(load), int(capacity), 0, 0, 0.0)
+    return LoadReport(int(load), int(capacity), 0, 0, age_s)
 
 
 async def check_not_run(response: IResponse) -> None:
--- a/packages/router/src/damaskwind/router/front.py
+++ b/packages/router/src/damaskwind/router/front.py
@@ -11,7 +11,7 @@
 from damaskwind.model.checking import check_table
 from damaskwind.model.exception import RefusedError
 from damaskwind.model.reason import Reason
-from damaskwind.model.targets import TargetAnnouncement
+from damaskwind.model.targets import LoadReport, TargetAnnouncement
 from damaskwind.model.verdict import Refusal, Verdict
 from damaskwind.router.answers import answer_json, refuse, set_outcome
 from damaskwind.router.authentication import bearer_key, same_key
@@ -33,6 +33,7 @@
         services: ServicePath,
         membership: Any,
         announce_key: str,
+        observe_load: Callable[[str, LoadReport], None],
         not_ready: Callable[[], str],
     ) -> None:
         self._gateway = gateway
@@ -40,6 +41,7 @@
         self._services = services
         self._membership = membership
         self._announce_key = announce_key
+        self._observe_load = observe_load
         self._not_ready = not_ready
         self.app = Klein()
         self._install(self.app)
@@ -95,6 +97,8 @@
         outcome = self._membership.announce(announcement, len(body))
         if not outcome.accepted:
             return answer_json(request, 409, {"incarnation": outcome.incarnation})
+        # A renewal is no event: peers hear its load by gossip, this router here.
+        self._observe_load(announcement.target_id, announcement.load)
         next_s = self._membership.next_announcement_s(announcement.lease_s)
         return answer_json(request, 200, {"next_announcement_s": next_s})
 
--- a/packages/router/src/damaskwind/router/gateway.py
+++ b/packages/router/src/damaskwind/router/gateway.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from loguru import logger
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
 from damaskwind.model.configuration import ClientAccount, Configuration, PriorityClass
 from damaskwind.model.exception import RefusedError
@@ -96,6 +96,8 @@
             return body
         except RefusedError as error:
             refusal = error.refusal
+        except CancelledError:
+            refusal = Refusal(Reason.CALLER_TIMEOUT, Verdict.NOT_RUN, "the caller left the queue")
         except Exception as error:  # a fault of ours must not look like "not run"
             logger.opt(exception=error).error("request failed", request=request.request_id)
             refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, "the router failed")
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -14,7 +14,7 @@
 from damaskwind.decisions.membership.outputs import Event, RouterGone, RouterJoined
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.configuration_codec import read_configuration_file
-from damaskwind.model.targets import Address
+from damaskwind.model.targets import Address, LoadReport
 from damaskwind.router.account_limits import AccountLimits
 from damaskwind.router.caller_request import CallerLimits
 from damaskwind.router.caller_site import CallerSite
@@ -118,7 +118,13 @@
             self.dispatcher, self.client, node.failure_domain, reactor, router.body_timeout_s
         )
         front = Front(
-            self.gateway, chats, services, self.membership, router.announce_key, self.not_ready
+            self.gateway,
+            chats,
+            services,
+            self.membership,
+            router.announce_key,
+            self._observe_load,
+            self.not_ready,
         )
         self.operators = OperatorApi(
             node.node_id,
@@ -177,6 +183,11 @@
             near = sum(router.failure_domain == domain for router in routers)
             self.directory.set_router_count(max(1, near))
 
+    def _observe_load(self, target_id: str, report: LoadReport) -> None:
+        """Take in a load that a target told this router itself."""
+        self.directory.observe_report(target_id, report)
+        self.directory.room_changed()
+
     def _publish_spills(self) -> None:
         """Tell the peers of this failure domain where chats went that left home."""
         notes = self.directory.take_spill_notes()
--- a/packages/router/src/damaskwind/router/tests/bench.py
+++ b/packages/router/src/damaskwind/router/tests/bench.py
@@ -39,6 +39,8 @@
 OTHER_KEY = "key-of-registry"
 ANNOUNCE_KEY = "announce"
 OPERATOR_KEY = "operator"
+CLUSTER = "test"
+CLUSTER_KEY = "cluster-key"
 
 
 def hash_of(key: str) -> str:
@@ -76,7 +78,7 @@
             )
         },
         services={
-            "damask-pool": Service("damask-pool", "engine"),
+            "damask-pool": Service("damask-pool", "engine", max_concurrent_requests=500),
             "edge-api": Service("edge-api", "service", routes),
         },
         operators={"ops": OperatorKey("ops", hash_of(OPERATOR_KEY), ("viewer", "confirmer"))},
@@ -84,7 +86,7 @@
     )
 
 
-def make_settings(**router: Any) -> Settings:
+def make_settings(node_id: str = "router-1", **router: Any) -> Settings:
     """Return settings for a router on free ports."""
     fields = {
         "http_address": "127.0.0.1:0",
@@ -95,7 +97,7 @@
         "drain_limit_s": 10.0,
         **router,
     }
-    node = NodeSettings("router-1", "test", "cluster-key", "local", "local")
+    node = NodeSettings(node_id, CLUSTER, CLUSTER_KEY, "local", "local")
     return Settings(node, RouterSettings(**fields))
 
 
@@ -106,6 +108,7 @@
         self.router: RouterProcess
         self.engines: list[EngineStandin] = []
         self.services: list[ServiceStandin] = []
+        self.peers: list[RouterProcess] = []
         self.client: AsyncOpenAI
 
     async def start(
@@ -135,6 +138,16 @@
         )
         return self
 
+    async def start_peer(self, node_id: str, **router: Any) -> RouterProcess:
+        """Start one more router and wait until it is ready and knows the targets."""
+        seeds = (str(self.router.links.datagram_address),)
+        peer = await start_router(make_settings(node_id, seeds=seeds, **router), reactor)
+        self.peers.append(peer)
+        peer.apply(self.router.gateway.configuration)
+        known = len(self.router.directory.views())
+        await self.until(lambda: len(peer.directory.views()) == known and not peer.not_ready())
+        return peer
+
     @property
     def url(self) -> str:
         """Return where the router is."""
@@ -159,4 +172,5 @@
             await target.stop()
         posting = [target.announcer for target in (*self.engines, *self.services)]
         await self.until(lambda: not any(announcer._posting for announcer in posting))
-        await self.router.stop()
+        for router in [*self.peers, self.router]:
+            await router.stop()
--- a/packages/router/src/damaskwind/router/tests/test_front.py
+++ b/packages/router/src/damaskwind/router/tests/test_front.py
@@ -21,7 +21,6 @@
 from damaskwind.runtime.bridge import asyncio_test, to_future
 
 MESSAGES = [{"role": "user", "content": "which laptops are due?"}]
-BODY = json.dumps({"model": "damask", "messages": MESSAGES, "max_tokens": 40}).encode()
 
 
 class RawCaller(Protocol):
@@ -38,10 +37,12 @@
         self.lost.callback(None)
 
 
-def chat_bytes():
+def chat_bytes(stream=False, max_tokens=40):
     """Return a whole chat request as bytes."""
+    fields = {"model": "damask", "messages": MESSAGES, "max_tokens": max_tokens, "stream": stream}
+    body = json.dumps(fields).encode()
     head = f"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {ACCOUNT_KEY}"
-    return f"{head}\r\ncontent-length: {len(BODY)}\r\n\r\n".encode() + BODY
+    return f"{head}\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
 
 
 class FrontTest(TestCase):
@@ -88,8 +89,7 @@
         bench = await self.bench(body_timeout_s=0.3, engine_fields=fields)
         caller = await self.raw_caller(bench)
         caller.transport.pauseProducing()
-        request = chat_bytes().replace(b'"max_tokens": 40', b'"stream": true  ')
-        caller.transport.write(request)
+        caller.transport.write(chat_bytes(stream=True, max_tokens=99_999))
         await bench.until(lambda: bench.router.gateway.in_progress == 1)
         await bench.until(lambda: bench.router.gateway.in_progress == 0, 15)
         await bench.until(lambda: bench.engines[0].is_idle)
@@ -144,11 +144,16 @@
 
     @asyncio_test
     async def test_drain_cuts_no_request_and_ends_keep_alive(self):
-        bench = await self.bench(engine_fields={"token_interval_s": 0.005}, drain_delay_s=0.1)
+        bench = await self.bench(
+            engine_fields={"token_interval_s": 0.02, "max_running_requests": 300}, drain_delay_s=1.0
+        )
         idle = await self.raw_caller(bench)
         idle.transport.write(b"GET /livez HTTP/1.1\r\nhost: x\r\n\r\n")
         await bench.until(lambda: b"ok" in idle.received)
-        streams = [await self.create(bench, stream=True, max_tokens=100) for _ in range(20)]
+        streams = [await self.raw_caller(bench) for _ in range(200)]
+        for stream in streams:
+            stream.transport.write(chat_bytes(stream=True))
+        await bench.until(lambda: all(b"content" in stream.received for stream in streams))
         stopping = asyncio.ensure_future(bench.router.stop())
         self.assertEqual((await self.ask(bench, "GET", "/readyz"))[0], 503)
         last = await self.raw_caller(bench)
@@ -158,8 +163,9 @@
         await to_future(last.lost)
         await to_future(idle.lost)
         for stream in streams:
-            tokens = [c async for c in stream if c.choices and c.choices[0].delta.content]
-            self.assertEqual(len(tokens), 100)
+            await to_future(stream.lost)
+            self.assertEqual(stream.received.count(b'"content"'), 40)
+            self.assertIn(b"data: [DONE]", stream.received)
         await stopping
 
     @asyncio_test
