--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,141 @@
+"""Measure what leased shares of account limits cost a router in bytes.
+
+Run `.venv/bin/python benchmarks/limits.py`. A simulated failure domain with real
+limiters and allocators exchanges encoded messages; both directions of each
+router are counted, with `DATAGRAM_BYTES` for IP, UDP and the carrier's own
+header. Larger fleets follow from the same run with longer leases.
+"""
+
+import time
+from random import Random
+
+import msgspec
+
+from damaskwind.decisions.limits.allocator import ShareAllocator
+from damaskwind.decisions.limits.limiter import AccountLimiter
+from damaskwind.decisions.limits.messages import AccountLimit, LimitOutcome, LimitPolicy
+
+DATAGRAM_BYTES = 28 + 48
+STEP_S = 0.05
+SETTLE_S = 20.0
+TOKENS = 300
+DURATION_S = 4.0
+
+
+class Domain:
+    """The routers of one failure domain under an even load."""
+
+    def __init__(
+        self, routers: int, accounts: int, units: int, tokens_per_s: int, policy: LimitPolicy
+    ) -> None:
+        names = [f"router-{number:02d}" for number in range(routers)]
+        limits = {
+            f"account-{number:04d}": AccountLimit(units, tokens_per_s) for number in range(accounts)
+        }
+        self.known = {"domain-1": names}
+        self.policy = policy
+        self.accounts = list(limits)
+        self.random = Random(1)
+        self.bytes = dict.fromkeys(names, 0)
+        self.datagrams = 0
+        self.largest_bytes = 0
+        self.refused = 0
+        self.admitted = 0
+        self.running = {name: [] for name in names}
+        self.waiting = []
+        self.limiters = {name: AccountLimiter(name, "domain-1", policy) for name in names}
+        self.allocators = {
+            name: ShareAllocator(name, "domain-1", policy, 0.0, is_alone=True) for name in names
+        }
+        for part in (*self.limiters.values(), *self.allocators.values()):
+            part.set_limits(limits, ["domain-1"])
+
+    def carry(self, source: str, target: str, message) -> None:
+        """Count a message at both ends, unless it stays in the process."""
+        if source == target:
+            return
+        size_bytes = len(msgspec.msgpack.encode(message)) + DATAGRAM_BYTES
+        self.largest_bytes = max(self.largest_bytes, size_bytes)
+        self.datagrams += 1
+        self.bytes[source] += size_bytes
+        self.bytes[target] += size_bytes
+
+    def attempt(self, name: str, account: str, now_s: float, until_s: float | None) -> None:
+        """Let a request in, or have it wait."""
+        decision = self.limiters[name].admit(account, TOKENS, now_s, until_s)
+        if decision.outcome == LimitOutcome.ADMITTED:
+            self.admitted += 1
+            self.running[name].append((now_s + DURATION_S, account))
+        elif decision.outcome == LimitOutcome.WAIT:
+            self.waiting.append((name, account, decision.wait_until_s))
+        else:
+            self.refused += 1
+
+    def step(self, now_s: float, requests_per_s: float) -> None:
+        """Let requests come and go, and carry the messages that are due."""
+        waiting, self.waiting = self.waiting, []
+        for name, account, until_s in waiting:
+            self.attempt(name, account, now_s, until_s)
+        for name, limiter in self.limiters.items():
+            due = requests_per_s * STEP_S
+            count = int(due) + (self.random.random() < due % 1)
+            for _ in range(count):
+                self.attempt(name, self.random.choice(self.accounts), now_s, None)
+            ended = [account for at_s, account in self.running[name] if at_s <= now_s]
+            self.running[name] = [item for item in self.running[name] if item[0] > now_s]
+            for account in ended:
+                limiter.release(account, TOKENS, TOKENS, now_s)
+            for target, report in limiter.reports(self.known, now_s):
+                self.carry(name, target, report)
+                grant = self.allocators[target].take_report(report, now_s)
+                self.carry(target, name, grant)
+                limiter.take_grant(grant, now_s)
+
+
+def measure(
+    routers: int,
+    accounts: int,
+    units: int,
+    tokens_per_s: int,
+    policy: LimitPolicy,
+    requests_per_s: float,
+) -> None:
+    """Run one domain and print the bytes a second of its routers."""
+    domain = Domain(routers, accounts, units, tokens_per_s, policy)
+    now_s = 0.0
+    while now_s < max(SETTLE_S, policy.lease_s):
+        domain.step(now_s, requests_per_s)
+        now_s += STEP_S
+    domain.bytes = dict.fromkeys(domain.bytes, 0)
+    domain.datagrams = domain.refused = domain.admitted = 0
+    span_s = max(20.0, policy.lease_s)
+    started_s, end_s = time.process_time(), now_s + span_s
+    while now_s < end_s:
+        domain.step(now_s, requests_per_s)
+        now_s += STEP_S
+    spent_s = time.process_time() - started_s
+    mean = sum(domain.bytes.values()) / routers / span_s
+    print(
+        f"{accounts} accounts x {routers} routers in a domain, slice {units} units and"
+        f" {tokens_per_s} tokens/s, {requests_per_s:.0f} requests/s each,"
+        f" lease {policy.lease_s:.0f} s: mean {mean:.0f} and at most"
+        f" {max(domain.bytes.values()) / span_s:.0f} bytes/s a router both ways,"
+        f" {2 * domain.datagrams / routers / span_s:.1f} datagrams/s, largest"
+        f" {domain.largest_bytes} bytes; admitted {domain.admitted}, refused {domain.refused};"
+        f" {spent_s / span_s / routers * 1000:.2f} ms/s of processor time a router, load included",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Print the figures of today's size and of the size to grow to."""
+    today = LimitPolicy()
+    measure(3, 10, 60, 30_000, today, 10.0)
+    measure(8, 10, 160, 80_000, today, 10.0)
+    for lease_s in (6.0, 60.0):
+        policy = today._replace(lease_s=lease_s, renew_s=lease_s / 3, idle_s=lease_s)
+        measure(50, 1400, 28, 2000, policy, 37.0)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/measuring/promises.py
+++ b/benchmarks/measuring/promises.py
@@ -92,8 +92,8 @@
         for fault in _call_faults(outcome, keys[outcome.call.key], seed, service_root):
             found.setdefault(fault, []).append(name)
     for target, oracle in oracles.items():
-        late = oracle["events"].get("new_work_after_leaving", 0)
-        found.setdefault("new work at a target that is leaving", []).extend([target] * late)
+        late = [f"{target} from {name} after {at_s} s" for name, at_s in oracle["late"].items()]
+        found.setdefault("new work at a target that is leaving", []).extend(late)
     return [
         Breach(promise, len(names), tuple(names[:_EXAMPLES_SHOWN]))
         for promise, names in found.items()
--- a/benchmarks/placement_scale.py
+++ b/benchmarks/placement_scale.py
@@ -16,8 +16,8 @@
 from collections.abc import Callable
 from itertools import count
 from random import Random
-from statistics import fmean, pstdev
-from typing import Any, NamedTuple
+from statistics import fmean
+from typing import Any
 
 from benchmarks.placement_engines import (
     DOMAIN,
@@ -28,10 +28,11 @@
     engine_report,
     engine_view,
 )
+from benchmarks.placement_figures import LOAD_FACTOR, Sample, Setting, figures
 from damaskwind.decisions.placement.messages import PlacementQuery
 from damaskwind.decisions.placement.placer import Placer
 from damaskwind.decisions.placement.policies import PLACEMENT_POLICIES
-from damaskwind.model.targets import LoadReport, TargetState
+from damaskwind.model.targets import LoadReport, TargetState, TargetView
 
 ORACLE = "all_knowing"
 PREFILL_TOKENS_PER_S = 8000.0
@@ -46,33 +47,6 @@
 DELAY_CLASSES = 5
 ACCOUNTS = 100
 SURGE_FACTOR = 10
-LOAD_FACTOR = 1.25
-
-
-class Setting(NamedTuple):
-    """One run's size and events."""
-
-    policy: str
-    routers: int
-    engines: int
-    seconds: int
-    warm_up_s: int
-    requests_per_s_per_engine: float
-    churn: bool
-    surge: bool
-    notes: bool
-    report_every_s: float
-    seed: int
-
-
-class Sample(NamedTuple):
-    """The true loads at one moment, as ratios to their mean."""
-
-    mean_tokens: float
-    max_ratio: float
-    p99_ratio: float
-    over_share: float
-    large_request_ratio: float
 
 
 class Fleet:
@@ -96,12 +70,20 @@
     def _placer(self, number: int) -> Placer:
         """Make one router's placer that knows every engine."""
         policy = "rendezvous" if self.setting.policy == ORACLE else self.setting.policy
-        placer = Placer(policy, f"r{number}", DOMAIN, LOAD_FACTOR, Random(number))
+        domains = [f"d{i}" for i in range(self.setting.domains)]
+        near = domains if self.setting.near else ()
+        own = domains[number % len(domains)]
+        placer = Placer(policy, f"r{number}", own, LOAD_FACTOR, Random(number), near)
         placer.set_router_count(self.setting.routers)
         for name in self.engines:
-            placer.update_target(engine_view(name, TargetState.SERVING), 0.0)
+            placer.update_target(self.view(name), 0.0)
         return placer
 
+    def view(self, name: str) -> TargetView:
+        """Return what a router knows of an engine that serves."""
+        domain = f"d{int(name[-4:]) % self.setting.domains}"
+        return engine_view(name, TargetState.SERVING)._replace(failure_domain=domain)
+
     def at(self, when_s: float, action: Callable[..., None], *arguments: Any) -> None:
         """Run an action at a time."""
         heapq.heappush(self.events, (when_s, next(self.order), action, arguments))
@@ -306,7 +288,7 @@
     def tell(self, placer: Placer, name: str, state: TargetState) -> None:
         """Change one router's list; a target that left is forgotten."""
         if state is TargetState.SERVING:
-            placer.update_target(engine_view(name, state), self.now_s)
+            placer.update_target(self.view(name), self.now_s)
         else:
             placer.remove_target(name)
 
@@ -328,48 +310,15 @@
             self.errors.append((error / mean, load.error_sd_tokens(self.now_s) / mean))
 
 
-def _quantile(values: list[float], share: float) -> float:
-    """Return the value below which a share of the values lies."""
-    return sorted(values)[int(share * (len(values) - 1))]
-
-
-def _figures(fleet: Fleet, wall_s: float) -> dict[str, str]:
-    """Return the figures of a run by name."""
-    counts, samples = fleet.counts, fleet.samples
-    maxima = [sample.max_ratio for sample in samples]
-    slack = [sample.max_ratio - sample.large_request_ratio for sample in samples]
-    errors = [error for error, _ in fleet.errors]
-    measured_s = fleet.setting.seconds - fleet.setting.warm_up_s
-    return {
-        "reuse": f"{counts['reused'] / max(1, counts['prompt']):.3f}",
-        "max/mean mean": f"{fmean(maxima):.3f}",
-        "p99": f"{_quantile(maxima, 0.99):.3f}",
-        "max": f"{max(maxima):.3f}",
-        "less one large request mean": f"{fmean(slack):.3f}",
-        "max less one": f"{max(slack):.3f}",
-        "time over": f"{fmean([value > LOAD_FACTOR for value in slack]):.3f}",
-        "engine-time over": f"{fmean([sample.over_share for sample in samples]):.5f}",
-        "engine p99/mean": f"{fmean([sample.p99_ratio for sample in samples]):.3f}",
-        "error bias": f"{fmean(errors):+.3f}",
-        "error sd": f"{pstdev(errors):.3f}",
-        "stated sd": f"{fmean([sd for _, sd in fleet.errors]):.3f}",
-        "notes/s": f"{counts['notes'] / measured_s:.1f}",
-        "queued": str(counts["queued"]),
-        "retried": str(counts["retried"]),
-        "place us": f"{1e6 * fmean(fleet.place_s or [0.0]):.0f}",
-        "mean load": f"{fmean([sample.mean_tokens for sample in samples]):.0f}",
-        "wall s": f"{wall_s:.0f}",
-    }
-
-
 def run(setting: Setting) -> Fleet:
     """Run one setting and print its figures."""
     begun_s = time.perf_counter()
     fleet = Fleet(setting)
     fleet.run()
     print(" ".join(f"{name}={value}" for name, value in setting._asdict().items()))
-    figures = _figures(fleet, time.perf_counter() - begun_s)
-    print("    " + "; ".join(f"{name} {value}" for name, value in figures.items()))
+    found = figures(setting, fleet.counts, fleet.samples, fleet.errors, fleet.place_s)
+    found["wall s"] = f"{time.perf_counter() - begun_s:.0f}"
+    print("    " + "; ".join(f"{name} {value}" for name, value in found.items()))
     reasons = {key: value for key, value in fleet.counts.items() if key.startswith("reason")}
     total = max(1, sum(reasons.values()))
     shares = (f"{key} {value / total:.4f}" for key, value in sorted(reasons.items()))
@@ -390,6 +339,8 @@
     parser.add_argument("--no-surge", action="store_true")
     parser.add_argument("--no-notes", action="store_true")
     parser.add_argument("--report-every", type=float, default=2.0, help="seconds, 0.5 to 2")
+    parser.add_argument("--domains", type=int, default=1, help="failure domains")
+    parser.add_argument("--own-domain-first", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
     for routers in arguments.routers.split(","):
@@ -406,6 +357,8 @@
                     not (arguments.steady or arguments.no_surge),
                     not arguments.no_notes,
                     arguments.report_every,
+                    arguments.domains,
+                    not arguments.own_domain_first,
                     arguments.seed,
                 )
             )
--- a/packages/decisions/src/damaskwind/decisions/placement/placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/placer.py
@@ -1,7 +1,7 @@
 """Place chats on targets by a named policy."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import count
 from random import Random
 from typing import NamedTuple
@@ -44,7 +44,8 @@
     """One router's placement: its targets, their loads, and the chats that spilled.
 
     `near_domains` are the failure domains whose targets rank together with the
-    router's own: a chat keeps its home there whichever router it comes through.
+    router's own: a chat keeps its home there whichever router it comes through;
+    `None` makes every failure domain a near one.
     Targets of other failure domains are asked only when no near one can take the
     request, one domain after the other in an order that the chat's digest draws.
     """
@@ -56,13 +57,12 @@
         failure_domain: str,
         load_factor: float,
         random: Random,
-        near_domains: Iterable[str] = (),
+        near_domains: Iterable[str] | None = (),
     ) -> None:
         self.router_id = router_id
-        self._near_domains = frozenset((failure_domain, *near_domains))
         self._random = random
         self._turns = count(random.randrange(1 << 16))
-        self._table = PoolTable(self._near_domains.__contains__)
+        self._table = PoolTable(_nearness(failure_domain, near_domains))
         self.book = LoadBook()
         self._memory = SpillMemory()
         self._means: dict[int, _Mean] = {}
@@ -225,3 +225,10 @@
 def _domain_score(chat_key: bytes, tier: Tier) -> int:
     """Score a far failure domain for a chat by its first target's seed."""
     return xxhash.xxh3_64_intdigest(chat_key, tier.seeds[0])
+
+
+def _nearness(own_domain: str, near_domains: Iterable[str] | None) -> Callable[[str], bool]:
+    """Return the test for near failure domains."""
+    if near_domains is None:
+        return lambda failure_domain: True
+    return frozenset((own_domain, *near_domains)).__contains__
--- a/packages/decisions/src/damaskwind/decisions/placement/tests/test_placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_placer.py
@@ -179,9 +179,16 @@
         self.assertEqual(set(homes(self._placer(), range(200)).values()), set(NAMES[::2]))
 
     def test_near_domains_share_homes(self) -> None:
-        self.assertEqual(
-            set(homes(self._placer(near_domains=("d1",)), range(200)).values()), set(NAMES)
-        )
+        for near_domains in (("d1",), None):
+            found = homes(self._placer(near_domains=near_domains), range(200))
+            self.assertEqual(set(found.values()), set(NAMES))
+
+    def test_a_chat_has_one_home_through_routers_of_two_near_domains(self) -> None:
+        here = self._placer(near_domains=("d1",))
+        there = Placer("bounded_rendezvous", "r", "d1", 1.25, Random(1), ("d0",))
+        for target in here.targets():
+            there.update_target(target, 0.0)
+        self.assertEqual(homes(here, range(200)), homes(there, range(200)))
 
     def test_a_far_domain_helps_when_the_near_one_is_full(self) -> None:
         made = self._placer()
