Drop malformed appends; a newcomer replaces an earlier learner of its replica

An append whose entries leave a gap, or carry a term above the leader's, would have failed half-way in the log; it is now dropped before it touches anything. Learners of lost disks no longer pile up in the membership.

--- a/packages/decisions/src/damaskwind/decisions/replication/following.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/following.py
@@ -14,7 +14,12 @@
 
 
 def on_append_request(replica: Replica, sender: Member, request: AppendRequest) -> None:
-    """Append the leader's entries where the logs match, else say where to try."""
+    """Append the leader's entries where the logs match, else say where to try.
+
+    A malformed request is dropped: it changes nothing and gets no answer.
+    """
+    if not _is_well_formed(request):
+        return
     if not _follow(replica, sender, request.term):
         _answer(replica, sender, request.round_number, False, 0)
         return
@@ -55,6 +60,16 @@
     return True
 
 
+def _is_well_formed(request: AppendRequest) -> bool:
+    """Tell whether the entries follow one another and could be this leader's."""
+    previous = (request.previous_index, request.previous_term)
+    for entry in request.entries:
+        if entry.index != previous[0] + 1 or not previous[1] <= entry.term <= request.term:
+            return False
+        previous = (entry.index, entry.term)
+    return True
+
+
 def _answer(
     replica: Replica, leader: Member, round_number: int, accepted: bool, match_index: int
 ) -> None:
--- a/packages/decisions/src/damaskwind/decisions/replication/log.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/log.py
@@ -38,8 +38,8 @@
     def __init__(self, snapshot: Snapshot, entries: Iterable[LogEntry]) -> None:
         self.snapshot = snapshot
         self._entries: list[LogEntry] = []
-        self._memberships: list[tuple[int, Membership]] = [(snapshot.index, snapshot.membership)]
-        self.append(entries)
+        self._memberships: list[tuple[int, Membership]] = []
+        self._restart(snapshot, entries)
 
     @property
     def last_index(self) -> int:
@@ -109,7 +109,14 @@
     def compact(self, snapshot: Snapshot, keep_suffix: bool) -> None:
         """Let `snapshot` stand for everything up to its index."""
         suffix = self.entries(snapshot.index + 1, self.last_index) if keep_suffix else ()
-        self.__init__(snapshot, suffix)  # type: ignore[misc]
+        self._restart(snapshot, suffix)
+
+    def _restart(self, snapshot: Snapshot, entries: Iterable[LogEntry]) -> None:
+        """Hold just these entries after `snapshot`."""
+        self.snapshot = snapshot
+        self._entries = []
+        self._memberships = [(snapshot.index, snapshot.membership)]
+        self.append(entries)
 
 
 def first_log(voters: Sequence[Member]) -> tuple[PersistentState, tuple[LogEntry, ...]]:
--- a/packages/decisions/src/damaskwind/decisions/replication/membership.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/membership.py
@@ -57,9 +57,11 @@
 
 
 def _add_learner(membership: Membership, member: Member) -> Membership | None:
+    """Add a learner in place of an earlier one of the same replica, which is gone."""
     if member in membership.voters or member in membership.learners:
         return None
-    return membership._replace(learners=(*membership.learners, member))
+    others = [other for other in membership.learners if other.replica_id != member.replica_id]
+    return membership._replace(learners=(*others, member))
 
 
 def _promote(membership: Membership, member: Member) -> Membership | None:
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_core.py
@@ -6,6 +6,7 @@
 from damaskwind.decisions.replication.core import ReplicaCore
 from damaskwind.decisions.replication.log import ReplicatedLog, first_log
 from damaskwind.decisions.replication.messages import (
+    AppendEntries,
     AppendRequest,
     AppendResponse,
     BecameLeader,
@@ -124,6 +125,25 @@
         self.assertEqual({answer.term for answer in answers}, {2})
 
 
+class MessageTest(TestCase):
+    """Malformed and repeated messages change nothing."""
+
+    def test_malformed_append_is_dropped(self) -> None:
+        core = make_core()
+        gap = LogEntry(3, 1, EntryKind.NOOP, b"")
+        late_term = LogEntry(2, 9, EntryKind.NOOP, b"")
+        for entry in (gap, late_term):
+            outputs = receive(core, B, AppendRequest(1, 1, 1, 1, (entry,), 3), 0.1)
+            self.assertEqual((outputs, core.last_index), ([], 1))
+
+    def test_repeated_append_adds_nothing(self) -> None:
+        core = make_core()
+        request = AppendRequest(1, 1, 1, 1, (LogEntry(2, 1, EntryKind.NOOP, b""),), 1)
+        receive(core, B, request, 0.1)
+        outputs = receive(core, B, request, 0.2)
+        self.assertEqual((some(outputs, AppendEntries), core.last_index), ([], 2))
+
+
 class VoteTest(TestCase):
     """Who gets a vote, and whose vote counts."""
 
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_membership.py
@@ -0,0 +1,44 @@
+"""Changes of members and the steps that bring a newcomer in."""
+
+from unittest import TestCase
+
+from damaskwind.decisions.replication.membership import (
+    apply_change,
+    decode_membership,
+    encode_membership,
+    next_repair,
+)
+from damaskwind.decisions.replication.messages import (
+    ChangeKind,
+    Member,
+    Membership,
+    MembershipChange,
+)
+
+A, B, C = (Member(name, f"{name}1") for name in "abc")
+NEW_C = Member("c", "c2")
+
+
+class MembershipTest(TestCase):
+    """Each change touches one voter at most."""
+
+    def test_encoding_round_trip(self) -> None:
+        membership = Membership((A, B), (NEW_C,))
+        self.assertEqual(decode_membership(encode_membership(membership)), membership)
+
+    def test_newcomer_takes_the_place_of_an_earlier_learner_of_its_replica(self) -> None:
+        change = MembershipChange(ChangeKind.ADD_LEARNER, Member("c", "c3"))
+        changed = apply_change(Membership((A, B), (NEW_C,)), change)
+        self.assertEqual(changed, Membership((A, B), (Member("c", "c3"),)))
+
+    def test_last_voter_stays(self) -> None:
+        change = MembershipChange(ChangeKind.REMOVE, A)
+        self.assertIsNone(apply_change(Membership((A,)), change))
+
+    def test_old_identity_is_removed_before_the_new_one_votes(self) -> None:
+        membership = Membership((A, B, C), (NEW_C,))
+        self.assertIsNone(next_repair(membership, lambda learner: False))
+        removal = next_repair(membership, lambda learner: True)
+        self.assertEqual(removal, MembershipChange(ChangeKind.REMOVE, C))
+        promotion = next_repair(apply_change(membership, removal), lambda learner: True)
+        self.assertEqual(promotion, MembershipChange(ChangeKind.PROMOTE, NEW_C))
