--- a/packages/control/src/damaskwind/control/audit/chain.py
+++ b/packages/control/src/damaskwind/control/audit/chain.py
@@ -1,11 +1,11 @@
 """Verify a run of audit entries: hashes, links and numbers without gaps."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from damaskwind.control.audit.entry import AuditEntry, entry_hash
 
-__all__ = ["ChainHead", "ChainVerdict", "verify_chain"]
+__all__ = ["ChainHead", "ChainVerdict", "head_faults", "verify_chain"]
 
 
 class ChainHead(NamedTuple):
@@ -41,24 +41,33 @@
     return faults
 
 
-def verify_chain(entries: Iterable[AuditEntry], known: ChainHead | None = None) -> ChainVerdict:
-    """Verify entries in order; `known` is the head of an earlier check, if any.
+def head_faults(entries: Sequence[AuditEntry], known: ChainHead | None) -> list[str]:
+    """Name how entries in order disagree with the head of an earlier check.
 
-    When the run starts before the known head, the entry at its number must have
-    its hash; when it starts after, the first entry must be chained to it.
+    The entry at the head's number must have its hash; when the entries start
+    right after it, the first must be chained to it.
     """
+    if known is None:
+        return []
+    last = entries[-1].sequence if entries else 0
+    if last < known.sequence:
+        return [f"the trail ends at {last}, before the known entry {known.sequence}"]
+    faults = []
+    for entry in entries:
+        if entry.sequence == known.sequence and entry.entry_hash != known.entry_hash:
+            faults.append(f"entry {entry.sequence}: differs from the head that was known")
+        if entry.sequence == known.sequence + 1 and entry.previous_hash != known.entry_hash:
+            faults.append(f"entry {entry.sequence}: not chained to the head that was known")
+    return faults
+
+
+def verify_chain(entries: Iterable[AuditEntry]) -> ChainVerdict:
+    """Verify the hashes, the links and the numbers of entries in order."""
     faults: list[str] = []
     before: ChainHead | None = None
     count = 0
     for entry in entries:
-        if count == 0 and known is not None and entry.sequence > known.sequence:
-            before = known
         faults += _faults_of(entry, before)
         before = ChainHead(entry.sequence, entry.entry_hash)
-        if known is not None and known.sequence == entry.sequence and known != before:
-            faults.append(f"entry {entry.sequence}: differs from the head that was known")
         count += 1
-    last = before.sequence if before is not None else 0
-    if known is not None and last < known.sequence:
-        faults.append(f"the trail ends at {last}, before the known entry {known.sequence}")
     return ChainVerdict(count, before, tuple(faults))
--- a/packages/control/src/damaskwind/control/audit/tests/test_audit.py
+++ b/packages/control/src/damaskwind/control/audit/tests/test_audit.py
@@ -5,7 +5,7 @@
 from unittest import TestCase
 
 from damaskwind.control.audit.archive import AuditArchive
-from damaskwind.control.audit.chain import ChainHead, verify_chain
+from damaskwind.control.audit.chain import ChainHead, head_faults, verify_chain
 from damaskwind.control.audit.entry import AuditEvent, decode_entry, encode_entry, entry_hash
 from damaskwind.control.audit.trail import KEPT_SEGMENTS, SEGMENT_ENTRIES, AuditTrail
 from damaskwind.model.exception import MessageError
@@ -55,11 +55,10 @@
         known = ChainHead(4, entries[3].entry_hash)
         forged = chained_anew([entries[0], entries[1]._replace(operator="lin"), *entries[2:]])
         self.assertEqual(verify_chain(forged).faults, ())
-        self.assertTrue(verify_chain(forged, known).faults)
-        self.assertEqual(verify_chain(entries, known).faults, ())
-        self.assertEqual(verify_chain(entries[4:], known).faults, ())
-        self.assertTrue(verify_chain(forged[4:], known).faults)
-        self.assertTrue(verify_chain(entries[:2], known).faults)
+        self.assertEqual(head_faults(entries, known), [])
+        self.assertEqual(head_faults(entries[4:], known), [])
+        for wrong in (forged, forged[4:], entries[:2], []):
+            self.assertEqual(len(head_faults(wrong, known)), 1 + (wrong == forged))
 
     def test_lines_that_are_no_entries_are_refused(self):
         line = encode_entry(next(filled(1).entries()))
--- a/packages/control/src/damaskwind/control/operator_api/tests/serving.py
+++ b/packages/control/src/damaskwind/control/operator_api/tests/serving.py
@@ -14,7 +14,8 @@
 class ServedFleet:
     """Replicas of one log, each behind its own port; `now_s` is everyone's clock."""
 
-    def __init__(self, replicas=2):
+    def __init__(self, replicas=2, archive=None):
+        self.archive = archive
         self.log = SharedLog()
         self.now_s = 1000.0
         self.replicas = [FakeReplica(self.log) for _ in range(replicas)]
@@ -25,7 +26,9 @@
         service = IntentService(replica, replica.machine, IntentLimits(), lambda: self.now_s)
         settings = OperatorApiSettings(f"control-{index}", hash_key(BOOTSTRAP_KEY))
         routers = [RouterInForce("router-1", "bangsar-hall", 0, 0.5)]
-        api = OperatorApi(replica, replica.machine, service, settings, lambda: routers)
+        api = OperatorApi(
+            replica, replica.machine, service, settings, lambda: routers, self.archive
+        )
         return reactor.listenTCP(0, api.site(), interface="127.0.0.1")
 
     async def stop(self):
--- a/packages/control/src/damaskwind/control/operator_api/tests/test_http_api.py
+++ b/packages/control/src/damaskwind/control/operator_api/tests/test_http_api.py
@@ -3,10 +3,14 @@
 import asyncio
 import json
 from http.client import HTTPConnection
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 from loguru import logger
 from twisted.trial.unittest import TestCase
 
+from damaskwind.control.audit.archive import AuditArchive
+from damaskwind.control.audit.entry import AuditEvent
 from damaskwind.control.operator_api.authentication import hash_key
 from damaskwind.control.operator_api.http_api import BODY_LIMIT_BYTES
 from damaskwind.control.operator_api.tests.objects import (
@@ -155,6 +159,24 @@
         status, answer = await self.ask("GET", "/audit?after=x", VIEWER_KEY)
         self.assertEqual(status, 400)
 
+    @asyncio_test
+    async def test_the_trail_is_read_from_the_archive_where_memory_begins_later(self):
+        with TemporaryDirectory() as folder:
+            archive = AuditArchive(Path(folder))
+            await self.fleet.stop()
+            self.fleet = ServedFleet(1, archive)
+            trail = self.fleet.replicas[0].machine.trail
+            while trail.first_sequence == 1:
+                trail.append(AuditEvent(0.0, "mei", "here", "plan", "p", "planned", 0))
+                archive.store_closed(trail)
+            last = trail.last_sequence
+            told = []
+            while len(told) < last:
+                status, answer = await self.ask("GET", f"/audit?after={len(told)}", BOOTSTRAP_KEY)
+                self.assertTrue(answer["entries"], answer)
+                told += answer["entries"]
+        self.assertEqual([item["sequence"] for item in told], list(range(1, last + 1)))
+
     @asyncio_test
     async def test_keys_are_in_no_answer_no_log_and_not_on_the_trail(self):
         await self.change({**operators(), **base_objects()}, BOOTSTRAP_KEY)
