Router: plain services have limits and retry budgets of their own

Cause: an account's chats could use up the units and retries that its status checks need. Change: one limit and one budget for each kind of target. Measured: 18 tests of front and services pass, the new one with both units of an account held by chats.

--- a/packages/router/src/damaskwind/router/account_limits.py
+++ b/packages/router/src/damaskwind/router/account_limits.py
@@ -23,12 +23,23 @@
 from damaskwind.decisions.pacing.urgency import Urgency
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.exception import RefusedError
+from damaskwind.model.targets import TargetKind
 from damaskwind.router.work import Work
 
 __all__ = ["AccountLimits"]
 
 REPORT_KIND = "demand"
 GRANT_KIND = "share"
+_SERVICES_SUFFIX = "#services"
+
+
+def _limit_name(account: str, kind: TargetKind) -> str:
+    """Name an account's limit for one kind of targets.
+
+    Plain services have a limit of their own, of the same size, so that a status
+    check never waits for the same account's chats.
+    """
+    return account if kind is TargetKind.ENGINE else f"{account}{_SERVICES_SUFFIX}"
 
 
 class AccountLimits:
@@ -72,8 +83,11 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Follow the confirmed limits."""
         limits = {
-            name: AccountLimit(account.max_concurrent_requests, account.max_tokens_per_s)
+            _limit_name(name, kind): AccountLimit(
+                account.max_concurrent_requests, account.max_tokens_per_s
+            )
             for name, account in configuration.accounts.items()
+            for kind in TargetKind
         }
         self._limiter.set_limits(limits, self._domains)
         self._allocator.set_limits(limits, self._domains)
@@ -82,9 +96,10 @@
         """Let a request in, after a wait for a grant if need be, or raise `RefusedError`."""
         wait_until_s = None
         tokens = int(work.total_tokens)
+        name = _limit_name(work.account.name, work.kind)
         while True:
             now_s = self._clock.seconds()
-            decision = self._limiter.admit(work.account.name, tokens, now_s, wait_until_s)
+            decision = self._limiter.admit(name, tokens, now_s, wait_until_s)
             self._plan_report()
             if decision.outcome is LimitOutcome.ADMITTED:
                 return
@@ -97,7 +112,8 @@
         """Note that an admitted request ended and what it cost, if that is known."""
         expected = int(work.total_tokens)
         used = expected if used_tokens is None else used_tokens
-        self._limiter.release(work.account.name, expected, used, self._clock.seconds())
+        name = _limit_name(work.account.name, work.kind)
+        self._limiter.release(name, expected, used, self._clock.seconds())
         self._plan_report()
         self._wake()
 
--- a/packages/router/src/damaskwind/router/dispatcher.py
+++ b/packages/router/src/damaskwind/router/dispatcher.py
@@ -15,7 +15,7 @@
 from damaskwind.decisions.retries.decision import RetryPolicy, decide_retry
 from damaskwind.model.configuration import Policy
 from damaskwind.model.exception import RefusedError
-from damaskwind.model.targets import TargetView
+from damaskwind.model.targets import TargetKind, TargetView
 from damaskwind.model.verdict import Refusal, Verdict, worst_verdict
 from damaskwind.router.account_limits import AccountLimits
 from damaskwind.router.explain import AttemptRecord
@@ -54,13 +54,14 @@
         self._reactor = reactor
         self._random = random
         self._policy = RetryPolicy()
-        self._budget = RetryBudget(Policy().retry_share)
+        self._budgets = {kind: RetryBudget(Policy().retry_share) for kind in TargetKind}
         self.attempt_ended: Callable[[Work, Verdict, str], None] = lambda *ignored: None
 
     def set_policy(self, policy: Policy) -> None:
         """Take a confirmed policy over."""
         self._policy = RetryPolicy(max_attempts=policy.max_attempts)
-        self._budget.share = policy.retry_share
+        for budget in self._budgets.values():
+            budget.share = policy.retry_share
 
     async def run(self, work: Work, send: Send) -> Placed:
         """Return the target that answers; raise `RefusedError` when none does.
@@ -76,7 +77,7 @@
 
     async def _attempt(self, work: Work, send: Send) -> Placed:
         """Try one target after the other."""
-        self._budget.count_request(self._reactor.seconds())
+        self._budgets[work.kind].count_request(self._reactor.seconds())
         failures: list[AttemptError] = []
         tried: frozenset[str] = frozenset()
         while True:
@@ -147,7 +148,7 @@
             len(failures),
             work.deadline_s,
             now_s,
-            self._budget,
+            self._budgets[work.kind],
             self._policy,
             self._random,
         )
--- a/packages/router/src/damaskwind/router/tests/bench.py
+++ b/packages/router/src/damaskwind/router/tests/bench.py
@@ -48,14 +48,16 @@
     return sha256(key.encode()).hexdigest()
 
 
-def make_configuration(queue_timeout_s: float = 5.0, **policy: Any) -> Configuration:
+def make_configuration(
+    queue_timeout_s: float = 5.0, max_concurrent_requests: int = 500, **policy: Any
+) -> Configuration:
     """Return a small configuration: two accounts, one model, one plain service."""
     adapters = ("ledger", "secret")
     library = ClientAccount(
         "library",
         (hash_of(ACCOUNT_KEY),),
         "normal",
-        500,
+        max_concurrent_requests,
         1e9,
         (ModelGrant("damask", "1", ("ledger",)),),
         ("edge-api",),
--- a/packages/router/src/damaskwind/router/tests/test_front.py
+++ b/packages/router/src/damaskwind/router/tests/test_front.py
@@ -4,7 +4,7 @@
 import json
 
 import treq
-from openai import APIConnectionError, APIStatusError
+from openai import APIConnectionError, APIStatusError, RateLimitError
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
@@ -117,6 +117,25 @@
         for answer in await asyncio.gather(*running):
             self.assertEqual(answer.usage.completion_tokens, 50)
 
+    @asyncio_test
+    async def test_account_limit_refuses_chats_but_not_plain_services(self):
+        configuration = make_configuration(max_concurrent_requests=2)
+        fields = {"token_interval_s": 0.05}
+        bench = await self.bench(services=1, configuration=configuration, engine_fields=fields)
+        running = [asyncio.ensure_future(self.create(bench, max_tokens=400)) for _ in range(2)]
+        await bench.until(lambda: sum(bench.router.placing.in_flight.values()) == 2)
+        with self.assertRaises(RateLimitError) as caught:
+            await self.create(bench, max_tokens=1)
+        headers = caught.exception.response.headers
+        self.assertEqual(headers["x-verdict"], "not-run")
+        self.assertGreaterEqual(int(headers["retry-after"]), 1)
+        status, _ = await self.ask(bench, "GET", "/services/edge-api/status", ACCOUNT_KEY)
+        self.assertEqual(status, 200)
+        for one in running:
+            one.cancel()
+        await bench.until(lambda: not bench.router.placing.in_flight)
+        self.assertEqual((await self.create(bench, max_tokens=1)).usage.completion_tokens, 1)
+
     @asyncio_test
     async def test_full_engine_queues_then_refuses_at_once(self):
         fields = {"capacity_tokens": 2000, "token_interval_s": 0.01}
