--- a/benchmarks/path_roles.py
+++ b/benchmarks/path_roles.py
@@ -119,6 +119,30 @@
     _listen(reactor, app)
 
 
+def _announcement(engine_address: str) -> dict[str, Any]:
+    """Return what the engine would announce."""
+    host, port = engine_address.split(":")
+    return {
+        "target_id": "engine-1",
+        "incarnation": 1,
+        "sequence": 1,
+        "kind": "engine",
+        "service": "damask-pool",
+        "failure_domain": "local",
+        "address": {"host": host, "port": int(port)},
+        "state": "serving",
+        "lease_s": LEASE_S,
+        "load": {
+            "load_tokens": 0,
+            "capacity_tokens": 1_000_000_000,
+            "running_requests": 0,
+            "waiting_requests": 0,
+            "age_s": 0.0,
+        },
+        "models": [{"model": "damask", "version": "1"}],
+    }
+
+
 def run_router(settings_file: str, engine_address: str) -> None:
     """Run the router and announce the engine to it."""
     reactor = install_reactor()
@@ -135,26 +159,7 @@
 
     async def start() -> None:
         process = await start_router(read_settings(Path(settings_file)), reactor)
-        host, port = engine_address.split(":")
-        body = {
-            "target_id": "engine-1",
-            "incarnation": 1,
-            "sequence": 1,
-            "kind": "engine",
-            "service": "damask-pool",
-            "failure_domain": "local",
-            "address": {"host": host, "port": int(port)},
-            "state": "serving",
-            "lease_s": LEASE_S,
-            "load": {
-                "load_tokens": 0,
-                "capacity_tokens": 1_000_000_000,
-                "running_requests": 0,
-                "waiting_requests": 0,
-                "age_s": 0.0,
-            },
-            "models": [{"model": "damask", "version": "1"}],
-        }
+        body = _announcement(engine_address)
         url = f"http://{process.http_address}/targets/v1/announcements"
         headers = {"authorization": f"Bearer {ANNOUNCE_KEY}"}
         response = await to_future(treq.post(url, json=body, headers=headers, persistent=False))
--- a/packages/router/src/damaskwind/router/caller_request.py
+++ b/packages/router/src/damaskwind/router/caller_request.py
@@ -119,6 +119,7 @@
         """Let the handler have the request; a closing site ends the connection after it."""
         if self.channel.site.closing:
             self.end_keep_alive()
+        self.setHeader(b"x-request-id", self.request_id.encode())
         super().process()
 
     def end_keep_alive(self) -> None:
--- a/packages/router/src/damaskwind/router/front.py
+++ b/packages/router/src/damaskwind/router/front.py
@@ -79,11 +79,13 @@
 
     def live(self, request: Any) -> bytes:
         """Say that the process runs."""
+        request.setHeader(b"content-type", b"text/plain")
         return b"ok\n"
 
     def ready(self, request: Any) -> bytes:
         """Say whether the balancer may send requests here."""
         reason = self._not_ready()
+        request.setHeader(b"content-type", b"text/plain")
         request.setResponseCode(503 if reason else 200)
         return (reason or "ok").encode() + b"\n"
 
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -46,8 +46,12 @@
 _SPILL_INTERVAL_S = 0.25
 
 
-def _limit_domains(settings: Settings) -> tuple[str, ...]:
-    """Name the failure domains that share account limits: those of the replicas."""
+def _sibling_domains(settings: Settings) -> tuple[str, ...]:
+    """Name the failure domains that the replicas stand in, and this router's own.
+
+    Account limits are divided among them, and a chat has one home among their
+    engines, whichever of their routers it comes through.
+    """
     domains = {replica.failure_domain for replica in settings.router.replicas}
     return tuple(sorted(domains | {settings.node.failure_domain}))
 
@@ -57,6 +61,7 @@
 
     def __init__(self, settings: Settings, reactor: Any) -> None:
         self.settings = settings
+        self.domains = _sibling_domains(settings)
         self._reactor = reactor
         random = Random(secrets.randbits(64))
         self.links = FleetLinks(settings, reactor, random)
@@ -79,14 +84,16 @@
         self.gateway = Gateway(self.explain, self.idempotency, reactor)
         self.gateway.ended = self.telemetry.request_ended
         policy = self.gateway.configuration.policy
-        self.directory = TargetDirectory(node.node_id, node.failure_domain, policy, reactor, random)
+        self.directory = TargetDirectory(
+            node.node_id, node.failure_domain, self.domains, policy, reactor, random
+        )
         self.health = TargetHealth(reactor, random)
         self.directory.members_watcher = self.health.set_targets
         self.room = WaitingRoom(reactor)
         self.limits = AccountLimits(
             node.node_id,
             node.failure_domain,
-            _limit_domains(settings),
+            self.domains,
             self.membership,
             reactor,
             is_alone=not settings.router.seeds,
@@ -126,8 +133,20 @@
             self._observe_load,
             self.not_ready,
         )
+        self._make_operators(front)
+        limits = CallerLimits(
+            router.header_timeout_s,
+            router.body_timeout_s,
+            lambda: self.gateway.configuration.policy.body_limit_bytes,
+            self._new_request_id,
+        )
+        self.site = CallerSite(front.app.resource(), limits, reactor)
+        self.http_address = parse_address(router.http_address)
+
+    def _make_operators(self, front: Front) -> None:
+        """Make what operators talk to."""
         self.operators = OperatorApi(
-            node.node_id,
+            self.settings.node.node_id,
             self.gateway,
             self.explain,
             self.directory,
@@ -137,18 +156,10 @@
             self.client,
             self.telemetry,
             self.state,
-            reactor,
+            self._reactor,
         )
-        self.operators.peers = PeerAddresses(self.membership, reactor)
+        self.operators.peers = PeerAddresses(self.membership, self._reactor)
         self.operators.install(front.app)
-        limits = CallerLimits(
-            router.header_timeout_s,
-            router.body_timeout_s,
-            lambda: self.gateway.configuration.policy.body_limit_bytes,
-            self._new_request_id,
-        )
-        self.site = CallerSite(front.app.resource(), limits, reactor)
-        self.http_address = parse_address(router.http_address)
 
     def _new_request_id(self) -> str:
         """Return an id that names this router, so that any other can ask it."""
@@ -178,10 +189,10 @@
         """Take in an event of the membership."""
         self.directory.handle_event(event)
         if isinstance(event, RouterJoined | RouterGone):
-            domain = self.settings.node.failure_domain
-            routers = self.membership.routers()
-            near = sum(router.failure_domain == domain for router in routers)
-            self.directory.set_router_count(max(1, near))
+            domains = [router.failure_domain for router in self.membership.routers()]
+            near = sum(domain in self.domains for domain in domains)
+            own = domains.count(self.settings.node.failure_domain)
+            self.directory.set_router_counts(max(1, near), max(1, own))
 
     def _observe_load(self, target_id: str, report: LoadReport) -> None:
         """Take in a load that a target told this router itself."""
--- a/packages/router/src/damaskwind/router/target_directory.py
+++ b/packages/router/src/damaskwind/router/target_directory.py
@@ -29,19 +29,26 @@
     """The live targets by id, with one placer for each kind."""
 
     def __init__(
-        self, router_id: str, failure_domain: str, policy: Policy, clock: Any, random: Random
+        self,
+        router_id: str,
+        failure_domain: str,
+        near_domains: tuple[str, ...],
+        policy: Policy,
+        clock: Any,
+        random: Random,
     ) -> None:
         self._clock = clock
         self._views: dict[str, TargetView] = {}
         self._watchers: list[Callable[[], None]] = []
         self.members_watcher: Callable[[list[TargetView]], None] = lambda views: None
-        policies = {
-            TargetKind.ENGINE: policy.placement,
-            TargetKind.SERVICE: _SERVICE_PLACEMENT,
+        # Chats have one home among near domains; plain services have no cache to share.
+        kinds = {
+            TargetKind.ENGINE: (policy.placement, near_domains),
+            TargetKind.SERVICE: (_SERVICE_PLACEMENT, ()),
         }
         self.placers = {
-            kind: Placer(name, router_id, failure_domain, policy.load_factor, random)
-            for kind, name in policies.items()
+            kind: Placer(name, router_id, failure_domain, policy.load_factor, random, near)
+            for kind, (name, near) in kinds.items()
         }
         self._handlers: dict[type, Callable[[Any], None]] = {
             TargetChanged: self._changed,
@@ -70,10 +77,10 @@
         """Take a confirmed policy over."""
         self.placers[TargetKind.ENGINE].set_policy(policy.placement, policy.load_factor)
 
-    def set_router_count(self, count: int) -> None:
-        """Say how many routers share the targets."""
-        for placer in self.placers.values():
-            placer.set_router_count(count)
+    def set_router_counts(self, near_count: int, own_count: int) -> None:
+        """Say how many routers share the engines, and the plain services."""
+        self.placers[TargetKind.ENGINE].set_router_count(near_count)
+        self.placers[TargetKind.SERVICE].set_router_count(own_count)
 
     def views(self) -> list[TargetView]:
         """Return every live target."""
