--- a/packages/decisions/src/damaskwind/decisions/limits/allocator.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator.py
@@ -234,8 +234,7 @@
             held = max((lease.units for lease in share.leases), default=0)
             return min(share.wanted, held, free)
         wanted = {key: other.wanted for key, other in account.shares.items()}
-        fair = fair_shares(total, wanted, name + self._turn(now_s))[router_id]
-        return min(fair, free)
+        return min(self._fair(total, wanted, router_id, name + self._turn(now_s)), free)
 
     def _tokens_per_s(self, account: _Account, router_id: str, name: str, now_s: float) -> int:
         """Return which token rate a router gets now."""
@@ -246,5 +245,14 @@
         if now_s < account.blind_until_s:
             return min(share.wanted_tokens_per_s, share.tokens_per_s(), free)
         wanted = {key: other.wanted_tokens_per_s for key, other in account.shares.items()}
-        fair = fair_shares(total, wanted, name + self._turn(now_s))[router_id]
-        return min(fair, free)
+        return min(self._fair(total, wanted, router_id, name + self._turn(now_s)), free)
+
+    def _fair(self, total: int, wanted: dict[str, int], router_id: str, turn: str) -> int:
+        """Return a router's fair share, with something to spare while there is plenty.
+
+        What is spared saves reports; half of the surplus stays for those who ask next.
+        """
+        fair = fair_shares(total, wanted, turn)[router_id]
+        if not wanted[router_id]:
+            return 0
+        return fair + max(0, total - sum(wanted.values())) // (2 * len(wanted))
