--- a/packages/decisions/src/damaskwind/decisions/placement/bounded.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/bounded.py
@@ -32,9 +32,9 @@
 
 __all__ = ["bounded_rendezvous"]
 
-STAY_RAMP = SpillRamp(0.6, 1.6, 0.1)
-NEW_RAMP = SpillRamp(0.2, 1.6, 0.3)
-HOME_RAMP = SpillRamp(0.2, 1.6, 0.3)
+STAY_RAMP = SpillRamp(0.6, 1.0, 0.1)
+NEW_RAMP = SpillRamp(0.2, 1.0, 0.3)
+HOME_RAMP = SpillRamp(0.2, 1.0, 0.3)
 MOVE_RAMP = SpillRamp(-0.7, 1.6, 1.2)
 LEAST_ROOM_REQUESTS = 2.0
 MAX_CANDIDATES = 64
