--- a/packages/router/src/damaskwind/router/service_path.py
+++ b/packages/router/src/damaskwind/router/service_path.py
@@ -157,7 +157,17 @@
     async def _send(
         self, arrival: Arrival, work: Work, call: ServiceCall, body: Any, target: TargetView
     ) -> IResponse:
-        """Send a call to one target."""
+        """Send a call to one target; a body that was begun can't be sent to another."""
+        try:
+            return await self._send_once(arrival, work, call, body, target)
+        except AttemptError as error:
+            error.final = error.final or getattr(body, "begun", False)
+            raise
+
+    async def _send_once(
+        self, arrival: Arrival, work: Work, call: ServiceCall, body: Any, target: TargetView
+    ) -> IResponse:
+        """Send a call and check that the answer belongs to it."""
         request = arrival.request
         headers = _end_to_end(request.requestHeaders, _ROUTERS_OWN)
         headers.setRawHeaders(b"x-request-id", [work.request_id.encode()])
--- a/packages/router/src/damaskwind/router/stream_relay.py
+++ b/packages/router/src/damaskwind/router/stream_relay.py
@@ -15,6 +15,9 @@
 
 __all__ = ["RelayEnd", "StreamRelay"]
 
+# After its end marker an answer may still send the end of its body, and no more.
+_TAIL_TIMEOUT_S = 5.0
+
 
 class RelayEnd(StrEnum):
     """How one engine answer ended."""
@@ -31,6 +34,7 @@
     def __init__(self, relay: "StreamRelay") -> None:
         self.ended: Deferred = Deferred()
         self._relay = relay
+        self._tail: Any = None
         self._scanner = relay.scanner
         self._write = relay.request.write
 
@@ -39,11 +43,18 @@
         passed = self._scanner.feed(data)
         if passed and not self._relay.caller.gone:
             self._write(passed)
-        if self._scanner.complete:
+        if self._scanner.complete and self._tail is None:
+            self._tail = self._relay.clock.callLater(_TAIL_TIMEOUT_S, self._close)
             self._end(RelayEnd.COMPLETE)
 
+    def _close(self) -> None:
+        """Close a connection on which nothing more is wanted."""
+        self.transport.loseConnection()
+
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Note that no more comes; without its end marker an answer was cut."""
+        if self._tail is not None and self._tail.active():
+            self._tail.cancel()
         whole = self._scanner.end(bool(reason.check(ResponseDone)))
         self._end(RelayEnd.COMPLETE if whole else RelayEnd.CUT)
 
@@ -51,7 +62,7 @@
         """Close the engine's connection."""
         if not self.ended.called:
             self._end(end)
-            self.transport.loseConnection()
+            self._close()
 
     def _end(self, end: RelayEnd) -> None:
         """Tell the relay, once; what still follows is read and dropped."""
@@ -79,7 +90,7 @@
         self.request = request
         self.caller = caller
         self.scanner = scanner
-        self._clock = clock
+        self.clock = clock
         self._stall_timeout_s = stall_timeout_s
         self._body: _Body | None = None
         self._paused = False
@@ -95,7 +106,7 @@
         self.scanner.restart()
         self._body = _Body(self)
         self._received = -1
-        self._check = self._clock.callLater(self._stall_timeout_s, self._check_progress)
+        self._check = self.clock.callLater(self._stall_timeout_s, self._check_progress)
         response.deliverBody(self._body)
         if self._paused:
             self._body.transport.pauseProducing()
@@ -127,7 +138,7 @@
 
     def _check_progress(self) -> None:
         """Find out who holds the stream up, if nothing moved since the last check."""
-        self._check = self._clock.callLater(self._stall_timeout_s, self._check_progress)
+        self._check = self.clock.callLater(self._stall_timeout_s, self._check_progress)
         received = self.scanner.received_chunks
         if received != self._received:
             self._received = received
--- a/packages/router/src/damaskwind/router/tests/test_services.py
+++ b/packages/router/src/damaskwind/router/tests/test_services.py
@@ -101,6 +101,15 @@
             answer["digest"], expected_service_answer(1, "POST", "/migrate", sent)["digest"]
         )
 
+    @asyncio_test
+    async def test_begun_body_goes_to_no_other_target(self):
+        bench = await self.bench(services=2)
+        for service in bench.services:
+            service.faults.arm(Fault.REFUSE, 1)
+        response, _ = await self.call(bench, "POST", "/migrate", data=b"m" * 200_000)
+        self.assertEqual((response.code, self.header(response, "x-verdict")), (502, "not-run"))
+        self.assertEqual(sum(s.oracle.events["refused"] for s in bench.services), 1)
+
     @asyncio_test
     async def test_unknown_and_forbidden_service_look_the_same(self):
         bench = await self.bench()
