--- a/packages/control/src/damaskwind/control/process.py
+++ b/packages/control/src/damaskwind/control/process.py
@@ -72,6 +72,7 @@
         control = self.settings.control
         host, port = self.replica_address
         listening = socket.create_server((host, port))
+        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.replica_address = Address(host, listening.getsockname()[1])
         await self._server.start(sock=listening)
         self._is_serving = True
