--- a/Makefile
+++ b/Makefile
@@ -34,5 +34,6 @@
 	$(BIN)/python tools/fuzz.py --seconds $(or $(SECONDS),60)
 
 measure: setup
-	$(BIN)/python benchmarks/measure.py --deployment $(or $(DEPLOYMENT),kenanga) \
-		$(if $(POLICIES),--policies $(POLICIES)) $(if $(AGAINST),--against $(AGAINST))
+	$(BIN)/python -m benchmarks.measure --deployment $(or $(DEPLOYMENT),kenanga) \
+		$(if $(POLICIES),--policies $(POLICIES)) $(if $(AGAINST),--against $(AGAINST)) \
+		$(if $(SEED),--seed $(SEED)) $(if $(FAULT),--fault $(FAULT))
--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -30,12 +30,9 @@
 ) -> int:
     """Run every policy and report."""
     from benchmarks.measuring.report import broken_promises, write_reports
-    from benchmarks.measuring.run import run_policy
+    from benchmarks.measuring.run import run_policies
 
-    figures = []
-    for policy in policies:
-        print(f"measuring {deployment} under {policy} ...", flush=True)
-        figures.append(await run_policy(deployment, policy, seed, phase_s, fault))
+    figures = await run_policies(deployment, policies, seed, phase_s, fault)
     write_reports(REPORTS, deployment, seed, figures, Path(against) if against else None)
     broken = broken_promises(deployment, figures[0])
     for line in broken:
--- a/benchmarks/measuring/calendar_load.py
+++ b/benchmarks/measuring/calendar_load.py
@@ -111,8 +111,9 @@
 class _Maker:
     """Make the turns of one trace."""
 
-    def __init__(self, plan: LoadPlan, source: random.Random) -> None:
+    def __init__(self, plan: LoadPlan, source: random.Random, salt: str) -> None:
         self._plan = plan
+        self._salt = salt
         self._source = source
         self._chats: dict[str, list[_Chat]] = {account: [] for account in plan.accounts}
         self._prompts = {
@@ -141,7 +142,7 @@
         source, plan = self._source, self._plan
         chat = self._chat(account, at_s)
         question = _text(source, source.randint(*QUESTION_TOKENS))
-        chat.messages.append(Message("user", f"{chat.number}/{chat.turns} {question}"))
+        chat.messages.append(Message("user", f"{self._salt}/{chat.number}/{chat.turns} {question}"))
         size_tokens = source.randint(*ANSWER_TOKENS)
         answer = expected_answer(plan.answer_seed, plan.model, chat.messages, size_tokens)
         chat.router = self._other_router(chat.router)
@@ -175,13 +176,13 @@
 
 
 def _calls(
-    plan: LoadPlan, phase: Phase, paths: dict[str, str], source: random.Random
+    plan: LoadPlan, phase: Phase, paths: dict[str, str], source: random.Random, salt: str
 ) -> list[Call]:
     """Draw the calls of the plain service in a phase."""
     calls = []
     for number, at_s in enumerate(_arrivals(source, CALLS_PER_S, phase)):
         once = source.random() < 0.5
-        name = f"{phase.name}-{number}"
+        name = f"{salt}-{phase.name}-{number}"
         calls.append(
             Call(
                 at_s,
@@ -198,11 +199,14 @@
 
 
 def make_trace(
-    plan: LoadPlan, phases: list[Phase], paths: dict[str, str], seed: int
+    plan: LoadPlan, phases: list[Phase], paths: dict[str, str], seed: int, salt: str = ""
 ) -> tuple[list[Turn], list[Call]]:
-    """Make the whole trace; `paths` names a status path and one that runs once."""
+    """Make the whole trace; `paths` names a status path and one that runs once.
+
+    Traces that differ in `salt` alone ask at the same times in other words.
+    """
     source = random.Random(seed)
-    maker = _Maker(plan, source)
+    maker = _Maker(plan, source, salt)
     turns: list[Turn] = []
     calls: list[Call] = []
     for phase in phases:
@@ -212,5 +216,5 @@
             for at_s in _arrivals(source, rate_per_s, phase)
         ]
         turns += [maker.turn(at_s, phase, account) for at_s, account in sorted(arrivals)]
-        calls += _calls(plan, phase, paths, source)
+        calls += _calls(plan, phase, paths, source, salt)
     return turns, calls
--- a/benchmarks/measuring/deployment.py
+++ b/benchmarks/measuring/deployment.py
@@ -27,7 +27,7 @@
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 ANY_PORT = "127.0.0.1:0"
-OPERATOR = "watch"
+OPERATOR = "lead"
 BOOTSTRAP_KEY = "key-of-the-first-operator"
 _READY_DEADLINE_S = 30.0
 _PASSING_REFUSALS = ("no_quorum", "outcome_unknown")
@@ -92,14 +92,14 @@
 class Deployment:
     """The running processes of one deployment."""
 
-    def __init__(self, name: str, placement: str, folder: Path) -> None:
+    def __init__(self, name: str, folder: Path) -> None:
         self.name = name
         self.profile = DEPLOYMENTS[name]
-        self.placement = placement
         self.harness = Harness(folder)
         self.replicas: list[DaemonProcess] = []
         self.routers: list[DaemonProcess] = []
         self.fleet: DaemonProcess | None = None
+        self._revision = 0
         self._source = EXAMPLES / name
         self._configuration = _read(self._source / "configuration.toml")
         self._fleet_table = _read(self._source / "standins.toml")["fleet"]
@@ -147,9 +147,8 @@
         return {use: f"{root}{path}" for use, path in self.profile.paths.items()}
 
     def _own_configuration(self) -> dict[str, Any]:
-        """Return the configuration with the keys and the policy of this run."""
+        """Return the configuration with the keys of this run."""
         table = {kind: value for kind, value in self._configuration.items() if kind != "revision"}
-        table["policy"]["placement"] = self.placement
         for account, fields in table["accounts"].items():
             fields["key_hashes"] = [_hash(self.keys[account])]
         table["operators"][OPERATOR]["key_hash"] = _hash(self.operator_key)
@@ -158,7 +157,7 @@
     async def start(self) -> None:
         """Start replicas, routers and stand-ins, and wait until each knows the others."""
         replicas = await self._start_replicas()
-        await self._confirm_configuration()
+        await self._confirm(self._own_configuration(), BOOTSTRAP_KEY)
         first, *others = sorted(self._source.glob("router-*.toml"))
         self.routers = [await self._start_router(first, replicas, [])]
         seeds = [self.routers[0].ready["datagram_address"]]
@@ -168,7 +167,6 @@
         fleet = dict(self._fleet_table)
         fleet["announce"] = {**fleet["announce"], "routers": self.addresses()}
         self.fleet = await self.harness.start_fleet("fleet", fleet)
-        await wait_until(self._all_known, _READY_DEADLINE_S, "knowledge of all targets")
 
     async def _start_replicas(self) -> list[dict[str, str]]:
         """Start the control replicas and return how routers find them."""
@@ -191,22 +189,42 @@
         self.replicas = list(await asyncio.gather(*starting))
         return replicas
 
-    async def _confirm_configuration(self) -> None:
-        """Plan and confirm the configuration, as an operator would."""
+    async def _confirm(self, objects: dict[str, Any], key: str) -> None:
+        """Plan and confirm objects, as an operator would; wait until they are in force."""
         root = f"{self.replicas[0].ready['operator_address']}/operator/v1"
-        objects = self._own_configuration()
 
         async def planned() -> dict[str, Any] | None:
-            answer = await ask("POST", f"{root}/intents", objects, BOOTSTRAP_KEY)
+            answer = await ask("POST", f"{root}/intents", objects, key)
+            if answer.get("already_in_force"):
+                return answer
             refusal = answer.get("error", {"code": "no_quorum"})
-            if refusal["code"] not in _PASSING_REFUSALS:
-                raise HarnessError(f"the configuration was refused: {refusal}")
+            if "plan" not in answer and refusal["code"] not in _PASSING_REFUSALS:
+                raise HarnessError(f"the intent was refused: {refusal}")
             return answer.get("plan")
 
         plan = await wait_until(planned, _READY_DEADLINE_S, "a leader among the replicas")
-        outcome = await ask("POST", f"{root}/plans/{plan['id']}/confirm", {}, BOOTSTRAP_KEY)
+        if "already_in_force" in plan:
+            return
+        outcome = await ask("POST", f"{root}/plans/{plan['id']}/confirm", {}, key)
         if "outcome" not in outcome:
-            raise HarnessError(f"the configuration was not confirmed: {outcome}")
+            raise HarnessError(f"the plan was not confirmed: {outcome}")
+        self._revision = outcome["outcome"]["revision"]
+        await wait_until(self._in_force, _READY_DEADLINE_S, "the confirmed revision everywhere")
+
+    async def _in_force(self) -> bool:
+        """Tell whether every router enforces the last confirmed revision."""
+        for address in self.addresses():
+            state = await ask("GET", f"{address}/operator/v1/router", key=self.operator_key)
+            if state.get("revision_in_force", 0) < self._revision:
+                return False
+        return True
+
+    async def begin_policy(self, placement: str) -> None:
+        """Put a placement policy in force and let the stand-ins begin anew."""
+        policy = {**self._configuration["policy"], "placement": placement}
+        await self._confirm({"policy": policy}, self.operator_key)
+        await self.fleet_ask("POST", "/reset", {})
+        await wait_until(self._all_known, _READY_DEADLINE_S, "knowledge of all targets")
 
     async def _start_router(
         self, path: Path, replicas: list[dict[str, str]], seeds: list[str]
@@ -238,11 +256,17 @@
         return [router.ready["http_address"] for router in self.routers]
 
     async def _all_known(self) -> bool:
-        """Tell whether every router knows every target."""
-        expected = len(self._fleet_table["engines"]) + len(self._fleet_table["services"])
+        """Tell whether every router knows the first targets and no others."""
+        expected = {
+            target["target_id"]
+            for target in self._fleet_table["engines"] + self._fleet_table["services"]
+        }
         for address in self.addresses():
             shown = await ask("GET", f"{address}/operator/v1/targets", key=self.operator_key)
-            if len(shown["targets"]) < expected:
+            serving = {
+                target["target_id"] for target in shown["targets"] if target["state"] == "serving"
+            }
+            if serving != expected:
                 return False
         return True
 
--- a/benchmarks/measuring/run.py
+++ b/benchmarks/measuring/run.py
@@ -21,7 +21,7 @@
 from benchmarks.measuring.figures import SkewFigures, reuse_by_phase, skew_figures
 from benchmarks.measuring.promises import Breach, count_ends, find_breaches
 
-__all__ = ["FAULTS", "RunFigures", "run_policy"]
+__all__ = ["FAULTS", "RunFigures", "run_policies"]
 
 START_IN_S = 1.0
 PROBE_TURNS = 40
@@ -88,27 +88,44 @@
     return driver
 
 
-async def run_policy(
-    name: str, policy: str, seed: int, phase_s: float, fault: str = ""
-) -> RunFigures:
-    """Start a deployment, drive the calendar through it and work out the figures."""
+async def run_policies(
+    name: str, policies: list[str], seed: int, phase_s: float, fault: str = ""
+) -> list[RunFigures]:
+    """Start a deployment and drive the calendar through it once for each policy."""
+    begun_s = time.monotonic()
     with tempfile.TemporaryDirectory() as folder:
-        deployment = Deployment(name, policy, Path(folder))
-        plan = deployment.load_plan()
-        phases = make_phases(plan, phase_s)
-        turns, calls = make_trace(plan, phases, deployment.call_paths(), seed)
-        begun_s = time.monotonic()
+        deployment = Deployment(name, Path(folder))
         try:
             await deployment.start()
-            print(f"  started in {time.monotonic() - begun_s:.1f} s", flush=True)
-            return await _drive(deployment, phases, turns, calls, fault)
+            print(f"{name} started in {time.monotonic() - begun_s:.1f} s", flush=True)
+            return [
+                await _run_policy(deployment, policy, seed, phase_s, fault) for policy in policies
+            ]
         finally:
             await deployment.stop()
-            print(f"  ended after {time.monotonic() - begun_s:.1f} s", flush=True)
+
+
+async def _run_policy(
+    deployment: Deployment, policy: str, seed: int, phase_s: float, fault: str
+) -> RunFigures:
+    """Drive the calendar once; each policy gets chats of its own, asked at the same times."""
+    begun_s = time.monotonic()
+    plan = deployment.load_plan()
+    phases = make_phases(plan, phase_s)
+    turns, calls = make_trace(plan, phases, deployment.call_paths(), seed, policy)
+    await deployment.begin_policy(policy)
+    figures = await _drive(deployment, policy, phases, turns, calls, fault)
+    print(f"{policy} measured in {time.monotonic() - begun_s:.1f} s", flush=True)
+    return figures
 
 
 async def _drive(
-    deployment: Deployment, phases: list[Phase], turns: list[Turn], calls: list[Call], fault: str
+    deployment: Deployment,
+    policy: str,
+    phases: list[Phase],
+    turns: list[Turn],
+    calls: list[Call],
+    fault: str,
 ) -> RunFigures:
     """Drive a trace through a running deployment."""
     direct = await _probe_directly(deployment, turns)
@@ -132,7 +149,7 @@
     during = [sample for sample in samples if sample["time_s"] >= started_s]
     root = f"/services/{deployment.profile.service}"
     return RunFigures(
-        policy=deployment.placement,
+        policy=policy,
         turns=len(turns),
         calls=len(calls),
         reuse=reuse_by_phase(driver.turns, ideal),
--- a/packages/standins/src/damaskwind/standins/announcing.py
+++ b/packages/standins/src/damaskwind/standins/announcing.py
@@ -1,5 +1,6 @@
 """Announce a target to one router after the other, as the balancer would."""
 
+import asyncio
 import json
 import time
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 __all__ = ["Announcer", "announcement_body"]
 
 _POST_TIMEOUT_S = 1.0
+_POLL_S = 0.02
 _PATH = "/targets/v1/announcements"
 
 
@@ -60,6 +62,7 @@
         self.state = TargetState.SERVING
         self.models = template.models
         self.accepted = 0
+        self.said: TargetState | None = None
         agent = Agent(reactor, pool=HTTPConnectionPool(reactor, persistent=False))
         self._client = HTTPClient(agent)
 
@@ -83,6 +86,11 @@
         self.state = TargetState.SERVING
         self.start(address)
 
+    async def said_goodbye(self) -> None:
+        """Wait until a router has taken the announcement of the leave."""
+        while self.said is not TargetState.LEAVING:
+            await asyncio.sleep(_POLL_S)
+
     def announce_now(self) -> None:
         """Announce at once and go on from there."""
         if self._timer is not None:
@@ -132,18 +140,20 @@
             router = self.routers[self._turn % len(self.routers)]
             self._turn += 1
             try:
-                taken = yield self._post(router)
+                posted = self.next_announcement()
+                taken = yield self._post(router, posted)
             except Exception:
                 # Whatever went wrong, the balancer would give another router.
                 continue
             if taken:
                 self.accepted += 1
+                self.said = posted.state
                 return
 
     @inlineCallbacks
-    def _post(self, router: str) -> Deferred:
+    def _post(self, router: str, announcement: TargetAnnouncement) -> Deferred:
         """Post one announcement; return whether it was taken."""
-        body = json.dumps(announcement_body(self.next_announcement())).encode()
+        body = json.dumps(announcement_body(announcement)).encode()
         response = yield self._client.post(
             f"http://{router}{_PATH}",
             data=body,
--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -146,6 +146,12 @@
         self._sweeper.start(_SWEEP_INTERVAL_S, now=False)
         self.announcer.restart(self.address)
 
+    def forget(self) -> None:
+        """Begin with an empty cache, counts of zero and no faults."""
+        self.cache.clear()
+        self.oracle = Oracle()
+        self.faults.disarm()
+
     def leave(self, quiet: bool = False) -> None:
         """Announce the leave; what is in progress goes on.
 
@@ -207,8 +213,8 @@
 
     def _chat(self, request: Any) -> Any:
         """Take a chat."""
-        if self.reactor.seconds() > self._leaving_since_s + self.oracle.grace_s:
-            self.oracle.note("new_work_after_leaving")
+        leaving_for_s = self.reactor.seconds() - self._leaving_since_s
+        self.oracle.arrived(request.getHeader("x-request-id") or "", leaving_for_s)
         try:
             body = json.loads(request.content.read())
             messages = canonical_messages(body["messages"])
--- a/packages/standins/src/damaskwind/standins/oracle.py
+++ b/packages/standins/src/damaskwind/standins/oracle.py
@@ -9,8 +9,8 @@
 class Oracle:
     """Count how often each request ran, by its id, key and body.
 
-    A request counts as run from the moment that the target took it. `late`
-    counts those that came more than `grace_s` after the target began to leave.
+    A request counts as run from the moment that the target took it. `late` names
+    those that came more than `grace_s` after the target began to leave.
     """
 
     def __init__(self, grace_s: float = 2.0) -> None:
@@ -20,6 +20,7 @@
         self.events: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
         self.grace_s = grace_s
+        self.late: dict[str, float] = {}
 
     def run(self, request_id: str, key: str, body_digest: str) -> None:
         """Count that a request was taken."""
@@ -29,6 +30,12 @@
         if key:
             self.runs_by_key[key] += 1
 
+    def arrived(self, request_id: str, leaving_for_s: float) -> None:
+        """Note a request that came when the target had been leaving for a while."""
+        if leaving_for_s > self.grace_s:
+            self.events["new_work_after_leaving"] += 1
+            self.late[request_id] = round(leaving_for_s, 3)
+
     def note(self, event: str, count: int = 1) -> None:
         """Count something else, such as `finished`, `cancelled` or `refused`."""
         self.events[event] += count
@@ -40,5 +47,6 @@
             "runs_by_key": dict(self.runs_by_key),
             "runs_by_body": dict(self.runs_by_body),
             "events": dict(self.events),
+            "late": self.late,
             "faults": dict(self.faults),
         }
--- a/packages/standins/src/damaskwind/standins/service.py
+++ b/packages/standins/src/damaskwind/standins/service.py
@@ -120,6 +120,16 @@
         self._listener.start()
         self.announcer.restart(self.address)
 
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether the service is up and not leaving."""
+        return self._listener.is_open and self._leaving_since_s == float("inf")
+
+    def forget(self) -> None:
+        """Begin with counts of zero and no faults."""
+        self.oracle = Oracle()
+        self.faults.disarm()
+
     def leave(self, quiet: bool = False) -> None:
         """Announce the leave unless it is `quiet`; what is in progress goes on."""
         if self._leaving_since_s == float("inf"):
@@ -136,8 +146,8 @@
 
     def _call(self, request: Any, path: str = "") -> Any:
         """Take a call, count it and answer after its duration."""
-        if self._reactor.seconds() > self._leaving_since_s + self.oracle.grace_s:
-            self.oracle.note("new_work_after_leaving")
+        leaving_for_s = self._reactor.seconds() - self._leaving_since_s
+        self.oracle.arrived(request.getHeader("x-request-id") or "", leaving_for_s)
         if self.faults.take(Fault.REFUSE):
             self.oracle.faults[Fault.REFUSE] += 1
             self.oracle.note("refused")
