Account limits: the allocator hears from membership which routers died

Without it the units of a router that crashed stayed booked for the longest request. router.tests.test_fleet, test_front, test_services: 20 passed.

--- a/packages/router/src/damaskwind/router/account_limits.py
+++ b/packages/router/src/damaskwind/router/account_limits.py
@@ -190,6 +190,7 @@
 
     def _take_report(self, router_id: str, report: DemandReport) -> None:
         """Answer a report with what its router may use."""
+        self._allocator.set_routers(frozenset(self._routers()[self._domain]))
         grant = self._allocator.take_report(report, self._clock.seconds())
         if grant is None:
             return
