Leaves are always flooded on; only neighbours' copies end the flooding of joins

At 80 routers in 16 domains relays heard a leave from several other domains, took that for enough copies and did not pass it to their neighbours: one leave of twelve missed five routers for over 4 s.

--- a/packages/decisions/src/damaskwind/decisions/membership/core.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/core.py
@@ -171,6 +171,8 @@
             return self._state.take_output()
         self._gossip.room_bytes = room_bytes
         sender = self._state.sender_record(sender_id, sender_incarnation)
+        domain = self.router_table.me.failure_domain
+        self._state.sender_is_near = sender is not None and sender.failure_domain == domain
         handler(self._state, sender, source, message, self.now_s)
         return self._state.take_output()
 
--- a/packages/decisions/src/damaskwind/decisions/membership/rumours.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/rumours.py
@@ -3,7 +3,8 @@
 New items are flooded at once to a few peers, and then ride along on probes and
 answers for some rounds. An item that others have already sent to this router
 several times needs no flooding by it (counter-based broadcast, Ni and others,
-MobiCom 1999), which keeps a burst of leaves from multiplying.
+MobiCom 1999), which keeps a burst of joins from multiplying. Leaves are always
+flooded.
 """
 
 from math import ceil, log2
@@ -23,7 +24,6 @@
 __all__ = ["Rumour", "RumourQueue", "news_of", "split_news", "transmissions_limit"]
 
 COPIES_ENOUGH = 2
-COPIES_OF_LEAVES_ENOUGH = 4
 LIFETIME_S = 10.0
 QUEUE_LIMIT = 2000
 JOINS_LIMIT = 8
@@ -64,8 +64,7 @@
         self.born_s = now_s
         self.sends = 0
         self.copies = 0
-        leaves = urgency == Urgency.LEAVE
-        self.copies_enough = COPIES_OF_LEAVES_ENOUGH if leaves else COPIES_ENOUGH
+        self.copies_enough = _FLOODED if urgency == Urgency.LEAVE else COPIES_ENOUGH
         self.size_bytes = estimate_bytes(item)
 
 
@@ -174,9 +173,7 @@
         count = "far_floods" if far else "floods"
         waiting = [r for r in self._rumours.values() if getattr(r, count) < fanout]
         for rumour in sorted(waiting, key=self._order):
-            # Copies heard from neighbours say nothing about other domains.
-            far_leave = far and rumour.urgency == Urgency.LEAVE
-            if rumour.copies >= rumour.copies_enough and not far_leave:
+            if rumour.copies >= rumour.copies_enough:
                 setattr(rumour, count, _FLOODED)
                 continue
             if rumour.size_bytes > limit_bytes:
--- a/packages/decisions/src/damaskwind/decisions/membership/state.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/state.py
@@ -36,7 +36,7 @@
 from damaskwind.decisions.membership.prober import Prober
 from damaskwind.decisions.membership.repair import Repair
 from damaskwind.decisions.membership.routers import RouterChange, RouterTable
-from damaskwind.decisions.membership.rumours import news_of
+from damaskwind.decisions.membership.rumours import Item, news_of
 from damaskwind.decisions.membership.targets import MergeOutcome, TargetTable
 from damaskwind.decisions.pacing.urgency import Urgency
 from damaskwind.decisions.placement.messages import SpillNote
@@ -73,6 +73,7 @@
         )
         self.sends: list[Send] = []
         self.events: list[Event] = []
+        self.sender_is_near = False
         self.spills_seen: dict[SpillNote, float] = {}
         self._revisions: dict[str, int] = {}
 
@@ -141,7 +142,7 @@
             return
         change = self.routers.merge(record, self.now_s)
         if change is None:
-            self.gossip.rumours.heard(record)
+            self.hear_again(record)
             return
         self.tell_router(change)
         if pass_on:
@@ -172,7 +173,7 @@
             near = record.failure_domain == self.routers.me.failure_domain
             return None if near and tombstone.reason == GoneReason.LAPSED else tombstone
         if outcome in (MergeOutcome.KNOWN, MergeOutcome.RENEWED):
-            self.gossip.rumours.heard(record)
+            self.hear_again(record)
         self.after_target(record.target_id, outcome, returns, pass_on)
         return None
 
@@ -180,7 +181,7 @@
         """Merge the tombstone of a target."""
         lived = tombstone.target_id in self.targets.held
         if not self.targets.bury(tombstone, self.now_s):
-            self.gossip.rumours.heard(tombstone)
+            self.hear_again(tombstone)
             return
         if lived:
             self.events.append(TargetGone(tombstone.target_id, tombstone.reason))
@@ -206,6 +207,14 @@
                 answer(records)
         self.merge_spills(news.spills)
 
+    def hear_again(self, item: Item) -> None:
+        """Count a copy of known news, if a neighbour sent it.
+
+        Copies from other domains don't show that the neighbours have it.
+        """
+        if self.sender_is_near:
+            self.gossip.rumours.heard(item)
+
     def merge_spills(self, notes: tuple[SpillNote, ...]) -> None:
         """Tell of spill notes not seen before and pass them on."""
         fresh = tuple(note for note in notes if note not in self.spills_seen)
