Router: tell the openai client not to resend what may have run

Cause: the official client sends again by itself after any 5xx or 409, so an honest may-have-run became a second run: 2 runs in the test without the header. Change: such refusals carry x-should-retry: false. After: 1 run.

--- a/packages/router/src/damaskwind/router/answers.py
+++ b/packages/router/src/damaskwind/router/answers.py
@@ -56,6 +56,9 @@
     set_outcome(request, request_id, refusal.verdict)
     request.setHeader(b"content-type", b"application/json")
     request.setHeader(b"content-length", str(len(body)).encode())
+    if refusal.verdict is not Verdict.NOT_RUN:
+        # The openai client resends after any 5xx or 409 by itself unless told not to.
+        request.setHeader(b"x-should-retry", b"false")
     if status in _RETRY_STATUSES:
         wait_s = refusal.retry_after_s or _DEFAULT_RETRY_AFTER_S
         request.setHeader(b"retry-after", str(max(1, ceil(wait_s))).encode())
--- a/packages/router/src/damaskwind/router/tests/test_chats.py
+++ b/packages/router/src/damaskwind/router/tests/test_chats.py
@@ -121,8 +121,10 @@
         bench = await self.bench(engines=2)
         for engine in bench.engines:
             engine.faults.arm(Fault.RESET_AFTER_READ, 1)
+        # The client must not send it again either, as it does by itself on other 5xx.
+        client = bench.client.with_options(max_retries=2)
         with self.assertRaises(APIStatusError) as caught:
-            await bench.client.chat.completions.create(model="damask", messages=MESSAGES)
+            await client.chat.completions.create(model="damask", messages=MESSAGES)
         self.assertEqual(caught.exception.response.headers["x-verdict"], "may-have-run")
         self.assertEqual(sum(e.oracle.events["run"] for e in bench.engines), 1)
 
