The warm-up of leases is for large domains only

In a small domain it would keep a dead engine listed for a minute after a router's start, and the gossip of a small domain is never crowded.

--- a/packages/decisions/src/damaskwind/decisions/membership/core.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/core.py
@@ -110,18 +110,24 @@
         """
         return self._announcements.next_s(lease_s, self._near_targets_per_router(), self.now_s)
 
+    def _near_targets(self) -> int:
+        """Return how many targets of the own domain are held."""
+        domain = self.router_table.me.failure_domain
+        held = self.target_table.held.values()
+        return sum(target.record.failure_domain == domain for target in held)
+
+    def _near_routers(self) -> int:
+        """Return how many routers of the own domain live, this one among them."""
+        return max(len(self.router_table.ring(self.router_table.me.failure_domain)), 1)
+
     def _near_targets_per_router(self) -> float:
         """Return how many targets of the own domain there are for each router."""
-        domain = self.router_table.me.failure_domain
-        targets = sum(
-            held.record.failure_domain == domain for held in self.target_table.held.values()
-        )
-        routers = max(len(self.router_table.ring(domain)), 1)
-        return targets / routers
+        return self._near_targets() / self._near_routers()
 
     def _lease_floor_s(self) -> float:
         """Return the shortest lease that the gossip can keep up now."""
-        if self.now_s < self._started_s + self.parameters.warm_up_s:
+        large = self._near_targets() + self._near_routers() > self.parameters.small_domain_members
+        if large and self.now_s < self._started_s + self.parameters.warm_up_s:
             return MAX_LEASE_S
         by_budget_s = self._announcements.lease_floor_s(self._near_targets_per_router())
         by_gap_s = self.parameters.gaps_per_lease * self.target_table.renewal_gap_s
--- a/packages/decisions/src/damaskwind/decisions/membership/parameters.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/parameters.py
@@ -13,8 +13,9 @@
     is room for `spare_room_bytes` of news, so that news goes before fresher loads.
     `fanout` counts the peers that news is flooded to in the own domain,
     `foreign_fanout` the other domains that a relay passes it to.
-    For `warm_up_s` after its start a router lets no lease of its domain end
-    before the longest one, and later none before `gaps_per_lease` times the
+    For `warm_up_s` after its start a router whose domain has more than
+    `small_domain_members` routers and targets lets no lease of it end before the
+    longest one, and later none before `gaps_per_lease` times the
     mean gap between the renewals that it hears: a lease must not judge targets
     by the state of the gossip. `overdue_share` of a lease without a renewal
     makes a router ask its peers.
@@ -42,5 +43,6 @@
     overdue_limit: int = 12
     rounds_per_lost_probe: int = 5
     warm_up_s: float = 90.0
+    small_domain_members: int = 20
     gaps_per_lease: float = 3.5
     announcement_share: float = 0.16
