--- a/packages/decisions/src/damaskwind/decisions/limits/demand.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/demand.py
@@ -7,6 +7,7 @@
 
 UNMET_S = 1.0
 UNMET_LIMIT = 256
+TOKENS_WINDOW_S = 30.0
 HEADROOM = 4.0
 
 
@@ -58,12 +59,12 @@
         if not self.in_use and now_s - self._arrived_s >= self.idle_s:
             return 0
         self._decay(now_s)
-        return int(HEADROOM * self._tokens / self.idle_s + 0.5)
+        return int(HEADROOM * self._tokens / TOKENS_WINDOW_S + 0.5)
 
     def _decay(self, now_s: float) -> None:
         """Let old arrivals fade."""
         if now_s > self._tokens_s:
-            self._tokens *= exp((self._tokens_s - now_s) / self.idle_s)
+            self._tokens *= exp((self._tokens_s - now_s) / TOKENS_WINDOW_S)
             self._tokens_s = now_s
 
     def _note_peak(self, now_s: float) -> None:
