Placement: excluded targets don't count in the mean

Cause: an ejected or just tried target is often idle; with two targets it halved the mean, and the other one, far below its capacity, stood over the bound: nothing was placed. Change: the mean is that of the targets that may be chosen. A test that was red before holds it.

--- a/packages/decisions/src/damaskwind/decisions/placement/placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/placer.py
@@ -144,7 +144,7 @@
         """Ask the policy for a target of one tier."""
         if not tier.target_ids or query.excluded.issuperset(tier.target_ids):
             return _NO_TARGET
-        mean_tokens = self._mean_tokens(tier, now_s)
+        mean_tokens = self._mean_without(query.excluded, tier, now_s)
         part = self._part(query, mean_tokens, len(tier.target_ids))
         situation = Situation(
             query,
@@ -190,6 +190,22 @@
             raised_tokens = mean.tokens + need_tokens / len(tier.target_ids)
             self._means[tier.number] = mean._replace(tokens=raised_tokens)
 
+    def _mean_without(self, excluded: frozenset[str], tier: Tier, now_s: float) -> float:
+        """Return the mean load of the targets that may be chosen.
+
+        An excluded target is often idle (ejected, or just failed); counted in, it
+        would put the rest over the bound of a mean that they can't bring about.
+        """
+        mean_tokens = self._mean_tokens(tier, now_s)
+        left_out = excluded.intersection(tier.target_ids) if excluded else ()
+        if not left_out:
+            return mean_tokens
+        target_count = len(tier.target_ids)
+        rest_tokens = mean_tokens * target_count - sum(
+            self.book.estimate_tokens(target_id, now_s) for target_id in left_out
+        )
+        return max(rest_tokens, 0.0) / (target_count - len(left_out))
+
     def _mean_tokens(self, tier: Tier, now_s: float) -> float:
         """Return the mean estimated load of a tier, computed again when it is old."""
         refresh_s = MEAN_REFRESH_S + MEAN_REFRESH_S_PER_TARGET * len(tier.target_ids)
--- a/packages/decisions/src/damaskwind/decisions/placement/tests/test_placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_placer.py
@@ -163,6 +163,13 @@
                 choice = made.place(query("chat", excluded=frozenset(NAMES[:-1])), 0.1)
                 self.assertEqual(choice.target_id, NAMES[-1], policy)
 
+    def test_an_excluded_idle_target_does_not_lower_the_bound_of_the_rest(self) -> None:
+        made = placer(names=NAMES[:2])
+        report(made, {"t0": 0.0, "t1": 50_000.0}, 1.0)
+        for chat in range(20):
+            choice = made.place(query(chat, excluded=frozenset({"t0"})), 1.0)
+            self.assertEqual(choice.target_id, "t1")
+
     def test_all_excluded_is_no_target(self) -> None:
         choice = self.made.place(query("chat", excluded=frozenset(NAMES)), 0.1)
         self.assertEqual(choice.reason, PlacementReason.NO_TARGET)
