Router: calls over a target's limit of concurrent requests wait in the queue

Cause: with every target of a pool excluded for now, as full or ejected, a call was refused as if there were none. Change: only a pool without a live target that was not tried refuses at once. The new test fails without it.

--- a/packages/router/src/damaskwind/router/placing.py
+++ b/packages/router/src/damaskwind/router/placing.py
@@ -5,11 +5,6 @@
 from typing import Any
 
 from damaskwind.decisions.admission.queue import QueuedRequest
-from damaskwind.decisions.placement.messages import (
-    CandidateOutcome,
-    PlacementChoice,
-    PlacementReason,
-)
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.exception import RefusedError
 from damaskwind.model.reason import Reason
@@ -80,7 +75,8 @@
         if target is not None or not again:
             work.record.chose(choice, now_s)
         if target is None:
-            self._check_exists(choice, tried, again)
+            if not again:
+                self._check_exists(work, tried)
             return None
         self.in_flight[target.target_id] += 1
         self._health.note_sent(target)
@@ -103,16 +99,9 @@
         limit = service.max_concurrent_requests
         return frozenset(name for name, count in self.in_flight.items() if count >= limit)
 
-    def _check_exists(self, choice: PlacementChoice, tried: frozenset[str], again: bool) -> None:
-        """Raise `RefusedError` when waiting can't help: nobody serves this, or all were tried."""
-        if again:
-            return
-        left = [
-            note
-            for note in choice.candidates
-            if not (note.outcome is CandidateOutcome.EXCLUDED and note.target_id in tried)
-        ]
-        if choice.reason is PlacementReason.NO_TARGET or (tried and not left):
+    def _check_exists(self, work: Work, tried: frozenset[str]) -> None:
+        """Raise `RefusedError` when no wait helps: nobody serves this who was not tried."""
+        if not self._directory.serves(work.query.pool, tried):
             detail = "no live target can serve this request"
             refusal = Refusal(Reason.NO_TARGET, Verdict.NOT_RUN, detail, _NO_TARGET_RETRY_S)
             raise RefusedError(refusal)
--- a/packages/router/src/damaskwind/router/target_directory.py
+++ b/packages/router/src/damaskwind/router/target_directory.py
@@ -15,7 +15,7 @@
     TargetChanged,
     TargetGone,
 )
-from damaskwind.decisions.placement.messages import SpillNote
+from damaskwind.decisions.placement.messages import PoolName, SpillNote
 from damaskwind.decisions.placement.placer import Placer
 from damaskwind.model.configuration import Policy
 from damaskwind.model.targets import LoadReport, TargetKind, TargetView
@@ -25,6 +25,16 @@
 _SERVICE_PLACEMENT = "two_choices"
 
 
+def _offers(view: TargetView, pool: PoolName) -> bool:
+    """Tell whether a target has the pool's model loaded, if the pool names one."""
+    return not pool.model or any(
+        offer.model == pool.model
+        and pool.version in ("", offer.version)
+        and (not pool.adapter or pool.adapter in offer.adapters)
+        for offer in view.models
+    )
+
+
 class TargetDirectory:
     """The live targets by id, with one placer for each kind."""
 
@@ -90,6 +100,13 @@
         """Return a live target."""
         return self._views.get(target_id)
 
+    def serves(self, pool: PoolName, tried: frozenset[str]) -> bool:
+        """Tell whether a live target that was not tried offers what a pool names."""
+        return any(
+            view.service == pool.service and view.target_id not in tried and _offers(view, pool)
+            for view in self._views.values()
+        )
+
     def observe_report(self, target_id: str, report: LoadReport) -> None:
         """Take in a load that came with an answer."""
         view = self._views.get(target_id)
--- a/packages/router/src/damaskwind/router/tests/test_services.py
+++ b/packages/router/src/damaskwind/router/tests/test_services.py
@@ -1,5 +1,6 @@
 """Tests of calls to plain services through a router."""
 
+import asyncio
 import json
 
 import treq
@@ -13,7 +14,12 @@
 
 from damaskwind.model.configuration import Service, ServiceRoute
 from damaskwind.router.service_path import find_route
-from damaskwind.router.tests.bench import ACCOUNT_KEY, OTHER_KEY, TestBench
+from damaskwind.router.tests.bench import (
+    ACCOUNT_KEY,
+    OTHER_KEY,
+    TestBench,
+    make_configuration,
+)
 from damaskwind.runtime.bridge import asyncio_test, to_future
 from damaskwind.standins.faults import Fault
 from damaskwind.standins.service import expected_service_answer
@@ -110,6 +116,16 @@
         self.assertEqual((response.code, self.header(response, "x-verdict")), (502, "not-run"))
         self.assertEqual(sum(s.oracle.events["refused"] for s in bench.services), 1)
 
+    @asyncio_test
+    async def test_calls_over_a_targets_limit_wait_for_their_turn(self):
+        configuration = make_configuration()
+        service = configuration.services["edge-api"]._replace(max_concurrent_requests=1)
+        services = {**configuration.services, "edge-api": service}
+        bench = await self.bench(configuration=configuration._replace(services=services))
+        calls = [self.call(bench, "GET", "/status?delay_s=0.05") for _ in range(6)]
+        answers = await asyncio.gather(*calls)
+        self.assertEqual({response.code for response, _ in answers}, {200})
+
     @asyncio_test
     async def test_unknown_and_forbidden_service_look_the_same(self):
         bench = await self.bench()
