--- a/packages/standins/src/damaskwind/standins/announcing.py
+++ b/packages/standins/src/damaskwind/standins/announcing.py
@@ -12,9 +12,10 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 
 from damaskwind.model.targets import Address, LoadReport, TargetAnnouncement, TargetState
-from damaskwind.standins.settings import AnnounceSettings
+from damaskwind.runtime.settings import parse_address
+from damaskwind.standins.settings import AnnounceSettings, EngineSettings, ServiceSettings
 
-__all__ = ["Announcer", "announcement_body"]
+__all__ = ["Announcer", "announced_address", "announcement_body"]
 
 _POST_TIMEOUT_S = 1.0
 _POLL_S = 0.02
@@ -30,6 +31,12 @@
     return body
 
 
+def announced_address(settings: EngineSettings | ServiceSettings, bound: Address) -> Address:
+    """Return the address that a target gives to routers."""
+    text = settings.announced_address
+    return parse_address(text) if text else bound
+
+
 class Announcer:
     """Post a target's announcement at intervals, while it is told to.
 
--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -27,7 +27,7 @@
     TargetKind,
     TargetState,
 )
-from damaskwind.standins.announcing import Announcer
+from damaskwind.standins.announcing import Announcer, announced_address
 from damaskwind.standins.answers import answer_tokens, count_tokens
 from damaskwind.standins.batching import Batch, Generation
 from damaskwind.standins.cache_events import CacheEventLog
@@ -126,7 +126,7 @@
         """Listen and begin to announce."""
         self._listener.start()
         self._sweeper.start(_SWEEP_INTERVAL_S, now=False)
-        self.announcer.start(self.address)
+        self.announcer.start(announced_address(self.settings, self.address))
 
     async def stop(self) -> None:
         """Stop at once, cutting what is in progress, and say nothing about it."""
@@ -144,7 +144,7 @@
         self._leaving_since_s = float("inf")
         self._listener.start()
         self._sweeper.start(_SWEEP_INTERVAL_S, now=False)
-        self.announcer.restart(self.address)
+        self.announcer.restart(announced_address(self.settings, self.address))
 
     def forget(self) -> None:
         """Begin with an empty cache, counts of zero and no faults."""
--- a/packages/standins/src/damaskwind/standins/service.py
+++ b/packages/standins/src/damaskwind/standins/service.py
@@ -24,7 +24,7 @@
     TargetKind,
     TargetState,
 )
-from damaskwind.standins.announcing import Announcer
+from damaskwind.standins.announcing import Announcer, announced_address
 from damaskwind.standins.batching import LaggedLoad
 from damaskwind.standins.faults import Fault, FaultPlan
 from damaskwind.standins.listening import Listener, abort_connection
@@ -107,7 +107,7 @@
     async def start(self) -> None:
         """Listen and begin to announce."""
         self._listener.start()
-        self.announcer.start(self.address)
+        self.announcer.start(announced_address(self.settings, self.address))
 
     async def stop(self) -> None:
         """Stop at once, cutting what is in progress, and say nothing about it."""
@@ -118,7 +118,7 @@
         """Start again on the same port as the next incarnation."""
         self._leaving_since_s = float("inf")
         self._listener.start()
-        self.announcer.restart(self.address)
+        self.announcer.restart(announced_address(self.settings, self.address))
 
     @property
     def is_serving(self) -> bool:
--- a/packages/standins/src/damaskwind/standins/settings.py
+++ b/packages/standins/src/damaskwind/standins/settings.py
@@ -24,6 +24,8 @@
 class EngineSettings(NamedTuple):
     """One engine. Engines with the same `seed` give the same answer to a prompt.
 
+    It announces `announced_address` (`IP:port`) when that is set, which may be
+    a link of a faulty network, and where it listens when not.
     A running request gets one token every `token_interval_s`; the prompt
     tokens that are not cached are computed at `prefill_tokens_per_s`, shared
     by all requests. Load reports are `load_lag_s` old and cache events appear
@@ -37,6 +39,7 @@
     failure_domain: str = "local"
     host: str = "127.0.0.1"
     port: int = 0
+    announced_address: str = ""
     seed: int = 1
     models: tuple[ModelOffer, ...] = (ModelOffer("damask", "1"),)
     fencing: FencingMode = FencingMode.IGNORED
@@ -55,13 +58,17 @@
 
 
 class ServiceSettings(NamedTuple):
-    """One target of a plain service; a call takes `call_duration_s`."""
+    """One target of a plain service; a call takes `call_duration_s`.
+
+    `announced_address` is as for an engine.
+    """
 
     target_id: str
     service: str = "edge-api"
     failure_domain: str = "local"
     host: str = "127.0.0.1"
     port: int = 0
+    announced_address: str = ""
     seed: int = 1
     call_duration_s: float = 0.0
     load_lag_s: float = 0.5
