A starting router asks for revisions and moves the whole once; never below its kept file

Cause: a current replica of a control plane that began anew at a lower revision was believed over the state file at the start, and a cut-off start fetched the whole from everyone it knew. Change: the kept revision is a floor from the start and the base of deltas; revisions are asked for alone.

--- a/packages/router/src/damaskwind/router/configuration/follower.py
+++ b/packages/router/src/damaskwind/router/configuration/follower.py
@@ -29,6 +29,9 @@
 __all__ = ["ConfigurationFollower", "FollowerTiming"]
 
 HINT_ATTEMPTS = 6
+ASKED_PEERS = 16
+ASK_TIMEOUT_S = 1.0
+REVISION_ONLY = 2**63 - 1
 
 
 class FollowerTiming:
@@ -189,9 +192,14 @@
                     raise MessageError("replica is not current")
                 await stream.report(self.revision)
 
+    def _held(self) -> Configuration | None:
+        """Return the highest configuration known here, in force or not yet."""
+        return self.configuration or self._candidate
+
     def _base(self) -> int:
         """Return the revision to which a delta may be sent; 0 asks for the whole."""
-        return 0 if self._wants_whole else self.revision
+        held = self._held()
+        return 0 if self._wants_whole or held is None else held.revision
 
     def _take(self, update: UpstreamUpdate, source: str) -> None:
         """Take an update from a replica or a router.
@@ -200,26 +208,30 @@
         """
         encoded = update.encoded
         self._highest_heard = max(self._highest_heard, encoded.revision)
-        if encoded.body and encoded.revision > self.revision:
+        held = self._held()
+        held_revision = held.revision if held is not None else 0
+        if encoded.body and encoded.revision > held_revision:
             self._wants_whole = True
-            whole = decode_revision(encoded, self.configuration)
+            whole = decode_revision(encoded, held)
             self._wants_whole = False
             self._offer(whole, source, update.is_current)
-        elif encoded.revision < self.revision:
+        elif encoded.revision < held_revision:
             logger.debug("lower revision refused", source=source, revision=encoded.revision)
+        elif update.is_current and self.configuration is None and held is not None:
+            self._apply(held, source)
         if update.is_current and encoded.revision == self.revision:
             self._current_until_s = monotonic() + self._timing.silence_s
 
     def _offer(self, whole: Configuration, source: str, is_current: bool) -> None:
         """Apply a configuration, or hold it back while others may know a higher one."""
-        if whole.revision <= self.revision:
+        held = self._held()
+        if held is not None and whole.revision <= held.revision:
             return
         if self.configuration is not None or is_current:
             self._apply(whole, source)
             return
-        if self._candidate is None or whole.revision > self._candidate.revision:
-            self._candidate = whole
-            self.source = source
+        self._candidate = whole
+        self.source = source
         if self._settling is None:
             loop = asyncio.get_running_loop()
             self._settling = loop.call_later(self._timing.settle_s, self._settle)
@@ -261,11 +273,31 @@
         """
         await asyncio.sleep(self._timing.hint_delay_s)
         while not self.is_ready and not self._upstream.is_closed:
-            addresses = dict.fromkeys([*self._replicas, *self._peers()])
-            await asyncio.gather(*(self._fetch(address) for address in addresses))
+            await self._ask_round()
             pause_s = self._timing.backoff_first_s
             await asyncio.sleep(self._random.uniform(pause_s / 2, pause_s))
 
+    async def _ask_round(self) -> None:
+        """Ask for revisions alone, then fetch the highest from one that has it."""
+        peers = self._peers()
+        asked = self._random.sample(peers, min(len(peers), ASKED_PEERS))
+        addresses = list(dict.fromkeys([*self._replicas, *asked]))
+        revisions = await asyncio.gather(*(self._ask_revision(address) for address in addresses))
+        known = sorted(zip(revisions, addresses, strict=True), reverse=True)
+        for revision, address in known:
+            held = self._held()
+            if held is None or revision > held.revision:
+                await self._fetch(address)
+
+    async def _ask_revision(self, address: Address) -> int:
+        """Return the revision that one replica or router has, 0 when it does not answer."""
+        try:
+            update = await self._upstream.fetch(address, REVISION_ONLY, ASK_TIMEOUT_S)
+        except MessageError as error:
+            logger.debug("not asked", source=str(address), error=str(error))
+            return 0
+        return update.encoded.revision
+
     async def _fetch_hint(self, address: Address) -> None:
         """Fetch what a router was said to have, unless it comes by itself first."""
         pause_s = self._timing.hint_delay_s
--- a/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
+++ b/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
@@ -7,7 +7,7 @@
 from grpclib.server import Server
 from twisted.trial.unittest import TestCase
 
-from damaskwind.model.configuration import Configuration, PriorityClass
+from damaskwind.model.configuration import ClientAccount, Configuration, PriorityClass
 from damaskwind.model.targets import Address
 from damaskwind.router.configuration.follower import ConfigurationFollower, FollowerTiming
 from damaskwind.router.configuration.state_file import read_state_file, write_state_file
@@ -24,6 +24,19 @@
     return Configuration(number, priority_classes=classes)
 
 
+def large_revision(number):
+    """Return a configuration that does not compress well."""
+    random = Random(number)
+    accounts = {
+        f"a{i}": ClientAccount(f"a{i}", (random.randbytes(32).hex(),), "c", 8, 1000.0)
+        for i in range(2000)
+    }
+    return revision(number)._replace(accounts=accounts)
+
+
+LARGE = large_revision(10)
+
+
 async def until(condition):
     """Wait until a condition holds, or fail."""
     loop = asyncio.get_running_loop()
@@ -152,6 +165,46 @@
         finally:
             await self.stop_all()
 
+    @asyncio_test
+    async def test_restart_before_a_control_plane_that_began_anew_keeps_the_higher_revision(self):
+        write_state_file(self.state_file, revision(7))
+        replica = await self.source(5)
+        follower = self.follower(replica, state_file=self.state_file)
+        try:
+            await follower.start()
+            await until(lambda: follower.is_ready)
+            self.assertEqual((self.applied, follower.may_be_behind), ([7], True))
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_restart_needs_no_settling_when_a_current_replica_has_the_kept_revision(self):
+        write_state_file(self.state_file, revision(7))
+        replica = await self.source(7)
+        follower = self.follower(replica, state_file=self.state_file, settle_s=60.0)
+        try:
+            await follower.start()
+            await until(lambda: not follower.may_be_behind)
+            self.assertEqual(self.applied, [7])
+        finally:
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_cut_off_start_moves_the_whole_once_however_many_it_asks(self):
+        sources = [await self.source(9, is_current=False) for _ in range(8)]
+        for source in sources:
+            source.service.publish(LARGE)
+        follower = self.follower(peers=sources, settle_s=0.5)
+        try:
+            await follower.start()
+            await until(lambda: follower.is_ready)
+            self.assertEqual(follower.configuration, LARGE)
+            size_bytes = len(sources[0].service.history.encode_for(0).body)
+            self.assertGreater(size_bytes, 50_000)
+            self.assertLess(follower.received_bytes, 2 * size_bytes)
+        finally:
+            await self.stop_all()
+
     @asyncio_test
     async def test_cut_off_start_takes_the_highest_that_its_domain_knows(self):
         low, high = await self.source(4, is_current=False), await self.source(9, is_current=False)
--- a/packages/router/src/damaskwind/router/configuration/upstream.py
+++ b/packages/router/src/damaskwind/router/configuration/upstream.py
@@ -109,14 +109,16 @@
             except CALL_ERRORS as error:
                 raise MessageError(f"{address}: {error!r}") from error
 
-    async def fetch(self, address: Address, applied_revision: int) -> UpstreamUpdate:
+    async def fetch(
+        self, address: Address, applied_revision: int, timeout_s: float = FETCH_TIMEOUT_S
+    ) -> UpstreamUpdate:
         """Return the latest that a replica or router has, as a change if it can."""
         request = FetchRequest(applied_revision=applied_revision)
         metadata = self._sign("Fetch", request)
         with self._channel(address) as channel:
             try:
                 call = FollowStub(channel).Fetch(request, metadata=metadata)
-                update = await asyncio.wait_for(call, FETCH_TIMEOUT_S)
+                update = await asyncio.wait_for(call, timeout_s)
             except CALL_ERRORS as error:
                 raise MessageError(f"{address}: {error!r}") from error
         self.count_received(update.ByteSize())
