--- a/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
@@ -1,13 +1,13 @@
 """Hold all control traffic of a router below one budget.
 
-The pacer is a token bucket that fills at the budget's rate and holds
-`BURST_S` seconds of it. Every datagram and announcement counts, in both
+The pacer is a token bucket that fills at `FILL_SHARE` of the budget's rate and
+holds `BURST_S` seconds of the budget. Every datagram and announcement counts, in both
 directions and with headers. What arrives can't be refused any more, so it is
 taken from the bucket first, even below zero, and pushes the router's own sends
 back. Leaves, probes and their answers may overdraw the bucket by
 `OVERDRAFT_S`; all else waits until the debt is paid. So over any time T the
-router moves at most budget x (T + BURST_S + OVERDRAFT_S) bytes, plus what its
-peers send beyond that.
+router moves at most budget x (FILL_SHARE x T + BURST_S + OVERDRAFT_S) bytes,
+plus what its peers send beyond that: 0.96 of the budget over ten seconds.
 
 What arrives is itself bounded: every router spends at most `SEND_SHARE` of its
 budget on sends in any second, and routers choose whom they send to by a common
@@ -37,6 +37,7 @@
 UDP_HEADER_BYTES = 28
 SEND_SHARE = 0.4
 PROBE_SHARE = 0.2
+FILL_SHARE = 0.8
 BURST_S = 1.0
 OVERDRAFT_S = 1.0
 WINDOW_S = 1.0
@@ -199,7 +200,7 @@
         """Move to `now_s`; a clock that goes back stands still instead."""
         elapsed_s = max(now_s - self._now_s, 0.0)
         self._now_s += elapsed_s
-        filled = self._tokens + elapsed_s * self.bytes_per_s
+        filled = self._tokens + elapsed_s * self.bytes_per_s * FILL_SHARE
         self._tokens = min(filled, self.bytes_per_s * BURST_S)
         self._all.advance(self._now_s)
         self._long.advance(self._now_s)
--- a/packages/decisions/src/damaskwind/decisions/pacing/tests/test_pacer.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/tests/test_pacer.py
@@ -2,6 +2,7 @@
 
 from damaskwind.decisions.pacing.pacer import (
     BURST_S,
+    FILL_SHARE,
     OVERDRAFT_S,
     SEND_SHARE,
     UDP_HEADER_BYTES,
@@ -46,8 +47,9 @@
             moved += [(now_s, size + UDP_HEADER_BYTES) for size in self.pacer.take(now_s)]
         for start in range(0, 30, 5):
             total = sum(size for when_s, size in moved if start <= when_s < start + 5)
-            self.assertLessEqual(total, BUDGET * (5 + BURST_S + OVERDRAFT_S))
-        self.assertLessEqual(sum(size for _, size in moved), BUDGET * (30 + BURST_S + OVERDRAFT_S))
+            self.assertLessEqual(total, BUDGET * (5 * FILL_SHARE + BURST_S + OVERDRAFT_S))
+        bound = BUDGET * (30 * FILL_SHARE + BURST_S + OVERDRAFT_S)
+        self.assertLessEqual(sum(size for _, size in moved), bound)
 
     def test_what_arrives_pushes_sends_back(self):
         self.pacer.received(BUDGET, "flood", 0.0)
--- a/packages/router/src/damaskwind/router/membership/tests/test_node.py
+++ b/packages/router/src/damaskwind/router/membership/tests/test_node.py
@@ -8,7 +8,7 @@
 from damaskwind.decisions.membership.outputs import TargetGone
 from damaskwind.decisions.membership.parameters import MembershipParameters
 from damaskwind.decisions.membership.tests.samples import announcement
-from damaskwind.decisions.pacing.pacer import BURST_S, OVERDRAFT_S, UDP_HEADER_BYTES
+from damaskwind.decisions.pacing.pacer import BURST_S, FILL_SHARE, OVERDRAFT_S, UDP_HEADER_BYTES
 from damaskwind.decisions.pacing.urgency import Urgency
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address, TargetState
@@ -113,7 +113,7 @@
         self.assertEqual(held, [0] * 6)
         self.assertGreaterEqual(len(fleet.gone), 250)
         for length_s in (1.0, 5.0, 20.0):
-            bound = BUDGET * (length_s + BURST_S + OVERDRAFT_S)
+            bound = BUDGET * (length_s * FILL_SHARE + BURST_S + OVERDRAFT_S)
             self.assertLessEqual(fleet.most_in(length_s, failing_s), bound)
         survivors = [fleet.nodes[address] for address in addresses[:6]]
         self.assertEqual({len(node.core.router_table.ring("a")) for node in survivors}, {6})
