One module replaces files: synced state, ready files

Cause: a synced replacement stood in two packages, writing a ready file in four. Change: runtime/files.py has both; six modules use it.

--- a/packages/control/src/damaskwind/control/claims/start.py
+++ b/packages/control/src/damaskwind/control/claims/start.py
@@ -6,13 +6,13 @@
 back under a new id.
 """
 
-import os
 from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
 
 from damaskwind.model.exception import StorageError
+from damaskwind.runtime.files import replace_file_synced
 
 __all__ = ["HolderStart", "begin_start"]
 
@@ -46,21 +46,6 @@
     return mark
 
 
-def _write_synced(path: Path, data: bytes) -> None:
-    """Replace a file so that the new content outlives a crash."""
-    temporary = path.with_suffix(".new")
-    with temporary.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.replace(path)
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
-
-
 def begin_start(folder: Path, holder_id: str, is_founder: bool) -> HolderStart:
     """Number this start and sync it; raise `StorageError` when that fails.
 
@@ -72,7 +57,7 @@
     last = _read(path, holder_id)
     mark = _Mark(holder_id, last.incarnation + 1)
     try:
-        _write_synced(path, msgspec.json.encode(mark))
+        replace_file_synced(path, msgspec.json.encode(mark))
     except OSError as error:
         raise StorageError(f"{path.name}: {error}") from error
     return HolderStart(mark.incarnation, is_founder and last.incarnation == 0)
--- a/packages/control/src/damaskwind/control/process.py
+++ b/packages/control/src/damaskwind/control/process.py
@@ -1,10 +1,8 @@
 """Start and stop a control process: replica, intent API, claims, `Follow`."""
 
 import asyncio
-import json
 import secrets
 import socket
-from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -21,6 +19,7 @@
 from damaskwind.model.exception import StorageError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import to_future
+from damaskwind.runtime.files import write_ready_file
 from damaskwind.runtime.settings import Settings, parse_address
 from damaskwind.wire.authentication import CallVerifier
 from damaskwind.wire.follow_service import FollowService
@@ -95,14 +94,6 @@
             "operator_address": str(self.operator_address),
         }
 
-    def write_ready_file(self) -> None:
-        """Tell whoever started this process its addresses, when a file is set."""
-        path = self.settings.control.ready_file
-        if path:
-            partial = Path(f"{path}.partial")
-            partial.write_text(json.dumps(self.addresses()), encoding="utf-8")
-            partial.replace(path)
-
     async def stop(self) -> None:
         """Finish the writes in hand and release everything; safe to call again."""
         if self._stopping is None:
@@ -163,6 +154,6 @@
     except BaseException:
         await process.stop()
         raise
-    process.write_ready_file()
+    write_ready_file(settings.control.ready_file, process.addresses())
     logger.info("control replica started", **process.addresses())
     return process
--- a/packages/router/src/damaskwind/router/configuration/state_file.py
+++ b/packages/router/src/damaskwind/router/configuration/state_file.py
@@ -1,6 +1,5 @@
 """Keep the configuration in force over a restart of the router."""
 
-import os
 from pathlib import Path
 
 import xxhash
@@ -9,6 +8,7 @@
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.configuration_codec import decode_configuration, encode_configuration
 from damaskwind.model.exception import ConfigurationError
+from damaskwind.runtime.files import replace_file_synced
 
 __all__ = ["read_state_file", "write_state_file"]
 
@@ -18,17 +18,7 @@
 def write_state_file(path: Path, whole: Configuration) -> None:
     """Replace the file by a configuration, whole or not at all."""
     data = encode_configuration(whole)
-    temporary = path.with_name(path.name + ".tmp")
-    with temporary.open("wb") as file:
-        file.write(xxhash.xxh3_128_digest(data) + data)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.replace(path)
-    descriptor = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+    replace_file_synced(path, xxhash.xxh3_128_digest(data) + data)
 
 
 def read_state_file(path: Path) -> Configuration | None:
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -1,7 +1,6 @@
 """Start and stop a router: its sockets, its parts and how they hang together."""
 
 import asyncio
-import json
 import secrets
 from pathlib import Path
 from random import Random
@@ -37,6 +36,7 @@
 from damaskwind.router.telemetry import Telemetry
 from damaskwind.router.waiting_room import WaitingRoom
 from damaskwind.runtime.bridge import to_future
+from damaskwind.runtime.files import write_ready_file
 from damaskwind.runtime.settings import Settings, parse_address
 
 __all__ = ["RouterProcess", "start_router"]
@@ -216,7 +216,7 @@
         self.telemetry.watch_control(self.membership.counters)
         self._listen()
         self.operators.peers.own_address = str(self.http_address)
-        self._write_ready_file()
+        write_ready_file(self.settings.router.ready_file, self.addresses())
 
     def _listen(self) -> None:
         """Open the socket towards callers."""
@@ -228,14 +228,6 @@
             self.site, listener, self._reactor, router.drain_delay_s, router.drain_limit_s
         )
 
-    def _write_ready_file(self) -> None:
-        """Tell whoever started this process its addresses, when a file is set."""
-        path = self.settings.router.ready_file
-        if path:
-            partial = Path(f"{path}.partial")
-            partial.write_text(json.dumps(self.addresses()), encoding="utf-8")
-            partial.replace(path)
-
     def addresses(self) -> dict[str, str]:
         """Return the bound addresses by name."""
         return {
--- a/packages/standins/src/damaskwind/standins/network_control.py
+++ b/packages/standins/src/damaskwind/standins/network_control.py
@@ -2,11 +2,11 @@
 
 import json
 import random
-from pathlib import Path
 from typing import Any
 
 from klein import Klein
 
+from damaskwind.runtime.files import write_ready_file
 from damaskwind.runtime.settings import parse_address
 from damaskwind.standins.engine_management import answer_json
 from damaskwind.standins.fault_schedule import seeded_schedule
@@ -36,11 +36,7 @@
     async def start(self) -> None:
         """Open the control address and write the ready file."""
         self._listener.start()
-        path = Path(self._ready_file)
-        partial = path.with_suffix(".partial")
-        ready = {"control_address": str(self._listener.address)}
-        partial.write_text(json.dumps(ready), encoding="utf-8")
-        partial.replace(path)
+        write_ready_file(self._ready_file, {"control_address": str(self._listener.address)})
 
     async def stop(self) -> None:
         """Close everything."""
--- a/packages/standins/src/damaskwind/standins/target_fleet.py
+++ b/packages/standins/src/damaskwind/standins/target_fleet.py
@@ -2,7 +2,6 @@
 
 import json
 import time
-from pathlib import Path
 from typing import Any
 
 from klein import Klein
@@ -10,6 +9,7 @@
 
 from damaskwind.model.checking import check_table
 from damaskwind.runtime.bridge import to_deferred
+from damaskwind.runtime.files import write_ready_file
 from damaskwind.runtime.settings import parse_address
 from damaskwind.standins.engine import EngineStandin
 from damaskwind.standins.engine_management import answer_json
@@ -61,11 +61,7 @@
             await target.start()
         self._listener.start()
         self._sampler.start(self.settings.sample_interval_s)
-        if self.settings.ready_file:
-            path = Path(self.settings.ready_file)
-            partial = path.with_suffix(".partial")
-            partial.write_text(json.dumps(self.addresses()), encoding="utf-8")
-            partial.replace(path)
+        write_ready_file(self.settings.ready_file, self.addresses())
 
     async def stop(self) -> None:
         """Stop everything at once."""
