Replicas behind forwarded ports: the settings' addresses may be fixed

A replica tells the others where it listens, which is of no use behind a forwarded port, or a faulty network in a test. With control.fixed_addresses the replicas named in the settings are reached where the settings say.

--- a/packages/control/src/damaskwind/control/tests/test_process.py
+++ b/packages/control/src/damaskwind/control/tests/test_process.py
@@ -117,7 +117,6 @@
             code, outcome = await self.call("c", "POST", f"/plans/{plan['plan']['id']}/confirm", {})
             self.assertEqual(code, 200, outcome)
             await until(lambda: all(follower.revision == 1 for follower in followers))
-            await until(lambda: all(follower.revision == 1 for follower in followers))
             await until(lambda: all(not follower.may_be_behind for follower in followers))
             for follower in followers:
                 self.assertEqual(follower.configuration.policy.load_factor, 1.5)
--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -77,6 +77,9 @@
     `bootstrap_replicas` are the first members of a new cluster; a replica with
     an empty data folder that is not among them waits to be added.
     `bootstrap_operator_key_hash` (SHA-256 in hex) lets the first operator in.
+    With `fixed_addresses` those replicas are reached where these settings say,
+    whatever they tell of themselves: for forwarded ports, which may differ from
+    one machine to the next.
     """
 
     replica_address: str
@@ -88,6 +91,7 @@
     heartbeat_s: float = 0.2
     snapshot_every_entries: int = 1000
     plan_ttl_s: float = 900.0
+    fixed_addresses: bool = False
     ready_file: str = ""
 
 
