Proof of whole answers: broken answers of six kinds, each caller gets its own or an honest failure

24 callers at once, two routers, two engines and two services in real processes, which break 12% of their answers in each of six ways.

--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_answers.py
@@ -0,0 +1,146 @@
+"""Proof with real processes: crossed, late, cut and short answers reach nobody as whole.
+
+Many callers at once, each with a text of its own, so that each knows the whole
+answer that it must get; the targets break their answers by seeded draws.
+"""
+
+import asyncio
+import json
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+import xxhash
+from twisted.internet import reactor
+from twisted.trial.unittest import TestCase
+
+from damaskwind.commands.tests.data_path_fleet import DataPathFleet, expected_chat, stream_text
+from damaskwind.runtime.bridge import asyncio_test, to_deferred
+from damaskwind.standins.service import expected_service_answer
+
+CALLERS = 24
+ROUNDS = 12
+SIZE_TOKENS = 12
+LARGE_BYTES = 300_000
+SHARE = 0.12
+PLENTY = 1_000_000
+ENGINES = ("engine-0", "engine-1")
+SERVICES = ("edge-0", "edge-1")
+FAULTS = ("others_id", "cut_answer", "wrong_length", "late_extra", "reset_after_read")
+DONE = b"data: [DONE]"
+
+
+class BrokenAnswersTest(TestCase):
+    timeout = 120
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = DataPathFleet(reactor, Path(folder.name))
+        self.addCleanup(lambda: to_deferred(self.fleet.stop()))
+        self.outcomes = Counter()
+
+    async def start(self):
+        """Start two routers over two engines and two services that break their answers."""
+        fleet = self.fleet
+        await fleet.start_routers(2, policy={"load_factor": 4.0, "ejection_share": 0.0})
+        engines = [{"target_id": name, "token_interval_s": 0.005} for name in ENGINES]
+        services = [{"target_id": name} for name in SERVICES]
+        await fleet.start_targets("targets", engines, services)
+        await fleet.until_ready()
+        for target in (*ENGINES, *SERVICES):
+            for fault in FAULTS:
+                await fleet.arm(target, fault, PLENTY, SHARE)
+        for target in ENGINES:
+            await fleet.arm(target, "no_end_marker", PLENTY, SHARE)
+
+    def failed_honestly(self, what, answer):
+        """Check that an answer that isn't whole says so."""
+        self.outcomes[f"{what} failed"] += 1
+        if answer.status != 200:
+            self.assertGreaterEqual(answer.status, 500, answer)
+            error = json.loads(answer.body)["error"]
+            self.assertEqual((error["verdict"], answer.verdict), ("may-have-run",) * 2)
+            self.assertEqual(error["request_id"], answer.request_id)
+            return
+        self.assertFalse(answer.ended, answer)
+
+    async def stream(self, address, name):
+        """Ask for a stream: whole and the caller's own, or cut without an end."""
+        text = f"stream {name}"
+        answer = await self.fleet.chat(address, text, SIZE_TOKENS)
+        expected = expected_chat(text, SIZE_TOKENS)
+        if answer.status == 200:
+            self.assertTrue(expected.startswith(stream_text(answer.body)), (text, answer))
+        if DONE not in answer.body:
+            self.failed_honestly("stream", answer)
+            if answer.status == 200:
+                self.assertIn(b'"may-have-run"', answer.body)
+            return
+        self.assertTrue(answer.ended)
+        self.assertEqual(stream_text(answer.body), expected)
+        self.assertEqual(answer.body.count(DONE), 1)
+        ids = {line.split(b'"')[3] for line in answer.body.splitlines() if b'"id"' in line}
+        self.assertEqual(ids, {f"chatcmpl-{answer.request_id}".encode()})
+        self.outcomes["stream whole"] += 1
+
+    async def whole(self, address, name):
+        """Ask for a whole answer to a chat."""
+        text = f"whole {name}"
+        answer = await self.fleet.chat(address, text, SIZE_TOKENS, stream=False)
+        if answer.status != 200 or not answer.ended:
+            self.failed_honestly("chat", answer)
+            return
+        body = json.loads(answer.body)
+        content = body["choices"][0]["message"]["content"]
+        self.assertEqual(content, expected_chat(text, SIZE_TOKENS))
+        self.assertEqual(body["id"], f"chatcmpl-{answer.request_id}")
+        self.outcomes["chat whole"] += 1
+
+    async def service(self, address, name, size_bytes=0):
+        """Call the plain service for a small or a large answer."""
+        body = f"call {name}/{size_bytes}".encode()
+        answer = await self.fleet.call(address, body, query=f"?size_bytes={size_bytes}")
+        if answer.status != 200 or not answer.ended:
+            self.failed_honestly("call", answer)
+            return
+        expected = expected_service_answer(1, "POST", "/tags", body, size_bytes)
+        self.assertEqual(json.loads(answer.body), expected)
+        self.outcomes["call whole"] += 1
+        self.outcomes["large call whole"] += bool(size_bytes)
+
+    async def large(self, address, name):
+        """Call the plain service for a large answer."""
+        await self.service(address, name, LARGE_BYTES)
+
+    async def caller(self, number):
+        """Ask for everything in turn, over and over, at both routers."""
+        addresses = list(self.fleet.routers.values())
+        kinds = (self.stream, self.whole, self.service, self.large)
+        for turn in range(ROUNDS):
+            address = addresses[(number + turn) % len(addresses)]
+            await kinds[(number // 2 + turn) % len(kinds)](address, f"{number}/{turn}")
+
+    async def check_counts(self):
+        """Check that the targets ran no call twice and that every fault was shown."""
+        by_body = await self.fleet.counted("runs_by_body")
+        for number in range(CALLERS):
+            for turn in range(ROUNDS):
+                for size_bytes in (0, LARGE_BYTES):
+                    body = f"call {number}/{turn}/{size_bytes}".encode()
+                    self.assertLessEqual(by_body[xxhash.xxh3_128_hexdigest(body)], 1)
+        self.assertEqual(max((await self.fleet.counted("runs_by_id")).values()), 1)
+        shown = await self.fleet.counted("faults")
+        for fault in (*FAULTS, "no_end_marker"):
+            self.assertGreater(shown[fault], 0, fault)
+        for kind in ("stream", "chat", "call"):
+            self.assertGreater(self.outcomes[f"{kind} whole"], 0, self.outcomes)
+            self.assertGreater(self.outcomes[f"{kind} failed"], 0, self.outcomes)
+        self.assertGreater(self.outcomes["large call whole"], 0, self.outcomes)
+
+    @asyncio_test
+    async def test_each_caller_gets_its_own_whole_answer_or_an_honest_failure(self):
+        await self.start()
+        await asyncio.gather(*(self.caller(number) for number in range(CALLERS)))
+        await self.check_counts()
+        print(f"\n{dict(self.outcomes)}, faults {dict(await self.fleet.counted('faults'))}")
