--- a/packages/decisions/src/damaskwind/decisions/replication/core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/core.py
@@ -73,6 +73,7 @@
 
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
+        self.elections_started = 0
 
     def start_pre_vote(self) -> None:
         """Begin a campaign."""
@@ -80,6 +81,7 @@
 
     def start_vote(self) -> None:
         """Take a new term."""
+        self.elections_started += 1
         start_vote(self._replica)
 
     def start_leading(self) -> None:
@@ -163,7 +165,8 @@
         now_s: float,
     ) -> None:
         self._replica = Replica(member, state, log, timing, random, now_s)
-        self._replica.role = start_machine(load_chart(ROLE_CHART), _RoleActions(self._replica))
+        self._actions = _RoleActions(self._replica)
+        self._replica.role = start_machine(load_chart(ROLE_CHART), self._actions)
 
     def step(self, event: Input, now_s: float) -> list[Output]:
         """Take one input and return what has to be done, in order."""
@@ -199,6 +202,11 @@
         """Return the present term."""
         return self._replica.state.term
 
+    @property
+    def elections_started(self) -> int:
+        """Return how many elections this replica has started."""
+        return self._actions.elections_started
+
     @property
     def leader(self) -> Member | None:
         """Return the leader this replica follows, itself included."""
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
@@ -145,6 +145,12 @@
         """Cut one direction of a link."""
         self.cluster.network.cut.add((self.name(node), self.name(other)))
 
+    @rule(node=st.integers(1, 6), duration_ms=durations_ms)
+    def cut_from_leader(self, node: int, duration_ms: int) -> None:
+        """Let one node no longer hear the leader, though it hears all others."""
+        self.cluster.network.cut.add((self.name(0), self.name(node)))
+        self.cluster.run(duration_ms / 1000)
+
     @rule(node=nodes, duration_ms=durations_ms)
     def isolate(self, node: int, duration_ms: int) -> None:
         """Cut a node off from all others."""
