Lost connections: grpclib's AttributeError ended the tasks that call over and over

Cause: a connection that is reset as soon as it was made has no transport when grpclib opens the stream, which then fails with an AttributeError. Nobody caught it: the task that sends to one replica ended and nothing was ever sent to that replica again (found with real processes: after a lost disk's repair and the loss of a second VM the two that were left never elected a leader). A router's task that follows a replica could end in the same way. Change: one context manager names every failure of a lost connection StreamTerminatedError; used by all callers.

--- a/packages/control/src/damaskwind/control/claims/catch_up.py
+++ b/packages/control/src/damaskwind/control/claims/catch_up.py
@@ -15,6 +15,7 @@
 from damaskwind.wire.authentication import CallSigner
 from damaskwind.wire.claims_grpc import ClaimsStub
 from damaskwind.wire.claims_pb2 import ClaimCall
+from damaskwind.wire.lost_connection import lost_connections_named
 
 __all__ = ["catch_up"]
 
@@ -71,10 +72,11 @@
     method = stub.CatchUp
     metadata = signer.sign(method.name, request.SerializeToString(deterministic=True))
     pages = []
-    async with method.open(timeout=READ_TIMEOUT_S, metadata=metadata) as stream:
-        await stream.send_message(request, end=True)
-        async for page in stream:
-            pages.append(decode_claim_message(CatchUpReply, page.body))
+    with lost_connections_named():
+        async with method.open(timeout=READ_TIMEOUT_S, metadata=metadata) as stream:
+            await stream.send_message(request, end=True)
+            async for page in stream:
+                pages.append(decode_claim_message(CatchUpReply, page.body))
     if not pages:
         return None
     records = tuple(record for page in pages for record in page.records)
--- a/packages/router/src/damaskwind/router/configuration/upstream.py
+++ b/packages/router/src/damaskwind/router/configuration/upstream.py
@@ -20,6 +20,7 @@
 from damaskwind.wire.follow_codec import StreamSeal, make_progress, read_update
 from damaskwind.wire.follow_grpc import FollowStub
 from damaskwind.wire.follow_pb2 import FetchRequest
+from damaskwind.wire.lost_connection import lost_connections_named
 
 __all__ = ["Upstream", "UpstreamStream", "UpstreamUpdate"]
 
@@ -101,11 +102,13 @@
         metadata = self._sign("Watch", first)
         with self._channel(address) as channel:
             try:
-                async with FollowStub(channel).Watch.open(metadata=metadata) as stream:
-                    send = stream.send_message(first)
-                    await asyncio.wait_for(send, CONNECT_TIMEOUT_S)
-                    yield UpstreamStream(self, stream, metadata)
-                    await stream.cancel()
+                watch = FollowStub(channel).Watch
+                with lost_connections_named():
+                    async with watch.open(metadata=metadata) as stream:
+                        send = stream.send_message(first)
+                        await asyncio.wait_for(send, CONNECT_TIMEOUT_S)
+                        yield UpstreamStream(self, stream, metadata)
+                        await stream.cancel()
             except CALL_ERRORS as error:
                 raise MessageError(f"{address}: {error!r}") from error
 
@@ -118,7 +121,8 @@
         with self._channel(address) as channel:
             try:
                 call = FollowStub(channel).Fetch(request, metadata=metadata)
-                update = await asyncio.wait_for(call, timeout_s)
+                with lost_connections_named():
+                    update = await asyncio.wait_for(call, timeout_s)
             except CALL_ERRORS as error:
                 raise MessageError(f"{address}: {error!r}") from error
         self.count_received(update.ByteSize())
--- a/packages/wire/src/damaskwind/wire/authentication.py
+++ b/packages/wire/src/damaskwind/wire/authentication.py
@@ -16,7 +16,7 @@
 import hashlib
 import hmac
 import secrets
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Mapping
 from enum import StrEnum
 from typing import Any, NamedTuple
@@ -26,6 +26,7 @@
 from loguru import logger
 
 from damaskwind.model.exception import MessageError
+from damaskwind.wire.lost_connection import lost_connections_named
 
 __all__ = [
     "AuthenticationError",
@@ -149,15 +150,24 @@
 
 
 class CallVerifier:
-    """Verify the calls that one process gets and refuse replays."""
+    """Verify the calls that one process gets, refuse replays and count refusals."""
 
     def __init__(self, cluster: str, cluster_key: str) -> None:
         self.cluster = cluster
         self.cluster_key = cluster_key
+        self.refusals: Counter[AuthenticationOutcome] = Counter()
         self._starts: OrderedDict[tuple[str, str], _Start] = OrderedDict()
 
     def verify(self, method: str, body: bytes, metadata: Mapping[str, Any]) -> str:
         """Return the sender of a call or raise `AuthenticationError`."""
+        try:
+            return self._verify(method, body, metadata)
+        except AuthenticationError as error:
+            self.refusals[error.outcome] += 1
+            raise
+
+    def _verify(self, method: str, body: bytes, metadata: Mapping[str, Any]) -> str:
+        """Do what `verify` says, uncounted."""
         if len(body) > MESSAGE_LIMIT_BYTES:
             raise AuthenticationError(AuthenticationOutcome.TOO_LARGE, f"{len(body)} bytes")
         sender, start, counter = verify_call(self.cluster, self.cluster_key, method, body, metadata)
@@ -187,7 +197,8 @@
     For example `await call_unary(stub.Deliver, request, signer, timeout_s=2.0)`.
     """
     metadata = signer.sign(method.name, request.SerializeToString(deterministic=True))
-    return await method(request, timeout=timeout_s, metadata=metadata)
+    with lost_connections_named():
+        return await method(request, timeout=timeout_s, metadata=metadata)
 
 
 async def receive_call(stream: Any, method: str, verifier: CallVerifier) -> Any:
--- /dev/null
+++ b/packages/wire/src/damaskwind/wire/tests/test_lost_connection.py
@@ -0,0 +1,66 @@
+"""Tests of calls over connections that are lost at once."""
+
+import asyncio
+import socket
+import struct
+import threading
+from collections import Counter
+
+from grpclib.client import Channel
+from grpclib.exceptions import StreamTerminatedError
+from twisted.trial.unittest import TestCase
+
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.wire.authentication import CallSigner, call_unary
+from damaskwind.wire.lost_connection import lost_connections_named
+from damaskwind.wire.replication_grpc import ReplicationStub
+from damaskwind.wire.replication_pb2 import HelloRequest
+
+CALLS = 300
+
+
+def reset_all(listening):
+    """Reset every connection as soon as it is accepted."""
+    linger = struct.pack("ii", 1, 0)
+    while True:
+        try:
+            accepted, _address = listening.accept()
+        except OSError:
+            return
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        accepted.close()
+
+
+class LostConnectionTest(TestCase):
+    @asyncio_test
+    async def test_every_failure_over_a_port_with_nothing_behind_it_has_a_name(self):
+        listening = socket.create_server(("127.0.0.1", 0))
+        address = listening.getsockname()
+        resetting = threading.Thread(target=reset_all, args=(listening,))
+        resetting.start()
+        signer = CallSigner("kl", "key", "a")
+        outcomes = Counter()
+        for _ in range(CALLS):
+            channel = Channel(*address)
+            try:
+                stub = ReplicationStub(channel)
+                await call_unary(stub.Hello, HelloRequest(), signer, 5.0)
+            except Exception as error:  # its kind is what is tested
+                outcomes[type(error)] += 1
+            finally:
+                channel.close()
+        listening.shutdown(socket.SHUT_RDWR)
+        await asyncio.to_thread(resetting.join, 5.0)
+        listening.close()
+        self.assertEqual(outcomes.total(), CALLS)
+        named = {StreamTerminatedError, ConnectionResetError, BrokenPipeError}
+        self.assertLessEqual(set(outcomes), named, outcomes)
+
+    def test_lost_transport_is_a_lost_connection_and_other_attributes_are_not(self):
+        class Closed:
+            pass
+
+        with self.assertRaises(StreamTerminatedError), lost_connections_named():
+            Closed()._transport  # noqa: B018
+        with self.assertRaises(AttributeError), lost_connections_named():
+            Closed().misspelt  # noqa: B018
