--- a/packages/router/src/damaskwind/router/account_limits.py
+++ b/packages/router/src/damaskwind/router/account_limits.py
@@ -4,14 +4,13 @@
 """
 
 import time
-from collections.abc import Callable
 from typing import Any
 
-import msgspec
 from loguru import logger
 from twisted.internet.defer import Deferred
 
 from damaskwind.decisions.limits.allocator import ShareAllocator
+from damaskwind.decisions.limits.codec import LimitsCodec
 from damaskwind.decisions.limits.limiter import AccountLimiter
 from damaskwind.decisions.limits.messages import (
     AccountLimit,
@@ -22,7 +21,7 @@
 )
 from damaskwind.decisions.pacing.urgency import Urgency
 from damaskwind.model.configuration import Configuration
-from damaskwind.model.exception import RefusedError
+from damaskwind.model.exception import MessageError, RefusedError
 from damaskwind.model.targets import TargetKind
 from damaskwind.router.work import Work
 
@@ -42,6 +41,15 @@
     return account if kind is TargetKind.ENGINE else f"{account}{_SERVICES_SUFFIX}"
 
 
+def _urgency(report: DemandReport) -> Urgency:
+    """Let reports that ask for more, and their answers, pass those that only renew."""
+    asks = any(
+        demand.wanted > demand.held or demand.wanted_tokens_per_s > demand.held_tokens_per_s
+        for demand in report.demands
+    )
+    return Urgency.LIMITS if asks else Urgency.REPAIR
+
+
 class AccountLimits:
     """Admit requests by the shares that this router holds, and lease shares to others.
 
@@ -64,6 +72,7 @@
         self._membership = membership
         self._clock = clock
         self._policy = LimitPolicy()
+        self._codec = LimitsCodec()
         first_sequence = time.time_ns() // 1_000_000
         now_s = clock.seconds()
         self._blind_until_s = now_s if is_alone else now_s + self._policy.lease_s
@@ -89,6 +98,7 @@
             for name, account in configuration.accounts.items()
             for kind in TargetKind
         }
+        self._codec.set_names(limits, self._domains)
         self._limiter.set_limits(limits, self._domains)
         self._allocator.set_limits(limits, self._domains)
 
@@ -170,8 +180,8 @@
             if router_id == self._router_id:
                 self._take_report(router_id, report)
             else:
-                payload = msgspec.msgpack.encode(report)
-                self._membership.send(REPORT_KIND, router_id, payload, Urgency.LIMITS)
+                payload = self._codec.encode_report(report, router_id)
+                self._membership.send(REPORT_KIND, router_id, payload, _urgency(report))
         self._plan_report()
 
     def _routers(self) -> dict[str, list[str]]:
@@ -183,10 +193,13 @@
         return routers
 
     def _heard_report(self, router_id: str, payload: bytes) -> None:
-        """Take a report from another router."""
-        report = _decode(payload, DemandReport)
-        if report is not None and report.router_id == router_id:
-            self._take_report(router_id, report)
+        """Take a report from another router, or drop one that is malformed."""
+        try:
+            report = self._codec.decode_report(router_id, self._router_id, payload)
+        except MessageError as error:
+            logger.warning("report of demand dropped", error=str(error))
+            return
+        self._take_report(router_id, report)
 
     def _take_report(self, router_id: str, report: DemandReport) -> None:
         """Answer a report with what its router may use."""
@@ -197,26 +210,20 @@
         if router_id == self._router_id:
             self._take_grant(grant)
         else:
-            payload = msgspec.msgpack.encode(grant)
+            payload = self._codec.encode_grant(grant)
             self._membership.send(GRANT_KIND, router_id, payload, Urgency.LIMITS)
 
     def _heard_grant(self, router_id: str, payload: bytes) -> None:
-        """Take a grant from another router."""
-        grant = _decode(payload, ShareGrant)
-        if grant is not None and grant.allocator_id == router_id:
-            self._take_grant(grant)
+        """Take a grant from another router, or drop one that is malformed."""
+        try:
+            grant = self._codec.decode_grant(router_id, payload)
+        except MessageError as error:
+            logger.warning("grant of shares dropped", error=str(error))
+            return
+        self._take_grant(grant)
 
     def _take_grant(self, grant: ShareGrant) -> None:
         """Apply a grant and let waiting requests try again."""
         self._limiter.take_grant(grant, self._clock.seconds())
         self._plan_report()
         self._wake()
-
-
-def _decode(payload: bytes, kind: Callable[..., Any]) -> Any:
-    """Decode a message, or drop one that is malformed."""
-    try:
-        return msgspec.msgpack.decode(payload, type=kind)
-    except msgspec.DecodeError as error:
-        logger.warning("malformed message about limits", error=str(error))
-        return None
