--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_control_domains.py
@@ -0,0 +1,88 @@
+"""Proof with real processes: a failure domain that is cut off, with routers in it."""
+
+import tempfile
+from pathlib import Path
+
+import treq
+from twisted.internet import reactor
+from twisted.trial.unittest import TestCase
+
+from damaskwind.commands.tests.fault_cluster import DEADLINE_S, DOMAINS, FaultCluster
+from damaskwind.runtime.bridge import asyncio_test, to_deferred, to_future
+from damaskwind.standins.harness import wait_until
+
+REPLICAS = ("control-0", "control-1", "control-2")
+
+
+class CutOffDomainTest(TestCase):
+    """Three replicas; routers gossip within their own failure domain only."""
+
+    timeout = 150
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.cluster = FaultCluster(reactor, Path(folder.name))
+        self.addCleanup(lambda: to_deferred(self.cluster.stop()))
+
+    async def is_ready(self, name):
+        """Tell whether a router would be given requests by the balancer."""
+        address = self.cluster.harness.processes[name].ready["http_address"]
+        answer = await to_future(treq.get(f"http://{address}/readyz", persistent=False))
+        return answer.code == 200
+
+    async def is_behind(self, name):
+        """Tell whether a router says that it may be behind."""
+        return (await self.cluster.router_state(name)).get("may_be_behind")
+
+    async def cut_off(self, domain):
+        """Cut the replica of a domain off first, then the rest, so that it knows the least."""
+        cluster = self.cluster
+        replica = REPLICAS[DOMAINS.index(domain)]
+        others = tuple(name for name in REPLICAS if name != replica)
+        cluster.isolate(replica, but_for=("inside", "newcomer"))
+        known = await cluster.change_somewhere(others, "known-inside")
+        await cluster.time_in_force(["inside", "outside"], known.revision)
+        cluster.cut(*(("inside", name) for name in others))
+        unknown = await cluster.change_somewhere(others, "unknown-inside")
+        await cluster.time_in_force(["outside"], unknown.revision)
+        return replica, others, known, unknown
+
+    @asyncio_test
+    async def test_router_started_inside_takes_the_highest_known_there(self):
+        cluster = self.cluster
+        await cluster.start_replicas()
+        domain, elsewhere = DOMAINS[2], DOMAINS[0]
+        await cluster.start_router("inside", domain)
+        await cluster.start_router("outside", elsewhere)
+        await wait_until(lambda: self.is_ready("inside"), DEADLINE_S, "a ready router")
+        replica, others, known, unknown = await self.cut_off(domain)
+        told = await cluster.replica_status(replica)
+        self.assertLess(told["revision"], known.revision)
+
+        seeds = [cluster.harness.processes["inside"].ready["datagram_address"]]
+        links = [(name, "newcomer") for name in others]
+        cluster.prepare_links("newcomer")
+        cluster.cut(*links)
+        await cluster.start_router("newcomer", domain, seeds)
+        await cluster.time_in_force(["newcomer"], known.revision)
+        self.assertEqual(cluster.applied_by("newcomer"), [known.revision])
+        self.assertTrue(await self.is_behind("newcomer"))
+        await wait_until(lambda: self.is_ready("newcomer"), DEADLINE_S, "a newcomer that serves")
+        await wait_until(lambda: self.is_behind("inside"), DEADLINE_S, "word of the cut")
+        self.assertTrue(await self.is_ready("inside"))
+        state = await cluster.router_state("inside")
+        self.assertEqual(state["revision_in_force"], known.revision)
+
+        cluster.heal()
+        names = ["inside", "outside", "newcomer"]
+        await cluster.time_in_force(names, unknown.revision)
+        for name in names:
+            await wait_until(
+                lambda name=name: self.is_sure(name), DEADLINE_S, "routers sure of being current"
+            )
+        self.assertEqual(await cluster.faults(), [])
+
+    async def is_sure(self, name):
+        """Tell whether a router says that it is current."""
+        return (await self.cluster.router_state(name)).get("may_be_behind") is False
