--- a/packages/decisions/src/damaskwind/decisions/replication/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/messages.py
@@ -1,4 +1,4 @@
-"""Typed messages of the replicated log: entries, wire messages, inputs, outputs.
+"""Typed messages of the replicated log: entries, between replicas, inputs, outputs.
 
 Nothing here does any work. The shell around the core turns network calls, disk
 completions and timer ticks into inputs, and carries outputs out in the order in
@@ -153,9 +153,6 @@
     max_batch_entries: int = 256
 
 
-# Messages between replicas.
-
-
 class PreVoteRequest(NamedTuple):
     """Ask whether a vote in `term` would be given; changes nothing."""
 
@@ -242,9 +239,6 @@
     message: Message
 
 
-# Inputs of the core.
-
-
 class Tick(NamedTuple):
     """Time has passed. Feed a few times per heartbeat."""
 
@@ -295,9 +289,6 @@
 Input = Tick | Received | Propose | ProposeMembership | ReadRequest | WritesDurable | SnapshotTaken
 
 
-# Outputs of the core.
-
-
 class Send(NamedTuple):
     """Send this message."""
 
