--- a/benchmarks/placement_scale.py
+++ b/benchmarks/placement_scale.py
@@ -205,9 +205,13 @@
             engine.load_at(self.now_s)
             engine.load_tokens -= uncached
             engine.running += 1
-            self.placers[router].observe_report(engine.name, engine_report(engine, 0.0), self.now_s)
+            self.answered(router, engine)
         self.at(self.now_s + answer / PACE_TOKENS_PER_S, self.end, *arguments)
 
+    def answered(self, router: int, engine: Engine) -> None:
+        """Tell a router the load that rides on an answer."""
+        self.placers[router].observe_report(engine.name, engine_report(engine, 0.0), self.now_s)
+
     def end(self, *arguments: Any) -> None:
         """End an answer; the chat returns after a pause."""
         chat, engine, epoch, router, request_id, _, answer = arguments
