Control replicas: metrics at GET /metrics on the operator address

Cause: a replica showed its state to operators with a key only; disk, elections, claims and refused calls were not counted for a scraper. Both grpclib services share one verifier, so that its count is whole.

--- a/packages/control/src/damaskwind/control/claims/service.py
+++ b/packages/control/src/damaskwind/control/claims/service.py
@@ -1,5 +1,6 @@
 """Answer the calls of routers and of restarted holders by a `ClaimHolder`."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -9,7 +10,14 @@
 
 from damaskwind.decisions.claims.codec import decode_claim_message, encode_claim_message
 from damaskwind.decisions.claims.holder import ClaimHolder
-from damaskwind.decisions.claims.messages import CatchUpRead, CatchUpReply, Order, Record, Write
+from damaskwind.decisions.claims.messages import (
+    CatchUpRead,
+    CatchUpReply,
+    Order,
+    Record,
+    Rejection,
+    Write,
+)
 from damaskwind.model.exception import MessageError
 from damaskwind.wire.authentication import CallVerifier, receive_call
 from damaskwind.wire.claims_grpc import ClaimsBase
@@ -22,29 +30,33 @@
 
 
 class ClaimHolderService(ClaimsBase):
-    """The grpclib service of one holder; `clock` gives monotonic seconds."""
+    """The grpclib service of one holder; `clock` gives monotonic seconds.
+
+    `replies` counts what was answered, by call and rejection.
+    """
 
     def __init__(
         self, holder: ClaimHolder, verifier: CallVerifier, clock: Callable[[], float]
     ) -> None:
         self.holder = holder
+        self.replies: Counter[tuple[str, Rejection]] = Counter()
         self._verifier = verifier
         self._clock = clock
 
     async def Order(self, stream: Any) -> None:  # noqa: N802
         """First phase of a claim."""
         message = await self._receive(stream, "Order", Order)
-        await self._reply(stream, self.holder.order(message, self._clock()))
+        await self._decide(stream, "order", self.holder.order(message, self._clock()))
 
     async def Write(self, stream: Any) -> None:  # noqa: N802
         """Second phase of a claim."""
         message = await self._receive(stream, "Write", Write)
-        await self._reply(stream, self.holder.write(message, self._clock()))
+        await self._decide(stream, "write", self.holder.write(message, self._clock()))
 
     async def Record(self, stream: Any) -> None:  # noqa: N802
         """Keep an outcome."""
         message = await self._receive(stream, "Record", Record)
-        await self._reply(stream, self.holder.record(message, self._clock()))
+        await self._decide(stream, "record", self.holder.record(message, self._clock()))
 
     async def CatchUp(self, stream: Any) -> None:  # noqa: N802
         """Give all records to a holder that restarted."""
@@ -70,6 +82,11 @@
             logger.warning("claim message refused", method=name, error=str(error))
             raise GRPCError(Status.INVALID_ARGUMENT, "malformed") from error
 
+    async def _decide(self, stream: Any, call: str, reply: Any) -> None:
+        """Count and send what the holder decided."""
+        self.replies[call, reply.rejection] += 1
+        await self._reply(stream, reply)
+
     async def _reply(self, stream: Any, message: Any) -> None:
         """Send one reply."""
         await stream.send_message(ClaimReply(body=encode_claim_message(message)))
--- a/packages/control/src/damaskwind/control/operator_api/http_api.py
+++ b/packages/control/src/damaskwind/control/operator_api/http_api.py
@@ -28,6 +28,7 @@
 from damaskwind.control.state.configuration_machine import ConfigurationMachine, operator_roles
 from damaskwind.model.checking import check_table
 from damaskwind.runtime.bridge import to_deferred
+from damaskwind.runtime.settings import parse_address
 
 __all__ = ["OperatorApi", "OperatorApiSettings"]
 
@@ -60,6 +61,7 @@
     target_id: str
     wanted: WantedState
     order_id: str = ""
+    address: str = ""
 
 
 class _MembershipBody(NamedTuple):
@@ -112,6 +114,14 @@
     return text
 
 
+def _check_address(text: str) -> None:
+    """Refuse a text that is no address."""
+    try:
+        parse_address(text)
+    except ValueError as error:
+        raise OperatorRefusedError(OperatorCode.BAD_REQUEST, f"address: {error}") from error
+
+
 def _place_of(error: Exception) -> str:
     """Return the file and line that raised an error."""
     frame = traceback.extract_tb(error.__traceback__)[-1]
@@ -139,6 +149,15 @@
         self._klein = Klein()
         self._route()
 
+    def serve_metrics(self, render: Callable[[], bytes]) -> None:
+        """Answer `GET /metrics` with what `render` returns; a scraper needs no key."""
+
+        def metrics(request: Any) -> bytes:
+            request.setHeader("content-type", "text/plain; version=0.0.4; charset=utf-8")
+            return render()
+
+        self._klein.route("/metrics", methods=["GET"])(metrics)
+
     def resource(self) -> IResource:
         """Return the web resource."""
         return self._klein.resource()
@@ -308,6 +327,8 @@
         _checked_id(body.target_id)
         if body.order_id:
             _checked_id(body.order_id)
+        if body.address:
+            _check_address(body.address)
         return await self._service.order(
-            caller.operator, caller.origin, body.order_id, body.target_id, body.wanted
+            caller.operator, caller.origin, body.order_id, body.target_id, body.wanted, body.address
         )
--- a/packages/control/src/damaskwind/control/process.py
+++ b/packages/control/src/damaskwind/control/process.py
@@ -12,16 +12,18 @@
 
 from damaskwind.control.claim_holding import ClaimHolding, hold_claims
 from damaskwind.control.operator_api.assembly import make_operator_api
+from damaskwind.control.orders.delivery import DeliveryTiming
+from damaskwind.control.orders.sender import OrderSender
 from damaskwind.control.replica.node import open_replica
 from damaskwind.control.router_reports import RouterReports
 from damaskwind.control.state.configuration_machine import ConfigurationMachine
 from damaskwind.control.storage.files import FileSystem
+from damaskwind.control.telemetry import ControlTelemetry
 from damaskwind.model.exception import StorageError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.files import write_ready_file
 from damaskwind.runtime.settings import Settings, parse_address
-from damaskwind.wire.authentication import CallVerifier
 from damaskwind.wire.follow_service import FollowService
 
 __all__ = ["ControlProcess", "start_control"]
@@ -43,7 +45,7 @@
         self.failed: asyncio.Future[StorageError] = asyncio.get_running_loop().create_future()
         self.replica = self.node.replica
         self.access = self.node.access
-        self.verifier = CallVerifier(node.cluster, node.cluster_key)
+        self.verifier = self.node.verifier
         self.reports = RouterReports(self.replica, self.node.signer)
         self.follow = FollowService(
             self.verifier,
@@ -55,6 +57,13 @@
         self.operator_api, self._archive = make_operator_api(
             node, control, self.access, self.machine, self.reports.in_force
         )
+        self.telemetry = self._make_telemetry()
+        self.orders = OrderSender(
+            self.replica.leads_in_term,
+            lambda: self.machine.orders.orders(),
+            DeliveryTiming(lease_s=control.election_timeout_s),
+            Random(secrets.randbits(64)),
+        )
         self._reactor = reactor
         self._server = Server([self.node.service, self.follow, self.holding])
         self._is_serving = False
@@ -66,6 +75,16 @@
         self.replica.on_applied.append(self._applied)
         self.replica.on_failure.append(self._note_failure)
 
+    def _make_telemetry(self) -> ControlTelemetry:
+        """Make the metrics and show them beside the intent API."""
+        telemetry = ControlTelemetry(self.settings.node.node_id)
+        telemetry.watch_log(self.access)
+        telemetry.watch_storage(self.node.journal, self.replica.writer)
+        telemetry.watch_machine(self.machine)
+        telemetry.watch_callers(self.follow, self.holding, self.verifier)
+        self.operator_api.serve_metrics(telemetry.metrics.render)
+        return telemetry
+
     async def start(self) -> None:
         """Open the sockets and run."""
         control = self.settings.control
@@ -86,6 +105,7 @@
         )
         self._spawn(self._guard(holding))
         self._spawn(self.reports.poll())
+        self._spawn(self.orders.run())
 
     def addresses(self) -> dict[str, str]:
         """Return the bound addresses by name."""
@@ -112,6 +132,7 @@
             await self._server.wait_closed()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.reports.close()
+        self.telemetry.metrics.shutdown()
 
     def _spawn(self, coroutine: Any) -> None:
         """Run a coroutine until this process stops."""
--- a/packages/control/src/damaskwind/control/replica/forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from time import monotonic
 from typing import Any
 
@@ -59,6 +60,7 @@
 
     def __init__(self, replica: Replica, signer: CallSigner) -> None:
         self.replica = replica
+        self.on_proposed: list[Callable[[ProposalOutcome, float], None]] = []
         self._signer = signer
         self._channels = Channels()
 
@@ -132,7 +134,11 @@
 
     async def propose_here(self, request: Any, timeout_s: float) -> ProposalOutcome:
         """Propose an entry at this replica, which must lead."""
-        return await self.replica.propose(request.payload, timeout_s)
+        started_s = monotonic()
+        outcome = await self.replica.propose(request.payload, timeout_s)
+        for callback in self.on_proposed:
+            callback(outcome, monotonic() - started_s)
+        return outcome
 
     async def change_here(self, request: Any, timeout_s: float) -> ProposalOutcome:
         """Change the members at this replica, which must lead."""
--- a/packages/control/src/damaskwind/control/replica/node.py
+++ b/packages/control/src/damaskwind/control/replica/node.py
@@ -31,6 +31,7 @@
     access: LogAccess
     service: ReplicationService
     signer: CallSigner
+    verifier: CallVerifier
     random: Random
     tasks: list[asyncio.Task]
 
@@ -108,4 +109,4 @@
     verifier = CallVerifier(node.cluster, node.cluster_key)
     service = ReplicationService(access, verifier, control.replica_address, node.failure_domain)
     service.is_founding = folder.is_founding
-    return ReplicaNode(folder, journal, replica, access, service, signer, random, [])
+    return ReplicaNode(folder, journal, replica, access, service, signer, verifier, random, [])
--- a/packages/control/src/damaskwind/control/storage/journal.py
+++ b/packages/control/src/damaskwind/control/storage/journal.py
@@ -86,6 +86,7 @@
         self.snapshot = base.snapshot
         self.entries: list[LogEntry] = list(base.entries)
         self.size_bytes = 0
+        self.snapshot_bytes = 0
         self._folder = folder
         self._files = files
         self._number = number
@@ -156,6 +157,7 @@
         old_number = self._number
         _write_snapshot(self._files, self._folder, write.snapshot, write.data)
         self.snapshot = write.snapshot
+        self.snapshot_bytes = len(write.data)
         self.entries = kept if keeps else []
         self._number += 1
         self.start_file()
@@ -240,7 +242,7 @@
     for payload in framed.payloads[1:]:
         for change in _decode(payload, _Group, path):
             journal.apply(change)
-    _read_snapshot(files, folder, journal.snapshot)
+    journal.snapshot_bytes = len(_read_snapshot(files, folder, journal.snapshot))
     journal.open_file(framed.size_bytes)
     if framed.torn_bytes:
         journal.cut(framed.size_bytes)
--- a/packages/control/src/damaskwind/control/storage/writer.py
+++ b/packages/control/src/damaskwind/control/storage/writer.py
@@ -39,6 +39,7 @@
         self._failed = False
         self.group_count = 0
         self.sync_durations_s: list[float] = []
+        self.on_synced: list[Callable[[float], None]] = []
 
     def submit(self, write: JournalWrite) -> None:
         """Queue one write."""
@@ -82,3 +83,5 @@
         self.group_count += 1
         self.sync_durations_s.append(duration_s)
         del self.sync_durations_s[:-RECENT_SYNCS]
+        for callback in self.on_synced:
+            callback(duration_s)
