--- a/packages/router/src/damaskwind/router/tests/test_fleet.py
+++ b/packages/router/src/damaskwind/router/tests/test_fleet.py
@@ -26,8 +26,9 @@
         )
         bench = TestBench()
         self.addCleanup(lambda: bench.stopped())
-        await bench.start(engines=0, services=1, replicas=replicas)
+        await bench.start(engines=1, services=1, replicas=replicas)
         peer = await bench.start_peer("router-2", replicas=replicas)
+        self.routers = [bench.router, peer]
         self.urls = [bench.url, f"http://{peer.http_address}"]
         return bench, peer
 
@@ -44,6 +45,16 @@
         headers = {"idempotency-key": key}
         return await self.ask(router, "POST", path, headers=headers, data=body)
 
+    async def stream(self, router, key):
+        messages = [{"role": "user", "content": "which laptops are due?"}]
+        fields = {"model": "damask", "stream": True, "max_tokens": 5, "messages": messages}
+        path = "/v1/chat/completions"
+        headers = {"idempotency-key": key}
+        response, body = await self.ask(router, "POST", path, headers=headers, json=fields)
+        self.assertEqual(response.code, 200, body)
+        await to_future(ensureDeferred(self.routers[router].idempotency.settle()))
+        return body
+
     def verdict(self, response):
         return response.headers.getRawHeaders("x-verdict")[0]
 
@@ -76,6 +87,11 @@
         resent, _ = await self.migrate(1, "k3")
         self.assertEqual((resent.code, oracle.runs_by_key["k3"]), (200, 1))
 
+        streams = [await self.stream(router, "k4") for router in (0, 1)]
+        self.assertTrue(streams[0].endswith(b"data: [DONE]\n\n"))
+        self.assertEqual(streams[0], streams[1])
+        self.assertEqual(bench.engines[0].oracle.runs_by_key["k4"], 1)
+
         request_id = first.headers.getRawHeaders("x-request-id")[0]
         path = f"/operator/v1/requests/{request_id}"
         explained, body = await self.ask(1, "GET", path, OPERATOR_KEY)
@@ -84,6 +100,6 @@
         path = "/operator/v1/targets/service-1/drain"
         drained, _ = await self.ask(1, "POST", path, OPERATOR_KEY)
         self.assertEqual(drained.code, 200)
-        await bench.until(lambda: not bench.router.directory.views())
+        await bench.until(lambda: not bench.router.directory.find("service-1"))
         response, _ = await self.ask(0, "GET", "/services/edge-api/status")
         self.assertEqual((response.code, self.verdict(response)), (503, "not-run"))
