Router metrics: control bytes, held sends and gauges apart

Cause: damaskwind_control_traffic_total mixed counters with values that fall (mean, highest second, routers, targets), which a scraper must not rate. Change: control_bytes_total by direction and kind, control_sends_total by outcome, control_faults_total, suspicions_total, and gauges. The measure reads the new names; a page without them shows no control figures, as before.

--- a/benchmarks/measuring/control_traffic.py
+++ b/benchmarks/measuring/control_traffic.py
@@ -12,10 +12,9 @@
 __all__ = ["RouterUse", "TrafficWatch"]
 
 INTERVAL_S = 1.0
-_COUNTER = re.compile(r'^damaskwind_control_traffic\w*\{.*?name="([^"]+)".*?\} ([0-9.e+-]+)$')
-_SENT = "sent_bytes"
-_RECEIVED = "received_bytes"
-_HIGHEST = "highest_second_bytes"
+_METRIC = re.compile(r"^damaskwind_(control_\w+)(\{.*\})? ([0-9.e+-]+)$")
+_BYTES = "control_bytes_total"
+_HIGHEST = "control_highest_second_bytes"
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -38,9 +37,11 @@
 
 
 def _read_counters(text: str) -> dict[str, float]:
-    """Return the control counters of a metrics page by name."""
-    found = (_COUNTER.match(line) for line in text.splitlines())
-    return {match[1]: float(match[2]) for match in found if match}
+    """Return the control metrics of a page, each summed over its labels."""
+    counters: dict[str, float] = {}
+    for match in filter(None, map(_METRIC.match, text.splitlines())):
+        counters[match[1]] = counters.get(match[1], 0.0) + float(match[3])
+    return counters
 
 
 def _cpu_s(pid: int) -> float:
@@ -94,7 +95,7 @@
             for router in self._deployment.routers:
                 page = await ask("GET", f"{router.ready['http_address']}/metrics")
                 counters = _read_counters(page)
-                if counters:
+                if _BYTES in counters:
                     self._points.setdefault(router.name, []).append(_point(counters))
             await asyncio.sleep(INTERVAL_S)
 
@@ -113,5 +114,4 @@
 
 def _point(counters: dict[str, float]) -> _Point:
     """Return a point from the counters of one page."""
-    total = sum(value for name, value in counters.items() if name.startswith((_SENT, _RECEIVED)))
-    return _Point(time.monotonic(), total, counters.get(_HIGHEST, 0.0))
+    return _Point(time.monotonic(), counters[_BYTES], counters.get(_HIGHEST, 0.0))
--- a/packages/router/src/damaskwind/router/telemetry.py
+++ b/packages/router/src/damaskwind/router/telemetry.py
@@ -1,6 +1,7 @@
 """The router's metrics: what was asked, how it ended, and what is in hand."""
 
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
 
 from damaskwind.model.targets import TargetKind
 from damaskwind.model.verdict import Verdict
@@ -10,6 +11,34 @@
 
 __all__ = ["Telemetry"]
 
+_DIRECTIONS = {"sent_bytes.": "sent", "received_bytes.": "received"}
+_SENDS = {"deferred_sends": "deferred", "dropped_sends": "dropped", "oversized_sends": "oversized"}
+_FAULT_PREFIX = "faults."
+
+
+class _Gauge(NamedTuple):
+    """A gauge of the control traffic: its metric, and the counter that it shows."""
+
+    counter: str
+    metric: str
+    unit: str
+    description: str
+
+
+_GAUGES = (
+    _Gauge("mean_bytes_per_s", "control_mean", "By/s", "Mean since the start."),
+    _Gauge("highest_second_bytes", "control_highest_second", "By", "Most in any second."),
+    _Gauge(
+        "highest_ten_seconds_bytes_per_s",
+        "control_highest_ten_seconds",
+        "By/s",
+        "Highest mean over any ten seconds.",
+    ),
+    _Gauge("routers", "routers", "1", "Routers held alive, this one among them."),
+    _Gauge("targets", "targets_held", "1", "Targets on record, leaving and lapsed ones too."),
+)
+Counters = Callable[[], Mapping[str, float]]
+
 
 class Telemetry:
     """The instruments of one router. Gauges read the parts when a scraper asks."""
@@ -46,13 +75,43 @@
         gauge("explain_records", "1", "Explain records kept.", lambda: [Sample(len(explain))])
         gauge("targets", "1", "Live targets known, by kind.", lambda: _targets(directory))
 
-    def watch_control(self, counters: Any) -> None:
-        """Show the counters of the control traffic, as `counters` gives them."""
-        self.metrics.total(
-            "control_traffic",
+    def watch_control(self, counters: Counters) -> None:
+        """Show the control traffic, as `counters` gives it by name."""
+        total = self.metrics.total
+        total(
+            "control",
+            "By",
+            "Control bytes with headers, by direction and kind.",
+            lambda: _control_bytes(counters()),
+        )
+        total(
+            "control_sends",
             "1",
-            "Counters of the control traffic, by name.",
-            lambda: [Sample(value, {"name": name}) for name, value in counters().items()],
+            "Sends that did not go at once: deferred, dropped or oversized.",
+            lambda: _control_sends(counters()),
+        )
+        total(
+            "control_faults",
+            "1",
+            "Datagrams refused, by fault.",
+            lambda: _control_faults(counters()),
+        )
+        total(
+            "suspicions",
+            "1",
+            "Routers that this one suspected to be dead.",
+            lambda: [Sample(counters()["suspicions"])],
+        )
+        for gauge in _GAUGES:
+            self._watch_gauge(gauge, counters)
+
+    def _watch_gauge(self, gauge: _Gauge, counters: Counters) -> None:
+        """Show one value of the control traffic that may fall."""
+        self.metrics.gauge(
+            gauge.metric,
+            gauge.unit,
+            gauge.description,
+            lambda: [Sample(counters()[gauge.counter])],
         )
 
     def request_ended(self, record: RequestRecord) -> None:
@@ -71,6 +130,30 @@
         self._attempts.add(1, labels)
 
 
+def _control_bytes(counters: Mapping[str, float]) -> list[Sample]:
+    """Return the bytes by direction and kind."""
+    return [
+        Sample(value, {"direction": direction, "kind": name.removeprefix(prefix)})
+        for name, value in counters.items()
+        for prefix, direction in _DIRECTIONS.items()
+        if name.startswith(prefix)
+    ]
+
+
+def _control_sends(counters: Mapping[str, float]) -> list[Sample]:
+    """Return the sends that did not go at once, by what became of them."""
+    return [Sample(counters[name], {"outcome": outcome}) for name, outcome in _SENDS.items()]
+
+
+def _control_faults(counters: Mapping[str, float]) -> list[Sample]:
+    """Return the datagrams refused, by fault."""
+    return [
+        Sample(value, {"fault": name.removeprefix(_FAULT_PREFIX)})
+        for name, value in counters.items()
+        if name.startswith(_FAULT_PREFIX)
+    ]
+
+
 def _targets(directory: Any) -> list[Sample]:
     """Count the live targets of each kind."""
     kinds = [view.kind for view in directory.views()]
