--- /dev/null
+++ b/benchmarks/capacity_streams.py
@@ -0,0 +1,191 @@
+"""Measure what one more follower costs a control replica, and the time to all of them.
+
+    .venv/bin/python -m benchmarks.capacity_streams [--streams 8,50,200,400]
+
+The replica's follow service runs in this process over a configuration of 1,400
+accounts; the followers' ends of the streams run in a child process, so that the
+processor time of the two sides stays apart. They check and report each update
+as routers do; the cost of applying one is measured by `capacity_apply`.
+"""
+
+import argparse
+import asyncio
+import subprocess
+import sys
+import time
+from random import Random
+from typing import NamedTuple
+
+from grpclib.server import Server
+
+from benchmarks.configuration_costs import large_configuration
+from damaskwind.model.configuration import Configuration
+from damaskwind.model.targets import Address
+from damaskwind.router.configuration.upstream import Upstream
+from damaskwind.wire.authentication import CallSigner, CallVerifier
+from damaskwind.wire.follow_service import HEARTBEAT_S, FollowService
+
+__all__ = ["StreamCosts", "measure_streams"]
+
+CLUSTER = "measured"
+KEY = "cluster-key"
+STREAM_COUNTS = (8, 50, 200, 400)
+CHANGES = 10
+IDLE_S = 2 * HEARTBEAT_S
+WAIT_S = 60.0
+SILENCE_S = 60.0
+
+
+class StreamCosts(NamedTuple):
+    """What some streams cost one replica; times are processor time but for the delays."""
+
+    streams: int
+    start_ms_per_stream: float
+    idle_us_per_stream_s: float
+    change_us_per_stream: float
+    in_force_p50_s: float
+    in_force_max_s: float
+    sent_bytes_per_change: float
+
+
+class _Progress:
+    """Which revision each follower reported, and when all have one."""
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self.revisions: dict[str, int] = {}
+        self.changed = asyncio.Event()
+
+    def note(self, router_id: str, domain: str, revision: int) -> None:
+        """Take a report."""
+        self.revisions[router_id] = revision
+        self.changed.set()
+
+    async def all_have(self, revision: int) -> None:
+        """Wait until every follower reported a revision."""
+        async with asyncio.timeout(WAIT_S):
+            while sum(has >= revision for has in self.revisions.values()) < self.count:
+                self.changed.clear()
+                await self.changed.wait()
+
+
+def _changed(whole: Configuration, number: int) -> Configuration:
+    """Return the next revision, with one account changed."""
+    accounts = dict(whole.accounts)
+    name = f"account-{number:04d}"
+    accounts[name] = accounts[name]._replace(max_tokens_per_s=float(1000 + number))
+    return whole._replace(revision=whole.revision + 1, accounts=accounts)
+
+
+async def _measure(count: int) -> StreamCosts:
+    """Serve `count` followers in a child process and measure this side."""
+    progress = _Progress(count)
+    service = FollowService(CallVerifier(CLUSTER, KEY), lambda: True, progress.note)
+    whole = large_configuration()
+    service.publish(whole)
+    server = Server([service])
+    await server.start("127.0.0.1", 0)
+    port = server._server.sockets[0].getsockname()[1]
+    command = [sys.executable, "-m", "benchmarks.capacity_streams", "--follow", f"{port}:{count}"]
+    begun_s = time.process_time()
+    child = subprocess.Popen(command, stdout=subprocess.PIPE, stdin=subprocess.PIPE)
+    try:
+        await progress.all_have(whole.revision)
+        start_s = time.process_time() - begun_s
+        idle_s = await _idle()
+        delays_s, change_s = await _changes(service, progress, whole)
+    finally:
+        received, _ = child.communicate(b"\n", timeout=WAIT_S)
+        server.close()
+        await server.wait_closed()
+    delays_s.sort()
+    return StreamCosts(
+        count,
+        start_s / count * 1e3,
+        idle_s / count * 1e6,
+        max(0.0, change_s / CHANGES) / count * 1e6,
+        delays_s[len(delays_s) // 2],
+        delays_s[-1],
+        int(received) / count / CHANGES,
+    )
+
+
+async def _idle() -> float:
+    """Return the processor time a second while nothing changes."""
+    await asyncio.sleep(1.0)
+    begun_s = time.process_time()
+    await asyncio.sleep(IDLE_S)
+    return (time.process_time() - begun_s) / IDLE_S
+
+
+async def _changes(
+    service: FollowService, progress: _Progress, whole: Configuration
+) -> tuple[list[float], float]:
+    """Publish changes one after the other; return the delays and the processor time."""
+    delays_s = []
+    spent_s = 0.0
+    for number in range(CHANGES):
+        whole = _changed(whole, number)
+        begun_s, cpu_s = time.perf_counter(), time.process_time()
+        service.publish(whole)
+        await progress.all_have(whole.revision)
+        delays_s.append(time.perf_counter() - begun_s)
+        spent_s += time.process_time() - cpu_s
+    return delays_s, spent_s
+
+
+async def _follow(port: int, count: int) -> None:
+    """Keep streams open until a line comes in; print the bytes received after the whole."""
+    received = [0]
+    tasks = [asyncio.ensure_future(_follow_one(port, i, received)) for i in range(count)]
+    loop = asyncio.get_running_loop()
+    await loop.run_in_executor(None, sys.stdin.readline)
+    print(received[0])
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _follow_one(port: int, number: int, received: list[int]) -> None:
+    """Follow on one stream, as a router does but for applying."""
+    name = f"router-{number:04d}"
+    upstream = Upstream(name, f"domain-{number % 40:02d}", CallSigner(CLUSTER, KEY, name))
+    await asyncio.sleep(Random(number).uniform(0.0, count_spread_s(number)))
+    revision = 0
+    async with upstream.watch(Address("127.0.0.1", port), revision) as stream:
+        while True:
+            before = upstream.received_bytes
+            update = await stream.next(SILENCE_S)
+            if update.encoded.is_delta:
+                received[0] += upstream.received_bytes - before
+            revision = max(revision, update.encoded.revision)
+            await stream.report(revision)
+
+
+def count_spread_s(number: int) -> float:
+    """Return over how many seconds followers start, so that none times out."""
+    return number / 200
+
+
+def measure_streams(count: int) -> StreamCosts:
+    """Return what `count` streams cost one replica."""
+    return asyncio.run(_measure(count))
+
+
+def main() -> None:
+    """Print a line for each number of streams."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", default=",".join(map(str, STREAM_COUNTS)))
+    parser.add_argument("--follow", help=argparse.SUPPRESS)
+    options = parser.parse_args()
+    if options.follow:
+        port, count = map(int, options.follow.split(":"))
+        asyncio.run(_follow(port, count))
+        return
+    for count in map(int, options.streams.split(",")):
+        costs = measure_streams(count)
+        print("; ".join(f"{name} {value:.4g}" for name, value in costs._asdict().items()))
+
+
+if __name__ == "__main__":
+    main()
