Load vectors by place in the list; spill notes of six bytes, for near domains too

Cause: the gossip gave the placement loads of 1.6 s (p50) and 9 s (p99) in a small fleet, some 6 and 13 s in a domain of 50 routers and 250 targets, and passed a note on as a record of some forty bytes, within the own failure domain only. A repeated note was dropped for 60 s, so a chat that moved t1, t2, t1 stayed noted at t2.

Change: probes and answers carry one vector of loads and renewals, named by their place among the targets both sides hold; groups with digests make a join cost one group. Loads seen on answers go in it freshest first. Notes are 28 bits of digest, 14 of target and an age; the younger of two holds. Both go to the routers of near failure domains as well. The learned error takes steps of at least 0.7 s, since loads and ages are rounded on their way.

The service's test of spill notes now lets the target be known first (a note that names no known target is of no use) and asks for the very note, not just any.

--- a/benchmarks/control_bytes.py
+++ b/benchmarks/control_bytes.py
@@ -56,7 +56,9 @@
         seed: int,
         conditions: Conditions | None = None,
         parameters: MembershipParameters | None = None,
+        near: bool = False,
     ) -> None:
+        self.near = near
         self.random = Random(seed)
         self.conditions = conditions or Conditions()
         self.now_s = 0.0
@@ -93,7 +95,8 @@
             address._replace(port=7001),
         )
         random = Random(self.random.random())
-        node = GossipNode(me, "benchmark", KEY, seeds, random, 0.0, parameters)
+        near = self.domains if self.near else ()
+        node = GossipNode(me, "benchmark", KEY, seeds, random, 0.0, parameters, near)
         node.handler = lambda event: self.events.append((self.now_s, address, event))
         self.nodes[address] = node
         self.cpu_s[address] = 0.0
@@ -315,6 +318,8 @@
     measure_s: float = 30.0,
     leaving: int = 10,
     fail: bool = True,
+    near: bool = False,
+    bytes_per_s: int = 4096,
 ) -> None:
     """Run one fleet through steady state, leaves and a general failure.
 
@@ -327,9 +332,12 @@
     :param measure_s: simulated seconds of the steady state
     :param leaving: how many targets leave, one after the other
     :param fail: whether everything fails at the end
+    :param near: whether all failure domains are near ones of each other
+    :param bytes_per_s: the budget of each router
     """
     print(f"{routers} routers, {targets} targets, {domains} domains, loss {loss}, seed {seed}")
-    fleet = Fleet(routers, targets, domains, seed, Conditions(loss=loss))
+    parameters = MembershipParameters(control_bytes_per_s=bytes_per_s)
+    fleet = Fleet(routers, targets, domains, seed, Conditions(loss=loss), parameters, near)
     steady(fleet, settle_s, measure_s)
     if leaving:
         leaves(fleet, leaving)
--- a/benchmarks/placement_gossip.py
+++ b/benchmarks/placement_gossip.py
@@ -47,7 +47,8 @@
         plain = plain._replace(incarnation=plain.incarnation + self.incarnations.get(name, 0))
         engine = self.engines.get(name)
         if engine is None:
-            return plain
+            # The engines are idle until the gossip has settled.
+            return plain._replace(load=plain.load._replace(load_tokens=0))
         age_s = self.now_s - SETTLE_S - engine.published[1]
         return plain._replace(load=engine_report(engine, age_s))
 
@@ -71,6 +72,7 @@
             setting.seed,
             Conditions(loss=loss),
             parameters,
+            setting.near,
         )
         self.network.run(SETTLE_S)
         renamed = zip(self.network.target_names, self.engines.values(), strict=True)
--- a/packages/decisions/src/damaskwind/decisions/load/estimate.py
+++ b/packages/decisions/src/damaskwind/decisions/load/estimate.py
@@ -22,7 +22,7 @@
 VARIANCE_WINDOW_S = 20.0
 MAX_EXTRAPOLATION_S = 2.0
 SILENT_AFTER_S = 15.0
-MIN_STEP_S = 0.05
+LEARN_STEP_S = 0.7
 
 
 class TargetLoad:
@@ -32,6 +32,8 @@
     """
 
     __slots__ = (
+        "_base_s",
+        "_base_tokens",
         "_drift_tokens_per_s",
         "_learned_s",
         "_measured_s",
@@ -47,6 +49,8 @@
     def __init__(self) -> None:
         self._report_tokens = 0.0
         self._measured_s: float | None = None
+        self._base_tokens = 0.0
+        self._base_s = 0.0
         self.capacity_tokens = 0
         self._drift_tokens_per_s = 0.0
         self._variance_per_s = 0.0
@@ -62,17 +66,28 @@
         if self._measured_s is not None and measured_s <= self._measured_s:
             return
         placed_tokens = self._forget_own_before(measured_s)
-        if self._measured_s is not None:
-            expected_tokens = self._report_tokens + placed_tokens
-            self._learn(report.load_tokens - expected_tokens, measured_s - self._measured_s)
+        self._learn_from(float(report.load_tokens), measured_s, placed_tokens)
         self._report_tokens = float(report.load_tokens)
         self._measured_s = measured_s
         if report.capacity_tokens > 0:
             self.capacity_tokens = report.capacity_tokens
 
+    def _learn_from(self, load_tokens: float, measured_s: float, placed_tokens: float) -> None:
+        """Learn from the step since the last report learned from, once it is long enough.
+
+        Loads are rounded on their way and so are their ages: over a short step that
+        would pass for peers' work.
+        """
+        self._base_tokens += placed_tokens
+        step_s = measured_s - self._base_s if self._measured_s is not None else 0.0
+        if step_s >= LEARN_STEP_S:
+            self._learn(load_tokens - self._base_tokens, step_s)
+        if step_s >= LEARN_STEP_S or self._measured_s is None:
+            self._base_tokens = load_tokens
+            self._base_s = measured_s
+
     def _learn(self, moved_tokens: float, step_s: float) -> None:
         """Learn the peers' drift and its variance from the step between two reports."""
-        step_s = max(step_s, MIN_STEP_S)
         surprise_tokens = moved_tokens - self._drift_tokens_per_s * step_s
         self._learned_s += step_s
         drift_gain = _gain(step_s, self._learned_s, DRIFT_WINDOW_S)
--- a/packages/decisions/src/damaskwind/decisions/membership/core.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/core.py
@@ -56,11 +56,12 @@
         random: Random,
         now_s: float,
         parameters: MembershipParameters | None = None,
+        near_domains: Iterable[str] = (),
     ) -> None:
         self.parameters = parameters or MembershipParameters()
         self.seeds = tuple(seed for seed in seeds if seed != me.address)
         self.suspicions = 0
-        self._state = MembershipState(me, random, now_s, self.parameters)
+        self._state = MembershipState(me, random, now_s, self.parameters, frozenset(near_domains))
         self.router_table = self._state.routers
         self.target_table = self._state.targets
         self._prober = self._state.prober
@@ -143,11 +144,9 @@
         self._gossip.revision = max(revision, self._gossip.revision)
 
     def publish_spills(self, notes: Iterable[SpillNote], now_s: float) -> None:
-        """Pass spill notes to the routers of this failure domain."""
+        """Pass spill notes to the routers of this and the near failure domains."""
         self._state.advance(now_s)
-        for note in notes:
-            self._state.spills_seen[note] = self.now_s
-            self._gossip.rumours.add(note, Urgency.ROUTINE, self.now_s, flood=False)
+        self._gossip.spills.publish(notes, self.now_s)
 
     def leave(self, now_s: float) -> Output:
         """Say good-bye; the core sends nothing afterwards."""
@@ -238,4 +237,4 @@
         self._next_upkeep_s = self.now_s + _UPKEEP_S
         self.target_table.tombstones.expire(self.now_s)
         self.router_table.forget(self.now_s)
-        self._state.forget_spills()
+        self._gossip.spills.forget(self.now_s)
--- a/packages/decisions/src/damaskwind/decisions/membership/gossip.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/gossip.py
@@ -27,7 +27,9 @@
     packed_bytes,
     unpacked_bytes,
 )
+from damaskwind.decisions.membership.spill_gossip import SpillGossip
 from damaskwind.decisions.membership.targets import FOREIGN_LEASE_S, TargetTable
+from damaskwind.decisions.membership.vector_exchange import VectorExchange
 from damaskwind.decisions.pacing.urgency import Urgency
 from damaskwind.model.targets import Address
 
@@ -50,8 +52,11 @@
         repair: Repair,
         prober: Prober,
         random: Random,
+        near_domains: frozenset[str],
     ) -> None:
         self.rumours = RumourQueue()
+        self.spills = SpillGossip()
+        self.vectors = VectorExchange(targets, near_domains)
         self.introduced: set[str] = set()
         self.revision = 0
         self.room_bytes = 0
@@ -61,6 +66,7 @@
         self._repair = repair
         self._prober = prober
         self._random = random
+        self._near_domains = near_domains
         self._foreign_turn = 0
         self._flood_turn = 0
         self._lonely_rounds = 0
@@ -150,14 +156,15 @@
     def ack(self, probe: Probe, sender: RouterRecord | None, knew: bool, now_s: float) -> Ack:
         """Return the answer to a probe."""
         near = sender is not None and sender.failure_domain == self._routers.me.failure_domain
-        news = self._carried(sender, near, now_s)
         bare = len(probe.loads) == 0 and not probe.summaries
+        news = self._carried(sender, near, not bare, now_s)
         loads = b"" if bare else self._loads(now_s, near, news)
         summaries = () if near or bare else (self._repair.own_summary(),)
         introduction = None if knew else self._routers.me
         if probe.sender is not None and probe.news is None and bare:
             news = self._introductions(probe.sender)
-        return Ack(probe.nonce, self.revision, loads, summaries, news, introduction)
+        vector = b"" if bare else self._vector(sender, now_s)
+        return Ack(probe.nonce, self.revision, loads, summaries, news, introduction, vector)
 
     def _introductions(self, newcomer: RouterRecord) -> News:
         """Name some routers to one that may know none, those of its domain first."""
@@ -172,7 +179,7 @@
         """Return a probe with loads, summaries and news on board."""
         near = record.failure_domain == self._routers.me.failure_domain
         self._prober.sent(nonce, record.router_id, now_s)
-        news = self._carried(record, near, now_s)
+        news = self._carried(record, near, True, now_s)
         introduction = None if record.router_id in self.introduced else self._routers.me
         summaries = (self._repair.own_summary(),)
         if near:
@@ -185,6 +192,7 @@
             self._overdue(now_s) if near else b"",
             summaries,
             news,
+            self._vector(record, now_s),
         )
         return Send(record.router_id, record.address, probe, Urgency.PROBE)
 
@@ -229,22 +237,60 @@
         """Return the loads that fit beside the news."""
         parameters = self._parameters
         limit_bytes = parameters.probe_bytes if near else parameters.foreign_probe_bytes
-        if near and self.room_bytes >= parameters.spare_room_bytes:
+        if near and self.vectors.works:
+            # The vector has the loads; these are for targets that are not yet alike.
+            limit_bytes = min(limit_bytes, parameters.stray_loads_bytes)
+        elif near and self.room_bytes >= parameters.spare_room_bytes:
             limit_bytes += parameters.spare_probe_bytes
-        limit_bytes -= _HEADER_BYTES + _SUMMARY_BYTES
+        else_bytes = _HEADER_BYTES + _SUMMARY_BYTES
         if news is not None:
-            limit_bytes -= packed_bytes(estimate_bytes(news))
+            else_bytes += packed_bytes(estimate_bytes(news))
+        if not (near and self.vectors.works):
+            limit_bytes -= else_bytes
         routers = len(self._routers.ring(self._routers.me.failure_domain))
         factor = parameters.load_transmissions_factor
         return self._targets.pack_loads(limit_bytes, transmissions_limit(routers, factor), now_s)
 
+    def _vector(self, record: RouterRecord | None, now_s: float) -> bytes:
+        """Return the load vector for a router of this or a near failure domain."""
+        if record is None or record.failure_domain not in self._near_domains:
+            return b""
+        near = record.failure_domain == self._routers.me.failure_domain
+        parameters = self._parameters
+        limit_bytes = int(parameters.vector_share * parameters.control_bytes_per_s)
+        if not near:
+            limit_bytes = min(limit_bytes, parameters.foreign_probe_bytes)
+        if not self.vectors.works:
+            # Only a sample, by which the peers learn whether their lists are alike.
+            limit_bytes = min(limit_bytes, parameters.sample_vector_bytes)
+        limit_bytes = min(limit_bytes, parameters.vector_limit_bytes)
+        return self.vectors.pack(limit_bytes, parameters.renewal_sends, now_s)
+
+    def _notes(self, record: RouterRecord | None, now_s: float) -> bytes:
+        """Return spill notes for a router of this or a near failure domain."""
+        if record is None or record.failure_domain not in self._near_domains:
+            return b""
+        parameters = self._parameters
+        limit_bytes = int(parameters.notes_share * parameters.control_bytes_per_s)
+        return self.spills.pack(
+            min(limit_bytes, parameters.notes_limit_bytes), self._note_sends(), now_s
+        )
+
+    def _note_sends(self) -> int:
+        """Return how often this router passes a note on."""
+        routers = sum(len(self._routers.ring(domain)) for domain in self._near_domains)
+        sends = transmissions_limit(routers, self._parameters.rumour_transmissions_factor)
+        return sends + 2 * (len(self._near_domains) - 1)
+
     def _overdue(self, now_s: float) -> bytes:
         """Return the keys of targets whose renewal has not come for long."""
         keys = self._targets.overdue(self._parameters.overdue_share, now_s)
         self._random.shuffle(keys)
         return pack_keys(keys[: self._parameters.overdue_limit])
 
-    def _carried(self, record: RouterRecord | None, near: bool, now_s: float) -> News | None:
+    def _carried(
+        self, record: RouterRecord | None, near: bool, notes: bool, now_s: float
+    ) -> News | None:
         """Return the news that rides along, with what the peer must refute."""
         routers = len(self._routers.ring(self._routers.me.failure_domain))
         limit = transmissions_limit(routers, self._parameters.rumour_transmissions_factor)
@@ -252,4 +298,5 @@
         items = self.rumours.to_carry(room, limit, now_s, near)
         if record is not None and record.state != RouterState.ALIVE and record not in items:
             items.append(record)
-        return news_of(items) if items else None
+        spills = self._notes(record, now_s) if notes else b""
+        return news_of(items)._replace(spills=spills) if items or spills else None
--- a/packages/decisions/src/damaskwind/decisions/membership/handlers.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/handlers.py
@@ -49,7 +49,7 @@
     if near:
         state.prober.hear_round(probe.nonce, now_s)
     state.hear_revision(sender, probe.revision)
-    state.merge_loads(probe.loads)
+    state.merge_loads(probe.loads, probe.vector)
     answer = state.repairs_to(sender, source)
     state.merge_news(probe.news, answer)
     for key in unpack_keys(probe.overdue):
@@ -75,7 +75,7 @@
     if direct and ack.sender is None:
         state.gossip.introduced.add(sender.router_id)
     state.hear_revision(sender, ack.revision)
-    state.merge_loads(ack.loads)
+    state.merge_loads(ack.loads, ack.vector)
     answer = state.repairs_to(sender, source)
     state.merge_news(ack.news, answer)
     _check_summaries(state, ack.summaries, answer, now_s)
--- a/packages/decisions/src/damaskwind/decisions/membership/held.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/held.py
@@ -1,10 +1,12 @@
 """A live target as a router holds it."""
 
+from enum import Enum
+
 from damaskwind.decisions.membership.loads import load_key
-from damaskwind.decisions.membership.messages import TargetRecord
-from damaskwind.model.targets import TargetAnnouncement
+from damaskwind.decisions.membership.messages import GoneReason, TargetRecord, Tombstone
+from damaskwind.model.targets import TargetAnnouncement, TargetState, TargetView
 
-__all__ = ["MAX_LEASE_S", "HeldTarget", "record_of"]
+__all__ = ["MAX_LEASE_S", "HeldTarget", "MergeOutcome", "outlives", "record_of", "view_of"]
 
 MAX_LEASE_S = 60.0
 MIN_LEASE_S = 1.0
@@ -44,3 +46,41 @@
         announcement.models,
         announcement.fencing,
     )
+
+
+class MergeOutcome(Enum):
+    """What became of a record that came from a peer."""
+
+    NEW = "new"
+    CHANGED = "changed"
+    RENEWED = "renewed"
+    KNOWN = "known"
+    STALE = "stale"
+    TOMBSTONED = "tombstoned"
+    EXPIRED = "expired"
+
+
+def outlives(record: TargetRecord, tombstone: Tombstone) -> bool:
+    """Tell whether a live record is later than a tombstone."""
+    if record.incarnation != tombstone.incarnation:
+        return record.incarnation > tombstone.incarnation
+    lapsed = tombstone.reason == GoneReason.LAPSED
+    return lapsed and record.renewed_sequence > tombstone.sequence
+
+
+def view_of(held: HeldTarget, now_s: float) -> TargetView:
+    """Return a held target as the placement wants it."""
+    record = held.record
+    return TargetView(
+        record.target_id,
+        record.incarnation,
+        record.kind,
+        record.service,
+        record.failure_domain,
+        record.address,
+        TargetState.SERVING,
+        float(record.load_tokens),
+        record.capacity_tokens,
+        max(now_s - held.measured_at_s, 0.0),
+        record.models,
+    )
--- a/packages/decisions/src/damaskwind/decisions/membership/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/messages.py
@@ -7,7 +7,6 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.model.targets import Address, FencingMode, ModelOffer, TargetKind
 
 __all__ = [
@@ -109,7 +108,8 @@
 class News(NamedTuple):
     """Records to merge, and the keys of those whose records the sender wants.
 
-    A `repair` levels two routers with each other and is not passed on.
+    A `repair` levels two routers with each other and is not passed on. `spills` are
+    spill notes, packed as `damaskwind.decisions.membership.spill_gossip` says.
     """
 
     routers: tuple[RouterRecord, ...] = ()
@@ -117,16 +117,16 @@
     tombstones: tuple[Tombstone, ...] = ()
     wanted: bytes = b""
     repair: bool = False
-    spills: tuple[SpillNote, ...] = ()
+    spills: bytes = b""
 
 
 class Probe(NamedTuple):
     """Ask a router whether it lives, with news and loads on the way.
 
     The sender's `revision` is the configuration it has in force; `loads` are
-    packed as `damaskwind.decisions.membership.loads` says. `sender` introduces
-    a router that the other one may not know. `overdue` are the keys of targets
-    whose renewal the sender has not heard for long.
+    packed as `damaskwind.decisions.membership.loads` says, `vector` as `load_vector`
+    says. `sender` introduces a router that the other one may not know. `overdue` are
+    the keys of targets whose renewal the sender has not heard for long.
     """
 
     nonce: int
@@ -136,6 +136,7 @@
     overdue: bytes = b""
     summaries: tuple[Summary, ...] = ()
     news: News | None = None
+    vector: bytes = b""
 
 
 class Ack(NamedTuple):
@@ -150,6 +151,7 @@
     summaries: tuple[Summary, ...] = ()
     news: News | None = None
     sender: RouterRecord | None = None
+    vector: bytes = b""
 
 
 class IndirectProbe(NamedTuple):
--- a/packages/decisions/src/damaskwind/decisions/membership/parameters.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/parameters.py
@@ -11,6 +11,10 @@
     A round probes one peer. `suspicion_s` is the time a suspect has to refute.
     Probes take `probe_bytes`, and `spare_probe_bytes` more of loads while there
     is room for `spare_room_bytes` of news, so that news goes before fresher loads.
+    Once the lists of targets are alike, a vector of `vector_share` of a second's budget
+    takes the place of these loads but for `stray_loads_bytes`, a `sample_vector_bytes`
+    before; each renewal goes out `renewal_sends` times. Spill notes have `notes_share`
+    on each probe and answer, up to `notes_limit_bytes`.
     `fanout` counts the peers that news is flooded to in the own domain,
     `foreign_fanout` the other domains that a relay passes it to.
     For `warm_up_s` after its start a router whose domain has more than
@@ -33,6 +37,13 @@
     spare_probe_bytes: int = 250
     spare_room_bytes: int = 500
     carried_bytes: int = 110
+    vector_share: float = 0.08
+    vector_limit_bytes: int = 520
+    sample_vector_bytes: int = 130
+    renewal_sends: int = 3
+    stray_loads_bytes: int = 48
+    notes_share: float = 0.03
+    notes_limit_bytes: int = 240
     foreign_probe_bytes: int = 240
     introductions: int = 6
     lonely_rounds_limit: int = 8
--- a/packages/decisions/src/damaskwind/decisions/membership/rumours.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/rumours.py
@@ -19,7 +19,6 @@
 )
 from damaskwind.decisions.membership.sizes import estimate_bytes
 from damaskwind.decisions.pacing.urgency import Urgency
-from damaskwind.decisions.placement.messages import SpillNote
 
 __all__ = ["Rumour", "RumourQueue", "news_of", "split_news", "transmissions_limit"]
 
@@ -29,16 +28,15 @@
 JOINS_LIMIT = 8
 _FLOODED = 1 << 30
 
-Item = RouterRecord | TargetRecord | Tombstone | SpillNote
-_FIELDS = {RouterRecord: "routers", TargetRecord: "targets"}
-_FIELDS |= {Tombstone: "tombstones", SpillNote: "spills"}
+Item = RouterRecord | TargetRecord | Tombstone
+_FIELDS = {RouterRecord: "routers", TargetRecord: "targets", Tombstone: "tombstones"}
 
 
 def crosses(item: Item) -> bool:
     """Tell whether an item matters beyond its failure domain."""
     if isinstance(item, RouterRecord):
         return item.state != RouterState.SUSPECT
-    return not isinstance(item, SpillNote)
+    return True
 
 
 class Rumour:
@@ -86,14 +84,17 @@
 def split_news(news: News) -> tuple[News, ...]:
     """Split the records of a message into two messages; nothing when it can't be split.
 
-    >>> split_news(News(spills=(SpillNote("a", "x"), SpillNote("b", "y"))))[1].spills
-    (SpillNote(chat_short_digest='b', target_id='y'),)
+    >>> graves = tuple(Tombstone(name, 1, 1, 1, "a", 0.0) for name in "xy")
+    >>> [half.tombstones[0].target_id for half in split_news(News(tombstones=graves))]
+    ['x', 'y']
     """
-    items = [*news.routers, *news.targets, *news.tombstones, *news.spills]
+    items = [*news.routers, *news.targets, *news.tombstones]
     if len(items) < 2:
         return ()
     middle = len(items) // 2
-    first = news_of(items[:middle])._replace(wanted=news.wanted, repair=news.repair)
+    first = news_of(items[:middle])._replace(
+        wanted=news.wanted, repair=news.repair, spills=news.spills
+    )
     return first, news_of(items[middle:])._replace(repair=news.repair)
 
 
@@ -118,8 +119,6 @@
     """Return what two items about the same thing have in common."""
     if isinstance(item, RouterRecord):
         return ("router", item.router_id)
-    if isinstance(item, SpillNote):
-        return ("spill", item.chat_short_digest)
     return ("target", item.target_id)
 
 
--- a/packages/decisions/src/damaskwind/decisions/membership/state.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/state.py
@@ -37,14 +37,13 @@
 from damaskwind.decisions.membership.repair import Repair
 from damaskwind.decisions.membership.routers import RouterChange, RouterTable
 from damaskwind.decisions.membership.rumours import Item, news_of
+from damaskwind.decisions.membership.spill_gossip import note_key
 from damaskwind.decisions.membership.targets import MergeOutcome, TargetTable
 from damaskwind.decisions.pacing.urgency import Urgency
-from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.model.targets import Address
 
 __all__ = ["MembershipState"]
 
-SPILL_MEMORY_S = 60.0
 _NEWS_OUTCOMES = (MergeOutcome.NEW, MergeOutcome.CHANGED)
 _STATE_URGENCY = {
     RouterState.ALIVE: Urgency.JOIN,
@@ -58,7 +57,12 @@
     """The tables of one router and what merges into them."""
 
     def __init__(
-        self, me: RouterRecord, random: Random, now_s: float, parameters: MembershipParameters
+        self,
+        me: RouterRecord,
+        random: Random,
+        now_s: float,
+        parameters: MembershipParameters,
+        near_domains: frozenset[str] = frozenset(),
     ) -> None:
         self.now_s = now_s
         digests = DigestTable()
@@ -69,12 +73,17 @@
         self.prober = Prober(parameters.round_s, now_s, first_delay_s)
         self.repair = Repair(self.routers, self.targets, digests, parameters.news_bytes, random)
         self.gossip = Gossip(
-            parameters, self.routers, self.targets, self.repair, self.prober, random
+            parameters,
+            self.routers,
+            self.targets,
+            self.repair,
+            self.prober,
+            random,
+            near_domains | {me.failure_domain},
         )
         self.sends: list[Send] = []
         self.events: list[Event] = []
         self.sender_is_near = False
-        self.spills_seen: dict[SpillNote, float] = {}
         self._revisions: dict[str, int] = {}
 
     def advance(self, now_s: float) -> None:
@@ -215,18 +224,20 @@
         if self.sender_is_near:
             self.gossip.rumours.heard(item)
 
-    def merge_spills(self, notes: tuple[SpillNote, ...]) -> None:
-        """Tell of spill notes not seen before and pass them on."""
-        fresh = tuple(note for note in notes if note not in self.spills_seen)
-        for note in fresh:
-            self.spills_seen[note] = self.now_s
-            self.gossip.rumours.add(note, Urgency.ROUTINE, self.now_s, flood=False)
+    def merge_spills(self, packed: bytes) -> None:
+        """Tell of spill notes that are news and pass them on."""
+        if not packed:
+            return
+        target_of = {note_key(target_id): target_id for target_id in self.targets.held}
+        fresh = self.gossip.spills.merge(packed, target_of, self.now_s)
         if fresh:
-            self.events.append(SpillHeard(fresh))
+            self.events.append(SpillHeard(tuple(fresh)))
 
-    def merge_loads(self, loads: bytes) -> None:
-        """Merge a load vector and tell of each fresher load."""
-        for target_id in self.targets.merge_loads(loads, self.now_s):
+    def merge_loads(self, loads: bytes, vector: bytes) -> None:
+        """Merge the loads on a probe or an answer and tell of each fresher one."""
+        fresher = self.targets.merge_loads(loads, self.now_s)
+        fresher += self.gossip.vectors.merge(vector, self.now_s)
+        for target_id in fresher:
             report = self.targets.load_report(target_id, self.now_s)
             self.events.append(LoadHeard(target_id, report))
 
@@ -245,9 +256,3 @@
     def repairs_to(self, sender: RouterRecord | None, source: Address) -> Callable:
         """Return a function that answers a router with repairs."""
         return partial(self.answer, sender.router_id if sender else "", source, Urgency.REPAIR)
-
-    def forget_spills(self) -> None:
-        """Forget the spill notes that nobody passes on any more."""
-        since_s = self.now_s - SPILL_MEMORY_S
-        for note in [note for note, seen_s in self.spills_seen.items() if seen_s < since_s]:
-            del self.spills_seen[note]
--- a/packages/decisions/src/damaskwind/decisions/membership/targets.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/targets.py
@@ -7,7 +7,6 @@
 vouches for the whole domain by its digest.
 """
 
-from enum import Enum
 from heapq import heappop, heappush
 from itertools import islice
 
@@ -18,7 +17,14 @@
     target_key,
     target_version,
 )
-from damaskwind.decisions.membership.held import MAX_LEASE_S, HeldTarget, record_of
+from damaskwind.decisions.membership.held import (
+    MAX_LEASE_S,
+    HeldTarget,
+    MergeOutcome,
+    outlives,
+    record_of,
+    view_of,
+)
 from damaskwind.decisions.membership.loads import (
     ENTRY_BYTES,
     MAX_AGE_S,
@@ -32,7 +38,6 @@
 from damaskwind.model.targets import (
     LoadReport,
     TargetAnnouncement,
-    TargetState,
     TargetView,
 )
 
@@ -50,26 +55,6 @@
 _GAP_WEIGHT = 0.02
 
 
-class MergeOutcome(Enum):
-    """What became of a record that came from a peer."""
-
-    NEW = "new"
-    CHANGED = "changed"
-    RENEWED = "renewed"
-    KNOWN = "known"
-    STALE = "stale"
-    TOMBSTONED = "tombstoned"
-    EXPIRED = "expired"
-
-
-def _outlives(record: TargetRecord, tombstone: Tombstone) -> bool:
-    """Tell whether a live record is later than a tombstone."""
-    if record.incarnation != tombstone.incarnation:
-        return record.incarnation > tombstone.incarnation
-    lapsed = tombstone.reason == GoneReason.LAPSED
-    return lapsed and record.renewed_sequence > tombstone.sequence
-
-
 class TargetTable:
     """All targets that one router knows."""
 
@@ -78,9 +63,10 @@
         self.lease_floor_s = 0.0
         self.renewal_gap_s = 0.0
         self.held: dict[str, HeldTarget] = {}
+        self.members_version = 0
         self._digests = digests
         self.tombstones = TombstoneTable()
-        self._by_load_key: dict[int, str] = {}
+        self.by_load_key: dict[int, str] = {}
         self._fresh_near: dict[str, None] = {}
         self._fresh_far: dict[str, None] = {}
         self._vouched: dict[tuple[str, int], float] = {}
@@ -167,10 +153,11 @@
         record = held.record
         former = self.held.get(record.target_id)
         if former is not None:
-            self._by_load_key.pop(former.load_key, None)
+            self.by_load_key.pop(former.load_key, None)
         self.tombstones.drop(record.target_id)
         self.held[record.target_id] = held
-        self._by_load_key[held.load_key] = record.target_id
+        self.members_version += 1
+        self.by_load_key[held.load_key] = record.target_id
         self._freshen(record)
         member = Member(False, record.target_id, target_version(record))
         self._digests.put(record.failure_domain, target_key(record.target_id), member)
@@ -250,13 +237,14 @@
     def bury(self, tombstone: Tombstone, now_s: float) -> bool:
         """Keep a tombstone and drop the target; tell whether it was news."""
         held = self.held.get(tombstone.target_id)
-        if held is not None and _outlives(held.record, tombstone):
+        if held is not None and outlives(held.record, tombstone):
             return False
         if not self.tombstones.put(tombstone, now_s):
             return False
         if held is not None:
             del self.held[tombstone.target_id]
-            self._by_load_key.pop(held.load_key, None)
+            self.members_version += 1
+            self.by_load_key.pop(held.load_key, None)
             self._settle(tombstone.target_id)
             self._digests.drop(target_key(tombstone.target_id))
         return True
@@ -273,13 +261,28 @@
         """Take a load vector; return the targets whose load is fresher now."""
         fresher = []
         for entry in unpack_loads(packed):
-            target_id = self._by_load_key.get(entry.key)
+            target_id = self.by_load_key.get(entry.key)
             if target_id is None or entry.age_s >= MAX_AGE_S:
                 continue
             if self._merge_load(self.held[target_id], entry, now_s - entry.age_s):
                 fresher.append(target_id)
         return fresher
 
+    def hear_load(
+        self, target_id: str, load_tokens: int, measured_at_s: float, fresher_by_s: float
+    ) -> bool:
+        """Take a load from a vector; tell whether it is fresher. It renews no lease."""
+        held = self.held[target_id]
+        return self._set_load(held, load_tokens, measured_at_s, True, fresher_by_s)
+
+    def hear_renewal(self, target_id: str, low_bits: int, renewed_at_s: float) -> bool:
+        """Take a renewal by the low bits of its sequence; tell whether it is news."""
+        held = self.held[target_id]
+        step = sequence_step(held.record.renewed_sequence, low_bits)
+        if step:
+            self._renew(held, held.record.renewed_sequence + step, renewed_at_s)
+        return step > 0
+
     def _merge_load(self, held: HeldTarget, entry: PackedLoad, heard_at_s: float) -> bool:
         """Take one load: a renewal by its sequence, one seen on an answer by its age."""
         record = held.record
@@ -353,10 +356,15 @@
         self._freshen(held.record)
 
     def _set_load(
-        self, held: HeldTarget, load_tokens: int, measured_at_s: float, observed: bool
+        self,
+        held: HeldTarget,
+        load_tokens: int,
+        measured_at_s: float,
+        observed: bool,
+        fresher_by_s: float = _FRESHER_BY_S,
     ) -> bool:
         """Take a load when it is fresher than the one held."""
-        if measured_at_s <= held.measured_at_s + _FRESHER_BY_S:
+        if measured_at_s <= held.measured_at_s + fresher_by_s:
             return False
         held.record = held.record._replace(load_tokens=load_tokens)
         held.measured_at_s = measured_at_s
@@ -382,18 +390,4 @@
 
     def view(self, target_id: str, now_s: float) -> TargetView:
         """Return a held target as the placement wants it."""
-        held = self.held[target_id]
-        record = held.record
-        return TargetView(
-            record.target_id,
-            record.incarnation,
-            record.kind,
-            record.service,
-            record.failure_domain,
-            record.address,
-            TargetState.SERVING,
-            float(record.load_tokens),
-            record.capacity_tokens,
-            max(now_s - held.measured_at_s, 0.0),
-            record.models,
-        )
+        return view_of(self.held[target_id], now_s)
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/samples.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/samples.py
@@ -67,11 +67,15 @@
             self.add(router(index, domain))
 
     def add(
-        self, me: RouterRecord, parameters: MembershipParameters | None = None
+        self,
+        me: RouterRecord,
+        parameters: MembershipParameters | None = None,
+        near_domains: tuple[str, ...] = (),
     ) -> MembershipCore:
         seeds = (router(0).address,)
         parameters = parameters or MembershipParameters(warm_up_s=0.0)
-        core = MembershipCore(me, seeds, Random(self.random.random()), self.now_s, parameters)
+        random = Random(self.random.random())
+        core = MembershipCore(me, seeds, random, self.now_s, parameters, near_domains)
         self.cores[me.address] = core
         return core
 
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/vector_exchange.py
@@ -0,0 +1,124 @@
+"""Choose which loads and renewals go into a vector, and merge those that come.
+
+The vector covers the targets of the own and the near failure domains, whose
+placement asks them first. Loads go freshest first: a peer has seldom heard a fresh
+load and nearly always an old one. A renewal is passed on a few times.
+"""
+
+from damaskwind.decisions.membership.load_vector import (
+    LOAD_BITS,
+    MAX_VECTOR_AGE_S,
+    RENEWAL_BITS,
+    Layout,
+    VectorLoad,
+    VectorRenewal,
+    decode_vector,
+    encode_vector,
+    head_bytes,
+    layout_of,
+)
+from damaskwind.decisions.membership.targets import TargetTable
+
+__all__ = ["VectorExchange"]
+
+RENEWALS_SHARE = 0.2
+MAX_LOAD_AGE_S = 6.0
+ALIKE_WEIGHT = 0.2
+ALIKE_ENOUGH = 0.5
+FRESHER_BY_S = 0.2
+
+
+class VectorExchange:
+    """The load vectors that one router sends and hears."""
+
+    def __init__(self, targets: TargetTable, domains: frozenset[str]) -> None:
+        self.alike_share = 0.0
+        self._targets = targets
+        self._domains = domains
+        self._layout: Layout | None = None
+        self._members_version = -1
+        self._sends: dict[int, tuple[int, int]] = {}
+
+    @property
+    def works(self) -> bool:
+        """Tell whether peers mostly hold the same targets, so that places name them."""
+        return self.alike_share >= ALIKE_ENOUGH
+
+    def pack(self, limit_bytes: int, max_sends: int, now_s: float) -> bytes:
+        """Return a vector within the limit, or nothing when there is none to send."""
+        layout = self._layout_now()
+        room_bits = 8 * (limit_bytes - head_bytes(layout))
+        if room_bits < 0 or not any(layout.groups):
+            return b""
+        renewals = self._renewals(int(room_bits * RENEWALS_SHARE) // RENEWAL_BITS, max_sends, now_s)
+        room_bits -= RENEWAL_BITS * len(renewals)
+        loads = self._loads(room_bits // LOAD_BITS, now_s)
+        return encode_vector(layout, loads, renewals)
+
+    def merge(self, vector: bytes, now_s: float) -> list[str]:
+        """Take a vector; return the targets whose load is fresher now."""
+        if not vector:
+            return []
+        loads, renewals, alike = decode_vector(self._layout_now(), vector)
+        self.alike_share += ALIKE_WEIGHT * (alike - self.alike_share)
+        for renewal in renewals:
+            self._merge_renewal(renewal, now_s)
+        return [load_id for load in loads for load_id in self._merge_load(load, now_s)]
+
+    def _merge_load(self, load: VectorLoad, now_s: float) -> list[str]:
+        """Take one load; return its target's id if it was fresher."""
+        target_id = self._targets.by_load_key.get(load.key)
+        if target_id is None or load.age_s >= MAX_VECTOR_AGE_S:
+            return []
+        measured_at_s = now_s - load.age_s
+        fresher = self._targets.hear_load(target_id, load.load_tokens, measured_at_s, FRESHER_BY_S)
+        return [target_id] if fresher else []
+
+    def _merge_renewal(self, renewal: VectorRenewal, now_s: float) -> None:
+        """Take one renewal; a known one needs passing on once less."""
+        target_id = self._targets.by_load_key.get(renewal.key)
+        if target_id is None or renewal.age_s >= MAX_VECTOR_AGE_S:
+            return
+        if self._targets.hear_renewal(target_id, renewal.sequence, now_s - renewal.age_s):
+            return
+        sequence, sends = self._sends.get(renewal.key, (-1, 0))
+        if sequence & 15 == renewal.sequence:
+            self._sends[renewal.key] = (sequence, sends + 1)
+
+    def _layout_now(self) -> Layout:
+        """Return the layout of the targets held now."""
+        if self._layout is None or self._members_version != self._targets.members_version:
+            self._members_version = self._targets.members_version
+            held = self._targets.held.values()
+            keys = [t.load_key for t in held if t.record.failure_domain in self._domains]
+            self._layout = layout_of(keys)
+            self._sends = {key: self._sends[key] for key in keys if key in self._sends}
+        return self._layout
+
+    def _loads(self, count: int, now_s: float) -> dict[int, VectorLoad]:
+        """Return the freshest loads by key."""
+        found = []
+        for target in self._targets.held.values():
+            age_s = now_s - target.measured_at_s
+            if age_s < MAX_LOAD_AGE_S and target.record.failure_domain in self._domains:
+                found.append(VectorLoad(target.load_key, target.record.load_tokens, age_s))
+        found.sort(key=lambda load: load.age_s)
+        return {load.key: load for load in found[: max(count, 0)]}
+
+    def _renewals(self, count: int, max_sends: int, now_s: float) -> dict[int, VectorRenewal]:
+        """Return the renewals passed on least by key, and count that they were."""
+        found = []
+        for target in self._targets.held.values():
+            age_s = now_s - target.renewed_at_s
+            if age_s >= MAX_VECTOR_AGE_S or target.record.failure_domain not in self._domains:
+                continue
+            sequence, sends = self._sends.get(target.load_key, (-1, 0))
+            if sequence != target.record.renewed_sequence:
+                sends = 0
+            if sends < max_sends:
+                found.append((sends, age_s, target.load_key, target.record.renewed_sequence))
+        found.sort()
+        chosen = found[: max(count, 0)]
+        for sends, _, key, sequence in chosen:
+            self._sends[key] = (sequence, sends + 1)
+        return {key: VectorRenewal(key, sequence, age) for _, age, key, sequence in chosen}
--- a/packages/decisions/src/damaskwind/decisions/placement/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/messages.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "SHORT_DIGEST_HEX",
     "CandidateNote",
     "CandidateOutcome",
     "PlacementChoice",
@@ -14,14 +15,14 @@
     "short_digest",
 ]
 
-SHORT_DIGEST_HEX = 16
+SHORT_DIGEST_HEX = 7
 
 
 def short_digest(chat_digest: str) -> str:
-    """Return the first eight bytes of a digest, in hex: enough to name a chat in gossip.
+    """Return the first 28 bits of a digest, in hex: enough to name a chat in gossip.
 
     >>> short_digest("00112233445566778899aabbccddeeff")
-    '0011223344556677'
+    '0011223'
     """
     return chat_digest[:SHORT_DIGEST_HEX]
 
--- a/packages/router/src/damaskwind/router/membership/node.py
+++ b/packages/router/src/damaskwind/router/membership/node.py
@@ -63,9 +63,10 @@
         random: Random,
         now_s: float,
         parameters: MembershipParameters | None = None,
+        near_domains: Iterable[str] = (),
     ) -> None:
         parameters = parameters or MembershipParameters()
-        self.core = MembershipCore(me, seeds, random, now_s, parameters)
+        self.core = MembershipCore(me, seeds, random, now_s, parameters, near_domains)
         self.pacer = ControlPacer(parameters.control_bytes_per_s, now_s)
         self.oversized_sends = 0
         self.faults: Counter[DatagramFault] = Counter()
--- a/packages/router/src/damaskwind/router/membership/service.py
+++ b/packages/router/src/damaskwind/router/membership/service.py
@@ -24,7 +24,10 @@
 
 
 class MembershipSettings(NamedTuple):
-    """Who this router is and whom it asks first; `address` with port 0 takes a free one."""
+    """Who this router is and whom it asks first; `address` with port 0 takes a free one.
+
+    Spill notes and load vectors also go to the routers of `near_domains`.
+    """
 
     router_id: str
     cluster: str
@@ -34,6 +37,7 @@
     peer_address: Address
     seeds: tuple[Address, ...] = ()
     control_bytes_per_s: int = 4096
+    near_domains: tuple[str, ...] = ()
 
 
 def boot_time_s() -> float:
@@ -126,6 +130,7 @@
             self._random,
             self._clock(),
             self._parameters,
+            settings.near_domains,
         )
         node.handler = self._publish
         return node
@@ -164,7 +169,7 @@
         self.node.core.publish_revision(revision)
 
     def publish_spills(self, notes: Iterable[SpillNote]) -> None:
-        """Pass spill notes to the routers of this failure domain."""
+        """Pass spill notes to the routers of this and the near failure domains."""
         self.node.publish_spills(notes, self._clock())
 
     def register_kind(self, kind: str, handler: Callable[[str, bytes], None]) -> None:
@@ -184,7 +189,7 @@
         """Charge control bytes that went by streams or calls to the budget."""
         now_s = self._clock()
         self.node.pacer.sent_elsewhere(sent_bytes, kind, now_s)
-        self.node.pacer.received(received_bytes, kind, now_s, header_bytes=0)
+        self.node.pacer.received_elsewhere(received_bytes, kind, now_s)
 
     def routers(self) -> list[RouterRecord]:
         """Return the routers held alive, this one among them."""
--- a/packages/router/src/damaskwind/router/membership/tests/test_service.py
+++ b/packages/router/src/damaskwind/router/membership/tests/test_service.py
@@ -95,12 +95,15 @@
         self.assertTrue(self.services[0].send("limits", "router-1", b"share", Urgency.LIMITS))
         self.assertFalse(self.services[0].send("limits", "nobody", b"share", Urgency.LIMITS))
         self.services[0].publish_revision(7)
-        self.services[0].publish_spills([SpillNote("abc", "target-1")])
+        self.services[1].announce(announcement(1), 400)
+        self.services[0].publish_spills([SpillNote("00a0abc", "target-1")])
         yield self.until(lambda: heard, "the datagram arrives")
         self.assertEqual(heard, [("router-0", b"share")])
         yield self.until(
             lambda: any(getattr(event, "revision", 0) == 7 for event in events)
-            and any(getattr(event, "notes", ()) for event in events),
+            and any(
+                SpillNote("00a0abc", "target-1") in getattr(event, "notes", ()) for event in events
+            ),
             "the revision and the spill note arrive",
         )
 
