Account limits: blocks of accounts share an allocator and report together

Cause: each account chose its allocator alone, so renewals went in many datagrams; each shrinking share was confirmed at once by a second report; a lost report was sent again only with the next renewal. Change: blocks of accounts (a power of two, about 8 accounts each) have one allocator, and what is leased from it rides with any report to it; a smaller share is confirmed at once only when another router wants more; no rate is asked for where the floor gives it; a report is sent again after 0.5 s while requests wait.

--- a/packages/decisions/src/damaskwind/decisions/limits/allocator.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator.py
@@ -101,6 +101,14 @@
             if not share.leases and not share.in_use and now_s >= share.until_s:
                 del self.shares[router_id]
 
+    def has_others_short(self, share: _Share) -> bool:
+        """Tell whether another router wants more than it has."""
+        return any(
+            other.wanted > other.units() or other.wanted_tokens_per_s > other.tokens_per_s()
+            for other in self.shares.values()
+            if other is not share
+        )
+
 
 class ShareAllocator:
     """Allocate the slices of one failure domain, for the accounts asked about.
@@ -199,7 +207,7 @@
         share.linger_s = share.until_s + self.policy.linger_s
         lease = _Lease(report.sequence, units, tokens_per_s, share.until_s, share.linger_s)
         share.leases.append(lease)
-        return AccountGrant(demand.account, units, tokens_per_s)
+        return AccountGrant(demand.account, units, tokens_per_s, account.has_others_short(share))
 
     def _adopt(self, account: _Account, share: _Share, demand: AccountDemand, now_s: float) -> None:
         """Book what another allocator leased to this router.
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator_choice.py
@@ -0,0 +1,68 @@
+"""Choose the allocator router of each account, blocks of accounts together.
+
+Accounts of one block share an allocator in each failure domain, so that a router
+talks to few allocators and its reports travel in few datagrams. Small fleets of
+accounts have few blocks; many accounts spread over all routers.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+
+from damaskwind.decisions.limits.codec import name_digest
+from damaskwind.decisions.limits.slices import choose_allocator
+
+__all__ = ["AllocatorChoice", "block_count", "block_of"]
+
+ACCOUNTS_PER_BLOCK = 8
+
+
+def block_count(accounts: int) -> int:
+    """Return how many blocks there are; a power of two, so that it seldom changes.
+
+    >>> block_count(1), block_count(10), block_count(1400)
+    (1, 2, 256)
+    """
+    wanted = max(1, -(-accounts // ACCOUNTS_PER_BLOCK))
+    return 1 << (wanted - 1).bit_length()
+
+
+def block_of(account: str, blocks: int) -> str:
+    """Return the name of an account's block."""
+    return f"block-{name_digest(account) % blocks}-of-{blocks}"
+
+
+class AllocatorChoice:
+    """Which router allocates for an account, by the routers known at present.
+
+    >>> choice = AllocatorChoice()
+    >>> choice.set_accounts(["x"])
+    >>> choice.set_routers({"a": ["a/0"]})
+    >>> choice.find("x", "a")
+    'a/0'
+    """
+
+    def __init__(self) -> None:
+        self._blocks: dict[str, str] = {}
+        self._routers: dict[str, tuple[str, ...]] = {}
+        self._chosen: dict[tuple[str, str], str] = {}
+
+    def set_accounts(self, accounts: Collection[str]) -> None:
+        """Follow the configured accounts, which must be the same on all routers."""
+        blocks = block_count(len(accounts))
+        self._blocks = {account: block_of(account, blocks) for account in accounts}
+
+    def set_routers(self, routers: Mapping[str, Sequence[str]]) -> None:
+        """Follow the live routers of each domain."""
+        known = {domain: tuple(sorted(names)) for domain, names in routers.items()}
+        if known != self._routers:
+            self._routers = known
+            self._chosen = {}
+
+    def find(self, account: str, domain: str) -> str:
+        """Return an account's allocator in a domain; empty when no router is known there."""
+        key = (self._blocks[account], domain)
+        chosen = self._chosen.get(key)
+        if chosen is None:
+            names = self._routers.get(domain)
+            chosen = choose_allocator(key[0], names) if names else ""
+            self._chosen[key] = chosen
+        return chosen
--- a/packages/decisions/src/damaskwind/decisions/limits/codec.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/codec.py
@@ -52,13 +52,22 @@
     demands: list[_PackedDemand]
 
 
+class _PackedShare(NamedTuple):
+    """An account's share."""
+
+    name: _Name
+    units: int
+    tokens_per_s: int
+    confirm: bool = False
+
+
 class _PackedGrant(NamedTuple):
     """A grant for each account of a report that is answered."""
 
     sequence: int
     slice_domain: _Name
     lease_ms: int
-    grants: list[tuple[_Name, int, int]]
+    grants: list[_PackedShare]
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -129,9 +138,9 @@
 
     def encode_grant(self, grant: ShareGrant) -> bytes:
         """Encode a grant."""
-        grants = [(self._pack(item.account), *item[1:]) for item in grant.grants]
+        grants = [self._pack_share(item) for item in grant.grants]
         domain = self._pack(grant.slice_domain)
-        return _ENCODER.encode(_PackedGrant(grant.report_sequence, domain, grant.lease_ms, grants))
+        return _ENCODER.encode((grant.report_sequence, domain, grant.lease_ms, grants))
 
     def decode_grant(self, allocator_id: str, payload: bytes) -> ShareGrant:
         """Decode a grant from `allocator_id`, without accounts that are not known here."""
@@ -153,6 +162,11 @@
         """Return the name that was packed; `None` for a digest that is not known."""
         return packed if isinstance(packed, str) else self._names.get(packed)
 
+    def _pack_share(self, share: AccountGrant) -> tuple:
+        """Pack a share; most need not be confirmed at once."""
+        packed = (self._pack(share.account), share.units, share.tokens_per_s)
+        return (*packed, True) if share.confirm else packed
+
     def _pack_demand(self, demand: AccountDemand, sequence: int, allocator_id: str) -> tuple:
         """Pack a demand, without what its own allocator knows better."""
         is_foreign = demand.held_by not in ("", allocator_id)
--- a/packages/decisions/src/damaskwind/decisions/limits/demand.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/demand.py
@@ -9,6 +9,7 @@
 UNMET_LIMIT = 256
 TOKENS_WINDOW_S = 30.0
 HEADROOM = 4.0
+NEED = 1.5
 
 
 class Demand:
@@ -61,6 +62,11 @@
         self._decay(now_s)
         return int(HEADROOM * self._tokens / TOKENS_WINDOW_S + 0.5)
 
+    def needed_tokens_per_s(self, now_s: float) -> int:
+        """Return which rate has to be there; less than is asked for."""
+        self._decay(now_s)
+        return int(NEED * self._tokens / TOKENS_WINDOW_S + 0.5)
+
     def _decay(self, now_s: float) -> None:
         """Let old arrivals fade."""
         if now_s > self._tokens_s:
--- a/packages/decisions/src/damaskwind/decisions/limits/holding.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/holding.py
@@ -149,7 +149,7 @@
     def take(self, grant: ShareGrant, item: AccountGrant, until_s: float, now_s: float) -> bool:
         """Apply a grant unless a newer one was; tell whether to report again soon.
 
-        That is so when the share shrank, for the allocator waits to hear of it, and
+        That is so when the share shrank and others wait for what is free now, and
         when a slice turns out to be used up, for the next one is asked then.
         """
         domain = grant.slice_domain
@@ -162,7 +162,7 @@
         self._held[domain] = _Held(
             item.units, item.tokens_per_s, until_s, grant.allocator_id, grant.report_sequence
         )
-        shrank = before is not None and item.units < before.units
+        shrank = item.confirm and before is not None and item.units < before.units
         asked = self._asked.get(domain)
         was_short = self._short_until_s.get(domain, 0.0) > now_s
         if asked and (item.units < asked.wanted or item.tokens_per_s < asked.wanted_tokens_per_s):
@@ -213,6 +213,8 @@
         rate = self.demand.wanted_tokens_per_s(now_s)
         if units or rate:
             rate = max(1, rate, self._rate_for_debt(now_s))
+        if self._floor_gives_rate(now_s):
+            rate = 0
         rate = min(rate, int(self._limit.max_tokens_per_s))
         floor = self._floor
         return (
@@ -220,6 +222,13 @@
             max(0, rate - int(floor.max_tokens_per_s)),
         )
 
+    def _floor_gives_rate(self, now_s: float) -> bool:
+        """Tell whether the rate of the floor does, so that none need be asked for."""
+        if self.demand.unmet(now_s):
+            return False
+        needed = max(self.demand.needed_tokens_per_s(now_s), self._rate_for_debt(now_s))
+        return needed < int(self._floor.max_tokens_per_s)
+
     def _rate_for_debt(self, now_s: float) -> int:
         """Return the rate that pays the debt off, in time for those who wait if any do."""
         within_s = self.policy.wait_s / 2 if self.demand.unmet(now_s) else self.policy.idle_s
--- a/packages/decisions/src/damaskwind/decisions/limits/limiter.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/limiter.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
+from damaskwind.decisions.limits.allocator_choice import AllocatorChoice
 from damaskwind.decisions.limits.holding import AccountHolding
 from damaskwind.decisions.limits.messages import (
     AccountDemand,
@@ -12,7 +13,7 @@
     LimitPolicy,
     ShareGrant,
 )
-from damaskwind.decisions.limits.slices import choose_allocator, divide_limit, floor_of
+from damaskwind.decisions.limits.slices import divide_limit, floor_of
 from damaskwind.model.reason import Reason
 from damaskwind.model.verdict import Refusal, Verdict
 
@@ -21,6 +22,8 @@
 MAX_DEMANDS_PER_REPORT = 20
 URGENT_GAP_S = 0.05
 SENT_LIMIT = 4096
+RIDE_SHARE = 0.5
+RETRY_S = 0.5
 
 Addressed = tuple[str, DemandReport]
 
@@ -43,11 +46,15 @@
         self.policy = policy
         self._holdings: dict[str, AccountHolding] = {}
         self._due_s: dict[str, float] = {}
+        self._choice = AllocatorChoice()
+        self._renewed_s: dict[str, float] = {}
+        self._awaited: set[str] = set()
         self._sequence = first_sequence
         self._sent_s: dict[int, float] = {}
 
     def set_limits(self, limits: Mapping[str, AccountLimit], domains: Sequence[str]) -> None:
         """Follow the confirmed limits; `domains` must be the same on all routers."""
+        self._choice.set_accounts(limits)
         for account, limit in limits.items():
             slices = divide_limit(account, limit, domains)
             holding = self._holdings.get(account)
@@ -57,6 +64,7 @@
         for account in [name for name in self._holdings if name not in limits]:
             del self._holdings[account]
             self._due_s.pop(account, None)
+            self._awaited.discard(account)
 
     def admit(
         self, account: str, tokens: int, now_s: float, wait_until_s: float | None = None
@@ -73,12 +81,12 @@
         if wait_until_s is None:
             holding.demand.note_arrival(tokens, now_s)
         if holding.try_admit(tokens, now_s):
-            self._due_s.setdefault(account, now_s)
+            self._due_s.setdefault(account, self._next_renewal_s(account, now_s))
             return LimitDecision(LimitOutcome.ADMITTED)
         until_s = wait_until_s
         if until_s is None:
             holding.demand.note_unmet(now_s)
-            self._due_s.setdefault(account, self._next_renewal_s(now_s))
+            self._due_s.setdefault(account, self._next_renewal_s(account, now_s))
             until_s = now_s + self.policy.wait_s
         if holding.is_hopeless(now_s) or now_s >= until_s:
             return self._refuse("the account's limit is reached", holding.retry_after_s(now_s))
@@ -86,10 +94,18 @@
             self._hasten(account, holding, now_s)
         return LimitDecision(LimitOutcome.WAIT, until_s)
 
-    def _next_renewal_s(self, now_s: float) -> float:
-        """Return when all accounts are reported next: together, so that datagrams are few."""
-        renew_s = self.policy.renew_s
-        return (now_s // renew_s + 1) * renew_s
+    def _next_renewal_s(self, account: str, now_s: float) -> float:
+        """Return when an account is reported next: with the others of its allocator."""
+        allocator = self._choice.find(account, self.domain)
+        renewed_s = self._renewed_s.get(allocator, now_s)
+        return max(now_s, renewed_s + self.policy.renew_s)
+
+    def _next_report_s(self, account: str, holding: AccountHolding, now_s: float) -> float:
+        """Return when to report again: soon while requests wait and no answer came."""
+        if not holding.demand.unmet(now_s):
+            return self._next_renewal_s(account, now_s)
+        self._awaited.add(account)
+        return now_s + RETRY_S
 
     def _hasten(self, account: str, holding: AccountHolding, now_s: float) -> None:
         """Report an account soon, but not much more often than its reports go out."""
@@ -103,7 +119,7 @@
             return
         was_over = holding.is_over_share(now_s)
         holding.release(expected_tokens - used_tokens, now_s)
-        self._due_s.setdefault(account, self._next_renewal_s(now_s))
+        self._due_s.setdefault(account, self._next_renewal_s(account, now_s))
         if was_over:
             self._hasten(account, holding, now_s)
 
@@ -116,23 +132,42 @@
 
         A domain without routers, or one that can't be reached, is left out.
         """
+        self._choice.set_routers(routers)
         batches: dict[tuple[str, str], list[AccountDemand]] = {}
-        for account in [name for name, due_s in self._due_s.items() if due_s <= now_s]:
+        for account in self._accounts_due(now_s):
             holding = self._holdings[account]
             for domain, demand in holding.demands(account, now_s, routers):
-                allocator = choose_allocator(account, routers[domain])
+                allocator = self._choice.find(account, domain)
                 batches.setdefault((domain, allocator), []).append(demand)
             if holding.is_idle(now_s):
                 del self._due_s[account]
             else:
                 holding.reported_s = now_s
-                self._due_s[account] = self._next_renewal_s(now_s)
+                self._due_s[account] = self._next_report_s(account, holding, now_s)
         return [
             report
             for (domain, allocator), demands in batches.items()
             for report in self._split(domain, allocator, demands, now_s)
         ]
 
+    def _accounts_due(self, now_s: float) -> list[str]:
+        """Return the accounts that are due, and those that may ride with them.
+
+        A report to an allocator renews all that is leased from it, unless that was
+        done just before.
+        """
+        due = [account for account, due_s in self._due_s.items() if due_s <= now_s]
+        asked = {self._choice.find(account, self.domain) for account in due}
+        recent_s = now_s - RIDE_SHARE * self.policy.renew_s
+        renewed = {name for name in asked if self._renewed_s.get(name, recent_s) <= recent_s}
+        self._renewed_s.update(dict.fromkeys(renewed, now_s))
+        if not renewed:
+            return due
+        riding = (account for account, due_s in self._due_s.items() if due_s > now_s)
+        return due + [
+            account for account in riding if self._choice.find(account, self.domain) in renewed
+        ]
+
     def _split(
         self, domain: str, allocator: str, demands: list[AccountDemand], now_s: float
     ) -> list[Addressed]:
@@ -158,7 +193,12 @@
             return
         for item in grant.grants:
             holding = self._holdings.get(item.account)
-            if holding is not None and holding.take(grant, item, until_s, now_s):
+            if holding is None:
+                continue
+            if item.account in self._awaited and item.account in self._due_s:
+                self._due_s[item.account] = self._next_renewal_s(item.account, now_s)
+            self._awaited.discard(item.account)
+            if holding.take(grant, item, until_s, now_s):
                 self._hasten(item.account, holding, now_s)
 
     def share(self, account: str, now_s: float) -> AccountLimit:
--- a/packages/decisions/src/damaskwind/decisions/limits/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/messages.py
@@ -76,11 +76,15 @@
 
 
 class AccountGrant(NamedTuple):
-    """The whole share of one account that a router may use from now on."""
+    """The whole share of one account that a router may use from now on.
+
+    `confirm` asks to hear at once that it was applied, since others wait for units.
+    """
 
     account: str
     units: int
     tokens_per_s: int
+    confirm: bool = False
 
 
 class ShareGrant(NamedTuple):
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
@@ -5,8 +5,10 @@
 from random import Random
 
 from damaskwind.decisions.limits.allocator import ShareAllocator
+from damaskwind.decisions.limits.allocator_choice import block_count, block_of
 from damaskwind.decisions.limits.limiter import AccountLimiter
 from damaskwind.decisions.limits.messages import AccountLimit, LimitOutcome, LimitPolicy
+from damaskwind.decisions.limits.slices import choose_allocator
 
 __all__ = ["Fleet"]
 
@@ -116,6 +118,11 @@
             limiter = self.limiters[source]
             self.post(target, source, lambda: limiter.take_grant(grant, self.now_s))
 
+    def allocator_of(self, account, domain):
+        """Return the router that allocates for an account in a domain."""
+        block = block_of(account, block_count(len(self.limits)))
+        return choose_allocator(block, self.routers[domain])
+
     def total_running(self, account):
         return sum(item[1] == account for items in self.running.values() for item in items)
 
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/histories.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/histories.py
@@ -5,7 +5,6 @@
 
 from damaskwind.decisions.limits.allocator import ShareAllocator
 from damaskwind.decisions.limits.messages import AccountLimit
-from damaskwind.decisions.limits.slices import choose_allocator
 from damaskwind.decisions.limits.tests.fleet import Fleet
 
 __all__ = ["find_violation"]
@@ -56,12 +55,12 @@
         fleet = self.fleet
         if len(fleet.routers[domain]) < 2:
             return
-        gone = choose_allocator(ACCOUNT, fleet.routers[domain])
+        gone = fleet.allocator_of(ACCOUNT, domain)
         fleet.routers[domain].remove(gone)
         for table in (fleet.limiters, fleet.allocators, fleet.running):
             del table[gone]
         fleet.waiting = [item for item in fleet.waiting if item[0] != gone]
-        heir = choose_allocator(ACCOUNT, fleet.routers[domain])
+        heir = fleet.allocator_of(ACCOUNT, domain)
         allocator = self.allocator_class(heir, domain, fleet.policy, fleet.now_s)
         allocator.set_limits(fleet.limits, DOMAINS)
         fleet.allocators[heir] = allocator
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/test_fleet.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/test_fleet.py
@@ -3,7 +3,6 @@
 from unittest import TestCase
 
 from damaskwind.decisions.limits.messages import AccountLimit
-from damaskwind.decisions.limits.slices import choose_allocator
 from damaskwind.decisions.limits.tests.fleet import STEP_S, Fleet
 
 DOMAINS = ("a", "b", "c")
@@ -89,9 +88,9 @@
         fleet = Fleet(("a",), 4, {"x": AccountLimit(8, 1000.0)})
         load = self.everywhere(fleet, "x")
         self.run_for(fleet, 5.0, load)
-        gone = choose_allocator("x", fleet.routers["a"])
+        gone = fleet.allocator_of("x", "a")
         fleet.routers["a"].remove(gone)
-        heir = choose_allocator("x", fleet.routers["a"])
+        heir = fleet.allocator_of("x", "a")
         fleet.start(heir, "a", fleet.now_s)
         self.run_for(fleet, 2.0, load)
         fleet.limiters.pop(gone)
@@ -110,16 +109,14 @@
 
     def test_units_of_a_dead_router_come_free_with_its_lease(self):
         fleet = Fleet(("a",), 3, {"x": AccountLimit(2, 1000.0)})
-        dead = next(
-            name for name in fleet.routers["a"] if name != choose_allocator("x", fleet.routers["a"])
-        )
+        dead = next(name for name in fleet.routers["a"] if name != fleet.allocator_of("x", "a"))
         for _ in range(2):
             fleet.request(dead, "x", 60.0)
         self.run_for(fleet, 1.0)
         self.assertEqual(fleet.total_running("x"), 2)
         fleet.limiters.pop(dead)
         fleet.running.pop(dead)
-        allocator = fleet.allocators[choose_allocator("x", fleet.routers["a"])]
+        allocator = fleet.allocators[fleet.allocator_of("x", "a")]
         self.run_for(fleet, 10.0)
         self.assertEqual(allocator.booked("x", fleet.now_s).max_concurrent_requests, 2)
         allocator.set_routers([name for name in fleet.routers["a"] if name != dead])
@@ -133,3 +130,25 @@
         self.run_for(fleet, 5.0)
         self.assertEqual(len(fleet.sent_reports), before)
         self.assertEqual(fleet.total_share("x"), AccountLimit(0, 0))
+
+    def test_lost_report_is_sent_again_while_a_request_waits(self):
+        fleet = Fleet(("a",), 3, {"x": AccountLimit(2, 1000.0)})
+        asking = next(name for name in fleet.limiters if name != fleet.allocator_of("x", "a"))
+        fleet.loss = 1.0
+        fleet.request(asking, "x", 60.0)
+        self.run_for(fleet, 0.1)
+        fleet.loss = 0.0
+        self.run_for(fleet, 0.6)
+        self.assertEqual(fleet.served.get(asking), 1)
+
+    def test_accounts_of_one_allocator_are_renewed_together(self):
+        names = [f"account-{number}" for number in range(8)]
+        fleet = Fleet(("a",), 3, dict.fromkeys(names, AccountLimit(30, 90_000.0)))
+        for name in names:
+            fleet.request("a/1", name, 60.0)
+            self.run_for(fleet, 0.3)
+        before = len(fleet.sent_reports)
+        self.run_for(fleet, 10 * fleet.policy.renew_s)
+        renewals = fleet.sent_reports[before:]
+        self.assertLessEqual(len(renewals), 11)
+        self.assertEqual({len(report.demands) for report in renewals}, {8})
