Settings name the failure domains and the near ones

Cause: the router took the replicas' failure domains for both the division of account limits and the homes of chats; wrong where replicas don't cover every failure domain.

--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -22,6 +22,7 @@
 from damaskwind.router.drain import Drain
 from damaskwind.router.engine_client import EngineClient
 from damaskwind.router.explain import ExplainLog
+from damaskwind.router.failure_domains import all_failure_domains, near_failure_domains
 from damaskwind.router.fleet_links import FleetLinks
 from damaskwind.router.front import Front
 from damaskwind.router.gateway import Gateway
@@ -46,22 +47,12 @@
 _SPILL_INTERVAL_S = 0.25
 
 
-def _sibling_domains(settings: Settings) -> tuple[str, ...]:
-    """Name the failure domains that the replicas stand in, and this router's own.
-
-    Account limits are divided among them, and a chat has one home among their
-    engines, whichever of their routers it comes through.
-    """
-    domains = {replica.failure_domain for replica in settings.router.replicas}
-    return tuple(sorted(domains | {settings.node.failure_domain}))
-
-
 class RouterProcess:
     """One running router; `http_address` is where callers reach it."""
 
     def __init__(self, settings: Settings, reactor: Any) -> None:
         self.settings = settings
-        self.domains = _sibling_domains(settings)
+        self._near_domains = near_failure_domains(settings)
         self._reactor = reactor
         random = Random(secrets.randbits(64))
         self.links = FleetLinks(settings, reactor, random)
@@ -85,7 +76,7 @@
         self.gateway.ended = self.telemetry.request_ended
         policy = self.gateway.configuration.policy
         self.directory = TargetDirectory(
-            node.node_id, node.failure_domain, self.domains, policy, reactor, random
+            node.node_id, node.failure_domain, self._near_domains, policy, reactor, random
         )
         self.health = TargetHealth(reactor, random)
         self.directory.members_watcher = self.health.set_targets
@@ -93,7 +84,7 @@
         self.limits = AccountLimits(
             node.node_id,
             node.failure_domain,
-            self.domains,
+            all_failure_domains(settings),
             self.membership,
             reactor,
             is_alone=not settings.router.seeds,
@@ -190,7 +181,7 @@
         self.directory.handle_event(event)
         if isinstance(event, RouterJoined | RouterGone):
             domains = [router.failure_domain for router in self.membership.routers()]
-            near = sum(domain in self.domains for domain in domains)
+            near = sum(domain in self._near_domains for domain in domains)
             own = domains.count(self.settings.node.failure_domain)
             self.directory.set_router_counts(max(1, near), max(1, own))
 
--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -49,9 +49,12 @@
 
     `datagram_address` is where other routers reach it by UDP, `peer_address`
     by grpclib. `seeds` are the datagram addresses of some routers, `replicas`
-    the control replicas. `state_file`, when set, keeps the highest revision
-    over a restart. `configuration_file` serves a fixed configuration without
-    any control replica.
+    the control replicas. `failure_domains` names all of the deployment, the
+    same on every router, since account limits are divided over them;
+    `near_failure_domains` those among whose engines a chat has one home.
+    `state_file`, when set, keeps the highest revision over a restart.
+    `configuration_file` serves a fixed configuration without any control
+    replica.
     """
 
     http_address: str
@@ -60,6 +63,8 @@
     announce_key: str
     seeds: tuple[str, ...] = ()
     replicas: tuple[ReplicaSettings, ...] = ()
+    failure_domains: tuple[str, ...] = ()
+    near_failure_domains: tuple[str, ...] = ()
     control_bytes_per_s: int = 4096
     drain_delay_s: float = 5.0
     drain_limit_s: float = 120.0
