Measure: new stand-ins under new ids for each policy

Cause: a run ends with targets that flapped, and routers hold those back longer than the next run waits: may-tinh stopped before its third policy with 'knowledge of all targets did not hold within 30.0 s', kenanga lost 25 s before its fifth.

--- a/benchmarks/measuring/churn.py
+++ b/benchmarks/measuring/churn.py
@@ -6,7 +6,6 @@
 
 FLAP_DOWN_S = 1.0
 STOP_AFTER_LEAVE_S = 4.0
-JOINED = "joined"
 
 
 class ChurnEvent(NamedTuple):
@@ -17,7 +16,9 @@
     engine: str
 
 
-def churn_events(start_s: float, duration_s: float, engines: list[str]) -> list[ChurnEvent]:
+def churn_events(
+    start_s: float, duration_s: float, engines: list[str], joiner: str
+) -> list[ChurnEvent]:
     """Return what happens in the churn phase, in order."""
     unit_s = duration_s / 10
     leaver, first, second = engines[0], engines[-1], engines[1]
@@ -25,7 +26,7 @@
         ChurnEvent(start_s + unit_s, "flap", first),
         ChurnEvent(start_s + 2 * unit_s, "leave", leaver),
         ChurnEvent(start_s + 2 * unit_s + STOP_AFTER_LEAVE_S, "stop", leaver),
-        ChurnEvent(start_s + 4 * unit_s, "join", JOINED),
+        ChurnEvent(start_s + 4 * unit_s, "join", joiner),
         ChurnEvent(start_s + 6 * unit_s, "flap", first),
         ChurnEvent(start_s + 7 * unit_s, "flap", second),
     ]
--- a/benchmarks/measuring/deployment.py
+++ b/benchmarks/measuring/deployment.py
@@ -30,6 +30,7 @@
 OPERATOR = "lead"
 BOOTSTRAP_KEY = "key-of-the-first-operator"
 _READY_DEADLINE_S = 30.0
+_RUN_MARK = "."
 _PASSING_REFUSALS = ("no_quorum", "outcome_unknown")
 
 
@@ -100,6 +101,7 @@
         self.routers: list[DaemonProcess] = []
         self.fleet: DaemonProcess | None = None
         self._revision = 0
+        self._runs = 0
         self._source = EXAMPLES / name
         self._configuration = _read(self._source / "configuration.toml")
         self._fleet_table = _read(self._source / "standins.toml")["fleet"]
@@ -113,6 +115,11 @@
         """Return the engines that are there from the start."""
         return [engine["target_id"] for engine in self._fleet_table["engines"]]
 
+    @property
+    def joiner(self) -> str:
+        """Return the engine that joins later."""
+        return f"joined{_RUN_MARK}{self._runs}"
+
     @property
     def engine_table(self) -> dict[str, Any]:
         """Return the settings of the first engine, the model of one that joins."""
@@ -155,7 +162,7 @@
         return table
 
     async def start(self) -> None:
-        """Start replicas, routers and stand-ins, and wait until each knows the others."""
+        """Start replicas and routers, with the configuration in force."""
         replicas = await self._start_replicas()
         await self._confirm(self._own_configuration(), BOOTSTRAP_KEY)
         first, *others = sorted(self._source.glob("router-*.toml"))
@@ -164,9 +171,6 @@
         starting = [self._start_router(path, replicas, seeds) for path in others]
         self.routers += await asyncio.gather(*starting)
         await wait_until(self._all_ready, _READY_DEADLINE_S, "readiness of all routers")
-        fleet = dict(self._fleet_table)
-        fleet["announce"] = {**fleet["announce"], "routers": self.addresses()}
-        self.fleet = await self.harness.start_fleet("fleet", fleet)
 
     async def _start_replicas(self) -> list[dict[str, str]]:
         """Start the control replicas and return how routers find them."""
@@ -220,10 +224,14 @@
         return True
 
     async def begin_policy(self, placement: str) -> None:
-        """Put a placement policy in force and let the stand-ins begin anew."""
+        """Put a placement policy in force before stand-ins that nobody knows yet.
+
+        Targets get new ids each time: routers hold back a target that flapped
+        in the run before.
+        """
         policy = {**self._configuration["policy"], "placement": placement}
         await self._confirm({"policy": policy}, self.operator_key)
-        await self.fleet_ask("POST", "/reset", {})
+        await self._restart_fleet()
         await wait_until(self._all_known, _READY_DEADLINE_S, "knowledge of all targets")
 
     async def _start_router(
@@ -242,6 +250,19 @@
         }
         return await self.harness.start_router(path.stem, table)
 
+    async def _restart_fleet(self) -> None:
+        """Let the stand-ins of the run before leave and start others."""
+        if self.fleet is not None:
+            await self.fleet_ask("POST", "/leave", {})
+            await self.fleet.terminate()
+        self._runs += 1
+        table = self._fleet_table
+        table["announce"]["routers"] = self.addresses()
+        for target in table["engines"] + table["services"]:
+            base, _, _ = target["target_id"].partition(_RUN_MARK)
+            target["target_id"] = f"{base}{_RUN_MARK}{self._runs}"
+        self.fleet = await self.harness.start_fleet(f"fleet-{self._runs}", table)
+
     async def _all_ready(self) -> bool:
         """Tell whether every router would take requests."""
         for address in self.addresses():
@@ -278,9 +299,9 @@
         """Let a stand-in leave, flap, stop or come back."""
         await self.fleet_ask("POST", f"/targets/{target}/life", order)
 
-    async def join(self, target: str) -> None:
+    async def join(self) -> None:
         """Let one more engine join, in the last failure domain."""
-        table = {**self._fleet_table["engines"][-1], "target_id": target}
+        table = {**self._fleet_table["engines"][-1], "target_id": self.joiner}
         await self.fleet_ask("POST", "/engines", table)
 
     async def stop(self) -> None:
--- a/benchmarks/measuring/plots.py
+++ b/benchmarks/measuring/plots.py
@@ -27,7 +27,8 @@
     for index, run in enumerate(runs):
         places = [number + index * width for number in range(len(phases))]
         axes.bar(places, [run.reuse.get(name, 0) for name in phases], width, label=run.policy)
-    axes.set_xticks([number + 0.4 for number in range(len(phases))], phases)
+    middle = (len(runs) - 1) * width / 2
+    axes.set_xticks([number + middle for number in range(len(phases))], phases)
     axes.axhline(0.95, color="0.5", linewidth=0.8, linestyle="--")
     axes.set_title("cache reuse / all-knowing placement")
     axes.legend(fontsize=7)
@@ -35,8 +36,14 @@
 
 def _draw_skew(axes: pyplot.Axes, runs: list[RunFigures]) -> None:
     """Draw the highest load over the mean, over time."""
+    last = runs[0].phases[-1]
+    end_s = last.start_s + last.duration_s
     for run in runs:
-        points = [(at_s, high / mean) for at_s, mean, high in run.skew.series if mean > 0]
+        points = [
+            (at_s, high / mean)
+            for at_s, mean, high in run.skew.series
+            if mean > 0 and at_s <= end_s
+        ]
         axes.plot(*zip(*points, strict=True), linewidth=0.8, label=run.policy)
     axes.set_ylim(1, 6)
     axes.set_title("highest engine load / mean")
--- a/benchmarks/measuring/report.py
+++ b/benchmarks/measuring/report.py
@@ -106,7 +106,7 @@
 
 def _comparison(rows: dict[str, dict[str, Any]], earlier: dict[str, Any]) -> list[str]:
     """Return how each figure differs from an earlier report."""
-    lines = ["", "against the earlier run:"]
+    lines = ["", f"against the earlier run of {earlier['deployment']}, seed {earlier['seed']}:"]
     for policy, figures in rows.items():
         before = earlier["rows"].get(policy, {})
         for label, value in figures.items():
--- a/benchmarks/measuring/run.py
+++ b/benchmarks/measuring/run.py
@@ -4,13 +4,12 @@
 import tempfile
 import time
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from benchmarks.measuring.all_knowing import all_knowing_reuse
 from benchmarks.measuring.calendar_load import Call, Phase, Turn, make_phases, make_trace
 from benchmarks.measuring.churn import (
     FLAP_DOWN_S,
-    JOINED,
     ChurnEvent,
     churn_events,
     down_spans,
@@ -54,6 +53,19 @@
     phases: list[Phase]
 
 
+class _Observed(NamedTuple):
+    """What was seen in one run, before any figure is worked out."""
+
+    started_s: float
+    driver: Driver
+    direct: Driver
+    events: list[ChurnEvent]
+    routers: list[RouterUse]
+    control_series: dict[str, list[tuple[float, float]]]
+    oracles: dict[str, Any]
+    samples: list[dict[str, Any]]
+
+
 async def _apply_churn(
     deployment: Deployment, events: list[ChurnEvent], started_s: float, fault: str
 ) -> None:
@@ -61,7 +73,7 @@
     for event in events:
         await asyncio.sleep(max(started_s + event.at_s - time.monotonic(), 0.0))
         if event.action == "join":
-            await deployment.join(JOINED)
+            await deployment.join()
             continue
         order = {"action": event.action, "down_s": FLAP_DOWN_S}
         order["quiet"] = fault == "ignore_leaving"
@@ -120,24 +132,19 @@
     turns, calls = make_trace(plan, phases, deployment.call_paths(), seed, policy)
     await deployment.begin_policy(policy)
     print(f"{policy} in force after {time.monotonic() - begun_s:.1f} s", flush=True)
-    figures = await _drive(deployment, policy, phases, turns, calls, fault)
+    seen = await _drive(deployment, phases, turns, calls, fault)
     print(f"{policy} measured in {time.monotonic() - begun_s:.1f} s", flush=True)
-    return figures
+    return _figures(deployment, policy, phases, turns, calls, seen)
 
 
 async def _drive(
-    deployment: Deployment,
-    policy: str,
-    phases: list[Phase],
-    turns: list[Turn],
-    calls: list[Call],
-    fault: str,
-) -> RunFigures:
-    """Drive a trace through a running deployment."""
+    deployment: Deployment, phases: list[Phase], turns: list[Turn], calls: list[Call], fault: str
+) -> _Observed:
+    """Drive a trace through a running deployment and gather what was seen."""
     direct = await _probe_directly(deployment, turns)
     await _arm(deployment, fault)
     churn = phases[-1]
-    events = churn_events(churn.start_s, churn.duration_s, deployment.engines)
+    events = churn_events(churn.start_s, churn.duration_s, deployment.engines, deployment.joiner)
     watch = TrafficWatch(deployment)
     driver = Driver(deployment.addresses(), deployment.keys, deployment.model)
     watch.start()
@@ -146,16 +153,33 @@
     await driver.run(turns, calls, started_s)
     await churning
     routers = await watch.stop()
+    await driver.close()
+    series = {
+        router: [(at_s - started_s, value) for at_s, value in points]
+        for router, points in watch.series().items()
+    }
     oracles = await deployment.fleet_ask("GET", "/oracle")
     samples = await deployment.fleet_ask("GET", "/samples")
-    await driver.close()
-    spans = down_spans(events, [*deployment.engines, JOINED])
+    during = [sample for sample in samples if sample["time_s"] >= started_s]
+    return _Observed(started_s, driver, direct, events, routers, series, oracles, during)
+
+
+def _figures(
+    deployment: Deployment,
+    policy: str,
+    phases: list[Phase],
+    turns: list[Turn],
+    calls: list[Call],
+    seen: _Observed,
+) -> RunFigures:
+    """Work the figures out of what was seen."""
+    driver, direct = seen.driver, seen.direct
+    spans = down_spans(seen.events, [*deployment.engines, deployment.joiner])
     cache_tokens = deployment.engine_table["cache_tokens"]
     answered = [outcome.turn for outcome in driver.turns if outcome.is_whole]
     answered.sort(key=lambda turn: turn.at_s)
     ideal = all_knowing_reuse(answered, deployment.model, spans, cache_tokens)
     ideal_of_all = all_knowing_reuse(turns, deployment.model, spans, cache_tokens)
-    during = [sample for sample in samples if sample["time_s"] >= started_s]
     root = f"/services/{deployment.profile.service}"
     return RunFigures(
         policy=policy,
@@ -163,17 +187,14 @@
         calls=len(calls),
         reuse=reuse_by_phase(driver.turns, ideal),
         reuse_of_all=reuse_by_phase(driver.turns, ideal_of_all),
-        skew=skew_figures(during, deployment.load_factor, started_s),
-        routers=routers,
+        skew=skew_figures(seen.samples, deployment.load_factor, seen.started_s),
+        routers=seen.routers,
         first_token_ms=driver.first_token.percentiles_ms(),
         between_tokens_ms=driver.between_tokens.percentiles_ms(),
         direct_first_token_ms=direct.first_token.percentiles_ms(),
         direct_between_tokens_ms=direct.between_tokens.percentiles_ms(),
         ends=count_ends(driver.turns, driver.calls),
-        breaches=find_breaches(driver.turns, driver.calls, oracles, deployment.model, root),
-        control_series={
-            router: [(at_s - started_s, value) for at_s, value in points]
-            for router, points in watch.series().items()
-        },
+        breaches=find_breaches(driver.turns, driver.calls, seen.oracles, deployment.model, root),
+        control_series=seen.control_series,
         phases=phases,
     )
--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -146,12 +146,6 @@
         self._sweeper.start(_SWEEP_INTERVAL_S, now=False)
         self.announcer.restart(announced_address(self.settings, self.address))
 
-    def forget(self) -> None:
-        """Begin with an empty cache, counts of zero and no faults."""
-        self.cache.clear()
-        self.oracle = Oracle()
-        self.faults.disarm()
-
     def leave(self, quiet: bool = False) -> None:
         """Announce the leave; what is in progress goes on.
 
--- a/packages/standins/src/damaskwind/standins/service.py
+++ b/packages/standins/src/damaskwind/standins/service.py
@@ -125,11 +125,6 @@
         """Tell whether the service is up and not leaving."""
         return self._listener.is_open and self._leaving_since_s == float("inf")
 
-    def forget(self) -> None:
-        """Begin with counts of zero and no faults."""
-        self.oracle = Oracle()
-        self.faults.disarm()
-
     def leave(self, quiet: bool = False) -> None:
         """Announce the leave unless it is `quiet`; what is in progress goes on."""
         if self._leaving_since_s == float("inf"):
--- a/packages/standins/src/damaskwind/standins/target_fleet.py
+++ b/packages/standins/src/damaskwind/standins/target_fleet.py
@@ -106,7 +106,7 @@
         """Add the control routes."""
         app.route("/oracle", methods=["GET"])(self._oracles)
         app.route("/samples", methods=["GET"])(self._shown_samples)
-        app.route("/reset", methods=["POST"])(self._reset)
+        app.route("/leave", methods=["POST"])(self._leave_all)
         app.route("/routers", methods=["POST"])(self._set_routers)
         app.route("/engines", methods=["POST"])(self._join)
         app.route("/targets/<target_id>/faults", methods=["POST"])(self._fault)
@@ -122,29 +122,18 @@
         first = int(request.args.get(b"from", [b"0"])[0])
         return answer_json(request, self.samples[first:])
 
-    def _reset(self, request: Any) -> Any:
-        """Begin anew: first targets up with empty caches and counts, others stopped."""
-        own = {each.target_id for each in self.settings.engines + self.settings.services}
-
-        async def reset() -> bytes:
-            for name, target in list(self.targets.items()):
-                if name not in own:
-                    await self._remove(name)
-                elif not target.is_serving:
-                    await target.stop()
-                    await target.come_back(keep_cache=False)
-                target.forget()
-            self.samples.clear()
-            return answer_json(request, {})
+    def _leave_all(self, request: Any) -> Any:
+        """Let every target that is up leave; answer once routers have been told."""
 
-        return to_deferred(reset())
+        async def leave() -> bytes:
+            up = [target for target in self.targets.values() if target.is_serving]
+            for target in up:
+                target.leave()
+            for target in up:
+                await target.announcer.said_goodbye()
+            return answer_json(request, {})
 
-    async def _remove(self, name: str) -> None:
-        """Let a target that joined later leave for good."""
-        target = self.targets.pop(name)
-        target.leave()
-        await target.announcer.said_goodbye()
-        await target.stop()
+        return to_deferred(leave())
 
     def _set_routers(self, request: Any) -> bytes:
         """Tell every target which routers the balancer now gives."""
