Claims: a clean stop keeps the holder's records for the very next start

Cause: every restart of a holder forgot its records, so a single replica refused keyed calls for the life of a claim, and a rolling restart needed each to catch up. Change: a holder that stops votes no more and writes promises, records and the incarnations it knows, synced and replaced whole, under the number of its start. The next start reads the file before it numbers itself; numbering, synced before any answer, makes the file stale, so that one that is left or comes back after a crash is not taken. Random histories stop holders cleanly too, and end once nothing can change.

--- a/packages/control/src/damaskwind/control/claims/start.py
+++ b/packages/control/src/damaskwind/control/claims/start.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from damaskwind.control.claims.kept_records import drop_kept, read_kept
+from damaskwind.decisions.claims.messages import HolderMemory
 from damaskwind.model.exception import StorageError
 from damaskwind.runtime.files import replace_file_synced
 
@@ -20,10 +22,11 @@
 
 
 class HolderStart(NamedTuple):
-    """One start of a holder."""
+    """One start of a holder; `kept` is what the start before it wrote at a clean stop."""
 
     incarnation: int
     is_first_start: bool
+    kept: HolderMemory | None = None
 
 
 class _Mark(NamedTuple):
@@ -55,9 +58,11 @@
     """
     path = folder / FILE_NAME
     last = _read(path, holder_id)
+    kept = read_kept(folder, holder_id, last.incarnation)
     mark = _Mark(holder_id, last.incarnation + 1)
     try:
         replace_file_synced(path, msgspec.json.encode(mark))
     except OSError as error:
         raise StorageError(f"{path.name}: {error}") from error
-    return HolderStart(mark.incarnation, is_founder and last.incarnation == 0)
+    drop_kept(folder)
+    return HolderStart(mark.incarnation, is_founder and last.incarnation == 0, kept)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/claims/tests/test_kept_records.py
@@ -0,0 +1,66 @@
+"""Tests of records kept over a clean stop: they count at the very next start only."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+from unittest.mock import patch
+
+from damaskwind.control.claims.kept_records import FILE_NAME, write_kept
+from damaskwind.control.claims.start import begin_start
+from damaskwind.decisions.claims.messages import (
+    Accepted,
+    Ballot,
+    ClaimRecord,
+    ClaimValue,
+    HolderMemory,
+    Outcome,
+    Promise,
+    StoredAnswer,
+)
+from damaskwind.model.verdict import Verdict
+
+BALLOT = Ballot(3, "r")
+OUTCOME = Outcome(Verdict.RAN, StoredAnswer(200, "text/plain", b"\x00body", "d"))
+RECORD = ClaimRecord("k", 5.0, BALLOT, Accepted(BALLOT, ClaimValue("r", "d")), OUTCOME)
+MEMORY = HolderMemory(("h0", "h1", "h2"), (Promise("h0", 1),), (RECORD,))
+
+
+class KeptRecordsTest(TestCase):
+    def setUp(self):
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.path = self.folder / FILE_NAME
+        first = begin_start(self.folder, "h0", True)
+        write_kept(self.folder, "h0", first.incarnation, MEMORY)
+
+    def begin(self):
+        return begin_start(self.folder, "h0", True)
+
+    def test_next_start_has_them_and_the_file_is_gone(self):
+        self.assertEqual(self.begin().kept, MEMORY)
+        self.assertFalse(self.path.exists())
+
+    def test_stale_file_after_a_crash_is_not_taken(self):
+        stale = self.path.read_bytes()
+        with patch("damaskwind.control.claims.start.drop_kept"):
+            self.assertEqual(self.begin().kept, MEMORY)
+        self.assertTrue(self.path.exists())
+        self.assertIsNone(self.begin().kept)
+        self.path.write_bytes(stale)
+        self.assertIsNone(self.begin().kept)
+
+    def test_crash_before_the_start_is_numbered_loses_nothing(self):
+        crash = patch("damaskwind.control.claims.start.replace_file_synced", side_effect=SystemExit)
+        with crash, self.assertRaises(SystemExit):
+            self.begin()
+        self.assertEqual(self.begin().kept, MEMORY)
+
+    def test_damaged_or_foreign_file_counts_as_none(self):
+        whole = self.path.read_bytes()
+        for damaged in (b"", whole[:-1], whole[:20] + b"\x00" + whole[21:]):
+            self.path.write_bytes(damaged)
+            self.assertIsNone(self.begin().kept)
+        start = self.begin().incarnation
+        write_kept(self.folder, "h1", start, MEMORY)
+        self.assertIsNone(self.begin().kept)
--- a/packages/control/src/damaskwind/control/process.py
+++ b/packages/control/src/damaskwind/control/process.py
@@ -28,8 +28,6 @@
 
 __all__ = ["ControlProcess", "start_control"]
 
-CLAIM_TTL_S = 3600.0
-
 
 class ControlProcess:
     """One running control process.
@@ -101,7 +99,11 @@
         self.follow.publish(self.machine.configuration)
         self.node.start(self.settings.node, control, str(self.replica_address))
         holding = hold_claims(
-            self.holding, self.node, self.verifier, control.bootstrap_replicas, CLAIM_TTL_S
+            self.holding,
+            self.node,
+            self.verifier,
+            control.bootstrap_replicas,
+            lambda: self.machine.configuration.policy.idempotency_ttl_s,
         )
         self._spawn(self._guard(holding))
         self._spawn(self.reports.poll())
@@ -126,6 +128,7 @@
             await to_future(maybeDeferred(self._listener.stopListening))
         for task in self._tasks:
             task.cancel()
+        await self.holding.stop()
         await self.node.stop()
         if self._is_serving:
             self._server.close()
@@ -148,6 +151,7 @@
     def _applied(self) -> None:
         """Let followers and the audit archive have what was just applied."""
         self.follow.publish(self.machine.configuration)
+        self.holding.set_ttl(self.machine.configuration.policy.idempotency_ttl_s)
         try:
             self._archive.store_closed(self.machine.trail)
         except StorageError as error:
--- /dev/null
+++ b/packages/control/src/damaskwind/control/tests/test_claim_holding.py
@@ -0,0 +1,53 @@
+from time import monotonic
+
+import treq
+from twisted.trial.unittest import TestCase
+
+from damaskwind.control.process import start_control
+from damaskwind.control.tests.single_control import KEY, start_single
+from damaskwind.control.tests.test_process import until
+from damaskwind.decisions.claims.messages import Ballot, Order
+from damaskwind.runtime.bridge import asyncio_test, to_future
+
+
+class ClaimHoldingTest(TestCase):
+    timeout = 60
+
+    async def post(self, path, body):
+        url = f"http://{self.process.operator_address}/operator/v1{path}"
+        headers = {"Authorization": f"Bearer {KEY}"}
+        answer = await to_future(treq.post(url, headers=headers, json=body, persistent=False))
+        self.assertEqual(answer.code, 200)
+        return await to_future(treq.json_content(answer))
+
+    @asyncio_test
+    async def test_claims_live_as_long_as_the_policy_says(self):
+        self.process = await start_single(self)
+        holding = self.process.holding
+        try:
+            await until(lambda: holding.inner and holding.inner.holder.is_voting(monotonic()))
+            self.assertEqual(holding.inner.holder.policy.ttl_s, 3600.0)
+            plan = await self.post("/intents", {"policy": {"idempotency_ttl_s": 77.0}})
+            await self.post(f"/plans/{plan['plan']['id']}/confirm", {})
+            await until(lambda: holding.inner.holder.policy.ttl_s == 77.0)
+        finally:
+            await self.process.stop()
+
+    @asyncio_test
+    async def test_single_replica_answers_its_keys_after_a_clean_stop(self):
+        self.process = await start_single(self)
+        ballot = Ballot(3, "request")
+        try:
+            holding = self.process.holding
+            await until(lambda: holding.inner and holding.inner.holder.is_voting(monotonic()))
+            first = holding.inner.holder
+            first.order(Order("key", ballot), monotonic())
+            await self.process.stop()
+            self.process = await start_control(self.process.settings)
+            holding = self.process.holding
+            await until(lambda: holding.inner and holding.inner.holder.is_voting(monotonic()))
+            self.assertGreater(holding.inner.holder.incarnation, first.incarnation)
+            reply = holding.inner.holder.order(Order("key", Ballot(2, "late")), monotonic())
+            self.assertEqual(reply.promised, ballot)
+        finally:
+            await self.process.stop()
--- a/packages/decisions/src/damaskwind/decisions/claims/holder.py
+++ b/packages/decisions/src/damaskwind/decisions/claims/holder.py
@@ -23,6 +23,7 @@
     CatchUpRead,
     CatchUpReply,
     ClaimRecord,
+    HolderMemory,
     Order,
     OrderReply,
     Outcome,
@@ -101,6 +102,7 @@
         self.policy = policy
         self.started_s = now_s
         self._voting = is_first_start
+        self._is_stopped = False
         self._read_from: set[str] = set()
         self._incarnations = {holder_id: incarnation}
         self._entries: dict[str, _Entry] = {}
@@ -111,6 +113,8 @@
 
     def is_voting(self, now_s: float) -> bool:
         """Tell whether this holder may vote."""
+        if self._is_stopped:
+            return False
         if not self._voting and now_s - self.started_s >= self.policy.ttl_s:
             self._voting = True
         return self._voting
@@ -185,13 +189,8 @@
         if not self.is_voting(now_s):
             return CatchUpReply(Rejection.NOT_VOTING, self.holder_id, self.incarnation)
         self._hear_of(Promise(message.holder_id, message.incarnation))
-        records = tuple(
-            ClaimRecord(key, now_s - entry.born_s, entry.promised, entry.accepted, entry.outcome)
-            for key, entry in self._entries.items()
-            if not self._is_over(entry, now_s)
-        )
         return CatchUpReply(
-            Rejection.NONE, self.holder_id, self.incarnation, self._known(), records
+            Rejection.NONE, self.holder_id, self.incarnation, self._known(), self._records(now_s)
         )
 
     def take_catch_up(self, reply: CatchUpReply, now_s: float) -> bool:
@@ -208,6 +207,40 @@
             self._voting = True
         return self._voting
 
+    def stop(self, now_s: float) -> HolderMemory | None:
+        """Vote no more, and return what to keep over a clean stop.
+
+        `None` comes from a holder that does not know all that it promised.
+        """
+        if not self.is_voting(now_s):
+            self._is_stopped = True
+            return None
+        self._is_stopped = True
+        return HolderMemory(self.holder_ids, self._known(), self._records(now_s))
+
+    def resume(self, memory: HolderMemory, now_s: float) -> bool:
+        """Go on from what was kept at a clean stop; tell whether voting may start.
+
+        How long the stop took is not known, so lives are lengthened by it. Under
+        another set of holders the memory says too little.
+        """
+        if memory.holder_ids != self.holder_ids or self._entries:
+            return self.is_voting(now_s)
+        for promise in memory.incarnations:
+            self._hear_of(promise)
+        for record in memory.records:
+            self._take_record(record, now_s)
+        self._voting = True
+        return True
+
+    def _records(self, now_s: float) -> tuple[ClaimRecord, ...]:
+        """Return all records whose life is not over."""
+        return tuple(
+            ClaimRecord(key, now_s - entry.born_s, entry.promised, entry.accepted, entry.outcome)
+            for key, entry in self._entries.items()
+            if not self._is_over(entry, now_s)
+        )
+
     def _take_record(self, record: ClaimRecord, now_s: float) -> None:
         """Take over one key: the higher promise, the higher ballot, the outcome."""
         entry = self._entries.setdefault(record.key, _Entry(now_s - record.age_s))
--- a/packages/decisions/src/damaskwind/decisions/claims/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/claims/messages.py
@@ -14,6 +14,7 @@
     "ClaimOutcome",
     "ClaimRecord",
     "ClaimValue",
+    "HolderMemory",
     "Order",
     "OrderReply",
     "Outcome",
@@ -191,3 +192,11 @@
     accepted: Accepted | None = None
     answer: StoredAnswer | None = None
     refusal: Refusal | None = None
+
+
+class HolderMemory(NamedTuple):
+    """All that a holder must not forget, as it stopped."""
+
+    holder_ids: tuple[str, ...]
+    incarnations: tuple[Promise, ...]
+    records: tuple[ClaimRecord, ...]
--- a/packages/decisions/src/damaskwind/decisions/claims/tests/histories.py
+++ b/packages/decisions/src/damaskwind/decisions/claims/tests/histories.py
@@ -15,6 +15,7 @@
     CatchUpReply,
     ClaimKind,
     ClaimValue,
+    HolderMemory,
     Order,
     Outcome,
     Record,
@@ -27,6 +28,7 @@
 
 KEY = "key"
 STEPS = 160
+CATCH_UP = (CatchUpRead, CatchUpReply)
 
 
 class Envelope(NamedTuple):
@@ -41,6 +43,8 @@
 class History:
     """One seeded history of requests that race for one key."""
 
+    loads_stale_file = False
+
     def __init__(self, seed: int, holder_class: type = ClaimHolder) -> None:
         self.random = Random(seed)
         self.holder_class = holder_class
@@ -48,6 +52,7 @@
         self.holders = {name: self.make_holder(name, 1, True) for name in self.holder_ids}
         self.requests: dict[str, ClaimProposer] = {}
         self.network: list[Envelope] = []
+        self.catch_ups = 0
         self.ran: list[str] = []
         self.kinds: list[ClaimKind] = []
         for number in range(self.random.randint(2, 4)):
@@ -60,6 +65,8 @@
         self.catch_up_share = self.random.choice((0.0, 0.5, 0.9))
         self.crash_after_write_share = self.random.choice((0.0, 0.3))
         self.give_up_share = self.random.choice((0.0, 0.1, 0.3))
+        self.clean_stop_share = self.random.choice((0.0, 0.0, 0.3, 0.8))
+        self.kept: dict[str, HolderMemory] = {}
         self.slow_links: dict[tuple[str, str, type], bool] = {}
 
     def make_holder(self, name: str, incarnation: int, first: bool) -> ClaimHolder:
@@ -68,8 +75,11 @@
         )
 
     def run(self) -> "History":
+        """Run until nothing can change any more: who decided takes no reply."""
         for _ in range(STEPS):
             self.step()
+            if all(item.phase == Phase.DECIDED for item in self.requests.values()):
+                break
         return self
 
     def step(self) -> None:
@@ -84,7 +94,17 @@
             self.deliver()
 
     def restart(self, name: str) -> None:
-        self.holders[name] = self.make_holder(name, self.holders[name].incarnation + 1, False)
+        """Restart a holder, empty or with what it kept at a clean stop."""
+        old = self.holders[name]
+        holder = self.make_holder(name, old.incarnation + 1, False)
+        self.holders[name] = holder
+        if self.random.random() < self.clean_stop_share:
+            memory = old.stop(0.0)
+            if memory is not None:
+                self.kept[name] = memory
+                holder.resume(memory, 0.0)
+        elif self.loads_stale_file and name in self.kept:
+            holder.resume(self.kept[name], 0.0)
         self.ask_catch_up()
 
     def ask_catch_up(self) -> None:
@@ -94,6 +114,7 @@
             read = CatchUpRead(name, self.holders[name].incarnation)
             others = (other for other in self.holder_ids if other != name)
             self.network += [Envelope(name, other, read) for other in others]
+            self.catch_ups += len(self.holder_ids) - 1
 
     def start_or_give_up(self) -> None:
         live = [name for name, item in self.requests.items() if item.phase != Phase.DECIDED]
@@ -116,6 +137,8 @@
         draw = self.random.random()
         duplicate = draw < self.duplicate_share
         envelope = self.network[index] if duplicate else self.network.pop(index)
+        if not duplicate and type(envelope.message) in CATCH_UP:
+            self.catch_ups -= 1
         if draw > 1.0 - self.drop_share:
             return
         if envelope.destination in self.holders:
@@ -125,12 +148,12 @@
 
     def pick(self) -> int:
         """Pick a message: a catch-up in haste, seldom one of a link that is slow here."""
-        if self.random.random() < self.catch_up_share:
+        if self.catch_ups and self.random.random() < self.catch_up_share:
             for index, envelope in enumerate(self.network):
-                if isinstance(envelope.message, CatchUpRead | CatchUpReply):
+                if type(envelope.message) in CATCH_UP:
                     return index
         for _ in range(8):
-            index = self.random.randrange(len(self.network))
+            index = int(self.random.random() * len(self.network))
             envelope = self.network[index]
             link = (envelope.source, envelope.destination, type(envelope.message))
             if link not in self.slow_links:
@@ -155,6 +178,7 @@
         reply = handlers[type(message)](message, 0.0)
         tie = message.incarnation if isinstance(message, CatchUpRead) else envelope.ballot
         self.network.append(Envelope(envelope.destination, envelope.source, reply, tie))
+        self.catch_ups += type(reply) is CatchUpReply
         if isinstance(message, Write) and self.random.random() < self.crash_after_write_share:
             self.restart(envelope.destination)
 
--- a/packages/decisions/src/damaskwind/decisions/claims/tests/test_holder.py
+++ b/packages/decisions/src/damaskwind/decisions/claims/tests/test_holder.py
@@ -201,3 +201,34 @@
         self.assertEqual(step.messages, ())
         step = proposer.take_reply("h2", order.ballot, self.holders["h2"].order(order, 0.0))
         self.assertEqual({name for name, _ in step.messages}, {"h1", "h2"})
+
+
+class CleanStopTest(TestCase):
+    def test_holder_goes_on_from_what_it_kept(self):
+        stopped = make()
+        accept(stopped)
+        stopped.record(Record("k", Accepted(FIRST, VALUE), Outcome(Verdict.RAN, answer(b"b"))), 1.0)
+        later = Ballot(5, "r1")
+        stopped.order(Order("other", later), 1.0)
+        memory = stopped.stop(2.0)
+        resumed = make(incarnation=2, first=False, now_s=50.0)
+        self.assertFalse(resumed.is_voting(50.0))
+        self.assertTrue(resumed.resume(memory, 50.0))
+        reply = resumed.order(Order("k", later), 51.0)
+        self.assertEqual(reply.accepted, Accepted(FIRST, VALUE))
+        self.assertEqual(reply.outcome, Outcome(Verdict.RAN, answer(b"b")))
+        low = resumed.order(Order("other", Ballot(4, "r9")), 51.0)
+        self.assertEqual((low.rejection, low.promised), (Rejection.STALE_BALLOT, later))
+
+    def test_stopped_holder_answers_nothing_and_one_that_forgot_keeps_nothing(self):
+        holder = make()
+        holder.stop(1.0)
+        late_s = 2.0 + POLICY.ttl_s
+        reply = holder.order(Order("k", FIRST), late_s)
+        self.assertEqual(reply.rejection, Rejection.NOT_VOTING)
+        self.assertIsNone(make(first=False).stop(1.0))
+
+    def test_memory_of_another_set_of_holders_is_not_enough(self):
+        memory = make().stop(1.0)
+        other = make(incarnation=2, first=False, ids=("h0", "h1", "h9"))
+        self.assertFalse(other.resume(memory, 2.0))
