--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/tests/fault_oracle.py
@@ -0,0 +1,49 @@
+"""What operators were told, and what is then amiss in what a replica shows."""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from damaskwind.control.audit.chain import verify_chain
+from damaskwind.control.audit.entry import AuditEntry
+from damaskwind.control.operator_api.authentication import hash_key
+
+__all__ = ["FIRST", "OPERATORS", "Told", "outcome_faults", "viewer_intent"]
+
+OPERATORS = ("mei", "anis")
+FIRST = "operators"
+
+
+class Told(NamedTuple):
+    """A confirmation as the operator saw it."""
+
+    revision: int
+    plan_id: str
+    name: str
+
+
+def viewer_intent(name: str) -> dict[str, Any]:
+    """Return the intent that adds an operator who may only look."""
+    return {"operators": {name: {"key_hash": hash_key(f"dw-{name}"), "roles": ["viewer"]}}}
+
+
+def outcome_faults(
+    confirmed: Sequence[Told], shown: dict[str, Any], trail: Sequence[AuditEntry]
+) -> list[str]:
+    """Name every outcome that is lost, doubled, out of order or was never told."""
+    viewers = shown["operators"].keys() - set(OPERATORS)
+    named = [told.name for told in confirmed if told.name != FIRST]
+    faults = [f"'{name}' is lost" for name in named if name not in viewers]
+    faults += [f"'{name}' was never confirmed" for name in viewers if name not in named]
+    last = confirmed[-1].revision
+    if shown["revision"] != last:
+        faults.append(f"revision {shown['revision']} in place of {last}")
+    faults += verify_chain(trail).faults
+    done = [
+        (entry.revision, entry.subject)
+        for entry in trail
+        if entry.action == "confirm" and entry.result == "confirmed"
+    ]
+    told = [(each.revision, each.plan_id) for each in confirmed]
+    if done != told:
+        faults.append(f"trail {done} in place of {told}")
+    return faults
