--- a/benchmarks/capacity_streams.py
+++ b/benchmarks/capacity_streams.py
@@ -13,11 +13,11 @@
 import subprocess
 import sys
 import time
-from random import Random
 from typing import NamedTuple
 
 from grpclib.server import Server
 
+from benchmarks.capacity_apply import changed_account
 from benchmarks.configuration_costs import large_configuration
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.targets import Address
@@ -34,6 +34,7 @@
 IDLE_S = 2 * HEARTBEAT_S
 WAIT_S = 60.0
 SILENCE_S = 60.0
+STARTS_PER_S = 200
 
 
 class StreamCosts(NamedTuple):
@@ -69,14 +70,6 @@
                 await self.changed.wait()
 
 
-def _changed(whole: Configuration, number: int) -> Configuration:
-    """Return the next revision, with one account changed."""
-    accounts = dict(whole.accounts)
-    name = f"account-{number:04d}"
-    accounts[name] = accounts[name]._replace(max_tokens_per_s=float(1000 + number))
-    return whole._replace(revision=whole.revision + 1, accounts=accounts)
-
-
 async def _measure(count: int) -> StreamCosts:
     """Serve `count` followers in a child process and measure this side."""
     progress = _Progress(count)
@@ -125,7 +118,7 @@
     delays_s = []
     spent_s = 0.0
     for number in range(CHANGES):
-        whole = _changed(whole, number)
+        whole = changed_account(whole, number)
         begun_s, cpu_s = time.perf_counter(), time.process_time()
         service.publish(whole)
         await progress.all_have(whole.revision)
@@ -150,7 +143,8 @@
     """Follow on one stream, as a router does but for applying."""
     name = f"router-{number:04d}"
     upstream = Upstream(name, f"domain-{number % 40:02d}", CallSigner(CLUSTER, KEY, name))
-    await asyncio.sleep(Random(number).uniform(0.0, count_spread_s(number)))
+    # Starts are spread, so that no opening times out behind the others.
+    await asyncio.sleep(number / STARTS_PER_S)
     revision = 0
     async with upstream.watch(Address("127.0.0.1", port), revision) as stream:
         while True:
@@ -162,11 +156,6 @@
             await stream.report(revision)
 
 
-def count_spread_s(number: int) -> float:
-    """Return over how many seconds followers start, so that none times out."""
-    return number / 200
-
-
 def measure_streams(count: int) -> StreamCosts:
     """Return what `count` streams cost one replica."""
     return asyncio.run(_measure(count))
