Configurations are charged to the control budget; calls that fail are paced

Cause: the bytes of the follower were counted but never taken from the pacer. Charged as they were, a router without a control plane that answers starved its own gossip: it asked all replicas and sixteen routers twice a second (the fleet test's second router heard of no target in 10 s). A whole configuration would have silenced probes for 30 s. Change: the stream, fetches and peers' fetches go to the pacer as kind "follow"; they take the bucket no lower than half a second's budget. Streams that fail and rounds of asking each get an eighth of the budget. Replicas without a revision are no longer fetched from. Claims are shown as damaskwind_claim_bytes_total and not charged: 7.3 KB a keyed call.

--- a/packages/control/src/damaskwind/control/claim_holding.py
+++ b/packages/control/src/damaskwind/control/claim_holding.py
@@ -124,7 +124,13 @@
             return
         await replica.wait_until(lambda: replica.has_log and replica.is_current, LOG_WAIT_S)
     loop = asyncio.get_running_loop()
-    holder = await loop.run_in_executor(None, holding.make_holder, node, list(addresses), ttl_s())
+    making = loop.run_in_executor(None, holding.make_holder, node, list(addresses), ttl_s())
+    try:
+        holder = await asyncio.shield(making)
+    except asyncio.CancelledError:
+        # The thread writes into the folder, which this process is about to give back.
+        await asyncio.wait([making])
+        raise
     holding.inner = ClaimHolderService(holder, verifier, monotonic)
     holding.set_ttl(ttl_s())
     await catch_up(holder, addresses, node.signer, monotonic)
--- a/packages/control/src/damaskwind/control/process.py
+++ b/packages/control/src/damaskwind/control/process.py
@@ -128,12 +128,12 @@
             await to_future(maybeDeferred(self._listener.stopListening))
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.holding.stop()
         await self.node.stop()
         if self._is_serving:
             self._server.close()
             await self._server.wait_closed()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         self.reports.close()
         self.telemetry.metrics.shutdown()
 
--- a/packages/control/src/damaskwind/control/tests/test_telemetry.py
+++ b/packages/control/src/damaskwind/control/tests/test_telemetry.py
@@ -1,6 +1,4 @@
 import re
-import tempfile
-from pathlib import Path
 from random import Random
 from time import monotonic
 
@@ -9,19 +7,12 @@
 from grpclib.exceptions import GRPCError
 from twisted.trial.unittest import TestCase
 
-from damaskwind.control.process import start_control
-from damaskwind.control.replica.tests.cluster import free_address
+from damaskwind.control.tests.single_control import start_single
 from damaskwind.control.tests.test_process import until
 from damaskwind.router.claims.client import ClaimsClient
 from damaskwind.router.configuration.follower import ConfigurationFollower
 from damaskwind.runtime.bridge import asyncio_test, to_future
-from damaskwind.runtime.settings import (
-    ControlSettings,
-    NodeSettings,
-    ReplicaSettings,
-    Settings,
-    parse_address,
-)
+from damaskwind.runtime.settings import parse_address
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.replication_grpc import ReplicationStub
 from damaskwind.wire.replication_pb2 import HelloRequest
@@ -33,20 +24,8 @@
     timeout = 60
 
     async def start(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.replicas = (ReplicaSettings("a", free_address(), "domain-a"),)
-        node = NodeSettings("a", "kl", "key", "kl-central", "domain-a")
-        control = ControlSettings(
-            self.replicas[0].address,
-            "127.0.0.1:0",
-            str(Path(folder.name) / "a"),
-            self.replicas,
-            election_timeout_s=0.3,
-            heartbeat_s=0.06,
-            snapshot_every_entries=3,
-        )
-        self.process = await start_control(Settings(node, None, control))
+        self.process = await start_single(self)
+        self.replicas = self.process.settings.control.bootstrap_replicas
         holding = self.process.holding
         await until(lambda: self.process.replica.is_leader)
         await until(lambda: holding.inner and holding.inner.holder.is_voting(monotonic()))
--- a/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/pacer.py
@@ -9,6 +9,10 @@
 router moves at most budget x (FILL_SHARE x T + BURST_S + OVERDRAFT_S) bytes,
 plus what its peers send beyond that: 0.96 of the budget over ten seconds.
 
+What goes by streams and calls counts whole, but takes the bucket no lower than
+`STREAM_DEBT_S`: a whole configuration is many seconds' budget, and a router that
+paid it off before its next probe would be taken for dead.
+
 What arrives is itself bounded: every router spends at most `SEND_SHARE` of its
 budget on sends in any second, and routers choose whom they send to by a common
 ring, so that each of them hits another one; in the mean a router hears what it
@@ -40,6 +44,7 @@
 FILL_SHARE = 0.8
 BURST_S = 1.0
 OVERDRAFT_S = 1.0
+STREAM_DEBT_S = 0.5
 WINDOW_S = 1.0
 LONG_WINDOW_S = 10.0
 QUEUE_LIMIT = 512
@@ -120,9 +125,20 @@
 
     def sent_elsewhere(self, size_bytes: int, kind: str, now_s: float) -> None:
         """Count control bytes that went another way, such as a stream; they can't wait."""
-        self._advance(now_s)
         self._sent[kind] += size_bytes
+        self._count_elsewhere(size_bytes, now_s)
+
+    def received_elsewhere(self, size_bytes: int, kind: str, now_s: float) -> None:
+        """Count control bytes that came another way."""
+        self._received[kind] += size_bytes
+        self._count_elsewhere(size_bytes, now_s)
+
+    def _count_elsewhere(self, size_bytes: int, now_s: float) -> None:
+        """Count bytes that take the bucket no lower than the debt of streams."""
+        self._advance(now_s)
+        lowest = min(self._tokens, -STREAM_DEBT_S * self.bytes_per_s)
         self._count(size_bytes)
+        self._tokens = max(self._tokens, lowest)
 
     def offer(self, item: Any, size_bytes: int, urgency: Urgency, kind: str, now_s: float) -> None:
         """Queue a send; `take` returns it when the budget allows."""
--- a/packages/decisions/src/damaskwind/decisions/pacing/tests/test_pacer.py
+++ b/packages/decisions/src/damaskwind/decisions/pacing/tests/test_pacer.py
@@ -103,6 +103,23 @@
         self.assertEqual(self.pacer.take(0.5), [])
         self.assertEqual(self.pacer.counters(0.5).sent_bytes, {"follow": 2 * BUDGET})
 
+    def test_a_whole_configuration_delays_news_but_no_probe(self):
+        whole_bytes = 30 * BUDGET
+        self.pacer.received_elsewhere(whole_bytes, "follow", 0.0)
+        self.offer("news", 100, Urgency.JOIN)
+        self.offer("probe", 100, Urgency.PROBE)
+        self.assertEqual(self.pacer.take(0.0), ["probe"])
+        self.assertEqual(self.pacer.take(0.5), [])
+        self.assertEqual(self.pacer.take(1.0), ["news"])
+        self.assertEqual(self.pacer.counters(1.0).highest_second_bytes, whole_bytes + 128)
+
+    def test_bytes_of_streams_forgive_no_debt_of_datagrams(self):
+        self.pacer.received(3 * BUDGET, "flood", 0.0)
+        self.pacer.sent_elsewhere(100, "follow", 0.0)
+        self.offer("leave", 100, Urgency.LEAVE)
+        self.assertEqual(self.pacer.take(1.0), [])
+        self.assertEqual(self.pacer.take(2.0), ["leave"])
+
     def test_a_clock_that_goes_back_gives_no_budget(self):
         self.pacer.received(3 * BUDGET, "flood", 10.0)
         self.offer("leave", 200, Urgency.LEAVE, 5.0)
--- a/packages/router/src/damaskwind/router/claims/client.py
+++ b/packages/router/src/damaskwind/router/claims/client.py
@@ -31,6 +31,7 @@
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.claims_grpc import ClaimsStub
 from damaskwind.wire.claims_pb2 import ClaimCall
+from damaskwind.wire.follow_codec import CALL_BYTES, MESSAGE_OVERHEAD_BYTES
 
 __all__ = ["ClaimsClient"]
 
@@ -48,7 +49,7 @@
 
     `holders` names every holder with its address. `clock` gives monotonic
     seconds. Each claim needs a `request_id` of its own, also when a caller
-    resends: the id names who may run.
+    resends: the id names who may run. The byte counts add estimated headers.
     """
 
     def __init__(
@@ -60,6 +61,8 @@
         random: Random,
         clock: Callable[[], float],
     ) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self._addresses = dict(holders)
         self._signer = CallSigner(cluster, cluster_key, router_id)
         self._random = random
@@ -152,8 +155,10 @@
         request = ClaimCall(holder_id=holder_id, body=encode_claim_message(message))
         channel = self._channel(holder_id)
         method = getattr(ClaimsStub(channel), _METHODS[kind])
+        self.sent_bytes += request.ByteSize() + CALL_BYTES + MESSAGE_OVERHEAD_BYTES
         try:
             reply = await call_unary(method, request, self._signer, timeout_s)
+            self.received_bytes += reply.ByteSize() + MESSAGE_OVERHEAD_BYTES
             return decode_claim_message(_REPLIES[kind], reply.body)
         except _CALL_ERRORS as error:
             detail = str(error) or type(error).__name__
--- a/packages/router/src/damaskwind/router/configuration/follower.py
+++ b/packages/router/src/damaskwind/router/configuration/follower.py
@@ -19,8 +19,9 @@
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
+from damaskwind.router.configuration.call_pace import CallPace
 from damaskwind.router.configuration.state_file import read_state_file, write_state_file
-from damaskwind.router.configuration.upstream import Upstream, UpstreamUpdate
+from damaskwind.router.configuration.upstream import ATTEMPT_BYTES, Upstream, UpstreamUpdate
 from damaskwind.runtime.settings import ReplicaSettings, parse_address
 from damaskwind.wire.authentication import CallSigner, CallVerifier
 from damaskwind.wire.configuration_history import decode_revision
@@ -32,6 +33,7 @@
 ASKED_PEERS = 16
 ASK_TIMEOUT_S = 1.0
 REVISION_ONLY = 2**63 - 1
+CALLS_SHARE = 1 / 8
 
 
 class FollowerTiming:
@@ -57,7 +59,8 @@
 
     `configuration` is what the router enforces: subscribers are called before
     the revision is reported to anyone. `peers` returns the addresses of other
-    routers at which `service` is served.
+    routers at which `service` is served. Streams that fail and rounds of asking
+    each get a share of `control_bytes_per_s`.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         state_file: Path | None = None,
         peers: Callable[[], list[Address]] = list,
         timing: FollowerTiming | None = None,
+        control_bytes_per_s: float = float("inf"),
     ) -> None:
         self.configuration: Configuration | None = None
         self.service = FollowService(
@@ -81,6 +85,9 @@
         self._peers = peers
         self._timing = timing or FollowerTiming()
         self._replicas = _near_first(replicas, failure_domain, random)
+        rate = CALLS_SHARE * control_bytes_per_s
+        self._stream_pace = CallPace(rate, monotonic())
+        self._ask_pace = CallPace(rate, monotonic())
         self._upstream = Upstream(router_id, failure_domain, signer)
         self._subscribers: list[Callable[[Configuration], None]] = []
         self._candidate: Configuration | None = None
@@ -117,6 +124,11 @@
         """Return the bytes sent, with headers as estimated."""
         return self._upstream.sent_bytes
 
+    def charge_bytes(self, charge: Callable[[int, int], None]) -> None:
+        """Have `charge(sent, received)` take all bytes: own calls and peers' fetches."""
+        self._upstream.on_bytes = charge
+        self.service.on_bytes = charge
+
     def subscribe(self, callback: Callable[[Configuration], None]) -> None:
         """Have `callback` put each new configuration in force."""
         self._subscribers.append(callback)
@@ -166,6 +178,8 @@
         turn = 0
         while self._replicas and not self._upstream.is_closed:
             address = self._replicas[turn % len(self._replicas)]
+            await asyncio.sleep(self._stream_pace.pause_s(monotonic()))
+            self._stream_pace.spend(ATTEMPT_BYTES, monotonic())
             started_s = monotonic()
             try:
                 await self._watch(address)
@@ -276,17 +290,19 @@
             await self._ask_round()
             pause_s = self._timing.backoff_first_s
             await asyncio.sleep(self._random.uniform(pause_s / 2, pause_s))
+            await asyncio.sleep(self._ask_pace.pause_s(monotonic()))
 
     async def _ask_round(self) -> None:
         """Ask for revisions alone, then fetch the highest from one that has it."""
         peers = self._peers()
         asked = self._random.sample(peers, min(len(peers), ASKED_PEERS))
         addresses = list(dict.fromkeys([*self._replicas, *asked]))
+        self._ask_pace.spend(ATTEMPT_BYTES * len(addresses), monotonic())
         revisions = await asyncio.gather(*(self._ask_revision(address) for address in addresses))
         known = sorted(zip(revisions, addresses, strict=True), reverse=True)
         for revision, address in known:
             held = self._held()
-            if held is None or revision > held.revision:
+            if revision > (held.revision if held is not None else 0):
                 await self._fetch(address)
 
     async def _ask_revision(self, address: Address) -> int:
--- a/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
+++ b/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
@@ -11,6 +11,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.router.configuration.follower import ConfigurationFollower, FollowerTiming
 from damaskwind.router.configuration.state_file import read_state_file, write_state_file
+from damaskwind.router.configuration.upstream import Upstream
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.settings import ReplicaSettings
 from damaskwind.wire.authentication import CallSigner, CallVerifier
@@ -146,6 +147,52 @@
         finally:
             await self.stop_all()
 
+    @asyncio_test
+    async def test_bytes_of_the_stream_and_of_peers_fetches_are_charged(self):
+        replica = await self.source()
+        replica.service.publish(LARGE)
+        follower = self.follower(replica)
+        charged = {"stream": [0, 0], "served": [0, 0]}
+
+        def charge(name, sent_bytes, received_bytes):
+            charged[name][0] += sent_bytes
+            charged[name][1] += received_bytes
+
+        follower.charge_bytes(lambda *sizes: charge("stream", *sizes))
+        whole_bytes = len(replica.service.history.encode_for(0).body)
+        serving = Server([follower.service])
+        address = await serve(serving)
+        try:
+            await follower.start()
+            await until(lambda: follower.is_ready and follower.sent_bytes > 1500)
+            self.assertEqual(charged["stream"], [follower.sent_bytes, follower.received_bytes])
+            self.assertGreater(follower.received_bytes, whole_bytes)
+            follower.service.on_bytes = lambda *sizes: charge("served", *sizes)
+            peer = Upstream("router-2", "d", CallSigner("kl", "key", "router-2"))
+            await peer.fetch(address, 0)
+            self.assertEqual(charged["served"][0], peer.received_bytes)
+            self.assertAlmostEqual(charged["served"][1], peer.sent_bytes, delta=8)
+            self.assertGreater(charged["served"][0], whole_bytes)
+        finally:
+            await self.stop_all()
+            serving.close()
+            await serving.wait_closed()
+
+    @asyncio_test
+    async def test_calls_that_fail_over_and_over_keep_to_their_share_of_the_budget(self):
+        replica = await self.source(verifier=CallVerifier("kl", "other"))
+        follower = self.follower(replica, control_bytes_per_s=1200.0)
+        spent = []
+        follower.charge_bytes(lambda *sizes: spent.append(sum(sizes)))
+        try:
+            await follower.start()
+            await until(lambda: sum(spent) >= 2 * 1868)
+            # One call of each kind is its credit; without pauses many more come in this time.
+            await asyncio.sleep(0.5)
+            self.assertEqual(sum(spent) // 1868, 2)
+        finally:
+            await self.stop_all()
+
     @asyncio_test
     async def test_restart_with_only_a_replica_that_is_behind_keeps_the_higher_revision(self):
         write_state_file(self.state_file, revision(7))
--- a/packages/router/src/damaskwind/router/configuration/upstream.py
+++ b/packages/router/src/damaskwind/router/configuration/upstream.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
@@ -17,19 +17,24 @@
 from damaskwind.model.targets import Address
 from damaskwind.wire.authentication import CallSigner
 from damaskwind.wire.configuration_history import EncodedRevision
-from damaskwind.wire.follow_codec import StreamSeal, make_progress, read_update
+from damaskwind.wire.follow_codec import (
+    CALL_BYTES,
+    CONNECTION_BYTES,
+    MESSAGE_OVERHEAD_BYTES,
+    StreamSeal,
+    make_progress,
+    read_update,
+)
 from damaskwind.wire.follow_grpc import FollowStub
 from damaskwind.wire.follow_pb2 import FetchRequest
 from damaskwind.wire.lost_connection import lost_connections_named
 
-__all__ = ["Upstream", "UpstreamStream", "UpstreamUpdate"]
+__all__ = ["ATTEMPT_BYTES", "Upstream", "UpstreamStream", "UpstreamUpdate"]
 
 CALL_ERRORS = (OSError, asyncio.TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
 FETCH_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 3.0
-MESSAGE_OVERHEAD_BYTES = 14 + 52 + 52
-CONNECTION_BYTES = 700
-CALL_BYTES = 350
+ATTEMPT_BYTES = 2 * CONNECTION_BYTES + CALL_BYTES + 2 * MESSAGE_OVERHEAD_BYTES
 
 
 class UpstreamUpdate(NamedTuple):
@@ -73,6 +78,7 @@
         self.received_bytes = 0
         self.sent_bytes = 0
         self.is_closed = False
+        self.on_bytes: Callable[[int, int], None] = _ignore_bytes
         self._router_id = router_id
         self._failure_domain = failure_domain
         self._channels: set[Channel] = set()
@@ -83,11 +89,17 @@
 
     def count_received(self, size_bytes: int) -> None:
         """Count a message received."""
-        self.received_bytes += size_bytes + MESSAGE_OVERHEAD_BYTES
+        self._count(0, size_bytes + MESSAGE_OVERHEAD_BYTES)
 
     def count_sent(self, size_bytes: int) -> None:
         """Count a message sent."""
-        self.sent_bytes += size_bytes + MESSAGE_OVERHEAD_BYTES
+        self._count(size_bytes + MESSAGE_OVERHEAD_BYTES, 0)
+
+    def _count(self, sent_bytes: int, received_bytes: int) -> None:
+        """Count bytes and let `on_bytes` know."""
+        self.sent_bytes += sent_bytes
+        self.received_bytes += received_bytes
+        self.on_bytes(sent_bytes, received_bytes)
 
     def close(self) -> None:
         """Close all connections."""
@@ -142,8 +154,7 @@
     def keep(self, channel: Channel) -> None:
         """Remember an open connection and count its set-up."""
         self._channels.add(channel)
-        self.sent_bytes += CONNECTION_BYTES
-        self.received_bytes += CONNECTION_BYTES
+        self._count(CONNECTION_BYTES, CONNECTION_BYTES)
 
     def forget(self, channel: Channel) -> None:
         """Close a connection."""
@@ -164,3 +175,7 @@
 
     def __exit__(self, *error: object) -> None:
         self._owner.forget(self._channel)
+
+
+def _ignore_bytes(sent_bytes: int, received_bytes: int) -> None:
+    """Let nobody know."""
--- a/packages/router/src/damaskwind/router/fleet_links.py
+++ b/packages/router/src/damaskwind/router/fleet_links.py
@@ -52,7 +52,9 @@
             random,
             Path(router.state_file) if router.state_file else None,
             self._peers,
+            control_bytes_per_s=router.control_bytes_per_s,
         )
+        self.follower.charge_bytes(self._charge)
         self._router_id = node.node_id
         self._server = Server([self.follower.service])
         self.claims = self._make_claims(settings, random)
@@ -90,6 +92,10 @@
         self._server.close()
         await self._server.wait_closed()
 
+    def _charge(self, sent_bytes: int, received_bytes: int) -> None:
+        """Take the bytes of configurations from the control budget."""
+        self.membership.count_control("follow", sent_bytes, received_bytes)
+
     def _peers(self) -> list[Address]:
         """Return where other routers serve their configuration."""
         routers = self.membership.routers()
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -205,6 +205,8 @@
         self._spilling.start(_SPILL_INTERVAL_S, now=False)
         self.telemetry.watch_parts(self.gateway, self.room, self.directory, self.explain)
         self.telemetry.watch_control(self.membership.counters)
+        if self.links.claims is not None:
+            self.telemetry.watch_claims(self.links.claims)
         self._listen()
         self.operators.peers.own_address = str(self.http_address)
         write_ready_file(self.settings.router.ready_file, self.addresses())
--- a/packages/router/src/damaskwind/router/telemetry.py
+++ b/packages/router/src/damaskwind/router/telemetry.py
@@ -105,6 +105,18 @@
         for gauge in _GAUGES:
             self._watch_gauge(gauge, counters)
 
+    def watch_claims(self, claims: Any) -> None:
+        """Show the bytes of the calls to claim holders, which grow with keyed calls."""
+        self.metrics.total(
+            "claim",
+            "By",
+            "Bytes of calls to claim holders with headers, by direction.",
+            lambda: [
+                Sample(claims.sent_bytes, {"direction": "sent"}),
+                Sample(claims.received_bytes, {"direction": "received"}),
+            ],
+        )
+
     def _watch_gauge(self, gauge: _Gauge, counters: Counters) -> None:
         """Show one value of the control traffic that may fall."""
         self.metrics.gauge(
--- a/packages/wire/src/damaskwind/wire/follow_codec.py
+++ b/packages/wire/src/damaskwind/wire/follow_codec.py
@@ -13,8 +13,22 @@
 from damaskwind.wire.configuration_history import EncodedRevision
 from damaskwind.wire.follow_pb2 import FollowerReport, Progress, Update
 
-__all__ = ["METHOD_PATH", "StreamSeal", "make_progress", "make_update", "read_update"]
-
+__all__ = [
+    "CALL_BYTES",
+    "CONNECTION_BYTES",
+    "MESSAGE_OVERHEAD_BYTES",
+    "METHOD_PATH",
+    "StreamSeal",
+    "make_progress",
+    "make_update",
+    "read_update",
+]
+
+# Estimates of what comes to a message's body: the heads of HTTP/2 and gRPC, a TCP
+# segment and its acknowledgement; the metadata of a call; the set-up of a connection.
+MESSAGE_OVERHEAD_BYTES = 14 + 52 + 52
+CALL_BYTES = 350
+CONNECTION_BYTES = 700
 METHOD_PATH = "/damaskwind.follow.Follow/"
 
 
--- a/packages/wire/src/damaskwind/wire/follow_service.py
+++ b/packages/wire/src/damaskwind/wire/follow_service.py
@@ -10,13 +10,21 @@
 from damaskwind.model.exception import MessageError
 from damaskwind.wire.authentication import CallVerifier, receive_call
 from damaskwind.wire.configuration_history import ConfigurationHistory
-from damaskwind.wire.follow_codec import METHOD_PATH, StreamSeal, make_update
+from damaskwind.wire.follow_codec import (
+    CALL_BYTES,
+    CONNECTION_BYTES,
+    MESSAGE_OVERHEAD_BYTES,
+    METHOD_PATH,
+    StreamSeal,
+    make_update,
+)
 from damaskwind.wire.follow_grpc import FollowBase
 from damaskwind.wire.follow_pb2 import EnforcedReply, FollowerReport
 
 __all__ = ["HEARTBEAT_S", "FollowService"]
 
 HEARTBEAT_S = 5.0
+_FETCH_OVERHEAD_BYTES = CONNECTION_BYTES + MESSAGE_OVERHEAD_BYTES
 Reports = Callable[[], list[FollowerReport]]
 
 
@@ -26,6 +34,7 @@
     `is_current` tells whether this process may say that it knows the latest
     revision: a replica by its lease, a router never. `on_report` gets what each
     follower enforces: its id, its failure domain and the revision it applied.
+    `on_bytes` gets the bytes that each fetch sent and received, with overheads.
     """
 
     def __init__(
@@ -38,6 +47,7 @@
     ) -> None:
         self.history = ConfigurationHistory()
         self.follower_count = 0
+        self.on_bytes: Callable[[int, int], None] = _ignore_bytes
         self._verifier = verifier
         self._is_current = is_current
         self._on_report = on_report
@@ -70,7 +80,12 @@
         request = await receive_call(stream, METHOD_PATH + "Fetch", self._verifier)
         seal = StreamSeal(self._verifier.cluster_key, "update", stream.metadata)
         encoded = self.history.encode_for(request.applied_revision)
-        await stream.send_message(seal.seal(make_update(encoded, self._is_current())))
+        update = seal.seal(make_update(encoded, self._is_current()))
+        received_bytes = request.ByteSize() + CALL_BYTES
+        self.on_bytes(
+            update.ByteSize() + _FETCH_OVERHEAD_BYTES, received_bytes + _FETCH_OVERHEAD_BYTES
+        )
+        await stream.send_message(update)
 
     async def Enforced(self, stream: Any) -> None:  # noqa: N802
         """Send what this process's own followers enforce."""
@@ -113,3 +128,7 @@
         """Pass a follower's report on."""
         report = progress.report
         self._on_report(report.router_id, report.failure_domain, report.applied_revision)
+
+
+def _ignore_bytes(sent_bytes: int, received_bytes: int) -> None:
+    """Count nothing."""
