--- a/packages/control/src/damaskwind/control/operator_api/intent_service.py
+++ b/packages/control/src/damaskwind/control/operator_api/intent_service.py
@@ -194,9 +194,7 @@
         """Take an order to a target into the log and return its fencing number."""
         await self._require_role(operator, origin, "confirmer", "order")
         order_id = order_id or self._new_id("order")
-        command = OrderCommand(
-            self.actor(operator, origin), order_id, target_id, wanted, address
-        )
+        command = OrderCommand(self.actor(operator, origin), order_id, target_id, wanted, address)
         result = await self._commit(command, "POST /operator/v1/orders with the same order_id")
         return {
             "order_id": order_id,
