Routers: a revision is kept in the router's file before it is in force

Cause: the file was written after a revision was in force. Change: with a state file a revision is written and synced first, off the loop, and reported after it is in force. A file that can't be written is logged and the revision enforced all the same.

--- a/packages/router/src/damaskwind/router/configuration/follower.py
+++ b/packages/router/src/damaskwind/router/configuration/follower.py
@@ -97,7 +97,8 @@
         self._wants_whole = False
         self._hints: dict[Address, int] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._saving: asyncio.Task | None = None
+        self._accepted: tuple[Configuration, str] | None = None
+        self._keeping: asyncio.Task | None = None
 
     @property
     def revision(self) -> int:
@@ -153,8 +154,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        if self._saving is not None:
-            await asyncio.wait([self._saving])
+        if self._keeping is not None:
+            await asyncio.wait([self._keeping])
 
     def heard_revision(self, peer_address: Address, revision: int) -> None:
         """Take a hint that a router enforces a revision; fetch it if it is newer."""
@@ -200,7 +201,7 @@
         async with self._upstream.watch(address, self._base()) as stream:
             while not self._upstream.is_closed:
                 update = await stream.next(self._timing.silence_s)
-                self._take(update, f"replica {address}")
+                await self._take(update, f"replica {address}")
                 stale_updates = 0 if update.is_current else stale_updates + 1
                 if stale_updates > 1 and len(self._replicas) > 1:
                     raise MessageError("replica is not current")
@@ -208,15 +209,16 @@
 
     def _held(self) -> Configuration | None:
         """Return the highest configuration known here, in force or not yet."""
-        return self.configuration or self._candidate
+        accepted = self._accepted[0] if self._accepted is not None else None
+        return accepted or self.configuration or self._candidate
 
     def _base(self) -> int:
         """Return the revision to which a delta may be sent; 0 asks for the whole."""
         held = self._held()
         return 0 if self._wants_whole or held is None else held.revision
 
-    def _take(self, update: UpstreamUpdate, source: str) -> None:
-        """Take an update from a replica or a router.
+    async def _take(self, update: UpstreamUpdate, source: str) -> None:
+        """Take an update from a replica or a router; wait until what it brought is in force.
 
         After one that does not come out as it was sent, the whole is asked for.
         """
@@ -233,6 +235,8 @@
             logger.debug("lower revision refused", source=source, revision=encoded.revision)
         elif update.is_current and self.configuration is None and held is not None:
             self._apply(held, source)
+        if self._keeping is not None:
+            await asyncio.shield(self._keeping)
         if update.is_current and encoded.revision == self.revision:
             self._current_until_s = monotonic() + self._timing.silence_s
 
@@ -241,7 +245,7 @@
         held = self._held()
         if held is not None and whole.revision <= held.revision:
             return
-        if self.configuration is not None or is_current:
+        if self.configuration is not None or self._accepted is not None or is_current:
             self._apply(whole, source)
             return
         self._candidate = whole
@@ -256,29 +260,46 @@
             self._apply(self._candidate, self.source)
 
     def _apply(self, whole: Configuration, source: str) -> None:
+        """Put a configuration in force, once it is kept if there is a file for it.
+
+        What was in force but not kept would be forgotten with this process, which
+        would then start again below it.
+        """
+        self._candidate = None
+        if self._state_file is None:
+            self._enforce(whole, source)
+            return
+        self._accepted = (whole, source)
+        if self._keeping is None:
+            self._keeping = asyncio.ensure_future(self._keep_accepted(self._state_file))
+
+    async def _keep_accepted(self, path: Path) -> None:
+        """Write what is accepted to the file and put it in force, until nothing is left.
+
+        A file that can't be written must not keep a confirmed change from being enforced.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            while self._accepted is not None:
+                whole, source = self._accepted
+                try:
+                    await loop.run_in_executor(None, write_state_file, path, whole)
+                except OSError as error:
+                    logger.warning("state file not written", path=str(path), error=str(error))
+                if self._accepted[0] is whole:
+                    self._accepted = None
+                self._enforce(whole, source)
+        finally:
+            self._keeping = None
+
+    def _enforce(self, whole: Configuration, source: str) -> None:
         """Put a configuration in force, then let others know."""
         self.configuration = whole
-        self._candidate = None
         self.source = source
         for callback in self._subscribers:
             callback(whole)
         self.service.publish(whole)
         logger.info("configuration applied", revision=whole.revision, source=source)
-        if self._state_file is not None and self._saving is None:
-            self._saving = asyncio.ensure_future(self._save(self._state_file))
-
-    async def _save(self, path: Path) -> None:
-        """Keep the latest configuration over a restart."""
-        loop = asyncio.get_running_loop()
-        saved = None
-        try:
-            while saved is not self.configuration:
-                saved = self.configuration
-                await loop.run_in_executor(None, write_state_file, path, saved)
-        except OSError as error:
-            logger.warning("state file not written", path=str(path), error=str(error))
-        finally:
-            self._saving = None
 
     async def _ask_everyone(self) -> None:
         """Ask all replicas and routers until a configuration is in force.
@@ -333,7 +354,7 @@
         """Fetch the latest revision that one replica or router has."""
         try:
             update = await self._upstream.fetch(address, self._base())
-            self._take(update, str(address))
+            await self._take(update, str(address))
         except MessageError as error:
             logger.debug("not fetched", source=str(address), error=str(error))
 
--- a/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
+++ b/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
@@ -1,6 +1,7 @@
 import asyncio
 import socket
 import tempfile
+import threading
 from pathlib import Path
 from random import Random
 
@@ -9,6 +10,7 @@
 
 from damaskwind.model.configuration import ClientAccount, Configuration, PriorityClass
 from damaskwind.model.targets import Address
+from damaskwind.router.configuration import follower as follower_module
 from damaskwind.router.configuration.follower import ConfigurationFollower, FollowerTiming
 from damaskwind.router.configuration.state_file import read_state_file, write_state_file
 from damaskwind.router.configuration.upstream import Upstream
@@ -357,3 +359,43 @@
         content = self.state_file.read_bytes()
         self.state_file.write_bytes(content.replace(b"weight", b"WEIGHT"))
         self.assertIsNone(read_state_file(self.state_file))
+
+    @asyncio_test
+    async def test_revision_is_in_force_only_once_it_is_kept(self):
+        replica = await self.source(3)
+        follower = self.follower(replica, state_file=self.state_file)
+        may_write, asked = threading.Event(), []
+
+        def held_back(path, whole):
+            asked.append(whole.revision)
+            may_write.wait(DEADLINE_S)
+            write_state_file(path, whole)
+
+        self.patch(follower_module, "write_state_file", held_back)
+        try:
+            await follower.start()
+            await until(lambda: asked == [3])
+            replica.service.publish(revision(4))
+            await asyncio.sleep(0.2)
+            self.assertEqual((self.applied, follower.is_ready), ([], False))
+            self.assertEqual(set(replica.reports.values()), {0})
+            may_write.set()
+            await until(lambda: replica.reports["router-1"] == 4)
+            self.assertEqual(read_state_file(self.state_file), revision(4))
+            self.assertEqual(self.applied, [3, 4])
+        finally:
+            may_write.set()
+            await self.stop_all()
+
+    @asyncio_test
+    async def test_file_that_cannot_be_written_keeps_no_revision_from_being_enforced(self):
+        replica = await self.source(3)
+        follower = self.follower(replica, state_file=self.state_file / "no" / "folder")
+        try:
+            await follower.start()
+            await until(lambda: not follower.may_be_behind)
+            replica.service.publish(revision(4))
+            await until(lambda: replica.reports.get("router-1") == 4)
+            self.assertEqual(self.applied, [3, 4])
+        finally:
+            await self.stop_all()
