Router: an answer that stalls in its body may have run and is counted out

Cause: reading an answer's body was ended, by its time limit or by a caller that left, with a cancelled Deferred, which no path caught as a failed attempt. The caller got 408 and 'not-run' for a call that the target had begun to answer, and the request stayed counted at its target and in its account's limit for good. The body of a target's error answer had no time limit at all. Change: one read_whole with limit, time and caller stands in place of the same lines in both paths; it fails with may-have-run. An error answer whose text does not come keeps its verdict. A body that is already there starts no timer.

--- a/packages/router/src/damaskwind/router/answer_body.py
+++ b/packages/router/src/damaskwind/router/answer_body.py
@@ -1,4 +1,4 @@
-"""Read the body of a target's answer, whole or not at all."""
+"""Read the body of a target's answer in time, whole or not at all."""
 
 from typing import Any
 
@@ -9,6 +9,7 @@
 
 from damaskwind.model.reason import Reason
 from damaskwind.model.verdict import Verdict
+from damaskwind.router.caller import Caller
 from damaskwind.router.target_client import AttemptError
 
 __all__ = ["discard", "read_whole"]
@@ -18,13 +19,19 @@
     """Collect a body up to a limit; anything but an orderly end is a failure."""
 
     def __init__(self, limit_bytes: int) -> None:
-        self.done: Deferred = Deferred(lambda cancelled: self._drop())
+        self.done: Deferred = Deferred(self._give_up)
         self._limit_bytes = limit_bytes
         self._size_bytes = 0
         self._pieces: list[bytes] = []
 
+    def _give_up(self, done: Deferred) -> None:
+        """Fail a body that is late, or whose caller has gone; its request may have run."""
+        detail = "the target's answer did not end in time"
+        done.errback(AttemptError(Verdict.MAY_HAVE_RUN, Reason.DEADLINE, detail))
+        self._drop()
+
     def _drop(self) -> None:
-        """Give up on the connection."""
+        """Close the connection: its next bytes would belong to this answer."""
         if self.transport is not None:
             self.transport.loseConnection()
 
@@ -47,11 +54,29 @@
         self.done.errback(AttemptError(Verdict.MAY_HAVE_RUN, Reason.ANSWER_CUT, detail))
 
 
-def read_whole(response: IResponse, limit_bytes: int) -> Deferred:
-    """Return a Deferred with the whole body; it fails with `AttemptError` when cut."""
+async def read_whole(
+    response: IResponse,
+    limit_bytes: int,
+    timeout_s: float,
+    clock: Any,
+    caller: Caller | None = None,
+) -> bytes:
+    """Return the whole body; raise `AttemptError` when it is cut, too long or late.
+
+    A caller that goes away ends the reading at once.
+    """
     collector = _Collector(limit_bytes)
     response.deliverBody(collector)
-    return collector.done
+    if collector.done.called:
+        return await collector.done
+    timer = clock.callLater(max(timeout_s, 0.0), collector.done.cancel)
+    if caller is not None:
+        caller.when_gone(collector.done.cancel)
+    try:
+        return await collector.done
+    finally:
+        if timer.active():
+            timer.cancel()
 
 
 class _Discarding(Protocol):
--- a/packages/router/src/damaskwind/router/chat_path.py
+++ b/packages/router/src/damaskwind/router/chat_path.py
@@ -145,18 +145,14 @@
     async def _whole(self, one: _Chat, placed: Placed) -> bytes:
         """Return a whole answer or refuse; half of one is never passed on."""
         timeout_s = one.work.deadline_s - self._reactor.seconds()
-        reading = read_whole(placed.response, _ANSWER_LIMIT_BYTES)
-        timer = self._reactor.callLater(max(timeout_s, 0.0), reading.cancel)
-        one.work.caller.when_gone(reading.cancel)
         try:
-            body = await reading
+            body = await read_whole(
+                placed.response, _ANSWER_LIMIT_BYTES, timeout_s, self._reactor, one.work.caller
+            )
         except AttemptError as error:
             self._dispatcher.finish(one.work, placed, error.verdict, error.reason, error.detail)
             self._engines.cancel(placed.target, one.work.request_id)
             raise RefusedError(Refusal(error.reason, error.verdict, error.detail)) from error
-        finally:
-            if timer.active():
-                timer.cancel()
         used_tokens = _tokens_of(body)
         self._dispatcher.finish(one.work, placed, Verdict.RAN, used_tokens=used_tokens)
         request = one.arrival.request
--- a/packages/router/src/damaskwind/router/engine_client.py
+++ b/packages/router/src/damaskwind/router/engine_client.py
@@ -25,6 +25,8 @@
 _CHAT_PATH = b"/v1/chat/completions"
 _CANCEL_TIMEOUT_S = 5.0
 _REFUSAL_LIMIT_BYTES = 65_536
+_REFUSAL_TIMEOUT_S = 2.0
+_REFUSAL_SHOWN_BYTES = 200
 _CALLERS_FAULT = (400, 413, 422)
 
 
@@ -57,21 +59,28 @@
     return LoadReport(int(load), int(capacity), 0, 0, age_s)
 
 
-async def check_not_run(response: IResponse) -> None:
+async def check_not_run(response: IResponse, clock: Any) -> None:
     """Raise `AttemptError` when a target says that it did not run the request."""
     if response.code >= 400 and header_text(response, "x-verdict") == Verdict.NOT_RUN:
-        await check_refusal(response)
+        await check_refusal(response, clock)
 
 
-async def check_refusal(response: IResponse) -> None:
+async def _refusal_text(response: IResponse, clock: Any) -> str:
+    """Return the first words of an error; one without words is an error all the same."""
+    try:
+        body = await read_whole(response, _REFUSAL_LIMIT_BYTES, _REFUSAL_TIMEOUT_S, clock)
+    except AttemptError as error:
+        return error.detail
+    return body[:_REFUSAL_SHOWN_BYTES].decode("utf-8", "replace")
+
+
+async def check_refusal(response: IResponse, clock: Any) -> None:
     """Raise `AttemptError` when a target answered with an error."""
     if response.code < 400:
         return
     says_not_run = header_text(response, "x-verdict") == Verdict.NOT_RUN
     verdict = Verdict.NOT_RUN if says_not_run else Verdict.MAY_HAVE_RUN
-    body = await read_whole(response, _REFUSAL_LIMIT_BYTES)
-    text = body[:200].decode("utf-8", "replace")
-    detail = f"the target answered {response.code}: {text}"
+    detail = f"the target answered {response.code}: {await _refusal_text(response, clock)}"
     callers_fault = response.code in _CALLERS_FAULT
     reason = Reason.BAD_REQUEST if callers_fault else Reason.TARGET_FAILED
     suspect = not says_not_run and not callers_fault
@@ -128,7 +137,7 @@
         call = TargetCall(b"DELETE", target.address, path, Headers())
         try:
             response = await self._client.send(call, _CANCEL_TIMEOUT_S)
-            await read_whole(response, _REFUSAL_LIMIT_BYTES)
+            await read_whole(response, _REFUSAL_LIMIT_BYTES, _REFUSAL_TIMEOUT_S, self._client.clock)
         except AttemptError:
             pass
 
@@ -142,5 +151,5 @@
             discard(response)
             detail = "the target answered with another request's id"
             raise AttemptError(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
-        await check_refusal(response)
+        await check_refusal(response, self._client.clock)
         return response
--- a/packages/router/src/damaskwind/router/operator_api.py
+++ b/packages/router/src/damaskwind/router/operator_api.py
@@ -126,7 +126,7 @@
             response = await self._client.send(
                 TargetCall(b"GET", address, path, headers), _FORWARD_TIMEOUT_S
             )
-            body = await read_whole(response, _ANSWER_LIMIT_BYTES)
+            body = await read_whole(response, _ANSWER_LIMIT_BYTES, _FORWARD_TIMEOUT_S, self._clock)
         except AttemptError as error:
             refusal = Refusal(error.reason, Verdict.NOT_RUN, error.detail)
             return refuse(request, request.request_id, refusal)
--- a/packages/router/src/damaskwind/router/service_path.py
+++ b/packages/router/src/damaskwind/router/service_path.py
@@ -185,7 +185,7 @@
             discard(response)
             detail = "the target answered with another request's id"
             raise AttemptError(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
-        await check_not_run(response)
+        await check_not_run(response, self._reactor)
         return response
 
     def _is_small(self, arrival: Arrival, response: IResponse) -> bool:
@@ -208,18 +208,14 @@
 
     async def _whole(self, arrival: Arrival, work: Work, placed: Placed) -> bytes:
         """Return a small answer whole, or refuse."""
-        reading = read_whole(placed.response, BUFFERED_BYTES)
-        timeout_s = max(work.deadline_s - self._reactor.seconds(), 0.0)
-        timer = self._reactor.callLater(timeout_s, reading.cancel)
-        arrival.caller.when_gone(reading.cancel)
+        timeout_s = work.deadline_s - self._reactor.seconds()
         try:
-            body = await reading
+            body = await read_whole(
+                placed.response, BUFFERED_BYTES, timeout_s, self._reactor, work.caller
+            )
         except AttemptError as error:
             self._dispatcher.finish(work, placed, error.verdict, error.reason, error.detail)
             raise RefusedError(Refusal(error.reason, error.verdict, error.detail)) from error
-        finally:
-            if timer.active():
-                timer.cancel()
         verdict = Verdict.RAN if placed.response.code < 500 else Verdict.MAY_HAVE_RUN
         self._dispatcher.finish(work, placed, verdict)
         self._begin(arrival, placed.response, verdict)
--- a/packages/router/src/damaskwind/router/target_client.py
+++ b/packages/router/src/damaskwind/router/target_client.py
@@ -109,7 +109,7 @@
     """Send requests over one pool of connections."""
 
     def __init__(self, reactor: Any) -> None:
-        self._clock = IReactorTime(reactor)
+        self.clock = IReactorTime(reactor)
         self._pool = CheckedConnectionPool(reactor)
         self._agent = Agent.usingEndpointFactory(reactor, _NumberEndpoints(reactor), self._pool)
         self._waiting: set[Deferred] = set()
@@ -125,7 +125,7 @@
         uri = b"http://%s:%d%s" % (call.address.host.encode(), call.address.port, call.path)
         waiting = self._agent.request(call.method, uri, call.headers, call.body)
         self._waiting.add(waiting)
-        timer = self._clock.callLater(max(timeout_s, 0.0), waiting.cancel)
+        timer = self.clock.callLater(max(timeout_s, 0.0), waiting.cancel)
         if caller is not None:
             caller.when_gone(waiting.cancel)
         try:
@@ -146,7 +146,7 @@
 
     async def close(self) -> None:
         """Let what is on its way end, for a short time, and close the connections."""
-        limit = self._clock.callLater(_CLOSE_TIMEOUT_S, self._cancel_all)
+        limit = self.clock.callLater(_CLOSE_TIMEOUT_S, self._cancel_all)
         while self._waiting:
             self._settled = Deferred()
             await self._settled
--- a/packages/router/src/damaskwind/router/tests/test_target_client.py
+++ b/packages/router/src/damaskwind/router/tests/test_target_client.py
@@ -55,7 +55,8 @@
     async def exchange(self, connection, sending, body):
         await self.read_request(connection)
         connection.sendall(answer(body))
-        return await to_future(read_whole(await sending, 1000))
+        reading = read_whole(await sending, 1000, 5.0, reactor)
+        return await to_future(ensureDeferred(reading))
 
     async def verdict_of(self, sending):
         with self.assertRaises(AttemptError) as caught:
