Chats have no home in a failure domain that is out of reach

Cause: near failure domains were fixed at the start. Behind a cut a router went on to send two chats of three to homes in domains whose routers it no longer heard, where they failed as may-have-run, until the vouching for those domains ended (180 s).

Change: a near domain of which no router is heard counts as a far one: asked only when nothing nearer can take the request. When a router of it is heard again the chats get their homes back.

Until the others' routers are held dead (some 6 s) chats still fail there. Not covered: a domain of many routers, whose last one is held dead much later than its first.

--- a/packages/decisions/src/damaskwind/decisions/placement/placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/placer.py
@@ -62,6 +62,7 @@
         self.router_id = router_id
         self._random = random
         self._turns = count(random.randrange(1 << 16))
+        self._failure_domain = failure_domain
         self._table = PoolTable(_nearness(failure_domain, near_domains))
         self.book = LoadBook()
         self._memory = SpillMemory()
@@ -83,6 +84,10 @@
         """Say how many routers share the targets."""
         self.book.router_count = max(1, router_count)
 
+    def set_near_domains(self, near_domains: Iterable[str]) -> None:
+        """Change the near failure domains, as when one is out of reach; keep the loads."""
+        self._table.set_nearness(_nearness(self._failure_domain, near_domains))
+
     def update_target(self, view: TargetView, now_s: float) -> None:
         """Add a target or replace what is known of it (its load: see `observe_report`)."""
         self._table.update(view)
--- a/packages/decisions/src/damaskwind/decisions/placement/pools.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/pools.py
@@ -57,6 +57,11 @@
         self._pools: dict[PoolName, Pool] = {}
         self._numbers = count()
 
+    def set_nearness(self, is_near: Callable[[str], bool]) -> None:
+        """Change which failure domains are near."""
+        self._is_near = is_near
+        self._pools.clear()
+
     def update(self, view: TargetView) -> None:
         """Add or replace a target; pools are rebuilt only when membership changed."""
         known = self._views.get(view.target_id)
--- a/packages/decisions/src/damaskwind/decisions/placement/tests/test_placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_placer.py
@@ -61,6 +61,19 @@
 class HomeTest(TestCase):
     """Where chats live while no target is hot."""
 
+    def test_a_domain_out_of_reach_keeps_its_chats_only_as_a_last_resort(self):
+        made = placer(names=[], near_domains=("d1",))
+        for name, domain in (("t0", "d0"), ("t1", "d0"), ("t2", "d1"), ("t3", "d1")):
+            made.update_target(view(name, domain), 0.0)
+        before = homes(made, range(200))
+        self.assertEqual(set(before.values()), {"t0", "t1", "t2", "t3"})
+        made.set_near_domains(())
+        self.assertEqual(set(homes(made, range(200)).values()), {"t0", "t1"})
+        excluded = frozenset(("t0", "t1"))
+        self.assertIn(made.place(query(1, excluded=excluded), 0.1).target_id, ("t2", "t3"))
+        made.set_near_domains(("d1",))
+        self.assertEqual(homes(made, range(200)), before)
+
     def test_every_router_finds_the_same_home(self) -> None:
         first, second = placer(), placer(names=NAMES[::-1])
         self.assertEqual(homes(first, range(200)), homes(second, range(200)))
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -181,6 +181,8 @@
         self.directory.handle_event(event)
         if isinstance(event, RouterJoined | RouterGone):
             domains = [router.failure_domain for router in self.membership.routers()]
+            # Behind a cut no router is heard; chats at home there would only fail.
+            self.directory.set_near_domains(set(domains).intersection(self._near_domains))
             near = sum(domain in self._near_domains for domain in domains)
             own = domains.count(self.settings.node.failure_domain)
             self.directory.set_router_counts(max(1, near), max(1, own))
--- a/packages/router/src/damaskwind/router/target_directory.py
+++ b/packages/router/src/damaskwind/router/target_directory.py
@@ -4,7 +4,7 @@
 waits behind the other.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any
 
@@ -87,6 +87,10 @@
         """Take a confirmed policy over."""
         self.placers[TargetKind.ENGINE].set_policy(policy.placement, policy.load_factor)
 
+    def set_near_domains(self, near_domains: Iterable[str]) -> None:
+        """Say in which failure domains chats may have their homes now."""
+        self.placers[TargetKind.ENGINE].set_near_domains(near_domains)
+
     def set_router_counts(self, near_count: int, own_count: int) -> None:
         """Say how many routers share the engines, and the plain services."""
         self.placers[TargetKind.ENGINE].set_router_count(near_count)
