Account limits: idle units are called back for a router that lacks them

Cause: units that one router held idle were refused to the others until its next renewal: with 12 requests at once over nine routers half of all refusals came with half of the limit free. Requests that waited for a bucket's debt were tried again only at the end of their time. Change: an allocator that is short asks the routers with spare units to report at once what they need, and tells the asking one to ask again; nothing is taken that was not given up, so booking and safety are as before. A request that waits for a debt says when to try again. A router asks again 1 s after being told 'no more'.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -50,6 +50,7 @@
         self.admitted = 0
         self.running = {name: [] for name in names}
         self.waiting = []
+        self.woken = set()
         self.false_refused = 0
         self.unit_limit, self.token_limit = units, tokens_per_s
         self.in_use = dict.fromkeys(limits, 0)
@@ -84,7 +85,12 @@
             payload = self.codec.encode_grant(grant)
             self.count(target, source, payload)
             grant = self.codec.decode_grant(target, payload)
+        for router_id, recall in self.allocators[target].recalls():
+            if router_id != target:
+                self.count(target, router_id, self.codec.encode_grant(recall))
+            self.limiters[router_id].take_grant(recall, now_s)
         self.limiters[source].take_grant(grant, now_s)
+        self.woken.add(source)
 
     def is_under_limit(self, account: str, now_s: float) -> bool:
         """Tell whether all routers together used less than the account may."""
@@ -103,7 +109,8 @@
             self.lately[account].append(now_s)
             self.running[name].append((now_s + DURATION_S, account))
         elif decision.outcome == LimitOutcome.WAIT:
-            self.waiting.append((name, account, decision.wait_until_s))
+            item = (name, account, decision.wait_until_s)
+            self.waiting.append((decision.try_again_s, item))
         else:
             self.refused += 1
             self.false_refused += self.is_under_limit(account, now_s)
@@ -111,8 +118,12 @@
     def step(self, now_s: float, requests_per_s: float) -> None:
         """Let requests come and go, and carry the messages that are due."""
         waiting, self.waiting = self.waiting, []
-        for name, account, until_s in waiting:
-            self.attempt(name, account, now_s, until_s)
+        woken, self.woken = self.woken, set()
+        for try_again_s, item in waiting:
+            if try_again_s <= now_s or item[0] in woken:
+                self.attempt(item[0], item[1], now_s, item[2])
+            else:
+                self.waiting.append((try_again_s, item))
         for name, limiter in self.limiters.items():
             due = requests_per_s * STEP_S
             count = int(due) + (self.random.random() < due % 1)
@@ -120,6 +131,8 @@
                 self.attempt(name, self.random.choice(self.accounts), now_s, None)
             ended = [account for at_s, account in self.running[name] if at_s <= now_s]
             self.running[name] = [item for item in self.running[name] if item[0] > now_s]
+            if ended:
+                self.woken.add(name)
             for account in ended:
                 self.in_use[account] -= 1
                 limiter.release(account, TOKENS, TOKENS, now_s)
--- /dev/null
+++ b/benchmarks/limits_faults.py
@@ -0,0 +1,96 @@
+"""Measure false refusals and the use of a limit when allocators die or domains are cut.
+
+Run `.venv/bin/python benchmarks/limits_faults.py`. Real limiters and allocators of a
+simulated fleet, 2 ms between routers. A refusal is false when the whole fleet has
+fewer requests of the account in hand than its limit.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from damaskwind.decisions.limits.allocator import ShareAllocator
+from damaskwind.decisions.limits.messages import AccountLimit, LimitPolicy
+from damaskwind.decisions.limits.tests.fleet import STEP_S, Fleet
+
+ACCOUNT = "x"
+DOMAINS = ("a", "b", "c")
+SETTLE_S = 15.0
+WINDOW_S = 4.0
+WINDOWS = 6
+DURATION_S = 2.0
+
+
+class Measured(Fleet):
+    """A fleet that counts the refusals that the limit did not ask for."""
+
+    false_refused = 0
+
+    def attempt(self, name, account, *rest):
+        before = sum(self.refused.values())
+        super().attempt(name, account, *rest)
+        if sum(self.refused.values()) > before:
+            limit = self.limits[account].max_concurrent_requests
+            self.false_refused += self.total_running(account) < limit
+
+
+def drive(fleet: Measured, random: Random, requests_per_s: float, span_s: float) -> str:
+    """Run for a while and say what was served, refused, and how much was in use."""
+    served, refused = sum(fleet.served.values()), sum(fleet.refused.values())
+    false_refused, used, steps = fleet.false_refused, 0, int(span_s / STEP_S)
+    names = list(fleet.limiters)
+    for _ in range(steps):
+        expected = requests_per_s * STEP_S
+        for _ in range(int(expected) + (random.random() < expected % 1)):
+            fleet.request(random.choice(names), ACCOUNT, DURATION_S)
+        fleet.step()
+        used += fleet.total_running(ACCOUNT)
+    served = sum(fleet.served.values()) - served
+    refused = sum(fleet.refused.values()) - refused
+    false_refused = fleet.false_refused - false_refused
+    return f"{served:4}/{refused}/{false_refused}/{used / steps:.1f}"
+
+
+def kill_allocator(fleet: Fleet) -> None:
+    """Kill the allocator of domain a; another one takes over and waits a lease."""
+    gone = fleet.allocator_of(ACCOUNT, "a")
+    fleet.routers["a"].remove(gone)
+    for table in (fleet.limiters, fleet.allocators, fleet.running):
+        del table[gone]
+    fleet.waiting = [item for item in fleet.waiting if item[1][0] != gone]
+    heir = fleet.allocator_of(ACCOUNT, "a")
+    fleet.allocators[heir] = ShareAllocator(heir, "a", fleet.policy, fleet.now_s)
+    fleet.allocators[heir].set_limits(fleet.limits, DOMAINS)
+    for name in fleet.routers["a"]:
+        fleet.allocators[name].set_routers(fleet.routers["a"])
+
+
+def cut(fleet: Fleet) -> None:
+    """Cut domain a off from the others."""
+    fleet.cut = {"a"}
+
+
+def measure(title: str, fault: Callable[[Fleet], None], limit: int, load_share: float) -> None:
+    """Print the windows before and after a fault."""
+    limits = {ACCOUNT: AccountLimit(limit, 1_000_000.0)}
+    fleet = Measured(DOMAINS, 3, limits, LimitPolicy(), seed=1)
+    random = Random(1)
+    requests_per_s = load_share * limit / DURATION_S
+    drive(fleet, random, requests_per_s, SETTLE_S)
+    shown = [drive(fleet, random, requests_per_s, WINDOW_S)]
+    fault(fleet)
+    shown += [drive(fleet, random, requests_per_s, WINDOW_S) for _ in range(WINDOWS)]
+    print(f"{title}, limit {limit}, load {load_share:.1f} of it:", *shown, sep="  ", flush=True)
+
+
+def main() -> None:
+    """Print each fault at several limits and loads."""
+    print(f"windows of {WINDOW_S:.0f} s, the first before the fault:")
+    print("served/refused/of these false/mean requests in hand")
+    for limit in (2, 12, 90):
+        for load_share in (0.5, 0.9, 1.5):
+            measure("allocator of a dies", kill_allocator, limit, load_share)
+            measure("domain a cut off", cut, limit, load_share)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/decisions/src/damaskwind/decisions/limits/allocator.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator.py
@@ -24,6 +24,9 @@
 __all__ = ["ShareAllocator"]
 
 LEASES_PER_TURN = 4
+RECALL_PENDING_S = 0.25
+RECALL_GAP_S = 0.5
+RECALL_LIMIT = 4
 
 
 class _Lease:
@@ -56,6 +59,7 @@
         self.until_s = 0.0
         self.linger_s = 0.0
         self.is_own = False
+        self.recalled_s = float("-inf")
 
     def stop_lingering(self) -> None:
         """Book nothing beyond the leases: the router's requests ended with it."""
@@ -132,6 +136,7 @@
         self._blind_until_s = now_s if is_alone else now_s + policy.lease_s
         self._slices: dict[str, AccountLimit] = {}
         self._accounts: dict[str, _Account] = {}
+        self._recalls: list[tuple[str, ShareGrant]] = []
 
     def set_limits(self, limits: Mapping[str, AccountLimit], domains: Sequence[str]) -> None:
         """Follow the confirmed limits; `domains` must be the same on all routers."""
@@ -207,7 +212,43 @@
         share.linger_s = share.until_s + self.policy.linger_s
         lease = _Lease(report.sequence, units, tokens_per_s, share.until_s, share.linger_s)
         share.leases.append(lease)
-        return AccountGrant(demand.account, units, tokens_per_s, account.has_others_short(share))
+        missing = 0 if now_s < account.blind_until_s else demand.wanted - units
+        more_soon = missing > 0 and self._recall(account, share, demand.account, missing, now_s)
+        confirm = account.has_others_short(share)
+        return AccountGrant(demand.account, units, tokens_per_s, confirm, more_soon)
+
+    def recalls(self) -> list[tuple[str, ShareGrant]]:
+        """Return whom to ask for units back, once, after a report was taken."""
+        recalls, self._recalls = self._recalls, []
+        return recalls
+
+    def _recall(
+        self, account: _Account, asking: _Share, name: str, missing: int, now_s: float
+    ) -> bool:
+        """Ask routers that hold more than they used to report; tell whether any may give.
+
+        Their next reports say what they need; nothing is taken that they did not
+        give up, so a recall that is lost only costs time.
+        """
+        spare = {
+            router_id: share.units() - share.in_use
+            for router_id, share in account.shares.items()
+            if share is not asking and now_s < share.until_s and share.units() > share.in_use
+        }
+        is_pending = False
+        asked = 0
+        for router_id in sorted(spare, key=spare.__getitem__, reverse=True):
+            share = account.shares[router_id]
+            if now_s - share.recalled_s < RECALL_GAP_S:
+                is_pending = is_pending or now_s - share.recalled_s < RECALL_PENDING_S
+            elif missing > 0 and asked < RECALL_LIMIT:
+                share.recalled_s = now_s
+                missing -= spare[router_id]
+                asked += 1
+                grants = (AccountGrant(name, 0, 0),)
+                recall = ShareGrant(self.router_id, self.domain, 0, 0, grants)
+                self._recalls.append((router_id, recall))
+        return is_pending or asked > 0
 
     def _adopt(self, account: _Account, share: _Share, demand: AccountDemand, now_s: float) -> None:
         """Book what another allocator leased to this router.
--- a/packages/decisions/src/damaskwind/decisions/limits/codec.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/codec.py
@@ -24,6 +24,8 @@
 __all__ = ["LimitsCodec", "name_digest"]
 
 DIGEST_MASK = 0xFFFFFFFF
+CONFIRM = 1
+MORE_SOON = 2
 
 Packed = TypeVar("Packed")
 _Name = int | str
@@ -58,7 +60,7 @@
     name: _Name
     units: int
     tokens_per_s: int
-    confirm: bool = False
+    flags: int = 0
 
 
 class _PackedGrant(NamedTuple):
@@ -145,7 +147,7 @@
     def decode_grant(self, allocator_id: str, payload: bytes) -> ShareGrant:
         """Decode a grant from `allocator_id`, without accounts that are not known here."""
         packed = _decode(_GRANT_DECODER, payload)
-        grants = (AccountGrant(self._unpack(item[0]) or "", *item[1:]) for item in packed.grants)
+        grants = (self._unpack_share(item) for item in packed.grants)
         return ShareGrant(
             allocator_id,
             self._unpack(packed.slice_domain) or "",
@@ -165,7 +167,19 @@
     def _pack_share(self, share: AccountGrant) -> tuple:
         """Pack a share; most need not be confirmed at once."""
         packed = (self._pack(share.account), share.units, share.tokens_per_s)
-        return (*packed, True) if share.confirm else packed
+        flags = CONFIRM * share.confirm + MORE_SOON * share.more_soon
+        return (*packed, flags) if flags else packed
+
+    def _unpack_share(self, packed: _PackedShare) -> AccountGrant:
+        """Restore a share; one without an account is to be dropped."""
+        flags = packed.flags
+        return AccountGrant(
+            self._unpack(packed.name) or "",
+            packed.units,
+            packed.tokens_per_s,
+            bool(flags & CONFIRM),
+            bool(flags & MORE_SOON),
+        )
 
     def _pack_demand(self, demand: AccountDemand, sequence: int, allocator_id: str) -> tuple:
         """Pack a demand, without what its own allocator knows better."""
--- a/packages/decisions/src/damaskwind/decisions/limits/demand.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/demand.py
@@ -44,6 +44,11 @@
         self.in_use = max(0, self.in_use + change)
         self._note_peak(now_s)
 
+    def forget_peaks(self, now_s: float) -> None:
+        """Want no more than what is in hand or was not let in, since others lack it."""
+        self._peaks.clear()
+        self._note_peak(now_s)
+
     def unmet(self, now_s: float) -> int:
         """Return how many requests were lately not let in at once."""
         while self._unmet and self._unmet[0] <= now_s - UNMET_S:
--- a/packages/decisions/src/damaskwind/decisions/limits/holding.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/holding.py
@@ -17,6 +17,8 @@
 
 LONGEST_RETRY_AFTER_S = 60.0
 SHORT_RENEWALS = 1.5
+HOPELESS_S = 1.0
+SHORTEST_WAIT_S = 0.01
 _FLOOR = ""
 
 
@@ -54,6 +56,7 @@
         self._used: dict[str, int] = {}
         self._asked: dict[str, AccountDemand] = {}
         self._short_until_s: dict[str, float] = {}
+        self._hopeless_until_s: dict[str, float] = {}
         self._open: set[str] = set()
         self._reachable: frozenset[str] | None = None
 
@@ -122,6 +125,13 @@
         wait_s = self._bucket.wait_s(self.tokens_per_s(now_s), now_s) or 0.0
         return min(LONGEST_RETRY_AFTER_S, max(self.policy.retry_after_s, wait_s))
 
+    def debt_wait_s(self, now_s: float) -> float:
+        """Return when the bucket may let a request in, if only it is in the way."""
+        if self._free_source(now_s) is None:
+            return self.policy.wait_s
+        wait_s = self._bucket.wait_s(self.tokens_per_s(now_s), now_s)
+        return self.policy.wait_s if wait_s is None else max(wait_s, SHORTEST_WAIT_S)
+
     def demands(
         self, account: str, now_s: float, routers: Mapping[str, Sequence[str]]
     ) -> Iterator[tuple[str, AccountDemand]]:
@@ -165,10 +175,14 @@
         shrank = item.confirm and before is not None and item.units < before.units
         asked = self._asked.get(domain)
         was_short = self._short_until_s.get(domain, 0.0) > now_s
+        if asked and item.more_soon and item.units < asked.wanted:
+            return True
         if asked and (item.units < asked.wanted or item.tokens_per_s < asked.wanted_tokens_per_s):
             self._short_until_s[domain] = now_s + SHORT_RENEWALS * self.policy.renew_s
+            self._hopeless_until_s[domain] = now_s + HOPELESS_S
             return shrank or not was_short
         self._short_until_s.pop(domain, None)
+        self._hopeless_until_s.pop(domain, None)
         return shrank
 
     def _is_forgotten(self, domain: str, now_s: float) -> bool:
@@ -205,7 +219,7 @@
         domains = set(self._slices)
         if self._reachable is not None:
             domains &= self._reachable
-        return all(self._short_until_s.get(name, 0.0) > now_s for name in domains)
+        return all(self._hopeless_until_s.get(name, 0.0) > now_s for name in domains)
 
     def _wanted(self, now_s: float) -> tuple[int, int]:
         """Return the units and the rate wanted beyond the floor."""
--- a/packages/decisions/src/damaskwind/decisions/limits/limiter.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/limiter.py
@@ -21,6 +21,7 @@
 
 MAX_DEMANDS_PER_REPORT = 20
 URGENT_GAP_S = 0.05
+RECALL_GAP_S = 0.1
 SENT_LIMIT = 4096
 RIDE_SHARE = 0.5
 RETRY_S = 0.5
@@ -72,8 +73,8 @@
         """Let a request in, have it wait for a grant, or refuse it.
 
         `tokens` is its expected cost. A request that was told to wait is tried
-        again, with the decision's `wait_until_s`, when a grant has come and at
-        that time at the latest.
+        again, with the decision's `wait_until_s`, when a grant has come or another
+        request ended, and at `try_again_s` at the latest.
         """
         holding = self._holdings.get(account)
         if holding is None:
@@ -92,7 +93,8 @@
             return self._refuse("the account's limit is reached", holding.retry_after_s(now_s))
         if wait_until_s is None:
             self._hasten(account, holding, now_s)
-        return LimitDecision(LimitOutcome.WAIT, until_s)
+        try_again_s = min(until_s, now_s + holding.debt_wait_s(now_s))
+        return LimitDecision(LimitOutcome.WAIT, until_s, try_again_s=try_again_s)
 
     def _next_renewal_s(self, account: str, now_s: float) -> float:
         """Return when an account is reported next: with the others of its allocator."""
@@ -107,9 +109,11 @@
         self._awaited.add(account)
         return now_s + RETRY_S
 
-    def _hasten(self, account: str, holding: AccountHolding, now_s: float) -> None:
+    def _hasten(
+        self, account: str, holding: AccountHolding, now_s: float, gap_s: float = URGENT_GAP_S
+    ) -> None:
         """Report an account soon, but not much more often than its reports go out."""
-        soon_s = max(now_s, holding.reported_s + URGENT_GAP_S)
+        soon_s = max(now_s, holding.reported_s + gap_s)
         self._due_s[account] = min(self._due_s.get(account, soon_s), soon_s)
 
     def release(self, account: str, expected_tokens: int, used_tokens: int, now_s: float) -> None:
@@ -184,7 +188,13 @@
         return made
 
     def take_grant(self, grant: ShareGrant, now_s: float) -> None:
-        """Apply a grant; its leases run from when the report was sent."""
+        """Apply a grant; its leases run from when the report was sent.
+
+        One that recalls units makes this router report what it needs now.
+        """
+        if grant.lease_ms == 0:
+            self._take_recall(grant, now_s)
+            return
         sent_s = self._sent_s.get(grant.report_sequence)
         if sent_s is None:
             return
@@ -199,6 +209,15 @@
                 self._due_s[item.account] = self._next_renewal_s(item.account, now_s)
             self._awaited.discard(item.account)
             if holding.take(grant, item, until_s, now_s):
+                gap_s = RECALL_GAP_S if item.more_soon else URGENT_GAP_S
+                self._hasten(item.account, holding, now_s, gap_s)
+
+    def _take_recall(self, grant: ShareGrant, now_s: float) -> None:
+        """Report the accounts that another router lacks units of, without what was idle."""
+        for item in grant.grants:
+            holding = self._holdings.get(item.account)
+            if holding is not None:
+                holding.demand.forget_peaks(now_s)
                 self._hasten(item.account, holding, now_s)
 
     def share(self, account: str, now_s: float) -> AccountLimit:
--- a/packages/decisions/src/damaskwind/decisions/limits/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/messages.py
@@ -79,18 +79,21 @@
     """The whole share of one account that a router may use from now on.
 
     `confirm` asks to hear at once that it was applied, since others wait for units.
+    `more_soon` tells that others were just asked to give units back.
     """
 
     account: str
     units: int
     tokens_per_s: int
     confirm: bool = False
+    more_soon: bool = False
 
 
 class ShareGrant(NamedTuple):
     """The answer to the report with `report_sequence`.
 
-    Its leases run from the moment the router sent that report.
+    Its leases run from the moment the router sent that report. One with a lease of
+    0 grants nothing: it asks the router to report at once what it needs now.
     """
 
     allocator_id: str
@@ -109,8 +112,12 @@
 
 
 class LimitDecision(NamedTuple):
-    """Admit, wait until `wait_until_s` for a grant and ask again, or refuse."""
+    """Admit, wait for a grant until `wait_until_s` at most, or refuse.
+
+    A request that waits is to be tried again at `try_again_s` even without a grant.
+    """
 
     outcome: LimitOutcome
     wait_until_s: float = 0.0
     refusal: Refusal | None = None
+    try_again_s: float = 0.0
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/fleet.py
@@ -35,7 +35,8 @@
         self.limiters = {}
         self.allocators = {}
         self.running: dict[str, list[tuple[float, str]]] = {}
-        self.waiting: list[tuple[str, str, float]] = []
+        self.waiting: list[tuple[float, tuple]] = []
+        self.woken: set[str] = set()
         self.refused = {}
         self.served = {}
         self.sent_reports = []
@@ -78,7 +79,8 @@
             self.running[name].append((self.now_s + duration_s, account))
             self.served[name] = self.served.get(name, 0) + 1
         elif decision.outcome == LimitOutcome.WAIT:
-            self.waiting.append((name, account, duration_s, tokens, decision.wait_until_s))
+            item = (name, account, duration_s, tokens, decision.wait_until_s)
+            self.waiting.append((decision.try_again_s, item))
         else:
             self.refused[name] = self.refused.get(name, 0) + 1
 
@@ -86,18 +88,28 @@
         self.now_s += STEP_S
         while self._queue and self._queue[0][0] <= self.now_s:
             heappop(self._queue)[2]()
-        waiting, self.waiting = self.waiting, []
-        for item in waiting:
-            self.attempt(*item)
+        self.try_again()
         for name, limiter in self.limiters.items():
             self.finish(name, limiter)
             due_s = limiter.next_report_s()
             if due_s is not None and due_s <= self.now_s:
                 self.report(name, limiter)
 
+    def try_again(self):
+        """Try the requests whose time has come, or whose router had a grant or an end."""
+        waiting, self.waiting = self.waiting, []
+        woken, self.woken = self.woken, set()
+        for try_again_s, item in waiting:
+            if try_again_s <= self.now_s or item[0] in woken:
+                self.attempt(*item)
+            else:
+                self.waiting.append((try_again_s, item))
+
     def finish(self, name, limiter):
         ended = [account for at_s, account in self.running[name] if at_s <= self.now_s]
         self.running[name] = [item for item in self.running[name] if item[0] > self.now_s]
+        if ended:
+            self.woken.add(name)
         for account in ended:
             limiter.release(account, 10, 10, self.now_s)
 
@@ -114,9 +126,19 @@
         if allocator is None:
             return
         grant = allocator.take_report(report, self.now_s)
+        for router_id, recall in allocator.recalls():
+            holder = self.limiters.get(router_id)
+            if holder is not None:
+                self.post(
+                    target, router_id, lambda i=router_id, h=holder, r=recall: self.take(i, h, r)
+                )
         if grant is not None and source in self.limiters:
             limiter = self.limiters[source]
-            self.post(target, source, lambda: limiter.take_grant(grant, self.now_s))
+            self.post(target, source, lambda: self.take(source, limiter, grant))
+
+    def take(self, source, limiter, grant):
+        limiter.take_grant(grant, self.now_s)
+        self.woken.add(source)
 
     def allocator_of(self, account, domain):
         """Return the router that allocates for an account in a domain."""
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/histories.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/histories.py
@@ -59,7 +59,7 @@
         fleet.routers[domain].remove(gone)
         for table in (fleet.limiters, fleet.allocators, fleet.running):
             del table[gone]
-        fleet.waiting = [item for item in fleet.waiting if item[0] != gone]
+        fleet.waiting = [item for item in fleet.waiting if item[1][0] != gone]
         heir = fleet.allocator_of(ACCOUNT, domain)
         allocator = self.allocator_class(heir, domain, fleet.policy, fleet.now_s)
         allocator.set_limits(fleet.limits, DOMAINS)
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/test_codec.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/test_codec.py
@@ -48,7 +48,9 @@
         )
 
     def test_unknown_accounts_are_left_out_and_damage_is_refused(self):
-        grant = ShareGrant("r", "a", 9, 6000, (AccountGrant("x", 1, 2), AccountGrant("y", 3, 4)))
+        grant = ShareGrant(
+            "r", "a", 9, 6000, (AccountGrant("x", 1, 2), AccountGrant("y", 3, 4, False, True))
+        )
         payload = make_codec().encode_grant(grant)
         self.assertEqual(make_codec(["y"]).decode_grant("r", payload).grants, grant.grants[1:])
         for damaged in (payload[:-1], b"", b"\xc1"):
--- a/packages/decisions/src/damaskwind/decisions/limits/tests/test_fleet.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/tests/test_fleet.py
@@ -2,12 +2,20 @@
 
 from unittest import TestCase
 
+from damaskwind.decisions.limits.allocator import ShareAllocator
 from damaskwind.decisions.limits.messages import AccountLimit
 from damaskwind.decisions.limits.tests.fleet import STEP_S, Fleet
 
 DOMAINS = ("a", "b", "c")
 
 
+class NeverRecalls(ShareAllocator):
+    """Leaves idle units where they are until the next renewal."""
+
+    def _recall(self, *args):
+        return False
+
+
 class FleetTest(TestCase):
     def run_for(self, fleet, duration_s, per_step=None):
         """Step the fleet and check the limits all the time."""
@@ -152,3 +160,15 @@
         renewals = fleet.sent_reports[before:]
         self.assertLessEqual(len(renewals), 11)
         self.assertEqual({len(report.demands) for report in renewals}, {8})
+
+    def test_idle_units_are_called_back_for_a_router_that_lacks_them(self):
+        for allocator_class, served in ((ShareAllocator, 1), (NeverRecalls, None)):
+            limits = {"x": AccountLimit(2, 1000.0)}
+            fleet = Fleet(("a",), 3, limits, allocator_class=allocator_class)
+            for _ in range(2):
+                fleet.request("a/0", "x", 0.1)
+            self.run_for(fleet, 0.5)
+            self.assertEqual(fleet.served["a/0"], 2)
+            fleet.request("a/1", "x", 0.1)
+            self.run_for(fleet, 0.4)
+            self.assertEqual(fleet.served.get("a/1"), served)
--- a/packages/router/src/damaskwind/router/account_limits.py
+++ b/packages/router/src/damaskwind/router/account_limits.py
@@ -116,7 +116,7 @@
             if decision.refusal is not None:
                 raise RefusedError(decision.refusal)
             wait_until_s = decision.wait_until_s
-            await self._grant_or_time(wait_until_s - now_s, work)
+            await self._grant_or_time(decision.try_again_s - now_s, work)
 
     def release(self, work: Work, used_tokens: int | None) -> None:
         """Note that an admitted request ended and what it cost, if that is known."""
@@ -205,8 +205,13 @@
         """Answer a report with what its router may use."""
         self._allocator.set_routers(frozenset(self._routers()[self._domain]))
         grant = self._allocator.take_report(report, self._clock.seconds())
-        if grant is None:
-            return
+        for holder_id, recall in self._allocator.recalls():
+            self._give(holder_id, recall)
+        if grant is not None:
+            self._give(router_id, grant)
+
+    def _give(self, router_id: str, grant: ShareGrant) -> None:
+        """Send a grant or recall; one to this router needs no datagram."""
         if router_id == self._router_id:
             self._take_grant(grant)
         else:
