Router: parts are handed over in named groups, not by a dozen positions

Cause: OperatorApi took eleven arguments and got a twelfth afterwards, ChatPath nine, Front seven, and the plain services' path passed five around; a load that came with an answer was told to two parts by the chat path itself. Change: the operators' sources are one named tuple; announcements have the module that the design names; a call to a plain service travels as one tuple, as a chat does; one function takes in the load of an answer. Behaviour stays.

--- a/packages/router/src/damaskwind/router/chat_path.py
+++ b/packages/router/src/damaskwind/router/chat_path.py
@@ -20,7 +20,6 @@
 from damaskwind.router.event_stream import EventScanner
 from damaskwind.router.stream_relay import RelayEnd, StreamRelay
 from damaskwind.router.target_client import AttemptError
-from damaskwind.router.target_directory import TargetDirectory
 from damaskwind.router.telemetry import Telemetry
 from damaskwind.router.work import Work
 
@@ -64,7 +63,6 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        directory: TargetDirectory,
         engines: EngineClient,
         failure_domain: str,
         telemetry: Telemetry,
@@ -75,7 +73,6 @@
         self._telemetry = telemetry
         self._observe_load = observe_load
         self._dispatcher = dispatcher
-        self._directory = directory
         self._engines = engines
         self._failure_domain = failure_domain
         self._reactor = reactor
@@ -138,7 +135,6 @@
             raise
         load = load_of(response, self._reactor.seconds() - sent_s)
         if load is not None:
-            self._directory.observe_report(target.target_id, load)
             self._observe_load(target.target_id, load)
         return response
 
--- a/packages/router/src/damaskwind/router/front.py
+++ b/packages/router/src/damaskwind/router/front.py
@@ -3,18 +3,15 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 from klein import Klein
 from twisted.internet.defer import Deferred
 from werkzeug.exceptions import MethodNotAllowed, NotFound
 
-from damaskwind.model.checking import check_table
 from damaskwind.model.exception import RefusedError
 from damaskwind.model.reason import Reason
-from damaskwind.model.targets import LoadReport, TargetAnnouncement
 from damaskwind.model.verdict import Refusal, Verdict
+from damaskwind.router.announcements import Announcements
 from damaskwind.router.answers import answer_json, refuse, set_outcome
-from damaskwind.router.authentication import bearer_key, same_key
 from damaskwind.router.chat_path import ChatPath
 from damaskwind.router.chat_request import visible_models
 from damaskwind.router.gateway import Gateway
@@ -31,17 +28,13 @@
         gateway: Gateway,
         chats: ChatPath,
         services: ServicePath,
-        membership: Any,
-        announce_key: str,
-        observe_load: Callable[[str, LoadReport], None],
+        announcements: Announcements,
         not_ready: Callable[[], str],
     ) -> None:
         self._gateway = gateway
         self._chats = chats
         self._services = services
-        self._membership = membership
-        self._announce_key = announce_key
-        self._observe_load = observe_load
+        self._announcements = announcements
         self._not_ready = not_ready
         self.app = Klein()
         self._install(self.app)
@@ -51,7 +44,7 @@
         app.route("/v1/chat/completions", methods=["POST"])(self.chat)
         app.route("/v1/models", methods=["GET"])(self.models)
         app.route("/services/", branch=True)(self.service)
-        app.route("/targets/v1/announcements", methods=["POST"])(self.announcement)
+        app.route("/targets/v1/announcements", methods=["POST"])(self._announcements.receive)
         app.route("/livez", methods=["GET"])(self.live)
         app.route("/readyz", methods=["GET"])(self.ready)
         app.handle_errors(RefusedError)(self.refused)
@@ -89,21 +82,6 @@
         request.setResponseCode(503 if reason else 200)
         return (reason or "ok").encode() + b"\n"
 
-    def announcement(self, request: Any) -> bytes:
-        """Take a target's announcement."""
-        if not same_key(bearer_key(request.getHeader("authorization")), self._announce_key):
-            detail = "the announce key is not valid"
-            raise RefusedError(Refusal(Reason.BAD_KEY, Verdict.NOT_RUN, detail))
-        body = request.content.read()
-        announcement = _parse_announcement(body)
-        outcome = self._membership.announce(announcement, len(body))
-        if not outcome.accepted:
-            return answer_json(request, 409, {"incarnation": outcome.incarnation})
-        # A renewal is no event: peers hear its load by gossip, this router here.
-        self._observe_load(announcement.target_id, announcement.load)
-        next_s = self._membership.next_announcement_s(announcement.lease_s)
-        return answer_json(request, 200, {"next_announcement_s": next_s})
-
     def refused(self, request: Any, failure: Any) -> bytes:
         """Answer a refusal that a route raised."""
         return refuse(request, request.request_id, failure.value.refusal)
@@ -121,17 +99,3 @@
         body = refuse(request, request.request_id, refusal)
         request.setResponseCode(405)
         return body
-
-
-def _parse_announcement(body: bytes) -> TargetAnnouncement:
-    """Check an announcement; raise `RefusedError` with every mistake."""
-    try:
-        raw = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        refusal = Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, f"not JSON: {error}")
-        raise RefusedError(refusal) from error
-    checked = check_table(raw, TargetAnnouncement, "announcement")
-    if checked.mistakes:
-        detail = "; ".join(checked.mistakes)
-        raise RefusedError(Refusal(Reason.BAD_REQUEST, Verdict.NOT_RUN, detail))
-    return checked.value
--- a/packages/router/src/damaskwind/router/operator_api.py
+++ b/packages/router/src/damaskwind/router/operator_api.py
@@ -1,7 +1,7 @@
 """What operators can ask of a router: explain, targets, its own state, metrics."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from klein import Klein
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -16,13 +16,14 @@
 from damaskwind.router.authentication import bearer_key, operator_index
 from damaskwind.router.explain import ExplainLog, router_of
 from damaskwind.router.gateway import Gateway
+from damaskwind.router.peer_addresses import PeerAddresses
 from damaskwind.router.placing import Placing
 from damaskwind.router.target_client import AttemptError, TargetCall, TargetClient, path_of
 from damaskwind.router.target_directory import TargetDirectory
 from damaskwind.router.target_health import TargetHealth
 from damaskwind.router.telemetry import Telemetry
 
-__all__ = ["OperatorApi"]
+__all__ = ["OperatorApi", "Sources"]
 
 _DRAIN_ROLES = frozenset(("planner", "confirmer"))
 _FORWARD_TIMEOUT_S = 5.0
@@ -53,35 +54,28 @@
     )
 
 
+class Sources(NamedTuple):
+    """What the answers to operators are made from."""
+
+    router_id: str
+    gateway: Gateway
+    explain: ExplainLog
+    directory: TargetDirectory
+    health: TargetHealth
+    placing: Placing
+    membership: Any
+    client: TargetClient
+    telemetry: Telemetry
+    peers: PeerAddresses
+    own_state: Callable[[], dict[str, Any]]
+
+
 class OperatorApi:
     """The routes below `/operator/v1/` and `/metrics`."""
 
-    def __init__(
-        self,
-        router_id: str,
-        gateway: Gateway,
-        explain: ExplainLog,
-        directory: TargetDirectory,
-        health: TargetHealth,
-        placing: Placing,
-        membership: Any,
-        client: TargetClient,
-        telemetry: Telemetry,
-        own_state: Callable[[], dict[str, Any]],
-        clock: Any,
-    ) -> None:
-        self._router_id = router_id
-        self._gateway = gateway
-        self._explain = explain
-        self._directory = directory
-        self._health = health
-        self._placing = placing
-        self._membership = membership
-        self._client = client
-        self._telemetry = telemetry
-        self._own_state = own_state
+    def __init__(self, sources: Sources, clock: Any) -> None:
+        self._sources = sources
         self._clock = clock
-        self.peers: Any = None
 
     def install(self, app: Klein) -> None:
         """Add the routes to an application."""
@@ -94,7 +88,7 @@
 
     def _check(self, request: Any, roles: frozenset[str] = frozenset()) -> None:
         """Raise `RefusedError` unless an operator asks who has one of the roles."""
-        operators = operator_index(self._gateway.configuration)
+        operators = operator_index(self._sources.gateway.configuration)
         operator = operators.owner(bearer_key(request.getHeader("authorization")))
         if roles and not roles & set(operator.roles):
             detail = f"one of these roles is needed: {', '.join(sorted(roles))}"
@@ -103,27 +97,29 @@
     def explain(self, request: Any, request_id: str) -> bytes | Deferred:
         """Tell what was done with a request, here or at the router that its id names."""
         self._check(request)
-        record = self._explain.find(request_id)
+        record = self._sources.explain.find(request_id)
         if record is not None:
-            return answer_json(request, 200, {"router": self._router_id, **record.as_table()})
+            return answer_json(
+                request, 200, {"router": self._sources.router_id, **record.as_table()}
+            )
         router_id = router_of(request_id)
         forwarded = request.getHeader(_FORWARDED)
-        if self.peers is None or forwarded or router_id in ("", self._router_id):
+        if forwarded or router_id in ("", self._sources.router_id):
             raise _not_found(f"request '{request_id}' is not known here, or no longer")
         return ensureDeferred(self._forward(request, request_id, router_id))
 
     async def _forward(self, request: Any, request_id: str, router_id: str) -> bytes:
         """Ask the router that a request id names."""
-        address = await self.peers.ask(router_id)
+        address = await self._sources.peers.ask(router_id)
         if address is None:
             detail = f"router '{router_id}' can't be asked about request '{request_id}'"
             refusal = Refusal(Reason.UNKNOWN_SERVICE, Verdict.NOT_RUN, detail)
             return refuse(request, request.request_id, refusal)
         headers = Headers({"authorization": [request.getHeader("authorization")]})
-        headers.setRawHeaders(_FORWARDED, [self._router_id])
+        headers.setRawHeaders(_FORWARDED, [self._sources.router_id])
         path = path_of("operator", "v1", "requests", request_id)
         try:
-            response = await self._client.send(
+            response = await self._sources.client.send(
                 TargetCall(b"GET", address, path, headers), _FORWARD_TIMEOUT_S
             )
             body = await read_whole(response, _ANSWER_LIMIT_BYTES, _FORWARD_TIMEOUT_S, self._clock)
@@ -141,12 +137,12 @@
 
     def _sorted(self) -> list[TargetView]:
         """Return the targets by id."""
-        return sorted(self._directory.views(), key=lambda view: view.target_id)
+        return sorted(self._sources.directory.views(), key=lambda view: view.target_id)
 
     def _shown(self, view: TargetView) -> dict[str, Any]:
         """Return one target as operators see it."""
         now_s = self._clock.seconds()
-        estimate = self._directory.placers[view.kind].estimate_tokens(view.target_id, now_s)
+        estimate = self._sources.directory.placers[view.kind].estimate_tokens(view.target_id, now_s)
         return {
             "target_id": view.target_id,
             "kind": view.kind,
@@ -155,9 +151,9 @@
             "address": str(view.address),
             "state": view.state,
             "incarnation": view.incarnation,
-            "circuit": self._health.state(view.service, view.target_id),
+            "circuit": self._sources.health.state(view.service, view.target_id),
             "estimated_load_tokens": round(estimate, 1),
-            "requests_in_flight_here": self._placing.in_flight.get(view.target_id, 0),
+            "requests_in_flight_here": self._sources.placing.in_flight.get(view.target_id, 0),
             "models": [f"{offer.model}@{offer.version}" for offer in view.models],
         }
 
@@ -167,19 +163,19 @@
         It holds for the target's present incarnation: a restart brings it back.
         """
         self._check(request, _DRAIN_ROLES)
-        view = self._directory.find(target_id)
+        view = self._sources.directory.find(target_id)
         if view is None:
             raise _not_found(f"target '{target_id}' is not known here, or already gone")
-        self._membership.announce(_leave_of(view), 0)
+        self._sources.membership.announce(_leave_of(view), 0)
         answer = {"target_id": target_id, "incarnation": view.incarnation, "state": "leaving"}
         return answer_json(request, 200, answer)
 
     def router(self, request: Any) -> bytes:
         """Tell the state of this router."""
         self._check(request)
-        return answer_json(request, 200, self._own_state())
+        return answer_json(request, 200, self._sources.own_state())
 
     def metrics(self, request: Any) -> bytes:
         """Return the metrics for a scraper, which needs no key."""
         request.setHeader(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
-        return self._telemetry.metrics.render()
+        return self._sources.telemetry.metrics.render()
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -15,6 +15,7 @@
 from damaskwind.model.configuration_codec import read_configuration_file
 from damaskwind.model.targets import Address, LoadReport
 from damaskwind.router.account_limits import AccountLimits
+from damaskwind.router.announcements import Announcements
 from damaskwind.router.caller_request import CallerLimits
 from damaskwind.router.caller_site import CallerSite
 from damaskwind.router.chat_path import ChatPath
@@ -27,7 +28,7 @@
 from damaskwind.router.front import Front
 from damaskwind.router.gateway import Gateway
 from damaskwind.router.idempotency import Idempotency
-from damaskwind.router.operator_api import OperatorApi
+from damaskwind.router.operator_api import OperatorApi, Sources
 from damaskwind.router.peer_addresses import PeerAddresses
 from damaskwind.router.placing import Placing
 from damaskwind.router.service_path import ServicePath
@@ -101,30 +102,13 @@
 
     def _make_front(self) -> None:
         """Make what callers, targets and operators talk to."""
-        node, router, reactor = self.settings.node, self.settings.router, self._reactor
-        chats = ChatPath(
-            self.dispatcher,
-            self.directory,
-            EngineClient(self.client),
-            node.failure_domain,
-            self.telemetry,
-            self.membership.observe_load,
-            reactor,
-            router.body_timeout_s,
-        )
-        services = ServicePath(
-            self.dispatcher, self.client, node.failure_domain, reactor, router.body_timeout_s
-        )
+        router, reactor = self.settings.router, self._reactor
+        announcements = Announcements(self.membership, router.announce_key, self._observe_load)
         front = Front(
-            self.gateway,
-            chats,
-            services,
-            self.membership,
-            router.announce_key,
-            self._observe_load,
-            self.not_ready,
+            self.gateway, self._chat_path(), self._service_path(), announcements, self.not_ready
         )
-        self._make_operators(front)
+        self.peers = PeerAddresses(self.membership, reactor)
+        OperatorApi(self._operator_sources(), reactor).install(front.app)
         limits = CallerLimits(
             router.header_timeout_s,
             router.body_timeout_s,
@@ -134,23 +118,43 @@
         self.site = CallerSite(front.app.resource(), limits, reactor)
         self.http_address = parse_address(router.http_address)
 
-    def _make_operators(self, front: Front) -> None:
-        """Make what operators talk to."""
-        self.operators = OperatorApi(
-            self.settings.node.node_id,
-            self.gateway,
-            self.explain,
-            self.directory,
-            self.health,
-            self.placing,
-            self.membership,
-            self.client,
+    def _chat_path(self) -> ChatPath:
+        """Make what answers chats."""
+        return ChatPath(
+            self.dispatcher,
+            EngineClient(self.client),
+            self.settings.node.failure_domain,
             self.telemetry,
-            self.state,
+            self._observe_answer,
+            self._reactor,
+            self.settings.router.body_timeout_s,
+        )
+
+    def _service_path(self) -> ServicePath:
+        """Make what passes calls on to plain services."""
+        return ServicePath(
+            self.dispatcher,
+            self.client,
+            self.settings.node.failure_domain,
             self._reactor,
+            self.settings.router.body_timeout_s,
+        )
+
+    def _operator_sources(self) -> Sources:
+        """Name the parts that operators can ask about."""
+        return Sources(
+            router_id=self.settings.node.node_id,
+            gateway=self.gateway,
+            explain=self.explain,
+            directory=self.directory,
+            health=self.health,
+            placing=self.placing,
+            membership=self.membership,
+            client=self.client,
+            telemetry=self.telemetry,
+            peers=self.peers,
+            own_state=self.state,
         )
-        self.operators.peers = PeerAddresses(self.membership, self._reactor)
-        self.operators.install(front.app)
 
     def _new_request_id(self) -> str:
         """Return an id that names this router, so that any other can ask it."""
@@ -188,10 +192,15 @@
             self.directory.set_router_counts(max(1, near), max(1, own))
 
     def _observe_load(self, target_id: str, report: LoadReport) -> None:
-        """Take in a load that a target told this router itself."""
+        """Take in a load that a target announced here."""
         self.directory.observe_report(target_id, report)
         self.directory.room_changed()
 
+    def _observe_answer(self, target_id: str, report: LoadReport) -> None:
+        """Take in a load that came with an engine's answer, and tell the peers."""
+        self.directory.observe_report(target_id, report)
+        self.membership.observe_load(target_id, report)
+
     def _publish_spills(self) -> None:
         """Tell the peers of this failure domain where chats went that left home."""
         notes = self.directory.take_spill_notes()
@@ -210,7 +219,7 @@
         if self.links.claims is not None:
             self.telemetry.watch_claims(self.links.claims)
         self._listen()
-        self.operators.peers.own_address = str(self.http_address)
+        self.peers.own_address = str(self.http_address)
         write_ready_file(self.settings.router.ready_file, self.addresses())
 
     def _listen(self) -> None:
--- a/packages/router/src/damaskwind/router/service_path.py
+++ b/packages/router/src/damaskwind/router/service_path.py
@@ -100,6 +100,15 @@
     return passed
 
 
+class _Call(NamedTuple):
+    """All that one call carries through this module."""
+
+    arrival: Arrival
+    call: ServiceCall
+    work: Work
+    body: Any
+
+
 class ServicePath:
     """Serve `/services/{service}/{path}`."""
 
@@ -120,14 +129,12 @@
     async def serve(self, arrival: Arrival) -> bytes | None:
         """Answer one call; raise `RefusedError` when nothing was passed on."""
         call = parse_call(arrival)
-        work = self._work(arrival, call)
         body = arrival.request.upload or BytesProducer(arrival.request.content.read())
-        placed = await self._dispatcher.run(
-            work, lambda target: self._send(arrival, work, call, body, target)
-        )
+        one = _Call(arrival, call, self._work(arrival, call), body)
+        placed = await self._dispatcher.run(one.work, lambda target: self._send(one, target))
         if self._is_small(arrival, placed.response):
-            return await self._whole(arrival, work, placed)
-        await self._stream(arrival, work, placed)
+            return await self._whole(one, placed)
+        await self._stream(one, placed)
         return None
 
     def _work(self, arrival: Arrival, call: ServiceCall) -> Work:
@@ -154,32 +161,27 @@
             caller=arrival.caller,
         )
 
-    async def _send(
-        self, arrival: Arrival, work: Work, call: ServiceCall, body: Any, target: TargetView
-    ) -> IResponse:
+    async def _send(self, one: _Call, target: TargetView) -> IResponse:
         """Send a call to one target; a body that was begun can't be sent to another."""
         try:
-            return await self._send_once(arrival, work, call, body, target)
+            return await self._send_once(one, target)
         except AttemptError as error:
-            error.final = error.final or getattr(body, "begun", False)
+            error.final = error.final or getattr(one.body, "begun", False)
             raise
 
-    async def _send_once(
-        self, arrival: Arrival, work: Work, call: ServiceCall, body: Any, target: TargetView
-    ) -> IResponse:
+    async def _send_once(self, one: _Call, target: TargetView) -> IResponse:
         """Send a call and check that the answer belongs to it."""
-        request = arrival.request
+        request, work = one.arrival.request, one.work
         headers = _end_to_end(request.requestHeaders, _ROUTERS_OWN)
         headers.setRawHeaders(b"x-request-id", [work.request_id.encode()])
         headers.setRawHeaders(b"x-client-account", [work.account.name.encode()])
-        if arrival.idempotency_key:
-            headers.setRawHeaders(b"idempotency-key", [arrival.idempotency_key.encode()])
-        has_body = body.length != 0 or request.method in (b"POST", b"PUT", b"PATCH")
-        one = TargetCall(
-            request.method, target.address, call.path, headers, body if has_body else None
-        )
+        if one.arrival.idempotency_key:
+            headers.setRawHeaders(b"idempotency-key", [one.arrival.idempotency_key.encode()])
+        has_body = one.body.length != 0 or request.method in (b"POST", b"PUT", b"PATCH")
+        body = one.body if has_body else None
+        sent = TargetCall(request.method, target.address, one.call.path, headers, body)
         timeout_s = work.deadline_s - self._reactor.seconds()
-        response = await self._client.send(one, timeout_s, work.caller)
+        response = await self._client.send(sent, timeout_s, work.caller)
         answered_id = header_text(response, "x-request-id")
         if answered_id and answered_id != work.request_id:
             discard(response)
@@ -206,8 +208,9 @@
         if arrival.request.channel is not None and not arrival.request.channel.persistent:
             request.setHeader(b"connection", b"close")
 
-    async def _whole(self, arrival: Arrival, work: Work, placed: Placed) -> bytes:
+    async def _whole(self, one: _Call, placed: Placed) -> bytes:
         """Return a small answer whole, or refuse."""
+        work = one.work
         timeout_s = work.deadline_s - self._reactor.seconds()
         try:
             body = await read_whole(
@@ -218,12 +221,13 @@
             raise RefusedError(Refusal(error.reason, error.verdict, error.detail)) from error
         verdict = Verdict.RAN if placed.response.code < 500 else Verdict.MAY_HAVE_RUN
         self._dispatcher.finish(work, placed, verdict)
-        self._begin(arrival, placed.response, verdict)
+        self._begin(one.arrival, placed.response, verdict)
         work.record.end(verdict, None, "", self._reactor.seconds())
         return body
 
-    async def _stream(self, arrival: Arrival, work: Work, placed: Placed) -> None:
+    async def _stream(self, one: _Call, placed: Placed) -> None:
         """Relay a large answer; one that is cut ends the caller's connection."""
+        arrival, work = one.arrival, one.work
         self._begin(arrival, placed.response, Verdict.MAY_HAVE_RUN)
         relay = StreamRelay(
             arrival.request, arrival.caller, PassThrough(), self._reactor, self._stall_timeout_s
