--- a/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
+++ b/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
@@ -23,6 +23,7 @@
     FIRST,
     OPERATORS,
     Told,
+    descents,
     outcome_faults,
     viewer_intent,
 )
@@ -370,10 +371,8 @@
             faults.append(f"routers were not watched: {self._watching.exception()!r}")
         for name, seen in self.seen.items():
             applied = self.applied_by(name)
-            if seen != sorted(seen):
-                faults.append(f"{name}: enforced {seen}")
-            if applied != sorted(applied):
-                faults.append(f"{name}: applied {applied}")
+            faults += [f"{name}: seen to go back: {pair}" for pair in descents(seen)]
+            faults += [f"{name}: went back: {pair}" for pair in descents(applied)]
         return faults
 
 
--- a/packages/commands/src/damaskwind/commands/tests/fault_oracle.py
+++ b/packages/commands/src/damaskwind/commands/tests/fault_oracle.py
@@ -1,13 +1,14 @@
 """What operators were told, and what is then amiss in what a replica shows."""
 
 from collections.abc import Sequence
+from itertools import pairwise
 from typing import Any, NamedTuple
 
 from damaskwind.control.audit.chain import verify_chain
 from damaskwind.control.audit.entry import AuditEntry
 from damaskwind.control.operator_api.authentication import hash_key
 
-__all__ = ["FIRST", "OPERATORS", "Told", "outcome_faults", "viewer_intent"]
+__all__ = ["FIRST", "OPERATORS", "Told", "descents", "outcome_faults", "viewer_intent"]
 
 OPERATORS = ("mei", "anis")
 FIRST = "operators"
@@ -26,6 +27,15 @@
     return {"operators": {name: {"key_hash": hash_key(f"dw-{name}"), "roles": ["viewer"]}}}
 
 
+def descents(revisions: Sequence[int]) -> list[tuple[int, int]]:
+    """Return each revision that a lower one followed, with that one.
+
+    >>> descents([1, 2, 2, 1, 3])
+    [(2, 1)]
+    """
+    return [(before, after) for before, after in pairwise(revisions) if after < before]
+
+
 def outcome_faults(
     confirmed: Sequence[Told], shown: dict[str, Any], trail: Sequence[AuditEntry]
 ) -> list[str]:
