The reactor's clock is monotonic; wildcard addresses are refused

Cause: Twisted's asyncio reactor counts seconds by the wall clock, so a jump of a VM's clock would have moved every deadline, lease and limit of a router. And an address of 0.0.0.0 was accepted where others are told the address, so nobody would have reached the router. Change: MonotonicReactor overrides seconds(); settings name a wildcard as a mistake.

--- a/packages/runtime/src/damaskwind/runtime/reactor.py
+++ b/packages/runtime/src/damaskwind/runtime/reactor.py
@@ -1,33 +1,35 @@
-"""Install the asyncio reactor, so that Twisted and grpclib share one loop.
+"""Install an asyncio reactor with a monotonic clock.
 
-Import this module before anything that imports `twisted.internet.reactor`.
+Twisted and grpclib then share one loop, and no lease, deadline or timer moves
+when the VM's wall clock jumps: Twisted's own reactors read the wall clock.
+Install it before anything imports `twisted.internet.reactor`.
 """
 
 import asyncio
 import sys
+import time
 from typing import Any
 
-__all__ = ["install_reactor"]
+from twisted.internet.asyncioreactor import AsyncioSelectorReactor
+from twisted.internet.main import installReactor
 
+__all__ = ["MonotonicReactor", "install_reactor"]
 
-def _leave_out_tls() -> None:
-    """Have Twisted load no TLS, which nothing here speaks: 12 MB of each process.
 
-    `None` makes the import fail, as where pyOpenSSL is not installed.
-    """
-    if "twisted.internet" not in sys.modules:
-        sys.modules.setdefault("OpenSSL", None)
+class MonotonicReactor(AsyncioSelectorReactor):
+    """An asyncio reactor whose `seconds` only go forward."""
+
+    def seconds(self) -> float:
+        """Return monotonic seconds; every timer of the reactor runs by them."""
+        return time.monotonic()
 
 
 def install_reactor() -> Any:
-    """Install the asyncio reactor once and return it."""
+    """Install the reactor once and return the one that is installed."""
     if "twisted.internet.reactor" not in sys.modules:
-        _leave_out_tls()
-        from twisted.internet import asyncioreactor
-
         loop = asyncio.new_event_loop()
         asyncio.set_event_loop(loop)
-        asyncioreactor.install(loop)
+        installReactor(MonotonicReactor(loop))
     from twisted.internet import reactor
 
     return reactor
--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -111,6 +111,8 @@
 _TABLES = {"node": NodeSettings, "router": RouterSettings, "control": ControlSettings}
 _ADDRESS_FIELDS = ("http_address", "datagram_address", "peer_address")
 _ADDRESS_FIELDS += ("replica_address", "operator_address")
+_ADVERTISED_FIELDS = ("http_address", "datagram_address", "peer_address", "replica_address")
+_WILDCARD_HOSTS = ("0.0.0.0", "::", "*")
 _LOG_FORMATS = ("auto", "json", "text")
 
 
@@ -149,9 +151,12 @@
     mistakes = []
     for name, text in _named_addresses(table):
         try:
-            parse_address(str(text))
+            host = parse_address(str(text)).host
         except ValueError as error:
             mistakes.append(f"{path}.{name}: {error}")
+            continue
+        if name in _ADVERTISED_FIELDS and host in _WILDCARD_HOSTS:
+            mistakes.append(f"{path}.{name}: expected the IP number that others use, got '{host}'")
     for name, value in table.items():
         if isinstance(value, int | float) and value < 0:
             mistakes.append(f"{path}.{name}: expected a number of at least 0, got {value}")
--- a/packages/runtime/src/damaskwind/runtime/tests/test_settings.py
+++ b/packages/runtime/src/damaskwind/runtime/tests/test_settings.py
@@ -48,6 +48,13 @@
         self.assertIn("router.seeds[0]: expected IP:port, got 'nowhere'", mistakes)
         self.assertTrue(any("control_bytes_per_s" in mistake for mistake in mistakes))
 
+    def test_an_address_told_to_others_is_no_wildcard(self):
+        router = {**ROUTER, "datagram_address": "0.0.0.0:7000"}
+        self.assertEqual(
+            self.mistakes({"node": NODE, "router": router}),
+            ["router.datagram_address: expected the IP number that others use, got '0.0.0.0'"],
+        )
+
     def test_one_role_is_needed(self):
         self.assertIn(
             "router or control: one of the two tables is needed", self.mistakes({"node": NODE})
