Proofs of leaving, losses and a cut: real processes, with traffic going on

Leaving: an engine's announced leave brings no new work to it after 2 s on any of four routers in three domains; one whose leave nobody hears gets none after its lease; 24 streams in progress end whole and no other caller notices. Losses: an engine that flaps, one killed in the middle of its streams, a router killed: only what was theirs is cut, with may-have-run, and nothing runs twice.

--- a/packages/commands/src/damaskwind/commands/tests/data_path_fleet.py
+++ b/packages/commands/src/damaskwind/commands/tests/data_path_fleet.py
@@ -16,15 +16,16 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
 
 from damaskwind.control.operator_api.authentication import hash_key
-from damaskwind.model.prefix import Message, ModelName
+from damaskwind.model.prefix import Message, ModelName, prefix_chain
 from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.settings import parse_address
 from damaskwind.standins.answers import expected_answer
 from damaskwind.standins.faulty_network import FaultyNetwork
 from damaskwind.standins.harness import Harness, wait_until
+from damaskwind.standins.impairment import Direction, Impairment
 
-__all__ = ["ACCOUNT_KEY", "ANNOUNCE_KEY", "DOMAINS", "LOST", "Answer", "DataPathFleet"]
-__all__ += ["expected_chat", "stream_text"]
+__all__ = ["ACCOUNT_KEY", "ANNOUNCE_KEY", "DOMAINS", "LEASE_S", "LOST", "Answer"]
+__all__ += ["DataPathFleet", "expected_chat", "stream_text"]
 
 ACCOUNT_KEY = "key-of-library"
 ANNOUNCE_KEY = "announce"
@@ -48,6 +49,7 @@
 
 
 LOST = Answer()
+SILENCE = Direction(Impairment(blackhole=True), Impairment(blackhole=True))
 
 
 def make_configuration(**policy: Any) -> dict[str, Any]:
@@ -139,10 +141,11 @@
         self.network.links[f"{DOMAINS[number]}-{number}"].target = address
 
     def name_absent_replicas(self) -> None:
-        """Let routers know of three domains whose replicas nobody can reach."""
+        """Let routers know of three domains whose replicas nobody can reach, in silence."""
         self.replicas = []
         for number, domain in enumerate(DOMAINS):
             link = self.network.add_link(f"absent-{number}", "tcp")
+            link.impair(SILENCE)
             row = {"replica_id": f"control-{number}", "address": str(link.address)}
             self.replicas.append({**row, "failure_domain": domain})
 
@@ -245,6 +248,24 @@
             counts |= await self._json("GET", f"{address}/oracle") or {}
         return counts
 
+    async def oracle(self, target: str) -> dict[str, Any]:
+        """Return the counts of one target, asked alone."""
+        return (await self._json("GET", f"{self._fleets[target]}/oracle"))[target]
+
+    def forget_targets(self, *names: str) -> None:
+        """Ask these targets no more: their process was killed."""
+        for name in names:
+            del self._fleets[name]
+        self.target_count -= len(names)
+
+    async def set_routers(self, target: str, routers: list[str]) -> None:
+        """Tell all targets of this one's process where to announce themselves."""
+        await self._json("POST", f"{self._fleets[target]}/routers", {"routers": routers})
+
+    def digest_of(self, text: str) -> str:
+        """Return under what engines count a chat of one message in `runs_by_body`."""
+        return prefix_chain(ModelName("damask", "1"), [Message("user", text)])[-1]
+
     async def counted(self, what: str) -> Counter[str]:
         """Return one count, such as `runs_by_id`, over all targets."""
         total: Counter[str] = Counter()
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/tests/data_path_traffic.py
@@ -0,0 +1,113 @@
+"""Traffic through all routers, and what its callers check, for proofs of the data path."""
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+
+from twisted.internet import reactor
+from twisted.trial.unittest import TestCase
+
+from damaskwind.commands.tests.data_path_fleet import DataPathFleet, expected_chat, stream_text
+from damaskwind.runtime.bridge import to_deferred
+from damaskwind.standins.harness import wait_until
+
+__all__ = ["LONG_STREAMS", "LONG_TOKENS", "SHORT_TOKENS", "SLOW", "Traffic", "TrafficTestCase"]
+
+LANES = 6
+SHORT_TOKENS = 4
+LONG_TOKENS = 60
+LONG_STREAMS = 24
+WATCHED_ANSWERS = 100
+DONE = b"data: [DONE]"
+SLOW = {"token_interval_s": 0.05, "max_running_requests": 128, "resume_hold_s": 0.0}
+
+
+class Traffic:
+    """Callers that ask short chats through all routers until they are stopped."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._stopped = False
+        self.answers = []
+        self._lanes = [asyncio.ensure_future(self._lane(number)) for number in range(LANES)]
+
+    async def _lane(self, number):
+        turn = 0
+        while not self._stopped:
+            routers = sorted(self._fleet.routers)
+            router = routers[(number + turn) % len(routers)]
+            text = f"lane {number} turn {turn}"
+            answer = await self._fleet.chat(self._fleet.routers[router], text, SHORT_TOKENS)
+            self.answers.append((text, answer))
+            turn += 1
+
+    async def stop(self):
+        self._stopped = True
+        await asyncio.gather(*self._lanes)
+
+    def forget(self):
+        """Begin to count anew."""
+        self.answers.clear()
+
+
+class TrafficTestCase(TestCase):
+    """A fleet for each test, and callers who know their whole answers."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = DataPathFleet(reactor, Path(folder.name))
+        self.addCleanup(lambda: to_deferred(self.fleet.stop()))
+
+    def is_whole(self, text, answer, size_tokens=SHORT_TOKENS):
+        """Tell whether a caller got its whole answer; fail when a broken one looks whole."""
+        expected = expected_chat(text, size_tokens)
+        if answer.status == 200:
+            self.assertTrue(expected.startswith(stream_text(answer.body)), (text, answer))
+        if answer.status != 200 or DONE not in answer.body:
+            self.assertFalse(answer.status == 200 and answer.ended, (text, answer))
+            return False
+        self.assertEqual(stream_text(answer.body), expected)
+        return True
+
+    def begin_long(self, name, router=None):
+        """Begin long streams through all routers, or one."""
+        addresses = [self.fleet.routers[router]] if router else list(self.fleet.routers.values())
+        texts = [f"{name} {number}" for number in range(LONG_STREAMS)]
+        asking = [
+            self.fleet.chat(addresses[number % len(addresses)], text, LONG_TOKENS)
+            for number, text in enumerate(texts)
+        ]
+        return texts, [asyncio.ensure_future(one) for one in asking]
+
+    async def runs(self, target):
+        """Return how many requests a target has run."""
+        return (await self.fleet.oracles())[target]["events"].get("run", 0)
+
+    async def until_runs(self, target, more_than):
+        """Wait until a target has run more requests than so many."""
+
+        async def has_run():
+            return await self.runs(target) > more_than
+
+        await wait_until(has_run, 20, f"work at {target}")
+
+    async def until_whole(self, traffic, count):
+        """Wait until so many answers in a row were whole."""
+
+        def all_whole():
+            last = traffic.answers[-count:]
+            return len(last) == count and all(self.is_whole(*one) for one in last)
+
+        await wait_until(all_whole, 30, "whole answers again")
+
+    async def watch(self, since_s, duration_s, traffic):
+        """Wait for a while in which traffic goes on."""
+        traffic.forget()
+        await wait_until(
+            lambda: time.monotonic() > since_s + duration_s
+            and len(traffic.answers) > WATCHED_ANSWERS,
+            30,
+            "traffic after the leave",
+        )
--- a/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_chats.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_chats.py
@@ -1,8 +1,5 @@
-"""Proofs with real processes: a chat through eight routers, and a drain under load."""
+"""Proof with real processes: a chat through eight routers in turn finds its cache."""
 
-import asyncio
-import json
-import signal
 import tempfile
 from pathlib import Path
 
@@ -14,18 +11,13 @@
     ACCOUNT_KEY,
     DOMAINS,
     DataPathFleet,
-    expected_chat,
 )
 from damaskwind.model.prefix import Message, ModelName
 from damaskwind.runtime.bridge import asyncio_test, to_deferred
 from damaskwind.standins.answers import expected_answer
-from damaskwind.standins.harness import wait_until
 
 TURNS = 10
-STREAMS = 200
-STREAM_TOKENS = 60
 SPILLS = ("spilled", "spill_note")
-PROBE_S = 0.02
 
 
 class ChatsTest(TestCase):
@@ -88,89 +80,3 @@
         moved = [one for one in served if one[0] != served[0][0] and one[1] not in SPILLS]
         self.assertEqual(moved, [])
         self.assertEqual(cached, sorted(set(cached)), "each turn finds more than the one before")
-
-    async def listen(self, stream, begun, texts):
-        """Read a stream to its end."""
-        text = ""
-        async for chunk in stream:
-            begun.add(id(stream))
-            text += "".join(choice.delta.content or "" for choice in chunk.choices)
-        texts.append(text)
-
-    async def one_stream(self, client, number, begun, texts):
-        """Begin a stream and read it to its end."""
-        stream = await client.chat.completions.create(
-            model="damask",
-            messages=[{"role": "user", "content": f"stream {number}"}],
-            stream=True,
-            max_tokens=STREAM_TOKENS,
-        )
-        await self.listen(stream, begun, texts)
-
-    async def probe(self, router, told):
-        """Ask for readiness, as the platform's balancer does, until nobody listens."""
-        address = self.fleet.routers[router]
-        while told[-1:] != [0]:
-            answer = await self.fleet.request("GET", f"{address}/readyz", "", b"")
-            if told[-1:] != [answer.status]:
-                told.append(answer.status)
-            await asyncio.sleep(PROBE_S)
-
-    async def open_kept(self, router):
-        """Open a connection by hand, which stays open after its answer."""
-        host, port = self.fleet.routers[router].split(":")
-        return await asyncio.open_connection(host, int(port))
-
-    def raw_chat(self, text, size_tokens):
-        """Return a streamed chat as the bytes on the wire."""
-        messages = [{"role": "user", "content": text}]
-        chat = {"model": "damask", "stream": True, "max_tokens": size_tokens, "messages": messages}
-        body = json.dumps(chat)
-        head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
-        head += f"authorization: Bearer {ACCOUNT_KEY}\r\ncontent-length: {len(body)}\r\n\r\n"
-        return (head + body).encode()
-
-    @asyncio_test
-    async def test_two_hundred_streams_outlive_sigterm_and_nothing_new_comes(self):
-        fleet = self.fleet
-        await fleet.start_routers(2, policy={"load_factor": 4.0}, drain_delay_s=1.0)
-        fields = {"token_interval_s": 0.1, "max_running_requests": 128}
-        engines = [{"target_id": f"engine-{number}", **fields} for number in range(4)]
-        await fleet.start_targets("targets", engines, [])
-        await fleet.until_ready()
-        begun, texts, told = set(), [], []
-        client = self.client("router-1")
-        streams = [
-            asyncio.ensure_future(self.one_stream(client, number, begun, texts))
-            for number in range(STREAMS)
-        ]
-        idle, idle_writer = await self.open_kept("router-1")
-        busy, busy_writer = await self.open_kept("router-1")
-        busy_writer.write(self.raw_chat("kept", STREAM_TOKENS))
-        await wait_until(lambda: len(begun) == STREAMS, 30, "two hundred begun streams")
-        await busy.readuntil(b"data: ")
-        self.assertFalse(any(stream.done() for stream in streams))
-
-        router = fleet.harness.processes["router-1"]
-        probing = asyncio.ensure_future(self.probe("router-1", told))
-        await wait_until(lambda: told == [200], 10, "a first probe")
-        router.send(signal.SIGTERM)
-        await asyncio.wait_for(probing, 30)
-        self.assertEqual(told, [200, 503, 0], "readiness fails first, then the listener closes")
-        self.assertIsNone(router.exit_code)
-        before = (await fleet.counted("events"))["run"]
-        # One connection idle, one with an answer in progress: neither brings new work.
-        idle_writer.write(self.raw_chat("new on an idle one", 1))
-        busy_writer.write(self.raw_chat("new behind a stream", 1))
-        self.assertEqual(await asyncio.wait_for(idle.read(), 20), b"")
-        last = await asyncio.wait_for(busy.read(), 30)
-        self.assertEqual(last.count(b"[DONE]"), 1)
-        self.assertNotIn(b"HTTP/1.1", last)
-
-        results = await asyncio.gather(*streams, return_exceptions=True)
-        self.assertEqual([one for one in results if one is not None], [])
-        expected = [expected_chat(f"stream {number}", STREAM_TOKENS) for number in range(STREAMS)]
-        self.assertEqual(sorted(texts), sorted(expected))
-        self.assertEqual(await router.wait(30), 0)
-        self.assertEqual((await fleet.counted("events"))["run"], before)
-        self.assertEqual(before, STREAMS + 1)
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_leaving.py
@@ -0,0 +1,54 @@
+"""Proof with real processes: who leaves gets no new work, also when nobody hears the leave.
+
+Traffic goes on through all routers meanwhile; the engines note what came to
+them after they began to leave.
+"""
+
+import asyncio
+import time
+
+from damaskwind.commands.tests.data_path_fleet import DOMAINS
+from damaskwind.commands.tests.data_path_traffic import LONG_TOKENS, SLOW, Traffic, TrafficTestCase
+from damaskwind.runtime.bridge import asyncio_test
+
+# Small domains keep no lease much shorter: see `lease_floor_s` of the membership.
+LEASE_S = 10.0
+HEARING_S = 2.0
+WATCHED_S = LEASE_S + 4.0
+
+
+class LeavingTest(TrafficTestCase):
+    timeout = 120
+
+    @asyncio_test
+    async def test_leaving_target_gets_nothing_new_and_finishes_its_work(self):
+        fleet = self.fleet
+        fleet.name_absent_replicas()
+        await fleet.start_routers(4, policy={"load_factor": 2.0})
+        engines = [
+            {"target_id": f"engine-{number}", "failure_domain": DOMAINS[number], **SLOW}
+            for number in range(3)
+        ]
+        await fleet.start_targets("targets", engines, [])
+        silent = {"target_id": "silent", "failure_domain": DOMAINS[0], **SLOW}
+        await fleet.start_targets("unheard", [silent], [], lease_s=LEASE_S)
+        await fleet.until_ready()
+        traffic = Traffic(fleet)
+        texts, streams = self.begin_long("long")
+        for target in ("engine-0", "silent"):
+            await self.until_runs(target, 4)
+        await fleet.set_routers("silent", [])
+        for target in ("engine-0", "silent"):
+            await fleet.live(target, "leave")
+        await self.watch(time.monotonic(), WATCHED_S, traffic)
+        await traffic.stop()
+        oracles = await fleet.oracles()
+        self.assertEqual(oracles["engine-0"]["late"], {})
+        late_s = max(oracles["silent"]["late"].values(), default=0.0)
+        self.assertLessEqual(late_s, LEASE_S + HEARING_S)
+        answers = await asyncio.gather(*streams)
+        for text, answer in zip(texts, answers, strict=True):
+            self.assertTrue(self.is_whole(text, answer, LONG_TOKENS), (text, answer))
+        broken = [one for one in traffic.answers if not self.is_whole(*one)]
+        self.assertEqual(broken, [])
+        print(f"\nlost leave: last new work {late_s:.2f} s after it, lease {LEASE_S} s")
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_losses.py
@@ -0,0 +1,85 @@
+"""Proof with real processes: engines that flap or die, a router that is lost.
+
+Traffic goes on meanwhile. Each caller knows its whole answer, so that what is
+lost is told from what must go on.
+"""
+
+import asyncio
+from collections import Counter
+
+from damaskwind.commands.tests.data_path_fleet import DOMAINS
+from damaskwind.commands.tests.data_path_traffic import (
+    LONG_STREAMS,
+    LONG_TOKENS,
+    SLOW,
+    Traffic,
+    TrafficTestCase,
+)
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.standins.harness import wait_until
+
+
+class LossesTest(TrafficTestCase):
+    timeout = 120
+
+    @asyncio_test
+    async def test_flapping_and_killed_processes_cut_only_what_was_theirs(self):
+        fleet = self.fleet
+        fleet.name_absent_replicas()
+        await fleet.start_routers(4, policy={"load_factor": 2.0, "ejection_base_s": 0.5})
+        engines = [
+            {"target_id": f"engine-{number}", "failure_domain": DOMAINS[number], **SLOW}
+            for number in range(3)
+        ]
+        await fleet.start_targets("targets", engines, [])
+        doomed = {"target_id": "doomed", "failure_domain": DOMAINS[0], **SLOW}
+        await fleet.start_targets("doomed-process", [doomed], [])
+        await fleet.until_ready()
+        traffic = Traffic(fleet)
+        for _ in range(2):
+            before = await self.runs("engine-1")
+            await fleet.live("engine-1", "flap", down_s=0.4)
+            await self.until_runs("engine-1", before + 4)
+        await self.until_whole(traffic, 30)
+
+        texts, streams = self.begin_long("doomed")
+        await self.until_runs("doomed", await self.runs("doomed") + 4)
+        ran_by_doomed = (await fleet.oracles())["doomed"]["runs_by_id"]
+        await fleet.harness.processes["doomed-process"].kill()
+        fleet.forget_targets("doomed")
+        answers = await asyncio.gather(*streams)
+        whole = [
+            self.is_whole(text, answer, LONG_TOKENS)
+            for text, answer in zip(texts, answers, strict=True)
+        ]
+        cut = [answer for is_whole, answer in zip(whole, answers, strict=True) if not is_whole]
+        self.assertTrue(cut)
+        for answer in cut:
+            self.assertIn(b'"may-have-run"', answer.body)
+            self.assertIn(answer.request_id, ran_by_doomed)
+        await self.until_whole(traffic, 30)
+
+        texts, streams = self.begin_long("orphans", "router-3")
+        others, other_streams = self.begin_long("others", "router-0")
+        before = Counter(await fleet.counted("events"))
+        await wait_until(self.all_at_engines(texts + others), 20, "streams at the engines")
+        await fleet.harness.processes["router-3"].kill()
+        del fleet.routers["router-3"]
+        for text, answer in zip(texts, await asyncio.gather(*streams), strict=True):
+            self.assertFalse(self.is_whole(text, answer, LONG_TOKENS))
+        for text, answer in zip(others, await asyncio.gather(*other_streams), strict=True):
+            self.assertTrue(self.is_whole(text, answer, LONG_TOKENS), (text, answer))
+        gone = Counter(await fleet.counted("events"))["caller_gone"] - before["caller_gone"]
+        self.assertGreaterEqual(gone, LONG_STREAMS)
+        await self.until_whole(traffic, 30)
+        await traffic.stop()
+        self.assertEqual(max((await fleet.counted("runs_by_id")).values()), 1)
+
+    def all_at_engines(self, texts):
+        """Return a condition: so many long streams run at the engines."""
+
+        async def holds():
+            counted = await self.fleet.counted("runs_by_body")
+            return sum(counted[self.fleet.digest_of(text)] for text in texts) == len(texts)
+
+        return holds
