--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -30,13 +30,15 @@
 from benchmarks.capacity_worked import work_out
 from benchmarks.control_bytes import Fleet
 from benchmarks.placement_cost import placement_cost_us
+from damaskwind.decisions.membership.parameters import MembershipParameters
 
 __all__ = ["Slope", "main", "measure_all"]
 
 ROUTERS_IN_DOMAIN = 52
 TARGETS_IN_DOMAIN = 250
 NEAR_TARGETS = 1000
-SETTLE_S = 40.0
+SETTLE_S = 60.0
+BUDGET_BYTES_PER_S = 14_000
 MEASURE_S = 10.0
 FEW_STREAMS = 50
 MANY_STREAMS = 400
@@ -101,7 +103,8 @@
 
 def gossip_slopes() -> list[Slope]:
     """Measure the gossip of one failure domain."""
-    fleet = Fleet(ROUTERS_IN_DOMAIN, TARGETS_IN_DOMAIN, 1, seed=1)
+    parameters = MembershipParameters(control_bytes_per_s=BUDGET_BYTES_PER_S)
+    fleet = Fleet(ROUTERS_IN_DOMAIN, TARGETS_IN_DOMAIN, 1, seed=1, parameters=parameters)
     fleet.run(SETTLE_S)
     fleet.start_count()
     fleet.run(SETTLE_S + MEASURE_S)
@@ -111,7 +114,9 @@
         "gossip_worst_bytes_per_s": max(one.mean_bytes_per_s for one in counters),
         "gossip_core_percent": 100 * mean(fleet.cpu_s.values()) / MEASURE_S,
     }
-    return _slopes("-m benchmarks.control_bytes --routers 52 --no-fail", figures)
+    return _slopes(
+        "-m benchmarks.control_bytes --routers 52 --bytes-per-s 14000 --settle-s 60", figures
+    )
 
 
 def apply_slopes() -> list[Slope]:
