Explain: a chat that went home is shown with its pool, mean and next in rank

Cause: the record of a chat that found room at home named one candidate, while operators are promised which targets were considered. Change: each placement keeps the pool's size, its mean load and the chat's first four targets in rank with their estimates; the bound stands with the candidates. Tests: router.tests.test_chats and decisions.placement passed.

--- a/packages/decisions/src/damaskwind/decisions/placement/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/messages.py
@@ -11,6 +11,8 @@
     "PlacementQuery",
     "PlacementReason",
     "PoolName",
+    "PoolSurvey",
+    "RankedTarget",
     "SpillNote",
     "short_digest",
 ]
@@ -103,6 +105,24 @@
     candidates: tuple[CandidateNote, ...]
 
 
+class RankedTarget(NamedTuple):
+    """A target as it stands in a chat's rank."""
+
+    target_id: str
+    estimated_load_tokens: float
+
+
+class PoolSurvey(NamedTuple):
+    """How the near targets of a pool stood at a placement, asked or not.
+
+    `first_in_rank` begins with the chat's home.
+    """
+
+    target_count: int
+    mean_load_tokens: float
+    first_in_rank: tuple[RankedTarget, ...]
+
+
 class SpillNote(NamedTuple):
     """Gossip: the chat of this digest was last served away from its home."""
 
--- a/packages/decisions/src/damaskwind/decisions/placement/placer.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/placer.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from heapq import nlargest
 from itertools import count
 from random import Random
 from typing import NamedTuple
@@ -14,10 +15,13 @@
     PlacementChoice,
     PlacementQuery,
     PlacementReason,
+    PoolSurvey,
+    RankedTarget,
     SpillNote,
 )
 from damaskwind.decisions.placement.policies import PLACEMENT_POLICIES, Situation
 from damaskwind.decisions.placement.pools import Pool, PoolTable, Tier
+from damaskwind.decisions.placement.rank import scores
 from damaskwind.decisions.placement.spills import SpillMemory
 from damaskwind.model.targets import LoadReport, TargetView
 
@@ -118,6 +122,23 @@
             return choice
         return self._place_far(pool, query, now_s, choice)
 
+    def survey(self, query: PlacementQuery, ranked_count: int, now_s: float) -> PoolSurvey:
+        """Tell how the near targets stand, for the record of a placement just made.
+
+        A chat that finds room at home is placed after a look at one target: this
+        names the ones that it would have gone to next.
+        """
+        tier = self._table.pool(query.pool).near
+        if not tier.target_ids:
+            return PoolSurvey(0, 0.0, ())
+        mean_tokens = self._mean_without(query.excluded, tier, now_s)
+        chat_key = query.chat_digest.encode() + self._part(query, mean_tokens, len(tier.target_ids))
+        chat_scores = scores(chat_key, tier.seeds)
+        best = nlargest(ranked_count, chat_scores)
+        first = [tier.target_ids[chat_scores.index(score)] for score in best]
+        loads = [RankedTarget(one, self.book.estimate_tokens(one, now_s)) for one in first]
+        return PoolSurvey(len(tier.target_ids), mean_tokens, tuple(loads))
+
     def started(
         self, request_id: str, target_id: str, chat_digest: str, need_tokens: float, now_s: float
     ) -> None:
@@ -203,9 +224,9 @@
         """
         mean_tokens = self._mean_tokens(tier, now_s)
         left_out = excluded.intersection(tier.target_ids) if excluded else ()
-        if not left_out:
-            return mean_tokens
         target_count = len(tier.target_ids)
+        if len(left_out) in (0, target_count):
+            return mean_tokens
         rest_tokens = mean_tokens * target_count - sum(
             self.book.estimate_tokens(target_id, now_s) for target_id in left_out
         )
--- a/packages/router/src/damaskwind/router/explain.py
+++ b/packages/router/src/damaskwind/router/explain.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from typing import Any, NamedTuple
 
-from damaskwind.decisions.placement.messages import PlacementChoice
+from damaskwind.decisions.placement.messages import CandidateNote, PlacementChoice, PoolSurvey
 from damaskwind.model.reason import Reason
 from damaskwind.model.verdict import Verdict
 
@@ -25,13 +25,23 @@
 
 
 class ChoiceRecord(NamedTuple):
-    """One placement: the choice, why, and the candidates that ranked first."""
+    """One placement: the choice, why, the candidates asked, and the pool they came from."""
 
     at_ms: float
     target_id: str | None
     reason: str
     considered: int
-    candidates: tuple[Any, ...]
+    candidates: tuple[CandidateNote, ...]
+    pool: PoolSurvey
+
+    def as_table(self) -> dict[str, Any]:
+        """Return the placement as a plain table for JSON."""
+        ranked = [target._asdict() for target in self.pool.first_in_rank]
+        return {
+            **self._asdict(),
+            "candidates": [note._asdict() for note in self.candidates],
+            "pool": {**self.pool._asdict(), "first_in_rank": ranked},
+        }
 
 
 class RequestRecord:
@@ -54,13 +64,14 @@
         """Return the milliseconds since the request came."""
         return round((now_s - self.started_s) * 1000, 2)
 
-    def chose(self, choice: PlacementChoice, now_s: float) -> None:
+    def chose(self, choice: PlacementChoice, pool: PoolSurvey, now_s: float) -> None:
         """Note a placement."""
         considered = len(choice.candidates)
         kept = choice.candidates[:_MAX_CANDIDATES]
-        reason = str(choice.reason)
         now_ms = self.since_ms(now_s)
-        self.choices.append(ChoiceRecord(now_ms, choice.target_id, reason, considered, kept))
+        self.choices.append(
+            ChoiceRecord(now_ms, choice.target_id, str(choice.reason), considered, kept, pool)
+        )
 
     def noted(self, text: str, now_s: float) -> None:
         """Note anything else that mattered: a wait, a resume, a crossed answer."""
@@ -79,10 +90,7 @@
             "request_id": self.request_id,
             "path": self.path,
             "client_account": self.account,
-            "choices": [
-                {**choice._asdict(), "candidates": [note._asdict() for note in choice.candidates]}
-                for choice in self.choices
-            ],
+            "choices": [choice.as_table() for choice in self.choices],
             "attempts": [attempt._asdict() for attempt in self.attempts],
             "events": [{"at_ms": at_ms, "event": text} for at_ms, text in self.events],
             "end": self.ended,
--- a/packages/router/src/damaskwind/router/placing.py
+++ b/packages/router/src/damaskwind/router/placing.py
@@ -8,7 +8,7 @@
 from damaskwind.model.configuration import Configuration
 from damaskwind.model.exception import RefusedError
 from damaskwind.model.reason import Reason
-from damaskwind.model.targets import TargetView
+from damaskwind.model.targets import TargetKind, TargetView
 from damaskwind.model.verdict import Refusal, Verdict
 from damaskwind.router.target_directory import TargetDirectory
 from damaskwind.router.target_health import TargetHealth
@@ -18,6 +18,8 @@
 __all__ = ["Placing"]
 
 _NO_TARGET_RETRY_S = 2.0
+# Plain services are drawn at random: their targets have no rank.
+_RANKED_SHOWN = {TargetKind.ENGINE: 4, TargetKind.SERVICE: 0}
 
 
 class Placing:
@@ -70,10 +72,12 @@
         now_s = self._clock.seconds()
         excluded = tried | self._health.ejected(work.query.pool.service) | self._full(work)
         placer = self._directory.placers[work.kind]
-        choice = placer.place(work.query._replace(excluded=excluded), now_s)
+        query = work.query._replace(excluded=excluded)
+        choice = placer.place(query, now_s)
         target = self._directory.find(choice.target_id) if choice.target_id else None
         if target is not None or not again:
-            work.record.chose(choice, now_s)
+            survey = placer.survey(query, _RANKED_SHOWN[work.kind], now_s)
+            work.record.chose(choice, survey, now_s)
         if target is None:
             if not again:
                 self._check_exists(work, tried)
--- a/packages/router/src/damaskwind/router/tests/test_chats.py
+++ b/packages/router/src/damaskwind/router/tests/test_chats.py
@@ -116,6 +116,24 @@
         response, _ = await self.raw(bench, path, "GET", key=ACCOUNT_KEY)
         self.assertEqual(response.code, 401)
 
+    @asyncio_test
+    async def test_chat_that_went_home_is_explained_by_its_pool(self):
+        bench = await self.bench(engines=6)
+        fields = {"model": "damask", "messages": MESSAGES, "max_tokens": 2}
+        response, _ = await self.raw(bench, "/v1/chat/completions", json=fields)
+        path = f"/operator/v1/requests/{self.header(response, 'x-request-id')}"
+        _, body = await self.raw(bench, path, "GET", key=OPERATOR_KEY)
+        (choice,) = json.loads(body)["choices"]
+        self.assertEqual((choice["reason"], choice["considered"]), ("home", 1))
+        self.assertGreater(choice["candidates"][0]["bound_tokens"], 0)
+        pool = choice["pool"]
+        self.assertEqual(pool["target_count"], 6)
+        self.assertGreaterEqual(pool["mean_load_tokens"], 0)
+        ranked = [target["target_id"] for target in pool["first_in_rank"]]
+        self.assertEqual((ranked[0], len(set(ranked))), (choice["target_id"], 4))
+        for target in pool["first_in_rank"]:
+            self.assertGreaterEqual(target["estimated_load_tokens"], 0)
+
     @asyncio_test
     async def test_reset_after_read_is_never_sent_again(self):
         bench = await self.bench(engines=2)
