Leave TLS out again, beside the monotonic reactor

Cause: the monotonic reactor's class loaded Twisted's reactor, and with it OpenSSL, while reactor.py was imported, and took the place of the lines that left TLS out over. Change: the class is a module of its own, loaded after TLS was left out.

--- a/packages/runtime/src/damaskwind/runtime/reactor.py
+++ b/packages/runtime/src/damaskwind/runtime/reactor.py
@@ -7,26 +7,28 @@
 
 import asyncio
 import sys
-import time
 from typing import Any
 
-from twisted.internet.asyncioreactor import AsyncioSelectorReactor
-from twisted.internet.main import installReactor
+__all__ = ["install_reactor"]
 
-__all__ = ["MonotonicReactor", "install_reactor"]
 
+def _leave_out_tls() -> None:
+    """Have Twisted load no TLS, which nothing here speaks: 12 MB of each process.
 
-class MonotonicReactor(AsyncioSelectorReactor):
-    """An asyncio reactor whose `seconds` only go forward."""
-
-    def seconds(self) -> float:
-        """Return monotonic seconds; every timer of the reactor runs by them."""
-        return time.monotonic()
+    `None` makes the import fail, as where pyOpenSSL is not installed.
+    """
+    if "twisted.internet" not in sys.modules:
+        sys.modules.setdefault("OpenSSL", None)
 
 
 def install_reactor() -> Any:
     """Install the reactor once and return the one that is installed."""
     if "twisted.internet.reactor" not in sys.modules:
+        _leave_out_tls()
+        from twisted.internet.main import installReactor
+
+        from damaskwind.runtime.monotonic_reactor import MonotonicReactor
+
         loop = asyncio.new_event_loop()
         asyncio.set_event_loop(loop)
         installReactor(MonotonicReactor(loop))
