Vectors that keep leases up in large domains; announcements rarer there

Cause: at 50 routers and 250 targets the first vectors were too large for the second they were sent in (3,192 sends dropped in 40 s), a target missing at one router cut its whole group of 32 off from renewals, and leases lapsed falsely (330 in 30 s).

Change: a vector takes no more than the pacer would let go now; only a small sample goes out until the lists are alike; targets of groups that differ travel as six-byte entries; a renewal counts its transmissions in one place. In domains of more than 20 members announcements take 10% of the budget in place of 16%. Routers get their near failure domains from the settings.

--- a/packages/decisions/src/damaskwind/decisions/membership/announcing.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/announcing.py
@@ -35,7 +35,7 @@
 
     def __init__(self, bytes_per_s: float, now_s: float) -> None:
         self._started_s = now_s
-        self._bytes_per_s = bytes_per_s
+        self.bytes_per_s = bytes_per_s
         self._heard_s: deque[float] = deque()
         self._interval_s = MIN_INTERVAL_S
 
@@ -49,7 +49,7 @@
         Where the budget allows fewer announcements than a lease asks for, the
         lease is stretched: the budget is the harder limit.
         """
-        return STRETCHED_PARTS * targets_per_router * ANNOUNCEMENT_BYTES / self._bytes_per_s
+        return STRETCHED_PARTS * targets_per_router * ANNOUNCEMENT_BYTES / self.bytes_per_s
 
     def next_s(self, lease_s: float, targets_per_router: float, now_s: float) -> float:
         """Return when a target with this lease should announce itself again."""
@@ -59,9 +59,9 @@
             return limit_s
         while self._heard_s and self._heard_s[0] <= now_s - _WINDOW_S:
             self._heard_s.popleft()
-        by_count_s = targets_per_router * ANNOUNCEMENT_BYTES / self._bytes_per_s
+        by_count_s = targets_per_router * ANNOUNCEMENT_BYTES / self.bytes_per_s
         heard_bytes_per_s = len(self._heard_s) * ANNOUNCEMENT_BYTES / _WINDOW_S
-        by_bytes_s = self._interval_s * heard_bytes_per_s / self._bytes_per_s
+        by_bytes_s = self._interval_s * heard_bytes_per_s / self.bytes_per_s
         wanted_s = max(by_count_s, min(by_bytes_s, 2 * self._interval_s), MIN_INTERVAL_S)
         self._interval_s = min(wanted_s, limit_s)
         return self._interval_s
--- a/packages/decisions/src/damaskwind/decisions/membership/core.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/core.py
@@ -109,8 +109,20 @@
 
         See `AnnouncementPace`.
         """
+        self._announcements.bytes_per_s = self._announcement_bytes_per_s()
         return self._announcements.next_s(lease_s, self._near_targets_per_router(), self.now_s)
 
+    def _announcement_bytes_per_s(self) -> float:
+        """Return what announcements may take of the budget."""
+        parameters = self.parameters
+        large = self._near_members() > parameters.small_domain_members
+        share = parameters.large_announcement_share if large else parameters.announcement_share
+        return share * parameters.control_bytes_per_s
+
+    def _near_members(self) -> int:
+        """Return how many routers and targets of the own domain there are."""
+        return self._near_targets() + self._near_routers()
+
     def _near_targets(self) -> int:
         """Return how many targets of the own domain are held."""
         domain = self.router_table.me.failure_domain
@@ -127,7 +139,8 @@
 
     def _lease_floor_s(self) -> float:
         """Return the shortest lease that the gossip can keep up now."""
-        large = self._near_targets() + self._near_routers() > self.parameters.small_domain_members
+        self._announcements.bytes_per_s = self._announcement_bytes_per_s()
+        large = self._near_members() > self.parameters.small_domain_members
         if large and self.now_s < self._started_s + self.parameters.warm_up_s:
             return MAX_LEASE_S
         by_budget_s = self._announcements.lease_floor_s(self._near_targets_per_router())
@@ -196,6 +209,7 @@
             self.target_table.lease_floor_s = self._lease_floor_s()
             self._state.sends += self._gossip.round(self.seeds, self.now_s)
         self._state.sends += self._gossip.flood(self.now_s)
+        self._state.sends += self._gossip.flood_notes(self.now_s)
         self._upkeep()
         return self._state.take_output()
 
--- a/packages/decisions/src/damaskwind/decisions/membership/gossip.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/gossip.py
@@ -27,7 +27,7 @@
     packed_bytes,
     unpacked_bytes,
 )
-from damaskwind.decisions.membership.spill_gossip import SpillGossip
+from damaskwind.decisions.membership.spill_gossip import NOTE_BYTES, SpillGossip
 from damaskwind.decisions.membership.targets import FOREIGN_LEASE_S, TargetTable
 from damaskwind.decisions.membership.vector_exchange import VectorExchange
 from damaskwind.decisions.pacing.urgency import Urgency
@@ -39,6 +39,8 @@
 _SUMMARY_BYTES = 40
 _FOREIGN_SUMMARIES = 2
 _SMALLEST_NEWS_BYTES = 120
+_NOTES_RESERVE_BYTES = 800
+_NOTES_DATAGRAM_BYTES = 900
 
 
 class Gossip:
@@ -69,6 +71,7 @@
         self._near_domains = near_domains
         self._foreign_turn = 0
         self._flood_turn = 0
+        self._sample_turn = 0
         self._lonely_rounds = 0
 
     def round(self, seeds: tuple[Address, ...], now_s: float) -> list[Send]:
@@ -249,7 +252,9 @@
             limit_bytes -= else_bytes
         routers = len(self._routers.ring(self._routers.me.failure_domain))
         factor = parameters.load_transmissions_factor
-        return self._targets.pack_loads(limit_bytes, transmissions_limit(routers, factor), now_s)
+        among = self.vectors.strays(now_s) if near and self.vectors.works else None
+        limit = transmissions_limit(routers, factor)
+        return self._targets.pack_loads(limit_bytes, limit, now_s, among)
 
     def _vector(self, record: RouterRecord | None, now_s: float) -> bytes:
         """Return the load vector for a router of this or a near failure domain."""
@@ -261,9 +266,15 @@
         if not near:
             limit_bytes = min(limit_bytes, parameters.foreign_probe_bytes)
         if not self.vectors.works:
-            # Only a sample, by which the peers learn whether their lists are alike.
+            # Only a sample now and then, by which peers learn whether their lists are alike.
+            self._sample_turn += 1
+            if self._sample_turn % parameters.messages_per_sample:
+                return b""
             limit_bytes = min(limit_bytes, parameters.sample_vector_bytes)
         limit_bytes = min(limit_bytes, parameters.vector_limit_bytes)
+        # An answer that is too large for this second comes too late for its probe.
+        room_bytes = max(self.room_bytes, parameters.sample_vector_bytes)
+        limit_bytes = min(limit_bytes, room_bytes)
         return self.vectors.pack(limit_bytes, parameters.renewal_sends, now_s)
 
     def _notes(self, record: RouterRecord | None, now_s: float) -> bytes:
@@ -272,14 +283,28 @@
             return b""
         parameters = self._parameters
         limit_bytes = int(parameters.notes_share * parameters.control_bytes_per_s)
-        return self.spills.pack(
-            min(limit_bytes, parameters.notes_limit_bytes), self._note_sends(), now_s
-        )
+        limit_bytes = min(limit_bytes, parameters.notes_limit_bytes, self.room_bytes // 4)
+        return self.spills.pack(limit_bytes, self._note_sends(), now_s)
+
+    def flood_notes(self, now_s: float) -> list[Send]:
+        """Return a datagram of spill notes, when many wait and there is much room."""
+        parameters = self._parameters
+        limit_bytes = min(self.room_bytes - _NOTES_RESERVE_BYTES, _NOTES_DATAGRAM_BYTES)
+        peers = self._near_peers()[:1]
+        many = parameters.notes_limit_bytes // NOTE_BYTES
+        if not peers or limit_bytes < _SMALLEST_NEWS_BYTES:
+            return []
+        if self.spills.waiting(self._note_sends()) < many:
+            return []
+        notes = self.spills.pack(limit_bytes, self._note_sends(), now_s)
+        self.room_bytes -= len(notes) + _HEADER_BYTES
+        address = self._routers.get(peers[0]).address
+        return [Send(peers[0], address, News(spills=notes), Urgency.ROUTINE)]
 
     def _note_sends(self) -> int:
         """Return how often this router passes a note on."""
         routers = sum(len(self._routers.ring(domain)) for domain in self._near_domains)
-        sends = transmissions_limit(routers, self._parameters.rumour_transmissions_factor)
+        sends = transmissions_limit(routers, self._parameters.note_transmissions_factor)
         return sends + 2 * (len(self._near_domains) - 1)
 
     def _overdue(self, now_s: float) -> bytes:
--- a/packages/decisions/src/damaskwind/decisions/membership/load_vector.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/load_vector.py
@@ -121,7 +121,7 @@
     >>> layout = layout_of([5, 9])
     >>> vector = encode_vector(layout, {9: VectorLoad(9, 640, 0.3)}, {})
     >>> len(vector), decode_vector(layout, vector)
-    (8, ([VectorLoad(key=9, load_tokens=629, age_s=0.3)], [], 1.0))
+    (8, ([VectorLoad(key=9, load_tokens=629, age_s=0.3)], [], []))
     """
     head = bytearray([len(layout.groups).bit_length() - 1])
     word, bits = 0, 0
@@ -152,13 +152,14 @@
 
 def decode_vector(
     layout: Layout, vector: bytes
-) -> tuple[list[VectorLoad], list[VectorRenewal], float]:
+) -> tuple[list[VectorLoad], list[VectorRenewal], list[int]]:
     """Return the loads and renewals of the groups that both sides hold alike.
 
-    The last value is the share of groups alike; a vector of another number of
-    groups, or a cut one, gives nothing.
+    The last list has the groups that are unlike; a vector of another number of
+    groups, or a cut one, gives nothing and is unlike in all.
     """
-    nothing: tuple[list[VectorLoad], list[VectorRenewal], float] = ([], [], 0.0)
+    nothing: tuple[list[VectorLoad], list[VectorRenewal], list[int]] = ([], [], [])
+    nothing[2].extend(range(len(layout.groups)))
     if not vector or vector[0] != len(layout.groups).bit_length() - 1:
         return nothing
     groups, start = _read_heads(layout, vector)
@@ -182,7 +183,7 @@
             if group.matches:
                 sequence, age_s = field >> _AGE_BITS, AGES_S[field & _AGE_MASK]
                 renewals.append(VectorRenewal(keys[place], sequence, age_s))
-    return loads, renewals, sum(group.matches for group in groups) / len(groups)
+    return loads, renewals, [i for i, group in enumerate(groups) if not group.matches]
 
 
 def _read_heads(layout: Layout, vector: bytes) -> tuple[list[_Group], int]:
--- a/packages/decisions/src/damaskwind/decisions/membership/parameters.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/parameters.py
@@ -22,7 +22,8 @@
     longest one, and later none before `gaps_per_lease` times the
     mean gap between the renewals that it hears: a lease must not judge targets
     by the state of the gossip. `overdue_share` of a lease without a renewal
-    makes a router ask its peers.
+    makes a router ask its peers. Announcements may take `announcement_share` of the
+    budget, in larger domains, where loads ride on answers, `large_announcement_share`.
     """
 
     control_bytes_per_s: int = 4096
@@ -37,12 +38,13 @@
     spare_probe_bytes: int = 250
     spare_room_bytes: int = 500
     carried_bytes: int = 110
-    vector_share: float = 0.08
+    vector_share: float = 0.1
     vector_limit_bytes: int = 520
     sample_vector_bytes: int = 130
-    renewal_sends: int = 3
-    stray_loads_bytes: int = 48
-    notes_share: float = 0.03
+    messages_per_sample: int = 4
+    renewal_sends: int = 5
+    stray_loads_bytes: int = 120
+    notes_share: float = 0.025
     notes_limit_bytes: int = 240
     foreign_probe_bytes: int = 240
     introductions: int = 6
@@ -50,6 +52,7 @@
     news_bytes: int = 500
     load_transmissions_factor: float = 0.7
     rumour_transmissions_factor: float = 1.0
+    note_transmissions_factor: float = 0.7
     overdue_share: float = 0.5
     overdue_limit: int = 12
     rounds_per_lost_probe: int = 5
@@ -57,3 +60,4 @@
     small_domain_members: int = 20
     gaps_per_lease: float = 3.5
     announcement_share: float = 0.16
+    large_announcement_share: float = 0.1
--- a/packages/decisions/src/damaskwind/decisions/membership/targets.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/targets.py
@@ -64,6 +64,7 @@
         self.renewal_gap_s = 0.0
         self.held: dict[str, HeldTarget] = {}
         self.members_version = 0
+        self.loads_by_vector = False
         self._digests = digests
         self.tombstones = TombstoneTable()
         self.by_load_key: dict[int, str] = {}
@@ -281,6 +282,9 @@
         step = sequence_step(held.record.renewed_sequence, low_bits)
         if step:
             self._renew(held, held.record.renewed_sequence + step, renewed_at_s)
+        else:
+            # Whoever sent it knows it already: it needs passing on once less.
+            held.transmissions += held.record.renewed_sequence % 16 == low_bits
         return step > 0
 
     def _merge_load(self, held: HeldTarget, entry: PackedLoad, heard_at_s: float) -> bool:
@@ -288,12 +292,8 @@
         record = held.record
         if entry.observed:
             return self._set_load(held, entry.load_tokens, heard_at_s, True)
-        step = sequence_step(record.renewed_sequence, entry.sequence)
-        if not step:
-            # Whoever sent it knows it already: it needs passing on once less.
-            held.transmissions += record.renewed_sequence % 16 == entry.sequence
+        if not self.hear_renewal(record.target_id, entry.sequence, heard_at_s):
             return False
-        self._renew(held, record.renewed_sequence + step, heard_at_s)
         return self._set_load(held, entry.load_tokens, heard_at_s - record.load_lag_s, False)
 
     def refresh_by_key(self, key: int) -> None:
@@ -304,13 +304,17 @@
             held.transmissions = 0
             self._freshen(held.record)
 
-    def pack_loads(self, limit_bytes: int, max_transmissions: int, now_s: float) -> bytes:
-        """Return the loads that were passed on least, the freshest of them first.
-
-        Those of other domains fill what room the own domain leaves.
-        """
+    def pack_loads(
+        self,
+        limit_bytes: int,
+        max_transmissions: int,
+        now_s: float,
+        among: set[str] | None = None,
+    ) -> bytes:
+        """Return the loads passed on least, the freshest first, then other domains'."""
         entries = max(limit_bytes // ENTRY_BYTES, 0)
-        chosen = sorted(self._fresh_near, key=self._load_order)[:entries]
+        fresh = self._fresh_near if among is None else among.intersection(self._fresh_near)
+        chosen = sorted(fresh, key=self._load_order)[:entries]
         chosen += islice(self._fresh_far, entries - len(chosen))
         return b"".join(self._pack(target_id, max_transmissions, now_s) for target_id in chosen)
 
@@ -369,8 +373,9 @@
         held.record = held.record._replace(load_tokens=load_tokens)
         held.measured_at_s = measured_at_s
         held.observed = observed
-        held.transmissions = min(held.transmissions, 1)
-        self._freshen(held.record)
+        if not (observed and self.loads_by_vector):
+            held.transmissions = min(held.transmissions, 1)
+            self._freshen(held.record)
         return True
 
     # Views
@@ -384,9 +389,8 @@
 
     def load_report(self, target_id: str, now_s: float) -> LoadReport:
         """Return the load of a held target with its age."""
-        held = self.held[target_id]
-        age_s = max(now_s - held.measured_at_s, 0.0)
-        return LoadReport(held.record.load_tokens, held.record.capacity_tokens, 0, 0, age_s)
+        view = self.view(target_id, now_s)
+        return LoadReport(int(view.load_tokens), view.capacity_tokens, 0, 0, view.report_age_s)
 
     def view(self, target_id: str, now_s: float) -> TargetView:
         """Return a held target as the placement wants it."""
--- a/packages/decisions/src/damaskwind/decisions/membership/vector_exchange.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/vector_exchange.py
@@ -21,10 +21,11 @@
 
 __all__ = ["VectorExchange"]
 
-RENEWALS_SHARE = 0.2
+RENEWALS_SHARE = 0.25
 MAX_LOAD_AGE_S = 6.0
 ALIKE_WEIGHT = 0.2
-ALIKE_ENOUGH = 0.5
+UNLIKE_FOR_S = 4.0
+ALIKE_ENOUGH = 0.75
 FRESHER_BY_S = 0.2
 
 
@@ -37,7 +38,7 @@
         self._domains = domains
         self._layout: Layout | None = None
         self._members_version = -1
-        self._sends: dict[int, tuple[int, int]] = {}
+        self._unlike_until_s: dict[int, float] = {}
 
     @property
     def works(self) -> bool:
@@ -59,8 +60,13 @@
         """Take a vector; return the targets whose load is fresher now."""
         if not vector:
             return []
-        loads, renewals, alike = decode_vector(self._layout_now(), vector)
+        layout = self._layout_now()
+        loads, renewals, unlike = decode_vector(layout, vector)
+        alike = 1.0 - len(unlike) / len(layout.groups)
         self.alike_share += ALIKE_WEIGHT * (alike - self.alike_share)
+        self._targets.loads_by_vector = self.works
+        for group in unlike:
+            self._unlike_until_s[group] = now_s + UNLIKE_FOR_S
         for renewal in renewals:
             self._merge_renewal(renewal, now_s)
         return [load_id for load in loads for load_id in self._merge_load(load, now_s)]
@@ -77,13 +83,8 @@
     def _merge_renewal(self, renewal: VectorRenewal, now_s: float) -> None:
         """Take one renewal; a known one needs passing on once less."""
         target_id = self._targets.by_load_key.get(renewal.key)
-        if target_id is None or renewal.age_s >= MAX_VECTOR_AGE_S:
-            return
-        if self._targets.hear_renewal(target_id, renewal.sequence, now_s - renewal.age_s):
-            return
-        sequence, sends = self._sends.get(renewal.key, (-1, 0))
-        if sequence & 15 == renewal.sequence:
-            self._sends[renewal.key] = (sequence, sends + 1)
+        if target_id is not None and renewal.age_s < MAX_VECTOR_AGE_S:
+            self._targets.hear_renewal(target_id, renewal.sequence, now_s - renewal.age_s)
 
     def _layout_now(self) -> Layout:
         """Return the layout of the targets held now."""
@@ -92,7 +93,6 @@
             held = self._targets.held.values()
             keys = [t.load_key for t in held if t.record.failure_domain in self._domains]
             self._layout = layout_of(keys)
-            self._sends = {key: self._sends[key] for key in keys if key in self._sends}
         return self._layout
 
     def _loads(self, count: int, now_s: float) -> dict[int, VectorLoad]:
@@ -108,17 +108,24 @@
     def _renewals(self, count: int, max_sends: int, now_s: float) -> dict[int, VectorRenewal]:
         """Return the renewals passed on least by key, and count that they were."""
         found = []
-        for target in self._targets.held.values():
+        for target_id, target in self._targets.held.items():
             age_s = now_s - target.renewed_at_s
-            if age_s >= MAX_VECTOR_AGE_S or target.record.failure_domain not in self._domains:
-                continue
-            sequence, sends = self._sends.get(target.load_key, (-1, 0))
-            if sequence != target.record.renewed_sequence:
-                sends = 0
-            if sends < max_sends:
-                found.append((sends, age_s, target.load_key, target.record.renewed_sequence))
+            near = target.record.failure_domain in self._domains
+            if near and age_s < MAX_VECTOR_AGE_S and target.transmissions < max_sends:
+                found.append((target.transmissions, age_s, target_id))
         found.sort()
-        chosen = found[: max(count, 0)]
-        for sends, _, key, sequence in chosen:
-            self._sends[key] = (sequence, sends + 1)
-        return {key: VectorRenewal(key, sequence, age) for _, age, key, sequence in chosen}
+        chosen = {}
+        for _, age_s, target_id in found[: max(count, 0)]:
+            target = self._targets.held[target_id]
+            target.transmissions += 1
+            sequence = target.record.renewed_sequence
+            chosen[target.load_key] = VectorRenewal(target.load_key, sequence, age_s)
+        return chosen
+
+    def strays(self, now_s: float) -> set[str]:
+        """Return the targets that a vector does not reach: peers hold their group otherwise."""
+        layout = self._layout_now()
+        unlike = [group for group, until_s in self._unlike_until_s.items() if until_s > now_s]
+        named = self._targets.by_load_key
+        groups = [layout.groups[group] for group in unlike if group < len(layout.groups)]
+        return {named[key] for group in groups for key in group if key in named}
--- a/packages/router/src/damaskwind/router/fleet_links.py
+++ b/packages/router/src/damaskwind/router/fleet_links.py
@@ -15,6 +15,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.router.claims.client import ClaimsClient
 from damaskwind.router.configuration.follower import ConfigurationFollower
+from damaskwind.router.failure_domains import near_failure_domains
 from damaskwind.router.membership.service import MembershipService, MembershipSettings
 from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.settings import Settings, parse_address
@@ -42,6 +43,7 @@
             self.peer_address,
             tuple(parse_address(seed) for seed in router.seeds),
             router.control_bytes_per_s,
+            near_failure_domains(settings),
         )
         self.membership = MembershipService(membership, reactor, random)
         self.follower = ConfigurationFollower(
