Measure: where first tokens go, control traffic after the start, tests

The slowest one in twenty first tokens are cut into the parts that the routers' records show: limit, placement, queue, retries, sockets and loops, way back. The control promise stays as strict; beside the highest second since the start stand its value before the run, the highest second between polls and the highest ten seconds. Work at a leaving engine names when a router took the leave. The test run finds modules under benchmarks/ too.

--- a/benchmarks/measuring/control_traffic.py
+++ b/benchmarks/measuring/control_traffic.py
@@ -9,9 +9,10 @@
 
 from benchmarks.measuring.deployment import Deployment, ask
 
-__all__ = ["RouterUse", "TrafficWatch"]
+__all__ = ["ControlPoint", "RouterUse", "TrafficWatch", "highest_rate"]
 
 INTERVAL_S = 1.0
+LONG_SPAN_S = 10.0
 _METRIC = re.compile(r"^damaskwind_(control_\w+)(\{.*\})? ([0-9.e+-]+)$")
 _BYTES = "control_bytes_total"
 _HIGHEST = "control_highest_second_bytes"
@@ -19,16 +20,24 @@
 
 
 class RouterUse(NamedTuple):
-    """What one router used over a run; control figures are `None` when it shows none."""
+    """What one router used over a run; control figures are `None` when it shows none.
+
+    `highest_second_bytes` is the router's own figure and counts from its start;
+    `before_run_bytes` is what it was when the run began. The other two are read
+    between polls of this run, so they leave the start out.
+    """
 
     router: str
     mean_bytes_per_s: float | None
     highest_second_bytes: float | None
     cpu_share: float
     memory_bytes: int
+    before_run_bytes: float | None = None
+    highest_polled_second_bytes: float | None = None
+    highest_ten_seconds_bytes_per_s: float | None = None
 
 
-class _Point(NamedTuple):
+class ControlPoint(NamedTuple):
     """The bytes of one router up to a time."""
 
     time_s: float
@@ -56,12 +65,29 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
+def highest_rate(points: list[ControlPoint], span_s: float) -> float | None:
+    """Return the most bytes a second over any stretch of polls of `span_s` or a little more.
+
+    >>> highest_rate([ControlPoint(0, 0, 0), ControlPoint(1, 10, 0), ControlPoint(2, 90, 0)], 2.0)
+    45.0
+    """
+    rates = []
+    first = 0
+    for last, point in enumerate(points):
+        while first + 1 < last and point.time_s - points[first + 1].time_s >= span_s:
+            first += 1
+        lasted_s = point.time_s - points[first].time_s
+        if lasted_s >= span_s:
+            rates.append((point.total_bytes - points[first].total_bytes) / lasted_s)
+    return max(rates, default=None)
+
+
 class TrafficWatch:
     """Poll the metrics of all routers once a second."""
 
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
-        self._points: dict[str, list[_Point]] = {}
+        self._points: dict[str, list[ControlPoint]] = {}
         self._cpu_from_s: dict[str, float] = {}
         self._started_s = time.monotonic()
         self._task: asyncio.Task | None = None
@@ -109,9 +135,18 @@
         span_s = points[-1].time_s - points[0].time_s
         mean = (points[-1].total_bytes - points[0].total_bytes) / span_s
         highest = points[-1].highest_second_bytes
-        return RouterUse(router.name, mean, highest, cpu_share, memory_bytes)
-
-
-def _point(counters: dict[str, float]) -> _Point:
+        return RouterUse(
+            router.name,
+            mean,
+            highest,
+            cpu_share,
+            memory_bytes,
+            points[0].highest_second_bytes,
+            highest_rate(points, INTERVAL_S),
+            highest_rate(points, LONG_SPAN_S),
+        )
+
+
+def _point(counters: dict[str, float]) -> ControlPoint:
     """Return a point from the counters of one page."""
-    return _Point(time.monotonic(), counters[_BYTES], counters.get(_HIGHEST, 0.0))
+    return ControlPoint(time.monotonic(), counters[_BYTES], counters.get(_HIGHEST, 0.0))
--- a/benchmarks/measuring/deployment.py
+++ b/benchmarks/measuring/deployment.py
@@ -291,6 +291,12 @@
                 return False
         return True
 
+    async def explain(self, request_id: str) -> dict[str, Any] | None:
+        """Return the record of a request from the router that its id names."""
+        path = f"/operator/v1/requests/{request_id}"
+        answer = await ask("GET", f"{self.addresses()[0]}{path}", key=self.operator_key)
+        return answer if "choices" in answer else None
+
     async def fleet_ask(self, method: str, path: str, body: Any = None) -> Any:
         """Make a call to the control address of the stand-ins."""
         return await ask(method, f"{self.fleet.ready['control_address']}{path}", body)
--- a/benchmarks/measuring/driver.py
+++ b/benchmarks/measuring/driver.py
@@ -12,6 +12,7 @@
 
 from benchmarks.measuring.calendar_load import Call, Turn
 from benchmarks.measuring.delays import DelayHistogram
+from benchmarks.measuring.first_token import FirstToken
 from damaskwind.model.prefix import ModelName
 from damaskwind.runtime.bridge import to_future
 
@@ -57,6 +58,7 @@
         self._driver = driver
         self._rest = b""
         self._last: tuple[float, float] | None = None
+        self.first: tuple[float, float] | None = None
         self.text: list[str] = []
         self.is_done = False
         self.error: dict[str, Any] = {}
@@ -94,8 +96,8 @@
             return
         made_s = timing["made_s"]
         if self._last is None:
-            added_s = (timing["received_s"] - self._asked_s) + (got_s - made_s)
-            self._driver.first_token.record(added_s)
+            self.first = (timing["received_s"] - self._asked_s, got_s - made_s)
+            self._driver.first_token.record(sum(self.first))
         else:
             last_got_s, last_made_s = self._last
             self._driver.between_tokens.record((got_s - last_got_s) - (made_s - last_made_s))
@@ -130,6 +132,7 @@
         self._chats: dict[int, asyncio.Future] = {}
         self.first_token = DelayHistogram()
         self.between_tokens = DelayHistogram()
+        self.firsts: list[FirstToken] = []
         self.turns: list[TurnOutcome] = []
         self.calls: list[CallOutcome] = []
 
@@ -183,7 +186,11 @@
                 await to_future(treq.collect(response, stream.take))
         except Exception as error:
             return _ended_turn(turn, "", 0, stream, repr(error))
-        return _ended_turn(turn, _header(response, "x-request-id"), 200, stream, "")
+        request_id = _header(response, "x-request-id")
+        if stream.first is not None:
+            before_s, back_s = stream.first
+            self.firsts.append(FirstToken(request_id, before_s * 1000, back_s * 1000))
+        return _ended_turn(turn, request_id, 200, stream, "")
 
     async def _run_call(self, call: Call) -> None:
         """Send one call of a plain service."""
--- a/benchmarks/measuring/promises.py
+++ b/benchmarks/measuring/promises.py
@@ -92,7 +92,11 @@
         for fault in _call_faults(outcome, keys[outcome.call.key], seed, service_root):
             found.setdefault(fault, []).append(name)
     for target, oracle in oracles.items():
-        late = [f"{target} from {name} after {at_s} s" for name, at_s in oracle["late"].items()]
+        taken_s = oracle.get("leave_taken_after_s")
+        late = [
+            f"{target} from {name} after {at_s} s; a router took the leave after {taken_s} s"
+            for name, at_s in oracle["late"].items()
+        ]
         found.setdefault("new work at a target that is leaving", []).extend(late)
     return [
         Breach(promise, len(names), tuple(names[:_EXAMPLES_SHOWN]))
--- a/benchmarks/measuring/report.py
+++ b/benchmarks/measuring/report.py
@@ -17,10 +17,10 @@
 _STEADY = ("quiet", "workshop", "deadline")
 
 
-def _highest(routers: list[RouterUse]) -> float | None:
-    """Return the highest second of any router, `None` when none shows it."""
-    shown = [use.highest_second_bytes for use in routers if use.highest_second_bytes is not None]
-    return max(shown, default=None)
+def _highest(routers: list[RouterUse], field: str = "highest_second_bytes") -> float | None:
+    """Return the highest figure of any router, `None` when none shows it."""
+    shown = [getattr(use, field) for use in routers if getattr(use, field) is not None]
+    return round(max(shown), 1) if shown else None
 
 
 def _mean(routers: list[RouterUse]) -> float | None:
@@ -49,8 +49,17 @@
         "skew: share of samples over that": skew.share_over_bound,
         "skew: worst account": max(skew.worst_ratio_by_account.values(), default=0.0),
         "control bytes/s, busiest router, mean": _mean(run.routers),
-        "control bytes/s, busiest router, highest second": _highest(run.routers),
+        "control bytes/s, highest second since start": _highest(run.routers),
+        "the same, before this run": _highest(run.routers, "before_run_bytes"),
+        "the same, between polls of this run": _highest(run.routers, "highest_polled_second_bytes"),
+        "control bytes/s, highest ten seconds of this run": _highest(
+            run.routers, "highest_ten_seconds_bytes_per_s"
+        ),
         "first token, ms, 50/95/99": _percentiles(run.first_token_ms),
+        **{
+            f"slowest 1 in 20: {part.part}": f"{part.share:.0%} {part.mean_ms:g} ms {part.requests}"
+            for part in run.slow_first_tokens
+        },
         "first token without router, ms": _percentiles(run.direct_first_token_ms),
         "between tokens added, ms, 50/95/99": _percentiles(run.between_tokens_ms),
         "between tokens without router, ms": _percentiles(run.direct_between_tokens_ms),
--- a/benchmarks/measuring/run.py
+++ b/benchmarks/measuring/run.py
@@ -18,6 +18,7 @@
 from benchmarks.measuring.deployment import Deployment
 from benchmarks.measuring.driver import Driver
 from benchmarks.measuring.figures import SkewFigures, reuse_by_phase, skew_figures
+from benchmarks.measuring.first_token import SlowShare, slowest, slowest_by_part
 from benchmarks.measuring.promises import Breach, count_ends, find_breaches
 
 __all__ = ["FAULTS", "RunFigures", "run_policies"]
@@ -45,6 +46,7 @@
     routers: list[RouterUse]
     first_token_ms: dict[str, float]
     between_tokens_ms: dict[str, float]
+    slow_first_tokens: list[SlowShare]
     direct_first_token_ms: dict[str, float]
     direct_between_tokens_ms: dict[str, float]
     ends: dict[str, int]
@@ -64,6 +66,7 @@
     control_series: dict[str, list[tuple[float, float]]]
     oracles: dict[str, Any]
     samples: list[dict[str, Any]]
+    records: dict[str, dict[str, Any]]
 
 
 async def _apply_churn(
@@ -161,7 +164,18 @@
     oracles = await deployment.fleet_ask("GET", "/oracle")
     samples = await deployment.fleet_ask("GET", "/samples")
     during = [sample for sample in samples if sample["time_s"] >= started_s]
-    return _Observed(started_s, driver, direct, events, routers, series, oracles, during)
+    records = await _explain_slow(deployment, driver)
+    return _Observed(started_s, driver, direct, events, routers, series, oracles, during, records)
+
+
+async def _explain_slow(deployment: Deployment, driver: Driver) -> dict[str, dict[str, Any]]:
+    """Return the routers' records of the requests whose first token came slowest."""
+    records = {}
+    for first in slowest(driver.firsts):
+        record = await deployment.explain(first.request_id)
+        if record is not None:
+            records[first.request_id] = record
+    return records
 
 
 def _figures(
@@ -191,6 +205,7 @@
         routers=seen.routers,
         first_token_ms=driver.first_token.percentiles_ms(),
         between_tokens_ms=driver.between_tokens.percentiles_ms(),
+        slow_first_tokens=slowest_by_part(driver.firsts, seen.records),
         direct_first_token_ms=direct.first_token.percentiles_ms(),
         direct_between_tokens_ms=direct.between_tokens.percentiles_ms(),
         ends=count_ends(driver.turns, driver.calls),
--- a/packages/standins/src/damaskwind/standins/announcing.py
+++ b/packages/standins/src/damaskwind/standins/announcing.py
@@ -70,6 +70,7 @@
         self.models = template.models
         self.accepted = 0
         self.said: TargetState | None = None
+        self.said_leaving_s: float | None = None
         agent = Agent(reactor, pool=HTTPConnectionPool(reactor, persistent=False))
         self._client = HTTPClient(agent)
 
@@ -90,6 +91,7 @@
         """Begin again as the next incarnation."""
         self.incarnation += 1
         self._sequence = 0
+        self.said_leaving_s = None
         self.state = TargetState.SERVING
         self.start(address)
 
@@ -155,6 +157,8 @@
             if taken:
                 self.accepted += 1
                 self.said = posted.state
+                if self.said is TargetState.LEAVING and self.said_leaving_s is None:
+                    self.said_leaving_s = self._reactor.seconds()
                 return
 
     @inlineCallbacks
--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -164,6 +164,12 @@
         """Tell whether the engine is up and not leaving."""
         return self._listener.is_open and self._leaving_since_s == float("inf")
 
+    @property
+    def leave_taken_after_s(self) -> float | None:
+        """Return how long after the leave began a router had taken it, `None` when none has."""
+        taken_s = self.announcer.said_leaving_s
+        return None if taken_s is None else round(taken_s - self._leaving_since_s, 3)
+
     @property
     def is_idle(self) -> bool:
         """Tell whether nothing is in hand."""
--- a/packages/standins/src/damaskwind/standins/target_fleet.py
+++ b/packages/standins/src/damaskwind/standins/target_fleet.py
@@ -115,6 +115,8 @@
     def _oracles(self, request: Any) -> bytes:
         """Return the counts of every target."""
         snapshots = {name: target.oracle.snapshot() for name, target in self.targets.items()}
+        for name, target in self.targets.items():
+            snapshots[name]["leave_taken_after_s"] = getattr(target, "leave_taken_after_s", None)
         return answer_json(request, snapshots)
 
     def _shown_samples(self, request: Any) -> bytes:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,6 +5,7 @@
 trial's own summary. Doctests of the pure packages run as one more job.
 """
 
+import os
 import re
 import subprocess
 import sys
@@ -19,6 +20,7 @@
 MODULE_TIMEOUT_S = 280
 SUMMARY = re.compile(r"^(PASSED|FAILED)(?: \((.*)\))?$", re.MULTILINE)
 RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
+TEST_PATTERNS = ("packages/*/src/**/tests/test_*.py", "benchmarks/**/tests/test_*.py")
 DOCTEST_PACKAGES = ("model", "decisions")
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
@@ -34,9 +36,22 @@
 
 
 def module_name(path: Path) -> str:
-    """Return the dotted name of the module at `path` below a `src` folder."""
-    parts = path.with_suffix("").parts
-    return ".".join(parts[parts.index("src") + 1 :])
+    """Return the dotted name of the module at `path`, below a `src` folder or the root."""
+    if path.is_relative_to(ROOT / "packages"):
+        parts = path.with_suffix("").parts
+        return ".".join(parts[parts.index("src") + 1 :])
+    return ".".join(path.relative_to(ROOT).with_suffix("").parts)
+
+
+def test_paths() -> list[Path]:
+    """Return every test module of the packages and of the benchmarks."""
+    return sorted(path for pattern in TEST_PATTERNS for path in ROOT.glob(pattern))
+
+
+def environment() -> dict[str, str]:
+    """Return the environment of a test module: the benchmarks are no installed package."""
+    paths = [str(ROOT), os.environ.get("PYTHONPATH", "")]
+    return {**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, paths))}
 
 
 def run_module(name: str) -> ModuleResult:
@@ -47,7 +62,12 @@
         command += ["--temp-directory", f"{folder}/trial", name]
         try:
             done = subprocess.run(
-                command, cwd=folder, capture_output=True, text=True, timeout=MODULE_TIMEOUT_S
+                command,
+                cwd=folder,
+                env=environment(),
+                capture_output=True,
+                text=True,
+                timeout=MODULE_TIMEOUT_S,
             )
             output = done.stdout + done.stderr
             exit_code = done.returncode
@@ -109,8 +129,7 @@
 def main() -> int:
     """Run what was asked for, or everything, and print the count last."""
     wanted = sys.argv[1:]
-    paths = sorted(ROOT.glob("packages/*/src/**/tests/test_*.py"))
-    names = [module_name(path) for path in paths]
+    names = [module_name(path) for path in test_paths()]
     if wanted:
         names = [name for name in names if any(part in name for part in wanted)]
     with ThreadPoolExecutor(WORKERS) as pool:
