Router: one deadline timer per caller's request; proof that a stalled upload ends

Cause: each request made one timer for its headers and another for its body, and a timer that had fired was still held, so that a late piece of an upload reset it and raised. Change: the timer is moved on in place; it is forgotten when it fires.

--- a/packages/router/src/damaskwind/router/caller_request.py
+++ b/packages/router/src/damaskwind/router/caller_request.py
@@ -50,8 +50,11 @@
         self._start_timer(limits.header_timeout_s)
 
     def _start_timer(self, timeout_s: float) -> None:
-        """Give the caller some seconds for what comes next."""
-        self._timer = self.channel.callLater(timeout_s, self._time_out)
+        """Give the caller some seconds for what comes next, counted from now."""
+        if self._timer is None:
+            self._timer = self.channel.callLater(timeout_s, self._time_out)
+        else:
+            self._timer.reset(timeout_s)
 
     def _stop_timer(self) -> None:
         """Let the caller be: it has sent what was waited for."""
@@ -61,6 +64,7 @@
 
     def _time_out(self) -> None:
         """Tell a slow caller so and drop its connection."""
+        self._timer = None
         if self.startedWriting or self.upload is not None:
             self.channel.loseConnection()
             return
@@ -81,7 +85,6 @@
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Note that the headers are complete; from here the body's time runs."""
-        self._stop_timer()
         self._start_timer(self.limits.body_timeout_s)
         line = self.channel.request_line
         is_large = length is None or length > BUFFERED_BYTES
@@ -98,7 +101,7 @@
         """Keep a piece of the body, pass it on, or drop it when the body is too large."""
         if self.upload is not None:
             if self._timer is not None:
-                self._timer.reset(self.limits.body_timeout_s)
+                self._start_timer(self.limits.body_timeout_s)
             self.upload.receive(data)
             return
         self._received_bytes += len(data)
@@ -152,6 +155,5 @@
         """Read from the caller again."""
         if self.channel is None or self.channel.transport is None or self.upload.complete:
             return
-        self._stop_timer()
         self._start_timer(self.limits.body_timeout_s)
         self.channel.transport.resumeProducing()
--- a/packages/router/src/damaskwind/router/tests/test_front.py
+++ b/packages/router/src/damaskwind/router/tests/test_front.py
@@ -20,6 +20,7 @@
 )
 from damaskwind.runtime.bridge import asyncio_test, to_future
 
+AUTHORIZATION = f"authorization: Bearer {ACCOUNT_KEY}"
 MESSAGES = [{"role": "user", "content": "which laptops are due?"}]
 
 
@@ -41,7 +42,7 @@
     """Return a whole chat request as bytes."""
     fields = {"model": "damask", "messages": MESSAGES, "max_tokens": max_tokens, "stream": stream}
     body = json.dumps(fields).encode()
-    head = f"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {ACCOUNT_KEY}"
+    head = f"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n{AUTHORIZATION}"
     return f"{head}\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
 
 
@@ -83,6 +84,33 @@
             self.assertIn(b"x-verdict: not-run", caller.received.lower())
         self.assertEqual(bench.engines[0].oracle.events["run"], 0)
 
+    @asyncio_test
+    async def test_upload_that_stalls_is_cut_and_may_have_run(self):
+        bench = await self.bench(services=1, body_timeout_s=0.3)
+        caller = await self.raw_caller(bench)
+        head = f"POST /services/edge-api/migrate HTTP/1.1\r\nhost: x\r\n{AUTHORIZATION}\r\n"
+        caller.transport.write(f"{head}content-length: 200000\r\n\r\n".encode() + b"m" * 90_000)
+        await bench.until(lambda: bench.router.gateway.in_progress == 1)
+        (record,) = bench.router.explain._records.values()
+        await to_future(caller.lost)
+        await bench.until(lambda: bench.router.gateway.in_progress == 0)
+        self.assertFalse(bench.router.placing.in_flight)
+        self.assertEqual(record.ended["verdict"], "may-have-run")
+        self.assertNotIn(b"HTTP/1.1 200", caller.received)
+        self.assertEqual(bench.services[0].oracle.events["run"], 0)
+
+    @asyncio_test
+    async def test_upload_that_keeps_coming_outlives_the_stall_limit(self):
+        bench = await self.bench(services=1, body_timeout_s=1.0)
+        caller = await self.raw_caller(bench)
+        head = f"POST /services/edge-api/migrate HTTP/1.1\r\nhost: x\r\n{AUTHORIZATION}\r\n"
+        caller.transport.write(f"{head}content-length: 75000\r\n\r\n".encode() + b"m" * 63_000)
+        for _ in range(12):
+            await asyncio.sleep(0.1)
+            caller.transport.write(b"m" * 1000)
+        await bench.until(lambda: b"HTTP/1.1 200" in caller.received)
+        self.assertEqual(bench.services[0].oracle.events["run"], 1)
+
     @asyncio_test
     async def test_caller_that_does_not_read_is_dropped(self):
         fields = {"token_interval_s": 0.0001, "default_answer_tokens": 100_000}
