Idempotency keys: a resend whose answer is not kept is told that the first one ran

Cause: the 409 for a key whose answer was over 4 KiB had the verdict 'ran' but said only to which request the key belongs. Change: its message says that the first request ran and this one did not, with the first one's id, status and body digest, and the command that shows it.

--- a/packages/router/src/damaskwind/router/idempotency.py
+++ b/packages/router/src/damaskwind/router/idempotency.py
@@ -35,6 +35,21 @@
 Serve = Callable[[Arrival], Awaitable[bytes | None]]
 
 
+def _refusal_of(outcome: ClaimOutcome) -> Refusal:
+    """Return why a request isn't run; say it plainly when the first one with its key ran."""
+    refusal = outcome.refusal
+    if outcome.kind is not ClaimKind.IN_USE or refusal.verdict is not Verdict.RAN:
+        return refusal
+    first_id = outcome.accepted.value.request_id
+    detail = f"the first request with this key ran, so this one was not run: request {first_id}"
+    answer = outcome.answer
+    if answer is not None:
+        detail += f" was answered with status {answer.http_status}; its body, BLAKE2b"
+        detail += f" {answer.body_digest}, is not kept for a resend"
+    detail += f"; an operator sees its outcome with 'damaskwind explain {first_id}'"
+    return refusal._replace(detail=detail)
+
+
 class _Capture:
     """Keep what is written to a caller, up to a bound, with the digest of all of it."""
 
@@ -81,7 +96,7 @@
         if outcome.kind is ClaimKind.DONE:
             return self._replay(arrival, outcome.answer)
         if outcome.kind is not ClaimKind.GRANTED:
-            raise RefusedError(outcome.refusal)
+            raise RefusedError(_refusal_of(outcome))
         return await self._run_claimed(arrival, serve, outcome.accepted)
 
     async def settle(self) -> None:
--- a/packages/router/src/damaskwind/router/tests/test_fleet.py
+++ b/packages/router/src/damaskwind/router/tests/test_fleet.py
@@ -40,8 +40,8 @@
         )
         return response, await to_future(response.content())
 
-    async def migrate(self, router, key, body=b"theme"):
-        path = "/services/edge-api/migrate"
+    async def migrate(self, router, key, body=b"theme", query=""):
+        path = f"/services/edge-api/migrate{query}"
         headers = {"idempotency-key": key}
         return await self.ask(router, "POST", path, headers=headers, data=body)
 
@@ -87,6 +87,19 @@
         resent, _ = await self.migrate(1, "k3")
         self.assertEqual((resent.code, oracle.runs_by_key["k3"]), (200, 1))
 
+        large, _ = await self.migrate(0, "k5", query="?size_bytes=9000")
+        self.assertEqual((large.code, self.verdict(large)), (200, "ran"))
+        await to_future(ensureDeferred(bench.router.idempotency.settle()))
+        resent, body = await self.migrate(1, "k5", query="?size_bytes=9000")
+        self.assertEqual((resent.code, self.verdict(resent)), (409, "ran"))
+        self.assertEqual(resent.headers.getRawHeaders("x-should-retry"), ["false"])
+        error = json.loads(body)["error"]
+        self.assertEqual(error["verdict"], "ran")
+        self.assertIn("the first request with this key ran", error["message"])
+        self.assertIn("status 200", error["message"])
+        self.assertIn(large.headers.getRawHeaders("x-request-id")[0], error["message"])
+        self.assertEqual(oracle.runs_by_key["k5"], 1)
+
         streams = [await self.stream(router, "k4") for router in (0, 1)]
         self.assertTrue(streams[0].endswith(b"data: [DONE]\n\n"))
         self.assertEqual(streams[0], streams[1])
