--- /dev/null
+++ b/benchmarks/control_restart.py
@@ -0,0 +1,90 @@
+"""Kill -9 every replica and router after many changes, and measure the restart.
+
+    .venv/bin/python -m benchmarks.control_restart [--changes 1000] [--routers 8]
+
+Real processes: three `damaskwindd control`, and routers that keep their revision
+in a file. After the restart every confirmation that an operator was told of must
+be on each replica, in order, with a sound trail; no router may have gone back.
+The program ends non-zero otherwise.
+"""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+from statistics import quantiles
+
+from damaskwind.runtime.reactor import install_reactor
+
+WAIT_S = 60.0
+
+
+async def measure(changes: int, router_count: int, folder: Path) -> int:
+    """Make the changes, kill everything, restart, compare; return the exit code."""
+
+    from damaskwind.commands.tests.fault_cluster import REPLICAS, FaultCluster
+    from damaskwind.standins.harness import wait_until
+
+    cluster = FaultCluster(folder)
+    try:
+        await cluster.start_replicas()
+        routers = await cluster.start_routers(router_count)
+        durations_s = []
+        for number in range(changes):
+            started_s = time.monotonic()
+            await cluster.change(REPLICAS[number % 3], f"viewer-{number}")
+            durations_s.append(time.monotonic() - started_s)
+        last = cluster.confirmed[-1].revision
+        behind_s = await cluster.time_in_force(routers, last)
+        cuts = quantiles(durations_s, n=100)
+        print(
+            f"{changes} changes planned and confirmed, one at a time, through each replica in turn:"
+        )
+        print(f"  each p50 {cuts[49] * 1000:.0f} ms, p99 {cuts[98] * 1000:.0f} ms")
+        print(f"  the last one in force on {router_count} routers after another {behind_s:.2f} s")
+        await cluster.kill(*REPLICAS, *routers)
+        started_s = time.monotonic()
+        await cluster.restart(*REPLICAS, *routers)
+        ready_s = time.monotonic() - started_s
+        await wait_until(lambda: cluster.all_vote(REPLICAS), WAIT_S, "a leader")
+        leader_s = time.monotonic() - started_s
+        await cluster.time_in_force(routers, last)
+        in_force_s = time.monotonic() - started_s
+        faults = await cluster.faults()
+        after = await cluster.change_somewhere(REPLICAS, "after-the-restart")
+        await cluster.time_in_force(routers, after.revision)
+        faults += await cluster.faults()
+        print(f"kill -9 of {len(REPLICAS) + router_count} processes and restart at once:")
+        print(f"  all started after {ready_s:.1f} s, a leader after {leader_s:.1f} s")
+        print(f"  revision {last} in force on all routers after {in_force_s:.1f} s")
+        print(f"  faults: {faults or 'none'}")
+        return 1 if faults else 0
+    finally:
+        await cluster.stop()
+
+
+def main() -> int:
+    """Parse the command line and run on the reactor's loop."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--changes", type=int, default=1000)
+    parser.add_argument("--routers", type=int, default=8)
+    options = parser.parse_args()
+    reactor = install_reactor()
+    exit_codes = [1]
+
+    async def run() -> None:
+        try:
+            with tempfile.TemporaryDirectory() as folder:
+                exit_codes[0] = await measure(options.changes, options.routers, Path(folder))
+        finally:
+            reactor.stop()
+
+    reactor.callWhenRunning(lambda: asyncio.ensure_future(run()))
+    reactor.run()
+    return exit_codes[0]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
