Stateful fuzzing of requests through the dispatcher, against the targets' counts

The real dispatcher, placement, queue and health on a clock that the history moves; targets join, leave and fail in five ways, callers ask and go away. A request must be answered to whom it belongs or refused truthfully, run once at most unless idempotent, and reach no target that has left; all must end.

--- /dev/null
+++ b/packages/router/src/damaskwind/router/tests/request_histories.py
@@ -0,0 +1,423 @@
+"""Histories of requests through the router's dispatcher, against the targets' own counts.
+
+Targets join, leave and fail in every way that a request can; callers ask, wait
+in the queue and go away, by a clock that the history moves. A request must be
+answered whole to whom it belongs or refused truthfully, run at most once unless
+it is idempotent, and go to no target that has left.
+"""
+
+import time
+from collections import Counter
+from contextlib import contextmanager
+from random import Random
+from typing import NamedTuple
+
+import xxhash
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import seed as with_seed
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+from damaskwind.decisions.membership.messages import GoneReason
+from damaskwind.decisions.membership.outputs import TargetChanged, TargetGone
+from damaskwind.decisions.placement.messages import PlacementQuery, PoolName
+from damaskwind.model.configuration import (
+    ClientAccount,
+    Configuration,
+    Policy,
+    PriorityClass,
+    Service,
+)
+from damaskwind.model.exception import RefusedError
+from damaskwind.model.reason import Reason
+from damaskwind.model.targets import Address, ModelOffer, TargetKind, TargetState, TargetView
+from damaskwind.model.verdict import Verdict
+from damaskwind.router import dispatcher as dispatcher_module
+from damaskwind.router.caller import Caller
+from damaskwind.router.dispatcher import Dispatcher
+from damaskwind.router.explain import RequestRecord
+from damaskwind.router.placing import Placing
+from damaskwind.router.target_client import AttemptError
+from damaskwind.router.target_directory import TargetDirectory
+from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.waiting_room import WaitingRoom
+from damaskwind.router.work import Work
+
+__all__ = ["SEEDED_BUGS", "fuzz_requests", "run_batch"]
+
+STEPS = 40
+BATCH = 100
+TARGETS = ("engine-0", "engine-1", "engine-2")
+PER_TARGET = 2
+DEADLINE_S = 5.0
+PUMP_S = 0.05
+POLICY = Policy(retry_share=0.5, ejection_base_s=0.5)
+POOL = PoolName("pool", "damask", "1")
+ACCOUNT = ClientAccount("library", (), "normal", 1000, 1e6)
+CLASS = PriorityClass("normal", 0, 1, queue_timeout_s=DEADLINE_S)
+SERVICE = Service("pool", "engine", max_concurrent_requests=PER_TARGET)
+CONFIGURATION = Configuration(
+    1, priority_classes={"normal": CLASS}, services={"pool": SERVICE}, policy=POLICY
+)
+
+
+class Fate(NamedTuple):
+    """How one attempt ends: whether the target ran it, and what the router is told."""
+
+    runs: bool
+    told: Verdict | None
+
+
+# An attempt that answers is told nothing yet: its answer may still be cut.
+FATES = {
+    "connection refused": Fate(False, Verdict.NOT_RUN),
+    "target refuses": Fate(False, Verdict.NOT_RUN),
+    "lost before it came": Fate(False, Verdict.MAY_HAVE_RUN),
+    "reset after it ran": Fate(True, Verdict.MAY_HAVE_RUN),
+    "answers": Fate(True, None),
+}
+
+
+class NoLimits:
+    """Account limits that admit everything."""
+
+    async def admit(self, work):
+        """Admit."""
+
+    def release(self, work, used_tokens):
+        """Take nothing back."""
+
+
+class FakeRequest:
+    """A caller's request, as far as `Caller` asks."""
+
+    channel = None
+
+    def __init__(self):
+        self.finished = Deferred()
+
+    def notifyFinish(self):  # noqa: N802
+        return self.finished
+
+
+class Answer(NamedTuple):
+    """What a target answers: whose answer it is and who gave it."""
+
+    request_id: str
+    target_id: str
+
+
+class Attempt(NamedTuple):
+    """An attempt that the history has not ended yet."""
+
+    asked: "Asked"
+    target_id: str
+    waiting: Deferred
+
+
+class Asked:
+    """A request and what the oracle knows of it."""
+
+    def __init__(self, work, request):
+        self.work = work
+        self.request = request
+        self.runs = 0
+        self.attempts = 0
+        self.placed = None
+        self.refusal = None
+        self.is_over = False
+
+
+class RequestsAgainstCounts(RuleBasedStateMachine):
+    """The dispatcher with all its parts, and targets that count."""
+
+    made = 0
+
+    def __init__(self):
+        super().__init__()
+        RequestsAgainstCounts.made += 1
+        self.clock = Clock()
+        random = Random(7)
+        self.directory = TargetDirectory("r", "d", ("d",), POLICY, self.clock, random)
+        self.health = TargetHealth(self.clock, random)
+        self.health.set_policy(POLICY)
+        self.directory.members_watcher = self.health.set_targets
+        self.room = WaitingRoom(self.clock)
+        self.room.set_classes({"normal": CLASS})
+        self.placing = Placing(
+            self.directory, self.health, self.room, lambda: CONFIGURATION, self.clock
+        )
+        self.dispatcher = Dispatcher(self.placing, NoLimits(), self.health, self.clock, random)
+        self.dispatcher.set_policy(POLICY)
+        self.present = set()
+        self.attempts = []
+        self.asked = []
+        self.at_target = Counter()
+        # What went wrong inside a Deferred, where an exception would be lost.
+        self.faults = []
+        for name in TARGETS[:2]:
+            self.join(name)
+
+    # Targets.
+
+    @rule(name=st.sampled_from(TARGETS))
+    def join(self, name):
+        """Let a target announce itself."""
+        self.present.add(name)
+        view = TargetView(
+            name,
+            1,
+            TargetKind.ENGINE,
+            "pool",
+            "d",
+            Address("127.0.0.1", 1),
+            TargetState.SERVING,
+            0,
+            1000,
+            -1.0,
+            (ModelOffer("damask", "1"),),
+        )
+        self.directory.handle_event(TargetChanged(view))
+
+    @rule(name=st.sampled_from(TARGETS), reason=st.sampled_from(list(GoneReason)))
+    def leave(self, name, reason):
+        """Let a target leave or lapse; its work in progress goes on."""
+        self.present.discard(name)
+        self.directory.handle_event(TargetGone(name, reason))
+
+    # Callers.
+
+    @rule(idempotent=st.booleans(), chat=st.integers(0, 5))
+    def ask(self, idempotent, chat):
+        """Begin a request."""
+        request_id = f"r.{len(self.asked)}"
+        digest = xxhash.xxh3_128_hexdigest(str(chat).encode())
+        request = FakeRequest()
+        now_s = self.clock.seconds()
+        work = Work(
+            request_id,
+            TargetKind.ENGINE,
+            ACCOUNT,
+            CLASS,
+            PlacementQuery(digest, (digest,), ACCOUNT.name, 50.0, "d", POOL),
+            idempotent,
+            50.0,
+            now_s + DEADLINE_S,
+            RequestRecord(request_id, "/", now_s),
+            Caller(request),
+        )
+        asked = Asked(work, request)
+        self.asked.append(asked)
+        running = ensureDeferred(self.dispatcher.run(work, lambda view: self.send(asked, view)))
+        running.addCallbacks(
+            lambda placed: self.answered(asked, placed), lambda why: self.refused(asked, why)
+        )
+
+    async def send(self, asked, view):
+        """Take an attempt at a target and leave its end to the history."""
+        asked.attempts += 1
+        self.at_target[view.target_id] += 1
+        if view.target_id not in self.present:
+            self.faults.append(f"new work for {view.target_id}, which has left")
+        if asked.attempts > POLICY.max_attempts:
+            self.faults.append(f"{asked.work.request_id}: {asked.attempts} attempts")
+        if self.at_target[view.target_id] > PER_TARGET:
+            self.faults.append(f"{view.target_id} was given too much at once")
+        waiting = Deferred()
+        self.attempts.append(Attempt(asked, view.target_id, waiting))
+        return await waiting
+
+    def answered(self, asked, placed):
+        """Check that an answer belongs to the request."""
+        if placed.response != Answer(asked.work.request_id, placed.target.target_id):
+            self.faults.append(f"{asked.work.request_id} was given {placed.response}")
+        asked.placed = placed
+
+    def refused(self, asked, why):
+        """Hold a refusal against the count."""
+        asked.is_over = True
+        if why.check(RefusedError):
+            asked.refusal = why.value.refusal
+        elif not asked.work.caller.gone:
+            self.faults.append(f"{asked.work.request_id}: {why.getErrorMessage()}")
+
+    def end(self, attempt, fate):
+        """End an attempt."""
+        self.attempts.remove(attempt)
+        self.at_target[attempt.target_id] -= 1
+        attempt.asked.runs += fate.runs
+        if fate.told is None:
+            answer = Answer(attempt.asked.work.request_id, attempt.target_id)
+            attempt.waiting.callback(answer)
+            return
+        attempt.waiting.errback(AttemptError(fate.told, Reason.TARGET_FAILED, "by the history"))
+
+    @precondition(lambda self: self.attempts)
+    @rule(data=st.data(), fate=st.sampled_from(sorted(FATES)))
+    def end_attempt(self, data, fate):
+        """Let one of the attempts end in some way."""
+        self.end(data.draw(st.sampled_from(self.attempts)), FATES[fate])
+
+    @rule(
+        idempotent=st.booleans(),
+        fates=st.lists(st.sampled_from(sorted(FATES)), min_size=2, max_size=3),
+    )
+    def ask_and_fail(self, idempotent, fates):
+        """Begin a request and end one attempt of it after the other."""
+        self.ask(idempotent, 0)
+        for fate in fates:
+            mine = [one for one in self.attempts if one.asked is self.asked[-1]]
+            if mine:
+                self.end(mine[0], FATES[fate])
+                self.clock.pump([PUMP_S] * 4)
+
+    def open_answers(self):
+        """Return the requests whose answers are on their way."""
+        return [asked for asked in self.asked if asked.placed and not asked.is_over]
+
+    @precondition(lambda self: self.open_answers())
+    @rule(data=st.data(), whole=st.booleans())
+    def end_answer(self, data, whole):
+        """Let an answer end in order, or cut."""
+        asked = data.draw(st.sampled_from(self.open_answers()))
+        verdict = Verdict.RAN if whole else Verdict.MAY_HAVE_RUN
+        self.dispatcher.finish(asked.work, asked.placed, verdict)
+        asked.is_over = True
+
+    @precondition(lambda self: any(not asked.is_over for asked in self.asked))
+    @rule(data=st.data(), ran=st.booleans())
+    def caller_leaves(self, data, ran):
+        """Let a caller go away; an attempt under way is given up, run or not."""
+        asked = data.draw(st.sampled_from([one for one in self.asked if not one.is_over]))
+        if not asked.request.finished.called:
+            asked.request.finished.errback(ConnectionError("gone"))
+        for attempt in [one for one in self.attempts if one.asked is asked]:
+            self.end(attempt, Fate(ran, Verdict.MAY_HAVE_RUN))
+
+    @rule(pumps=st.integers(1, 40))
+    def wait(self, pumps):
+        """Let time pass."""
+        self.clock.pump([PUMP_S] * pumps)
+
+    # What must hold.
+
+    @invariant()
+    def nothing_went_wrong(self):
+        assert not self.faults, self.faults
+
+    @invariant()
+    def nothing_runs_twice(self):
+        for asked in self.asked:
+            if not asked.work.idempotent:
+                assert asked.runs <= 1, f"{asked.work.request_id} ran {asked.runs} times"
+
+    @invariant()
+    def refusals_are_true(self):
+        for asked in self.asked:
+            if asked.refusal is not None:
+                assert asked.refusal.verdict is not Verdict.RAN
+                not_run = asked.refusal.verdict is Verdict.NOT_RUN
+                assert not (not_run and asked.runs), f"{asked.work.request_id} ran, told not-run"
+
+    def teardown(self):
+        """Let every attempt fail and time run out: each request must have come to an end."""
+        for _ in range(POLICY.max_attempts + 1):
+            for attempt in list(self.attempts):
+                self.end(attempt, FATES["reset after it ran"])
+            self.clock.pump([PUMP_S] * round(2 * DEADLINE_S / PUMP_S))
+        for asked in self.open_answers():
+            self.dispatcher.finish(asked.work, asked.placed, Verdict.RAN)
+            asked.is_over = True
+        self.nothing_went_wrong()
+        self.nothing_runs_twice()
+        self.refusals_are_true()
+        assert all(asked.is_over for asked in self.asked), "a request without an end"
+        assert not self.placing.in_flight, self.placing.in_flight
+        assert not len(self.room)
+
+
+class FuzzResult(NamedTuple):
+    """What a run gave: `first_failed` is the first history of the batch that failed."""
+
+    histories: int
+    duration_s: float
+    first_failed: int | None
+    failure: str | None
+
+
+def run_batch(seed, histories):
+    """Run so many histories; without a seed the same ones every time."""
+    profile = settings(
+        max_examples=histories,
+        stateful_step_count=STEPS,
+        derandomize=seed is None,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate, Phase.shrink],
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+
+    class Seeded(RequestsAgainstCounts):
+        """The histories of this batch."""
+
+    factory = Seeded if seed is None else with_seed(seed)(Seeded)
+    run_state_machine_as_test(factory, settings=profile)
+
+
+def _resend(verdict, idempotent, *others):
+    """Decide as if every request were idempotent."""
+    return _DECIDE(verdict, True, *others)
+
+
+_DECIDE = dispatcher_module.decide_retry
+
+# Bugs to put in on purpose: the run has to find each of them.
+SEEDED_BUGS = {
+    "resend_what_may_have_run": (dispatcher_module, "decide_retry", _resend),
+    "last_verdict_counts": (dispatcher_module, "worst_verdict", lambda verdicts: verdicts[-1]),
+    "keep_leavers": (TargetDirectory, "_gone", lambda directory, event: None),
+    "count_no_end": (Placing, "end", lambda placing, work, target, done: None),
+}
+
+
+@contextmanager
+def seeded(bug):
+    """Put a bug in for as long as the context lasts."""
+    if bug is None:
+        yield
+        return
+    owner, name, replacement = SEEDED_BUGS[bug]
+    original = getattr(owner, name)
+    setattr(owner, name, replacement)
+    try:
+        yield
+    finally:
+        setattr(owner, name, original)
+
+
+def fuzz_requests(seed, seconds, histories, bug=None):
+    """Run histories until the time or the count is used up, or one fails."""
+    started_s = time.monotonic()
+    RequestsAgainstCounts.made = 0
+    batch = 0
+    with seeded(bug):
+        while time.monotonic() - started_s < seconds and RequestsAgainstCounts.made < histories:
+            before = RequestsAgainstCounts.made
+            try:
+                run_batch(seed + batch, min(BATCH, histories - before))
+            except Exception as error:
+                notes = "\n".join(getattr(error, "__notes__", ()))
+                failure = f"{type(error).__name__}: {error}\n{notes}"
+                duration_s = time.monotonic() - started_s
+                return FuzzResult(RequestsAgainstCounts.made, duration_s, before, failure)
+            batch += 1
+    return FuzzResult(RequestsAgainstCounts.made, time.monotonic() - started_s, None, None)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/tests/test_request_histories.py
@@ -0,0 +1,19 @@
+"""Tests by histories: requests through the dispatcher against the targets' counts."""
+
+from unittest import TestCase
+
+from damaskwind.router.tests.request_histories import SEEDED_BUGS, fuzz_requests, run_batch
+
+HISTORIES = 60
+SEED = 1
+
+
+class RequestHistoriesTest(TestCase):
+    def test_answered_whole_or_refused_truthfully_and_at_most_once(self):
+        run_batch(None, HISTORIES)
+
+    def test_every_seeded_bug_is_found(self):
+        for bug in SEEDED_BUGS:
+            with self.subTest(bug):
+                result = fuzz_requests(SEED, 60.0, 300, bug)
+                self.assertIsNotNone(result.failure, bug)
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -73,6 +73,14 @@
     return fuzzing.fuzz_limits(seed, seconds, histories, bug)
 
 
+@fuzz_target("requests")
+def fuzz_requests(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
+    """Fuzz the router's dispatcher against what the targets count."""
+    from damaskwind.router.tests.request_histories import fuzz_requests as run
+
+    return run(seed, seconds, histories, bug)
+
+
 def fuzz(
     *,
     seconds: float = 60.0,
