--- a/packages/router/src/damaskwind/router/tests/request_histories.py
+++ b/packages/router/src/damaskwind/router/tests/request_histories.py
@@ -6,22 +6,17 @@
 it is idempotent, and go to no target that has left.
 """
 
-import time
 from collections import Counter
-from contextlib import contextmanager
 from random import Random
 from typing import NamedTuple
 
 import xxhash
-from hypothesis import HealthCheck, Phase, settings
-from hypothesis import seed as with_seed
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
@@ -40,7 +35,6 @@
 from damaskwind.model.reason import Reason
 from damaskwind.model.targets import Address, ModelOffer, TargetKind, TargetState, TargetView
 from damaskwind.model.verdict import Verdict
-from damaskwind.router import dispatcher as dispatcher_module
 from damaskwind.router.caller import Caller
 from damaskwind.router.dispatcher import Dispatcher
 from damaskwind.router.explain import RequestRecord
@@ -51,10 +45,9 @@
 from damaskwind.router.waiting_room import WaitingRoom
 from damaskwind.router.work import Work
 
-__all__ = ["SEEDED_BUGS", "fuzz_requests", "run_batch"]
+__all__ = ["STEPS", "RequestsAgainstCounts"]
 
 STEPS = 40
-BATCH = 100
 TARGETS = ("engine-0", "engine-1", "engine-2")
 PER_TARGET = 2
 DEADLINE_S = 5.0
@@ -342,82 +335,3 @@
         assert all(asked.is_over for asked in self.asked), "a request without an end"
         assert not self.placing.in_flight, self.placing.in_flight
         assert not len(self.room)
-
-
-class FuzzResult(NamedTuple):
-    """What a run gave: `first_failed` is the first history of the batch that failed."""
-
-    histories: int
-    duration_s: float
-    first_failed: int | None
-    failure: str | None
-
-
-def run_batch(seed, histories):
-    """Run so many histories; without a seed the same ones every time."""
-    profile = settings(
-        max_examples=histories,
-        stateful_step_count=STEPS,
-        derandomize=seed is None,
-        deadline=None,
-        database=None,
-        phases=[Phase.generate, Phase.shrink],
-        print_blob=False,
-        suppress_health_check=list(HealthCheck),
-    )
-
-    class Seeded(RequestsAgainstCounts):
-        """The histories of this batch."""
-
-    factory = Seeded if seed is None else with_seed(seed)(Seeded)
-    run_state_machine_as_test(factory, settings=profile)
-
-
-def _resend(verdict, idempotent, *others):
-    """Decide as if every request were idempotent."""
-    return _DECIDE(verdict, True, *others)
-
-
-_DECIDE = dispatcher_module.decide_retry
-
-# Bugs to put in on purpose: the run has to find each of them.
-SEEDED_BUGS = {
-    "resend_what_may_have_run": (dispatcher_module, "decide_retry", _resend),
-    "last_verdict_counts": (dispatcher_module, "worst_verdict", lambda verdicts: verdicts[-1]),
-    "keep_leavers": (TargetDirectory, "_gone", lambda directory, event: None),
-    "count_no_end": (Placing, "end", lambda placing, work, target, done: None),
-}
-
-
-@contextmanager
-def seeded(bug):
-    """Put a bug in for as long as the context lasts."""
-    if bug is None:
-        yield
-        return
-    owner, name, replacement = SEEDED_BUGS[bug]
-    original = getattr(owner, name)
-    setattr(owner, name, replacement)
-    try:
-        yield
-    finally:
-        setattr(owner, name, original)
-
-
-def fuzz_requests(seed, seconds, histories, bug=None):
-    """Run histories until the time or the count is used up, or one fails."""
-    started_s = time.monotonic()
-    RequestsAgainstCounts.made = 0
-    batch = 0
-    with seeded(bug):
-        while time.monotonic() - started_s < seconds and RequestsAgainstCounts.made < histories:
-            before = RequestsAgainstCounts.made
-            try:
-                run_batch(seed + batch, min(BATCH, histories - before))
-            except Exception as error:
-                notes = "\n".join(getattr(error, "__notes__", ()))
-                failure = f"{type(error).__name__}: {error}\n{notes}"
-                duration_s = time.monotonic() - started_s
-                return FuzzResult(RequestsAgainstCounts.made, duration_s, before, failure)
-            batch += 1
-    return FuzzResult(RequestsAgainstCounts.made, time.monotonic() - started_s, None, None)
--- a/packages/router/src/damaskwind/router/tests/test_request_histories.py
+++ b/packages/router/src/damaskwind/router/tests/test_request_fuzzing.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from damaskwind.router.tests.request_histories import SEEDED_BUGS, fuzz_requests, run_batch
+from damaskwind.router.tests.request_fuzzing import SEEDED_BUGS, fuzz_requests, run_batch
 
 HISTORIES = 60
 SEED = 1
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -76,7 +76,7 @@
 @fuzz_target("requests")
 def fuzz_requests(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
     """Fuzz the router's dispatcher against what the targets count."""
-    from damaskwind.router.tests.request_histories import fuzz_requests as run
+    from damaskwind.router.tests.request_fuzzing import fuzz_requests as run
 
     return run(seed, seconds, histories, bug)
 
