--- a/benchmarks/measuring/driver.py
+++ b/benchmarks/measuring/driver.py
@@ -189,7 +189,7 @@
         request_id = _header(response, "x-request-id")
         if stream.first is not None:
             before_s, back_s = stream.first
-            self.firsts.append(FirstToken(request_id, before_s * 1000, back_s * 1000))
+            self.firsts.append(FirstToken(request_id, before_s * 1000, back_s * 1000, turn.at_s))
         return _ended_turn(turn, request_id, 200, stream, "")
 
     async def _run_call(self, call: Call) -> None:
--- a/benchmarks/measuring/first_token.py
+++ b/benchmarks/measuring/first_token.py
@@ -7,7 +7,16 @@
 
 from typing import Any, NamedTuple
 
-__all__ = ["PARTS", "FirstToken", "SlowShare", "cut_by_part", "slowest", "slowest_by_part"]
+__all__ = [
+    "PARTS",
+    "FirstToken",
+    "SlowRequest",
+    "SlowShare",
+    "cut_by_part",
+    "slow_requests",
+    "slowest",
+    "slowest_by_part",
+]
 
 SLOW_SHARE = 0.05
 PARTS = ("limit", "placement", "queue", "retries", "sockets and loops", "way back")
@@ -19,6 +28,7 @@
     request_id: str
     before_ms: float
     back_ms: float
+    at_s: float = 0.0
 
     @property
     def delay_ms(self) -> float:
@@ -26,6 +36,15 @@
         return self.before_ms + self.back_ms
 
 
+class SlowRequest(NamedTuple):
+    """One of the slowest requests, with its delay by part."""
+
+    request_id: str
+    account: str
+    at_s: float
+    parts_ms: dict[str, float]
+
+
 class SlowShare(NamedTuple):
     """What one part has of the slowest requests' delay.
 
@@ -67,13 +86,26 @@
     return ordered[: max(int(len(ordered) * SLOW_SHARE), 1)]
 
 
-def slowest_by_part(
+def slow_requests(
     firsts: list[FirstToken], records: dict[str, dict[str, Any]]
-) -> list[SlowShare]:
+) -> list[SlowRequest]:
+    """Return the slowest requests of which there is a record, the slowest first."""
+    return [
+        SlowRequest(
+            first.request_id,
+            records[first.request_id]["client_account"],
+            first.at_s,
+            cut_by_part(first, records[first.request_id]),
+        )
+        for first in slowest(firsts)
+        if first.request_id in records
+    ]
+
+
+def slowest_by_part(requests: list[SlowRequest]) -> list[SlowShare]:
     """Add the delays of the slowest requests up by part, the largest part first."""
-    known = [first for first in slowest(firsts) if first.request_id in records]
-    cuts = [cut_by_part(first, records[first.request_id]) for first in known]
-    whole_ms = sum(first.delay_ms for first in known)
+    cuts = [request.parts_ms for request in requests]
+    whole_ms = sum(sum(cut.values()) for cut in cuts)
     if not whole_ms:
         return []
     shares = [_share(part, cuts, whole_ms) for part in PARTS]
--- a/benchmarks/measuring/report.py
+++ b/benchmarks/measuring/report.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from benchmarks.measuring.control_traffic import RouterUse
+from benchmarks.measuring.first_token import slowest_by_part
 from benchmarks.measuring.plots import draw_page
 from benchmarks.measuring.run import RunFigures
 from damaskwind.model.configuration_codec import to_table
@@ -58,7 +59,7 @@
         "first token, ms, 50/95/99": _percentiles(run.first_token_ms),
         **{
             f"slowest 1 in 20: {part.part}": f"{part.share:.0%} {part.mean_ms:g} ms {part.requests}"
-            for part in run.slow_first_tokens
+            for part in slowest_by_part(run.slow_first_tokens)
         },
         "first token without router, ms": _percentiles(run.direct_first_token_ms),
         "between tokens added, ms, 50/95/99": _percentiles(run.between_tokens_ms),
--- a/benchmarks/measuring/run.py
+++ b/benchmarks/measuring/run.py
@@ -18,7 +18,7 @@
 from benchmarks.measuring.deployment import Deployment
 from benchmarks.measuring.driver import Driver
 from benchmarks.measuring.figures import SkewFigures, reuse_by_phase, skew_figures
-from benchmarks.measuring.first_token import SlowShare, slowest, slowest_by_part
+from benchmarks.measuring.first_token import SlowRequest, slow_requests, slowest
 from benchmarks.measuring.promises import Breach, count_ends, find_breaches
 
 __all__ = ["FAULTS", "RunFigures", "run_policies"]
@@ -46,7 +46,7 @@
     routers: list[RouterUse]
     first_token_ms: dict[str, float]
     between_tokens_ms: dict[str, float]
-    slow_first_tokens: list[SlowShare]
+    slow_first_tokens: list[SlowRequest]
     direct_first_token_ms: dict[str, float]
     direct_between_tokens_ms: dict[str, float]
     ends: dict[str, int]
@@ -205,7 +205,7 @@
         routers=seen.routers,
         first_token_ms=driver.first_token.percentiles_ms(),
         between_tokens_ms=driver.between_tokens.percentiles_ms(),
-        slow_first_tokens=slowest_by_part(driver.firsts, seen.records),
+        slow_first_tokens=slow_requests(driver.firsts, seen.records),
         direct_first_token_ms=direct.first_token.percentiles_ms(),
         direct_between_tokens_ms=direct.between_tokens.percentiles_ms(),
         ends=count_ends(driver.turns, driver.calls),
--- a/benchmarks/measuring/tests/test_figures.py
+++ b/benchmarks/measuring/tests/test_figures.py
@@ -5,7 +5,13 @@
 
 from benchmarks.measuring.control_traffic import ControlPoint, highest_rate
 from benchmarks.measuring.figures import reuse_by_phase, skew_figures
-from benchmarks.measuring.first_token import FirstToken, cut_by_part, slowest, slowest_by_part
+from benchmarks.measuring.first_token import (
+    FirstToken,
+    cut_by_part,
+    slow_requests,
+    slowest,
+    slowest_by_part,
+)
 from benchmarks.measuring.tests.builders import outcome_of, turn_at
 
 
@@ -62,6 +68,7 @@
 
 class TestFirstToken(TestCase):
     RECORD = {
+        "client_account": "account",
         "choices": [{"at_ms": 20.0}, {"at_ms": 60.0}, {"at_ms": 75.0}],
         "events": [{"at_ms": 21.0, "event": "queued"}, {"at_ms": 70.0, "event": "retry: x"}],
         "attempts": [{"started_ms": 60.0}, {"started_ms": 75.0}],
@@ -86,9 +93,9 @@
         self.assertEqual([first.request_id for first in slowest(firsts)], ["39", "38"])
 
     def test_the_largest_part_comes_first(self):
-        parts = slowest_by_part([FirstToken("a", 90.0, 5.0)], {"a": self.RECORD})
+        parts = slowest_by_part(slow_requests([FirstToken("a", 90.0, 5.0)], {"a": self.RECORD}))
         self.assertEqual((parts[0].part, parts[0].requests), ("queue", 1))
         self.assertAlmostEqual(sum(part.share for part in parts), 1.0, 2)
 
     def test_without_records_nothing_is_said(self):
-        self.assertEqual(slowest_by_part([FirstToken("a", 90.0, 5.0)], {}), [])
+        self.assertEqual(slowest_by_part(slow_requests([FirstToken("a", 90.0, 5.0)], {})), [])
