--- a/benchmarks/measuring/control_traffic.py
+++ b/benchmarks/measuring/control_traffic.py
@@ -16,6 +16,7 @@
 _METRIC = re.compile(r"^damaskwind_(control_\w+)(\{.*\})? ([0-9.e+-]+)$")
 _BYTES = "control_bytes_total"
 _HIGHEST = "control_highest_second_bytes"
+_LABEL = re.compile(r'(\w+)="([^"]*)"')
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -35,6 +36,7 @@
     before_run_bytes: float | None = None
     highest_polled_second_bytes: float | None = None
     highest_ten_seconds_bytes_per_s: float | None = None
+    highest_polled_kinds: dict[str, float] | None = None
 
 
 class ControlPoint(NamedTuple):
@@ -43,6 +45,18 @@
     time_s: float
     total_bytes: float
     highest_second_bytes: float
+    bytes_by_kind: dict[str, float] = {}
+
+
+def _read_kinds(text: str) -> dict[str, float]:
+    """Return the control bytes of a page by direction and kind."""
+    kinds: dict[str, float] = {}
+    for match in filter(None, map(_METRIC.match, text.splitlines())):
+        if match[1] == _BYTES:
+            labels = dict(_LABEL.findall(match[2] or ""))
+            name = f"{labels.get('direction', '')} {labels.get('kind', '')}"
+            kinds[name] = kinds.get(name, 0.0) + float(match[3])
+    return kinds
 
 
 def _read_counters(text: str) -> dict[str, float]:
@@ -65,21 +79,43 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
+def highest_stretch(
+    points: list[ControlPoint], span_s: float
+) -> tuple[ControlPoint, ControlPoint] | None:
+    """Return the ends of the busiest stretch of polls of `span_s` or a little more."""
+    stretches = []
+    first = 0
+    for last, point in enumerate(points):
+        while first + 1 < last and point.time_s - points[first + 1].time_s >= span_s:
+            first += 1
+        if point.time_s - points[first].time_s >= span_s:
+            stretches.append((points[first], point))
+    return max(stretches, key=lambda ends: _rate(*ends), default=None)
+
+
+def _rate(before: ControlPoint, after: ControlPoint) -> float:
+    """Return the bytes a second between two polls."""
+    return (after.total_bytes - before.total_bytes) / (after.time_s - before.time_s)
+
+
 def highest_rate(points: list[ControlPoint], span_s: float) -> float | None:
     """Return the most bytes a second over any stretch of polls of `span_s` or a little more.
 
     >>> highest_rate([ControlPoint(0, 0, 0), ControlPoint(1, 10, 0), ControlPoint(2, 90, 0)], 2.0)
     45.0
     """
-    rates = []
-    first = 0
-    for last, point in enumerate(points):
-        while first + 1 < last and point.time_s - points[first + 1].time_s >= span_s:
-            first += 1
-        lasted_s = point.time_s - points[first].time_s
-        if lasted_s >= span_s:
-            rates.append((point.total_bytes - points[first].total_bytes) / lasted_s)
-    return max(rates, default=None)
+    ends = highest_stretch(points, span_s)
+    return _rate(*ends) if ends else None
+
+
+def _kinds_between(ends: tuple[ControlPoint, ControlPoint] | None) -> dict[str, float]:
+    """Return the bytes by kind between two polls, the most first."""
+    if ends is None:
+        return {}
+    before, after = (point.bytes_by_kind for point in ends)
+    grown = {kind: after[kind] - before.get(kind, 0.0) for kind in after}
+    ordered = sorted(grown.items(), key=lambda item: item[1], reverse=True)
+    return {kind: size_bytes for kind, size_bytes in ordered if size_bytes > 0}
 
 
 class TrafficWatch:
@@ -122,7 +158,7 @@
                 page = await ask("GET", f"{router.ready['http_address']}/metrics")
                 counters = _read_counters(page)
                 if _BYTES in counters:
-                    self._points.setdefault(router.name, []).append(_point(counters))
+                    self._points.setdefault(router.name, []).append(_point(counters, page))
             await asyncio.sleep(INTERVAL_S)
 
     def _use(self, router, duration_s: float) -> RouterUse:
@@ -144,9 +180,11 @@
             points[0].highest_second_bytes,
             highest_rate(points, INTERVAL_S),
             highest_rate(points, LONG_SPAN_S),
+            _kinds_between(highest_stretch(points, INTERVAL_S)),
         )
 
 
-def _point(counters: dict[str, float]) -> ControlPoint:
+def _point(counters: dict[str, float], page: str) -> ControlPoint:
     """Return a point from the counters of one page."""
-    return ControlPoint(time.monotonic(), counters[_BYTES], counters.get(_HIGHEST, 0.0))
+    highest = counters.get(_HIGHEST, 0.0)
+    return ControlPoint(time.monotonic(), counters[_BYTES], highest, _read_kinds(page))
