Router: a caller that leaves the queue after a failed attempt may have run

Cause: when a repeated call waits for a target and its caller leaves, the record said 'not-run' although its first attempt may have run. Change: the verdicts of the attempts before count for a leaving caller, too. Test: two services with one place each, one busy and one that resets; it fails without the change (not-run in place of may-have-run). router.tests.test_services: 11 passed, 0 failed.

--- a/packages/router/src/damaskwind/router/dispatcher.py
+++ b/packages/router/src/damaskwind/router/dispatcher.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from twisted.internet.defer import CancelledError
 from twisted.internet.task import deferLater
 from twisted.web.iweb import IResponse
 
@@ -115,16 +116,16 @@
     async def _place(
         self, work: Work, tried: frozenset[str], failures: list[AttemptError]
     ) -> TargetView:
-        """Choose a target; a refusal tells of the attempts before it."""
+        """Choose a target; a refusal, or a caller's leaving, tells of the attempts before it."""
         try:
             return await self._placing.place(work, tried)
-        except RefusedError as error:
+        except (RefusedError, CancelledError) as error:
             if not failures:
                 raise
             refusal = self._refusal(failures)
-            raise RefusedError(
-                refusal._replace(retry_after_s=error.refusal.retry_after_s)
-            ) from error
+            if isinstance(error, RefusedError):
+                refusal = refusal._replace(retry_after_s=error.refusal.retry_after_s)
+            raise RefusedError(refusal) from error
 
     def _failed(
         self, work: Work, target: TargetView, started_s: float, error: AttemptError
--- a/packages/router/src/damaskwind/router/tests/test_services.py
+++ b/packages/router/src/damaskwind/router/tests/test_services.py
@@ -126,6 +126,32 @@
         answers = await asyncio.gather(*calls)
         self.assertEqual({response.code for response, _ in answers}, {200})
 
+    @asyncio_test
+    async def test_caller_that_leaves_the_queue_after_a_failed_attempt_may_have_run(self):
+        configuration = make_configuration()
+        service = configuration.services["edge-api"]._replace(max_concurrent_requests=1)
+        services = {**configuration.services, "edge-api": service}
+        bench = await self.bench(
+            services=2, configuration=configuration._replace(services=services)
+        )
+        slow = asyncio.ensure_future(self.call(bench, "GET", "/status?delay_s=3"))
+        await bench.until(lambda: sum(s.oracle.events["run"] for s in bench.services) == 1)
+        for one in bench.services:
+            one.faults.arm(Fault.RESET_AFTER_READ, 1)
+        headers = {"authorization": f"Bearer {ACCOUNT_KEY}"}
+        url = f"{bench.url}/services/edge-api/status"
+        asking = treq.get(url, headers=headers, persistent=False)
+        asking.addErrback(lambda failure: None)
+        records = bench.router.explain._records
+        await bench.until(lambda: len(records) == 2)
+        record = list(records.values())[1]
+        await bench.until(lambda: any(text == "queued" for _, text in record.events))
+        self.assertEqual(len(record.attempts), 1)
+        asking.cancel()
+        await bench.until(lambda: record.ended)
+        self.assertEqual(record.ended["verdict"], "may-have-run")
+        self.assertEqual((await slow)[0].code, 200)
+
     @asyncio_test
     async def test_unknown_and_forbidden_service_look_the_same(self):
         bench = await self.bench()
