Tests of the router: the stalled upload's test fails when nothing cuts it

Change: the test asks that the caller gets no answer, as when the cut ends it. With the cut: router.tests.test_front 12 passed, 0 failed. Without: 11 passed, 1 failed (502 in place of nothing).

--- a/packages/router/src/damaskwind/router/tests/test_front.py
+++ b/packages/router/src/damaskwind/router/tests/test_front.py
@@ -96,7 +96,8 @@
         await bench.until(lambda: bench.router.gateway.in_progress == 0)
         self.assertFalse(bench.router.placing.in_flight)
         self.assertEqual(record.ended["verdict"], "may-have-run")
-        self.assertNotIn(b"HTTP/1.1 200", caller.received)
+        # An answer would mean that the call's own time limit ended it, much later.
+        self.assertEqual(caller.received, b"")
         self.assertEqual(bench.services[0].oracle.events["run"], 0)
 
     @asyncio_test
