Follower: a stop neither warns of its own closed stream nor waits out a back-off

Cause: stop closes the connection, which ends the stream's wait before the task's cancellation is reached; the wait then raises StreamTerminatedError, the cancellation is swallowed, and the follower warned and slept its back-off (up to 8 s) before it ended. It now returns at once when its connections are closed.

Test: with a back-off of 1e6 s, stopped three times; and one stream that the replica ends, which is still warned of.

--- a/packages/router/src/damaskwind/router/configuration/follower.py
+++ b/packages/router/src/damaskwind/router/configuration/follower.py
@@ -185,6 +185,9 @@
             try:
                 await self._watch(address)
             except MessageError as error:
+                # Closing the connection ends the stream before the cancelled wait is reached.
+                if self._upstream.is_closed:
+                    return
                 logger.warning(
                     "stream of configurations ended", source=str(address), why=str(error)
                 )
--- a/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
+++ b/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from grpclib.server import Server
+from loguru import logger
 from twisted.trial.unittest import TestCase
 
 from damaskwind.model.configuration import ClientAccount, Configuration, PriorityClass
@@ -106,11 +107,11 @@
         self.stops.append(source)
         return source
 
-    def follower(self, *sources, peers=(), settle_s=0.3, **options):
+    def follower(self, *sources, peers=(), settle_s=0.3, backoff_s=0.05, **options):
         replicas = tuple(
             ReplicaSettings(f"r{i}", str(source.address), "d") for i, source in enumerate(sources)
         )
-        timing = FollowerTiming(0.1, settle_s, 0.05, 0.2, 0.02)
+        timing = FollowerTiming(0.1, settle_s, backoff_s, max(0.2, backoff_s), 0.02)
         follower = ConfigurationFollower(
             "router-1",
             "d",
@@ -149,6 +150,27 @@
         finally:
             await self.stop_all()
 
+    @asyncio_test
+    async def test_stop_warns_of_no_stream_and_a_replica_that_ends_it_is_told(self):
+        replica, warnings = await self.source(3), []
+        sink = logger.add(lambda line: warnings.append(line.record["extra"]), level="WARNING")
+        self.addCleanup(logger.remove, sink)
+        try:
+            for _ in range(3):
+                follower = self.follower(replica, backoff_s=1e6)
+                await follower.start()
+                await until(lambda follower=follower: not follower.may_be_behind)
+                await asyncio.wait_for(follower.stop(), DEADLINE_S)
+            self.assertEqual(warnings, [])
+            follower = self.follower(replica, backoff_s=1e6)
+            await follower.start()
+            await until(lambda: not follower.may_be_behind)
+            await replica.stop()
+            await until(lambda: warnings)
+            self.assertEqual(warnings[0]["source"], str(replica.address))
+        finally:
+            await self.stop_all()
+
     @asyncio_test
     async def test_bytes_of_the_stream_and_of_peers_fetches_are_charged(self):
         replica = await self.source()
