Log access: a refusal that passes is tried again while there is time

Cause: a leader whose lease had lapsed for a moment (no-quorum) and one whose last change of members was not yet on a majority's disks (change-pending) refused for sure, and the refusal was handed on at once with seconds left, though other sure refusals were tried again. With the short timers of test_cluster on a busy machine either can end a test: confirm wants 'committed', and a replica is removed as soon as the newcomer's promotion is appended. Only an invalid change, a committed and an unknown outcome end the attempts now.

--- a/packages/control/src/damaskwind/control/replica/forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -41,7 +41,7 @@
 READ_ATTEMPT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
 STOPPED = "stopped"
-_MAY_RETRY = (RefusalReason.NOT_LEADER, RefusalReason.STEPPED_DOWN)
+_MAY_RETRY = frozenset(RefusalReason) - {RefusalReason.INVALID_CHANGE}
 
 
 class _NotSentError(DamaskwindError):
