Vectors give way to joins that wait; spill notes take what room is left

Cause: large vectors kept joins waiting, and a join on its way costs its group; some 500 bytes a second of the budget were unused while notes hardly travelled.

Change: while news waits to be flooded a vector is a sample only; more than twenty waiting notes go as a datagram of their own when there is room. An engine that comes back in the driver announces what it carries, not what it carried before.

--- a/benchmarks/placement_gossip.py
+++ b/benchmarks/placement_gossip.py
@@ -146,6 +146,7 @@
     def tell_all(self, name: str, state: TargetState) -> None:
         """Let an engine itself say that it leaves or is back."""
         if state is TargetState.SERVING:
+            self.engines[name].published = (0.0, self.now_s)
             self.network.return_target(self.name_of[name])
         else:
             self.network.leave_target(self.name_of[name])
--- a/packages/decisions/src/damaskwind/decisions/membership/gossip.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/gossip.py
@@ -27,7 +27,7 @@
     packed_bytes,
     unpacked_bytes,
 )
-from damaskwind.decisions.membership.spill_gossip import NOTE_BYTES, SpillGossip
+from damaskwind.decisions.membership.spill_gossip import SpillGossip
 from damaskwind.decisions.membership.targets import FOREIGN_LEASE_S, TargetTable
 from damaskwind.decisions.membership.vector_exchange import VectorExchange
 from damaskwind.decisions.pacing.urgency import Urgency
@@ -39,8 +39,9 @@
 _SUMMARY_BYTES = 40
 _FOREIGN_SUMMARIES = 2
 _SMALLEST_NEWS_BYTES = 120
-_NOTES_RESERVE_BYTES = 800
+_NOTES_RESERVE_BYTES = 450
 _NOTES_DATAGRAM_BYTES = 900
+_MANY_NOTES = 20
 
 
 class Gossip:
@@ -272,9 +273,12 @@
                 return b""
             limit_bytes = min(limit_bytes, parameters.sample_vector_bytes)
         limit_bytes = min(limit_bytes, parameters.vector_limit_bytes)
-        # An answer that is too large for this second comes too late for its probe.
-        room_bytes = max(self.room_bytes, parameters.sample_vector_bytes)
-        limit_bytes = min(limit_bytes, room_bytes)
+        # An answer too large for this second comes too late for its probe, and a join
+        # that waits keeps a whole group of loads from those who have not heard of it.
+        room_bytes = self.room_bytes
+        if self.rumours.floods_wait(parameters.fanout):
+            room_bytes = 0
+        limit_bytes = min(limit_bytes, max(room_bytes, parameters.sample_vector_bytes))
         return self.vectors.pack(limit_bytes, parameters.renewal_sends, now_s)
 
     def _notes(self, record: RouterRecord | None, now_s: float) -> bytes:
@@ -288,13 +292,11 @@
 
     def flood_notes(self, now_s: float) -> list[Send]:
         """Return a datagram of spill notes, when many wait and there is much room."""
-        parameters = self._parameters
         limit_bytes = min(self.room_bytes - _NOTES_RESERVE_BYTES, _NOTES_DATAGRAM_BYTES)
         peers = self._near_peers()[:1]
-        many = parameters.notes_limit_bytes // NOTE_BYTES
         if not peers or limit_bytes < _SMALLEST_NEWS_BYTES:
             return []
-        if self.spills.waiting(self._note_sends()) < many:
+        if self.spills.waiting(self._note_sends()) < _MANY_NOTES:
             return []
         notes = self.spills.pack(limit_bytes, self._note_sends(), now_s)
         self.room_bytes -= len(notes) + _HEADER_BYTES
--- a/packages/decisions/src/damaskwind/decisions/membership/parameters.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/parameters.py
@@ -38,7 +38,7 @@
     spare_probe_bytes: int = 250
     spare_room_bytes: int = 500
     carried_bytes: int = 110
-    vector_share: float = 0.1
+    vector_share: float = 0.085
     vector_limit_bytes: int = 520
     sample_vector_bytes: int = 130
     messages_per_sample: int = 4
--- a/packages/decisions/src/damaskwind/decisions/membership/rumours.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/rumours.py
@@ -162,6 +162,13 @@
             for rumour in self._rumours.values()
         )
 
+    def floods_wait(self, fanout: int) -> bool:
+        """Tell whether an item that the peers lack waits to be flooded."""
+        return any(
+            rumour.floods < fanout and rumour.copies < rumour.copies_enough
+            for rumour in self._rumours.values()
+        )
+
     def to_flood(self, limit_bytes: int, fanout: int, far: bool, now_s: float) -> _Batch | None:
         """Take the items of one flooding datagram, the most urgent first.
 
