--- a/packages/standins/src/damaskwind/standins/tests/test_engine.py
+++ b/packages/standins/src/damaskwind/standins/tests/test_engine.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import treq
+from klein import Klein
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 from twisted.trial.unittest import TestCase
@@ -12,10 +13,11 @@
 
 from damaskwind.model.prefix import Message, ModelName, prefix_chain
 from damaskwind.model.targets import FencingMode, TargetState
-from damaskwind.runtime.bridge import asyncio_test, to_future
+from damaskwind.runtime.bridge import asyncio_test, to_deferred, to_future
 from damaskwind.standins.answers import expected_answer
 from damaskwind.standins.engine import EngineStandin
 from damaskwind.standins.faults import Fault
+from damaskwind.standins.listening import Listener
 from damaskwind.standins.settings import EngineSettings
 
 _SETTINGS = EngineSettings("engine-1", token_interval_s=0.002, load_lag_s=0.0, event_delay_s=0.0)
@@ -178,11 +180,26 @@
         engine.leave()
         self.assertEqual(engine.announcer.next_announcement().state, TargetState.LEAVING)
 
+    @asyncio_test
+    async def test_tells_how_long_its_leave_took_to_reach_a_router(self) -> None:
+        engine = await self._start()
+        engine.leave()
+        self.assertIsNone(engine.leave_taken_after_s)
+        app = Klein()
+        app.route("/targets/v1/announcements", methods=["POST"])(
+            lambda request: b'{"next_announcement_s": 2.0}'
+        )
+        router = Listener(reactor, app, "127.0.0.1", 0)
+        router.start()
+        self.addCleanup(lambda: to_deferred(router.stop()))
+        engine.announcer.routers = [str(router.address)]
+        engine.announcer.announce_now()
+        await until(lambda: engine.leave_taken_after_s is not None)
+        self.assertGreaterEqual(engine.leave_taken_after_s, 0.0)
+
 
 def _stop(engine: EngineStandin) -> Any:
     """Stop an engine as a trial cleanup."""
-    from damaskwind.runtime.bridge import to_deferred
-
     return to_deferred(engine.stop())
 
 
