--- a/benchmarks/measuring/figures.py
+++ b/benchmarks/measuring/figures.py
@@ -16,7 +16,8 @@
     `worst_ratio` and `p95_ratio` are highest load over mean while the engines
     have at least a request each on average. `worst_excess_tokens` is how far
     the highest load was over the factor times the mean plus one request, and
-    `share_over_bound` how many of the samples were.
+    `share_over_bound` how many of the samples were; `over_bound` has their times
+    and excesses.
     """
 
     worst_ratio: float
@@ -26,6 +27,7 @@
     share_over_bound: float
     worst_ratio_by_account: dict[str, float]
     series: list[tuple[float, float, float]]
+    over_bound: list[tuple[float, float]]
 
 
 def reuse_by_phase(outcomes: list[TurnOutcome], ideal: Counter[str]) -> dict[str, float]:
@@ -52,6 +54,7 @@
     ratios: list[float] = []
     excesses: list[float] = []
     series: list[tuple[float, float, float]] = []
+    over_bound: list[tuple[float, float]] = []
     account_ratios: dict[str, float] = {}
     for sample in samples:
         loads = _up_loads(sample)
@@ -60,7 +63,10 @@
         mean, highest = sum(loads.values()) / len(loads), max(loads.values())
         bound = load_factor * mean + sample["largest_request_tokens"]
         excesses.append(highest - bound)
-        series.append((sample["time_s"] - from_s, mean, highest))
+        at_s = sample["time_s"] - from_s
+        series.append((at_s, mean, highest))
+        if highest > bound:
+            over_bound.append((round(at_s, 1), round(highest - bound, 1)))
         requests = sum(sample["requests"].values())
         if requests >= _LEAST_MEAN_REQUESTS * len(loads):
             ratios.append(highest / mean if mean else 0.0)
@@ -73,6 +79,7 @@
         round(sum(excess > 0 for excess in excesses) / max(len(excesses), 1), 4),
         {account: round(ratio, 2) for account, ratio in sorted(account_ratios.items())},
         series,
+        over_bound,
     )
 
 
--- a/benchmarks/measuring/tests/test_figures.py
+++ b/benchmarks/measuring/tests/test_figures.py
@@ -37,6 +37,7 @@
         self.assertEqual((within.worst_excess_tokens, within.share_over_bound), (-0.5, 0.0))
         over = skew_figures([sample({"a": 100, "b": 40}, 10)], 1.25, 10.0)
         self.assertEqual((over.worst_excess_tokens, over.share_over_bound), (2.5, 1.0))
+        self.assertEqual((within.over_bound, over.over_bound), ([], [(2.0, 2.5)]))
 
     def test_the_ratio_is_highest_over_mean_from_the_start(self):
         skew = skew_figures([sample({"a": 90, "b": 30}, 1)], 1.25, 10.0)
