--- a/benchmarks/measuring/report.py
+++ b/benchmarks/measuring/report.py
@@ -66,6 +66,7 @@
         "between tokens without router, ms": _percentiles(run.direct_between_tokens_ms),
         "router processor share, highest": round(max(cpu), 3),
         "router memory, MB, highest": round(max(memory) / 1e6, 1),
+        "leave taken by a router after, s": max(run.leave_taken_after_s.values(), default=None),
         "turns and calls": f"{run.turns}+{run.calls}",
         **{f"ended {end}": count for end, count in sorted(run.ends.items())},
         **{f"broken: {breach.promise}": breach.count for breach in run.breaches},
--- a/benchmarks/measuring/run.py
+++ b/benchmarks/measuring/run.py
@@ -51,6 +51,7 @@
     direct_between_tokens_ms: dict[str, float]
     ends: dict[str, int]
     breaches: list[Breach]
+    leave_taken_after_s: dict[str, float]
     control_series: dict[str, list[tuple[float, float]]]
     phases: list[Phase]
 
@@ -210,6 +211,11 @@
         direct_between_tokens_ms=direct.between_tokens.percentiles_ms(),
         ends=count_ends(driver.turns, driver.calls),
         breaches=find_breaches(driver.turns, driver.calls, seen.oracles, deployment.model, root),
+        leave_taken_after_s={
+            target: oracle["leave_taken_after_s"]
+            for target, oracle in seen.oracles.items()
+            if oracle["leave_taken_after_s"] is not None
+        },
         control_series=seen.control_series,
         phases=phases,
     )
