Proof of at most once: callers' answers are lost on a condition, not by luck

Now all callers' links are silent in that stage and are reset when the routers report that they have answered, and slow calls are cut more often than they take. The checks are as they were.

--- a/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_once.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_once.py
@@ -31,6 +31,7 @@
 RESEND_WAIT_S = 0.1
 LARGE_BYTES = 400_000
 SLOW_S = 0.25
+ARRIVAL_S = 0.3
 SERVICES = ("edge-0", "edge-1", "edge-2")
 SILENT = Direction(to_caller=Impairment(blackhole=True))
 
@@ -124,11 +125,28 @@
             await self.fleet.arm(target, "")
         self.fleet.network.heal()
 
-    async def cut_again_and_again(self, names):
-        """Reset what is open on some links, at drawn moments."""
+    async def cut_callers(self, names):
+        """Reset what callers have open, more often than a slow call takes."""
         while True:
-            await asyncio.sleep(self.random.uniform(0.02, 0.2))
-            self.fleet.network.links[self.random.choice(names)].cut()
+            await asyncio.sleep(self.random.uniform(0.05, 0.8 * SLOW_S))
+            for name in names:
+                self.fleet.network.links[name].cut()
+
+    async def lose_what_was_answered(self, names):
+        """Hold all answers to callers back, and reset once the routers have given them."""
+        links = [self.fleet.network.links[name] for name in names]
+
+        async def have_answered():
+            states = [await self.fleet.state(name) for name in self.fleet.routers]
+            return not any(state["requests_in_progress"] for state in states)
+
+        for link in links:
+            link.impair(SILENT)
+        while True:
+            await asyncio.sleep(ARRIVAL_S)
+            await wait_until(have_answered, 20, "answers given by the routers")
+            for link in links:
+                link.cut()
 
     async def refuse_now_and_then(self):
         """Let links refuse and reset for a while, so that nothing gets through."""
@@ -181,10 +199,10 @@
             "caller-cut",
             f"?delay_s={SLOW_S}",
             through_links=True,
-            breaking=lambda: self.cut_again_and_again(callers),
+            breaking=lambda: self.cut_callers(callers),
         )
         await self.stage(
-            "answer-lost", through_links=True, breaking=lambda: self.lose_answers(callers)
+            "answer-lost", through_links=True, breaking=lambda: self.lose_what_was_answered(callers)
         )
 
     async def router_dies(self):
