--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/tests/test_cluster_members.py
@@ -0,0 +1,117 @@
+import asyncio
+import shutil
+
+from twisted.trial.unittest import TestCase
+
+from damaskwind.control.operator_api.ports import CommitVerdict
+from damaskwind.control.replica.tests.cluster import ReplicaCluster
+from damaskwind.runtime.bridge import asyncio_test
+
+COMMITTED = CommitVerdict.COMMITTED
+
+
+class MembersTest(TestCase):
+    timeout = 60
+
+    def make(self, **options):
+        return ReplicaCluster(self, **options)
+
+    async def confirm(self, cluster, name, payload):
+        outcome = await cluster.running[name].access.propose(payload, 10.0)
+        self.assertEqual(outcome.verdict, COMMITTED, outcome)
+        return outcome
+
+    @asyncio_test
+    async def test_all_restart_after_a_thousand_changes_with_snapshots(self):
+        cluster = self.make(snapshot_every_entries=150)
+        await cluster.start_all()
+        try:
+            leader = await cluster.leader()
+            payloads = [b"%d" % number for number in range(1000)]
+            for first in range(0, 1000, 50):
+                some = payloads[first : first + 50]
+                await asyncio.gather(*(self.confirm(cluster, leader, item) for item in some))
+            await cluster.stop_all()
+            for name in "abc":
+                await cluster.start(name)
+            for item in cluster.running.values():
+                self.assertTrue(await item.access.read_current(15.0))
+                self.assertEqual(sorted(item.machine.payloads), sorted(payloads))
+                self.assertTrue(item.node.journal.snapshot.index > 0)
+        finally:
+            await cluster.stop_all()
+
+    @asyncio_test
+    async def test_lost_disk_comes_back_under_a_new_identity_and_a_second_loss_is_borne(self):
+        cluster = self.make(snapshot_every_entries=5)
+        await cluster.start_all()
+        try:
+            for number in range(12):
+                await self.confirm(cluster, "a", b"%d" % number)
+            old = cluster.running["c"].replica.member
+            await cluster.stop("c")
+            shutil.rmtree(cluster.path / "c")
+            new = (await cluster.start("c")).replica
+            keeps = cluster.running["a"].replica
+
+            def replaced():
+                voters = keeps.core.membership.voters
+                return new.member in voters and old not in voters
+
+            self.assertNotEqual(new.member, old)
+            self.assertTrue(await keeps.wait_until(replaced, 15.0), keeps.core.membership)
+            await cluster.stop("b")
+            await self.confirm(cluster, "a", b"after the second loss")
+            self.assertTrue(await cluster.running["c"].access.read_current(10.0))
+            self.assertEqual(len(cluster.running["c"].machine.payloads), 13)
+        finally:
+            await cluster.stop_all()
+
+    @asyncio_test
+    async def test_founder_without_its_disk_founds_no_second_cluster(self):
+        cluster = self.make()
+        await cluster.start_all()
+        try:
+            await self.confirm(cluster, "b", b"kept")
+            await cluster.stop("a")
+            shutil.rmtree(cluster.path / "a")
+            back = await cluster.start("a")
+            self.assertTrue(await back.access.read_current(15.0))
+            self.assertEqual(back.machine.payloads, [b"kept"])
+        finally:
+            await cluster.stop_all()
+
+    @asyncio_test
+    async def test_operator_adds_and_removes_a_replica(self):
+        cluster = self.make()
+        await cluster.start_all()
+        try:
+            await self.confirm(cluster, "a", b"one")
+            new = await cluster.start("d")
+            address = cluster.addresses["d"]
+            access = cluster.running["b"].access
+            outcome = await access.change_membership("add", "d", address, "domain-d", 10.0)
+            self.assertEqual(outcome.verdict, COMMITTED, outcome)
+            await cluster.settled(4)
+            self.assertTrue(await new.access.read_current(10.0))
+            self.assertEqual(new.machine.payloads, [b"one"])
+            outcome = await access.change_membership("remove", "c", "", "", 10.0)
+            self.assertEqual(outcome.verdict, COMMITTED, outcome)
+            voters = {item["replica_id"] for item in access.status()["voters"]}
+            self.assertEqual(voters, {"a", "b", "d"})
+            refused = await access.change_membership("remove", "c", "", "", 5.0)
+            self.assertEqual(refused.verdict, CommitVerdict.REFUSED)
+        finally:
+            await cluster.stop_all()
+
+    @asyncio_test
+    async def test_replica_with_a_wrong_key_is_not_heard(self):
+        cluster = self.make()
+        await cluster.start("a", cluster_key="other")
+        await cluster.start("b")
+        await cluster.start("c")
+        try:
+            lone = cluster.running["a"].replica
+            self.assertFalse(await lone.wait_until(lambda: lone.has_log, 2.0))
+        finally:
+            await cluster.stop_all()
