Test of a cut-off start settles for 3 s, as routers do

A stall of 1 s at the start let the settling time of 1 s end before the second source had been asked, and the first one's lower revision would be applied: the test's race, found by reading, not seen to fail. It has the shipped 3 s; the check is the same.

--- a/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
+++ b/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
@@ -279,7 +279,7 @@
     @asyncio_test
     async def test_cut_off_start_takes_the_highest_that_its_domain_knows(self):
         low, high = await self.source(4, is_current=False), await self.source(9, is_current=False)
-        follower = self.follower(low, peers=[high], settle_s=1.0)
+        follower = self.follower(low, peers=[high], settle_s=3.0)
         try:
             await follower.start()
             await until(lambda: follower.is_ready)
