Tests: each fleet has a cluster and an announce key of its own

Cause: test modules run side by side shared the cluster 'test', its key and the announce key. Routers and targets go on trying addresses of the dead, and the kernel gives a freed port to the next test; two fleets could then hear each other. Seen with test_faults_data_path_chats run twice side by side: 1 of 4 not ready within 40 s. After: 10 of 10 passed, five side by side. One more failure of that test, beside six other modules, came after the change; its cause is not known yet.

--- a/packages/commands/src/damaskwind/commands/tests/data_path_fleet.py
+++ b/packages/commands/src/damaskwind/commands/tests/data_path_fleet.py
@@ -24,11 +24,10 @@
 from damaskwind.standins.harness import Harness, wait_until
 from damaskwind.standins.impairment import Direction, Impairment
 
-__all__ = ["ACCOUNT_KEY", "ANNOUNCE_KEY", "DOMAINS", "LEASE_S", "LOST", "Answer"]
+__all__ = ["ACCOUNT_KEY", "DOMAINS", "LEASE_S", "LOST", "Answer"]
 __all__ += ["DataPathFleet", "expected_chat", "stream_text"]
 
 ACCOUNT_KEY = "key-of-library"
-ANNOUNCE_KEY = "announce"
 OPERATOR_KEY = "key-of-operator"
 DOMAINS = ("bangsar-hall", "cyberjaya-a", "shah-alam-b")
 DEADLINE_S = 40.0
@@ -106,6 +105,9 @@
         self.harness = Harness(folder)
         self.network = FaultyNetwork(reactor)
         self.folder = folder
+        # A freed port may be another test's by now: nobody else must know these names.
+        self.cluster = f"test-{folder.name}"
+        self.announce_key = f"announce-{folder.name}"
         self.routers: dict[str, str] = {}
         self.replicas: list[dict[str, Any]] = []
         self.target_count = 0
@@ -157,7 +159,7 @@
             "http_address": ANY_PORT,
             "datagram_address": ANY_PORT,
             "peer_address": ANY_PORT,
-            "announce_key": ANNOUNCE_KEY,
+            "announce_key": self.announce_key,
             "configuration_file": str(path),
             "replicas": self.replicas,
             "control_bytes_per_s": 65_536,
@@ -190,7 +192,7 @@
         for one in [*engines, *services] if behind_links else ():
             link = self.network.add_link(one["target_id"], "tcp")
             one["announced_address"] = str(link.address)
-        announcing = {"routers": list(self.routers.values()), "key": ANNOUNCE_KEY}
+        announcing = {"routers": list(self.routers.values()), "key": self.announce_key}
         announcing |= {"interval_s": 0.3, "lease_s": LEASE_S, **announce}
         table = {"announce": announcing, "engines": engines, "services": services}
         process = await self.harness.start_fleet(name, table)
@@ -222,7 +224,8 @@
 
     def _node(self, name: str, domain: str) -> dict[str, Any]:
         """Return the table `node` of a process."""
-        node = {"node_id": name, "cluster": "test", "cluster_key": "key", "log_format": "json"}
+        node = {"node_id": name, "cluster": self.cluster, "cluster_key": "key"}
+        node |= {"log_format": "json"}
         return node | {"region": "kl-central", "failure_domain": domain}
 
     # The operators' view and the targets' own.
--- a/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
+++ b/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
@@ -56,6 +56,8 @@
 
     def __init__(self, folder: Path, snapshot_every_entries: int = 1000) -> None:
         self.folder = folder
+        # A freed port may be another test's by now: nobody else must know this name.
+        self.cluster = f"test-{folder.name}"
         self.harness = Harness(folder)
         self.network = FaultyNetwork(reactor)
         self.confirmed: list[Told] = []
@@ -112,7 +114,7 @@
             "http_address": ANY_PORT,
             "datagram_address": ANY_PORT,
             "peer_address": ANY_PORT,
-            "announce_key": "announce",
+            "announce_key": f"announce-{self.folder.name}",
             "seeds": seeds or [],
             "replicas": self._rows(name),
             "state_file": str(self.folder / f"{name}.state"),
@@ -146,7 +148,8 @@
 
     def _node(self, name: str, domain: str) -> dict[str, Any]:
         """Return the table `node` of a process."""
-        node = {"node_id": name, "cluster": "test", "cluster_key": "key", "log_format": "json"}
+        node = {"node_id": name, "cluster": self.cluster, "cluster_key": "key"}
+        node |= {"log_format": "json"}
         return node | {"region": "kl-central", "failure_domain": domain}
 
     def _rows(self, caller: str) -> list[dict[str, Any]]:
--- a/packages/commands/src/damaskwind/commands/tests/test_operator_with_replicas.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_operator_with_replicas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -31,7 +32,7 @@
         {"replica_id": f"control-{i}", "address": address, "failure_domain": DOMAINS[i]}
         for i, address in enumerate(addresses[:3])
     ]
-    node = {"node_id": f"control-{index}", "cluster": "test", "cluster_key": "key"}
+    node = {"node_id": f"control-{index}", "cluster": f"test-{os.getpid()}", "cluster_key": "key"}
     node |= {"region": "kl-central", "failure_domain": DOMAINS[index]}
     control = {"replica_address": addresses[index], "operator_address": addresses[3 + index]}
     control["bootstrap_operator_key_hash"] = hash_key(BOOTSTRAP_KEY)
--- a/packages/router/src/damaskwind/router/claims/tests/holders.py
+++ b/packages/router/src/damaskwind/router/claims/tests/holders.py
@@ -1,6 +1,7 @@
 """Real claim holders in this process, on ports of their own."""
 
 import asyncio
+import os
 import socket
 import time
 
@@ -14,7 +15,7 @@
 
 __all__ = ["CLUSTER", "KEY", "Holders"]
 
-CLUSTER = "test"
+CLUSTER = f"test-{os.getpid()}"
 KEY = "cluster-key"
 
 
--- a/packages/router/src/damaskwind/router/tests/bench.py
+++ b/packages/router/src/damaskwind/router/tests/bench.py
@@ -1,6 +1,7 @@
 """Start a router with stand-ins in this process, for the tests."""
 
 import asyncio
+import os
 from hashlib import sha256
 from typing import Any
 
@@ -37,9 +38,9 @@
 
 ACCOUNT_KEY = "key-of-library"
 OTHER_KEY = "key-of-registry"
-ANNOUNCE_KEY = "announce"
+ANNOUNCE_KEY = f"announce-{os.getpid()}"
 OPERATOR_KEY = "operator"
-CLUSTER = "test"
+CLUSTER = f"test-{os.getpid()}"
 CLUSTER_KEY = "cluster-key"
 
 
--- a/packages/standins/src/damaskwind/standins/tests/test_real_processes.py
+++ b/packages/standins/src/damaskwind/standins/tests/test_real_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import os
 import tempfile
 from pathlib import Path
 from typing import Any
@@ -15,10 +16,10 @@
 from damaskwind.standins.harness import Harness, wait_until
 
 _KEY = "key-of-library"
-_ANNOUNCE = {"key": "announce", "interval_s": 0.3, "lease_s": 5.0}
+_ANNOUNCE = {"key": f"announce-{os.getpid()}", "interval_s": 0.3, "lease_s": 5.0}
 _NODE = {
     "node_id": "router-1",
-    "cluster": "test",
+    "cluster": f"test-{os.getpid()}",
     "cluster_key": "cluster-key",
     "region": "kl-central",
     "failure_domain": "local",
@@ -27,7 +28,7 @@
     "http_address": "127.0.0.1:0",
     "datagram_address": "127.0.0.1:0",
     "peer_address": "127.0.0.1:0",
-    "announce_key": "announce",
+    "announce_key": f"announce-{os.getpid()}",
     "body_timeout_s": 2.0,
 }
 _CONFIGURATION = {
