Limits: a changed configuration divides only the limits that differ

Cause: limiter and allocator each divided all accounts' limits over all failure domains at every revision, a hash for each pair, though a revision mostly changes one account or none. The router's loop stood still meanwhile.

Change: LimitChanges keeps what is set and yields what differs; changed domains yield all, and a limit whose setting failed is yielded again. The codec's names and the blocks of accounts are kept while the names are the same.

The first configuration costs as before.

--- a/packages/decisions/src/damaskwind/decisions/limits/allocator.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection, Mapping, Sequence
 
 from damaskwind.decisions.limits.fair_share import fair_shares
+from damaskwind.decisions.limits.limit_changes import LimitChanges
 from damaskwind.decisions.limits.messages import (
     AccountDemand,
     AccountGrant,
@@ -137,14 +138,17 @@
         self.domain = domain
         self.policy = policy
         self._blind_until_s = now_s if is_alone else now_s + policy.lease_s
+        self._changes = LimitChanges()
         self._slices: dict[str, AccountLimit] = {}
         self._accounts: dict[str, _Account] = {}
         self._recalls: list[tuple[str, ShareGrant]] = []
 
     def set_limits(self, limits: Mapping[str, AccountLimit], domains: Sequence[str]) -> None:
         """Follow the confirmed limits; `domains` must be the same on all routers."""
-        self._slices = {}
-        for account, limit in limits.items():
+        for account in self._slices.keys() - limits.keys():
+            del self._slices[account]
+            self._accounts.pop(account, None)
+        for account, limit in self._changes.follow(limits, domains):
             mine = divide_limit(account, limit, domains)[self.domain]
             floor = floor_of(mine, self.policy)
             kept = self.policy.floor_routers
@@ -152,9 +156,6 @@
                 mine.max_concurrent_requests - kept * floor.max_concurrent_requests,
                 mine.max_tokens_per_s - kept * floor.max_tokens_per_s,
             )
-        self._accounts = {
-            name: account for name, account in self._accounts.items() if name in self._slices
-        }
 
     def set_routers(self, alive: Collection[str]) -> None:
         """Follow which routers of the own domain live.
--- a/packages/decisions/src/damaskwind/decisions/limits/allocator_choice.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/allocator_choice.py
@@ -47,6 +47,8 @@
 
     def set_accounts(self, accounts: Collection[str]) -> None:
         """Follow the configured accounts, which must be the same on all routers."""
+        if self._blocks.keys() == set(accounts):
+            return
         blocks = block_count(len(accounts))
         self._blocks = {account: block_of(account, blocks) for account in accounts}
 
--- a/packages/decisions/src/damaskwind/decisions/limits/codec.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/codec.py
@@ -97,14 +97,19 @@
     """
 
     def __init__(self) -> None:
+        self._configured: frozenset[str] = frozenset()
         self._names: dict[int, str] = {}
         self._digests: dict[str, int] = {}
 
     def set_names(self, accounts: Iterable[str], domains: Iterable[str]) -> None:
         """Follow the configured accounts and failure domains."""
+        configured = frozenset((*accounts, *domains))
+        if configured == self._configured:
+            return
+        self._configured = configured
         shared: set[int] = set()
         self._names = {}
-        for name in {*accounts, *domains}:
+        for name in configured:
             digest = name_digest(name)
             if self._names.setdefault(digest, name) != name:
                 shared.add(digest)
--- a/packages/decisions/src/damaskwind/decisions/limits/limiter.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/limiter.py
@@ -4,6 +4,7 @@
 
 from damaskwind.decisions.limits.allocator_choice import AllocatorChoice
 from damaskwind.decisions.limits.holding import AccountHolding
+from damaskwind.decisions.limits.limit_changes import LimitChanges
 from damaskwind.decisions.limits.messages import (
     AccountDemand,
     AccountLimit,
@@ -47,6 +48,7 @@
         self._holdings: dict[str, AccountHolding] = {}
         self._due_s: dict[str, float] = {}
         self._choice = AllocatorChoice()
+        self._changes = LimitChanges()
         self._renewed_s: dict[str, float] = {}
         self._awaited: set[str] = set()
         self._sequence = first_sequence
@@ -55,7 +57,7 @@
     def set_limits(self, limits: Mapping[str, AccountLimit], domains: Sequence[str]) -> None:
         """Follow the confirmed limits; `domains` must be the same on all routers."""
         self._choice.set_accounts(limits)
-        for account, limit in limits.items():
+        for account, limit in self._changes.follow(limits, domains):
             slices = divide_limit(account, limit, domains)
             holding = self._holdings.get(account)
             if holding is None:
