Limits: token buckets lend one second of the leased rate

Cause: a bucket starts empty and its cap follows the leased rate, so the second turn of an account soon after its first waited until the first's tokens were paid off.

Change: a request is let in while the debt is at most one second of the leased rate (`credit_s`), and a bucket saves up one second instead of two, so that the longest burst stays two seconds. What was borrowed stays a debt of its router, so that the rate holds over time; but an account may now be a second of its lease ahead at each router that the lease came by, where it was one request ahead before.

--- /dev/null
+++ b/benchmarks/limits_debt.py
@@ -0,0 +1,107 @@
+"""Measure how long requests wait for the token debt of their account, and how far it is overdrawn.
+
+    .venv/bin/python -m benchmarks.limits_debt
+
+Pure decisions over a simulated network of 2 ms, nine routers in three failure domains,
+one account, in simulated time: the figures don't depend on the machine.
+"""
+
+from random import Random
+
+from damaskwind.decisions.limits.messages import AccountLimit, LimitPolicy
+from damaskwind.decisions.limits.tests.fleet import STEP_S, Fleet
+
+__all__ = ["DebtFleet", "measure_debt"]
+
+DOMAINS = ("a", "b", "c")
+ROUTERS_PER_DOMAIN = 3
+LIMIT = AccountLimit(40, 8000.0)
+TOKENS = 1000
+DURATION_S = 2.0
+SETTLE_S = 10.0
+MEASURE_S = 120.0
+SEEDS = range(1, 6)
+TURN_S = 3.0
+LOADS_PER_S = (1.0, 2.0, 4.0, 7.0, 16.0)
+
+
+class DebtFleet(Fleet):
+    """A fleet that notes waits, and by how many tokens the account is ahead of its rate."""
+
+    def __init__(self, seed: int, turn_s: float | None) -> None:
+        limits = {"x": LIMIT}
+        super().__init__(DOMAINS, ROUTERS_PER_DOMAIN, limits, LimitPolicy(), seed=seed)
+        self.waits_s: list[float] = []
+        self.ahead = self.most_ahead = 0.0
+        self.turn_s = turn_s
+
+    def finish(self, name, limiter) -> None:
+        """End requests that used what was expected of them."""
+        ended = [account for at_s, account in self.running[name] if at_s <= self.now_s]
+        self.running[name] = [item for item in self.running[name] if item[0] > self.now_s]
+        if ended:
+            self.woken.add(name)
+        for account in ended:
+            limiter.release(account, TOKENS, TOKENS, self.now_s)
+
+    def attempt(self, name, account, duration_s, tokens, until_s) -> None:
+        """Note the wait of a request that is let in."""
+        before = self.served.get(name, 0)
+        super().attempt(name, account, duration_s, tokens, until_s)
+        if self.served.get(name, 0) > before:
+            came_s = self.now_s if until_s is None else until_s - self.policy.wait_s
+            self.waits_s.append(self.now_s - came_s)
+            self.ahead += tokens
+            self.most_ahead = max(self.most_ahead, self.ahead)
+
+    def choose(self, random: Random) -> str:
+        """Return the router that the next request comes in at."""
+        names = list(self.limiters)
+        if self.turn_s is None:
+            return random.choice(names)
+        return names[int(self.now_s / self.turn_s) % len(names)]
+
+    def run(self, duration_s: float, requests_per_s: float, random: Random) -> None:
+        """Let requests come in at random routers."""
+        for _ in range(int(duration_s / STEP_S)):
+            self.ahead = max(0.0, self.ahead - LIMIT.max_tokens_per_s * STEP_S)
+            if random.random() < requests_per_s * STEP_S:
+                name = self.choose(random)
+                self.request(name, "x", DURATION_S, TOKENS)
+            self.step()
+
+
+def measure_debt(requests_per_s: float, turn_s: float | None = None) -> None:
+    """Print the waits of all seeds at one load."""
+    waits_s: list[float] = []
+    refused = most_ahead = 0
+    for seed in SEEDS:
+        fleet = DebtFleet(seed, turn_s)
+        random = Random(seed)
+        fleet.run(SETTLE_S, 0.0, random)
+        fleet.run(MEASURE_S, requests_per_s, random)
+        waits_s += fleet.waits_s
+        refused += sum(fleet.refused.values())
+        most_ahead = max(most_ahead, int(fleet.most_ahead))
+    waits_s.sort()
+    p50_ms, p95_ms, p99_ms = (
+        1000 * waits_s[int(len(waits_s) * part)] for part in (0.5, 0.95, 0.99)
+    )
+    rate = len(waits_s) * TOKENS / (MEASURE_S * len(SEEDS))
+    print(
+        f"{requests_per_s:4.0f}/s: {len(waits_s)} let in, {refused} refused,"
+        f" waits p50 {p50_ms:.0f}, p95 {p95_ms:.0f}, p99 {p99_ms:.0f} ms,"
+        f" {rate:.0f} tokens/s, at most {most_ahead} ahead"
+    )
+
+
+def main() -> None:
+    """Print the waits at each load."""
+    for requests_per_s in LOADS_PER_S:
+        measure_debt(requests_per_s)
+    print(f"all requests at one router, another each {TURN_S:.0f} s:")
+    measure_debt(LOADS_PER_S[-1], TURN_S)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/decisions/src/damaskwind/decisions/limits/holding.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/holding.py
@@ -54,7 +54,7 @@
         self.demand = Demand(policy.idle_s)
         self.reported_s = float("-inf")
         self.urgent_gap_s = URGENT_GAP_S
-        self._bucket = TokenBucket(policy.burst_s)
+        self._bucket = TokenBucket(policy.burst_s, policy.credit_s)
         self._held: dict[str, _Held] = {}
         self._used: dict[str, int] = {}
         self._asked: dict[str, AccountDemand] = {}
@@ -84,7 +84,7 @@
         return int(self._floor.max_tokens_per_s) + leased
 
     def try_admit(self, tokens: int, now_s: float) -> bool:
-        """Let a request in if a unit is free and the bucket is not in debt."""
+        """Let a request in if a unit is free and the bucket's debt within its credit."""
         source = self._free_source(now_s)
         if source is None or self._bucket.wait_s(self.tokens_per_s(now_s), now_s) != 0.0:
             return False
--- a/packages/decisions/src/damaskwind/decisions/limits/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/messages.py
@@ -29,7 +29,8 @@
 
     `lease_s` is the life of a lease, `renew_s` the time between reports,
     `idle_s` how long an unused share is kept, `burst_s` how many seconds of its
-    rate a token bucket saves up. `floor_share` of a domain's slice is divided
+    rate a token bucket saves up, `credit_s` how many it lends; their sum is the
+    longest burst. `floor_share` of a domain's slice is divided
     over `floor_routers` routers, whether they exist or not: what a router that
     no allocator answers may still use. `linger_s` keeps the units of a router that
     is not heard of, and not known to be dead, booked after their lease ended,
@@ -39,7 +40,8 @@
     lease_s: float = 8.0
     renew_s: float = 3.0
     idle_s: float = 6.0
-    burst_s: float = 2.0
+    burst_s: float = 1.0
+    credit_s: float = 1.0
     wait_s: float = 2.0
     retry_after_s: float = 1.0
     floor_share: float = 0.1
--- a/packages/decisions/src/damaskwind/decisions/limits/token_bucket.py
+++ b/packages/decisions/src/damaskwind/decisions/limits/token_bucket.py
@@ -1,4 +1,4 @@
-"""A token bucket that may go into debt for one request at a time."""
+"""A token bucket that lends some seconds of its rate, and one request beyond."""
 
 __all__ = ["TokenBucket"]
 
@@ -6,18 +6,23 @@
 class TokenBucket:
     """Save up tokens at a rate that may change, for at most `burst_s` seconds.
 
-    A request is let in while the level is not below zero and then takes its whole
-    cost, so that one larger than the burst gets through and is paid off before
-    the next. Over time the rate holds.
+    A request is let in while the debt is at most `credit_s` seconds of the rate and
+    then takes its whole cost, so that one larger than all this gets through and is
+    paid off before the next. Over time the rate holds.
 
     >>> bucket = TokenBucket(burst_s=2.0)
     >>> bucket.take(500, 0.0)
     >>> bucket.wait_s(100.0, 0.0)
     5.0
+    >>> bucket = TokenBucket(burst_s=2.0, credit_s=2.0)
+    >>> bucket.take(500, 0.0)
+    >>> bucket.wait_s(100.0, 0.0)
+    3.0
     """
 
-    def __init__(self, burst_s: float) -> None:
+    def __init__(self, burst_s: float, credit_s: float = 0.0) -> None:
         self.burst_s = burst_s
+        self.credit_s = credit_s
         self._level = 0.0
         self._filled_s = 0.0
 
@@ -41,4 +46,4 @@
         self.fill(rate_per_s, now_s)
         if rate_per_s <= 0:
             return None
-        return self.debt() / rate_per_s
+        return max(0.0, self.debt() / rate_per_s - self.credit_s)
