--- a/packages/commands/src/damaskwind/commands/tests/data_path_traffic.py
+++ b/packages/commands/src/damaskwind/commands/tests/data_path_traffic.py
@@ -5,14 +5,28 @@
 import time
 from pathlib import Path
 
+from openai import AsyncOpenAI
 from twisted.internet import reactor
 from twisted.trial.unittest import TestCase
 
-from damaskwind.commands.tests.data_path_fleet import DataPathFleet, expected_chat, stream_text
+from damaskwind.commands.tests.data_path_fleet import (
+    ACCOUNT_KEY,
+    DataPathFleet,
+    expected_chat,
+    stream_text,
+)
 from damaskwind.runtime.bridge import to_deferred
 from damaskwind.standins.harness import wait_until
 
-__all__ = ["LONG_STREAMS", "LONG_TOKENS", "SHORT_TOKENS", "SLOW", "Traffic", "TrafficTestCase"]
+__all__ = [
+    "LONG_STREAMS",
+    "LONG_TOKENS",
+    "SHORT_TOKENS",
+    "SLOW",
+    "FleetTestCase",
+    "Traffic",
+    "TrafficTestCase",
+]
 
 LANES = 6
 SHORT_TOKENS = 4
@@ -51,8 +65,10 @@
         self.answers.clear()
 
 
-class TrafficTestCase(TestCase):
-    """A fleet for each test, and callers who know their whole answers."""
+class FleetTestCase(TestCase):
+    """A fleet for each test, and the official client."""
+
+    timeout = 120
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -60,6 +76,17 @@
         self.fleet = DataPathFleet(reactor, Path(folder.name))
         self.addCleanup(lambda: to_deferred(self.fleet.stop()))
 
+    def client(self, router):
+        """Return the official client as it comes."""
+        url = f"http://{self.fleet.routers[router]}/v1"
+        client = AsyncOpenAI(api_key=ACCOUNT_KEY, base_url=url)
+        self.addCleanup(lambda: to_deferred(client.close()))
+        return client
+
+
+class TrafficTestCase(FleetTestCase):
+    """Callers who know their whole answers."""
+
     def is_whole(self, text, answer, size_tokens=SHORT_TOKENS):
         """Tell whether a caller got its whole answer; fail when a broken one looks whole."""
         expected = expected_chat(text, size_tokens)
--- a/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_chats.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_chats.py
@@ -1,41 +1,18 @@
 """Proof with real processes: a chat through eight routers in turn finds its cache."""
 
-import tempfile
-from pathlib import Path
-
-from openai import AsyncOpenAI
-from twisted.internet import reactor
-from twisted.trial.unittest import TestCase
-
 from damaskwind.commands.tests.data_path_fleet import (
-    ACCOUNT_KEY,
     DOMAINS,
-    DataPathFleet,
 )
+from damaskwind.commands.tests.data_path_traffic import FleetTestCase
 from damaskwind.model.prefix import Message, ModelName
-from damaskwind.runtime.bridge import asyncio_test, to_deferred
+from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.standins.answers import expected_answer
 
 TURNS = 10
 SPILLS = ("spilled", "spill_note")
 
 
-class ChatsTest(TestCase):
-    timeout = 120
-
-    def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = DataPathFleet(reactor, Path(folder.name))
-        self.addCleanup(lambda: to_deferred(self.fleet.stop()))
-
-    def client(self, router):
-        """Return the official client as it comes."""
-        url = f"http://{self.fleet.routers[router]}/v1"
-        client = AsyncOpenAI(api_key=ACCOUNT_KEY, base_url=url)
-        self.addCleanup(lambda: to_deferred(client.close()))
-        return client
-
+class ChatsTest(FleetTestCase):
     async def turn(self, router, messages):
         """Stream one turn; return its text, its usage and its request id."""
         stream = await self.client(router).chat.completions.create(
--- a/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_drain.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_drain.py
@@ -3,15 +3,10 @@
 import asyncio
 import json
 import signal
-import tempfile
-from pathlib import Path
 
-from openai import AsyncOpenAI
-from twisted.internet import reactor
-from twisted.trial.unittest import TestCase
-
-from damaskwind.commands.tests.data_path_fleet import ACCOUNT_KEY, DataPathFleet, expected_chat
-from damaskwind.runtime.bridge import asyncio_test, to_deferred
+from damaskwind.commands.tests.data_path_fleet import ACCOUNT_KEY, expected_chat
+from damaskwind.commands.tests.data_path_traffic import FleetTestCase
+from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.standins.harness import wait_until
 
 STREAMS = 200
@@ -19,22 +14,7 @@
 PROBE_S = 0.02
 
 
-class DrainTest(TestCase):
-    timeout = 120
-
-    def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = DataPathFleet(reactor, Path(folder.name))
-        self.addCleanup(lambda: to_deferred(self.fleet.stop()))
-
-    def client(self, router):
-        """Return the official client as it comes."""
-        url = f"http://{self.fleet.routers[router]}/v1"
-        client = AsyncOpenAI(api_key=ACCOUNT_KEY, base_url=url)
-        self.addCleanup(lambda: to_deferred(client.close()))
-        return client
-
+class DrainTest(FleetTestCase):
     async def listen(self, stream, begun, texts):
         """Read a stream to its end."""
         text = ""
--- a/packages/control/src/damaskwind/control/replica/tests/cluster.py
+++ b/packages/control/src/damaskwind/control/replica/tests/cluster.py
@@ -6,7 +6,9 @@
 
 import msgspec
 from grpclib.server import Server
+from twisted.trial.unittest import TestCase
 
+from damaskwind.control.operator_api.ports import CommitVerdict
 from damaskwind.control.replica.node import open_replica
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.runtime.settings import (
@@ -17,6 +19,8 @@
 )
 from damaskwind.standins.harness import free_addresses
 
+COMMITTED = CommitVerdict.COMMITTED
+
 
 def free_address():
     """Return an address that is free now."""
@@ -146,3 +150,17 @@
             )
             if not held:
                 raise AssertionError(f"voters: {core.core.membership}")
+
+
+class ClusterTestCase(TestCase):
+    """A small cluster for each test."""
+
+    timeout = 60
+
+    def make(self, **options):
+        return ReplicaCluster(self, **options)
+
+    async def confirm(self, cluster, name, payload):
+        outcome = await cluster.running[name].access.propose(payload, 10.0)
+        self.assertEqual(outcome.verdict, COMMITTED, outcome)
+        return outcome
--- a/packages/control/src/damaskwind/control/replica/tests/test_cluster.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_cluster.py
@@ -1,16 +1,12 @@
 import asyncio
 import errno
 
-from twisted.trial.unittest import TestCase
-
 from damaskwind.control.operator_api.ports import CommitVerdict
-from damaskwind.control.replica.tests.cluster import ReplicaCluster
+from damaskwind.control.replica.tests.cluster import COMMITTED, ClusterTestCase
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.model.exception import StorageError
 from damaskwind.runtime.bridge import asyncio_test
 
-COMMITTED = CommitVerdict.COMMITTED
-
 
 class BreakableFileSystem(FileSystem):
     """A disk that can break: from then on every sync fails."""
@@ -23,17 +19,7 @@
         super().sync(descriptor)
 
 
-class ClusterTest(TestCase):
-    timeout = 60
-
-    def make(self, **options):
-        return ReplicaCluster(self, **options)
-
-    async def confirm(self, cluster, name, payload):
-        outcome = await cluster.running[name].access.propose(payload, 10.0)
-        self.assertEqual(outcome.verdict, COMMITTED, outcome)
-        return outcome
-
+class ClusterTest(ClusterTestCase):
     @asyncio_test
     async def test_every_replica_confirms_and_reads_what_others_confirmed(self):
         cluster = self.make()
--- a/packages/control/src/damaskwind/control/replica/tests/test_cluster_members.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_cluster_members.py
@@ -1,26 +1,12 @@
 import asyncio
 import shutil
 
-from twisted.trial.unittest import TestCase
-
 from damaskwind.control.operator_api.ports import CommitVerdict
-from damaskwind.control.replica.tests.cluster import ReplicaCluster
+from damaskwind.control.replica.tests.cluster import COMMITTED, ClusterTestCase
 from damaskwind.runtime.bridge import asyncio_test
 
-COMMITTED = CommitVerdict.COMMITTED
-
-
-class MembersTest(TestCase):
-    timeout = 60
-
-    def make(self, **options):
-        return ReplicaCluster(self, **options)
-
-    async def confirm(self, cluster, name, payload):
-        outcome = await cluster.running[name].access.propose(payload, 10.0)
-        self.assertEqual(outcome.verdict, COMMITTED, outcome)
-        return outcome
 
+class MembersTest(ClusterTestCase):
     @asyncio_test
     async def test_all_restart_after_a_thousand_changes_with_snapshots(self):
         cluster = self.make(snapshot_every_entries=150)
--- a/packages/control/src/damaskwind/control/state/tests/histories.py
+++ b/packages/control/src/damaskwind/control/state/tests/histories.py
@@ -4,18 +4,11 @@
 second machine follows the same log.
 """
 
-import time
-from contextlib import contextmanager
-from typing import NamedTuple
-
-from hypothesis import HealthCheck, Phase, settings
-from hypothesis import seed as with_seed
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from damaskwind.control.audit.chain import verify_chain
@@ -25,6 +18,8 @@
 from damaskwind.control.state.outcome import ResultStatus, decode_result
 from damaskwind.control.state.plan_book import PlanBook, PlanBookState
 from damaskwind.model.configuration_codec import to_table
+from damaskwind.standins.history_runs import SeededBug, fuzz_histories, seeded_bug
+from damaskwind.standins.history_runs import run_batch as run_machine
 
 STEPS = 40
 BATCH = 200
@@ -159,74 +154,19 @@
         assert to_table(self.follower.configuration) == to_table(self.driven.machine.configuration)
 
 
-class FuzzResult(NamedTuple):
-    """What a run gave: `first_failed` is the first history of the batch that failed."""
-
-    histories: int
-    duration_s: float
-    first_failed: int | None
-    failure: str | None
-
-
 def run_batch(seed, histories):
     """Run so many histories; without a seed the same ones every time."""
-    profile = settings(
-        max_examples=histories,
-        stateful_step_count=STEPS,
-        derandomize=seed is None,
-        deadline=None,
-        database=None,
-        phases=[Phase.generate, Phase.shrink],
-        print_blob=False,
-        suppress_health_check=list(HealthCheck),
-    )
-
-    class Seeded(MachineAgainstOracle):
-        """The histories of this batch."""
-
-    factory = Seeded if seed is None else with_seed(seed)(Seeded)
-    run_state_machine_as_test(factory, settings=profile)
+    run_machine(MachineAgainstOracle, STEPS, seed, histories)
 
 
 # Bugs to put in on purpose: the run has to find each of them.
 SEEDED_BUGS = {
-    "forget_outcomes": (PlanBook, "state", lambda book: PlanBookState(book.open_plans())),
-    "ignore_base": (ConfigurationMachine, "_is_stale", lambda machine, plan: False),
+    "forget_outcomes": SeededBug(PlanBook, "state", lambda book: PlanBookState(book.open_plans())),
+    "ignore_base": SeededBug(ConfigurationMachine, "_is_stale", lambda machine, plan: False),
 }
 
 
-@contextmanager
-def seeded(bug):
-    """Put a bug in for as long as the context lasts."""
-    if bug is None:
-        yield
-        return
-    owner, name, replacement = SEEDED_BUGS[bug]
-    original = getattr(owner, name)
-    setattr(owner, name, replacement)
-    try:
-        yield
-    finally:
-        setattr(owner, name, original)
-
-
 def fuzz_machine(seed, seconds, histories, bug=None):
     """Run histories until the time or the count is used up, or one fails."""
-    started_s = time.monotonic()
-    MachineAgainstOracle.made = 0
-    failure = None
-    first_failed = None
-    batch = 0
-    with seeded(bug):
-        while time.monotonic() - started_s < seconds and MachineAgainstOracle.made < histories:
-            before = MachineAgainstOracle.made
-            try:
-                run_batch(seed + batch, min(BATCH, histories - before))
-            except Exception as error:
-                notes = "\n".join(getattr(error, "__notes__", ()))
-                failure = f"{type(error).__name__}: {error}\n{notes}"
-                first_failed = before
-                break
-            batch += 1
-    duration_s = time.monotonic() - started_s
-    return FuzzResult(MachineAgainstOracle.made, duration_s, first_failed, failure)
+    with seeded_bug(SEEDED_BUGS, bug):
+        return fuzz_histories(MachineAgainstOracle, STEPS, seed, seconds, histories)
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/history_runs.py
@@ -0,0 +1,95 @@
+"""Run a Hypothesis state machine from a seed, also with a bug put in on purpose.
+
+For tests and fuzzing only: no process of the system imports it. A machine counts
+its histories in the class attribute `made`.
+"""
+
+import time
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from typing import Any, NamedTuple
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import seed as with_seed
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+__all__ = ["FuzzResult", "SeededBug", "fuzz_histories", "run_batch", "seeded_bug"]
+
+BATCH = 100
+
+
+class SeededBug(NamedTuple):
+    """A bug put in on purpose: `replacement` stands for an attribute of `owner`."""
+
+    owner: Any
+    attribute: str
+    replacement: Callable[..., Any]
+
+
+class FuzzResult(NamedTuple):
+    """What a run gave: `first_failed` is the first history of the batch that failed."""
+
+    histories: int
+    duration_s: float
+    first_failed: int | None
+    failure: str | None
+
+
+def run_batch(
+    machine: type[RuleBasedStateMachine], steps: int, seed: int | None, histories: int
+) -> None:
+    """Run so many histories; without a seed the same ones every time."""
+    profile = settings(
+        max_examples=histories,
+        stateful_step_count=steps,
+        derandomize=seed is None,
+        deadline=None,
+        report_multiple_bugs=False,
+        database=None,
+        phases=[Phase.generate, Phase.shrink],
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+
+    class Seeded(machine):
+        """The histories of this batch."""
+
+    factory = Seeded if seed is None else with_seed(seed)(Seeded)
+    run_state_machine_as_test(factory, settings=profile)
+
+
+@contextmanager
+def seeded_bug(bugs: Mapping[str, SeededBug], name: str | None) -> Iterator[None]:
+    """Put a bug in for as long as the context lasts; nothing without a name."""
+    if name is None:
+        yield
+        return
+    owner, attribute, replacement = bugs[name]
+    original = getattr(owner, attribute)
+    setattr(owner, attribute, replacement)
+    try:
+        yield
+    finally:
+        setattr(owner, attribute, original)
+
+
+def fuzz_histories(
+    machine: Any, steps: int, seed: int, duration_s: float, histories: int
+) -> FuzzResult:
+    """Run histories until the time or the count is used up, or one fails."""
+    started_s = time.monotonic()
+    machine.made = 0
+    failure = None
+    first_failed = None
+    batch = 0
+    while time.monotonic() - started_s < duration_s and machine.made < histories:
+        before = machine.made
+        try:
+            run_batch(machine, steps, seed + batch, min(BATCH, histories - before))
+        except Exception as error:  # whatever a history raises is its failure
+            notes = "\n".join(getattr(error, "__notes__", ()))
+            failure = f"{type(error).__name__}: {error}\n{notes}"
+            first_failed = before
+            break
+        batch += 1
+    return FuzzResult(machine.made, time.monotonic() - started_s, first_failed, failure)
