--- a/packages/commands/src/damaskwind/commands/daemon.py
+++ b/packages/commands/src/damaskwind/commands/daemon.py
@@ -1,34 +1,21 @@
 """The daemon `damaskwindd`: a router, a control replica, or both in a demo."""
 
-import asyncio
-import signal
 import sys
-from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, Protocol
 
 import defopt
-from loguru import logger
 
 from damaskwind.model.exception import SettingsError
+from damaskwind.runtime.lifecycle import EXIT_FINE, run_on_reactor, serve_until_signal
 from damaskwind.runtime.logging import configure_logging
 from damaskwind.runtime.reactor import install_reactor
 from damaskwind.runtime.settings import Settings, read_settings
 
 __all__ = ["check", "control", "demo", "main", "router"]
 
-EXIT_FINE = 0
-EXIT_FAILED = 1
 EXIT_BAD_USAGE = 2
 
 
-class RunningProcess(Protocol):
-    """What a role hands back: it can be asked to stop gracefully."""
-
-    def stop(self) -> Awaitable[None]:
-        """Finish the work in hand, then release everything."""
-
-
 def _read_or_exit(file: Path) -> Settings:
     """Read settings, or print every mistake and exit with 2."""
     try:
@@ -46,60 +33,6 @@
         sys.exit(EXIT_BAD_USAGE)
 
 
-async def _serve_until_signal(start: Callable[[], Awaitable[RunningProcess]]) -> int:
-    """Start a role, wait for SIGTERM or SIGINT, and stop it gracefully.
-
-    A second signal during the stop is logged and changes nothing: what is in
-    progress has its own limit.
-    """
-    loop = asyncio.get_running_loop()
-    asked = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, asked.set)
-    try:
-        process = await start()
-    except Exception as error:  # the daemon's last word: log it and exit non-zero
-        logger.opt(exception=error).error("start failed")
-        return EXIT_FAILED
-    stopped = asyncio.ensure_future(_watch(process))
-    await asyncio.wait(
-        {asyncio.ensure_future(asked.wait()), stopped}, return_when="FIRST_COMPLETED"
-    )
-    if not asked.is_set():
-        logger.error("process failed", reason=str(stopped.result()))
-        return EXIT_FAILED
-    logger.info("stopping")
-    await process.stop()
-    logger.info("stopped")
-    return EXIT_FINE
-
-
-async def _watch(process: Any) -> Any:
-    """Wait for a role's own fatal failure, if it can report one."""
-    failed = getattr(process, "failed", None)
-    if failed is None:
-        await asyncio.Event().wait()
-    return await failed
-
-
-def _run(main_task: Callable[[], Awaitable[int]]) -> int:
-    """Run a coroutine on the reactor's loop and return its exit code."""
-    reactor = install_reactor()
-    exit_codes = [EXIT_FAILED]
-
-    async def run() -> None:
-        try:
-            exit_codes[0] = await main_task()
-        except Exception as error:
-            logger.opt(exception=error).error("daemon failed")
-        finally:
-            reactor.stop()
-
-    reactor.callWhenRunning(lambda: asyncio.ensure_future(run()))
-    reactor.run(installSignalHandlers=False)
-    return exit_codes[0]
-
-
 def router(file: Path) -> int:
     """Run a router with the settings in FILE until SIGTERM."""
     settings = _read_or_exit(file)
@@ -109,7 +42,7 @@
     install_reactor()
     from damaskwind.router.process import start_router
 
-    return _run(lambda: _serve_until_signal(lambda: start_router(settings)))
+    return run_on_reactor(lambda: serve_until_signal(lambda: start_router(settings)))
 
 
 def control(file: Path) -> int:
@@ -121,7 +54,7 @@
     install_reactor()
     from damaskwind.control.process import start_control
 
-    return _run(lambda: _serve_until_signal(lambda: start_control(settings)))
+    return run_on_reactor(lambda: serve_until_signal(lambda: start_control(settings)))
 
 
 def demo(*, once: bool = False) -> int:
@@ -134,7 +67,7 @@
     install_reactor()
     from damaskwind.commands.demonstration import run_demonstration
 
-    return _run(lambda: run_demonstration(once))
+    return run_on_reactor(lambda: run_demonstration(once))
 
 
 def check(file: Path) -> int:
--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Who serves, told to every router; configurations published as written."""
--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -0,0 +1,133 @@
+"""What operators and targets may ask of any control replica.
+
+Nothing here knows how the calls look on the wire: an adapter decodes them and
+formats the outcomes.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import NamedTuple
+
+from loguru import logger
+
+from damaskwind.control.fleet.news_board import NewsBoard
+from damaskwind.control.operator_api.ports import CommitVerdict, ProposalPort
+from damaskwind.control.state.published_configuration import PublishedConfiguration, publish_command
+from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.routing.checks import configuration_mistakes
+from damaskwind.model.exception import ConfigurationError
+from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.wire.news import pack_document, unpack_document
+
+__all__ = ["ControlCalls", "PublishResult", "PublishStatus"]
+
+# Operators move on to another replica after a second without an answer.
+PUBLISH_LIMIT_S = 0.9
+READ_LIMIT_S = 0.9
+# A leave is acknowledged once all replicas that can be reached know it, but a
+# target waits no longer than a second for its acknowledgement.
+LEAVE_TOLD_S = 0.3
+
+
+class PublishStatus(StrEnum):
+    """How an order to publish ended."""
+
+    ACKNOWLEDGED = "acknowledged"
+    INVALID = "invalid"
+    UNKNOWN = "unknown"
+
+
+class PublishResult(NamedTuple):
+    """The status of an order, its version, and what is wrong with it."""
+
+    status: PublishStatus
+    version: int
+    detail: str = ""
+
+
+class ControlCalls:
+    """The calls of operators and targets at one replica.
+
+    `access` gives the log, or `None` while the disk is not usable; reports of
+    targets are taken all the same.
+    """
+
+    def __init__(
+        self,
+        access: Callable[[], ProposalPort | None],
+        machine: Callable[[], PublishedConfiguration],
+        board: NewsBoard,
+        decode: Callable[[bytes], TrafficConfiguration],
+    ) -> None:
+        self._access = access
+        self._machine = machine
+        self._board = board
+        self._decode = decode
+
+    async def publish(self, document: bytes) -> PublishResult:
+        """Publish a document; what is acknowledged is on a majority's disks."""
+        try:
+            configuration = self._decode(document)
+            mistakes = configuration_mistakes(configuration)
+        except ConfigurationError as error:
+            mistakes = error.mistakes
+        if mistakes:
+            logger.info("configuration refused", mistakes=mistakes[:5], bytes=len(document))
+            return PublishResult(PublishStatus.INVALID, 0, mistakes[0])
+        version = configuration.version
+        held = self._machine().version
+        if version <= held:
+            logger.info("configuration overtaken", version=version, held=held)
+            return PublishResult(PublishStatus.ACKNOWLEDGED, version, "overtaken")
+        access = self._access()
+        if access is None:
+            return PublishResult(PublishStatus.UNKNOWN, version, "the disk is not usable")
+        command = publish_command(version, pack_document(document))
+        outcome = await access.propose(command, PUBLISH_LIMIT_S)
+        if outcome.verdict is not CommitVerdict.COMMITTED:
+            logger.warning(
+                "configuration not committed",
+                version=version,
+                verdict=outcome.verdict,
+                leader=outcome.leader_hint,
+                why=outcome.detail,
+            )
+            return PublishResult(PublishStatus.UNKNOWN, version, outcome.detail)
+        logger.info("configuration committed", version=version, outcome=outcome.result.decode())
+        return PublishResult(PublishStatus.ACKNOWLEDGED, version)
+
+    async def read(self) -> bytes | None:
+        """Return the newest document that a majority holds, or `None` if that is not sure."""
+        access = self._access()
+        if access is None or not await access.read_current(READ_LIMIT_S):
+            logger.info("read refused", why="no majority vouches for this replica")
+            return None
+        packed = self._machine().packed
+        return unpack_document(packed) if packed else None
+
+    async def report(self, record: TargetRecord) -> None:
+        """Take a target's report."""
+        changed = self._board.report(record)
+        if changed:
+            logger.info(
+                "target reported",
+                target=record.target_id,
+                service=record.service,
+                phase=record.phase.name.lower(),
+                sequence=record.sequence,
+                address=str(record.address),
+            )
+        if changed and record.phase is not TargetPhase.SERVING:
+            await self._tell(record.target_id)
+
+    async def leave(self, target_id: str) -> None:
+        """Take a target's word that it takes no more work."""
+        if self._board.leave(target_id):
+            logger.info("target left", target=target_id)
+            await self._tell(target_id)
+
+    async def _tell(self, target_id: str) -> None:
+        """Wait a little until the other replicas know."""
+        revision = self._board.table.revision
+        if not await self._board.wait_told(revision, LEAVE_TOLD_S):
+            logger.warning("leave not told to all replicas", target=target_id, limit_s=LEAVE_TOLD_S)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -0,0 +1,151 @@
+"""Hold what subscribers have to hear, and wake those that wait for it."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from damaskwind.decisions.membership.target_table import TargetRecord, TargetTable
+from damaskwind.wire.news import Heard, News, NewsRequest, SubscriberKind
+
+__all__ = ["NewsBoard"]
+
+# A subscriber that has not asked for so long is gone: three held calls.
+SUBSCRIBER_S = 4.0
+# How far back a target counts as heard in an answer: two calls of a subscriber.
+HEARD_S = 2.5
+
+
+class _Subscription(NamedTuple):
+    """What a subscriber was known to have when it last asked."""
+
+    kind: str
+    revision: int
+    asked_s: float
+
+
+class NewsBoard:
+    """The table of targets of one replica, as its subscribers see it."""
+
+    def __init__(
+        self,
+        version: Callable[[], int],
+        is_current: Callable[[], bool],
+        hosts: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self.table = TargetTable()
+        self.epoch = secrets.token_hex(4)
+        self._version = version
+        self._is_current = is_current
+        self._hosts = hosts
+        self._heard: dict[str, float] = {}
+        self._subscriptions: dict[str, _Subscription] = {}
+        self._waiters: set[asyncio.Future] = set()
+
+    def report(self, record: TargetRecord) -> bool:
+        """Take a target's own report; tell whether it changed anything."""
+        now_s = time.monotonic()
+        changed = self.table.take(record, now_s)
+        self.table.hear(record.target_id, now_s)
+        self._heard[record.target_id] = now_s
+        if changed:
+            self.wake()
+        return changed
+
+    def leave(self, target_id: str) -> bool:
+        """Take a target's word that it is gone."""
+        changed = self.table.leave(target_id, time.monotonic())
+        self._heard.pop(target_id, None)
+        if changed:
+            self.wake()
+        return changed
+
+    def merge(self, records: Iterable[TargetRecord], heard: Iterable[Heard]) -> None:
+        """Take what another replica knows."""
+        now_s = time.monotonic()
+        changed = [self.table.take(record, now_s) for record in records]
+        for target_id, age_s in heard:
+            self.table.hear(target_id, now_s - age_s)
+        if any(changed):
+            self.wake()
+
+    def wake(self) -> None:
+        """Let everyone who waits look again."""
+        waiters, self._waiters = self._waiters, set()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def answer(self, request: NewsRequest) -> News:
+        """Return news for a subscriber, as soon as there are any."""
+        revision = request.revision if request.epoch == self.epoch else 0
+        self._note(request, revision)
+        deadline_s = time.monotonic() + request.wait_s
+        while not self._has_news(request, revision):
+            if not await self._wait(deadline_s - time.monotonic()):
+                break
+        return self._news(request, revision)
+
+    async def wait_told(self, revision: int, limit_s: float) -> bool:
+        """Wait until all replicas that ask here have a revision; tell whether they do."""
+        deadline_s = time.monotonic() + limit_s
+        while not self._are_told(revision):
+            if not await self._wait(deadline_s - time.monotonic()):
+                return False
+        return True
+
+    def routers(self) -> int:
+        """Return how many routers ask here."""
+        return sum(item.kind == SubscriberKind.ROUTER for item in self._present())
+
+    def _present(self) -> list[_Subscription]:
+        oldest_s = time.monotonic() - SUBSCRIBER_S
+        return [item for item in self._subscriptions.values() if item.asked_s > oldest_s]
+
+    def _are_told(self, revision: int) -> bool:
+        replicas = [item for item in self._present() if item.kind == SubscriberKind.REPLICA]
+        return all(item.revision >= revision for item in replicas)
+
+    def _note(self, request: NewsRequest, revision: int) -> None:
+        """Note who asks; what a subscriber has may be what another waits for."""
+        now_s = time.monotonic()
+        self._subscriptions[request.node_id] = _Subscription(request.kind, revision, now_s)
+        for node_id, item in list(self._subscriptions.items()):
+            if now_s - item.asked_s > SUBSCRIBER_S:
+                del self._subscriptions[node_id]
+        if request.kind == SubscriberKind.REPLICA:
+            self.wake()
+
+    def _has_news(self, request: NewsRequest, revision: int) -> bool:
+        wants_version = request.kind == SubscriberKind.ROUTER
+        is_newer = wants_version and self._version() > request.version
+        return request.epoch != self.epoch or self.table.revision > revision or is_newer
+
+    def _news(self, request: NewsRequest, revision: int) -> News:
+        now_s = time.monotonic()
+        self._heard = {key: at for key, at in self._heard.items() if now_s - at < HEARD_S}
+        return News(
+            self.epoch,
+            self.table.revision,
+            self._version(),
+            self._is_current(),
+            self._hosts(),
+            self.routers(),
+            tuple(self.table.changed_since(revision)),
+            tuple(Heard(key, round(now_s - at, 2)) for key, at in self._heard.items()),
+        )
+
+    async def _wait(self, limit_s: float) -> bool:
+        """Wait for a change; tell whether one came."""
+        if limit_s <= 0:
+            return False
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.add(waiter)
+        try:
+            await asyncio.wait_for(waiter, limit_s)
+        except TimeoutError:
+            return False
+        finally:
+            self._waiters.discard(waiter)
+        return True
--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -0,0 +1,25 @@
+"""The settings of a replica whose peers find each other."""
+
+from typing import NamedTuple
+
+__all__ = ["FleetControlSettings"]
+
+
+class FleetControlSettings(NamedTuple):
+    """Where a replica listens, what it keeps, and whom it may ask first.
+
+    `seed_hosts` are the IP numbers of some replicas; ports are the same on all.
+    """
+
+    node_id: str
+    host: str
+    control_port: int
+    news_port: int
+    replica_port: int
+    failure_domain: str
+    region: str
+    data_folder: str
+    seed_hosts: tuple[str, ...]
+    may_found: bool
+    cluster: str = "fleet"
+    cluster_key: str = "fleet"
--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -41,19 +41,24 @@
     failure_domain: str,
     signer: CallSigner,
     random: Random,
+    may_found: bool = True,
+    joins_unlisted: bool = False,
 ) -> None:
     """Return once this replica is part of a log.
 
-    A replica that is not among the bootstrap ones waits until it is added.
+    A replica that is not among the bootstrap ones waits until it is added,
+    unless `joins_unlisted` has it ask them. Without `may_found` it never
+    founds: there was a cluster before it.
     """
     replica = access.replica
     own_id = replica.member.replica_id
     others = [item for item in bootstrap if item.replica_id != own_id]
     is_listed = len(others) < len(bootstrap)
+    asks = is_listed or joins_unlisted
     channels = Channels()
     try:
         while replica.is_running and not replica.has_log:
-            hellos = await _greet(others, channels, signer) if is_listed else []
+            hellos = await _greet(others, channels, signer) if asks else []
             with_log = [
                 parse_address(item.address)
                 for item, reply in zip(others, hellos, strict=False)
@@ -62,7 +67,7 @@
             if with_log:
                 address = service.address
                 await _ask_to_join(access, with_log, channels, signer, address, failure_domain)
-            elif is_listed and None not in hellos and not replica.has_log:
+            elif is_listed and may_found and None not in hellos and not replica.has_log:
                 if not service.is_founding:
                     folder.mark_founding()
                     service.is_founding = True
--- a/packages/control/src/damaskwind/control/replica/node.py
+++ b/packages/control/src/damaskwind/control/replica/node.py
@@ -49,6 +49,8 @@
             node.failure_domain,
             self.signer,
             self.random,
+            control.may_found,
+            control.joins_unlisted,
         )
         self.tasks.append(asyncio.ensure_future(joining))
 
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -0,0 +1,173 @@
+"""Who serves: what targets reported, merged from every process that heard them.
+
+A report reaches one control replica; the table of each process is the merge of
+what it heard itself and what others told it. Merging is commutative and
+idempotent, so that order, repetition and delay do no harm: of one target, the
+phase only moves forward (serving, leaving, gone), and within a phase the
+higher sequence number holds. A target that is leaving or gone never comes
+back: its successor has another id. Gone targets are kept as tombstones until
+no late report of them can be under way. See Shapiro et al., "Conflict-free
+Replicated Data Types", SSS 2011.
+"""
+
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import NamedTuple
+
+from damaskwind.model.targets import Address
+
+__all__ = ["TargetPhase", "TargetRecord", "TargetTable"]
+
+# Reports come late by seconds; a minute is far beyond any.
+TOMBSTONE_S = 60.0
+# A target that nobody has heard for so long is forgotten. Far above any cut that
+# it may outlive unheard (tens of seconds), since a forgotten one gets no work.
+FORGET_S = 45.0
+
+
+class TargetPhase(IntEnum):
+    """Where a target is in its life; it only moves forward."""
+
+    SERVING = 0
+    LEAVING = 1
+    GONE = 2
+
+
+class TargetRecord(NamedTuple):
+    """A target as it reported itself; `target_id` is new at each of its starts.
+
+    `slots` is how many requests it runs at once, `sequence` grows with each
+    report.
+    """
+
+    target_id: str
+    service: str
+    address: Address
+    failure_domain: str
+    phase: TargetPhase
+    sequence: int
+    slots: int = 1
+    cold_s: float = 0.0
+
+
+class _Entry:
+    """A record with what this process knows about its freshness."""
+
+    __slots__ = ("changed_at", "heard_s", "record")
+
+    def __init__(self, record: TargetRecord, heard_s: float, changed_at: int) -> None:
+        self.record = record
+        self.heard_s = heard_s
+        self.changed_at = changed_at
+
+
+class TargetTable:
+    """All targets that one process knows of.
+
+    `revision` grows with each change that others have to hear of.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._entries: dict[str, _Entry] = {}
+
+    def take(self, record: TargetRecord, heard_s: float) -> bool:
+        """Merge a record that was heard at `heard_s`; tell whether it changed anything.
+
+        >>> from damaskwind.model.targets import Address
+        >>> table = TargetTable()
+        >>> new = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.SERVING, 4)
+        >>> table.take(new, 0.0), table.take(new._replace(sequence=3), 1.0)
+        (True, False)
+        >>> table.take(new._replace(phase=TargetPhase.GONE, sequence=0), 2.0)
+        True
+        >>> table.take(new._replace(sequence=9), 3.0)
+        False
+        """
+        entry = self._entries.get(record.target_id)
+        if entry is None:
+            self.revision += 1
+            self._entries[record.target_id] = _Entry(record, heard_s, self.revision)
+            return True
+        if record.phase < entry.record.phase:
+            return False
+        if record.phase == entry.record.phase:
+            return self._refresh(entry, record, heard_s)
+        if not record.service:
+            record = entry.record._replace(phase=record.phase)
+        self._put(entry, record, heard_s)
+        return True
+
+    def leave(self, target_id: str, now_s: float) -> bool:
+        """Note that a target said it is gone, known here or not."""
+        nowhere = Address("0.0.0.0", 0)
+        gone = TargetRecord(target_id, "", nowhere, "", TargetPhase.GONE, 0)
+        return self.take(gone, now_s)
+
+    def hear(self, target_id: str, heard_s: float) -> None:
+        """Note that somebody heard a target at `heard_s`."""
+        entry = self._entries.get(target_id)
+        if entry is not None:
+            entry.heard_s = max(entry.heard_s, heard_s)
+
+    def phase_of(self, target_id: str) -> TargetPhase | None:
+        """Return the phase of a target, if it is known."""
+        entry = self._entries.get(target_id)
+        return entry.record.phase if entry else None
+
+    def record_of(self, target_id: str) -> TargetRecord | None:
+        """Return what is known of a target."""
+        entry = self._entries.get(target_id)
+        return entry.record if entry else None
+
+    def heard_s(self, target_id: str) -> float:
+        """Return when a target was last heard by anybody."""
+        entry = self._entries.get(target_id)
+        return entry.heard_s if entry else float("-inf")
+
+    def changed_since(self, revision: int) -> list[TargetRecord]:
+        """Return the records that changed after a revision."""
+        return [entry.record for entry in self._entries.values() if entry.changed_at > revision]
+
+    def heard_since(self, since_s: float, now_s: float) -> list[tuple[str, float]]:
+        """Return the living targets heard since a time, with the age of that in seconds."""
+        return [
+            (target_id, round(now_s - entry.heard_s, 2))
+            for target_id, entry in self._entries.items()
+            if entry.heard_s >= since_s and entry.record.phase is not TargetPhase.GONE
+        ]
+
+    def serving(self) -> Iterable[TargetRecord]:
+        """Return the records of all targets that take work."""
+        phase = TargetPhase.SERVING
+        return [entry.record for entry in self._entries.values() if entry.record.phase is phase]
+
+    def forget(self, now_s: float) -> list[str]:
+        """Drop tombstones and silent targets that are too old; return their ids."""
+        old = [
+            target_id
+            for target_id, entry in self._entries.items()
+            if now_s - entry.heard_s
+            > (TOMBSTONE_S if entry.record.phase is TargetPhase.GONE else FORGET_S)
+        ]
+        for target_id in old:
+            del self._entries[target_id]
+        return old
+
+    def _refresh(self, entry: _Entry, record: TargetRecord, heard_s: float) -> bool:
+        """Take a newer report of the same phase; it changes something if it says something new."""
+        if record.phase is TargetPhase.GONE or record.sequence <= entry.record.sequence:
+            return False
+        entry.heard_s = max(entry.heard_s, heard_s)
+        is_same = record == entry.record._replace(sequence=record.sequence, cold_s=record.cold_s)
+        if is_same:
+            entry.record = record
+            return False
+        self._put(entry, record, heard_s)
+        return True
+
+    def _put(self, entry: _Entry, record: TargetRecord, heard_s: float) -> None:
+        self.revision += 1
+        entry.record = record
+        entry.heard_s = max(entry.heard_s, heard_s)
+        entry.changed_at = self.revision
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/retries/shared_budget.py
@@ -0,0 +1,63 @@
+"""A retry budget that all routers share without speaking of it.
+
+The bound holds for the sum over all routers: repeats in any window stay below
+a ratio of the requests plus a fixed slack. Each router keeps to the ratio of
+its own requests plus its part of the slack, so the sum keeps to the whole.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+__all__ = ["BudgetTerms", "SharedRetryBudget"]
+
+# Part of the bound that is used: windows slide, and a repeat counts when it arrives.
+USED_SHARE = 0.8
+
+
+class BudgetTerms(NamedTuple):
+    """The bound: `ratio` of the requests of `window_s` seconds, plus `slack` repeats."""
+
+    ratio: float = 0.2
+    window_s: float = 10.0
+    slack: float = 56.0
+
+
+class SharedRetryBudget:
+    """One router's part of the budget for one service.
+
+    >>> budget = SharedRetryBudget(BudgetTerms(0.2, 10.0, 5.0), lambda: 2)
+    >>> [budget.take(0.0) for _ in range(3)]
+    [True, True, False]
+    """
+
+    def __init__(self, terms: BudgetTerms, routers: Callable[[], int]) -> None:
+        self._terms = terms
+        self._routers = routers
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def count_request(self, now_s: float) -> None:
+        """Count a request of a caller."""
+        self._requests.append(now_s)
+        self._forget(now_s)
+
+    def take(self, now_s: float) -> bool:
+        """Take one repeat if the budget holds it."""
+        self._forget(now_s)
+        if len(self._repeats) + 1 > self.allowance():
+            return False
+        self._repeats.append(now_s)
+        return True
+
+    def allowance(self) -> float:
+        """Return how many repeats the present window allows in all."""
+        terms = self._terms
+        own_slack = terms.slack / max(self._routers(), 1)
+        return USED_SHARE * (terms.ratio * len(self._requests) + own_slack)
+
+    def _forget(self, now_s: float) -> None:
+        oldest_s = now_s - self._terms.window_s
+        for times in (self._requests, self._repeats):
+            while times and times[0] <= oldest_s:
+                times.popleft()
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Find the route and the client account of a request."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/routing/table.py
@@ -0,0 +1,103 @@
+"""Find the route of a request by host and longest prefix, and its account by key."""
+
+from typing import NamedTuple
+
+import xxhash
+
+from damaskwind.model.traffic_configuration import (
+    KeyedAccount,
+    TrafficConfiguration,
+    TrafficRoute,
+)
+
+__all__ = ["RouteTable", "RoutingOutcome", "RoutingReason", "choose_service"]
+
+_HASH_RANGE = float(1 << 64)
+
+
+class RoutingReason:
+    """Why a request has no route or no account."""
+
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+
+
+class RoutingOutcome(NamedTuple):
+    """The route and account of a request, or the reason why it has none."""
+
+    route: TrafficRoute | None
+    account: KeyedAccount | None = None
+    refusal: str = ""
+
+
+class RouteTable:
+    """One version's routes and keys, indexed.
+
+    >>> from damaskwind.model.traffic_configuration import RouteKind, ServiceShare
+    >>> shares = (ServiceShare("s", 1),)
+    >>> routes = [
+    ...     TrafficRoute(n, "h", p, RouteKind.IDEMPOTENT, shares, 1.0, needs_key=False)
+    ...     for n, p in (("all", "/"), ("long", "/a/b/"))
+    ... ]
+    >>> table = RouteTable(TrafficConfiguration(1, tuple(routes)))
+    >>> table.find("h", "/a/b/c", None).route.name, table.find("h", "/a/x", None).route.name
+    ('long', 'all')
+    """
+
+    def __init__(self, configuration: TrafficConfiguration) -> None:
+        self.configuration = configuration
+        self._routes = {(route.host, route.path_prefix): route for route in configuration.routes}
+        self._accounts = {
+            key: account for account in configuration.accounts for key in account.keys
+        }
+
+    @property
+    def version(self) -> int:
+        """Return the version that this table holds."""
+        return self.configuration.version
+
+    def find(self, host: str, path: str, key: str | None) -> RoutingOutcome:
+        """Return the route and account of a request.
+
+        The longest prefix that begins the path wins; prefixes end with a slash.
+        Without any account in the configuration no key is asked for.
+        """
+        route = self._find_route(host, path)
+        if route is None:
+            return RoutingOutcome(None, None, RoutingReason.NO_ROUTE)
+        account = self._accounts.get(key) if key else None
+        if account is None and route.needs_key and self.configuration.accounts:
+            return RoutingOutcome(route, None, RoutingReason.UNKNOWN_KEY)
+        return RoutingOutcome(route, account)
+
+    def _find_route(self, host: str, path: str) -> TrafficRoute | None:
+        """Try the prefixes of a path, the longest first."""
+        end = path.rfind("/")
+        while end >= 0:
+            route = self._routes.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def choose_service(route: TrafficRoute, draw: bytes) -> str:
+    """Return the service of a route that `draw` falls to, by the weights.
+
+    The same bytes fall to the same service, so that what shares a cache stays
+    together.
+
+    >>> from damaskwind.model.traffic_configuration import RouteKind, ServiceShare
+    >>> shares = (ServiceShare("a", 0), ServiceShare("b", 1))
+    >>> choose_service(TrafficRoute("r", "h", "/", RouteKind.IDEMPOTENT, shares, 1.0), b"x")
+    'b'
+    """
+    shares = route.shares
+    if len(shares) == 1:
+        return shares[0].service
+    point = xxhash.xxh3_64_intdigest(draw) / _HASH_RANGE * sum(share.weight for share in shares)
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return next(share.service for share in reversed(shares) if share.weight > 0)
--- /dev/null
+++ b/packages/model/src/damaskwind/model/traffic_configuration.py
@@ -0,0 +1,103 @@
+"""Routes, services, callers' limits and accounts that an operator publishes whole.
+
+Unlike `Configuration`, whose objects are confirmed one plan at a time, a
+traffic configuration is one document with a version; the highest version that
+was acknowledged is in force.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = [
+    "CallerLimits",
+    "KeyedAccount",
+    "RouteKind",
+    "ServiceShare",
+    "TrafficConfiguration",
+    "TrafficRoute",
+    "TrafficService",
+]
+
+
+class RouteKind(StrEnum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAMING = "streaming"
+
+
+class ServiceShare(NamedTuple):
+    """One of the services that share a route, with its part of the traffic."""
+
+    service: str
+    weight: float
+
+
+class TrafficRoute(NamedTuple):
+    """How requests below a path of a host are treated.
+
+    `timeout_s` is the longest time that a request may be kept waiting,
+    `objective_s` the time to the answer (streams: the first event) that users
+    expect, `gap_objective_s` the longest pause between events. Priority 0 is
+    served first. With `needs_key` a request must carry an account's key.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    objective_s: float = 1.0
+    gap_objective_s: float = 0.2
+    priority: int = 1
+    max_attempts: int = 1
+    needs_key: bool = True
+    has_prompt_parts: bool = False
+    is_resumable: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether a request may run more than once.
+
+        A stream may only when it can be resumed.
+        """
+        if self.kind is RouteKind.STREAMING:
+            return self.is_resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+class TrafficService(NamedTuple):
+    """A pool of targets; `max_connections` bounds what one of them accepts."""
+
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 100
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class KeyedAccount(NamedTuple):
+    """A client account with its API keys; its priority goes before the route's."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+class TrafficConfiguration(NamedTuple):
+    """One published document; version 0 is none."""
+
+    version: int = 0
+    routes: tuple[TrafficRoute, ...] = ()
+    services: tuple[TrafficService, ...] = ()
+    limits: CallerLimits = CallerLimits()
+    accounts: tuple[KeyedAccount, ...] = ()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -0,0 +1,180 @@
+"""Send a request to one target once, and tell how that ended."""
+
+import asyncio
+import time
+from enum import StrEnum
+from typing import NamedTuple
+
+from loguru import logger
+
+from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.call import Call, target_headers
+from damaskwind.router.forwarding.connections import TargetConnections
+from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.target_load import LoadEstimator, parse_target_load
+from damaskwind.runtime.http1.client import (
+    AnswerBrokenError,
+    AnswerHead,
+    ClientConnection,
+    ConnectFailedError,
+)
+from damaskwind.runtime.http1.messages import Answer, Request, header
+
+__all__ = ["AttemptEnd", "AttemptOutcome", "AttemptSender"]
+
+# A whole answer is gathered before any of it is passed on, so that a cut one
+# can be told apart; services answer with some KB.
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+# Answers to earlier requests that may come first on a kept connection.
+SKIPPED_ANSWERS = 3
+# A repeatable request is taken elsewhere when a target says nothing for this many
+# times its objective, but not before the least time: targets answer within the
+# objective unless they are stuck.
+STALL_OBJECTIVES = 4.0
+STALL_LEAST_S = 1.2
+# The same between two events, by the pause that users accept.
+STALL_GAPS = 5.0
+
+
+class AttemptEnd(StrEnum):
+    """How one send ended."""
+
+    DELIVERED = "delivered"
+    NOT_RUN = "not-run"
+    TARGET_ERROR = "target-error"
+    BROKEN = "broken"
+    STALLED = "stalled"
+
+
+class AttemptOutcome(NamedTuple):
+    """How a send ended, why, and the whole answer if the target gave a failure."""
+
+    end: AttemptEnd
+    why: str = ""
+    answer: Answer | None = None
+
+
+class AttemptSender:
+    """Send to targets over kept connections."""
+
+    def __init__(
+        self, connections: TargetConnections, loads: LoadEstimator, names: HeaderNames
+    ) -> None:
+        self.connections = connections
+        self._loads = loads
+        self._names = names
+
+    async def send(
+        self,
+        request: Request,
+        call: Call,
+        target: TargetRecord,
+        delivery: Delivery,
+        may_move: bool,
+    ) -> AttemptOutcome:
+        """Send and pass the answer on; with `may_move` give up a target that is silent."""
+        try:
+            connection = await self.connections.take(
+                target.target_id, target.address, call.left_s()
+            )
+        except ConnectFailedError as error:
+            return AttemptOutcome(AttemptEnd.NOT_RUN, f"no connection: {error}")
+        self._loads.sent(target.target_id)
+        try:
+            return await self._exchange(connection, request, call, target, delivery, may_move)
+        except AnswerBrokenError as error:
+            return AttemptOutcome(AttemptEnd.BROKEN, str(error))
+        except TimeoutError:
+            return AttemptOutcome(AttemptEnd.STALLED, "the target was silent")
+        finally:
+            self._loads.ended(target.target_id)
+            if connection.is_in_use:
+                connection.abort()
+
+    async def _exchange(
+        self,
+        connection: ClientConnection,
+        request: Request,
+        call: Call,
+        target: TargetRecord,
+        delivery: Delivery,
+        may_move: bool,
+    ) -> AttemptOutcome:
+        """Write the request and read the answer that is its own."""
+        resume_after = delivery.resume_after(call.facts.resume_after)
+        headers = target_headers(request, call, self._names, target.target_id, resume_after)
+        connection.send(Request(request.method, request.target, headers, request.body))
+        stall_s = max(STALL_OBJECTIVES * call.route.objective_s, STALL_LEAST_S)
+        async with asyncio.timeout(stall_s if may_move else None):
+            head = await self._own_head(connection, call)
+        self._note_load(head, target.target_id)
+        if head.status == 421 or header(head.headers, self._names.not_run) is not None:
+            return await self._refused(connection, head, target)
+        is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
+        if is_stream:
+            return await self._relay(connection, head, call, target, delivery, may_move)
+        body = await connection.read_body(ANSWER_LIMIT_BYTES)
+        self.connections.give_back(target.target_id, connection, head.headers)
+        answer = Answer(head.status, head.headers, body)
+        if head.status >= 500:
+            return AttemptOutcome(AttemptEnd.TARGET_ERROR, f"status {head.status}", answer)
+        delivery.whole(answer)
+        return AttemptOutcome(AttemptEnd.DELIVERED, f"status {head.status}")
+
+    async def _own_head(self, connection: ClientConnection, call: Call) -> AnswerHead:
+        """Return the head of the answer to this request, past late ones to earlier requests."""
+        for _ in range(SKIPPED_ANSWERS):
+            head = await connection.read_head()
+            answered_id = header(head.headers, self._names.request_id)
+            if answered_id == call.facts.request_id:
+                return head
+            if answered_id is None and head.status >= 300:
+                return head
+            await connection.read_body(ANSWER_LIMIT_BYTES)
+            logger.warning(
+                "answer to another request dropped",
+                request=call.facts.request_id.decode("latin-1"),
+                answered=(answered_id or b"").decode("latin-1"),
+            )
+            connection.skip_answer()
+        raise AnswerBrokenError("only answers to other requests came")
+
+    async def _refused(
+        self, connection: ClientConnection, head: AnswerHead, target: TargetRecord
+    ) -> AttemptOutcome:
+        """Take the target's word that it did not run the request."""
+        await connection.read_body(ANSWER_LIMIT_BYTES)
+        self.connections.give_back(target.target_id, connection, head.headers)
+        return AttemptOutcome(AttemptEnd.NOT_RUN, f"target said so: status {head.status}")
+
+    async def _relay(
+        self,
+        connection: ClientConnection,
+        head: AnswerHead,
+        call: Call,
+        target: TargetRecord,
+        delivery: Delivery,
+        may_move: bool,
+    ) -> AttemptOutcome:
+        """Pass a stream on, event by event."""
+        delivery.stream_head(head)
+        gap_s = max(STALL_GAPS * call.route.gap_objective_s, STALL_LEAST_S)
+        while True:
+            async with asyncio.timeout(gap_s if may_move else None):
+                data = await connection.read_data()
+            if data is None:
+                break
+            delivery.stream_data(data)
+            await delivery.drained()
+        self.connections.give_back(target.target_id, connection, head.headers)
+        if not delivery.stream_end():
+            return AttemptOutcome(AttemptEnd.BROKEN, "the stream ended inside an event")
+        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete")
+
+    def _note_load(self, head: AnswerHead, target_id: str) -> None:
+        """Take the target's word on its load."""
+        load = parse_target_load(header(head.headers, self._names.target_load))
+        if load is not None:
+            self._loads.reported(target_id, load, time.monotonic())
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -0,0 +1,146 @@
+"""One request on its way: what it says, what is in force for it, what became of it."""
+
+import time
+from typing import NamedTuple
+
+from damaskwind.decisions.placement.affinity import affinity_key
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.model.traffic_configuration import KeyedAccount, TrafficRoute
+from damaskwind.runtime.http1.messages import Headers, Request, header, without
+
+__all__ = ["AttemptNote", "Call", "CallFacts", "read_facts", "read_key", "target_headers"]
+
+# Without a word of the caller, only the route's timeout bounds a request.
+NO_DEADLINE_S = 3600.0
+
+
+class CallFacts(NamedTuple):
+    """What a request says of itself; `resume_after` is the last event the caller has."""
+
+    request_id: bytes
+    wait_s: float
+    has_deadline: bool
+    part_ids: tuple[bytes, ...]
+    resume_after: int | None
+
+
+class AttemptNote(NamedTuple):
+    """One send, for the log: the target, why it was chosen, and how it ended."""
+
+    target: str
+    rank: int
+    load: float
+    bound: float
+    load_age_s: float | None
+    outcome: str
+    at_ms: int
+    took_ms: int
+
+
+class Call:
+    """One request in hand. Times are monotonic."""
+
+    def __init__(
+        self,
+        facts: CallFacts,
+        route: TrafficRoute,
+        account: KeyedAccount | None,
+        service: str,
+        version: int,
+        started_s: float,
+    ) -> None:
+        self.facts = facts
+        self.route = route
+        self.account = account
+        self.service = service
+        self.version = version
+        self.started_s = started_s
+        self.deadline_s = started_s + min(facts.wait_s, route.timeout_s)
+        self.key = affinity_key(facts.part_ids) if route.has_prompt_parts else None
+        self.tried: set[str] = set()
+        self.notes: list[AttemptNote] = []
+        self.sends = 0
+        self.may_have_run = False
+
+    @property
+    def priority(self) -> int:
+        """Return the rank that counts: the account's goes before the route's."""
+        account = self.account
+        if account is not None and account.priority is not None:
+            return account.priority
+        return self.route.priority
+
+    def left_s(self) -> float:
+        """Return the time until the deadline or the route's timeout."""
+        return self.deadline_s - time.monotonic()
+
+
+def read_facts(headers: Headers, names: HeaderNames) -> CallFacts:
+    """Read what a request says; what can't be read counts as not said."""
+    wait_ms = _number(header(headers, names.deadline_ms))
+    parts = header(headers, names.prompt_parts) or b""
+    part_ids = tuple(item.strip().partition(b":")[0] for item in parts.split(b",") if item.strip())
+    resume_after = _number(header(headers, names.resume_after))
+    return CallFacts(
+        header(headers, names.request_id) or b"",
+        NO_DEADLINE_S if wait_ms is None else max(wait_ms, 0.0) / 1000,
+        wait_ms is not None,
+        part_ids,
+        None if resume_after is None else int(resume_after),
+    )
+
+
+def _number(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        return None
+
+
+def read_key(headers: Headers, names: HeaderNames) -> str | None:
+    """Return the API key of a request, if it carries one."""
+    scheme, _, key = (header(headers, names.authorization) or b"").partition(b" ")
+    if scheme.lower() != names.key_scheme.lower():
+        return None
+    return key.strip().decode("latin-1") or None
+
+
+def own_headers(names: HeaderNames) -> frozenset[bytes]:
+    """Return the headers that the system sets, whatever the caller sent."""
+    own = (
+        names.authorization,
+        names.deadline_ms,
+        names.resume_after,
+        names.expect_target,
+        names.account,
+        names.urgency,
+    )
+    return names.reserved | frozenset(own)
+
+
+def target_headers(
+    request: Request, call: Call, names: HeaderNames, target_id: str, resume_after: int | None
+) -> Headers:
+    """Return the headers of a request as a target gets them."""
+    headers = without(request.headers, own_headers(names))
+    left_ms = max(int(call.left_s() * 1000), 1)
+    headers.append((names.deadline_ms, b"%d" % left_ms))
+    headers.append((names.expect_target, target_id.encode("latin-1")))
+    if call.account is not None:
+        headers.append((names.account, call.account.name.encode("latin-1")))
+    if resume_after is not None:
+        headers.append((names.resume_after, b"%d" % resume_after))
+    if call.route.has_prompt_parts:
+        headers.append((names.urgency, b"%d" % urgency(call.priority)))
+    return headers
+
+
+def urgency(priority: int) -> int:
+    """Return a priority on the targets' scale, where 0 is first and 9 last.
+
+    >>> urgency(0), urgency(2), urgency(7)
+    (2, 6, 9)
+    """
+    return min(2 + 2 * max(priority, 0), 9)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -0,0 +1,163 @@
+"""What a router believes of the fleet: its targets, its configuration, its replicas.
+
+The view merges what every reachable replica tells. A configuration never goes
+back within a process's life, and the first one is taken only from a replica
+that is sure to be current, or, after a while without any such, from another:
+a failure domain that is cut off serves what it can.
+"""
+
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from loguru import logger
+
+from damaskwind.decisions.membership.target_table import TargetRecord, TargetTable
+from damaskwind.decisions.routing.table import RouteTable
+from damaskwind.model.exception import ConfigurationError
+from damaskwind.model.targets import Address
+from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.wire.news import News, SubscriberKind
+from damaskwind.wire.news_link import NewsLink
+
+__all__ = ["FleetView"]
+
+# How long a restarted router holds out for a replica that is surely current.
+UNSURE_AFTER_S = 3.0
+# A document that one link is fetching is left to it for so long.
+FETCH_S = 0.4
+# Heartbeats come every 1.2 s: three missed ones, and the way of the news.
+SILENT_S = 4.6
+# News come every second from each replica that can be reached.
+CONTACT_S = 2.2
+
+
+class FleetView:
+    """The beliefs of one router; `table` is `None` until a configuration is known."""
+
+    def __init__(
+        self,
+        node_id: str,
+        seed_hosts: tuple[str, ...],
+        news_port: int,
+        decode: Callable[[bytes], TrafficConfiguration],
+        reactor: Any,
+        random: Random,
+    ) -> None:
+        self.targets = TargetTable()
+        self.table: RouteTable | None = None
+        self.routers = 1
+        self.on_configuration: list[Callable[[TrafficConfiguration], None]] = []
+        self._node_id = node_id
+        self._news_port = news_port
+        self._decode = decode
+        self._reactor = reactor
+        self._random = random
+        self._seed_hosts = seed_hosts
+        self._links: dict[str, NewsLink] = {}
+        self._started_s = time.monotonic()
+        self._fetching: dict[int, float] = {}
+        self._router_counts: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Begin to follow the seeds."""
+        self.follow(self._seed_hosts)
+
+    async def stop(self) -> None:
+        """End all subscriptions."""
+        for link in self._links.values():
+            await link.stop()
+
+    def follow(self, hosts: tuple[str, ...]) -> None:
+        """Follow every host that is not followed yet."""
+        for host in hosts:
+            if host in self._links:
+                continue
+            link = NewsLink(
+                self._node_id,
+                SubscriberKind.ROUTER,
+                Address(host, self._news_port),
+                self,
+                self._reactor,
+                self._random,
+            )
+            self._links[host] = link
+            link.start()
+
+    def replicas_heard(self) -> int:
+        """Return how many replicas were heard lately."""
+        oldest_s = time.monotonic() - CONTACT_S
+        return sum(link.last_heard_s > oldest_s for link in self._links.values())
+
+    def serving(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that take work."""
+        return [record for record in self.targets.serving() if record.service == service]
+
+    def is_silent(self, target_id: str, now_s: float) -> bool:
+        """Tell whether a target has missed its heartbeats, as far as this router can know."""
+        return self.replicas_heard() > 0 and now_s - self.targets.heard_s(target_id) > SILENT_S
+
+    def known_version(self) -> int:
+        """Return the version in force here."""
+        return self.table.version if self.table else 0
+
+    def wants_document(self, news: News, host: str) -> bool:
+        """Fetch a newer document from the first replica that tells of it."""
+        if news.version <= self.known_version():
+            return False
+        now_s = time.monotonic()
+        is_sure = news.is_current or now_s - self._started_s > UNSURE_AFTER_S
+        if self.table is None and not is_sure:
+            return False
+        if now_s - self._fetching.get(news.version, float("-inf")) < FETCH_S:
+            return False
+        self._fetching = {news.version: now_s}
+        return True
+
+    def take_news(self, host: str, news: News) -> None:
+        """Merge what a replica knows."""
+        now_s = time.monotonic()
+        for record in news.records:
+            if self.targets.take(record, now_s):
+                logger.info(
+                    "target known",
+                    target=record.target_id,
+                    phase=record.phase.name.lower(),
+                    service=record.service,
+                    address=str(record.address),
+                    sequence=record.sequence,
+                    told_by=host,
+                )
+        for target_id, age_s in news.heard:
+            self.targets.hear(target_id, now_s - age_s)
+        for target_id in self.targets.forget(now_s):
+            logger.info("target forgotten", target=target_id)
+        self._router_counts[host] = news.routers
+        self.routers = max(1, *self._router_counts.values())
+        self.follow(news.hosts)
+
+    def take_document(self, host: str, document: bytes, is_current: bool) -> None:
+        """Put a newer configuration in force; an older one is ignored."""
+        try:
+            configuration = self._decode(document)
+        except ConfigurationError as error:
+            logger.error("configuration unreadable", told_by=host, why=str(error))
+            return
+        if configuration.version <= self.known_version():
+            return
+        before = self.known_version()
+        self.table = RouteTable(configuration)
+        for callback in self.on_configuration:
+            callback(configuration)
+        logger.info(
+            "configuration in force",
+            version=configuration.version,
+            before=before,
+            told_by=host,
+            is_current=is_current,
+            routes=len(configuration.routes),
+        )
+
+    def lost(self, host: str) -> None:
+        """Do nothing: what the replica told stays believed until others know better."""
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -0,0 +1,291 @@
+"""Take a request from its caller to a target and back, within its time."""
+
+import asyncio
+import time
+from random import Random
+
+from loguru import logger
+
+from damaskwind.decisions.health.circuit import HealthPolicy
+from damaskwind.decisions.health.ejection import PoolHealth
+from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.decisions.placement.affinity import (
+    AffinityPolicy,
+    Candidate,
+    Choice,
+    choose_target,
+)
+from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
+from damaskwind.decisions.routing.table import RoutingReason, choose_service
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, AttemptSender
+from damaskwind.router.forwarding.call import AttemptNote, Call, read_facts, read_key
+from damaskwind.router.forwarding.connections import TargetConnections
+from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.target_load import LoadEstimator
+from damaskwind.runtime.http1.messages import Answer, header
+from damaskwind.runtime.http1.server import Exchange
+
+__all__ = ["Forwarder"]
+
+# A target that refused or could not be reached is left alone so long, unless
+# there is no other: about as long as a queue of short requests takes to shrink.
+BUSY_S = 0.1
+UNREACHABLE_S = 0.7
+# A caller that is refused comes back after this part of its objective: early
+# enough to be served within it, late enough that a place may be free.
+RETURN_OBJECTIVES = 0.3
+RETURN_LEAST_S = 0.05
+NOT_READY_RETURN_S = 0.3
+# Sends beyond a route's attempts, where all earlier ones certainly did not run.
+EXTRA_SENDS = 1
+
+_ROUTING_STATUS = {RoutingReason.NO_ROUTE: 404, RoutingReason.UNKNOWN_KEY: 401}
+
+
+class Forwarder:
+    """The handler behind a router's address for callers."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        connections: TargetConnections,
+        names: HeaderNames,
+        failure_domain: str,
+        budget_terms: BudgetTerms,
+        random: Random,
+    ) -> None:
+        self.view = view
+        self.loads = LoadEstimator()
+        self._names = names
+        self._failure_domain = failure_domain
+        self._terms = budget_terms
+        self._random = random
+        self._policy = AffinityPolicy()
+        self._sender = AttemptSender(connections, self.loads, names)
+        self._budgets: dict[str, SharedRetryBudget] = {}
+        self._health: dict[str, PoolHealth] = {}
+        self._avoided_until_s: dict[str, float] = {}
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        call = self._admit(exchange)
+        if call is None:
+            return
+        delivery = Delivery(exchange, call.route.is_resumable)
+        try:
+            async with asyncio.timeout(max(call.left_s(), 0.0)):
+                outcome = await self._serve(exchange, call, delivery)
+        except TimeoutError:
+            outcome = AttemptOutcome(AttemptEnd.STALLED, "time is up")
+        except asyncio.CancelledError:
+            self._log(call, delivery, "caller left", "the caller closed its connection")
+            raise
+        self._finish(exchange, call, delivery, outcome)
+
+    def _admit(self, exchange: Exchange) -> Call | None:
+        """Find the request's route and account, or answer that there is none."""
+        request = exchange.request
+        facts = read_facts(request.headers, self._names)
+        table = self.view.table
+        if table is None:
+            self._refuse(exchange, facts.request_id, 503, "no configuration is known yet")
+            return None
+        host = (header(request.headers, b"host") or b"").decode("latin-1")
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        found = table.find(host, path, read_key(request.headers, self._names))
+        if found.refusal:
+            status = _ROUTING_STATUS[found.refusal]
+            self._refuse(exchange, facts.request_id, status, found.refusal, table.version)
+            return None
+        draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else facts.request_id
+        service = choose_service(found.route, draw)
+        call = Call(
+            facts, found.route, found.account, service, table.version, exchange.started_s
+        )
+        self._budget(service).count_request(time.monotonic())
+        return call
+
+    async def _serve(
+        self, exchange: Exchange, call: Call, delivery: Delivery
+    ) -> AttemptOutcome:
+        """Send until an answer is delivered or nothing more may be tried."""
+        outcome = AttemptOutcome(AttemptEnd.NOT_RUN, "no target")
+        failure: AttemptOutcome | None = None
+        while True:
+            placed = self._place(call)
+            if placed is None:
+                return failure or outcome
+            choice, target = placed
+            if call.sends and not self._budget(call.service).take(time.monotonic()):
+                return failure or outcome._replace(why=f"{outcome.why}; retry budget spent")
+            outcome = await self._send(exchange, call, delivery, choice, target)
+            if outcome.end is AttemptEnd.DELIVERED:
+                return outcome
+            if outcome.answer is not None:
+                failure = outcome
+            if not self._may_go_on(call, outcome):
+                return failure or outcome
+
+    def _may_go_on(self, call: Call, outcome: AttemptOutcome) -> bool:
+        """Tell whether another target may get the request."""
+        if outcome.end is AttemptEnd.NOT_RUN:
+            return call.sends < call.route.max_attempts + EXTRA_SENDS
+        return call.route.may_repeat and call.sends < call.route.max_attempts
+
+    async def _send(
+        self,
+        exchange: Exchange,
+        call: Call,
+        delivery: Delivery,
+        choice: Choice,
+        target: TargetRecord,
+    ) -> AttemptOutcome:
+        """Send to one target and note how it went."""
+        begun_s = time.monotonic()
+        load_age_s = self.loads.report_age_s(target.target_id, begun_s)
+        call.sends += 1
+        call.tried.add(target.target_id)
+        health = self._pool_health(call.service)
+        health.note_sent(target.target_id, begun_s)
+        may_move = call.route.may_repeat and call.sends < call.route.max_attempts
+        # Until the outcome is known, the request may be running.
+        before, call.may_have_run = call.may_have_run, True
+        outcome = AttemptOutcome(AttemptEnd.BROKEN, "given up")
+        try:
+            outcome = await self._sender.send(exchange.request, call, target, delivery, may_move)
+        finally:
+            now_s = time.monotonic()
+            call.notes.append(
+                AttemptNote(
+                    target.target_id,
+                    choice.rank,
+                    round(choice.candidate.load, 1),
+                    round(choice.bound, 1),
+                    load_age_s,
+                    f"{outcome.end}: {outcome.why}",
+                    int((begun_s - call.started_s) * 1000),
+                    int((now_s - begun_s) * 1000),
+                )
+            )
+        if outcome.end is AttemptEnd.NOT_RUN:
+            call.may_have_run = before
+        self._learn(call.service, target.target_id, outcome, now_s)
+        return outcome
+
+    def _learn(self, service: str, target_id: str, outcome: AttemptOutcome, now_s: float) -> None:
+        """Take what an outcome says of the target."""
+        if outcome.end is AttemptEnd.NOT_RUN:
+            reached = outcome.why.startswith("target said")
+            self._avoided_until_s[target_id] = now_s + (BUSY_S if reached else UNREACHABLE_S)
+            if reached:
+                return
+        is_good = outcome.end is AttemptEnd.DELIVERED
+        self._pool_health(service).observe(target_id, is_good, now_s, self._random)
+
+    def _place(self, call: Call) -> tuple[Choice, TargetRecord] | None:
+        """Choose the next target for a request."""
+        now_s = time.monotonic()
+        records = {
+            record.target_id: record
+            for record in self.view.serving(call.service)
+            if record.target_id not in call.tried
+        }
+        health = self._pool_health(call.service)
+        candidates = [self._candidate(record, health, now_s) for record in records.values()]
+        choice = choose_target(
+            candidates, call.key, self._failure_domain, self._policy, self._random
+        )
+        if choice is None:
+            return None
+        return choice, records[choice.candidate.target_id]
+
+    def _candidate(self, record: TargetRecord, health: PoolHealth, now_s: float) -> Candidate:
+        """Describe a target as placement sees it."""
+        target_id = record.target_id
+        is_doubtful = (
+            self._avoided_until_s.get(target_id, 0.0) > now_s
+            or self.view.is_silent(target_id, now_s)
+            or not health.may_send(target_id, now_s, self._random)
+        )
+        load = self.loads.estimate(target_id, self.view.routers, now_s)
+        return Candidate(target_id, record.failure_domain, load, record.slots, is_doubtful)
+
+    def _pool_health(self, service: str) -> PoolHealth:
+        """Return the health of a service's targets, brought up to who serves now."""
+        health = self._health.get(service)
+        if health is None:
+            health = self._health[service] = PoolHealth(HealthPolicy(ejection_base_s=1.0))
+        ids = [record.target_id for record in self.view.serving(service)]
+        health.set_targets(ids, time.monotonic())
+        return health
+
+    def _budget(self, service: str) -> SharedRetryBudget:
+        """Return this router's retry budget for a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = SharedRetryBudget(self._terms, lambda: self.view.routers)
+            self._budgets[service] = budget
+        return budget
+
+    def _finish(
+        self, exchange: Exchange, call: Call, delivery: Delivery, outcome: AttemptOutcome
+    ) -> None:
+        """Give the final answer, if the caller has none yet."""
+        if outcome.end is AttemptEnd.DELIVERED:
+            self._log(call, delivery, "delivered", outcome.why)
+            return
+        if delivery.has_begun:
+            exchange.abort()
+            self._log(call, delivery, "cut", outcome.why)
+            return
+        if outcome.answer is not None:
+            delivery.whole(outcome.answer)
+            self._log(call, delivery, "target failure passed on", outcome.why)
+            return
+        if not call.may_have_run:
+            return_s = max(RETURN_OBJECTIVES * call.route.objective_s, RETURN_LEAST_S)
+            headers = [(b"retry-after", b"%.3f" % return_s)]
+            exchange.respond(Answer(503, headers))
+            self._log(call, delivery, "refused as not run", outcome.why)
+            return
+        status = 504 if call.left_s() <= 0 else 502
+        exchange.respond(Answer(status, []))
+        self._log(call, delivery, "failed, may have run", outcome.why)
+
+    def _refuse(
+        self, exchange: Exchange, request_id: bytes, status: int, why: str, version: int = 0
+    ) -> None:
+        """Answer a request that reached no route."""
+        headers = []
+        if status == 503:
+            headers.append((b"retry-after", b"%.3f" % NOT_READY_RETURN_S))
+        exchange.respond(Answer(status, headers))
+        logger.info(
+            "request refused",
+            request=request_id.decode("latin-1"),
+            status=status,
+            why=why,
+            version=version,
+        )
+
+    def _log(self, call: Call, delivery: Delivery, outcome: str, why: str) -> None:
+        """Write the one line that tells a request's story."""
+        logger.info(
+            "request ended",
+            request=call.facts.request_id.decode("latin-1"),
+            outcome=outcome,
+            why=why,
+            route=call.route.name,
+            service=call.service,
+            account=call.account.name if call.account else "",
+            version=call.version,
+            key=(call.key or b"").decode("latin-1"),
+            may_have_run=call.may_have_run,
+            attempts=[list(note) for note in call.notes],
+            events=delivery.events,
+            bytes=delivery.bytes,
+            took_ms=int((time.monotonic() - call.started_s) * 1000),
+            left_ms=int(call.left_s() * 1000),
+        )
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -0,0 +1,110 @@
+"""Start and stop a router that forwards by a published configuration."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from loguru import logger
+
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.router.forwarding.connections import TargetConnections
+from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.forwarder import Forwarder
+from damaskwind.router.forwarding.settings import ForwardingSettings
+from damaskwind.runtime.http1.messages import Answer
+from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+
+__all__ = ["ForwardingRouter"]
+
+# The balancer asks once a second and stops after two misses; a request that it
+# still sends within this time is served.
+LAME_DUCK_S = 2.6
+# Part of the grace that is left for the process's own end.
+EXIT_MARGIN_S = 0.6
+READY_LIMITS = ServerLimits(idle_timeout_s=60.0)
+
+
+class ForwardingRouter:
+    """One running router."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        decode: Callable[[bytes], TrafficConfiguration],
+        names: HeaderNames,
+        reactor: Any,
+    ) -> None:
+        random = Random(secrets.randbits(64))
+        self.settings = settings
+        self.view = FleetView(
+            settings.node_id, settings.seed_hosts, settings.news_port, decode, reactor, random
+        )
+        self.view.on_configuration.append(self._take_limits)
+        self.connections = TargetConnections(reactor)
+        self.forwarder = Forwarder(
+            self.view,
+            self.connections,
+            names,
+            settings.failure_domain,
+            settings.budget,
+            random,
+        )
+        self._callers = HttpServer(self.forwarder.handle, ServerLimits(), reactor)
+        self._ready = HttpServer(self._answer_ready, READY_LIMITS, reactor)
+        self.is_draining = False
+        self._was_ready = False
+
+    async def start(self) -> None:
+        """Open the sockets and follow the replicas."""
+        settings = self.settings
+        self._callers.listen(*settings.caller_address)
+        self._ready.listen(*settings.ready_address)
+        self.view.start()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        has_targets = any(True for _ in self.view.targets.serving())
+        return not self.is_draining and self.view.table is not None and has_targets
+
+    async def stop(self) -> None:
+        """Finish what is in hand; new connections are served until the balancer knows."""
+        started_s = time.monotonic()
+        limit_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
+        self.is_draining = True
+        self._callers.close_after_answers()
+        logger.info("drain begun", active=self._callers.active)
+        await asyncio.sleep(LAME_DUCK_S)
+        self._callers.stop_listening()
+        self._callers.close_idle()
+        is_quiet = await self._callers.wait_until_quiet(limit_s - time.monotonic())
+        logger.info(
+            "drain ended",
+            is_quiet=is_quiet,
+            active=self._callers.active,
+            took_s=round(time.monotonic() - started_s, 2),
+        )
+        await self.view.stop()
+        self.connections.close()
+
+    def follow(self, seed_hosts: tuple[str, ...]) -> None:
+        """Follow seeds that the settings name now."""
+        self.view.follow(seed_hosts)
+
+    def _take_limits(self, configuration: TrafficConfiguration) -> None:
+        """Hold callers to the published limits."""
+        self._callers.limits = ServerLimits(*configuration.limits)
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        """Say whether this router takes callers."""
+        is_ready = self.is_ready
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            logger.info("readiness changed", ready=is_ready, version=self.view.known_version())
+        exchange.respond(Answer(200 if is_ready else 503, []))
+
+
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/settings.py
@@ -0,0 +1,21 @@
+"""The settings of a router that forwards by a published configuration."""
+
+from typing import NamedTuple
+
+from damaskwind.decisions.retries.shared_budget import BudgetTerms
+from damaskwind.model.targets import Address
+
+__all__ = ["ForwardingSettings"]
+
+
+class ForwardingSettings(NamedTuple):
+    """Where a router listens and what it is told at its start."""
+
+    node_id: str
+    failure_domain: str
+    caller_address: Address
+    ready_address: Address
+    seed_hosts: tuple[str, ...]
+    news_port: int
+    grace_s: float = 8.0
+    budget: BudgetTerms = BudgetTerms()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/target_load.py
@@ -0,0 +1,88 @@
+"""Estimate how many requests a target holds, from its answers and own sends."""
+
+from typing import NamedTuple
+
+__all__ = ["LoadEstimator", "TargetLoad", "parse_target_load"]
+
+# A target's own word is used for so long; requests last some hundred ms.
+FRESH_S = 1.5
+
+
+class TargetLoad(NamedTuple):
+    """What a target said of itself: requests running and waiting, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+def parse_target_load(value: bytes | None) -> TargetLoad | None:
+    """Read `running,waiting,slots`.
+
+    >>> parse_target_load(b"3,0,8")
+    TargetLoad(running=3, waiting=0, slots=8)
+    >>> parse_target_load(b"x") is None
+    True
+    """
+    if not value:
+        return None
+    try:
+        running, waiting, slots = (int(item) for item in value.split(b","))
+    except ValueError:
+        return None
+    return TargetLoad(running, waiting, slots)
+
+
+class _Report(NamedTuple):
+    """A target's word, when it came, and own requests in hand then."""
+
+    held: int
+    own: int
+    at_s: float
+
+
+class LoadEstimator:
+    """The load of each target, as one router sees it.
+
+    While the target's word is fresh, it counts, plus what this router has sent
+    since. Later, own requests stand for those of all routers.
+    """
+
+    def __init__(self) -> None:
+        self._own: dict[str, int] = {}
+        self._reports: dict[str, _Report] = {}
+
+    def sent(self, target_id: str) -> None:
+        """Count a request that is being sent."""
+        self._own[target_id] = self._own.get(target_id, 0) + 1
+
+    def ended(self, target_id: str) -> None:
+        """Count a request that has ended."""
+        self._own[target_id] = max(0, self._own.get(target_id, 0) - 1)
+
+    def reported(self, target_id: str, load: TargetLoad, now_s: float) -> None:
+        """Take a target's own word."""
+        held = load.running + load.waiting
+        self._reports[target_id] = _Report(held, self.own(target_id), now_s)
+
+    def own(self, target_id: str) -> int:
+        """Return the requests of this router at a target."""
+        return self._own.get(target_id, 0)
+
+    def estimate(self, target_id: str, routers: int, now_s: float) -> float:
+        """Return the requests that a target holds."""
+        own = self.own(target_id)
+        report = self._reports.get(target_id)
+        if report is not None and now_s - report.at_s < FRESH_S:
+            return max(own, report.held + own - report.own)
+        return float(own * routers)
+
+    def report_age_s(self, target_id: str, now_s: float) -> float | None:
+        """Return how old the target's own word is."""
+        report = self._reports.get(target_id)
+        return round(now_s - report.at_s, 3) if report else None
+
+    def forget(self, target_id: str) -> None:
+        """Drop a target that is gone."""
+        self._own.pop(target_id, None)
+        self._reports.pop(target_id, None)
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/bounded_log.py
@@ -0,0 +1,108 @@
+"""Write log lines to a descriptor without ever waiting for its reader.
+
+Lines gather in memory and go out a few times a second. When the reader does
+not keep up, the buffer is bounded: further lines are dropped and counted, and
+the count is the first line after room is back.
+"""
+
+import asyncio
+import os
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+__all__ = ["BoundedWriter", "log_to_stdout"]
+
+# A burst of some 2,000 lines fits; a reader that is further behind loses lines.
+BUFFER_LIMIT_BYTES = 512 * 1024
+# Often enough that a kill loses at most the lines of a twentieth of a second.
+FLUSH_S = 0.05
+STDOUT = 1
+
+
+class BoundedWriter:
+    """Keep lines until they are written or there are too many."""
+
+    def __init__(self, descriptor: int, limit_bytes: int = BUFFER_LIMIT_BYTES) -> None:
+        self.dropped_lines = 0
+        self._descriptor = descriptor
+        self._limit_bytes = limit_bytes
+        self._buffer = bytearray()
+        self._timer: asyncio.TimerHandle | None = None
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes) -> None:
+        """Take one line, or count it as dropped."""
+        if len(self._buffer) + len(line) > self._limit_bytes:
+            self.dropped_lines += 1
+        else:
+            if self.dropped_lines:
+                self._buffer += b'{"event":"log lines dropped","count":%d}\n' % self.dropped_lines
+                self.dropped_lines = 0
+            self._buffer += line
+        self._arrange()
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        self._timer = None
+        while self._buffer:
+            try:
+                written = os.write(self._descriptor, self._buffer)
+            except BlockingIOError:
+                self._arrange()
+                return
+            except OSError:
+                # Nobody reads any more; there is no place left to say so.
+                self._buffer.clear()
+                return
+            del self._buffer[:written]
+
+    def _arrange(self) -> None:
+        """Have the buffer flushed soon; without a loop, at once."""
+        if self._timer is not None:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            try:
+                loop = asyncio.get_event_loop_policy().get_event_loop()
+            except RuntimeError:
+                loop = None
+        if loop is None or not loop.is_running():
+            self._flush_now()
+            return
+        self._timer = loop.call_later(FLUSH_S, self.flush)
+
+    def _flush_now(self) -> None:
+        try:
+            written = os.write(self._descriptor, self._buffer)
+        except OSError:
+            return
+        del self._buffer[:written]
+
+
+def log_to_stdout(level: str, node_id: str) -> BoundedWriter:
+    """Send all logs to standard output as JSON lines, bounded, never waiting.
+
+    Every line carries the wall clock's time and the node; the fields are the
+    keyword arguments of the call.
+    """
+    writer = BoundedWriter(STDOUT)
+
+    def sink(message: Any) -> None:
+        record = message.record
+        line: dict[str, Any] = {
+            "time_s": round(record["time"].timestamp(), 3),
+            "level": record["level"].name.lower(),
+            "node": node_id,
+            "event": record["message"],
+            **record["extra"],
+        }
+        if record["exception"] is not None:
+            line["exception"] = repr(record["exception"].value)
+        writer.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
+
+    logger.remove()
+    logger.add(sink, level=level, format="{message}", backtrace=False, catch=True)
+    return writer
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -0,0 +1,250 @@
+"""Speak HTTP/1.1 as a client on one connection, one request at a time.
+
+Whether a request may have run is told apart by what was written: a connection
+that was refused or timed out before it stood carried nothing.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import h11
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory, Protocol
+
+from damaskwind.model.exception import DamaskwindError
+from damaskwind.model.targets import Address
+from damaskwind.runtime.http1.messages import Answer, Headers, Request
+
+__all__ = [
+    "AnswerBrokenError",
+    "ClientConnection",
+    "ConnectFailedError",
+    "connect",
+    "fetch",
+]
+
+# An answer's head beyond this is not one that a target of ours sends.
+ANSWER_HEAD_BYTES = 65_536
+
+
+class ConnectFailedError(DamaskwindError):
+    """No connection came about; nothing was sent."""
+
+
+class AnswerBrokenError(DamaskwindError):
+    """The answer ended early, was reset, or was no answer in the protocol."""
+
+
+class AnswerHead:
+    """The status and headers of an answer whose body follows."""
+
+    __slots__ = ("headers", "status")
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        self.status = status
+        self.headers = headers
+
+
+class ClientConnection(Protocol):
+    """One connection to a peer. Await `send`, then `read_head`, then `read_data`."""
+
+    def __init__(self) -> None:
+        self._parser: h11.Connection | None = None
+        self._sent: h11.Request | None = None
+        self._waiter: asyncio.Future | None = None
+        self._is_lost = False
+        self._was_clean_end = False
+        self.has_stray_bytes = False
+        self.is_in_use = False
+        self.requests = 0
+        self.usable_until_s = 0.0
+        self.on_lost: Callable[[ClientConnection], None] | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the peer has neither closed nor written out of turn."""
+        return not self._is_lost and not self.has_stray_bytes
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send small pieces at once."""
+        self.transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of the answer; bytes that nobody asked for end the connection."""
+        if not self.is_in_use:
+            self.has_stray_bytes = True
+            self.abort()
+            return
+        self._parser.receive_data(data)
+        self._wake()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Note the end, and whether it was orderly."""
+        self._is_lost = True
+        self._was_clean_end = reason is not None and reason.check(ConnectionDone) is not None
+        if self._parser is not None and self._was_clean_end and self.is_in_use:
+            self._parser.receive_data(b"")
+        self._wake()
+        if self.on_lost is not None:
+            self.on_lost(self)
+
+    def abort(self) -> None:
+        """Reset the connection, which ends the peer's work on it."""
+        if not self._is_lost and self.transport is not None:
+            self.transport.abortConnection()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if not self._is_lost and self.transport is not None:
+            self.transport.loseConnection()
+
+    def send(self, request: Request) -> None:
+        """Write a whole request."""
+        self.is_in_use = True
+        self.requests += 1
+        headers = [*request.headers]
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        self._sent = h11.Request(method=request.method, target=request.target, headers=headers)
+        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_BYTES)
+        data = self._parser.send(self._sent)
+        if request.body:
+            data += self._parser.send(h11.Data(data=request.body))
+        data += self._parser.send(h11.EndOfMessage())
+        self.transport.write(data)
+
+    async def read_head(self) -> AnswerHead:
+        """Wait for the head of the answer; raise `AnswerBrokenError` when none comes."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                return AnswerHead(event.status_code, list(event.headers))
+            if not isinstance(event, h11.InformationalResponse):
+                raise AnswerBrokenError("the connection ended before an answer")
+
+    async def read_data(self) -> bytes | None:
+        """Return the next piece of the body, or `None` at its complete end."""
+        event = await self._next()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise AnswerBrokenError("the answer ended early")
+
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Return the rest of the body."""
+        pieces, size_bytes = [], 0
+        while (piece := await self.read_data()) is not None:
+            pieces.append(piece)
+            size_bytes += len(piece)
+            if size_bytes > limit_bytes:
+                raise AnswerBrokenError(f"answer of over {limit_bytes} bytes")
+        return b"".join(pieces)
+
+    def skip_answer(self) -> None:
+        """Expect one more answer: the one just read belongs to an earlier request.
+
+        What follows it in the buffer is parsed anew as the answer to the request sent.
+        """
+        rest, _ = self._parser.trailing_data
+        parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_BYTES)
+        parser.send(self._sent)
+        parser.send(h11.EndOfMessage())
+        if rest:
+            parser.receive_data(rest)
+        self._parser = parser
+
+    def release(self) -> bool:
+        """End the use for this request; tell whether another may follow.
+
+        Only a connection whose last answer was framed, complete, and followed
+        by nothing is clean.
+        """
+        self.is_in_use = False
+        parser = self._parser
+        is_clean = (
+            self.is_open
+            and parser is not None
+            and parser.our_state is h11.DONE
+            and parser.their_state is h11.DONE
+            and not parser.trailing_data[0]
+        )
+        if not is_clean:
+            self.abort()
+        return is_clean
+
+    async def _next(self) -> Any:
+        """Return the next event of the answer."""
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise AnswerBrokenError(str(error)) from error
+            if event is not h11.NEED_DATA and event is not h11.PAUSED:
+                return event
+            if self._is_lost:
+                raise AnswerBrokenError("the connection was lost")
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def connect(reactor: Any, address: Address, timeout_s: float) -> ClientConnection:
+    """Open a connection; raise `ConnectFailedError` when none stands in time."""
+    made = asyncio.get_running_loop().create_future()
+    connector = reactor.connectTCP(
+        address.host, address.port, _ConnectFactory(made), timeout=max(timeout_s, 0.001)
+    )
+    try:
+        return await made
+    except asyncio.CancelledError:
+        connector.disconnect()
+        raise
+
+
+class _ConnectFactory(Factory):
+    """Tell how one attempt to connect ended."""
+
+    noisy = False
+
+    def __init__(self, made: asyncio.Future) -> None:
+        self._made = made
+
+    def doStart(self) -> None:  # noqa: N802
+        """Do nothing: there is nothing to share between connections."""
+
+    def doStop(self) -> None:  # noqa: N802
+        """Do nothing."""
+
+    def startedConnecting(self, connector: Any) -> None:  # noqa: N802
+        """Do nothing: the outcome comes later."""
+
+    def buildProtocol(self, address: Any) -> ClientConnection | None:  # noqa: N802
+        """Hand the new connection over."""
+        connection = ClientConnection()
+        connection.factory = self
+        if self._made.done():
+            return None
+        self._made.set_result(connection)
+        return connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        """Say why there is no connection."""
+        if not self._made.done():
+            self._made.set_exception(ConnectFailedError(reason.type.__name__))
+
+    def clientConnectionLost(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        """Do nothing: the connection tells its user itself."""
+
+
+async def fetch(connection: ClientConnection, request: Request, limit_bytes: int) -> Answer:
+    """Send a request and return the whole answer; for calls between own processes."""
+    connection.send(request)
+    head = await connection.read_head()
+    body = await connection.read_body(limit_bytes)
+    connection.release()
+    return Answer(head.status, head.headers, body)
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -0,0 +1,356 @@
+"""Serve HTTP/1.1: one protocol a connection, one request at a time on it.
+
+A request is handed over whole, with its body. The handler answers through its
+`Exchange`; when the caller closes the connection, the handler's task is
+cancelled, so that whoever awaits a target's answer stops at once.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import h11
+from loguru import logger
+from twisted.internet.protocol import Factory, Protocol
+
+from damaskwind.runtime.http1.messages import Answer, Headers, Request
+
+__all__ = ["Exchange", "HttpServer", "ServerLimits", "answer_headers"]
+
+# Bytes that a slow caller may leave unsent before its handler waits.
+WRITE_BUFFER_BYTES = 65_536
+
+
+class ServerLimits(NamedTuple):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+Handler = Callable[["Exchange"], Awaitable[None]]
+
+
+def answer_headers(headers: Headers, body: bytes) -> Headers:
+    """Return headers that frame a whole body.
+
+    >>> answer_headers([], b"ab")
+    [(b'content-length', b'2')]
+    """
+    return [*headers, (b"content-length", b"%d" % len(body))]
+
+
+class Exchange:
+    """One request and the answer that is being given to it.
+
+    `started_s` is the monotonic time at which the request's head was read.
+    """
+
+    def __init__(self, connection: "_ServerProtocol", request: Request, started_s: float) -> None:
+        self.request = request
+        self.started_s = started_s
+        self.has_begun = False
+        self.is_finished = False
+        self._connection = connection
+
+    def respond(self, answer: Answer, close: bool = False) -> None:
+        """Send a whole answer."""
+        self.begin(answer.status, answer_headers(answer.headers, answer.body), close)
+        if answer.body:
+            self.write(answer.body)
+        self.finish()
+
+    def begin(self, status: int, headers: Headers, close: bool = False) -> None:
+        """Send the head; without a length the body goes in chunks."""
+        self.has_begun = True
+        self._connection.send_head(status, headers, close)
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body at once."""
+        self._connection.send_event(h11.Data(data=data))
+
+    async def drained(self) -> None:
+        """Wait until the caller has taken most of what was written."""
+        await self._connection.drained()
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        self.is_finished = True
+        self._connection.finish_answer()
+
+    def abort(self) -> None:
+        """Reset the connection: an answer that has begun can't be completed."""
+        self._connection.abort()
+
+
+class _ServerProtocol(Protocol):
+    """One caller's connection."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
+        )
+        self._head: h11.Request | None = None
+        self._head_s = 0.0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._task: asyncio.Task | None = None
+        self._timer: Any = None
+        self._room: asyncio.Future | None = None
+        self._is_paused = False
+        self._is_lost = False
+        self._has_partial_head = False
+        self.requests = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read or answered."""
+        return self._task is None and self._head is None and not self._has_partial_head
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start to wait for the first request."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._server.connections.add(self)
+        self._wait(self._server.limits.idle_timeout_s)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes; those behind the present request wait for its answer."""
+        self._parser.receive_data(data)
+        if self._task is None:
+            if self._head is None and not self._has_partial_head:
+                self._has_partial_head = True
+                self._wait(self._server.limits.header_timeout_s)
+            self._read()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Stop whatever works for this caller."""
+        self._is_lost = True
+        self._stop_timer()
+        self._server.connections.discard(self)
+        self._resume()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the transport's buffer is full."""
+        self._is_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the transport takes bytes again."""
+        self._resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Note that the transport takes nothing any more."""
+        self._resume()
+
+    def _resume(self) -> None:
+        self._is_paused = False
+        if self._room is not None and not self._room.done():
+            self._room.set_result(None)
+
+    async def drained(self) -> None:
+        """Wait until there is room to write."""
+        if self._is_paused and not self._is_lost:
+            self._room = asyncio.get_running_loop().create_future()
+            await self._room
+
+    def close_if_idle(self) -> None:
+        """Close a kept connection that carries no request."""
+        if self.is_idle:
+            self.transport.loseConnection()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._server.connections.discard(self)
+        self.transport.abortConnection()
+
+    def _wait(self, limit_s: float) -> None:
+        self._stop_timer()
+        self._timer = self._server.reactor.callLater(limit_s, self._timed_out)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _timed_out(self) -> None:
+        """Close an idle connection; tell a caller that is too slow."""
+        if self.is_idle:
+            self.transport.loseConnection()
+            return
+        self._refuse(408)
+
+    def _read(self) -> None:
+        """Take events from the parser until a request is whole."""
+        try:
+            while self._task is None:
+                event = self._parser.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if not self._take(event):
+                    return
+        except h11.RemoteProtocolError as error:
+            logger.info("request unreadable", why=str(error))
+            self._refuse(error.error_status_hint)
+
+    def _take(self, event: Any) -> bool:
+        """Take one event; tell whether to go on reading."""
+        if isinstance(event, h11.Request):
+            self._head = event
+            self._head_s = time.monotonic()
+            self._body, self._body_bytes = [], 0
+            self._wait(self._server.limits.idle_timeout_s)
+            if self._parser.they_are_waiting_for_100_continue:
+                self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._server.limits.body_bytes:
+                self._refuse(413)
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            self._start()
+        else:
+            return False
+        return True
+
+    def _start(self) -> None:
+        """Hand the whole request to the handler."""
+        head = self._head
+        self._stop_timer()
+        request = Request(head.method, head.target, list(head.headers), b"".join(self._body))
+        self.requests += 1
+        exchange = Exchange(self, request, self._head_s)
+        self._task = asyncio.ensure_future(self._run(exchange))
+
+    async def _run(self, exchange: Exchange) -> None:
+        """Run the handler; an exception of its own is answered, never swallowed."""
+        self._server.active += 1
+        try:
+            await self._server.handler(exchange)
+            if not exchange.is_finished and not self._is_lost:
+                self.abort()
+        except asyncio.CancelledError:
+            if not self._is_lost:
+                self.abort()
+        except Exception as error:
+            logger.opt(exception=error).error("handler failed", why=repr(error))
+            self._fail(exchange)
+        finally:
+            self._server.active -= 1
+            self._task = None
+            self._server.note_end()
+        if exchange.is_finished and not self._is_lost:
+            self._next()
+
+    def _fail(self, exchange: Exchange) -> None:
+        """Say that this process failed: whether the request ran is not known."""
+        if exchange.has_begun or self._is_lost:
+            self.abort()
+            return
+        exchange.respond(Answer(500, [], b""), close=True)
+
+    def _next(self) -> None:
+        """Get ready for the next request on this connection."""
+        self._head = None
+        self._has_partial_head = False
+        if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
+            self.transport.loseConnection()
+            return
+        self._parser.start_next_cycle()
+        if self._server.is_closing:
+            self.transport.loseConnection()
+            return
+        self._wait(self._server.limits.idle_timeout_s)
+        self._read()
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that could not be read, and close."""
+        self._stop_timer()
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.send_head(status, [(b"content-length", b"0")], True)
+            self.send_event(h11.EndOfMessage())
+        self.transport.loseConnection()
+
+    def send_head(self, status: int, headers: Headers, close: bool) -> None:
+        """Send the status line and headers."""
+        if close or self._server.is_closing:
+            headers = [*headers, (b"connection", b"close")]
+        else:
+            idle_s = int(self._server.limits.idle_timeout_s)
+            headers = [*headers, (b"keep-alive", b"timeout=%d" % idle_s)]
+        self.send_event(h11.Response(status_code=status, headers=headers))
+
+    def send_event(self, event: Any) -> None:
+        """Write an event unless the caller has left."""
+        if self._is_lost:
+            return
+        data = self._parser.send(event)
+        if data:
+            self.transport.write(data)
+
+    def finish_answer(self) -> None:
+        """End the answer."""
+        self.send_event(h11.EndOfMessage())
+
+
+class HttpServer:
+    """All connections of one listening address."""
+
+    def __init__(self, handler: Handler, limits: ServerLimits, reactor: Any) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.reactor = reactor
+        self.connections: set[_ServerProtocol] = set()
+        self.active = 0
+        self.is_closing = False
+        self._port: Any = None
+        self._quiet: asyncio.Event = asyncio.Event()
+
+    def listen(self, host: str, port: int, backlog: int = 512) -> int:
+        """Open the socket and return its port."""
+        factory = Factory.forProtocol(lambda: _ServerProtocol(self))
+        factory.noisy = False
+        self._port = self.reactor.listenTCP(port, factory, interface=host, backlog=backlog)
+        return self._port.getHost().port
+
+    def note_end(self) -> None:
+        """Wake whoever waits for the last request to end."""
+        if not self.active:
+            self._quiet.set()
+
+    def close_after_answers(self) -> None:
+        """Have every answer from now on end its connection."""
+        self.is_closing = True
+
+    def close_idle(self) -> None:
+        """Close the kept connections that carry no request."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+
+    async def wait_until_quiet(self, limit_s: float) -> bool:
+        """Wait until no request is being answered; tell whether that came in time."""
+        deadline_s = time.monotonic() + limit_s
+        while self.active:
+            self._quiet.clear()
+            try:
+                await asyncio.wait_for(self._quiet.wait(), max(0.0, deadline_s - time.monotonic()))
+            except TimeoutError:
+                return False
+        return True
+
+    def abort(self) -> None:
+        """Reset all connections."""
+        for connection in list(self.connections):
+            connection.abort()
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/lifecycle.py
@@ -0,0 +1,80 @@
+"""Run one role on the reactor's loop from its start to a signal."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from loguru import logger
+
+from damaskwind.runtime.reactor import install_reactor
+
+__all__ = ["EXIT_FAILED", "EXIT_FINE", "RunningProcess", "run_on_reactor", "serve_until_signal"]
+
+EXIT_FINE = 0
+EXIT_FAILED = 1
+
+
+class RunningProcess(Protocol):
+    """What a role hands back: it can be asked to stop gracefully."""
+
+    def stop(self) -> Awaitable[None]:
+        """Finish the work in hand, then release everything."""
+
+
+async def serve_until_signal(
+    start: Callable[[], Awaitable[RunningProcess]], reload: Callable[[], None] | None = None
+) -> int:
+    """Start a role, wait for SIGTERM or SIGINT, and stop it gracefully.
+
+    A second signal during the stop is logged and changes nothing: what is in
+    progress has its own limit. SIGHUP calls `reload`.
+    """
+    loop = asyncio.get_running_loop()
+    asked = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asked.set)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
+    try:
+        process = await start()
+    except Exception as error:  # the daemon's last word: log it and exit non-zero
+        logger.opt(exception=error).error("start failed")
+        return EXIT_FAILED
+    stopped = asyncio.ensure_future(_watch(process))
+    await asyncio.wait(
+        {asyncio.ensure_future(asked.wait()), stopped}, return_when="FIRST_COMPLETED"
+    )
+    if not asked.is_set():
+        logger.error("process failed", reason=str(stopped.result()))
+        return EXIT_FAILED
+    logger.info("stopping")
+    await process.stop()
+    logger.info("stopped")
+    return EXIT_FINE
+
+
+async def _watch(process: Any) -> Any:
+    """Wait for a role's own fatal failure, if it can report one."""
+    failed = getattr(process, "failed", None)
+    if failed is None:
+        await asyncio.Event().wait()
+    return await failed
+
+
+def run_on_reactor(main_task: Callable[[], Awaitable[int]]) -> int:
+    """Run a coroutine on the reactor's loop and return its exit code."""
+    reactor = install_reactor()
+    exit_codes = [EXIT_FAILED]
+
+    async def run() -> None:
+        try:
+            exit_codes[0] = await main_task()
+        except Exception as error:
+            logger.opt(exception=error).error("daemon failed")
+        finally:
+            reactor.stop()
+
+    reactor.callWhenRunning(lambda: asyncio.ensure_future(run()))
+    reactor.run(installSignalHandlers=False)
+    return exit_codes[0]
--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -84,7 +84,9 @@
     `bootstrap_operator_key_hash` (SHA-256 in hex) lets the first operator in.
     With `fixed_addresses` those replicas are reached where these settings say,
     whatever they tell of themselves: for forwarded ports, which may differ from
-    one machine to the next.
+    one machine to the next. A replica that may not found a cluster only joins
+    one; one that joins unlisted asks to be added though it is not among the
+    bootstrap replicas.
     """
 
     replica_address: str
@@ -98,6 +100,8 @@
     plan_ttl_s: float = 900.0
     fixed_addresses: bool = False
     ready_file: str = ""
+    may_found: bool = True
+    joins_unlisted: bool = False
 
 
 class Settings(NamedTuple):
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/settings_watch.py
@@ -0,0 +1,58 @@
+"""Notice that a settings file has changed, with a signal or without one."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from damaskwind.model.exception import SettingsError
+
+__all__ = ["SettingsWatch"]
+
+# Files change rarely, and nothing in them is needed at once.
+LOOK_S = 2.0
+
+
+class SettingsWatch:
+    """Read a file again when its time or size changes and hand over what it says."""
+
+    def __init__(
+        self,
+        path: Path,
+        read: Callable[[Path], dict[str, Any]],
+        apply: Callable[[dict[str, Any]], None],
+    ) -> None:
+        self._path = path
+        self._read = read
+        self._apply = apply
+        self._seen = self._look()
+
+    def start(self) -> None:
+        """Look at the file now and then."""
+        asyncio.get_running_loop().call_later(LOOK_S, self._check)
+
+    def reload(self) -> None:
+        """Read the file now; a mistake in it leaves what is in force."""
+        self._seen = self._look()
+        try:
+            raw = self._read(self._path)
+            self._apply(raw)
+        except (SettingsError, KeyError, ValueError) as error:
+            logger.error("settings not reloaded", why=repr(error))
+            return
+        logger.info("settings reloaded", seeds=raw.get("seeds"))
+
+    def _look(self) -> tuple[int, int]:
+        try:
+            status = self._path.stat()
+        except OSError as error:
+            logger.warning("settings file not found", why=str(error))
+            return (0, 0)
+        return (status.st_mtime_ns, status.st_size)
+
+    def _check(self) -> None:
+        if self._look() != self._seen:
+            self.reload()
+        self.start()
--- /dev/null
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -0,0 +1,126 @@
+"""News from a control replica: who serves, which configuration version there is.
+
+A subscriber asks with what it has; the replica answers at once if there is
+more, or after a while with nothing new, which shows that it lives. Bodies are
+msgpack over HTTP/1.1. `decisions/0015` weighs this against grpclib.
+"""
+
+import zlib
+from typing import NamedTuple
+
+import msgspec
+
+from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.model.exception import MessageError
+
+__all__ = [
+    "DOCUMENT_PATH",
+    "NEWS_PATH",
+    "Heard",
+    "News",
+    "NewsRequest",
+    "SubscriberKind",
+    "decode_news",
+    "decode_request",
+    "encode",
+    "pack_document",
+    "unpack_document",
+]
+
+NEWS_PATH = b"/news"
+DOCUMENT_PATH = b"/document"
+# A document may be 4 MiB; nothing that grows beyond this when unpacked is one.
+DOCUMENT_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+class SubscriberKind:
+    """Who asks for news."""
+
+    ROUTER = "router"
+    REPLICA = "replica"
+
+
+class NewsRequest(NamedTuple):
+    """What a subscriber has: of this replica's life `epoch`, up to `revision`.
+
+    `version` is the configuration that it holds. The answer may be held back
+    for `wait_s`.
+    """
+
+    node_id: str
+    kind: str
+    epoch: str
+    revision: int
+    version: int
+    wait_s: float
+
+
+class Heard(NamedTuple):
+    """A target that this replica heard itself, `age_s` ago."""
+
+    target_id: str
+    age_s: float
+
+
+class News(NamedTuple):
+    """What a replica knows beyond what the subscriber has.
+
+    `is_current` says that `version` is the newest that a majority holds, as
+    far as the replica's lease or its leader's word tells. `hosts` are the IP
+    numbers of all replicas, `routers` how many routers ask here.
+    """
+
+    epoch: str
+    revision: int
+    version: int
+    is_current: bool
+    hosts: tuple[str, ...]
+    routers: int
+    records: tuple[TargetRecord, ...]
+    heard: tuple[Heard, ...]
+
+
+def encode(message: NewsRequest | News) -> bytes:
+    """Encode a message."""
+    return msgspec.msgpack.encode(message)
+
+
+_REQUEST_DECODER = msgspec.msgpack.Decoder(NewsRequest)
+_NEWS_DECODER = msgspec.msgpack.Decoder(News)
+
+
+def decode_request(data: bytes) -> NewsRequest:
+    """Decode a request; raise `MessageError` when it is none."""
+    try:
+        return _REQUEST_DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"news request: {error}") from error
+
+
+def decode_news(data: bytes) -> News:
+    """Decode news; raise `MessageError` when they are none."""
+    try:
+        return _NEWS_DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"news: {error}") from error
+
+
+def pack_document(document: bytes) -> bytes:
+    """Compress a published document for the log and the links.
+
+    >>> unpack_document(pack_document(b"{}"))
+    b'{}'
+    """
+    return zlib.compress(document, 6)
+
+
+def unpack_document(packed: bytes) -> bytes:
+    """Return a document; raise `MessageError` when it is damaged or too large."""
+    unpacker = zlib.decompressobj()
+    try:
+        document = unpacker.decompress(packed, DOCUMENT_LIMIT_BYTES)
+    except zlib.error as error:
+        raise MessageError(f"document: {error}") from error
+    if not unpacker.eof:
+        raise MessageError("document: cut or too large")
+    return document
--- /dev/null
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -0,0 +1,178 @@
+"""Follow the news of one control replica, over and over, until told to stop."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple, Protocol
+
+from loguru import logger
+
+from damaskwind.model.exception import MessageError
+from damaskwind.model.targets import Address
+from damaskwind.runtime.http1.client import (
+    AnswerBrokenError,
+    ClientConnection,
+    ConnectFailedError,
+    connect,
+    fetch,
+)
+from damaskwind.runtime.http1.messages import Request
+from damaskwind.wire.news import (
+    DOCUMENT_PATH,
+    NEWS_PATH,
+    News,
+    NewsRequest,
+    decode_news,
+    encode,
+    unpack_document,
+)
+
+__all__ = ["NewsLink", "NewsTiming", "Subscriber"]
+
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+class NewsTiming(NamedTuple):
+    """Periods of a link, in seconds.
+
+    `hold_s` is how long a replica keeps a request when nothing is new: one
+    call a second shows that both ends live. `answer_s` beyond it covers a
+    round trip and a busy replica. A lost link is tried again soon, since a
+    leave has to arrive within the drain bound (2 s).
+    """
+
+    hold_s: float = 1.0
+    answer_s: float = 0.8
+    connect_s: float = 0.5
+    backoff_first_s: float = 0.05
+    backoff_limit_s: float = 0.4
+
+
+class Subscriber(Protocol):
+    """Who takes what a link hears."""
+
+    def known_version(self) -> int:
+        """Return the configuration version held."""
+        ...
+
+    def wants_document(self, news: News, host: str) -> bool:
+        """Tell whether this link should fetch the document now."""
+        ...
+
+    def take_news(self, host: str, news: News) -> None:
+        """Take news from a replica."""
+        ...
+
+    def take_document(self, host: str, document: bytes, is_current: bool) -> None:
+        """Take a configuration document from a replica."""
+        ...
+
+    def lost(self, host: str) -> None:
+        """Note that a replica can't be reached."""
+        ...
+
+
+class NewsLink:
+    """One subscription. `last_heard_s` is monotonic."""
+
+    def __init__(
+        self,
+        node_id: str,
+        kind: str,
+        address: Address,
+        subscriber: Subscriber,
+        reactor: Any,
+        random: Random,
+        timing: NewsTiming = NewsTiming(),
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.address = address
+        self.last_heard_s = float("-inf")
+        self.has_heard = False
+        self._node_id = node_id
+        self._kind = kind
+        self._subscriber = subscriber
+        self._reactor = reactor
+        self._random = random
+        self._timing = timing
+        self._clock = clock
+        self._epoch = ""
+        self._revision = 0
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """End the subscription."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        backoff_s = self._timing.backoff_first_s
+        while True:
+            try:
+                await self._follow()
+            except ConnectFailedError as error:
+                self._note_loss(error)
+            except (AnswerBrokenError, MessageError, TimeoutError) as error:
+                self._note_loss(error)
+                backoff_s = self._timing.backoff_first_s
+            await asyncio.sleep(self._random.uniform(0.5, 1.0) * backoff_s)
+            backoff_s = min(2 * backoff_s, self._timing.backoff_limit_s)
+
+    def _note_loss(self, error: Exception) -> None:
+        """Tell the subscriber, once for each time that the link was up."""
+        if self.has_heard:
+            logger.warning("replica lost", host=self.address.host, why=repr(error))
+        self.has_heard = False
+        self._subscriber.lost(self.address.host)
+
+    async def _follow(self) -> None:
+        """Ask on one connection until it fails."""
+        connection = await connect(self._reactor, self.address, self._timing.connect_s)
+        try:
+            while True:
+                await self._ask(connection)
+        finally:
+            connection.abort()
+
+    async def _ask(self, connection: ClientConnection) -> None:
+        """Make one call, and fetch the document if it is newer and wanted."""
+        timing = self._timing
+        request = NewsRequest(
+            self._node_id,
+            self._kind,
+            self._epoch,
+            self._revision,
+            self._subscriber.known_version(),
+            timing.hold_s,
+        )
+        body = await self._call(connection, NEWS_PATH, encode(request), timing.hold_s)
+        news = decode_news(body)
+        self._epoch, self._revision = news.epoch, news.revision
+        self.last_heard_s = self._clock()
+        host = self.address.host
+        if not self.has_heard:
+            self.has_heard = True
+            logger.info(
+                "replica heard", host=host, version=news.version, is_current=news.is_current
+            )
+        self._subscriber.take_news(host, news)
+        if self._subscriber.wants_document(news, host):
+            packed = await self._call(connection, DOCUMENT_PATH, b"", 0.0)
+            self._subscriber.take_document(host, unpack_document(packed), news.is_current)
+
+    async def _call(
+        self, connection: ClientConnection, path: bytes, body: bytes, hold_s: float
+    ) -> bytes:
+        """Make one call; raise `AnswerBrokenError` or `TimeoutError` when it fails."""
+        request = Request(b"POST", path, [(b"host", b"control")], body)
+        limit_s = hold_s + self._timing.answer_s
+        answer = await asyncio.wait_for(fetch(connection, request, ANSWER_LIMIT_BYTES), limit_s)
+        if answer.status != 200 or not connection.is_open:
+            raise AnswerBrokenError(f"status {answer.status}")
+        return answer.body
