--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*/pyproject.toml)
+PACKAGES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test check format fuzz measure setup
@@ -20,15 +20,15 @@
 	$(BIN)/damaskwindd demo $(if $(ONCE),--once)
 
 check: setup
-	$(BIN)/black --quiet --check packages benchmarks tools
-	$(BIN)/ruff check --quiet packages benchmarks tools
+	$(BIN)/black --quiet --check packages platform benchmarks tools
+	$(BIN)/ruff check --quiet packages platform benchmarks tools
 
 test: check
 	$(BIN)/python tools/run_tests.py $(ONLY)
 
 format: setup
-	$(BIN)/black --quiet packages benchmarks tools
-	$(BIN)/ruff check --quiet --fix packages benchmarks tools
+	$(BIN)/black --quiet packages platform benchmarks tools
+	$(BIN)/ruff check --quiet --fix packages platform benchmarks tools
 
 fuzz: setup
 	$(BIN)/python tools/fuzz.py --seconds $(or $(SECONDS),60)
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -101,15 +101,11 @@
             return None
         draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else facts.request_id
         service = choose_service(found.route, draw)
-        call = Call(
-            facts, found.route, found.account, service, table.version, exchange.started_s
-        )
+        call = Call(facts, found.route, found.account, service, table.version, exchange.started_s)
         self._budget(service).count_request(time.monotonic())
         return call
 
-    async def _serve(
-        self, exchange: Exchange, call: Call, delivery: Delivery
-    ) -> AttemptOutcome:
+    async def _serve(self, exchange: Exchange, call: Call, delivery: Delivery) -> AttemptOutcome:
         """Send until an answer is delivered or nothing more may be tried."""
         outcome = AttemptOutcome(AttemptEnd.NOT_RUN, "no target")
         failure: AttemptOutcome | None = None
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -106,5 +106,3 @@
             self._was_ready = is_ready
             logger.info("readiness changed", ready=is_ready, version=self.view.known_version())
         exchange.respond(Answer(200 if is_ready else 503, []))
-
-
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -49,6 +49,9 @@
     backoff_limit_s: float = 0.4
 
 
+DEFAULT_TIMING = NewsTiming()
+
+
 class Subscriber(Protocol):
     """Who takes what a link hears."""
 
@@ -84,7 +87,7 @@
         subscriber: Subscriber,
         reactor: Any,
         random: Random,
-        timing: NewsTiming = NewsTiming(),
+        timing: NewsTiming = DEFAULT_TIMING,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.address = address
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -20,7 +20,11 @@
 MODULE_TIMEOUT_S = 280
 SUMMARY = re.compile(r"^(PASSED|FAILED)(?: \((.*)\))?$", re.MULTILINE)
 RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
-TEST_PATTERNS = ("packages/*/src/**/tests/test_*.py", "benchmarks/**/tests/test_*.py")
+TEST_PATTERNS = (
+    "packages/*/src/**/tests/test_*.py",
+    "platform/src/**/tests/test_*.py",
+    "benchmarks/**/tests/test_*.py",
+)
 DOCTEST_PACKAGES = ("model", "decisions")
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
@@ -37,7 +41,7 @@
 
 def module_name(path: Path) -> str:
     """Return the dotted name of the module at `path`, below a `src` folder or the root."""
-    if path.is_relative_to(ROOT / "packages"):
+    if "src" in path.relative_to(ROOT).parts:
         parts = path.with_suffix("").parts
         return ".".join(parts[parts.index("src") + 1 :])
     return ".".join(path.relative_to(ROOT).with_suffix("").parts)
