--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -10,7 +10,6 @@
 Replicated Data Types", SSS 2011.
 """
 
-from collections.abc import Iterable
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -137,11 +136,16 @@
             if entry.heard_s >= since_s and entry.record.phase is not TargetPhase.GONE
         ]
 
-    def serving(self) -> Iterable[TargetRecord]:
+    def serving(self) -> list[TargetRecord]:
         """Return the records of all targets that take work."""
         phase = TargetPhase.SERVING
         return [entry.record for entry in self._entries.values() if entry.record.phase is phase]
 
+    def living(self) -> list[TargetRecord]:
+        """Return the records of all targets that are not gone."""
+        gone = TargetPhase.GONE
+        return [entry.record for entry in self._entries.values() if entry.record.phase is not gone]
+
     def forget(self, now_s: float) -> list[str]:
         """Drop tombstones and silent targets that are too old; return their ids."""
         old = [
@@ -159,8 +163,8 @@
         if record.phase is TargetPhase.GONE or record.sequence <= entry.record.sequence:
             return False
         entry.heard_s = max(entry.heard_s, heard_s)
-        is_same = record == entry.record._replace(sequence=record.sequence, cold_s=record.cold_s)
-        if is_same:
+        unchanged = entry.record._replace(sequence=record.sequence, cold_s=record.cold_s)
+        if record == unchanged:
             entry.record = record
             return False
         self._put(entry, record, heard_s)
--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -6,6 +6,11 @@
 A target above the load bound is passed over for the next in rank: "Consistent
 Hashing with Bounded Loads", Mirrokni, Thorup and Zadimoghaddam, SODA 2018.
 Without a key the least loaded target takes the request, a near one first.
+
+Where the chosen target can't be expected to hold the shared part, but another
+one can, that other is named as the donor, from which the engine may copy what
+it lacks: the home that was passed over or is leaving, or, for a target that
+has just joined, the one that was the home before it.
 """
 
 from collections.abc import Sequence
@@ -22,19 +27,23 @@
 
     The users' bound is twice the mean plus three requests, seen by all routers
     together; each sees loads that are some hundred ms old, so this stays below.
-    `far_requests` is what leaving the failure domain costs, in requests.
+    `far_requests` is what leaving the failure domain costs, in requests. A
+    target counts as having just joined for `young_s`: callers ask again for a
+    part within some seconds, and later it has been read anyway.
     """
 
-    load_factor: float = 1.5
-    load_slack_requests: float = 2.0
+    load_factor: float = 1.6
+    load_slack_requests: float = 2.5
     far_requests: float = 0.75
+    young_s: float = 12.0
 
 
 class Candidate(NamedTuple):
     """A target that could take a request.
 
     `load` estimates the requests that it holds; `is_doubtful` marks one that
-    has lately failed or not been heard.
+    has lately failed or not been heard. One that is leaving takes no work, but
+    still holds what it has read. `age_s` counts from its start.
     """
 
     target_id: str
@@ -42,14 +51,20 @@
     load: float
     slots: int
     is_doubtful: bool
+    takes_work: bool = True
+    age_s: float = 3600.0
 
 
 class Choice(NamedTuple):
-    """The target chosen, its place in the key's ranking, and the bound applied."""
+    """The target chosen, its place in the key's ranking, and the bound applied.
+
+    `donor_id` names the target that probably holds the shared part instead.
+    """
 
     candidate: Candidate
     rank: int
     bound: float
+    donor_id: str = ""
 
 
 def affinity_key(part_ids: Sequence[bytes]) -> bytes | None:
@@ -78,20 +93,42 @@
     >>> choose_target(pool, None, "d", AffinityPolicy(), Random(1)).candidate.target_id
     'b'
     """
-    sound = [item for item in candidates if not item.is_doubtful] or list(candidates)
+    serving = [item for item in candidates if item.takes_work]
+    sound = [item for item in serving if not item.is_doubtful] or serving
     if not sound:
         return None
     if key is None:
         return _least_loaded(sound, near, policy, random)
     mean = sum(item.load for item in sound) / len(sound)
     bound = policy.load_factor * mean + policy.load_slack_requests
-    order = rank_order(scores(key, [target_seed(item.target_id) for item in sound]))
-    for rank, position in enumerate(order):
-        if sound[position].load < bound:
-            return Choice(sound[position], rank, bound)
+    ranked = _rank(sound, key)
+    for rank, item in enumerate(ranked):
+        if item.load < bound:
+            donor_id = _donor(candidates, key, item, policy)
+            return Choice(item, rank, bound, donor_id)
     return _least_loaded(sound, near, policy, random)
 
 
+def _rank(candidates: Sequence[Candidate], key: bytes) -> list[Candidate]:
+    """Return the candidates in the key's order."""
+    order = rank_order(scores(key, [target_seed(item.target_id) for item in candidates]))
+    return [candidates[position] for position in order]
+
+
+def _donor(
+    candidates: Sequence[Candidate], key: bytes, chosen: Candidate, policy: AffinityPolicy
+) -> str:
+    """Return who probably holds the key's part if the chosen target does not."""
+    ranked = _rank([item for item in candidates if not item.is_doubtful], key)
+    if not ranked or chosen not in ranked:
+        return ""
+    if ranked[0] is not chosen:
+        return ranked[0].target_id
+    if chosen.age_s < policy.young_s and len(ranked) > 1:
+        return ranked[1].target_id
+    return ""
+
+
 def _least_loaded(
     candidates: Sequence[Candidate], near: str, policy: AffinityPolicy, random: Random
 ) -> Choice:
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -8,7 +8,9 @@
 from loguru import logger
 
 from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.decisions.placement.affinity import Choice
 from damaskwind.model.header_names import HeaderNames
+from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.call import Call, target_headers
 from damaskwind.router.forwarding.connections import TargetConnections
@@ -22,7 +24,7 @@
 )
 from damaskwind.runtime.http1.messages import Answer, Request, header
 
-__all__ = ["AttemptEnd", "AttemptOutcome", "AttemptSender"]
+__all__ = ["AttemptEnd", "AttemptOutcome", "AttemptSender", "Placed"]
 
 # A whole answer is gathered before any of it is passed on, so that a cut one
 # can be told apart; services answer with some KB.
@@ -48,6 +50,14 @@
     STALLED = "stalled"
 
 
+class Placed(NamedTuple):
+    """Where a request goes: the target, why, and the engine it may copy from."""
+
+    target: TargetRecord
+    choice: Choice
+    donor: Address | None
+
+
 class AttemptOutcome(NamedTuple):
     """How a send ended, why, and the whole answer if the target gave a failure."""
 
@@ -70,11 +80,12 @@
         self,
         request: Request,
         call: Call,
-        target: TargetRecord,
+        placed: Placed,
         delivery: Delivery,
         may_move: bool,
     ) -> AttemptOutcome:
         """Send and pass the answer on; with `may_move` give up a target that is silent."""
+        target = placed.target
         try:
             connection = await self.connections.take(
                 target.target_id, target.address, call.left_s()
@@ -83,7 +94,7 @@
             return AttemptOutcome(AttemptEnd.NOT_RUN, f"no connection: {error}")
         self._loads.sent(target.target_id)
         try:
-            return await self._exchange(connection, request, call, target, delivery, may_move)
+            return await self._exchange(connection, request, call, placed, delivery, may_move)
         except AnswerBrokenError as error:
             return AttemptOutcome(AttemptEnd.BROKEN, str(error))
         except TimeoutError:
@@ -98,13 +109,16 @@
         connection: ClientConnection,
         request: Request,
         call: Call,
-        target: TargetRecord,
+        placed: Placed,
         delivery: Delivery,
         may_move: bool,
     ) -> AttemptOutcome:
         """Write the request and read the answer that is its own."""
         resume_after = delivery.resume_after(call.facts.resume_after)
-        headers = target_headers(request, call, self._names, target.target_id, resume_after)
+        target = placed.target
+        headers = target_headers(
+            request, call, self._names, target.target_id, resume_after, placed.donor
+        )
         connection.send(Request(request.method, request.target, headers, request.body))
         stall_s = max(STALL_OBJECTIVES * call.route.objective_s, STALL_LEAST_S)
         async with asyncio.timeout(stall_s if may_move else None):
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -5,6 +5,7 @@
 
 from damaskwind.decisions.placement.affinity import affinity_key
 from damaskwind.model.header_names import HeaderNames
+from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import KeyedAccount, TrafficRoute
 from damaskwind.runtime.http1.messages import Headers, Request, header, without
 
@@ -32,6 +33,7 @@
     load: float
     bound: float
     load_age_s: float | None
+    donor: str
     outcome: str
     at_ms: int
     took_ms: int
@@ -116,12 +118,18 @@
         names.expect_target,
         names.account,
         names.urgency,
+        names.fetch_from,
     )
     return names.reserved | frozenset(own)
 
 
 def target_headers(
-    request: Request, call: Call, names: HeaderNames, target_id: str, resume_after: int | None
+    request: Request,
+    call: Call,
+    names: HeaderNames,
+    target_id: str,
+    resume_after: int | None,
+    donor: Address | None,
 ) -> Headers:
     """Return the headers of a request as a target gets them."""
     headers = without(request.headers, own_headers(names))
@@ -130,6 +138,8 @@
     headers.append((names.expect_target, target_id.encode("latin-1")))
     if call.account is not None:
         headers.append((names.account, call.account.name.encode("latin-1")))
+    if donor is not None:
+        headers.append((names.fetch_from, str(donor).encode()))
     if resume_after is not None:
         headers.append((names.resume_after, b"%d" % resume_after))
     if call.route.has_prompt_parts:
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -94,6 +94,10 @@
         """Return the targets of a service that take work."""
         return [record for record in self.targets.serving() if record.service == service]
 
+    def living(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that take work or still finish theirs."""
+        return [record for record in self.targets.living() if record.service == service]
+
     def is_silent(self, target_id: str, now_s: float) -> bool:
         """Tell whether a target has missed its heartbeats, as far as this router can know."""
         return self.replicas_heard() > 0 and now_s - self.targets.heard_s(target_id) > SILENT_S
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -8,17 +8,16 @@
 
 from damaskwind.decisions.health.circuit import HealthPolicy
 from damaskwind.decisions.health.ejection import PoolHealth
-from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import (
     AffinityPolicy,
     Candidate,
-    Choice,
     choose_target,
 )
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
 from damaskwind.decisions.routing.table import RoutingReason, choose_service
 from damaskwind.model.header_names import HeaderNames
-from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, AttemptSender
+from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, AttemptSender, Placed
 from damaskwind.router.forwarding.call import AttemptNote, Call, read_facts, read_key
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.delivery import Delivery
@@ -54,6 +53,7 @@
         names: HeaderNames,
         failure_domain: str,
         budget_terms: BudgetTerms,
+        heartbeat_s: float,
         random: Random,
     ) -> None:
         self.view = view
@@ -61,6 +61,7 @@
         self._names = names
         self._failure_domain = failure_domain
         self._terms = budget_terms
+        self._heartbeat_s = heartbeat_s
         self._random = random
         self._policy = AffinityPolicy()
         self._sender = AttemptSender(connections, self.loads, names)
@@ -113,10 +114,9 @@
             placed = self._place(call)
             if placed is None:
                 return failure or outcome
-            choice, target = placed
             if call.sends and not self._budget(call.service).take(time.monotonic()):
                 return failure or outcome._replace(why=f"{outcome.why}; retry budget spent")
-            outcome = await self._send(exchange, call, delivery, choice, target)
+            outcome = await self._send(exchange, call, delivery, placed)
             if outcome.end is AttemptEnd.DELIVERED:
                 return outcome
             if outcome.answer is not None:
@@ -135,10 +135,10 @@
         exchange: Exchange,
         call: Call,
         delivery: Delivery,
-        choice: Choice,
-        target: TargetRecord,
+        placed: Placed,
     ) -> AttemptOutcome:
         """Send to one target and note how it went."""
+        target, choice = placed.target, placed.choice
         begun_s = time.monotonic()
         load_age_s = self.loads.report_age_s(target.target_id, begun_s)
         call.sends += 1
@@ -150,7 +150,7 @@
         before, call.may_have_run = call.may_have_run, True
         outcome = AttemptOutcome(AttemptEnd.BROKEN, "given up")
         try:
-            outcome = await self._sender.send(exchange.request, call, target, delivery, may_move)
+            outcome = await self._sender.send(exchange.request, call, placed, delivery, may_move)
         finally:
             now_s = time.monotonic()
             call.notes.append(
@@ -160,6 +160,7 @@
                     round(choice.candidate.load, 1),
                     round(choice.bound, 1),
                     load_age_s,
+                    choice.donor_id,
                     f"{outcome.end}: {outcome.why}",
                     int((begun_s - call.started_s) * 1000),
                     int((now_s - begun_s) * 1000),
@@ -180,12 +181,12 @@
         is_good = outcome.end is AttemptEnd.DELIVERED
         self._pool_health(service).observe(target_id, is_good, now_s, self._random)
 
-    def _place(self, call: Call) -> tuple[Choice, TargetRecord] | None:
+    def _place(self, call: Call) -> Placed | None:
         """Choose the next target for a request."""
         now_s = time.monotonic()
         records = {
             record.target_id: record
-            for record in self.view.serving(call.service)
+            for record in self.view.living(call.service)
             if record.target_id not in call.tried
         }
         health = self._pool_health(call.service)
@@ -195,7 +196,9 @@
         )
         if choice is None:
             return None
-        return choice, records[choice.candidate.target_id]
+        donor = records.get(choice.donor_id)
+        target = records[choice.candidate.target_id]
+        return Placed(target, choice, donor.address if donor else None)
 
     def _candidate(self, record: TargetRecord, health: PoolHealth, now_s: float) -> Candidate:
         """Describe a target as placement sees it."""
@@ -205,8 +208,15 @@
             or self.view.is_silent(target_id, now_s)
             or not health.may_send(target_id, now_s, self._random)
         )
-        load = self.loads.estimate(target_id, self.view.routers, now_s)
-        return Candidate(target_id, record.failure_domain, load, record.slots, is_doubtful)
+        return Candidate(
+            target_id,
+            record.failure_domain,
+            self.loads.estimate(target_id, self.view.routers, now_s),
+            record.slots,
+            is_doubtful,
+            record.phase is TargetPhase.SERVING,
+            record.sequence * self._heartbeat_s,
+        )
 
     def _pool_health(self, service: str) -> PoolHealth:
         """Return the health of a service's targets, brought up to who serves now."""
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -51,6 +51,7 @@
             names,
             settings.failure_domain,
             settings.budget,
+            settings.heartbeat_s,
             random,
         )
         self._callers = HttpServer(self.forwarder.handle, ServerLimits(), reactor)
--- a/packages/router/src/damaskwind/router/forwarding/settings.py
+++ b/packages/router/src/damaskwind/router/forwarding/settings.py
@@ -9,7 +9,10 @@
 
 
 class ForwardingSettings(NamedTuple):
-    """Where a router listens and what it is told at its start."""
+    """Where a router listens and what it is told at its start.
+
+    Targets report every `heartbeat_s`.
+    """
 
     node_id: str
     failure_domain: str
@@ -18,4 +21,5 @@
     seed_hosts: tuple[str, ...]
     news_port: int
     grace_s: float = 8.0
+    heartbeat_s: float = 1.2
     budget: BudgetTerms = BudgetTerms()
--- a/packages/router/src/damaskwind/router/forwarding/target_load.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_load.py
@@ -1,11 +1,14 @@
 """Estimate how many requests a target holds, from its answers and own sends."""
 
+import math
 from typing import NamedTuple
 
 __all__ = ["LoadEstimator", "TargetLoad", "parse_target_load"]
 
-# A target's own word is used for so long; requests last some hundred ms.
-FRESH_S = 1.5
+# A target's own word stands as it is for so long: requests last some hundred ms.
+FRESH_S = 0.4
+# Later its mean over about so long is the better guess.
+SMOOTHING_S = 2.0
 
 
 class TargetLoad(NamedTuple):
@@ -34,9 +37,10 @@
 
 
 class _Report(NamedTuple):
-    """A target's word, when it came, and own requests in hand then."""
+    """A target's word, its mean so far, when it came, and own requests in hand then."""
 
     held: int
+    mean: float
     own: int
     at_s: float
 
@@ -45,7 +49,8 @@
     """The load of each target, as one router sees it.
 
     While the target's word is fresh, it counts, plus what this router has sent
-    since. Later, own requests stand for those of all routers.
+    since; later its mean does. A target that has never said a word is taken to
+    hold what this router sent, times the routers.
     """
 
     def __init__(self) -> None:
@@ -63,7 +68,12 @@
     def reported(self, target_id: str, load: TargetLoad, now_s: float) -> None:
         """Take a target's own word."""
         held = load.running + load.waiting
-        self._reports[target_id] = _Report(held, self.own(target_id), now_s)
+        before = self._reports.get(target_id)
+        mean = float(held)
+        if before is not None:
+            kept = math.exp(-(now_s - before.at_s) / SMOOTHING_S)
+            mean = held + (before.mean - held) * kept
+        self._reports[target_id] = _Report(held, mean, self.own(target_id), now_s)
 
     def own(self, target_id: str) -> int:
         """Return the requests of this router at a target."""
@@ -73,9 +83,10 @@
         """Return the requests that a target holds."""
         own = self.own(target_id)
         report = self._reports.get(target_id)
-        if report is not None and now_s - report.at_s < FRESH_S:
-            return max(own, report.held + own - report.own)
-        return float(own * routers)
+        if report is None:
+            return float(own * routers)
+        said = report.held if now_s - report.at_s < FRESH_S else report.mean
+        return max(float(own), said + own - report.own)
 
     def report_age_s(self, target_id: str, now_s: float) -> float | None:
         """Return how old the target's own word is."""
