--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/kept_state.py
@@ -0,0 +1,102 @@
+"""Keep what was known last, to serve it at once after a restart.
+
+After a restart the log tells only what is durable, not what is committed; that
+is known again when a leader has been elected, a second or more later. What was
+committed never goes back, so the newest configuration that this replica has
+applied may be told to routers meanwhile, as one that may not be the newest.
+The same holds for the targets: one that has gone since refuses by itself.
+
+The file is written whole beside the log, now and then, and its loss harms
+nobody: a failure is logged and the replica goes on.
+"""
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+from loguru import logger
+
+from damaskwind.control.storage.files import FileSystem, write_file_durably
+from damaskwind.control.storage.frames import encode_frame, file_header, read_frames
+from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.model.exception import StorageError
+
+__all__ = ["KeptState", "StateKeeper", "read_kept_state"]
+
+_KIND_KEPT = 5
+_FOLDER = "kept"
+_NAME = "state"
+
+
+class KeptState(NamedTuple):
+    """A configuration that was applied, packed, and all targets known."""
+
+    version: int = 0
+    packed: bytes = b""
+    records: tuple[TargetRecord, ...] = ()
+
+
+def read_kept_state(data_folder: Path, files: FileSystem) -> KeptState:
+    """Return what was kept; nothing when there is none or it can't be read."""
+    path = data_folder / _FOLDER / _NAME
+    try:
+        files.make_folder(path.parent)
+        if _NAME not in files.names(path.parent):
+            return KeptState()
+        framed = read_frames(files.read(path), _KIND_KEPT, path)
+        return msgspec.msgpack.decode(framed.payloads[0], type=KeptState)
+    except (StorageError, IndexError, msgspec.MsgspecError) as error:
+        logger.warning("kept state unreadable", why=repr(error))
+        return KeptState()
+
+
+class StateKeeper:
+    """Write the state when it has changed, one write at a time."""
+
+    def __init__(
+        self,
+        data_folder: Path,
+        files: FileSystem,
+        mark: Callable[[], tuple[int, int]],
+        state: Callable[[], KeptState],
+    ) -> None:
+        self._path = data_folder / _FOLDER / _NAME
+        self._files = files
+        self._mark = mark
+        self._state = state
+        self._written = mark()
+        self._writing: asyncio.Future | None = None
+        self._thread = ThreadPoolExecutor(1, thread_name_prefix="kept")
+        self._has_failed = False
+
+    def consider(self) -> None:
+        """Begin to write if something has changed since the last write."""
+        if self._writing is not None or self._mark() == self._written:
+            return
+        self._written = self._mark()
+        self._writing = asyncio.ensure_future(self._write(self._state()))
+
+    async def close(self) -> None:
+        """Wait for the write in hand."""
+        if self._writing is not None:
+            await asyncio.wait([self._writing])
+        self._thread.shutdown(wait=False)
+
+    async def _write(self, state: KeptState) -> None:
+        payload = msgspec.msgpack.encode(state)
+        data = file_header(_KIND_KEPT) + encode_frame(payload)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.run_in_executor(
+                self._thread, write_file_durably, self._files, self._path, data
+            )
+            self._has_failed = False
+        except StorageError as error:
+            if not self._has_failed:
+                logger.warning("state not kept", why=str(error))
+            self._has_failed = True
+        finally:
+            self._writing = None
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -12,6 +13,7 @@
 from loguru import logger
 
 from damaskwind.control.fleet.calls import ControlCalls
+from damaskwind.control.fleet.kept_state import KeptState, StateKeeper, read_kept_state
 from damaskwind.control.fleet.news_board import NewsBoard
 from damaskwind.control.fleet.news_site import NewsSite
 from damaskwind.control.fleet.settings import FleetControlSettings
@@ -64,6 +66,9 @@
         self.machine = PublishedConfiguration()
         self.node: ReplicaNode | None = None
         self.board = NewsBoard(self._version, self._is_current, self._hosts)
+        self._folder = Path(settings.data_folder)
+        self._kept = KeptState()
+        self._keeper: StateKeeper | None = None
         self.calls = ControlCalls(
             lambda: self.node.access if self.node else None,
             lambda: self.machine,
@@ -72,7 +77,7 @@
         )
         self._server: Server | None = None
         self._control = HttpServer(self._handle, CONTROL_LIMITS, reactor)
-        site = NewsSite(self.board, lambda: self.machine.packed)
+        site = NewsSite(self.board, self._packed)
         self._news = HttpServer(site.handle, NEWS_LIMITS, reactor)
         self._links: dict[str, NewsLink] = {}
         self._tasks: list[asyncio.Task] = []
@@ -81,6 +86,7 @@
     async def start(self) -> None:
         """Open the sockets, then the disk."""
         settings = self.settings
+        self._recall()
         self._news.listen(settings.host, settings.news_port)
         self._control.listen(settings.host, settings.control_port)
         self.follow(settings.seed_hosts)
@@ -101,11 +107,34 @@
         for link in self._links.values():
             await link.stop()
         await self._close_log()
+        await self._keeper.close()
         self._news.stop_listening()
         self._news.abort()
 
+    def _recall(self) -> None:
+        """Take up what was known before a restart."""
+        self._kept = read_kept_state(self._folder, self._files)
+        self.board.merge(self._kept.records, ())
+        self._keeper = StateKeeper(self._folder, self._files, self._mark, self._state)
+        logger.info("state recalled", version=self._kept.version, targets=len(self._kept.records))
+
+    def _mark(self) -> tuple[int, int]:
+        """Return what grows whenever there is something new to keep."""
+        return (self._version(), self.board.table.revision)
+
+    def _state(self) -> KeptState:
+        """Return what is to be kept."""
+        records = tuple(self.board.table.changed_since(0))
+        return KeptState(self._version(), self._packed(), records)
+
     def _version(self) -> int:
-        return self.machine.version
+        """Return the newest version known to be committed."""
+        return max(self.machine.version, self._kept.version)
+
+    def _packed(self) -> bytes:
+        """Return the document of that version."""
+        is_newer = self.machine.version >= self._kept.version
+        return self.machine.packed if is_newer else self._kept.packed
 
     def _is_current(self) -> bool:
         return self.node is not None and self.node.replica.is_current
@@ -211,6 +240,7 @@
         while True:
             await asyncio.sleep(UPKEEP_S)
             self.follow(self._hosts())
+            self._keeper.consider()
             for target_id in self.board.table.forget(time.monotonic()):
                 logger.info("target forgotten", target=target_id)
 
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -23,8 +23,9 @@
 
 __all__ = ["FleetView"]
 
-# How long a restarted router holds out for a replica that is surely current.
-UNSURE_AFTER_S = 3.0
+# How long a restarted router holds out for a replica that is surely current,
+# after the first one it heard: the others answer within some ms if they can.
+UNSURE_AFTER_S = 0.3
 # A document that one link is fetching is left to it for so long.
 FETCH_S = 0.4
 # Heartbeats come every 1.2 s: three missed ones, and the way of the news.
@@ -56,7 +57,7 @@
         self._random = random
         self._seed_hosts = seed_hosts
         self._links: dict[str, NewsLink] = {}
-        self._started_s = time.monotonic()
+        self._first_heard_s: float | None = None
         self._fetching: dict[int, float] = {}
         self._router_counts: dict[str, int] = {}
 
@@ -111,7 +112,7 @@
         if news.version <= self.known_version():
             return False
         now_s = time.monotonic()
-        is_sure = news.is_current or now_s - self._started_s > UNSURE_AFTER_S
+        is_sure = news.is_current or now_s - self._first_heard_s > UNSURE_AFTER_S
         if self.table is None and not is_sure:
             return False
         if now_s - self._fetching.get(news.version, float("-inf")) < FETCH_S:
@@ -122,6 +123,8 @@
     def take_news(self, host: str, news: News) -> None:
         """Merge what a replica knows."""
         now_s = time.monotonic()
+        if self._first_heard_s is None:
+            self._first_heard_s = now_s
         for record in news.records:
             if self.targets.take(record, now_s):
                 logger.info(
