--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -0,0 +1,163 @@
+"""Run the replicated log of one replica; open it again after its disk has failed.
+
+This module loads all of the log's machinery (grpclib, protocol buffers, the
+consensus core), some quarter of a replica's start-up, so that a replica can
+tell its news before.
+"""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from random import Random
+
+from grpclib.server import Server
+from loguru import logger
+
+from damaskwind.control.fleet.settings import FleetControlSettings
+from damaskwind.control.replica.forwarding import LogAccess
+from damaskwind.control.replica.node import ReplicaNode, open_replica
+from damaskwind.control.state.published_configuration import PublishedConfiguration
+from damaskwind.control.storage.files import FileSystem
+from damaskwind.model.exception import StorageError
+from damaskwind.runtime.settings import ControlSettings, NodeSettings, ReplicaSettings
+
+__all__ = ["LogHost"]
+
+# Entries of a whole document each (some 10 KB): a snapshot every 64 keeps the
+# log below a megabyte.
+SNAPSHOT_EVERY_ENTRIES = 64
+# A quarter of the election timeout and less, so that one lost heartbeat is borne.
+HEARTBEAT_S = 0.25
+ELECTION_TIMEOUT_S = 1.0
+# Pause before a failed disk is tried again.
+REOPEN_S = 0.5
+
+
+class LogHost:
+    """The log of one replica, from its folder up.
+
+    `machine` is what the log drives; it is a new one each time the log is
+    opened. `on_applied` is called when it has changed.
+    """
+
+    def __init__(
+        self,
+        settings: FleetControlSettings,
+        files: FileSystem,
+        random: Random,
+        on_applied: Callable[[], None],
+    ) -> None:
+        self.machine = PublishedConfiguration()
+        self._settings = settings
+        self._files = files
+        self._random = random
+        self._on_applied = on_applied
+        self._node: ReplicaNode | None = None
+        self._server: Server | None = None
+        self._reopening: asyncio.Task | None = None
+
+    @property
+    def access(self) -> LogAccess | None:
+        """Return the log, or `None` while the disk is not usable."""
+        return self._node.access if self._node else None
+
+    @property
+    def is_current(self) -> bool:
+        """Tell whether this replica believes that it holds all that is confirmed."""
+        return self._node is not None and self._node.replica.is_current
+
+    def hosts(self) -> tuple[str, ...]:
+        """Return the hosts of all replicas that the log names; their ids are their hosts."""
+        if self._node is None:
+            return ()
+        membership = self._node.replica.core.membership
+        members = membership.voters + membership.learners
+        return tuple(member.replica_id for member in members)
+
+    async def open(self) -> None:
+        """Recover the replica and run it; try again while the disk fails."""
+        while True:
+            try:
+                await self._open_once()
+                return
+            except StorageError as error:
+                logger.error("disk unusable", why=str(error), again_s=REOPEN_S)
+                await asyncio.sleep(REOPEN_S)
+
+    async def close(self) -> None:
+        """Finish the writes in hand and stop."""
+        if self._reopening is not None:
+            self._reopening.cancel()
+            await asyncio.gather(self._reopening, return_exceptions=True)
+        await self._close_once()
+
+    async def _open_once(self) -> None:
+        settings = self._settings
+        node_settings = NodeSettings(
+            settings.host,
+            settings.cluster,
+            settings.cluster_key,
+            settings.region,
+            settings.failure_domain,
+        )
+        control = self._control_settings()
+        started_s = time.monotonic()
+        machine = PublishedConfiguration()
+        node = open_replica(node_settings, control, machine, self._files, self._random)
+        node.replica.on_applied.append(self._on_applied)
+        node.replica.on_failure.append(self._disk_failed)
+        self.machine = machine
+        self._node = node
+        self._server = Server([node.service])
+        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((settings.host, settings.replica_port))
+        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await self._server.start(sock=listening)
+        node.start(node_settings, control, f"{settings.host}:{settings.replica_port}")
+        self._on_applied()
+        logger.info(
+            "log opened",
+            identity=node.folder.identity.identity,
+            last_index=node.replica.core.last_index,
+            version=machine.version,
+            took_s=round(time.monotonic() - started_s, 3),
+        )
+
+    def _control_settings(self) -> ControlSettings:
+        settings = self._settings
+        bootstrap = tuple(
+            ReplicaSettings(host, f"{host}:{settings.replica_port}", "")
+            for host in sorted(settings.seed_hosts)
+        )
+        return ControlSettings(
+            f"{settings.host}:{settings.replica_port}",
+            "",
+            settings.data_folder,
+            bootstrap,
+            election_timeout_s=ELECTION_TIMEOUT_S,
+            heartbeat_s=HEARTBEAT_S,
+            snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
+            may_found=settings.may_found,
+            joins_unlisted=True,
+        )
+
+    async def _close_once(self) -> None:
+        node, server = self._node, self._server
+        self._node = self._server = None
+        if server is not None:
+            server.close()
+            await server.wait_closed()
+        if node is not None:
+            await node.stop()
+
+    def _disk_failed(self, error: StorageError) -> None:
+        """Close the log and open it again: what the disk holds has to be read anew."""
+        logger.critical("disk failed", why=str(error))
+        self._reopening = asyncio.ensure_future(self._reopen())
+
+    async def _reopen(self) -> None:
+        await self._close_once()
+        await asyncio.sleep(REOPEN_S)
+        await self.open()
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import secrets
-import socket
 import time
 from collections.abc import Awaitable, Callable
+from importlib import import_module
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from grpclib.server import Server
 from loguru import logger
 
 from damaskwind.control.fleet.calls import ControlCalls
@@ -17,28 +16,24 @@
 from damaskwind.control.fleet.news_board import NewsBoard
 from damaskwind.control.fleet.news_site import NewsSite
 from damaskwind.control.fleet.settings import FleetControlSettings
-from damaskwind.control.replica.node import ReplicaNode, open_replica
+from damaskwind.control.operator_api.ports import ProposalPort
 from damaskwind.control.state.published_configuration import PublishedConfiguration
 from damaskwind.control.storage.files import FileSystem
-from damaskwind.model.exception import StorageError
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
-from damaskwind.runtime.settings import ControlSettings, NodeSettings, ReplicaSettings
 from damaskwind.wire.news import News, SubscriberKind
 from damaskwind.wire.news_link import NewsLink
 
+if TYPE_CHECKING:
+    from damaskwind.control.fleet.log_host import LogHost
+
 __all__ = ["FleetControl"]
 
-# Entries of a whole document each (some 10 KB): a snapshot every 64 keeps the
-# log below a megabyte.
-SNAPSHOT_EVERY_ENTRIES = 64
-HEARTBEAT_S = 0.25
-ELECTION_TIMEOUT_S = 1.0
+# Loaded in a thread after the news are served: routers wait for nothing else.
+_LOG_HOST = "damaskwind.control.fleet.log_host"
 # A target's forgetting and a replica's search for peers need no more precision.
 UPKEEP_S = 0.5
-# Pause before a failed disk is tried again.
-REOPEN_S = 0.5
 # Callers keep connections between heartbeats (1.2 s) and orders.
 CONTROL_LIMITS = ServerLimits(body_bytes=8 * 1024 * 1024, idle_timeout_s=30.0)
 NEWS_LIMITS = ServerLimits(idle_timeout_s=30.0)
@@ -63,25 +58,23 @@
         self._files = files or FileSystem()
         self._random = Random(secrets.randbits(64))
         self._handler = handler
-        self.machine = PublishedConfiguration()
-        self.node: ReplicaNode | None = None
+        self._no_log = PublishedConfiguration()
+        self._log: LogHost | None = None
         self.board = NewsBoard(self._version, self._is_current, self._hosts)
         self._folder = Path(settings.data_folder)
         self._kept = KeptState()
         self._keeper: StateKeeper | None = None
         self.calls = ControlCalls(
-            lambda: self.node.access if self.node else None,
-            lambda: self.machine,
+            self._access,
+            self._machine,
             self.board,
             decode,
         )
-        self._server: Server | None = None
         self._control = HttpServer(self._handle, CONTROL_LIMITS, reactor)
         site = NewsSite(self.board, self._packed)
         self._news = HttpServer(site.handle, NEWS_LIMITS, reactor)
         self._links: dict[str, NewsLink] = {}
         self._tasks: list[asyncio.Task] = []
-        self._reopening: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Open the sockets, then the disk."""
@@ -91,7 +84,10 @@
         self._control.listen(settings.host, settings.control_port)
         self.follow(settings.seed_hosts)
         self._spawn(self._upkeep())
-        await self._open_log()
+        loop = asyncio.get_running_loop()
+        module = await loop.run_in_executor(None, import_module, _LOG_HOST)
+        self._log = module.LogHost(settings, self._files, self._random, self._applied)
+        await self._log.open()
 
     async def stop(self) -> None:
         """Finish the calls in hand and close the disk."""
@@ -99,14 +95,13 @@
         self._control.stop_listening()
         self._control.close_idle()
         await self._control.wait_until_quiet(1.5)
-        if self._reopening is not None:
-            self._tasks.append(self._reopening)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for link in self._links.values():
             await link.stop()
-        await self._close_log()
+        if self._log is not None:
+            await self._log.close()
         await self._keeper.close()
         self._news.stop_listening()
         self._news.abort()
@@ -129,112 +124,33 @@
 
     def _version(self) -> int:
         """Return the newest version known to be committed."""
-        return max(self.machine.version, self._kept.version)
+        return max(self._machine().version, self._kept.version)
 
     def _packed(self) -> bytes:
         """Return the document of that version."""
-        is_newer = self.machine.version >= self._kept.version
-        return self.machine.packed if is_newer else self._kept.packed
+        is_newer = self._machine().version >= self._kept.version
+        return self._machine().packed if is_newer else self._kept.packed
 
     def _is_current(self) -> bool:
-        return self.node is not None and self.node.replica.is_current
+        return self._log is not None and self._log.is_current
 
     def _hosts(self) -> tuple[str, ...]:
-        """Return the hosts of all replicas that the log names; their ids are their hosts."""
-        if self.node is None:
-            return ()
-        membership = self.node.replica.core.membership
-        members = membership.voters + membership.learners
-        return tuple(member.replica_id for member in members)
+        return self._log.hosts() if self._log else ()
+
+    def _access(self) -> ProposalPort | None:
+        return self._log.access if self._log else None
+
+    def _machine(self) -> PublishedConfiguration:
+        return self._log.machine if self._log else self._no_log
 
     async def _handle(self, exchange: Exchange) -> None:
         """Answer a call of an operator or a target."""
         await self._handler(self.calls, exchange)
 
-    async def _open_log(self) -> None:
-        """Recover the replica and run it; try again while the disk fails."""
-        while True:
-            try:
-                await self._open_once()
-                return
-            except StorageError as error:
-                logger.error("disk unusable", why=str(error), again_s=REOPEN_S)
-                await asyncio.sleep(REOPEN_S)
-
-    async def _open_once(self) -> None:
-        settings = self.settings
-        node_settings = NodeSettings(
-            settings.host,
-            settings.cluster,
-            settings.cluster_key,
-            settings.region,
-            settings.failure_domain,
-        )
-        control = self._control_settings()
-        started_s = time.monotonic()
-        machine = PublishedConfiguration()
-        node = open_replica(node_settings, control, machine, self._files, self._random)
-        node.replica.on_applied.append(self._applied)
-        node.replica.on_failure.append(self._disk_failed)
-        self.machine = machine
-        self.node = node
-        self._server = Server([node.service])
-        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((settings.host, settings.replica_port))
-        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await self._server.start(sock=listening)
-        node.start(node_settings, control, f"{settings.host}:{settings.replica_port}")
-        self.board.wake()
-        logger.info(
-            "log opened",
-            identity=node.folder.identity.identity,
-            last_index=node.replica.core.last_index,
-            version=machine.version,
-            took_s=round(time.monotonic() - started_s, 3),
-        )
-
-    def _control_settings(self) -> ControlSettings:
-        settings = self.settings
-        bootstrap = tuple(
-            ReplicaSettings(host, f"{host}:{settings.replica_port}", "")
-            for host in sorted(settings.seed_hosts)
-        )
-        return ControlSettings(
-            f"{settings.host}:{settings.replica_port}",
-            "",
-            settings.data_folder,
-            bootstrap,
-            election_timeout_s=ELECTION_TIMEOUT_S,
-            heartbeat_s=HEARTBEAT_S,
-            snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
-            may_found=settings.may_found,
-            joins_unlisted=True,
-        )
-
-    async def _close_log(self) -> None:
-        node, server = self.node, self._server
-        self.node = self._server = None
-        if server is not None:
-            server.close()
-            await server.wait_closed()
-        if node is not None:
-            await node.stop()
-
     def _applied(self) -> None:
         """Have subscribers look at the version."""
         self.board.wake()
 
-    def _disk_failed(self, error: StorageError) -> None:
-        """Close the log and open it again: what the disk holds has to be read anew."""
-        logger.critical("disk failed", why=str(error))
-        self._reopening = asyncio.ensure_future(self._reopen())
-
-    async def _reopen(self) -> None:
-        await self._close_log()
-        await asyncio.sleep(REOPEN_S)
-        await self._open_log()
-
     async def _upkeep(self) -> None:
         """Find new peers and forget old targets."""
         while True:
@@ -263,7 +179,7 @@
 
     def known_version(self) -> int:
         """Return the version held; replicas get documents from the log alone."""
-        return self.machine.version
+        return self._machine().version
 
     def wants_document(self, news: News, host: str) -> bool:
         """Never fetch a document: the log brings it."""
