--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
@@ -0,0 +1,76 @@
+"""Tests of the choice by the shared part of a prompt."""
+
+import unittest
+from random import Random
+
+from damaskwind.decisions.placement.affinity import AffinityPolicy, Candidate, choose_target
+
+POLICY = AffinityPolicy()
+
+
+def pool(count, load=1.0, **changes):
+    return [Candidate(f"t{n}", "d", load, 8, False, **changes) for n in range(count)]
+
+
+def choose(candidates, key=b"part"):
+    return choose_target(candidates, key, "d", POLICY, Random(1))
+
+
+class AffinityTest(unittest.TestCase):
+    def test_same_part_meets_on_the_same_target_from_every_router(self):
+        first = choose(pool(6)).candidate.target_id
+        shuffled = pool(6)
+        Random(4).shuffle(shuffled)
+        self.assertEqual(choose(shuffled).candidate.target_id, first)
+
+    def test_target_that_joins_takes_only_its_own_keys(self):
+        keys = [b"%d" % n for n in range(200)]
+        before = {key: choose(pool(6), key).candidate.target_id for key in keys}
+        after = {key: choose(pool(7), key).candidate.target_id for key in keys}
+        moved = [key for key in keys if before[key] != after[key]]
+        self.assertTrue(all(after[key] == "t6" for key in moved))
+        self.assertLess(len(moved), 60)
+
+    def test_loaded_home_is_passed_over_and_named_as_donor(self):
+        home = choose(pool(6)).candidate.target_id
+        loaded = [item._replace(load=20.0 if item.target_id == home else 1.0) for item in pool(6)]
+        choice = choose(loaded)
+        self.assertNotEqual(choice.candidate.target_id, home)
+        self.assertEqual((choice.rank, choice.donor_id), (1, home))
+
+    def test_leaving_home_takes_nothing_but_gives_its_parts(self):
+        home = choose(pool(6)).candidate.target_id
+        leaving = [item._replace(takes_work=item.target_id != home) for item in pool(6)]
+        choice = choose(leaving)
+        self.assertNotEqual(choice.candidate.target_id, home)
+        self.assertEqual(choice.donor_id, home)
+
+    def test_newcomer_gets_its_keys_with_their_former_home_as_donor(self):
+        candidates = pool(6)
+        home = choose(candidates).candidate.target_id
+        young = [
+            item._replace(age_s=1.0) if item.target_id == home else item for item in candidates
+        ]
+        choice = choose(young)
+        former = choose([item for item in candidates if item.target_id != home])
+        self.assertEqual(choice.candidate.target_id, home)
+        self.assertEqual(choice.donor_id, former.candidate.target_id)
+
+    def test_settled_home_needs_no_donor(self):
+        self.assertEqual(choose(pool(6)).donor_id, "")
+
+    def test_doubtful_targets_are_used_only_when_there_is_no_other(self):
+        candidates = [item._replace(is_doubtful=item.target_id != "t3") for item in pool(6)]
+        self.assertEqual(choose(candidates).candidate.target_id, "t3")
+        self.assertIsNotNone(choose([item._replace(is_doubtful=True) for item in pool(2)]))
+
+    def test_without_a_key_the_least_loaded_near_target_is_taken(self):
+        far = Candidate("far", "other", 0.0, 8, False)
+        near = Candidate("near", "d", 0.5, 8, False)
+        self.assertEqual(choose([far, near], None).candidate.target_id, "near")
+        loaded = near._replace(load=2.0)
+        self.assertEqual(choose([far, loaded], None).candidate.target_id, "far")
+
+    def test_nobody_takes_work(self):
+        self.assertIsNone(choose([]))
+        self.assertIsNone(choose(pool(3, takes_work=False)))
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -0,0 +1,214 @@
+"""Tests of the path of a request, against targets whose every byte is scripted."""
+
+import asyncio
+import time
+
+from damaskwind.decisions.membership.target_table import TargetPhase
+from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.http1.client import AnswerBrokenError
+from damaskwind.runtime.http1.messages import header
+from damaskwind.standins.scripted_target import (
+    cut_stream,
+    event,
+    plain,
+    raw,
+    silent,
+    stream,
+)
+
+STREAM = {"kind": RouteKind.STREAMING, "is_resumable": True}
+
+
+class PlainRequestTest(ForwarderTestCase):
+    @asyncio_test
+    async def test_answer_passes_unchanged_and_key_does_not(self):
+        self.script(plain(201, b"made", (b"server-seal: s",)))
+        answer = await self.call(x_account=b"forged", x_hold=b"forged", x_urgency=b"0")
+        self.assertEqual((answer.status, answer.body), (201, b"made"))
+        self.assertEqual(header(answer.headers, b"server-seal"), b"s")
+        (got,) = self.received()
+        self.assertEqual(got.headers[b"x-account"], b"account")
+        self.assertNotIn(b"authorization", got.headers)
+        self.assertNotIn(b"x-hold", got.headers)
+        self.assertNotIn(b"x-urgency", got.headers)
+        self.assertIn(got.headers[b"x-expect-target"], (b"t0", b"t1"))
+        self.assertLessEqual(int(got.headers[b"x-deadline-ms"]), 1500)
+        self.assertEqual(got.body, b"{}")
+
+    @asyncio_test
+    async def test_unknown_route_and_key_are_told_apart(self):
+        self.assertEqual((await self.call(path=b"/none")).status, 404)
+        self.assertEqual((await self.call(authorization=b"Bearer other")).status, 401)
+        self.assertEqual(self.received(), [])
+
+    @asyncio_test
+    async def test_without_configuration_a_request_is_refused_with_a_time(self):
+        self.view.table = None
+        answer = await self.call()
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(header(answer.headers, b"retry-after")), 0)
+
+    @asyncio_test
+    async def test_targets_own_refusal_goes_to_the_other_even_where_nothing_may_repeat(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT, max_attempts=1))
+        full = plain(503, b"", (b"x-not-run: 1",))
+        self.targets[0].script = [full]
+        self.targets[1].script = [full]
+        answer = await self.call()
+        self.assertEqual(answer.status, 503)
+        self.assertIsNotNone(header(answer.headers, b"retry-after"))
+        self.assertEqual(len(self.received()), 2)
+
+    @asyncio_test
+    async def test_failure_that_ran_is_passed_on_and_never_sent_again(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT, max_attempts=2))
+        self.script(plain(500, b"broken"))
+        answer = await self.call()
+        self.assertEqual((answer.status, answer.body), (500, b"broken"))
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_failure_on_an_idempotent_route_goes_to_another_target(self):
+        self.share(plain(500, b"broken"))
+        self.assertEqual((await self.call()).status, 200)
+        self.assertEqual([len(target.received) for target in self.targets], [1, 1])
+        self.share(plain(500, b"first"), plain(500, b"second"))
+        answer = await self.call(request_id=b"r2")
+        self.assertEqual((answer.status, answer.body), (500, b"second"))
+
+    @asyncio_test
+    async def test_cut_answer_is_no_success(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        head = b"HTTP/1.1 200 X\r\nx-request-id: r1\r\ncontent-length: 9\r\n\r\nhal"
+        self.script(raw(head, then_close=True))
+        self.assertEqual((await self.call()).status, 502)
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_bytes_that_are_no_answer_are_no_success(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        self.script(raw(b"garbage without any sense\r\n\r\n"))
+        self.assertEqual((await self.call()).status, 502)
+
+    @asyncio_test
+    async def test_unframed_answer_ends_with_its_connection(self):
+        self.script(raw(b"HTTP/1.1 200 X\r\nx-request-id: r1\r\n\r\nall of it", then_close=True))
+        answer = await self.call()
+        self.assertEqual((answer.status, answer.body), (200, b"all of it"))
+
+    @asyncio_test
+    async def test_late_second_answer_reaches_nobody(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        late = b"HTTP/1.1 200 X\r\nx-request-id: r1\r\ncontent-length: 4\r\n\r\nlate"
+        own = b"HTTP/1.1 200 X\r\nx-request-id: r2\r\ncontent-length: 3\r\n\r\nown"
+        for target in self.targets:
+            target.script = [plain(200, b"one"), raw(late + own)]
+        bodies = [(await self.call(request_id=b"r1")).body for _ in range(2)]
+        self.assertEqual(bodies[0], b"one")
+        for _ in range(4):
+            answer = await self.call(request_id=b"r2")
+            self.assertIn(answer.body, (b"one", b"own", b"whole"))
+            self.assertNotIn(b"late", answer.body)
+
+    @asyncio_test
+    async def test_answer_with_another_id_alone_is_no_success(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        other = b"HTTP/1.1 200 X\r\nx-request-id: r9\r\ncontent-length: 5\r\n\r\nother"
+        self.script(raw(other, then_close=True))
+        self.assertEqual((await self.call()).status, 502)
+
+    @asyncio_test
+    async def test_routes_timeout_ends_a_silent_request(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT, timeout_s=0.3))
+        self.script(silent())
+        started_s = time.monotonic()
+        answer = await self.call()
+        self.assertEqual(answer.status, 504)
+        self.assertLess(time.monotonic() - started_s, 0.6)
+
+    @asyncio_test
+    async def test_target_that_is_not_there_is_passed_over(self):
+        await self.targets[0].stop()
+        self.publish(route(RouteKind.NON_IDEMPOTENT, max_attempts=1))
+        statuses = [(await self.call(request_id=b"r%d" % n)).status for n in range(6)]
+        self.assertEqual(statuses, [200] * 6)
+
+    @asyncio_test
+    async def test_leaving_target_gets_nothing_new(self):
+        address = self.view.targets.record_of("t0").address
+        self.admit("t0", address, TargetPhase.LEAVING, 101)
+        for number in range(5):
+            await self.call(request_id=b"r%d" % number)
+        self.assertEqual(self.targets[0].received, [])
+        self.assertEqual(len(self.targets[1].received), 5)
+
+    @asyncio_test
+    async def test_caller_that_leaves_ends_the_targets_work(self):
+        self.script(silent())
+        connection = await self.connect()
+        connection.send(self.request())
+        await self.until(lambda: self.received())
+        connection.abort()
+        await self.until(lambda: any(target.ends for target in self.targets) or self.is_quiet())
+        self.assertEqual(self.server.active, 0)
+
+    def is_quiet(self):
+        return self.server.active == 0
+
+    async def until(self, condition, limit_s=3.0):
+        deadline_s = time.monotonic() + limit_s
+        while not condition():
+            self.assertLess(time.monotonic(), deadline_s, "waited in vain")
+            await asyncio.sleep(0.01)
+
+
+class StreamTest(ForwarderTestCase):
+    @asyncio_test
+    async def test_stream_passes_event_by_event(self):
+        self.publish(route(**STREAM))
+        self.script(stream(1, 3, pause_s=0.1))
+        connection = await self.connect()
+        connection.send(self.request())
+        head = await connection.read_head()
+        self.assertEqual(head.status, 200)
+        started_s = time.monotonic()
+        self.assertEqual(await connection.read_data(), event(1))
+        self.assertLess(time.monotonic() - started_s, 0.08)
+        self.assertEqual(await connection.read_body(10_000), event(2) + event(3))
+
+    @asyncio_test
+    async def test_cut_stream_goes_on_at_another_target(self):
+        self.publish(route(**STREAM))
+        self.share(cut_stream(1, 2, tail=b"id: 3\nda"), stream(3, 4))
+        answer = await self.call()
+        self.assertEqual(answer.body, b"".join(event(n) for n in range(1, 5)))
+        after = [request.headers.get(b"last-event-id") for request in self.received()]
+        self.assertCountEqual(after, [None, b"2"])
+        self.assertEqual([len(target.received) for target in self.targets], [1, 1])
+
+    @asyncio_test
+    async def test_events_that_come_twice_are_passed_on_once(self):
+        self.publish(route(**STREAM))
+        self.share(cut_stream(1, 2), stream(1, 4))
+        answer = await self.call()
+        self.assertEqual(answer.body, b"".join(event(n) for n in range(1, 5)))
+
+    @asyncio_test
+    async def test_cut_stream_that_may_not_repeat_does_not_look_complete(self):
+        self.publish(route(RouteKind.STREAMING, is_resumable=False))
+        self.script(cut_stream(1, 2))
+        connection = await self.connect()
+        connection.send(self.request())
+        with self.assertRaises(AnswerBrokenError):
+            await connection.read_head()
+            await connection.read_body(10_000)
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_silent_target_is_left_for_another(self):
+        self.publish(route(timeout_s=8.0, **STREAM))
+        self.share(silent(), stream(1, 2))
+        answer = await self.call(x_deadline_ms=b"8000")
+        self.assertEqual(answer.body, event(1) + event(2))
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -145,11 +145,13 @@
     def skip_answer(self) -> None:
         """Expect one more answer: the one just read belongs to an earlier request.
 
-        What follows it in the buffer is parsed anew as the answer to the request sent.
+        What follows it in the buffer is parsed anew as the answer to the request
+        sent; of that, only the method matters to the parser.
         """
         rest, _ = self._parser.trailing_data
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_BYTES)
-        parser.send(self._sent)
+        bare = h11.Request(method=self._sent.method, target=b"/", headers=[(b"host", b"-")])
+        parser.send(bare)
         parser.send(h11.EndOfMessage())
         if rest:
             parser.receive_data(rest)
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -43,6 +43,12 @@
     return [*headers, (b"content-length", b"%d" % len(body))]
 
 
+def _head_bytes(head: h11.Request) -> int:
+    """Return the size of a request's head as it is written."""
+    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + 12 + fields
+
+
 class Exchange:
     """One request and the answer that is being given to it.
 
@@ -201,6 +207,9 @@
     def _take(self, event: Any) -> bool:
         """Take one event; tell whether to go on reading."""
         if isinstance(event, h11.Request):
+            if _head_bytes(event) > self._server.limits.header_bytes:
+                self._refuse(431)
+                return False
             self._head = event
             self._head_s = time.monotonic()
             self._body, self._body_bytes = [], 0
@@ -281,7 +290,7 @@
         """Send the status line and headers."""
         if close or self._server.is_closing:
             headers = [*headers, (b"connection", b"close")]
-        else:
+        elif self._server.limits.idle_timeout_s >= 1:
             idle_s = int(self._server.limits.idle_timeout_s)
             headers = [*headers, (b"keep-alive", b"timeout=%d" % idle_s)]
         self.send_event(h11.Response(status_code=status, headers=headers))
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -0,0 +1,192 @@
+"""A target whose every byte is scripted, for answers that a library would not give.
+
+A script is a list of steps, one for each request on any connection; after the
+last step the target answers plainly. A step gets the writer and the request and
+does with them what it likes; steps for common faults are at the end.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import h11
+
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.model.targets import Address
+
+__all__ = [
+    "ReceivedRequest",
+    "ScriptedTarget",
+    "Step",
+    "cut_stream",
+    "plain",
+    "raw",
+    "silent",
+    "stream",
+]
+
+
+class ReceivedRequest(NamedTuple):
+    """A request as the target read it; header names in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+Step = Callable[[asyncio.StreamWriter, ReceivedRequest], Awaitable[None]]
+
+
+class ScriptedTarget:
+    """Listen on loopback, keep what came, and answer by the script."""
+
+    def __init__(self, names: HeaderNames, host: str = "127.0.0.1") -> None:
+        self.names = names
+        self.script: list[Step] = []
+        self.received: list[ReceivedRequest] = []
+        self.ends: list[str] = []
+        self.connections = 0
+        self._host = host
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self, port: int = 0) -> Address:
+        """Open the socket and return its address."""
+        self._server = await asyncio.start_server(self._serve, self._host, port)
+        return Address(*self._server.sockets[0].getsockname()[:2])
+
+    async def stop(self) -> None:
+        """Close the socket and all connections."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self.connections += 1
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while (request := await self._read(reader, parser)) is not None:
+                self.received.append(request)
+                step = self.script.pop(0) if self.script else plain()
+                await step(writer, request)
+                await writer.drain()
+                parser = _next_parser(parser)
+        except (ConnectionError, h11.RemoteProtocolError) as error:
+            self.ends.append(repr(error))
+        finally:
+            self.ends.append("closed")
+            writer.close()
+
+    async def _read(
+        self, reader: asyncio.StreamReader, parser: h11.Connection
+    ) -> ReceivedRequest | None:
+        """Read one whole request; `None` at the end of the connection."""
+        head, body = None, b""
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(65536)
+                if not data:
+                    return None
+                parser.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return ReceivedRequest(head.method, head.target, dict(head.headers), body)
+            else:
+                return None
+
+
+def _next_parser(parser: h11.Connection) -> h11.Connection:
+    """Return a parser for the next request; answers are written past the old one."""
+    rest, _ = parser.trailing_data
+    following = h11.Connection(h11.SERVER)
+    if rest:
+        following.receive_data(rest)
+    return following
+
+
+def _head(status: int, request: ReceivedRequest, fields: tuple[bytes, ...]) -> bytes:
+    """Return a status line and headers that echo the request's id."""
+    request_id = request.headers.get(b"attempt-id") or request.headers.get(b"x-request-id", b"")
+    name = b"attempt-id" if b"attempt-id" in request.headers else b"x-request-id"
+    lines = [b"HTTP/1.1 %d X" % status, name + b": " + request_id, *fields]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def plain(status: int = 200, body: bytes = b"whole", fields: tuple[bytes, ...] = ()) -> Step:
+    """Answer with a framed body."""
+
+    async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
+        length = b"content-length: %d" % len(body)
+        writer.write(_head(status, request, (length, *fields)) + body)
+
+    return step
+
+
+def raw(data: bytes, then_close: bool = False) -> Step:
+    """Write these very bytes."""
+
+    async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
+        writer.write(data)
+        if then_close:
+            await writer.drain()
+            raise ConnectionError("scripted end")
+
+    return step
+
+
+def silent(for_s: float = 60.0) -> Step:
+    """Say nothing for so long, then end the connection."""
+
+    async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
+        await asyncio.sleep(for_s)
+        raise ConnectionError("scripted end")
+
+    return step
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def stream(first: int, last: int, pause_s: float = 0.0) -> Step:
+    """Stream whole events from `first` to `last` and end the stream."""
+
+    async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
+        writer.write(_head(200, request, (b"transfer-encoding: chunked",)))
+        for number in range(first, last + 1):
+            writer.write(_chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        writer.write(b"0\r\n\r\n")
+
+    return step
+
+
+def cut_stream(first: int, last: int, tail: bytes = b"") -> Step:
+    """Stream events and a part of another, then end the connection."""
+
+    async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
+        writer.write(_head(200, request, (b"transfer-encoding: chunked",)))
+        for number in range(first, last + 1):
+            writer.write(_chunk(event(number)))
+        if tail:
+            writer.write(_chunk(tail))
+        await writer.drain()
+        raise ConnectionError("scripted end")
+
+    return step
