--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -143,7 +143,8 @@
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.add(waiter)
         try:
-            await asyncio.wait_for(waiter, limit_s)
+            async with asyncio.timeout(limit_s):
+                await waiter
         except TimeoutError:
             return False
         finally:
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -92,7 +92,7 @@
     async def stop(self) -> None:
         """Finish the calls in hand and close the disk."""
         self._control.close_after_answers()
-        self._control.stop_listening()
+        await self._control.stop_listening()
         self._control.close_idle()
         await self._control.wait_until_quiet(1.5)
         for task in self._tasks:
@@ -103,7 +103,7 @@
         if self._log is not None:
             await self._log.close()
         await self._keeper.close()
-        self._news.stop_listening()
+        await self._news.stop_listening()
         self._news.abort()
 
     def _recall(self) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -80,7 +80,7 @@
         self._callers.close_after_answers()
         logger.info("drain begun", active=self._callers.active)
         await asyncio.sleep(LAME_DUCK_S)
-        self._callers.stop_listening()
+        await self._callers.stop_listening()
         self._callers.close_idle()
         is_quiet = await self._callers.wait_until_quiet(limit_s - time.monotonic())
         logger.info(
--- a/packages/router/src/damaskwind/router/forwarding/tests/bench.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/bench.py
@@ -75,7 +75,7 @@
         self.addCleanup(lambda: to_deferred(self.finish()))
 
     async def finish(self):
-        self.server.stop_listening()
+        await self.server.stop_listening()
         self.server.abort()
         self.connections.close()
         for target in self.targets:
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -12,8 +12,10 @@
 
 import h11
 from loguru import logger
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.protocol import Factory, Protocol
 
+from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
 
 __all__ = ["Exchange", "HttpServer", "ServerLimits", "answer_headers"]
@@ -342,11 +344,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-    def stop_listening(self) -> None:
-        """Take no new connections."""
-        if self._port is not None:
-            self._port.stopListening()
-            self._port = None
+    async def stop_listening(self) -> None:
+        """Take no new connections, and wait until the socket is closed."""
+        port, self._port = self._port, None
+        if port is not None:
+            await to_future(maybeDeferred(port.stopListening))
 
     async def wait_until_quiet(self, limit_s: float) -> bool:
         """Wait until no request is being answered; tell whether that came in time."""
@@ -354,7 +356,8 @@
         while self.active:
             self._quiet.clear()
             try:
-                await asyncio.wait_for(self._quiet.wait(), max(0.0, deadline_s - time.monotonic()))
+                async with asyncio.timeout(max(0.0, deadline_s - time.monotonic())):
+                    await self._quiet.wait()
             except TimeoutError:
                 return False
         return True
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_server.py
@@ -26,7 +26,7 @@
         self.addCleanup(lambda: to_deferred(self.finish()))
 
     async def finish(self):
-        self.server.stop_listening()
+        await self.server.stop_listening()
         self.server.abort()
         await asyncio.sleep(0.05)
 
@@ -149,7 +149,7 @@
         while not self.requests:
             await asyncio.sleep(0.01)
         self.server.close_after_answers()
-        self.server.stop_listening()
+        await self.server.stop_listening()
         self.server.close_idle()
         self.assertEqual(await asyncio.wait_for(idle_reader.read(), WAIT_S), b"")
         self.assertFalse(await self.server.wait_until_quiet(0.05))
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -175,7 +175,9 @@
         """Make one call; raise `AnswerBrokenError` or `TimeoutError` when it fails."""
         request = Request(b"POST", path, [(b"host", b"control")], body)
         limit_s = hold_s + self._timing.answer_s
-        answer = await asyncio.wait_for(fetch(connection, request, ANSWER_LIMIT_BYTES), limit_s)
+        # Not `wait_for`, which swallows a cancellation that meets the answer.
+        async with asyncio.timeout(limit_s):
+            answer = await fetch(connection, request, ANSWER_LIMIT_BYTES)
         if answer.status != 200 or not connection.is_open:
             raise AnswerBrokenError(f"status {answer.status}")
         return answer.body
