--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -43,7 +43,9 @@
 
     `load` estimates the requests that it holds; `is_doubtful` marks one that
     has lately failed or not been heard. One that is leaving takes no work, but
-    still holds what it has read. `age_s` counts from its start.
+    still holds what it has read. `age_s` counts from its start. One that
+    `is_slow` gets work only when all others are above the bound, but is a
+    sound donor.
     """
 
     target_id: str
@@ -53,6 +55,7 @@
     is_doubtful: bool
     takes_work: bool = True
     age_s: float = 3600.0
+    is_slow: bool = False
 
 
 class Choice(NamedTuple):
@@ -103,7 +106,7 @@
     bound = policy.load_factor * mean + policy.load_slack_requests
     ranked = _rank(sound, key)
     for rank, item in enumerate(ranked):
-        if item.load < bound:
+        if item.load < bound and not item.is_slow:
             donor_id = _donor(candidates, key, item, policy)
             return Choice(item, rank, bound, donor_id)
     return _least_loaded(sound, near, policy, random)
@@ -136,6 +139,6 @@
 
     def cost(item: Candidate) -> tuple[float, float]:
         far = 0.0 if item.failure_domain == near else policy.far_requests
-        return (item.load + far) / max(item.slots, 1), random.random()
+        return (item.load + far) / max(item.slots, 1) + item.is_slow, random.random()
 
     return Choice(min(candidates, key=cost), 0, 0.0)
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -65,11 +65,17 @@
 
 
 class AttemptOutcome(NamedTuple):
-    """How a send ended, why, and the whole answer if the target gave a failure."""
+    """How a send ended, why, and the whole answer if the target gave a failure.
+
+    `was_reached` tells whether a connection to the target stood, `first_s`
+    how long the head of its answer took.
+    """
 
     end: AttemptEnd
     why: str = ""
     answer: Answer | None = None
+    was_reached: bool = True
+    first_s: float | None = None
 
 
 class AttemptSender:
@@ -98,7 +104,8 @@
                 target.target_id, target.address, call.left_s()
             )
         except ConnectFailedError as error:
-            return AttemptOutcome(AttemptEnd.NOT_RUN, f"no connection: {error}")
+            why = f"no connection: {error}"
+            return AttemptOutcome(AttemptEnd.NOT_RUN, why, was_reached=False)
         self._loads.sent(target.target_id)
         waiting = self.activity.begin(target.target_id, time.monotonic())
         try:
@@ -128,22 +135,26 @@
         headers = target_headers(
             request, call, self._names, target.target_id, resume_after, placed.donor
         )
+        sent_s = time.monotonic()
         connection.send(Request(request.method, request.target, headers, request.body))
         head = await self._head_in_time(connection, call, target.target_id, may_move)
+        first_s = time.monotonic() - sent_s
         self.activity.heard(target.target_id, time.monotonic())
         self._note_load(head, target.target_id)
         if head.status == 421 or header(head.headers, self._names.not_run) is not None:
             return await self._refused(connection, head, target)
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
         if is_stream:
-            return await self._relay(connection, head, call, target, delivery, may_move)
+            outcome = await self._relay(connection, head, call, target, delivery, may_move)
+            return outcome._replace(first_s=first_s)
         body = await connection.read_body(ANSWER_LIMIT_BYTES)
         self.connections.give_back(target.target_id, connection, head.headers)
         answer = Answer(head.status, head.headers, body)
         if head.status >= 500:
             return AttemptOutcome(AttemptEnd.TARGET_ERROR, f"status {head.status}", answer)
         delivery.whole(answer)
-        return AttemptOutcome(AttemptEnd.DELIVERED, f"status {head.status}")
+        why = f"status {head.status}"
+        return AttemptOutcome(AttemptEnd.DELIVERED, why, first_s=first_s)
 
     async def _head_in_time(
         self, connection: ClientConnection, call: Call, target_id: str, may_move: bool
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -62,6 +62,7 @@
         self.tried: set[str] = set()
         self.notes: list[AttemptNote] = []
         self.sends = 0
+        self.arrivals = 0
         self.may_have_run = False
 
     @property
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -1,10 +1,13 @@
 """Keep connections to targets, and hand out only those that are provably clean."""
 
+import asyncio
 import time
 from typing import Any
 
+from loguru import logger
+
 from damaskwind.model.targets import Address
-from damaskwind.runtime.http1.client import ClientConnection, connect
+from damaskwind.runtime.http1.client import ClientConnection, ConnectFailedError, connect
 from damaskwind.runtime.http1.messages import Headers, header
 
 __all__ = ["TargetConnections"]
@@ -14,6 +17,11 @@
 CONNECT_S = 0.3
 # Idle time without the target's word on it; targets close idle connections.
 IDLE_S = 2.0
+# A target that could not be reached is tried again this often, without a request:
+# whoever waits for a lost opening packet comes too late.
+WATCH_S = 0.4
+# After so many tries somebody else has to know better: a heartbeat, or a leave.
+WATCH_TRIES = 60
 # Distance kept from the idle time that the target names.
 IDLE_MARGIN_S = 0.5
 
@@ -25,6 +33,7 @@
         self.opened = 0
         self._reactor = reactor
         self._idle: dict[str, list[ClientConnection]] = {}
+        self._watches: dict[str, asyncio.Task] = {}
 
     async def take(self, target_id: str, address: Address, timeout_s: float) -> ClientConnection:
         """Return a clean connection, kept or new.
@@ -52,14 +61,45 @@
         connection.usable_until_s = time.monotonic() + idle_s
         self._idle.setdefault(target_id, []).append(connection)
 
+    def is_unreachable(self, target_id: str) -> bool:
+        """Tell whether no connection to a target came about lately."""
+        return target_id in self._watches
+
+    def watch(self, target_id: str, address: Address) -> None:
+        """Try to reach a target until it can be reached again."""
+        if target_id not in self._watches:
+            logger.warning("target unreachable", target=target_id, address=str(address))
+            watching = self._watch(target_id, address)
+            self._watches[target_id] = asyncio.ensure_future(watching)
+
+    async def _watch(self, target_id: str, address: Address) -> None:
+        """Connect without a request; keep the connection that stands for the next one."""
+        begun_s = time.monotonic()
+        try:
+            for _ in range(WATCH_TRIES):
+                await asyncio.sleep(WATCH_S)
+                try:
+                    connection = await connect(self._reactor, address, CONNECT_S)
+                except ConnectFailedError:
+                    continue
+                connection.usable_until_s = time.monotonic() + IDLE_S
+                self._idle.setdefault(target_id, []).append(connection)
+                break
+            took_s = round(time.monotonic() - begun_s, 2)
+            logger.info("target tried again", target=target_id, after_s=took_s)
+        finally:
+            self._watches.pop(target_id, None)
+
     def forget(self, target_id: str) -> None:
-        """Close the idle connections to a target."""
+        """Close the idle connections to a target and stop trying to reach it."""
+        if target_id in self._watches:
+            self._watches[target_id].cancel()
         for connection in self._idle.pop(target_id, []):
             connection.close()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for target_id in list(self._idle):
+        for target_id in [*self._idle, *self._watches]:
             self.forget(target_id)
 
 
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from damaskwind.decisions.membership.target_table import TargetRecord, TargetTable
+from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord, TargetTable
 from damaskwind.decisions.routing.table import RouteTable
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.targets import Address
@@ -25,7 +25,7 @@
 
 # How long a restarted router holds out for a replica that is surely current,
 # after the first one it heard: the others answer within some ms if they can.
-UNSURE_AFTER_S = 0.3
+UNSURE_AFTER_S = 0.15
 # A document that one link is fetching is left to it for so long.
 FETCH_S = 0.4
 # Heartbeats come every 1.2 s: three missed ones, and the way of the news.
@@ -49,6 +49,7 @@
         self.targets = TargetTable()
         self.table: RouteTable | None = None
         self.routers = 1
+        self.on_gone: list[Callable[[str], None]] = []
         self.on_configuration: list[Callable[[TrafficConfiguration], None]] = []
         self._node_id = node_id
         self._news_port = news_port
@@ -136,14 +137,21 @@
                     sequence=record.sequence,
                     told_by=host,
                 )
+                if record.phase is TargetPhase.GONE:
+                    self._note_gone(record.target_id)
         for target_id, age_s in news.heard:
             self.targets.hear(target_id, now_s - age_s)
         for target_id in self.targets.forget(now_s):
             logger.info("target forgotten", target=target_id)
+            self._note_gone(target_id)
         self._router_counts[host] = news.routers
         self.routers = max(1, *self._router_counts.values())
         self.follow(news.hosts)
 
+    def _note_gone(self, target_id: str) -> None:
+        for callback in self.on_gone:
+            callback(target_id)
+
     def take_document(self, host: str, document: bytes, is_current: bool) -> None:
         """Put a newer configuration in force; an older one is ignored."""
         try:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 
 from damaskwind.decisions.health.circuit import HealthPolicy
 from damaskwind.decisions.health.ejection import PoolHealth
+from damaskwind.decisions.health.pace import PoolPace
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import (
     AffinityPolicy,
@@ -28,14 +29,16 @@
 
 __all__ = ["Forwarder"]
 
-# A target that refused or could not be reached is left alone so long, unless
-# there is no other: about as long as a queue of short requests takes to shrink.
+# A target that refused is left alone so long, unless there is no other: about as
+# long as a queue of short requests takes to shrink.
 BUSY_S = 0.1
-UNREACHABLE_S = 0.7
 # A caller that is refused comes back after this part of its objective: early
 # enough to be served within it, late enough that a place may be free.
 RETURN_OBJECTIVES = 0.3
 RETURN_LEAST_S = 0.05
+# A router that has just started knows a configuration after some 1.4 s, when the
+# replicas have started too; who comes back sooner is only refused once more.
+START_S = 1.5
 NOT_READY_RETURN_S = 0.3
 # Sends beyond a route's attempts, where all earlier ones certainly did not run.
 EXTRA_SENDS = 1
@@ -67,7 +70,19 @@
         self._sender = AttemptSender(connections, self.loads, names)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._health: dict[str, PoolHealth] = {}
+        self._paces: dict[str, PoolPace] = {}
         self._avoided_until_s: dict[str, float] = {}
+        self._started_s = time.monotonic()
+        view.on_gone.append(self.forget)
+
+    def forget(self, target_id: str) -> None:
+        """Drop what was learned of a target that is gone."""
+        self.loads.forget(target_id)
+        self._avoided_until_s.pop(target_id, None)
+        self._sender.activity.forget(target_id)
+        self._sender.connections.forget(target_id)
+        for pace in self._paces.values():
+            pace.forget(target_id)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -114,7 +129,7 @@
             placed = self._place(call)
             if placed is None:
                 return failure or outcome
-            if call.sends and not self._budget(call.service).take(time.monotonic()):
+            if call.arrivals and not self._budget(call.service).take(time.monotonic()):
                 return failure or outcome._replace(why=f"{outcome.why}; retry budget spent")
             outcome = await self._send(exchange, call, delivery, placed)
             if outcome.end is AttemptEnd.DELIVERED:
@@ -166,20 +181,27 @@
                     int((now_s - begun_s) * 1000),
                 )
             )
+        call.arrivals += outcome.was_reached
         if outcome.end is AttemptEnd.NOT_RUN:
             call.may_have_run = before
-        self._learn(call.service, target.target_id, outcome, now_s)
+        self._learn(call, target, outcome, now_s)
         return outcome
 
-    def _learn(self, service: str, target_id: str, outcome: AttemptOutcome, now_s: float) -> None:
+    def _learn(
+        self, call: Call, target: TargetRecord, outcome: AttemptOutcome, now_s: float
+    ) -> None:
         """Take what an outcome says of the target."""
+        target_id = target.target_id
+        if outcome.first_s is not None:
+            part = outcome.first_s / call.route.objective_s
+            self._pool_pace(call.service).observe(target_id, part, now_s)
         if outcome.end is AttemptEnd.NOT_RUN:
-            reached = outcome.why.startswith("target said")
-            self._avoided_until_s[target_id] = now_s + (BUSY_S if reached else UNREACHABLE_S)
-            if reached:
+            if outcome.was_reached:
+                self._avoided_until_s[target_id] = now_s + BUSY_S
                 return
+            self._sender.connections.watch(target_id, target.address)
         is_good = outcome.end is AttemptEnd.DELIVERED
-        self._pool_health(service).observe(target_id, is_good, now_s, self._random)
+        self._pool_health(call.service).observe(target_id, is_good, now_s, self._random)
 
     def _place(self, call: Call) -> Placed | None:
         """Choose the next target for a request."""
@@ -210,6 +232,7 @@
         target_id = record.target_id
         is_doubtful = (
             self._avoided_until_s.get(target_id, 0.0) > now_s
+            or self._sender.connections.is_unreachable(target_id)
             or self._sender.activity.is_dark(target_id, now_s, is_engine)
             or self.view.is_silent(target_id, now_s)
             or not health.may_send(target_id, now_s, self._random)
@@ -222,6 +245,7 @@
             is_doubtful,
             record.phase is TargetPhase.SERVING,
             record.sequence * self._heartbeat_s,
+            self._pool_pace(record.service).is_slow(target_id, now_s),
         )
 
     def _pool_health(self, service: str) -> PoolHealth:
@@ -233,6 +257,13 @@
         health.set_targets(ids, time.monotonic())
         return health
 
+    def _pool_pace(self, service: str) -> PoolPace:
+        """Return the pace of a service's targets."""
+        pace = self._paces.get(service)
+        if pace is None:
+            pace = self._paces[service] = PoolPace()
+        return pace
+
     def _budget(self, service: str) -> SharedRetryBudget:
         """Return this router's retry budget for a service."""
         budget = self._budgets.get(service)
@@ -272,7 +303,9 @@
         """Answer a request that reached no route."""
         headers = []
         if status == 503:
-            headers.append((b"retry-after", b"%.3f" % NOT_READY_RETURN_S))
+            left_s = self._started_s + START_S - time.monotonic()
+            return_s = max(left_s, NOT_READY_RETURN_S)
+            headers.append((b"retry-after", b"%.3f" % return_s))
         exchange.respond(Answer(status, headers))
         logger.info(
             "request refused",
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -23,6 +23,7 @@
     NEWS_PATH,
     News,
     NewsRequest,
+    SubscriberKind,
     decode_news,
     encode,
     unpack_document,
@@ -38,13 +39,15 @@
 
     `hold_s` is how long a replica keeps a request when nothing is new: one
     call a second shows that both ends live. `answer_s` beyond it covers a
-    round trip and a busy replica. A lost link is tried again soon, since a
+    round trip and a busy replica. A newer document that another link fetches
+    is looked for again after `hold_off_s`. A lost link is tried again soon, since a
     leave has to arrive within the drain bound (2 s).
     """
 
     hold_s: float = 1.0
     answer_s: float = 0.8
     connect_s: float = 0.5
+    hold_off_s: float = 0.05
     backoff_first_s: float = 0.05
     backoff_limit_s: float = 0.4
 
@@ -168,6 +171,9 @@
         if self._subscriber.wants_document(news, host):
             packed = await self._call(connection, DOCUMENT_PATH, b"", 0.0)
             self._subscriber.take_document(host, unpack_document(packed), news.is_current)
+        elif self._kind == SubscriberKind.ROUTER and news.version > request.version:
+            # The replica answers at once as long as it has a newer version.
+            await asyncio.sleep(timing.hold_off_s)
 
     async def _call(
         self, connection: ClientConnection, path: bytes, body: bytes, hold_s: float
