--- a/packages/decisions/src/damaskwind/decisions/health/pace.py
+++ b/packages/decisions/src/damaskwind/decisions/health/pace.py
@@ -14,12 +14,14 @@
 class PacePolicy(NamedTuple):
     """When a target counts as slow.
 
-    An answer is late beyond `late_part` of its objective. After `late_answers`
-    in a row the target is slow for `slow_s`, if the pool's mean part is below
-    `pool_part`. The mean follows the last `mean_answers` or so.
+    An answer is late beyond `late_part` of its objective, and counts twice
+    beyond `very_late_part`. After `late_answers` in a row the target is slow
+    for `slow_s`, if the pool's mean part is below `pool_part`. The mean
+    follows the last `mean_answers` or so.
     """
 
     late_part: float = 0.9
+    very_late_part: float = 1.4
     late_answers: int = 2
     slow_s: float = 2.0
     pool_part: float = 0.6
@@ -53,11 +55,12 @@
         if objective_part <= policy.late_part:
             self._late.pop(target_id, None)
             return
-        late = self._late.get(target_id, 0) + 1
+        weight = 2 if objective_part > policy.very_late_part else 1
+        late = self._late.get(target_id, 0) + weight
         self._late[target_id] = late
         if late >= policy.late_answers and self._mean_part < policy.pool_part:
             self._slow_until_s[target_id] = now_s + policy.slow_s
-            self._late[target_id] = late - 1
+            self._late[target_id] = policy.late_answers - 1
 
     def is_slow(self, target_id: str, now_s: float) -> bool:
         """Tell whether a target should be passed over for its pace."""
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -78,14 +79,22 @@
     first_s: float | None = None
 
 
+def _note_nothing(call: Call, target_id: str, first_s: float) -> None:
+    """Take how long a target's answer took to begin, and do nothing with it."""
+
+
 class AttemptSender:
-    """Send to targets over kept connections."""
+    """Send to targets over kept connections.
+
+    `on_first` is told how long each answer took to begin.
+    """
 
     def __init__(
         self, connections: TargetConnections, loads: LoadEstimator, names: HeaderNames
     ) -> None:
         self.connections = connections
         self.activity = TargetActivity()
+        self.on_first: Callable[[Call, str, float], None] = _note_nothing
         self._loads = loads
         self._names = names
 
@@ -111,6 +120,8 @@
         try:
             return await self._exchange(connection, request, call, placed, delivery, may_move)
         except AnswerBrokenError as error:
+            if connection.is_timed_out:
+                self.connections.watch(target.target_id, target.address)
             return AttemptOutcome(AttemptEnd.BROKEN, str(error))
         except TimeoutError:
             return AttemptOutcome(AttemptEnd.STALLED, "the target was silent")
@@ -140,6 +151,7 @@
         head = await self._head_in_time(connection, call, target.target_id, may_move)
         first_s = time.monotonic() - sent_s
         self.activity.heard(target.target_id, time.monotonic())
+        self.on_first(call, target.target_id, first_s)
         self._note_load(head, target.target_id)
         if head.status == 421 or header(head.headers, self._names.not_run) is not None:
             return await self._refused(connection, head, target)
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -26,7 +26,11 @@
 
 
 class AttemptNote(NamedTuple):
-    """One send, for the log: the target, why it was chosen, and how it ended."""
+    """One send, for the log: the target, why it was chosen, and how it ended.
+
+    `at_ms` counts from the request's start, `first_ms` from the send to the
+    head of the answer.
+    """
 
     target: str
     rank: int
@@ -37,6 +41,7 @@
     outcome: str
     at_ms: int
     took_ms: int
+    first_ms: int | None
 
 
 class Call:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -68,6 +68,7 @@
         self._random = random
         self._policy = AffinityPolicy()
         self._sender = AttemptSender(connections, self.loads, names)
+        self._sender.on_first = self._note_first
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._health: dict[str, PoolHealth] = {}
         self._paces: dict[str, PoolPace] = {}
@@ -179,6 +180,7 @@
                     f"{outcome.end}: {outcome.why}",
                     int((begun_s - call.started_s) * 1000),
                     int((now_s - begun_s) * 1000),
+                    None if outcome.first_s is None else int(outcome.first_s * 1000),
                 )
             )
         call.arrivals += outcome.was_reached
@@ -187,14 +189,16 @@
         self._learn(call, target, outcome, now_s)
         return outcome
 
+    def _note_first(self, call: Call, target_id: str, first_s: float) -> None:
+        """Take how long a target's answer took to begin."""
+        part = first_s / call.route.objective_s
+        self._pool_pace(call.service).observe(target_id, part, time.monotonic())
+
     def _learn(
         self, call: Call, target: TargetRecord, outcome: AttemptOutcome, now_s: float
     ) -> None:
         """Take what an outcome says of the target."""
         target_id = target.target_id
-        if outcome.first_s is not None:
-            part = outcome.first_s / call.route.objective_s
-            self._pool_pace(call.service).observe(target_id, part, now_s)
         if outcome.end is AttemptEnd.NOT_RUN:
             if outcome.was_reached:
                 self._avoided_until_s[target_id] = now_s + BUSY_S
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +30,22 @@
 ANSWER_HEAD_BYTES = 65_536
 
 
+# Bytes that nobody acknowledges for so long have met a cut: inside a region a
+# lost packet is sent again after some 0.2 s, and once more after 0.4 s.
+UNACKNOWLEDGED_MS = 800
+# A silent connection is asked after a second, and given up after one more.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 1
+
+_LIVENESS_OPTIONS = (
+    (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+)
+
+
 class ConnectFailedError(DamaskwindError):
     """No connection came about; nothing was sent."""
 
@@ -55,6 +73,8 @@
         self._waiter: asyncio.Future | None = None
         self._is_lost = False
         self._was_clean_end = False
+        self.is_timed_out = False
+        self._active_s = 0.0
         self.has_stray_bytes = False
         self.is_in_use = False
         self.requests = 0
@@ -67,8 +87,12 @@
         return not self._is_lost and not self.has_stray_bytes
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Send small pieces at once."""
+        """Send small pieces at once, and give up a peer that acknowledges nothing."""
         self.transport.setTcpNoDelay(True)
+        handle = self.transport.getHandle()
+        for option, value in _LIVENESS_OPTIONS:
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take bytes of the answer; bytes that nobody asked for end the connection."""
@@ -76,6 +100,7 @@
             self.has_stray_bytes = True
             self.abort()
             return
+        self._active_s = time.monotonic()
         self._parser.receive_data(data)
         self._wake()
 
@@ -83,6 +108,9 @@
         """Note the end, and whether it was orderly."""
         self._is_lost = True
         self._was_clean_end = reason is not None and reason.check(ConnectionDone) is not None
+        # The transport does not tell a timeout from a reset; their times do.
+        silent_s = time.monotonic() - self._active_s
+        self.is_timed_out = not self._was_clean_end and silent_s > UNACKNOWLEDGED_MS / 1000
         if self._parser is not None and self._was_clean_end and self.is_in_use:
             self._parser.receive_data(b"")
         self._wake()
@@ -102,6 +130,7 @@
     def send(self, request: Request) -> None:
         """Write a whole request."""
         self.is_in_use = True
+        self._active_s = time.monotonic()
         self.requests += 1
         headers = [*request.headers]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
