--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -30,6 +30,9 @@
 # A quarter of the election timeout and less, so that one lost heartbeat is borne.
 HEARTBEAT_S = 0.25
 ELECTION_TIMEOUT_S = 1.0
+# A replica that restarts is back within some 2 s; one that is silent for longer
+# gives its place to a newcomer that has caught up.
+REPLACE_AFTER_S = 3.0
 # Pause before a failed disk is tried again.
 REOPEN_S = 0.5
 
@@ -141,6 +144,7 @@
             snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
             may_found=settings.may_found,
             joins_unlisted=True,
+            replace_after_s=REPLACE_AFTER_S,
         )
 
     async def _close_once(self) -> None:
--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from random import Random
+from time import monotonic
 from typing import Any
 
 from loguru import logger
@@ -25,11 +26,13 @@
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.replication_grpc import ReplicationStub
 
-__all__ = ["found_or_join"]
+__all__ = ["found_or_join", "stay_member"]
 
 RETRY_S = 0.5
 HELLO_TIMEOUT_S = 1.0
 JOIN_TIMEOUT_S = 5.0
+# A replica that has heard no leader for several elections may have been left out.
+LEFT_OUT_S = 4.0
 
 
 async def found_or_join(
@@ -79,6 +82,37 @@
         channels.close()
 
 
+async def stay_member(
+    access: LogAccess,
+    service: ReplicationService,
+    bootstrap: tuple[ReplicaSettings, ...],
+    failure_domain: str,
+    signer: CallSigner,
+) -> None:
+    """Ask to be added again when the others seem to have gone on without this replica.
+
+    Whoever still counts it as a member refuses, which changes nothing.
+    """
+    replica = access.replica
+    own_id = replica.member.replica_id
+    channels = Channels()
+    try:
+        while replica.is_running:
+            await asyncio.sleep(LEFT_OUT_S / 4)
+            silent_s = monotonic() - replica.core.leader_heard_s
+            if not replica.has_log or replica.is_leader or silent_s < LEFT_OUT_S:
+                continue
+            members = replica.core.membership.voters + replica.core.membership.learners
+            known = {member.replica_id for member in members} - {own_id}
+            addresses = [replica.state.addresses.address_of(item) for item in sorted(known)]
+            addresses += [parse_address(item.address) for item in bootstrap]
+            targets = [address for address in dict.fromkeys(addresses) if address is not None]
+            logger.info("asking to be added again", silent_s=round(silent_s, 1))
+            await _ask_to_join(access, targets, channels, signer, service.address, failure_domain)
+    finally:
+        channels.close()
+
+
 def _may_found(bootstrap: tuple[ReplicaSettings, ...], own_id: str, hellos: list[Any]) -> bool:
     """Tell whether this replica is the founder and all others are founding."""
     return bootstrap[0].replica_id == own_id and all(reply.is_founding for reply in hellos)
--- a/packages/control/src/damaskwind/control/replica/node.py
+++ b/packages/control/src/damaskwind/control/replica/node.py
@@ -7,7 +7,7 @@
 
 from damaskwind.control.replica.address_book import AddressBook, AddressRecord
 from damaskwind.control.replica.forwarding import LogAccess
-from damaskwind.control.replica.joining import found_or_join
+from damaskwind.control.replica.joining import found_or_join, stay_member
 from damaskwind.control.replica.replica import Replica
 from damaskwind.control.replica.replicated_state import ReplicatedState, StateMachine
 from damaskwind.control.replica.service import ReplicationService
@@ -53,6 +53,15 @@
             control.joins_unlisted,
         )
         self.tasks.append(asyncio.ensure_future(joining))
+        if control.joins_unlisted:
+            staying = stay_member(
+                self.access,
+                self.service,
+                control.bootstrap_replicas,
+                node.failure_domain,
+                self.signer,
+            )
+            self.tasks.append(asyncio.ensure_future(staying))
 
     async def stop(self) -> None:
         """Stop the replica and give its folder back."""
@@ -70,6 +79,7 @@
         heartbeat_s=control.heartbeat_s,
         election_timeout_min_s=control.election_timeout_s,
         election_timeout_max_s=2 * control.election_timeout_s,
+        replace_after_s=control.replace_after_s,
     )
 
 
--- a/packages/decisions/src/damaskwind/decisions/replication/membership.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/membership.py
@@ -90,19 +90,29 @@
 
 
 def next_repair(
-    membership: Membership, caught_up: Callable[[Member], bool]
+    membership: Membership,
+    caught_up: Callable[[Member], bool],
+    silent: Callable[[Member], bool] = lambda voter: False,
+    lost: Callable[[Member], bool] = lambda voter: False,
+    least_voters: int = 3,
 ) -> MembershipChange | None:
-    """Return the next step that brings a caught-up learner in.
+    """Return the next step that brings a caught-up learner in or a lost voter out.
 
     A learner that replaces an earlier identity of the same replica first has
     that one removed: its disk is gone, and while it counts it only raises the
-    majority.
+    majority. A learner of another replica takes the place of a `silent` voter.
+    A `lost` voter goes without a successor while more than `least_voters` stay.
     """
+    voters = membership.voters
     for learner in membership.learners:
         if not caught_up(learner):
             continue
-        for voter in membership.voters:
-            if voter.replica_id == learner.replica_id and len(membership.voters) > 1:
-                return MembershipChange(ChangeKind.REMOVE, voter)
+        former = [voter for voter in voters if voter.replica_id == learner.replica_id]
+        replaced = former or [voter for voter in voters if silent(voter)]
+        if replaced and len(voters) > 1:
+            return MembershipChange(ChangeKind.REMOVE, replaced[0])
         return MembershipChange(ChangeKind.PROMOTE, learner)
+    surplus = [voter for voter in voters if lost(voter)]
+    if surplus and len(voters) > least_voters:
+        return MembershipChange(ChangeKind.REMOVE, surplus[0])
     return None
--- a/packages/decisions/src/damaskwind/decisions/replication/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/messages.py
@@ -144,6 +144,11 @@
     A follower that heard from a leader less than `election_timeout_min_s` ago
     gives no vote. `drift_ratio` is how much slower one clock may run than
     another; the lease is shorter than the shortest election timeout by it.
+
+    A voter that the leader has not heard for `replace_after_s` gives its place
+    to a learner that has caught up; one that has been silent for twice as long
+    is removed while there are more than `least_voters`. By default only
+    operators remove voters.
     """
 
     heartbeat_s: float = 0.25
@@ -151,6 +156,8 @@
     election_timeout_max_s: float = 2.0
     drift_ratio: float = 0.1
     max_batch_entries: int = 256
+    replace_after_s: float = float("inf")
+    least_voters: int = 3
 
 
 class PreVoteRequest(NamedTuple):
--- a/packages/decisions/src/damaskwind/decisions/replication/requests.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/requests.py
@@ -66,7 +66,7 @@
 
 
 def repair_membership(replica: Replica) -> None:
-    """Bring a learner in that has caught up, one step at a time."""
+    """Bring a learner in that has caught up, or a lost voter out, one step at a time."""
     leadership = replica.leading
     if leadership is None or not _may_change(replica, leadership):
         return
@@ -75,11 +75,27 @@
         progress = leadership.peers.get(learner)
         return progress is not None and is_caught_up(replica, progress)
 
-    change = next_repair(replica.log.membership, caught_up)
+    limit_s = replica.timing.replace_after_s
+    change = next_repair(
+        replica.log.membership,
+        caught_up,
+        lambda voter: _silent_s(replica, leadership, voter) > limit_s,
+        lambda voter: _silent_s(replica, leadership, voter) > 2 * limit_s,
+        replica.timing.least_voters,
+    )
     if change is not None:
         _append_change(replica, change, None)
 
 
+def _silent_s(replica: Replica, leadership: Leadership, voter: Member) -> float:
+    """Return for how long the leader has not heard a voter, counted from its election."""
+    if voter == replica.member:
+        return 0.0
+    progress = leadership.peers.get(voter)
+    heard_s = progress.heard_s if progress else leadership.started_s
+    return replica.now_s - max(heard_s, leadership.started_s)
+
+
 def is_caught_up(replica: Replica, progress: Progress) -> bool:
     """Tell whether a learner holds all that is committed and answers."""
     silent_s = replica.now_s - progress.heard_s
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_membership.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_membership.py
@@ -42,3 +42,25 @@
         self.assertEqual(removal, MembershipChange(ChangeKind.REMOVE, C))
         promotion = next_repair(apply_change(membership, removal), lambda learner: True)
         self.assertEqual(promotion, MembershipChange(ChangeKind.PROMOTE, NEW_C))
+
+    def test_caught_up_learner_takes_the_place_of_a_silent_voter(self) -> None:
+        newcomer = Member("d", "d1")
+        membership = Membership((A, B, C), (newcomer,))
+        removal = next_repair(membership, lambda learner: True, lambda voter: voter == C)
+        self.assertEqual(removal, MembershipChange(ChangeKind.REMOVE, C))
+        changed = apply_change(membership, removal)
+        promotion = next_repair(changed, lambda learner: True, lambda voter: False)
+        self.assertEqual(promotion, MembershipChange(ChangeKind.PROMOTE, newcomer))
+
+    def test_silent_voter_without_successor_stays(self) -> None:
+        membership = Membership((A, B, C))
+        self.assertIsNone(next_repair(membership, lambda m: True, lambda v: v == C))
+
+    def test_lost_voter_goes_only_while_enough_stay(self) -> None:
+        def lost(voter: Member) -> bool:
+            return voter == C
+
+        four = Membership((A, B, C, Member("d", "d1")))
+        removal = next_repair(four, lambda m: True, lost, lost)
+        self.assertEqual(removal, MembershipChange(ChangeKind.REMOVE, C))
+        self.assertIsNone(next_repair(Membership((A, B, C)), lambda m: True, lost, lost))
--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -86,7 +86,8 @@
     whatever they tell of themselves: for forwarded ports, which may differ from
     one machine to the next. A replica that may not found a cluster only joins
     one; one that joins unlisted asks to be added though it is not among the
-    bootstrap replicas.
+    bootstrap replicas, and again when it finds itself left out. A voter that
+    is silent for `replace_after_s` gives its place to a newcomer.
     """
 
     replica_address: str
@@ -102,6 +103,7 @@
     ready_file: str = ""
     may_found: bool = True
     joins_unlisted: bool = False
+    replace_after_s: float = float("inf")
 
 
 class Settings(NamedTuple):
