--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -4,6 +4,7 @@
 formats the outcomes.
 """
 
+import time
 from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
@@ -17,6 +18,7 @@
 from damaskwind.decisions.routing.checks import configuration_mistakes
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.news import pack_document, unpack_document
 
 __all__ = ["ControlCalls", "PublishResult", "PublishStatus"]
@@ -63,9 +65,20 @@
         self._machine = machine
         self._board = board
         self._decode = decode
+        self.tallies = Tallies()
 
     async def publish(self, document: bytes) -> PublishResult:
         """Publish a document; what is acknowledged is on a majority's disks."""
+        begun_s = time.monotonic()
+        result = await self._publish(document)
+        self.tallies.count("publications", status=result.status.value)
+        self.tallies.observe(
+            "publication_duration", time.monotonic() - begun_s, status=result.status.value
+        )
+        return result
+
+    async def _publish(self, document: bytes) -> PublishResult:
+        """Check a document and put it in the log."""
         try:
             configuration = self._decode(document)
             mistakes = configuration_mistakes(configuration)
@@ -99,7 +112,9 @@
     async def read(self) -> bytes | None:
         """Return the newest document that a majority holds, or `None` if that is not sure."""
         access = self._access()
-        if access is None or not await access.read_current(READ_LIMIT_S):
+        is_current = access is not None and await access.read_current(READ_LIMIT_S)
+        self.tallies.count("reads", outcome="current" if is_current else "refused")
+        if not is_current:
             logger.info("read refused", why="no majority vouches for this replica")
             return None
         packed = self._machine().packed
@@ -108,6 +123,7 @@
     async def report(self, record: TargetRecord) -> None:
         """Take a target's report."""
         changed = self._board.report(record)
+        self.tallies.count("reports", phase=record.phase.name.lower())
         if changed:
             logger.info(
                 "target reported",
@@ -122,6 +138,7 @@
 
     async def leave(self, target_id: str) -> None:
         """Take a target's word that it takes no more work."""
+        self.tallies.count("reports", phase="gone")
         if self._board.leave(target_id):
             logger.info("target left", target=target_id)
             await self._tell(target_id)
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -22,6 +22,8 @@
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.runtime.metrics_site import MetricsSite
+from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.news import News, SubscriberKind
 from damaskwind.wire.news_link import NewsLink
 
@@ -73,6 +75,10 @@
         self._control = HttpServer(self._handle, CONTROL_LIMITS, reactor)
         site = NewsSite(self.board, self._packed)
         self._news = HttpServer(site.handle, NEWS_LIMITS, reactor)
+        self.tallies = Tallies()
+        self.calls.tallies = self.tallies
+        self._metrics = MetricsSite(self.tallies, reactor)
+        self._show_gauges()
         self._links: dict[str, NewsLink] = {}
         self._tasks: list[asyncio.Task] = []
 
@@ -82,6 +88,8 @@
         self._recall()
         self._news.listen(settings.host, settings.news_port)
         self._control.listen(settings.host, settings.control_port)
+        if settings.metrics_port:
+            self._metrics.listen(settings.host, settings.metrics_port)
         self.follow(settings.seed_hosts)
         self._spawn(self._upkeep())
         loop = asyncio.get_running_loop()
@@ -105,6 +113,17 @@
         await self._keeper.close()
         await self._news.stop_listening()
         self._news.abort()
+        await self._metrics.stop()
+
+    def _show_gauges(self) -> None:
+        """Show what this replica believes now."""
+        show, board = self.tallies.gauge, self.board
+        show("configuration_version", "version known to be committed", self._version)
+        show("replica_is_current", "1 while sure to be current", lambda: float(self._is_current()))
+        show("replicas", "members of the log", lambda: len(self._hosts()))
+        show("targets_serving", "targets that take work", lambda: len(board.table.serving()))
+        show("routers", "routers that ask here", board.routers)
+        show("log_opened", "1 while the disk is usable", lambda: float(self._access() is not None))
 
     def _recall(self) -> None:
         """Take up what was known before a restart."""
--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -21,5 +21,6 @@
     data_folder: str
     seed_hosts: tuple[str, ...]
     may_found: bool
+    metrics_port: int = 0
     cluster: str = "fleet"
     cluster_key: str = "fleet"
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -26,6 +26,7 @@
 from damaskwind.router.forwarding.target_load import LoadEstimator
 from damaskwind.runtime.http1.messages import Answer, header
 from damaskwind.runtime.http1.server import Exchange
+from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["Forwarder"]
 
@@ -61,6 +62,7 @@
     ) -> None:
         self.view = view
         self.loads = LoadEstimator()
+        self.tallies = Tallies()
         self._names = names
         self._failure_domain = failure_domain
         self._terms = budget_terms
@@ -183,6 +185,7 @@
                     None if outcome.first_s is None else int(outcome.first_s * 1000),
                 )
             )
+        self.tallies.count("attempts", end=outcome.end.value)
         call.arrivals += outcome.was_reached
         if outcome.end is AttemptEnd.NOT_RUN:
             call.may_have_run = before
@@ -191,6 +194,7 @@
 
     def _note_first(self, call: Call, target_id: str, first_s: float) -> None:
         """Take how long a target's answer took to begin."""
+        self.tallies.observe("first_piece", first_s, kind=call.route.kind.value)
         part = first_s / call.route.objective_s
         self._pool_pace(call.service).observe(target_id, part, time.monotonic())
 
@@ -311,6 +315,7 @@
             return_s = max(left_s, NOT_READY_RETURN_S)
             headers.append((b"retry-after", b"%.3f" % return_s))
         exchange.respond(Answer(status, headers))
+        self.tallies.count("requests", outcome=f"refused {status}", kind="none")
         logger.info(
             "request refused",
             request=request_id.decode("latin-1"),
@@ -320,7 +325,10 @@
         )
 
     def _log(self, call: Call, delivery: Delivery, outcome: str, why: str) -> None:
-        """Write the one line that tells a request's story."""
+        """Count a request and write the one line that tells its story."""
+        kind = call.route.kind.value
+        self.tallies.count("requests", outcome=outcome, kind=kind)
+        self.tallies.observe("request_duration", time.monotonic() - call.started_s, kind=kind)
         logger.info(
             "request ended",
             request=call.facts.request_id.decode("latin-1"),
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -17,6 +17,8 @@
 from damaskwind.router.forwarding.settings import ForwardingSettings
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.runtime.metrics_site import MetricsSite
+from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["ForwardingRouter"]
 
@@ -54,8 +56,12 @@
             settings.heartbeat_s,
             random,
         )
+        self.tallies = Tallies()
+        self.forwarder.tallies = self.tallies
+        self._metrics = MetricsSite(self.tallies, reactor)
         self._callers = HttpServer(self.forwarder.handle, ServerLimits(), reactor)
         self._ready = HttpServer(self._answer_ready, READY_LIMITS, reactor)
+        self._show_gauges()
         self.is_draining = False
         self._was_ready = False
 
@@ -64,8 +70,21 @@
         settings = self.settings
         self._callers.listen(*settings.caller_address)
         self._ready.listen(*settings.ready_address)
+        if settings.metrics_port:
+            self._metrics.listen(settings.caller_address.host, settings.metrics_port)
         self.view.start()
 
+    def _show_gauges(self) -> None:
+        """Show what this router believes now."""
+        show, view = self.tallies.gauge, self.view
+        show("requests_in_progress", "requests being answered", lambda: self._callers.active)
+        show("configuration_version", "version in force", view.known_version)
+        show("targets_serving", "targets that take work", lambda: len(view.targets.serving()))
+        show("replicas_heard", "replicas heard lately", view.replicas_heard)
+        show("routers", "routers that the replicas count", lambda: view.routers)
+        show("connections_opened", "to targets", lambda: self.connections.opened)
+        show("ready", "1 while callers should come", lambda: float(self.is_ready))
+
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
--- a/packages/router/src/damaskwind/router/forwarding/settings.py
+++ b/packages/router/src/damaskwind/router/forwarding/settings.py
@@ -11,7 +11,8 @@
 class ForwardingSettings(NamedTuple):
     """Where a router listens and what it is told at its start.
 
-    Targets report every `heartbeat_s`.
+    Targets report every `heartbeat_s`. Without a `metrics_port` no metrics are
+    served.
     """
 
     node_id: str
@@ -23,3 +24,4 @@
     grace_s: float = 8.0
     heartbeat_s: float = 1.2
     budget: BudgetTerms = BudgetTerms()
+    metrics_port: int = 0
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/metrics_site.py
@@ -0,0 +1,39 @@
+"""Serve a process's metrics as text."""
+
+import asyncio
+from typing import Any
+
+from damaskwind.runtime.http1.messages import Answer
+from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.runtime.tallies import Tallies
+
+__all__ = ["MetricsSite"]
+
+METRICS_PATH = b"/metrics"
+_TEXT = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
+
+
+class MetricsSite:
+    """The server behind the metrics address."""
+
+    def __init__(self, tallies: Tallies, reactor: Any) -> None:
+        self._tallies = tallies
+        self._server = HttpServer(self._answer, ServerLimits(idle_timeout_s=30.0), reactor)
+
+    def listen(self, host: str, port: int) -> int:
+        """Open the socket and return its port."""
+        return self._server.listen(host, port)
+
+    async def stop(self) -> None:
+        """Close the socket and all connections."""
+        await self._server.stop_listening()
+        self._server.abort()
+
+    async def _answer(self, exchange: Exchange) -> None:
+        if exchange.request.target != METRICS_PATH:
+            exchange.respond(Answer(404, []))
+            return
+        # The first time, this loads the library that writes the text.
+        loop = asyncio.get_running_loop()
+        text = await loop.run_in_executor(None, self._tallies.render)
+        exchange.respond(Answer(200, _TEXT, text))
