--- a/packages/control/src/damaskwind/control/fleet/kept_state.py
+++ b/packages/control/src/damaskwind/control/fleet/kept_state.py
@@ -43,8 +43,7 @@
     """Return what was kept; nothing when there is none or it can't be read."""
     path = data_folder / _FOLDER / _NAME
     try:
-        files.make_folder(path.parent)
-        if _NAME not in files.names(path.parent):
+        if not path.is_file():
             return KeptState()
         framed = read_frames(files.read(path), _KIND_KEPT, path)
         return msgspec.msgpack.decode(framed.payloads[0], type=KeptState)
@@ -90,9 +89,7 @@
         data = file_header(_KIND_KEPT) + encode_frame(payload)
         loop = asyncio.get_running_loop()
         try:
-            await loop.run_in_executor(
-                self._thread, write_file_durably, self._files, self._path, data
-            )
+            await loop.run_in_executor(self._thread, self._write_file, data)
             self._has_failed = False
         except StorageError as error:
             if not self._has_failed:
@@ -100,3 +97,8 @@
             self._has_failed = True
         finally:
             self._writing = None
+
+    def _write_file(self, data: bytes) -> None:
+        """Write the file whole; runs in the thread."""
+        self._files.make_folder(self._path.parent)
+        write_file_durably(self._files, self._path, data)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
@@ -0,0 +1,81 @@
+"""Tests of the calls of operators and targets, with a log that is told what to do."""
+
+from twisted.trial.unittest import TestCase
+
+from damaskwind.control.fleet.calls import ControlCalls, PublishStatus
+from damaskwind.control.fleet.news_board import NewsBoard
+from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
+from damaskwind.control.state.published_configuration import PublishedConfiguration
+from damaskwind.model.exception import ConfigurationError
+from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.runtime.bridge import asyncio_test
+
+
+def decode(document):
+    if not document.isdigit():
+        raise ConfigurationError(["unreadable"])
+    return TrafficConfiguration(int(document))
+
+
+class FakeLog:
+    """Commits, refuses or says nothing, as `verdict` says."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.verdict = CommitVerdict.COMMITTED
+        self.is_current = True
+        self.proposed = 0
+
+    async def propose(self, payload, timeout_s):
+        self.proposed += 1
+        if self.verdict is not CommitVerdict.COMMITTED:
+            return CommitOutcome(self.verdict)
+        return CommitOutcome(self.verdict, self.machine.apply(1, payload))
+
+    async def read_current(self, timeout_s):
+        return self.is_current
+
+
+class ControlCallsTest(TestCase):
+    def setUp(self):
+        self.machine = PublishedConfiguration()
+        self.log = FakeLog(self.machine)
+        self.board = NewsBoard(lambda: 0, lambda: True, tuple)
+        self.calls = ControlCalls(lambda: self.log, lambda: self.machine, self.board, decode)
+
+    async def status(self, document):
+        return (await self.calls.publish(document)).status
+
+    @asyncio_test
+    async def test_highest_version_holds_and_all_valid_ones_are_acknowledged(self):
+        for document in (b"5", b"3", b"5", b"9"):
+            self.assertEqual(await self.status(document), PublishStatus.ACKNOWLEDGED)
+        self.assertEqual(await self.calls.read(), b"9")
+        self.assertEqual(self.log.proposed, 2)
+
+    @asyncio_test
+    async def test_invalid_ones_never_reach_the_log(self):
+        for document in (b"", b"x", b"0"):
+            self.assertEqual(await self.status(document), PublishStatus.INVALID)
+        self.assertEqual(self.log.proposed, 0)
+
+    @asyncio_test
+    async def test_without_a_certain_commit_nothing_is_acknowledged(self):
+        for verdict in (CommitVerdict.REFUSED, CommitVerdict.UNKNOWN):
+            self.log.verdict = verdict
+            self.assertEqual(await self.status(b"4"), PublishStatus.UNKNOWN)
+
+    @asyncio_test
+    async def test_read_without_a_majority_or_a_disk_is_refused(self):
+        await self.calls.publish(b"4")
+        self.log.is_current = False
+        self.assertIsNone(await self.calls.read())
+        self.log = None
+        self.assertIsNone(await self.calls.read())
+        self.assertEqual(await self.status(b"8"), PublishStatus.UNKNOWN)
+
+    @asyncio_test
+    async def test_leaves_are_taken_without_a_disk(self):
+        self.log = None
+        await self.calls.leave("t")
+        self.assertEqual(self.board.table.phase_of("t"), 2)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_kept_state.py
@@ -0,0 +1,69 @@
+"""Tests of what a replica keeps beside its log: torn, missing, unwritable."""
+
+import tempfile
+from pathlib import Path
+
+from twisted.trial.unittest import TestCase
+
+from damaskwind.control.fleet.kept_state import KeptState, StateKeeper, read_kept_state
+from damaskwind.control.storage.files import FileSystem
+from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.model.exception import StorageError
+from damaskwind.model.targets import Address
+from damaskwind.runtime.bridge import asyncio_test
+
+RECORD = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.LEAVING, 3, 8, 0.5)
+STATE = KeptState(7, b"packed", (RECORD,))
+
+
+class FullDisk(FileSystem):
+    """Takes no byte."""
+
+    def write(self, descriptor, data):
+        raise StorageError("write: no space")
+
+
+class KeptStateTest(TestCase):
+    timeout = 10
+
+    def setUp(self):
+        self.temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(self.temporary.cleanup)
+        self.folder = Path(self.temporary.name)
+
+    def read(self):
+        return read_kept_state(self.folder, FileSystem())
+
+    async def keep(self, state, files=None):
+        marks = [(0, 0)]
+        keeper = StateKeeper(self.folder, files or FileSystem(), lambda: marks[-1], lambda: state)
+        keeper.consider()
+        marks.append((1, 1))
+        keeper.consider()
+        await keeper.close()
+
+    @asyncio_test
+    async def test_what_was_kept_comes_back(self):
+        self.assertEqual(self.read(), KeptState())
+        await self.keep(STATE)
+        self.assertEqual(self.read(), STATE)
+
+    @asyncio_test
+    async def test_damage_at_any_byte_is_noticed(self):
+        await self.keep(STATE)
+        path = self.folder / "kept" / "state"
+        whole = path.read_bytes()
+        for size in range(0, len(whole), 7):
+            path.write_bytes(whole[:size])
+            self.assertEqual(self.read(), KeptState())
+        for place in range(16, len(whole), 5):
+            flipped = bytearray(whole)
+            flipped[place] ^= 0x55
+            path.write_bytes(bytes(flipped))
+            self.assertEqual(self.read(), KeptState())
+
+    @asyncio_test
+    async def test_full_disk_keeps_what_was_there(self):
+        await self.keep(STATE)
+        await self.keep(STATE._replace(version=8), FullDisk())
+        self.assertEqual(self.read(), STATE)
--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_board.py
@@ -0,0 +1,101 @@
+"""Tests of the news: at once when there is something, late when there is nothing."""
+
+import asyncio
+import time
+
+from twisted.trial.unittest import TestCase
+
+from damaskwind.control.fleet.news_board import NewsBoard
+from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.model.targets import Address
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.wire.news import NewsRequest, SubscriberKind, decode_news, encode
+
+
+def record(target_id="t", phase=TargetPhase.SERVING, sequence=1):
+    return TargetRecord(target_id, "s", Address("127.0.0.1", 1), "d", phase, sequence)
+
+
+class NewsBoardTest(TestCase):
+    timeout = 10
+
+    def setUp(self):
+        self.version = 0
+        self.board = NewsBoard(lambda: self.version, lambda: True, lambda: ("h",))
+
+    def request(self, kind=SubscriberKind.ROUTER, node="r", wait_s=0.2, **changes):
+        request = NewsRequest(
+            node, kind, self.board.epoch, self.board.table.revision, self.version, wait_s
+        )
+        return request._replace(**changes)
+
+    @asyncio_test
+    async def test_unknown_epoch_is_told_everything_at_once(self):
+        self.board.report(record())
+        news = await self.board.answer(self.request(epoch="", revision=99))
+        self.assertEqual([item.target_id for item in news.records], ["t"])
+        self.assertEqual(decode_news(encode(news)), news)
+
+    @asyncio_test
+    async def test_nothing_new_is_said_after_the_wait(self):
+        self.board.report(record())
+        started_s = time.monotonic()
+        news = await self.board.answer(self.request())
+        self.assertGreater(time.monotonic() - started_s, 0.15)
+        self.assertEqual(news.records, ())
+        self.assertEqual([item.target_id for item in news.heard], ["t"])
+
+    @asyncio_test
+    async def test_leave_and_version_wake_who_waits(self):
+        self.board.report(record())
+        for change in (lambda: self.board.leave("t"), self.publish):
+            waiting = asyncio.ensure_future(self.board.answer(self.request(wait_s=5.0)))
+            await asyncio.sleep(0.02)
+            change()
+            await asyncio.wait_for(waiting, 0.5)
+
+    def publish(self):
+        self.version += 1
+        self.board.wake()
+
+    @asyncio_test
+    async def test_replicas_hear_of_versions_by_the_log_alone(self):
+        waiting = self.request(SubscriberKind.REPLICA, "c", wait_s=0.1)
+        self.version = 5
+        news = await self.board.answer(waiting._replace(version=0))
+        self.assertEqual(news.version, 5)
+
+    @asyncio_test
+    async def test_leave_counts_as_told_when_the_replicas_have_asked_beyond_it(self):
+        self.board.report(record())
+        first = asyncio.ensure_future(
+            self.board.answer(self.request(SubscriberKind.REPLICA, "c", wait_s=5.0))
+        )
+        await asyncio.sleep(0.02)
+        self.board.leave("t")
+        revision = self.board.table.revision
+        self.assertFalse(await self.board.wait_told(revision, 0.05))
+        news = await first
+        again = self.request(SubscriberKind.REPLICA, "c", wait_s=0.3, revision=news.revision)
+        asking = asyncio.ensure_future(self.board.answer(again))
+        self.assertTrue(await self.board.wait_told(revision, 1.0))
+        await asking
+
+    @asyncio_test
+    async def test_without_other_replicas_a_leave_is_told(self):
+        self.board.leave("t")
+        self.assertTrue(await self.board.wait_told(self.board.table.revision, 0.0))
+
+    @asyncio_test
+    async def test_what_another_replica_told_is_passed_on_but_not_as_heard_here(self):
+        self.board.merge([record("far")], ())
+        news = await self.board.answer(self.request(epoch=""))
+        self.assertEqual([item.target_id for item in news.records], ["far"])
+        self.assertEqual(news.heard, ())
+
+    @asyncio_test
+    async def test_routers_that_ask_are_counted(self):
+        for node in ("r1", "r2", "r1"):
+            await self.board.answer(self.request(node=node, wait_s=0.0))
+        await self.board.answer(self.request(SubscriberKind.REPLICA, "c", wait_s=0.0))
+        self.assertEqual(self.board.routers(), 2)
