--- a/packages/control/src/damaskwind/control/fleet/kept_state.py
+++ b/packages/control/src/damaskwind/control/fleet/kept_state.py
@@ -24,11 +24,18 @@
 from damaskwind.decisions.membership.target_table import TargetRecord
 from damaskwind.model.exception import StorageError
 
-__all__ = ["KeptState", "StateKeeper", "read_kept_state"]
+__all__ = [
+    "KeptState",
+    "StateKeeper",
+    "mark_first_start",
+    "read_kept_state",
+    "was_first_start",
+]
 
 _KIND_KEPT = 5
 _FOLDER = "kept"
 _NAME = "state"
+_FIRST_START_NAME = "first-start"
 
 
 class KeptState(NamedTuple):
@@ -39,6 +46,23 @@
     records: tuple[TargetRecord, ...] = ()
 
 
+def mark_first_start(data_folder: Path, files: FileSystem) -> None:
+    """Keep, for the life of the disk, that it was there when the system first started."""
+    path = data_folder / _FOLDER / _FIRST_START_NAME
+    if path.is_file():
+        return
+    try:
+        files.make_folder(path.parent)
+        write_file_durably(files, path, b"")
+    except StorageError as error:
+        logger.warning("first start not kept", why=str(error))
+
+
+def was_first_start(data_folder: Path) -> bool:
+    """Tell whether this disk was there when the system first started."""
+    return (data_folder / _FOLDER / _FIRST_START_NAME).is_file()
+
+
 def read_kept_state(data_folder: Path, files: FileSystem) -> KeptState:
     """Return what was kept; nothing when there is none or it can't be read."""
     path = data_folder / _FOLDER / _NAME
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -12,7 +12,13 @@
 from loguru import logger
 
 from damaskwind.control.fleet.calls import ControlCalls
-from damaskwind.control.fleet.kept_state import KeptState, StateKeeper, read_kept_state
+from damaskwind.control.fleet.kept_state import (
+    KeptState,
+    StateKeeper,
+    mark_first_start,
+    read_kept_state,
+    was_first_start,
+)
 from damaskwind.control.fleet.news_board import NewsBoard
 from damaskwind.control.fleet.news_site import NewsSite
 from damaskwind.control.fleet.settings import FleetControlSettings
@@ -32,8 +38,18 @@
 
 __all__ = ["FleetControl"]
 
-# Loaded in a thread after the news are served: routers wait for nothing else.
-_LOG_HOST = "damaskwind.control.fleet.log_host"
+# Loaded part by part after the news are served, with the loop's turn in between:
+# routers wait for nothing else. Not in a thread: one start in some thousand ended
+# with an illegal instruction there (docs/FINDINGS.md).
+_LOG_PARTS = (
+    "grpclib.server",
+    "grpclib.client",
+    "damaskwind.wire.replication_pb2",
+    "damaskwind.wire.replication_grpc",
+    "damaskwind.decisions.replication.core",
+    "damaskwind.control.replica.node",
+    "damaskwind.control.fleet.log_host",
+)
 # A target's forgetting and a replica's search for peers need no more precision.
 UPKEEP_S = 0.5
 # Callers keep connections between heartbeats (1.2 s) and orders.
@@ -65,6 +81,7 @@
         self.board = NewsBoard(self._version, self._is_current, self._hosts)
         self._folder = Path(settings.data_folder)
         self._kept = KeptState()
+        self._may_found = settings.may_found
         self._keeper: StateKeeper | None = None
         self.calls = ControlCalls(
             self._access,
@@ -92,8 +109,10 @@
             self._metrics.listen(settings.host, settings.metrics_port)
         self.follow(settings.seed_hosts)
         self._spawn(self._upkeep())
-        loop = asyncio.get_running_loop()
-        module = await loop.run_in_executor(None, import_module, _LOG_HOST)
+        for name in _LOG_PARTS:
+            module = import_module(name)
+            await asyncio.sleep(0)
+        settings = settings._replace(may_found=self._may_found)
         self._log = module.LogHost(settings, self._files, self._random, self._applied)
         await self._log.open()
 
@@ -126,7 +145,14 @@
         show("log_opened", "1 while the disk is usable", lambda: float(self._access() is not None))
 
     def _recall(self) -> None:
-        """Take up what was known before a restart."""
+        """Take up what was known before a restart.
+
+        A replica that may found the first cluster may still do so after a
+        restart, though its settings then say that the system is not new.
+        """
+        if self.settings.may_found:
+            mark_first_start(self._folder, self._files)
+        self._may_found = self.settings.may_found or was_first_start(self._folder)
         self._kept = read_kept_state(self._folder, self._files)
         self.board.merge(self._kept.records, ())
         self._keeper = StateKeeper(self._folder, self._files, self._mark, self._state)
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -71,6 +71,7 @@
         self.timing = Timing(
             election_timeout_max_s=self.random.choice([1.1, 2.0]),
             max_batch_entries=self.random.choice([1, 2, 256]),
+            replace_after_s=self.random.choice([float("inf"), 1.5, 3.0]),
         )
         self.syncs = syncs
         self.new_identity = new_identity
