--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -45,7 +45,12 @@
 
 
 class Call:
-    """One request in hand. Times are monotonic."""
+    """One request in hand. Times are monotonic.
+
+    `sends` counts targets that it was sent to, `unreached` those to which no
+    connection came about, `silent_domains` the failure domains of targets that
+    were unreachable or silent for it.
+    """
 
     def __init__(
         self,
@@ -68,6 +73,8 @@
         self.notes: list[AttemptNote] = []
         self.sends = 0
         self.arrivals = 0
+        self.unreached = 0
+        self.silent_domains: set[str] = set()
         self.may_have_run = False
 
     @property
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -43,6 +43,8 @@
 NOT_READY_RETURN_S = 0.3
 # Sends beyond a route's attempts, where all earlier ones certainly did not run.
 EXTRA_SENDS = 1
+# Targets that a request may find unreachable, at 0.3 s each, before it is refused.
+UNREACHED_MOST = 3
 
 _ROUTING_STATUS = {RoutingReason.NO_ROUTE: 404, RoutingReason.UNKNOWN_KEY: 401}
 
@@ -144,6 +146,8 @@
 
     def _may_go_on(self, call: Call, outcome: AttemptOutcome) -> bool:
         """Tell whether another target may get the request."""
+        if not outcome.was_reached:
+            return call.unreached < UNREACHED_MOST
         if outcome.end is AttemptEnd.NOT_RUN:
             return call.sends < call.route.max_attempts + EXTRA_SENDS
         return call.route.may_repeat and call.sends < call.route.max_attempts
@@ -187,6 +191,11 @@
             )
         self.tallies.count("attempts", end=outcome.end.value)
         call.arrivals += outcome.was_reached
+        if not outcome.was_reached:
+            call.unreached += 1
+            call.sends -= 1
+        if not outcome.was_reached or outcome.end is AttemptEnd.STALLED:
+            call.silent_domains.add(target.failure_domain)
         if outcome.end is AttemptEnd.NOT_RUN:
             call.may_have_run = before
         self._learn(call, target, outcome, now_s)
@@ -224,6 +233,13 @@
         candidates = [
             self._candidate(record, health, now_s, is_engine) for record in records.values()
         ]
+        # What hid one target of another failure domain from it hides the rest.
+        cut_off = call.silent_domains - {self._failure_domain}
+        if cut_off:
+            candidates = [
+                item._replace(is_doubtful=item.is_doubtful or item.failure_domain in cut_off)
+                for item in candidates
+            ]
         choice = choose_target(
             candidates, call.key, self._failure_domain, self._policy, self._random
         )
--- a/packages/router/src/damaskwind/router/forwarding/tests/bench.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/bench.py
@@ -82,8 +82,8 @@
             await target.stop()
         await asyncio.sleep(0.05)
 
-    def admit(self, target_id, address, phase=TargetPhase.SERVING, sequence=100):
-        record = TargetRecord(target_id, "pool", address, "domain", phase, sequence, 8)
+    def admit(self, target_id, address, phase=TargetPhase.SERVING, sequence=100, domain="domain"):
+        record = TargetRecord(target_id, "pool", address, domain, phase, sequence, 8)
         self.view.targets.take(record, time.monotonic())
 
     def publish(self, *routes, version=1):
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 import time
 
 from damaskwind.decisions.membership.target_table import TargetPhase
+from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
@@ -236,3 +237,22 @@
         answer = await self.call()
         self.assertEqual(answer.body, b"in time")
         self.assertLess(time.monotonic() - started_s, 1.1)
+
+
+class CutDomainTest(ForwarderTestCase):
+    async def start(self):
+        await super().start()
+        # Nobody listens there: three targets of a failure domain that is cut off.
+        for number, port in enumerate((1, 2, 3)):
+            self.admit(f"far{number}", Address("127.0.0.1", port), domain="far")
+
+    @asyncio_test
+    async def test_one_unreachable_target_speaks_for_its_failure_domain(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT, max_attempts=1))
+        for number in range(12):
+            self.forwarder.forget("far0")
+            self.forwarder.forget("far1")
+            self.forwarder.forget("far2")
+            answer = await self.call(request_id=b"r%d" % number)
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.received()), 12)
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -211,7 +211,7 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
-                raise AnswerBrokenError(str(error)) from error
+                raise AnswerBrokenError(f"no whole answer: {error}") from error
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
             if self._is_lost:
