--- a/packages/decisions/src/damaskwind/decisions/replication/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/messages.py
@@ -145,10 +145,9 @@
     gives no vote. `drift_ratio` is how much slower one clock may run than
     another; the lease is shorter than the shortest election timeout by it.
 
-    A voter that the leader has not heard for `replace_after_s` gives its place
-    to a learner that has caught up; one that has been silent for twice as long
-    is removed while there are more than `least_voters`. By default only
-    operators remove voters.
+    A voter that was silent for `replace_after_s` gives its place to a learner
+    that has caught up; after twice as long it is removed while more than
+    `least_voters` are there. By default only operators remove voters.
     """
 
     heartbeat_s: float = 0.25
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -25,10 +25,10 @@
 class PlainRequestTest(ForwarderTestCase):
     @asyncio_test
     async def test_answer_passes_unchanged_and_key_does_not(self):
-        self.script(plain(201, b"made", (b"server-seal: s",)))
+        self.script(plain(201, b"made", (b"x-seal: s",)))
         answer = await self.call(x_account=b"forged", x_hold=b"forged", x_urgency=b"0")
         self.assertEqual((answer.status, answer.body), (201, b"made"))
-        self.assertEqual(header(answer.headers, b"server-seal"), b"s")
+        self.assertEqual(header(answer.headers, b"x-seal"), b"s")
         (got,) = self.received()
         self.assertEqual(got.headers[b"x-account"], b"account")
         self.assertNotIn(b"authorization", got.headers)
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -27,12 +27,16 @@
 
 
 class ReceivedRequest(NamedTuple):
-    """A request as the target read it; header names in lower case."""
+    """A request as the target read it; header names in lower case.
+
+    `id_header` is the header that carries the request's id, in both directions.
+    """
 
     method: bytes
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
+    id_header: bytes
 
 
 Step = Callable[[asyncio.StreamWriter, ReceivedRequest], Awaitable[None]]
@@ -100,7 +104,9 @@
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                return ReceivedRequest(head.method, head.target, dict(head.headers), body)
+                headers = dict(head.headers)
+                id_header = self.names.request_id
+                return ReceivedRequest(head.method, head.target, headers, body, id_header)
             else:
                 return None
 
@@ -116,9 +122,8 @@
 
 def _head(status: int, request: ReceivedRequest, fields: tuple[bytes, ...]) -> bytes:
     """Return a status line and headers that echo the request's id."""
-    request_id = request.headers.get(b"attempt-id") or request.headers.get(b"x-request-id", b"")
-    name = b"attempt-id" if b"attempt-id" in request.headers else b"x-request-id"
-    lines = [b"HTTP/1.1 %d X" % status, name + b": " + request_id, *fields]
+    request_id = request.headers.get(request.id_header, b"")
+    lines = [b"HTTP/1.1 %d X" % status, request.id_header + b": " + request_id, *fields]
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
