--- a/packages/control/src/damaskwind/control/fleet/kept_state.py
+++ b/packages/control/src/damaskwind/control/fleet/kept_state.py
@@ -114,6 +114,8 @@
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(self._thread, self._write_file, data)
+            if self._has_failed:
+                logger.info("state kept again", version=state.version)
             self._has_failed = False
         except StorageError as error:
             if not self._has_failed:
