--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -73,7 +73,8 @@
                 text=True,
                 timeout=MODULE_TIMEOUT_S,
             )
-            output = done.stdout + done.stderr
+            # The report of trial comes last, since the end is what is printed.
+            output = done.stderr + done.stdout
             exit_code = done.returncode
         except subprocess.TimeoutExpired as error:
             output = f"{error.stdout or ''}\ntimed out after {MODULE_TIMEOUT_S} s"
