Log: an answer to a request of an earlier term vouches for no round

A leader crashed, led again in a later term, and a request of its first term arrived late at a follower of the second. The follower refused it, but named the old round (6) in an answer of the present term; the leader took it for an answer to its own round 6 before it had sent that round, and its lease held on nobody's promise. Reads by lease could then have been served stale.

Such an answer names no round.

--- a/packages/decisions/src/damaskwind/decisions/replication/following.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/following.py
@@ -2,6 +2,7 @@
 
 from damaskwind.decisions.replication.log import LogError
 from damaskwind.decisions.replication.messages import (
+    NO_ROUND,
     AppendRequest,
     AppendResponse,
     LogEntry,
@@ -21,7 +22,7 @@
     if not _is_well_formed(request):
         return
     if not _follow(replica, sender, request.term):
-        _answer(replica, sender, request.round_number, False, 0)
+        _answer(replica, sender, NO_ROUND, False, 0)
         return
     if not _matches(replica, request):
         retry_after = _last_possible_match(replica, request.previous_index)
@@ -36,7 +37,7 @@
 def on_snapshot_request(replica: Replica, sender: Member, request: SnapshotRequest) -> None:
     """Install a snapshot that is ahead of everything known to be committed."""
     if not _follow(replica, sender, request.term):
-        _answer(replica, sender, request.round_number, False, 0)
+        _answer(replica, sender, NO_ROUND, False, 0)
         return
     snapshot = request.snapshot
     if snapshot.index > replica.commit_index:
--- a/packages/decisions/src/damaskwind/decisions/replication/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/messages.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "NO_ROUND",
     "AppendEntries",
     "AppendRequest",
     "AppendResponse",
@@ -54,6 +55,9 @@
     "WritesDurable",
 ]
 
+# A leader counts its rounds from 1, anew in each term.
+NO_ROUND = 0
+
 
 class EntryKind(StrEnum):
     """What a log entry holds."""
@@ -217,6 +221,10 @@
 
     Accepted: the log matches the leader's up to `match_index`, durably.
     Refused: the leader should try again after `match_index`.
+
+    An answer to a request of an earlier term names no round (`NO_ROUND`): its
+    sender may lead again by now, in the answer's term, and would take it for an
+    answer to a round of its own, and hold a lease that nobody gave.
     """
 
     term: int
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_core.py
@@ -30,6 +30,7 @@
     RefusalReason,
     Send,
     Snapshot,
+    SnapshotRequest,
     Tick,
     Timing,
     VoteRequest,
@@ -93,6 +94,19 @@
         outputs = core.step(WritesDurable(1), 5.1)
         self.assertEqual(sent(outputs, VoteResponse), [VoteResponse(2, True)])
 
+    def test_answer_to_an_old_term_vouches_for_no_round(self) -> None:
+        core = make_core()
+        receive(core, B, VoteRequest(4, 1, 1), 5.0)
+        core.step(WritesDurable(1), 5.1)
+        late = (
+            AppendRequest(1, 6, 1, 1, (), 1),
+            SnapshotRequest(1, 6, Snapshot(1, 1), b""),
+        )
+        for request in late:
+            outputs = receive(core, B, request, 5.2)
+            (answer,) = sent(outputs, AppendResponse)
+            self.assertEqual((answer.term, answer.round_number), (4, 0))
+
     def test_append_answer_waits_for_its_write(self) -> None:
         core = make_core()
         entry = LogEntry(2, 1, EntryKind.NOOP, b"")
