--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -7,10 +7,10 @@
 Hashing with Bounded Loads", Mirrokni, Thorup and Zadimoghaddam, SODA 2018.
 Without a key the least loaded target takes the request, a near one first.
 
-Where the chosen target can't be expected to hold the shared part, but another
-one can, that other is named as the donor, from which the engine may copy what
-it lacks: the home that was passed over or is leaving, or, for a target that
-has just joined, the one that was the home before it.
+Another target is named as the donor, from which the engine may copy what it
+lacks: the home that was passed over, is leaving or has just left, or, for the
+home itself, the next in rank, which was the home before it joined, or while it
+was above the bound.
 """
 
 from collections.abc import Sequence
@@ -28,16 +28,14 @@
     The users' bound is twice the mean plus three requests, seen by all routers
     together; each sees loads that are some hundred ms old, so this stays below.
     `far_requests` is what leaving the failure domain costs, in requests. A
-    target counts as having just joined for `young_s`: callers ask again for a
-    part within some seconds, and later it has been read anyway. For the same
-    reason one younger than `donor_age_s` is a poor donor: of 14 parts that a donor
-    lacked on a calm day, 5 were named younger ones (maytinh-edge quiet-1 --seed 33).
+    target younger than `donor_age_s` is a poor donor, since callers ask again
+    for a part only after some seconds: of 14 parts that a donor lacked on a calm
+    day, 5 were named targets that young (maytinh-edge quiet-1 --seed 33).
     """
 
     load_factor: float = 1.6
     load_slack_requests: float = 2.5
     far_requests: float = 0.75
-    young_s: float = 12.0
     donor_age_s: float = 6.0
 
 
