--- a/packages/commands/src/damaskwind/commands/operator.py
+++ b/packages/commands/src/damaskwind/commands/operator.py
@@ -12,6 +12,7 @@
 from damaskwind.commands.operator_context import Context, control_command, router_command
 from damaskwind.commands.operator_output import as_json, columns, nested, time_text
 from damaskwind.commands.operator_status import gather_status, status_text
+from damaskwind.commands.operator_trace import trace
 from damaskwind.control.operator_api.authentication import hash_key, make_key
 from damaskwind.control.operator_api.difference import redacted
 from damaskwind.model.configuration_change import change_from_table
@@ -226,7 +227,7 @@
     return ExitCode.FINE
 
 
-COMMANDS = [plan, confirm, show, status, audit, replicas, targets, drain, explain, key]
+COMMANDS = [plan, confirm, show, status, audit, replicas, targets, drain, explain, trace, key]
 
 
 def _join_endpoints(arguments: list[str]) -> list[str]:
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/operator_trace.py
@@ -0,0 +1,40 @@
+"""The command `damaskwind trace`: from a request's id to what the logs say of it."""
+
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+from damaskwind.commands.operator_client import ExitCode
+from damaskwind.commands.operator_output import as_json
+from damaskwind.commands.request_trace import LogLine, read_lines, trace_request, trace_text
+
+__all__ = ["trace"]
+
+
+def trace(request_id: str, *files: Path, json: bool = False) -> int:
+    """Show what the logs of several VMs say of one request, and around it.
+
+    :param request_id: the request's id
+    :param files: logs of routers and replicas
+    :param json: print JSON for scripts
+    """
+    if not files:
+        print("trace: name at least one log", file=sys.stderr)
+        return ExitCode.BAD_USAGE
+    try:
+        found = trace_request(request_id, _lines_of(files))
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        return ExitCode.BAD_USAGE
+    if not found.request:
+        print(f"no line of request '{request_id}' in {len(files)} files", file=sys.stderr)
+        return ExitCode.REFUSED
+    print(as_json(found._asdict()) if json else trace_text(found))
+    return ExitCode.FINE
+
+
+def _lines_of(files: Iterable[Path]) -> Iterator[LogLine | None]:
+    """Read files one after the other, line by line."""
+    for file in files:
+        with file.open("rb") as lines:
+            yield from read_lines(lines)
--- /dev/null
+++ b/packages/commands/src/damaskwind/commands/request_trace.py
@@ -0,0 +1,150 @@
+"""Put what the logs of several VMs say around one request into one story.
+
+A router writes one line for a request, at its end. What led to it stands in
+other lines: the router's beliefs (targets unreachable, replicas lost, versions
+in force) and what other VMs saw of the same targets at the same time.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+import msgspec
+
+__all__ = ["LogLine", "RequestTrace", "read_lines", "trace_request", "trace_text"]
+
+# A target or replica that is lost is noticed within some seconds at the latest:
+# heartbeats are 1.2 s apart, and four missed ones make a target silent.
+BEFORE_S = 5.0
+AFTER_S = 1.0
+_REQUEST_EVENTS = ("request ended", "request refused")
+# What a router says of itself and of all its requests alike.
+_OWN_EVENTS = (
+    "replica heard",
+    "replica lost",
+    "configuration in force",
+    "readiness changed",
+    "drain begun",
+    "drain ended",
+    "started",
+    "stopping",
+    "log lines dropped",
+)
+_COMMON_FIELDS = ("time_s", "level", "node", "event")
+_ATTEMPT_FIELDS = (
+    "target",
+    "rank",
+    "load",
+    "bound",
+    "load_age_s",
+    "donor",
+    "outcome",
+    "at_ms",
+    "took_ms",
+    "first_ms",
+)
+
+
+class LogLine(NamedTuple):
+    """One line of a process's log: seconds since 1970, the node, and the rest."""
+
+    time_s: float
+    node: str
+    event: str
+    fields: dict[str, Any]
+
+
+class RequestTrace(NamedTuple):
+    """The lines of a request, those around it in order, and how many were unreadable."""
+
+    request: list[LogLine]
+    around: list[LogLine]
+    unreadable: int
+
+
+def read_lines(lines: Iterable[bytes]) -> Iterator[LogLine | None]:
+    """Decode log lines; `None` for each that is none.
+
+    What stands before a line's JSON, such as a collector's own time, is passed over.
+
+    >>> list(read_lines([b'12:00 {"time_s":1.0,"node":"r","event":"started","role":"router"}']))
+    [LogLine(time_s=1.0, node='r', event='started', fields={'role': 'router'})]
+    """
+    for line in lines:
+        start = line.find(b"{")
+        if start < 0:
+            if line.strip():
+                yield None
+            continue
+        try:
+            table = msgspec.json.decode(line[start:], type=dict[str, Any])
+            fields = {key: value for key, value in table.items() if key not in _COMMON_FIELDS}
+            node = table.get("node", "")
+            yield LogLine(float(table["time_s"]), node, table["event"], fields)
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+            yield None
+
+
+def trace_request(request_id: str, lines: Iterable[LogLine | None]) -> RequestTrace:
+    """Gather the lines of a request and those that bear on it."""
+    known = list(lines)
+    unreadable = known.count(None)
+    logged = sorted((line for line in known if line is not None), key=lambda line: line.time_s)
+    own = [
+        line
+        for line in logged
+        if line.event in _REQUEST_EVENTS and line.fields.get("request") == request_id
+    ]
+    around = [line for line in logged if any(_bears_on(line, request) for request in own)]
+    return RequestTrace(own, around, unreadable)
+
+
+def _bears_on(line: LogLine, request: LogLine) -> bool:
+    """Tell whether a line is near a request in time and speaks of what it met."""
+    began_s = _began_s(request)
+    if not began_s - BEFORE_S <= line.time_s <= request.time_s + AFTER_S:
+        return False
+    if line.event in _REQUEST_EVENTS:
+        return False
+    met = {attempt[0] for attempt in request.fields.get("attempts", [])}
+    if line.fields.get("target") in met:
+        return True
+    return line.node == request.node and line.event in _OWN_EVENTS
+
+
+def _began_s(request: LogLine) -> float:
+    """Return when a request began, by its last line."""
+    return request.time_s - request.fields.get("took_ms", 0) / 1000
+
+
+def trace_text(trace: RequestTrace) -> str:
+    """Return a trace for people, with times in ms from the request's start."""
+    began_s = _began_s(trace.request[0])
+    parts = []
+    for request in trace.request:
+        summary = {key: value for key, value in request.fields.items() if key != "attempts"}
+        parts.append(f"{request.node}: {request.event}")
+        parts += [f"  {key}: {_value(value)}" for key, value in summary.items()]
+        parts += [_attempt_text(note) for note in request.fields.get("attempts", [])]
+    parts.append("around it, in ms from its start:")
+    for line in trace.around:
+        said = " ".join(f"{key}={_value(value)}" for key, value in line.fields.items())
+        at_ms = round((line.time_s - began_s) * 1000)
+        parts.append(f"{at_ms:>8}  {line.node}  {line.event}  {said}".rstrip())
+    if not trace.around:
+        parts.append("       -  nothing was logged")
+    if trace.unreadable:
+        parts.append(f"{trace.unreadable} lines could not be read")
+    return "\n".join(parts)
+
+
+def _attempt_text(note: list[Any]) -> str:
+    """Return one send with its fields named."""
+    named = zip(_ATTEMPT_FIELDS, note, strict=False)
+    return "  sent: " + " ".join(f"{name}={_value(value)}" for name, value in named)
+
+
+def _value(value: Any) -> str:
+    """Return a value as text; what is empty as a dash."""
+    if value in (None, ""):
+        return "-"
+    return value if isinstance(value, str) else msgspec.json.encode(value).decode()
