A target whose address another one answers is passed over until it is heard again

A target that crashed and started anew answers 421 for its former self, and that one was only left alone for 0.1 s at a time: ten requests a second and router went there and back, each at the cost of the shared retry budget.

After such an answer the target is passed over until a heartbeat of it is newer; its one line says so. The new test failed first (9 requests reached it, now 1).

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -47,6 +47,10 @@
 STALL_GAP_LEAST_S = 0.8
 
 
+# The status by which a target says that it is not the one that was meant.
+MISDIRECTED = 421
+
+
 class AttemptEnd(StrEnum):
     """How one send ended."""
 
@@ -69,7 +73,8 @@
     """How a send ended, why, and the whole answer if the target gave a failure.
 
     `was_reached` tells whether a connection to the target stood, `first_s`
-    how long the head of its answer took.
+    how long the head of its answer took, `is_displaced` that another target
+    answered at its address.
     """
 
     end: AttemptEnd
@@ -77,6 +82,7 @@
     answer: Answer | None = None
     was_reached: bool = True
     first_s: float | None = None
+    is_displaced: bool = False
 
 
 def _note_nothing(call: Call, target_id: str, first_s: float) -> None:
@@ -153,7 +159,7 @@
         self.activity.heard(target.target_id, time.monotonic())
         self.on_first(call, target.target_id, first_s)
         self._note_load(head, target.target_id)
-        if head.status == 421 or header(head.headers, self._names.not_run) is not None:
+        if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
             return await self._refused(connection, head, target)
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
         if is_stream:
@@ -215,7 +221,8 @@
         """Take the target's word that it did not run the request."""
         await connection.read_body(ANSWER_LIMIT_BYTES)
         self.connections.give_back(target.target_id, connection, head.headers)
-        return AttemptOutcome(AttemptEnd.NOT_RUN, f"target said so: status {head.status}")
+        why = f"target said so: status {head.status}"
+        return AttemptOutcome(AttemptEnd.NOT_RUN, why, is_displaced=head.status == MISDIRECTED)
 
     async def _relay(
         self,
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -77,6 +77,7 @@
         self._health: dict[str, PoolHealth] = {}
         self._paces: dict[str, PoolPace] = {}
         self._avoided_until_s: dict[str, float] = {}
+        self._displaced_s: dict[str, float] = {}
         self._started_s = time.monotonic()
         view.on_gone.append(self.forget)
 
@@ -84,6 +85,7 @@
         """Drop what was learned of a target that is gone."""
         self.loads.forget(target_id)
         self._avoided_until_s.pop(target_id, None)
+        self._displaced_s.pop(target_id, None)
         self._sender.activity.forget(target_id)
         self._sender.connections.forget(target_id)
         for pace in self._paces.values():
@@ -212,6 +214,9 @@
     ) -> None:
         """Take what an outcome says of the target."""
         target_id = target.target_id
+        if outcome.is_displaced:
+            self._displaced_s[target_id] = now_s
+            logger.warning("target displaced", target=target_id, address=str(target.address))
         if outcome.end is AttemptEnd.NOT_RUN:
             if outcome.was_reached:
                 self._avoided_until_s[target_id] = now_s + BUSY_S
@@ -259,6 +264,7 @@
             or self._sender.connections.is_unreachable(target_id)
             or self._sender.activity.is_dark(target_id, now_s, is_engine)
             or self.view.is_silent(target_id, now_s)
+            or self._is_displaced(target_id)
             or not health.may_send(target_id, now_s, self._random)
         )
         return Candidate(
@@ -272,6 +278,11 @@
             self._pool_pace(record.service).is_slow(target_id, now_s),
         )
 
+    def _is_displaced(self, target_id: str) -> bool:
+        """Tell whether another target answers at its address, and it was not heard since."""
+        displaced_s = self._displaced_s.get(target_id)
+        return displaced_s is not None and self.view.targets.heard_s(target_id) < displaced_s
+
     def _pool_health(self, service: str) -> PoolHealth:
         """Return the health of a service's targets, brought up to who serves now."""
         health = self._health.get(service)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -87,6 +87,20 @@
         for donor, young in zip(donors, reversed(addresses), strict=True):
             self.assertNotEqual(donor, str(young))
 
+    @asyncio_test
+    async def test_target_whose_address_is_anothers_gets_one_request_until_it_is_heard_again(self):
+        moved = [plain(421, b"", (b"x-not-run: 1",))] * 9
+        self.targets[0].script = list(moved)
+        for number in range(9):
+            self.assertEqual((await self.call(request_id=b"r%d" % number)).status, 200)
+            await asyncio.sleep(0.03)
+        self.assertEqual(len(self.targets[0].received), 1)
+        self.targets[0].script = []
+        self.view.targets.hear("t0", time.monotonic())
+        for number in range(9):
+            await self.call(request_id=b"s%d" % number)
+        self.assertGreater(len(self.targets[0].received), 1)
+
     @asyncio_test
     async def test_unknown_route_and_key_are_told_apart(self):
         self.assertEqual((await self.call(path=b"/none")).status, 404)
