Tables of targets fuzzed as state machines against what the targets said

Reports late, twice and out of order, at three replicas that tell each other and two routers over links that are cut, with restarts and forgetting. What must hold: no target comes back once a process has known it as leaving or gone; nothing is shown that was not said; with all links mended the replicas agree on the newest that any of them was told, and no router is behind them.

--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/seeded_faults.py
@@ -0,0 +1,53 @@
+"""Tables of targets with a fault put in on purpose, by name."""
+
+from damaskwind.decisions.membership.target_table import TargetPhase, TargetTable
+
+__all__ = ["SEEDED_FAULTS"]
+
+
+class Revives(TargetTable):
+    """Takes any later report for the truth."""
+
+    def take(self, record, heard_s):
+        entry = self._entries.get(record.target_id)
+        if entry is not None and record.phase < entry.record.phase:
+            self._put(entry, record, heard_s)
+            return True
+        return super().take(record, heard_s)
+
+
+class TrustsLast(TargetTable):
+    """Takes no notice of sequences within a phase."""
+
+    def _refresh(self, entry, record, heard_s):
+        if record.phase is TargetPhase.GONE or record == entry.record:
+            return False
+        self._put(entry, record, heard_s)
+        return True
+
+
+class BuriesSoon(TargetTable):
+    """Forgets that a target is gone after a second."""
+
+    def forget(self, now_s):
+        old = [
+            key
+            for key, entry in self._entries.items()
+            if entry.record.phase is TargetPhase.GONE and now_s - entry.heard_s > 1.0
+        ]
+        for key in old:
+            del self._entries[key]
+        return []
+
+
+class TellsNoMoves(TargetTable):
+    """Changes an address without telling anybody."""
+
+    def _refresh(self, entry, record, heard_s):
+        revision, changed_at = self.revision, entry.changed_at
+        changed = super()._refresh(entry, record, heard_s)
+        self.revision, entry.changed_at = revision, changed_at
+        return changed
+
+
+SEEDED_FAULTS = {table.__name__: table for table in (Revives, TrustsLast, BuriesSoon, TellsNoMoves)}
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/target_histories.py
@@ -0,0 +1,208 @@
+"""Random histories of reports, news, restarts and cuts, against what targets said.
+
+Replicas and routers hold a `TargetTable` each. Targets report to replicas, late,
+twice and out of order; replicas tell each other and the routers what changed,
+over links that may be cut. The oracle is the list of what each target said.
+"""
+
+from typing import NamedTuple
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from damaskwind.decisions.membership.target_table import (
+    TOMBSTONE_S,
+    TargetPhase,
+    TargetRecord,
+    TargetTable,
+)
+from damaskwind.model.targets import Address
+
+__all__ = ["TargetHistory"]
+
+REPLICAS = ("r0", "r1", "r2")
+ROUTERS = ("e0", "e1")
+TARGETS = ("ta", "tb", "tc")
+# A report may be this late; tombstones outlive it by far.
+LATE_S = 10.0
+
+replicas = st.sampled_from(REPLICAS)
+listeners = st.sampled_from(REPLICAS + ROUTERS)
+target_ids = st.sampled_from(TARGETS)
+
+
+def _age_order(record: TargetRecord) -> tuple[TargetPhase, int]:
+    """Return what grows over a target's life."""
+    return (record.phase, record.sequence)
+
+
+class Said(NamedTuple):
+    """One thing that a target said, and when."""
+
+    record: TargetRecord
+    at_s: float
+
+
+class Target:
+    """A target of the oracle: its life so far and all that it said."""
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self.phase = TargetPhase.SERVING
+        self.port = 1
+        self.said: list[Said] = []
+
+
+class TargetHistory(RuleBasedStateMachine):
+    """One history."""
+
+    table_class: type[TargetTable] = TargetTable
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.tables = {name: self.table_class() for name in REPLICAS + ROUTERS}
+        self.told: dict[tuple[str, str], int] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.targets = {name: Target() for name in TARGETS}
+        # The newest that a table was told, until the process restarts or forgets.
+        self.known: dict[tuple[str, str], TargetRecord] = {}
+
+    @rule(target_id=target_ids, replica=replicas)
+    def report(self, target_id: str, replica: str) -> None:
+        """A target reports its present phase to a replica."""
+        self._hear(replica, self._say(target_id))
+
+    @rule(target_id=target_ids, replica=replicas, phase=st.sampled_from(list(TargetPhase)))
+    def change_phase(self, target_id: str, replica: str, phase: TargetPhase) -> None:
+        """A target moves on in its life and says so."""
+        one = self.targets[target_id]
+        one.phase = max(one.phase, phase)
+        self._hear(replica, self._say(target_id))
+
+    @rule(target_id=target_ids, replica=replicas)
+    def move(self, target_id: str, replica: str) -> None:
+        """A target that serves reports another address."""
+        self.targets[target_id].port += 1
+        self._hear(replica, self._say(target_id))
+
+    @rule(target_id=target_ids, replica=replicas, index=st.integers(0, 30))
+    def repeat_late(self, target_id: str, replica: str, index: int) -> None:
+        """An earlier report arrives once more, late."""
+        said = self.targets[target_id].said
+        if said:
+            old = said[index % len(said)]
+            if self.now_s - old.at_s <= LATE_S:
+                self._hear(replica, old.record)
+
+    @rule(teller=replicas, listener=listeners)
+    def tell(self, teller: str, listener: str) -> None:
+        """A replica tells what changed since it last told."""
+        if teller == listener or frozenset((teller, listener)) in self.cut:
+            return
+        table = self.tables[teller]
+        for record in table.changed_since(self.told.get((teller, listener), 0)):
+            self._hear(listener, record)
+        self.told[teller, listener] = table.revision
+
+    @rule(teller=replicas, listener=listeners)
+    def cut_link(self, teller: str, listener: str) -> None:
+        """Cut two processes from each other."""
+        self.cut.add(frozenset((teller, listener)))
+
+    @rule()
+    def heal(self) -> None:
+        """Mend all links."""
+        self.cut.clear()
+
+    @rule(process=listeners)
+    def restart(self, process: str) -> None:
+        """A process restarts with an empty table, and is told everything anew."""
+        self.tables[process] = self.table_class()
+        self.known = {key: record for key, record in self.known.items() if key[0] != process}
+        self.told = {pair: at for pair, at in self.told.items() if process not in pair}
+
+    @rule(wait_s=st.sampled_from([0.1, 1.0, 9.0]))
+    def wait(self, wait_s: float) -> None:
+        """Let time pass; tables forget what is too old."""
+        self.now_s += wait_s
+        for name, table in self.tables.items():
+            for target in table.forget(self.now_s):
+                self.known.pop((name, target), None)
+
+    @invariant()
+    def no_target_comes_back(self) -> None:
+        """A table that has known a target as leaving or gone never shows it as serving."""
+        for (process, target_id), record in self.known.items():
+            shown = self.tables[process].phase_of(target_id)
+            assert shown is not None and shown >= record.phase, (process, record, shown)
+
+    @invariant()
+    def nothing_is_invented(self) -> None:
+        """What a table shows of a target that serves, the target has said."""
+        for process, table in self.tables.items():
+            for record in table.serving():
+                said = [item.record for item in self.targets[record.target_id].said]
+                assert record in said, (process, record)
+
+    def teardown(self) -> None:
+        """With all links mended, replicas agree, and no router is behind them.
+
+        A router may be ahead: the replica that took a report may have lost it.
+        """
+        self.heal()
+        for _ in range(2):
+            for teller in REPLICAS:
+                for listener in REPLICAS + ROUTERS:
+                    self.tell(teller, listener)
+        for target_id in TARGETS:
+            shown = {self._shown(name, target_id) for name in REPLICAS}
+            assert shown == {self._newest_known(target_id)}, (target_id, shown)
+            self._check_routers(target_id, self.tables[REPLICAS[0]].record_of(target_id))
+
+    def _newest_known(self, target_id: str) -> tuple[TargetPhase, Address | None] | None:
+        """Return the newest that any replica was told."""
+        told = [self.known[name, target_id] for name in REPLICAS if (name, target_id) in self.known]
+        if not told:
+            return None
+        newest = max(told, key=_age_order)
+        is_gone = newest.phase is TargetPhase.GONE
+        return (newest.phase, None if is_gone else newest.address)
+
+    def _check_routers(self, target_id: str, newest: TargetRecord | None) -> None:
+        """Check that no router is behind what the replicas agree on."""
+        if newest is None:
+            return
+        for name in ROUTERS:
+            record = self.tables[name].record_of(target_id)
+            assert record is not None and record.phase >= newest.phase, (name, record, newest)
+            is_ahead = record.phase > newest.phase or record.sequence > newest.sequence
+            is_gone = record.phase is TargetPhase.GONE
+            assert is_ahead or is_gone or record.address == newest.address, (name, record, newest)
+
+    def _shown(self, process: str, target_id: str) -> tuple[TargetPhase, Address | None] | None:
+        """Return what a table shows; where a target was that is gone does not matter."""
+        record = self.tables[process].record_of(target_id)
+        if record is None:
+            return None
+        is_gone = record.phase is TargetPhase.GONE
+        return (record.phase, None if is_gone else record.address)
+
+    def _say(self, target: str) -> TargetRecord:
+        """Have a target say what it is now."""
+        one = self.targets[target]
+        one.sequence += 1
+        record = TargetRecord(
+            target, "s", Address("127.0.0.1", one.port), "d", one.phase, one.sequence, 4
+        )
+        one.said.append(Said(record, self.now_s))
+        return record
+
+    def _hear(self, process: str, record: TargetRecord) -> None:
+        """Have a process take a record, and note what it knows from then on."""
+        self.tables[process].take(record, self.now_s)
+        key = (process, record.target_id)
+        self.known[key] = max(self.known.get(key, record), record, key=_age_order)
+
+
+assert TOMBSTONE_S > LATE_S
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -57,6 +57,14 @@
     return fuzz_machine(seed, seconds, histories, bug)
 
 
+@fuzz_target("targets")
+def fuzz_targets(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
+    """Fuzz the merged tables of targets against what the targets said."""
+    from damaskwind.decisions.membership.tests import fuzzing
+
+    return fuzzing.fuzz_targets(seed, seconds, histories, bug)
+
+
 @fuzz_target("claims")
 def fuzz_claims(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
     """Fuzz the voting on idempotency keys against the list of requests that ran."""
