--- a/benchmarks/platform_start.py
+++ b/benchmarks/platform_start.py
@@ -16,6 +16,8 @@
 
 import defopt
 
+from damaskwind.platform.settings import PATH_VARIABLE
+
 ROOT = Path(__file__).resolve().parent.parent
 DEPENDENCIES = ROOT / "target" / "deps"
 HOST = "127.78.0.1"
@@ -65,7 +67,7 @@
         environment = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(DEPENDENCIES),
-            "DAMASKWIND_BOOT": str(file),
+            PATH_VARIABLE: str(file),
         }
         command = [sys.executable, "-S", "-m", "damaskwind.platform", role]
         begun_s = time.monotonic()
--- a/packages/control/src/damaskwind/control/replica/forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -18,14 +18,13 @@
 from damaskwind.control.replica.replica import Replica
 from damaskwind.control.replica.replicated_state import address_command, machine_command
 from damaskwind.control.replica.transport import CALL_ERRORS, Channels
+from damaskwind.decisions.replication.events import ProposalOutcome, ReadReady
 from damaskwind.decisions.replication.messages import (
     ChangeKind,
     Member,
     Membership,
     MembershipChange,
     Outcome,
-    ProposalOutcome,
-    ReadReady,
     RefusalReason,
 )
 from damaskwind.model.exception import DamaskwindError
--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -20,18 +20,12 @@
 from damaskwind.control.storage.journal import Journal, JournalWrite, TakeSnapshot
 from damaskwind.control.storage.writer import GroupCommitWriter
 from damaskwind.decisions.replication.core import ReplicaCore
-from damaskwind.decisions.replication.log import first_log, recover_log
-from damaskwind.decisions.replication.messages import (
+from damaskwind.decisions.replication.events import (
     AppendEntries,
-    AppendRequest,
     Apply,
     BecameLeader,
-    Envelope,
     Input,
     InstallSnapshot,
-    Member,
-    MembershipChange,
-    Outcome,
     ProposalOutcome,
     Propose,
     ProposeMembership,
@@ -39,18 +33,26 @@
     ReadRefused,
     ReadRequest,
     Received,
-    RefusalReason,
     Send,
     SendSnapshot,
-    SnapshotRequest,
     SnapshotTaken,
     SteppedDown,
     Tick,
-    Timing,
     TruncateFrom,
     WritesDurable,
     WriteState,
 )
+from damaskwind.decisions.replication.log import first_log, recover_log
+from damaskwind.decisions.replication.messages import (
+    AppendRequest,
+    Envelope,
+    Member,
+    MembershipChange,
+    Outcome,
+    RefusalReason,
+    SnapshotRequest,
+    Timing,
+)
 from damaskwind.model.exception import StorageError
 
 __all__ = ["Replica"]
--- a/packages/control/src/damaskwind/control/replica/service.py
+++ b/packages/control/src/damaskwind/control/replica/service.py
@@ -8,7 +8,7 @@
 
 from damaskwind.control.replica.codec import decode_envelope
 from damaskwind.control.replica.forwarding import STOPPED, LogAccess
-from damaskwind.decisions.replication.messages import ProposalOutcome
+from damaskwind.decisions.replication.events import ProposalOutcome
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.settings import parse_address
 from damaskwind.wire import replication_pb2
--- a/packages/control/src/damaskwind/control/replica/tests/test_forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_forwarding.py
@@ -3,7 +3,8 @@
 from twisted.trial.unittest import TestCase
 
 from damaskwind.control.replica.forwarding import LogAccess
-from damaskwind.decisions.replication.messages import Outcome, ProposalOutcome, RefusalReason
+from damaskwind.decisions.replication.events import ProposalOutcome
+from damaskwind.decisions.replication.messages import Outcome, RefusalReason
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.wire.authentication import CallSigner
 
--- a/packages/control/src/damaskwind/control/storage/journal.py
+++ b/packages/control/src/damaskwind/control/storage/journal.py
@@ -17,15 +17,13 @@
 
 from damaskwind.control.storage.files import FileSystem, write_file_durably
 from damaskwind.control.storage.frames import encode_frame, file_header, read_frames
-from damaskwind.decisions.replication.messages import (
+from damaskwind.decisions.replication.events import (
     AppendEntries,
     InstallSnapshot,
-    LogEntry,
-    PersistentState,
-    Snapshot,
     TruncateFrom,
     WriteState,
 )
+from damaskwind.decisions.replication.messages import LogEntry, PersistentState, Snapshot
 from damaskwind.model.exception import CorruptLogError, StorageError
 
 __all__ = ["Journal", "JournalWrite", "TakeSnapshot", "open_journal"]
--- a/packages/control/src/damaskwind/control/storage/tests/test_journal.py
+++ b/packages/control/src/damaskwind/control/storage/tests/test_journal.py
@@ -6,16 +6,18 @@
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.control.storage.folder import open_data_folder
 from damaskwind.control.storage.journal import TakeSnapshot, open_journal
-from damaskwind.decisions.replication.messages import (
+from damaskwind.decisions.replication.events import (
     AppendEntries,
-    EntryKind,
     InstallSnapshot,
+    TruncateFrom,
+    WriteState,
+)
+from damaskwind.decisions.replication.messages import (
+    EntryKind,
     LogEntry,
     Member,
     PersistentState,
     Snapshot,
-    TruncateFrom,
-    WriteState,
 )
 from damaskwind.model.exception import CorruptLogError, StorageError
 
--- a/packages/control/src/damaskwind/control/telemetry.py
+++ b/packages/control/src/damaskwind/control/telemetry.py
@@ -9,7 +9,8 @@
 from damaskwind.control.state.configuration_machine import ConfigurationMachine
 from damaskwind.control.storage.journal import Journal
 from damaskwind.control.storage.writer import GroupCommitWriter
-from damaskwind.decisions.replication.messages import Outcome, ProposalOutcome
+from damaskwind.decisions.replication.events import ProposalOutcome
+from damaskwind.decisions.replication.messages import Outcome
 from damaskwind.runtime.metrics import Metrics, Sample
 from damaskwind.wire.authentication import AuthenticationOutcome, CallVerifier
 from damaskwind.wire.follow_service import FollowService
--- a/packages/decisions/src/damaskwind/decisions/replication/core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/core.py
@@ -20,6 +20,17 @@
     start_vote,
     tick_election,
 )
+from damaskwind.decisions.replication.events import (
+    Input,
+    Output,
+    Propose,
+    ProposeMembership,
+    ReadRequest,
+    Received,
+    SnapshotTaken,
+    Tick,
+    WritesDurable,
+)
 from damaskwind.decisions.replication.following import on_append_request, on_snapshot_request
 from damaskwind.decisions.replication.leadership import holds_lease
 from damaskwind.decisions.replication.leading import (
@@ -34,25 +45,16 @@
 from damaskwind.decisions.replication.messages import (
     AppendRequest,
     AppendResponse,
-    Input,
     Member,
     Membership,
-    Output,
     PersistentState,
     PreVoteRequest,
     PreVoteResponse,
-    Propose,
-    ProposeMembership,
-    ReadRequest,
-    Received,
     Snapshot,
     SnapshotRequest,
-    SnapshotTaken,
-    Tick,
     Timing,
     VoteRequest,
     VoteResponse,
-    WritesDurable,
 )
 from damaskwind.decisions.replication.replica import Replica, apply_committed
 from damaskwind.decisions.replication.requests import (
--- a/packages/decisions/src/damaskwind/decisions/replication/leading.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/leading.py
@@ -1,5 +1,13 @@
 """Lead: replicate, commit, keep checking the quorum, and answer requests."""
 
+from damaskwind.decisions.replication.events import (
+    BecameLeader,
+    ProposalOutcome,
+    ReadReady,
+    ReadRefused,
+    SendSnapshot,
+    SteppedDown,
+)
 from damaskwind.decisions.replication.leadership import (
     Leadership,
     PendingRead,
@@ -13,18 +21,12 @@
 from damaskwind.decisions.replication.messages import (
     AppendRequest,
     AppendResponse,
-    BecameLeader,
     EntryKind,
     LogEntry,
     Member,
     Outcome,
-    ProposalOutcome,
-    ReadReady,
-    ReadRefused,
     RefusalReason,
-    SendSnapshot,
     SnapshotRequest,
-    SteppedDown,
 )
 from damaskwind.decisions.replication.replica import Replica, adopt_term, apply_committed, rearm
 
--- a/packages/decisions/src/damaskwind/decisions/replication/outbox.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/outbox.py
@@ -1,17 +1,14 @@
 """Hold each send back until the writes that it depends on are durable."""
 
-from damaskwind.decisions.replication.messages import (
+from damaskwind.decisions.replication.events import (
     AppendEntries,
-    Envelope,
     InstallSnapshot,
-    LogEntry,
     Output,
-    PersistentState,
     Send,
-    Snapshot,
     TruncateFrom,
     WriteState,
 )
+from damaskwind.decisions.replication.messages import Envelope, LogEntry, PersistentState, Snapshot
 
 __all__ = ["Outbox"]
 
--- a/packages/decisions/src/damaskwind/decisions/replication/replica.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/replica.py
@@ -3,9 +3,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from damaskwind.decisions.replication.events import Apply
 from damaskwind.decisions.replication.log import ReplicatedLog
 from damaskwind.decisions.replication.messages import (
-    Apply,
     Envelope,
     Member,
     Message,
--- a/packages/decisions/src/damaskwind/decisions/replication/requests.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/requests.py
@@ -1,5 +1,13 @@
 """Take what the shell asks of a replica: proposals, members and reads."""
 
+from damaskwind.decisions.replication.events import (
+    ProposalOutcome,
+    Propose,
+    ProposeMembership,
+    ReadReady,
+    ReadRefused,
+    ReadRequest,
+)
 from damaskwind.decisions.replication.leadership import Leadership, Progress, holds_lease
 from damaskwind.decisions.replication.leading import add_read, append_entry
 from damaskwind.decisions.replication.membership import (
@@ -13,12 +21,6 @@
     Member,
     MembershipChange,
     Outcome,
-    ProposalOutcome,
-    Propose,
-    ProposeMembership,
-    ReadReady,
-    ReadRefused,
-    ReadRequest,
     RefusalReason,
 )
 from damaskwind.decisions.replication.replica import Replica
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -13,22 +13,13 @@
 import msgspec
 
 from damaskwind.decisions.replication.core import ReplicaCore
-from damaskwind.decisions.replication.log import first_log
-from damaskwind.decisions.replication.membership import is_majority
-from damaskwind.decisions.replication.messages import (
+from damaskwind.decisions.replication.events import (
     AppendEntries,
     Apply,
     BecameLeader,
-    ChangeKind,
-    Envelope,
     Input,
     InstallSnapshot,
-    LogEntry,
-    Member,
-    MembershipChange,
-    Outcome,
     Output,
-    PersistentState,
     ProposalOutcome,
     Propose,
     ProposeMembership,
@@ -39,11 +30,22 @@
     SendSnapshot,
     SnapshotTaken,
     Tick,
-    Timing,
     TruncateFrom,
     WritesDurable,
     WriteState,
 )
+from damaskwind.decisions.replication.log import first_log
+from damaskwind.decisions.replication.membership import is_majority
+from damaskwind.decisions.replication.messages import (
+    ChangeKind,
+    Envelope,
+    LogEntry,
+    Member,
+    MembershipChange,
+    Outcome,
+    PersistentState,
+    Timing,
+)
 from damaskwind.decisions.replication.tests.disk import Disk
 from damaskwind.decisions.replication.tests.invariants import (
     check_leader,
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/disk.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/disk.py
@@ -2,16 +2,14 @@
 
 from random import Random
 
-from damaskwind.decisions.replication.log import ReplicatedLog, recover_log
-from damaskwind.decisions.replication.messages import (
+from damaskwind.decisions.replication.events import (
     AppendEntries,
     InstallSnapshot,
-    LogEntry,
-    PersistentState,
-    Snapshot,
     TruncateFrom,
     WriteState,
 )
+from damaskwind.decisions.replication.log import ReplicatedLog, recover_log
+from damaskwind.decisions.replication.messages import LogEntry, PersistentState, Snapshot
 
 __all__ = ["Disk"]
 
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/invariants.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/invariants.py
@@ -2,15 +2,9 @@
 
 from typing import Protocol
 
+from damaskwind.decisions.replication.events import AppendEntries, Output
 from damaskwind.decisions.replication.membership import decode_membership, is_majority
-from damaskwind.decisions.replication.messages import (
-    AppendEntries,
-    EntryKind,
-    Member,
-    Membership,
-    Output,
-    Timing,
-)
+from damaskwind.decisions.replication.messages import EntryKind, Member, Membership, Timing
 from damaskwind.decisions.replication.tests.machines import Node
 from damaskwind.decisions.replication.tests.oracle import InvariantError, Oracle
 
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/seeded_bugs.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/seeded_bugs.py
@@ -8,9 +8,10 @@
 from unittest import mock
 
 from damaskwind.decisions.replication import election, leading, requests
+from damaskwind.decisions.replication.events import Send
 from damaskwind.decisions.replication.leadership import Leadership, Progress, note_answer
 from damaskwind.decisions.replication.membership import majority_value
-from damaskwind.decisions.replication.messages import Envelope, Member, Send, VoteRequest
+from damaskwind.decisions.replication.messages import Envelope, Member, VoteRequest
 from damaskwind.decisions.replication.outbox import Outbox
 from damaskwind.decisions.replication.replica import Replica
 
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_core.py
@@ -4,12 +4,26 @@
 from unittest import TestCase
 
 from damaskwind.decisions.replication.core import ReplicaCore
+from damaskwind.decisions.replication.events import (
+    AppendEntries,
+    BecameLeader,
+    Output,
+    ProposalOutcome,
+    Propose,
+    ProposeMembership,
+    ReadReady,
+    ReadRefused,
+    ReadRequest,
+    Received,
+    Send,
+    Tick,
+    WritesDurable,
+    WriteState,
+)
 from damaskwind.decisions.replication.log import ReplicatedLog, first_log
 from damaskwind.decisions.replication.messages import (
-    AppendEntries,
     AppendRequest,
     AppendResponse,
-    BecameLeader,
     ChangeKind,
     EntryKind,
     Envelope,
@@ -17,26 +31,14 @@
     Member,
     MembershipChange,
     Outcome,
-    Output,
     PersistentState,
     PreVoteResponse,
-    ProposalOutcome,
-    Propose,
-    ProposeMembership,
-    ReadReady,
-    ReadRefused,
-    ReadRequest,
-    Received,
     RefusalReason,
-    Send,
     Snapshot,
     SnapshotRequest,
-    Tick,
     Timing,
     VoteRequest,
     VoteResponse,
-    WritesDurable,
-    WriteState,
 )
 
 A, B, C = (Member(name, f"{name}1") for name in "abc")
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_invariants.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_invariants.py
@@ -2,13 +2,9 @@
 
 from unittest import TestCase
 
+from damaskwind.decisions.replication.events import AppendEntries
 from damaskwind.decisions.replication.membership import encode_membership
-from damaskwind.decisions.replication.messages import (
-    AppendEntries,
-    EntryKind,
-    LogEntry,
-    Membership,
-)
+from damaskwind.decisions.replication.messages import EntryKind, LogEntry, Membership
 from damaskwind.decisions.replication.tests.cluster import Cluster
 from damaskwind.decisions.replication.tests.invariants import check_promotion
 from damaskwind.decisions.replication.tests.oracle import InvariantError
