Where no target can be reached, the refusal comes at once

A request whose targets are all known to be unreachable is refused at once, with a time to come back; a lone target still gets one try of each request. The new test failed first.

--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -233,6 +233,8 @@
             for record in self.view.present(call.service)
             if record.target_id not in call.tried
         }
+        if self._are_all_unreachable(records, call):
+            return None
         health = self._pool_health(call.service)
         is_engine = call.key is not None
         candidates = [
@@ -254,6 +256,22 @@
         target = records[choice.candidate.target_id]
         return Placed(target, choice, donor.address if donor else None)
 
+    def _are_all_unreachable(self, records: dict[str, TargetRecord], call: Call) -> bool:
+        """Tell whether sending would only wait for connections that don't come about.
+
+        Unreachable targets are tried every 0.4 s without a request, which would
+        wait 0.3 s for each. A lone one still gets one try of each request: one lost
+        packet is no sign that it is gone.
+        """
+        serving = [
+            target_id
+            for target_id, record in records.items()
+            if record.phase is TargetPhase.SERVING
+        ]
+        has_a_try = len(serving) == 1 and not call.unreached
+        is_unreachable = self._sender.connections.is_unreachable
+        return not has_a_try and all(is_unreachable(target_id) for target_id in serving)
+
     def _candidate(
         self, record: TargetRecord, health: PoolHealth, now_s: float, is_engine: bool
     ) -> Candidate:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -101,6 +101,20 @@
             await self.call(request_id=b"s%d" % number)
         self.assertGreater(len(self.targets[0].received), 1)
 
+    @asyncio_test
+    async def test_where_no_target_can_be_reached_the_refusal_comes_at_once(self):
+        for target in self.targets:
+            await target.stop()
+        self.assertEqual((await self.call()).status, 503)
+        before = self.connections.opened
+        answer = await self.call(request_id=b"r2")
+        self.assertEqual(answer.status, 503)
+        self.assertIsNotNone(header(answer.headers, b"retry-after"))
+        self.assertEqual(self.connections.opened, before)
+        self.view.targets.leave("t1", time.monotonic())
+        self.assertEqual((await self.call(request_id=b"r3")).status, 503)
+        self.assertEqual(self.connections.opened - before, 1)
+
     @asyncio_test
     async def test_unknown_route_and_key_are_told_apart(self):
         self.assertEqual((await self.call(path=b"/none")).status, 404)
