The retry budget holds over restarts of routers; fuzzed against all of them together

In its first window (10 s) a router spends a fifth of the bound, which is what the four fifths of its former life leave, and of the slack as much as its age.

Five tests of a forwarder needed one that is older than its window.

--- a/packages/decisions/src/damaskwind/decisions/retries/shared_budget.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/shared_budget.py
@@ -3,6 +3,10 @@
 The bound holds for the sum over all routers: repeats in any window stay below
 a ratio of the requests plus a fixed slack. Each router keeps to the ratio of
 its own requests plus its part of the slack, so the sum keeps to the whole.
+
+A router that restarts does not know what its former life has spent. In its
+first window it therefore spends only what its former life has surely left: the
+part of the bound that is otherwise not used, and of the slack as much as its age.
 """
 
 from collections import deque
@@ -13,6 +17,8 @@
 
 # Part of the bound that is used: windows slide, and a repeat counts when it arrives.
 USED_SHARE = 0.8
+# Part that is used in a router's first window, while its former life's counts.
+FIRST_SHARE = 1.0 - USED_SHARE
 
 
 class BudgetTerms(NamedTuple):
@@ -24,16 +30,22 @@
 
 
 class SharedRetryBudget:
-    """One router's part of the budget for one service.
+    """One router's part of the budget for one service, since `started_s` on its clock.
 
     >>> budget = SharedRetryBudget(BudgetTerms(0.2, 10.0, 5.0), lambda: 2)
     >>> [budget.take(0.0) for _ in range(3)]
     [True, True, False]
     """
 
-    def __init__(self, terms: BudgetTerms, routers: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        terms: BudgetTerms,
+        routers: Callable[[], int],
+        started_s: float = float("-inf"),
+    ) -> None:
         self._terms = terms
         self._routers = routers
+        self._started_s = started_s
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
@@ -45,16 +57,18 @@
     def take(self, now_s: float) -> bool:
         """Take one repeat if the budget holds it."""
         self._forget(now_s)
-        if len(self._repeats) + 1 > self.allowance():
+        if len(self._repeats) + 1 > self.allowance(now_s):
             return False
         self._repeats.append(now_s)
         return True
 
-    def allowance(self) -> float:
+    def allowance(self, now_s: float) -> float:
         """Return how many repeats the present window allows in all."""
         terms = self._terms
-        own_slack = terms.slack / max(self._routers(), 1)
-        return USED_SHARE * (terms.ratio * len(self._requests) + own_slack)
+        age_windows = (now_s - self._started_s) / terms.window_s
+        own_slack = min(1.0, age_windows) * terms.slack / max(self._routers(), 1)
+        share = USED_SHARE if age_windows >= 1.0 else FIRST_SHARE
+        return share * (terms.ratio * len(self._requests) + own_slack)
 
     def _forget(self, now_s: float) -> None:
         oldest_s = now_s - self._terms.window_s
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/retries/tests/seeded_faults.py
@@ -0,0 +1,33 @@
+"""Retry budgets with a fault put in on purpose, by name."""
+
+from damaskwind.decisions.retries.shared_budget import SharedRetryBudget
+
+__all__ = ["SEEDED_FAULTS"]
+
+
+class TakesAllSlack(SharedRetryBudget):
+    """Takes itself for the only router."""
+
+    def __init__(self, terms, routers, started_s):
+        super().__init__(terms, lambda: 1, started_s)
+
+
+class StartsWithSlack(SharedRetryBudget):
+    """Spends its part of the slack anew in each life."""
+
+    def __init__(self, terms, routers, started_s):
+        super().__init__(terms, routers, float("-inf"))
+
+
+class ForgetsSoon(SharedRetryBudget):
+    """Forgets repeats after half a window."""
+
+    def _forget(self, now_s):
+        super()._forget(now_s)
+        while self._repeats and self._repeats[0] <= now_s - self._terms.window_s / 2:
+            self._repeats.popleft()
+
+
+SEEDED_FAULTS = {
+    budget.__name__: budget for budget in (TakesAllSlack, StartsWithSlack, ForgetsSoon)
+}
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/retries/tests/test_budget_histories.py
@@ -0,0 +1,18 @@
+"""The shared retry budget holds over random histories, and seeded faults are found."""
+
+from unittest import TestCase
+
+from damaskwind.decisions.retries.tests.budget_histories import find_violation
+from damaskwind.decisions.retries.tests.seeded_faults import SEEDED_FAULTS
+
+SEEDS = range(30)
+
+
+class BudgetHistoriesTest(TestCase):
+    def test_the_bound_holds_in_every_window_also_over_restarts(self):
+        self.assertIsNone(find_violation(SEEDS))
+
+    def test_the_same_histories_find_seeded_faults(self):
+        for name, make in SEEDED_FAULTS.items():
+            with self.subTest(fault=name):
+                self.assertIsNotNone(find_violation(SEEDS, make))
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -50,7 +50,11 @@
 
 
 class Forwarder:
-    """The handler behind a router's address for callers."""
+    """The handler behind a router's address for callers.
+
+    `started_s` is when the process began to serve, in monotonic seconds; by
+    default now.
+    """
 
     def __init__(
         self,
@@ -61,6 +65,7 @@
         budget_terms: BudgetTerms,
         heartbeat_s: float,
         random: Random,
+        started_s: float | None = None,
     ) -> None:
         self.view = view
         self.loads = LoadEstimator()
@@ -78,7 +83,7 @@
         self._paces: dict[str, PoolPace] = {}
         self._avoided_until_s: dict[str, float] = {}
         self._displaced_s: dict[str, float] = {}
-        self._started_s = time.monotonic()
+        self._started_s = time.monotonic() if started_s is None else started_s
         view.on_gone.append(self.forget)
 
     def forget(self, target_id: str) -> None:
@@ -321,7 +326,7 @@
         """Return this router's retry budget for a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = SharedRetryBudget(self._terms, lambda: self.view.routers)
+            budget = SharedRetryBudget(self._terms, lambda: self.view.routers, self._started_s)
             self._budgets[service] = budget
         return budget
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/bench.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/bench.py
@@ -67,8 +67,10 @@
             self.admit(f"t{index}", address)
         self.publish(route())
         self.connections = TargetConnections(reactor)
+        # Long enough ago that the retry budget is whole.
+        started_s = time.monotonic() - 60.0
         self.forwarder = Forwarder(
-            self.view, self.connections, NAMES, "domain", BudgetTerms(), 1.2, Random(1)
+            self.view, self.connections, NAMES, "domain", BudgetTerms(), 1.2, Random(1), started_s
         )
         self.server = HttpServer(self.forwarder.handle, ServerLimits(), reactor)
         self.port = self.server.listen("127.0.0.1", 0)
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -65,6 +65,14 @@
     return fuzzing.fuzz_targets(seed, seconds, histories, bug)
 
 
+@fuzz_target("retries")
+def fuzz_retries(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
+    """Fuzz the retry budget of a fleet whose routers restart."""
+    from damaskwind.decisions.retries.tests import budget_histories
+
+    return budget_histories.fuzz_retries(seed, seconds, histories, bug)
+
+
 @fuzz_target("claims")
 def fuzz_claims(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
     """Fuzz the voting on idempotency keys against the list of requests that ran."""
