--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -17,6 +17,7 @@
 
 from damaskwind.control.replica.replicated_state import ReplicatedState
 from damaskwind.control.replica.transport import Transport
+from damaskwind.control.replica.waiters import ConditionWaiters
 from damaskwind.control.storage.journal import Journal, JournalWrite, TakeSnapshot
 from damaskwind.control.storage.writer import GroupCommitWriter
 from damaskwind.decisions.replication.core import ReplicaCore
@@ -89,7 +90,7 @@
         self._taking_snapshot = False
         self._leader_heard_s = float("-inf")
         self._answers: dict[str, asyncio.Future] = {}
-        self._waiters: list[tuple[Callable[[], bool], asyncio.Future]] = []
+        self._waiters = ConditionWaiters()
         self._events: deque[Input] = deque()
         self._is_announcing = False
         self._announced_index = 0
@@ -202,19 +203,7 @@
 
     async def wait_until(self, condition: Callable[[], bool], timeout_s: float) -> bool:
         """Wait until a condition of this replica holds; tell whether it did in time."""
-        if condition():
-            return True
-        waiter = asyncio.get_running_loop().create_future()
-        pair = (condition, waiter)
-        self._waiters.append(pair)
-        try:
-            await asyncio.wait_for(waiter, max(timeout_s, 0.0))
-        except TimeoutError:
-            return condition()
-        finally:
-            if pair in self._waiters:
-                self._waiters.remove(pair)
-        return True
+        return await self._waiters.wait_until(condition, timeout_s)
 
     def feed(self, event: Input) -> None:
         """Feed the core one input and carry out what it returns.
@@ -234,7 +223,7 @@
         finally:
             self._is_stepping = False
         self._consider_snapshot()
-        self._wake()
+        self._waiters.wake()
 
     async def _ask(self, question_id: str, event: Input, timeout_s: float) -> Any:
         """Feed a question and wait for its answer."""
@@ -257,15 +246,6 @@
         self._ticker = loop.call_later(period_s, self._tick)
         self.feed(Tick())
 
-    def _wake(self) -> None:
-        """Wake those whose condition holds now."""
-        for pair in list(self._waiters):
-            condition, waiter = pair
-            if condition():
-                self._waiters.remove(pair)
-                if not waiter.done():
-                    waiter.set_result(None)
-
     def _answer(self, question_id: str, answer: Any) -> None:
         """Answer the question with this id."""
         waiter = self._answers.get(question_id)
@@ -304,7 +284,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
         self._stop_answers()
-        self._wake()
+        self._waiters.wake()
         for callback in self.on_failure:
             callback(error)
 
--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/waiters.py
@@ -0,0 +1,38 @@
+"""Wait in a task until a condition of a replica holds."""
+
+import asyncio
+from collections.abc import Callable
+
+__all__ = ["ConditionWaiters"]
+
+
+class ConditionWaiters:
+    """Tasks that wait, each with its condition; `wake` looks at all of them."""
+
+    def __init__(self) -> None:
+        self._waiters: list[tuple[Callable[[], bool], asyncio.Future]] = []
+
+    async def wait_until(self, condition: Callable[[], bool], timeout_s: float) -> bool:
+        """Wait until a condition holds; tell whether it did in time."""
+        if condition():
+            return True
+        waiter = asyncio.get_running_loop().create_future()
+        pair = (condition, waiter)
+        self._waiters.append(pair)
+        try:
+            await asyncio.wait_for(waiter, max(timeout_s, 0.0))
+        except TimeoutError:
+            return condition()
+        finally:
+            if pair in self._waiters:
+                self._waiters.remove(pair)
+        return True
+
+    def wake(self) -> None:
+        """Let those go on whose condition holds now."""
+        for pair in list(self._waiters):
+            condition, waiter = pair
+            if condition():
+                self._waiters.remove(pair)
+                if not waiter.done():
+                    waiter.set_result(None)
