A router that starts does not wait for a version that only a lost replica told of

Cause, found on reading the change once more: a replica that told of the newest version and was lost before its document was fetched would have kept a fresh router, where no replica is current, from beginning with what the others know, for ever. The new test failed first.

A lost replica's word on the version is dropped.

--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -192,4 +192,5 @@
         )
 
     def lost(self, host: str) -> None:
-        """Do nothing: what the replica told stays believed until others know better."""
+        """Wait no longer for its version; what it told of targets stays believed."""
+        self._versions.pop(host, None)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
@@ -46,6 +46,12 @@
         self.assertFalse(self.hear("c", 7))
         self.assertTrue(self.hear("b", 9))
 
+    def test_version_of_a_replica_that_is_lost_again_is_not_waited_for(self):
+        self.assertFalse(self.hear("a", 9))
+        self.view.lost("a")
+        self.now_s += UNSURE_AFTER_S + 0.01
+        self.assertTrue(self.hear("b", 7))
+
     def test_newest_heard_is_taken_after_a_while_when_one_is_silent(self):
         self.assertFalse(self.hear("a", 7))
         self.assertFalse(self.hear("b", 9))
