--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_process.py
@@ -0,0 +1,56 @@
+"""Tests of a replica's start: news come before the log."""
+
+import tempfile
+import time
+from unittest.mock import patch
+
+from twisted.internet import reactor
+from twisted.trial.unittest import TestCase
+
+from damaskwind.control.fleet import process
+from damaskwind.control.fleet.process import FleetControl
+from damaskwind.control.fleet.settings import FleetControlSettings
+from damaskwind.model.targets import Address
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.http1.client import connect, fetch
+from damaskwind.runtime.http1.messages import Request
+from damaskwind.runtime.settings import parse_address
+from damaskwind.standins.harness import free_addresses
+from damaskwind.wire.news import NEWS_PATH, NewsRequest, SubscriberKind, decode_news, encode
+
+# What each part of the log takes to load on a VM of a quarter of a core.
+PART_S = 0.3
+LIMIT_BYTES = 1 << 20
+
+
+def slow_import(name, load=process.import_module):
+    """Load a module and hold the loop for as long as a small VM would."""
+    time.sleep(PART_S)
+    return load(name)
+
+
+class StartTest(TestCase):
+    timeout = 30
+
+    @asyncio_test
+    async def test_news_are_told_before_the_log_is_loaded(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        addresses = [parse_address(text) for text in free_addresses(3)]
+        host, ports = addresses[0].host, [address.port for address in addresses]
+        settings = FleetControlSettings("c", host, *ports, "d", "r", folder.name, (host,), True)
+        replica = FleetControl(settings, lambda body: None, lambda calls, exchange: None, reactor)
+        with patch.object(process, "import_module", slow_import):
+            starting = process.asyncio.ensure_future(replica.start())
+            await process.asyncio.sleep(0)
+            asked_s = time.monotonic()
+            connection = await connect(reactor, Address(host, settings.news_port), 1.0)
+            body = encode(NewsRequest("r", SubscriberKind.ROUTER, "", 0, 0, 0.0))
+            request = Request(b"POST", NEWS_PATH, [(b"host", b"c")], body)
+            answer = await fetch(connection, request, LIMIT_BYTES)
+            took_s = time.monotonic() - asked_s
+            connection.abort()
+            await starting
+        await replica.stop()
+        self.assertEqual(decode_news(answer.body).version, 0)
+        self.assertLess(took_s, PART_S)
