--- /dev/null
+++ b/packages/control/src/damaskwind/control/replica/tests/test_joining.py
@@ -0,0 +1,69 @@
+"""Tests of when a replica asks to be added again."""
+
+import asyncio
+from time import monotonic
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from twisted.trial.unittest import TestCase
+
+from damaskwind.control.replica import joining
+from damaskwind.decisions.replication.messages import Member, Membership
+from damaskwind.runtime.bridge import asyncio_test
+
+LEFT_OUT_S = 0.4
+
+
+class StayMemberTest(TestCase):
+    """A replica that follows nobody, in front of others that are asked in vain."""
+
+    timeout = 20
+
+    def setUp(self):
+        members = Membership((Member("a", "a1"), Member("b", "b1")))
+        core = SimpleNamespace(leader_heard_s=monotonic() - 60.0, membership=members)
+        addresses = SimpleNamespace(address_of=lambda replica_id: None)
+        self.replica = SimpleNamespace(
+            member=members.voters[0],
+            core=core,
+            state=SimpleNamespace(addresses=addresses),
+            is_running=True,
+            is_leader=False,
+            has_log=True,
+        )
+        self.asked = 0
+
+    async def ask(self, *_):
+        self.asked += 1
+
+    async def run_for(self, duration_s):
+        """Run the watch for a while; the time that it waits is cut short."""
+        access = SimpleNamespace(replica=self.replica)
+        service = SimpleNamespace(address="127.0.0.1:1")
+        with (
+            patch.object(joining, "LEFT_OUT_S", LEFT_OUT_S),
+            patch.object(joining, "_ask_to_join", self.ask),
+        ):
+            staying = joining.stay_member(access, service, (), "d", None)
+            task = asyncio.ensure_future(staying)
+            await asyncio.sleep(duration_s)
+            self.replica.is_leader = False
+            asked_while_leading = self.asked
+            await asyncio.sleep(LEFT_OUT_S / 2)
+            asked_soon = self.asked
+            await asyncio.sleep(2 * LEFT_OUT_S)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        return asked_while_leading, asked_soon, self.asked
+
+    @asyncio_test
+    async def test_replica_that_hears_no_leader_asks(self):
+        while_following, _, _ = await self.run_for(2 * LEFT_OUT_S)
+        self.assertGreater(while_following, 0)
+
+    @asyncio_test
+    async def test_leader_that_steps_down_waits_like_one_that_has_heard_a_leader(self):
+        self.replica.is_leader = True
+        while_leading, soon, in_the_end = await self.run_for(2 * LEFT_OUT_S)
+        self.assertEqual((while_leading, soon), (0, 0))
+        self.assertGreater(in_the_end, 0)
