No configuration is acknowledged before enough replicas vote to bear the loss of a disk

Traced: the first publish was acknowledged while the founder, or it and one more, were the only voters; the test then wiped the disk of one of two, which left no majority for ever. The test was right to fail: an acknowledgement that rests on one disk is lost with that disk.

A replica refuses to publish (503, the operator sends again) until as many replicas vote as the settings first name, three at most. After the founding there are never fewer.

--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -51,7 +51,8 @@
     """The calls of operators and targets at one replica.
 
     `access` gives the log, or `None` while the disk is not usable; reports of
-    targets are taken all the same.
+    targets are taken all the same. Nothing is published before `bears_a_loss`
+    says that enough replicas vote: a founder starts alone.
     """
 
     def __init__(
@@ -60,11 +61,13 @@
         machine: Callable[[], PublishedConfiguration],
         board: NewsBoard,
         decode: Callable[[bytes], TrafficConfiguration],
+        bears_a_loss: Callable[[], bool],
     ) -> None:
         self._access = access
         self._machine = machine
         self._board = board
         self._decode = decode
+        self._bears_a_loss = bears_a_loss
         self.tallies = Tallies()
 
     async def publish(self, document: bytes) -> PublishResult:
@@ -95,6 +98,9 @@
         access = self._access()
         if access is None:
             return PublishResult(PublishStatus.UNKNOWN, version, "the disk is not usable")
+        if not self._bears_a_loss():
+            logger.info("configuration not committed", version=version, why="too few voters yet")
+            return PublishResult(PublishStatus.UNKNOWN, version, "too few replicas vote yet")
         command = publish_command(version, pack_document(document))
         outcome = await access.propose(command, PUBLISH_LIMIT_S)
         if outcome.verdict is not CommitVerdict.COMMITTED:
--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -33,6 +33,8 @@
 # A replica that restarts is back within some 2 s; one that is silent for longer
 # gives its place to a newcomer that has caught up.
 REPLACE_AFTER_S = 3.0
+# With fewer voters, the loss of one disk may take what was acknowledged with it.
+LEAST_VOTERS = 3
 # Pause before a failed disk is tried again.
 REOPEN_S = 0.5
 
@@ -73,6 +75,14 @@
         """Tell whether this replica believes that it holds all that is confirmed."""
         return self._node is not None and self._node.replica.is_current
 
+    @property
+    def bears_a_loss(self) -> bool:
+        """Tell whether as many replicas vote as the settings first name, three at most."""
+        if self._node is None:
+            return False
+        voters = self._node.replica.core.membership.voters
+        return len(voters) >= min(LEAST_VOTERS, len(self._settings.seed_hosts))
+
     def hosts(self) -> tuple[str, ...]:
         """Return the hosts of all replicas that the log names; their ids are their hosts."""
         if self._node is None:
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -96,6 +96,7 @@
             self._machine,
             self.board,
             decode,
+            self._bears_a_loss,
         )
         self._control = HttpServer(self._handle, CONTROL_LIMITS, reactor)
         site = NewsSite(self.board, self._packed)
@@ -190,6 +191,9 @@
     def _is_current(self) -> bool:
         return self._log is not None and self._log.is_current
 
+    def _bears_a_loss(self) -> bool:
+        return self._log is not None and self._log.bears_a_loss
+
     def _hosts(self) -> tuple[str, ...]:
         return self._log.hosts() if self._log else ()
 
--- a/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
@@ -41,11 +41,26 @@
         self.machine = PublishedConfiguration()
         self.log = FakeLog(self.machine)
         self.board = NewsBoard(lambda: 0, lambda: True, tuple)
-        self.calls = ControlCalls(lambda: self.log, lambda: self.machine, self.board, decode)
+        self.bears_a_loss = True
+        self.calls = ControlCalls(
+            lambda: self.log,
+            lambda: self.machine,
+            self.board,
+            decode,
+            lambda: self.bears_a_loss,
+        )
 
     async def status(self, document):
         return (await self.calls.publish(document)).status
 
+    @asyncio_test
+    async def test_nothing_is_acknowledged_while_too_few_replicas_vote(self):
+        self.bears_a_loss = False
+        self.assertEqual(await self.status(b"5"), PublishStatus.UNKNOWN)
+        self.assertEqual(self.machine.version, 0)
+        self.bears_a_loss = True
+        self.assertEqual(await self.status(b"5"), PublishStatus.ACKNOWLEDGED)
+
     @asyncio_test
     async def test_highest_version_holds_and_all_valid_ones_are_acknowledged(self):
         for document in (b"5", b"3", b"5", b"9"):
