--- a/packages/commands/src/damaskwind/commands/tests/test_faults_control_domains.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_control_domains.py
@@ -22,6 +22,10 @@
         """Tell whether a router says that it may be behind."""
         return (await self.cluster.router_state(name)).get("may_be_behind")
 
+    async def vouches_no_more(self, replica):
+        """Tell whether a replica that is cut off has noticed: its belief lasts for a second."""
+        return not (await self.cluster.replica_status(replica))["is_current"]
+
     async def hears_of(self, replica, router, revision):
         """Tell whether a router that enforces a revision has just reported to a replica."""
         routers = (await self.cluster.replica_status(replica))["routers"]
@@ -55,6 +59,9 @@
         replica, others, known, unknown = await self.cut_off(domain)
         told = await cluster.replica_status(replica)
         self.assertLess(told["revision"], known.revision)
+        await wait_until(
+            lambda: self.vouches_no_more(replica), DEADLINE_S, "a replica that vouches no more"
+        )
 
         seeds = [cluster.harness.processes["inside"].ready["datagram_address"]]
         links = [(name, "newcomer") for name in others]
