--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -74,12 +74,10 @@
         settings: FleetControlSettings,
         decode: Callable[[bytes], TrafficConfiguration],
         handler: Handler,
-        reactor: Any,
         files: FileSystem | None = None,
         started_s: float | None = None,
     ) -> None:
         self.settings = settings
-        self._reactor = reactor
         self._files = files or FileSystem()
         self._random = Random(secrets.randbits(64))
         self._handler = handler
@@ -98,12 +96,12 @@
             decode,
             self._bears_a_loss,
         )
-        self._control = HttpServer(self._handle, CONTROL_LIMITS, reactor)
+        self._control = HttpServer(self._handle, CONTROL_LIMITS)
         site = NewsSite(self.board, self._packed)
-        self._news = HttpServer(site.handle, NEWS_LIMITS, reactor)
+        self._news = HttpServer(site.handle, NEWS_LIMITS)
         self.tallies = Tallies()
         self.calls.tallies = self.tallies
-        self._metrics = MetricsSite(self.tallies, reactor)
+        self._metrics = MetricsSite(self.tallies)
         self._show_gauges()
         self._links: dict[str, NewsLink] = {}
         self._tasks: list[asyncio.Task] = []
@@ -231,7 +229,6 @@
                 SubscriberKind.REPLICA,
                 address,
                 self,
-                self._reactor,
                 self._random,
             )
             self._links[host] = link
--- a/packages/control/src/damaskwind/control/fleet/tests/test_process.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_process.py
@@ -4,7 +4,6 @@
 import time
 from unittest.mock import patch
 
-from twisted.internet import reactor
 from twisted.trial.unittest import TestCase
 
 from damaskwind.control.fleet import process
@@ -39,12 +38,12 @@
         addresses = [parse_address(text) for text in free_addresses(3)]
         host, ports = addresses[0].host, [address.port for address in addresses]
         settings = FleetControlSettings("c", host, *ports, "d", "r", folder.name, (host,), True)
-        replica = FleetControl(settings, lambda body: None, lambda calls, exchange: None, reactor)
+        replica = FleetControl(settings, lambda body: None, lambda calls, exchange: None)
         with patch.object(process, "import_module", slow_import):
             starting = process.asyncio.ensure_future(replica.start())
             await process.asyncio.sleep(0)
             asked_s = time.monotonic()
-            connection = await connect(reactor, Address(host, settings.news_port), 1.0)
+            connection = await connect(Address(host, settings.news_port), 1.0)
             body = encode(NewsRequest("r", SubscriberKind.ROUTER, "", 0, 0, 0.0))
             request = Request(b"POST", NEWS_PATH, [(b"host", b"c")], body)
             answer = await fetch(connection, request, LIMIT_BYTES)
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from typing import Any
 
 from loguru import logger
 
@@ -29,9 +28,8 @@
 class TargetConnections:
     """Idle connections by target id; a target's successor has another id."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self) -> None:
         self.opened = 0
-        self._reactor = reactor
         self._idle: dict[str, list[ClientConnection]] = {}
         self._watches: dict[str, asyncio.Task] = {}
 
@@ -48,7 +46,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await connect(self._reactor, address, min(timeout_s, CONNECT_S))
+        return await connect(address, min(timeout_s, CONNECT_S))
 
     def give_back(self, target_id: str, connection: ClientConnection, headers: Headers) -> None:
         """Keep a connection whose answer was read to its end, if it may be kept."""
@@ -79,7 +77,7 @@
             for _ in range(WATCH_TRIES):
                 await asyncio.sleep(WATCH_S)
                 try:
-                    connection = await connect(self._reactor, address, CONNECT_S)
+                    connection = await connect(address, CONNECT_S)
                 except ConnectFailedError:
                     continue
                 connection.usable_until_s = time.monotonic() + IDLE_S
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -9,7 +9,6 @@
 import time
 from collections.abc import Callable
 from random import Random
-from typing import Any
 
 from loguru import logger
 
@@ -46,7 +45,6 @@
         seed_hosts: tuple[str, ...],
         news_port: int,
         decode: Callable[[bytes], TrafficConfiguration],
-        reactor: Any,
         random: Random,
     ) -> None:
         self.targets = TargetTable()
@@ -57,7 +55,6 @@
         self._node_id = node_id
         self._news_port = news_port
         self._decode = decode
-        self._reactor = reactor
         self._random = random
         self._seed_hosts = seed_hosts
         self._links: dict[str, NewsLink] = {}
@@ -85,7 +82,6 @@
                 SubscriberKind.ROUTER,
                 Address(host, self._news_port),
                 self,
-                self._reactor,
                 self._random,
             )
             self._links[host] = link
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable
 from random import Random
-from typing import Any
 
 from loguru import logger
 
@@ -38,15 +37,14 @@
         settings: ForwardingSettings,
         decode: Callable[[bytes], TrafficConfiguration],
         names: HeaderNames,
-        reactor: Any,
     ) -> None:
         random = Random(secrets.randbits(64))
         self.settings = settings
         self.view = FleetView(
-            settings.node_id, settings.seed_hosts, settings.news_port, decode, reactor, random
+            settings.node_id, settings.seed_hosts, settings.news_port, decode, random
         )
         self.view.on_configuration.append(self._take_limits)
-        self.connections = TargetConnections(reactor)
+        self.connections = TargetConnections()
         self.forwarder = Forwarder(
             self.view,
             self.connections,
@@ -58,9 +56,9 @@
         )
         self.tallies = Tallies()
         self.forwarder.tallies = self.tallies
-        self._metrics = MetricsSite(self.tallies, reactor)
-        self._callers = HttpServer(self.forwarder.handle, ServerLimits(), reactor)
-        self._ready = HttpServer(self._answer_ready, READY_LIMITS, reactor)
+        self._metrics = MetricsSite(self.tallies)
+        self._callers = HttpServer(self.forwarder.handle, ServerLimits())
+        self._ready = HttpServer(self._answer_ready, READY_LIMITS)
         self._show_gauges()
         self.is_draining = False
         self._was_ready = False
--- a/packages/router/src/damaskwind/router/forwarding/tests/bench.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/bench.py
@@ -4,7 +4,6 @@
 import time
 from random import Random
 
-from twisted.internet import reactor
 from twisted.trial.unittest import TestCase
 
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
@@ -61,18 +60,18 @@
 
     async def start(self):
         self.targets = [ScriptedTarget(NAMES) for _ in range(2)]
-        self.view = FleetView("router", (), 1, lambda body: None, reactor, Random(1))
+        self.view = FleetView("router", (), 1, lambda body: None, Random(1))
         for index, target in enumerate(self.targets):
             address = await target.start()
             self.admit(f"t{index}", address)
         self.publish(route())
-        self.connections = TargetConnections(reactor)
+        self.connections = TargetConnections()
         # Long enough ago that the retry budget is whole.
         started_s = time.monotonic() - 60.0
         self.forwarder = Forwarder(
             self.view, self.connections, NAMES, "domain", BudgetTerms(), 1.2, Random(1), started_s
         )
-        self.server = HttpServer(self.forwarder.handle, ServerLimits(), reactor)
+        self.server = HttpServer(self.forwarder.handle, ServerLimits())
         self.port = self.server.listen("127.0.0.1", 0)
         self.addCleanup(lambda: to_deferred(self.finish()))
 
@@ -109,7 +108,7 @@
         return [request for target in self.targets for request in target.received]
 
     async def connect(self) -> ClientConnection:
-        connection = await connect(reactor, Address("127.0.0.1", self.port), 1.0)
+        connection = await connect(Address("127.0.0.1", self.port), 1.0)
         self.addCleanup(connection.abort)
         return connection
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
@@ -3,7 +3,6 @@
 from random import Random
 from unittest.mock import patch
 
-from twisted.internet import reactor
 from twisted.trial.unittest import TestCase
 
 from damaskwind.router.forwarding import fleet_view
@@ -27,7 +26,7 @@
         clock.start()
         self.addCleanup(clock.stop)
         self.now_s = 100.0
-        self.view = FleetView("r", ("a", "b", "c"), 1, lambda body: None, reactor, Random(1))
+        self.view = FleetView("r", ("a", "b", "c"), 1, lambda body: None, Random(1))
         self.view.start()
 
     def hear(self, host, version, is_current=False):
--- a/packages/runtime/src/damaskwind/runtime/http1/__init__.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP/1.1 over Twisted's transports, parsed and written by h11."""
+"""HTTP/1.1 over asyncio's transports, parsed and written by h11."""
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -1,7 +1,8 @@
 """Speak HTTP/1.1 as a client on one connection, one request at a time.
 
 Whether a request may have run is told apart by what was written: a connection
-that was refused or timed out before it stood carried nothing.
+that was refused or timed out before it stood carried nothing. The transports
+are asyncio's own: see `docs/decisions/0016-deciding-under-load.md`.
 """
 
 import asyncio
@@ -11,12 +12,11 @@
 from typing import Any
 
 import h11
-from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Factory, Protocol
 
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
+from damaskwind.runtime.http1.transports import reset
 
 __all__ = [
     "AnswerBrokenError",
@@ -64,10 +64,11 @@
         self.headers = headers
 
 
-class ClientConnection(Protocol):
+class ClientConnection(asyncio.Protocol):
     """One connection to a peer. Await `send`, then `read_head`, then `read_data`."""
 
     def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
         self._parser: h11.Connection | None = None
         self._sent: h11.Request | None = None
         self._waiter: asyncio.Future | None = None
@@ -86,15 +87,15 @@
         """Tell whether the peer has neither closed nor written out of turn."""
         return not self._is_lost and not self.has_stray_bytes
 
-    def connectionMade(self) -> None:  # noqa: N802
-        """Send small pieces at once, and give up a peer that acknowledges nothing."""
-        self.transport.setTcpNoDelay(True)
-        handle = self.transport.getHandle()
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Give up a peer that acknowledges nothing."""
+        self._transport = transport
+        handle = transport.get_extra_info("socket")
         for option, value in _LIVENESS_OPTIONS:
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
         handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def data_received(self, data: bytes) -> None:
         """Take bytes of the answer; bytes that nobody asked for end the connection."""
         if not self.is_in_use:
             self.has_stray_bytes = True
@@ -104,10 +105,15 @@
         self._parser.receive_data(data)
         self._wake()
 
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+    def eof_received(self) -> bool:
+        """Note that the peer ended in order; the connection is closed then."""
+        self._was_clean_end = True
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
         """Note the end, and whether it was orderly."""
         self._is_lost = True
-        self._was_clean_end = reason is not None and reason.check(ConnectionDone) is not None
+        self._was_clean_end = self._was_clean_end and error is None
         # The transport does not tell a timeout from a reset; their times do.
         silent_s = time.monotonic() - self._active_s
         self.is_timed_out = not self._was_clean_end and silent_s > UNACKNOWLEDGED_MS / 1000
@@ -119,13 +125,13 @@
 
     def abort(self) -> None:
         """Reset the connection, which ends the peer's work on it."""
-        if not self._is_lost and self.transport is not None:
-            self.transport.abortConnection()
+        if not self._is_lost and self._transport is not None:
+            reset(self._transport)
 
     def close(self) -> None:
         """Close the connection."""
-        if not self._is_lost and self.transport is not None:
-            self.transport.loseConnection()
+        if not self._is_lost and self._transport is not None:
+            self._transport.close()
 
     def send(self, request: Request) -> None:
         """Write a whole request."""
@@ -141,7 +147,7 @@
         if request.body:
             data += self._parser.send(h11.Data(data=request.body))
         data += self._parser.send(h11.EndOfMessage())
-        self.transport.write(data)
+        self._transport.write(data)
 
     async def read_head(self) -> AnswerHead:
         """Wait for the head of the answer; raise `AnswerBrokenError` when none comes."""
@@ -224,52 +230,18 @@
             self._waiter.set_result(None)
 
 
-async def connect(reactor: Any, address: Address, timeout_s: float) -> ClientConnection:
+async def connect(address: Address, timeout_s: float) -> ClientConnection:
     """Open a connection; raise `ConnectFailedError` when none stands in time."""
-    made = asyncio.get_running_loop().create_future()
-    connector = reactor.connectTCP(
-        address.host, address.port, _ConnectFactory(made), timeout=max(timeout_s, 0.001)
-    )
+    loop = asyncio.get_running_loop()
     try:
-        return await made
-    except asyncio.CancelledError:
-        connector.disconnect()
-        raise
-
-
-class _ConnectFactory(Factory):
-    """Tell how one attempt to connect ended."""
-
-    noisy = False
-
-    def __init__(self, made: asyncio.Future) -> None:
-        self._made = made
-
-    def doStart(self) -> None:  # noqa: N802
-        """Do nothing: there is nothing to share between connections."""
-
-    def doStop(self) -> None:  # noqa: N802
-        """Do nothing."""
-
-    def startedConnecting(self, connector: Any) -> None:  # noqa: N802
-        """Do nothing: the outcome comes later."""
-
-    def buildProtocol(self, address: Any) -> ClientConnection | None:  # noqa: N802
-        """Hand the new connection over."""
-        connection = ClientConnection()
-        connection.factory = self
-        if self._made.done():
-            return None
-        self._made.set_result(connection)
-        return connection
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
-        """Say why there is no connection."""
-        if not self._made.done():
-            self._made.set_exception(ConnectFailedError(reason.type.__name__))
-
-    def clientConnectionLost(self, connector: Any, reason: Any) -> None:  # noqa: N802
-        """Do nothing: the connection tells its user itself."""
+        async with asyncio.timeout(max(timeout_s, 0.001)):
+            _, connection = await loop.create_connection(
+                ClientConnection, address.host, address.port
+            )
+    except OSError as error:
+        # `TimeoutError` is one of them.
+        raise ConnectFailedError(type(error).__name__) from error
+    return connection
 
 
 async def fetch(connection: ClientConnection, request: Request, limit_bytes: int) -> Answer:
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -6,17 +6,16 @@
 """
 
 import asyncio
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import h11
 from loguru import logger
-from twisted.internet.defer import maybeDeferred
-from twisted.internet.protocol import Factory, Protocol
 
-from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
+from damaskwind.runtime.http1.transports import reset
 
 __all__ = ["Exchange", "HttpServer", "ServerLimits", "answer_headers"]
 
@@ -65,11 +64,10 @@
         self._connection = connection
 
     def respond(self, answer: Answer, close: bool = False) -> None:
-        """Send a whole answer."""
-        self.begin(answer.status, answer_headers(answer.headers, answer.body), close)
-        if answer.body:
-            self.write(answer.body)
-        self.finish()
+        """Send a whole answer, in one write: each is a call of the system and a packet."""
+        self.has_begun = True
+        self.is_finished = True
+        self._connection.send_whole(answer, close)
 
     def begin(self, status: int, headers: Headers, close: bool = False) -> None:
         """Send the head; without a length the body goes in chunks."""
@@ -78,7 +76,7 @@
 
     def write(self, data: bytes) -> None:
         """Send a piece of the body at once."""
-        self._connection.send_event(h11.Data(data=data))
+        self._connection.send_data(data)
 
     async def drained(self) -> None:
         """Wait until the caller has taken most of what was written."""
@@ -94,11 +92,12 @@
         self._connection.abort()
 
 
-class _ServerProtocol(Protocol):
+class _ServerProtocol(asyncio.Protocol):
     """One caller's connection."""
 
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
+        self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
         )
@@ -107,7 +106,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._task: asyncio.Task | None = None
-        self._timer: Any = None
+        self._timer: asyncio.TimerHandle | None = None
         self._room: asyncio.Future | None = None
         self._is_paused = False
         self._is_lost = False
@@ -119,14 +118,14 @@
         """Tell whether no request is being read or answered."""
         return self._task is None and self._head is None and not self._has_partial_head
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connection_made(self, transport: asyncio.Transport) -> None:
         """Start to wait for the first request."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
         self._wait(self._server.limits.idle_timeout_s)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def data_received(self, data: bytes) -> None:
         """Take bytes; those behind the present request wait for its answer."""
         self._parser.receive_data(data)
         if self._task is None:
@@ -135,7 +134,12 @@
                 self._wait(self._server.limits.header_timeout_s)
             self._read()
 
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+    def eof_received(self) -> bool:
+        """Drop what the caller, who has left, did not take."""
+        self._transport.abort()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
         """Stop whatever works for this caller."""
         self._is_lost = True
         self._stop_timer()
@@ -144,18 +148,14 @@
         if self._task is not None:
             self._task.cancel()
 
-    def pauseProducing(self) -> None:  # noqa: N802
+    def pause_writing(self) -> None:
         """Note that the transport's buffer is full."""
         self._is_paused = True
 
-    def resumeProducing(self) -> None:  # noqa: N802
+    def resume_writing(self) -> None:
         """Note that the transport takes bytes again."""
         self._resume()
 
-    def stopProducing(self) -> None:  # noqa: N802
-        """Note that the transport takes nothing any more."""
-        self._resume()
-
     def _resume(self) -> None:
         self._is_paused = False
         if self._room is not None and not self._room.done():
@@ -170,26 +170,26 @@
     def close_if_idle(self) -> None:
         """Close a kept connection that carries no request."""
         if self.is_idle:
-            self.transport.loseConnection()
+            self._transport.close()
 
     def abort(self) -> None:
         """Reset the connection."""
         self._server.connections.discard(self)
-        self.transport.abortConnection()
+        reset(self._transport)
 
     def _wait(self, limit_s: float) -> None:
         self._stop_timer()
-        self._timer = self._server.reactor.callLater(limit_s, self._timed_out)
+        self._timer = asyncio.get_running_loop().call_later(limit_s, self._timed_out)
 
     def _stop_timer(self) -> None:
-        if self._timer is not None and self._timer.active():
+        if self._timer is not None:
             self._timer.cancel()
         self._timer = None
 
     def _timed_out(self) -> None:
         """Close an idle connection; tell a caller that is too slow."""
         if self.is_idle:
-            self.transport.loseConnection()
+            self._transport.close()
             return
         self._refuse(408)
 
@@ -217,7 +217,7 @@
             self._body, self._body_bytes = [], 0
             self._wait(self._server.limits.idle_timeout_s)
             if self._parser.they_are_waiting_for_100_continue:
-                self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+                self._send(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
             self._body.append(bytes(event.data))
             self._body_bytes += len(event.data)
@@ -271,11 +271,11 @@
         self._head = None
         self._has_partial_head = False
         if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
-            self.transport.loseConnection()
+            self._transport.close()
             return
         self._parser.start_next_cycle()
         if self._server.is_closing:
-            self.transport.loseConnection()
+            self._transport.close()
             return
         self._wait(self._server.limits.idle_timeout_s)
         self._read()
@@ -284,51 +284,65 @@
         """Answer a request that could not be read, and close."""
         self._stop_timer()
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.send_head(status, [(b"content-length", b"0")], True)
-            self.send_event(h11.EndOfMessage())
-        self.transport.loseConnection()
+            self.send_whole(Answer(status, []), True)
+        self._transport.close()
 
     def send_head(self, status: int, headers: Headers, close: bool) -> None:
         """Send the status line and headers."""
+        self._send(self._head_event(status, headers, close))
+
+    def send_whole(self, answer: Answer, close: bool) -> None:
+        """Send an answer from its head to its end."""
+        headers = answer_headers(answer.headers, answer.body)
+        head = self._head_event(answer.status, headers, close)
+        body = [h11.Data(data=answer.body)] if answer.body else []
+        self._send(head, *body, h11.EndOfMessage())
+
+    def _head_event(self, status: int, headers: Headers, close: bool) -> h11.Response:
+        """Return the head, with what it says of the connection's future."""
         if close or self._server.is_closing:
             headers = [*headers, (b"connection", b"close")]
         elif self._server.limits.idle_timeout_s >= 1:
             idle_s = int(self._server.limits.idle_timeout_s)
             headers = [*headers, (b"keep-alive", b"timeout=%d" % idle_s)]
-        self.send_event(h11.Response(status_code=status, headers=headers))
+        return h11.Response(status_code=status, headers=headers)
 
-    def send_event(self, event: Any) -> None:
-        """Write an event unless the caller has left."""
-        if self._is_lost:
-            return
-        data = self._parser.send(event)
-        if data:
-            self.transport.write(data)
+    def send_data(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        self._send(h11.Data(data=data))
 
     def finish_answer(self) -> None:
         """End the answer."""
-        self.send_event(h11.EndOfMessage())
+        self._send(h11.EndOfMessage())
+
+    def _send(self, *events: Any) -> None:
+        """Write events together unless the caller has left."""
+        if self._is_lost:
+            return
+        data = b"".join(self._parser.send(event) or b"" for event in events)
+        if data:
+            self._transport.write(data)
 
 
 class HttpServer:
     """All connections of one listening address."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits, reactor: Any) -> None:
+    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
         self.handler = handler
         self.limits = limits
-        self.reactor = reactor
         self.connections: set[_ServerProtocol] = set()
         self.active = 0
         self.is_closing = False
-        self._port: Any = None
+        self._opening: asyncio.Future[asyncio.Server] | None = None
         self._quiet: asyncio.Event = asyncio.Event()
 
     def listen(self, host: str, port: int, backlog: int = 512) -> int:
         """Open the socket and return its port."""
-        factory = Factory.forProtocol(lambda: _ServerProtocol(self))
-        factory.noisy = False
-        self._port = self.reactor.listenTCP(port, factory, interface=host, backlog=backlog)
-        return self._port.getHost().port
+        listener = socket.create_server((host, port), backlog=backlog)
+        loop = asyncio.get_running_loop()
+        serving = loop.create_server(lambda: _ServerProtocol(self), sock=listener, backlog=backlog)
+        self._opening = asyncio.ensure_future(serving)
+        return listener.getsockname()[1]
 
     def note_end(self) -> None:
         """Wake whoever waits for the last request to end."""
@@ -346,9 +360,9 @@
 
     async def stop_listening(self) -> None:
         """Take no new connections, and wait until the socket is closed."""
-        port, self._port = self._port, None
-        if port is not None:
-            await to_future(maybeDeferred(port.stopListening))
+        opening, self._opening = self._opening, None
+        if opening is not None:
+            (await opening).close()
 
     async def wait_until_quiet(self, limit_s: float) -> bool:
         """Wait until no request is being answered; tell whether that came in time."""
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_client.py
@@ -4,7 +4,6 @@
 import socket
 import struct
 
-from twisted.internet import reactor
 from twisted.trial.unittest import TestCase
 
 from damaskwind.model.targets import Address
@@ -33,7 +32,7 @@
     async def open(self):
         loop = asyncio.get_running_loop()
         accepting = asyncio.ensure_future(loop.sock_accept(self.listener))
-        connection = await connect(reactor, self.address, 1.0)
+        connection = await connect(self.address, 1.0)
         peer, _ = await accepting
         peer.setblocking(False)
         self.addCleanup(peer.close)
@@ -121,4 +120,4 @@
     async def test_refused_connection_carried_nothing(self):
         self.listener.close()
         with self.assertRaises(ConnectFailedError):
-            await connect(reactor, self.address, 1.0)
+            await connect(self.address, 1.0)
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_server.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-from twisted.internet import reactor
 from twisted.trial.unittest import TestCase
 
 from damaskwind.runtime.bridge import asyncio_test, to_deferred
@@ -17,11 +16,14 @@
     timeout = 20
 
     def setUp(self):
+        return to_deferred(self.start())
+
+    async def start(self):
         self.requests = []
         self.cancelled = 0
         self.hold = asyncio.Event()
         self.limits = ServerLimits(1024, 100, 0.3, 0.4)
-        self.server = HttpServer(self.handle, self.limits, reactor)
+        self.server = HttpServer(self.handle, self.limits)
         self.port = self.server.listen("127.0.0.1", 0)
         self.addCleanup(lambda: to_deferred(self.finish()))
 
--- a/packages/runtime/src/damaskwind/runtime/lifecycle.py
+++ b/packages/runtime/src/damaskwind/runtime/lifecycle.py
@@ -9,7 +9,14 @@
 
 from damaskwind.runtime.reactor import install_reactor
 
-__all__ = ["EXIT_FAILED", "EXIT_FINE", "RunningProcess", "run_on_reactor", "serve_until_signal"]
+__all__ = [
+    "EXIT_FAILED",
+    "EXIT_FINE",
+    "RunningProcess",
+    "run_on_loop",
+    "run_on_reactor",
+    "serve_until_signal",
+]
 
 EXIT_FINE = 0
 EXIT_FAILED = 1
@@ -63,6 +70,19 @@
     return await failed
 
 
+def run_on_loop(main_task: Callable[[], Awaitable[int]]) -> int:
+    """Run a coroutine on a loop of asyncio's own and return its exit code."""
+
+    async def run() -> int:
+        try:
+            return await main_task()
+        except Exception as error:
+            logger.opt(exception=error).error("daemon failed")
+            return EXIT_FAILED
+
+    return asyncio.run(run())
+
+
 def run_on_reactor(main_task: Callable[[], Awaitable[int]]) -> int:
     """Run a coroutine on the reactor's loop and return its exit code."""
     reactor = install_reactor()
--- a/packages/runtime/src/damaskwind/runtime/metrics_site.py
+++ b/packages/runtime/src/damaskwind/runtime/metrics_site.py
@@ -1,7 +1,6 @@
 """Serve a process's metrics as text."""
 
 import asyncio
-from typing import Any
 
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
@@ -16,9 +15,9 @@
 class MetricsSite:
     """The server behind the metrics address."""
 
-    def __init__(self, tallies: Tallies, reactor: Any) -> None:
+    def __init__(self, tallies: Tallies) -> None:
         self._tallies = tallies
-        self._server = HttpServer(self._answer, ServerLimits(idle_timeout_s=30.0), reactor)
+        self._server = HttpServer(self._answer, ServerLimits(idle_timeout_s=30.0))
 
     def listen(self, host: str, port: int) -> int:
         """Open the socket and return its port."""
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 from random import Random
-from typing import Any, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 from loguru import logger
 
@@ -89,7 +89,6 @@
         kind: str,
         address: Address,
         subscriber: Subscriber,
-        reactor: Any,
         random: Random,
         timing: NewsTiming = DEFAULT_TIMING,
         clock: Callable[[], float] = time.monotonic,
@@ -100,7 +99,6 @@
         self._node_id = node_id
         self._kind = kind
         self._subscriber = subscriber
-        self._reactor = reactor
         self._random = random
         self._timing = timing
         self._clock = clock
@@ -140,7 +138,7 @@
 
     async def _follow(self) -> None:
         """Ask on one connection until it fails."""
-        connection = await connect(self._reactor, self.address, self._timing.connect_s)
+        connection = await connect(self.address, self._timing.connect_s)
         try:
             while True:
                 await self._ask(connection)
