Router: what is believed of the targets is a module of its own; no behaviour changes

The seven beliefs that forwarder.py held go to forwarding/target_beliefs.py: observations in, candidates out. A test that called forwarder.forget calls beliefs.forget.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -14,10 +14,9 @@
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.call import Call, target_headers
-from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.delivery import Delivery
-from damaskwind.router.forwarding.target_activity import TargetActivity
-from damaskwind.router.forwarding.target_load import LoadEstimator, parse_target_load
+from damaskwind.router.forwarding.target_beliefs import TargetBeliefs
+from damaskwind.router.forwarding.target_load import parse_target_load
 from damaskwind.runtime.http1.client import (
     AnswerBrokenError,
     AnswerHead,
@@ -95,13 +94,11 @@
     `on_first` is told how long each answer took to begin.
     """
 
-    def __init__(
-        self, connections: TargetConnections, loads: LoadEstimator, names: HeaderNames
-    ) -> None:
-        self.connections = connections
-        self.activity = TargetActivity()
+    def __init__(self, beliefs: TargetBeliefs, names: HeaderNames) -> None:
+        self.connections = beliefs.connections
+        self.activity = beliefs.activity
         self.on_first: Callable[[Call, str, float], None] = _note_nothing
-        self._loads = loads
+        self._loads = beliefs.loads
         self._names = names
 
     async def send(
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -6,13 +6,8 @@
 
 from loguru import logger
 
-from damaskwind.decisions.health.circuit import HealthPolicy
-from damaskwind.decisions.health.ejection import PoolHealth
-from damaskwind.decisions.health.pace import PoolPace
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import (
     AffinityPolicy,
-    Candidate,
     choose_target,
 )
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
@@ -23,16 +18,13 @@
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.fleet_view import FleetView
-from damaskwind.router.forwarding.target_load import LoadEstimator
+from damaskwind.router.forwarding.target_beliefs import SendEnded, TargetBeliefs
 from damaskwind.runtime.http1.messages import Answer, header
 from damaskwind.runtime.http1.server import Exchange
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["Forwarder"]
 
-# A target that refused is left alone so long, unless there is no other: about as
-# long as a queue of short requests takes to shrink.
-BUSY_S = 0.1
 # A caller that is refused comes back after this part of its objective: early
 # enough to be served within it, late enough that a place may be free.
 RETURN_OBJECTIVES = 0.3
@@ -46,9 +38,17 @@
 # Targets that a request may find unreachable, at 0.3 s each, before it is refused.
 UNREACHED_MOST = 3
 
+
 _ROUTING_STATUS = {RoutingReason.NO_ROUTE: 404, RoutingReason.UNKNOWN_KEY: 401}
 
 
+def _as_seen(outcome: AttemptOutcome) -> SendEnded:
+    """Return what an outcome says of the target."""
+    was_refused = outcome.end is AttemptEnd.NOT_RUN and outcome.was_reached
+    is_good = outcome.end is AttemptEnd.DELIVERED
+    return SendEnded(is_good, outcome.was_reached, was_refused, outcome.is_displaced)
+
+
 class Forwarder:
     """The handler behind a router's address for callers.
 
@@ -68,33 +68,17 @@
         started_s: float | None = None,
     ) -> None:
         self.view = view
-        self.loads = LoadEstimator()
+        self.beliefs = TargetBeliefs(view, connections, heartbeat_s, random)
         self.tallies = Tallies()
         self._names = names
         self._failure_domain = failure_domain
         self._terms = budget_terms
-        self._heartbeat_s = heartbeat_s
         self._random = random
         self._policy = AffinityPolicy()
-        self._sender = AttemptSender(connections, self.loads, names)
+        self._sender = AttemptSender(self.beliefs, names)
         self._sender.on_first = self._note_first
         self._budgets: dict[str, SharedRetryBudget] = {}
-        self._health: dict[str, PoolHealth] = {}
-        self._paces: dict[str, PoolPace] = {}
-        self._avoided_until_s: dict[str, float] = {}
-        self._displaced_s: dict[str, float] = {}
         self._started_s = time.monotonic() if started_s is None else started_s
-        view.on_gone.append(self.forget)
-
-    def forget(self, target_id: str) -> None:
-        """Drop what was learned of a target that is gone."""
-        self.loads.forget(target_id)
-        self._avoided_until_s.pop(target_id, None)
-        self._displaced_s.pop(target_id, None)
-        self._sender.activity.forget(target_id)
-        self._sender.connections.forget(target_id)
-        for pace in self._paces.values():
-            pace.forget(target_id)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -169,11 +153,10 @@
         """Send to one target and note how it went."""
         target, choice = placed.target, placed.choice
         begun_s = time.monotonic()
-        load_age_s = self.loads.report_age_s(target.target_id, begun_s)
+        load_age_s = self.beliefs.loads.report_age_s(target.target_id, begun_s)
         call.sends += 1
         call.tried.add(target.target_id)
-        health = self._pool_health(call.service)
-        health.note_sent(target.target_id, begun_s)
+        self.beliefs.note_sent(target, begun_s)
         may_move = call.route.may_repeat and call.sends < call.route.max_attempts
         # Until the outcome is known, the request may be running.
         before, call.may_have_run = call.may_have_run, True
@@ -205,45 +188,28 @@
             call.silent_domains.add(target.failure_domain)
         if outcome.end is AttemptEnd.NOT_RUN:
             call.may_have_run = before
-        self._learn(call, target, outcome, now_s)
+        self.beliefs.note_ended(target, _as_seen(outcome), now_s)
         return outcome
 
     def _note_first(self, call: Call, target_id: str, first_s: float) -> None:
         """Take how long a target's answer took to begin."""
         self.tallies.observe("first_piece", first_s, kind=call.route.kind.value)
         part = first_s / call.route.objective_s
-        self._pool_pace(call.service).observe(target_id, part, time.monotonic())
-
-    def _learn(
-        self, call: Call, target: TargetRecord, outcome: AttemptOutcome, now_s: float
-    ) -> None:
-        """Take what an outcome says of the target."""
-        target_id = target.target_id
-        if outcome.is_displaced:
-            self._displaced_s[target_id] = now_s
-            logger.warning("target displaced", target=target_id, address=str(target.address))
-        if outcome.end is AttemptEnd.NOT_RUN:
-            if outcome.was_reached:
-                self._avoided_until_s[target_id] = now_s + BUSY_S
-                return
-            self._sender.connections.watch(target_id, target.address)
-        is_good = outcome.end is AttemptEnd.DELIVERED
-        self._pool_health(call.service).observe(target_id, is_good, now_s, self._random)
+        self.beliefs.note_begun(call.service, target_id, part, time.monotonic())
 
     def _place(self, call: Call) -> Placed | None:
         """Choose the next target for a request."""
         now_s = time.monotonic()
         records = {
-            record.target_id: record
-            for record in self.view.present(call.service)
-            if record.target_id not in call.tried
+            target_id: record
+            for target_id, record in self.beliefs.present(call.service).items()
+            if target_id not in call.tried
         }
-        if self._are_all_unreachable(records, call):
+        if self.beliefs.are_all_unreachable(records, bool(call.unreached)):
             return None
-        health = self._pool_health(call.service)
         is_engine = call.key is not None
         candidates = [
-            self._candidate(record, health, now_s, is_engine) for record in records.values()
+            self.beliefs.candidate(record, now_s, is_engine) for record in records.values()
         ]
         # What hid one target of another failure domain from it hides the rest.
         cut_off = call.silent_domains - {self._failure_domain}
@@ -261,67 +227,6 @@
         target = records[choice.candidate.target_id]
         return Placed(target, choice, donor.address if donor else None)
 
-    def _are_all_unreachable(self, records: dict[str, TargetRecord], call: Call) -> bool:
-        """Tell whether sending would only wait for connections that don't come about.
-
-        Unreachable targets are tried every 0.4 s without a request, which would
-        wait 0.3 s for each. A lone one still gets one try of each request: one lost
-        packet is no sign that it is gone.
-        """
-        serving = [
-            target_id
-            for target_id, record in records.items()
-            if record.phase is TargetPhase.SERVING
-        ]
-        has_a_try = len(serving) == 1 and not call.unreached
-        is_unreachable = self._sender.connections.is_unreachable
-        return not has_a_try and all(is_unreachable(target_id) for target_id in serving)
-
-    def _candidate(
-        self, record: TargetRecord, health: PoolHealth, now_s: float, is_engine: bool
-    ) -> Candidate:
-        """Describe a target as placement sees it."""
-        target_id = record.target_id
-        is_doubtful = (
-            self._avoided_until_s.get(target_id, 0.0) > now_s
-            or self._sender.connections.is_unreachable(target_id)
-            or self._sender.activity.is_dark(target_id, now_s, is_engine)
-            or self.view.is_silent(target_id, now_s)
-            or self._is_displaced(target_id)
-            or not health.may_send(target_id, now_s, self._random)
-        )
-        return Candidate(
-            target_id,
-            record.failure_domain,
-            self.loads.estimate(target_id, self.view.routers, now_s),
-            record.slots,
-            is_doubtful,
-            record.phase is TargetPhase.SERVING,
-            self.view.targets.age_s(target_id, now_s, self._heartbeat_s),
-            self._pool_pace(record.service).is_slow(target_id, now_s),
-        )
-
-    def _is_displaced(self, target_id: str) -> bool:
-        """Tell whether another target answers at its address, and it was not heard since."""
-        displaced_s = self._displaced_s.get(target_id)
-        return displaced_s is not None and self.view.targets.heard_s(target_id) < displaced_s
-
-    def _pool_health(self, service: str) -> PoolHealth:
-        """Return the health of a service's targets, brought up to who serves now."""
-        health = self._health.get(service)
-        if health is None:
-            health = self._health[service] = PoolHealth(HealthPolicy(ejection_base_s=1.0))
-        ids = [record.target_id for record in self.view.serving(service)]
-        health.set_targets(ids, time.monotonic())
-        return health
-
-    def _pool_pace(self, service: str) -> PoolPace:
-        """Return the pace of a service's targets."""
-        pace = self._paces.get(service)
-        if pace is None:
-            pace = self._paces[service] = PoolPace()
-        return pace
-
     def _budget(self, service: str) -> SharedRetryBudget:
         """Return this router's retry budget for a service."""
         budget = self._budgets.get(service)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -0,0 +1,161 @@
+"""What one router believes of the targets: one place for all that it has observed.
+
+Observations go in (sends, answers, ends, words of load, losses), candidates come out.
+Nothing here sends, waits or decides where a request goes.
+"""
+
+from random import Random
+from typing import NamedTuple
+
+from loguru import logger
+
+from damaskwind.decisions.health.circuit import HealthPolicy
+from damaskwind.decisions.health.ejection import PoolHealth
+from damaskwind.decisions.health.pace import PoolPace
+from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.placement.affinity import Candidate
+from damaskwind.router.forwarding.connections import TargetConnections
+from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.target_activity import TargetActivity
+from damaskwind.router.forwarding.target_load import LoadEstimator
+
+__all__ = ["SendEnded", "TargetBeliefs"]
+
+# A target that refused is left alone so long, unless there is no other: about as
+# long as a queue of short requests takes to shrink.
+BUSY_S = 0.1
+EJECTION_S = 1.0
+
+
+class SendEnded(NamedTuple):
+    """How one send ended, as far as it says something of the target.
+
+    `was_refused` is the target's own word that it did not run the request,
+    `was_reached` that a connection to it stood, `is_displaced` that another
+    target answered at its address.
+    """
+
+    is_good: bool
+    was_reached: bool = True
+    was_refused: bool = False
+    is_displaced: bool = False
+
+
+class TargetBeliefs:
+    """The beliefs of one router; targets that are gone are forgotten."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        connections: TargetConnections,
+        heartbeat_s: float,
+        random: Random,
+    ) -> None:
+        self.view = view
+        self.connections = connections
+        self.loads = LoadEstimator()
+        self.activity = TargetActivity()
+        self._heartbeat_s = heartbeat_s
+        self._random = random
+        self._health: dict[str, PoolHealth] = {}
+        self._paces: dict[str, PoolPace] = {}
+        self._avoided_until_s: dict[str, float] = {}
+        self._displaced_s: dict[str, float] = {}
+        view.on_gone.append(self.forget)
+
+    def forget(self, target_id: str) -> None:
+        """Drop what was learned of a target that is gone."""
+        self.loads.forget(target_id)
+        self._avoided_until_s.pop(target_id, None)
+        self._displaced_s.pop(target_id, None)
+        self.activity.forget(target_id)
+        self.connections.forget(target_id)
+        for pace in self._paces.values():
+            pace.forget(target_id)
+
+    def note_sent(self, target: TargetRecord, now_s: float) -> None:
+        """Note that a request is being sent."""
+        self._pool_health(target.service, now_s).note_sent(target.target_id, now_s)
+
+    def note_begun(self, service: str, target_id: str, part: float, now_s: float) -> None:
+        """Note that an answer began after this part of its objective."""
+        self._pool_pace(service).observe(target_id, part, now_s)
+
+    def note_ended(self, target: TargetRecord, ended: SendEnded, now_s: float) -> None:
+        """Take what the end of a send says of the target."""
+        target_id = target.target_id
+        if ended.is_displaced:
+            self._displaced_s[target_id] = now_s
+            logger.warning("target displaced", target=target_id, address=str(target.address))
+        if ended.was_refused:
+            self._avoided_until_s[target_id] = now_s + BUSY_S
+            return
+        if not ended.was_reached:
+            self.connections.watch(target_id, target.address)
+        health = self._pool_health(target.service, now_s)
+        health.observe(target_id, ended.is_good, now_s, self._random)
+
+    def present(self, service: str) -> dict[str, TargetRecord]:
+        """Return the targets of a service that take work or still finish theirs, by id."""
+        return {record.target_id: record for record in self.view.present(service)}
+
+    def are_all_unreachable(self, records: dict[str, TargetRecord], has_tried: bool) -> bool:
+        """Tell whether sending would only wait for connections that don't come about.
+
+        Unreachable targets are tried every 0.4 s without a request, which would
+        wait 0.3 s for each. A lone one still gets one try of each request: one lost
+        packet is no sign that it is gone.
+        """
+        serving = [
+            target_id
+            for target_id, record in records.items()
+            if record.phase is TargetPhase.SERVING
+        ]
+        has_a_try = len(serving) == 1 and not has_tried
+        is_unreachable = self.connections.is_unreachable
+        return not has_a_try and all(is_unreachable(target_id) for target_id in serving)
+
+    def candidate(self, record: TargetRecord, now_s: float, is_engine: bool) -> Candidate:
+        """Describe a target as placement sees it."""
+        target_id = record.target_id
+        health = self._pool_health(record.service, now_s)
+        is_doubtful = (
+            self._avoided_until_s.get(target_id, 0.0) > now_s
+            or self.connections.is_unreachable(target_id)
+            or self.activity.is_dark(target_id, now_s, is_engine)
+            or self.view.is_silent(target_id, now_s)
+            or self._is_displaced(target_id)
+            or not health.may_send(target_id, now_s, self._random)
+        )
+        return Candidate(
+            target_id,
+            record.failure_domain,
+            self.loads.estimate(target_id, self.view.routers, now_s),
+            record.slots,
+            is_doubtful,
+            record.phase is TargetPhase.SERVING,
+            self.view.targets.age_s(target_id, now_s, self._heartbeat_s),
+            self._pool_pace(record.service).is_slow(target_id, now_s),
+        )
+
+    def _is_displaced(self, target_id: str) -> bool:
+        """Tell whether another target answers at its address, and it was not heard since."""
+        displaced_s = self._displaced_s.get(target_id)
+        return displaced_s is not None and self.view.targets.heard_s(target_id) < displaced_s
+
+    def _pool_health(self, service: str, now_s: float) -> PoolHealth:
+        """Return the health of a service's targets, brought up to who serves now."""
+        health = self._health.get(service)
+        if health is None:
+            policy = HealthPolicy(ejection_base_s=EJECTION_S)
+            health = self._health[service] = PoolHealth(policy)
+        ids = [record.target_id for record in self.view.serving(service)]
+        health.set_targets(ids, now_s)
+        return health
+
+    def _pool_pace(self, service: str) -> PoolPace:
+        """Return the pace of a service's targets."""
+        pace = self._paces.get(service)
+        if pace is None:
+            pace = self._paces[service] = PoolPace()
+        return pace
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -327,9 +327,9 @@
     async def test_one_unreachable_target_speaks_for_its_failure_domain(self):
         self.publish(route(RouteKind.NON_IDEMPOTENT, max_attempts=1))
         for number in range(12):
-            self.forwarder.forget("far0")
-            self.forwarder.forget("far1")
-            self.forwarder.forget("far2")
+            self.forwarder.beliefs.forget("far0")
+            self.forwarder.beliefs.forget("far1")
+            self.forwarder.beliefs.forget("far2")
             answer = await self.call(request_id=b"r%d" % number)
             self.assertEqual(answer.status, 200)
         self.assertEqual(len(self.received()), 12)
