Replicas vote as the losses to bear ask: 2t+1, the others learn; none acknowledges before

Cause: every replica voted. The first acknowledgement waited for three voters only, where two disks may go at once. Three replicas of which one may be lost: as before.

--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -77,11 +77,16 @@
 
     @property
     def bears_a_loss(self) -> bool:
-        """Tell whether as many replicas vote as the settings first name, three at most."""
+        """Tell whether so many replicas vote that what is confirmed outlives the losses.
+
+        Without a number of losses to bear, it is as many as the settings first
+        name, three at most.
+        """
         if self._node is None:
             return False
         voters = self._node.replica.core.membership.voters
-        return len(voters) >= min(LEAST_VOTERS, len(self._settings.seed_hosts))
+        fewest = min(LEAST_VOTERS, len(self._settings.seed_hosts))
+        return len(voters) >= (self._settings.wanted_voters or fewest)
 
     def hosts(self) -> tuple[str, ...]:
         """Return the hosts of all replicas that the log names; their ids are their hosts."""
@@ -160,6 +165,8 @@
             may_found=settings.may_found,
             joins_unlisted=True,
             replace_after_s=REPLACE_AFTER_S,
+            least_voters=settings.wanted_voters or LEAST_VOTERS,
+            most_voters=settings.wanted_voters or float("inf"),
         )
 
     async def _close_once(self) -> None:
--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -9,6 +9,8 @@
     """Where a replica listens, what it keeps, and whom it may ask first.
 
     `seed_hosts` are the IP numbers of some replicas; ports are the same on all.
+    With `tolerated_losses` so many replicas may be lost at once, with their disks;
+    without, every replica votes and the loss of one is borne.
     """
 
     node_id: str
@@ -24,3 +26,9 @@
     metrics_port: int = 0
     cluster: str = "fleet"
     cluster_key: str = "fleet"
+    tolerated_losses: int | None = None
+
+    @property
+    def wanted_voters(self) -> int | None:
+        """Return how many replicas vote: a majority has to outlive the losses."""
+        return None if self.tolerated_losses is None else 2 * self.tolerated_losses + 1
--- a/packages/decisions/src/damaskwind/decisions/replication/membership.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/membership.py
@@ -95,6 +95,7 @@
     silent: Callable[[Member], bool] = lambda voter: False,
     lost: Callable[[Member], bool] = lambda voter: False,
     least_voters: int = 3,
+    most_voters: float = float("inf"),
 ) -> MembershipChange | None:
     """Return the next step that brings a caught-up learner in or a lost voter out.
 
@@ -102,6 +103,7 @@
     that one removed: its disk is gone, and while it counts it only raises the
     majority. A learner of another replica takes the place of a `silent` voter.
     A `lost` voter goes without a successor while more than `least_voters` stay.
+    No learner is promoted beyond `most_voters`.
     """
     voters = membership.voters
     for learner in membership.learners:
@@ -111,7 +113,8 @@
         replaced = former or [voter for voter in voters if silent(voter)]
         if replaced and len(voters) > 1:
             return MembershipChange(ChangeKind.REMOVE, replaced[0])
-        return MembershipChange(ChangeKind.PROMOTE, learner)
+        if len(voters) < most_voters:
+            return MembershipChange(ChangeKind.PROMOTE, learner)
     surplus = [voter for voter in voters if lost(voter)]
     if surplus and len(voters) > least_voters:
         return MembershipChange(ChangeKind.REMOVE, surplus[0])
--- a/packages/decisions/src/damaskwind/decisions/replication/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/messages.py
@@ -131,7 +131,9 @@
 
     A voter that was silent for `replace_after_s` gives its place to a learner
     that has caught up; after twice as long it is removed while more than
-    `least_voters` are there. By default only operators remove voters.
+    `least_voters` are there. By default only operators remove voters. Learners
+    beyond `most_voters` stay learners: an even number of voters bears no more
+    losses than one less, but needs one more answer for each commit and election.
     """
 
     heartbeat_s: float = 0.25
@@ -144,6 +146,7 @@
     max_batch_entries: int = 256
     replace_after_s: float = float("inf")
     least_voters: int = 3
+    most_voters: float = float("inf")
 
 
 class PreVoteRequest(NamedTuple):
--- a/packages/decisions/src/damaskwind/decisions/replication/requests.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/requests.py
@@ -84,6 +84,7 @@
         lambda voter: _silent_s(replica, leadership, voter) > limit_s,
         lambda voter: _silent_s(replica, leadership, voter) > 2 * limit_s,
         replica.timing.least_voters,
+        replica.timing.most_voters,
     )
     if change is not None:
         _append_change(replica, change, None)
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_membership.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_membership.py
@@ -56,6 +56,22 @@
         membership = Membership((A, B, C))
         self.assertIsNone(next_repair(membership, lambda m: True, lambda v: v == C))
 
+    def test_learners_beyond_the_wanted_voters_stay_learners(self) -> None:
+        newcomer = Member("d", "d1")
+        membership = Membership((A, B, C), (newcomer,))
+        self.assertIsNone(next_repair(membership, lambda m: True, most_voters=3))
+        removal = next_repair(membership, lambda m: True, lambda v: v == C, most_voters=3)
+        self.assertEqual(removal, MembershipChange(ChangeKind.REMOVE, C))
+        changed = apply_change(membership, removal)
+        promotion = next_repair(changed, lambda m: True, most_voters=3)
+        self.assertEqual(promotion, MembershipChange(ChangeKind.PROMOTE, newcomer))
+
+    def test_second_learner_replaces_a_lost_disk_where_the_first_has_no_room(self) -> None:
+        newcomer = Member("d", "d1")
+        membership = Membership((A, B, C), (newcomer, NEW_C))
+        removal = next_repair(membership, lambda m: True, most_voters=3)
+        self.assertEqual(removal, MembershipChange(ChangeKind.REMOVE, C))
+
     def test_lost_voter_goes_only_while_enough_stay(self) -> None:
         def lost(voter: Member) -> bool:
             return voter == C
--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -87,7 +87,8 @@
     one machine to the next. A replica that may not found a cluster only joins
     one; one that joins unlisted asks to be added though it is not among the
     bootstrap replicas, and again when it finds itself left out. A voter that
-    is silent for `replace_after_s` gives its place to a newcomer.
+    is silent for `replace_after_s` gives its place to a newcomer. At least
+    `least_voters` and at most `most_voters` replicas vote, once there are so many.
     """
 
     replica_address: str
@@ -104,6 +105,8 @@
     may_found: bool = True
     joins_unlisted: bool = False
     replace_after_s: float = float("inf")
+    least_voters: int = 3
+    most_voters: float = float("inf")
 
 
 class Settings(NamedTuple):
