Admission goes into the forwarding path: a window and a line for each target

Cause: nothing was decided under load. Change: decisions/admission (pure): a bound on what has not begun at each target, that follows the part of the objective that answers take to begin, overdue ones at once; a short line by rank, account share, time; refusal as soon as a place in time is not to be expected; returns spread; those that came back keep to a fourth of the places while new ones are turned away. Tests: test_pool_admission replays surges; benchmarks/overload models engines and its tests replay surges of all kinds, of callers who return at once, and calm.

--- /dev/null
+++ b/benchmarks/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated surges: the decisions on waiting, rejecting and placing against modelled engines."""
--- /dev/null
+++ b/benchmarks/overload/__main__.py
@@ -0,0 +1,127 @@
+"""Play surges against modelled engines, by policy, and print what was served in time.
+
+`python -m benchmarks.overload --seeds 1,2,3` prints a row for each pattern, load and
+policy. `mark` is an upper bound that no schedule reaches: the most value of what came
+in each half second of the surge that the engines' time would suffice for, with all
+shared parts kept, nothing failing and the future known.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from pathlib import Path
+from random import Random
+from statistics import mean
+
+import defopt
+
+from benchmarks.overload.engines import EngineFigures
+from benchmarks.overload.patterns import BEFORE_S, KINDS, PATTERNS, SURGE_S, Pattern, cost_s
+from benchmarks.overload.simulation import Simulation, Totals
+
+__all__ = ["main", "upper_mark"]
+
+POLICIES = {"as it comes": False, "admission": True}
+BUCKET_S = 0.5
+
+
+def capacity_per_s(engines: int) -> float:
+    """Return the requests a second that the engines can just serve."""
+    figures = EngineFigures()
+    per_request_s = sum(
+        kind.share * cost_s(kind, figures.step_per_run_s, figures.read_tokens_per_s)
+        for kind in KINDS
+    )
+    return engines / per_request_s
+
+
+def upper_mark(pattern: Pattern, engines: int) -> float:
+    """Return the value that the engines' time would suffice for in the surge."""
+    figures = EngineFigures()
+    buckets = defaultdict(list)
+    for arrival in pattern.arrivals:
+        if BEFORE_S <= arrival.at_s < BEFORE_S + SURGE_S:
+            buckets[int(arrival.at_s / BUCKET_S)].append(arrival.kind)
+    total = 0.0
+    for kinds in buckets.values():
+        left_s = (engines - pattern.lost_engines) * BUCKET_S
+        costs = [
+            (cost_s(kind, figures.step_per_run_s, figures.read_tokens_per_s), kind.value)
+            for kind in kinds
+        ]
+        for cost, value in sorted(costs, key=lambda item: item[1] / item[0], reverse=True):
+            if cost > left_s:
+                break
+            left_s -= cost
+            total += value
+    return total
+
+
+def play(name: str, times: float, policy: str, seed: int, routers: int) -> tuple[Totals, float]:
+    """Play one cell; return what it served and the upper mark."""
+    engines = 6
+    pattern = PATTERNS[name](capacity_per_s(engines), times, Random(seed))
+    simulation = Simulation(pattern, POLICIES[policy], seed, engines, routers)
+    return simulation.run(), upper_mark(pattern, engines)
+
+
+def _row(name: str, times: float, policy: str, plays: list[tuple[Totals, float]]) -> str:
+    parts = [totals.on_time_value / mark for totals, mark in plays]
+    totals = [item for item, _ in plays]
+    kinds = " ".join(
+        f"{kind.name} {mean(item.on_time_by_kind[kind.name] for item in totals):.2f}"
+        for kind in KINDS
+    )
+    asked = sum(item.asked for item in totals)
+    return (
+        f"{name:16} {times:3.0f} {policy:12} {mean(parts):5.2f} ({min(parts):.2f}-{max(parts):.2f})"
+        f"  {kinds}  in time/s {mean(item.on_time_per_s for item in totals):6.1f}"
+        f"  refused {sum(item.refused for item in totals) / asked:.3f}"
+        f"  left {sum(item.left_unanswered for item in totals) / asked:.3f}"
+        f"  slow refusals {mean(item.slow_refusals for item in totals):.3f}"
+        f"  read again {mean(item.read_again_tokens for item in totals) / 1000:.0f}k"
+    )
+
+
+def main(
+    *,
+    seeds: str = "1,2,3",
+    times: str = "1,2,4,8",
+    patterns: str = ",".join(PATTERNS),
+    routers: int = 8,
+    plot: str = "",
+) -> None:
+    """Print a table of what is served in time.
+
+    :param seeds: of the arrivals, with commas
+    :param times: loads of the surge, as multiples of the pool's capacity
+    :param patterns: names of load patterns
+    :param routers: that share the traffic
+    :param plot: file for a plot of value in time over load
+    """
+    drawn: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
+    for name in patterns.split(","):
+        for load in map(float, times.split(",")):
+            for policy in POLICIES:
+                plays = [play(name, load, policy, int(seed), routers) for seed in seeds.split(",")]
+                print(_row(name, load, policy, plays), flush=True)
+                part = mean(totals.on_time_value / mark for totals, mark in plays)
+                drawn[name, policy].append((load, part))
+    if plot:
+        _plot(drawn.items(), Path(plot))
+
+
+def _plot(lines: Iterable[tuple[tuple[str, str], list[tuple[float, float]]]], path: Path) -> None:
+    """Draw value in time, as a part of the mark, over load."""
+    from matplotlib import pyplot
+
+    for (name, policy), points in lines:
+        style = "-" if POLICIES[policy] else ":"
+        pyplot.plot(*zip(*points, strict=True), style, label=f"{name}, {policy}")
+    pyplot.xlabel("load in the surge, times the capacity")
+    pyplot.ylabel("value in time, part of the mark")
+    pyplot.legend(fontsize=6)
+    pyplot.savefig(path)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/benchmarks/overload/patterns.py
@@ -0,0 +1,123 @@
+"""Load patterns of a surge, by name: what comes, when, from whom, and which engines fail."""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+__all__ = ["KINDS", "Arrival", "Kind", "PATTERNS", "Pattern", "cost_s"]
+
+# Seconds of calm before the surge, of the surge, and after it.
+BEFORE_S, SURGE_S, AFTER_S = 6.0, 8.0, 6.0
+# The load outside the surge, of the pool's capacity.
+CALM = 0.35
+ACCOUNTS = 10
+
+
+class Kind(NamedTuple):
+    """A kind of request: rank 0 is the most urgent; the value is for one served in time."""
+
+    name: str
+    rank: int
+    share: float
+    objective_s: float
+    deadline_s: float
+    value: float
+    shared_tokens: int
+    own_tokens: int
+    out_tokens: int
+    subjects: int = 40
+
+
+KINDS = (
+    Kind("dispute", 0, 0.35, 0.8, 4.0, 2.1, 2_000, 360, 24),
+    Kind("digest", 1, 0.26, 1.0, 8.0, 4.1, 8_600, 580, 52),
+    Kind("chat", 2, 0.39, 0.6, 15.0, 0.44, 600, 110, 267),
+)
+
+
+class Arrival(NamedTuple):
+    """One request of a caller."""
+
+    at_s: float
+    kind: Kind
+    account: str
+    subject: int
+
+
+class Pattern(NamedTuple):
+    """What comes, the engines that fail with the surge, and whether callers obey."""
+
+    arrivals: list[Arrival]
+    lost_engines: int = 0
+    returns_at_once: bool = False
+
+
+def cost_s(kind: Kind, step_per_run_s: float, read_tokens_per_s: float) -> float:
+    """Return the engine time that a request takes when all it shares is kept."""
+    return kind.own_tokens / read_tokens_per_s + kind.out_tokens * step_per_run_s
+
+
+PATTERNS: dict[str, Callable[[float, float, Random], Pattern]] = {}
+
+
+def _pattern(
+    make: Callable[[float, float, Random], Pattern],
+) -> Callable[[float, float, Random], Pattern]:
+    PATTERNS[make.__name__] = make
+    return make
+
+
+def _arrivals(
+    capacity_per_s: float, random: Random, surge: Callable[[Kind, str], float]
+) -> list[Arrival]:
+    """Draw arrivals; `surge` says how many times the calm rate a kind and account sends."""
+    drawn = []
+    for kind in KINDS:
+        for number in range(ACCOUNTS):
+            account = f"account-{number}"
+            calm_per_s = CALM * capacity_per_s * kind.share / ACCOUNTS
+            at_s = 0.0
+            while at_s < BEFORE_S + SURGE_S + AFTER_S:
+                in_surge = BEFORE_S <= at_s < BEFORE_S + SURGE_S
+                per_s = calm_per_s * (surge(kind, account) if in_surge else 1.0)
+                at_s += random.expovariate(per_s)
+                drawn.append(Arrival(at_s, kind, account, random.randrange(kind.subjects)))
+    return sorted(drawn)
+
+
+@_pattern
+def all_kinds(capacity_per_s: float, times: float, random: Random) -> Pattern:
+    """More of everything."""
+    return Pattern(_arrivals(capacity_per_s, random, lambda kind, account: times / CALM))
+
+
+@_pattern
+def one_kind(capacity_per_s: float, times: float, random: Random) -> Pattern:
+    """More of the least urgent kind alone."""
+
+    def surge(kind: Kind, account: str) -> float:
+        return times / CALM / kind.share if kind.rank == 2 else 1.0
+
+    return Pattern(_arrivals(capacity_per_s, random, surge))
+
+
+@_pattern
+def one_account(capacity_per_s: float, times: float, random: Random) -> Pattern:
+    """More from one account alone."""
+
+    def surge(kind: Kind, account: str) -> float:
+        return times / CALM * ACCOUNTS if account == "account-0" else 1.0
+
+    return Pattern(_arrivals(capacity_per_s, random, surge))
+
+
+@_pattern
+def engines_lost(capacity_per_s: float, times: float, random: Random) -> Pattern:
+    """More of everything while two engines are lost, with all that they kept."""
+    return all_kinds(capacity_per_s, times, random)._replace(lost_engines=2)
+
+
+@_pattern
+def returns_at_once(capacity_per_s: float, times: float, random: Random) -> Pattern:
+    """More of everything from callers who come back at once, whatever they are told."""
+    return all_kinds(capacity_per_s, times, random)._replace(returns_at_once=True)
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -1,6 +1,7 @@
 """One request on its way: what it says, what is in force for it, what became of it."""
 
 import time
+from itertools import count
 from typing import NamedTuple
 
 from damaskwind.decisions.placement.affinity import affinity_key
@@ -14,6 +15,8 @@
 # Without a word of the caller, only the route's timeout bounds a request.
 NO_DEADLINE_S = 3600.0
 
+_NUMBERS = count(1)
+
 
 class CallFacts(NamedTuple):
     """What a request says of itself; `resume_after` is the last event the caller has."""
@@ -47,6 +50,8 @@
 class Call:
     """One request in hand. Times are monotonic.
 
+    `number` tells it apart in this process, `entry` notes how it came into its
+    pool, `return_s` is when its caller should come back if it is refused.
     `sends` counts targets that it was sent to, `unreached` those to which no
     connection came about, `silent_domains` the failure domains of targets that
     were unreachable or silent for it.
@@ -67,6 +72,9 @@
         self.service = service
         self.version = version
         self.started_s = started_s
+        self.number = next(_NUMBERS)
+        self.entry: NamedTuple | None = None
+        self.return_s: float | None = None
         self.deadline_s = started_s + min(facts.wait_s, route.timeout_s)
         self.key = affinity_key(facts.part_ids) if route.has_prompt_parts else None
         self.tried: set[str] = set()
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -18,6 +18,7 @@
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.pool_entries import PoolEntries
 from damaskwind.router.forwarding.target_beliefs import SendEnded, TargetBeliefs
 from damaskwind.runtime.http1.messages import Answer, header
 from damaskwind.runtime.http1.server import Exchange
@@ -25,10 +26,6 @@
 
 __all__ = ["Forwarder"]
 
-# A caller that is refused comes back after this part of its objective: early
-# enough to be served within it, late enough that a place may be free.
-RETURN_OBJECTIVES = 0.3
-RETURN_LEAST_S = 0.05
 # A router that has just started knows a configuration after some 1.4 s, when the
 # replicas have started too; who comes back sooner is only refused once more.
 START_S = 1.5
@@ -75,6 +72,7 @@
         self._terms = budget_terms
         self._random = random
         self._policy = AffinityPolicy()
+        self.entries = PoolEntries(self.beliefs, random)
         self._sender = AttemptSender(self.beliefs, names)
         self._sender.on_first = self._note_first
         self._budgets: dict[str, SharedRetryBudget] = {}
@@ -94,6 +92,8 @@
         except asyncio.CancelledError:
             self._log(call, delivery, "caller left", "the caller closed its connection")
             raise
+        finally:
+            self.entries.ended(call)
         self._finish(exchange, call, delivery, outcome)
 
     def _admit(self, exchange: Exchange) -> Call | None:
@@ -120,6 +120,12 @@
     async def _serve(self, exchange: Exchange, call: Call, delivery: Delivery) -> AttemptOutcome:
         """Send until an answer is delivered or nothing more may be tried."""
         outcome = AttemptOutcome(AttemptEnd.NOT_RUN, "no target")
+        if (home := self._place(call)) is None:
+            return outcome
+        turned_away = await self.entries.enter(call, home.target.target_id if call.key else "")
+        if turned_away is not None:
+            call.return_s = turned_away.return_s
+            return AttemptOutcome(AttemptEnd.NOT_RUN, turned_away.why, was_reached=False)
         failure: AttemptOutcome | None = None
         while True:
             placed = self._place(call)
@@ -154,6 +160,7 @@
         target, choice = placed.target, placed.choice
         begun_s = time.monotonic()
         load_age_s = self.beliefs.loads.report_age_s(target.target_id, begun_s)
+        self.entries.sent(call, target.target_id)
         call.sends += 1
         call.tried.add(target.target_id)
         self.beliefs.note_sent(target, begun_s)
@@ -165,6 +172,7 @@
             outcome = await self._sender.send(exchange.request, call, placed, delivery, may_move)
         finally:
             now_s = time.monotonic()
+            self.entries.ended(call)
             call.notes.append(
                 AttemptNote(
                     target.target_id,
@@ -188,6 +196,8 @@
             call.silent_domains.add(target.failure_domain)
         if outcome.end is AttemptEnd.NOT_RUN:
             call.may_have_run = before
+            if outcome.was_reached and not outcome.is_displaced:
+                self.entries.turned_away_by_target(call, target.target_id)
         self.beliefs.note_ended(target, _as_seen(outcome), now_s)
         return outcome
 
@@ -196,6 +206,7 @@
         self.tallies.observe("first_piece", first_s, kind=call.route.kind.value)
         part = first_s / call.route.objective_s
         self.beliefs.note_begun(call.service, target_id, part, time.monotonic())
+        self.entries.begun(call)
 
     def _place(self, call: Call) -> Placed | None:
         """Choose the next target for a request."""
@@ -218,6 +229,7 @@
                 item._replace(is_doubtful=item.is_doubtful or item.failure_domain in cut_off)
                 for item in candidates
             ]
+        candidates = self.entries.with_waiting(call.service, candidates)
         choice = choose_target(
             candidates, call.key, self._failure_domain, self._policy, self._random
         )
@@ -251,7 +263,7 @@
             self._log(call, delivery, "target failure passed on", outcome.why)
             return
         if not call.may_have_run:
-            return_s = max(RETURN_OBJECTIVES * call.route.objective_s, RETURN_LEAST_S)
+            return_s = self.entries.return_s(call) if call.return_s is None else call.return_s
             headers = [(b"retry-after", b"%.3f" % return_s)]
             exchange.respond(Answer(503, headers))
             self._log(call, delivery, "refused as not run", outcome.why)
@@ -295,6 +307,7 @@
             version=call.version,
             key=(call.key or b"").decode("latin-1"),
             may_have_run=call.may_have_run,
+            entry=list(call.entry or ()),
             attempts=[list(note) for note in call.notes],
             events=delivery.events,
             bytes=delivery.bytes,
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from damaskwind.decisions.admission.pool_admission import TargetPlaces
 from damaskwind.decisions.health.circuit import HealthPolicy
 from damaskwind.decisions.health.ejection import PoolHealth
 from damaskwind.decisions.health.pace import PoolPace
@@ -19,7 +20,7 @@
 from damaskwind.router.forwarding.target_activity import TargetActivity
 from damaskwind.router.forwarding.target_load import LoadEstimator
 
-__all__ = ["SendEnded", "TargetBeliefs"]
+__all__ = ["SendEnded", "TargetBeliefs", "free_places"]
 
 # A target that refused is left alone so long, unless there is no other: about as
 # long as a queue of short requests takes to shrink.
@@ -27,6 +28,11 @@
 EJECTION_S = 1.0
 
 
+def free_places(candidate: Candidate) -> TargetPlaces:
+    """Return how many places of a target are free, as far as it is known."""
+    return TargetPlaces(candidate.target_id, candidate.slots - candidate.load)
+
+
 class SendEnded(NamedTuple):
     """How one send ended, as far as it says something of the target.
 
@@ -138,6 +144,13 @@
             self._pool_pace(record.service).is_slow(target_id, now_s),
         )
 
+    def places(self, service: str, now_s: float) -> list[TargetPlaces]:
+        """Return the targets that may be sent to, with their free places."""
+        records = self.view.serving(service)
+        candidates = [self.candidate(record, now_s, True) for record in records]
+        sound = [item for item in candidates if not item.is_doubtful]
+        return [free_places(item) for item in sound or candidates]
+
     def _is_displaced(self, target_id: str) -> bool:
         """Tell whether another target answers at its address, and it was not heard since."""
         displaced_s = self._displaced_s.get(target_id)
