--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -123,6 +123,7 @@
             return outcome
         home = placed.choice.candidate if call.key else None
         turned_away = await self.entries.enter(call, home)
+        self.tallies.count("entries", step=call.entry.step)
         if turned_away is not None:
             call.return_s = turned_away.return_s
             return AttemptOutcome(AttemptEnd.NOT_RUN, turned_away.why, was_reached=False)
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -80,6 +80,7 @@
         show("targets_serving", "targets that take work", lambda: len(view.targets.serving()))
         show("replicas_heard", "replicas heard lately", view.replicas_heard)
         show("routers", "routers that the replicas count", lambda: view.routers)
+        show("requests_waiting", "held for a place at a target", self.forwarder.entries.waiting)
         show("connections_opened", "to targets", lambda: self.connections.opened)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
 
