--- a/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -64,9 +64,21 @@
 
 
 class Cluster:
-    """Nodes, network, events in time order, and the oracle that watches."""
-
-    def __init__(self, seed: int, size: int = 3, *, syncs: bool = True, new_identity: bool = True):
+    """Nodes, network, events in time order, and the oracle that watches.
+
+    With `voters` so many of the nodes vote and the others ask to learn; a lost
+    voter's place goes to one of them.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        size: int = 3,
+        *,
+        syncs: bool = True,
+        new_identity: bool = True,
+        voters: int | None = None,
+    ):
         self.random = Random(seed)
         self.network = Network(self.random)
         self.oracle = Oracle()
@@ -75,6 +87,10 @@
             max_batch_entries=self.random.choice([1, 2, 256]),
             replace_after_s=self.random.choice([float("inf"), 1.5, 3.0]),
         )
+        if voters is not None:
+            self.timing = self.timing._replace(
+                replace_after_s=1.5, least_voters=voters, most_voters=voters
+            )
         self.syncs = syncs
         self.new_identity = new_identity
         self.clocks_are_sound = True
@@ -83,10 +99,12 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._reads: dict[str, tuple[int, bool]] = {}
         self.nodes: dict[str, Node] = {}
-        members = [Member(name, f"{name}1") for name in "abcde"[:size]]
-        state, entries = first_log(members)
-        for member in members:
+        members = [Member(name, f"{name}1") for name in "abcdefgh"[:size]]
+        state, entries = first_log(members[:voters])
+        for member in members[:voters]:
             self._add_node(member, Disk(state, entries))
+        for member in members[voters:] if voters is not None else ():
+            self._add_node(member, Disk(PersistentState(), ()))
 
     # Orders.
 
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
@@ -25,7 +25,15 @@
 from damaskwind.decisions.replication.tests.oracle import InvariantError
 from damaskwind.decisions.replication.tests.seeded_bugs import SEEDED_BUGS
 
-__all__ = ["FAILURES", "FuzzResult", "LogHistory", "fuzz_log", "run_batch", "seeded"]
+__all__ = [
+    "FAILURES",
+    "FuzzResult",
+    "LogHistory",
+    "WideLogHistory",
+    "fuzz_log",
+    "run_batch",
+    "seeded",
+]
 
 FAILURES = (InvariantError, LogError)
 STEPS = 30
@@ -243,6 +251,25 @@
             LogHistory.first_failed = LogHistory.made
 
 
+class WideLogHistory(LogHistory):
+    """Six or eight replicas, of which five vote: two may be lost at once."""
+
+    @initialize(
+        seed=st.integers(0, 2**32 - 1),
+        size=st.sampled_from([6, 8]),
+        has_sound_clocks=st.booleans(),
+        patience=st.integers(0, 5),
+    )
+    def begin(self, seed: int, size: int, has_sound_clocks: bool, patience: int) -> None:
+        """Start a cluster, let it elect a leader and the others learn."""
+        self.has_sound_clocks = has_sound_clocks
+        self.patience = patience
+        self.leaderless_steps = 0
+        self.cluster = Cluster(seed, size, voters=5, **type(self).cluster_arguments)
+        self.cluster.calm()
+        self.cluster.run(2.0)
+
+
 class FuzzResult(NamedTuple):
     """How many histories ran in how long, and the first failure, shrunk.
 
@@ -270,7 +297,12 @@
         yield
 
 
-def run_batch(seed: int | None, histories: int, shrinks: bool = True) -> None:
+def run_batch(
+    seed: int | None,
+    histories: int,
+    shrinks: bool = True,
+    history: type[LogHistory] = LogHistory,
+) -> None:
     """Run so many histories; without a seed the same ones every time."""
     phases = [Phase.generate, Phase.shrink] if shrinks else [Phase.generate]
     profile = settings(
@@ -286,7 +318,7 @@
         suppress_health_check=list(HealthCheck),
     )
 
-    class Seeded(LogHistory):
+    class Seeded(history):
         """The histories of this batch."""
 
         cluster_arguments = LogHistory.cluster_arguments
@@ -295,7 +327,13 @@
     run_state_machine_as_test(factory, settings=profile)
 
 
-def fuzz_log(seed: int, seconds: float, histories: int, bug: str | None = None) -> FuzzResult:
+def fuzz_log(
+    seed: int,
+    seconds: float,
+    histories: int,
+    bug: str | None = None,
+    history: type[LogHistory] = LogHistory,
+) -> FuzzResult:
     """Run histories until the time or the count is used up, or one fails."""
     started_s = time.monotonic()
     LogHistory.made = 0
@@ -305,7 +343,7 @@
     with seeded(bug):
         while time.monotonic() - started_s < seconds and LogHistory.made < histories:
             try:
-                run_batch(seed + batch, min(BATCH, histories - LogHistory.made))
+                run_batch(seed + batch, min(BATCH, histories - LogHistory.made), history=history)
             except Exception as error:
                 notes = "\n".join(getattr(error, "__notes__", ()))
                 failure = f"{type(error).__name__}: {error}\n{notes}"
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_histories.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_histories.py
@@ -8,6 +8,7 @@
 from damaskwind.decisions.replication.tests.histories import (
     FAILURES,
     LogHistory,
+    WideLogHistory,
     run_batch,
     seeded,
 )
@@ -28,6 +29,10 @@
         run_batch(None, HISTORIES)
         self.assertGreaterEqual(LogHistory.made, HISTORIES)
 
+    def test_no_history_of_six_or_eight_replicas_breaks_one(self) -> None:
+        run_batch(None, HISTORIES, history=WideLogHistory)
+        self.assertGreaterEqual(LogHistory.made, HISTORIES)
+
     def test_bugs_put_in_on_purpose_are_found(self) -> None:
         for bug in QUICK_BUGS:
             with self.subTest(bug), seeded(bug), self.assertRaises(FAILURES):
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -49,6 +49,14 @@
     return fuzz_log(seed, seconds, histories, bug)
 
 
+@fuzz_target("wide-log")
+def fuzz_wide_log(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
+    """Fuzz the log of six and eight replicas of which five vote."""
+    from damaskwind.decisions.replication.tests.histories import WideLogHistory, fuzz_log
+
+    return fuzz_log(seed, seconds, histories, bug, WideLogHistory)
+
+
 @fuzz_target("configuration")
 def fuzz_configuration(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
     """Fuzz the state machine of the configuration against a dict and a list."""
