Absurd times are no times: neither nan nor inf, and none beyond the route's timeout makes others look returned

Cause, found by reading: one caller who states 1e300 ms on a route had all others there taken for callers that came back, who wait behind in a surge; nan went through every comparison, and a resume point of inf raised. Test of nine such values.

--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -2,6 +2,7 @@
 
 import time
 from itertools import count
+from math import isfinite
 from typing import NamedTuple
 
 from damaskwind.decisions.placement.affinity import affinity_key
@@ -140,9 +141,10 @@
     if value is None:
         return None
     try:
-        return float(value)
+        number = float(value)
     except ValueError:
         return None
+    return number if isfinite(number) else None
 
 
 def read_key(headers: Headers, names: HeaderNames) -> str | None:
--- a/packages/router/src/damaskwind/router/forwarding/pool_entries.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_entries.py
@@ -144,9 +144,12 @@
         route, facts = call.route, call.facts
         came_back = False
         if facts.has_deadline:
-            longest_s = max(self._longest_wait_s.get(route.name, 0.0), facts.wait_s)
+            # Beyond the route's timeout nothing counts, or one caller who states an absurd
+            # time would have all others taken for callers that came back.
+            wait_s = min(facts.wait_s, route.timeout_s)
+            longest_s = max(self._longest_wait_s.get(route.name, 0.0), wait_s)
             self._longest_wait_s[route.name] = longest_s
-            came_back = facts.wait_s < FIRST_ATTEMPT_PART * longest_s
+            came_back = wait_s < FIRST_ATTEMPT_PART * longest_s
         account = call.account.name if call.account else ""
         return Ticket(
             call.number,
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -101,6 +101,29 @@
             await self.call(request_id=b"s%d" % number)
         self.assertGreater(len(self.targets[0].received), 1)
 
+    @asyncio_test
+    async def test_absurd_headers_are_answered_and_do_not_make_others_look_returned(self):
+        absurd = (b"nan", b"inf", b"-1e400", b"1e300", b"-5", b"", b"x", b"\xff", b"9" * 400)
+        for number, value in enumerate(absurd):
+            answer = await self.call(
+                request_id=b"a%d" % number,
+                x_deadline_ms=value,
+                last_event_id=value,
+                x_prompt_parts=value,
+            )
+            self.assertIn(answer.status, (200, 502, 503, 504), value)
+        seen = []
+        enter = self.forwarder.entries.enter
+
+        async def watched(call, home):
+            outcome = await enter(call, home)
+            seen.append(call.entry.came_back)
+            return outcome
+
+        self.forwarder.entries.enter = watched
+        self.assertEqual((await self.call(request_id=b"z", x_deadline_ms=b"1900")).status, 200)
+        self.assertEqual(seen, [False])
+
     @asyncio_test
     async def test_targets_that_tell_no_load_are_not_guessed_to_be_full(self):
         # One router of eight: its own sends, times eight, would fill the eight places.
