Sight: why a leader steps down, how late a replica's loop runs, what it sent to whom

Neither the cause of a step-down nor a full link nor a late loop could be told from the logs. 'stepped down' names its cause, the age of the last majority's round and each peer's answer; 'process load' once a second, where there is something to be seen: lateness, processor, slowest call of the log, bytes by kind; 'document fetched' at the routers.

--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -21,6 +21,7 @@
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.model.exception import StorageError
 from damaskwind.runtime.settings import ControlSettings, NodeSettings, ReplicaSettings
+from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["LogHost"]
 
@@ -54,7 +55,9 @@
         random: Random,
         on_applied: Callable[[], None],
         started_s: float,
+        tallies: Tallies,
     ) -> None:
+        self._tallies = tallies
         self.machine = PublishedConfiguration()
         self._settings = settings
         self._files = files
@@ -88,6 +91,10 @@
         fewest = min(LEAST_VOTERS, len(self._settings.seed_hosts))
         return len(voters) >= (self._settings.wanted_voters or fewest)
 
+    def slowest_call_s(self) -> float:
+        """Return how long the slowest peer takes to answer a call of the log."""
+        return self._node.replica.transport.slowest_call_s() if self._node else 0.0
+
     def hosts(self) -> tuple[str, ...]:
         """Return the hosts of all replicas that the log names; their ids are their hosts."""
         if self._node is None:
@@ -128,6 +135,7 @@
         node = open_replica(
             node_settings, control, machine, self._files, self._random, self._silent_since_s
         )
+        node.replica.transport.on_sent = self._note_sent
         node.replica.on_applied.append(self._on_applied)
         node.replica.on_failure.append(self._disk_failed)
         self.machine = machine
@@ -148,6 +156,9 @@
             took_s=round(time.monotonic() - started_s, 3),
         )
 
+    def _note_sent(self, size_bytes: int) -> None:
+        self._tallies.count("sent_bytes", size_bytes, kind="log")
+
     def _control_settings(self) -> ControlSettings:
         settings = self._settings
         bootstrap = tuple(
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -28,6 +28,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.runtime.load_meter import LoadMeter
 from damaskwind.runtime.metrics_site import MetricsSite
 from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.news import News, SubscriberKind
@@ -97,10 +98,11 @@
             self._bears_a_loss,
         )
         self._control = HttpServer(self._handle, CONTROL_LIMITS)
-        site = NewsSite(self.board, self._packed)
-        self._news = HttpServer(site.handle, NEWS_LIMITS)
         self.tallies = Tallies()
         self.calls.tallies = self.tallies
+        site = NewsSite(self.board, self._packed, self.tallies)
+        self._news = HttpServer(site.handle, NEWS_LIMITS)
+        self._load = LoadMeter(self.tallies, self._slowest_call_s)
         self._metrics = MetricsSite(self.tallies)
         self._show_gauges()
         self._links: dict[str, NewsLink] = {}
@@ -115,6 +117,7 @@
         if settings.metrics_port:
             self._metrics.listen(settings.host, settings.metrics_port)
         self.follow(settings.seed_hosts)
+        self._load.start()
         self._spawn(self._upkeep())
         await asyncio.sleep(NEWS_FIRST_S)
         for name in _LOG_PARTS:
@@ -122,7 +125,7 @@
             await asyncio.sleep(0)
         settings = settings._replace(may_found=self._may_found)
         self._log = module.LogHost(
-            settings, self._files, self._random, self._applied, self._started_s
+            settings, self._files, self._random, self._applied, self._started_s, self.tallies
         )
         await self._log.open()
 
@@ -132,6 +135,7 @@
         await self._control.stop_listening()
         self._control.close_idle()
         await self._control.wait_until_quiet(1.5)
+        self._load.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -195,6 +199,9 @@
     def _hosts(self) -> tuple[str, ...]:
         return self._log.hosts() if self._log else ()
 
+    def _slowest_call_s(self) -> float:
+        return self._log.slowest_call_s() if self._log else 0.0
+
     def _access(self) -> ProposalPort | None:
         return self._log.access if self._log else None
 
--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -346,9 +346,20 @@
             return
         self._answer(output.read_id, output)
 
-    def _note_role(self, output: BecameLeader | SteppedDown) -> None:
-        event = "became leader" if isinstance(output, BecameLeader) else "stepped down"
-        logger.info(event, replica=self.member.replica_id, term=output.term)
+    def _note_leading(self, output: BecameLeader) -> None:
+        logger.info("became leader", replica=self.member.replica_id, term=output.term)
+
+    def _note_step_down(self, output: SteppedDown) -> None:
+        """Say why, with what the last rounds came to."""
+        logger.info(
+            "stepped down",
+            replica=self.member.replica_id,
+            term=output.term,
+            cause=output.cause,
+            quorum_age_s=output.quorum_age_s,
+            answers=[tuple(answer) for answer in output.answers],
+            slowest_call_s=round(self.transport.slowest_call_s(), 3),
+        )
 
 
 def _timed_out(event: Input) -> ProposalOutcome | ReadRefused:
@@ -377,6 +388,6 @@
     ReadReady: Replica._finish_read,
     ReadRefused: Replica._finish_read,
     ProposalOutcome: Replica._finish_proposal,
-    BecameLeader: Replica._note_role,
-    SteppedDown: Replica._note_role,
+    BecameLeader: Replica._note_leading,
+    SteppedDown: Replica._note_step_down,
 }
--- a/packages/control/src/damaskwind/control/replica/transport.py
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -63,6 +64,8 @@
         self.bodies: deque[bytes] = deque(maxlen=QUEUE_LIMIT_MESSAGES)
         self.waiting = asyncio.Event()
         self.task: asyncio.Task | None = None
+        self.called_s: float | None = None
+        self.last_call_s = 0.0
 
 
 class Transport:
@@ -77,6 +80,7 @@
         self.own_address = ""
         self.channels = Channels()
         self.sent_bytes = 0
+        self.on_sent: Callable[[int], None] | None = None
         self._is_closed = False
         self._signer = signer
         self._address_of = address_of
@@ -95,6 +99,15 @@
         queue.bodies.append(encode_envelope(envelope))
         queue.waiting.set()
 
+    def slowest_call_s(self) -> float:
+        """Return the longest of each peer's call under way, or else its last one."""
+        now_s = time.monotonic()
+        spans = (
+            queue.last_call_s if queue.called_s is None else now_s - queue.called_s
+            for queue in self._queues.values()
+        )
+        return max(spans, default=0.0)
+
     async def close(self) -> None:
         """Stop all tasks and close all connections.
 
@@ -129,7 +142,11 @@
             await queue.waiting.wait()
             queue.waiting.clear()
             while queue.bodies and not self._is_closed:
-                if await self._send_batch(replica_id, queue):
+                queue.called_s = time.monotonic()
+                has_arrived = await self._send_batch(replica_id, queue)
+                queue.last_call_s = time.monotonic() - queue.called_s
+                queue.called_s = None
+                if has_arrived:
                     backoff_s = BACKOFF_FIRST_S
                     continue
                 queue.bodies.clear()
@@ -145,6 +162,8 @@
         size_bytes = batch.ByteSize()
         timeout_s = CALL_TIMEOUT_S + size_bytes / SLOWEST_BYTES_PER_S
         self.sent_bytes += size_bytes
+        if self.on_sent is not None:
+            self.on_sent(size_bytes)
         stub = ReplicationStub(self.channels.get(address))
         try:
             call = call_unary(stub.Deliver, batch, self._signer, timeout_s)
--- a/packages/decisions/src/damaskwind/decisions/replication/events.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/events.py
@@ -28,6 +28,7 @@
     "InstallSnapshot",
     "Output",
     "ProposalOutcome",
+    "PeerAnswer",
     "Propose",
     "ProposeMembership",
     "ReadReady",
@@ -178,10 +179,25 @@
     term: int
 
 
+class PeerAnswer(NamedTuple):
+    """When a leader last heard a peer, and how many of its rounds the peer has not answered."""
+
+    replica_id: str
+    age_s: float
+    rounds_behind: int
+
+
 class SteppedDown(NamedTuple):
-    """This replica no longer leads; `term` is the one it led in."""
+    """This replica no longer leads; `term` is the one it led in.
+
+    `cause` is `quorum-lost`, `higher-term` or `removed`; `quorum_age_s` is the age of
+    the newest round that a majority answered, counted from when it was sent.
+    """
 
     term: int
+    cause: str = ""
+    quorum_age_s: float = 0.0
+    answers: tuple[PeerAnswer, ...] = ()
 
 
 Output = (
--- a/packages/decisions/src/damaskwind/decisions/replication/leading.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/leading.py
@@ -2,6 +2,7 @@
 
 from damaskwind.decisions.replication.events import (
     BecameLeader,
+    PeerAnswer,
     ProposalOutcome,
     ReadReady,
     ReadRefused,
@@ -59,6 +60,7 @@
     leadership = replica.leading
     if leadership is None:
         return
+    stepped_down = _describe_end(replica, leadership)
     replica.leading = None
     replica.leader = None
     rearm(replica)
@@ -67,7 +69,24 @@
         replica.outbox.emit(refused)
     for index, proposal_id in leadership.proposals.items():
         replica.outbox.emit(ProposalOutcome(proposal_id, Outcome.UNKNOWN, index))
-    replica.outbox.emit(SteppedDown(leadership.term))
+    replica.outbox.emit(stepped_down)
+
+
+def _describe_end(replica: Replica, leadership: Leadership) -> SteppedDown:
+    """Say why this replica stops leading, and what it had heard from whom."""
+    quorum_age_s = replica.now_s - quorum_sent_s(replica, leadership)
+    cause = "higher-term" if replica.is_voter() else "removed"
+    if quorum_age_s >= replica.timing.election_timeout_min_s:
+        cause = "quorum-lost"
+    answers = (
+        PeerAnswer(
+            peer.replica_id,
+            round(replica.now_s - max(progress.heard_s, leadership.started_s), 3),
+            leadership.round_number - progress.answered_round,
+        )
+        for peer, progress in leadership.peers.items()
+    )
+    return SteppedDown(leadership.term, cause, round(quorum_age_s, 3), tuple(answers))
 
 
 def append_entry(
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/load_meter.py
@@ -0,0 +1,81 @@
+"""Tell how late a process's loop runs, how much processor it used, and what it sent.
+
+A process that keeps a lease has to know when its own loop or link was the
+reason that it lost it. The meter looks ten times a second; once a second it
+writes one line, but only when there is something to be seen.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from damaskwind.runtime.tallies import Tallies
+
+__all__ = ["LoadMeter"]
+
+# A loop that is later than this delays whatever keeps a lease of a second.
+LATE_S = 0.1
+LOOK_EVERY_S = 0.1
+LINE_EVERY_S = 1.0
+# A sixth of a link of 3 Mbit/s: below it nothing waits for long.
+SENT_BYTES = 64_000
+
+
+class LoadMeter:
+    """Watch the running loop. `slowest_call_s` tells how long a peer takes to answer."""
+
+    def __init__(self, tallies: Tallies, slowest_call_s: Callable[[], float]) -> None:
+        self.late_s = 0.0
+        self._tallies = tallies
+        self._slowest_call_s = slowest_call_s
+        self._slowest_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._due_s = 0.0
+        self._line_s = 0.0
+        self._processor_s = 0.0
+        self._sent: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._line_s = time.monotonic()
+        self._processor_s = time.process_time()
+        self._arrange()
+
+    def stop(self) -> None:
+        """Look no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _arrange(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._due_s = time.monotonic() + LOOK_EVERY_S
+        self._timer = loop.call_later(LOOK_EVERY_S, self._look)
+
+    def _look(self) -> None:
+        now_s = time.monotonic()
+        self.late_s = max(self.late_s, now_s - self._due_s)
+        self._slowest_s = max(self._slowest_s, self._slowest_call_s())
+        if now_s - self._line_s >= LINE_EVERY_S:
+            self._tell(now_s)
+        self._arrange()
+
+    def _tell(self, now_s: float) -> None:
+        """Write the line of the last second, and begin the next."""
+        span_s = now_s - self._line_s
+        used_s = time.process_time() - self._processor_s
+        sent = {labels[0][1]: total for labels, total in self._tallies.totals("sent_bytes").items()}
+        last = {kind: total - self._sent.get(kind, 0) for kind, total in sent.items()}
+        self._tallies.observe("loop_delay", self.late_s)
+        if self.late_s >= LATE_S or self._slowest_s >= LATE_S or sum(last.values()) >= SENT_BYTES:
+            logger.info(
+                "process load",
+                span_s=round(span_s, 2),
+                loop_late_s=round(self.late_s, 3),
+                processor_part=round(used_s / span_s, 3),
+                slowest_call_s=round(self._slowest_s, 3),
+                sent_bytes={kind: size for kind, size in last.items() if size},
+            )
+        self.late_s = self._slowest_s = 0.0
+        self._line_s, self._processor_s, self._sent = now_s, time.process_time(), sent
--- a/packages/runtime/src/damaskwind/runtime/tallies.py
+++ b/packages/runtime/src/damaskwind/runtime/tallies.py
@@ -59,6 +59,16 @@
         """Add to a counter."""
         self._counters.setdefault(name, Counter())[tuple(labels.items())] += amount
 
+    def totals(self, name: str) -> dict[Labels, int]:
+        """Return a counter's values so far.
+
+        >>> tallies = Tallies()
+        >>> tallies.count("sent_bytes", 40, kind="news")
+        >>> tallies.totals("sent_bytes")
+        {(('kind', 'news'),): 40}
+        """
+        return dict(self._counters.get(name, {}))
+
     def observe(self, name: str, duration_s: float, **labels: str) -> None:
         """Add a duration to a histogram."""
         series = self._histograms.setdefault(name, {})
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -168,7 +168,15 @@
             )
         self._subscriber.take_news(host, news)
         if self._subscriber.wants_document(news, host):
+            asked_s = self._clock()
             packed = await self._call(connection, DOCUMENT_PATH, b"", 0.0)
+            logger.info(
+                "document fetched",
+                host=host,
+                version=news.version,
+                size_bytes=len(packed),
+                took_s=round(self._clock() - asked_s, 3),
+            )
             self._subscriber.take_document(host, unpack_document(packed), news.is_current)
         elif self._kind == SubscriberKind.ROUTER and news.version > request.version:
             # The replica answers at once as long as it has a newer version.
