--- a/packages/runtime/src/damaskwind/runtime/load_meter.py
+++ b/packages/runtime/src/damaskwind/runtime/load_meter.py
@@ -1,4 +1,4 @@
-"""Tell how late a process's loop runs, how much processor it used, and what it sent.
+"""Tell how late a process's loop runs, how long its peers take to answer, and what it sent.
 
 A process that keeps a lease has to know when its own loop or link was the
 reason that it lost it. The meter looks ten times a second; once a second it
@@ -34,13 +34,11 @@
         self._timer: asyncio.TimerHandle | None = None
         self._due_s = 0.0
         self._line_s = 0.0
-        self._processor_s = 0.0
         self._sent: dict[str, int] = {}
 
     def start(self) -> None:
         """Begin to look."""
         self._line_s = time.monotonic()
-        self._processor_s = time.process_time()
         self._arrange()
 
     def stop(self) -> None:
@@ -64,7 +62,6 @@
     def _tell(self, now_s: float) -> None:
         """Write the line of the last second, and begin the next."""
         span_s = now_s - self._line_s
-        used_s = time.process_time() - self._processor_s
         sent = {labels[0][1]: total for labels, total in self._tallies.totals("sent_bytes").items()}
         last = {kind: total - self._sent.get(kind, 0) for kind, total in sent.items()}
         self._tallies.observe("loop_delay", self.late_s)
@@ -73,9 +70,8 @@
                 "process load",
                 span_s=round(span_s, 2),
                 loop_late_s=round(self.late_s, 3),
-                processor_part=round(used_s / span_s, 3),
                 slowest_call_s=round(self._slowest_s, 3),
                 sent_bytes={kind: size for kind, size in last.items() if size},
             )
         self.late_s = self._slowest_s = 0.0
-        self._line_s, self._processor_s, self._sent = now_s, time.process_time(), sent
+        self._line_s, self._sent = now_s, sent
--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/narrow_links.py
@@ -0,0 +1,125 @@
+"""An event loop on which each loopback address sends through one narrow link.
+
+All connections of an address share its link, first come, first served, as
+those of a VM do: what one of them writes waits behind all that the others have
+written before. Addresses without a rate send at once. Bytes that a peer sends
+arrive by the peer's link.
+
+    loop = NarrowLoop({"127.77.1.1": 375_000.0})
+"""
+
+import asyncio
+from asyncio import selector_events
+from collections import deque
+from collections.abc import Mapping
+from typing import Any
+
+__all__ = ["NarrowLoop"]
+
+# What a link sends without a turn in between: a few packets.
+PIECE_BYTES = 4_096
+
+
+class _Link:
+    """The queue in front of one address's link."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, bytes_per_s: float) -> None:
+        self.sent_bytes = 0
+        self.queued_bytes = 0
+        self._loop = loop
+        self._bytes_per_s = bytes_per_s
+        self._queue: deque[tuple[_NarrowTransport, bytes]] = deque()
+        self._is_sending = False
+        self._free_s = 0.0
+
+    def put(self, transport: "_NarrowTransport", data: bytes) -> None:
+        """Take what a connection writes."""
+        for start in range(0, len(data), PIECE_BYTES):
+            self._queue.append((transport, data[start : start + PIECE_BYTES]))
+        self.queued_bytes += len(data)
+        if not self._is_sending:
+            self._is_sending = True
+            self._free_s = max(self._free_s, self._loop.time())
+            self._send()
+
+    def _send(self) -> None:
+        """Send the first piece, and the next when the link is free again."""
+        while self._queue and self._free_s <= self._loop.time():
+            transport, data = self._queue.popleft()
+            self.queued_bytes -= len(data)
+            if transport.is_lost:
+                continue
+            self.sent_bytes += len(data)
+            self._free_s += len(data) / self._bytes_per_s
+            transport.carry(data)
+        if self._queue:
+            self._loop.call_at(self._free_s, self._send)
+        else:
+            self._is_sending = False
+
+
+class _NarrowTransport(selector_events._SelectorSocketTransport):
+    """A connection whose writes wait for their address's link."""
+
+    def __init__(self, loop: "NarrowLoop", sock: Any, *arguments: Any, **options: Any) -> None:
+        host = sock.getsockname()[0]
+        self._link = loop.links.get(host)
+        self._waiting_bytes = 0
+        self._is_ending = False
+        super().__init__(loop, sock, *arguments, **options)
+
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether nothing can be sent any more; what waits is dropped."""
+        return bool(self._conn_lost)
+
+    def is_closing(self) -> bool:
+        """Tell whether the connection ends, now or when all has been sent."""
+        return self._is_ending or super().is_closing()
+
+    def write(self, data: bytes) -> None:
+        """Queue at the link."""
+        if self._link is None or not data:
+            super().write(data)
+            return
+        self._waiting_bytes += len(data)
+        self._maybe_pause_protocol()
+        self._link.put(self, bytes(data))
+
+    def writelines(self, pieces: Any) -> None:
+        """Queue all pieces at the link."""
+        self.write(b"".join(pieces))
+
+    def get_write_buffer_size(self) -> int:
+        """Count what waits at the link too."""
+        return self._waiting_bytes + super().get_write_buffer_size()
+
+    def carry(self, data: bytes) -> None:
+        """Send what the link has let through."""
+        self._waiting_bytes -= len(data)
+        super().write(data)
+        self._maybe_resume_protocol()
+        if self._is_ending and not self._waiting_bytes:
+            super().close()
+
+    def close(self) -> None:
+        """Close once all that was written has gone."""
+        self._is_ending = True
+        if not self._waiting_bytes:
+            super().close()
+
+
+class NarrowLoop(asyncio.SelectorEventLoop):
+    """A loop whose connections send by the links of their own addresses.
+
+    `bytes_per_s` gives the rate of each address that has a narrow link.
+    """
+
+    def __init__(self, bytes_per_s: Mapping[str, float]) -> None:
+        super().__init__()
+        self.links = {host: _Link(self, rate) for host, rate in bytes_per_s.items()}
+
+    def _make_socket_transport(
+        self, sock: Any, protocol: Any, waiter: Any = None, *, extra: Any = None, server: Any = None
+    ) -> _NarrowTransport:
+        return _NarrowTransport(self, sock, protocol, waiter, extra, server)
