Documents leave the leader's lease alone: spread over the followers, paced, on connections of their own

Cause (measured): a committed version was fetched by all 75 to 89 routers from the replica that told first, the leader: 380 to 454 KB in a second on a link of 375 KB/s; heartbeats waited behind, the lease of 1 s ended (quorum_age_s 1.0 to 1.06, loop late 0.03 s at most). Every version cost a leader. Change: each router has its own order of the replicas, the leader last (decisions/following); a replica sends documents at half of its link's rate (decisions/pacing/bulk_pace); news no longer wait behind documents.

--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -78,6 +78,11 @@
         """Tell whether this replica believes that it holds all that is confirmed."""
         return self._node is not None and self._node.replica.is_current
 
+    @property
+    def leads(self) -> bool:
+        """Tell whether this replica leads the log."""
+        return self._node is not None and self._node.replica.is_leader
+
     @property
     def bears_a_loss(self) -> bool:
         """Tell whether so many replicas vote that what is confirmed outlives the losses.
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -33,12 +33,14 @@
         version: Callable[[], int],
         is_current: Callable[[], bool],
         hosts: Callable[[], tuple[str, ...]],
+        leads: Callable[[], bool] = lambda: False,
     ) -> None:
         self.table = TargetTable()
         self.epoch = secrets.token_hex(4)
         self._version = version
         self._is_current = is_current
         self._hosts = hosts
+        self._leads = leads
         self._heard: dict[str, float] = {}
         self._subscriptions: dict[str, _Subscription] = {}
         self._waiters: set[asyncio.Future] = set()
@@ -134,6 +136,7 @@
             self.routers(),
             tuple(self.table.changed_since(revision)),
             tuple(Heard(key, round(now_s - at, 2)) for key, at in self._heard.items()),
+            self._leads(),
         )
 
     async def _wait(self, limit_s: float) -> bool:
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -1,26 +1,45 @@
 """Serve news and documents to routers and other replicas."""
 
+import asyncio
+import time
 from collections.abc import Callable
 
 from damaskwind.control.fleet.news_board import NewsBoard
+from damaskwind.decisions.pacing.bulk_pace import BulkPace
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import Exchange
 from damaskwind.runtime.tallies import Tallies
-from damaskwind.wire.news import DOCUMENT_PATH, NEWS_PATH, decode_request, encode
+from damaskwind.wire.news import (
+    DOCUMENT_PATH,
+    NEWS_PATH,
+    Document,
+    decode_document_request,
+    decode_request,
+    encode,
+)
 
 __all__ = ["NewsSite"]
 
+# The part of the link that documents may take; the rest is for the log and the news,
+# which take up to a third of it while targets come and go.
+DOCUMENT_PART = 0.5
+
 
 class NewsSite:
     """The handler behind a replica's internal address."""
 
     def __init__(
-        self, board: NewsBoard, packed_document: Callable[[], bytes], tallies: Tallies
+        self,
+        board: NewsBoard,
+        document: Callable[[], Document],
+        tallies: Tallies,
+        link_bytes_per_s: float,
     ) -> None:
         self._board = board
+        self._pace = BulkPace(link_bytes_per_s * DOCUMENT_PART, time.monotonic())
         self._tallies = tallies
-        self._packed_document = packed_document
+        self._document_now = document
         self._calls = {NEWS_PATH: self._news, DOCUMENT_PATH: self._document}
 
     async def handle(self, exchange: Exchange) -> None:
@@ -42,6 +61,22 @@
         exchange.respond(Answer(200, [], body))
 
     async def _document(self, exchange: Exchange) -> None:
-        packed = self._packed_document()
-        self._tallies.count("sent_bytes", len(packed), kind="documents")
-        exchange.respond(Answer(200 if packed else 404, [], packed))
+        """Send the newest document, in its turn."""
+        try:
+            decode_document_request(exchange.request.body)
+        except MessageError as error:
+            exchange.respond(Answer(400, [], str(error).encode()))
+            return
+        # All routers ask within some ms of a version, and the heartbeats that keep the
+        # leader's lease have to find room between the documents.
+        wait_s = self._pace.wait_s(len(self._document_now().packed), time.monotonic())
+        if wait_s:
+            await asyncio.sleep(wait_s)
+        document = self._document_now()
+        if not document.version:
+            exchange.respond(Answer(404, []))
+            return
+        body = encode(document)
+        self._tallies.count("sent_bytes", len(body), kind="documents")
+        self._tallies.observe("document_wait", wait_s)
+        exchange.respond(Answer(200, [], body))
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -31,7 +31,7 @@
 from damaskwind.runtime.load_meter import LoadMeter
 from damaskwind.runtime.metrics_site import MetricsSite
 from damaskwind.runtime.tallies import Tallies
-from damaskwind.wire.news import News, SubscriberKind
+from damaskwind.wire.news import Document, News, SubscriberKind
 from damaskwind.wire.news_link import NewsLink
 
 if TYPE_CHECKING:
@@ -85,7 +85,7 @@
         self._started_s = time.monotonic() if started_s is None else started_s
         self._no_log = PublishedConfiguration()
         self._log: LogHost | None = None
-        self.board = NewsBoard(self._version, self._is_current, self._hosts)
+        self.board = NewsBoard(self._version, self._is_current, self._hosts, self._leads)
         self._folder = Path(settings.data_folder)
         self._kept = KeptState()
         self._may_found = settings.may_found
@@ -100,7 +100,7 @@
         self._control = HttpServer(self._handle, CONTROL_LIMITS)
         self.tallies = Tallies()
         self.calls.tallies = self.tallies
-        site = NewsSite(self.board, self._packed, self.tallies)
+        site = NewsSite(self.board, self._document, self.tallies, settings.link_bytes_per_s)
         self._news = HttpServer(site.handle, NEWS_LIMITS)
         self._load = LoadMeter(self.tallies, self._slowest_call_s)
         self._metrics = MetricsSite(self.tallies)
@@ -190,6 +190,13 @@
         is_newer = self._machine().version >= self._kept.version
         return self._machine().packed if is_newer else self._kept.packed
 
+    def _document(self) -> Document:
+        """Return the newest document known to be committed."""
+        return Document(self._version(), self._packed())
+
+    def _leads(self) -> bool:
+        return self._log is not None and self._log.leads
+
     def _is_current(self) -> bool:
         return self._log is not None and self._log.is_current
 
@@ -241,21 +248,10 @@
             self._links[host] = link
             link.start()
 
-    def known_version(self) -> int:
-        """Return the version held; replicas get documents from the log alone."""
-        return self._machine().version
-
-    def wants_document(self, news: News, host: str) -> bool:
-        """Never fetch a document: the log brings it."""
-        return False
-
     def take_news(self, host: str, news: News) -> None:
         """Merge what another replica knows."""
         self.board.merge(news.records, news.heard)
 
-    def take_document(self, host: str, document: bytes, is_current: bool) -> None:
-        """Do nothing: none is asked for."""
-
     def lost(self, host: str) -> None:
         """Do nothing: the link tries again."""
 
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/following/__init__.py
@@ -0,0 +1,1 @@
+"""How routers follow what the replicas hold; pure."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/following/document_sources.py
@@ -0,0 +1,114 @@
+"""Choose from which replica a router fetches a newer configuration.
+
+All routers hear of a version within a few milliseconds. The leader, which knows
+it first, has its followers to hear from within its lease, so it is asked only
+when no other replica tells of the version soon. Among the others each router
+has an order of its own, by highest random weight, so that they share the work.
+"""
+
+from typing import NamedTuple
+
+from damaskwind.decisions.limits.slices import rendezvous_order
+
+__all__ = ["DocumentSources", "Told"]
+
+# The followers learn of a version a round trip after the leader. A replica that is
+# silent for longer than this is behind, or its link is full: another one is asked.
+PATIENCE_S = 0.15
+# A source that failed is asked again after so long, or when there is no other.
+FAILED_S = 1.0
+# How long a restarted router holds out for a replica that is surely current, or
+# for all to be heard, after the first one it heard: the others answer within
+# some ms if they can.
+UNSURE_AFTER_S = 0.15
+
+
+class Told(NamedTuple):
+    """What a replica told last, first at `at_s`."""
+
+    version: int
+    is_current: bool
+    leads: bool
+    at_s: float
+
+
+class DocumentSources:
+    """What each replica told of the configuration, and which to ask for it.
+
+    >>> sources = DocumentSources("router")
+    >>> sources.hear("follower", 6, True, False, now_s=0.0)
+    >>> sources.hear("leader", 7, True, True, now_s=0.0)
+    >>> sources.choose(6, 2, now_s=0.0)
+    >>> sources.hear("follower", 7, True, False, now_s=0.01)
+    >>> sources.choose(6, 2, now_s=0.01)
+    'follower'
+    """
+
+    def __init__(self, node_id: str) -> None:
+        self._node_id = node_id
+        self._told: dict[str, Told] = {}
+        self._failed_s: dict[str, float] = {}
+        self._first_heard_s: float | None = None
+
+    def hear(self, host: str, version: int, is_current: bool, leads: bool, now_s: float) -> None:
+        """Note what a replica tells; the time stays that of its first word of a version."""
+        if self._first_heard_s is None:
+            self._first_heard_s = now_s
+        before = self._told.get(host)
+        at_s = before.at_s if before is not None and before.version == version else now_s
+        self._told[host] = Told(version, is_current, leads, at_s)
+
+    def lose(self, host: str) -> None:
+        """Wait no longer for a replica that can't be reached."""
+        self._told.pop(host, None)
+
+    def fail(self, host: str, now_s: float) -> None:
+        """Note that a document did not come from there."""
+        self._failed_s[host] = now_s
+
+    def has_newer(self, held_version: int) -> bool:
+        """Tell whether any replica told of a newer version."""
+        return any(told.version > held_version for told in self._told.values())
+
+    def choose(self, held_version: int, hosts: int, now_s: float) -> str | None:
+        """Return whom to ask now, or `None` when there is nothing to ask for yet.
+
+        `held_version` is 0 before the first configuration; `hosts` is how many
+        replicas are followed.
+        """
+        newer = {host: told for host, told in self._told.items() if told.version > held_version}
+        if not held_version:
+            newer = self._first_ones(newer, hosts, now_s)
+        if not newer:
+            return None
+        order = sorted(
+            rendezvous_order(self._node_id, self._told), key=lambda host: self._put_off(host, now_s)
+        )
+        told_first_s = min(told.at_s for told in newer.values())
+        best = next(host for host in order if host in newer)
+        # A router without any configuration serves nobody and waits for no better source,
+        # but for the leader's followers.
+        may_wait = best != order[0] if held_version else self._told[best].leads
+        if may_wait and len(self._told) > 1 and now_s < told_first_s + PATIENCE_S:
+            return None
+        return best
+
+    def _put_off(self, host: str, now_s: float) -> tuple[bool, bool]:
+        """Tell whether a replica failed lately, and whether it leads: others go before it."""
+        has_failed = now_s - self._failed_s.get(host, float("-inf")) < FAILED_S
+        return (has_failed, self._told[host].leads)
+
+    def _first_ones(self, newer: dict[str, Told], hosts: int, now_s: float) -> dict[str, Told]:
+        """Return who may tell the first configuration.
+
+        Where no replica is sure to be current, it is the newest that any of them
+        knows, once all were heard or a while has passed.
+        """
+        current = {host: told for host, told in newer.items() if told.is_current}
+        if current:
+            return current
+        has_waited = newer and now_s - self._first_heard_s > UNSURE_AFTER_S
+        if not has_waited and len(self._told) < hosts:
+            return {}
+        newest = max((told.version for told in self._told.values()), default=0)
+        return {host: told for host, told in newer.items() if told.version == newest}
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/following/tests/test_document_sources.py
@@ -0,0 +1,58 @@
+"""Tests of whom a router asks for a configuration."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.trial.unittest import TestCase
+
+from damaskwind.decisions.following.document_sources import (
+    FAILED_S,
+    PATIENCE_S,
+    DocumentSources,
+)
+
+HOSTS = tuple("abcdef")
+
+
+def heard(node_id, version=7, leader="a", hosts=HOSTS):
+    """Return the sources of a router to which all replicas told a version at time 0."""
+    sources = DocumentSources(node_id)
+    for host in hosts:
+        sources.hear(host, version, True, host == leader, 0.0)
+    return sources
+
+
+class DocumentSourcesTest(TestCase):
+    def test_routers_share_the_followers_and_leave_the_leader_alone(self):
+        chosen = Counter(heard(f"front-{number}").choose(6, 6, 0.0) for number in range(300))
+        self.assertNotIn("a", chosen)
+        self.assertEqual(set(chosen), set(HOSTS[1:]))
+        self.assertLess(max(chosen.values()), 2 * 300 / 5)
+
+    def test_one_that_failed_is_asked_last_for_a_while(self):
+        sources = heard("r")
+        first = sources.choose(6, 6, 0.0)
+        sources.fail(first, 0.0)
+        self.assertNotEqual(sources.choose(6, 6, 0.1), first)
+        self.assertEqual(sources.choose(6, 6, FAILED_S + 0.1), first)
+
+    def test_leader_is_asked_when_the_others_stay_silent(self):
+        sources = heard("r", version=6)
+        sources.hear("a", 7, True, True, 1.0)
+        self.assertIsNone(sources.choose(6, 6, 1.0))
+        self.assertEqual(sources.choose(6, 6, 1.0 + PATIENCE_S), "a")
+
+    def test_leader_alone_is_asked_at_once(self):
+        self.assertEqual(heard("r", hosts=("a",)).choose(6, 1, 0.0), "a")
+
+    @given(st.lists(st.tuples(st.sampled_from(HOSTS), st.integers(0, 9)), min_size=1))
+    def test_newer_version_is_always_fetched_in_the_end(self, told):
+        sources = DocumentSources("r")
+        for number, (host, version) in enumerate(told):
+            sources.hear(host, version, True, host == "a", number / 1000)
+        newest = dict(told)
+        host = sources.choose(4, 6, 100.0)
+        self.assertEqual(host is not None, max(newest.values()) > 4)
+        if host is not None:
+            self.assertGreater(newest[host], 4)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/pacing/bulk_pace.py
@@ -0,0 +1,27 @@
+"""Space large sends, so that small ones that must not wait find the link free.
+
+>>> pace = BulkPace(1000.0, now_s=0.0)
+>>> pace.wait_s(100, now_s=0.0), pace.wait_s(300, now_s=0.0), pace.wait_s(10, now_s=0.0)
+(0.0, 0.0, 0.3)
+>>> pace.wait_s(10, now_s=9.0)
+0.0
+"""
+
+__all__ = ["BulkPace"]
+
+# What may go at once after a pause, in seconds of the rate: a tenth of a lease.
+CREDIT_S = 0.1
+
+
+class BulkPace:
+    """A rate of bytes for all large sends of one process, first come, first served."""
+
+    def __init__(self, bytes_per_s: float, now_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_s = now_s - CREDIT_S
+
+    def wait_s(self, size_bytes: int, now_s: float) -> float:
+        """Book a send; return in how many seconds it may begin."""
+        start_s = max(self._free_s, now_s - CREDIT_S)
+        self._free_s = start_s + size_bytes / self._bytes_per_s
+        return round(max(start_s - now_s, 0.0), 6)
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -6,28 +6,28 @@
 a failure domain that is cut off serves what it can.
 """
 
+import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 
 from loguru import logger
 
+from damaskwind.decisions.following.document_sources import DocumentSources
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord, TargetTable
 from damaskwind.decisions.routing.table import RouteTable
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
-from damaskwind.wire.news import News, SubscriberKind
+from damaskwind.wire.document_fetch import FETCH_ERRORS, DocumentFetcher
+from damaskwind.wire.news import News, SubscriberKind, unpack_document
 from damaskwind.wire.news_link import NewsLink
 
 __all__ = ["FleetView"]
 
-# How long a restarted router holds out for a replica that is surely current, or
-# for all to be heard, after the first one it heard: the others answer within
-# some ms if they can.
-UNSURE_AFTER_S = 0.15
-# A document that one link is fetching is left to it for so long.
-FETCH_S = 0.4
+# The leader becomes a source, and one that failed again, without a word of news.
+LOOK_AGAIN_S = 0.05
 # Heartbeats come every 1.2 s: three missed ones, and the way of the news.
 SILENT_S = 4.6
 # A target that says that it is gone serves on for as long as one that drains.
@@ -58,17 +58,23 @@
         self._random = random
         self._seed_hosts = seed_hosts
         self._links: dict[str, NewsLink] = {}
-        self._first_heard_s: float | None = None
-        self._fetching: dict[int, float] = {}
-        self._versions: dict[str, int] = {}
+        self.sources = DocumentSources(node_id)
+        self._fetcher = DocumentFetcher(news_port)
+        self._has_news = asyncio.Event()
+        self._fetching: asyncio.Task | None = None
         self._router_counts: dict[str, int] = {}
 
     def start(self) -> None:
         """Begin to follow the seeds."""
         self.follow(self._seed_hosts)
+        self._fetching = asyncio.ensure_future(self._follow_documents())
 
     async def stop(self) -> None:
         """End all subscriptions."""
+        if self._fetching is not None:
+            self._fetching.cancel()
+            await asyncio.gather(self._fetching, return_exceptions=True)
+        self._fetcher.close()
         for link in self._links.values():
             await link.stop()
 
@@ -110,35 +116,41 @@
         """Return the version in force here."""
         return self.table.version if self.table else 0
 
-    def wants_document(self, news: News, host: str) -> bool:
-        """Fetch a newer document from the first replica that tells of it."""
-        if news.version <= self.known_version():
-            return False
-        now_s = time.monotonic()
-        if self.table is None and not self._may_begin_with(news, now_s):
-            return False
-        if now_s - self._fetching.get(news.version, float("-inf")) < FETCH_S:
-            return False
-        self._fetching = {news.version: now_s}
-        return True
-
-    def _may_begin_with(self, news: News, now_s: float) -> bool:
-        """Tell whether the first configuration may be the one that `news` tells of.
-
-        Where no replica is sure to be current, it is the newest that any of them knows.
-        """
-        if news.is_current:
-            return True
-        has_heard_all = all(host in self._versions for host in self._links)
-        has_waited = now_s - self._first_heard_s > UNSURE_AFTER_S
-        return news.version == max(self._versions.values()) and (has_heard_all or has_waited)
+    async def _follow_documents(self) -> None:
+        """Fetch each newer configuration, over and over."""
+        while True:
+            host = self.sources.choose(self.known_version(), len(self._links), time.monotonic())
+            if host is not None:
+                await self._fetch_from(host)
+                continue
+            self._has_news.clear()
+            is_pending = self.sources.has_newer(self.known_version())
+            with suppress(TimeoutError):
+                async with asyncio.timeout(LOOK_AGAIN_S if is_pending else None):
+                    await self._has_news.wait()
+
+    async def _fetch_from(self, host: str) -> None:
+        """Fetch from one replica; note when that fails."""
+        asked_s = time.monotonic()
+        try:
+            document = await self._fetcher.fetch(host, self.known_version())
+            content = unpack_document(document.packed)
+        except FETCH_ERRORS as error:
+            self.sources.fail(host, time.monotonic())
+            logger.warning("document not fetched", host=host, why=repr(error))
+            return
+        took_s = time.monotonic() - asked_s
+        self.take_document(host, content, took_s, len(document.packed))
+        if document.version > self.known_version():
+            # What can't be read here is not asked for again at once.
+            self.sources.fail(host, time.monotonic())
 
     def take_news(self, host: str, news: News) -> None:
         """Merge what a replica knows."""
         now_s = time.monotonic()
-        if self._first_heard_s is None:
-            self._first_heard_s = now_s
-        self._versions[host] = news.version
+        self.sources.hear(host, news.version, news.is_current, news.leads, now_s)
+        if news.version > self.known_version():
+            self._has_news.set()
         for record in news.records:
             if self.targets.take(record, now_s):
                 logger.info(
@@ -165,7 +177,7 @@
         for callback in self.on_gone:
             callback(target_id)
 
-    def take_document(self, host: str, document: bytes, is_current: bool) -> None:
+    def take_document(self, host: str, document: bytes, took_s: float, packed_bytes: int) -> None:
         """Put a newer configuration in force; an older one is ignored."""
         try:
             configuration = self._decode(document)
@@ -183,10 +195,12 @@
             version=configuration.version,
             before=before,
             told_by=host,
-            is_current=is_current,
             routes=len(configuration.routes),
+            packed_bytes=packed_bytes,
+            fetch_s=round(took_s, 3),
         )
 
     def lost(self, host: str) -> None:
         """Wait no longer for its version; what it told of targets stays believed."""
-        self._versions.pop(host, None)
+        self.sources.lose(host)
+        self._has_news.set()
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
@@ -5,8 +5,9 @@
 
 from twisted.trial.unittest import TestCase
 
+from damaskwind.decisions.following.document_sources import UNSURE_AFTER_S
 from damaskwind.router.forwarding import fleet_view
-from damaskwind.router.forwarding.fleet_view import UNSURE_AFTER_S, FleetView
+from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.wire.news import News
 
 
@@ -27,13 +28,12 @@
         self.addCleanup(clock.stop)
         self.now_s = 100.0
         self.view = FleetView("r", ("a", "b", "c"), 1, lambda body: None, Random(1))
-        self.view.start()
+        self.view.follow(("a", "b", "c"))
 
     def hear(self, host, version, is_current=False):
-        """Take news from a replica; tell whether its document is wanted."""
-        told = news(version, is_current)
-        self.view.take_news(host, told)
-        return self.view.wants_document(told, host)
+        """Take news from a replica; tell whether its document is fetched now."""
+        self.view.take_news(host, news(version, is_current))
+        return self.view.sources.choose(self.view.known_version(), 3, self.now_s) == host
 
     def test_current_replica_is_believed_at_once(self):
         self.assertFalse(self.hear("a", 7))
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -16,10 +16,14 @@
 __all__ = [
     "DOCUMENT_PATH",
     "NEWS_PATH",
+    "Document",
+    "DocumentRequest",
     "Heard",
     "News",
     "NewsRequest",
     "SubscriberKind",
+    "decode_document",
+    "decode_document_request",
     "decode_news",
     "decode_request",
     "encode",
@@ -41,10 +45,10 @@
 
 
 class NewsRequest(NamedTuple):
-    """What a subscriber has: of this replica's life `epoch`, up to `revision`.
+    """What a subscriber has heard: of this replica's life `epoch`, up to `revision`.
 
-    `version` is the configuration that it holds. The answer may be held back
-    for `wait_s`.
+    `version` is the configuration that this replica last told it of. The answer
+    may be held back for `wait_s`.
     """
 
     node_id: str
@@ -67,7 +71,8 @@
 
     `is_current` says that `version` is the newest that a majority holds, as
     far as the replica's lease or its leader's word tells. `hosts` are the IP
-    numbers of all replicas, `routers` how many routers ask here.
+    numbers of all replicas, `routers` how many routers ask here. `leads` says
+    that the replica leads the log.
     """
 
     epoch: str
@@ -78,15 +83,31 @@
     routers: int
     records: tuple[TargetRecord, ...]
     heard: tuple[Heard, ...]
+    leads: bool = False
 
 
-def encode(message: NewsRequest | News) -> bytes:
+class DocumentRequest(NamedTuple):
+    """Ask for the newest configuration, by one that holds `held_version`."""
+
+    held_version: int
+
+
+class Document(NamedTuple):
+    """A configuration document with its version, packed."""
+
+    version: int
+    packed: bytes
+
+
+def encode(message: NewsRequest | News | DocumentRequest | Document) -> bytes:
     """Encode a message."""
     return msgspec.msgpack.encode(message)
 
 
 _REQUEST_DECODER = msgspec.msgpack.Decoder(NewsRequest)
 _NEWS_DECODER = msgspec.msgpack.Decoder(News)
+_DOCUMENT_REQUEST_DECODER = msgspec.msgpack.Decoder(DocumentRequest)
+_DOCUMENT_DECODER = msgspec.msgpack.Decoder(Document)
 
 
 def decode_request(data: bytes) -> NewsRequest:
@@ -105,6 +126,22 @@
         raise MessageError(f"news: {error}") from error
 
 
+def decode_document_request(data: bytes) -> DocumentRequest:
+    """Decode a request for a document; raise `MessageError` when it is none."""
+    try:
+        return _DOCUMENT_REQUEST_DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"document request: {error}") from error
+
+
+def decode_document(data: bytes) -> Document:
+    """Decode a document as it is sent; raise `MessageError` when it is none."""
+    try:
+        return _DOCUMENT_DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"document: {error}") from error
+
+
 def pack_document(document: bytes) -> bytes:
     """Compress a published document for the log and the links.
 
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -19,14 +19,11 @@
 )
 from damaskwind.runtime.http1.messages import Request
 from damaskwind.wire.news import (
-    DOCUMENT_PATH,
     NEWS_PATH,
     News,
     NewsRequest,
-    SubscriberKind,
     decode_news,
     encode,
-    unpack_document,
 )
 
 __all__ = ["NewsLink", "NewsTiming", "Subscriber"]
@@ -39,8 +36,7 @@
 
     `hold_s` is how long a replica keeps a request when nothing is new: one
     call a second shows that both ends live. `answer_s` beyond it covers a
-    round trip and a busy replica. A newer document that another link fetches
-    is looked for again after `hold_off_s`. A lost link is tried again soon, since a
+    round trip and a busy replica. A lost link is tried again soon, since a
     leave has to arrive within the drain bound (2 s), and routers that restart
     with the replicas serve nothing before they hear one: each 0.1 s counts.
     """
@@ -48,7 +44,6 @@
     hold_s: float = 1.0
     answer_s: float = 0.8
     connect_s: float = 0.5
-    hold_off_s: float = 0.05
     backoff_first_s: float = 0.05
     backoff_limit_s: float = 0.15
 
@@ -59,22 +54,10 @@
 class Subscriber(Protocol):
     """Who takes what a link hears."""
 
-    def known_version(self) -> int:
-        """Return the configuration version held."""
-        ...
-
-    def wants_document(self, news: News, host: str) -> bool:
-        """Tell whether this link should fetch the document now."""
-        ...
-
     def take_news(self, host: str, news: News) -> None:
         """Take news from a replica."""
         ...
 
-    def take_document(self, host: str, document: bytes, is_current: bool) -> None:
-        """Take a configuration document from a replica."""
-        ...
-
     def lost(self, host: str) -> None:
         """Note that a replica can't be reached."""
         ...
@@ -104,6 +87,7 @@
         self._clock = clock
         self._epoch = ""
         self._revision = 0
+        self._version = 0
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -146,19 +130,19 @@
             connection.abort()
 
     async def _ask(self, connection: ClientConnection) -> None:
-        """Make one call, and fetch the document if it is newer and wanted."""
+        """Make one call."""
         timing = self._timing
         request = NewsRequest(
             self._node_id,
             self._kind,
             self._epoch,
             self._revision,
-            self._subscriber.known_version(),
+            self._version,
             timing.hold_s,
         )
-        body = await self._call(connection, NEWS_PATH, encode(request), timing.hold_s)
+        body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
-        self._epoch, self._revision = news.epoch, news.revision
+        self._epoch, self._revision, self._version = news.epoch, news.revision, news.version
         self.last_heard_s = self._clock()
         host = self.address.host
         if not self.has_heard:
@@ -167,26 +151,10 @@
                 "replica heard", host=host, version=news.version, is_current=news.is_current
             )
         self._subscriber.take_news(host, news)
-        if self._subscriber.wants_document(news, host):
-            asked_s = self._clock()
-            packed = await self._call(connection, DOCUMENT_PATH, b"", 0.0)
-            logger.info(
-                "document fetched",
-                host=host,
-                version=news.version,
-                size_bytes=len(packed),
-                took_s=round(self._clock() - asked_s, 3),
-            )
-            self._subscriber.take_document(host, unpack_document(packed), news.is_current)
-        elif self._kind == SubscriberKind.ROUTER and news.version > request.version:
-            # The replica answers at once as long as it has a newer version.
-            await asyncio.sleep(timing.hold_off_s)
-
-    async def _call(
-        self, connection: ClientConnection, path: bytes, body: bytes, hold_s: float
-    ) -> bytes:
+
+    async def _call(self, connection: ClientConnection, body: bytes, hold_s: float) -> bytes:
         """Make one call; raise `AnswerBrokenError` or `TimeoutError` when it fails."""
-        request = Request(b"POST", path, [(b"host", b"control")], body)
+        request = Request(b"POST", NEWS_PATH, [(b"host", b"control")], body)
         limit_s = hold_s + self._timing.answer_s
         # Not `wait_for`, which swallows a cancellation that meets the answer.
         async with asyncio.timeout(limit_s):
