--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -7,19 +7,23 @@
 import time
 from collections.abc import Callable
 from enum import StrEnum
+from itertools import count
 from typing import NamedTuple
 
 from loguru import logger
 
 from damaskwind.control.fleet.news_board import NewsBoard
-from damaskwind.control.operator_api.ports import CommitVerdict, ProposalPort
-from damaskwind.control.state.published_configuration import PublishedConfiguration, publish_command
+from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict, ProposalPort
+from damaskwind.control.state.published_configuration import (
+    PublishedConfiguration,
+    PublishOutcome,
+    publish_command,
+)
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
 from damaskwind.decisions.routing.checks import configuration_mistakes
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.tallies import Tallies
-from damaskwind.wire.news import pack_document, unpack_document
 
 __all__ = ["ControlCalls", "PublishResult", "PublishStatus"]
 
@@ -29,6 +33,8 @@
 # A leave is acknowledged once all replicas that can be reached know it, but a
 # target waits no longer than a second for its acknowledgement.
 LEAVE_TOLD_S = 0.3
+# A change that meets others is written anew upon them; after so many tries it goes whole.
+DIFFERENCE_ATTEMPTS = 3
 
 
 class PublishStatus(StrEnum):
@@ -101,8 +107,7 @@
         if not self._bears_a_loss():
             logger.info("configuration not committed", version=version, why="too few voters yet")
             return PublishResult(PublishStatus.UNKNOWN, version, "too few replicas vote yet")
-        command = publish_command(version, pack_document(document))
-        outcome = await access.propose(command, PUBLISH_LIMIT_S)
+        outcome = await self._propose(access, version, document)
         if outcome.verdict is not CommitVerdict.COMMITTED:
             logger.warning(
                 "configuration not committed",
@@ -115,6 +120,19 @@
         logger.info("configuration committed", version=version, outcome=outcome.result.decode())
         return PublishResult(PublishStatus.ACKNOWLEDGED, version)
 
+    async def _propose(self, access: ProposalPort, version: int, document: bytes) -> CommitOutcome:
+        """Put a document in the log, by its difference as long as that comes through."""
+        deadline_s = time.monotonic() + PUBLISH_LIMIT_S
+        for attempt in count(1):
+            machine = self._machine()
+            base_version = machine.version if attempt <= DIFFERENCE_ATTEMPTS else 0
+            command = publish_command(version, document, base_version, machine.document)
+            outcome = await access.propose(command, deadline_s - time.monotonic())
+            if outcome.result != PublishOutcome.OTHER_BASE.encode():
+                break
+            logger.info("configuration written anew", version=version, base=base_version)
+        return outcome
+
     async def read(self) -> bytes | None:
         """Return the newest document that a majority holds, or `None` if that is not sure."""
         access = self._access()
@@ -123,8 +141,7 @@
         if not is_current:
             logger.info("read refused", why="no majority vouches for this replica")
             return None
-        packed = self._machine().packed
-        return unpack_document(packed) if packed else None
+        return self._machine().document or None
 
     async def report(self, record: TargetRecord) -> None:
         """Take a target's report."""
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 
+from damaskwind.control.fleet.document_shelf import DocumentShelf
 from damaskwind.control.fleet.news_board import NewsBoard
 from damaskwind.decisions.pacing.bulk_pace import BulkPace
 from damaskwind.model.exception import MessageError
@@ -13,7 +13,6 @@
 from damaskwind.wire.news import (
     DOCUMENT_PATH,
     NEWS_PATH,
-    Document,
     decode_document_request,
     decode_request,
     encode,
@@ -32,14 +31,14 @@
     def __init__(
         self,
         board: NewsBoard,
-        document: Callable[[], Document],
+        shelf: DocumentShelf,
         tallies: Tallies,
         link_bytes_per_s: float,
     ) -> None:
         self._board = board
         self._pace = BulkPace(link_bytes_per_s * DOCUMENT_PART, time.monotonic())
         self._tallies = tallies
-        self._document_now = document
+        self._shelf = shelf
         self._calls = {NEWS_PATH: self._news, DOCUMENT_PATH: self._document}
 
     async def handle(self, exchange: Exchange) -> None:
@@ -63,20 +62,20 @@
     async def _document(self, exchange: Exchange) -> None:
         """Send the newest document, in its turn."""
         try:
-            decode_document_request(exchange.request.body)
+            held_version = decode_document_request(exchange.request.body).held_version
         except MessageError as error:
             exchange.respond(Answer(400, [], str(error).encode()))
             return
+        if not self._shelf.version:
+            exchange.respond(Answer(404, []))
+            return
         # All routers ask within some ms of a version, and the heartbeats that keep the
         # leader's lease have to find room between the documents.
-        wait_s = self._pace.wait_s(len(self._document_now().packed), time.monotonic())
+        size_bytes = len(self._shelf.newest_for(held_version).packed)
+        wait_s = self._pace.wait_s(size_bytes, time.monotonic())
         if wait_s:
             await asyncio.sleep(wait_s)
-        document = self._document_now()
-        if not document.version:
-            exchange.respond(Answer(404, []))
-            return
-        body = encode(document)
+        body = encode(self._shelf.newest_for(held_version))
         self._tallies.count("sent_bytes", len(body), kind="documents")
         self._tallies.observe("document_wait", wait_s)
         exchange.respond(Answer(200, [], body))
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from damaskwind.control.fleet.calls import ControlCalls
+from damaskwind.control.fleet.document_shelf import DocumentShelf
 from damaskwind.control.fleet.kept_state import (
     KeptState,
     StateKeeper,
@@ -31,7 +32,7 @@
 from damaskwind.runtime.load_meter import LoadMeter
 from damaskwind.runtime.metrics_site import MetricsSite
 from damaskwind.runtime.tallies import Tallies
-from damaskwind.wire.news import Document, News, SubscriberKind
+from damaskwind.wire.news import News, SubscriberKind, unpack_document
 from damaskwind.wire.news_link import NewsLink
 
 if TYPE_CHECKING:
@@ -100,7 +101,8 @@
         self._control = HttpServer(self._handle, CONTROL_LIMITS)
         self.tallies = Tallies()
         self.calls.tallies = self.tallies
-        site = NewsSite(self.board, self._document, self.tallies, settings.link_bytes_per_s)
+        self._shelf = DocumentShelf()
+        site = NewsSite(self.board, self._shelf, self.tallies, settings.link_bytes_per_s)
         self._news = HttpServer(site.handle, NEWS_LIMITS)
         self._load = LoadMeter(self.tallies, self._slowest_call_s)
         self._metrics = MetricsSite(self.tallies)
@@ -169,6 +171,8 @@
         self._may_found = self.settings.may_found or was_first_start(self._folder)
         self._kept = read_kept_state(self._folder, self._files)
         self.board.merge(self._kept.records, ())
+        if self._kept.version:
+            self._shelf.put(self._kept.version, unpack_document(self._kept.packed))
         self._keeper = StateKeeper(self._folder, self._files, self._mark, self._state)
         logger.info("state recalled", version=self._kept.version, targets=len(self._kept.records))
 
@@ -190,10 +194,6 @@
         is_newer = self._machine().version >= self._kept.version
         return self._machine().packed if is_newer else self._kept.packed
 
-    def _document(self) -> Document:
-        """Return the newest document known to be committed."""
-        return Document(self._version(), self._packed())
-
     def _leads(self) -> bool:
         return self._log is not None and self._log.leads
 
@@ -221,6 +221,7 @@
 
     def _applied(self) -> None:
         """Have subscribers look at the version."""
+        self._shelf.put(self._machine().version, self._machine().document)
         self.board.wake()
 
     async def _upkeep(self) -> None:
--- a/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
@@ -2,10 +2,10 @@
 
 from twisted.trial.unittest import TestCase
 
-from damaskwind.control.fleet.calls import ControlCalls, PublishStatus
+from damaskwind.control.fleet.calls import DIFFERENCE_ATTEMPTS, ControlCalls, PublishStatus
 from damaskwind.control.fleet.news_board import NewsBoard
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
-from damaskwind.control.state.published_configuration import PublishedConfiguration
+from damaskwind.control.state.published_configuration import PublishedConfiguration, publish_command
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.bridge import asyncio_test
@@ -18,16 +18,23 @@
 
 
 class FakeLog:
-    """Commits, refuses or says nothing, as `verdict` says."""
+    """Commits, refuses or says nothing, as `verdict` says.
+
+    Documents of others in `meets` are committed just before.
+    """
 
     def __init__(self, machine):
         self.machine = machine
         self.verdict = CommitVerdict.COMMITTED
         self.is_current = True
         self.proposed = 0
+        self.meets = []
 
     async def propose(self, payload, timeout_s):
         self.proposed += 1
+        if self.meets:
+            other = self.meets.pop(0)
+            self.machine.apply(1, publish_command(int(other), other))
         if self.verdict is not CommitVerdict.COMMITTED:
             return CommitOutcome(self.verdict)
         return CommitOutcome(self.verdict, self.machine.apply(1, payload))
@@ -68,6 +75,17 @@
         self.assertEqual(await self.calls.read(), b"9")
         self.assertEqual(self.log.proposed, 2)
 
+    @asyncio_test
+    async def test_change_that_meets_others_is_written_anew_upon_them(self):
+        await self.calls.publish(b"3")
+        for met in (1, 2, 5):
+            version = self.machine.version + 10
+            self.log.meets = [b"%d" % (self.machine.version + number) for number in range(1, met)]
+            before = self.log.proposed
+            self.assertEqual(await self.status(b"%d" % version), PublishStatus.ACKNOWLEDGED)
+            self.assertEqual(self.machine.document, b"%d" % version)
+            self.assertEqual(self.log.proposed - before, min(met, DIFFERENCE_ATTEMPTS + 1))
+
     @asyncio_test
     async def test_invalid_ones_never_reach_the_log(self):
         for document in (b"", b"x", b"0"):
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -17,11 +17,12 @@
 from damaskwind.decisions.following.document_sources import DocumentSources
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord, TargetTable
 from damaskwind.decisions.routing.table import RouteTable
-from damaskwind.model.exception import ConfigurationError
+from damaskwind.model.exception import ConfigurationError, MessageError
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.wire.document_difference import apply_difference
 from damaskwind.wire.document_fetch import FETCH_ERRORS, DocumentFetcher
-from damaskwind.wire.news import News, SubscriberKind, unpack_document
+from damaskwind.wire.news import Document, News, SubscriberKind, unpack_document
 from damaskwind.wire.news_link import NewsLink
 
 __all__ = ["FleetView"]
@@ -61,6 +62,8 @@
         self.sources = DocumentSources(node_id)
         self._fetcher = DocumentFetcher(news_port)
         self._has_news = asyncio.Event()
+        self._document = b""
+        self._wants_whole = False
         self._fetching: asyncio.Task | None = None
         self._router_counts: dict[str, int] = {}
 
@@ -133,12 +136,15 @@
         """Fetch from one replica; note when that fails."""
         asked_s = time.monotonic()
         try:
-            document = await self._fetcher.fetch(host, self.known_version())
-            content = unpack_document(document.packed)
+            held_version = 0 if self._wants_whole else self.known_version()
+            document = await self._fetcher.fetch(host, held_version)
+            content = self._unpack(document)
         except FETCH_ERRORS as error:
+            self._wants_whole = isinstance(error, MessageError)
             self.sources.fail(host, time.monotonic())
             logger.warning("document not fetched", host=host, why=repr(error))
             return
+        self._wants_whole = False
         took_s = time.monotonic() - asked_s
         self.take_document(host, content, took_s, len(document.packed))
         if document.version > self.known_version():
@@ -177,6 +183,14 @@
         for callback in self.on_gone:
             callback(target_id)
 
+    def _unpack(self, document: Document) -> bytes:
+        """Return the whole document; raise `MessageError` when it does not come out."""
+        if not document.base_version:
+            return unpack_document(document.packed)
+        if document.base_version != self.known_version():
+            raise MessageError(f"difference from version {document.base_version}")
+        return apply_difference(self._document, document.packed)
+
     def take_document(self, host: str, document: bytes, took_s: float, packed_bytes: int) -> None:
         """Put a newer configuration in force; an older one is ignored."""
         try:
@@ -188,6 +202,7 @@
             return
         before = self.known_version()
         self.table = RouteTable(configuration)
+        self._document = document
         for callback in self.on_configuration:
             callback(configuration)
         logger.info(
--- a/packages/standins/src/damaskwind/standins/narrow_links.py
+++ b/packages/standins/src/damaskwind/standins/narrow_links.py
@@ -2,10 +2,10 @@
 
 All connections of an address share its link, first come, first served, as
 those of a VM do: what one of them writes waits behind all that the others have
-written before. Addresses without a rate send at once. Bytes that a peer sends
-arrive by the peer's link.
+written before, also when that connection has ended since. Addresses without a
+rate send at once. Bytes that a peer sends arrive by the peer's link.
 
-    loop = NarrowLoop({"127.77.1.1": 375_000.0})
+    loop = NarrowLoop({"127.77.1.1": 375_000.0}, delay_s=0.002)
 """
 
 import asyncio
@@ -23,7 +23,8 @@
 class _Link:
     """The queue in front of one address's link."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, bytes_per_s: float) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, bytes_per_s: float, delay_s: float) -> None:
+        self._delay_s = delay_s
         self.sent_bytes = 0
         self.queued_bytes = 0
         self._loop = loop
@@ -47,11 +48,9 @@
         while self._queue and self._free_s <= self._loop.time():
             transport, data = self._queue.popleft()
             self.queued_bytes -= len(data)
-            if transport.is_lost:
-                continue
             self.sent_bytes += len(data)
             self._free_s += len(data) / self._bytes_per_s
-            transport.carry(data)
+            self._loop.call_at(self._free_s + self._delay_s, transport.carry, data)
         if self._queue:
             self._loop.call_at(self._free_s, self._send)
         else:
@@ -68,11 +67,6 @@
         self._is_ending = False
         super().__init__(loop, sock, *arguments, **options)
 
-    @property
-    def is_lost(self) -> bool:
-        """Tell whether nothing can be sent any more; what waits is dropped."""
-        return bool(self._conn_lost)
-
     def is_closing(self) -> bool:
         """Tell whether the connection ends, now or when all has been sent."""
         return self._is_ending or super().is_closing()
@@ -97,8 +91,9 @@
     def carry(self, data: bytes) -> None:
         """Send what the link has let through."""
         self._waiting_bytes -= len(data)
-        super().write(data)
-        self._maybe_resume_protocol()
+        if not self._conn_lost:
+            super().write(data)
+            self._maybe_resume_protocol()
         if self._is_ending and not self._waiting_bytes:
             super().close()
 
@@ -112,12 +107,13 @@
 class NarrowLoop(asyncio.SelectorEventLoop):
     """A loop whose connections send by the links of their own addresses.
 
-    `bytes_per_s` gives the rate of each address that has a narrow link.
+    `bytes_per_s` gives the rate of each address that has a narrow link, `delay_s`
+    how long bytes are under way behind it.
     """
 
-    def __init__(self, bytes_per_s: Mapping[str, float]) -> None:
+    def __init__(self, bytes_per_s: Mapping[str, float], delay_s: float = 0.0) -> None:
         super().__init__()
-        self.links = {host: _Link(self, rate) for host, rate in bytes_per_s.items()}
+        self.links = {host: _Link(self, rate, delay_s) for host, rate in bytes_per_s.items()}
 
     def _make_socket_transport(
         self, sock: Any, protocol: Any, waiter: Any = None, *, extra: Any = None, server: Any = None
--- /dev/null
+++ b/packages/wire/src/damaskwind/wire/document_difference.py
@@ -0,0 +1,86 @@
+"""Tell a document by what it has in common with an earlier one.
+
+A document is taken as the pieces between the ends of its objects. The new one is
+written as runs of pieces of the old one, and the pieces that are new; what comes
+out is checked against a digest. Pieces are found by a table, as in rsync
+(Tridgell and Mackerras, 1996) but at the places that the format itself gives,
+in time linear in both documents.
+"""
+
+import zlib
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from damaskwind.model.exception import MessageError
+
+__all__ = ["apply_difference", "difference"]
+
+_PIECE_END = b"},"
+# A document may be 4 MiB; nothing that grows beyond this when unpacked is one.
+_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+class _Difference(NamedTuple):
+    """Steps in order: a run of old pieces (first, count), or one new piece."""
+
+    digest: bytes
+    steps: list[tuple[int, int] | bytes]
+
+
+_DECODER = msgspec.msgpack.Decoder(_Difference)
+
+
+def difference(old: bytes, new: bytes) -> bytes:
+    """Return what turns `old` into `new`, packed.
+
+    >>> old = b'[{"a":1},{"b":2},{"c":3}]'
+    >>> new = b'[{"a":1},{"b":5},{"c":3}]'
+    >>> apply_difference(old, difference(old, new)) == new
+    True
+    """
+    steps = _steps(old.split(_PIECE_END), new.split(_PIECE_END))
+    message = _Difference(xxhash.xxh3_64_digest(new), steps)
+    return zlib.compress(msgspec.msgpack.encode(message), 6)
+
+
+def _steps(old: list[bytes], new: list[bytes]) -> list[tuple[int, int] | bytes]:
+    """Return the runs and new pieces, in order."""
+    places = {piece: place for place, piece in reversed(list(enumerate(old)))}
+    steps: list[tuple[int, int] | bytes] = []
+    first = end = 0
+    for piece in new:
+        if end > first and end < len(old) and old[end] == piece:
+            end += 1
+            continue
+        if end > first:
+            steps.append((first, end - first))
+        first = end = places.get(piece, 0)
+        if piece in places:
+            end += 1
+        else:
+            steps.append(piece)
+    if end > first:
+        steps.append((first, end - first))
+    return steps
+
+
+def apply_difference(old: bytes, packed: bytes) -> bytes:
+    """Return the new document; raise `MessageError` when it does not come out as it was."""
+    unpacker = zlib.decompressobj()
+    try:
+        message = _DECODER.decode(unpacker.decompress(packed, _LIMIT_BYTES))
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise MessageError(f"difference: {error}") from error
+    pieces = old.split(_PIECE_END)
+    built: list[bytes] = []
+    for step in message.steps:
+        if isinstance(step, bytes):
+            built.append(step)
+        else:
+            built += pieces[step[0] : step[0] + step[1]]
+    document = _PIECE_END.join(built)
+    if xxhash.xxh3_64_digest(document) != message.digest:
+        raise MessageError("difference: of another document")
+    return document
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -93,10 +93,14 @@
 
 
 class Document(NamedTuple):
-    """A configuration document with its version, packed."""
+    """A configuration document with its version, packed.
+
+    With a `base_version` it is told by what it has in common with that one.
+    """
 
     version: int
     packed: bytes
+    base_version: int = 0
 
 
 def encode(message: NewsRequest | News | DocumentRequest | Document) -> bytes:
