A silent voter goes only for a learner that has no place yet; who is left out asks those that answer

Cause (measured, then reproduced with the log alone): a domain with two of five voters cut off; the leader removed both for one learner and was left with four voters, below the five that the losses ask for, so that nothing was acknowledged from the cut until one of the two had come back; that took 4.4 s after the cut had healed, in a call of 5 s that had been sent into the cut. Seen: 'too few voters yet' for 5.8 s after the heal. Change: next_repair promotes before it removes another silent voter; a replica that is left out greets the others first (1 s, all at once) and asks those that answer. 'members changed' names voters and learners (sight).

--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -106,11 +106,16 @@
             if not replica.has_log or silent_s < LEFT_OUT_S:
                 continue
             members = replica.core.membership.voters + replica.core.membership.learners
-            known = {member.replica_id for member in members} - {own_id}
-            addresses = [replica.state.addresses.address_of(item) for item in sorted(known)]
+            others = {member.replica_id for member in members} - {own_id}
+            addresses = [replica.state.addresses.address_of(item) for item in sorted(others)]
             addresses += [parse_address(item.address) for item in bootstrap]
-            targets = [address for address in dict.fromkeys(addresses) if address is not None]
-            logger.info("asking to be added again", silent_s=round(silent_s, 1))
+            known = [address for address in dict.fromkeys(addresses) if address is not None]
+            # A call into a cut takes its whole time, long after the cut has healed: only
+            # those are asked that answer a short one.
+            targets = await _answering(known, channels, signer)
+            logger.info(
+                "asking to be added again", silent_s=round(silent_s, 1), answering=len(targets)
+            )
             await _ask_to_join(access, targets, channels, signer, service.address, failure_domain)
     finally:
         channels.close()
@@ -125,7 +130,19 @@
     others: list[ReplicaSettings], channels: Channels, signer: CallSigner
 ) -> list[Any]:
     """Ask all others who they are; `None` for those that don't answer."""
-    addresses = [parse_address(item.address) for item in others]
+    return await _hellos([parse_address(item.address) for item in others], channels, signer)
+
+
+async def _answering(
+    addresses: list[Address], channels: Channels, signer: CallSigner
+) -> list[Address]:
+    """Return the addresses at which a replica answers now."""
+    hellos = await _hellos(addresses, channels, signer)
+    return [address for address, reply in zip(addresses, hellos, strict=True) if reply is not None]
+
+
+async def _hellos(addresses: list[Address], channels: Channels, signer: CallSigner) -> list[Any]:
+    """Say hello at all addresses at once; `None` where nobody answers in time."""
     calls = [
         _call(address, "Hello", replication_pb2.HelloRequest(), channels, signer, HELLO_TIMEOUT_S)
         for address in addresses
--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -48,6 +48,7 @@
     AppendRequest,
     Envelope,
     Member,
+    Membership,
     MembershipChange,
     Outcome,
     RefusalReason,
@@ -92,6 +93,7 @@
         self._answers: dict[str, asyncio.Future] = {}
         self._waiters = ConditionWaiters()
         self._events: deque[Input] = deque()
+        self._members: Membership | None = None
         self._is_announcing = False
         self._announced_index = 0
         self._is_stepping = False
@@ -222,9 +224,23 @@
                     _HANDLERS[type(output)](self, output)
         finally:
             self._is_stepping = False
+        self._note_members()
         self._consider_snapshot()
         self._waiters.wake()
 
+    def _note_members(self) -> None:
+        """Say who votes and who learns, whenever that has changed."""
+        members = self.core.membership
+        if members == self._members:
+            return
+        self._members = members
+        logger.info(
+            "members changed",
+            voters=[member.replica_id for member in members.voters],
+            learners=[member.replica_id for member in members.learners],
+            leads=self.is_leader,
+        )
+
     async def _ask(self, question_id: str, event: Input, timeout_s: float) -> Any:
         """Feed a question and wait for its answer."""
         if not self.is_running:
--- a/packages/control/src/damaskwind/control/replica/tests/test_joining.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_joining.py
@@ -9,7 +9,9 @@
 
 from damaskwind.control.replica import joining
 from damaskwind.decisions.replication.messages import Member, Membership
+from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.wire.authentication import CallSigner
 
 LEFT_OUT_S = 0.4
 
@@ -56,6 +58,20 @@
             await asyncio.gather(task, return_exceptions=True)
         return asked_while_leading, asked_soon, self.asked
 
+    @asyncio_test
+    async def test_replica_that_takes_calls_and_answers_none_holds_nobody_up(self):
+        silent = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        port = silent.sockets[0].getsockname()[1]
+        channels = joining.Channels()
+        begun_s = monotonic()
+        found = await joining._answering(
+            [Address("127.0.0.1", port)] * 3, channels, CallSigner("c", "k", "a")
+        )
+        self.assertEqual(found, [])
+        self.assertLess(monotonic() - begun_s, joining.HELLO_TIMEOUT_S + 0.5)
+        channels.close()
+        silent.close()
+
     @asyncio_test
     async def test_replica_that_hears_no_leader_asks(self):
         while_following, _, _ = await self.run_for(2 * LEFT_OUT_S)
--- a/packages/decisions/src/damaskwind/decisions/replication/membership.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/membership.py
@@ -111,7 +111,10 @@
             continue
         former = [voter for voter in voters if voter.replica_id == learner.replica_id]
         replaced = former or [voter for voter in voters if silent(voter)]
-        if replaced and len(voters) > 1:
+        # One that has just gone left its place to this learner: another silent voter
+        # would go without a successor, and too few vote to acknowledge anything.
+        has_place = not former and len(voters) < least_voters
+        if replaced and len(voters) > 1 and not has_place:
             return MembershipChange(ChangeKind.REMOVE, replaced[0])
         if len(voters) < most_voters:
             return MembershipChange(ChangeKind.PROMOTE, learner)
