Targets that start again under their id: lives are ordered first, and nothing of the former one is believed

Change: records are ordered by (birth, phase, sequence); a smaller birth counts once the life held was silent for 10 s (a clock that was stepped back); a leave that names no life ends the one held, or, of a target not known here, every life born before it; routers forget load, pace, window, ejection, avoidance, displaced mark and connections when a life begins, and reset the sends that the former one had in hand.

--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -143,8 +143,19 @@
             return None
         return self._machine().document or None
 
-    async def report(self, record: TargetRecord) -> None:
-        """Take a target's report."""
+    async def report(self, record: TargetRecord) -> bool:
+        """Take a target's report; tell whether it may be the target's own."""
+        held = self._board.table.record_of(record.target_id)
+        if held is not None and held.service not in ("", record.service):
+            self.tallies.count("reports", phase="foreign")
+            logger.warning(
+                "report refused",
+                target=record.target_id,
+                why="it names another service than the target has",
+                service=record.service,
+                held=held.service,
+            )
+            return False
         changed = self._board.report(record)
         self.tallies.count("reports", phase=record.phase.name.lower())
         if changed:
@@ -154,10 +165,12 @@
                 service=record.service,
                 phase=record.phase.name.lower(),
                 sequence=record.sequence,
+                born_ms=record.born_ms,
                 address=str(record.address),
             )
         if changed and record.phase is not TargetPhase.SERVING:
             await self._tell(record.target_id)
+        return True
 
     async def leave(self, target_id: str) -> None:
         """Take a target's word that it takes no more work."""
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -52,16 +52,17 @@
     def report(self, record: TargetRecord) -> bool:
         """Take a target's own report; tell whether it changed anything."""
         now_s = time.monotonic()
-        changed = self.table.take(record, now_s)
-        self.table.hear(record.target_id, now_s)
-        self._heard[record.target_id] = now_s
+        changed = self.table.report(record, now_s)
+        held = self.table.record_of(record.target_id)
+        if held is not None and (held.service, held.born_ms) == (record.service, record.born_ms):
+            self._heard[record.target_id] = now_s
         if changed:
             self.wake()
         return changed
 
     def leave(self, target_id: str) -> bool:
         """Take a target's word that it is gone."""
-        changed = self.table.leave(target_id, time.monotonic())
+        changed = self.table.leave(target_id, time.monotonic(), int(time.time() * 1000))
         self._heard.pop(target_id, None)
         if changed:
             self.wake()
@@ -71,8 +72,8 @@
         """Take what another replica knows."""
         now_s = time.monotonic()
         changed = [self.table.take(record, now_s) for record in records]
-        for target_id, age_s in heard:
-            self.table.hear(target_id, now_s - age_s)
+        for target_id, age_s, born_ms in heard:
+            self.table.hear(target_id, now_s - age_s, born_ms)
         if any(changed):
             self.wake()
 
@@ -165,7 +166,10 @@
             return ()
         self._subscriptions[node_id] = subscription._replace(heard_told_s=now_s)
         self._heard = {key: at for key, at in self._heard.items() if now_s - at < HEARD_S}
-        return tuple(Heard(key, round(now_s - at, 2)) for key, at in self._heard.items())
+        return tuple(
+            Heard(key, round(now_s - at, 2), (self.table.life_of(key) or (0, 0))[1])
+            for key, at in self._heard.items()
+        )
 
     async def _wait(self, limit_s: float) -> bool:
         """Wait for a change; tell whether one came."""
--- a/packages/decisions/src/damaskwind/decisions/health/ejection.py
+++ b/packages/decisions/src/damaskwind/decisions/health/ejection.py
@@ -93,6 +93,10 @@
             if circuit.state == _CLOSED and circuit.is_outlier()
         )
 
+    def forget(self, target_id: str) -> None:
+        """Drop what a target did before it started again."""
+        self._circuits.pop(target_id, None)
+
     def state(self, target_id: str) -> str:
         """Name the circuit state of a target, for `explain` and the metrics."""
         circuit = self._circuits.get(target_id)
--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -3,11 +3,17 @@
 A report reaches one control replica; the table of each process is the merge of
 what it heard itself and what others told it. Merging is commutative and
 idempotent, so that order, repetition and delay do no harm: of one target, the
-phase only moves forward (serving, leaving, gone), and within a phase the
-higher sequence number holds. A target that is leaving or gone never comes
-back: its successor has another id. Gone targets are kept as tombstones until
+later life holds; of one life, the phase only moves forward (serving, leaving,
+gone), and within a phase the higher sequence number holds. A life that is
+leaving or gone never comes back. Gone ones are kept as tombstones until
 no late report of them can be under way. See Shapiro et al., "Conflict-free
 Replicated Data Types", SSS 2011.
+
+A target that starts again under its id begins a new life, told by when it was
+born. One that doesn't tell has a single life, and what tells none about a target
+that has told one changes nothing. Clocks may be stepped back between two lives:
+a smaller birth counts as later once the life held has been silent for long,
+and the record then says how often that was so.
 """
 
 from enum import IntEnum
@@ -22,6 +28,10 @@
 # A target that nobody has heard for so long is forgotten. Far above any cut that
 # it may outlive unheard (tens of seconds), since a forgotten one gets no work.
 FORGET_S = 45.0
+# A life that was silent for so long is over: eight heartbeats, and more than a report
+# is late behind any cut. Then a smaller birth is that of a target whose clock was
+# stepped back, and not a late report.
+STALE_LIFE_S = 10.0
 
 
 class TargetPhase(IntEnum):
@@ -33,10 +43,12 @@
 
 
 class TargetRecord(NamedTuple):
-    """A target as it reported itself; `target_id` is new at each of its starts.
+    """A target as it reported itself.
 
     `slots` is how many requests it runs at once, `sequence` grows with each
-    report.
+    report of a life, `born_ms` is the Unix time of its start, in ms; 0 where it
+    tells none. `clock_steps` counts how often a smaller birth was taken for later,
+    the last time in place of the life born at `overruled_ms`.
     """
 
     target_id: str
@@ -47,6 +59,14 @@
     sequence: int
     slots: int = 1
     cold_s: float = 0.0
+    born_ms: int = 0
+    clock_steps: int = 0
+    overruled_ms: int = 0
+
+    @property
+    def life(self) -> tuple[int, int]:
+        """Return what orders the lives of one target."""
+        return (self.clock_steps, self.born_ms)
 
 
 class _Entry:
@@ -87,12 +107,18 @@
         True
         >>> table.take(new._replace(sequence=9), 3.0)
         False
+        >>> table.take(new._replace(sequence=0, born_ms=1_790_000_000_000), 4.0)
+        True
         """
         entry = self._entries.get(record.target_id)
-        if entry is None:
+        if entry is None or (record.life > entry.record.life and record.service):
             self.revision += 1
             self._entries[record.target_id] = _Entry(record, heard_s, self.revision)
             return True
+        if record.life < entry.record.life:
+            return False
+        if record.life > entry.record.life:
+            return self._end_unseen(entry, record, heard_s)
         if record.phase < entry.record.phase:
             return False
         if record.phase == entry.record.phase:
@@ -104,18 +130,60 @@
         self._put(entry, record, heard_s)
         return True
 
-    def leave(self, target_id: str, now_s: float) -> bool:
-        """Note that a target said it is gone, known here or not."""
+    def report(self, record: TargetRecord, now_s: float) -> bool:
+        """Take a target's own report; tell whether it changed anything.
+
+        A report that names another service than the target has is another writer's.
+
+        >>> from damaskwind.model.targets import Address
+        >>> table = TargetTable()
+        >>> new = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.SERVING, 4)
+        >>> table.report(new._replace(born_ms=9_000), 0.0)
+        True
+        >>> back = new._replace(sequence=0, born_ms=5_000)
+        >>> table.report(back, 5.0), table.report(back, 5.0 + STALE_LIFE_S)
+        (False, True)
+        """
+        entry = self._entries.get(record.target_id)
+        if entry is None:
+            return self.take(record, now_s)
+        held = entry.record
+        is_foreign = held.service not in ("", record.service)
+        if is_foreign or record.born_ms == held.overruled_ms != 0:
+            return False
+        is_over = now_s - entry.heard_s >= STALE_LIFE_S
+        if 0 < record.born_ms < held.born_ms and is_over:
+            steps, overruled_ms = held.clock_steps + 1, held.born_ms
+        else:
+            steps, overruled_ms = held.clock_steps, held.overruled_ms
+        record = record._replace(clock_steps=steps, overruled_ms=overruled_ms)
+        changed = self.take(record, now_s)
+        self.hear(record.target_id, now_s, record.born_ms)
+        return changed
+
+    def leave(self, target_id: str, now_s: float, now_ms: int = 0) -> bool:
+        """Note that a target said it is gone, known here or not.
+
+        That names no life: it ends the one held. Of a target not known here it
+        ends every life that was born before `now_ms`, the Unix time in ms.
+        """
+        entry = self._entries.get(target_id)
+        steps, born_ms = entry.record.life if entry else (0, now_ms)
         nowhere = Address("0.0.0.0", 0)
         gone = TargetRecord(target_id, "", nowhere, "", TargetPhase.GONE, 0)
-        return self.take(gone, now_s)
+        return self.take(gone._replace(born_ms=born_ms, clock_steps=steps), now_s)
 
-    def hear(self, target_id: str, heard_s: float) -> None:
-        """Note that somebody heard a target at `heard_s`."""
+    def hear(self, target_id: str, heard_s: float, born_ms: int = 0) -> None:
+        """Note that somebody heard a life of a target at `heard_s`."""
         entry = self._entries.get(target_id)
-        if entry is not None:
+        if entry is not None and entry.record.born_ms == born_ms:
             entry.heard_s = max(entry.heard_s, heard_s)
 
+    def life_of(self, target_id: str) -> tuple[int, int] | None:
+        """Return which life of a target is held, if it is known."""
+        entry = self._entries.get(target_id)
+        return entry.record.life if entry else None
+
     def phase_of(self, target_id: str) -> TargetPhase | None:
         """Return the phase of a target, if it is known."""
         entry = self._entries.get(target_id)
@@ -248,6 +316,16 @@
         self._put(entry, record, heard_s)
         return True
 
+    def _end_unseen(self, entry: _Entry, record: TargetRecord, heard_s: float) -> bool:
+        """Take the end of a later life of which nothing else is known here."""
+        if entry.record.phase is TargetPhase.SERVING:
+            entry.gone_s = heard_s
+        ended = entry.record._replace(
+            phase=record.phase, born_ms=record.born_ms, clock_steps=record.clock_steps
+        )
+        self._put(entry, ended, heard_s)
+        return True
+
     def _put(self, entry: _Entry, record: TargetRecord, heard_s: float) -> None:
         self.revision += 1
         entry.record = record
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/seeded_faults.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/seeded_faults.py
@@ -50,4 +50,15 @@
         return changed
 
 
-SEEDED_FAULTS = {table.__name__: table for table in (Revives, TrustsLast, BuriesSoon, TellsNoMoves)}
+class MixesLives(TargetTable):
+    """Orders a target's reports by phase and sequence, whichever life they are of."""
+
+    def take(self, record, heard_s):
+        entry = self._entries.get(record.target_id)
+        if entry is not None and record.phase is not TargetPhase.SERVING:
+            record = record._replace(born_ms=entry.record.born_ms)
+        return super().take(record, heard_s)
+
+
+_FAULTY_TABLES = (Revives, TrustsLast, BuriesSoon, TellsNoMoves, MixesLives)
+SEEDED_FAULTS = {table.__name__: table for table in _FAULTY_TABLES}
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/target_histories.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/target_histories.py
@@ -23,6 +23,8 @@
 REPLICAS = ("r0", "r1", "r2")
 ROUTERS = ("e0", "e1")
 TARGETS = ("ta", "tb", "tc")
+# One that tells no birth has one life.
+TELLS_NO_BIRTH = "tc"
 # A report may be this late; tombstones outlive it by far.
 LATE_S = 10.0
 
@@ -31,9 +33,9 @@
 target_ids = st.sampled_from(TARGETS)
 
 
-def _age_order(record: TargetRecord) -> tuple[TargetPhase, int]:
-    """Return what grows over a target's life."""
-    return (record.phase, record.sequence)
+def _age_order(record: TargetRecord) -> tuple[tuple[int, int], TargetPhase, int]:
+    """Return what grows over a target's lives."""
+    return (record.life, record.phase, record.sequence)
 
 
 class Said(NamedTuple):
@@ -46,7 +48,8 @@
 class Target:
     """A target of the oracle: its life so far and all that it said."""
 
-    def __init__(self) -> None:
+    def __init__(self, born_ms: int) -> None:
+        self.born_ms = born_ms
         self.sequence = 0
         self.phase = TargetPhase.SERVING
         self.port = 1
@@ -64,7 +67,7 @@
         self.tables = {name: self.table_class() for name in REPLICAS + ROUTERS}
         self.told: dict[tuple[str, str], int] = {}
         self.cut: set[frozenset[str]] = set()
-        self.targets = {name: Target() for name in TARGETS}
+        self.targets = {name: Target(int(name != TELLS_NO_BIRTH)) for name in TARGETS}
         # The newest that a table was told, until the process restarts or forgets.
         self.known: dict[tuple[str, str], TargetRecord] = {}
 
@@ -80,6 +83,16 @@
         one.phase = max(one.phase, phase)
         self._hear(replica, self._say(target_id))
 
+    @rule(target_id=target_ids, replica=replicas, born_after_ms=st.integers(1, 3))
+    def start_again(self, target_id: str, replica: str, born_after_ms: int) -> None:
+        """A target that tells its birth starts again under its id, and counts anew."""
+        one = self.targets[target_id]
+        if target_id == TELLS_NO_BIRTH:
+            return
+        one.born_ms += born_after_ms
+        one.sequence, one.phase = 0, TargetPhase.SERVING
+        self._hear(replica, self._say(target_id))
+
     @rule(target_id=target_ids, replica=replicas)
     def move(self, target_id: str, replica: str) -> None:
         """A target that serves reports another address."""
@@ -132,10 +145,12 @@
 
     @invariant()
     def no_target_comes_back(self) -> None:
-        """A table that has known a target as leaving or gone never shows it as serving."""
+        """A table never shows an earlier life, nor one as serving that was leaving or gone."""
         for (process, target_id), record in self.known.items():
-            shown = self.tables[process].phase_of(target_id)
-            assert shown is not None and shown >= record.phase, (process, record, shown)
+            shown = self.tables[process].record_of(target_id)
+            assert shown is not None, (process, record)
+            order = (record.life, record.phase)
+            assert (shown.life, shown.phase) >= order, (process, record, shown)
 
     @invariant()
     def nothing_is_invented(self) -> None:
@@ -160,14 +175,14 @@
             assert shown == {self._newest_known(target_id)}, (target_id, shown)
             self._check_routers(target_id, self.tables[REPLICAS[0]].record_of(target_id))
 
-    def _newest_known(self, target_id: str) -> tuple[TargetPhase, Address | None] | None:
+    def _newest_known(self, target_id: str) -> tuple[int, TargetPhase, Address | None] | None:
         """Return the newest that any replica was told."""
         told = [self.known[name, target_id] for name in REPLICAS if (name, target_id) in self.known]
         if not told:
             return None
         newest = max(told, key=_age_order)
         is_gone = newest.phase is TargetPhase.GONE
-        return (newest.phase, None if is_gone else newest.address)
+        return (newest.born_ms, newest.phase, None if is_gone else newest.address)
 
     def _check_routers(self, target_id: str, newest: TargetRecord | None) -> None:
         """Check that no router is behind what the replicas agree on."""
@@ -175,18 +190,22 @@
             return
         for name in ROUTERS:
             record = self.tables[name].record_of(target_id)
-            assert record is not None and record.phase >= newest.phase, (name, record, newest)
-            is_ahead = record.phase > newest.phase or record.sequence > newest.sequence
+            assert record is not None, (name, newest)
+            at_least = (record.life, record.phase) >= (newest.life, newest.phase)
+            assert at_least, (name, record, newest)
+            is_ahead = _age_order(record) > _age_order(newest)
             is_gone = record.phase is TargetPhase.GONE
             assert is_ahead or is_gone or record.address == newest.address, (name, record, newest)
 
-    def _shown(self, process: str, target_id: str) -> tuple[TargetPhase, Address | None] | None:
+    def _shown(
+        self, process: str, target_id: str
+    ) -> tuple[int, TargetPhase, Address | None] | None:
         """Return what a table shows; where a target was that is gone does not matter."""
         record = self.tables[process].record_of(target_id)
         if record is None:
             return None
         is_gone = record.phase is TargetPhase.GONE
-        return (record.phase, None if is_gone else record.address)
+        return (record.born_ms, record.phase, None if is_gone else record.address)
 
     def _say(self, target: str) -> TargetRecord:
         """Have a target say what it is now."""
@@ -194,7 +213,7 @@
         one.sequence += 1
         record = TargetRecord(
             target, "s", Address("127.0.0.1", one.port), "d", one.phase, one.sequence, 4
-        )
+        )._replace(born_ms=one.born_ms)
         one.said.append(Said(record, self.now_s))
         return record
 
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
@@ -6,12 +6,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord, TargetTable
+from damaskwind.decisions.membership.target_table import (
+    STALE_LIFE_S,
+    TargetPhase,
+    TargetRecord,
+    TargetTable,
+)
 from damaskwind.model.targets import Address
 
 
-def record(target_id="t", phase=TargetPhase.SERVING, sequence=1, port=1):
-    return TargetRecord(target_id, "s", Address("127.0.0.1", port), "d", phase, sequence, 4)
+def record(target_id="t", phase=TargetPhase.SERVING, sequence=1, port=1, born_ms=0):
+    address = Address("127.0.0.1", port)
+    return TargetRecord(target_id, "s", address, "d", phase, sequence, 4, born_ms=born_ms)
 
 
 RECORDS = st.lists(
@@ -20,6 +26,7 @@
         st.sampled_from(["a", "b"]),
         st.sampled_from(list(TargetPhase)),
         st.integers(0, 5),
+        born_ms=st.integers(0, 2),
     ),
     max_size=12,
 )
@@ -68,6 +75,83 @@
         self.assertFalse(table.take(record("gone"), 50.0))
         self.assertEqual(table.forget(61.0), ["gone"])
 
+    def test_target_that_starts_again_serves_at_once_and_counts_anew(self):
+        table = TargetTable()
+        table.take(record(sequence=40)._replace(born_ms=5), 0.0)
+        table.leave("t", 1.0, 900)
+        for sequence in (0, 1, 2):
+            again = record(sequence=sequence)._replace(born_ms=6)
+            self.assertEqual(table.take(again, 2.0 + sequence), sequence == 0)
+        self.assertEqual([item.born_ms for item in table.serving()], [6])
+        self.assertLess(table.age_s("t", 4.0, 1.2), 4.0)
+
+    def test_late_word_of_a_former_life_does_nothing_to_the_next(self):
+        former = record(sequence=41)._replace(born_ms=5)
+        late = (
+            former,
+            former._replace(phase=TargetPhase.LEAVING),
+            former._replace(phase=TargetPhase.GONE, service=""),
+            record(sequence=99),
+            record(sequence=99, phase=TargetPhase.GONE),
+        )
+        table = TargetTable()
+        table.take(record(sequence=0)._replace(born_ms=6), 0.0)
+        for item in late:
+            self.assertFalse(table.take(item, 1.0), item)
+            self.assertFalse(table.report(item, 1.0), item)
+        self.assertEqual(len(table.serving()), 1)
+        self.assertEqual(table.heard_s("t"), 0.0)
+
+    def test_leave_that_names_no_life_ends_those_born_before_it_and_no_later_one(self):
+        table = TargetTable()
+        table.leave("t", 0.0, 700)
+        self.assertFalse(table.take(record()._replace(born_ms=700), 1.0))
+        self.assertTrue(table.take(record()._replace(born_ms=701), 2.0))
+        self.assertEqual(len(table.serving()), 1)
+
+    def test_leave_of_a_life_not_known_here_ends_what_is_known_of_the_former(self):
+        elsewhere, table = TargetTable(), TargetTable()
+        table.take(record(sequence=9)._replace(born_ms=5), 0.0)
+        elsewhere.leave("t", 1.0, 700)
+        self.assertTrue(table.take(elsewhere.record_of("t"), 1.1))
+        self.assertEqual((table.serving(), table.phase_of("t")), ([], TargetPhase.GONE))
+        self.assertEqual(len(table.departed(1.2, 2.0)), 1)
+
+    def test_smaller_birth_is_late_while_the_life_held_is_heard(self):
+        table = TargetTable()
+        table.report(record()._replace(born_ms=9_000), 0.0)
+        back = record(sequence=0)._replace(born_ms=4_000)
+        for second in range(1, 20):
+            table.report(record(sequence=second)._replace(born_ms=9_000), float(second))
+            self.assertFalse(table.report(back, second + 0.5))
+        self.assertTrue(table.report(back, 19.0 + STALE_LIFE_S))
+        self.assertFalse(table.report(record(sequence=90)._replace(born_ms=9_000), 31.0))
+        self.assertTrue(table.report(record(sequence=0)._replace(born_ms=9_500), 32.0))
+        self.assertEqual(table.record_of("t").born_ms, 9_500)
+
+    def test_clock_that_was_stepped_back_converges_in_any_order(self):
+        replica = TargetTable()
+        replica.report(record()._replace(born_ms=9_000), 0.0)
+        former = replica.record_of("t")
+        replica.report(record(sequence=0)._replace(born_ms=4_000), 20.0)
+        for order in ((former, replica.record_of("t")), (replica.record_of("t"), former)):
+            table = TargetTable()
+            for item in order:
+                table.take(item, 21.0)
+            self.assertEqual(table.record_of("t").born_ms, 4_000)
+
+    def test_report_that_names_another_service_changes_nothing(self):
+        table = TargetTable()
+        table.report(record(), 0.0)
+        for foreign in (
+            record(sequence=9)._replace(service="other"),
+            record(sequence=9, phase=TargetPhase.LEAVING)._replace(service="other"),
+            record()._replace(service="other", born_ms=99),
+        ):
+            self.assertFalse(table.report(foreign, 1.0))
+        self.assertEqual(table.record_of("t"), record())
+        self.assertEqual(table.heard_s("t"), 0.0)
+
     @given(RECORDS, st.integers(0, 1 << 30))
     def test_order_and_repetition_make_no_difference(self, records, seed):
         forward, shuffled = TargetTable(), TargetTable()
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from weakref import WeakSet
 
 from loguru import logger
 
@@ -26,10 +27,11 @@
 
 
 class TargetConnections:
-    """Idle connections by target id; a target's successor has another id."""
+    """Idle connections by target id, and those in use while they last."""
 
     def __init__(self) -> None:
         self.opened = 0
+        self._made: dict[str, WeakSet[ClientConnection]] = {}
         self._idle: dict[str, list[ClientConnection]] = {}
         self._watches: dict[str, asyncio.Task] = {}
 
@@ -46,7 +48,9 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await connect(address, min(timeout_s, CONNECT_S))
+        connection = await connect(address, min(timeout_s, CONNECT_S))
+        self._made.setdefault(target_id, WeakSet()).add(connection)
+        return connection
 
     def give_back(self, target_id: str, connection: ClientConnection, headers: Headers) -> None:
         """Keep a connection whose answer was read to its end, if it may be kept."""
@@ -94,6 +98,14 @@
             self._watches[target_id].cancel()
         for connection in self._idle.pop(target_id, []):
             connection.close()
+        if not self._made.get(target_id):
+            self._made.pop(target_id, None)
+
+    def end_former(self, target_id: str, before_s: float) -> None:
+        """Reset the connections in use that were made before a monotonic time."""
+        for connection in list(self._made.get(target_id, ())):
+            if connection.made_s < before_s:
+                connection.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -52,6 +52,7 @@
         self.table: RouteTable | None = None
         self.routers = 1
         self.on_gone: list[Callable[[str], None]] = []
+        self.on_restarted: list[Callable[[TargetRecord], None]] = []
         self.on_configuration: list[Callable[[TrafficConfiguration], None]] = []
         self._node_id = node_id
         self._news_port = news_port
@@ -158,7 +159,10 @@
         if news.version > self.known_version():
             self._has_news.set()
         for record in news.records:
+            life = self.targets.life_of(record.target_id)
             if self.targets.take(record, now_s):
+                if life not in (None, record.life) and record.service:
+                    self._note_restarted(record)
                 logger.info(
                     "target known",
                     target=record.target_id,
@@ -166,12 +170,13 @@
                     service=record.service,
                     address=str(record.address),
                     sequence=record.sequence,
+                    born_ms=record.born_ms,
                     told_by=host,
                 )
                 if record.phase is TargetPhase.GONE:
                     self._note_gone(record.target_id)
-        for target_id, age_s in news.heard:
-            self.targets.hear(target_id, now_s - age_s)
+        for target_id, age_s, born_ms in news.heard:
+            self.targets.hear(target_id, now_s - age_s, born_ms)
         for target_id in self.targets.forget(now_s):
             logger.info("target forgotten", target=target_id)
             self._note_gone(target_id)
@@ -179,6 +184,12 @@
         self.routers = max(1, *self._router_counts.values())
         self.follow(news.hosts)
 
+    def _note_restarted(self, record: TargetRecord) -> None:
+        """Have everything forgotten that was believed of a target's former life."""
+        logger.info("target restarted", target=record.target_id, born_ms=record.born_ms)
+        for callback in self.on_restarted:
+            callback(record)
+
     def _note_gone(self, target_id: str) -> None:
         for callback in self.on_gone:
             callback(target_id)
--- a/packages/router/src/damaskwind/router/forwarding/pool_entries.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_entries.py
@@ -41,6 +41,7 @@
         self._longest_wait_s: dict[str, float] = {}
         self._looked_s: dict[str, float] = {}
         beliefs.view.on_gone.append(self.forget)
+        beliefs.view.on_restarted.append(lambda record: self.forget(record.target_id))
 
     def forget(self, target_id: str) -> None:
         """Drop what was learned of a target that is gone."""
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -4,6 +4,7 @@
 Nothing here sends, waits or decides where a request goes.
 """
 
+import time
 from collections.abc import Collection
 from random import Random
 from typing import NamedTuple
@@ -28,6 +29,10 @@
 BUSY_S = 0.1
 EJECTION_S = 1.0
 
+# A first report is under way for less than this; a connection that was made longer
+# before it than the reports counted in it leads to the former life.
+LATE_REPORT_S = 1.0
+
 
 def free_places(candidate: Candidate) -> TargetPlaces:
     """Return how many places of a target are free by its own word.
@@ -74,6 +79,19 @@
         self._avoided_until_s: dict[str, float] = {}
         self._displaced_s: dict[str, float] = {}
         view.on_gone.append(self.forget)
+        view.on_restarted.append(self.begin_life)
+
+    def begin_life(self, record: TargetRecord) -> None:
+        """Believe nothing that was learned of a target before it started again.
+
+        What was sent to the former life may have run, and no more of its answer comes.
+        """
+        target_id = record.target_id
+        self.forget(target_id)
+        for health in self._health.values():
+            health.forget(target_id)
+        started_s = record.sequence * self._heartbeat_s + LATE_REPORT_S
+        self.connections.end_former(target_id, time.monotonic() - started_s)
 
     def forget(self, target_id: str) -> None:
         """Drop what was learned of a target that is gone."""
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_restarted_target.py
@@ -0,0 +1,103 @@
+"""Tests of what a router believes of a target that has started again under its id."""
+
+import asyncio
+import time
+
+from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.target_beliefs import SendEnded
+from damaskwind.router.forwarding.target_load import TargetLoad
+from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.standins.scripted_target import plain, silent, stream
+from damaskwind.wire.news import News
+
+BORN_MS = 1_790_000_000_000
+
+
+class RestartedTargetTest(ForwarderTestCase):
+    """Two targets that tell their birth; `start_again` is what a replica tells of one."""
+
+    async def start(self):
+        await super().start()
+        for number in range(len(self.targets)):
+            self.start_again(number, BORN_MS, sequence=100)
+
+    def start_again(self, number, born_ms, sequence=0):
+        held = self.view.targets.record_of(f"t{number}")
+        record = held._replace(born_ms=born_ms, sequence=sequence)
+        self.view.take_news("replica", News("e", 1, 1, True, (), 1, (record,), ()))
+        return record
+
+    @asyncio_test
+    async def test_nothing_of_the_former_life_is_believed(self):
+        beliefs, now_s = self.forwarder.beliefs, time.monotonic()
+        record = self.view.targets.record_of("t0")
+        beliefs.loads.reported("t0", TargetLoad(8, 4, 8), now_s)
+        beliefs.loads.sent("t0")
+        beliefs.note_ended(record, SendEnded(False, was_refused=True), now_s)
+        for _ in range(20):
+            beliefs.note_sent(record, now_s)
+            beliefs.note_ended(record, SendEnded(False), now_s)
+            beliefs.note_begun("pool", "t0", 9.0, now_s)
+        beliefs.note_ended(record, SendEnded(True, is_displaced=True), now_s)
+
+        def candidate():
+            records = list(beliefs.present("pool").values())
+            found = beliefs.candidates(records, time.monotonic(), True)
+            return next(item for item in found if item.target_id == "t0")
+
+        self.assertTrue(candidate().is_doubtful)
+        self.start_again(0, BORN_MS + 1)
+        self.assertFalse(candidate().is_doubtful)
+        self.assertFalse(candidate().is_slow)
+        self.assertFalse(candidate().has_told_load)
+        self.assertEqual(beliefs.loads.own("t0"), 0)
+        self.assertLess(candidate().age_s, 1.0)
+
+    @asyncio_test
+    async def test_kept_connection_of_the_former_life_is_not_used(self):
+        self.script(plain(), plain())
+        await self.call()
+        used = next(target for target in self.targets if target.received)
+        self.start_again(self.targets.index(used), BORN_MS + 1)
+        self.assertEqual((await self.call(request_id=b"r2")).status, 200)
+        await asyncio.sleep(0.05)
+        self.assertIn("closed", used.ends)
+
+    @asyncio_test
+    async def test_request_at_the_former_life_goes_elsewhere_at_once(self):
+        self.publish(route(RouteKind.STREAMING, is_resumable=True, objective_s=2.0))
+        self.share(silent(), stream(1, 2))
+        calling = asyncio.ensure_future(self.call())
+        while not self.received():
+            await asyncio.sleep(0.01)
+        used = next(target for target in self.targets if target.received)
+        # The connection is older than the life that begins.
+        await asyncio.sleep(1.1)
+        begun_s = time.monotonic()
+        self.start_again(self.targets.index(used), BORN_MS + 1)
+        self.assertEqual((await calling).status, 200)
+        self.assertLess(time.monotonic() - begun_s, 0.3)
+
+    @asyncio_test
+    async def test_request_that_must_run_once_is_not_sent_again(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        self.script(silent())
+        calling = asyncio.ensure_future(self.call())
+        while not self.received():
+            await asyncio.sleep(0.01)
+        used = next(target for target in self.targets if target.received)
+        await asyncio.sleep(1.1)
+        self.start_again(self.targets.index(used), BORN_MS + 1)
+        self.assertEqual((await calling).status, 502)
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_late_news_of_the_former_life_ends_nothing(self):
+        self.start_again(0, BORN_MS + 5)
+        self.script(plain(), plain())
+        await self.call()
+        self.start_again(0, BORN_MS, sequence=900)
+        self.assertEqual(self.view.targets.record_of("t0").born_ms, BORN_MS + 5)
+        self.assertEqual((await self.call(request_id=b"r2")).status, 200)
+        self.assertNotIn("closed", [end for target in self.targets for end in target.ends])
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -76,6 +76,7 @@
         self._was_clean_end = False
         self.is_timed_out = False
         self._active_s = 0.0
+        self.made_s = time.monotonic()
         self.has_stray_bytes = False
         self.is_in_use = False
         self.requests = 0
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -60,10 +60,11 @@
 
 
 class Heard(NamedTuple):
-    """A target that this replica heard itself, `age_s` ago."""
+    """A target that this replica heard itself, `age_s` ago, in the life born at `born_ms`."""
 
     target_id: str
     age_s: float
+    born_ms: int = 0
 
 
 class News(NamedTuple):
