--- /dev/null
+++ b/benchmarks/confirmation_times.py
@@ -0,0 +1,91 @@
+"""Time to acknowledgement and to each router, by document, routers and link.
+
+Six replicas before so many routers, in one process on loopback; each replica's
+connections share one link. A configuration grows to so many routes, then changes
+six times, one each 0.44 s. The routers are their views alone.
+
+    python -m benchmarks.confirmation_times
+"""
+
+import asyncio
+
+from loguru import logger
+
+from damaskwind.platform.tests.narrow_fleet import (
+    NarrowFleet,
+    VersionTimes,
+    large_configuration,
+    run_on_narrow_links,
+)
+
+REPLICAS = 6
+CHANGES = 6
+GAP_S = 0.44
+BYTES_PER_MEGABIT = 125_000
+# Routers, routes, megabits a second of each replica's link.
+CASES = (
+    (8, 240, 6.0),
+    (75, 240, 3.0),
+    (75, 1_500, 3.0),
+    (75, 1_500, 6.0),
+    (89, 1_500, 3.0),
+    (200, 1_500, 3.0),
+)
+
+
+def _percentile(values: list[float], part: float) -> float:
+    """Return the value below which this part lies.
+
+    >>> _percentile([3.0, 1.0, 2.0], 0.5)
+    2.0
+    """
+    ordered = sorted(values)
+    return ordered[min(int(part * len(ordered)), len(ordered) - 1)]
+
+
+async def _grow_and_change(fleet: NarrowFleet, routes: int) -> tuple[VersionTimes, list, int]:
+    """Return the times of the growth and of the changes, and the leaders lost."""
+    term = fleet.terms()
+    growth = await fleet.publish_timed(large_configuration(2, routes), limit_s=30.0)
+    changes = []
+    for version in range(3, 3 + CHANGES):
+        content = large_configuration(version, routes)
+        changes.append(asyncio.ensure_future(fleet.publish_timed(content, limit_s=30.0)))
+        await asyncio.sleep(GAP_S)
+    return growth, await asyncio.gather(*changes), fleet.terms() - term
+
+
+def _row(name: str, times: list[VersionTimes]) -> str:
+    """Return the figures of some versions: acknowledged, then to the routers."""
+    acknowledged_s = [item.acknowledged_s for item in times]
+    routers_s = [at_s for item in times for at_s in item.routers_s]
+    figures = (
+        max(acknowledged_s),
+        _percentile(routers_s, 0.5),
+        _percentile(routers_s, 0.99),
+        max(routers_s),
+    )
+    return f"  {name:8}" + "".join(f"{figure:10.2f}" for figure in figures)
+
+
+def main() -> None:
+    """Print a table."""
+    logger.remove()
+    print("seconds: acknowledged (highest), then to a router: p50, p99, highest")
+    for routers, routes, megabits in CASES:
+
+        async def scenario(fleet: NarrowFleet, routes: int = routes) -> tuple:
+            return await _grow_and_change(fleet, routes)
+
+        growth, changes, leaders_lost = run_on_narrow_links(
+            lambda routers=routers: NarrowFleet(REPLICAS, routers),
+            scenario,
+            megabits * BYTES_PER_MEGABIT,
+        )
+        print(f"{routers} routers, {routes} routes, {megabits} Mbit/s; lost {leaders_lost} leaders")
+        print(_row("growth", [growth]))
+        print(_row("changes", changes), flush=True)
+
+
+if __name__ == "__main__":
+    main()
