--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -30,6 +30,9 @@
 
 # The leader becomes a source, and one that failed again, without a word of news.
 LOOK_AGAIN_S = 0.05
+# Between fetches that brought nothing: replicas that refuse all calls, or a document
+# that can't be read here, must not be asked for over and over.
+PAUSE_S = 0.1
 # The first replica that a router asks tells it the table within some ms; the next ones
 # need not tell it again.
 STAGGER_S = 0.06
@@ -132,7 +135,8 @@
         while True:
             host = self.sources.choose(self.known_version(), len(self._links), time.monotonic())
             if host is not None:
-                await self._fetch_from(host)
+                if not await self._fetch_from(host):
+                    await asyncio.sleep(PAUSE_S)
                 continue
             self._has_news.clear()
             is_pending = self.sources.has_newer(self.known_version())
@@ -140,8 +144,8 @@
                 async with asyncio.timeout(LOOK_AGAIN_S if is_pending else None):
                     await self._has_news.wait()
 
-    async def _fetch_from(self, host: str) -> None:
-        """Fetch from one replica; note when that fails."""
+    async def _fetch_from(self, host: str) -> bool:
+        """Fetch from one replica; tell whether that brought a newer configuration."""
         asked_s = time.monotonic()
         try:
             held_version = 0 if self._wants_whole else self.known_version()
@@ -151,13 +155,15 @@
             self._wants_whole = isinstance(error, MessageError)
             self.sources.fail(host, time.monotonic())
             logger.warning("document not fetched", host=host, why=repr(error))
-            return
+            return False
         self._wants_whole = False
         took_s = time.monotonic() - asked_s
+        held_version = self.known_version()
         self.take_document(host, content, took_s, len(document.packed))
-        if document.version > self.known_version():
-            # What can't be read here is not asked for again at once.
-            self.sources.fail(host, time.monotonic())
+        if self.known_version() > held_version:
+            return True
+        self.sources.fail(host, time.monotonic())
+        return False
 
     def take_news(self, host: str, news: News) -> None:
         """Merge what a replica knows."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
@@ -1,14 +1,19 @@
 """Tests of a router's beliefs: which configuration it begins with."""
 
+import asyncio
 from random import Random
+from types import SimpleNamespace
 from unittest.mock import patch
 
 from twisted.trial.unittest import TestCase
 
 from damaskwind.decisions.following.document_sources import UNSURE_AFTER_S
+from damaskwind.model.exception import ConfigurationError
 from damaskwind.router.forwarding import fleet_view
-from damaskwind.router.forwarding.fleet_view import FleetView
-from damaskwind.wire.news import News
+from damaskwind.router.forwarding.fleet_view import PAUSE_S, FleetView
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.http1.client import ConnectFailedError
+from damaskwind.wire.news import Document, News, pack_document
 
 
 def news(version, is_current=False):
@@ -57,3 +62,52 @@
         self.now_s += UNSURE_AFTER_S + 0.01
         self.assertFalse(self.hear("a", 7))
         self.assertTrue(self.hear("b", 9))
+
+
+class FetchTest(TestCase):
+    """A router that was told of a version by replicas that don't give it."""
+
+    timeout = 20
+
+    async def fetches_in(self, duration_s, fetch, table=None):
+        """Return how often a document is asked for in a time."""
+        asked = []
+
+        async def count(fetcher, host, held_version):
+            asked.append((host, held_version))
+            return fetch()
+
+        view = FleetView("r", (), 1, self.unreadable, Random(1))
+        view.table = table
+        with patch.object(fleet_view.DocumentFetcher, "fetch", count):
+            view.start()
+            for host in "abc":
+                view.sources.hear(host, 7, True, False, 0.0)
+            view._has_news.set()
+            await asyncio.sleep(duration_s)
+            await view.stop()
+        return asked
+
+    def unreadable(self, body):
+        raise ConfigurationError(["unreadable"])
+
+    @asyncio_test
+    async def test_document_that_can_not_be_read_is_not_fetched_over_and_over(self):
+        asked = await self.fetches_in(1.0, lambda: Document(7, pack_document(b"x")))
+        self.assertLessEqual(len(asked), 1.0 / PAUSE_S + 1)
+        self.assertEqual({host for host, _ in asked}, set("abc"))
+
+    @asyncio_test
+    async def test_replicas_that_refuse_are_asked_in_turn_with_a_pause(self):
+        def refuse():
+            raise ConnectFailedError("refused")
+
+        asked = await self.fetches_in(1.0, refuse)
+        self.assertLessEqual(len(asked), 1.0 / PAUSE_S + 1)
+        self.assertEqual({host for host, _ in asked}, set("abc"))
+
+    @asyncio_test
+    async def test_difference_from_another_version_makes_it_ask_for_the_whole(self):
+        table = SimpleNamespace(version=5)
+        asked = await self.fetches_in(0.35, lambda: Document(7, b"", base_version=3), table)
+        self.assertEqual([held_version for _, held_version in asked][:3], [5, 0, 0])
