--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/sliver_replay.py
@@ -0,0 +1,139 @@
+"""Replay the traffic of many routers over few engines, each router with its sliver of it.
+
+Lifetimes, keys and the unevenness of engines and routers are as in the logs of 65
+routers before 30 engines: answers begin after some 0.25 s and last 1.6 s on the
+mean with a long tail, 650 keys of which none is hot, two engines in thirty that
+turn slow, and three seconds with more than the usual.
+"""
+
+import heapq
+from collections import Counter
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+from damaskwind.decisions.placement.affinity import Candidate, choose_target, policy_for
+from damaskwind.router.forwarding.target_load import LoadEstimator, TargetLoad
+
+__all__ = ["Fleet", "SliverReplay"]
+
+KEYS = 650
+SECONDS = 16
+SURGE_S = range(8, 11)
+SURGE = 1.6
+# Seconds of a stream by its kind, and how often the kind comes.
+LASTS_S = (0.35, 0.8, 3.6)
+KIND_WEIGHTS = (0.35, 0.35, 0.3)
+SLOWNESS = 3.0
+# An engine with more than so many requests in hand is slower for each of them.
+QUICK_UP_TO = 12.5
+SLOTS = 128
+# The users' rule: in five seconds no more than three in a hundred above this bound.
+WINDOW_S = 5
+
+
+class Fleet(NamedTuple):
+    """How many routers and engines, and how many requests come in a second."""
+
+    routers: int
+    engines: int
+    per_s: float
+
+
+class _Engine:
+    """One engine; `pace` stretches all its answers."""
+
+    def __init__(self, name, pace):
+        self.name = name
+        self.pace = pace
+        self.held = 0
+
+    def slowness(self):
+        return self.pace * max(1.0, 0.5 + self.held / (2 * QUICK_UP_TO))
+
+
+class SliverReplay:
+    """One run; afterwards `sent`, `above` and `away` count by second, `errors` lists beliefs."""
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.random = Random(seed)
+        self.policy = policy_for(fleet.routers)
+        self.engines = {f"t{number}": self._engine(number) for number in range(fleet.engines)}
+        self.routers = [LoadEstimator() for _ in range(fleet.routers)]
+        self.shares = [self.random.uniform(0.3, 2.0) for _ in self.routers]
+        kinds = self.random.choices(LASTS_S, KIND_WEIGHTS, k=KEYS)
+        self.keys = [(b"key%d" % number, lasts_s) for number, lasts_s in enumerate(kinds)]
+        self.weights = [self.random.uniform(0.2, 2.0) for _ in self.keys]
+        self.sent, self.above, self.away = Counter(), Counter(), Counter()
+        self.errors = []
+        self._events, self._numbers = [], count()
+
+    def _engine(self, number):
+        pace = SLOWNESS if number % 15 == 7 else self.random.uniform(0.8, 1.2)
+        return _Engine(f"t{number}", pace)
+
+    def play(self):
+        """Run to the end; return the replay."""
+        self.after(0.0, 0.0, self.arrive)
+        while self._events and self._events[0][0] < SECONDS:
+            at_s, _, event, arguments = heapq.heappop(self._events)
+            event(at_s, *arguments)
+        return self
+
+    def after(self, now_s, delay_s, event, *arguments):
+        heapq.heappush(self._events, (now_s + delay_s, next(self._numbers), event, arguments))
+
+    def arrive(self, now_s):
+        per_s = self.fleet.per_s * (SURGE if int(now_s) in SURGE_S else 1.0)
+        self.after(now_s, self.random.expovariate(per_s), self.arrive)
+        loads = self.random.choices(self.routers, self.shares)[0]
+        key, lasts_s = self.random.choices(self.keys, self.weights)[0]
+        engine = self.place(loads, key, now_s)
+        loads.sent(engine.name)
+        engine.held += 1
+        slowness = engine.slowness()
+        begins_s = 0.08 + self.random.expovariate(1 / 0.15) * slowness
+        self.after(now_s, begins_s, self.begin, loads, engine)
+        ends_s = begins_s + self.random.expovariate(1 / lasts_s) * slowness
+        self.after(now_s, ends_s, self.end, loads, engine)
+
+    def place(self, loads, key, now_s):
+        """Choose as a router does, and note how that was."""
+        known = loads.estimates(self.engines, len(self.routers), now_s)
+        candidates = [Candidate(name, "d", known[name], SLOTS, False) for name in self.engines]
+        choice = choose_target(candidates, key, "d", self.policy, self.random)
+        engine = self.engines[choice.candidate.target_id]
+        held = [other.held for other in self.engines.values()]
+        second = int(now_s)
+        self.sent[second] += 1
+        self.away[second] += choice.rank > 0
+        self.above[second] += engine.held > 2 * sum(held) / len(held) + 3
+        self.errors.append(choice.candidate.load - engine.held)
+        return engine
+
+    def begin(self, now_s, loads, engine):
+        loads.reported(engine.name, TargetLoad(engine.held, 0, SLOTS), now_s)
+
+    def end(self, now_s, loads, engine):
+        loads.ended(engine.name)
+        engine.held -= 1
+
+    def worst_share_above(self):
+        """Return the largest share of sends above the users' bound in five seconds."""
+        return max(
+            sum(self.above[second] for second in window)
+            / sum(self.sent[second] for second in window)
+            for window in (
+                range(first, first + WINDOW_S) for first in range(SECONDS - WINDOW_S + 1)
+            )
+        )
+
+    def share_away(self):
+        """Return the share of sends that passed their first rank over."""
+        return self.away.total() / self.sent.total()
+
+    def error_sd(self):
+        """Return the standard deviation of the believed load's error, in requests."""
+        mean = sum(self.errors) / len(self.errors)
+        return (sum((error - mean) ** 2 for error in self.errors) / len(self.errors)) ** 0.5
