--- a/benchmarks/overload/simulation.py
+++ b/benchmarks/overload/simulation.py
@@ -16,8 +16,8 @@
 )
 from damaskwind.decisions.admission.start_window import WindowPolicy
 from damaskwind.decisions.admission.waiting_line import Ticket
+from damaskwind.decisions.load.held_requests import LoadEstimator, TargetLoad
 from damaskwind.decisions.placement.affinity import AffinityPolicy, Candidate, choose_target
-from damaskwind.router.forwarding.target_load import LoadEstimator, TargetLoad
 
 __all__ = ["Outcome", "Simulation", "Totals"]
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/sliver_replay.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/sliver_replay.py
@@ -12,8 +12,8 @@
 from random import Random
 from typing import NamedTuple
 
+from damaskwind.decisions.load.held_requests import LoadEstimator, TargetLoad
 from damaskwind.decisions.placement.affinity import Candidate, choose_target, policy_for
-from damaskwind.router.forwarding.target_load import LoadEstimator, TargetLoad
 
 __all__ = ["Fleet", "SliverReplay"]
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_target_load.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/test_held_requests.py
@@ -3,13 +3,13 @@
 import unittest
 from random import Random
 
+from damaskwind.decisions.load.held_requests import LoadEstimator, TargetLoad
 from damaskwind.decisions.placement.affinity import (
     AffinityPolicy,
     Candidate,
     choose_target,
     policy_for,
 )
-from damaskwind.router.forwarding.target_load import LoadEstimator, TargetLoad
 
 TARGETS = [f"t{number}" for number in range(30)]
 PER_S = 240.0
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_load_of_many_routers.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/test_load_of_many_routers.py
@@ -16,7 +16,7 @@
 
 import unittest
 
-from damaskwind.router.forwarding.tests.sliver_replay import Fleet, SliverReplay
+from damaskwind.decisions.load.tests.sliver_replay import Fleet, SliverReplay
 
 SHARE_ALLOWED = 0.03
 # What is left of the error when the load is some hundred ms old: arrivals and ends since,
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from damaskwind.decisions.load.held_requests import parse_target_load
 from damaskwind.decisions.membership.target_table import TargetRecord
 from damaskwind.decisions.placement.affinity import Choice
 from damaskwind.model.header_names import HeaderNames
@@ -16,7 +17,6 @@
 from damaskwind.router.forwarding.call import Call, target_headers
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.target_beliefs import TargetBeliefs
-from damaskwind.router.forwarding.target_load import parse_target_load
 from damaskwind.runtime.http1.client import (
     AnswerBrokenError,
     AnswerHead,
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -15,12 +15,12 @@
 from damaskwind.decisions.health.circuit import HealthPolicy
 from damaskwind.decisions.health.ejection import PoolHealth
 from damaskwind.decisions.health.pace import PoolPace
+from damaskwind.decisions.load.held_requests import LoadEstimator
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import Candidate
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.target_activity import TargetActivity
-from damaskwind.router.forwarding.target_load import LoadEstimator
 
 __all__ = ["SendEnded", "TargetBeliefs", "free_places"]
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_restarted_target.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_restarted_target.py
@@ -3,9 +3,9 @@
 import asyncio
 import time
 
+from damaskwind.decisions.load.held_requests import TargetLoad
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.target_beliefs import SendEnded
-from damaskwind.router.forwarding.target_load import TargetLoad
 from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.standins.scripted_target import plain, silent, stream
