--- a/packages/standins/src/damaskwind/standins/narrow_links.py
+++ b/packages/standins/src/damaskwind/standins/narrow_links.py
@@ -14,6 +14,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+from damaskwind.standins.slow_time import SlowClock, SlowSelector
+
 __all__ = ["NarrowLoop"]
 
 # What a link sends without a turn in between: a few packets.
@@ -108,11 +110,13 @@
     """A loop whose connections send by the links of their own addresses.
 
     `bytes_per_s` gives the rate of each address that has a narrow link, `delay_s`
-    how long bytes are under way behind it.
+    how long bytes are under way behind it. Time passes as `clock` says, if one is given.
     """
 
-    def __init__(self, bytes_per_s: Mapping[str, float], delay_s: float = 0.0) -> None:
-        super().__init__()
+    def __init__(
+        self, bytes_per_s: Mapping[str, float], delay_s: float = 0.0, clock: SlowClock | None = None
+    ) -> None:
+        super().__init__(SlowSelector(clock) if clock else None)
         self.links = {host: _Link(self, rate, delay_s) for host, rate in bytes_per_s.items()}
 
     def _make_socket_transport(
