--- a/benchmarks/overload/__main__.py
+++ b/benchmarks/overload/__main__.py
@@ -56,9 +56,10 @@
     return total
 
 
-def play(name: str, times: float, policy: str, seed: int, routers: int) -> tuple[Totals, float]:
+def play(
+    name: str, times: float, policy: str, seed: int, routers: int, engines: int
+) -> tuple[Totals, float]:
     """Play one cell; return what it served and the upper mark."""
-    engines = 6
     pattern = PATTERNS[name](capacity_per_s(engines), times, Random(seed))
     simulation = Simulation(pattern, POLICIES[policy], seed, engines, routers)
     return simulation.run(), upper_mark(pattern, engines)
@@ -88,6 +89,8 @@
     times: str = "1,2,4,8",
     patterns: str = ",".join(PATTERNS),
     routers: int = 8,
+    engines: int = 6,
+    policies: str = ",".join(POLICIES),
     plot: str = "",
 ) -> None:
     """Print a table of what is served in time.
@@ -96,13 +99,18 @@
     :param times: loads of the surge, as multiples of the pool's capacity
     :param patterns: names of load patterns
     :param routers: that share the traffic
+    :param engines: that serve it
+    :param policies: names of policies
     :param plot: file for a plot of value in time over load
     """
     drawn: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
     for name in patterns.split(","):
         for load in map(float, times.split(",")):
-            for policy in POLICIES:
-                plays = [play(name, load, policy, int(seed), routers) for seed in seeds.split(",")]
+            for policy in policies.split(","):
+                plays = [
+                    play(name, load, policy, int(seed), routers, engines)
+                    for seed in seeds.split(",")
+                ]
                 print(_row(name, load, policy, plays), flush=True)
                 part = mean(totals.on_time_value / mark for totals, mark in plays)
                 drawn[name, policy].append((load, part))
--- a/benchmarks/overload/patterns.py
+++ b/benchmarks/overload/patterns.py
@@ -4,7 +4,17 @@
 from random import Random
 from typing import NamedTuple
 
-__all__ = ["KINDS", "Arrival", "Kind", "PATTERNS", "Pattern", "cost_s"]
+__all__ = [
+    "AFTER_S",
+    "BEFORE_S",
+    "KINDS",
+    "PATTERNS",
+    "SURGE_S",
+    "Arrival",
+    "Kind",
+    "Pattern",
+    "cost_s",
+]
 
 # Seconds of calm before the surge, of the surge, and after it.
 BEFORE_S, SURGE_S, AFTER_S = 6.0, 8.0, 6.0
--- a/benchmarks/overload/simulation.py
+++ b/benchmarks/overload/simulation.py
@@ -3,12 +3,13 @@
 import heapq
 from collections import Counter, defaultdict
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 from random import Random
 from typing import NamedTuple
 
 from benchmarks.overload.engines import Engine, EngineFigures, Job
-from benchmarks.overload.patterns import BEFORE_S, KINDS, SURGE_S, Arrival, Pattern
+from benchmarks.overload.patterns import AFTER_S, BEFORE_S, KINDS, SURGE_S, Arrival, Pattern
 from damaskwind.decisions.admission.pool_admission import (
     PoolAdmission,
     Step,
@@ -17,7 +18,13 @@
 from damaskwind.decisions.admission.start_window import WindowPolicy
 from damaskwind.decisions.admission.waiting_line import Ticket
 from damaskwind.decisions.load.held_requests import LoadEstimator, TargetLoad
-from damaskwind.decisions.placement.affinity import AffinityPolicy, Candidate, choose_target
+from damaskwind.decisions.load.held_sums import HeldSums
+from damaskwind.decisions.placement.affinity import (
+    AffinityPolicy,
+    Candidate,
+    choose_target,
+    policy_for,
+)
 
 __all__ = ["Outcome", "Simulation", "Totals"]
 
@@ -27,6 +34,11 @@
 RETURN_AT_ONCE_S = 0.05
 LOOK_S = 0.05
 FIRST_PER_TARGET = 32
+# Routers have a call open at each replica, which answers it after a second.
+REPLICAS = 3
+CALL_S = 1.0
+# The longest deadline of a caller who comes last.
+AFTERWARDS_S = 16.0
 
 
 class Outcome(NamedTuple):
@@ -68,7 +80,8 @@
 class _Router:
     """What one router believes and holds."""
 
-    def __init__(self, random: Random, routers: int) -> None:
+    def __init__(self, name: str, random: Random, routers: int) -> None:
+        self.name = name
         self.random = random
         first = max(2.0, FIRST_PER_TARGET / routers)
         self.is_looking = False
@@ -87,7 +100,8 @@
         self._random = Random(seed)
         self._figures = EngineFigures()
         self._engines = {f"e{n}": Engine(f"e{n}", self._figures) for n in range(engines)}
-        self._routers = [_Router(Random(seed * 100 + n), routers) for n in range(routers)]
+        self._routers = [_Router(f"r{n}", Random(seed * 100 + n), routers) for n in range(routers)]
+        self._replicas = {f"replica{n}": HeldSums() for n in range(REPLICAS)}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = count(1)
         self._calls: dict[int, tuple[_Router, _Call]] = {}
@@ -102,11 +116,26 @@
             self._at(arrival.at_s, lambda arrival=arrival: self._arrive(arrival, False))
         for name in list(self._engines)[: self._pattern.lost_engines]:
             self._at(BEFORE_S + 1.0, lambda name=name: self._crash(name))
-        while self._events:
+        for router in self._routers:
+            for replica in self._replicas:
+                self._at(self._random.random() * CALL_S, partial(self._call, router, replica))
+        end_s = BEFORE_S + SURGE_S + AFTER_S + AFTERWARDS_S
+        while self._events and self.now_s < end_s:
             self.now_s, _, action = heapq.heappop(self._events)
             action()
         return self._totals()
 
+    def _call(self, router: _Router, replica: str) -> None:
+        """A router tells a replica what it holds; the answer comes a second later."""
+        sums = self._replicas[replica]
+        sums.tell(router.name, router.loads.tell(replica), self.now_s)
+
+        def answer() -> None:
+            router.loads.take_sum(replica, sums.total(self.now_s), self.now_s)
+            self._call(router, replica)
+
+        self._at(self.now_s + CALL_S, answer)
+
     def _warm(self) -> None:
         """Have every part kept at its home, as after some minutes of calm."""
         idle = [Candidate(name, "d", 0.0, self._figures.slots, False) for name in self._engines]
@@ -198,7 +227,8 @@
         ]
         arrival = call.arrival
         key = f"{arrival.kind.name}-{arrival.subject}".encode()
-        choice = choose_target(candidates, key, "d", AffinityPolicy(), router.random)
+        policy = policy_for(len(self._routers), router.loads.knows_sums(self.now_s))
+        choice = choose_target(candidates, key, "d", policy, router.random)
         return choice.candidate.target_id
 
     def _send(self, router: _Router, call: _Call, name: str) -> None:
