--- a/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
+++ b/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
@@ -236,9 +236,14 @@
         """Confirm a plan that must come into force and note what the operator saw."""
         status, body = await self.ask(at, "POST", f"/plans/{plan_id}/confirm", {}, key)
         if status != 200:
-            raise HarnessError(f"not confirmed: {status} {body}")
+            raise HarnessError(f"not confirmed: {status} {body}\n{self._log_tails()}")
         return self.note(body, name)
 
+    def _log_tails(self) -> str:
+        """Return the end of each replica's log: who led, and what it knew of the others."""
+        tails = (f"{name}:\n{self.harness.processes[name].log_tail()}" for name in REPLICAS)
+        return "\n".join(tails)
+
     def note(self, answer: dict[str, Any], name: str) -> Told:
         """Put a confirmed outcome on the list."""
         told = Told(answer["outcome"]["revision"], answer["outcome"]["plan_id"], name)
