The log tells a load from the sum also where the sum has nothing of the target

Cause: a target at which no router holds anything is not in the sum; its load was placed by the sum and logged as an old word or a guess: 803 guesses and a p99 of 6.7 s among 8,105 sends of 195 routers.

--- a/packages/decisions/src/damaskwind/decisions/load/held_requests.py
+++ b/packages/decisions/src/damaskwind/decisions/load/held_requests.py
@@ -201,10 +201,13 @@
             return self._guesses(target_ids, routers, now_s)
         return {name: self._youngest(name, digest, best) for name, digest in digests.items()}
 
-    def basis(self, target_id: str, now_s: float) -> LoadBasis:
-        """Return what the load of a target rests on now."""
+    def basis(self, target_id: str, now_s: float, is_shared: bool = True) -> LoadBasis:
+        """Return what the load of a target rests on now.
+
+        A target of a shared pool that is not in the sum holds nothing by it.
+        """
         best, report = self._best_sum(now_s), self._reports.get(target_id)
-        is_summed = best is not None and target_digest(target_id) in best.held
+        is_summed = is_shared and best is not None and bool(best.held)
         if is_summed and (report is None or report.at_s < best.at_s):
             return LoadBasis(LoadSource.SUM, round(now_s - best.at_s, 3))
         if report is None:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -161,7 +161,7 @@
         """Send to one target and note how it went."""
         target, choice = placed.target, placed.choice
         begun_s = time.monotonic()
-        basis = self.beliefs.loads.basis(target.target_id, begun_s)
+        basis = self.beliefs.loads.basis(target.target_id, begun_s, call.key is not None)
         if basis.age_s is not None:
             self.tallies.observe("load_age", basis.age_s, source=basis.source.value)
         self.tallies.count("placements", load_from=basis.source.value)
