--- a/packages/decisions/src/damaskwind/decisions/load/tests/sliver_replay.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/sliver_replay.py
@@ -17,7 +17,7 @@
 from damaskwind.decisions.load.held_sums import HeldSums
 from damaskwind.decisions.placement.affinity import Candidate, choose_target, policy_for
 
-__all__ = ["Fleet", "SliverReplay"]
+__all__ = ["Engine", "Fleet", "SliverReplay"]
 
 KEYS = 650
 SECONDS = 16
@@ -44,7 +44,7 @@
     per_s: float
 
 
-class _Engine:
+class Engine:
     """One engine; `pace` stretches all its answers."""
 
     def __init__(self, name, pace):
@@ -75,7 +75,7 @@
 
     def _engine(self, number):
         pace = SLOWNESS if number % 15 == 7 else self.random.uniform(0.8, 1.2)
-        return _Engine(f"t{number}", pace)
+        return Engine(f"t{number}", pace)
 
     def play(self):
         """Run to the end; return the replay."""
