Sight: a read of the configuration is logged with its bytes, its times and whether the caller stayed

Nothing told an answered read, so "no configuration could be read" could not be traced. One line "read ended" (caller, version, bytes, bytes taken by the system, time to be vouched for, to the first and last byte, outcome whole or caller-left), counters reads_total{outcome} and a histogram read_duration_seconds. A large answer goes in pieces of 16 KB with its length.

--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -23,9 +23,10 @@
 from damaskwind.decisions.routing.checks import configuration_mistakes
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.runtime.http1.server import Delivery
 from damaskwind.runtime.tallies import Tallies
 
-__all__ = ["ControlCalls", "PublishResult", "PublishStatus"]
+__all__ = ["ConfigurationRead", "ControlCalls", "PublishResult", "PublishStatus", "ReadOutcome"]
 
 # Operators move on to another replica after a second without an answer.
 PUBLISH_LIMIT_S = 0.9
@@ -53,6 +54,28 @@
     detail: str = ""
 
 
+class ReadOutcome(StrEnum):
+    """How a read of the configuration ended."""
+
+    WHOLE = "whole"
+    LEFT = "caller-left"
+    REFUSED = "refused"
+
+
+class ConfigurationRead(NamedTuple):
+    """A read that a majority vouches for; without a document it is refused.
+
+    `asked_s` is when it came, in monotonic seconds; `vouched_s` how long it took
+    until this replica was sure to be current.
+    """
+
+    caller: str
+    version: int
+    document: bytes
+    asked_s: float
+    vouched_s: float
+
+
 class ControlCalls:
     """The calls of operators and targets at one replica.
 
@@ -133,15 +156,37 @@
             logger.info("configuration written anew", version=version, base=base_version)
         return outcome
 
-    async def read(self) -> bytes | None:
-        """Return the newest document that a majority holds, or `None` if that is not sure."""
+    async def read(self, caller: str) -> ConfigurationRead:
+        """Return the newest document that a majority holds, or none if that is not sure."""
+        asked_s = time.monotonic()
         access = self._access()
         is_current = access is not None and await access.read_current(READ_LIMIT_S)
-        self.tallies.count("reads", outcome="current" if is_current else "refused")
+        vouched_s = time.monotonic() - asked_s
         if not is_current:
-            logger.info("read refused", why="no majority vouches for this replica")
-            return None
-        return self._machine().document or None
+            self.tallies.count("reads", outcome=ReadOutcome.REFUSED)
+            why = "no majority vouches for this replica" if access else "the disk is not usable"
+            logger.info("read refused", caller=caller, why=why, waited_ms=_ms(vouched_s))
+            return ConfigurationRead(caller, 0, b"", asked_s, vouched_s)
+        machine = self._machine()
+        return ConfigurationRead(caller, machine.version, machine.document, asked_s, vouched_s)
+
+    def read_ended(self, read: ConfigurationRead, delivery: Delivery) -> None:
+        """Note how far the answer to a read came."""
+        outcome = ReadOutcome.WHOLE if delivery.is_whole else ReadOutcome.LEFT
+        took_s = delivery.last_byte_s - read.asked_s
+        self.tallies.count("reads", outcome=outcome)
+        self.tallies.observe("read_duration", took_s, outcome=outcome)
+        logger.info(
+            "read ended",
+            outcome=outcome,
+            caller=read.caller,
+            version=read.version,
+            bytes=delivery.body_bytes,
+            taken_bytes=delivery.taken_bytes,
+            vouched_ms=_ms(read.vouched_s),
+            first_byte_ms=_ms(delivery.first_byte_s - read.asked_s),
+            last_byte_ms=_ms(took_s),
+        )
 
     async def report(self, record: TargetRecord) -> bool:
         """Take a target's report; tell whether it may be the target's own."""
@@ -184,3 +229,8 @@
         revision = self._board.table.revision
         if not await self._board.wait_told(revision, LEAVE_TOLD_S):
             logger.warning("leave not told to all replicas", target=target_id, limit_s=LEAVE_TOLD_S)
+
+
+def _ms(span_s: float) -> float:
+    """Return a span as log lines tell it."""
+    return round(span_s * 1000, 1)
--- a/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
@@ -72,7 +72,7 @@
     async def test_highest_version_holds_and_all_valid_ones_are_acknowledged(self):
         for document in (b"5", b"3", b"5", b"9"):
             self.assertEqual(await self.status(document), PublishStatus.ACKNOWLEDGED)
-        self.assertEqual(await self.calls.read(), b"9")
+        self.assertEqual((await self.calls.read("o")).document, b"9")
         self.assertEqual(self.log.proposed, 2)
 
     @asyncio_test
@@ -102,9 +102,9 @@
     async def test_read_without_a_majority_or_a_disk_is_refused(self):
         await self.calls.publish(b"4")
         self.log.is_current = False
-        self.assertIsNone(await self.calls.read())
+        self.assertEqual((await self.calls.read("o")).document, b"")
         self.log = None
-        self.assertIsNone(await self.calls.read())
+        self.assertEqual((await self.calls.read("o")).document, b"")
         self.assertEqual(await self.status(b"8"), PublishStatus.UNKNOWN)
 
     @asyncio_test
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -17,10 +17,12 @@
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
 from damaskwind.runtime.http1.transports import reset
 
-__all__ = ["Exchange", "HttpServer", "ServerLimits", "answer_headers"]
+__all__ = ["Delivery", "Exchange", "HttpServer", "ServerLimits", "answer_headers"]
 
 # Bytes that a slow caller may leave unsent before its handler waits.
 WRITE_BUFFER_BYTES = 65_536
+# A large answer is handed over in pieces of this size, so that it is seen how far it came.
+PIECE_BYTES = 16_384
 
 
 class ServerLimits(NamedTuple):
@@ -32,6 +34,23 @@
     idle_timeout_s: float = 15.0
 
 
+class Delivery(NamedTuple):
+    """How far a large answer came: bytes that the system took, of all, and when.
+
+    Times are monotonic seconds; what the system has taken may still wait on the link.
+    """
+
+    taken_bytes: int
+    body_bytes: int
+    first_byte_s: float
+    last_byte_s: float
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the caller stayed until the last piece was handed over."""
+        return self.taken_bytes == self.body_bytes
+
+
 Handler = Callable[["Exchange"], Awaitable[None]]
 
 
@@ -69,6 +88,30 @@
         self.is_finished = True
         self._connection.send_whole(answer, close)
 
+    async def deliver(self, answer: Answer, ended: Callable[[Delivery], None]) -> None:
+        """Send a large answer as fast as the caller takes it, and tell how far it came.
+
+        Its length stands in its head, so that a part never looks whole. `ended` is
+        called also when the caller leaves before the end.
+        """
+        first_byte_s = time.monotonic()
+        taken_bytes, body_bytes = 0, len(answer.body)
+        try:
+            self.begin(answer.status, answer_headers(answer.headers, answer.body))
+            for start in range(0, body_bytes, PIECE_BYTES):
+                piece = answer.body[start : start + PIECE_BYTES]
+                self.write(piece)
+                await self._connection.taken()
+                taken_bytes += len(piece)
+            self.finish()
+        finally:
+            ended(Delivery(taken_bytes, body_bytes, first_byte_s, time.monotonic()))
+
+    @property
+    def caller(self) -> str:
+        """Return the caller's address as `host:port`."""
+        return self._connection.caller
+
     def begin(self, status: int, headers: Headers, close: bool = False) -> None:
         """Send the head; without a length the body goes in chunks."""
         self.has_begun = True
@@ -167,6 +210,17 @@
             self._room = asyncio.get_running_loop().create_future()
             await self._room
 
+    async def taken(self) -> None:
+        """Wait until the system has taken all that was written, or the caller has left."""
+        self._transport.set_write_buffer_limits(high=0)
+        await self.drained()
+
+    @property
+    def caller(self) -> str:
+        """Return the other end's address."""
+        host, port, *_ = self._transport.get_extra_info("peername") or ("", 0)
+        return f"{host}:{port}"
+
     def close_if_idle(self) -> None:
         """Close a kept connection that carries no request."""
         if self.is_idle:
