Large reads are sent on to routers, whose links carry them in the second that operators wait

Ruled out: the majority's word (14 to 30 ms), our pace and buffers (445 to 475 KB were taken by then). Change: routers tell where they pass documents on and how wide their link is (on the news call); a replica that is sure to be current answers a read above 0.08 s of its link with a redirect to one with a wider link, which gives that version or a newer one, or 503 when it hasn't come yet. Limit: about 600 KB, some 3,000 routes, at 5 Mbit/s.

--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -19,14 +19,22 @@
     PublishOutcome,
     publish_command,
 )
+from damaskwind.decisions.following.reading_places import ReadingPlaces
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
 from damaskwind.decisions.routing.checks import configuration_mistakes
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.http1.server import Delivery
 from damaskwind.runtime.tallies import Tallies
+from damaskwind.wire.configuration_read import (
+    ConfigurationRead,
+    ReadOutcome,
+    log_read,
+    outcome_of,
+    read_place,
+)
 
-__all__ = ["ConfigurationRead", "ControlCalls", "PublishResult", "PublishStatus", "ReadOutcome"]
+__all__ = ["ControlCalls", "PublishResult", "PublishStatus"]
 
 # Operators move on to another replica after a second without an answer.
 PUBLISH_LIMIT_S = 0.9
@@ -54,28 +62,6 @@
     detail: str = ""
 
 
-class ReadOutcome(StrEnum):
-    """How a read of the configuration ended."""
-
-    WHOLE = "whole"
-    LEFT = "caller-left"
-    REFUSED = "refused"
-
-
-class ConfigurationRead(NamedTuple):
-    """A read that a majority vouches for; without a document it is refused.
-
-    `asked_s` is when it came, in monotonic seconds; `vouched_s` how long it took
-    until this replica was sure to be current.
-    """
-
-    caller: str
-    version: int
-    document: bytes
-    asked_s: float
-    vouched_s: float
-
-
 class ControlCalls:
     """The calls of operators and targets at one replica.
 
@@ -91,12 +77,14 @@
         board: NewsBoard,
         decode: Callable[[bytes], TrafficConfiguration],
         bears_a_loss: Callable[[], bool],
+        reading_places: ReadingPlaces,
     ) -> None:
         self._access = access
         self._machine = machine
         self._board = board
         self._decode = decode
         self._bears_a_loss = bears_a_loss
+        self._reading_places = reading_places
         self.tallies = Tallies()
 
     async def publish(self, document: bytes) -> PublishResult:
@@ -157,7 +145,10 @@
         return outcome
 
     async def read(self, caller: str) -> ConfigurationRead:
-        """Return the newest document that a majority holds, or none if that is not sure."""
+        """Return the newest document that a majority holds, or none if that is not sure.
+
+        What this VM's link does not carry in time is to be had from a router.
+        """
         asked_s = time.monotonic()
         access = self._access()
         is_current = access is not None and await access.read_current(READ_LIMIT_S)
@@ -165,28 +156,39 @@
         if not is_current:
             self.tallies.count("reads", outcome=ReadOutcome.REFUSED)
             why = "no majority vouches for this replica" if access else "the disk is not usable"
-            logger.info("read refused", caller=caller, why=why, waited_ms=_ms(vouched_s))
+            logger.info(
+                "read refused", caller=caller, why=why, waited_ms=round(vouched_s * 1000, 1)
+            )
             return ConfigurationRead(caller, 0, b"", asked_s, vouched_s)
         machine = self._machine()
-        return ConfigurationRead(caller, machine.version, machine.document, asked_s, vouched_s)
+        return self._send_on(
+            ConfigurationRead(caller, machine.version, machine.document, asked_s, vouched_s)
+        )
 
-    def read_ended(self, read: ConfigurationRead, delivery: Delivery) -> None:
-        """Note how far the answer to a read came."""
-        outcome = ReadOutcome.WHOLE if delivery.is_whole else ReadOutcome.LEFT
-        took_s = delivery.last_byte_s - read.asked_s
-        self.tallies.count("reads", outcome=outcome)
-        self.tallies.observe("read_duration", took_s, outcome=outcome)
+    def _send_on(self, read: ConfigurationRead) -> ConfigurationRead:
+        """Name a router that gives a document which this VM's link is too narrow for."""
+        places = self._board.passing_places()
+        place = self._reading_places.choose(len(read.document), places)
+        if place is None:
+            return read
+        url = read_place(place.host, self._reading_places.port, read.version)
+        self.tallies.count("reads", outcome=ReadOutcome.SENT_ON)
         logger.info(
-            "read ended",
-            outcome=outcome,
+            "read sent on",
             caller=read.caller,
             version=read.version,
-            bytes=delivery.body_bytes,
-            taken_bytes=delivery.taken_bytes,
-            vouched_ms=_ms(read.vouched_s),
-            first_byte_ms=_ms(delivery.first_byte_s - read.asked_s),
-            last_byte_ms=_ms(took_s),
+            bytes=len(read.document),
+            vouched_ms=round(read.vouched_s * 1000, 1),
+            to=url,
         )
+        return read._replace(sent_on_to=url)
+
+    def read_ended(self, read: ConfigurationRead, delivery: Delivery) -> None:
+        """Note how far the answer to a read came."""
+        outcome = outcome_of(delivery)
+        self.tallies.count("reads", outcome=outcome)
+        self.tallies.observe("read_duration", read.took_s(delivery), outcome=outcome)
+        log_read(read, delivery)
 
     async def report(self, record: TargetRecord) -> bool:
         """Take a target's report; tell whether it may be the target's own."""
@@ -229,8 +231,3 @@
         revision = self._board.table.revision
         if not await self._board.wait_told(revision, LEAVE_TOLD_S):
             logger.warning("leave not told to all replicas", target=target_id, limit_s=LEAVE_TOLD_S)
-
-
-def _ms(span_s: float) -> float:
-    """Return a span as log lines tell it."""
-    return round(span_s * 1000, 1)
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from damaskwind.decisions.following.reading_places import PassingPlace
 from damaskwind.decisions.load.held_sums import HeldSum, HeldSums
 from damaskwind.decisions.membership.target_table import TargetRecord, TargetTable
 from damaskwind.wire.news import Heard, News, NewsRequest, SubscriberKind
@@ -28,7 +29,8 @@
     kind: str
     revision: int
     asked_s: float
-    heard_told_s: float = float("-inf")
+    heard_told_s: float
+    passes_on: PassingPlace
 
 
 class NewsBoard:
@@ -126,6 +128,12 @@
         self._forget_silent(time.monotonic())
         return len(self._routers)
 
+    def passing_places(self) -> list[PassingPlace]:
+        """Return where routers that ask here pass documents on, the last to ask first."""
+        self._forget_silent(time.monotonic())
+        places = (item.passes_on for item in reversed(self._subscriptions.values()))
+        return [place for place in places if place.host]
+
     def _place(self, node_id: str) -> int | None:
         """Return a router's place among those that ask here."""
         place = bisect_left(self._routers, node_id)
@@ -155,7 +163,7 @@
         if before is None and request.kind == SubscriberKind.ROUTER:
             insort(self._routers, request.node_id)
         self._subscriptions[request.node_id] = _Subscription(
-            request.kind, revision, now_s, heard_told_s
+            request.kind, revision, now_s, heard_told_s, request.passes_on
         )
         self._forget_silent(now_s)
         if request.kind == SubscriberKind.REPLICA:
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -26,6 +26,7 @@
 from damaskwind.control.operator_api.ports import ProposalPort
 from damaskwind.control.state.published_configuration import PublishedConfiguration
 from damaskwind.control.storage.files import FileSystem
+from damaskwind.decisions.following.reading_places import ReadingPlaces
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
@@ -98,6 +99,7 @@
             self.board,
             decode,
             self._bears_a_loss,
+            ReadingPlaces(settings.link_bytes_per_s, settings.news_port, self._random),
         )
         self._control = HttpServer(self._handle, CONTROL_LIMITS)
         self.tallies = Tallies()
--- a/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
@@ -1,14 +1,18 @@
 """Tests of the calls of operators and targets, with a log that is told what to do."""
 
+from random import Random
+
 from twisted.trial.unittest import TestCase
 
 from damaskwind.control.fleet.calls import DIFFERENCE_ATTEMPTS, ControlCalls, PublishStatus
 from damaskwind.control.fleet.news_board import NewsBoard
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
 from damaskwind.control.state.published_configuration import PublishedConfiguration, publish_command
+from damaskwind.decisions.following.reading_places import PassingPlace, ReadingPlaces
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.wire.news import NewsRequest, SubscriberKind
 
 
 def decode(document):
@@ -55,6 +59,7 @@
             self.board,
             decode,
             lambda: self.bears_a_loss,
+            ReadingPlaces(100.0, 8101, Random(1)),
         )
 
     async def status(self, document):
@@ -98,6 +103,25 @@
             self.log.verdict = verdict
             self.assertEqual(await self.status(b"4"), PublishStatus.UNKNOWN)
 
+    @asyncio_test
+    async def test_large_document_is_read_at_a_router_with_a_wider_link(self):
+        for node, rate in (("narrow", 50.0), ("wide", 1000.0)):
+            place = PassingPlace(f"{node}.example", rate)
+            request = NewsRequest(node, SubscriberKind.ROUTER, "", 0, 0, 0.0, passes_on=place)
+            await self.board.wait_for_news(request)
+        await self.calls.publish(b"1")
+        self.assertEqual((await self.calls.read("o")).sent_on_to, "")
+        await self.calls.publish(b"123456789")
+        read = await self.calls.read("o")
+        self.assertEqual(
+            read.sent_on_to, "http://wide.example:8101/configuration?version=123456789"
+        )
+
+    @asyncio_test
+    async def test_large_document_is_read_here_while_no_router_asks(self):
+        await self.calls.publish(b"123456789")
+        self.assertEqual((await self.calls.read("o")).sent_on_to, "")
+
     @asyncio_test
     async def test_read_without_a_majority_or_a_disk_is_refused(self):
         await self.calls.publish(b"4")
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/following/reading_places.py
@@ -0,0 +1,58 @@
+"""Choose where an operator reads a configuration: at a replica, or at a router.
+
+The pattern: an operator leaves a call that has not ended after a second. A replica's
+link of 3 Mbit/s carries 375 KB in it, less the news and documents that share it; routers
+hold the same document, many of them behind links that carry more.
+
+>>> from random import Random
+>>> places = ReadingPlaces(375_000.0, 8101, Random(1))
+>>> routers = [PassingPlace("10.1.0.1", 625_000.0), PassingPlace("10.1.0.2", 250_000.0)]
+>>> places.choose(12_000, routers) is None
+True
+>>> places.choose(452_000, routers).host, places.choose(452_000, routers[1:])
+('10.1.0.1', None)
+"""
+
+from collections.abc import Sequence
+from random import Random
+from typing import NamedTuple
+
+__all__ = ["NOWHERE", "PassingPlace", "ReadingPlaces"]
+
+# What an answer may take of an idle link's time here. While a version spreads, documents and
+# news take up to 0.85 of the link: an answer of this size then still takes half a second.
+HERE_S = 0.08
+# One of the routers that asked last is drawn: they were alive some ten ms ago.
+DRAWN_FROM = 8
+
+
+class PassingPlace(NamedTuple):
+    """Where a router passes documents on, and the rate of its VM's link."""
+
+    host: str = ""
+    link_bytes_per_s: float = 0.0
+
+
+NOWHERE = PassingPlace()
+
+
+class ReadingPlaces:
+    """Where the reads of one replica go.
+
+    `link_bytes_per_s` is the rate of its own link; routers pass documents on at `port`.
+    """
+
+    def __init__(self, link_bytes_per_s: float, port: int, random: Random) -> None:
+        self.port = port
+        self._link_bytes_per_s = link_bytes_per_s
+        self._random = random
+
+    def choose(self, document_bytes: int, places: Sequence[PassingPlace]) -> PassingPlace | None:
+        """Return a router to read at, or `None` where it is as well read here.
+
+        Of `places` those that were heard last stand first.
+        """
+        if document_bytes <= self._link_bytes_per_s * HERE_S:
+            return None
+        wider = [place for place in places if place.link_bytes_per_s > self._link_bytes_per_s]
+        return self._random.choice(wider[:DRAWN_FROM]) if wider else None
--- a/packages/decisions/src/damaskwind/decisions/load/tests/release_replay.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/release_replay.py
@@ -6,7 +6,7 @@
 hear of both at times of their own, as news reach them.
 """
 
-from damaskwind.decisions.load.tests.sliver_replay import SliverReplay, Engine
+from damaskwind.decisions.load.tests.sliver_replay import Engine, SliverReplay
 from damaskwind.decisions.placement.affinity import Candidate, choose_target, policy_for
 
 __all__ = ["ReleaseReplay"]
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -10,9 +12,15 @@
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.wire.configuration_read import (
+    READ_PATH,
+    ConfigurationRead,
+    log_read,
+    read_version,
+)
 from damaskwind.wire.news import DOCUMENT_PATH, Document, decode_document_request, encode
 
-__all__ = ["DocumentRelay"]
+__all__ = ["DocumentRelay", "WholeDocument"]
 
 # What documents may take of a router's link; the rest is for answers, of which a piece
 # is late after 0.2 s. Nine documents of 22 KB take 1.1 s at 5 Mbit/s.
@@ -22,17 +30,28 @@
 LOOK_S = 0.02
 
 
+class WholeDocument(NamedTuple):
+    """A configuration as it was published; version 0 while there is none."""
+
+    version: int
+    content: bytes
+
+
 class DocumentRelay:
     """The handler behind a router's internal address.
 
     `newest_for` gives the newest document for one that holds a version; its own
-    version is 0 while there is none.
+    version is 0 while there is none. `whole` gives the same one as it was published.
     """
 
     def __init__(
-        self, newest_for: Callable[[int], Document], link_bytes_per_s: float = float("inf")
+        self,
+        newest_for: Callable[[int], Document],
+        whole: Callable[[], WholeDocument],
+        link_bytes_per_s: float = float("inf"),
     ) -> None:
         self._newest_for = newest_for
+        self._whole = whole
         self._pace = BulkPace(link_bytes_per_s * DOCUMENT_PART, time.monotonic())
         self._server = HttpServer(self._handle, ServerLimits())
         self.passed_on = 0
@@ -51,7 +70,11 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         """Answer one request for a document."""
-        if exchange.request.target != DOCUMENT_PATH:
+        path, _, query = exchange.request.target.partition(b"?")
+        if (exchange.request.method, path) == (b"GET", READ_PATH):
+            await self._read(exchange, query)
+            return
+        if path != DOCUMENT_PATH:
             exchange.respond(Answer(404, []))
             return
         try:
@@ -67,6 +90,24 @@
         exchange.respond(Answer(200, [], encode(self._newest_for(request.held_version))))
         self.passed_on += 1
 
+    async def _read(self, exchange: Exchange, query: bytes) -> None:
+        """Give an operator the configuration, to whom a replica named this router."""
+        asked_s = time.monotonic()
+        version = read_version(query)
+        if version is None:
+            exchange.respond(Answer(400, [], b"expected version=N"))
+            return
+        if not await self._has(version):
+            logger.info("read refused", caller=exchange.caller, version=version, why="not here yet")
+            exchange.respond(Answer(503, []))
+            return
+        whole = self._whole()
+        read = ConfigurationRead(
+            exchange.caller, whole.version, whole.content, asked_s, time.monotonic() - asked_s
+        )
+        answer = Answer(200, [(b"content-type", b"application/json")], whole.content)
+        await exchange.deliver(answer, partial(log_read, read))
+
     async def _has(self, version: int) -> bool:
         """Wait a little until a version is here; tell whether it is."""
         limit_s = time.monotonic() + WAIT_S
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from damaskwind.decisions.following.document_sources import DocumentSources
+from damaskwind.decisions.following.reading_places import PassingPlace
 from damaskwind.decisions.limits.slices import rendezvous_order
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord, TargetTable
@@ -22,7 +23,7 @@
 from damaskwind.model.exception import ConfigurationError, MessageError
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
-from damaskwind.router.forwarding.document_relay import DocumentRelay
+from damaskwind.router.forwarding.document_relay import DocumentRelay, WholeDocument
 from damaskwind.wire.document_difference import apply_difference
 from damaskwind.wire.document_fetch import FETCH_ERRORS, DocumentFetcher
 from damaskwind.wire.news import Document, News, SubscriberKind, pack_document, unpack_document
@@ -81,7 +82,8 @@
         self.sources = DocumentSources(node_id)
         self._fetcher = DocumentFetcher(news_port, own_host)
         self._own_host = own_host
-        self.relay = DocumentRelay(self._newest_for, link_bytes_per_s)
+        self._link_bytes_per_s = link_bytes_per_s
+        self.relay = DocumentRelay(self._newest_for, self._whole, link_bytes_per_s)
         self._has_news = asyncio.Event()
         self._document = b""
         self._received = Document(0, b"")
@@ -116,6 +118,7 @@
                 Address(host, self._news_port),
                 self,
                 self._random,
+                passes_on=PassingPlace(self._own_host, self._link_bytes_per_s),
             )
             self._links[host] = link
             link.start(place * stagger_s)
@@ -242,6 +245,10 @@
             return Document(received.version, pack_document(self._document))
         return received
 
+    def _whole(self) -> WholeDocument:
+        """Return the configuration in force as it was published."""
+        return WholeDocument(self.known_version(), self._document)
+
     def _unpack(self, document: Document) -> bytes:
         """Return the whole document; raise `MessageError` when it does not come out."""
         if not document.base_version:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_document_relay.py
@@ -5,10 +5,11 @@
 
 from twisted.trial.unittest import TestCase
 
-from damaskwind.router.forwarding.document_relay import WAIT_S, DocumentRelay
+from damaskwind.model.targets import Address
+from damaskwind.router.forwarding.document_relay import WAIT_S, DocumentRelay, WholeDocument
 from damaskwind.runtime.bridge import asyncio_test, to_deferred
-from damaskwind.runtime.http1.client import AnswerBrokenError
-from damaskwind.runtime.http1.messages import Answer
+from damaskwind.runtime.http1.client import AnswerBrokenError, connect, fetch
+from damaskwind.runtime.http1.messages import Answer, Request
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.wire.document_fetch import DocumentFetcher
 from damaskwind.wire.news import Document, decode_document_request, encode, pack_document
@@ -31,7 +32,7 @@
         self.named = (DEAD, HOLDER)
         self.replica = HttpServer(self.answer, ServerLimits())
         self.port = self.replica.listen(REPLICA, 0)
-        self.relay = DocumentRelay(lambda held_version: self.document)
+        self.relay = DocumentRelay(lambda held_version: self.document, self.whole)
         self.relay.listen(HOLDER, self.port)
         self.fetcher = DocumentFetcher(self.port, "127.79.0.9")
         self.addCleanup(lambda: to_deferred(self.finish()))
@@ -43,6 +44,17 @@
         self.replica.abort()
         await asyncio.sleep(0.05)
 
+    def whole(self):
+        return WholeDocument(self.document.version, b'{"version": %d}' % self.document.version)
+
+    async def read(self, query):
+        connection = await connect(Address(HOLDER, self.port), 0.5)
+        request = Request(b"GET", b"/configuration" + query, [(b"host", b"c")])
+        try:
+            return await fetch(connection, request, 1000)
+        finally:
+            connection.abort()
+
     async def answer(self, exchange):
         request = decode_document_request(exchange.request.body)
         self.asked.append(request)
@@ -85,6 +97,22 @@
             self.replica.handler = lambda exchange: _respond(exchange, 404)
             await self.fetcher.fetch(REPLICA, 6)
 
+    @asyncio_test
+    async def test_operator_reads_the_version_that_a_replica_named(self):
+        answer = await self.read(b"?version=7")
+        self.assertEqual((answer.status, answer.body), (200, b'{"version": 7}'))
+
+    @asyncio_test
+    async def test_operator_is_refused_while_the_version_is_not_here(self):
+        self.assertEqual((await self.read(b"?version=8")).status, 503)
+        self.document = Document(0, b"")
+        self.assertEqual((await self.read(b"?version=0")).status, 503)
+
+    @asyncio_test
+    async def test_read_that_names_no_version_is_an_error(self):
+        for query in (b"", b"?version=x", b"?v=1"):
+            self.assertEqual((await self.read(query)).status, 400)
+
 
 async def _respond(exchange, status):
     exchange.respond(Answer(status, []))
--- /dev/null
+++ b/packages/wire/src/damaskwind/wire/configuration_read.py
@@ -0,0 +1,92 @@
+"""Read the configuration at a replica, or at the router that the replica names.
+
+>>> read_place("10.1.0.1", 8101, 7)
+'http://10.1.0.1:8101/configuration?version=7'
+>>> read_version(b"version=7"), read_version(b"version=x")
+(7, None)
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from loguru import logger
+
+from damaskwind.runtime.http1.server import Delivery
+
+__all__ = [
+    "READ_PATH",
+    "ConfigurationRead",
+    "ReadOutcome",
+    "log_read",
+    "outcome_of",
+    "read_place",
+    "read_version",
+]
+
+READ_PATH = b"/configuration"
+_VERSION = b"version="
+
+
+class ReadOutcome(StrEnum):
+    """How a read of the configuration ended."""
+
+    WHOLE = "whole"
+    LEFT = "caller-left"
+    REFUSED = "refused"
+    SENT_ON = "sent-on"
+
+
+class ConfigurationRead(NamedTuple):
+    """A read that a majority vouches for; without a document it is refused.
+
+    `asked_s` is when it came, in monotonic seconds; `vouched_s` how long it took
+    until this process was sure to have the version. `sent_on_to` is the URL of a
+    router that gives it in a replica's place.
+    """
+
+    caller: str
+    version: int
+    document: bytes
+    asked_s: float
+    vouched_s: float
+    sent_on_to: str = ""
+
+    def took_s(self, delivery: Delivery) -> float:
+        """Return how long the read took to its end, in seconds."""
+        return delivery.last_byte_s - self.asked_s
+
+
+def outcome_of(delivery: Delivery) -> ReadOutcome:
+    """Return how an answered read ended."""
+    return ReadOutcome.WHOLE if delivery.is_whole else ReadOutcome.LEFT
+
+
+def log_read(read: ConfigurationRead, delivery: Delivery) -> None:
+    """Log how far the answer to a read came."""
+    logger.info(
+        "read ended",
+        outcome=outcome_of(delivery),
+        caller=read.caller,
+        version=read.version,
+        bytes=delivery.body_bytes,
+        taken_bytes=delivery.taken_bytes,
+        vouched_ms=_ms(read.vouched_s),
+        first_byte_ms=_ms(delivery.first_byte_s - read.asked_s),
+        last_byte_ms=_ms(read.took_s(delivery)),
+    )
+
+
+def read_place(host: str, port: int, version: int) -> str:
+    """Return the URL at which a router gives a version, or a newer one."""
+    return f"http://{host}:{port}{READ_PATH.decode()}?version={version}"
+
+
+def read_version(query: bytes) -> int | None:
+    """Return the version that is asked for, or `None` when the query names none."""
+    text = query.removeprefix(_VERSION)
+    return int(text) if query.startswith(_VERSION) and text.isdigit() else None
+
+
+def _ms(span_s: float) -> float:
+    """Return a span as log lines tell it."""
+    return round(span_s * 1000, 1)
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from damaskwind.decisions.following.reading_places import NOWHERE, PassingPlace
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
 from damaskwind.decisions.membership.target_table import TargetRecord
 from damaskwind.model.exception import MessageError
@@ -57,7 +58,8 @@
     `version` is the configuration that this replica last told it of. The answer
     may be held back for `wait_s`. `table_digest` tells which targets the
     subscriber knows, from whomever: a replica whose table says the same need
-    not tell it. `held` is what a router holds at targets now.
+    not tell it. `held` is what a router holds at targets now, `passes_on` where
+    it gives documents to others.
     """
 
     node_id: str
@@ -68,6 +70,7 @@
     wait_s: float
     table_digest: int = 0
     held: tuple[HeldCount, ...] = ()
+    passes_on: PassingPlace = NOWHERE
 
 
 class Heard(NamedTuple):
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from damaskwind.decisions.following.reading_places import NOWHERE, PassingPlace
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
@@ -74,7 +75,10 @@
 
 
 class NewsLink:
-    """One subscription. `last_heard_s` is monotonic."""
+    """One subscription. `last_heard_s` is monotonic.
+
+    `passes_on` is where the subscriber gives documents to others, if it does.
+    """
 
     def __init__(
         self,
@@ -85,6 +89,7 @@
         random: Random,
         timing: NewsTiming = DEFAULT_TIMING,
         clock: Callable[[], float] = time.monotonic,
+        passes_on: PassingPlace = NOWHERE,
     ) -> None:
         self.address = address
         self.last_heard_s = float("-inf")
@@ -95,6 +100,7 @@
         self._random = random
         self._timing = timing
         self._clock = clock
+        self._passes_on = passes_on
         self._epoch = ""
         self._revision = 0
         self._version = 0
@@ -152,6 +158,7 @@
             timing.hold_s,
             self._subscriber.table_digest(),
             self._subscriber.held_counts(self.address.host),
+            self._passes_on,
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
