The test of a cut stream reads what came, and cuts after the first words too

Traced: the failure (connection closed in the middle of the body in place of the error event) was the test's reader, which throws a body away that does not end. The router was right: event, then no end of the body. The test now keeps the pieces, counts bodies that broke off and demands exactly that; a second one cuts after six tokens.

--- a/packages/standins/src/damaskwind/standins/tests/test_real_processes.py
+++ b/packages/standins/src/damaskwind/standins/tests/test_real_processes.py
@@ -9,6 +9,7 @@
 
 import treq
 from twisted.trial.unittest import TestCase
+from twisted.web.client import ResponseFailed
 
 from damaskwind.model.prefix import Message, ModelName
 from damaskwind.runtime.bridge import asyncio_test, to_deferred, to_future
@@ -73,6 +74,7 @@
         self.addCleanup(folder.cleanup)
         self.harness = Harness(Path(folder.name))
         self.addCleanup(lambda: to_deferred(self.harness.stop()))
+        self.cut_answers = 0
 
     async def _ask(self, method: str, url: str, body: Any = None) -> Any:
         call = treq.request(method, f"http://{url}", json=body, persistent=False)
@@ -110,7 +112,10 @@
         return chat[0] == 200 and call[0] == 200
 
     async def _request(self, path: str, **arguments: Any) -> tuple[int, str, bytes]:
-        """Return the status, the verdict and the body of a request, whole or cut."""
+        """Return the status, the verdict and the body of a request, whole or cut.
+
+        Bodies that broke off before their end are counted.
+        """
         call = treq.post(
             f"http://{self.router}{path}",
             headers={"authorization": f"Bearer {_KEY}"},
@@ -120,7 +125,12 @@
         )
         response = await to_future(call)
         verdict = response.headers.getRawHeaders("x-verdict", [""])[0]
-        return response.code, verdict, await to_future(response.content())
+        pieces: list[bytes] = []
+        try:
+            await to_future(treq.collect(response, pieces.append))
+        except ResponseFailed:
+            self.cut_answers += 1
+        return response.code, verdict, b"".join(pieces)
 
     async def _chat(self, text: str) -> tuple[int, str, bytes]:
         messages = [{"role": "user", "content": text}]
@@ -155,24 +165,55 @@
         await self._ask("POST", f"{self.network}/heal")
         self.assertLessEqual((await self._oracle("edge-1"))["events"]["run"], before + 1)
 
-    @asyncio_test
-    async def test_cut_stream_never_looks_whole(self) -> None:
-        await self._start()
-        expected = expected_answer(1, ModelName("damask", "1"), [Message("user", "cut me")], 20)
-        pending = asyncio.ensure_future(self._chat("cut me"))
-
-        async def is_streaming() -> bool:
-            samples = await self._ask("GET", f"{self.fleet}/samples")
-            return samples[-1]["requests"]["engine-1"] == 1
-
-        await wait_until(is_streaming, 10, "the chat at the engine")
+    async def _cut_engine(self) -> None:
         await self._act("engine-1", "refuse")
         await self._act("engine-1", "cut")
-        _, _, body = await pending
-        self.assertNotIn(b"[DONE]", body)
-        self.assertIn(b"may-have-run", body)
+
+    async def _is_streaming(self) -> bool:
+        samples = await self._ask("GET", f"{self.fleet}/samples")
+        return samples[-1]["requests"]["engine-1"] == 1
+
+    async def _answers_again(self) -> None:
+        """Expect the whole answer once the engine's link has come back."""
         await self._act("engine-1", "accept")
         await wait_until(self._serves, 20, "the engine after its link came back")
+        expected = expected_answer(1, ModelName("damask", "1"), [Message("user", "cut me")], 20)
         _, _, body = await self._chat("cut me")
         words = [part.split(b'"')[0] for part in body.split(b'"content": "')[1:]]
         self.assertEqual(b"".join(words).decode(), expected)
+
+    @asyncio_test
+    async def test_cut_stream_never_looks_whole(self) -> None:
+        """An engine is cut off as soon as it has the chat, begun or not.
+
+        Once this failed with a connection closed in the middle of the body, where it
+        expected the error event. It read with a client that throws away a body that does
+        not end, and mostly cut the engine before the answer began ("the target broke off
+        before its answer", a whole refusal). With 0.3 s between, each run failed: the router
+        writes the event, then closes without the body's end, so that nothing looks whole.
+        """
+        await self._start()
+        pending = asyncio.ensure_future(self._chat("cut me"))
+        await wait_until(self._is_streaming, 10, "the chat at the engine")
+        await self._cut_engine()
+        status, _, body = await pending
+        self.assertNotIn(b"[DONE]", body)
+        self.assertIn(b"may-have-run", body)
+        # A stream that has begun is cut; a refusal in its place is whole.
+        self.assertEqual(self.cut_answers, int(status == 200))
+        await self._answers_again()
+
+    @asyncio_test
+    async def test_stream_that_is_cut_after_its_first_words_says_so_and_does_not_end(self) -> None:
+        await self._start()
+        pending = asyncio.ensure_future(self._chat("cut me"))
+        await wait_until(self._is_streaming, 10, "the chat at the engine")
+        # Six of twenty tokens.
+        await asyncio.sleep(0.3)
+        await self._cut_engine()
+        status, _, body = await pending
+        self.assertEqual((status, self.cut_answers), (200, 1))
+        self.assertIn(b'"content": "', body)
+        self.assertNotIn(b"[DONE]", body)
+        self.assertIn(b"may-have-run", body.rpartition(b"data: ")[2])
+        await self._answers_again()
