--- a/packages/decisions/src/damaskwind/decisions/following/reading_places.py
+++ b/packages/decisions/src/damaskwind/decisions/following/reading_places.py
@@ -13,6 +13,7 @@
 ('10.1.0.1', None)
 """
 
+import math
 from collections.abc import Sequence
 from random import Random
 from typing import NamedTuple
@@ -22,7 +23,8 @@
 # What an answer may take of an idle link's time here. While a version spreads, documents and
 # news take up to 0.85 of the link: an answer of this size then still takes half a second.
 HERE_S = 0.08
-# One of the routers that asked last is drawn: they were alive some ten ms ago.
+# One of the routers that asked last is drawn, of half of them at most: each asks once a
+# second, so that one that died half a second ago is not among them.
 DRAWN_FROM = 8
 
 
@@ -55,4 +57,7 @@
         if document_bytes <= self._link_bytes_per_s * HERE_S:
             return None
         wider = [place for place in places if place.link_bytes_per_s > self._link_bytes_per_s]
-        return self._random.choice(wider[:DRAWN_FROM]) if wider else None
+        if not wider:
+            return None
+        heard_last = wider[: min(DRAWN_FROM, math.ceil(len(wider) / 2))]
+        return self._random.choice(heard_last)
