--- a/packages/standins/src/damaskwind/standins/harness.py
+++ b/packages/standins/src/damaskwind/standins/harness.py
@@ -24,7 +24,15 @@
 
 from damaskwind.standins.settings_text import to_toml
 
-__all__ = ["DaemonProcess", "Harness", "HarnessError", "free_addresses", "own_host", "wait_until"]
+__all__ = [
+    "DaemonProcess",
+    "Harness",
+    "HarnessError",
+    "die_with_parent",
+    "free_addresses",
+    "own_host",
+    "wait_until",
+]
 
 DAEMON = Path(sys.executable).with_name("damaskwindd")
 READY_DEADLINE_S = 30.0
@@ -76,7 +84,7 @@
     return addresses
 
 
-def _die_with_parent() -> None:
+def die_with_parent() -> None:
     """Let the kernel end a child whose parent was killed."""
     ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -120,7 +128,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=_die_with_parent,
+                preexec_fn=die_with_parent,
             )
         await wait_until(self._is_ready, READY_DEADLINE_S, f"readiness of {self.name}")
         self.ready = json.loads(self.ready_path.read_text(encoding="utf-8"))
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -1,8 +1,8 @@
 """A target whose every byte is scripted, for answers that a library would not give.
 
 A script is a list of steps, one for each request on any connection; after the
-last step the target answers plainly. A step gets the writer and the request and
-does with them what it likes; steps for common faults are at the end.
+last step the target answers plainly, or by a step of its own. A step gets the writer
+and the request and does with them what it likes; steps for common faults are at the end.
 """
 
 import asyncio
@@ -19,6 +19,7 @@
     "ScriptedTarget",
     "Step",
     "cut_stream",
+    "event",
     "plain",
     "raw",
     "silent",
@@ -43,10 +44,13 @@
 
 
 class ScriptedTarget:
-    """Listen on loopback, keep what came, and answer by the script."""
+    """Listen on loopback, keep what came, and answer by the script, then by `default`."""
 
-    def __init__(self, names: HeaderNames, host: str = "127.0.0.1") -> None:
+    def __init__(
+        self, names: HeaderNames, host: str = "127.0.0.1", default: Step | None = None
+    ) -> None:
         self.names = names
+        self._default = default or plain()
         self.script: list[Step] = []
         self.received: list[ReceivedRequest] = []
         self.ends: list[str] = []
@@ -77,12 +81,15 @@
         try:
             while (request := await self._read(reader, parser)) is not None:
                 self.received.append(request)
-                step = self.script.pop(0) if self.script else plain()
+                step = self.script.pop(0) if self.script else self._default
                 await step(writer, request)
                 await writer.drain()
                 parser = _next_parser(parser)
         except (ConnectionError, h11.RemoteProtocolError) as error:
             self.ends.append(repr(error))
+        except asyncio.CancelledError:
+            # Only `stop` cancels; the stream's own callback would print it as an error.
+            self.ends.append("stopped")
         finally:
             self.ends.append("closed")
             writer.close()
