--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format fuzz measure setup
+.PHONY: demo test check format fuzz soak measure setup
 
 setup: $(STAMP)
 
@@ -33,6 +33,11 @@
 fuzz: setup
 	$(BIN)/python tools/fuzz.py --seconds $(or $(SECONDS),60)
 
+soak: setup
+	$(BIN)/python tools/soak.py --seeds $(or $(SEEDS),1) --seconds $(or $(SECONDS),20) \
+		$(if $(SEED),--seed $(SEED)) $(if $(ONLY),--only $(ONLY)) $(if $(BUG),--bug "$(BUG)") \
+		$(if $(FOLDER),--folder $(FOLDER))
+
 measure: setup
 	$(BIN)/python -m benchmarks.measure --deployment $(or $(DEPLOYMENT),kenanga) \
 		$(if $(POLICIES),--policies $(POLICIES)) $(if $(AGAINST),--against $(AGAINST)) \
