--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_server.py
@@ -10,6 +10,8 @@
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 
 WAIT_S = 5
+# More than the system buffers for a connection on loopback.
+LARGE_BYTES = 64 * 1024 * 1024
 
 
 class ServerTest(TestCase):
@@ -20,6 +22,7 @@
 
     async def start(self):
         self.requests = []
+        self.deliveries = []
         self.cancelled = 0
         self.hold = asyncio.Event()
         self.limits = ServerLimits(1024, 100, 0.3, 0.4)
@@ -40,6 +43,10 @@
             except asyncio.CancelledError:
                 self.cancelled += 1
                 raise
+        if exchange.request.target == b"/large":
+            answer = Answer(200, [], b"x" * LARGE_BYTES)
+            await exchange.deliver(answer, self.deliveries.append)
+            return
         if exchange.request.target == b"/fail":
             raise ValueError("of its own")
         exchange.respond(Answer(200, [], exchange.request.body or b"ok"))
@@ -61,6 +68,33 @@
             self.assertIn(b"200", head)
         self.assertEqual(len(self.requests), 2)
 
+    @asyncio_test
+    async def test_large_answer_is_told_as_whole_and_the_connection_is_kept(self):
+        reader, writer = await self.open()
+        writer.write(b"GET /large HTTP/1.1\r\nhost: h\r\n\r\n")
+        head = await self.read(reader, b"\r\n\r\n")
+        self.assertIn(b"content-length: %d" % LARGE_BYTES, head)
+        await asyncio.wait_for(reader.readexactly(LARGE_BYTES), WAIT_S)
+        writer.write(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
+        await self.read(reader, b"\r\n\r\nok")
+        (delivery,) = self.deliveries
+        self.assertTrue(delivery.is_whole)
+        self.assertEqual(delivery.taken_bytes, LARGE_BYTES)
+        self.assertLessEqual(delivery.first_byte_s, delivery.last_byte_s)
+
+    @asyncio_test
+    async def test_caller_that_leaves_a_large_answer_is_told(self):
+        reader, writer = await self.open()
+        writer.write(b"GET /large HTTP/1.1\r\nhost: h\r\n\r\n")
+        await self.read(reader, b"\r\n\r\n")
+        writer.transport.abort()
+        until_s = time.monotonic() + WAIT_S
+        while not self.deliveries and time.monotonic() < until_s:
+            await asyncio.sleep(0.02)
+        (delivery,) = self.deliveries
+        self.assertFalse(delivery.is_whole)
+        self.assertLess(delivery.taken_bytes, LARGE_BYTES)
+
     @asyncio_test
     async def test_second_request_behind_the_first_waits_for_its_answer(self):
         reader, writer = await self.open()
