A drain that does not come into force is not acknowledged

Cause: a report of a life born before the one held changes nothing while that one was heard in the last ten seconds, but was acknowledged. After a step of the target's clock it is the target's own word. The log had nothing of it. Ruled out: news that came late (routers were 22 ms behind the replica). The word of a life that is really over is told to nobody.

--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -34,7 +34,7 @@
     read_place,
 )
 
-__all__ = ["ControlCalls", "PublishResult", "PublishStatus"]
+__all__ = ["ControlCalls", "PublishResult", "PublishStatus", "ReportOutcome"]
 
 # Operators move on to another replica after a second without an answer.
 PUBLISH_LIMIT_S = 0.9
@@ -54,6 +54,14 @@
     UNKNOWN = "unknown"
 
 
+class ReportOutcome(StrEnum):
+    """What became of a target's report; only what is taken is acknowledged."""
+
+    TAKEN = "taken"
+    FOREIGN = "foreign"
+    NOT_IN_FORCE = "not-in-force"
+
+
 class PublishResult(NamedTuple):
     """The status of an order, its version, and what is wrong with it."""
 
@@ -190,8 +198,8 @@
         self.tallies.observe("read_duration", read.took_s(delivery), outcome=outcome)
         log_read(read, delivery)
 
-    async def report(self, record: TargetRecord) -> bool:
-        """Take a target's report; tell whether it may be the target's own."""
+    async def report(self, record: TargetRecord) -> ReportOutcome:
+        """Take a target's report; tell whether it may be acknowledged."""
         held = self._board.table.record_of(record.target_id)
         if held is not None and held.service not in ("", record.service):
             self.tallies.count("reports", phase="foreign")
@@ -202,7 +210,7 @@
                 service=record.service,
                 held=held.service,
             )
-            return False
+            return ReportOutcome.FOREIGN
         changed = self._board.report(record)
         self.tallies.count("reports", phase=record.phase.name.lower())
         if changed:
@@ -215,9 +223,21 @@
                 born_ms=record.born_ms,
                 address=str(record.address),
             )
+        # A word that it leaves belongs to an earlier life by a birth before the one held. After a
+        # step of its clock it is the target's own, and work would go on to come.
+        if self._board.table.phase_of(record.target_id) < record.phase:
+            logger.warning(
+                "report not in force",
+                target=record.target_id,
+                why="born before the life held, which was heard lately",
+                phase=record.phase.name.lower(),
+                born_ms=record.born_ms,
+                held_born_ms=held.born_ms if held else 0,
+            )
+            return ReportOutcome.NOT_IN_FORCE
         if changed and record.phase is not TargetPhase.SERVING:
             await self._tell(record.target_id)
-        return True
+        return ReportOutcome.TAKEN
 
     async def leave(self, target_id: str) -> None:
         """Take a target's word that it takes no more work."""
--- a/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
@@ -4,12 +4,19 @@
 
 from twisted.trial.unittest import TestCase
 
-from damaskwind.control.fleet.calls import DIFFERENCE_ATTEMPTS, ControlCalls, PublishStatus
+from damaskwind.control.fleet.calls import (
+    DIFFERENCE_ATTEMPTS,
+    ControlCalls,
+    PublishStatus,
+    ReportOutcome,
+)
 from damaskwind.control.fleet.news_board import NewsBoard
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
 from damaskwind.control.state.published_configuration import PublishedConfiguration, publish_command
 from damaskwind.decisions.following.reading_places import PassingPlace, ReadingPlaces
+from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
 from damaskwind.model.exception import ConfigurationError
+from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.wire.news import NewsRequest, SubscriberKind
@@ -122,6 +129,27 @@
         await self.calls.publish(b"123456789")
         self.assertEqual((await self.calls.read("o")).sent_on_to, "")
 
+    @asyncio_test
+    async def test_drain_that_does_not_come_into_force_is_not_acknowledged(self):
+        """A target with its clock stepped back starts again, and soon says that it leaves.
+
+        By its birth that is a late report of an earlier life, which changes nothing as long
+        as the life held was heard in the last ten seconds. It was acknowledged all the same,
+        and routers that knew nothing of it sent on: nine requests reached such a target 2.6 to
+        4.3 s after its word, all that a replica had logged of it was
+
+            target reported, phase serving, sequence 2, born_ms 1796271480150
+        """
+        serving = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.SERVING, 4)
+        held = serving._replace(born_ms=9_000)
+        back = serving._replace(born_ms=5_000, phase=TargetPhase.LEAVING)
+        self.assertEqual(await self.calls.report(held), ReportOutcome.TAKEN)
+        self.assertEqual(await self.calls.report(back), ReportOutcome.NOT_IN_FORCE)
+        self.assertEqual(self.board.table.phase_of("t"), TargetPhase.SERVING)
+        drain = held._replace(phase=TargetPhase.LEAVING)
+        for _ in range(2):
+            self.assertEqual(await self.calls.report(drain), ReportOutcome.TAKEN)
+
     @asyncio_test
     async def test_read_without_a_majority_or_a_disk_is_refused(self):
         await self.calls.publish(b"4")
