--- a/packages/commands/src/damaskwind/commands/tests/data_path_fleet.py
+++ b/packages/commands/src/damaskwind/commands/tests/data_path_fleet.py
@@ -26,7 +26,7 @@
 from damaskwind.runtime.settings import parse_address
 from damaskwind.standins.answers import expected_answer
 from damaskwind.standins.faulty_network import FaultyNetwork
-from damaskwind.standins.harness import Harness, wait_until
+from damaskwind.standins.harness import Harness, HarnessError, wait_until
 from damaskwind.standins.impairment import Direction, Impairment
 
 __all__ = ["ACCOUNT_KEY", "DOMAINS", "LEASE_S", "LOST", "Answer"]
@@ -210,7 +210,12 @@
 
     async def until_ready(self, names: list[str] | None = None) -> None:
         """Wait until the routers are ready and know every target and each other."""
-        await wait_until(lambda: self._all_ready(names), DEADLINE_S, "readiness of the routers")
+        try:
+            await wait_until(lambda: self._all_ready(names), DEADLINE_S, "readiness of the routers")
+        except HarnessError as error:
+            # Which of them lacks what tells a slow start from news that don't arrive.
+            states = {name: await self.state(name) for name in names or self.routers}
+            raise HarnessError(f"{error}; {self.target_count} targets; {states}") from error
 
     async def _all_ready(self, names: list[str] | None) -> bool:
         """Tell whether the routers are ready and know what there is."""
