test_faults_data_path_once: the stage of resets reaches a call with a key each time

Cause: two resets were armed at each of three services. Now as many resets are armed as there are calls. The check is unchanged and shows the stage's answers.

--- a/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_once.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_once.py
@@ -184,7 +184,9 @@
         await self.arm_all("refuse", 4)
         await self.stage("refused")
         await self.stage("before-send", breaking=self.refuse_now_and_then)
-        await self.arm_all("reset_after_read", 2)
+        # As many as there are calls: with two a service, the calls without a key, which wait
+        # for no claim, met all the resets of two services, and those with one none (3 of 14).
+        await self.arm_all("reset_after_read", CALLS_PER_STAGE)
         await self.stage("after-send")
         await self.stage(
             "silent", f"?delay_s={SLOW_S}", breaking=lambda: self.lose_answers(SERVICES)
@@ -265,7 +267,7 @@
         self.assertEqual(len(stages), 11)
         for stage in ("after-send", "caller-cut", "answer-lost", "killed"):
             again = [answers for call, answers in self.seen if call.body.decode().startswith(stage)]
-            self.assertTrue(any(len(answers) > 1 for answers in again), stage)
+            self.assertTrue(any(len(answers) > 1 for answers in again), (stage, again))
 
     @asyncio_test
     async def test_nothing_runs_twice_and_every_verdict_is_true(self):
