Changes among many targets are told a router by one replica, in parts, where the link has room

Cause: each replica told each router each change, and a thousand targets that report for the first time within 1.2 s are a thousand changes. Change: beyond 64 targets the replica that is first for a router by rendezvous tells it, 500 records an answer at most, none while the line is 0.4 s long; the others tell a router that still lacks a change when it asks again, where their links are idle. Who knows the same targets as a replica is told nothing again, whatever its revision.

--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -9,7 +9,12 @@
 
 from damaskwind.decisions.following.reading_places import PassingPlace
 from damaskwind.decisions.load.held_sums import HeldSum, HeldSums
-from damaskwind.decisions.membership.target_table import Silence, TargetRecord, TargetTable
+from damaskwind.decisions.membership.target_table import (
+    Changes,
+    Silence,
+    TargetRecord,
+    TargetTable,
+)
 from damaskwind.wire.news import Heard, HeardOthers, News, NewsRequest, SubscriberKind
 
 __all__ = ["NewsBoard"]
@@ -28,6 +33,13 @@
 LISTED_TARGETS = 64
 # A router that has known other targets for so long is told all heartbeats after all.
 DISAGREES_S = 2.0
+# Changes among more than LISTED_TARGETS are told by the replica that is first for a router.
+# One that still lacks some when it asks again hears of them from the others, where their
+# links are idle: its first one may be frozen. Calls take a second; so much is half of one.
+LAGS_S = 0.5
+# So many records go with an answer, 16 KB when compressed: 0.03 s of a link of 4.2 Mbit/s,
+# so that heartbeats of the log find room between them.
+RECORDS_AT_ONCE = 500
 # Who is silent is looked up no more often: a target is silent after seconds.
 SILENCE_EVERY_S = 0.25
 
@@ -64,6 +76,8 @@
         self._is_current = is_current
         self._hosts = hosts
         self._leads = leads
+        # Whether news that can wait find the link idle; set by who sends them.
+        self.has_room: Callable[[], bool] = lambda: True
         self._heard: dict[str, float] = {}
         self._silence = Silence((), 0.0)
         self._silence_s = float("-inf")
@@ -125,11 +139,18 @@
                 break
 
     def _revision_of(self, request: NewsRequest) -> int:
-        if self.knows(request):
-            return request.revision
         # Routers that start together would have the same table told by every replica.
-        is_same = request.table_digest == self.table.digest != 0
-        return self.table.revision if is_same else 0
+        if request.table_digest == self.table.digest != 0:
+            return self.table.revision
+        return request.revision if self.knows(request) else 0
+
+    def _tells_changes(self, request: NewsRequest) -> bool:
+        """Tell whether a subscriber is to hear of changes from here now."""
+        if len(self.table) <= LISTED_TARGETS or request.is_first:
+            return True
+        subscription = self._subscriptions.get(request.node_id)
+        lags_s = subscription.asked_s - subscription.agreed_s if subscription else 0.0
+        return lags_s >= LAGS_S and self.has_room()
 
     async def wait_told(self, revision: int, limit_s: float) -> bool:
         """Wait until all replicas that ask here have a revision; tell whether they do."""
@@ -200,11 +221,18 @@
     def _has_news(self, request: NewsRequest, revision: int) -> bool:
         wants_version = request.kind == SubscriberKind.ROUTER
         is_newer = wants_version and self._version() > request.version
-        return request.epoch != self.epoch or self.table.revision > revision or is_newer
+        has_changes = self.table.revision > revision and self._tells_changes(request)
+        return request.epoch != self.epoch or has_changes or is_newer
+
+    def news(
+        self, request: NewsRequest, held: HeldSum | None = None, has_room: bool = True
+    ) -> News:
+        """Return what there is for a subscriber now, with what routers hold if that has room.
 
-    def news(self, request: NewsRequest, held: HeldSum | None = None) -> News:
-        """Return what there is for a subscriber now, with what routers hold if that has room."""
-        revision, now_s = self._revision_of(request), time.monotonic()
+        Without room, changes among many targets are left out; the subscriber asks again.
+        """
+        now_s = time.monotonic()
+        changes = self._changes_for(request, has_room)
         subscription = self._subscriptions.get(request.node_id)
         if subscription is not None:
             self._subscriptions[request.node_id] = subscription._replace(
@@ -212,12 +240,12 @@
             )
         return News(
             self.epoch,
-            self.table.revision,
+            changes.revision,
             self._version(),
             self._is_current(),
             self._hosts(),
             self.routers(),
-            tuple(self.table.changed_since(revision)),
+            changes.records,
             self._heard_for(request.node_id, now_s),
             self._leads(),
             held,
@@ -225,6 +253,15 @@
             self._heard_others(now_s) if self._tells_silence(subscription, now_s) else None,
         )
 
+    def _changes_for(self, request: NewsRequest, has_room: bool) -> Changes:
+        """Return the changes that a subscriber is told now."""
+        revision = self._revision_of(request)
+        if len(self.table) <= LISTED_TARGETS or request.kind == SubscriberKind.REPLICA:
+            return self.table.changed_since(revision)
+        if not has_room or not self._tells_changes(request):
+            return Changes((), revision)
+        return self.table.changed_since(revision, RECORDS_AT_ONCE)
+
     def _tells_silence(self, subscription: _Subscription | None, now_s: float) -> bool:
         """Tell whether a subscriber is told who is silent in place of who was heard."""
         return (
@@ -237,6 +274,7 @@
     def _heard_others(self, now_s: float) -> HeardOthers:
         """Return how all targets stand, but for those that any replica has not heard lately."""
         if now_s - self._silence_s > SILENCE_EVERY_S:
+            self._forget_unheard(now_s)
             self._silence = self.table.silent_since(now_s - HEARD_S, now_s)
             self._silence_s = now_s
         age_s = round(now_s - self._silence.others_heard_s, 2)
@@ -249,13 +287,19 @@
             return ()
         if self._tells_silence(subscription, now_s):
             return ()
+        if len(self._heard) > LISTED_TARGETS and not self.has_room():
+            return ()
         self._subscriptions[node_id] = subscription._replace(heard_told_s=now_s)
-        self._heard = {key: at for key, at in self._heard.items() if now_s - at < HEARD_S}
+        self._forget_unheard(now_s)
         return tuple(
             Heard(key, round(now_s - at, 2), (self.table.life_of(key) or (0, 0))[1])
             for key, at in self._heard.items()
         )
 
+    def _forget_unheard(self, now_s: float) -> None:
+        """Drop the targets that did not report here lately."""
+        self._heard = {key: at for key, at in self._heard.items() if now_s - at < HEARD_S}
+
     async def _wait(self, limit_s: float) -> bool:
         """Wait for a change; tell whether one came."""
         if limit_s <= 0:
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -58,6 +58,7 @@
         self._news_pace = BulkPace(link_bytes_per_s * NEWS_PART, time.monotonic(), NEWS_WAIT_S)
         self._held_pace = BulkPace(link_bytes_per_s * HELD_PART, time.monotonic())
         self._last_news_bytes = OVERHEAD_BYTES
+        board.has_room = self._is_idle
         self._tallies = tallies
         self._shelf = shelf
         self._holders = DocumentHolders()
@@ -78,11 +79,12 @@
             exchange.respond(Answer(400, [], str(error).encode()))
             return
         await self._board.wait_for_news(request)
-        held = None
+        held, has_room = None, True
         if request.kind == SubscriberKind.ROUTER and self._board.knows(request):
+            has_room = self._news_pace.line_s(time.monotonic()) < NEWS_WAIT_S
             await self._take_turn()
             held = self._held_sum()
-        answer = pack_answer(encode(self._board.news(request, held)))
+        answer = pack_answer(encode(self._board.news(request, held, has_room)))
         size_bytes = len(answer.body)
         self._last_news_bytes = size_bytes + OVERHEAD_BYTES
         self._tallies.count("sent_bytes", size_bytes, kind=f"news-{request.kind}")
@@ -101,6 +103,10 @@
         self._tallies.count("held_sums", sent="yes")
         return self._board.held.total(now_s)
 
+    def _is_idle(self) -> bool:
+        """Tell whether an answer could go at once."""
+        return not self._news_pace.line_s(time.monotonic())
+
     async def _take_turn(self) -> None:
         """Wait until the answers before this one have gone.
 
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -185,7 +185,7 @@
 
     def _state(self) -> KeptState:
         """Return what is to be kept."""
-        records = tuple(self.board.table.changed_since(0))
+        records = self.board.table.changed_since(0).records
         return KeptState(self._version(), self._packed(), records)
 
     def _version(self) -> int:
@@ -260,6 +260,10 @@
         """Return nothing: replicas send nothing to targets."""
         return ()
 
+    def is_first(self, host: str) -> bool:
+        """Tell that every replica is asked for changes at once: all of them tell routers."""
+        return True
+
     def take_news(self, host: str, news: News) -> None:
         """Merge what another replica knows."""
         self.board.merge(news.records, news.heard)
--- a/packages/control/src/damaskwind/control/fleet/tests/test_news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_board.py
@@ -2,10 +2,19 @@
 
 import asyncio
 import time
+from unittest.mock import patch
 
 from twisted.trial.unittest import TestCase
 
-from damaskwind.control.fleet.news_board import NewsBoard
+from damaskwind.control.fleet import news_board
+from damaskwind.control.fleet.news_board import (
+    DISAGREES_S,
+    HEARD_S,
+    LAGS_S,
+    LISTED_TARGETS,
+    RECORDS_AT_ONCE,
+    NewsBoard,
+)
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
 from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
 from damaskwind.model.targets import Address
@@ -125,3 +134,82 @@
             await self.board.answer(self.request(node=node, wait_s=0.0))
         await self.board.answer(self.request(SubscriberKind.REPLICA, "c", wait_s=0.0))
         self.assertEqual(self.board.routers(), 2)
+
+
+class ManyTargetsTest(TestCase):
+    """A board with more targets than are told one by one."""
+
+    timeout = 10
+
+    def setUp(self):
+        self.board = NewsBoard(lambda: 0, lambda: True, lambda: ("h",))
+        for number in range(LISTED_TARGETS + 1):
+            self.board.report(record(f"t-{number}"))
+
+    async def ask(self, is_first=True, wait_s=0.01, **changes):
+        """Ask as a router that knows the table, and take the answer."""
+        table = self.board.table
+        request = NewsRequest(
+            "r", SubscriberKind.ROUTER, self.board.epoch, table.revision, 0, wait_s, table.digest
+        )
+        return await self.board.answer(request._replace(is_first=is_first, **changes))
+
+    def pass_time(self, seconds):
+        """Have all that was noted so far be this much older."""
+        later_s = time.monotonic() + seconds
+        clock = patch.object(news_board.time, "monotonic", lambda: later_s)
+        clock.start()
+        self.addCleanup(clock.stop)
+
+    @asyncio_test
+    async def test_a_router_with_the_same_table_is_told_who_is_silent(self):
+        news = await self.ask()
+        self.assertEqual((news.heard, news.heard_others.silent), ((), ()))
+        self.assertEqual(news.heard_others.digest, self.board.table.digest)
+        self.pass_time(HEARD_S + 0.1)
+        self.board.report(record("t-0", sequence=2))
+        for number in range(2, LISTED_TARGETS + 1):
+            self.board.report(record(f"t-{number}", sequence=2))
+        news = await self.ask(wait_s=0.0)
+        self.assertEqual(news.heard_others.silent, ("t-1",))
+        self.assertEqual(decode_news(encode(news)), news)
+
+    @asyncio_test
+    async def test_a_router_that_disagrees_for_long_is_told_who_was_heard(self):
+        await self.ask(table_digest=5)
+        self.pass_time(DISAGREES_S + 0.1)
+        news = await self.ask(table_digest=5, wait_s=0.0)
+        self.assertIsNone(news.heard_others)
+        self.assertEqual(len(news.heard), LISTED_TARGETS + 1)
+
+    @asyncio_test
+    async def test_another_replica_tells_a_change_only_to_a_router_that_still_lacks_it(self):
+        digest, revision = self.board.table.digest, self.board.table.revision
+        waiting = asyncio.ensure_future(self.ask(is_first=False, wait_s=0.1))
+        await asyncio.sleep(0.02)
+        self.board.leave("t-0")
+        news = await waiting
+        self.assertEqual((news.records, news.revision), ((), revision))
+        self.assertEqual((await self.ask(is_first=False)).revision, self.board.table.revision)
+        self.board.leave("t-1")
+        self.pass_time(LAGS_S + 0.1)
+        lacking = {"is_first": False, "table_digest": digest, "revision": revision, "wait_s": 0.0}
+        news = await self.ask(**lacking)
+        self.assertEqual([item.target_id for item in news.records], ["t-0", "t-1"])
+        self.board.has_room = lambda: False
+        self.assertEqual((await self.ask(**lacking)).records, ())
+
+    @asyncio_test
+    async def test_a_large_table_goes_in_parts_where_there_is_room(self):
+        for number in range(RECORDS_AT_ONCE):
+            self.board.report(record(f"u-{number}"))
+        revision, told = 0, []
+        while revision < self.board.table.revision:
+            news = await self.ask(table_digest=0, revision=revision)
+            self.assertLessEqual(len(news.records), RECORDS_AT_ONCE)
+            told += [item.target_id for item in news.records]
+            revision = news.revision
+        self.assertEqual(len(told), len(self.board.table))
+        asked = NewsRequest("r", SubscriberKind.ROUTER, self.board.epoch, 0, 0, 0.0)
+        news = self.board.news(asked, has_room=False)
+        self.assertEqual((news.records, news.revision), ((), 0))
--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -17,13 +17,14 @@
 """
 
 from enum import IntEnum
+from heapq import nsmallest
 from typing import NamedTuple
 
 import xxhash
 
 from damaskwind.model.targets import Address
 
-__all__ = ["Silence", "TargetPhase", "TargetRecord", "TargetTable"]
+__all__ = ["Changes", "Silence", "TargetPhase", "TargetRecord", "TargetTable"]
 
 # Reports come late by seconds; a minute is far beyond any.
 TOMBSTONE_S = 60.0
@@ -71,6 +72,13 @@
         return (self.clock_steps, self.born_ms)
 
 
+class Changes(NamedTuple):
+    """Records of a table, and the revision up to which they are all its changes."""
+
+    records: tuple[TargetRecord, ...]
+    revision: int
+
+
 class Silence(NamedTuple):
     """The living targets not heard since some time, and when the stalest of the others was."""
 
@@ -273,9 +281,30 @@
                 youngest[record.address] = record.target_id
         return youngest
 
-    def changed_since(self, revision: int) -> list[TargetRecord]:
-        """Return the records that changed after a revision."""
-        return [entry.record for entry in self._entries.values() if entry.changed_at > revision]
+    def __len__(self) -> int:
+        """Return how many targets are known, those among them that are gone."""
+        return len(self._entries)
+
+    def changed_since(self, revision: int, limit: int | None = None) -> Changes:
+        """Return the records that changed after a revision, of many the first ones.
+
+        >>> from damaskwind.model.targets import Address
+        >>> table = TargetTable()
+        >>> new = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.SERVING, 4)
+        >>> table.take(new, 1.0), table.take(new._replace(target_id="u"), 1.0)
+        (True, True)
+        >>> some = table.changed_since(0, limit=1)
+        >>> some.revision, [record.target_id for record in some.records]
+        (1, ['t'])
+        >>> table.changed_since(some.revision).revision
+        2
+        """
+        changed = [entry for entry in self._entries.values() if entry.changed_at > revision]
+        if limit is None or len(changed) <= limit:
+            return Changes(tuple(entry.record for entry in changed), self.revision)
+        changed = nsmallest(limit, changed, key=lambda entry: entry.changed_at)
+        told = changed[-1].changed_at if changed else revision
+        return Changes(tuple(entry.record for entry in changed), told)
 
     def silent_since(self, since_s: float, now_s: float) -> Silence:
         """Return which living targets were not heard since a time, and how the others stand.
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/target_histories.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/target_histories.py
@@ -114,7 +114,7 @@
         if teller == listener or frozenset((teller, listener)) in self.cut:
             return
         table = self.tables[teller]
-        for record in table.changed_since(self.told.get((teller, listener), 0)):
+        for record in table.changed_since(self.told.get((teller, listener), 0)).records:
             self._hear(listener, record)
         self.told[teller, listener] = table.revision
 
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
@@ -70,7 +70,7 @@
         table.take(record(sequence=1), 0.0)
         revision = table.revision
         self.assertTrue(table.take(record(sequence=2, port=2), 1.0))
-        self.assertEqual(table.changed_since(revision), [record(sequence=2, port=2)])
+        self.assertEqual(table.changed_since(revision).records, (record(sequence=2, port=2),))
 
     def test_tombstone_outlives_a_silent_target(self):
         table = TargetTable()
@@ -179,7 +179,7 @@
         for item in records:
             table.take(item, 0.0)
         self.assertEqual(table.digest == 0, not records)
-        for item in table.changed_since(0):
+        for item in table.changed_since(0).records:
             fresh.take(item._replace(sequence=item.sequence + 7, cold_s=1.0), 5.0)
         self.assertEqual(fresh.digest, table.digest)
         fresh.take(record("c"), 6.0)
@@ -198,7 +198,7 @@
         seen = 0
         for item in records:
             told.take(item, 0.0)
-            for change in told.changed_since(seen):
+            for change in told.changed_since(seen).records:
                 learned.take(change, 0.0)
             seen = told.revision
         for target_id in ("a", "b"):
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -130,8 +130,17 @@
 
     def replicas_heard(self) -> int:
         """Return how many replicas were heard lately."""
+        return len(self._hosts_heard())
+
+    def _hosts_heard(self) -> list[str]:
+        """Return the replicas that were heard lately."""
         oldest_s = time.monotonic() - CONTACT_S
-        return sum(link.last_heard_s > oldest_s for link in self._links.values())
+        return [host for host, link in self._links.items() if link.last_heard_s > oldest_s]
+
+    def is_first(self, host: str) -> bool:
+        """Tell whether a replica is the first by rendezvous of those heard lately."""
+        hosts = self._hosts_heard() or list(self._links)
+        return host == next(iter(rendezvous_order(self._node_id, hosts)))
 
     def serving(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that take work."""
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -60,7 +60,8 @@
     may be held back for `wait_s`. `table_digest` tells which targets the
     subscriber knows, from whomever: a replica whose table says the same need
     not tell it. `held` is what a router holds at targets now, `passes_on` where
-    it gives documents to others.
+    it gives documents to others. Changes among many targets are told at once by the replica
+    that `is_first` for a router, and by others where it still lacks them later.
     """
 
     node_id: str
@@ -72,6 +73,7 @@
     table_digest: int = 0
     held: tuple[HeldCount, ...] = ()
     passes_on: PassingPlace = NOWHERE
+    is_first: bool = True
 
 
 class Heard(NamedTuple):
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -65,6 +65,10 @@
         """Return what is held at targets now, to be told to a replica."""
         ...
 
+    def is_first(self, host: str) -> bool:
+        """Tell whether a replica is the one to hear of changes from at once."""
+        ...
+
     def take_news(self, host: str, news: News) -> None:
         """Take news from a replica."""
         ...
@@ -159,6 +163,7 @@
             self._subscriber.table_digest(),
             self._subscriber.held_counts(self.address.host),
             self._passes_on,
+            self._subscriber.is_first(self.address.host),
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
