--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -20,11 +20,11 @@
     publish_command,
 )
 from damaskwind.decisions.following.reading_places import ReadingPlaces
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.routing.checks import configuration_mistakes
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.traffic_configuration import TrafficConfiguration
-from damaskwind.runtime.http1.server import Delivery
+from damaskwind.runtime.http1.exchange import Delivery
 from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.configuration_read import (
     ConfigurationRead,
--- a/packages/control/src/damaskwind/control/fleet/kept_state.py
+++ b/packages/control/src/damaskwind/control/fleet/kept_state.py
@@ -21,7 +21,7 @@
 
 from damaskwind.control.storage.files import FileSystem, write_file_durably
 from damaskwind.control.storage.frames import encode_frame, file_header, read_frames
-from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.model.exception import StorageError
 
 __all__ = [
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -9,12 +9,8 @@
 
 from damaskwind.decisions.following.reading_places import PassingPlace
 from damaskwind.decisions.load.held_sums import HeldSum, HeldSums
-from damaskwind.decisions.membership.target_table import (
-    Changes,
-    Silence,
-    TargetRecord,
-    TargetTable,
-)
+from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.decisions.membership.target_table import Changes, Silence, TargetTable
 from damaskwind.wire.news import Heard, HeardOthers, News, NewsRequest, SubscriberKind
 
 __all__ = ["NewsBoard"]
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -9,8 +9,8 @@
 from damaskwind.decisions.load.held_sums import HeldSum
 from damaskwind.decisions.pacing.bulk_pace import BulkPace
 from damaskwind.model.exception import MessageError
+from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
-from damaskwind.runtime.http1.server import Exchange
 from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.news import (
     DOCUMENT_PATH,
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -30,7 +30,8 @@
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
-from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.runtime.http1.exchange import Exchange
+from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.load_meter import LoadMeter
 from damaskwind.runtime.metrics_site import MetricsSite
 from damaskwind.runtime.tallies import Tallies
--- a/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
@@ -14,7 +14,7 @@
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
 from damaskwind.control.state.published_configuration import PublishedConfiguration, publish_command
 from damaskwind.decisions.following.reading_places import PassingPlace, ReadingPlaces
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
--- a/packages/control/src/damaskwind/control/fleet/tests/test_kept_state.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_kept_state.py
@@ -7,7 +7,7 @@
 
 from damaskwind.control.fleet.kept_state import KeptState, StateKeeper, read_kept_state
 from damaskwind.control.storage.files import FileSystem
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.exception import StorageError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
--- a/packages/control/src/damaskwind/control/fleet/tests/test_news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_board.py
@@ -16,7 +16,7 @@
     NewsBoard,
 )
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.wire.news import NewsRequest, SubscriberKind, decode_news, decode_request, encode
--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -16,15 +16,15 @@
 and the record then says how often that was so.
 """
 
-from enum import IntEnum
 from heapq import nsmallest
 from typing import NamedTuple
 
 import xxhash
 
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.targets import Address
 
-__all__ = ["Changes", "Silence", "TargetPhase", "TargetRecord", "TargetTable"]
+__all__ = ["Changes", "Silence", "TargetTable"]
 
 # Reports come late by seconds; a minute is far beyond any.
 TOMBSTONE_S = 60.0
@@ -37,41 +37,6 @@
 STALE_LIFE_S = 10.0
 
 
-class TargetPhase(IntEnum):
-    """Where a target is in its life; it only moves forward."""
-
-    SERVING = 0
-    LEAVING = 1
-    GONE = 2
-
-
-class TargetRecord(NamedTuple):
-    """A target as it reported itself.
-
-    `slots` is how many requests it runs at once, `sequence` grows with each
-    report of a life, `born_ms` is the Unix time of its start, in ms; 0 where it
-    tells none. `clock_steps` counts how often a smaller birth was taken for later,
-    the last time in place of the life born at `overruled_ms`.
-    """
-
-    target_id: str
-    service: str
-    address: Address
-    failure_domain: str
-    phase: TargetPhase
-    sequence: int
-    slots: int = 1
-    cold_s: float = 0.0
-    born_ms: int = 0
-    clock_steps: int = 0
-    overruled_ms: int = 0
-
-    @property
-    def life(self) -> tuple[int, int]:
-        """Return what orders the lives of one target."""
-        return (self.clock_steps, self.born_ms)
-
-
 class Changes(NamedTuple):
     """Records of a table, and the revision up to which they are all its changes."""
 
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/seeded_faults.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/seeded_faults.py
@@ -1,6 +1,7 @@
 """Tables of targets with a fault put in on purpose, by name."""
 
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetTable
+from damaskwind.decisions.membership.target_record import TargetPhase
+from damaskwind.decisions.membership.target_table import TargetTable
 
 __all__ = ["SEEDED_FAULTS"]
 
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/target_histories.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/target_histories.py
@@ -10,12 +10,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from damaskwind.decisions.membership.target_table import (
-    TOMBSTONE_S,
-    TargetPhase,
-    TargetRecord,
-    TargetTable,
-)
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_table import TOMBSTONE_S, TargetTable
 from damaskwind.model.targets import Address
 
 __all__ = ["TargetHistory"]
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
@@ -6,13 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from damaskwind.decisions.membership.target_table import (
-    STALE_LIFE_S,
-    TOMBSTONE_S,
-    TargetPhase,
-    TargetRecord,
-    TargetTable,
-)
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_table import STALE_LIFE_S, TOMBSTONE_S, TargetTable
 from damaskwind.model.targets import Address
 
 
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from damaskwind.decisions.load.held_requests import parse_target_load
-from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import Choice
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -7,8 +7,8 @@
 
 from damaskwind.router.forwarding.events import EventSplitter, event_id
 from damaskwind.runtime.http1.client import AnswerHead
+from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer, without
-from damaskwind.runtime.http1.server import Exchange
 
 __all__ = ["Delivery"]
 
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -10,8 +10,9 @@
 
 from damaskwind.decisions.pacing.bulk_pace import BulkPace
 from damaskwind.model.exception import MessageError
+from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
-from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.wire.configuration_read import (
     READ_PATH,
     ConfigurationRead,
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -18,12 +18,8 @@
 from damaskwind.decisions.following.reading_places import PassingPlace
 from damaskwind.decisions.limits.slices import rendezvous_order
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
-from damaskwind.decisions.membership.target_table import (
-    Silence,
-    TargetPhase,
-    TargetRecord,
-    TargetTable,
-)
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_table import Silence, TargetTable
 from damaskwind.decisions.routing.table import RouteTable
 from damaskwind.model.exception import ConfigurationError, MessageError
 from damaskwind.model.targets import Address
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -17,8 +17,8 @@
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.pool_entries import PoolEntries
 from damaskwind.router.forwarding.target_beliefs import SendEnded, TargetBeliefs
+from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer, header
-from damaskwind.runtime.http1.server import Exchange
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["Forwarder"]
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -14,8 +14,9 @@
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.forwarder import Forwarder
 from damaskwind.router.forwarding.settings import ForwardingSettings
+from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
-from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.metrics_site import MetricsSite
 from damaskwind.runtime.tallies import Tallies
 
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -17,7 +17,7 @@
 from damaskwind.decisions.health.pace import PoolPace
 from damaskwind.decisions.load.held_requests import LoadEstimator
 from damaskwind.decisions.load.held_sums import HeldSum
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import Candidate
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
--- a/packages/router/src/damaskwind/router/forwarding/tests/bench.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/bench.py
@@ -6,7 +6,7 @@
 
 from twisted.trial.unittest import TestCase
 
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.retries.shared_budget import BudgetTerms
 from damaskwind.decisions.routing.table import RouteTable
 from damaskwind.model.header_names import HeaderNames
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from damaskwind.decisions.membership.target_table import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -14,15 +14,14 @@
 import h11
 from loguru import logger
 
+from damaskwind.runtime.http1.exchange import Exchange, answer_headers
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
 from damaskwind.runtime.http1.transports import reset
 
-__all__ = ["Delivery", "Exchange", "HttpServer", "ServerLimits", "answer_headers"]
+__all__ = ["HttpServer", "ServerLimits"]
 
 # Bytes that a slow caller may leave unsent before its handler waits.
 WRITE_BUFFER_BYTES = 65_536
-# A large answer is handed over in pieces of this size, so that it is seen how far it came.
-PIECE_BYTES = 16_384
 
 
 class ServerLimits(NamedTuple):
@@ -34,33 +33,7 @@
     idle_timeout_s: float = 15.0
 
 
-class Delivery(NamedTuple):
-    """How far a large answer came: bytes that the system took, of all, and when.
-
-    Times are monotonic seconds; what the system has taken may still wait on the link.
-    """
-
-    taken_bytes: int
-    body_bytes: int
-    first_byte_s: float
-    last_byte_s: float
-
-    @property
-    def is_whole(self) -> bool:
-        """Tell whether the caller stayed until the last piece was handed over."""
-        return self.taken_bytes == self.body_bytes
-
-
-Handler = Callable[["Exchange"], Awaitable[None]]
-
-
-def answer_headers(headers: Headers, body: bytes) -> Headers:
-    """Return headers that frame a whole body.
-
-    >>> answer_headers([], b"ab")
-    [(b'content-length', b'2')]
-    """
-    return [*headers, (b"content-length", b"%d" % len(body))]
+Handler = Callable[[Exchange], Awaitable[None]]
 
 
 def _head_bytes(head: h11.Request) -> int:
@@ -69,72 +42,6 @@
     return len(head.method) + len(head.target) + 12 + fields
 
 
-class Exchange:
-    """One request and the answer that is being given to it.
-
-    `started_s` is the monotonic time at which the request's head was read.
-    """
-
-    def __init__(self, connection: "_ServerProtocol", request: Request, started_s: float) -> None:
-        self.request = request
-        self.started_s = started_s
-        self.has_begun = False
-        self.is_finished = False
-        self._connection = connection
-
-    def respond(self, answer: Answer, close: bool = False) -> None:
-        """Send a whole answer, in one write: each is a call of the system and a packet."""
-        self.has_begun = True
-        self.is_finished = True
-        self._connection.send_whole(answer, close)
-
-    async def deliver(self, answer: Answer, ended: Callable[[Delivery], None]) -> None:
-        """Send a large answer as fast as the caller takes it, and tell how far it came.
-
-        Its length stands in its head, so that a part never looks whole. `ended` is
-        called also when the caller leaves before the end.
-        """
-        first_byte_s = time.monotonic()
-        taken_bytes, body_bytes = 0, len(answer.body)
-        try:
-            self.begin(answer.status, answer_headers(answer.headers, answer.body))
-            for start in range(0, body_bytes, PIECE_BYTES):
-                piece = answer.body[start : start + PIECE_BYTES]
-                self.write(piece)
-                await self._connection.taken()
-                taken_bytes += len(piece)
-            self.finish()
-        finally:
-            ended(Delivery(taken_bytes, body_bytes, first_byte_s, time.monotonic()))
-
-    @property
-    def caller(self) -> str:
-        """Return the caller's address as `host:port`."""
-        return self._connection.caller
-
-    def begin(self, status: int, headers: Headers, close: bool = False) -> None:
-        """Send the head; without a length the body goes in chunks."""
-        self.has_begun = True
-        self._connection.send_head(status, headers, close)
-
-    def write(self, data: bytes) -> None:
-        """Send a piece of the body at once."""
-        self._connection.send_data(data)
-
-    async def drained(self) -> None:
-        """Wait until the caller has taken most of what was written."""
-        await self._connection.drained()
-
-    def finish(self) -> None:
-        """End the answer as complete."""
-        self.is_finished = True
-        self._connection.finish_answer()
-
-    def abort(self) -> None:
-        """Reset the connection: an answer that has begun can't be completed."""
-        self._connection.abort()
-
-
 class _ServerProtocol(asyncio.Protocol):
     """One caller's connection."""
 
--- a/packages/runtime/src/damaskwind/runtime/metrics_site.py
+++ b/packages/runtime/src/damaskwind/runtime/metrics_site.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
-from damaskwind.runtime.http1.server import Exchange, HttpServer, ServerLimits
+from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["MetricsSite"]
--- a/packages/wire/src/damaskwind/wire/configuration_read.py
+++ b/packages/wire/src/damaskwind/wire/configuration_read.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from damaskwind.runtime.http1.server import Delivery
+from damaskwind.runtime.http1.exchange import Delivery
 
 __all__ = [
     "READ_PATH",
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -12,7 +12,7 @@
 
 from damaskwind.decisions.following.reading_places import NOWHERE, PassingPlace
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
-from damaskwind.decisions.membership.target_table import TargetRecord
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.http1.messages import Answer, header
 
