Targets beyond a hundred a replica report to routers, which tell the replicas who lives

Change: a replica that hears over 100 targets names each a router in turn in its answer; the router takes heartbeats that say nothing new while it reaches most replicas, tells them with its news call, and sends all else back to a replica. Below 100 nothing changes. Not measured yet at that size.

--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -23,6 +23,7 @@
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.routing.checks import configuration_mistakes
 from damaskwind.model.exception import ConfigurationError
+from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.http1.exchange import Delivery
 from damaskwind.runtime.tallies import Tallies
@@ -239,6 +240,14 @@
             await self._tell(record.target_id)
         return ReportOutcome.TAKEN
 
+    def report_place(self) -> Address | None:
+        """Return where a target may report from now on, if it had better not here."""
+        host = self._board.report_place()
+        if host is None:
+            return None
+        self.tallies.count("targets_sent_on")
+        return Address(host, self._reading_places.port)
+
     async def leave(self, target_id: str) -> None:
         """Take a target's word that it takes no more work."""
         self.tallies.count("reports", phase="gone")
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -9,6 +9,7 @@
 
 from damaskwind.decisions.following.reading_places import PassingPlace
 from damaskwind.decisions.load.held_sums import HeldSum, HeldSums
+from damaskwind.decisions.membership.report_places import ReportPlaces
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.membership.target_table import Changes, Silence, TargetTable
 from damaskwind.wire.news import Heard, HeardOthers, News, NewsRequest, SubscriberKind
@@ -55,6 +56,11 @@
     agreed_s: float
 
 
+def _since(heard: dict[str, float], oldest_s: float) -> dict[str, float]:
+    """Return what was heard since a time."""
+    return {target_id: at_s for target_id, at_s in heard.items() if at_s > oldest_s}
+
+
 class NewsBoard:
     """The table of targets of one replica, as its subscribers see it."""
 
@@ -75,6 +81,8 @@
         # Whether news that can wait find the link idle; set by who sends them.
         self.has_room: Callable[[], bool] = lambda: True
         self._heard: dict[str, float] = {}
+        self._heard_by_routers: dict[str, float] = {}
+        self._report_places = ReportPlaces()
         self._silence = Silence((), 0.0)
         self._silence_s = float("-inf")
         self._subscriptions: dict[str, _Subscription] = {}
@@ -167,6 +175,13 @@
         places = (item.passes_on for item in reversed(self._subscriptions.values()))
         return [place for place in places if place.host]
 
+    def report_place(self) -> str | None:
+        """Return the host of a router at which a target may report, if it had better not here."""
+        place = self._report_places.choose(len(self._heard), len(self._routers))
+        if place is None:
+            return None
+        return self._subscriptions[self._routers[place]].passes_on.host or None
+
     def _place(self, node_id: str) -> int | None:
         """Return a router's place among those that ask here."""
         place = bisect_left(self._routers, node_id)
@@ -200,6 +215,9 @@
             self.wake()
         else:
             self.held.tell(request.node_id, request.held, now_s)
+            for target_id, age_s, born_ms in request.heard:
+                self.table.hear(target_id, now_s - age_s, born_ms)
+                self._heard_by_routers[target_id] = now_s - age_s
 
     def _subscription(
         self, request: NewsRequest, revision: int, before: _Subscription | None, now_s: float
@@ -263,7 +281,7 @@
         return (
             subscription is not None
             and subscription.kind == SubscriberKind.ROUTER
-            and len(self._heard) > LISTED_TARGETS
+            and len(self.table) > LISTED_TARGETS
             and now_s - subscription.agreed_s < DISAGREES_S
         )
 
@@ -283,18 +301,22 @@
             return ()
         if self._tells_silence(subscription, now_s):
             return ()
-        if len(self._heard) > LISTED_TARGETS and not self.has_room():
+        if len(self.table) > LISTED_TARGETS and not self.has_room():
             return ()
         self._subscriptions[node_id] = subscription._replace(heard_told_s=now_s)
         self._forget_unheard(now_s)
+        # Routers tell every replica, so that replicas need not tell each other.
+        is_router = subscription.kind == SubscriberKind.ROUTER
+        heard = self._heard_by_routers | self._heard if is_router else self._heard
         return tuple(
             Heard(key, round(now_s - at, 2), (self.table.life_of(key) or (0, 0))[1])
-            for key, at in self._heard.items()
+            for key, at in heard.items()
         )
 
     def _forget_unheard(self, now_s: float) -> None:
-        """Drop the targets that did not report here lately."""
-        self._heard = {key: at for key, at in self._heard.items() if now_s - at < HEARD_S}
+        """Drop the targets that did not report lately."""
+        self._heard = _since(self._heard, now_s - HEARD_S)
+        self._heard_by_routers = _since(self._heard_by_routers, now_s - HEARD_S)
 
     async def _wait(self, limit_s: float) -> bool:
         """Wait for a change; tell whether one came."""
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -35,7 +35,7 @@
 from damaskwind.runtime.load_meter import LoadMeter
 from damaskwind.runtime.metrics_site import MetricsSite
 from damaskwind.runtime.tallies import Tallies
-from damaskwind.wire.news import News, SubscriberKind, unpack_document
+from damaskwind.wire.news import Heard, News, SubscriberKind, unpack_document
 from damaskwind.wire.news_link import NewsLink
 
 if TYPE_CHECKING:
@@ -265,6 +265,10 @@
         """Tell that every replica is asked for changes at once: all of them tell routers."""
         return True
 
+    def heard_targets(self) -> tuple[Heard, ...]:
+        """Return nothing: who reports here is told to those that ask."""
+        return ()
+
     def take_news(self, host: str, news: News) -> None:
         """Merge what another replica knows."""
         self.board.merge(news.records, news.heard)
--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -173,6 +173,28 @@
         if entry is not None and entry.record.born_ms == born_ms:
             entry.heard_s = max(entry.heard_s, heard_s)
 
+    def is_heartbeat(self, record: TargetRecord) -> bool:
+        """Tell whether a report says of a serving target nothing that is not known.
+
+        >>> from damaskwind.model.targets import Address
+        >>> table = TargetTable()
+        >>> new = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.SERVING, 4)
+        >>> table.is_heartbeat(new), table.take(new, 1.0), table.is_heartbeat(new)
+        (False, True, True)
+        >>> table.is_heartbeat(new._replace(phase=TargetPhase.LEAVING))
+        False
+        """
+        entry = self._entries.get(record.target_id)
+        if entry is None or entry.record.phase is not TargetPhase.SERVING:
+            return False
+        held = entry.record
+        return held == record._replace(
+            sequence=held.sequence,
+            cold_s=held.cold_s,
+            clock_steps=held.clock_steps,
+            overruled_ms=held.overruled_ms,
+        )
+
     def life_of(self, target_id: str) -> tuple[int, int] | None:
         """Return which life of a target is held, if it is known."""
         entry = self._entries.get(target_id)
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import NamedTuple
 
@@ -31,6 +31,11 @@
 LOOK_S = 0.02
 
 
+async def _refuse_unknown(exchange: Exchange) -> None:
+    """Answer a call that nobody here knows."""
+    exchange.respond(Answer(404, []))
+
+
 class WholeDocument(NamedTuple):
     """A configuration as it was published; version 0 while there is none."""
 
@@ -56,6 +61,8 @@
         self._pace = BulkPace(link_bytes_per_s * DOCUMENT_PART, time.monotonic())
         self._server = HttpServer(self._handle, ServerLimits())
         self.passed_on = 0
+        # What else comes to this address, such as heartbeats in the platform's words.
+        self.handle_other: Callable[[Exchange], Awaitable[None]] = _refuse_unknown
 
     def listen(self, host: str, port: int) -> None:
         """Open the socket; without it, others fetch from the replicas alone."""
@@ -76,7 +83,7 @@
             await self._read(exchange, query)
             return
         if path != DOCUMENT_PATH:
-            exchange.respond(Answer(404, []))
+            await self.handle_other(exchange)
             return
         try:
             request = decode_document_request(exchange.request.body)
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -25,9 +25,17 @@
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.router.forwarding.document_relay import DocumentRelay, WholeDocument
+from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
 from damaskwind.wire.document_difference import apply_difference
 from damaskwind.wire.document_fetch import FETCH_ERRORS, DocumentFetcher
-from damaskwind.wire.news import Document, News, SubscriberKind, pack_document, unpack_document
+from damaskwind.wire.news import (
+    Document,
+    Heard,
+    News,
+    SubscriberKind,
+    pack_document,
+    unpack_document,
+)
 from damaskwind.wire.news_link import NewsLink
 
 __all__ = ["FleetView"]
@@ -85,6 +93,7 @@
         self._own_host = own_host
         self._link_bytes_per_s = link_bytes_per_s
         self.relay = DocumentRelay(self._newest_for, self._whole, link_bytes_per_s)
+        self.heartbeats = HeartbeatRelay(self.targets, self._is_in_touch)
         self._has_news = asyncio.Event()
         self._document = b""
         self._received = Document(0, b"")
@@ -133,6 +142,14 @@
         oldest_s = time.monotonic() - CONTACT_S
         return [host for host, link in self._links.items() if link.last_heard_s > oldest_s]
 
+    def _is_in_touch(self) -> bool:
+        """Tell whether most replicas were heard lately."""
+        return 2 * self.replicas_heard() > len(self._links)
+
+    def heard_targets(self) -> tuple[Heard, ...]:
+        """Return the targets whose heartbeats came here lately."""
+        return self.heartbeats.heard()
+
     def is_first(self, host: str) -> bool:
         """Tell whether a replica is the first by rendezvous of those heard lately."""
         hosts = self._hosts_heard() or list(self._links)
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -3,7 +3,8 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 
 from loguru import logger
@@ -13,6 +14,7 @@
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.forwarder import Forwarder
+from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
 from damaskwind.router.forwarding.settings import ForwardingSettings
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
@@ -30,14 +32,18 @@
 READY_LIMITS = ServerLimits(idle_timeout_s=60.0)
 
 
+ReportHandler = Callable[[HeartbeatRelay, Exchange], Awaitable[None]]
+
+
 class ForwardingRouter:
-    """One running router."""
+    """One running router. `handle_report` answers a target that reports to it."""
 
     def __init__(
         self,
         settings: ForwardingSettings,
         decode: Callable[[bytes], TrafficConfiguration],
         names: HeaderNames,
+        handle_report: ReportHandler | None = None,
     ) -> None:
         random = Random(secrets.randbits(64))
         self.settings = settings
@@ -51,6 +57,8 @@
             settings.link_bytes_per_s,
         )
         self.view.on_configuration.append(self._take_limits)
+        if handle_report is not None:
+            self.view.relay.handle_other = partial(handle_report, self.view.heartbeats)
         self.connections = TargetConnections()
         self.forwarder = Forwarder(
             self.view,
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -53,6 +53,14 @@
     REPLICA = "replica"
 
 
+class Heard(NamedTuple):
+    """A target that a process heard itself, `age_s` ago, in the life born at `born_ms`."""
+
+    target_id: str
+    age_s: float
+    born_ms: int = 0
+
+
 class NewsRequest(NamedTuple):
     """What a subscriber has heard: of this replica's life `epoch`, up to `revision`.
 
@@ -61,7 +69,8 @@
     subscriber knows, from whomever: a replica whose table says the same need
     not tell it. `held` is what a router holds at targets now, `passes_on` where
     it gives documents to others. Changes among many targets are told at once by the replica
-    that `is_first` for a router, and by others where it still lacks them later.
+    that `is_first` for a router, and by others where it still lacks them later. `heard` are
+    the targets whose heartbeats came to a router.
     """
 
     node_id: str
@@ -74,14 +83,7 @@
     held: tuple[HeldCount, ...] = ()
     passes_on: PassingPlace = NOWHERE
     is_first: bool = True
-
-
-class Heard(NamedTuple):
-    """A target that this replica heard itself, `age_s` ago, in the life born at `born_ms`."""
-
-    target_id: str
-    age_s: float
-    born_ms: int = 0
+    heard: tuple[Heard, ...] = ()
 
 
 class HeardOthers(NamedTuple):
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -22,6 +22,7 @@
 from damaskwind.runtime.http1.messages import Request
 from damaskwind.wire.news import (
     NEWS_PATH,
+    Heard,
     News,
     NewsRequest,
     decode_news,
@@ -69,6 +70,10 @@
         """Tell whether a replica is the one to hear of changes from at once."""
         ...
 
+    def heard_targets(self) -> tuple[Heard, ...]:
+        """Return the targets whose heartbeats came here lately, to be told to a replica."""
+        ...
+
     def take_news(self, host: str, news: News) -> None:
         """Take news from a replica."""
         ...
@@ -164,6 +169,7 @@
             self._subscriber.held_counts(self.address.host),
             self._passes_on,
             self._subscriber.is_first(self.address.host),
+            self._subscriber.heard_targets(),
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
