Routers that are not behind take turns for news, as they did among few targets

Cause: beyond 64 targets (84 of them here) answers went as soon as the line was short instead of in turns. Change: only who lacks over 16 changes among many goes by the line.

--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -169,6 +169,14 @@
         """Tell whether there are too many targets to be told of one by one by every replica."""
         return len(self.table) > LISTED_TARGETS
 
+    def is_behind(self, request: NewsRequest) -> bool:
+        """Tell whether a subscriber lacks so many of many targets' changes that they need room.
+
+        The others take turns: a version that all hear of at once has all ask for it at once,
+        before any router has it to pass on.
+        """
+        return self.is_large and self.table.revision - self._revision_of(request) > FEW_RECORDS
+
     def _tells_changes(self, request: NewsRequest) -> bool:
         """Tell whether a subscriber is to hear of changes from here now."""
         if not self.is_large or request.is_first:
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -82,19 +82,19 @@
             return
         await self._board.wait_for_news(request)
         is_router, knows = request.kind == SubscriberKind.ROUTER, self._board.knows(request)
-        is_large = is_router and self._board.is_large
+        is_behind = is_router and self._board.is_behind(request)
         held = None
-        if is_large:
+        if is_behind:
             await asyncio.sleep(min(self._news_pace.line_s(time.monotonic()), NEWS_WAIT_S))
         elif is_router and knows:
             await self._take_turn()
         if is_router and knows:
             held = self._held_sum()
-        has_room = not is_large or self._news_pace.line_s(time.monotonic()) < ROOM_S
+        has_room = not is_behind or self._news_pace.line_s(time.monotonic()) < ROOM_S
         answer = pack_answer(encode(self._board.news(request, held, has_room)))
         size_bytes = len(answer.body)
         self._last_news_bytes = size_bytes + OVERHEAD_BYTES
-        if is_large:
+        if is_behind:
             # By its own size: by the last one's, 32 parts of a table went at once when a
             # replica's routers started together, and cost a leader its lease.
             self._news_pace.wait_s(self._last_news_bytes, time.monotonic())
