--- a/packages/runtime/src/damaskwind/runtime/tallies.py
+++ b/packages/runtime/src/damaskwind/runtime/tallies.py
@@ -6,6 +6,7 @@
 `runtime.metrics`.
 """
 
+import sys
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -82,6 +83,9 @@
 
     def render(self) -> bytes:
         """Return everything as text."""
+        # A process may have left TLS out at its start; the library doesn't load without it.
+        if sys.modules.get("ssl", sys) is None:
+            del sys.modules["ssl"]
         from prometheus_client.exposition import generate_latest
 
         return generate_latest(self)
