--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -33,8 +33,7 @@
 # Answers to earlier requests that may come first on a kept connection.
 SKIPPED_ANSWERS = 3
 # A repeatable request is taken elsewhere after so many objectives if its target
-# has been silent on all connections. Sooner served more of them in time, but
-# had more read again than it gained (maytinh-edge trouble-3: 0.734 -> 0.699).
+# has been silent on all connections.
 DARK_OBJECTIVES = 1.5
 DARK_LEAST_S = 0.8
 DARK_LOOK_S = 0.1
@@ -73,7 +72,7 @@
 
     `was_reached` tells whether a connection to the target stood, `first_s`
     how long the head of its answer took, `is_displaced` that another target
-    answered at its address.
+    answered at its address, `is_lost` that its connection ended within the answer.
     """
 
     end: AttemptEnd
@@ -82,6 +81,7 @@
     was_reached: bool = True
     first_s: float | None = None
     is_displaced: bool = False
+    is_lost: bool = False
 
 
 def _note_nothing(call: Call, target_id: str, first_s: float) -> None:
@@ -126,7 +126,8 @@
         except AnswerBrokenError as error:
             if connection.is_timed_out:
                 self.connections.watch(target.target_id, target.address)
-            return AttemptOutcome(AttemptEnd.BROKEN, str(error))
+            is_lost = not connection.is_open and not connection.is_timed_out
+            return AttemptOutcome(AttemptEnd.BROKEN, str(error), is_lost=is_lost)
         except TimeoutError:
             return AttemptOutcome(AttemptEnd.STALLED, "the target was silent")
         finally:
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -80,7 +80,8 @@
     pool, `return_s` is when its caller should come back if it is refused.
     `sends` counts targets that it was sent to, `unreached` those to which no
     connection came about, `silent_domains` the failure domains of targets that
-    were unreachable or silent for it.
+    were unreachable or silent for it. `digest` knows the request again when it comes
+    under another id.
     """
 
     def __init__(
@@ -91,8 +92,10 @@
         service: str,
         version: int,
         started_s: float,
+        digest: bytes = b"",
     ) -> None:
         self.facts = facts
+        self.digest = digest
         self.route = route
         self.account = account
         self.service = service
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -67,6 +67,16 @@
         """Tell whether no connection to a target came about lately."""
         return target_id in self._watches
 
+    async def try_once(self, target_id: str, address: Address) -> bool:
+        """Tell whether a target takes a connection; one that stands is kept."""
+        try:
+            connection = await connect(address, CONNECT_S)
+        except ConnectFailedError:
+            return False
+        connection.usable_until_s = time.monotonic() + IDLE_S
+        self._idle.setdefault(target_id, []).append(connection)
+        return True
+
     def watch(self, target_id: str, address: Address) -> None:
         """Try to reach a target until it can be reached again."""
         if target_id not in self._watches:
@@ -80,13 +90,8 @@
         try:
             for _ in range(WATCH_TRIES):
                 await asyncio.sleep(WATCH_S)
-                try:
-                    connection = await connect(address, CONNECT_S)
-                except ConnectFailedError:
-                    continue
-                connection.usable_until_s = time.monotonic() + IDLE_S
-                self._idle.setdefault(target_id, []).append(connection)
-                break
+                if await self.try_once(target_id, address):
+                    break
             took_s = round(time.monotonic() - begun_s, 2)
             logger.info("target tried again", target=target_id, after_s=took_s)
         finally:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from damaskwind.decisions.fatal_requests.identity import identify_request
 from damaskwind.decisions.placement.affinity import choose_target, policy_for
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
 from damaskwind.decisions.routing.table import RoutingReason, choose_service
@@ -17,6 +18,7 @@
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.pool_entries import PoolEntries
 from damaskwind.router.forwarding.target_beliefs import SendEnded, TargetBeliefs
+from damaskwind.router.forwarding.target_losses import BrokenSend, TargetLosses
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer, header
 from damaskwind.runtime.tallies import Tallies
@@ -70,6 +72,7 @@
         self._terms = budget_terms
         self._random = random
         self.entries = PoolEntries(self.beliefs, random)
+        self.losses = TargetLosses(view, connections)
         self._sender = AttemptSender(self.beliefs, names)
         self._sender.on_first = self._note_first
         self._budgets: dict[str, SharedRetryBudget] = {}
@@ -103,14 +106,21 @@
             return None
         host = (header(request.headers, b"host") or b"").decode("latin-1")
         path = request.target.partition(b"?")[0].decode("latin-1")
-        found = table.find(host, path, read_key(request.headers, self._names))
+        key = read_key(request.headers, self._names)
+        found = table.find(host, path, key)
         if found.refusal:
             status = _ROUTING_STATUS[found.refusal]
             self._refuse(exchange, facts.request_id, status, found.refusal, table.version)
             return None
         draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else facts.request_id
         service = choose_service(found.route, draw)
-        call = Call(facts, found.route, found.account, service, table.version, exchange.started_s)
+        caller = found.account.name if found.account else key or ""
+        digest = identify_request(
+            request.method, host.encode("latin-1"), request.target, caller.encode(), request.body
+        )
+        call = Call(
+            facts, found.route, found.account, service, table.version, exchange.started_s, digest
+        )
         self._budget(service).count_request(time.monotonic())
         return call
 
@@ -205,6 +215,8 @@
             if outcome.was_reached and not outcome.is_displaced:
                 self.entries.turned_away_by_target(call, target.target_id)
         self.beliefs.note_ended(target, _as_seen(outcome), now_s)
+        if outcome.is_lost:
+            await self.losses.has_ended(target, BrokenSend(call.digest, call.facts.request_id))
         return outcome
 
     def _note_first(self, call: Call, target_id: str, first_s: float) -> None:
@@ -307,6 +319,7 @@
         logger.info(
             "request ended",
             request=call.facts.request_id.decode("latin-1"),
+            digest=call.digest.hex(),
             outcome=outcome,
             why=why,
             route=call.route.name,
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/target_losses.py
@@ -0,0 +1,84 @@
+"""Find out whether a target has ended when sends to it break.
+
+A connection that is reset, or an answer that is cut, looks the same whether the
+target has ended or goes on. One try to connect tells: an ended process refuses.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from loguru import logger
+
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.router.forwarding.connections import TargetConnections
+from damaskwind.router.forwarding.fleet_view import FleetView
+
+__all__ = ["BrokenSend", "TargetLosses"]
+
+# A line tells this many of the requests that were in hand at a target that ended.
+LISTED_REQUESTS = 16
+
+
+class BrokenSend(NamedTuple):
+    """A send that broke: the request's digest, and its id for the log."""
+
+    digest: bytes
+    request_id: bytes
+
+
+LossCallback = Callable[[TargetRecord, list[BrokenSend]], None]
+
+
+class TargetLosses:
+    """The targets of one router that are being looked at.
+
+    `on_ended` is told of each target that ended by itself, with the sends that
+    broke at this router; one that was leaving is not among them.
+    """
+
+    def __init__(self, view: FleetView, connections: TargetConnections) -> None:
+        self.on_ended: list[LossCallback] = []
+        self._view = view
+        self._connections = connections
+        self._looks: dict[str, asyncio.Task[bool]] = {}
+        self._broken: dict[str, list[BrokenSend]] = {}
+
+    async def has_ended(self, target: TargetRecord, broken: BrokenSend) -> bool:
+        """Note a send that broke; tell whether its target has ended by itself.
+
+        Sends that break together are told by one look.
+        """
+        target_id = target.target_id
+        self._broken.setdefault(target_id, []).append(broken)
+        look = self._looks.get(target_id)
+        if look is None:
+            look = self._looks[target_id] = asyncio.ensure_future(self._look(target))
+        # The look goes on for the others, and for what is told, when one caller leaves.
+        return await asyncio.shield(look)
+
+    async def _look(self, target: TargetRecord) -> bool:
+        target_id = target.target_id
+        try:
+            answers = await self._connections.try_once(target_id, target.address)
+        finally:
+            del self._looks[target_id]
+            broken = self._broken.pop(target_id)
+        is_leaving = self._view.targets.phase_of(target_id) is not TargetPhase.SERVING
+        has_ended = not answers and not is_leaving
+        logger.warning(
+            "sends broken",
+            target=target_id,
+            address=str(target.address),
+            answers=answers,
+            is_leaving=is_leaving,
+            sends=len(broken),
+            requests=[
+                [item.request_id.decode("latin-1"), item.digest.hex()]
+                for item in broken[:LISTED_REQUESTS]
+            ],
+        )
+        if has_ended:
+            for callback in self.on_ended:
+                callback(target, broken)
+        return has_ended
