--- /dev/null
+++ b/packages/standins/src/damaskwind/standins/mortal_target.py
@@ -0,0 +1,104 @@
+"""A target that ends under certain requests, and comes back in a new life.
+
+As soon as it runs a request that is fatal to it, its process has only so long to
+live: all its connections are reset, its port refuses, and after a while it
+listens again, under a new id.
+
+    target = MortalTarget(names, lambda request: b"poison" in request.body)
+    await target.start()
+"""
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import Callable
+from itertools import count
+from typing import NamedTuple
+
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.model.targets import Address
+from damaskwind.standins.scripted_target import ReceivedRequest, ScriptedTarget, plain
+
+__all__ = ["Arrival", "MortalTarget"]
+
+# A reset in place of an orderly end, as when a process dies with data in hand.
+RESET_LINGER = struct.pack("ii", 1, 0)
+
+_NUMBERS = count(1)
+
+
+class Arrival(NamedTuple):
+    """A request that came, whether it is a fatal one, and when (monotonic seconds)."""
+
+    at_s: float
+    is_fatal: bool
+
+
+class MortalTarget(ScriptedTarget):
+    """Answer after `work_s`, or end `fatal_after_s` after a fatal request began.
+
+    `ends_s` are the times at which it ended. `target_id` changes with each life.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        is_fatal: Callable[[ReceivedRequest], bool],
+        work_s: float = 0.2,
+        fatal_after_s: float = 0.06,
+        away_s: float = 2.0,
+    ) -> None:
+        super().__init__(names, default=self._run)
+        self.arrivals: list[Arrival] = []
+        self.ends_s: list[float] = []
+        self.is_alive = False
+        self.target_id = ""
+        self.address: Address | None = None
+        self._is_fatal = is_fatal
+        self._work_s = work_s
+        self._fatal_after_s = fatal_after_s
+        self._away_s = away_s
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._dying: asyncio.Task | None = None
+
+    async def start(self, port: int = 0) -> Address:
+        """Begin a life; the address stays the same."""
+        self.address = await super().start(self.address.port if self.address else port)
+        self.target_id = f"i-{next(_NUMBERS):06x}"
+        self.is_alive = True
+        return self.address
+
+    async def stop(self) -> None:
+        """End for good."""
+        if self._dying is not None:
+            self._dying.cancel()
+            await asyncio.gather(self._dying, return_exceptions=True)
+        await super().stop()
+
+    async def _run(self, writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
+        is_fatal = self._is_fatal(request)
+        self.arrivals.append(Arrival(time.monotonic(), is_fatal))
+        self._writers.add(writer)
+        if is_fatal and self._dying is None:
+            self._dying = asyncio.ensure_future(self._die())
+        await asyncio.sleep(self._work_s if not is_fatal else 60.0)
+        await plain()(writer, request)
+
+    async def _die(self) -> None:
+        """End under what is in hand, and come back."""
+        await asyncio.sleep(self._fatal_after_s)
+        self.is_alive = False
+        self.ends_s.append(time.monotonic())
+        self._server.close()
+        for writer in self._writers:
+            handle = writer.get_extra_info("socket")
+            if not writer.is_closing():
+                handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+            writer.transport.abort()
+        self._writers.clear()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(self._away_s)
+        self._dying = None
+        await self.start()
