--- a/packages/control/src/damaskwind/control/fleet/kept_state.py
+++ b/packages/control/src/damaskwind/control/fleet/kept_state.py
@@ -21,6 +21,7 @@
 
 from damaskwind.control.storage.files import FileSystem, write_file_durably
 from damaskwind.control.storage.frames import encode_frame, file_header, read_frames
+from damaskwind.decisions.fatal_requests.suspicion import Suspicion
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.model.exception import StorageError
 
@@ -39,11 +40,12 @@
 
 
 class KeptState(NamedTuple):
-    """A configuration that was applied, packed, and all targets known."""
+    """A configuration that was applied, packed, all targets known, and the requests suspected."""
 
     version: int = 0
     packed: bytes = b""
     records: tuple[TargetRecord, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 def mark_first_start(data_folder: Path, files: FileSystem) -> None:
@@ -83,7 +85,7 @@
         self,
         data_folder: Path,
         files: FileSystem,
-        mark: Callable[[], tuple[int, int]],
+        mark: Callable[[], tuple[int, ...]],
         state: Callable[[], KeptState],
     ) -> None:
         self._path = data_folder / _FOLDER / _NAME
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from damaskwind.control.fleet.heard_targets import HeardTargets
+from damaskwind.decisions.fatal_requests.suspicion import Suspicion, SuspicionTable
 from damaskwind.decisions.following.reading_places import PassingPlace
 from damaskwind.decisions.load.held_sums import HeldSum, HeldSums
 from damaskwind.decisions.membership.report_places import ReportPlaces
@@ -44,6 +45,10 @@
 # must not wait for the parts of tables and the sums that have the link. With 3,000 targets it
 # took 2.5 s in the middle, since all who asked again took the room from each other.
 FEW_RECORDS = 16
+# What one lost target had in hand, four times over, is told in one answer.
+SUSPICIONS_AT_ONCE = 256
+# What the routers say of one lost target comes within this.
+SUSPICIONS_GATHERED_S = 0.01
 # Routers that are named to one for which the link has no room; the second is for one that
 # has ended meanwhile.
 TABLES_NAMED = 2
@@ -78,6 +83,7 @@
     ) -> None:
         self.table = TargetTable()
         self.held = HeldSums()
+        self.suspicions = SuspicionTable()
         self.epoch = secrets.token_hex(4)
         self._version = version
         self._is_current = is_current
@@ -122,6 +128,14 @@
         if any(changed):
             self._note_change()
 
+    def suspect(self, items: Iterable[Suspicion]) -> list[bytes]:
+        """Take what a router or another replica knows of fatal requests; return what was news."""
+        news = self.suspicions.merge(items, time.monotonic())
+        if news and self._waiters and self._waking is None:
+            loop = asyncio.get_running_loop()
+            self._waking = loop.call_later(SUSPICIONS_GATHERED_S, self.wake)
+        return news
+
     def _note_change(self) -> None:
         """Have everyone look at the table, soon if there are many targets."""
         self._changed_s = time.monotonic()
@@ -272,7 +286,9 @@
         wants_version = request.kind == SubscriberKind.ROUTER
         is_newer = wants_version and self._version() > request.version
         has_changes = self.table.revision > revision and self._tells_changes(request)
-        return request.epoch != self.epoch or has_changes or is_newer
+        # One replica is enough to wake a router; the others tell it with their next answers.
+        has_suspicions = request.is_first and self.suspicions.revision > request.suspicions_seen
+        return request.epoch != self.epoch or has_changes or is_newer or has_suspicions
 
     def news(
         self, request: NewsRequest, held: HeldSum | None = None, has_room: bool = True
@@ -283,6 +299,9 @@
         """
         now_s = time.monotonic()
         changes = self._changes_for(request, has_room)
+        suspicions, suspicions_revision = self.suspicions.changed_since(
+            request.suspicions_seen if self.knows(request) else 0, SUSPICIONS_AT_ONCE, now_s
+        )
         subscription = self._subscriptions.get(request.node_id)
         if subscription is not None and changes.revision == self.table.revision:
             self._subscriptions[request.node_id] = subscription._replace(
@@ -303,6 +322,8 @@
             self._heard.others() if self._tells_silence(subscription, now_s) else None,
             () if has_room else self._tables_at(request, changes.revision),
             changes.phases,
+            suspicions,
+            suspicions_revision,
         )
 
     def _tables_at(self, request: NewsRequest, revision: int) -> tuple[str, ...]:
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -15,10 +15,12 @@
 from damaskwind.wire.news import (
     DOCUMENT_PATH,
     NEWS_PATH,
+    SUSPICIONS_PATH,
     Document,
     SubscriberKind,
     decode_document_request,
     decode_request,
+    decode_suspicions,
     encode,
     pack_answer,
 )
@@ -64,7 +66,11 @@
         self._tallies = tallies
         self._shelf = shelf
         self._holders = DocumentHolders()
-        self._calls = {NEWS_PATH: self._news, DOCUMENT_PATH: self._document}
+        self._calls = {
+            NEWS_PATH: self._news,
+            DOCUMENT_PATH: self._document,
+            SUSPICIONS_PATH: self._suspicions,
+        }
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
@@ -127,6 +133,17 @@
         if wait_s:
             await asyncio.sleep(wait_s)
 
+    async def _suspicions(self, exchange: Exchange) -> None:
+        """Take what a router knows of fatal requests."""
+        try:
+            items = decode_suspicions(exchange.request.body)
+        except MessageError as error:
+            exchange.respond(Answer(400, [], str(error).encode()))
+            return
+        news = self._board.suspect(items)
+        self._tallies.count("suspicions", len(news))
+        exchange.respond(Answer(204, []))
+
     async def _document(self, exchange: Exchange) -> None:
         """Send the newest document, in its turn."""
         try:
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -26,6 +26,7 @@
 from damaskwind.control.operator_api.ports import ProposalPort
 from damaskwind.control.state.published_configuration import PublishedConfiguration
 from damaskwind.control.storage.files import FileSystem
+from damaskwind.decisions.fatal_requests.suspicion import MOST_REQUESTS, Standing
 from damaskwind.decisions.following.reading_places import ReadingPlaces
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.decisions.membership.target_record import TargetRecord
@@ -163,8 +164,16 @@
         show("replicas", "members of the log", lambda: len(self._hosts()))
         show("targets_serving", "targets that take work", lambda: len(board.table.serving()))
         show("routers", "routers that ask here", board.routers)
+        show("requests_suspected", "in hand where targets ended", self._suspected)
+        show("requests_held_fatal", "sent no more, as targets end", self._held_fatal)
         show("log_opened", "1 while the disk is usable", lambda: float(self._access() is not None))
 
+    def _suspected(self) -> float:
+        return self.board.suspicions.count(Standing.SUSPECTED, time.monotonic())
+
+    def _held_fatal(self) -> float:
+        return self.board.suspicions.count(Standing.FATAL, time.monotonic())
+
     def _recall(self) -> None:
         """Take up what was known before a restart.
 
@@ -176,19 +185,21 @@
         self._may_found = self.settings.may_found or was_first_start(self._folder)
         self._kept = read_kept_state(self._folder, self._files)
         self.board.merge(self._kept.records, ())
+        self.board.suspect(self._kept.suspicions)
         if self._kept.version:
             self._shelf.put(self._kept.version, unpack_document(self._kept.packed))
         self._keeper = StateKeeper(self._folder, self._files, self._mark, self._state)
         logger.info("state recalled", version=self._kept.version, targets=len(self._kept.records))
 
-    def _mark(self) -> tuple[int, int]:
+    def _mark(self) -> tuple[int, int, int]:
         """Return what grows whenever there is something new to keep."""
-        return (self._version(), self.board.table.revision)
+        return (self._version(), self.board.table.revision, self.board.suspicions.revision)
 
     def _state(self) -> KeptState:
         """Return what is to be kept."""
         records = self.board.table.changed_since(0).records
-        return KeptState(self._version(), self._packed(), records)
+        suspicions, _ = self.board.suspicions.changed_since(0, MOST_REQUESTS, time.monotonic())
+        return KeptState(self._version(), self._packed(), records, suspicions)
 
     def _version(self) -> int:
         """Return the newest version known to be committed."""
@@ -235,6 +246,7 @@
             await asyncio.sleep(UPKEEP_S)
             self.follow(self._hosts())
             self._keeper.consider()
+            self.board.suspicions.forget(time.monotonic())
             for target_id in self.board.table.forget(time.monotonic()):
                 logger.info("target forgotten", target=target_id)
 
@@ -277,6 +289,7 @@
     def take_news(self, host: str, news: News) -> None:
         """Merge what another replica knows."""
         self.board.merge(news.records, news.heard)
+        self.board.suspect(news.suspicions)
 
     def lost(self, host: str) -> None:
         """Do nothing: the link tries again."""
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -1,5 +1,6 @@
 """One request on its way: what it says, what is in force for it, what became of it."""
 
+import asyncio
 import time
 from itertools import count
 from math import isfinite
@@ -81,7 +82,7 @@
     `sends` counts targets that it was sent to, `unreached` those to which no
     connection came about, `silent_domains` the failure domains of targets that
     were unreachable or silent for it. `digest` knows the request again when it comes
-    under another id.
+    under another id. `look` finds out whether the target has ended under the last send.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
     ) -> None:
         self.facts = facts
         self.digest = digest
+        self.look: asyncio.Task[bool] | None = None
         self.route = route
         self.account = account
         self.service = service
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -26,6 +26,7 @@
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.router.forwarding.document_relay import DocumentRelay, WholeDocument
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
+from damaskwind.router.forwarding.suspicion_relay import SuspicionRelay
 from damaskwind.router.forwarding.table_exchange import TableExchange
 from damaskwind.wire.document_difference import apply_difference
 from damaskwind.wire.document_fetch import FETCH_ERRORS, DocumentFetcher
@@ -102,6 +103,7 @@
             self.targets, self._seen, self._take_table, news_port, link_bytes_per_s
         )
         self.relay.handlers[TABLE_PATH] = self._tables.handle
+        self.suspicions = SuspicionRelay(news_port)
         self._has_news = asyncio.Event()
         self._document = b""
         self._received = Document(0, b"")
@@ -123,6 +125,7 @@
             await asyncio.gather(self._fetching, return_exceptions=True)
         self._fetcher.close()
         await self._tables.stop()
+        await self.suspicions.stop()
         await self.relay.stop()
         for link in self._links.values():
             await link.stop()
@@ -140,6 +143,7 @@
                 passes_on=PassingPlace(self._own_host, self._link_bytes_per_s),
             )
             self._links[host] = link
+            self.suspicions.follow(host)
             link.start(place * stagger_s)
 
     def replicas_heard(self) -> int:
@@ -249,6 +253,7 @@
         for target_id in self.targets.forget(now_s):
             logger.info("target forgotten", target=target_id)
             self._note_gone(target_id)
+        self.suspicions.take_news(host, news)
         self._router_counts[host] = news.routers
         self.routers = max(1, *self._router_counts.values())
         if news.held is not None:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -7,6 +7,8 @@
 from loguru import logger
 
 from damaskwind.decisions.fatal_requests.identity import identify_request
+from damaskwind.decisions.fatal_requests.suspicion import Standing
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import choose_target, policy_for
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
 from damaskwind.decisions.routing.table import RoutingReason, choose_service
@@ -36,6 +38,9 @@
 UNREACHED_MOST = 3
 
 
+# A target's own status for a request whose deadline has passed.
+DEADLINE_PASSED = 504
+
 _ROUTING_STATUS = {RoutingReason.NO_ROUTE: 404, RoutingReason.UNKNOWN_KEY: 401}
 
 
@@ -46,6 +51,16 @@
     return SendEnded(is_good, outcome.was_reached, was_refused, outcome.is_displaced)
 
 
+def _has_survived(outcome: AttemptOutcome) -> bool:
+    """Tell whether the target ran the request to its end.
+
+    A request that waited at a target until its deadline may not have begun.
+    """
+    if outcome.end is AttemptEnd.TARGET_ERROR:
+        return outcome.answer.status != DEADLINE_PASSED
+    return outcome.end is AttemptEnd.DELIVERED
+
+
 class Forwarder:
     """The handler behind a router's address for callers.
 
@@ -73,6 +88,7 @@
         self._random = random
         self.entries = PoolEntries(self.beliefs, random)
         self.losses = TargetLosses(view, connections)
+        self.losses.on_ended.append(self._note_target_ended)
         self._sender = AttemptSender(self.beliefs, names)
         self._sender.on_first = self._note_first
         self._budgets: dict[str, SharedRetryBudget] = {}
@@ -84,6 +100,9 @@
         if call is None:
             return
         delivery = Delivery(exchange, call.route.is_resumable)
+        if self.view.suspicions.standing(call.digest) is Standing.FATAL:
+            self._refuse_fatal(exchange, call, delivery)
+            return
         try:
             async with asyncio.timeout(max(call.left_s(), 0.0)):
                 outcome = await self._serve(exchange, call, delivery)
@@ -149,7 +168,7 @@
                 return outcome
             if outcome.answer is not None:
                 failure = outcome
-            if not self._may_go_on(call, outcome):
+            if not self._may_go_on(call, outcome) or not await self._may_risk_another(call):
                 return failure or outcome
             placed = self._place(call)
 
@@ -161,6 +180,16 @@
             return call.sends < call.route.max_attempts + EXTRA_SENDS
         return call.route.may_repeat and call.sends < call.route.max_attempts
 
+    async def _may_risk_another(self, call: Call) -> bool:
+        """Tell whether another target may get a request whose last send broke.
+
+        The request may be what ended the last one: once it is taken elsewhere, not twice.
+        """
+        if call.look is not None:
+            # The look goes on for others when this caller leaves.
+            await asyncio.shield(call.look)
+        return self.view.suspicions.table.may_repeat(call.digest)
+
     async def _send(
         self,
         exchange: Exchange,
@@ -182,6 +211,7 @@
         may_move = call.route.may_repeat and call.sends < call.route.max_attempts
         # Until the outcome is known, the request may be running.
         before, call.may_have_run = call.may_have_run, True
+        call.look, known = None, self.view.suspicions.table.known(call.digest)
         outcome = AttemptOutcome(AttemptEnd.BROKEN, "given up")
         try:
             outcome = await self._sender.send(exchange.request, call, placed, delivery, may_move)
@@ -216,9 +246,16 @@
                 self.entries.turned_away_by_target(call, target.target_id)
         self.beliefs.note_ended(target, _as_seen(outcome), now_s)
         if outcome.is_lost:
-            await self.losses.has_ended(target, BrokenSend(call.digest, call.facts.request_id))
+            broken = BrokenSend(call.digest, known, call.facts.request_id)
+            call.look = self.losses.look(target, broken)
+        elif _has_survived(outcome):
+            self.view.suspicions.note_survived(call.digest)
         return outcome
 
+    def _note_target_ended(self, target: TargetRecord, sends: list[BrokenSend]) -> None:
+        """Suspect what was in hand at a target that ended."""
+        self.view.suspicions.note_end((item.digest, item.known) for item in sends)
+
     def _note_first(self, call: Call, target_id: str, first_s: float) -> None:
         """Take how long a target's answer took to begin."""
         self.tallies.observe("first_piece", first_s, kind=call.route.kind.value)
@@ -292,6 +329,12 @@
         exchange.respond(Answer(status, []))
         self._log(call, delivery, "failed, may have run", outcome.why)
 
+    def _refuse_fatal(self, exchange: Exchange, call: Call, delivery: Delivery) -> None:
+        """Refuse a request under which targets end; coming back would not help."""
+        exchange.respond(Answer(503, []))
+        ends = self.view.suspicions.table.known(call.digest).ends
+        self._log(call, delivery, "refused as fatal", f"{ends} targets ended under it")
+
     def _refuse(
         self, exchange: Exchange, request_id: bytes, status: int, why: str, version: int = 0
     ) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from damaskwind.decisions.fatal_requests.suspicion import Standing
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.router.forwarding.connections import TargetConnections
@@ -98,8 +99,16 @@
         show("routers", "routers that the replicas count", lambda: view.routers)
         show("requests_waiting", "held for a place at a target", self.forwarder.entries.waiting)
         show("connections_opened", "to targets", lambda: self.connections.opened)
+        show("requests_suspected", "in hand where targets ended", self._suspected)
+        show("requests_held_fatal", "sent no more, as targets end", self._held_fatal)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
 
+    def _suspected(self) -> float:
+        return self.view.suspicions.count(Standing.SUSPECTED)
+
+    def _held_fatal(self) -> float:
+        return self.view.suspicions.count(Standing.FATAL)
+
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
--- a/packages/router/src/damaskwind/router/forwarding/target_losses.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_losses.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from damaskwind.decisions.fatal_requests.suspicion import Known
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
@@ -21,9 +22,10 @@
 
 
 class BrokenSend(NamedTuple):
-    """A send that broke: the request's digest, and its id for the log."""
+    """A send that broke: the request, what was known of it when it was sent, its id for the log."""
 
     digest: bytes
+    known: Known
     request_id: bytes
 
 
@@ -44,8 +46,8 @@
         self._looks: dict[str, asyncio.Task[bool]] = {}
         self._broken: dict[str, list[BrokenSend]] = {}
 
-    async def has_ended(self, target: TargetRecord, broken: BrokenSend) -> bool:
-        """Note a send that broke; tell whether its target has ended by itself.
+    def look(self, target: TargetRecord, broken: BrokenSend) -> asyncio.Task[bool]:
+        """Note a send that broke; the task tells whether its target has ended by itself.
 
         Sends that break together are told by one look.
         """
@@ -54,8 +56,7 @@
         look = self._looks.get(target_id)
         if look is None:
             look = self._looks[target_id] = asyncio.ensure_future(self._look(target))
-        # The look goes on for the others, and for what is told, when one caller leaves.
-        return await asyncio.shield(look)
+        return look
 
     async def _look(self, target: TargetRecord) -> bool:
         target_id = target.target_id
@@ -78,6 +79,8 @@
                 for item in broken[:LISTED_REQUESTS]
             ],
         )
+        if not answers:
+            self._connections.watch(target_id, target.address)
         if has_ended:
             for callback in self.on_ended:
                 callback(target, broken)
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from damaskwind.decisions.fatal_requests.suspicion import Suspicion
 from damaskwind.decisions.following.reading_places import NOWHERE, PassingPlace
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
 from damaskwind.decisions.membership.target_record import PhaseChange, TargetRecord
@@ -19,6 +20,7 @@
 __all__ = [
     "DOCUMENT_PATH",
     "NEWS_PATH",
+    "SUSPICIONS_PATH",
     "Document",
     "DocumentRequest",
     "Heard",
@@ -33,6 +35,7 @@
     "decode_document_request",
     "decode_news",
     "decode_request",
+    "decode_suspicions",
     "decode_table",
     "encode",
     "pack_answer",
@@ -44,6 +47,7 @@
 NEWS_PATH = b"/news"
 DOCUMENT_PATH = b"/document"
 TABLE_PATH = b"/targets"
+SUSPICIONS_PATH = b"/suspicions"
 # A document may be 4 MiB; nothing that grows beyond this when unpacked is one.
 DOCUMENT_LIMIT_BYTES = 16 * 1024 * 1024
 # A table of sixty targets is 5.8 KB, and a third of that when it is compressed.
@@ -76,6 +80,7 @@
     it gives documents to others. Changes among many targets are told at once by the replica
     that `is_first` for a router, and by others where it still lacks them later. `heard` are
     the targets that reported to a router, `records` what they said that was new there.
+    `suspicions_seen` is how far this replica has told what it knows of fatal requests.
     """
 
     node_id: str
@@ -90,6 +95,7 @@
     is_first: bool = True
     heard: tuple[Heard, ...] = ()
     records: tuple[TargetRecord, ...] = ()
+    suspicions_seen: int = 0
 
 
 class HeardOthers(NamedTuple):
@@ -114,7 +120,8 @@
     subscriber's among these routers, by their names. Where a replica hears many targets,
     `heard_others` stands in place of `heard`. Where its link has no room for changes,
     `tables_at` names routers that know more of them. `phases` are changes of targets that
-    the subscriber knows.
+    the subscriber knows. `suspicions` is what changed of fatal requests, up to
+    `suspicions_revision`.
     """
 
     epoch: str
@@ -131,6 +138,8 @@
     heard_others: HeardOthers | None = None
     tables_at: tuple[str, ...] = ()
     phases: tuple[PhaseChange, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
+    suspicions_revision: int = 0
 
 
 class Seen(NamedTuple):
@@ -172,7 +181,9 @@
     holders: tuple[str, ...] = ()
 
 
-def encode(message: NewsRequest | News | DocumentRequest | Document | TableCopy) -> bytes:
+def encode(
+    message: NewsRequest | News | DocumentRequest | Document | TableCopy | tuple[Suspicion, ...],
+) -> bytes:
     """Encode a message."""
     return msgspec.msgpack.encode(message)
 
@@ -181,6 +192,7 @@
 _NEWS_DECODER = msgspec.msgpack.Decoder(News)
 _DOCUMENT_REQUEST_DECODER = msgspec.msgpack.Decoder(DocumentRequest)
 _TABLE_DECODER = msgspec.msgpack.Decoder(TableCopy)
+_SUSPICIONS_DECODER = msgspec.msgpack.Decoder(tuple[Suspicion, ...])
 _DOCUMENT_DECODER = msgspec.msgpack.Decoder(Document)
 
 
@@ -208,6 +220,14 @@
         raise MessageError(f"targets: {error}") from error
 
 
+def decode_suspicions(data: bytes) -> tuple[Suspicion, ...]:
+    """Decode what is told of fatal requests; raise `MessageError` when it is none."""
+    try:
+        return _SUSPICIONS_DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"suspicions: {error}") from error
+
+
 def pack_answer(body: bytes) -> Answer:
     """Return an answer, compressed where that is worth it: whole tables are.
 
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -119,6 +119,7 @@
         self._epoch = ""
         self._revision = 0
         self._version = 0
+        self._suspicions_seen = 0
         self._task: asyncio.Task | None = None
 
     def start(self, delay_s: float = 0.0) -> None:
@@ -187,6 +188,7 @@
             self._subscriber.is_first(self.address.host),
             self._subscriber.heard_targets(),
             self._subscriber.new_records(),
+            self._suspicions_seen,
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
@@ -194,6 +196,7 @@
         is_same_life = news.epoch == self._epoch
         self._revision = max(news.revision, self._revision) if is_same_life else news.revision
         self._epoch, self._version = news.epoch, news.version
+        self._suspicions_seen = news.suspicions_revision
         self.last_heard_s = self._clock()
         host = self.address.host
         if not self.has_heard:
