--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -96,6 +96,7 @@
         self._random = Random(secrets.randbits(64))
         self._subscriptions: dict[str, _Subscription] = {}
         self._routers: list[str] = []
+        self._link_rates: dict[str, float] = {}
         self._waiters: set[asyncio.Future] = set()
         self._waking: asyncio.TimerHandle | None = None
         self._changed_s = float("-inf")
@@ -217,6 +218,10 @@
         places = (item.passes_on for item in reversed(self._subscriptions.values()))
         return [place for place in places if place.host]
 
+    def link_rate(self, host: str) -> float:
+        """Return the rate of a router's link in bytes a second, as it last told it."""
+        return self._link_rates.get(host, float("inf"))
+
     def report_place(self) -> str | None:
         """Return the host of a router at which a target may report, if it had better not here."""
         place = self._report_places.choose(self._heard.here, len(self._routers))
@@ -252,6 +257,8 @@
         if before is None and request.kind == SubscriberKind.ROUTER:
             insort(self._routers, request.node_id)
         self._subscriptions[request.node_id] = self._subscription(request, revision, before, now_s)
+        if request.passes_on.host:
+            self._link_rates[request.passes_on.host] = request.passes_on.link_bytes_per_s
         self._forget_silent(now_s)
         if request.kind == SubscriberKind.REPLICA:
             self.wake()
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -5,7 +5,7 @@
 
 from damaskwind.control.fleet.document_shelf import DocumentShelf
 from damaskwind.control.fleet.news_board import NewsBoard
-from damaskwind.decisions.following.document_holders import DocumentHolders
+from damaskwind.decisions.following.document_holders import PASSING_PART, DocumentHolders
 from damaskwind.decisions.load.held_sums import HeldSum
 from damaskwind.decisions.pacing.bulk_pace import BulkPace
 from damaskwind.model.exception import MessageError
@@ -58,7 +58,8 @@
         link_bytes_per_s: float,
     ) -> None:
         self._board = board
-        self._pace = BulkPace(link_bytes_per_s * DOCUMENT_PART, time.monotonic())
+        self._document_bytes_per_s = link_bytes_per_s * DOCUMENT_PART
+        self._pace = BulkPace(self._document_bytes_per_s, time.monotonic())
         self._news_pace = BulkPace(link_bytes_per_s * NEWS_PART, time.monotonic(), NEWS_WAIT_S)
         self._held_pace = BulkPace(link_bytes_per_s * HELD_PART, time.monotonic())
         self._last_news_bytes = OVERHEAD_BYTES
@@ -154,27 +155,31 @@
         if not self._shelf.version:
             exchange.respond(Answer(404, []))
             return
-        named = self._holders_for(request.host)
+        size_bytes = len(self._shelf.newest_for(request.held_version).packed)
+        named = self._holders_for(request.host, size_bytes)
         if named:
             exchange.respond(Answer(200, [], encode(Document(self._shelf.version, b"", 0, named))))
             self._tallies.count("documents", sent="passed on")
             return
         # All routers ask within some ms of a version, and the heartbeats that keep the
         # leader's lease have to find room between the documents.
-        size_bytes = len(self._shelf.newest_for(request.held_version).packed)
         wait_s = self._pace.wait_s(size_bytes, time.monotonic())
+        sent_s = time.monotonic() + wait_s + size_bytes / self._document_bytes_per_s
+        self._holders.note(self._shelf.version, request.host, sent_s)
         if wait_s:
             await asyncio.sleep(wait_s)
         document = self._shelf.newest_for(request.held_version)
         body = encode(document)
-        self._holders.note(document.version, request.host)
+        self._holders.note(document.version, request.host, time.monotonic())
         self._tallies.count("documents", sent="here")
         self._tallies.count("sent_bytes", len(body), kind="documents")
         self._tallies.observe("document_wait", wait_s)
         exchange.respond(Answer(200, [], body))
 
-    def _holders_for(self, host: str) -> tuple[str, ...]:
+    def _holders_for(self, host: str, size_bytes: int) -> tuple[str, ...]:
         """Return the routers to which one is sent on, if the line here is long."""
-        if not host or self._pace.line_s(time.monotonic()) < PASS_ON_AFTER_S:
+        now_s = time.monotonic()
+        if not host or self._pace.line_s(now_s) < PASS_ON_AFTER_S:
             return ()
-        return self._holders.choose(self._shelf.version, host)
+        send_s = size_bytes / (self._board.link_rate(host) * PASSING_PART)
+        return self._holders.choose(self._shelf.version, host, send_s, now_s)
--- a/packages/decisions/src/damaskwind/decisions/following/document_holders.py
+++ b/packages/decisions/src/damaskwind/decisions/following/document_holders.py
@@ -1,46 +1,61 @@
 """Choose which routers pass a document on to the others.
 
 The pattern: all routers ask for a version within some milliseconds, and what a
-replica's link carries in the time allowed is less than all of them need: 49 documents
-of 22 KB for each of four followers took 3.4 s. The first that got it have links of
-their own. Each of them is named in turn, so that none passes on much more than another.
+replica's link carries in the time allowed is less than all of them need. The first
+that are sent it have links of their own. Each one that asks is sent to the one
+that will be free first, and has the document itself when that has sent it: the number of
+links doubles with each sending ("Broadcast trees for heterogeneous
+platforms", Beaumont, Marchal and Robert, HiPC 2005).
 
 >>> holders = DocumentHolders()
->>> for host in ("10.1.0.1", "10.1.0.2", "10.2.0.1"): holders.note(7, host)
->>> holders.choose(7, "10.9.0.9"), holders.choose(7, "10.1.0.2"), holders.choose(6, "10.9.0.9")
-(('10.1.0.1', '10.1.0.2'), ('10.2.0.1', '10.1.0.1'), ())
+>>> holders.note(7, "10.1.0.1", has_at_s=0.1)
+>>> [holders.choose(7, f"10.2.0.{asker}", send_s=0.2, now_s=0.0) for asker in (1, 2, 3)]
+[('10.1.0.1',), ('10.1.0.1', '10.2.0.1'), ('10.2.0.1', '10.1.0.1')]
+>>> holders.choose(6, "10.9.0.9", send_s=0.2, now_s=0.0)
+()
 """
 
-from collections import deque
-
-__all__ = ["DocumentHolders"]
+__all__ = ["LONGEST_S", "PASSING_PART", "DocumentHolders"]
 
 # The second is for one that has ended meanwhile or can't be reached from there.
 NAMED = 2
+# A router that would have the document later than this is not sent on.
+LONGEST_S = 1.2
+# What documents may take of a router's link; the rest is for answers to callers.
+PASSING_PART = 0.3
 
 
 class DocumentHolders:
-    """The routers that were sent the newest version, the next one to be named first."""
+    """The routers that have the newest version or will soon; times are monotonic."""
 
     def __init__(self) -> None:
         self._version = 0
-        self._hosts: deque[str] = deque()
+        self._free_s: dict[str, float] = {}
 
-    def note(self, version: int, host: str) -> None:
-        """Note that a router was sent a version; those with an older one hold nothing."""
+    def note(self, version: int, host: str, has_at_s: float) -> None:
+        """Note when a router has a version; those with an older one hold nothing."""
         if version > self._version:
             self._version = version
-            self._hosts.clear()
-        if version == self._version and host and host not in self._hosts:
-            self._hosts.append(host)
+            self._free_s.clear()
+        if version == self._version and host:
+            self._free_s.setdefault(host, has_at_s)
+
+    def choose(self, version: int, asker: str, send_s: float, now_s: float) -> tuple[str, ...]:
+        """Return up to two routers that have a version or will soon, or none.
 
-    def choose(self, version: int, asker: str) -> tuple[str, ...]:
-        """Return up to two routers that have a version, or none."""
+        `send_s` is what sending it takes a router.
+        """
         if version != self._version:
             return ()
-        others = [host for host in self._hosts if host != asker]
-        named = tuple(others[:NAMED])
-        if named:
-            self._hosts.remove(named[0])
-            self._hosts.append(named[0])
-        return named
+        others = sorted((free_s, host) for host, free_s in self._free_s.items() if host != asker)[
+            :NAMED
+        ]
+        if not others:
+            return ()
+        free_s, first = others[0]
+        has_at_s = max(free_s, now_s) + send_s
+        if has_at_s - now_s > LONGEST_S:
+            return ()
+        self._free_s[first] = has_at_s
+        self._free_s.setdefault(asker, has_at_s)
+        return tuple(host for _, host in others)
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from damaskwind.decisions.following.document_holders import LONGEST_S, PASSING_PART
 from damaskwind.decisions.pacing.bulk_pace import BulkPace
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.http1.exchange import Exchange
@@ -23,11 +24,8 @@
 
 __all__ = ["DocumentRelay", "WholeDocument"]
 
-# What documents may take of a router's link; the rest is for answers, of which a piece
-# is late after 0.2 s. Nine documents of 22 KB take 1.1 s at 5 Mbit/s.
-DOCUMENT_PART = 0.3
-# A replica names a router when it has begun to send to it: the rest is on its way.
-WAIT_S = 0.5
+# A replica names a router that will have the document, in this time at the latest.
+WAIT_S = LONGEST_S
 LOOK_S = 0.02
 
 
@@ -58,7 +56,7 @@
     ) -> None:
         self._newest_for = newest_for
         self._whole = whole
-        self._pace = BulkPace(link_bytes_per_s * DOCUMENT_PART, time.monotonic())
+        self._pace = BulkPace(link_bytes_per_s * PASSING_PART, time.monotonic())
         self._server = HttpServer(self._handle, ServerLimits())
         self.passed_on = 0
         # What else comes to this address, by its path, and heartbeats in the platform's words.
