--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from damaskwind.decisions.fatal_requests.identity import identify_request
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
@@ -376,3 +377,61 @@
             answer = await self.call(request_id=b"r%d" % number)
             self.assertEqual(answer.status, 200)
         self.assertEqual(len(self.received()), 12)
+
+
+class FatalRequestTest(ForwarderTestCase):
+    def known(self):
+        table = self.view.suspicions.table
+        return [table.known(digest).ends for digest in table.digests()]
+
+    @asyncio_test
+    async def test_a_reset_by_a_target_that_goes_on_is_held_against_no_request(self):
+        self.script(cut_stream(1, 2), cut_stream(1, 2))
+        self.publish(route(**STREAM))
+        with self.assertRaises(AnswerBrokenError):
+            await self.call()
+        self.assertEqual(len(self.received()), 2)
+        self.assertEqual(self.known(), [])
+
+    @asyncio_test
+    async def test_the_exit_of_a_target_that_is_leaving_is_held_against_no_request(self):
+        self.targets[0].script = [silent(0.2)]
+        self.view.targets.leave("t1", time.monotonic())
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.1)
+        self.admit("t0", await self._address(), TargetPhase.LEAVING, 101)
+        await self.targets[0].stop()
+        self.assertEqual((await calling).status, 502)
+        self.assertEqual(self.known(), [])
+
+    async def _address(self):
+        return self.view.targets.record_of("t0").address
+
+    @asyncio_test
+    async def test_a_target_that_ends_is_held_against_what_was_in_hand_until_that_ends_well(self):
+        ended = self.targets[0]
+        ended.script, self.targets[1].script = [silent()], [plain()]
+        self.view.targets.leave("t1", time.monotonic())
+        self.publish(route(max_attempts=1))
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.1)
+        await ended.stop()
+        self.assertEqual((await calling).status, 502)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.known(), [1])
+        other = ScriptedTarget(NAMES)
+        self.targets.append(other)
+        self.admit("t2", await other.start())
+        self.assertEqual((await self.call(request_id=b"r2")).status, 200)
+        self.assertEqual(self.known(), [0])
+
+    @asyncio_test
+    async def test_what_is_held_fatal_is_refused_at_once_without_a_time_to_come_back(self):
+        digest = identify_request(b"POST", b"host", b"/a/x", b"account", b"{}")
+        relay = self.view.suspicions
+        for _ in range(3):
+            relay.note_end([(digest, relay.table.known(digest))])
+        answer = await self.call()
+        self.assertEqual((answer.status, header(answer.headers, b"retry-after")), (503, None))
+        self.assertEqual(self.received(), [])
+        self.assertEqual((await self.call(path=b"/a/y")).status, 200)
