--- a/benchmarks/call_bytes.py
+++ b/benchmarks/call_bytes.py
@@ -9,7 +9,6 @@
 import asyncio
 import hashlib
 import socket
-import time
 from random import Random
 
 from grpclib.server import Server
@@ -22,6 +21,7 @@
 from damaskwind.router.claims.client import ClaimsClient
 from damaskwind.router.claims.tests.holders import CLUSTER, KEY, Holders
 from damaskwind.router.configuration.upstream import Upstream
+from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.authentication import CallSigner, CallVerifier
 from damaskwind.wire.follow_service import FollowService
 
@@ -77,7 +77,7 @@
     holders = Holders()
     await holders.start_all()
     addresses = list(holders.addresses.items())
-    client = ClaimsClient(addresses, CLUSTER, KEY, "r", Random(1), time.monotonic)
+    client = ClaimsClient(addresses, CLUSTER, KEY, "r", Random(1), read_clock)
     answer = StoredAnswer(200, "application/json", b"x" * ANSWER_BYTES, "digest")
     for number in range(KEYED_CALLS):
         granted = await client.claim(f"{number:032x}", "d" * 32, f"r.{number:016x}", 5.0)
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -31,6 +31,7 @@
 from benchmarks.control_bytes import Fleet
 from benchmarks.placement_cost import placement_cost_us
 from damaskwind.decisions.membership.parameters import MembershipParameters
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["Slope", "main", "measure_all"]
 
@@ -231,10 +232,10 @@
         files = [json.loads(path.read_text()) for path in options.slopes]
         print_tables([[Slope(*item) for item in file] for file in files])
         return
-    begun_s = time.monotonic()
+    begun_s = read_clock()
     load_before = getloadavg()[0]
     slopes = measure_all()
-    day, spent_s = time.strftime("%Y-%m-%d"), time.monotonic() - begun_s
+    day, spent_s = time.strftime("%Y-%m-%d"), read_clock() - begun_s
     print(f"{day}, load {load_before:.1f} before, {getloadavg()[0]:.1f} after, {spent_s:.0f} s\n")
     print_tables([slopes])
     if options.json:
--- a/benchmarks/capacity_claims.py
+++ b/benchmarks/capacity_claims.py
@@ -22,6 +22,7 @@
 from damaskwind.model.verdict import Verdict
 from damaskwind.router.claims.client import ClaimsClient
 from damaskwind.router.claims.tests.holders import CLUSTER, KEY, Holders
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["ClaimCosts", "measure_claims"]
 
@@ -45,7 +46,7 @@
 
 async def _drive(addresses: list[tuple[str, Address]]) -> dict[str, float]:
     """Claim and record, one at a time and then many at once."""
-    client = ClaimsClient(addresses, CLUSTER, KEY, "router", Random(1), time.monotonic)
+    client = ClaimsClient(addresses, CLUSTER, KEY, "router", Random(1), read_clock)
     digest = request_digest("POST", "/x", b"body")
 
     async def claim(key: str) -> float:
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -28,6 +28,7 @@
 from damaskwind.model.verdict import Verdict
 from damaskwind.router.claims.client import ClaimsClient
 from damaskwind.router.claims.tests.holders import CLUSTER, KEY, Holders
+from damaskwind.runtime.clock import read_clock
 
 RECORDS = 20_000
 PURE_CLAIMS = 5_000
@@ -116,7 +117,7 @@
     holders = Holders(count)
     await holders.start_all()
     addresses = list(holders.addresses.items())
-    client = ClaimsClient(addresses, CLUSTER, KEY, "router", Random(1), time.monotonic)
+    client = ClaimsClient(addresses, CLUSTER, KEY, "router", Random(1), read_clock)
     digest = request_digest("POST", "/x", b"body")
 
     async def claim(key: str) -> None:
--- a/benchmarks/control_plane.py
+++ b/benchmarks/control_plane.py
@@ -31,6 +31,7 @@
 )
 from damaskwind.control.state.command import Actor, RecordCommand, encode_command
 from damaskwind.router.configuration.follower import ConfigurationFollower
+from damaskwind.runtime.clock import read_clock
 
 FSYNC_BYTES = 600
 DEADLINE_S = 30.0
@@ -231,8 +232,8 @@
         [daemon, "control", str(settings)], stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL
     )
     try:
-        deadline_s = time.monotonic() + DEADLINE_S
-        while not ready.exists() and time.monotonic() < deadline_s:
+        deadline_s = read_clock() + DEADLINE_S
+        while not ready.exists() and read_clock() < deadline_s:
             time.sleep(0.05)
         time.sleep(3.0)
         print(
--- a/benchmarks/control_restart.py
+++ b/benchmarks/control_restart.py
@@ -12,10 +12,10 @@
 import asyncio
 import sys
 import tempfile
-import time
 from pathlib import Path
 from statistics import quantiles
 
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.reactor import install_reactor
 
 WAIT_S = 60.0
@@ -33,9 +33,9 @@
         routers = await cluster.start_routers(router_count)
         durations_s = []
         for number in range(changes):
-            started_s = time.monotonic()
+            started_s = read_clock()
             await cluster.change(REPLICAS[number % 3], f"viewer-{number}")
-            durations_s.append(time.monotonic() - started_s)
+            durations_s.append(read_clock() - started_s)
         last = cluster.confirmed[-1].revision
         behind_s = await cluster.time_in_force(routers, last)
         cuts = quantiles(durations_s, n=100)
@@ -45,13 +45,13 @@
         print(f"  each p50 {cuts[49] * 1000:.0f} ms, p99 {cuts[98] * 1000:.0f} ms")
         print(f"  the last one in force on {router_count} routers after another {behind_s:.2f} s")
         await cluster.kill(*REPLICAS, *routers)
-        started_s = time.monotonic()
+        started_s = read_clock()
         await cluster.restart(*REPLICAS, *routers)
-        ready_s = time.monotonic() - started_s
+        ready_s = read_clock() - started_s
         await wait_until(lambda: cluster.all_vote(REPLICAS), WAIT_S, "a leader")
-        leader_s = time.monotonic() - started_s
+        leader_s = read_clock() - started_s
         await cluster.time_in_force(routers, last)
-        in_force_s = time.monotonic() - started_s
+        in_force_s = read_clock() - started_s
         faults = await cluster.faults()
         after = await cluster.change_somewhere(REPLICAS, "after-the-restart")
         await cluster.time_in_force(routers, after.revision)
--- a/benchmarks/control_udp.py
+++ b/benchmarks/control_udp.py
@@ -20,6 +20,7 @@
     TargetState,
 )
 from damaskwind.router.membership.service import MembershipService, MembershipSettings
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["main"]
 
@@ -56,7 +57,7 @@
 
     def _heard(self, event: object) -> None:
         if isinstance(event, TargetGone) and self.left_s:
-            self.heard_s.append(time.monotonic() - self.left_s[-1])
+            self.heard_s.append(read_clock() - self.left_s[-1])
 
     def announce_all(self, state: TargetState = TargetState.SERVING) -> None:
         """Let every target announce itself to a router of its domain."""
@@ -117,7 +118,7 @@
             f" dropped {sum(int(c['dropped_sends']) for c in counters)}"
         )
         announcing.stop()
-        run.left_s.append(time.monotonic())
+        run.left_s.append(read_clock())
         run.announce_all(TargetState.LEAVING)
 
     def finish() -> None:
--- a/benchmarks/measuring/control_traffic.py
+++ b/benchmarks/measuring/control_traffic.py
@@ -3,11 +3,11 @@
 import asyncio
 import os
 import re
-import time
 from pathlib import Path
 from typing import NamedTuple
 
 from benchmarks.measuring.deployment import Deployment, ask
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["ControlPoint", "RouterUse", "TrafficWatch", "highest_rate"]
 
@@ -125,19 +125,19 @@
         self._deployment = deployment
         self._points: dict[str, list[ControlPoint]] = {}
         self._cpu_from_s: dict[str, float] = {}
-        self._started_s = time.monotonic()
+        self._started_s = read_clock()
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
         """Begin to poll."""
-        self._started_s = time.monotonic()
+        self._started_s = read_clock()
         self._cpu_from_s = {each.name: _cpu_s(each.pid) for each in self._deployment.routers}
         self._task = asyncio.ensure_future(self._poll())
 
     async def stop(self) -> list[RouterUse]:
         """Stop polling and return each router's use."""
         self._task.cancel()
-        duration_s = time.monotonic() - self._started_s
+        duration_s = read_clock() - self._started_s
         return [self._use(router, duration_s) for router in self._deployment.routers]
 
     def series(self) -> dict[str, list[tuple[float, float]]]:
@@ -187,4 +187,4 @@
 def _point(counters: dict[str, float], page: str) -> ControlPoint:
     """Return a point from the counters of one page."""
     highest = counters.get(_HIGHEST, 0.0)
-    return ControlPoint(time.monotonic(), counters[_BYTES], highest, _read_kinds(page))
+    return ControlPoint(read_clock(), counters[_BYTES], highest, _read_kinds(page))
--- a/benchmarks/measuring/driver.py
+++ b/benchmarks/measuring/driver.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import time
 from typing import Any, NamedTuple
 
 import treq
@@ -15,6 +14,7 @@
 from benchmarks.measuring.first_token import FirstToken
 from damaskwind.model.prefix import ModelName
 from damaskwind.runtime.bridge import to_future
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["CallOutcome", "Driver", "TurnOutcome"]
 
@@ -66,7 +66,7 @@
 
     def take(self, data: bytes) -> None:
         """Take bytes as they come."""
-        got_s = time.monotonic()
+        got_s = read_clock()
         events = (self._rest + data).split(b"\n\n")
         self._rest = events.pop()
         for event in events:
@@ -170,7 +170,7 @@
             "stream_options": {"include_usage": True},
             "user": turn.account,
         }
-        stream = _Stream(time.monotonic(), self)
+        stream = _Stream(read_clock(), self)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 response = await to_future(
@@ -216,7 +216,7 @@
 
 async def _later(at_s: float, job: Any) -> None:
     """Run a job at a time of the monotonic clock."""
-    await asyncio.sleep(max(at_s - time.monotonic(), 0.0))
+    await asyncio.sleep(max(at_s - read_clock(), 0.0))
     await job
 
 
--- a/benchmarks/measuring/run.py
+++ b/benchmarks/measuring/run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import tempfile
-import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -20,6 +19,7 @@
 from benchmarks.measuring.figures import SkewFigures, reuse_by_phase, skew_figures
 from benchmarks.measuring.first_token import SlowRequest, slow_requests, slowest
 from benchmarks.measuring.promises import Breach, count_ends, find_breaches
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["FAULTS", "RunFigures", "run_policies"]
 
@@ -75,7 +75,7 @@
 ) -> None:
     """Let the engines join, leave and flap at their times."""
     for event in events:
-        await asyncio.sleep(max(started_s + event.at_s - time.monotonic(), 0.0))
+        await asyncio.sleep(max(started_s + event.at_s - read_clock(), 0.0))
         if event.action == "join":
             await deployment.join()
             continue
@@ -113,12 +113,12 @@
     name: str, policies: list[str], seed: int, phase_s: float, fault: str = ""
 ) -> list[RunFigures]:
     """Start a deployment and drive the calendar through it once for each policy."""
-    begun_s = time.monotonic()
+    begun_s = read_clock()
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(name, Path(folder))
         try:
             await deployment.start()
-            print(f"{name} started in {time.monotonic() - begun_s:.1f} s", flush=True)
+            print(f"{name} started in {read_clock() - begun_s:.1f} s", flush=True)
             return [
                 await _run_policy(deployment, policy, seed, phase_s, fault) for policy in policies
             ]
@@ -130,14 +130,14 @@
     deployment: Deployment, policy: str, seed: int, phase_s: float, fault: str
 ) -> RunFigures:
     """Drive the calendar once; each policy gets chats of its own, asked at the same times."""
-    begun_s = time.monotonic()
+    begun_s = read_clock()
     plan = deployment.load_plan()
     phases = make_phases(plan, phase_s)
     turns, calls = make_trace(plan, phases, deployment.call_paths(), seed, policy)
     await deployment.begin_policy(policy)
-    print(f"{policy} in force after {time.monotonic() - begun_s:.1f} s", flush=True)
+    print(f"{policy} in force after {read_clock() - begun_s:.1f} s", flush=True)
     seen = await _drive(deployment, phases, turns, calls, fault)
-    print(f"{policy} measured in {time.monotonic() - begun_s:.1f} s", flush=True)
+    print(f"{policy} measured in {read_clock() - begun_s:.1f} s", flush=True)
     return _figures(deployment, policy, phases, turns, calls, seen)
 
 
@@ -152,7 +152,7 @@
     watch = TrafficWatch(deployment)
     driver = Driver(deployment.addresses(), deployment.keys, deployment.model)
     watch.start()
-    started_s = time.monotonic() + START_IN_S
+    started_s = read_clock() + START_IN_S
     churning = asyncio.ensure_future(_apply_churn(deployment, events, started_s, fault))
     await driver.run(turns, calls, started_s)
     await churning
--- a/benchmarks/memory_of_roles.py
+++ b/benchmarks/memory_of_roles.py
@@ -18,6 +18,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from damaskwind.runtime.clock import read_clock
+
 DEADLINE_S = 30.0
 SETTLE_S = 3.0
 NODE = """[node]
@@ -95,9 +97,9 @@
             [daemon, role, settings], stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
         )
         try:
-            end_s = time.monotonic() + DEADLINE_S
+            end_s = read_clock() + DEADLINE_S
             while not (Path(folder) / "ready").exists():
-                if time.monotonic() > end_s or process.poll() is not None:
+                if read_clock() > end_s or process.poll() is not None:
                     raise RuntimeError(f"{role} did not start")
                 time.sleep(0.05)
             time.sleep(SETTLE_S)
--- a/benchmarks/platform_start.py
+++ b/benchmarks/platform_start.py
@@ -17,6 +17,7 @@
 import defopt
 
 from damaskwind.platform.settings import PATH_VARIABLE
+from damaskwind.runtime.clock import read_clock
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPENDENCIES = ROOT / "target" / "deps"
@@ -70,7 +71,7 @@
             PATH_VARIABLE: str(file),
         }
         command = [sys.executable, "-S", "-m", "damaskwind.platform", role]
-        begun_s = time.monotonic()
+        begun_s = read_clock()
         process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=subprocess.DEVNULL)
         try:
             listening_s = wait_until_listening(PORTS[LISTENED[role]], begun_s)
@@ -83,10 +84,10 @@
 
 def wait_until_listening(port: int, begun_s: float) -> float:
     """Return the seconds until a connection stands."""
-    while time.monotonic() - begun_s < START_LIMIT_S:
+    while read_clock() - begun_s < START_LIMIT_S:
         try:
             socket.create_connection((HOST, port), 0.2).close()
-            return time.monotonic() - begun_s
+            return read_clock() - begun_s
         except OSError:
             time.sleep(0.005)
     raise TimeoutError(f"port {port} not listening after {START_LIMIT_S} s")
--- a/packages/commands/src/damaskwind/commands/tests/data_path_traffic.py
+++ b/packages/commands/src/damaskwind/commands/tests/data_path_traffic.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import tempfile
-import time
 from pathlib import Path
 
 from openai import AsyncOpenAI
@@ -16,6 +15,7 @@
     stream_text,
 )
 from damaskwind.runtime.bridge import to_deferred
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.harness import wait_until
 
 __all__ = [
@@ -133,8 +133,7 @@
         """Wait for a while in which traffic goes on."""
         traffic.forget()
         await wait_until(
-            lambda: time.monotonic() > since_s + duration_s
-            and len(traffic.answers) > WATCHED_ANSWERS,
+            lambda: read_clock() > since_s + duration_s and len(traffic.answers) > WATCHED_ANSWERS,
             30,
             "traffic after the leave",
         )
--- a/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
+++ b/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
@@ -9,7 +9,6 @@
 import json
 import shutil
 import tempfile
-import time
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +30,7 @@
 from damaskwind.control.audit.entry import AuditEntry, decode_entry
 from damaskwind.control.operator_api.authentication import hash_key
 from damaskwind.runtime.bridge import to_deferred, to_future
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import parse_address
 from damaskwind.standins.faulty_network import FaultyNetwork
 from damaskwind.standins.harness import Harness, HarnessError, wait_until
@@ -319,10 +319,10 @@
 
     async def time_in_force(self, names: list[str], revision: int) -> float:
         """Wait until these routers enforce a revision; return how long it took."""
-        started_s = time.monotonic()
+        started_s = read_clock()
         what = f"revision {revision} in force"
         await wait_until(lambda: self.in_force(names, revision), DEADLINE_S, what)
-        return time.monotonic() - started_s
+        return read_clock() - started_s
 
     async def _watch_routers(self) -> None:
         """Note over and over what each router enforces."""
--- a/packages/commands/src/damaskwind/commands/tests/test_faults_control.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_control.py
@@ -3,8 +3,6 @@
 Delays are printed, never asserted: the machine that runs this may be busy.
 """
 
-import time
-
 from damaskwind.commands.tests.fault_cluster import (
     DEADLINE_S,
     DOMAINS,
@@ -13,6 +11,7 @@
     viewer_intent,
 )
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.harness import wait_until
 
 
@@ -39,20 +38,20 @@
 
         cluster.isolate(leader, but_for=("stranded",))
         cluster.cut(*(("stranded", name) for name in others))
-        cut_s = time.monotonic()
+        cut_s = read_clock()
         status, body = await cluster.ask(leader, "POST", f"/plans/{open_plan}/confirm", {})
-        refused_s = time.monotonic() - cut_s
+        refused_s = read_clock() - cut_s
         self.assertIn(status, (503, 504), body)
         self.assertEqual(body["error"]["nothing_changed"], status == 503)
         await wait_until(
             lambda: self.stopped_answering(leader), DEADLINE_S, "the end of its leadership"
         )
-        stopped_s = time.monotonic() - cut_s
+        stopped_s = read_clock() - cut_s
         status, body = await cluster.ask(leader, "POST", "/intents", viewer_intent("minority"))
         self.assertEqual((status, body["error"]["code"]), (503, "no_quorum"))
 
         during = await cluster.change_somewhere(others, "during")
-        going_on_s = time.monotonic() - cut_s
+        going_on_s = read_clock() - cut_s
         in_force_s = await cluster.time_in_force(routers, during.revision)
         self.assertEqual(during.revision, before.revision + 1)
 
--- a/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_leaving.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_data_path_leaving.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-import time
 
 from damaskwind.commands.tests.data_path_fleet import DOMAINS
 from damaskwind.commands.tests.data_path_traffic import LONG_TOKENS, SLOW, Traffic, TrafficTestCase
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 
 # Small domains keep no lease much shorter: see `lease_floor_s` of the membership.
 LEASE_S = 10.0
@@ -40,7 +40,7 @@
         await fleet.set_routers("silent", [])
         for target in ("engine-0", "silent"):
             await fleet.live(target, "leave")
-        await self.watch(time.monotonic(), WATCHED_S, traffic)
+        await self.watch(read_clock(), WATCHED_S, traffic)
         await traffic.stop()
         oracles = await fleet.oracles()
         self.assertEqual(oracles["engine-0"]["late"], {})
--- a/packages/control/src/damaskwind/control/claim_holding.py
+++ b/packages/control/src/damaskwind/control/claim_holding.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
-from time import monotonic
 from typing import Any
 
 from grpclib.const import Status
@@ -23,6 +22,7 @@
 from damaskwind.control.claims.start import begin_start
 from damaskwind.control.replica.node import ReplicaNode
 from damaskwind.decisions.claims.holder import ClaimHolder, HolderPolicy
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import ReplicaSettings, parse_address
 from damaskwind.wire.authentication import CallVerifier
 from damaskwind.wire.claims_grpc import ClaimsBase
@@ -53,11 +53,11 @@
             base + start.incarnation,
             holder_ids,
             HolderPolicy(ttl_s=ttl_s),
-            monotonic(),
+            read_clock(),
             start.is_first_start,
         )
         if start.kept is not None:
-            holder.resume(start.kept, monotonic())
+            holder.resume(start.kept, read_clock())
         return holder
 
     async def stop(self) -> None:
@@ -65,7 +65,7 @@
         if self.inner is None:
             return
         holder, self.inner = self.inner.holder, None
-        memory = holder.stop(monotonic())
+        memory = holder.stop(read_clock())
         if memory is None or self._folder is None:
             return
         write = partial(write_kept, self._folder, holder.holder_id, self._start, memory)
@@ -131,6 +131,6 @@
         # The thread writes into the folder, which this process is about to give back.
         await asyncio.wait([making])
         raise
-    holding.inner = ClaimHolderService(holder, verifier, monotonic)
+    holding.inner = ClaimHolderService(holder, verifier, read_clock)
     holding.set_ttl(ttl_s())
-    await catch_up(holder, addresses, node.signer, monotonic)
+    await catch_up(holder, addresses, node.signer, read_clock)
--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -4,7 +4,6 @@
 formats the outcomes.
 """
 
-import time
 from collections.abc import Callable
 from enum import StrEnum
 from itertools import count
@@ -25,6 +24,7 @@
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Delivery
 from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.configuration_read import (
@@ -98,11 +98,11 @@
 
     async def publish(self, document: bytes) -> PublishResult:
         """Publish a document; what is acknowledged is on a majority's disks."""
-        begun_s = time.monotonic()
+        begun_s = read_clock()
         result = await self._publish(document)
         self.tallies.count("publications", status=result.status.value)
         self.tallies.observe(
-            "publication_duration", time.monotonic() - begun_s, status=result.status.value
+            "publication_duration", read_clock() - begun_s, status=result.status.value
         )
         return result
 
@@ -142,12 +142,12 @@
 
     async def _propose(self, access: ProposalPort, version: int, document: bytes) -> CommitOutcome:
         """Put a document in the log, by its difference as long as that comes through."""
-        deadline_s = time.monotonic() + PUBLISH_LIMIT_S
+        deadline_s = read_clock() + PUBLISH_LIMIT_S
         for attempt in count(1):
             machine = self._machine()
             base_version = machine.version if attempt <= DIFFERENCE_ATTEMPTS else 0
             command = publish_command(version, document, base_version, machine.document)
-            outcome = await access.propose(command, deadline_s - time.monotonic())
+            outcome = await access.propose(command, deadline_s - read_clock())
             if outcome.result != PublishOutcome.OTHER_BASE.encode():
                 break
             logger.info("configuration written anew", version=version, base=base_version)
@@ -158,10 +158,10 @@
 
         What this VM's link does not carry in time is to be had from a router.
         """
-        asked_s = time.monotonic()
+        asked_s = read_clock()
         access = self._access()
         is_current = access is not None and await access.read_current(READ_LIMIT_S)
-        vouched_s = time.monotonic() - asked_s
+        vouched_s = read_clock() - asked_s
         if not is_current:
             self.tallies.count("reads", outcome=ReadOutcome.REFUSED)
             why = "no majority vouches for this replica" if access else "the disk is not usable"
--- a/packages/control/src/damaskwind/control/fleet/heard_targets.py
+++ b/packages/control/src/damaskwind/control/fleet/heard_targets.py
@@ -1,8 +1,7 @@
 """Know which targets were heard lately, here or at routers, and which were not by anybody."""
 
-import time
-
 from damaskwind.decisions.membership.target_table import Silence, TargetTable
+from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.news import Heard, HeardOthers
 
 __all__ = ["HEARD_S", "HeardTargets"]
@@ -46,11 +45,11 @@
 
     def are_few_silent(self) -> bool:
         """Tell whether so few targets are silent that they can be told by name."""
-        return len(self._silence_at(time.monotonic()).target_ids) <= SILENT_TOLD
+        return len(self._silence_at(read_clock()).target_ids) <= SILENT_TOLD
 
     def others(self) -> HeardOthers:
         """Return how all targets stand, but for those that nobody has heard lately."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         silence = self._silence_at(now_s)
         age_s = round(now_s - silence.others_heard_s, 2)
         return HeardOthers(self._table.digest, age_s, silence.target_ids)
@@ -60,7 +59,7 @@
 
         Routers tell every replica, so that replicas need not tell each other.
         """
-        now_s = time.monotonic()
+        now_s = read_clock()
         self._forget_unheard(now_s)
         heard = self._at_routers | self._here if is_router else self._here
         return tuple(
--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import Callable
 from random import Random
 
@@ -20,6 +19,7 @@
 from damaskwind.control.state.published_configuration import PublishedConfiguration
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.model.exception import StorageError
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import ControlSettings, NodeSettings, ReplicaSettings
 from damaskwind.runtime.tallies import Tallies
 
@@ -135,7 +135,7 @@
             settings.failure_domain,
         )
         control = self._control_settings()
-        started_s = time.monotonic()
+        started_s = read_clock()
         machine = PublishedConfiguration()
         node = open_replica(
             node_settings, control, machine, self._files, self._random, self._silent_since_s
@@ -158,7 +158,7 @@
             identity=node.folder.identity.identity,
             last_index=node.replica.core.last_index,
             version=machine.version,
-            took_s=round(time.monotonic() - started_s, 3),
+            took_s=round(read_clock() - started_s, 3),
         )
 
     def _note_sent(self, size_bytes: int) -> None:
@@ -193,7 +193,7 @@
             await server.wait_closed()
         if node is not None:
             await node.stop()
-            self._silent_since_s = time.monotonic()
+            self._silent_since_s = read_clock()
 
     def _disk_failed(self, error: StorageError) -> None:
         """Close the log and open it again: what the disk holds has to be read anew."""
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -15,6 +15,7 @@
 from damaskwind.decisions.membership.report_places import ReportPlaces
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.membership.target_table import Changes, TargetTable
+from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.news import Heard, News, NewsRequest, SubscriberKind
 
 __all__ = ["NewsBoard"]
@@ -103,7 +104,7 @@
 
     def report(self, record: TargetRecord) -> bool:
         """Take a target's own report; tell whether it changed anything."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         changed = self.table.report(record, now_s)
         held = self.table.record_of(record.target_id)
         if held is not None and (held.service, held.born_ms) == (record.service, record.born_ms):
@@ -114,7 +115,7 @@
 
     def leave(self, target_id: str) -> bool:
         """Take a target's word that it is gone."""
-        changed = self.table.leave(target_id, time.monotonic(), int(time.time() * 1000))
+        changed = self.table.leave(target_id, read_clock(), int(time.time() * 1000))
         self._heard.drop(target_id)
         if changed:
             self._note_change()
@@ -122,7 +123,7 @@
 
     def merge(self, records: Iterable[TargetRecord], heard: Iterable[Heard]) -> None:
         """Take what another replica knows."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         changed = [self.table.take(record, now_s) for record in records]
         for target_id, age_s, born_ms in heard:
             self.table.hear(target_id, now_s - age_s, born_ms)
@@ -131,7 +132,7 @@
 
     def suspect(self, items: Iterable[Suspicion]) -> list[bytes]:
         """Take what a router or another replica knows of fatal requests; return what was news."""
-        news = self.suspicions.merge(items, time.monotonic())
+        news = self.suspicions.merge(items, read_clock())
         if news and self._waiters and self._waking is None:
             loop = asyncio.get_running_loop()
             self._waking = loop.call_later(SUSPICIONS_GATHERED_S, self.wake)
@@ -139,7 +140,7 @@
 
     def _note_change(self) -> None:
         """Have everyone look at the table, soon if there are many targets."""
-        self._changed_s = time.monotonic()
+        self._changed_s = read_clock()
         if not self.is_large:
             self.wake()
         elif self._waiters and self._waking is None:
@@ -168,9 +169,9 @@
         """Wait until there are news for a subscriber, or it has waited long enough."""
         revision = self._revision_of(request)
         self._note(request, revision)
-        deadline_s = time.monotonic() + request.wait_s
+        deadline_s = read_clock() + request.wait_s
         while not self._has_news(request, revision):
-            if not await self._wait(deadline_s - time.monotonic()):
+            if not await self._wait(deadline_s - read_clock()):
                 break
 
     def _revision_of(self, request: NewsRequest) -> int:
@@ -201,20 +202,20 @@
 
     async def wait_told(self, revision: int, limit_s: float) -> bool:
         """Wait until all replicas that ask here have a revision; tell whether they do."""
-        deadline_s = time.monotonic() + limit_s
+        deadline_s = read_clock() + limit_s
         while not self._are_told(revision):
-            if not await self._wait(deadline_s - time.monotonic()):
+            if not await self._wait(deadline_s - read_clock()):
                 return False
         return True
 
     def routers(self) -> int:
         """Return how many routers ask here."""
-        self._forget_silent(time.monotonic())
+        self._forget_silent(read_clock())
         return len(self._routers)
 
     def passing_places(self) -> list[PassingPlace]:
         """Return where routers that ask here pass documents on, the last to ask first."""
-        self._forget_silent(time.monotonic())
+        self._forget_silent(read_clock())
         places = (item.passes_on for item in reversed(self._subscriptions.values()))
         return [place for place in places if place.host]
 
@@ -245,14 +246,14 @@
                 self._routers.remove(node_id)
 
     def _are_told(self, revision: int) -> bool:
-        self._forget_silent(time.monotonic())
+        self._forget_silent(read_clock())
         present = self._subscriptions.values()
         replicas = [item for item in present if item.kind == SubscriberKind.REPLICA]
         return all(item.revision >= revision for item in replicas)
 
     def _note(self, request: NewsRequest, revision: int) -> None:
         """Note who asks; what a subscriber has may be what another waits for."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         before = self._subscriptions.pop(request.node_id, None)
         if before is None and request.kind == SubscriberKind.ROUTER:
             insort(self._routers, request.node_id)
@@ -304,7 +305,7 @@
 
         Without room, changes among many targets are left out; the subscriber asks again.
         """
-        now_s = time.monotonic()
+        now_s = read_clock()
         changes = self._changes_for(request, has_room)
         suspicions, suspicions_revision = self.suspicions.changed_since(
             request.suspicions_seen if self.knows(request) else 0, SUSPICIONS_AT_ONCE, now_s
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-import time
 from collections.abc import Awaitable, Callable
 from importlib import import_module
 from pathlib import Path
@@ -32,6 +31,7 @@
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.load_meter import LoadMeter
@@ -88,7 +88,7 @@
         self._files = files or FileSystem()
         self._random = Random(secrets.randbits(64))
         self._handler = handler
-        self._started_s = time.monotonic() if started_s is None else started_s
+        self._started_s = read_clock() if started_s is None else started_s
         self._no_log = PublishedConfiguration()
         self._log: LogHost | None = None
         self.board = NewsBoard(self._version, self._is_current, self._hosts, self._leads)
@@ -169,10 +169,10 @@
         show("log_opened", "1 while the disk is usable", lambda: float(self._access() is not None))
 
     def _suspected(self) -> float:
-        return self.board.suspicions.count(Standing.SUSPECTED, time.monotonic())
+        return self.board.suspicions.count(Standing.SUSPECTED, read_clock())
 
     def _held_fatal(self) -> float:
-        return self.board.suspicions.count(Standing.FATAL, time.monotonic())
+        return self.board.suspicions.count(Standing.FATAL, read_clock())
 
     def _recall(self) -> None:
         """Take up what was known before a restart.
@@ -198,7 +198,7 @@
     def _state(self) -> KeptState:
         """Return what is to be kept."""
         records = self.board.table.changed_since(0).records
-        suspicions, _ = self.board.suspicions.changed_since(0, MOST_REQUESTS, time.monotonic())
+        suspicions, _ = self.board.suspicions.changed_since(0, MOST_REQUESTS, read_clock())
         return KeptState(self._version(), self._packed(), records, suspicions)
 
     def _version(self) -> int:
@@ -246,8 +246,8 @@
             await asyncio.sleep(UPKEEP_S)
             self.follow(self._hosts())
             self._keeper.consider()
-            self.board.suspicions.forget(time.monotonic())
-            for target_id in self.board.table.forget(time.monotonic()):
+            self.board.suspicions.forget(read_clock())
+            for target_id in self.board.table.forget(read_clock()):
                 logger.info("target forgotten", target=target_id)
 
     def follow(self, hosts: tuple[str, ...]) -> None:
--- a/packages/control/src/damaskwind/control/fleet/tests/test_news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_board.py
@@ -1,12 +1,9 @@
 """Tests of the news: at once when there is something, late when there is nothing."""
 
 import asyncio
-import time
-from unittest.mock import patch
 
 from twisted.trial.unittest import TestCase
 
-from damaskwind.control.fleet import news_board
 from damaskwind.control.fleet.heard_targets import HEARD_S
 from damaskwind.control.fleet.news_board import (
     DISAGREES_S,
@@ -19,6 +16,7 @@
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import clock_in_force, read_clock
 from damaskwind.wire.news import NewsRequest, SubscriberKind, decode_news, decode_request, encode
 
 
@@ -51,7 +49,7 @@
         for node in ("r1", "r2"):
             request = self.request(node=node, wait_s=0.01, held=(HeldCount(7, 2),))
             await self.board.wait_for_news(decode_request(encode(request)))
-        held = self.board.held.total(time.monotonic())
+        held = self.board.held.total(read_clock())
         self.assertEqual((held.counts, held.routers), ((HeldCount(7, 4),), 2))
         news = self.board.news(self.request(), held)
         self.assertEqual(decode_news(encode(news)), news)
@@ -69,14 +67,14 @@
     async def test_replicas_tell_no_requests(self):
         request = self.request(kind=SubscriberKind.REPLICA, wait_s=0.01)
         await self.board.wait_for_news(request)
-        self.assertEqual(self.board.held.total(time.monotonic()), HeldSum())
+        self.assertEqual(self.board.held.total(read_clock()), HeldSum())
 
     @asyncio_test
     async def test_nothing_new_is_said_after_the_wait(self):
         self.board.report(record())
-        started_s = time.monotonic()
+        started_s = read_clock()
         news = await self.board.answer(self.request())
-        self.assertGreater(time.monotonic() - started_s, 0.15)
+        self.assertGreater(read_clock() - started_s, 0.15)
         self.assertEqual(news.records, ())
         self.assertEqual([item.target_id for item in news.heard], ["t"])
 
@@ -156,10 +154,10 @@
 
     def pass_time(self, seconds):
         """Have all that was noted so far be this much older."""
-        later_s = time.monotonic() + seconds
-        clock = patch.object(news_board.time, "monotonic", lambda: later_s)
-        clock.start()
-        self.addCleanup(clock.stop)
+        later_s = read_clock() + seconds
+        clock = clock_in_force(lambda: later_s)
+        clock.__enter__()
+        self.addCleanup(clock.__exit__, None, None, None)
 
     @asyncio_test
     async def test_a_router_with_the_same_table_is_told_who_is_silent(self):
--- a/packages/control/src/damaskwind/control/fleet/tests/test_process.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_process.py
@@ -11,6 +11,7 @@
 from damaskwind.control.fleet.settings import FleetControlSettings
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import connect, fetch
 from damaskwind.runtime.http1.messages import Request
 from damaskwind.runtime.settings import parse_address
@@ -42,12 +43,12 @@
         with patch.object(process, "import_module", slow_import):
             starting = process.asyncio.ensure_future(replica.start())
             await process.asyncio.sleep(0)
-            asked_s = time.monotonic()
+            asked_s = read_clock()
             connection = await connect(Address(host, settings.news_port), 1.0)
             body = encode(NewsRequest("r", SubscriberKind.ROUTER, "", 0, 0, 0.0))
             request = Request(b"POST", NEWS_PATH, [(b"host", b"c")], body)
             answer = await fetch(connection, request, LIMIT_BYTES)
-            took_s = time.monotonic() - asked_s
+            took_s = read_clock() - asked_s
             connection.abort()
             await starting
         await replica.stop()
--- a/packages/control/src/damaskwind/control/orders/sender.py
+++ b/packages/control/src/damaskwind/control/orders/sender.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from random import Random
-from time import monotonic
 from typing import Any
 
 import treq
@@ -14,6 +13,7 @@
 from damaskwind.control.state.order_book import TargetOrder
 from damaskwind.model.prefix import parse_model_name
 from damaskwind.runtime.bridge import to_future
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["OrderSender", "wanted_table"]
 
@@ -67,7 +67,7 @@
                 if term is None:
                     self._abort()
                 else:
-                    for order in self._delivery.due(self._orders(), term, monotonic()):
+                    for order in self._delivery.due(self._orders(), term, read_clock()):
                         self._begin(order, term)
                 await asyncio.sleep(POLL_S)
         finally:
@@ -92,7 +92,7 @@
         except Exception as error:  # whatever the network or the target did, it is tried again
             logger.debug("order not sent", target=order.target_id, error=repr(error))
         finally:
-            self._delivery.ended(order, term, result, monotonic())
+            self._delivery.ended(order, term, result, read_clock())
         if result is not AttemptResult.FAILED:
             number = order.fencing_number
             logger.info("order ended", target=order.target_id, number=number, result=str(result))
--- a/packages/control/src/damaskwind/control/replica/forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
 from typing import Any
 
 from grpclib.const import Status
@@ -29,6 +28,7 @@
 )
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import parse_address
 from damaskwind.wire import replication_pb2
 from damaskwind.wire.authentication import CallSigner, call_unary
@@ -65,20 +65,20 @@
 
     async def propose(self, payload: bytes, timeout_s: float) -> CommitOutcome:
         """Propose a command for the state machine and wait until it is applied here."""
-        deadline_s = monotonic() + timeout_s
+        deadline_s = read_clock() + timeout_s
         outcome = await self.commit(machine_command(payload), timeout_s)
         return await self._outcome_here(outcome, deadline_s)
 
     async def read_current(self, timeout_s: float) -> bool:
         """Wait until the state here holds all that a majority had confirmed."""
-        deadline_s = monotonic() + timeout_s
+        deadline_s = read_clock() + timeout_s
         while self.replica.failure is None:
-            left_s = deadline_s - monotonic()
+            left_s = deadline_s - read_clock()
             if left_s <= 0:
                 return False
             index = await self._read_index(min(left_s, READ_ATTEMPT_S))
             if index is not None:
-                return await self._wait_for(index, deadline_s - monotonic())
+                return await self._wait_for(index, deadline_s - read_clock())
             await asyncio.sleep(RETRY_PAUSE_S)
         return False
 
@@ -112,7 +112,7 @@
             failure_domain=failure_domain,
             timeout_ms=int(timeout_s * 1000),
         )
-        deadline_s = monotonic() + timeout_s
+        deadline_s = read_clock() + timeout_s
         outcome = await self.change(request, timeout_s)
         return await self._outcome_here(outcome, deadline_s)
 
@@ -133,10 +133,10 @@
 
     async def propose_here(self, request: Any, timeout_s: float) -> ProposalOutcome:
         """Propose an entry at this replica, which must lead."""
-        started_s = monotonic()
+        started_s = read_clock()
         outcome = await self.replica.propose(request.payload, timeout_s)
         for callback in self.on_proposed:
-            callback(outcome, monotonic() - started_s)
+            callback(outcome, read_clock() - started_s)
         return outcome
 
     async def change_here(self, request: Any, timeout_s: float) -> ProposalOutcome:
@@ -208,10 +208,10 @@
 
     async def _at_leader(self, method: str, request: Any, timeout_s: float) -> ProposalOutcome:
         """Have the leader carry a request out; try the next one after a sure refusal."""
-        deadline_s = monotonic() + timeout_s
+        deadline_s = read_clock() + timeout_s
         outcome = _refused(RefusalReason.NO_QUORUM)
         while self.replica.failure is None:
-            left_s = deadline_s - monotonic()
+            left_s = deadline_s - read_clock()
             if left_s <= 0:
                 return outcome
             request.timeout_ms = max(int(left_s * 1000), 1)
@@ -276,7 +276,7 @@
         if outcome.outcome is not Outcome.COMMITTED:
             verdict = CommitVerdict(outcome.outcome.value)
             return CommitOutcome(verdict, b"", hint, str(outcome.reason or ""))
-        left_s = deadline_s - monotonic()
+        left_s = deadline_s - read_clock()
         if not await self._wait_for(outcome.index, left_s):
             detail = "committed, but not applied here yet"
             return CommitOutcome(CommitVerdict.UNKNOWN, b"", hint, detail)
--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -10,7 +10,6 @@
 
 import asyncio
 from random import Random
-from time import monotonic
 from typing import Any
 
 from loguru import logger
@@ -21,6 +20,7 @@
 from damaskwind.control.storage.folder import DataFolder
 from damaskwind.control.storage.journal import Journal
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import ReplicaSettings, parse_address
 from damaskwind.wire import replication_pb2
 from damaskwind.wire.authentication import CallSigner, call_unary
@@ -101,8 +101,8 @@
         while replica.is_running:
             await asyncio.sleep(LEFT_OUT_S / 4)
             if replica.is_leader:
-                led_s = monotonic()
-            silent_s = monotonic() - max(led_s, replica.core.leader_heard_s)
+                led_s = read_clock()
+            silent_s = read_clock() - max(led_s, replica.core.leader_heard_s)
             if not replica.has_log or silent_s < LEFT_OUT_S:
                 continue
             members = replica.core.membership.voters + replica.core.membership.learners
--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -9,7 +9,6 @@
 from collections import deque
 from collections.abc import Callable
 from random import Random
-from time import monotonic
 from typing import Any
 from uuid import uuid4
 
@@ -56,6 +55,7 @@
     Timing,
 )
 from damaskwind.model.exception import StorageError
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["Replica"]
 
@@ -114,7 +114,7 @@
             log,
             self.timing,
             self._random,
-            monotonic(),
+            read_clock(),
             self._silent_since_s,
         )
 
@@ -135,7 +135,7 @@
 
     def leads_in_term(self) -> int | None:
         """Return the term that this replica leads under its lease, or `None`."""
-        is_sure = self.is_leader and self.core.holds_lease(monotonic())
+        is_sure = self.is_leader and self.core.holds_lease(read_clock())
         return self.core.term if is_sure else None
 
     @property
@@ -147,7 +147,7 @@
         """
         if not self.is_running:
             return False
-        now_s = monotonic()
+        now_s = read_clock()
         if self.core.holds_lease(now_s):
             return True
         is_fresh = now_s - self._leader_heard_s < self.timing.election_timeout_min_s
@@ -186,7 +186,7 @@
         is_from_leader = isinstance(envelope.message, AppendRequest | SnapshotRequest)
         self.feed(Received(envelope))
         if is_from_leader and envelope.message.term == self.core.term:
-            self._leader_heard_s = monotonic()
+            self._leader_heard_s = read_clock()
 
     async def propose(self, payload: bytes, timeout_s: float) -> ProposalOutcome:
         """Propose a command here; only a leader takes it."""
@@ -220,7 +220,7 @@
         self._is_stepping = True
         try:
             while self._events and self.failure is None:
-                for output in self.core.step(self._events.popleft(), monotonic()):
+                for output in self.core.step(self._events.popleft(), read_clock()):
                     _HANDLERS[type(output)](self, output)
         finally:
             self._is_stepping = False
--- a/packages/control/src/damaskwind/control/replica/tests/test_joining.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_joining.py
@@ -1,7 +1,6 @@
 """Tests of when a replica asks to be added again."""
 
 import asyncio
-from time import monotonic
 from types import SimpleNamespace
 from unittest.mock import patch
 
@@ -11,6 +10,7 @@
 from damaskwind.decisions.replication.messages import Member, Membership
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.authentication import CallSigner
 
 LEFT_OUT_S = 0.4
@@ -23,7 +23,7 @@
 
     def setUp(self):
         members = Membership((Member("a", "a1"), Member("b", "b1")))
-        core = SimpleNamespace(leader_heard_s=monotonic() - 60.0, membership=members)
+        core = SimpleNamespace(leader_heard_s=read_clock() - 60.0, membership=members)
         addresses = SimpleNamespace(address_of=lambda replica_id: None)
         self.replica = SimpleNamespace(
             member=members.voters[0],
@@ -63,12 +63,12 @@
         silent = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
         port = silent.sockets[0].getsockname()[1]
         channels = joining.Channels()
-        begun_s = monotonic()
+        begun_s = read_clock()
         found = await joining._answering(
             [Address("127.0.0.1", port)] * 3, channels, CallSigner("c", "k", "a")
         )
         self.assertEqual(found, [])
-        self.assertLess(monotonic() - begun_s, joining.HELLO_TIMEOUT_S + 0.5)
+        self.assertLess(read_clock() - begun_s, joining.HELLO_TIMEOUT_S + 0.5)
         channels.close()
         silent.close()
 
--- a/packages/control/src/damaskwind/control/replica/transport.py
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -17,6 +16,7 @@
 from damaskwind.control.replica.codec import encode_envelope
 from damaskwind.decisions.replication.messages import Envelope
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.replication_grpc import ReplicationStub
 from damaskwind.wire.replication_pb2 import CoreMessages
@@ -101,7 +101,7 @@
 
     def slowest_call_s(self) -> float:
         """Return the longest of each peer's call under way, or else its last one."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         spans = (
             queue.last_call_s if queue.called_s is None else now_s - queue.called_s
             for queue in self._queues.values()
@@ -142,9 +142,9 @@
             await queue.waiting.wait()
             queue.waiting.clear()
             while queue.bodies and not self._is_closed:
-                queue.called_s = time.monotonic()
+                queue.called_s = read_clock()
                 has_arrived = await self._send_batch(replica_id, queue)
-                queue.last_call_s = time.monotonic() - queue.called_s
+                queue.last_call_s = read_clock() - queue.called_s
                 queue.called_s = None
                 if has_arrived:
                     backoff_s = BACKOFF_FIRST_S
--- a/packages/control/src/damaskwind/control/router_reports.py
+++ b/packages/control/src/damaskwind/control/router_reports.py
@@ -1,7 +1,6 @@
 """Know what every router enforces: the own followers and those of the other replicas."""
 
 import asyncio
-from time import monotonic
 from typing import Any
 
 from loguru import logger
@@ -10,6 +9,7 @@
 from damaskwind.control.replica.replica import Replica
 from damaskwind.control.replica.transport import CALL_ERRORS, Channels
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.follow_grpc import FollowStub
 from damaskwind.wire.follow_pb2 import EnforcedRequest, FollowerReport
@@ -24,7 +24,7 @@
     """The newest report of each router, from whichever replica has it."""
 
     def __init__(self, replica: Replica, signer: CallSigner) -> None:
-        self.own = RouterStatusBook(monotonic)
+        self.own = RouterStatusBook(read_clock)
         self._replica = replica
         self._signer = signer
         self._channels = Channels()
@@ -45,7 +45,7 @@
 
     def in_force(self) -> list[RouterInForce]:
         """Return the newest report of each router."""
-        now_s = monotonic()
+        now_s = read_clock()
         newest = {item.router_id: item for item in self.own.in_force()}
         for replica_id, reports in self._of_others.items():
             since_s = now_s - self._polled_s[replica_id]
@@ -82,7 +82,7 @@
             logger.debug("reports not read", replica=replica_id, error=repr(error))
             self._channels.drop(address)
             return
-        self._polled_s[replica_id] = monotonic()
+        self._polled_s[replica_id] = read_clock()
         self._of_others[replica_id] = tuple(
             RouterInForce(
                 item.router_id, item.failure_domain, item.applied_revision, item.age_ms / 1000
--- a/packages/control/src/damaskwind/control/storage/writer.py
+++ b/packages/control/src/damaskwind/control/storage/writer.py
@@ -6,11 +6,11 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from time import monotonic
 from typing import Any
 
 from damaskwind.control.storage.journal import Journal, JournalWrite
 from damaskwind.model.exception import StorageError
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["GroupCommitWriter"]
 
@@ -67,9 +67,9 @@
         try:
             while self._pending and not self._failed:
                 group, self._pending = self._pending, []
-                started_s = monotonic()
+                started_s = read_clock()
                 await loop.run_in_executor(self._thread, self._journal.write, group)
-                self._note_duration(monotonic() - started_s)
+                self._note_duration(read_clock() - started_s)
                 self._on_durable(group)
         except StorageError as error:
             self._failed = True
--- a/packages/control/src/damaskwind/control/telemetry.py
+++ b/packages/control/src/damaskwind/control/telemetry.py
@@ -1,7 +1,6 @@
 """The metrics of a control process: its log, its disk, its state and its callers."""
 
 from collections.abc import Callable
-from time import monotonic
 
 from damaskwind.control.claim_holding import ClaimHolding
 from damaskwind.control.replica.forwarding import LogAccess
@@ -11,6 +10,7 @@
 from damaskwind.control.storage.writer import GroupCommitWriter
 from damaskwind.decisions.replication.events import ProposalOutcome
 from damaskwind.decisions.replication.messages import Outcome
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.metrics import Metrics, Sample
 from damaskwind.wire.authentication import AuthenticationOutcome, CallVerifier
 from damaskwind.wire.follow_service import FollowService
@@ -148,4 +148,4 @@
 
 def _is_voting(holding: ClaimHolding) -> bool:
     """Tell whether the holder votes."""
-    return holding.inner is not None and holding.inner.holder.is_voting(monotonic())
+    return holding.inner is not None and holding.inner.holder.is_voting(read_clock())
--- a/packages/control/src/damaskwind/control/tests/test_claim_holding.py
+++ b/packages/control/src/damaskwind/control/tests/test_claim_holding.py
@@ -1,5 +1,3 @@
-from time import monotonic
-
 import treq
 from twisted.trial.unittest import TestCase
 
@@ -8,6 +6,7 @@
 from damaskwind.control.tests.test_process import until
 from damaskwind.decisions.claims.messages import Ballot, Order
 from damaskwind.runtime.bridge import asyncio_test, to_future
+from damaskwind.runtime.clock import read_clock
 
 
 class ClaimHoldingTest(TestCase):
@@ -25,7 +24,7 @@
         self.process = await start_single(self)
         holding = self.process.holding
         try:
-            await until(lambda: holding.inner and holding.inner.holder.is_voting(monotonic()))
+            await until(lambda: holding.inner and holding.inner.holder.is_voting(read_clock()))
             self.assertEqual(holding.inner.holder.policy.ttl_s, 3600.0)
             plan = await self.post("/intents", {"policy": {"idempotency_ttl_s": 77.0}})
             await self.post(f"/plans/{plan['plan']['id']}/confirm", {})
@@ -39,15 +38,15 @@
         ballot = Ballot(3, "request")
         try:
             holding = self.process.holding
-            await until(lambda: holding.inner and holding.inner.holder.is_voting(monotonic()))
+            await until(lambda: holding.inner and holding.inner.holder.is_voting(read_clock()))
             first = holding.inner.holder
-            first.order(Order("key", ballot), monotonic())
+            first.order(Order("key", ballot), read_clock())
             await self.process.stop()
             self.process = await start_control(self.process.settings)
             holding = self.process.holding
-            await until(lambda: holding.inner and holding.inner.holder.is_voting(monotonic()))
+            await until(lambda: holding.inner and holding.inner.holder.is_voting(read_clock()))
             self.assertGreater(holding.inner.holder.incarnation, first.incarnation)
-            reply = holding.inner.holder.order(Order("key", Ballot(2, "late")), monotonic())
+            reply = holding.inner.holder.order(Order("key", Ballot(2, "late")), read_clock())
             self.assertEqual(reply.promised, ballot)
         finally:
             await self.process.stop()
--- a/packages/control/src/damaskwind/control/tests/test_process.py
+++ b/packages/control/src/damaskwind/control/tests/test_process.py
@@ -6,7 +6,6 @@
 import tempfile
 from pathlib import Path
 from random import Random
-from time import monotonic
 
 import treq
 from twisted.internet import reactor
@@ -19,6 +18,7 @@
 from damaskwind.model.targets import FencingMode
 from damaskwind.router.configuration.follower import ConfigurationFollower
 from damaskwind.runtime.bridge import asyncio_test, to_future
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import ControlSettings, NodeSettings, ReplicaSettings, Settings
 from damaskwind.standins.engine import EngineStandin
 from damaskwind.standins.settings import EngineSettings
@@ -94,7 +94,7 @@
 
     def votes(self, name):
         inner = self.running[name].holding.inner
-        return inner is not None and inner.holder.is_voting(monotonic())
+        return inner is not None and inner.holder.is_voting(read_clock())
 
     def voter_count(self, name):
         return len(self.running[name].replica.core.membership.voters)
--- a/packages/control/src/damaskwind/control/tests/test_telemetry.py
+++ b/packages/control/src/damaskwind/control/tests/test_telemetry.py
@@ -1,6 +1,5 @@
 import re
 from random import Random
-from time import monotonic
 
 import treq
 from grpclib.client import Channel
@@ -12,6 +11,7 @@
 from damaskwind.router.claims.client import ClaimsClient
 from damaskwind.router.configuration.follower import ConfigurationFollower
 from damaskwind.runtime.bridge import asyncio_test, to_future
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import parse_address
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.replication_grpc import ReplicationStub
@@ -28,7 +28,7 @@
         self.replicas = self.process.settings.control.bootstrap_replicas
         holding = self.process.holding
         await until(lambda: self.process.replica.is_leader)
-        await until(lambda: holding.inner and holding.inner.holder.is_voting(monotonic()))
+        await until(lambda: holding.inner and holding.inner.holder.is_voting(read_clock()))
 
     async def scrape(self):
         """Return the samples of the page by name and labels."""
@@ -83,7 +83,7 @@
         address = parse_address(self.replicas[0].address)
         signer = CallSigner("kl", "key", "router-1")
         follower = ConfigurationFollower("router-1", "domain-a", signer, self.replicas, Random(1))
-        claims = ClaimsClient([("a", address)], "kl", "key", "router-1", Random(2), monotonic)
+        claims = ClaimsClient([("a", address)], "kl", "key", "router-1", Random(2), read_clock)
         channel = Channel(*address)
         hello = ReplicationStub(channel).Hello
         try:
--- a/packages/router/src/damaskwind/router/claims/tests/holders.py
+++ b/packages/router/src/damaskwind/router/claims/tests/holders.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import socket
-import time
 
 from grpclib.server import Server
 
@@ -11,6 +10,7 @@
 from damaskwind.control.claims.service import ClaimHolderService
 from damaskwind.decisions.claims.holder import ClaimHolder, HolderPolicy
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.authentication import CallSigner, CallVerifier
 
 __all__ = ["CLUSTER", "KEY", "Holders"]
@@ -35,8 +35,8 @@
 
     async def start(self, holder_id: str, incarnation: int, first: bool = False) -> ClaimHolder:
         """Start a holder, on the port that it had before if any."""
-        holder = ClaimHolder(holder_id, incarnation, self.ids, self.policy, time.monotonic(), first)
-        service = ClaimHolderService(holder, CallVerifier(CLUSTER, KEY), time.monotonic)
+        holder = ClaimHolder(holder_id, incarnation, self.ids, self.policy, read_clock(), first)
+        service = ClaimHolderService(holder, CallVerifier(CLUSTER, KEY), read_clock)
         before = self.addresses.get(holder_id, Address("127.0.0.1", 0))
         listener = socket.create_server(tuple(before))
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -56,7 +56,7 @@
         """Let a restarted holder read the others until it votes."""
         others = {name: where for name, where in self.addresses.items() if name != holder_id}
         signer = CallSigner(CLUSTER, KEY, holder_id)
-        reading = catch_up(self.holders[holder_id], others, signer, time.monotonic, 0.02)
+        reading = catch_up(self.holders[holder_id], others, signer, read_clock, 0.02)
         await asyncio.wait_for(reading, limit_s)
 
     async def close(self) -> None:
--- a/packages/router/src/damaskwind/router/claims/tests/test_client.py
+++ b/packages/router/src/damaskwind/router/claims/tests/test_client.py
@@ -1,7 +1,6 @@
 """Tests of the claims client against real holders on loopback."""
 
 import asyncio
-import time
 from random import Random
 from unittest.mock import patch
 
@@ -14,6 +13,7 @@
 from damaskwind.router.claims.client import ClaimsClient
 from damaskwind.router.claims.tests.holders import CLUSTER, KEY, Holders
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 
 ANSWER = StoredAnswer(200, "application/json", b'{"done": true}', "digest")
 DONE = Outcome(Verdict.RAN, ANSWER)
@@ -28,7 +28,7 @@
     def make_client(self, router_id, cluster_key=KEY):
         addresses = list(self.holders.addresses.items())
         random = Random(router_id)
-        return ClaimsClient(addresses, CLUSTER, cluster_key, router_id, random, time.monotonic)
+        return ClaimsClient(addresses, CLUSTER, cluster_key, router_id, random, read_clock)
 
     async def tear_down(self):
         for client in self.clients:
@@ -63,7 +63,7 @@
             resent = await self.claim("k", "r2", client=1)
             self.assertEqual((resent.kind, resent.answer), (ClaimKind.DONE, ANSWER))
             holder = await self.holders.start("h0", 2)
-            self.assertFalse(holder.is_voting(time.monotonic()))
+            self.assertFalse(holder.is_voting(read_clock()))
             await self.holders.catch_up("h0")
             await self.holders.kill("h1")
             resent = await self.claim("k", "r3", client=1)
--- a/packages/router/src/damaskwind/router/configuration/follower.py
+++ b/packages/router/src/damaskwind/router/configuration/follower.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from time import monotonic
 
 from loguru import logger
 
@@ -22,6 +21,7 @@
 from damaskwind.router.configuration.call_pace import CallPace
 from damaskwind.router.configuration.state_file import read_state_file, write_state_file
 from damaskwind.router.configuration.upstream import ATTEMPT_BYTES, Upstream, UpstreamUpdate
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import ReplicaSettings, parse_address
 from damaskwind.wire.authentication import CallSigner, CallVerifier
 from damaskwind.wire.configuration_history import decode_revision
@@ -86,8 +86,8 @@
         self._timing = timing or FollowerTiming()
         self._replicas = _near_first(replicas, failure_domain, random)
         rate = CALLS_SHARE * control_bytes_per_s
-        self._stream_pace = CallPace(rate, monotonic())
-        self._ask_pace = CallPace(rate, monotonic())
+        self._stream_pace = CallPace(rate, read_clock())
+        self._ask_pace = CallPace(rate, read_clock())
         self._upstream = Upstream(router_id, failure_domain, signer)
         self._subscribers: list[Callable[[Configuration], None]] = []
         self._candidate: Configuration | None = None
@@ -113,7 +113,7 @@
     @property
     def may_be_behind(self) -> bool:
         """Tell whether no current replica has confirmed the revision in force lately."""
-        return monotonic() > self._current_until_s or self._highest_heard > self.revision
+        return read_clock() > self._current_until_s or self._highest_heard > self.revision
 
     @property
     def received_bytes(self) -> int:
@@ -179,9 +179,9 @@
         turn = 0
         while self._replicas and not self._upstream.is_closed:
             address = self._replicas[turn % len(self._replicas)]
-            await asyncio.sleep(self._stream_pace.pause_s(monotonic()))
-            self._stream_pace.spend(ATTEMPT_BYTES, monotonic())
-            started_s = monotonic()
+            await asyncio.sleep(self._stream_pace.pause_s(read_clock()))
+            self._stream_pace.spend(ATTEMPT_BYTES, read_clock())
+            started_s = read_clock()
             try:
                 await self._watch(address)
             except MessageError as error:
@@ -191,7 +191,7 @@
                 logger.warning(
                     "stream of configurations ended", source=str(address), why=str(error)
                 )
-            if monotonic() - started_s > self._timing.silence_s:
+            if read_clock() - started_s > self._timing.silence_s:
                 backoff_s = self._timing.backoff_first_s
             turn += 1
             if turn % len(self._replicas) == 0 or len(self._replicas) == 1:
@@ -241,7 +241,7 @@
         if self._keeping is not None:
             await asyncio.shield(self._keeping)
         if update.is_current and encoded.revision == self.revision:
-            self._current_until_s = monotonic() + self._timing.silence_s
+            self._current_until_s = read_clock() + self._timing.silence_s
 
     def _offer(self, whole: Configuration, source: str, is_current: bool) -> None:
         """Apply a configuration, or hold it back while others may know a higher one."""
@@ -314,14 +314,14 @@
             await self._ask_round()
             pause_s = self._timing.backoff_first_s
             await asyncio.sleep(self._random.uniform(pause_s / 2, pause_s))
-            await asyncio.sleep(self._ask_pace.pause_s(monotonic()))
+            await asyncio.sleep(self._ask_pace.pause_s(read_clock()))
 
     async def _ask_round(self) -> None:
         """Ask for revisions alone, then fetch the highest from one that has it."""
         peers = self._peers()
         asked = self._random.sample(peers, min(len(peers), ASKED_PEERS))
         addresses = list(dict.fromkeys([*self._replicas, *asked]))
-        self._ask_pace.spend(ATTEMPT_BYTES * len(addresses), monotonic())
+        self._ask_pace.spend(ATTEMPT_BYTES * len(addresses), read_clock())
         revisions = await asyncio.gather(*(self._ask_revision(address) for address in addresses))
         known = sorted(zip(revisions, addresses, strict=True), reverse=True)
         for revision, address in known:
@@ -342,7 +342,7 @@
         """Fetch what a router was said to have, unless it comes by itself first."""
         pause_s = self._timing.hint_delay_s
         try:
-            if monotonic() <= self._current_until_s:
+            if read_clock() <= self._current_until_s:
                 await asyncio.sleep(self._random.uniform(0, pause_s))
             for _ in range(HINT_ATTEMPTS):
                 if self._hints[address] <= self.revision or self._upstream.is_closed:
--- a/packages/router/src/damaskwind/router/fleet_links.py
+++ b/packages/router/src/damaskwind/router/fleet_links.py
@@ -1,7 +1,6 @@
 """What ties a router to the rest of the fleet: gossip, configurations and claims."""
 
 import socket
-import time
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -18,6 +17,7 @@
 from damaskwind.router.failure_domains import near_failure_domains
 from damaskwind.router.membership.service import MembershipService, MembershipSettings
 from damaskwind.runtime.bridge import to_future
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import Settings, parse_address
 from damaskwind.wire.authentication import CallSigner
 
@@ -69,7 +69,7 @@
         node = settings.node
         holders = [(one.replica_id, parse_address(one.address)) for one in replicas]
         return ClaimsClient(
-            holders, node.cluster, node.cluster_key, node.node_id, random, time.monotonic
+            holders, node.cluster, node.cluster_key, node.node_id, random, read_clock
         )
 
     async def start(
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -1,7 +1,6 @@
 """Send a request to one target once, and tell how that ended."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
@@ -17,6 +16,8 @@
 from damaskwind.router.forwarding.call import Call, target_headers
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.target_beliefs import TargetBeliefs
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.clock_loop import last_woken_s
 from damaskwind.runtime.http1.client import (
     AnswerBrokenError,
     AnswerHead,
@@ -109,7 +110,10 @@
         delivery: Delivery,
         may_move: bool,
     ) -> AttemptOutcome:
-        """Send and pass the answer on; with `may_move` give up a target that is silent."""
+        """Send and pass the answer on; with `may_move` give up a target that is silent.
+
+        Raise `TimeoutError` before anything is sent when the caller's time is up.
+        """
         target = placed.target
         try:
             connection = await self.connections.take(
@@ -118,9 +122,12 @@
         except ConnectFailedError as error:
             why = f"no connection: {error}"
             return AttemptOutcome(AttemptEnd.NOT_RUN, why, was_reached=False)
+        if call.left_s() <= 0:
+            self.connections.put_back(target.target_id, connection)
+            raise TimeoutError("the caller's time is up")
         is_engine = call.key is not None
         self._loads.sent(target.target_id, is_engine)
-        waiting = self.activity.begin(target.target_id, time.monotonic())
+        waiting = self.activity.begin(target.target_id, read_clock())
         try:
             return await self._exchange(connection, request, call, placed, delivery, may_move)
         except AnswerBrokenError as error:
@@ -151,11 +158,11 @@
         headers = target_headers(
             request, call, self._names, target.target_id, resume_after, placed.donor
         )
-        sent_s = time.monotonic()
+        sent_s = read_clock()
         connection.send(Request(request.method, request.target, headers, request.body))
         head = await self._head_in_time(connection, call, target.target_id, may_move)
-        first_s = time.monotonic() - sent_s
-        self.activity.heard(target.target_id, time.monotonic())
+        first_s = read_clock() - sent_s
+        self.activity.heard(target.target_id, read_clock())
         self.on_first(call, target.target_id, first_s)
         self._note_load(head, target.target_id)
         if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
@@ -183,13 +190,14 @@
         stall_s = max(STALL_OBJECTIVES * objective_s, STALL_LEAST_S)
         dark_s = max(DARK_OBJECTIVES * objective_s, DARK_LEAST_S)
         reading = asyncio.ensure_future(self._own_head(connection, call))
-        begun_s = time.monotonic()
+        begun_s = read_clock()
         limit_s = dark_s
         try:
             while not (await asyncio.wait([reading], timeout=limit_s))[0]:
-                now_s = time.monotonic()
-                is_dark = self.activity.silent_s(target_id, now_s) > DARK_LEAST_S
-                if is_dark or now_s - begun_s > stall_s:
+                now_s = read_clock()
+                woken_s = last_woken_s()
+                is_dark = self.activity.silent_s(target_id, now_s, woken_s) > DARK_LEAST_S
+                if is_dark or now_s - max(begun_s, woken_s) > stall_s:
                     raise TimeoutError
                 limit_s = DARK_LOOK_S
             return reading.result()
@@ -236,11 +244,10 @@
         delivery.stream_head(head)
         gap_s = max(STALL_GAPS * call.route.gap_objective_s, STALL_GAP_LEAST_S)
         while True:
-            async with asyncio.timeout(gap_s if may_move else None):
-                data = await connection.read_data()
+            data = await self._data_in_time(connection, gap_s if may_move else None)
             if data is None:
                 break
-            self.activity.heard(target.target_id, time.monotonic())
+            self.activity.heard(target.target_id, read_clock())
             delivery.stream_data(data)
             await delivery.drained()
         self.connections.give_back(target.target_id, connection, head.headers)
@@ -248,8 +255,24 @@
             return AttemptOutcome(AttemptEnd.BROKEN, "the stream ended inside an event")
         return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete")
 
+    async def _data_in_time(
+        self, connection: ClientConnection, gap_s: float | None
+    ) -> bytes | None:
+        """Return the next piece; raise `TimeoutError` when none comes in time.
+
+        After this process was away, what came meanwhile is read first.
+        """
+        while True:
+            begun_s = read_clock()
+            try:
+                async with asyncio.timeout(gap_s):
+                    return await connection.read_data()
+            except TimeoutError:
+                if last_woken_s() < begun_s:
+                    raise
+
     def _note_load(self, head: AnswerHead, target_id: str) -> None:
         """Take the target's word on its load."""
         load = parse_target_load(header(head.headers, self._names.target_load))
         if load is not None:
-            self._loads.reported(target_id, load, time.monotonic())
+            self._loads.reported(target_id, load, read_clock())
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -1,7 +1,6 @@
 """One request on its way: what it says, what is in force for it, what became of it."""
 
 import asyncio
-import time
 from itertools import count
 from math import isfinite
 from typing import NamedTuple
@@ -10,6 +9,7 @@
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import KeyedAccount, TrafficRoute
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.messages import Headers, Request, header, without
 
 __all__ = [
@@ -126,7 +126,7 @@
 
     def left_s(self) -> float:
         """Return the time until the deadline or the route's timeout."""
-        return self.deadline_s - time.monotonic()
+        return self.deadline_s - read_clock()
 
 
 def read_facts(headers: Headers, names: HeaderNames) -> CallFacts:
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -1,12 +1,12 @@
 """Keep connections to targets, and hand out only those that are provably clean."""
 
 import asyncio
-import time
 from weakref import WeakSet
 
 from loguru import logger
 
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import ClientConnection, ConnectFailedError, connect
 from damaskwind.runtime.http1.messages import Headers, header
 
@@ -41,7 +41,7 @@
         Raises `ConnectFailedError` when none stands in time: nothing was sent.
         """
         idle = self._idle.get(target_id, [])
-        now_s = time.monotonic()
+        now_s = read_clock()
         while idle:
             connection = idle.pop()
             if connection.is_open and connection.usable_until_s > now_s:
@@ -60,7 +60,7 @@
         if idle_s <= 0:
             connection.close()
             return
-        connection.usable_until_s = time.monotonic() + idle_s
+        connection.usable_until_s = read_clock() + idle_s
         self._idle.setdefault(target_id, []).append(connection)
 
     def is_unreachable(self, target_id: str) -> bool:
@@ -73,10 +73,14 @@
             connection = await connect(address, CONNECT_S)
         except ConnectFailedError:
             return False
-        connection.usable_until_s = time.monotonic() + IDLE_S
-        self._idle.setdefault(target_id, []).append(connection)
+        self.put_back(target_id, connection)
         return True
 
+    def put_back(self, target_id: str, connection: ClientConnection) -> None:
+        """Keep a connection on which nothing was sent."""
+        connection.usable_until_s = read_clock() + IDLE_S
+        self._idle.setdefault(target_id, []).append(connection)
+
     def watch(self, target_id: str, address: Address) -> None:
         """Try to reach a target until it can be reached again."""
         if target_id not in self._watches:
@@ -86,13 +90,13 @@
 
     async def _watch(self, target_id: str, address: Address) -> None:
         """Connect without a request; keep the connection that stands for the next one."""
-        begun_s = time.monotonic()
+        begun_s = read_clock()
         try:
             for _ in range(WATCH_TRIES):
                 await asyncio.sleep(WATCH_S)
                 if await self.try_once(target_id, address):
                     break
-            took_s = round(time.monotonic() - begun_s, 2)
+            took_s = round(read_clock() - begun_s, 2)
             logger.info("target tried again", target=target_id, after_s=took_s)
         finally:
             self._watches.pop(target_id, None)
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -1,7 +1,6 @@
 """Pass the configuration in force on to other routers, at a part of this VM's link."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import NamedTuple
@@ -11,6 +10,7 @@
 from damaskwind.decisions.following.document_holders import LONGEST_S, PASSING_PART
 from damaskwind.decisions.pacing.bulk_pace import BulkPace
 from damaskwind.model.exception import MessageError
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
@@ -56,7 +56,7 @@
     ) -> None:
         self._newest_for = newest_for
         self._whole = whole
-        self._pace = BulkPace(link_bytes_per_s * PASSING_PART, time.monotonic())
+        self._pace = BulkPace(link_bytes_per_s * PASSING_PART, read_clock())
         self._server = HttpServer(self._handle, ServerLimits())
         self.passed_on = 0
         # What else comes to this address, by its path, and heartbeats in the platform's words.
@@ -93,13 +93,13 @@
             exchange.respond(Answer(404, []))
             return
         size_bytes = len(self._newest_for(request.held_version).packed)
-        await asyncio.sleep(self._pace.wait_s(size_bytes, time.monotonic()))
+        await asyncio.sleep(self._pace.wait_s(size_bytes, read_clock()))
         exchange.respond(Answer(200, [], encode(self._newest_for(request.held_version))))
         self.passed_on += 1
 
     async def _read(self, exchange: Exchange, query: bytes) -> None:
         """Give an operator the configuration, to whom a replica named this router."""
-        asked_s = time.monotonic()
+        asked_s = read_clock()
         version = read_version(query)
         if version is None:
             exchange.respond(Answer(400, [], b"expected version=N"))
@@ -110,16 +110,16 @@
             return
         whole = self._whole()
         read = ConfigurationRead(
-            exchange.caller, whole.version, whole.content, asked_s, time.monotonic() - asked_s
+            exchange.caller, whole.version, whole.content, asked_s, read_clock() - asked_s
         )
         answer = Answer(200, [(b"content-type", b"application/json")], whole.content)
         await exchange.deliver(answer, partial(log_read, read))
 
     async def _has(self, version: int) -> bool:
         """Wait a little until a version is here; tell whether it is."""
-        limit_s = time.monotonic() + WAIT_S
+        limit_s = read_clock() + WAIT_S
         while self._newest_for(0).version < max(version, 1):
-            if time.monotonic() > limit_s:
+            if read_clock() > limit_s:
                 return False
             await asyncio.sleep(LOOK_S)
         return True
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from random import Random
@@ -28,6 +27,8 @@
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
 from damaskwind.router.forwarding.suspicion_relay import SuspicionRelay
 from damaskwind.router.forwarding.table_exchange import TableExchange
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.clock_loop import last_woken_s
 from damaskwind.wire.document_difference import apply_difference
 from damaskwind.wire.document_fetch import FETCH_ERRORS, DocumentFetcher
 from damaskwind.wire.news import (
@@ -152,7 +153,7 @@
 
     def _hosts_heard(self) -> list[str]:
         """Return the replicas that were heard lately."""
-        oldest_s = time.monotonic() - CONTACT_S
+        oldest_s = read_clock() - CONTACT_S
         return [host for host, link in self._links.items() if link.last_heard_s > oldest_s]
 
     def _is_in_touch(self) -> bool:
@@ -178,13 +179,15 @@
 
     def present(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that take work or still finish theirs."""
-        departed = self.targets.departed(time.monotonic(), LINGER_S)
+        departed = self.targets.departed(read_clock(), LINGER_S)
         records = [*self.targets.living(), *departed]
         return [record for record in records if record.service == service]
 
     def is_silent(self, target_id: str, now_s: float) -> bool:
         """Tell whether a target has missed its heartbeats, as far as this router can know."""
-        return now_s - self.targets.heard_s(target_id) > SILENT_S and self.replicas_heard() > 0
+        # Who was away itself has heard nobody meanwhile.
+        heard_s = max(self.targets.heard_s(target_id), last_woken_s())
+        return now_s - heard_s > SILENT_S and self.replicas_heard() > 0
 
     def table_digest(self) -> int:
         """Return which targets are known here."""
@@ -201,7 +204,7 @@
     async def _follow_documents(self) -> None:
         """Fetch each newer configuration, over and over."""
         while True:
-            host = self.sources.choose(self.known_version(), len(self._links), time.monotonic())
+            host = self.sources.choose(self.known_version(), len(self._links), read_clock())
             if host is not None:
                 if not await self._fetch_from(host):
                     await asyncio.sleep(PAUSE_S)
@@ -214,29 +217,29 @@
 
     async def _fetch_from(self, host: str) -> bool:
         """Fetch from one replica; tell whether that brought a newer configuration."""
-        asked_s = time.monotonic()
+        asked_s = read_clock()
         try:
             held_version = 0 if self._wants_whole else self.known_version()
             document = await self._fetcher.fetch(host, held_version)
             content = self._unpack(document)
         except FETCH_ERRORS as error:
             self._wants_whole = isinstance(error, MessageError)
-            self.sources.fail(host, time.monotonic())
+            self.sources.fail(host, read_clock())
             logger.warning("document not fetched", host=host, why=repr(error))
             return False
         self._wants_whole = False
-        took_s = time.monotonic() - asked_s
+        took_s = read_clock() - asked_s
         held_version = self.known_version()
         self.take_document(host, content, took_s, len(document.packed))
         if self.known_version() > held_version:
             self._received = document
             return True
-        self.sources.fail(host, time.monotonic())
+        self.sources.fail(host, read_clock())
         return False
 
     def take_news(self, host: str, news: News) -> None:
         """Merge what a replica knows."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         self.sources.hear(host, news.version, news.is_current, news.leads, now_s)
         self.sources.place = news.place
         if news.version > self.known_version():
@@ -267,7 +270,7 @@
 
     def _take_table(self, host: str, copy: TableCopy) -> None:
         """Merge what another router knows."""
-        self._take_records(host, copy.records, time.monotonic())
+        self._take_records(host, copy.records, read_clock())
         for seen in copy.seen:
             for link in self._links.values():
                 link.adopt(seen)
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -1,7 +1,6 @@
 """Take a request from its caller to a target and back, within its time."""
 
 import asyncio
-import time
 from random import Random
 
 from loguru import logger
@@ -21,6 +20,7 @@
 from damaskwind.router.forwarding.pool_entries import PoolEntries
 from damaskwind.router.forwarding.target_beliefs import SendEnded, TargetBeliefs
 from damaskwind.router.forwarding.target_losses import BrokenSend, TargetLosses
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer, header
 from damaskwind.runtime.tallies import Tallies
@@ -92,7 +92,7 @@
         self._sender = AttemptSender(self.beliefs, names)
         self._sender.on_first = self._note_first
         self._budgets: dict[str, SharedRetryBudget] = {}
-        self._started_s = time.monotonic() if started_s is None else started_s
+        self._started_s = read_clock() if started_s is None else started_s
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -140,7 +140,7 @@
         call = Call(
             facts, found.route, found.account, service, table.version, exchange.started_s, digest
         )
-        self._budget(service).count_request(time.monotonic())
+        self._budget(service).count_request(read_clock())
         return call
 
     async def _serve(self, exchange: Exchange, call: Call, delivery: Delivery) -> AttemptOutcome:
@@ -161,7 +161,7 @@
         while True:
             if placed is None:
                 return failure or outcome
-            if call.arrivals and not self._budget(call.service).take(time.monotonic()):
+            if call.arrivals and not self._budget(call.service).take(read_clock()):
                 return failure or outcome._replace(why=f"{outcome.why}; retry budget spent")
             outcome = await self._send(exchange, call, delivery, placed)
             if outcome.end is AttemptEnd.DELIVERED:
@@ -199,7 +199,7 @@
     ) -> AttemptOutcome:
         """Send to one target and note how it went."""
         target, choice = placed.target, placed.choice
-        begun_s = time.monotonic()
+        begun_s = read_clock()
         basis = self.beliefs.loads.basis(target.target_id, begun_s, call.key is not None)
         if basis.age_s is not None:
             self.tallies.observe("load_age", basis.age_s, source=basis.source.value)
@@ -216,7 +216,7 @@
         try:
             outcome = await self._sender.send(exchange.request, call, placed, delivery, may_move)
         finally:
-            now_s = time.monotonic()
+            now_s = read_clock()
             self.entries.ended(call)
             call.notes.append(
                 AttemptNote(
@@ -260,12 +260,12 @@
         """Take how long a target's answer took to begin."""
         self.tallies.observe("first_piece", first_s, kind=call.route.kind.value)
         part = first_s / call.route.objective_s
-        self.beliefs.note_begun(call.service, target_id, part, time.monotonic())
+        self.beliefs.note_begun(call.service, target_id, part, read_clock())
         self.entries.begun(call)
 
     def _place(self, call: Call) -> Placed | None:
         """Choose the next target for a request."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         records = {
             target_id: record
             for target_id, record in self.beliefs.present(call.service).items()
@@ -341,7 +341,7 @@
         """Answer a request that reached no route."""
         headers = []
         if status == 503:
-            left_s = self._started_s + START_S - time.monotonic()
+            left_s = self._started_s + START_S - read_clock()
             return_s = max(left_s, NOT_READY_RETURN_S)
             headers.append((b"retry-after", b"%.3f" % return_s))
         exchange.respond(Answer(status, headers))
@@ -358,7 +358,7 @@
         """Count a request and write the one line that tells its story."""
         kind = call.route.kind.value
         self.tallies.count("requests", outcome=outcome, kind=kind)
-        self.tallies.observe("request_duration", time.monotonic() - call.started_s, kind=kind)
+        self.tallies.observe("request_duration", read_clock() - call.started_s, kind=kind)
         logger.info(
             "request ended",
             request=call.facts.request_id.decode("latin-1"),
@@ -375,6 +375,6 @@
             attempts=[list(note) for note in call.notes],
             events=delivery.events,
             bytes=delivery.bytes,
-            took_ms=int((time.monotonic() - call.started_s) * 1000),
+            took_ms=int((read_clock() - call.started_s) * 1000),
             left_ms=int(call.left_s() * 1000),
         )
--- a/packages/router/src/damaskwind/router/forwarding/heartbeat_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/heartbeat_relay.py
@@ -4,12 +4,12 @@
 it leaves is for a replica, which makes sure that all others know before it acknowledges that.
 """
 
-import time
 from collections.abc import Callable
 from typing import NamedTuple
 
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.membership.target_table import TargetTable
+from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.news import Heard
 
 __all__ = ["HeartbeatRelay"]
@@ -44,7 +44,7 @@
         held = self._table.record_of(record.target_id)
         if held is not None and held.service not in ("", record.service):
             return False
-        now_s = time.monotonic()
+        now_s = read_clock()
         is_new = self._table.report(record, now_s)
         if not self._table.is_heartbeat(record):
             return False
@@ -58,7 +58,7 @@
     def heard(self) -> tuple[Heard, ...]:
         """Return which targets were heard here lately."""
         self._forget_told()
-        now_s = time.monotonic()
+        now_s = read_clock()
         return tuple(
             Heard(key, round(now_s - report.at_s, 2), report.born_ms)
             for key, report in self._reports.items()
@@ -66,11 +66,11 @@
 
     def new_records(self) -> tuple[TargetRecord, ...]:
         """Return what was said lately that replicas may not know."""
-        oldest_s = time.monotonic() - TOLD_S
+        oldest_s = read_clock() - TOLD_S
         new = [key for key, report in self._reports.items() if report.new_at_s > oldest_s]
         records = (self._table.record_of(target_id) for target_id in new)
         return tuple(record for record in records if record is not None)
 
     def _forget_told(self) -> None:
-        oldest_s = time.monotonic() - TOLD_S
+        oldest_s = read_clock() - TOLD_S
         self._reports = {key: one for key, one in self._reports.items() if one.at_s > oldest_s}
--- a/packages/router/src/damaskwind/router/forwarding/pool_entries.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_entries.py
@@ -1,7 +1,6 @@
 """Let requests into pools as `decisions/admission` says: hold them, start them, turn them away."""
 
 import asyncio
-import time
 from random import Random
 
 from damaskwind.decisions.admission.pool_admission import (
@@ -15,6 +14,7 @@
 from damaskwind.decisions.placement.affinity import Candidate
 from damaskwind.router.forwarding.call import Call, EntryNote
 from damaskwind.router.forwarding.target_beliefs import TargetBeliefs, free_places
+from damaskwind.runtime.clock import read_clock
 
 __all__ = ["PoolEntries"]
 
@@ -53,7 +53,7 @@
 
         `home` is the target that it should go to, if not any will do.
         """
-        now_s = time.monotonic()
+        now_s = read_clock()
         pool = self._pool(call.service)
         ticket = self._ticket(call, home.target_id if home else "", now_s)
         places = [free_places(home)] if home else self._beliefs.places(call.service, now_s)
@@ -63,7 +63,7 @@
             self._waiting[call.number] = asyncio.get_running_loop().create_future()
             self._tell(admitted.turned_away)
             outcome = await self._wait(call, admitted.until_s)
-        call.entry = _note(admitted, outcome, time.monotonic() - now_s, ticket.came_back)
+        call.entry = _note(admitted, outcome, read_clock() - now_s, ticket.came_back)
         return outcome
 
     def with_waiting(self, service: str, candidates: list[Candidate]) -> list[Candidate]:
@@ -78,11 +78,11 @@
     def sent(self, call: Call, target_id: str) -> None:
         """Note where a request is sent."""
         pool = self._pool(call.service)
-        pool.sent(call.number, target_id, call.route.objective_s, time.monotonic())
+        pool.sent(call.number, target_id, call.route.objective_s, read_clock())
 
     def begun(self, call: Call) -> None:
         """Note that an answer began."""
-        self._pool(call.service).begun(call.number, time.monotonic())
+        self._pool(call.service).begun(call.number, read_clock())
         self._look(call.service)
 
     def ended(self, call: Call) -> None:
@@ -92,12 +92,12 @@
 
     def turned_away_by_target(self, call: Call, target_id: str) -> None:
         """Note that a target had no place."""
-        self._pool(call.service).turned_away_by_target(target_id, time.monotonic())
+        self._pool(call.service).turned_away_by_target(target_id, read_clock())
 
     def return_s(self, call: Call) -> float:
         """Return when a caller that is refused now should come back."""
         objective_s = call.route.objective_s
-        return self._pool(call.service).return_s(objective_s, call.left_s(), time.monotonic())
+        return self._pool(call.service).return_s(objective_s, call.left_s(), read_clock())
 
     def waiting(self) -> int:
         """Return how many requests wait now."""
@@ -108,12 +108,12 @@
         pool, number = self._pool(call.service), call.number
         future = self._waiting[number]
         try:
-            while not future.done() and (left_s := until_s - time.monotonic()) > 0:
+            while not future.done() and (left_s := until_s - read_clock()) > 0:
                 await asyncio.wait([future], timeout=min(left_s, LOOK_S))
                 self._look_now_and_then(call.service)
             if future.done():
                 return future.result()
-            return pool.give_up(number, time.monotonic())
+            return pool.give_up(number, read_clock())
         finally:
             # Also where the caller has left.
             pool.withdraw(number)
@@ -121,7 +121,7 @@
 
     def _look_now_and_then(self, service: str) -> None:
         """Look once for all who wait: each of them comes by."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         if now_s - self._looked_s.get(service, 0.0) >= LOOK_S:
             self._looked_s[service] = now_s
             self._look(service)
@@ -131,7 +131,7 @@
         pool = self._pool(service)
         if not len(pool.line):
             return
-        now_s = time.monotonic()
+        now_s = read_clock()
         for number in pool.look(self._beliefs.places(service, now_s), now_s):
             self._waiting[number].set_result(None)
 
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from random import Random
@@ -17,6 +16,7 @@
 from damaskwind.router.forwarding.forwarder import Forwarder
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
 from damaskwind.router.forwarding.settings import ForwardingSettings
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
@@ -117,7 +117,7 @@
 
     async def stop(self) -> None:
         """Finish what is in hand; new connections are served until the balancer knows."""
-        started_s = time.monotonic()
+        started_s = read_clock()
         limit_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
         self.is_draining = True
         self._callers.close_after_answers()
@@ -125,12 +125,12 @@
         await asyncio.sleep(LAME_DUCK_S)
         await self._callers.stop_listening()
         self._callers.close_idle()
-        is_quiet = await self._callers.wait_until_quiet(limit_s - time.monotonic())
+        is_quiet = await self._callers.wait_until_quiet(limit_s - read_clock())
         logger.info(
             "drain ended",
             is_quiet=is_quiet,
             active=self._callers.active,
-            took_s=round(time.monotonic() - started_s, 2),
+            took_s=round(read_clock() - started_s, 2),
         )
         await self.view.stop()
         self.connections.close()
--- a/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Iterable
 from itertools import islice
 
@@ -13,6 +12,7 @@
 
 from damaskwind.decisions.fatal_requests.suspicion import Known, Standing, SuspicionTable
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import (
     AnswerBrokenError,
     ConnectFailedError,
@@ -56,11 +56,11 @@
 
     def standing(self, digest: bytes) -> Standing:
         """Return what may be done with a request now."""
-        return self.table.standing(digest, time.monotonic())
+        return self.table.standing(digest, read_clock())
 
     def note_end(self, sends: Iterable[tuple[bytes, Known]]) -> None:
         """Take that a target ended under these requests, sent with this known of them."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         self._tell_all([digest for digest, known in sends if self._note_end(digest, known, now_s)])
 
     def _note_end(self, digest: bytes, known: Known, now_s: float) -> bool:
@@ -71,13 +71,13 @@
 
     def note_survived(self, digest: bytes) -> None:
         """Take that a target has run a request to its end."""
-        if self.table.note_survived(digest, time.monotonic()):
+        if self.table.note_survived(digest, read_clock()):
             logger.info("request cleared", digest=digest.hex())
             self._tell_all([digest])
 
     def take_news(self, host: str, news: News) -> None:
         """Merge what a replica knows, and tell it what it may lack."""
-        now_s = time.monotonic()
+        now_s = read_clock()
         for digest in self.table.merge(news.suspicions, now_s):
             self._log_fatal(digest, host)
         if now_s - self._forgot_s > FORGET_EVERY_S:
@@ -90,7 +90,7 @@
 
     def count(self, standing: Standing) -> int:
         """Return how many requests have this standing now."""
-        return self.table.count(standing, time.monotonic())
+        return self.table.count(standing, read_clock())
 
     def _log_fatal(self, digest: bytes, told_by: str) -> None:
         """Write a line for a request that is sent no more from now on."""
@@ -123,7 +123,7 @@
                 return
 
     async def _call(self, host: str, digests: list[bytes]) -> None:
-        items = self.table.told(digests, time.monotonic())
+        items = self.table.told(digests, read_clock())
         connection = await connect(Address(host, self._news_port), CONNECT_S)
         request = Request(b"POST", SUSPICIONS_PATH, [(b"host", b"control")], encode(items))
         try:
--- a/packages/router/src/damaskwind/router/forwarding/table_exchange.py
+++ b/packages/router/src/damaskwind/router/forwarding/table_exchange.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from loguru import logger
@@ -15,6 +14,7 @@
 from damaskwind.decisions.pacing.bulk_pace import BulkPace
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import (
     AnswerBrokenError,
     ConnectFailedError,
@@ -65,21 +65,21 @@
         self._seen = seen
         self._take = take
         self._port = port
-        self._pace = BulkPace(link_bytes_per_s * TABLE_PART, time.monotonic())
+        self._pace = BulkPace(link_bytes_per_s * TABLE_PART, read_clock())
         self._copy = Answer(503, [])
         self._copied_s = float("-inf")
         self._fetching: asyncio.Task | None = None
 
     async def handle(self, exchange: Exchange) -> None:
         """Give a copy, unless many wait for one already."""
-        if self._pace.line_s(time.monotonic()) > LINE_S:
+        if self._pace.line_s(read_clock()) > LINE_S:
             exchange.respond(Answer(503, []))
             return
-        await asyncio.sleep(self._pace.wait_s(len(self._copy.body), time.monotonic()))
+        await asyncio.sleep(self._pace.wait_s(len(self._copy.body), read_clock()))
         exchange.respond(self._newest_copy())
 
     def _newest_copy(self) -> Answer:
-        now_s = time.monotonic()
+        now_s = read_clock()
         if now_s - self._copied_s > COPY_S:
             # What was seen is read first: all of it is in the records read after it.
             seen = self._seen()
--- a/packages/router/src/damaskwind/router/forwarding/target_activity.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_activity.py
@@ -49,18 +49,27 @@
         """Note that a target sent something."""
         self._heard_s[target_id] = now_s
 
-    def silent_s(self, target_id: str, now_s: float) -> float:
-        """Return for how long a target has kept all its requests waiting."""
+    def silent_s(self, target_id: str, now_s: float, woken_s: float = float("-inf")) -> float:
+        """Return for how long a target has kept all its requests waiting.
+
+        What it sent before `woken_s`, while this process was away, may still be unread.
+        """
         waiting = self._waiting.get(target_id)
         if not waiting:
             return 0.0
         oldest_s = min(waiting.values())
-        return now_s - max(oldest_s, self._heard_s.get(target_id, oldest_s))
+        return now_s - max(oldest_s, self._heard_s.get(target_id, oldest_s), woken_s)
 
-    def is_dark(self, target_id: str, now_s: float, is_engine: bool = False) -> bool:
+    def is_dark(
+        self,
+        target_id: str,
+        now_s: float,
+        is_engine: bool = False,
+        woken_s: float = float("-inf"),
+    ) -> bool:
         """Tell whether a target has been silent for too long to be given more."""
         limit_s = DARK_ENGINE_S if is_engine else DARK_S
-        return self.silent_s(target_id, now_s) > limit_s
+        return self.silent_s(target_id, now_s, woken_s) > limit_s
 
     def forget(self, target_id: str) -> None:
         """Drop a target that is gone."""
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -4,7 +4,6 @@
 Nothing here sends, waits or decides where a request goes.
 """
 
-import time
 from collections.abc import Collection
 from random import Random
 from typing import NamedTuple
@@ -22,6 +21,8 @@
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.target_activity import TargetActivity
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.clock_loop import last_woken_s
 
 __all__ = ["SendEnded", "TargetBeliefs", "free_places"]
 
@@ -86,7 +87,7 @@
 
     def _take_held(self, host: str, held: HeldSum) -> None:
         """Take what a replica says that all routers hold."""
-        self.loads.take_sum(host, held, time.monotonic())
+        self.loads.take_sum(host, held, read_clock())
 
     def begin_life(self, record: TargetRecord) -> None:
         """Believe nothing that was learned of a target before it started again.
@@ -98,7 +99,7 @@
         for health in self._health.values():
             health.forget(target_id)
         started_s = record.sequence * self._heartbeat_s + LATE_REPORT_S
-        self.connections.end_former(target_id, time.monotonic() - started_s)
+        self.connections.end_former(target_id, read_clock() - started_s)
 
     def forget(self, target_id: str) -> None:
         """Drop what was learned of a target that is gone."""
@@ -191,7 +192,7 @@
         is_doubtful = (
             self._avoided_until_s.get(target_id, 0.0) > now_s
             or self.connections.is_unreachable(target_id)
-            or self.activity.is_dark(target_id, now_s, is_engine)
+            or self.activity.is_dark(target_id, now_s, is_engine, last_woken_s())
             or self.view.is_silent(target_id, now_s)
             or self._is_displaced(target_id)
             or self.view.targets.is_superseded(target_id, self._heartbeat_s)
--- a/packages/router/src/damaskwind/router/forwarding/tests/bench.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/bench.py
@@ -1,7 +1,6 @@
 """One forwarder over scripted targets, with a caller of its own."""
 
 import asyncio
-import time
 from random import Random
 
 from twisted.trial.unittest import TestCase
@@ -23,6 +22,7 @@
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.forwarder import Forwarder
 from damaskwind.runtime.bridge import to_deferred
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import ClientConnection, connect, fetch
 from damaskwind.runtime.http1.messages import Answer, Request
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
@@ -67,7 +67,7 @@
         self.publish(route())
         self.connections = TargetConnections()
         # Long enough ago that the retry budget is whole.
-        started_s = time.monotonic() - 60.0
+        started_s = read_clock() - 60.0
         self.forwarder = Forwarder(
             self.view, self.connections, NAMES, "domain", BudgetTerms(), 1.2, Random(1), started_s
         )
@@ -85,7 +85,7 @@
 
     def admit(self, target_id, address, phase=TargetPhase.SERVING, sequence=100, domain="domain"):
         record = TargetRecord(target_id, "pool", address, domain, phase, sequence, 8)
-        self.view.targets.take(record, time.monotonic())
+        self.view.targets.take(record, read_clock())
 
     def publish(self, *routes, version=1):
         accounts = (KeyedAccount("account", ("key",)),)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_document_relay.py
@@ -1,13 +1,13 @@
 """Tests of documents that routers pass on to each other."""
 
 import asyncio
-import time
 
 from twisted.trial.unittest import TestCase
 
 from damaskwind.model.targets import Address
 from damaskwind.router.forwarding.document_relay import WAIT_S, DocumentRelay, WholeDocument
 from damaskwind.runtime.bridge import asyncio_test, to_deferred
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError, connect, fetch
 from damaskwind.runtime.http1.messages import Answer, Request
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
@@ -86,9 +86,9 @@
     @asyncio_test
     async def test_router_without_it_says_so_soon(self):
         self.document = Document(0, b"")
-        begun_s = time.monotonic()
+        begun_s = read_clock()
         self.assertEqual(await self.fetcher.fetch(REPLICA, 6), WHOLE)
-        self.assertLess(time.monotonic() - begun_s, WAIT_S + 1.0)
+        self.assertLess(read_clock() - begun_s, WAIT_S + 1.0)
         self.assertEqual(self.relay.passed_on, 0)
 
     @asyncio_test
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
@@ -12,6 +12,7 @@
 from damaskwind.router.forwarding import fleet_view
 from damaskwind.router.forwarding.fleet_view import PAUSE_S, FleetView
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import clock_in_force
 from damaskwind.runtime.http1.client import ConnectFailedError
 from damaskwind.wire.news import Document, News, pack_document
 
@@ -28,10 +29,8 @@
         patcher = patch.object(fleet_view.NewsLink, "start")
         patcher.start()
         self.addCleanup(patcher.stop)
-        clock = patch.object(fleet_view.time, "monotonic", lambda: self.now_s)
-        clock.start()
-        self.addCleanup(clock.stop)
         self.now_s = 100.0
+        self.enterContext(clock_in_force(lambda: self.now_s))
         self.view = FleetView("r", ("a", "b", "c"), 1, lambda body: None, Random(1))
         self.view.follow(("a", "b", "c"))
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -1,7 +1,6 @@
 """Tests of the path of a request, against targets whose every byte is scripted."""
 
 import asyncio
-import time
 
 from damaskwind.decisions.fatal_requests.identity import identify_request
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
@@ -9,6 +8,7 @@
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError
 from damaskwind.runtime.http1.messages import header
 from damaskwind.standins.scripted_target import (
@@ -48,7 +48,7 @@
         self.assertEqual((await self.call(**parts)).status, 200)
         home, other = sorted(self.targets, key=lambda target: not target.received)
         record = self.view.targets.record_of(f"t{self.targets.index(home)}")
-        self.view.targets.leave(record.target_id, time.monotonic())
+        self.view.targets.leave(record.target_id, read_clock())
         self.assertEqual((await self.call(request_id=b"r2", **parts)).status, 200)
         self.assertEqual(len(home.received), 1)
         (got,) = other.received
@@ -70,7 +70,7 @@
                 record = TargetRecord(
                     f"{generation}{index}", "pool", addresses[index], "domain", SERVING, 1, 8
                 )
-                self.view.targets.take(record, time.monotonic() - ages_s[index])
+                self.view.targets.take(record, read_clock() - ages_s[index])
             for index in range(2):
                 self.view.targets.leave(f"t{index}", 0.0)
             for target in self.targets:
@@ -97,7 +97,7 @@
             await asyncio.sleep(0.03)
         self.assertEqual(len(self.targets[0].received), 1)
         self.targets[0].script = []
-        self.view.targets.hear("t0", time.monotonic())
+        self.view.targets.hear("t0", read_clock())
         for number in range(9):
             await self.call(request_id=b"s%d" % number)
         self.assertGreater(len(self.targets[0].received), 1)
@@ -155,7 +155,7 @@
         self.assertEqual(answer.status, 503)
         self.assertIsNotNone(header(answer.headers, b"retry-after"))
         self.assertEqual(self.connections.opened, before)
-        self.view.targets.leave("t1", time.monotonic())
+        self.view.targets.leave("t1", read_clock())
         self.assertEqual((await self.call(request_id=b"r3")).status, 503)
         self.assertEqual(self.connections.opened - before, 1)
 
@@ -245,10 +245,10 @@
     async def test_routes_timeout_ends_a_silent_request(self):
         self.publish(route(RouteKind.NON_IDEMPOTENT, timeout_s=0.3))
         self.script(silent())
-        started_s = time.monotonic()
+        started_s = read_clock()
         answer = await self.call()
         self.assertEqual(answer.status, 504)
-        self.assertLess(time.monotonic() - started_s, 0.6)
+        self.assertLess(read_clock() - started_s, 0.6)
 
     @asyncio_test
     async def test_target_that_is_not_there_is_passed_over(self):
@@ -280,9 +280,9 @@
         return self.server.active == 0
 
     async def until(self, condition, limit_s=3.0):
-        deadline_s = time.monotonic() + limit_s
+        deadline_s = read_clock() + limit_s
         while not condition():
-            self.assertLess(time.monotonic(), deadline_s, "waited in vain")
+            self.assertLess(read_clock(), deadline_s, "waited in vain")
             await asyncio.sleep(0.01)
 
 
@@ -295,9 +295,9 @@
         connection.send(self.request())
         head = await connection.read_head()
         self.assertEqual(head.status, 200)
-        started_s = time.monotonic()
+        started_s = read_clock()
         self.assertEqual(await connection.read_data(), event(1))
-        self.assertLess(time.monotonic() - started_s, 0.08)
+        self.assertLess(read_clock() - started_s, 0.08)
         self.assertEqual(await connection.read_body(10_000), event(2) + event(3))
 
     @asyncio_test
@@ -354,10 +354,10 @@
     async def test_repeatable_request_leaves_a_dark_target_before_its_callers_gives_up(self):
         self.publish(route(objective_s=0.4))
         self.share(silent(), plain(200, b"in time"))
-        started_s = time.monotonic()
+        started_s = read_clock()
         answer = await self.call()
         self.assertEqual(answer.body, b"in time")
-        self.assertLess(time.monotonic() - started_s, 1.1)
+        self.assertLess(read_clock() - started_s, 1.1)
 
 
 class CutDomainTest(ForwarderTestCase):
@@ -396,7 +396,7 @@
     @asyncio_test
     async def test_the_exit_of_a_target_that_is_leaving_is_held_against_no_request(self):
         self.targets[0].script = [silent(0.2)]
-        self.view.targets.leave("t1", time.monotonic())
+        self.view.targets.leave("t1", read_clock())
         calling = asyncio.ensure_future(self.call())
         await asyncio.sleep(0.1)
         self.admit("t0", await self._address(), TargetPhase.LEAVING, 101)
@@ -411,7 +411,7 @@
     async def test_a_target_that_ends_is_held_against_what_was_in_hand_until_that_ends_well(self):
         ended = self.targets[0]
         ended.script, self.targets[1].script = [silent()], [plain()]
-        self.view.targets.leave("t1", time.monotonic())
+        self.view.targets.leave("t1", read_clock())
         self.publish(route(max_attempts=1))
         calling = asyncio.ensure_future(self.call())
         await asyncio.sleep(0.1)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_many_targets.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_many_targets.py
@@ -16,6 +16,7 @@
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.target_beliefs import TargetBeliefs
+from damaskwind.runtime.clock import read_clock
 
 FEW, MANY = 100, 1000
 PLACEMENTS = 3
@@ -31,7 +32,7 @@
         address = Address("10.0.0.1", number)
         name = f"i-{random.getrandbits(40):010x}"
         record = TargetRecord(name, "pool", address, "domain", TargetPhase.SERVING, 5, 16)
-        view.targets.take(record, time.monotonic())
+        view.targets.take(record, read_clock())
     return TargetBeliefs(view, TargetConnections(), 1.2, random)
 
 
@@ -42,7 +43,7 @@
     for number in range(PLACEMENTS):
         begun_s = time.process_time()
         records = beliefs.present("pool").values()
-        candidates = beliefs.candidates(records, time.monotonic(), True)
+        candidates = beliefs.candidates(records, read_clock(), True)
         choose_target(candidates, b"part-%d" % number, "domain", policy_for(100), Random(1))
         times_s.append(time.process_time() - begun_s)
     return min(times_s)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_restarted_target.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_restarted_target.py
@@ -1,13 +1,13 @@
 """Tests of what a router believes of a target that has started again under its id."""
 
 import asyncio
-import time
 
 from damaskwind.decisions.load.held_requests import TargetLoad
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.target_beliefs import SendEnded
 from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.scripted_target import plain, silent, stream
 from damaskwind.wire.news import News
 
@@ -30,7 +30,7 @@
 
     @asyncio_test
     async def test_nothing_of_the_former_life_is_believed(self):
-        beliefs, now_s = self.forwarder.beliefs, time.monotonic()
+        beliefs, now_s = self.forwarder.beliefs, read_clock()
         record = self.view.targets.record_of("t0")
         beliefs.loads.reported("t0", TargetLoad(8, 4, 8), now_s)
         beliefs.loads.sent("t0")
@@ -43,7 +43,7 @@
 
         def candidate():
             records = list(beliefs.present("pool").values())
-            found = beliefs.candidates(records, time.monotonic(), True)
+            found = beliefs.candidates(records, read_clock(), True)
             return next(item for item in found if item.target_id == "t0")
 
         self.assertTrue(candidate().is_doubtful)
@@ -74,10 +74,10 @@
         used = next(target for target in self.targets if target.received)
         # The connection is older than the life that begins.
         await asyncio.sleep(1.1)
-        begun_s = time.monotonic()
+        begun_s = read_clock()
         self.start_again(self.targets.index(used), BORN_MS + 1)
         self.assertEqual((await calling).status, 200)
-        self.assertLess(time.monotonic() - begun_s, 0.3)
+        self.assertLess(read_clock() - begun_s, 0.3)
 
     @asyncio_test
     async def test_request_that_must_run_once_is_not_sent_again(self):
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_suspension.py
@@ -0,0 +1,103 @@
+"""Tests of a router whose VM was suspended for seconds, by a clock that jumps ahead.
+
+The system's monotonic clock doesn't count a suspension: a caller's deadline that had long
+passed looked far away, and a request was sent past it. Once the clock counts it, everyone
+else looks as if they had been silent for as long.
+"""
+
+import asyncio
+import time
+
+from damaskwind.decisions.membership.target_record import TargetPhase
+from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
+from damaskwind.runtime.bridge import asyncio_test, to_deferred
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.clock_loop import ClockLoop, last_woken_s
+from damaskwind.standins.jumping_clock import JumpingClock
+from damaskwind.standins.scripted_target import plain, stream
+from damaskwind.wire.news import News
+
+AWAY_S = 8.0
+
+
+class SuspendedRouterTest(ForwarderTestCase):
+    async def start(self):
+        self.clock = JumpingClock()
+        in_force = self.clock.in_force()
+        in_force.__enter__()
+        self.addCleanup(in_force.__exit__, None, None, None)
+        await super().start()
+
+    def suspended(self, before):
+        """Suspend the router's VM as soon as a target has the request, then go on."""
+
+        async def step(writer, request):
+            self.clock.suspend(AWAY_S)
+            await before(writer, request)
+
+        return step
+
+    @asyncio_test
+    async def test_nothing_is_sent_past_the_callers_deadline(self):
+        async def reset(writer, request):
+            raise ConnectionError("scripted end")
+
+        self.share(self.suspended(reset), plain())
+        answer = await self.call()
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_an_answer_that_came_meanwhile_is_read_before_its_target_is_given_up(self):
+        self.publish(route(timeout_s=60.0))
+        self.share(self.suspended(plain(body=b"first")), plain(body=b"second"))
+        answer = await self.call(x_deadline_ms=b"60000")
+        self.assertEqual((answer.status, answer.body), (200, b"first"))
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_a_stream_that_came_meanwhile_goes_on(self):
+        self.publish(route(kind=RouteKind.STREAMING, is_resumable=True, timeout_s=60.0))
+        self.share(self.suspended(stream(1, 5, 0.05)), stream(1, 5))
+        answer = await self.call(x_deadline_ms=b"60000")
+        self.assertEqual(answer.body.count(b"data:"), 5)
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_no_target_is_taken_for_silent_since_the_observer_was_away(self):
+        self.view.follow(("127.0.0.1",))
+        self.addCleanup(lambda: to_deferred(self.view._links["127.0.0.1"].stop()))
+        for target_id in ("t0", "t1"):
+            self.view.targets.hear(target_id, read_clock())
+        self.clock.suspend(AWAY_S)
+        link = self.view._links["127.0.0.1"]
+        link.last_heard_s = read_clock()
+        self.view.take_news("127.0.0.1", News("epoch", 1, 1, True, (), 1, (), ()))
+        self.assertEqual(self.view.replicas_heard(), 1)
+        silent = [one for one in ("t0", "t1") if self.view.is_silent(one, read_clock())]
+        self.assertEqual(silent, [])
+        phases = [self.view.targets.phase_of(one) for one in ("t0", "t1")]
+        self.assertEqual(phases, [TargetPhase.SERVING] * 2)
+
+
+class ClockLoopTest(ForwarderTestCase):
+    async def start(self):
+        """Need no targets."""
+
+    def setUp(self):
+        """Run loops of its own."""
+
+    def test_timers_that_came_due_meanwhile_fire_at_the_next_wake(self):
+        clock, fired, loop = JumpingClock(), [], ClockLoop()
+        self.addCleanup(loop.close)
+        with clock.in_force():
+            begun_s = time.perf_counter()
+            loop.call_later(AWAY_S, fired.append, "due")
+            loop.call_later(0.05, lambda: setattr(clock, "ahead_s", AWAY_S))
+            loop.call_later(0.1, lambda: None)
+            woken_before_s = last_woken_s()
+            loop.run_until_complete(asyncio.sleep(AWAY_S))
+            self.assertEqual(fired, ["due"])
+            self.assertLess(time.perf_counter() - begun_s, AWAY_S / 2)
+            self.assertGreater(last_woken_s(), woken_before_s)
--- a/packages/router/src/damaskwind/router/membership/service.py
+++ b/packages/router/src/damaskwind/router/membership/service.py
@@ -16,8 +16,9 @@
 from damaskwind.decisions.placement.messages import SpillNote
 from damaskwind.model.targets import Address, LoadReport, TargetAnnouncement, TargetView
 from damaskwind.router.membership.node import Datagram, GossipNode
+from damaskwind.runtime.clock import read_clock
 
-__all__ = ["MembershipService", "MembershipSettings", "boot_time_s"]
+__all__ = ["MembershipService", "MembershipSettings", "read_clock"]
 
 TICK_S = 0.1
 _MAX_PACKET_BYTES = 2048
@@ -40,15 +41,6 @@
     near_domains: tuple[str, ...] = ()
 
 
-def boot_time_s() -> float:
-    """Return seconds since boot, those in which the VM was suspended included.
-
-    Leases and tombstones rest on ages, and a monotonic clock that stood still
-    while the rest of the fleet moved on would make old records look young.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class _Port(DatagramProtocol):
     """Hand datagrams to the service."""
 
@@ -73,7 +65,7 @@
         settings: MembershipSettings,
         reactor: Any,
         random: Random,
-        clock: Callable[[], float] = boot_time_s,
+        clock: Callable[[], float] = read_clock,
         parameters: MembershipParameters | None = None,
     ) -> None:
         self._settings = settings
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +14,7 @@
 
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
 from damaskwind.runtime.http1.transports import reset
 
@@ -76,7 +76,7 @@
         self._was_clean_end = False
         self.is_timed_out = False
         self._active_s = 0.0
-        self.made_s = time.monotonic()
+        self.made_s = read_clock()
         self.has_stray_bytes = False
         self.is_in_use = False
         self.requests = 0
@@ -102,7 +102,7 @@
             self.has_stray_bytes = True
             self.abort()
             return
-        self._active_s = time.monotonic()
+        self._active_s = read_clock()
         self._parser.receive_data(data)
         self._wake()
 
@@ -116,7 +116,7 @@
         self._is_lost = True
         self._was_clean_end = self._was_clean_end and error is None
         # The transport does not tell a timeout from a reset; their times do.
-        silent_s = time.monotonic() - self._active_s
+        silent_s = read_clock() - self._active_s
         self.is_timed_out = not self._was_clean_end and silent_s > UNACKNOWLEDGED_MS / 1000
         if self._parser is not None and self._was_clean_end and self.is_in_use:
             self._parser.receive_data(b"")
@@ -137,7 +137,7 @@
     def send(self, request: Request) -> None:
         """Write a whole request."""
         self.is_in_use = True
-        self._active_s = time.monotonic()
+        self._active_s = read_clock()
         self.requests += 1
         headers = [*request.headers]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
--- a/packages/runtime/src/damaskwind/runtime/http1/exchange.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/exchange.py
@@ -1,9 +1,9 @@
 """One request and the answer that is given to it, whole, in pieces or as it comes."""
 
-import time
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
 
 __all__ = ["CallerConnection", "Delivery", "Exchange", "answer_headers"]
@@ -90,7 +90,7 @@
         Its length stands in its head, so that a part never looks whole. `ended` is
         called also when the caller leaves before the end.
         """
-        first_byte_s = time.monotonic()
+        first_byte_s = read_clock()
         taken_bytes, body_bytes = 0, len(answer.body)
         try:
             self.begin(answer.status, answer_headers(answer.headers, answer.body))
@@ -101,7 +101,7 @@
                 taken_bytes += len(piece)
             self.finish()
         finally:
-            ended(Delivery(taken_bytes, body_bytes, first_byte_s, time.monotonic()))
+            ended(Delivery(taken_bytes, body_bytes, first_byte_s, read_clock()))
 
     @property
     def caller(self) -> str:
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -7,13 +7,13 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import h11
 from loguru import logger
 
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange, answer_headers
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
 from damaskwind.runtime.http1.transports import reset
@@ -174,7 +174,7 @@
                 self._refuse(431)
                 return False
             self._head = event
-            self._head_s = time.monotonic()
+            self._head_s = read_clock()
             self._body, self._body_bytes = [], 0
             self._wait(self._server.limits.idle_timeout_s)
             if self._parser.they_are_waiting_for_100_continue:
@@ -327,11 +327,11 @@
 
     async def wait_until_quiet(self, limit_s: float) -> bool:
         """Wait until no request is being answered; tell whether that came in time."""
-        deadline_s = time.monotonic() + limit_s
+        deadline_s = read_clock() + limit_s
         while self.active:
             self._quiet.clear()
             try:
-                async with asyncio.timeout(max(0.0, deadline_s - time.monotonic())):
+                async with asyncio.timeout(max(0.0, deadline_s - read_clock())):
                     await self._quiet.wait()
             except TimeoutError:
                 return False
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_server.py
@@ -1,11 +1,11 @@
 """Tests of the HTTP server against raw bytes."""
 
 import asyncio
-import time
 
 from twisted.trial.unittest import TestCase
 
 from damaskwind.runtime.bridge import asyncio_test, to_deferred
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 
@@ -88,8 +88,8 @@
         writer.write(b"GET /large HTTP/1.1\r\nhost: h\r\n\r\n")
         await self.read(reader, b"\r\n\r\n")
         writer.transport.abort()
-        until_s = time.monotonic() + WAIT_S
-        while not self.deliveries and time.monotonic() < until_s:
+        until_s = read_clock() + WAIT_S
+        while not self.deliveries and read_clock() < until_s:
             await asyncio.sleep(0.02)
         (delivery,) = self.deliveries
         self.assertFalse(delivery.is_whole)
@@ -152,9 +152,9 @@
         data = await asyncio.wait_for(reader.read(), WAIT_S)
         self.assertIn(b" 408 ", data)
         reader, writer = await self.open()
-        started_s = time.monotonic()
+        started_s = read_clock()
         self.assertEqual(await asyncio.wait_for(reader.read(), WAIT_S), b"")
-        self.assertGreater(time.monotonic() - started_s, 0.3)
+        self.assertGreater(read_clock() - started_s, 0.3)
 
     @asyncio_test
     async def test_caller_that_leaves_cancels_the_handler(self):
--- a/packages/runtime/src/damaskwind/runtime/lifecycle.py
+++ b/packages/runtime/src/damaskwind/runtime/lifecycle.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from damaskwind.runtime.clock_loop import ClockLoop
 from damaskwind.runtime.reactor import install_reactor
 
 __all__ = [
@@ -80,7 +81,8 @@
             logger.opt(exception=error).error("daemon failed")
             return EXIT_FAILED
 
-    return asyncio.run(run())
+    with asyncio.Runner(loop_factory=ClockLoop) as runner:
+        return runner.run(run())
 
 
 def run_on_reactor(main_task: Callable[[], Awaitable[int]]) -> int:
--- a/packages/runtime/src/damaskwind/runtime/load_meter.py
+++ b/packages/runtime/src/damaskwind/runtime/load_meter.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from loguru import logger
 
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["LoadMeter"]
@@ -38,7 +38,7 @@
 
     def start(self) -> None:
         """Begin to look."""
-        self._line_s = time.monotonic()
+        self._line_s = read_clock()
         self._arrange()
 
     def stop(self) -> None:
@@ -48,11 +48,11 @@
 
     def _arrange(self) -> None:
         loop = asyncio.get_running_loop()
-        self._due_s = time.monotonic() + LOOK_EVERY_S
+        self._due_s = read_clock() + LOOK_EVERY_S
         self._timer = loop.call_later(LOOK_EVERY_S, self._look)
 
     def _look(self) -> None:
-        now_s = time.monotonic()
+        now_s = read_clock()
         self.late_s = max(self.late_s, now_s - self._due_s)
         self._slowest_s = max(self._slowest_s, self._slowest_call_s())
         if now_s - self._line_s >= LINE_EVERY_S:
--- a/packages/runtime/src/damaskwind/runtime/monotonic_reactor.py
+++ b/packages/runtime/src/damaskwind/runtime/monotonic_reactor.py
@@ -4,10 +4,10 @@
 before `damaskwind.runtime.reactor` has left TLS out.
 """
 
-import time
-
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 
+from damaskwind.runtime.clock import read_clock
+
 __all__ = ["MonotonicReactor"]
 
 
@@ -16,4 +16,4 @@
 
     def seconds(self) -> float:
         """Return monotonic seconds; every timer of the reactor runs by them."""
-        return time.monotonic()
+        return read_clock()
--- a/packages/runtime/src/damaskwind/runtime/reactor.py
+++ b/packages/runtime/src/damaskwind/runtime/reactor.py
@@ -27,9 +27,10 @@
         _leave_out_tls()
         from twisted.internet.main import installReactor
 
+        from damaskwind.runtime.clock_loop import ClockLoop
         from damaskwind.runtime.monotonic_reactor import MonotonicReactor
 
-        loop = asyncio.new_event_loop()
+        loop = ClockLoop()
         asyncio.set_event_loop(loop)
         installReactor(MonotonicReactor(loop))
     from twisted.internet import reactor
--- a/packages/runtime/src/damaskwind/runtime/tests/test_reactor.py
+++ b/packages/runtime/src/damaskwind/runtime/tests/test_reactor.py
@@ -23,8 +23,8 @@
 print("fired", bool(fired))
 from twisted.internet import reactor as installed
 print("installed", installed is reactor)
-from time import monotonic
-print("same clock", abs(installed.seconds() - monotonic()) < 5.0)
+from damaskwind.runtime.clock import read_clock
+print("same clock", abs(installed.seconds() - read_clock()) < 5.0)
 """
 
 
--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -11,7 +11,6 @@
 
 import json
 import random
-import time
 from typing import Any
 
 from klein import Klein
@@ -27,6 +26,7 @@
     TargetKind,
     TargetState,
 )
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.announcing import Announcer, announced_address
 from damaskwind.standins.answers import answer_tokens, count_tokens
 from damaskwind.standins.batching import Batch, Generation
@@ -282,7 +282,7 @@
             ),
             finish_reason="length" if limited else "stop",
             include_usage=bool((body.get("stream_options") or {}).get("include_usage")),
-            timing_from_s=time.monotonic() if self.settings.show_timing else None,
+            timing_from_s=read_clock() if self.settings.show_timing else None,
             faults=faults,
         )
         self._set_headers(request, options.shown_id)
--- a/packages/standins/src/damaskwind/standins/harness.py
+++ b/packages/standins/src/damaskwind/standins/harness.py
@@ -17,11 +17,11 @@
 import socket
 import subprocess
 import sys
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.settings_text import to_toml
 
 __all__ = [
@@ -52,14 +52,14 @@
     what: str = "the condition",
 ) -> Any:
     """Wait until a condition, plain or awaitable, holds; return its value."""
-    end_s = time.monotonic() + deadline_s
+    end_s = read_clock() + deadline_s
     while True:
         value = condition()
         if isinstance(value, Awaitable):
             value = await value
         if value:
             return value
-        if time.monotonic() > end_s:
+        if read_clock() > end_s:
             raise HarnessError(f"{what} did not hold within {deadline_s} s")
         await asyncio.sleep(_POLL_S)
 
--- a/packages/standins/src/damaskwind/standins/history_runs.py
+++ b/packages/standins/src/damaskwind/standins/history_runs.py
@@ -4,7 +4,6 @@
 its histories in the class attribute `made`.
 """
 
-import time
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any, NamedTuple
@@ -13,6 +12,8 @@
 from hypothesis import seed as with_seed
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
+from damaskwind.runtime.clock import read_clock
+
 __all__ = ["FuzzResult", "SeededBug", "fuzz_histories", "run_batch", "seeded_bug"]
 
 BATCH = 100
@@ -77,12 +78,12 @@
     machine: Any, steps: int, seed: int, duration_s: float, histories: int
 ) -> FuzzResult:
     """Run histories until the time or the count is used up, or one fails."""
-    started_s = time.monotonic()
+    started_s = read_clock()
     machine.made = 0
     failure = None
     first_failed = None
     batch = 0
-    while time.monotonic() - started_s < duration_s and machine.made < histories:
+    while read_clock() - started_s < duration_s and machine.made < histories:
         before = machine.made
         try:
             run_batch(machine, steps, seed + batch, min(BATCH, histories - before))
@@ -92,4 +93,4 @@
             first_failed = before
             break
         batch += 1
-    return FuzzResult(machine.made, time.monotonic() - started_s, first_failed, failure)
+    return FuzzResult(machine.made, read_clock() - started_s, first_failed, failure)
--- a/packages/standins/src/damaskwind/standins/mortal_target.py
+++ b/packages/standins/src/damaskwind/standins/mortal_target.py
@@ -11,13 +11,13 @@
 import asyncio
 import socket
 import struct
-import time
 from collections.abc import Callable
 from itertools import count
 from typing import NamedTuple
 
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.scripted_target import ReceivedRequest, ScriptedTarget, plain
 
 __all__ = ["Arrival", "MortalTarget"]
@@ -78,7 +78,7 @@
 
     async def _run(self, writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         is_fatal = self._is_fatal(request)
-        self.arrivals.append(Arrival(time.monotonic(), is_fatal))
+        self.arrivals.append(Arrival(read_clock(), is_fatal))
         self._writers.add(writer)
         if is_fatal and self._dying is None:
             self._dying = asyncio.ensure_future(self._die())
@@ -89,7 +89,7 @@
         """End under what is in hand, and come back."""
         await asyncio.sleep(self._fatal_after_s)
         self.is_alive = False
-        self.ends_s.append(time.monotonic())
+        self.ends_s.append(read_clock())
         self._server.close()
         for writer in self._writers:
             handle = writer.get_extra_info("socket")
--- a/packages/standins/src/damaskwind/standins/replies.py
+++ b/packages/standins/src/damaskwind/standins/replies.py
@@ -1,12 +1,12 @@
 """Write an engine's answers, whole or streamed, with the faults asked for."""
 
 import json
-import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred
 
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.batching import Generation
 from damaskwind.standins.faults import Fault
 from damaskwind.standins.listening import raw_transport
@@ -118,7 +118,7 @@
         delta: dict[str, str] = {"content": self._options.shown_answer[index]}
         if index == 0:
             delta["role"] = "assistant"
-        self._request.write(_delta(self._options, delta, None, time.monotonic()))
+        self._request.write(_delta(self._options, delta, None, read_clock()))
         is_middle = index + 1 >= (len(self._generation.answer) + 1) // 2
         if Fault.CUT_ANSWER in self._options.faults and is_middle:
             self._open = False
--- a/packages/standins/src/damaskwind/standins/slow_time.py
+++ b/packages/standins/src/damaskwind/standins/slow_time.py
@@ -13,11 +13,12 @@
 """
 
 import selectors
-import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
+from damaskwind.runtime.clock import clock_in_force
+
 __all__ = ["SlowClock", "SlowSelector"]
 
 
@@ -34,15 +35,13 @@
 
     @contextmanager
     def in_force(self) -> Iterator[None]:
-        """Have `time.monotonic` and its copies in our modules tell this time meanwhile."""
-        real, slow = time.monotonic, self.monotonic
-        time.monotonic = slow
-        _replace(real, slow)
+        """Have the process and the loops of asyncio go by this time meanwhile."""
+        real, time.monotonic = time.monotonic, self.monotonic
         try:
-            yield
+            with clock_in_force(self.monotonic):
+                yield
         finally:
             time.monotonic = real
-            _replace(slow, real)
 
 
 class SlowSelector(selectors.DefaultSelector):
@@ -61,10 +60,3 @@
         # Beyond the limit the process waited for a processor.
         self._clock.waited_s += waited_s if limit_s is None else min(waited_s, limit_s)
         return ready
-
-
-def _replace(before: Callable[[], float], after: Callable[[], float]) -> None:
-    """Replace a clock that modules imported by name, also those that were loaded since."""
-    for name, module in list(sys.modules.items()):
-        if name.startswith("damaskwind.") and getattr(module, "monotonic", None) == before:
-            module.monotonic = after
--- a/packages/standins/src/damaskwind/standins/target_fleet.py
+++ b/packages/standins/src/damaskwind/standins/target_fleet.py
@@ -1,7 +1,6 @@
 """A number of engines and plain services behind one control address."""
 
 import json
-import time
 from typing import Any
 
 from klein import Klein
@@ -9,6 +8,7 @@
 
 from damaskwind.model.checking import check_table
 from damaskwind.runtime.bridge import to_deferred
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.files import write_ready_file
 from damaskwind.runtime.settings import parse_address
 from damaskwind.standins.engine import EngineStandin
@@ -88,7 +88,7 @@
                 by_user.setdefault(user, {})[name] = load_tokens
         self.samples.append(
             {
-                "time_s": time.monotonic(),
+                "time_s": read_clock(),
                 "load_tokens": {name: load.load_tokens for name, load in loads.items()},
                 "requests": {
                     name: load.running_requests + load.waiting_requests
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -1,7 +1,6 @@
 """Follow the news of one control replica, over and over, until told to stop."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple, Protocol
@@ -13,6 +12,7 @@
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import (
     AnswerBrokenError,
     ClientConnection,
@@ -103,7 +103,7 @@
         subscriber: Subscriber,
         random: Random,
         timing: NewsTiming = DEFAULT_TIMING,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = read_clock,
         passes_on: PassingPlace = NOWHERE,
     ) -> None:
         self.address = address
