--- a/packages/commands/src/damaskwind/commands/operator.py
+++ b/packages/commands/src/damaskwind/commands/operator.py
@@ -188,6 +188,25 @@
     return ExitCode.FINE
 
 
+@control_command
+def fatal_requests(context: Context, lift: str = "") -> int:
+    """Show the requests that are suspected or held fatal on the operator platform, or lift one.
+
+    Ask a replica's metrics address.
+
+    :param lift: the digest of a request that may be sent again
+    """
+    if lift:
+        answer = context.client.ask("DELETE", _path("fatal-requests", lift))
+        context.show(answer, f"lifted: {answer['lifted']}; routers know in a moment")
+        return ExitCode.FINE
+    answer = context.client.ask("GET", _path("fatal-requests"))
+    titles = ("digest", "standing", "targets_ended", "age_s")
+    rows = [[str(item[title]) for title in titles] for item in answer["requests"]]
+    context.show(answer, columns(titles, rows) if rows else "no request is suspected")
+    return ExitCode.FINE
+
+
 @router_command
 def targets(context: Context) -> int:
     """Show the targets that a router knows."""
@@ -227,7 +246,20 @@
     return ExitCode.FINE
 
 
-COMMANDS = [plan, confirm, show, status, audit, replicas, targets, drain, explain, trace, key]
+COMMANDS = [
+    plan,
+    confirm,
+    show,
+    status,
+    audit,
+    replicas,
+    fatal_requests,
+    targets,
+    drain,
+    explain,
+    trace,
+    key,
+]
 
 
 def _join_endpoints(arguments: list[str]) -> list[str]:
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -135,10 +135,22 @@
     def suspect(self, items: Iterable[Suspicion]) -> list[bytes]:
         """Take what a router or another replica knows of fatal requests; return what was news."""
         news = self.suspicions.merge(items, read_clock())
-        if news and self._waiters and self._waking is None:
+        if news:
+            self._note_suspicions()
+        return news
+
+    def lift(self, digest: bytes) -> bool:
+        """Clear a request; tell whether it was under suspicion."""
+        was_suspected = self.suspicions.note_survived(digest, read_clock())
+        if was_suspected:
+            self._note_suspicions()
+        return was_suspected
+
+    def _note_suspicions(self) -> None:
+        """Have routers told in a moment."""
+        if self._waiters and self._waking is None:
             loop = asyncio.get_running_loop()
             self._waking = loop.call_later(SUSPICIONS_GATHERED_S, self.wake)
-        return news
 
     def _note_change(self) -> None:
         """Have everyone look at the table, soon if there are many targets."""
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -12,6 +12,7 @@
 
 from damaskwind.control.fleet.calls import ControlCalls
 from damaskwind.control.fleet.document_shelf import DocumentShelf
+from damaskwind.control.fleet.fatal_requests_site import FATAL_REQUESTS_PATH, FatalRequestsSite
 from damaskwind.control.fleet.kept_state import (
     KeptState,
     StateKeeper,
@@ -112,6 +113,7 @@
         self._news = HttpServer(site.handle, NEWS_LIMITS)
         self._load = LoadMeter(self.tallies, self._slowest_call_s)
         self._metrics = MetricsSite(self.tallies)
+        self._metrics.handlers[FATAL_REQUESTS_PATH] = FatalRequestsSite(self.board).handle
         self._show_gauges()
         self._links: dict[str, NewsLink] = {}
         self._tasks: list[asyncio.Task] = []
--- a/packages/runtime/src/damaskwind/runtime/metrics_site.py
+++ b/packages/runtime/src/damaskwind/runtime/metrics_site.py
@@ -1,6 +1,7 @@
 """Serve a process's metrics as text."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
@@ -14,10 +15,11 @@
 
 
 class MetricsSite:
-    """The server behind the metrics address."""
+    """The server behind the metrics address; `handlers` answer what else begins with a path."""
 
     def __init__(self, tallies: Tallies) -> None:
         self._tallies = tallies
+        self.handlers: dict[bytes, Callable[[Exchange], Awaitable[None]]] = {}
         self._server = HttpServer(self._answer, ServerLimits(idle_timeout_s=30.0))
 
     def listen(self, host: str, port: int) -> int:
@@ -30,7 +32,12 @@
         self._server.abort()
 
     async def _answer(self, exchange: Exchange) -> None:
-        if exchange.request.target != METRICS_PATH:
+        target = exchange.request.target
+        for path, handler in self.handlers.items():
+            if target.startswith(path):
+                await handler(exchange)
+                return
+        if target != METRICS_PATH:
             exchange.respond(Answer(404, []))
             return
         # The first time, this loads the library that writes the text.
