--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -1,6 +1,7 @@
 """Keep connections to targets, and hand out only those that are provably clean."""
 
 import asyncio
+from contextlib import suppress
 from weakref import WeakSet
 
 from loguru import logger
@@ -17,6 +18,8 @@
 CONNECT_S = 0.3
 # Idle time without the target's word on it; targets close idle connections.
 IDLE_S = 2.0
+# So long a connection has to stand to count.
+SETTLE_S = 0.02
 # A target that could not be reached is tried again this often, without a request:
 # whoever waits for a lost opening packet comes too late.
 WATCH_S = 0.4
@@ -68,11 +71,22 @@
         return target_id in self._watches
 
     async def try_once(self, target_id: str, address: Address) -> bool:
-        """Tell whether a target takes a connection; one that stands is kept."""
+        """Tell whether a target takes a connection and keeps it; one that stands is kept here.
+
+        What stands before targets may take a connection for one that has ended, and reset it.
+        """
         try:
             connection = await connect(address, CONNECT_S)
         except ConnectFailedError:
             return False
+        lost = asyncio.Event()
+        connection.on_lost = lambda _: lost.set()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_S):
+                await lost.wait()
+        connection.on_lost = None
+        if not connection.is_open:
+            return False
         self.put_back(target_id, connection)
         return True
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -435,3 +435,27 @@
         self.assertEqual((answer.status, header(answer.headers, b"retry-after")), (503, None))
         self.assertEqual(self.received(), [])
         self.assertEqual((await self.call(path=b"/a/y")).status, 200)
+
+    @asyncio_test
+    async def test_an_ended_target_behind_what_takes_and_resets_connections_counts_as_ended(self):
+        """Nine ends of targets were held against no request: each was seen to "answer".
+
+        What stood before the targets took the connection that was to tell, and reset it.
+        """
+
+        async def reset(reader, writer):
+            writer.transport.abort()
+
+        ended = self.targets[0]
+        ended.script = [silent()]
+        self.view.targets.leave("t1", read_clock())
+        self.publish(route(max_attempts=1))
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.1)
+        port = self.view.targets.record_of("t0").address.port
+        await ended.stop()
+        proxy = await asyncio.start_server(reset, "127.0.0.1", port)
+        self.addCleanup(proxy.close)
+        self.assertEqual((await calling).status, 502)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.known(), [1])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -57,7 +57,9 @@
     for seed in chosen:
         begun_s = time.monotonic()
         folder = where / f"seed-{seed}"
-        verdict = await play_seed(seed, seconds, folder, install_reactor(), kept, prelude)
+        verdict = await play_seed(
+            seed, seconds, folder, install_reactor(), kept, prelude, has_fatal_request=True
+        )
         took_s = time.monotonic() - begun_s
         word = "BROKEN" if verdict.broken else "held"
         print(f"seed {seed}: {word} in {took_s:.0f} s; {verdict.summary}", flush=True)
