--- a/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
+++ b/packages/commands/src/damaskwind/commands/tests/fault_cluster.py
@@ -39,6 +39,8 @@
 __all__ = ["DEADLINE_S", "DOMAINS", "REPLICAS", "FaultCluster", "FaultTestCase", "viewer_intent"]
 
 DEADLINE_S = 45.0
+OUTCOME_UNKNOWN = 504
+RESEND_S = 0.2
 ANSWER_TIMEOUT_S = 15.0
 POLL_S = 0.1
 DOMAINS = ("bangsar-hall", "cyberjaya-a", "shah-alam-b")
@@ -255,6 +257,23 @@
         """Add a viewer of this name."""
         return await self.confirm(at, await self.plan(at, viewer_intent(name)), name)
 
+    async def change_resent(self, at: str, name: str) -> Told:
+        """Add a viewer, and send again what ends with an unknown outcome, which is safe."""
+        planned = await self._known_outcome(at, "/intents", viewer_intent(name))
+        path = f"/plans/{planned['plan']['id']}/confirm"
+        return self.note(await self._known_outcome(at, path, {}), name)
+
+    async def _known_outcome(self, at: str, path: str, body: Any) -> dict[str, Any]:
+        """Ask one replica until its answer is known; raise when it is a refusal."""
+        until_s = read_clock() + DEADLINE_S
+        while True:
+            status, answer = await self.ask(at, "POST", path, body)
+            if status == 200:
+                return answer
+            if status != OUTCOME_UNKNOWN or read_clock() > until_s:
+                raise HarnessError(f"not confirmed: {status} {answer}\n{self._log_tails()}")
+            await asyncio.sleep(RESEND_S)
+
     async def change_somewhere(self, ats: tuple[str, ...], name: str) -> Told:
         """Add a viewer as an operator would who asks again and elsewhere until it is told."""
         plan_id = await wait_until(lambda: self._try_plan(ats, name), DEADLINE_S, "a plan")
--- a/packages/commands/src/damaskwind/commands/tests/test_faults_control_disks.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_faults_control_disks.py
@@ -1,5 +1,8 @@
 """Proof with real processes: a lost disk, and a second VM lost right after its repair."""
 
+import asyncio
+import signal
+
 from damaskwind.commands.tests.fault_cluster import (
     DEADLINE_S,
     REPLICAS,
@@ -10,6 +13,7 @@
 from damaskwind.standins.harness import wait_until
 
 CHANGES = 20
+STARVED_S = 1.6
 
 
 class LostDiskTest(FaultTestCase):
@@ -29,7 +33,7 @@
         leader = await cluster.leader()
         lost, other = (name for name in REPLICAS if name != leader)
         for number in range(CHANGES):
-            await cluster.change(REPLICAS[number % 3], f"viewer-{number}")
+            await cluster.change_resent(REPLICAS[number % 3], f"viewer-{number}")
         before = await self.identity_of(lost, leader)
         await cluster.kill(lost)
         cluster.lose_disk(lost)
@@ -54,3 +58,31 @@
         await cluster.restart(second)
         await cluster.change_somewhere(REPLICAS, "whole-again")
         self.assertEqual(await cluster.faults(), [])
+
+    @asyncio_test
+    async def test_changes_while_leaders_are_starved_are_known_when_sent_again(self):
+        """A change of a fresh cluster ended as "the outcome is not known yet" on a busy machine.
+
+        A leader that gets no processor for longer than its lease loses it with a change in hand,
+        which is then answered 504 and is safe to send again: one of sixty changes with six
+        leaders stopped for 1.6 s each. The changes that only fill the log are sent again since.
+        """
+        cluster = self.cluster
+        await cluster.start_replicas()
+        starving = asyncio.ensure_future(self.starve_leaders(3))
+        try:
+            for number in range(CHANGES):
+                await cluster.change_somewhere((REPLICAS[number % 3],), f"viewer-{number}")
+                await asyncio.sleep(0.2)
+        finally:
+            await starving
+        await wait_until(lambda: cluster.all_vote(REPLICAS), DEADLINE_S, "three voters")
+        self.assertEqual(await cluster.faults(), [])
+
+    async def starve_leaders(self, times):
+        for _ in range(times):
+            leader = self.cluster.harness.processes[await self.cluster.leader()]
+            leader.send(signal.SIGSTOP)
+            await asyncio.sleep(STARVED_S)
+            leader.send(signal.SIGCONT)
+            await asyncio.sleep(0.5)
