--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -79,16 +79,14 @@
             connection = await connect(address, CONNECT_S)
         except ConnectFailedError:
             return False
-        lost = asyncio.Event()
-        connection.on_lost = lambda _: lost.set()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(SETTLE_S):
-                await lost.wait()
-        connection.on_lost = None
-        if not connection.is_open:
-            return False
-        self.put_back(target_id, connection)
-        return True
+        try:
+            stands = await _stands(connection)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        if stands:
+            self.put_back(target_id, connection)
+        return stands
 
     def put_back(self, target_id: str, connection: ClientConnection) -> None:
         """Keep a connection on which nothing was sent."""
@@ -136,6 +134,17 @@
             self.forget(target_id)
 
 
+async def _stands(connection: ClientConnection) -> bool:
+    """Tell whether a new connection is still there after a while."""
+    lost = asyncio.Event()
+    connection.on_lost = lambda _: lost.set()
+    with suppress(TimeoutError):
+        async with asyncio.timeout(SETTLE_S):
+            await lost.wait()
+    connection.on_lost = None
+    return connection.is_open
+
+
 def _idle_s(headers: Headers) -> float:
     """Return how long a connection may be kept idle by an answer's headers.
 
--- a/packages/router/src/damaskwind/router/forwarding/target_losses.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_losses.py
@@ -65,7 +65,8 @@
         finally:
             del self._looks[target_id]
             broken = self._broken.pop(target_id)
-        is_leaving = self._view.targets.phase_of(target_id) is not TargetPhase.SERVING
+        phase = self._view.targets.phase_of(target_id)
+        is_leaving = phase is not TargetPhase.SERVING
         has_ended = not answers and not is_leaving
         logger.warning(
             "sends broken",
@@ -79,7 +80,10 @@
                 for item in broken[:LISTED_REQUESTS]
             ],
         )
-        if not answers:
+        if phase in (None, TargetPhase.GONE):
+            # Its address may be another target's by now.
+            self._connections.forget(target_id)
+        elif not answers:
             self._connections.watch(target_id, target.address)
         if has_ended:
             for callback in self.on_ended:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -459,3 +459,28 @@
         self.assertEqual((await calling).status, 502)
         await asyncio.sleep(0.1)
         self.assertEqual(self.known(), [1])
+
+    @asyncio_test
+    async def test_a_look_that_is_given_up_leaves_no_connection_open(self):
+        address = self.view.targets.record_of("t0").address
+        looking = asyncio.ensure_future(self.connections.try_once("t0", address))
+        while not self.targets[0].connections:
+            await asyncio.sleep(0.001)
+        looking.cancel()
+        await asyncio.gather(looking, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        self.assertIn("closed", self.targets[0].ends)
+
+    @asyncio_test
+    async def test_a_target_that_is_gone_by_the_look_is_not_tried_again(self):
+        self.targets[0].script = [silent()]
+        self.view.targets.leave("t1", read_clock())
+        self.publish(route(max_attempts=1))
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.1)
+        self.view.targets.leave("t0", read_clock())
+        await self.targets[0].stop()
+        await calling
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.connections.is_unreachable("t0"))
+        self.assertEqual(self.known(), [])
