--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -36,15 +36,12 @@
 # One that still lacks some, the last of them so old or its table other for three times that, hears
 # of them from the others where their links are idle: its first one may be frozen.
 LAGS_S = 0.5
-# Changes among many targets are told together: each wakes all routers that wait, 294 tasks for
-# each of 2,500 reports a second when 3,000 targets start.
+# Changes among many targets are told together: each wakes all routers that wait.
 WAKES_EVERY_S = 0.05
-# So many records go with an answer, 16 KB when compressed: 0.03 s of a link of 4.2 Mbit/s,
-# so that heartbeats of the log find room between them.
+# So many records go with an answer, so that heartbeats of the log find room between them.
 RECORDS_AT_ONCE = 500
 # So few new records go without room too, and any change of a phase, a third of the bytes: a leave
-# must not wait for the parts of tables and the sums that have the link. With 3,000 targets it
-# took 2.5 s in the middle, since all who asked again took the room from each other.
+# must not wait for the parts of tables and the sums that have the link.
 FEW_RECORDS = 16
 # What one lost target had in hand, four times over, is told in one answer.
 SUSPICIONS_AT_ONCE = 256
--- a/packages/decisions/src/damaskwind/decisions/following/document_sources.py
+++ b/packages/decisions/src/damaskwind/decisions/following/document_sources.py
@@ -15,9 +15,7 @@
 
 # The followers learn of a version a round trip after the leader, or when its link has
 # sent it to the others before: 21 KB to five of them take 0.43 s at 2 Mbit/s. One that is
-# silent for longer than this after the first word is behind: another one is asked. With
-# 0.15 s the last of 60 routers had such a document after 1.9 to 2.3 s, with 0.3 s after
-# 1.7 to 1.9 s.
+# silent for longer than this after the first word is behind: another one is asked.
 PATIENCE_S = 0.3
 # A source that failed is asked again after so long, or when there is no other.
 FAILED_S = 1.0
@@ -101,9 +99,7 @@
     def _order(self, now_s: float) -> list[str]:
         """Return the replicas, the one to be asked first in front.
 
-        A hash alone gave one of five followers 22 of 60 routers in the worst of 249
-        fleets: the last of them had a document of 21 KB after 3.2 s, where 1.7 s is
-        an even share of a link of 2 Mbit/s.
+        A hash alone would give some followers twice their share.
         """
         order = rendezvous_order(self._node_id, self._told)
         if self.place is not None:
--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -44,8 +44,7 @@
     together; each sees loads that are some hundred ms old, so this stays below.
     `far_requests` is what leaving the failure domain costs, in requests. A
     target younger than `donor_age_s` is a poor donor, since callers ask again
-    for a part only after some seconds: of 14 parts that a donor lacked on a calm
-    day, 5 were named targets that young (maytinh-edge quiet-1 --seed 33).
+    for a part only after some seconds.
     """
 
     load_factor: float = 1.6
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -157,8 +157,7 @@
         self, records: Collection[TargetRecord], now_s: float, is_engine: bool
     ) -> list[Candidate]:
         """Describe a pool's targets as placement sees them."""
-        # Looked up once: for each target it made a placement among 1,000 take 258 ms, and 7 so
-        # (processor time of one, 8 cores).
+        # Once for all targets of a pool: each look goes through all of them.
         health = {
             service: self._pool_health(service, now_s)
             for service in {record.service for record in records}
