--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/suspicion.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/suspicion.py
@@ -27,9 +27,11 @@
 
 # So many targets may end under a request before it is sent no more.
 FATAL_ENDS = 3
-# A suspicion without a further end is forgotten after this; so long is a request
-# held fatal at first, and twice as long after each trial that ended a target.
+# A suspicion without a further end is forgotten after this.
 REMEMBERED_S = 600.0
+# So long is a request held fatal at first, and twice as long after each trial that ended a
+# target: whoever is held wrongly is cleared by the first trial.
+HELD_S = 60.0
 # At 150 bytes each in a router's memory; a lost target adds as many as it had in hand.
 MOST_REQUESTS = 4096
 
@@ -68,19 +70,21 @@
     """Return how long a request is held fatal after so many targets ended under it.
 
     >>> held_fatal_s(3), held_fatal_s(5)
-    (600.0, 2400.0)
+    (60.0, 240.0)
     """
-    return REMEMBERED_S * 2 ** (ends - FATAL_ENDS)
+    return HELD_S * 2 ** (ends - FATAL_ENDS)
 
 
 class SuspicionTable:
     """The requests under suspicion, as one process knows them. Times are monotonic.
 
-    `revision` grows with each change, so that others can ask for what is new.
+    `revision` grows with each change, so that others can ask for what is new. With
+    another `spread` (0 to 1) in each router, not all of them try a request again at once.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, spread: float = 0.0) -> None:
         self.revision = 0
+        self._patience = 1.0 + spread
         # The one that changed last stands last.
         self._entries: dict[bytes, _Entry] = {}
 
@@ -98,7 +102,7 @@
         if entry is None or not entry.known.ends:
             return Standing.CLEAR
         ends = entry.known.ends
-        is_fatal = ends >= FATAL_ENDS and now_s - entry.at_s < held_fatal_s(ends)
+        is_fatal = ends >= FATAL_ENDS and now_s - entry.at_s < self._patience * held_fatal_s(ends)
         return Standing.FATAL if is_fatal else Standing.SUSPECTED
 
     def may_repeat(self, digest: bytes) -> bool:
@@ -160,7 +164,7 @@
         old = [
             digest
             for digest, entry in self._entries.items()
-            if now_s - entry.at_s > 2 * held_fatal_s(max(entry.known.ends, FATAL_ENDS - 1))
+            if now_s - entry.at_s > REMEMBERED_S + 2 * held_fatal_s(entry.known.ends)
         ]
         for digest in old:
             del self._entries[digest]
--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/tests/test_suspicion.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/tests/test_suspicion.py
@@ -9,6 +9,7 @@
 from damaskwind.decisions.fatal_requests.suspicion import (
     FATAL_ENDS,
     MOST_REQUESTS,
+    REMEMBERED_S,
     Known,
     Standing,
     Suspicion,
@@ -66,11 +67,18 @@
     def test_suspicions_are_forgotten(self):
         table = fatal_table()
         table.note_end(b"g", table.known(b"g"), 0.0)
-        table.forget(held_fatal_s(3) + 1)
+        table.forget(REMEMBERED_S + 2 * held_fatal_s(1) + 1)
         self.assertEqual(table.digests(), [b"f"])
-        table.forget(2 * held_fatal_s(3) + 1)
+        table.forget(REMEMBERED_S + 2 * held_fatal_s(3) + 1)
         self.assertEqual(len(table), 0)
 
+    def test_routers_do_not_all_try_a_request_again_at_once(self):
+        early, late = fatal_table(), SuspicionTable(spread=0.5)
+        late.merge(early.told([b"f"], 0.0), 0.0)
+        tried_s = held_fatal_s(3) + 1
+        self.assertIs(early.standing(b"f", tried_s), Standing.SUSPECTED)
+        self.assertIs(late.standing(b"f", tried_s), Standing.FATAL)
+
     def test_a_full_table_keeps_those_held_fatal(self):
         table = fatal_table()
         for number in range(2 * MOST_REQUESTS):
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -14,6 +14,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.call import Call, target_headers
+from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.target_beliefs import TargetBeliefs
 from damaskwind.runtime.clock import read_clock
@@ -89,6 +90,16 @@
     """Take how long a target's answer took to begin, and do nothing with it."""
 
 
+def _is_lost(connection: ClientConnection) -> bool:
+    """Tell whether a target lost a connection that it had taken.
+
+    One that is reset as soon as it stands leads to no target: what stands before
+    a target that has ended, or that can't be reached, takes and resets it.
+    """
+    has_stood = read_clock() - connection.made_s >= SETTLE_S
+    return has_stood and not connection.is_open and not connection.is_timed_out
+
+
 class AttemptSender:
     """Send to targets over kept connections.
 
@@ -117,7 +128,7 @@
         target = placed.target
         try:
             connection = await self.connections.take(
-                target.target_id, target.address, call.left_s()
+                target.target_id, target.address, call.left_s(), call.is_suspected
             )
         except ConnectFailedError as error:
             why = f"no connection: {error}"
@@ -133,8 +144,7 @@
         except AnswerBrokenError as error:
             if connection.is_timed_out:
                 self.connections.watch(target.target_id, target.address)
-            is_lost = not connection.is_open and not connection.is_timed_out
-            return AttemptOutcome(AttemptEnd.BROKEN, str(error), is_lost=is_lost)
+            return AttemptOutcome(AttemptEnd.BROKEN, str(error), is_lost=_is_lost(connection))
         except TimeoutError:
             return AttemptOutcome(AttemptEnd.STALLED, "the target was silent")
         finally:
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -82,7 +82,8 @@
     `sends` counts targets that it was sent to, `unreached` those to which no
     connection came about, `silent_domains` the failure domains of targets that
     were unreachable or silent for it. `digest` knows the request again when it comes
-    under another id. `look` finds out whether the target has ended under the last send.
+    under another id. `look` finds out whether the target has ended under the last send. With
+    `is_suspected`, targets have ended under it.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
     ) -> None:
         self.facts = facts
         self.digest = digest
+        self.is_suspected = False
         self.look: asyncio.Task[bool] | None = None
         self.route = route
         self.account = account
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -1,7 +1,6 @@
 """Keep connections to targets, and hand out only those that are provably clean."""
 
 import asyncio
-from contextlib import suppress
 from weakref import WeakSet
 
 from loguru import logger
@@ -11,7 +10,7 @@
 from damaskwind.runtime.http1.client import ClientConnection, ConnectFailedError, connect
 from damaskwind.runtime.http1.messages import Headers, header
 
-__all__ = ["TargetConnections"]
+__all__ = ["SETTLE_S", "TargetConnections"]
 
 # A new connection inside a region stands within some ms; a lost opening packet
 # is sent again after a second, and by then another target has answered.
@@ -38,8 +37,10 @@
         self._idle: dict[str, list[ClientConnection]] = {}
         self._watches: dict[str, asyncio.Task] = {}
 
-    async def take(self, target_id: str, address: Address, timeout_s: float) -> ClientConnection:
-        """Return a clean connection, kept or new.
+    async def take(
+        self, target_id: str, address: Address, timeout_s: float, has_to_stand: bool = False
+    ) -> ClientConnection:
+        """Return a clean connection, kept or new, with `has_to_stand` one that stood for a while.
 
         Raises `ConnectFailedError` when none stands in time: nothing was sent.
         """
@@ -52,6 +53,8 @@
             connection.close()
         self.opened += 1
         connection = await connect(address, min(timeout_s, CONNECT_S))
+        if has_to_stand and not await self._stands(connection):
+            raise ConnectFailedError("the connection was reset before anything was sent")
         self._made.setdefault(target_id, WeakSet()).add(connection)
         return connection
 
@@ -79,14 +82,26 @@
             connection = await connect(address, CONNECT_S)
         except ConnectFailedError:
             return False
+        stands = await self._stands(connection)
+        if stands:
+            self.put_back(target_id, connection)
+        return stands
+
+    async def _stands(self, connection: ClientConnection) -> bool:
+        """Tell whether a new connection is still there after a while."""
+        lost = asyncio.Event()
+        connection.on_lost = lambda _: lost.set()
         try:
-            stands = await _stands(connection)
+            async with asyncio.timeout(SETTLE_S):
+                await lost.wait()
+        except TimeoutError:
+            return connection.is_open
         except asyncio.CancelledError:
             connection.abort()
             raise
-        if stands:
-            self.put_back(target_id, connection)
-        return stands
+        finally:
+            connection.on_lost = None
+        return False
 
     def put_back(self, target_id: str, connection: ClientConnection) -> None:
         """Keep a connection on which nothing was sent."""
@@ -134,17 +149,6 @@
             self.forget(target_id)
 
 
-async def _stands(connection: ClientConnection) -> bool:
-    """Tell whether a new connection is still there after a while."""
-    lost = asyncio.Event()
-    connection.on_lost = lambda _: lost.set()
-    with suppress(TimeoutError):
-        async with asyncio.timeout(SETTLE_S):
-            await lost.wait()
-    connection.on_lost = None
-    return connection.is_open
-
-
 def _idle_s(headers: Headers) -> float:
     """Return how long a connection may be kept idle by an answer's headers.
 
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -104,7 +104,7 @@
             self.targets, self._seen, self._take_table, news_port, link_bytes_per_s
         )
         self.relay.handlers[TABLE_PATH] = self._tables.handle
-        self.suspicions = SuspicionRelay(news_port)
+        self.suspicions = SuspicionRelay(news_port, random.random())
         self._has_news = asyncio.Event()
         self._document = b""
         self._received = Document(0, b"")
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -212,6 +212,7 @@
         # Until the outcome is known, the request may be running.
         before, call.may_have_run = call.may_have_run, True
         call.look, known = None, self.view.suspicions.table.known(call.digest)
+        call.is_suspected = known.ends > 0
         outcome = AttemptOutcome(AttemptEnd.BROKEN, "given up")
         try:
             outcome = await self._sender.send(exchange.request, call, placed, delivery, may_move)
--- a/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
@@ -35,8 +35,8 @@
 class SuspicionRelay:
     """What one router knows of fatal requests, and what it still owes each replica."""
 
-    def __init__(self, news_port: int) -> None:
-        self.table = SuspicionTable()
+    def __init__(self, news_port: int, spread: float = 0.0) -> None:
+        self.table = SuspicionTable(spread)
         self._news_port = news_port
         self._forgot_s = 0.0
         self._epochs: dict[str, str] = {}
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -129,7 +129,7 @@
     async def test_targets_that_tell_no_load_are_not_guessed_to_be_full(self):
         # One router of eight: its own sends, times eight, would fill the eight places.
         self.view.routers = 8
-        self.script(silent(0.4), silent(0.4), silent(0.4))
+        self.script(silent(5.0), silent(5.0), silent(5.0))
         calls = []
         for number in range(6):
             calls.append(asyncio.ensure_future(self.call(request_id=b"r%d" % number)))
@@ -484,3 +484,30 @@
         await asyncio.sleep(0.1)
         self.assertFalse(self.connections.is_unreachable("t0"))
         self.assertEqual(self.known(), [])
+
+    @asyncio_test
+    async def test_targets_that_all_refuse_for_a_while_make_no_request_fatal(self):
+        """A request that all callers make was held fatal after a second in which none was let in.
+
+        What stood before the targets took each connection and reset it, so that each send
+        broke at a target that did not answer, after a send that had; hundreds of callers
+        were then refused without a time to come back.
+        """
+
+        async def reset(reader, writer):
+            writer.transport.abort()
+
+        self.targets[0].script = [silent()]
+        self.view.targets.leave("t1", read_clock())
+        self.publish(route(max_attempts=1))
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.1)
+        port = self.view.targets.record_of("t0").address.port
+        await self.targets[0].stop()
+        proxy = await asyncio.start_server(reset, "127.0.0.1", port)
+        self.addCleanup(proxy.close)
+        await calling
+        for number in range(8):
+            await self.call(request_id=b"r%d" % number)
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.known(), [1])
