A silent target gives way to one that was heard since at its address

Cause: who started last at an address was reckoned from sequence numbers alone; a target that ended after 3 heartbeats seemed younger than its successor after 8. Why it works: one that has been silent for 3 heartbeats while another at its address was heard no longer counts; a late report of an ended one, heard once, still loses by its age.

--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -40,6 +40,8 @@
 # is late behind any cut. Then a smaller birth is that of a target whose clock was
 # stepped back, and not a late report.
 STALE_LIFE_S = 10.0
+# So many heartbeats after another was heard at its address, a silent target has lost it.
+HEARD_BEATS = 3.0
 
 
 class Changes(NamedTuple):
@@ -103,8 +105,8 @@
     def __init__(self) -> None:
         self.revision = 0
         self._entries: dict[str, _Entry] = {}
-        self._youngest: dict[Address, str] = {}
-        self._youngest_at = -1
+        self._contested: dict[Address, list[_Entry]] = {}
+        self._contested_at = -1
         self.digest = 0
 
     def take(self, record: TargetRecord, heard_s: float) -> bool:
@@ -256,8 +258,10 @@
 
         Prevents that a report that a cut held back, and that arrives after its
         sender has crashed and another start reported from the same address, has
-        requests sent there again. The later start is the one with the shorter
-        life by its first report known here, whichever of them was heard first.
+        requests sent there again. Of several that were heard lately the later start
+        is the one with the shorter life by its first report known here, whichever of
+        them was heard first; one that has been silent for `HEARD_BEATS` heartbeats
+        gives way to one that was heard since: it may have ended younger.
 
         >>> from damaskwind.model.targets import Address
         >>> table = TargetTable()
@@ -270,22 +274,25 @@
         entry = self._entries.get(target_id)
         if entry is None:
             return False
-        if self._youngest_at != self.revision:
-            self._youngest = self._find_youngest(heartbeat_s)
-            self._youngest_at = self.revision
-        return self._youngest.get(entry.record.address, target_id) != target_id
-
-    def _find_youngest(self, heartbeat_s: float) -> dict[Address, str]:
-        """Return who started last at each address of those that are not gone."""
-        started_s: dict[Address, float] = {}
-        youngest: dict[Address, str] = {}
+        if self._contested_at != self.revision:
+            self._contested = self._find_contested()
+            self._contested_at = self.revision
+        rivals = self._contested.get(entry.record.address)
+        return rivals is not None and self._occupant(rivals, heartbeat_s) is not entry
+
+    def _find_contested(self) -> dict[Address, list[_Entry]]:
+        """Return the entries, none of them gone, of each address that several have."""
+        at: dict[Address, list[_Entry]] = {}
         for record in self.living():
-            entry = self._entries[record.target_id]
-            at_s = entry.first_s - entry.first_sequence * heartbeat_s
-            if at_s > started_s.get(record.address, float("-inf")):
-                started_s[record.address] = at_s
-                youngest[record.address] = record.target_id
-        return youngest
+            at.setdefault(record.address, []).append(self._entries[record.target_id])
+        return {address: entries for address, entries in at.items() if len(entries) > 1}
+
+    def _occupant(self, rivals: list[_Entry], heartbeat_s: float) -> _Entry:
+        """Return the last to start of those at an address that were heard lately."""
+        last_heard_s = max(entry.heard_s for entry in rivals)
+        oldest_s = last_heard_s - HEARD_BEATS * heartbeat_s
+        heard = [entry for entry in rivals if entry.heard_s >= oldest_s]
+        return max(heard, key=lambda entry: entry.first_s - entry.first_sequence * heartbeat_s)
 
     def __len__(self) -> int:
         """Return how many targets are known, those among them that are gone."""
@@ -421,7 +428,7 @@
         ]
         for target_id in old:
             self.digest ^= _mark(self._entries.pop(target_id).record)
-            self._youngest_at = -1
+            self._contested_at = -1
         return old
 
     def _refresh(self, entry: _Entry, record: TargetRecord, heard_s: float) -> bool:
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
@@ -215,3 +215,28 @@
             seen = told.revision
         for target_id in ("a", "b"):
             self.assertEqual(told.phase_of(target_id), learned.phase_of(target_id))
+
+
+class AddressTest(unittest.TestCase):
+    """Two lives told at one address: which of them has it?"""
+
+    def test_target_that_ended_young_gives_way_to_one_that_is_heard(self):
+        # A router that had started again was told of a target that ended after its third
+        # heartbeat, and of the one that runs at its address since, after its eighth. It took the
+        # first for the later start, and sent it twenty of sixty calls: "target said so: status
+        # 421". Only one of them went on to be heard.
+        table = TargetTable()
+        table.take(record("ended", sequence=3), 100.0)
+        table.take(record("runs", sequence=8), 100.0)
+        for now_s in (101.0, 102.2, 103.4, 104.6):
+            table.hear("runs", now_s)
+        self.assertTrue(table.is_superseded("ended", 1.2))
+        self.assertFalse(table.is_superseded("runs", 1.2))
+
+    def test_late_report_does_not_displace_the_later_start(self):
+        table = TargetTable()
+        table.take(record("runs", sequence=1), 100.0)
+        table.take(record("ended", sequence=40), 101.0)
+        table.hear("runs", 101.2)
+        self.assertTrue(table.is_superseded("ended", 1.2))
+        self.assertFalse(table.is_superseded("runs", 1.2))
