Operators empty a failure domain and take it back; routers send nothing there

Cause: there was no such order. Routers hear of it with their news, the revision never goes back, and targets there take no work but stay donors. Replicas tell what they kept at once after a restart. An unknown failure domain is refused with 404 and the names that there are; with all emptied, requests are refused at once. damaskwind evacuations shows, gives and withdraws.

On the code before, the calls have no handler (404).

--- a/packages/commands/src/damaskwind/commands/operator.py
+++ b/packages/commands/src/damaskwind/commands/operator.py
@@ -207,6 +207,29 @@
     return ExitCode.FINE
 
 
+@control_command
+def evacuations(context: Context, empty: str = "", take_back: str = "") -> int:
+    """Show which failure domains are emptied on the operator platform, empty one or take it back.
+
+    Ask a replica's metrics address.
+
+    :param empty: a failure domain whose targets get no work from now on
+    :param take_back: a failure domain whose targets get work again
+    """
+    if empty and take_back:
+        raise UsageError("one order at a time: --empty or --take-back")
+    if empty or take_back:
+        method = "PUT" if empty else "DELETE"
+        answer = context.client.ask(method, _path("evacuations", empty or take_back))
+        did = "emptied" if empty else "taken back"
+        context.show(answer, f"{did}: {answer['failure_domain']} ({answer['message']})")
+        return ExitCode.FINE
+    answer = context.client.ask("GET", _path("evacuations"))
+    emptied = ", ".join(answer["failure_domains"]) or "no failure domain is emptied"
+    context.show(answer, f"{emptied} (revision {answer['revision']})")
+    return ExitCode.FINE
+
+
 @router_command
 def targets(context: Context) -> int:
     """Show the targets that a router knows."""
@@ -254,6 +277,7 @@
     audit,
     replicas,
     fatal_requests,
+    evacuations,
     targets,
     drain,
     explain,
--- a/packages/control/src/damaskwind/control/fleet/kept_state.py
+++ b/packages/control/src/damaskwind/control/fleet/kept_state.py
@@ -23,6 +23,7 @@
 from damaskwind.control.storage.frames import encode_frame, file_header, read_frames
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion
 from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.exception import StorageError
 
 __all__ = [
@@ -40,12 +41,16 @@
 
 
 class KeptState(NamedTuple):
-    """A configuration that was applied, packed, all targets known, and the requests suspected."""
+    """A configuration that was applied, packed, all targets known, and the requests suspected.
+
+    Files that were written before there were evacuations have none.
+    """
 
     version: int = 0
     packed: bytes = b""
     records: tuple[TargetRecord, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
+    evacuations: Evacuations = Evacuations()
 
 
 def mark_first_start(data_folder: Path, files: FileSystem) -> None:
--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -16,7 +16,7 @@
 from damaskwind.control.fleet.settings import FleetControlSettings
 from damaskwind.control.replica.forwarding import LogAccess
 from damaskwind.control.replica.node import ReplicaNode, open_replica
-from damaskwind.control.state.published_configuration import PublishedConfiguration
+from damaskwind.control.state.fleet_state import FleetState
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.model.exception import StorageError
 from damaskwind.runtime.clock import read_clock
@@ -43,7 +43,7 @@
 class LogHost:
     """The log of one replica, from its folder up.
 
-    `machine` is what the log drives; it is a new one each time the log is
+    `state` is what the log drives; it is a new one each time the log is
     opened. `on_applied` is called when it has changed. `started_s` is when the
     process started: what the replica promised as a voter, it promised before.
     """
@@ -58,7 +58,7 @@
         tallies: Tallies,
     ) -> None:
         self._tallies = tallies
-        self.machine = PublishedConfiguration()
+        self.state = FleetState()
         self._settings = settings
         self._files = files
         self._random = random
@@ -136,14 +136,14 @@
         )
         control = self._control_settings()
         started_s = read_clock()
-        machine = PublishedConfiguration()
+        state = FleetState()
         node = open_replica(
-            node_settings, control, machine, self._files, self._random, self._silent_since_s
+            node_settings, control, state, self._files, self._random, self._silent_since_s
         )
         node.replica.transport.on_sent = self._note_sent
         node.replica.on_applied.append(self._on_applied)
         node.replica.on_failure.append(self._disk_failed)
-        self.machine = machine
+        self.state = state
         self._node = node
         self._server = Server([node.service])
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -157,7 +157,7 @@
             "log opened",
             identity=node.folder.identity.identity,
             last_index=node.replica.core.last_index,
-            version=machine.version,
+            version=state.configuration.version,
             took_s=round(read_clock() - started_s, 3),
         )
 
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -15,6 +15,7 @@
 from damaskwind.decisions.membership.report_places import ReportPlaces
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.membership.target_table import Changes, TargetTable
+from damaskwind.model.evacuations import Evacuations
 from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.news import Heard, News, NewsRequest, SubscriberKind
 
@@ -78,6 +79,7 @@
         is_current: Callable[[], bool],
         hosts: Callable[[], tuple[str, ...]],
         leads: Callable[[], bool] = lambda: False,
+        evacuations: Callable[[], Evacuations] = Evacuations,
     ) -> None:
         self.table = TargetTable()
         self.held = HeldSums()
@@ -87,6 +89,7 @@
         self._is_current = is_current
         self._hosts = hosts
         self._leads = leads
+        self.evacuations = evacuations
         # Whether news that can wait find the link idle; set by who sends them.
         self.has_room: Callable[[], bool] = lambda: True
         # Takes so many bytes of what the link has for news, if nothing waits there.
@@ -304,10 +307,12 @@
     def _has_news(self, request: NewsRequest, revision: int) -> bool:
         wants_version = request.kind == SubscriberKind.ROUTER
         is_newer = wants_version and self._version() > request.version
+        has_orders = wants_version and self.evacuations().revision > request.evacuations_seen
         has_changes = self.table.revision > revision and self._tells_changes(request)
         # One replica is enough to wake a router; the others tell it with their next answers.
         has_suspicions = request.is_first and self.suspicions.revision > request.suspicions_seen
-        return request.epoch != self.epoch or has_changes or is_newer or has_suspicions
+        has_told = request.epoch == self.epoch
+        return not has_told or has_changes or is_newer or has_orders or has_suspicions
 
     def news(
         self, request: NewsRequest, held: HeldSum | None = None, has_room: bool = True
@@ -343,6 +348,7 @@
             changes.phases,
             suspicions,
             suspicions_revision,
+            self.evacuations(),
         )
 
     def _tables_at(self, request: NewsRequest, revision: int) -> tuple[str, ...]:
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -12,6 +12,8 @@
 
 from damaskwind.control.fleet.calls import ControlCalls
 from damaskwind.control.fleet.document_shelf import DocumentShelf
+from damaskwind.control.fleet.evacuation_calls import EvacuationCalls
+from damaskwind.control.fleet.evacuations_site import EVACUATIONS_PATH, EvacuationsSite
 from damaskwind.control.fleet.fatal_requests_site import FATAL_REQUESTS_PATH, FatalRequestsSite
 from damaskwind.control.fleet.kept_state import (
     KeptState,
@@ -24,12 +26,14 @@
 from damaskwind.control.fleet.news_site import NewsSite
 from damaskwind.control.fleet.settings import FleetControlSettings
 from damaskwind.control.operator_api.ports import ProposalPort
+from damaskwind.control.state.fleet_state import FleetState
 from damaskwind.control.state.published_configuration import PublishedConfiguration
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.decisions.fatal_requests.suspicion import MOST_REQUESTS, Standing
 from damaskwind.decisions.following.reading_places import ReadingPlaces
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.clock import read_clock
@@ -68,7 +72,7 @@
 NEWS_LIMITS = ServerLimits(idle_timeout_s=30.0)
 
 
-Handler = Callable[[ControlCalls, Exchange], Awaitable[None]]
+Handler = Callable[[ControlCalls, EvacuationCalls, Exchange], Awaitable[None]]
 
 
 class FleetControl:
@@ -90,9 +94,11 @@
         self._random = Random(secrets.randbits(64))
         self._handler = handler
         self._started_s = read_clock() if started_s is None else started_s
-        self._no_log = PublishedConfiguration()
+        self._no_log = FleetState()
         self._log: LogHost | None = None
-        self.board = NewsBoard(self._version, self._is_current, self._hosts, self._leads)
+        self.board = NewsBoard(
+            self._version, self._is_current, self._hosts, self._leads, self._evacuations
+        )
         self._folder = Path(settings.data_folder)
         self._kept = KeptState()
         self._may_found = settings.may_found
@@ -105,15 +111,23 @@
             self._bears_a_loss,
             ReadingPlaces(settings.link_bytes_per_s, settings.news_port, self._random),
         )
+        self.evacuation_calls = EvacuationCalls(
+            self._access,
+            lambda: self._log_state().orders,
+            self._bears_a_loss,
+            settings.failure_domains,
+        )
         self._control = HttpServer(self._handle, CONTROL_LIMITS)
         self.tallies = Tallies()
-        self.calls.tallies = self.tallies
+        self.calls.tallies = self.evacuation_calls.tallies = self.tallies
         self._shelf = DocumentShelf()
         site = NewsSite(self.board, self._shelf, self.tallies, settings.link_bytes_per_s)
         self._news = HttpServer(site.handle, NEWS_LIMITS)
         self._load = LoadMeter(self.tallies, self._slowest_call_s)
         self._metrics = MetricsSite(self.tallies)
         self._metrics.handlers[FATAL_REQUESTS_PATH] = FatalRequestsSite(self.board).handle
+        evacuations = EvacuationsSite(self.evacuation_calls, self.board)
+        self._metrics.handlers[EVACUATIONS_PATH] = evacuations.handle
         self._show_gauges()
         self._links: dict[str, NewsLink] = {}
         self._tasks: list[asyncio.Task] = []
@@ -168,6 +182,7 @@
         show("routers", "routers that ask here", board.routers)
         show("requests_suspected", "in hand where targets ended", self._suspected)
         show("requests_held_fatal", "sent no more, as targets end", self._held_fatal)
+        show("failure_domains_evacuated", "emptied by operators", self._evacuated)
         show("log_opened", "1 while the disk is usable", lambda: float(self._access() is not None))
 
     def _suspected(self) -> float:
@@ -176,6 +191,9 @@
     def _held_fatal(self) -> float:
         return self.board.suspicions.count(Standing.FATAL, read_clock())
 
+    def _evacuated(self) -> float:
+        return float(len(self._evacuations().failure_domains))
+
     def _recall(self) -> None:
         """Take up what was known before a restart.
 
@@ -191,22 +209,36 @@
         if self._kept.version:
             self._shelf.put(self._kept.version, unpack_document(self._kept.packed))
         self._keeper = StateKeeper(self._folder, self._files, self._mark, self._state)
-        logger.info("state recalled", version=self._kept.version, targets=len(self._kept.records))
+        logger.info(
+            "state recalled",
+            version=self._kept.version,
+            targets=len(self._kept.records),
+            evacuations=self._kept.evacuations,
+        )
 
-    def _mark(self) -> tuple[int, int, int]:
+    def _mark(self) -> tuple[int, ...]:
         """Return what grows whenever there is something new to keep."""
-        return (self._version(), self.board.table.revision, self.board.suspicions.revision)
+        return (
+            self._version(),
+            self.board.table.revision,
+            self.board.suspicions.revision,
+            self._evacuations().revision,
+        )
 
     def _state(self) -> KeptState:
         """Return what is to be kept."""
         records = self.board.table.changed_since(0).records
         suspicions, _ = self.board.suspicions.changed_since(0, MOST_REQUESTS, read_clock())
-        return KeptState(self._version(), self._packed(), records, suspicions)
+        return KeptState(self._version(), self._packed(), records, suspicions, self._evacuations())
 
     def _version(self) -> int:
         """Return the newest version known to be committed."""
         return max(self._machine().version, self._kept.version)
 
+    def _evacuations(self) -> Evacuations:
+        """Return the newest evacuations known to be committed."""
+        return max(self._log_state().orders.evacuations(), self._kept.evacuations)
+
     def _packed(self) -> bytes:
         """Return the document of that version."""
         is_newer = self._machine().version >= self._kept.version
@@ -230,12 +262,15 @@
     def _access(self) -> ProposalPort | None:
         return self._log.access if self._log else None
 
+    def _log_state(self) -> FleetState:
+        return self._log.state if self._log else self._no_log
+
     def _machine(self) -> PublishedConfiguration:
-        return self._log.machine if self._log else self._no_log
+        return self._log_state().configuration
 
     async def _handle(self, exchange: Exchange) -> None:
         """Answer a call of an operator or a target."""
-        await self._handler(self.calls, exchange)
+        await self._handler(self.calls, self.evacuation_calls, exchange)
 
     def _applied(self) -> None:
         """Have subscribers look at the version."""
--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -11,7 +11,8 @@
     `seed_hosts` are the IP numbers of some replicas; ports are the same on all.
     With `tolerated_losses` so many replicas may be lost at once, with their disks;
     without, every replica votes and the loss of one is borne. `link_bytes_per_s`
-    is the rate of the VM's link, by which documents are paced.
+    is the rate of the VM's link, by which documents are paced. `failure_domains` are all
+    that there are; without any, an order may name any.
     """
 
     node_id: str
@@ -29,6 +30,7 @@
     cluster_key: str = "fleet"
     tolerated_losses: int | None = None
     link_bytes_per_s: float = float("inf")
+    failure_domains: tuple[str, ...] = ()
 
     @property
     def wanted_voters(self) -> int | None:
--- a/packages/control/src/damaskwind/control/state/published_configuration.py
+++ b/packages/control/src/damaskwind/control/state/published_configuration.py
@@ -36,13 +36,6 @@
     base_version: int = 0
 
 
-class _Held(NamedTuple):
-    """A version with its document, packed."""
-
-    version: int = 0
-    packed: bytes = b""
-
-
 def publish_command(
     version: int, document: bytes, base_version: int = 0, base: bytes = b""
 ) -> bytes:
@@ -96,12 +89,6 @@
     def _hold(self, version: int, document: bytes, packed: bytes | None) -> None:
         self.version, self.document, self._packed = version, document, packed
 
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-        return msgspec.msgpack.encode(_Held(self.version, self.packed))
-
-    def restore(self, payload: bytes) -> None:
-        """Replace the whole state."""
-        held = msgspec.msgpack.decode(payload, type=_Held)
-        document = unpack_document(held.packed) if held.packed else b""
-        self._hold(held.version, document, held.packed)
+    def hold(self, version: int, packed: bytes) -> None:
+        """Replace what is held by a version and its document, packed."""
+        self._hold(version, unpack_document(packed) if packed else b"", packed)
--- /dev/null
+++ b/packages/model/src/damaskwind/model/evacuations.py
@@ -0,0 +1,16 @@
+"""Which failure domains operators have emptied."""
+
+from typing import NamedTuple
+
+__all__ = ["Evacuations"]
+
+
+class Evacuations(NamedTuple):
+    """The failure domains whose targets get no work; `revision` grows with each change.
+
+    >>> Evacuations(2, ("a", "b")) > Evacuations(1, ("a",))
+    True
+    """
+
+    revision: int = 0
+    failure_domains: tuple[str, ...] = ()
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -20,6 +20,7 @@
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.membership.target_table import Silence, TargetTable
 from damaskwind.decisions.routing.table import RouteTable
+from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.exception import ConfigurationError, MessageError
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
@@ -81,6 +82,7 @@
         link_bytes_per_s: float = float("inf"),
     ) -> None:
         self.targets = TargetTable()
+        self.evacuations = Evacuations()
         self.table: RouteTable | None = None
         self.routers = 1
         self.on_gone: list[Callable[[str], None]] = []
@@ -173,9 +175,15 @@
         hosts = self._hosts_heard() or list(self._links)
         return host == next(iter(rendezvous_order(self._node_id, hosts)))
 
+    def takes_work(self, record: TargetRecord) -> bool:
+        """Tell whether a target may be sent to: it serves, and nobody has it emptied."""
+        is_evacuated = record.failure_domain in self.evacuations.failure_domains
+        return record.phase is TargetPhase.SERVING and not is_evacuated
+
     def serving(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that take work."""
-        return [record for record in self.targets.serving() if record.service == service]
+        serving = self.targets.serving()
+        return [item for item in serving if item.service == service and self.takes_work(item)]
 
     def present(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that take work or still finish theirs."""
@@ -244,6 +252,7 @@
         self.sources.place = news.place
         if news.version > self.known_version():
             self._has_news.set()
+        self._take_evacuations(host, news.evacuations)
         self._take_records(host, news.records, now_s)
         self._take_records(host, self.targets.described(news.phases), now_s)
         if news.tables_at:
@@ -264,6 +273,18 @@
                 callback(host, news.held)
         self.follow(news.hosts)
 
+    def _take_evacuations(self, host: str, evacuations: Evacuations) -> None:
+        """Put newer evacuations in force; older ones are ignored."""
+        if evacuations.revision <= self.evacuations.revision:
+            return
+        self.evacuations = evacuations
+        logger.info(
+            "evacuations in force",
+            revision=evacuations.revision,
+            failure_domains=evacuations.failure_domains,
+            told_by=host,
+        )
+
     def _seen(self) -> tuple[Seen, ...]:
         """Return what was seen of each replica."""
         return tuple(link.seen for link in self._links.values())
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -101,8 +101,12 @@
         show("connections_opened", "to targets", lambda: self.connections.opened)
         show("requests_suspected", "in hand where targets ended", self._suspected)
         show("requests_held_fatal", "sent no more, as targets end", self._held_fatal)
+        show("failure_domains_evacuated", "emptied by operators", self._evacuated)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
 
+    def _evacuated(self) -> float:
+        return float(len(self.view.evacuations.failure_domains))
+
     def _suspected(self) -> float:
         return self.view.suspicions.count(Standing.SUSPECTED)
 
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -16,7 +16,7 @@
 from damaskwind.decisions.health.pace import PoolPace
 from damaskwind.decisions.load.held_requests import LoadEstimator
 from damaskwind.decisions.load.held_sums import HeldSum
-from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import Candidate
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
@@ -145,9 +145,7 @@
         packet is no sign that it is gone.
         """
         serving = [
-            target_id
-            for target_id, record in records.items()
-            if record.phase is TargetPhase.SERVING
+            target_id for target_id, record in records.items() if self.view.takes_work(record)
         ]
         has_a_try = len(serving) == 1 and not has_tried
         is_unreachable = self.connections.is_unreachable
@@ -203,7 +201,7 @@
             load,
             record.slots,
             is_doubtful,
-            record.phase is TargetPhase.SERVING,
+            self.view.takes_work(record),
             self.view.targets.age_s(target_id, now_s, self._heartbeat_s),
             self._pool_pace(record.service).is_slow(target_id, now_s),
             is_known,
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -14,6 +14,7 @@
 from damaskwind.decisions.following.reading_places import NOWHERE, PassingPlace
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
 from damaskwind.decisions.membership.target_record import PhaseChange, TargetRecord
+from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.http1.messages import Answer, header
 
@@ -80,7 +81,8 @@
     it gives documents to others. Changes among many targets are told at once by the replica
     that `is_first` for a router, and by others where it still lacks them later. `heard` are
     the targets that reported to a router, `records` what they said that was new there.
-    `suspicions_seen` is how far this replica has told what it knows of fatal requests.
+    `suspicions_seen` is how far this replica has told what it knows of fatal requests,
+    `evacuations_seen` the revision of the evacuations that it last told.
     """
 
     node_id: str
@@ -96,6 +98,7 @@
     heard: tuple[Heard, ...] = ()
     records: tuple[TargetRecord, ...] = ()
     suspicions_seen: int = 0
+    evacuations_seen: int = 0
 
 
 class HeardOthers(NamedTuple):
@@ -121,7 +124,7 @@
     `heard_others` stands in place of `heard`. Where its link has no room for changes,
     `tables_at` names routers that know more of them. `phases` are changes of targets that
     the subscriber knows. `suspicions` is what changed of fatal requests, up to
-    `suspicions_revision`.
+    `suspicions_revision`. `evacuations` are committed, and in force like `version`.
     """
 
     epoch: str
@@ -140,6 +143,7 @@
     phases: tuple[PhaseChange, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     suspicions_revision: int = 0
+    evacuations: Evacuations = Evacuations()
 
 
 class Seen(NamedTuple):
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -120,6 +120,7 @@
         self._revision = 0
         self._version = 0
         self._suspicions_seen = 0
+        self._evacuations_seen = 0
         self._task: asyncio.Task | None = None
 
     def start(self, delay_s: float = 0.0) -> None:
@@ -189,6 +190,7 @@
             self._subscriber.heard_targets(),
             self._subscriber.new_records(),
             self._suspicions_seen,
+            self._evacuations_seen,
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
@@ -197,6 +199,7 @@
         self._revision = max(news.revision, self._revision) if is_same_life else news.revision
         self._epoch, self._version = news.epoch, news.version
         self._suspicions_seen = news.suspicions_revision
+        self._evacuations_seen = news.evacuations.revision
         self.last_heard_s = self._clock()
         host = self.address.host
         if not self.has_heard:
