Requests stay in the regions that their route and their account allow

What broke: allowedRegions of routes and accounts was read nowhere; all 40 calls of a route whose home is the other region went to the nearer one. Change: both are read, both bind, placement (first sends, repeats, resumed streams, donors) sees targets at home only; a failure domain whose region is not known is no home; without a target at home the answer is 503 at once.

--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/routing/homes.py
@@ -0,0 +1,37 @@
+"""Keep requests in the regions that their route and their account allow."""
+
+from collections.abc import Mapping
+
+from damaskwind.model.traffic_configuration import KeyedAccount, TrafficRoute
+
+__all__ = ["allowed_regions", "is_allowed"]
+
+
+def allowed_regions(route: TrafficRoute, account: KeyedAccount | None) -> frozenset[str] | None:
+    """Return the regions that both the route and the account allow; `None` where any will do.
+
+    >>> from damaskwind.model.traffic_configuration import RouteKind
+    >>> route = TrafficRoute("r", "h", "/", RouteKind.STREAMING, (), 1.0, regions=("a", "b"))
+    >>> sorted(allowed_regions(route, None))
+    ['a', 'b']
+    >>> allowed_regions(route, KeyedAccount("n", (), regions=("b", "c")))
+    frozenset({'b'})
+    >>> allowed_regions(route._replace(regions=()), KeyedAccount("n", ())) is None
+    True
+    """
+    of_account = account.regions if account is not None else ()
+    stated = [frozenset(regions) for regions in (route.regions, of_account) if regions]
+    return frozenset.intersection(*stated) if stated else None
+
+
+def is_allowed(
+    failure_domain: str, regions: frozenset[str] | None, region_of: Mapping[str, str]
+) -> bool:
+    """Tell whether a request may go to a failure domain; one of unknown region is in none.
+
+    >>> is_allowed("d", frozenset("a"), {"d": "a"}), is_allowed("e", frozenset("a"), {"d": "a"})
+    (True, False)
+    >>> is_allowed("e", None, {})
+    True
+    """
+    return regions is None or region_of.get(failure_domain) in regions
--- a/packages/model/src/damaskwind/model/traffic_configuration.py
+++ b/packages/model/src/damaskwind/model/traffic_configuration.py
@@ -40,7 +40,8 @@
     `timeout_s` is the longest time that a request may be kept waiting,
     `objective_s` the time to the answer (streams: the first event) that users
     expect, `gap_objective_s` the longest pause between events. Priority 0 is
-    served first. With `needs_key` a request must carry an account's key.
+    served first. With `needs_key` a request must carry an account's key. With `regions` it
+    stays in one of them.
     """
 
     name: str
@@ -56,6 +57,7 @@
     needs_key: bool = True
     has_prompt_parts: bool = False
     is_resumable: bool = False
+    regions: tuple[str, ...] = ()
 
     @property
     def may_repeat(self) -> bool:
@@ -92,11 +94,15 @@
 
 
 class KeyedAccount(NamedTuple):
-    """A client account with its API keys; its priority goes before the route's."""
+    """A client account with its API keys; its priority goes before the route's.
+
+    With `regions` its requests stay in one of them.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    regions: tuple[str, ...] = ()
 
 
 class TrafficConfiguration(NamedTuple):
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from damaskwind.decisions.placement.affinity import affinity_key
+from damaskwind.decisions.routing.homes import allowed_regions
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import KeyedAccount, TrafficRoute
@@ -82,8 +83,9 @@
     `sends` counts targets that it was sent to, `unreached` those to which no
     connection came about, `silent_domains` the failure domains of targets that
     were unreachable or silent for it. `digest` knows the request again when it comes
-    under another id. `look` finds out whether the target has ended under the last send. With
-    `is_suspected`, targets have ended under it.
+    under another id. It stays in `regions`, if there are any. `look` finds out whether
+    the target has ended under the last send. With `is_suspected`, targets have ended
+    under it.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         self.entry: EntryNote | None = None
         self.return_s: float | None = None
         self.deadline_s = started_s + min(facts.wait_s, route.timeout_s)
+        self.regions = allowed_regions(route, account)
         self.key = affinity_key(facts.part_ids) if route.has_prompt_parts else None
         self.tried: set[str] = set()
         self.notes: list[AttemptNote] = []
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -1,7 +1,9 @@
 """Take a request from its caller to a target and back, within its time."""
 
 import asyncio
+from collections.abc import Mapping
 from random import Random
+from types import MappingProxyType
 
 from loguru import logger
 
@@ -10,6 +12,7 @@
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import choose_target, policy_for
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
+from damaskwind.decisions.routing.homes import is_allowed
 from damaskwind.decisions.routing.table import RoutingReason, choose_service
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, AttemptSender, Placed
@@ -65,7 +68,7 @@
     """The handler behind a router's address for callers.
 
     `started_s` is when the process began to serve, in monotonic seconds; by
-    default now.
+    default now. `region_of` names the region of each failure domain.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         heartbeat_s: float,
         random: Random,
         started_s: float | None = None,
+        region_of: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
         self.view = view
         self.beliefs = TargetBeliefs(view, connections, heartbeat_s, random)
@@ -85,6 +89,7 @@
         self._names = names
         self._failure_domain = failure_domain
         self._terms = budget_terms
+        self._region_of = region_of
         self._random = random
         self.entries = PoolEntries(self.beliefs, random)
         self.losses = TargetLosses(view, connections)
@@ -271,6 +276,7 @@
             target_id: record
             for target_id, record in self.beliefs.present(call.service).items()
             if target_id not in call.tried
+            and is_allowed(record.failure_domain, call.regions, self._region_of)
         }
         if self.beliefs.are_all_unreachable(records, bool(call.unreached)):
             return None
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -69,6 +69,7 @@
             settings.budget,
             settings.heartbeat_s,
             random,
+            region_of=settings.region_of,
         )
         self.tallies = Tallies()
         self.forwarder.tallies = self.tallies
--- a/packages/router/src/damaskwind/router/forwarding/settings.py
+++ b/packages/router/src/damaskwind/router/forwarding/settings.py
@@ -1,5 +1,7 @@
 """The settings of a router that forwards by a published configuration."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from damaskwind.decisions.retries.shared_budget import BudgetTerms
@@ -13,7 +15,7 @@
 
     Targets report every `heartbeat_s`. Without a `metrics_port` no metrics are
     served, without an `internal_host` no documents are passed on to other routers,
-    at `news_port`.
+    at `news_port`. `region_of` names the region of each failure domain.
     """
 
     node_id: str
@@ -28,3 +30,4 @@
     metrics_port: int = 0
     internal_host: str = ""
     link_bytes_per_s: float = float("inf")
+    region_of: Mapping[str, str] = MappingProxyType({})
