A plain service beyond its places: all routers admit the part that its targets bear

Cause: a target of six places that tells no load, before 57 routers whose windows never go below one request each; its queue of 24 stands full, so whoever is served is late. Ways: windows of each router (as it stood) against a part of all requests that is admitted, reckoned from what all routers saw together in the last second, told with the sums of held requests (no new channel).

--- /dev/null
+++ b/benchmarks/overload/plain_ways.py
@@ -0,0 +1,180 @@
+"""The ways in which a router may decide on requests to a plain service, by name."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from damaskwind.decisions.admission.pool_admission import PoolAdmission, Step, TargetPlaces
+from damaskwind.decisions.admission.service_pace import ServicePace, ServiceSeen
+from damaskwind.decisions.admission.start_window import WindowPolicy
+from damaskwind.decisions.admission.waiting_line import Ticket
+from damaskwind.decisions.load.held_requests import LoadEstimator
+from damaskwind.decisions.placement.affinity import AffinityPolicy, Candidate, choose_target
+
+__all__ = ["WAYS", "PlainRouter"]
+
+FIRST_PER_TARGET = 32
+BUSY_S = 0.1
+LOOK_S = 0.05
+
+
+class PlainRouter(Protocol):
+    """What a play needs of a router."""
+
+    domain: int
+    told: Any
+
+
+WAYS: dict[str, Callable[..., PlainRouter]] = {}
+
+
+def way(name: str) -> Callable[[type], type]:
+    """Enter a way under a name."""
+
+    def enter(cls: type) -> type:
+        WAYS[name] = cls
+        return cls
+
+    return enter
+
+
+@way("window")
+class WindowRouter:
+    """Own windows for each target and for the pool; who finds no room waits, or is turned away."""
+
+    def __init__(self, number, domain, domains, figures, routers, random: Random) -> None:
+        self.domain = domain
+        self.told = None
+        self.random = random
+        self.figures = figures
+        self.domains = dict(domains)
+        self.loads = LoadEstimator()
+        part = FIRST_PER_TARGET / routers
+        self.entry = PoolAdmission(
+            random,
+            WindowPolicy(first=max(2.0, part), first_of_pool=max(2.0, part * len(domains))),
+        )
+        self.is_looking = False
+        self.busy: dict[str, float] = {}
+        self.waiting: dict[int, Callable[[float | None], None]] = {}
+
+    def lose(self, name: str) -> None:
+        self.domains.pop(name, None)
+        self.entry.forget(name)
+
+    def exchange(self, told, now_s: float) -> None:
+        """Nothing is told of plain services."""
+
+    def places(self) -> list[TargetPlaces]:
+        return [TargetPlaces(name, float(self.figures.places)) for name in self.domains]
+
+    def offer(self, number, objective_s, left_s, came_back, now_s, go_on, play) -> None:
+        ticket = Ticket(number, 2, "a", now_s, now_s + left_s, objective_s, came_back, "")
+        self.waiting[number] = go_on
+        admitted = self.entry.offer(ticket, self.places(), now_s)
+        if admitted.step is Step.START:
+            self.waiting.pop(number)(None)
+            return
+        for refusal in admitted.turned_away:
+            self.waiting.pop(refusal.number)(refusal.return_s)
+        if admitted.step is Step.WAIT:
+            play.at(admitted.until_s, lambda: self.give_up(number, play))
+            self.look_later(play)
+
+    def give_up(self, number: int, play) -> None:
+        refusal = self.entry.give_up(number, play.now_s)
+        if refusal is not None:
+            self.waiting.pop(number)(refusal.return_s)
+
+    def look(self, now_s: float) -> None:
+        if not len(self.entry.line):
+            return
+        for number in self.entry.look(self.places(), now_s):
+            self.waiting.pop(number)(None)
+
+    def look_later(self, play) -> None:
+        """Look again soon: places come free without an event of this router's."""
+        if self.is_looking:
+            return
+        self.is_looking = True
+
+        def look() -> None:
+            self.is_looking = False
+            self.look(play.now_s)
+            if len(self.entry.line):
+                self.look_later(play)
+
+        play.at(play.now_s + LOOK_S, look)
+
+    def choose(self, tried, now_s: float) -> str | None:
+        names = [name for name in self.domains if name not in tried]
+        loads = self.loads.estimates(names, 57, now_s)
+        candidates = [
+            Candidate(
+                name,
+                str(self.domains[name]),
+                loads[name],
+                self.figures.places,
+                self.busy.get(name, 0.0) > now_s,
+            )
+            for name in names
+        ]
+        choice = choose_target(candidates, None, str(self.domain), AffinityPolicy(), self.random)
+        return choice.candidate.target_id if choice else None
+
+    def sent(self, number, name, objective_s, now_s) -> None:
+        self.loads.sent(name, False)
+        self.entry.sent(number, name, objective_s, now_s)
+
+    def shed(self, number, name, now_s) -> None:
+        self.loads.ended(name, False)
+        self.entry.ended(number)
+        self.entry.turned_away_by_target(name, now_s)
+        self.busy[name] = now_s + BUSY_S
+        self.look(now_s)
+
+    def answered(self, number, name, sent_s, now_s) -> None:
+        self.loads.ended(name, False)
+        self.entry.begun(number, now_s)
+        self.entry.ended(number)
+        self.look(now_s)
+
+    def return_s(self, objective_s, left_s, now_s) -> float:
+        return self.entry.return_s(objective_s, left_s, now_s)
+
+
+@way("pace")
+class PaceRouter(WindowRouter):
+    """Besides, admit a part of what comes, by what all routers see."""
+
+    LATE_PART = 0.8
+    RETURN_PARTS = (0.2, 0.5)
+
+    def __init__(self, *arguments) -> None:
+        super().__init__(*arguments)
+        self.pace = ServicePace()
+        self.told = ServiceSeen()
+        self.seen = ServiceSeen()
+
+    def exchange(self, told, now_s: float) -> None:
+        self.told, self.seen = self.seen, ServiceSeen()
+        total = ServiceSeen()
+        for item in told:
+            total = total.plus(item)
+        self.pace.take(total, now_s)
+
+    def offer(self, number, objective_s, left_s, came_back, now_s, go_on, play) -> None:
+        self.seen = self.seen.plus(ServiceSeen(asked=1))
+        if self.random.random() < self.pace.part:
+            super().offer(number, objective_s, left_s, came_back, now_s, go_on, play)
+            return
+        go_on(self.random.uniform(*self.RETURN_PARTS) * objective_s)
+
+    def answered(self, number, name, sent_s, now_s) -> None:
+        is_late = now_s - sent_s > self.LATE_PART * self.figures.objective_s
+        self.seen = self.seen.plus(ServiceSeen(answered=1, late=int(is_late)))
+        super().answered(number, name, sent_s, now_s)
+
+    def shed(self, number, name, now_s) -> None:
+        self.seen = self.seen.plus(ServiceSeen(turned_away=1))
+        super().shed(number, name, now_s)
--- a/packages/control/src/damaskwind/control/fleet/news_board.py
+++ b/packages/control/src/damaskwind/control/fleet/news_board.py
@@ -278,7 +278,7 @@
         if request.kind == SubscriberKind.REPLICA:
             self.wake()
         else:
-            self.held.tell(request.node_id, request.held, now_s)
+            self.held.tell(request.node_id, request.held, now_s, request.services)
             self.merge(request.records, request.heard)
             for target_id, age_s, _ in request.heard:
                 self._heard.note_at_router(target_id, now_s - age_s)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/admission/service_pace.py
@@ -0,0 +1,77 @@
+"""Admit of a plain service's requests what its targets bear, by what all routers see.
+
+The pattern: a target of few places that tells no load, before many routers. Each of them sees a
+sliver of its answers and may always have one request there, so that together they keep its queue
+full; who is served then is late, and callers come back. What all routers see together in a second
+tells what the targets bear: the answers that came while they were pressed. Each router admits the
+same part of what it is asked, at random, and turns the rest away at once. Nothing is bounded while
+answers come in time. See Google's adaptive throttling at the client (Beyer and others, "Site
+Reliability Engineering", 2016, chapter 21), of which this is the kind that sums over all clients.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["ServicePace", "ServiceSeen"]
+
+# A target is pressed when more than this part of what was sent was late or turned away.
+PRESSED_PART = 0.1
+# Beyond this its queue stands full, and has to become shorter.
+STANDING_PART = 0.4
+# What is admitted, as a part of what the targets answered while they were pressed.
+PRESSED_SHARE = 0.95
+STANDING_SHARE = 0.8
+# Without pressure it grows by this factor a second.
+GROWTH_PER_S = 1.15
+# Fewer sends than this in a second say nothing.
+LEAST_SENDS = 10
+LEAST_PART = 0.02
+# What all see is a second old on the mean: what follows from a change shows no sooner.
+TAKEN_EVERY_S = 0.8
+
+
+class ServiceSeen(NamedTuple):
+    """What was seen of a service in about a second, by one router or by all.
+
+    `asked` counts requests that came for it, whether sent or not, `answered` its answers, of
+    which `late` were late, `turned_away` those for which a target had no place.
+    """
+
+    asked: int = 0
+    answered: int = 0
+    late: int = 0
+    turned_away: int = 0
+
+    def plus(self, other: "ServiceSeen") -> "ServiceSeen":
+        """Return both together."""
+        return ServiceSeen(*(mine + theirs for mine, theirs in zip(self, other, strict=True)))
+
+
+class ServicePace:
+    """The part of a service's requests that one router admits.
+
+    >>> pace = ServicePace()
+    >>> pace.take(ServiceSeen(asked=165, answered=130, late=100, turned_away=60), now_s=1.0)
+    >>> round(pace.part, 2)
+    0.63
+    >>> pace.take(ServiceSeen(165, 104, 2, 0), 2.0); round(pace.part, 2)
+    0.72
+    """
+
+    def __init__(self) -> None:
+        self.part = 1.0
+        self._taken_s: float | None = None
+
+    def take(self, seen: ServiceSeen, now_s: float) -> None:
+        """Take what all routers saw; it says nothing new so soon after the last time."""
+        before_s = now_s if self._taken_s is None else self._taken_s
+        if self._taken_s is not None and now_s - before_s < TAKEN_EVERY_S:
+            return
+        self._taken_s = now_s
+        sends = seen.answered + seen.turned_away
+        pressed_part = (seen.late + seen.turned_away) / max(sends, 1)
+        if sends < LEAST_SENDS or pressed_part <= PRESSED_PART:
+            self.part = min(1.0, self.part * GROWTH_PER_S ** (now_s - before_s))
+            return
+        share = STANDING_SHARE if pressed_part > STANDING_PART else PRESSED_SHARE
+        borne = share * seen.answered / max(seen.asked, 1)
+        self.part = min(1.0, max(borne, LEAST_PART))
--- a/packages/decisions/src/damaskwind/decisions/load/held_sums.py
+++ b/packages/decisions/src/damaskwind/decisions/load/held_sums.py
@@ -8,13 +8,19 @@
 >>> sums = HeldSums()
 >>> sums.tell("router-1", (HeldCount(7, 2),), now_s=0.0)
 >>> sums.tell("router-2", (HeldCount(7, 1), HeldCount(9, 4)), now_s=0.5)
->>> sums.total(now_s=1.0)
-HeldSum(counts=(HeldCount(target=7, held=3), HeldCount(target=9, held=4)), routers=2, age_s=0.75)
+>>> total = sums.total(now_s=1.0)
+>>> total.counts
+(HeldCount(target=7, held=3), HeldCount(target=9, held=4))
+>>> total.routers, total.age_s
+(2, 0.75)
 """
 
 from collections import Counter
 from typing import NamedTuple
 
+from damaskwind.decisions.admission.service_pace import ServiceSeen
+from damaskwind.decisions.admission.service_tally import ServiceCount
+
 __all__ = ["HeldCount", "HeldSum", "HeldSums"]
 
 # A router calls about once a second; one that is silent for longer has died with its
@@ -30,11 +36,15 @@
 
 
 class HeldSum(NamedTuple):
-    """What `routers` routers hold together at targets; `age_s` is the mean age of their words."""
+    """What `routers` routers hold together at targets; `age_s` is the mean age of their words.
+
+    `services` is what they saw together of services that tell no load, each in its last second.
+    """
 
     counts: tuple[HeldCount, ...] = ()
     routers: int = 0
     age_s: float = 0.0
+    services: tuple[ServiceCount, ...] = ()
 
 
 class _Told(NamedTuple):
@@ -42,6 +52,7 @@
 
     counts: tuple[HeldCount, ...]
     at_s: float
+    services: tuple[ServiceCount, ...]
 
 
 class HeldSums:
@@ -52,10 +63,16 @@
         self._held: Counter[int] = Counter()
         self._at_sum_s = 0.0
 
-    def tell(self, router_id: str, counts: tuple[HeldCount, ...], now_s: float) -> None:
+    def tell(
+        self,
+        router_id: str,
+        counts: tuple[HeldCount, ...],
+        now_s: float,
+        services: tuple[ServiceCount, ...] = (),
+    ) -> None:
         """Take what a router holds now, in place of what it told before."""
         self._drop(router_id)
-        self._told[router_id] = _Told(counts, now_s)
+        self._told[router_id] = _Told(counts, now_s, services)
         self._at_sum_s += now_s
         for item in counts:
             self._held[item.target] += item.held
@@ -73,7 +90,14 @@
             return HeldSum()
         counts = tuple(HeldCount(target, held) for target, held in self._held.items())
         age_s = now_s - self._at_sum_s / routers
-        return HeldSum(counts, routers, round(age_s, 2))
+        return HeldSum(counts, routers, round(age_s, 2), self._services())
+
+    def _services(self) -> tuple[ServiceCount, ...]:
+        totals: dict[int, ServiceSeen] = {}
+        for told in self._told.values():
+            for service, seen in told.services:
+                totals[service] = totals.get(service, ServiceSeen()).plus(seen)
+        return tuple(ServiceCount(service, seen) for service, seen in totals.items())
 
     def _forget_silent(self, now_s: float) -> None:
         """Drop routers that have told nothing for long; the one that told first stands first."""
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.pool_entries import PoolEntries
+from damaskwind.router.forwarding.service_paces import ServicePaces
 from damaskwind.router.forwarding.target_beliefs import SendEnded, TargetBeliefs
 from damaskwind.router.forwarding.target_losses import BrokenSend, TargetLosses
 from damaskwind.runtime.clock import read_clock
@@ -92,6 +93,7 @@
         self._region_of = region_of
         self._random = random
         self.entries = PoolEntries(self.beliefs, random)
+        self.paces = ServicePaces(view, random)
         self.losses = TargetLosses(view, connections)
         self.losses.on_ended.append(self._note_target_ended)
         self._sender = AttemptSender(self.beliefs, names)
@@ -155,6 +157,9 @@
         placed = self._place(call)
         if placed is None:
             return outcome
+        if call.key is None and not self.paces.admits(call.service):
+            call.return_s = self.paces.return_s(call)
+            return outcome._replace(why="service pressed", was_reached=False)
         home = placed.choice.candidate if call.key else None
         turned_away = await self.entries.enter(call, home)
         self.tallies.count("entries", step=call.entry.step)
@@ -240,6 +245,8 @@
                 )
             )
         self.tallies.count("attempts", end=outcome.end.value)
+        if call.key is None:
+            self._note_pace(call, outcome, now_s - begun_s)
         call.arrivals += outcome.was_reached
         if not outcome.was_reached:
             call.unreached += 1
@@ -258,6 +265,14 @@
             self.view.suspicions.note_survived(call.digest)
         return outcome
 
+    def _note_pace(self, call: Call, outcome: AttemptOutcome, took_s: float) -> None:
+        """Note how fast a service that tells no load answered, or that it had no place."""
+        seen = _as_seen(outcome)
+        if outcome.answer is not None or seen.is_good:
+            self.paces.answered(call, took_s)
+        elif seen.was_refused and not seen.is_displaced:
+            self.paces.turned_away(call)
+
     def _note_target_ended(self, target: TargetRecord, sends: list[BrokenSend]) -> None:
         """Suspect what was in hand at a target that ended."""
         self.view.suspicions.note_end((item.digest, item.known) for item in sends)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_service_paces.py
@@ -0,0 +1,56 @@
+"""Tests of a router that is told that a service is pressed beyond what its targets bear."""
+
+from damaskwind.decisions.admission.service_pace import ServiceSeen
+from damaskwind.decisions.admission.service_tally import ServiceCount
+from damaskwind.decisions.load.held_requests import target_digest
+from damaskwind.decisions.load.held_sums import HeldSum
+from damaskwind.router.forwarding.tests.bench import ForwarderTestCase
+from damaskwind.runtime.bridge import asyncio_test
+
+CALLS = 80
+# Of 200 asked, 100 were answered, nearly all late: four fifths of these are admitted.
+PRESSED = ServiceSeen(asked=200, answered=100, late=90, turned_away=60)
+# By chance, of 80 calls at a part of 0.4: three standard deviations around it.
+ADMITTED = range(19, 46)
+
+
+class ServicePacesTest(ForwarderTestCase):
+    def tell(self, seen, routers=1):
+        held = HeldSum((), routers, 0.5, (ServiceCount(target_digest("pool"), seen),))
+        for callback in self.view.on_held:
+            callback("replica", held)
+
+    async def press(self):
+        """Make calls; return how many were answered, and the longest time to come back."""
+        answers = [await self.call(request_id=b"r%d" % number) for number in range(CALLS)]
+        refused = [answer for answer in answers if answer.status == 503]
+        after = [float(dict(answer.headers)[b"retry-after"]) for answer in refused]
+        self.assertEqual(len(self.received()) + len(refused), CALLS)
+        return CALLS - len(refused), max(after, default=0.0)
+
+    @asyncio_test
+    async def test_pressed_service_is_sent_a_part_and_the_rest_comes_back_soon(self):
+        await self.call()
+        self.tell(PRESSED)
+        for target in self.targets:
+            target.received.clear()
+        admitted, after_s = await self.press()
+        self.assertIn(admitted, ADMITTED)
+        self.assertLessEqual(after_s, 0.1)
+
+    @asyncio_test
+    async def test_sum_of_few_routers_counts_for_nothing(self):
+        await self.call()
+        self.view.routers = 57
+        self.tell(PRESSED, routers=20)
+        for target in self.targets:
+            target.received.clear()
+        self.assertEqual((await self.press())[0], CALLS)
+
+    @asyncio_test
+    async def test_what_a_router_saw_is_told(self):
+        for number in range(3):
+            await self.call(request_id=b"r%d" % number)
+        ((digest, seen),) = self.view.service_counts()
+        self.assertEqual(digest, target_digest("pool"))
+        self.assertEqual((seen.asked, seen.answered, seen.turned_away), (3, 3, 0))
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from damaskwind.decisions.admission.service_tally import ServiceCount
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion
 from damaskwind.decisions.following.reading_places import NOWHERE, PassingPlace
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
@@ -82,7 +83,8 @@
     that `is_first` for a router, and by others where it still lacks them later. `heard` are
     the targets that reported to a router, `records` what they said that was new there.
     `suspicions_seen` is how far this replica has told what it knows of fatal requests,
-    `evacuations_seen` the revision of the evacuations that it last told.
+    `evacuations_seen` the revision of the evacuations that it last told. `services` is what
+    a router saw in the last second of services that tell no load.
     """
 
     node_id: str
@@ -99,6 +101,7 @@
     records: tuple[TargetRecord, ...] = ()
     suspicions_seen: int = 0
     evacuations_seen: int = 0
+    services: tuple[ServiceCount, ...] = ()
 
 
 class HeardOthers(NamedTuple):
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from damaskwind.decisions.admission.service_tally import ServiceCount
 from damaskwind.decisions.following.reading_places import NOWHERE, PassingPlace
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.decisions.membership.target_record import TargetRecord
@@ -68,6 +69,10 @@
         """Return what is held at targets now, to be told to a replica."""
         ...
 
+    def service_counts(self) -> tuple[ServiceCount, ...]:
+        """Return what was seen lately of services, to be told to a replica."""
+        ...
+
     def is_first(self, host: str) -> bool:
         """Tell whether a replica is the one to hear of changes from at once."""
         ...
@@ -191,6 +196,7 @@
             self._subscriber.new_records(),
             self._suspicions_seen,
             self._evacuations_seen,
+            self._subscriber.service_counts(),
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
