A suspect that a target had no place for is taken elsewhere

What callers saw: a request in hand where two targets had ended was refused (503) after one full target, though another had room. Cause: whether another target may be risked was asked of every outcome; only a lost answer can have ended its target. Evidence: test_a_suspect_that_a_target_had_no_place_for_is_taken_elsewhere got 503 before, 200 after, 10 of 10 of FatalRequestTest.

--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -178,7 +178,9 @@
                 return outcome
             if outcome.answer is not None:
                 failure = outcome
-            if not self._may_go_on(call, outcome) or not await self._may_risk_another(call):
+            if not self._may_go_on(call, outcome):
+                return failure or outcome
+            if outcome.is_lost and not await self._may_risk_another(call):
                 return failure or outcome
             placed = self._place(call)
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -427,6 +427,21 @@
         self.assertEqual((await self.call(request_id=b"r2")).status, 200)
         self.assertEqual(self.known(), [0])
 
+    @asyncio_test
+    async def test_a_suspect_that_a_target_had_no_place_for_is_taken_elsewhere(self):
+        """A request in hand where two targets had ended was refused for good by one full target.
+
+        Whether the last send may be followed by another was asked of every outcome, where only
+        a lost one may have ended its target.
+        """
+        digest = identify_request(b"POST", b"host", b"/a/x", b"account", b"{}")
+        relay = self.view.suspicions
+        for _ in range(2):
+            relay.note_end([(digest, relay.table.known(digest))])
+        self.share(plain(503, b"", (b"x-not-run: 1",)), plain(200))
+        self.assertEqual((await self.call()).status, 200)
+        self.assertEqual(len(self.received()), 2)
+
     @asyncio_test
     async def test_what_is_held_fatal_is_refused_at_once_without_a_time_to_come_back(self):
         digest = identify_request(b"POST", b"host", b"/a/x", b"account", b"{}")
