--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -20,8 +20,12 @@
 from heapq import nsmallest
 from typing import NamedTuple
 
-import xxhash
-
+from damaskwind.decisions.membership.target_entry import (
+    TargetEntry,
+    contested_addresses,
+    occupant,
+    record_mark,
+)
 from damaskwind.decisions.membership.target_record import (
     PhaseChange,
     TargetPhase,
@@ -40,8 +44,6 @@
 # is late behind any cut. Then a smaller birth is that of a target whose clock was
 # stepped back, and not a late report.
 STALE_LIFE_S = 10.0
-# So many heartbeats after another was heard at its address, a silent target has lost it.
-HEARD_BEATS = 3.0
 # A report that is late by less tells of the same cold spell as the one before.
 COLD_SLACK_S = 0.3
 
@@ -64,41 +66,6 @@
     others_heard_s: float
 
 
-def _mark(record: TargetRecord) -> int:
-    """Return a number for what a record says.
-
-    What a heartbeat changes without news, its number and the cold time, is left out.
-    """
-    told = record._replace(sequence=0, cold_s=0.0)
-    return xxhash.xxh3_64_intdigest(repr(tuple(told)).encode())
-
-
-class _Entry:
-    """A record with what this process knows about its freshness."""
-
-    __slots__ = (
-        "changed_at",
-        "cold_until_s",
-        "described_at",
-        "first_s",
-        "first_sequence",
-        "gone_s",
-        "heard_s",
-        "record",
-    )
-
-    def __init__(self, record: TargetRecord, heard_s: float, changed_at: int) -> None:
-        self.record = record
-        self.heard_s = heard_s
-        self.changed_at = changed_at
-        # When more than the phase changed last.
-        self.described_at = changed_at
-        self.first_s = heard_s
-        self.first_sequence = record.sequence
-        self.gone_s = float("-inf")
-        self.cold_until_s = heard_s + record.cold_s
-
-
 class TargetTable:
     """All targets that one process knows of.
 
@@ -108,8 +75,8 @@
 
     def __init__(self) -> None:
         self.revision = 0
-        self._entries: dict[str, _Entry] = {}
-        self._contested: dict[Address, list[_Entry]] = {}
+        self._entries: dict[str, TargetEntry] = {}
+        self._contested: dict[Address, list[TargetEntry]] = {}
         self._contested_at = -1
         self.digest = 0
 
@@ -131,8 +98,8 @@
         entry = self._entries.get(record.target_id)
         if entry is None or (record.life > entry.record.life and record.service):
             self.revision += 1
-            self.digest ^= _mark(record) ^ (_mark(entry.record) if entry else 0)
-            self._entries[record.target_id] = _Entry(record, heard_s, self.revision)
+            self.digest ^= record_mark(record) ^ (record_mark(entry.record) if entry else 0)
+            self._entries[record.target_id] = TargetEntry(record, heard_s, self.revision)
             return True
         if record.life < entry.record.life:
             return False
@@ -275,7 +242,7 @@
         sender has crashed and another start reported from the same address, has
         requests sent there again. Of several that were heard lately the later start
         is the one with the shorter life by its first report known here, whichever of
-        them was heard first; one that has been silent for `HEARD_BEATS` heartbeats
+        them was heard first; one that has been silent for three heartbeats
         gives way to one that was heard since: it may have ended younger.
 
         >>> from damaskwind.model.targets import Address
@@ -290,24 +257,10 @@
         if entry is None:
             return False
         if self._contested_at != self.revision:
-            self._contested = self._find_contested()
+            self._contested = contested_addresses(self._entries.values())
             self._contested_at = self.revision
         rivals = self._contested.get(entry.record.address)
-        return rivals is not None and self._occupant(rivals, heartbeat_s) is not entry
-
-    def _find_contested(self) -> dict[Address, list[_Entry]]:
-        """Return the entries, none of them gone, of each address that several have."""
-        at: dict[Address, list[_Entry]] = {}
-        for record in self.living():
-            at.setdefault(record.address, []).append(self._entries[record.target_id])
-        return {address: entries for address, entries in at.items() if len(entries) > 1}
-
-    def _occupant(self, rivals: list[_Entry], heartbeat_s: float) -> _Entry:
-        """Return the last to start of those at an address that were heard lately."""
-        last_heard_s = max(entry.heard_s for entry in rivals)
-        oldest_s = last_heard_s - HEARD_BEATS * heartbeat_s
-        heard = [entry for entry in rivals if entry.heard_s >= oldest_s]
-        return max(heard, key=lambda entry: entry.first_s - entry.first_sequence * heartbeat_s)
+        return rivals is not None and occupant(rivals, heartbeat_s) is not entry
 
     def __len__(self) -> int:
         """Return how many targets are known, those among them that are gone."""
@@ -458,11 +411,11 @@
             > (TOMBSTONE_S if entry.record.phase is TargetPhase.GONE else FORGET_S)
         ]
         for target_id in old:
-            self.digest ^= _mark(self._entries.pop(target_id).record)
+            self.digest ^= record_mark(self._entries.pop(target_id).record)
             self._contested_at = -1
         return old
 
-    def _refresh(self, entry: _Entry, record: TargetRecord, heard_s: float) -> bool:
+    def _refresh(self, entry: TargetEntry, record: TargetRecord, heard_s: float) -> bool:
         """Take a newer report of the same phase; it changes something if it says something new."""
         if record.phase is TargetPhase.GONE:
             return False
@@ -481,7 +434,7 @@
         self._put(entry, record, heard_s)
         return True
 
-    def _end_unseen(self, entry: _Entry, record: TargetRecord, heard_s: float) -> bool:
+    def _end_unseen(self, entry: TargetEntry, record: TargetRecord, heard_s: float) -> bool:
         """Take the end of a later life of which nothing else is known here."""
         if entry.record.phase is TargetPhase.SERVING:
             entry.gone_s = heard_s
@@ -491,9 +444,9 @@
         self._put(entry, ended, heard_s)
         return True
 
-    def _put(self, entry: _Entry, record: TargetRecord, heard_s: float) -> None:
+    def _put(self, entry: TargetEntry, record: TargetRecord, heard_s: float) -> None:
         self.revision += 1
-        self.digest ^= _mark(entry.record) ^ _mark(record)
+        self.digest ^= record_mark(entry.record) ^ record_mark(record)
         known = entry.record._replace(
             phase=record.phase, sequence=record.sequence, cold_s=record.cold_s
         )
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -0,0 +1,103 @@
+"""Give a request its final answer, and write the one line that tells its story."""
+
+from loguru import logger
+
+from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome
+from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.pool_entries import PoolEntries
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.exchange import Exchange
+from damaskwind.runtime.http1.messages import Answer
+from damaskwind.runtime.tallies import Tallies
+
+__all__ = ["FinalAnswers"]
+
+# A router that has just started knows a configuration after some 0.5 s, when replicas
+# on a quarter of a core have started too; who comes back sooner is refused once more,
+# and who comes back much later is late.
+START_S = 0.8
+NOT_READY_RETURN_S = 0.3
+
+
+class FinalAnswers:
+    """The ends of one router's requests; `started_s` is when its process began to serve."""
+
+    def __init__(self, entries: PoolEntries, started_s: float) -> None:
+        self.tallies = Tallies()
+        self._entries = entries
+        self._started_s = started_s
+
+    def finish(
+        self, exchange: Exchange, call: Call, delivery: Delivery, outcome: AttemptOutcome
+    ) -> None:
+        """Give the final answer, if the caller has none yet."""
+        if outcome.end is AttemptEnd.DELIVERED:
+            self.log(call, delivery, "delivered", outcome.why)
+            return
+        if delivery.has_begun:
+            exchange.abort()
+            self.log(call, delivery, "cut", outcome.why)
+            return
+        if outcome.answer is not None:
+            delivery.whole(outcome.answer)
+            self.log(call, delivery, "target failure passed on", outcome.why)
+            return
+        if not call.may_have_run:
+            return_s = self._entries.return_s(call) if call.return_s is None else call.return_s
+            headers = [(b"retry-after", b"%.3f" % return_s)]
+            exchange.respond(Answer(503, headers))
+            self.log(call, delivery, "refused as not run", outcome.why)
+            return
+        status = 504 if call.left_s() <= 0 else 502
+        exchange.respond(Answer(status, []))
+        self.log(call, delivery, "failed, may have run", outcome.why)
+
+    def refuse_fatal(self, exchange: Exchange, call: Call, delivery: Delivery, ends: int) -> None:
+        """Refuse a request under which so many targets ended; coming back would not help."""
+        exchange.respond(Answer(503, []))
+        self.log(call, delivery, "refused as fatal", f"{ends} targets ended under it")
+
+    def refuse(
+        self, exchange: Exchange, request_id: bytes, status: int, why: str, version: int = 0
+    ) -> None:
+        """Answer a request that reached no route."""
+        headers = []
+        if status == 503:
+            left_s = self._started_s + START_S - read_clock()
+            return_s = max(left_s, NOT_READY_RETURN_S)
+            headers.append((b"retry-after", b"%.3f" % return_s))
+        exchange.respond(Answer(status, headers))
+        self.tallies.count("requests", outcome=f"refused {status}", kind="none")
+        logger.info(
+            "request refused",
+            request=request_id.decode("latin-1"),
+            status=status,
+            why=why,
+            version=version,
+        )
+
+    def log(self, call: Call, delivery: Delivery, outcome: str, why: str) -> None:
+        """Count a request and write the one line that tells its story."""
+        kind = call.route.kind.value
+        self.tallies.count("requests", outcome=outcome, kind=kind)
+        self.tallies.observe("request_duration", read_clock() - call.started_s, kind=kind)
+        logger.info(
+            "request ended",
+            request=call.facts.request_id.decode("latin-1"),
+            digest=call.digest.hex(),
+            outcome=outcome,
+            why=why,
+            route=call.route.name,
+            service=call.service,
+            account=call.account.name if call.account else "",
+            version=call.version,
+            key=(call.key or b"").decode("latin-1"),
+            may_have_run=call.may_have_run,
+            entry=list(call.entry or ()),
+            attempts=[list(note) for note in call.notes],
+            events=delivery.events,
+            bytes=delivery.bytes,
+            took_ms=int((read_clock() - call.started_s) * 1000),
+            left_ms=int(call.left_s() * 1000),
+        )
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -5,8 +5,6 @@
 from random import Random
 from types import MappingProxyType
 
-from loguru import logger
-
 from damaskwind.decisions.fatal_requests.identity import identify_request
 from damaskwind.decisions.fatal_requests.suspicion import Standing
 from damaskwind.decisions.membership.target_record import TargetRecord
@@ -19,6 +17,7 @@
 from damaskwind.router.forwarding.call import AttemptNote, Call, read_facts, read_key
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.final_answers import FinalAnswers
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.pool_entries import PoolEntries
 from damaskwind.router.forwarding.service_paces import ServicePaces
@@ -26,16 +25,11 @@
 from damaskwind.router.forwarding.target_losses import BrokenSend, TargetLosses
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
-from damaskwind.runtime.http1.messages import Answer, header
+from damaskwind.runtime.http1.messages import header
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["Forwarder"]
 
-# A router that has just started knows a configuration after some 0.5 s, when replicas
-# on a quarter of a core have started too; who comes back sooner is refused once more,
-# and who comes back much later is late.
-START_S = 0.8
-NOT_READY_RETURN_S = 0.3
 # Sends beyond a route's attempts, where all earlier ones certainly did not run.
 EXTRA_SENDS = 1
 # Targets that a request may find unreachable, at 0.3 s each, before it is refused.
@@ -100,6 +94,7 @@
         self._sender.on_first = self._note_first
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._started_s = read_clock() if started_s is None else started_s
+        self.answers = FinalAnswers(self.entries, self._started_s)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -108,7 +103,8 @@
             return
         delivery = Delivery(exchange, call.route.is_resumable)
         if self.view.suspicions.standing(call.digest) is Standing.FATAL:
-            self._refuse_fatal(exchange, call, delivery)
+            ends = self.view.suspicions.table.known(call.digest).ends
+            self.answers.refuse_fatal(exchange, call, delivery, ends)
             return
         try:
             async with asyncio.timeout(max(call.left_s(), 0.0)):
@@ -116,11 +112,11 @@
         except TimeoutError:
             outcome = AttemptOutcome(AttemptEnd.STALLED, "time is up")
         except asyncio.CancelledError:
-            self._log(call, delivery, "caller left", "the caller closed its connection")
+            self.answers.log(call, delivery, "caller left", "the caller closed its connection")
             raise
         finally:
             self.entries.ended(call)
-        self._finish(exchange, call, delivery, outcome)
+        self.answers.finish(exchange, call, delivery, outcome)
 
     def _admit(self, exchange: Exchange) -> Call | None:
         """Find the request's route and account, or answer that there is none."""
@@ -128,7 +124,7 @@
         facts = read_facts(request.headers, self._names)
         table = self.view.table
         if table is None:
-            self._refuse(exchange, facts.request_id, 503, "no configuration is known yet")
+            self.answers.refuse(exchange, facts.request_id, 503, "no configuration is known yet")
             return None
         host = (header(request.headers, b"host") or b"").decode("latin-1")
         path = request.target.partition(b"?")[0].decode("latin-1")
@@ -136,7 +132,7 @@
         found = table.find(host, path, key)
         if found.refusal:
             status = _ROUTING_STATUS[found.refusal]
-            self._refuse(exchange, facts.request_id, status, found.refusal, table.version)
+            self.answers.refuse(exchange, facts.request_id, status, found.refusal, table.version)
             return None
         draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else facts.request_id
         service = choose_service(found.route, draw)
@@ -327,78 +323,3 @@
             budget = SharedRetryBudget(self._terms, lambda: self.view.routers, self._started_s)
             self._budgets[service] = budget
         return budget
-
-    def _finish(
-        self, exchange: Exchange, call: Call, delivery: Delivery, outcome: AttemptOutcome
-    ) -> None:
-        """Give the final answer, if the caller has none yet."""
-        if outcome.end is AttemptEnd.DELIVERED:
-            self._log(call, delivery, "delivered", outcome.why)
-            return
-        if delivery.has_begun:
-            exchange.abort()
-            self._log(call, delivery, "cut", outcome.why)
-            return
-        if outcome.answer is not None:
-            delivery.whole(outcome.answer)
-            self._log(call, delivery, "target failure passed on", outcome.why)
-            return
-        if not call.may_have_run:
-            return_s = self.entries.return_s(call) if call.return_s is None else call.return_s
-            headers = [(b"retry-after", b"%.3f" % return_s)]
-            exchange.respond(Answer(503, headers))
-            self._log(call, delivery, "refused as not run", outcome.why)
-            return
-        status = 504 if call.left_s() <= 0 else 502
-        exchange.respond(Answer(status, []))
-        self._log(call, delivery, "failed, may have run", outcome.why)
-
-    def _refuse_fatal(self, exchange: Exchange, call: Call, delivery: Delivery) -> None:
-        """Refuse a request under which targets end; coming back would not help."""
-        exchange.respond(Answer(503, []))
-        ends = self.view.suspicions.table.known(call.digest).ends
-        self._log(call, delivery, "refused as fatal", f"{ends} targets ended under it")
-
-    def _refuse(
-        self, exchange: Exchange, request_id: bytes, status: int, why: str, version: int = 0
-    ) -> None:
-        """Answer a request that reached no route."""
-        headers = []
-        if status == 503:
-            left_s = self._started_s + START_S - read_clock()
-            return_s = max(left_s, NOT_READY_RETURN_S)
-            headers.append((b"retry-after", b"%.3f" % return_s))
-        exchange.respond(Answer(status, headers))
-        self.tallies.count("requests", outcome=f"refused {status}", kind="none")
-        logger.info(
-            "request refused",
-            request=request_id.decode("latin-1"),
-            status=status,
-            why=why,
-            version=version,
-        )
-
-    def _log(self, call: Call, delivery: Delivery, outcome: str, why: str) -> None:
-        """Count a request and write the one line that tells its story."""
-        kind = call.route.kind.value
-        self.tallies.count("requests", outcome=outcome, kind=kind)
-        self.tallies.observe("request_duration", read_clock() - call.started_s, kind=kind)
-        logger.info(
-            "request ended",
-            request=call.facts.request_id.decode("latin-1"),
-            digest=call.digest.hex(),
-            outcome=outcome,
-            why=why,
-            route=call.route.name,
-            service=call.service,
-            account=call.account.name if call.account else "",
-            version=call.version,
-            key=(call.key or b"").decode("latin-1"),
-            may_have_run=call.may_have_run,
-            entry=list(call.entry or ()),
-            attempts=[list(note) for note in call.notes],
-            events=delivery.events,
-            bytes=delivery.bytes,
-            took_ms=int((read_clock() - call.started_s) * 1000),
-            left_ms=int(call.left_s() * 1000),
-        )
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -72,7 +72,7 @@
             region_of=settings.region_of,
         )
         self.tallies = Tallies()
-        self.forwarder.tallies = self.tallies
+        self.forwarder.tallies = self.forwarder.answers.tallies = self.tallies
         self._metrics = MetricsSite(self.tallies)
         self._callers = HttpServer(self.forwarder.handle, ServerLimits())
         self._ready = HttpServer(self._answer_ready, READY_LIMITS)
