--- a/packages/decisions/src/damaskwind/decisions/cold_targets/cold_spells.py
+++ b/packages/decisions/src/damaskwind/decisions/cold_targets/cold_spells.py
@@ -5,7 +5,7 @@
 
 from damaskwind.decisions.cold_targets.sending_times import SendingTimes
 
-__all__ = ["ColdSpells", "ColdTerms", "Warmth"]
+__all__ = ["WARM", "ColdSpells", "ColdTerms", "Warmth"]
 
 
 class ColdTerms(NamedTuple):
@@ -65,6 +65,10 @@
         elif held.until_s < until_s:
             self._spells[target_id] = held._replace(until_s=until_s)
 
+    def knows(self, target_id: str) -> bool:
+        """Tell whether a target is, or was a moment ago, cold."""
+        return target_id in self._spells
+
     def warmth(self, target_id: str, terms: ColdTerms, routers: int, now_s: float) -> Warmth:
         """Return whether a target is cold, and whether this router may send there now."""
         spell = self._spells.get(target_id)
--- a/packages/router/src/damaskwind/router/forwarding/cold_targets.py
+++ b/packages/router/src/damaskwind/router/forwarding/cold_targets.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from damaskwind.decisions.cold_targets.cold_spells import ColdSpells, Warmth
+from damaskwind.decisions.cold_targets.cold_spells import WARM, ColdSpells, Warmth
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.runtime.clock import read_clock
@@ -26,6 +26,8 @@
 
         While it is not sure how many routers there are, a cold target is sent none.
         """
+        if not self._spells.knows(record.target_id):
+            return WARM
         terms = self._view.cold_terms(record.service)
         routers = self._view.most_routers.value(now_s)
         warmth = self._spells.warmth(record.target_id, terms, routers or 1, now_s)
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -184,13 +184,18 @@
 
     def takes_work(self, record: TargetRecord) -> bool:
         """Tell whether a target may be sent to: it serves, and nobody has it emptied."""
-        is_evacuated = record.failure_domain in self.evacuations.failure_domains
-        return record.phase is TargetPhase.SERVING and not is_evacuated
+        if record.phase is not TargetPhase.SERVING:
+            return False
+        return record.failure_domain not in self.evacuations.failure_domains
 
     def serving(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that take work."""
-        serving = self.targets.serving()
-        return [item for item in serving if item.service == service and self.takes_work(item)]
+        emptied = self.evacuations.failure_domains
+        return [
+            record
+            for record in self.targets.serving()
+            if record.service == service and record.failure_domain not in emptied
+        ]
 
     def present(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that take work or still finish theirs."""
