A router that is told nothing any more admits all requests to a plain service again

What callers would see: a router cut off from the replicas while a service is pressed goes on to turn away the part that it was last told (0.4 in the test), for as long as the cut lasts. Cause: the part changed only with what it was told.

--- a/packages/decisions/src/damaskwind/decisions/admission/service_pace.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/service_pace.py
@@ -27,6 +27,9 @@
 LEAST_PART = 0.02
 # What all see is a second old on the mean: what follows from a change shows no sooner.
 TAKEN_EVERY_S = 0.8
+# What all saw counts for so long; later the part grows as without pressure, since a router
+# that is cut off from the others is no longer told that there is room again.
+TOLD_S = 2.5
 
 
 class ServiceSeen(NamedTuple):
@@ -55,12 +58,21 @@
     0.63
     >>> pace.take(ServiceSeen(165, 104, 2, 0), 2.0); round(pace.part, 2)
     0.72
+    >>> round(pace.part_at(4.0), 2), pace.part_at(30.0)
+    (0.72, 1.0)
     """
 
     def __init__(self) -> None:
         self.part = 1.0
         self._taken_s: float | None = None
 
+    def part_at(self, now_s: float) -> float:
+        """Return the part that is admitted now."""
+        if self._taken_s is None:
+            return 1.0
+        untold_s = max(0.0, now_s - self._taken_s - TOLD_S)
+        return min(1.0, self.part * GROWTH_PER_S**untold_s)
+
     def take(self, seen: ServiceSeen, now_s: float) -> None:
         """Take what all routers saw; it says nothing new so soon after the last time."""
         before_s = now_s if self._taken_s is None else self._taken_s
--- a/packages/router/src/damaskwind/router/forwarding/service_paces.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_paces.py
@@ -45,7 +45,7 @@
     def part(self, service: str) -> float:
         """Return the part of a service's requests that is admitted now."""
         pace = self._paces.get(service)
-        return pace.part if pace else 1.0
+        return pace.part_at(read_clock()) if pace else 1.0
 
     def return_s(self, call: Call) -> float:
         """Return when a caller that is turned away here should come back."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_service_paces.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_service_paces.py
@@ -38,6 +38,16 @@
         self.assertIn(admitted, ADMITTED)
         self.assertLessEqual(after_s, 0.1)
 
+    @asyncio_test
+    async def test_router_that_hears_of_nobody_any_more_admits_all_again(self):
+        # Cut off from the replicas, a router went on to turn away the part that it was last told.
+        await self.call()
+        self.tell(PRESSED)
+        pace = self.forwarder.paces._paces["pool"]
+        self.assertLess(self.forwarder.paces.part("pool"), 0.5)
+        pace._taken_s -= 30.0
+        self.assertEqual(self.forwarder.paces.part("pool"), 1.0)
+
     @asyncio_test
     async def test_sum_of_few_routers_counts_for_nothing(self):
         await self.call()
