--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -333,10 +333,11 @@
         >>> table.as_of([new], 2.5)[0].cold_s, table.as_of([new], 9.0)[0].cold_s
         (1.5, 0.0)
         """
-        return tuple(
-            record._replace(cold_s=max(0.0, self._entries[record.target_id].cold_until_s - now_s))
-            for record in records
-        )
+        return tuple(self._as_of(record, now_s) for record in records)
+
+    def _as_of(self, record: TargetRecord, now_s: float) -> TargetRecord:
+        cold_s = max(0.0, self._entries[record.target_id].cold_until_s - now_s)
+        return record if record.cold_s == cold_s else record._replace(cold_s=cold_s)
 
     def silent_since(self, since_s: float, now_s: float) -> Silence:
         """Return which living targets were not heard since a time, and how the others stand.
@@ -425,7 +426,8 @@
             return True
         if record.sequence <= entry.record.sequence:
             return False
-        record = record._replace(cold_at=entry.record.cold_at)
+        if record.cold_at != entry.record.cold_at:
+            record = record._replace(cold_at=entry.record.cold_at)
         entry.heard_s = max(entry.heard_s, heard_s)
         unchanged = entry.record._replace(sequence=record.sequence, cold_s=record.cold_s)
         if record == unchanged:
