Log what a target asks for in an answer: rest, or that it leaves

The line of a request tells the status alone, so that a target that is full for a moment, one that asks for 3 s of rest and one that leaves read the same.

--- a/packages/model/src/damaskwind/model/header_names.py
+++ b/packages/model/src/damaskwind/model/header_names.py
@@ -17,9 +17,9 @@
     order, each with its tokens; `resume_after` the last event that the caller
     has. `expect_target` makes any other target refuse. `not_run` in an answer
     says that the target did not run the request; `target_load` tells running,
-    waiting and slots. `fetch_from` names the address of another engine, from
-    which the engine first copies the parts of the prompt that it lacks. `reserved`
-    are the headers that only the system sets.
+    waiting and slots, `leaving` that the target takes no new work any more. `fetch_from`
+    names the address of another engine, from which the engine first copies the parts of the
+    prompt that it lacks. `reserved` are the headers that only the system sets.
     """
 
     request_id: bytes = b"x-request-id"
@@ -31,6 +31,7 @@
     urgency: bytes = b"x-urgency"
     target_load: bytes = b"x-target-load"
     not_run: bytes = b"x-not-run"
+    leaving: bytes = b"x-leaving"
     fetch_from: bytes = b"x-fetch-from"
     authorization: bytes = b"authorization"
     key_scheme: bytes = b"Bearer"
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -10,6 +10,7 @@
 from damaskwind.decisions.load.held_requests import parse_target_load
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import Choice
+from damaskwind.decisions.target_words.said import SAID_NOTHING, Said, read_said
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
@@ -110,6 +111,7 @@
         self.connections = beliefs.connections
         self.activity = beliefs.activity
         self.on_first: Callable[[Call, str, float], None] = _note_nothing
+        self._beliefs = beliefs
         self._loads = beliefs.loads
         self._names = names
 
@@ -175,6 +177,7 @@
         self.activity.heard(target.target_id, read_clock())
         self.on_first(call, target.target_id, first_s)
         self._note_load(head, target.target_id)
+        self._beliefs.note_said(target, self._said(head))
         if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
             return await self._refused(connection, head, target)
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
@@ -281,6 +284,18 @@
                 if last_woken_s() < begun_s:
                     raise
 
+    def _said(self, head: AnswerHead) -> Said:
+        """Return what a target asks for; who answers in another's place speaks for itself."""
+        if head.status == MISDIRECTED:
+            return SAID_NOTHING
+        headers = head.headers
+        return read_said(
+            head.status,
+            header(headers, b"retry-after"),
+            header(headers, self._names.leaving),
+            header(headers, b"date"),
+        )
+
     def _note_load(self, head: AnswerHead, target_id: str) -> None:
         """Take the target's word on its load."""
         load = parse_target_load(header(head.headers, self._names.target_load))
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -18,6 +18,8 @@
 from damaskwind.decisions.load.held_sums import HeldSum
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import Candidate
+from damaskwind.decisions.target_words.said import Said
+from damaskwind.decisions.target_words.words import TargetWords, Wish
 from damaskwind.router.forwarding.cold_targets import ColdTargets
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
@@ -47,6 +49,11 @@
     return TargetPlaces(candidate.target_id, candidate.slots - held)
 
 
+def _life(target: TargetRecord) -> tuple[str, tuple[int, int]]:
+    """Return what tells one life of a target from all others."""
+    return (target.target_id, target.life)
+
+
 class SendEnded(NamedTuple):
     """How one send ended, as far as it says something of the target.
 
@@ -75,6 +82,7 @@
         self.connections = connections
         self.loads = LoadEstimator()
         self.activity = TargetActivity()
+        self.words = TargetWords()
         self._heartbeat_s = heartbeat_s
         self._random = random
         self._health: dict[str, PoolHealth] = {}
@@ -123,6 +131,19 @@
         """Note that an answer began after this part of its objective."""
         self._pool_pace(service).observe(target_id, part, now_s)
 
+    def note_said(self, target: TargetRecord, said: Said) -> None:
+        """Take what a target asks for in an answer."""
+        new = self.words.hear(_life(target), said, read_clock())
+        if new is not Wish.NOTHING:
+            logger.info(
+                "target asks",
+                target=target.target_id,
+                service=target.service,
+                wish=new.value,
+                rest_s=round(said.rest_s, 3),
+                phase=target.phase.name.lower(),
+            )
+
     def note_ended(self, target: TargetRecord, ended: SendEnded, now_s: float) -> None:
         """Take what the end of a send says of the target."""
         target_id = target.target_id
