--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -175,11 +175,11 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def stream(first: int, last: int, pause_s: float = 0.0) -> Step:
+def stream(first: int, last: int, pause_s: float = 0.0, fields: tuple[bytes, ...] = ()) -> Step:
     """Stream whole events from `first` to `last` and end the stream."""
 
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
-        writer.write(_head(200, request, (b"transfer-encoding: chunked",)))
+        writer.write(_head(200, request, (b"transfer-encoding: chunked", *fields)))
         for number in range(first, last + 1):
             writer.write(_chunk(event(number)))
             await writer.drain()
