A target that asks for rest, or says that it leaves, is sent nothing by who heard it

Callers were sent to targets that had asked for 3 s of rest, were turned away there and went on, or got a 503 with Retry-After 0.04 to 0.5 s though other targets were free (a plain service counted as pressed). Cause: what a target says of itself in an answer held for that one request; the target was left alone for 0.1 s, a guess, and then was first in rank for its keys and the least loaded by its own word.

The words are kept for the life that said them and asked at every step: candidates, places of the pool, the pace of plain services, a lone target, those in line (who are told at once when nobody takes work), and once more past the wait for a connection, where the request is withheld. A 503 with Retry-After no longer counts as a lack of places. Where all rest, callers are told the first end, spread over their objective. A resting target counts for the mean and stays a donor; one that said it leaves and ends is not held against the requests in its hand.

--- a/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
@@ -191,6 +191,10 @@
         """Take out a request that waits and whose caller left."""
         self.line.remove(number)
 
+    def release(self) -> tuple[int, ...]:
+        """Take out all who wait, for nothing that they could wait for is left."""
+        return tuple(ticket.number for ticket in self.line.clear())
+
     def give_up(self, number: int, now_s: float) -> TurnedAway | None:
         """Turn away a request that has waited until its `until_s`."""
         ticket = self.line.remove(number)
--- a/packages/decisions/src/damaskwind/decisions/admission/return_time.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/return_time.py
@@ -11,7 +11,7 @@
 
 from random import Random
 
-__all__ = ["return_after_s"]
+__all__ = ["return_after_rest_s", "return_after_s"]
 
 # A caller comes back after this part of its objective at the earliest: early enough
 # to be served within it, late enough that a place may be free.
@@ -39,3 +39,12 @@
     latest_s = max(LEFT_SHARE * left_s, soonest_s)
     earliest_s = min(max(lasted_s, soonest_s), (soonest_s + latest_s) / 2)
     return round(random.uniform(earliest_s, latest_s), 3)
+
+
+def return_after_rest_s(rest_left_s: float, objective_s: float, random: Random) -> float:
+    """Return when to come back to targets that all want no requests for so long.
+
+    >>> 2.5 <= return_after_rest_s(2.5, 0.2, Random(1)) <= 2.7
+    True
+    """
+    return round(rest_left_s + random.uniform(0.0, objective_s), 3)
--- a/packages/decisions/src/damaskwind/decisions/admission/waiting_line.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/waiting_line.py
@@ -74,6 +74,12 @@
         """Take a request out whose caller left or who was given up on."""
         return self._tickets.pop(number, None)
 
+    def clear(self) -> tuple[Ticket, ...]:
+        """Take out all."""
+        tickets = tuple(self._tickets.values())
+        self._tickets.clear()
+        return tickets
+
     def ordered(self, now_s: float) -> list[Ticket]:
         """Return those who wait, the next one first."""
         over = self._over_share(now_s)
--- a/packages/decisions/src/damaskwind/decisions/target_words/words.py
+++ b/packages/decisions/src/damaskwind/decisions/target_words/words.py
@@ -48,6 +48,9 @@
         self._rest_until_s: dict[Hashable, float] = {}
         self._left_s: dict[Hashable, float] = {}
 
+    def __len__(self) -> int:
+        return len(self._rest_until_s) + len(self._left_s)
+
     def hear(self, life: Hashable, said: Said, now_s: float) -> Wish:
         """Take what a life of a target said; return which wish is new.
 
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -56,6 +56,7 @@
     """How one send ended."""
 
     DELIVERED = "delivered"
+    WITHHELD = "withheld"
     NOT_RUN = "not-run"
     TARGET_ERROR = "target-error"
     BROKEN = "broken"
@@ -75,7 +76,8 @@
 
     `was_reached` tells whether a connection to the target stood, `first_s`
     how long the head of its answer took, `is_displaced` that another target
-    answered at its address, `is_lost` that its connection ended within the answer.
+    answered at its address, `is_lost` that its connection ended within the answer,
+    `rests` that it asked for rest. What was withheld was not sent.
     """
 
     end: AttemptEnd
@@ -85,6 +87,7 @@
     first_s: float | None = None
     is_displaced: bool = False
     is_lost: bool = False
+    rests: bool = False
 
 
 def _note_nothing(call: Call, target_id: str, first_s: float) -> None:
@@ -138,6 +141,9 @@
         if call.left_s() <= 0:
             self.connections.put_back(target.target_id, connection)
             raise TimeoutError("the caller's time is up")
+        if not self._beliefs.still_takes_work(target):
+            self.connections.put_back(target.target_id, connection)
+            return AttemptOutcome(AttemptEnd.WITHHELD, "the target takes no work any more")
         is_engine = call.key is not None
         self._loads.sent(target.target_id, is_engine)
         waiting = self.activity.begin(target.target_id, read_clock())
@@ -177,9 +183,11 @@
         self.activity.heard(target.target_id, read_clock())
         self.on_first(call, target.target_id, first_s)
         self._note_load(head, target.target_id)
-        self._beliefs.note_said(target, self._said(head))
+        said = self._said(head)
+        self._beliefs.note_said(target, said)
         if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
-            return await self._refused(connection, head, target)
+            outcome = await self._refused(connection, head, target)
+            return outcome._replace(rests=said.rest_s > 0)
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
         if is_stream:
             outcome = await self._relay(connection, head, call, target, delivery, may_move)
@@ -188,7 +196,8 @@
         self.connections.give_back(target.target_id, connection, head.headers)
         answer = Answer(head.status, head.headers, body)
         if head.status >= 500:
-            return AttemptOutcome(AttemptEnd.TARGET_ERROR, f"status {head.status}", answer)
+            why = f"status {head.status}"
+            return AttemptOutcome(AttemptEnd.TARGET_ERROR, why, answer, rests=said.rest_s > 0)
         delivery.whole(answer)
         why = f"status {head.status}"
         return AttemptOutcome(AttemptEnd.DELIVERED, why, first_s=first_s)
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 from random import Random
 from types import MappingProxyType
 
+from damaskwind.decisions.admission.return_time import return_after_rest_s
 from damaskwind.decisions.fatal_requests.identity import identify_request
 from damaskwind.decisions.fatal_requests.suspicion import Standing
 from damaskwind.decisions.membership.target_record import TargetRecord
@@ -87,8 +88,8 @@
         self._region_of = region_of
         self._random = random
         self.entries = PoolEntries(self.beliefs, random)
-        self.paces = ServicePaces(view, random)
-        self.losses = TargetLosses(view, connections)
+        self.paces = ServicePaces(self.beliefs, random)
+        self.losses = TargetLosses(self.beliefs)
         self.losses.on_ended.append(self._note_target_ended)
         self._sender = AttemptSender(self.beliefs, names)
         self._sender.on_first = self._note_first
@@ -152,6 +153,7 @@
         failure: AttemptOutcome | None = None
         placed = self._place(call)
         if placed is None:
+            self._note_rest(call)
             return outcome
         if call.key is None and not self.paces.admits(call.service):
             call.return_s = self.paces.return_s(call)
@@ -166,6 +168,7 @@
             placed = self._place(call)
         while True:
             if placed is None:
+                self._note_rest(call)
                 return failure or outcome
             if call.arrivals and not self._budget(call.service).take(read_clock()):
                 return failure or outcome._replace(why=f"{outcome.why}; retry budget spent")
@@ -182,6 +185,8 @@
 
     def _may_go_on(self, call: Call, outcome: AttemptOutcome) -> bool:
         """Tell whether another target may get the request."""
+        if outcome.end is AttemptEnd.WITHHELD:
+            return True
         if not outcome.was_reached:
             return call.unreached < UNREACHED_MOST
         if outcome.end is AttemptEnd.NOT_RUN:
@@ -243,6 +248,10 @@
                 )
             )
         self.tallies.count("attempts", end=outcome.end.value)
+        if outcome.end is AttemptEnd.WITHHELD:
+            call.may_have_run = before
+            call.sends -= 1
+            return outcome
         if call.key is None:
             self._note_pace(call, outcome, now_s - begun_s)
         call.arrivals += outcome.was_reached
@@ -268,7 +277,7 @@
         seen = _as_seen(outcome)
         if outcome.answer is not None or seen.is_good:
             self.paces.answered(call, took_s)
-        elif seen.was_refused and not seen.is_displaced:
+        elif seen.was_refused and not seen.is_displaced and not outcome.rests:
             self.paces.turned_away(call)
 
     def _note_target_ended(self, target: TargetRecord, sends: list[BrokenSend]) -> None:
@@ -285,13 +294,10 @@
     def _place(self, call: Call) -> Placed | None:
         """Choose the next target for a request."""
         now_s = read_clock()
-        records = {
-            target_id: record
-            for target_id, record in self.beliefs.present(call.service).items()
-            if target_id not in call.tried
-            and is_allowed(record.failure_domain, call.regions, self._region_of)
-        }
-        if self.beliefs.are_all_unreachable(records, bool(call.unreached)):
+        records = self._allowed(call)
+        for target_id in call.tried:
+            records.pop(target_id, None)
+        if self.beliefs.are_all_unreachable(records, bool(call.unreached), now_s):
             return None
         is_engine = call.key is not None
         candidates = self.beliefs.candidates(records.values(), now_s, is_engine)
@@ -316,6 +322,20 @@
         target = records[choice.candidate.target_id]
         return Placed(target, choice, donor.address if donor else None)
 
+    def _allowed(self, call: Call) -> dict[str, TargetRecord]:
+        """Return the targets to which a request may go, or from which it may copy, by id."""
+        return {
+            target_id: record
+            for target_id, record in self.beliefs.present(call.service).items()
+            if is_allowed(record.failure_domain, call.regions, self._region_of)
+        }
+
+    def _note_rest(self, call: Call) -> None:
+        """Have a caller for whom all targets rest come back when one of them has rested."""
+        rest_s = self.beliefs.rest_left_s(self._allowed(call).values(), read_clock())
+        if rest_s is not None:
+            call.return_s = return_after_rest_s(rest_s, call.route.objective_s, self._random)
+
     def _budget(self, service: str) -> SharedRetryBudget:
         """Return this router's retry budget for a service."""
         budget = self._budgets.get(service)
--- a/packages/router/src/damaskwind/router/forwarding/pool_entries.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_entries.py
@@ -132,7 +132,9 @@
         if not len(pool.line):
             return
         now_s = read_clock()
-        for number in pool.look(self._beliefs.places(service, now_s), now_s):
+        places = self._beliefs.places(service, now_s)
+        # Where no target takes work, all are placed anew, and refused at once.
+        for number in pool.look(places, now_s) if places else pool.release():
             self._waiting[number].set_result(None)
 
     def _tell(self, turned_away: tuple[TurnedAway, ...]) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/service_paces.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_paces.py
@@ -9,7 +9,7 @@
 from damaskwind.decisions.load.held_requests import target_digest
 from damaskwind.decisions.load.held_sums import HeldSum
 from damaskwind.router.forwarding.call import Call
-from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.target_beliefs import TargetBeliefs
 from damaskwind.runtime.clock import read_clock
 
 __all__ = ["ServicePaces"]
@@ -28,8 +28,9 @@
 class ServicePaces:
     """What one router saw of each service, and the part of requests that it admits."""
 
-    def __init__(self, view: FleetView, random: Random) -> None:
-        self._view = view
+    def __init__(self, beliefs: TargetBeliefs, random: Random) -> None:
+        self._beliefs = beliefs
+        self._view = view = beliefs.view
         self._random = random
         self._tallies: dict[str, ServiceTally] = {}
         self._paces: dict[str, ServicePace] = {}
@@ -83,7 +84,7 @@
         for service in self._tallies:
             pace = self._paces.setdefault(service, ServicePace())
             seen = totals.get(target_digest(service), ServiceSeen())
-            places = sum(record.slots for record in self._view.serving(service))
+            places = sum(record.slots for record in self._beliefs.serving(service))
             pace.take(seen, places, now_s)
             self._log(service, pace.part, seen, host)
 
--- a/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_beliefs.py
@@ -158,11 +158,42 @@
         health = self._pool_health(target.service, now_s)
         health.observe(target_id, ended.is_good, now_s, self._random)
 
+    def takes_work(self, record: TargetRecord, now_s: float) -> bool:
+        """Tell whether a target may be sent to, by operators' orders and its own words."""
+        return self._wish(record, now_s) is Wish.NOTHING and self.view.takes_work(record)
+
+    def _wish(self, record: TargetRecord, now_s: float) -> Wish:
+        """Return what a target wants now by its own words; mostly there are none."""
+        return self.words.wish(_life(record), now_s) if self.words else Wish.NOTHING
+
+    def still_takes_work(self, placed: TargetRecord) -> bool:
+        """Tell whether a target takes work that took some when a request was placed there."""
+        held = self.view.targets.record_of(placed.target_id)
+        return held is not None and held.life == placed.life and self.takes_work(held, read_clock())
+
+    def serving(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that may be sent to."""
+        now_s = read_clock()
+        return [item for item in self.view.serving(service) if self.takes_work(item, now_s)]
+
+    def is_said_leaving(self, target: TargetRecord) -> bool:
+        """Tell whether a target said in an answer that it leaves."""
+        return self.words.wish(_life(target), read_clock()) is Wish.LEAVE
+
+    def rest_left_s(self, records: Collection[TargetRecord], now_s: float) -> float | None:
+        """Return the seconds until one of these targets has rested, if all that serve rest."""
+        if any(self.takes_work(record, now_s) for record in records):
+            return None
+        lives = [_life(record) for record in records if self.view.takes_work(record)]
+        return self.words.rest_left_s(lives, now_s)
+
     def present(self, service: str) -> dict[str, TargetRecord]:
         """Return the targets of a service that take work or still finish theirs, by id."""
         return {record.target_id: record for record in self.view.present(service)}
 
-    def are_all_unreachable(self, records: dict[str, TargetRecord], has_tried: bool) -> bool:
+    def are_all_unreachable(
+        self, records: dict[str, TargetRecord], has_tried: bool, now_s: float
+    ) -> bool:
         """Tell whether sending would only wait for connections that don't come about.
 
         Unreachable targets are tried every 0.4 s without a request, which would
@@ -170,7 +201,7 @@
         packet is no sign that it is gone.
         """
         serving = [
-            target_id for target_id, record in records.items() if self.view.takes_work(record)
+            target_id for target_id, record in records.items() if self.takes_work(record, now_s)
         ]
         has_a_try = len(serving) == 1 and not has_tried
         is_unreachable = self.connections.is_unreachable
@@ -221,7 +252,9 @@
             or not health.may_send(target_id, now_s, self._random)
         )
         warmth = self.cold.warmth(record, now_s)
-        takes_work = self.view.takes_work(record) and warmth.may_send
+        wish = self._wish(record, now_s)
+        takes_work = wish is Wish.NOTHING and self.view.takes_work(record) and warmth.may_send
+        is_leaving = wish is Wish.LEAVE or record.phase is not TargetPhase.SERVING
         return Candidate(
             target_id,
             record.failure_domain,
@@ -232,13 +265,12 @@
             self.view.targets.age_s(target_id, now_s, self._heartbeat_s),
             warmth.is_cold or self._pool_pace(record.service).is_slow(target_id, now_s),
             is_known,
-            record.phase is TargetPhase.SERVING and not takes_work,
+            not takes_work and not is_leaving,
         )
 
     def places(self, service: str, now_s: float) -> list[TargetPlaces]:
         """Return the targets that may be sent to, with their free places."""
-        records = self.view.serving(service)
-        candidates = self.candidates(records, now_s, True)
+        candidates = self.candidates(self.serving(service), now_s, True)
         sound = [item for item in candidates if not item.is_doubtful]
         return [free_places(item) for item in sound or candidates]
 
--- a/packages/router/src/damaskwind/router/forwarding/target_losses.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_losses.py
@@ -12,8 +12,7 @@
 
 from damaskwind.decisions.fatal_requests.suspicion import Known
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
-from damaskwind.router.forwarding.connections import TargetConnections
-from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.target_beliefs import TargetBeliefs
 
 __all__ = ["BrokenSend", "TargetLosses"]
 
@@ -39,10 +38,10 @@
     broke at this router; one that was leaving is not among them.
     """
 
-    def __init__(self, view: FleetView, connections: TargetConnections) -> None:
+    def __init__(self, beliefs: TargetBeliefs) -> None:
         self.on_ended: list[LossCallback] = []
-        self._view = view
-        self._connections = connections
+        self._beliefs = beliefs
+        self._connections = beliefs.connections
         self._looks: dict[str, asyncio.Task[bool]] = {}
         self._broken: dict[str, list[BrokenSend]] = {}
 
@@ -65,8 +64,9 @@
         finally:
             del self._looks[target_id]
             broken = self._broken.pop(target_id)
-        phase = self._view.targets.phase_of(target_id)
-        is_leaving = phase is not TargetPhase.SERVING
+        phase = self._beliefs.view.targets.phase_of(target_id)
+        said_so = self._beliefs.is_said_leaving(target)
+        is_leaving = said_so or phase is not TargetPhase.SERVING
         has_ended = not answers and not is_leaving
         logger.warning(
             "sends broken",
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_target_words.py
@@ -0,0 +1,186 @@
+"""What one target asked for is kept by every step of a request's way."""
+
+import asyncio
+
+from damaskwind.decisions.membership.target_record import TargetPhase
+from damaskwind.decisions.target_words.said import Said
+from damaskwind.model.evacuations import Evacuations
+from damaskwind.router.forwarding.target_losses import BrokenSend
+from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.messages import header
+from damaskwind.standins.scripted_target import plain, stream
+
+NOT_RUN = b"x-not-run: 1"
+RESTS = plain(503, b"", (NOT_RUN, b"retry-after: 3"))
+IS_FULL = plain(503, b"", (NOT_RUN,))
+LEAVES = plain(200, b"whole", (b"x-leaving: 1",))
+PARTS = {"x_prompt_parts": b"shared:100,own:10"}
+
+
+class TargetWordsTest(ForwarderTestCase):
+    def note(self, index, said):
+        self.forwarder.beliefs.note_said(self.view.targets.record_of(f"t{index}"), said)
+
+    def rest(self, *indexes, rest_s=3.0):
+        for index in indexes:
+            self.note(index, Said(rest_s))
+
+    def return_s(self, answer):
+        self.assertEqual(answer.status, 503)
+        return float(header(answer.headers, b"retry-after"))
+
+    @asyncio_test
+    async def test_rest_that_all_targets_ask_for_refuses_at_once_until_the_first_has_rested(self):
+        self.share(RESTS, plain(503, b"", (NOT_RUN, b"retry-after: 1.5")))
+        self.return_s(await self.call())
+        self.assertEqual(len(self.received()), 2)
+        begun_s = read_clock()
+        told_s = [self.return_s(await self.call(request_id=b"r%d" % n)) for n in range(2, 12)]
+        self.assertLess(read_clock() - begun_s, 0.5)
+        self.assertEqual(len(self.received()), 2)
+        self.assertTrue(all(1.0 < at_s < 1.8 for at_s in told_s), told_s)
+        self.assertGreater(len(set(told_s)), 5)
+
+    @asyncio_test
+    async def test_target_that_only_is_full_is_the_last_choice_but_a_choice(self):
+        self.rest(0)
+        self.share(IS_FULL)
+        self.return_s(await self.call())
+        self.assertEqual((await self.call(request_id=b"r2")).status, 200)
+        self.assertEqual(len(self.targets[0].received), 0)
+
+    @asyncio_test
+    async def test_rest_asked_for_while_a_connection_is_made_withholds_the_request(self):
+        take = self.connections.take
+        first_s = []
+
+        async def slow_take(target_id, *rest):
+            connection = await take(target_id, *rest)
+            if not first_s:
+                first_s.append(read_clock())
+                self.rest(int(target_id[1:]))
+            return connection
+
+        self.connections.take = slow_take
+        answer = await self.call()
+        self.assertEqual(answer.status, 200)
+        (got,) = self.received()
+        resting = next(n for n in (0, 1) if not self.targets[n].received)
+        self.assertNotEqual(got.headers[b"x-expect-target"], b"t%d" % resting)
+        self.assertEqual(self.forwarder.tallies.totals("attempts")[(("end", "withheld"),)], 1)
+
+    @asyncio_test
+    async def test_a_withheld_request_is_refused_where_no_other_target_is_left(self):
+        take = self.connections.take
+
+        async def slow_take(target_id, *rest):
+            connection = await take(target_id, *rest)
+            self.rest(0, 1)
+            return connection
+
+        self.connections.take = slow_take
+        self.assertGreater(self.return_s(await self.call()), 2.0)
+        self.assertEqual(self.received(), [])
+
+    @asyncio_test
+    async def test_those_in_line_are_told_when_all_targets_rest(self):
+        entries = self.forwarder.entries
+        pool = entries._pool("pool")
+        pool._whole.limit = 0.0
+        calls = [asyncio.ensure_future(self.call(request_id=b"w%d" % n)) for n in range(3)]
+        await asyncio.sleep(0.03)
+        waiting = entries.waiting()
+        self.rest(0, 1)
+        begun_s = read_clock()
+        answers = await asyncio.gather(*calls)
+        self.assertLess(read_clock() - begun_s, 0.2)
+        self.assertGreater(waiting, 0)
+        for answer in answers:
+            self.return_s(answer)
+        self.assertEqual(self.received(), [])
+
+    @asyncio_test
+    async def test_rest_is_no_lack_of_places_that_presses_the_service(self):
+        self.share(RESTS)
+        self.assertEqual((await self.call()).status, 200)
+        (count,) = self.forwarder.paces.tell()
+        self.assertEqual((count.seen.turned_away, count.seen.answered), (0, 1))
+
+    @asyncio_test
+    async def test_resting_engine_gets_no_prompt_but_its_parts_are_copied(self):
+        self.publish(route(has_prompt_parts=True))
+        await self.call(**PARTS)
+        home = next(n for n in (0, 1) if self.targets[n].received)
+        self.rest(home)
+        self.assertEqual((await self.call(request_id=b"r2", **PARTS)).status, 200)
+        (got,) = self.targets[1 - home].received
+        address = str(self.view.targets.record_of(f"t{home}").address)
+        self.assertEqual(got.headers[b"x-fetch-from"], address.encode())
+
+    @asyncio_test
+    async def test_one_domain_emptied_and_the_rest_at_rest_sends_nothing_anywhere(self):
+        self.view.targets.take(
+            self.view.targets.record_of("t1")._replace(target_id="t2", failure_domain="other"),
+            read_clock(),
+        )
+        self.view.evacuations = Evacuations(1, ("other",))
+        self.rest(0, 1)
+        self.assertGreater(self.return_s(await self.call()), 2.0)
+        self.assertEqual(self.received(), [])
+
+    @asyncio_test
+    async def test_target_that_said_it_leaves_gets_no_work_though_its_heartbeats_say_it_serves(
+        self,
+    ):
+        self.share(LEAVES)
+        await self.call()
+        left = next(n for n in (0, 1) if self.targets[n].received)
+        address = self.view.targets.record_of(f"t{left}").address
+        self.admit(f"t{left}", address, sequence=200)
+        for number in range(6):
+            self.assertEqual((await self.call(request_id=b"s%d" % number)).status, 200)
+        self.assertEqual(len(self.targets[left].received), 1)
+
+    @asyncio_test
+    async def test_word_of_leaving_in_the_head_of_a_stream_counts_before_its_end(self):
+        self.publish(route(has_prompt_parts=True))
+        self.share(stream(1, 2, 0.3, (b"x-leaving: 1",)))
+        first = asyncio.ensure_future(self.call(**PARTS))
+        await asyncio.sleep(0.1)
+        left = next(n for n in (0, 1) if self.targets[n].received)
+        await self.call(request_id=b"r2", **PARTS)
+        self.assertEqual(len(self.targets[left].received), 1)
+        self.assertEqual((await first).status, 200)
+
+    @asyncio_test
+    async def test_word_of_another_target_at_its_address_is_not_its_own(self):
+        moved = plain(421, b"", (NOT_RUN, b"x-leaving: 1", b"retry-after: 9"))
+        self.share(moved)
+        self.assertEqual((await self.call()).status, 200)
+        self.assertEqual(len(self.forwarder.beliefs.words), 0)
+
+    @asyncio_test
+    async def test_a_word_outlives_a_target_that_is_forgotten_and_heard_again(self):
+        record = self.view.targets.record_of("t0")
+        self.note(0, Said(is_leaving=True))
+        self.forwarder.beliefs.forget("t0")
+        for number in range(4):
+            await self.call(request_id=b"s%d" % number)
+        self.assertEqual(self.targets[0].received, [])
+        self.view.targets.take(record._replace(born_ms=1_790_000_000_000), read_clock())
+        for number in range(8):
+            await self.call(request_id=b"n%d" % number)
+        self.assertGreater(len(self.targets[0].received), 0)
+
+    @asyncio_test
+    async def test_a_target_that_said_it_leaves_and_ends_is_not_held_against_requests(self):
+        target = self.view.targets.record_of("t0")
+        self.assertIs(target.phase, TargetPhase.SERVING)
+        self.note(0, Said(is_leaving=True))
+        await self.targets[0].stop()
+        broken = []
+        self.forwarder.losses.on_ended.append(lambda *ended: broken.append(ended))
+        self.assertFalse(await self.forwarder.losses.look(target, BrokenSend(b"d", None, b"r")))
+        self.assertEqual(broken, [])
