Chats and plain calls keep what targets ask for in answers

The words are read from the head of every answer and of every refusal (target_wishes), barred targets are left out like ejected ones, and where all who could serve want none, callers, those in the queue too, are refused at once with the time of the first end. Operators see each target's wish. A new incarnation owes nothing.

Not covered: a request that waits up to 2 s for a new connection is not asked again there (Agent).

--- a/packages/decisions/src/damaskwind/decisions/target_words/words.py
+++ b/packages/decisions/src/damaskwind/decisions/target_words/words.py
@@ -77,6 +77,11 @@
             return Wish.REST
         return Wish.NOTHING
 
+    def wishing(self, now_s: float) -> tuple[Hashable, ...]:
+        """Return the lives that want something now."""
+        lives = self._left_s.keys() | self._rest_until_s.keys()
+        return tuple(life for life in lives if self.wish(life, now_s) is not Wish.NOTHING)
+
     def rest_left_s(self, lives: Iterable[Hashable], now_s: float) -> float | None:
         """Return the seconds until the first of these that rest ends its rest, if any rests.
 
@@ -91,8 +96,7 @@
 
     def count(self, wish: Wish, now_s: float) -> int:
         """Return how many targets have a wish now."""
-        lives = self._left_s.keys() | self._rest_until_s.keys()
-        return sum(self.wish(life, now_s) is wish for life in lives)
+        return sum(self.wish(life, now_s) is wish for life in self.wishing(now_s))
 
     def _forget_old(self, now_s: float) -> None:
         """Drop what holds no longer."""
--- a/packages/router/src/damaskwind/router/dispatcher.py
+++ b/packages/router/src/damaskwind/router/dispatcher.py
@@ -23,6 +23,7 @@
 from damaskwind.router.placing import Placing
 from damaskwind.router.target_client import AttemptError
 from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.target_wishes import TargetWishes, said_in
 from damaskwind.router.work import Work
 
 __all__ = ["Dispatcher", "Placed"]
@@ -46,12 +47,14 @@
         placing: Placing,
         limits: AccountLimits,
         health: TargetHealth,
+        wishes: TargetWishes,
         reactor: Any,
         random: Random,
     ) -> None:
         self._placing = placing
         self._limits = limits
         self._health = health
+        self._wishes = wishes
         self._reactor = reactor
         self._random = random
         self._policy = RetryPolicy()
@@ -87,6 +90,7 @@
             try:
                 response = await send(target)
             except AttemptError as error:
+                self._wishes.hear(target, error.said)
                 self._failed(work, target, started_s, error)
                 failures.append(error)
                 tried |= {target.target_id}
@@ -95,6 +99,7 @@
                 self._placing.end(work, target, False)
                 raise
             else:
+                self._wishes.hear(target, said_in(response))
                 return Placed(target, response, started_s)
 
     def finish(
--- a/packages/router/src/damaskwind/router/engine_client.py
+++ b/packages/router/src/damaskwind/router/engine_client.py
@@ -19,6 +19,7 @@
     TargetClient,
     path_of,
 )
+from damaskwind.router.target_wishes import said_in
 
 __all__ = ["EngineChat", "EngineClient", "check_not_run", "header_text", "load_of"]
 
@@ -84,7 +85,9 @@
     callers_fault = response.code in _CALLERS_FAULT
     reason = Reason.BAD_REQUEST if callers_fault else Reason.TARGET_FAILED
     suspect = not says_not_run and not callers_fault
-    raise AttemptError(verdict, reason, detail, suspect=suspect, final=callers_fault)
+    raise AttemptError(
+        verdict, reason, detail, suspect=suspect, final=callers_fault, said=said_in(response)
+    )
 
 
 class EngineClient:
--- a/packages/router/src/damaskwind/router/operator_api.py
+++ b/packages/router/src/damaskwind/router/operator_api.py
@@ -21,6 +21,7 @@
 from damaskwind.router.target_client import AttemptError, TargetCall, TargetClient, path_of
 from damaskwind.router.target_directory import TargetDirectory
 from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.target_wishes import TargetWishes
 from damaskwind.router.telemetry import Telemetry
 
 __all__ = ["OperatorApi", "Sources"]
@@ -62,6 +63,7 @@
     explain: ExplainLog
     directory: TargetDirectory
     health: TargetHealth
+    wishes: TargetWishes
     placing: Placing
     membership: Any
     client: TargetClient
@@ -152,6 +154,7 @@
             "state": view.state,
             "incarnation": view.incarnation,
             "circuit": self._sources.health.state(view.service, view.target_id),
+            "wish": self._sources.wishes.of(view),
             "estimated_load_tokens": round(estimate, 1),
             "requests_in_flight_here": self._sources.placing.in_flight.get(view.target_id, 0),
             "models": [f"{offer.model}@{offer.version}" for offer in view.models],
--- a/packages/router/src/damaskwind/router/placing.py
+++ b/packages/router/src/damaskwind/router/placing.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from damaskwind.decisions.admission.queue import QueuedRequest
@@ -12,12 +13,14 @@
 from damaskwind.model.verdict import Refusal, Verdict
 from damaskwind.router.target_directory import TargetDirectory
 from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.target_wishes import TargetWishes
 from damaskwind.router.waiting_room import WaitingRoom
 from damaskwind.router.work import Work
 
 __all__ = ["Placing"]
 
 _NO_TARGET_RETRY_S = 2.0
+_RETURN_SPREAD_S = 0.5
 # Plain services are drawn at random: their targets have no rank.
 _RANKED_SHOWN = {TargetKind.ENGINE: 4, TargetKind.SERVICE: 0}
 
@@ -33,12 +36,16 @@
         self,
         directory: TargetDirectory,
         health: TargetHealth,
+        wishes: TargetWishes,
         room: WaitingRoom,
         configuration: Callable[[], Configuration],
         clock: Any,
+        random: Random,
     ) -> None:
+        self._random = random
         self._directory = directory
         self._health = health
+        self._wishes = wishes
         self._room = room
         self._configuration = configuration
         self._clock = clock
@@ -70,7 +77,9 @@
     def _attempt(self, work: Work, tried: frozenset[str], again: bool = False) -> TargetView | None:
         """Choose a target now, or `None` to wait; raise `RefusedError` when none exists."""
         now_s = self._clock.seconds()
-        excluded = tried | self._health.ejected(work.query.pool.service) | self._full(work)
+        barred = self._wishes.barred()
+        ejected = self._health.ejected(work.query.pool.service)
+        excluded = tried | barred | ejected | self._full(work)
         placer = self._directory.placers[work.kind]
         query = work.query._replace(excluded=excluded)
         choice = placer.place(query, now_s)
@@ -81,6 +90,8 @@
         if target is None:
             if not again:
                 self._check_exists(work, tried)
+            if barred:
+                self._check_wishes(work, tried | barred)
             return None
         self.in_flight[target.target_id] += 1
         self._health.note_sent(target)
@@ -109,3 +120,12 @@
             detail = "no live target can serve this request"
             refusal = Refusal(Reason.NO_TARGET, Verdict.NOT_RUN, detail, _NO_TARGET_RETRY_S)
             raise RefusedError(refusal)
+
+    def _check_wishes(self, work: Work, out: frozenset[str]) -> None:
+        """Raise `RefusedError` when all who serve this and were not tried want no requests."""
+        if not self._directory.serves(work.query.pool, out):
+            detail = "every live target that can serve this request wants none now"
+            rest_left_s = self._wishes.rest_left_s(self._directory.offering(work.query.pool))
+            retry_s = _NO_TARGET_RETRY_S if rest_left_s is None else rest_left_s
+            retry_s += self._random.uniform(0.0, _RETURN_SPREAD_S)
+            raise RefusedError(Refusal(Reason.NO_TARGET, Verdict.NOT_RUN, detail, retry_s))
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -35,6 +35,7 @@
 from damaskwind.router.target_client import TargetClient
 from damaskwind.router.target_directory import TargetDirectory
 from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.target_wishes import TargetWishes
 from damaskwind.router.telemetry import Telemetry
 from damaskwind.router.waiting_room import WaitingRoom
 from damaskwind.runtime.bridge import to_future
@@ -80,6 +81,7 @@
             node.node_id, node.failure_domain, self._near_domains, policy, reactor, random
         )
         self.health = TargetHealth(reactor, random)
+        self.wishes = TargetWishes(self.directory.find, reactor)
         self.directory.members_watcher = self.health.set_targets
         self.room = WaitingRoom(reactor)
         self.limits = AccountLimits(
@@ -93,11 +95,15 @@
         self.placing = Placing(
             self.directory,
             self.health,
+            self.wishes,
             self.room,
             lambda: self.gateway.configuration,
             reactor,
+            random,
+        )
+        self.dispatcher = Dispatcher(
+            self.placing, self.limits, self.health, self.wishes, reactor, random
         )
-        self.dispatcher = Dispatcher(self.placing, self.limits, self.health, reactor, random)
         self.dispatcher.attempt_ended = self.telemetry.attempt_ended
 
     def _make_front(self) -> None:
@@ -148,6 +154,7 @@
             explain=self.explain,
             directory=self.directory,
             health=self.health,
+            wishes=self.wishes,
             placing=self.placing,
             membership=self.membership,
             client=self.client,
--- a/packages/router/src/damaskwind/router/target_client.py
+++ b/packages/router/src/damaskwind/router/target_client.py
@@ -17,6 +17,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer, IResponse
 from zope.interface import implementer
 
+from damaskwind.decisions.target_words.said import SAID_NOTHING, Said
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.reason import Reason
 from damaskwind.model.targets import Address
@@ -35,7 +36,7 @@
     """One attempt at a target failed; `verdict` says whether it may have run there.
 
     `suspect` is set when the failure speaks against the target's health, `final`
-    when no other target would do better.
+    when no other target would do better. `said` is what the target asked for.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         suspect: bool = True,
         retry_after_s: float | None = None,
         final: bool = False,
+        said: Said = SAID_NOTHING,
     ) -> None:
         super().__init__(detail)
         self.verdict = verdict
@@ -54,6 +56,7 @@
         self.suspect = suspect
         self.retry_after_s = retry_after_s
         self.final = final
+        self.said = said
 
 
 class TargetCall(NamedTuple):
--- a/packages/router/src/damaskwind/router/target_directory.py
+++ b/packages/router/src/damaskwind/router/target_directory.py
@@ -4,7 +4,7 @@
 waits behind the other.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from random import Random
 from typing import Any
 
@@ -106,9 +106,14 @@
 
     def serves(self, pool: PoolName, tried: frozenset[str]) -> bool:
         """Tell whether a live target that was not tried offers what a pool names."""
-        return any(
-            view.service == pool.service and view.target_id not in tried and _offers(view, pool)
+        return any(view.target_id not in tried for view in self.offering(pool))
+
+    def offering(self, pool: PoolName) -> Iterator[TargetView]:
+        """Return the live targets that offer what a pool names."""
+        return (
+            view
             for view in self._views.values()
+            if view.service == pool.service and _offers(view, pool)
         )
 
     def observe_report(self, target_id: str, report: LoadReport) -> None:
--- a/packages/router/src/damaskwind/router/tests/request_histories.py
+++ b/packages/router/src/damaskwind/router/tests/request_histories.py
@@ -20,10 +20,12 @@
 )
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
+from twisted.web.http_headers import Headers
 
 from damaskwind.decisions.membership.messages import GoneReason
 from damaskwind.decisions.membership.outputs import TargetChanged, TargetGone
 from damaskwind.decisions.placement.messages import PlacementQuery, PoolName
+from damaskwind.decisions.target_words.said import SAID_NOTHING, Said
 from damaskwind.model.configuration import (
     ClientAccount,
     Configuration,
@@ -42,6 +44,7 @@
 from damaskwind.router.target_client import AttemptError
 from damaskwind.router.target_directory import TargetDirectory
 from damaskwind.router.target_health import TargetHealth
+from damaskwind.router.target_wishes import TargetWishes
 from damaskwind.router.waiting_room import WaitingRoom
 from damaskwind.router.work import Work
 
@@ -63,10 +66,11 @@
 
 
 class Fate(NamedTuple):
-    """How one attempt ends: whether the target ran it, and what the router is told."""
+    """How one attempt ends: whether the target ran it, what the router is told and asked for."""
 
     runs: bool
     told: Verdict | None
+    said: Said = SAID_NOTHING
 
 
 # An attempt that answers is told nothing yet: its answer may still be cut.
@@ -76,7 +80,11 @@
     "lost before it came": Fate(False, Verdict.MAY_HAVE_RUN),
     "reset after it ran": Fate(True, Verdict.MAY_HAVE_RUN),
     "answers": Fate(True, None),
+    "asks for rest": Fate(False, Verdict.NOT_RUN, Said(rest_s=1.0)),
+    "fails and asks for rest": Fate(True, Verdict.MAY_HAVE_RUN, Said(rest_s=0.3)),
+    "answers and leaves": Fate(True, None, Said(is_leaving=True)),
 }
+LEAVING = Headers({b"x-leaving": [b"1"]})
 
 
 class NoLimits:
@@ -102,10 +110,12 @@
 
 
 class Answer(NamedTuple):
-    """What a target answers: whose answer it is and who gave it."""
+    """What a target answers: whose answer it is, who gave it, and its head."""
 
     request_id: str
     target_id: str
+    headers: Headers
+    code: int = 200
 
 
 class Attempt(NamedTuple):
@@ -113,6 +123,7 @@
 
     asked: "Asked"
     target_id: str
+    incarnation: int
     waiting: Deferred
 
 
@@ -145,12 +156,24 @@
         self.directory.members_watcher = self.health.set_targets
         self.room = WaitingRoom(self.clock)
         self.room.set_classes({"normal": CLASS})
+        self.wishes = TargetWishes(self.directory.find, self.clock)
         self.placing = Placing(
-            self.directory, self.health, self.room, lambda: CONFIGURATION, self.clock
+            self.directory,
+            self.health,
+            self.wishes,
+            self.room,
+            lambda: CONFIGURATION,
+            self.clock,
+            random,
+        )
+        self.dispatcher = Dispatcher(
+            self.placing, NoLimits(), self.health, self.wishes, self.clock, random
         )
-        self.dispatcher = Dispatcher(self.placing, NoLimits(), self.health, self.clock, random)
         self.dispatcher.set_policy(POLICY)
         self.present = set()
+        self.incarnations = Counter()
+        self.rests_until_s = Counter()
+        self.said_leaving = set()
         self.attempts = []
         self.asked = []
         self.at_target = Counter()
@@ -164,10 +187,12 @@
     @rule(name=st.sampled_from(TARGETS))
     def join(self, name):
         """Let a target announce itself."""
+        if name not in self.present:
+            self.incarnations[name] += 1
         self.present.add(name)
         view = TargetView(
             name,
-            1,
+            self.incarnations[name],
             TargetKind.ENGINE,
             "pool",
             "d",
@@ -220,17 +245,20 @@
         self.at_target[view.target_id] += 1
         if view.target_id not in self.present:
             self.faults.append(f"new work for {view.target_id}, which has left")
+        life = (view.target_id, view.incarnation)
+        if life in self.said_leaving or self.rests_until_s[life] > self.clock.seconds():
+            self.faults.append(f"new work for {view.target_id}, which wants none")
         if asked.attempts > POLICY.max_attempts:
             self.faults.append(f"{asked.work.request_id}: {asked.attempts} attempts")
         if self.at_target[view.target_id] > PER_TARGET:
             self.faults.append(f"{view.target_id} was given too much at once")
         waiting = Deferred()
-        self.attempts.append(Attempt(asked, view.target_id, waiting))
+        self.attempts.append(Attempt(asked, *life, waiting))
         return await waiting
 
     def answered(self, asked, placed):
         """Check that an answer belongs to the request."""
-        if placed.response != Answer(asked.work.request_id, placed.target.target_id):
+        if placed.response[:2] != (asked.work.request_id, placed.target.target_id):
             self.faults.append(f"{asked.work.request_id} was given {placed.response}")
         asked.placed = placed
 
@@ -247,11 +275,24 @@
         self.attempts.remove(attempt)
         self.at_target[attempt.target_id] -= 1
         attempt.asked.runs += fate.runs
+        if not attempt.asked.request.finished.called:
+            self.note_said(attempt, fate.said)
         if fate.told is None:
-            answer = Answer(attempt.asked.work.request_id, attempt.target_id)
+            headers = LEAVING if fate.said.is_leaving else Headers()
+            answer = Answer(attempt.asked.work.request_id, attempt.target_id, headers)
             attempt.waiting.callback(answer)
             return
-        attempt.waiting.errback(AttemptError(fate.told, Reason.TARGET_FAILED, "by the history"))
+        attempt.waiting.errback(
+            AttemptError(fate.told, Reason.TARGET_FAILED, "by the history", said=fate.said)
+        )
+
+    def note_said(self, attempt, said):
+        """Hold the router to what a target asked for."""
+        life = (attempt.target_id, attempt.incarnation)
+        until_s = self.clock.seconds() + said.rest_s
+        self.rests_until_s[life] = max(self.rests_until_s[life], until_s)
+        if said.is_leaving:
+            self.said_leaving.add(life)
 
     @precondition(lambda self: self.attempts)
     @rule(data=st.data(), fate=st.sampled_from(sorted(FATES)))
--- a/packages/router/src/damaskwind/router/waiting_room.py
+++ b/packages/router/src/damaskwind/router/waiting_room.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple, TypeVar
 
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from damaskwind.decisions.admission.queue import AdmissionQueue, GivenUp, QueuedRequest
 from damaskwind.model.configuration import PriorityClass
@@ -58,7 +59,8 @@
     ) -> Deferred:
         """Queue a request; the Deferred gives what `attempt` found, or `RefusedError`.
 
-        `attempt` returns `None` while no target can take the request.
+        `attempt` returns `None` while no target can take the request, and raises
+        `RefusedError` when no wait helps.
         """
         served: Deferred = Deferred(lambda cancelled: self._leave(pool, request.request_id))
         self._entries[request.request_id] = _Entry(attempt, served)
@@ -103,7 +105,10 @@
         found: dict[str, Any] = {}
 
         def can_run(request: QueuedRequest) -> bool:
-            result = self._entries[request.request_id].attempt()
+            try:
+                result = self._entries[request.request_id].attempt()
+            except RefusedError as error:
+                result = Failure(error)
             if result is not None:
                 found[request.request_id] = result
             return result is not None
--- a/packages/standins/src/damaskwind/standins/engine.py
+++ b/packages/standins/src/damaskwind/standins/engine.py
@@ -90,6 +90,8 @@
         self.role = "serving"
         self.highest_fencing_number = 0
         self._leaving_since_s = float("inf")
+        self.asks_rest_s = 0.0
+        self.says_leaving = False
         app = Klein()
         self._install_routes(app)
         install_management(app, self)
@@ -228,6 +230,9 @@
         if self.faults.take(Fault.REFUSE):
             self.oracle.faults[Fault.REFUSE] += 1
             return self.refuse(request, 503, "no room")
+        if self.asks_rest_s:
+            request.setHeader("retry-after", str(self.asks_rest_s))
+            return self.refuse(request, 503, "wants no requests")
         generation = self._generation(request, body, name, messages)
         key = _header(request, "idempotency-key")
         self.oracle.run(generation.request_id, key, generation.chain[-1].digest)
@@ -294,6 +299,8 @@
         """Set the headers that every answer to a chat carries."""
         load = self.batch.lagged_load()
         request.setHeader("x-request-id", shown_id)
+        if self.says_leaving:
+            request.setHeader("x-leaving", "1")
         request.setHeader("x-load-tokens", str(load.load_tokens))
         request.setHeader("x-capacity-tokens", str(load.capacity_tokens))
 
--- a/packages/standins/src/damaskwind/standins/service.py
+++ b/packages/standins/src/damaskwind/standins/service.py
@@ -66,6 +66,8 @@
         self._in_hand = 0
         self._lagged = LaggedLoad(settings.load_lag_s, self._load())
         self._leaving_since_s = float("inf")
+        self.asks_rest_s = 0.0
+        self.says_leaving = False
         app = Klein()
         install_control(app, self)
         app.route("/", methods=_METHODS)(self._call)
@@ -145,10 +147,10 @@
         self.oracle.arrived(request.getHeader("x-request-id") or "", leaving_for_s)
         if self.faults.take(Fault.REFUSE):
             self.oracle.faults[Fault.REFUSE] += 1
-            self.oracle.note("refused")
-            request.setResponseCode(503)
-            request.setHeader("x-verdict", "not-run")
-            return b""
+            return self._refuse(request)
+        if self.asks_rest_s:
+            request.setHeader("retry-after", str(self.asks_rest_s))
+            return self._refuse(request)
         body = request.content.read()
         self.oracle.run(
             request.getHeader("x-request-id") or "",
@@ -163,6 +165,13 @@
                 return Deferred()
         return self._answer_later(request, body)
 
+    def _refuse(self, request: Any) -> bytes:
+        """Refuse a call for certain."""
+        self.oracle.note("refused")
+        request.setResponseCode(503)
+        request.setHeader("x-verdict", "not-run")
+        return b""
+
     def _answer_later(self, request: Any, body: bytes) -> Deferred:
         """Answer a call when its duration has passed."""
         delay_s = float(request.args.get(b"delay_s", [self.settings.call_duration_s])[0])
@@ -199,5 +208,7 @@
         request.setHeader("content-type", "application/json")
         request.setHeader("x-request-id", "another" if Fault.OTHERS_ID in faults else request_id)
         request.setHeader("x-target", self.settings.target_id)
+        if self.says_leaving:
+            request.setHeader("x-leaving", "1")
         if send_whole(self._reactor, request, json.dumps(answer).encode(), faults):
             done.callback(None)
