The load that another target tells at an address is not the load of the one that was meant

Where an address had gone to another target, its 421 carries its own load, and the router took that for the word of the target it had meant: 7 of 8 places taken at a target that nobody could see. Placement and places of the pool went by it for 0.4 s and more. Test failed before (source 'word' where nothing is known), passes now; 421 is nobody's word.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -182,9 +182,7 @@
         first_s = read_clock() - sent_s
         self.activity.heard(target.target_id, read_clock())
         self.on_first(call, target.target_id, first_s)
-        self._note_load(head, target.target_id)
-        said = self._said(head)
-        self._beliefs.note_said(target, said)
+        said = self._take_word(head, target)
         if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
             outcome = await self._refused(connection, head, target)
             return outcome._replace(rests=said.rest_s > 0)
@@ -293,20 +291,22 @@
                 if last_woken_s() < begun_s:
                     raise
 
-    def _said(self, head: AnswerHead) -> Said:
-        """Return what a target asks for; who answers in another's place speaks for itself."""
+    def _take_word(self, head: AnswerHead, target: TargetRecord) -> Said:
+        """Take a target's word on its load and its wishes; return these.
+
+        Who answers in another's place speaks for itself.
+        """
         if head.status == MISDIRECTED:
             return SAID_NOTHING
         headers = head.headers
-        return read_said(
+        load = parse_target_load(header(headers, self._names.target_load))
+        if load is not None:
+            self._loads.reported(target.target_id, load, read_clock())
+        said = read_said(
             head.status,
             header(headers, b"retry-after"),
             header(headers, self._names.leaving),
             header(headers, b"date"),
         )
-
-    def _note_load(self, head: AnswerHead, target_id: str) -> None:
-        """Take the target's word on its load."""
-        load = parse_target_load(header(head.headers, self._names.target_load))
-        if load is not None:
-            self._loads.reported(target_id, load, read_clock())
+        self._beliefs.note_said(target, said)
+        return said
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_target_words.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_target_words.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from damaskwind.decisions.load.held_requests import LoadSource
 from damaskwind.decisions.membership.target_record import TargetPhase
 from damaskwind.decisions.target_words.said import Said
 from damaskwind.model.evacuations import Evacuations
@@ -161,6 +162,15 @@
         self.assertEqual((await self.call()).status, 200)
         self.assertEqual(len(self.forwarder.beliefs.words), 0)
 
+    @asyncio_test
+    async def test_load_of_another_target_at_its_address_is_not_its_own(self):
+        moved = plain(421, b"", (NOT_RUN, b"x-target-load: 7,0,8"))
+        self.targets[0].script = self.targets[1].script = [moved]
+        await self.call()
+        loads = self.forwarder.beliefs.loads
+        sources = {loads.basis(f"t{n}", read_clock(), False).source for n in (0, 1)}
+        self.assertEqual(sources, {LoadSource.GUESS})
+
     @asyncio_test
     async def test_a_word_outlives_a_target_that_is_forgotten_and_heard_again(self):
         record = self.view.targets.record_of("t0")
