--- a/tools/soak.py
+++ b/tools/soak.py
@@ -58,7 +58,14 @@
         begun_s = time.monotonic()
         folder = where / f"seed-{seed}"
         verdict = await play_seed(
-            seed, seconds, folder, install_reactor(), kept, prelude, has_fatal_request=True
+            seed,
+            seconds,
+            folder,
+            install_reactor(),
+            kept,
+            prelude,
+            has_fatal_request=True,
+            has_wishes=True,
         )
         took_s = time.monotonic() - begun_s
         word = "BROKEN" if verdict.broken else "held"
