--- /dev/null
+++ b/benchmarks/rest_at_size.py
@@ -0,0 +1,191 @@
+"""Replay targets that ask for rest before 8 to 195 routers, in three ways of keeping their word.
+
+A third of the targets after the other turns everybody away for a spell and asks each router that it
+turns away for some seconds of rest. Requests have keys, so that a target is the home of its own.
+The repeats that a router may send are its part of the users' budget.
+
+    python -m benchmarks.rest_at_size
+"""
+
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+from damaskwind.decisions.placement.affinity import Candidate, choose_target, policy_for
+from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
+from damaskwind.decisions.target_words.said import Said
+from damaskwind.decisions.target_words.words import TargetWords, Wish
+
+__all__ = ["WAYS", "RestFigures", "RestLoad", "play"]
+
+WAYS = ("forgotten", "kept", "shared")
+ON_ITS_WAY_S = 0.5
+BUSY_S = 0.1
+# News of one router reach the others with the next sums.
+SHARED_AFTER_S = 0.5
+WORK_S = 0.4
+SENDS_MOST = 3
+SLOTS = 64
+
+
+class RestLoad(NamedTuple):
+    """What is played: how many routers and targets, and what comes at each target a second."""
+
+    routers: int
+    targets: int
+    per_target_s: float = 10.0
+    seconds: float = 30.0
+    rest_s: float = 3.0
+    spell_s: float = 9.0
+
+
+class RestFigures(NamedTuple):
+    """The most arrivals in a rest, parts of the requests, and of the targets that serve."""
+
+    worst_arrivals: int
+    served: float
+    turned_away: float
+    refused_over_budget: float
+    most_held_of_mean: float
+
+
+class _Asked(NamedTuple):
+    at_s: float
+    until_s: float
+
+
+class _Play:
+    def __init__(self, way: str, load: RestLoad, seed: int) -> None:
+        self.way, self.load, self.random = way, load, Random(seed)
+        self.names = [f"t{number:03d}" for number in range(load.targets)]
+        self.words = [TargetWords() for _ in range(load.routers)]
+        self.busy_until_s: dict[tuple[int, str], float] = {}
+        self.held: Counter[str] = Counter()
+        self.arrived: dict[tuple[int, str], list[float]] = defaultdict(list)
+        self.asked: dict[tuple[int, str], list[_Asked]] = defaultdict(list)
+        self.told: list[tuple[float, int, str, float]] = []
+        self.ended: list[tuple[float, int, str]] = []
+        self.outcomes: Counter[str] = Counter()
+        self.most_held = 0.0
+        self._numbers = count()
+        terms = BudgetTerms()
+        self.budgets = [
+            SharedRetryBudget(terms, lambda: load.routers, -60.0) for _ in range(load.routers)
+        ]
+
+    def rests(self, name: str, now_s: float) -> bool:
+        """Tell whether a target turns everybody away: a third after the other."""
+        third = int(now_s / self.load.spell_s) % 3
+        return self.names.index(name) % 3 == third
+
+    def run(self) -> RestFigures:
+        per_s = self.load.per_target_s * self.load.targets
+        now_s = 0.0
+        while (now_s := now_s + self.random.expovariate(per_s)) < self.load.seconds:
+            self._settle(now_s)
+            self._serve(now_s)
+        requests = self.outcomes.total() - self.outcomes["turned away"]
+        worst = max(self._arrivals_in_rest(), default=0)
+        parts = [
+            self.outcomes[name] / requests for name in ("served", "turned away", "over budget")
+        ]
+        return RestFigures(worst, *parts, self.most_held)
+
+    def _settle(self, now_s: float) -> None:
+        """Let what has ended end, and what was told arrive."""
+        while self.ended and self.ended[0][0] <= now_s:
+            self.held[heappop(self.ended)[2]] -= 1
+        while self.told and self.told[0][0] <= now_s:
+            at_s, _, name, until_s = heappop(self.told)
+            for words in self.words:
+                words.hear(name, Said(max(until_s - at_s, 0.0)), at_s)
+
+    def _candidates(self, router: int, tried: set[str], now_s: float) -> list[Candidate]:
+        words, has_words = self.words[router], self.way != "forgotten"
+        return [
+            Candidate(
+                name,
+                "domain",
+                self.held[name],
+                SLOTS,
+                self.busy_until_s.get((router, name), 0.0) > now_s,
+                takes_work=(takes_work := not has_words or words.wish(name, now_s) is Wish.NOTHING),
+                is_held_back=not takes_work,
+            )
+            for name in self.names
+            if name not in tried
+        ]
+
+    def _serve(self, now_s: float) -> None:
+        router = self.random.randrange(self.load.routers)
+        key = b"%d" % self.random.randrange(8 * self.load.targets)
+        budget, policy = self.budgets[router], policy_for(self.load.routers, True)
+        budget.count_request(now_s)
+        tried: set[str] = set()
+        for send in range(SENDS_MOST):
+            choice = choose_target(
+                self._candidates(router, tried, now_s), key, "domain", policy, self.random
+            )
+            if choice is None:
+                self.outcomes["refused"] += 1
+                return
+            if send and not budget.take(now_s):
+                self.outcomes["over budget"] += 1
+                return
+            name = choice.candidate.target_id
+            tried.add(name)
+            self.arrived[router, name].append(now_s)
+            if not self.rests(name, now_s):
+                self.outcomes["served"] += 1
+                self._hold(name, now_s)
+                return
+            self.outcomes["turned away"] += 1
+            self._hear(router, name, now_s)
+        self.outcomes["refused"] += 1
+
+    def _hold(self, name: str, now_s: float) -> None:
+        self.held[name] += 1
+        heappush(self.ended, (now_s + WORK_S, next(self._numbers), name))
+        mean = sum(self.held.values()) / len(self.names)
+        self.most_held = max(self.most_held, self.held[name] / (2 * mean + 3))
+
+    def _hear(self, router: int, name: str, now_s: float) -> None:
+        until_s = now_s + self.load.rest_s
+        self.asked[router, name].append(_Asked(now_s, until_s))
+        self.busy_until_s[router, name] = now_s + BUSY_S
+        if self.way != "forgotten":
+            self.words[router].hear(name, Said(self.load.rest_s), now_s)
+        if self.way == "shared":
+            told_s = now_s + SHARED_AFTER_S
+            heappush(self.told, (told_s, next(self._numbers), name, until_s))
+
+    def _arrivals_in_rest(self) -> Iterator[int]:
+        for place, wishes in self.asked.items():
+            for wish in wishes:
+                yield sum(
+                    wish.at_s + ON_ITS_WAY_S < at_s < wish.until_s for at_s in self.arrived[place]
+                )
+
+
+def play(way: str, load: RestLoad, seed: int) -> RestFigures:
+    """Play a load in one way of keeping what targets ask for."""
+    return _Play(way, load, seed).run()
+
+
+def main() -> int:
+    """Print the figures of all ways at three sizes, two seeds each."""
+    for routers, targets in ((8, 12), (57, 56), (195, 39)):
+        for seed in (1, 2):
+            for way in WAYS:
+                figures = play(way, RestLoad(routers, targets), seed)
+                shown = " ".join(f"{name} {value:.3f}" for name, value in figures._asdict().items())
+                print(f"{routers:3d} routers, {targets} targets, seed {seed}, {way:9}: {shown}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmarks."""
