Split the forwarder into a table of a request's states

Cause: every decision under load needed a line in three long methods of forwarder.py (360 lines). Change: request_steps.py holds the states and their handlers, target_choice.py the placement, recorded_sends.py one attempt with its bookkeeping, admission_gate.py the interface of checks that refuse at once; forwarder.py (150 lines) wires them. Settings has_contention and memory_bytes are read and used by nothing yet.

--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -23,8 +23,8 @@
 class FinalAnswers:
     """Final answers of one router; `started_s` is when its process began to serve."""
 
-    def __init__(self, admissions: PoolAdmissions, started_s: float) -> None:
-        self.tallies = Tallies()
+    def __init__(self, admissions: PoolAdmissions, started_s: float, tallies: Tallies) -> None:
+        self._tallies = tallies
         self._admissions = admissions
         self._started_s = started_s
 
@@ -72,7 +72,7 @@
             retry_after_s = max(left_s, NOT_READY_RETRY_S)
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
         exchange.respond(Answer(status, headers))
-        self.tallies.count("requests", outcome=f"refused {status}", kind="none")
+        self._tallies.count("requests", outcome=f"refused {status}", kind="none")
         logger.info(
             "request refused",
             request=request_id.decode("latin-1"),
@@ -84,8 +84,8 @@
     def log(self, call: Call, delivery: Delivery, outcome: str, why: str) -> None:
         """Count a request and log its summary line."""
         kind = call.route.kind.value
-        self.tallies.count("requests", outcome=outcome, kind=kind)
-        self.tallies.observe("request_duration", read_clock() - call.started_s, kind=kind)
+        self._tallies.count("requests", outcome=outcome, kind=kind)
+        self._tallies.observe("request_duration", read_clock() - call.started_s, kind=kind)
         logger.info(
             "request ended",
             request=call.facts.request_id.decode("latin-1"),
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -62,6 +62,7 @@
         if handle_report is not None:
             self.view.relay.fallback_handler = partial(handle_report, self.view.heartbeats)
         self.connections = TargetConnections()
+        self.tallies = Tallies()
         self.forwarder = Forwarder(
             self.view,
             self.connections,
@@ -71,9 +72,8 @@
             settings.heartbeat_s,
             random,
             region_of=settings.region_of,
+            tallies=self.tallies,
         )
-        self.tallies = Tallies()
-        self.forwarder.tallies = self.forwarder.answers.tallies = self.tallies
         self._metrics = MetricsSite(self.tallies)
         self._callers = HttpServer(self.forwarder.handle, ServerLimits())
         self._ready = HttpServer(self._answer_ready, READY_LIMITS)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -0,0 +1,185 @@
+"""Make one attempt at a target and record its outcome in the router's state."""
+
+from damaskwind.decisions.fatal_requests.suspicion import SuspicionLevel
+from damaskwind.decisions.load.held_requests import LoadBasis
+from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.router.forwarding.attempt import (
+    AttemptEnd,
+    AttemptOutcome,
+    AttemptSender,
+    Placement,
+)
+from damaskwind.router.forwarding.call import AttemptNote, Call
+from damaskwind.router.forwarding.crash_detector import BrokenSend, CrashDetector
+from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
+from damaskwind.router.forwarding.service_throttles import ServiceThrottles
+from damaskwind.router.forwarding.target_states import SendResult, TargetStates
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.exchange import Exchange
+from damaskwind.runtime.tallies import Tallies
+
+__all__ = ["RecordedSends"]
+
+# The status with which a target itself answers a request whose deadline has passed.
+DEADLINE_PASSED = 504
+
+
+class RecordedSends:
+    """The attempts of one router, each recorded when it begins and when it ends."""
+
+    def __init__(
+        self,
+        sender: AttemptSender,
+        target_states: TargetStates,
+        admissions: PoolAdmissions,
+        throttles: ServiceThrottles,
+        crash_detector: CrashDetector,
+        tallies: Tallies,
+    ) -> None:
+        self._sender = sender
+        self._target_states = target_states
+        self._suspicions = target_states.view.suspicions
+        self._admissions = admissions
+        self._throttles = throttles
+        self._tallies = tallies
+        self._crash_detector = crash_detector
+        crash_detector.on_crashed.append(self._record_target_crash)
+        sender.on_answer_started = self._record_answer_started
+
+    async def send(
+        self, exchange: Exchange, call: Call, delivery: Delivery, placement: Placement
+    ) -> AttemptOutcome:
+        """Make one attempt at a target and record its outcome."""
+        target = placement.target
+        begun_s = read_clock()
+        basis = self._record_begun(call, target, begun_s)
+        may_reroute = call.route.may_repeat and call.sends < call.route.max_attempts
+        # Until the outcome is known, the request may be running.
+        could_have_run, call.may_have_run = call.may_have_run, True
+        call.exit_probe, level = None, self._suspicions.table.level(call.digest)
+        call.is_suspected = level.ends > 0
+        outcome = AttemptOutcome(AttemptEnd.BROKEN, "canceled")
+        try:
+            outcome = await self._sender.send(
+                exchange.request, call, placement, delivery, may_reroute
+            )
+        finally:
+            ended_s = read_clock()
+            self._admissions.record_ended(call)
+            call.notes.append(_note(call, placement, basis, outcome, begun_s, ended_s))
+        self._tallies.count("attempts", end=outcome.end.value)
+        if outcome.end in (AttemptEnd.WITHHELD, AttemptEnd.NOT_RUN):
+            call.may_have_run = could_have_run
+        if outcome.end is AttemptEnd.WITHHELD:
+            call.sends -= 1
+            return outcome
+        self._record_ended(call, target, outcome, begun_s, ended_s)
+        self._record_crash_evidence(call, target, outcome, level)
+        return outcome
+
+    def _record_begun(self, call: Call, target: TargetRecord, begun_s: float) -> LoadBasis:
+        """Record that a request is being sent; return what its target's load is based on."""
+        basis = self._target_states.loads.basis(target.target_id, begun_s, call.key is not None)
+        if basis.age_s is not None:
+            self._tallies.observe("load_age", basis.age_s, source=basis.source.value)
+        self._tallies.count("placements", load_from=basis.source.value)
+        self._admissions.record_sent(call, target.target_id)
+        call.sends += 1
+        call.tried.add(target.target_id)
+        self._target_states.record_sent(target, begun_s)
+        return basis
+
+    def _record_ended(
+        self,
+        call: Call,
+        target: TargetRecord,
+        outcome: AttemptOutcome,
+        begun_s: float,
+        ended_s: float,
+    ) -> None:
+        """Record an attempt that was made in the state of its request and its target."""
+        if call.key is None:
+            self._record_service_result(call, outcome, ended_s - begun_s)
+        call.reached += outcome.was_reached
+        if not outcome.was_reached:
+            call.unreached += 1
+            call.sends -= 1
+        if not outcome.was_reached or outcome.end is AttemptEnd.STALLED:
+            call.silent_domains.add(target.failure_domain)
+        if outcome.end is AttemptEnd.NOT_RUN and outcome.was_reached and not outcome.is_displaced:
+            self._admissions.record_rejection(call, target.target_id)
+        self._target_states.record_ended(target, _send_result(outcome), ended_s)
+
+    def _record_service_result(self, call: Call, outcome: AttemptOutcome, took_s: float) -> None:
+        """Record the answer time or the refusal of a service that reports no load."""
+        result = _send_result(outcome)
+        if outcome.answer is not None or result.is_good:
+            self._throttles.record_answer(call, took_s)
+        elif result.was_refused and not result.is_displaced and not outcome.asks_for_pause:
+            self._throttles.record_rejection(call)
+
+    def _record_crash_evidence(
+        self, call: Call, target: TargetRecord, outcome: AttemptOutcome, level: SuspicionLevel
+    ) -> None:
+        """Find out whether a target crashed under a request, or record that it ran to its end."""
+        if outcome.is_connection_lost:
+            broken = BrokenSend(call.digest, level, call.facts.request_id)
+            call.exit_probe = self._crash_detector.probe(target, broken)
+        elif _ran_to_end(outcome):
+            self._suspicions.record_completion(call.digest)
+
+    def _record_target_crash(self, target: TargetRecord, sends: list[BrokenSend]) -> None:
+        """Put the requests in flight at a target that crashed under suspicion."""
+        self._suspicions.record_target_end((item.digest, item.level) for item in sends)
+
+    def _record_answer_started(self, call: Call, target_id: str, first_s: float) -> None:
+        """Record how long a target took to begin its answer."""
+        self._tallies.observe("first_piece", first_s, kind=call.route.kind.value)
+        objective_share = first_s / call.route.objective_s
+        self._target_states.record_answer_started(
+            call.service, target_id, objective_share, read_clock()
+        )
+        self._admissions.record_answer_started(call)
+
+
+def _note(
+    call: Call,
+    placement: Placement,
+    basis: LoadBasis,
+    outcome: AttemptOutcome,
+    begun_s: float,
+    ended_s: float,
+) -> AttemptNote:
+    """Return the log's record of an attempt."""
+    choice = placement.choice
+    return AttemptNote(
+        placement.target.target_id,
+        choice.rank,
+        round(choice.candidate.load, 1),
+        round(choice.bound, 1),
+        basis.age_s,
+        choice.donor_id,
+        f"{outcome.end}: {outcome.why}",
+        int((begun_s - call.started_s) * 1000),
+        int((ended_s - begun_s) * 1000),
+        None if outcome.first_s is None else int(outcome.first_s * 1000),
+        basis.source.value,
+    )
+
+
+def _send_result(outcome: AttemptOutcome) -> SendResult:
+    """Return what the outcome of an attempt implies for the state of its target."""
+    was_refused = outcome.end is AttemptEnd.NOT_RUN and outcome.was_reached
+    is_good = outcome.end is AttemptEnd.DELIVERED
+    return SendResult(is_good, outcome.was_reached, was_refused, outcome.is_displaced)
+
+
+def _ran_to_end(outcome: AttemptOutcome) -> bool:
+    """Return whether the target ran the request to completion.
+
+    A request that waited at a target until its deadline may never have started.
+    """
+    if outcome.end is AttemptEnd.TARGET_ERROR:
+        return outcome.answer.status != DEADLINE_PASSED
+    return outcome.end is AttemptEnd.DELIVERED
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -0,0 +1,212 @@
+"""Take a request from its arrival to its final outcome, as a table of states.
+
+Each state has one handler, which does the work of that state and returns the next one:
+
+    asked     gates, the first placement and admission to the pool
+    admitted  placed again if it waited, since the state of the targets has changed
+    placed    sent to its target, if the retry budget allows it
+    sent      the outcome of the attempt decides whether another one may follow
+    lost      the connection broke: the request itself may have crashed its target
+    repeated  placed again at another target
+    ended     no further attempt; `RequestProgress.result` is the outcome
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from enum import StrEnum
+
+from damaskwind.router.forwarding.admission_gate import AdmissionGate
+from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, Placement
+from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
+from damaskwind.router.forwarding.recorded_sends import RecordedSends
+from damaskwind.router.forwarding.target_choice import TargetChooser
+from damaskwind.router.forwarding.target_states import TargetStates
+from damaskwind.runtime.http1.exchange import Exchange
+from damaskwind.runtime.tallies import Tallies
+
+__all__ = ["RequestProgress", "RequestState", "RequestSteps"]
+
+# Sends allowed beyond a route's attempts when all earlier ones certainly did not run.
+EXTRA_SENDS = 1
+# Unreachable targets that a request may try, at 0.3 s each, before it is refused.
+MAX_UNREACHED = 3
+
+
+class RequestState(StrEnum):
+    """The state of a request between its arrival and its final outcome."""
+
+    ASKED = "asked"
+    ADMITTED = "admitted"
+    PLACED = "placed"
+    SENT = "sent"
+    LOST = "lost"
+    REPEATED = "repeated"
+    ENDED = "ended"
+
+
+class RequestProgress:
+    """One request and how far it has come.
+
+    `placement` is the target chosen for the next send. `outcome` is that of the last attempt;
+    `failure` is the last failure that a target answered, which is passed on to the caller if
+    no later attempt succeeds.
+    """
+
+    def __init__(self, exchange: Exchange, call: Call, delivery: Delivery) -> None:
+        self.exchange = exchange
+        self.call = call
+        self.delivery = delivery
+        self.placement: Placement | None = None
+        self.outcome = AttemptOutcome(AttemptEnd.NOT_RUN, "no target")
+        self.failure: AttemptOutcome | None = None
+
+    @property
+    def result(self) -> AttemptOutcome:
+        """Return the outcome with which the request ends if no further attempt is made."""
+        if self.outcome.end is AttemptEnd.DELIVERED or self.failure is None:
+            return self.outcome
+        return self.failure
+
+    def refuse(self, why: str, retry_after_s: float | None) -> RequestState:
+        """End the request as not run, with the time after which its caller should retry."""
+        self.call.retry_after_s = retry_after_s
+        self.outcome = AttemptOutcome(AttemptEnd.NOT_RUN, why, was_reached=False)
+        return RequestState.ENDED
+
+
+_Handler = Callable[["RequestSteps", RequestProgress], Awaitable[RequestState]]
+_HANDLERS: dict[RequestState, _Handler] = {}
+
+
+def _handles(state: RequestState) -> Callable[[_Handler], _Handler]:
+    """Register the decorated function as the handler of a state."""
+
+    def register(handler: _Handler) -> _Handler:
+        _HANDLERS[state] = handler
+        return handler
+
+    return register
+
+
+class RequestSteps:
+    """The steps of all requests of one router; `gates` are checked in their order."""
+
+    def __init__(
+        self,
+        target_states: TargetStates,
+        admissions: PoolAdmissions,
+        gates: Sequence[AdmissionGate],
+        chooser: TargetChooser,
+        sends: RecordedSends,
+        take_retry: Callable[[str], bool],
+        tallies: Tallies,
+    ) -> None:
+        self.admissions = admissions
+        self.gates = gates
+        self.chooser = chooser
+        self.sends = sends
+        self.take_retry = take_retry
+        self.suspicions = target_states.view.suspicions
+        self.tallies = tallies
+
+    async def run(self, exchange: Exchange, call: Call, delivery: Delivery) -> AttemptOutcome:
+        """Send until an answer is delivered or no further attempt is allowed."""
+        progress = RequestProgress(exchange, call, delivery)
+        state = RequestState.ASKED
+        while state is not RequestState.ENDED:
+            state = await _HANDLERS[state](self, progress)
+        return progress.result
+
+    def place(self, progress: RequestProgress) -> RequestState:
+        """Choose the target of the next send; the request ends if there is none."""
+        call = progress.call
+        progress.placement = self.chooser.choose(call)
+        if progress.placement is not None:
+            return RequestState.PLACED
+        pause_s = self.chooser.pause_retry_after_s(call)
+        if pause_s is not None:
+            call.retry_after_s = pause_s
+        return RequestState.ENDED
+
+    def may_retry(self, call: Call, outcome: AttemptOutcome) -> bool:
+        """Return whether the request may be sent to another target."""
+        if outcome.end is AttemptEnd.WITHHELD:
+            return True
+        if not outcome.was_reached:
+            return call.unreached < MAX_UNREACHED
+        if outcome.end is AttemptEnd.NOT_RUN:
+            return call.sends < call.route.max_attempts + EXTRA_SENDS
+        return call.route.may_repeat and call.sends < call.route.max_attempts
+
+
+@_handles(RequestState.ASKED)
+async def _admit(steps: RequestSteps, progress: RequestProgress) -> RequestState:
+    """Pass the gates and wait for headroom in the pool, or refuse the request."""
+    call = progress.call
+    if steps.place(progress) is RequestState.ENDED:
+        return RequestState.ENDED
+    for gate in steps.gates:
+        refusal = gate.check(call)
+        if refusal is not None:
+            return progress.refuse(refusal.why, refusal.retry_after_s)
+    home = progress.placement.choice.candidate if call.key else None
+    rejection = await steps.admissions.admit(call, home)
+    steps.tallies.count("entries", step=call.entry.step)
+    if rejection is not None:
+        return progress.refuse(rejection.why, rejection.retry_after_s)
+    return RequestState.ADMITTED
+
+
+@_handles(RequestState.ADMITTED)
+async def _place_after_wait(steps: RequestSteps, progress: RequestProgress) -> RequestState:
+    """Place a request again that has waited."""
+    return steps.place(progress) if progress.call.entry.waited_ms else RequestState.PLACED
+
+
+@_handles(RequestState.PLACED)
+async def _send(steps: RequestSteps, progress: RequestProgress) -> RequestState:
+    """Send the request to its target; a second send draws on the retry budget."""
+    call = progress.call
+    if call.reached and not steps.take_retry(call.service):
+        why = f"{progress.outcome.why}; retry budget spent"
+        progress.outcome = progress.outcome._replace(why=why)
+        return RequestState.ENDED
+    progress.outcome = await steps.sends.send(
+        progress.exchange, call, progress.delivery, progress.placement
+    )
+    return RequestState.SENT
+
+
+@_handles(RequestState.SENT)
+async def _judge_outcome(steps: RequestSteps, progress: RequestProgress) -> RequestState:
+    """Decide by the outcome of an attempt whether another one may follow."""
+    outcome = progress.outcome
+    if outcome.end is AttemptEnd.DELIVERED:
+        return RequestState.ENDED
+    if outcome.answer is not None:
+        progress.failure = outcome
+    if not steps.may_retry(progress.call, outcome):
+        return RequestState.ENDED
+    return RequestState.LOST if outcome.is_connection_lost else RequestState.REPEATED
+
+
+@_handles(RequestState.LOST)
+async def _check_suspicion(steps: RequestSteps, progress: RequestProgress) -> RequestState:
+    """Retry a request whose last send broke, unless it has crashed too many targets.
+
+    The request itself may have crashed the target, so it is retried elsewhere once, not twice.
+    """
+    call = progress.call
+    if call.exit_probe is not None:
+        # Other requests share the probe, so it continues when this caller leaves.
+        await asyncio.shield(call.exit_probe)
+    may_retry = steps.suspicions.table.may_retry(call.digest)
+    return RequestState.REPEATED if may_retry else RequestState.ENDED
+
+
+@_handles(RequestState.REPEATED)
+async def _place_again(steps: RequestSteps, progress: RequestProgress) -> RequestState:
+    """Place a request again after an attempt that may be repeated."""
+    return steps.place(progress)
--- a/packages/router/src/damaskwind/router/forwarding/service_throttles.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_throttles.py
@@ -8,6 +8,7 @@
 from damaskwind.decisions.admission.service_throttle import ServiceStats, ServiceThrottle
 from damaskwind.decisions.load.held_requests import target_digest
 from damaskwind.decisions.load.held_sums import HeldSum
+from damaskwind.router.forwarding.admission_gate import GateRefusal
 from damaskwind.router.forwarding.call import Call
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
@@ -38,6 +39,12 @@
         view.on_load_sum.append(self._update)
         view.count_services = self.recent_counts
 
+    def check(self, call: Call) -> GateRefusal | None:
+        """Refuse a request to a service that reports no load if it exceeds the admitted share."""
+        if call.key is not None or self.admits(call.service):
+            return None
+        return GateRefusal("service overloaded", self.retry_after_s(call))
+
     def admits(self, service: str) -> bool:
         """Count a request for a service, and tell whether it is admitted."""
         self._count(service, ServiceStats(asked=1))
--- a/packages/router/src/damaskwind/router/forwarding/settings.py
+++ b/packages/router/src/damaskwind/router/forwarding/settings.py
@@ -15,7 +15,9 @@
 
     Targets report every `heartbeat_s` seconds. Without a `metrics_port` no metrics are
     served. Without an `internal_host` no documents are served to other routers, which is done
-    at `news_port`. `region_of` maps each failure domain to its region.
+    at `news_port`. `region_of` maps each failure domain to its region. `has_contention` states
+    that callers compete for capacity and that callers and targets may read slowly;
+    `memory_bytes` is the memory beyond which the process is killed, `None` if there is no limit.
     """
 
     node_id: str
@@ -31,3 +33,5 @@
     internal_host: str = ""
     link_bytes_per_s: float = float("inf")
     region_of: Mapping[str, str] = MappingProxyType({})
+    has_contention: bool = False
+    memory_bytes: int | None = None
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -0,0 +1,94 @@
+"""Choose the target of a request among those that one router knows."""
+
+from collections.abc import Mapping
+from random import Random
+
+from damaskwind.decisions.admission.retry_after import draw_retry_after_pause_s
+from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.decisions.placement.affinity import Candidate, choose_target, policy_for
+from damaskwind.decisions.routing.regions import is_allowed
+from damaskwind.router.forwarding.attempt import Placement
+from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
+from damaskwind.router.forwarding.target_states import TargetStates
+from damaskwind.runtime.clock import read_clock
+
+__all__ = ["TargetChooser"]
+
+
+class TargetChooser:
+    """The choice of targets by one router in `failure_domain`.
+
+    `region_of` maps each failure domain to its region.
+    """
+
+    def __init__(
+        self,
+        target_states: TargetStates,
+        admissions: PoolAdmissions,
+        failure_domain: str,
+        region_of: Mapping[str, str],
+        random: Random,
+    ) -> None:
+        self._target_states = target_states
+        self._admissions = admissions
+        self._failure_domain = failure_domain
+        self._region_of = region_of
+        self._random = random
+
+    def choose(self, call: Call) -> Placement | None:
+        """Choose the next target for a request, `None` if there is none to try."""
+        now_s = read_clock()
+        records = self._allowed_targets(call)
+        for target_id in call.tried:
+            records.pop(target_id, None)
+        target_states = self._target_states
+        if target_states.are_all_unreachable(records, bool(call.unreached), now_s):
+            return None
+        is_engine = call.key is not None
+        candidates = target_states.candidates(records.values(), now_s, is_engine)
+        candidates = self._doubt_partitioned(call, candidates)
+        candidates = self._admissions.add_queued_load(call.service, candidates)
+        choice = choose_target(
+            candidates,
+            call.key,
+            self._failure_domain,
+            policy_for(target_states.view.routers, target_states.loads.has_sums(now_s)),
+            self._random,
+        )
+        if choice is None:
+            return None
+        donor = records.get(choice.donor_id)
+        target = records[choice.candidate.target_id]
+        return Placement(target, choice, donor.address if donor else None)
+
+    def pause_retry_after_s(self, call: Call) -> float | None:
+        """Return when to retry if all targets asked for a pause: as the first pause ends."""
+        records = self._allowed_targets(call).values()
+        pause_left_s = self._target_states.pause_left_s(records, read_clock())
+        if pause_left_s is None:
+            return None
+        return draw_retry_after_pause_s(pause_left_s, call.route.objective_s, self._random)
+
+    def _doubt_partitioned(self, call: Call, candidates: list[Candidate]) -> list[Candidate]:
+        """Mark the targets of other failure domains in which one was silent for this request.
+
+        A partition that hides one target of a failure domain hides the rest as well.
+        """
+        partitioned_domains = call.silent_domains - {self._failure_domain}
+        if not partitioned_domains:
+            return candidates
+        return [
+            item._replace(
+                is_doubtful=item.is_doubtful or item.failure_domain in partitioned_domains
+            )
+            for item in candidates
+        ]
+
+    def _allowed_targets(self, call: Call) -> dict[str, TargetRecord]:
+        """Return, by id, the targets that a request may be sent to or copy prompt parts from."""
+        return {
+            target_id: record
+            for target_id, record in self._target_states.serving_or_draining(call.service).items()
+            if is_allowed(record.failure_domain, call.regions, self._region_of)
+        }
