--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -1,7 +1,5 @@
 """Give a request its final answer, and log its summary line."""
 
-from collections.abc import Callable
-
 from loguru import logger
 
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome
@@ -15,23 +13,20 @@
 
 __all__ = ["FinalAnswers"]
 
+# A router that has just started gets a configuration after some 0.5 s if the replicas, on a
+# quarter of a core each, have just started too. A caller that retries sooner is refused again,
+# and one that retries much later loses time.
+STARTUP_S = 0.8
+NOT_READY_RETRY_S = 0.3
 
-class FinalAnswers:
-    """Final answers of one router.
 
-    `startup_retry_after_s` returns the delay for a caller that is refused while no configuration
-    is known.
-    """
+class FinalAnswers:
+    """Final answers of one router; `started_s` is when its process began to serve."""
 
-    def __init__(
-        self,
-        admissions: PoolAdmissions,
-        startup_retry_after_s: Callable[[], float],
-        tallies: Tallies,
-    ) -> None:
+    def __init__(self, admissions: PoolAdmissions, started_s: float, tallies: Tallies) -> None:
         self._tallies = tallies
         self._admissions = admissions
-        self._startup_retry_after_s = startup_retry_after_s
+        self._started_s = started_s
 
     def finish(
         self, exchange: Exchange, call: Call, delivery: Delivery, outcome: AttemptOutcome
@@ -73,7 +68,9 @@
         """Answer a request for which no route was resolved."""
         headers = []
         if status == 503:
-            headers.append((b"retry-after", b"%.3f" % self._startup_retry_after_s()))
+            left_s = self._started_s + STARTUP_S - read_clock()
+            retry_after_s = max(left_s, NOT_READY_RETRY_S)
+            headers.append((b"retry-after", b"%.3f" % retry_after_s))
         exchange.respond(Answer(status, headers))
         self._tallies.count("requests", outcome=f"refused {status}", kind="none")
         logger.info(
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -5,7 +5,6 @@
 from random import Random
 from types import MappingProxyType
 
-from damaskwind.decisions.admission.startup_retry import draw_startup_retry_after_s
 from damaskwind.decisions.fatal_requests.identity import identify_request
 from damaskwind.decisions.fatal_requests.suspicion import Standing
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
@@ -84,8 +83,7 @@
             self._take_retry,
             self.tallies,
         )
-        self._random = random
-        self.answers = FinalAnswers(self.admissions, self._startup_retry_after_s, self.tallies)
+        self.answers = FinalAnswers(self.admissions, self._started_s, self.tallies)
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request to its final answer."""
@@ -137,12 +135,6 @@
         self._budget(service).count_request(read_clock())
         return call
 
-    def _startup_retry_after_s(self) -> float:
-        """Return when a caller should retry that is refused while no configuration is known."""
-        uptime_s = read_clock() - self._started_s
-        hears_replica = self.view.count_reachable_replicas() > 0
-        return draw_startup_retry_after_s(uptime_s, hears_replica, self._random)
-
     def _take_retry(self, service: str) -> bool:
         """Take one retry from a service's budget; return `False` if it is spent."""
         return self._budget(service).take(read_clock())
