Load reports with a fourth figure count

A report with four figures was discarded, since exactly three were unpacked: the previous function returns None for 3,0,8,250 and for 3,0,8,x. The fourth, the work time in percent, is read and bounded to 25 to 1,000; if it is malformed, the first three count.

--- a/packages/decisions/src/damaskwind/decisions/load/held_requests.py
+++ b/packages/decisions/src/damaskwind/decisions/load/held_requests.py
@@ -36,34 +36,56 @@
 # A replica that has just started, or is partitioned from most routers, sums over few routers.
 # Sums that cover at least this share of the routers of the largest sum are considered equal.
 MIN_COVERAGE_SHARE = 0.9
+# A work time outside these bounds would give a target nearly all requests, or none.
+MIN_WORK_TIME_PERCENT = 25
+MAX_WORK_TIME_PERCENT = 1000
 # Among some hundred targets, two collide in one of 800,000 fleets; an id as text would double
 # the message size.
 _DIGEST_BITS = 32
 
 
 class TargetLoad(NamedTuple):
-    """A target's own report: requests running and waiting, and its slots."""
+    """A target's own report: requests running and waiting, and its slots.
+
+    `work_time_percent` is how long work currently takes there, in percent of the usual time;
+    `None` if the target does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time_percent: int | None = None
 
 
 def parse_target_load(value: bytes | None) -> TargetLoad | None:
-    """Parse `running,waiting,slots`; return `None` if the value is malformed.
+    """Parse `running,waiting,slots[,work time]`; return `None` if one of the first is malformed.
 
-    >>> parse_target_load(b"3,0,8")
-    TargetLoad(running=3, waiting=0, slots=8)
-    >>> parse_target_load(b"x") is None
-    True
+    A malformed work time counts as absent.
+
+    >>> parse_target_load(b"3,0,8,250")
+    TargetLoad(running=3, waiting=0, slots=8, work_time_percent=250)
+    >>> parse_target_load(b"3,0,8,x").work_time_percent is None, parse_target_load(b"x") is None
+    (True, True)
     """
     if not value:
         return None
+    figures = value.split(b",", 3)
     try:
-        running, waiting, slots = (int(item) for item in value.split(b","))
+        running, waiting, slots = (int(item) for item in figures[:3])
     except ValueError:
         return None
-    return TargetLoad(running, waiting, slots)
+    return TargetLoad(running, waiting, slots, _work_time_percent(figures[3:]))
+
+
+def _work_time_percent(figures: list[bytes]) -> int | None:
+    """Return the bounded work time, or `None` if it is absent or malformed."""
+    try:
+        percent = int(figures[0])
+    except (IndexError, ValueError):
+        return None
+    if percent <= 0:
+        return None
+    return min(max(percent, MIN_WORK_TIME_PERCENT), MAX_WORK_TIME_PERCENT)
 
 
 class LoadSource(StrEnum):
--- a/packages/decisions/src/damaskwind/decisions/load/tests/test_held_requests.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/test_held_requests.py
@@ -8,6 +8,7 @@
     LoadEstimator,
     LoadSource,
     TargetLoad,
+    parse_target_load,
     target_digest,
 )
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
@@ -142,3 +143,27 @@
         reduced_slack = Replay(65, hot_share=0.1)
         self.assertLess(reduced_slack.above / reduced_slack.sent, 0.01)
         self.assertLess(reduced_slack.above, full_slack.above)
+
+
+class ParseTest(unittest.TestCase):
+    """Guards against discarding a load report because of its fourth figure."""
+
+    def test_fourth_figure_is_bounded_and_never_costs_the_first_three(self):
+        cases = {
+            b"3,0,8": None,
+            b"3,0,8,250": 250,
+            b"3,0,8, 100 ": 100,
+            b"3,0,8,1": 25,
+            b"3,0,8,99999": 1000,
+            b"3,0,8,": None,
+            b"3,0,8,x": None,
+            b"3,0,8,-250": None,
+            b"3,0,8,nan": None,
+            b"3,0,8,250,7": None,
+        }
+        for value, percent in cases.items():
+            self.assertEqual(parse_target_load(value), TargetLoad(3, 0, 8, percent), value)
+
+    def test_report_without_three_figures_is_no_report(self):
+        for value in (None, b"", b"3,0", b"x,0,8,250", b"3,0,y", b"3,,8,250"):
+            self.assertIsNone(parse_target_load(value), value)
