Placement by the expected time to start, where targets report their speed

Only requests were counted, so a request waited for a home without a free slot, or at a slow engine, while others were free. Routers keep the reported work time of each target, per incarnation, with a weight that decays as fast as figures are seen to change, and learn how long answers of a pool usually take to start and to end. A request leaves its home for one of the next four in rank if that is expected to start sooner by twice the time to read the shared parts. The bound on requests is unchanged.

--- a/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
@@ -96,6 +96,9 @@
 class PoolAdmission:
     """Admission control of one router for one pool.
 
+    `earliest_start_s` is the time after which some target is expected to start an answer, 0
+    where targets do not report their speed.
+
     >>> pool = PoolAdmission(Random(1), WindowPolicy(initial_limit=1.0))
     >>> first, second = (PoolRequest(n, 0, "a", 0.0, 4.0, 1.0) for n in (1, 2))
     >>> slots = [TargetSlots("t", 8.0)]
@@ -108,6 +111,7 @@
 
     def __init__(self, random: Random, policy: WindowPolicy = DEFAULT_POLICY) -> None:
         self.queue = FairQueue()
+        self.earliest_start_s = 0.0
         self._policy = policy
         self._random = random
         self._start_delays = StartDelays(policy.memory_s)
@@ -156,12 +160,16 @@
         self._window(target_id).record_sent(number, now_s, objective_s)
         self._pool_window.record_sent(number, now_s, objective_s)
 
-    def record_answer_started(self, number: int, now_s: float) -> None:
-        """Record that an answer started."""
+    def record_answer_started(self, number: int, now_s: float, work_time: float = 1.0) -> None:
+        """Record that an answer started at a target where work takes `work_time` as long."""
         target_id = self._target_of.get(number)
         if target_id is not None:
-            self._window(target_id).record_answer_started(number, now_s)
-            self._pool_window.record_answer_started(number, now_s)
+            self._window(target_id).record_answer_started(number, now_s, work_time)
+            self._pool_window.record_answer_started(number, now_s, work_time)
+
+    def target_of(self, number: int) -> str:
+        """Return the target that a request was last sent to, empty if there is none."""
+        return self._target_of.get(number, "")
 
     def record_ended(self, number: int) -> None:
         """Record that the last send of a request will not start an answer any more."""
@@ -293,7 +301,9 @@
             self._surge_started_s = now_s
         self._last_rejected_s = now_s
         surge_started_s = now_s if self._surge_started_s is None else self._surge_started_s
-        return draw_retry_after_s(objective_s, left_s, now_s - surge_started_s, self._random)
+        return draw_retry_after_s(
+            objective_s, left_s, now_s - surge_started_s, self._random, self.earliest_start_s
+        )
 
     def _reject(self, request: PoolRequest, why: str, now_s: float) -> PoolRejection:
         """Reject a waiting request."""
--- a/packages/decisions/src/damaskwind/decisions/admission/retry_after.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/retry_after.py
@@ -23,12 +23,16 @@
 
 
 def draw_retry_after_s(
-    objective_s: float, remaining_s: float, surge_age_s: float, random: Random
+    objective_s: float,
+    remaining_s: float,
+    surge_age_s: float,
+    random: Random,
+    earliest_start_s: float = 0.0,
 ) -> float:
     """Return the seconds after which to retry.
 
     `remaining_s` is the time that the caller has left, `surge_age_s` for how long
-    requests have been rejected.
+    requests have been rejected. Before `earliest_start_s` no target would start an answer.
 
     >>> draw_retry_after_s(1.0, 9.0, 0.0, Random(1))
     0.3
@@ -36,6 +40,8 @@
     True
     """
     min_s = max(MIN_OBJECTIVE_FRACTION * objective_s, MIN_RETRY_AFTER_S)
+    if earliest_start_s > min_s:
+        min_s = max(min(earliest_start_s, MAX_REMAINING_FRACTION * remaining_s), min_s)
     if surge_age_s < BURST_S:
         return round(min_s, 3)
     upper_s = max(MAX_REMAINING_FRACTION * remaining_s, min_s)
--- a/packages/decisions/src/damaskwind/decisions/admission/start_window.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/start_window.py
@@ -105,12 +105,15 @@
         """Record that a request is sent."""
         self._pending[number] = _PendingStart(now_s, objective_s)
 
-    def record_answer_started(self, number: int, now_s: float) -> None:
-        """Record that an answer started."""
+    def record_answer_started(self, number: int, now_s: float, work_time: float = 1.0) -> None:
+        """Record that an answer started at a target where work takes `work_time` as long as usual.
+
+        The time by which a target is slower than usual is no sign of too many requests.
+        """
         pending_start = self._pending.pop(number, None)
         if pending_start is None:
             return
-        fraction = _elapsed_fraction(pending_start, now_s)
+        fraction = _elapsed_fraction(pending_start, now_s) / max(work_time, 1.0)
         self._own_delays.record(fraction, now_s)
         self._pool_delays.record(fraction, now_s)
         is_utilised = len(self._pending) + 1 >= 0.5 * self.limit
--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -35,6 +35,9 @@
 # With the full slack, 1 in 100 sends exceeded the users' bound in the worst five seconds
 # (65 routers, 30 engines, 60 requests/s); with this value none did.
 MIN_SLACK_WITH_SUMS_REQUESTS = 1.5
+# Reading a prompt also delays the requests that arrive at the engine meanwhile. With the factor
+# 1, twice as many requests leave their home and more of them are late.
+READ_COST_FACTOR = 2.0
 
 
 class AffinityPolicy(NamedTuple):
@@ -44,13 +47,17 @@
     sees loads that are some hundred ms old, so the bound here is lower.
     `far_penalty_requests` is the cost of leaving the failure domain, in requests. A
     target younger than `min_donor_age_s` is a poor donor, since callers use a part
-    again only after some seconds.
+    again only after some seconds. `read_s` is the time to read the shared parts of a prompt at
+    a target that lacks them, and `near_ranks` the number of targets whose expected start is
+    compared.
     """
 
     load_factor: float = 1.6
     load_slack_requests: float = 2.5
     far_penalty_requests: float = 0.75
     min_donor_age_s: float = 6.0
+    read_s: float = 0.0
+    near_ranks: int = 5
 
 
 def policy_for(routers: int, has_sums: bool = False) -> AffinityPolicy:
@@ -85,7 +92,8 @@
     if all others are above the bound, but is a good donor. With `has_known_load`,
     `load` is based on the target's own report or on the sums of all routers. A
     target with `is_held_back` serves and counts for the mean, but gets no work because an
-    operator excluded it or it is cold.
+    operator excluded it or it is cold. `start_s` is the time after which it is expected to
+    start an answer, `None` in a pool whose targets do not report their speed.
     """
 
     target_id: str
@@ -98,18 +106,21 @@
     is_slow: bool = False
     has_known_load: bool = True
     is_held_back: bool = False
+    start_s: float | None = None
 
 
 class Choice(NamedTuple):
     """The chosen target, its rank for the key, and the bound applied.
 
-    `donor_id` is the other target that most likely has the shared part cached.
+    `donor_id` is the other target that most likely has the shared part cached. `rival_id` is
+    the next target in rank that could have been chosen as well.
     """
 
     candidate: Candidate
     rank: int
     bound: float
     donor_id: str = ""
+    rival_id: str = ""
 
 
 def affinity_key(part_ids: Sequence[bytes]) -> bytes | None:
@@ -149,11 +160,26 @@
     mean = sum(item.load for item in (*healthy, *held_back)) / (len(healthy) + len(held_back))
     bound = policy.load_factor * mean + policy.load_slack_requests
     ranked = _rank(healthy, key)
-    for rank, item in enumerate(ranked):
-        if item.load < bound and not item.is_slow:
-            donor_id = _donor(candidates, key, item, policy)
-            return Choice(item, rank, bound, donor_id)
-    return _least_loaded(healthy, near_domain, policy, random)
+    allowed = [item for item in ranked if item.load < bound and not item.is_slow]
+    if not allowed:
+        return _least_loaded(healthy, near_domain, policy, random)
+    chosen = _first_soon(allowed, policy)
+    rival_id = next((item.target_id for item in allowed if item is not chosen), "")
+    donor_id = _donor(candidates, key, chosen, policy)
+    return Choice(chosen, ranked.index(chosen), bound, donor_id, rival_id)
+
+
+def _first_soon(allowed: Sequence[Candidate], policy: AffinityPolicy) -> Candidate:
+    """Return the first in rank that loses less time than its cached parts save.
+
+    It is compared with the next in rank only, so that each key has few targets that cache its
+    parts, and the requests of all routers, which share the same sums, spread by their keys.
+    """
+    near = allowed[: policy.near_ranks]
+    if any(item.start_s is None for item in near):
+        return allowed[0]
+    latest_s = min(item.start_s for item in near) + READ_COST_FACTOR * policy.read_s
+    return next(item for item in near if item.start_s <= latest_s)
 
 
 def _rank(candidates: Sequence[Candidate], key: bytes) -> list[Candidate]:
--- a/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
@@ -115,3 +115,42 @@
     def test_no_target_takes_work(self):
         self.assertIsNone(choose([]))
         self.assertIsNone(choose(pool(3, takes_work=False)))
+
+    def test_without_expected_starts_the_first_in_rank_below_the_bound_is_chosen(self):
+        """Guards against a change of any decision where targets do not report their speed."""
+        random = Random(3)
+        for number in range(300):
+            key = b"part%d" % number
+            order = [choose(pool(8), key).candidate.target_id]
+            candidates = [item._replace(load=random.uniform(0.0, 9.0)) for item in pool(8)]
+            bound = 1.6 * sum(item.load for item in candidates) / 8 + 2.5
+            while len(order) < 8:
+                rest = [item for item in pool(8) if item.target_id not in order]
+                order.append(choose(rest, key).candidate.target_id)
+            loads = {item.target_id: item.load for item in candidates}
+            first = next(name for name in order if loads[name] < bound)
+            choice = choose_target(candidates, key, "d", POLICY._replace(read_s=0.1), Random(1))
+            self.assertEqual((choice.candidate.target_id, choice.bound), (first, bound))
+
+    def test_home_is_kept_while_reading_elsewhere_takes_longer_than_the_gain(self):
+        """Guards against sending every request to the target that starts first."""
+        order = ranking(pool(6))
+        starts_s = {order[0]: 0.3, order[1]: 0.2, order[2]: 0.1, order[5]: 0.0}
+        uneven = [item._replace(start_s=starts_s.get(item.target_id, 0.4)) for item in pool(6)]
+        cases = {0.0: order[2], 0.06: order[1], 0.11: order[0]}
+        for read_s, expected in cases.items():
+            policy = POLICY._replace(read_s=read_s)
+            choice = choose_target(uneven, b"part", "d", policy, Random(1))
+            self.assertEqual(choice.candidate.target_id, expected, read_s)
+
+    def test_target_above_the_bound_is_not_chosen_however_soon_it_starts(self):
+        """Guards against loosening the bound on requests."""
+        order = ranking(pool(6))
+        uneven = [
+            item._replace(
+                load=30.0 if item.target_id == order[1] else 1.0,
+                start_s=0.0 if item.target_id == order[1] else 0.4,
+            )
+            for item in pool(6)
+        ]
+        self.assertEqual(choose(uneven).candidate.target_id, order[0])
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from damaskwind.decisions.load.held_requests import parse_target_load
+from damaskwind.decisions.load.held_requests import TargetLoad, parse_target_load
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import Choice
 from damaskwind.decisions.target_signals.answer_signals import (
@@ -190,8 +190,10 @@
         head = await self._read_head_in_time(connection, call, target.target_id, may_reroute)
         first_s = read_clock() - sent_s
         self.activity.record_received(target.target_id, read_clock())
+        load = self._read_load(head)
+        self._target_states.record_speed(target, load)
         self.on_answer_started(call, target.target_id, first_s)
-        signals = self._read_signals(head, target)
+        signals = self._read_signals(head, target, load)
         if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
             outcome = await self._read_refusal(connection, head, target)
             return outcome._replace(asks_for_pause=signals.rest_s > 0)
@@ -307,7 +309,15 @@
                 if last_woken_s() < begun_s:
                     raise
 
-    def _read_signals(self, head: AnswerHead, target: TargetRecord) -> AnswerSignals:
+    def _read_load(self, head: AnswerHead) -> TargetLoad | None:
+        """Return the load that a target reports; a misdirected answer is another target's."""
+        if head.status == MISDIRECTED:
+            return None
+        return parse_target_load(header(head.headers, self._names.target_load))
+
+    def _read_signals(
+        self, head: AnswerHead, target: TargetRecord, load: TargetLoad | None
+    ) -> AnswerSignals:
         """Record the load and the signals in the head of an answer; return the signals.
 
         A misdirected answer (421) comes from another target, so its headers are ignored.
@@ -315,7 +325,6 @@
         if head.status == MISDIRECTED:
             return NO_SIGNALS
         headers = head.headers
-        load = parse_target_load(header(headers, self._names.target_load))
         if load is not None:
             self._loads.observe_report(target.target_id, load, read_clock())
         signals = parse_signals(
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -33,7 +33,7 @@
     """What a request's headers state.
 
     `wait_s` is the time that the caller still waits, `resume_after` the id of the last event
-    that it has.
+    that it has, `shared_tokens` the tokens of the prompt parts shared with other requests.
     """
 
     request_id: bytes
@@ -41,6 +41,7 @@
     has_deadline: bool
     part_ids: tuple[bytes, ...]
     resume_after: int | None
+    shared_tokens: int = 0
 
 
 class AttemptNote(NamedTuple):
@@ -48,7 +49,9 @@
 
     `at_ms` counts from the request's start, `first_ms` from the send to the
     head of the answer. `load_from` names the source of the load estimate, and
-    `load_age_s` is its age.
+    `load_age_s` is its age. `start_ms` is the expected time to start, `work_time` the known
+    speed of the target relative to the usual time and `speed_age_s` the age of its figure;
+    they are `None` where targets do not report their speed.
     """
 
     target: str
@@ -62,6 +65,9 @@
     took_ms: int
     first_ms: int | None
     load_from: str = ""
+    start_ms: int | None = None
+    work_time: float | None = None
+    speed_age_s: float | None = None
 
 
 class EntryNote(NamedTuple):
@@ -153,9 +159,21 @@
         wait_ms is not None,
         part_ids,
         None if resume_after is None else int(resume_after),
+        _shared_tokens(parts),
     )
 
 
+def _shared_tokens(parts: bytes) -> int:
+    """Return the tokens of all prompt parts but the last; malformed numbers count as 0.
+
+    >>> _shared_tokens(b"system:500,subject:1500,own:300"), _shared_tokens(b"a:x,b:-1,own:3")
+    (2000, 0)
+    """
+    shared = parts.split(b",")[:-1]
+    numbers = (item.strip().partition(b":")[2] for item in shared)
+    return sum(int(number) for number in numbers if number.isdigit() and len(number) < 10)
+
+
 def _number(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -79,6 +79,12 @@
             item._replace(load=item.load + pool.waiting_for(item.target_id)) for item in candidates
         ]
 
+    def record_expected_starts(self, service: str, candidates: list[Candidate]) -> None:
+        """Record when the pool's first target would start an answer, for `Retry-After`."""
+        starts_s = [item.start_s for item in candidates if item.start_s is not None]
+        if starts_s:
+            self._pool(service).earliest_start_s = min(starts_s)
+
     def record_sent(self, call: Call, target_id: str) -> None:
         """Record that a request is sent to a target."""
         pool = self._pool(call.service)
@@ -86,7 +92,10 @@
 
     def record_answer_started(self, call: Call) -> None:
         """Record that the answer to a request began."""
-        self._pool(call.service).record_answer_started(call.number, read_clock())
+        now_s = read_clock()
+        pool = self._pool(call.service)
+        work_time = self._target_states.work_time(pool.target_of(call.number), now_s)
+        pool.record_answer_started(call.number, now_s, work_time)
         self._start_ready(call.service)
 
     def record_ended(self, call: Call) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -113,6 +113,10 @@
             "targets_said_leaving", "in an answer", partial(self._count_signals, TargetSignal.LEAVE)
         )
         show("failure_domains_evacuated", "emptied by operators", self._evacuated)
+        speeds = self.forwarder.target_states.target_speeds
+        show("targets_slow", "that report to be", lambda: speeds.speeds.count_slow(read_clock()))
+        show("speed_reports", "received from targets", lambda: speeds.reports)
+        show("speed_lasting_seconds", "of figures", lambda: speeds.speeds.lasting_s)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
 
     def _count_signals(self, signal: TargetSignal) -> float:
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -14,6 +14,7 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
+from damaskwind.router.forwarding.target_speeds import SpeedBasis
 from damaskwind.router.forwarding.target_states import SendResult, TargetStates
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
@@ -54,6 +55,7 @@
         target = placement.target
         begun_s = read_clock()
         basis = self._record_begun(call, target, begun_s)
+        speed = self._target_states.target_speeds.basis(target, begun_s)
         may_reroute = call.route.may_repeat and call.sends < call.route.max_attempts
         # Until the outcome is known, the request may be running.
         could_have_run, call.may_have_run = call.may_have_run, True
@@ -67,13 +69,15 @@
         finally:
             ended_s = read_clock()
             self._admissions.record_ended(call)
-            call.notes.append(_note(call, placement, basis, outcome, begun_s, ended_s))
+            call.notes.append(_note(call, placement, basis, speed, outcome, begun_s, ended_s))
         self._tallies.count("attempts", end=outcome.end.value)
         if outcome.end in (AttemptEnd.WITHHELD, AttemptEnd.NOT_RUN):
             call.may_have_run = could_have_run
         if outcome.end is AttemptEnd.WITHHELD:
             call.sends -= 1
             return outcome
+        if outcome.end is AttemptEnd.DELIVERED:
+            self._target_states.target_speeds.record_ended(target, ended_s - begun_s, ended_s)
         self._record_ended(call, target, outcome, begun_s, ended_s)
         self._record_crash_evidence(call, target, outcome, level)
         return outcome
@@ -137,6 +141,11 @@
         """Record how long a target took to begin its answer."""
         self._tallies.observe("first_piece", first_s, kind=call.route.kind.value)
         objective_share = first_s / call.route.objective_s
+        record = self._target_states.view.targets.record_of(target_id)
+        if record is not None:
+            self._target_states.target_speeds.record_started(
+                record, first_s, objective_share, read_clock()
+            )
         self._target_states.record_answer_started(
             call.service, target_id, objective_share, read_clock()
         )
@@ -147,6 +156,7 @@
     call: Call,
     placement: Placement,
     basis: LoadBasis,
+    speed: SpeedBasis,
     outcome: AttemptOutcome,
     begun_s: float,
     ended_s: float,
@@ -165,6 +175,9 @@
         int((ended_s - begun_s) * 1000),
         None if outcome.first_s is None else int(outcome.first_s * 1000),
         basis.source.value,
+        None if choice.candidate.start_s is None else int(choice.candidate.start_s * 1000),
+        speed.work_time,
+        speed.age_s,
     )
 
 
--- a/packages/router/src/damaskwind/router/forwarding/target_choice.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -5,7 +5,12 @@
 
 from damaskwind.decisions.admission.retry_after import draw_retry_after_pause_s
 from damaskwind.decisions.membership.target_record import TargetRecord
-from damaskwind.decisions.placement.affinity import Candidate, choose_target, policy_for
+from damaskwind.decisions.placement.affinity import (
+    AffinityPolicy,
+    Candidate,
+    choose_target,
+    policy_for,
+)
 from damaskwind.decisions.routing.regions import is_allowed
 from damaskwind.router.forwarding.attempt import Placement
 from damaskwind.router.forwarding.call import Call
@@ -15,6 +20,9 @@
 
 __all__ = ["TargetChooser"]
 
+# Prompt tokens that an engine reads per second; engines differ by a factor of about 1.6.
+READ_TOKENS_PER_S = 60_000.0
+
 
 class TargetChooser:
     """The choice of targets by one router in `failure_domain`.
@@ -48,12 +56,13 @@
         is_engine = call.key is not None
         candidates = target_states.candidates(records.values(), now_s, is_engine)
         candidates = self._doubt_partitioned(call, candidates)
+        self._admissions.record_expected_starts(call.service, candidates)
         candidates = self._admissions.add_queued_load(call.service, candidates)
         choice = choose_target(
             candidates,
             call.key,
             self._failure_domain,
-            policy_for(target_states.view.routers, target_states.loads.has_sums(now_s)),
+            self._policy(call, now_s),
             self._random,
         )
         if choice is None:
@@ -62,6 +71,12 @@
         target = records[choice.candidate.target_id]
         return Placement(target, choice, donor.address if donor else None)
 
+    def _policy(self, call: Call, now_s: float) -> AffinityPolicy:
+        """Return the policy for a request, with the time to read its shared parts elsewhere."""
+        target_states = self._target_states
+        policy = policy_for(target_states.view.routers, target_states.loads.has_sums(now_s))
+        return policy._replace(read_s=call.facts.shared_tokens / READ_TOKENS_PER_S)
+
     def pause_retry_after_s(self, call: Call) -> float | None:
         """Return when to retry if all targets asked for a pause: as the first pause ends."""
         records = self._allowed_targets(call).values()
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -14,7 +14,7 @@
 from damaskwind.decisions.health.circuit import HealthPolicy
 from damaskwind.decisions.health.ejection import PoolHealth
 from damaskwind.decisions.health.slow_targets import SlowTargetDetector
-from damaskwind.decisions.load.held_requests import LoadEstimator
+from damaskwind.decisions.load.held_requests import LoadEstimator, TargetLoad
 from damaskwind.decisions.load.held_sums import HeldSum
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import Candidate
@@ -24,6 +24,7 @@
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.target_activity import TargetActivity
+from damaskwind.router.forwarding.target_speeds import TargetSpeeds
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.clock_loop import last_woken_s
 
@@ -82,6 +83,7 @@
         self.view = view
         self.connections = connections
         self.loads = LoadEstimator()
+        self.target_speeds = TargetSpeeds()
         self.activity = TargetActivity()
         self.signals = SignalTable()
         self._heartbeat_s = heartbeat_s
@@ -115,6 +117,7 @@
     def forget(self, target_id: str) -> None:
         """Drop the state of a target that is gone."""
         self.loads.forget(target_id)
+        self.target_speeds.forget(target_id)
         self._avoided_until_s.pop(target_id, None)
         self._displaced_s.pop(target_id, None)
         self.activity.forget(target_id)
@@ -128,11 +131,27 @@
         self._pool_health(target.service, now_s).record_sent(target.target_id, now_s)
         self.cold.record_sent(target, now_s)
 
+    def record_speed(self, target: TargetRecord, load: TargetLoad | None) -> None:
+        """Record the speed that a target reports, unless it is of an earlier incarnation."""
+        known = self.view.targets.record_of(target.target_id)
+        if load is not None and known is not None and known.incarnation == target.incarnation:
+            self.target_speeds.observe(target, load, read_clock())
+
+    def work_time(self, target_id: str, now_s: float) -> float:
+        """Return how long work takes at a target, relative to the usual time."""
+        record = self.view.targets.record_of(target_id)
+        return 1.0 if record is None else self.target_speeds.work_time(record, now_s)
+
     def record_answer_started(
         self, service: str, target_id: str, objective_share: float, now_s: float
     ) -> None:
-        """Record that an answer began after this fraction of its latency objective."""
-        self._slow_detector(service).observe(target_id, objective_share, now_s)
+        """Record that an answer began after this fraction of its latency objective.
+
+        The time by which the target is known to be slower than usual is no reason to avoid it
+        for longer than that.
+        """
+        share = objective_share / max(self.work_time(target_id, now_s), 1.0)
+        self._slow_detector(service).observe(target_id, share, now_s)
 
     def record_signals(self, target: TargetRecord, signals: AnswerSignals) -> None:
         """Record what a target asks for in an answer: a pause, or no requests as it is leaving."""
@@ -279,6 +298,7 @@
             cold_state.is_cold or self._slow_detector(record.service).is_slow(target_id, now_s),
             is_known,
             not takes_work and not is_leaving,
+            self.target_speeds.expected_start_s(record, load, now_s),
         )
 
     def free_slots(self, service: str, now_s: float) -> list[TargetSlots]:
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -20,6 +20,7 @@
     "Step",
     "cut_stream",
     "event",
+    "load_field",
     "plain",
     "raw",
     "silent",
@@ -140,6 +141,24 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def load_field(
+    names: HeaderNames,
+    running: int,
+    waiting: int,
+    slots: int,
+    work_time_percent: int | None = None,
+) -> bytes:
+    """Return the header field of a load report, with the fourth figure if it is given.
+
+    >>> load_field(HeaderNames(), 3, 0, 8, 250)
+    b'x-target-load: 3,0,8,250'
+    """
+    figures = [running, waiting, slots]
+    if work_time_percent is not None:
+        figures.append(work_time_percent)
+    return names.target_load + b": " + ",".join(map(str, figures)).encode()
+
+
 def plain(status: int = 200, body: bytes = b"whole", fields: tuple[bytes, ...] = ()) -> Step:
     """Answer with a body of declared length."""
 
