--- a/packages/decisions/src/damaskwind/decisions/load/tests/speed_replay.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/speed_replay.py
@@ -341,7 +341,7 @@
         share = (now_s - sent_s) / job.kind.objective_s
         router.detector.observe(target.name, share / max(work_time, 1.0), now_s)
         router.times.record_start(now_s - sent_s, work_time)
-        router.pool.record_answer_started(job.number, now_s)
+        router.pool.record_answer_started(job.number, now_s, work_time)
 
     def observe(self, router, target, now_s):
         """Process a report of an engine; return the work time to go by."""
--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -26,6 +26,7 @@
     "affinity_key",
     "choose_target",
     "policy_for",
+    "read_cost_factor",
 ]
 
 # With up to this many routers, the sends of others that one router can't see are within the
@@ -35,9 +36,12 @@
 # With the full slack, 1 in 100 sends exceeded the users' bound in the worst five seconds
 # (65 routers, 30 engines, 60 requests/s); with this value none did.
 MIN_SLACK_WITH_SUMS_REQUESTS = 1.5
-# Reading a prompt also delays the requests that arrive at the engine meanwhile. With the factor
-# 1, twice as many requests leave their home and more of them are late.
+# With the factor 1, more requests leave their home and more are late. It grows where less than
+# the usual share of the slots is free: with a constant factor, moved requests made more answers
+# late than before at loads of 1.0 and above (57 routers).
 READ_COST_FACTOR = 2.0
+USUAL_FREE_SHARE = 0.2
+MIN_FREE_SHARE = 0.02
 
 
 class AffinityPolicy(NamedTuple):
@@ -163,13 +167,15 @@
     allowed = [item for item in ranked if item.load < bound and not item.is_slow]
     if not allowed:
         return _least_loaded(healthy, near_domain, policy, random)
-    chosen = _first_soon(allowed, policy)
+    chosen = _first_soon(allowed, policy, mean / max(healthy[0].slots, 1))
     rival_id = next((item.target_id for item in allowed if item is not chosen), "")
     donor_id = _donor(candidates, key, chosen, policy)
     return Choice(chosen, ranked.index(chosen), bound, donor_id, rival_id)
 
 
-def _first_soon(allowed: Sequence[Candidate], policy: AffinityPolicy) -> Candidate:
+def _first_soon(
+    allowed: Sequence[Candidate], policy: AffinityPolicy, used_share: float
+) -> Candidate:
     """Return the first in rank that loses less time than its cached parts save.
 
     It is compared with the next in rank only, so that each key has few targets that cache its
@@ -178,10 +184,25 @@
     near = allowed[: policy.near_ranks]
     if any(item.start_s is None for item in near):
         return allowed[0]
-    latest_s = min(item.start_s for item in near) + READ_COST_FACTOR * policy.read_s
+    read_s = read_cost_factor(used_share) * policy.read_s
+    latest_s = min(item.start_s for item in near) + read_s
     return next(item for item in near if item.start_s <= latest_s)
 
 
+def read_cost_factor(used_share: float) -> float:
+    """Return by what factor the time to read a prompt counts in a pool with this share in use.
+
+    Reading also delays the requests that arrive at the engine meanwhile. The delay that more
+    work causes to all others grows as the inverse square of the free share (the derivative of
+    the mean queue of M/M/1: Kleinrock, "Queueing Systems", volume 1, 1975).
+
+    >>> [round(read_cost_factor(share), 1) for share in (0.2, 0.8, 0.9, 1.5)]
+    [2.0, 2.0, 8.0, 200.0]
+    """
+    free_share = max(1.0 - used_share, MIN_FREE_SHARE)
+    return READ_COST_FACTOR * max(1.0, USUAL_FREE_SHARE / free_share) ** 2
+
+
 def _rank(candidates: Sequence[Candidate], key: bytes) -> list[Candidate]:
     """Return the candidates in rank order for the key."""
     order = rank_order(scores(key, [target_seed(item.target_id) for item in candidates]))
