--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/bound.py
@@ -0,0 +1,36 @@
+"""Derive the bytes that a process may hold from the memory of its VM."""
+
+from typing import NamedTuple
+
+__all__ = ["HeldBounds", "derive_bounds"]
+
+# Part of the memory that stays free, as the operators require.
+FREE_SHARE = 0.2
+# A router takes 30 MiB at rest and under ordinary load; a large fleet's tables come on top.
+PROGRAM_BYTES = 48 * 1024 * 1024
+# Memory per held byte: the allocator's fragmentation, and copies while a body is joined.
+BYTES_PER_HELD_BYTE = 1.25
+# Request bodies may take this part, so that held answers can't keep all of them out.
+BODY_SHARE = 0.4
+# A smaller process still has to hold two of the largest bodies.
+MIN_HELD_BYTES = 8 * 1024 * 1024
+
+
+class HeldBounds(NamedTuple):
+    """The bytes that may be held in total, and those of request bodies among them."""
+
+    total_bytes: int
+    body_bytes: int
+
+
+def derive_bounds(memory_bytes: int) -> HeldBounds:
+    """Return the bounds of a process that is killed beyond `memory_bytes`.
+
+    >>> [size // 2**20 for size in derive_bounds(152 * 2**20)]
+    [58, 23]
+    >>> [size // 2**20 for size in derive_bounds(64 * 2**20)]
+    [8, 3]
+    """
+    usable_bytes = (1.0 - FREE_SHARE) * memory_bytes - PROGRAM_BYTES
+    total_bytes = max(MIN_HELD_BYTES, int(usable_bytes / BYTES_PER_HELD_BYTE))
+    return HeldBounds(total_bytes, int(BODY_SHARE * total_bytes))
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/ledger.py
@@ -0,0 +1,138 @@
+"""Account for the bytes held for each request, and choose the answers to give up.
+
+When the bytes in hand exceed their bound, the answer that would be held longest is given up
+first: the one whose bytes, at the rate at which its caller takes them, need the most time. It
+is both large and slow; a large answer of a fast caller is delivered before it matters.
+"""
+
+from enum import Enum, auto
+
+__all__ = ["HeldLedger", "VictimOrder"]
+
+# A caller is presumed to take this rate until it has been waited for longer than this time.
+PRESUMED_BYTES_PER_S = 65_536.0
+PRESUMED_S = 1.0
+
+
+class VictimOrder(Enum):
+    """The order in which answers are given up; all but the first are alternatives to compare."""
+
+    LARGEST_AND_SLOWEST = auto()
+    LARGEST = auto()
+    NEWEST = auto()
+
+
+class _Entry:
+    """The bytes held for one request, and what its caller has taken while it was waited for."""
+
+    __slots__ = ("answer_bytes", "body_bytes", "paused_s", "taken_bytes", "waited_s")
+
+    def __init__(self) -> None:
+        self.answer_bytes = 0
+        self.body_bytes = 0
+        self.taken_bytes = 0
+        self.waited_s = 0.0
+        self.paused_s: float | None = None
+
+    def left_s(self, now_s: float) -> float:
+        """Return the time in which the caller takes what is held, at its rate so far."""
+        waiting_s = 0.0 if self.paused_s is None else max(0.0, now_s - self.paused_s)
+        taken_bytes = self.taken_bytes + PRESUMED_BYTES_PER_S * PRESUMED_S
+        return self.answer_bytes * (self.waited_s + waiting_s + PRESUMED_S) / taken_bytes
+
+
+class HeldLedger:
+    """The bytes in hand, by the number of the request that they belong to.
+
+    >>> ledger = HeldLedger(bound_bytes=1000)
+    >>> for number, size_bytes in ((1, 600), (2, 300)):
+    ...     ledger.open(number)
+    ...     ledger.hold(number, size_bytes)
+    >>> ledger.victim(now_s=0.0)
+    >>> ledger.hold(2, 200); ledger.victim(0.0)
+    1
+    >>> ledger.pause(2, 0.0); ledger.victim(60.0)
+    2
+    >>> ledger.close(2); ledger.held_bytes
+    600
+    """
+
+    def __init__(
+        self, bound_bytes: int, order: VictimOrder = VictimOrder.LARGEST_AND_SLOWEST
+    ) -> None:
+        self.bound_bytes = bound_bytes
+        self.held_bytes = 0
+        self._order = order
+        self._entries: dict[int, _Entry] = {}
+
+    def open(self, number: int) -> None:
+        """Begin to account for a request."""
+        self.close(number)
+        self._entries[number] = _Entry()
+
+    def close(self, number: int) -> None:
+        """Drop a request and all that is held for it; a second call has no effect."""
+        entry = self._entries.pop(number, None)
+        if entry is not None:
+            self.held_bytes -= entry.answer_bytes + entry.body_bytes
+
+    def hold(self, number: int, size_bytes: int) -> None:
+        """Add bytes of an answer; a negative size releases them."""
+        entry = self._entries.get(number)
+        if entry is None:
+            return
+        change_bytes = max(size_bytes, -entry.answer_bytes)
+        entry.answer_bytes += change_bytes
+        self.held_bytes += change_bytes
+
+    def hold_body(self, number: int, size_bytes: int) -> None:
+        """Add bytes of a request's body; they are held until the request is closed."""
+        entry = self._entries.get(number)
+        if entry is not None:
+            entry.body_bytes += size_bytes
+            self.held_bytes += size_bytes
+
+    def take(self, number: int, size_bytes: int) -> None:
+        """Release bytes that the caller has taken."""
+        self.hold(number, -size_bytes)
+        if number in self._entries:
+            self._entries[number].taken_bytes += size_bytes
+
+    def pause(self, number: int, now_s: float) -> None:
+        """Record that a request's caller accepts no more bytes."""
+        entry = self._entries.get(number)
+        if entry is not None and entry.paused_s is None:
+            entry.paused_s = now_s
+
+    def resume(self, number: int, now_s: float) -> None:
+        """Record that a request's caller accepts bytes again."""
+        entry = self._entries.get(number)
+        if entry is not None and entry.paused_s is not None:
+            entry.waited_s += max(0.0, now_s - entry.paused_s)
+            entry.paused_s = None
+
+    def answer_bytes(self, number: int) -> int:
+        """Return the bytes held of a request's answer."""
+        entry = self._entries.get(number)
+        return 0 if entry is None else entry.answer_bytes
+
+    def left_s(self, number: int, now_s: float) -> float:
+        """Return the time in which a request's caller takes what is held, at its rate so far."""
+        entry = self._entries.get(number)
+        return 0.0 if entry is None else entry.left_s(now_s)
+
+    def victim(self, now_s: float) -> int | None:
+        """Return the request to give up, `None` while the bytes in hand are within the bound."""
+        if self.held_bytes <= self.bound_bytes:
+            return None
+        held = [number for number, entry in self._entries.items() if entry.answer_bytes]
+        return max(held, key=lambda number: self._rank(number, now_s), default=None)
+
+    def _rank(self, number: int, now_s: float) -> float:
+        """Return the rank by which the request to give up is chosen, the highest first."""
+        entry = self._entries[number]
+        if self._order is VictimOrder.LARGEST:
+            return entry.answer_bytes
+        if self._order is VictimOrder.NEWEST:
+            return number
+        return entry.left_s(now_s)
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of held bytes."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/tests/test_ledger.py
@@ -0,0 +1,102 @@
+"""Tests of the choice of answers to give up, and of the bounds of request bodies."""
+
+from random import Random
+from unittest import TestCase
+
+from damaskwind.decisions.held_bytes.body_queue import MAX_WAIT_S, BodyQueue, BodyStep
+from damaskwind.decisions.held_bytes.bound import derive_bounds
+from damaskwind.decisions.held_bytes.ledger import HeldLedger
+from damaskwind.decisions.held_bytes.target_shares import TargetShares
+
+MIB = 2**20
+
+
+class HeldLedgerTest(TestCase):
+    def ledger(self, *sizes_bytes, bound_bytes=10 * MIB):
+        ledger = HeldLedger(bound_bytes)
+        for number, size_bytes in enumerate(sizes_bytes):
+            ledger.open(number)
+            ledger.hold(number, size_bytes)
+        return ledger
+
+    def test_large_answer_of_a_fast_caller_outlasts_a_smaller_one_of_a_slow_caller(self):
+        ledger = self.ledger(9 * MIB, 3 * MIB)
+        for second in range(10):
+            for number, taken_bytes in ((0, 2 * MIB), (1, 1024)):
+                ledger.pause(number, second)
+                ledger.resume(number, second + 0.9)
+                ledger.hold(number, taken_bytes)
+                ledger.take(number, taken_bytes)
+        self.assertEqual(ledger.victim(10.0), 1)
+
+    def test_silence_of_a_target_does_not_make_its_caller_slow(self):
+        ledger = self.ledger(6 * MIB, 5 * MIB)
+        self.assertEqual(ledger.victim(600.0), 0)
+
+    def test_time_that_runs_backwards_frees_nobody_and_harms_nobody(self):
+        ledger = self.ledger(6 * MIB, 5 * MIB)
+        ledger.pause(1, 100.0)
+        ledger.resume(1, 50.0)
+        self.assertEqual(ledger.victim(0.0), 0)
+
+    def test_sum_is_exact_after_any_order_of_calls(self):
+        """A request that was given up may still report bytes: they must not count."""
+        random, ledger = Random(1), HeldLedger(MIB)
+        for _ in range(20_000):
+            number, size_bytes = random.randrange(20), random.randrange(100_000)
+            change = random.choice((ledger.hold, ledger.take, ledger.hold_body))
+            change(number, size_bytes)
+            if random.random() < 0.1:
+                random.choice((ledger.open, ledger.close))(number)
+            self.assertGreaterEqual(ledger.held_bytes, 0)
+        for number in range(20):
+            ledger.close(number)
+        self.assertEqual(ledger.held_bytes, 0)
+
+
+class BodyQueueTest(TestCase):
+    def test_bodies_in_hand_stay_below_the_bound_and_begin_in_order(self):
+        queue = BodyQueue(10 * MIB)
+        steps = [queue.offer(number, 4 * MIB, 0.0) for number in range(5)]
+        read, wait, refuse = BodyStep.READ, BodyStep.WAIT, BodyStep.REFUSE
+        self.assertEqual(steps, [read, read, wait, wait, refuse])
+        self.assertEqual((queue.close(0, 0.1), queue.close(1, 0.1)), ([2], [3]))
+        self.assertLessEqual(queue.held_bytes, 10 * MIB)
+
+    def test_body_that_would_wait_in_vain_is_refused_at_once(self):
+        queue = BodyQueue(4 * MIB)
+        queue.offer(1, 100_000, 0.0)
+        queue.close(1, 0.0)
+        queue.offer(2, 4 * MIB, 0.0)
+        self.assertGreater(queue.expected_wait_s(MIB, 0.0), MAX_WAIT_S)
+        self.assertIs(queue.offer(3, MIB, 0.0), BodyStep.REFUSE)
+
+    def test_caller_that_left_while_it_waited_is_forgotten(self):
+        queue = BodyQueue(4 * MIB)
+        queue.offer(1, 4 * MIB, 0.0)
+        queue.offer(2, 4 * MIB, 0.0)
+        queue.close(2, 0.1)
+        self.assertEqual((queue.close(1, 0.2), queue.held_bytes), ([], 0))
+
+    def test_body_of_unknown_size_ends_at_the_bound(self):
+        queue = BodyQueue(2 * MIB)
+        queue.offer(1, MIB, 0.0)
+        queue.offer(2, 0, 0.0)
+        self.assertTrue(queue.grow(2, MIB))
+        self.assertFalse(queue.grow(2, 1))
+
+
+class BoundsTest(TestCase):
+    def test_all_routers_keep_a_target_below_its_bound_or_have_one_body_each(self):
+        for routers in (2, 8, 87, 138):
+            shares = TargetShares(32 * MIB)
+            while shares.may_send("t", MIB, routers):
+                shares.record_sent("t", MIB)
+            self.assertLessEqual(shares.max_in_hand_bytes(), max(MIB, 32 * MIB / routers))
+            shares.record_ended("t", MIB)
+
+    def test_held_bytes_and_program_stay_below_four_fifths_of_the_memory(self):
+        for memory_bytes in (100 * MIB, 152 * MIB, 200 * MIB, 2048 * MIB):
+            bounds = derive_bounds(memory_bytes)
+            self.assertLess(bounds.total_bytes * 1.2 + 40 * MIB, 0.8 * memory_bytes)
+            self.assertGreater(bounds.body_bytes, 3 * MIB)
