Held bytes: bound the answers and request bodies in hand

Cause: answers of slow callers, and request bodies, were bounded for each caller only, so that 300 callers that read 1 KB/s took the process beyond its memory. Change: where has_contention and memory_bytes are set, a router reads answers to their end, accounts for what it holds and gives up the largest and slowest answers beyond the bound; large bodies wait unread or are refused as not run, and keep to a share at each target. Buffers of sockets and transports stay small there. Without the switch nothing changes (SwitchTest).

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -167,6 +167,7 @@
         finally:
             self._loads.record_ended(target.target_id, is_engine)
             self.activity.end_wait(target.target_id, wait_number)
+            connection.settle()
             if connection.is_in_use:
                 connection.abort()
 
@@ -186,6 +187,8 @@
             request, call, self._names, target.target_id, resume_after, placement.donor
         )
         sent_s = read_clock()
+        if delivery.account is not None:
+            connection.account_to(delivery.account)
         connection.send(Request(request.method, request.target, headers, request.body))
         head = await self._read_head_in_time(connection, call, target.target_id, may_reroute)
         first_s = read_clock() - sent_s
@@ -201,16 +204,19 @@
                 connection, head, call, target, delivery, may_reroute
             )
             return outcome._replace(first_s=first_s)
-        body = await connection.read_body(ANSWER_LIMIT_BYTES)
+        pieces = await connection.read_pieces(ANSWER_LIMIT_BYTES)
+        why = f"status {head.status}"
+        if delivery.account is not None and head.status < 500:
+            self.connections.release(target.target_id, connection, head.headers)
+            delivery.send_pieces(head, pieces)
+            return AttemptOutcome(AttemptEnd.DELIVERED, why, first_s=first_s)
         self.connections.release(target.target_id, connection, head.headers)
-        answer = Answer(head.status, head.headers, body)
+        answer = Answer(head.status, head.headers, b"".join(pieces))
         if head.status >= 500:
-            why = f"status {head.status}"
             return AttemptOutcome(
                 AttemptEnd.TARGET_ERROR, why, answer, asks_for_pause=signals.rest_s > 0
             )
         delivery.send_whole(answer)
-        why = f"status {head.status}"
         return AttemptOutcome(AttemptEnd.DELIVERED, why, first_s=first_s)
 
     async def _read_head_in_time(
--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -8,10 +8,14 @@
 from damaskwind.router.forwarding.events import EventSplitter, event_id
 from damaskwind.runtime.http1.client import AnswerHead
 from damaskwind.runtime.http1.exchange import Exchange
+from damaskwind.runtime.http1.held_memory import RequestAccount
 from damaskwind.runtime.http1.messages import Answer, without
 
 __all__ = ["Delivery"]
 
+# An answer up to this size is sent in one write.
+WHOLE_BYTES = 16_384
+
 
 class Delivery:
     """The answer to one caller, as far as it was delivered."""
@@ -24,6 +28,11 @@
         self.events = 0
         self.bytes = 0
 
+    @property
+    def account(self) -> RequestAccount | None:
+        """Return the account of held bytes, `None` if they are not accounted for."""
+        return self._exchange.account
+
     @property
     def has_begun(self) -> bool:
         """Tell whether the head of an answer was sent to the caller."""
@@ -39,6 +48,19 @@
         self.bytes += len(answer.body)
         self._exchange.respond(Answer(answer.status, headers, answer.body))
 
+    def send_pieces(self, head: AnswerHead, pieces: list[bytes]) -> None:
+        """Send a complete answer whose body is held in pieces, which are freed one by one."""
+        size_bytes = sum(map(len, pieces))
+        if size_bytes <= WHOLE_BYTES:
+            self.send_whole(Answer(head.status, head.headers, b"".join(pieces)))
+            return
+        self.bytes += size_bytes
+        headers = without(head.headers, frozenset())
+        self._exchange.begin(head.status, [*headers, (b"content-length", b"%d" % size_bytes)])
+        for piece in pieces:
+            self._exchange.write(piece)
+        self._exchange.finish()
+
     def begin_stream(self, head: AnswerHead) -> None:
         """Send the head of the first attempt's stream; those of later attempts are dropped."""
         self._splitter = EventSplitter()
@@ -73,5 +95,10 @@
         return True
 
     async def drained(self) -> None:
-        """Wait until the caller has read most of what was written."""
-        await self._exchange.drained()
+        """Wait until the caller has read most of what was written, unless the rest is held."""
+        if self.account is None:
+            await self._exchange.drained()
+
+    async def flushed(self) -> bool:
+        """Wait until the socket has accepted a held answer; return `False` if it was cut off."""
+        return await self._exchange.flushed()
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from contextlib import nullcontext
 from random import Random
 from types import MappingProxyType
 
@@ -17,6 +18,7 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.final_answers import FinalAnswers
 from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.held_bytes import GivenUpError
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
 from damaskwind.router.forwarding.request_steps import RequestSteps
@@ -96,8 +98,13 @@
             self.answers.refuse_fatal(exchange, call, delivery, ends)
             return
         try:
-            async with asyncio.timeout(max(call.left_s(), 0.0)):
-                outcome = await self.steps.run(exchange, call, delivery)
+            async with exchange.account or nullcontext():
+                async with asyncio.timeout(max(call.left_s(), 0.0)):
+                    outcome = await self.steps.run(exchange, call, delivery)
+                if outcome.end is AttemptEnd.DELIVERED and not await delivery.flushed():
+                    outcome = AttemptOutcome(AttemptEnd.BROKEN, "the caller stopped reading")
+        except GivenUpError as error:
+            outcome = AttemptOutcome(AttemptEnd.BROKEN, str(error))
         except TimeoutError:
             outcome = AttemptOutcome(AttemptEnd.STALLED, "deadline exceeded")
         except asyncio.CancelledError:
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from damaskwind.decisions.fatal_requests.suspicion import Standing
+from damaskwind.decisions.held_bytes.bound import derive_bounds
 from damaskwind.decisions.target_signals.signal_table import TargetSignal
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.traffic_configuration import TrafficConfiguration
@@ -16,7 +17,9 @@
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.forwarder import Forwarder
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
+from damaskwind.router.forwarding.held_bytes import HeldBytes
 from damaskwind.router.forwarding.settings import ForwardingSettings
+from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
@@ -75,12 +78,23 @@
             tallies=self.tallies,
         )
         self._metrics = MetricsSite(self.tallies)
-        self._callers = HttpServer(self.forwarder.handle, ServerLimits())
+        self.held_bytes = self._make_held_bytes(names)
+        self._callers = HttpServer(self.forwarder.handle, ServerLimits(), self.held_bytes)
         self._ready = HttpServer(self._answer_ready, READY_LIMITS)
         self._register_gauges()
         self.is_draining = False
         self._was_ready = False
 
+    def _make_held_bytes(self, names: HeaderNames) -> HeldBytes | None:
+        """Return the accounts of held bytes, `None` if the settings don't enable them."""
+        memory_bytes = self.settings.memory_bytes
+        if not self.settings.has_contention or memory_bytes is None:
+            return None
+        bounds = derive_bounds(memory_bytes)
+        logger.info("held bytes bounded", memory_bytes=memory_bytes, **bounds._asdict())
+        self.forwarder.steps.target_bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+        return HeldBytes(bounds, names, self.tallies)
+
     async def start(self) -> None:
         """Open the sockets and subscribe to the replicas."""
         settings = self.settings
@@ -114,6 +128,10 @@
         )
         show("failure_domains_evacuated", "emptied by operators", self._evacuated)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
+        if self.held_bytes is not None:
+            self.held_bytes.register_gauges()
+            bodies = self.forwarder.steps.target_bodies
+            show("target_body_bytes", "at the target that has most", bodies.max_in_hand_bytes)
 
     def _count_signals(self, signal: TargetSignal) -> float:
         return self.forwarder.target_states.signals.count(signal, read_clock())
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -21,6 +21,7 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
+from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.http1.exchange import Exchange
@@ -110,6 +111,8 @@
         self.take_retry = take_retry
         self.suspicions = target_states.view.suspicions
         self.tallies = tallies
+        # Bounds the large bodies at each target; `None` where they are not bounded.
+        self.target_bodies: TargetBodies | None = None
 
     async def run(self, exchange: Exchange, call: Call, delivery: Delivery) -> AttemptOutcome:
         """Send until an answer is delivered or no further attempt is allowed."""
@@ -130,6 +133,24 @@
             call.retry_after_s = pause_s
         return RequestState.ENDED
 
+    async def send(self, progress: RequestProgress) -> AttemptOutcome:
+        """Make one attempt at the target that was chosen."""
+        return await self.sends.send(
+            progress.exchange, progress.call, progress.delivery, progress.placement
+        )
+
+    async def wait_for_target(self, progress: RequestProgress) -> bool:
+        """Find a target that may be sent the request's body, or wait for the first choice."""
+        bodies, size_bytes = self.target_bodies, len(progress.exchange.request.body)
+        call, first = progress.call, progress.placement
+        while not bodies.may_send(progress.placement.target.target_id, size_bytes):
+            call.tried.add(progress.placement.target.target_id)
+            if self.place(progress) is RequestState.ENDED:
+                progress.placement, call.retry_after_s = first, None
+                name = call.facts.request_id.decode("latin-1")
+                return await bodies.wait(first.target.target_id, size_bytes, name)
+        return True
+
     def may_retry(self, call: Call, outcome: AttemptOutcome) -> bool:
         """Return whether the request may be sent to another target."""
         if outcome.end is AttemptEnd.WITHHELD:
@@ -173,9 +194,15 @@
         why = f"{progress.outcome.why}; retry budget spent"
         progress.outcome = progress.outcome._replace(why=why)
         return RequestState.ENDED
-    progress.outcome = await steps.sends.send(
-        progress.exchange, call, progress.delivery, progress.placement
-    )
+    bodies = steps.target_bodies
+    if bodies is None:
+        progress.outcome = await steps.send(progress)
+        return RequestState.SENT
+    if not await steps.wait_for_target(progress):
+        return progress.refuse("too many bytes of bodies in hand at the target", None)
+    size_bytes = len(progress.exchange.request.body)
+    with bodies.sending(progress.placement.target.target_id, size_bytes):
+        progress.outcome = await steps.send(progress)
     return RequestState.SENT
 
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/bench.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/bench.py
@@ -71,10 +71,14 @@
         self.forwarder = Forwarder(
             self.view, self.connections, NAMES, "domain", BudgetTerms(), 1.2, Random(1), started_s
         )
-        self.server = HttpServer(self.forwarder.handle, ServerLimits())
+        self.server = HttpServer(self.forwarder.handle, ServerLimits(), self.make_memory())
         self.port = self.server.listen("127.0.0.1", 0)
         self.addCleanup(lambda: to_deferred(self.finish()))
 
+    def make_memory(self):
+        """Return the accounts of held bytes; none by default."""
+        return
+
     async def finish(self):
         await self.server.stop_listening()
         self.server.abort()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -0,0 +1,246 @@
+"""Tests of the bound on held bytes, with callers and targets that read slowly or stop."""
+
+import asyncio
+import socket
+
+from twisted.trial.unittest import TestCase
+
+from damaskwind.decisions.held_bytes.bound import HeldBounds
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.model.targets import Address
+from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.held_bytes import HeldBytes
+from damaskwind.router.forwarding.process import ForwardingRouter
+from damaskwind.router.forwarding.settings import ForwardingSettings
+from damaskwind.router.forwarding.target_bodies import TargetBodies
+from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.server import HttpServer, ServerLimits
+from damaskwind.runtime.tallies import Tallies
+from damaskwind.standins.scripted_target import plain, silent
+
+MIB = 2**20
+BOUNDS = HeldBounds(6 * MIB, 3 * MIB)
+
+
+class HeldBytesTestCase(ForwarderTestCase):
+    def make_memory(self):
+        self.tallies = Tallies()
+        self.memory = HeldBytes(BOUNDS, NAMES, self.tallies)
+        self.forwarder.steps.target_bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+        return self.memory
+
+    async def open(self, body=b"{}", size_bytes=None, path="/a/x"):
+        """Send a request whose caller has a small receive buffer; return its streams."""
+        handle = socket.socket()
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        handle.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(handle, ("127.0.0.1", self.port))
+        reader, writer = await asyncio.open_connection(sock=handle, limit=4096)
+        # A reader or writer that is no longer referenced ends its connection.
+        self.addCleanup(lambda: (reader, writer.transport.abort()))
+        head = f"POST {path} HTTP/1.1\r\nhost: host\r\nx-request-id: r1\r\n"
+        head += f"x-deadline-ms: 5000\r\ncontent-length: {size_bytes or len(body)}\r\n\r\n"
+        writer.write(head.replace("x-dead", "authorization: Bearer key\r\nx-dead").encode() + body)
+        return reader, writer
+
+    async def read_end(self, reader):
+        """Return all that comes within a second of silence, and whether a reset ended it."""
+        received = []
+        try:
+            while data := await asyncio.wait_for(reader.read(65536), 1.0):
+                received.append(data)
+        except ConnectionResetError:
+            return b"".join(received), True
+        except TimeoutError:
+            pass
+        return b"".join(received), False
+
+    async def until(self, condition, limit_s=4.0):
+        deadline_s = read_clock() + limit_s
+        while not condition():
+            self.assertLess(read_clock(), deadline_s)
+            await asyncio.sleep(0.01)
+
+    def given_up(self):
+        return sum(self.tallies.totals("answers_given_up").values())
+
+
+class HeldAnswersTest(HeldBytesTestCase):
+    @asyncio_test
+    async def test_callers_that_never_read_are_reset_and_the_bound_holds(self):
+        """Without the bound, 12 answers of 2 MB were held at once."""
+        self.share(*[plain(200, bytes(2 * MIB))] * 12)
+        readers = [(await self.open())[0] for _ in range(12)]
+        peak_bytes = 0
+        while self.given_up() < 9:
+            peak_bytes = max(peak_bytes, self.memory.ledger.held_bytes)
+            await asyncio.sleep(0.001)
+        self.assertLessEqual(peak_bytes, BOUNDS.total_bytes)
+        self.assertEqual((await self.call(request_id=b"r2")).body, b"whole")
+        ends = await asyncio.gather(*map(self.read_end, readers))
+        for received, was_reset in ends:
+            head, _, body = received.partition(b"\r\n\r\n")
+            self.assertTrue(head.startswith((b"HTTP/1.1 200", b"HTTP/1.1 502")) or was_reset)
+            # A cut answer ends with a reset, never as if complete.
+            self.assertTrue(was_reset or len(body) == 2 * MIB or b" 502 " in head)
+        self.assertGreater(sum(len(received) > 2 * MIB for received, _ in ends), 0)
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
+    @asyncio_test
+    async def test_answer_that_has_not_begun_is_replaced_by_502(self):
+        self.script(plain(200, bytes(7 * MIB)))
+        reader, _ = await self.open()
+        received = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+        self.assertIn(b" 502 ", received)
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
+    @asyncio_test
+    async def test_stream_of_a_slow_caller_is_read_to_its_end_from_the_target(self):
+        """A target cuts off an answer that stays unread."""
+        self.publish(route(kind=RouteKind.STREAMING))
+        target_done = []
+
+        async def step(writer, request):
+            writer.write(b"HTTP/1.1 200 X\r\nx-request-id: r1\r\ncontent-length: 4000000\r\n\r\n")
+            for _ in range(400):
+                writer.write(bytes(10_000))
+                await writer.drain()
+            target_done.append(True)
+
+        self.script(step)
+        reader, _ = await self.open()
+        await self.until(lambda: target_done and self.memory.ledger.held_bytes > 3_700_000)
+        received, was_reset = await self.read_end_of_length(reader, 4_000_000)
+        self.assertEqual((received, was_reset), (4_000_000, False))
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
+    async def read_end_of_length(self, reader, size_bytes):
+        await reader.readuntil(b"\r\n\r\n")
+        return len(await asyncio.wait_for(reader.readexactly(size_bytes), 5.0)), False
+
+    @asyncio_test
+    async def test_stop_waits_for_an_answer_that_is_still_being_read(self):
+        """The answer was written off once the transport had it, and cut off by the exit."""
+        self.script(plain(200, bytes(4 * MIB)))
+        reader, _ = await self.open()
+        await self.until(lambda: self.memory.ledger.held_bytes > 3 * MIB)
+        self.server.close_after_answers()
+        await self.server.stop_listening()
+        self.assertFalse(await self.server.wait_until_idle(0.2))
+        reading = asyncio.ensure_future(self.read_end_of_length(reader, 4 * MIB))
+        self.assertTrue(await self.server.wait_until_idle(4.0))
+        self.assertEqual(await reading, (4 * MIB, False))
+
+
+class HeldBodiesTest(HeldBytesTestCase):
+    @asyncio_test
+    async def test_body_beyond_the_bound_waits_unread_and_is_then_refused_as_not_run(self):
+        _, first = await self.open(b"x", 2 * MIB)
+        await self.until(lambda: self.memory.bodies.held_bytes)
+        begun_s = read_clock()
+        reader, _ = await self.open(bytes(MIB), 2 * MIB)
+        await self.until(lambda: self.memory.bodies.waiting)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+        self.assertIn(b" 503 ", head)
+        self.assertIn(b"retry-after", head)
+        self.assertLess(read_clock() - begun_s, 0.8)
+        self.assertEqual((self.received(), self.memory.bodies.waiting), ([], 0))
+        first.write(bytes(2 * MIB - 1))
+        await self.until(lambda: self.received())
+
+    @asyncio_test
+    async def test_body_that_waited_is_read_when_another_is_cut_off_in_the_middle(self):
+        _, first = await self.open(b"x", 2 * MIB)
+        await self.until(lambda: self.memory.bodies.held_bytes)
+        reader, _ = await self.open(bytes(2 * MIB))
+        await self.until(lambda: self.memory.bodies.waiting)
+        first.transport.abort()
+        self.assertIn(b" 200 ", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0))
+        self.assertEqual([len(request.body) for request in self.received()], [2 * MIB])
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+        self.assertEqual((self.memory.bodies.held_bytes, self.server.reading), (0, 0))
+
+    @asyncio_test
+    async def test_target_that_reads_a_body_slowly_holds_up_no_other_request(self):
+        target = self.targets[0]
+        self.view.targets.leave("t1", read_clock())
+        stuck = await asyncio.start_server(lambda reader, writer: asyncio.sleep(9), "127.0.0.1", 0)
+        self.addCleanup(stuck.close)
+        self.admit("t2", Address(*stuck.sockets[0].getsockname()[:2]))
+        self.view.targets.leave("t0", read_clock())
+        slow = await self.open(bytes(2 * MIB))
+        await self.until(lambda: self.forwarder.steps.target_bodies.max_in_hand_bytes())
+        self.admit("t3", self.view.targets.record_of("t0").address)
+        for number in range(8):
+            await self.call(request_id=b"r%d" % (number + 2))
+        self.assertTrue(target.received)
+        self.assertLess(self.memory.ledger.held_bytes, 2.1 * MIB)
+        slow[1].transport.abort()
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+        self.assertEqual(self.forwarder.steps.target_bodies.max_in_hand_bytes(), 0)
+
+    @asyncio_test
+    async def test_second_large_body_waits_for_its_target_and_is_refused_as_not_run(self):
+        """Many routers together could exceed a target's memory."""
+        self.view.routers = 138
+        self.view.targets.leave("t1", read_clock())
+        self.script(silent())
+        await self.open(bytes(MIB))
+        await self.until(lambda: self.received())
+        reader, _ = await self.open(bytes(MIB))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+        self.assertIn(b" 503 ", head)
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_second_large_body_goes_to_a_target_without_one(self):
+        self.view.routers = 138
+        self.script(silent())
+        for count in (1, 2):
+            await self.open(bytes(MIB))
+            await self.until(lambda count=count: len(self.received()) == count)
+        self.assertEqual([len(target.received) for target in self.targets], [1, 1])
+
+
+class SwitchTest(TestCase):
+    def router(self, **switch):
+        address = Address("127.0.0.1", 1)
+        settings = ForwardingSettings("r", "domain", address, address, (), 1, **switch)
+        return ForwardingRouter(settings, lambda body: None, HeaderNames())
+
+    def test_bytes_are_bounded_only_with_contention_and_a_known_memory(self):
+        for switch in ({}, {"has_contention": True}, {"memory_bytes": 152 * MIB}):
+            router = self.router(**switch)
+            self.assertIsNone(router.held_bytes)
+            self.assertIsNone(router._callers.memory)
+            self.assertIsNone(router.forwarder.steps.target_bodies)
+        router = self.router(has_contention=True, memory_bytes=152 * MIB)
+        self.assertIs(router._callers.memory, router.held_bytes)
+
+    @asyncio_test
+    async def test_without_the_switch_connections_keep_their_buffers_and_write_at_once(self):
+        accounts = []
+
+        async def handle(exchange):
+            accounts.append(exchange.account)
+            (connection,) = server.connections
+            limits.append(connection._transport.get_write_buffer_limits())
+            outboxes.append(connection._outbox)
+            exchange.begin(200, [])
+            exchange.write(bytes(MIB))
+            exchange.finish()
+
+        limits, outboxes = [], []
+        server = HttpServer(handle, ServerLimits())
+        port = server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual((accounts, outboxes, limits), ([None], [None], [(16_384, 65_536)]))
+        self.assertEqual((server.memory, server.reading), (None, 0))
+        writer.close()
+        await server.stop_listening()
+        server.abort()
+        await asyncio.sleep(0.05)
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -15,7 +15,9 @@
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.held_memory import AnswerAccount
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
+from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, Outbox
 from damaskwind.runtime.http1.transports import reset
 
 __all__ = [
@@ -28,6 +30,8 @@
 
 # No target sends an answer whose head is larger than this.
 ANSWER_HEAD_BYTES = 65_536
+# Where answers are accounted for, at most this much is read before the account is asked.
+READ_BYTES = 65_536
 
 
 # Bytes unacknowledged for this long mean that the link is cut: within a region, a lost
@@ -81,6 +85,10 @@
         self.is_in_use = False
         self.requests = 0
         self.usable_until_s = 0.0
+        self._account: AnswerAccount | None = None
+        self._outbox: Outbox | None = None
+        self._is_collecting = False
+        self._unread_bytes = 0
         self.on_lost: Callable[[ClientConnection], None] | None = None
 
     @property
@@ -96,6 +104,31 @@
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
         handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
+    def account_to(self, account: AnswerAccount) -> None:
+        """Add what is read until the next `settle` to an account, and keep write buffers small."""
+        self._account = account
+        self._transport.max_size = READ_BYTES
+        if self._outbox is None:
+            handle = self._transport.get_extra_info("socket")
+            handle.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+            self._outbox = Outbox(self._transport)
+
+    def settle(self) -> None:
+        """Release what was read, since it was passed on or dropped."""
+        if self._account is not None and self._unread_bytes:
+            self._account.hold(-self._unread_bytes)
+        self._unread_bytes = 0
+
+    def pause_writing(self) -> None:
+        """Hold the rest of a body while the target reads it slowly."""
+        if self._outbox is not None:
+            self._outbox.pause()
+
+    def resume_writing(self) -> None:
+        """Send the rest of a body."""
+        if self._outbox is not None:
+            self._outbox.resume()
+
     def data_received(self, data: bytes) -> None:
         """Feed bytes of the answer to the parser; unrequested bytes end the connection."""
         if not self.is_in_use:
@@ -103,6 +136,9 @@
             self.abort()
             return
         self._last_active_s = read_clock()
+        if self._account is not None:
+            self._unread_bytes += len(data)
+            self._account.hold(len(data))
         self._parser.receive_data(data)
         self._wake()
 
@@ -115,6 +151,8 @@
         """Record the end of the connection and whether it was orderly or a timeout."""
         self._is_lost = True
         self._has_received_eof = self._has_received_eof and error is None
+        if self._outbox is not None:
+            self._outbox.clear()
         # The transport doesn't distinguish a timeout from a reset; the length of silence does.
         silent_s = read_clock() - self._last_active_s
         self.is_timed_out = not self._has_received_eof and silent_s > UNACKNOWLEDGED_MS / 1000
@@ -147,10 +185,15 @@
         )
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_BYTES)
         data = self._parser.send(self._sent_request)
-        if request.body:
+        if request.body and self._outbox is not None:
+            self._outbox.write(data)
+            # The body is not copied: the outbox sends it in parts.
+            data = self._parser.send(h11.Data(data=request.body))
+        elif request.body:
             data += self._parser.send(h11.Data(data=request.body))
         data += self._parser.send(h11.EndOfMessage())
-        self._transport.write(data)
+        write = self._transport.write if self._outbox is None else self._outbox.write
+        write(data)
 
     async def read_head(self) -> AnswerHead:
         """Wait for the head of the answer; raise `AnswerBrokenError` if none arrives."""
@@ -172,13 +215,18 @@
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the rest of the body; raise `AnswerBrokenError` if it exceeds the limit."""
+        return b"".join(await self.read_pieces(limit_bytes))
+
+    async def read_pieces(self, limit_bytes: int) -> list[bytes]:
+        """Return the rest of the body in pieces; they stay in the account until `settle`."""
+        self._is_collecting = True
         pieces, size_bytes = [], 0
         while (piece := await self.read_data()) is not None:
             pieces.append(piece)
             size_bytes += len(piece)
             if size_bytes > limit_bytes:
                 raise AnswerBrokenError(f"answer of over {limit_bytes} bytes")
-        return b"".join(pieces)
+        return pieces
 
     def skip_answer(self) -> None:
         """Expect another answer, since the one just read belongs to an earlier request.
@@ -202,9 +250,13 @@
         by further bytes; otherwise it is reset.
         """
         self.is_in_use = False
+        self._is_collecting = False
+        self.settle()
+        self._account = None
         parser = self._parser
         is_clean = (
             self.is_open
+            and (self._outbox is None or self._outbox.is_empty)
             and parser is not None
             and parser.our_state is h11.DONE
             and parser.their_state is h11.DONE
@@ -223,6 +275,8 @@
                 raise AnswerBrokenError(f"no whole answer: {error}") from error
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
+            if not self._is_collecting:
+                self.settle()
             if self._is_lost:
                 raise AnswerBrokenError("the connection was lost")
             self._waiter = asyncio.get_running_loop().create_future()
--- a/packages/runtime/src/damaskwind/runtime/http1/exchange.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/exchange.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.held_memory import RequestAccount
 from damaskwind.runtime.http1.messages import Answer, Headers, Request
 
 __all__ = ["CallerConnection", "Delivery", "Exchange", "answer_headers"]
@@ -35,6 +36,9 @@
     async def taken(self) -> None:
         """Wait until the operating system has accepted all that was written."""
 
+    async def flushed(self) -> bool:
+        """Wait until the socket has accepted a held answer; return `False` if it was cut off."""
+
     def abort(self) -> None:
         """Reset the connection."""
 
@@ -68,11 +72,19 @@
 class Exchange:
     """One request and the answer that is being sent to it.
 
-    `started_s` is the monotonic time at which the request's head was read.
+    `started_s` is the monotonic time at which the request's head was read. With an `account`
+    the answer may be written faster than the caller reads: it is held and accounted for.
     """
 
-    def __init__(self, connection: CallerConnection, request: Request, started_s: float) -> None:
+    def __init__(
+        self,
+        connection: CallerConnection,
+        request: Request,
+        started_s: float,
+        account: RequestAccount | None = None,
+    ) -> None:
         self.request = request
+        self.account = account
         self.started_s = started_s
         self.has_begun = False
         self.is_finished = False
@@ -121,6 +133,10 @@
         """Wait until the write buffer has space."""
         await self._connection.drained()
 
+    async def flushed(self) -> bool:
+        """Wait until the socket has accepted a held answer; return `False` if it was cut off."""
+        return await self._connection.flushed()
+
     def finish(self) -> None:
         """End the answer as complete."""
         self.is_finished = True
--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
@@ -0,0 +1,61 @@
+"""The interfaces by which connections account for the bytes that they hold."""
+
+from typing import Protocol
+
+from damaskwind.runtime.http1.messages import Headers
+
+__all__ = ["AnswerAccount", "CallerSide", "HeldMemory", "RequestAccount"]
+
+
+class AnswerAccount(Protocol):
+    """The account of one answer, as far as it is in this process."""
+
+    def hold(self, size_bytes: int) -> None:
+        """Add bytes; a negative size releases them."""
+
+    def take(self, size_bytes: int) -> None:
+        """Release bytes that the caller's socket has accepted."""
+
+    def pause(self) -> None:
+        """Record that the caller's socket accepts no more bytes."""
+
+    def resume(self) -> None:
+        """Record that the caller's socket accepts bytes again."""
+
+
+class RequestAccount(AnswerAccount, Protocol):
+    """The account of a request, from its head to the end of its answer."""
+
+    def begin_body(self, size_bytes: int) -> bool:
+        """Return whether to read the body now; `size_bytes` is 0 if its length is unknown.
+
+        After `False` the connection is told to resume or to refuse, possibly before the return.
+        """
+
+    def add_body(self, size_bytes: int) -> bool:
+        """Account for a piece of a body of unknown length; return whether to read on."""
+
+    def close(self) -> None:
+        """Drop all that is held; a second call has no effect."""
+
+
+class CallerSide(Protocol):
+    """What the account may do with its caller's connection."""
+
+    has_begun: bool
+
+    def resume_body(self) -> None:
+        """Read the body that was left unread."""
+
+    def refuse_body(self, retry_after_s: float) -> None:
+        """Answer 503, since the body is not read; the request has not run."""
+
+    def abort(self) -> None:
+        """Reset the connection."""
+
+
+class HeldMemory(Protocol):
+    """Opens the account of each request."""
+
+    def open(self, caller: CallerSide, headers: Headers) -> RequestAccount:
+        """Return the account of a request whose head was read."""
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -15,13 +15,23 @@
 
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange, answer_headers
-from damaskwind.runtime.http1.messages import Answer, Headers, Request
+from damaskwind.runtime.http1.held_memory import HeldMemory, RequestAccount
+from damaskwind.runtime.http1.messages import Answer, Headers, Request, header
+from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, WRITE_BYTES, Outbox
 from damaskwind.runtime.http1.transports import reset
 
 __all__ = ["HttpServer", "ServerLimits"]
 
 # The handler waits while more than this many bytes are unsent to a slow caller.
 WRITE_BUFFER_BYTES = 65_536
+# The kernel's buffer for a body that is left unread.
+RECEIVE_BUFFER_BYTES = 65_536
+# A caller whose body is refused may still be sending: for this time, what it sends is dropped, as
+# a closed socket would answer with a reset that can overtake the refusal.
+LINGER_S = 2.0
+# A caller that has taken nothing for this time, while an answer waits for it, has stopped reading.
+# The kernel's buffer hides what a caller of 1 KB/s takes for some 20 s.
+STALLED_S = 60.0
 
 
 class ServerLimits(NamedTuple):
@@ -61,6 +71,10 @@
         self._is_paused = False
         self._is_lost = False
         self._has_partial_head = False
+        self._outbox: Outbox | None = None
+        self._account: RequestAccount | None = None
+        self._is_body_waiting = False
+        self._is_lingering = False
         self.requests = 0
 
     @property
@@ -68,15 +82,31 @@
         """Return whether no request is being read or answered."""
         return self._task is None and self._head is None and not self._has_partial_head
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether an answer to the present request was begun."""
+        return self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start to wait for the first request."""
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        if self._server.memory is not None:
+            self._limit_buffers(transport)
         self._server.connections.add(self)
         self._restart_timer(self._server.limits.idle_timeout_s)
 
+    def _limit_buffers(self, transport: asyncio.Transport) -> None:
+        """Keep the buffers of the kernel and of the transport small."""
+        handle = transport.get_extra_info("socket")
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._outbox = Outbox(transport)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes; those after the present request are buffered until it is answered."""
+        if self._is_lingering:
+            return
         self._parser.receive_data(data)
         if self._task is None:
             if self._head is None and not self._has_partial_head:
@@ -94,17 +124,24 @@
         self._is_lost = True
         self._stop_timer()
         self._server.connections.discard(self)
+        if self._outbox is not None:
+            self._outbox.clear()
         self._resume()
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._close_account()
 
     def pause_writing(self) -> None:
         """Record that the transport's buffer is full."""
         self._is_paused = True
+        if self._outbox is not None:
+            self._outbox.pause()
 
     def resume_writing(self) -> None:
         """Wake the handler, since the transport accepts bytes again."""
-        self._resume()
+        if self._outbox is None or self._outbox.resume():
+            self._resume()
 
     def _resume(self) -> None:
         self._is_paused = False
@@ -122,6 +159,26 @@
         self._transport.set_write_buffer_limits(high=0)
         await self.drained()
 
+    async def flushed(self) -> bool:
+        """Wait until the socket has accepted the answer; return `False` if it was cut off.
+
+        The connection is reset if the caller has stopped reading.
+        """
+        if self._outbox is None or self._outbox.is_empty:
+            return not self._is_lost
+        # With a limit of zero the transport resumes only when its buffer is empty.
+        self._transport.set_write_buffer_limits(high=0)
+        while not self._is_lost and not self._outbox.is_empty:
+            left_bytes = self._outbox.left_bytes
+            self._writable = asyncio.get_running_loop().create_future()
+            await asyncio.wait([self._writable], timeout=STALLED_S)
+            if not self._writable.done() and self._outbox.left_bytes == left_bytes:
+                logger.info("caller stalled", caller=self.caller, left_bytes=left_bytes)
+                self.abort()
+                return False
+        self._transport.set_write_buffer_limits(high=WRITE_BYTES)
+        return not self._is_lost
+
     @property
     def caller(self) -> str:
         """Return the caller's address as `host:port`."""
@@ -131,11 +188,19 @@
     def close_if_idle(self) -> None:
         """Close the connection if it carries no request."""
         if self.is_idle:
-            self._transport.close()
+            self._close()
+
+    def _close(self) -> None:
+        """Close the connection after what was written."""
+        if self._outbox is not None:
+            self._outbox.flush()
+        self._transport.close()
 
     def abort(self) -> None:
         """Reset the connection."""
         self._server.connections.discard(self)
+        if self._outbox is not None:
+            self._outbox.clear()
         reset(self._transport)
 
     def _restart_timer(self, limit_s: float) -> None:
@@ -150,7 +215,7 @@
     def _on_timeout(self) -> None:
         """Close an idle connection; answer a caller that is too slow with 408."""
         if self.is_idle:
-            self._transport.close()
+            self._close()
             return
         self._refuse(408)
 
@@ -158,6 +223,8 @@
         """Handle the parser's events until a request is complete."""
         try:
             while self._task is None:
+                if self._is_body_waiting or self._is_lingering:
+                    return
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
@@ -177,34 +244,103 @@
             self._head_s = read_clock()
             self._body, self._body_bytes = [], 0
             self._restart_timer(self._server.limits.idle_timeout_s)
-            if self._parser.they_are_waiting_for_100_continue:
-                self._send(h11.InformationalResponse(status_code=100, headers=[]))
+            if self._server.memory is not None and not self._begin_body(event):
+                return False
+            self._continue_body()
         elif isinstance(event, h11.Data):
             self._body.append(bytes(event.data))
             self._body_bytes += len(event.data)
             if self._body_bytes > self._server.limits.body_bytes:
                 self._refuse(413)
                 return False
+            if self._account is not None and not self._account.add_body(len(event.data)):
+                return False
         elif isinstance(event, h11.EndOfMessage):
             self._start()
         else:
             return False
         return True
 
+    def _continue_body(self) -> None:
+        """Ask for the body if the caller waits for that."""
+        if self._parser.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _begin_body(self, head: h11.Request) -> bool:
+        """Return whether to read on; otherwise the body waits, or the request was refused."""
+        length = header(list(head.headers), b"content-length")
+        size_bytes = 0 if length is None else int(length)
+        if size_bytes > self._server.limits.body_bytes:
+            self._refuse(413)
+            return False
+        self._server.reading += 1
+        self._account = self._outbox.account = self._server.memory.open(self, list(head.headers))
+        # The account may refuse the body during the call.
+        self._is_body_waiting = not self._account.begin_body(size_bytes)
+        if self._is_body_waiting and not self._is_lingering:
+            self._stop_timer()
+            self._transport.pause_reading()
+        return not self._is_body_waiting
+
+    def resume_body(self) -> None:
+        """Read the body that was left unread."""
+        if not self._is_body_waiting or self._is_lost:
+            return
+        self._is_body_waiting = False
+        self._restart_timer(self._server.limits.idle_timeout_s)
+        self._transport.resume_reading()
+        self._continue_body()
+        self._read_events()
+
+    def refuse_body(self, retry_after_s: float) -> None:
+        """Answer 503 to a request whose body is not read, and drop what its caller still sends."""
+        if self._is_lost or self._is_lingering:
+            return
+        self._is_lingering = True
+        self._stop_timer()
+        self._body = []
+        self.send_whole(Answer(503, [(b"retry-after", b"%.3f" % retry_after_s)]), True)
+        self._close_account()
+        self._outbox.flush()
+        self._transport.write_eof()
+        # Reading was stopped if the body had to wait.
+        self._transport.resume_reading()
+        asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
+
+    def _close_account(self) -> None:
+        """Drop what is held for the present request."""
+        account, self._account = self._account, None
+        if account is None:
+            return
+        self._outbox.account = None
+        account.close()
+        if self._task is None:
+            self._end_reading()
+
+    def _end_reading(self) -> None:
+        self._server.reading -= 1
+        self._server.notify_request_end()
+
     def _start(self) -> None:
         """Start the handler on the complete request."""
         head = self._head
         self._stop_timer()
         request = Request(head.method, head.target, list(head.headers), b"".join(self._body))
+        self._body = []
         self.requests += 1
-        exchange = Exchange(self, request, self._head_s)
+        exchange = Exchange(self, request, self._head_s, self._account)
         self._task = asyncio.ensure_future(self._run(exchange))
+        if self._account is not None:
+            # A task that is cancelled before its first step never runs its own clean-up.
+            self._task.add_done_callback(lambda _, account=self._account: account.close())
+            self._end_reading()
 
     async def _run(self, exchange: Exchange) -> None:
         """Run the handler; if it raises, log the exception and answer the request."""
         self._server.active += 1
         try:
             await self._server.handler(exchange)
+            await self.flushed()
             if not exchange.is_finished and not self._is_lost:
                 self.abort()
         except asyncio.CancelledError:
@@ -215,6 +351,7 @@
             self._answer_failure(exchange)
         finally:
             self._server.active -= 1
+            self._close_account()
             self._task = None
             self._server.notify_request_end()
         if exchange.is_finished and not self._is_lost:
@@ -232,11 +369,11 @@
         self._head = None
         self._has_partial_head = False
         if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
-            self._transport.close()
+            self._close()
             return
         self._parser.start_next_cycle()
         if self._server.is_closing:
-            self._transport.close()
+            self._close()
             return
         self._restart_timer(self._server.limits.idle_timeout_s)
         self._read_events()
@@ -246,7 +383,8 @@
         self._stop_timer()
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.send_whole(Answer(status, []), True)
-        self._transport.close()
+        self._close_account()
+        self._close()
 
     def send_head(self, status: int, headers: Headers, close: bool) -> None:
         """Send the status line and headers."""
@@ -281,16 +419,26 @@
         if self._is_lost:
             return
         data = b"".join(self._parser.send(event) or b"" for event in events)
-        if data:
+        if data and self._outbox is not None:
+            self._outbox.write(data)
+        elif data:
             self._transport.write(data)
 
 
 class HttpServer:
-    """All connections of one listening address."""
+    """All connections of one listening address.
+
+    With `memory` the bytes of requests and answers are accounted for and may be given up.
+    `reading` is the number of requests whose bodies are then being read.
+    """
 
-    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self, handler: Handler, limits: ServerLimits, memory: HeldMemory | None = None
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.memory = memory
+        self.reading = 0
         self.connections: set[_ServerProtocol] = set()
         self.active = 0
         self.is_closing = False
@@ -307,7 +455,7 @@
 
     def notify_request_end(self) -> None:
         """Wake the tasks that wait for the last request to end, if no request is left."""
-        if not self.active:
+        if not self.active and not self.reading:
             self._idle.set()
 
     def close_after_answers(self) -> None:
@@ -328,7 +476,7 @@
     async def wait_until_idle(self, limit_s: float) -> bool:
         """Wait until no request is in progress; return `False` if the limit expires first."""
         deadline_s = read_clock() + limit_s
-        while self.active:
+        while self.active or self.reading:
             self._idle.clear()
             try:
                 async with asyncio.timeout(max(0.0, deadline_s - read_clock())):
