--- a/packages/decisions/src/damaskwind/decisions/held_bytes/body_queue.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/body_queue.py
@@ -11,8 +11,9 @@
 
 # A longer wait than this leaves too little of a usual objective of a second.
 MAX_WAIT_S = 0.5
-# Bodies up to this size don't wait behind large ones, but count.
+# Bodies up to this size don't wait behind large ones, which leave room for them.
 SMALL_BYTES = 65_536
+LARGE_SHARE = 0.8
 # Bodies that end at irregular times are averaged over this time.
 RATE_TIME_S = 2.0
 MIN_RETRY_S = 0.3
@@ -42,6 +43,7 @@
     def __init__(self, bound_bytes: int) -> None:
         self.bound_bytes = bound_bytes
         self.held_bytes = 0
+        self._large_bytes = 0
         self._held: dict[int, int] = {}
         self._waiting: dict[int, int] = {}
         self._ended_bytes = 0.0
@@ -54,7 +56,8 @@
 
     def offer(self, number: int, size_bytes: int, now_s: float) -> BodyStep:
         """Decide about a body of a known size."""
-        if self._has_room(size_bytes) and (size_bytes <= SMALL_BYTES or not self._waiting):
+        is_first = size_bytes <= SMALL_BYTES or not self._waiting
+        if is_first and self._has_room(number, size_bytes):
             self._hold(number, size_bytes)
             return BodyStep.READ
         if self._queue_bytes() + size_bytes > self.bound_bytes:
@@ -66,22 +69,24 @@
 
     def grow(self, number: int, size_bytes: int) -> bool:
         """Add bytes to a body of unknown size; return `False` if there is no room for them."""
-        if not self._has_room(size_bytes) and self._held.get(number, 0) != self.held_bytes:
+        total_bytes = self._held.get(number, 0) + size_bytes
+        if not self._has_room(number, total_bytes):
             return False
-        self._hold(number, size_bytes)
+        self._hold(number, total_bytes)
         return True
 
     def close(self, number: int, now_s: float) -> list[int]:
         """Drop a body; return the requests whose bodies are read now."""
         self._waiting.pop(number, None)
-        size_bytes = self._held.pop(number, 0)
-        self.held_bytes -= size_bytes
+        size_bytes = self._held.get(number, 0)
+        self._hold(number, 0)
+        self._held.pop(number)
         if size_bytes > SMALL_BYTES:
             self._ended_bytes = self._recently_ended_bytes(now_s) + size_bytes
             self._ended_s = now_s
         begun = []
         for waiting, waiting_bytes in list(self._waiting.items()):
-            if not self._has_room(waiting_bytes):
+            if not self._has_room(waiting, waiting_bytes):
                 break
             self._hold(waiting, self._waiting.pop(waiting))
             begun.append(waiting)
@@ -90,7 +95,9 @@
     def expected_wait_s(self, size_bytes: int, now_s: float) -> float:
         """Return how long a body would wait; `MAX_WAIT_S` while no rate is known."""
         rate_bytes_per_s = self._recently_ended_bytes(now_s) / RATE_TIME_S
-        ahead_bytes = self.held_bytes + self._queue_bytes() + size_bytes - self.bound_bytes
+        ahead_bytes = (
+            self._large_bytes + self._queue_bytes() + size_bytes - LARGE_SHARE * self.bound_bytes
+        )
         if rate_bytes_per_s < 1.0:
             return MAX_WAIT_S
         return max(0.0, ahead_bytes / rate_bytes_per_s)
@@ -99,13 +106,21 @@
         """Return when the caller of a refused body should retry."""
         return min(MAX_RETRY_S, max(MIN_RETRY_S, self.expected_wait_s(size_bytes, now_s)))
 
-    def _has_room(self, size_bytes: int) -> bool:
-        """Tell whether a body fits; one alone always does."""
-        return not self.held_bytes or self.held_bytes + size_bytes <= self.bound_bytes
-
-    def _hold(self, number: int, size_bytes: int) -> None:
-        self._held[number] = self._held.get(number, 0) + size_bytes
-        self.held_bytes += size_bytes
+    def _has_room(self, number: int, total_bytes: int) -> bool:
+        """Tell whether a body may take so much in total; one alone always may."""
+        own_bytes = self._held.get(number, 0)
+        if total_bytes <= SMALL_BYTES:
+            return self.held_bytes - own_bytes + total_bytes <= self.bound_bytes
+        other_bytes = self._large_bytes - (own_bytes if own_bytes > SMALL_BYTES else 0)
+        return not other_bytes or other_bytes + total_bytes <= LARGE_SHARE * self.bound_bytes
+
+    def _hold(self, number: int, total_bytes: int) -> None:
+        """Set what a body takes in total."""
+        for size_bytes, sign in ((self._held.get(number, 0), -1), (total_bytes, 1)):
+            self.held_bytes += sign * size_bytes
+            if size_bytes > SMALL_BYTES:
+                self._large_bytes += sign * size_bytes
+        self._held[number] = total_bytes
 
     def _queue_bytes(self) -> int:
         return sum(self._waiting.values())
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -162,6 +162,19 @@
         await self.until(lambda: not self.memory.ledger.held_bytes)
         self.assertEqual((self.memory.bodies.held_bytes, self.server.reading), (0, 0))
 
+    @asyncio_test
+    async def test_body_of_unknown_length_is_refused_where_it_exceeds_the_bound(self):
+        _, first = await self.open(b"x", 2 * MIB)
+        await self.until(lambda: self.memory.bodies.held_bytes)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(b"POST /a/x HTTP/1.1\r\nhost: host\r\ntransfer-encoding: chunked\r\n\r\n")
+        writer.write(b"200000\r\n" + bytes(2 * MIB))
+        self.assertIn(b" 503 ", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0))
+        writer.close()
+        first.transport.abort()
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+        self.assertEqual((self.received(), self.server.reading), ([], 0))
+
     @asyncio_test
     async def test_target_that_reads_a_body_slowly_holds_up_no_other_request(self):
         target = self.targets[0]
