--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -197,6 +197,7 @@
 
     async def read_head(self) -> AnswerHead:
         """Wait for the head of the answer; raise `AnswerBrokenError` if none arrives."""
+        self._is_collecting = False
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
