--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from contextlib import nullcontext
 from random import Random
 from types import MappingProxyType
 
@@ -17,6 +18,7 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.final_answers import FinalAnswers
 from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.held_bytes import GivenUpError
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
 from damaskwind.router.forwarding.request_steps import RequestSteps
@@ -31,6 +33,8 @@
 
 __all__ = ["Forwarder"]
 
+# A body of 4 MB takes 24 ms to hash, in which no other request would be served.
+HASHED_AT_ONCE_BYTES = 65_536
 _ROUTING_STATUS = {RoutingReason.NO_ROUTE: 404, RoutingReason.UNKNOWN_KEY: 401}
 
 
@@ -92,14 +96,20 @@
         call = self._admit(exchange)
         if call is None:
             return
+        call.digest = await self._identify(exchange, call)
         delivery = Delivery(exchange, call.route.is_resumable)
         if self.view.suspicions.standing(call.digest) is Standing.FATAL:
             ends = self.view.suspicions.table.level(call.digest).ends
             self.answers.refuse_fatal(exchange, call, delivery, ends)
             return
         try:
-            async with asyncio.timeout(max(call.left_s(), 0.0)):
-                outcome = await self.steps.run(exchange, call, delivery)
+            async with exchange.account or nullcontext():
+                async with asyncio.timeout(max(call.left_s(), 0.0)):
+                    outcome = await self.steps.run(exchange, call, delivery)
+                if outcome.end is AttemptEnd.DELIVERED and not await delivery.flushed():
+                    outcome = AttemptOutcome(AttemptEnd.BROKEN, "the caller stopped reading")
+        except GivenUpError as error:
+            outcome = AttemptOutcome(AttemptEnd.BROKEN, str(error))
         except TimeoutError:
             outcome = AttemptOutcome(AttemptEnd.STALLED, "deadline exceeded")
         except asyncio.CancelledError:
@@ -127,16 +137,21 @@
             return None
         draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else facts.request_id
         service = choose_service(found.route, draw)
-        caller = found.account.name if found.account else key or ""
-        digest = identify_request(
-            request.method, host.encode("latin-1"), request.target, caller.encode(), request.body
-        )
-        call = Call(
-            facts, found.route, found.account, service, table.version, exchange.started_s, digest
-        )
+        call = Call(facts, found.route, found.account, service, table.version, exchange.started_s)
         self._budget(service).count_request(read_clock())
         return call
 
+    async def _identify(self, exchange: Exchange, call: Call) -> bytes:
+        """Return the digest of a request; where bytes are bounded, a thread hashes large bodies."""
+        request = exchange.request
+        host = header(request.headers, b"host") or b""
+        key = read_key(request.headers, self._names)
+        caller = call.account.name if call.account else key or ""
+        parts = (request.method, host, request.target, caller.encode(), request.body)
+        if exchange.account is None or len(request.body) <= HASHED_AT_ONCE_BYTES:
+            return identify_request(*parts)
+        return await asyncio.to_thread(identify_request, *parts)
+
     def _take_retry(self, service: str) -> bool:
         """Take one retry from a service's budget; return `False` if it is spent."""
         return self._budget(service).take(read_clock())
