Send requests to engines by the tokens that they need and hold

Routers report the tokens of their requests at each engine; replicas sum them, and a prompt part that several requests share counts once. Enabled with has_contention for services with an engine profile.

--- a/packages/control/src/damaskwind/control/fleet/news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/news_feed.py
@@ -8,10 +8,13 @@
 from random import Random
 from typing import NamedTuple
 
+from loguru import logger
+
 from damaskwind.control.fleet.heard_targets import TargetHeartbeats
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion, SuspicionTable
 from damaskwind.decisions.following.read_redirection import RelayEndpoint
 from damaskwind.decisions.load.held_sums import HeldAggregator, HeldSum
+from damaskwind.decisions.load.token_sums import TokenAggregator, TokenSums
 from damaskwind.decisions.membership.report_assignment import ReportAssignment
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.membership.target_table import Changes, TargetTable
@@ -84,6 +87,7 @@
     ) -> None:
         self.table = TargetTable()
         self.load_sums = HeldAggregator()
+        self.token_sums = TokenAggregator()
         self.suspicions = SuspicionTable()
         self.epoch = secrets.token_hex(4)
         self._version = version
@@ -290,10 +294,20 @@
             self.wake()
         else:
             self.load_sums.report(request.node_id, request.held, now_s, request.services)
+            if request.held_tokens is not None:
+                self._report_tokens(request, now_s)
             self.merge(request.records, request.last_seen)
             for target_id, age_s, _ in request.last_seen:
                 self._heartbeats.record_at_router(target_id, now_s - age_s)
 
+    def _report_tokens(self, request: NewsRequest, now_s: float) -> None:
+        """Take a router's report of the tokens that it holds, without entries that can't be."""
+        ignored = self.token_sums.report(
+            request.node_id, request.held_tokens, dict(request.held), now_s
+        )
+        if ignored:
+            logger.warning("held tokens ignored", router=request.node_id, entries=ignored)
+
     def _subscription(
         self, request: NewsRequest, revision: int, before: _Subscription | None, now_s: float
     ) -> _Subscription:
@@ -329,7 +343,11 @@
         return not is_known or has_changes or is_newer or has_evacuations or has_suspicions
 
     def build_news(
-        self, request: NewsRequest, held: HeldSum | None = None, has_headroom: bool = True
+        self,
+        request: NewsRequest,
+        held: HeldSum | None = None,
+        has_headroom: bool = True,
+        held_tokens: TokenSums | None = None,
     ) -> News:
         """Return the current updates for a subscriber, with the routers' load sums if given.
 
@@ -370,6 +388,7 @@
             suspicions,
             suspicions_revision,
             self.evacuations(),
+            held_tokens,
         )
 
     def _choose_table_sources(self, request: NewsRequest, revision: int) -> tuple[str, ...]:
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -6,6 +6,7 @@
 from damaskwind.control.fleet.news_feed import NewsFeed
 from damaskwind.decisions.following.document_holders import RELAY_LINK_SHARE, DocumentHolders
 from damaskwind.decisions.load.held_sums import HeldSum
+from damaskwind.decisions.load.token_sums import TokenSums
 from damaskwind.decisions.pacing.bulk_pacer import BulkPacer
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.clock import read_clock
@@ -36,6 +37,11 @@
 LOAD_SUM_LINK_SHARE = 0.06
 # Encoded size of one target's digest and count.
 LOAD_SUM_TARGET_BYTES = 7
+# Share of the link for the sums of tokens, apart from those of requests, so that these come as
+# often as without them.
+TOKEN_SUM_LINK_SHARE = 0.06
+# Encoded size of one engine's digest and figures, without its parts in use (two bytes each).
+TOKEN_SUM_TARGET_BYTES = 18
 # A router that would wait longer than this for its document is redirected to routers that
 # have it. The routers served first thus take a tenth of the time allowed.
 REDIRECT_BACKLOG_S = 0.25
@@ -64,6 +70,7 @@
             link_bytes_per_s * NEWS_LINK_SHARE, read_clock(), MAX_NEWS_WAIT_S
         )
         self._load_sum_pacer = BulkPacer(link_bytes_per_s * LOAD_SUM_LINK_SHARE, read_clock())
+        self._token_sum_pacer = BulkPacer(link_bytes_per_s * TOKEN_SUM_LINK_SHARE, read_clock())
         self._last_news_bytes = OVERHEAD_BYTES
         feed.has_headroom = self._is_idle
         feed.reserve_headroom = self._reserve_headroom
@@ -96,15 +103,17 @@
             self._feed.has_current_epoch(request),
         )
         is_behind = is_router and self._feed.is_behind(request)
-        load_sum = None
+        load_sum, token_sums = None, None
         if is_behind:
             await asyncio.sleep(min(self._news_pacer.backlog_s(read_clock()), MAX_NEWS_WAIT_S))
         elif is_router and is_known:
             await self._wait_for_turn()
         if is_router and is_known:
             load_sum = self._load_sum()
+            token_sums = self._token_sums() if request.held_tokens is not None else None
         has_headroom = not is_behind or self._news_pacer.backlog_s(read_clock()) < MAX_BACKLOG_S
-        answer = pack_answer(encode(self._feed.build_news(request, load_sum, has_headroom)))
+        news = self._feed.build_news(request, load_sum, has_headroom, token_sums)
+        answer = pack_answer(encode(news))
         size_bytes = len(answer.body)
         self._last_news_bytes = size_bytes + OVERHEAD_BYTES
         if is_behind:
@@ -128,6 +137,15 @@
         self._tallies.count("held_sums", sent="yes")
         return self._feed.load_sums.total(now_s)
 
+    def _token_sums(self) -> TokenSums | None:
+        """Return the sums of tokens, unless sums sent earlier are still queued."""
+        now_s = read_clock()
+        sums = self._feed.token_sums.total(now_s)
+        size_bytes = sum(TOKEN_SUM_TARGET_BYTES + len(item.parts) for item in sums.targets)
+        is_sent = self._token_sum_pacer.try_reserve(size_bytes, now_s)
+        self._tallies.count("token_sums", sent="yes" if is_sent else "no")
+        return sums if is_sent else None
+
     def _is_idle(self) -> bool:
         """Return whether an answer could be sent at once."""
         return not self._news_pacer.backlog_s(read_clock())
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -324,6 +324,10 @@
         """Return nothing: replicas send no requests to services."""
         return ()
 
+    def held_tokens(self, host: str) -> None:
+        """Return nothing: replicas send no requests to engines."""
+        return
+
     def is_first(self, host: str) -> bool:
         """Return true: every replica is asked for all changes, since each one serves routers."""
         return True
--- a/packages/decisions/src/damaskwind/decisions/admission/fair_queue.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/fair_queue.py
@@ -14,6 +14,12 @@
 
 __all__ = ["FairQueue", "PoolRequest"]
 
+
+def _always_fits(request: "PoolRequest") -> bool:
+    """Return true: the default where memory is not considered."""
+    return True
+
+
 # Every fourth turn goes to the earliest deadline regardless of rank. This keeps every
 # kind of request above a quarter of the turns, below which it counts as starved.
 DEADLINE_TURN = 4
@@ -30,6 +36,7 @@
     `arrived_s` and `deadline_s` are times of a monotonic clock; `objective_s` counts
     from the arrival. `came_back` marks a retry after a rejection. A request with a
     `target_id` waits for that target, which holds what it shares with other requests.
+    `need_tokens` is the memory that it needs there, 0 if that is not considered.
     """
 
     number: int
@@ -40,6 +47,7 @@
     objective_s: float
     came_back: bool = False
     target_id: str = ""
+    need_tokens: int = 0
 
 
 class _ServedWork(NamedTuple):
@@ -98,9 +106,13 @@
         return sorted(self._requests.values(), key=sort_key)
 
     def pop_next(
-        self, now_s: float, can_run: Callable[[str], bool], is_surge: bool = False
+        self,
+        now_s: float,
+        can_run: Callable[[str], bool],
+        is_surge: bool = False,
+        fits: Callable[[PoolRequest], bool] = _always_fits,
     ) -> PoolRequest | None:
-        """Remove and return the next request whose target can accept one now.
+        """Remove and return the next request that fits and whose target can accept one now.
 
         In a surge retries get only the deadline turns, since a slot taken by a retry is
         not available to the next first attempt, which could be served within its
@@ -109,7 +121,9 @@
         runs = {target_id: can_run(target_id) for target_id in self._targets()}
         if not any(runs.values()):
             return None
-        ready = [request for request in self.ordered(now_s) if runs[request.target_id]]
+        ready = [
+            request for request in self.ordered(now_s) if runs[request.target_id] and fits(request)
+        ]
         is_deadline_turn = (self._turns + 1) % DEADLINE_TURN == 0
         if is_surge and not is_deadline_turn:
             ready = [request for request in ready if not request.came_back]
@@ -124,6 +138,13 @@
         """Return how many requests wait for a target."""
         return sum(request.target_id == target_id for request in self._requests.values())
 
+    def is_ahead_of_all(self, request: PoolRequest) -> bool:
+        """Return whether a request is more urgent than all that wait for its target."""
+        waiting = self._requests.values()
+        return all(
+            request.rank < item.rank for item in waiting if item.target_id == request.target_id
+        )
+
     def _targets(self) -> set[str]:
         """Return the targets that requests wait for."""
         return {request.target_id for request in self._requests.values()}
--- a/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
@@ -16,11 +16,12 @@
 """
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from enum import StrEnum
-from math import ceil
+from math import ceil, inf
 from random import Random
 from statistics import median
+from types import MappingProxyType
 from typing import NamedTuple
 
 from damaskwind.decisions.admission.drain_rate import DrainRate
@@ -50,13 +51,15 @@
 SURGE_S = 0.3
 # After this time without a rejection, the next rejection starts a new surge.
 SURGE_GAP_S = 2.0
+_NONE: Mapping[str, int] = MappingProxyType({})
 
 
 class TargetSlots(NamedTuple):
-    """A target that accepts work, and how many free slots it reported."""
+    """A target that accepts work, how many free slots it reported, and its free memory."""
 
     target_id: str
     free: float
+    free_tokens: float = inf
 
 
 class AdmissionStep(StrEnum):
@@ -129,7 +132,8 @@
         headroom = self._headroom(request.target_id, target_slots, now_s)
         begun_part = self._median_start_fraction(now_s)
         must_queue = request.came_back and self._is_surge(now_s)
-        if headroom > 0 and not must_queue and not self.queue.waiting_for(request.target_id):
+        must_queue = must_queue or not _fits(request, target_slots)
+        if headroom > 0 and not must_queue and not self._is_behind_others(request):
             self._admit(request, now_s)
             return AdmissionDecision(AdmissionStep.START, 0.0, now_s, headroom, begun_part)
         self.queue.add(request)
@@ -178,8 +182,14 @@
         def can_run(target_id: str) -> bool:
             return self._headroom(target_id, target_slots, now_s) > 0
 
+        taken: Counter[str] = Counter()
+
+        def fits(request: PoolRequest) -> bool:
+            return _fits(request, target_slots, taken)
+
         is_surge = self._is_surge(now_s)
-        while (request := self.queue.pop_next(now_s, can_run, is_surge)) is not None:
+        while (request := self.queue.pop_next(now_s, can_run, is_surge, fits)) is not None:
+            taken[request.target_id] += request.need_tokens
             has_backlog = bool(self.queue.waiting_for(request.target_id))
             self._rate(request.target_id).record_departure(now_s, backlog=has_backlog)
             self._pool_rate.record_departure(now_s, backlog=bool(len(self.queue)))
@@ -216,6 +226,15 @@
         else:
             self._admitted_unsent.add(request.number)
 
+    def _is_behind_others(self, request: PoolRequest) -> bool:
+        """Return whether a request must wait behind others for its target.
+
+        One that needs little memory is not held up by less urgent ones that lack theirs.
+        """
+        if not self.queue.waiting_for(request.target_id):
+            return False
+        return not request.need_tokens or not self.queue.is_ahead_of_all(request)
+
     def _rate(self, target_id: str) -> DrainRate:
         """Return the drain rate of the requests that wait for a target."""
         return self._rates.setdefault(target_id, DrainRate())
@@ -302,3 +321,17 @@
             self._first_attempt_rejected_s = now_s
         retry_after_s = self.retry_after_s(request.objective_s, request.deadline_s - now_s, now_s)
         return PoolRejection(request.number, retry_after_s, why)
+
+
+def _fits(
+    request: PoolRequest, target_slots: Sequence[TargetSlots], taken: Mapping[str, int] = _NONE
+) -> bool:
+    """Return whether a target's memory has room for a request beside what was just admitted.
+
+    A target that has gone holds up no request: the request is placed again.
+    """
+    if not request.need_tokens:
+        return True
+    need_tokens = request.need_tokens + taken.get(request.target_id, 0)
+    usable = [item for item in target_slots if request.target_id in ("", item.target_id)]
+    return not usable or any(need_tokens <= item.free_tokens for item in usable)
--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -17,6 +17,7 @@
 from random import Random
 from typing import NamedTuple
 
+from damaskwind.decisions.placement.engine_memory import EngineRoom, first_with_room, most_room
 from damaskwind.decisions.placement.rank import rank_order, scores, target_seed
 
 __all__ = [
@@ -85,7 +86,8 @@
     if all others are above the bound, but is a good donor. With `has_known_load`,
     `load` is based on the target's own report or on the sums of all routers. A
     target with `is_held_back` serves and counts for the mean, but gets no work because an
-    operator excluded it or it is cold.
+    operator excluded it or it is cold. `room` is its memory for the request, `None` if that
+    is not considered.
     """
 
     target_id: str
@@ -98,18 +100,21 @@
     is_slow: bool = False
     has_known_load: bool = True
     is_held_back: bool = False
+    room: EngineRoom | None = None
 
 
 class Choice(NamedTuple):
     """The chosen target, its rank for the key, and the bound applied.
 
-    `donor_id` is the other target that most likely has the shared part cached.
+    `donor_id` is the other target that most likely has the shared part cached. `passed_over`
+    is the target that would have been chosen but for its memory or its prefill work.
     """
 
     candidate: Candidate
     rank: int
     bound: float
     donor_id: str = ""
+    passed_over: str = ""
 
 
 def affinity_key(part_ids: Sequence[bytes]) -> bytes | None:
@@ -143,17 +148,35 @@
     if not healthy:
         return None
     if key is None:
-        return _least_loaded(healthy, near_domain, policy, random)
+        with_room = _with_room(healthy)
+        if with_room:
+            return _least_loaded(with_room, near_domain, policy, random)
+        return Choice(healthy[most_room([item.room for item in healthy])], 0, 0.0)
     # The users' bound uses the mean over all serving targets, so those held back lower it.
     held_back = [item for item in candidates if item.is_held_back and not item.is_doubtful]
     mean = sum(item.load for item in (*healthy, *held_back)) / (len(healthy) + len(held_back))
     bound = policy.load_factor * mean + policy.load_slack_requests
     ranked = _rank(healthy, key)
-    for rank, item in enumerate(ranked):
-        if item.load < bound and not item.is_slow:
-            donor_id = _donor(candidates, key, item, policy)
-            return Choice(item, rank, bound, donor_id)
-    return _least_loaded(healthy, near_domain, policy, random)
+    below = [item for item in ranked if item.load < bound]
+    usable = [item for item in below if not item.is_slow]
+    position = first_with_room([item.room for item in usable])
+    if position is not None:
+        item = usable[position]
+        passed_over = usable[0].target_id if position else ""
+        donor_id = _donor(candidates, key, item, policy)
+        return Choice(item, ranked.index(item), bound, donor_id, passed_over)
+    if below and not _with_room(below):
+        # The request waits until it fits at the target where it lacks the least.
+        item = below[most_room([item.room for item in below])]
+        return Choice(item, ranked.index(item), bound, _donor(candidates, key, item, policy))
+    is_memory_known = any(item.room is not None for item in healthy)
+    pool = _with_room(below) if is_memory_known else healthy
+    return _least_loaded(pool or healthy, near_domain, policy, random)
+
+
+def _with_room(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Return the candidates whose memory has room, or is not considered."""
+    return [item for item in candidates if item.room is None or item.room.fits]
 
 
 def _rank(candidates: Sequence[Candidate], key: bytes) -> list[Candidate]:
--- a/packages/decisions/src/damaskwind/decisions/routing/table.py
+++ b/packages/decisions/src/damaskwind/decisions/routing/table.py
@@ -6,6 +6,7 @@
 
 from damaskwind.decisions.cold_targets.cold_periods import ColdStartLimits
 from damaskwind.model.traffic_configuration import (
+    EngineProfile,
     KeyedAccount,
     TrafficConfiguration,
     TrafficRoute,
@@ -55,11 +56,16 @@
             item.name: ColdStartLimits(item.cold_start_s, item.cold_per_s)
             for item in configuration.services
         }
+        self._engine_profiles = {item.name: item.engine for item in configuration.services}
 
     def cold_start_limits(self, service: str) -> ColdStartLimits:
         """Return the limits for cold targets of a service."""
         return self._cold_start_limits.get(service, ColdStartLimits())
 
+    def engine_profile(self, service: str) -> EngineProfile | None:
+        """Return the properties of a service's engines, if they are known."""
+        return self._engine_profiles.get(service)
+
     @property
     def version(self) -> int:
         """Return the version of the configuration."""
--- a/packages/model/src/damaskwind/model/header_names.py
+++ b/packages/model/src/damaskwind/model/header_names.py
@@ -20,6 +20,8 @@
     waiting requests and the slots, and `leaving` states that the target accepts no new
     work. `fetch_from` is the address of another engine from which the engine first copies
     the parts of the prompt that it lacks. `reserved` are headers that only the system sets.
+    `token_usage` is the number of prompt tokens and the upper bound of the output tokens,
+    `length_hint` the caller's estimate of the output tokens.
     """
 
     request_id: bytes = b"x-request-id"
@@ -36,3 +38,5 @@
     authorization: bytes = b"authorization"
     key_scheme: bytes = b"Bearer"
     reserved: frozenset[bytes] = frozenset((b"x-hold",))
+    token_usage: bytes = b"x-token-usage"
+    length_hint: bytes = b"x-length-hint"
--- a/packages/model/src/damaskwind/model/traffic_configuration.py
+++ b/packages/model/src/damaskwind/model/traffic_configuration.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CallerLimits",
+    "EngineProfile",
     "KeyedAccount",
     "RouteKind",
     "ServiceShare",
@@ -70,11 +71,25 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
+class EngineProfile(NamedTuple):
+    """The properties of each engine of a service.
+
+    Its memory holds `capacity_tokens` of running requests, of `bytes_per_token` each. An event
+    of a stream carries `tokens_per_event`.
+    """
+
+    slots: int
+    capacity_tokens: int
+    bytes_per_token: int = 0
+    tokens_per_event: int = 1
+
+
 class TrafficService(NamedTuple):
     """A pool of targets; `max_connections` bounds the connections that each accepts.
 
     A target is cold for `cold_start_s` after its start. A cold target handles `cold_per_s`
-    requests per second from all routers together; 0 means no bound.
+    requests per second from all routers together; 0 means no bound. `engine` is `None` for a
+    service whose targets are not known to be engines.
     """
 
     name: str
@@ -82,6 +97,7 @@
     max_connections: int = 100
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    engine: EngineProfile | None = None
 
 
 class CallerLimits(NamedTuple):
--- a/packages/router/src/damaskwind/router/forwarding/admission_gate.py
+++ b/packages/router/src/damaskwind/router/forwarding/admission_gate.py
@@ -10,11 +10,13 @@
 class GateRefusal(NamedTuple):
     """Why a gate refuses a request, which has not run, and when its caller should retry.
 
-    Without `retry_after_s` the delay is chosen by the admission of the request's pool.
+    Without `retry_after_s` the delay is chosen by the admission of the request's pool. With a
+    `text` the refusal is final: no Retry-After is sent, and the text is its body.
     """
 
     why: str
     retry_after_s: float | None = None
+    text: bytes | None = None
 
 
 class AdmissionGate(Protocol):
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -5,6 +5,7 @@
 from math import isfinite
 from typing import NamedTuple
 
+from damaskwind.decisions.load.request_cost import NO_TOKEN_HEADERS, RequestCost, TokenHeaders
 from damaskwind.decisions.placement.affinity import affinity_key
 from damaskwind.decisions.routing.regions import allowed_regions
 from damaskwind.model.header_names import HeaderNames
@@ -33,7 +34,7 @@
     """What a request's headers state.
 
     `wait_s` is the time that the caller still waits, `resume_after` the id of the last event
-    that it has.
+    that it has. `token_headers` are parsed only where the memory of engines is considered.
     """
 
     request_id: bytes
@@ -41,6 +42,7 @@
     has_deadline: bool
     part_ids: tuple[bytes, ...]
     resume_after: int | None
+    token_headers: TokenHeaders = NO_TOKEN_HEADERS
 
 
 class AttemptNote(NamedTuple):
@@ -92,7 +94,9 @@
 
     `digest` identifies the request's content, also under another request id. `is_suspected`
     means that targets have crashed while running it, and `exit_probe` finds out whether the
-    target of the last attempt has. If `regions` are given, the request stays in them.
+    target of the last attempt has. If `regions` are given, the request stays in them. `cost` is
+    set where the memory of engines is considered. `refusal_text` is the body of a final refusal,
+    after which a retry is of no use.
     """
 
     def __init__(
@@ -127,6 +131,8 @@
         self.unreached = 0
         self.silent_domains: set[str] = set()
         self.may_have_run = False
+        self.cost: RequestCost | None = None
+        self.refusal_text: bytes | None = None
 
     @property
     def priority(self) -> int:
@@ -153,6 +159,11 @@
         wait_ms is not None,
         part_ids,
         None if resume_after is None else int(resume_after),
+        TokenHeaders(
+            header(headers, names.token_usage),
+            header(headers, names.prompt_parts),
+            header(headers, names.length_hint),
+        ),
     )
 
 
--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -43,6 +43,11 @@
             delivery.send_whole(outcome.answer)
             self.log(call, delivery, "target failure passed on", outcome.why)
             return
+        if call.refusal_text is not None:
+            headers = [(b"content-type", b"text/plain; charset=utf-8")]
+            exchange.respond(Answer(503, headers, call.refusal_text))
+            self.log(call, delivery, "refused as too large", outcome.why)
+            return
         if not call.may_have_run:
             retry_after_s = (
                 self._admissions.retry_after_s(call)
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -20,6 +20,7 @@
 from damaskwind.decisions.following.read_redirection import RelayEndpoint
 from damaskwind.decisions.limits.slices import rendezvous_order
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
+from damaskwind.decisions.load.token_sums import HeldTokens, TokenSums
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.membership.target_table import SilentTargets, TargetTable
 from damaskwind.decisions.routing.table import RouteTable
@@ -72,6 +73,11 @@
     return ()
 
 
+def _no_held_tokens(host: str) -> None:
+    """Return nothing; the default where the memory of engines is not considered."""
+    return
+
+
 class FleetView:
     """One router's view of the fleet; `table` is `None` until a configuration is in force."""
 
@@ -98,6 +104,8 @@
         self.on_load_sum: list[Callable[[str, HeldSum], None]] = []
         self.count_services: Callable[[], tuple[ServiceReport, ...]] = tuple
         self.count_held: Callable[[str], tuple[HeldCount, ...]] = _no_held_counts
+        self.count_tokens: Callable[[str], tuple[HeldTokens, ...] | None] = _no_held_tokens
+        self.on_token_sums: list[Callable[[str, TokenSums], None]] = []
         self._node_id = node_id
         self._news_port = news_port
         self._decode = decode
@@ -222,6 +230,10 @@
         """Return this router's recent counts by service, as reported to a replica."""
         return self.count_services()
 
+    def held_tokens(self, host: str) -> tuple[HeldTokens, ...] | None:
+        """Return the tokens that this router holds at engines, as reported to a replica."""
+        return self.count_tokens(host)
+
     def known_version(self) -> int:
         """Return the configuration version in force here; 0 for none."""
         return self.table.version if self.table else 0
@@ -289,6 +301,9 @@
         if news.held is not None:
             for callback in self.on_load_sum:
                 callback(host, news.held)
+        if news.held_tokens is not None:
+            for callback in self.on_token_sums:
+                callback(host, news.held_tokens)
         self.follow(news.hosts)
 
     def _apply_evacuations(self, host: str, evacuations: Evacuations) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.crash_detector import CrashDetector
 from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.engine_memory import EngineMemory
 from damaskwind.router.forwarding.final_answers import FinalAnswers
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
@@ -37,7 +38,8 @@
     """The request handler of a router's caller-facing address.
 
     `started_s` is when the process began to serve, in monotonic seconds, by
-    default now. `region_of` maps each failure domain to its region.
+    default now. `region_of` maps each failure domain to its region. With `has_contention`
+    requests are sent to engines by the memory that they need.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         started_s: float | None = None,
         region_of: Mapping[str, str] = MappingProxyType({}),
         tallies: Tallies | None = None,
+        has_contention: bool = False,
     ) -> None:
         self.view = view
         self.target_states = TargetStates(view, connections, heartbeat_s, random)
@@ -60,11 +63,12 @@
         self._budget_terms = budget_terms
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._started_s = read_clock() if started_s is None else started_s
-        self.admissions = PoolAdmissions(self.target_states, random)
+        self.memory = EngineMemory(view, self.tallies) if has_contention else None
+        self.admissions = PoolAdmissions(self.target_states, random, self.memory)
         self.throttles = ServiceThrottles(self.target_states, random)
         self.crash_detector = CrashDetector(self.target_states)
         self.chooser = TargetChooser(
-            self.target_states, self.admissions, failure_domain, region_of, random
+            self.target_states, self.admissions, failure_domain, region_of, random, self.memory
         )
         self.sends = RecordedSends(
             AttemptSender(self.target_states, names),
@@ -73,11 +77,12 @@
             self.throttles,
             self.crash_detector,
             self.tallies,
+            self.memory,
         )
         self.steps = RequestSteps(
             self.target_states,
             self.admissions,
-            (self.throttles,),
+            (self.throttles,) if self.memory is None else (self.memory, self.throttles),
             self.chooser,
             self.sends,
             self._take_retry,
--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -9,10 +9,12 @@
     AdmissionStep,
     PoolAdmission,
     PoolRejection,
+    TargetSlots,
 )
 from damaskwind.decisions.admission.start_window import WindowPolicy
 from damaskwind.decisions.placement.affinity import Candidate
 from damaskwind.router.forwarding.call import Call, EntryNote
+from damaskwind.router.forwarding.engine_memory import EngineMemory
 from damaskwind.router.forwarding.target_states import TargetStates, free_slots_of
 from damaskwind.runtime.clock import read_clock
 
@@ -35,9 +37,12 @@
 class PoolAdmissions:
     """Admission of one router's requests to all pools."""
 
-    def __init__(self, target_states: TargetStates, random: Random) -> None:
+    def __init__(
+        self, target_states: TargetStates, random: Random, memory: EngineMemory | None = None
+    ) -> None:
         self._target_states = target_states
         self._random = random
+        self._memory = memory
         self._pools: dict[str, PoolAdmission] = {}
         self._waiters: dict[int, asyncio.Future[PoolRejection | None]] = {}
         self._longest_wait_s: dict[str, float] = {}
@@ -58,9 +63,9 @@
         now_s = read_clock()
         pool = self._pool(call.service)
         pool_request = self._pool_request(call, home.target_id if home else "", now_s)
-        free_slots = (
-            [free_slots_of(home)] if home else self._target_states.free_slots(call.service, now_s)
-        )
+        if home is not None and home.room is not None:
+            pool_request = pool_request._replace(need_tokens=home.room.need_tokens)
+        free_slots = [free_slots_of(home)] if home else self._free_slots(call.service, now_s)
         decision = pool.offer(pool_request, free_slots, now_s)
         outcome = None
         if decision.step is not AdmissionStep.START:
@@ -136,11 +141,18 @@
         if not len(pool.queue):
             return
         now_s = read_clock()
-        free_slots = self._target_states.free_slots(service, now_s)
+        free_slots = self._free_slots(service, now_s)
         # If no target takes work, all leave the queue, to be placed again and refused at once.
         for number in pool.admit_waiting(free_slots, now_s) if free_slots else pool.release_all():
             self._waiters[number].set_result(None)
 
+    def _free_slots(self, service: str, now_s: float) -> list[TargetSlots]:
+        """Return the free slots and the free memory of the targets of a service."""
+        free_slots = self._target_states.free_slots(service, now_s)
+        if self._memory is None:
+            return free_slots
+        return self._memory.add_free_tokens(service, free_slots, now_s)
+
     def _notify(self, rejections: tuple[PoolRejection, ...]) -> None:
         """Wake the waiters of requests that were rejected."""
         for rejection in rejections:
@@ -167,6 +179,7 @@
             route.objective_s,
             came_back,
             target_id,
+            call.cost.need_tokens if call.cost else 0,
         )
 
     def _pool(self, service: str) -> PoolAdmission:
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -12,6 +12,7 @@
 from damaskwind.router.forwarding.call import AttemptNote, Call
 from damaskwind.router.forwarding.crash_detector import BrokenSend, CrashDetector
 from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.engine_memory import EngineMemory
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
 from damaskwind.router.forwarding.target_states import SendResult, TargetStates
@@ -36,6 +37,7 @@
         throttles: ServiceThrottles,
         crash_detector: CrashDetector,
         tallies: Tallies,
+        memory: EngineMemory | None = None,
     ) -> None:
         self._sender = sender
         self._target_states = target_states
@@ -43,6 +45,7 @@
         self._admissions = admissions
         self._throttles = throttles
         self._tallies = tallies
+        self._memory = memory
         self._crash_detector = crash_detector
         crash_detector.on_crashed.append(self._record_target_crash)
         sender.on_answer_started = self._record_answer_started
@@ -66,6 +69,8 @@
             )
         finally:
             ended_s = read_clock()
+            if self._memory is not None:
+                self._memory.record_ended(call)
             self._admissions.record_ended(call)
             call.notes.append(_note(call, placement, basis, outcome, begun_s, ended_s))
         self._tallies.count("attempts", end=outcome.end.value)
@@ -84,6 +89,8 @@
         if basis.age_s is not None:
             self._tallies.observe("load_age", basis.age_s, source=basis.source.value)
         self._tallies.count("placements", load_from=basis.source.value)
+        if self._memory is not None:
+            self._memory.record_sent(call, target.target_id, begun_s)
         self._admissions.record_sent(call, target.target_id)
         call.sends += 1
         call.tried.add(target.target_id)
@@ -140,6 +147,8 @@
         self._target_states.record_answer_started(
             call.service, target_id, objective_share, read_clock()
         )
+        if self._memory is not None:
+            self._memory.record_started(call)
         self._admissions.record_answer_started(call)
 
 
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -119,11 +119,18 @@
             state = await _HANDLERS[state](self, progress)
         return progress.result
 
-    def place(self, progress: RequestProgress) -> RequestState:
-        """Choose the target of the next send; the request ends if there is none."""
+    def place(self, progress: RequestProgress, must_fit: bool = True) -> RequestState:
+        """Choose the target of the next send; the request ends if there is none.
+
+        One that fits nowhere is not sent with `must_fit`, unless its answer has begun: it could
+        not wait without being cut off.
+        """
         call = progress.call
         progress.placement = self.chooser.choose(call)
         if progress.placement is not None:
+            room = progress.placement.choice.candidate.room
+            if must_fit and room is not None and not room.fits and not progress.delivery.has_begun:
+                return progress.refuse("no engine memory", None)
             return RequestState.PLACED
         pause_s = self.chooser.pause_retry_after_s(call)
         if pause_s is not None:
@@ -145,11 +152,12 @@
 async def _admit(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Pass the gates and wait for headroom in the pool, or refuse the request."""
     call = progress.call
-    if steps.place(progress) is RequestState.ENDED:
+    if steps.place(progress, must_fit=False) is RequestState.ENDED:
         return RequestState.ENDED
     for gate in steps.gates:
         refusal = gate.check(call)
         if refusal is not None:
+            call.refusal_text = refusal.text
             return progress.refuse(refusal.why, refusal.retry_after_s)
     home = progress.placement.choice.candidate if call.key else None
     rejection = await steps.admissions.admit(call, home)
--- a/packages/router/src/damaskwind/router/forwarding/target_choice.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -9,6 +9,7 @@
 from damaskwind.decisions.routing.regions import is_allowed
 from damaskwind.router.forwarding.attempt import Placement
 from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.engine_memory import EngineMemory
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
@@ -29,12 +30,14 @@
         failure_domain: str,
         region_of: Mapping[str, str],
         random: Random,
+        memory: EngineMemory | None = None,
     ) -> None:
         self._target_states = target_states
         self._admissions = admissions
         self._failure_domain = failure_domain
         self._region_of = region_of
         self._random = random
+        self._memory = memory
 
     def choose(self, call: Call) -> Placement | None:
         """Choose the next target for a request, `None` if there is none to try."""
@@ -49,6 +52,8 @@
         candidates = target_states.candidates(records.values(), now_s, is_engine)
         candidates = self._doubt_partitioned(call, candidates)
         candidates = self._admissions.add_queued_load(call.service, candidates)
+        if self._memory is not None:
+            candidates = self._memory.add_rooms(call, candidates, now_s)
         choice = choose_target(
             candidates,
             call.key,
@@ -58,6 +63,8 @@
         )
         if choice is None:
             return None
+        if self._memory is not None:
+            self._memory.record_choice(call, candidates, choice)
         donor = records.get(choice.donor_id)
         target = records[choice.candidate.target_id]
         return Placement(target, choice, donor.address if donor else None)
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Collection
+from math import inf
 from random import Random
 from typing import NamedTuple
 
@@ -47,7 +48,9 @@
     would queue and reject requests while slots are free.
     """
     load = candidate.load if candidate.has_known_load else 0.0
-    return TargetSlots(candidate.target_id, candidate.slots - load)
+    room = candidate.room
+    free_tokens = inf if room is None else room.free_tokens
+    return TargetSlots(candidate.target_id, candidate.slots - load, free_tokens)
 
 
 def _incarnation(target: TargetRecord) -> tuple[str, tuple[int, int]]:
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -15,6 +15,7 @@
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion
 from damaskwind.decisions.following.read_redirection import NO_RELAY, RelayEndpoint
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
+from damaskwind.decisions.load.token_sums import HeldTokens, TokenSums
 from damaskwind.decisions.membership.target_record import PhaseChange, TargetRecord
 from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.exception import MessageError
@@ -90,7 +91,8 @@
     router, and `records` what was new there in their reports. `suspicions_seen` is the
     revision up to which this replica has sent suspicions of fatal requests, and
     `evacuations_seen` the revision of the evacuations that it last sent. `services` is
-    what a router observed in the last second of services that report no load.
+    what a router observed in the last second of services that report no load. `held_tokens`
+    is what its requests hold at engines, `None` if it doesn't ask for the sums of these.
     """
 
     node_id: str
@@ -108,6 +110,7 @@
     suspicions_seen: int = 0
     evacuations_seen: int = 0
     services: tuple[ServiceReport, ...] = ()
+    held_tokens: tuple[HeldTokens, ...] | None = None
 
 
 class OthersLastSeen(NamedTuple):
@@ -136,6 +139,7 @@
     routers that have more of them. `phases` are changes of targets that the subscriber
     knows. `suspicions` are the changed suspicions of fatal requests, up to
     `suspicions_revision`. `evacuations` are committed, and in force like `version`.
+    `held_tokens` sums what the routers' requests hold at engines, for those that report it.
     """
 
     epoch: str
@@ -155,6 +159,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     suspicions_revision: int = 0
     evacuations: Evacuations = Evacuations()
+    held_tokens: TokenSums | None = None
 
 
 class SeenRevision(NamedTuple):
@@ -199,10 +204,28 @@
 def encode(
     message: NewsRequest | News | DocumentRequest | Document | TableCopy | tuple[Suspicion, ...],
 ) -> bytes:
-    """Encode a message."""
-    return msgspec.msgpack.encode(message)
+    """Encode a message, without its newest fields where these have their defaults.
+
+    Decoders refuse arrays longer than the message they know, so that a process of an earlier
+    version understands only a message without fields that it doesn't know.
+    """
+    return msgspec.msgpack.encode(_without_unused(message))
+
+
+def _without_unused(message: tuple) -> tuple:
+    """Return the fields of a message up to the last one that needs to be sent."""
+    known = _FIELDS_OF_ALL_VERSIONS.get(type(message))
+    if known is None:
+        return message
+    fields, defaults = type(message)._fields, type(message)._field_defaults
+    size = len(message)
+    while size > known and message[size - 1] == defaults[fields[size - 1]]:
+        size -= 1
+    return tuple(message[:size])
 
 
+# The number of leading fields that are always sent.
+_FIELDS_OF_ALL_VERSIONS = {NewsRequest: 15, News: 17}
 _REQUEST_DECODER = msgspec.msgpack.Decoder(NewsRequest)
 _NEWS_DECODER = msgspec.msgpack.Decoder(News)
 _DOCUMENT_REQUEST_DECODER = msgspec.msgpack.Decoder(DocumentRequest)
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -10,6 +10,7 @@
 from damaskwind.decisions.admission.service_tally import ServiceReport
 from damaskwind.decisions.following.read_redirection import NO_RELAY, RelayEndpoint
 from damaskwind.decisions.load.held_sums import HeldCount
+from damaskwind.decisions.load.token_sums import HeldTokens
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
@@ -74,6 +75,10 @@
         """Return what was recently observed of services, for a report to a replica."""
         ...
 
+    def held_tokens(self, host: str) -> tuple[HeldTokens, ...] | None:
+        """Return the tokens held at engines, `None` where these are not considered."""
+        ...
+
     def is_first(self, host: str) -> bool:
         """Return whether this replica is the one that sends changes at once."""
         ...
@@ -128,6 +133,7 @@
         self._version = 0
         self._suspicions_seen = 0
         self._evacuations_seen = 0
+        self._takes_tokens = True
         self._task: asyncio.Task | None = None
 
     def start(self, delay_s: float = 0.0) -> None:
@@ -199,6 +205,7 @@
             self._suspicions_seen,
             self._evacuations_seen,
             self._subscriber.service_counts(),
+            self._subscriber.held_tokens(self.address.host) if self._takes_tokens else None,
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
@@ -224,6 +231,10 @@
         # Not `wait_for`, which swallows a cancellation that coincides with the answer.
         async with asyncio.timeout(limit_s):
             answer = await fetch(connection, request, ANSWER_LIMIT_BYTES)
+        if answer.status == 400 and self._takes_tokens:
+            # A replica of an earlier version refuses requests with fields that it doesn't know.
+            self._takes_tokens = False
+            logger.warning("replica takes no tokens", host=self.address.host)
         if answer.status != 200 or not connection.is_open:
             raise AnswerBrokenError(f"status {answer.status}")
         return unpack_answer(answer)
