--- a/packages/decisions/src/damaskwind/decisions/load/engine_tokens.py
+++ b/packages/decisions/src/damaskwind/decisions/load/engine_tokens.py
@@ -6,23 +6,33 @@
 """
 
 from collections.abc import Collection
+from math import sqrt
 from typing import NamedTuple
 
 from damaskwind.decisions.load.held_requests import MIN_COVERAGE_SHARE, SUM_TTL_S, target_digest
 from damaskwind.decisions.load.request_cost import RequestCost
-from damaskwind.decisions.load.token_sums import HeldTokens, TokenSum, TokenSums, parts_of
+from damaskwind.decisions.load.token_sums import (
+    HeldTokens,
+    TokenSum,
+    TokenSums,
+    held_tokens,
+    parts_of,
+)
 
 __all__ = ["EngineTokens", "EngineUse"]
 
 # For this time after its last use by this router a prompt part is assumed to be cached.
 CACHED_S = 20.0
+# The time over which the change of sums is averaged, in sums of one target.
+CHANGE_WEIGHT = 0.02
 
 
 class EngineUse(NamedTuple):
     """What an engine holds: memory, unfinished prefill, and its prompt parts in use.
 
     `cached_parts` are those that are probably cached. `age_s` is the age of the sum, `None`
-    if only the requests of this router are known.
+    if only the requests of this router are known. `change_tokens` is how much the memory held
+    at an engine usually changes within that age (root mean square).
     """
 
     held_tokens: int
@@ -30,6 +40,7 @@
     held_parts: frozenset[int]
     cached_parts: frozenset[int]
     age_s: float | None
+    change_tokens: float = 0.0
 
 
 class _Send(NamedTuple):
@@ -65,6 +76,7 @@
         self._used_s: dict[str, dict[int, float]] = {}
         self._last_reported: dict[str, dict[int, HeldTokens]] = {}
         self._received: dict[str, _Received] = {}
+        self._change_per_s = 0.0
 
     def record_sent(self, number: int, target_id: str, cost: RequestCost, now_s: float) -> None:
         """Record a request that is being sent to an engine."""
@@ -108,8 +120,19 @@
         """Process the sums that a replica returned for the last report to it."""
         by_target = {item.target: item for item in sums.targets}
         own = self._last_reported.get(replica, {})
+        self._observe_changes(replica, by_target, now_s - sums.age_s)
         self._received[replica] = _Received(by_target, own, sums.routers, now_s - sums.age_s)
 
+    def _observe_changes(self, replica: str, sums: dict[int, TokenSum], at_s: float) -> None:
+        """Learn how much the memory held at a target changes, as squared tokens per second."""
+        before = self._received.get(replica)
+        if before is None or not 0.0 < at_s - before.at_s < SUM_TTL_S:
+            return
+        for target, total in sums.items():
+            change = held_tokens(total) - held_tokens(before.sums.get(target, TokenSum(target)))
+            per_s = change * change / (at_s - before.at_s)
+            self._change_per_s += CHANGE_WEIGHT * (per_s - self._change_per_s)
+
     def use(self, target_id: str, now_s: float) -> EngineUse:
         """Return what an engine holds now, as far as this router knows."""
         best = self._best(now_s)
@@ -130,6 +153,7 @@
             frozenset(own_parts | their_parts),
             frozenset(cached | their_parts),
             round(now_s - best.at_s, 3),
+            sqrt(self._change_per_s * max(now_s - best.at_s, 0.0)),
         )
 
     def own_use(self, target_id: str, now_s: float) -> EngineUse:
--- a/packages/decisions/src/damaskwind/decisions/load/token_sums.py
+++ b/packages/decisions/src/damaskwind/decisions/load/token_sums.py
@@ -22,6 +22,7 @@
     "TokenAggregator",
     "TokenSum",
     "TokenSums",
+    "held_tokens",
     "parts_of",
 ]
 
@@ -69,6 +70,11 @@
     at_s: float
 
 
+def held_tokens(total: TokenSum) -> int:
+    """Return the memory held at a target."""
+    return total.unshared_tokens + total.shared_tokens
+
+
 def parts_of(total: TokenSum) -> set[int]:
     """Return the digests of the shared parts in use at a target.
 
--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -165,9 +165,9 @@
         passed_over = usable[0].target_id if position else ""
         donor_id = _donor(candidates, key, item, policy)
         return Choice(item, ranked.index(item), bound, donor_id, passed_over)
-    if below and not _with_room(below):
-        # The request waits until it fits at the target where it lacks the least.
-        item = below[most_room([item.room for item in below])]
+    if below and (usable or not _with_room(below)):
+        # The request waits for its home, where it needs the least.
+        item = (usable or below)[0]
         return Choice(item, ranked.index(item), bound, _donor(candidates, key, item, policy))
     is_memory_known = any(item.room is not None for item in healthy)
     pool = _with_room(below) if is_memory_known else healthy
--- a/packages/decisions/src/damaskwind/decisions/placement/engine_memory.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/engine_memory.py
@@ -22,9 +22,15 @@
     "most_room",
 ]
 
-# Share of the memory left free for what is not known yet: what other routers have sent since
-# the sum, and outputs that are longer than expected.
-MARGIN_SHARE = 0.08
+# Memory left free for what is not known: what other routers have sent since the sum, and
+# outputs that are longer than expected. It is this multiple of the usual change within the
+# age of the sum, between these shares of the memory.
+CHANGE_MULTIPLE = 2.0
+MARGIN_SHARES = (0.03, 0.3)
+# An engine that is not the first choice gets the requests of many keys from all routers
+# before the next sum shows them, so the margin grows with each place in the ranking.
+MARGIN_GROWTH = 0.5
+MAX_MARGIN_FACTOR = 3.0
 # Engines may hold a little more than their memory in requests that wait there. A sum beyond
 # this multiple is wrong.
 MAX_PLAUSIBLE_SHARE = 2.0
@@ -54,6 +60,12 @@
     avoids_prefill: bool = False
     held_tokens: int = 0
     age_s: float | None = None
+    margin_tokens: float = 0.0
+
+    def at_position(self, position: int) -> "EngineRoom":
+        """Return the room at a position of the ranking; the margin is larger further down."""
+        extra = min(MARGIN_GROWTH * position, MAX_MARGIN_FACTOR - 1.0) * self.margin_tokens
+        return self._replace(free_tokens=self.free_tokens - extra)
 
     @property
     def fits(self) -> bool:
@@ -71,15 +83,24 @@
     return use.age_s is None or use.held_tokens <= MAX_PLAUSIBLE_SHARE * capacity_tokens
 
 
-def free_tokens(capacity_tokens: int, held_tokens: int) -> float:
+def _margin_tokens(use: EngineUse, capacity_tokens: int) -> float:
+    """Return the memory to be left free for what is not known; an empty engine needs none."""
+    if not use.held_tokens:
+        return 0.0
+    least, most = (share * capacity_tokens for share in MARGIN_SHARES)
+    return min(max(CHANGE_MULTIPLE * use.change_tokens, least), most)
+
+
+def free_tokens(use: EngineUse, capacity_tokens: int) -> float:
     """Return the memory that requests may still take; an empty engine has all of it.
 
-    >>> free_tokens(1000, 0), free_tokens(1000, 500)
-    (1000, 420.0)
+    >>> none = frozenset()
+    >>> free_tokens(EngineUse(0, 0, none, none, 0.5, 90.0), 1000)
+    1000.0
+    >>> free_tokens(EngineUse(500, 0, none, none, 0.5, 90.0), 1000)
+    320.0
     """
-    if not held_tokens:
-        return capacity_tokens
-    return (1.0 - MARGIN_SHARE) * capacity_tokens - held_tokens
+    return capacity_tokens - use.held_tokens - _margin_tokens(use, capacity_tokens)
 
 
 def engine_room(
@@ -88,7 +109,7 @@
     """Return the memory of an engine for a request."""
     prefill_tokens = cost.prefill_tokens(use.cached_parts)
     return EngineRoom(
-        free_tokens(capacity_tokens, use.held_tokens),
+        free_tokens(use, capacity_tokens),
         cost.need_beside(use.held_parts),
         use.prefill_tokens,
         prefill_tokens,
@@ -96,6 +117,7 @@
         is_short,
         use.held_tokens,
         use.age_s,
+        _margin_tokens(use, capacity_tokens),
     )
 
 
@@ -108,7 +130,9 @@
     >>> first_with_room([EngineRoom(5, 10), EngineRoom(20, 10)]), first_with_room([long, short])
     (1, 1)
     """
-    fitting = [index for index, room in enumerate(rooms) if room is None or room.fits]
+    fitting = [
+        index for index, room in enumerate(rooms) if room is None or room.at_position(index).fits
+    ]
     if not fitting:
         return None
     first = fitting[0]
--- a/packages/router/src/damaskwind/router/forwarding/engine_memory.py
+++ b/packages/router/src/damaskwind/router/forwarding/engine_memory.py
@@ -191,7 +191,7 @@
 
     def _free_tokens(self, target_id: str, profile: EngineProfile, now_s: float) -> float:
         use = self._use(target_id, profile, now_s)
-        return free_tokens(profile.capacity_tokens, use.held_tokens)
+        return free_tokens(use, profile.capacity_tokens)
 
     def _room(
         self,
