--- a/benchmarks/overload/memory_engine.py
+++ b/benchmarks/overload/memory_engine.py
@@ -105,13 +105,13 @@
         """Fill memory with the next tokens of a request; others may share its part once read."""
         job.held_tokens += tokens
         self._unshared_tokens += tokens
-        if not job.holds_part and job.held_tokens >= job.part_tokens:
-            if job.part not in self._cached:
-                self._cached[job.part] = job.part_tokens
-                job.held_tokens -= job.part_tokens
-                self._unshared_tokens -= job.part_tokens
-                self._users[job.part] += 1
-                job.holds_part = True
+        is_read = not job.holds_part and job.held_tokens >= job.part_tokens
+        if is_read and job.part not in self._cached:
+            self._cached[job.part] = job.part_tokens
+            job.held_tokens -= job.part_tokens
+            self._unshared_tokens -= job.part_tokens
+            self._users[job.part] += 1
+            job.holds_part = True
 
     def _used_tokens(self) -> int:
         """Return the memory that can't be freed without a preemption."""
--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -169,8 +169,7 @@
         # The request waits for its home, where it needs the least.
         item = (usable or below)[0]
         return Choice(item, ranked.index(item), bound, _donor(candidates, key, item, policy))
-    is_memory_known = any(item.room is not None for item in healthy)
-    pool = _with_room(below) if is_memory_known else healthy
+    pool = healthy if len(_with_room(healthy)) == len(healthy) else _with_room(below)
     return _least_loaded(pool or healthy, near_domain, policy, random)
 
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/bench.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/bench.py
@@ -54,6 +54,7 @@
     """Two targets of the service `pool`, one forwarder, one account with the API key `key`."""
 
     timeout = 20
+    has_contention = False
 
     def setUp(self):
         return to_deferred(self.start())
@@ -69,7 +70,15 @@
         # Started long enough ago that the retry budget is full.
         started_s = read_clock() - 60.0
         self.forwarder = Forwarder(
-            self.view, self.connections, NAMES, "domain", BudgetTerms(), 1.2, Random(1), started_s
+            self.view,
+            self.connections,
+            NAMES,
+            "domain",
+            BudgetTerms(),
+            1.2,
+            Random(1),
+            started_s,
+            has_contention=self.has_contention,
         )
         self.server = HttpServer(self.forwarder.handle, ServerLimits())
         self.port = self.server.listen("127.0.0.1", 0)
