--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -41,7 +41,7 @@
 # often as without them.
 TOKEN_SUM_LINK_SHARE = 0.06
 # Encoded size of one engine's digest and figures, without its parts in use (two bytes each).
-TOKEN_SUM_TARGET_BYTES = 18
+TOKEN_SUM_TARGET_BYTES = 21
 # A router that would wait longer than this for its document is redirected to routers that
 # have it. The routers served first thus take a tenth of the time allowed.
 REDIRECT_BACKLOG_S = 0.25
--- a/packages/control/src/damaskwind/control/fleet/tests/test_news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_feed.py
@@ -13,6 +13,7 @@
     NewsFeed,
 )
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
+from damaskwind.decisions.load.token_sums import HeldTokens, TokenSum
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
@@ -54,6 +55,21 @@
         news = self.feed.build_news(self.request(), held)
         self.assertEqual(decode_news(encode(news)), news)
 
+    @asyncio_test
+    async def test_tokens_are_summed_and_sent_to_routers_that_report_theirs(self):
+        # Entries that can't be true (no request at target 8) are ignored.
+        tokens = (HeldTokens(7, 100), HeldTokens(8, 100))
+        for node in ("r1", "r2"):
+            request = self.request(
+                node=node, wait_s=0.01, held=(HeldCount(7, 2),), held_tokens=tokens
+            )
+            await self.feed.wait_for_updates(decode_request(encode(request)))
+        await self.feed.wait_for_updates(self.request(node="r3", wait_s=0.01))
+        sums = self.feed.token_sums.total(read_clock())
+        self.assertEqual((sums.targets, sums.routers), ((TokenSum(7, 200),), 2))
+        self.assertEqual(self.feed.build_news(request, held_tokens=sums).held_tokens, sums)
+        self.assertIsNone(self.feed.build_news(self.request(node="r3")).held_tokens)
+
     @asyncio_test
     async def test_routers_receive_their_index(self):
         requests = [self.request(node=node, wait_s=0.01) for node in ("r3", "r1", "r2")]
