--- a/benchmarks/overload/memory_engine.py
+++ b/benchmarks/overload/memory_engine.py
@@ -86,10 +86,14 @@
         return self.speed.chunk_tokens - budget, started
 
     def _begin(self, job: Job) -> bool:
-        """Begin to read a prompt; one that was preempted waits until there is room for all."""
+        """Begin to read a prompt if there is room for its first chunk.
+
+        One that was preempted waits until there is room for all.
+        """
         is_cached = job.part in self._cached
         need = job.own_tokens + job.done_tokens + (0 if is_cached else job.part_tokens)
-        if job.was_preempted and self._used_tokens() + need > self.speed.capacity_tokens:
+        first = need if job.was_preempted else min(need, self.speed.chunk_tokens)
+        if self._used_tokens() + first > self.speed.capacity_tokens:
             return False
         if is_cached:
             self._users[job.part] += 1
--- a/benchmarks/overload/memory_replay.py
+++ b/benchmarks/overload/memory_replay.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import sys
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -68,6 +69,14 @@
 }
 
 
+MEMORY_WAYS = ("requests", "own sends", "parts for each", "tokens")
+MEMORY_MIXES = {
+    "drafts": DRAFTS,
+    "long tenth": LONG_TENTH,
+    "shared drafts": DRAFTS._replace(subjects=20, per_s=15.0),
+}
+
+
 class ReplayResult(NamedTuple):
     """What was seen after the warm-up; shares are of the requests of each kind."""
 
@@ -381,20 +390,38 @@
 
 
 def main() -> None:
-    """Print a table of all ways at each load of the memory, and of lookups beside drafts."""
-    for name, kind in (("drafts", DRAFTS), ("long tenth", LONG_TENTH)):
-        demand = demand_tokens((kind,))
+    """Print a table of the ways at each load of the memory, and of lookups beside drafts.
+
+    Arguments select the mixes.
+    """
+    selected = sys.argv[1:] or [*MEMORY_MIXES, "lookups"]
+    for name in selected:
+        if name == "lookups":
+            _print_lookups()
+            continue
+        demand = demand_tokens((MEMORY_MIXES[name],))
         for load in (0.8, 1.0, 1.2, 1.5):
-            _print_ways(f"{name} {load}", (kind,), EngineSpeed(round(demand / load)))
-    for per_s in (0.0, 1.4, 2.5, 3.6):
-        kinds = (LONG_OWN._replace(per_s=per_s), LOOKUPS) if per_s else (LOOKUPS,)
-        _print_ways(f"lookups, drafts/s {per_s}", kinds, FAST_ENGINE)
+            speed = EngineSpeed(round(demand / load))
+            _print_ways(f"{name} {load}", (MEMORY_MIXES[name],), speed, MEMORY_WAYS)
+
+
+def _print_lookups() -> None:
+    _print_ways("lookups alone", (LOOKUPS,), FAST_ENGINE, ("tokens",))
+    for per_s in (1.4, 2.5, 3.6):
+        kinds = (LONG_OWN._replace(per_s=per_s), LOOKUPS)
+        title = f"lookups beside {per_s} drafts/s"
+        _print_ways(title, kinds, FAST_ENGINE, ("requests", "no avoidance", "tokens"))
 
 
-def _print_ways(title: str, kinds: tuple[RequestKind, ...], speed: EngineSpeed) -> None:
-    for way, how in WAYS.items():
+def _print_ways(
+    title: str,
+    kinds: tuple[RequestKind, ...],
+    speed: EngineSpeed,
+    ways: tuple[str, ...],
+) -> None:
+    for way in ways:
         for seed in (1, 2):
-            print(title, way, _line(Replay(kinds, speed, how, seed).run()), flush=True)
+            print(title, way, _line(Replay(kinds, speed, WAYS[way], seed).run()), flush=True)
 
 
 def _line(result: ReplayResult) -> str:
--- a/packages/decisions/src/damaskwind/decisions/placement/engine_memory.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/engine_memory.py
@@ -26,11 +26,12 @@
 # outputs that are longer than expected. It is this multiple of the usual change within the
 # age of the sum, between these shares of the memory.
 CHANGE_MULTIPLE = 2.0
-MARGIN_SHARES = (0.03, 0.3)
+MARGIN_SHARES = (0.03, 0.2)
 # An engine that is not the first choice gets the requests of many keys from all routers
-# before the next sum shows them, so the margin grows with each place in the ranking.
-MARGIN_GROWTH = 0.5
-MAX_MARGIN_FACTOR = 3.0
+# before the next sum shows them, so the margin grows by this factor with each place in the
+# ranking, up to a share of the memory.
+MARGIN_GROWTH = 2.0
+MAX_MARGIN_SHARE = 0.6
 # Engines may hold a little more than their memory in requests that wait there. A sum beyond
 # this multiple is wrong.
 MAX_PLAUSIBLE_SHARE = 2.0
@@ -49,7 +50,8 @@
     `need_tokens` is what the request adds there. `prefill_ahead_tokens` is what the target
     has yet to read for others, `prefill_tokens` for this request, of which
     `shared_prefill_tokens` for parts that its home has. With `avoids_prefill` the request is
-    short and urgent. `held_tokens` and `age_s` are what the room is based on.
+    short and urgent. `held_tokens` and `age_s` are what the room is based on. `margin_tokens`
+    are left free of it, and up to `max_margin_tokens` where it is not the first choice.
     """
 
     free_tokens: float
@@ -61,11 +63,13 @@
     held_tokens: int = 0
     age_s: float | None = None
     margin_tokens: float = 0.0
+    max_margin_tokens: float = 0.0
 
     def at_position(self, position: int) -> "EngineRoom":
         """Return the room at a position of the ranking; the margin is larger further down."""
-        extra = min(MARGIN_GROWTH * position, MAX_MARGIN_FACTOR - 1.0) * self.margin_tokens
-        return self._replace(free_tokens=self.free_tokens - extra)
+        margin_tokens = self.margin_tokens * (1.0 + MARGIN_GROWTH * position)
+        extra_tokens = min(margin_tokens, self.max_margin_tokens) - self.margin_tokens
+        return self._replace(free_tokens=self.free_tokens - max(extra_tokens, 0.0))
 
     @property
     def fits(self) -> bool:
@@ -118,6 +122,7 @@
         use.held_tokens,
         use.age_s,
         _margin_tokens(use, capacity_tokens),
+        MAX_MARGIN_SHARE * capacity_tokens,
     )
 
 
--- a/packages/decisions/src/damaskwind/decisions/placement/tests/test_engine_memory.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_engine_memory.py
@@ -79,7 +79,7 @@
 
     def test_margin_grows_down_the_ranking(self):
         # Guards against all routers sending to one engine with a little memory at once.
-        tight = EngineRoom(100.0, 60, margin_tokens=100.0)
+        tight = EngineRoom(100.0, 60, margin_tokens=100.0, max_margin_tokens=600.0)
         self.assertEqual(choose(self.with_rooms(tight, FULL)).rank, 0)
         self.assertEqual(choose(self.with_rooms(FULL, tight)).candidate.target_id, self.home)
 
