--- a/benchmarks/overload/memory_replay.py
+++ b/benchmarks/overload/memory_replay.py
@@ -321,7 +321,7 @@
             router, attempt = self._of_job[job.number]
             router.loads.observe_report(engine.name, load, self.now_s)
             router.admission.record_answer_started(job.number, self.now_s)
-            router.tokens.record_started(job.number)
+            router.tokens.record_started(job.number, engine.name)
             if self.now_s - attempt.at_s <= job.kind.objective_s:
                 self._count(attempt, "in time")
             self._admit_waiting(router)
@@ -337,7 +337,7 @@
         attempt.is_over = True
         if attempt.target:
             router.loads.record_ended(attempt.target)
-            router.tokens.record_ended(attempt.job.number)
+            router.tokens.record_ended(attempt.job.number, attempt.target)
             router.admission.record_ended(attempt.job.number)
         self._admit_waiting(router)
 
--- a/packages/decisions/src/damaskwind/decisions/load/engine_tokens.py
+++ b/packages/decisions/src/damaskwind/decisions/load/engine_tokens.py
@@ -46,7 +46,6 @@
 class _Send(NamedTuple):
     """A request in progress; `prefill_tokens` is 0 once its answer has begun."""
 
-    target_id: str
     cost: RequestCost
     prefill_tokens: int
 
@@ -71,8 +70,7 @@
     """
 
     def __init__(self) -> None:
-        self._sends: dict[int, _Send] = {}
-        self._at_target: dict[str, set[int]] = {}
+        self._sends: dict[str, dict[int, _Send]] = {}
         self._used_s: dict[str, dict[int, float]] = {}
         self._last_reported: dict[str, dict[int, HeldTokens]] = {}
         self._received: dict[str, _Received] = {}
@@ -80,31 +78,27 @@
 
     def record_sent(self, number: int, target_id: str, cost: RequestCost, now_s: float) -> None:
         """Record a request that is being sent to an engine."""
-        self.record_ended(number)
         prefill = cost.prefill_tokens(self.use(target_id, now_s).cached_parts)
-        self._sends[number] = _Send(target_id, cost, prefill)
-        self._at_target.setdefault(target_id, set()).add(number)
+        self._sends.setdefault(target_id, {})[number] = _Send(cost, prefill)
         used_s = self._used_s.setdefault(target_id, {})
         for part in cost.shared:
             # Reinserted, so that the parts are in order of their last use.
             used_s.pop(part.digest, None)
             used_s[part.digest] = now_s
 
-    def record_started(self, number: int) -> None:
+    def record_started(self, number: int, target_id: str) -> None:
         """Record that an answer began: its prompt has been read."""
-        if number in self._sends:
-            self._sends[number] = self._sends[number]._replace(prefill_tokens=0)
+        sends = self._sends.get(target_id, {})
+        if number in sends:
+            sends[number] = sends[number]._replace(prefill_tokens=0)
 
-    def record_ended(self, number: int) -> None:
+    def record_ended(self, number: int, target_id: str) -> None:
         """Record that an engine no longer works on a request."""
-        send = self._sends.pop(number, None)
-        if send is not None:
-            self._at_target[send.target_id].discard(number)
+        self._sends.get(target_id, {}).pop(number, None)
 
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that is gone or has restarted."""
-        for number in self._at_target.pop(target_id, ()):
-            self._sends.pop(number, None)
+        self._sends.pop(target_id, None)
         self._used_s.pop(target_id, None)
         digest = target_digest(target_id)
         for received in self._received.values():
@@ -112,7 +106,7 @@
 
     def report_to(self, replica: str) -> tuple[HeldTokens, ...]:
         """Return what this router holds at each engine, and remember it for the next sum."""
-        held = [self._held_here(name) for name, numbers in self._at_target.items() if numbers]
+        held = [self._held_here(name) for name, sends in self._sends.items() if sends]
         self._last_reported[replica] = {item.target: item for item in held}
         return tuple(held)
 
@@ -170,7 +164,7 @@
 
     def _held_here(self, target_id: str) -> HeldTokens:
         """Return what this router's own requests hold at an engine."""
-        sends = [self._sends[number] for number in self._at_target.get(target_id, ())]
+        sends = self._sends.get(target_id, {}).values()
         parts = {part for send in sends for part in send.cost.shared}
         return HeldTokens(
             target_digest(target_id),
--- a/packages/decisions/src/damaskwind/decisions/load/tests/test_engine_tokens.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/test_engine_tokens.py
@@ -37,8 +37,8 @@
         # What this router sends and ends after its report is added and subtracted.
         self.router.record_sent(3, "a", COST, 0.3)
         self.assertEqual(self.router.use("a", 0.3).held_tokens, 1_450)
-        self.router.record_ended(2)
-        self.router.record_ended(3)
+        self.router.record_ended(2, "a")
+        self.router.record_ended(3, "a")
         self.assertEqual(self.router.use("a", 0.4).held_tokens, 1_150)
 
     def test_only_own_sends_count_once_the_sums_are_too_old(self):
@@ -52,12 +52,12 @@
 
     def test_prefill_ends_as_the_answer_begins_and_a_forgotten_target_holds_nothing(self):
         self.router.record_sent(1, "a", COST, 0.0)
-        self.router.record_started(1)
+        self.router.record_started(1, "a")
         self.assertEqual(self.router.use("a", 0.1).prefill_tokens, 0)
         self.router.record_sent(2, "a", COST, 0.1)
         self.assertEqual(self.router.use("a", 0.1).prefill_tokens, 100)
         self.router.forget("a")
-        self.router.record_ended(1)
+        self.router.record_ended(1, "a")
         self.assertEqual(self.router.use("a", 0.2)[:3], (0, 0, frozenset()))
 
 
--- a/packages/router/src/damaskwind/router/forwarding/engine_memory.py
+++ b/packages/router/src/damaskwind/router/forwarding/engine_memory.py
@@ -133,13 +133,13 @@
             self._means[call.route.name] = mean.updated(cost)
         self.tokens.record_sent(call.number, target_id, cost, now_s)
 
-    def record_started(self, call: Call) -> None:
+    def record_started(self, call: Call, target_id: str) -> None:
         """Record that the answer to a request began."""
-        self.tokens.record_started(call.number)
+        self.tokens.record_started(call.number, target_id)
 
-    def record_ended(self, call: Call) -> None:
-        """Record that an attempt has ended."""
-        self.tokens.record_ended(call.number)
+    def record_ended(self, call: Call, target_id: str) -> None:
+        """Record that an attempt at a target has ended."""
+        self.tokens.record_ended(call.number, target_id)
 
     def held_tokens(self) -> float:
         """Return the tokens held at all engines, as far as known here."""
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -70,7 +70,7 @@
         finally:
             ended_s = read_clock()
             if self._memory is not None:
-                self._memory.record_ended(call)
+                self._memory.record_ended(call, target.target_id)
             self._admissions.record_ended(call)
             call.notes.append(_note(call, placement, basis, outcome, begun_s, ended_s))
         self._tallies.count("attempts", end=outcome.end.value)
@@ -148,7 +148,7 @@
             call.service, target_id, objective_share, read_clock()
         )
         if self._memory is not None:
-            self._memory.record_started(call)
+            self._memory.record_started(call, target_id)
         self._admissions.record_answer_started(call)
 
 
