--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -17,6 +17,7 @@
 from random import Random
 from typing import NamedTuple
 
+from damaskwind.decisions.placement.engine_memory import EngineRoom, first_with_room, most_room
 from damaskwind.decisions.placement.rank import rank_order, scores, target_seed
 
 __all__ = [
@@ -97,7 +98,8 @@
     `load` is based on the target's own report or on the sums of all routers. A
     target with `is_held_back` serves and counts for the mean, but gets no work because an
     operator excluded it or it is cold. `start_s` is the time after which it is expected to
-    start an answer, `None` in a pool whose targets do not report their speed.
+    start an answer, `None` in a pool whose targets do not report their speed. `room` is its
+    memory for the request, `None` if that is not considered.
     """
 
     target_id: str
@@ -111,13 +113,15 @@
     has_known_load: bool = True
     is_held_back: bool = False
     start_s: float | None = None
+    room: EngineRoom | None = None
 
 
 class Choice(NamedTuple):
     """The chosen target, its rank for the key, and the bound applied.
 
     `donor_id` is the other target that most likely has the shared part cached. `rival_id` is
-    the next target in rank that could have been chosen as well.
+    the next target in rank that could have been chosen as well. `passed_over` is the target
+    that would have been chosen but for its memory or its prefill work.
     """
 
     candidate: Candidate
@@ -125,6 +129,7 @@
     bound: float
     donor_id: str = ""
     rival_id: str = ""
+    passed_over: str = ""
 
 
 def affinity_key(part_ids: Sequence[bytes]) -> bytes | None:
@@ -158,32 +163,48 @@
     if not healthy:
         return None
     if key is None:
-        return _least_loaded(healthy, near_domain, policy, random)
+        with_room = _with_room(healthy)
+        if with_room:
+            return _least_loaded(with_room, near_domain, policy, random)
+        return Choice(healthy[most_room([item.room for item in healthy])], 0, 0.0)
     # The users' bound uses the mean over all serving targets, so those held back lower it.
     held_back = [item for item in candidates if item.is_held_back and not item.is_doubtful]
     mean = sum(item.load for item in (*healthy, *held_back)) / (len(healthy) + len(held_back))
     bound = policy.load_factor * mean + policy.load_slack_requests
     ranked = _rank(healthy, key)
-    allowed = [item for item in ranked if item.load < bound and not item.is_slow]
-    if not allowed:
-        return _least_loaded(healthy, near_domain, policy, random)
-    chosen = _first_soon(allowed, policy, mean / max(healthy[0].slots, 1))
-    rival_id = next((item.target_id for item in allowed if item is not chosen), "")
-    donor_id = _donor(candidates, key, chosen, policy)
-    return Choice(chosen, ranked.index(chosen), bound, donor_id, rival_id)
+    below = [item for item in ranked if item.load < bound]
+    usable = [item for item in below if not item.is_slow]
+    position = first_with_room([item.room for item in usable])
+    if position is not None:
+        chosen = _first_soon(usable, position, policy, mean / max(healthy[0].slots, 1))
+        passed_over = usable[0].target_id if position else ""
+        rival_id = next((item.target_id for item in usable if item is not chosen), "")
+        donor_id = _donor(candidates, key, chosen, policy)
+        return Choice(chosen, ranked.index(chosen), bound, donor_id, rival_id, passed_over)
+    if below and (usable or not _with_room(below)):
+        # The request waits for its home, where it needs the least.
+        item = (usable or below)[0]
+        return Choice(item, ranked.index(item), bound, _donor(candidates, key, item, policy))
+    pool = healthy if len(_with_room(healthy)) == len(healthy) else _with_room(below)
+    return _least_loaded(pool or healthy, near_domain, policy, random)
+
+
+def _with_room(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Return the candidates whose memory has room, or is not considered."""
+    return [item for item in candidates if item.room is None or item.room.fits]
 
 
 def _first_soon(
-    allowed: Sequence[Candidate], policy: AffinityPolicy, used_share: float
+    usable: Sequence[Candidate], position: int, policy: AffinityPolicy, used_share: float
 ) -> Candidate:
-    """Return the first in rank that loses less time than its cached parts save.
+    """Return the first from `position` in rank that loses less time than its cached parts save.
 
     It is compared with the next in rank only, so that each key has few targets that cache its
     parts, and the requests of all routers, which share the same sums, spread by their keys.
     """
-    near = allowed[: policy.near_ranks]
+    near = _with_room(usable[position:])[: policy.near_ranks]
     if any(item.start_s is None for item in near):
-        return allowed[0]
+        return usable[position]
     read_s = read_cost_factor(used_share) * policy.read_s
     latest_s = min(item.start_s for item in near) + read_s
     return next(item for item in near if item.start_s <= latest_s)
--- a/packages/model/src/damaskwind/model/header_names.py
+++ b/packages/model/src/damaskwind/model/header_names.py
@@ -21,6 +21,8 @@
     work. `fetch_from` is the address of another engine from which the engine first copies
     the parts of the prompt that it lacks. `reserved` are headers that only the system sets.
     In the answer to a health check, `instance_id` names the target.
+    `token_usage` is the number of prompt tokens and the upper bound of the output tokens,
+    `length_hint` the caller's estimate of the output tokens.
     """
 
     request_id: bytes = b"x-request-id"
@@ -38,3 +40,5 @@
     key_scheme: bytes = b"Bearer"
     reserved: frozenset[bytes] = frozenset((b"x-hold",))
     instance_id: bytes = b"x-instance-id"
+    token_usage: bytes = b"x-token-usage"
+    length_hint: bytes = b"x-length-hint"
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -76,6 +76,7 @@
             random,
             region_of=settings.region_of,
             tallies=self.tallies,
+            has_contention=settings.has_contention,
         )
         self._metrics = MetricsSite(self.tallies)
         self.held_bytes = self._make_held_bytes(names)
@@ -131,6 +132,10 @@
         show("targets_slow", "that report to be", lambda: speeds.speeds.count_slow(read_clock()))
         show("speed_reports", "received from targets", lambda: speeds.reports)
         show("speed_lasting_seconds", "of figures", lambda: speeds.speeds.lasting_s)
+        memory = self.forwarder.memory
+        if memory is not None:
+            show("engine_tokens_held", "held at engines by all routers", memory.held_tokens)
+            show("engine_memory_fullest", "share of the fullest engine", memory.fullest_share)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
         if self.held_bytes is not None:
             self.held_bytes.register_gauges()
