--- a/packages/control/src/damaskwind/control/fleet/news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/news_feed.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from damaskwind.control.fleet.heard_targets import TargetHeartbeats
+from damaskwind.control.fleet.shed_decisions import ShedDecisions
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion, SuspicionTable
 from damaskwind.decisions.following.read_redirection import RelayEndpoint
 from damaskwind.decisions.load.held_sums import HeldAggregator, HeldSum
@@ -84,6 +85,7 @@
     ) -> None:
         self.table = TargetTable()
         self.load_sums = HeldAggregator()
+        self.shedding = ShedDecisions(self.table, int(time.time()))
         self.suspicions = SuspicionTable()
         self.epoch = secrets.token_hex(4)
         self._version = version
@@ -290,6 +292,7 @@
             self.wake()
         else:
             self.load_sums.report(request.node_id, request.held, now_s, request.services)
+            self.shedding.report(request.node_id, request.shedding, now_s)
             self.merge(request.records, request.last_seen)
             for target_id, age_s, _ in request.last_seen:
                 self._heartbeats.record_at_router(target_id, now_s - age_s)
@@ -370,6 +373,7 @@
             suspicions,
             suspicions_revision,
             self.evacuations(),
+            self.shedding.news(self.router_count(), now_s) if request.shedding else None,
         )
 
     def _choose_table_sources(self, request: NewsRequest, revision: int) -> tuple[str, ...]:
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -30,6 +30,7 @@
 from damaskwind.control.state.published_configuration import PublishedConfiguration
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.decisions.admission.service_tally import ServiceReport
+from damaskwind.decisions.admission.shed_counts import ShedReport
 from damaskwind.decisions.fatal_requests.suspicion import MAX_REQUESTS, Standing
 from damaskwind.decisions.following.read_redirection import ReadRedirector
 from damaskwind.decisions.load.held_sums import HeldCount
@@ -324,6 +325,10 @@
         """Return nothing: replicas send no requests to services."""
         return ()
 
+    def shed_reports(self) -> tuple[ShedReport, ...]:
+        """Return nothing: replicas receive no requests of callers."""
+        return ()
+
     def is_first(self, host: str) -> bool:
         """Return true: every replica is asked for all changes, since each one serves routers."""
         return True
--- a/packages/control/src/damaskwind/control/fleet/tests/test_news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_feed.py
@@ -12,6 +12,8 @@
     MAX_RECORDS,
     NewsFeed,
 )
+from damaskwind.decisions.admission.shed_counts import GroupCounts, ShedReport
+from damaskwind.decisions.load.held_requests import target_digest
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.model.targets import Address
@@ -54,6 +56,21 @@
         news = self.feed.build_news(self.request(), held)
         self.assertEqual(decode_news(encode(news)), news)
 
+    @asyncio_test
+    async def test_counts_for_shedding_are_answered_to_routers_that_send_them(self):
+        # A router that does not take part gets the same bytes as before but for the empty field.
+        self.feed.report(record())
+        report = ShedReport(target_digest("s"), 0, 0, (GroupCounts(1, 0, 5, 5, 5),))
+        taking_part = self.request(node="r1", wait_s=0.01, shedding=(report, ShedReport(5)))
+        bad = self.request(node="r2", wait_s=0.01, shedding=(report._replace(waiting=-1),))
+        for request in (taking_part, bad):
+            await self.feed.wait_for_updates(decode_request(encode(request)))
+        news = self.feed.build_news(taking_part)
+        self.assertEqual(news.shedding.routers, 2)
+        self.assertEqual(decode_news(encode(news)), news)
+        self.assertIsNone(self.feed.build_news(self.request(node="r3")).shedding)
+        self.assertEqual(len(self.feed.shedding._logged), 2)
+
     @asyncio_test
     async def test_routers_receive_their_index(self):
         requests = [self.request(node=node, wait_s=0.01) for node in ("r3", "r1", "r2")]
--- a/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
@@ -108,6 +108,8 @@
 
     def __init__(self, random: Random, policy: WindowPolicy = DEFAULT_POLICY) -> None:
         self.queue = FairQueue()
+        # Set while the whole fleet sheds: who can't be served is then refused at once.
+        self.max_wait_fraction: float | None = None
         self._policy = policy
         self._random = random
         self._start_delays = StartDelays(policy.memory_s)
@@ -252,6 +254,8 @@
         if request.came_back:
             left_s = request.deadline_s - request.arrived_s
             wait_s = max(wait_s, min(RETRY_WAIT_FRACTION * left_s, RETRY_MAX_WAIT_S))
+        if self.max_wait_fraction is not None:
+            wait_s = min(wait_s, self.max_wait_fraction * request.objective_s)
         return min(request.arrived_s + wait_s, request.deadline_s)
 
     def _gap_s(self, target_id: str) -> float:
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -14,6 +14,8 @@
 from loguru import logger
 
 from damaskwind.decisions.admission.service_tally import ServiceReport
+from damaskwind.decisions.admission.shed_aggregator import ShedNews
+from damaskwind.decisions.admission.shed_counts import ShedReport
 from damaskwind.decisions.cold_targets.cold_periods import ColdStartLimits
 from damaskwind.decisions.cold_targets.router_count import MaxRouterCount
 from damaskwind.decisions.following.document_sources import DocumentSources
@@ -96,6 +98,8 @@
         self.on_restarted: list[Callable[[TargetRecord], None]] = []
         self.on_configuration: list[Callable[[TrafficConfiguration], None]] = []
         self.on_load_sum: list[Callable[[str, HeldSum], None]] = []
+        self.on_shed_news: list[Callable[[str, ShedNews], None]] = []
+        self.count_for_shedding: Callable[[], tuple[ShedReport, ...]] = tuple
         self.count_services: Callable[[], tuple[ServiceReport, ...]] = tuple
         self.count_held: Callable[[str], tuple[HeldCount, ...]] = _no_held_counts
         self._node_id = node_id
@@ -222,6 +226,10 @@
         """Return this router's recent counts by service, as reported to a replica."""
         return self.count_services()
 
+    def shed_reports(self) -> tuple[ShedReport, ...]:
+        """Return this router's counts for load shedding, as reported to a replica."""
+        return self.count_for_shedding()
+
     def known_version(self) -> int:
         """Return the configuration version in force here; 0 for none."""
         return self.table.version if self.table else 0
@@ -289,6 +297,9 @@
         if news.held is not None:
             for callback in self.on_load_sum:
                 callback(host, news.held)
+        if news.shedding is not None:
+            for callback in self.on_shed_news:
+                callback(host, news.shedding)
         self.follow(news.hosts)
 
     def _apply_evacuations(self, host: str, evacuations: Evacuations) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -10,12 +10,14 @@
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
 from damaskwind.decisions.routing.table import RoutingReason, choose_service
 from damaskwind.model.header_names import HeaderNames
+from damaskwind.router.forwarding.admission_gate import AdmissionGate
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, AttemptSender
 from damaskwind.router.forwarding.call import Call, read_facts, read_key
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.crash_detector import CrashDetector
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.final_answers import FinalAnswers
+from damaskwind.router.forwarding.fleet_shedding import FleetShedding
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
@@ -37,7 +39,8 @@
     """The request handler of a router's caller-facing address.
 
     `started_s` is when the process began to serve, in monotonic seconds, by
-    default now. `region_of` maps each failure domain to its region.
+    default now. `region_of` maps each failure domain to its region. Where `has_contention`,
+    callers compete for capacity, and requests are shed by the counts of all routers.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         started_s: float | None = None,
         region_of: Mapping[str, str] = MappingProxyType({}),
         tallies: Tallies | None = None,
+        has_contention: bool = False,
     ) -> None:
         self.view = view
         self.target_states = TargetStates(view, connections, heartbeat_s, random)
@@ -74,10 +78,16 @@
             self.crash_detector,
             self.tallies,
         )
+        self.shedding: FleetShedding | None = None
+        gates: tuple[AdmissionGate, ...] = (self.throttles,)
+        if has_contention:
+            self.shedding = FleetShedding(self.target_states, self.admissions, self.tallies, random)
+            self.shedding.attach(self.throttles, self.sends)
+            gates = (self.throttles, self.shedding)
         self.steps = RequestSteps(
             self.target_states,
             self.admissions,
-            (self.throttles,),
+            gates,
             self.chooser,
             self.sends,
             self._take_retry,
@@ -95,6 +105,7 @@
             ends = self.view.suspicions.table.level(call.digest).ends
             self.answers.refuse_fatal(exchange, call, delivery, ends)
             return
+        outcome = None
         try:
             async with asyncio.timeout(max(call.left_s(), 0.0)):
                 outcome = await self.steps.run(exchange, call, delivery)
@@ -105,6 +116,8 @@
             raise
         finally:
             self.admissions.record_ended(call)
+            if self.shedding is not None:
+                self.shedding.record_final(call, outcome)
         self.answers.finish(exchange, call, delivery, outcome)
 
     def _admit(self, exchange: Exchange) -> Call | None:
--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -103,6 +103,14 @@
         objective_s = call.route.objective_s
         return self._pool(call.service).retry_after_s(objective_s, call.left_s(), read_clock())
 
+    def waiting(self, service: str) -> int:
+        """Return the number of requests queued for a service."""
+        return len(self._pool(service).queue)
+
+    def limit_waits(self, service: str, max_fraction: float | None) -> None:
+        """Bound the wait of a service's requests to a fraction of their objective."""
+        self._pool(service).max_wait_fraction = max_fraction
+
     def queued(self) -> int:
         """Return the number of queued requests."""
         return len(self._waiters)
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -73,6 +73,7 @@
             random,
             region_of=settings.region_of,
             tallies=self.tallies,
+            has_contention=settings.has_contention,
         )
         self._metrics = MetricsSite(self.tallies)
         self._callers = HttpServer(self.forwarder.handle, ServerLimits())
@@ -113,6 +114,10 @@
             "targets_said_leaving", "in an answer", partial(self._count_signals, TargetSignal.LEAVE)
         )
         show("failure_domains_evacuated", "emptied by operators", self._evacuated)
+        if self.forwarder.shedding is not None:
+            shedding = self.forwarder.shedding
+            show("shed_services", "of which requests are shed", shedding.shed_services)
+            show("cutoff_age_seconds", "since the replica sent it", shedding.cutoff_age_s)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
 
     def _count_signals(self, signal: TargetSignal) -> float:
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -1,5 +1,7 @@
 """Make one attempt at a target and record its outcome in the router's state."""
 
+from collections.abc import Callable
+
 from damaskwind.decisions.fatal_requests.suspicion import SuspicionLevel
 from damaskwind.decisions.load.held_requests import LoadBasis
 from damaskwind.decisions.membership.target_record import TargetRecord
@@ -26,7 +28,11 @@
 
 
 class RecordedSends:
-    """The attempts of one router, each recorded when it begins and when it ends."""
+    """The attempts of one router, each recorded when it begins and when it ends.
+
+    `on_started` is called when an answer begins, and `on_ended` with the seconds that an attempt
+    took if its target did not refuse it.
+    """
 
     def __init__(
         self,
@@ -44,6 +50,8 @@
         self._throttles = throttles
         self._tallies = tallies
         self._crash_detector = crash_detector
+        self.on_started: list[Callable[[Call], None]] = []
+        self.on_ended: list[Callable[[Call, float], None]] = []
         crash_detector.on_crashed.append(self._record_target_crash)
         sender.on_answer_started = self._record_answer_started
 
@@ -101,6 +109,9 @@
         """Record an attempt that was made in the state of its request and its target."""
         if call.key is None:
             self._record_service_result(call, outcome, ended_s - begun_s)
+        if outcome.was_reached and outcome.end is not AttemptEnd.NOT_RUN:
+            for callback in self.on_ended:
+                callback(call, ended_s - begun_s)
         call.reached += outcome.was_reached
         if not outcome.was_reached:
             call.unreached += 1
@@ -141,6 +152,8 @@
             call.service, target_id, objective_share, read_clock()
         )
         self._admissions.record_answer_started(call)
+        for callback in self.on_started:
+            callback(call)
 
 
 def _note(
--- a/packages/router/src/damaskwind/router/forwarding/service_throttles.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_throttles.py
@@ -1,5 +1,6 @@
 """Throttle requests to services that report no load, by what all routers observe of them."""
 
+from collections.abc import Callable
 from random import Random
 
 from loguru import logger
@@ -36,12 +37,14 @@
         self._tallies: dict[str, ServiceTally] = {}
         self._throttles: dict[str, ServiceThrottle] = {}
         self._logged_shares: dict[str, float] = {}
+        # Tells whether the cut-offs of all routers hold for a service; set by `FleetShedding`.
+        self.is_covered: Callable[[str], bool] = lambda service: False
         view.on_load_sum.append(self._update)
         view.count_services = self.recent_counts
 
     def check(self, call: Call) -> GateRefusal | None:
         """Refuse a request to a service that reports no load if it exceeds the admitted share."""
-        if call.key is not None or self.admits(call.service):
+        if call.key is not None or self.admits(call.service) or self.is_covered(call.service):
             return None
         return GateRefusal("service overloaded", self.retry_after_s(call))
 
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from damaskwind.decisions.admission.service_tally import ServiceReport
+from damaskwind.decisions.admission.shed_aggregator import ShedNews
+from damaskwind.decisions.admission.shed_counts import ShedReport
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion
 from damaskwind.decisions.following.read_redirection import NO_RELAY, RelayEndpoint
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
@@ -90,7 +92,9 @@
     router, and `records` what was new there in their reports. `suspicions_seen` is the
     revision up to which this replica has sent suspicions of fatal requests, and
     `evacuations_seen` the revision of the evacuations that it last sent. `services` is
-    what a router observed in the last second of services that report no load.
+    what a router observed in the last second of services that report no load. `shedding` is
+    what it observed of each service by priority and client account; it is empty from a router
+    that does not take part in fleet-wide load shedding.
     """
 
     node_id: str
@@ -108,6 +112,7 @@
     suspicions_seen: int = 0
     evacuations_seen: int = 0
     services: tuple[ServiceReport, ...] = ()
+    shedding: tuple[ShedReport, ...] = ()
 
 
 class OthersLastSeen(NamedTuple):
@@ -135,7 +140,8 @@
     `last_seen`. Where its link has no bandwidth left for changes, `table_sources` names
     routers that have more of them. `phases` are changes of targets that the subscriber
     knows. `suspicions` are the changed suspicions of fatal requests, up to
-    `suspicions_revision`. `evacuations` are committed, and in force like `version`.
+    `suspicions_revision`. `evacuations` are committed, and in force like `version`. `shedding`
+    states which requests are shed, for routers that report counts for it.
     """
 
     epoch: str
@@ -155,6 +161,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     suspicions_revision: int = 0
     evacuations: Evacuations = Evacuations()
+    shedding: ShedNews | None = None
 
 
 class SeenRevision(NamedTuple):
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from damaskwind.decisions.admission.service_tally import ServiceReport
+from damaskwind.decisions.admission.shed_counts import ShedReport
 from damaskwind.decisions.following.read_redirection import NO_RELAY, RelayEndpoint
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.decisions.membership.target_record import TargetRecord
@@ -74,6 +75,10 @@
         """Return what was recently observed of services, for a report to a replica."""
         ...
 
+    def shed_reports(self) -> tuple[ShedReport, ...]:
+        """Return recent counts by priority and client account, for a report to a replica."""
+        ...
+
     def is_first(self, host: str) -> bool:
         """Return whether this replica is the one that sends changes at once."""
         ...
@@ -199,6 +204,7 @@
             self._suspicions_seen,
             self._evacuations_seen,
             self._subscriber.service_counts(),
+            self._subscriber.shed_reports(),
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
