--- a/benchmarks/overload/shedding_routers.py
+++ b/benchmarks/overload/shedding_routers.py
@@ -205,5 +205,5 @@
     def receive(self, replica: Replica, routers: int, now_s: float) -> None:
         super().receive(replica, routers, now_s)
         report = self.report(now_s)
-        pool = replica.pool_state()._replace(waiting=report.waiting)
+        pool = PoolState(max(1, self.pool.slots // routers), report.held, report.waiting)
         self.shedder.update(report.groups, pool, now_s)
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -183,6 +183,7 @@
         show("replicas", "members of the log", lambda: len(self._hosts()))
         show("targets_serving", "targets that take work", lambda: len(feed.table.serving()))
         show("routers", "routers that ask here", feed.router_count)
+        show("shed_services", "of which requests are shed", feed.shedding.shed_services)
         show("requests_suspected", "in hand where targets ended", self._suspected_count)
         show("requests_held_fatal", "sent no more, as targets end", self._fatal_count)
         show("failure_domains_evacuated", "emptied by operators", self._evacuated_count)
--- a/packages/router/src/damaskwind/router/forwarding/fleet_shedding.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_shedding.py
@@ -1,6 +1,7 @@
 """Shed requests as all routers do, and report what is observed here for the decision."""
 
 from random import Random
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -12,7 +13,7 @@
     ShedReport,
     ShedTally,
 )
-from damaskwind.decisions.admission.shed_cutoff import FULL, admits_hash
+from damaskwind.decisions.admission.shed_cutoff import FULL, Cutoff, admits_hash
 from damaskwind.decisions.admission.shed_follower import FollowedCutoff, ShedFollower
 from damaskwind.decisions.admission.shed_return import draw_return_s
 from damaskwind.decisions.load.held_requests import target_digest
@@ -32,6 +33,13 @@
 NOTHING_OBSERVED = (ShedReport(0),)
 
 
+class _Logged(NamedTuple):
+    """What was last logged of a service: the replica followed, and shares in tenths."""
+
+    host: str = ""
+    tenths: tuple[tuple[int, int], ...] = ()
+
+
 class FleetShedding:
     """One router's counts by priority and client account, and the gate that sheds requests."""
 
@@ -49,7 +57,7 @@
         self._follower = ShedFollower()
         self._counts: dict[str, ShedTally] = {}
         self._unstarted: set[int] = set()
-        self._logged: dict[str, tuple[str, bool]] = {}
+        self._logged: dict[str, _Logged] = {}
         target_states.view.on_shed_news.append(self._observe)
         target_states.view.count_for_shedding = self.reports
 
@@ -63,6 +71,7 @@
         """Refuse a request at once if all routers shed it now."""
         now_s = read_clock()
         followed = self._followed(call.service, now_s)
+        self._log_change(call.service, followed)
         key = _group(call)
         share = 1.0 if followed is None else followed.share(key)
         is_shedding = followed is not None and followed.is_shedding
@@ -179,13 +188,13 @@
             self._log_change(service, self._followed(service, now_s))
 
     def _log_change(self, service: str, followed: FollowedCutoff | None) -> None:
-        """Log when shedding begins or ends, and when another replica's cut-off is followed."""
+        """Log when shedding begins, changes by a tenth or ends, or another replica is followed."""
         is_shedding = followed is not None and followed.is_shedding
-        state = (followed.host if followed is not None and is_shedding else "", is_shedding)
-        if state == self._logged.get(service, ("", False)):
+        cutoff = followed.cutoff if followed else None
+        state = _Logged(followed.host, _tenths(cutoff)) if is_shedding else _Logged()
+        if state == self._logged.get(service, _Logged()):
             return
         self._logged[service] = state
-        cutoff = followed.cutoff if followed else None
         logger.info(
             "cut-off changed",
             service=service,
@@ -198,6 +207,10 @@
         )
 
 
+def _tenths(cutoff: Cutoff) -> tuple[tuple[int, int], ...]:
+    return tuple((item.of, round(10 * item.permille / FULL)) for item in cutoff.levels)
+
+
 def _group(call: Call) -> GroupKey:
     """Return the group of a request; requests without a client account are one group."""
     account = target_digest(call.account.name) if call.account else 0
