--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -30,6 +30,7 @@
 from damaskwind.control.state.published_configuration import PublishedConfiguration
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.decisions.admission.service_tally import ServiceReport
+from damaskwind.decisions.admission.shed_counts import ShedReport
 from damaskwind.decisions.fatal_requests.suspicion import MAX_REQUESTS, Standing
 from damaskwind.decisions.following.read_redirection import ReadRedirector
 from damaskwind.decisions.load.held_sums import HeldCount
@@ -182,6 +183,7 @@
         show("replicas", "members of the log", lambda: len(self._hosts()))
         show("targets_serving", "targets that take work", lambda: len(feed.table.serving()))
         show("routers", "routers that ask here", feed.router_count)
+        show("shed_services", "of which requests are shed", feed.shedding.shed_services)
         show("requests_suspected", "in hand where targets ended", self._suspected_count)
         show("requests_held_fatal", "sent no more, as targets end", self._fatal_count)
         show("failure_domains_evacuated", "emptied by operators", self._evacuated_count)
@@ -328,6 +330,10 @@
         """Return nothing: replicas send no requests to engines."""
         return
 
+    def shed_reports(self) -> tuple[ShedReport, ...]:
+        """Return nothing: replicas receive no requests of callers."""
+        return ()
+
     def is_first(self, host: str) -> bool:
         """Return true: every replica is asked for all changes, since each one serves routers."""
         return True
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
 from damaskwind.decisions.routing.table import RoutingReason, choose_service
 from damaskwind.model.header_names import HeaderNames
+from damaskwind.router.forwarding.admission_gate import AdmissionGate
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, AttemptSender
 from damaskwind.router.forwarding.call import Call, read_facts, read_key
 from damaskwind.router.forwarding.connections import TargetConnections
@@ -18,6 +19,7 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.engine_memory import EngineMemory
 from damaskwind.router.forwarding.final_answers import FinalAnswers
+from damaskwind.router.forwarding.fleet_shedding import FleetShedding
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.held_bytes import GivenUpError
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
@@ -43,8 +45,9 @@
     """The request handler of a router's caller-facing address.
 
     `started_s` is when the process began to serve, in monotonic seconds, by
-    default now. `region_of` maps each failure domain to its region. With `has_contention`
-    requests are sent to engines by the memory that they need.
+    default now. `region_of` maps each failure domain to its region. With `has_contention`,
+    callers compete for capacity: requests are sent to engines by the memory that they need,
+    and shed by the counts of all routers.
     """
 
     def __init__(
@@ -84,10 +87,16 @@
             self.tallies,
             self.memory,
         )
+        self.shedding: FleetShedding | None = None
+        gates: tuple[AdmissionGate, ...] = (self.throttles,)
+        if has_contention:
+            self.shedding = FleetShedding(self.target_states, self.admissions, self.tallies, random)
+            self.shedding.attach(self.throttles, self.sends)
+            gates = (self.memory, self.throttles, self.shedding)
         self.steps = RequestSteps(
             self.target_states,
             self.admissions,
-            (self.throttles,) if self.memory is None else (self.memory, self.throttles),
+            gates,
             self.chooser,
             self.sends,
             self._take_retry,
@@ -107,6 +116,7 @@
             ends = self.view.suspicions.table.level(call.digest).ends
             self.answers.refuse_fatal(exchange, call, delivery, ends)
             return
+        outcome = None
         try:
             async with exchange.account or nullcontext():
                 async with asyncio.timeout(max(call.left_s(), 0.0)):
@@ -122,6 +132,8 @@
             raise
         finally:
             self.admissions.record_ended(call)
+            if self.shedding is not None:
+                self.shedding.record_final(call, outcome)
         self.answers.finish(exchange, call, delivery, outcome)
 
     def _admit(self, exchange: Exchange) -> Call | None:
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -136,6 +136,10 @@
         if memory is not None:
             show("engine_tokens_held", "held at engines by all routers", memory.held_tokens)
             show("engine_memory_fullest", "share of the fullest engine", memory.fullest_share)
+        if self.forwarder.shedding is not None:
+            shedding = self.forwarder.shedding
+            show("shed_services", "of which requests are shed", shedding.shed_services)
+            show("cutoff_age_seconds", "since the replica sent it", shedding.cutoff_age_s)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
         if self.held_bytes is not None:
             self.held_bytes.register_gauges()
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from damaskwind.decisions.admission.service_tally import ServiceReport
+from damaskwind.decisions.admission.shed_aggregator import ShedNews
+from damaskwind.decisions.admission.shed_counts import ShedReport
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion
 from damaskwind.decisions.following.read_redirection import NO_RELAY, RelayEndpoint
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
@@ -93,6 +95,8 @@
     `evacuations_seen` the revision of the evacuations that it last sent. `services` is
     what a router observed in the last second of services that report no load. `held_tokens`
     is what its requests hold at engines, `None` if it doesn't ask for the sums of these.
+    `shedding` is what it observed of each service by priority and client account; it is empty from a router
+    that does not take part in fleet-wide load shedding.
     """
 
     node_id: str
@@ -111,6 +115,7 @@
     evacuations_seen: int = 0
     services: tuple[ServiceReport, ...] = ()
     held_tokens: tuple[HeldTokens, ...] | None = None
+    shedding: tuple[ShedReport, ...] = ()
 
 
 class OthersLastSeen(NamedTuple):
@@ -140,6 +145,7 @@
     knows. `suspicions` are the changed suspicions of fatal requests, up to
     `suspicions_revision`. `evacuations` are committed, and in force like `version`.
     `held_tokens` sums what the routers' requests hold at engines, for those that report it.
+    `shedding` states which requests are shed, for routers that report counts for it.
     """
 
     epoch: str
@@ -160,6 +166,7 @@
     suspicions_revision: int = 0
     evacuations: Evacuations = Evacuations()
     held_tokens: TokenSums | None = None
+    shedding: ShedNews | None = None
 
 
 class SeenRevision(NamedTuple):
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from damaskwind.decisions.admission.service_tally import ServiceReport
+from damaskwind.decisions.admission.shed_counts import ShedReport
 from damaskwind.decisions.following.read_redirection import NO_RELAY, RelayEndpoint
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.decisions.load.token_sums import HeldTokens
@@ -77,6 +78,9 @@
 
     def held_tokens(self, host: str) -> tuple[HeldTokens, ...] | None:
         """Return the tokens held at engines, `None` where these are not considered."""
+
+    def shed_reports(self) -> tuple[ShedReport, ...]:
+        """Return recent counts by priority and client account, for a report to a replica."""
         ...
 
     def is_first(self, host: str) -> bool:
@@ -133,7 +137,7 @@
         self._version = 0
         self._suspicions_seen = 0
         self._evacuations_seen = 0
-        self._takes_tokens = True
+        self._is_same_version = True
         self._task: asyncio.Task | None = None
 
     def start(self, delay_s: float = 0.0) -> None:
@@ -205,7 +209,8 @@
             self._suspicions_seen,
             self._evacuations_seen,
             self._subscriber.service_counts(),
-            self._subscriber.held_tokens(self.address.host) if self._takes_tokens else None,
+            self._subscriber.held_tokens(self.address.host) if self._is_same_version else None,
+            self._subscriber.shed_reports() if self._is_same_version else (),
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
@@ -231,10 +236,10 @@
         # Not `wait_for`, which swallows a cancellation that coincides with the answer.
         async with asyncio.timeout(limit_s):
             answer = await fetch(connection, request, ANSWER_LIMIT_BYTES)
-        if answer.status == 400 and self._takes_tokens:
+        if answer.status == 400 and self._is_same_version:
             # A replica of an earlier version refuses requests with fields that it doesn't know.
-            self._takes_tokens = False
-            logger.warning("replica takes no tokens", host=self.address.host)
+            self._is_same_version = False
+            logger.warning("replica of an earlier version", host=self.address.host)
         if answer.status != 200 or not connection.is_open:
             raise AnswerBrokenError(f"status {answer.status}")
         return unpack_answer(answer)
