--- a/packages/control/src/damaskwind/control/fleet/tests/test_news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_feed.py
@@ -72,6 +72,7 @@
         self.assertEqual(self.feed.build_news(request, held_tokens=sums).held_tokens, sums)
         self.assertIsNone(self.feed.build_news(self.request(node="r3")).held_tokens)
 
+    @asyncio_test
     async def test_counts_for_shedding_are_answered_to_routers_that_send_them(self):
         # A router that does not take part gets the same bytes as before but for the empty field.
         self.feed.report(record())
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -95,8 +95,8 @@
     `evacuations_seen` the revision of the evacuations that it last sent. `services` is
     what a router observed in the last second of services that report no load. `held_tokens`
     is what its requests hold at engines, `None` if it doesn't ask for the sums of these.
-    `shedding` is what it observed of each service by priority and client account; it is empty from a router
-    that does not take part in fleet-wide load shedding.
+    `shedding` is what it observed of each service by priority and client account; it is empty
+    from a router that does not take part in fleet-wide load shedding.
     """
 
     node_id: str
