--- a/packages/decisions/src/damaskwind/decisions/admission/shed_aggregator.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/shed_aggregator.py
@@ -51,7 +51,7 @@
     ...     ignored = sums.report("r", (report,), float(second))
     ...     news = sums.decide({7: 10}, 1, second + 0.1)
     >>> news.cutoffs[0].levels
-    (Share(of=2, permille=514),)
+    (Share(of=2, permille=574),)
     >>> sums.report("r", (ShedReport(7, -9),), 6.0)
     (7,)
     """
