Probe two targets before a request that a slow one would make late

A router of many hears of one target only every some seconds, so that its figures are usually too old. It asks the home and its rival on the health path, for at most 5% of its sends, in 12 ms at most; a report that arrives counts like any other, after its Instance-Id and incarnation are checked. An unanswered probe changes nothing.

Tests: probes that hang, answers of another target, a target that left, a spent budget.

--- a/packages/decisions/src/damaskwind/decisions/admission/retry_after.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/retry_after.py
@@ -36,6 +36,8 @@
 
     >>> draw_retry_after_s(1.0, 9.0, 0.0, Random(1))
     0.3
+    >>> draw_retry_after_s(1.0, 9.0, 0.0, Random(1), earliest_start_s=0.5)
+    0.5
     >>> 1.65 <= draw_retry_after_s(1.0, 9.0, 2.0, Random(1)) <= 3.0
     True
     """
--- a/packages/decisions/src/damaskwind/decisions/load/tests/speed_replay.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/speed_replay.py
@@ -22,10 +22,11 @@
 from damaskwind.decisions.health.slow_targets import SlowTargetDetector
 from damaskwind.decisions.load.held_requests import LoadEstimator, TargetLoad
 from damaskwind.decisions.load.held_sums import HeldAggregator
+from damaskwind.decisions.load.probe_budget import PROBES_PER_CHOICE, ProbeBudget
 from damaskwind.decisions.load.work_speed import PoolTimes, WorkSpeeds
 from damaskwind.decisions.placement.affinity import Candidate, choose_target, policy_for
 
-__all__ = ["PREVIOUS", "REPORTS", "SpeedFleet", "SpeedReplay", "Way"]
+__all__ = ["PREVIOUS", "PROBES", "REPORTS", "SpeedFleet", "SpeedReplay", "Way"]
 
 SECONDS, WARM_S = 18.0, 3.0
 PERIOD_S, SLOW_SHARE, SLOW = 0.6, 0.15, 2.5
@@ -74,9 +75,9 @@
     """What a router makes of the reports, which the alternatives differ in.
 
     `has_reports` is not set where reports with four figures are discarded. With `has_speeds`
-    placement uses the expected start, with `has_figures` also the fourth figure. Figures are
-    shared with the sums, `probe_share` of the sends may be probed for, and `is_told` gives
-    every router the true speeds.
+    placement uses the expected start, with `has_figures` also the fourth figure. With `shares`,
+    figures are shared with the sums; with `probes`, targets are probed for some requests.
+    `is_told` gives every router the true speeds.
     """
 
     name: str
@@ -84,12 +85,13 @@
     has_speeds: bool = True
     has_figures: bool = True
     shares: bool = False
-    probe_share: float = 0.0
+    probes: bool = False
     is_told: bool = False
 
 
 PREVIOUS = Way("previous code", has_reports=False, has_speeds=False)
 REPORTS = Way("own reports")
+PROBES = Way("own reports and probes", probes=True)
 
 
 class Target:
@@ -152,7 +154,7 @@
         self.pool = PoolAdmission(random, policy)
         self.detector = SlowTargetDetector()
         self.waiting = {}
-        self.probe_tokens = 1.0
+        self.budget = ProbeBudget()
         self.plain_random = Random(number)
 
 
@@ -221,16 +223,13 @@
 
     def may_probe(self, job, choice, now_s):
         """Tell whether to probe the chosen target and its rival, and account for it."""
-        router, share = job.router, self.way.probe_share
-        if not share:
+        if not self.way.probes:
             return False
-        router.probe_tokens = min(router.probe_tokens + share, 4.0)
-        candidate = choice.candidate
-        is_close = SLOW * (candidate.start_s or 0.0) > 0.5 * job.kind.objective_s
-        if router.probe_tokens < 2.0 or not choice.rival_id or not is_close:
+        job.router.budget.count_request()
+        start_share = choice.candidate.start_s / job.kind.objective_s
+        if not choice.rival_id or not job.router.budget.take(start_share):
             return False
-        router.probe_tokens -= 2.0
-        self.probes += 2
+        self.probes += PROBES_PER_CHOICE
         return True
 
     def admit(self, now_s, job, choice):
--- a/packages/decisions/src/damaskwind/decisions/load/tests/test_work_speed.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/test_work_speed.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from damaskwind.decisions.admission.start_window import StartWindow, WindowPolicy
 from damaskwind.decisions.load.tests.speed_replay import (
     PREVIOUS,
     REPORTS,
@@ -39,6 +40,18 @@
         speeds.observe("a", OLD, 25, DISTRUST_S + 0.1)
         self.assertLess(speeds.work_time("a", OLD, DISTRUST_S + 0.1), 0.3)
 
+    def test_late_answers_of_a_slow_target_do_not_shrink_its_window(self):
+        """Guards against holding requests back after the target has its usual speed again."""
+        limits = []
+        for work_time in (1.0, 2.5):
+            window = StartWindow(WindowPolicy(initial_limit=8.0))
+            for number in range(6):
+                window.record_sent(number, 0.1 * number, 1.0)
+                window.record_answer_started(number, 0.1 * number + 0.7, work_time)
+            limits.append(window.limit)
+        self.assertLess(limits[0], 8.0)
+        self.assertEqual(limits[1], 8.0)
+
 
 class UnevenSpeedTest(unittest.TestCase):
     """Guards against late answers at 0.8 of the capacity because only requests are counted."""
--- a/packages/decisions/src/damaskwind/decisions/routing/table.py
+++ b/packages/decisions/src/damaskwind/decisions/routing/table.py
@@ -9,6 +9,7 @@
     KeyedAccount,
     TrafficConfiguration,
     TrafficRoute,
+    TrafficService,
 )
 
 __all__ = ["RouteTable", "RoutingOutcome", "RoutingReason", "choose_service"]
@@ -51,11 +52,16 @@
         self._accounts = {
             key: account for account in configuration.accounts for key in account.keys
         }
+        self._health_paths = {item.name: item.health_path for item in configuration.services}
         self._cold_start_limits = {
             item.name: ColdStartLimits(item.cold_start_s, item.cold_per_s)
             for item in configuration.services
         }
 
+    def health_path(self, service: str) -> str:
+        """Return the path of the health checks of a service's targets."""
+        return self._health_paths.get(service, TrafficService(service).health_path)
+
     def cold_start_limits(self, service: str) -> ColdStartLimits:
         """Return the limits for cold targets of a service."""
         return self._cold_start_limits.get(service, ColdStartLimits())
--- a/packages/model/src/damaskwind/model/header_names.py
+++ b/packages/model/src/damaskwind/model/header_names.py
@@ -20,6 +20,7 @@
     waiting requests and the slots, and `leaving` states that the target accepts no new
     work. `fetch_from` is the address of another engine from which the engine first copies
     the parts of the prompt that it lacks. `reserved` are headers that only the system sets.
+    In the answer to a health check, `instance_id` names the target.
     """
 
     request_id: bytes = b"x-request-id"
@@ -36,3 +37,4 @@
     authorization: bytes = b"authorization"
     key_scheme: bytes = b"Bearer"
     reserved: frozenset[bytes] = frozenset((b"x-hold",))
+    instance_id: bytes = b"x-instance-id"
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -26,7 +26,7 @@
 from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.exception import ConfigurationError, MessageError
 from damaskwind.model.targets import Address
-from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.model.traffic_configuration import TrafficConfiguration, TrafficService
 from damaskwind.router.forwarding.document_relay import DocumentRelay, WholeDocument
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
 from damaskwind.router.forwarding.suspicion_relay import SuspicionRelay
@@ -351,6 +351,12 @@
         for callback in self.on_cold:
             callback(record)
 
+    def health_path(self, service: str) -> str:
+        """Return the path of the health checks of a service's targets."""
+        if self.table is None:
+            return TrafficService(service).health_path
+        return self.table.health_path(service)
+
     def cold_start_limits(self, service: str) -> ColdStartLimits:
         """Return the terms for cold targets of a service: how long, and at which rate."""
         return self.table.cold_start_limits(service) if self.table else ColdStartLimits()
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
 from damaskwind.router.forwarding.request_steps import RequestSteps
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
+from damaskwind.router.forwarding.speed_probes import SpeedProbes
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
@@ -82,6 +83,7 @@
             self.sends,
             self._take_retry,
             self.tallies,
+            SpeedProbes(self.target_states, names, self.tallies),
         )
         self.answers = FinalAnswers(self.admissions, self._started_s, self.tallies)
 
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -2,7 +2,7 @@
 
 Each state has one handler, which does the work of that state and returns the next one:
 
-    asked     gates, the first placement and admission to the pool
+    asked     gates, the first placement, probes and admission to the pool
     admitted  placed again if it waited, since the state of the targets has changed
     placed    sent to its target, if the retry budget allows it
     sent      the outcome of the attempt decides whether another one may follow
@@ -21,6 +21,7 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
+from damaskwind.router.forwarding.speed_probes import SpeedProbes
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.http1.exchange import Exchange
@@ -102,7 +103,9 @@
         sends: RecordedSends,
         take_retry: Callable[[str], bool],
         tallies: Tallies,
+        probes: SpeedProbes,
     ) -> None:
+        self.probes = probes
         self.admissions = admissions
         self.gates = gates
         self.chooser = chooser
@@ -151,6 +154,9 @@
         refusal = gate.check(call)
         if refusal is not None:
             return progress.refuse(refusal.why, refusal.retry_after_s)
+    was_probed = await steps.probes.refresh(call, progress.placement)
+    if was_probed and steps.place(progress) is RequestState.ENDED:
+        return RequestState.ENDED
     home = progress.placement.choice.candidate if call.key else None
     rejection = await steps.admissions.admit(call, home)
     steps.tallies.count("entries", step=call.entry.step)
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/speed_probes.py
@@ -0,0 +1,111 @@
+"""Ask two targets for their load and speed before a request is sent to one of them."""
+
+import asyncio
+
+from loguru import logger
+
+from damaskwind.decisions.load.held_requests import parse_target_load
+from damaskwind.decisions.load.probe_budget import ProbeBudget
+from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.router.forwarding.attempt import Placement
+from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.target_states import TargetStates
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.client import (
+    AnswerBrokenError,
+    AnswerHead,
+    ClientConnection,
+    ConnectFailedError,
+)
+from damaskwind.runtime.http1.messages import Request, header
+from damaskwind.runtime.tallies import Tallies
+
+__all__ = ["SpeedProbes"]
+
+# Targets answer health checks within 1 ms, a connection to another failure domain takes some ms.
+# A request waits no longer than this for a probe.
+PROBE_DEADLINE_S = 0.012
+# Health answers are short.
+ANSWER_LIMIT_BYTES = 16_384
+
+
+class SpeedProbes:
+    """The probes of one router."""
+
+    def __init__(self, target_states: TargetStates, names: HeaderNames, tallies: Tallies) -> None:
+        self.budget = ProbeBudget()
+        self._target_states = target_states
+        self._connections = target_states.connections
+        self._names = names
+        self._tallies = tallies
+
+    async def refresh(self, call: Call, placement: Placement) -> bool:
+        """Probe the chosen target and its rival if that is worth it; tell whether it was done.
+
+        Reports that arrive by the deadline count like any other report.
+        """
+        pair = self._pair(call, placement)
+        if not pair:
+            return False
+        begun_s = read_clock()
+        answered = await asyncio.gather(*(self._probe(target) for target in pair))
+        for is_answered in answered:
+            self._tallies.count("speed_probes", answered=str(is_answered).lower())
+        logger.info(
+            "targets probed",
+            request=call.facts.request_id.decode("latin-1"),
+            targets=[target.target_id for target in pair],
+            answered=answered,
+            start_ms=int(placement.choice.candidate.start_s * 1000),
+            took_ms=int((read_clock() - begun_s) * 1000),
+        )
+        return True
+
+    def _pair(self, call: Call, placement: Placement) -> tuple[TargetRecord, ...]:
+        """Return the targets to probe; none if that is not worth it or the budget is spent."""
+        start_s = placement.choice.candidate.start_s
+        if start_s is None or call.key is None:
+            return ()
+        self.budget.count_request()
+        rival = self._target_states.view.targets.record_of(placement.choice.rival_id)
+        if rival is None or not self.budget.take(start_s / call.route.objective_s):
+            return ()
+        return (placement.target, rival)
+
+    async def _probe(self, target: TargetRecord) -> bool:
+        """Probe one target; tell whether it reported its load by the deadline."""
+        try:
+            async with asyncio.timeout(PROBE_DEADLINE_S):
+                connection = await self._connections.acquire(
+                    target.target_id, target.address, PROBE_DEADLINE_S
+                )
+                head = await self._exchange(connection, target)
+        except (TimeoutError, ConnectFailedError, AnswerBrokenError):
+            return False
+        if header(head.headers, self._names.instance_id) != target.target_id.encode("latin-1"):
+            return False
+        load = parse_target_load(header(head.headers, self._names.target_load))
+        return load is not None and self._target_states.record_probe(target, load)
+
+    async def _exchange(self, connection: ClientConnection, target: TargetRecord) -> AnswerHead:
+        """Send a health check and return the head of its answer; pool a clean connection."""
+        try:
+            connection.send(self._request(target))
+            head = await connection.read_head()
+            await connection.read_body(ANSWER_LIMIT_BYTES)
+            self._connections.release(target.target_id, connection, head.headers)
+            return head
+        finally:
+            if connection.is_in_use:
+                connection.abort()
+
+    def _request(self, target: TargetRecord) -> Request:
+        """Return a health check that only this target should answer."""
+        target_id = target.target_id.encode("latin-1")
+        headers = [
+            (b"host", str(target.address).encode("latin-1")),
+            (self._names.expect_target, target_id),
+        ]
+        path = self._target_states.view.health_path(target.service)
+        return Request(b"GET", path.encode("latin-1"), headers, b"")
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -137,6 +137,14 @@
         if load is not None and known is not None and known.incarnation == target.incarnation:
             self.target_speeds.observe(target, load, read_clock())
 
+    def record_probe(self, target: TargetRecord, load: TargetLoad) -> bool:
+        """Record the load that a target reported to a probe; tell whether it still serves."""
+        if not self.still_takes_work(target):
+            return False
+        self.loads.observe_report(target.target_id, load, read_clock())
+        self.record_speed(target, load)
+        return True
+
     def work_time(self, target_id: str, now_s: float) -> float:
         """Return how long work takes at a target, relative to the usual time."""
         record = self.view.targets.record_of(target_id)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_target_speeds.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_target_speeds.py
@@ -1,12 +1,18 @@
 """Tests of the speeds that targets report, from the header to the decisions."""
 
+from functools import partial
+from random import Random
+
 from damaskwind.decisions.load.held_requests import TargetLoad
+from damaskwind.decisions.load.probe_budget import ProbeBudget
 from damaskwind.decisions.load.work_speed import DISTRUST_LATE_ANSWERS
+from damaskwind.decisions.membership.target_record import TargetPhase
+from damaskwind.decisions.placement.affinity import AffinityPolicy, choose_target
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
-from damaskwind.standins.scripted_target import load_field, plain
+from damaskwind.standins.scripted_target import load_field, plain, silent
 from damaskwind.wire.news import News
 
 BORN_MS = 1_790_000_000_000
@@ -96,3 +102,81 @@
         self.assertEqual(len(self.targets[home].received), 2)
         await self.call(request_id=b"r3", x_prompt_parts=parts % 100)
         self.assertEqual(len(self.targets[1 - home].received), 1)
+
+
+class SpeedProbesTest(ForwarderTestCase):
+    """Requests whose home is expected to start late; both targets answer health checks."""
+
+    async def start(self):
+        await super().start()
+        self.publish(route(RouteKind.STREAMING, has_prompt_parts=True, objective_s=0.1))
+        self.probes = self.forwarder.steps.probes
+        for _ in range(200):
+            self.probes.budget.count_request()
+        states = self.forwarder.target_states
+        for target_id in ("t0", "t1"):
+            record = states.view.targets.record_of(target_id)
+            states.record_speed(record, TargetLoad(1, 0, 8, 100))
+        self.answers = {b"GET": self.health(100, 100), b"POST": plain()}
+        for number, target in enumerate(self.targets):
+            target._default = partial(self.answer, number)
+
+    def health(self, *percents):
+        names = self.targets[0].names
+        return [
+            plain(fields=(names.instance_id + b": t%d" % n, load_field(names, 1, 0, 8, percent)))
+            for n, percent in enumerate(percents)
+        ]
+
+    async def answer(self, number, writer, request):
+        step = self.answers[request.method]
+        await (step if callable(step) else step[number])(writer, request)
+
+    def methods(self):
+        return sorted(request.method for request in self.received())
+
+    async def send(self):
+        answer = await self.call(x_prompt_parts=b"shared:100,own:1")
+        self.assertEqual(answer.status, 200)
+        posts = [request for request in self.received() if request.method == b"POST"]
+        self.assertEqual(len(posts), 1)
+        return int(posts[0].headers[b"x-expect-target"][1:])
+
+    @asyncio_test
+    async def test_request_avoids_the_target_that_a_probe_finds_slow(self):
+        placed = self.forwarder.target_states.candidates(
+            self.forwarder.target_states.serving("pool"), read_clock(), True
+        )
+        home = int(choose_target(placed, b"shared", "domain", AffinityPolicy(), Random(1))[0][0][1])
+        self.answers[b"GET"] = self.health(*(1000 if n == home else 100 for n in (0, 1)))
+        self.assertEqual(await self.send(), 1 - home)
+        self.assertEqual(self.methods(), [b"GET", b"GET", b"POST"])
+        self.assertEqual(self.received()[0].target, b"/health")
+
+    @asyncio_test
+    async def test_hanging_probe_costs_no_request_and_little_time(self):
+        self.answers[b"GET"] = silent()
+        begun_s = read_clock()
+        await self.send()
+        self.assertLess(read_clock() - begun_s, 0.2)
+        counts = self.forwarder.tallies.totals("speed_probes")
+        self.assertEqual(counts, {(("answered", "false"),): 2})
+
+    @asyncio_test
+    async def test_answer_of_another_target_or_of_one_that_left_does_not_count(self):
+        self.answers[b"GET"] = list(reversed(self.health(1000, 1000)))
+        await self.send()
+        self.assertEqual({self.work_time("t0"), self.work_time("t1")}, {1.0})
+        record = self.view.targets.record_of("t0")
+        self.admit("t0", record.address, TargetPhase.LEAVING, 101)
+        states = self.forwarder.target_states
+        self.assertFalse(states.record_probe(record, TargetLoad(1, 0, 8, 1000)))
+
+    @asyncio_test
+    async def test_spent_budget_sends_no_probe(self):
+        self.probes.budget = ProbeBudget()
+        await self.send()
+        self.assertEqual(self.methods(), [b"POST"])
+
+    def work_time(self, target_id):
+        return self.forwarder.target_states.work_time(target_id, read_clock())
