--- a/packages/decisions/src/damaskwind/decisions/load/probe_budget.py
+++ b/packages/decisions/src/damaskwind/decisions/load/probe_budget.py
@@ -7,20 +7,21 @@
 
 >>> budget = ProbeBudget()
 >>> for _ in range(40): budget.count_request()
->>> [budget.take(start_share) for start_share in (0.1, 0.4, 0.4)]
+>>> [budget.take(start_share) for start_share in (0.4, 0.6, 0.6)]
 [False, True, False]
 """
 
-__all__ = ["PROBES_PER_CHOICE", "ProbeBudget"]
+__all__ = ["MAX_PROBE_SHARE", "PROBES_PER_CHOICE", "ProbeBudget"]
 
 PROBES_PER_CHOICE = 2
 # Probes per request: with two for each choice, one request in forty is probed for.
 MAX_PROBE_SHARE = 0.05
 # The probes that a router may save up: requests at risk come together.
 MAX_SAVED_PROBES = 4.0
-# A request is at risk if its target is expected to start it after this share of its objective;
-# 2.5 times as slow, the target takes half of it, which leaves the rest for other delays.
-RISKY_START_SHARE = 0.2
+# A request is at risk if its target is expected to start it after this share of its objective:
+# at half the usual speed it is late. From 0.35 on, four times as many probes (138 routers) saved
+# too few more requests to be worth their price.
+RISKY_START_SHARE = 0.5
 
 
 class ProbeBudget:
--- a/packages/decisions/src/damaskwind/decisions/load/tests/test_work_speed.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/test_work_speed.py
@@ -3,9 +3,10 @@
 import unittest
 
 from damaskwind.decisions.admission.start_window import StartWindow, WindowPolicy
+from damaskwind.decisions.load.probe_budget import MAX_PROBE_SHARE
 from damaskwind.decisions.load.tests.speed_replay import (
     PREVIOUS,
-    REPORTS,
+    PROBES,
     SpeedFleet,
     SpeedReplay,
 )
@@ -53,16 +54,21 @@
         self.assertEqual(limits[1], 8.0)
 
 
-class UnevenSpeedTest(unittest.TestCase):
+class UnevenSpeedCheck(unittest.TestCase):
     """Guards against late answers at 0.8 of the capacity because only requests are counted."""
 
     def check(self, fleet, seeds, share):
-        runs = [[SpeedReplay(fleet, s, way).play() for s in seeds] for way in (PREVIOUS, REPORTS)]
+        runs = [[SpeedReplay(fleet, s, way).play() for s in seeds] for way in (PREVIOUS, PROBES)]
         before, after = (sum(run.late_share() for run in group) for group in runs)
         self.assertLessEqual(after, share * before, fleet)
         above = [sum(run.above_share() for run in group) for group in runs]
         self.assertLessEqual(above[1], above[0] + 0.001 * len(seeds), fleet)
+        for run in runs[1]:
+            self.assertLessEqual(run.probes, MAX_PROBE_SHARE * len(run.placements), fleet)
+            self.assertEqual(run.late["plain"], runs[0][runs[1].index(run)].late["plain"])
 
+
+class UnevenSpeedTest(UnevenSpeedCheck):
     def test_8_routers(self):
         self.check(SpeedFleet(8, 8, 0.8), (1, 2, 3), 0.5)
 
