Send overdue requests to a second target

Plain targets report no load although their speed varies, so a request that waits at a slow one can only be helped by a second send. The first answer that begins is delivered, the other attempt is canceled. Enabled once a target has sent the fourth load figure.

--- a/benchmarks/overload/plain_service.py
+++ b/benchmarks/overload/plain_service.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from bisect import bisect_right
 from collections import deque
 from collections.abc import Callable
 from itertools import count
@@ -36,7 +37,12 @@
 
 
 class PlainLoad(NamedTuple):
-    """The load as a multiple of all targets' capacity, and how many targets are lost and when."""
+    """The load as a multiple of all targets' capacity, and how many targets are lost and when.
+
+    A random `slow_share` of the targets takes `slow_factor` times as long, redrawn every
+    `slow_period_s`. `repeatable_share` of the requests may be sent to two targets. With
+    `drops_canceled` a target drops a queued request when its connection is closed.
+    """
 
     load_multiple: float
     routers: int = 57
@@ -45,6 +51,11 @@
     lost_targets: int = 0
     lost_at_s: float = 6.0
     domains: int = 3
+    slow_share: float = 0.0
+    slow_factor: float = 2.5
+    slow_period_s: float = 0.6
+    repeatable_share: float = 0.0
+    drops_canceled: bool = False
 
 
 class PlainTotals(NamedTuple):
@@ -57,11 +68,19 @@
     shed: int
     slow_refusals: float
     share_of_reachable: float
+    late_repeatable: float = 0.0
+    second_sends: float = 0.0
+    most_in_10_s: float = 0.0
+
 
+class _Send(NamedTuple):
+    """One send of a caller's request; `number` is its own, also at its router."""
 
-class _Job(NamedTuple):
+    router: PlainRouter
+    caller: "_CallerRequest"
+    name: str
     number: int
-    service_time_s: float
+    sent_s: float
 
 
 class _Target:
@@ -71,8 +90,9 @@
         self.name = name
         self.parameters = parameters
         self.running = 0
-        self.queue: deque[_Job] = deque()
+        self.queue: deque[_Send] = deque()
         self.is_up = True
+        self.work_factor = 1.0
 
 
 class _CallerRequest:
@@ -86,6 +106,8 @@
         self.sends = 0
         self.tried: set[str] = set()
         self.came_back = False
+        self.is_repeatable = False
+        self.active: list[_Send] = []
         self.end = ""
         self.latency_s = 0.0
         self.refusal_delays_s: list[float] = []
@@ -98,6 +120,8 @@
         self, strategy: str, load: PlainLoad, parameters: PlainParameters, seed: int
     ) -> None:
         self.random = Random(seed)
+        # Separate, so that the same targets are slow at the same times under all strategies.
+        self.speed_random = Random(f"speeds {seed}")
         self.load = load
         self.parameters = parameters
         self.now_s = 0.0
@@ -114,6 +138,7 @@
         ]
         self.callers: list[_CallerRequest] = []
         self.shed = 0
+        self.second_sends_s: list[float] = []
 
     def at(self, at_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._numbers), action))
@@ -131,6 +156,8 @@
             self.at(at_s, lambda at_s=at_s: self._arrive(at_s))
         for name in list(self.targets)[: load.lost_targets]:
             self.at(load.lost_at_s, lambda name=name: self._remove_target(name))
+        if load.slow_share:
+            self.at(0.0, self._redraw_slow_targets)
         for router in self.routers:
             self.at(self.random.random(), lambda router=router: self._exchange_stats(router))
         while self._events and self.now_s < load.seconds + 4.0:
@@ -144,6 +171,13 @@
         for router in self.routers:
             router.remove_target(name)
 
+    def _redraw_slow_targets(self) -> None:
+        load = self.load
+        for target in self.targets.values():
+            is_slow = self.speed_random.random() < load.slow_share
+            target.work_factor = load.slow_factor if is_slow else 1.0
+        self.at(self.now_s + load.slow_period_s, self._redraw_slow_targets)
+
     def _exchange_stats(self, router: PlainRouter) -> None:
         """Publish a router's statistics of the last second and give it those of all routers."""
         router.exchange_stats([other.shared_stats for other in self.routers], self.now_s)
@@ -151,6 +185,8 @@
 
     def _arrive(self, at_s: float) -> None:
         caller = _CallerRequest(next(self._numbers), at_s, self.random.randrange(self.load.domains))
+        share = self.load.repeatable_share
+        caller.is_repeatable = share > 0.0 and self.random.random() < share
         self.callers.append(caller)
         self._attempt(caller)
 
@@ -179,30 +215,51 @@
         if name is None:
             self._refuse(caller, router.retry_after_s(self.parameters.objective_s, 1.0, self.now_s))
             return
+        number = caller.number
+        self._send_to(router, caller, name, number)
+        delay_s = router.hedge_delay_s(self.now_s) if caller.is_repeatable else None
+        if delay_s is not None:
+            attempt_s = caller.attempt_started_s
+            self.at(self.now_s + delay_s, lambda: self._hedge(router, caller, attempt_s))
+
+    def _send_to(self, router: PlainRouter, caller: _CallerRequest, name: str, number: int) -> None:
         caller.sends += 1
         caller.tried.add(name)
-        sent_s = self.now_s
-        router.sent(caller.number, name, self.parameters.objective_s, self.now_s)
-        self.at(
-            self.now_s + NETWORK_DELAY_S,
-            lambda: self._arrive_at_target(router, caller, name, sent_s),
-        )
+        send = _Send(router, caller, name, number, self.now_s)
+        caller.active.append(send)
+        router.sent(number, name, self.parameters.objective_s, self.now_s)
+        self.at(self.now_s + NETWORK_DELAY_S, lambda: self._arrive_at_target(send))
+
+    def _hedge(self, router: PlainRouter, caller: _CallerRequest, attempt_s: float) -> None:
+        """Send an overdue request to a second target, if its router decides so."""
+        is_waiting = len(caller.active) == 1 and caller.attempt_started_s == attempt_s
+        if not is_waiting or caller.sends >= 2:
+            return
+        remaining_s = caller.arrived_s + self.parameters.deadline_s - self.now_s
+        name = router.choose_hedge(caller.tried, remaining_s, self.now_s)
+        if name is not None:
+            self.second_sends_s.append(self.now_s)
+            self._send_to(router, caller, name, next(self._numbers))
 
-    def _arrive_at_target(
-        self, router: PlainRouter, caller: _CallerRequest, name: str, sent_s: float
-    ) -> None:
-        target = self.targets[name]
+    def _arrive_at_target(self, send: _Send) -> None:
+        target = self.targets[send.name]
         if target.running < self.parameters.slots:
             target.running += 1
-            self._serve(router, caller, target, sent_s)
+            self._serve(send, target)
         elif len(target.queue) < self.parameters.queue:
-            target.queue.append((router, caller, sent_s))
+            target.queue.append(send)
         else:
             self.shed += 1
-            self.at(self.now_s + NETWORK_DELAY_S, lambda: self._shed(router, caller, name))
+            self.at(self.now_s + NETWORK_DELAY_S, lambda: self._shed(send))
 
-    def _shed(self, router: PlainRouter, caller: _CallerRequest, name: str) -> None:
-        router.shed(caller.number, name, self.now_s)
+    def _shed(self, send: _Send) -> None:
+        router, caller = send.router, send.caller
+        if send not in caller.active:
+            return
+        caller.active.remove(send)
+        router.shed(send.number, send.name, self.now_s)
+        if caller.active:
+            return
         if caller.sends < 2:
             self._send(router, caller)
         else:
@@ -210,9 +267,7 @@
             remaining_s = caller.arrived_s + self.parameters.deadline_s - self.now_s
             self._refuse(caller, router.retry_after_s(objective_s, remaining_s, self.now_s))
 
-    def _serve(
-        self, router: PlainRouter, caller: _CallerRequest, target: _Target, sent_s: float
-    ) -> None:
+    def _serve(self, send: _Send, target: _Target) -> None:
         parameters = self.parameters
         mean = parameters.service_time_s / (
             1 + parameters.tail_share * (parameters.tail_factor - 1)
@@ -221,22 +276,39 @@
         service_time_s = self.random.lognormvariate(log(mean) - sigma**2 / 2, sigma)
         if self.random.random() < parameters.tail_share:
             service_time_s *= parameters.tail_factor
+        service_time_s *= target.work_factor
 
         def end() -> None:
             target.running -= 1
             if target.queue:
                 target.running += 1
-                self._serve(*target.queue[0][:2], target, target.queue.popleft()[2])
-            self.at(self.now_s + NETWORK_DELAY_S, answer)
-
-        def answer() -> None:
-            router.answered(caller.number, target.name, sent_s, self.now_s)
-            if not caller.end:
-                caller.latency_s = self.now_s - caller.arrived_s
-                caller.end = "in time" if caller.latency_s <= parameters.objective_s else "late"
+                self._serve(target.queue.popleft(), target)
+            self.at(self.now_s + NETWORK_DELAY_S, lambda: self._answer(send))
 
         self.at(self.now_s + service_time_s, end)
 
+    def _answer(self, send: _Send) -> None:
+        """Deliver the first answer to a request, and cancel its other send."""
+        caller = send.caller
+        if send not in caller.active:
+            return
+        caller.active.remove(send)
+        send.router.answered(send.number, send.name, send.sent_s, self.now_s)
+        for loser in caller.active:
+            self._cancel(loser)
+        caller.active.clear()
+        if not caller.end:
+            caller.latency_s = self.now_s - caller.arrived_s
+            is_in_time = caller.latency_s <= self.parameters.objective_s
+            caller.end = "in time" if is_in_time else "late"
+
+    def _cancel(self, send: _Send) -> None:
+        """Cancel a send; unless `drops_canceled` is set, its target still runs it."""
+        send.router.canceled(send.number, send.name, send.sent_s, self.now_s)
+        queue = self.targets[send.name].queue
+        if self.load.drops_canceled and send in queue:
+            queue.remove(send)
+
     def _refuse(self, caller: _CallerRequest, retry_after_s: float) -> None:
         caller.refusal_delays_s.append(self.now_s - caller.attempt_started_s)
         remaining_s = caller.arrived_s + self.parameters.deadline_s - self.now_s
@@ -248,9 +320,15 @@
         self.at(self.now_s + retry_after_s, lambda: self._attempt(caller))
 
 
-def simulate_plain(strategy: str, load: PlainLoad, seed: int) -> PlainTotals:
+def _windows(times_s: list[float]) -> list[tuple[int, float]]:
+    """Return the number of each time and the end of the 10 s that begin with it."""
+    return [(number, at_s + 10.0) for number, at_s in enumerate(times_s)]
+
+
+def simulate_plain(
+    strategy: str, load: PlainLoad, seed: int, parameters: PlainParameters = PlainParameters()
+) -> PlainTotals:
     """Simulate a load under one strategy; summarize the requests after the warm-up or the loss."""
-    parameters = PlainParameters()
     simulation = _Simulation(strategy, load, parameters, seed)
     callers = [
         caller
@@ -264,6 +342,8 @@
     in_time = ends.count("in time") / asked
     remaining_targets = load.targets - load.lost_targets
     reachable = min(1.0, remaining_targets / (load.load_multiple * load.targets))
+    late_repeatable = sum(caller.end == "late" and caller.is_repeatable for caller in callers)
+    times_s = simulation.second_sends_s
     return PlainTotals(
         asked,
         in_time,
@@ -272,4 +352,7 @@
         simulation.shed,
         slow / max(len(refusals), 1),
         in_time / reachable,
+        late_repeatable / max(sum(caller.is_repeatable for caller in callers), 1),
+        len(times_s) / len(simulation.callers),
+        max((bisect_right(times_s, at_s) - n for n, at_s in _windows(times_s)), default=0),
     )
--- a/benchmarks/overload/plain_ways.py
+++ b/benchmarks/overload/plain_ways.py
@@ -10,6 +10,13 @@
 from damaskwind.decisions.admission.start_window import WindowPolicy
 from damaskwind.decisions.load.held_requests import LoadEstimator
 from damaskwind.decisions.placement.affinity import AffinityPolicy, Candidate, choose_target
+from damaskwind.decisions.retries.hedging import (
+    HedgeBudget,
+    HedgeSituation,
+    StartTimes,
+    refuse_hedge,
+)
+from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
 
 __all__ = ["STRATEGIES", "PlainRouter"]
 
@@ -17,6 +24,8 @@
 BUSY_COOLDOWN_S = 0.1
 POLL_INTERVAL_S = 0.05
 
+OVERDUE_AVOID_S = 0.5
+
 
 class PlainRouter(Protocol):
     """The attributes of a router that the simulation reads."""
@@ -112,6 +121,10 @@
 
         simulation.at(simulation.now_s + POLL_INTERVAL_S, poll)
 
+    def hedge_delay_s(self, now_s: float) -> float | None:
+        """Return after what time a request is sent to a second target, if at all."""
+        return None
+
     def choose(self, tried, now_s: float) -> str | None:
         names = [name for name in self.domains if name not in tried]
         loads = self.loads.estimates(names, 57, now_s)
@@ -145,6 +158,11 @@
         self.admission.record_ended(number)
         self.admit_waiting(now_s)
 
+    def canceled(self, number, name, sent_s, now_s) -> None:
+        self.loads.record_ended(name, False)
+        self.admission.record_ended(number)
+        self.admit_waiting(now_s)
+
     def retry_after_s(self, objective_s, remaining_s, now_s) -> float:
         return self.admission.retry_after_s(objective_s, remaining_s, now_s)
 
@@ -191,3 +209,86 @@
     def shed(self, number, name, now_s) -> None:
         self.own_stats = self.own_stats.plus(ServiceStats(turned_away=1))
         super().shed(number, name, now_s)
+
+
+@strategy("hedge")
+class HedgingRouter(ThrottledRouter):
+    """Additionally send overdue requests to a second target, as `retries/hedging` decides."""
+
+    BUDGET = BudgetTerms(0.2, 10.0, 340.0)
+    ROUTE = "lookup"
+
+    def __init__(self, number, domain, domains, parameters, routers, random: Random) -> None:
+        super().__init__(number, domain, domains, parameters, routers, random)
+        self.retries = SharedRetryBudget(self.BUDGET, lambda: routers)
+        self.hedge_budget = HedgeBudget(self.retries)
+        self.start_times = StartTimes()
+        self.second_numbers: set[int] = set()
+
+    def offer(
+        self, number, objective_s, remaining_s, came_back, now_s, on_decision, simulation
+    ) -> None:
+        self.retries.count_request(now_s)
+        super().offer(number, objective_s, remaining_s, came_back, now_s, on_decision, simulation)
+
+    def hedge_delay_s(self, now_s: float) -> float | None:
+        objective_s = self.parameters.objective_s
+        return self.start_times.overdue_delay(self.ROUTE, objective_s, now_s).delay_s
+
+    def choose_hedge(self, tried, remaining_s: float, now_s: float) -> str | None:
+        """Return the target of a second send, `None` if there is none."""
+        if not self.may_hedge(remaining_s, now_s):
+            return None
+        name = self.choose(tried, now_s)
+        is_free = name is not None and self.busy_until_s.get(name, 0.0) <= now_s
+        return name if is_free and self.hedge_budget.take(now_s) else None
+
+    def may_hedge(self, remaining_s: float, now_s: float) -> bool:
+        state = self.admission.pool_state(self.free_slots(), now_s)
+        situation = HedgeSituation(
+            remaining_s,
+            False,
+            state.queued,
+            state.headroom,
+            state.start_fraction,
+            self.throttle.admitted_share,
+        )
+        return refuse_hedge(situation) is None
+
+    def answered(self, number, name, sent_s, now_s) -> None:
+        self.start_times.record(self.ROUTE, now_s - sent_s, now_s)
+        super().answered(number, name, sent_s, now_s)
+
+    def canceled(self, number, name, sent_s, now_s) -> None:
+        self.start_times.record(self.ROUTE, now_s - sent_s, now_s)
+        self.busy_until_s[name] = now_s + OVERDUE_AVOID_S
+        super().canceled(number, name, sent_s, now_s)
+
+
+@strategy("hedge fixed")
+class FixedDelayRouter(HedgingRouter):
+    """Send a second time after a fixed share of the objective."""
+
+    DELAY_SHARE = 0.5
+
+    def hedge_delay_s(self, now_s: float) -> float | None:
+        return self.DELAY_SHARE * self.parameters.objective_s
+
+
+@strategy("hedge at once")
+class DuplicatingRouter(FixedDelayRouter):
+    """Send to both targets at once, within the budget."""
+
+    DELAY_SHARE = 0.0
+
+
+@strategy("hedge ungated")
+class UngatedRouter(HedgingRouter):
+    """Send a second time also while the pool is short of slots, with the whole retry budget."""
+
+    def __init__(self, *arguments) -> None:
+        super().__init__(*arguments)
+        self.hedge_budget = HedgeBudget(self.retries, 1.0)
+
+    def may_hedge(self, remaining_s: float, now_s: float) -> bool:
+        return True
--- a/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
@@ -33,7 +33,14 @@
     WindowPolicy,
 )
 
-__all__ = ["AdmissionDecision", "AdmissionStep", "PoolAdmission", "PoolRejection", "TargetSlots"]
+__all__ = [
+    "AdmissionDecision",
+    "AdmissionStep",
+    "PoolAdmission",
+    "PoolRejection",
+    "PoolState",
+    "TargetSlots",
+]
 
 # A request may wait for this fraction of its objective. The rest is for the answer to
 # start, which the window keeps at about half of the objective.
@@ -75,6 +82,14 @@
     why: str
 
 
+class PoolState(NamedTuple):
+    """A pool as its router sees it: its queue, headroom and median start fraction."""
+
+    queued: int
+    headroom: int
+    start_fraction: float
+
+
 class AdmissionDecision(NamedTuple):
     """The decision on a request, the estimates behind it, and the requests it displaced.
 
@@ -142,6 +157,11 @@
             step, expected_wait_s, wait_until_s, headroom, begun_part, turned_away
         )
 
+    def pool_state(self, target_slots: Sequence[TargetSlots], now_s: float) -> PoolState:
+        """Return the state of the pool, on which a second send of a request depends."""
+        headroom = self._headroom("", target_slots, now_s)
+        return PoolState(len(self.queue), headroom, self._median_start_fraction(now_s))
+
     def waiting_for(self, target_id: str) -> int:
         """Return how many requests wait at this router for a target."""
         return self.queue.waiting_for(target_id)
--- a/packages/decisions/src/damaskwind/decisions/load/held_requests.py
+++ b/packages/decisions/src/damaskwind/decisions/load/held_requests.py
@@ -39,31 +39,55 @@
 # Among some hundred targets, two collide in one of 800,000 fleets; an id as text would double
 # the message size.
 _DIGEST_BITS = 32
+# Bounds of a reported work time, in percent: beyond them a figure is not plausible.
+MIN_WORK_TIME_PERCENT = 25
+MAX_WORK_TIME_PERCENT = 1000
 
 
 class TargetLoad(NamedTuple):
-    """A target's own report: requests running and waiting, and its slots."""
+    """A target's own report: requests running and waiting, and its slots.
+
+    `work_time_percent` is how long work takes there now, in percent of the usual time; it is
+    `None` if the target does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time_percent: int | None = None
 
 
 def parse_target_load(value: bytes | None) -> TargetLoad | None:
-    """Parse `running,waiting,slots`; return `None` if the value is malformed.
+    """Parse `running,waiting,slots` or `running,waiting,slots,work`; `None` if malformed.
+
+    A malformed fourth figure is ignored.
 
     >>> parse_target_load(b"3,0,8")
-    TargetLoad(running=3, waiting=0, slots=8)
-    >>> parse_target_load(b"x") is None
-    True
+    TargetLoad(running=3, waiting=0, slots=8, work_time_percent=None)
+    >>> parse_target_load(b"3,0,8,2500").work_time_percent
+    1000
+    >>> parse_target_load(b"3,0,8,x").work_time_percent, parse_target_load(b"x")
+    (None, None)
     """
     if not value:
         return None
     try:
-        running, waiting, slots = (int(item) for item in value.split(b","))
+        running, waiting, slots, *work = value.split(b",", 3)
+        return TargetLoad(int(running), int(waiting), int(slots), _parse_work_time(*work))
+    except ValueError:
+        return None
+
+
+def _parse_work_time(value: bytes | None = None) -> int | None:
+    """Return the fourth figure of a load within its bounds, `None` if absent or malformed."""
+    try:
+        return (
+            None
+            if value is None
+            else min(max(int(value), MIN_WORK_TIME_PERCENT), MAX_WORK_TIME_PERCENT)
+        )
     except ValueError:
         return None
-    return TargetLoad(running, waiting, slots)
 
 
 class LoadSource(StrEnum):
--- a/packages/decisions/src/damaskwind/decisions/retries/shared_budget.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/shared_budget.py
@@ -49,6 +49,11 @@
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
+    @property
+    def window_s(self) -> float:
+        """Return the length of the window in which retries are counted."""
+        return self._terms.window_s
+
     def count_request(self, now_s: float) -> None:
         """Count a request of a caller, without its retries."""
         self._requests.append(now_s)
@@ -64,6 +69,7 @@
 
     def allowance(self, now_s: float) -> float:
         """Return how many retries the current window allows in total."""
+        self._drop_expired(now_s)
         terms = self._terms
         age_windows = (now_s - self._started_s) / terms.window_s
         slack_share = min(1.0, age_windows) * terms.slack / max(self._routers(), 1)
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -32,7 +32,7 @@
 )
 from damaskwind.runtime.http1.messages import Answer, Request, header
 
-__all__ = ["AttemptEnd", "AttemptOutcome", "AttemptSender", "Placement"]
+__all__ = ["AnswerAcceptor", "AttemptEnd", "AttemptOutcome", "AttemptSender", "Placement"]
 
 # A non-streaming answer is buffered completely before any of it is forwarded, so that a
 # truncated one is detected; services answer with a few KB.
@@ -57,10 +57,15 @@
 MISDIRECTED = 421
 
 
+# Called with the seconds from the send to the head of the answer.
+AnswerAcceptor = Callable[[float], None]
+
+
 class AttemptEnd(StrEnum):
     """How one attempt ended."""
 
     DELIVERED = "delivered"
+    SUPERSEDED = "superseded"
     WITHHELD = "withheld"
     NOT_RUN = "not-run"
     TARGET_ERROR = "target-error"
@@ -83,7 +88,8 @@
     time from the send to the head of the answer, in seconds. `is_displaced` means that another
     target answered at the address, `is_connection_lost` that the target closed the connection
     before the answer was complete, `asks_for_pause` that it asked for a pause (Retry-After).
-    A request that was withheld was not sent.
+    A request that was withheld was not sent. An attempt that was superseded was canceled,
+    since that at another target went on.
     """
 
     end: AttemptEnd
@@ -100,6 +106,10 @@
     """Ignore the start of an answer; the default of `AttemptSender.on_answer_started`."""
 
 
+def _accept_answer(first_s: float) -> None:
+    """Accept an answer that begins; the default if no other attempt is in progress."""
+
+
 def _is_connection_lost(connection: ClientConnection) -> bool:
     """Tell whether a connection that the target had accepted was closed early.
 
@@ -132,9 +142,12 @@
         placement: Placement,
         delivery: Delivery,
         may_reroute: bool,
+        accept_answer: AnswerAcceptor = _accept_answer,
     ) -> AttemptOutcome:
         """Send the request and forward the answer; with `may_reroute` give up on a silent target.
 
+        `accept_answer` is called when an answer begins that is neither a refusal nor an error,
+        before any of it is forwarded.
         Raise `TimeoutError` before anything is sent if the caller's deadline has passed.
         """
         target = placement.target
@@ -155,7 +168,9 @@
         self._loads.record_sent(target.target_id, is_engine)
         wait_number = self.activity.begin_wait(target.target_id, read_clock())
         try:
-            return await self._exchange(connection, request, call, placement, delivery, may_reroute)
+            return await self._exchange(
+                connection, request, call, placement, delivery, may_reroute, accept_answer
+            )
         except AnswerBrokenError as error:
             if connection.is_timed_out:
                 self.connections.watch(target.target_id, target.address)
@@ -178,6 +193,7 @@
         placement: Placement,
         delivery: Delivery,
         may_reroute: bool,
+        accept_answer: AnswerAcceptor,
     ) -> AttemptOutcome:
         """Write the request, then read and forward the answer to it."""
         resume_after = delivery.resume_after(call.facts.resume_after)
@@ -195,6 +211,8 @@
         if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
             outcome = await self._read_refusal(connection, head, target)
             return outcome._replace(asks_for_pause=signals.rest_s > 0)
+        if head.status < 500:
+            accept_answer(first_s)
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
         if is_stream:
             outcome = await self._relay_stream(
@@ -317,6 +335,7 @@
         headers = head.headers
         load = parse_target_load(header(headers, self._names.target_load))
         if load is not None:
+            self._target_states.reports_work_time |= load.work_time_percent is not None
             self._loads.observe_report(target.target_id, load, read_clock())
         signals = parse_signals(
             head.status,
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -91,8 +91,13 @@
     are the failure domains of targets that were unreachable or silent for this request.
 
     `digest` identifies the request's content, also under another request id. `is_suspected`
-    means that targets have crashed while running it, and `exit_probe` finds out whether the
-    target of the last attempt has. If `regions` are given, the request stays in them.
+    means that targets have crashed while running it, and `exit_probes` find out whether the
+    targets of the last attempts have. If `regions` are given, the request stays in them.
+
+    `possible_runs` counts the attempts that may have run the request. Two of them may be in
+    progress at once; `second_number` then stands for the one at `second_target` in the
+    admission to the pool, which knows one target per number. `superseded_targets` are those
+    at which an attempt was canceled in favor of another one.
     """
 
     def __init__(
@@ -108,7 +113,7 @@
         self.facts = facts
         self.digest = digest
         self.is_suspected = False
-        self.exit_probe: asyncio.Task[bool] | None = None
+        self.exit_probes: list[asyncio.Task[bool]] = []
         self.route = route
         self.account = account
         self.service = service
@@ -126,7 +131,23 @@
         self.reached = 0
         self.unreached = 0
         self.silent_domains: set[str] = set()
-        self.may_have_run = False
+        self.possible_runs = 0
+        self.second_target: str | None = None
+        self.second_number = 0
+        self.superseded_targets: set[str] = set()
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any attempt may have run the request, or may still run it."""
+        return self.possible_runs > 0
+
+    def begin_second(self, target_id: str) -> None:
+        """Give the attempt at a second target a number of its own."""
+        self.second_target, self.second_number = target_id, next(_NUMBERS)
+
+    def number_at(self, target_id: str) -> int:
+        """Return the number of the attempt at a target."""
+        return self.second_number if target_id == self.second_target else self.number
 
     @property
     def priority(self) -> int:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.final_answers import FinalAnswers
 from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
 from damaskwind.router.forwarding.request_steps import RequestSteps
@@ -74,12 +75,21 @@
             self.crash_detector,
             self.tallies,
         )
+        self.hedged_sends = HedgedSends(
+            self.sends,
+            self.chooser,
+            self.admissions,
+            self.throttles,
+            self.target_states,
+            self._budget,
+            self.tallies,
+        )
         self.steps = RequestSteps(
             self.target_states,
             self.admissions,
             (self.throttles,),
             self.chooser,
-            self.sends,
+            self.hedged_sends,
             self._take_retry,
             self.tallies,
         )
--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -9,6 +9,7 @@
     AdmissionStep,
     PoolAdmission,
     PoolRejection,
+    PoolState,
 )
 from damaskwind.decisions.admission.start_window import WindowPolicy
 from damaskwind.decisions.placement.affinity import Candidate
@@ -82,18 +83,25 @@
     def record_sent(self, call: Call, target_id: str) -> None:
         """Record that a request is sent to a target."""
         pool = self._pool(call.service)
-        pool.record_sent(call.number, target_id, call.route.objective_s, read_clock())
+        number = call.number_at(target_id)
+        pool.record_sent(number, target_id, call.route.objective_s, read_clock())
 
-    def record_answer_started(self, call: Call) -> None:
-        """Record that the answer to a request began."""
-        self._pool(call.service).record_answer_started(call.number, read_clock())
+    def record_answer_started(self, call: Call, target_id: str) -> None:
+        """Record that the answer to a request began at a target."""
+        number = call.number_at(target_id)
+        self._pool(call.service).record_answer_started(number, read_clock())
         self._start_ready(call.service)
 
-    def record_ended(self, call: Call) -> None:
-        """Record that the last attempt of a request has ended, or that its answer can't begin."""
-        self._pool(call.service).record_ended(call.number)
+    def record_ended(self, call: Call, target_id: str = "") -> None:
+        """Record that an attempt at a target has ended, or that the answer can't begin."""
+        self._pool(call.service).record_ended(call.number_at(target_id))
         self._start_ready(call.service)
 
+    def pool_state(self, service: str) -> PoolState:
+        """Return the state of a pool, on which a second send of a request depends."""
+        now_s = read_clock()
+        return self._pool(service).pool_state(self._target_states.free_slots(service, now_s), now_s)
+
     def record_rejection(self, call: Call, target_id: str) -> None:
         """Record that a target refused a request because it had no free slot."""
         self._pool(call.service).record_rejection(target_id, read_clock())
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -113,6 +113,9 @@
             "targets_said_leaving", "in an answer", partial(self._count_signals, TargetSignal.LEAVE)
         )
         show("failure_domains_evacuated", "emptied by operators", self._evacuated)
+        hedged = self.forwarder.hedged_sends
+        show("second_sends_enabled", "1 if overdue requests are sent again", self._hedges)
+        show("second_sends_in_progress", "at two targets now", lambda: hedged.in_progress)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
 
     def _count_signals(self, signal: TargetSignal) -> float:
@@ -121,6 +124,9 @@
     def _evacuated(self) -> float:
         return float(len(self.view.evacuations.failure_domains))
 
+    def _hedges(self) -> float:
+        return float(self.forwarder.hedged_sends.is_enabled)
+
     def _suspected(self) -> float:
         return self.view.suspicions.count(Standing.SUSPECTED)
 
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -1,9 +1,12 @@
 """Make one attempt at a target and record its outcome in the router's state."""
 
+import asyncio
+
 from damaskwind.decisions.fatal_requests.suspicion import SuspicionLevel
 from damaskwind.decisions.load.held_requests import LoadBasis
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.router.forwarding.attempt import (
+    AnswerAcceptor,
     AttemptEnd,
     AttemptOutcome,
     AttemptSender,
@@ -48,29 +51,43 @@
         sender.on_answer_started = self._record_answer_started
 
     async def send(
-        self, exchange: Exchange, call: Call, delivery: Delivery, placement: Placement
+        self,
+        exchange: Exchange,
+        call: Call,
+        delivery: Delivery,
+        placement: Placement,
+        accept_answer: AnswerAcceptor | None = None,
     ) -> AttemptOutcome:
-        """Make one attempt at a target and record its outcome."""
+        """Make one attempt at a target and record its outcome.
+
+        With `accept_answer` another attempt may be in progress; see `AttemptSender.send`.
+        """
         target = placement.target
         begun_s = read_clock()
         basis = self._record_begun(call, target, begun_s)
         may_reroute = call.route.may_repeat and call.sends < call.route.max_attempts
         # Until the outcome is known, the request may be running.
-        could_have_run, call.may_have_run = call.may_have_run, True
-        call.exit_probe, level = None, self._suspicions.table.level(call.digest)
+        call.possible_runs += 1
+        level = self._suspicions.table.level(call.digest)
         call.is_suspected = level.ends > 0
+        options = () if accept_answer is None else (accept_answer,)
         outcome = AttemptOutcome(AttemptEnd.BROKEN, "canceled")
         try:
             outcome = await self._sender.send(
-                exchange.request, call, placement, delivery, may_reroute
+                exchange.request, call, placement, delivery, may_reroute, *options
             )
+        except asyncio.CancelledError:
+            if target.target_id in call.superseded_targets:
+                outcome = AttemptOutcome(AttemptEnd.SUPERSEDED, "another attempt went on")
+                self._tallies.count("attempts", end=outcome.end.value)
+            raise
         finally:
             ended_s = read_clock()
-            self._admissions.record_ended(call)
+            self._admissions.record_ended(call, target.target_id)
             call.notes.append(_note(call, placement, basis, outcome, begun_s, ended_s))
         self._tallies.count("attempts", end=outcome.end.value)
         if outcome.end in (AttemptEnd.WITHHELD, AttemptEnd.NOT_RUN):
-            call.may_have_run = could_have_run
+            call.possible_runs -= 1
         if outcome.end is AttemptEnd.WITHHELD:
             call.sends -= 1
             return outcome
@@ -125,7 +142,7 @@
         """Find out whether a target crashed under a request, or record that it ran to its end."""
         if outcome.is_connection_lost:
             broken = BrokenSend(call.digest, level, call.facts.request_id)
-            call.exit_probe = self._crash_detector.probe(target, broken)
+            call.exit_probes.append(self._crash_detector.probe(target, broken))
         elif _ran_to_end(outcome):
             self._suspicions.record_completion(call.digest)
 
@@ -140,7 +157,7 @@
         self._target_states.record_answer_started(
             call.service, target_id, objective_share, read_clock()
         )
-        self._admissions.record_answer_started(call)
+        self._admissions.record_answer_started(call, target_id)
 
 
 def _note(
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -4,7 +4,8 @@
 
     asked     gates, the first placement and admission to the pool
     admitted  placed again if it waited, since the state of the targets has changed
-    placed    sent to its target, if the retry budget allows it
+    placed    sent to its target, if the retry budget allows it; `HedgedSends` sends an
+              overdue request to a second target
     sent      the outcome of the attempt decides whether another one may follow
     lost      the connection broke: the request itself may have crashed its target
     repeated  placed again at another target
@@ -19,8 +20,8 @@
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, Placement
 from damaskwind.router.forwarding.call import Call
 from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
-from damaskwind.router.forwarding.recorded_sends import RecordedSends
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.http1.exchange import Exchange
@@ -99,7 +100,7 @@
         admissions: PoolAdmissions,
         gates: Sequence[AdmissionGate],
         chooser: TargetChooser,
-        sends: RecordedSends,
+        sends: HedgedSends,
         take_retry: Callable[[str], bool],
         tallies: Tallies,
     ) -> None:
@@ -199,9 +200,9 @@
     The request itself may have crashed the target, so it is retried elsewhere once, not twice.
     """
     call = progress.call
-    if call.exit_probe is not None:
-        # Other requests share the probe, so it continues when this caller leaves.
-        await asyncio.shield(call.exit_probe)
+    # Other requests share the probes, so they continue when this caller leaves.
+    probes, call.exit_probes = call.exit_probes, []
+    await asyncio.shield(asyncio.gather(*probes))
     may_retry = steps.suspicions.table.may_retry(call.digest)
     return RequestState.REPEATED if may_retry else RequestState.ENDED
 
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -33,6 +33,9 @@
 # the time in which a queue of short requests shrinks.
 REFUSED_AVOID_S = 0.1
 EJECTION_S = 1.0
+# A target is avoided for this time after another one answered an overdue request of it: about
+# the time for which a target stays slow.
+OVERDUE_AVOID_S = 0.5
 
 # Upper bound of the delay of a target's first report. The sequence number of a report counts
 # the heartbeats of an incarnation and so gives its age; a connection that is older by more than
@@ -84,6 +87,8 @@
         self.loads = LoadEstimator()
         self.activity = TargetActivity()
         self.signals = SignalTable()
+        # Whether any target has reported how long work takes there.
+        self.reports_work_time = False
         self._heartbeat_s = heartbeat_s
         self._random = random
         self._health: dict[str, PoolHealth] = {}
@@ -134,6 +139,18 @@
         """Record that an answer began after this fraction of its latency objective."""
         self._slow_detector(service).observe(target_id, objective_share, now_s)
 
+    def record_overdue(
+        self, target: TargetRecord, objective_share: float, now_s: float, is_engine: bool
+    ) -> None:
+        """Record that a target has not answered a request that was then canceled there.
+
+        A target that reports no load is avoided for some time: the request no longer counts
+        as held there, which would make the target look idle.
+        """
+        if not is_engine:
+            self._avoided_until_s[target.target_id] = now_s + OVERDUE_AVOID_S
+        self.record_answer_started(target.service, target.target_id, objective_share, now_s)
+
     def record_signals(self, target: TargetRecord, signals: AnswerSignals) -> None:
         """Record what a target asks for in an answer: a pause, or no requests as it is leaving."""
         signal = self.signals.observe(_incarnation(target), signals, read_clock())
