--- a/benchmarks/overload/plain_service.py
+++ b/benchmarks/overload/plain_service.py
@@ -326,9 +326,10 @@
 
 
 def simulate_plain(
-    strategy: str, load: PlainLoad, seed: int, parameters: PlainParameters = PlainParameters()
+    strategy: str, load: PlainLoad, seed: int, parameters: PlainParameters | None = None
 ) -> PlainTotals:
     """Simulate a load under one strategy; summarize the requests after the warm-up or the loss."""
+    parameters = parameters or PlainParameters()
     simulation = _Simulation(strategy, load, parameters, seed)
     callers = [
         caller
--- a/benchmarks/overload/plain_ways.py
+++ b/benchmarks/overload/plain_ways.py
@@ -11,6 +11,7 @@
 from damaskwind.decisions.load.held_requests import LoadEstimator
 from damaskwind.decisions.placement.affinity import AffinityPolicy, Candidate, choose_target
 from damaskwind.decisions.retries.hedging import (
+    OVERDUE_AVOID_S,
     HedgeBudget,
     HedgeSituation,
     StartTimes,
@@ -24,8 +25,6 @@
 BUSY_COOLDOWN_S = 0.1
 POLL_INTERVAL_S = 0.05
 
-OVERDUE_AVOID_S = 0.5
-
 
 class PlainRouter(Protocol):
     """The attributes of a router that the simulation reads."""
--- a/packages/decisions/src/damaskwind/decisions/retries/hedging.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/hedging.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "MAX_STREAM_OVERLAP_S",
+    "OVERDUE_AVOID_S",
     "HedgeBudget",
     "HedgeRefusal",
     "HedgeSituation",
@@ -48,6 +49,12 @@
 # Beyond this median start time of a pool, as a share of the objective, requests are overdue
 # because the pool is overloaded, and second sends would add to the load.
 MAX_START_FRACTION = 0.45
+# While less than this share of a service's requests is admitted, its targets are overloaded. A
+# slow target alone lowers the share too, and is what second sends are for.
+MIN_ADMITTED_SHARE = 0.7
+# A target that reports no load is avoided for this time after an overdue request was canceled
+# there: without the request it looks idle, while it usually stays slow for some 0.5 s.
+OVERDUE_AVOID_S = 0.5
 # With less time before the deadline, a second answer would come too late.
 MIN_LEFT_S = 0.03
 
@@ -126,7 +133,7 @@
     (HedgeRefusal.DEADLINE, lambda it: it.left_s < MIN_LEFT_S),
     (HedgeRefusal.SUSPECTED, lambda it: it.is_suspected),
     (HedgeRefusal.POOL_SHORT, lambda it: it.queued > 0 or it.headroom <= 0),
-    (HedgeRefusal.POOL_SHORT, lambda it: it.admitted_share < 1.0),
+    (HedgeRefusal.POOL_SHORT, lambda it: it.admitted_share < MIN_ADMITTED_SHARE),
     (HedgeRefusal.POOL_SHORT, lambda it: it.start_fraction > MAX_START_FRACTION),
 )
 
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -18,6 +18,7 @@
 from damaskwind.decisions.load.held_sums import HeldSum
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import Candidate
+from damaskwind.decisions.retries.hedging import OVERDUE_AVOID_S
 from damaskwind.decisions.target_signals.answer_signals import AnswerSignals
 from damaskwind.decisions.target_signals.signal_table import SignalTable, TargetSignal
 from damaskwind.router.forwarding.cold_targets import ColdTargets
@@ -33,9 +34,6 @@
 # the time in which a queue of short requests shrinks.
 REFUSED_AVOID_S = 0.1
 EJECTION_S = 1.0
-# A target is avoided for this time after another one answered an overdue request of it: about
-# the time for which a target stays slow.
-OVERDUE_AVOID_S = 0.5
 
 # Upper bound of the delay of a target's first report. The sequence number of a report counts
 # the heartbeats of an incarnation and so gives its age; a connection that is older by more than
