--- a/benchmarks/overload/plain_service.py
+++ b/benchmarks/overload/plain_service.py
@@ -41,7 +41,7 @@
 
     A random `slow_share` of the targets takes `slow_factor` times as long, redrawn every
     `slow_period_s`. `repeatable_share` of the requests may be sent to two targets. With
-    `drops_canceled` a target drops a queued request when its connection is closed.
+    `drops_canceled` a target drops a request, waiting or running, when its connection is reset.
     """
 
     load_multiple: float
@@ -89,7 +89,7 @@
     def __init__(self, name: str, parameters: PlainParameters) -> None:
         self.name = name
         self.parameters = parameters
-        self.running = 0
+        self.running: list[_Send] = []
         self.queue: deque[_Send] = deque()
         self.is_up = True
         self.work_factor = 1.0
@@ -243,8 +243,7 @@
 
     def _arrive_at_target(self, send: _Send) -> None:
         target = self.targets[send.name]
-        if target.running < self.parameters.slots:
-            target.running += 1
+        if len(target.running) < self.parameters.slots:
             self._serve(send, target)
         elif len(target.queue) < self.parameters.queue:
             target.queue.append(send)
@@ -277,16 +276,20 @@
         if self.random.random() < parameters.tail_share:
             service_time_s *= parameters.tail_factor
         service_time_s *= target.work_factor
+        target.running.append(send)
 
         def end() -> None:
-            target.running -= 1
-            if target.queue:
-                target.running += 1
-                self._serve(target.queue.popleft(), target)
-            self.at(self.now_s + NETWORK_DELAY_S, lambda: self._answer(send))
+            if send in target.running:
+                self._free_slot(send, target)
+                self.at(self.now_s + NETWORK_DELAY_S, lambda: self._answer(send))
 
         self.at(self.now_s + service_time_s, end)
 
+    def _free_slot(self, send: _Send, target: _Target) -> None:
+        target.running.remove(send)
+        if target.queue:
+            self._serve(target.queue.popleft(), target)
+
     def _answer(self, send: _Send) -> None:
         """Deliver the first answer to a request, and cancel its other send."""
         caller = send.caller
@@ -305,9 +308,15 @@
     def _cancel(self, send: _Send) -> None:
         """Cancel a send; unless `drops_canceled` is set, its target still runs it."""
         send.router.canceled(send.number, send.name, send.sent_s, self.now_s)
-        queue = self.targets[send.name].queue
-        if self.load.drops_canceled and send in queue:
-            queue.remove(send)
+        if self.load.drops_canceled:
+            self.at(self.now_s + NETWORK_DELAY_S, lambda: self._drop(send))
+
+    def _drop(self, send: _Send) -> None:
+        target = self.targets[send.name]
+        if send in target.queue:
+            target.queue.remove(send)
+        elif send in target.running:
+            self._free_slot(send, target)
 
     def _refuse(self, caller: _CallerRequest, retry_after_s: float) -> None:
         caller.refusal_delays_s.append(self.now_s - caller.attempt_started_s)
--- a/packages/decisions/src/damaskwind/decisions/load/tests/test_held_requests.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/test_held_requests.py
@@ -8,6 +8,7 @@
     LoadEstimator,
     LoadSource,
     TargetLoad,
+    parse_target_load,
     target_digest,
 )
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
@@ -63,6 +64,17 @@
             self.ends[name] = [item for item in ends if item[0] > now_s]
 
 
+class ParsedLoadTest(unittest.TestCase):
+    def test_malformed_fourth_figure_keeps_the_first_three(self):
+        """All reports of targets that send a fourth figure were discarded."""
+        work_times = {b"": None, b"x": None, b"1,2": None, b"100": 100, b"-9": 25, b"9999": 1000}
+        for text, percent in work_times.items():
+            load = parse_target_load(b"3,0,8," + text)
+            self.assertEqual(load, TargetLoad(3, 0, 8, percent), text)
+        for text in (b"", b"3,0", b"3,0,x", b"3,0,,100"):
+            self.assertIsNone(parse_target_load(text), text)
+
+
 class ColdStartTest(unittest.TestCase):
     def test_own_requests_to_a_target_without_reports_count_for_other_routers_too(self):
         loads = LoadEstimator()
--- a/packages/decisions/src/damaskwind/decisions/retries/hedging.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/hedging.py
@@ -43,12 +43,12 @@
 # after the greatest one, a second answer would hardly be in time.
 DEFAULT_DELAY_SHARE = 0.5
 MIN_DELAY_SHARE = 0.3
-MAX_DELAY_SHARE = 0.6
+MAX_DELAY_SHARE = 0.5
 # The share of the retry budget that second sends may use.
 BUDGET_SHARE = 0.5
 # Beyond this median start time of a pool, as a share of the objective, requests are overdue
 # because the pool is overloaded, and second sends would add to the load.
-MAX_START_FRACTION = 0.45
+MAX_START_FRACTION = 0.6
 # While less than this share of a service's requests is admitted, its targets are overloaded. A
 # slow target alone lowers the share too, and is what second sends are for.
 MIN_ADMITTED_SHARE = 0.7
