Keep to a route's attempts after a canceled attempt of a stream

A refusal by the second target allowed a third send though the first attempt may have run. After a suspension, a second send waits for the answers that are still unread.

--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -32,6 +32,7 @@
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.clock_loop import last_woken_s
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.tallies import Tallies
 
@@ -108,7 +109,12 @@
         outcomes = [task.result() for task in ended if task.exception() is None]
         if not outcomes:
             return ended[0].result()
-        return min(outcomes, key=lambda outcome: _PRECEDENCE.index(outcome.end))
+        outcome = min(outcomes, key=lambda outcome: _PRECEDENCE.index(outcome.end))
+        was_refused = outcome.end is AttemptEnd.NOT_RUN and outcome.was_reached
+        if was_refused and len(ended) < len(self.tasks):
+            # Only a request that certainly has not run may exceed the attempts of its route.
+            return outcome._replace(end=AttemptEnd.STALLED)
+        return outcome
 
     async def close(self) -> None:
         """Cancel what is still in progress, and wait until its connections are closed."""
@@ -186,6 +192,9 @@
             call.route.name, call.route.objective_s, read_clock()
         )
         await race.wait(overdue.delay_s)
+        if last_woken_s() > race.attempts[0].begun_s:
+            # What arrived while this process was suspended is still unread.
+            await race.wait(overdue.delay_s)
         if race.winner is None and not race.tasks[0].done():
             second = self._place_second(call, race.attempts[0], overdue)
             if second is not None:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
@@ -173,6 +173,16 @@
         overlap_s = self.at("first", "closed") - self.at("second", "held")
         self.assertTrue(0.2 < overlap_s < 0.38, overlap_s)
 
+    @asyncio_test
+    async def test_refusal_after_the_overlap_does_not_allow_more_than_the_attempts(self):
+        """The canceled first attempt may have run, so the refusal is not one of the request."""
+        self.targets.append(ScriptedTarget(NAMES))
+        self.admit("t2", await self.targets[2].start())
+        self.publish(route(**STREAM), version=2)
+        self.share(self.held("first"), late(REFUSED, 0.45))
+        self.assertEqual((await self.call()).status, 502)
+        self.assertEqual(len(self.received()), 2)
+
     @asyncio_test
     async def test_winning_stream_that_breaks_off_is_resumed_at_a_third_target(self):
         self.targets.append(ScriptedTarget(NAMES))
