--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from damaskwind.router.forwarding.final_answers import FinalAnswers
 from damaskwind.router.forwarding.fleet_shedding import FleetShedding
 from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.held_bytes import GivenUpError
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
@@ -93,12 +94,21 @@
             self.shedding = FleetShedding(self.target_states, self.admissions, self.tallies, random)
             self.shedding.attach(self.throttles, self.sends)
             gates = (self.memory, self.throttles, self.shedding)
+        self.hedged_sends = HedgedSends(
+            self.sends,
+            self.chooser,
+            self.admissions,
+            self.throttles,
+            self.target_states,
+            self._budget,
+            self.tallies,
+        )
         self.steps = RequestSteps(
             self.target_states,
             self.admissions,
             gates,
             self.chooser,
-            self.sends,
+            self.hedged_sends,
             self._take_retry,
             self.tallies,
             SpeedProbes(self.target_states, names, self.tallies),
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -140,6 +140,9 @@
             shedding = self.forwarder.shedding
             show("shed_services", "of which requests are shed", shedding.shed_services)
             show("cutoff_age_seconds", "since the replica sent it", shedding.cutoff_age_s)
+        hedged = self.forwarder.hedged_sends
+        show("second_sends_enabled", "1 if overdue requests are sent again", self._hedges)
+        show("second_sends_in_progress", "at two targets now", lambda: hedged.in_progress)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
         if self.held_bytes is not None:
             self.held_bytes.register_gauges()
@@ -152,6 +155,9 @@
     def _evacuated(self) -> float:
         return float(len(self.view.evacuations.failure_domains))
 
+    def _hedges(self) -> float:
+        return float(self.forwarder.hedged_sends.is_enabled)
+
     def _suspected(self) -> float:
         return self.view.suspicions.count(Standing.SUSPECTED)
 
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -19,6 +19,7 @@
 from damaskwind.decisions.load.held_sums import HeldSum
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import Candidate
+from damaskwind.decisions.retries.hedging import OVERDUE_AVOID_S
 from damaskwind.decisions.target_signals.answer_signals import AnswerSignals
 from damaskwind.decisions.target_signals.signal_table import SignalTable, TargetSignal
 from damaskwind.router.forwarding.cold_targets import ColdTargets
@@ -89,6 +90,8 @@
         self.target_speeds = TargetSpeeds()
         self.activity = TargetActivity()
         self.signals = SignalTable()
+        # Whether any target has reported how long work takes there.
+        self.reports_work_time = False
         self._heartbeat_s = heartbeat_s
         self._random = random
         self._health: dict[str, PoolHealth] = {}
@@ -164,6 +167,18 @@
         share = objective_share / max(self.work_time(target_id, now_s), 1.0)
         self._slow_detector(service).observe(target_id, share, now_s)
 
+    def record_overdue(
+        self, target: TargetRecord, objective_share: float, now_s: float, is_engine: bool
+    ) -> None:
+        """Record that a target has not answered a request that was then canceled there.
+
+        A target that reports no load is avoided for some time: the request no longer counts
+        as held there, which would make the target look idle.
+        """
+        if not is_engine:
+            self._avoided_until_s[target.target_id] = now_s + OVERDUE_AVOID_S
+        self.record_answer_started(target.service, target.target_id, objective_share, now_s)
+
     def record_signals(self, target: TargetRecord, signals: AnswerSignals) -> None:
         """Record what a target asks for in an answer: a pause, or no requests as it is leaving."""
         signal = self.signals.observe(_incarnation(target), signals, read_clock())
