Held bytes: a body that comes too slowly keeps no other waiting

A caller that stopped in the middle of its body kept its place until the idle timeout of 15 s, while others were refused.

--- a/packages/decisions/src/damaskwind/decisions/held_bytes/body_queue.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/body_queue.py
@@ -7,7 +7,7 @@
 from enum import Enum, auto
 from math import exp
 
-__all__ = ["BodyQueue", "BodyStep"]
+__all__ = ["BodyQueue", "BodyStep", "is_body_stalled"]
 
 # A longer wait than this leaves too little of a usual objective of a second.
 MAX_WAIT_S = 0.5
@@ -17,6 +17,9 @@
 # Bodies that end at irregular times are averaged over this time.
 RATE_TIME_S = 2.0
 MIN_RETRY_S = 0.3
+# A caller that sends a body more slowly than this, after a grace time, may not keep others waiting.
+MIN_BODY_BYTES_PER_S = 16_384
+STALL_GRACE_S = 2.0
 MAX_RETRY_S = 3.0
 
 
@@ -28,6 +31,19 @@
     REFUSE = auto()
 
 
+def is_body_stalled(size_bytes: int, read_bytes: int, age_s: float) -> bool:
+    """Return whether a body of a known size comes too slowly to keep others waiting for it.
+
+    >>> [is_body_stalled(4_000_000, read_bytes, 3.0) for read_bytes in (1, 100_000, 4_000_000)]
+    [True, False, False]
+    >>> is_body_stalled(4_000_000, 1, age_s=1.0)
+    False
+    """
+    if age_s < STALL_GRACE_S or read_bytes >= size_bytes:
+        return False
+    return read_bytes < MIN_BODY_BYTES_PER_S * age_s
+
+
 class BodyQueue:
     """The bodies in hand by the number of their request, and those that wait unread.
 
--- a/packages/router/src/damaskwind/router/forwarding/held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/held_bytes.py
@@ -6,7 +6,12 @@
 
 from loguru import logger
 
-from damaskwind.decisions.held_bytes.body_queue import MAX_WAIT_S, BodyQueue, BodyStep
+from damaskwind.decisions.held_bytes.body_queue import (
+    MAX_WAIT_S,
+    BodyQueue,
+    BodyStep,
+    is_body_stalled,
+)
 from damaskwind.decisions.held_bytes.bound import HeldBounds
 from damaskwind.decisions.held_bytes.ledger import HeldLedger
 from damaskwind.model.exception import DamaskwindError
@@ -35,6 +40,8 @@
         self.caller = caller
         self.name = name
         self.size_bytes = 0
+        self.read_bytes = 0
+        self.begun_s = read_clock()
         self._held_bytes = held_bytes
         self._ledger = held_bytes.ledger
         self._task: asyncio.Task | None = None
@@ -47,6 +54,7 @@
 
     def add_body(self, size_bytes: int) -> bool:
         """Account for a piece of a body of unknown length; return whether to read on."""
+        self.read_bytes += size_bytes
         return bool(self.size_bytes) or self._held_bytes.grow_body(self, size_bytes)
 
     def hold(self, size_bytes: int) -> None:
@@ -132,6 +140,8 @@
         """Decide about a request's body; return whether to read it now."""
         number, size_bytes = request.number, request.size_bytes
         step = self.bodies.offer(number, size_bytes, read_clock())
+        if step is BodyStep.REFUSE and self._time_out_stalled():
+            step = self.bodies.offer(number, size_bytes, read_clock())
         self._tallies.count("request_bodies", step=step.name.lower())
         if step is BodyStep.READ:
             self.ledger.hold_body(number, size_bytes)
@@ -140,6 +150,7 @@
             limit = asyncio.get_running_loop().call_later(MAX_WAIT_S, self._end_wait, number)
             self._wait_limits[number] = limit
             self._log_body(request, "body left unread")
+            self._time_out_stalled()
         else:
             self._refuse_body(request)
         return step is BodyStep.READ
@@ -174,6 +185,21 @@
         self.ledger.close(request.number)
         request.give_up()
 
+    def _time_out_stalled(self) -> bool:
+        """End the requests whose bodies come too slowly; return whether there were any."""
+        now_s = read_clock()
+        stalled = [
+            request
+            for number, request in self._requests.items()
+            if number not in self._wait_limits
+            and is_body_stalled(request.size_bytes, request.read_bytes, now_s - request.begun_s)
+        ]
+        for request in stalled:
+            self._tallies.count("request_bodies", step="stalled")
+            self._log_body(request, "body stalled")
+            request.caller.time_out_body()
+        return bool(stalled)
+
     def _resume_body(self, number: int) -> None:
         """Let a body be read that waited."""
         self._cancel_wait_limit(number)
@@ -181,6 +207,7 @@
         if request is not None:
             self.ledger.hold_body(number, request.size_bytes)
             self.enforce_bound()
+            request.begun_s = read_clock()
             request.caller.resume_body()
 
     def _end_wait(self, number: int) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -162,6 +162,17 @@
         await self.until(lambda: not self.memory.ledger.held_bytes)
         self.assertEqual((self.memory.bodies.held_bytes, self.server.reading), (0, 0))
 
+    @asyncio_test
+    async def test_caller_that_stops_in_the_middle_of_its_body_keeps_no_other_waiting(self):
+        """It kept its place until the idle timeout of 15 s."""
+        stopped, _ = await self.open(b"x", 2 * MIB)
+        await asyncio.sleep(2.1)
+        reader, _ = await self.open(bytes(2 * MIB))
+        self.assertIn(b" 200 ", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0))
+        self.assertIn(b" 408 ", await asyncio.wait_for(stopped.readuntil(b"\r\n\r\n"), 2.0))
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+        self.assertEqual((self.memory.bodies.held_bytes, self.server.reading), (0, 0))
+
     @asyncio_test
     async def test_body_of_unknown_length_is_refused_where_it_exceeds_the_bound(self):
         _, first = await self.open(b"x", 2 * MIB)
--- a/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
@@ -44,6 +44,9 @@
     def refuse_body(self, retry_after_s: float) -> None:
         """Answer 503, since the body is not read; the request has not run."""
 
+    def time_out_body(self) -> None:
+        """Answer 408, since the caller sends the body too slowly."""
+
     def abort(self) -> None:
         """Reset the connection."""
 
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -307,6 +307,10 @@
         self._transport.resume_reading()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
+    def time_out_body(self) -> None:
+        """Answer 408 to a caller that sends its body too slowly."""
+        self._refuse(408)
+
     def _close_account(self) -> None:
         """Drop what is held for the present request."""
         account, self._account = self._account, None
