--- a/packages/router/src/damaskwind/router/forwarding/service_throttles.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_throttles.py
@@ -43,7 +43,11 @@
         view.count_services = self.recent_counts
 
     def check(self, call: Call) -> GateRefusal | None:
-        """Refuse a request to a service that reports no load if it exceeds the admitted share."""
+        """Refuse a request to a service that reports no load if it exceeds the admitted share.
+
+        Where cut-offs of the whole fleet hold for the service, these decide instead, since they
+        know priorities and client accounts. The request is counted in either case.
+        """
         if call.key is not None or self.admits(call.service) or self.is_covered(call.service):
             return None
         return GateRefusal("service overloaded", self.retry_after_s(call))
