--- a/packages/decisions/src/damaskwind/decisions/admission/fleet_shedding.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/fleet_shedding.py
@@ -1,10 +1,11 @@
 """Decide for the whole fleet which requests to a service are shed, from all routers' counts.
 
 A router has a partial observation, from which it sheds other levels and accounts than its
-neighbours. Here the counts of all routers give the drain rate of the service: the work that it started
-in a second in which it was short of capacity. This budget is divided by `shed_cutoff`. It is
-derived from what was started, not from the previous budget, so that a delay of the counts
-causes little oscillation. Without shortage the budget grows until nothing is shed.
+neighbours. Here the counts of all routers give the drain rate of the service: the work that
+it started in a second in which it was short of capacity. This budget is divided by
+`shed_cutoff`. It is derived from what was started, not from the previous budget, so that a
+delay of the counts causes little oscillation. Without shortage the budget grows until
+nothing is shed.
 """
 
 from collections import deque
