--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -146,9 +146,11 @@
 
     async def send(self, progress: RequestProgress) -> AttemptOutcome:
         """Make one attempt at the target that was chosen."""
-        return await self.sends.send(
+        outcome = await self.sends.send(
             progress.exchange, progress.call, progress.delivery, progress.placement
         )
+        self.probes.record_sent(progress.call, outcome)
+        return outcome
 
     async def wait_for_target(self, progress: RequestProgress) -> bool:
         """Find a target that may be sent the request's body, or wait for the first choice."""
