Requests without shared parts go to the target that starts first

They were placed by the share of used slots alone, also where targets report their speed. The target has to be below the bound on requests.

--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -157,12 +157,14 @@
     healthy = [item for item in serving if not item.is_doubtful] or serving
     if not healthy:
         return None
-    if key is None:
+    if key is None and any(item.start_s is None for item in healthy):
         return _least_loaded(healthy, near_domain, policy, random)
     # The users' bound uses the mean over all serving targets, so those held back lower it.
     held_back = [item for item in candidates if item.is_held_back and not item.is_doubtful]
     mean = sum(item.load for item in (*healthy, *held_back)) / (len(healthy) + len(held_back))
     bound = policy.load_factor * mean + policy.load_slack_requests
+    if key is None:
+        return _soonest(healthy, near_domain, policy, random, bound)
     ranked = _rank(healthy, key)
     allowed = [item for item in ranked if item.load < bound and not item.is_slow]
     if not allowed:
@@ -173,6 +175,25 @@
     return Choice(chosen, ranked.index(chosen), bound, donor_id, rival_id)
 
 
+def _soonest(
+    candidates: Sequence[Candidate],
+    near_domain: str,
+    policy: AffinityPolicy,
+    random: Random,
+    bound: float,
+) -> Choice:
+    """Return the target below the bound that is expected to start first; ties are random."""
+    allowed = [item for item in candidates if item.load < bound and not item.is_slow]
+    if not allowed:
+        return _least_loaded(candidates, near_domain, policy, random)
+
+    def cost(item: Candidate) -> tuple[float, float]:
+        far = 0.0 if item.failure_domain == near_domain else policy.far_penalty_requests
+        return item.start_s * (1.0 + far / max(item.slots, 1)), random.random()
+
+    return Choice(min(allowed, key=cost), 0, bound)
+
+
 def _first_soon(
     allowed: Sequence[Candidate], policy: AffinityPolicy, used_share: float
 ) -> Candidate:
--- a/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
@@ -154,3 +154,13 @@
             for item in pool(6)
         ]
         self.assertEqual(choose(uneven).candidate.target_id, order[0])
+
+    def test_without_a_key_the_first_to_start_below_the_bound_is_chosen(self):
+        """Guards against sending requests without shared parts to a slow target."""
+        slow, full, fast = pool(3)
+        slow = slow._replace(load=0.0, start_s=0.25)
+        full = full._replace(load=30.0, start_s=0.05)
+        fast = fast._replace(load=1.0, start_s=0.1)
+        self.assertEqual(choose([slow, full, fast], None).candidate.target_id, "t2")
+        unknown = fast._replace(start_s=None)
+        self.assertEqual(choose([slow, full, unknown], None).candidate.target_id, "t0")
