--- a/packages/decisions/src/damaskwind/decisions/load/engine_tokens.py
+++ b/packages/decisions/src/damaskwind/decisions/load/engine_tokens.py
@@ -62,6 +62,7 @@
 class EngineTokens:
     """One router's estimate of the tokens at each engine.
 
+    >>> from damaskwind.decisions.load.request_cost import PromptPart
     >>> tokens = EngineTokens()
     >>> cost = RequestCost((PromptPart(1, 1000),), 100, 50)
     >>> tokens.record_sent(1, "a", cost, 0.0); tokens.record_sent(2, "a", cost, 0.0)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_engine_memory.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_engine_memory.py
@@ -5,12 +5,12 @@
 from damaskwind.decisions.load.held_requests import SUM_TTL_S, target_digest
 from damaskwind.decisions.load.token_sums import TokenSum, TokenSums
 from damaskwind.decisions.routing.table import RouteTable
-from damaskwind.model.traffic_configuration import EngineProfile, TrafficService
+from damaskwind.model.traffic_configuration import EngineProfile, RouteKind, TrafficService
 from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.messages import header
-from damaskwind.standins.scripted_target import plain, silent
+from damaskwind.standins.scripted_target import cut_stream, event, plain, silent, stream
 
 PROFILE = EngineProfile(8, 10_000)
 TARGETS = ("t0", "t1")
@@ -27,8 +27,8 @@
         await super().start()
         self.use_profile(PROFILE)
 
-    def use_profile(self, profile):
-        self.publish(route(has_prompt_parts=True, objective_s=1.0))
+    def use_profile(self, profile, **changes):
+        self.publish(route(has_prompt_parts=True, objective_s=1.0, **changes))
         services = (TrafficService("pool", engine=profile),)
         self.view.table = RouteTable(self.view.table.configuration._replace(services=services))
 
@@ -100,6 +100,20 @@
         self.assertEqual((got, answer.status), ([], 503))
         self.assertIsNotNone(header(answer.headers, b"retry-after"))
 
+    @asyncio_test
+    async def test_answer_that_has_begun_continues_though_no_engine_has_room(self):
+        # Guards against a stream that is cut off since what is left of it would have to wait.
+        self.use_profile(PROFILE, kind=RouteKind.STREAMING, is_resumable=True)
+
+        async def cut_with_memory_full(writer, request):
+            self.receive_sums(9_990, 9_990)
+            await cut_stream(1, 2)(writer, request)
+
+        self.share(cut_with_memory_full, stream(3, 4))
+        got, answer = await self.send()
+        self.assertEqual(answer.body, b"".join(event(number) for number in range(1, 5)))
+        self.assertEqual(len(got), 2)
+
     @asyncio_test
     async def test_old_or_implausible_sums_are_not_used(self):
         # Guards against a router that waits on figures of a dead replica or of a faulty router.
