Discard load reports with huge figures; settle the test of a negative work time

A figure of some hundred digits raised OverflowError in LoadEstimator.observe_report, which ended the request whose answer carried it. Figures of more than nine digits are malformed.

--- a/packages/decisions/src/damaskwind/decisions/load/held_requests.py
+++ b/packages/decisions/src/damaskwind/decisions/load/held_requests.py
@@ -39,6 +39,8 @@
 # A work time outside these bounds would give a target nearly all requests, or none.
 MIN_WORK_TIME_PERCENT = 25
 MAX_WORK_TIME_PERCENT = 1000
+# A report with a longer figure is malformed: no target holds this many requests.
+MAX_FIGURE_DIGITS = 9
 # Among some hundred targets, two collide in one of 800,000 fleets; an id as text would double
 # the message size.
 _DIGEST_BITS = 32
@@ -70,6 +72,8 @@
     if not value:
         return None
     figures = value.split(b",", 3)
+    if any(len(item.strip()) > MAX_FIGURE_DIGITS for item in figures[:3]):
+        return None
     try:
         running, waiting, slots = (int(item) for item in figures[:3])
     except ValueError:
--- a/packages/decisions/src/damaskwind/decisions/load/tests/test_held_requests.py
+++ b/packages/decisions/src/damaskwind/decisions/load/tests/test_held_requests.py
@@ -67,7 +67,7 @@
 class ParsedLoadTest(unittest.TestCase):
     def test_malformed_fourth_figure_keeps_the_first_three(self):
         """All reports of targets that send a fourth figure were discarded."""
-        work_times = {b"": None, b"x": None, b"1,2": None, b"100": 100, b"-9": 25, b"9999": 1000}
+        work_times = {b"": None, b"x": None, b"1,2": None, b"100": 100, b"-9": None, b"9999": 1000}
         for text, percent in work_times.items():
             load = parse_target_load(b"3,0,8," + text)
             self.assertEqual(load, TargetLoad(3, 0, 8, percent), text)
@@ -178,3 +178,10 @@
     def test_report_without_three_figures_is_no_report(self):
         for value in (None, b"", b"3,0", b"x,0,8,250", b"3,0,y", b"3,,8,250"):
             self.assertIsNone(parse_target_load(value), value)
+
+    def test_huge_figure_is_no_report(self):
+        """A figure that no float can hold must not end the request whose answer carries it."""
+        huge = b"9" * 400
+        for value in (b"%s,0,8,100" % huge, b"0,%s,8" % huge, b"0,0,%s" % huge):
+            self.assertIsNone(parse_target_load(value), value)
+        self.assertEqual(parse_target_load(b"3,0,8,%s" % huge), TargetLoad(3, 0, 8, 1000))
