Make no second send to an engine without memory for the request

find_target_refusal looked at slots only. Where no engine has room, the choice is the one for which a request would wait, and a second send went there at once.

--- a/packages/decisions/src/damaskwind/decisions/retries/hedging.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/hedging.py
@@ -152,8 +152,8 @@
 def find_target_refusal(candidate: Candidate) -> HedgeRefusal | None:
     """Return why the chosen target gets no second send, or `None` if it may get one.
 
-    A target that is cold, slow, doubtful, leaving, paused or evacuated gets none. One that
-    reports no load is assumed to have a free slot.
+    A target that is cold, slow, doubtful, leaving, paused or evacuated gets none, nor does an
+    engine without memory for the request. One that reports no load is assumed to have a free slot.
 
     >>> find_target_refusal(Candidate("t", "d", 8.0, 8, False))
     <HedgeRefusal.POOL_SHORT: 'pool short of slots'>
@@ -162,6 +162,8 @@
         return HedgeRefusal.NO_TARGET
     if candidate.has_known_load and candidate.load + 1 > candidate.slots:
         return HedgeRefusal.POOL_SHORT
+    if candidate.room is not None and not candidate.room.fits:
+        return HedgeRefusal.POOL_SHORT
     return None
 
 
--- a/packages/decisions/src/damaskwind/decisions/retries/tests/test_hedging.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/tests/test_hedging.py
@@ -3,6 +3,7 @@
 import unittest
 
 from damaskwind.decisions.placement.affinity import Candidate
+from damaskwind.decisions.placement.engine_memory import EngineRoom
 from damaskwind.decisions.retries.hedging import (
     MAX_DELAY_SHARE,
     MAX_START_TIMES,
@@ -30,6 +31,13 @@
             self.assertIs(refusal, HedgeRefusal.NO_TARGET, change)
         self.assertIs(find_target_refusal(FREE._replace(load=7.5)), HedgeRefusal.POOL_SHORT)
 
+    def test_engine_without_memory_for_the_request_gets_no_second_send(self):
+        """A request sent to a full engine preempts running ones, which are then read again."""
+        room = EngineRoom(free_tokens=100.0, need_tokens=50)
+        self.assertIsNone(find_target_refusal(FREE._replace(room=room)))
+        full = FREE._replace(room=room._replace(need_tokens=200))
+        self.assertIs(find_target_refusal(full), HedgeRefusal.POOL_SHORT)
+
     def test_no_second_send_while_the_pool_is_short(self):
         """Second sends during an overload would delay all other requests."""
         self.assertIsNone(refuse_hedge(HedgeSituation(1.0)))
