Count second sends when deciding whether a request may be sent again

- A first attempt that won kept its right to be rerouted, although the second send had used the route's last attempt: a pause of 0.8 s then cut the caller's stream.
- A refusal after a second send allowed one send beyond maxAttempts although an attempt that was canceled or broke may have run.
- If one attempt of a race was answered with an error, the broken connection of the other one was not looked into before the next send.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -305,7 +305,9 @@
         delivery.begin_stream(head)
         gap_s = max(STALL_GAPS * call.route.gap_objective_s, STALL_GAP_MIN_S)
         while True:
-            data = await self._read_data_in_time(connection, gap_s if may_reroute else None)
+            # A second send that began meanwhile may have used the last attempt.
+            may_resume = may_reroute and call.sends < call.route.max_attempts
+            data = await self._read_data_in_time(connection, gap_s if may_resume else None)
             if data is None:
                 break
             self.activity.record_received(target.target_id, read_clock())
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -169,7 +169,9 @@
         if not outcome.was_reached:
             return call.unreached < MAX_UNREACHED
         if outcome.end is AttemptEnd.NOT_RUN:
-            return call.sends < call.route.max_attempts + EXTRA_SENDS
+            # An attempt of a race that was canceled or broke may have run.
+            may_exceed = call.second_target is None or not call.may_have_run
+            return call.sends < call.route.max_attempts + EXTRA_SENDS * may_exceed
         return call.route.may_repeat and call.sends < call.route.max_attempts
 
 
@@ -231,7 +233,8 @@
         progress.failure = outcome
     if not steps.may_retry(progress.call, outcome):
         return RequestState.ENDED
-    return RequestState.LOST if outcome.is_connection_lost else RequestState.REPEATED
+    # Of two attempts, the one whose connection broke need not be the one with this outcome.
+    return RequestState.LOST if progress.call.exit_probes else RequestState.REPEATED
 
 
 @_handles(RequestState.LOST)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
@@ -193,6 +193,44 @@
         self.assertEqual(answer.body, b"".join(event(number) for number in range(1, 5)))
         self.assertEqual(len(self.received()), 3)
 
+    @asyncio_test
+    async def test_winning_stream_that_pauses_is_not_cut_if_no_attempt_is_left(self):
+        """Guards against giving up the only attempt that can still complete the answer."""
+        self.publish(route(timeout_s=4.0, **STREAM), version=2)
+        self.share(late(stream(1, 2, pause_s=1.0), 0.15), self.held("second"))
+        answer = await self.call(x_deadline_ms=b"4000")
+        self.assertEqual(answer.body, event(1) + event(2))
+
+    @asyncio_test
+    async def test_refusal_after_a_second_send_does_not_allow_more_than_the_attempts(self):
+        """The canceled first attempt may have run, so it counts as one of the route's."""
+        for number in (2, 3):
+            self.targets.append(ScriptedTarget(NAMES))
+            self.admit(f"t{number}", await self.targets[number].start())
+        self.publish(route(max_attempts=3, **STREAM), version=2)
+        closed = raw(b"", then_close=True)
+        self.share(self.held("first"), late(closed, 0.4), REFUSED, stream(1, 3))
+        self.assertEqual((await self.call()).status, 502)
+        self.assertEqual(len(self.received()), 3)
+
+    @asyncio_test
+    async def test_lost_connection_is_looked_into_although_the_other_attempt_was_answered(self):
+        """The request may have crashed a target, so a third one has to wait for that finding."""
+        self.targets.append(ScriptedTarget(NAMES))
+        self.admit("t2", await self.targets[2].start())
+        self.publish(route(max_attempts=3), version=2)
+        found = []
+
+        async def probe():
+            await asyncio.sleep(0.1)
+            found.append(len(self.received()))
+            return False
+
+        self.forwarder.crash_detector.probe = lambda *args: asyncio.ensure_future(probe())
+        self.share(late(raw(b"", then_close=True), 0.15), late(plain(500), 0.02), plain())
+        self.assertEqual((await self.call()).status, 200)
+        self.assertEqual(found, [2])
+
     @asyncio_test
     async def test_request_that_may_not_be_repeated_is_sent_once(self):
         for kind in (RouteKind.NON_IDEMPOTENT, RouteKind.STREAMING):
