Quote health paths that are not valid targets of a request

A probe with an empty path, or one with spaces or letters beyond latin-1, raised an error that ended the request that it was sent for with 500.

--- a/packages/router/src/damaskwind/router/forwarding/speed_probes.py
+++ b/packages/router/src/damaskwind/router/forwarding/speed_probes.py
@@ -1,6 +1,7 @@
 """Ask two targets for their load and speed before a request is sent to one of them."""
 
 import asyncio
+from urllib.parse import quote
 
 from loguru import logger
 
@@ -28,6 +29,8 @@
 PROBE_DEADLINE_S = 0.012
 # Health answers are short.
 ANSWER_LIMIT_BYTES = 16_384
+# Characters of a path and its query that are sent as they are, besides letters and digits.
+PATH_CHARACTERS = "/?&=%:@!$'()*+,;~"
 
 
 class SpeedProbes:
@@ -108,4 +111,6 @@
             (self._names.expect_target, target_id),
         ]
         path = self._target_states.view.health_path(target.service)
-        return Request(b"GET", path.encode("latin-1"), headers, b"")
+        # The path is configured by users; one that is not a valid target of a request is quoted.
+        quoted_path = quote(path, safe=PATH_CHARACTERS) or "/"
+        return Request(b"GET", quoted_path.encode("ascii"), headers, b"")
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_target_speeds.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_target_speeds.py
@@ -162,6 +162,19 @@
         counts = self.forwarder.tallies.totals("speed_probes")
         self.assertEqual(counts, {(("answered", "false"),): 2})
 
+    @asyncio_test
+    async def test_malformed_health_path_costs_no_request(self):
+        """A path that can't be sent as it is configured must not end the request in an error."""
+        for path in ("", "health check", "/\u2713"):
+            self.probes.budget = ProbeBudget()
+            for _ in range(200):
+                self.probes.budget.count_request()
+            self.view.health_path = lambda service, path=path: path
+            for target in self.targets:
+                target.received.clear()
+            await self.send()
+            self.assertEqual(self.methods(), [b"GET", b"GET", b"POST"])
+
     @asyncio_test
     async def test_answer_of_another_target_or_of_one_that_left_does_not_count(self):
         self.answers[b"GET"] = list(reversed(self.health(1000, 1000)))
