Count the large bodies of second sends at their target

A second send neither checked nor counted the bytes of bodies in hand at its target, so that they could exceed the bound that protects the target's memory.

--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -28,6 +28,7 @@
 from damaskwind.router.forwarding.request_steps import RequestSteps
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
+from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
@@ -115,6 +116,10 @@
         )
         self.answers = FinalAnswers(self.admissions, self._started_s, self.tallies)
 
+    def bound_target_bodies(self, bodies: TargetBodies) -> None:
+        """Bound the large request bodies in hand at each target, also those of second sends."""
+        self.steps.target_bodies = self.hedged_sends.target_bodies = bodies
+
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request to its final answer."""
         call = self._admit(exchange)
--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from functools import partial
 
 from loguru import logger
@@ -29,6 +30,7 @@
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
+from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
@@ -150,6 +152,8 @@
         tallies: Tallies,
     ) -> None:
         self.in_progress = 0
+        # Bounds the large bodies at each target; `None` where they are not bounded.
+        self.target_bodies: TargetBodies | None = None
         self._sends = sends
         self._chooser = chooser
         self._admissions = admissions
@@ -180,12 +184,12 @@
         race = _Race(call, start, self._record_started, self._record_superseded)
         try:
             race.start(placement)
-            await self._run(race)
+            await self._run(race, len(exchange.request.body))
             return race.outcome()
         finally:
             await race.close()
 
-    async def _run(self, race: _Race) -> None:
+    async def _run(self, race: _Race, size_bytes: int) -> None:
         """Wait for the first attempt, begin the second one if it is overdue, and await both."""
         call = race.call
         overdue = self._start_times.overdue_delay(
@@ -196,9 +200,10 @@
             # What arrived while this process was suspended is still unread.
             await race.wait(overdue.delay_s)
         if race.winner is None and not race.tasks[0].done():
-            second = self._place_second(call, race.attempts[0], overdue)
+            second = self._place_second(call, race.attempts[0], overdue, size_bytes)
             if second is not None:
-                await self._run_second(race, second)
+                with self._body_in_hand(second, size_bytes):
+                    await self._run_second(race, second)
         await race.wait(None)
 
     async def _run_second(self, race: _Race, placement: Placement) -> None:
@@ -236,17 +241,32 @@
         has_attempts = call.sends + 2 <= route.max_attempts
         return route.may_repeat and has_attempts and not delivery.has_begun
 
-    def _place_second(self, call: Call, first: _Attempt, overdue: OverdueDelay) -> Placement | None:
+    def _body_in_hand(self, placement: Placement, size_bytes: int) -> AbstractContextManager[None]:
+        """Count a body as in hand at its target while the attempt is made there."""
+        if self.target_bodies is None:
+            return nullcontext()
+        return self.target_bodies.sending(placement.target.target_id, size_bytes)
+
+    def _find_target_refusal(
+        self, placement: Placement | None, size_bytes: int
+    ) -> HedgeRefusal | None:
+        """Return why the chosen target gets no second send, or `None` if it may get one."""
+        if placement is None:
+            return HedgeRefusal.NO_TARGET
+        bodies, target_id = self.target_bodies, placement.target.target_id
+        if bodies is not None and not bodies.may_send(target_id, size_bytes):
+            return HedgeRefusal.POOL_SHORT
+        return find_target_refusal(placement.choice.candidate)
+
+    def _place_second(
+        self, call: Call, first: _Attempt, overdue: OverdueDelay, size_bytes: int
+    ) -> Placement | None:
         """Return where an overdue request is sent a second time, `None` if it is not."""
         situation = self._situation(call)
         refusal, placement = refuse_hedge(situation), None
         if refusal is None:
             placement = self._chooser.choose(call)
-            refusal = (
-                HedgeRefusal.NO_TARGET
-                if placement is None
-                else find_target_refusal(placement.choice.candidate)
-            )
+            refusal = self._find_target_refusal(placement, size_bytes)
         if refusal is None and not self._budget(call.service).take(read_clock()):
             refusal = HedgeRefusal.BUDGET
         if refusal is not None:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
@@ -9,6 +9,7 @@
 from damaskwind.decisions.retries.shared_budget import BudgetTerms
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.forwarder import Forwarder
+from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
@@ -253,6 +254,30 @@
         self.assertEqual((await calling).status, 200)
         self.assertEqual(self.withheld(), {"pool short of slots": 1})
 
+    @asyncio_test
+    async def test_large_body_of_a_second_send_counts_at_its_target(self):
+        """Bodies beyond the bound could exceed the memory of the second target."""
+        body = bytes(300_000)
+        bodies = TargetBodies(lambda: 138, self.forwarder.tallies)
+        self.forwarder.bound_target_bodies(bodies)
+        for is_other_busy in (False, True):
+            self.share(late(plain(), 0.4), late(plain(), 0.1))
+            first = len(self.received())
+            connection = await self.connect()
+            connection.send(self.request(request_id=b"b%d" % is_other_busy, body=body))
+            await asyncio.sleep(0.05)
+            in_hand = bodies._shares._in_hand
+            (used,) = in_hand
+            other = "t1" if used == "t0" else "t0"
+            if is_other_busy:
+                in_hand[other] = len(body)
+            await asyncio.sleep(DELAY_S)
+            self.assertEqual(in_hand[other], len(body))
+            await connection.read_head()
+            self.assertEqual(len(self.received()) - first, 1 if is_other_busy else 2)
+            await asyncio.sleep(0.6)
+        self.assertEqual(self.withheld(), {"pool short of slots": 1})
+
     @asyncio_test
     async def test_leaving_target_gets_no_second_send(self):
         self.share(late(plain(), 0.3))
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -28,7 +28,8 @@
     def make_memory(self):
         self.tallies = Tallies()
         self.memory = HeldBytes(BOUNDS, NAMES, self.tallies)
-        self.forwarder.steps.target_bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+        bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+        self.forwarder.bound_target_bodies(bodies)
         return self.memory
 
     async def open(self, body=b"{}", size_bytes=None, path="/a/x"):
