Give up on a silent first attempt only while the route has attempts left

After a second send had used the last attempt and was refused, the first one was still given up on after 1.2 s, and the caller got 502 although its target would have answered.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -120,6 +120,14 @@
     return was_accepted and not connection.is_open and not connection.is_timed_out
 
 
+def _has_attempts_left(call: Call) -> bool:
+    """Tell whether a target may be given up on for another one.
+
+    A second send that began after this attempt may have used the last one.
+    """
+    return call.sends < call.route.max_attempts
+
+
 class AttemptSender:
     """Send requests to targets over pooled connections.
 
@@ -258,7 +266,8 @@
                 is_unresponsive = (
                     self.activity.silent_s(target_id, now_s, woken_s) > UNRESPONSIVE_MIN_S
                 )
-                if is_unresponsive or now_s - max(begun_s, woken_s) > stall_s:
+                has_stalled = is_unresponsive or now_s - max(begun_s, woken_s) > stall_s
+                if has_stalled and _has_attempts_left(call):
                     raise TimeoutError
                 limit_s = UNRESPONSIVE_POLL_S
             return reading.result()
@@ -305,8 +314,7 @@
         delivery.begin_stream(head)
         gap_s = max(STALL_GAPS * call.route.gap_objective_s, STALL_GAP_MIN_S)
         while True:
-            # A second send that began meanwhile may have used the last attempt.
-            may_resume = may_reroute and call.sends < call.route.max_attempts
+            may_resume = may_reroute and _has_attempts_left(call)
             data = await self._read_data_in_time(connection, gap_s if may_resume else None)
             if data is None:
                 break
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
@@ -214,6 +214,14 @@
         answer = await self.call(x_deadline_ms=b"4000")
         self.assertEqual(answer.body, event(1) + event(2))
 
+    @asyncio_test
+    async def test_slow_first_attempt_is_not_given_up_if_no_attempt_is_left(self):
+        """Guards against an error although the first target still answers."""
+        self.publish(route(timeout_s=4.0, **STREAM), version=2)
+        self.share(late(stream(1, 3), 1.6), late(REFUSED, 0.05))
+        answer = await self.call(x_deadline_ms=b"4000")
+        self.assertEqual((answer.status, len(self.received())), (200, 2))
+
     @asyncio_test
     async def test_refusal_after_a_second_send_does_not_allow_more_than_the_attempts(self):
         """The canceled first attempt may have run, so it counts as one of the route's."""
