--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -364,8 +364,8 @@
             overdue_ms=int(overdue.delay_s * 1000),
             learned_from=overdue.learned_from,
             queued=situation.queued,
-            room=situation.headroom,
-            begun_part=round(situation.start_fraction, 2),
-            part=round(situation.admitted_share, 2),
+            headroom=situation.headroom,
+            start_fraction=round(situation.start_fraction, 2),
+            admitted_share=round(situation.admitted_share, 2),
             left_ms=int(situation.left_s * 1000),
         )
