--- a/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
@@ -9,6 +9,7 @@
 from damaskwind.decisions.retries.shared_budget import BudgetTerms
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.forwarder import Forwarder
+from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
@@ -131,6 +132,18 @@
                 self.assert_nothing_held()
                 await asyncio.sleep(0.6)
 
+    @asyncio_test
+    async def test_refusal_by_one_target_is_not_passed_on_if_the_other_may_have_run(self):
+        """Callers take a 503 as a promise that the request has not run."""
+        closed = raw(b"", then_close=True)
+        for number, (first, status) in enumerate(((closed, 502), (REFUSED, 503))):
+            with self.subTest(number=number):
+                self.share(late(first, 0.2), late(plain(503, b"full"), 0.02))
+                answer = await self.call(request_id=b"r%d" % number)
+                self.assertEqual(answer.status, status)
+                self.assert_nothing_held()
+                await asyncio.sleep(0.6)
+
     @asyncio_test
     async def test_error_is_passed_on_if_both_attempts_fail(self):
         self.share(late(plain(500, b"e"), 0.15), late(REFUSED, 0.1))
@@ -193,6 +206,52 @@
         self.assertEqual(answer.body, b"".join(event(number) for number in range(1, 5)))
         self.assertEqual(len(self.received()), 3)
 
+    @asyncio_test
+    async def test_winning_stream_that_pauses_is_not_cut_if_no_attempt_is_left(self):
+        """Guards against giving up the only attempt that can still complete the answer."""
+        self.publish(route(timeout_s=4.0, **STREAM), version=2)
+        self.share(late(stream(1, 2, pause_s=1.0), 0.15), self.held("second"))
+        answer = await self.call(x_deadline_ms=b"4000")
+        self.assertEqual(answer.body, event(1) + event(2))
+
+    @asyncio_test
+    async def test_slow_first_attempt_is_not_given_up_if_no_attempt_is_left(self):
+        """Guards against an error although the first target still answers."""
+        self.publish(route(timeout_s=4.0, **STREAM), version=2)
+        self.share(late(stream(1, 3), 1.6), late(REFUSED, 0.05))
+        answer = await self.call(x_deadline_ms=b"4000")
+        self.assertEqual((answer.status, len(self.received())), (200, 2))
+
+    @asyncio_test
+    async def test_refusal_after_a_second_send_does_not_allow_more_than_the_attempts(self):
+        """The canceled first attempt may have run, so it counts as one of the route's."""
+        for number in (2, 3):
+            self.targets.append(ScriptedTarget(NAMES))
+            self.admit(f"t{number}", await self.targets[number].start())
+        self.publish(route(max_attempts=3, **STREAM), version=2)
+        closed = raw(b"", then_close=True)
+        self.share(self.held("first"), late(closed, 0.4), REFUSED, stream(1, 3))
+        self.assertEqual((await self.call()).status, 502)
+        self.assertEqual(len(self.received()), 3)
+
+    @asyncio_test
+    async def test_lost_connection_is_looked_into_although_the_other_attempt_was_answered(self):
+        """The request may have crashed a target, so a third one has to wait for that finding."""
+        self.targets.append(ScriptedTarget(NAMES))
+        self.admit("t2", await self.targets[2].start())
+        self.publish(route(max_attempts=3), version=2)
+        found = []
+
+        async def probe():
+            await asyncio.sleep(0.1)
+            found.append(len(self.received()))
+            return False
+
+        self.forwarder.crash_detector.probe = lambda *args: asyncio.ensure_future(probe())
+        self.share(late(raw(b"", then_close=True), 0.15), late(plain(500), 0.02), plain())
+        self.assertEqual((await self.call()).status, 200)
+        self.assertEqual(found, [2])
+
     @asyncio_test
     async def test_request_that_may_not_be_repeated_is_sent_once(self):
         for kind in (RouteKind.NON_IDEMPOTENT, RouteKind.STREAMING):
@@ -215,6 +274,30 @@
         self.assertEqual((await calling).status, 200)
         self.assertEqual(self.withheld(), {"pool short of slots": 1})
 
+    @asyncio_test
+    async def test_large_body_of_a_second_send_counts_at_its_target(self):
+        """Bodies beyond the bound could exceed the memory of the second target."""
+        body = bytes(300_000)
+        bodies = TargetBodies(lambda: 138, self.forwarder.tallies)
+        self.forwarder.bound_target_bodies(bodies)
+        for is_other_busy in (False, True):
+            self.share(late(plain(), 0.4), late(plain(), 0.1))
+            first = len(self.received())
+            connection = await self.connect()
+            connection.send(self.request(request_id=b"b%d" % is_other_busy, body=body))
+            await asyncio.sleep(0.05)
+            in_hand = bodies._shares._in_hand
+            (used,) = in_hand
+            other = "t1" if used == "t0" else "t0"
+            if is_other_busy:
+                in_hand[other] = len(body)
+            await asyncio.sleep(DELAY_S)
+            self.assertEqual(in_hand[other], len(body))
+            await connection.read_head()
+            self.assertEqual(len(self.received()) - first, 1 if is_other_busy else 2)
+            await asyncio.sleep(0.6)
+        self.assertEqual(self.withheld(), {"pool short of slots": 1})
+
     @asyncio_test
     async def test_leaving_target_gets_no_second_send(self):
         self.share(late(plain(), 0.3))
