--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -158,35 +158,92 @@
     >>> choose_target(pool, None, "d", AffinityPolicy(), Random(1)).candidate.target_id
     'b'
     """
-    serving = [item for item in candidates if item.takes_work]
-    healthy = [item for item in serving if not item.is_doubtful] or serving
+    healthy = _healthy(candidates)
     if not healthy:
         return None
     if key is None:
-        with_room = _with_room(healthy)
-        if with_room:
-            return _least_loaded(with_room, near_domain, policy, random)
-        return Choice(healthy[most_room([item.room for item in healthy])], 0, 0.0)
+        return _choose_without_key(healthy, near_domain, policy, random)
+    ranking = _rank_by_key(candidates, healthy, key, policy)
+    below = [item for item in ranking.ranked if item.load < ranking.bound]
+    choice = _choose_with_room(candidates, ranking, below, policy)
+    choice = choice or _choose_to_wait(candidates, ranking, below, policy)
+    if choice is not None:
+        return choice
+    pool = healthy if len(_with_room(healthy)) == len(healthy) else _with_room(below)
+    return _least_loaded(pool or healthy, near_domain, policy, random)
+
+
+class _KeyRanking(NamedTuple):
+    """The healthy targets in rank order for a key, the load bound, and the pool's share in use."""
+
+    key: bytes
+    ranked: list[Candidate]
+    bound: float
+    used_share: float
+
+
+def _healthy(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the targets that take work, without the doubtful ones if there are others."""
+    serving = [item for item in candidates if item.takes_work]
+    return [item for item in serving if not item.is_doubtful] or serving
+
+
+def _rank_by_key(
+    candidates: Sequence[Candidate],
+    healthy: Sequence[Candidate],
+    key: bytes,
+    policy: AffinityPolicy,
+) -> _KeyRanking:
+    """Rank the healthy targets for a key, and compute the load bound of the pool."""
     # The users' bound uses the mean over all serving targets, so those held back lower it.
     held_back = [item for item in candidates if item.is_held_back and not item.is_doubtful]
     mean = sum(item.load for item in (*healthy, *held_back)) / (len(healthy) + len(held_back))
     bound = policy.load_factor * mean + policy.load_slack_requests
-    ranked = _rank(healthy, key)
-    below = [item for item in ranked if item.load < bound]
+    return _KeyRanking(key, _rank(healthy, key), bound, mean / max(healthy[0].slots, 1))
+
+
+def _choose_without_key(
+    healthy: Sequence[Candidate], near_domain: str, policy: AffinityPolicy, random: Random
+) -> Choice:
+    """Choose the least loaded target that has room, or the one that will have room soonest."""
+    with_room = _with_room(healthy)
+    if with_room:
+        return _least_loaded(with_room, near_domain, policy, random)
+    return Choice(healthy[most_room([item.room for item in healthy])], 0, 0.0)
+
+
+def _choose_with_room(
+    candidates: Sequence[Candidate],
+    ranking: _KeyRanking,
+    below: Sequence[Candidate],
+    policy: AffinityPolicy,
+) -> Choice | None:
+    """Choose in rank order among the targets below the bound that are not slow and have room."""
     usable = [item for item in below if not item.is_slow]
     position = first_with_room([item.room for item in usable])
-    if position is not None:
-        chosen = _first_soon(usable, position, policy, mean / max(healthy[0].slots, 1))
-        passed_over = usable[0].target_id if position else ""
-        rival_id = next((item.target_id for item in usable if item is not chosen), "")
-        donor_id = _donor(candidates, key, chosen, policy)
-        return Choice(chosen, ranked.index(chosen), bound, donor_id, rival_id, passed_over)
-    if below and (usable or not _with_room(below)):
-        # The request waits for its home, where it needs the least.
-        item = (usable or below)[0]
-        return Choice(item, ranked.index(item), bound, _donor(candidates, key, item, policy))
-    pool = healthy if len(_with_room(healthy)) == len(healthy) else _with_room(below)
-    return _least_loaded(pool or healthy, near_domain, policy, random)
+    if position is None:
+        return None
+    chosen = _first_soon(usable, position, policy, ranking.used_share)
+    passed_over = usable[0].target_id if position else ""
+    rival_id = next((item.target_id for item in usable if item is not chosen), "")
+    donor_id = _donor(candidates, ranking.key, chosen, policy)
+    rank = ranking.ranked.index(chosen)
+    return Choice(chosen, rank, ranking.bound, donor_id, rival_id, passed_over)
+
+
+def _choose_to_wait(
+    candidates: Sequence[Candidate],
+    ranking: _KeyRanking,
+    below: Sequence[Candidate],
+    policy: AffinityPolicy,
+) -> Choice | None:
+    """Choose the home of a request that no target has room for: it needs the least there."""
+    usable = [item for item in below if not item.is_slow]
+    if not below or (not usable and _with_room(below)):
+        return None
+    item = (usable or below)[0]
+    donor_id = _donor(candidates, ranking.key, item, policy)
+    return Choice(item, ranking.ranked.index(item), ranking.bound, donor_id)
 
 
 def _with_room(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
