Engine memory: faults in reports, probes and second sends

- Replicas dropped, and logged as nonsense, tokens at a target for which the router counts no request.
Requests without prompt parts and those that still connect are not counted, so other routers did not see their memory.
- A request that lost its room while its targets were probed was refused without a wait.
- A second send went to an engine without room.
- Routers without any engine profile asked for sums of tokens.
The doctest of EngineTokens lacked an import.

--- a/packages/decisions/src/damaskwind/decisions/load/engine_tokens.py
+++ b/packages/decisions/src/damaskwind/decisions/load/engine_tokens.py
@@ -62,6 +62,7 @@
 class EngineTokens:
     """One router's estimate of the tokens at each engine.
 
+    >>> from damaskwind.decisions.load.request_cost import PromptPart
     >>> tokens = EngineTokens()
     >>> cost = RequestCost((PromptPart(1, 1000),), 100, 50)
     >>> tokens.record_sent(1, "a", cost, 0.0); tokens.record_sent(2, "a", cost, 0.0)
@@ -74,6 +75,8 @@
         self._used_s: dict[str, dict[int, float]] = {}
         self._last_reported: dict[str, dict[int, HeldTokens]] = {}
         self._received: dict[str, _Received] = {}
+        # The best of these and the time at which it was chosen: a placement asks for each target.
+        self._best_sums: tuple[float, _Received | None] | None = None
         self._change_per_s = 0.0
 
     def record_sent(self, number: int, target_id: str, cost: RequestCost, now_s: float) -> None:
@@ -115,6 +118,7 @@
         by_target = {item.target: item for item in sums.targets}
         own = self._last_reported.get(replica, {})
         self._observe_changes(replica, by_target, now_s - sums.age_s)
+        self._best_sums = None
         self._received[replica] = _Received(by_target, own, sums.routers, now_s - sums.age_s)
 
     def _observe_changes(self, replica: str, sums: dict[int, TokenSum], at_s: float) -> None:
@@ -181,6 +185,12 @@
         return used_s.keys()
 
     def _best(self, now_s: float) -> _Received | None:
+        """Return the sums to use now."""
+        if self._best_sums is None or self._best_sums[0] != now_s:
+            self._best_sums = (now_s, self._choose_best(now_s))
+        return self._best_sums[1]
+
+    def _choose_best(self, now_s: float) -> _Received | None:
         """Return the freshest of the sums that cover about as many routers as the largest."""
         usable = [item for item in self._received.values() if now_s - item.at_s < SUM_TTL_S]
         if not usable:
--- a/packages/decisions/src/damaskwind/decisions/load/token_sums.py
+++ b/packages/decisions/src/damaskwind/decisions/load/token_sums.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Mapping
+from struct import unpack_from
 from typing import NamedTuple
 
 from damaskwind.decisions.load.held_sums import REPORT_TTL_S
@@ -81,16 +82,17 @@
     >>> sorted(parts_of(TokenSum(1, parts=bytes([1, 0, 2, 0]))))
     [1, 2]
     """
-    data = total.parts
-    return {
-        int.from_bytes(data[start : start + _PART_BYTES], "little")
-        for start in range(0, len(data) - 1, _PART_BYTES)
-    }
+    count = len(total.parts) // _PART_BYTES
+    return set(unpack_from(f"<{count}H", total.parts))
 
 
 def is_plausible(item: HeldTokens, requests: int) -> bool:
-    """Tell whether a report can be true of this number of requests at the target."""
-    limit = requests * MAX_REQUEST_TOKENS
+    """Tell whether a report can be true of this number of requests at the target.
+
+    One more is allowed: the counts lack requests without a prompt key, and those whose
+    connection is still being established.
+    """
+    limit = (requests + 1) * MAX_REQUEST_TOKENS
     shared = sum(part.tokens for part in item.parts)
     figures = (item.unshared_tokens, item.prefill_tokens, *(part.tokens for part in item.parts))
     digests = all(0 <= part.digest < 1 << (8 * _PART_BYTES) for part in item.parts)
--- a/packages/decisions/src/damaskwind/decisions/retries/hedging.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/hedging.py
@@ -123,6 +123,7 @@
     SUSPECTED = "suspected fatal"
     POOL_SHORT = "pool short of slots"
     NO_TARGET = "no other target"
+    NO_MEMORY = "no engine memory"
     BUDGET = "budget spent"
 
 
@@ -152,14 +153,16 @@
 def find_target_refusal(candidate: Candidate) -> HedgeRefusal | None:
     """Return why the chosen target gets no second send, or `None` if it may get one.
 
-    A target that is cold, slow, doubtful, leaving, paused or evacuated gets none. One that
-    reports no load is assumed to have a free slot.
+    A target that is cold, slow, doubtful, leaving, paused or evacuated gets none, nor does an
+    engine whose memory has no room. One that reports no load is assumed to have a free slot.
 
     >>> find_target_refusal(Candidate("t", "d", 8.0, 8, False))
     <HedgeRefusal.POOL_SHORT: 'pool short of slots'>
     """
     if candidate.is_doubtful or candidate.is_slow or not candidate.takes_work:
         return HedgeRefusal.NO_TARGET
+    if candidate.room is not None and not candidate.room.fits:
+        return HedgeRefusal.NO_MEMORY
     if candidate.has_known_load and candidate.load + 1 > candidate.slots:
         return HedgeRefusal.POOL_SHORT
     return None
--- a/packages/decisions/src/damaskwind/decisions/retries/tests/test_hedging.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/tests/test_hedging.py
@@ -3,6 +3,7 @@
 import unittest
 
 from damaskwind.decisions.placement.affinity import Candidate
+from damaskwind.decisions.placement.engine_memory import EngineRoom
 from damaskwind.decisions.retries.hedging import (
     MAX_DELAY_SHARE,
     MAX_START_TIMES,
@@ -30,6 +31,12 @@
             self.assertIs(refusal, HedgeRefusal.NO_TARGET, change)
         self.assertIs(find_target_refusal(FREE._replace(load=7.5)), HedgeRefusal.POOL_SHORT)
 
+    def test_engine_without_room_gets_no_second_send(self):
+        """A request beyond an engine's memory makes it preempt others."""
+        full, free = (FREE._replace(room=EngineRoom(tokens, 10)) for tokens in (5, 10))
+        self.assertIs(find_target_refusal(full), HedgeRefusal.NO_MEMORY)
+        self.assertIsNone(find_target_refusal(free))
+
     def test_no_second_send_while_the_pool_is_short(self):
         """Second sends during an overload would delay all other requests."""
         self.assertIsNone(refuse_hedge(HedgeSituation(1.0)))
--- a/packages/decisions/src/damaskwind/decisions/routing/table.py
+++ b/packages/decisions/src/damaskwind/decisions/routing/table.py
@@ -72,6 +72,11 @@
         """Return the properties of a service's engines, if they are known."""
         return self._engine_profiles.get(service)
 
+    @property
+    def has_engine_profiles(self) -> bool:
+        """Return whether the properties of the engines of any service are known."""
+        return any(self._engine_profiles.values())
+
     @property
     def version(self) -> int:
         """Return the version of the configuration."""
--- a/packages/router/src/damaskwind/router/forwarding/engine_memory.py
+++ b/packages/router/src/damaskwind/router/forwarding/engine_memory.py
@@ -12,7 +12,7 @@
     read_token_headers,
     request_cost,
 )
-from damaskwind.decisions.load.token_sums import TokenSums
+from damaskwind.decisions.load.token_sums import HeldTokens, TokenSums
 from damaskwind.decisions.placement.affinity import Candidate, Choice
 from damaskwind.decisions.placement.engine_memory import (
     EngineRoom,
@@ -44,7 +44,7 @@
         self._means: dict[str, MeanCost] = {}
         self._implausible: set[str] = set()
         self._had_sums = False
-        view.count_tokens = self.tokens.report_to
+        view.count_tokens = self._report_to
         view.on_token_sums.append(self._observe_sums)
         view.on_gone.append(self.forget)
         view.on_restarted.append(lambda record: self.forget(record.target_id))
@@ -204,6 +204,11 @@
         use = self._use(target_id, profile, now_s)
         return engine_room(use, cost, profile.capacity_tokens, is_short)
 
+    def _report_to(self, host: str) -> tuple[HeldTokens, ...] | None:
+        """Return what this router holds at engines, `None` where no service has a profile."""
+        table = self._view.table
+        return self.tokens.report_to(host) if table and table.has_engine_profiles else None
+
     def _observe_sums(self, host: str, sums: TokenSums) -> None:
         """Apply a replica's sums of the tokens that all routers hold."""
         self.tokens.observe_sums(host, sums, read_clock())
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -185,7 +185,7 @@
             call.refusal_text = refusal.text
             return progress.refuse(refusal.why, refusal.retry_after_s)
     was_probed = await steps.probes.refresh(call, progress.placement)
-    if was_probed and steps.place(progress) is RequestState.ENDED:
+    if was_probed and steps.place(progress, must_fit=False) is RequestState.ENDED:
         return RequestState.ENDED
     home = progress.placement.choice.candidate if call.key else None
     rejection = await steps.admissions.admit(call, home)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_engine_memory.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_engine_memory.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from damaskwind.decisions.load.held_requests import SUM_TTL_S, target_digest
-from damaskwind.decisions.load.token_sums import TokenSum, TokenSums
+from damaskwind.decisions.load.token_sums import TokenAggregator, TokenSum, TokenSums
 from damaskwind.decisions.routing.table import RouteTable
 from damaskwind.model.traffic_configuration import EngineProfile, TrafficService
 from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
@@ -93,6 +93,22 @@
         self.receive_sums(100, 100)
         self.assertEqual((await waiting)[1].status, 200)
 
+    @asyncio_test
+    async def test_request_that_fits_nowhere_after_its_probes_waits(self):
+        # Guards against a refusal without a wait of what lost its room within the probes' time.
+        self.receive_sums(100, 100)
+
+        async def probe(call, placement):
+            self.receive_sums(9_990, 9_990)
+            return True
+
+        self.forwarder.steps.probes.refresh = probe
+        waiting = asyncio.ensure_future(self.send())
+        await asyncio.sleep(0.15)
+        self.assertFalse(waiting.done())
+        self.receive_sums(100, 100)
+        self.assertEqual((await waiting)[1].status, 200)
+
     @asyncio_test
     async def test_request_that_waited_in_vain_is_refused_as_not_run(self):
         self.receive_sums(9_990, 9_990)
@@ -126,9 +142,24 @@
         self.use_profile(EngineProfile(8, 20_000))
         self.assertEqual((await self.send(b"r2", **TOO_LARGE))[1].status, 200)
         self.use_profile(None)
+        # Without engine profiles no sums are asked for.
+        self.assertIsNone(self.view.held_tokens("replica"))
         self.receive_sums(9_990, 9_990)
         self.assertEqual((await self.send(b"r3", **TOO_LARGE))[1].status, 200)
 
+    @asyncio_test
+    async def test_request_without_prompt_parts_is_counted_by_replicas(self):
+        # Guards against memory that other routers can't see: such requests are not in the counts.
+        self.script(silent())
+        calling = asyncio.ensure_future(self.send(x_token_usage=b"1100,400"))
+        await asyncio.sleep(0.1)
+        requests = {item.target: item.held for item in self.view.held_counts("replica")}
+        sums = TokenAggregator()
+        self.assertEqual(sums.report("r", self.view.held_tokens("replica"), requests, 0.0), 0)
+        self.assertEqual([item.unshared_tokens for item in sums.total(0.1).targets], [1_500])
+        calling.cancel()
+        await asyncio.gather(calling, return_exceptions=True)
+
     @asyncio_test
     async def test_held_tokens_are_reported_until_the_request_ends_or_its_engine_restarts(self):
         self.script(silent())
