Fleet-wide shedding: count refusals of targets as refused, bound reports

- A target's refusal counted as an answer in time.
The drain rate of a plain service that refuses at its queue's bound was thus what was asked, and its throttle was set aside by the open cut-off.
- A first cut with nothing started or held gave a budget of 0, which never grows.
One made before any request had ended was in requests and was then taken as milliseconds.
- A router could report 512 times the largest believable count; the bound now holds for its sum.
- The counts of a service with a negative priority, which the configuration allows, were ignored as nonsense.
- The class of the fleet's pool is renamed to PoolOccupancy, since PoolState is one router's view.
Each fault has a test that fails on the previous code.

--- a/benchmarks/overload/shedding_routers.py
+++ b/benchmarks/overload/shedding_routers.py
@@ -7,7 +7,7 @@
 from damaskwind.decisions.admission.fleet_shedding import (
     SHEDDING_WAIT_FRACTION,
     FleetShedder,
-    PoolState,
+    PoolOccupancy,
 )
 from damaskwind.decisions.admission.pool_admission import PoolAdmission
 from damaskwind.decisions.admission.shed_aggregator import ShedAggregator, ShedNews
@@ -67,10 +67,10 @@
     def decide(self, routers: int, now_s: float) -> ShedNews | None:
         return self.shedding.decide({SERVICE: self.pool.slots}, routers, now_s)
 
-    def pool_state(self) -> PoolState:
+    def pool_state(self) -> PoolOccupancy:
         reports = self.reports.values()
         held, waiting = sum(item.held for item in reports), sum(item.waiting for item in reports)
-        return PoolState(self.pool.slots, held, waiting)
+        return PoolOccupancy(self.pool.slots, held, waiting)
 
 
 @strategy("previous")
@@ -205,5 +205,5 @@
     def receive(self, replica: Replica, routers: int, now_s: float) -> None:
         super().receive(replica, routers, now_s)
         report = self.report(now_s)
-        pool = PoolState(max(1, self.pool.slots // routers), report.held, report.waiting)
+        pool = PoolOccupancy(max(1, self.pool.slots // routers), report.held, report.waiting)
         self.shedder.update(report.groups, pool, now_s)
--- a/packages/decisions/src/damaskwind/decisions/admission/fleet_shedding.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/fleet_shedding.py
@@ -20,7 +20,7 @@
 )
 from damaskwind.decisions.admission.shed_cutoff import Cutoff, allocate
 
-__all__ = ["SHEDDING_WAIT_FRACTION", "FleetShedder", "LevelWork", "PoolState", "UsualRates"]
+__all__ = ["SHEDDING_WAIT_FRACTION", "FleetShedder", "LevelWork", "PoolOccupancy", "UsualRates"]
 
 # A service is short of capacity if more than this fraction of the sends was late or refused.
 SHORT_FRACTION = 0.04
@@ -77,7 +77,7 @@
 SALT_PERIOD_S = 2.0
 
 
-class PoolState(NamedTuple):
+class PoolOccupancy(NamedTuple):
     """The slots of a service's targets, the requests held there, and those queued at routers."""
 
     slots: int
@@ -188,13 +188,13 @@
     """The cut-off of one service, updated about once a second.
 
     >>> shedder = FleetShedder(7)
-    >>> pool = PoolState(slots=10, held=12, waiting=30)
+    >>> pool = PoolOccupancy(slots=10, held=12, waiting=30)
     >>> urgent = GroupCounts(1, 0, 50, 50, in_time=40, late=10, ended=50, work=5000)
     >>> other = GroupCounts(1, 2, 80, 80, in_time=20, late=20, refused=40, ended=40, work=4000)
     >>> shedder.update([urgent, other], pool, 1.0)
     >>> shedder.cutoff.levels
     (Share(of=2, permille=338),)
-    >>> shedder.update([GroupCounts(1, 0, 20, 20, 20)], PoolState(10, 3, 0), 2.5)
+    >>> shedder.update([GroupCounts(1, 0, 20, 20, 20)], PoolOccupancy(10, 3, 0), 2.5)
     >>> shedder.cutoff.is_open
     True
     """
@@ -225,7 +225,7 @@
     def update(
         self,
         counts: Iterable[GroupCounts],
-        pool: PoolState,
+        pool: PoolOccupancy,
         now_s: float,
         returning: tuple[int, ...] = (),
     ) -> None:
@@ -236,12 +236,24 @@
         duration_s = min(now_s - self._updated_s, 2 * MIN_STAND_S)
         self._updated_s = now_s
         groups = sum_groups(counts)
+        was_known = self._level_work.is_known
         self._level_work.learn(groups.values(), duration_s)
+        if self._level_work.is_known != was_known:
+            self._forget_budget()
         self._smooth_asked(groups, duration_s)
         self._record_starts(groups)
         self._set_budget(_short_fraction(groups, pool.waiting), pool, duration_s)
         self._set_cutoff(returning, duration_s, now_s)
 
+    def _forget_budget(self) -> None:
+        """Drop what was derived in requests when work is first known, or the reverse.
+
+        A budget of some requests, taken as milliseconds, would refuse nearly all for many seconds.
+        """
+        self.budget = None
+        self._capacity = 0.0
+        self._drains.clear()
+
     def _smooth_asked(self, groups: dict[GroupKey, GroupCounts], duration_s: float) -> None:
         weight = 1.0 - ASKED_KEPT**duration_s
         for key in self._asked.keys() | groups.keys():
@@ -259,7 +271,7 @@
     def _work(self, key: GroupKey) -> float:
         return self._level_work.of(key.priority)
 
-    def _set_budget(self, short_fraction: float, pool: PoolState, duration_s: float) -> None:
+    def _set_budget(self, short_fraction: float, pool: PoolOccupancy, duration_s: float) -> None:
         """Set the work to admit per second; `None` if the service is not short."""
         self.short_fraction = short_fraction
         if short_fraction > SHORT_FRACTION and self._is_pressed(pool):
@@ -271,7 +283,7 @@
         if self.budget is not None and self.budget > REOPEN_MARGIN * asked_work:
             self.budget = None
 
-    def _is_pressed(self, pool: PoolState) -> bool:
+    def _is_pressed(self, pool: PoolOccupancy) -> bool:
         """Return whether the shortage that the last second's counts show still lasts.
 
         The state of the pool is fresher than the counts: without this, a service was cut once
@@ -282,7 +294,7 @@
         is_queue_long = pool.waiting > SHORT_FRACTION * self.drain_per_s
         return not pool.free_share or is_queue_long or self.short_fraction > SEVERE_FRACTION
 
-    def _cut_budget(self, pool: PoolState) -> None:
+    def _cut_budget(self, pool: PoolOccupancy) -> None:
         """Cut the budget to what the service can start.
 
         The counts at the onset of a surge are partly of the calm before. The first estimate is
@@ -293,7 +305,9 @@
             busy_slots = min(pool.held, pool.slots) if self._level_work.is_known else 0
             self._capacity = FIRST_FACTOR * MS_PER_S * busy_slots
         self._capacity = max(fmean(self._drains), CAPACITY_KEPT * self._capacity)
-        self.budget = self._capacity * (SHORT_FACTOR - BACKLOG_WEIGHT * self.short_fraction)
+        budget = self._capacity * (SHORT_FACTOR - BACKLOG_WEIGHT * self.short_fraction)
+        # A budget of 0 would never grow. Nothing was started or held: no capacity is known.
+        self.budget = budget or None
 
     def _set_cutoff(self, returning: tuple[int, ...], duration_s: float, now_s: float) -> None:
         by_account: dict[int, float] = {}
--- a/packages/decisions/src/damaskwind/decisions/admission/shed_aggregator.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/shed_aggregator.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from damaskwind.decisions.admission.fleet_shedding import FleetShedder, PoolState
+from damaskwind.decisions.admission.fleet_shedding import FleetShedder, PoolOccupancy
 from damaskwind.decisions.admission.shed_counts import RETURN_BINS, ShedReport, is_plausible
 from damaskwind.decisions.admission.shed_cutoff import Cutoff
 
@@ -125,7 +125,7 @@
             for index, callers in enumerate(report.returning):
                 returning[index] += callers
         held = sum(report.held for report in reports)
-        pool = PoolState(slots, held, sum(report.waiting for report in reports))
+        pool = PoolOccupancy(slots, held, sum(report.waiting for report in reports))
         counts = (group for report in reports for group in report.groups)
         shedder.update(counts, pool, now_s, tuple(returning))
         return pool.load_permille
--- a/packages/decisions/src/damaskwind/decisions/admission/shed_counts.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/shed_counts.py
@@ -5,6 +5,7 @@
 
 from collections import Counter, deque
 from collections.abc import Iterable
+from operator import add
 from typing import NamedTuple
 
 __all__ = ["GroupCounts", "GroupKey", "ShedReport", "ShedTally", "is_plausible", "sum_groups"]
@@ -12,7 +13,7 @@
 # The length of the sliding window, and the number of slots it is divided into.
 WINDOW_S = 1.0
 SLOTS = 4
-# Largest count that a router is believed to have in one second: ten times what one can handle.
+# Largest sum of a count that a router is believed to have in a second: ten times what one can do.
 MAX_COUNT = 20_000
 # Largest work of one router in a second: 4,000 requests that each took a minute.
 MAX_WORK = 240_000_000
@@ -84,9 +85,12 @@
         return False
     figures = [report.waiting, report.held, *report.returning]
     for group in report.groups:
-        figures += group[1:-1]
-    has_work = all(0 <= group.work <= MAX_WORK for group in report.groups)
-    return has_work and all(0 <= figure <= MAX_COUNT for figure in figures)
+        # The configuration does not exclude negative priorities.
+        figures += (abs(group.priority), *group[2:-1])
+    totals = [sum(counts) for counts in list(zip(*report.groups, strict=True))[2:-1]]
+    works = [group.work for group in report.groups]
+    has_work = min(works, default=0) >= 0 and sum(works) <= MAX_WORK
+    return has_work and all(0 <= figure <= MAX_COUNT for figure in (*figures, *totals))
 
 
 class _Slot(NamedTuple):
@@ -150,7 +154,8 @@
 
 def sum_groups(items: Iterable[GroupCounts]) -> dict[GroupKey, GroupCounts]:
     """Return the sums of counts by group."""
-    groups: dict[GroupKey, GroupCounts] = {}
+    sums: dict[tuple[int, int], list[int]] = {}
     for item in items:
-        groups[item.key] = groups[item.key].plus(item) if item.key in groups else item
-    return groups
+        before = sums.get(item[:2])
+        sums[item[:2]] = list(item[2:]) if before is None else list(map(add, before, item[2:]))
+    return {GroupKey(*key): GroupCounts(*key, *counts) for key, counts in sums.items()}
--- a/packages/decisions/src/damaskwind/decisions/admission/tests/test_fleet_shedding.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/tests/test_fleet_shedding.py
@@ -2,9 +2,15 @@
 
 from unittest import TestCase
 
-from damaskwind.decisions.admission.fleet_shedding import FleetShedder, PoolState
+from damaskwind.decisions.admission.fleet_shedding import FleetShedder, PoolOccupancy
 from damaskwind.decisions.admission.shed_aggregator import ShedAggregator, ShedNews
-from damaskwind.decisions.admission.shed_counts import GroupCounts, GroupKey, ShedReport
+from damaskwind.decisions.admission.shed_counts import (
+    MAX_COUNT,
+    GroupCounts,
+    GroupKey,
+    ShedReport,
+    is_plausible,
+)
 from damaskwind.decisions.admission.shed_cutoff import Cutoff, Share, admits_hash
 from damaskwind.decisions.admission.shed_follower import ShedFollower
 
@@ -12,7 +18,7 @@
     GroupCounts(1, 0, 40, 40, 30, 10, 0, 40, 4000),
     GroupCounts(2, 2, 90, 90, 30, 10, 50, 40, 4000),
 )
-FULL_POOL = PoolState(slots=10, held=12, waiting=30)
+FULL_POOL = PoolOccupancy(slots=10, held=12, waiting=30)
 CLOSED = Cutoff(7, (Share(2, 400),), floor_permille=100)
 
 
@@ -21,12 +27,12 @@
         shedder = FleetShedder(7)
         shedder.update(SHORT, FULL_POOL, 0.0)
         first = shedder.cutoff
-        shedder.update(SHORT[:1], PoolState(10, 7, 0), 0.5)
+        shedder.update(SHORT[:1], PoolOccupancy(10, 7, 0), 0.5)
         self.assertIs(shedder.cutoff, first)
         budgets = []
         calm = [item._replace(late=0, refused=0) for item in SHORT]
         for second in (1.0, 2.0, 3.0):
-            shedder.update(calm, PoolState(10, 7, 0), second)
+            shedder.update(calm, PoolOccupancy(10, 7, 0), second)
             budgets.append(shedder.budget)
         self.assertEqual(budgets, sorted(budgets))
         self.assertLess(budgets[1] / budgets[0], 1.2)
@@ -34,14 +40,26 @@
     def test_service_with_free_slots_and_nothing_waiting_is_not_cut(self):
         # Late answers while slots are free have another cause, such as a slow link.
         shedder = FleetShedder(7)
-        shedder.update(SHORT, PoolState(100, 12, 0), 0.0)
+        shedder.update(SHORT, PoolOccupancy(100, 12, 0), 0.0)
         self.assertTrue(shedder.cutoff.is_open)
 
+    def test_budget_without_capacity_or_in_another_unit_is_dropped(self):
+        # Guards against a budget of 0, or of requests taken as milliseconds: it would refuse
+        # nearly all for many seconds.
+        for started, ended, held in ((0, 0, 12), (50, 0, 12), (0, 10, 0)):
+            with self.subTest(started=started, ended=ended):
+                shedder = FleetShedder(7)
+                hung = [GroupCounts(1, 0, 90, 90, started, 0, 40, ended, ended * 400)]
+                shedder.update(hung, FULL_POOL._replace(held=held), 0.0)
+                calm = [GroupCounts(1, 0, 90, 90, in_time=90, ended=90, work=90 * 400)]
+                shedder.update(calm, PoolOccupancy(100, 60, 0), 1.5)
+                self.assertTrue(shedder.cutoff.is_open)
+
     def test_all_accounts_rising_together_are_cut_by_priority_only(self):
         shedder = FleetShedder(7)
         calm = [GroupCounts(account, 0, 10, 10, 10, 0, 0, 10, 900) for account in range(1, 9)]
         for second in range(10):
-            shedder.update(calm, PoolState(10, 5, 0), float(second))
+            shedder.update(calm, PoolOccupancy(10, 5, 0), float(second))
         risen = [item._replace(asked=40, admitted=40, refused=30) for item in calm]
         for second in range(10, 14):
             shedder.update(risen, FULL_POOL, float(second))
@@ -77,6 +95,13 @@
         self.assertEqual(sums.decide({7: 10}, 1, 6.1).cutoffs, ())
         self.assertEqual(sums.unknown_services({7: 10}), {66})
 
+    def test_counts_are_bounded_in_sum_and_any_configured_priority_is_accepted(self):
+        # Guards against a router that counts as 500, and against one that never counts.
+        huge = tuple(GroupCounts(number, 0, MAX_COUNT // 100) for number in range(101))
+        self.assertFalse(is_plausible(ShedReport(7, 0, 0, huge)))
+        self.assertTrue(is_plausible(ShedReport(7, 0, 0, huge[1:])))
+        self.assertTrue(is_plausible(ShedReport(7, 0, 0, (GroupCounts(1, -1, 5, 5),))))
+
     def test_no_counts_give_no_news(self):
         sums = ShedAggregator(1000)
         self.assertEqual(sums.report("r1", (), 0.0), ())
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -106,6 +106,10 @@
     """Ignore the start of an answer; the default of `AttemptSender.on_answer_started`."""
 
 
+def _ignore_accepted(call: Call) -> None:
+    """Ignore that a target runs a request; the default of `AttemptSender.on_accepted`."""
+
+
 def _accept_answer(first_s: float) -> None:
     """Accept an answer that begins; the default if no other attempt is in progress."""
 
@@ -124,13 +128,14 @@
     """Send requests to targets over pooled connections.
 
     `on_answer_started` is called with the call, the target id and the seconds from the send to
-    the head of the answer.
+    the head of the answer, which may be a refusal. `on_accepted` is called if it is none.
     """
 
     def __init__(self, target_states: TargetStates, names: HeaderNames) -> None:
         self.connections = target_states.connections
         self.activity = target_states.activity
         self.on_answer_started: Callable[[Call, str, float], None] = _ignore_answer_started
+        self.on_accepted: Callable[[Call], None] = _ignore_accepted
         self._target_states = target_states
         self._loads = target_states.loads
         self._names = names
@@ -216,6 +221,7 @@
         if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
             outcome = await self._read_refusal(connection, head, target)
             return outcome._replace(asks_for_pause=signals.rest_s > 0)
+        self.on_accepted(call)
         if head.status < 500:
             accept_answer(first_s)
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -34,8 +34,8 @@
 class RecordedSends:
     """The attempts of one router, each recorded when it begins and when it ends.
 
-    `on_started` is called when an answer begins, and `on_ended` with the seconds that an attempt
-    took if its target did not refuse it.
+    `on_started` is called when an answer begins that is not a refusal, and `on_ended` with the
+    seconds that an attempt took if its target did not refuse it.
     """
 
     def __init__(
@@ -60,6 +60,7 @@
         self.on_ended: list[Callable[[Call, float], None]] = []
         crash_detector.on_crashed.append(self._record_target_crash)
         sender.on_answer_started = self._record_answer_started
+        sender.on_accepted = self._record_accepted
 
     async def send(
         self,
@@ -186,6 +187,9 @@
         if self._memory is not None:
             self._memory.record_started(call, target_id)
         self._admissions.record_answer_started(call, target_id)
+
+    def _record_accepted(self, call: Call) -> None:
+        """Record that an answer began which is not a refusal."""
         for callback in self.on_started:
             callback(call)
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_shedding.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_shedding.py
@@ -13,6 +13,7 @@
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import override_clock, read_clock
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
+from damaskwind.standins.scripted_target import plain
 from damaskwind.wire.news import News, NewsRequest, SubscriberKind, decode_news, encode
 
 CALLS = 60
@@ -75,6 +76,14 @@
         self.assertEqual(sum(report.returning), len(retries_s))
         self.assertEqual(sum(self.forwarder.tallies.totals("shed").values()), len(retries_s))
 
+    @asyncio_test
+    async def test_refusal_by_a_target_counts_as_refused_and_not_as_started(self):
+        # Guards against a budget derived from what targets refuse.
+        self.share(*[plain(503, b"", (NAMES.not_run + b": 1",)) for _ in range(9)])
+        self.assertEqual((await self.call(request_id=b"r1")).status, 503)
+        ((group,),) = (report.groups for report in self.view.shed_reports())
+        self.assertEqual((group.in_time, group.late, group.refused, group.ended), (0, 0, 1, 0))
+
     @asyncio_test
     async def test_throttle_does_not_cut_a_request_again(self):
         # Guards against two shares that multiply: the throttle would refuse nearly all.
