Do not refuse a request for good by its length hint alone

Without Token-Usage, twice the hint counted as the output, so that a request could be refused as never fitting while all engines were empty. The output is now bounded by what the prompt leaves of an engine. The test fails on the previous code.

--- a/packages/router/src/damaskwind/router/forwarding/engine_memory.py
+++ b/packages/router/src/damaskwind/router/forwarding/engine_memory.py
@@ -168,7 +168,13 @@
         """Return the cost of a request, computed once."""
         if call.cost is None:
             mean = self._means.get(call.route.name, MeanCost())
-            call.cost = request_cost(read_token_headers(call.facts.token_headers), mean)
+            stated = read_token_headers(call.facts.token_headers)
+            cost, profile = request_cost(stated, mean), self._profile(call.service)
+            if stated.max_output_tokens is None and stated.length_hint_tokens is not None:
+                # A hint is often far off, so that it is no reason to refuse a request for good.
+                room = max(profile.capacity_tokens - cost.prompt_tokens, 0) if profile else 0
+                cost = cost._replace(output_tokens=min(cost.output_tokens, room))
+            call.cost = cost
         return call.cost
 
     def _use(self, target_id: str, profile: EngineProfile, now_s: float) -> EngineUse:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_engine_memory.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_engine_memory.py
@@ -136,6 +136,15 @@
         _, answer = await self.send(b"r3", x_prompt_parts=b"shared,own")
         self.assertIn(b"needs 1500 tokens", answer.body)
 
+    @asyncio_test
+    async def test_hint_without_a_bound_does_not_exclude_a_request(self):
+        # Guards against a final refusal by twice a hint, while the engines are empty.
+        got, answer = await self.send(x_prompt_parts=PARTS, x_length_hint=b"5000")
+        self.assertEqual((len(got), answer.status), (1, 200))
+        prompt = b"shared:1000,own:9100"
+        _, answer = await self.send(b"r2", x_prompt_parts=prompt, x_length_hint=b"5000")
+        self.assertEqual((answer.status, header(answer.headers, b"retry-after")), (503, None))
+
     @asyncio_test
     async def test_profile_of_the_configuration_in_force_counts(self):
         self.assertEqual((await self.send(b"r1", **TOO_LARGE))[1].status, 503)
