Give free engine memory to one waiting request only until it is sent

Two events in one turn of the loop admitted two requests to the same free memory; the second one found none when it was placed and was refused although it could have waited longer. The test fails on the previous code.

--- a/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
@@ -140,6 +140,8 @@
         self._pool_window = StartWindow(pool_policy, self._start_delays)
         self._pool_rate = DrainRate()
         self._admitted_unsent: set[int] = set()
+        # Admitted from the queue; their memory isn't counted at their target before they are sent.
+        self._leaving_queue: dict[int, PoolRequest] = {}
         self._target_of: dict[int, str] = {}
         self._rates: dict[str, DrainRate] = {}
         self._surge_started_s: float | None = None
@@ -153,7 +155,7 @@
         headroom = self._headroom(request.target_id, target_slots, now_s)
         begun_part = self._median_start_fraction(now_s)
         must_queue = request.came_back and self._is_surge(now_s)
-        must_queue = must_queue or not _fits(request, target_slots)
+        must_queue = must_queue or not _fits(request, target_slots, self._unsent_tokens())
         if headroom > 0 and not must_queue and not self._is_behind_others(request):
             self._admit(request, now_s)
             return AdmissionDecision(AdmissionStep.START, 0.0, now_s, headroom, begun_part)
@@ -212,7 +214,7 @@
         def can_run(target_id: str) -> bool:
             return self._headroom(target_id, target_slots, now_s) > 0
 
-        taken: Counter[str] = Counter()
+        taken = self._unsent_tokens()
 
         def fits(request: PoolRequest) -> bool:
             return _fits(request, target_slots, taken)
@@ -220,6 +222,8 @@
         is_surge = self._is_surge(now_s)
         while (request := self.queue.pop_next(now_s, can_run, is_surge, fits)) is not None:
             taken[request.target_id] += request.need_tokens
+            if request.need_tokens:
+                self._leaving_queue[request.number] = request
             has_backlog = bool(self.queue.waiting_for(request.target_id))
             self._rate(request.target_id).record_departure(now_s, backlog=has_backlog)
             self._pool_rate.record_departure(now_s, backlog=bool(len(self.queue)))
@@ -237,8 +241,9 @@
         self._rates.pop(target_id, None)
 
     def withdraw(self, number: int) -> None:
-        """Remove a waiting request whose caller disconnected."""
+        """Remove a request that no longer waits: it is being sent, or its caller disconnected."""
         self.queue.remove(number)
+        self._leaving_queue.pop(number, None)
 
     def release_all(self) -> tuple[int, ...]:
         """Remove and return all waiting requests, since no target accepts work."""
@@ -256,6 +261,13 @@
         else:
             self._admitted_unsent.add(request.number)
 
+    def _unsent_tokens(self) -> Counter[str]:
+        """Return the memory by target that is needed by requests leaving the queue."""
+        tokens: Counter[str] = Counter()
+        for request in self._leaving_queue.values():
+            tokens[request.target_id] += request.need_tokens
+        return tokens
+
     def _is_behind_others(self, request: PoolRequest) -> bool:
         """Return whether a request must wait behind others for its target.
 
--- a/packages/decisions/src/damaskwind/decisions/admission/tests/test_pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/tests/test_pool_admission.py
@@ -135,6 +135,18 @@
         self.admission.record_ended(0)
         self.assertNotIn(100, self.admission.admit_waiting(TARGET_SLOTS, 0.1))
 
+    def test_memory_is_given_to_one_request_only_until_it_is_sent(self):
+        # Guards against a second one that finds no room when it is placed and is then refused.
+        full, room = ([TargetSlots("a", 64.0, tokens)] for tokens in (0, 1_000))
+        for number in (1, 2):
+            waiting = request(number, need_tokens=1_000)
+            self.assertIs(self.admission.offer(waiting, full, 0.0).step, AdmissionStep.WAIT)
+        self.assertEqual(self.admission.admit_waiting(room, 0.1), (1,))
+        self.assertEqual(self.admission.admit_waiting(room, 0.1), ())
+        # Counted at its target from now on.
+        self.admission.withdraw(1)
+        self.assertEqual(self.admission.admit_waiting(room, 0.2), (2,))
+
     def test_retries_start_at_once_after_the_surge(self):
         for number in range(20):
             self.offer(request(number))
