--- a/packages/decisions/src/damaskwind/decisions/retries/tests/test_hedging.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/tests/test_hedging.py
@@ -36,7 +36,7 @@
         room = EngineRoom(free_tokens=100.0, need_tokens=50)
         self.assertIsNone(find_target_refusal(FREE._replace(room=room)))
         full = FREE._replace(room=room._replace(need_tokens=200))
-        self.assertIs(find_target_refusal(full), HedgeRefusal.POOL_SHORT)
+        self.assertIs(find_target_refusal(full), HedgeRefusal.NO_MEMORY)
 
     def test_no_second_send_while_the_pool_is_short(self):
         """Second sends during an overload would delay all other requests."""
--- a/packages/router/src/damaskwind/router/forwarding/engine_memory.py
+++ b/packages/router/src/damaskwind/router/forwarding/engine_memory.py
@@ -12,7 +12,7 @@
     read_token_headers,
     request_cost,
 )
-from damaskwind.decisions.load.token_sums import TokenSums
+from damaskwind.decisions.load.token_sums import HeldTokens, TokenSums
 from damaskwind.decisions.placement.affinity import Candidate, Choice
 from damaskwind.decisions.placement.engine_memory import (
     EngineRoom,
@@ -44,7 +44,7 @@
         self._means: dict[str, MeanCost] = {}
         self._implausible: set[str] = set()
         self._had_sums = False
-        view.count_tokens = self.tokens.report_to
+        view.count_tokens = self._report_to
         view.on_token_sums.append(self._observe_sums)
         view.on_gone.append(self.forget)
         view.on_restarted.append(lambda record: self.forget(record.target_id))
@@ -168,7 +168,13 @@
         """Return the cost of a request, computed once."""
         if call.cost is None:
             mean = self._means.get(call.route.name, MeanCost())
-            call.cost = request_cost(read_token_headers(call.facts.token_headers), mean)
+            stated = read_token_headers(call.facts.token_headers)
+            cost, profile = request_cost(stated, mean), self._profile(call.service)
+            if stated.max_output_tokens is None and stated.length_hint_tokens is not None:
+                # A hint is often far off, so that it is no reason to refuse a request for good.
+                room = max(profile.capacity_tokens - cost.prompt_tokens, 0) if profile else 0
+                cost = cost._replace(output_tokens=min(cost.output_tokens, room))
+            call.cost = cost
         return call.cost
 
     def _use(self, target_id: str, profile: EngineProfile, now_s: float) -> EngineUse:
@@ -204,6 +210,11 @@
         use = self._use(target_id, profile, now_s)
         return engine_room(use, cost, profile.capacity_tokens, is_short)
 
+    def _report_to(self, host: str) -> tuple[HeldTokens, ...] | None:
+        """Return what this router holds at engines, `None` where no service has a profile."""
+        table = self._view.table
+        return self.tokens.report_to(host) if table and table.has_engine_profiles else None
+
     def _observe_sums(self, host: str, sums: TokenSums) -> None:
         """Apply a replica's sums of the tokens that all routers hold."""
         self.tokens.observe_sums(host, sums, read_clock())
