Held bytes: small bodies no longer wait behind large ones

When a body ended, the bodies that waited were read in order up to the first one without room, so that a small body behind a large one was refused although there was room for it. A large body that exceeds the bound alone (memory below 80 MiB) kept even requests without a body waiting. Both have a test that fails on the previous code.

--- a/packages/decisions/src/damaskwind/decisions/held_bytes/body_queue.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/body_queue.py
@@ -100,10 +100,12 @@
         if size_bytes > SMALL_BYTES:
             self._ended_bytes = self._recently_ended_bytes(now_s) + size_bytes
             self._ended_s = now_s
-        begun = []
+        begun, is_large_blocked = [], False
         for waiting, waiting_bytes in list(self._waiting.items()):
-            if not self._has_room(waiting, waiting_bytes):
-                break
+            is_large = waiting_bytes > SMALL_BYTES
+            if (is_large and is_large_blocked) or not self._has_room(waiting, waiting_bytes):
+                is_large_blocked |= is_large
+                continue
             self._hold(waiting, self._waiting.pop(waiting))
             begun.append(waiting)
         return begun
@@ -123,10 +125,15 @@
         return min(MAX_RETRY_S, max(MIN_RETRY_S, self.expected_wait_s(size_bytes, now_s)))
 
     def _has_room(self, number: int, total_bytes: int) -> bool:
-        """Tell whether a body may take so much in total; one alone always may."""
+        """Return whether a body may take so much in total; one large body alone always may.
+
+        Small bodies keep their share beside a large one that exceeds the bound alone.
+        """
         own_bytes = self._held.get(number, 0)
         if total_bytes <= SMALL_BYTES:
-            return self.held_bytes - own_bytes + total_bytes <= self.bound_bytes
+            small_bytes = self.held_bytes - self._large_bytes - own_bytes + total_bytes
+            reserved_bytes = (1.0 - LARGE_SHARE) * self.bound_bytes
+            return small_bytes <= max(self.bound_bytes - self._large_bytes, reserved_bytes)
         other_bytes = self._large_bytes - (own_bytes if own_bytes > SMALL_BYTES else 0)
         return not other_bytes or other_bytes + total_bytes <= LARGE_SHARE * self.bound_bytes
 
--- a/packages/decisions/src/damaskwind/decisions/held_bytes/tests/test_ledger.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/tests/test_ledger.py
@@ -102,6 +102,24 @@
             queue.close(number, 1.0)
         self.assertEqual((queue.held_bytes, queue.waiting), (0, 0))
 
+    def test_small_body_does_not_wait_behind_a_large_one(self):
+        """It stayed unread, and was refused after 0.5 s, although a small body had ended."""
+        queue = BodyQueue(1_000_000)
+        for number, size_bytes in ((1, 790_000), (2, 65_000), (3, 65_000), (4, 65_000)):
+            self.assertIs(queue.offer(number, size_bytes, 0.0), BodyStep.READ)
+        for number, size_bytes in ((5, 100_000), (6, 65_000), (7, 70_000)):
+            self.assertIs(queue.offer(number, size_bytes, 0.0), BodyStep.WAIT)
+        self.assertEqual((queue.close(2, 0.1), queue.close(1, 0.2)), ([6], [5, 7]))
+
+    def test_large_body_beyond_the_bound_keeps_no_small_one_waiting(self):
+        """In 64 MiB of memory, a body of 4 MiB kept even requests without a body waiting."""
+        queue = BodyQueue(derive_bounds(64 * MIB).body_bytes)
+        self.assertIs(queue.offer(1, 4 * MIB, 0.0), BodyStep.READ)
+        steps = [queue.offer(number, size, 0.0) for number, size in ((2, 0), (3, 60_000))]
+        self.assertEqual(steps, [BodyStep.READ] * 2)
+        steps = [queue.offer(number, 60_000, 0.0) for number in range(4, 40)]
+        self.assertIn(BodyStep.WAIT, steps)
+
     def test_body_of_unknown_size_ends_at_the_bound(self):
         queue = BodyQueue(int(2.5 * MIB))
         queue.offer(1, MIB, 0.0)
