Held bytes: count second sends, and what callers send ahead of answers

- A second send of a large body was neither refused nor counted at its target.
- A target without room counted as tried, so that a retry found no target.
- What a caller sent ahead of the present answer was buffered without any bound.
- An answer given up by the last step of its task was logged as delivered.
- CallFacts: repair a doc comment that was damaged by a merge.

Each fault has a test that fails on the previous code.

--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -35,7 +35,7 @@
 
     `wait_s` is the time that the caller still waits, `resume_after` the id of the last event
     that it has, `shared_tokens` the tokens of the prompt parts shared with other requests.
-    that it has. `token_headers` are parsed only where the memory of engines is considered.
+    `token_headers` are parsed only where the memory of engines is considered.
     """
 
     request_id: bytes
--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import nullcontext
 from functools import partial
 
 from loguru import logger
@@ -29,6 +30,7 @@
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
+from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
@@ -76,6 +78,7 @@
         self.call = call
         self.attempts: list[_Attempt] = []
         self.winner: _Attempt | None = None
+        self.body_bytes = 0
         self._start = start
         self._on_answer_started = on_answer_started
         self._on_superseded = on_superseded
@@ -150,6 +153,8 @@
         tallies: Tallies,
     ) -> None:
         self.in_progress = 0
+        # Bounds the large bodies at each target; `None` where they are not bounded.
+        self.target_bodies: TargetBodies | None = None
         self._sends = sends
         self._chooser = chooser
         self._admissions = admissions
@@ -178,6 +183,7 @@
             return asyncio.ensure_future(attempt)
 
         race = _Race(call, start, self._record_started, self._record_superseded)
+        race.body_bytes = len(exchange.request.body)
         try:
             race.start(placement)
             await self._run(race)
@@ -196,22 +202,25 @@
             # What arrived while this process was suspended is still unread.
             await race.wait(overdue.delay_s)
         if race.winner is None and not race.tasks[0].done():
-            second = self._place_second(call, race.attempts[0], overdue)
+            second = self._place_second(race, overdue)
             if second is not None:
                 await self._run_second(race, second)
         await race.wait(None)
 
     async def _run_second(self, race: _Race, placement: Placement) -> None:
         """Make a second attempt while the first one is in progress."""
-        race.call.begin_second(placement.target.target_id)
+        target_id = placement.target.target_id
+        race.call.begin_second(target_id)
         self.in_progress += 1
+        bodies = self.target_bodies
         try:
-            race.start(placement)
-            if race.call.route.kind is RouteKind.STREAMING:
-                await race.wait(MAX_STREAM_OVERLAP_S, asyncio.FIRST_COMPLETED)
-                if race.winner is None:
-                    self._end_overlap(race)
-            await race.wait(None)
+            with nullcontext() if bodies is None else bodies.sending(target_id, race.body_bytes):
+                race.start(placement)
+                if race.call.route.kind is RouteKind.STREAMING:
+                    await race.wait(MAX_STREAM_OVERLAP_S, asyncio.FIRST_COMPLETED)
+                    if race.winner is None:
+                        self._end_overlap(race)
+                await race.wait(None)
         finally:
             self.in_progress -= 1
             self._record_race(race)
@@ -236,8 +245,9 @@
         has_attempts = call.sends + 2 <= route.max_attempts
         return route.may_repeat and has_attempts and not delivery.has_begun
 
-    def _place_second(self, call: Call, first: _Attempt, overdue: OverdueDelay) -> Placement | None:
+    def _place_second(self, race: _Race, overdue: OverdueDelay) -> Placement | None:
         """Return where an overdue request is sent a second time, `None` if it is not."""
+        call, first = race.call, race.attempts[0]
         situation = self._situation(call)
         refusal, placement = refuse_hedge(situation), None
         if refusal is None:
@@ -245,7 +255,7 @@
             refusal = (
                 HedgeRefusal.NO_TARGET
                 if placement is None
-                else find_target_refusal(placement.choice.candidate)
+                else self._refuse_target(placement, race.body_bytes)
             )
         if refusal is None and not self._budget(call.service).take(read_clock()):
             refusal = HedgeRefusal.BUDGET
@@ -254,6 +264,13 @@
         self._log_decision(call, first, placement, overdue, situation, refusal)
         return placement if refusal is None else None
 
+    def _refuse_target(self, placement: Placement, body_bytes: int) -> HedgeRefusal | None:
+        """Return why the chosen target gets no second send, `None` if it may get one."""
+        bodies, target_id = self.target_bodies, placement.target.target_id
+        if bodies is not None and not bodies.may_send(target_id, body_bytes):
+            return HedgeRefusal.NO_TARGET
+        return find_target_refusal(placement.choice.candidate)
+
     def _situation(self, call: Call) -> HedgeSituation:
         """Return an overdue request and its pool as the decision needs them."""
         state = self._admissions.pool_state(call.service)
--- a/packages/router/src/damaskwind/router/forwarding/held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/held_bytes.py
@@ -1,6 +1,7 @@
 """Own the account of the bytes that this router holds, and give up what exceeds the bound."""
 
 import asyncio
+from contextlib import suppress
 from itertools import count
 from types import TracebackType
 
@@ -90,6 +91,11 @@
         trace: TracebackType | None,
     ) -> None:
         task, self._task = self._task, None
+        if self._is_given_up and error is None:
+            # Given up by the last step of the task: its cancellation is still pending.
+            with suppress(asyncio.CancelledError):
+                await asyncio.sleep(0)
+            error = asyncio.CancelledError()
         if self._is_given_up and isinstance(error, asyncio.CancelledError | TimeoutError):
             task.uncancel()
             raise GivenUpError("given up, as too many bytes are in hand") from error
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -93,7 +93,8 @@
             return None
         bounds = derive_bounds(memory_bytes)
         logger.info("held bytes bounded", memory_bytes=memory_bytes, **bounds._asdict())
-        self.forwarder.steps.target_bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+        bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+        self.forwarder.steps.bound_target_bodies(bodies)
         return HeldBytes(bounds, names, self.tallies)
 
     async def start(self) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -115,9 +115,12 @@
         self.take_retry = take_retry
         self.suspicions = target_states.view.suspicions
         self.tallies = tallies
-        # Bounds the large bodies at each target; `None` where they are not bounded.
         self.target_bodies: TargetBodies | None = None
 
+    def bound_target_bodies(self, bodies: TargetBodies) -> None:
+        """Bound the large bodies at each target, of first and second sends."""
+        self.target_bodies = self.sends.target_bodies = bodies
+
     async def run(self, exchange: Exchange, call: Call, delivery: Delivery) -> AttemptOutcome:
         """Send until an answer is delivered or no further attempt is allowed."""
         progress = RequestProgress(exchange, call, delivery)
@@ -156,13 +159,20 @@
         """Find a target that may be sent the request's body, or wait for the first choice."""
         bodies, size_bytes = self.target_bodies, len(progress.exchange.request.body)
         call, first = progress.call, progress.placement
-        while not bodies.may_send(progress.placement.target.target_id, size_bytes):
-            call.tried.add(progress.placement.target.target_id)
-            if self.place(progress) is RequestState.ENDED:
-                progress.placement, call.retry_after_s = first, None
-                name = call.facts.request_id.decode("latin-1")
-                return await bodies.wait(first.target.target_id, size_bytes, name)
-        return True
+        if bodies.may_send(first.target.target_id, size_bytes):
+            return True
+        tried = set(call.tried)
+        try:
+            while not bodies.may_send(progress.placement.target.target_id, size_bytes):
+                call.tried.add(progress.placement.target.target_id)
+                if self.place(progress) is RequestState.ENDED:
+                    progress.placement, call.retry_after_s = first, None
+                    name = call.facts.request_id.decode("latin-1")
+                    return await bodies.wait(first.target.target_id, size_bytes, name)
+            return True
+        finally:
+            # A target that had no room may still be sent a retry.
+            call.tried = tried
 
     def may_retry(self, call: Call, outcome: AttemptOutcome) -> bool:
         """Return whether the request may be sent to another target."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from unittest.mock import Mock
 
 from twisted.trial.unittest import TestCase
 
@@ -9,7 +10,7 @@
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
-from damaskwind.router.forwarding.held_bytes import HeldBytes
+from damaskwind.router.forwarding.held_bytes import GivenUpError, HeldBytes
 from damaskwind.router.forwarding.process import ForwardingRouter
 from damaskwind.router.forwarding.settings import ForwardingSettings
 from damaskwind.router.forwarding.target_bodies import TargetBodies
@@ -18,7 +19,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.tallies import Tallies
-from damaskwind.standins.scripted_target import plain, silent
+from damaskwind.standins.scripted_target import plain, raw, silent
 
 MIB = 2**20
 BOUNDS = HeldBounds(6 * MIB, 3 * MIB)
@@ -28,9 +29,15 @@
     def make_memory(self):
         self.tallies = Tallies()
         self.memory = HeldBytes(BOUNDS, NAMES, self.tallies)
-        self.forwarder.steps.target_bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+        bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+        self.forwarder.steps.bound_target_bodies(bodies)
         return self.memory
 
+    def bound_target_bodies(self, routers):
+        """Bound the bodies at targets as with many routers; the retry budget stays that of one."""
+        bodies = TargetBodies(lambda: routers, self.tallies)
+        self.forwarder.steps.bound_target_bodies(bodies)
+
     async def open(self, body=b"{}", size_bytes=None, path="/a/x"):
         """Send a request whose caller has a small receive buffer; return its streams."""
         handle = socket.socket()
@@ -96,6 +103,42 @@
         self.assertIn(b" 502 ", received)
         await self.until(lambda: not self.memory.ledger.held_bytes)
 
+    @asyncio_test
+    async def test_answer_given_up_in_its_last_step_is_not_reported_as_delivered(self):
+        """The task had nothing left to wait for, so that its cancellation had no effect."""
+        memory = HeldBytes(HeldBounds(MIB, MIB), NAMES, Tallies())
+        request = memory.open(Mock(has_begun=True), [])
+
+        async def handle():
+            async with request:
+                request.hold(2 * MIB)
+
+        with self.assertRaises(GivenUpError):
+            await asyncio.ensure_future(handle())
+
+    @asyncio_test
+    async def test_second_send_of_a_large_body_counts_at_its_target(self):
+        """It was sent whatever that target already held, and not counted there."""
+        self.bound_target_bodies(routers=138)
+        self.forwarder.target_states.reports_work_time = True
+        self.script(silent())
+        bodies = self.forwarder.steps.target_bodies
+        await self.open(bytes(MIB))
+        await self.until(lambda: len(self.received()) == 2)
+        seen = [bodies.may_send(target_id, MIB) for target_id in ("t0", "t1")]
+        self.assertEqual(seen, [False, False])
+
+    @asyncio_test
+    async def test_second_send_of_a_large_body_avoids_a_target_without_room(self):
+        self.bound_target_bodies(routers=138)
+        self.script(silent())
+        for count in (1, 2):
+            self.forwarder.target_states.reports_work_time = count == 2
+            await self.open(bytes(MIB))
+            await self.until(lambda count=count: len(self.received()) == count)
+        await asyncio.sleep(0.5)
+        self.assertEqual([len(target.received) for target in self.targets], [1, 1])
+
     @asyncio_test
     async def test_stream_of_a_slow_caller_is_read_to_its_end_from_the_target(self):
         """A target cuts off an answer that stays unread."""
@@ -218,6 +261,21 @@
         self.assertIn(b" 503 ", head)
         self.assertEqual(len(self.received()), 1)
 
+    @asyncio_test
+    async def test_retry_may_go_to_a_target_that_had_no_room_before(self):
+        """A target that was passed over counted as tried: the retry found none."""
+        passed_over = []
+
+        def may_send(target_id, size_bytes):
+            passed_over.append(target_id)
+            return target_id != passed_over[0] or bool(self.received())
+
+        self.forwarder.steps.target_bodies.may_send = may_send
+        self.share(raw(b"", then_close=True))
+        reader, _ = await self.open(bytes(MIB))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+        self.assertIn(b" 200 ", head)
+
     @asyncio_test
     async def test_second_large_body_goes_to_a_target_without_one(self):
         self.view.routers = 138
@@ -228,6 +286,31 @@
         self.assertEqual([len(target.received) for target in self.targets], [1, 1])
 
 
+class PipelinedRequestsTest(HeldBytesTestCase):
+    @asyncio_test
+    async def test_what_a_caller_sends_ahead_of_its_answer_is_left_unread(self):
+        """It was kept in the parser's buffer, which nothing bounded or counted."""
+        self.script(silent())
+        _, writer = await self.open()
+        await self.until(lambda: self.received())
+        writer.write(bytes(8 * MIB))
+        await asyncio.sleep(0.3)
+        (connection,) = self.server.connections
+        self.assertLess(len(connection._parser.trailing_data[0]), MIB)
+
+    @asyncio_test
+    async def test_requests_sent_ahead_are_answered(self):
+        reader, writer = await self.open(bytes(MIB))
+        head = b"POST /a/x HTTP/1.1\r\nhost: host\r\nx-request-id: r%d\r\nx-deadline-ms: 5000\r\n"
+        head += b"authorization: Bearer key\r\ncontent-length: 200000\r\n\r\n"
+        for number in range(2, 6):
+            writer.write(head % number + bytes(200_000))
+        for _ in range(5):
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+            self.assertIn(b" 200 ", head)
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
+
 class SwitchTest(TestCase):
     def router(self, **switch):
         address = Address("127.0.0.1", 1)
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -26,6 +26,9 @@
 WRITE_BUFFER_BYTES = 65_536
 # The kernel's buffer for a body that is left unread.
 RECEIVE_BUFFER_BYTES = 65_536
+# Where bytes are accounted for, at most about this much of later requests is read before an answer
+# ends. A caller that sends more and leaves is noticed only when its answer is written.
+READ_AHEAD_BYTES = 65_536
 # A caller whose body is refused may still be sending: for this time, what it sends is dropped, as
 # a closed socket would answer with a reset that can overtake the refusal.
 LINGER_S = 2.0
@@ -75,6 +78,7 @@
         self._account: RequestAccount | None = None
         self._is_body_waiting = False
         self._is_lingering = False
+        self._ahead_bytes = 0
         self.requests = 0
 
     @property
@@ -113,6 +117,10 @@
                 self._has_partial_head = True
                 self._restart_timer(self._server.limits.header_timeout_s)
             self._read_events()
+        elif self._server.memory is not None:
+            self._ahead_bytes += len(data)
+            if self._ahead_bytes > READ_AHEAD_BYTES:
+                self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         """Drop unsent data, since the caller has left."""
@@ -381,6 +389,15 @@
             return
         self._restart_timer(self._server.limits.idle_timeout_s)
         self._read_events()
+        if self._ahead_bytes:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Read on after an answer, unless enough of later requests was already read."""
+        is_answering = self._task is not None
+        self._ahead_bytes = len(self._parser.trailing_data[0]) if is_answering else 0
+        if self._ahead_bytes <= READ_AHEAD_BYTES and not self._is_body_waiting:
+            self._transport.resume_reading()
 
     def _refuse(self, status: int) -> None:
         """Answer a request that could not be read, and close."""
