Held bytes: count the start of an event; 408 is not overtaken by a reset

- The start of a resumable stream's event was buffered without being counted.
- A caller that was still sending when its slow body was answered with 408 got a reset instead, since its connection was closed with unread bytes.

Each fault has a test that fails on the previous code.

--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -63,6 +63,7 @@
 
     def begin_stream(self, head: AnswerHead) -> None:
         """Send the head of the first attempt's stream; those of later attempts are dropped."""
+        self._hold_partial(-len(self._splitter.partial))
         self._splitter = EventSplitter()
         if not self.has_begun:
             self._exchange.begin(head.status, without(head.headers, frozenset()))
@@ -73,9 +74,17 @@
             self.bytes += len(data)
             self._exchange.write(data)
             return
-        for event in self._splitter.feed(data):
+        before_bytes = len(self._splitter.partial)
+        events = self._splitter.feed(data)
+        self._hold_partial(len(self._splitter.partial) - before_bytes)
+        for event in events:
             self._write_event(event)
 
+    def _hold_partial(self, size_bytes: int) -> None:
+        """Account for the start of an event, which is held until the event is complete."""
+        if self.account is not None and size_bytes:
+            self.account.hold(size_bytes)
+
     def _write_event(self, event: bytes) -> None:
         """Send an event, unless the caller already has it."""
         number = event_id(event)
--- a/packages/router/src/damaskwind/router/forwarding/events.py
+++ b/packages/router/src/damaskwind/router/forwarding/events.py
@@ -39,10 +39,12 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add a chunk and return the events that are complete now."""
+        # An end of up to 4 bytes may begin in the partial event, whose other bytes contain none.
+        scanned_bytes = max(0, len(self.partial) - 3)
         buffer = self.partial + data
         events = []
         start = 0
-        for match in _END.finditer(buffer):
+        for match in _END.finditer(buffer, scanned_bytes):
             events.append(buffer[start : match.end()])
             start = match.end()
         self.partial = buffer[start:]
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -163,6 +163,23 @@
         await reader.readuntil(b"\r\n\r\n")
         return len(await asyncio.wait_for(reader.readexactly(size_bytes), 5.0)), False
 
+    @asyncio_test
+    async def test_event_that_never_ends_is_held_and_given_up(self):
+        """The start of an event was buffered without being counted."""
+        self.publish(route(kind=RouteKind.STREAMING, is_resumable=True))
+
+        async def step(writer, request):
+            writer.write(b"HTTP/1.1 200 X\r\nx-request-id: r1\r\ncontent-length: 9000000\r\n\r\n")
+            for _ in range(140):
+                writer.write(bytes(50_000))
+                await writer.drain()
+
+        self.script(step)
+        reader, _ = await self.open()
+        await self.until(self.given_up)
+        self.assertTrue((await self.read_end(reader))[1])
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
     @asyncio_test
     async def test_stop_waits_for_an_answer_that_is_still_being_read(self):
         """The answer was written off once the transport had it, and cut off by the exit."""
@@ -216,6 +233,18 @@
         await self.until(lambda: not self.memory.ledger.held_bytes)
         self.assertEqual((self.memory.bodies.held_bytes, self.server.reading), (0, 0))
 
+    @asyncio_test
+    async def test_caller_that_still_sends_its_body_gets_the_answer_408(self):
+        """A reset overtook it, since the connection was closed with unread bytes."""
+        slow, writer = await self.open(b"x", 2 * MIB)
+        await asyncio.sleep(2.1)
+        await self.open(bytes(2 * MIB))
+        await self.until(lambda: len(self.received()) == 1)
+        for _ in range(3):
+            writer.write(b"x")
+            await asyncio.sleep(0.05)
+        self.assertIn(b" 408 ", await asyncio.wait_for(slow.readuntil(b"\r\n\r\n"), 2.0))
+
     @asyncio_test
     async def test_body_of_unknown_length_is_refused_where_it_exceeds_the_bound(self):
         _, first = await self.open(b"x", 2 * MIB)
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -29,8 +29,8 @@
 # Where bytes are accounted for, at most about this much of later requests is read before an answer
 # ends. A caller that sends more and leaves is noticed only when its answer is written.
 READ_AHEAD_BYTES = 65_536
-# A caller whose body is refused may still be sending: for this time, what it sends is dropped, as
-# a closed socket would answer with a reset that can overtake the refusal.
+# A caller whose body is not read to its end may still be sending: for this time, what it sends is
+# dropped, as a closed socket would answer with a reset that can overtake the answer.
 LINGER_S = 2.0
 # A caller that has taken nothing for this time, while an answer waits for it, has stopped reading.
 # The kernel's buffer hides what a caller of 1 KB/s takes for some 20 s.
@@ -301,13 +301,21 @@
         self._read_events()
 
     def refuse_body(self, retry_after_s: float) -> None:
-        """Answer 503 to a request whose body is not read, and drop what its caller still sends."""
+        """Answer 503 to a request whose body is not read."""
+        self._end_unread(Answer(503, [(b"retry-after", b"%.3f" % retry_after_s)]))
+
+    def time_out_body(self) -> None:
+        """Answer 408 to a caller that sends its body too slowly."""
+        self._end_unread(Answer(408, []))
+
+    def _end_unread(self, answer: Answer) -> None:
+        """Answer a request before its body was read, and drop what its caller still sends."""
         if self._is_lost or self._is_lingering:
             return
         self._is_lingering = True
         self._stop_timer()
         self._body = []
-        self.send_whole(Answer(503, [(b"retry-after", b"%.3f" % retry_after_s)]), True)
+        self.send_whole(answer, True)
         self._close_account()
         self._outbox.flush()
         self._transport.write_eof()
@@ -315,10 +323,6 @@
         self._transport.resume_reading()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
-    def time_out_body(self) -> None:
-        """Answer 408 to a caller that sends its body too slowly."""
-        self._refuse(408)
-
     def _close_account(self) -> None:
         """Drop what is held for the present request."""
         account, self._account = self._account, None
