HTTP server: the reading of request bodies in a module of its own

BodyReader holds the pieces of a body and its account, and decides with it whether the body is read, waits or is refused. The behaviour is unchanged.

--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
@@ -0,0 +1,160 @@
+"""Read the bodies of the requests on one connection, as far as the bound on held bytes allows.
+
+Where held bytes are accounted for, a body may be left unread until others have ended, or be
+refused. Otherwise every body is read at once.
+"""
+
+from typing import Protocol
+
+import h11
+
+from damaskwind.runtime.http1.held_memory import HeldMemory, RequestAccount
+from damaskwind.runtime.http1.messages import Answer, header
+
+__all__ = ["BodyConnection", "BodyLimits", "BodyReader", "BodyServer"]
+
+
+class BodyLimits(Protocol):
+    """The limit on the size of a body."""
+
+    body_bytes: int
+
+
+class BodyServer(Protocol):
+    """The server of a connection; `reading` counts the requests whose bodies are being read."""
+
+    limits: BodyLimits
+    memory: HeldMemory | None
+    reading: int
+
+    def notify_request_end(self) -> None:
+        """Wake the tasks that wait for the last request to end, if no request is left."""
+
+
+class BodyConnection(Protocol):
+    """The connection on which bodies are read."""
+
+    has_begun: bool
+
+    def account_to(self, account: RequestAccount | None) -> None:
+        """Add what waits for the caller to an account, or stop to do so."""
+
+    def pause_body(self) -> None:
+        """Leave what the caller sends unread, without a time limit."""
+
+    def resume_body(self) -> None:
+        """Read on, within the time limit for a body."""
+
+    def refuse(self, status: int) -> None:
+        """Answer a request that could not be read, and close."""
+
+    def send_unread(self, answer: Answer) -> None:
+        """Answer, drop what the caller still sends, and close."""
+
+    def abort(self) -> None:
+        """Reset the connection."""
+
+
+class BodyReader:
+    """The body of the present request of one connection.
+
+    `is_waiting` means that it is left unread, `is_refused` that the request was answered
+    before its body was read to its end.
+    """
+
+    def __init__(self, connection: BodyConnection, server: BodyServer) -> None:
+        self.account: RequestAccount | None = None
+        self.is_waiting = False
+        self.is_refused = False
+        self._connection = connection
+        self._server = server
+        self._pieces: list[bytes] = []
+        self._size_bytes = 0
+        self._is_reading = False
+
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether what the caller sends must not be parsed now."""
+        return self.is_waiting or self.is_refused
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether an answer to the present request was begun."""
+        return self._connection.has_begun
+
+    def begin(self, head: h11.Request) -> bool:
+        """Return whether to read on; otherwise the body waits, or the request was refused."""
+        self._pieces, self._size_bytes = [], 0
+        if self._server.memory is None:
+            return True
+        headers = list(head.headers)
+        length = header(headers, b"content-length")
+        size_bytes = 0 if length is None else int(length)
+        if size_bytes > self._server.limits.body_bytes:
+            self._connection.refuse(413)
+            return False
+        self._server.reading += 1
+        self._is_reading = True
+        self.account = self._server.memory.open(self, headers)
+        self._connection.account_to(self.account)
+        # The account may refuse the body during the call.
+        self.is_waiting = not self.account.begin_body(size_bytes)
+        if self.is_waiting and not self.is_refused:
+            self._connection.pause_body()
+        return not self.is_waiting
+
+    def add(self, data: bytes) -> bool:
+        """Add a piece; return whether to read on, otherwise the request was refused."""
+        self._pieces.append(data)
+        self._size_bytes += len(data)
+        if self._size_bytes > self._server.limits.body_bytes:
+            self._connection.refuse(413)
+            return False
+        return self.account is None or self.account.add_body(len(data))
+
+    def join(self) -> bytes:
+        """Return the whole body, and drop its pieces."""
+        body, self._pieces = b"".join(self._pieces), []
+        return body
+
+    def end_reading(self) -> None:
+        """Record that the body is no longer being read."""
+        if self._is_reading:
+            self._is_reading = False
+            self._server.reading -= 1
+            self._server.notify_request_end()
+
+    def close_account(self) -> None:
+        """Drop what is held for the present request."""
+        account, self.account = self.account, None
+        if account is None:
+            return
+        self._connection.account_to(None)
+        account.close()
+        self.end_reading()
+
+    def resume_body(self) -> None:
+        """Read the body that was left unread."""
+        if self.is_waiting:
+            self.is_waiting = False
+            self._connection.resume_body()
+
+    def refuse_body(self, retry_after_s: float) -> None:
+        """Answer 503, since the body is not read; the request has not run."""
+        self._end_unread(Answer(503, [(b"retry-after", b"%.3f" % retry_after_s)]))
+
+    def time_out_body(self) -> None:
+        """Answer 408, since the caller sends the body too slowly."""
+        self._end_unread(Answer(408, []))
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._connection.abort()
+
+    def _end_unread(self, answer: Answer) -> None:
+        """Answer the request before its body was read to its end."""
+        if self.is_refused:
+            return
+        self.is_refused = True
+        self._pieces = []
+        self._connection.send_unread(answer)
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -16,8 +16,9 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange, answer_headers
 from damaskwind.runtime.http1.held_memory import HeldMemory, RequestAccount
-from damaskwind.runtime.http1.messages import Answer, Headers, Request, header
+from damaskwind.runtime.http1.messages import Answer, Headers, Request
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, WRITE_BYTES, Outbox
+from damaskwind.runtime.http1.request_bodies import BodyReader
 from damaskwind.runtime.http1.transports import reset
 
 __all__ = ["HttpServer", "ServerLimits"]
@@ -66,8 +67,7 @@
         )
         self._head: h11.Request | None = None
         self._head_s = 0.0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = BodyReader(self, server)
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future | None = None
@@ -75,9 +75,6 @@
         self._is_lost = False
         self._has_partial_head = False
         self._outbox: Outbox | None = None
-        self._account: RequestAccount | None = None
-        self._is_body_waiting = False
-        self._is_lingering = False
         self._ahead_bytes = 0
         self.requests = 0
 
@@ -109,7 +106,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes; those after the present request are buffered until it is answered."""
-        if self._is_lingering:
+        if self._body.is_refused:
             return
         self._parser.receive_data(data)
         if self._task is None:
@@ -138,7 +135,7 @@
         if self._task is not None:
             self._task.cancel()
         else:
-            self._close_account()
+            self._body.close_account()
 
     def pause_writing(self) -> None:
         """Record that the transport's buffer is full."""
@@ -225,13 +222,13 @@
         if self.is_idle:
             self._close()
             return
-        self._refuse(408)
+        self.refuse(408)
 
     def _read_events(self) -> None:
         """Handle the parser's events until a request is complete."""
         try:
             while self._task is None:
-                if self._is_body_waiting or self._is_lingering:
+                if self._body.is_blocked:
                     return
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
@@ -240,29 +237,22 @@
                     return
         except h11.RemoteProtocolError as error:
             logger.info("request unreadable", why=str(error))
-            self._refuse(error.error_status_hint)
+            self.refuse(error.error_status_hint)
 
     def _handle_event(self, event: Any) -> bool:
         """Handle one event; return whether to continue reading."""
         if isinstance(event, h11.Request):
             if _head_bytes(event) > self._server.limits.header_bytes:
-                self._refuse(431)
+                self.refuse(431)
                 return False
             self._head = event
             self._head_s = read_clock()
-            self._body, self._body_bytes = [], 0
             self._restart_timer(self._server.limits.idle_timeout_s)
-            if self._server.memory is not None and not self._begin_body(event):
+            if not self._body.begin(event):
                 return False
             self._continue_body()
         elif isinstance(event, h11.Data):
-            self._body.append(bytes(event.data))
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._server.limits.body_bytes:
-                self._refuse(413)
-                return False
-            if self._account is not None and not self._account.add_body(len(event.data)):
-                return False
+            return self._body.add(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._start()
         else:
@@ -274,82 +264,50 @@
         if self._parser.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
 
-    def _begin_body(self, head: h11.Request) -> bool:
-        """Return whether to read on; otherwise the body waits, or the request was refused."""
-        length = header(list(head.headers), b"content-length")
-        size_bytes = 0 if length is None else int(length)
-        if size_bytes > self._server.limits.body_bytes:
-            self._refuse(413)
-            return False
-        self._server.reading += 1
-        self._account = self._outbox.account = self._server.memory.open(self, list(head.headers))
-        # The account may refuse the body during the call.
-        self._is_body_waiting = not self._account.begin_body(size_bytes)
-        if self._is_body_waiting and not self._is_lingering:
-            self._stop_timer()
-            self._transport.pause_reading()
-        return not self._is_body_waiting
+    def account_to(self, account: RequestAccount | None) -> None:
+        """Add what waits for the caller to an account, or stop to do so."""
+        self._outbox.account = account
+
+    def pause_body(self) -> None:
+        """Leave what the caller sends unread, without a time limit."""
+        self._stop_timer()
+        self._transport.pause_reading()
 
     def resume_body(self) -> None:
-        """Read the body that was left unread."""
-        if not self._is_body_waiting or self._is_lost:
+        """Read on, within the time limit for a body."""
+        if self._is_lost:
             return
-        self._is_body_waiting = False
         self._restart_timer(self._server.limits.idle_timeout_s)
         self._transport.resume_reading()
         self._continue_body()
         self._read_events()
 
-    def refuse_body(self, retry_after_s: float) -> None:
-        """Answer 503 to a request whose body is not read."""
-        self._end_unread(Answer(503, [(b"retry-after", b"%.3f" % retry_after_s)]))
-
-    def time_out_body(self) -> None:
-        """Answer 408 to a caller that sends its body too slowly."""
-        self._end_unread(Answer(408, []))
-
-    def _end_unread(self, answer: Answer) -> None:
+    def send_unread(self, answer: Answer) -> None:
         """Answer a request before its body was read, and drop what its caller still sends."""
-        if self._is_lost or self._is_lingering:
+        if self._is_lost:
             return
-        self._is_lingering = True
         self._stop_timer()
-        self._body = []
         self.send_whole(answer, True)
-        self._close_account()
+        self._body.close_account()
         self._outbox.flush()
         self._transport.write_eof()
         # Reading was stopped if the body had to wait.
         self._transport.resume_reading()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
-    def _close_account(self) -> None:
-        """Drop what is held for the present request."""
-        account, self._account = self._account, None
-        if account is None:
-            return
-        self._outbox.account = None
-        account.close()
-        if self._task is None:
-            self._end_reading()
-
-    def _end_reading(self) -> None:
-        self._server.reading -= 1
-        self._server.notify_request_end()
-
     def _start(self) -> None:
         """Start the handler on the complete request."""
         head = self._head
         self._stop_timer()
-        request = Request(head.method, head.target, list(head.headers), b"".join(self._body))
-        self._body = []
+        request = Request(head.method, head.target, list(head.headers), self._body.join())
         self.requests += 1
-        exchange = Exchange(self, request, self._head_s, self._account)
+        account = self._body.account
+        exchange = Exchange(self, request, self._head_s, account)
         self._task = asyncio.ensure_future(self._run(exchange))
-        if self._account is not None:
+        if account is not None:
             # A task that is cancelled before its first step never runs its own clean-up.
-            self._task.add_done_callback(lambda _, account=self._account: account.close())
-            self._end_reading()
+            self._task.add_done_callback(lambda _: account.close())
+            self._body.end_reading()
 
     async def _run(self, exchange: Exchange) -> None:
         """Run the handler; if it raises, log the exception and answer the request."""
@@ -367,7 +325,7 @@
             self._answer_failure(exchange)
         finally:
             self._server.active -= 1
-            self._close_account()
+            self._body.close_account()
             self._task = None
             self._server.notify_request_end()
         if exchange.is_finished and not self._is_lost:
@@ -400,15 +358,15 @@
         """Read on after an answer, unless enough of later requests was already read."""
         is_answering = self._task is not None
         self._ahead_bytes = len(self._parser.trailing_data[0]) if is_answering else 0
-        if self._ahead_bytes <= READ_AHEAD_BYTES and not self._is_body_waiting:
+        if self._ahead_bytes <= READ_AHEAD_BYTES and not self._body.is_waiting:
             self._transport.resume_reading()
 
-    def _refuse(self, status: int) -> None:
+    def refuse(self, status: int) -> None:
         """Answer a request that could not be read, and close."""
         self._stop_timer()
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.send_whole(Answer(status, []), True)
-        self._close_account()
+        self._body.close_account()
         self._close()
 
     def send_head(self, status: int, headers: Headers, close: bool) -> None:
