Held bytes: a body is released once its request won't be sent again

The body of a caller that read its answer slowly was held until the answer had been read, so that four such callers kept out all large bodies for minutes. The test fails on the previous code with a 503.

--- a/packages/decisions/src/damaskwind/decisions/held_bytes/ledger.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/ledger.py
@@ -94,12 +94,19 @@
         self.held_bytes += change_bytes
 
     def hold_body(self, number: int, size_bytes: int) -> None:
-        """Add bytes of a request's body; they are held until the request is closed."""
+        """Add bytes of a request's body; they are held until `release_body` or `close`."""
         entry = self._entries.get(number)
         if entry is not None:
             entry.body_bytes += size_bytes
             self.held_bytes += size_bytes
 
+    def release_body(self, number: int) -> None:
+        """Release the bytes of a request's body."""
+        entry = self._entries.get(number)
+        if entry is not None:
+            self.held_bytes -= entry.body_bytes
+            entry.body_bytes = 0
+
     def take(self, number: int, size_bytes: int, now_s: float) -> None:
         """Release bytes that the caller has taken."""
         self.hold(number, -size_bytes, now_s)
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -131,6 +131,7 @@
             async with exchange.account or nullcontext():
                 async with asyncio.timeout(max(call.left_s(), 0.0)):
                     outcome = await self.steps.run(exchange, call, delivery)
+                exchange.release_body()
                 if outcome.end is AttemptEnd.DELIVERED and not await delivery.flushed():
                     outcome = AttemptOutcome(AttemptEnd.BROKEN, "the caller stopped reading")
         except GivenUpError as error:
--- a/packages/router/src/damaskwind/router/forwarding/held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/held_bytes.py
@@ -68,6 +68,10 @@
         """Release bytes that the caller's socket has accepted."""
         self._ledger.take(self.number, size_bytes, read_clock())
 
+    def release_body(self) -> None:
+        """Release the bytes of the body, since the request won't be sent again."""
+        self._held_bytes.release_body(self)
+
     def close(self) -> None:
         """Drop all that is held; a second call has no effect."""
         self._held_bytes.close(self)
@@ -138,6 +142,14 @@
             return
         self.ledger.close(request.number)
         self._cancel_wait_limit(request.number)
+        self._end_body(request)
+
+    def release_body(self, request: HeldRequest) -> None:
+        """Drop the body of a request that won't be sent again, and read others that have room."""
+        self.ledger.release_body(request.number)
+        self._end_body(request)
+
+    def _end_body(self, request: HeldRequest) -> None:
         loop = asyncio.get_running_loop()
         for number in self.bodies.close(request.number, read_clock()):
             loop.call_soon(self._resume_body, number)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -245,6 +245,19 @@
             await asyncio.sleep(0.05)
         self.assertIn(b" 408 ", await asyncio.wait_for(slow.readuntil(b"\r\n\r\n"), 2.0))
 
+    @asyncio_test
+    async def test_body_is_released_when_its_answer_is_here(self):
+        """A caller that read its answer slowly kept the room of its large body until the end."""
+        self.share(plain(200, bytes(MIB)))
+        slow = await self.open(bytes(2 * MIB))
+        await self.until(lambda: self.memory.ledger.held_bytes and self.received())
+        reader, _ = await self.open(bytes(2 * MIB))
+        self.assertIn(b" 200 ", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0))
+        self.assertEqual(self.memory.bodies.held_bytes, 0)
+        self.assertGreater(self.memory.ledger.held_bytes, 800_000)
+        slow[1].transport.abort()
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
     @asyncio_test
     async def test_body_of_unknown_length_is_refused_where_it_exceeds_the_bound(self):
         _, first = await self.open(b"x", 2 * MIB)
--- a/packages/runtime/src/damaskwind/runtime/http1/exchange.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/exchange.py
@@ -115,6 +115,12 @@
         finally:
             on_end(Delivery(taken_bytes, body_bytes, first_byte_s, read_clock()))
 
+    def release_body(self) -> None:
+        """Drop the request's body where it is accounted for, since it won't be sent again."""
+        if self.account is not None:
+            self.request = self.request._replace(body=b"")
+            self.account.release_body()
+
     @property
     def caller(self) -> str:
         """Return the caller's address as `host:port`."""
--- a/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
@@ -29,6 +29,9 @@
     def add_body(self, size_bytes: int) -> bool:
         """Account for a piece of a body of unknown length; return whether to read on."""
 
+    def release_body(self) -> None:
+        """Release the bytes of the body, since the request won't be sent again."""
+
     def close(self) -> None:
         """Drop all that is held; a second call has no effect."""
 
