--- a/packages/router/src/damaskwind/router/forwarding/held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/held_bytes.py
@@ -1,6 +1,7 @@
 """Own the account of the bytes that this router holds, and give up what exceeds the bound."""
 
 import asyncio
+from contextlib import suppress
 from itertools import count
 from types import TracebackType
 
@@ -67,6 +68,10 @@
         """Release bytes that the caller's socket has accepted."""
         self._ledger.take(self.number, size_bytes, read_clock())
 
+    def release_body(self) -> None:
+        """Release the bytes of the body, since the request won't be sent again."""
+        self._held_bytes.release_body(self)
+
     def close(self) -> None:
         """Drop all that is held; a second call has no effect."""
         self._held_bytes.close(self)
@@ -90,6 +95,11 @@
         trace: TracebackType | None,
     ) -> None:
         task, self._task = self._task, None
+        if self._is_given_up and error is None:
+            # Given up by the last step of the task: its cancellation is still pending.
+            with suppress(asyncio.CancelledError):
+                await asyncio.sleep(0)
+            error = asyncio.CancelledError()
         if self._is_given_up and isinstance(error, asyncio.CancelledError | TimeoutError):
             task.uncancel()
             raise GivenUpError("given up, as too many bytes are in hand") from error
@@ -132,6 +142,14 @@
             return
         self.ledger.close(request.number)
         self._cancel_wait_limit(request.number)
+        self._end_body(request)
+
+    def release_body(self, request: HeldRequest) -> None:
+        """Drop the body of a request that won't be sent again, and read others that have room."""
+        self.ledger.release_body(request.number)
+        self._end_body(request)
+
+    def _end_body(self, request: HeldRequest) -> None:
         loop = asyncio.get_running_loop()
         for number in self.bodies.close(request.number, read_clock()):
             loop.call_soon(self._resume_body, number)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from unittest.mock import Mock
 
 from twisted.trial.unittest import TestCase
 
@@ -9,7 +10,7 @@
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
-from damaskwind.router.forwarding.held_bytes import HeldBytes
+from damaskwind.router.forwarding.held_bytes import GivenUpError, HeldBytes
 from damaskwind.router.forwarding.process import ForwardingRouter
 from damaskwind.router.forwarding.settings import ForwardingSettings
 from damaskwind.router.forwarding.target_bodies import TargetBodies
@@ -18,7 +19,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.tallies import Tallies
-from damaskwind.standins.scripted_target import plain, silent
+from damaskwind.standins.scripted_target import plain, raw, silent
 
 MIB = 2**20
 BOUNDS = HeldBounds(6 * MIB, 3 * MIB)
@@ -32,6 +33,11 @@
         self.forwarder.bound_target_bodies(bodies)
         return self.memory
 
+    def bound_target_bodies(self, routers):
+        """Bound the bodies at targets as with many routers; the retry budget stays that of one."""
+        bodies = TargetBodies(lambda: routers, self.tallies)
+        self.forwarder.bound_target_bodies(bodies)
+
     async def open(self, body=b"{}", size_bytes=None, path="/a/x"):
         """Send a request whose caller has a small receive buffer; return its streams."""
         handle = socket.socket()
@@ -97,6 +103,42 @@
         self.assertIn(b" 502 ", received)
         await self.until(lambda: not self.memory.ledger.held_bytes)
 
+    @asyncio_test
+    async def test_answer_given_up_in_its_last_step_is_not_reported_as_delivered(self):
+        """The task had nothing left to wait for, so that its cancellation had no effect."""
+        memory = HeldBytes(HeldBounds(MIB, MIB), NAMES, Tallies())
+        request = memory.open(Mock(has_begun=True), [])
+
+        async def handle():
+            async with request:
+                request.hold(2 * MIB)
+
+        with self.assertRaises(GivenUpError):
+            await asyncio.ensure_future(handle())
+
+    @asyncio_test
+    async def test_second_send_of_a_large_body_counts_at_its_target(self):
+        """It was sent whatever that target already held, and not counted there."""
+        self.bound_target_bodies(routers=138)
+        self.forwarder.target_states.reports_work_time = True
+        self.script(silent())
+        bodies = self.forwarder.steps.target_bodies
+        await self.open(bytes(MIB))
+        await self.until(lambda: len(self.received()) == 2)
+        seen = [bodies.may_send(target_id, MIB) for target_id in ("t0", "t1")]
+        self.assertEqual(seen, [False, False])
+
+    @asyncio_test
+    async def test_second_send_of_a_large_body_avoids_a_target_without_room(self):
+        self.bound_target_bodies(routers=138)
+        self.script(silent())
+        for count in (1, 2):
+            self.forwarder.target_states.reports_work_time = count == 2
+            await self.open(bytes(MIB))
+            await self.until(lambda count=count: len(self.received()) == count)
+        await asyncio.sleep(0.5)
+        self.assertEqual([len(target.received) for target in self.targets], [1, 1])
+
     @asyncio_test
     async def test_stream_of_a_slow_caller_is_read_to_its_end_from_the_target(self):
         """A target cuts off an answer that stays unread."""
@@ -121,6 +163,23 @@
         await reader.readuntil(b"\r\n\r\n")
         return len(await asyncio.wait_for(reader.readexactly(size_bytes), 5.0)), False
 
+    @asyncio_test
+    async def test_event_that_never_ends_is_held_and_given_up(self):
+        """The start of an event was buffered without being counted."""
+        self.publish(route(kind=RouteKind.STREAMING, is_resumable=True))
+
+        async def step(writer, request):
+            writer.write(b"HTTP/1.1 200 X\r\nx-request-id: r1\r\ncontent-length: 9000000\r\n\r\n")
+            for _ in range(140):
+                writer.write(bytes(50_000))
+                await writer.drain()
+
+        self.script(step)
+        reader, _ = await self.open()
+        await self.until(self.given_up)
+        self.assertTrue((await self.read_end(reader))[1])
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
     @asyncio_test
     async def test_stop_waits_for_an_answer_that_is_still_being_read(self):
         """The answer was written off once the transport had it, and cut off by the exit."""
@@ -174,6 +233,31 @@
         await self.until(lambda: not self.memory.ledger.held_bytes)
         self.assertEqual((self.memory.bodies.held_bytes, self.server.reading), (0, 0))
 
+    @asyncio_test
+    async def test_caller_that_still_sends_its_body_gets_the_answer_408(self):
+        """A reset overtook it, since the connection was closed with unread bytes."""
+        slow, writer = await self.open(b"x", 2 * MIB)
+        await asyncio.sleep(2.1)
+        await self.open(bytes(2 * MIB))
+        await self.until(lambda: len(self.received()) == 1)
+        for _ in range(3):
+            writer.write(b"x")
+            await asyncio.sleep(0.05)
+        self.assertIn(b" 408 ", await asyncio.wait_for(slow.readuntil(b"\r\n\r\n"), 2.0))
+
+    @asyncio_test
+    async def test_body_is_released_when_its_answer_is_here(self):
+        """A caller that read its answer slowly kept the room of its large body until the end."""
+        self.share(plain(200, bytes(MIB)))
+        slow = await self.open(bytes(2 * MIB))
+        await self.until(lambda: self.memory.ledger.held_bytes and self.received())
+        reader, _ = await self.open(bytes(2 * MIB))
+        self.assertIn(b" 200 ", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0))
+        self.assertEqual(self.memory.bodies.held_bytes, 0)
+        self.assertGreater(self.memory.ledger.held_bytes, 800_000)
+        slow[1].transport.abort()
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
     @asyncio_test
     async def test_body_of_unknown_length_is_refused_where_it_exceeds_the_bound(self):
         _, first = await self.open(b"x", 2 * MIB)
@@ -219,6 +303,21 @@
         self.assertIn(b" 503 ", head)
         self.assertEqual(len(self.received()), 1)
 
+    @asyncio_test
+    async def test_retry_may_go_to_a_target_that_had_no_room_before(self):
+        """A target that was passed over counted as tried: the retry found none."""
+        passed_over = []
+
+        def may_send(target_id, size_bytes):
+            passed_over.append(target_id)
+            return target_id != passed_over[0] or bool(self.received())
+
+        self.forwarder.steps.target_bodies.may_send = may_send
+        self.share(raw(b"", then_close=True))
+        reader, _ = await self.open(bytes(MIB))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+        self.assertIn(b" 200 ", head)
+
     @asyncio_test
     async def test_second_large_body_goes_to_a_target_without_one(self):
         self.view.routers = 138
@@ -229,6 +328,31 @@
         self.assertEqual([len(target.received) for target in self.targets], [1, 1])
 
 
+class PipelinedRequestsTest(HeldBytesTestCase):
+    @asyncio_test
+    async def test_what_a_caller_sends_ahead_of_its_answer_is_left_unread(self):
+        """It was kept in the parser's buffer, which nothing bounded or counted."""
+        self.script(silent())
+        _, writer = await self.open()
+        await self.until(lambda: self.received())
+        writer.write(bytes(8 * MIB))
+        await asyncio.sleep(0.3)
+        (connection,) = self.server.connections
+        self.assertLess(len(connection._parser.trailing_data[0]), MIB)
+
+    @asyncio_test
+    async def test_requests_sent_ahead_are_answered(self):
+        reader, writer = await self.open(bytes(MIB))
+        head = b"POST /a/x HTTP/1.1\r\nhost: host\r\nx-request-id: r%d\r\nx-deadline-ms: 5000\r\n"
+        head += b"authorization: Bearer key\r\ncontent-length: 200000\r\n\r\n"
+        for number in range(2, 6):
+            writer.write(head % number + bytes(200_000))
+        for _ in range(5):
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+            self.assertIn(b" 200 ", head)
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
+
 class SwitchTest(TestCase):
     def router(self, **switch):
         address = Address("127.0.0.1", 1)
