--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -162,7 +162,8 @@
     if not healthy:
         return None
     if key is None:
-        return _choose_without_key(healthy, near_domain, policy, random)
+        bound = _load_bound(candidates, healthy, policy)
+        return _choose_without_key(healthy, near_domain, policy, random, bound)
     ranking = _rank_by_key(candidates, healthy, key, policy)
     below = [item for item in ranking.ranked if item.load < ranking.bound]
     choice = _choose_with_room(candidates, ranking, below, policy)
@@ -195,21 +196,64 @@
     policy: AffinityPolicy,
 ) -> _KeyRanking:
     """Rank the healthy targets for a key, and compute the load bound of the pool."""
-    # The users' bound uses the mean over all serving targets, so those held back lower it.
+    used_share = _mean_load(candidates, healthy) / max(healthy[0].slots, 1)
+    bound = _load_bound(candidates, healthy, policy)
+    return _KeyRanking(key, _rank(healthy, key), bound, used_share)
+
+
+def _mean_load(candidates: Sequence[Candidate], healthy: Sequence[Candidate]) -> float:
+    """Return the mean load of the pool.
+
+    The users' bound uses the mean over all serving targets, so those held back lower it.
+    """
     held_back = [item for item in candidates if item.is_held_back and not item.is_doubtful]
-    mean = sum(item.load for item in (*healthy, *held_back)) / (len(healthy) + len(held_back))
-    bound = policy.load_factor * mean + policy.load_slack_requests
-    return _KeyRanking(key, _rank(healthy, key), bound, mean / max(healthy[0].slots, 1))
+    return sum(item.load for item in (*healthy, *held_back)) / (len(healthy) + len(held_back))
+
+
+def _load_bound(
+    candidates: Sequence[Candidate], healthy: Sequence[Candidate], policy: AffinityPolicy
+) -> float:
+    """Return the load above which a target is skipped."""
+    mean = _mean_load(candidates, healthy)
+    return policy.load_factor * mean + policy.load_slack_requests
 
 
 def _choose_without_key(
-    healthy: Sequence[Candidate], near_domain: str, policy: AffinityPolicy, random: Random
+    healthy: Sequence[Candidate],
+    near_domain: str,
+    policy: AffinityPolicy,
+    random: Random,
+    bound: float,
 ) -> Choice:
-    """Choose the least loaded target that has room, or the one that will have room soonest."""
+    """Choose the target that starts first, else the least loaded, among those that have room.
+
+    If none has room, choose the one that will have it soonest.
+    """
     with_room = _with_room(healthy)
-    if with_room:
+    if not with_room:
+        return Choice(healthy[most_room([item.room for item in healthy])], 0, 0.0)
+    if any(item.start_s is None for item in healthy):
         return _least_loaded(with_room, near_domain, policy, random)
-    return Choice(healthy[most_room([item.room for item in healthy])], 0, 0.0)
+    return _soonest(with_room, near_domain, policy, random, bound)
+
+
+def _soonest(
+    candidates: Sequence[Candidate],
+    near_domain: str,
+    policy: AffinityPolicy,
+    random: Random,
+    bound: float,
+) -> Choice:
+    """Return the target below the bound that is expected to start first; ties are random."""
+    allowed = [item for item in candidates if item.load < bound and not item.is_slow]
+    if not allowed:
+        return _least_loaded(candidates, near_domain, policy, random)
+
+    def cost(item: Candidate) -> tuple[float, float]:
+        far = 0.0 if item.failure_domain == near_domain else policy.far_penalty_requests
+        return item.start_s * (1.0 + far / max(item.slots, 1)), random.random()
+
+    return Choice(min(allowed, key=cost), 0, bound)
 
 
 def _choose_with_room(
--- a/packages/router/src/damaskwind/router/forwarding/target_speeds.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_speeds.py
@@ -47,6 +47,10 @@
         self._log_change(target, percent, now_s)
         self.speeds.observe(target.target_id, target.incarnation, percent, now_s)
 
+    def has_figures(self, service: str) -> bool:
+        """Return whether a target of a service has sent a figure."""
+        return service in self._pools
+
     def work_time(self, target: TargetRecord, now_s: float) -> float:
         """Return how long work takes at a target, relative to the usual time."""
         return self.speeds.work_time(target.target_id, target.incarnation, now_s)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_target_speeds.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_target_speeds.py
@@ -168,7 +168,7 @@
         for path in ("", "health check", "/\u2713"):
             self.probes.budget = ProbeBudget()
             for _ in range(200):
-                self.probes.budget.count_request()
+                self.probes.budget.count_send()
             self.view.health_path = lambda service, path=path: path
             for target in self.targets:
                 target.received.clear()
