--- a/packages/router/src/damaskwind/router/forwarding/held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/held_bytes.py
@@ -54,7 +54,7 @@
         return self._held_bytes.begin_body(self)
 
     def add_body(self, size_bytes: int) -> bool:
-        """Account for a piece of a body of unknown length; return whether to read on."""
+        """Record a piece that was read; return whether to read on."""
         self.read_bytes += size_bytes
         return bool(self.size_bytes) or self._held_bytes.grow_body(self, size_bytes)
 
--- a/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
@@ -27,7 +27,11 @@
         """
 
     def add_body(self, size_bytes: int) -> bool:
-        """Account for a piece of a body of unknown length; return whether to read on."""
+        """Record a piece that was read; return whether to read on.
+
+        A body of known length is accounted for as a whole by `begin_body`; one of unknown length
+        grows by each piece.
+        """
 
     def release_body(self) -> None:
         """Release the bytes of the body, since the request won't be sent again."""
@@ -37,7 +41,10 @@
 
 
 class CallerSide(Protocol):
-    """What the account may do with its caller's connection."""
+    """What the account may do with its caller's connection.
+
+    `has_begun` tells whether an answer to the present request was begun.
+    """
 
     has_begun: bool
 
