--- a/packages/decisions/src/damaskwind/decisions/held_bytes/bound.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/bound.py
@@ -8,7 +8,7 @@
 FREE_SHARE = 0.2
 # A router takes 30 MiB at rest and under ordinary load; a large fleet's tables come on top.
 PROGRAM_BYTES = 48 * 1024 * 1024
-# Resident memory per held byte, as measured with 300 answers of 4 MB in pieces: the allocator's
+# Resident memory per held byte with 300 answers of 4 MB in pieces: the allocator's
 # fragmentation, copies while a body is joined, and what is freed a turn of the event loop later.
 BYTES_PER_HELD_BYTE = 1.5
 # Request bodies may take this part, so that held answers can't keep all of them out.
