Log when a router reaches no target of a service, and since when others heard of them

What the log could not tell in the incident: when a router reached none of a service's targets, whether the targets were still heard by others, and whether a crash verdict came from a router that was itself cut off. The lines 'service unreachable' and 'service reached again' tell this with the ages of the targets' heartbeats, 'sends broken' names the other unreachable targets, and a gauge counts the services. Connections are opened by an attribute, so that a test can cut a path. No decision reads any of it.

--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -1,6 +1,7 @@
 """Pool connections to targets, and hand out only those that are provably clean."""
 
 import asyncio
+from collections.abc import Callable
 from weakref import WeakSet
 
 from loguru import logger
@@ -30,10 +31,15 @@
 
 
 class TargetConnections:
-    """The idle connections by target id, and weak references to all that are open."""
+    """The idle connections by target id, and weak references to all that are open.
+
+    `on_reach_changed` is called with the id of a target that is unreachable, or no longer.
+    """
 
     def __init__(self) -> None:
         self.opened = 0
+        self.connect = connect
+        self.on_reach_changed: list[Callable[[str], None]] = []
         self._established: dict[str, WeakSet[ClientConnection]] = {}
         self._idle: dict[str, list[ClientConnection]] = {}
         self._watches: dict[str, asyncio.Task] = {}
@@ -54,7 +60,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        connection = await connect(address, min(timeout_s, CONNECT_TIMEOUT_S))
+        connection = await self.connect(address, min(timeout_s, CONNECT_TIMEOUT_S))
         if must_stay_open and not await self._stays_open(connection):
             raise ConnectFailedError("the connection was reset before anything was sent")
         self._established.setdefault(target_id, WeakSet()).add(connection)
@@ -81,7 +87,7 @@
         A proxy in front of a target that has exited may accept a connection and then reset it.
         """
         try:
-            connection = await connect(address, CONNECT_TIMEOUT_S)
+            connection = await self.connect(address, CONNECT_TIMEOUT_S)
         except ConnectFailedError:
             return False
         stays_open = await self._stays_open(connection)
@@ -116,6 +122,7 @@
             logger.warning("target unreachable", target=target_id, address=str(address))
             watching = self._watch(target_id, address)
             self._watches[target_id] = asyncio.ensure_future(watching)
+            self._notify_reach_changed(target_id)
 
     async def _watch(self, target_id: str, address: Address) -> None:
         """Probe without a request; a connection that stays open is pooled for the next one."""
@@ -129,6 +136,11 @@
             logger.info("target tried again", target=target_id, after_s=took_s)
         finally:
             self._watches.pop(target_id, None)
+            self._notify_reach_changed(target_id)
+
+    def _notify_reach_changed(self, target_id: str) -> None:
+        for callback in self.on_reach_changed:
+            callback(target_id)
 
     def forget(self, target_id: str) -> None:
         """Close the idle connections to a target and stop probing it."""
--- a/packages/router/src/damaskwind/router/forwarding/crash_detector.py
+++ b/packages/router/src/damaskwind/router/forwarding/crash_detector.py
@@ -78,6 +78,7 @@
             address=str(target.address),
             answers=answers,
             is_leaving=is_leaving,
+            others_unreachable=self._target_states.reach.unreachable_targets(target.service),
             sends=len(broken),
             requests=[
                 [item.request_id.decode("latin-1"), item.digest.hex()]
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -129,6 +129,8 @@
             "targets_said_leaving", "in an answer", partial(self._count_signals, TargetSignal.LEAVE)
         )
         show("failure_domains_evacuated", "emptied by operators", self._evacuated)
+        reach = self.forwarder.target_states.reach
+        show("services_unreachable", "no target of which is reached", reach.count_unreachable)
         speeds = self.forwarder.target_states.target_speeds
         show("targets_slow", "that report to be", lambda: speeds.speeds.count_slow(read_clock()))
         show("speed_reports", "received from targets", lambda: speeds.reports)
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -25,6 +25,7 @@
 from damaskwind.router.forwarding.cold_targets import ColdTargets
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.service_reach import ServiceReach
 from damaskwind.router.forwarding.target_activity import TargetActivity
 from damaskwind.router.forwarding.target_speeds import TargetSpeeds
 from damaskwind.runtime.clock import read_clock
@@ -86,6 +87,7 @@
     ) -> None:
         self.view = view
         self.connections = connections
+        self.reach = ServiceReach(view, connections)
         self.loads = LoadEstimator()
         self.target_speeds = TargetSpeeds()
         self.activity = TargetActivity()
