Replicas name to each router others that send requests on

A router whose paths to the targets are cut needs other routers at once, and perhaps while it reaches no replica. A router that reports to be cut off is named such as are not. Each router draws a key when it starts; it is what proves to it that a call comes from a router of the fleet. Processes of earlier versions neither send nor get the new fields. Nothing uses the names yet.

--- a/packages/control/src/damaskwind/control/fleet/news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/news_feed.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from damaskwind.control.fleet.heard_targets import TargetHeartbeats
+from damaskwind.control.fleet.peer_directory import PeerDirectory
 from damaskwind.control.fleet.shed_decisions import ShedDecisions
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion, SuspicionTable
 from damaskwind.decisions.following.read_redirection import RelayEndpoint
@@ -19,9 +20,11 @@
 from damaskwind.decisions.membership.report_assignment import ReportAssignment
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.membership.target_table import Changes, TargetTable
+from damaskwind.decisions.routing.peers import PeerEndpoint
 from damaskwind.model.evacuations import Evacuations
 from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.news import LastSeen, News, NewsRequest, SubscriberKind
+from damaskwind.wire.peers import peers_digest
 
 __all__ = ["NewsFeed"]
 
@@ -91,6 +94,7 @@
         self.token_sums = TokenAggregator()
         self.shedding = ShedDecisions(self.table, int(time.time()))
         self.suspicions = SuspicionTable()
+        self._peers = PeerDirectory()
         self.epoch = secrets.token_hex(4)
         self._version = version
         self._is_current = is_current
@@ -272,6 +276,7 @@
             del self._subscriptions[node_id]
             if item.kind == SubscriberKind.ROUTER:
                 self._routers.remove(node_id)
+                self._peers.remove(node_id)
 
     def _is_replicated(self, revision: int) -> bool:
         self._drop_expired(read_clock())
@@ -299,6 +304,7 @@
             if request.held_tokens is not None:
                 self._report_tokens(request, now_s)
             self.shedding.report(request.node_id, request.shedding, now_s)
+            self._peers.report(request.node_id, request.peer, request.is_cut_off)
             self.merge(request.records, request.last_seen)
             for target_id, age_s, _ in request.last_seen:
                 self._heartbeats.record_at_router(target_id, now_s - age_s)
@@ -393,8 +399,16 @@
             self.evacuations(),
             held_tokens,
             self.shedding.news(self.router_count(), now_s) if request.shedding else None,
+            self._peers_for(request, now_s),
         )
 
+    def _peers_for(self, request: NewsRequest, now_s: float) -> tuple[PeerEndpoint, ...] | None:
+        """Return the peers of a router, `None` if it has no use for them or knows them."""
+        if not request.peer.host or not request.is_first:
+            return None
+        peers = self._peers.peers_of(request.node_id, now_s)
+        return None if peers_digest(peers) == request.peers_digest else peers
+
     def _choose_table_sources(self, request: NewsRequest, revision: int) -> tuple[str, ...]:
         """Return hosts of routers with a newer table, when this replica's link lacks headroom."""
         if not self.is_large or not request.is_first or revision >= self.table.revision:
--- /dev/null
+++ b/packages/control/src/damaskwind/control/fleet/peer_directory.py
@@ -0,0 +1,70 @@
+"""Name to each router the others through which it may send when its own paths are cut."""
+
+from typing import NamedTuple
+
+from damaskwind.decisions.routing.peers import NO_PEER, PeerEndpoint, name_peers
+
+__all__ = ["PeerDirectory"]
+
+# Names that were chosen stay for this time, so that a fleet that restarts is not named anew
+# with each router.
+REFRESH_S = 2.0
+
+
+class _Named(NamedTuple):
+    """The peers named to a router, when, and for which state of the directory."""
+
+    peers: tuple[PeerEndpoint, ...]
+    at_s: float
+    revision: int
+
+
+class PeerDirectory:
+    """The routers that subscribe to one replica and send requests on for others.
+
+    >>> directory = PeerDirectory()
+    >>> for name in ("a", "b"):
+    ...     directory.report(name, PeerEndpoint(name, "k", "d"), is_cut_off=False)
+    >>> [peer.host for peer in directory.peers_of("a", 0.0)]
+    ['b']
+    """
+
+    def __init__(self) -> None:
+        self._endpoints: dict[str, PeerEndpoint] = {}
+        self._cut_off: set[str] = set()
+        self._named: dict[str, _Named] = {}
+        self._revision = 0
+
+    def report(self, router: str, endpoint: PeerEndpoint, is_cut_off: bool) -> None:
+        """Record a router's endpoint, and whether it reaches no target of some service."""
+        was_cut_off = router in self._cut_off
+        if self._endpoints.get(router, NO_PEER) == endpoint and was_cut_off == is_cut_off:
+            return
+        self._revision += 1
+        if endpoint.host:
+            self._endpoints[router] = endpoint
+        else:
+            self._endpoints.pop(router, None)
+        (self._cut_off.add if is_cut_off else self._cut_off.discard)(router)
+
+    def remove(self, router: str) -> None:
+        """Remove a router that no longer subscribes."""
+        self._named.pop(router, None)
+        self._cut_off.discard(router)
+        if self._endpoints.pop(router, None) is not None:
+            self._revision += 1
+
+    def peers_of(self, router: str, now_s: float) -> tuple[PeerEndpoint, ...]:
+        """Return the peers of a router; one that is cut off gets such as are not, if any are."""
+        named = self._named.get(router)
+        if named is not None and (
+            named.revision == self._revision or now_s - named.at_s < REFRESH_S
+        ):
+            return named.peers
+        endpoints = self._endpoints
+        if router in self._cut_off and len(self._cut_off) < len(endpoints):
+            kept = endpoints.keys() - (self._cut_off - {router})
+            endpoints = {name: endpoints[name] for name in kept}
+        peers = name_peers(router, endpoints)
+        self._named[router] = _Named(peers, now_s, self._revision)
+        return peers
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -35,6 +35,7 @@
 from damaskwind.decisions.following.read_redirection import ReadRedirector
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.decisions.routing.peers import NO_PEER, PeerEndpoint
 from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
@@ -334,6 +335,18 @@
         """Return nothing: replicas receive no requests of callers."""
         return ()
 
+    def peer_endpoint(self) -> PeerEndpoint:
+        """Return nothing: replicas send no requests on."""
+        return NO_PEER
+
+    def known_peers_digest(self) -> int:
+        """Return 0: replicas need no peers."""
+        return 0
+
+    def is_cut_off(self) -> bool:
+        """Return false: replicas send nothing to targets."""
+        return False
+
     def is_first(self, host: str) -> bool:
         """Return true: every replica is asked for all changes, since each one serves routers."""
         return True
--- a/packages/control/src/damaskwind/control/fleet/tests/test_news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_feed.py
@@ -17,10 +17,12 @@
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
 from damaskwind.decisions.load.token_sums import MAX_REQUEST_TOKENS, HeldTokens, TokenSum
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.routing.peers import PeerEndpoint
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import override_clock, read_clock
 from damaskwind.wire.news import NewsRequest, SubscriberKind, decode_news, decode_request, encode
+from damaskwind.wire.peers import peers_digest
 
 
 def record(target_id="t", phase=TargetPhase.SERVING, sequence=1):
@@ -47,6 +49,34 @@
         self.assertEqual([item.target_id for item in news.records], ["t"])
         self.assertEqual(decode_news(encode(news)), news)
 
+    @asyncio_test
+    async def test_peers_are_named_once_and_only_to_routers_that_serve_others(self):
+        """A router that is cut off needs them at once, but they must not be sent with each poll."""
+        endpoints = {node: PeerEndpoint(f"h-{node}", "k", "d") for node in ("r1", "r2", "r3")}
+        for node, endpoint in endpoints.items():
+            request = self.request(node=node, wait_s=0.01, peer=endpoint)
+            await self.feed.wait_for_updates(decode_request(encode(request)))
+        asking = self.request(node="r1", peer=endpoints["r1"])
+        news = self.feed.build_news(asking)
+        self.assertEqual({peer.host for peer in news.peers}, {"h-r2", "h-r3"})
+        self.assertEqual(decode_news(encode(news)), news)
+        known = asking._replace(peers_digest=peers_digest(news.peers))
+        self.assertIsNone(self.feed.build_news(known).peers)
+        self.assertIsNone(self.feed.build_news(asking._replace(is_first=False)).peers)
+        self.assertIsNone(self.feed.build_news(self.request(node="r4")).peers)
+
+    @asyncio_test
+    async def test_router_that_is_cut_off_is_named_peers_that_are_not(self):
+        """Otherwise few routers with open paths would be known to none of many without."""
+        for number in range(20):
+            endpoint = PeerEndpoint(f"h-{number}", "k", "d")
+            request = self.request(
+                node=f"r{number}", wait_s=0.01, peer=endpoint, is_cut_off=number > 1
+            )
+            await self.feed.wait_for_updates(decode_request(encode(request)))
+        news = self.feed.build_news(self.request(node="r7", peer=PeerEndpoint("h-7", "k", "d")))
+        self.assertEqual({peer.host for peer in news.peers}, {"h-0", "h-1"})
+
     @asyncio_test
     async def test_loads_reported_by_routers_are_summed(self):
         for node in ("r1", "r2"):
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -21,6 +21,7 @@
     read_version,
 )
 from damaskwind.wire.news import DOCUMENT_PATH, Document, decode_document_request, encode
+from damaskwind.wire.peers import FORWARD_PREFIX
 
 __all__ = ["DocumentRelay", "WholeDocument"]
 
@@ -64,6 +65,8 @@
         # Handlers of other paths, and the fallback, which takes the platform's heartbeats.
         self.handlers: dict[bytes, Callable[[Exchange], Awaitable[None]]] = {}
         self.fallback_handler: Callable[[Exchange], Awaitable[None]] = _refuse_unknown
+        # The handler of requests that are sent on for another router.
+        self.forward_handler: Callable[[Exchange], Awaitable[None]] = _refuse_unknown
 
     def listen(self, host: str, port: int) -> None:
         """Open the socket; if that fails, other routers fetch from the replicas alone."""
@@ -72,6 +75,10 @@
         except OSError as error:
             logger.warning("documents not served", host=host, port=port, why=str(error))
 
+    def limit_requests(self, limits: ServerLimits) -> None:
+        """Bound the requests on the internal address, which include those that are sent on."""
+        self._server.limits = limits
+
     async def stop(self) -> None:
         """Close the socket and its connections."""
         await self._server.stop_listening()
@@ -79,6 +86,9 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         """Answer one request on the internal address."""
+        if exchange.request.target.startswith(FORWARD_PREFIX):
+            await self.forward_handler(exchange)
+            return
         path, _, query = exchange.request.target.partition(b"?")
         if (exchange.request.method, path) == (b"GET", READ_PATH):
             await self._serve_read(exchange, query)
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import secrets
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from random import Random
@@ -25,6 +26,7 @@
 from damaskwind.decisions.load.token_sums import HeldTokens, TokenSums
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.membership.target_table import SilentTargets, TargetTable
+from damaskwind.decisions.routing.peers import NO_PEER, PeerEndpoint
 from damaskwind.decisions.routing.table import RouteTable
 from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.exception import ConfigurationError, MessageError
@@ -50,6 +52,7 @@
     unpack_document,
 )
 from damaskwind.wire.news_link import NewsLink
+from damaskwind.wire.peers import peers_digest
 
 __all__ = ["FleetView"]
 
@@ -92,6 +95,7 @@
         random: Random,
         own_host: str = "",
         link_bytes_per_s: float = float("inf"),
+        failure_domain: str = "",
     ) -> None:
         self.targets = TargetTable()
         self.evacuations = Evacuations()
@@ -110,6 +114,13 @@
         self.count_held: Callable[[str], tuple[HeldCount, ...]] = _no_held_counts
         self.count_tokens: Callable[[str], tuple[HeldTokens, ...] | None] = _no_held_tokens
         self.on_token_sums: list[Callable[[str, TokenSums], None]] = []
+        # The routers through which this one may send, as replicas last named them.
+        self.peers: tuple[PeerEndpoint, ...] = ()
+        self.on_peers: list[Callable[[], None]] = []
+        self.has_cut_path: Callable[[], bool] = lambda: False
+        self.own_peer = (
+            PeerEndpoint(own_host, secrets.token_hex(8), failure_domain) if own_host else NO_PEER
+        )
         self._node_id = node_id
         self._news_port = news_port
         self._decode = decode
@@ -242,6 +253,18 @@
         """Return this router's counts for load shedding, as reported to a replica."""
         return self.count_for_shedding()
 
+    def peer_endpoint(self) -> PeerEndpoint:
+        """Return where this router sends requests on for others."""
+        return self.own_peer
+
+    def known_peers_digest(self) -> int:
+        """Return the digest of the routers through which this one may send."""
+        return peers_digest(self.peers)
+
+    def is_cut_off(self) -> bool:
+        """Return whether this router's path to the targets of some service is cut."""
+        return self.has_cut_path()
+
     def known_version(self) -> int:
         """Return the configuration version in force here; 0 for none."""
         return self.table.version if self.table else 0
@@ -315,6 +338,12 @@
         if news.shedding is not None:
             for callback in self.on_shed_news:
                 callback(host, news.shedding)
+        if news.peers is not None and news.peers != self.peers:
+            self.peers = news.peers
+            hosts = [peer.host for peer in news.peers]
+            logger.info("peers named", hosts=hosts, told_by=host)
+            for callback in self.on_peers:
+                callback()
         self.follow(news.hosts)
 
     def _apply_evacuations(self, host: str, evacuations: Evacuations) -> None:
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -19,6 +19,7 @@
 from damaskwind.decisions.load.held_sums import HeldCount, HeldSum
 from damaskwind.decisions.load.token_sums import HeldTokens, TokenSums
 from damaskwind.decisions.membership.target_record import PhaseChange, TargetRecord
+from damaskwind.decisions.routing.peers import NO_PEER, PeerEndpoint
 from damaskwind.model.evacuations import Evacuations
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.http1.messages import Answer, header
@@ -96,7 +97,9 @@
     what a router observed in the last second of services that report no load. `held_tokens`
     is what its requests hold at engines, `None` if it doesn't ask for the sums of these.
     `shedding` is what it observed of each service by priority and client account; it is empty
-    from a router that does not take part in fleet-wide load shedding.
+    from a router that does not take part in fleet-wide load shedding. `peer` is the endpoint at
+    which a router sends requests on for others, and `peers_digest` identifies the routers that
+    were last named to it. It `is_cut_off` if it reaches no target of some service itself.
     """
 
     node_id: str
@@ -116,6 +119,9 @@
     services: tuple[ServiceReport, ...] = ()
     held_tokens: tuple[HeldTokens, ...] | None = None
     shedding: tuple[ShedReport, ...] = ()
+    peer: PeerEndpoint = NO_PEER
+    peers_digest: int = 0
+    is_cut_off: bool = False
 
 
 class OthersLastSeen(NamedTuple):
@@ -145,7 +151,8 @@
     knows. `suspicions` are the changed suspicions of fatal requests, up to
     `suspicions_revision`. `evacuations` are committed, and in force like `version`.
     `held_tokens` sums what the routers' requests hold at engines, for those that report it.
-    `shedding` states which requests are shed, for routers that report counts for it.
+    `shedding` states which requests are shed, for routers that report counts for it. `peers`
+    are the routers through which the subscriber may send, `None` if it was told these before.
     """
 
     epoch: str
@@ -167,6 +174,7 @@
     evacuations: Evacuations = Evacuations()
     held_tokens: TokenSums | None = None
     shedding: ShedNews | None = None
+    peers: tuple[PeerEndpoint, ...] | None = None
 
 
 class SeenRevision(NamedTuple):
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -13,6 +13,7 @@
 from damaskwind.decisions.load.held_sums import HeldCount
 from damaskwind.decisions.load.token_sums import HeldTokens
 from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.decisions.routing.peers import NO_PEER, PeerEndpoint
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
@@ -83,6 +84,18 @@
         """Return recent counts by priority and client account, for a report to a replica."""
         ...
 
+    def peer_endpoint(self) -> PeerEndpoint:
+        """Return where requests are sent on for other routers, `NO_PEER` for nowhere."""
+        ...
+
+    def known_peers_digest(self) -> int:
+        """Return the digest of the routers that were named by replicas."""
+        ...
+
+    def is_cut_off(self) -> bool:
+        """Return whether no target of some service is reached."""
+        ...
+
     def is_first(self, host: str) -> bool:
         """Return whether this replica is the one that sends changes at once."""
         ...
@@ -211,6 +224,9 @@
             self._subscriber.service_counts(),
             self._subscriber.held_tokens(self.address.host) if self._is_same_version else None,
             self._subscriber.shed_reports() if self._is_same_version else (),
+            self._subscriber.peer_endpoint() if self._is_same_version else NO_PEER,
+            self._subscriber.known_peers_digest() if self._is_same_version else 0,
+            self._subscriber.is_cut_off() if self._is_same_version else False,
         )
         body = await self._call(connection, encode(request), timing.hold_s)
         news = decode_news(body)
--- a/packages/wire/src/damaskwind/wire/tests/test_held_tokens.py
+++ b/packages/wire/src/damaskwind/wire/tests/test_held_tokens.py
@@ -8,6 +8,7 @@
 
 from damaskwind.decisions.load.request_cost import PromptPart
 from damaskwind.decisions.load.token_sums import HeldTokens, TokenSum, TokenSums
+from damaskwind.decisions.routing.peers import NO_PEER
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.http1.messages import Answer
@@ -41,7 +42,13 @@
         self.news = []
 
     def __getattr__(self, name):
-        answers = {"table_digest": 0, "is_first": True}
+        answers = {
+            "table_digest": 0,
+            "is_first": True,
+            "peer_endpoint": NO_PEER,
+            "known_peers_digest": 0,
+            "is_cut_off": False,
+        }
         return lambda *arguments: answers.get(name, ())
 
     def held_tokens(self, host):
