A router whose own paths are cut sends through routers that reach the targets

Callers of routers that had lost their links to all targets got 503 for every request, while the same targets served the callers of the other routers.

Cause: a router had no path to a target but its own connections, and took that path's state for the target's. With every target unreachable from here, are_all_unreachable refused.

From then on an attempt goes to its target as through an HTTP proxy (RFC 9112), the other router answering from its own connections or stating that it sent nothing on (RFC 9209). Gates, placement, limits, retries and accounting stay with the router that the caller chose, so each request counts once, and a router never sends on what it was sent. If nobody else reaches the targets, they are gone, and requests are refused at once as before.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -21,6 +21,8 @@
 from damaskwind.router.forwarding.call import Call, target_headers
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.service_reach import SILENCE_S
+from damaskwind.router.forwarding.target_paths import TargetPath, choose_path
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.clock_loop import last_woken_s
@@ -31,6 +33,7 @@
     ConnectFailedError,
 )
 from damaskwind.runtime.http1.messages import Answer, Request, header
+from damaskwind.wire.peers import Failure
 
 __all__ = ["AnswerAcceptor", "AttemptEnd", "AttemptOutcome", "AttemptSender", "Placement"]
 
@@ -51,6 +54,9 @@
 # pause that users accept.
 STALL_GAPS = 4.0
 STALL_GAP_MIN_S = 0.8
+# A request that has waited for its target for this long when the path is found to be cut was
+# most likely lost on it.
+CUT_SILENCE_S = 0.05
 
 
 # 421 Misdirected Request: another target answers at the address.
@@ -89,7 +95,8 @@
     target answered at the address, `is_connection_lost` that the target closed the connection
     before the answer was complete, `asks_for_pause` that it asked for a pause (Retry-After).
     A request that was withheld was not sent. An attempt that was superseded was canceled,
-    since that at another target went on.
+    since that at another target went on. `via` is the host of the router that sent the request
+    on, if it was another one.
     """
 
     end: AttemptEnd
@@ -100,6 +107,7 @@
     is_displaced: bool = False
     is_connection_lost: bool = False
     asks_for_pause: bool = False
+    via: str = ""
 
 
 def _ignore_answer_started(call: Call, target_id: str, first_s: float) -> None:
@@ -163,44 +171,80 @@
         before any of it is forwarded.
         Raise `TimeoutError` before anything is sent if the caller's deadline has passed.
         """
-        target = placement.target
+        path = choose_path(placement.target, self.connections, self._target_states.reach)
         try:
-            connection = await self.connections.acquire(
-                target.target_id, target.address, call.left_s(), call.is_suspected
+            outcome = await self._send_over(
+                path, request, call, placement, delivery, may_reroute, accept_answer
             )
+            return outcome._replace(via=path.via) if path.via else outcome
+        finally:
+            path.close()
+
+    async def _send_over(
+        self,
+        path: TargetPath,
+        request: Request,
+        call: Call,
+        placement: Placement,
+        delivery: Delivery,
+        may_reroute: bool,
+        accept_answer: AnswerAcceptor,
+    ) -> AttemptOutcome:
+        """Make the attempt over one path."""
+        target = placement.target
+        try:
+            connection = await path.connect(call)
         except ConnectFailedError as error:
             why = f"no connection: {error}"
             return AttemptOutcome(AttemptEnd.NOT_RUN, why, was_reached=False)
         if call.left_s() <= 0:
-            self.connections.return_unused(target.target_id, connection)
+            path.return_unused(connection)
             raise TimeoutError("the caller's deadline has passed")
         if not self._target_states.still_takes_work(target):
-            self.connections.return_unused(target.target_id, connection)
+            path.return_unused(connection)
             return AttemptOutcome(AttemptEnd.WITHHELD, "the target no longer accepts work")
         is_engine = call.key is not None
         self._loads.record_sent(target.target_id, is_engine)
         wait_number = self.activity.begin_wait(target.target_id, read_clock())
+        silence = self._expect_sound(path, target)
         try:
             return await self._exchange(
-                connection, request, call, placement, delivery, may_reroute, accept_answer
+                path, connection, request, call, placement, delivery, may_reroute, accept_answer
             )
         except AnswerBrokenError as error:
-            if connection.is_timed_out:
+            path.record_stalled()
+            if connection.is_timed_out and not path.via:
                 self.connections.watch(target.target_id, target.address)
-            return AttemptOutcome(
-                AttemptEnd.BROKEN, str(error), is_connection_lost=_is_connection_lost(connection)
-            )
+                self._target_states.reach.note_failure(target)
+            is_lost = _is_connection_lost(connection) or bool(path.via)
+            return AttemptOutcome(AttemptEnd.BROKEN, str(error), is_connection_lost=is_lost)
         except TimeoutError:
+            path.record_stalled()
             return AttemptOutcome(AttemptEnd.STALLED, "the target was silent")
         finally:
+            if silence is not None:
+                silence.cancel()
             self._loads.record_ended(target.target_id, is_engine)
             self.activity.end_wait(target.target_id, wait_number)
             connection.settle()
             if connection.is_in_use:
                 connection.abort()
 
+    def _expect_sound(self, path: TargetPath, target: TargetRecord) -> asyncio.TimerHandle | None:
+        """Check the path to a target that is silent for a while; return the timer."""
+        reach = self._target_states.reach
+        if path.via or reach.peers is None:
+            return None
+
+        def check() -> None:
+            if self.activity.silent_s(target.target_id, read_clock(), last_woken_s()) >= SILENCE_S:
+                reach.note_silence(target)
+
+        return asyncio.get_running_loop().call_later(SILENCE_S, check)
+
     async def _exchange(
         self,
+        path: TargetPath,
         connection: ClientConnection,
         request: Request,
         call: Call,
@@ -218,16 +262,19 @@
         sent_s = read_clock()
         if delivery.account is not None:
             connection.account_to(delivery.account)
-        connection.send(Request(request.method, request.target, headers, request.body))
-        head = await self._read_head_in_time(connection, call, target.target_id, may_reroute)
+        sent = Request(request.method, request.target, headers, request.body)
+        connection.send(path.address(sent))
+        head = await self._read_head_in_time(path, connection, call, target, may_reroute)
+        failure = path.take_failure(head)
+        if failure is not None:
+            return await self._read_relay_failure(path, connection, head, failure)
         first_s = read_clock() - sent_s
-        self.activity.record_received(target.target_id, read_clock())
-        load = self._read_load(head)
-        self._target_states.record_speed(target, load)
+        if not path.via:
+            self._target_states.reach.record_heard(target.service, read_clock())
+        signals = self.record_head(head, target)
         self.on_answer_started(call, target.target_id, first_s)
-        signals = self._read_signals(head, target, load)
         if head.status == MISDIRECTED or header(head.headers, self._names.not_run) is not None:
-            outcome = await self._read_refusal(connection, head, target)
+            outcome = await self._read_refusal(path, connection, head)
             return outcome._replace(asks_for_pause=signals.rest_s > 0)
         self.on_accepted(call)
         if head.status < 500:
@@ -235,16 +282,16 @@
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
         if is_stream:
             outcome = await self._relay_stream(
-                connection, head, call, target, delivery, may_reroute
+                path, connection, head, call, target, delivery, may_reroute
             )
             return outcome._replace(first_s=first_s)
         pieces = await connection.read_pieces(ANSWER_LIMIT_BYTES)
         why = f"status {head.status}"
         if delivery.account is not None and head.status < 500:
-            self.connections.release(target.target_id, connection, head.headers)
+            path.release(connection, head.headers)
             delivery.send_pieces(head, pieces)
             return AttemptOutcome(AttemptEnd.DELIVERED, why, first_s=first_s)
-        self.connections.release(target.target_id, connection, head.headers)
+        path.release(connection, head.headers)
         answer = Answer(head.status, head.headers, b"".join(pieces))
         if head.status >= 500:
             return AttemptOutcome(
@@ -254,61 +301,89 @@
         return AttemptOutcome(AttemptEnd.DELIVERED, why, first_s=first_s)
 
     async def _read_head_in_time(
-        self, connection: ClientConnection, call: Call, target_id: str, may_reroute: bool
+        self,
+        path: TargetPath,
+        connection: ClientConnection,
+        call: Call,
+        target: TargetRecord,
+        may_reroute: bool,
     ) -> AnswerHead:
-        """Wait for the head; with `may_reroute` raise `TimeoutError` if the target has stalled."""
+        """Wait for the head; with `may_reroute` raise `TimeoutError` if the target has stalled.
+
+        It has also stalled if the path to its service is found to be cut while it is silent.
+        """
+        request_id, target_id = call.facts.request_id, target.target_id
         if not may_reroute:
-            return await self._read_own_head(connection, call)
+            return await self.read_own_head(connection, request_id)
         objective_s = call.route.objective_s
         stall_s = max(STALL_OBJECTIVES * objective_s, STALL_MIN_S)
         unresponsive_s = max(UNRESPONSIVE_OBJECTIVES * objective_s, UNRESPONSIVE_MIN_S)
-        reading = asyncio.ensure_future(self._read_own_head(connection, call))
+        reading = asyncio.ensure_future(self.read_own_head(connection, request_id))
+        cut = None if path.via else self._target_states.reach.cut_of(target.service)
+        events = [reading] if cut is None else [reading, cut]
         begun_s = read_clock()
         limit_s = unresponsive_s
         try:
-            while not (await asyncio.wait([reading], timeout=limit_s))[0]:
+            while True:
+                await asyncio.wait(events, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+                if reading.done():
+                    return reading.result()
                 now_s = read_clock()
                 woken_s = last_woken_s()
-                is_unresponsive = (
-                    self.activity.silent_s(target_id, now_s, woken_s) > UNRESPONSIVE_MIN_S
+                silent_s = self.activity.silent_s(target_id, now_s, woken_s)
+                is_cut = cut is not None and cut.done() and silent_s > CUT_SILENCE_S
+                has_stalled = (
+                    is_cut
+                    or silent_s > UNRESPONSIVE_MIN_S
+                    or now_s - max(begun_s, woken_s) > stall_s
                 )
-                has_stalled = is_unresponsive or now_s - max(begun_s, woken_s) > stall_s
                 if has_stalled and _has_attempts_left(call):
                     raise TimeoutError
-                limit_s = UNRESPONSIVE_POLL_S
-            return reading.result()
+                events, limit_s = [reading], UNRESPONSIVE_POLL_S
         finally:
             reading.cancel()
 
-    async def _read_own_head(self, connection: ClientConnection, call: Call) -> AnswerHead:
+    async def read_own_head(self, connection: ClientConnection, request_id: bytes) -> AnswerHead:
         """Return the head of the answer to this request, skipping late ones to earlier requests."""
         for _ in range(SKIPPED_ANSWERS):
             head = await connection.read_head()
             answered_id = header(head.headers, self._names.request_id)
-            if answered_id == call.facts.request_id:
+            if answered_id == request_id:
                 return head
             if answered_id is None and head.status >= 300:
                 return head
             await connection.read_body(ANSWER_LIMIT_BYTES)
             logger.warning(
                 "answer to another request skipped",
-                request=call.facts.request_id.decode("latin-1"),
+                request=request_id.decode("latin-1"),
                 answered=(answered_id or b"").decode("latin-1"),
             )
             connection.skip_answer()
         raise AnswerBrokenError("only answers to other requests came")
 
+    async def _read_relay_failure(
+        self, path: TargetPath, connection: ClientConnection, head: AnswerHead, failure: Failure
+    ) -> AttemptOutcome:
+        """Read the answer of another router that it did not get one from the target."""
+        await connection.read_body(ANSWER_LIMIT_BYTES)
+        path.release(connection, head.headers)
+        why = f"not sent on by {path.via}: {failure}"
+        if not failure.may_have_run:
+            return AttemptOutcome(AttemptEnd.NOT_RUN, why, was_reached=False)
+        return AttemptOutcome(AttemptEnd.BROKEN, why, is_connection_lost=True)
+
     async def _read_refusal(
-        self, connection: ClientConnection, head: AnswerHead, target: TargetRecord
+        self, path: TargetPath, connection: ClientConnection, head: AnswerHead
     ) -> AttemptOutcome:
         """Read a target's answer that it did not run the request."""
         await connection.read_body(ANSWER_LIMIT_BYTES)
-        self.connections.release(target.target_id, connection, head.headers)
+        path.release(connection, head.headers)
         why = f"refused by the target: status {head.status}"
         return AttemptOutcome(AttemptEnd.NOT_RUN, why, is_displaced=head.status == MISDIRECTED)
 
     async def _relay_stream(
         self,
+        path: TargetPath,
         connection: ClientConnection,
         head: AnswerHead,
         call: Call,
@@ -325,9 +400,11 @@
             if data is None:
                 break
             self.activity.record_received(target.target_id, read_clock())
+            if not path.via:
+                self._target_states.reach.record_heard(target.service, read_clock())
             delivery.write_stream(data)
             await delivery.drained()
-        self.connections.release(target.target_id, connection, head.headers)
+        path.release(connection, head.headers)
         if not delivery.end_stream():
             return AttemptOutcome(AttemptEnd.BROKEN, "the stream ended inside an event")
         return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete")
@@ -349,6 +426,13 @@
                 if last_woken_s() < begun_s:
                     raise
 
+    def record_head(self, head: AnswerHead, target: TargetRecord) -> AnswerSignals:
+        """Record what a target states in the head of an answer; return what it asks for."""
+        self.activity.record_received(target.target_id, read_clock())
+        load = self._read_load(head)
+        self._target_states.record_speed(target, load)
+        return self._read_signals(head, target, load)
+
     def _read_load(self, head: AnswerHead) -> TargetLoad | None:
         """Return the load that a target reports; a misdirected answer is another target's."""
         if head.status == MISDIRECTED:
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -54,7 +54,8 @@
     head of the answer. `load_from` names the source of the load estimate, and
     `load_age_s` is its age. `start_ms` is the expected time to start, `work_time` the known
     speed of the target relative to the usual time and `speed_age_s` the age of its figure;
-    they are `None` where targets do not report their speed.
+    they are `None` where targets do not report their speed. `via` is the host of the router that
+    sent the request on, if it was another one.
     """
 
     target: str
@@ -71,6 +72,7 @@
     start_ms: int | None = None
     work_time: float | None = None
     speed_age_s: float | None = None
+    via: str = ""
 
 
 class EntryNote(NamedTuple):
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -45,16 +45,21 @@
         self._watches: dict[str, asyncio.Task] = {}
 
     async def acquire(
-        self, target_id: str, address: Address, timeout_s: float, must_stay_open: bool = False
+        self,
+        target_id: str,
+        address: Address,
+        timeout_s: float,
+        must_stay_open: bool = False,
+        must_be_new: bool = False,
     ) -> ClientConnection:
-        """Return a clean connection, pooled or new.
+        """Return a clean connection, pooled or, with `must_be_new`, always new.
 
         With `must_stay_open` a new one is returned only after it has stayed open for `SETTLE_S`.
         Raise `ConnectFailedError` if none is established in time: nothing was sent.
         """
         idle = self._idle.get(target_id, [])
         now_s = read_clock()
-        while idle:
+        while idle and not must_be_new:
             connection = idle.pop()
             if connection.is_open and connection.usable_until_s > now_s:
                 return connection
@@ -81,13 +86,15 @@
         """Tell whether the last connection attempt to a target failed and it is being probed."""
         return target_id in self._watches
 
-    async def probe(self, target_id: str, address: Address) -> bool:
+    async def probe(
+        self, target_id: str, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> bool:
         """Tell whether a target accepts a connection and keeps it open; pool that connection.
 
         A proxy in front of a target that has exited may accept a connection and then reset it.
         """
         try:
-            connection = await self.connect(address, CONNECT_TIMEOUT_S)
+            connection = await self.connect(address, timeout_s)
         except ConnectFailedError:
             return False
         stays_open = await self._stays_open(connection)
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -80,8 +80,9 @@
         self.chooser = TargetChooser(
             self.target_states, self.admissions, failure_domain, region_of, random, self.memory
         )
+        self.sender = AttemptSender(self.target_states, names)
         self.sends = RecordedSends(
-            AttemptSender(self.target_states, names),
+            self.sender,
             self.target_states,
             self.admissions,
             self.throttles,
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -0,0 +1,205 @@
+"""Keep what other routers reach, and connections to them, while own paths are cut."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from random import Random
+from typing import NamedTuple
+
+from loguru import logger
+
+from damaskwind.decisions.load.held_requests import target_digest
+from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.decisions.routing.peers import PeerEndpoint, PeerLoad, choose_peer
+from damaskwind.decisions.routing.regions import is_allowed
+from damaskwind.model.exception import MessageError
+from damaskwind.model.targets import Address
+from damaskwind.router.forwarding.connections import TargetConnections
+from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.client import AnswerBrokenError, ConnectFailedError, fetch
+from damaskwind.runtime.http1.messages import Request
+from damaskwind.wire.peers import (
+    REACH_PATH,
+    Reach,
+    ReachQuestion,
+    decode_reach,
+    encode_message,
+)
+
+__all__ = ["PeerLinks"]
+
+# A router answers a question within some ms, or with its probes within 0.2 s.
+ANSWER_TIMEOUT_S = 0.3
+ANSWER_LIMIT_BYTES = 65_536
+# What a router answered counts for three rounds of questions.
+REACH_TTL_S = 1.5
+# A router that did not answer, or whose connection broke, is not chosen for this time.
+FAILED_S = 1.0
+# Routers that are asked for a second opinion on one target.
+CONFIRMING_PEERS = 2
+
+_ERRORS = (AnswerBrokenError, ConnectFailedError, MessageError, TimeoutError)
+
+
+class _Answer(NamedTuple):
+    """What a router answered, and when."""
+
+    reach: Reach
+    at_s: float
+
+
+class PeerLinks:
+    """The other routers through which one router sends what it can't send itself.
+
+    `port` is the internal port of all routers, `region_of` maps failure domains to regions.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        port: int,
+        failure_domain: str,
+        region_of: Mapping[str, str],
+        random: Random,
+    ) -> None:
+        self.connections = TargetConnections()
+        self._view = view
+        self._port = port
+        self._failure_domain = failure_domain
+        self._region_of = region_of
+        self._random = random
+        self._answers: dict[str, _Answer] = {}
+        self._failed_until_s: dict[str, float] = {}
+        self._in_flight: Counter[str] = Counter()
+        self._asking: set[asyncio.Task] = set()
+
+    @property
+    def endpoints(self) -> tuple[PeerEndpoint, ...]:
+        """Return the routers that replicas named."""
+        return self._view.peers
+
+    def address(self, peer: PeerEndpoint) -> Address:
+        """Return the internal address of a router."""
+        return Address(peer.host, self._port)
+
+    async def poll(self, services: Iterable[str]) -> bool:
+        """Ask all peers what they reach; return whether one reaches targets of the services.
+
+        Returns with the first such answer; the others are recorded as they come.
+        """
+        question = tuple(services)
+        pending = {self._start_asking(peer, question) for peer in self.endpoints}
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            if any(self.reaches_service(service) for service in question):
+                return True
+        return False
+
+    def _start_asking(self, peer: PeerEndpoint, services: tuple[str, ...]) -> asyncio.Task:
+        task = asyncio.ensure_future(self._ask(peer, services))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+        return task
+
+    async def confirm(self, target: TargetRecord) -> bool:
+        """Return whether some other router reaches a target now, by a probe of its own."""
+        peers = self.endpoints
+        drawn = self._random.sample(peers, min(CONFIRMING_PEERS, len(peers)))
+        asking = (self._ask(peer, (), (target.target_id,)) for peer in drawn)
+        return any(target.target_id in reach.reached for reach in await asyncio.gather(*asking))
+
+    async def _ask(
+        self, peer: PeerEndpoint, services: tuple[str, ...], probed: tuple[str, ...] = ()
+    ) -> Reach:
+        """Ask a router; what it does not answer it does not reach."""
+        body = encode_message(ReachQuestion(peer.key, services, probed))
+        request = Request(b"POST", REACH_PATH, [(b"host", b"router")], body)
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                connection = await self.connections.acquire(
+                    peer.host, self.address(peer), ANSWER_TIMEOUT_S
+                )
+                try:
+                    answer = await fetch(connection, request, ANSWER_LIMIT_BYTES)
+                finally:
+                    if connection.is_in_use:
+                        connection.abort()
+            self.connections.return_unused(peer.host, connection)
+            if answer.status != 200:
+                raise AnswerBrokenError(f"status {answer.status}")
+            reach = decode_reach(answer.body)
+        except _ERRORS as error:
+            logger.info("peer not asked", host=peer.host, why=repr(error))
+            self.record_failure(peer)
+            return Reach((), (), (), 0)
+        if services:
+            self._answers[peer.host] = _Answer(reach, read_clock())
+        return reach
+
+    def record_failure(self, peer: PeerEndpoint) -> None:
+        """Record that a router did not answer or broke off; it is not chosen for a while."""
+        self._failed_until_s[peer.host] = read_clock() + FAILED_S
+
+    def reaches_service(self, service: str) -> bool:
+        """Return whether some peer reaches targets of a service."""
+        return any(service in reach.services for _, reach in self._usable())
+
+    def hosts_reaching(self, service: str) -> list[str]:
+        """Return the hosts of the peers that reach targets of a service."""
+        return [peer.host for peer, reach in self._usable() if service in reach.services]
+
+    def reaches(self, target: TargetRecord) -> bool:
+        """Return whether some peer reaches a target."""
+        return any(_reaches(reach, target) for _, reach in self._usable())
+
+    def choose(
+        self, target: TargetRecord, regions: frozenset[str] | None, tried: set[str]
+    ) -> PeerEndpoint | None:
+        """Return the router through which to send to a target, `None` if there is none."""
+        peers = [
+            PeerLoad(peer, max(reach.in_flight, self._in_flight[peer.host]))
+            for peer, reach in self._usable()
+            if peer.host not in tried
+            and _reaches(reach, target)
+            and is_allowed(peer.failure_domain, regions, self._region_of)
+        ]
+        return choose_peer(peers, self._failure_domain, self._random)
+
+    def record_sent(self, peer: PeerEndpoint) -> None:
+        """Record that a request is being sent through a router."""
+        self._in_flight[peer.host] += 1
+
+    def record_ended(self, peer: PeerEndpoint) -> None:
+        """Record that a request that was sent through a router has ended."""
+        self._in_flight[peer.host] -= 1
+
+    def in_flight(self) -> int:
+        """Return the number of requests that are sent through other routers now."""
+        return self._in_flight.total()
+
+    def _usable(self) -> list[tuple[PeerEndpoint, Reach]]:
+        """Return the peers that answered lately and have not failed since."""
+        now_s = read_clock()
+        answered = [(peer, self._answers.get(peer.host)) for peer in self.endpoints]
+        return [
+            (peer, answer.reach)
+            for peer, answer in answered
+            if answer is not None
+            and now_s - answer.at_s < REACH_TTL_S
+            and self._failed_until_s.get(peer.host, 0.0) <= now_s
+        ]
+
+    async def close(self) -> None:
+        """Stop asking, and close all connections."""
+        for task in self._asking:
+            task.cancel()
+        await asyncio.gather(*self._asking, return_exceptions=True)
+        self.connections.close()
+
+
+def _reaches(reach: Reach, target: TargetRecord) -> bool:
+    return (
+        target.service in reach.services
+        and target_digest(target.target_id) not in reach.unreachable
+    )
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -13,11 +13,13 @@
 from damaskwind.decisions.target_signals.signal_table import TargetSignal
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.router.forwarding.attempt_relay import AttemptRelay
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.forwarder import Forwarder
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
 from damaskwind.router.forwarding.held_bytes import HeldBytes
+from damaskwind.router.forwarding.peer_links import PeerLinks
 from damaskwind.router.forwarding.settings import ForwardingSettings
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.runtime.clock import read_clock
@@ -26,6 +28,7 @@
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.metrics_site import MetricsSite
 from damaskwind.runtime.tallies import Tallies
+from damaskwind.wire.peers import REACH_PATH
 
 __all__ = ["ForwardingRouter"]
 
@@ -34,6 +37,8 @@
 LAME_DUCK_S = 2.6
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.6
+# The headers that routers add to a request: its target, deadline, account and key.
+ADDED_HEADER_BYTES = 4096
 READY_LIMITS = ServerLimits(idle_timeout_s=60.0)
 
 
@@ -60,6 +65,7 @@
             random,
             settings.internal_host,
             settings.link_bytes_per_s,
+            settings.failure_domain,
         )
         self.view.on_configuration.append(self._apply_limits)
         if handle_report is not None:
@@ -78,6 +84,7 @@
             tallies=self.tallies,
             has_contention=settings.has_contention,
         )
+        self.peers, self.attempt_relay = self._make_relay(names, random)
         self._metrics = MetricsSite(self.tallies)
         self.held_bytes = self._make_held_bytes(names)
         self._callers = HttpServer(self.forwarder.handle, ServerLimits(), self.held_bytes)
@@ -86,6 +93,24 @@
         self.is_draining = False
         self._was_ready = False
 
+    def _make_relay(self, names: HeaderNames, random: Random) -> tuple[PeerLinks, AttemptRelay]:
+        """Return the links to other routers, and what sends requests on for these.
+
+        They are used where this router serves others on an internal address.
+        """
+        settings, target_states = self.settings, self.forwarder.target_states
+        peers = PeerLinks(
+            self.view, settings.news_port, settings.failure_domain, settings.region_of, random
+        )
+        relay = AttemptRelay(
+            target_states, self.forwarder.sender, names, settings.node_id, self.tallies
+        )
+        if settings.internal_host:
+            target_states.reach.attach(peers)
+            self.view.relay.forward_handler = relay.forward
+            self.view.relay.handlers[REACH_PATH] = relay.answer_question
+        return peers, relay
+
     def _make_held_bytes(self, names: HeaderNames) -> HeldBytes | None:
         """Return the accounts of held bytes, `None` if the settings don't enable them."""
         memory_bytes = self.settings.memory_bytes
@@ -131,6 +156,9 @@
         show("failure_domains_evacuated", "emptied by operators", self._evacuated)
         reach = self.forwarder.target_states.reach
         show("services_unreachable", "no target of which is reached", reach.count_unreachable)
+        show("services_relayed", "reached through other routers", reach.count_relayed)
+        show("requests_relayed_out", "in flight through others", self.peers.in_flight)
+        show("requests_relayed_in", "in flight for others", lambda: self.attempt_relay.in_flight)
         speeds = self.forwarder.target_states.target_speeds
         show("targets_slow", "that report to be", lambda: speeds.speeds.count_slow(read_clock()))
         show("speed_reports", "received from targets", lambda: speeds.reports)
@@ -177,19 +205,22 @@
         """Drain: finish requests in progress, serving new ones until the load balancer reacts."""
         started_s = read_clock()
         limit_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
-        self.is_draining = True
+        self.is_draining = self.attempt_relay.is_draining = True
         self._callers.close_after_answers()
         logger.info("drain begun", active=self._callers.active)
         await asyncio.sleep(LAME_DUCK_S)
         await self._callers.stop_listening()
         self._callers.close_idle()
         is_quiet = await self._callers.wait_until_idle(limit_s - read_clock())
+        await self.attempt_relay.wait_until_idle(limit_s - read_clock())
         logger.info(
             "drain ended",
             is_quiet=is_quiet,
             active=self._callers.active,
             took_s=round(read_clock() - started_s, 2),
         )
+        await self.forwarder.target_states.reach.stop()
+        await self.peers.close()
         await self.view.stop()
         self.connections.close()
 
@@ -199,7 +230,13 @@
 
     def _apply_limits(self, configuration: TrafficConfiguration) -> None:
         """Apply the published limits to callers' connections."""
-        self._callers.limits = ServerLimits(*configuration.limits)
+        self._callers.limits = limits = ServerLimits(*configuration.limits)
+        # A request that is sent on has some more headers than its caller sent.
+        header_bytes = limits.header_bytes + ADDED_HEADER_BYTES
+        body_bytes = max(limits.body_bytes, ServerLimits().body_bytes)
+        self.view.relay.limit_requests(
+            ServerLimits(header_bytes=header_bytes, body_bytes=body_bytes)
+        )
 
     async def _answer_ready(self, exchange: Exchange) -> None:
         """Answer a readiness check: 200 if callers should be sent here, otherwise 503."""
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -144,7 +144,7 @@
         if not outcome.was_reached:
             call.unreached += 1
             call.sends -= 1
-        if not outcome.was_reached or outcome.end is AttemptEnd.STALLED:
+        if not outcome.via and (not outcome.was_reached or outcome.end is AttemptEnd.STALLED):
             call.silent_domains.add(target.failure_domain)
         if outcome.end is AttemptEnd.NOT_RUN and outcome.was_reached and not outcome.is_displaced:
             self._admissions.record_rejection(call, target.target_id)
@@ -220,6 +220,7 @@
         None if choice.candidate.start_s is None else int(choice.candidate.start_s * 1000),
         speed.work_time,
         speed.age_s,
+        outcome.via,
     )
 
 
@@ -227,7 +228,14 @@
     """Return what the outcome of an attempt implies for the state of its target."""
     was_refused = outcome.end is AttemptEnd.NOT_RUN and outcome.was_reached
     is_good = outcome.end is AttemptEnd.DELIVERED
-    return SendResult(is_good, outcome.was_reached, was_refused, outcome.is_displaced)
+    is_failure = not outcome.was_reached or outcome.end in (AttemptEnd.BROKEN, AttemptEnd.STALLED)
+    return SendResult(
+        is_good,
+        outcome.was_reached,
+        was_refused,
+        outcome.is_displaced,
+        bool(outcome.via) and is_failure,
+    )
 
 
 def _ran_to_end(outcome: AttemptOutcome) -> bool:
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -114,6 +114,7 @@
         self.sends = sends
         self.take_retry = take_retry
         self.suspicions = target_states.view.suspicions
+        self.reach = target_states.reach
         self.tallies = tallies
         self.target_bodies: TargetBodies | None = None
 
@@ -143,6 +144,17 @@
             call.retry_after_s = pause_s
         return RequestState.ENDED
 
+    async def place_when_settled(
+        self, progress: RequestProgress, must_fit: bool = True
+    ) -> RequestState:
+        """Choose a target; if there is none, wait to know whether other routers reach some."""
+        state = self.place(progress, must_fit)
+        if state is not RequestState.ENDED or progress.placement is not None:
+            return state
+        if not await self.reach.settled(progress.call.service):
+            return state
+        return self.place(progress, must_fit)
+
     async def send(self, progress: RequestProgress) -> AttemptOutcome:
         """Make one attempt at the target that was chosen."""
         outcome = await self.sends.send(
@@ -187,7 +199,7 @@
 async def _admit(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Pass the gates and wait for headroom in the pool, or refuse the request."""
     call = progress.call
-    if steps.place(progress, must_fit=False) is RequestState.ENDED:
+    if await steps.place_when_settled(progress, must_fit=False) is RequestState.ENDED:
         return RequestState.ENDED
     for gate in steps.gates:
         refusal = gate.check(call)
@@ -262,4 +274,4 @@
 @_handles(RequestState.REPEATED)
 async def _place_again(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Place a request again after an attempt that may be repeated."""
-    return steps.place(progress)
+    return await steps.place_when_settled(progress)
--- a/packages/router/src/damaskwind/router/forwarding/speed_probes.py
+++ b/packages/router/src/damaskwind/router/forwarding/speed_probes.py
@@ -76,6 +76,8 @@
         start_s = placement.choice.candidate.start_s
         if start_s is None or call.key is None:
             return ()
+        if self._target_states.reach.is_relayed(placement.target):
+            return ()
         rival = self._target_states.view.targets.record_of(placement.choice.rival_id)
         if rival is None or not self.budget.take(start_s / call.route.objective_s):
             return ()
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -66,13 +66,15 @@
 
     `was_reached` means that a connection to the target was established, `was_refused` that the
     target answered that it did not run the request, `is_displaced` that another target
-    answered at its address.
+    answered at its address, `is_relay_failure` that the request went through another router and
+    it is not known which of the two failed.
     """
 
     is_good: bool
     was_reached: bool = True
     was_refused: bool = False
     is_displaced: bool = False
+    is_relay_failure: bool = False
 
 
 class TargetStates:
@@ -87,7 +89,7 @@
     ) -> None:
         self.view = view
         self.connections = connections
-        self.reach = ServiceReach(view, connections)
+        self.reach = ServiceReach(view, connections, random)
         self.loads = LoadEstimator()
         self.target_speeds = TargetSpeeds()
         self.activity = TargetActivity()
@@ -203,8 +205,11 @@
         if result.was_refused:
             self._avoided_until_s[target_id] = now_s + REFUSED_AVOID_S
             return
+        if result.is_relay_failure:
+            return
         if not result.was_reached:
             self.connections.watch(target_id, target.address)
+            self.reach.note_failure(target)
         health = self._pool_health(target.service, now_s)
         health.observe(target_id, result.is_good, now_s, self._random)
 
@@ -262,8 +267,17 @@
             target_id for target_id, record in records.items() if self.takes_work(record, now_s)
         ]
         may_try_lone_target = len(serving) == 1 and not has_tried
-        is_unreachable = self.connections.is_unreachable
-        return not may_try_lone_target and all(is_unreachable(target_id) for target_id in serving)
+        return not may_try_lone_target and all(
+            self._is_unreachable(records[target_id]) for target_id in serving
+        )
+
+    def _is_unreachable(self, record: TargetRecord) -> bool:
+        """Tell whether a target can be reached neither from here nor through another router."""
+        if self.reach.is_relayed(record):
+            return False
+        return self.connections.is_unreachable(record.target_id) or self.reach.is_cut(
+            record.service
+        )
 
     def candidates(
         self, records: Collection[TargetRecord], now_s: float, is_engine: bool
@@ -302,7 +316,7 @@
         target_id = record.target_id
         is_doubtful = (
             self._avoided_until_s.get(target_id, 0.0) > now_s
-            or self.connections.is_unreachable(target_id)
+            or self._is_unreachable(record)
             or self.activity.is_unresponsive(target_id, now_s, is_engine, last_woken_s())
             or self.view.is_silent(target_id, now_s)
             or self._is_displaced(target_id)
