A router asks another one before it takes a target for crashed

Requests that were in flight at routers whose links were cut came under suspicion on all routers; three such ends and a request is refused everywhere without a time to come back.

Cause: a failed probe after a broken send counted as the end of the target, although a cut path breaks sends and fails probes too.

Evidence: test_crash_verdicts_while_cut_off failed before (five requests under suspicion on other routers after the connections of two routers were reset); it passes now.

Why it works: before the verdict two other routers probe the target themselves; if one reaches it, it is the path that is cut. Without other routers the verdict stands as before.

--- a/packages/router/src/damaskwind/router/forwarding/crash_detector.py
+++ b/packages/router/src/damaskwind/router/forwarding/crash_detector.py
@@ -63,22 +63,28 @@
 
     async def _probe(self, target: TargetRecord) -> bool:
         target_id = target.target_id
+        reach = self._target_states.reach
         try:
-            answers = await self._connections.probe(target_id, target.address)
+            answers = not reach.is_relayed(target) and await self._connections.probe(
+                target_id, target.address
+            )
+            # A router whose own path is cut must not take a sound target for crashed.
+            runs_elsewhere = not answers and await reach.runs_elsewhere(target)
         finally:
             del self._probes[target_id]
             broken = self._broken.pop(target_id)
         phase = self._target_states.view.targets.phase_of(target_id)
         has_announced = self._target_states.has_announced_leaving(target)
         is_leaving = has_announced or phase is not TargetPhase.SERVING
-        has_crashed = not answers and not is_leaving
+        has_crashed = not answers and not runs_elsewhere and not is_leaving
         logger.warning(
             "sends broken",
             target=target_id,
             address=str(target.address),
             answers=answers,
+            runs_elsewhere=runs_elsewhere,
             is_leaving=is_leaving,
-            others_unreachable=self._target_states.reach.unreachable_targets(target.service),
+            others_unreachable=reach.unreachable_targets(target.service),
             sends=len(broken),
             requests=[
                 [item.request_id.decode("latin-1"), item.digest.hex()]
@@ -90,6 +96,7 @@
             self._connections.forget(target_id)
         elif not answers:
             self._connections.watch(target_id, target.address)
+            reach.note_failure(target)
         if has_crashed:
             for callback in self.on_crashed:
                 callback(target, broken)
