What others reach is kept for each service that is asked for

Cause: both services of a router were cut, and each asked its peers by itself. The answer about one service replaced that about the other, so that half of the time no peer counted as reaching it.

Also: a router that is cut off is named others that are cut off where no better ones are left, as their paths to another service may be open.

--- a/packages/control/src/damaskwind/control/fleet/peer_directory.py
+++ b/packages/control/src/damaskwind/control/fleet/peer_directory.py
@@ -36,7 +36,7 @@
         self._revision = 0
 
     def report(self, router: str, endpoint: PeerEndpoint, is_cut_off: bool) -> None:
-        """Record a router's endpoint, and whether it reaches no target of some service."""
+        """Record a router's endpoint, and whether its path to some service is cut."""
         was_cut_off = router in self._cut_off
         if self._endpoints.get(router, NO_PEER) == endpoint and was_cut_off == is_cut_off:
             return
@@ -55,16 +55,16 @@
             self._revision += 1
 
     def peers_of(self, router: str, now_s: float) -> tuple[PeerEndpoint, ...]:
-        """Return the peers of a router; one that is cut off gets such as are not, if any are."""
+        """Return the peers of a router; to one that is cut off, first those that are not.
+
+        The others fill the list up: their paths to another service may be open.
+        """
         named = self._named.get(router)
         if named is not None and (
             named.revision == self._revision or now_s - named.at_s < REFRESH_S
         ):
             return named.peers
-        endpoints = self._endpoints
-        if router in self._cut_off and len(self._cut_off) < len(endpoints):
-            kept = endpoints.keys() - (self._cut_off - {router})
-            endpoints = {name: endpoints[name] for name in kept}
-        peers = name_peers(router, endpoints)
+        avoided = self._cut_off if router in self._cut_off else frozenset()
+        peers = name_peers(router, self._endpoints, avoided)
         self._named[router] = _Named(peers, now_s, self._revision)
         return peers
--- a/packages/decisions/src/damaskwind/decisions/routing/peers.py
+++ b/packages/decisions/src/damaskwind/decisions/routing/peers.py
@@ -7,7 +7,7 @@
 of Two Choices in Randomized Load Balancing", Mitzenmacher, IEEE TPDS 2001.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from random import Random
 from typing import NamedTuple
 
@@ -45,22 +45,39 @@
 
 
 def name_peers(
-    router: str, endpoints: Mapping[str, PeerEndpoint], limit: int = MAX_PEERS
+    router: str,
+    endpoints: Mapping[str, PeerEndpoint],
+    avoided: Set[str] = frozenset(),
+    limit: int = MAX_PEERS,
 ) -> tuple[PeerEndpoint, ...]:
     """Return the endpoints that are named to a router, of all routers by name.
 
-    At most half of them are in the router's own failure domain if others have enough.
+    At most half of them are in the router's own failure domain if others have enough. Those
+    that are `avoided` only fill up.
 
     >>> routers = {name: PeerEndpoint(name, "k", name[0]) for name in ("a1", "a2", "a3", "b1")}
     >>> sorted(peer.host for peer in name_peers("a1", routers, limit=2))
     ['a2', 'b1']
     >>> len(name_peers("a1", routers))
     3
+    >>> [peer.host for peer in name_peers("a1", routers, avoided={"a1", "a2", "b1"}, limit=1)]
+    ['a3']
     """
     own = endpoints.get(router, NO_PEER)
-    ordered = [
-        endpoints[name] for name in rendezvous_order(router, endpoints.keys() - {router, ""})
-    ]
+    preferred = _draw(router, own, endpoints, endpoints.keys() - avoided - {router}, limit)
+    left = limit - len(preferred)
+    return (*preferred, *_draw(router, own, endpoints, avoided - {router}, left))
+
+
+def _draw(
+    router: str,
+    own: PeerEndpoint,
+    endpoints: Mapping[str, PeerEndpoint],
+    names: Set[str],
+    limit: int,
+) -> tuple[PeerEndpoint, ...]:
+    """Return up to `limit` endpoints by their weight for a router, of both kinds of domain."""
+    ordered = [endpoints[name] for name in rendezvous_order(router, names) if name in endpoints]
     near = [item for item in ordered if item.failure_domain == own.failure_domain]
     far = [item for item in ordered if item.failure_domain != own.failure_domain]
     near_count = max(limit // 2, limit - len(far))
--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -19,7 +19,12 @@
 from damaskwind.router.forwarding.attempt import AttemptSender
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
-from damaskwind.runtime.http1.client import AnswerBrokenError, ClientConnection, ConnectFailedError
+from damaskwind.runtime.http1.client import (
+    AnswerBrokenError,
+    AnswerHead,
+    ClientConnection,
+    ConnectFailedError,
+)
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer, Request, header, without
 from damaskwind.runtime.tallies import Tallies
@@ -41,6 +46,8 @@
 MAX_IN_FLIGHT = 256
 # Their bodies in hand; larger ones than this together are refused.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# An answer of up to this size is sent back in one write, which saves system calls and packets.
+WHOLE_BYTES = 16_384
 # Targets that one question may have probed.
 MAX_PROBED = 4
 # Without a deadline a request is sent on for this time at most.
@@ -56,6 +63,13 @@
 }
 
 
+def _is_short(head: AnswerHead) -> bool:
+    """Return whether an answer is sent back in one write; the events of a stream never are."""
+    is_stream = (header(head.headers, b"content-type") or b"").startswith(b"text/event-stream")
+    length = header(head.headers, b"content-length") or b""
+    return not is_stream and length.isdigit() and int(length) <= WHOLE_BYTES
+
+
 class AttemptRelay:
     """The requests that one router sends on for others."""
 
@@ -219,7 +233,13 @@
         request_id = header(request.headers, self._names.request_id) or b""
         head = await self._sender.read_own_head(connection, request_id)
         self._sender.record_head(head, target)
-        exchange.begin(head.status, [(STATUS, self._node_id), *without(head.headers, frozenset())])
+        headers = [(STATUS, self._node_id), *without(head.headers, frozenset())]
+        if _is_short(head):
+            body = await connection.read_body(WHOLE_BYTES)
+            self._target_states.connections.release(target.target_id, connection, head.headers)
+            exchange.respond(Answer(head.status, headers, body))
+            return
+        exchange.begin(head.status, headers)
         while (data := await connection.read_data()) is not None:
             self._target_states.activity.record_received(target.target_id, read_clock())
             exchange.write(data)
--- a/packages/router/src/damaskwind/router/forwarding/peer_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -43,11 +43,19 @@
 
 
 class _Answer(NamedTuple):
-    """What a router answered, and when."""
+    """What a router answered for one service: the digests of targets it does not reach, and when.
 
-    reach: Reach
+    Without `is_reached` it reaches none of them.
+    """
+
+    is_reached: bool
+    unreachable: frozenset[int]
     at_s: float
 
+    def reaches(self, target: TargetRecord) -> bool:
+        """Return whether the router reaches a target of the service."""
+        return self.is_reached and target_digest(target.target_id) not in self.unreachable
+
 
 class PeerLinks:
     """The other routers through which one router sends what it can't send itself.
@@ -69,7 +77,9 @@
         self._failure_domain = failure_domain
         self._region_of = region_of
         self._random = random
-        self._answers: dict[str, _Answer] = {}
+        # By host and service: questions for different services are asked independently.
+        self._answers: dict[tuple[str, str], _Answer] = {}
+        self._told_in_flight: dict[str, int] = {}
         self._failed_until_s: dict[str, float] = {}
         self._in_flight: Counter[str] = Counter()
         self._asking: set[asyncio.Task] = set()
@@ -133,8 +143,11 @@
             logger.info("peer not asked", host=peer.host, why=repr(error))
             self.record_failure(peer)
             return Reach((), (), (), 0)
-        if services:
-            self._answers[peer.host] = _Answer(reach, read_clock())
+        self._told_in_flight[peer.host] = reach.in_flight
+        unreachable, now_s = frozenset(reach.unreachable), read_clock()
+        for service in services:
+            answer = _Answer(service in reach.services, unreachable, now_s)
+            self._answers[peer.host, service] = answer
         return reach
 
     def record_failure(self, peer: PeerEndpoint) -> None:
@@ -143,25 +156,25 @@
 
     def reaches_service(self, service: str) -> bool:
         """Return whether some peer reaches targets of a service."""
-        return any(service in reach.services for _, reach in self._usable())
+        return any(answer.is_reached for _, answer in self._usable(service))
 
     def hosts_reaching(self, service: str) -> list[str]:
         """Return the hosts of the peers that reach targets of a service."""
-        return [peer.host for peer, reach in self._usable() if service in reach.services]
+        return [peer.host for peer, answer in self._usable(service) if answer.is_reached]
 
     def reaches(self, target: TargetRecord) -> bool:
         """Return whether some peer reaches a target."""
-        return any(_reaches(reach, target) for _, reach in self._usable())
+        return any(answer.reaches(target) for _, answer in self._usable(target.service))
 
     def choose(
         self, target: TargetRecord, regions: frozenset[str] | None, tried: set[str]
     ) -> PeerEndpoint | None:
         """Return the router through which to send to a target, `None` if there is none."""
         peers = [
-            PeerLoad(peer, max(reach.in_flight, self._in_flight[peer.host]))
-            for peer, reach in self._usable()
+            PeerLoad(peer, max(self._told_in_flight[peer.host], self._in_flight[peer.host]))
+            for peer, answer in self._usable(target.service)
             if peer.host not in tried
-            and _reaches(reach, target)
+            and answer.reaches(target)
             and is_allowed(peer.failure_domain, regions, self._region_of)
         ]
         return choose_peer(peers, self._failure_domain, self._random)
@@ -178,12 +191,12 @@
         """Return the number of requests that are sent through other routers now."""
         return self._in_flight.total()
 
-    def _usable(self) -> list[tuple[PeerEndpoint, Reach]]:
-        """Return the peers that answered lately and have not failed since."""
+    def _usable(self, service: str) -> list[tuple[PeerEndpoint, _Answer]]:
+        """Return the peers that answered for a service lately and have not failed since."""
         now_s = read_clock()
-        answered = [(peer, self._answers.get(peer.host)) for peer in self.endpoints]
+        answered = [(peer, self._answers.get((peer.host, service))) for peer in self.endpoints]
         return [
-            (peer, answer.reach)
+            (peer, answer)
             for peer, answer in answered
             if answer is not None
             and now_s - answer.at_s < REACH_TTL_S
@@ -196,10 +209,3 @@
             task.cancel()
         await asyncio.gather(*self._asking, return_exceptions=True)
         self.connections.close()
-
-
-def _reaches(reach: Reach, target: TargetRecord) -> bool:
-    return (
-        target.service in reach.services
-        and target_digest(target.target_id) not in reach.unreachable
-    )
--- a/packages/router/src/damaskwind/router/forwarding/service_reach.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_reach.py
@@ -70,9 +70,12 @@
     def attach(self, peers: PeerLinks) -> None:
         """Send through other routers from now on where own paths are cut."""
         self.peers = peers
-        self._view.has_cut_path = lambda: bool(self._relayed)
+        self._view.has_cut_path = self._has_cut_path
         self._view.on_peers.append(self._follow_unreachable)
 
+    def _has_cut_path(self) -> bool:
+        return any(self.is_cut(service) for service in self._relayed)
+
     async def stop(self) -> None:
         """Stop all probes."""
         tasks = [
