--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -42,8 +42,10 @@
 
 __all__ = ["AttemptRelay"]
 
-# What this router sends on at once for others: 512 descriptors and some 12 MB.
+# What this router sends on at once for others, with two descriptors and up to 100 KB each, and
+# the memory of the process that there must be for each.
 MAX_IN_FLIGHT = 256
+MEMORY_BYTES_EACH = 1024 * 1024
 # Their bodies in hand; larger ones than this together are refused.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # An answer of up to this size is sent back in one write, which saves system calls and packets.
@@ -80,8 +82,12 @@
         names: HeaderNames,
         node_id: str,
         tallies: Tallies,
+        memory_bytes: int | None = None,
     ) -> None:
         self.in_flight = 0
+        self._max_in_flight = MAX_IN_FLIGHT
+        if memory_bytes is not None:
+            self._max_in_flight = min(MAX_IN_FLIGHT, memory_bytes // MEMORY_BYTES_EACH)
         self.is_draining = False
         self._body_bytes = 0
         self._target_states = target_states
@@ -173,7 +179,7 @@
             return Failure.UNAVAILABLE
         if self._target_states.connections.is_unreachable(target.target_id):
             return Failure.CONNECTION_FAILED
-        is_full = self.in_flight >= MAX_IN_FLIGHT or (
+        is_full = self.in_flight >= self._max_in_flight or (
             self._body_bytes + len(request.body) > MAX_BODY_BYTES
         )
         return Failure.BUSY if self.is_draining or is_full else None
--- a/packages/router/src/damaskwind/router/forwarding/peer_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -32,12 +32,14 @@
 # A router answers a question within some ms, or with its probes within 0.2 s.
 ANSWER_TIMEOUT_S = 0.3
 ANSWER_LIMIT_BYTES = 65_536
-# What a router answered counts for three rounds of questions.
-REACH_TTL_S = 1.5
+# What a router answered counts for two rounds of questions.
+REACH_TTL_S = 2.0
 # A router that did not answer, or whose connection broke, is not chosen for this time.
 FAILED_S = 1.0
 # Routers that are asked for a second opinion on one target.
-CONFIRMING_PEERS = 2
+CONFIRMING_PEERS = 3
+# With thousands of targets, the peers that reach a service are looked up once per placement.
+LOOKUP_S = 0.02
 
 _ERRORS = (AnswerBrokenError, ConnectFailedError, MessageError, TimeoutError)
 
@@ -80,6 +82,7 @@
         # By host and service: questions for different services are asked independently.
         self._answers: dict[tuple[str, str], _Answer] = {}
         self._told_in_flight: dict[str, int] = {}
+        self._lookups: dict[str, tuple[float, list[tuple[PeerEndpoint, _Answer]]]] = {}
         self._failed_until_s: dict[str, float] = {}
         self._in_flight: Counter[str] = Counter()
         self._asking: set[asyncio.Task] = set()
@@ -144,6 +147,7 @@
             self.record_failure(peer)
             return Reach((), (), (), 0)
         self._told_in_flight[peer.host] = reach.in_flight
+        self._lookups.clear()
         unreachable, now_s = frozenset(reach.unreachable), read_clock()
         for service in services:
             answer = _Answer(service in reach.services, unreachable, now_s)
@@ -153,6 +157,7 @@
     def record_failure(self, peer: PeerEndpoint) -> None:
         """Record that a router did not answer or broke off; it is not chosen for a while."""
         self._failed_until_s[peer.host] = read_clock() + FAILED_S
+        self._lookups.clear()
 
     def reaches_service(self, service: str) -> bool:
         """Return whether some peer reaches targets of a service."""
@@ -194,14 +199,19 @@
     def _usable(self, service: str) -> list[tuple[PeerEndpoint, _Answer]]:
         """Return the peers that answered for a service lately and have not failed since."""
         now_s = read_clock()
+        looked_up_s, usable = self._lookups.get(service, (float("-inf"), []))
+        if now_s - looked_up_s < LOOKUP_S:
+            return usable
         answered = [(peer, self._answers.get((peer.host, service))) for peer in self.endpoints]
-        return [
+        usable = [
             (peer, answer)
             for peer, answer in answered
             if answer is not None
             and now_s - answer.at_s < REACH_TTL_S
             and self._failed_until_s.get(peer.host, 0.0) <= now_s
         ]
+        self._lookups[service] = (now_s, usable)
+        return usable
 
     async def close(self) -> None:
         """Stop asking, and close all connections."""
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -103,7 +103,12 @@
             self.view, settings.news_port, settings.failure_domain, settings.region_of, random
         )
         relay = AttemptRelay(
-            target_states, self.forwarder.sender, names, settings.node_id, self.tallies
+            target_states,
+            self.forwarder.sender,
+            names,
+            settings.node_id,
+            self.tallies,
+            settings.memory_bytes,
         )
         if settings.internal_host:
             target_states.reach.attach(peers)
--- a/packages/router/src/damaskwind/router/forwarding/service_reach.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_reach.py
@@ -28,8 +28,10 @@
 SILENCE_CHECK_GAP_S = 2.0
 # A connection inside a region is established within some ms.
 PROBE_TIMEOUT_S = 0.15
-# Interval of the probes of a cut path, and of the questions to other routers.
+# Interval of the probes of a cut path.
 ROUND_S = 0.4
+# Interval of the questions to other routers: eight of them are asked with 0.2 KB each.
+ASK_INTERVAL_S = 0.8
 # Requests wait at most this long for a check that is in progress.
 SETTLE_S = 0.5
 # Where this share of a service's targets is unreachable from here, those are reached through
@@ -41,7 +43,7 @@
     """What is known of the path to one service's targets.
 
     `cut` is done when the path is found to be cut. `following` runs while requests may go
-    through other routers.
+    through other routers. `has_failed` from a check that reached no target until one is heard.
     """
 
     def __init__(self) -> None:
@@ -51,6 +53,7 @@
         self.following: asyncio.Task | None = None
         self.passed_s = float("-inf")
         self.heard_s = float("-inf")
+        self.has_failed = False
         self.unreachable_since_s: float | None = None
 
 
@@ -104,7 +107,8 @@
 
     def record_heard(self, service: str, now_s: float) -> None:
         """Record that a target of a service sent something over this router's own path."""
-        self._state(service).heard_s = now_s
+        state = self._state(service)
+        state.heard_s, state.has_failed = now_s, False
 
     def note_silence(self, target: TargetRecord) -> None:
         """Check the path to a target that keeps all its requests waiting."""
@@ -121,6 +125,8 @@
         """Check the path to a service of which nothing was heard lately, as another router asks."""
         state = self._state(service)
         targets = self._view.serving(service)
+        if state.has_failed:
+            return
         if targets and read_clock() - max(state.heard_s, state.passed_s) > SILENCE_CHECK_GAP_S:
             self._start_check(self._random.choice(targets), "asked")
 
@@ -171,9 +177,14 @@
         )
 
     def reaches_service(self, service: str) -> bool:
-        """Return whether this router itself reaches targets of a service."""
-        serving = len(self._view.serving(service))
-        return serving > self.unreachable_targets(service) and not self.is_cut(service)
+        """Return whether this router itself reaches targets of a service.
+
+        If two routers that reach nothing each told the other that they do, requests would go
+        back and forth between them.
+        """
+        if self._state(service).has_failed or self.is_cut(service):
+            return False
+        return len(self._view.serving(service)) > self.unreachable_targets(service)
 
     async def probe(self, target: TargetRecord) -> bool:
         """Return whether a target accepts a connection over this router's own path."""
@@ -198,15 +209,18 @@
         begun_s, service = read_clock(), target.service
         try:
             if await self.probe(target):
-                state.passed_s = read_clock()
+                state.passed_s, state.has_failed = read_clock(), False
                 return
             others = self._draw(service, SAMPLE_TARGETS - 1, target)
-            reached = sum(await asyncio.gather(*(self.probe(item) for item in others)))
-            others_reach = not reached and await self.peers.poll((service,))
-            if state.path.observe_check(reached, 1 + len(others), others_reach):
+            answers = await asyncio.gather(*(self.probe(item) for item in others))
+            state.has_failed = not any(answers)
+            others_reach = state.has_failed and await self.peers.poll((service,))
+            if state.path.observe_check(sum(answers), 1 + len(others), others_reach):
                 self._record_cut(state, service, why, begun_s)
-            elif not self._connections.is_unreachable(target.target_id):
-                self._connections.watch(target.target_id, target.address)
+                return
+            for item, is_reached in zip((target, *others), (False, *answers), strict=True):
+                if not is_reached:
+                    self._connections.watch(item.target_id, item.address)
         finally:
             state.checking = None
 
@@ -224,15 +238,15 @@
 
     async def _follow(self, state: _Service, service: str) -> None:
         """Probe some targets and ask other routers, until the own path is open again."""
-        begun_s = read_clock()
+        begun_s, asked_s = read_clock(), float("-inf")
         try:
             while state.path.is_cut or self._is_mostly_unreachable(service):
-                asking = asyncio.ensure_future(self.peers.poll((service,)))
+                if read_clock() - asked_s >= ASK_INTERVAL_S:
+                    asked_s = read_clock()
+                    if not await self.peers.poll((service,)) and state.path.reopen():
+                        logger.warning("no other router reaches the service", service=service)
                 if state.path.is_cut and await self._probe_round(state, service):
-                    await asking
                     continue
-                if not await asking and state.path.reopen():
-                    logger.warning("path cut, no other router reaches it", service=service)
                 await asyncio.sleep(ROUND_S)
         finally:
             self._relayed.discard(service)
@@ -244,7 +258,9 @@
         """Probe a sample over a cut path; return whether the path is open again."""
         sample = self._draw(service, SAMPLE_TARGETS)
         reached = sum(await asyncio.gather(*(self.probe(item) for item in sample)))
-        return state.path.observe_round(reached, len(sample))
+        is_open = state.path.observe_round(reached, len(sample))
+        state.has_failed = not is_open
+        return is_open
 
     def _draw(
         self, service: str, count: int, without: TargetRecord | None = None
@@ -264,7 +280,9 @@
         record = self._view.targets.record_of(target_id)
         if record is None:
             return
-        self._state(record.service)
+        state = self._state(record.service)
+        if state.has_failed and not self._connections.is_unreachable(target_id):
+            state.has_failed = state.path.is_cut
         self._follow_unreachable()
         self._log_reach(self._services[record.service], record.service)
 
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -59,6 +59,7 @@
         self.received: list[ReceivedRequest] = []
         self.ends: list[str] = []
         self.connections = 0
+        self._in_progress = 0
         self._host = host
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -75,6 +76,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def in_progress(self) -> int:
+        """Return the number of requests that are being answered."""
+        return self._in_progress
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
         task = asyncio.current_task()
@@ -86,7 +91,11 @@
             while (request := await self._read(reader, parser)) is not None:
                 self.received.append(request)
                 step = self.script.pop(0) if self.script else self._default
-                await step(writer, request)
+                self._in_progress += 1
+                try:
+                    await step(writer, request)
+                finally:
+                    self._in_progress -= 1
                 await writer.drain()
                 parser = _next_parser(parser)
         except (ConnectionError, h11.RemoteProtocolError) as error:
