The soak cuts single routers off from all targets, in silence, by resets or by refusals

The promise: from a second after the cut, nine in ten requests of both kinds are served at that router, where nothing else disturbs it.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -70,6 +70,7 @@
             prelude,
             has_fatal_request=True,
             has_target_signals=True,
+            has_cut_routers=True,
         )
         duration_s = time.monotonic() - started_s
         status = "BROKEN" if verdict.broken else "held"
