--- a/packages/model/src/damaskwind/model/header_names.py
+++ b/packages/model/src/damaskwind/model/header_names.py
@@ -18,7 +18,8 @@
     `expect_target` makes any other target refuse the request. In an answer, `not_run`
     states that the target did not run the request, `target_load` gives the running and
     waiting requests and the slots, and `leaving` states that the target accepts no new
-    work. `fetch_from` is the address of another engine from which the engine first copies
+    work. `brittle` is how many requests a second it can refuse for lack of room without falling
+    over. `fetch_from` is the address of another engine from which the engine first copies
     the parts of the prompt that it lacks. `reserved` are headers that only the system sets.
     In the answer to a health check, `instance_id` names the target.
     `token_usage` is the number of prompt tokens and the upper bound of the output tokens,
@@ -35,6 +36,7 @@
     target_load: bytes = b"x-target-load"
     not_run: bytes = b"x-not-run"
     leaving: bytes = b"x-leaving"
+    brittle: bytes = b"x-brittle"
     fetch_from: bytes = b"x-fetch-from"
     authorization: bytes = b"authorization"
     key_scheme: bytes = b"Bearer"
