Requests to brittle targets that report no load are bounded by each router's part of the slots

Targets that said that they were brittle fell one after the other in a burst, and callers lost what they ran.

Cause: the header was read nowhere. Routers found out by refusals how much a target bears, sent what was refused to the next target, and the start windows, in which answers that take half of their objective count as late, let one request at a time through afterwards.

Why it works: the slots are divided by the routers' places and shares of the traffic, and what finds none waits at its router or is refused there, so that routers don't meet at a slot. Held requests count from their placement on: counted from the connection on, a burst sent more than was free. There are no retries of refusals and no second sends. Refusals that happen reduce the part of the slots in use for all routers alike. Where there are fewer slots than routers, each sends at its share of the rate; that is not measured yet. Engines are not bounded.

--- a/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
@@ -62,11 +62,15 @@
 
 
 class TargetSlots(NamedTuple):
-    """A target that accepts work, how many free slots it reported, and its free memory."""
+    """A target that accepts work, how many free slots it reported, and its free memory.
+
+    With `is_exact` the free slots are this router's own, and its windows do not apply.
+    """
 
     target_id: str
     free: float
     free_tokens: float = inf
+    is_exact: bool = False
 
 
 class AdmissionStep(StrEnum):
@@ -195,6 +199,10 @@
             self._window(target_id).record_answer_started(number, now_s, work_time)
             self._pool_window.record_answer_started(number, now_s, work_time)
 
+    def held_at_targets(self) -> Counter[str]:
+        """Return how many requests are being sent to, or are held at, each target."""
+        return Counter(self._target_of.values())
+
     def target_of(self, number: int) -> str:
         """Return the target that a request was last sent to, empty if there is none."""
         return self._target_of.get(number, "")
@@ -290,12 +298,16 @@
 
     def _target_headroom(self, target_slots: TargetSlots, now_s: float) -> int:
         """Return how many more requests may be sent to a target."""
+        if target_slots.is_exact:
+            return ceil(target_slots.free)
         return min(self._window(target_slots.target_id).headroom(now_s), ceil(target_slots.free))
 
     def _headroom(self, target_id: str, target_slots: Sequence[TargetSlots], now_s: float) -> int:
         """Return the headroom of a target, or of the pool less its admitted unsent requests."""
         if not target_id:
             headroom = sum(max(0, self._target_headroom(item, now_s)) for item in target_slots)
+            if all(item.is_exact for item in target_slots):
+                return headroom - len(self._admitted_unsent)
             return min(headroom, self._pool_window.headroom(now_s)) - len(self._admitted_unsent)
         target = next((item for item in target_slots if item.target_id == target_id), None)
         # A target that has gone blocks no request: the request is placed again.
--- a/packages/decisions/src/damaskwind/decisions/target_signals/answer_signals.py
+++ b/packages/decisions/src/damaskwind/decisions/target_signals/answer_signals.py
@@ -8,9 +8,11 @@
 from math import isfinite
 from typing import NamedTuple
 
-__all__ = ["NO_SIGNALS", "AnswerSignals", "parse_signals"]
+__all__ = ["NO_SIGNALS", "AnswerSignals", "parse_brittleness", "parse_signals"]
 
 _UNAVAILABLE = 503
+# Longer numbers are no counts of refusals.
+_MAX_DIGITS = 10
 
 
 class AnswerSignals(NamedTuple):
@@ -54,6 +56,16 @@
     return AnswerSignals(rest_s, leaving is not None and leaving.strip() == b"1")
 
 
+def parse_brittleness(value: bytes | None) -> int | None:
+    """Return how many refusals a second a target bears, `None` if it does not say or badly.
+
+    >>> parse_brittleness(b"3"), parse_brittleness(b"-1"), parse_brittleness(None)
+    (3, None, None)
+    """
+    digits = (value or b"").strip()
+    return int(digits) if digits.isdigit() and len(digits) < _MAX_DIGITS else None
+
+
 def _seconds(value: bytes) -> float | None:
     """Parse a number of seconds; 0 if it is not positive and finite, `None` if not a number."""
     try:
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -13,6 +13,7 @@
 from damaskwind.decisions.target_signals.answer_signals import (
     NO_SIGNALS,
     AnswerSignals,
+    parse_brittleness,
     parse_signals,
 )
 from damaskwind.model.header_names import HeaderNames
@@ -459,4 +460,6 @@
             header(headers, b"date"),
         )
         self._target_states.record_signals(target, signals)
+        brittleness = parse_brittleness(header(headers, self._names.brittle))
+        self._target_states.brittle.observe(target, brittleness)
         return signals
--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -239,7 +239,7 @@
 
     def _may_become_overdue(self, call: Call, delivery: Delivery) -> bool:
         """Return whether a request may be sent to two targets at once."""
-        if not self.is_enabled:
+        if not self.is_enabled or self._target_states.brittle.is_brittle(call.service):
             return False
         if not self._was_enabled:
             self._was_enabled = True
--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -1,6 +1,7 @@
 """Admit requests to pools: start, queue or reject them as `decisions/admission` decides."""
 
 import asyncio
+from collections import Counter
 from random import Random
 
 from damaskwind.decisions.admission.fair_queue import PoolRequest
@@ -48,6 +49,9 @@
         self._waiters: dict[int, asyncio.Future[PoolRejection | None]] = {}
         self._longest_wait_s: dict[str, float] = {}
         self._polled_s: dict[str, float] = {}
+        # The services that report no load.
+        self._plain: set[str] = set()
+        target_states.brittle.held_at_targets = self.held_at_targets
         target_states.view.on_gone.append(self.forget)
         target_states.view.on_restarted.append(lambda record: self.forget(record.target_id))
 
@@ -63,6 +67,8 @@
         """
         now_s = read_clock()
         pool = self._pool(call.service)
+        if home is None:
+            self._plain.add(call.service)
         pool_request = self._pool_request(call, home.target_id if home else "", now_s)
         if home is not None and home.room is not None:
             pool_request = pool_request._replace(need_tokens=home.room.need_tokens)
@@ -124,6 +130,10 @@
         objective_s = call.route.objective_s
         return self._pool(call.service).retry_after_s(objective_s, call.left_s(), read_clock())
 
+    def held_at_targets(self, service: str) -> Counter[str]:
+        """Return how many requests of a service this router holds at each target."""
+        return self._pool(service).held_at_targets()
+
     def waiting(self, service: str) -> int:
         """Return the number of requests queued for a service."""
         return len(self._pool(service).queue)
@@ -173,6 +183,8 @@
     def _free_slots(self, service: str, now_s: float) -> list[TargetSlots]:
         """Return the free slots and the free memory of the targets of a service."""
         free_slots = self._target_states.free_slots(service, now_s)
+        if service in self._plain:
+            free_slots = self._target_states.brittle.limit_slots(service, free_slots)
         if self._memory is None:
             return free_slots
         return self._memory.add_free_tokens(service, free_slots, now_s)
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -160,6 +160,8 @@
         )
         show("failure_domains_evacuated", "emptied by operators", self._evacuated)
         reach = self.forwarder.target_states.reach
+        brittle = self.forwarder.target_states.brittle
+        show("services_brittle", "whose targets say so", brittle.count)
         show("services_unreachable", "no target of which is reached", reach.count_unreachable)
         show("services_relayed", "reached through other routers", reach.count_relayed)
         show("requests_relayed_out", "in flight through others", self.peers.in_flight)
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -115,6 +115,7 @@
         self.take_retry = take_retry
         self.suspicions = target_states.view.suspicions
         self.reach = target_states.reach
+        self.brittle = target_states.brittle
         self.tallies = tallies
         self.target_bodies: TargetBodies | None = None
 
@@ -189,6 +190,9 @@
         if not outcome.was_reached:
             return call.unreached < MAX_UNREACHED
         if outcome.end is AttemptEnd.NOT_RUN:
+            if call.key is None and self.brittle.is_brittle(call.service):
+                # A second refusal may be the one under which its target falls over.
+                return False
             # An attempt of a race that was canceled or broke may have run.
             may_exceed = call.second_target is None or not call.may_have_run
             return call.sends < call.route.max_attempts + EXTRA_SENDS * may_exceed
--- a/packages/router/src/damaskwind/router/forwarding/service_throttles.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_throttles.py
@@ -48,7 +48,14 @@
         Where cut-offs of the whole fleet hold for the service, these decide instead, since they
         know priorities and client accounts. The request is counted in either case.
         """
-        if call.key is not None or self.admits(call.service) or self.is_covered(call.service):
+        if call.key is not None:
+            return None
+        if self._target_states.brittle.is_brittle(call.service):
+            self._count(call.service, ServiceStats(asked=1))
+            if self._target_states.brittle.take(call.service):
+                return None
+            return GateRefusal("service brittle", self.retry_after_s(call))
+        if self.admits(call.service) or self.is_covered(call.service):
             return None
         return GateRefusal("service overloaded", self.retry_after_s(call))
 
--- a/packages/router/src/damaskwind/router/forwarding/target_choice.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -61,6 +61,8 @@
         candidates = self._doubt_partitioned(call, candidates)
         self._admissions.record_expected_starts(call.service, candidates)
         candidates = self._admissions.add_queued_load(call.service, candidates)
+        if not is_engine:
+            candidates = target_states.brittle.steer(call.service, candidates)
         if self._memory is not None:
             candidates = self._memory.add_rooms(call, candidates, now_s)
         choice = choose_target(
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -22,6 +22,7 @@
 from damaskwind.decisions.retries.hedging import OVERDUE_AVOID_S
 from damaskwind.decisions.target_signals.answer_signals import AnswerSignals
 from damaskwind.decisions.target_signals.signal_table import SignalTable, TargetSignal
+from damaskwind.router.forwarding.brittle_services import BrittleServices
 from damaskwind.router.forwarding.cold_targets import ColdTargets
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
@@ -91,6 +92,7 @@
         self.connections = connections
         self.reach = ServiceReach(view, connections, random)
         self.loads = LoadEstimator()
+        self.brittle = BrittleServices(view)
         self.target_speeds = TargetSpeeds()
         self.activity = TargetActivity()
         self.signals = SignalTable()
@@ -203,6 +205,7 @@
             self._displaced_s[target_id] = now_s
             logger.warning("target displaced", target=target_id, address=str(target.address))
         if result.was_refused:
+            self.brittle.record_refusal(target)
             self._avoided_until_s[target_id] = now_s + REFUSED_AVOID_S
             return
         if result.is_relay_failure:
--- a/packages/standins/src/damaskwind/standins/brittle_target.py
+++ b/packages/standins/src/damaskwind/standins/brittle_target.py
@@ -1,7 +1,7 @@
 """A target with few slots that may fall over when it has to refuse requests for lack of room.
 
-Once it says that it is brittle, more than `refusals_per_s` refusals in a second make it reset
-its connections and stop listening for a while.
+Some seconds after it has begun to say that it is brittle, it lets fewer requests wait, and more
+than a few refusals in a second make it reset its connections and stop listening for a while.
 """
 
 import asyncio
@@ -20,19 +20,21 @@
 class BrittleTarget(ScriptedTarget):
     """Run up to `slots` requests at once, each for `work_s`, and let `places` more wait.
 
-    `falls` counts how often it fell over, `runs` the requests that it ran to their end and
-    `refused` those that it refused. Without `refusals_per_s` it is not brittle.
+    `falls` counts how often it fell over, `runs` the requests that it ran to their end, and
+    `refusals_s` are the times of its refusals.
     """
 
     def __init__(
         self, names: HeaderNames, slots: int = 2, places: int = 2, work_s: float = 0.1
     ) -> None:
         super().__init__(names, default=self._answer)
-        self.refusals_per_s: int | None = None
+        self._refusals_per_s: int | None = None
+        self._brittle_from_s = float("inf")
+        self._brittle_places = places
         self.slots = slots
         self.falls = 0
+        self.refusals_s: list[float] = []
         self.runs = 0
-        self.refused = 0
         self._places = places
         self._work_s = work_s
         self._held = 0
@@ -53,13 +55,21 @@
             await asyncio.gather(self._rising, return_exceptions=True)
         await super().stop()
 
+    def become_brittle(self, refusals_per_s: int, after_s: float, places: int) -> None:
+        """Say that it is brittle from now on, and be so after a while, with fewer places."""
+        self._refusals_per_s = refusals_per_s
+        self._brittle_from_s = read_clock() + after_s
+        self._brittle_places = places
+
     @property
     def is_up(self) -> bool:
         """Return whether the target listens."""
         return self._rising is None
 
     async def _answer(self, writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
-        if self._held >= self.slots + self._places:
+        is_brittle = read_clock() >= self._brittle_from_s
+        places = self._brittle_places if is_brittle else self._places
+        if self._held >= self.slots + places:
             await self._refuse(writer, request)
             return
         self._held += 1
@@ -72,17 +82,18 @@
         await plain(fields=self._fields())(writer, request)
 
     def _fields(self) -> tuple[bytes, ...]:
-        if self.refusals_per_s is None:
+        if self._refusals_per_s is None:
             return ()
-        return (self.names.brittle + b": %d" % self.refusals_per_s,)
+        return (self.names.brittle + b": %d" % self._refusals_per_s,)
 
     async def _refuse(self, writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         now_s = read_clock()
-        self.refused += 1
+        self.refusals_s.append(now_s)
         self._refused_s.append(now_s)
         while self._refused_s[0] <= now_s - 1.0:
             self._refused_s.popleft()
-        if self.refusals_per_s is not None and len(self._refused_s) > self.refusals_per_s:
+        is_brittle = now_s >= self._brittle_from_s
+        if is_brittle and len(self._refused_s) > self._refusals_per_s:
             self._fall()
             return
         await plain(503, fields=(self.names.not_run + b": 1", *self._fields()))(writer, request)
