A crashed target is not said to be reached by other routers

Callers got 503 without a time to come back for requests that had crashed nothing ('refused as fatal', 3 targets ended under it).

Cause: half of the targets had crashed, so the others were reached through other routers. These still said that they reach the crashed ones, as they had not tried. Each request that they sent on broke, each break was confirmed as a crash, and counted as one more end of the same target.

Why it works: a router that sends on probes a target when its connection breaks, and says so when asked; a router that asked three others in vain relies on none of them for that target for 2 s.

--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -215,7 +215,10 @@
             async with asyncio.timeout(left_s):
                 await self._pass_on(exchange, target, connection)
         except AnswerBrokenError:
-            if connection.is_timed_out:
+            # A target that has exited must not be told to be reached from here.
+            if connection.is_timed_out or not await states.connections.probe(
+                target.target_id, target.address
+            ):
                 states.connections.watch(target.target_id, target.address)
                 states.reach.note_failure(target)
             return Failure.BROKEN
--- a/packages/router/src/damaskwind/router/forwarding/peer_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -82,6 +82,8 @@
         # By host and service: questions for different services are asked independently.
         self._answers: dict[tuple[str, str], _Answer] = {}
         self._told_in_flight: dict[str, int] = {}
+        # Targets that no peer reached when asked to probe them, until they are relied on again.
+        self._gone_until_s: dict[str, float] = {}
         self._lookups: dict[str, tuple[float, list[tuple[PeerEndpoint, _Answer]]]] = {}
         self._failed_until_s: dict[str, float] = {}
         self._in_flight: Counter[str] = Counter()
@@ -120,7 +122,12 @@
         peers = self.endpoints
         drawn = self._random.sample(peers, min(CONFIRMING_PEERS, len(peers)))
         asking = (self._ask(peer, (), (target.target_id,)) for peer in drawn)
-        return any(target.target_id in reach.reached for reach in await asyncio.gather(*asking))
+        is_reached = any(
+            target.target_id in reach.reached for reach in await asyncio.gather(*asking)
+        )
+        if not is_reached:
+            self._gone_until_s[target.target_id] = read_clock() + REACH_TTL_S
+        return is_reached
 
     async def _ask(
         self, peer: PeerEndpoint, services: tuple[str, ...], probed: tuple[str, ...] = ()
@@ -169,6 +176,8 @@
 
     def reaches(self, target: TargetRecord) -> bool:
         """Return whether some peer reaches a target."""
+        if self._gone_until_s.get(target.target_id, 0.0) > read_clock():
+            return False
         return any(answer.reaches(target) for _, answer in self._usable(target.service))
 
     def choose(
