An attempt's log entry tells how its answer ended

The log could not tell a stream whose target framed it from one that ended with its connection, nor one that ended inside an event from a whole one: both read 'stream complete'. The last two entries of an attempt now say so, and unframed_answers_total counts them. No decision reads them.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -97,7 +97,8 @@
     before the answer was complete, `asks_for_pause` that it asked for a pause (Retry-After).
     A request that was withheld was not sent. An attempt that was superseded was canceled,
     since that at another target went on. `via` is the host of the router that sent the request
-    on, if it was another one.
+    on, if it was another one. An answer that `is_unframed` ended with its connection;
+    `open_bytes` is what came of an event whose end did not.
     """
 
     end: AttemptEnd
@@ -109,6 +110,8 @@
     is_connection_lost: bool = False
     asks_for_pause: bool = False
     via: str = ""
+    is_unframed: bool = False
+    open_bytes: int = 0
 
 
 def _ignore_answer_started(call: Call, target_id: str, first_s: float) -> None:
@@ -285,21 +288,27 @@
             outcome = await self._relay_stream(
                 path, connection, head, call, target, delivery, may_reroute
             )
-            return outcome._replace(first_s=first_s)
+            return outcome._replace(first_s=first_s, is_unframed=head.is_unframed)
         pieces = await connection.read_pieces(ANSWER_LIMIT_BYTES)
         why = f"status {head.status}"
+        delivered = AttemptOutcome(
+            AttemptEnd.DELIVERED, why, first_s=first_s, is_unframed=head.is_unframed
+        )
+        path.release(connection, head.headers)
         if delivery.account is not None and head.status < 500:
-            path.release(connection, head.headers)
             delivery.send_pieces(head, pieces)
-            return AttemptOutcome(AttemptEnd.DELIVERED, why, first_s=first_s)
-        path.release(connection, head.headers)
+            return delivered
         answer = Answer(head.status, head.headers, b"".join(pieces))
         if head.status >= 500:
             return AttemptOutcome(
-                AttemptEnd.TARGET_ERROR, why, answer, asks_for_pause=signals.rest_s > 0
+                AttemptEnd.TARGET_ERROR,
+                why,
+                answer,
+                asks_for_pause=signals.rest_s > 0,
+                is_unframed=head.is_unframed,
             )
         delivery.send_whole(answer)
-        return AttemptOutcome(AttemptEnd.DELIVERED, why, first_s=first_s)
+        return delivered
 
     async def _read_head_in_time(
         self,
@@ -406,9 +415,11 @@
             delivery.write_stream(data)
             await delivery.drained()
         path.release(connection, head.headers)
+        open_bytes = delivery.open_bytes
         if not delivery.end_stream():
-            return AttemptOutcome(AttemptEnd.BROKEN, "the stream ended inside an event")
-        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete")
+            why = "the stream ended inside an event"
+            return AttemptOutcome(AttemptEnd.BROKEN, why, open_bytes=open_bytes)
+        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete", open_bytes=open_bytes)
 
     async def _read_data_in_time(
         self, connection: ClientConnection, gap_s: float | None
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -55,7 +55,8 @@
     `load_age_s` is its age. `start_ms` is the expected time to start, `work_time` the known
     speed of the target relative to the usual time and `speed_age_s` the age of its figure;
     they are `None` where targets do not report their speed. `via` is the host of the router that
-    sent the request on, if it was another one.
+    sent the request on, if it was another one. `is_unframed` and `open_bytes` tell how the
+    answer ended, see `AttemptOutcome`.
     """
 
     target: str
@@ -73,6 +74,8 @@
     work_time: float | None = None
     speed_age_s: float | None = None
     via: str = ""
+    is_unframed: bool = False
+    open_bytes: int = 0
 
 
 class EntryNote(NamedTuple):
--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -5,7 +5,7 @@
 other stream is forwarded as it arrives.
 """
 
-from damaskwind.router.forwarding.events import EventSplitter, event_id
+from damaskwind.router.forwarding.events import EventBoundary, EventSplitter, event_id
 from damaskwind.runtime.http1.client import AnswerHead
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.held_memory import RequestAccount
@@ -24,6 +24,7 @@
         self._exchange = exchange
         self._is_resumable = is_resumable
         self._splitter = EventSplitter()
+        self._boundary = EventBoundary()
         self.last_event: int | None = None
         self.events = 0
         self.bytes = 0
@@ -38,6 +39,13 @@
         """Tell whether the head of an answer was sent to the caller."""
         return self._exchange.has_begun
 
+    @property
+    def open_bytes(self) -> int:
+        """Return how much of an event has arrived whose end has not; 0 between two events."""
+        if self._is_resumable:
+            return len(self._splitter.partial)
+        return self._boundary.open_bytes
+
     def resume_after(self, asked: int | None) -> int | None:
         """Return the id of the event to resume after; `asked` is what the caller requested."""
         return asked if self.last_event is None else self.last_event
@@ -65,6 +73,7 @@
         """Send the head of the first attempt's stream; those of later attempts are dropped."""
         self._hold_partial(-len(self._splitter.partial))
         self._splitter = EventSplitter()
+        self._boundary = EventBoundary()
         if not self.has_begun:
             self._exchange.begin(head.status, without(head.headers, frozenset()))
 
@@ -72,6 +81,7 @@
         """Forward a chunk of a stream."""
         if not self._is_resumable:
             self.bytes += len(data)
+            self._boundary.feed(data)
             self._exchange.write(data)
             return
         before_bytes = len(self._splitter.partial)
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -101,6 +101,8 @@
             self._admissions.record_ended(call, target.target_id)
             call.notes.append(_note(call, placement, basis, speed, outcome, begun_s, ended_s))
         self._tallies.count("attempts", end=outcome.end.value)
+        if outcome.is_unframed:
+            self._tallies.count("unframed_answers", end=outcome.end.value)
         if outcome.end in (AttemptEnd.WITHHELD, AttemptEnd.NOT_RUN):
             call.possible_runs -= 1
         if outcome.end is AttemptEnd.WITHHELD:
@@ -221,6 +223,8 @@
         speed.work_time,
         speed.age_s,
         outcome.via,
+        outcome.is_unframed,
+        outcome.open_bytes,
     )
 
 
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -30,6 +30,9 @@
 
 # No target sends an answer whose head is larger than this.
 ANSWER_HEAD_BYTES = 65_536
+# RFC 9110, sections 15.3.5 and 15.4.5: such answers have no body.
+BODILESS_STATUSES = (204, 304)
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Where answers are accounted for, at most this much is read before the account is asked.
 READ_BYTES = 65_536
 
@@ -59,13 +62,31 @@
 
 
 class AnswerHead:
-    """The status and headers of an answer, which precede its body."""
+    """The status and headers of an answer, which precede its body.
 
-    __slots__ = ("headers", "status")
+    An answer that `is_unframed` has neither a length nor chunks: the end of its connection is
+    the only sign that it is complete (RFC 9112, section 6.3).
+    """
 
-    def __init__(self, status: int, headers: Headers) -> None:
+    __slots__ = ("headers", "is_unframed", "status")
+
+    def __init__(self, status: int, headers: Headers, is_unframed: bool = False) -> None:
         self.status = status
         self.headers = headers
+        self.is_unframed = is_unframed
+
+
+def _is_unframed(method: bytes, head: h11.Response) -> bool:
+    """Return whether the body of an answer ends with its connection.
+
+    >>> _is_unframed(b"GET", h11.Response(status_code=200, headers=[]))
+    True
+    >>> _is_unframed(b"GET", h11.Response(status_code=304, headers=[]))
+    False
+    """
+    if method == b"HEAD" or head.status_code in BODILESS_STATUSES:
+        return False
+    return not any(name in FRAMING_HEADERS for name, _ in head.headers)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -201,7 +222,8 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return AnswerHead(event.status_code, list(event.headers))
+                is_unframed = _is_unframed(self._sent_request.method, event)
+                return AnswerHead(event.status_code, list(event.headers), is_unframed)
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerBrokenError("the connection ended before an answer")
 
