--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -25,6 +25,7 @@
     "raw",
     "silent",
     "stream",
+    "unframed",
 ]
 
 
@@ -236,3 +237,14 @@
         raise ConnectionError("scripted end")
 
     return step
+
+
+def unframed(body: bytes, fields: tuple[bytes, ...] = ()) -> Step:
+    """Answer with a body that has neither a length nor chunks, and close the connection."""
+
+    async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
+        writer.write(_head(200, request, (b"connection: close", *fields)) + body)
+        await writer.drain()
+        raise ConnectionError("scripted end")
+
+    return step
