A stream that ends inside an event is broken off on every route

Cause: HTTP/1.1 takes the orderly end of a connection for the end of a body that has neither a length nor chunks. The router believed it, and put a last chunk in its place, which proves more. Only streams that may be resumed were split into events, so only there an open event was noticed.

Why it works: each stream of events is followed to its last event's end, on any route and under any framing. One that ends inside an event is not finished: it goes on elsewhere where it may, and is reset otherwise. Other content types are passed on as before.

--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -2,19 +2,21 @@
 
 A resumable stream is forwarded in complete events only, so that another target can continue
 the same answer after the last of them; events that were already forwarded are skipped. Any
-other stream is forwarded as it arrives.
+other stream is forwarded as it arrives. No stream of events that ends inside one is complete,
+however its target framed it.
 """
 
 from damaskwind.router.forwarding.events import EventBoundary, EventSplitter, event_id
 from damaskwind.runtime.http1.client import AnswerHead
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.held_memory import RequestAccount
-from damaskwind.runtime.http1.messages import Answer, without
+from damaskwind.runtime.http1.messages import Answer, header, without
 
 __all__ = ["Delivery"]
 
 # An answer up to this size is sent in one write.
 WHOLE_BYTES = 16_384
+EVENT_STREAM = b"text/event-stream"
 
 
 class Delivery:
@@ -25,6 +27,7 @@
         self._is_resumable = is_resumable
         self._splitter = EventSplitter()
         self._boundary = EventBoundary()
+        self._has_events = True
         self.last_event: int | None = None
         self.events = 0
         self.bytes = 0
@@ -44,7 +47,7 @@
         """Return how much of an event has arrived whose end has not; 0 between two events."""
         if self._is_resumable:
             return len(self._splitter.partial)
-        return self._boundary.open_bytes
+        return self._boundary.open_bytes if self._has_events else 0
 
     def resume_after(self, asked: int | None) -> int | None:
         """Return the id of the event to resume after; `asked` is what the caller requested."""
@@ -74,6 +77,8 @@
         self._hold_partial(-len(self._splitter.partial))
         self._splitter = EventSplitter()
         self._boundary = EventBoundary()
+        content_type = header(head.headers, b"content-type") or EVENT_STREAM
+        self._has_events = content_type.lower().startswith(EVENT_STREAM)
         if not self.has_begun:
             self._exchange.begin(head.status, without(head.headers, frozenset()))
 
@@ -108,7 +113,7 @@
 
     def end_stream(self) -> bool:
         """Finish the answer; return `False` instead if the stream ended inside an event."""
-        if self._is_resumable and self._splitter.partial:
+        if self.open_bytes:
             return False
         self._exchange.finish()
         return True
