--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -4,6 +4,7 @@
 
 from damaskwind.control.fleet.document_cache import DocumentCache
 from damaskwind.control.fleet.news_feed import NewsFeed
+from damaskwind.control.fleet.origins_site import OriginsSite
 from damaskwind.decisions.following.document_holders import RELAY_LINK_SHARE, DocumentHolders
 from damaskwind.decisions.load.held_sums import HeldSum
 from damaskwind.decisions.load.token_sums import TokenSums
@@ -25,6 +26,7 @@
     encode,
     pack_answer,
 )
+from damaskwind.wire.stream_origins import ORIGINS_PATH
 
 __all__ = ["NewsSite"]
 
@@ -54,7 +56,7 @@
 
 
 class NewsSite:
-    """HTTP handler of a replica's internal address: updates, documents and suspicions."""
+    """HTTP handler of a replica's internal address: updates, documents, suspicions, streams."""
 
     def __init__(
         self,
@@ -81,6 +83,7 @@
             NEWS_PATH: self._news,
             DOCUMENT_PATH: self._document,
             SUSPICIONS_PATH: self._suspicions,
+            ORIGINS_PATH: OriginsSite(tallies).handle,
         }
 
     async def handle(self, exchange: Exchange) -> None:
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version of a service began each stream; without I/O."""
--- /dev/null
+++ b/packages/decisions/src/damaskwind/decisions/streams/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is remembered of the versions that began streams."""
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -0,0 +1,259 @@
+"""Write down at one replica which versions began streams, and ask it.
+
+One call is in flight at a time; what arrives meanwhile goes with the next, over the same
+connection. A call costs a replica far more than an entry, so that entries that nobody waits for
+go with a later one.
+"""
+
+import asyncio
+from contextlib import suppress
+from itertools import islice
+
+from loguru import logger
+
+from damaskwind.decisions.streams.origin_table import OriginEntry
+from damaskwind.model.exception import MessageError
+from damaskwind.model.targets import Address
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.client import (
+    AnswerBrokenError,
+    ClientConnection,
+    ConnectFailedError,
+    connect,
+    fetch,
+)
+from damaskwind.runtime.http1.messages import Answer, Request
+from damaskwind.runtime.tallies import Tallies
+from damaskwind.wire.stream_origins import (
+    ORIGINS_PATH,
+    OriginAnswer,
+    OriginCall,
+    decode_answer,
+    encode_message,
+)
+
+__all__ = ["BegunStream", "OriginLink"]
+
+CONNECT_TIMEOUT_S = 0.25
+ANSWER_TIMEOUT_S = 0.3
+ANSWER_LIMIT_BYTES = 65_536
+# A call with this many entries is 10 KB, and takes a replica some ms.
+MAX_BATCH = 256
+# Entries that nobody waits for are sent this much later. A router and the replica that confirmed
+# an entry are rarely lost within a quarter of a second of each other.
+LAZY_S = 0.25
+# The process of such a replica has ended; one that is cut off does not answer at all.
+_REFUSED = "ConnectionRefusedError"
+_ERRORS = (ConnectFailedError, AnswerBrokenError, TimeoutError, MessageError)
+
+
+class _UnsupportedError(Exception):
+    """The replica is of an earlier version and holds no streams."""
+
+
+class BegunStream:
+    """A stream that this router began or took up, as it is written down.
+
+    `confirmed` is set once a replica holds it.
+    """
+
+    __slots__ = ("confirmed", "expires_s", "keys", "sequence", "service", "version", "writer")
+
+    def __init__(
+        self,
+        service: str,
+        keys: tuple[bytes, ...],
+        version: str,
+        writer: int,
+        sequence: int,
+        expires_s: float,
+    ) -> None:
+        self.service = service
+        self.keys = keys
+        self.version = version
+        self.writer = writer
+        self.sequence = sequence
+        self.expires_s = expires_s
+        self.confirmed = asyncio.Event()
+
+    def entry(self, now_s: float) -> OriginEntry:
+        """Return what is written down now."""
+        lasts_ms = max(int((self.expires_s - now_s) * 1000), 0)
+        return OriginEntry(self.keys, self.version, self.writer, self.sequence, lasts_ms)
+
+
+class OriginLink:
+    """The calls to one replica. It `is_failing` from a failed call to the next sign of life.
+
+    It `is_down` if its last call was refused by a machine on which nothing listens.
+    """
+
+    def __init__(self, address: Address, tallies: Tallies) -> None:
+        self.is_failing = False
+        self.is_down = False
+        self.is_supported = True
+        self._address = address
+        self._tallies = tallies
+        # Not yet written down, by writer.
+        self._streams: dict[int, BegunStream] = {}
+        self._questions: list[tuple[bytes, asyncio.Future]] = []
+        self._is_urgent = asyncio.Event()
+        self._connection: ClientConnection | None = None
+        self._calling: asyncio.Task | None = None
+
+    async def stop(self) -> None:
+        """End the call in flight and close the connection."""
+        if self._calling is not None:
+            self._calling.cancel()
+            await asyncio.gather(self._calling, return_exceptions=True)
+        self._answer_all(None)
+        self._drop_connection()
+
+    def write(self, stream: BegunStream, is_urgent: bool) -> None:
+        """Write a stream down, at once if somebody waits for it."""
+        if self.is_supported:
+            # A later write of the same request replaces an earlier one, also its place in line.
+            self._streams.pop(stream.writer, None)
+            self._streams[stream.writer] = stream
+            self._start(is_urgent)
+
+    def hurry(self) -> None:
+        """Send at once what is pending."""
+        if self._streams:
+            self._start(True)
+
+    def drop(self, writer: int) -> None:
+        """Drop a pending write that is of no use any more."""
+        self._streams.pop(writer, None)
+
+    async def ask(self, key: bytes) -> tuple[str, ...] | None:
+        """Return the versions that the replica knows for a key, `None` if it doesn't answer."""
+        if not self.is_supported:
+            return None
+        answer = asyncio.get_running_loop().create_future()
+        self._questions.append((key, answer))
+        self._start(True)
+        return await answer
+
+    def note_alive(self, is_restarted: bool) -> None:
+        """Send what is pending, since the replica was heard."""
+        self.is_failing = self.is_down = False
+        self.is_supported = self.is_supported or is_restarted
+        self.hurry()
+
+    def _start(self, is_urgent: bool) -> None:
+        """Make calls unless some are made; a failing replica gets only what is waited for."""
+        if is_urgent:
+            self._is_urgent.set()
+        elif self.is_failing:
+            return
+        if self._calling is None:
+            self._calling = asyncio.ensure_future(self._run())
+
+    async def _run(self) -> None:
+        try:
+            await self._make_calls()
+        finally:
+            self._calling = None
+
+    async def _make_calls(self) -> None:
+        """Make calls while something is pending, until one fails."""
+        while self._streams or self._questions:
+            if not self._is_urgent.is_set():
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(self._is_urgent.wait(), LAZY_S)
+            self._is_urgent.clear()
+            if not await self._send_batch():
+                return
+
+    async def _send_batch(self) -> bool:
+        """Make one call; return whether it succeeded."""
+        now_s = read_clock()
+        batch = list(islice(self._streams.values(), MAX_BATCH))
+        for stream in batch:
+            del self._streams[stream.writer]
+        if self._streams:
+            self._is_urgent.set()
+        questions = self._questions[:MAX_BATCH]
+        del self._questions[:MAX_BATCH]
+        valid = [stream for stream in batch if stream.expires_s > now_s]
+        entries = tuple(stream.entry(now_s) for stream in valid)
+        call = OriginCall(entries, tuple(key for key, _ in questions))
+        try:
+            answer = await self._call(call)
+        except _UnsupportedError:
+            self.is_supported = False
+            self._streams.clear()
+            logger.info("replica holds no streams", host=self._address.host)
+        except _ERRORS as error:
+            for stream in valid:
+                self._streams.setdefault(stream.writer, stream)
+            self._fail(error)
+        else:
+            self.is_failing = self.is_down = False
+            for stream in valid:
+                stream.confirmed.set()
+            for (_, future), versions in zip(questions, answer.versions, strict=True):
+                _settle(future, versions)
+            return True
+        for _, future in questions:
+            _settle(future, None)
+        self._answer_all(None)
+        return False
+
+    def _fail(self, error: Exception) -> None:
+        """Keep what is pending until the replica is heard again."""
+        if not self.is_failing:
+            logger.info(
+                "stream origins not sent",
+                host=self._address.host,
+                pending=len(self._streams),
+                why=repr(error),
+            )
+        self.is_failing = True
+        self.is_down = isinstance(error, ConnectFailedError) and str(error) == _REFUSED
+        self._drop_connection()
+
+    def _answer_all(self, versions: tuple[str, ...] | None) -> None:
+        for _, future in self._questions:
+            _settle(future, versions)
+        self._questions.clear()
+
+    async def _call(self, call: OriginCall) -> OriginAnswer:
+        body = encode_message(call)
+        request = Request(b"POST", ORIGINS_PATH, [(b"host", b"control")], body)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
+            answer = await self._fetch(request)
+        if answer.status == 404:
+            raise _UnsupportedError
+        if answer.status != 200:
+            raise AnswerBrokenError(f"status {answer.status}")
+        self._tallies.count("stream_origin_calls")
+        self._tallies.count("sent_bytes", len(body), kind="stream-origins")
+        found = decode_answer(answer.body)
+        if len(found.versions) != len(call.keys):
+            raise AnswerBrokenError("not as many answers as questions")
+        return found
+
+    async def _fetch(self, request: Request) -> Answer:
+        """Make a call, on a new connection if the replica has closed the last one since."""
+        if self._connection is not None and self._connection.is_open:
+            try:
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    return await fetch(self._connection, request, ANSWER_LIMIT_BYTES)
+            except AnswerBrokenError:
+                pass
+        self._drop_connection()
+        self._connection = await connect(self._address, CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return await fetch(self._connection, request, ANSWER_LIMIT_BYTES)
+
+    def _drop_connection(self) -> None:
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+
+def _settle(future: asyncio.Future, versions: tuple[str, ...] | None) -> None:
+    if not future.done():
+        future.set_result(versions)
