Targets' software versions are read from their reports and kept in their records

Nothing decides by them yet. Records are sent with the version only to processes that state that they know it, since decoders refuse longer arrays; those of an earlier version get the former fields, and a record without the version doesn't erase a known one. The header Resumes is read.

The test of replicas of an earlier version counted the request's fields as 16; the number now follows the message, and the fallback to 15 is checked as before.

--- a/packages/control/src/damaskwind/control/fleet/calls.py
+++ b/packages/control/src/damaskwind/control/fleet/calls.py
@@ -224,6 +224,7 @@
                 sequence=record.sequence,
                 born_ms=record.born_ms,
                 address=str(record.address),
+                software=record.version,
             )
         # A report of leaving with an earlier start time than the stored one counts as a late report
         # of an older incarnation. If the target's clock was stepped back, it is the current one,
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -113,7 +113,7 @@
             token_sums = self._token_sums() if request.held_tokens is not None else None
         has_headroom = not is_behind or self._news_pacer.backlog_s(read_clock()) < MAX_BACKLOG_S
         news = self._feed.build_news(request, load_sum, has_headroom, token_sums)
-        answer = pack_answer(encode(news))
+        answer = pack_answer(encode(news, with_versions=request.knows_versions))
         size_bytes = len(answer.body)
         self._last_news_bytes = size_bytes + OVERHEAD_BYTES
         if is_behind:
--- a/packages/control/src/damaskwind/control/fleet/tests/test_saved_state.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_saved_state.py
@@ -13,6 +13,8 @@
 from damaskwind.runtime.bridge import asyncio_test
 
 RECORD = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.LEAVING, 3, 8, 0.5)
+# The fields of a record before software versions were introduced.
+RECORD_FIELDS = 12
 STATE = SavedState(7, b"packed", (RECORD,))
 
 
@@ -50,6 +52,19 @@
         await self.write(STATE)
         self.assertEqual(self.read(), STATE)
 
+    @asyncio_test
+    async def test_state_of_an_earlier_version_is_read(self):
+        """Guards against a replica that forgets its targets when it is upgraded."""
+        earlier = STATE._replace(records=(tuple(RECORD)[:RECORD_FIELDS],))
+        await self.write(earlier)
+        self.assertEqual(self.read(), STATE)
+
+    @asyncio_test
+    async def test_versions_of_targets_are_kept(self):
+        state = STATE._replace(records=(RECORD._replace(version="v1.1"),))
+        await self.write(state)
+        self.assertEqual(self.read(), state)
+
     @asyncio_test
     async def test_damage_at_any_byte_is_detected(self):
         await self.write(STATE)
--- a/packages/decisions/src/damaskwind/decisions/membership/target_entry.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_entry.py
@@ -17,10 +17,12 @@
 def record_hash(record: TargetRecord) -> int:
     """Return a hash of a record's contents.
 
-    Sequence and cold time are left out, since every heartbeat changes them.
+    Sequence and cold time are left out, since every heartbeat changes them. A record without a
+    software version has the hash that processes of earlier versions compute.
     """
-    content = record._replace(sequence=0, cold_s=0.0)
-    return xxhash.xxh3_64_intdigest(repr(tuple(content)).encode())
+    content = tuple(record._replace(sequence=0, cold_s=0.0))
+    hashed = content if record.version else content[:-1]
+    return xxhash.xxh3_64_intdigest(repr(hashed).encode())
 
 
 class TargetEntry:
--- a/packages/decisions/src/damaskwind/decisions/membership/target_record.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_record.py
@@ -24,7 +24,8 @@
     reports none. The target stays cold for `cold_s` after the record is received, in a cold
     period first reported with sequence `cold_sequence`; 0 is the period after its start.
     `clock_steps` counts how often an earlier start time was accepted as a later incarnation;
-    the last one replaced the incarnation started at `superseded_born_ms`.
+    the last one replaced the incarnation started at `superseded_born_ms`. `version` is that of
+    the software that the incarnation runs, empty if it reports none.
     """
 
     target_id: str
@@ -39,6 +40,7 @@
     clock_steps: int = 0
     superseded_born_ms: int = 0
     cold_sequence: int = 0
+    version: str = ""
 
     @property
     def incarnation(self) -> tuple[int, int]:
--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -14,6 +14,9 @@
 clock may be stepped back between two incarnations: an earlier start time counts as later
 once the known incarnation has been silent for a long time, and the record then counts
 how often this happened.
+
+Processes of earlier versions pass records on without the software version. Within an
+incarnation, such a record leaves a known version as it is, and a late record still adds it.
 """
 
 from collections.abc import Iterable
@@ -109,6 +112,18 @@
             return False
         if record.incarnation > entry.record.incarnation:
             return self._end_unknown_incarnation(entry, record, received_s)
+        if not record.version:
+            record = record._replace(version=entry.record.version)
+        elif not entry.record.version and record.service and entry.record.service:
+            self._put(entry, entry.record._replace(version=record.version), entry.last_seen_s)
+            self._merge_known_incarnation(entry, record, received_s)
+            return True
+        return self._merge_known_incarnation(entry, record, received_s)
+
+    def _merge_known_incarnation(
+        self, entry: TargetEntry, record: TargetRecord, received_s: float
+    ) -> bool:
+        """Merge a record of the known incarnation; tell whether it changed anything."""
         if record.phase < entry.record.phase:
             return False
         if record.phase == entry.record.phase:
@@ -209,6 +224,7 @@
             clock_steps=known.clock_steps,
             superseded_born_ms=known.superseded_born_ms,
             cold_sequence=known.cold_sequence,
+            version=record.version or known.version,
         )
 
     def incarnation_of(self, target_id: str) -> tuple[int, int] | None:
@@ -465,7 +481,10 @@
         if entry.record.phase is TargetPhase.SERVING:
             entry.gone_at_s = received_s
         ended = entry.record._replace(
-            phase=record.phase, born_ms=record.born_ms, clock_steps=record.clock_steps
+            phase=record.phase,
+            born_ms=record.born_ms,
+            clock_steps=record.clock_steps,
+            version=record.version,
         )
         self._put(entry, ended, received_s)
         return True
--- a/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/tests/test_target_table.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 
+import xxhash
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -36,6 +37,15 @@
 )
 
 
+def with_versions(records, known):
+    """Give the records software versions where `known` is set, one for each incarnation."""
+    pairs = zip(records, known, strict=False)
+    return [item._replace(version=f"v{item.born_ms}" if has else "") for item, has in pairs]
+
+
+VERSIONED = st.builds(with_versions, RECORDS, st.lists(st.booleans(), min_size=12, max_size=12))
+
+
 class TargetTableTest(unittest.TestCase):
     def test_late_report_does_not_revive_a_gone_target(self):
         table = TargetTable()
@@ -172,7 +182,67 @@
             {item.target_id for item in shuffled.serving()},
         )
 
-    @given(RECORDS)
+    @given(VERSIONED, st.integers(0, 1 << 30))
+    def test_version_survives_records_without_it_in_any_order(self, records, seed):
+        """Guards against a version that is lost to a record from a process of earlier version."""
+        forward, shuffled = TargetTable(), TargetTable()
+        mixed = records * 2
+        Random(seed).shuffle(mixed)
+        for item in records:
+            forward.merge(item, 0.0)
+        for item in mixed:
+            shuffled.merge(item, 0.0)
+        for target_id in table_ids(records):
+            found = [table.record_of(target_id) for table in (forward, shuffled)]
+            self.assertEqual(found[0].version, found[1].version)
+            of_incarnation = {
+                item.version
+                for item in records
+                if (item.target_id, item.incarnation) == (target_id, found[0].incarnation)
+            }
+            self.assertEqual(found[0].version, max(of_incarnation))
+
+    def test_later_incarnation_has_the_version_that_it_reports(self):
+        """Guards against the version of a former incarnation that stands for the present one."""
+        table = TargetTable()
+        table.merge(record(born_ms=1)._replace(version="v1"), 0.0)
+        table.merge(record(born_ms=2), 1.0)
+        self.assertEqual(table.record_of("t").version, "")
+        table.merge(record(born_ms=2, sequence=2)._replace(version="v2"), 2.0)
+        self.assertEqual(table.record_of("t").version, "v2")
+
+    def test_tombstone_keeps_the_version(self):
+        table = TargetTable()
+        table.merge(record()._replace(version="v1"), 0.0)
+        table.leave("t", 1.0)
+        self.assertEqual(table.record_of("t").version, "v1")
+
+    def test_end_of_an_unknown_incarnation_has_no_version(self):
+        table = TargetTable()
+        table.merge(record(born_ms=1)._replace(version="v1"), 0.0)
+        end = record(phase=TargetPhase.GONE, born_ms=2)._replace(service="")
+        self.assertTrue(table.merge(end, 1.0))
+        self.assertEqual(table.record_of("t").version, "")
+
+    def test_target_restarted_without_a_start_time_has_the_version_reported_last(self):
+        table = TargetTable()
+        table.report(record(sequence=1)._replace(version="v1"), 0.0)
+        self.assertFalse(table.is_heartbeat(record(sequence=2)._replace(version="v2")))
+        self.assertTrue(table.report(record(sequence=2)._replace(version="v2"), 1.0))
+        self.assertEqual(table.record_of("t").version, "v2")
+
+    def test_digest_tells_versions_apart_and_is_unchanged_without_them(self):
+        """Guards against tables that differ in a version alone and are taken for equal."""
+        digests = []
+        for version in ("", "v1", "v2"):
+            table = TargetTable()
+            table.merge(record()._replace(version=version), 0.0)
+            digests.append(table.digest)
+        self.assertEqual(len(set(digests)), 3)
+        earlier = tuple(record()._replace(sequence=0))[:-1]
+        self.assertEqual(digests[0], xxhash.xxh3_64_intdigest(repr(earlier).encode()))
+
+    @given(VERSIONED)
     def test_digest_depends_on_the_contents_and_not_on_the_history(self, records):
         table, fresh = TargetTable(), TargetTable()
         for item in records:
@@ -191,7 +261,7 @@
         )
         self.assertEqual(table.digest, 0)
 
-    @given(RECORDS)
+    @given(VERSIONED)
     def test_limited_changes_and_phase_changes_converge(self, records):
         source, replica, known_revision = TargetTable(), TargetTable(), 0
 
@@ -208,7 +278,7 @@
             known_revision = send_changes()
         self.assertEqual(replica.digest, source.digest)
 
-    @given(RECORDS)
+    @given(VERSIONED)
     def test_changes_converge(self, records):
         source, replica = TargetTable(), TargetTable()
         known_revision = 0
--- a/packages/model/src/damaskwind/model/header_names.py
+++ b/packages/model/src/damaskwind/model/header_names.py
@@ -14,7 +14,8 @@
 
     `request_id` is the id that the caller gives to one of its attempts. `deadline_ms` is
     how long the caller will still wait. `prompt_parts` are the parts of a prompt in order,
-    each with its number of tokens. `resume_after` is the last event that the caller has.
+    each with its number of tokens. `resume_after` is the last event that the caller has, `resumes`
+    the `request_id` of the attempt that brought the first one.
     `expect_target` makes any other target refuse the request. In an answer, `not_run`
     states that the target did not run the request, `target_load` gives the running and
     waiting requests and the slots, and `leaving` states that the target accepts no new
@@ -44,3 +45,4 @@
     instance_id: bytes = b"x-instance-id"
     token_usage: bytes = b"x-token-usage"
     length_hint: bytes = b"x-length-hint"
+    resumes: bytes = b"x-resumes"
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -26,6 +26,8 @@
 
 # Without a deadline from the caller, only the route's timeout bounds a request.
 NO_DEADLINE_S = 3600.0
+# Ids that routers keep for each stream are at most this long; callers send 16 bytes.
+MAX_ID_BYTES = 128
 
 _NUMBERS = count(1)
 
@@ -34,7 +36,8 @@
     """What a request's headers state.
 
     `wait_s` is the time that the caller still waits, `resume_after` the id of the last event
-    that it has, `shared_tokens` the tokens of the prompt parts shared with other requests.
+    that it has, `resumes` the id of the attempt that brought the first one, `shared_tokens` the
+    tokens of the prompt parts shared with other requests.
     `token_headers` are parsed only where the memory of engines is considered.
     """
 
@@ -45,6 +48,7 @@
     resume_after: int | None
     shared_tokens: int = 0
     token_headers: TokenHeaders = NO_TOKEN_HEADERS
+    resumes: bytes | None = None
 
 
 class AttemptNote(NamedTuple):
@@ -198,9 +202,15 @@
             header(headers, names.prompt_parts),
             header(headers, names.length_hint),
         ),
+        _bounded_id(header(headers, names.resumes)),
     )
 
 
+def _bounded_id(value: bytes | None) -> bytes | None:
+    """Return the id of an attempt, `None` if it is empty or too long to be one."""
+    return value if value and len(value) <= MAX_ID_BYTES else None
+
+
 def _shared_tokens(parts: bytes) -> int:
     """Return the tokens of all prompt parts but the last; malformed numbers count as 0.
 
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -366,9 +366,13 @@
         return tuple(link.seen for link in self._links.values())
 
     def _merge_table(self, host: str, copy: TableCopy) -> None:
-        """Merge the target table fetched from another router."""
+        """Merge the target table fetched from another router.
+
+        A router of an earlier version omits software versions, which the replicas still have to
+        send.
+        """
         self._merge_records(host, copy.records, read_clock())
-        for seen in copy.seen:
+        for seen in copy.seen if copy.has_versions else ():
             for link in self._links.values():
                 link.merge_seen(seen)
         logger.info("targets fetched", host=host, targets=len(copy.records))
@@ -390,6 +394,7 @@
                     address=str(record.address),
                     sequence=record.sequence,
                     born_ms=record.born_ms,
+                    software=record.version,
                     told_by=host,
                 )
                 if record.phase is TargetPhase.GONE:
--- a/packages/router/src/damaskwind/router/forwarding/table_exchange.py
+++ b/packages/router/src/damaskwind/router/forwarding/table_exchange.py
@@ -22,9 +22,10 @@
     fetch,
 )
 from damaskwind.runtime.http1.exchange import Exchange
-from damaskwind.runtime.http1.messages import Answer, Request
+from damaskwind.runtime.http1.messages import Answer, Request, header
 from damaskwind.wire.news import (
     TABLE_PATH,
+    VERSIONS_WANTED,
     SeenRevision,
     TableCopy,
     decode_table,
@@ -67,7 +68,8 @@
         self._merge = merge
         self._port = port
         self._pacer = BulkPacer(link_bytes_per_s * TABLE_LINK_SHARE, read_clock())
-        self._copy = Answer(503, [])
+        # By whether the receiver knows software versions.
+        self._copies = {True: Answer(503, []), False: Answer(503, [])}
         self._copied_s = float("-inf")
         self._fetching: asyncio.Task | None = None
 
@@ -76,10 +78,13 @@
         if self._pacer.backlog_s(read_clock()) > MAX_QUEUE_S:
             exchange.respond(Answer(503, []))
             return
-        await asyncio.sleep(self._pacer.reserve(len(self._copy.body), read_clock()))
-        exchange.respond(self._newest_copy())
+        name, value = VERSIONS_WANTED
+        with_versions = header(exchange.request.headers, name) == value
+        size_bytes = len(self._copies[with_versions].body)
+        await asyncio.sleep(self._pacer.reserve(size_bytes, read_clock()))
+        exchange.respond(self._newest_copy(with_versions))
 
-    def _newest_copy(self) -> Answer:
+    def _newest_copy(self, with_versions: bool) -> Answer:
         now_s = read_clock()
         if now_s - self._copied_s > COPY_S:
             # The seen revisions are read before the records, so that the records include them.
@@ -87,9 +92,12 @@
             records = self._table.with_remaining_cold_time(
                 self._table.changed_since(0).records, now_s
             )
-            self._copy = pack_answer(encode(TableCopy(records, seen)))
+            self._copies = {
+                known: pack_answer(encode(TableCopy(records, seen, known), known))
+                for known in (True, False)
+            }
             self._copied_s = now_s
-        return self._copy
+        return self._copies[with_versions]
 
     def fetch(self, hosts: tuple[str, ...]) -> None:
         """Start to fetch from the first host that answers, unless a fetch is in progress."""
@@ -113,7 +121,7 @@
     async def _ask(self, host: str) -> TableCopy:
         connection = await connect(Address(host, self._port), CONNECT_TIMEOUT_S)
         try:
-            request = Request(b"POST", TABLE_PATH, [(b"host", b"router")], b"")
+            request = Request(b"POST", TABLE_PATH, [(b"host", b"router"), VERSIONS_WANTED], b"")
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 answer = await fetch(connection, request, ANSWER_LIMIT_BYTES)
             if answer.status != 200:
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -37,6 +37,7 @@
     "SeenRevision",
     "SubscriberKind",
     "TABLE_PATH",
+    "VERSIONS_WANTED",
     "TableCopy",
     "decode_document",
     "decode_document_request",
@@ -55,6 +56,8 @@
 DOCUMENT_PATH = b"/document"
 TABLE_PATH = b"/targets"
 SUSPICIONS_PATH = b"/suspicions"
+# A router that asks another one for its table states in this header that it knows versions.
+VERSIONS_WANTED = (b"x-software-versions", b"1")
 # Documents are at most 4 MiB, so a body that decompresses to more than this is invalid.
 DOCUMENT_LIMIT_BYTES = 16 * 1024 * 1024
 # A table of sixty targets takes 5.8 KB, and a third of that when compressed.
@@ -99,7 +102,8 @@
     `shedding` is what it observed of each service by priority and client account; it is empty
     from a router that does not take part in fleet-wide load shedding. `peer` is the endpoint at
     which a router sends requests on for others, and `peers_digest` identifies the routers that
-    were last named to it. It `is_cut_off` if it reaches no target of some service itself.
+    were last named to it. It `is_cut_off` if it reaches no target of some service itself. A
+    subscriber that `knows_versions` can decode records with the targets' software versions.
     """
 
     node_id: str
@@ -122,6 +126,7 @@
     peer: PeerEndpoint = NO_PEER
     peers_digest: int = 0
     is_cut_off: bool = False
+    knows_versions: bool = False
 
 
 class OthersLastSeen(NamedTuple):
@@ -185,10 +190,14 @@
 
 
 class TableCopy(NamedTuple):
-    """All targets that a router knows, with the revision it has of each replica."""
+    """All targets that a router knows, with the revision it has of each replica.
+
+    A copy that `has_versions` states the targets' software versions.
+    """
 
     records: tuple[TargetRecord, ...]
     seen: tuple[SeenRevision, ...]
+    has_versions: bool = False
 
 
 class DocumentRequest(NamedTuple):
@@ -218,15 +227,25 @@
 
 def encode(
     message: NewsRequest | News | DocumentRequest | Document | TableCopy | tuple[Suspicion, ...],
+    with_versions: bool = False,
 ) -> bytes:
     """Encode a message, without its newest fields where these have their defaults.
 
     Decoders refuse arrays longer than the message they know, so that a process of an earlier
-    version understands only a message without fields that it doesn't know.
+    version understands only a message without fields that it doesn't know. Software versions of
+    targets are included only `with_versions`, for a receiver that knows of them.
     """
+    if isinstance(message, NewsRequest | News | TableCopy):
+        records = tuple(_known_fields(record, with_versions) for record in message.records)
+        message = message._replace(records=records)
     return msgspec.msgpack.encode(_without_unused(message))
 
 
+def _known_fields(record: TargetRecord, with_versions: bool) -> tuple:
+    """Return the fields of a record that its receiver can decode."""
+    return record if with_versions and record.version else record[:_RECORD_FIELDS]
+
+
 def _without_unused(message: tuple) -> tuple:
     """Return the fields of a message up to the last one that needs to be sent."""
     known = _FIELDS_OF_ALL_VERSIONS.get(type(message))
@@ -240,7 +259,9 @@
 
 
 # The number of leading fields that are always sent.
-_FIELDS_OF_ALL_VERSIONS = {NewsRequest: 15, News: 17}
+_FIELDS_OF_ALL_VERSIONS = {NewsRequest: 15, News: 17, TableCopy: 2}
+# The number of leading fields of a target's record that every version decodes.
+_RECORD_FIELDS = TargetRecord._fields.index("version")
 _REQUEST_DECODER = msgspec.msgpack.Decoder(NewsRequest)
 _NEWS_DECODER = msgspec.msgpack.Decoder(News)
 _DOCUMENT_REQUEST_DECODER = msgspec.msgpack.Decoder(DocumentRequest)
--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -227,8 +227,10 @@
             self._subscriber.peer_endpoint() if self._is_same_version else NO_PEER,
             self._subscriber.known_peers_digest() if self._is_same_version else 0,
             self._subscriber.is_cut_off() if self._is_same_version else False,
+            self._is_same_version,
         )
-        body = await self._call(connection, encode(request), timing.hold_s)
+        encoded = encode(request, with_versions=self._is_same_version)
+        body = await self._call(connection, encoded, timing.hold_s)
         news = decode_news(body)
         # Another router's table may have advanced the revision since the request was sent.
         is_same_epoch = news.epoch == self._epoch
--- a/packages/wire/src/damaskwind/wire/tests/test_held_tokens.py
+++ b/packages/wire/src/damaskwind/wire/tests/test_held_tokens.py
@@ -101,4 +101,5 @@
             await link.stop()
             await server.stop_listening()
             server.abort()
-        self.assertEqual(sizes[:5], [16, 15, 15, 15, 16])
+        full = len(NewsRequest._fields)
+        self.assertEqual(sizes[:5], [full, 15, 15, 15, full])
