--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -60,7 +60,7 @@
     speed of the target relative to the usual time and `speed_age_s` the age of its figure;
     they are `None` where targets do not report their speed. `via` is the host of the router that
     sent the request on, if it was another one. `is_unframed` and `open_bytes` tell how the
-    answer ended, see `AttemptOutcome`.
+    answer ended, see `AttemptOutcome`. `software` is the version that the target runs.
     """
 
     target: str
@@ -80,6 +80,7 @@
     via: str = ""
     is_unframed: bool = False
     open_bytes: int = 0
+    software: str = ""
 
 
 class EntryNote(NamedTuple):
--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -103,6 +103,8 @@
             version=call.version,
             key=(call.key or b"").decode("latin-1"),
             may_have_run=call.may_have_run,
+            resume_after=call.facts.resume_after,
+            resumes=(call.facts.resumes or b"").decode("latin-1"),
             entry=list(call.entry or ()),
             attempts=[list(note) for note in call.notes],
             events=delivery.events,
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -225,6 +225,7 @@
         outcome.via,
         outcome.is_unframed,
         outcome.open_bytes,
+        placement.target.version,
     )
 
 
