--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -439,6 +439,26 @@
         oldest_s = now_s - within_s
         return [entry.record for entry in self._entries.values() if entry.gone_at_s >= oldest_s]
 
+    def versions(self) -> dict[str, set[str]]:
+        """Return the software versions of each service's targets, also of those that are gone.
+
+        Targets that report none count as `""` until they are gone.
+
+        >>> from damaskwind.model.targets import Address
+        >>> table = TargetTable()
+        >>> new = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.SERVING, 4)
+        >>> table.merge(new._replace(version="v1"), 0.0), table.leave("t", 1.0)
+        (True, True)
+        >>> table.versions()
+        {'s': {'v1'}}
+        """
+        versions: dict[str, set[str]] = {}
+        for entry in self._entries.values():
+            record = entry.record
+            if record.service and (record.version or record.phase is not TargetPhase.GONE):
+                versions.setdefault(record.service, set()).add(record.version)
+        return versions
+
     def forget(self, now_s: float) -> list[str]:
         """Remove tombstones and silent targets that are too old; return their ids."""
         expired = [
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -34,6 +34,7 @@
 from damaskwind.model.traffic_configuration import TrafficConfiguration, TrafficService
 from damaskwind.router.forwarding.document_relay import DocumentRelay, WholeDocument
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
+from damaskwind.router.forwarding.origin_relay import OriginRelay
 from damaskwind.router.forwarding.suspicion_relay import SuspicionRelay
 from damaskwind.router.forwarding.table_exchange import TableExchange
 from damaskwind.runtime.clock import read_clock
@@ -132,12 +133,13 @@
         self._own_host = own_host
         self._link_bytes_per_s = link_bytes_per_s
         self.relay = DocumentRelay(self._newest_for, self._whole, link_bytes_per_s)
-        self.heartbeats = HeartbeatRelay(self.targets, self._reaches_majority)
+        self.heartbeats = HeartbeatRelay(self.targets, self.reaches_majority)
         self._table_exchange = TableExchange(
             self.targets, self._seen, self._merge_table, news_port, link_bytes_per_s
         )
         self.relay.handlers[TABLE_PATH] = self._table_exchange.handle
         self.suspicions = SuspicionRelay(news_port, random.random())
+        self.origins = OriginRelay(self.targets, news_port)
         self._has_update = asyncio.Event()
         self._document = b""
         self._received = Document(0, b"")
@@ -160,6 +162,7 @@
         self._fetcher.close()
         await self._table_exchange.stop()
         await self.suspicions.stop()
+        await self.origins.stop()
         await self.relay.stop()
         for link in self._links.values():
             await link.stop()
@@ -178,6 +181,7 @@
             )
             self._links[host] = link
             self.suspicions.follow(host)
+            self.origins.follow(host)
             link.start(index * stagger_s)
 
     def count_reachable_replicas(self) -> int:
@@ -189,7 +193,7 @@
         oldest_s = read_clock() - REACHABLE_S
         return [host for host, link in self._links.items() if link.last_received_s > oldest_s]
 
-    def _reaches_majority(self) -> bool:
+    def reaches_majority(self) -> bool:
         """Tell whether a majority of the replicas was reached recently."""
         return 2 * self.count_reachable_replicas() > len(self._links)
 
@@ -326,6 +330,7 @@
             logger.info("target forgotten", target=target_id)
             self._notify_gone(target_id)
         self.suspicions.handle_news(host, news)
+        self.origins.handle_news(host, news)
         self._router_counts[host] = news.routers
         self.routers = max(1, *self._router_counts.values())
         self.max_routers.observe(self.routers, now_s)
--- a/packages/router/src/damaskwind/router/forwarding/stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/stream_origins.py
@@ -1,12 +1,38 @@
 """Know which software version of a service began a stream, at any router."""
 
+from enum import StrEnum
+from itertools import count
 from typing import NamedTuple
 
+from loguru import logger
+
 from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.decisions.streams.origin_table import attempt_key, content_key
 from damaskwind.router.forwarding.call import Call
 from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.origin_link import BegunStream
+from damaskwind.router.forwarding.origin_relay import Asked
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.tallies import Tallies
+
+__all__ = ["OriginSource", "OriginVerdict", "StreamOrigins"]
+
+# A caller takes a stream up some seconds after its deadline at most: the time that a refusal
+# asks it to wait, and what its own reaction takes.
+MARGIN_S = 5.0
+# A replica that restarts, or that is reached again, is heard within about a second.
+RETRY_AFTER_S = 1.0
+# One line in this time tells of streams that were not written down, with their number.
+LOG_INTERVAL_S = 10.0
+
+
+class OriginSource(StrEnum):
+    """How the version of a stream became known."""
 
-__all__ = ["OriginVerdict", "StreamOrigins"]
+    HERE = "here"
+    REPLICAS = "replicas"
+    ONLY_VERSION = "only version"
+    NONE = "none"
 
 
 class OriginVerdict(NamedTuple):
@@ -28,12 +54,119 @@
 class StreamOrigins:
     """What one router knows of the versions that began streams."""
 
-    def __init__(self, view: FleetView) -> None:
+    def __init__(self, view: FleetView, tallies: Tallies | None = None) -> None:
         self._view = view
+        self._relay = view.origins
+        self._tallies = Tallies() if tallies is None else tallies
+        self._relay.tallies = self._tallies
+        self._sequences = count(1)
+        self._unconfirmed = 0
+        self._logged_s = float("-inf")
 
     async def record(self, call: Call, target: TargetRecord) -> None:
-        """Record the version that begins a stream, before its first event is forwarded."""
+        """Record the version that begins a stream, before its first event is forwarded.
+
+        It is written down where several versions of the service are known. A stream that is taken
+        up is recorded under the attempt that brought its first event as well.
+        """
+        versions = self._relay.known_versions(call.service) | {target.version}
+        if versions == {""}:
+            return
+        facts = call.facts
+        keys = [attempt_key(call.service, facts.request_id)] if facts.request_id else []
+        if facts.resumes:
+            keys.append(attempt_key(call.service, facts.resumes))
+        keys.append(content_key(call.service, call.digest))
+        stream = BegunStream(
+            call.service,
+            tuple(dict.fromkeys(keys)),
+            target.version,
+            self._relay.writer_base + call.number % (1 << 32),
+            next(self._sequences),
+            call.deadline_s + MARGIN_S,
+        )
+        self._relay.keep(stream)
+        if len(versions) < 2:
+            return
+        started_s = read_clock()
+        is_confirmed = await self._relay.write_down(stream)
+        took_s = read_clock() - started_s
+        self._tallies.observe("stream_write", took_s)
+        self._tallies.count("streams_written", outcome="confirmed" if is_confirmed else "late")
+        if not is_confirmed:
+            self._log_unconfirmed(call, took_s)
 
     async def resolve(self, call: Call) -> OriginVerdict:
         """Return at which version a stream that is taken up may go on."""
-        return ANYWHERE
+        started_s = read_clock()
+        known = self._relay.known_versions(call.service)
+        if not known:
+            return ANYWHERE
+        verdict, source = await self._find(call, known)
+        outcome = "refused" if verdict.is_refused else "found"
+        self._tallies.count("streams_taken_up", source=source, outcome=outcome)
+        logger.info(
+            "stream taken up",
+            request_id=call.facts.request_id.decode("latin-1"),
+            resumes=(call.facts.resumes or b"").decode("latin-1"),
+            after=call.facts.resume_after,
+            software=verdict.version,
+            source=source.value,
+            known=sorted(known),
+            took_ms=round((read_clock() - started_s) * 1000, 1),
+            outcome=verdict.why or outcome,
+        )
+        return verdict
+
+    async def _find(self, call: Call, known: frozenset[str]) -> tuple[OriginVerdict, OriginSource]:
+        """Look for the version here, then at the replicas, then in what is known."""
+        resumes = call.facts.resumes
+        if resumes:
+            key = attempt_key(call.service, resumes)
+        elif len(known) == 1 and self._view.reaches_majority():
+            return OriginVerdict(*known), OriginSource.ONLY_VERSION
+        else:
+            key = content_key(call.service, call.digest)
+        here = self._relay.table.versions(key, read_clock())
+        if resumes and len(here) == 1:
+            return OriginVerdict(*here), OriginSource.HERE
+        asked = await self._relay.ask(key)
+        found = here | asked.versions
+        if len(found) == 1:
+            return OriginVerdict(*found), OriginSource.REPLICAS
+        if found:
+            why = "several versions may have begun the stream"
+            return OriginVerdict(is_refused=True, why=why), OriginSource.NONE
+        return self._judge_unknown(known, asked)
+
+    def _judge_unknown(
+        self, known: frozenset[str], asked: Asked
+    ) -> tuple[OriginVerdict, OriginSource]:
+        """Return the verdict on a stream that nobody who answered has written down.
+
+        A router that is cut off may not know that another version has begun to serve. One
+        whose replicas are all down misses nothing, since no other router hears of it either.
+        """
+        if len(known) == 1:
+            is_informed = 2 * asked.answered > asked.replicas or self._view.reaches_majority()
+            if is_informed or asked.down == asked.replicas:
+                return OriginVerdict(*known), OriginSource.ONLY_VERSION
+            why = "out of touch, and the version that began the stream is not known"
+            return OriginVerdict(None, True, why, RETRY_AFTER_S), OriginSource.NONE
+        why = "the version that began the stream is not known"
+        retry_after_s = None if asked.answered else RETRY_AFTER_S
+        return OriginVerdict(None, True, why, retry_after_s), OriginSource.NONE
+
+    def _log_unconfirmed(self, call: Call, took_s: float) -> None:
+        self._unconfirmed += 1
+        now_s = read_clock()
+        if now_s - self._logged_s < LOG_INTERVAL_S:
+            return
+        logger.warning(
+            "stream not written down in time",
+            request_id=call.facts.request_id.decode("latin-1"),
+            service=call.service,
+            took_ms=round(took_s * 1000, 1),
+            streams=self._unconfirmed,
+        )
+        self._logged_s, self._unconfirmed = now_s, 0
