--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
@@ -0,0 +1,455 @@
+"""Tests of routers that write down, at replicas, which versions began streams, and look it up."""
+
+import asyncio
+import socket
+from itertools import count
+from random import Random
+
+from twisted.trial.unittest import TestCase
+
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.streams.origin_table import OriginTable
+from damaskwind.model.targets import Address
+from damaskwind.router.forwarding import origin_link, origin_relay
+from damaskwind.router.forwarding.call import Call, CallFacts
+from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.stream_origins import MARGIN_S, StreamOrigins
+from damaskwind.router.forwarding.tests.bench import route
+from damaskwind.runtime.bridge import asyncio_test, to_deferred
+from damaskwind.runtime.clock import override_clock, read_clock
+from damaskwind.runtime.http1.messages import Answer
+from damaskwind.runtime.http1.server import HttpServer, ServerLimits
+from damaskwind.runtime.tallies import Tallies
+from damaskwind.wire.news import News
+from damaskwind.wire.stream_origins import OriginAnswer, decode_call, encode_message
+
+REPLICAS = 3
+# Above the time after which entries that nobody waits for are sent.
+SETTLED_S = origin_link.LAZY_S + 0.15
+DIGESTS = count(1)
+
+
+def outcome(name):
+    """Return the labels of a count of written streams."""
+    return (("outcome", name),)
+
+
+class StandInReplica:
+    """Holds streams as a replica does; it may hang, and answer as one of an earlier version."""
+
+    def __init__(self, host, port):
+        self.host, self.port = host, port
+        self.starts = 0
+        self.is_hanging = self.is_old = False
+        self.calls = []
+        self.start()
+
+    def start(self):
+        """Start with an empty memory, under a new epoch."""
+        self.starts += 1
+        self.table = OriginTable(10_000)
+        self.server = HttpServer(self.handle, ServerLimits())
+        self.server.listen(self.host, self.port)
+
+    async def kill(self):
+        await self.server.stop_listening()
+        self.server.abort()
+
+    async def handle(self, exchange):
+        if self.is_old:
+            exchange.respond(Answer(404, []))
+            return
+        if self.is_hanging:
+            await asyncio.sleep(5.0)
+        call = decode_call(exchange.request.body)
+        self.calls.append(call)
+        now_s = read_clock()
+        for entry in call.entries:
+            self.table.merge(entry, now_s)
+        found = (tuple(sorted(self.table.versions(key, now_s))) for key in call.keys)
+        exchange.respond(Answer(200, [], encode_message(OriginAnswer(tuple(found)))))
+
+    @property
+    def entries(self):
+        return [entry for call in self.calls for entry in call.entries]
+
+
+class Router:
+    """A router's view and its knowledge of streams, without its sockets."""
+
+    def __init__(self, hosts, port):
+        self.view = FleetView("router", (), port, lambda body: None, Random(1))
+        self.tallies = Tallies()
+        self.origins = StreamOrigins(self.view, self.tallies)
+        for host in hosts:
+            self.view.origins.follow(host)
+        self.is_in_touch = True
+        self.view.reaches_majority = lambda: self.is_in_touch
+
+    def know(self, *versions, phase=TargetPhase.SERVING):
+        """Learn of a target of each version; return the records."""
+        records = [
+            TargetRecord(f"t-{version}", "pool", Address("127.0.0.1", 1), "d", phase, 1)._replace(
+                version=version
+            )
+            for version in versions
+        ]
+        for record in records:
+            self.view.targets.merge(record, read_clock())
+        return records
+
+    def hear(self, replica):
+        """Receive an update without content from a replica."""
+        epoch = f"{replica.host}-{replica.starts}"
+        news = News(epoch, 0, 0, True, (), 1, (), ())
+        self.view.handle_news(replica.host, news)
+
+    def call(self, attempt_id=b"", resumes=None, digest=None, wait_s=1.5, timeout_s=2.0):
+        facts = CallFacts(attempt_id, wait_s, True, (), 3 if resumes else None)
+        facts = facts._replace(resumes=resumes)
+        digest = digest or b"%08d" % next(DIGESTS)
+        made = route(timeout_s=timeout_s, is_resumable=True)
+        return Call(facts, made, None, "pool", 1, read_clock(), digest)
+
+    async def begin(self, attempt_id, version, **facts):
+        """Begin a stream, or go on with one; return how long it waited."""
+        (record,) = self.know(version)
+        started_s = read_clock()
+        await self.origins.record(self.call(attempt_id, **facts), record)
+        return read_clock() - started_s
+
+    async def take_up(self, resumes, attempt_id=b"next", **facts):
+        return await self.origins.resolve(self.call(attempt_id, resumes, **facts))
+
+
+class OriginsTestCase(TestCase):
+    timeout = 20
+
+    def setUp(self):
+        return to_deferred(self.start())
+
+    async def start(self):
+        third = Random().randrange(1, 250)
+        hosts = [f"127.78.{third}.{number + 1}" for number in range(REPLICAS)]
+        with socket.socket() as probe:
+            probe.bind((hosts[0], 0))
+            self.port = probe.getsockname()[1]
+        self.replicas = [StandInReplica(host, self.port) for host in hosts]
+        self.routers = []
+        self.addCleanup(lambda: to_deferred(self.finish()))
+
+    async def finish(self):
+        for router in self.routers:
+            await router.view.stop()
+        for replica in self.replicas:
+            await replica.kill()
+        await asyncio.sleep(0.05)
+
+    def router(self, *versions, replicas=None):
+        hosts = [replica.host for replica in replicas or self.replicas]
+        router = Router(hosts, self.port)
+        self.routers.append(router)
+        router.know(*versions)
+        return router
+
+    async def kill_replicas(self, *replicas):
+        for replica in replicas or self.replicas:
+            await replica.kill()
+
+    def check_refused(self, verdict, is_retried):
+        self.assertTrue(verdict.is_refused)
+        self.assertIsNone(verdict.version)
+        self.assertEqual(verdict.retry_after_s is not None, is_retried)
+
+
+class TakenUpTest(OriginsTestCase):
+    @asyncio_test
+    async def test_another_router_knows_the_version_after_the_first_was_killed(self):
+        """Guards against a stream whose version died with its router."""
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        await first.begin(b"a", "v1")
+        await first.begin(b"b", "v2")
+        await first.view.stop()
+        self.assertEqual((await second.take_up(b"a")).version, "v1")
+        self.assertEqual((await second.take_up(b"b")).version, "v2")
+
+    @asyncio_test
+    async def test_the_same_router_needs_no_replica(self):
+        """Guards against refusals where the router knows the answer itself."""
+        router = self.router("v1", "v2")
+        await router.begin(b"a", "v1")
+        await self.kill_replicas()
+        self.assertEqual((await router.take_up(b"a")).version, "v1")
+
+    @asyncio_test
+    async def test_chain_of_routers_keeps_the_version_of_the_first(self):
+        """Guards against a stream that is forgotten once a second router took it up."""
+        routers = [self.router("v1", "v2", "v3") for _ in range(4)]
+        await routers[0].begin(b"a", "v2")
+        for number, router in enumerate(routers[1:], 1):
+            verdict = await router.take_up(b"a", b"try-%d" % number)
+            self.assertEqual(verdict.version, "v2")
+            await router.begin(b"try-%d" % number, "v2", resumes=b"a")
+            await router.view.stop()
+        last = self.router("v1", "v2", "v3")
+        for named in (b"a", b"try-1", b"try-2", b"try-3"):
+            self.assertEqual((await last.take_up(named)).version, "v2")
+
+    @asyncio_test
+    async def test_chain_outlives_the_deadline_of_its_first_try(self):
+        """Guards against a stream whose version expires while it is being taken up."""
+        first, second, third = (self.router("v1", "v2") for _ in range(3))
+        start_s, later_s = read_clock(), 0.0
+        with override_clock(lambda: start_s + later_s):
+            await first.begin(b"a", "v1", wait_s=1.5)
+            later_s = MARGIN_S
+            self.assertEqual((await second.take_up(b"a")).version, "v1")
+            await second.begin(b"b", "v1", resumes=b"a", wait_s=1.5)
+            later_s = 2 * MARGIN_S
+            self.assertEqual((await third.take_up(b"a")).version, "v1")
+            later_s = 3 * MARGIN_S
+            self.check_refused(await third.take_up(b"a"), is_retried=False)
+
+    @asyncio_test
+    async def test_first_attempt_without_an_event_does_not_count(self):
+        """Guards against the version of a target that broke off before its first event."""
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        call = first.call(b"a")
+        for record in first.know("v1", "v2"):
+            await first.origins.record(call, record)
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual((await second.take_up(b"a")).version, "v2")
+
+    @asyncio_test
+    async def test_id_used_twice_at_two_versions_is_refused(self):
+        """Guards against a guess where two streams have the same id."""
+        first, second, third = (self.router("v1", "v2") for _ in range(3))
+        await first.begin(b"a", "v1")
+        await second.begin(b"a", "v2")
+        await asyncio.sleep(SETTLED_S)
+        self.check_refused(await third.take_up(b"a"), is_retried=False)
+
+    @asyncio_test
+    async def test_unknown_stream_of_several_versions_is_refused_at_once(self):
+        """Guards against a guess, and against a caller that waits for a refusal."""
+        router = self.router("v1", "v2")
+        started_s = read_clock()
+        self.check_refused(await router.take_up(b"a"), is_retried=False)
+        self.assertLess(read_clock() - started_s, origin_relay.ASK_S)
+
+    @asyncio_test
+    async def test_service_without_versions_is_left_alone(self):
+        """Guards against calls and refusals where nothing is known of versions."""
+        router = self.router("")
+        await router.begin(b"a", "")
+        verdict = await router.take_up(b"a")
+        self.assertEqual((verdict.version, verdict.is_refused), (None, False))
+        self.assertEqual([replica.calls for replica in self.replicas], [[], [], []])
+
+
+class ContentTest(OriginsTestCase):
+    @asyncio_test
+    async def test_caller_that_names_no_attempt_is_known_by_its_request(self):
+        """Guards against callers that send Last-Event-Id alone."""
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        await first.begin(b"a", "v2", digest=b"content1")
+        verdict = await second.take_up(None, digest=b"content1")
+        self.assertEqual(verdict.version, "v2")
+        self.check_refused(await second.take_up(None, digest=b"content2"), is_retried=False)
+
+    @asyncio_test
+    async def test_same_content_at_two_versions_is_refused(self):
+        """Guards against a guess between two streams of the same request."""
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        await first.begin(b"a", "v1", digest=b"content1")
+        await first.begin(b"b", "v2", digest=b"content1")
+        for router in (first, second):
+            verdict = await router.take_up(None, digest=b"content1")
+            self.check_refused(verdict, is_retried=False)
+        self.assertEqual((await second.take_up(b"a", digest=b"content1")).version, "v1")
+
+    @asyncio_test
+    async def test_only_version_needs_no_lookup(self):
+        """Guards against calls to replicas while one version serves."""
+        router = self.router("v1")
+        self.assertEqual((await router.take_up(None)).version, "v1")
+        self.assertEqual([replica.calls for replica in self.replicas], [[], [], []])
+
+
+class OneVersionTest(OriginsTestCase):
+    @asyncio_test
+    async def test_nothing_is_written_down_while_one_version_is_known(self):
+        """Guards against control traffic, and a wait, where nothing can be joined."""
+        first, second = self.router("v1"), self.router("v1")
+        await first.begin(b"a", "v1")
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual([replica.calls for replica in self.replicas], [[], [], []])
+        self.assertEqual((await second.take_up(b"a")).version, "v1")
+
+    @asyncio_test
+    async def test_streams_in_flight_are_written_down_when_a_second_version_comes(self):
+        """Guards against streams that began before a release and break in it."""
+        first, second = self.router("v1"), self.router("v1", "v2")
+        for number in range(600):
+            await first.begin(b"%d" % number, "v1")
+        first.know("v2")
+        first.hear(self.replicas[0])
+        await asyncio.sleep(SETTLED_S)
+        await first.view.stop()
+        for number in (0, 300, 599):
+            self.assertEqual((await second.take_up(b"%d" % number)).version, "v1")
+        calls = sum(len(replica.calls) for replica in self.replicas)
+        self.assertLessEqual(calls, 4 * REPLICAS)
+
+    @asyncio_test
+    async def test_router_that_knows_one_version_alone_asks_first(self):
+        """Guards against a router that hears of a release later than the others."""
+        informed, late = self.router("v1", "v2"), self.router("v1")
+        await informed.begin(b"a", "v2")
+        self.assertEqual((await late.take_up(b"a")).version, "v2")
+
+    @asyncio_test
+    async def test_replicas_that_are_down_do_not_keep_streams_from_going_on(self):
+        """Guards against refusals while all replicas restart and one version serves."""
+        router = self.router("v1")
+        router.is_in_touch = False
+        await self.kill_replicas()
+        self.assertEqual((await router.take_up(b"a")).version, "v1")
+
+    @asyncio_test
+    async def test_router_that_is_cut_off_does_not_take_its_version_for_the_only_one(self):
+        """Guards against joined streams at a router that can't have heard of a release."""
+        router = self.router("v1")
+        for replica in self.replicas:
+            replica.is_hanging = True
+        self.assertEqual((await router.take_up(b"a")).version, "v1")
+        router.is_in_touch = False
+        self.check_refused(await router.take_up(b"a"), is_retried=True)
+        self.check_refused(await router.take_up(None), is_retried=True)
+
+
+class ReplicasTest(OriginsTestCase):
+    @asyncio_test
+    async def test_first_replica_is_called_once_a_stream_and_the_others_get_batches(self):
+        """Guards against three calls a stream, which are most of its price."""
+        router = self.router("v1", "v2")
+        for number in range(30):
+            await router.begin(b"%d" % number, "v1")
+        await asyncio.sleep(SETTLED_S)
+        for replica in self.replicas:
+            self.assertEqual(len({entry.keys for entry in replica.entries}), 30)
+        self.assertLessEqual(
+            sum(len(replica.calls) for replica in self.replicas), 30 + 2 * REPLICAS
+        )
+
+    @asyncio_test
+    async def test_streams_at_once_share_calls(self):
+        """Guards against a call for each of many streams that begin together."""
+        router = self.router("v1", "v2")
+        streams = (router.begin(b"%d" % number, "v1") for number in range(60))
+        await asyncio.gather(*streams)
+        await asyncio.sleep(SETTLED_S)
+        self.assertLessEqual(sum(len(replica.calls) for replica in self.replicas), 9)
+        self.assertEqual(router.tallies.totals("streams_written"), {outcome("confirmed"): 60})
+
+    @asyncio_test
+    async def test_killed_replica_is_replaced_by_another_within_the_time(self):
+        """Guards against streams that are written down nowhere since one replica is down."""
+        for killed in self.replicas:
+            await killed.kill()
+            first, second = self.router("v1", "v2"), self.router("v1", "v2")
+            waits = [await first.begin(b"%d" % number, "v1") for number in range(9)]
+            self.assertLess(max(waits), origin_relay.CONFIRM_S)
+            # Only the first is tried at the replica that is down.
+            self.assertLess(sorted(waits)[-2], origin_relay.HEDGE_S)
+            await first.view.stop()
+            for number in range(9):
+                self.assertEqual((await second.take_up(b"%d" % number)).version, "v1")
+            killed.start()
+
+    @asyncio_test
+    async def test_replica_that_hangs_does_not_hold_up_the_first_event(self):
+        """Guards against a wait for a replica that is cut off."""
+        for replica in self.replicas[:2]:
+            replica.is_hanging = True
+        router = self.router("v1", "v2")
+        waits = [await router.begin(b"%d" % number, "v1") for number in range(9)]
+        self.assertLess(max(waits), origin_relay.CONFIRM_S)
+        outcomes = router.tallies.totals("streams_written")
+        self.assertEqual(outcomes, {outcome("confirmed"): 9})
+
+    @asyncio_test
+    async def test_without_replicas_streams_begin_and_are_counted(self):
+        """Guards against streams that wait for replicas, and against silence about it."""
+        await self.kill_replicas()
+        router = self.router("v1", "v2")
+        waits = await asyncio.gather(*(router.begin(b"%d" % n, "v1") for n in range(50)))
+        self.assertLess(max(waits), origin_relay.CONFIRM_S + 0.1)
+        self.assertEqual(router.tallies.totals("streams_written"), {outcome("late"): 50})
+        other = self.router("v1", "v2")
+        self.check_refused(await other.take_up(b"1"), is_retried=True)
+
+    @asyncio_test
+    async def test_replica_gets_what_it_lacks_when_it_is_heard_again(self):
+        """Guards against streams that stay unknown after a cut."""
+        await self.kill_replicas()
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        await first.begin(b"a", "v1")
+        for replica in self.replicas:
+            replica.start()
+            first.hear(replica)
+        await asyncio.sleep(SETTLED_S)
+        self.assertEqual((await second.take_up(b"a")).version, "v1")
+
+    @asyncio_test
+    async def test_restarted_replica_is_sent_again_what_it_held(self):
+        """Guards against a replica that lost its memory, and is then the only one left."""
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        for replica in self.replicas:
+            first.hear(replica)
+        await first.begin(b"a", "v1")
+        await asyncio.sleep(SETTLED_S)
+        for replica in self.replicas:
+            await replica.kill()
+            replica.start()
+            first.hear(replica)
+        await asyncio.sleep(SETTLED_S)
+        await first.view.stop()
+        await self.kill_replicas(*self.replicas[1:])
+        self.assertEqual((await second.take_up(b"a")).version, "v1")
+
+    @asyncio_test
+    async def test_take_up_does_not_wait_for_a_replica_that_hangs(self):
+        """Guards against a first event that comes late since one replica is cut off."""
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        await first.begin(b"a", "v1")
+        await asyncio.sleep(SETTLED_S)
+        self.replicas[0].is_hanging = True
+        started_s = read_clock()
+        self.assertEqual((await second.take_up(b"a")).version, "v1")
+        self.assertLess(read_clock() - started_s, origin_relay.ASK_S)
+
+    @asyncio_test
+    async def test_replica_of_an_earlier_version_holds_nothing_and_is_not_asked_again(self):
+        """Guards against calls that can't succeed, and waits for them, in a release of our own."""
+        for replica in self.replicas[:2]:
+            replica.is_old = True
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        waits = [await first.begin(b"%d" % number, "v1") for number in range(9)]
+        self.assertLess(sorted(waits)[-3], origin_relay.HEDGE_S)
+        self.assertEqual((await second.take_up(b"5")).version, "v1")
+
+    @asyncio_test
+    async def test_router_keeps_a_bounded_number_of_streams(self):
+        """Guards against a router's memory that grows with its streams."""
+        await self.kill_replicas()
+        router = self.router("v1")
+        for number in range(origin_relay.MAX_STREAMS + 50):
+            await router.begin(b"%d" % number, "v1", wait_s=60.0, timeout_s=60.0)
+        relay = router.view.origins
+        self.assertEqual(len(relay._streams), origin_relay.MAX_STREAMS)
+        self.assertLessEqual(len(relay.table), origin_relay.MAX_KEYS)
+        router.know("v2")
+        await router.begin(b"last", "v2", wait_s=60.0, timeout_s=60.0)
+        pending = [len(link._streams) for link in relay._links.values()]
+        self.assertLessEqual(max(pending), origin_relay.MAX_STREAMS)
