--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -37,11 +37,17 @@
 CONNECT_TIMEOUT_S = 0.25
 ANSWER_TIMEOUT_S = 0.3
 ANSWER_LIMIT_BYTES = 65_536
-# A call with this many entries is 10 KB, and takes a replica some ms.
+# A call with this many entries is 10 KB, and takes a replica with a quarter of a core 10 ms.
 MAX_BATCH = 256
-# Entries that nobody waits for are sent this much later. A router and the replica that confirmed
-# an entry are rarely lost within a quarter of a second of each other.
-LAZY_S = 0.25
+# Entries that nobody waits for are sent with a call that is made anyway, or this much later. A
+# router and the replica that confirmed an entry are rarely lost within a second of each other.
+LAZY_S = 1.0
+# Of these entries, a call carries this many, so that a replica that has restarted is not sent
+# all streams of all routers at once, while other streams wait for it.
+LAZY_BATCH = 32
+# Other replicas are called first while a call has waited this long for its answer, which takes
+# 1 to 5 ms.
+SLOW_S = 0.02
 # The process of such a replica has ended; one that is cut off does not answer at all.
 _REFUSED = "ConnectionRefusedError"
 _ERRORS = (ConnectFailedError, AnswerBrokenError, TimeoutError, MessageError)
@@ -94,12 +100,14 @@
         self.is_supported = True
         self._address = address
         self._tallies = tallies
-        # Not yet written down, by writer.
-        self._streams: dict[int, BegunStream] = {}
+        # Not yet written down, by writer: those that no replica has confirmed, and the others.
+        self._urgent: dict[int, BegunStream] = {}
+        self._lazy: dict[int, BegunStream] = {}
         self._questions: list[tuple[bytes, asyncio.Future]] = []
         self._is_urgent = asyncio.Event()
         self._connection: ClientConnection | None = None
         self._calling: asyncio.Task | None = None
+        self._called_s = float("inf")
 
     async def stop(self) -> None:
         """End the call in flight and close the connection."""
@@ -109,22 +117,28 @@
         self._answer_all(None)
         self._drop_connection()
 
+    def is_usable(self, now_s: float) -> bool:
+        """Return whether a call may be expected to succeed at once."""
+        return self.is_supported and not self.is_failing and now_s - self._called_s < SLOW_S
+
+    @property
+    def pending(self) -> int:
+        """Return how many streams are still to be written down."""
+        return len(self._urgent) + len(self._lazy)
+
     def write(self, stream: BegunStream, is_urgent: bool) -> None:
         """Write a stream down, at once if somebody waits for it."""
-        if self.is_supported:
-            # A later write of the same request replaces an earlier one, also its place in line.
-            self._streams.pop(stream.writer, None)
-            self._streams[stream.writer] = stream
-            self._start(is_urgent)
-
-    def hurry(self) -> None:
-        """Send at once what is pending."""
-        if self._streams:
-            self._start(True)
+        if not self.is_supported:
+            return
+        # A later write of the same request replaces an earlier one.
+        self.drop(stream.writer)
+        (self._urgent if is_urgent else self._lazy)[stream.writer] = stream
+        self._start(is_urgent)
 
     def drop(self, writer: int) -> None:
         """Drop a pending write that is of no use any more."""
-        self._streams.pop(writer, None)
+        self._urgent.pop(writer, None)
+        self._lazy.pop(writer, None)
 
     async def ask(self, key: bytes) -> tuple[str, ...] | None:
         """Return the versions that the replica knows for a key, `None` if it doesn't answer."""
@@ -139,7 +153,8 @@
         """Send what is pending, since the replica was heard."""
         self.is_failing = self.is_down = False
         self.is_supported = self.is_supported or is_restarted
-        self.hurry()
+        if self.pending:
+            self._start(bool(self._urgent))
 
     def _start(self, is_urgent: bool) -> None:
         """Make calls unless some are made; a failing replica gets only what is waited for."""
@@ -158,7 +173,7 @@
 
     async def _make_calls(self) -> None:
         """Make calls while something is pending, until one fails."""
-        while self._streams or self._questions:
+        while self.pending or self._questions:
             if not self._is_urgent.is_set():
                 with suppress(TimeoutError):
                     await asyncio.wait_for(self._is_urgent.wait(), LAZY_S)
@@ -166,28 +181,33 @@
             if not await self._send_batch():
                 return
 
+    def _take_batch(self) -> list[BegunStream]:
+        """Take what the next call writes down."""
+        batch = list(islice(self._urgent.values(), MAX_BATCH))
+        batch += islice(self._lazy.values(), LAZY_BATCH)
+        for stream in batch:
+            self.drop(stream.writer)
+        if self._urgent:
+            self._is_urgent.set()
+        return batch
+
     async def _send_batch(self) -> bool:
         """Make one call; return whether it succeeded."""
         now_s = read_clock()
-        batch = list(islice(self._streams.values(), MAX_BATCH))
-        for stream in batch:
-            del self._streams[stream.writer]
-        if self._streams:
-            self._is_urgent.set()
+        valid = [stream for stream in self._take_batch() if stream.expires_s > now_s]
         questions = self._questions[:MAX_BATCH]
         del self._questions[:MAX_BATCH]
-        valid = [stream for stream in batch if stream.expires_s > now_s]
         entries = tuple(stream.entry(now_s) for stream in valid)
         call = OriginCall(entries, tuple(key for key, _ in questions))
         try:
             answer = await self._call(call)
         except _UnsupportedError:
             self.is_supported = False
-            self._streams.clear()
+            self._urgent.clear()
+            self._lazy.clear()
             logger.info("replica holds no streams", host=self._address.host)
         except _ERRORS as error:
-            for stream in valid:
-                self._streams.setdefault(stream.writer, stream)
+            self._put_back(valid)
             self._fail(error)
         else:
             self.is_failing = self.is_down = False
@@ -201,13 +221,20 @@
         self._answer_all(None)
         return False
 
+    def _put_back(self, streams: list[BegunStream]) -> None:
+        """Keep streams for a later call, unless a later write has replaced them."""
+        for stream in streams:
+            if stream.writer not in self._urgent and stream.writer not in self._lazy:
+                is_urgent = not stream.confirmed.is_set()
+                (self._urgent if is_urgent else self._lazy)[stream.writer] = stream
+
     def _fail(self, error: Exception) -> None:
         """Keep what is pending until the replica is heard again."""
         if not self.is_failing:
             logger.info(
                 "stream origins not sent",
                 host=self._address.host,
-                pending=len(self._streams),
+                pending=self.pending,
                 why=repr(error),
             )
         self.is_failing = True
@@ -222,8 +249,12 @@
     async def _call(self, call: OriginCall) -> OriginAnswer:
         body = encode_message(call)
         request = Request(b"POST", ORIGINS_PATH, [(b"host", b"control")], body)
-        async with asyncio.timeout(CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
-            answer = await self._fetch(request)
+        self._called_s = read_clock()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
+                answer = await self._fetch(request)
+        finally:
+            self._called_s = float("inf")
         if answer.status == 404:
             raise _UnsupportedError
         if answer.status != 200:
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -24,8 +24,13 @@
 
 # The first event waits this long at most for a replica to confirm its stream.
 CONFIRM_S = 0.1
-# When the first holder has not confirmed within this time, the others are sent the stream at once.
+# When the first holder has not answered within this time, the others are called.
 HEDGE_S = 0.02
+# The others are sent this share of the streams at once, after a burst. Without a bound, replicas
+# that were slow under a burst of take-ups got three calls a stream and did not recover
+# (decisions/0034).
+HEDGE_SHARE = 0.1
+HEDGE_BURST = 3.0
 # How long a question waits for its first answer, and after that for one that differs.
 ASK_S = 0.1
 ASK_GRACE_S = 0.005
@@ -65,6 +70,7 @@
         self._epochs: dict[str, str] = {}
         # In order of the last write, by writer.
         self._streams: dict[int, BegunStream] = {}
+        self._hedges = HEDGE_BURST
 
     async def stop(self) -> None:
         """End all calls."""
@@ -120,36 +126,37 @@
         self._links[first].write(stream, is_urgent=True)
         for host in others:
             self._links[host].write(stream, is_urgent=False)
+        self._hedges = min(self._hedges + HEDGE_SHARE, HEDGE_BURST)
         if await _is_set(stream.confirmed, HEDGE_S):
             return True
-        for host in others:
-            self._links[host].hurry()
+        if self._hedges >= 1.0:
+            self._hedges -= 1.0
+            self.tallies.count("stream_write_hedges")
+            for host in others:
+                self._links[host].write(stream, is_urgent=True)
         return await _is_set(stream.confirmed, CONFIRM_S - HEDGE_S)
 
-    async def ask(self, key: bytes) -> Asked:
-        """Ask all replicas for the versions of a key."""
-        links = list(self._links.values())
-        waiting = {asyncio.ensure_future(link.ask(key)) for link in links}
-        found: set[str] = set()
-        answered, ends_s = 0, read_clock() + ASK_S
-        while waiting and (left_s := ends_s - read_clock()) > 0:
-            done, waiting = await asyncio.wait(
-                waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
-            )
-            answers = [task.result() for task in done]
-            answered += sum(answer is not None for answer in answers)
-            news = {version for answer in answers for version in answer or ()}
-            if news and not found:
-                ends_s = min(ends_s, read_clock() + ASK_GRACE_S)
-            found |= news
-        for task in waiting:
-            task.cancel()
-        down = sum(link.is_down for link in links)
-        return Asked(frozenset(found), answered, down, len(links))
+    async def ask(self, key: bytes, has_holders: bool) -> Asked:
+        """Ask the replicas for the versions of a key.
+
+        If the key `has_holders`, its first holder is asked before the others; otherwise any
+        replica may hold it.
+        """
+        order = choose_holders(key, self._links, self._failing()) if has_holders else []
+        questions = _Questions(list(self._links.values()))
+        for host in order[:1]:
+            await questions.ask(key, [self._links[host]], HEDGE_S)
+        if not questions.found:
+            await questions.ask(key, questions.unasked(), ASK_S - HEDGE_S)
+        questions.cancel()
+        return questions.result()
 
     def _holders(self, stream: BegunStream) -> list[str]:
-        failing = [host for host, link in self._links.items() if not _is_usable(link)]
-        return choose_holders(stream.keys[0], self._links, failing)
+        return choose_holders(stream.keys[0], self._links, self._failing())
+
+    def _failing(self) -> list[str]:
+        now_s = read_clock()
+        return [host for host, link in self._links.items() if not link.is_usable(now_s)]
 
     def _refresh(self, now_s: float) -> None:
         """Take note of the versions in the table of targets."""
@@ -174,8 +181,45 @@
                 link.write(stream, is_urgent=False)
 
 
-def _is_usable(link: OriginLink) -> bool:
-    return link.is_supported and not link.is_failing
+class _Questions:
+    """The calls that look up one key."""
+
+    def __init__(self, links: list[OriginLink]) -> None:
+        self.found: set[str] = set()
+        self._links = links
+        self._asked: set[OriginLink] = set()
+        self._waiting: set[asyncio.Future] = set()
+        self._answered = 0
+
+    def unasked(self) -> list[OriginLink]:
+        """Return the replicas that were not asked yet."""
+        return [link for link in self._links if link not in self._asked]
+
+    async def ask(self, key: bytes, links: list[OriginLink], limit_s: float) -> None:
+        """Ask some replicas too, and wait until one knows the key or all have answered."""
+        self._asked.update(links)
+        self._waiting |= {asyncio.ensure_future(link.ask(key)) for link in links}
+        ends_s = read_clock() + limit_s
+        while self._waiting and (left_s := ends_s - read_clock()) > 0:
+            done, self._waiting = await asyncio.wait(
+                self._waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            answers = [task.result() for task in done]
+            self._answered += sum(answer is not None for answer in answers)
+            versions = {version for answer in answers for version in answer or ()}
+            if versions and not self.found:
+                ends_s = min(ends_s, read_clock() + ASK_GRACE_S)
+            self.found |= versions
+
+    def cancel(self) -> None:
+        """Wait no longer."""
+        for task in self._waiting:
+            task.cancel()
+
+    def result(self) -> Asked:
+        """Return what was answered so far."""
+        down = sum(link.is_down for link in self._links)
+        return Asked(frozenset(self.found), self._answered, down, len(self._links))
 
 
 async def _is_set(event: asyncio.Event, limit_s: float) -> bool:
--- a/packages/router/src/damaskwind/router/forwarding/stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/stream_origins.py
@@ -130,7 +130,7 @@
         here = self._relay.table.versions(key, read_clock())
         if resumes and len(here) == 1:
             return OriginVerdict(*here), OriginSource.HERE
-        asked = await self._relay.ask(key)
+        asked = await self._relay.ask(key, has_holders=bool(resumes))
         found = here | asked.versions
         if len(found) == 1:
             return OriginVerdict(*found), OriginSource.REPLICAS
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
@@ -24,8 +24,9 @@
 from damaskwind.wire.stream_origins import OriginAnswer, decode_call, encode_message
 
 REPLICAS = 3
-# Above the time after which entries that nobody waits for are sent.
-SETTLED_S = origin_link.LAZY_S + 0.15
+# Entries that nobody waits for are sent after `LAZY_S` here, and have arrived after `SETTLED_S`.
+LAZY_S = 0.1
+SETTLED_S = LAZY_S + 0.15
 DIGESTS = count(1)
 
 
@@ -129,6 +130,7 @@
         return to_deferred(self.start())
 
     async def start(self):
+        self.patch(origin_link, "LAZY_S", LAZY_S)
         third = Random().randrange(1, 250)
         hosts = [f"127.78.{third}.{number + 1}" for number in range(REPLICAS)]
         with socket.socket() as probe:
@@ -355,6 +357,9 @@
     @asyncio_test
     async def test_killed_replica_is_replaced_by_another_within_the_time(self):
         """Guards against streams that are written down nowhere since one replica is down."""
+        # Long enough that a busy machine causes no call of its own.
+        self.patch(origin_relay, "HEDGE_S", 0.3)
+        self.patch(origin_relay, "CONFIRM_S", 1.0)
         for killed in self.replicas:
             await killed.kill()
             first, second = self.router("v1", "v2"), self.router("v1", "v2")
@@ -362,6 +367,7 @@
             self.assertLess(max(waits), origin_relay.CONFIRM_S)
             # Only the first is tried at the replica that is down.
             self.assertLess(sorted(waits)[-2], origin_relay.HEDGE_S)
+            self.assertLessEqual(sum(first.tallies.totals("stream_write_hedges").values()), 1)
             await first.view.stop()
             for number in range(9):
                 self.assertEqual((await second.take_up(b"%d" % number)).version, "v1")
@@ -451,5 +457,5 @@
         self.assertLessEqual(len(relay.table), origin_relay.MAX_KEYS)
         router.know("v2")
         await router.begin(b"last", "v2", wait_s=60.0, timeout_s=60.0)
-        pending = [len(link._streams) for link in relay._links.values()]
+        pending = [link.pending for link in relay._links.values()]
         self.assertLessEqual(max(pending), origin_relay.MAX_STREAMS)
