A stream that broke goes on only at targets of the software version that began it

The version is that of the target's record at placement. If the record names another one by the time the answer begins, nothing of it is forwarded; if it does by the time the stream would go on, the stream is broken off, since it isn't certain which life its events came from. Before an event was delivered the choice is free. The version is put on record before the first byte is forwarded.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -23,6 +23,7 @@
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.service_reach import SILENCE_S
+from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_paths import TargetPath, choose_path
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
@@ -151,7 +152,9 @@
     the head of the answer, which may be a refusal. `on_accepted` is called if it is none.
     """
 
-    def __init__(self, target_states: TargetStates, names: HeaderNames) -> None:
+    def __init__(
+        self, target_states: TargetStates, names: HeaderNames, origins: StreamOrigins
+    ) -> None:
         self.connections = target_states.connections
         self.activity = target_states.activity
         self.on_answer_started: Callable[[Call, str, float], None] = _ignore_answer_started
@@ -159,6 +162,7 @@
         self._target_states = target_states
         self._loads = target_states.loads
         self._names = names
+        self._origins = origins
 
     async def send(
         self,
@@ -402,6 +406,8 @@
         may_reroute: bool,
     ) -> AttemptOutcome:
         """Forward a stream to the caller as it arrives."""
+        if call.route.is_resumable and not await self._record_origin(call, target):
+            return AttemptOutcome(AttemptEnd.BROKEN, "the target's software changed")
         delivery.begin_stream(head)
         gap_s = max(STALL_GAPS * call.route.gap_objective_s, STALL_GAP_MIN_S)
         while True:
@@ -413,6 +419,8 @@
             if not path.via:
                 self._target_states.reach.record_heard(target.service, read_clock())
             delivery.write_stream(data)
+            if delivery.events:
+                call.begin_events(target)
             await delivery.drained()
         path.release(connection, head.headers)
         open_bytes = delivery.open_bytes
@@ -421,6 +429,16 @@
             return AttemptOutcome(AttemptEnd.BROKEN, why, open_bytes=open_bytes)
         return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete", open_bytes=open_bytes)
 
+    async def _record_origin(self, call: Call, target: TargetRecord) -> bool:
+        """Record which version begins a stream; return `False` if that is no longer certain.
+
+        It is on record before the first event reaches the caller, who may come back at any time.
+        """
+        if call.required_version is None and call.recorded_version != target.version:
+            await self._origins.record(call, target)
+            call.recorded_version = target.version
+        return self._target_states.runs_version(target)
+
     async def _read_data_in_time(
         self, connection: ClientConnection, gap_s: float | None
     ) -> bytes | None:
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -6,11 +6,12 @@
 from typing import NamedTuple
 
 from damaskwind.decisions.load.request_cost import NO_TOKEN_HEADERS, RequestCost, TokenHeaders
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import affinity_key
 from damaskwind.decisions.routing.regions import allowed_regions
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
-from damaskwind.model.traffic_configuration import KeyedAccount, TrafficRoute
+from damaskwind.model.traffic_configuration import KeyedAccount, RouteKind, TrafficRoute
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.messages import Headers, Request, header, without
 
@@ -19,6 +20,7 @@
     "Call",
     "CallFacts",
     "EntryNote",
+    "FinalRefusal",
     "read_facts",
     "read_key",
     "target_headers",
@@ -99,6 +101,13 @@
     came_back: bool
 
 
+class FinalRefusal(NamedTuple):
+    """The body of a refusal without Retry-After, and the outcome by which it is logged."""
+
+    text: bytes
+    outcome: str
+
+
 class Call:
     """One request in progress. Times are monotonic.
 
@@ -112,8 +121,12 @@
     `digest` identifies the request's content, also under another request id. `is_suspected`
     means that targets have crashed while running it, and `exit_probes` find out whether the
     targets of the last attempts have. If `regions` are given, the request stays in them. `cost`
-    is set where the memory of engines is considered. `refusal_text` is the body of a final
-    refusal, after which a retry is of no use.
+    is set where the memory of engines is considered. A `final_refusal` is one after which a retry
+    is of no use.
+
+    Where `required_version` is set, only targets that run this software version may go on with
+    the stream. `began_at` is the target whose events of it were delivered first by this router,
+    `recorded_version` the version that is on record as the one that began it.
 
     `possible_runs` counts the attempts that may have run the request. Two of them may be in
     progress at once; `second_number` then stands for the one at `second_target` in the
@@ -153,7 +166,10 @@
         self.unreached = 0
         self.silent_domains: set[str] = set()
         self.cost: RequestCost | None = None
-        self.refusal_text: bytes | None = None
+        self.final_refusal: FinalRefusal | None = None
+        self.required_version: str | None = None
+        self.began_at: TargetRecord | None = None
+        self.recorded_version: str | None = None
         self.possible_runs = 0
         self.second_target: str | None = None
         self.second_number = 0
@@ -164,6 +180,22 @@
         """Return whether any attempt may have run the request, or may still run it."""
         return self.possible_runs > 0
 
+    @property
+    def takes_up(self) -> bool:
+        """Return whether the caller has the first events of a stream that it goes on with."""
+        route = self.route
+        is_stream = route.kind is RouteKind.STREAMING and route.is_resumable
+        return is_stream and self.facts.resume_after is not None
+
+    def begin_events(self, target: TargetRecord) -> None:
+        """Record that events of a target were delivered: only its version may go on."""
+        if self.began_at is None:
+            self.began_at, self.required_version = target, target.version
+
+    def may_go_on_at(self, target: TargetRecord) -> bool:
+        """Return whether a target runs the version that the stream requires, if any."""
+        return self.required_version is None or target.version == self.required_version
+
     def begin_second(self, target_id: str) -> None:
         """Give the attempt at a second target a number of its own."""
         self.second_target, self.second_number = target_id, next(_NUMBERS)
--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -43,10 +43,10 @@
             delivery.send_whole(outcome.answer)
             self.log(call, delivery, "target failure passed on", outcome.why)
             return
-        if call.refusal_text is not None:
+        if call.final_refusal is not None:
             headers = [(b"content-type", b"text/plain; charset=utf-8")]
-            exchange.respond(Answer(503, headers, call.refusal_text))
-            self.log(call, delivery, "refused as too large", outcome.why)
+            exchange.respond(Answer(503, headers, call.final_refusal.text))
+            self.log(call, delivery, call.final_refusal.outcome, outcome.why)
             return
         if not call.may_have_run:
             retry_after_s = (
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -28,6 +28,7 @@
 from damaskwind.router.forwarding.request_steps import RequestSteps
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
+from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
@@ -80,7 +81,8 @@
         self.chooser = TargetChooser(
             self.target_states, self.admissions, failure_domain, region_of, random, self.memory
         )
-        self.sender = AttemptSender(self.target_states, names)
+        self.origins = StreamOrigins(view)
+        self.sender = AttemptSender(self.target_states, names, self.origins)
         self.sends = RecordedSends(
             self.sender,
             self.target_states,
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -18,7 +18,7 @@
 
 from damaskwind.router.forwarding.admission_gate import AdmissionGate
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, Placement
-from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.call import Call, FinalRefusal
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
@@ -113,6 +113,7 @@
         self.chooser = chooser
         self.sends = sends
         self.take_retry = take_retry
+        self.target_states = target_states
         self.suspicions = target_states.view.suspicions
         self.reach = target_states.reach
         self.brittle = target_states.brittle
@@ -208,7 +209,8 @@
     for gate in steps.gates:
         refusal = gate.check(call)
         if refusal is not None:
-            call.refusal_text = refusal.text
+            if refusal.text is not None:
+                call.final_refusal = FinalRefusal(refusal.text, "refused as too large")
             return progress.refuse(refusal.why, refusal.retry_after_s)
     was_probed = await steps.probes.refresh(call, progress.placement)
     if was_probed and steps.place(progress, must_fit=False) is RequestState.ENDED:
@@ -277,5 +279,14 @@
 
 @_handles(RequestState.REPEATED)
 async def _place_again(steps: RequestSteps, progress: RequestProgress) -> RequestState:
-    """Place a request again after an attempt that may be repeated."""
+    """Place a request again after an attempt that may be repeated.
+
+    If a target that began the stream is back with other software, it is not certain which of the
+    two its events came from.
+    """
+    began_at = progress.call.began_at
+    if began_at is not None and not steps.target_states.runs_version(began_at):
+        why = f"{progress.outcome.why}; the target's software changed"
+        progress.outcome = progress.outcome._replace(why=why)
+        return RequestState.ENDED
     return await steps.place_when_settled(progress)
--- a/packages/router/src/damaskwind/router/forwarding/target_choice.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -114,5 +114,6 @@
         return {
             target_id: record
             for target_id, record in self._target_states.serving_or_draining(call.service).items()
-            if is_allowed(record.failure_domain, call.regions, self._region_of)
+            if call.may_go_on_at(record)
+            and is_allowed(record.failure_domain, call.regions, self._region_of)
         }
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -237,6 +237,14 @@
             and self.takes_work(known, read_clock())
         )
 
+    def runs_version(self, target: TargetRecord) -> bool:
+        """Tell whether a target still runs the software version by which it was placed.
+
+        A target may be back under its id with another one.
+        """
+        known = self.view.targets.record_of(target.target_id)
+        return known is None or known.version == target.version
+
     def serving(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that may be sent to."""
         now_s = read_clock()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -0,0 +1,152 @@
+"""Tests of streams of a service whose targets run different software versions."""
+
+import asyncio
+
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.client import AnswerBrokenError
+from damaskwind.runtime.http1.messages import header
+from damaskwind.standins.scripted_target import ScriptedTarget, cut_stream, stream
+
+STREAM = {"kind": RouteKind.STREAMING, "is_resumable": True}
+
+
+class StreamVersionsTestCase(ForwarderTestCase):
+    """Targets that run the given versions; `recorded` lists the versions put on record."""
+
+    versions = ("v1", "v2", "v1")
+
+    async def start(self):
+        await super().start()
+        while len(self.targets) < len(self.versions):
+            self.targets.append(ScriptedTarget(NAMES))
+            self.admit(f"t{len(self.targets) - 1}", await self.targets[-1].start())
+        for number, version in enumerate(self.versions):
+            self.run_version(f"t{number}", version)
+        self.publish(route(**STREAM, max_attempts=3), version=2)
+        self.recorded = []
+        self.forwarder.origins.record = self.record
+
+    async def record(self, call, target):
+        self.recorded.append(target.version)
+
+    def run_version(self, target_id, version, **changes):
+        """Let a target report a software version."""
+        known = self.view.targets.record_of(target_id)
+        record = known._replace(sequence=known.sequence + 1, version=version, **changes)
+        self.view.targets.merge(record, read_clock())
+
+    def asked_versions(self):
+        """Return the versions of the targets that were asked, the first one first."""
+        asked = [
+            (request, version)
+            for target, version in zip(self.targets, self.versions, strict=True)
+            for request in target.received
+        ]
+        return [
+            version
+            for request, version in sorted(
+                asked, key=lambda item: int(item[0].headers.get(b"last-event-id", b"0"))
+            )
+        ]
+
+    def forget_requests(self):
+        for target in self.targets:
+            target.received.clear()
+
+
+class RouterGoesOnTest(StreamVersionsTestCase):
+    @asyncio_test
+    async def test_stream_goes_on_at_a_target_of_the_same_version_only(self):
+        """Guards against events of two versions in one answer."""
+        for number in range(12):
+            self.share(cut_stream(1, 3), stream(4, 6))
+            self.forget_requests()
+            try:
+                answer = await self.call(request_id=b"r%d" % number)
+            except AnswerBrokenError:
+                # Only one target runs the version of the second one.
+                self.assertEqual(self.asked_versions(), ["v2"])
+                continue
+            self.assertEqual(answer.body.count(b"id: "), 6)
+            self.assertEqual(self.asked_versions(), ["v1", "v1"])
+
+    @asyncio_test
+    async def test_choice_is_free_before_an_event_was_delivered(self):
+        """Guards against streams that are broken off although the caller has no event yet."""
+        self.versions = ("v1", "v2")
+        self.view.targets.leave("t2", read_clock())
+        self.targets.pop()
+        self.share(cut_stream(1, 0), stream(1, 3))
+        answer = await self.call()
+        self.assertEqual(answer.body.count(b"id: "), 3)
+        self.assertEqual(sorted(self.recorded), ["v1", "v2"])
+
+    @asyncio_test
+    async def test_answer_of_a_target_whose_version_changed_is_not_forwarded(self):
+        """Guards against a record of a former incarnation that stands for the one that serves."""
+        served = []
+
+        async def change(writer, request):
+            name = request.headers[b"x-expect-target"].decode()
+            self.run_version(name, "v3", born_ms=5)
+            served.append(name)
+            await stream(1, 3)(writer, request)
+
+        self.share(change, stream(1, 3))
+        answer = await self.call()
+        self.assertEqual(answer.body.count(b"id: "), 3)
+        self.assertEqual(len(self.received()), 2)
+        self.assertEqual(len(served), 1)
+
+    @asyncio_test
+    async def test_stream_ends_if_the_target_that_began_it_is_back_with_other_software(self):
+        """Guards against events of a life whose report came late.
+
+        The life that serves may have been the later one, which had not reported yet.
+        """
+        self.view.targets.leave("t1", read_clock())
+
+        async def change(writer, request):
+            with self.assertRaises(ConnectionError):
+                await cut_stream(1, 3)(writer, request)
+            await asyncio.sleep(0.05)
+            self.run_version(request.headers[b"x-expect-target"].decode(), "v3")
+            raise ConnectionError("scripted end")
+
+        self.share(change, stream(4, 6))
+        with self.assertRaises(AnswerBrokenError):
+            await self.call()
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_version_is_on_record_before_the_first_byte_reaches_the_caller(self):
+        """Guards against a caller that comes back before any router knows who began its stream."""
+        is_recorded = asyncio.Event()
+
+        async def record(call, target):
+            await is_recorded.wait()
+
+        self.forwarder.origins.record = record
+        self.share(stream(1, 3))
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.received()), 1)
+        self.assertFalse(calling.done())
+        is_recorded.set()
+        self.assertEqual((await calling).body.count(b"id: "), 3)
+
+
+class OneVersionTest(StreamVersionsTestCase):
+    versions = ("", "", "")
+
+    @asyncio_test
+    async def test_targets_that_report_no_version_go_on_for_each_other(self):
+        """Guards against streams that are broken off where no version is known at all."""
+        for number in range(6):
+            self.share(cut_stream(1, 3), stream(4, 6))
+            answer = await self.call(request_id=b"r%d" % number)
+            self.assertEqual(answer.body.count(b"id: "), 6)
