A stream that a caller takes up goes on only at the version that began it, or is refused

Where no target of that version serves any more, the refusal has no Retry-After: it wouldn't come back. A stream that is taken up on a split route goes to the service that began it.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -434,7 +434,7 @@
 
         It is on record before the first event reaches the caller, who may come back at any time.
         """
-        if call.required_version is None and call.recorded_version != target.version:
+        if call.began_at is None and call.recorded_version != target.version:
             await self._origins.record(call, target)
             call.recorded_version = target.version
         return self._target_states.runs_version(target)
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -116,6 +116,7 @@
             self._take_retry,
             self.tallies,
             SpeedProbes(self.target_states, names, self.tallies),
+            self.origins,
         )
         self.answers = FinalAnswers(self.admissions, self._started_s, self.tallies)
 
@@ -171,7 +172,9 @@
             status = _ROUTING_STATUS[found.refusal]
             self.answers.refuse(exchange, facts.request_id, status, found.refusal, table.version)
             return None
-        draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else facts.request_id
+        # A stream goes on at the service that began it.
+        attempt_id = facts.resumes or facts.request_id
+        draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else attempt_id
         service = choose_service(found.route, draw)
         call = Call(facts, found.route, found.account, service, table.version, exchange.started_s)
         self._budget(service).count_request(read_clock())
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -2,6 +2,7 @@
 
 Each state has one handler, which does the work of that state and returns the next one:
 
+    arrived   a stream that is taken up may go on only at the version that began it, if any
     asked     gates, the first placement, probes and admission to the pool
     admitted  placed again if it waited, since the state of the targets has changed
     placed    sent to its target, if the retry budget allows it; `HedgedSends` sends an
@@ -23,6 +24,7 @@
 from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
+from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
@@ -33,6 +35,8 @@
 
 # Sends allowed beyond a route's attempts when all earlier ones certainly did not run.
 EXTRA_SENDS = 1
+# The refusal of a stream whose version is unknown or serves no more.
+CANNOT_GO_ON = FinalRefusal(b"the stream can't go on\n", "refused as it can't go on")
 # Unreachable targets that a request may try, at 0.3 s each, before it is refused.
 MAX_UNREACHED = 3
 
@@ -40,6 +44,7 @@
 class RequestState(StrEnum):
     """The state of a request between its arrival and its final outcome."""
 
+    ARRIVED = "arrived"
     ASKED = "asked"
     ADMITTED = "admitted"
     PLACED = "placed"
@@ -78,6 +83,12 @@
         self.outcome = AttemptOutcome(AttemptEnd.NOT_RUN, why, was_reached=False)
         return RequestState.ENDED
 
+    def refuse_stream(self, why: str, retry_after_s: float | None) -> RequestState:
+        """Refuse a stream that is taken up; without a time to retry, it can't go on any more."""
+        if retry_after_s is None:
+            self.call.final_refusal = CANNOT_GO_ON
+        return self.refuse(why, retry_after_s)
+
 
 _Handler = Callable[["RequestSteps", RequestProgress], Awaitable[RequestState]]
 _HANDLERS: dict[RequestState, _Handler] = {}
@@ -106,7 +117,9 @@
         take_retry: Callable[[str], bool],
         tallies: Tallies,
         probes: SpeedProbes,
+        origins: StreamOrigins,
     ) -> None:
+        self.origins = origins
         self.probes = probes
         self.admissions = admissions
         self.gates = gates
@@ -123,7 +136,7 @@
     async def run(self, exchange: Exchange, call: Call, delivery: Delivery) -> AttemptOutcome:
         """Send until an answer is delivered or no further attempt is allowed."""
         progress = RequestProgress(exchange, call, delivery)
-        state = RequestState.ASKED
+        state = RequestState.ARRIVED
         while state is not RequestState.ENDED:
             state = await _HANDLERS[state](self, progress)
         return progress.result
@@ -141,6 +154,9 @@
             if must_fit and room is not None and not room.fits and not progress.delivery.has_begun:
                 return progress.refuse("no engine memory", None)
             return RequestState.PLACED
+        may_refuse = not (call.may_have_run or progress.delivery.has_begun)
+        if may_refuse and not self.chooser.has_required_version(call):
+            return progress.refuse_stream("no target of its version serves", None)
         pause_s = self.chooser.pause_retry_after_s(call)
         if pause_s is not None:
             call.retry_after_s = pause_s
@@ -151,7 +167,8 @@
     ) -> RequestState:
         """Choose a target; if there is none, wait to know whether other routers reach some."""
         state = self.place(progress, must_fit)
-        if state is not RequestState.ENDED or progress.placement is not None:
+        is_final = progress.call.final_refusal is not None
+        if state is not RequestState.ENDED or progress.placement is not None or is_final:
             return state
         if not await self.reach.settled(progress.call.service):
             return state
@@ -200,6 +217,19 @@
         return call.route.may_repeat and call.sends < call.route.max_attempts
 
 
+@_handles(RequestState.ARRIVED)
+async def _find_origin(steps: RequestSteps, progress: RequestProgress) -> RequestState:
+    """Find out at which version a stream that is taken up may go on, or refuse it."""
+    call = progress.call
+    if not call.takes_up:
+        return RequestState.ASKED
+    verdict = await steps.origins.resolve(call)
+    if verdict.is_refused:
+        return progress.refuse_stream(verdict.why, verdict.retry_after_s)
+    call.required_version = verdict.version
+    return RequestState.ASKED
+
+
 @_handles(RequestState.ASKED)
 async def _admit(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Pass the gates and wait for headroom in the pool, or refuse the request."""
--- a/packages/router/src/damaskwind/router/forwarding/target_choice.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from damaskwind.decisions.admission.retry_after import draw_retry_after_pause_s
-from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.placement.affinity import (
     AffinityPolicy,
     Candidate,
@@ -86,6 +86,14 @@
         policy = policy_for(target_states.view.routers, target_states.loads.has_sums(now_s))
         return policy._replace(read_s=call.facts.shared_tokens / READ_TOKENS_PER_S)
 
+    def has_required_version(self, call: Call) -> bool:
+        """Tell whether a target serves that runs the version which a stream requires, if any."""
+        return call.required_version is None or any(
+            record.phase is TargetPhase.SERVING
+            and not self._target_states.has_announced_leaving(record)
+            for record in self._allowed_targets(call).values()
+        )
+
     def pause_retry_after_s(self, call: Call) -> float | None:
         """Return when to retry if all targets asked for a pause: as the first pause ends."""
         records = self._allowed_targets(call).values()
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetPhase
 from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.stream_origins import OriginVerdict
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
@@ -140,6 +141,80 @@
         self.assertEqual((await calling).body.count(b"id: "), 3)
 
 
+class CallerTakesUpTest(StreamVersionsTestCase):
+    """A caller goes on after event 3; `verdict` is what is known of who began its stream."""
+
+    async def start(self):
+        await super().start()
+        self.verdict = OriginVerdict("v1")
+        self.resolved = []
+        self.forwarder.origins.resolve = self.resolve
+
+    async def resolve(self, call):
+        self.resolved.append((call.facts.resumes, call.facts.resume_after))
+        return self.verdict
+
+    async def take_up(self, number=0, **extra):
+        extra = {"last_event_id": b"3", "x_resumes": b"a1", **extra}
+        return await self.call(request_id=b"r%d" % number, **extra)
+
+    async def check_refused(self, may_retry):
+        answer = await self.take_up()
+        self.assertEqual((answer.status, self.received()), (503, []))
+        self.assertEqual(header(answer.headers, b"retry-after") is not None, may_retry)
+
+    @asyncio_test
+    async def test_stream_goes_on_at_the_version_that_began_it(self):
+        """Guards against events of two versions over a caller's tries."""
+        self.script(*[stream(4, 6)] * 20)
+        for number in range(12):
+            self.assertEqual((await self.take_up(number)).status, 200)
+        self.assertEqual(set(self.asked_versions()), {"v1"})
+        self.assertEqual(set(self.resolved), {(b"a1", 3)})
+        self.assertEqual(self.recorded, ["v1"] * 12)
+
+    @asyncio_test
+    async def test_only_streams_that_are_taken_up_are_looked_up(self):
+        self.script(*[stream(1, 3)] * 4)
+        await self.take_up(last_event_id=None)
+        self.publish(route(kind=RouteKind.STREAMING), version=3)
+        await self.take_up(1)
+        self.assertEqual(self.resolved, [])
+
+    @asyncio_test
+    async def test_stream_may_go_on_anywhere_if_the_verdict_says_so(self):
+        self.verdict = OriginVerdict()
+        self.script(*[stream(4, 6)] * 20)
+        for number in range(12):
+            await self.take_up(number)
+        self.assertEqual(set(self.asked_versions()), {"v1", "v2"})
+
+    @asyncio_test
+    async def test_refusal_names_a_time_only_if_the_stream_may_go_on_later(self):
+        for retry_after_s in (None, 0.5):
+            self.verdict = OriginVerdict(None, True, "nobody knows", retry_after_s)
+            await self.check_refused(retry_after_s is not None)
+
+    @asyncio_test
+    async def test_refused_for_good_if_no_target_of_its_version_is_left(self):
+        """Guards against callers that come back for a version which does not."""
+        self.view.targets.leave("t0", read_clock())
+        self.run_version("t2", "v1", phase=TargetPhase.LEAVING)
+        await self.check_refused(may_retry=False)
+
+    @asyncio_test
+    async def test_refused_for_now_if_the_targets_of_its_version_are_unreachable(self):
+        self.connections.is_unreachable = lambda target_id: target_id != "t1"
+        await self.check_refused(may_retry=True)
+
+    @asyncio_test
+    async def test_lost_stream_goes_on_at_its_version_after_the_caller_took_it_up(self):
+        self.share(cut_stream(4, 5), stream(6, 8))
+        answer = await self.take_up()
+        self.assertEqual(answer.body.count(b"id: "), 5)
+        self.assertEqual(self.asked_versions(), ["v1", "v1"])
+
+
 class OneVersionTest(StreamVersionsTestCase):
     versions = ("", "", "")
 
