Prompt parts are copied only from an engine of the same software version

What another version has cached may not fit. Where an engine is the only one of its version, it reads the prompt itself; the choice of the target is unchanged.

--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -10,7 +10,8 @@
 A second target is returned as the donor, from which the engine may copy the
 cached parts that it lacks. It is the home if that was skipped, is leaving or has
 just left. For the home itself it is the next in rank, which was the home before
-it joined, or while it was above the bound.
+it joined, or while it was above the bound. It runs the same software version, since
+what another one has cached may not fit.
 """
 
 from collections.abc import Sequence
@@ -99,7 +100,7 @@
     target with `is_held_back` serves and counts for the mean, but gets no work because an
     operator excluded it or it is cold. `start_s` is the time after which it is expected to
     start an answer, `None` in a pool whose targets do not report their speed. `room` is its
-    memory for the request, `None` if that is not considered.
+    memory for the request, `None` if that is not considered. `version` is that of its software.
     """
 
     target_id: str
@@ -114,6 +115,7 @@
     is_held_back: bool = False
     start_s: float | None = None
     room: EngineRoom | None = None
+    version: str = ""
 
 
 class Choice(NamedTuple):
@@ -338,7 +340,7 @@
     ranked = _rank([item for item in candidates if not item.is_doubtful], key)
     if chosen not in ranked:
         return ""
-    others = [item for item in ranked if item is not chosen]
+    others = [item for item in ranked if item is not chosen and item.version == chosen.version]
     old = [item for item in others if item.age_s >= policy.min_donor_age_s]
     return next((item.target_id for item in old or others), "")
 
--- a/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
@@ -40,6 +40,29 @@
         self.assertTrue(all(after[key] == "t6" for key in moved))
         self.assertLess(len(moved), 60)
 
+    def test_donor_runs_the_software_version_of_the_chosen_target(self):
+        """Guards against cached parts of another version, which may not fit."""
+        order = ranking(pool(6))
+        for rank in range(1, 6):
+            mixed = [
+                item._replace(version="v1" if order.index(item.target_id) in (0, rank) else "v2")
+                for item in pool(6)
+            ]
+            self.assertEqual(choose(mixed).donor_id, order[rank])
+        alone = [item._replace(version=item.target_id) for item in pool(6)]
+        self.assertEqual(choose(alone).donor_id, "")
+
+    def test_versions_do_not_change_where_requests_go(self):
+        """Guards against placement that depends on versions although no stream requires one."""
+        mixed = [
+            item._replace(version=f"v{number % 2}", load=float(number))
+            for number, item in enumerate(pool(6))
+        ]
+        plain = [item._replace(version="") for item in mixed]
+        for key in [None, *(b"%d" % n for n in range(100))]:
+            found = [choose(candidates, key).candidate.target_id for candidates in (mixed, plain)]
+            self.assertEqual(found[0], found[1])
+
     def test_loaded_home_is_skipped_and_becomes_the_donor(self):
         home = choose(pool(6)).candidate.target_id
         loaded = [item._replace(load=20.0 if item.target_id == home else 1.0) for item in pool(6)]
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -352,6 +352,7 @@
             is_known,
             not takes_work and not is_leaving,
             self.target_speeds.expected_start_s(record, load, now_s),
+            version=record.version,
         )
 
     def free_slots(self, service: str, now_s: float) -> list[TargetSlots]:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -10,7 +10,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError
 from damaskwind.runtime.http1.messages import header
-from damaskwind.standins.scripted_target import ScriptedTarget, cut_stream, stream
+from damaskwind.standins.scripted_target import ScriptedTarget, cut_stream, plain, stream
 
 STREAM = {"kind": RouteKind.STREAMING, "is_resumable": True}
 
@@ -215,6 +215,27 @@
         self.assertEqual(self.asked_versions(), ["v1", "v1"])
 
 
+class DonorTest(StreamVersionsTestCase):
+    @asyncio_test
+    async def test_prompt_parts_are_copied_from_an_engine_of_the_same_version_only(self):
+        """Guards against cached parts of another version, which may not fit."""
+        self.publish(route(has_prompt_parts=True), version=3)
+        self.script(*[plain()] * 20)
+        addresses = {
+            str(self.view.targets.record_of(f"t{number}").address): version
+            for number, version in enumerate(self.versions)
+        }
+        for number in range(10):
+            parts = {"x_prompt_parts": b"part%d:100,own:10" % number}
+            self.assertEqual((await self.call(request_id=b"r%d" % number, **parts)).status, 200)
+        for target, version in zip(self.targets, self.versions, strict=True):
+            for request in target.received:
+                donor = request.headers.get(b"x-fetch-from")
+                found = None if donor is None else addresses[donor.decode()]
+                self.assertEqual(found, "v1" if version == "v1" else None)
+        self.assertEqual(len({bool(target.received) for target in self.targets[:2]}), 1)
+
+
 class OneVersionTest(StreamVersionsTestCase):
     versions = ("", "", "")
 
