A stream that may go on only at one of several versions waits for, and is bounded at, its targets

The pool's headroom and the mean of one version say nothing about the last target of an old one: it was its own mean and took every stream. The users' bound over all targets of the service holds for it now, and its own window and free slots admit; beyond these the stream is refused for a while.

--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -27,6 +27,8 @@
     "Choice",
     "affinity_key",
     "choose_target",
+    "confine",
+    "exceeds_limit",
     "policy_for",
     "read_cost_factor",
 ]
@@ -43,6 +45,9 @@
 # late than before at loads of 1.0 and above (57 routers).
 READ_COST_FACTOR = 2.0
 USUAL_FREE_SHARE = 0.2
+# The users' bound: a target holds at most this multiple of the mean and this many requests more.
+LIMIT_FACTOR = 2.0
+LIMIT_REQUESTS = 3.0
 MIN_FREE_SHARE = 0.02
 
 
@@ -147,6 +152,36 @@
     return part_ids[max(len(part_ids) - 2, 0)]
 
 
+def confine(candidates: Sequence[Candidate], version: str) -> list[Candidate]:
+    """Return the candidates with work only for those of a software version.
+
+    The others serve as before and count for the mean.
+
+    >>> pool = [Candidate(name, "d", 0.0, 8, False, version=name) for name in ("v1", "v2")]
+    >>> [(item.takes_work, item.is_held_back) for item in confine(pool, "v2")]
+    [(False, True), (True, False)]
+    """
+    return [
+        (
+            item
+            if item.version == version
+            else item._replace(takes_work=False, is_held_back=item.takes_work or item.is_held_back)
+        )
+        for item in candidates
+    ]
+
+
+def exceeds_limit(candidates: Sequence[Candidate], chosen: Candidate) -> bool:
+    """Tell whether one more request would put a target over the users' bound.
+
+    >>> pool = [Candidate(name, "d", load, 8, False) for name, load in (("a", 5.0), ("b", 0.0))]
+    >>> [exceeds_limit(pool, item._replace(load=load)) for item, load in zip(pool, (7.0, 7.1))]
+    [False, True]
+    """
+    limit = LIMIT_FACTOR * _mean_load(candidates, _healthy(candidates)) + LIMIT_REQUESTS
+    return chosen.load + 1.0 > limit
+
+
 def choose_target(
     candidates: Sequence[Candidate],
     key: bytes | None,
--- a/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/tests/test_affinity.py
@@ -3,7 +3,13 @@
 import unittest
 from random import Random
 
-from damaskwind.decisions.placement.affinity import AffinityPolicy, Candidate, choose_target
+from damaskwind.decisions.placement.affinity import (
+    AffinityPolicy,
+    Candidate,
+    choose_target,
+    confine,
+    exceeds_limit,
+)
 
 POLICY = AffinityPolicy()
 
@@ -63,6 +69,17 @@
             found = [choose(candidates, key).candidate.target_id for candidates in (mixed, plain)]
             self.assertEqual(found[0], found[1])
 
+    def test_request_of_one_version_is_measured_by_the_load_of_all(self):
+        """Guards against a last old target that is its own mean and never over the bound."""
+        mixed = [item._replace(version="v2") for item in pool(6)]
+        for key in (b"part", None):
+            for load, is_over in ((4.0, False), (12.0, True)):
+                old = mixed[0]._replace(version="v1", load=load)
+                confined = confine([old, *mixed[1:]], "v1")
+                choice = choose(confined, key)
+                self.assertEqual(choice.candidate.target_id, "t0")
+                self.assertEqual(exceeds_limit(confined, choice.candidate), is_over)
+
     def test_loaded_home_is_skipped_and_becomes_the_donor(self):
         home = choose(pool(6)).candidate.target_id
         loaded = [item._replace(load=20.0 if item.target_id == home else 1.0) for item in pool(6)]
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -82,11 +82,15 @@
 
 
 class Placement(NamedTuple):
-    """The target chosen for a request, the choice, and the engine to copy prompt parts from."""
+    """The target chosen for a request, the choice, and the engine to copy prompt parts from.
+
+    A choice that `is_confined` was made among the targets of one software version of several.
+    """
 
     target: TargetRecord
     choice: Choice
     donor: Address | None
+    is_confined: bool = False
 
 
 class AttemptOutcome(NamedTuple):
--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -67,12 +67,12 @@
         """
         now_s = read_clock()
         pool = self._pool(call.service)
-        if home is None:
+        if call.key is None:
             self._plain.add(call.service)
         pool_request = self._pool_request(call, home.target_id if home else "", now_s)
         if home is not None and home.room is not None:
             pool_request = pool_request._replace(need_tokens=home.room.need_tokens)
-        free_slots = [free_slots_of(home)] if home else self._free_slots(call.service, now_s)
+        free_slots = self._free_slots_for(call, home, now_s)
         decision = pool.offer(pool_request, free_slots, now_s)
         outcome = None
         if decision.step is not AdmissionStep.START:
@@ -189,6 +189,21 @@
             return free_slots
         return self._memory.add_free_tokens(service, free_slots, now_s)
 
+    def _free_slots_for(
+        self, call: Call, home: Candidate | None, now_s: float
+    ) -> list[TargetSlots]:
+        """Return the free slots of the targets that a request may wait for.
+
+        Those of a service that reports no load are known by what was sent, not from a candidate.
+        """
+        if home is not None and call.key is not None:
+            return [free_slots_of(home)]
+        free_slots = self._free_slots(call.service, now_s)
+        if home is None:
+            return free_slots
+        own = [item for item in free_slots if item.target_id == home.target_id]
+        return own or [free_slots_of(home)]
+
     def _notify(self, rejections: tuple[PoolRejection, ...]) -> None:
         """Wake the waiters of requests that were rejected."""
         for rejection in rejections:
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -154,9 +154,16 @@
             if must_fit and room is not None and not room.fits and not progress.delivery.has_begun:
                 return progress.refuse("no engine memory", None)
             return RequestState.PLACED
-        may_refuse = not (call.may_have_run or progress.delivery.has_begun)
-        if may_refuse and not self.chooser.has_required_version(call):
-            return progress.refuse_stream("no target of its version serves", None)
+        return self._end_unplaced(progress)
+
+    def _end_unplaced(self, progress: RequestProgress) -> RequestState:
+        """End a request for which no target was found, with the time to retry if it has not run."""
+        call = progress.call
+        is_bound = call.required_version is not None
+        if is_bound and not call.may_have_run and not progress.delivery.has_begun:
+            if not self.chooser.has_required_version(call):
+                return progress.refuse_stream("no target of its version serves", None)
+            progress.refuse("no target of its version has room", None)
         pause_s = self.chooser.pause_retry_after_s(call)
         if pause_s is not None:
             call.retry_after_s = pause_s
@@ -245,7 +252,8 @@
     was_probed = await steps.probes.refresh(call, progress.placement)
     if was_probed and steps.place(progress, must_fit=False) is RequestState.ENDED:
         return RequestState.ENDED
-    home = progress.placement.choice.candidate if call.key else None
+    placement = progress.placement
+    home = placement.choice.candidate if call.key or placement.is_confined else None
     rejection = await steps.admissions.admit(call, home)
     steps.tallies.count("entries", step=call.entry.step)
     if rejection is not None:
--- a/packages/router/src/damaskwind/router/forwarding/target_choice.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -9,6 +9,8 @@
     AffinityPolicy,
     Candidate,
     choose_target,
+    confine,
+    exceeds_limit,
     policy_for,
 )
 from damaskwind.decisions.routing.regions import is_allowed
@@ -50,11 +52,12 @@
     def choose(self, call: Call) -> Placement | None:
         """Choose the next target for a request, `None` if there is none to try."""
         now_s = read_clock()
-        records = self._allowed_targets(call)
+        records = self._pool(call)
         for target_id in call.tried:
             records.pop(target_id, None)
+        allowed = {name: item for name, item in records.items() if call.may_go_on_at(item)}
         target_states = self._target_states
-        if target_states.are_all_unreachable(records, bool(call.unreached), now_s):
+        if target_states.are_all_unreachable(allowed, bool(call.unreached), now_s):
             return None
         is_engine = call.key is not None
         candidates = target_states.candidates(records.values(), now_s, is_engine)
@@ -65,6 +68,9 @@
             candidates = target_states.brittle.steer(call.service, candidates)
         if self._memory is not None:
             candidates = self._memory.add_rooms(call, candidates, now_s)
+        is_confined = len(allowed) < len(records)
+        if is_confined:
+            candidates = confine(candidates, call.required_version)
         choice = choose_target(
             candidates,
             call.key,
@@ -72,13 +78,13 @@
             self._policy(call, now_s),
             self._random,
         )
-        if choice is None:
+        if choice is None or (is_confined and exceeds_limit(candidates, choice.candidate)):
             return None
         if self._memory is not None:
             self._memory.record_choice(call, candidates, choice)
         donor = records.get(choice.donor_id)
         target = records[choice.candidate.target_id]
-        return Placement(target, choice, donor.address if donor else None)
+        return Placement(target, choice, donor.address if donor else None, is_confined)
 
     def _policy(self, call: Call, now_s: float) -> AffinityPolicy:
         """Return the policy for a request, with the time to read its shared parts elsewhere."""
@@ -87,8 +93,8 @@
         return policy._replace(read_s=call.facts.shared_tokens / READ_TOKENS_PER_S)
 
     def has_required_version(self, call: Call) -> bool:
-        """Tell whether a target serves that runs the version which a stream requires, if any."""
-        return call.required_version is None or any(
+        """Tell whether a target serves at which a stream may go on, now or later."""
+        return any(
             record.phase is TargetPhase.SERVING
             and not self._target_states.has_announced_leaving(record)
             for record in self._allowed_targets(call).values()
@@ -118,10 +124,17 @@
         ]
 
     def _allowed_targets(self, call: Call) -> dict[str, TargetRecord]:
-        """Return, by id, the targets that a request may be sent to or copy prompt parts from."""
+        """Return, by id, the targets of the pool at which a request may go on."""
+        pool = self._pool(call)
+        return {name: record for name, record in pool.items() if call.may_go_on_at(record)}
+
+    def _pool(self, call: Call) -> dict[str, TargetRecord]:
+        """Return, by id, the targets that a request may be sent to or copy prompt parts from.
+
+        Those that run another software version than its stream requires count for the mean load.
+        """
         return {
             target_id: record
             for target_id, record in self._target_states.serving_or_draining(call.service).items()
-            if call.may_go_on_at(record)
-            and is_allowed(record.failure_domain, call.regions, self._region_of)
+            if is_allowed(record.failure_domain, call.regions, self._region_of)
         }
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+from damaskwind.decisions.load.held_requests import TargetLoad
 from damaskwind.decisions.membership.target_record import TargetPhase
-from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.model.traffic_configuration import RouteKind, ServiceShare
 from damaskwind.router.forwarding.stream_origins import OriginVerdict
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
@@ -141,7 +142,7 @@
         self.assertEqual((await calling).body.count(b"id: "), 3)
 
 
-class CallerTakesUpTest(StreamVersionsTestCase):
+class CallerTakesUpTestCase(StreamVersionsTestCase):
     """A caller goes on after event 3; `verdict` is what is known of who began its stream."""
 
     async def start(self):
@@ -158,6 +159,8 @@
         extra = {"last_event_id": b"3", "x_resumes": b"a1", **extra}
         return await self.call(request_id=b"r%d" % number, **extra)
 
+
+class CallerTakesUpTest(CallerTakesUpTestCase):
     async def check_refused(self, may_retry):
         answer = await self.take_up()
         self.assertEqual((answer.status, self.received()), (503, []))
@@ -207,6 +210,15 @@
         self.connections.is_unreachable = lambda target_id: target_id != "t1"
         await self.check_refused(may_retry=True)
 
+    @asyncio_test
+    async def test_refused_for_now_if_the_targets_of_its_version_are_full(self):
+        """Guards against a version whose last targets are drowned by what may go on only there."""
+        self.script(*[stream(4, 6)] * 20)
+        for name, running in (("t0", 8), ("t1", 0), ("t2", 8)):
+            load = TargetLoad(running, 0, 8)
+            self.forwarder.target_states.loads.observe_report(name, load, read_clock())
+        await self.check_refused(may_retry=True)
+
     @asyncio_test
     async def test_lost_stream_goes_on_at_its_version_after_the_caller_took_it_up(self):
         self.share(cut_stream(4, 5), stream(6, 8))
@@ -215,6 +227,38 @@
         self.assertEqual(self.asked_versions(), ["v1", "v1"])
 
 
+class LastTargetTest(CallerTakesUpTestCase):
+    versions = ("v1", "v2", "v2", "v2")
+
+    async def serve(self, count, **extra):
+        """Send streams one after another, which all last; return the answers."""
+        self.script(*[stream(1, 40, 0.02)] * count)
+        calls = []
+        for number in range(count):
+            calls.append(asyncio.ensure_future(self.take_up(number, **extra)))
+            await asyncio.sleep(0.01)
+        return await asyncio.gather(*calls)
+
+    @asyncio_test
+    async def test_last_target_of_a_version_is_not_sent_more_than_the_bound(self):
+        """Guards against the mean of one version as the measure of its only target's load."""
+        answers = await self.serve(20)
+        # With h requests there and none at the three others, one more is sent while it is within
+        # the users' bound: h + 1 <= 2 * h / 4 + 3.
+        self.assertEqual([answer.status for answer in answers].count(200), 5)
+        refused = [answer for answer in answers if answer.status == 503]
+        self.assertEqual(len(refused), 15)
+        waits_s = [float(header(item.headers, b"retry-after")) for item in refused]
+        self.assertLess(max(waits_s), 1.0)
+
+    @asyncio_test
+    async def test_new_streams_are_placed_as_if_there_were_one_version(self):
+        """Guards against a bound for requests that may go anywhere."""
+        answers = await self.serve(20, last_event_id=None)
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertEqual([len(target.received) for target in self.targets], [5] * 4)
+
+
 class DonorTest(StreamVersionsTestCase):
     @asyncio_test
     async def test_prompt_parts_are_copied_from_an_engine_of_the_same_version_only(self):
@@ -236,6 +280,27 @@
         self.assertEqual(len({bool(target.received) for target in self.targets[:2]}), 1)
 
 
+class SplitRouteTest(StreamVersionsTestCase):
+    versions = ("v1", "v1")
+
+    @asyncio_test
+    async def test_stream_on_a_split_route_is_taken_up_at_the_service_that_began_it(self):
+        """Guards against a draw by the new attempt's id, which may fall on another service."""
+        shares = (ServiceShare("pool", 0.5), ServiceShare("none", 0.5))
+        self.publish(route(**STREAM, shares=shares), version=3)
+        self.script(*[stream(1, 3)] * 60)
+        began = []
+        for number in range(12):
+            answer = await self.call(request_id=b"a%d" % number)
+            if answer.status == 200:
+                began.append(b"a%d" % number)
+        self.assertTrue(0 < len(began) < 12)
+        for number, resumes in enumerate(began * 3):
+            extra = {"last_event_id": b"1", "x_resumes": resumes}
+            answer = await self.call(request_id=b"b%d" % number, **extra)
+            self.assertEqual(answer.status, 200)
+
+
 class OneVersionTest(StreamVersionsTestCase):
     versions = ("", "", "")
 
