--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -28,6 +28,7 @@
 from damaskwind.router.forwarding.request_steps import RequestSteps
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
+from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
@@ -80,7 +81,8 @@
         self.chooser = TargetChooser(
             self.target_states, self.admissions, failure_domain, region_of, random, self.memory
         )
-        self.sender = AttemptSender(self.target_states, names)
+        self.origins = StreamOrigins(view)
+        self.sender = AttemptSender(self.target_states, names, self.origins)
         self.sends = RecordedSends(
             self.sender,
             self.target_states,
@@ -114,6 +116,7 @@
             self._take_retry,
             self.tallies,
             SpeedProbes(self.target_states, names, self.tallies),
+            self.origins,
         )
         self.answers = FinalAnswers(self.admissions, self._started_s, self.tallies)
 
@@ -169,7 +172,9 @@
             status = _ROUTING_STATUS[found.refusal]
             self.answers.refuse(exchange, facts.request_id, status, found.refusal, table.version)
             return None
-        draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else facts.request_id
+        # A stream goes on at the service that began it.
+        attempt_id = facts.resumes or facts.request_id
+        draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else attempt_id
         service = choose_service(found.route, draw)
         call = Call(facts, found.route, found.account, service, table.version, exchange.started_s)
         self._budget(service).count_request(read_clock())
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -2,6 +2,7 @@
 
 Each state has one handler, which does the work of that state and returns the next one:
 
+    arrived   a stream that is taken up may go on only at the version that began it, if any
     asked     gates, the first placement, probes and admission to the pool
     admitted  placed again if it waited, since the state of the targets has changed
     placed    sent to its target, if the retry budget allows it; `HedgedSends` sends an
@@ -18,11 +19,12 @@
 
 from damaskwind.router.forwarding.admission_gate import AdmissionGate
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, Placement
-from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.call import Call, FinalRefusal
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
+from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
@@ -33,6 +35,8 @@
 
 # Sends allowed beyond a route's attempts when all earlier ones certainly did not run.
 EXTRA_SENDS = 1
+# The refusal of a stream whose version is unknown or serves no more.
+CANNOT_GO_ON = FinalRefusal(b"the stream can't go on\n", "refused as it can't go on")
 # Unreachable targets that a request may try, at 0.3 s each, before it is refused.
 MAX_UNREACHED = 3
 
@@ -40,6 +44,7 @@
 class RequestState(StrEnum):
     """The state of a request between its arrival and its final outcome."""
 
+    ARRIVED = "arrived"
     ASKED = "asked"
     ADMITTED = "admitted"
     PLACED = "placed"
@@ -78,6 +83,12 @@
         self.outcome = AttemptOutcome(AttemptEnd.NOT_RUN, why, was_reached=False)
         return RequestState.ENDED
 
+    def refuse_stream(self, why: str, retry_after_s: float | None) -> RequestState:
+        """Refuse a stream that is taken up; without a time to retry, it can't go on any more."""
+        if retry_after_s is None:
+            self.call.final_refusal = CANNOT_GO_ON
+        return self.refuse(why, retry_after_s)
+
 
 _Handler = Callable[["RequestSteps", RequestProgress], Awaitable[RequestState]]
 _HANDLERS: dict[RequestState, _Handler] = {}
@@ -106,13 +117,16 @@
         take_retry: Callable[[str], bool],
         tallies: Tallies,
         probes: SpeedProbes,
+        origins: StreamOrigins,
     ) -> None:
+        self.origins = origins
         self.probes = probes
         self.admissions = admissions
         self.gates = gates
         self.chooser = chooser
         self.sends = sends
         self.take_retry = take_retry
+        self.target_states = target_states
         self.suspicions = target_states.view.suspicions
         self.reach = target_states.reach
         self.brittle = target_states.brittle
@@ -122,7 +136,7 @@
     async def run(self, exchange: Exchange, call: Call, delivery: Delivery) -> AttemptOutcome:
         """Send until an answer is delivered or no further attempt is allowed."""
         progress = RequestProgress(exchange, call, delivery)
-        state = RequestState.ASKED
+        state = RequestState.ARRIVED
         while state is not RequestState.ENDED:
             state = await _HANDLERS[state](self, progress)
         return progress.result
@@ -140,6 +154,16 @@
             if must_fit and room is not None and not room.fits and not progress.delivery.has_begun:
                 return progress.refuse("no engine memory", None)
             return RequestState.PLACED
+        return self._end_unplaced(progress)
+
+    def _end_unplaced(self, progress: RequestProgress) -> RequestState:
+        """End a request for which no target was found, with the time to retry if it has not run."""
+        call = progress.call
+        is_bound = call.required_version is not None
+        if is_bound and not call.may_have_run and not progress.delivery.has_begun:
+            if not self.chooser.has_required_version(call):
+                return progress.refuse_stream("no target of its version serves", None)
+            progress.refuse("no target of its version has room", None)
         pause_s = self.chooser.pause_retry_after_s(call)
         if pause_s is not None:
             call.retry_after_s = pause_s
@@ -150,7 +174,8 @@
     ) -> RequestState:
         """Choose a target; if there is none, wait to know whether other routers reach some."""
         state = self.place(progress, must_fit)
-        if state is not RequestState.ENDED or progress.placement is not None:
+        is_final = progress.call.final_refusal is not None
+        if state is not RequestState.ENDED or progress.placement is not None or is_final:
             return state
         if not await self.reach.settled(progress.call.service):
             return state
@@ -199,6 +224,19 @@
         return call.route.may_repeat and call.sends < call.route.max_attempts
 
 
+@_handles(RequestState.ARRIVED)
+async def _find_origin(steps: RequestSteps, progress: RequestProgress) -> RequestState:
+    """Find out at which version a stream that is taken up may go on, or refuse it."""
+    call = progress.call
+    if not call.takes_up:
+        return RequestState.ASKED
+    verdict = await steps.origins.resolve(call)
+    if verdict.is_refused:
+        return progress.refuse_stream(verdict.why, verdict.retry_after_s)
+    call.required_version = verdict.version
+    return RequestState.ASKED
+
+
 @_handles(RequestState.ASKED)
 async def _admit(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Pass the gates and wait for headroom in the pool, or refuse the request."""
@@ -208,12 +246,14 @@
     for gate in steps.gates:
         refusal = gate.check(call)
         if refusal is not None:
-            call.refusal_text = refusal.text
+            if refusal.text is not None:
+                call.final_refusal = FinalRefusal(refusal.text, "refused as too large")
             return progress.refuse(refusal.why, refusal.retry_after_s)
     was_probed = await steps.probes.refresh(call, progress.placement)
     if was_probed and steps.place(progress, must_fit=False) is RequestState.ENDED:
         return RequestState.ENDED
-    home = progress.placement.choice.candidate if call.key else None
+    placement = progress.placement
+    home = placement.choice.candidate if call.key or placement.is_confined else None
     rejection = await steps.admissions.admit(call, home)
     steps.tallies.count("entries", step=call.entry.step)
     if rejection is not None:
@@ -277,5 +317,14 @@
 
 @_handles(RequestState.REPEATED)
 async def _place_again(steps: RequestSteps, progress: RequestProgress) -> RequestState:
-    """Place a request again after an attempt that may be repeated."""
+    """Place a request again after an attempt that may be repeated.
+
+    If a target that began the stream is back with other software, it is not certain which of the
+    two its events came from.
+    """
+    began_at = progress.call.began_at
+    if began_at is not None and not steps.target_states.runs_version(began_at):
+        why = f"{progress.outcome.why}; the target's software changed"
+        progress.outcome = progress.outcome._replace(why=why)
+        return RequestState.ENDED
     return await steps.place_when_settled(progress)
