--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -81,7 +81,7 @@
         self.chooser = TargetChooser(
             self.target_states, self.admissions, failure_domain, region_of, random, self.memory
         )
-        self.origins = StreamOrigins(view)
+        self.origins = StreamOrigins(view, self.tallies)
         self.sender = AttemptSender(self.target_states, names, self.origins)
         self.sends = RecordedSends(
             self.sender,
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -144,10 +144,11 @@
         """
         order = choose_holders(key, self._links, self._failing()) if has_holders else []
         questions = _Questions(list(self._links.values()))
+        asked_s = read_clock()
         for host in order[:1]:
-            await questions.ask(key, [self._links[host]], HEDGE_S)
+            await questions.ask(key, [self._links[host]], asked_s + HEDGE_S)
         if not questions.found:
-            await questions.ask(key, questions.unasked(), ASK_S - HEDGE_S)
+            await questions.ask(key, questions.unasked(), asked_s + ASK_S)
         questions.cancel()
         return questions.result()
 
@@ -195,11 +196,10 @@
         """Return the replicas that were not asked yet."""
         return [link for link in self._links if link not in self._asked]
 
-    async def ask(self, key: bytes, links: list[OriginLink], limit_s: float) -> None:
+    async def ask(self, key: bytes, links: list[OriginLink], ends_s: float) -> None:
         """Ask some replicas too, and wait until one knows the key or all have answered."""
         self._asked.update(links)
         self._waiting |= {asyncio.ensure_future(link.ask(key)) for link in links}
-        ends_s = read_clock() + limit_s
         while self._waiting and (left_s := ends_s - read_clock()) > 0:
             done, self._waiting = await asyncio.wait(
                 self._waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
