--- a/benchmarks/stream_origins.py
+++ b/benchmarks/stream_origins.py
@@ -8,7 +8,7 @@
 Routers and replicas are killed and come back without their memory, and routers hear of changes
 late. A replica is one queue: a call costs `CALL_S`, an entry `ENTRY_S`.
 
-    python -m benchmarks.stream_origins [--routers N]
+    python -m benchmarks.stream_origins [--routers N] [--replicas N] [--rate STREAMS_A_ROUTER]
 """
 
 import argparse
@@ -22,6 +22,15 @@
 from damaskwind.decisions.limits.slices import rendezvous_order
 from damaskwind.decisions.streams.holders import choose_holders
 from damaskwind.decisions.streams.origin_table import OriginEntry, OriginTable, attempt_key
+from damaskwind.router.forwarding.origin_link import LAZY_BATCH, LAZY_S, SLOW_S
+from damaskwind.router.forwarding.origin_relay import (
+    ASK_S,
+    CONFIRM_S,
+    HEDGE_BURST,
+    HEDGE_S,
+    HEDGE_SHARE,
+)
+from damaskwind.router.forwarding.stream_origins import MARGIN_S
 from damaskwind.wire.stream_origins import OriginAnswer, OriginCall, encode_message
 
 __all__ = ["STRATEGIES", "OriginFigures", "OriginLoad", "simulate"]
@@ -32,11 +41,6 @@
 CALL_S = 4 * 190e-6
 ENTRY_S = 4 * 9e-6
 HOP_S = 0.0005
-CONFIRM_S, HEDGE_S, LAZY_S, ASK_S = 0.1, 0.02, 1.0, 0.1
-# Entries that nobody waits for in one call, and the share of writes that are hedged.
-LAZY_BATCH = 32
-HEDGE_BURST, HEDGE_SHARE = 3.0, 0.1
-MARGIN_S = 5.0
 # Bytes of HTTP and packet headers of a call and its answer.
 OVERHEAD_BYTES = 300
 # How long the news of a version that came or went takes to a router.
@@ -108,6 +112,7 @@
         self.urgent: dict[int, _Stream] = {}
         self.lazy: dict[int, _Stream] = {}
         self.is_calling = False
+        self.called_s = float("inf")
         self.has_timer = False
 
 
@@ -194,7 +199,11 @@
 
     def write_down(self, router: int, stream: _Stream) -> None:
         is_all = self.strategy == "written to all"
-        down = [host for host, replica in self.hosts.items() if not replica.is_up]
+        down = [
+            host
+            for host, replica in self.hosts.items()
+            if not replica.is_up or self.now_s - self.links[router][host].called_s > SLOW_S
+        ]
         first, *others = choose_holders(stream.key, self.hosts, down)
         self.put(router, first, stream, True)
         for host in others:
@@ -251,13 +260,13 @@
         link.urgent.clear()
         for stream in batch:
             link.lazy.pop(stream.entry.writer, None)
-        link.is_calling = True
+        link.is_calling, link.called_s = True, self.now_s
         call = OriginCall(tuple(stream.entry for stream in batch))
         done_s = self.serve(replica, len(batch), len(encode_message(call)))
         life, router_life = replica.life, self.router_lives[router]
 
         def end() -> None:
-            link.is_calling = False
+            link.is_calling, link.called_s = False, float("inf")
             if replica.life == life:
                 for stream in batch:
                     stream.confirmed_s = min(stream.confirmed_s, self.now_s)
@@ -475,10 +484,11 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--routers", type=int, nargs="*", default=[8, 57, 138, 300])
     parser.add_argument("--rate", type=float, default=OriginLoad(8).streams_per_router_s)
+    parser.add_argument("--replicas", type=int, default=3)
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
     for routers in arguments.routers:
-        load = OriginLoad(routers, streams_per_router_s=arguments.rate)
+        load = OriginLoad(routers, arguments.replicas, arguments.rate)
         for strategy in STRATEGIES:
             figures = simulate(strategy, load, arguments.seed)
             cells = [
