--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -4,6 +4,7 @@
 
 from damaskwind.decisions.load.held_requests import TargetLoad
 from damaskwind.decisions.membership.target_record import TargetPhase
+from damaskwind.decisions.target_signals.answer_signals import AnswerSignals
 from damaskwind.model.traffic_configuration import RouteKind, ServiceShare
 from damaskwind.router.forwarding.stream_origins import OriginVerdict
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
@@ -205,6 +206,14 @@
         self.run_version("t2", "v1", phase=TargetPhase.LEAVING)
         await self.check_refused(may_retry=False)
 
+    @asyncio_test
+    async def test_target_that_said_in_an_answer_that_it_leaves_serves_no_more(self):
+        """Guards against callers that come back until the report of its leaving arrives."""
+        for name in ("t0", "t2"):
+            record = self.view.targets.record_of(name)
+            self.forwarder.target_states.record_signals(record, AnswerSignals(is_leaving=True))
+        await self.check_refused(may_retry=False)
+
     @asyncio_test
     async def test_refused_for_now_if_the_targets_of_its_version_are_unreachable(self):
         self.connections.is_unreachable = lambda target_id: target_id != "t1"
