--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -60,10 +60,19 @@
 class BegunStream:
     """A stream that this router began or took up, as it is written down.
 
-    `confirmed` is set once a replica holds it.
+    It `is_confirmed` once a replica holds it.
     """
 
-    __slots__ = ("confirmed", "expires_s", "keys", "sequence", "service", "version", "writer")
+    __slots__ = (
+        "_confirmation",
+        "expires_s",
+        "is_confirmed",
+        "keys",
+        "sequence",
+        "service",
+        "version",
+        "writer",
+    )
 
     def __init__(
         self,
@@ -80,7 +89,25 @@
         self.writer = writer
         self.sequence = sequence
         self.expires_s = expires_s
-        self.confirmed = asyncio.Event()
+        self.is_confirmed = False
+        # Made only while it is waited for: an event is half of a stream's memory.
+        self._confirmation: asyncio.Event | None = None
+
+    def confirm(self) -> None:
+        """Record that a replica holds it."""
+        self.is_confirmed = True
+        if self._confirmation is not None:
+            self._confirmation.set()
+
+    async def wait_confirmed(self, limit_s: float) -> bool:
+        """Wait until a replica holds it; return whether one does in time."""
+        if not self.is_confirmed:
+            self._confirmation = asyncio.Event()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(limit_s):
+                    await self._confirmation.wait()
+            self._confirmation = None
+        return self.is_confirmed
 
     def entry(self, now_s: float) -> OriginEntry:
         """Return what is written down now."""
@@ -212,7 +239,7 @@
         else:
             self.is_failing = self.is_down = False
             for stream in valid:
-                stream.confirmed.set()
+                stream.confirm()
             for (_, future), versions in zip(questions, answer.versions, strict=True):
                 _settle(future, versions)
             return True
@@ -225,7 +252,7 @@
         """Keep streams for a later call, unless a later write has replaced them."""
         for stream in streams:
             if stream.writer not in self._urgent and stream.writer not in self._lazy:
-                is_urgent = not stream.confirmed.is_set()
+                is_urgent = not stream.is_confirmed
                 (self._urgent if is_urgent else self._lazy)[stream.writer] = stream
 
     def _fail(self, error: Exception) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -127,14 +127,14 @@
         for host in others:
             self._links[host].write(stream, is_urgent=False)
         self._hedges = min(self._hedges + HEDGE_SHARE, HEDGE_BURST)
-        if await _is_set(stream.confirmed, HEDGE_S):
+        if await stream.wait_confirmed(HEDGE_S):
             return True
         if self._hedges >= 1.0:
             self._hedges -= 1.0
             self.tallies.count("stream_write_hedges")
             for host in others:
                 self._links[host].write(stream, is_urgent=True)
-        return await _is_set(stream.confirmed, CONFIRM_S - HEDGE_S)
+        return await stream.wait_confirmed(CONFIRM_S - HEDGE_S)
 
     async def ask(self, key: bytes, has_holders: bool) -> Asked:
         """Ask the replicas for the versions of a key.
@@ -220,15 +220,3 @@
         """Return what was answered so far."""
         down = sum(link.is_down for link in self._links)
         return Asked(frozenset(self.found), self._answered, down, len(self._links))
-
-
-async def _is_set(event: asyncio.Event, limit_s: float) -> bool:
-    """Wait for an event; return whether it happened in time."""
-    if event.is_set():
-        return True
-    try:
-        async with asyncio.timeout(limit_s):
-            await event.wait()
-    except TimeoutError:
-        return False
-    return True
