A framed body of unstated type on a streaming route is not taken for events

Callers had framed answers reset: one with a Content-Length but no Content-Type, on a route that streams, counted as a stream that ended inside an event.

Why it works: a frame that ends a body of unstated type is believed. Only where there is no frame either, the ends of events decide.

--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -19,6 +19,18 @@
 EVENT_STREAM = b"text/event-stream"
 
 
+def _has_events(head: AnswerHead) -> bool:
+    """Return whether a stream consists of events.
+
+    A body whose type isn't stated may be anything, so a frame that ends it is believed. Where
+    there is no frame either, the ends of events are the only sign that it is whole.
+    """
+    content_type = header(head.headers, b"content-type")
+    if content_type is None:
+        return head.is_unframed
+    return content_type.lower().startswith(EVENT_STREAM)
+
+
 class Delivery:
     """The answer to one caller, as far as it was delivered."""
 
@@ -77,8 +89,7 @@
         self._hold_partial(-len(self._splitter.partial))
         self._splitter = EventSplitter()
         self._boundary = EventBoundary()
-        content_type = header(head.headers, b"content-type") or EVENT_STREAM
-        self._has_events = content_type.lower().startswith(EVENT_STREAM)
+        self._has_events = _has_events(head)
         if not self.has_begun:
             self._exchange.begin(head.status, without(head.headers, frozenset()))
 
