An unframed answer is complete only if its target outlived it

Callers got a whole answer, in chunks or with a length, when the process of its target crashed in the middle of it: a stream between two events, or a plain body at any place.

Cause: a kernel closes the connections of a crashed process in the orderly way that also ends an answer without a length and chunks. The router took each such end for the target's word.

Evidence: with the tests alone, four of test_unframed_answers failed: a stream that may not be resumed looked complete, one that may be resumed was not resumed, and a cut body was passed on as 200, on routes that may be repeated and on others. They pass now, as do those of targets that exit because they are leaving.

Why it works: 20 ms after the end, all connections of a process that exited are closed. The end counts only if another connection to the target is still open then, or a probe shared by all ends that wait is accepted. Otherwise the attempt is broken like one that was reset. Decision 0033 weighs the ways.

--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -0,0 +1,78 @@
+"""Find out whether the end of an unframed answer was its end or that of its target's process.
+
+An answer without a length and chunks is complete when its connection closes in an orderly way,
+and that is also what a kernel does to the connections of a process that crashed. A target that
+still runs shortly afterwards has ended the answer itself. See
+`docs/decisions/0033-ends-of-unframed-answers.md`.
+"""
+
+import asyncio
+
+from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.router.forwarding.connections import SETTLE_S
+from damaskwind.router.forwarding.target_states import TargetStates
+from damaskwind.runtime.tallies import Tallies
+
+__all__ = ["AnswerEnds"]
+
+
+class AnswerEnds:
+    """Checks the ends of unframed answers at one router, and counts what the checks find."""
+
+    def __init__(self, target_states: TargetStates, tallies: Tallies) -> None:
+        self._target_states = target_states
+        self._connections = target_states.connections
+        self._tallies = tallies
+        self._probes: dict[str, asyncio.Task[bool]] = {}
+
+    async def has_outlived(self, target: TargetRecord) -> bool:
+        """Return whether a target ended the unframed answer that has just ended.
+
+        The proof is from `SETTLE_S` after the end, or later: all connections of a process that
+        exits are closed by then. A target that is leaving may exit after its answer.
+        """
+        found = await self._find_proof(target)
+        self._tallies.count("unframed_end_checks", found=found)
+        return found != "nothing"
+
+    async def _find_proof(self, target: TargetRecord) -> str:
+        """Return what shows that an answer was ended by its target, or `nothing`."""
+        if self._is_leaving(target):
+            return "leaving"
+        target_id = target.target_id
+        has_open = self._connections.has_open(target_id)
+        probe = None if has_open else self._probe(target)
+        await asyncio.sleep(SETTLE_S)
+        if self._is_leaving(target):
+            return "leaving"
+        if not self._is_same_life(target):
+            return "nothing"
+        # A shared probe may have begun before this end. It proves nothing then, but the connection
+        # that it made does if it is still open.
+        was_refused = probe is not None and not await asyncio.shield(probe)
+        if self._connections.has_open(target_id):
+            return "connection" if probe is None else "probe"
+        if was_refused:
+            return "nothing"
+        return "probe" if await asyncio.shield(self._probe(target)) else "nothing"
+
+    def _is_leaving(self, target: TargetRecord) -> bool:
+        """Return whether a target may exit by itself, as in `CrashDetector`."""
+        phase = self._target_states.view.targets.phase_of(target.target_id)
+        return phase is not TargetPhase.SERVING or self._target_states.has_announced_leaving(target)
+
+    def _is_same_life(self, target: TargetRecord) -> bool:
+        """Return whether the process that was sent to is the one that is registered now."""
+        known = self._target_states.view.targets.record_of(target.target_id)
+        return known is not None and known.incarnation == target.incarnation
+
+    def _probe(self, target: TargetRecord) -> asyncio.Task[bool]:
+        """Return a probe of a target, shared by the ends that wait for it at once."""
+        target_id = target.target_id
+        probe = self._probes.get(target_id)
+        if probe is None:
+            self._tallies.count("unframed_end_probes")
+            probing = self._connections.probe(target_id, target.address)
+            probe = self._probes[target_id] = asyncio.ensure_future(probing)
+            probe.add_done_callback(lambda _: self._probes.pop(target_id))
+        return probe
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -19,6 +19,7 @@
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.answer_ends import AnswerEnds
 from damaskwind.router.forwarding.call import Call, target_headers
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
@@ -34,6 +35,7 @@
     ConnectFailedError,
 )
 from damaskwind.runtime.http1.messages import Answer, Request, header
+from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.peers import Failure
 
 __all__ = ["AnswerAcceptor", "AttemptEnd", "AttemptOutcome", "AttemptSender", "Placement"]
@@ -114,6 +116,15 @@
     open_bytes: int = 0
 
 
+# The end of an unframed answer whose target may have crashed then.
+_UNSURE_END = AttemptOutcome(
+    AttemptEnd.BROKEN,
+    "the target is gone at the end of an answer without a frame",
+    is_connection_lost=True,
+    is_unframed=True,
+)
+
+
 def _ignore_answer_started(call: Call, target_id: str, first_s: float) -> None:
     """Ignore the start of an answer; the default of `AttemptSender.on_answer_started`."""
 
@@ -151,9 +162,10 @@
     the head of the answer, which may be a refusal. `on_accepted` is called if it is none.
     """
 
-    def __init__(self, target_states: TargetStates, names: HeaderNames) -> None:
+    def __init__(self, target_states: TargetStates, names: HeaderNames, tallies: Tallies) -> None:
         self.connections = target_states.connections
         self.activity = target_states.activity
+        self.answer_ends = AnswerEnds(target_states, tallies)
         self.on_answer_started: Callable[[Call, str, float], None] = _ignore_answer_started
         self.on_accepted: Callable[[Call], None] = _ignore_accepted
         self._target_states = target_states
@@ -290,6 +302,8 @@
             )
             return outcome._replace(first_s=first_s, is_unframed=head.is_unframed)
         pieces = await connection.read_pieces(ANSWER_LIMIT_BYTES)
+        if not await self._is_end_sure(path, head, target):
+            return _UNSURE_END
         why = f"status {head.status}"
         delivered = AttemptOutcome(
             AttemptEnd.DELIVERED, why, first_s=first_s, is_unframed=head.is_unframed
@@ -414,6 +428,8 @@
                 self._target_states.reach.record_heard(target.service, read_clock())
             delivery.write_stream(data)
             await delivery.drained()
+        if not delivery.open_bytes and not await self._is_end_sure(path, head, target):
+            return _UNSURE_END
         path.release(connection, head.headers)
         open_bytes = delivery.open_bytes
         if not delivery.end_stream():
@@ -421,6 +437,15 @@
             return AttemptOutcome(AttemptEnd.BROKEN, why, open_bytes=open_bytes)
         return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete", open_bytes=open_bytes)
 
+    async def _is_end_sure(self, path: TargetPath, head: AnswerHead, target: TargetRecord) -> bool:
+        """Return whether an answer that has ended was ended by its target.
+
+        Another router has checked that itself; it frames all answers.
+        """
+        if not head.is_unframed:
+            return True
+        return not path.via and await self.answer_ends.has_outlived(target)
+
     async def _read_data_in_time(
         self, connection: ClientConnection, gap_s: float | None
     ) -> bytes | None:
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -86,6 +86,10 @@
         """Tell whether the last connection attempt to a target failed and it is being probed."""
         return target_id in self._watches
 
+    def has_open(self, target_id: str) -> bool:
+        """Tell whether a connection to a target is established that the target has not closed."""
+        return any(item.is_open for item in self._established.get(target_id, ()))
+
     async def probe(
         self, target_id: str, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> bool:
@@ -99,6 +103,7 @@
             return False
         stays_open = await self._stays_open(connection)
         if stays_open:
+            self._established.setdefault(target_id, WeakSet()).add(connection)
             self.return_unused(target_id, connection)
         return stays_open
 
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -80,7 +80,7 @@
         self.chooser = TargetChooser(
             self.target_states, self.admissions, failure_domain, region_of, random, self.memory
         )
-        self.sender = AttemptSender(self.target_states, names)
+        self.sender = AttemptSender(self.target_states, names, self.tallies)
         self.sends = RecordedSends(
             self.sender,
             self.target_states,
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -1,21 +1,23 @@
 """Tests of answers that have neither a length nor chunks and end with their connection."""
 
+import asyncio
+import contextlib
+
+from damaskwind.decisions.membership.target_record import TargetPhase
 from damaskwind.model.traffic_configuration import RouteKind
-from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
+from damaskwind.router.forwarding.connections import SETTLE_S
+from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError
-from damaskwind.standins.scripted_target import event, unframed
+from damaskwind.standins.scripted_target import event, plain, stream, unframed
 
 THREE_EVENTS = event(1) + event(2) + event(3)
 
 
-class StreamThatMayNotBeResumedTest(ForwarderTestCase):
-    async def start(self):
-        await super().start()
-        self.publish(route(RouteKind.STREAMING))
-
+class UnframedTestCase(ForwarderTestCase):
     async def read(self):
-        """Return what a caller gets of a stream, and whether the answer was complete."""
+        """Return what a caller gets of an answer, and whether it was complete."""
         connection = await self.connect()
         connection.send(self.request())
         await connection.read_head()
@@ -27,6 +29,25 @@
             return b"".join(pieces), False
         return b"".join(pieces), True
 
+    def at_exit(self, body, fields=()):
+        """Return a step that answers without a frame, after which its target's process exits."""
+
+        async def step(writer, request):
+            try:
+                await unframed(body, fields)(writer, request)
+            finally:
+                for target in self.targets:
+                    if request in target.received:
+                        target.exit()
+
+        return step
+
+
+class StreamThatMayNotBeResumedTest(UnframedTestCase):
+    async def start(self):
+        await super().start()
+        self.publish(route(RouteKind.STREAMING))
+
     @asyncio_test
     async def test_unframed_stream_that_ends_inside_an_event_does_not_look_complete(self):
         """Guards against a last chunk after a stream that its target broke off."""
@@ -46,3 +67,149 @@
     async def test_unframed_stream_that_ends_after_an_event_is_whole(self):
         self.share(unframed(THREE_EVENTS))
         self.assertEqual(await self.read(), (THREE_EVENTS, True))
+
+
+class TargetGoneAtTheEndTest(UnframedTestCase):
+    """The end of a connection that a kernel closed looks like the end of an answer."""
+
+    @asyncio_test
+    async def test_stream_does_not_look_complete(self):
+        """Guards against a last chunk after a stream whose target crashed between two events."""
+        self.publish(route(RouteKind.STREAMING))
+        self.share(self.at_exit(event(1) + event(2)))
+        self.assertEqual(await self.read(), (event(1) + event(2), False))
+
+    @asyncio_test
+    async def test_stream_that_may_be_resumed_goes_on_elsewhere(self):
+        self.publish(route(RouteKind.STREAMING, is_resumable=True))
+        self.share(self.at_exit(event(1) + event(2)), stream(3, 3))
+        self.assertEqual(await self.read(), (THREE_EVENTS, True))
+        resumed = {request.headers.get(NAMES.resume_after) for request in self.received()}
+        self.assertEqual(resumed, {None, b"2"})
+
+    @asyncio_test
+    async def test_answer_that_may_be_repeated_comes_from_another_target(self):
+        self.share(self.at_exit(b"who"), plain(body=b"whole"))
+        self.assertEqual((await self.call()).body, b"whole")
+        self.assertEqual(len(self.received()), 2)
+
+    @asyncio_test
+    async def test_answer_that_may_not_be_repeated_is_refused_as_maybe_run(self):
+        """Guards against a cut body that is passed on with a length that fits it."""
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        self.share(self.at_exit(b"who"))
+        self.assertEqual((await self.call()).status, 502)
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_target_that_is_leaving_may_exit_after_its_answer(self):
+        """Guards against whole answers that are called cut in a release."""
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        self.share(self.at_exit(b"whole", (NAMES.leaving + b": 1",)))
+        self.assertEqual((await self.call()).body, b"whole")
+
+    @asyncio_test
+    async def test_target_known_to_be_leaving_may_exit_after_its_answer(self):
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+
+        async def leave_and_answer(writer, request):
+            for number, target in enumerate(self.targets):
+                record = self.view.targets.record_of(f"t{number}")
+                if request in target.received:
+                    self.admit(f"t{number}", record.address, TargetPhase.LEAVING, 101)
+            await self.at_exit(b"whole")(writer, request)
+
+        self.share(leave_and_answer)
+        self.assertEqual((await self.call()).body, b"whole")
+
+
+class EndCheckTest(UnframedTestCase):
+    """What the check of an end costs, with one target that serves and stays."""
+
+    async def start(self):
+        await super().start()
+        address = self.view.targets.record_of("t1").address
+        self.admit("t1", address, TargetPhase.LEAVING, 101)
+        self.target = self.targets[0]
+        self.ended_s = []
+
+    def probes(self):
+        return sum(self.forwarder.tallies.totals("unframed_end_probes").values())
+
+    def found(self):
+        totals = self.forwarder.tallies.totals("unframed_end_checks")
+        return {dict(labels)["found"]: count for labels, count in totals.items()}
+
+    def ending_after(self, pause_s, body=b"whole"):
+        """Return a step whose connection ends some time after its body."""
+
+        async def step(writer, request):
+            with contextlib.suppress(ConnectionError):
+                await unframed(body)(writer, request)
+            await asyncio.sleep(pause_s)
+            self.ended_s.append(read_clock())
+            raise ConnectionError("scripted end")
+
+        return step
+
+    @asyncio_test
+    async def test_events_are_not_delayed_and_the_end_is_by_little(self):
+        """Guards against an event that waits for the check of the end."""
+        self.publish(route(RouteKind.STREAMING))
+        self.share(self.ending_after(0.2, THREE_EVENTS))
+        connection = await self.connect()
+        connection.send(self.request())
+        await connection.read_head()
+        self.assertEqual(await connection.read_data(), THREE_EVENTS)
+        self.assertEqual(self.ended_s, [])
+        self.assertIsNone(await connection.read_data())
+        waited_s = read_clock() - self.ended_s[0]
+        self.assertGreater(waited_s, SETTLE_S * 0.9)
+        self.assertLess(waited_s, 0.2)
+
+    @asyncio_test
+    async def test_other_open_connection_is_proof_enough(self):
+        held = asyncio.Event()
+
+        async def hold(writer, request):
+            await held.wait()
+            await plain()(writer, request)
+
+        self.share(hold, unframed(b"whole"))
+        other = asyncio.ensure_future(self.call(request_id=b"r2"))
+        await asyncio.sleep(0.05)
+        self.assertEqual((await self.call()).body, b"whole")
+        self.assertEqual((self.probes(), self.found()), (0, {"connection": 1}))
+        held.set()
+        await other
+
+    @asyncio_test
+    async def test_ends_at_once_share_a_probe(self):
+        """Guards against a burst of connections when many answers end together."""
+        self.share(*[self.ending_after(0.1)] * 6)
+        answers = await asyncio.gather(*(self.call(request_id=b"r%d" % n) for n in range(6)))
+        self.assertEqual([answer.body for answer in answers], [b"whole"] * 6)
+        self.assertLessEqual(self.probes(), 2)
+        self.assertLessEqual(self.target.connections, 6 + 2)
+
+    @asyncio_test
+    async def test_connection_of_a_probe_is_used_by_the_next_request(self):
+        """Guards against two new connections for each unframed answer."""
+        self.share(*[unframed(b"whole")] * 10)
+        for number in range(10):
+            await self.call(request_id=b"r%d" % number)
+        self.assertEqual((self.probes(), self.target.connections), (10, 11))
+        self.assertEqual(self.found(), {"probe": 10})
+
+    @asyncio_test
+    async def test_target_that_restarted_meanwhile_is_no_proof(self):
+        """Guards against a new process that vouches for the answer of the one that crashed."""
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        record = self.view.targets.record_of("t0")
+
+        async def restart(writer, request):
+            self.view.targets.merge(record._replace(born_ms=record.born_ms + 1), read_clock())
+            await unframed(b"who")(writer, request)
+
+        self.share(restart)
+        self.assertEqual((await self.call()).status, 502)
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -115,7 +115,8 @@
     @property
     def is_open(self) -> bool:
         """Return whether the peer has neither closed nor sent unrequested bytes."""
-        return not self._is_lost and not self.has_stray_bytes
+        has_ended = self._is_lost or self._has_received_eof
+        return not has_ended and not self.has_stray_bytes
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket options that detect an unresponsive peer."""
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -77,6 +77,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def exit(self) -> None:
+        """Close the socket and all connections in an orderly way, as a kernel does at an exit.
+
+        The step that calls this closes its own connection when it ends.
+        """
+        self._server.close()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+
     def in_progress(self) -> int:
         """Return the number of requests that are being answered."""
         return self._in_progress
