An unframed stream without any event is not complete

Callers got an empty, complete stream when a target that goes on running failed before its first event and closed the connection.

Cause: no event was open, so nothing showed a gap, and the target outlived the end.

Evidence: with the tests alone, two of test_unframed_answers failed: the empty stream looked complete, and one that may be resumed did not come from another target. They pass now.

Why it works: no stream that is asked for from its start is whole without an event, unless its frame says so. The rest of a stream that was taken up again may be empty, and is still whole.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -428,14 +428,14 @@
                 self._target_states.reach.record_heard(target.service, read_clock())
             delivery.write_stream(data)
             await delivery.drained()
-        if not delivery.open_bytes and not await self._is_end_sure(path, head, target):
+        gap = delivery.find_gap(call.facts.resume_after)
+        if not gap and not await self._is_end_sure(path, head, target):
             return _UNSURE_END
         path.release(connection, head.headers)
-        open_bytes = delivery.open_bytes
-        if not delivery.end_stream():
-            why = "the stream ended inside an event"
-            return AttemptOutcome(AttemptEnd.BROKEN, why, open_bytes=open_bytes)
-        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete", open_bytes=open_bytes)
+        if gap:
+            return AttemptOutcome(AttemptEnd.BROKEN, gap, open_bytes=delivery.open_bytes)
+        delivery.end_stream()
+        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete")
 
     async def _is_end_sure(self, path: TargetPath, head: AnswerHead, target: TargetRecord) -> bool:
         """Return whether an answer that has ended was ended by its target.
--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -40,6 +40,7 @@
         self._splitter = EventSplitter()
         self._boundary = EventBoundary()
         self._has_events = True
+        self._is_unframed = False
         self.last_event: int | None = None
         self.events = 0
         self.bytes = 0
@@ -90,6 +91,7 @@
         self._splitter = EventSplitter()
         self._boundary = EventBoundary()
         self._has_events = _has_events(head)
+        self._is_unframed = head.is_unframed
         if not self.has_begun:
             self._exchange.begin(head.status, without(head.headers, frozenset()))
 
@@ -122,12 +124,23 @@
         self.bytes += len(event)
         self._exchange.write(event)
 
-    def end_stream(self) -> bool:
-        """Finish the answer; return `False` instead if the stream ended inside an event."""
+    def find_gap(self, asked: int | None) -> str:
+        """Return what shows that a stream which has ended is not whole, if anything does.
+
+        `asked` is the id of the event after which the caller asked for the rest. A stream without
+        a frame that brings no event most likely failed before its first one; the rest of a stream
+        may be empty.
+        """
         if self.open_bytes:
-            return False
+            return "the stream ended inside an event"
+        has_begun = self.bytes > 0 or self.resume_after(asked) is not None
+        if self._is_unframed and self._has_events and not has_begun:
+            return "the stream ended without a frame before its first event"
+        return ""
+
+    def end_stream(self) -> None:
+        """Finish a stream that is whole."""
         self._exchange.finish()
-        return True
 
     async def drained(self) -> None:
         """Wait until the caller has read most of what was written, unless the rest is held."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -10,7 +10,7 @@
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError
-from damaskwind.standins.scripted_target import event, plain, stream, unframed
+from damaskwind.standins.scripted_target import cut_stream, event, plain, stream, unframed
 
 THREE_EVENTS = event(1) + event(2) + event(3)
 
@@ -68,6 +68,31 @@
         self.share(unframed(THREE_EVENTS))
         self.assertEqual(await self.read(), (THREE_EVENTS, True))
 
+    @asyncio_test
+    async def test_unframed_stream_without_any_event_does_not_look_complete(self):
+        """Guards against a last chunk where a target failed before its first event."""
+        for body in (b"", b"\r\n"):
+            self.share(unframed(body))
+            self.assertFalse((await self.read())[1])
+
+    @asyncio_test
+    async def test_framed_stream_without_any_event_is_whole(self):
+        self.share(stream(1, 0))
+        self.assertEqual(await self.read(), (b"", True))
+
+    @asyncio_test
+    async def test_unframed_rest_of_a_stream_may_be_empty(self):
+        """Guards against a caller that has all events and is never told the end."""
+        self.publish(route(RouteKind.STREAMING, is_resumable=True))
+        self.share(cut_stream(1, 3), unframed(b""))
+        self.assertEqual(await self.read(), (THREE_EVENTS, True))
+
+    @asyncio_test
+    async def test_unframed_stream_without_any_event_comes_from_another_target(self):
+        self.publish(route(RouteKind.STREAMING, is_resumable=True))
+        self.share(unframed(b""), stream(1, 3))
+        self.assertEqual(await self.read(), (THREE_EVENTS, True))
+
 
 class TargetGoneAtTheEndTest(UnframedTestCase):
     """The end of a connection that a kernel closed looks like the end of an answer."""
