An unframed answer that is sent on for another router ends only if its target outlived it

A router whose own path is cut got a last chunk for an answer that its target's crash had broken off, and passed it on as complete. So it did with a stream that failed before its first event.

Cause: the router in between puts the end of the target's connection into a last chunk. The first router then has a framed answer, and can't tell.

Evidence: with the tests alone, three of test_attempt_relay failed: a stream and a plain body whose target exits, and a stream without any event. They pass now; answers of targets that go on, or are leaving, stay whole.

Why it works: the router in between makes the check of decision 0033 before it finishes, and resets the connection otherwise, which the first router takes for a broken attempt. That one still looks for a gap inside an event, as it does for its own targets.

--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -67,9 +67,13 @@
 
 def _is_short(head: AnswerHead) -> bool:
     """Return whether an answer is sent back in one write; the events of a stream never are."""
-    is_stream = (header(head.headers, b"content-type") or b"").startswith(b"text/event-stream")
     length = header(head.headers, b"content-length") or b""
-    return not is_stream and length.isdigit() and int(length) <= WHOLE_BYTES
+    return not _is_stream(head) and length.isdigit() and int(length) <= WHOLE_BYTES
+
+
+def _is_stream(head: AnswerHead) -> bool:
+    """Return whether an answer is stated to be a stream of events."""
+    return (header(head.headers, b"content-type") or b"").lower().startswith(b"text/event-stream")
 
 
 class AttemptRelay:
@@ -249,13 +253,30 @@
             exchange.respond(Answer(head.status, headers, body))
             return
         exchange.begin(head.status, headers)
+        is_empty = True
         while (data := await connection.read_data()) is not None:
+            is_empty = False
             self._target_states.activity.record_received(target.target_id, read_clock())
             exchange.write(data)
             await exchange.drained()
+        if head.is_unframed:
+            await self._check_end(exchange.request, head, target, is_empty)
         self._target_states.connections.release(target.target_id, connection, head.headers)
         exchange.finish()
 
+    async def _check_end(
+        self, request: Request, head: AnswerHead, target: TargetRecord, is_empty: bool
+    ) -> None:
+        """Raise `AnswerBrokenError` if an unframed answer may have been broken off.
+
+        It goes back in chunks, so that only this router can tell. The other one looks at events.
+        """
+        is_resumed = header(request.headers, self._names.resume_after) is not None
+        if is_empty and _is_stream(head) and not is_resumed:
+            raise AnswerBrokenError("the stream ended without a frame before its first event")
+        if not await self._sender.answer_ends.has_outlived(target):
+            raise AnswerBrokenError("the target is gone at the end of an answer without a frame")
+
     def _left_s(self, request: Request) -> float:
         """Return the seconds until a request's deadline."""
         try:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
@@ -12,7 +12,7 @@
 from damaskwind.runtime.http1.messages import Request, header
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.tallies import Tallies
-from damaskwind.standins.scripted_target import cut_stream, plain, raw, stream
+from damaskwind.standins.scripted_target import cut_stream, event, plain, raw, stream, unframed
 from damaskwind.wire.peers import (
     AUTHORIZATION,
     STATUS,
@@ -203,6 +203,58 @@
         with self.assertRaises(AnswerBrokenError):
             await self.send(self.request())
 
+    def at_exit(self, body, fields=()):
+        """Return a step that answers without a frame, after which its target's process exits."""
+
+        async def step(writer, request):
+            try:
+                await unframed(body, fields)(writer, request)
+            finally:
+                self.targets[0].exit()
+
+        return step
+
+    @asyncio_test
+    async def test_unframed_answer_whose_target_is_gone_does_not_look_complete(self):
+        """Guards against a last chunk, which the first router takes for the target's word."""
+        fields = (b"content-type: text/event-stream",)
+        self.targets[0].script = [self.at_exit(event(1), fields)]
+        with self.assertRaises(AnswerBrokenError):
+            await self.send(self.request())
+        self.assertTrue(self.connections.is_unreachable("t0"))
+
+    @asyncio_test
+    async def test_unframed_plain_answer_whose_target_is_gone_does_not_look_complete(self):
+        self.targets[0].script = [self.at_exit(b"who")]
+        with self.assertRaises(AnswerBrokenError):
+            await self.send(self.request())
+
+    @asyncio_test
+    async def test_unframed_answer_of_a_target_that_is_leaving_is_whole(self):
+        self.targets[0].script = [self.at_exit(b"whole", (NAMES.leaving + b": 1",))]
+        self.assertEqual((await self.send(self.request())).body, b"whole")
+
+    @asyncio_test
+    async def test_unframed_answer_of_a_target_that_goes_on_is_whole(self):
+        for body in (event(1), b"whole", b""):
+            self.targets[0].script = [unframed(body)]
+            self.assertEqual((await self.send(self.request())).body, body)
+
+    @asyncio_test
+    async def test_unframed_stream_without_any_event_does_not_look_complete(self):
+        """Guards against an empty stream that looks framed to the first router."""
+        fields = (b"content-type: text/event-stream",)
+        self.targets[0].script = [unframed(b"", fields)]
+        with self.assertRaises(AnswerBrokenError):
+            await self.send(self.request())
+
+    @asyncio_test
+    async def test_unframed_rest_of_a_stream_may_be_empty(self):
+        fields = (b"content-type: text/event-stream",)
+        self.targets[0].script = [unframed(b"", fields)]
+        answer = await self.send(self.request(headers={NAMES.resume_after: b"3"}))
+        self.assertEqual((answer.status, answer.body), (200, b""))
+
     @asyncio_test
     async def test_question_is_answered_with_what_is_reached(self):
         await self.targets[1].stop()
