Line ends alone are no start of an event, and may be of any kind

Whole streams were reset, or sent again, when an empty line followed the last event of a stream that may be resumed, and on all routes when lines ended with CR.

Cause: what follows the last end of an event counted as the start of another one, also a line end alone; and only LF and CRLF were known, while the standard has CR too.

Why it works: empty lines belong to the event before them, or pass by themselves. A lone CR after another kind of line end is still open, as most likely its LF is missing.

--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -6,7 +6,7 @@
 however its target framed it.
 """
 
-from damaskwind.router.forwarding.events import EventBoundary, EventSplitter, event_id
+from damaskwind.router.forwarding.events import EventBoundary, EventSplitter, event_id, is_blank
 from damaskwind.runtime.http1.client import AnswerHead
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.held_memory import RequestAccount
@@ -41,6 +41,8 @@
         self._boundary = EventBoundary()
         self._has_events = True
         self._is_unframed = False
+        self._has_event = False
+        self._is_skipping = False
         self.last_event: int | None = None
         self.events = 0
         self.bytes = 0
@@ -100,6 +102,7 @@
         if not self._is_resumable:
             self.bytes += len(data)
             self._boundary.feed(data)
+            self._has_event = self._has_event or not is_blank(data)
             self._exchange.write(data)
             return
         before_bytes = len(self._splitter.partial)
@@ -114,16 +117,24 @@
             self.account.hold(size_bytes)
 
     def _write_event(self, event: bytes) -> None:
-        """Send an event, unless the caller already has it."""
-        number = event_id(event)
-        if number is not None:
-            if self.last_event is not None and number <= self.last_event:
+        """Send an event, unless the caller already has it, or the empty lines after one."""
+        if not is_blank(event):
+            number = event_id(event)
+            self._is_skipping = self._has_sent(number)
+            if self._is_skipping:
                 return
-            self.last_event = number
-        self.events += 1
+            self.last_event = self.last_event if number is None else number
+            self._has_event = True
+            self.events += 1
+        elif self._is_skipping:
+            return
         self.bytes += len(event)
         self._exchange.write(event)
 
+    def _has_sent(self, number: int | None) -> bool:
+        """Return whether an event with this id, or a later one, was sent."""
+        return None not in (number, self.last_event) and number <= self.last_event
+
     def find_gap(self, asked: int | None) -> str:
         """Return what shows that a stream which has ended is not whole, if anything does.
 
@@ -133,7 +144,7 @@
         """
         if self.open_bytes:
             return "the stream ended inside an event"
-        has_begun = self.bytes > 0 or self.resume_after(asked) is not None
+        has_begun = self._has_event or self.resume_after(asked) is not None
         if self._is_unframed and self._has_events and not has_begun:
             return "the stream ended without a frame before its first event"
         return ""
--- a/packages/router/src/damaskwind/router/forwarding/events.py
+++ b/packages/router/src/damaskwind/router/forwarding/events.py
@@ -1,18 +1,29 @@
 """Split a stream of server-sent events into complete events, read their ids, find its open end.
 
 Following the WHATWG HTML standard, section 9.2, an event ends with an empty line, and its
-field `id` identifies it. Line ends may be LF or CRLF.
+field `id` identifies it. Line ends are LF, CRLF or CR. Further empty lines belong to no event.
 """
 
 import re
 
-__all__ = ["EventBoundary", "EventSplitter", "event_id"]
+__all__ = ["EventBoundary", "EventSplitter", "event_id", "is_blank"]
 
-# The ends of an event; two line ends of which the first may be CRLF or LF.
-_END_MARKS = (b"\n\n", b"\n\r\n")
-_MARK_BYTES = max(map(len, _END_MARKS))
-_END = re.compile(rb"\r?\n\r?\n")
-_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+_LINE_ENDS = b"\r\n"
+# The end of an event, with the empty lines that follow. A lone CR after another kind of line end
+# is most likely a CRLF whose LF is missing yet, so that the event is still open.
+_END = re.compile(rb"(?:\r?\n\r?\n|\r\r)[\r\n]*")
+# An end that a chunk completes may begin in this many bytes before it.
+_KEPT_BYTES = 3
+_ID = re.compile(rb"(?:^|[\r\n])id: ?(\d+)(?:[\r\n]|$)")
+
+
+def is_blank(data: bytes) -> bool:
+    r"""Return whether data consists of line ends alone.
+
+    >>> is_blank(b"\r\n"), is_blank(b"id")
+    (True, False)
+    """
+    return not data.strip(_LINE_ENDS)
 
 
 def event_id(event: bytes) -> int | None:
@@ -42,8 +53,7 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add a chunk and return the events that are complete now."""
-        # An end of up to 4 bytes may begin in the partial event, whose other bytes contain none.
-        scanned_bytes = max(0, len(self.partial) - 3)
+        scanned_bytes = max(0, len(self.partial) - _KEPT_BYTES)
         buffer = self.partial + data
         events = []
         start = 0
@@ -51,6 +61,9 @@
             events.append(buffer[start : match.end()])
             start = match.end()
         self.partial = buffer[start:]
+        if self.partial and is_blank(self.partial):
+            events.append(self.partial)
+            self.partial = b""
         return events
 
 
@@ -66,13 +79,15 @@
 
     def __init__(self) -> None:
         self.open_bytes = 0
-        self._tail = b""
+        # Line ends at the start of a stream belong to no event, like those after one.
+        self._tail = b"\n\n"
 
     def feed(self, data: bytes) -> int:
         """Add a chunk and return the bytes since the last end of an event."""
         buffer = self._tail + data
-        found = [(buffer.rfind(mark), len(mark)) for mark in _END_MARKS]
-        ends = [start + size for start, size in found if start >= 0]
-        self.open_bytes = len(buffer) - max(ends) if ends else self.open_bytes + len(data)
-        self._tail = buffer[1 - _MARK_BYTES :]
+        end = None
+        for match in _END.finditer(buffer):
+            end = match.end()
+        self.open_bytes = self.open_bytes + len(data) if end is None else len(buffer) - end
+        self._tail = buffer[-_KEPT_BYTES:]
         return self.open_bytes
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -12,6 +12,7 @@
 from damaskwind.runtime.http1.client import AnswerBrokenError
 from damaskwind.standins.scripted_target import cut_stream, event, plain, stream, unframed
 
+EVENTS = b"content-type: text/event-stream"
 THREE_EVENTS = event(1) + event(2) + event(3)
 
 
@@ -94,6 +95,49 @@
         self.assertEqual(await self.read(), (THREE_EVENTS, True))
 
 
+class BlankLinesTest(UnframedTestCase):
+    """Line ends between and after events belong to none."""
+
+    async def read_all_routes(self, *steps):
+        """Return what comes of a stream on a route that may be resumed, and on one that may not."""
+        results = []
+        for is_resumable in (False, True):
+            self.publish(route(RouteKind.STREAMING, is_resumable=is_resumable))
+            for target in self.targets:
+                target.received.clear()
+            self.share(*steps)
+            results.append((*await self.read(), len(self.received())))
+        return results
+
+    @asyncio_test
+    async def test_blank_lines_after_the_last_event_break_no_stream_off(self):
+        """Guards against a whole stream that is reset, or is sent again for nothing."""
+        for blank in (b"\n", b"\r\n", b"\r\n\r", b"\n\n\n"):
+            whole = THREE_EVENTS + blank
+            for step in (unframed(whole), plain(body=whole, fields=(EVENTS,))):
+                expected = (whole, True, 1)
+                self.assertEqual(await self.read_all_routes(step), [expected] * 2, blank)
+
+    @asyncio_test
+    async def test_blank_lines_before_an_event_break_no_stream_off(self):
+        whole = b"\n" + event(1) + b"\n\n\n" + event(2)
+        self.assertEqual(await self.read_all_routes(unframed(whole)), [(whole, True, 1)] * 2)
+
+    @asyncio_test
+    async def test_line_ends_may_be_of_any_kind(self):
+        """Guards against a whole stream that is reset for its line ends (WHATWG HTML, 9.2)."""
+        for end in (b"\r", b"\r\n", b"\n"):
+            whole = THREE_EVENTS.replace(b"\n", end)
+            self.assertEqual(await self.read_all_routes(unframed(whole)), [(whole, True, 1)] * 2)
+
+    @asyncio_test
+    async def test_lone_line_end_of_a_field_is_no_end_of_its_event(self):
+        for end in (b"\r", b"\r\n", b"\n", b"\r\n\r"):
+            cut = event(1) + b"id: 2" + end
+            results = await self.read_all_routes(unframed(cut), unframed(cut))
+            self.assertEqual([is_complete for _, is_complete, _ in results], [False] * 2)
+
+
 class TargetGoneAtTheEndTest(UnframedTestCase):
     """The end of a connection that a kernel closed looks like the end of an answer."""
 
