Answers without a body state no length but the one of their target

Callers of HEAD were told Content-Length: 0 for answers whose target stated another length or none, a 204 got a length, which RFC 9110 (8.6) forbids, and a 304 lost its own.

Cause: a length was added to each whole answer by the size of its body, also where it has none.

Why it works: an answer to HEAD, a 204 and a 304 go on with what their target stated, and nothing is made up. Both ways to a target use the same function.

--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -246,13 +246,13 @@
         request_id = header(request.headers, self._names.request_id) or b""
         head = await self._sender.read_own_head(connection, request_id)
         self._sender.record_head(head, target)
-        headers = [(STATUS, self._node_id), *without(head.headers, frozenset())]
+        status = (STATUS, self._node_id)
         if _is_short(head):
             body = await connection.read_body(WHOLE_BYTES)
             self._target_states.connections.release(target.target_id, connection, head.headers)
-            exchange.respond(Answer(head.status, headers, body))
+            exchange.pass_on(Answer(head.status, head.headers, body), [status])
             return
-        exchange.begin(head.status, headers)
+        exchange.begin(head.status, [status, *without(head.headers, frozenset())])
         is_empty = True
         while (data := await connection.read_data()) is not None:
             is_empty = False
--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -70,9 +70,8 @@
 
     def send_whole(self, answer: Answer) -> None:
         """Send a complete answer."""
-        headers = without(answer.headers, frozenset())
         self.bytes += len(answer.body)
-        self._exchange.respond(Answer(answer.status, headers, answer.body))
+        self._exchange.pass_on(answer)
 
     def send_pieces(self, head: AnswerHead, pieces: list[bytes]) -> None:
         """Send a complete answer whose body is held in pieces, which are freed one by one."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
@@ -255,6 +255,17 @@
         answer = await self.send(self.request(headers={NAMES.resume_after: b"3"}))
         self.assertEqual((answer.status, answer.body), (200, b""))
 
+    @asyncio_test
+    async def test_answer_to_head_states_the_length_that_its_target_stated(self):
+        """Guards against a length of 0 for what isn't empty."""
+        head = b"HTTP/1.1 200 x\r\n%s: id-1\r\ncontent-length: 1234\r\n\r\n" % NAMES.request_id
+        self.targets[0].script = [raw(head)]
+        connection = await self.open()
+        connection.send(self.request()._replace(method=b"HEAD", body=b""))
+        answer = await connection.read_head()
+        self.assertEqual(header(answer.headers, b"content-length"), b"1234")
+        self.assertEqual(answer.headers[0], (STATUS, b"r1"))
+
     @asyncio_test
     async def test_question_is_answered_with_what_is_reached(self):
         await self.targets[1].stop()
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -16,7 +16,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.held_memory import AnswerAccount
-from damaskwind.runtime.http1.messages import Answer, Headers, Request
+from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, Outbox
 from damaskwind.runtime.http1.transports import reset
 
@@ -30,8 +30,6 @@
 
 # No target sends an answer whose head is larger than this.
 ANSWER_HEAD_BYTES = 65_536
-# RFC 9110, sections 15.3.5 and 15.4.5: such answers have no body.
-BODILESS_STATUSES = (204, 304)
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Where answers are accounted for, at most this much is read before the account is asked.
 READ_BYTES = 65_536
@@ -84,7 +82,7 @@
     >>> _is_unframed(b"GET", h11.Response(status_code=304, headers=[]))
     False
     """
-    if method == b"HEAD" or head.status_code in BODILESS_STATUSES:
+    if is_bodiless(method, head.status_code):
         return False
     return not any(name in FRAMING_HEADERS for name, _ in head.headers)
 
--- a/packages/runtime/src/damaskwind/runtime/http1/exchange.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/exchange.py
@@ -5,7 +5,14 @@
 
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.held_memory import RequestAccount
-from damaskwind.runtime.http1.messages import Answer, Headers, Request
+from damaskwind.runtime.http1.messages import (
+    Answer,
+    Headers,
+    Request,
+    is_bodiless,
+    stated_length,
+    without,
+)
 
 __all__ = ["CallerConnection", "Delivery", "Exchange", "answer_headers"]
 
@@ -96,6 +103,18 @@
         self.is_finished = True
         self._connection.send_whole(answer, close)
 
+    def pass_on(self, answer: Answer, own_headers: Headers | None = None) -> None:
+        """Send a whole answer of another server, after headers of this one.
+
+        Where it has no body, the length that it states, if any, isn't that of what is sent.
+        """
+        headers = [*(own_headers or ()), *without(answer.headers, frozenset())]
+        if not is_bodiless(self.request.method, answer.status):
+            self.respond(Answer(answer.status, headers, answer.body))
+            return
+        self.begin(answer.status, headers + stated_length(answer.status, answer.headers))
+        self.finish()
+
     async def deliver(self, answer: Answer, on_end: Callable[[Delivery], None]) -> None:
         """Send a large answer as fast as the caller accepts it, and report the delivery.
 
--- a/packages/runtime/src/damaskwind/runtime/http1/messages.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/messages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Answer", "Headers", "Request", "header", "without"]
+__all__ = ["Answer", "Headers", "Request", "header", "is_bodiless", "stated_length", "without"]
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -21,6 +21,10 @@
     )
 )
 
+# RFC 9110, sections 15.3.5 and 15.4.5: such answers have no body.
+NO_CONTENT = 204
+BODILESS_STATUSES = (NO_CONTENT, 304)
+
 
 class Request(NamedTuple):
     """A whole request; the names of its headers are in lower case."""
@@ -61,3 +65,25 @@
     }
     leave_out = CONNECTION_HEADERS | dropped | named
     return [(key, value) for key, value in headers if key not in leave_out]
+
+
+def is_bodiless(method: bytes, status: int) -> bool:
+    """Return whether the answer to a request has no body, whatever its headers state.
+
+    >>> is_bodiless(b"HEAD", 200), is_bodiless(b"GET", 304), is_bodiless(b"GET", 200)
+    (True, True, False)
+    """
+    return method == b"HEAD" or status in BODILESS_STATUSES
+
+
+def stated_length(status: int, headers: Headers) -> Headers:
+    """Return the length that an answer without a body states, which is that of another's body.
+
+    RFC 9110, section 8.6: it is the length of the body that a GET would get; a 204 has none.
+
+    >>> stated_length(200, [(b"content-length", b"12"), (b"x", b"y")])
+    [(b'content-length', b'12')]
+    """
+    if status == NO_CONTENT:
+        return []
+    return [(name, value) for name, value in headers if name == b"content-length"]
