--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -6,7 +6,7 @@
 however its target framed it.
 """
 
-from damaskwind.router.forwarding.events import EventBoundary, EventSplitter, event_id
+from damaskwind.router.forwarding.events import EventBoundary, EventSplitter, event_id, is_blank
 from damaskwind.runtime.http1.client import AnswerHead
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.held_memory import RequestAccount
@@ -19,6 +19,18 @@
 EVENT_STREAM = b"text/event-stream"
 
 
+def _has_events(head: AnswerHead) -> bool:
+    """Return whether a stream consists of events.
+
+    A body whose type isn't stated may be anything, so a frame that ends it is believed. Where
+    there is no frame either, the ends of events are the only sign that it is whole.
+    """
+    content_type = header(head.headers, b"content-type")
+    if content_type is None:
+        return head.is_unframed
+    return content_type.lower().startswith(EVENT_STREAM)
+
+
 class Delivery:
     """The answer to one caller, as far as it was delivered."""
 
@@ -28,6 +40,9 @@
         self._splitter = EventSplitter()
         self._boundary = EventBoundary()
         self._has_events = True
+        self._is_unframed = False
+        self._has_event = False
+        self._is_skipping = False
         self.last_event: int | None = None
         self.events = 0
         self.bytes = 0
@@ -55,9 +70,8 @@
 
     def send_whole(self, answer: Answer) -> None:
         """Send a complete answer."""
-        headers = without(answer.headers, frozenset())
         self.bytes += len(answer.body)
-        self._exchange.respond(Answer(answer.status, headers, answer.body))
+        self._exchange.pass_on(answer)
 
     def send_pieces(self, head: AnswerHead, pieces: list[bytes]) -> None:
         """Send a complete answer whose body is held in pieces, which are freed one by one."""
@@ -77,8 +91,8 @@
         self._hold_partial(-len(self._splitter.partial))
         self._splitter = EventSplitter()
         self._boundary = EventBoundary()
-        content_type = header(head.headers, b"content-type") or EVENT_STREAM
-        self._has_events = content_type.lower().startswith(EVENT_STREAM)
+        self._has_events = _has_events(head)
+        self._is_unframed = head.is_unframed
         if not self.has_begun:
             self._exchange.begin(head.status, without(head.headers, frozenset()))
 
@@ -87,6 +101,7 @@
         if not self._is_resumable:
             self.bytes += len(data)
             self._boundary.feed(data)
+            self._has_event = self._has_event or not is_blank(data)
             self._exchange.write(data)
             return
         before_bytes = len(self._splitter.partial)
@@ -101,22 +116,41 @@
             self.account.hold(size_bytes)
 
     def _write_event(self, event: bytes) -> None:
-        """Send an event, unless the caller already has it."""
-        number = event_id(event)
-        if number is not None:
-            if self.last_event is not None and number <= self.last_event:
+        """Send an event, unless the caller already has it, or the empty lines after one."""
+        if not is_blank(event):
+            number = event_id(event)
+            self._is_skipping = self._has_sent(number)
+            if self._is_skipping:
                 return
-            self.last_event = number
-        self.events += 1
+            self.last_event = self.last_event if number is None else number
+            self._has_event = True
+            self.events += 1
+        elif self._is_skipping:
+            return
         self.bytes += len(event)
         self._exchange.write(event)
 
-    def end_stream(self) -> bool:
-        """Finish the answer; return `False` instead if the stream ended inside an event."""
+    def _has_sent(self, number: int | None) -> bool:
+        """Return whether an event with this id, or a later one, was sent."""
+        return None not in (number, self.last_event) and number <= self.last_event
+
+    def find_gap(self, asked: int | None) -> str:
+        """Return what shows that a stream which has ended is not whole, if anything does.
+
+        `asked` is the id of the event after which the caller asked for the rest. A stream without
+        a frame that brings no event most likely failed before its first one; the rest of a stream
+        may be empty.
+        """
         if self.open_bytes:
-            return False
+            return "the stream ended inside an event"
+        has_begun = self._has_event or self.resume_after(asked) is not None
+        if self._is_unframed and self._has_events and not has_begun:
+            return "the stream ended without a frame before its first event"
+        return ""
+
+    def end_stream(self) -> None:
+        """Finish a stream that is whole."""
         self._exchange.finish()
-        return True
 
     async def drained(self) -> None:
         """Wait until the caller has read most of what was written, unless the rest is held."""
