--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -14,6 +14,9 @@
 clock may be stepped back between two incarnations: an earlier start time counts as later
 once the known incarnation has been silent for a long time, and the record then counts
 how often this happened.
+
+Processes of earlier versions pass records on without the software version. Within an
+incarnation, such a record leaves a known version as it is, and a late record still adds it.
 """
 
 from collections.abc import Iterable
@@ -109,6 +112,18 @@
             return False
         if record.incarnation > entry.record.incarnation:
             return self._end_unknown_incarnation(entry, record, received_s)
+        if not record.version:
+            record = record._replace(version=entry.record.version)
+        elif not entry.record.version and record.service and entry.record.service:
+            self._put(entry, entry.record._replace(version=record.version), entry.last_seen_s)
+            self._merge_known_incarnation(entry, record, received_s)
+            return True
+        return self._merge_known_incarnation(entry, record, received_s)
+
+    def _merge_known_incarnation(
+        self, entry: TargetEntry, record: TargetRecord, received_s: float
+    ) -> bool:
+        """Merge a record of the known incarnation; tell whether it changed anything."""
         if record.phase < entry.record.phase:
             return False
         if record.phase == entry.record.phase:
@@ -209,6 +224,7 @@
             clock_steps=known.clock_steps,
             superseded_born_ms=known.superseded_born_ms,
             cold_sequence=known.cold_sequence,
+            version=record.version or known.version,
         )
 
     def incarnation_of(self, target_id: str) -> tuple[int, int] | None:
@@ -423,6 +439,26 @@
         oldest_s = now_s - within_s
         return [entry.record for entry in self._entries.values() if entry.gone_at_s >= oldest_s]
 
+    def versions(self) -> dict[str, set[str]]:
+        """Return the software versions of each service's targets, also of those that are gone.
+
+        Targets that report none count as `""` until they are gone.
+
+        >>> from damaskwind.model.targets import Address
+        >>> table = TargetTable()
+        >>> new = TargetRecord("t", "s", Address("127.0.0.1", 1), "d", TargetPhase.SERVING, 4)
+        >>> table.merge(new._replace(version="v1"), 0.0), table.leave("t", 1.0)
+        (True, True)
+        >>> table.versions()
+        {'s': {'v1'}}
+        """
+        versions: dict[str, set[str]] = {}
+        for entry in self._entries.values():
+            record = entry.record
+            if record.service and (record.version or record.phase is not TargetPhase.GONE):
+                versions.setdefault(record.service, set()).add(record.version)
+        return versions
+
     def forget(self, now_s: float) -> list[str]:
         """Remove tombstones and silent targets that are too old; return their ids."""
         expired = [
@@ -465,7 +501,10 @@
         if entry.record.phase is TargetPhase.SERVING:
             entry.gone_at_s = received_s
         ended = entry.record._replace(
-            phase=record.phase, born_ms=record.born_ms, clock_steps=record.clock_steps
+            phase=record.phase,
+            born_ms=record.born_ms,
+            clock_steps=record.clock_steps,
+            version=record.version,
         )
         self._put(entry, ended, received_s)
         return True
--- a/packages/decisions/src/damaskwind/decisions/placement/affinity.py
+++ b/packages/decisions/src/damaskwind/decisions/placement/affinity.py
@@ -10,7 +10,8 @@
 A second target is returned as the donor, from which the engine may copy the
 cached parts that it lacks. It is the home if that was skipped, is leaving or has
 just left. For the home itself it is the next in rank, which was the home before
-it joined, or while it was above the bound.
+it joined, or while it was above the bound. It runs the same software version, since
+what another one has cached may not fit.
 """
 
 from collections.abc import Sequence
@@ -26,6 +27,8 @@
     "Choice",
     "affinity_key",
     "choose_target",
+    "confine",
+    "exceeds_limit",
     "policy_for",
     "read_cost_factor",
 ]
@@ -42,6 +45,9 @@
 # late than before at loads of 1.0 and above (57 routers).
 READ_COST_FACTOR = 2.0
 USUAL_FREE_SHARE = 0.2
+# The users' bound: a target holds at most this multiple of the mean and this many requests more.
+LIMIT_FACTOR = 2.0
+LIMIT_REQUESTS = 3.0
 MIN_FREE_SHARE = 0.02
 
 
@@ -99,7 +105,7 @@
     target with `is_held_back` serves and counts for the mean, but gets no work because an
     operator excluded it or it is cold. `start_s` is the time after which it is expected to
     start an answer, `None` in a pool whose targets do not report their speed. `room` is its
-    memory for the request, `None` if that is not considered.
+    memory for the request, `None` if that is not considered. `version` is that of its software.
     """
 
     target_id: str
@@ -114,6 +120,7 @@
     is_held_back: bool = False
     start_s: float | None = None
     room: EngineRoom | None = None
+    version: str = ""
 
 
 class Choice(NamedTuple):
@@ -145,6 +152,36 @@
     return part_ids[max(len(part_ids) - 2, 0)]
 
 
+def confine(candidates: Sequence[Candidate], version: str) -> list[Candidate]:
+    """Return the candidates with work only for those of a software version.
+
+    The others serve as before and count for the mean.
+
+    >>> pool = [Candidate(name, "d", 0.0, 8, False, version=name) for name in ("v1", "v2")]
+    >>> [(item.takes_work, item.is_held_back) for item in confine(pool, "v2")]
+    [(False, True), (True, False)]
+    """
+    return [
+        (
+            item
+            if item.version == version
+            else item._replace(takes_work=False, is_held_back=item.takes_work or item.is_held_back)
+        )
+        for item in candidates
+    ]
+
+
+def exceeds_limit(candidates: Sequence[Candidate], chosen: Candidate) -> bool:
+    """Tell whether one more request would put a target over the users' bound.
+
+    >>> pool = [Candidate(name, "d", load, 8, False) for name, load in (("a", 5.0), ("b", 0.0))]
+    >>> [exceeds_limit(pool, item._replace(load=load)) for item, load in zip(pool, (7.0, 7.1))]
+    [False, True]
+    """
+    limit = LIMIT_FACTOR * _mean_load(candidates, _healthy(candidates)) + LIMIT_REQUESTS
+    return chosen.load + 1.0 > limit
+
+
 def choose_target(
     candidates: Sequence[Candidate],
     key: bytes | None,
@@ -338,7 +375,7 @@
     ranked = _rank([item for item in candidates if not item.is_doubtful], key)
     if chosen not in ranked:
         return ""
-    others = [item for item in ranked if item is not chosen]
+    others = [item for item in ranked if item is not chosen and item.version == chosen.version]
     old = [item for item in others if item.age_s >= policy.min_donor_age_s]
     return next((item.target_id for item in old or others), "")
 
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -6,11 +6,12 @@
 from typing import NamedTuple
 
 from damaskwind.decisions.load.request_cost import NO_TOKEN_HEADERS, RequestCost, TokenHeaders
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import affinity_key
 from damaskwind.decisions.routing.regions import allowed_regions
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
-from damaskwind.model.traffic_configuration import KeyedAccount, TrafficRoute
+from damaskwind.model.traffic_configuration import KeyedAccount, RouteKind, TrafficRoute
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.messages import Headers, Request, header, without
 
@@ -19,6 +20,7 @@
     "Call",
     "CallFacts",
     "EntryNote",
+    "FinalRefusal",
     "read_facts",
     "read_key",
     "target_headers",
@@ -26,6 +28,8 @@
 
 # Without a deadline from the caller, only the route's timeout bounds a request.
 NO_DEADLINE_S = 3600.0
+# Ids that routers keep for each stream are at most this long; callers send 16 bytes.
+MAX_ID_BYTES = 128
 
 _NUMBERS = count(1)
 
@@ -34,7 +38,8 @@
     """What a request's headers state.
 
     `wait_s` is the time that the caller still waits, `resume_after` the id of the last event
-    that it has, `shared_tokens` the tokens of the prompt parts shared with other requests.
+    that it has, `resumes` the id of the attempt that brought the first one, `shared_tokens` the
+    tokens of the prompt parts shared with other requests.
     `token_headers` are parsed only where the memory of engines is considered.
     """
 
@@ -45,6 +50,7 @@
     resume_after: int | None
     shared_tokens: int = 0
     token_headers: TokenHeaders = NO_TOKEN_HEADERS
+    resumes: bytes | None = None
 
 
 class AttemptNote(NamedTuple):
@@ -56,7 +62,7 @@
     speed of the target relative to the usual time and `speed_age_s` the age of its figure;
     they are `None` where targets do not report their speed. `via` is the host of the router that
     sent the request on, if it was another one. `is_unframed` and `open_bytes` tell how the
-    answer ended, see `AttemptOutcome`.
+    answer ended, see `AttemptOutcome`. `software` is the version that the target runs.
     """
 
     target: str
@@ -76,6 +82,7 @@
     via: str = ""
     is_unframed: bool = False
     open_bytes: int = 0
+    software: str = ""
 
 
 class EntryNote(NamedTuple):
@@ -94,6 +101,13 @@
     came_back: bool
 
 
+class FinalRefusal(NamedTuple):
+    """The body of a refusal without Retry-After, and the outcome by which it is logged."""
+
+    text: bytes
+    outcome: str
+
+
 class Call:
     """One request in progress. Times are monotonic.
 
@@ -107,8 +121,12 @@
     `digest` identifies the request's content, also under another request id. `is_suspected`
     means that targets have crashed while running it, and `exit_probes` find out whether the
     targets of the last attempts have. If `regions` are given, the request stays in them. `cost`
-    is set where the memory of engines is considered. `refusal_text` is the body of a final
-    refusal, after which a retry is of no use.
+    is set where the memory of engines is considered. A `final_refusal` is one after which a retry
+    is of no use.
+
+    Where `required_version` is set, only targets that run this software version may go on with
+    the stream. `began_at` is the target whose events of it were delivered first by this router,
+    `recorded_version` the version that is on record as the one that began it.
 
     `possible_runs` counts the attempts that may have run the request. Two of them may be in
     progress at once; `second_number` then stands for the one at `second_target` in the
@@ -148,7 +166,10 @@
         self.unreached = 0
         self.silent_domains: set[str] = set()
         self.cost: RequestCost | None = None
-        self.refusal_text: bytes | None = None
+        self.final_refusal: FinalRefusal | None = None
+        self.required_version: str | None = None
+        self.began_at: TargetRecord | None = None
+        self.recorded_version: str | None = None
         self.possible_runs = 0
         self.second_target: str | None = None
         self.second_number = 0
@@ -159,6 +180,22 @@
         """Return whether any attempt may have run the request, or may still run it."""
         return self.possible_runs > 0
 
+    @property
+    def takes_up(self) -> bool:
+        """Return whether the caller has the first events of a stream that it goes on with."""
+        route = self.route
+        is_stream = route.kind is RouteKind.STREAMING and route.is_resumable
+        return is_stream and self.facts.resume_after is not None
+
+    def begin_events(self, target: TargetRecord) -> None:
+        """Record that events of a target were delivered: only its version may go on."""
+        if self.began_at is None:
+            self.began_at, self.required_version = target, target.version
+
+    def may_go_on_at(self, target: TargetRecord) -> bool:
+        """Return whether a target runs the version that the stream requires, if any."""
+        return self.required_version is None or target.version == self.required_version
+
     def begin_second(self, target_id: str) -> None:
         """Give the attempt at a second target a number of its own."""
         self.second_target, self.second_number = target_id, next(_NUMBERS)
@@ -198,9 +235,15 @@
             header(headers, names.prompt_parts),
             header(headers, names.length_hint),
         ),
+        _bounded_id(header(headers, names.resumes)),
     )
 
 
+def _bounded_id(value: bytes | None) -> bytes | None:
+    """Return the id of an attempt, `None` if it is empty or too long to be one."""
+    return value if value and len(value) <= MAX_ID_BYTES else None
+
+
 def _shared_tokens(parts: bytes) -> int:
     """Return the tokens of all prompt parts but the last; malformed numbers count as 0.
 
--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -43,10 +43,10 @@
             delivery.send_whole(outcome.answer)
             self.log(call, delivery, "target failure passed on", outcome.why)
             return
-        if call.refusal_text is not None:
+        if call.final_refusal is not None:
             headers = [(b"content-type", b"text/plain; charset=utf-8")]
-            exchange.respond(Answer(503, headers, call.refusal_text))
-            self.log(call, delivery, "refused as too large", outcome.why)
+            exchange.respond(Answer(503, headers, call.final_refusal.text))
+            self.log(call, delivery, call.final_refusal.outcome, outcome.why)
             return
         if not call.may_have_run:
             retry_after_s = (
@@ -103,6 +103,8 @@
             version=call.version,
             key=(call.key or b"").decode("latin-1"),
             may_have_run=call.may_have_run,
+            resume_after=call.facts.resume_after,
+            resumes=(call.facts.resumes or b"").decode("latin-1"),
             entry=list(call.entry or ()),
             attempts=[list(note) for note in call.notes],
             events=delivery.events,
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -0,0 +1,234 @@
+"""Write down at replicas which versions began this router's streams, and ask the replicas.
+
+While a router knows one version of a service alone, nothing is written down: all its streams began
+there. Once it knows a second one, those still of use are, and from then on each new stream
+before its first event.
+"""
+
+import asyncio
+import secrets
+from typing import NamedTuple
+
+from damaskwind.decisions.membership.target_table import TargetTable
+from damaskwind.decisions.streams.holders import choose_holders
+from damaskwind.decisions.streams.origin_table import OriginTable
+from damaskwind.decisions.streams.version_history import VersionHistory
+from damaskwind.model.targets import Address
+from damaskwind.router.forwarding.origin_link import BegunStream, OriginLink
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.tallies import Tallies
+from damaskwind.wire.news import News
+from damaskwind.wire.stream_origins import MAX_VERSION_CHARS
+
+__all__ = ["Asked", "OriginRelay"]
+
+# The first event waits this long at most for a replica to confirm its stream.
+CONFIRM_S = 0.1
+# When the first holder has not answered within this time, the others are called.
+HEDGE_S = 0.02
+# The others are sent this share of the streams at once, after a burst. Without a bound, replicas
+# that were slow under a burst of take-ups got three calls a stream and did not recover
+# (decisions/0034).
+HEDGE_SHARE = 0.1
+HEDGE_BURST = 3.0
+# How long a question waits for its first answer, and after that for one that differs.
+ASK_S = 0.1
+ASK_GRACE_S = 0.005
+# A router of today's deployments begins some ten streams a second, of 20 s each.
+MAX_STREAMS = 4096
+MAX_KEYS = 3 * MAX_STREAMS
+# The table of targets drops silent ones without a new revision.
+REFRESH_S = 1.0
+
+
+class Asked(NamedTuple):
+    """What the replicas answered: the versions for a key, and how many replicas `answered`.
+
+    Of all `replicas`, `down` have no process that could answer anybody.
+    """
+
+    versions: frozenset[str]
+    answered: int
+    down: int
+    replicas: int
+
+
+class OriginRelay:
+    """One router's streams, the replicas that hold them, and the versions known of services."""
+
+    def __init__(self, targets: TargetTable, news_port: int) -> None:
+        self.tallies = Tallies()
+        self.table = OriginTable(MAX_KEYS)
+        # The upper bits of the numbers by which writes of this process are told from others'.
+        self.writer_base = (secrets.randbits(29) + 1) << 32
+        self._targets = targets
+        self._news_port = news_port
+        self._history = VersionHistory()
+        self._seen_revision = -1
+        self._refreshed_s = float("-inf")
+        self._links: dict[str, OriginLink] = {}
+        self._epochs: dict[str, str] = {}
+        # In order of the last write, by writer.
+        self._streams: dict[int, BegunStream] = {}
+        self._hedges = HEDGE_BURST
+
+    async def stop(self) -> None:
+        """End all calls."""
+        for link in self._links.values():
+            await link.stop()
+
+    def follow(self, host: str) -> None:
+        """Let a replica hold streams too."""
+        if host not in self._links:
+            self._links[host] = OriginLink(Address(host, self._news_port), self.tallies)
+
+    def handle_news(self, host: str, news: News) -> None:
+        """Send a replica what it lacks, all that it should hold if it has restarted."""
+        now_s = read_clock()
+        self._refresh(now_s)
+        link = self._links.get(host)
+        if link is None:
+            return
+        former = self._epochs.get(host)
+        self._epochs[host] = news.epoch
+        is_restarted = former not in (None, news.epoch)
+        if is_restarted:
+            self._write_again(host, link, now_s)
+        link.note_alive(is_restarted)
+
+    def known_versions(self, service: str) -> frozenset[str]:
+        """Return the versions of a service known now or lately; none if no target reports any."""
+        now_s = read_clock()
+        self._refresh(now_s)
+        return self._history.versions(service, now_s)
+
+    def keep(self, stream: BegunStream) -> None:
+        """Remember a stream here."""
+        now_s = read_clock()
+        self.table.merge(stream.entry(now_s), now_s)
+        self._streams.pop(stream.writer, None)
+        self._streams[stream.writer] = stream
+        while self._streams:
+            oldest = next(iter(self._streams.values()))
+            if oldest.expires_s > now_s and len(self._streams) <= MAX_STREAMS:
+                return
+            del self._streams[oldest.writer]
+            for link in self._links.values():
+                link.drop(oldest.writer)
+
+    async def write_down(self, stream: BegunStream) -> bool:
+        """Write a stream down; return whether a replica confirmed it in time."""
+        if len(stream.version) > MAX_VERSION_CHARS:
+            return False
+        first, *others = self._holders(stream) or [None]
+        if first is None:
+            return False
+        self._links[first].write(stream, is_urgent=True)
+        for host in others:
+            self._links[host].write(stream, is_urgent=False)
+        self._hedges = min(self._hedges + HEDGE_SHARE, HEDGE_BURST)
+        if await _is_set(stream.confirmed, HEDGE_S):
+            return True
+        if self._hedges >= 1.0:
+            self._hedges -= 1.0
+            self.tallies.count("stream_write_hedges")
+            for host in others:
+                self._links[host].write(stream, is_urgent=True)
+        return await _is_set(stream.confirmed, CONFIRM_S - HEDGE_S)
+
+    async def ask(self, key: bytes, has_holders: bool) -> Asked:
+        """Ask the replicas for the versions of a key.
+
+        If the key `has_holders`, its first holder is asked before the others; otherwise any
+        replica may hold it.
+        """
+        order = choose_holders(key, self._links, self._failing()) if has_holders else []
+        questions = _Questions(list(self._links.values()))
+        asked_s = read_clock()
+        for host in order[:1]:
+            await questions.ask(key, [self._links[host]], asked_s + HEDGE_S)
+        if not questions.found:
+            await questions.ask(key, questions.unasked(), asked_s + ASK_S)
+        questions.cancel()
+        return questions.result()
+
+    def _holders(self, stream: BegunStream) -> list[str]:
+        return choose_holders(stream.keys[0], self._links, self._failing())
+
+    def _failing(self) -> list[str]:
+        now_s = read_clock()
+        return [host for host, link in self._links.items() if not link.is_usable(now_s)]
+
+    def _refresh(self, now_s: float) -> None:
+        """Take note of the versions in the table of targets."""
+        revision = self._targets.revision
+        if revision == self._seen_revision and now_s - self._refreshed_s < REFRESH_S:
+            return
+        self._seen_revision, self._refreshed_s = revision, now_s
+        services = self._history.update(self._targets.versions(), now_s)
+        if not services:
+            return
+        for stream in list(self._streams.values()):
+            is_short = len(stream.version) <= MAX_VERSION_CHARS
+            if stream.service in services and stream.expires_s > now_s and is_short:
+                for number, host in enumerate(self._holders(stream)):
+                    self._links[host].write(stream, is_urgent=number == 0)
+
+    def _write_again(self, host: str, link: OriginLink, now_s: float) -> None:
+        """Write down again what a replica held before it restarted."""
+        for stream in self._streams.values():
+            is_needed = self._history.has_several(stream.service, now_s)
+            if is_needed and stream.expires_s > now_s and host in self._holders(stream):
+                link.write(stream, is_urgent=False)
+
+
+class _Questions:
+    """The calls that look up one key."""
+
+    def __init__(self, links: list[OriginLink]) -> None:
+        self.found: set[str] = set()
+        self._links = links
+        self._asked: set[OriginLink] = set()
+        self._waiting: set[asyncio.Future] = set()
+        self._answered = 0
+
+    def unasked(self) -> list[OriginLink]:
+        """Return the replicas that were not asked yet."""
+        return [link for link in self._links if link not in self._asked]
+
+    async def ask(self, key: bytes, links: list[OriginLink], ends_s: float) -> None:
+        """Ask some replicas too, and wait until one knows the key or all have answered."""
+        self._asked.update(links)
+        self._waiting |= {asyncio.ensure_future(link.ask(key)) for link in links}
+        while self._waiting and (left_s := ends_s - read_clock()) > 0:
+            done, self._waiting = await asyncio.wait(
+                self._waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            answers = [task.result() for task in done]
+            self._answered += sum(answer is not None for answer in answers)
+            versions = {version for answer in answers for version in answer or ()}
+            if versions and not self.found:
+                ends_s = min(ends_s, read_clock() + ASK_GRACE_S)
+            self.found |= versions
+
+    def cancel(self) -> None:
+        """Wait no longer."""
+        for task in self._waiting:
+            task.cancel()
+
+    def result(self) -> Asked:
+        """Return what was answered so far."""
+        down = sum(link.is_down for link in self._links)
+        return Asked(frozenset(self.found), self._answered, down, len(self._links))
+
+
+async def _is_set(event: asyncio.Event, limit_s: float) -> bool:
+    """Wait for an event; return whether it happened in time."""
+    if event.is_set():
+        return True
+    try:
+        async with asyncio.timeout(limit_s):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
