The soak plays targets of several software versions, unframed answers, and callers that take streams up

Releases replace targets version by version, three of them side by side; a share of the answers is unframed, and of these some are broken off; processes of targets end between two events. Callers take broken streams up at other routers with Last-Event-Id and Resumes, some with Last-Event-Id alone. Events name their version and run.

Three promises check what callers saw.

--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "ReceivedRequest",
+    "ScriptedEndError",
     "ScriptedTarget",
     "Step",
     "cut_stream",
@@ -42,6 +43,10 @@
     id_header: bytes
 
 
+class ScriptedEndError(ConnectionError):
+    """A step asks for an orderly end of its connection."""
+
+
 Step = Callable[[asyncio.StreamWriter, ReceivedRequest], Awaitable[None]]
 
 
@@ -186,7 +191,7 @@
         writer.write(data)
         if then_close:
             await writer.drain()
-            raise ConnectionError("scripted end")
+            raise ScriptedEndError("scripted end")
 
     return step
 
@@ -196,7 +201,7 @@
 
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         await asyncio.sleep(for_s)
-        raise ConnectionError("scripted end")
+        raise ScriptedEndError("scripted end")
 
     return step
 
@@ -234,7 +239,7 @@
         if tail:
             writer.write(_chunk(tail))
         await writer.drain()
-        raise ConnectionError("scripted end")
+        raise ScriptedEndError("scripted end")
 
     return step
 
@@ -245,6 +250,6 @@
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         writer.write(_head(200, request, (b"connection: close", *fields)) + body)
         await writer.drain()
-        raise ConnectionError("scripted end")
+        raise ScriptedEndError("scripted end")
 
     return step
--- a/packages/standins/src/damaskwind/standins/tcp_link.py
+++ b/packages/standins/src/damaskwind/standins/tcp_link.py
@@ -259,6 +259,16 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def reset_connection(self, target_peer_port: int) -> None:
+        """Reset the connection that the target sees coming from this port.
+
+        The link forwards the end of a connection as an orderly one, however it ended.
+        """
+        for connection in list(self.connections):
+            transport = connection.target.transport
+            if transport is not None and transport.getHost().port == target_peer_port:
+                connection.abort()
+
     def half_open(self) -> None:
         """Reset every connection at the target's endpoint only."""
         for connection in list(self.connections):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -71,6 +71,7 @@
             has_fatal_request=True,
             has_target_signals=True,
             has_cut_routers=True,
+            has_versions=True,
         )
         duration_s = time.monotonic() - started_s
         status = "BROKEN" if verdict.broken else "held"
