--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 
 import defopt
@@ -77,6 +78,10 @@
         status = "BROKEN" if verdict.broken else "held"
         print(f"seed {seed}: {status} in {duration_s:.0f} s; {verdict.summary}", flush=True)
         print("".join(f"  {line}\n" for line in verdict.broken[:20]), end="", flush=True)
+        counts = Counter(line.split(":")[0] for line in verdict.broken)
+        print(
+            "".join(f"  {count} x {name}\n" for name, count in counts.items()), end="", flush=True
+        )
         failed += bool(verdict.broken)
         if not verdict.broken:
             shutil.rmtree(folder)
