--- a/packages/standins/src/damaskwind/standins/answer_ends.py
+++ b/packages/standins/src/damaskwind/standins/answer_ends.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import NamedTuple
 
-from damaskwind.standins.scripted_target import ScriptedEndError
+from damaskwind.standins.scripted_target import ScriptedEndError, chunk
 
 __all__ = ["AnswerEnd", "AnswerEnds", "labeled_event", "labels", "write_body", "write_events"]
 
@@ -80,7 +80,7 @@
         if index == break_at:
             writer.write(data[: random.randrange(1, len(data))])
             break
-        writer.write(b"%x\r\n%s\r\n" % (len(data), data) if end is AnswerEnd.FRAMED else data)
+        writer.write(chunk(data) if end is AnswerEnd.FRAMED else data)
         await writer.drain()
         await asyncio.sleep(pause_s)
     if end is AnswerEnd.FRAMED:
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -19,6 +19,7 @@
     "ScriptedEndError",
     "ScriptedTarget",
     "Step",
+    "chunk",
     "cut_stream",
     "event",
     "load_field",
@@ -211,7 +212,8 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
-def _chunk(data: bytes) -> bytes:
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a body that is sent in chunks."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
@@ -221,7 +223,7 @@
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         writer.write(_head(200, request, (b"transfer-encoding: chunked", *fields)))
         for number in range(first, last + 1):
-            writer.write(_chunk(event(number)))
+            writer.write(chunk(event(number)))
             await writer.drain()
             await asyncio.sleep(pause_s)
         writer.write(b"0\r\n\r\n")
@@ -235,9 +237,9 @@
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         writer.write(_head(200, request, (b"transfer-encoding: chunked",)))
         for number in range(first, last + 1):
-            writer.write(_chunk(event(number)))
+            writer.write(chunk(event(number)))
         if tail:
-            writer.write(_chunk(tail))
+            writer.write(chunk(tail))
         await writer.drain()
         raise ScriptedEndError("scripted end")
 
