--- a/packages/standins/src/damaskwind/standins/tests/test_faulty_network.py
+++ b/packages/standins/src/damaskwind/standins/tests/test_faulty_network.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import reactor
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
 from twisted.internet.task import Clock
 from twisted.trial.unittest import TestCase
@@ -31,12 +32,14 @@
     def __init__(self) -> None:
         self.received = b""
         self.lost = False
+        self.is_reset = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.received += data
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         self.lost = True
+        self.is_reset = reason.check(ConnectionDone) is None
 
 
 class _Datagrams(DatagramProtocol):
@@ -119,6 +122,18 @@
         third = await self._connect()
         await wait_until(lambda: third.lost, 10)
 
+    @asyncio_test
+    async def test_reset_of_one_connection_is_no_orderly_end(self) -> None:
+        """Guards against an answer without a length whose reset looks like its end."""
+        first = await self._open()
+        second = await self._connect()
+        for client in (first, second):
+            client.transport.write(b"x")
+        await wait_until(lambda: first.received and second.received, 10)
+        self.link.reset_connection(self.link.connections[0].target.transport.getHost().port)
+        await wait_until(lambda: first.lost, 10)
+        self.assertEqual((first.is_reset, second.lost), (True, False))
+
 
 class UdpLinkTest(TestCase):
     """A datagram echo behind a UDP link."""
