A target that exits inside an event is looked for as one that crashed

A request that ended its target inside an event of an unframed stream was not put under suspicion, so it could end one target after the other.

Cause: such a stream was broken off as if its connection had not been lost.

Evidence: the test failed without the change: of two targets that exited, one between two events and one inside one, the first alone was reported as crashed. Both are now.

Why it works: an unframed answer that is not whole lost its connection, and such attempts are probed.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -433,7 +433,12 @@
             return _UNSURE_END
         path.release(connection, head.headers)
         if gap:
-            return AttemptOutcome(AttemptEnd.BROKEN, gap, open_bytes=delivery.open_bytes)
+            return AttemptOutcome(
+                AttemptEnd.BROKEN,
+                gap,
+                is_connection_lost=head.is_unframed,
+                open_bytes=delivery.open_bytes,
+            )
         delivery.end_stream()
         return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete")
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -170,6 +170,18 @@
         self.assertEqual((await self.call()).status, 502)
         self.assertEqual(len(self.received()), 1)
 
+    @asyncio_test
+    async def test_request_that_ends_its_target_inside_an_event_is_suspected(self):
+        """Guards against a fatal request that ends one target after the other unnoticed."""
+        self.publish(route(RouteKind.STREAMING))
+        crashed = []
+        self.forwarder.crash_detector.on_crashed.append(lambda target, _: crashed.append(target))
+        for number, body in enumerate((event(1), event(1) + b"id: 2")):
+            self.share(self.at_exit(body))
+            self.assertFalse((await self.read())[1])
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(crashed), number + 1, body)
+
     @asyncio_test
     async def test_target_that_is_leaving_may_exit_after_its_answer(self):
         """Guards against whole answers that are called cut in a release."""
