--- a/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_hedged_sends.py
@@ -20,6 +20,7 @@
     plain,
     raw,
     stream,
+    unframed,
 )
 
 STREAM = {"kind": RouteKind.STREAMING, "is_resumable": True}
@@ -206,6 +207,37 @@
         self.assertEqual(answer.body, b"".join(event(number) for number in range(1, 5)))
         self.assertEqual(len(self.received()), 3)
 
+    async def call_with_winner_gone(self, changes, body, *others):
+        """Return an answer whose winning attempt is unframed and ends with its target's process."""
+        self.targets.append(ScriptedTarget(NAMES))
+        self.admit("t2", await self.targets[2].start())
+        self.publish(route(max_attempts=3, **changes), version=2)
+
+        async def answer_and_exit(writer, request):
+            try:
+                await unframed(body)(writer, request)
+            finally:
+                (target,) = (item for item in self.targets if request in item.received)
+                target.exit()
+
+        first, third = others
+        self.share(late(first, 0.5), answer_and_exit, third)
+        answer = await self.call()
+        self.assertEqual(len(self.received()), 3)
+        return answer
+
+    @asyncio_test
+    async def test_winning_stream_whose_target_is_gone_at_its_end_is_resumed(self):
+        """Guards against a cut stream that passes as whole since it was the first to begin."""
+        steps = (stream(7, 9), stream(3, 4))
+        answer = await self.call_with_winner_gone(STREAM, event(1) + event(2), *steps)
+        self.assertEqual(answer.body, b"".join(event(number) for number in range(1, 5)))
+
+    @asyncio_test
+    async def test_winning_answer_whose_target_is_gone_at_its_end_comes_from_another(self):
+        answer = await self.call_with_winner_gone({}, b"who", plain(body=b"late"), plain())
+        self.assertEqual((answer.status, answer.body), (200, b"whole"))
+
     @asyncio_test
     async def test_winning_stream_that_pauses_is_not_cut_if_no_attempt_is_left(self):
         """Guards against giving up the only attempt that can still complete the answer."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -7,6 +7,7 @@
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
+from damaskwind.router.forwarding.tests.test_held_bytes import HeldBytesTestCase
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError
@@ -204,6 +205,28 @@
         self.assertEqual((await self.call()).body, b"whole")
 
 
+class HeldTargetGoneTest(HeldBytesTestCase, TargetGoneAtTheEndTest):
+    """The same where held bytes are accounted for."""
+
+    @asyncio_test
+    async def test_large_answer_stays_accounted_for_until_it_is_judged(self):
+        """Guards against bytes that count as released while they are still held, or for good."""
+        held_bytes = []
+        body = bytes(500_000)
+        has_outlived = self.forwarder.sender.answer_ends.has_outlived
+
+        async def observe(target):
+            held_bytes.append(self.memory.ledger.held_bytes)
+            return await has_outlived(target)
+
+        self.forwarder.sender.answer_ends.has_outlived = observe
+        self.share(self.at_exit(body), unframed(body))
+        self.assertEqual((await self.call()).body, body)
+        self.assertEqual(len(held_bytes), 2)
+        self.assertGreaterEqual(min(held_bytes), len(body))
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
+
 class EndCheckTest(UnframedTestCase):
     """What the check of an end costs, with one target that serves and stays."""
 
