A whole chat whose engine sent no frame is not called cut

Callers of a chat that isn't streamed got 502, may have run, for a whole answer without a length and chunks.

Cause: Twisted reports the end of such a body as a possible loss, which counted as a cut.

Why it works: no part of a JSON object without its end is one, so that the content shows whether it is whole. What plain services of this path send has no such sign, and is still called cut.

--- a/packages/router/src/damaskwind/router/answer_body.py
+++ b/packages/router/src/damaskwind/router/answer_body.py
@@ -1,10 +1,12 @@
 """Read the complete body of a target's answer within a time limit, or fail."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
 from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IResponse
 
 from damaskwind.model.reason import Reason
@@ -15,12 +17,21 @@
 __all__ = ["discard", "read_whole"]
 
 
+def _proves_nothing(body: bytes) -> bool:
+    """Return `False`, since a body may end anywhere; the default of `read_whole`."""
+    return False
+
+
 class _Collector(Protocol):
-    """Collect a body up to a size limit; any end but a complete response is a failure."""
+    """Collect a body up to a size limit; any end but a complete response is a failure.
+
+    A body without a length and chunks is complete only if its content shows it.
+    """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, shows_end: Callable[[bytes], bool]) -> None:
         self.done: Deferred = Deferred(self._time_out)
         self._limit_bytes = limit_bytes
+        self._shows_end = shows_end
         self._size_bytes = 0
         self._pieces: list[bytes] = []
 
@@ -47,8 +58,12 @@
         """Return the body if it is complete, or fail."""
         if self.done.called:
             return
-        if reason.check(ResponseDone) and self._size_bytes <= self._limit_bytes:
-            self.done.callback(b"".join(self._pieces))
+        body = b"".join(self._pieces)
+        is_ended = reason.check(ResponseDone) or (
+            reason.check(PotentialDataLoss) and self._shows_end(body)
+        )
+        if is_ended and self._size_bytes <= self._limit_bytes:
+            self.done.callback(body)
             return
         detail = "the target's answer was cut short"
         self.done.errback(AttemptError(Verdict.MAY_HAVE_RUN, Reason.ANSWER_CUT, detail))
@@ -60,12 +75,14 @@
     timeout_s: float,
     clock: Any,
     caller: Caller | None = None,
+    shows_end: Callable[[bytes], bool] = _proves_nothing,
 ) -> bytes:
     """Return the complete body; raise `AttemptError` if it is cut, too long or late.
 
-    If the caller disconnects, reading stops immediately.
+    If the caller disconnects, reading stops immediately. `shows_end` tells by its content whether
+    a body is complete that ends with its connection.
     """
-    collector = _Collector(limit_bytes)
+    collector = _Collector(limit_bytes, shows_end)
     response.deliverBody(collector)
     if collector.done.called:
         return await collector.done
--- a/packages/router/src/damaskwind/router/chat_path.py
+++ b/packages/router/src/damaskwind/router/chat_path.py
@@ -57,6 +57,18 @@
         return None
 
 
+def _is_whole_object(body: bytes) -> bool:
+    """Return whether a body is a JSON object, which no part of it without its end can be.
+
+    >>> _is_whole_object(b'{"a": 1}'), _is_whole_object(b'{"a": 1'), _is_whole_object(b"12")
+    (True, False, False)
+    """
+    try:
+        return isinstance(msgspec.json.decode(body), dict)
+    except msgspec.DecodeError:
+        return False
+
+
 class ChatPath:
     """Serve `POST /v1/chat/completions`."""
 
@@ -145,7 +157,12 @@
         timeout_s = context.work.deadline_s - self._reactor.seconds()
         try:
             body = await read_whole(
-                answer.response, _ANSWER_LIMIT_BYTES, timeout_s, self._reactor, context.work.caller
+                answer.response,
+                _ANSWER_LIMIT_BYTES,
+                timeout_s,
+                self._reactor,
+                context.work.caller,
+                _is_whole_object,
             )
         except AttemptError as error:
             self._dispatcher.finish(context.work, answer, error.verdict, error.reason, error.detail)
