--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -7,6 +7,7 @@
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
+from damaskwind.router.forwarding.tests.test_held_bytes import HeldBytesTestCase
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError
@@ -170,6 +171,18 @@
         self.assertEqual((await self.call()).status, 502)
         self.assertEqual(len(self.received()), 1)
 
+    @asyncio_test
+    async def test_request_that_ends_its_target_inside_an_event_is_suspected(self):
+        """Guards against a fatal request that ends one target after the other unnoticed."""
+        self.publish(route(RouteKind.STREAMING))
+        crashed = []
+        self.forwarder.crash_detector.on_crashed.append(lambda target, _: crashed.append(target))
+        for number, body in enumerate((event(1), event(1) + b"id: 2")):
+            self.share(self.at_exit(body))
+            self.assertFalse((await self.read())[1])
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(crashed), number + 1, body)
+
     @asyncio_test
     async def test_target_that_is_leaving_may_exit_after_its_answer(self):
         """Guards against whole answers that are called cut in a release."""
@@ -192,6 +205,28 @@
         self.assertEqual((await self.call()).body, b"whole")
 
 
+class HeldTargetGoneTest(HeldBytesTestCase, TargetGoneAtTheEndTest):
+    """The same where held bytes are accounted for."""
+
+    @asyncio_test
+    async def test_large_answer_stays_accounted_for_until_it_is_judged(self):
+        """Guards against bytes that count as released while they are still held, or for good."""
+        held_bytes = []
+        body = bytes(500_000)
+        has_outlived = self.forwarder.sender.answer_ends.has_outlived
+
+        async def observe(target):
+            held_bytes.append(self.memory.ledger.held_bytes)
+            return await has_outlived(target)
+
+        self.forwarder.sender.answer_ends.has_outlived = observe
+        self.share(self.at_exit(body), unframed(body))
+        self.assertEqual((await self.call()).body, body)
+        self.assertEqual(len(held_bytes), 2)
+        self.assertGreaterEqual(min(held_bytes), len(body))
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
+
 class EndCheckTest(UnframedTestCase):
     """What the check of an end costs, with one target that serves and stays."""
 
