--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -19,6 +19,7 @@
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.answer_ends import AnswerEnds
 from damaskwind.router.forwarding.call import Call, target_headers
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
@@ -35,6 +36,7 @@
     ConnectFailedError,
 )
 from damaskwind.runtime.http1.messages import Answer, Request, header
+from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.peers import Failure
 
 __all__ = ["AnswerAcceptor", "AttemptEnd", "AttemptOutcome", "AttemptSender", "Placement"]
@@ -119,6 +121,15 @@
     open_bytes: int = 0
 
 
+# The end of an unframed answer whose target may have crashed then.
+_UNSURE_END = AttemptOutcome(
+    AttemptEnd.BROKEN,
+    "the target is gone at the end of an answer without a frame",
+    is_connection_lost=True,
+    is_unframed=True,
+)
+
+
 def _ignore_answer_started(call: Call, target_id: str, first_s: float) -> None:
     """Ignore the start of an answer; the default of `AttemptSender.on_answer_started`."""
 
@@ -157,10 +168,15 @@
     """
 
     def __init__(
-        self, target_states: TargetStates, names: HeaderNames, origins: StreamOrigins
+        self,
+        target_states: TargetStates,
+        names: HeaderNames,
+        origins: StreamOrigins,
+        tallies: Tallies,
     ) -> None:
         self.connections = target_states.connections
         self.activity = target_states.activity
+        self.answer_ends = AnswerEnds(target_states, tallies)
         self.on_answer_started: Callable[[Call, str, float], None] = _ignore_answer_started
         self.on_accepted: Callable[[Call], None] = _ignore_accepted
         self._target_states = target_states
@@ -298,6 +314,8 @@
             )
             return outcome._replace(first_s=first_s, is_unframed=head.is_unframed)
         pieces = await connection.read_pieces(ANSWER_LIMIT_BYTES)
+        if not await self._is_end_sure(path, head, target):
+            return _UNSURE_END
         why = f"status {head.status}"
         delivered = AttemptOutcome(
             AttemptEnd.DELIVERED, why, first_s=first_s, is_unframed=head.is_unframed
@@ -426,12 +444,28 @@
             if delivery.events:
                 call.begin_events(target)
             await delivery.drained()
+        gap = delivery.find_gap(call.facts.resume_after)
+        if not gap and not await self._is_end_sure(path, head, target):
+            return _UNSURE_END
         path.release(connection, head.headers)
-        open_bytes = delivery.open_bytes
-        if not delivery.end_stream():
-            why = "the stream ended inside an event"
-            return AttemptOutcome(AttemptEnd.BROKEN, why, open_bytes=open_bytes)
-        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete", open_bytes=open_bytes)
+        if gap:
+            return AttemptOutcome(
+                AttemptEnd.BROKEN,
+                gap,
+                is_connection_lost=head.is_unframed,
+                open_bytes=delivery.open_bytes,
+            )
+        delivery.end_stream()
+        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete")
+
+    async def _is_end_sure(self, path: TargetPath, head: AnswerHead, target: TargetRecord) -> bool:
+        """Return whether an answer that has ended was ended by its target.
+
+        Another router has checked that itself; it frames all answers.
+        """
+        if not head.is_unframed:
+            return True
+        return not path.via and await self.answer_ends.has_outlived(target)
 
     async def _record_origin(self, call: Call, target: TargetRecord) -> bool:
         """Record which version begins a stream; return `False` if that is no longer certain.
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -82,7 +82,7 @@
             self.target_states, self.admissions, failure_domain, region_of, random, self.memory
         )
         self.origins = StreamOrigins(view, self.tallies)
-        self.sender = AttemptSender(self.target_states, names, self.origins)
+        self.sender = AttemptSender(self.target_states, names, self.origins, self.tallies)
         self.sends = RecordedSends(
             self.sender,
             self.target_states,
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -16,8 +16,10 @@
 
 __all__ = [
     "ReceivedRequest",
+    "ScriptedEndError",
     "ScriptedTarget",
     "Step",
+    "chunk",
     "cut_stream",
     "event",
     "load_field",
@@ -42,6 +44,10 @@
     id_header: bytes
 
 
+class ScriptedEndError(ConnectionError):
+    """A step asks for an orderly end of its connection."""
+
+
 Step = Callable[[asyncio.StreamWriter, ReceivedRequest], Awaitable[None]]
 
 
@@ -77,6 +83,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def exit(self) -> None:
+        """Close the socket and all connections in an orderly way, as a kernel does at an exit.
+
+        The step that calls this closes its own connection when it ends.
+        """
+        self._server.close()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+
     def in_progress(self) -> int:
         """Return the number of requests that are being answered."""
         return self._in_progress
@@ -186,7 +201,7 @@
         writer.write(data)
         if then_close:
             await writer.drain()
-            raise ConnectionError("scripted end")
+            raise ScriptedEndError("scripted end")
 
     return step
 
@@ -196,7 +211,7 @@
 
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         await asyncio.sleep(for_s)
-        raise ConnectionError("scripted end")
+        raise ScriptedEndError("scripted end")
 
     return step
 
@@ -206,7 +221,8 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
-def _chunk(data: bytes) -> bytes:
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a body that is sent in chunks."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
@@ -216,7 +232,7 @@
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         writer.write(_head(200, request, (b"transfer-encoding: chunked", *fields)))
         for number in range(first, last + 1):
-            writer.write(_chunk(event(number)))
+            writer.write(chunk(event(number)))
             await writer.drain()
             await asyncio.sleep(pause_s)
         writer.write(b"0\r\n\r\n")
@@ -230,11 +246,11 @@
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         writer.write(_head(200, request, (b"transfer-encoding: chunked",)))
         for number in range(first, last + 1):
-            writer.write(_chunk(event(number)))
+            writer.write(chunk(event(number)))
         if tail:
-            writer.write(_chunk(tail))
+            writer.write(chunk(tail))
         await writer.drain()
-        raise ConnectionError("scripted end")
+        raise ScriptedEndError("scripted end")
 
     return step
 
@@ -245,6 +261,6 @@
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         writer.write(_head(200, request, (b"connection: close", *fields)) + body)
         await writer.drain()
-        raise ConnectionError("scripted end")
+        raise ScriptedEndError("scripted end")
 
     return step
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 
 import defopt
@@ -71,11 +72,16 @@
             has_fatal_request=True,
             has_target_signals=True,
             has_cut_routers=True,
+            has_versions=True,
         )
         duration_s = time.monotonic() - started_s
         status = "BROKEN" if verdict.broken else "held"
         print(f"seed {seed}: {status} in {duration_s:.0f} s; {verdict.summary}", flush=True)
         print("".join(f"  {line}\n" for line in verdict.broken[:20]), end="", flush=True)
+        counts = Counter(line.split(":")[0] for line in verdict.broken)
+        print(
+            "".join(f"  {count} x {name}\n" for name, count in counts.items()), end="", flush=True
+        )
         failed += bool(verdict.broken)
         if not verdict.broken:
             shutil.rmtree(folder)
