Failing test: versions that an upgraded replica sent without are never sent again

A router that took a replica for one of an earlier version hides in its first request after the replica's restart that it knows software versions. The answer has the revision of the new epoch and records without versions, and the router asks from that revision on.

--- a/packages/wire/src/damaskwind/wire/tests/test_software_versions.py
+++ b/packages/wire/src/damaskwind/wire/tests/test_software_versions.py
@@ -96,6 +96,41 @@
         earlier, present = (False, RECORD_FIELDS), (True, RECORD_FIELDS + 1)
         self.assertEqual(asked[:5], [present, earlier, earlier, earlier, present])
 
+    @asyncio_test
+    async def test_upgraded_replica_is_asked_for_the_records_that_it_sent_without_versions(self):
+        """Guards against versions that never come, since the router seems to have the records.
+
+        The first answer after the restart is to a request of a router that hid that it knows them.
+        """
+        asked = []
+
+        async def answer(exchange):
+            fields, _ = decode_fields(exchange.request.body, REQUEST)
+            request = dict(zip(NewsRequest._fields, fields, strict=False))
+            knows_versions = request.get("knows_versions", False)
+            asked.append((knows_versions, request["epoch"], request["revision"]))
+            if len(asked) == 1:
+                exchange.respond(Answer(400, []))
+                return
+            epoch = "upgraded" if len(asked) > 2 else "earlier"
+            news = NEWS._replace(epoch=epoch, revision=7, records=(VERSIONED,))
+            exchange.respond(Answer(200, [], encode(news, with_versions=knows_versions)))
+
+        server, subscriber = HttpServer(answer, ServerLimits()), _Subscriber()
+        address = Address("127.0.0.1", server.listen("127.0.0.1", 0))
+        timing = NewsTiming(initial_backoff_s=0.01)
+        link = NewsLink("r", "router", address, subscriber, Random(1), timing)
+        try:
+            link.start()
+            while len(asked) < 5:
+                await asyncio.sleep(0.01)
+        finally:
+            await link.stop()
+            await server.stop_listening()
+            server.abort()
+        self.assertEqual(asked[2], (False, "earlier", 7))
+        self.assertEqual(asked[3:5], [(True, "upgraded", 0), (True, "upgraded", 7)])
+
     def test_fields_are_added_at_the_end(self):
         """Guards against a field among those that a process of an earlier version decodes."""
         self.assertEqual(TargetRecord._fields[RECORD_FIELDS:], ("version",))
