All records are asked for again from a replica that was taken for an earlier version

Cause: the first request after such a replica's restart still hides that its sender knows software versions. Its answer brought the records without them, under the revision of the new epoch, from which the sender then asked on. What callers saw: targets stayed without a version at that router until they changed, so that streams could go on at any of them. The sender now asks from revision 0 once; the replica sends all records then, and answers from its revision afterwards. A replica that still is of the earlier version sends its records once more.

--- a/packages/wire/src/damaskwind/wire/news_link.py
+++ b/packages/wire/src/damaskwind/wire/news_link.py
@@ -234,10 +234,12 @@
         news = decode_news(body)
         # Another router's table may have advanced the revision since the request was sent.
         is_same_epoch = news.epoch == self._epoch
-        if self._epoch and not is_same_epoch:
-            # The replica has restarted, perhaps with the present version.
-            self._is_same_version = True
-        self._revision = max(news.revision, self._revision) if is_same_epoch else news.revision
+        revision = max(news.revision, self._revision) if is_same_epoch else news.revision
+        if self._epoch and not is_same_epoch and not self._is_same_version:
+            # The replica has restarted, perhaps with the present version. The records of this
+            # answer lack software versions, so that all are asked for again.
+            self._is_same_version, revision = True, 0
+        self._revision = revision
         self._epoch, self._version = news.epoch, news.version
         self._suspicions_seen = news.suspicions_revision
         self._evacuations_seen = news.evacuations.revision
