--- a/packages/router/src/damaskwind/router/forwarding/tests/test_answer_frames.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_answer_frames.py
@@ -1,6 +1,7 @@
 """Tests of what callers are told about the length and the end of an answer."""
 
 import asyncio
+import gzip
 
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
@@ -92,6 +93,18 @@
         self.assertEqual((await self.call()).status, 502)
 
 
+class EncodedStreamTest(ForwarderTestCase):
+    @asyncio_test
+    async def test_compressed_stream_is_not_searched_for_events(self):
+        """Guards against a whole stream that is reset, since its bytes show no end of an event."""
+        self.publish(route(RouteKind.STREAMING))
+        body = gzip.compress(EVENTS, mtime=0)
+        fields = (b"content-type: text/event-stream", b"content-encoding: gzip")
+        for step in (plain(body=body, fields=fields), unframed(body, fields)):
+            self.share(step)
+            self.assertEqual((await self.call()).body, body)
+
+
 class OldCallersTest(ForwarderTestCase):
     """Callers with HTTP/1.0, who take the orderly end of a connection for a whole answer."""
 
