--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
@@ -445,6 +445,16 @@
         self.assertLess(sorted(waits)[-3], origin_relay.HEDGE_S)
         self.assertEqual((await second.take_up(b"5")).version, "v1")
 
+    @asyncio_test
+    async def test_stream_of_a_very_long_timeout_keeps_no_other_from_being_written(self):
+        """Guards against an entry that replicas refuse, and with it each call that carries it."""
+        router = self.router("v1", "v2")
+        year_s = 365 * 86400.0
+        await router.begin(b"long", "v1", wait_s=year_s, timeout_s=year_s)
+        await router.begin(b"a", "v1")
+        outcomes = router.tallies.totals("streams_written")
+        self.assertEqual(outcomes, {outcome("confirmed"): 2})
+
     @asyncio_test
     async def test_router_keeps_a_bounded_number_of_streams(self):
         """Guards against a router's memory that grows with its streams."""
