--- a/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
@@ -248,6 +248,14 @@
         with self.assertRaises(AnswerBrokenError):
             await self.send(self.request())
 
+    @asyncio_test
+    async def test_unframed_stream_of_blank_lines_alone_does_not_look_complete(self):
+        """Guards against an end that the first router would refuse had it met the target itself."""
+        fields = (b"content-type: text/event-stream",)
+        self.targets[0].script = [unframed(b"\r\n", fields)]
+        with self.assertRaises(AnswerBrokenError):
+            await self.send(self.request())
+
     @asyncio_test
     async def test_unframed_rest_of_a_stream_may_be_empty(self):
         fields = (b"content-type: text/event-stream",)
