A compressed stream is not searched for the ends of events

Cause: the bytes of a body with a content encoding hold no empty lines, so that a stream on a route that may not be resumed always seemed to end inside an event. Callers saw a reset in place of the end of a whole stream. Its frame is believed again, and an unframed one is complete if its target outlived it.

--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -23,8 +23,11 @@
     """Return whether a stream consists of events.
 
     A body whose type isn't stated may be anything, so a frame that ends it is believed. Where
-    there is no frame either, the ends of events are the only sign that it is whole.
+    there is no frame either, the ends of events are the only sign that it is whole. The bytes
+    of a compressed stream show no ends of events.
     """
+    if header(head.headers, b"content-encoding") not in (None, b"identity"):
+        return False
     content_type = header(head.headers, b"content-type")
     if content_type is None:
         return head.is_unframed
