Another router refuses an unframed stream of blank lines alone, as a direct one is

Cause: only a body without any byte counted as empty there, and the first router takes the chunks that it gets for a frame of the target. Callers saw an empty stream as complete.

--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -17,6 +17,7 @@
 from damaskwind.model.exception import MessageError
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.router.forwarding.attempt import AttemptSender
+from damaskwind.router.forwarding.events import is_blank
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import (
@@ -255,7 +256,7 @@
         exchange.begin(head.status, [status, *without(head.headers, frozenset())])
         is_empty = True
         while (data := await connection.read_data()) is not None:
-            is_empty = False
+            is_empty = is_empty and is_blank(data)
             self._target_states.activity.record_received(target.target_id, read_clock())
             exchange.write(data)
             await exchange.drained()
