What is written down of a stream lasts no longer than its field can state

Cause: where a route's timeout is over 49 days and the caller states no shorter deadline, the milliseconds exceeded 32 bits. Replicas refused the whole call with 400, and the entry was kept and sent again with all others, so that none was written down at any replica. Replicas keep entries for MAX_LASTS_S at most, which now bounds the field as well.

--- a/packages/decisions/src/damaskwind/decisions/streams/origin_table.py
+++ b/packages/decisions/src/damaskwind/decisions/streams/origin_table.py
@@ -18,7 +18,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-__all__ = ["OriginEntry", "OriginTable", "attempt_key", "content_key"]
+__all__ = ["MAX_LASTS_S", "OriginEntry", "OriginTable", "attempt_key", "content_key"]
 
 KEY_BYTES = 8
 # An attempt's id is seen by few writers: each take-up of its stream is one. Beyond this, claims
--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from damaskwind.decisions.streams.origin_table import OriginEntry
+from damaskwind.decisions.streams.origin_table import MAX_LASTS_S, OriginEntry
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
@@ -84,7 +84,8 @@
 
     def entry(self, now_s: float) -> OriginEntry:
         """Return what is written down now."""
-        lasts_ms = max(int((self.expires_s - now_s) * 1000), 0)
+        # Replicas refuse a call with a number that the field can't hold, and keep none so long.
+        lasts_ms = int(min(max(self.expires_s - now_s, 0.0), MAX_LASTS_S) * 1000)
         return OriginEntry(self.keys, self.version, self.writer, self.sequence, lasts_ms)
 
 
