Failing test: a replica that missed the second write of a stream names the first version

A stream whose first target breaks off before any event may begin at another version. The replica that is asked first and took the first write, but not the second, answers alone.

--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
@@ -8,7 +8,8 @@
 from twisted.trial.unittest import TestCase
 
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
-from damaskwind.decisions.streams.origin_table import OriginTable
+from damaskwind.decisions.streams.holders import choose_holders
+from damaskwind.decisions.streams.origin_table import OriginTable, attempt_key
 from damaskwind.model.targets import Address
 from damaskwind.router.forwarding import origin_link, origin_relay
 from damaskwind.router.forwarding.call import Call, CallFacts
@@ -222,6 +223,39 @@
         await asyncio.sleep(SETTLED_S)
         self.assertEqual((await second.take_up(b"a")).version, "v2")
 
+    @asyncio_test
+    async def test_holder_that_missed_the_second_write_does_not_name_the_first_version(self):
+        """Guards against a stream that goes on at the target that broke off before its first event.
+
+        The holder that is asked first took the first write and was cut off before the second.
+        """
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        for replica in self.replicas:
+            first.hear(replica)
+        call = first.call(b"a")
+        before, after = first.know("v1", "v2")
+        self.assertFalse(await first.origins.record(call, before))
+        order = choose_holders(attempt_key("pool", b"a"), [r.host for r in self.replicas], ())
+        holder = next(replica for replica in self.replicas if replica.host == order[0])
+        holder.is_hanging = True
+        is_unsure = await first.origins.record(call, after)
+        holder.is_hanging = False
+        await first.view.stop()
+        if not is_unsure:
+            self.assertNotEqual((await second.take_up(b"a")).version, "v1")
+
+    @asyncio_test
+    async def test_holder_that_is_down_keeps_no_stream_from_beginning_elsewhere(self):
+        """Guards against a wait for a replica whose memory is lost in any case."""
+        first, second = self.router("v1", "v2"), self.router("v1", "v2")
+        call = first.call(b"a")
+        before, after = first.know("v1", "v2")
+        await first.origins.record(call, before)
+        order = choose_holders(attempt_key("pool", b"a"), [r.host for r in self.replicas], ())
+        await next(replica for replica in self.replicas if replica.host == order[0]).kill()
+        self.assertFalse(await first.origins.record(call, after))
+        self.assertEqual((await second.take_up(b"a")).version, "v2")
+
     @asyncio_test
     async def test_id_used_twice_at_two_versions_is_refused(self):
         """Guards against a guess where two streams have the same id."""
