A stream begins at another version only once no replica names the version before

Cause: a stream's first target broke off before any event, and the second one ran another version. Any one replica confirmed the second write, while the replica that is asked first could have missed it, cut off or slow, and named the first version to the next router. What callers saw: events of two versions in a stream that they took up, if the first router was gone or could not reach that replica. Each write now knows which replicas took an earlier one that names another version, and the attempt is given up unless they take it within CONFIRM_S. A replica that refuses connections has ended, and with it its memory. Streams whose first attempt brings events do not wait.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -428,8 +428,9 @@
         may_reroute: bool,
     ) -> AttemptOutcome:
         """Forward a stream to the caller as it arrives."""
-        if call.route.is_resumable and not await self._record_origin(call, target):
-            return AttemptOutcome(AttemptEnd.BROKEN, "the target's software changed")
+        doubt = await self._record_origin(call, target) if call.route.is_resumable else ""
+        if doubt:
+            return AttemptOutcome(AttemptEnd.BROKEN, doubt)
         delivery.begin_stream(head)
         gap_s = max(STALL_GAPS * call.route.gap_objective_s, STALL_GAP_MIN_S)
         while True:
@@ -462,15 +463,18 @@
             return True
         return not path.via and await self.answer_ends.has_outlived(target)
 
-    async def _record_origin(self, call: Call, target: TargetRecord) -> bool:
-        """Record which version begins a stream; return `False` if that is no longer certain.
+    async def _record_origin(self, call: Call, target: TargetRecord) -> str:
+        """Record which version begins a stream; return why that isn't certain, if it isn't.
 
         It is on record before the first event reaches the caller, who may come back at any time.
         """
         if call.began_at is None and call.recorded_version != target.version:
-            await self._origins.record(call, target)
-            call.recorded_version = target.version
-        return self._target_states.runs_version(target)
+            # In doubt, the next attempt is recorded whatever its version is.
+            is_unsure = await self._origins.record(call, target)
+            call.recorded_version = None if is_unsure else target.version
+            if is_unsure:
+                return "another version may be on record for the stream"
+        return "" if self._target_states.runs_version(target) else "the target's software changed"
 
     async def _read_data_in_time(
         self, connection: ClientConnection, gap_s: float | None
--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -60,10 +60,23 @@
 class BegunStream:
     """A stream that this router began or took up, as it is written down.
 
-    `confirmed` is set once a replica holds it.
+    `confirmed` is set once a replica holds it. Replicas that are `stale` may hold another version
+    of it from an earlier write of the same request; `replaced` is set once none is.
     """
 
-    __slots__ = ("confirmed", "expires_s", "keys", "sequence", "service", "version", "writer")
+    __slots__ = (
+        "confirmed",
+        "expires_s",
+        "is_superseded",
+        "keys",
+        "replaced",
+        "sent_to",
+        "sequence",
+        "service",
+        "stale",
+        "version",
+        "writer",
+    )
 
     def __init__(
         self,
@@ -81,6 +94,23 @@
         self.sequence = sequence
         self.expires_s = expires_s
         self.confirmed = asyncio.Event()
+        self.replaced = asyncio.Event()
+        self.is_superseded = False
+        self.sent_to: set[OriginLink] = set()
+        self.stale: set[OriginLink] = set()
+
+    def supersede(self, former: "BegunStream") -> None:
+        """Take the place of an earlier write."""
+        former.is_superseded = True
+        self.stale = set(former.stale)
+        if former.version != self.version:
+            self.stale |= former.sent_to
+
+    def note_current(self, link: "OriginLink") -> None:
+        """Record that a replica holds this write, or has lost all that it held."""
+        self.stale.discard(link)
+        if not self.stale:
+            self.replaced.set()
 
     def entry(self, now_s: float) -> OriginEntry:
         """Return what is written down now."""
@@ -200,6 +230,8 @@
         del self._questions[:MAX_BATCH]
         entries = tuple(stream.entry(now_s) for stream in valid)
         call = OriginCall(entries, tuple(key for key, _ in questions))
+        for stream in valid:
+            stream.sent_to.add(self)
         try:
             answer = await self._call(call)
         except _UnsupportedError:
@@ -210,10 +242,14 @@
         except _ERRORS as error:
             self._put_back(valid)
             self._fail(error)
+            # Replicas keep streams in memory alone.
+            for stream in valid if self.is_down else ():
+                stream.note_current(self)
         else:
             self.is_failing = self.is_down = False
             for stream in valid:
                 stream.confirmed.set()
+                stream.note_current(self)
             for (_, future), versions in zip(questions, answer.versions, strict=True):
                 _settle(future, versions)
             return True
@@ -225,6 +261,8 @@
     def _put_back(self, streams: list[BegunStream]) -> None:
         """Keep streams for a later call, unless a later write has replaced them."""
         for stream in streams:
+            if stream.is_superseded:
+                continue
             if stream.writer not in self._urgent and stream.writer not in self._lazy:
                 is_urgent = not stream.confirmed.is_set()
                 (self._urgent if is_urgent else self._lazy)[stream.writer] = stream
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -106,7 +106,11 @@
         """Remember a stream here."""
         now_s = read_clock()
         self.table.merge(stream.entry(now_s), now_s)
-        self._streams.pop(stream.writer, None)
+        former = self._streams.pop(stream.writer, None)
+        if former is not None:
+            stream.supersede(former)
+            for link in self._links.values():
+                link.drop(stream.writer)
         self._streams[stream.writer] = stream
         while self._streams:
             oldest = next(iter(self._streams.values()))
@@ -126,6 +130,8 @@
         self._links[first].write(stream, is_urgent=True)
         for host in others:
             self._links[host].write(stream, is_urgent=False)
+        for link in stream.stale:
+            link.write(stream, is_urgent=True)
         self._hedges = min(self._hedges + HEDGE_SHARE, HEDGE_BURST)
         if await _is_set(stream.confirmed, HEDGE_S):
             return True
@@ -136,6 +142,13 @@
                 self._links[host].write(stream, is_urgent=True)
         return await _is_set(stream.confirmed, CONFIRM_S - HEDGE_S)
 
+    async def is_replaced(self, stream: BegunStream) -> bool:
+        """Return whether no replica holds another version of a stream any more.
+
+        The replica that is asked first may be one that has missed the last write.
+        """
+        return not stream.stale or await _is_set(stream.replaced, CONFIRM_S)
+
     async def ask(self, key: bytes, has_holders: bool) -> Asked:
         """Ask the replicas for the versions of a key.
 
--- a/packages/router/src/damaskwind/router/forwarding/stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/stream_origins.py
@@ -63,15 +63,17 @@
         self._unconfirmed = 0
         self._logged_s = float("-inf")
 
-    async def record(self, call: Call, target: TargetRecord) -> None:
+    async def record(self, call: Call, target: TargetRecord) -> bool:
         """Record the version that begins a stream, before its first event is forwarded.
 
+        Return whether another version may still be on record, from an attempt before.
+
         It is written down where several versions of the service are known. A stream that is taken
         up is recorded under the attempt that brought its first event as well.
         """
         versions = self._relay.known_versions(call.service) | {target.version}
         if versions == {""}:
-            return
+            return False
         facts = call.facts
         keys = [attempt_key(call.service, facts.request_id)] if facts.request_id else []
         if facts.resumes:
@@ -87,7 +89,7 @@
         )
         self._relay.keep(stream)
         if len(versions) < 2:
-            return
+            return False
         started_s = read_clock()
         is_confirmed = await self._relay.write_down(stream)
         took_s = read_clock() - started_s
@@ -95,6 +97,7 @@
         self._tallies.count("streams_written", outcome="confirmed" if is_confirmed else "late")
         if not is_confirmed:
             self._log_unconfirmed(call, took_s)
+        return not await self._relay.is_replaced(stream)
 
     async def resolve(self, call: Call) -> OriginVerdict:
         """Return at which version a stream that is taken up may go on."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -143,6 +143,29 @@
         self.assertEqual((await calling).body.count(b"id: "), 3)
 
 
+class UnsureRecordTest(StreamVersionsTestCase):
+    @asyncio_test
+    async def test_stream_does_not_begin_at_a_version_beside_which_another_is_on_record(self):
+        """Guards against a caller that comes back and is sent on to the version before."""
+        self.versions = ("v1", "v2")
+        self.view.targets.leave("t2", read_clock())
+        self.targets.pop()
+
+        async def record(call, target):
+            self.recorded.append(target.version)
+            return len(self.recorded) == 2
+
+        self.forwarder.origins.record = record
+        self.share(cut_stream(1, 0), stream(1, 3))
+        try:
+            answer = await self.call()
+        except AnswerBrokenError:
+            answer = None
+        self.assertEqual(sorted(self.recorded), ["v1", "v2"])
+        if answer is not None:
+            self.assertEqual((answer.status, answer.body.count(b"id: ")), (502, 0))
+
+
 class CallerTakesUpTestCase(StreamVersionsTestCase):
     """A caller goes on after event 3; `verdict` is what is known of who began its stream."""
 
