--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from itertools import islice
 
 from loguru import logger
 
-from damaskwind.decisions.streams.origin_table import OriginEntry
+from damaskwind.decisions.streams.origin_table import MAX_LASTS_S, OriginEntry
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
@@ -60,16 +61,20 @@
 class BegunStream:
     """A stream that this router began or took up, as it is written down.
 
-    It `is_confirmed` once a replica holds it.
+    It `is_confirmed` once a replica holds it. Replicas that are `stale` may hold another version
+    of it from an earlier write of the same request.
     """
 
     __slots__ = (
-        "_confirmation",
+        "_change",
         "expires_s",
         "is_confirmed",
+        "is_superseded",
         "keys",
+        "sent_to",
         "sequence",
         "service",
+        "stale",
         "version",
         "writer",
     )
@@ -90,28 +95,51 @@
         self.sequence = sequence
         self.expires_s = expires_s
         self.is_confirmed = False
+        self.is_superseded = False
+        self.sent_to: frozenset[OriginLink] = frozenset()
+        self.stale: frozenset[OriginLink] = frozenset()
         # Made only while it is waited for: an event is half of a stream's memory.
-        self._confirmation: asyncio.Event | None = None
+        self._change: asyncio.Event | None = None
 
-    def confirm(self) -> None:
-        """Record that a replica holds it."""
+    def supersede(self, former: "BegunStream") -> None:
+        """Take the place of an earlier write."""
+        former.is_superseded = True
+        self.stale = former.stale
+        if former.version != self.version:
+            self.stale |= former.sent_to
+
+    def confirm(self, link: "OriginLink") -> None:
+        """Record that a replica holds this write."""
         self.is_confirmed = True
-        if self._confirmation is not None:
-            self._confirmation.set()
+        self.note_current(link)
+
+    def note_current(self, link: "OriginLink") -> None:
+        """Record that a replica holds no earlier write, or has lost all that it held."""
+        self.stale -= {link}
+        if self._change is not None:
+            self._change.set()
 
     async def wait_confirmed(self, limit_s: float) -> bool:
         """Wait until a replica holds it; return whether one does in time."""
-        if not self.is_confirmed:
-            self._confirmation = asyncio.Event()
-            with suppress(TimeoutError):
-                async with asyncio.timeout(limit_s):
-                    await self._confirmation.wait()
-            self._confirmation = None
-        return self.is_confirmed
+        return await self._wait(lambda: self.is_confirmed, limit_s)
+
+    async def wait_replaced(self, limit_s: float) -> bool:
+        """Wait until no replica holds another version of it; return whether that is so in time."""
+        return await self._wait(lambda: not self.stale, limit_s)
+
+    async def _wait(self, is_met: Callable[[], bool], limit_s: float) -> bool:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while not is_met():
+                    self._change = asyncio.Event()
+                    await self._change.wait()
+        self._change = None
+        return is_met()
 
     def entry(self, now_s: float) -> OriginEntry:
         """Return what is written down now."""
-        lasts_ms = max(int((self.expires_s - now_s) * 1000), 0)
+        # Replicas refuse a call with a number that the field can't hold, and keep none so long.
+        lasts_ms = int(min(max(self.expires_s - now_s, 0.0), MAX_LASTS_S) * 1000)
         return OriginEntry(self.keys, self.version, self.writer, self.sequence, lasts_ms)
 
 
@@ -226,6 +254,8 @@
         del self._questions[:MAX_BATCH]
         entries = tuple(stream.entry(now_s) for stream in valid)
         call = OriginCall(entries, tuple(key for key, _ in questions))
+        for stream in valid:
+            stream.sent_to |= {self}
         try:
             answer = await self._call(call)
         except _UnsupportedError:
@@ -236,10 +266,13 @@
         except _ERRORS as error:
             self._put_back(valid)
             self._fail(error)
+            # Replicas keep streams in memory alone.
+            for stream in valid if self.is_down else ():
+                stream.note_current(self)
         else:
             self.is_failing = self.is_down = False
             for stream in valid:
-                stream.confirm()
+                stream.confirm(self)
             for (_, future), versions in zip(questions, answer.versions, strict=True):
                 _settle(future, versions)
             return True
@@ -251,6 +284,8 @@
     def _put_back(self, streams: list[BegunStream]) -> None:
         """Keep streams for a later call, unless a later write has replaced them."""
         for stream in streams:
+            if stream.is_superseded:
+                continue
             if stream.writer not in self._urgent and stream.writer not in self._lazy:
                 is_urgent = not stream.is_confirmed
                 (self._urgent if is_urgent else self._lazy)[stream.writer] = stream
