A router is told by the one in between that an answer had no frame

Callers of a router that is cut off from the targets got a complete answer for a stream that its target had broken off inside an event, where the target states no content type.

Cause: the router in between sends the answer on in chunks. The first one took these for the target's frame, and believes a frame around a body of unstated type.

Why it works: Proxy-Status carries the parameter unframed, and the first router then judges the stream as if it had read it from the target itself. A router of an earlier version states nothing, and its answers count as before. The end of the target's process is still checked in between.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -462,11 +462,11 @@
     async def _is_end_sure(self, path: TargetPath, head: AnswerHead, target: TargetRecord) -> bool:
         """Return whether an answer that has ended was ended by its target.
 
-        Another router has checked that itself; it frames all answers.
+        Another router that sent the request on has checked that itself.
         """
-        if not head.is_unframed:
+        if not head.is_unframed or path.via:
             return True
-        return not path.via and await self.answer_ends.has_outlived(target)
+        return await self.answer_ends.has_outlived(target)
 
     async def _record_origin(self, call: Call, target: TargetRecord) -> str:
         """Record which version begins a stream; return why that isn't certain, if it isn't.
--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -38,6 +38,7 @@
     decode_question,
     drop_first,
     encode_message,
+    relay_status,
     split_target,
 )
 
@@ -247,7 +248,7 @@
         request_id = header(request.headers, self._names.request_id) or b""
         head = await self._sender.read_own_head(connection, request_id)
         self._sender.record_head(head, target)
-        status = (STATUS, self._node_id)
+        status = relay_status(self._node_id, head.is_unframed)
         if _is_short(head):
             body = await connection.read_body(WHOLE_BYTES)
             self._target_states.connections.release(target.target_id, connection, head.headers)
@@ -270,7 +271,8 @@
     ) -> None:
         """Raise `AnswerBrokenError` if an unframed answer may have been broken off.
 
-        It goes back in chunks, so that only this router can tell. The other one looks at events.
+        Only this router can tell. The other one, which is told that there was no frame, looks at
+        events; one of an earlier version isn't, so that a stream without any is refused here.
         """
         is_resumed = header(request.headers, self._names.resume_after) is not None
         if is_empty and _is_stream(head) and not is_resumed:
--- a/packages/router/src/damaskwind/router/forwarding/target_paths.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_paths.py
@@ -17,6 +17,7 @@
     authorization,
     drop_first,
     forwarded_target,
+    states_unframed,
 )
 
 __all__ = ["DirectPath", "PeerPath", "TargetPath", "choose_path"]
@@ -143,11 +144,15 @@
         """Remove the router's own header from an answer; return its failure, if it states one.
 
         An answer without that header was given before the request was looked at, except for
-        a status of 500 and above.
+        a status of 500 and above. From then on the answer counts as framed as the target did it.
         """
         if header(head.headers, STATUS) is None:
             return Failure.BROKEN if head.status >= 500 else Failure.REFUSED
+        if head.is_unframed:
+            # A router frames all that it passes on, so this can't be told from a cut answer.
+            return Failure.BROKEN
         failure = Failure.parse(head.headers[:1])
+        head.is_unframed = states_unframed(head.headers[:1])
         head.headers = drop_first(head.headers, STATUS)
         return failure
 
--- a/packages/wire/src/damaskwind/wire/peers.py
+++ b/packages/wire/src/damaskwind/wire/peers.py
@@ -37,13 +37,18 @@
     "encode_message",
     "forwarded_target",
     "peers_digest",
+    "relay_status",
     "split_target",
+    "states_unframed",
 ]
 
 REACH_PATH = b"/reach"
 FORWARD_PREFIX = b"http://"
 AUTHORIZATION = b"proxy-authorization"
 STATUS = b"proxy-status"
+# The parameter of that field by which a router states that the target framed its answer neither by
+# a length nor by chunks, and outlived it.
+_UNFRAMED = b"; unframed"
 # The version of this exchange; a router refuses another one.
 _SCHEME = b"Router-1 "
 
@@ -75,6 +80,22 @@
         return cls(error) if error in list(cls) else cls.BROKEN
 
 
+def relay_status(node_id: bytes, is_unframed: bool) -> tuple[bytes, bytes]:
+    """Return the header field with which a router passes an answer of a target on.
+
+    >>> relay_status(b"router-1", True)
+    (b'proxy-status', b'router-1; unframed')
+    >>> states_unframed([relay_status(b"router-1", False)])
+    False
+    """
+    return (STATUS, node_id + _UNFRAMED if is_unframed else node_id)
+
+
+def states_unframed(headers: Headers) -> bool:
+    """Return whether a router states that the answer that it passes on had no frame."""
+    return (header(headers, STATUS) or b"").endswith(_UNFRAMED)
+
+
 class ReachQuestion(NamedTuple):
     """Asks a router which services it reaches, and to probe some targets now.
 
