--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from itertools import islice
 
@@ -60,16 +61,16 @@
 class BegunStream:
     """A stream that this router began or took up, as it is written down.
 
-    `confirmed` is set once a replica holds it. Replicas that are `stale` may hold another version
-    of it from an earlier write of the same request; `replaced` is set once none is.
+    It `is_confirmed` once a replica holds it. Replicas that are `stale` may hold another version
+    of it from an earlier write of the same request.
     """
 
     __slots__ = (
-        "confirmed",
+        "_change",
         "expires_s",
+        "is_confirmed",
         "is_superseded",
         "keys",
-        "replaced",
         "sent_to",
         "sequence",
         "service",
@@ -93,24 +94,47 @@
         self.writer = writer
         self.sequence = sequence
         self.expires_s = expires_s
-        self.confirmed = asyncio.Event()
-        self.replaced = asyncio.Event()
+        self.is_confirmed = False
         self.is_superseded = False
-        self.sent_to: set[OriginLink] = set()
-        self.stale: set[OriginLink] = set()
+        self.sent_to: frozenset[OriginLink] = frozenset()
+        self.stale: frozenset[OriginLink] = frozenset()
+        # Made only while it is waited for: an event is half of a stream's memory.
+        self._change: asyncio.Event | None = None
 
     def supersede(self, former: "BegunStream") -> None:
         """Take the place of an earlier write."""
         former.is_superseded = True
-        self.stale = set(former.stale)
+        self.stale = former.stale
         if former.version != self.version:
             self.stale |= former.sent_to
 
+    def confirm(self, link: "OriginLink") -> None:
+        """Record that a replica holds this write."""
+        self.is_confirmed = True
+        self.note_current(link)
+
     def note_current(self, link: "OriginLink") -> None:
-        """Record that a replica holds this write, or has lost all that it held."""
-        self.stale.discard(link)
-        if not self.stale:
-            self.replaced.set()
+        """Record that a replica holds no earlier write, or has lost all that it held."""
+        self.stale -= {link}
+        if self._change is not None:
+            self._change.set()
+
+    async def wait_confirmed(self, limit_s: float) -> bool:
+        """Wait until a replica holds it; return whether one does in time."""
+        return await self._wait(lambda: self.is_confirmed, limit_s)
+
+    async def wait_replaced(self, limit_s: float) -> bool:
+        """Wait until no replica holds another version of it; return whether that is so in time."""
+        return await self._wait(lambda: not self.stale, limit_s)
+
+    async def _wait(self, is_met: Callable[[], bool], limit_s: float) -> bool:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while not is_met():
+                    self._change = asyncio.Event()
+                    await self._change.wait()
+        self._change = None
+        return is_met()
 
     def entry(self, now_s: float) -> OriginEntry:
         """Return what is written down now."""
@@ -231,7 +255,7 @@
         entries = tuple(stream.entry(now_s) for stream in valid)
         call = OriginCall(entries, tuple(key for key, _ in questions))
         for stream in valid:
-            stream.sent_to.add(self)
+            stream.sent_to |= {self}
         try:
             answer = await self._call(call)
         except _UnsupportedError:
@@ -248,8 +272,7 @@
         else:
             self.is_failing = self.is_down = False
             for stream in valid:
-                stream.confirmed.set()
-                stream.note_current(self)
+                stream.confirm(self)
             for (_, future), versions in zip(questions, answer.versions, strict=True):
                 _settle(future, versions)
             return True
@@ -264,7 +287,7 @@
             if stream.is_superseded:
                 continue
             if stream.writer not in self._urgent and stream.writer not in self._lazy:
-                is_urgent = not stream.confirmed.is_set()
+                is_urgent = not stream.is_confirmed
                 (self._urgent if is_urgent else self._lazy)[stream.writer] = stream
 
     def _fail(self, error: Exception) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -133,21 +133,21 @@
         for link in stream.stale:
             link.write(stream, is_urgent=True)
         self._hedges = min(self._hedges + HEDGE_SHARE, HEDGE_BURST)
-        if await _is_set(stream.confirmed, HEDGE_S):
+        if await stream.wait_confirmed(HEDGE_S):
             return True
         if self._hedges >= 1.0:
             self._hedges -= 1.0
             self.tallies.count("stream_write_hedges")
             for host in others:
                 self._links[host].write(stream, is_urgent=True)
-        return await _is_set(stream.confirmed, CONFIRM_S - HEDGE_S)
+        return await stream.wait_confirmed(CONFIRM_S - HEDGE_S)
 
     async def is_replaced(self, stream: BegunStream) -> bool:
         """Return whether no replica holds another version of a stream any more.
 
         The replica that is asked first may be one that has missed the last write.
         """
-        return not stream.stale or await _is_set(stream.replaced, CONFIRM_S)
+        return await stream.wait_replaced(CONFIRM_S)
 
     async def ask(self, key: bytes, has_holders: bool) -> Asked:
         """Ask the replicas for the versions of a key.
@@ -233,15 +233,3 @@
         """Return what was answered so far."""
         down = sum(link.is_down for link in self._links)
         return Asked(frozenset(self.found), self._answered, down, len(self._links))
-
-
-async def _is_set(event: asyncio.Event, limit_s: float) -> bool:
-    """Wait for an event; return whether it happened in time."""
-    if event.is_set():
-        return True
-    try:
-        async with asyncio.timeout(limit_s):
-            await event.wait()
-    except TimeoutError:
-        return False
-    return True
