--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -287,6 +287,27 @@
         held.set()
         await other
 
+    @asyncio_test
+    async def test_connection_that_closes_just_after_the_end_is_no_proof(self):
+        """Guards against a look at connections while a crashed process still loses them."""
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        held = asyncio.Event()
+
+        async def hold(writer, request):
+            await held.wait()
+
+        async def end_before_exit(writer, request):
+            asyncio.get_running_loop().call_later(SETTLE_S / 2, self.target.exit)
+            await unframed(b"who")(writer, request)
+
+        self.share(hold, end_before_exit)
+        other = asyncio.ensure_future(self.call(request_id=b"r2"))
+        await asyncio.sleep(0.05)
+        self.assertEqual((await self.call()).status, 502)
+        self.assertEqual(self.found().get("connection", 0), 0)
+        held.set()
+        self.assertEqual((await other).status, 502)
+
     @asyncio_test
     async def test_ends_at_once_share_a_probe(self):
         """Guards against a burst of connections when many answers end together."""
