Failing tests: a version that becomes known counts as other software

A target that reports its version late had no other before, as VersionHistory has it; an answer that begins then is sent twice, and a stream that breaks then goes on nowhere.

--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -166,6 +166,41 @@
             self.assertEqual((answer.status, answer.body.count(b"id: ")), (502, 0))
 
 
+class LateVersionTest(StreamVersionsTestCase):
+    """Routers learn the versions of targets after replicas of an earlier version are replaced."""
+
+    versions = ("", "", "")
+
+    def learn_versions(self):
+        for number in range(len(self.versions)):
+            self.run_version(f"t{number}", "v1")
+
+    @asyncio_test
+    async def test_answer_of_a_target_whose_version_becomes_known_is_forwarded(self):
+        """Guards against all streams that begin then being sent twice."""
+
+        async def learn(writer, request):
+            self.learn_versions()
+            await stream(1, 3)(writer, request)
+
+        self.share(learn, stream(1, 3))
+        self.assertEqual((await self.call()).body.count(b"id: "), 3)
+        self.assertEqual(len(self.received()), 1)
+
+    @asyncio_test
+    async def test_stream_goes_on_at_the_version_that_becomes_known(self):
+        async def learn(writer, request):
+            with self.assertRaises(ConnectionError):
+                await cut_stream(1, 3)(writer, request)
+            await asyncio.sleep(0.05)
+            self.learn_versions()
+            raise ConnectionError("scripted end")
+
+        self.share(learn, stream(4, 6))
+        self.assertEqual((await self.call()).body.count(b"id: "), 6)
+        self.assertEqual(len(self.received()), 2)
+
+
 class CallerTakesUpTestCase(StreamVersionsTestCase):
     """A caller goes on after event 3; `verdict` is what is known of who began its stream."""
 
