A version that becomes known in the same life of a target is no other software

Cause: routers that replace others before the replicas do get records without versions, and learn these later. A target whose version became known counted as back with other software: an answer that began then was given up and its request sent again, and a stream that broke then was reset although targets of its version served. A record of the same incarnation now only adds the version, at which the stream goes on; another incarnation still counts as other software.

--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -327,4 +327,6 @@
         why = f"{progress.outcome.why}; the target's software changed"
         progress.outcome = progress.outcome._replace(why=why)
         return RequestState.ENDED
+    if began_at is not None:
+        progress.call.required_version = steps.target_states.present_version(began_at)
     return await steps.place_when_settled(progress)
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -240,10 +240,18 @@
     def runs_version(self, target: TargetRecord) -> bool:
         """Tell whether a target still runs the software version by which it was placed.
 
-        A target may be back under its id with another one.
+        A target may be back under its id with another one. One whose version was not known, as
+        processes of earlier versions pass records on, runs the same if it is still in that life.
         """
         known = self.view.targets.record_of(target.target_id)
-        return known is None or known.version == target.version
+        if known is None or known.version == target.version:
+            return True
+        return not target.version and known.incarnation == target.incarnation
+
+    def present_version(self, target: TargetRecord) -> str:
+        """Return the software version of a target that `runs_version`, which may be known since."""
+        known = self.view.targets.record_of(target.target_id)
+        return target.version if known is None else known.version
 
     def serving(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that may be sent to."""
