--- a/packages/standins/src/damaskwind/standins/tcp_link.py
+++ b/packages/standins/src/damaskwind/standins/tcp_link.py
@@ -266,7 +266,8 @@
         """
         for connection in list(self.connections):
             transport = connection.target.transport
-            if transport is not None and transport.getHost().port == target_peer_port:
+            is_open = transport is not None and transport.connected
+            if is_open and transport.getHost().port == target_peer_port:
                 connection.abort()
 
     def half_open(self) -> None:
