--- a/benchmarks/stream_origins.py
+++ b/benchmarks/stream_origins.py
@@ -36,8 +36,7 @@
 __all__ = ["STRATEGIES", "OriginFigures", "OriginLoad", "simulate"]
 
 STRATEGIES = ("written", "written to all", "asked", "hashed")
-# Processor time of a replica for one call and for each entry, measured (decisions/0034), on a
-# quarter of a core.
+# Processor time of a replica for one call and for each entry, on a quarter of a core.
 CALL_S = 4 * 190e-6
 ENTRY_S = 4 * 9e-6
 HOP_S = 0.0005
