A refusal by a brittle target is logged with what this router holds and takes for its own

The log did not tell why several routers met at one target: neither what each held there nor from which share, place and counts its part of the slots follows. One line a refusal now states them, with up to 16 targets.

--- a/packages/decisions/src/damaskwind/decisions/admission/brittle_pool.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/brittle_pool.py
@@ -134,6 +134,16 @@
             return even
         return EVEN_SHARE * even + (1.0 - EVEN_SHARE) * self.traffic_share
 
+    def describe(self, now_s: float) -> dict[str, float]:
+        """Return the figures from which this router's part follows, for the log."""
+        return {
+            "place": self._place,
+            "routers": self._routers,
+            "share": round(self._share(), 2),
+            "used_share": round(self.used_share, 2),
+            "counts_age_s": round(now_s - self._updated_s, 2),
+        }
+
     def free_slots(self, targets: Sequence[BrittleSlots]) -> Mapping[str, int]:
         """Return how many more requests this router may send to each target, own slots first."""
         all_slots = sum(item.slots for item in targets)
--- a/packages/router/src/damaskwind/router/forwarding/brittle_services.py
+++ b/packages/router/src/damaskwind/router/forwarding/brittle_services.py
@@ -16,6 +16,9 @@
 
 __all__ = ["BrittleServices"]
 
+# Targets whose requests are listed in one log line.
+MAX_LOGGED_TARGETS = 16
+
 
 class BrittleServices:
     """The services of one router whose targets say that they are brittle."""
@@ -58,8 +61,18 @@
 
     def record_refusal(self, target: TargetRecord) -> None:
         """Record that a target refused a request for lack of room."""
-        if target.service in self._pools:
-            self._pools[target.service].record_refusal(target.target_id, read_clock())
+        if target.service not in self._pools:
+            return
+        now_s = read_clock()
+        self._pools[target.service].record_refusal(target.target_id, now_s)
+        held = dict(sorted(self.held_at_targets(target.service).items())[:MAX_LOGGED_TARGETS])
+        logger.info(
+            "brittle target refused",
+            service=target.service,
+            target=target.target_id,
+            held=held,
+            **self._pool(target.service).describe(now_s),
+        )
 
     def take(self, service: str) -> bool:
         """Return whether another request may be sent to a brittle service now."""
