A router that waits for a slot is not forgotten while those before it are served

Callers would have seen: a slot of a brittle target idle for up to 0.5 s while a router waits for it.

Cause: the queue of a target was dropped when a waiter ended and found it empty, also if another one had ended it before and a new queue stood in its place.

Evidence: found by reading.

Why it works: the queue of a target stays until the target is gone.

--- a/packages/router/src/damaskwind/router/forwarding/slot_granting.py
+++ b/packages/router/src/damaskwind/router/forwarding/slot_granting.py
@@ -89,8 +89,6 @@
         finally:
             if waiter in waiting:
                 waiting.remove(waiter)
-            if not waiting:
-                self._waiters.pop(target.target_id, None)
 
     def end(self, numbers: tuple[int, ...], refused: tuple[str, ...] = ()) -> None:
         """End grants, of which some were used for requests that targets refused."""
@@ -128,6 +126,7 @@
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that is gone."""
         self.grants.forget(target_id)
+        self._waiters.pop(target_id, None)
 
     def _grant(self, target: TargetRecord, holder: str, wanted: int) -> tuple[int, ...]:
         now_s = read_clock()
