The log names the prompt parts in flight at a target's end, and what cleared a request

Now `sends broken` has level and parts of each send that broke, `request ended` the parts, `request cleared` the request, target and status that cleared it. No decision is changed.

--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -23,6 +23,7 @@
     "FinalRefusal",
     "read_facts",
     "read_key",
+    "shown_parts",
     "target_headers",
 ]
 
@@ -30,6 +31,9 @@
 NO_DEADLINE_S = 3600.0
 # Ids that routers keep for each stream are at most this long; callers send 16 bytes.
 MAX_ID_BYTES = 128
+# What a log line shows of a prompt's parts.
+MAX_SHOWN_PARTS = 8
+MAX_SHOWN_ID = 32
 
 _NUMBERS = count(1)
 
@@ -239,6 +243,15 @@
     )
 
 
+def shown_parts(part_ids: tuple[bytes, ...]) -> list[str]:
+    """Return the ids of a prompt's parts as the log shows them, in their order.
+
+    >>> shown_parts((b"87c787fd0ba9", b"a5"))
+    ['87c787fd0ba9', 'a5']
+    """
+    return [item[:MAX_SHOWN_ID].decode("latin-1") for item in part_ids[:MAX_SHOWN_PARTS]]
+
+
 def _bounded_id(value: bytes | None) -> bytes | None:
     """Return the id of an attempt, `None` if it is empty or too long to be one."""
     return value if value and len(value) <= MAX_ID_BYTES else None
--- a/packages/router/src/damaskwind/router/forwarding/crash_detector.py
+++ b/packages/router/src/damaskwind/router/forwarding/crash_detector.py
@@ -12,6 +12,7 @@
 
 from damaskwind.decisions.fatal_requests.suspicion import SuspicionLevel
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.router.forwarding.call import shown_parts
 from damaskwind.router.forwarding.target_states import TargetStates
 
 __all__ = ["BrokenSend", "CrashDetector"]
@@ -24,12 +25,13 @@
     """An attempt that broke.
 
     `digest` identifies the request, `level` is its suspicion level when it was sent, and
-    `request_id` is for the log.
+    `request_id` and the ids of its prompt's parts are for the log.
     """
 
     digest: bytes
     level: SuspicionLevel
     request_id: bytes
+    part_ids: tuple[bytes, ...] = ()
 
 
 CrashCallback = Callable[[TargetRecord, list[BrokenSend]], None]
@@ -86,10 +88,7 @@
             is_leaving=is_leaving,
             others_unreachable=reach.unreachable_targets(target.service),
             sends=len(broken),
-            requests=[
-                [item.request_id.decode("latin-1"), item.digest.hex()]
-                for item in broken[:LISTED_REQUESTS]
-            ],
+            requests=[_shown(item) for item in broken[:LISTED_REQUESTS]],
         )
         if phase in (None, TargetPhase.GONE):
             # Another target may have its address by now, so it is not probed again.
@@ -101,3 +100,13 @@
             for callback in self.on_crashed:
                 callback(target, broken)
         return has_crashed
+
+
+def _shown(broken: BrokenSend) -> list[str | int | list[str]]:
+    """Return a broken send as the log shows it: id, digest, level and parts of the prompt."""
+    return [
+        broken.request_id.decode("latin-1"),
+        broken.digest.hex(),
+        broken.level.ends,
+        shown_parts(broken.part_ids),
+    ]
--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -3,7 +3,7 @@
 from loguru import logger
 
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome
-from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.call import Call, shown_parts
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.runtime.clock import read_clock
@@ -102,6 +102,7 @@
             account=call.account.name if call.account else "",
             version=call.version,
             key=(call.key or b"").decode("latin-1"),
+            parts=shown_parts(call.facts.part_ids),
             may_have_run=call.may_have_run,
             resume_after=call.facts.resume_after,
             resumes=(call.facts.resumes or b"").decode("latin-1"),
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -165,10 +165,12 @@
     ) -> None:
         """Find out whether a target crashed under a request, or record that it ran to its end."""
         if outcome.is_connection_lost:
-            broken = BrokenSend(call.digest, level, call.facts.request_id)
+            broken = BrokenSend(call.digest, level, call.facts.request_id, call.facts.part_ids)
             call.exit_probes.append(self._crash_detector.probe(target, broken))
         elif _ran_to_end(outcome):
-            self._suspicions.record_completion(call.digest)
+            self._suspicions.record_completion(
+                call.digest, call.facts.request_id, target.target_id, outcome.why
+            )
 
     def _record_target_crash(self, target: TargetRecord, sends: list[BrokenSend]) -> None:
         """Put the requests in flight at a target that crashed under suspicion."""
--- a/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
@@ -79,16 +79,28 @@
             self._log_fatal(digest, "here")
         return is_new
 
-    def record_completion(self, digest: bytes) -> None:
-        """Record that a target has run a request to completion."""
+    def record_completion(
+        self, digest: bytes, request_id: bytes = b"", target_id: str = "", why: str = ""
+    ) -> None:
+        """Record that a target has run a request to completion; the rest is for the log."""
         now_s = read_clock()
         self._completions.record(digest, now_s)
-        self._clear(digest, now_s)
+        self._clear(digest, now_s, request_id, target_id, why)
 
-    def _clear(self, digest: bytes, now_s: float) -> None:
+    def _clear(
+        self, digest: bytes, now_s: float, request_id: bytes, target_id: str, why: str
+    ) -> None:
         """Clear a request that is under suspicion, here and elsewhere."""
+        level = self.table.level(digest)
         if self.table.record_completion(digest, now_s):
-            logger.info("request cleared", digest=digest.hex())
+            logger.info(
+                "request cleared",
+                digest=digest.hex(),
+                ends=level.ends,
+                request=request_id.decode("latin-1"),
+                target=target_id,
+                why=why,
+            )
             self._queue_for_all([digest])
 
     def handle_news(self, host: str, news: News) -> None:
@@ -96,7 +108,7 @@
         now_s = read_clock()
         for digest in self.table.merge(news.suspicions, now_s):
             if self._completions.has(digest, now_s):
-                self._clear(digest, now_s)
+                self._clear(digest, now_s, b"", "", "completed lately")
             else:
                 self._log_fatal(digest, host)
         if now_s - self._expired_at_s > EXPIRY_INTERVAL_S:
