A part of a prompt that crashes targets is held fatal, whatever else a request holds

Cause: evidence was kept by the whole request (method, host, path, caller, body), so each of them was new and its end never the second. What is to blame was smaller than the unit that was blamed. Now the parts of the prompt are suspects beside the request, in the same table and messages. Only whole answers clear parts, none older than a second. The verdict is asked right before each send.

--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/completions.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/completions.py
@@ -20,7 +20,8 @@
 class RecentCompletions:
     """When requests last completed, as observed by one process; times are monotonic."""
 
-    def __init__(self) -> None:
+    def __init__(self, recent_s: float = RECENT_S) -> None:
+        self._recent_s = recent_s
         # In order of completion.
         self._completed_s: dict[bytes, float] = {}
 
@@ -34,4 +35,4 @@
     def has(self, digest: bytes, now_s: float) -> bool:
         """Return whether a request completed recently."""
         completed_s = self._completed_s.get(digest)
-        return completed_s is not None and now_s - completed_s < RECENT_S
+        return completed_s is not None and now_s - completed_s < self._recent_s
--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/identity.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/identity.py
@@ -1,12 +1,17 @@
-"""Identify requests that are sent again with a new id."""
+"""Identify what may crash the targets that run a request: itself, or a part of its prompt."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 
-__all__ = ["DIGEST_BYTES", "identify_request"]
+__all__ = ["DIGEST_BYTES", "MAX_PARTS", "identify_part", "identify_request", "identify_together"]
 
 DIGEST_BYTES = 8
+# A caller may send any number of parts; those beyond are not told apart.
+MAX_PARTS = 32
 _LENGTH_BYTES = 8
+# Parts that many requests share are identified over and over.
+_CACHED_PARTS = 2048
 
 
 def identify_request(
@@ -25,8 +30,34 @@
     >>> again == identify_request(b"POST", b"h", b"/a", b"other", b"{}")
     False
     """
+    return _digest((method, host, target, caller, body))
+
+
+@lru_cache(_CACHED_PARTS)
+def identify_part(service: str, model: bytes, part_id: bytes) -> bytes:
+    """Return a digest of a part of the prompts that a model of a service reads.
+
+    The use of the same part at another service or model is another one: it may be sound there.
+    The caller is left out, since whoever sends a part that crashes targets crashes them.
+
+    >>> identify_part("s", b"m", b"a5") == identify_part("s", b"n", b"a5")
+    False
+    """
+    return _digest((b"part", service.encode(), model, part_id))
+
+
+def identify_together(digests: Iterable[bytes]) -> bytes:
+    """Return a digest of suspects that were always in flight together, in any order.
+
+    >>> identify_together([b"a", b"b"]) == identify_together([b"b", b"a"])
+    True
+    """
+    return _digest((b"together", *sorted(digests)))
+
+
+def _digest(parts: Iterable[bytes]) -> bytes:
     digest = blake2b(digest_size=DIGEST_BYTES)
-    for part in _with_lengths((method, host, target, caller, body)):
+    for part in _with_lengths(parts):
         digest.update(part)
     return digest.digest()
 
--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/suspicion.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/suspicion.py
@@ -1,11 +1,13 @@
-"""Distinguish a request that crashes its targets from requests merely in flight there.
+"""Distinguish what crashes the targets that run it from what is merely in flight there.
 
-When a target ends, every request that it had in flight becomes suspected. A request that is
-sent again and completes is cleared. A request that was sent when a target's end under it
-was already known, and whose next target ends too, goes up one level. Only such ends count, so
-that any number of targets that end together raise a request by one level, and a request that is
-made all the time is cleared between two ends. At level `FATAL_ENDS` the request is fatal and
-not sent for some time. Such a request is known as a query of death or a poison message.
+Suspects are whole requests, parts of prompts, and groups of these that nothing has told apart;
+each is known by a digest, and called a request below. When a target ends, every request that it
+had in flight becomes suspected. A request that is sent again and completes is cleared. A request
+that was sent when a target's end under it was already known, and whose next target ends too, goes
+up one level. Only such ends count, so that any number of targets that end together raise a request
+by one level, and a request that is made all the time is cleared between two ends. At level
+`FATAL_ENDS` the request is fatal and not sent for some time. Such a request is known as a query of
+death or a poison message.
 
 The state of a request is two numbers: how often it was cleared, then how many targets ended
 since. Of two states the higher one wins, compared in that order, so that the tables of routers
@@ -23,15 +25,26 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["Standing", "Suspicion", "SuspicionLevel", "SuspicionTable", "fatal_duration_s"]
+__all__ = [
+    "FATAL_ENDS",
+    "FATAL_TTL_S",
+    "Standing",
+    "Suspicion",
+    "SuspicionLevel",
+    "SuspicionTable",
+    "fatal_duration_s",
+]
 
 # How many targets may end under a request before it is no longer sent.
 FATAL_ENDS = 3
-# A suspicion expires this long after the last end.
+# A suspicion expires this long after the last end, that of a fatal request after a day: until
+# then it comes again without another target's end.
 SUSPICION_TTL_S = 600.0
-# How long a request is fatal at first; doubled after each trial that ended a target. A request
-# that is not the cause is cleared by its first trial.
+FATAL_TTL_S = 86_400.0
+# How long a request is fatal at first, and the factor after each trial that ended a target. A
+# request that is not the cause is cleared by its first trial; one that is ends three targets a day.
 FATAL_BASE_S = 60.0
+FATAL_GROWTH = 30
 # At 150 bytes each in a router's memory. A lost target adds as many as it had in flight.
 MAX_REQUESTS = 4096
 
@@ -64,15 +77,23 @@
     level: SuspicionLevel
     at_s: float
     revision: int
+    first_end_s: float
 
 
 def fatal_duration_s(ends: int) -> float:
     """Return how long a request is fatal after this number of targets ended under it.
 
     >>> fatal_duration_s(3), fatal_duration_s(5)
-    (60.0, 240.0)
+    (60.0, 54000.0)
     """
-    return FATAL_BASE_S * 2 ** (ends - FATAL_ENDS)
+    return FATAL_BASE_S * FATAL_GROWTH ** (ends - FATAL_ENDS)
+
+
+def _ttl_s(ends: int) -> float:
+    """Return how long after the last end a request is remembered."""
+    if ends < FATAL_ENDS:
+        return SUSPICION_TTL_S
+    return FATAL_TTL_S + 2 * fatal_duration_s(ends)
 
 
 class SuspicionTable:
@@ -96,15 +117,23 @@
         entry = self._entries.get(digest)
         return entry.level if entry else SuspicionLevel()
 
-    def standing(self, digest: bytes, now_s: float) -> Standing:
-        """Return the current standing of a request."""
+    def first_end_s(self, digest: bytes) -> float | None:
+        """Return when the first end under a request became known here since it was cleared."""
+        entry = self._entries.get(digest)
+        return entry.first_end_s if entry and entry.level.ends else None
+
+    def standing(self, digest: bytes, now_s: float, skipped_trials: int = 0) -> Standing:
+        """Return the current standing of a request, of which another process makes the next trials.
+
+        It is fatal here until after as many trials as are skipped, had each ended a target.
+        """
         entry = self._entries.get(digest)
         if entry is None or not entry.level.ends:
             return Standing.CLEAR
         ends = entry.level.ends
         is_fatal = (
             ends >= FATAL_ENDS
-            and now_s - entry.at_s < self._duration_factor * fatal_duration_s(ends)
+            and now_s - entry.at_s < self._duration_factor * fatal_duration_s(ends + skipped_trials)
         )
         return Standing.FATAL if is_fatal else Standing.SUSPECTED
 
@@ -174,7 +203,7 @@
         old = [
             digest
             for digest, entry in self._entries.items()
-            if now_s - entry.at_s > SUSPICION_TTL_S + 2 * fatal_duration_s(entry.level.ends)
+            if now_s - entry.at_s > _ttl_s(entry.level.ends)
         ]
         for digest in old:
             del self._entries[digest]
@@ -184,8 +213,10 @@
         if level <= self.level(digest):
             return False
         self.revision += 1
-        self._entries.pop(digest, None)
-        self._entries[digest] = _Entry(level, at_s, self.revision)
+        before = self._entries.pop(digest, None)
+        is_first = before is None or before.level.cleared != level.cleared or not before.level.ends
+        first_end_s = at_s if is_first else before.first_end_s
+        self._entries[digest] = _Entry(level, at_s, self.revision, first_end_s)
         if len(self._entries) > MAX_REQUESTS:
             self._evict_one()
         return True
--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/tests/test_suspicion.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/tests/test_suspicion.py
@@ -8,6 +8,7 @@
 
 from damaskwind.decisions.fatal_requests.suspicion import (
     FATAL_ENDS,
+    FATAL_TTL_S,
     MAX_REQUESTS,
     SUSPICION_TTL_S,
     Standing,
@@ -69,7 +70,10 @@
         table.record_target_end(b"g", table.level(b"g"), 0.0)
         table.forget(SUSPICION_TTL_S + 2 * fatal_duration_s(1) + 1)
         self.assertEqual(table.digests(), [b"f"])
-        table.forget(SUSPICION_TTL_S + 2 * fatal_duration_s(3) + 1)
+        # A fatal request that comes rarely must not end three targets each time.
+        table.forget(FATAL_TTL_S - 1)
+        self.assertEqual(table.digests(), [b"f"])
+        table.forget(FATAL_TTL_S + 2 * fatal_duration_s(3) + 1)
         self.assertEqual(len(table), 0)
 
     def test_routers_with_jitter_do_not_try_a_request_at_the_same_time(self):
--- a/packages/model/src/damaskwind/model/header_names.py
+++ b/packages/model/src/damaskwind/model/header_names.py
@@ -23,7 +23,8 @@
     over. `fetch_from` is the address of another engine from which the engine first copies
     the parts of the prompt that it lacks. `reserved` are headers that only the system sets.
     In the answer to a health check, `instance_id` names the target.
-    `token_usage` is the number of prompt tokens and the upper bound of the output tokens,
+    `model` is the model that the caller asks for,
+    `token_usage` the number of prompt tokens and the upper bound of the output tokens,
     `length_hint` the caller's estimate of the output tokens.
     """
 
@@ -46,3 +47,4 @@
     token_usage: bytes = b"x-token-usage"
     length_hint: bytes = b"x-length-hint"
     resumes: bytes = b"x-resumes"
+    model: bytes = b"x-model"
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -77,6 +77,7 @@
     DELIVERED = "delivered"
     SUPERSEDED = "superseded"
     WITHHELD = "withheld"
+    HELD = "held"
     NOT_RUN = "not-run"
     TARGET_ERROR = "target-error"
     BROKEN = "broken"
@@ -102,10 +103,11 @@
     time from the send to the head of the answer, in seconds. `is_displaced` means that another
     target answered at the address, `is_connection_lost` that the target closed the connection
     before the answer was complete, `asks_for_pause` that it asked for a pause (Retry-After).
-    A request that was withheld was not sent. An attempt that was superseded was canceled,
-    since that at another target went on. `via` is the host of the router that sent the request
-    on, if it was another one. An answer that `is_unframed` ended with its connection;
-    `open_bytes` is what came of an event whose end did not.
+    A request that was withheld was not sent, one that is held must not be. An attempt that was
+    superseded was canceled, since that at another target went on. `via` is the host of the router
+    that sent the request on, if it was another one. An answer that `is_unframed` ended with its
+    connection; `open_bytes` is what came of an event whose end did not. The target wrote a whole
+    answer to an attempt that `is_answered`, and did not only refuse or fail.
     """
 
     end: AttemptEnd
@@ -119,6 +121,7 @@
     via: str = ""
     is_unframed: bool = False
     open_bytes: int = 0
+    is_answered: bool = False
 
 
 # The end of an unframed answer whose target may have crashed then.
@@ -231,6 +234,9 @@
         if not self._target_states.still_takes_work(target):
             path.return_unused(connection)
             return AttemptOutcome(AttemptEnd.WITHHELD, "the target no longer accepts work")
+        if not self._target_states.suspicions.may_send(call):
+            path.return_unused(connection)
+            return AttemptOutcome(AttemptEnd.HELD, "held fatal")
         is_engine = call.key is not None
         self._loads.record_sent(target.target_id, is_engine)
         wait_number = self.activity.begin_wait(target.target_id, read_clock())
@@ -318,7 +324,11 @@
             return _UNSURE_END
         why = f"status {head.status}"
         delivered = AttemptOutcome(
-            AttemptEnd.DELIVERED, why, first_s=first_s, is_unframed=head.is_unframed
+            AttemptEnd.DELIVERED,
+            why,
+            first_s=first_s,
+            is_unframed=head.is_unframed,
+            is_answered=200 <= head.status < 300 and request.method != b"HEAD",
         )
         path.release(connection, head.headers)
         if delivery.account is not None and head.status < 500:
@@ -457,7 +467,7 @@
                 open_bytes=delivery.open_bytes,
             )
         delivery.end_stream()
-        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete")
+        return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete", is_answered=True)
 
     async def _is_end_sure(self, path: TargetPath, head: AnswerHead, target: TargetRecord) -> bool:
         """Return whether an answer that has ended was ended by its target.
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -5,6 +5,7 @@
 from math import isfinite
 from typing import NamedTuple
 
+from damaskwind.decisions.fatal_requests.identity import MAX_PARTS, identify_part
 from damaskwind.decisions.load.request_cost import NO_TOKEN_HEADERS, RequestCost, TokenHeaders
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.placement.affinity import affinity_key
@@ -21,8 +22,10 @@
     "CallFacts",
     "EntryNote",
     "FinalRefusal",
+    "identify_parts",
     "read_facts",
     "read_key",
+    "read_part_ids",
     "shown_parts",
     "target_headers",
 ]
@@ -55,6 +58,7 @@
     shared_tokens: int = 0
     token_headers: TokenHeaders = NO_TOKEN_HEADERS
     resumes: bytes | None = None
+    model: bytes = b""
 
 
 class AttemptNote(NamedTuple):
@@ -122,8 +126,9 @@
     target, and `unreached` those for which no connection could be established. `silent_domains`
     are the failure domains of targets that were unreachable or silent for this request.
 
-    `digest` identifies the request's content, also under another request id. `is_suspected`
-    means that targets have crashed while running it, and `exit_probes` find out whether the
+    `digest` identifies the request's content, also under another request id, and `part_digests`
+    the parts of its prompt. `is_suspected` means that targets have crashed while running it, or
+    another request that shares a part, and `exit_probes` find out whether the
     targets of the last attempts have. If `regions` are given, the request stays in them. `cost`
     is set where the memory of engines is considered. A `final_refusal` is one after which a retry
     is of no use.
@@ -150,6 +155,7 @@
     ) -> None:
         self.facts = facts
         self.digest = digest
+        self.part_digests = identify_parts(service, facts.model, facts.part_ids)
         self.is_suspected = False
         self.exit_probes: list[asyncio.Task[bool]] = []
         self.route = route
@@ -225,13 +231,12 @@
     """Parse the headers of a request; malformed values count as absent."""
     wait_ms = _number(header(headers, names.deadline_ms))
     parts = header(headers, names.prompt_parts) or b""
-    part_ids = tuple(item.strip().partition(b":")[0] for item in parts.split(b",") if item.strip())
     resume_after = _number(header(headers, names.resume_after))
     return CallFacts(
         header(headers, names.request_id) or b"",
         NO_DEADLINE_S if wait_ms is None else max(wait_ms, 0.0) / 1000,
         wait_ms is not None,
-        part_ids,
+        read_part_ids(parts),
         None if resume_after is None else int(resume_after),
         _shared_tokens(parts),
         TokenHeaders(
@@ -240,9 +245,25 @@
             header(headers, names.length_hint),
         ),
         _bounded_id(header(headers, names.resumes)),
+        header(headers, names.model) or b"",
     )
 
 
+def read_part_ids(parts: bytes | None) -> tuple[bytes, ...]:
+    """Return the ids of the parts that a prompt's header lists.
+
+    >>> read_part_ids(b"87c787fd0ba9:800, a5:20")
+    (b'87c787fd0ba9', b'a5')
+    """
+    items = (parts or b"").split(b",")
+    return tuple(item.strip().partition(b":")[0] for item in items if item.strip())
+
+
+def identify_parts(service: str, model: bytes, part_ids: tuple[bytes, ...]) -> tuple[bytes, ...]:
+    """Return the digests of a prompt's parts."""
+    return tuple(identify_part(service, model, part_id) for part_id in part_ids[:MAX_PARTS])
+
+
 def shown_parts(part_ids: tuple[bytes, ...]) -> list[str]:
     """Return the ids of a prompt's parts as the log shows them, in their order.
 
--- a/packages/router/src/damaskwind/router/forwarding/crash_detector.py
+++ b/packages/router/src/damaskwind/router/forwarding/crash_detector.py
@@ -10,9 +10,10 @@
 
 from loguru import logger
 
+from damaskwind.decisions.fatal_requests.evidence import SendEvidence, Suspect
 from damaskwind.decisions.fatal_requests.suspicion import SuspicionLevel
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
-from damaskwind.router.forwarding.call import shown_parts
+from damaskwind.router.forwarding.call import MAX_SHOWN_PARTS, shown_parts
 from damaskwind.router.forwarding.target_states import TargetStates
 
 __all__ = ["BrokenSend", "CrashDetector"]
@@ -24,14 +25,22 @@
 class BrokenSend(NamedTuple):
     """An attempt that broke.
 
-    `digest` identifies the request, `level` is its suspicion level when it was sent, and
-    `request_id` and the ids of its prompt's parts are for the log.
+    `digest` identifies the request, and `level` is its suspicion level when it was sent. `parts`
+    and `group` are the other suspects then, see `SendEvidence`. `request_id` and the ids of its
+    prompt's parts are for the log.
     """
 
     digest: bytes
     level: SuspicionLevel
     request_id: bytes
     part_ids: tuple[bytes, ...] = ()
+    parts: tuple[Suspect, ...] = ()
+    group: Suspect | None = None
+
+    @property
+    def evidence(self) -> SendEvidence:
+        """Return the suspects of the request."""
+        return SendEvidence(Suspect(self.digest, self.level), self.parts, self.group)
 
 
 CrashCallback = Callable[[TargetRecord, list[BrokenSend]], None]
@@ -102,11 +111,12 @@
         return has_crashed
 
 
-def _shown(broken: BrokenSend) -> list[str | int | list[str]]:
-    """Return a broken send as the log shows it: id, digest, level and parts of the prompt."""
+def _shown(broken: BrokenSend) -> list[str | int | list[str] | list[int]]:
+    """Return a broken send for the log: id, digest, level, parts of the prompt, their levels."""
     return [
         broken.request_id.decode("latin-1"),
         broken.digest.hex(),
         broken.level.ends,
         shown_parts(broken.part_ids),
+        [item.level.ends for item in broken.parts[:MAX_SHOWN_PARTS]],
     ]
--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -6,6 +6,7 @@
 from damaskwind.router.forwarding.call import Call, shown_parts
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
+from damaskwind.router.forwarding.request_suspicions import HeldSuspect
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
@@ -62,10 +63,12 @@
         exchange.respond(Answer(status, []))
         self.log(call, delivery, "failed, may have run", outcome.why)
 
-    def refuse_fatal(self, exchange: Exchange, call: Call, delivery: Delivery, ends: int) -> None:
-        """Refuse a request that crashed `ends` targets, without Retry-After: no retry helps."""
+    def refuse_fatal(
+        self, exchange: Exchange, call: Call, delivery: Delivery, held: HeldSuspect
+    ) -> None:
+        """Refuse a request that crashes targets, without Retry-After: no retry helps."""
         exchange.respond(Answer(503, []))
-        self.log(call, delivery, "refused as fatal", f"{ends} targets ended under it")
+        self.log(call, delivery, "refused as fatal", held.why)
 
     def refuse(
         self, exchange: Exchange, request_id: bytes, status: int, why: str, version: int = 0
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -7,7 +7,6 @@
 from types import MappingProxyType
 
 from damaskwind.decisions.fatal_requests.identity import identify_request
-from damaskwind.decisions.fatal_requests.suspicion import Standing
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
 from damaskwind.decisions.routing.table import RoutingReason, choose_service
 from damaskwind.model.header_names import HeaderNames
@@ -131,9 +130,9 @@
             return
         call.digest = await self._identify(exchange, call)
         delivery = Delivery(exchange, call.route.is_resumable)
-        if self.view.suspicions.standing(call.digest) is Standing.FATAL:
-            ends = self.view.suspicions.table.level(call.digest).ends
-            self.answers.refuse_fatal(exchange, call, delivery, ends)
+        held = self.target_states.suspicions.find_held(call)
+        if held is not None:
+            self.answers.refuse_fatal(exchange, call, delivery, held)
             return
         outcome = None
         try:
--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -52,6 +52,7 @@
     AttemptEnd.STALLED,
     AttemptEnd.NOT_RUN,
     AttemptEnd.WITHHELD,
+    AttemptEnd.HELD,
 )
 
 
@@ -284,11 +285,10 @@
     def _situation(self, call: Call) -> HedgeSituation:
         """Return an overdue request and its pool as the decision needs them."""
         state = self._admissions.pool_state(call.service)
-        level = self._target_states.view.suspicions.table.level(call.digest)
         share = 1.0 if call.key is not None else self._throttles.admitted_share(call.service)
         return HedgeSituation(
             call.left_s(),
-            level.ends > 0,
+            self._target_states.suspicions.is_suspected(call),
             state.queued,
             state.headroom,
             state.start_fraction,
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from damaskwind.decisions.fatal_requests.suspicion import SuspicionLevel
+from damaskwind.decisions.fatal_requests.evidence import SendEvidence
 from damaskwind.decisions.load.held_requests import LoadBasis
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.router.forwarding.attempt import (
@@ -50,7 +50,7 @@
     ) -> None:
         self._sender = sender
         self._target_states = target_states
-        self._suspicions = target_states.view.suspicions
+        self._suspicions = target_states.suspicions
         self._admissions = admissions
         self._throttles = throttles
         self._tallies = tallies
@@ -81,8 +81,8 @@
         may_reroute = call.route.may_repeat and call.sends < call.route.max_attempts
         # Until the outcome is known, the request may be running.
         call.possible_runs += 1
-        level = self._suspicions.table.level(call.digest)
-        call.is_suspected = level.ends > 0
+        evidence = self._suspicions.evidence(call)
+        call.is_suspected = self._suspicions.is_suspected(call)
         options = () if accept_answer is None else (accept_answer,)
         outcome = AttemptOutcome(AttemptEnd.BROKEN, "canceled")
         try:
@@ -103,15 +103,15 @@
         self._tallies.count("attempts", end=outcome.end.value)
         if outcome.is_unframed:
             self._tallies.count("unframed_answers", end=outcome.end.value)
-        if outcome.end in (AttemptEnd.WITHHELD, AttemptEnd.NOT_RUN):
+        if outcome.end in (AttemptEnd.WITHHELD, AttemptEnd.HELD, AttemptEnd.NOT_RUN):
             call.possible_runs -= 1
-        if outcome.end is AttemptEnd.WITHHELD:
+        if outcome.end in (AttemptEnd.WITHHELD, AttemptEnd.HELD):
             call.sends -= 1
             return outcome
         if outcome.end is AttemptEnd.DELIVERED:
             self._target_states.target_speeds.record_ended(target, ended_s - begun_s, ended_s)
         self._record_ended(call, target, outcome, begun_s, ended_s)
-        self._record_crash_evidence(call, target, outcome, level)
+        self._record_crash_evidence(call, target, outcome, evidence)
         return outcome
 
     def _record_begun(self, call: Call, target: TargetRecord, begun_s: float) -> LoadBasis:
@@ -161,20 +161,23 @@
             self._throttles.record_rejection(call)
 
     def _record_crash_evidence(
-        self, call: Call, target: TargetRecord, outcome: AttemptOutcome, level: SuspicionLevel
+        self, call: Call, target: TargetRecord, outcome: AttemptOutcome, evidence: SendEvidence
     ) -> None:
         """Find out whether a target crashed under a request, or record that it ran to its end."""
+        facts = call.facts
         if outcome.is_connection_lost:
-            broken = BrokenSend(call.digest, level, call.facts.request_id, call.facts.part_ids)
+            broken = BrokenSend(
+                *evidence.request, facts.request_id, facts.part_ids, evidence.parts, evidence.group
+            )
             call.exit_probes.append(self._crash_detector.probe(target, broken))
         elif _ran_to_end(outcome):
             self._suspicions.record_completion(
-                call.digest, call.facts.request_id, target.target_id, outcome.why
+                call, evidence, target.target_id, outcome.why, outcome.is_answered
             )
 
     def _record_target_crash(self, target: TargetRecord, sends: list[BrokenSend]) -> None:
-        """Put the requests in flight at a target that crashed under suspicion."""
-        self._suspicions.record_target_end((item.digest, item.level) for item in sends)
+        """Count the end of a target that crashed against what was in flight there."""
+        self._suspicions.record_target_end(target, [item.evidence for item in sends])
 
     def _record_answer_started(self, call: Call, target_id: str, first_s: float) -> None:
         """Record how long a target took to begin its answer."""
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -39,6 +39,8 @@
 EXTRA_SENDS = 1
 # The refusal of a stream whose version is unknown or serves no more.
 CANNOT_GO_ON = FinalRefusal(b"the stream can't go on\n", "refused as it can't go on")
+# The refusal of a request that became known as fatal after it had arrived.
+HELD_FATAL = FinalRefusal(b"targets end when they run it\n", "refused as fatal")
 # Unreachable targets that a request may try, at 0.3 s each, before it is refused.
 MAX_UNREACHED = 3
 
@@ -87,6 +89,14 @@
         self.outcome = AttemptOutcome(AttemptEnd.NOT_RUN, why, was_reached=False)
         return RequestState.ENDED
 
+    def refuse_fatal(self) -> RequestState:
+        """End a request that is held fatal: no retry helps, and it has not run unless it ran."""
+        if not self.call.may_have_run:
+            self.call.final_refusal = HELD_FATAL
+            return self.refuse("held fatal", None)
+        self.outcome = self.failure or AttemptOutcome(AttemptEnd.BROKEN, "held fatal")
+        return RequestState.ENDED
+
     def refuse_stream(self, why: str, retry_after_s: float | None) -> RequestState:
         """Refuse a stream that is taken up; without a time to retry, it can't go on any more."""
         if retry_after_s is None:
@@ -131,7 +141,7 @@
         self.sends = sends
         self.take_retry = take_retry
         self.target_states = target_states
-        self.suspicions = target_states.view.suspicions
+        self.suspicions = target_states.suspicions
         self.reach = target_states.reach
         self.brittle = target_states.brittle
         self.tallies = tallies
@@ -293,6 +303,8 @@
         return RequestState.ENDED
     rejection = await steps.admit(progress)
     steps.tallies.count("entries", step=call.entry.step)
+    if steps.suspicions.find_held(call) is not None:
+        return progress.refuse_fatal()
     if rejection is not None:
         return progress.refuse(rejection.why, rejection.retry_after_s)
     return RequestState.ADMITTED
@@ -346,6 +358,8 @@
 async def _judge_outcome(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Decide by the outcome of an attempt whether another one may follow."""
     outcome = progress.outcome
+    if outcome.end is AttemptEnd.HELD:
+        return progress.refuse_fatal()
     if outcome.end is AttemptEnd.DELIVERED:
         return RequestState.ENDED
     if outcome.answer is not None:
@@ -366,7 +380,7 @@
     # Other requests share the probes, so they continue when this caller leaves.
     probes, call.exit_probes = call.exit_probes, []
     await asyncio.shield(asyncio.gather(*probes))
-    may_retry = steps.suspicions.table.may_retry(call.digest)
+    may_retry = steps.suspicions.may_retry(call)
     return RequestState.REPEATED if may_retry else RequestState.ENDED
 
 
--- a/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
@@ -6,13 +6,19 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import islice
 
 from loguru import logger
 
 from damaskwind.decisions.fatal_requests.completions import RecentCompletions
-from damaskwind.decisions.fatal_requests.suspicion import Standing, SuspicionLevel, SuspicionTable
+from damaskwind.decisions.fatal_requests.suspicion import (
+    FATAL_ENDS,
+    Standing,
+    SuspicionLevel,
+    SuspicionTable,
+    fatal_duration_s,
+)
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import (
@@ -39,7 +45,10 @@
 
     def __init__(self, news_port: int, spread: float = 0.0) -> None:
         self.table = SuspicionTable(spread)
+        self.on_held: list[Callable[[], None]] = []
         self._completions = RecentCompletions()
+        # The level at which a request became fatal, or fatal again, by what this router saw.
+        self._raised_here: dict[bytes, SuspicionLevel] = {}
         self._news_port = news_port
         self._expired_at_s = 0.0
         self._epochs: dict[str, str] = {}
@@ -58,8 +67,17 @@
         self._pending.setdefault(host, dict.fromkeys(self.table.digests()))
 
     def standing(self, digest: bytes) -> Standing:
-        """Return what may be done with a request now."""
-        return self.table.standing(digest, read_clock())
+        """Return what may be done with a request now.
+
+        A fatal one is tried by the router under which the last target ended. The others would make
+        the trial after that one, so that a router that is lost is replaced.
+        """
+        is_own = self._raised_here.get(digest) == self.table.level(digest)
+        return self.table.standing(digest, read_clock(), 0 if is_own else 1)
+
+    def trial_interval_s(self, digest: bytes) -> float:
+        """Return the least time between two trials of a fatal request by this router."""
+        return fatal_duration_s(self.table.level(digest).ends)
 
     def record_target_end(self, sends: Iterable[tuple[bytes, SuspicionLevel]]) -> None:
         """Record that a target crashed with these requests in flight.
@@ -76,23 +94,23 @@
             return False
         is_new = self.table.record_target_end(digest, level, now_s)
         if is_new:
-            self._log_fatal(digest, "here")
+            present = self.table.level(digest)
+            if present.ends >= FATAL_ENDS:
+                self._raised_here[digest] = present
+            self._report_fatal(digest, "here")
         return is_new
 
     def record_completion(
         self, digest: bytes, request_id: bytes = b"", target_id: str = "", why: str = ""
     ) -> None:
         """Record that a target has run a request to completion; the rest is for the log."""
-        now_s = read_clock()
-        self._completions.record(digest, now_s)
-        self._clear(digest, now_s, request_id, target_id, why)
+        self._completions.record(digest, read_clock())
+        self.clear(digest, request_id, target_id, why)
 
-    def _clear(
-        self, digest: bytes, now_s: float, request_id: bytes, target_id: str, why: str
-    ) -> None:
+    def clear(self, digest: bytes, request_id: bytes, target_id: str, why: str) -> None:
         """Clear a request that is under suspicion, here and elsewhere."""
         level = self.table.level(digest)
-        if self.table.record_completion(digest, now_s):
+        if level.ends and self.table.record_completion(digest, read_clock()):
             logger.info(
                 "request cleared",
                 digest=digest.hex(),
@@ -108,12 +126,15 @@
         now_s = read_clock()
         for digest in self.table.merge(news.suspicions, now_s):
             if self._completions.has(digest, now_s):
-                self._clear(digest, now_s, b"", "", "completed lately")
+                self.clear(digest, b"", "", "completed lately")
             else:
-                self._log_fatal(digest, host)
+                self._report_fatal(digest, host)
         if now_s - self._expired_at_s > EXPIRY_INTERVAL_S:
             self._expired_at_s = now_s
             self.table.forget(now_s)
+            known = set(self.table.digests())
+            for digest in self._raised_here.keys() - known:
+                del self._raised_here[digest]
         if self._epochs.get(host) != news.epoch:
             self._epochs[host] = news.epoch
             self._pending[host] = dict.fromkeys(self.table.digests())
@@ -123,11 +144,13 @@
         """Return how many requests have this standing now."""
         return self.table.count(standing, read_clock())
 
-    def _log_fatal(self, digest: bytes, source: str) -> None:
-        """Log a request that is now held fatal, so that it is not sent any more."""
+    def _report_fatal(self, digest: bytes, source: str) -> None:
+        """Report a request that is now held fatal, so that it is not sent any more."""
         if self.standing(digest) is Standing.FATAL:
             ends = self.table.level(digest).ends
             logger.warning("request held fatal", digest=digest.hex(), ends=ends, told_by=source)
+            for callback in self.on_held:
+                callback()
 
     def _queue_for_all(self, digests: list[bytes]) -> None:
         for host, pending in self._pending.items():
--- a/packages/router/src/damaskwind/router/forwarding/target_states.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_states.py
@@ -26,6 +26,7 @@
 from damaskwind.router.forwarding.cold_targets import ColdTargets
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
+from damaskwind.router.forwarding.request_suspicions import RequestSuspicions
 from damaskwind.router.forwarding.service_reach import ServiceReach
 from damaskwind.router.forwarding.target_activity import TargetActivity
 from damaskwind.router.forwarding.target_speeds import TargetSpeeds
@@ -91,6 +92,7 @@
         self.view = view
         self.connections = connections
         self.reach = ServiceReach(view, connections, random)
+        self.suspicions = RequestSuspicions(view.suspicions)
         self.loads = LoadEstimator()
         self.brittle = BrittleServices(view, random)
         self.target_speeds = TargetSpeeds()
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_target_signals.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_target_signals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from damaskwind.decisions.fatal_requests.suspicion import SuspicionLevel
 from damaskwind.decisions.load.held_requests import LoadSource
 from damaskwind.decisions.membership.target_record import TargetPhase
 from damaskwind.decisions.target_signals.answer_signals import AnswerSignals
@@ -195,6 +196,8 @@
         broken = []
         self.forwarder.crash_detector.on_crashed.append(lambda *ended: broken.append(ended))
         self.assertFalse(
-            await self.forwarder.crash_detector.probe(target, BrokenSend(b"d", None, b"r"))
+            await self.forwarder.crash_detector.probe(
+                target, BrokenSend(b"d", SuspicionLevel(), b"r")
+            )
         )
         self.assertEqual(broken, [])
