A request is refused as soon as it is known to crash targets, wherever it waits

Callers saw: requests that had arrived before the verdict waited for a place until their time was up, or ran after it; those that another router had taken were sent on by one that knew better. Now a request that waits for a place is woken and refused at once (503, not run, no Retry-After), one that waits at its target without an answer begun is called back by closing its connection, and a router that sends on for others asks too.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -186,6 +186,18 @@
         self._loads = target_states.loads
         self._names = names
         self._origins = origins
+        # The connections of attempts whose answer has not begun.
+        self._unanswered: dict[ClientConnection, Call] = {}
+        target_states.suspicions.on_held.append(self._recall_held)
+
+    def _recall_held(self) -> None:
+        """Close the connections of requests that are held fatal by now, before they may run."""
+        for connection, call in self._unanswered.items():
+            if self._target_states.suspicions.find_held(call) is not None:
+                logger.info(
+                    "fatal request called back", request=call.facts.request_id.decode("latin-1")
+                )
+                connection.abort()
 
     async def send(
         self,
@@ -298,7 +310,11 @@
             connection.account_to(delivery.account)
         sent = Request(request.method, request.target, headers, request.body)
         connection.send(path.address(sent))
-        head = await self._read_head_in_time(path, connection, call, target, may_reroute)
+        self._unanswered[connection] = call
+        try:
+            head = await self._read_head_in_time(path, connection, call, target, may_reroute)
+        finally:
+            del self._unanswered[connection]
         failure = path.take_failure(head)
         if failure is not None:
             return await self._read_relay_failure(path, connection, head, failure)
--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -17,6 +17,7 @@
 from damaskwind.model.exception import MessageError
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.router.forwarding.attempt import AttemptSender
+from damaskwind.router.forwarding.call import identify_parts, read_part_ids
 from damaskwind.router.forwarding.events import is_blank
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
@@ -185,6 +186,13 @@
             return Failure.UNAVAILABLE
         if self._target_states.connections.is_unreachable(target.target_id):
             return Failure.CONNECTION_FAILED
+        parts = identify_parts(
+            target.service,
+            header(request.headers, self._names.model) or b"",
+            read_part_ids(header(request.headers, self._names.prompt_parts)),
+        )
+        if self._target_states.suspicions.is_any_held(parts):
+            return Failure.UNAVAILABLE
         is_full = self.in_flight >= self._max_in_flight or (
             self._body_bytes + len(request.body) > MAX_BODY_BYTES
         )
--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -46,12 +46,14 @@
         self._memory = memory
         self._pools: dict[str, PoolAdmission] = {}
         self._waiters: dict[int, asyncio.Future[PoolRejection | None]] = {}
+        self._waiting_calls: dict[int, Call] = {}
         self._longest_wait_s: dict[str, float] = {}
         self._polled_s: dict[str, float] = {}
         # The services that report no load.
         self._plain: set[str] = set()
         target_states.brittle.permits.demand = self.unplaced
         target_states.brittle.permits.on_changed = self._start_ready
+        target_states.suspicions.on_held.append(self._turn_held_away)
         target_states.view.on_gone.append(self.forget)
         target_states.view.on_restarted.append(lambda record: self.forget(record.target_id))
 
@@ -152,6 +154,7 @@
         """Wait in the queue until `until_s`; return the refusal if the request was not started."""
         pool, number = self._pool(call.service), call.number
         future = self._waiters[number]
+        self._waiting_calls[number] = call
         try:
             while not future.done() and (left_s := until_s - read_clock()) > 0:
                 await asyncio.wait([future], timeout=min(left_s, POLL_S))
@@ -162,7 +165,15 @@
         finally:
             # This also runs when the caller has left and the wait is canceled.
             pool.withdraw(number)
-            del self._waiters[number]
+            del self._waiters[number], self._waiting_calls[number]
+
+    def _turn_held_away(self) -> None:
+        """Wake the waiters of requests that are held fatal by now, which need not wait."""
+        for number, call in self._waiting_calls.items():
+            future = self._waiters[number]
+            if not future.done() and self._target_states.suspicions.find_held(call) is not None:
+                self._pool(call.service).withdraw(number)
+                future.set_result(None)
 
     def _poll(self, service: str) -> None:
         """Poll a pool's queue, at most once per `POLL_S`: every waiter calls this."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from damaskwind.decisions.fatal_requests.identity import identify_part
+from damaskwind.decisions.fatal_requests.suspicion import FATAL_ENDS, SuspicionLevel
 from damaskwind.decisions.routing.peers import PeerEndpoint
 from damaskwind.model.targets import Address
 from damaskwind.router.forwarding.attempt_relay import AttemptRelay
@@ -70,6 +72,18 @@
     async def send(self, request):
         return await fetch(await self.open(), request, LIMIT_BYTES)
 
+    @asyncio_test
+    async def test_request_with_a_fatal_part_is_not_sent_on(self):
+        """Guards against a verdict that only the router asks that took the request."""
+        fatal = identify_part("pool", b"", b"fatal")
+        self.view.suspicions.table.record_target_end(
+            fatal, SuspicionLevel(0, FATAL_ENDS - 1), read_clock()
+        )
+        for parts, status in ((b"entry:8,fatal:3,own:5", 503), (b"entry:8,own:6", 200)):
+            answer = await self.send(self.request(headers={NAMES.prompt_parts: parts}))
+            self.assertEqual(answer.status, status)
+        self.assertEqual(len(self.targets[0].received), 1)
+
     @asyncio_test
     async def test_request_and_answer_pass_unchanged_but_for_the_key_and_the_status(self):
         answer = await self.send(self.request(headers={b"x-own": b"kept"}))
