A verdict on prompt parts waits for answers to requests without them

Cause: an end led to a verdict at once or not at all, and any answer since the first end was contrast. Now the verdict of an end is put off until the router has seen enough: answers that lack the part, more the more usual it was, and ends in a row that sends without it make improbable (1 in 20). Of suspects that were held together, the rest is held when one is cleared.

--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/evidence.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/evidence.py
@@ -13,10 +13,10 @@
   without the others is cleared, and the next end is counted against the rest;
 - otherwise the end is counted against all.
 
-Parts become fatal only if a request without them has been answered since the first end under them:
-where nothing is answered, targets end for another reason, and what all requests hold would be
-blamed for it. This narrows suspects as group testing does ("The Detection of Defective Members of
-Large Populations", Dorfman, Annals of Mathematical Statistics 14, 1943).
+Parts become fatal only if requests without them have been answered since the first end under them
+(`prompt_outcomes`): where nothing is answered, targets end for another reason, and what all
+requests hold would be blamed for it. This narrows suspects as group testing does ("The Detection
+of Defective Members of Large Populations", Dorfman, Annals of Mathematical Statistics 14, 1943).
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -25,7 +25,20 @@
 from damaskwind.decisions.fatal_requests.identity import identify_together
 from damaskwind.decisions.fatal_requests.suspicion import FATAL_ENDS, SuspicionLevel
 
-__all__ = ["LastEnd", "SendEvidence", "Suspect", "close_suspects", "find_blamed", "together"]
+__all__ = [
+    "CLOSE_ENDS",
+    "LastEnd",
+    "SendEvidence",
+    "Suspect",
+    "close_suspects",
+    "find_blamed",
+    "find_last_end",
+    "last_end_of",
+    "together",
+]
+
+# The ends under a suspect that lacks one to be fatal.
+CLOSE_ENDS = FATAL_ENDS - 1
 
 LevelOf = Callable[[bytes], SuspicionLevel]
 
@@ -71,7 +84,7 @@
     >>> close_suspects([Suspect(b"a", SuspicionLevel(0, 2)), Suspect(b"b", SuspicionLevel(0, 1))])
     (Suspect(digest=b'a', level=SuspicionLevel(cleared=0, ends=2)),)
     """
-    return tuple(item for item in suspects if item.level.ends == FATAL_ENDS - 1)
+    return tuple(item for item in suspects if item.level.ends == CLOSE_ENDS)
 
 
 def together(suspects: Iterable[Suspect], level_of: LevelOf) -> Suspect | None:
@@ -98,7 +111,7 @@
     if fatal:
         # What became fatal only after it was sent has this end already, or one like it.
         return sorted(item for item in fatal if item.level.ends >= FATAL_ENDS)
-    last_ends = {found for send in sends if (found := _find_last_end(send, level_of))}
+    last_ends = {found for send in sends if (found := find_last_end(send, level_of))}
     if last_ends:
         found = [item for item in last_ends if not item.needs_contrast or has_contrast(item)]
         return [found[0].blamed] if len(found) == 1 else []
@@ -113,16 +126,20 @@
             yield item
 
 
-def _find_last_end(send: SendEvidence, level_of: LevelOf) -> LastEnd | None:
-    """Return the verdict to which this end leads, if the send's suspects lacked only one."""
+def find_last_end(send: SendEvidence, level_of: LevelOf) -> LastEnd | None:
+    """Return the verdict to which the end of a send leads, if its suspects lacked only one."""
     known = (item for item in send.suspects if level_of(item.digest) == item.level)
-    close = close_suspects(known)
-    if not close:
+    members = tuple(item.digest for item in close_suspects(known))
+    if not members:
         return None
-    members = tuple(item.digest for item in close)
-    needs_contrast = send.request.digest not in members
-    if len(close) == 1:
-        return LastEnd(close[0], members, needs_contrast)
+    found = last_end_of(members, level_of)
+    return found._replace(needs_contrast=send.request.digest not in members)
+
+
+def last_end_of(members: tuple[bytes, ...], level_of: LevelOf) -> LastEnd:
+    """Return the verdict on suspects of one request that lack one end each."""
+    if len(members) == 1:
+        return LastEnd(Suspect(members[0], level_of(members[0])), members, True)
     digest = identify_together(members)
-    level = level_of(digest)._replace(ends=FATAL_ENDS - 1)
-    return LastEnd(Suspect(digest, level), members, needs_contrast)
+    level = level_of(digest)._replace(ends=CLOSE_ENDS)
+    return LastEnd(Suspect(digest, level), members, True)
--- a/packages/router/src/damaskwind/router/forwarding/request_suspicions.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_suspicions.py
@@ -9,16 +9,10 @@
 
 from loguru import logger
 
-from damaskwind.decisions.fatal_requests.answered_prompts import AnsweredPrompts
 from damaskwind.decisions.fatal_requests.completions import RecentCompletions
-from damaskwind.decisions.fatal_requests.evidence import (
-    LastEnd,
-    SendEvidence,
-    Suspect,
-    find_blamed,
-    together,
-)
+from damaskwind.decisions.fatal_requests.evidence import SendEvidence, Suspect, together
 from damaskwind.decisions.fatal_requests.suspicion import FATAL_ENDS, Standing
+from damaskwind.decisions.fatal_requests.verdicts import VerdictMaker
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.router.forwarding.call import Call, shown_parts
 from damaskwind.router.forwarding.suspicion_relay import SuspicionRelay
@@ -46,7 +40,8 @@
         self._relay = relay
         self._table = relay.table
         self._answered_parts = RecentCompletions(PART_RECENT_S)
-        self._answered_prompts = AnsweredPrompts()
+        self._verdicts = VerdictMaker(relay.table)
+        relay.on_merged.append(self._narrow_groups)
         # When this router last tried what is held fatal.
         self._tried_s: dict[bytes, float] = {}
 
@@ -111,22 +106,20 @@
         if not is_answered:
             return
         now_s = read_clock()
-        self._answered_prompts.record(call.service, call.part_digests, now_s)
         for digest in call.part_digests:
             self._answered_parts.record(digest, now_s)
             self._relay.clear(digest, request_id, target_id, why)
         if evidence.group is not None:
             self._relay.clear(evidence.group.digest, request_id, target_id, why)
+        self._relay.record_target_end(
+            self._verdicts.record_answer(call.service, call.part_digests, now_s)
+        )
+        self._narrow_groups()
 
     def record_target_end(self, target: TargetRecord, sends: Sequence[SendEvidence]) -> None:
         """Count the end of a target against what was in flight there."""
         now_s = read_clock()
-
-        def has_contrast(found: LastEnd) -> bool:
-            since_s = min(self._table.first_end_s(digest) or now_s for digest in found.members)
-            return self._answered_prompts.has_without(target.service, found.members, since_s)
-
-        blamed = find_blamed(sends, self._table.level, has_contrast)
+        blamed = self._verdicts.record_target_end(target.service, sends, now_s)
         counted = [item for item in blamed if not self._answered_parts.has(item.digest, now_s)]
         logger.warning(
             "target end counted",
@@ -136,10 +129,15 @@
             suspects=len({item.digest for send in sends for item in send.suspects}),
             blamed=len(set(blamed)),
             answered_lately=len(set(blamed)) - len(set(counted)),
+            pending=self._verdicts.pending(),
             close=[item.digest.hex() for item in counted if item.level.ends >= FATAL_ENDS - 1][:8],
         )
         self._relay.record_target_end(counted)
 
+    def _narrow_groups(self) -> None:
+        """Hold what remains of suspects that were held together, where the rest is cleared."""
+        self._relay.record_target_end(self._verdicts.narrow_groups())
+
     def _most_ends(self, call: Call) -> int:
         """Return the largest number of targets that ended under one of a request's suspects."""
         if not len(self._table):
--- a/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
@@ -46,6 +46,8 @@
     def __init__(self, news_port: int, spread: float = 0.0) -> None:
         self.table = SuspicionTable(spread)
         self.on_held: list[Callable[[], None]] = []
+        # Called after news that changed the table.
+        self.on_merged: list[Callable[[], None]] = []
         self._completions = RecentCompletions()
         # The level at which a request became fatal, or fatal again, by what this router saw.
         self._raised_here: dict[bytes, SuspicionLevel] = {}
@@ -124,11 +126,15 @@
     def handle_news(self, host: str, news: News) -> None:
         """Merge the suspicions of a replica, and send it those that it may lack."""
         now_s = read_clock()
-        for digest in self.table.merge(news.suspicions, now_s):
+        changed = self.table.merge(news.suspicions, now_s)
+        for digest in changed:
             if self._completions.has(digest, now_s):
                 self.clear(digest, b"", "", "completed lately")
             else:
                 self._report_fatal(digest, host)
+        if changed:
+            for callback in self.on_merged:
+                callback()
         if now_s - self._expired_at_s > EXPIRY_INTERVAL_S:
             self._expired_at_s = now_s
             self.table.forget(now_s)
