The suspects of a request are compared with the table before more is built

A request looks up its suspects three to four times; where none lacks one end or fewer, no evidence is built. No decision is changed; 24 of 24 tests of test_fatal_parts and test_evidence pass.

--- a/packages/router/src/damaskwind/router/forwarding/request_suspicions.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_suspicions.py
@@ -10,7 +10,12 @@
 from loguru import logger
 
 from damaskwind.decisions.fatal_requests.completions import RecentCompletions
-from damaskwind.decisions.fatal_requests.evidence import SendEvidence, Suspect, together
+from damaskwind.decisions.fatal_requests.evidence import (
+    CLOSE_ENDS,
+    SendEvidence,
+    Suspect,
+    together,
+)
 from damaskwind.decisions.fatal_requests.suspicion import FATAL_ENDS, Standing
 from damaskwind.decisions.fatal_requests.verdicts import VerdictMaker
 from damaskwind.decisions.membership.target_record import TargetRecord
@@ -67,8 +72,6 @@
 
     def find_held(self, call: Call) -> HeldSuspect | None:
         """Return the suspect for which a request must not be sent now, if there is one."""
-        if not len(self._table):
-            return None
         for suspect in self._fatal_suspects(call):
             if self._is_held(suspect.digest):
                 return HeldSuspect(suspect.digest, self._reason(call, suspect))
@@ -76,17 +79,17 @@
 
     def may_send(self, call: Call) -> bool:
         """Return whether a request may be sent, right before it is; one that is fatal is tried."""
-        if self.find_held(call) is not None:
+        suspects = self._fatal_suspects(call)
+        if any(self._is_held(suspect.digest) for suspect in suspects):
             return False
-        if len(self._table):
-            for suspect in self._fatal_suspects(call):
-                self._tried_s[suspect.digest] = read_clock()
-                logger.warning(
-                    "fatal request tried",
-                    request=call.facts.request_id.decode("latin-1"),
-                    suspect=suspect.digest.hex(),
-                    why=self._reason(call, suspect),
-                )
+        for suspect in suspects:
+            self._tried_s[suspect.digest] = read_clock()
+            logger.warning(
+                "fatal request tried",
+                request=call.facts.request_id.decode("latin-1"),
+                suspect=suspect.digest.hex(),
+                why=self._reason(call, suspect),
+            )
         return True
 
     def is_any_held(self, digests: Sequence[bytes]) -> bool:
@@ -130,7 +133,7 @@
             blamed=len(set(blamed)),
             answered_lately=len(set(blamed)) - len(set(counted)),
             pending=self._verdicts.pending(),
-            close=[item.digest.hex() for item in counted if item.level.ends >= FATAL_ENDS - 1][:8],
+            close=[item.digest.hex() for item in counted if item.level.ends >= CLOSE_ENDS][:8],
         )
         self._relay.record_target_end(counted)
 
@@ -147,6 +150,8 @@
 
     def _fatal_suspects(self, call: Call) -> list[Suspect]:
         """Return the suspects of a request under which so many targets ended that it is fatal."""
+        if self._most_ends(call) < CLOSE_ENDS:
+            return []
         evidence = self.evidence(call)
         groups = () if evidence.group is None else (evidence.group,)
         return [item for item in (*evidence.suspects, *groups) if item.level.ends >= FATAL_ENDS]
