A request that is called back is no failure of its target

Cause, found by reading: closing the connection of a request whose part became fatal counted as a broken send, so that a sound target was probed for a crash and its circuit breaker saw a failure; several at once could have ejected it. The attempt now ends as called back; its caller gets 502, since it may have run.

--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/evidence.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/evidence.py
@@ -10,7 +10,7 @@
   end is counted against none, and another one will tell them apart;
 - if several suspects of one request lack one end, no run has told them apart, and they are
   blamed together: only requests that hold all of them are refused. One of them that completes
-  without the others is cleared, and the next end is counted against the rest;
+  without the others is cleared, and the verdict is on the rest;
 - otherwise the end is counted against all.
 
 Parts become fatal only if requests without them have been answered since the first end under them
--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/verdicts.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/verdicts.py
@@ -2,9 +2,8 @@
 
 An end that makes parts of prompts fatal needs contrast, see `evidence`. Where a router has seen
 too few answers, or where targets end under most requests, the verdict is put off until there is
-more evidence, unless the suspects
-are cleared or raised by others meanwhile. Of suspects that were blamed together, some may be
-cleared later; then the verdict is on the others.
+more evidence, unless the suspects are cleared or raised by others meanwhile. Of suspects that were
+blamed together, some may be cleared later; then the verdict is on the others.
 """
 
 from collections.abc import Iterable
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
+from weakref import WeakSet
 
 from loguru import logger
 
@@ -82,6 +83,7 @@
     TARGET_ERROR = "target-error"
     BROKEN = "broken"
     STALLED = "stalled"
+    CALLED_BACK = "called-back"
 
 
 class Placement(NamedTuple):
@@ -104,7 +106,8 @@
     target answered at the address, `is_connection_lost` that the target closed the connection
     before the answer was complete, `asks_for_pause` that it asked for a pause (Retry-After).
     A request that was withheld was not sent, one that is held must not be. An attempt that was
-    superseded was canceled, since that at another target went on. `via` is the host of the router
+    superseded was canceled, since that at another target went on; one that was called back was
+    given up, since the request became known as fatal. `via` is the host of the router
     that sent the request on, if it was another one. An answer that `is_unframed` ended with its
     connection; `open_bytes` is what came of an event whose end did not. The target wrote a whole
     answer to an attempt that `is_answered`, and did not only refuse or fail.
@@ -188,12 +191,14 @@
         self._origins = origins
         # The connections of attempts whose answer has not begun.
         self._unanswered: dict[ClientConnection, Call] = {}
+        self._called_back: WeakSet[ClientConnection] = WeakSet()
         target_states.suspicions.on_held.append(self._recall_held)
 
     def _recall_held(self) -> None:
         """Close the connections of requests that are held fatal by now, before they may run."""
         for connection, call in self._unanswered.items():
             if self._target_states.suspicions.find_held(call) is not None:
+                self._called_back.add(connection)
                 logger.info(
                     "fatal request called back", request=call.facts.request_id.decode("latin-1")
                 )
@@ -258,6 +263,8 @@
                 path, connection, request, call, placement, delivery, may_reroute, accept_answer
             )
         except AnswerBrokenError as error:
+            if connection in self._called_back:
+                return AttemptOutcome(AttemptEnd.CALLED_BACK, "held fatal")
             path.record_stalled()
             if connection.is_timed_out and not path.via:
                 self.connections.watch(target.target_id, target.address)
--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -50,6 +50,7 @@
     AttemptEnd.TARGET_ERROR,
     AttemptEnd.BROKEN,
     AttemptEnd.STALLED,
+    AttemptEnd.CALLED_BACK,
     AttemptEnd.NOT_RUN,
     AttemptEnd.WITHHELD,
     AttemptEnd.HELD,
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -358,7 +358,7 @@
 async def _judge_outcome(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Decide by the outcome of an attempt whether another one may follow."""
     outcome = progress.outcome
-    if outcome.end is AttemptEnd.HELD:
+    if outcome.end in (AttemptEnd.HELD, AttemptEnd.CALLED_BACK):
         return progress.refuse_fatal()
     if outcome.end is AttemptEnd.DELIVERED:
         return RequestState.ENDED
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fatal_parts.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fatal_parts.py
@@ -104,6 +104,9 @@
         relay.record_target_end([(FATAL, SuspicionLevel(0, FATAL_ENDS - 1))])
         await asyncio.wait_for(closed.wait(), 0.5)
         self.assertEqual((await calling[1]).status, 502)
+        # The target did nothing wrong.
+        self.assertEqual(self.forwarder.tallies.totals("attempts")[(("end", "called-back"),)], 1)
+        self.assertEqual(self.forwarder.crash_detector._probes, {})
         self.assertFalse(calling[0].done())
         self.assertEqual(len(self.received()), 2)
         calling[0].cancel()
