Which of several suspects is to blame is settled by two ends; no gate by the share of sends that end

Cause: asked that ends in a row are improbable for other sends too; where a crash every 0.25 s breaks most sends of six targets, they are not, and the verdict never comes. The gate is gone; of several suspects the one is blamed that was among those at the end before too. A test of it fails on the code before.

--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/evidence.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/evidence.py
@@ -7,19 +7,19 @@
 - if something there is known to be fatal, it explains the end, and all else is spared;
 - if something there lacks one end to be fatal, the end is counted against it alone;
 - if suspects of several requests lack one end, one of them is to blame and the others are not: the
-  end is counted against none, and another one will tell them apart;
+  end is counted against none, and the next one tells them apart;
 - if several suspects of one request lack one end, no run has told them apart, and they are
   blamed together: only requests that hold all of them are refused. One of them that completes
   without the others is cleared, and the verdict is on the rest;
 - otherwise the end is counted against all.
 
 Parts become fatal only if requests without them have been answered since the first end under them
-(`prompt_outcomes`): where nothing is answered, targets end for another reason, and what all
+(`answered_prompts`): where nothing is answered, targets end for another reason, and what all
 requests hold would be blamed for it. This narrows suspects as group testing does ("The Detection
 of Defective Members of Large Populations", Dorfman, Annals of Mathematical Statistics 14, 1943).
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from damaskwind.decisions.fatal_requests.identity import identify_together
@@ -99,12 +99,12 @@
 def find_blamed(
     sends: Iterable[SendEvidence],
     level_of: LevelOf,
-    has_contrast: Callable[[LastEnd], bool],
+    decide: Callable[[Sequence[LastEnd]], LastEnd | None],
 ) -> list[Suspect]:
     """Return against what the end of a target is counted that had these sends in flight.
 
-    `level_of` gives present levels. `has_contrast` tells whether other requests have been answered
-    since the suspect's first end.
+    `level_of` gives present levels. `decide` returns which of the verdicts to which the end leads
+    is certain enough, if one is.
     """
     sends = tuple(sends)
     fatal = {item for send in sends for item in _fatal(send, level_of)}
@@ -113,8 +113,8 @@
         return sorted(item for item in fatal if item.level.ends >= FATAL_ENDS)
     last_ends = {found for send in sends if (found := find_last_end(send, level_of))}
     if last_ends:
-        found = [item for item in last_ends if not item.needs_contrast or has_contrast(item)]
-        return [found[0].blamed] if len(found) == 1 else []
+        found = decide(sorted(last_ends))
+        return [] if found is None else [found.blamed]
     return [item for send in sends for item in send.suspects]
 
 
--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/tests/test_evidence.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/tests/test_evidence.py
@@ -82,6 +82,20 @@
         self.assertTrue(fleet.is_fatal(FATAL))
         self.assertFalse(fleet.is_fatal(b"beside"))
 
+    def test_suspect_that_was_at_two_ends_beside_different_ones_is_to_blame(self):
+        """Guards against a verdict that never comes, as something else is always close to one."""
+        fleet = Fleet()
+        for _ in range(2):
+            for beside in (b"beside", b"other"):
+                fleet.end(fleet.send(beside))
+            fleet.end(fleet.send(FATAL))
+        fleet.answer(fleet.send(MIDDLE))
+        fleet.end(fleet.send(FATAL), fleet.send(b"beside"))
+        self.assertEqual(fleet.table.count(Standing.FATAL, fleet.now_s), 0)
+        fleet.end(fleet.send(FATAL), fleet.send(b"other"))
+        self.assertTrue(fleet.is_fatal(FATAL))
+        self.assertEqual(fleet.table.count(Standing.FATAL, fleet.now_s), 1)
+
     def test_end_under_what_is_held_meanwhile_spares_all(self):
         fleet = Fleet()
         late = fleet.send(FATAL), fleet.send(b"beside")
--- a/packages/decisions/src/damaskwind/decisions/fatal_requests/verdicts.py
+++ b/packages/decisions/src/damaskwind/decisions/fatal_requests/verdicts.py
@@ -1,24 +1,24 @@
 """Come to verdicts on suspects by ends of targets, and by answers to requests that lack them.
 
 An end that makes parts of prompts fatal needs contrast, see `evidence`. Where a router has seen
-too few answers, or where targets end under most requests, the verdict is put off until there is
-more evidence, unless the suspects are cleared or raised by others meanwhile. Of suspects that were
-blamed together, some may be cleared later; then the verdict is on the others.
+too few answers, the verdict is put off until it has, unless the suspects are cleared or raised by
+others meanwhile. Of suspects that were blamed together, some may be cleared later; then the verdict
+is on the others. Where an end leads to several verdicts, it is on the suspect that was
+in flight at the ends before it too.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from damaskwind.decisions.fatal_requests.answered_prompts import AnsweredPrompts
 from damaskwind.decisions.fatal_requests.evidence import (
     CLOSE_ENDS,
     LastEnd,
     SendEvidence,
     Suspect,
     find_blamed,
-    find_last_end,
     last_end_of,
 )
-from damaskwind.decisions.fatal_requests.prompt_outcomes import PromptOutcomes
 from damaskwind.decisions.fatal_requests.suspicion import FATAL_ENDS, SuspicionTable
 
 __all__ = ["VerdictMaker"]
@@ -32,7 +32,6 @@
     service: str
     last_end: LastEnd
     since_s: float
-    ends: int
 
 
 class VerdictMaker:
@@ -40,19 +39,21 @@
 
     def __init__(self, table: SuspicionTable) -> None:
         self._table = table
-        self._outcomes = PromptOutcomes()
+        self._answers = AnsweredPrompts()
         self._pending: dict[bytes, _PendingVerdict] = {}
+        # The suspects of which one is to blame for the last ends of a service's targets.
+        self._doubted: dict[str, frozenset[Suspect]] = {}
         # The members of the groups that this process has blamed.
         self._groups: dict[bytes, tuple[bytes, ...]] = {}
 
     def record_answer(self, service: str, parts: Iterable[bytes], now_s: float) -> list[Suspect]:
         """Record a whole answer; return the suspects to which ends of targets count by now."""
-        self._outcomes.record(service, parts, True, now_s)
+        self._answers.record(service, parts, now_s)
         due = []
         for digest, item in list(self._pending.items()):
             if not self._is_open(item, now_s):
                 del self._pending[digest]
-            elif self._has_contrast(item.service, item.last_end, item.ends, now_s):
+            elif self._has_contrast(item.service, item.last_end, now_s):
                 del self._pending[digest]
                 due.append(self._blame(item.last_end))
         return due
@@ -74,30 +75,31 @@
     ) -> list[Suspect]:
         """Return the suspects to which the end of a target counts that had these in flight."""
 
-        def has_contrast(found: LastEnd) -> bool:
-            return self._is_due(service, found, now_s)
-
-        sends = tuple(sends)
-        blamed = find_blamed(sends, self._table.level, has_contrast)
-        last_ends = [find_last_end(send, self._table.level) for send in sends]
-        for found in last_ends:
-            if found is not None and found.blamed in blamed:
-                self._blame(found)
-        if not any(item.level.ends >= CLOSE_ENDS for item in blamed):
-            # An end that nothing explains so far.
-            for send in sends:
-                parts = (item.digest for item in send.parts)
-                self._outcomes.record(service, parts, False, now_s)
-        return blamed
+        def decide(found: Sequence[LastEnd]) -> LastEnd | None:
+            return self._decide(service, found, now_s)
+
+        return find_blamed(sends, self._table.level, decide)
+
+    def _decide(self, service: str, found: Sequence[LastEnd], now_s: float) -> LastEnd | None:
+        """Return the verdict to which an end leads, if it leads to just one by now."""
+        due = [item for item in found if self._is_due(service, item, now_s)]
+        if len(due) > 1:
+            before = self._doubted.get(service, frozenset())
+            again = [item for item in due if item.blamed in before]
+            self._doubted[service] = frozenset(item.blamed for item in again or due)
+            due = again
+        if len(due) != 1:
+            return None
+        self._doubted.pop(service, None)
+        self._blame(due[0])
+        return due[0]
 
     def _is_due(self, service: str, found: LastEnd, now_s: float) -> bool:
-        """Return whether an end leads to a verdict at once; put it off otherwise."""
-        before = self._pending.pop(found.blamed.digest, None)
-        is_same = before is not None and self._is_open(before, now_s)
-        ends = before.ends + 1 if is_same else FATAL_ENDS
-        if self._has_contrast(service, found, ends, now_s):
+        """Return whether an end may lead to a verdict at once; put it off otherwise."""
+        if not found.needs_contrast or self._has_contrast(service, found, now_s):
             return True
-        self._pending[found.blamed.digest] = _PendingVerdict(service, found, now_s, ends)
+        self._pending.pop(found.blamed.digest, None)
+        self._pending[found.blamed.digest] = _PendingVerdict(service, found, now_s)
         if len(self._pending) > MAX_PENDING:
             del self._pending[next(iter(self._pending))]
         return False
@@ -124,9 +126,7 @@
         is_fatal = self._table.level(found.blamed.digest).ends >= FATAL_ENDS
         return not is_fatal and all(level.ends == CLOSE_ENDS for level in levels)
 
-    def _has_contrast(self, service: str, found: LastEnd, ends: int, now_s: float) -> bool:
+    def _has_contrast(self, service: str, found: LastEnd, now_s: float) -> bool:
         firsts_s = [self._table.first_end_s(digest) for digest in found.members]
         since_s = min(now_s if first_s is None else first_s for first_s in firsts_s)
-        if self._outcomes.are_ends_by_chance(service, found.members, ends, since_s):
-            return False
-        return self._outcomes.are_missing(service, found.members, since_s)
+        return self._answers.are_missing(service, found.members, since_s)
