--- /dev/null
+++ b/review/lib/worker.py
@@ -0,0 +1,143 @@
+"""A worker as PROTOCOL.md describes it; it tells each of its steps as a line on standard output.
+
+    worker.py ID IP PORT ZONE SERVICE CONTROLS(IP:PORT,...)
+
+A line on standard input is an order: `drain` reports `draining`, `leave` sends `DELETE` first,
+`exit` ends the process. A request for .../plain/MS is answered after so many ms of work.
+"""
+
+import asyncio
+import json
+import os
+import random
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+from fleet import read_body, read_head, request  # noqa: E402
+
+HEARTBEAT_S = 1.2
+
+
+def tell(event, **fields):
+    """Write one line of what happens here."""
+    print(json.dumps({"event": event, "at": time.monotonic(), **fields}), flush=True)
+
+
+class Worker:
+    """One lifetime of a worker."""
+
+    def __init__(self, arguments):
+        self.id, self.ip, port, self.zone, self.service, controls = arguments
+        self.port = int(port)
+        self.controls = [item.rsplit(":", 1) for item in controls.split(",")]
+        self.sequence = 0
+        self.state = "ready"
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection."""
+        try:
+            while True:
+                first, headers = await read_head(reader)
+                method, path, _ = first.split()
+                body = await read_body(reader, headers)
+                if not await self.answer(method, path, headers, body, writer):
+                    return
+        except (EOFError, OSError, asyncio.LimitOverrunError):
+            return
+        finally:
+            writer.close()
+
+    async def answer(self, method, path, headers, body, writer):
+        """Answer one request; return whether the connection is kept."""
+        attempt = headers.get("attempt-id", "")
+        if path == "/health":
+            healthy = self.state == "ready"
+            status = "200 OK" if healthy else "503 Service Unavailable"
+            await self.write(writer, status, {"Instance-Id": self.id}, b"")
+            return True
+        if headers.get("expect-instance", self.id) != self.id:
+            tell("misdirected", attempt=attempt)
+            own = {"Attempt-Id": attempt, "Not-Executed": "1"}
+            await self.write(writer, "421 Misdirected Request", own, b"")
+            return True
+        tell("run", attempt=attempt, path=path)
+        own = {"Attempt-Id": attempt, "Server-Seal": f"{self.id}.{attempt}"}
+        await asyncio.sleep(int(path.split("/")[-1]) / 1000)
+        await self.write(writer, "200 OK", own, f"{self.id} {attempt}\n".encode())
+        tell("ran", attempt=attempt)
+        return True
+
+    async def write(self, writer, status, headers, body):
+        """Write a whole answer."""
+        headers = {**headers, "Content-Length": len(body), "Keep-Alive": "timeout=5"}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"HTTP/1.1 {status}\r\n{lines}\r\n".encode() + body)
+        await writer.drain()
+
+    async def call(self, method, body):
+        """Make a call to the system: to one node, and to the next one if it fails."""
+        for ip, port in random.sample(self.controls, len(self.controls)):
+            try:
+                status, _, _ = await request(
+                    ip, int(port), method, f"/instances/{self.id}", {}, body, 1.0
+                )
+            except (TimeoutError, OSError, EOFError):
+                continue
+            if 200 <= status < 300:
+                return f"{ip}:{port}"
+        return ""
+
+    async def report(self):
+        """Send one liveness report; return the node that confirmed it."""
+        self.sequence += 1
+        report = {
+            "service": self.service,
+            "address": f"{self.ip}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 64,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "sequence": self.sequence,
+        }
+        return await self.call("PUT", json.dumps(report).encode())
+
+    async def beat(self):
+        """Send a report each `HEARTBEAT_S`."""
+        while self.state != "gone":
+            node = await self.report()
+            tell("beat", state=self.state, node=node)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def obey(self):
+        """Follow the orders on standard input."""
+        reader = asyncio.StreamReader()
+        protocol = asyncio.StreamReaderProtocol(reader)
+        await asyncio.get_running_loop().connect_read_pipe(lambda: protocol, sys.stdin)
+        while line := (await reader.readline()).decode().strip():
+            if line == "drain":
+                self.state = "draining"
+                node = await self.report()
+                tell("drain confirmed" if node else "drain not confirmed", node=node)
+            if line == "leave":
+                self.state = "gone"
+                node = await self.call("DELETE", b"")
+                tell("leave confirmed" if node else "leave not confirmed", node=node)
+            if line == "exit":
+                return
+
+    async def run(self):
+        """Serve until the order to exit."""
+        await asyncio.start_server(self.serve, self.ip, self.port)
+        tell("listening")
+        beating = asyncio.create_task(self.beat())
+        await self.obey()
+        beating.cancel()
+        tell("exit")
+        # What is still at work ends with the process.
+        os._exit(0)
+
+
+asyncio.run(Worker(sys.argv[1:]).run())
