--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -3,7 +3,8 @@
     worker.py ID IP PORT ZONE SERVICE CONTROLS(IP:PORT,...)
 
 A line on standard input is an order: `drain` reports `draining`, `leave` sends `DELETE` first,
-`exit` ends the process. A request for .../plain/MS is answered after so many ms of work.
+`exit` ends the process. A request for .../plain/MS is answered after so many ms of work, one for
+.../large/BYTES at once with a body of that size.
 """
 
 import asyncio
@@ -64,8 +65,13 @@
             return True
         tell("run", attempt=attempt, path=path)
         own = {"Attempt-Id": attempt, "Server-Seal": f"{self.id}.{attempt}"}
-        await asyncio.sleep(int(path.split("/")[-1]) / 1000)
-        await self.write(writer, "200 OK", own, f"{self.id} {attempt}\n".encode())
+        kind, number = path.split("/")[-2:]
+        body = f"{self.id} {attempt}\n".encode()
+        if kind == "large":
+            body = (body * (int(number) // len(body) + 1))[: int(number)]
+        else:
+            await asyncio.sleep(int(number) / 1000)
+        await self.write(writer, "200 OK", own, body)
         tell("ran", attempt=attempt)
         return True
 
