--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -61,9 +61,9 @@
 
 
 class WorkerProcess:
-    """A worker as a process; `events` is all that it has told."""
+    """A worker as a process, with `options` of `worker.py`; `events` is all that it has told."""
 
-    def __init__(self, fleet, number, zone):
+    def __init__(self, fleet, number, zone, *options):
         self.fleet = fleet
         self.id = f"i-{number:02d}{random.randrange(1 << 24):06x}"
         self.ip = f"{fleet.prefix}.{100 + number}"
@@ -71,7 +71,7 @@
         self.events = []
         controls = ",".join(f"{ip}:{CONTROL}" for ip in fleet.control_ips)
         script = str(Path(__file__).with_name("worker.py"))
-        arguments = [self.id, self.ip, str(self.port), zone, SERVICE["name"], controls]
+        arguments = [self.id, self.ip, str(self.port), zone, SERVICE["name"], controls, *options]
         self.process = fleet.start_child(
             [sys.executable, script, *arguments], stdin=subprocess.PIPE, stdout=subprocess.PIPE
         )
@@ -127,6 +127,12 @@
         self.sent_s = time.monotonic()
         self.why = ""
 
+    @property
+    def ids(self):
+        """Return the ids of the events that arrived whole."""
+        events = self.body.split(b"\n\n")[:-1]
+        return [int(event.split(b"\n")[0].removeprefix(b"id: ")) for event in events]
+
 
 async def send(fleet, router, path, limit_s=15.0):
     """Send one request to a router, as a client does; return what came."""
@@ -139,7 +145,7 @@
     }
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     fleet.note("sent", attempt=answer.attempt, router=router.name, path=path)
-    writer = None
+    writer, pieces = None, []
     try:
         async with asyncio.timeout(limit_s):
             reader, writer = await asyncio.open_connection(router.ip, FRONT)
@@ -147,13 +153,14 @@
             first, answered = await read_head(reader)
             answer.status = int(first.split()[1])
             answer.seal = answered.get("server-seal", "")
-            answer.body = await read_body(reader, answered)
+            await read_body(reader, answered, pieces)
             answer.is_complete = True
     except (OSError, EOFError, TimeoutError) as error:
         answer.why = repr(error)
     finally:
         if writer is not None:
             writer.close()
+    answer.body = b"".join(pieces)
     fleet.note(
         "answered",
         attempt=answer.attempt,
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -19,30 +19,38 @@
 ZONES = ["bangsar-hall", "cyberjaya-a", "shah-alam-b"]
 FRONT, READY, CONTROL, INTERNAL = 8227, 8220, 8229, [7340, 7355]
 METRICS = 9464
-STABLE_WINDOW_S = 3.0
-DRAIN_S = 2.0
-BOUNDS = """[bounds]
-seedLagS = 3
-reuseAfterS = 2
-stableWindowMs = 3000
-ackMs = 4000
-catchUpS = 4
-drainMs = 2000
-graceS = 8
-lossSlackMs = 200
-configApplyMs = 2000
-rollbackSlackMs = 250
-outerMs = 5000
-failClosed = false
-revokeMs = 5000
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retryBudgetSlack = 56
-recoverS = 12
-passMs = 120
-againS = 10
-capX = 2
-"""
+# The bounds of kls-assetfleet.
+_BOUNDS = {
+    "seedLagS": 3,
+    "reuseAfterS": 2,
+    "stableWindowMs": 3000,
+    "ackMs": 4000,
+    "catchUpS": 4,
+    "drainMs": 2000,
+    "graceS": 8,
+    "lossSlackMs": 200,
+    "configApplyMs": 2000,
+    "rollbackSlackMs": 250,
+    "outerMs": 5000,
+    "failClosed": "false",
+    "revokeMs": 5000,
+    "retryBudgetRatio": 0.2,
+    "budgetWindowS": 10,
+    "retryBudgetSlack": 56,
+    "recoverS": 12,
+    "passMs": 120,
+    "againS": 10,
+    "capX": 2,
+}
+
+
+def bounds_text(**other):
+    """Return the table of bounds of a settings file, some of them other than usual."""
+    lines = [f"{name} = {value}\n" for name, value in {**_BOUNDS, **other}.items()]
+    return "[bounds]\n" + "".join(lines)
+
+
+BOUNDS = bounds_text()
 
 
 class CannotRunError(Exception):
@@ -254,18 +262,22 @@
     return lines[0], headers
 
 
-async def read_body(reader, headers):
-    """Return the body of a message; raise `EOFError` if it ends early."""
-    if headers.get("transfer-encoding", "").lower() == "chunked":
-        pieces = []
-        while True:
-            line = await reader.readuntil(b"\r\n")
-            size = int(line.split(b";")[0], 16)
-            data = await reader.readexactly(size + 2)
-            if size == 0:
-                return b"".join(pieces)
-            pieces.append(data[:-2])
-    return await reader.readexactly(int(headers.get("content-length", "0")))
+async def read_body(reader, headers, pieces=None):
+    """Return the body of a message; raise `EOFError` if it ends early.
+
+    What has come is appended to `pieces`.
+    """
+    pieces = [] if pieces is None else pieces
+    if headers.get("transfer-encoding", "").lower() != "chunked":
+        pieces.append(await reader.readexactly(int(headers.get("content-length", "0"))))
+        return pieces[-1]
+    while True:
+        line = await reader.readuntil(b"\r\n")
+        size = int(line.split(b";")[0], 16)
+        data = await reader.readexactly(size + 2)
+        if size == 0:
+            return b"".join(pieces)
+        pieces.append(data[:-2])
 
 
 async def request(host, port, method, path, headers, body, limit_s):
--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -1,10 +1,14 @@
 """A worker as PROTOCOL.md describes it; it tells each of its steps as a line on standard output.
 
-    worker.py ID IP PORT ZONE SERVICE CONTROLS(IP:PORT,...)
+    worker.py ID IP PORT ZONE SERVICE CONTROLS(IP:PORT,...) [born]
 
 A line on standard input is an order: `drain` reports `draining`, `leave` sends `DELETE` first,
-`exit` ends the process. A request for .../plain/MS is answered after so many ms of work, one for
-.../large/BYTES at once with a body of that size.
+`exit` ends the process. A request's path tells how it is answered:
+
+    .../plain/MS          a short body after so many ms of work
+    .../large/BYTES       at once, with a body of that size
+    .../unframed/N/MS     N events, one after so many ms each, with neither a length nor chunks: the
+                          answer ends with its connection
 """
 
 import asyncio
@@ -30,7 +34,9 @@
     """One lifetime of a worker."""
 
     def __init__(self, arguments):
-        self.id, self.ip, port, self.zone, self.service, controls = arguments
+        self.id, self.ip, port, self.zone, self.service, controls = arguments[:6]
+        self.says_born = arguments[6:] == ["born"]
+        self.born_ms = int(time.time() * 1000)
         self.port = int(port)
         self.controls = [item.rsplit(":", 1) for item in controls.split(",")]
         self.sequence = 0
@@ -63,18 +69,34 @@
             own = {"Attempt-Id": attempt, "Not-Executed": "1"}
             await self.write(writer, "421 Misdirected Request", own, b"")
             return True
-        tell("run", attempt=attempt, path=path)
+        tell("run", attempt=attempt, path=path, after=headers.get("last-event-id"))
         own = {"Attempt-Id": attempt, "Server-Seal": f"{self.id}.{attempt}"}
-        kind, number = path.split("/")[-2:]
+        kind, *numbers = path.strip("/").split("/")[1:]
+        if kind == "unframed":
+            await self.stream(numbers, headers, own, writer)
+            return False
         body = f"{self.id} {attempt}\n".encode()
         if kind == "large":
-            body = (body * (int(number) // len(body) + 1))[: int(number)]
+            body = (body * (int(numbers[0]) // len(body) + 1))[: int(numbers[0])]
         else:
-            await asyncio.sleep(int(number) / 1000)
+            await asyncio.sleep(int(numbers[0]) / 1000)
         await self.write(writer, "200 OK", own, body)
         tell("ran", attempt=attempt)
         return True
 
+    async def stream(self, numbers, headers, own, writer):
+        """Answer with the events after `Last-Event-Id`, if there is one, and close."""
+        count, pause_ms = int(numbers[0]), int(numbers[1])
+        own = {**own, "Content-Type": "text/event-stream", "Connection": "close"}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in own.items())
+        writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+        for number in range(int(headers.get("last-event-id", "0")) + 1, count + 1):
+            await asyncio.sleep(pause_ms / 1000)
+            writer.write(b"id: %d\ndata: x\n\n" % number)
+            await writer.drain()
+            tell("piece", attempt=own["Attempt-Id"], id=number)
+        tell("ran", attempt=own["Attempt-Id"])
+
     async def write(self, writer, status, headers, body):
         """Write a whole answer."""
         headers = {**headers, "Content-Length": len(body), "Keep-Alive": "timeout=5"}
@@ -89,7 +111,7 @@
                 status, _, _ = await request(
                     ip, int(port), method, f"/instances/{self.id}", {}, body, 1.0
                 )
-            except (TimeoutError, OSError, EOFError):
+            except (OSError, EOFError, TimeoutError):
                 continue
             if 200 <= status < 300:
                 return f"{ip}:{port}"
@@ -108,6 +130,8 @@
             "coldRemainingMs": 0,
             "sequence": self.sequence,
         }
+        if self.says_born:
+            report["born"] = self.born_ms
         return await self.call("PUT", json.dumps(report).encode())
 
     async def beat(self):
