--- a/review/3/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec python3 "$(dirname "$0")/run.py"
--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -6,7 +6,6 @@
 `exit` ends the process. A request's path tells how it is answered:
 
     .../plain/MS          a short body after so many ms of work
-    .../large/BYTES       at once, with a body of that size
     .../unframed/N/MS     N events, one after so many ms each, with neither a length nor chunks: the
                           answer ends with its connection
 """
@@ -75,12 +74,8 @@
         if kind == "unframed":
             await self.stream(numbers, headers, own, writer)
             return False
-        body = f"{self.id} {attempt}\n".encode()
-        if kind == "large":
-            body = (body * (int(numbers[0]) // len(body) + 1))[: int(numbers[0])]
-        else:
-            await asyncio.sleep(int(numbers[0]) / 1000)
-        await self.write(writer, "200 OK", own, body)
+        await asyncio.sleep(int(numbers[0]) / 1000)
+        await self.write(writer, "200 OK", own, f"{self.id} {attempt}\n".encode())
         tell("ran", attempt=attempt)
         return True
 
