--- a/review/lib/case.py
+++ b/review/case.py
@@ -73,7 +73,9 @@
         script = str(Path(__file__).with_name("worker.py"))
         arguments = [self.id, self.ip, str(self.port), zone, SERVICE["name"], controls, *options]
         self.process = fleet.start_child(
-            [sys.executable, script, *arguments], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+            [sys.executable, "-B", script, *arguments],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
         )
         self._reading = asyncio.create_task(self._read())
         fleet.note("worker started", id=self.id, address=f"{self.ip}:{self.port}")
--- a/review/lib/fleet.py
+++ b/review/fleet.py
@@ -15,7 +15,7 @@
 import time
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 ZONES = ["bangsar-hall", "cyberjaya-a", "shah-alam-b"]
 FRONT, READY, CONTROL, INTERNAL = 8227, 8220, 8229, [7340, 7355]
 METRICS = 9464
