Routers log whom they ask for a document, how long they wait and how long they are behind

The log of a router that served by an older version for 4 s held one line, "document not fetched", 4 s after the cause. It did not tell whether the source was silent or only slow, since when a newer version was known, or whom the router waited for meanwhile.

The fetches move from the fleet view into `document_follower.py`, with the same logic. New are the line "document asked for" (host, version held, newest version known, seconds behind), the fields `waited_s`, `heard_s` (age of the source's last update) and `behind_s` of "document not fetched", `behind_s` of "configuration in force", the gauge `configuration_behind_seconds` and the counter `document_fetches_total`. The log stays bounded: at most one line more for each fetch.

--- a/packages/decisions/src/damaskwind/decisions/following/document_sources.py
+++ b/packages/decisions/src/damaskwind/decisions/following/document_sources.py
@@ -74,9 +74,13 @@
         """Record that fetching a document from a replica failed."""
         self._failed_s[host] = now_s
 
+    def newest_version(self) -> int:
+        """Return the newest version that a replica reported, 0 before any report."""
+        return max((report.version for report in self._reports.values()), default=0)
+
     def has_newer(self, local_version: int) -> bool:
         """Return whether any replica reported a newer version."""
-        return any(report.version > local_version for report in self._reports.values())
+        return self.newest_version() > local_version
 
     def choose(self, local_version: int, host_count: int, now_s: float) -> str | None:
         """Return the replica to ask now, or `None` if there is none to ask yet.
@@ -133,5 +137,5 @@
         has_waited = newer and now_s - self._first_report_s > INITIAL_WAIT_S
         if not has_waited and len(self._reports) < host_count:
             return {}
-        newest = max((report.version for report in self._reports.values()), default=0)
+        newest = self.newest_version()
         return {host: report for host, report in newer.items() if report.version == newest}
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -9,7 +9,6 @@
 import asyncio
 import secrets
 from collections.abc import Awaitable, Callable, Iterable
-from contextlib import suppress
 from random import Random
 
 from loguru import logger
@@ -32,6 +31,7 @@
 from damaskwind.model.exception import ConfigurationError, MessageError
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration, TrafficService
+from damaskwind.router.forwarding.document_follower import DocumentFollower
 from damaskwind.router.forwarding.document_relay import DocumentRelay, WholeDocument
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
 from damaskwind.router.forwarding.origin_relay import OriginRelay
@@ -40,7 +40,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.clock_loop import last_woken_s
 from damaskwind.wire.document_difference import apply_difference
-from damaskwind.wire.document_fetch import FETCH_ERRORS, DocumentFetcher
+from damaskwind.wire.document_fetch import DocumentFetcher
 from damaskwind.wire.news import (
     TABLE_PATH,
     BrittleReport,
@@ -58,12 +58,6 @@
 
 __all__ = ["FleetView"]
 
-# Polling interval of the document sources: the leader becomes a source, and a failed source
-# becomes one again, without an update arriving.
-SOURCE_RECHECK_S = 0.05
-# Pause after a fetch that brought nothing: replicas that refuse all calls, or an unreadable
-# document, must not cause a busy loop.
-FETCH_PAUSE_S = 0.1
 # Delay between the first calls to the replicas: the first one answers with the target table
 # within some ms, and the others then need not send it again.
 STAGGER_S = 0.06
@@ -144,10 +138,16 @@
         self.relay.handlers[TABLE_PATH] = self._table_exchange.handle
         self.suspicions = SuspicionRelay(news_port, random.random())
         self.origins = OriginRelay(self.targets, news_port)
-        self._has_update = asyncio.Event()
+        self.documents = DocumentFollower(
+            self.sources,
+            self._fetcher,
+            self.known_version,
+            lambda: len(self._links),
+            self._receive_document,
+            self._last_heard_s,
+        )
         self._document = b""
         self._received = Document(0, b"")
-        self._needs_whole = False
         self._fetching: asyncio.Task | None = None
         self._router_counts: dict[str, int] = {}
 
@@ -156,7 +156,7 @@
         if self._own_host:
             self.relay.listen(self._own_host, self._news_port)
         self.follow(rendezvous_order(self._node_id, self._seed_hosts), STAGGER_S)
-        self._fetching = asyncio.ensure_future(self._fetch_documents())
+        self._fetching = asyncio.ensure_future(self.documents.run())
 
     async def stop(self) -> None:
         """End all subscriptions and background tasks."""
@@ -288,49 +288,28 @@
         """Return the configuration version in force here; 0 for none."""
         return self.table.version if self.table else 0
 
-    async def _fetch_documents(self) -> None:
-        """Fetch each newer configuration until canceled."""
-        while True:
-            host = self.sources.choose(self.known_version(), len(self._links), read_clock())
-            if host is not None:
-                if not await self._fetch_from(host):
-                    await asyncio.sleep(FETCH_PAUSE_S)
-                continue
-            self._has_update.clear()
-            is_pending = self.sources.has_newer(self.known_version())
-            with suppress(TimeoutError):
-                async with asyncio.timeout(SOURCE_RECHECK_S if is_pending else None):
-                    await self._has_update.wait()
-
-    async def _fetch_from(self, host: str) -> bool:
-        """Fetch from one replica; tell whether a newer configuration came into force."""
-        asked_s = read_clock()
-        try:
-            held_version = 0 if self._needs_whole else self.known_version()
-            document = await self._fetcher.fetch(host, held_version)
-            content = self._unpack(document)
-        except FETCH_ERRORS as error:
-            self._needs_whole = isinstance(error, MessageError)
-            self.sources.record_failure(host, read_clock())
-            logger.warning("document not fetched", host=host, why=repr(error))
-            return False
-        self._needs_whole = False
-        took_s = read_clock() - asked_s
+    def _last_heard_s(self, host: str) -> float:
+        """Return when the last update of a replica arrived, in monotonic seconds."""
+        link = self._links.get(host)
+        return link.last_received_s if link is not None else float("-inf")
+
+    def _receive_document(self, host: str, document: Document, asked_s: float) -> bool:
+        """Put a fetched document in force; return whether it is newer than the one before."""
         held_version = self.known_version()
+        content = self._unpack(document)
+        took_s = read_clock() - asked_s
         self.apply_document(host, content, took_s, len(document.packed))
-        if self.known_version() > held_version:
-            self._received = document
-            return True
-        self.sources.record_failure(host, read_clock())
-        return False
+        if self.known_version() == held_version:
+            return False
+        self._received = document
+        return True
 
     def handle_news(self, host: str, news: News) -> None:
         """Merge an update from a replica."""
         now_s = read_clock()
         self.sources.record_version(host, news.version, news.is_current, news.leads, now_s)
         self.sources.router_index = news.place
-        if news.version > self.known_version():
-            self._has_update.set()
+        self.documents.observe_versions()
         self._apply_evacuations(host, news.evacuations)
         self._merge_records(host, news.records, now_s)
         self._merge_records(host, self.targets.expand_phases(news.phases), now_s)
@@ -492,9 +471,11 @@
             routes=len(configuration.routes),
             packed_bytes=packed_bytes,
             fetch_s=round(took_s, 3),
+            behind_s=round(self.documents.lag.behind_s(read_clock()), 3),
         )
 
     def handle_loss(self, host: str) -> None:
         """Drop a lost replica as a document source; the targets learned from it stay known."""
         self.sources.remove(host)
-        self._has_update.set()
+        self.documents.observe_versions()
+        self.documents.has_update.set()
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -72,7 +72,7 @@
         if handle_report is not None:
             self.view.relay.fallback_handler = partial(handle_report, self.view.heartbeats)
         self.connections = TargetConnections()
-        self.tallies = Tallies()
+        self.tallies = self.view.documents.tallies = Tallies()
         self.forwarder = Forwarder(
             self.view,
             self.connections,
@@ -144,6 +144,8 @@
         show, view = self.tallies.gauge, self.view
         show("requests_in_progress", "requests being answered", lambda: self._callers.active)
         show("configuration_version", "version in force", view.known_version)
+        lag = view.documents.lag
+        show("configuration_behind_seconds", "newer known", lambda: lag.behind_s(read_clock()))
         show("targets_serving", "targets that take work", lambda: len(view.targets.serving()))
         show("replicas_heard", "replicas heard lately", view.count_reachable_replicas)
         show("documents_passed_on", "to other routers", lambda: view.relay.documents_served)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
@@ -10,7 +10,8 @@
 from damaskwind.decisions.following.document_sources import INITIAL_WAIT_S
 from damaskwind.model.exception import ConfigurationError
 from damaskwind.router.forwarding import fleet_view
-from damaskwind.router.forwarding.fleet_view import FETCH_PAUSE_S, FleetView
+from damaskwind.router.forwarding.document_follower import FETCH_PAUSE_S
+from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import override_clock
 from damaskwind.runtime.http1.client import ConnectFailedError
@@ -82,7 +83,7 @@
             view.start()
             for host in "abc":
                 view.sources.record_version(host, 7, True, False, 0.0)
-            view._has_update.set()
+            view.documents.has_update.set()
             await asyncio.sleep(duration_s)
             await view.stop()
         return asked
