A router asks another replica when the one that it asked for a document stands still

What callers saw: for up to 4 s after a change, requests were refused with 401 or 404, or run as an older version says, at routers that nothing had happened to.

Cause: a fetch ended by one fixed time, 4 s, whatever was known of its source. That time is meant for a queue at a sound replica. A replica that stands still keeps its connections open, so that the two look the same on the connection, and only one fetch was made at a time: neither the loss of the replica's updates nor the reports of the other replicas ended it.

Change: two questions, two answers. A source that has sent nothing for 0.2 s is asked on another connection whether it runs (`GET /alive`; a process of an earlier version answers 404, which counts as well). If it doesn't answer in 0.4 s, the next source is asked, and the first document to arrive counts. A source that answers keeps its turn. One that answers but has not delivered after 1.4 s gets company as well, but the further request says that it is an extra one, and a replica at which others wait refuses it, so that a queue doesn't cause more requests.

--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -16,6 +16,7 @@
 from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.news import (
     DOCUMENT_PATH,
+    EXTRA_COPY,
     NEWS_PATH,
     SUSPICIONS_PATH,
     Document,
@@ -26,6 +27,7 @@
     encode,
     pack_answer,
 )
+from damaskwind.wire.peer_liveness import ALIVE_PATH, answer_alive
 from damaskwind.wire.stream_origins import ORIGINS_PATH
 
 __all__ = ["NewsSite"]
@@ -84,6 +86,7 @@
             DOCUMENT_PATH: self._document,
             SUSPICIONS_PATH: self._suspicions,
             ORIGINS_PATH: OriginsSite(tallies).handle,
+            ALIVE_PATH: answer_alive,
         }
 
     async def handle(self, exchange: Exchange) -> None:
@@ -187,6 +190,11 @@
         if not self._documents.version:
             exchange.respond(Answer(404, []))
             return
+        if EXTRA_COPY in exchange.request.headers and self._document_pacer.backlog_s(read_clock()):
+            # Others wait for their only copy, and this router expects one from another source.
+            self._tallies.count("documents", sent="refused")
+            exchange.respond(Answer(503, []))
+            return
         size_bytes = len(self._documents.newest_for(request.held_version).packed)
         holders = self._choose_holders(request.host, size_bytes)
         if holders:
--- a/packages/decisions/src/damaskwind/decisions/following/document_sources.py
+++ b/packages/decisions/src/damaskwind/decisions/following/document_sources.py
@@ -7,6 +7,7 @@
 replica has reported this index, the router orders replicas by highest random weight.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from damaskwind.decisions.limits.slices import rendezvous_order
@@ -82,14 +83,19 @@
         """Return whether any replica reported a newer version."""
         return self.newest_version() > local_version
 
-    def choose(self, local_version: int, host_count: int, now_s: float) -> str | None:
+    def choose(
+        self, local_version: int, host_count: int, now_s: float, asked: Collection[str] = ()
+    ) -> str | None:
         """Return the replica to ask now, or `None` if there is none to ask yet.
 
         `local_version` is 0 before the first configuration; `host_count` is how many
-        replicas are followed.
+        replicas are followed. The replicas in `asked` are passed over, since their answers
+        are still expected.
         """
         newer = {
-            host: report for host, report in self._reports.items() if report.version > local_version
+            host: report
+            for host, report in self._reports.items()
+            if report.version > local_version and host not in asked
         }
         if not local_version:
             newer = self._initial_candidates(newer, host_count, now_s)
--- a/packages/router/src/damaskwind/router/forwarding/document_follower.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_follower.py
@@ -1,8 +1,15 @@
-"""Fetch each newer configuration from the replica that is chosen as its source."""
+"""Fetch each newer configuration, from a further replica if the first one is in doubt.
+
+A replica that was asked may stand still from that moment on. It is then asked beside the fetch
+whether it runs, and if it doesn't answer, the next source is asked as well. The same happens if a
+fetch lasts unusually long. The first document to arrive counts, and the other fetches end.
+"""
 
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -13,6 +20,7 @@
 from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.document_fetch import FETCH_ERRORS, DocumentFetcher
 from damaskwind.wire.news import Document
+from damaskwind.wire.watched_calls import Doubt, WatchedCall, wait_until_doubtful
 
 __all__ = ["DocumentFollower"]
 
@@ -22,6 +30,33 @@
 # Pause after a fetch that brought nothing: replicas that refuse all calls, or an unreadable
 # document, must not cause a busy loop.
 FETCH_PAUSE_S = 0.1
+# Pause after an extra fetch that was refused or failed: the queues that refuse it last longer.
+EXTRA_PAUSE_S = 0.5
+# A fetch that lasts longer is overdue: at a sound source, a document waits up to 1.2 s for its
+# turn, and a version has to be in force within 2 s.
+OVERDUE_S = 1.4
+# Fetches in flight at once: one, and two others if two sources in turn are in doubt.
+MAX_FETCHES = 3
+
+
+class _Fetch(NamedTuple):
+    """A fetch in flight from one replica."""
+
+    host: str
+    asked_s: float
+    is_extra: bool
+    document: asyncio.Task
+    doubt: asyncio.Task
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether the replica is silent, or the fetch overdue."""
+        return self.doubt.done()
+
+    def cancel(self) -> None:
+        """Stop waiting for the document."""
+        self.document.cancel()
+        self.doubt.cancel()
 
 
 class DocumentFollower:
@@ -45,7 +80,6 @@
         self.has_update = asyncio.Event()
         self.tallies = Tallies()
         self.lag = VersionLag()
-        self.waits_for = ""
         self._sources = sources
         self._fetcher = fetcher
         self._known_version = known_version
@@ -53,6 +87,8 @@
         self._receive = receive
         self._last_heard_s = last_heard_s
         self._needs_whole = False
+        self._fetches: dict[str, _Fetch] = {}
+        self._may_ask_s = float("-inf")
 
     def observe_versions(self) -> None:
         """Record whether a newer version than the one in force is known now."""
@@ -63,41 +99,108 @@
 
     async def run(self) -> None:
         """Fetch each newer configuration until canceled."""
-        while True:
-            host = self._sources.choose(self._known_version(), self._replica_count(), read_clock())
-            if host is not None:
-                if not await self._fetch_from(host):
-                    await asyncio.sleep(FETCH_PAUSE_S)
-                continue
-            self.has_update.clear()
-            is_pending = self._sources.has_newer(self._known_version())
-            with suppress(TimeoutError):
-                async with asyncio.timeout(SOURCE_RECHECK_S if is_pending else None):
-                    await self.has_update.wait()
-
-    async def _fetch_from(self, host: str) -> bool:
-        """Fetch from one replica; return whether a newer configuration came into force."""
-        asked_s = read_clock()
-        self._log_question(host, asked_s)
-        self.waits_for = host
         try:
-            held_version = 0 if self._needs_whole else self._known_version()
-            document = await self._fetcher.fetch(host, held_version)
-            is_newer = self._receive(host, document, asked_s)
+            while True:
+                await self._take_document()
+                self._ask_next_source()
+                await self._wait()
+        finally:
+            await self._cancel_fetches()
+
+    async def _wait(self) -> None:
+        """Wait until a fetch ends or is in doubt, or the sources may have changed."""
+        may_ask = all(fetch.is_doubtful for fetch in self._fetches.values())
+        is_pending = may_ask and self._sources.has_newer(self._known_version())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SOURCE_RECHECK_S if is_pending else None):
+                await self.has_update.wait()
+        self.has_update.clear()
+
+    def _ask_next_source(self) -> None:
+        """Start a fetch if a newer version is known and no fetch in flight is relied upon."""
+        now_s = read_clock()
+        doubts = [fetch.doubt.result() for fetch in self._fetches.values() if fetch.is_doubtful]
+        is_full = len(self._fetches) == MAX_FETCHES
+        if len(doubts) < len(self._fetches) or is_full or now_s < self._may_ask_s:
+            return
+        host = self._sources.choose(
+            self._known_version(), self._replica_count(), now_s, self._fetches
+        )
+        if host is None:
+            return
+        held_version = 0 if self._needs_whole else self._known_version()
+        # A silent source sends nothing, so that another one replaces it. An overdue source may
+        # have a long queue, and a further request to another queue must not lengthen that one.
+        is_extra = Doubt.OVERDUE in doubts
+        ask = self._fetcher.fetch_extra if is_extra else self._fetcher.fetch
+        call = self._fetcher.watch(host, partial(ask, host, held_version))
+        self._log_question(host, now_s)
+        self._fetches[host] = self._begin(call, now_s, is_extra)
+
+    def _begin(self, call: WatchedCall, now_s: float, is_extra: bool) -> _Fetch:
+        """Start a fetch, and the questions whether its source runs."""
+        document = asyncio.ensure_future(call.start())
+        doubt = asyncio.ensure_future(wait_until_doubtful(document, call, OVERDUE_S))
+        fetch = _Fetch(call.host, now_s, is_extra, document, doubt)
+        document.add_done_callback(lambda _: self.has_update.set())
+        doubt.add_done_callback(lambda _: self._handle_doubt(fetch))
+        return fetch
+
+    def _handle_doubt(self, fetch: _Fetch) -> None:
+        """Record that a source is in doubt, so that another one is asked."""
+        if fetch.doubt.cancelled() or fetch.doubt.result() is None:
+            return
+        self._sources.record_failure(fetch.host, read_clock())
+        self.tallies.count("document_fetches", outcome=fetch.doubt.result())
+        self._log_setback("document source in doubt", fetch, fetch.doubt.result())
+        self.has_update.set()
+
+    async def _take_document(self) -> None:
+        """Handle the fetches that ended; after a newer document, cancel the others."""
+        for fetch in [item for item in self._fetches.values() if item.document.done()]:
+            del self._fetches[fetch.host]
+            fetch.doubt.cancel()
+            if self._receive_from(fetch):
+                await self._cancel_fetches()
+                return
+
+    async def _cancel_fetches(self) -> None:
+        """Cancel all fetches in flight."""
+        fetches, self._fetches = list(self._fetches.values()), {}
+        for fetch in fetches:
+            fetch.cancel()
+        tasks = [task for fetch in fetches for task in (fetch.document, fetch.doubt)]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _receive_from(self, fetch: _Fetch) -> bool:
+        """Apply the result of a fetch; return whether a newer configuration came into force."""
+        host = fetch.host
+        try:
+            is_newer = self._receive(host, fetch.document.result(), fetch.asked_s)
         except FETCH_ERRORS as error:
             self._needs_whole = isinstance(error, MessageError)
-            self._sources.record_failure(host, read_clock())
-            self._log_failure(host, asked_s, error)
+            self._record_failure(fetch)
+            self.tallies.count("document_fetches", outcome="failed")
+            self._log_setback("document not fetched", fetch, repr(error))
             return False
-        finally:
-            self.waits_for = ""
         self._needs_whole = False
+        self._may_ask_s = float("-inf")
         self.observe_versions()
         self.tallies.count("document_fetches", outcome="newer" if is_newer else "not-newer")
         if not is_newer:
-            self._sources.record_failure(host, read_clock())
+            self._record_failure(fetch)
         return is_newer
 
+    def _record_failure(self, fetch: _Fetch) -> None:
+        """Record a fetch that brought nothing, and pause."""
+        now_s = read_clock()
+        self._sources.record_failure(fetch.host, now_s)
+        self._may_ask_s = now_s + (EXTRA_PAUSE_S if fetch.is_extra else FETCH_PAUSE_S)
+
+    def waits_for(self) -> list[str]:
+        """Return the replicas of which a document is expected now."""
+        return list(self._fetches)
+
     def _log_question(self, host: str, now_s: float) -> None:
         """Log which replica is asked, and since when a newer version is known."""
         logger.info(
@@ -108,15 +211,14 @@
             behind_s=round(self.lag.behind_s(now_s), 3),
         )
 
-    def _log_failure(self, host: str, asked_s: float, error: Exception) -> None:
-        """Log a failed fetch, with the time waited and the age of the replica's last update."""
+    def _log_setback(self, event: str, fetch: _Fetch, why: str) -> None:
+        """Log a failed or doubtful fetch, with the age of the replica's last update."""
         now_s = read_clock()
-        self.tallies.count("document_fetches", outcome="failed")
         logger.warning(
-            "document not fetched",
-            host=host,
-            why=repr(error),
-            waited_s=round(now_s - asked_s, 3),
-            heard_s=round(now_s - self._last_heard_s(host), 3),
+            event,
+            host=fetch.host,
+            why=why,
+            waited_s=round(now_s - fetch.asked_s, 3),
+            heard_s=round(now_s - self._last_heard_s(fetch.host), 3),
             behind_s=round(self.lag.behind_s(now_s), 3),
         )
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -21,6 +21,7 @@
     read_version,
 )
 from damaskwind.wire.news import DOCUMENT_PATH, Document, decode_document_request, encode
+from damaskwind.wire.peer_liveness import ALIVE_PATH, answer_alive
 from damaskwind.wire.peers import FORWARD_PREFIX
 
 __all__ = ["DocumentRelay", "WholeDocument"]
@@ -63,7 +64,9 @@
         self._server = HttpServer(self._handle, ServerLimits())
         self.documents_served = 0
         # Handlers of other paths, and the fallback, which takes the platform's heartbeats.
-        self.handlers: dict[bytes, Callable[[Exchange], Awaitable[None]]] = {}
+        self.handlers: dict[bytes, Callable[[Exchange], Awaitable[None]]] = {
+            ALIVE_PATH: answer_alive
+        }
         self.fallback_handler: Callable[[Exchange], Awaitable[None]] = _refuse_unknown
         # The handler of requests that are sent on for another router.
         self.forward_handler: Callable[[Exchange], Awaitable[None]] = _refuse_unknown
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -99,6 +99,8 @@
         self._has_received_eof = False
         self.is_timed_out = False
         self._last_active_s = 0.0
+        # When the answer to the present request was last received from, `None` for not yet.
+        self.last_received_s: float | None = None
         self.made_s = read_clock()
         self.has_stray_bytes = False
         self.is_in_use = False
@@ -155,7 +157,7 @@
             self.has_stray_bytes = True
             self.abort()
             return
-        self._last_active_s = read_clock()
+        self._last_active_s = self.last_received_s = read_clock()
         if self._account is not None:
             self._unread_bytes += len(data)
             self._account.hold(len(data))
@@ -196,6 +198,7 @@
         """Write a whole request."""
         self.is_in_use = True
         self._last_active_s = read_clock()
+        self.last_received_s = None
         self.requests += 1
         headers = [*request.headers]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
--- a/packages/standins/src/damaskwind/standins/narrow_links.py
+++ b/packages/standins/src/damaskwind/standins/narrow_links.py
@@ -45,6 +45,10 @@
             self._next_send_s = max(self._next_send_s, self._loop.time())
             self._send()
 
+    def hold(self, duration_s: float) -> None:
+        """Send nothing for a time, like a VM that stands still; the queue is sent afterwards."""
+        self._next_send_s = max(self._next_send_s, self._loop.time() + duration_s)
+
     def _send(self) -> None:
         """Send queued segments until the link is busy, then schedule the next send."""
         while self._queue and self._next_send_s <= self._loop.time():
--- a/packages/wire/src/damaskwind/wire/document_fetch.py
+++ b/packages/wire/src/damaskwind/wire/document_fetch.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 from loguru import logger
 
@@ -17,19 +19,23 @@
     connect,
     fetch,
 )
-from damaskwind.runtime.http1.messages import Request
+from damaskwind.runtime.http1.messages import Headers, Request
 from damaskwind.wire.news import (
     DOCUMENT_PATH,
+    EXTRA_COPY,
     Document,
     DocumentRequest,
     decode_document,
     encode,
 )
+from damaskwind.wire.peer_liveness import is_answering
+from damaskwind.wire.watched_calls import PROBE_LIMIT_S, WatchedCall
 
 __all__ = ["FETCH_ERRORS", "DocumentFetcher"]
 
 CONNECT_TIMEOUT_S = 0.5
-# A replica takes about 2 s to send a document of 30 KB to fifteen routers.
+# A replica takes about 2 s to send a document of 30 KB to fifteen routers. A source that stands
+# still is noticed much sooner, by questions beside the call.
 ANSWER_TIMEOUT_S = 4.0
 # A router relays a document within half a second, unless others are queued before it.
 RELAY_TIMEOUT_S = 1.5
@@ -47,6 +53,7 @@
         self._port = port
         self._own_host = own_host
         self._connections: dict[str, ClientConnection] = {}
+        self._in_use: dict[str, ClientConnection] = {}
 
     async def fetch(self, host: str, held_version: int) -> Document:
         """Fetch the newest document from a replica or from a router that it refers to.
@@ -57,29 +64,54 @@
         for holder in document.holders:
             try:
                 request = DocumentRequest(held_version, version=document.version)
-                return await self._ask(holder, request, RELAY_TIMEOUT_S)
+                return await self._ask_holder(holder, request)
             except FETCH_ERRORS as error:
                 logger.warning("document not passed on", host=holder, why=repr(error))
-            finally:
-                self._drop(holder)
         if document.holders:
             return await self._ask(host, DocumentRequest(held_version))
         return document
 
-    def _drop(self, host: str) -> None:
-        """Close a connection that won't be reused soon."""
-        connection = self._connections.pop(host, None)
-        if connection is not None:
-            connection.abort()
+    async def fetch_extra(self, host: str, held_version: int) -> Document:
+        """Fetch the newest document from a replica although another source was asked for it.
+
+        A replica at which others wait refuses this, so that a queue doesn't cause further requests.
+        """
+        return await self._ask(host, DocumentRequest(held_version), headers=[EXTRA_COPY])
+
+    def watch(self, host: str, start: Callable[[], Awaitable[Document]]) -> WatchedCall:
+        """Return a fetch from a host together with what tells whether that host runs."""
+        address = Address(host, self._port)
+        probe = partial(is_answering, address, PROBE_LIMIT_S)
+        return WatchedCall(host, start, probe, partial(self._heard_s, host))
+
+    def _heard_s(self, host: str) -> float | None:
+        """Return when the call to a host last received something, `None` for not yet."""
+        connection = self._in_use.get(host)
+        return connection.last_received_s if connection is not None else None
+
+    async def _ask_holder(self, holder: str, request: DocumentRequest) -> Document:
+        """Request a document from another router, to which no connection is kept."""
+        try:
+            return await self._ask(holder, request, RELAY_TIMEOUT_S)
+        finally:
+            connection = self._connections.pop(holder, None)
+            if connection is not None:
+                connection.abort()
 
     async def _ask(
-        self, host: str, message: DocumentRequest, limit_s: float = ANSWER_TIMEOUT_S
+        self,
+        host: str,
+        message: DocumentRequest,
+        limit_s: float = ANSWER_TIMEOUT_S,
+        headers: Headers = (),
     ) -> Document:
         """Request a document from one host."""
         connection = self._connections.pop(host, None)
         if connection is None or not connection.is_open:
             connection = await connect(Address(host, self._port), CONNECT_TIMEOUT_S)
-        request = Request(b"POST", DOCUMENT_PATH, [(b"host", b"control")], encode(message))
+        headers = [(b"host", b"control"), *headers]
+        request = Request(b"POST", DOCUMENT_PATH, headers, encode(message))
+        self._in_use[host] = connection
         try:
             async with asyncio.timeout(limit_s):
                 answer = await fetch(connection, request, ANSWER_LIMIT_BYTES)
@@ -89,6 +121,8 @@
         except BaseException:
             connection.abort()
             raise
+        finally:
+            del self._in_use[host]
         self._connections[host] = connection
         return document
 
--- a/packages/wire/src/damaskwind/wire/news.py
+++ b/packages/wire/src/damaskwind/wire/news.py
@@ -27,6 +27,7 @@
 
 __all__ = [
     "DOCUMENT_PATH",
+    "EXTRA_COPY",
     "NEWS_PATH",
     "SUSPICIONS_PATH",
     "Document",
@@ -62,6 +63,8 @@
 SUSPICIONS_PATH = b"/suspicions"
 # A router that asks another one for its table states in this header that it knows versions.
 VERSIONS_WANTED = (b"x-software-versions", b"1")
+# A router that has asked another source already states this: others' requests go first.
+EXTRA_COPY = (b"x-extra-copy", b"1")
 # Documents are at most 4 MiB, so a body that decompresses to more than this is invalid.
 DOCUMENT_LIMIT_BYTES = 16 * 1024 * 1024
 # A table of sixty targets takes 5.8 KB, and a third of that when compressed.
