A router asks the next source when the router that it was referred to stands still

A router that a replica had referred to another router waited 1.5 s for it, then 1.5 s for the second one, then up to 4 s for the replica, one after the other, though routers stand still without any change of the replicas, so that the bound of 2 s counts in full.

Change: the two routers and the replica are asked as staggered calls (RFC 8305): the next one begins when the one before is silent or has failed, and the first document to arrive counts. Silence is noticed as at replicas, after 0.6 s.

--- a/packages/wire/src/damaskwind/wire/document_fetch.py
+++ b/packages/wire/src/damaskwind/wire/document_fetch.py
@@ -29,7 +29,7 @@
     encode,
 )
 from damaskwind.wire.peer_liveness import is_answering
-from damaskwind.wire.watched_calls import PROBE_LIMIT_S, WatchedCall
+from damaskwind.wire.watched_calls import PROBE_LIMIT_S, WatchedCall, first_result
 
 __all__ = ["FETCH_ERRORS", "DocumentFetcher"]
 
@@ -61,15 +61,15 @@
         Raises one of `FETCH_ERRORS` if the document can't be fetched.
         """
         document = await self._ask(host, DocumentRequest(held_version, self._own_host))
-        for holder in document.holders:
-            try:
-                request = DocumentRequest(held_version, version=document.version)
-                return await self._ask_holder(holder, request)
-            except FETCH_ERRORS as error:
-                logger.warning("document not passed on", host=holder, why=repr(error))
-        if document.holders:
-            return await self._ask(host, DocumentRequest(held_version))
-        return document
+        if not document.holders:
+            return document
+        request = DocumentRequest(held_version, version=document.version)
+        calls = [
+            self.watch(holder, partial(self._ask_holder, holder, request))
+            for holder in document.holders
+        ]
+        calls.append(self.watch(host, partial(self._ask, host, DocumentRequest(held_version))))
+        return await first_result(calls, FETCH_ERRORS, _log_setback)
 
     async def fetch_extra(self, host: str, held_version: int) -> Document:
         """Fetch the newest document from a replica although another source was asked for it.
@@ -131,3 +131,8 @@
         for connection in self._connections.values():
             connection.abort()
         self._connections.clear()
+
+
+def _log_setback(host: str, why: str) -> None:
+    """Log that a router or replica didn't pass on a document, or not yet."""
+    logger.warning("document not passed on", host=host, why=why)
--- a/packages/wire/src/damaskwind/wire/watched_calls.py
+++ b/packages/wire/src/damaskwind/wire/watched_calls.py
@@ -7,13 +7,13 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from enum import StrEnum
 from typing import Any, NamedTuple
 
 from damaskwind.runtime.clock import read_clock
 
-__all__ = ["PROBE_LIMIT_S", "Doubt", "WatchedCall", "wait_until_doubtful"]
+__all__ = ["PROBE_LIMIT_S", "Doubt", "WatchedCall", "first_result", "wait_until_doubtful"]
 
 # A peer that has sent nothing on the call's connection for this time is asked whether it runs.
 # Most calls end sooner, so that the question is rare.
@@ -80,3 +80,74 @@
     finally:
         question.cancel()
         await asyncio.gather(question, return_exceptions=True)
+
+
+class _BegunCalls:
+    """Calls in flight, of which the first to deliver is wanted."""
+
+    def __init__(
+        self, errors: tuple[type[Exception], ...], on_setback: Callable[[str, str], None]
+    ) -> None:
+        self.tasks: dict[asyncio.Future, str] = {}
+        self.last_error: Exception | None = None
+        self._errors = errors
+        self._on_setback = on_setback
+
+    async def wait(self, *others: asyncio.Future) -> asyncio.Future | None:
+        """Wait until a call or one of `others` ends; return the call if it did not fail."""
+        await asyncio.wait({*self.tasks, *others}, return_when=asyncio.FIRST_COMPLETED)
+        for task in [task for task in self.tasks if task.done()]:
+            error = task.exception()
+            if not isinstance(error, self._errors):
+                return task
+            self.last_error = error
+            self._on_setback(self.tasks.pop(task), repr(error))
+        return None
+
+    async def begin(self, call: WatchedCall) -> asyncio.Future | None:
+        """Begin a call; return one that has a result, or `None` once this one is in doubt."""
+        task = asyncio.ensure_future(call.start())
+        self.tasks[task] = call.host
+        watch = asyncio.ensure_future(wait_until_doubtful(task, call))
+        try:
+            while not watch.done():
+                delivered = await self.wait(watch)
+                if delivered is not None:
+                    return delivered
+        finally:
+            watch.cancel()
+        doubt = watch.result()
+        if doubt is not None:
+            self._on_setback(call.host, doubt)
+        return None
+
+    async def cancel(self) -> None:
+        """Cancel the calls that are still in flight."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+async def first_result(
+    calls: Iterable[WatchedCall],
+    errors: tuple[type[Exception], ...],
+    on_setback: Callable[[str, str], None],
+) -> Any:
+    """Return the first result of one or more calls, each begun once the one before is in doubt.
+
+    A call that fails with one of `errors` is in doubt as well. `on_setback` is called with the host
+    of each call in doubt, and the reason. If all calls fail, the last error is raised.
+    """
+    begun = _BegunCalls(errors, on_setback)
+    try:
+        for call in calls:
+            delivered = await begun.begin(call)
+            if delivered is not None:
+                return delivered.result()
+        while begun.tasks:
+            delivered = await begun.wait()
+            if delivered is not None:
+                return delivered.result()
+        raise begun.last_error
+    finally:
+        await begun.cancel()
