A replica that doesn't answer is no longer waited for as the preferred source

Cause: a failed source is passed over for 1 s, whatever has been heard of it since, and a silent one counts as present until its updates are lost after 1.8 s.

Change: a source in doubt because of its silence goes last until it reports again.

--- a/packages/decisions/src/damaskwind/decisions/following/document_sources.py
+++ b/packages/decisions/src/damaskwind/decisions/following/document_sources.py
@@ -55,6 +55,7 @@
         self._node_id = node_id
         self._reports: dict[str, VersionReport] = {}
         self._failed_s: dict[str, float] = {}
+        self._silent: set[str] = set()
         self._first_report_s: float | None = None
 
     def record_version(
@@ -66,10 +67,16 @@
         previous = self._reports.get(host)
         at_s = previous.at_s if previous is not None and previous.version == version else now_s
         self._reports[host] = VersionReport(version, is_current, leads, at_s)
+        self._silent.discard(host)
 
     def remove(self, host: str) -> None:
         """Remove an unreachable replica."""
         self._reports.pop(host, None)
+        self._silent.discard(host)
+
+    def record_silence(self, host: str) -> None:
+        """Record that a replica doesn't answer; it is asked last until it reports again."""
+        self._silent.add(host)
 
     def record_failure(self, host: str, now_s: float) -> None:
         """Record that fetching a document from a replica failed."""
@@ -125,9 +132,9 @@
         return preferred[offset:] + preferred[:offset] + rest
 
     def _demotion_key(self, host: str, now_s: float) -> tuple[bool, bool]:
-        """Return a sort key that puts replicas that failed recently, and the leader, last."""
+        """Return a sort key that puts replicas that failed or are silent, and the leader, last."""
         has_failed = now_s - self._failed_s.get(host, float("-inf")) < FAILURE_COOLDOWN_S
-        return (has_failed, self._reports[host].leads)
+        return (has_failed or host in self._silent, self._reports[host].leads)
 
     def _initial_candidates(
         self, newer: dict[str, VersionReport], host_count: int, now_s: float
--- a/packages/decisions/src/damaskwind/decisions/following/tests/test_document_sources.py
+++ b/packages/decisions/src/damaskwind/decisions/following/tests/test_document_sources.py
@@ -54,6 +54,17 @@
         self.assertNotEqual(sources.choose(6, 6, 0.1), first)
         self.assertEqual(sources.choose(6, 6, FAILURE_COOLDOWN_S + 0.1), first)
 
+    def test_silent_replica_is_not_waited_for_until_it_reports_again(self):
+        """Guards against a wait of 0.3 s for a replica that is known not to answer."""
+        sources = make_sources("r")
+        first = sources.choose(6, 6, 0.0)
+        sources.record_silence(first)
+        for host in set(HOSTS) - {first}:
+            sources.record_version(host, 8, True, host == "a", 5.0)
+        self.assertNotIn(sources.choose(7, 6, 5.0), (None, "a"))
+        sources.record_version(first, 8, True, False, 5.1)
+        self.assertEqual(sources.choose(7, 6, 5.1), first)
+
     def test_leader_is_asked_if_the_others_do_not_report_the_version(self):
         sources = make_sources("r", version=6)
         sources.record_version("a", 7, True, True, 1.0)
--- a/packages/router/src/damaskwind/router/forwarding/document_follower.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_follower.py
@@ -150,9 +150,12 @@
         """Record that a source is in doubt, so that another one is asked."""
         if fetch.doubt.cancelled() or fetch.doubt.result() is None:
             return
+        doubt = fetch.doubt.result()
         self._sources.record_failure(fetch.host, read_clock())
-        self.tallies.count("document_fetches", outcome=fetch.doubt.result())
-        self._log_setback("document source in doubt", fetch, fetch.doubt.result())
+        if doubt is Doubt.SILENT:
+            self._sources.record_silence(fetch.host)
+        self.tallies.count("document_fetches", outcome=doubt)
+        self._log_setback("document source in doubt", fetch, doubt)
         self.has_update.set()
 
     async def _take_document(self) -> None:
