A router that starts doesn't wait 2.5 s for the table of a router that stands still

A router that starts is named two routers that have the table of targets. It waited 2.5 s for the first one, in which it did not know of targets that leave (bound: 2 s).

Cause: a wait on one peer ended by a fixed time, while another one could serve.

Change: the table is fetched by the same staggered calls as documents: silence is noticed after 0.6 s, a router whose queue is long keeps its call, and one that refuses is left at once.

--- a/packages/router/src/damaskwind/router/forwarding/table_exchange.py
+++ b/packages/router/src/damaskwind/router/forwarding/table_exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from loguru import logger
 
@@ -17,6 +18,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import (
     AnswerBrokenError,
+    ClientConnection,
     ConnectFailedError,
     connect,
     fetch,
@@ -33,6 +35,8 @@
     pack_answer,
     unpack_answer,
 )
+from damaskwind.wire.peer_liveness import is_answering
+from damaskwind.wire.watched_calls import PROBE_LIMIT_S, WatchedCall, first_result
 
 __all__ = ["TableExchange"]
 
@@ -46,6 +50,7 @@
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 # A packed copy is reused for this time: packing 3,000 targets takes some 10 ms.
 COPY_S = 0.25
+_FETCH_ERRORS = (AnswerBrokenError, ConnectFailedError, MessageError, TimeoutError)
 
 
 class TableExchange:
@@ -72,6 +77,7 @@
         self._copies = {True: Answer(503, []), False: Answer(503, [])}
         self._copied_s = float("-inf")
         self._fetching: asyncio.Task | None = None
+        self._in_use: dict[str, ClientConnection] = {}
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer with a copy of the table, or 503 if the queue is too long."""
@@ -111,21 +117,40 @@
             await asyncio.gather(self._fetching, return_exceptions=True)
 
     async def _fetch(self, hosts: tuple[str, ...]) -> None:
-        for host in hosts:
-            try:
-                self._merge(host, await self._ask(host))
-                return
-            except (AnswerBrokenError, ConnectFailedError, MessageError, TimeoutError) as error:
-                logger.info("targets not fetched", host=host, why=repr(error))
-
-    async def _ask(self, host: str) -> TableCopy:
+        """Fetch from the first host; from the next one as well if it is silent or fails."""
+        try:
+            host, copy = await first_result(map(self._watch, hosts), _FETCH_ERRORS, _log_setback)
+        except _FETCH_ERRORS:
+            # The replicas send their tables in parts meanwhile.
+            return
+        self._merge(host, copy)
+
+    def _watch(self, host: str) -> WatchedCall:
+        """Return a fetch from a host together with what tells whether that host runs."""
+        probe = partial(is_answering, Address(host, self._port), PROBE_LIMIT_S)
+        return WatchedCall(host, partial(self._ask, host), probe, partial(self._heard_s, host))
+
+    def _heard_s(self, host: str) -> float | None:
+        """Return when the call to a host last received something, `None` for not yet."""
+        connection = self._in_use.get(host)
+        return connection.last_received_s if connection is not None else None
+
+    async def _ask(self, host: str) -> tuple[str, TableCopy]:
+        """Fetch the table of one router; return it with the router's host."""
         connection = await connect(Address(host, self._port), CONNECT_TIMEOUT_S)
+        self._in_use[host] = connection
         try:
             request = Request(b"POST", TABLE_PATH, [(b"host", b"router"), VERSIONS_WANTED], b"")
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 answer = await fetch(connection, request, ANSWER_LIMIT_BYTES)
             if answer.status != 200:
                 raise AnswerBrokenError(f"status {answer.status}")
-            return decode_table(unpack_answer(answer))
+            return host, decode_table(unpack_answer(answer))
         finally:
+            del self._in_use[host]
             connection.abort()
+
+
+def _log_setback(host: str, why: str) -> None:
+    """Log that a router didn't send its table, or not yet."""
+    logger.info("targets not fetched", host=host, why=why)
