`damaskwind status` shows which routers of the forwarding path are behind, and whom they wait for

A router that waited 4 s for a document showed nothing of it to operators until it had given up. Routers on the platform now answer `GET /operator/v1/router` at their metrics address: version in force, newest version known, seconds behind, and the replicas of which a document is expected.

--- a/packages/commands/src/damaskwind/commands/operator_status.py
+++ b/packages/commands/src/damaskwind/commands/operator_status.py
@@ -47,11 +47,26 @@
     }
 
 
+def _own_report(body: dict[str, Any]) -> dict[str, Any]:
+    """Return what a router reports about itself.
+
+    `behind_s` is for how long it has known of a newer revision, and `waits_for` names the replicas
+    that it has asked for it. Routers on the path of the chats report neither.
+    """
+    return {
+        "revision": body.get("revision_in_force", 0),
+        "age_s": 0.0,
+        "behind_s": body.get("behind_s"),
+        "waits_for": body.get("waits_for", []),
+    }
+
+
 def gather_status(client: OperatorClient) -> FleetStatus:
     """Request the status of every endpoint and combine the answers."""
     replicas: dict[str, dict[str, Any]] = {}
     direct: dict[str, dict[str, Any]] = {}
     silent: dict[str, str] = {}
+    known: list[int] = []
     for endpoint in client.endpoints:
         kind, answer = _request_status(client, endpoint)
         if not answer.is_success:
@@ -62,10 +77,10 @@
             replicas[str(endpoint)] = answer.body
         else:
             router_id = str(answer.body.get("router_id", endpoint))
-            revision = answer.body.get("revision_in_force", 0)
-            direct[router_id] = {"revision": revision, "age_s": 0.0}
+            direct[router_id] = _own_report(answer.body)
+            known.append(answer.body.get("revision_known", 0))
     routers = _latest_reports(replicas) | direct
-    seen = [body.get("revision", 0) for body in replicas.values()]
+    seen = known + [body.get("revision", 0) for body in replicas.values()]
     revision = max(seen + [item["revision"] for item in routers.values()], default=0)
     for item in routers.values():
         item["lag"] = revision - item["revision"]
@@ -79,6 +94,12 @@
     return [endpoint, *details, body.get("revision"), body.get("audit_head", {}).get("sequence")]
 
 
+def _router_row(name: str, item: dict[str, Any]) -> list[Any]:
+    """Return the table row of one router."""
+    figures = [item["revision"], item["lag"], item["age_s"]]
+    return [name, *figures, item.get("behind_s"), item.get("waits_for", [])]
+
+
 def status_text(status: FleetStatus) -> str:
     """Format a fleet's status as text."""
     parts = [f"revision {status.revision}"]
@@ -87,11 +108,9 @@
         rows = [_replica_row(name, body) for name, body in status.replicas.items()]
         parts.append(columns(titles, rows))
     if status.routers:
-        rows = [
-            (name, item["revision"], item["lag"], item["age_s"])
-            for name, item in sorted(status.routers.items())
-        ]
-        parts.append(columns(("router", "in force", "lag", "reported s ago"), rows))
+        titles = ("router", "in force", "lag", "reported s ago", "behind s", "waits for")
+        rows = [_router_row(name, item) for name, item in sorted(status.routers.items())]
+        parts.append(columns(titles, rows))
     newest = max(status.replicas.values(), key=lambda body: body["revision"], default={})
     if newest.get("changes"):
         rows = [
--- a/packages/commands/src/damaskwind/commands/tests/test_operator.py
+++ b/packages/commands/src/damaskwind/commands/tests/test_operator.py
@@ -40,7 +40,7 @@
 def router_app():
     """Return an application that answers like a router."""
     answers = {
-        ("GET", "/router"): '{"router_id":"router-2","revision_in_force":1}',
+        ("GET", "/router"): '{"router_id":"router-2","revision_in_force":1,"behind_s":0.75}',
         ("GET", "/targets"): '{"targets":[{"target_id":"e1"}]}',
         ("POST", "/targets/e1/drain"): '{"target_id":"e1","state":"leaving"}',
         ("GET", "/requests/r-1"): '{"request_id":"r-1"}',
@@ -170,7 +170,7 @@
             self.assertEqual(answer["routers"]["router-2"]["lag"], 0)
             self.assertEqual(list(answer["silent"]), ["http://127.0.0.1:1"])
             done = await self.run_command("status", endpoints=both)
-            self.assertIn("router-2", done.stdout)
+            self.assertRegex(done.stdout, r"router-2 .* 0\.75")
             for command, expected in (
                 (("targets",), "e1"),
                 (("drain", "e1"), "leaving"),
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -21,6 +21,7 @@
 from damaskwind.router.forwarding.held_bytes import HeldBytes
 from damaskwind.router.forwarding.peer_links import PeerLinks
 from damaskwind.router.forwarding.settings import ForwardingSettings
+from damaskwind.router.forwarding.status_site import ROUTER_STATUS_PATH, RouterStatusSite
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
@@ -87,6 +88,7 @@
         )
         self.peers, self.attempt_relay = self._make_relay(names, random)
         self._metrics = MetricsSite(self.tallies)
+        self._metrics.handlers[ROUTER_STATUS_PATH] = RouterStatusSite(self.view).handle
         self.held_bytes = self._make_held_bytes(names)
         self._callers = HttpServer(self.forwarder.handle, ServerLimits(), self.held_bytes)
         self._ready = HttpServer(self._answer_ready, READY_LIMITS)
