--- a/packages/control/src/damaskwind/control/fleet/tests/test_news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_news_site.py
@@ -1,9 +1,11 @@
 """Tests of what a replica's site sends to subscribers of this and of earlier versions."""
 
+import asyncio
 from types import SimpleNamespace
 
 from twisted.trial.unittest import TestCase
 
+from damaskwind.control.fleet.document_cache import DocumentCache
 from damaskwind.control.fleet.news_feed import NewsFeed
 from damaskwind.control.fleet.news_site import NewsSite
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
@@ -12,13 +14,17 @@
 from damaskwind.runtime.http1.messages import Request
 from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.news import (
+    DOCUMENT_PATH,
+    EXTRA_COPY,
     NEWS_PATH,
+    DocumentRequest,
     NewsRequest,
     SubscriberKind,
     decode_news,
     encode,
     unpack_answer,
 )
+from damaskwind.wire.peer_liveness import ALIVE_PATH
 
 RECORD = TargetRecord("i-1", "s", Address("10.0.0.9", 80), "d", TargetPhase.SERVING, 4, 8)
 
@@ -40,3 +46,40 @@
                 await site.handle(SimpleNamespace(request=message, respond=answers.append))
                 news = decode_news(unpack_answer(answers[0]))
                 self.assertEqual([item.version for item in news.records], [version])
+
+
+class ExtraCopyTest(TestCase):
+    """A replica whose link takes 0.3 s for a document, and routers that ask for a second copy."""
+
+    timeout = 10
+
+    def setUp(self):
+        documents, content = DocumentCache(), bytes(range(256)) * 10
+        documents.put(7, content)
+        size_bytes = len(documents.newest_for(0).packed)
+        feed = NewsFeed(lambda: 7, lambda: True, lambda: ("h",))
+        self.site = NewsSite(feed, documents, Tallies(), size_bytes / 0.6 / 0.3)
+
+    async def ask(self, *headers, path=DOCUMENT_PATH):
+        """Return the status of the answer to a call."""
+        answers = []
+        request = Request(b"POST", path, list(headers), encode(DocumentRequest(0)))
+        await self.site.handle(SimpleNamespace(request=request, respond=answers.append))
+        return answers[0].status
+
+    @asyncio_test
+    async def test_extra_copy_is_refused_while_others_wait_for_their_only_one(self):
+        """Guards against a queue that causes more requests the longer it is."""
+        self.assertEqual(await self.ask(EXTRA_COPY), 200)
+        self.assertEqual(await self.ask(EXTRA_COPY), 503)
+        self.assertEqual(await self.ask(), 200)
+
+    @asyncio_test
+    async def test_question_whether_it_runs_is_answered_while_documents_wait(self):
+        """Guards against a sound replica that seems to stand still since its queue is long."""
+        waiting = [asyncio.ensure_future(self.ask()) for _ in range(3)]
+        await asyncio.sleep(0)
+        async with asyncio.timeout(0.05):
+            self.assertEqual(await self.ask(path=ALIVE_PATH), 204)
+        self.assertFalse(waiting[-1].done())
+        await asyncio.gather(*waiting)
--- a/packages/standins/src/damaskwind/standins/narrow_links.py
+++ b/packages/standins/src/damaskwind/standins/narrow_links.py
@@ -49,6 +49,10 @@
         """Send nothing for a time, like a VM that stands still; the queue is sent afterwards."""
         self._next_send_s = max(self._next_send_s, self._loop.time() + duration_s)
 
+    def slow_down(self, bytes_per_s: float) -> None:
+        """Send what is queued from now on at another rate."""
+        self._bytes_per_s = bytes_per_s
+
     def _send(self) -> None:
         """Send queued segments until the link is busy, then schedule the next send."""
         while self._queue and self._next_send_s <= self._loop.time():
