A peer has 0.3 s to answer whether it runs

Hypothesis: of the 0.6 s until silence is noticed, the limit of 0.4 s for the answer is more than a running process needs, and at 195 and 300 routers it puts the last ones beyond the goal of 1 s.

--- a/packages/wire/src/damaskwind/wire/watched_calls.py
+++ b/packages/wire/src/damaskwind/wire/watched_calls.py
@@ -20,7 +20,7 @@
 PROBE_AFTER_S = 0.2
 # A process that runs answers within some ms, or later if its processor or link is busy: a document
 # of 30 KB takes 0.08 s on a link of 3 Mbit/s.
-PROBE_LIMIT_S = 0.4
+PROBE_LIMIT_S = 0.3
 
 
 class Doubt(StrEnum):
