An unframed answer of a leaving target that is killed is no longer taken for whole

Cause: a target that is leaving may exit after its answer, so the check whether it outlived the end of an unframed answer was left out for it. It may as well be killed before the end.

Change: "leaving" is no proof any more. Two tests asked for the former exception ("may exit after its answer"); they were wrong, as an answer that ends early must not look complete and nothing tells the two apart. Five stand in their place: three with a killed target, one that answers of a leaving target that runs on are whole, one that a whole stream is ended elsewhere.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.tallies import Tallies
@@ -29,7 +29,8 @@
         """Return whether a target ended the unframed answer that has just ended.
 
         The proof is from `SETTLE_S` after the end, or later: all connections of a process that
-        exits are closed by then. A target that is leaving may exit after its answer.
+        exits are closed by then. That a target is leaving proves nothing: it may be killed before
+        it has ended its answers.
         """
         found = await self._find_proof(target)
         self._tallies.count("unframed_end_checks", found=found)
@@ -37,14 +38,10 @@
 
     async def _find_proof(self, target: TargetRecord) -> str:
         """Return what shows that an answer was ended by its target, or `nothing`."""
-        if self._is_leaving(target):
-            return "leaving"
         target_id = target.target_id
         has_open = self._connections.has_open(target_id)
         probe = None if has_open else self._probe(target)
         await asyncio.sleep(SETTLE_S)
-        if self._is_leaving(target):
-            return "leaving"
         if not self._is_same_life(target):
             return "nothing"
         # A shared probe may have begun before this end. It proves nothing then, but the connection
@@ -56,11 +53,6 @@
             return "nothing"
         return "probe" if await asyncio.shield(self._probe(target)) else "nothing"
 
-    def _is_leaving(self, target: TargetRecord) -> bool:
-        """Return whether a target may exit by itself, as in `CrashDetector`."""
-        phase = self._target_states.view.targets.phase_of(target.target_id)
-        return phase is not TargetPhase.SERVING or self._target_states.has_announced_leaving(target)
-
     def _is_same_life(self, target: TargetRecord) -> bool:
         """Return whether the process that was sent to is the one that is registered now."""
         known = self._target_states.view.targets.record_of(target.target_id)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -183,26 +183,64 @@
             await asyncio.sleep(0.1)
             self.assertEqual(len(crashed), number + 1, body)
 
+    def leave(self, request):
+        """Make the target that got a request known as leaving."""
+        for number, target in enumerate(self.targets):
+            record = self.view.targets.record_of(f"t{number}")
+            if request in target.received:
+                self.admit(f"t{number}", record.address, TargetPhase.LEAVING, 101)
+
+    def leaving_and(self, step):
+        """Return a step whose target is known as leaving before it answers."""
+
+        async def leave_and_answer(writer, request):
+            self.leave(request)
+            await step(writer, request)
+
+        return leave_and_answer
+
+    def both_ways_of_leaving(self, body, then):
+        """Return a step of a target that says it leaves, and one of a target known to."""
+        fields = (EVENTS,) if body.startswith(b"id:") else ()
+        said = (*fields, NAMES.leaving + b": 1")
+        return then(body, said), self.leaving_and(then(body, fields))
+
     @asyncio_test
-    async def test_target_that_is_leaving_may_exit_after_its_answer(self):
-        """Guards against whole answers that are called cut in a release."""
-        self.publish(route(RouteKind.NON_IDEMPOTENT))
-        self.share(self.at_exit(b"whole", (NAMES.leaving + b": 1",)))
-        self.assertEqual((await self.call()).body, b"whole")
+    async def test_stream_of_a_leaving_target_that_is_killed_does_not_look_complete(self):
+        """Guards against a last chunk after 36 of 60 events, as its target was leaving."""
+        self.publish(route(RouteKind.STREAMING))
+        for step in self.both_ways_of_leaving(event(1) + event(2), self.at_exit):
+            self.share(step)
+            self.assertEqual(await self.read(), (event(1) + event(2), False))
+
+    @asyncio_test
+    async def test_stream_of_a_leaving_target_that_is_killed_goes_on_elsewhere(self):
+        self.publish(route(RouteKind.STREAMING, is_resumable=True))
+        self.share(self.leaving_and(self.at_exit(event(1) + event(2))), stream(3, 3))
+        self.assertEqual(await self.read(), (THREE_EVENTS, True))
 
     @asyncio_test
-    async def test_target_known_to_be_leaving_may_exit_after_its_answer(self):
+    async def test_answer_of_a_leaving_target_that_is_killed_is_refused_as_maybe_run(self):
+        """Guards against a cut body that is passed on with a length that fits it."""
         self.publish(route(RouteKind.NON_IDEMPOTENT))
+        for step in self.both_ways_of_leaving(b"who", self.at_exit):
+            self.share(step)
+            self.assertEqual((await self.call()).status, 502)
 
-        async def leave_and_answer(writer, request):
-            for number, target in enumerate(self.targets):
-                record = self.view.targets.record_of(f"t{number}")
-                if request in target.received:
-                    self.admit(f"t{number}", record.address, TargetPhase.LEAVING, 101)
-            await self.at_exit(b"whole")(writer, request)
+    @asyncio_test
+    async def test_leaving_target_that_runs_on_has_ended_its_answer(self):
+        """Guards against whole answers that are called cut in a release."""
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        for step in self.both_ways_of_leaving(b"whole", unframed):
+            self.share(step)
+            self.assertEqual((await self.call()).body, b"whole")
 
-        self.share(leave_and_answer)
-        self.assertEqual((await self.call()).body, b"whole")
+    @asyncio_test
+    async def test_whole_stream_of_a_leaving_target_that_exits_is_ended_elsewhere(self):
+        """Guards against a caller that has all events and is never told the end."""
+        self.publish(route(RouteKind.STREAMING, is_resumable=True))
+        self.share(self.leaving_and(self.at_exit(THREE_EVENTS)), unframed(b""))
+        self.assertEqual(await self.read(), (THREE_EVENTS, True))
 
 
 class HeldTargetGoneTest(HeldBytesTestCase, TargetGoneAtTheEndTest):
