A replica that referred a router to others is not asked meanwhile whether it runs

Hypothesis: at 300 routers most wait for other routers, and all of them go on asking the replica that referred them, which sends them nothing. Their questions take its time.

The new test failed before: three questions in place of none.

--- a/packages/router/src/damaskwind/router/forwarding/tests/test_document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_document_relay.py
@@ -12,7 +12,14 @@
 from damaskwind.runtime.http1.messages import Answer, Request
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.wire.document_fetch import DocumentFetcher
-from damaskwind.wire.news import Document, decode_document_request, encode, pack_document
+from damaskwind.wire.news import (
+    DOCUMENT_PATH,
+    Document,
+    decode_document_request,
+    encode,
+    pack_document,
+)
+from damaskwind.wire.watched_calls import wait_until_doubtful
 
 REPLICA, DEAD, HOLDER = "127.79.0.1", "127.79.0.2", "127.79.0.3"
 WHOLE = Document(7, pack_document(b"seven"))
@@ -29,6 +36,7 @@
     async def start(self):
         self.document = WHOLE
         self.asked = []
+        self.targets = []
         self.named = (DEAD, HOLDER)
         self.replica = HttpServer(self.answer, ServerLimits())
         self.port = self.replica.listen(REPLICA, 0)
@@ -56,6 +64,7 @@
             connection.abort()
 
     async def answer(self, exchange):
+        self.targets.append(exchange.request.target)
         request = decode_document_request(exchange.request.body)
         self.asked.append(request)
         named = self.named if request.host else ()
@@ -83,6 +92,18 @@
         self.assertEqual(await fetching, WHOLE)
         self.assertEqual(self.relay.documents_served, 1)
 
+    @asyncio_test
+    async def test_replica_that_referred_to_a_router_is_asked_nothing_meanwhile(self):
+        """Guards against questions of all routers at replicas that send to none of them."""
+        self.document, self.named = Document(6, b""), (HOLDER,)
+        watched = self.fetcher.watch(REPLICA, lambda: self.fetcher.fetch(REPLICA, 6))
+        fetching = asyncio.ensure_future(watched.start())
+        doubting = asyncio.ensure_future(wait_until_doubtful(fetching, watched))
+        await asyncio.sleep(0.7)
+        self.document = WHOLE
+        self.assertEqual((await fetching, await doubting), (WHOLE, None))
+        self.assertEqual(self.targets, [DOCUMENT_PATH])
+
     @asyncio_test
     async def test_router_without_the_document_refuses_within_the_wait_limit(self):
         self.document = Document(0, b"")
--- a/packages/wire/src/damaskwind/wire/document_fetch.py
+++ b/packages/wire/src/damaskwind/wire/document_fetch.py
@@ -54,6 +54,8 @@
         self._own_host = own_host
         self._connections: dict[str, ClientConnection] = {}
         self._in_use: dict[str, ClientConnection] = {}
+        # The replicas that referred this router to others, whose answers it waits for.
+        self._referred_by: set[str] = set()
 
     async def fetch(self, host: str, held_version: int) -> Document:
         """Fetch the newest document from a replica or from a router that it refers to.
@@ -64,12 +66,16 @@
         if not document.holders:
             return document
         request = DocumentRequest(held_version, version=document.version)
+        self._referred_by.add(host)
         calls = [
             self.watch(holder, partial(self._ask_holder, holder, request))
             for holder in document.holders
         ]
-        calls.append(self.watch(host, partial(self._ask, host, DocumentRequest(held_version))))
-        return await first_result(calls, FETCH_ERRORS, _log_setback)
+        calls.append(self.watch(host, partial(self._ask_after_all, host, held_version)))
+        try:
+            return await first_result(calls, FETCH_ERRORS, _log_setback)
+        finally:
+            self._referred_by.discard(host)
 
     async def fetch_extra(self, host: str, held_version: int) -> Document:
         """Fetch the newest document from a replica although another source was asked for it.
@@ -80,15 +86,25 @@
 
     def watch(self, host: str, start: Callable[[], Awaitable[Document]]) -> WatchedCall:
         """Return a fetch from a host together with what tells whether that host runs."""
-        address = Address(host, self._port)
-        probe = partial(is_answering, address, PROBE_LIMIT_S)
-        return WatchedCall(host, start, probe, partial(self._heard_s, host))
+        probe, heard_s = partial(self._is_answering, host), partial(self._heard_s, host)
+        return WatchedCall(host, start, probe, heard_s)
+
+    async def _is_answering(self, host: str) -> bool:
+        """Return whether a host runs; a replica that referred to others isn't asked that."""
+        if host in self._referred_by:
+            return True
+        return await is_answering(Address(host, self._port), PROBE_LIMIT_S)
 
     def _heard_s(self, host: str) -> float | None:
         """Return when the call to a host last received something, `None` for not yet."""
         connection = self._in_use.get(host)
         return connection.last_received_s if connection is not None else None
 
+    async def _ask_after_all(self, host: str, held_version: int) -> Document:
+        """Request a document from the replica that referred to others, without a referral."""
+        self._referred_by.discard(host)
+        return await self._ask(host, DocumentRequest(held_version))
+
     async def _ask_holder(self, holder: str, request: DocumentRequest) -> Document:
         """Request a document from another router, to which no connection is kept."""
         try:
