A fetch that ends while the others are canceled is not taken for one in doubt

Found by reading: the watch of a fetch ends without a doubt once its document is there. If that happens between handling the results and choosing the next source, another one was asked for nothing. A fetch is in doubt now only if its watch found a doubt.

--- a/packages/router/src/damaskwind/router/forwarding/document_follower.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_follower.py
@@ -46,17 +46,18 @@
     asked_s: float
     is_extra: bool
     document: asyncio.Task
-    doubt: asyncio.Task
+    watch: asyncio.Task
 
     @property
-    def is_doubtful(self) -> bool:
-        """Return whether the replica is silent, or the fetch overdue."""
-        return self.doubt.done()
+    def doubt(self) -> Doubt | None:
+        """Return why the fetch is in doubt, `None` if it is not."""
+        has_result = self.watch.done() and not self.watch.cancelled()
+        return self.watch.result() if has_result else None
 
     def cancel(self) -> None:
         """Stop waiting for the document."""
         self.document.cancel()
-        self.doubt.cancel()
+        self.watch.cancel()
 
 
 class DocumentFollower:
@@ -109,7 +110,7 @@
 
     async def _wait(self) -> None:
         """Wait until a fetch ends or is in doubt, or the sources may have changed."""
-        may_ask = all(fetch.is_doubtful for fetch in self._fetches.values())
+        may_ask = all(fetch.doubt for fetch in self._fetches.values())
         is_pending = may_ask and self._sources.has_newer(self._known_version())
         with suppress(TimeoutError):
             async with asyncio.timeout(SOURCE_RECHECK_S if is_pending else None):
@@ -119,9 +120,9 @@
     def _ask_next_source(self) -> None:
         """Start a fetch if a newer version is known and no fetch in flight is relied upon."""
         now_s = read_clock()
-        doubts = [fetch.doubt.result() for fetch in self._fetches.values() if fetch.is_doubtful]
-        is_full = len(self._fetches) == MAX_FETCHES
-        if len(doubts) < len(self._fetches) or is_full or now_s < self._may_ask_s:
+        doubts = [fetch.doubt for fetch in self._fetches.values()]
+        is_full = len(doubts) == MAX_FETCHES
+        if None in doubts or is_full or now_s < self._may_ask_s:
             return
         host = self._sources.choose(
             self._known_version(), self._replica_count(), now_s, self._fetches
@@ -140,17 +141,17 @@
     def _begin(self, call: WatchedCall, now_s: float, is_extra: bool) -> _Fetch:
         """Start a fetch, and the questions whether its source runs."""
         document = asyncio.ensure_future(call.start())
-        doubt = asyncio.ensure_future(wait_until_doubtful(document, call, OVERDUE_S))
-        fetch = _Fetch(call.host, now_s, is_extra, document, doubt)
+        watch = asyncio.ensure_future(wait_until_doubtful(document, call, OVERDUE_S))
+        fetch = _Fetch(call.host, now_s, is_extra, document, watch)
         document.add_done_callback(lambda _: self.has_update.set())
-        doubt.add_done_callback(lambda _: self._handle_doubt(fetch))
+        watch.add_done_callback(lambda _: self._handle_watch(fetch))
         return fetch
 
-    def _handle_doubt(self, fetch: _Fetch) -> None:
-        """Record that a source is in doubt, so that another one is asked."""
-        if fetch.doubt.cancelled() or fetch.doubt.result() is None:
+    def _handle_watch(self, fetch: _Fetch) -> None:
+        """Record a source that is in doubt, so that another one is asked."""
+        doubt = fetch.doubt
+        if doubt is None:
             return
-        doubt = fetch.doubt.result()
         self._sources.record_failure(fetch.host, read_clock())
         if doubt is Doubt.SILENT:
             self._sources.record_silence(fetch.host)
@@ -162,7 +163,7 @@
         """Handle the fetches that ended; after a newer document, cancel the others."""
         for fetch in [item for item in self._fetches.values() if item.document.done()]:
             del self._fetches[fetch.host]
-            fetch.doubt.cancel()
+            fetch.watch.cancel()
             if self._receive_from(fetch):
                 await self._cancel_fetches()
                 return
@@ -172,7 +173,7 @@
         fetches, self._fetches = list(self._fetches.values()), {}
         for fetch in fetches:
             fetch.cancel()
-        tasks = [task for fetch in fetches for task in (fetch.document, fetch.doubt)]
+        tasks = [task for fetch in fetches for task in (fetch.document, fetch.watch)]
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _receive_from(self, fetch: _Fetch) -> bool:
