--- a/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_attempt_relay.py
@@ -244,8 +244,22 @@
             await self.send(self.request())
 
     @asyncio_test
-    async def test_unframed_answer_of_a_target_that_is_leaving_is_whole(self):
-        self.targets[0].script = [self.at_exit(b"whole", (NAMES.leaving + b": 1",))]
+    async def test_unframed_answer_whose_leaving_target_is_gone_does_not_look_complete(self):
+        """Guards against a last chunk after the answer of a leaving target that was killed."""
+        self.targets[0].script = [self.at_exit(b"who", (NAMES.leaving + b": 1",))]
+        with self.assertRaises(AnswerBrokenError):
+            await self.send(self.request())
+
+    @asyncio_test
+    async def test_unframed_stream_whose_leaving_target_is_gone_does_not_look_complete(self):
+        fields = (b"content-type: text/event-stream", NAMES.leaving + b": 1")
+        self.targets[0].script = [self.at_exit(event(1), fields)]
+        with self.assertRaises(AnswerBrokenError):
+            await self.send(self.request())
+
+    @asyncio_test
+    async def test_unframed_answer_of_a_leaving_target_that_goes_on_is_whole(self):
+        self.targets[0].script = [unframed(b"whole", (NAMES.leaving + b": 1",))]
         self.assertEqual((await self.send(self.request())).body, b"whole")
 
     @asyncio_test
