--- a/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_fleet_view.py
@@ -9,11 +9,12 @@
 
 from damaskwind.decisions.following.document_sources import INITIAL_WAIT_S
 from damaskwind.model.exception import ConfigurationError
+from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.router.forwarding import fleet_view
-from damaskwind.router.forwarding.document_follower import FETCH_PAUSE_S
+from damaskwind.router.forwarding.document_follower import FETCH_PAUSE_S, OVERDUE_S
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.runtime.bridge import asyncio_test
-from damaskwind.runtime.clock import override_clock
+from damaskwind.runtime.clock import override_clock, read_clock
 from damaskwind.runtime.http1.client import ConnectFailedError
 from damaskwind.wire.news import Document, News, pack_document
 
@@ -111,3 +112,46 @@
         table = SimpleNamespace(version=5)
         asked = await self.fetches_in(0.35, lambda: Document(7, b"", base_version=3), table)
         self.assertEqual([held_version for _, held_version in asked][:3], [5, 0, 0])
+
+
+class OverdueSourceTest(TestCase):
+    """A router whose first source answers questions and never delivers."""
+
+    timeout = 20
+
+    @asyncio_test
+    async def test_extra_copy_is_asked_for_once_a_fetch_is_overdue(self):
+        """Guards against a wait of 4 s for a document whose bytes trickle."""
+        asked, extra = [], []
+
+        async def never(fetcher, host, held_version):
+            asked.append(host)
+            await asyncio.sleep(60)
+
+        async def deliver(fetcher, host, held_version):
+            extra.append(host)
+            return Document(7, pack_document(b"7"))
+
+        async def answers(fetcher, host):
+            return True
+
+        view = FleetView("r", (), 1, lambda body: TrafficConfiguration(int(body)), Random(1))
+        fetcher = fleet_view.DocumentFetcher
+        with (
+            patch.object(fetcher, "fetch", never),
+            patch.object(fetcher, "fetch_extra", deliver),
+            patch.object(fetcher, "_is_answering", answers),
+        ):
+            view.start()
+            begun_s = read_clock()
+            for host in "abc":
+                view.sources.record_version(host, 7, True, False, begun_s)
+            view.documents.observe_versions()
+            while not view.known_version():
+                await asyncio.sleep(0.02)
+            took_s = read_clock() - begun_s
+            await view.stop()
+        self.assertEqual((len(asked), len(extra)), (1, 1))
+        self.assertNotEqual(asked, extra)
+        self.assertGreaterEqual(took_s, OVERDUE_S)
+        self.assertLess(took_s, 2.0)
