An attempt that is given up for silence logs what was known of its target

The line says for how long the target was silent on this and on all connections, the age of its heartbeat, how many requests wait there, and how many events the caller has. It tells a target that stands still (silent everywhere, 20 and more wait) from one that hangs on one request. No change of behaviour.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -272,6 +272,7 @@
             is_lost = _is_connection_lost(connection) or bool(path.via)
             return AttemptOutcome(AttemptEnd.BROKEN, str(error), is_connection_lost=is_lost)
         except TimeoutError:
+            self._log_given_up(path, connection, call, target, delivery)
             path.record_stalled()
             return AttemptOutcome(AttemptEnd.STALLED, "the target was silent")
         finally:
@@ -283,6 +284,34 @@
             if connection.is_in_use:
                 connection.abort()
 
+    def _log_given_up(
+        self,
+        path: TargetPath,
+        connection: ClientConnection,
+        call: Call,
+        target: TargetRecord,
+        delivery: Delivery,
+    ) -> None:
+        """Log an attempt that is given up for silence, with what is known of its target."""
+        now_s, target_id = read_clock(), target.target_id
+        silent_s = self.activity.silent_s(target_id, now_s, last_woken_s())
+        heard_s = connection.last_received_s
+        known = self._target_states.view.targets.record_of(target_id)
+        heartbeat_s = self._target_states.view.targets.last_seen_s(target_id) if known else None
+        logger.info(
+            "attempt given up",
+            request=call.facts.request_id.decode("latin-1"),
+            target=target_id,
+            via=path.via,
+            heard_ms=None if heard_s is None else int((now_s - heard_s) * 1000),
+            target_silent_ms=int(silent_s * 1000),
+            heartbeat_age_ms=None if heartbeat_s is None else int((now_s - heartbeat_s) * 1000),
+            waiting=self.activity.waiting(target_id),
+            events=delivery.events,
+            sends=call.sends,
+            left_ms=int(call.left_s() * 1000),
+        )
+
     def _expect_sound(self, path: TargetPath, target: TargetRecord) -> asyncio.TimerHandle | None:
         """Check the path to a target that is silent for a while; return the timer."""
         reach = self._target_states.reach
--- a/packages/router/src/damaskwind/router/forwarding/target_activity.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_activity.py
@@ -45,6 +45,10 @@
         if not waiting:
             self._waiting.pop(target_id, None)
 
+    def waiting(self, target_id: str) -> int:
+        """Return how many requests wait for a target."""
+        return len(self._waiting.get(target_id, ()))
+
     def record_received(self, target_id: str, now_s: float) -> None:
         """Record that a target sent something."""
         self._received_s[target_id] = now_s
