Requests that end without a complete answer are counted and logged by reason

Until now a connection that was closed without an answer had no line of its own, and a canceled handler was logged as 'caller left'. The server of callers now tells of each request that was read, whole or in part, and ends without a complete answer: the counter damaskwind_unanswered_total{reason} (all reasons shown at 0 from the start) and the log line 'connection closed without an answer', with the request's id, what was written, how long it was in hand, and for a cancellation the message and the innermost functions. platform.tests.unanswered_metrics.read_unanswered returns the reasons that are not the caller's from the text of a router's metrics, for the soak.

--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -10,6 +10,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
+from damaskwind.runtime.http1.unanswered import UnansweredReason
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["FinalAnswers"]
@@ -37,7 +38,9 @@
             self.log(call, delivery, "delivered", outcome.why)
             return
         if delivery.has_begun:
-            exchange.abort()
+            is_late = call.left_s() <= 0
+            reason = UnansweredReason.DEADLINE_PASSED if is_late else UnansweredReason.ANSWER_CUT
+            exchange.abort(outcome.why, reason)
             self.log(call, delivery, "cut", outcome.why)
             return
         if outcome.answer is not None:
--- a/packages/router/src/damaskwind/router/forwarding/held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/held_bytes.py
@@ -80,7 +80,7 @@
         """Reset an answer that has begun; end the work for one that has not."""
         self._is_given_up = True
         if self.caller.has_begun:
-            self.caller.abort()
+            self.caller.give_up()
         if self._task is not None:
             self._task.cancel()
 
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -23,6 +23,7 @@
 from damaskwind.router.forwarding.settings import ForwardingSettings
 from damaskwind.router.forwarding.status_site import ROUTER_STATUS_PATH, RouterStatusSite
 from damaskwind.router.forwarding.target_bodies import TargetBodies
+from damaskwind.router.forwarding.unanswered_requests import UnansweredRequests
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
@@ -90,7 +91,10 @@
         self._metrics = MetricsSite(self.tallies)
         self._metrics.handlers[ROUTER_STATUS_PATH] = RouterStatusSite(self.view).handle
         self.held_bytes = self._make_held_bytes(names)
-        self._callers = HttpServer(self.forwarder.handle, ServerLimits(), self.held_bytes)
+        unanswered = UnansweredRequests(names, self.tallies)
+        self._callers = HttpServer(
+            self.forwarder.handle, ServerLimits(), self.held_bytes, unanswered.record
+        )
         self._ready = HttpServer(self._answer_ready, READY_LIMITS)
         self._register_gauges()
         self.is_draining = False
--- a/packages/runtime/src/damaskwind/runtime/http1/exchange.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/exchange.py
@@ -13,6 +13,7 @@
     stated_length,
     without,
 )
+from damaskwind.runtime.http1.unanswered import UnansweredReason
 
 __all__ = ["CallerConnection", "Delivery", "Exchange", "answer_headers"]
 
@@ -21,9 +22,13 @@
 
 
 class CallerConnection(Protocol):
-    """The interface of the connection on which an exchange takes place."""
+    """The interface of the connection on which an exchange takes place.
+
+    `loss` is why the connection has ended, `None` before that.
+    """
 
     caller: str
+    loss: UnansweredReason | None
 
     def send_whole(self, answer: Answer, close: bool) -> None:
         """Send a whole answer in one write."""
@@ -46,7 +51,7 @@
     async def flushed(self) -> bool:
         """Wait until the socket has accepted a held answer; return `False` if it was cut off."""
 
-    def abort(self) -> None:
+    def abort(self, reason: UnansweredReason, why: str = "") -> None:
         """Reset the connection."""
 
 
@@ -167,6 +172,11 @@
         self.is_finished = True
         self._connection.finish_answer()
 
-    def abort(self) -> None:
+    @property
+    def loss(self) -> UnansweredReason | None:
+        """Return why the caller's connection has ended, `None` before that."""
+        return self._connection.loss
+
+    def abort(self, why: str = "", reason: UnansweredReason = UnansweredReason.ANSWER_CUT) -> None:
         """Reset the connection, since an answer that has begun can't be completed."""
-        self._connection.abort()
+        self._connection.abort(reason, why)
--- a/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/held_memory.py
@@ -57,8 +57,8 @@
     def time_out_body(self) -> None:
         """Answer 408, since the caller sends the body too slowly."""
 
-    def abort(self) -> None:
-        """Reset the connection."""
+    def give_up(self) -> None:
+        """Reset the connection, since too many bytes are in hand."""
 
 
 class HeldMemory(Protocol):
--- a/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
@@ -10,6 +10,7 @@
 
 from damaskwind.runtime.http1.held_memory import HeldMemory, RequestAccount
 from damaskwind.runtime.http1.messages import Answer, header
+from damaskwind.runtime.http1.unanswered import UnansweredReason
 
 __all__ = ["BodyConnection", "BodyLimits", "BodyReader", "BodyServer"]
 
@@ -51,7 +52,7 @@
     def send_unread(self, answer: Answer) -> None:
         """Answer, drop what the caller still sends, and close."""
 
-    def abort(self) -> None:
+    def abort(self, reason: UnansweredReason, why: str = "") -> None:
         """Reset the connection."""
 
 
@@ -147,9 +148,9 @@
         """Answer 408, since the caller sends the body too slowly."""
         self._end_unread(Answer(408, []))
 
-    def abort(self) -> None:
-        """Reset the connection."""
-        self._connection.abort()
+    def give_up(self) -> None:
+        """Reset the connection, since too many bytes are in hand."""
+        self._connection.abort(UnansweredReason.GIVEN_UP, "too many bytes are in hand")
 
     def _end_unread(self, answer: Answer) -> None:
         """Answer the request before its body was read to its end."""
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -20,6 +20,13 @@
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, WRITE_BYTES, Outbox
 from damaskwind.runtime.http1.request_bodies import BodyReader
 from damaskwind.runtime.http1.transports import reset
+from damaskwind.runtime.http1.unanswered import (
+    CALLER_LEFT,
+    OnUnanswered,
+    UnansweredReason,
+    UnansweredRequest,
+    log_unanswered,
+)
 
 __all__ = ["HttpServer", "ServerLimits"]
 
@@ -38,6 +45,10 @@
 STALLED_S = 60.0
 
 
+# The innermost functions that the log names for a task that was canceled.
+SHOWN_PLACES = 4
+
+
 class ServerLimits(NamedTuple):
     """What a caller may send, and how long it may take or stay idle."""
 
@@ -56,6 +67,23 @@
     return len(head.method) + len(head.target) + 12 + fields
 
 
+def _log_unless_caller_left(request: UnansweredRequest) -> None:
+    """Log a request that ended without an answer, unless its caller has left."""
+    if request.reason not in CALLER_LEFT:
+        log_unanswered(request)
+
+
+def _describe_cancellation(error: BaseException) -> str:
+    """Return what was awaited when a task was canceled, innermost first, and the message if any."""
+    places = []
+    trace = error.__traceback__
+    while trace is not None:
+        code = trace.tb_frame.f_code
+        places.append(f"{code.co_qualname}:{trace.tb_lineno}")
+        trace = trace.tb_next
+    return " ".join([*map(str, error.args), "at", " < ".join(reversed(places[-SHOWN_PLACES:]))])
+
+
 class _ServerProtocol(asyncio.Protocol):
     """One caller's connection."""
 
@@ -76,6 +104,13 @@
         self._has_partial_head = False
         self._outbox: Outbox | None = None
         self._ahead_bytes = 0
+        # Of the present request: when its first byte was read, whether all of it was, and what was
+        # written of its answer.
+        self._begun_s = 0.0
+        self._is_whole = False
+        self._answer_bytes = 0
+        self._is_recorded = False
+        self.loss: UnansweredReason | None = None
         self.requests = 0
 
     @property
@@ -112,6 +147,7 @@
         if self._task is None:
             if self._head is None and not self._has_partial_head:
                 self._has_partial_head = True
+                self._begun_s = read_clock()
                 self._restart_timer(self._server.limits.header_timeout_s)
             self._read_events()
         elif self._server.memory is not None:
@@ -121,11 +157,14 @@
 
     def eof_received(self) -> bool:
         """Drop unsent data, since the caller has left."""
+        self._lose(UnansweredReason.CALLER_CLOSED)
         self._transport.abort()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for this caller."""
+        why = "" if error is None else repr(error)
+        self._lose(UnansweredReason.CLOSED if error is None else UnansweredReason.CALLER_RESET, why)
         self._is_lost = True
         self._stop_timer()
         self._server.connections.discard(self)
@@ -133,7 +172,7 @@
             self._outbox.clear()
         self._resume()
         if self._task is not None:
-            self._task.cancel()
+            self._task.cancel(f"the caller's connection ended: {self.loss}")
         else:
             self._body.close_account()
 
@@ -179,7 +218,7 @@
             await asyncio.wait([self._writable], timeout=STALLED_S)
             if not self._writable.done() and self._outbox.left_bytes == left_bytes:
                 logger.info("caller stalled", caller=self.caller, left_bytes=left_bytes)
-                self.abort()
+                self.abort(UnansweredReason.CALLER_STALLED, f"{left_bytes} bytes not taken")
                 return False
         self._transport.set_write_buffer_limits(high=WRITE_BYTES)
         return not self._is_lost
@@ -201,13 +240,50 @@
             self._outbox.flush()
         self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: UnansweredReason, why: str = "") -> None:
         """Reset the connection."""
+        self._lose(reason, why)
         self._server.connections.discard(self)
         if self._outbox is not None:
             self._outbox.clear()
         reset(self._transport)
 
+    def _lose(self, reason: UnansweredReason, why: str = "") -> None:
+        """Record why the connection ends, and a request that has no complete answer by then."""
+        if self.loss is None:
+            self.loss = reason
+        if self._is_recorded or self.is_idle or self._is_answered:
+            return
+        self._is_recorded = True
+        headers = [] if self._head is None else list(self._head.headers)
+        self._server.on_unanswered(
+            UnansweredRequest(
+                reason,
+                why,
+                self.caller,
+                headers,
+                self._is_whole,
+                self._answer_bytes,
+                read_clock() - self._begun_s,
+            )
+        )
+
+    @property
+    def _is_answered(self) -> bool:
+        """Return whether the whole answer to the present request was given to the socket.
+
+        After an error of the socket, what its transport still held is not known any more.
+        """
+        is_finished = self._parser.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        return is_finished and not self._unsent_bytes
+
+    @property
+    def _unsent_bytes(self) -> int:
+        """Return what was written and the socket has not accepted yet."""
+        if self._outbox is not None:
+            return self._outbox.left_bytes
+        return self._transport.get_write_buffer_size()
+
     def _restart_timer(self, limit_s: float) -> None:
         self._stop_timer()
         self._timer = asyncio.get_running_loop().call_later(limit_s, self._on_timeout)
@@ -247,6 +323,9 @@
                 return False
             self._head = event
             self._head_s = read_clock()
+            if not self._has_partial_head:
+                # Read ahead while the request before was answered.
+                self._begun_s = self._head_s
             self._restart_timer(self._server.limits.idle_timeout_s)
             if not self._body.begin(event):
                 return False
@@ -262,7 +341,7 @@
     def _continue_body(self) -> None:
         """Ask for the body if the caller waits for that."""
         if self._parser.they_are_waiting_for_100_continue:
-            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+            self._write(self._parser.send(h11.InformationalResponse(status_code=100, headers=[])))
 
     def account_to(self, account: RequestAccount | None) -> None:
         """Add what waits for the caller to an account, or stop to do so."""
@@ -301,6 +380,7 @@
         self._stop_timer()
         request = Request(head.method, head.target, list(head.headers), self._body.join())
         self.requests += 1
+        self._is_whole = True
         account = self._body.account
         exchange = Exchange(self, request, self._head_s, account)
         self._task = asyncio.ensure_future(self._run(exchange))
@@ -316,13 +396,13 @@
             await self._server.handler(exchange)
             await self.flushed()
             if not exchange.is_finished and not self._is_lost:
-                self.abort()
-        except asyncio.CancelledError:
+                self.abort(UnansweredReason.NO_ANSWER)
+        except asyncio.CancelledError as error:
             if not self._is_lost:
-                self.abort()
+                self.abort(UnansweredReason.CANCELED, _describe_cancellation(error))
         except Exception as error:
             logger.opt(exception=error).error("handler failed", why=repr(error))
-            self._answer_failure(exchange)
+            self._answer_failure(exchange, error)
         finally:
             self._server.active -= 1
             self._body.close_account()
@@ -331,10 +411,10 @@
         if exchange.is_finished and not self._is_lost:
             self._next_request()
 
-    def _answer_failure(self, exchange: Exchange) -> None:
+    def _answer_failure(self, exchange: Exchange, error: Exception) -> None:
         """Answer with status 500: it is unknown whether the request ran."""
         if exchange.has_begun or self._is_lost:
-            self.abort()
+            self.abort(UnansweredReason.HANDLER_FAILED, repr(error))
             return
         exchange.respond(Answer(500, [], b""), close=True)
 
@@ -342,6 +422,8 @@
         """Prepare for the next request on this connection."""
         self._head = None
         self._has_partial_head = False
+        self._is_whole = False
+        self._answer_bytes = 0
         if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
             self._close()
             return
@@ -402,6 +484,11 @@
         if self._is_lost:
             return
         data = b"".join(self._parser.send(event) or b"" for event in events)
+        self._answer_bytes += len(data)
+        self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        """Give bytes to the transport."""
         if data and self._outbox is not None:
             self._outbox.write(data)
         elif data:
@@ -412,15 +499,21 @@
     """All connections of one listening address.
 
     With `memory` the bytes of requests and answers are accounted for and may be given up.
+    `on_unanswered` is called with each request that ends without a complete answer.
     `reading` is the number of requests whose bodies are then being read.
     """
 
     def __init__(
-        self, handler: Handler, limits: ServerLimits, memory: HeldMemory | None = None
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        memory: HeldMemory | None = None,
+        on_unanswered: OnUnanswered = _log_unless_caller_left,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.memory = memory
+        self.on_unanswered = on_unanswered
         self.reading = 0
         self.connections: set[_ServerProtocol] = set()
         self.active = 0
@@ -471,4 +564,4 @@
     def abort(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(UnansweredReason.SERVER_STOPPED)
