--- /dev/null
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
@@ -0,0 +1,99 @@
+"""Tests of connections that the server closes, of its own accord or in a drain."""
+
+import asyncio
+import socket
+import time
+
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.http1.messages import Answer
+from damaskwind.runtime.http1.tests.test_unanswered import HEAD, WAIT_S, ServerTestCase
+
+
+class ClosingTest(ServerTestCase):
+    async def large(self, exchange):
+        exchange.respond(Answer(200, [], b"x" * 4_000_000))
+
+    async def released(self, exchange):
+        await self.release.wait()
+        exchange.respond(Answer(200, [], b"ok"))
+
+    async def start(self):
+        self.release = asyncio.Event()
+        await super().start()
+
+    async def drain(self):
+        self.server.close_after_answers()
+        await self.server.stop_listening()
+        self.server.close_idle()
+
+    @asyncio_test
+    async def test_drain_waits_for_a_request_that_is_half_read(self):
+        """Guards against a drain that ends while the head or the body of a request is read."""
+        parts = (
+            (b"GET /whole HTTP/1.1\r\nho", b"st: h\r\n\r\n"),
+            (b"POST /whole HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nx", b"y"),
+        )
+        opened = []
+        for first, second in parts:
+            opened.append((*await self.open(first), second))
+        await asyncio.sleep(0.05)
+        await self.drain()
+        self.assertFalse(await self.server.wait_until_idle(0.05))
+        for reader, writer, second in opened:
+            writer.write(second)
+            self.assertIn(b" 200 ", await self.read_all(reader))
+        self.assertTrue(await self.server.wait_until_idle(1.0))
+
+    @asyncio_test
+    async def test_drain_waits_until_an_answer_is_taken(self):
+        """Guards against the end of an answer that is lost as the process exits."""
+        reader, writer = await self.open()
+        writer.transport.pause_reading()
+        writer.write(HEAD % b"/large")
+        await self.until(lambda: self.tasks)
+        await self.drain()
+        self.assertFalse(await self.server.wait_until_idle(0.1))
+        writer.transport.resume_reading()
+        received = await self.read_all(reader)
+        self.assertTrue(received.endswith(b"x"))
+        self.assertGreater(len(received), 4_000_000)
+        self.assertTrue(await self.server.wait_until_idle(1.0))
+
+    @asyncio_test
+    async def test_pipelined_request_is_answered_in_a_drain(self):
+        """Guards against a request that was read with another one and is dropped in a drain."""
+        reader, writer = await self.open(HEAD % b"/released" + HEAD % b"/whole")
+        await self.until(lambda: self.tasks)
+        await self.drain()
+        self.release.set()
+        received = await self.read_all(reader)
+        self.assertEqual(received.count(b" 200 "), 2)
+        self.assertEqual(received.lower().count(b"connection: close"), 1)
+
+    @asyncio_test
+    async def test_part_of_a_pipelined_request_is_not_idle(self):
+        """Guards against the start of a request that was read with another one and is dropped."""
+        first, second = HEAD[:-10] % b"/whole", (HEAD % b"/whole")[-10:]
+        reader, writer = await self.open(HEAD % b"/released" + first)
+        await self.until(lambda: self.tasks)
+        self.release.set()
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\nok"), WAIT_S)
+        await self.drain()
+        writer.write(second)
+        self.assertIn(b" 200 ", await self.read_all(reader))
+
+    def send_late(self):
+        """Send a body after its refusal was written, in pieces; return what comes."""
+        head = b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 900000\r\n\r\n"
+        with socket.create_connection(("127.0.0.1", self.port), WAIT_S) as caller:
+            caller.sendall(head + b"x" * 200)
+            for _ in range(10):
+                time.sleep(0.01)
+                caller.sendall(b"x" * 1000)
+            return caller.recv(65536)
+
+    @asyncio_test
+    async def test_refusal_reaches_a_caller_that_is_still_sending(self):
+        """Guards against a reset that overtakes a refusal, as the caller still sends its body."""
+        received = await asyncio.to_thread(self.send_late)
+        self.assertIn(b" 413 ", received)
