An answer that can't be written no longer resets its connection

What callers saw: a closed connection in place of an answer, for a refusal with a text in answer to a HEAD request, and for any answer with a field that h11 refuses. The cause: an exchange counted as begun before its answer was written, so that the failure could not be answered any more. It now counts as begun after the write, whose pieces are joined before any is written; a text is left out in answer to HEAD; and a parser that has refused an answer of which nothing was written is replaced, so that another answer can be.

--- a/packages/runtime/src/damaskwind/runtime/http1/exchange.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/exchange.py
@@ -104,9 +104,9 @@
 
     def respond(self, answer: Answer, close: bool = False) -> None:
         """Send a whole answer in one write, since each write costs a system call and a packet."""
+        self._connection.send_whole(answer, close)
         self.has_begun = True
         self.is_finished = True
-        self._connection.send_whole(answer, close)
 
     def pass_on(self, answer: Answer, own_headers: Headers | None = None) -> None:
         """Send a whole answer of another server, after headers of this one.
@@ -152,8 +152,8 @@
 
     def begin(self, status: int, headers: Headers, close: bool = False) -> None:
         """Send the head; without a length, the body is sent in chunks."""
-        self.has_begun = True
         self._connection.send_head(status, headers, close)
+        self.has_begun = True
 
     def write(self, data: bytes) -> None:
         """Send a piece of the body at once."""
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -16,7 +16,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange, answer_headers
 from damaskwind.runtime.http1.held_memory import HeldMemory, RequestAccount
-from damaskwind.runtime.http1.messages import Answer, Headers, Request
+from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, WRITE_BYTES, Outbox
 from damaskwind.runtime.http1.request_bodies import BodyReader
 from damaskwind.runtime.http1.transports import reset
@@ -120,8 +120,8 @@
 
     @property
     def has_begun(self) -> bool:
-        """Return whether an answer to the present request was begun."""
-        return self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+        """Return whether any of the answer to the present request was written."""
+        return self._answer_bytes > 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start to wait for the first request."""
@@ -459,12 +459,15 @@
         """Send an answer from its head to its end."""
         headers = answer_headers(answer.headers, answer.body)
         head = self._head_event(answer.status, headers, close)
-        body = [h11.Data(data=answer.body)] if answer.body else []
+        method = b"" if self._head is None else self._head.method
+        has_body = answer.body and not is_bodiless(method, answer.status)
+        body = [h11.Data(data=answer.body)] if has_body else []
         self._send(head, *body, h11.EndOfMessage())
 
     def _head_event(self, status: int, headers: Headers, close: bool) -> h11.Response:
         """Return the head with `Connection: close` or `Keep-Alive`."""
-        if close or self._server.is_closing:
+        # Without a request the parser is one that has taken the place of another.
+        if close or self._server.is_closing or self._parser.their_state is h11.IDLE:
             headers = [*headers, (b"connection", b"close")]
         elif self._server.limits.idle_timeout_s >= 1:
             idle_s = int(self._server.limits.idle_timeout_s)
@@ -483,6 +486,9 @@
         """Write events together unless the caller has left."""
         if self._is_lost:
             return
+        if self._parser.our_state is h11.ERROR and not self.has_begun:
+            # The parser refused an answer of which nothing was written: another one still can be.
+            self._parser = h11.Connection(h11.SERVER)
         data = b"".join(self._parser.send(event) or b"" for event in events)
         self._answer_bytes += len(data)
         self._write(data)
