A handler that is canceled, or ends without an answer, no longer loses its request

What callers saw: a reset in place of an answer wherever a handler's task was canceled by anyone but its own leaving caller, or a future that it awaited was, or it ended without an answer; and a reset after a whole answer, where what followed in the handler failed. The server took every cancellation for the caller's leaving. It knows that by the end of the connection now: any other cancellation is answered with 500 and the connection closed in order; an answer that has begun is reset and counted, a whole one is kept. The task ends in each case, so that no drain waits for it. The log line 'request failed' names the canceling message and the innermost functions.

--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -25,6 +25,7 @@
     OnUnanswered,
     UnansweredReason,
     UnansweredRequest,
+    describe_cancellation,
     log_unanswered,
 )
 
@@ -45,10 +46,6 @@
 STALLED_S = 60.0
 
 
-# The innermost functions that the log names for a task that was canceled.
-SHOWN_PLACES = 4
-
-
 class ServerLimits(NamedTuple):
     """What a caller may send, and how long it may take or stay idle."""
 
@@ -73,17 +70,6 @@
         log_unanswered(request)
 
 
-def _describe_cancellation(error: BaseException) -> str:
-    """Return what was awaited when a task was canceled, innermost first, and the message if any."""
-    places = []
-    trace = error.__traceback__
-    while trace is not None:
-        code = trace.tb_frame.f_code
-        places.append(f"{code.co_qualname}:{trace.tb_lineno}")
-        trace = trace.tb_next
-    return " ".join([*map(str, error.args), "at", " < ".join(reversed(places[-SHOWN_PLACES:]))])
-
-
 class _ServerProtocol(asyncio.Protocol):
     """One caller's connection."""
 
@@ -274,8 +260,12 @@
 
         After an error of the socket, what its transport still held is not known any more.
         """
-        is_finished = self._parser.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
-        return is_finished and not self._unsent_bytes
+        return self._is_finished and not self._unsent_bytes
+
+    @property
+    def _is_finished(self) -> bool:
+        """Return whether the whole answer to the present request was written."""
+        return self._parser.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
     @property
     def _unsent_bytes(self) -> int:
@@ -395,28 +385,35 @@
         try:
             await self._server.handler(exchange)
             await self.flushed()
-            if not exchange.is_finished and not self._is_lost:
-                self.abort(UnansweredReason.NO_ANSWER)
+            if not exchange.is_finished and self.loss is None:
+                self._answer_failure(UnansweredReason.NO_ANSWER, "the handler ended")
         except asyncio.CancelledError as error:
-            if not self._is_lost:
-                self.abort(UnansweredReason.CANCELED, _describe_cancellation(error))
+            if self.loss is None:
+                self._answer_failure(UnansweredReason.CANCELED, describe_cancellation(error))
         except Exception as error:
             logger.opt(exception=error).error("handler failed", why=repr(error))
-            self._answer_failure(exchange, error)
+            self._answer_failure(UnansweredReason.HANDLER_FAILED, repr(error))
         finally:
             self._server.active -= 1
             self._body.close_account()
             self._task = None
             self._server.notify_request_end()
-        if exchange.is_finished and not self._is_lost:
+        if exchange.is_finished and not self._transport.is_closing():
             self._next_request()
 
-    def _answer_failure(self, exchange: Exchange, error: Exception) -> None:
-        """Answer with status 500: it is unknown whether the request ran."""
-        if exchange.has_begun or self._is_lost:
-            self.abort(UnansweredReason.HANDLER_FAILED, repr(error))
+    def _answer_failure(self, reason: UnansweredReason, why: str) -> None:
+        """Answer with status 500, since it is unknown whether the request ran, and close.
+
+        An answer that has begun is reset, and a whole one is kept.
+        """
+        if self._is_finished:
+            self._close()
+            return
+        if self.has_begun:
+            self.abort(reason, why)
             return
-        exchange.respond(Answer(500, [], b""), close=True)
+        logger.warning("request failed", reason=reason.value, why=why, caller=self.caller)
+        self.refuse(500)
 
     def _next_request(self) -> None:
         """Prepare for the next request on this connection."""
@@ -446,7 +443,7 @@
     def refuse(self, status: int) -> None:
         """Answer a request that could not be read, and close."""
         self._stop_timer()
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if not self.has_begun:
             self.send_whole(Answer(status, []), True)
         self._body.close_account()
         self._close()
--- a/packages/runtime/src/damaskwind/runtime/http1/unanswered.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/unanswered.py
@@ -13,6 +13,7 @@
     "OnUnanswered",
     "UnansweredReason",
     "UnansweredRequest",
+    "describe_cancellation",
     "log_unanswered",
 ]
 
@@ -61,9 +62,23 @@
     in_hand_s: float
 
 
+# The innermost functions that a description of a cancellation names.
+SHOWN_PLACES = 4
+
 OnUnanswered = Callable[[UnansweredRequest], None]
 
 
+def describe_cancellation(error: BaseException) -> str:
+    """Return who canceled a task, if that is stated, and what it waited for, innermost first."""
+    places = []
+    trace = error.__traceback__
+    while trace is not None:
+        places.append(f"{trace.tb_frame.f_code.co_qualname}:{trace.tb_lineno}")
+        trace = trace.tb_next
+    waited_in = " < ".join(reversed(places[-SHOWN_PLACES:]))
+    return " ".join(["canceled", *map(str, error.args), "in", waited_in])
+
+
 def log_unanswered(request: UnansweredRequest, request_id: str = "") -> None:
     """Log a request that ended without a complete answer."""
     level = "INFO" if request.reason in CALLER_LEFT else "WARNING"
