A request that fails while it is read is answered with 503

What callers saw: a closed connection without an answer, and in the log asyncio's 'Fatal error' alone, for any exception while a request was read (data_received). The server answers 503 with Retry-After now, since such a request has not run, and logs 'reading failed' with the trace. No cause in the product is known; the test injects one.

--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -46,6 +46,10 @@
 STALLED_S = 60.0
 
 
+# When a caller should retry whose request failed while it was read.
+FAILED_RETRY_S = 1.0
+
+
 class ServerLimits(NamedTuple):
     """What a caller may send, and how long it may take or stay idle."""
 
@@ -304,6 +308,19 @@
         except h11.RemoteProtocolError as error:
             logger.info("request unreadable", why=str(error))
             self.refuse(error.error_status_hint)
+        except Exception as error:
+            logger.opt(exception=error).error("reading failed", why=repr(error))
+            self._refuse_unread(repr(error))
+
+    def _refuse_unread(self, why: str) -> None:
+        """Answer a request that failed while it was read, and so has not run, with status 503."""
+        if self._task is not None:
+            # It was read whole, and is answered by its handler.
+            return
+        if self.has_begun:
+            self.abort(UnansweredReason.READING_FAILED, why)
+            return
+        self.refuse(503, [(b"retry-after", b"%.3f" % FAILED_RETRY_S)])
 
     def _handle_event(self, event: Any) -> bool:
         """Handle one event; return whether to continue reading."""
@@ -440,11 +457,11 @@
         if self._ahead_bytes <= READ_AHEAD_BYTES and not self._body.is_waiting:
             self._transport.resume_reading()
 
-    def refuse(self, status: int) -> None:
+    def refuse(self, status: int, headers: Headers | None = None) -> None:
         """Answer a request that could not be read, and close."""
         self._stop_timer()
         if not self.has_begun:
-            self.send_whole(Answer(status, []), True)
+            self.send_whole(Answer(status, headers or []), True)
         self._body.close_account()
         self._close()
 
