An overdue attempt is given up only once its replacement is in hand

Callers saw streams reset in the middle, and idempotent requests answered with 502, while a sound target stood still for a second and went on.

Cause: silence closed the connection, and only then was a retry, a target, room and a permit asked for. Each may be refused; when many requests wait at one silent target, the budget bears a few, and the others ended though their target would have gone on.

An overdue attempt now keeps its connection and reads on. Its router looks for a target that is not silent itself, has room and accepts connections, takes a permit where targets are brittle, and last a retry. Only with these in hand is the attempt left, and the request uses exactly them. What arrives meanwhile goes on, and nothing is taken. Overdue attempts of a service are served in rounds of 0.1 s: answers that have begun first, then by priority and deadline. A retry that was taken and not used is given back to the budget.

--- a/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
+++ b/packages/decisions/src/damaskwind/decisions/admission/pool_admission.py
@@ -299,22 +299,26 @@
             window = self._windows[target_id] = StartWindow(self._policy, self._start_delays)
         return window
 
-    def _target_headroom(self, target_slots: TargetSlots, now_s: float) -> int:
-        """Return how many more requests may be sent to a target."""
+    def headroom_at(self, target_slots: TargetSlots, now_s: float, reserved: int = 0) -> int:
+        """Return how many more requests may be sent to a target beside the `reserved` ones.
+
+        What is reserved counts in its free slots already.
+        """
         if target_slots.is_exact:
             return ceil(target_slots.free)
-        return min(self._window(target_slots.target_id).headroom(now_s), ceil(target_slots.free))
+        window = self._window(target_slots.target_id).headroom(now_s) - reserved
+        return min(window, ceil(target_slots.free))
 
     def _headroom(self, target_id: str, target_slots: Sequence[TargetSlots], now_s: float) -> int:
         """Return the headroom of a target, or of the pool less its admitted unsent requests."""
         if not target_id:
-            headroom = sum(max(0, self._target_headroom(item, now_s)) for item in target_slots)
+            headroom = sum(max(0, self.headroom_at(item, now_s)) for item in target_slots)
             if all(item.is_exact for item in target_slots):
                 return headroom - len(self._admitted_unsent)
             return min(headroom, self._pool_window.headroom(now_s)) - len(self._admitted_unsent)
         target = next((item for item in target_slots if item.target_id == target_id), None)
         # A target that has gone blocks no request: the request is placed again.
-        headroom = 1 if target is None else self._target_headroom(target, now_s)
+        headroom = 1 if target is None else self.headroom_at(target, now_s)
         return min(headroom, self._pool_window.headroom(now_s))
 
     def _median_start_fraction(self, now_s: float) -> float:
--- a/packages/decisions/src/damaskwind/decisions/retries/shared_budget.py
+++ b/packages/decisions/src/damaskwind/decisions/retries/shared_budget.py
@@ -11,6 +11,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 __all__ = ["BudgetTerms", "SharedRetryBudget"]
@@ -61,12 +62,27 @@
 
     def take(self, now_s: float) -> bool:
         """Take one retry from the budget if any is left; return whether it was taken."""
-        self._drop_expired(now_s)
-        if len(self._retries) + 1 > self.allowance(now_s):
+        if not self.has_left(now_s):
             return False
         self._retries.append(now_s)
         return True
 
+    def has_left(self, now_s: float) -> bool:
+        """Return whether a retry could be taken now."""
+        self._drop_expired(now_s)
+        return len(self._retries) + 1 <= self.allowance(now_s)
+
+    def give_back(self, taken_s: float) -> None:
+        """Return a retry that was taken at `taken_s` and not made.
+
+        >>> budget = SharedRetryBudget(BudgetTerms(0.0, 10.0, 2.5), lambda: 2)
+        >>> budget.take(1.0), budget.take(2.0); budget.give_back(1.0); budget.take(2.0)
+        (True, False)
+        True
+        """
+        with suppress(ValueError):
+            self._retries.remove(taken_s)
+
     def allowance(self, now_s: float) -> float:
         """Return how many retries the current window allows in total."""
         self._drop_expired(now_s)
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -2,28 +2,21 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import StrEnum
-from typing import NamedTuple
 from weakref import WeakSet
 
 from loguru import logger
 
-from damaskwind.decisions.load.held_requests import TargetLoad, parse_target_load
 from damaskwind.decisions.membership.target_record import TargetRecord
-from damaskwind.decisions.placement.affinity import Choice
-from damaskwind.decisions.target_signals.answer_signals import (
-    NO_SIGNALS,
-    AnswerSignals,
-    parse_brittleness,
-    parse_signals,
-)
 from damaskwind.model.header_names import HeaderNames
-from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.answer_ends import AnswerEnds
+from damaskwind.router.forwarding.answer_heads import MISDIRECTED, AnswerHeads
+from damaskwind.router.forwarding.answer_waits import AnswerWaits, ReplacedError, WaitingAttempt
+from damaskwind.router.forwarding.attempt_outcome import AttemptEnd, AttemptOutcome, Placement
 from damaskwind.router.forwarding.call import Call, target_headers
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.replacements import Replacements
 from damaskwind.router.forwarding.service_reach import SILENCE_S
 from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_paths import TargetPath, choose_path
@@ -47,86 +40,10 @@
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 # Late answers to earlier requests that are skipped on a reused connection.
 SKIPPED_ANSWERS = 3
-# A repeatable request is rerouted after this many latency objectives if its target
-# has been silent on all connections.
-UNRESPONSIVE_OBJECTIVES = 1.5
-UNRESPONSIVE_MIN_S = 0.8
-UNRESPONSIVE_POLL_S = 0.1
-# A request is also rerouted after this many objectives if only this request is kept waiting.
-STALL_OBJECTIVES = 4.0
-STALL_MIN_S = 1.2
-# The same between two events of a stream, in multiples of the route's gap objective, the
-# pause that users accept.
-STALL_GAPS = 4.0
-STALL_GAP_MIN_S = 0.8
-# A request that has waited for its target for this long when the path is found to be cut was
-# most likely lost on it.
-CUT_SILENCE_S = 0.05
-
-
-# 421 Misdirected Request: another target answers at the address.
-MISDIRECTED = 421
-
-
 # Called with the seconds from the send to the head of the answer.
 AnswerAcceptor = Callable[[float], None]
 
 
-class AttemptEnd(StrEnum):
-    """How one attempt ended."""
-
-    DELIVERED = "delivered"
-    SUPERSEDED = "superseded"
-    WITHHELD = "withheld"
-    HELD = "held"
-    NOT_RUN = "not-run"
-    TARGET_ERROR = "target-error"
-    BROKEN = "broken"
-    STALLED = "stalled"
-    CALLED_BACK = "called-back"
-
-
-class Placement(NamedTuple):
-    """The target chosen for a request, the choice, and the engine to copy prompt parts from.
-
-    A choice that `is_confined` was made among the targets of one software version of several.
-    """
-
-    target: TargetRecord
-    choice: Choice
-    donor: Address | None
-    is_confined: bool = False
-
-
-class AttemptOutcome(NamedTuple):
-    """How an attempt ended, why, and the complete answer if the target answered with a failure.
-
-    `was_reached` tells whether a connection to the target was established, `first_s` is the
-    time from the send to the head of the answer, in seconds. `is_displaced` means that another
-    target answered at the address, `is_connection_lost` that the target closed the connection
-    before the answer was complete, `asks_for_pause` that it asked for a pause (Retry-After).
-    A request that was withheld was not sent, one that is held must not be. An attempt that was
-    superseded was canceled, since that at another target went on; one that was called back was
-    given up, since the request became known as fatal. `via` is the host of the router
-    that sent the request on, if it was another one. An answer that `is_unframed` ended with its
-    connection; `open_bytes` is what came of an event whose end did not. The target wrote a whole
-    answer to an attempt that `is_answered`, and did not only refuse or fail.
-    """
-
-    end: AttemptEnd
-    why: str = ""
-    answer: Answer | None = None
-    was_reached: bool = True
-    first_s: float | None = None
-    is_displaced: bool = False
-    is_connection_lost: bool = False
-    asks_for_pause: bool = False
-    via: str = ""
-    is_unframed: bool = False
-    open_bytes: int = 0
-    is_answered: bool = False
-
-
 # The end of an unframed answer whose target may have crashed then.
 _UNSURE_END = AttemptOutcome(
     AttemptEnd.BROKEN,
@@ -158,14 +75,6 @@
     return was_accepted and not connection.is_open and not connection.is_timed_out
 
 
-def _has_attempts_left(call: Call) -> bool:
-    """Tell whether a target may be given up on for another one.
-
-    A second send that began after this attempt may have used the last one.
-    """
-    return call.sends < call.route.max_attempts
-
-
 class AttemptSender:
     """Send requests to targets over pooled connections.
 
@@ -179,10 +88,13 @@
         names: HeaderNames,
         origins: StreamOrigins,
         tallies: Tallies,
+        replacements: Replacements,
     ) -> None:
         self.connections = target_states.connections
         self.activity = target_states.activity
         self.answer_ends = AnswerEnds(target_states, tallies)
+        self.record_head = AnswerHeads(target_states, names).record
+        self._waits = AnswerWaits(target_states, replacements)
         self.on_answer_started: Callable[[Call, str, float], None] = _ignore_answer_started
         self.on_accepted: Callable[[Call], None] = _ignore_accepted
         self._target_states = target_states
@@ -271,8 +183,7 @@
                 self._target_states.reach.note_failure(target)
             is_lost = _is_connection_lost(connection) or bool(path.via)
             return AttemptOutcome(AttemptEnd.BROKEN, str(error), is_connection_lost=is_lost)
-        except TimeoutError:
-            self._log_given_up(path, connection, call, target, delivery)
+        except ReplacedError:
             path.record_stalled()
             return AttemptOutcome(AttemptEnd.STALLED, "the target was silent")
         finally:
@@ -284,34 +195,6 @@
             if connection.is_in_use:
                 connection.abort()
 
-    def _log_given_up(
-        self,
-        path: TargetPath,
-        connection: ClientConnection,
-        call: Call,
-        target: TargetRecord,
-        delivery: Delivery,
-    ) -> None:
-        """Log an attempt that is given up for silence, with what is known of its target."""
-        now_s, target_id = read_clock(), target.target_id
-        silent_s = self.activity.silent_s(target_id, now_s, last_woken_s())
-        heard_s = connection.last_received_s
-        known = self._target_states.view.targets.record_of(target_id)
-        heartbeat_s = self._target_states.view.targets.last_seen_s(target_id) if known else None
-        logger.info(
-            "attempt given up",
-            request=call.facts.request_id.decode("latin-1"),
-            target=target_id,
-            via=path.via,
-            heard_ms=None if heard_s is None else int((now_s - heard_s) * 1000),
-            target_silent_ms=int(silent_s * 1000),
-            heartbeat_age_ms=None if heartbeat_s is None else int((now_s - heartbeat_s) * 1000),
-            waiting=self.activity.waiting(target_id),
-            events=delivery.events,
-            sends=call.sends,
-            left_ms=int(call.left_s() * 1000),
-        )
-
     def _expect_sound(self, path: TargetPath, target: TargetRecord) -> asyncio.TimerHandle | None:
         """Check the path to a target that is silent for a while; return the timer."""
         reach = self._target_states.reach
@@ -342,13 +225,15 @@
             request, call, self._names, target.target_id, resume_after, placement.donor
         )
         sent_s = read_clock()
+        attempt = WaitingAttempt(path, connection, call, target, delivery, len(request.body))
         if delivery.account is not None:
             connection.account_to(delivery.account)
         sent = Request(request.method, request.target, headers, request.body)
         connection.send(path.address(sent))
         self._unanswered[connection] = call
         try:
-            head = await self._read_head_in_time(path, connection, call, target, may_reroute)
+            reading = self.read_own_head(connection, call.facts.request_id)
+            head = await (self._waits.read_head(attempt, reading) if may_reroute else reading)
         finally:
             del self._unanswered[connection]
         failure = path.take_failure(head)
@@ -367,9 +252,7 @@
             accept_answer(first_s)
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
         if is_stream:
-            outcome = await self._relay_stream(
-                path, connection, head, call, target, delivery, may_reroute
-            )
+            outcome = await self._relay_stream(attempt, head, may_reroute)
             return outcome._replace(first_s=first_s, is_unframed=head.is_unframed)
         pieces = await connection.read_pieces(ANSWER_LIMIT_BYTES)
         if not await self._is_end_sure(path, head, target):
@@ -398,49 +281,6 @@
         delivery.send_whole(answer)
         return delivered
 
-    async def _read_head_in_time(
-        self,
-        path: TargetPath,
-        connection: ClientConnection,
-        call: Call,
-        target: TargetRecord,
-        may_reroute: bool,
-    ) -> AnswerHead:
-        """Wait for the head; with `may_reroute` raise `TimeoutError` if the target has stalled.
-
-        It has also stalled if the path to its service is found to be cut while it is silent.
-        """
-        request_id, target_id = call.facts.request_id, target.target_id
-        if not may_reroute:
-            return await self.read_own_head(connection, request_id)
-        objective_s = call.route.objective_s
-        stall_s = max(STALL_OBJECTIVES * objective_s, STALL_MIN_S)
-        unresponsive_s = max(UNRESPONSIVE_OBJECTIVES * objective_s, UNRESPONSIVE_MIN_S)
-        reading = asyncio.ensure_future(self.read_own_head(connection, request_id))
-        cut = None if path.via else self._target_states.reach.cut_of(target.service)
-        events = [reading] if cut is None else [reading, cut]
-        begun_s = read_clock()
-        limit_s = unresponsive_s
-        try:
-            while True:
-                await asyncio.wait(events, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
-                if reading.done():
-                    return reading.result()
-                now_s = read_clock()
-                woken_s = last_woken_s()
-                silent_s = self.activity.silent_s(target_id, now_s, woken_s)
-                is_cut = cut is not None and cut.done() and silent_s > CUT_SILENCE_S
-                has_stalled = (
-                    is_cut
-                    or silent_s > UNRESPONSIVE_MIN_S
-                    or now_s - max(begun_s, woken_s) > stall_s
-                )
-                if has_stalled and _has_attempts_left(call):
-                    raise TimeoutError
-                events, limit_s = [reading], UNRESPONSIVE_POLL_S
-        finally:
-            reading.cancel()
-
     async def read_own_head(self, connection: ClientConnection, request_id: bytes) -> AnswerHead:
         """Return the head of the answer to this request, skipping late ones to earlier requests."""
         for _ in range(SKIPPED_ANSWERS):
@@ -480,24 +320,17 @@
         return AttemptOutcome(AttemptEnd.NOT_RUN, why, is_displaced=head.status == MISDIRECTED)
 
     async def _relay_stream(
-        self,
-        path: TargetPath,
-        connection: ClientConnection,
-        head: AnswerHead,
-        call: Call,
-        target: TargetRecord,
-        delivery: Delivery,
-        may_reroute: bool,
+        self, attempt: WaitingAttempt, head: AnswerHead, may_reroute: bool
     ) -> AttemptOutcome:
         """Forward a stream to the caller as it arrives."""
+        path, connection, call, target, delivery, _ = attempt
         doubt = await self._record_origin(call, target) if call.route.is_resumable else ""
         if doubt:
             return AttemptOutcome(AttemptEnd.BROKEN, doubt)
         delivery.begin_stream(head)
-        gap_s = max(STALL_GAPS * call.route.gap_objective_s, STALL_GAP_MIN_S)
         while True:
-            may_resume = may_reroute and _has_attempts_left(call)
-            data = await self._read_data_in_time(connection, gap_s if may_resume else None)
+            reading = self._waits.read_data(attempt) if may_reroute else connection.read_data()
+            data = await reading
             if data is None:
                 break
             self.activity.record_received(target.target_id, read_clock())
@@ -542,57 +375,3 @@
             if is_unsure:
                 return "another version may be on record for the stream"
         return "" if self._target_states.runs_version(target) else "the target's software changed"
-
-    async def _read_data_in_time(
-        self, connection: ClientConnection, gap_s: float | None
-    ) -> bytes | None:
-        """Return the next chunk; raise `TimeoutError` if none arrives in time.
-
-        After this process was suspended, data that arrived in that time is read before the target
-        is given up on.
-        """
-        while True:
-            begun_s = read_clock()
-            try:
-                async with asyncio.timeout(gap_s):
-                    return await connection.read_data()
-            except TimeoutError:
-                if last_woken_s() < begun_s:
-                    raise
-
-    def record_head(self, head: AnswerHead, target: TargetRecord) -> AnswerSignals:
-        """Record what a target states in the head of an answer; return what it asks for."""
-        self.activity.record_received(target.target_id, read_clock())
-        load = self._read_load(head)
-        self._target_states.record_speed(target, load)
-        return self._read_signals(head, target, load)
-
-    def _read_load(self, head: AnswerHead) -> TargetLoad | None:
-        """Return the load that a target reports; a misdirected answer is another target's."""
-        if head.status == MISDIRECTED:
-            return None
-        return parse_target_load(header(head.headers, self._names.target_load))
-
-    def _read_signals(
-        self, head: AnswerHead, target: TargetRecord, load: TargetLoad | None
-    ) -> AnswerSignals:
-        """Record the load and the signals in the head of an answer; return the signals.
-
-        A misdirected answer (421) comes from another target, so its headers are ignored.
-        """
-        if head.status == MISDIRECTED:
-            return NO_SIGNALS
-        headers = head.headers
-        if load is not None:
-            self._target_states.reports_work_time |= load.work_time_percent is not None
-            self._loads.observe_report(target.target_id, load, read_clock())
-        signals = parse_signals(
-            head.status,
-            header(headers, b"retry-after"),
-            header(headers, self._names.leaving),
-            header(headers, b"date"),
-        )
-        self._target_states.record_signals(target, signals)
-        brittleness = parse_brittleness(header(headers, self._names.brittle))
-        self._target_states.brittle.observe(target, brittleness)
-        return signals
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -13,6 +13,7 @@
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import KeyedAccount, RouteKind, TrafficRoute
+from damaskwind.router.forwarding.attempt_outcome import Replacement
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.messages import Headers, Request, header, without
 
@@ -140,7 +141,8 @@
     `possible_runs` counts the attempts that may have run the request. Two of them may be in
     progress at once; `second_number` then stands for the one at `second_target` in the
     admission to the pool, which knows one target per number. `superseded_targets` are those
-    at which an attempt was canceled in favor of another one.
+    at which an attempt was canceled in favor of another one. `replacement` was taken to replace an
+    overdue attempt and is not in use yet, and `kept_for` tells why there was none at first.
     """
 
     def __init__(
@@ -184,6 +186,8 @@
         self.second_target: str | None = None
         self.second_number = 0
         self.superseded_targets: set[str] = set()
+        self.replacement: Replacement | None = None
+        self.kept_for = ""
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/router/src/damaskwind/router/forwarding/fleet_shedding.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_shedding.py
@@ -18,7 +18,7 @@
 from damaskwind.decisions.admission.shed_return import draw_return_s
 from damaskwind.decisions.load.held_requests import target_digest
 from damaskwind.router.forwarding.admission_gate import GateRefusal
-from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome
+from damaskwind.router.forwarding.attempt_outcome import AttemptEnd, AttemptOutcome
 from damaskwind.router.forwarding.call import Call
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from damaskwind.router.forwarding.held_bytes import GivenUpError
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
+from damaskwind.router.forwarding.replacements import Replacements
 from damaskwind.router.forwarding.request_steps import RequestSteps
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
@@ -80,8 +81,13 @@
         self.chooser = TargetChooser(
             self.target_states, self.admissions, failure_domain, region_of, random, self.memory
         )
+        self.replacements = Replacements(
+            self.target_states, self.admissions, self.chooser, self._budget, self.tallies
+        )
         self.origins = StreamOrigins(view, self.tallies)
-        self.sender = AttemptSender(self.target_states, names, self.origins, self.tallies)
+        self.sender = AttemptSender(
+            self.target_states, names, self.origins, self.tallies, self.replacements
+        )
         self.sends = RecordedSends(
             self.sender,
             self.target_states,
@@ -112,7 +118,7 @@
             gates,
             self.chooser,
             self.hedged_sends,
-            self._take_retry,
+            self.replacements,
             self.tallies,
             SpeedProbes(self.target_states, names, self.tallies),
             self.origins,
@@ -122,6 +128,7 @@
     def bound_target_bodies(self, bodies: TargetBodies) -> None:
         """Bound the large request bodies in hand at each target, also those of second sends."""
         self.steps.target_bodies = self.hedged_sends.target_bodies = bodies
+        self.replacements.target_bodies = bodies
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request to its final answer."""
@@ -190,10 +197,6 @@
             return identify_request(*parts)
         return await asyncio.to_thread(identify_request, *parts)
 
-    def _take_retry(self, service: str) -> bool:
-        """Take one retry from a service's budget; return `False` if it is spent."""
-        return self._budget(service).take(read_clock())
-
     def _budget(self, service: str) -> SharedRetryBudget:
         """Return this router's retry budget for a service."""
         budget = self._budgets.get(service)
--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -24,7 +24,7 @@
 )
 from damaskwind.decisions.retries.shared_budget import SharedRetryBudget
 from damaskwind.model.traffic_configuration import RouteKind
-from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, Placement
+from damaskwind.router.forwarding.attempt_outcome import AttemptEnd, AttemptOutcome, Placement
 from damaskwind.router.forwarding.call import Call
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -1,6 +1,8 @@
 """Admit requests to pools: start, queue or reject them as `decisions/admission` decides."""
 
 import asyncio
+from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 from damaskwind.decisions.admission.fair_queue import PoolRequest
@@ -41,6 +43,8 @@
     def __init__(
         self, target_states: TargetStates, random: Random, memory: EngineMemory | None = None
     ) -> None:
+        # Overdue attempts that look for another target; they need permits like requests that wait.
+        self.count_seeking: Callable[[str], int] = lambda service: 0
         self._target_states = target_states
         self._random = random
         self._memory = memory
@@ -49,6 +53,8 @@
         self._waiting_calls: dict[int, Call] = {}
         self._longest_wait_s: dict[str, float] = {}
         self._polled_s: dict[str, float] = {}
+        # Requests that are about to be sent to a target in place of an overdue attempt.
+        self._reserved: Counter[str] = Counter()
         # The services that report no load.
         self._plain: set[str] = set()
         target_states.brittle.permits.demand = self.unplaced
@@ -89,12 +95,35 @@
     def add_queued_load(self, service: str, candidates: list[Candidate]) -> list[Candidate]:
         """Add the requests queued here for a target to its load, so that a hot one is avoided."""
         pool = self._pool(service)
-        if not len(pool.queue):
+        if not len(pool.queue) and not self._reserved:
             return candidates
         return [
-            item._replace(load=item.load + pool.waiting_for(item.target_id)) for item in candidates
+            item._replace(
+                load=item.load + pool.waiting_for(item.target_id) + self._reserved[item.target_id]
+            )
+            for item in candidates
         ]
 
+    def has_room(self, service: str, candidate: Candidate) -> bool:
+        """Return whether a target has a free slot, and room in this router's window for it."""
+        reserved = self._reserved[candidate.target_id]
+        headroom = self._pool(service).headroom_at(free_slots_of(candidate), read_clock(), reserved)
+        return headroom > 0
+
+    def ask_for_slots(self, service: str) -> None:
+        """Ask for the slots of brittle targets that requests and overdue attempts need."""
+        self._free_slots(service, read_clock())
+
+    def reserve(self, target_id: str) -> None:
+        """Record that a request is about to be sent to a target."""
+        self._reserved[target_id] += 1
+
+    def end_reservation(self, target_id: str) -> None:
+        """Record that a request for which a place was reserved is sent, or never will be."""
+        self._reserved[target_id] -= 1
+        if not self._reserved[target_id]:
+            del self._reserved[target_id]
+
     def record_expected_starts(self, service: str, candidates: list[Candidate]) -> None:
         """Record when the pool's first target would start an answer, for `Retry-After`."""
         starts_s = [item.start_s for item in candidates if item.start_s is not None]
@@ -135,8 +164,8 @@
         return self._pool(call.service).retry_after_s(objective_s, call.left_s(), read_clock())
 
     def unplaced(self, service: str) -> int:
-        """Return how many requests of a service wait, or were admitted and have no target yet."""
-        return self._pool(service).unplaced()
+        """Return how many requests of a service wait, or have no target yet."""
+        return self._pool(service).unplaced() + self.count_seeking(service)
 
     def waiting(self, service: str) -> int:
         """Return the number of requests queued for a service."""
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -6,13 +6,8 @@
 from damaskwind.decisions.fatal_requests.evidence import SendEvidence
 from damaskwind.decisions.load.held_requests import LoadBasis
 from damaskwind.decisions.membership.target_record import TargetRecord
-from damaskwind.router.forwarding.attempt import (
-    AnswerAcceptor,
-    AttemptEnd,
-    AttemptOutcome,
-    AttemptSender,
-    Placement,
-)
+from damaskwind.router.forwarding.attempt import AnswerAcceptor, AttemptSender
+from damaskwind.router.forwarding.attempt_outcome import AttemptEnd, AttemptOutcome, Placement
 from damaskwind.router.forwarding.call import AttemptNote, Call
 from damaskwind.router.forwarding.crash_detector import BrokenSend, CrashDetector
 from damaskwind.router.forwarding.delivery import Delivery
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -19,11 +19,12 @@
 
 from damaskwind.decisions.admission.pool_admission import PoolRejection
 from damaskwind.router.forwarding.admission_gate import AdmissionGate
-from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, Placement
+from damaskwind.router.forwarding.attempt_outcome import AttemptEnd, AttemptOutcome, Placement
 from damaskwind.router.forwarding.call import Call, FinalRefusal
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
+from damaskwind.router.forwarding.replacements import Replacements
 from damaskwind.router.forwarding.slot_permits import Permit, PermitUse
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
 from damaskwind.router.forwarding.stream_origins import StreamOrigins
@@ -62,7 +63,8 @@
     """One request and how far it has come.
 
     `placement` is the target chosen for the next send, and `permit` that for it where targets are
-    brittle. `outcome` is that of the last attempt;
+    brittle. A retry was taken from the budget at `retry_taken_s` if one is in hand.
+    `outcome` is that of the last attempt;
     `failure` is the last failure that a target answered, which is passed on to the caller if
     no later attempt succeeds.
     """
@@ -73,6 +75,7 @@
         self.delivery = delivery
         self.placement: Placement | None = None
         self.permit: Permit | None = None
+        self.retry_taken_s: float | None = None
         self.outcome = AttemptOutcome(AttemptEnd.NOT_RUN, "no target")
         self.failure: AttemptOutcome | None = None
 
@@ -128,7 +131,7 @@
         gates: Sequence[AdmissionGate],
         chooser: TargetChooser,
         sends: HedgedSends,
-        take_retry: Callable[[str], bool],
+        replacements: Replacements,
         tallies: Tallies,
         probes: SpeedProbes,
         origins: StreamOrigins,
@@ -139,7 +142,7 @@
         self.gates = gates
         self.chooser = chooser
         self.sends = sends
-        self.take_retry = take_retry
+        self.replacements = replacements
         self.target_states = target_states
         self.suspicions = target_states.suspicions
         self.reach = target_states.reach
@@ -151,9 +154,39 @@
         """Send until an answer is delivered or no further attempt is allowed."""
         progress = RequestProgress(exchange, call, delivery)
         state = RequestState.ARRIVED
-        while state is not RequestState.ENDED:
-            state = await _HANDLERS[state](self, progress)
-        return progress.result
+        try:
+            while state is not RequestState.ENDED:
+                state = await _HANDLERS[state](self, progress)
+            return progress.result
+        finally:
+            self._release_unused(progress)
+
+    def _release_unused(self, progress: RequestProgress) -> None:
+        """Give back what was taken for another attempt that was not made."""
+        self.replacements.release(progress.call)
+        if progress.retry_taken_s is not None:
+            self.replacements.give_retry_back(progress.call.service, progress.retry_taken_s)
+
+    def use_replacement(self, progress: RequestProgress) -> bool:
+        """Place a request where its last attempt has a replacement; return whether it has one.
+
+        The retry that was taken with it is kept if its target can't be used any more.
+        """
+        replacement = self.replacements.use(progress.call)
+        if replacement is None:
+            return False
+        progress.retry_taken_s = replacement.taken_s
+        if not self.replacements.is_usable(progress.call, replacement):
+            self.replacements.give_permit_back(replacement)
+            return False
+        progress.placement, progress.permit = replacement.placement, replacement.permit
+        return True
+
+    def has_retry(self, progress: RequestProgress) -> bool:
+        """Take a retry for a request unless it has one; return `False` if the budget is spent."""
+        if progress.retry_taken_s is None:
+            progress.retry_taken_s = self.replacements.take_retry(progress.call.service)
+        return progress.retry_taken_s is not None
 
     def place(self, progress: RequestProgress, must_fit: bool = True) -> RequestState:
         """Choose the target of the next send; the request ends if there is none.
@@ -221,10 +254,16 @@
         return await self.admissions.admit(call, home)
 
     async def send(self, progress: RequestProgress) -> AttemptOutcome:
-        """Make one attempt at the target that was chosen."""
+        """Make one attempt at the target that was chosen.
+
+        A retry is used up by it, unless it did not reach its target.
+        """
+        taken_s, progress.retry_taken_s = progress.retry_taken_s, None
         outcome = await self.sends.send(
             progress.exchange, progress.call, progress.delivery, progress.placement
         )
+        if not outcome.was_sent:
+            progress.retry_taken_s = taken_s
         self.probes.record_sent(progress.call, outcome)
         return outcome
 
@@ -338,7 +377,7 @@
 async def _send_placed(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Send a request to its target; a second send draws on the retry budget."""
     call = progress.call
-    if call.reached and not steps.take_retry(call.service):
+    if call.reached and not steps.has_retry(progress):
         why = f"{progress.outcome.why}; retry budget spent"
         progress.outcome = progress.outcome._replace(why=why)
         return RequestState.ENDED
@@ -386,18 +425,13 @@
 
 @_handles(RequestState.REPEATED)
 async def _place_again(steps: RequestSteps, progress: RequestProgress) -> RequestState:
-    """Place a request again after an attempt that may be repeated.
-
-    If a target that began the stream is back with other software, it is not certain which of the
-    two its events came from.
-    """
-    began_at = progress.call.began_at
-    if began_at is not None and not steps.target_states.runs_version(began_at):
+    """Place a request again after an attempt that may be repeated."""
+    if not steps.chooser.confine_to_begun(progress.call):
         why = f"{progress.outcome.why}; the target's software changed"
         progress.outcome = progress.outcome._replace(why=why)
         return RequestState.ENDED
-    if began_at is not None:
-        progress.call.required_version = steps.target_states.present_version(began_at)
+    if steps.use_replacement(progress):
+        return RequestState.PLACED
     state = await steps.place_when_settled(progress)
     if state is RequestState.ENDED or not steps.is_bounded(progress.call):
         return state
--- a/packages/router/src/damaskwind/router/forwarding/speed_probes.py
+++ b/packages/router/src/damaskwind/router/forwarding/speed_probes.py
@@ -9,7 +9,7 @@
 from damaskwind.decisions.load.probe_budget import ProbeBudget
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.model.header_names import HeaderNames
-from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome, Placement
+from damaskwind.router.forwarding.attempt_outcome import AttemptEnd, AttemptOutcome, Placement
 from damaskwind.router.forwarding.call import Call
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
--- a/packages/router/src/damaskwind/router/forwarding/target_activity.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_activity.py
@@ -53,6 +53,10 @@
         """Record that a target sent something."""
         self._received_s[target_id] = now_s
 
+    def received_s(self, target_id: str) -> float:
+        """Return when a target last sent anything, negative infinity if it never did."""
+        return self._received_s.get(target_id, float("-inf"))
+
     def silent_s(self, target_id: str, now_s: float, woken_s: float = float("-inf")) -> float:
         """Return for how long a target has kept all its requests waiting, in seconds.
 
--- a/packages/router/src/damaskwind/router/forwarding/target_choice.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -14,7 +14,7 @@
     policy_for,
 )
 from damaskwind.decisions.routing.regions import is_allowed
-from damaskwind.router.forwarding.attempt import Placement
+from damaskwind.router.forwarding.attempt_outcome import Placement
 from damaskwind.router.forwarding.call import Call
 from damaskwind.router.forwarding.engine_memory import EngineMemory
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
@@ -89,6 +89,19 @@
         target = records[choice.candidate.target_id]
         return Placement(target, choice, donor.address if donor else None, is_confined)
 
+    def confine_to_begun(self, call: Call) -> bool:
+        """Confine a stream to the version that began it; return whether it may go on at all.
+
+        If a target that began the stream is back with other software, it is not certain which of
+        the two its events came from.
+        """
+        if call.began_at is None:
+            return True
+        if not self._target_states.runs_version(call.began_at):
+            return False
+        call.required_version = self._target_states.present_version(call.began_at)
+        return True
+
     def _policy(self, call: Call, now_s: float) -> AffinityPolicy:
         """Return the policy for a request, with the time to read its shared parts elsewhere."""
         target_states = self._target_states
