An answer is read in bounded turns, behind a bounded buffer, after at most 32 informational heads

What callers saw: with a target that sends 100 Continue without end as fast as it is read, 106 of 480 others were refused with 503. It also read on for a reader that waits for its caller: without a bound, 240 MB of a body were taken off a target for a caller that read nothing. Pieces of two bytes of a body that is collected took 43 bytes each.

Now a series of over 32 informational heads raises AnswerTooLongError, a reader that has parsed for 2 ms lets other tasks run, a transport is paused while over 256 KB of it are unparsed, and small pieces are joined up to 16 KB. Heads, field lines and chunk sizes were bounded before; their error is typed now and names the bound.

--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -15,10 +15,12 @@
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.answer_errors import AnswerBrokenError, AnswerTooLongError
 from damaskwind.runtime.http1.held_memory import AnswerAccount
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, Outbox
 from damaskwind.runtime.http1.transports import reset
+from damaskwind.runtime.http1.unread_input import UnreadInput
 
 __all__ = [
     "AnswerBrokenError",
@@ -30,6 +32,16 @@
 
 # No target sends an answer whose head is larger than this.
 ANSWER_HEAD_BYTES = 65_536
+# A sound target sends one or two informational answers (100 to 199) before its answer.
+MAX_INFORMATIONAL = 32
+# A reader that parses for longer than this lets other tasks run: a target may send many thousand
+# small chunks in one piece.
+MAX_PARSING_S = 0.002
+# Pieces of a body that is collected are joined up to this size, since each small one of them
+# takes several times its length.
+JOINED_BYTES = 16_384
+# How the parser marks what exceeds that size: a head, or the line with the size of a chunk.
+HEAD_TOO_LONG = 431
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Where answers are accounted for, at most this much is read before the account is asked.
 READ_BYTES = 65_536
@@ -55,10 +67,6 @@
     """No connection was established; nothing was sent."""
 
 
-class AnswerBrokenError(DamaskwindError):
-    """The answer ended early, was reset, or violated the protocol."""
-
-
 class AnswerHead:
     """The status and headers of an answer, which precede its body.
 
@@ -87,6 +95,21 @@
     return not any(name in FRAMING_HEADERS for name, _ in head.headers)
 
 
+def _append_joined(pieces: list[bytes | bytearray], piece: bytes) -> None:
+    """Append a piece of a body, or add it to the last one while that is small.
+
+    >>> pieces = []
+    >>> for piece in (b"ab", b"cd"):
+    ...     _append_joined(pieces, piece)
+    >>> pieces
+    [bytearray(b'abcd')]
+    """
+    if pieces and len(pieces[-1]) + len(piece) <= JOINED_BYTES:
+        pieces[-1] += piece
+    else:
+        pieces.append(bytearray(piece) if len(piece) < JOINED_BYTES else piece)
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection to a peer. Await `send`, then `read_head`, then `read_data`."""
 
@@ -106,6 +129,8 @@
         self.is_in_use = False
         self.requests = 0
         self.usable_until_s = 0.0
+        self._unread_input: UnreadInput | None = None
+        self._parsing_since_s = 0.0
         self._account: AnswerAccount | None = None
         self._outbox: Outbox | None = None
         self._is_collecting = False
@@ -121,6 +146,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket options that detect an unresponsive peer."""
         self._transport = transport
+        self._unread_input = UnreadInput(transport)
         handle = transport.get_extra_info("socket")
         for option, value in _LIVENESS_OPTIONS:
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
@@ -161,6 +187,7 @@
         if self._account is not None:
             self._unread_bytes += len(data)
             self._account.hold(len(data))
+        self._unread_input.add(len(data))
         self._parser.receive_data(data)
         self._wake()
 
@@ -219,15 +246,19 @@
         write(data)
 
     async def read_head(self) -> AnswerHead:
-        """Wait for the head of the answer; raise `AnswerBrokenError` if none arrives."""
+        """Wait for the head of the answer; raise `AnswerBrokenError` if none arrives.
+
+        Raise `AnswerTooLongError` after more than `MAX_INFORMATIONAL` informational answers.
+        """
         self._is_collecting = False
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 is_unframed = _is_unframed(self._sent_request.method, event)
                 return AnswerHead(event.status_code, list(event.headers), is_unframed)
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerBrokenError("the connection ended before an answer")
+        raise AnswerTooLongError("series of informational answers", MAX_INFORMATIONAL, "heads")
 
     async def read_data(self) -> bytes | None:
         """Return the next piece of the body, or `None` once it is complete."""
@@ -242,15 +273,15 @@
         """Return the rest of the body; raise `AnswerBrokenError` if it exceeds the limit."""
         return b"".join(await self.read_pieces(limit_bytes))
 
-    async def read_pieces(self, limit_bytes: int) -> list[bytes]:
+    async def read_pieces(self, limit_bytes: int) -> list[bytes | bytearray]:
         """Return the rest of the body in pieces; they stay in the account until `settle`."""
         self._is_collecting = True
         pieces, size_bytes = [], 0
         while (piece := await self.read_data()) is not None:
-            pieces.append(piece)
+            _append_joined(pieces, piece)
             size_bytes += len(piece)
             if size_bytes > limit_bytes:
-                raise AnswerBrokenError(f"answer of over {limit_bytes} bytes")
+                raise AnswerTooLongError("answer", limit_bytes)
         return pieces
 
     def skip_answer(self) -> None:
@@ -278,6 +309,7 @@
         self._is_collecting = False
         self.settle()
         self._account = None
+        self._unread_input.clear()
         parser = self._parser
         is_clean = (
             self.is_open
@@ -292,20 +324,31 @@
         return is_clean
 
     async def _next_event(self) -> Any:
-        """Return the next event of the answer."""
+        """Return the next event of the answer; while many are at hand, let other tasks run."""
+        if self._unread_input.size_bytes and read_clock() - self._parsing_since_s > MAX_PARSING_S:
+            await asyncio.sleep(0)
+            self._parsing_since_s = read_clock()
         while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise AnswerBrokenError(f"no whole answer: {error}") from error
+            event = self._parse_event()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
+            self._unread_input.clear()
             if not self._is_collecting:
                 self.settle()
             if self._is_lost:
                 raise AnswerBrokenError("the connection was lost")
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
+            self._parsing_since_s = read_clock()
+
+    def _parse_event(self) -> Any:
+        """Return the next event that the parser knows, or that it needs more data for one."""
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == HEAD_TOO_LONG:
+                raise AnswerTooLongError("head or chunk size", ANSWER_HEAD_BYTES) from error
+            raise AnswerBrokenError(f"no whole answer: {error}") from error
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_client.py
@@ -8,6 +8,7 @@
 
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.http1 import client
 from damaskwind.runtime.http1.client import (
     AnswerBrokenError,
     ConnectFailedError,
@@ -17,10 +18,11 @@
 from damaskwind.runtime.http1.messages import Request
 
 REQUEST = Request(b"POST", b"/x", [(b"host", b"h")], b"body")
+MIB = 2**20
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
-class ClientTest(TestCase):
+class ClientTestCase(TestCase):
     timeout = 15
 
     def setUp(self):
@@ -56,6 +58,8 @@
             end(peer)
         return connection, peer
 
+
+class ClientTest(ClientTestCase):
     @asyncio_test
     async def test_connection_is_reused_for_a_second_request(self):
         connection, peer = await self.answer(WHOLE)
@@ -121,3 +125,86 @@
         self.listener.close()
         with self.assertRaises(ConnectFailedError):
             await connect(self.address, 1.0)
+
+
+class EndlessAnswerTest(ClientTestCase):
+    async def read_head(self, data):
+        connection, _ = await self.answer(data)
+        return await connection.read_head()
+
+    @asyncio_test
+    async def test_informational_answers_without_end_are_no_answer(self):
+        """Guards against a target that keeps its router reading with 100 Continue."""
+        for informational in (b"HTTP/1.1 100 X\r\n\r\n", b"HTTP/1.1 103 X\r\na: b\r\n\r\n"):
+            head = await self.read_head(informational * client.MAX_INFORMATIONAL + WHOLE)
+            self.assertEqual(head.status, 200)
+            with self.assertRaisesRegex(AnswerBrokenError, "informational") as raised:
+                await self.read_head(informational * (client.MAX_INFORMATIONAL + 1) + WHOLE)
+            self.assertEqual(raised.exception.part, "series of informational answers")
+
+    @asyncio_test
+    async def test_lines_and_heads_without_end_are_too_long(self):
+        """Guards against lines that are held without a bound."""
+        filling = b"x" * 70_000
+        fields = b"a: b\r\n" * 12_000
+        chunked = b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n"
+        for data in (b"HTTP/1.1 200 " + filling, b"HTTP/1.1 200 X\r\nx: " + filling):
+            with self.assertRaisesRegex(AnswerBrokenError, "head or chunk size of over 65536"):
+                await self.read_head(data)
+        with self.assertRaisesRegex(AnswerBrokenError, "head or chunk size of over 65536"):
+            await self.read_head(b"HTTP/1.1 200 X\r\n" + fields)
+        connection, _ = await self.answer(chunked + b"0" * 70_000)
+        await connection.read_head()
+        with self.assertRaisesRegex(AnswerBrokenError, "head or chunk size of over 65536"):
+            await connection.read_data()
+
+    @asyncio_test
+    async def test_body_of_small_chunks_is_held_in_large_pieces(self):
+        """Guards against pieces of two bytes, each of which takes 35 bytes and a reference."""
+        body = b"xy" * 50_000
+        chunks = b"2\r\nxy\r\n" * 50_000
+        head = b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n"
+        connection, peer = await self.answer(head)
+        sending = asyncio.get_running_loop().sock_sendall(peer, chunks + b"0\r\n\r\n")
+        sending = asyncio.ensure_future(sending)
+        await connection.read_head()
+        pieces = await connection.read_pieces(len(body))
+        await sending
+        self.assertEqual(b"".join(pieces), body)
+        self.assertLess(len(pieces), 10)
+
+    @asyncio_test
+    async def test_peer_is_left_unread_while_nothing_is_parsed(self):
+        """Guards against a buffer that grows while the reader waits for its caller."""
+        connection, peer = await self.answer(b"HTTP/1.1 200 OK\r\n\r\n")
+        await connection.read_head()
+        sent_bytes, before_bytes = 0, -1
+        while sent_bytes != before_bytes:
+            before_bytes = sent_bytes
+            try:
+                while sent_bytes < 64 * MIB:
+                    sent_bytes += peer.send(bytes(65_536))
+            except BlockingIOError:
+                pass
+            await asyncio.sleep(0.2)
+        self.assertLess(sent_bytes, 64 * MIB)
+        received_bytes = 0
+        while received_bytes < sent_bytes:
+            received_bytes += len(await connection.read_data())
+
+    @asyncio_test
+    async def test_connection_that_was_left_unread_is_reused(self):
+        """Guards against a kept connection that nobody reads from."""
+        connection, peer = await self.answer(b"")
+        body = bytes(4 * MIB)
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+        sending = asyncio.get_running_loop().sock_sendall(peer, answer)
+        sending = asyncio.ensure_future(sending)
+        await connection.read_head()
+        await asyncio.sleep(0.2)
+        self.assertEqual(await connection.read_body(len(body)), body)
+        await sending
+        self.assertTrue(connection.release())
+        peer.close()
+        await asyncio.sleep(0.1)
+        self.assertFalse(connection.is_open)
