An event, or a run of empty lines, of over 1 MB breaks its answer off

What callers saw: a stream that may be resumed and brings an event without end was held by its router until the deadline, without a bound (+128 MB with a deadline of 15 s; a router has 300 MB and is killed beyond, with all its requests). Each piece copied all that was held: 0.52 s of processor time in one turn of the event loop. A stream that may not be resumed passed on such an event, or empty lines, until the deadline.

Now the attempt ends as broken (AnswerTooLongError), its connection is reset, and the request is taken up elsewhere where that is allowed; an answer that can't be is reset. A piece costs time by its own length. Streams that are not stated to consist of events pass on without a bound. The warning 'answer too long' and answers_too_long_total{part} show it.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -24,6 +24,7 @@
 from damaskwind.router.forwarding.call import Call, target_headers
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.long_answers import record_too_long
 from damaskwind.router.forwarding.service_reach import SILENCE_S
 from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_paths import TargetPath, choose_path
@@ -189,6 +190,7 @@
         self._loads = target_states.loads
         self._names = names
         self._origins = origins
+        self._tallies = tallies
         # The connections of attempts whose answer has not begun.
         self._unanswered: dict[ClientConnection, Call] = {}
         self._called_back: WeakSet[ClientConnection] = WeakSet()
@@ -265,6 +267,7 @@
         except AnswerBrokenError as error:
             if connection in self._called_back:
                 return AttemptOutcome(AttemptEnd.CALLED_BACK, "held fatal")
+            record_too_long(error, call, target, path.via, self._tallies)
             path.record_stalled()
             if connection.is_timed_out and not path.via:
                 self.connections.watch(target.target_id, target.address)
--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -6,7 +6,15 @@
 however its target framed it.
 """
 
-from damaskwind.router.forwarding.events import EventBoundary, EventSplitter, event_id, is_blank
+from damaskwind.router.forwarding.events import (
+    EmptyLines,
+    EventBoundary,
+    EventSplitter,
+    check_event,
+    event_id,
+    is_blank,
+)
+from damaskwind.runtime.http1.answer_errors import AnswerTooLongError
 from damaskwind.runtime.http1.client import AnswerHead
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.held_memory import RequestAccount
@@ -34,6 +42,11 @@
     return content_type.lower().startswith(EVENT_STREAM)
 
 
+def _states_events(head: AnswerHead) -> bool:
+    """Return whether a stream is stated to consist of events, so that each has to end."""
+    return _has_events(head) and header(head.headers, b"content-type") is not None
+
+
 class Delivery:
     """The answer to one caller, as far as it was delivered."""
 
@@ -42,7 +55,9 @@
         self._is_resumable = is_resumable
         self._splitter = EventSplitter()
         self._boundary = EventBoundary()
+        self._empty_lines = EmptyLines()
         self._has_events = True
+        self._is_bounded = True
         self._is_unframed = False
         self._has_event = False
         self._is_skipping = False
@@ -64,7 +79,7 @@
     def open_bytes(self) -> int:
         """Return how much of an event has arrived whose end has not; 0 between two events."""
         if self._is_resumable:
-            return len(self._splitter.partial)
+            return self._splitter.open_bytes
         return self._boundary.open_bytes if self._has_events else 0
 
     def resume_after(self, asked: int | None) -> int | None:
@@ -91,27 +106,51 @@
 
     def begin_stream(self, head: AnswerHead) -> None:
         """Send the head of the first attempt's stream; those of later attempts are dropped."""
-        self._hold_partial(-len(self._splitter.partial))
-        self._splitter = EventSplitter()
+        self._drop_partial()
         self._boundary = EventBoundary()
+        self._empty_lines = EmptyLines()
         self._has_events = _has_events(head)
+        self._is_bounded = self._is_resumable or _states_events(head)
         self._is_unframed = head.is_unframed
         if not self.has_begun:
             self._exchange.begin(head.status, without(head.headers, frozenset()))
 
     def write_stream(self, data: bytes) -> None:
-        """Forward a chunk of a stream."""
+        """Forward a chunk of a stream.
+
+        Raise `AnswerTooLongError` if an event, or a run of empty lines, exceeds its bound. Where
+        a stream isn't stated to consist of events, and passes as it comes, there is no bound.
+        """
+        if self._is_bounded:
+            self._empty_lines.feed(data)
         if not self._is_resumable:
-            self.bytes += len(data)
-            self._boundary.feed(data)
-            self._has_event = self._has_event or not is_blank(data)
-            self._exchange.write(data)
+            self._write_chunk(data)
             return
-        before_bytes = len(self._splitter.partial)
+        before_bytes = self._splitter.open_bytes
         events = self._splitter.feed(data)
-        self._hold_partial(len(self._splitter.partial) - before_bytes)
-        for event in events:
-            self._write_event(event)
+        self._hold_partial(self._splitter.open_bytes - before_bytes)
+        try:
+            for event in events:
+                check_event(len(event))
+                self._write_event(event)
+            check_event(self._splitter.open_bytes)
+        except AnswerTooLongError:
+            self._drop_partial()
+            raise
+
+    def _write_chunk(self, data: bytes) -> None:
+        """Forward a chunk of a stream that can't be resumed, whatever it contains."""
+        open_bytes = self._boundary.feed(data)
+        if self._is_bounded:
+            check_event(open_bytes)
+        self.bytes += len(data)
+        self._has_event = self._has_event or not is_blank(data)
+        self._exchange.write(data)
+
+    def _drop_partial(self) -> None:
+        """Drop the start of an event that won't be completed."""
+        self._hold_partial(-self._splitter.open_bytes)
+        self._splitter = EventSplitter()
 
     def _hold_partial(self, size_bytes: int) -> None:
         """Account for the start of an event, which is held until the event is complete."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -163,21 +163,39 @@
         await reader.readuntil(b"\r\n\r\n")
         return len(await asyncio.wait_for(reader.readexactly(size_bytes), 5.0)), False
 
-    @asyncio_test
-    async def test_event_that_never_ends_is_held_and_given_up(self):
-        """The start of an event was buffered without being counted."""
-        self.publish(route(kind=RouteKind.STREAMING, is_resumable=True))
+    def start_event(self, size_bytes):
+        """Return a step that sends the start of an event, and then nothing more."""
 
         async def step(writer, request):
             writer.write(b"HTTP/1.1 200 X\r\nx-request-id: r1\r\ncontent-length: 9000000\r\n\r\n")
-            for _ in range(140):
+            for _ in range(size_bytes // 50_000):
                 writer.write(bytes(50_000))
                 await writer.drain()
+            await asyncio.sleep(10.0)
 
-        self.script(step)
-        reader, _ = await self.open()
+        return step
+
+    @asyncio_test
+    async def test_events_that_never_end_are_held_and_given_up(self):
+        """The start of an event was buffered without being counted."""
+        kind = {"kind": RouteKind.STREAMING, "is_resumable": True}
+        self.publish(route(**kind, timeout_s=6.0, max_attempts=1))
+        self.share(*[self.start_event(1_000_000)] * 7)
+        readers = [(await self.open())[0] for _ in range(7)]
         await self.until(self.given_up)
+        self.assertLessEqual(self.memory.ledger.held_bytes, BOUNDS.total_bytes)
+        ends = await asyncio.gather(*map(self.read_end, readers))
+        self.assertEqual(sum(was_reset for _, was_reset in ends), self.given_up())
+        await self.until(lambda: not self.memory.ledger.held_bytes)
+
+    @asyncio_test
+    async def test_event_of_over_its_bound_is_broken_off_and_released(self):
+        """Guards against an event that stays in the account after it was dropped."""
+        self.publish(route(kind=RouteKind.STREAMING, is_resumable=True))
+        self.script(self.start_event(7_000_000))
+        reader, _ = await self.open()
         self.assertTrue((await self.read_end(reader))[1])
+        self.assertEqual(self.given_up(), 0)
         await self.until(lambda: not self.memory.ledger.held_bytes)
 
     @asyncio_test
