A request whose work is canceled or fails in the router gets 502, or 503 if it has not run

What callers saw: a reset, and in the log 'caller left', wherever the work for a request was canceled by anything but its caller's leaving; 500 for a fault of the router, which callers may take for a target's answer. The cause: Forwarder.handle took each cancellation for the caller's leaving. It asks the exchange now why the connection has ended: if it has not, the request is answered as any other that failed, by whether it may have run; 'request ended' names the canceling message and the innermost functions, and 'request canceled' or 'request failed' is logged as an error. 'caller left' is logged only if the caller did. A cancellation of the task itself is not lost: nothing is waited for after it. A race all of whose attempts are canceled has an outcome (it was an IndexError).

Who can do it, by reading: what requests share is awaited by asyncio.wait or behind asyncio.shield, and nothing cancels the shared probes; a handler's task is canceled by its connection, its account of held bytes, its deadline, or the end of the loop. So no cause is known in the product, apart from the last.

test_canceled_requests cancels a request at each of its waits, as a canceled future and as a canceled task: plain, retried, not repeatable, stream, unframed, with bounded bytes, in a race.

--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -214,6 +214,11 @@
         """Return the number of the attempt at a target."""
         return self.second_number if target_id == self.second_target else self.number
 
+    @property
+    def name(self) -> str:
+        """Return the id that the caller gave to the request, for the log."""
+        return self.facts.request_id.decode("latin-1")
+
     @property
     def priority(self) -> int:
         """Return the account's priority if it has one, otherwise the route's."""
--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -10,7 +10,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
-from damaskwind.runtime.http1.unanswered import UnansweredReason
+from damaskwind.runtime.http1.unanswered import CALLER_LEFT, UnansweredReason
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["FinalAnswers"]
@@ -92,6 +92,10 @@
             version=version,
         )
 
+    def log_lost(self, call: Call, delivery: Delivery, loss: UnansweredReason) -> None:
+        """Log a request whose caller's connection has ended."""
+        self.log(call, delivery, "caller left" if loss in CALLER_LEFT else "cut", loss.value)
+
     def log(self, call: Call, delivery: Delivery, outcome: str, why: str) -> None:
         """Count a request and log its summary line."""
         kind = call.route.kind.value
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -6,6 +6,8 @@
 from random import Random
 from types import MappingProxyType
 
+from loguru import logger
+
 from damaskwind.decisions.fatal_requests.identity import identify_request
 from damaskwind.decisions.retries.shared_budget import BudgetTerms, SharedRetryBudget
 from damaskwind.decisions.routing.table import RoutingReason, choose_service
@@ -34,6 +36,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import header
+from damaskwind.runtime.http1.unanswered import describe_cancellation
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["Forwarder"]
@@ -43,6 +46,12 @@
 _ROUTING_STATUS = {RoutingReason.NO_ROUTE: 404, RoutingReason.UNKNOWN_KEY: 401}
 
 
+def _interrupted(exchange: Exchange, why: str) -> AttemptOutcome:
+    """Return the outcome of a request whose work ended early, possibly after its whole answer."""
+    end = AttemptEnd.DELIVERED if exchange.is_finished else AttemptEnd.BROKEN
+    return AttemptOutcome(end, why)
+
+
 class Forwarder:
     """The request handler of a router's caller-facing address.
 
@@ -124,18 +133,18 @@
         self.steps.target_bodies = self.hedged_sends.target_bodies = bodies
 
     async def handle(self, exchange: Exchange) -> None:
-        """Handle one request to its final answer."""
+        """Handle one request to its final answer, also if its work is canceled or fails."""
         call = self._admit(exchange)
         if call is None:
             return
-        call.digest = await self._identify(exchange, call)
         delivery = Delivery(exchange, call.route.is_resumable)
-        held = self.target_states.suspicions.find_held(call)
-        if held is not None:
-            self.answers.refuse_fatal(exchange, call, delivery, held)
-            return
         outcome = None
         try:
+            call.digest = await self._identify(exchange, call)
+            held = self.target_states.suspicions.find_held(call)
+            if held is not None:
+                self.answers.refuse_fatal(exchange, call, delivery, held)
+                return
             async with exchange.account or nullcontext():
                 async with asyncio.timeout(max(call.left_s(), 0.0)):
                     outcome = await self.steps.run(exchange, call, delivery)
@@ -146,13 +155,20 @@
             outcome = AttemptOutcome(AttemptEnd.BROKEN, str(error))
         except TimeoutError:
             outcome = AttemptOutcome(AttemptEnd.STALLED, "deadline exceeded")
-        except asyncio.CancelledError:
-            self.answers.log(call, delivery, "caller left", "the caller closed its connection")
-            raise
+        except asyncio.CancelledError as error:
+            if exchange.loss is not None:
+                self.answers.log_lost(call, delivery, exchange.loss)
+                raise
+            outcome = _interrupted(exchange, describe_cancellation(error))
+            logger.error("request canceled", request=call.name, why=outcome.why)
+        except Exception as error:
+            outcome = _interrupted(exchange, f"failed here: {error!r}")
+            logger.opt(exception=error).error("request failed", request=call.name)
         finally:
             self.admissions.record_ended(call)
             if self.shedding is not None:
                 self.shedding.record_final(call, outcome)
+        # A cancellation of this task takes effect at its next wait, of which there is none here.
         self.answers.finish(exchange, call, delivery, outcome)
 
     def _admit(self, exchange: Exchange) -> Call | None:
--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -113,6 +113,8 @@
     def outcome(self) -> AttemptOutcome:
         """Return the outcome of the race once all attempts have ended."""
         ended = [task for task in self.tasks if not task.cancelled()]
+        if not ended:
+            return AttemptOutcome(AttemptEnd.BROKEN, "all attempts were canceled")
         outcomes = [task.result() for task in ended if task.exception() is None]
         if not outcomes:
             return ended[0].result()
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
@@ -0,0 +1,207 @@
+"""Tests that a request which is canceled while its caller waits gets an honest answer.
+
+A cancellation is injected at each point at which the work for a request waits, as that of a
+shared future would be, or of the task by something else than the caller.
+"""
+
+import asyncio
+import json
+
+from loguru import logger
+
+from damaskwind.decisions.held_bytes.bound import HeldBounds
+from damaskwind.model.exception import DamaskwindError
+from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.held_bytes import HeldBytes
+from damaskwind.router.forwarding.target_bodies import TargetBodies
+from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
+from damaskwind.router.forwarding.unanswered_requests import UnansweredRequests, unanswered_totals
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.http1.client import AnswerBrokenError
+from damaskwind.runtime.http1.unanswered import UnansweredReason
+from damaskwind.standins.scripted_target import plain, raw, silent, stream, unframed
+
+# More points than any of the requests here passes.
+MAX_POINTS = 60
+CLOSED = 0
+MIB = 2**20
+BROKEN = raw(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nx", then_close=True)
+
+
+class _Canceled:
+    """Runs a coroutine, and cancels it at its n-th wait; `is_done` tells whether it got there."""
+
+    def __init__(self, work, number, of_task):
+        self._work = work
+        self._number = number
+        self._of_task = of_task
+        self.is_done = False
+
+    def __await__(self):
+        steps = self._work.__await__()
+        raised = None
+        for number in range(10 * MAX_POINTS):
+            try:
+                waited_for = steps.send(None) if raised is None else steps.throw(raised)
+            except StopIteration as end:
+                return end.value
+            raised = None
+            if number == self._number:
+                self.is_done = True
+                if self._of_task:
+                    asyncio.current_task().cancel("by the test")
+                else:
+                    raised = asyncio.CancelledError("by the test")
+                    if waited_for is not None:
+                        waited_for._asyncio_future_blocking = False
+                        waited_for.cancel()
+                    continue
+            try:
+                yield waited_for
+            except BaseException as error:
+                raised = error
+
+
+class CancelingTestCase(ForwarderTestCase):
+    """Cancels requests at each of their waits, and checks how they end."""
+
+    timeout = 110
+
+    async def start(self):
+        await super().start()
+        self.point, self.of_task, self.canceled = None, False, None
+        self.server.handler = self.handle
+        unanswered = UnansweredRequests(self.forwarder._names, self.forwarder.tallies)
+        self.server.on_unanswered = unanswered.record
+        self.ended = []
+        sink = logger.add(self.keep, serialize=True)
+        self.addCleanup(logger.remove, sink)
+
+    def keep(self, message):
+        record = json.loads(message)["record"]
+        if record["message"] == "request ended":
+            self.ended.append(record["extra"])
+
+    async def handle(self, exchange):
+        work = self.forwarder.handle(exchange)
+        self.canceled = _Canceled(work, self.point, self.of_task)
+        await self.canceled
+
+    async def outcome(self, number):
+        """Return the status of a request that is canceled at its n-th wait, and its sends."""
+        self.point, self.canceled = number, None
+        for target in self.targets:
+            target.received.clear()
+        request_id = b"c%d" % number
+        try:
+            answer = await self.call(path=b"/a/x", request_id=request_id)
+            status = answer.status
+        except AnswerBrokenError:
+            status = CLOSED
+        return status, len(self.received())
+
+    async def check(self, *steps, may_cut=False):
+        """Cancel a request at each of its waits; return how many there are."""
+        reasons = {UnansweredReason.ANSWER_CUT} if may_cut else set()
+        for number in range(MAX_POINTS):
+            self.share(*steps)
+            status, sends = await self.outcome(number)
+            if not self.canceled.is_done:
+                return number
+            self.assertLessEqual(
+                set(unanswered_totals(self.forwarder.tallies)), reasons, (number, status)
+            )
+            if status == CLOSED:
+                self.assertTrue(may_cut and sends, f"closed at wait {number}")
+                continue
+            self.assertIn(status, (200, 502, 503), f"at wait {number}")
+            if status == 503:
+                self.assertEqual(sends, 0, f"sent before wait {number}")
+            last = self.ended[-1]
+            self.assertNotEqual(last["outcome"], "caller left")
+            if status != 200:
+                self.assertIn("by the test", last["why"])
+            self.assertEqual(self.server.active, 0)
+            self.assertEqual(self.forwarder.admissions.unplaced("pool"), 0)
+        raise DamaskwindError("the request waits at more points than are tested")
+
+    async def check_both(self, *steps, may_cut=False):
+        for self.of_task in (False, True):
+            waits = await self.check(*steps, may_cut=may_cut)
+            self.assertGreater(waits, 1)
+
+
+class CanceledRequestsTest(CancelingTestCase):
+    @asyncio_test
+    async def test_plain_request_is_answered_wherever_it_is_canceled(self):
+        """Guards against a request that is lost as something that it waits for is canceled."""
+        await self.check_both(plain())
+
+    @asyncio_test
+    async def test_retried_request_is_answered_wherever_it_is_canceled(self):
+        """Guards against a request that is lost as the shared probe of its target is canceled."""
+        await self.check_both(BROKEN, plain())
+
+    @asyncio_test
+    async def test_request_that_may_not_be_repeated_is_answered_wherever_it_is_canceled(self):
+        """Guards against a promise that a request has not run which may have."""
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        await self.check_both(plain())
+
+    @asyncio_test
+    async def test_stream_is_answered_or_reset_wherever_it_is_canceled(self):
+        """Guards against a stream that looks complete as it is canceled, or is not counted."""
+        self.publish(route(RouteKind.STREAMING, is_resumable=True))
+        await self.check_both(stream(1, 3), may_cut=True)
+
+    @asyncio_test
+    async def test_unframed_answer_is_passed_on_or_fails_wherever_it_is_canceled(self):
+        """Guards against a request that is lost as the probe of its target's end is canceled."""
+        await self.check_both(unframed(b"whole"))
+
+
+class CanceledHeldRequestsTest(CancelingTestCase):
+    """The same where the bytes in hand are bounded, with a body that a thread hashes."""
+
+    def make_memory(self):
+        tallies = self.forwarder.tallies
+        self.forwarder.bound_target_bodies(TargetBodies(lambda: 1, tallies))
+        return HeldBytes(HeldBounds(6 * MIB, 3 * MIB), NAMES, tallies)
+
+    def request(self, path=b"/a/x", request_id=b"r1", body=b"{}", **extra):
+        return super().request(path, request_id, body * 50_000, **extra)
+
+    @asyncio_test
+    async def test_large_request_is_answered_wherever_it_is_canceled(self):
+        """Guards against a canceled request whose bytes stay accounted for."""
+        await self.check_both(BROKEN, plain())
+        self.assertEqual(self.server.memory.ledger.held_bytes, 0)
+        self.assertEqual(self.forwarder.steps.target_bodies.max_in_hand_bytes(), 0)
+
+
+class CanceledRacesTest(CancelingTestCase):
+    """The same where overdue requests are sent to a second target."""
+
+    async def start(self):
+        await super().start()
+        self.forwarder.target_states.reports_work_time = True
+        self.publish(route(objective_s=0.02))
+
+    @asyncio_test
+    async def test_request_is_answered_as_all_its_attempts_are_canceled(self):
+        """Guards against a request that fails without an outcome as no attempt has one."""
+        self.share(silent(), silent())
+        calling = asyncio.ensure_future(self.call(request_id=b"c1"))
+        while len(self.received()) < 2:
+            await asyncio.sleep(0.005)
+        attempts = [task for task in asyncio.all_tasks() if _runs(task, "RecordedSends.send")]
+        self.assertEqual(len(attempts), 2)
+        for task in attempts:
+            task.cancel("by the test")
+        answer = await calling
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.ended[-1]["why"], "all attempts were canceled")
+
+
+def _runs(task, name):
+    return task.get_coro().__qualname__ == name
