A drain waits for requests that are read in part or ahead, and for answers not yet taken

What callers saw at a SIGTERM: a connection closed without an answer, for a request whose head or body was still being sent as the last other request ended, and for one that had been read with the request before it (pipelined); and an answer without its end, for a caller that had not taken it yet on deployments that don't account for held bytes. The cause: a drain waited for running handlers alone (and for bodies where they are accounted for), a handler ended before its answer was taken, and the first answer in a drain closed the connection whatever had been read behind it; the start of such a request counted as idle. A connection is busy now from the first byte of a request until its answer is taken, and the last request that was read closes it. The times for a head, a body and a caller that stalls bound the wait, as does the grace.

--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -108,6 +108,11 @@
         """Return whether no request is being read or answered."""
         return self._task is None and self._head is None and not self._has_partial_head
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is in hand, or the end of an answer is still to be sent."""
+        return not self.is_idle or bool(self._unsent_bytes)
+
     @property
     def has_begun(self) -> bool:
         """Return whether any of the answer to the present request was written."""
@@ -136,15 +141,19 @@
         self._parser.receive_data(data)
         if self._task is None:
             if self._head is None and not self._has_partial_head:
-                self._has_partial_head = True
-                self._begun_s = read_clock()
-                self._restart_timer(self._server.limits.header_timeout_s)
+                self._begin_head()
             self._read_events()
         elif self._server.memory is not None:
             self._ahead_bytes += len(data)
             if self._ahead_bytes > READ_AHEAD_BYTES:
                 self._transport.pause_reading()
 
+    def _begin_head(self) -> None:
+        """Record that a part of a request was read."""
+        self._has_partial_head = True
+        self._begun_s = read_clock()
+        self._restart_timer(self._server.limits.header_timeout_s)
+
     def eof_received(self) -> bool:
         """Drop unsent data, since the caller has left."""
         self._lose(UnansweredReason.CALLER_CLOSED)
@@ -165,6 +174,7 @@
             self._task.cancel(f"the caller's connection ended: {self.loss}")
         else:
             self._body.close_account()
+        self._server.notify_request_end()
 
     def pause_writing(self) -> None:
         """Record that the transport's buffer is full."""
@@ -198,19 +208,20 @@
 
         The connection is reset if the caller has stopped reading.
         """
-        if self._outbox is None or self._outbox.is_empty:
+        if not self._unsent_bytes:
             return not self._is_lost
         # With a limit of zero the transport resumes only when its buffer is empty.
         self._transport.set_write_buffer_limits(high=0)
-        while not self._is_lost and not self._outbox.is_empty:
-            left_bytes = self._outbox.left_bytes
+        while not self._is_lost and (left_bytes := self._unsent_bytes):
             self._writable = asyncio.get_running_loop().create_future()
             await asyncio.wait([self._writable], timeout=STALLED_S)
-            if not self._writable.done() and self._outbox.left_bytes == left_bytes:
+            if not self._writable.done() and self._unsent_bytes == left_bytes:
                 logger.info("caller stalled", caller=self.caller, left_bytes=left_bytes)
                 self.abort(UnansweredReason.CALLER_STALLED, f"{left_bytes} bytes not taken")
                 return False
-        self._transport.set_write_buffer_limits(high=WRITE_BYTES)
+        has_outbox = self._outbox is not None
+        high_bytes = WRITE_BYTES if has_outbox else WRITE_BUFFER_BYTES
+        self._transport.set_write_buffer_limits(high=high_bytes)
         return not self._is_lost
 
     @property
@@ -330,9 +341,6 @@
                 return False
             self._head = event
             self._head_s = read_clock()
-            if not self._has_partial_head:
-                # Read ahead while the request before was answered.
-                self._begun_s = self._head_s
             self._restart_timer(self._server.limits.idle_timeout_s)
             if not self._body.begin(event):
                 return False
@@ -442,10 +450,13 @@
             self._close()
             return
         self._parser.start_next_cycle()
-        if self._server.is_closing:
+        if self._parser.trailing_data[0]:
+            self._begin_head()
+        elif self._server.is_closing:
             self._close()
             return
-        self._restart_timer(self._server.limits.idle_timeout_s)
+        else:
+            self._restart_timer(self._server.limits.idle_timeout_s)
         self._read_events()
         if self._ahead_bytes:
             self._read_on()
@@ -481,7 +492,10 @@
     def _head_event(self, status: int, headers: Headers, close: bool) -> h11.Response:
         """Return the head with `Connection: close` or `Keep-Alive`."""
         # Without a request the parser is one that has taken the place of another.
-        if close or self._server.is_closing or self._parser.their_state is h11.IDLE:
+        is_replaced = self._parser.their_state is h11.IDLE
+        # A request that was read ahead is answered before the connection is closed.
+        is_last = self._server.is_closing and not self._parser.trailing_data[0]
+        if close or is_last or is_replaced:
             headers = [*headers, (b"connection", b"close")]
         elif self._server.limits.idle_timeout_s >= 1:
             idle_s = int(self._server.limits.idle_timeout_s)
@@ -539,7 +553,7 @@
         self.active = 0
         self.is_closing = False
         self._opening: asyncio.Future[asyncio.Server] | None = None
-        self._idle: asyncio.Event = asyncio.Event()
+        self._ended = asyncio.Event()
 
     def listen(self, host: str, port: int, backlog: int = 512) -> int:
         """Open the socket and return its port."""
@@ -550,9 +564,13 @@
         return listener.getsockname()[1]
 
     def notify_request_end(self) -> None:
-        """Wake the tasks that wait for the last request to end, if no request is left."""
-        if not self.active and not self.reading:
-            self._idle.set()
+        """Wake the tasks that wait for the last request to end."""
+        self._ended.set()
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is being read or answered, or an answer is not taken yet."""
+        return bool(self.active) or any(item.is_busy for item in self.connections)
 
     def close_after_answers(self) -> None:
         """Make every answer from now on close its connection."""
@@ -572,11 +590,11 @@
     async def wait_until_idle(self, limit_s: float) -> bool:
         """Wait until no request is in progress; return `False` if the limit expires first."""
         deadline_s = read_clock() + limit_s
-        while self.active or self.reading:
-            self._idle.clear()
+        while self.is_busy:
+            self._ended.clear()
             try:
                 async with asyncio.timeout(max(0.0, deadline_s - read_clock())):
-                    await self._idle.wait()
+                    await self._ended.wait()
             except TimeoutError:
                 return False
         return True
