A refused request's caller gets the refusal also while it is still sending

What callers saw: a reset in place of 413, 431, 400 or 408 where they were still sending, since the kernel answers bytes that arrive after a close with a reset, which overtakes the answer. The server closes its side alone now and drops what comes for up to 2 s, as it did already for bodies that are left unread.

--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -91,6 +91,7 @@
         self._writable: asyncio.Future | None = None
         self._is_paused = False
         self._is_lost = False
+        self._is_dropping = False
         self._has_partial_head = False
         self._outbox: Outbox | None = None
         self._ahead_bytes = 0
@@ -136,7 +137,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes; those after the present request are buffered until it is answered."""
-        if self._body.is_refused:
+        if self._is_dropping:
             return
         self._parser.receive_data(data)
         if self._task is None:
@@ -309,7 +310,7 @@
         """Handle the parser's events until a request is complete."""
         try:
             while self._task is None:
-                if self._body.is_blocked:
+                if self._body.is_blocked or self._is_dropping:
                     return
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
@@ -383,7 +384,13 @@
         self._stop_timer()
         self.send_whole(answer, True)
         self._body.close_account()
-        self._outbox.flush()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close after what was written, and drop what the caller still sends until then."""
+        self._is_dropping = True
+        if self._outbox is not None:
+            self._outbox.flush()
         self._transport.write_eof()
         # Reading was stopped if the body had to wait.
         self._transport.resume_reading()
@@ -474,7 +481,7 @@
         if not self.has_begun:
             self.send_whole(Answer(status, headers or []), True)
         self._body.close_account()
-        self._close()
+        self._linger()
 
     def send_head(self, status: int, headers: Headers, close: bool) -> None:
         """Send the status line and headers."""
