The last answer on a connection is no longer dropped by what its caller sends behind it

What callers saw: the end of the last answer on a connection (in a drain, or after 'Connection: close') lost by a reset, where they had sent more meanwhile: the kernel drops what it has still to send of a closed connection on which bytes arrive.

--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -439,7 +439,7 @@
         An answer that has begun is reset, and a whole one is kept.
         """
         if self._is_finished:
-            self._close()
+            self._linger()
             return
         if self.has_begun:
             self.abort(reason, why)
@@ -454,13 +454,13 @@
         self._is_whole = False
         self._answer_bytes = 0
         if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
-            self._close()
+            self._linger()
             return
         self._parser.start_next_cycle()
         if self._parser.trailing_data[0]:
             self._begin_head()
         elif self._server.is_closing:
-            self._close()
+            self._linger()
             return
         else:
             self._restart_timer(self._server.limits.idle_timeout_s)
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
@@ -8,6 +8,9 @@
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.tests.test_unanswered import HEAD, WAIT_S, ServerTestCase
 
+# More than a caller with a small buffer takes at once, less than the kernel holds for it.
+MEDIUM_BYTES = 300_000
+
 
 class ClosingTest(ServerTestCase):
     async def large(self, exchange):
@@ -97,3 +100,26 @@
         """Guards against a reset that overtakes a refusal, as the caller still sends its body."""
         received = await asyncio.to_thread(self.send_late)
         self.assertIn(b" 413 ", received)
+
+    async def medium(self, exchange):
+        exchange.respond(Answer(200, [], b"x" * MEDIUM_BYTES), close=True)
+
+    def send_behind(self):
+        """Send bytes behind a request as its last answer is on the way; return what comes."""
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.settimeout(WAIT_S)
+            caller.connect(("127.0.0.1", self.port))
+            caller.sendall(HEAD % b"/medium")
+            time.sleep(0.3)
+            caller.sendall(HEAD % b"/whole")
+            received = b""
+            while data := caller.recv(65536):
+                received += data
+            return received
+
+    @asyncio_test
+    async def test_last_answer_reaches_a_caller_that_sends_more(self):
+        """Guards against a reset that drops the rest of the last answer on a connection."""
+        received = await asyncio.to_thread(self.send_behind)
+        self.assertEqual(received.count(b"x"), MEDIUM_BYTES)
