A connection may be unacknowledged until its request's deadline, not for 0.8 s

Callers saw: while a sound target and its kernel were silent for about a second (a suspended VM, a link that heals), requests that may not be repeated ended with 502 ("the connection was lost") 0.8 s after they were sent, with seconds left, though the target went on. Nothing is won by such an end: the request can't be sent again. The same happened to a large body, as the target stood still for 1.2 s and its kernel's buffers were full.

Cause: TCP_USER_TIMEOUT was 0.8 s on all connections. Now `send` is told how long the answer is waited for and sets the limit to that; `release` sets it back, so that idle connections over a cut link end as early as before. What the end of a connection told is now read from the kernel (TCP_INFO) 0.8 s after the send: a target that acknowledged nothing is watched and its path checked as before, while its open connections live on.

A new kind of cut, `Cut.PAUSED`, holds back what is written and delivers it with the next retransmission after the heal; connections end meanwhile only by the options of their sockets.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -345,7 +345,7 @@
         if delivery.account is not None:
             connection.account_to(delivery.account)
         sent = Request(request.method, request.target, headers, request.body)
-        connection.send(path.address(sent))
+        connection.send(path.address(sent), call.left_s())
         self._unanswered[connection] = call
         try:
             head = await self._read_head_in_time(path, connection, call, target, may_reroute)
--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -252,7 +252,8 @@
         request = exchange.request
         _, path = split_target(request.target)
         headers = without(drop_first(request.headers, AUTHORIZATION), frozenset())
-        connection.send(Request(request.method, path, headers, request.body))
+        sent = Request(request.method, path, headers, request.body)
+        connection.send(sent, self._left_s(request))
         request_id = header(request.headers, self._names.request_id) or b""
         head = await self._sender.read_own_head(connection, request_id)
         self._sender.record_head(head, target)
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from weakref import WeakSet
 
 from loguru import logger
@@ -33,13 +34,16 @@
 class TargetConnections:
     """The idle connections by target id, and weak references to all that are open.
 
-    `on_reach_changed` is called with the id of a target that is unreachable, or no longer.
+    `on_reach_changed` is called with the id of a target that is unreachable, or no longer,
+    `on_unacknowledged` with the id and the address of one whose kernel does not acknowledge a
+    request; the connection lives on, since the link may heal.
     """
 
     def __init__(self) -> None:
         self.opened = 0
         self.connect = connect
         self.on_reach_changed: list[Callable[[str], None]] = []
+        self.on_unacknowledged: list[Callable[[str, Address], None]] = []
         self._established: dict[str, WeakSet[ClientConnection]] = {}
         self._idle: dict[str, list[ClientConnection]] = {}
         self._watches: dict[str, asyncio.Task] = {}
@@ -68,9 +72,18 @@
         connection = await self.connect(address, min(timeout_s, CONNECT_TIMEOUT_S))
         if must_stay_open and not await self._stays_open(connection):
             raise ConnectFailedError("the connection was reset before anything was sent")
-        self._established.setdefault(target_id, WeakSet()).add(connection)
+        self._adopt(target_id, address, connection)
         return connection
 
+    def _adopt(self, target_id: str, address: Address, connection: ClientConnection) -> None:
+        """Keep track of a connection that was established."""
+        self._established.setdefault(target_id, WeakSet()).add(connection)
+        connection.on_unacknowledged = partial(self._note_unacknowledged, target_id, address)
+
+    def _note_unacknowledged(self, target_id: str, address: Address) -> None:
+        for callback in self.on_unacknowledged:
+            callback(target_id, address)
+
     def release(self, target_id: str, connection: ClientConnection, headers: Headers) -> None:
         """Return a connection to the pool after a complete answer, if it may be reused."""
         if not connection.release():
@@ -103,7 +116,7 @@
             return False
         stays_open = await self._stays_open(connection)
         if stays_open:
-            self._established.setdefault(target_id, WeakSet()).add(connection)
+            self._adopt(target_id, address, connection)
             self.return_unused(target_id, connection)
         return stays_open
 
--- a/packages/router/src/damaskwind/router/forwarding/peer_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -69,6 +69,7 @@
         random: Random,
     ) -> None:
         self.connections = TargetConnections()
+        self.connections.on_unacknowledged.append(self._avoid)
         self._view = view
         self._port = port
         self._failure_domain = failure_domain
@@ -148,7 +149,11 @@
 
     def record_failure(self, peer: PeerEndpoint) -> None:
         """Record that a router did not answer or broke off; it is not chosen for a while."""
-        self._failed_until_s[peer.host] = read_clock() + FAILED_S
+        self._avoid(peer.host, self.address(peer))
+
+    def _avoid(self, host: str, address: Address) -> None:
+        """Choose a router no more for a while; what was sent through it goes on."""
+        self._failed_until_s[host] = read_clock() + FAILED_S
         self._lookups.clear()
 
     def reaches_service(self, service: str) -> bool:
--- a/packages/router/src/damaskwind/router/forwarding/service_reach.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_reach.py
@@ -14,6 +14,7 @@
 from damaskwind.decisions.health.service_path import SAMPLE_TARGETS, ServicePath
 from damaskwind.decisions.load.held_requests import target_digest
 from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.model.targets import Address
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.peer_links import PeerLinks
@@ -69,6 +70,7 @@
         # The services whose targets may be reached through other routers now.
         self._relayed: set[str] = set()
         connections.on_reach_changed.append(self._update)
+        connections.on_unacknowledged.append(self._note_unacknowledged)
 
     def attach(self, peers: PeerLinks) -> None:
         """Send through other routers from now on where own paths are cut."""
@@ -121,6 +123,14 @@
         """Check the path to a target to which a connection broke or was not established."""
         self._start_check(target, "failed")
 
+    def _note_unacknowledged(self, target_id: str, address: Address) -> None:
+        """Send nothing more to a target whose kernel is silent; its open connections live on."""
+        record = self._view.targets.record_of(target_id)
+        if record is None or record.address != address:
+            return
+        self._connections.watch(target_id, address)
+        self.note_failure(record)
+
     def check_service(self, service: str) -> None:
         """Check the path to a service of which nothing was heard lately, as another router asks."""
         state = self._state(service)
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,7 @@
 from damaskwind.runtime.http1.held_memory import AnswerAccount
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, Outbox
+from damaskwind.runtime.http1.tcp_state import read_tcp_state
 from damaskwind.runtime.http1.transports import reset
 
 __all__ = [
@@ -35,10 +37,12 @@
 READ_BYTES = 65_536
 
 
-# Bytes unacknowledged for this long mean that the link is cut: within a region, a lost
-# packet is retransmitted after about 0.2 s, and again after 0.4 s.
+# Bytes unacknowledged for this long mean that the link is cut or the peer's kernel is silent:
+# within a region, a lost packet is retransmitted after about 0.2 s, and again after 0.4 s. A
+# connection ends by it, except while a request may wait for longer: the link may heal.
 UNACKNOWLEDGED_MS = 800
-# A silent connection is probed after one second and given up after another.
+# A silent connection is probed after one second and given up after another, or after the time
+# for which a request waits, if that is longer: Linux applies `TCP_USER_TIMEOUT` to probes too.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 1
@@ -111,6 +115,10 @@
         self._is_collecting = False
         self._unread_bytes = 0
         self.on_lost: Callable[[ClientConnection], None] | None = None
+        # Called once for each request whose bytes are unacknowledged for `UNACKNOWLEDGED_MS`.
+        self.on_unacknowledged: Callable[[], None] | None = None
+        self._limit_ms = UNACKNOWLEDGED_MS
+        self._checking: asyncio.TimerHandle | None = None
 
     @property
     def is_open(self) -> bool:
@@ -172,6 +180,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end of the connection and whether it was orderly or a timeout."""
         self._is_lost = True
+        self._stop_checking()
         self._has_received_eof = self._has_received_eof and error is None
         if self._outbox is not None:
             self._outbox.clear()
@@ -194,9 +203,15 @@
         if not self._is_lost and self._transport is not None:
             self._transport.close()
 
-    def send(self, request: Request) -> None:
-        """Write a whole request."""
+    def send(self, request: Request, wait_s: float = 0.0) -> None:
+        """Write a whole request, whose answer is waited for at most `wait_s` seconds.
+
+        For so long, or `UNACKNOWLEDGED_MS` if that is longer, the connection lives on while the
+        peer's kernel does not answer. `on_unacknowledged` is called after `UNACKNOWLEDGED_MS`.
+        """
         self.is_in_use = True
+        self._limit_unacknowledged(max(math.ceil(wait_s * 1000), UNACKNOWLEDGED_MS))
+        self._start_checking()
         self._last_active_s = read_clock()
         self.last_received_s = None
         self.requests += 1
@@ -276,6 +291,8 @@
         """
         self.is_in_use = False
         self._is_collecting = False
+        self._stop_checking()
+        self._limit_unacknowledged(UNACKNOWLEDGED_MS)
         self.settle()
         self._account = None
         parser = self._parser
@@ -291,6 +308,44 @@
             self.abort()
         return is_clean
 
+    def is_unacknowledged(self) -> bool:
+        """Tell whether the peer's kernel has left bytes unacknowledged for `UNACKNOWLEDGED_MS`.
+
+        A peer that only does not read is not: its kernel acknowledges what it can hold.
+        """
+        if self._is_lost:
+            return False
+        state = read_tcp_state(self._transport.get_extra_info("socket"))
+        return state.unacknowledged_packets > 0 and state.silent_ms >= UNACKNOWLEDGED_MS
+
+    def _limit_unacknowledged(self, limit_ms: int) -> None:
+        """Set how long bytes may be unacknowledged until the kernel ends the connection."""
+        if limit_ms == self._limit_ms or self._is_lost:
+            return
+        self._limit_ms = limit_ms
+        handle = self._transport.get_extra_info("socket")
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+    def _start_checking(self) -> None:
+        """Check after `UNACKNOWLEDGED_MS` whether the request was acknowledged."""
+        self._stop_checking()
+        if self.on_unacknowledged is not None:
+            loop = asyncio.get_running_loop()
+            self._checking = loop.call_later(UNACKNOWLEDGED_MS / 1000, self._check_acknowledged)
+
+    def _stop_checking(self) -> None:
+        if self._checking is not None:
+            self._checking.cancel()
+            self._checking = None
+
+    def _check_acknowledged(self) -> None:
+        """Report a request that is unacknowledged; check again while it is being written."""
+        self._checking = None
+        if self.is_unacknowledged():
+            self.on_unacknowledged()
+        elif not self._is_lost and self._transport.get_write_buffer_size():
+            self._start_checking()
+
     async def _next_event(self) -> Any:
         """Return the next event of the answer."""
         while True:
--- a/packages/standins/src/damaskwind/standins/cut_paths.py
+++ b/packages/standins/src/damaskwind/standins/cut_paths.py
@@ -22,6 +22,7 @@
     ConnectFailedError,
     connect,
 )
+from damaskwind.standins.silent_link import SilentLink
 
 __all__ = ["Cut", "CutPaths"]
 
@@ -35,6 +36,7 @@
     SILENT = "open connections and new ones hang"
     RESET = "open connections are reset, new ones are refused"
     REFUSED = "open connections live on, new ones are refused"
+    PAUSED = "open connections are silent and go on after the heal, new ones time out"
     LOSSY = "three in ten new connections time out in each direction"
 
 
@@ -47,6 +49,7 @@
         self._concerns: Callable[[Address], bool] = lambda address: True
         self._connections: WeakSet[ClientConnection] = WeakSet()
         self._silenced: WeakSet[ClientConnection] = WeakSet()
+        self._paused: list[SilentLink] = []
 
     def cut(self, how: Cut, concerns: Callable[[Address], bool] = lambda address: True) -> None:
         """Cut the paths to the addresses for which `concerns` returns true."""
@@ -58,6 +61,8 @@
                 connection.abort()
             elif how is Cut.SILENT:
                 self._silence(connection)
+            elif how is Cut.PAUSED:
+                self._pause(connection)
 
     def heal(self) -> None:
         """Restore all paths; connections on which bytes were lost have been given up or will be."""
@@ -65,6 +70,9 @@
         for connection in list(self._silenced):
             connection.abort()
         self._silenced.clear()
+        for link in self._paused:
+            link.heal()
+        self._paused.clear()
 
     async def connect(self, address: Address, timeout_s: float) -> ClientConnection:
         """Open a connection like `runtime.http1.client.connect`, unless the path is cut."""
@@ -75,6 +83,8 @@
         self._connections.add(connection)
         if self._cut is Cut.SILENT and self._concerns(address):
             self._silence(connection)
+        if self._cut is Cut.PAUSED and self._concerns(address):
+            self._pause(connection)
         return connection
 
     async def _fail(self, timeout_s: float) -> None:
@@ -86,6 +96,11 @@
         await asyncio.sleep(timeout_s)
         raise ConnectFailedError("TimeoutError")
 
+    def _pause(self, connection: ClientConnection) -> None:
+        """Hold back what is written and what arrives, until the paths are restored."""
+        if connection.is_open and not connection._transport.is_closing():
+            self._paused.append(SilentLink(connection))
+
     def _silence(self, connection: ClientConnection) -> None:
         """Drop what is written, leave what arrives unread, and end the connection as a timeout."""
         transport: Any = connection._transport
