--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -232,7 +232,7 @@
         if delivery.account is not None:
             connection.account_to(delivery.account)
         sent = Request(request.method, request.target, headers, request.body)
-        connection.send(path.address(sent))
+        connection.send(path.address(sent), call.left_s())
         self._unanswered[connection] = call
         try:
             reading = self.read_own_head(connection, call.facts.request_id)
