A begun answer whose connection is lost waits for a retry or a target

Callers saw a stream cut at once when its target reset the connection while no retry was left, or while no target could be reached for a moment, with seconds left before its deadline.

Cause: the retry and the target were asked for once, and a refusal ended the request. An answer that has begun can't be refused any more, so it now looks for both until its deadline, before all overdue attempts, and is cut at once only if no target is left at which it may go on. Requests whose answer has not begun still get 502 at once.

Attempts that look for a replacement no longer poll: the rounds ask each one whether it is overdue.

--- a/packages/router/src/damaskwind/router/forwarding/answer_waits.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_waits.py
@@ -28,7 +28,6 @@
 # has been silent on all connections.
 UNRESPONSIVE_OBJECTIVES = 1.5
 UNRESPONSIVE_MIN_S = 0.8
-OVERDUE_POLL_S = 0.1
 # A request is also overdue after this many objectives if only this request is kept waiting.
 STALL_OBJECTIVES = 4.0
 STALL_MIN_S = 1.2
@@ -128,35 +127,44 @@
         limit_s: float,
         cut: asyncio.Future[None] | None = None,
     ) -> _T:
-        """Return what is read; from `limit_s` or a cut on, look for a replacement while overdue.
+        """Return what is read; from `limit_s` or a cut on, look for a replacement.
 
         `overdue_s` returns for how long the target has been silent, 0 while it isn't overdue.
         """
         task = asyncio.ensure_future(reading)
-        search = Search(attempt.call, attempt.target, attempt.path.via, attempt.body_bytes)
+        try:
+            events = [task] if cut is None else [task, cut]
+            await asyncio.wait(events, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                await self._replace(attempt, task, overdue_s)
+            return task.result()
+        finally:
+            task.cancel()
+
+    async def _replace(
+        self, attempt: WaitingAttempt, reading: asyncio.Task[_T], overdue_s: Callable[[], float]
+    ) -> None:
+        """Wait for what is read; raise `ReplacedError` once a replacement is in hand before."""
+        call = attempt.call
+
+        def silent_s() -> float:
+            # Bytes that have arrived are read before the attempt is given up.
+            return 0.0 if reading.done() or not _has_attempts_left(call) else overdue_s()
+
+        search = Search(call, attempt.target, attempt.body_bytes, silent_s, attempt.path.via)
         search.has_begun = attempt.delivery.has_begun
-        events = [task] if cut is None else [task, cut]
+        self._replacements.begin(search)
         is_left = False
         try:
-            while True:
-                await asyncio.wait(events, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
-                if task.done():
-                    return task.result()
-                search.silent_s = overdue_s()
-                if attempt.call.replacement is not None and search.silent_s:
-                    is_left = True
-                    self._log_given_up(attempt)
-                    raise ReplacedError
-                if search.silent_s and _has_attempts_left(attempt.call):
-                    self._replacements.begin(search)
-                else:
-                    self._replacements.end(search)
-                events, limit_s = [task, search.found], OVERDUE_POLL_S
+            await asyncio.wait([reading, search.found], return_when=asyncio.FIRST_COMPLETED)
+            is_left = not reading.done()
         finally:
-            task.cancel()
             self._replacements.end(search)
-            if not is_left and search.found.done():
-                self._replacements.release(attempt.call)
+            if search.found.done() and not is_left:
+                self._replacements.release(call)
+        if is_left:
+            self._log_given_up(attempt)
+            raise ReplacedError
 
     def _log_given_up(self, attempt: WaitingAttempt) -> None:
         """Log an attempt that is given up for silence, and what takes its place."""
--- a/packages/router/src/damaskwind/router/forwarding/replacements.py
+++ b/packages/router/src/damaskwind/router/forwarding/replacements.py
@@ -5,11 +5,15 @@
 sign that it accepts connections, a permit where targets are brittle, and last a retry of the
 budget. The overdue attempts of a service are served in rounds, the most urgent first: an answer
 that has begun before one that has not, then by priority and deadline. The rest waits on.
+
+An answer that has begun and whose connection is lost is served before all of them: without a
+retry or a target it waits for both, where it would have to be cut.
 """
 
 import asyncio
 from collections.abc import Callable
 from enum import StrEnum
+from math import inf
 
 from loguru import logger
 
@@ -30,6 +34,8 @@
 
 # Interval of the rounds in which a service's overdue attempts are served.
 ROUND_S = 0.1
+# Interval at which an answer that was broken off finds out whether any target is left.
+RECHECK_S = 0.5
 # A target that has been silent for more than this part of the time of the one that is left may
 # be silent for the same reason.
 SILENT_PART = 0.5
@@ -55,26 +61,42 @@
 
 
 class Search:
-    """An overdue attempt at `target`, for which a replacement is looked for.
+    """An attempt at `target` that is overdue or was lost, for which a replacement is looked for.
 
-    `via` is the host of the router that sent its request on, if it was another one, and
-    `silent_s` the time for which the target has been silent. `found` is done when the
-    replacement is in hand, as `call.replacement`.
+    `silent_s` returns for how long the target has been silent, 0 while the attempt isn't overdue;
+    `body_bytes` is the size of the request's body, and `via` the host of the router that sent the
+    request on, if it was another one. An attempt that `is_lost` has no connection any more.
+    `found` is done when the replacement is in hand, as `call.replacement`.
     """
 
-    def __init__(self, call: Call, target: TargetRecord, via: str, body_bytes: int) -> None:
+    def __init__(
+        self,
+        call: Call,
+        target: TargetRecord,
+        body_bytes: int,
+        silent_s: Callable[[], float],
+        via: str = "",
+    ) -> None:
         self.call = call
         self.target = target
-        self.via = via
         self.body_bytes = body_bytes
+        self.silent_s = silent_s
+        self.via = via
         self.has_begun = False
-        self.silent_s = 0.0
+        self.is_lost = False
         self.found: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
+    @classmethod
+    def of_lost(cls, call: Call, target: TargetRecord, body_bytes: int) -> "Search":
+        """Return the search of an answer that had begun when its connection was lost."""
+        search = cls(call, target, body_bytes, lambda: inf)
+        search.is_lost = search.has_begun = True
+        return search
+
     @property
-    def urgency(self) -> tuple[bool, int, float]:
+    def urgency(self) -> tuple[bool, bool, int, float]:
         """Return the key by which searches are ordered, the most urgent one first."""
-        return (not self.has_begun, self.call.priority, self.call.deadline_s)
+        return (not self.is_lost, not self.has_begun, self.call.priority, self.call.deadline_s)
 
     @property
     def scope(self) -> tuple[object, ...]:
@@ -102,7 +124,7 @@
         self._budget = budget
         self._tallies = tallies
         self._brittle = target_states.brittle
-        self._searches: dict[str, list[Search]] = {}
+        self._searches: dict[str, set[Search]] = {}
         self._serving: dict[str, asyncio.Task[None]] = {}
         # When targets last accepted a connection that was opened to find that out.
         self._shown_s: dict[str, float] = {}
@@ -111,24 +133,31 @@
 
     def seeking(self, service: str) -> int:
         """Return how many overdue attempts at a service look for a replacement."""
-        return len(self._searches.get(service, ()))
+        return sum(self._is_wanted(item) for item in self._searches.get(service, ()))
 
     def begin(self, search: Search) -> None:
         """Look for a replacement until it is found or `end` is called."""
         service = search.call.service
-        searches = self._searches.setdefault(service, [])
-        if search in searches:
-            return
-        searches.append(search)
+        self._searches.setdefault(service, set()).add(search)
         if service not in self._serving:
             self._serving[service] = asyncio.ensure_future(self._serve(service))
 
+    async def wait(self, search: Search) -> bool:
+        """Wait for a replacement; return `False` if no target is left that could be one."""
+        self.begin(search)
+        try:
+            while not search.found.done():
+                if not self._chooser.has_required_version(search.call):
+                    return False
+                await asyncio.wait([search.found], timeout=RECHECK_S)
+            return True
+        finally:
+            self.end(search)
+
     def end(self, search: Search) -> None:
         """Look no further for a replacement."""
         service = search.call.service
-        searches = self._searches.get(service, [])
-        if search not in searches:
-            return
+        searches = self._searches[service]
         searches.remove(search)
         if not searches:
             del self._searches[service]
@@ -206,7 +235,8 @@
 
     def _is_wanted(self, search: Search) -> bool:
         """Return whether an overdue attempt still looks for a replacement."""
-        return not search.found.done() and search in self._searches.get(search.call.service, ())
+        is_present = search in self._searches.get(search.call.service, ())
+        return is_present and not search.found.done() and search.silent_s() > 0.0
 
     def _place(self, search: Search) -> Placement | Hindrance:
         """Choose a target to which the request may be sent now, or return why there is none."""
@@ -215,7 +245,8 @@
             return Hindrance.BUDGET
         if not self._chooser.confine_to_begun(call):
             return Hindrance.VERSION
-        call.silent_domains |= set() if search.via else {search.target.failure_domain}
+        if not search.via and not search.is_lost:
+            call.silent_domains.add(search.target.failure_domain)
         permitted = self._brittle.permitted(call.service) if self._is_bounded(call) else None
         tried, hindrance = set(call.tried), Hindrance.NO_TARGET
         try:
@@ -244,11 +275,15 @@
             return Hindrance.NO_ROOM
         if bodies is not None and not bodies.may_send(target.target_id, search.body_bytes):
             return Hindrance.NO_ROOM
-        may_resume = search.silent_s < PAUSE_S and not self._is_unreachable(search.target)
-        if may_resume and not self._admissions.has_room(call.service, candidate):
+        if self._may_resume(search) and not self._admissions.has_room(call.service, candidate):
             return Hindrance.NO_ROOM
         return None
 
+    def _may_resume(self, search: Search) -> bool:
+        """Return whether the target of an attempt may be silent for a moment only."""
+        is_short = search.silent_s() < PAUSE_S
+        return not search.is_lost and is_short and not self._is_unreachable(search.target)
+
     def _is_bounded(self, call: Call) -> bool:
         """Return whether a request needs a permit for a slot of its target."""
         return call.key is None and self._brittle.is_bounded(call.service)
@@ -265,10 +300,10 @@
         On a cut path all targets are silent; one that another router reaches is not.
         """
         states = self._target_states
-        if not search.via and states.reach.is_relayed(target):
+        if search.is_lost or (not search.via and states.reach.is_relayed(target)):
             return False
         silent_s = states.activity.silent_s(target.target_id, read_clock(), last_woken_s())
-        return silent_s > SILENT_PART * search.silent_s
+        return silent_s > SILENT_PART * search.silent_s()
 
     def _is_shown(self, target: TargetRecord) -> bool:
         """Return whether there is a sign that a target accepts a connection now."""
@@ -292,6 +327,8 @@
         """Take the permit and the retry for a replacement; return why it can't be taken."""
         call, target = search.call, placement.target
         if call.replacement is not None:
+            # Another attempt of the same request has found it.
+            search.found.set_result(None)
             return None
         permit = self._brittle.use(target) if self._is_bounded(call) else None
         if permit is None and self._is_bounded(call):
@@ -317,7 +354,7 @@
             request=call.facts.request_id.decode("latin-1"),
             target=search.target.target_id,
             why=hindrance.value,
-            silent_ms=int(search.silent_s * 1000),
+            is_lost=search.is_lost,
             has_begun=search.has_begun,
             waiting=self.seeking(call.service),
             left_ms=int(call.left_s() * 1000),
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -18,13 +18,14 @@
 from enum import StrEnum
 
 from damaskwind.decisions.admission.pool_admission import PoolRejection
+from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.router.forwarding.admission_gate import AdmissionGate
 from damaskwind.router.forwarding.attempt_outcome import AttemptEnd, AttemptOutcome, Placement
 from damaskwind.router.forwarding.call import Call, FinalRefusal
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
-from damaskwind.router.forwarding.replacements import Replacements
+from damaskwind.router.forwarding.replacements import Replacements, Search
 from damaskwind.router.forwarding.slot_permits import Permit, PermitUse
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
 from damaskwind.router.forwarding.stream_origins import StreamOrigins
@@ -63,10 +64,9 @@
     """One request and how far it has come.
 
     `placement` is the target chosen for the next send, and `permit` that for it where targets are
-    brittle. A retry was taken from the budget at `retry_taken_s` if one is in hand.
-    `outcome` is that of the last attempt;
-    `failure` is the last failure that a target answered, which is passed on to the caller if
-    no later attempt succeeds.
+    brittle. `last_target` is that of the last attempt, and `outcome` its outcome. A retry was taken
+    from the budget at `retry_taken_s` if one is in hand. `failure` is the last failure that a
+    target answered, which is passed on to the caller if no later attempt succeeds.
     """
 
     def __init__(self, exchange: Exchange, call: Call, delivery: Delivery) -> None:
@@ -75,6 +75,7 @@
         self.delivery = delivery
         self.placement: Placement | None = None
         self.permit: Permit | None = None
+        self.last_target: TargetRecord | None = None
         self.retry_taken_s: float | None = None
         self.outcome = AttemptOutcome(AttemptEnd.NOT_RUN, "no target")
         self.failure: AttemptOutcome | None = None
@@ -164,8 +165,30 @@
     def _release_unused(self, progress: RequestProgress) -> None:
         """Give back what was taken for another attempt that was not made."""
         self.replacements.release(progress.call)
+        self._release_retry(progress)
+
+    def _release_retry(self, progress: RequestProgress) -> None:
+        """Give back a retry that was taken for a request and not made."""
         if progress.retry_taken_s is not None:
             self.replacements.give_retry_back(progress.call.service, progress.retry_taken_s)
+        progress.retry_taken_s = None
+
+    async def place_begun(self, progress: RequestProgress) -> RequestState:
+        """Place an answer that has begun and was broken off, as soon as there is a way to go on.
+
+        Without a target or a retry it waits for both until its deadline, where it would have to
+        be cut. It ends if no target is left.
+        """
+        call = progress.call
+        if not self.is_bounded(call):
+            state = await self.place_when_settled(progress)
+            if state is not RequestState.ENDED and self.has_retry(progress):
+                return state
+        last, size_bytes = progress.last_target, len(progress.exchange.request.body)
+        while await self.replacements.wait(Search.of_lost(call, last, size_bytes)):
+            if self.use_replacement(progress):
+                return RequestState.PLACED
+        return RequestState.ENDED
 
     def use_replacement(self, progress: RequestProgress) -> bool:
         """Place a request where its last attempt has a replacement; return whether it has one.
@@ -175,6 +198,7 @@
         replacement = self.replacements.use(progress.call)
         if replacement is None:
             return False
+        self._release_retry(progress)
         progress.retry_taken_s = replacement.taken_s
         if not self.replacements.is_usable(progress.call, replacement):
             self.replacements.give_permit_back(replacement)
@@ -258,6 +282,7 @@
 
         A retry is used up by it, unless it did not reach its target.
         """
+        progress.last_target = progress.placement.target
         taken_s, progress.retry_taken_s = progress.retry_taken_s, None
         outcome = await self.sends.send(
             progress.exchange, progress.call, progress.delivery, progress.placement
@@ -432,6 +457,8 @@
         return RequestState.ENDED
     if steps.use_replacement(progress):
         return RequestState.PLACED
+    if progress.delivery.has_begun:
+        return await steps.place_begun(progress)
     state = await steps.place_when_settled(progress)
     if state is RequestState.ENDED or not steps.is_bounded(progress.call):
         return state
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_replacements.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_replacements.py
@@ -9,8 +9,8 @@
 from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
-from damaskwind.runtime.http1.client import ConnectFailedError, connect
-from damaskwind.standins.scripted_target import chunk, event, plain, silent, stream
+from damaskwind.runtime.http1.client import AnswerBrokenError, ConnectFailedError, connect
+from damaskwind.standins.scripted_target import chunk, cut_stream, event, plain, silent, stream
 
 STREAM = {"kind": RouteKind.STREAMING, "is_resumable": True}
 # Longer than the time after which a target that is silent on all connections is overdue.
@@ -52,6 +52,12 @@
     return step
 
 
+async def until_received(target):
+    """Wait until a target has received a request."""
+    while not target.received:
+        await asyncio.sleep(0)
+
+
 class OverdueTestCase(ForwarderTestCase):
     """Requests with 4 s left, on routes whose targets are overdue after 0.8 s."""
 
@@ -235,3 +241,47 @@
         self.assertEqual([answer.status for answer in answers], [504, 504, 200, 504])
         self.assertEqual(answers[2].body, event(1) + event(2))
         self.assertEqual(self.retries_taken(), 1)
+
+
+class LostConnectionTest(OverdueTestCase):
+    async def start(self):
+        await super().start()
+        self.publish_route(**STREAM)
+
+    @asyncio_test
+    async def test_begun_stream_waits_for_a_retry_after_its_connection_is_lost(self):
+        """Guards against a stream that is cut while no retry is left, long before its deadline."""
+        self.allow(0)
+        self.share(cut_stream(1, 1), stream(2, 3))
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.5)
+        self.allow(1)
+        self.assertEqual((await calling).body, event(1) + event(2) + event(3))
+        self.assertEqual(self.retries_taken(), 1)
+        self.assert_nothing_held()
+
+    @asyncio_test
+    async def test_begun_stream_waits_for_a_target_that_accepts_connections(self):
+        """Guards against a stream that is cut while no target can be reached for a moment."""
+        self.share(cut_stream(1, 1), stream(2, 3))
+        self.hide_second_target()
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.5)
+        self.admit("t2", await self.targets[1].start())
+        self.assertEqual((await calling).body, event(1) + event(2) + event(3))
+        self.assert_nothing_held()
+
+    @asyncio_test
+    async def test_begun_stream_is_cut_at_once_if_no_target_is_left(self):
+        """Guards against a stream that is held to its deadline though nothing can go on with it."""
+        self.share(cut_stream(1, 1))
+        address = self.view.targets.record_of("t0").address
+        self.hide_second_target()
+        calling = asyncio.ensure_future(self.call())
+        await until_received(self.targets[0])
+        self.admit("t0", address, TargetPhase.LEAVING, 101)
+        begun_s = read_clock()
+        with self.assertRaises(AnswerBrokenError):
+            await calling
+        self.assertLess(read_clock() - begun_s, 1.0)
+        self.assert_nothing_held()
