Requests in hand at the end of a drain are answered, or counted if their answer had begun

What callers saw at the end of the grace: a closed connection for each request that was still waited for, as the process ended, with no line in the log but their number.

--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -40,6 +40,8 @@
 LAME_DUCK_S = 2.6
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.6
+# Of that part, what the answers of requests that did not end in time may take.
+END_S = 0.15
 # The headers that routers add to a request: its target, deadline, account and key.
 ADDED_HEADER_BYTES = 4096
 READY_LIMITS = ServerLimits(idle_timeout_s=60.0)
@@ -232,11 +234,14 @@
         await self._callers.stop_listening()
         self._callers.close_idle()
         is_quiet = await self._callers.wait_until_idle(limit_s - read_clock())
+        active = self._callers.active
+        if not is_quiet:
+            await self._callers.end_requests(END_S)
         await self.attempt_relay.wait_until_idle(limit_s - read_clock())
         logger.info(
             "drain ended",
             is_quiet=is_quiet,
-            active=self._callers.active,
+            active=active,
             took_s=round(read_clock() - started_s, 2),
         )
         await self.forwarder.target_states.reach.stop()
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -92,6 +92,7 @@
         self._is_paused = False
         self._is_lost = False
         self._is_dropping = False
+        self._is_ending = False
         self._has_partial_head = False
         self._outbox: Outbox | None = None
         self._ahead_bytes = 0
@@ -236,6 +237,14 @@
         if self.is_idle:
             self._close()
 
+    def end_request(self) -> None:
+        """End the request in hand: answer it unless its answer has begun."""
+        self._is_ending = True
+        if self._task is not None:
+            self._task.cancel("the server stops")
+        elif not self.is_idle and not self._is_dropping:
+            self._refuse_unread("the server stops")
+
     def _close(self) -> None:
         """Close the connection after what was written."""
         if self._outbox is not None:
@@ -252,6 +261,8 @@
 
     def _lose(self, reason: UnansweredReason, why: str = "") -> None:
         """Record why the connection ends, and a request that has no complete answer by then."""
+        if self._is_ending and reason not in CALLER_LEFT:
+            reason = UnansweredReason.SERVER_STOPPED
         if self.loss is None:
             self.loss = reason
         if self._is_recorded or self.is_idle or self._is_answered:
@@ -606,6 +617,16 @@
                 return False
         return True
 
+    async def end_requests(self, limit_s: float) -> None:
+        """End what is in hand at the end of a drain, and reset what is left after a limit.
+
+        A request whose answer has not begun is answered as its handler does when it is canceled.
+        """
+        for connection in list(self.connections):
+            connection.end_request()
+        await self.wait_until_idle(limit_s)
+        self.abort()
+
     def abort(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
@@ -7,6 +7,7 @@
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.tests.test_unanswered import HEAD, WAIT_S, ServerTestCase
+from damaskwind.runtime.http1.unanswered import UnansweredReason
 
 # More than a caller with a small buffer takes at once, less than the kernel holds for it.
 MEDIUM_BYTES = 300_000
@@ -123,3 +124,19 @@
         """Guards against a reset that drops the rest of the last answer on a connection."""
         received = await asyncio.to_thread(self.send_behind)
         self.assertEqual(received.count(b"x"), MEDIUM_BYTES)
+
+    @asyncio_test
+    async def test_requests_in_hand_at_the_end_of_a_drain_are_answered_or_told(self):
+        """Guards against requests that the end of a drain drops without an answer or a line."""
+        held, _ = await self.open(HEAD % b"/held")
+        half, _ = await self.open((HEAD % b"/held")[:-2])
+        begun, _ = await self.open(HEAD % b"/begun")
+        await self.until(lambda: len(self.tasks) == 2)
+        await self.drain()
+        self.assertFalse(await self.server.wait_until_idle(0.05))
+        await self.server.end_requests(0.5)
+        self.assertIn(b" 500 ", await self.read_all(held))
+        self.assertIn(b" 503 ", await self.read_all(half))
+        self.assertNotIn(b"0\r\n\r\n", await self.read_all(begun))
+        self.assertEqual(self.reasons(), [UnansweredReason.SERVER_STOPPED])
+        self.assertFalse(self.server.is_busy)
