A kept connection stays open for the time that its last answer stated

What callers saw beside a change of the configuration that lowers the idle limit: a connection closed before the time in 'Keep-Alive', which a request could cross. The limit was read again as the answer ended, which is seconds after its head for a stream. The stated one holds now if it is longer.

--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -102,6 +102,7 @@
         self._is_whole = False
         self._answer_bytes = 0
         self._is_recorded = False
+        self._stated_idle_s = 0
         self.loss: UnansweredReason | None = None
         self.requests = 0
 
@@ -474,7 +475,8 @@
             self._linger()
             return
         else:
-            self._restart_timer(self._server.limits.idle_timeout_s)
+            # The limit may have changed since it was stated.
+            self._restart_timer(max(self._stated_idle_s, self._server.limits.idle_timeout_s))
         self._read_events()
         if self._ahead_bytes:
             self._read_on()
@@ -516,8 +518,8 @@
         if close or is_last or is_replaced:
             headers = [*headers, (b"connection", b"close")]
         elif self._server.limits.idle_timeout_s >= 1:
-            idle_s = int(self._server.limits.idle_timeout_s)
-            headers = [*headers, (b"keep-alive", b"timeout=%d" % idle_s)]
+            self._stated_idle_s = int(self._server.limits.idle_timeout_s)
+            headers = [*headers, (b"keep-alive", b"timeout=%d" % self._stated_idle_s)]
         return h11.Response(status_code=status, headers=headers)
 
     def send_data(self, data: bytes) -> None:
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
@@ -140,3 +140,19 @@
         self.assertNotIn(b"0\r\n\r\n", await self.read_all(begun))
         self.assertEqual(self.reasons(), [UnansweredReason.SERVER_STOPPED])
         self.assertFalse(self.server.is_busy)
+
+    async def narrowed(self, exchange):
+        exchange.begin(200, [(b"content-length", b"2")])
+        self.server.limits = self.limits._replace(idle_timeout_s=0.2)
+        exchange.write(b"ok")
+        exchange.finish()
+
+    @asyncio_test
+    async def test_connection_stays_open_for_the_time_that_its_answer_stated(self):
+        """Guards against a request that crosses a close before the time stated in Keep-Alive."""
+        reader, writer = await self.open(HEAD % b"/narrowed")
+        answer = await asyncio.wait_for(reader.readuntil(b"ok"), WAIT_S)
+        self.assertIn(b"timeout=2", answer)
+        await asyncio.sleep(0.5)
+        writer.write(HEAD % b"/whole")
+        self.assertIn(b" 200 ", await asyncio.wait_for(reader.readuntil(b"ok"), WAIT_S))
