--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -92,6 +92,7 @@
         self._is_paused = False
         self._is_lost = False
         self._is_dropping = False
+        self._is_ending = False
         self._has_partial_head = False
         self._outbox: Outbox | None = None
         self._ahead_bytes = 0
@@ -101,6 +102,7 @@
         self._is_whole = False
         self._answer_bytes = 0
         self._is_recorded = False
+        self._stated_idle_s = 0
         self.loss: UnansweredReason | None = None
         self.requests = 0
 
@@ -236,6 +238,14 @@
         if self.is_idle:
             self._close()
 
+    def end_request(self) -> None:
+        """End the request in hand: answer it unless its answer has begun."""
+        self._is_ending = True
+        if self._task is not None:
+            self._task.cancel("the server stops")
+        elif not self.is_idle and not self._is_dropping:
+            self._refuse_unread("the server stops")
+
     def _close(self) -> None:
         """Close the connection after what was written."""
         if self._outbox is not None:
@@ -252,6 +262,8 @@
 
     def _lose(self, reason: UnansweredReason, why: str = "") -> None:
         """Record why the connection ends, and a request that has no complete answer by then."""
+        if self._is_ending and reason not in CALLER_LEFT:
+            reason = UnansweredReason.SERVER_STOPPED
         if self.loss is None:
             self.loss = reason
         if self._is_recorded or self.is_idle or self._is_answered:
@@ -463,7 +475,8 @@
             self._linger()
             return
         else:
-            self._restart_timer(self._server.limits.idle_timeout_s)
+            # The limit may have changed since it was stated.
+            self._restart_timer(max(self._stated_idle_s, self._server.limits.idle_timeout_s))
         self._read_events()
         if self._ahead_bytes:
             self._read_on()
@@ -505,8 +518,8 @@
         if close or is_last or is_replaced:
             headers = [*headers, (b"connection", b"close")]
         elif self._server.limits.idle_timeout_s >= 1:
-            idle_s = int(self._server.limits.idle_timeout_s)
-            headers = [*headers, (b"keep-alive", b"timeout=%d" % idle_s)]
+            self._stated_idle_s = int(self._server.limits.idle_timeout_s)
+            headers = [*headers, (b"keep-alive", b"timeout=%d" % self._stated_idle_s)]
         return h11.Response(status_code=status, headers=headers)
 
     def send_data(self, data: bytes) -> None:
@@ -606,6 +619,16 @@
                 return False
         return True
 
+    async def end_requests(self, limit_s: float) -> None:
+        """End what is in hand at the end of a drain, and reset what is left after a limit.
+
+        A request whose answer has not begun is answered as its handler does when it is canceled.
+        """
+        for connection in list(self.connections):
+            connection.end_request()
+        await self.wait_until_idle(limit_s)
+        self.abort()
+
     def abort(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
