The soak draws targets that stand still or send without end

One, half or all targets stand still for 0.5 to 2 s and go on, and targets answer a quarter of their requests without end, also in a last part in which they meet only planned work, scarce retries and at least 24 callers.

Four promises: a silence up to 1.5 s costs no request (cut, closed, 502); a caller that stays gets an answer, by the callers' observation and by damaskwind_unanswered_total; answers without end hold no one else up; a router's process has at most 48 MB (37 to 38 MB without). Each has a seeded fault that the soak finds.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -73,6 +73,7 @@
             has_target_signals=True,
             has_cut_routers=True,
             has_versions=True,
+            has_silences=True,
         )
         duration_s = time.monotonic() - started_s
         status = "BROKEN" if verdict.broken else "held"
