Tests: what two requests share outlives the caller of either

The probe of a broken target and that at the end of an unframed answer are awaited behind a shield. Another test shows that an answer which can't be written is answered with 502 and not as the target's own 500.

--- a/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
@@ -6,12 +6,17 @@
 
 import asyncio
 import json
+from unittest.mock import patch
 
+import h11
 from loguru import logger
 
 from damaskwind.decisions.held_bytes.bound import HeldBounds
+from damaskwind.decisions.membership.target_record import TargetPhase
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.connections import SETTLE_S
+from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.held_bytes import HeldBytes
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
@@ -65,7 +70,7 @@
 class CancelingTestCase(ForwarderTestCase):
     """Cancels requests at each of their waits, and checks how they end."""
 
-    timeout = 110
+    timeout = 60
 
     async def start(self):
         await super().start()
@@ -205,3 +210,78 @@
 
 def _runs(task, name):
     return task.get_coro().__qualname__ == name
+
+
+def late(step):
+    """Take a step once the connection counts as accepted by the target."""
+
+    async def delayed(writer, request):
+        await asyncio.sleep(2 * SETTLE_S)
+        await step(writer, request)
+
+    return delayed
+
+
+class SharedWorkTest(CancelingTestCase):
+    """Requests that wait for the same work, whose first caller leaves."""
+
+    others = 2
+
+    async def handle(self, exchange):
+        await self.forwarder.handle(exchange)
+
+    async def slow_probe(self, *_):
+        self.probes += 1
+        await asyncio.sleep(0.3)
+        return True
+
+    async def check_shared(self, step):
+        """Let requests share probes, and the caller of the first one leave meanwhile."""
+        self.probes = 0
+        self.connections.probe = self.slow_probe
+        self.share(*([step] * (1 + self.others)))
+        # All of them are sent to the same target first.
+        address = self.view.targets.record_of("t1").address
+        self.admit("t1", address, TargetPhase.LEAVING, 200)
+        leaving = await self.connect()
+        leaving.send(self.request(request_id=b"c1"))
+        staying = [
+            asyncio.ensure_future(self.call(request_id=b"s%d" % number))
+            for number in range(self.others)
+        ]
+        while not self.probes:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.received()), 1 + self.others)
+        self.admit("t2", address)
+        leaving.abort()
+        answers = await asyncio.gather(*staying)
+        while len(self.ended) <= self.others:
+            await asyncio.sleep(0.005)
+        first = next(item for item in self.ended if item["request"] == "c1")
+        self.assertEqual(first["outcome"], "caller left")
+        self.assertEqual(unanswered_totals(self.forwarder.tallies), {})
+        self.assertEqual([answer.status for answer in answers], [200] * self.others)
+
+    @asyncio_test
+    async def test_probe_of_a_broken_target_outlives_the_caller_that_asked_for_it(self):
+        """Guards against a request that is lost as another one's caller leaves."""
+        await self.check_shared(late(BROKEN))
+
+    @asyncio_test
+    async def test_probe_at_the_end_of_an_unframed_answer_outlives_its_caller(self):
+        """Guards against an answer that is lost as another one's caller leaves."""
+        await self.check_shared(unframed(b"whole"))
+
+
+class FailedRequestsTest(CancelingTestCase):
+    @asyncio_test
+    async def test_answer_that_cannot_be_written_is_answered_as_failed(self):
+        """Guards against a reset, or a 500 as if of the target, for an answer that ran."""
+        self.point = MAX_POINTS
+        failure = h11.LocalProtocolError("refused")
+        with patch.object(Delivery, "send_whole", side_effect=failure):
+            answer = await self.call(request_id=b"c1")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(unanswered_totals(self.forwarder.tallies), {})
+        self.assertIn("refused", self.ended[-1]["why"])
