A limit on headers that is raised holds on connections that were opened before

What callers saw beside a change of the configuration that raises the limit on headers: 431, which is never repeated, for a request within the limit in force, on each connection opened before; the parser kept the limit of its connection's start. It gets the present one with the first byte of a request. Limits that are lowered while a request is read refuse it with 413 or 431, as before (a test shows it).

Servers without a handler for unanswered requests (those between routers and replicas) don't log requests that their own stop ends: each news link was such a line at each stop of a replica.

--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -69,8 +69,8 @@
 
 
 def _log_unless_caller_left(request: UnansweredRequest) -> None:
-    """Log a request that ended without an answer, unless its caller has left."""
-    if request.reason not in CALLER_LEFT:
+    """Log a request that ended without an answer, unless an end of either side closed it."""
+    if request.reason not in (*CALLER_LEFT, UnansweredReason.SERVER_STOPPED):
         log_unanswered(request)
 
 
@@ -80,9 +80,8 @@
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
-        )
+        self._header_bytes = server.limits.header_bytes
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_bytes)
         self._head: h11.Request | None = None
         self._head_s = 0.0
         self._body = BodyReader(self, server)
@@ -152,7 +151,12 @@
                 self._transport.pause_reading()
 
     def _begin_head(self) -> None:
-        """Record that a part of a request was read."""
+        """Record that a part of a request was read, and apply the present limit to its head."""
+        if self._header_bytes != self._server.limits.header_bytes:
+            self._header_bytes = self._server.limits.header_bytes
+            data, _ = self._parser.trailing_data
+            self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_bytes)
+            self._parser.receive_data(data)
         self._has_partial_head = True
         self._begun_s = read_clock()
         self._restart_timer(self._server.limits.header_timeout_s)
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
@@ -156,3 +156,31 @@
         await asyncio.sleep(0.5)
         writer.write(HEAD % b"/whole")
         self.assertIn(b" 200 ", await asyncio.wait_for(reader.readuntil(b"ok"), WAIT_S))
+
+    @asyncio_test
+    async def test_head_within_a_raised_limit_is_read_on_connections_opened_before(self):
+        """Guards against 431 on a kept connection for a head that the limit in force allows."""
+        kept, unused = await self.open(HEAD % b"/whole"), await self.open()
+        await asyncio.wait_for(kept[0].readuntil(b"ok"), WAIT_S)
+        self.server.limits = self.limits._replace(header_bytes=8192)
+        head = (HEAD % b"/whole")[:-2] + b"x-long: " + b"y" * 4096
+        for reader, writer in (kept, unused):
+            writer.write(head)
+            await asyncio.sleep(0.05)
+            writer.write(b"\r\n\r\n")
+            answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_S)
+            self.assertIn(b" 200 ", answer)
+
+    @asyncio_test
+    async def test_limits_that_are_lowered_while_a_request_is_read_refuse_it(self):
+        """Guards against a request that is closed unanswered as the limits change."""
+        head = b"POST /whole HTTP/1.1\r\nhost: h\r\ncontent-length: 90\r\n"
+        reader, writer = await self.open(head + b"\r\n" + b"x" * 50)
+        other_reader, other_writer = await self.open(head + b"x: " + b"y" * 500)
+        await asyncio.sleep(0.05)
+        self.server.limits = self.limits._replace(header_bytes=256, body_bytes=60)
+        writer.write(b"x" * 40)
+        other_writer.write(b"\r\n\r\n")
+        self.assertIn(b" 413 ", await self.read_all(reader))
+        self.assertIn(b" 431 ", await self.read_all(other_reader))
+        self.assertEqual(self.unanswered, [])
