A begun answer that is cut by a fault of the router is counted apart from one that its target broke off

A stream that was canceled or failed in the router counted as 'answer cut', which targets may cause.

--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -31,16 +31,22 @@
         self._started_s = started_s
 
     def finish(
-        self, exchange: Exchange, call: Call, delivery: Delivery, outcome: AttemptOutcome
+        self,
+        exchange: Exchange,
+        call: Call,
+        delivery: Delivery,
+        outcome: AttemptOutcome,
+        fault: UnansweredReason | None = None,
     ) -> None:
-        """Send the final answer, or abort an answer that has begun and can't be completed."""
+        """Send the final answer, or abort an answer that has begun and can't be completed.
+
+        `fault` is why the work ended early, if not by what became of it at the targets.
+        """
         if outcome.end is AttemptEnd.DELIVERED:
             self.log(call, delivery, "delivered", outcome.why)
             return
         if delivery.has_begun:
-            is_late = call.left_s() <= 0
-            reason = UnansweredReason.DEADLINE_PASSED if is_late else UnansweredReason.ANSWER_CUT
-            exchange.abort(outcome.why, reason)
+            exchange.abort(outcome.why, fault or _cut_reason(call))
             self.log(call, delivery, "cut", outcome.why)
             return
         if outcome.answer is not None:
@@ -123,3 +129,9 @@
             took_ms=int((read_clock() - call.started_s) * 1000),
             left_ms=int(call.left_s() * 1000),
         )
+
+
+def _cut_reason(call: Call) -> UnansweredReason:
+    """Return why an answer that has begun does not go on."""
+    is_late = call.left_s() <= 0
+    return UnansweredReason.DEADLINE_PASSED if is_late else UnansweredReason.ANSWER_CUT
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -36,7 +36,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import header
-from damaskwind.runtime.http1.unanswered import describe_cancellation
+from damaskwind.runtime.http1.unanswered import UnansweredReason, describe_cancellation
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["Forwarder"]
@@ -138,7 +138,7 @@
         if call is None:
             return
         delivery = Delivery(exchange, call.route.is_resumable)
-        outcome = None
+        outcome = fault = None
         try:
             call.digest = await self._identify(exchange, call)
             held = self.target_states.suspicions.find_held(call)
@@ -159,9 +159,11 @@
             if exchange.loss is not None:
                 self.answers.log_lost(call, delivery, exchange.loss)
                 raise
+            fault = UnansweredReason.CANCELED
             outcome = _interrupted(exchange, describe_cancellation(error))
             logger.error("request canceled", request=call.name, why=outcome.why)
         except Exception as error:
+            fault = UnansweredReason.HANDLER_FAILED
             outcome = _interrupted(exchange, f"failed here: {error!r}")
             logger.opt(exception=error).error("request failed", request=call.name)
         finally:
@@ -169,7 +171,7 @@
             if self.shedding is not None:
                 self.shedding.record_final(call, outcome)
         # A cancellation of this task takes effect at its next wait, of which there is none here.
-        self.answers.finish(exchange, call, delivery, outcome)
+        self.answers.finish(exchange, call, delivery, outcome, fault)
 
     def _admit(self, exchange: Exchange) -> Call | None:
         """Resolve the request's route and account; answer it and return `None` if either fails."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
@@ -107,7 +107,7 @@
 
     async def check(self, *steps, may_cut=False):
         """Cancel a request at each of its waits; return how many there are."""
-        reasons = {UnansweredReason.ANSWER_CUT} if may_cut else set()
+        reasons = {UnansweredReason.CANCELED} if may_cut else set()
         for number in range(MAX_POINTS):
             self.share(*steps)
             status, sends = await self.outcome(number)
@@ -157,7 +157,9 @@
     async def test_stream_is_answered_or_reset_wherever_it_is_canceled(self):
         """Guards against a stream that looks complete as it is canceled, or is not counted."""
         self.publish(route(RouteKind.STREAMING, is_resumable=True))
-        await self.check_both(stream(1, 3), may_cut=True)
+        await self.check_both(stream(1, 3, pause_s=0.02), may_cut=True)
+        totals = unanswered_totals(self.forwarder.tallies)
+        self.assertEqual(set(totals), {UnansweredReason.CANCELED})
 
     @asyncio_test
     async def test_unframed_answer_is_passed_on_or_fails_wherever_it_is_canceled(self):
