A target that is gone is not taken for silent while it answers what it has

When a target announced that it is gone, the router dropped the time at which it was last heard; its silence then counted from the oldest request that waits. A repeatable request behind a long answer was so given up at once, though the target was answering. The time is kept until the last request there has ended.

--- a/packages/router/src/damaskwind/router/forwarding/target_activity.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_activity.py
@@ -31,6 +31,8 @@
         self._received_s: dict[str, float] = {}
         self._waiting: dict[str, dict[int, float]] = {}
         self._last_number = 0
+        # Targets that are gone while requests wait for them: a leaving one answers what it has.
+        self._gone: set[str] = set()
 
     def begin_wait(self, target_id: str, now_s: float) -> int:
         """Record that a request is sent; return a number that identifies the wait."""
@@ -44,6 +46,9 @@
         waiting.pop(number, None)
         if not waiting:
             self._waiting.pop(target_id, None)
+            if target_id in self._gone:
+                self._gone.discard(target_id)
+                self._received_s.pop(target_id, None)
 
     def waiting(self, target_id: str) -> int:
         """Return how many requests wait for a target."""
@@ -77,5 +82,15 @@
         return self.silent_s(target_id, now_s, woken_s) > limit_s
 
     def forget(self, target_id: str) -> None:
-        """Drop a target that is gone."""
-        self._received_s.pop(target_id, None)
+        """Drop a target that is gone, once no request waits for it any more.
+
+        >>> activity = TargetActivity()
+        >>> waiting = activity.begin_wait("t", 0.0)
+        >>> activity.record_received("t", 5.0); activity.forget("t")
+        >>> activity.silent_s("t", 5.1) < 0.2
+        True
+        """
+        if target_id in self._waiting:
+            self._gone.add(target_id)
+        else:
+            self._received_s.pop(target_id, None)
