A router in between is not avoided because its target was silent

Callers saw: with targets reached through another router alone, one target that was silent for a second had the router in between avoided for 1 s, and requests refused as no other router reached the service. `record_stalled` blamed the router for each answer that did not come in time.

--- a/packages/router/src/damaskwind/router/forwarding/peer_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -84,6 +84,8 @@
         self._failed_until_s: dict[str, float] = {}
         self._in_flight: Counter[str] = Counter()
         self._asking: set[asyncio.Task] = set()
+        # The hosts of routers that are asked whether they answer.
+        self._checking: set[str] = set()
 
     @property
     def endpoints(self) -> tuple[PeerEndpoint, ...]:
@@ -113,6 +115,13 @@
         task.add_done_callback(self._asking.discard)
         return task
 
+    def check(self, peer: PeerEndpoint) -> None:
+        """Ask a router whether it answers, unless it is being asked; avoid it if it does not."""
+        if peer.host not in self._checking:
+            self._checking.add(peer.host)
+            asking = self._start_asking(peer, ())
+            asking.add_done_callback(lambda _: self._checking.discard(peer.host))
+
     async def confirm(self, target: TargetRecord) -> bool:
         """Return whether some other router reaches a target now, by a probe of its own."""
         peers = self.endpoints
--- a/packages/router/src/damaskwind/router/forwarding/target_paths.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_paths.py
@@ -165,8 +165,8 @@
         self._peers.connections.return_unused(self._peer.host, connection)
 
     def record_stalled(self) -> None:
-        """Avoid the router for a while, as it may be the cause."""
-        self._peers.record_failure(self._peer)
+        """Find out whether the router answers at all: its target may be the cause as well."""
+        self._peers.check(self._peer)
 
     def close(self) -> None:
         """Record that the attempt has ended."""
