Overdue attempts are served as they become overdue; an unusable replacement gives its retry back

A round of an overdue attempt began up to 0.1 s late when the service's rounds were already in progress. It now begins at once, 0.02 s after the last round at the earliest.

If the target of a replacement can't be used any more, its retry may be the last one of the budget: it is given back before another replacement is looked for, which would wait for it in vain.

--- a/packages/router/src/damaskwind/router/forwarding/replacements.py
+++ b/packages/router/src/damaskwind/router/forwarding/replacements.py
@@ -12,6 +12,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from enum import StrEnum
 from math import inf
 
@@ -32,8 +33,10 @@
 
 __all__ = ["Hindrance", "Replacements", "Search"]
 
-# Interval of the rounds in which a service's overdue attempts are served.
+# Interval of the rounds in which a service's overdue attempts are served. One that has just become
+# overdue starts a round at once, but for this time after the last one.
 ROUND_S = 0.1
+MIN_GAP_S = 0.02
 # Interval at which an answer that was broken off finds out whether any target is left.
 RECHECK_S = 0.5
 # A target that has been silent for more than this part of the time of the one that is left may
@@ -126,6 +129,8 @@
         self._brittle = target_states.brittle
         self._searches: dict[str, set[Search]] = {}
         self._serving: dict[str, asyncio.Task[None]] = {}
+        # Set for services at which an attempt has become overdue since the last round.
+        self._begun: dict[str, asyncio.Event] = {}
         # When targets last accepted a connection that was opened to find that out.
         self._shown_s: dict[str, float] = {}
         target_states.view.on_gone.append(self._forget)
@@ -139,6 +144,7 @@
         """Look for a replacement until it is found or `end` is called."""
         service = search.call.service
         self._searches.setdefault(service, set()).add(search)
+        self._begun.setdefault(service, asyncio.Event()).set()
         if service not in self._serving:
             self._serving[service] = asyncio.ensure_future(self._serve(service))
 
@@ -203,9 +209,14 @@
 
     async def _serve(self, service: str) -> None:
         """Serve a service's overdue attempts in rounds; ends with the last of them."""
+        begun = self._begun[service]
         while True:
+            begun.clear()
             await self._serve_round(service)
-            await asyncio.sleep(ROUND_S)
+            await asyncio.sleep(MIN_GAP_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(ROUND_S - MIN_GAP_S):
+                    await begun.wait()
 
     async def _serve_round(self, service: str) -> None:
         """Look once for a replacement of each overdue attempt."""
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -184,10 +184,13 @@
             state = await self.place_when_settled(progress)
             if state is not RequestState.ENDED and self.has_retry(progress):
                 return state
+        # One that is in hand may be the last of the budget, and the search takes another one.
+        self._release_retry(progress)
         last, size_bytes = progress.last_target, len(progress.exchange.request.body)
         while await self.replacements.wait(Search.of_lost(call, last, size_bytes)):
             if self.use_replacement(progress):
                 return RequestState.PLACED
+            self._release_retry(progress)
         return RequestState.ENDED
 
     def use_replacement(self, progress: RequestProgress) -> bool:
