All answers that a router reads are bounded together, on every deployment

What callers would see: the account of held bytes is on where callers compete; elsewhere several answers of 16 MB each, or starts of events, could fill the memory of a router, which is killed beyond it with all its requests. Answers passed on for other routers were in no account at all.

Each connection to a target or another router now reports what it holds until it is passed on. Nothing else changes: buffers, socket options and refusals stay as they were.

--- a/packages/decisions/src/damaskwind/decisions/held_bytes/bound.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/bound.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["HeldBounds", "derive_bounds"]
+__all__ = ["MIN_HELD_BYTES", "HeldBounds", "derive_bounds"]
 
 # Part of the memory that stays free, as the operators require.
 FREE_SHARE = 0.2
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -507,6 +507,7 @@
             if not path.via:
                 self._target_states.reach.record_heard(target.service, read_clock())
             delivery.write_stream(data)
+            connection.keep(delivery.held_bytes)
             if delivery.events:
                 call.begin_events(target)
             await delivery.drained()
--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from damaskwind.model.targets import Address
+from damaskwind.router.forwarding.answers_in_hand import AnswersInHand
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import ClientConnection, ConnectFailedError, connect
 from damaskwind.runtime.http1.messages import Headers, header
@@ -39,6 +40,8 @@
     def __init__(self) -> None:
         self.opened = 0
         self.connect = connect
+        # Bounds what is held of all answers that are being read; `None` for no bound.
+        self.answers: AnswersInHand | None = None
         self.on_reach_changed: list[Callable[[str], None]] = []
         self._established: dict[str, WeakSet[ClientConnection]] = {}
         self._idle: dict[str, list[ClientConnection]] = {}
@@ -65,7 +68,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        connection = await self.connect(address, min(timeout_s, CONNECT_TIMEOUT_S))
+        connection = await self._open(address, min(timeout_s, CONNECT_TIMEOUT_S))
         if must_stay_open and not await self._stays_open(connection):
             raise ConnectFailedError("the connection was reset before anything was sent")
         self._established.setdefault(target_id, WeakSet()).add(connection)
@@ -98,7 +101,7 @@
         A proxy in front of a target that has exited may accept a connection and then reset it.
         """
         try:
-            connection = await self.connect(address, timeout_s)
+            connection = await self._open(address, timeout_s)
         except ConnectFailedError:
             return False
         stays_open = await self._stays_open(connection)
@@ -107,6 +110,13 @@
             self.return_unused(target_id, connection)
         return stays_open
 
+    async def _open(self, address: Address, timeout_s: float) -> ClientConnection:
+        """Return a new connection, whose answers are bounded together with all others."""
+        connection = await self.connect(address, timeout_s)
+        if self.answers is not None:
+            connection.in_hand = self.answers.open(connection.give_up)
+        return connection
+
     async def _stays_open(self, connection: ClientConnection) -> bool:
         """Tell whether a new connection is still open after `SETTLE_S`."""
         lost = asyncio.Event()
--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -82,6 +82,11 @@
             return self._splitter.open_bytes
         return self._boundary.open_bytes if self._has_events else 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return what is held of an event until it is complete."""
+        return self._splitter.open_bytes
+
     def resume_after(self, asked: int | None) -> int | None:
         """Return the id of the event to resume after; `asked` is what the caller requested."""
         return asked if self.last_event is None else self.last_event
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -13,6 +13,7 @@
 from damaskwind.decisions.target_signals.signal_table import TargetSignal
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.traffic_configuration import TrafficConfiguration
+from damaskwind.router.forwarding.answers_in_hand import AnswersInHand, answers_bound_bytes
 from damaskwind.router.forwarding.attempt_relay import AttemptRelay
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
@@ -86,10 +87,13 @@
             tallies=self.tallies,
             has_contention=settings.has_contention,
         )
+        self.held_bytes = self._make_held_bytes(names)
+        has_held_bytes = self.held_bytes is not None
+        bound_bytes = answers_bound_bytes(settings.memory_bytes, has_held_bytes)
+        self.answers = AnswersInHand(bound_bytes, self.tallies)
         self.peers, self.attempt_relay = self._make_relay(names, random)
         self._metrics = MetricsSite(self.tallies)
         self._metrics.handlers[ROUTER_STATUS_PATH] = RouterStatusSite(self.view).handle
-        self.held_bytes = self._make_held_bytes(names)
         self._callers = HttpServer(self.forwarder.handle, ServerLimits(), self.held_bytes)
         self._ready = HttpServer(self._answer_ready, READY_LIMITS)
         self._register_gauges()
@@ -113,6 +117,7 @@
             self.tallies,
             settings.memory_bytes,
         )
+        self.connections.answers = peers.connections.answers = self.answers
         if settings.internal_host:
             target_states.reach.attach(peers)
             self.view.relay.forward_handler = relay.forward
@@ -191,6 +196,8 @@
         show("second_sends_enabled", "1 if overdue requests are sent again", self._hedges)
         show("second_sends_in_progress", "at two targets now", lambda: hedged.in_progress)
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
+        show("answer_bytes", "of answers being read", lambda: self.answers.held_bytes)
+        show("answer_bytes_bound", "that may be in hand", lambda: self.answers.bound_bytes)
         if self.held_bytes is not None:
             self.held_bytes.register_gauges()
             bodies = self.forwarder.steps.target_bodies
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -386,6 +386,21 @@
         router = self.router(has_contention=True, memory_bytes=152 * MIB)
         self.assertIs(router._callers.memory, router.held_bytes)
 
+    def test_answers_that_are_read_are_bounded_on_every_deployment(self):
+        """Guards against a deployment on which a target without end fills the memory."""
+        bounds = []
+        for switch in (
+            {},
+            {"memory_bytes": 300 * MIB},
+            {"has_contention": True},
+            {"has_contention": True, "memory_bytes": 152 * MIB},
+        ):
+            router = self.router(**switch)
+            self.assertIs(router.connections.answers, router.answers)
+            self.assertIs(router.peers.connections.answers, router.answers)
+            bounds.append(router.answers.bound_bytes // MIB)
+        self.assertEqual(bounds, [128, 128, 128, 8])
+
     @asyncio_test
     async def test_without_the_switch_connections_keep_their_buffers_and_write_at_once(self):
         accounts = []
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -131,7 +131,11 @@
         self.usable_until_s = 0.0
         self._unread_input: UnreadInput | None = None
         self._parsing_since_s = 0.0
+        # Accounts for the answers to requests that have no account of their own.
+        self.in_hand: AnswerAccount | None = None
         self._account: AnswerAccount | None = None
+        self._kept_bytes = 0
+        self._too_long: AnswerTooLongError | None = None
         self._outbox: Outbox | None = None
         self._is_collecting = False
         self._unread_bytes = 0
@@ -163,9 +167,27 @@
 
     def settle(self) -> None:
         """Release what was read, since it was passed on or dropped."""
-        if self._account is not None and self._unread_bytes:
-            self._account.hold(-self._unread_bytes)
-        self._unread_bytes = 0
+        self._kept_bytes = 0
+        self._release_read()
+
+    def keep(self, size_bytes: int) -> None:
+        """Account for what the reader keeps of the answer until it is passed on or dropped."""
+        self._kept_bytes = size_bytes
+
+    def give_up(self, bound_bytes: int) -> None:
+        """End the answer, since all answers that are being read exceed their bound."""
+        self._too_long = AnswerTooLongError("all answers in hand", bound_bytes)
+        self.abort()
+        self._wake()
+
+    def _release_read(self) -> None:
+        """Release what was read, but for what the reader keeps."""
+        account = self.in_hand if self._account is None else self._account
+        # Without its own account, a request may keep less than is still counted of it.
+        kept_bytes = self._kept_bytes if self._account is None else 0
+        if account is not None and self._unread_bytes != kept_bytes:
+            account.hold(kept_bytes - self._unread_bytes)
+        self._unread_bytes = kept_bytes
 
     def pause_writing(self) -> None:
         """Hold the rest of a body while the target reads it slowly."""
@@ -184,9 +206,12 @@
             self.abort()
             return
         self._last_active_s = self.last_received_s = read_clock()
-        if self._account is not None:
+        account = self.in_hand if self._account is None else self._account
+        if account is not None:
             self._unread_bytes += len(data)
-            self._account.hold(len(data))
+            account.hold(len(data))
+        if self._too_long is not None:
+            return
         self._unread_input.add(len(data))
         self._parser.receive_data(data)
         self._wake()
@@ -329,12 +354,14 @@
             await asyncio.sleep(0)
             self._parsing_since_s = read_clock()
         while True:
+            if self._too_long is not None:
+                raise self._too_long
             event = self._parse_event()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
             self._unread_input.clear()
             if not self._is_collecting:
-                self.settle()
+                self._release_read()
             if self._is_lost:
                 raise AnswerBrokenError("the connection was lost")
             self._waiter = asyncio.get_running_loop().create_future()
