A piece of an answer is at most 32 KB, and many small events of one are written together

A target that sends many small events as fast as they are read (three bytes each) held up all other requests: each event was searched and written by itself, and a piece had up to 512 KB. Up to 64 events of a piece are still written one by one, as before.

--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -24,6 +24,9 @@
 
 # An answer up to this size is sent in one write.
 WHOLE_BYTES = 16_384
+# Events that arrive together are written one by one up to this many; more are joined, since each
+# write costs a system call, and a target may send thousands of small ones at once.
+MAX_SINGLE_EVENTS = 64
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -135,9 +138,7 @@
         events = self._splitter.feed(data)
         self._hold_partial(self._splitter.open_bytes - before_bytes)
         try:
-            for event in events:
-                check_event(len(event))
-                self._write_event(event)
+            self._write_events(events)
             check_event(self._splitter.open_bytes)
         except AnswerTooLongError:
             self._drop_partial()
@@ -162,20 +163,33 @@
         if self.account is not None and size_bytes:
             self.account.hold(size_bytes)
 
-    def _write_event(self, event: bytes) -> None:
-        """Send an event, unless the caller already has it, or the empty lines after one."""
-        if not is_blank(event):
-            number = event_id(event)
-            self._is_skipping = self._has_sent(number)
-            if self._is_skipping:
-                return
-            self.last_event = self.last_event if number is None else number
-            self._has_event = True
-            self.events += 1
-        elif self._is_skipping:
-            return
-        self.bytes += len(event)
-        self._exchange.write(event)
+    def _write_events(self, events: list[bytes]) -> None:
+        """Send the events that the caller doesn't have yet."""
+        passed = []
+        try:
+            for event in events:
+                check_event(len(event))
+                if self._may_pass(event):
+                    passed.append(event)
+        finally:
+            if len(passed) > MAX_SINGLE_EVENTS:
+                passed = [b"".join(passed)]
+            for data in passed:
+                self.bytes += len(data)
+                self._exchange.write(data)
+
+    def _may_pass(self, event: bytes) -> bool:
+        """Return whether to send an event, or the empty lines after one, and count the event."""
+        if is_blank(event):
+            return not self._is_skipping
+        number = event_id(event)
+        self._is_skipping = self._has_sent(number)
+        if self._is_skipping:
+            return False
+        self.last_event = self.last_event if number is None else number
+        self._has_event = True
+        self.events += 1
+        return True
 
     def _has_sent(self, number: int | None) -> bool:
         """Return whether an event with this id, or a later one, was sent."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_endless_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_endless_answers.py
@@ -188,7 +188,7 @@
     @asyncio_test
     async def test_no_turn_of_the_loop_is_late_while_events_have_no_end(self):
         """Guards against the copy of all that is held for each piece of an event."""
-        for part in STREAMS:
+        for part in (*STREAMS, EndlessPart.SMALL_EVENTS):
             self.assertLess(await self.longest_turn(part), MAX_TURN_S, part)
 
 
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -40,6 +40,9 @@
 # Pieces of a body that is collected are joined up to this size, since each small one of them
 # takes several times its length.
 JOINED_BYTES = 16_384
+# The largest piece of a body: what is done with it at once, such as a search for many small
+# events, delays all other tasks.
+PIECE_BYTES = 32_768
 # How the parser marks what exceeds that size: a head, or the line with the size of a chunk.
 HEAD_TOO_LONG = 431
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
@@ -135,6 +138,8 @@
         self.in_hand: AnswerAccount | None = None
         self._account: AnswerAccount | None = None
         self._kept_bytes = 0
+        # What is left of a larger piece of the body.
+        self._rest = memoryview(b"")
         self._too_long: AnswerTooLongError | None = None
         self._outbox: Outbox | None = None
         self._is_collecting = False
@@ -276,6 +281,7 @@
         Raise `AnswerTooLongError` after more than `MAX_INFORMATIONAL` informational answers.
         """
         self._is_collecting = False
+        self._rest = memoryview(b"")
         for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
@@ -287,13 +293,22 @@
 
     async def read_data(self) -> bytes | None:
         """Return the next piece of the body, or `None` once it is complete."""
+        if self._rest:
+            await self._let_others_run()
+            return self._next_piece()
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            self._rest = memoryview(event.data)
+            return self._next_piece()
         if isinstance(event, h11.EndOfMessage):
             return None
         raise AnswerBrokenError("the answer ended early")
 
+    def _next_piece(self) -> bytes:
+        """Return up to `PIECE_BYTES` of what is left of a piece that was parsed."""
+        piece, self._rest = self._rest[:PIECE_BYTES], self._rest[PIECE_BYTES:]
+        return bytes(piece)
+
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the rest of the body; raise `AnswerBrokenError` if it exceeds the limit."""
         return b"".join(await self.read_pieces(limit_bytes))
@@ -350,9 +365,8 @@
 
     async def _next_event(self) -> Any:
         """Return the next event of the answer; while many are at hand, let other tasks run."""
-        if self._unread_input.size_bytes and read_clock() - self._parsing_since_s > MAX_PARSING_S:
-            await asyncio.sleep(0)
-            self._parsing_since_s = read_clock()
+        if self._unread_input.size_bytes:
+            await self._let_others_run()
         while True:
             if self._too_long is not None:
                 raise self._too_long
@@ -368,6 +382,12 @@
             await self._waiter
             self._parsing_since_s = read_clock()
 
+    async def _let_others_run(self) -> None:
+        """Let other tasks run after `MAX_PARSING_S`, however much is at hand."""
+        if read_clock() - self._parsing_since_s > MAX_PARSING_S:
+            await asyncio.sleep(0)
+            self._parsing_since_s = read_clock()
+
     def _parse_event(self) -> Any:
         """Return the next event that the parser knows, or that it needs more data for one."""
         try:
--- a/packages/standins/src/damaskwind/standins/endless_target.py
+++ b/packages/standins/src/damaskwind/standins/endless_target.py
@@ -38,6 +38,7 @@
     CHUNKED_BODY = "body in chunks"
     EVENT = "event"
     UNFRAMED_EVENT = "event without a frame"
+    SMALL_EVENTS = "small events"
     EMPTY_LINES = "empty lines"
     AFTER_ANSWER = "bytes after the answer"
 
@@ -84,6 +85,7 @@
     EndlessPart.CHUNKED_BODY: _Script(_head(_CHUNKED), chunk(_FILLING)),
     EndlessPart.EVENT: _Script(_stream(event(1) + b"id: 2\ndata: "), chunk(_FILLING)),
     EndlessPart.UNFRAMED_EVENT: _Script(_head(_EVENTS), _FILLING),
+    EndlessPart.SMALL_EVENTS: _Script(_head(_EVENTS), b":\n\n"),
     EndlessPart.EMPTY_LINES: _Script(_stream(event(1)), chunk(b"\n" * _FILLING_BYTES)),
     EndlessPart.AFTER_ANSWER: _Script(_head(b"content-length: 0"), _FILLING),
 }
