Readers with much to parse take turns, one in each round of the event loop

A reader that has parsed for 2 ms let other tasks run, but with many targets that send without end each of them took its 2 ms in the same round.

--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -19,6 +19,7 @@
 from damaskwind.runtime.http1.held_memory import AnswerAccount
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, Outbox
+from damaskwind.runtime.http1.parsing_turns import ParsingTurns
 from damaskwind.runtime.http1.transports import reset
 from damaskwind.runtime.http1.unread_input import UnreadInput
 
@@ -45,6 +46,7 @@
 PIECE_BYTES = 32_768
 # How the parser marks what exceeds that size: a head, or the line with the size of a chunk.
 HEAD_TOO_LONG = 431
+_TURNS = ParsingTurns()
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Where answers are accounted for, at most this much is read before the account is asked.
 READ_BYTES = 65_536
@@ -385,7 +387,7 @@
     async def _let_others_run(self) -> None:
         """Let other tasks run after `MAX_PARSING_S`, however much is at hand."""
         if read_clock() - self._parsing_since_s > MAX_PARSING_S:
-            await asyncio.sleep(0)
+            await _TURNS.wait()
             self._parsing_since_s = read_clock()
 
     def _parse_event(self) -> Any:
