--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -20,6 +20,7 @@
 from damaskwind.runtime.http1.held_memory import AnswerAccount
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, Outbox
+from damaskwind.runtime.http1.parsing_turns import ParsingTurns
 from damaskwind.runtime.http1.tcp_state import read_tcp_state
 from damaskwind.runtime.http1.transports import reset
 from damaskwind.runtime.http1.unread_input import UnreadInput
@@ -42,8 +43,12 @@
 # Pieces of a body that is collected are joined up to this size, since each small one of them
 # takes several times its length.
 JOINED_BYTES = 16_384
+# The largest piece of a body: what is done with it at once, such as a search for many small
+# events, delays all other tasks.
+PIECE_BYTES = 32_768
 # How the parser marks what exceeds that size: a head, or the line with the size of a chunk.
 HEAD_TOO_LONG = 431
+_TURNS = ParsingTurns()
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Where answers are accounted for, at most this much is read before the account is asked.
 READ_BYTES = 65_536
@@ -135,7 +140,13 @@
         self.usable_until_s = 0.0
         self._unread_input: UnreadInput | None = None
         self._parsing_since_s = 0.0
+        # Accounts for the answers to requests that have no account of their own.
+        self.in_hand: AnswerAccount | None = None
         self._account: AnswerAccount | None = None
+        self._kept_bytes = 0
+        # What is left of a larger piece of the body.
+        self._rest = memoryview(b"")
+        self._too_long: AnswerTooLongError | None = None
         self._outbox: Outbox | None = None
         self._is_collecting = False
         self._unread_bytes = 0
@@ -171,9 +182,27 @@
 
     def settle(self) -> None:
         """Release what was read, since it was passed on or dropped."""
-        if self._account is not None and self._unread_bytes:
-            self._account.hold(-self._unread_bytes)
-        self._unread_bytes = 0
+        self._kept_bytes = 0
+        self._release_read()
+
+    def keep(self, size_bytes: int) -> None:
+        """Account for what the reader keeps of the answer until it is passed on or dropped."""
+        self._kept_bytes = size_bytes
+
+    def give_up(self, bound_bytes: int) -> None:
+        """End the answer, since all answers that are being read exceed their bound."""
+        self._too_long = AnswerTooLongError("all answers in hand", bound_bytes)
+        self.abort()
+        self._wake()
+
+    def _release_read(self) -> None:
+        """Release what was read, but for what the reader keeps."""
+        account = self.in_hand if self._account is None else self._account
+        # Without its own account, a request may keep less than is still counted of it.
+        kept_bytes = self._kept_bytes if self._account is None else 0
+        if account is not None and self._unread_bytes != kept_bytes:
+            account.hold(kept_bytes - self._unread_bytes)
+        self._unread_bytes = kept_bytes
 
     def pause_writing(self) -> None:
         """Hold the rest of a body while the target reads it slowly."""
@@ -192,9 +221,12 @@
             self.abort()
             return
         self._last_active_s = self.last_received_s = read_clock()
-        if self._account is not None:
+        account = self.in_hand if self._account is None else self._account
+        if account is not None:
             self._unread_bytes += len(data)
-            self._account.hold(len(data))
+            account.hold(len(data))
+        if self._too_long is not None:
+            return
         self._unread_input.add(len(data))
         self._parser.receive_data(data)
         self._wake()
@@ -266,6 +298,7 @@
         Raise `AnswerTooLongError` after more than `MAX_INFORMATIONAL` informational answers.
         """
         self._is_collecting = False
+        self._rest = memoryview(b"")
         for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
@@ -277,13 +310,22 @@
 
     async def read_data(self) -> bytes | None:
         """Return the next piece of the body, or `None` once it is complete."""
+        if self._rest:
+            await self._let_others_run()
+            return self._next_piece()
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            self._rest = memoryview(event.data)
+            return self._next_piece()
         if isinstance(event, h11.EndOfMessage):
             return None
         raise AnswerBrokenError("the answer ended early")
 
+    def _next_piece(self) -> bytes:
+        """Return up to `PIECE_BYTES` of what is left of a piece that was parsed."""
+        piece, self._rest = self._rest[:PIECE_BYTES], self._rest[PIECE_BYTES:]
+        return bytes(piece)
+
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the rest of the body; raise `AnswerBrokenError` if it exceeds the limit."""
         return b"".join(await self.read_pieces(limit_bytes))
@@ -380,22 +422,29 @@
 
     async def _next_event(self) -> Any:
         """Return the next event of the answer; while many are at hand, let other tasks run."""
-        if self._unread_input.size_bytes and read_clock() - self._parsing_since_s > MAX_PARSING_S:
-            await asyncio.sleep(0)
-            self._parsing_since_s = read_clock()
+        if self._unread_input.size_bytes:
+            await self._let_others_run()
         while True:
+            if self._too_long is not None:
+                raise self._too_long
             event = self._parse_event()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
             self._unread_input.clear()
             if not self._is_collecting:
-                self.settle()
+                self._release_read()
             if self._is_lost:
                 raise AnswerBrokenError("the connection was lost")
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
             self._parsing_since_s = read_clock()
 
+    async def _let_others_run(self) -> None:
+        """Let other tasks run after `MAX_PARSING_S`, however much is at hand."""
+        if read_clock() - self._parsing_since_s > MAX_PARSING_S:
+            await _TURNS.wait()
+            self._parsing_since_s = read_clock()
+
     def _parse_event(self) -> Any:
         """Return the next event that the parser knows, or that it needs more data for one."""
         try:
