A router that sends requests on is not avoided because one of its targets is silent

Callers of a router whose own path is cut got 503 for a second at a time when one target behind the other router stood still: 115 of 976 idempotent requests, and most streams.

Cause: an attempt that is given up for silence blamed the router that had sent the request on, which may be the only way to all targets, also to the replacement that is in hand.

A router is now avoided for silence only if it has sent on no head of an answer since the request was sent. A connection that breaks is blamed on it as before.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -177,14 +177,14 @@
         except AnswerBrokenError as error:
             if connection in self._called_back:
                 return AttemptOutcome(AttemptEnd.CALLED_BACK, "held fatal")
-            path.record_stalled()
+            path.record_broken()
             if connection.is_timed_out and not path.via:
                 self.connections.watch(target.target_id, target.address)
                 self._target_states.reach.note_failure(target)
             is_lost = _is_connection_lost(connection) or bool(path.via)
             return AttemptOutcome(AttemptEnd.BROKEN, str(error), is_connection_lost=is_lost)
         except ReplacedError:
-            path.record_stalled()
+            path.record_silent()
             return AttemptOutcome(AttemptEnd.STALLED, "the target was silent")
         finally:
             if silence is not None:
--- a/packages/router/src/damaskwind/router/forwarding/peer_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -81,6 +81,8 @@
         self._gone_until_s: dict[str, float] = {}
         self._lookups: dict[str, tuple[float, list[tuple[PeerEndpoint, _Answer]]]] = {}
         self._failed_until_s: dict[str, float] = {}
+        # When each router last sent the head of an answer on.
+        self._heard_s: dict[str, float] = {}
         self._in_flight: Counter[str] = Counter()
         self._asking: set[asyncio.Task] = set()
 
@@ -151,6 +153,14 @@
         self._failed_until_s[peer.host] = read_clock() + FAILED_S
         self._lookups.clear()
 
+    def record_heard(self, peer: PeerEndpoint) -> None:
+        """Record that a router sent on the head of an answer."""
+        self._heard_s[peer.host] = read_clock()
+
+    def heard_s(self, peer: PeerEndpoint) -> float:
+        """Return when a router last sent on the head of an answer; negative infinity for never."""
+        return self._heard_s.get(peer.host, float("-inf"))
+
     def reaches_service(self, service: str) -> bool:
         """Return whether some peer reaches targets of a service."""
         return any(answer.is_reached for _, answer in self._usable(service))
--- a/packages/router/src/damaskwind/router/forwarding/target_paths.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_paths.py
@@ -8,6 +8,7 @@
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.peer_links import PeerLinks
 from damaskwind.router.forwarding.service_reach import ServiceReach
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerHead, ClientConnection, ConnectFailedError
 from damaskwind.runtime.http1.messages import Headers, Request, header
 from damaskwind.wire.peers import (
@@ -46,8 +47,11 @@
     def return_unused(self, connection: ClientConnection) -> None:
         """Pool a connection on which nothing was sent."""
 
-    def record_stalled(self) -> None:
-        """Record that the connection broke or that no answer came."""
+    def record_broken(self) -> None:
+        """Record that the connection broke."""
+
+    def record_silent(self) -> None:
+        """Record that no answer came, or that one stopped."""
 
     def close(self) -> None:
         """Record that the attempt has ended."""
@@ -95,7 +99,10 @@
         """Pool a connection on which nothing was sent."""
         self._connections.return_unused(self._target.target_id, connection)
 
-    def record_stalled(self) -> None:
+    def record_broken(self) -> None:
+        """Do nothing: the state of the target is recorded with the outcome."""
+
+    def record_silent(self) -> None:
         """Do nothing: the state of the target is recorded with the outcome."""
 
     def close(self) -> None:
@@ -110,6 +117,7 @@
         self._target = target
         self._peers = peers
         self._peer: PeerEndpoint | None = None
+        self._sent_s = 0.0
 
     async def connect(self, call: Call) -> ClientConnection:
         """Return a connection to a router that reaches the target."""
@@ -126,7 +134,7 @@
             except ConnectFailedError:
                 self._peers.record_failure(peer)
                 continue
-            self._peer, self.via = peer, peer.host
+            self._peer, self.via, self._sent_s = peer, peer.host, read_clock()
             self._peers.record_sent(peer)
             return connection
         raise ConnectFailedError("no other router reaches the target")
@@ -146,6 +154,7 @@
         An answer without that header was given before the request was looked at, except for
         a status of 500 and above. From then on the answer counts as framed as the target did it.
         """
+        self._peers.record_heard(self._peer)
         if header(head.headers, STATUS) is None:
             return Failure.BROKEN if head.status >= 500 else Failure.REFUSED
         if head.is_unframed:
@@ -164,10 +173,15 @@
         """Pool a connection on which nothing was sent."""
         self._peers.connections.return_unused(self._peer.host, connection)
 
-    def record_stalled(self) -> None:
+    def record_broken(self) -> None:
         """Avoid the router for a while, as it may be the cause."""
         self._peers.record_failure(self._peer)
 
+    def record_silent(self) -> None:
+        """Avoid the router for a while, unless it sent on answers of other targets meanwhile."""
+        if self._peers.heard_s(self._peer) <= self._sent_s:
+            self._peers.record_failure(self._peer)
+
     def close(self) -> None:
         """Record that the attempt has ended."""
         if self._peer is not None:
