A connection that is being ended starts no further request

Found by the review: a handler that failed after its whole answer let the connection linger, and the next request, read ahead, was begun on a connection whose sending side is closed. It was dropped without an answer, and a timer wrote to it ('Cannot call write() after write_eof()'). test_failed_after_answers: 1 of 1 failed before, passes.

--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -446,7 +446,7 @@
             self._body.close_account()
             self._task = None
             self._server.notify_request_end()
-        if exchange.is_finished and not self._transport.is_closing():
+        if exchange.is_finished and not self._is_dropping and not self._transport.is_closing():
             self._next_request()
 
     def _answer_failure(self, reason: UnansweredReason, why: str) -> None:
