Of two attempts at a plain answer, the other one goes on until the first answer is whole

Callers got 502 or 504 where the second target's answer broke off, or fell silent, after its head: the first attempt, which was sound, had been canceled at that head. A plain answer is collected before any of it is sent, so the other attempt can be kept until then.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -129,8 +129,8 @@
     ) -> AttemptOutcome:
         """Send the request and forward the answer; with `may_reroute` give up on a silent target.
 
-        `accept_answer` is called when an answer begins that is neither a refusal nor an error,
-        before any of it is forwarded.
+        `accept_answer` is called for an answer that is neither a refusal nor an error before any of
+        it is forwarded: when a stream begins, and when another answer is whole.
         Raise `TimeoutError` before anything is sent if the caller's deadline has passed.
         """
         path = choose_path(placement.target, self.connections, self._target_states.reach)
@@ -251,15 +251,16 @@
             outcome = await self._read_refusal(path, connection, head)
             return outcome._replace(asks_for_pause=signals.rest_s > 0)
         self.on_accepted(call)
-        if head.status < 500:
-            accept_answer(first_s)
         is_stream = call.route.kind is RouteKind.STREAMING and 200 <= head.status < 300
         if is_stream:
+            accept_answer(first_s)
             outcome = await self._relay_stream(attempt, head, may_reroute)
             return outcome._replace(first_s=first_s, is_unframed=head.is_unframed)
         pieces = await connection.read_pieces(ANSWER_LIMIT_BYTES)
         if not await self._is_end_sure(path, head, target):
             return _UNSURE_END
+        if head.status < 500:
+            accept_answer(first_s)
         why = f"status {head.status}"
         delivered = AttemptOutcome(
             AttemptEnd.DELIVERED,
--- a/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/hedged_sends.py
@@ -1,8 +1,9 @@
-"""Send an overdue request to a second target; the first answer that begins is delivered.
+"""Send an overdue request to a second target; the first answer that is accepted is delivered.
 
-The attempts run as two tasks. The one whose answer begins first cancels the other before any
-of it is forwarded, so that two answers never mix: a canceled attempt closes its connection
-and forwards nothing.
+A stream is accepted when it begins, another answer when it is whole: until then the other
+attempt may still be needed. The attempts run as two tasks. The one whose answer is accepted
+first cancels the other before any of it is forwarded, so that two answers never mix: a
+canceled attempt closes its connection and forwards nothing.
 """
 
 import asyncio
@@ -67,7 +68,7 @@
 
 
 class _Race:
-    """The attempts of one request; `winner` is the one whose answer began first.
+    """The attempts of one request; `winner` is the one whose answer was accepted first.
 
     `on_answer_started` is called with the winner and its time to start, `on_superseded` with an
     attempt that is canceled in favor of the other one.
