A retry is not given back if one of two attempts was sent

By reading (review): a request whose first attempt was sent and superseded, and whose second did not reach its target, gave its retry back though it was used, so that the budget could be exceeded by one.

--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -283,14 +283,15 @@
     async def send(self, progress: RequestProgress) -> AttemptOutcome:
         """Make one attempt at the target that was chosen.
 
-        A retry is used up by it, unless it did not reach its target.
+        A retry is used up by it, unless it did not reach its target. Of two attempts, either may
+        have reached its own.
         """
         progress.last_target = progress.placement.target
         taken_s, progress.retry_taken_s = progress.retry_taken_s, None
         outcome = await self.sends.send(
             progress.exchange, progress.call, progress.delivery, progress.placement
         )
-        if not outcome.was_sent:
+        if not outcome.was_sent and progress.call.second_target is None:
             progress.retry_taken_s = taken_s
         self.probes.record_sent(progress.call, outcome)
         return outcome
