Rounds for overdue attempts: linear cost, no shared hindrance among unlike requests, no end by one error

By reading: an attempt gives back only the replacement that its own search took, and attempts that no slot would help ask brittle targets for none. The attempts of the cost test have two fields more that the rounds read.

--- a/packages/router/src/damaskwind/router/forwarding/answer_waits.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_waits.py
@@ -160,7 +160,7 @@
             is_left = not reading.done()
         finally:
             self._replacements.end(search)
-            if search.found.done() and not is_left:
+            if search.has_taken and not is_left:
                 self._replacements.release(call)
         if is_left:
             self._log_given_up(attempt)
--- a/packages/router/src/damaskwind/router/forwarding/replacements.py
+++ b/packages/router/src/damaskwind/router/forwarding/replacements.py
@@ -44,6 +44,10 @@
 SILENT_PART = 0.5
 # A target that sent something, or accepted a connection, this lately accepts one.
 SHOWN_S = 0.3
+# Silences that differ by less than this allow the same targets.
+SILENCE_STEP_S = 0.5
+# A round lets other tasks run after this time.
+MAX_SERVING_S = 0.005
 # Targets that are considered for one overdue attempt in a round.
 MAX_CHOICES = 3
 # A target that has been silent for longer than this hardly goes on: its requests no longer wait
@@ -63,13 +67,18 @@
     NOT_REACHED = "target not reached"
 
 
+# A slot is of no use to an attempt that may not be sent again, or nowhere else.
+_NO_SLOT_HELPS = frozenset((Hindrance.BUDGET, Hindrance.VERSION, Hindrance.NO_TARGET))
+
+
 class Search:
     """An attempt at `target` that is overdue or was lost, for which a replacement is looked for.
 
     `silent_s` returns for how long the target has been silent, 0 while the attempt isn't overdue;
     `body_bytes` is the size of the request's body, and `via` the host of the router that sent the
     request on, if it was another one. An attempt that `is_lost` has no connection any more.
-    `found` is done when the replacement is in hand, as `call.replacement`.
+    `found` is done when the replacement is in hand, as `call.replacement`; it was taken by this
+    search if it `has_taken` it. `hindrance` is why the last round found none.
     """
 
     def __init__(
@@ -87,6 +96,8 @@
         self.via = via
         self.has_begun = False
         self.is_lost = False
+        self.has_taken = False
+        self.hindrance: Hindrance | None = None
         self.found: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @classmethod
@@ -101,11 +112,28 @@
         """Return the key by which searches are ordered, the most urgent one first."""
         return (not self.is_lost, not self.has_begun, self.call.priority, self.call.deadline_s)
 
+    @property
+    def could_use_slot(self) -> bool:
+        """Return whether a slot of another target would help."""
+        return not self.found.done() and self.hindrance not in _NO_SLOT_HELPS
+
     @property
     def scope(self) -> tuple[object, ...]:
         """Return what restricts the choice of a target: the same for many searches."""
         call = self.call
-        return (call.regions, call.required_version, frozenset(call.tried), call.key is None)
+        return (
+            call.regions,
+            call.required_version,
+            call.began_at,
+            frozenset(call.tried),
+            call.key is None,
+            call.cost,
+            self.body_bytes,
+            self.has_begun,
+            self.is_lost,
+            self.via,
+            min(self.silent_s(), PAUSE_S) // SILENCE_STEP_S,
+        )
 
 
 class Replacements:
@@ -137,8 +165,8 @@
         admissions.count_seeking = self.seeking
 
     def seeking(self, service: str) -> int:
-        """Return how many overdue attempts at a service look for a replacement."""
-        return sum(self._is_wanted(item) for item in self._searches.get(service, ()))
+        """Return how many overdue attempts at a service could use a slot of another target."""
+        return sum(item.could_use_slot for item in self._searches.get(service, ()))
 
     def begin(self, search: Search) -> None:
         """Look for a replacement until it is found or `end` is called."""
@@ -212,7 +240,11 @@
         begun = self._begun[service]
         while True:
             begun.clear()
-            await self._serve_round(service)
+            try:
+                await self._serve_round(service)
+            except Exception as error:
+                # Attempts that wait must not depend on a round that failed.
+                logger.opt(exception=error).error("round failed", service=service, why=repr(error))
             await asyncio.sleep(MIN_GAP_S)
             with suppress(TimeoutError):
                 async with asyncio.timeout(ROUND_S - MIN_GAP_S):
@@ -223,12 +255,17 @@
         hindrances: dict[tuple[object, ...], Hindrance] = {}
         if self._brittle.is_bounded(service):
             self._admissions.ask_for_slots(service)
+        begun_s = read_clock()
         for search in sorted(self._searches[service], key=lambda item: item.urgency):
             if not self._is_wanted(search):
                 continue
-            hindrance = hindrances.get(search.scope) or await self._serve_one(search)
+            if read_clock() - begun_s > MAX_SERVING_S:
+                await asyncio.sleep(0)
+                begun_s = read_clock()
+            scope = search.scope
+            hindrance = hindrances.get(scope) or await self._serve_one(search)
             if hindrance is not None:
-                hindrances[search.scope] = hindrance
+                hindrances[scope] = search.hindrance = hindrance
                 self._note(search, hindrance)
 
     async def _serve_one(self, search: Search) -> Hindrance | None:
@@ -348,7 +385,7 @@
         if not self._budget(call.service).take(replacement.taken_s):
             self.give_permit_back(replacement)
             return Hindrance.BUDGET
-        call.replacement = replacement
+        call.replacement, search.has_taken = replacement, True
         self._admissions.reserve(target.target_id)
         search.found.set_result(None)
         return None
@@ -367,7 +404,7 @@
             why=hindrance.value,
             is_lost=search.is_lost,
             has_begun=search.has_begun,
-            waiting=self.seeking(call.service),
+            waiting=len(self._searches.get(call.service, ())),
             left_ms=int(call.left_s() * 1000),
         )
 
--- a/packages/router/src/damaskwind/router/forwarding/target_activity.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_activity.py
@@ -71,7 +71,8 @@
         waiting = self._waiting.get(target_id)
         if not waiting:
             return 0.0
-        oldest_s = min(waiting.values())
+        # Waits are kept in the order in which they began.
+        oldest_s = next(iter(waiting.values()))
         return now_s - max(oldest_s, self._received_s.get(target_id, oldest_s), woken_s)
 
     def is_unresponsive(
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_replacement_cost.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_replacement_cost.py
@@ -28,6 +28,8 @@
             key=None,
             regions=frozenset(),
             required_version=None,
+            began_at=None,
+            cost=None,
             tried={"t0"},
             priority=number % 3,
             deadline_s=read_clock() + 4.0,
