A request at a silent brittle target gets a permit for another one at once

A request left a silent target of a brittle service after 1.5 s in place of 0.8 s: the permit that was asked for it could be one of the silent target itself, and then no other was asked for.

Permits for overdue attempts are now asked for at the targets that are not to be left.

--- a/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
+++ b/packages/router/src/damaskwind/router/forwarding/pool_admissions.py
@@ -110,10 +110,6 @@
         headroom = self._pool(service).headroom_at(free_slots_of(candidate), read_clock(), reserved)
         return headroom > 0
 
-    def ask_for_slots(self, service: str) -> None:
-        """Ask for the slots of brittle targets that requests and overdue attempts need."""
-        self._free_slots(service, read_clock())
-
     def reserve(self, target_id: str) -> None:
         """Record that a request is about to be sent to a target."""
         self._reserved[target_id] += 1
--- a/packages/router/src/damaskwind/router/forwarding/replacements.py
+++ b/packages/router/src/damaskwind/router/forwarding/replacements.py
@@ -222,7 +222,7 @@
         """Look once for a replacement of each overdue attempt."""
         hindrances: dict[tuple[object, ...], Hindrance] = {}
         if self._brittle.is_bounded(service):
-            self._admissions.ask_for_slots(service)
+            self._ask_for_slots(service)
         for search in sorted(self._searches[service], key=lambda item: item.urgency):
             if not self._is_wanted(search):
                 continue
@@ -231,6 +231,13 @@
                 hindrances[search.scope] = hindrance
                 self._note(search, hindrance)
 
+    def _ask_for_slots(self, service: str) -> None:
+        """Ask for slots of the brittle targets that are not to be left."""
+        left = {search.target.target_id for search in self._searches[service]}
+        serving = self._target_states.serving(service)
+        targets = [item for item in serving if item.target_id not in left]
+        self._brittle.permits.fill(service, targets)
+
     async def _serve_one(self, search: Search) -> Hindrance | None:
         """Take a replacement for an overdue attempt; return why there is none, if there is none."""
         for _ in range(MAX_CHOICES):
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_replacements.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_replacements.py
@@ -7,7 +7,7 @@
 from damaskwind.decisions.retries.shared_budget import BudgetTerms
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
-from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.bridge import asyncio_test, to_deferred
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError, ConnectFailedError, connect
 from damaskwind.standins.scripted_target import chunk, cut_stream, event, plain, silent, stream
@@ -285,3 +285,41 @@
             await calling
         self.assertLess(read_clock() - begun_s, 1.0)
         self.assert_nothing_held()
+
+
+class BrittleTargetTest(OverdueTestCase):
+    async def start(self):
+        await super().start()
+        brittle = self.forwarder.target_states.brittle
+        # The only router has known for long that a slot is needed for each request.
+        self.patch(brittle, "is_brittle", lambda service: True)
+        self.patch(brittle, "is_bounded", lambda service: True)
+        self.patch(brittle.granting, "_since", lambda service: 0.0)
+        self.patch(brittle.granting, "_started_s", 0.0)
+        self.permits = brittle.permits
+        self.addCleanup(lambda: to_deferred(self.permits.stop()))
+        self.publish_route()
+
+    async def assert_no_permit_held(self):
+        """Check that all permits are given back, once those of broken sends have run out."""
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.permits.count(), 0)
+        self.assert_nothing_held()
+
+    @asyncio_test
+    async def test_request_leaves_a_silent_target_with_a_permit_for_another_one(self):
+        """Guards against a request that leaves its target and then waits for a permit."""
+        self.share(silent(), plain(200, b"elsewhere"))
+        begun_s = read_clock()
+        self.assertEqual((await self.call()).body, b"elsewhere")
+        self.assertLess(read_clock() - begun_s, 1.4)
+        self.assertEqual(self.retries_taken(), 1)
+        await self.assert_no_permit_held()
+
+    @asyncio_test
+    async def test_no_permit_is_held_after_an_answer_that_came_without_a_retry(self):
+        """Guards against a slot that stays taken for an attempt that went on."""
+        self.allow(0)
+        self.share(late(plain(200, b"whole")))
+        self.assertEqual((await self.call()).body, b"whole")
+        await self.assert_no_permit_held()
