--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -65,7 +65,8 @@
 
     `placement` is the target chosen for the next send, and `permit` that for it where targets are
     brittle. `last_target` is that of the last attempt, and `outcome` its outcome. A retry was taken
-    from the budget at `retry_taken_s` if one is in hand. `failure` is the last failure that a
+    from the budget at `retry_taken_s` if one is in hand. The request `has_left_target` if an
+    attempt was given up for silence. `failure` is the last failure that a
     target answered, which is passed on to the caller if no later attempt succeeds.
     """
 
@@ -77,6 +78,7 @@
         self.permit: Permit | None = None
         self.last_target: TargetRecord | None = None
         self.retry_taken_s: float | None = None
+        self.has_left_target = False
         self.outcome = AttemptOutcome(AttemptEnd.NOT_RUN, "no target")
         self.failure: AttemptOutcome | None = None
 
@@ -173,11 +175,11 @@
             self.replacements.give_retry_back(progress.call.service, progress.retry_taken_s)
         progress.retry_taken_s = None
 
-    async def place_begun(self, progress: RequestProgress) -> RequestState:
-        """Place an answer that has begun and was broken off, as soon as there is a way to go on.
+    async def place_when_possible(self, progress: RequestProgress) -> RequestState:
+        """Place a request again as soon as there is a way to go on.
 
-        Without a target or a retry it waits for both until its deadline, where it would have to
-        be cut. It ends if no target is left.
+        Without a target or a retry it waits for both until its deadline. It ends if no target is
+        left.
         """
         call = progress.call
         if not self.is_bounded(call):
@@ -202,7 +204,7 @@
         if replacement is None:
             return False
         self._release_retry(progress)
-        progress.retry_taken_s = replacement.taken_s
+        progress.retry_taken_s, progress.has_left_target = replacement.taken_s, True
         if not self.replacements.is_usable(progress.call, replacement):
             self.replacements.give_permit_back(replacement)
             return False
@@ -461,8 +463,10 @@
         return RequestState.ENDED
     if steps.use_replacement(progress):
         return RequestState.PLACED
-    if progress.delivery.has_begun:
-        return await steps.place_begun(progress)
+    # An answer that has begun would have to be cut, and a target that was left might have answered.
+    is_left = progress.has_left_target and steps.chooser.has_untried(progress.call)
+    if progress.delivery.has_begun or is_left:
+        return await steps.place_when_possible(progress)
     state = await steps.place_when_settled(progress)
     if state is RequestState.ENDED or not steps.is_bounded(progress.call):
         return state
--- a/packages/router/src/damaskwind/router/forwarding/target_choice.py
+++ b/packages/router/src/damaskwind/router/forwarding/target_choice.py
@@ -108,6 +108,10 @@
         policy = policy_for(target_states.view.routers, target_states.loads.has_sums(now_s))
         return policy._replace(read_s=call.facts.shared_tokens / READ_TOKENS_PER_S)
 
+    def has_untried(self, call: Call) -> bool:
+        """Tell whether a target serves to which the request was not sent yet."""
+        return any(target_id not in call.tried for target_id in self._allowed_targets(call))
+
     def has_required_version(self, call: Call) -> bool:
         """Tell whether a target serves at which a stream may go on, now or later."""
         return any(
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_replacements.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_replacements.py
@@ -6,11 +6,19 @@
 from damaskwind.decisions.membership.target_record import TargetPhase
 from damaskwind.decisions.retries.shared_budget import BudgetTerms
 from damaskwind.model.traffic_configuration import RouteKind
-from damaskwind.router.forwarding.tests.bench import ForwarderTestCase, route
+from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test, to_deferred
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError, ConnectFailedError, connect
-from damaskwind.standins.scripted_target import chunk, cut_stream, event, plain, silent, stream
+from damaskwind.standins.scripted_target import (
+    ScriptedTarget,
+    chunk,
+    cut_stream,
+    event,
+    plain,
+    silent,
+    stream,
+)
 
 STREAM = {"kind": RouteKind.STREAMING, "is_resumable": True}
 # Longer than the time after which a target that is silent on all connections is overdue.
@@ -287,6 +295,26 @@
         self.assert_nothing_held()
 
 
+class RefusingReplacementTest(OverdueTestCase):
+    @asyncio_test
+    async def test_request_is_not_lost_if_its_replacement_refuses(self):
+        """Guards against an error as a sound target was left for one that refuses."""
+        self.allow(1)
+        self.publish_route()
+        refused = plain(503, fields=(b"x-not-run: 1",))
+        self.share(silent(), refused, plain(200, b"elsewhere"))
+        self.targets.append(ScriptedTarget(NAMES))
+        self.targets[2].script = self.targets[0].script
+        self.admit("t2", await self.targets[2].start())
+        calling = asyncio.ensure_future(self.call())
+        await asyncio.sleep(1.5)
+        self.allow(2)
+        answer = await calling
+        self.assertEqual((answer.status, answer.body), (200, b"elsewhere"))
+        self.assertEqual(self.retries_taken(), 2)
+        self.assert_nothing_held()
+
+
 class BrittleTargetTest(OverdueTestCase):
     async def start(self):
         await super().start()
