--- a/packages/router/src/damaskwind/router/forwarding/answer_waits.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_waits.py
@@ -15,7 +15,8 @@
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.router.forwarding.call import Call
 from damaskwind.router.forwarding.delivery import Delivery
-from damaskwind.router.forwarding.replacements import Replacements, Search
+from damaskwind.router.forwarding.replacement_searches import Search
+from damaskwind.router.forwarding.replacements import Replacements
 from damaskwind.router.forwarding.target_paths import TargetPath
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -25,7 +25,8 @@
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.hedged_sends import HedgedSends
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
-from damaskwind.router.forwarding.replacements import Replacements, Search
+from damaskwind.router.forwarding.replacement_searches import Search
+from damaskwind.router.forwarding.replacements import Replacements
 from damaskwind.router.forwarding.slot_permits import Permit, PermitUse
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
 from damaskwind.router.forwarding.stream_origins import StreamOrigins
