A replaced leader gives up its vote in time for the next loss

Cause: a new leader counted the silence of the leader before from its own election, and replaced it 3 s after that, over 4 s after its end. Until then it was one of three voters. With another voter wiped no majority was left, and members are changed by a leader alone.

The silence of the former leader now counts from its last message, and a voter is replaced after half of catchUpS (2 s) in place of 3 s. Removal without a replacement stays at 6 s. A new leader gives a voter a heartbeat, or twice the time of its votes, to answer first. Safety is as it was: members change one at a time, after an entry of the leader's term, in favor of a caught-up learner. The log line "membership repaired" names each change that a leader proposes by itself.

--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
-__all__ = ["FleetControlSettings"]
+__all__ = ["DEFAULT_CATCH_UP_S", "FleetControlSettings"]
+
+DEFAULT_CATCH_UP_S = 4.0
 
 
 class FleetControlSettings(NamedTuple):
@@ -12,7 +14,8 @@
     `tolerated_losses` is the number of replicas that may be lost at once, with their disks;
     if it is `None`, every replica votes and the loss of one is tolerated. `link_bytes_per_s`
     is the rate of the VM's link, by which documents are paced. `failure_domains` lists all
-    failure domains; if it is empty, an evacuation order may name any.
+    failure domains; if it is empty, an evacuation order may name any. `catch_up_s` is the time
+    from the start of a new replica until the one that it replaces no longer counts as a loss.
     """
 
     node_id: str
@@ -31,6 +34,7 @@
     tolerated_losses: int | None = None
     link_bytes_per_s: float = float("inf")
     failure_domains: tuple[str, ...] = ()
+    catch_up_s: float = DEFAULT_CATCH_UP_S
 
     @property
     def required_voters(self) -> int | None:
--- a/packages/control/src/damaskwind/control/replica/node.py
+++ b/packages/control/src/damaskwind/control/replica/node.py
@@ -80,6 +80,7 @@
         election_timeout_min_s=control.election_timeout_s,
         election_timeout_max_s=2 * control.election_timeout_s,
         replace_after_s=control.replace_after_s,
+        remove_after_s=control.remove_after_s,
         least_voters=control.least_voters,
         most_voters=control.most_voters,
     )
--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -34,6 +34,7 @@
     ReadRefused,
     ReadRequest,
     Received,
+    RepairStarted,
     Send,
     SendSnapshot,
     SnapshotTaken,
@@ -371,6 +372,16 @@
     def _log_election_won(self, output: BecameLeader) -> None:
         logger.info("became leader", replica=self.member.replica_id, term=output.term)
 
+    def _log_repair(self, output: RepairStarted) -> None:
+        logger.info(
+            "membership repaired",
+            change=output.change.kind.value,
+            replica=output.change.member.replica_id,
+            identity=output.change.member.identity,
+            silent_s=output.silent_s,
+            term=self.core.term,
+        )
+
     def _handle_step_down(self, output: SteppedDown) -> None:
         """Drop appends that were not sent; log the cause, the peers' last responses and calls."""
         self.transport.drop_appends()
@@ -412,5 +423,6 @@
     ReadRefused: Replica._resolve_read,
     ProposalOutcome: Replica._resolve_proposal,
     BecameLeader: Replica._log_election_won,
+    RepairStarted: Replica._log_repair,
     SteppedDown: Replica._handle_step_down,
 }
--- a/packages/decisions/src/damaskwind/decisions/replication/core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/core.py
@@ -57,7 +57,7 @@
     VoteRequest,
     VoteResponse,
 )
-from damaskwind.decisions.replication.replica import Replica, apply_committed
+from damaskwind.decisions.replication.replica import Replica, apply_committed, record_sender
 from damaskwind.decisions.replication.requests import (
     on_membership,
     on_propose,
@@ -112,7 +112,7 @@
     message = envelope.message
     if isinstance(message, _RESPONSES) and not _is_member(replica, envelope.sender):
         return
-    replica.heard.add(envelope.sender)
+    record_sender(replica, envelope.sender)
     _MESSAGE_HANDLERS[type(message)](replica, envelope.sender, message)
 
 
--- a/packages/decisions/src/damaskwind/decisions/replication/events.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/events.py
@@ -33,6 +33,7 @@
     "ProposeMembership",
     "ReadReady",
     "ReadRefused",
+    "RepairStarted",
     "ReadRequest",
     "Received",
     "Send",
@@ -180,6 +181,13 @@
     term: int
 
 
+class RepairStarted(NamedTuple):
+    """The leader proposed `change` by itself; `silent_s` is how long its member was silent."""
+
+    change: MembershipChange
+    silent_s: float
+
+
 class PeerResponse(NamedTuple):
     """The age of a peer's last response to a leader, and the number of unanswered rounds."""
 
@@ -213,5 +221,6 @@
     | ReadRefused
     | ProposalOutcome
     | BecameLeader
+    | RepairStarted
     | SteppedDown
 )
--- a/packages/decisions/src/damaskwind/decisions/replication/messages.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/messages.py
@@ -141,8 +141,8 @@
     `election_timeout_min_s`. If the last round trips were longer than a heartbeat, it
     waits longer by twice the difference, up to `slow_answer_limit_s`.
 
-    A voter that has not responded for `replace_after_s` is replaced by a caught-up
-    learner. After twice that time it is removed even without a replacement, as long
+    A voter that has been silent for `replace_after_s` is replaced by a caught-up
+    learner. After `remove_after_s` it is removed even without a replacement, as long
     as there are more than `least_voters` voters. By default only operators remove
     voters. Learners are not promoted beyond `most_voters`: an even number of voters
     tolerates no more losses than the odd number below it, but each commit and each
@@ -160,6 +160,7 @@
     slow_answer_limit_s: float = 3.0
     max_batch_entries: int = 256
     replace_after_s: float = float("inf")
+    remove_after_s: float = float("inf")
     least_voters: int = 3
     most_voters: float = float("inf")
 
--- a/packages/decisions/src/damaskwind/decisions/replication/replica.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/replica.py
@@ -26,6 +26,7 @@
     "has_recent_leader",
     "defer_campaign",
     "follow_leader",
+    "record_sender",
     "reset_election_timer",
     "reset_campaign_timer",
 ]
@@ -45,6 +46,8 @@
     Once the term has a leader they must not count: the leader may have changed the
     membership, and they may be a majority of the new one.
     `heard` are the members from which a message arrived since the last campaign began.
+    `followed` is the leader that was followed last, also after its end, and
+    `followed_heard_s` the time of the last message from it.
     """
 
     role: Machine
@@ -75,6 +78,8 @@
         self.votes: set[Member] | None = None
         self.vote_asked_s = now_s
         self.heard: set[Member] = set()
+        self.followed: Member | None = None
+        self.followed_heard_s = now_s
         self.failed_campaigns = 0
         self.leadership: Leadership | None = None
 
@@ -136,6 +141,13 @@
     replica.election_due_s = max(replica.election_due_s, soonest_s)
 
 
+def record_sender(replica: Replica, sender: Member) -> None:
+    """Record that a message from `sender` was just received."""
+    replica.heard.add(sender)
+    if sender == replica.followed:
+        replica.followed_heard_s = replica.now_s
+
+
 def follow_leader(replica: Replica, leader: Member) -> None:
     """Follow `leader`, from which a message of the current term was just received.
 
@@ -143,6 +155,8 @@
     """
     replica.leader = leader
     replica.leader_seen_s = replica.now_s
+    replica.followed = leader
+    replica.followed_heard_s = replica.now_s
     replica.failed_campaigns = 0
     replica.pre_votes = set()
     replica.votes = None
--- a/packages/decisions/src/damaskwind/decisions/replication/requests.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/requests.py
@@ -7,6 +7,7 @@
     ReadReady,
     ReadRefused,
     ReadRequest,
+    RepairStarted,
 )
 from damaskwind.decisions.replication.leadership import (
     Leadership,
@@ -83,26 +84,40 @@
         progress = leadership.peers.get(learner)
         return progress is not None and is_caught_up(replica, progress)
 
-    limit_s = replica.timing.replace_after_s
+    timing = replica.timing
     change = next_repair(
         replica.log.membership,
         caught_up,
-        lambda voter: _silent_s(replica, leadership, voter) > limit_s,
-        lambda voter: _silent_s(replica, leadership, voter) > 2 * limit_s,
-        replica.timing.least_voters,
-        replica.timing.most_voters,
+        lambda voter: _silent_s(replica, leadership, voter) > timing.replace_after_s,
+        lambda voter: _silent_s(replica, leadership, voter) > timing.remove_after_s,
+        timing.least_voters,
+        timing.most_voters,
     )
-    if change is not None:
-        _append_change(replica, change, None)
+    if change is not None and _append_change(replica, change, None):
+        silent_s = _silent_s(replica, leadership, change.member)
+        replica.outbox.emit(RepairStarted(change, round(silent_s, 3)))
 
 
 def _silent_s(replica: Replica, leadership: Leadership, voter: Member) -> float:
-    """Return the time since a voter's last response, or since the leader's election."""
-    if voter == replica.member:
+    """Return how long a voter has been silent; 0 until it had time to answer this leader."""
+    first_answers_s = max(replica.timing.heartbeat_s, 2 * leadership.vote_trip_s)
+    if voter == replica.member or replica.now_s < leadership.started_s + first_answers_s:
         return 0.0
     progress = leadership.peers.get(voter)
-    last_response_s = progress.last_response_s if progress else leadership.started_s
-    return replica.now_s - max(last_response_s, leadership.started_s)
+    last_response_s = progress.last_response_s if progress else float("-inf")
+    return replica.now_s - max(last_response_s, _heard_before_s(replica, leadership, voter))
+
+
+def _heard_before_s(replica: Replica, leadership: Leadership, voter: Member) -> float:
+    """Return from when on a voter's silence counts if it never answers this leader.
+
+    The leader before is known to be silent since its last message: its silence is why there
+    was an election. Followers don't send each other messages, so that the silence of another
+    voter counts from the election on.
+    """
+    if voter == replica.followed:
+        return replica.followed_heard_s
+    return leadership.started_s
 
 
 def is_caught_up(replica: Replica, progress: Progress) -> bool:
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -67,7 +67,7 @@
     """A simulated cluster: nodes, network, event queue and the checking oracle.
 
     With `voters` only that many nodes vote. The others ask to join as learners, and
-    one of them replaces a lost voter.
+    one of them replaces a voter that was silent for `replace_after_s`.
     """
 
     def __init__(
@@ -78,6 +78,7 @@
         syncs: bool = True,
         new_identity: bool = True,
         voters: int | None = None,
+        replace_after_s: float = 1.5,
     ):
         self.random = Random(seed)
         self.network = Network(self.random)
@@ -89,8 +90,9 @@
         )
         if voters is not None:
             self.timing = self.timing._replace(
-                replace_after_s=1.5, least_voters=voters, most_voters=voters
+                replace_after_s=replace_after_s, least_voters=voters, most_voters=voters
             )
+        self.timing = self.timing._replace(remove_after_s=2 * self.timing.replace_after_s)
         self.syncs = syncs
         self.new_identity = new_identity
         self.clocks_are_trusted = True
@@ -150,7 +152,7 @@
     def start(self, name: str) -> None:
         """Start a node from its disk."""
         node = self.nodes[name]
-        if node.core is None:
+        if node.core is None and not node.has_ended:
             self._boot(node)
 
     def lose_disk(self, name: str) -> None:
@@ -161,12 +163,21 @@
         if self.new_identity:
             node.member = Member(name, f"{name}{next(self._ids)}")
 
-    def add(self) -> None:
-        """Start an additional node with an empty disk; it asks to join."""
+    def add(self) -> bool:
+        """Start an additional node with an empty disk, unless there are too many; it asks to join.
+
+        Returns whether it was started.
+        """
         name = next((name for name in "abcdefg" if name not in self.nodes), None)
         if name is not None:
             member = Member(name, f"{name}{next(self._ids)}")
             self._add_node(member, Disk(PersistentState(), ()))
+        return name is not None
+
+    def end(self, name: str) -> None:
+        """End a node for good; it stays a member until the others remove it."""
+        self.crash(name)
+        self.nodes[name].has_ended = True
 
     def pause(self, name: str, duration_s: float) -> None:
         """Pause a process; its clock keeps running."""
@@ -225,6 +236,31 @@
                 return True
         return False
 
+    def voters(self) -> list[str]:
+        """Return the names of the running voters by the newest log that names any."""
+        cores = [node.core for node in self.running() if node.core.membership.voters]
+        newest = max(cores, key=lambda core: (core.term, core.last_index))
+        running = {node.member for node in self.running()}
+        return [voter.replica_id for voter in newest.membership.voters if voter in running]
+
+    def has_all_voters(self) -> bool:
+        """Return whether there are as many voters as configured, and all of them run."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        voters = leader.core.membership.voters
+        running = {node.member for node in self.running()}
+        return len(voters) == self.timing.most_voters and running.issuperset(voters)
+
+    def await_voters(self, limit_s: float) -> float | None:
+        """Advance time until `has_all_voters`; return how long it took, `None` if too long."""
+        started_s = self.now_s
+        while not self.has_all_voters():
+            if self.now_s >= started_s + limit_s:
+                return None
+            self.run(0.05)
+        return self.now_s - started_s
+
     def running(self) -> list[Node]:
         """Return the running nodes."""
         return [node for node in self.nodes.values() if node.core is not None]
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/histories.py
@@ -29,6 +29,7 @@
     "FAILURES",
     "FuzzResult",
     "LogHistory",
+    "PlannedLogHistory",
     "WideLogHistory",
     "fuzz_log",
     "run_batch",
@@ -39,6 +40,13 @@
 STEPS = 30
 BATCH = 100
 
+# From the start of a new replica: when the one that it replaces ends, and from when that one no
+# longer counts as a loss (the users' `catchUpS`).
+REPLACED_AFTER_S = 1.0
+CATCH_UP_S = 4.0
+VOTERS_LIMIT_S = 12.0
+CONFIRM_LIMIT_S = 12.0
+
 nodes = st.integers(0, 6)
 durations_ms = st.sampled_from([5, 20, 100, 400, 1000, 2500])
 
@@ -278,6 +286,73 @@
         self.cluster.run(2.0)
 
 
+class PlannedLogHistory(LogHistory):
+    """Histories with the timing of a fleet whose voters are replaced as planned."""
+
+    @initialize(
+        seed=st.integers(0, 2**32 - 1),
+        size=st.sampled_from([3, 3, 5]),
+        has_sound_clocks=st.booleans(),
+        patience=st.integers(0, 5),
+    )
+    def begin(self, seed: int, size: int, has_sound_clocks: bool, patience: int) -> None:
+        """Start a cluster and let it elect a leader."""
+        self.has_sound_clocks = has_sound_clocks
+        self.patience = patience
+        self.leaderless_steps = 0
+        arguments = type(self).cluster_arguments
+        self.cluster = Cluster(seed, size, voters=size, replace_after_s=CATCH_UP_S / 2, **arguments)
+        self.cluster.stabilize()
+
+    @precondition(lambda self: self.has_sound_clocks)
+    @rule(node=nodes, other=nodes, spare_ms=st.sampled_from([0, 300, 600, 1400, 2000]))
+    def replace_then_lose_disks(self, node: int, other: int, spare_ms: int) -> None:
+        """Replace a voter as planned; lose as many disks as are tolerated once the new one counts.
+
+        A change has to be confirmed afterwards, though no fault is removed in between.
+        """
+        cluster = self.cluster
+        cluster.stabilize()
+        if cluster.await_voters(VOTERS_LIMIT_S) is None or not cluster.add():
+            return
+        cluster.run(REPLACED_AFTER_S)
+        leader = cluster.leader()
+        names = sorted(cluster.voters(), key=lambda name: (cluster.nodes[name] is not leader, name))
+        cluster.end(names[node % len(names)])
+        cluster.run(CATCH_UP_S - REPLACED_AFTER_S + spare_ms / 1000)
+        voters = cluster.voters()
+        tolerated = (cluster.timing.least_voters - 1) // 2
+        lost = sorted({voters[(other + at) % len(voters)] for at in range(tolerated)})
+        for name in lost:
+            cluster.lose_disk(name)
+        cluster.run(1.0)
+        for name in lost:
+            cluster.start(name)
+        self.check_confirms()
+
+    def teardown(self) -> None:
+        """Check the recovery; then replace the leader, and lose disks once the new one counts."""
+        super().teardown()
+        if sys.exc_info()[1] is None and hasattr(self, "cluster") and self.has_sound_clocks:
+            try:
+                self.replace_then_lose_disks(0, self.cluster.random.randrange(7), 0)
+            except FAILURES:
+                self.record_failure()
+                raise
+
+    def check_confirms(self) -> None:
+        """Check that a proposal is confirmed while faults, if any, remain."""
+        cluster = self.cluster
+        end_s = cluster.now_s + CONFIRM_LIMIT_S
+        while cluster.now_s < end_s:
+            leader = cluster.leader()
+            proposal_id = cluster.propose(leader.member.replica_id) if leader is not None else ""
+            cluster.run(0.5)
+            if proposal_id in cluster.oracle.confirmed:
+                return
+        raise InvariantError("nothing is confirmed after a planned replacement and a lost disk")
+
+
 class FuzzResult(NamedTuple):
     """Result of a fuzzing run, with the shrunk failure if there was one.
 
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/machines.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/machines.py
@@ -41,7 +41,10 @@
 
 
 class Node:
-    """A node: its clock, its disk, and its core while it is running."""
+    """A node: its clock, its disk, and its core while it is running.
+
+    One that `has_ended` was replaced and never starts again.
+    """
 
     def __init__(self, member: Member, disk: Disk, rate: float) -> None:
         self.member = member
@@ -54,3 +57,4 @@
         self.applied: list[LogEntry] = []
         self.paused_until_s = 0.0
         self.sync_s = SYNC_S
+        self.has_ended = False
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_histories.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_histories.py
@@ -8,6 +8,7 @@
 from damaskwind.decisions.replication.tests.histories import (
     FAILURES,
     LogHistory,
+    PlannedLogHistory,
     WideLogHistory,
     run_batch,
     seeded,
@@ -33,6 +34,11 @@
         run_batch(None, HISTORIES, history=WideLogHistory)
         self.assertGreaterEqual(LogHistory.run_count, HISTORIES)
 
+    def test_no_history_with_planned_replacements_breaks_an_invariant(self) -> None:
+        """Guards against a log that confirms nothing after a replacement and a lost disk."""
+        run_batch(None, HISTORIES, history=PlannedLogHistory)
+        self.assertGreaterEqual(LogHistory.run_count, HISTORIES)
+
     def test_seeded_bugs_are_found(self) -> None:
         for bug in QUICK_BUGS:
             with self.subTest(bug), seeded(bug), self.assertRaises(FAILURES):
--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -89,8 +89,9 @@
     from one machine to the next. A replica without `may_found` never founds a cluster
     but only joins one. With `joins_unlisted` it asks to be added although it is not
     among the bootstrap replicas, and again when it finds that it was removed. A voter
-    that is silent for `replace_after_s` is replaced by a newcomer. At least
-    `least_voters` and at most `most_voters` replicas vote, once there are that many.
+    that is silent for `replace_after_s` is replaced by a newcomer, and after
+    `remove_after_s` it is removed without one. At least `least_voters` and at most
+    `most_voters` replicas vote, once there are that many.
     """
 
     replica_address: str
@@ -107,6 +108,7 @@
     may_found: bool = True
     joins_unlisted: bool = False
     replace_after_s: float = float("inf")
+    remove_after_s: float = float("inf")
     least_voters: int = 3
     most_voters: float = float("inf")
 
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -57,6 +57,14 @@
     return fuzz_log(seed, seconds, histories, bug, WideLogHistory)
 
 
+@fuzz_target("planned-log")
+def fuzz_planned_log(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
+    """Fuzz the log of a fleet whose replicas are replaced as planned."""
+    from damaskwind.decisions.replication.tests.histories import PlannedLogHistory, fuzz_log
+
+    return fuzz_log(seed, seconds, histories, bug, PlannedLogHistory)
+
+
 @fuzz_target("configuration")
 def fuzz_configuration(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
     """Fuzz the state machine of the configuration against a dict and a list."""
