Ids of events are passed on byte for byte

With ids that are no whole numbers, pieces came twice, also inside one answer that two targets made.

Cause: Last-Event-Id was read as a float and written anew; what is no number was left out, and so was the id of an event that the router itself goes on after.

An id is now the bytes that were sent. Two ids of digits are compared as numbers of any length; others show a repetition by the stream's first and last id. A stream that no target can be asked to go on with (no id, an empty one, one that no header can hold) is broken off, not begun anew.

Tests of stream versions and origins give the position as bytes now; nothing else of them changed.

--- a/packages/router/src/damaskwind/router/forwarding/answer_waits.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_waits.py
@@ -150,7 +150,8 @@
 
         def silent_s() -> float:
             # Bytes that have arrived are read before the attempt is given up.
-            return 0.0 if reading.done() or not _has_attempts_left(call) else overdue_s()
+            may_leave = _has_attempts_left(call) and attempt.delivery.can_go_on
+            return overdue_s() if may_leave and not reading.done() else 0.0
 
         search = Search(call, attempt.target, attempt.body_bytes, silent_s, attempt.path.via)
         search.has_begun = attempt.delivery.has_begun
--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -283,7 +283,7 @@
         Only this router can tell. The other one, which is told that there was no frame, looks at
         events; one of an earlier version isn't, so that a stream without any is refused here.
         """
-        is_resumed = header(request.headers, self._names.resume_after) is not None
+        is_resumed = bool(header(request.headers, self._names.resume_after))
         if is_empty and _is_stream(head) and not is_resumed:
             raise AnswerBrokenError("the stream ended without a frame before its first event")
         if not await self._sender.answer_ends.has_outlived(target):
--- a/packages/router/src/damaskwind/router/forwarding/call.py
+++ b/packages/router/src/damaskwind/router/forwarding/call.py
@@ -27,6 +27,7 @@
     "read_facts",
     "read_key",
     "read_part_ids",
+    "shown_event_id",
     "shown_parts",
     "target_headers",
 ]
@@ -46,8 +47,8 @@
     """What a request's headers state.
 
     `wait_s` is the time that the caller still waits, `resume_after` the id of the last event
-    that it has, `resumes` the id of the attempt that brought the first one, `shared_tokens` the
-    tokens of the prompt parts shared with other requests.
+    that it has, as it was sent, `resumes` the id of the attempt that brought the first one,
+    `shared_tokens` the tokens of the prompt parts shared with other requests.
     `token_headers` are parsed only where the memory of engines is considered.
     """
 
@@ -55,7 +56,7 @@
     wait_s: float
     has_deadline: bool
     part_ids: tuple[bytes, ...]
-    resume_after: int | None
+    resume_after: bytes | None
     shared_tokens: int = 0
     token_headers: TokenHeaders = NO_TOKEN_HEADERS
     resumes: bytes | None = None
@@ -199,7 +200,7 @@
         """Return whether the caller has the first events of a stream that it goes on with."""
         route = self.route
         is_stream = route.kind is RouteKind.STREAMING and route.is_resumable
-        return is_stream and self.facts.resume_after is not None
+        return is_stream and bool(self.facts.resume_after)
 
     def begin_events(self, target: TargetRecord) -> None:
         """Record that events of a target were delivered: only its version may go on."""
@@ -240,13 +241,12 @@
     """Parse the headers of a request; malformed values count as absent."""
     wait_ms = _number(header(headers, names.deadline_ms))
     parts = header(headers, names.prompt_parts) or b""
-    resume_after = _number(header(headers, names.resume_after))
     return CallFacts(
         header(headers, names.request_id) or b"",
         NO_DEADLINE_S if wait_ms is None else max(wait_ms, 0.0) / 1000,
         wait_ms is not None,
         read_part_ids(parts),
-        None if resume_after is None else int(resume_after),
+        header(headers, names.resume_after),
         _shared_tokens(parts),
         TokenHeaders(
             header(headers, names.token_usage),
@@ -282,6 +282,11 @@
     return [item[:MAX_SHOWN_ID].decode("latin-1") for item in part_ids[:MAX_SHOWN_PARTS]]
 
 
+def shown_event_id(value: bytes | None) -> str | None:
+    """Return what the log shows of an event's id, `None` if there is none."""
+    return None if value is None else value[:MAX_ID_BYTES].decode("latin-1")
+
+
 def _bounded_id(value: bytes | None) -> bytes | None:
     """Return the id of an attempt, `None` if it is empty or too long to be one."""
     return value if value and len(value) <= MAX_ID_BYTES else None
@@ -344,7 +349,7 @@
     call: Call,
     names: HeaderNames,
     target_id: str,
-    resume_after: int | None,
+    resume_after: bytes | None,
     donor: Address | None,
 ) -> Headers:
     """Return the headers with which a request is sent to a target."""
@@ -357,7 +362,7 @@
     if donor is not None:
         headers.append((names.fetch_from, str(donor).encode()))
     if resume_after is not None:
-        headers.append((names.resume_after, b"%d" % resume_after))
+        headers.append((names.resume_after, resume_after))
     if call.route.has_prompt_parts:
         headers.append((names.urgency, b"%d" % urgency(call.priority)))
     return headers
--- a/packages/router/src/damaskwind/router/forwarding/delivery.py
+++ b/packages/router/src/damaskwind/router/forwarding/delivery.py
@@ -6,12 +6,12 @@
 however its target framed it.
 """
 
+from damaskwind.router.forwarding.event_position import EventPosition
 from damaskwind.router.forwarding.events import (
     EmptyLines,
     EventBoundary,
     EventSplitter,
     check_event,
-    event_id,
     is_blank,
 )
 from damaskwind.runtime.http1.answer_errors import AnswerTooLongError
@@ -64,7 +64,7 @@
         self._is_unframed = False
         self._has_event = False
         self._is_skipping = False
-        self.last_event: int | None = None
+        self._position = EventPosition()
         self.events = 0
         self.bytes = 0
 
@@ -90,9 +90,15 @@
         """Return what is held of an event until it is complete."""
         return self._splitter.open_bytes
 
-    def resume_after(self, asked: int | None) -> int | None:
+    @property
+    def can_go_on(self) -> bool:
+        """Return whether another attempt can go on after the events that were sent."""
+        return self._position.can_go_on
+
+    def resume_after(self, asked: bytes | None) -> bytes | None:
         """Return the id of the event to resume after; `asked` is what the caller requested."""
-        return asked if self.last_event is None else self.last_event
+        last_id = self._position.last_id
+        return asked if last_id is None else last_id
 
     def send_whole(self, answer: Answer) -> None:
         """Send a complete answer."""
@@ -115,6 +121,7 @@
     def begin_stream(self, head: AnswerHead) -> None:
         """Send the head of the first attempt's stream; those of later attempts are dropped."""
         self._drop_partial()
+        self._position.begin_attempt()
         self._boundary = EventBoundary()
         self._empty_lines = EmptyLines()
         self._has_events = _has_events(head)
@@ -182,20 +189,14 @@
         """Return whether to send an event, or the empty lines after one, and count the event."""
         if is_blank(event):
             return not self._is_skipping
-        number = event_id(event)
-        self._is_skipping = self._has_sent(number)
+        self._is_skipping = not self._position.passes(event)
         if self._is_skipping:
             return False
-        self.last_event = self.last_event if number is None else number
         self._has_event = True
         self.events += 1
         return True
 
-    def _has_sent(self, number: int | None) -> bool:
-        """Return whether an event with this id, or a later one, was sent."""
-        return None not in (number, self.last_event) and number <= self.last_event
-
-    def find_gap(self, asked: int | None) -> str:
+    def find_gap(self, asked: bytes | None) -> str:
         """Return what shows that a stream which has ended is not whole, if anything does.
 
         `asked` is the id of the event after which the caller asked for the rest. A stream without
@@ -204,7 +205,9 @@
         """
         if self.open_bytes:
             return "the stream ended inside an event"
-        has_begun = self._has_event or self.resume_after(asked) is not None
+        if self._position.is_behind:
+            return "the stream ended before the last event that was sent"
+        has_begun = self._has_event or bool(self.resume_after(asked))
         if self._is_unframed and self._has_events and not has_begun:
             return "the stream ended without a frame before its first event"
         return ""
--- a/packages/router/src/damaskwind/router/forwarding/events.py
+++ b/packages/router/src/damaskwind/router/forwarding/events.py
@@ -16,6 +16,7 @@
     "EventSplitter",
     "check_event",
     "event_id",
+    "has_data",
     "is_blank",
 ]
 
@@ -30,7 +31,8 @@
 _END = re.compile(rb"(?:\r?\n\r?\n|\r\r)[\r\n]*")
 # An end that a chunk completes may begin in this many bytes before it.
 _KEPT_BYTES = 3
-_ID = re.compile(rb"(?:^|[\r\n])id: ?(\d+)(?:[\r\n]|$)")
+_ID = re.compile(rb"(?:^|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n]|$)")
+_DATA = re.compile(rb"(?:^|[\r\n])data(?=[:\r\n]|$)")
 
 
 def is_blank(data: bytes | bytearray) -> bool:
@@ -42,14 +44,26 @@
     return _NOT_BLANK.search(data) is None
 
 
-def event_id(event: bytes) -> int | None:
-    r"""Return the numeric id of an event, or `None`.
+def event_id(event: bytes) -> bytes | None:
+    r"""Return the bytes of an event's id, `None` if it has no field `id`.
 
-    >>> event_id(b"id: 12\ndata: x\n\n"), event_id(b"data: x\n\n")
-    (12, None)
+    The last field counts. One with a NUL is ignored, as the standard has it.
+
+    >>> event_id(b"id: 7-1\ndata: x\n\n"), event_id(b"id\n\n"), event_id(b"data: x\n\n")
+    (b'7-1', b'', None)
+    """
+    values = [match.group(1) or b"" for match in _ID.finditer(event)]
+    values = [value for value in values if b"\0" not in value]
+    return values[-1] if values else None
+
+
+def has_data(event: bytes) -> bool:
+    r"""Return whether an event has a field `data`; others are not dispatched.
+
+    >>> has_data(b"data: x\n\n"), has_data(b": still there\n\n")
+    (True, False)
     """
-    match = _ID.search(event)
-    return int(match.group(1)) if match else None
+    return _DATA.search(event) is not None
 
 
 def check_event(size_bytes: int) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/final_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/final_answers.py
@@ -3,7 +3,7 @@
 from loguru import logger
 
 from damaskwind.router.forwarding.attempt import AttemptEnd, AttemptOutcome
-from damaskwind.router.forwarding.call import Call, shown_parts
+from damaskwind.router.forwarding.call import Call, shown_event_id, shown_parts
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.request_suspicions import HeldSuspect
@@ -120,7 +120,7 @@
             key=(call.key or b"").decode("latin-1"),
             parts=shown_parts(call.facts.part_ids),
             may_have_run=call.may_have_run,
-            resume_after=call.facts.resume_after,
+            resume_after=shown_event_id(call.facts.resume_after),
             resumes=(call.facts.resumes or b"").decode("latin-1"),
             entry=list(call.entry or ()),
             attempts=[list(note) for note in call.notes],
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -437,6 +437,10 @@
         progress.failure = outcome
     if not steps.may_retry(progress.call, outcome):
         return RequestState.ENDED
+    if not progress.delivery.can_go_on:
+        why = f"{outcome.why}; the last event has no id to go on after"
+        progress.outcome = outcome._replace(why=why)
+        return RequestState.ENDED
     # Of two attempts, the one whose connection broke need not be the one with this outcome.
     return RequestState.LOST if progress.call.exit_probes else RequestState.REPEATED
 
--- a/packages/router/src/damaskwind/router/forwarding/stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/stream_origins.py
@@ -8,7 +8,7 @@
 
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.streams.origin_table import attempt_key, content_key
-from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.call import Call, shown_event_id
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.origin_link import BegunStream
 from damaskwind.router.forwarding.origin_relay import Asked
@@ -112,7 +112,7 @@
             "stream taken up",
             request_id=call.facts.request_id.decode("latin-1"),
             resumes=(call.facts.resumes or b"").decode("latin-1"),
-            after=call.facts.resume_after,
+            after=shown_event_id(call.facts.resume_after),
             software=verdict.version,
             source=source.value,
             known=sorted(known),
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
@@ -107,7 +107,7 @@
         self.view.handle_news(replica.host, news)
 
     def call(self, attempt_id=b"", resumes=None, digest=None, wait_s=1.5, timeout_s=2.0):
-        facts = CallFacts(attempt_id, wait_s, True, (), 3 if resumes else None)
+        facts = CallFacts(attempt_id, wait_s, True, (), b"3" if resumes else None)
         facts = facts._replace(resumes=resumes)
         digest = digest or b"%08d" % next(DIGESTS)
         made = route(timeout_s=timeout_s, is_resumable=True)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -232,7 +232,7 @@
         for number in range(12):
             self.assertEqual((await self.take_up(number)).status, 200)
         self.assertEqual(set(self.asked_versions()), {"v1"})
-        self.assertEqual(set(self.resolved), {(b"a1", 3)})
+        self.assertEqual(set(self.resolved), {(b"a1", b"3")})
         self.assertEqual(self.recorded, ["v1"] * 12)
 
     @asyncio_test
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -27,6 +27,7 @@
     "raw",
     "silent",
     "stream",
+    "stream_pieces",
     "unframed",
 ]
 
@@ -242,13 +243,20 @@
 
 def cut_stream(first: int, last: int, tail: bytes = b"") -> Step:
     """Stream events and the partial event `tail`, then close the connection."""
+    pieces = [event(number) for number in range(first, last + 1)]
+    return stream_pieces([*pieces, tail], is_cut=True)
+
+
+def stream_pieces(pieces: list[bytes], is_cut: bool = False) -> Step:
+    """Stream pieces that are not empty, then end the stream or, if it is cut, the connection."""
 
     async def step(writer: asyncio.StreamWriter, request: ReceivedRequest) -> None:
         writer.write(_head(200, request, (b"transfer-encoding: chunked",)))
-        for number in range(first, last + 1):
-            writer.write(chunk(event(number)))
-        if tail:
-            writer.write(chunk(tail))
+        for piece in filter(None, pieces):
+            writer.write(chunk(piece))
+        if not is_cut:
+            writer.write(b"0\r\n\r\n")
+            return
         await writer.drain()
         raise ScriptedEndError("scripted end")
 
