Fields of a chat that the router doesn't change reach the engine as they were sent

What callers saw: 1.10 in a chat's body reached the engine as 1.1, and a number of more than 17 significant digits lost some. Cause: the whole body was decoded and encoded anew, to change the name of the model and the wish for usage. The values of all other fields, and of other stream options, are now copied as their bytes. test_chat_request: 2 of 2 tests failed before, 2 of 2 pass; test_chats and test_request_fuzzing pass.

--- a/packages/router/src/damaskwind/router/chat_request.py
+++ b/packages/router/src/damaskwind/router/chat_request.py
@@ -25,6 +25,8 @@
     "stream_options": (dict, type(None)),
 }
 _REQUIRED = ("model", "messages")
+_RAW_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_RAW_OPTIONS = msgspec.json.Decoder(dict[str, msgspec.Raw] | None)
 
 
 class ChatRequest(NamedTuple):
@@ -136,12 +138,18 @@
     raise _unknown_model(text)
 
 
-def _engine_body(fields: dict[str, Any], name: ModelName, stream: bool) -> bytes:
-    """Encode the body for the engine: the bare model name, and usage always requested."""
-    changed = {**fields, "model": name.model}
+def _engine_body(body: bytes, name: ModelName, stream: bool) -> bytes:
+    """Return the body for the engine: the bare model name, and usage always requested.
+
+    The values of all other fields stay as they were sent: a number that is read and written anew
+    may lose digits.
+    """
+    fields: dict[str, Any] = _RAW_FIELDS.decode(body)
+    fields["model"] = name.model
     if stream:
-        changed["stream_options"] = {**(fields.get("stream_options") or {}), "include_usage": True}
-    return msgspec.json.encode(changed)
+        options = _RAW_OPTIONS.decode(fields.get("stream_options", b"null")) or {}
+        fields["stream_options"] = {**options, "include_usage": True}
+    return msgspec.json.encode(fields)
 
 
 def parse_chat_request(
@@ -167,7 +175,7 @@
         all(message.role != "assistant" for message in messages),
         _prompt_tokens(_new_messages(messages)) + generated,
         _prompt_tokens(messages) + generated,
-        _engine_body(fields, name, stream),
+        _engine_body(body, name, stream),
     )
 
 
