An empty list of client accounts makes every key invalid

Cause: an absent list of accounts means that no keys are asked for, and an empty one was read as absent: by the default of the decoder, and by a truth test in the lookup.

Absent is None now, and empty is an empty tuple. The line "configuration in force" says whether keys are required.

--- a/packages/decisions/src/damaskwind/decisions/routing/checks.py
+++ b/packages/decisions/src/damaskwind/decisions/routing/checks.py
@@ -28,7 +28,7 @@
         if count > 1
     ]
     key_counts = Counter(
-        key for account in configuration.accounts for key in dict.fromkeys(account.keys)
+        key for account in configuration.known_accounts for key in dict.fromkeys(account.keys)
     )
     if any(count > 1 for count in key_counts.values()):
         mistakes.append("accounts: two share a key")
--- a/packages/decisions/src/damaskwind/decisions/routing/regions.py
+++ b/packages/decisions/src/damaskwind/decisions/routing/regions.py
@@ -10,18 +10,22 @@
 def allowed_regions(route: TrafficRoute, account: KeyedAccount | None) -> frozenset[str] | None:
     """Return the regions that both the route and the account allow; `None` if unrestricted.
 
+    An empty list of regions allows none.
+
     >>> from damaskwind.model.traffic_configuration import RouteKind
     >>> route = TrafficRoute("r", "h", "/", RouteKind.STREAMING, (), 1.0, regions=("a", "b"))
     >>> sorted(allowed_regions(route, None))
     ['a', 'b']
     >>> allowed_regions(route, KeyedAccount("n", (), regions=("b", "c")))
     frozenset({'b'})
-    >>> allowed_regions(route._replace(regions=()), KeyedAccount("n", ())) is None
+    >>> allowed_regions(route._replace(regions=None), KeyedAccount("n", ())) is None
     True
+    >>> allowed_regions(route._replace(regions=()), KeyedAccount("n", ()))
+    frozenset()
     """
-    account_regions = account.regions if account is not None else ()
-    restrictions = [frozenset(regions) for regions in (route.regions, account_regions) if regions]
-    return frozenset.intersection(*restrictions) if restrictions else None
+    account_regions = account.regions if account is not None else None
+    stated = [item for item in (route.regions, account_regions) if item is not None]
+    return frozenset.intersection(*map(frozenset, stated)) if stated else None
 
 
 def is_allowed(
--- a/packages/decisions/src/damaskwind/decisions/routing/table.py
+++ b/packages/decisions/src/damaskwind/decisions/routing/table.py
@@ -55,7 +55,7 @@
             (host_name(route.host), route.path_prefix): route for route in configuration.routes
         }
         self._accounts = {
-            key: account for account in configuration.accounts for key in account.keys
+            key: account for account in configuration.known_accounts for key in account.keys
         }
         self._health_paths = {item.name: item.health_path for item in configuration.services}
         self._cold_start_limits = {
@@ -91,7 +91,8 @@
 
         The longest matching path prefix wins; prefixes end with a slash. A host that no route
         states as it was sent is compared without its port and regardless of case.
-        A configuration without accounts requires no keys.
+        A configuration that states no accounts requires no keys; one whose accounts are empty
+        has no valid key.
         """
         route = _longest_match(self._routes, host, path)
         if route is None:
@@ -99,7 +100,7 @@
         if route is None:
             return RoutingOutcome(None, None, RoutingReason.NO_ROUTE)
         account = self._accounts.get(key) if key else None
-        if account is None and route.needs_key and self.configuration.accounts:
+        if account is None and route.needs_key and self.configuration.requires_keys:
             return RoutingOutcome(route, None, RoutingReason.UNKNOWN_KEY)
         return RoutingOutcome(route, account)
 
--- a/packages/model/src/damaskwind/model/traffic_configuration.py
+++ b/packages/model/src/damaskwind/model/traffic_configuration.py
@@ -41,8 +41,9 @@
     `timeout_s` is the longest time that a request may be kept waiting. `objective_s` is
     the time to the answer (streams: the first event) that users expect, and
     `gap_objective_s` the longest expected pause between events. Priority 0 is served
-    first. With `needs_key`, a request must carry an account's key. With `regions`, it is
-    served in one of them.
+    first. With `needs_key`, a request must carry an account's key, if the configuration
+    requires keys. With `regions`, it is served in one of them, and nowhere if there are none;
+    `None` means that it may be served anywhere.
     """
 
     name: str
@@ -58,7 +59,7 @@
     needs_key: bool = True
     has_prompt_parts: bool = False
     is_resumable: bool = False
-    regions: tuple[str, ...] = ()
+    regions: tuple[str, ...] | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -112,20 +113,36 @@
 class KeyedAccount(NamedTuple):
     """A client account with its API keys; its priority overrides the route's.
 
-    With `regions`, its requests are served in one of them.
+    With `regions`, its requests are served in one of them; `None` means anywhere.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
-    regions: tuple[str, ...] = ()
+    regions: tuple[str, ...] | None = None
 
 
 class TrafficConfiguration(NamedTuple):
-    """One published document; version 0 means that none was published."""
+    """One published document; version 0 means that none was published.
+
+    Without accounts (`None`) requests need no keys. An empty tuple means that no key is valid.
+
+    >>> TrafficConfiguration(1).requires_keys, TrafficConfiguration(1, accounts=()).requires_keys
+    (False, True)
+    """
 
     version: int = 0
     routes: tuple[TrafficRoute, ...] = ()
     services: tuple[TrafficService, ...] = ()
     limits: CallerLimits = CallerLimits()
-    accounts: tuple[KeyedAccount, ...] = ()
+    accounts: tuple[KeyedAccount, ...] | None = None
+
+    @property
+    def requires_keys(self) -> bool:
+        """Return whether requests need keys, on routes that do not except them from it."""
+        return self.accounts is not None
+
+    @property
+    def known_accounts(self) -> tuple[KeyedAccount, ...]:
+        """Return the accounts, none if the document states none."""
+        return () if self.accounts is None else self.accounts
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -496,7 +496,7 @@
             host,
             read_clock(),
             len(configuration.routes),
-            sum(len(account.keys) for account in configuration.accounts),
+            sum(len(account.keys) for account in configuration.known_accounts),
         )
         for callback in self.on_configuration:
             callback(configuration)
@@ -506,6 +506,7 @@
             before=before,
             told_by=host,
             routes=len(configuration.routes),
+            requires_keys=configuration.requires_keys,
             packed_bytes=packed_bytes,
             fetch_s=round(took_s, 3),
             behind_s=round(self.documents.lag.behind_s(read_clock()), 3),
