Each stream's version is on record before its first event, also while one version serves

Cause: streams were written down at replicas only while their router knew several versions; before, routers alone knew them. A router that had just started took the one version it knew for all there was, and versions that targets replaced in place were forgotten with the record they replaced. A caller that names no attempt got the only version known without a question.

Each stream is now written down and confirmed before its first event. A version that is replaced in place leaves a tombstone in the table of targets, one for each service and version. No version is taken without asking, an answer to the question no longer counts as having heard of all targets, and a stream is refused, not placed anywhere, while no target is known. A stream doesn't wait for replicas that were not heard since a call to them failed.

--- a/packages/decisions/src/damaskwind/decisions/membership/target_table.py
+++ b/packages/decisions/src/damaskwind/decisions/membership/target_table.py
@@ -17,6 +17,10 @@
 
 Processes of earlier versions pass records on without the software version. Within an
 incarnation, such a record leaves a known version as it is, and a late record still adds it.
+
+A target that is back under its id with another software version replaces its record. Its former
+version then has a tombstone of its own, one for each service and version, so that processes that
+start later know of it too.
 """
 
 from collections.abc import Iterable
@@ -104,9 +108,9 @@
         """
         entry = self._entries.get(record.target_id)
         if entry is None or (record.incarnation > entry.record.incarnation and record.service):
-            self.revision += 1
-            self.digest ^= record_hash(record) ^ (record_hash(entry.record) if entry else 0)
-            self._entries[record.target_id] = TargetEntry(record, received_s, self.revision)
+            self._add(record, entry, received_s)
+            if entry is not None:
+                self._remember_version(entry.record, record, received_s)
             return True
         if record.incarnation < entry.record.incarnation:
             return False
@@ -509,7 +513,27 @@
         self._put(entry, ended, received_s)
         return True
 
+    def _add(self, record: TargetRecord, former: TargetEntry | None, received_s: float) -> None:
+        """Add a record, in place of the former one of the same id if there is one."""
+        self.revision += 1
+        self.digest ^= record_hash(record) ^ (record_hash(former.record) if former else 0)
+        self._entries[record.target_id] = TargetEntry(record, received_s, self.revision)
+
+    def _remember_version(
+        self, former: TargetRecord, record: TargetRecord, received_s: float
+    ) -> None:
+        """Keep a tombstone of the version that a target ran before, if it runs another now."""
+        if not former.version or former.version == record.version:
+            return
+        tombstone = _version_tombstone(former.service, former.version)
+        entry = self._entries.get(tombstone.target_id)
+        if entry is None:
+            self._add(tombstone, None, received_s)
+        else:
+            entry.last_seen_s = max(entry.last_seen_s, received_s)
+
     def _put(self, entry: TargetEntry, record: TargetRecord, received_s: float) -> None:
+        self._remember_version(entry.record, record, received_s)
         self.revision += 1
         self.digest ^= record_hash(entry.record) ^ record_hash(record)
         known = entry.record._replace(
@@ -522,3 +546,13 @@
         entry.record = record
         entry.last_seen_s = max(entry.last_seen_s, received_s)
         entry.changed_revision = self.revision
+
+
+def _version_tombstone(service: str, version: str) -> TargetRecord:
+    """Return the tombstone of a software version; it is the same at all processes.
+
+    Its id holds a space, which no id in the path of a report can.
+    """
+    address = Address("0.0.0.0", 0)
+    gone = TargetRecord(f"{service} {version}", service, address, "", TargetPhase.GONE, 0)
+    return gone._replace(version=version)
--- a/packages/decisions/src/damaskwind/decisions/streams/version_history.py
+++ b/packages/decisions/src/damaskwind/decisions/streams/version_history.py
@@ -4,8 +4,7 @@
 
 __all__ = ["VersionHistory"]
 
-# As long as the table of targets keeps those that are gone. A target that restarts with another
-# version replaces its record at once, and its former version is remembered here alone.
+# As long as the table of targets keeps those that are gone.
 VERSION_MEMORY_S = 60.0
 
 
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -1,14 +1,15 @@
 """Write down at replicas which versions began this router's streams, and ask the replicas.
 
-While a router knows one version of a service alone, nothing is written down: all its streams began
-there. Once it knows a second one, those still of use are, and from then on each new stream
-before its first event.
+Each stream is written down before its first event, whatever number of versions is known: routers
+keep streams in memory alone, and all of them may end at once.
 """
 
 import asyncio
 import secrets
 from typing import NamedTuple
 
+from loguru import logger
+
 from damaskwind.decisions.membership.target_table import TargetTable
 from damaskwind.decisions.streams.holders import choose_holders
 from damaskwind.decisions.streams.origin_table import OriginTable
@@ -132,6 +133,9 @@
             self._links[host].write(stream, is_urgent=False)
         for link in stream.stale:
             link.write(stream, is_urgent=True)
+        if all(self._links[host].is_failing for host in (first, *others)):
+            # They are sent what is pending when they are heard again.
+            return False
         self._hedges = min(self._hedges + HEDGE_SHARE, HEDGE_BURST)
         if await stream.wait_confirmed(HEDGE_S):
             return True
@@ -178,20 +182,15 @@
         if revision == self._seen_revision and now_s - self._refreshed_s < REFRESH_S:
             return
         self._seen_revision, self._refreshed_s = revision, now_s
-        services = self._history.update(self._targets.versions(), now_s)
-        if not services:
-            return
-        for stream in list(self._streams.values()):
-            is_short = len(stream.version) <= MAX_VERSION_CHARS
-            if stream.service in services and stream.expires_s > now_s and is_short:
-                for number, host in enumerate(self._holders(stream)):
-                    self._links[host].write(stream, is_urgent=number == 0)
+        for service in sorted(self._history.update(self._targets.versions(), now_s)):
+            versions = sorted(self._history.versions(service, now_s))
+            logger.info("several versions known", service=service, versions=versions)
 
     def _write_again(self, host: str, link: OriginLink, now_s: float) -> None:
         """Write down again what a replica held before it restarted."""
         for stream in self._streams.values():
-            is_needed = self._history.has_several(stream.service, now_s)
-            if is_needed and stream.expires_s > now_s and host in self._holders(stream):
+            is_short = len(stream.version) <= MAX_VERSION_CHARS
+            if is_short and stream.expires_s > now_s and host in self._holders(stream):
                 link.write(stream, is_urgent=False)
 
 
--- a/packages/router/src/damaskwind/router/forwarding/stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/stream_origins.py
@@ -49,6 +49,8 @@
 
 
 ANYWHERE = OriginVerdict()
+# The targets that a router learns of while the stream waits may run any version.
+_NO_TARGET_YET = OriginVerdict(None, True, "no target of the service is known yet", RETRY_AFTER_S)
 
 
 class StreamOrigins:
@@ -68,8 +70,9 @@
 
         Return whether another version may still be on record, from an attempt before.
 
-        It is written down where several versions of the service are known. A stream that is taken
-        up is recorded under the attempt that brought its first event as well.
+        It is written down also while one version of the service is known: all routers may end at
+        once, and another version may serve when they are back. A stream that is taken up is
+        recorded under the attempt that brought its first event as well.
         """
         versions = self._relay.known_versions(call.service) | {target.version}
         if versions == {""}:
@@ -88,8 +91,6 @@
             call.deadline_s + MARGIN_S,
         )
         self._relay.keep(stream)
-        if len(versions) < 2:
-            return False
         started_s = read_clock()
         is_confirmed = await self._relay.write_down(stream)
         took_s = read_clock() - started_s
@@ -104,7 +105,7 @@
         started_s = read_clock()
         known = self._relay.known_versions(call.service)
         if not known:
-            return ANYWHERE
+            return ANYWHERE if any(self._view.serving(call.service)) else _NO_TARGET_YET
         verdict, source = await self._find(call, known)
         outcome = "refused" if verdict.is_refused else "found"
         self._tallies.count("streams_taken_up", source=source, outcome=outcome)
@@ -126,8 +127,6 @@
         resumes = call.facts.resumes
         if resumes:
             key = attempt_key(call.service, resumes)
-        elif len(known) == 1 and self._view.reaches_majority():
-            return OriginVerdict(*known), OriginSource.ONLY_VERSION
         else:
             key = content_key(call.service, call.digest)
         here = self._relay.table.versions(key, read_clock())
@@ -147,12 +146,12 @@
     ) -> tuple[OriginVerdict, OriginSource]:
         """Return the verdict on a stream that nobody who answered has written down.
 
-        A router that is cut off may not know that another version has begun to serve. One
-        whose replicas are all down misses nothing, since no other router hears of it either.
+        Such a stream went on without a record, or the replicas have lost it. A router that is cut
+        off may not know that another version has begun to serve. One whose replicas are all down
+        misses nothing, since no other router hears of it either.
         """
         if len(known) == 1:
-            is_informed = 2 * asked.answered > asked.replicas or self._view.reaches_majority()
-            if is_informed or asked.down == asked.replicas:
+            if self._view.reaches_majority() or asked.down == asked.replicas:
                 return OriginVerdict(*known), OriginSource.ONLY_VERSION
             why = "out of touch, and the version that began the stream is not known"
             return OriginVerdict(None, True, why, RETRY_AFTER_S), OriginSource.NONE
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -74,6 +74,7 @@
             has_cut_routers=True,
             has_versions=True,
             has_silences=True,
+            has_router_kills=True,
         )
         duration_s = time.monotonic() - started_s
         status = "BROKEN" if verdict.broken else "held"
