--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -31,9 +31,6 @@
 # At most a quarter of the election timeout, so that one lost heartbeat is tolerated.
 HEARTBEAT_S = 0.25
 ELECTION_TIMEOUT_S = 1.0
-# A silent voter is replaced after this fraction of the catch-up time of a new replica. The rest
-# is for the election, if that voter led, and for the commits of two membership changes.
-REPLACE_AFTER_FRACTION = 0.5
 # A restarted replica is back within about 2 s. One that is silent for longer than this is
 # removed if there are voters enough without it.
 REMOVE_AFTER_S = 6.0
@@ -202,7 +199,7 @@
             snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
             may_found=settings.may_found,
             joins_unlisted=True,
-            replace_after_s=settings.catch_up_s * REPLACE_AFTER_FRACTION,
+            replace_after_s=settings.replace_after_s,
             remove_after_s=REMOVE_AFTER_S,
             least_voters=settings.required_voters or MIN_VOTERS,
             most_voters=settings.required_voters or float("inf"),
--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -5,6 +5,12 @@
 __all__ = ["DEFAULT_CATCH_UP_S", "FleetControlSettings"]
 
 DEFAULT_CATCH_UP_S = 4.0
+# A silent voter is replaced after this fraction of the catch-up time of a new replica. The rest
+# is for the election, if that voter led, and for the commits of two membership changes.
+REPLACE_AFTER_FRACTION = 0.5
+# The shortest election timeout, in which a sound voter may be silent, and three of these.
+MIN_REPLACE_AFTER_S = 1.0
+MAX_REPLACE_AFTER_S = 3.0
 
 
 class FleetControlSettings(NamedTuple):
@@ -40,3 +46,9 @@
     def required_voters(self) -> int | None:
         """Return the number of voters of which a majority survives the tolerated losses."""
         return None if self.tolerated_losses is None else 2 * self.tolerated_losses + 1
+
+    @property
+    def replace_after_s(self) -> float:
+        """Return after which silence a caught-up learner replaces a voter."""
+        wanted_s = self.catch_up_s * REPLACE_AFTER_FRACTION
+        return min(max(wanted_s, MIN_REPLACE_AFTER_S), MAX_REPLACE_AFTER_S)
