--- a/packages/router/src/damaskwind/router/forwarding/tests/test_replacement_cost.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_replacement_cost.py
@@ -45,7 +45,7 @@
             call=call,
             target=target,
             body_bytes=0,
-            delivery=SimpleNamespace(has_begun=False),
+            delivery=SimpleNamespace(has_begun=False, can_go_on=True),
         )
 
     @asyncio_test
