Log: what vouches for the end of an unframed answer, and what a take-up was told

No decision reads it. 'unframed end checked' has the connections that were open, how long before or after the end the newest of them was heard, the time and the outcome; 'stream taken up' has how many replicas answered, how many refused and how old each one's last news was.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -8,9 +8,12 @@
 
 import asyncio
 
+from loguru import logger
+
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.target_states import TargetStates
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["AnswerEnds"]
@@ -25,15 +28,28 @@
         self._tallies = tallies
         self._probes: dict[str, asyncio.Task[bool]] = {}
 
-    async def has_outlived(self, target: TargetRecord) -> bool:
+    async def has_outlived(self, target: TargetRecord, request_id: bytes) -> bool:
         """Return whether a target ended the unframed answer that has just ended.
 
         The proof is from `SETTLE_S` after the end, or later: all connections of a process that
         exits are closed by then. That a target is leaving proves nothing: it may be killed before
         it has ended its answers.
         """
+        ended_s = read_clock()
+        others = self._connections.count_open(target.target_id)
         found = await self._find_proof(target)
         self._tallies.count("unframed_end_checks", found=found)
+        heard_s = self._connections.heard_s(target.target_id)
+        logger.info(
+            "unframed end checked",
+            request_id=request_id.decode("latin-1"),
+            target=target.target_id,
+            connections=others,
+            # Negative if what vouches was last heard before the answer ended.
+            heard_after_end_ms=round((heard_s - ended_s) * 1000, 1),
+            took_ms=round((read_clock() - ended_s) * 1000, 1),
+            outcome=found,
+        )
         return found != "nothing"
 
     async def _find_proof(self, target: TargetRecord) -> str:
--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -286,7 +286,8 @@
         is_resumed = bool(header(request.headers, self._names.resume_after))
         if is_empty and _is_stream(head) and not is_resumed:
             raise AnswerBrokenError("the stream ended without a frame before its first event")
-        if not await self._sender.answer_ends.has_outlived(target):
+        request_id = header(request.headers, self._names.request_id) or b""
+        if not await self._sender.answer_ends.has_outlived(target, request_id):
             raise AnswerBrokenError("the target is gone at the end of an answer without a frame")
 
     def _left_s(self, request: Request) -> float:
--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -228,6 +228,11 @@
         """Tell whether a majority of the replicas was reached recently."""
         return 2 * self.count_reachable_replicas() > len(self._links)
 
+    def news_ages_s(self) -> list[float]:
+        """Return how long ago each replica was last heard, in seconds; infinity for never."""
+        now_s = read_clock()
+        return [now_s - link.last_received_s for link in self._links.values()]
+
     def recently_seen_targets(self) -> tuple[LastSeen, ...]:
         """Return the targets that reported to this router recently."""
         return self.heartbeats.recent_reports()
--- a/packages/router/src/damaskwind/router/forwarding/stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/stream_origins.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 from itertools import count
+from math import isfinite
 from typing import NamedTuple
 
 from loguru import logger
@@ -49,6 +50,7 @@
 
 
 ANYWHERE = OriginVerdict()
+_NOBODY_ASKED = Asked(frozenset(), 0, 0, 0)
 # The targets that a router learns of while the stream waits may run any version.
 _NO_TARGET_YET = OriginVerdict(None, True, "no target of the service is known yet", RETRY_AFTER_S)
 
@@ -106,7 +108,7 @@
         known = self._relay.known_versions(call.service)
         if not known:
             return ANYWHERE if any(self._view.serving(call.service)) else _NO_TARGET_YET
-        verdict, source = await self._find(call, known)
+        verdict, source, asked = await self._find(call, known)
         outcome = "refused" if verdict.is_refused else "found"
         self._tallies.count("streams_taken_up", source=source, outcome=outcome)
         logger.info(
@@ -117,12 +119,24 @@
             software=verdict.version,
             source=source.value,
             known=sorted(known),
+            answered=asked.answered,
+            down=asked.down,
+            replicas=asked.replicas,
+            news_age_ms=self._news_age_ms(),
             took_ms=round((read_clock() - started_s) * 1000, 1),
+            retry_after_s=verdict.retry_after_s,
             outcome=verdict.why or outcome,
         )
         return verdict
 
-    async def _find(self, call: Call, known: frozenset[str]) -> tuple[OriginVerdict, OriginSource]:
+    def _news_age_ms(self) -> tuple[int, ...]:
+        """Return how long ago each replica was last heard, -1 for never."""
+        ages_s = self._view.news_ages_s()
+        return tuple(int(age_s * 1000) if isfinite(age_s) else -1 for age_s in ages_s)
+
+    async def _find(
+        self, call: Call, known: frozenset[str]
+    ) -> tuple[OriginVerdict, OriginSource, Asked]:
         """Look for the version here, then at the replicas, then in what is known."""
         resumes = call.facts.resumes
         if resumes:
@@ -131,15 +145,15 @@
             key = content_key(call.service, call.digest)
         here = self._relay.table.versions(key, read_clock())
         if resumes and len(here) == 1:
-            return OriginVerdict(*here), OriginSource.HERE
+            return OriginVerdict(*here), OriginSource.HERE, _NOBODY_ASKED
         asked = await self._relay.ask(key, has_holders=bool(resumes))
         found = here | asked.versions
         if len(found) == 1:
-            return OriginVerdict(*found), OriginSource.REPLICAS
+            return OriginVerdict(*found), OriginSource.REPLICAS, asked
         if found:
             why = "several versions may have begun the stream"
-            return OriginVerdict(is_refused=True, why=why), OriginSource.NONE
-        return self._judge_unknown(known, asked)
+            return OriginVerdict(is_refused=True, why=why), OriginSource.NONE, asked
+        return *self._judge_unknown(known, asked), asked
 
     def _judge_unknown(
         self, known: frozenset[str], asked: Asked
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -253,9 +253,9 @@
         body = bytes(500_000)
         has_outlived = self.forwarder.sender.answer_ends.has_outlived
 
-        async def observe(target):
+        async def observe(target, request_id):
             held_bytes.append(self.memory.ledger.held_bytes)
-            return await has_outlived(target)
+            return await has_outlived(target, request_id)
 
         self.forwarder.sender.answer_ends.has_outlived = observe
         self.share(self.at_exit(body), unframed(body))
