Unframed ends: only a target's word after the end proves that it ended its answer

Cause: another connection that looked open, or a new one that opened, counted as a sign that the process lived. The word of an end comes by the network, and may be lost; what stands before a target accepts for it. So no news was read as good news.

Now the target is asked by a health check that is sent SETTLE_S after the end or later, and only an answer that names it, or its refusal, counts, while the same life is registered. A question is shared by the ends that waited before it was sent, is asked again on a new connection after 0.4 s, and an end waits 1 s at most. Other way weighed: to hold the end until a later report or answer of the target comes (no question, but up to 1.2 s, and a report may be seconds old).

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -1,86 +1,140 @@
 """Find out whether the end of an unframed answer was its end or that of its target's process.
 
 An answer without a length and chunks is complete when its connection closes in an orderly way,
-and that is also what a kernel does to the connections of a process that crashed. A target that
-still runs shortly afterwards has ended the answer itself. See
+and that is also what a kernel does to the connections of a process that crashed. Only what the
+target says afterwards shows that its process runs on: that nothing was heard of its end, and
+that a connection to its address opens or is open, shows nothing. See
 `docs/decisions/0033-ends-of-unframed-answers.md`.
 """
 
 import asyncio
+from enum import StrEnum
+from typing import NamedTuple
 
 from loguru import logger
 
 from damaskwind.decisions.membership.target_record import TargetRecord
+from damaskwind.model.header_names import HeaderNames
+from damaskwind.router.forwarding.answer_heads import MISDIRECTED
 from damaskwind.router.forwarding.connections import SETTLE_S
+from damaskwind.router.forwarding.health_checks import HealthChecks
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.client import AnswerBrokenError, AnswerHead, ConnectFailedError
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["AnswerEnds"]
 
+# How long an end waits for the target's word. A lost packet is sent again after some 0.2 s.
+PROOF_S = 1.0
+# After this time a question is asked again on another connection: this one may be silent for good.
+ANSWER_S = 0.4
+# A connection that is reset before an answer comes is followed by another one after this time.
+RETRY_S = 0.05
+# A machine on which nothing listens at the target's address.
+_REFUSED = "ConnectionRefusedError"
+
+
+class _Word(StrEnum):
+    """What a question to a target brought."""
+
+    ALIVE = "alive"
+    GONE = "gone"
+    NONE = "none"
+
+
+class _Question(NamedTuple):
+    """A question that was sent at `asked_s`, and the task that waits for its answer."""
+
+    asked_s: float
+    answer: asyncio.Task[_Word]
+
 
 class AnswerEnds:
     """Checks the ends of unframed answers at one router, and counts what the checks find."""
 
-    def __init__(self, target_states: TargetStates, tallies: Tallies) -> None:
+    def __init__(self, target_states: TargetStates, names: HeaderNames, tallies: Tallies) -> None:
         self._target_states = target_states
-        self._connections = target_states.connections
+        self._checks = HealthChecks(target_states, names)
         self._tallies = tallies
-        self._probes: dict[str, asyncio.Task[bool]] = {}
+        self._questions: dict[str, _Question] = {}
 
     async def has_outlived(self, target: TargetRecord, request_id: bytes) -> bool:
         """Return whether a target ended the unframed answer that has just ended.
 
-        The proof is from `SETTLE_S` after the end, or later: all connections of a process that
-        exits are closed by then. That a target is leaving proves nothing: it may be killed before
-        it has ended its answers.
+        It did if the same life of it answers a question that was asked `SETTLE_S` after the end or
+        later: a process that exits has closed all its connections by then. That it is leaving
+        proves nothing: it may be killed before it has ended its answers.
         """
         ended_s = read_clock()
-        others = self._connections.count_open(target.target_id)
-        found = await self._find_proof(target)
-        self._tallies.count("unframed_end_checks", found=found)
-        heard_s = self._connections.heard_s(target.target_id)
+        await asyncio.sleep(SETTLE_S)
+        word, asked_s = await self._find_word(target, read_clock())
+        self._tallies.count("unframed_end_checks", found=word.value)
         logger.info(
             "unframed end checked",
             request_id=request_id.decode("latin-1"),
             target=target.target_id,
-            connections=others,
-            # Negative if what vouches was last heard before the answer ended.
-            heard_after_end_ms=round((heard_s - ended_s) * 1000, 1),
+            asked_after_end_ms=round((asked_s - ended_s) * 1000, 1),
             took_ms=round((read_clock() - ended_s) * 1000, 1),
-            outcome=found,
+            outcome=word.value,
         )
-        return found != "nothing"
+        return word is _Word.ALIVE
 
-    async def _find_proof(self, target: TargetRecord) -> str:
-        """Return what shows that an answer was ended by its target, or `nothing`."""
-        target_id = target.target_id
-        has_open = self._connections.has_open(target_id)
-        probe = None if has_open else self._probe(target)
-        await asyncio.sleep(SETTLE_S)
-        if not self._is_same_life(target):
-            return "nothing"
-        # A shared probe may have begun before this end. It proves nothing then, but the connection
-        # that it made does if it is still open.
-        was_refused = probe is not None and not await asyncio.shield(probe)
-        if self._connections.has_open(target_id):
-            return "connection" if probe is None else "probe"
-        if was_refused:
-            return "nothing"
-        return "probe" if await asyncio.shield(self._probe(target)) else "nothing"
+    async def _find_word(self, target: TargetRecord, settled_s: float) -> tuple[_Word, float]:
+        """Return what a question brought that was asked after `settled_s`, and when it was asked.
+
+        An end joins a question that is under way, since what that brings against the target
+        counts for all; what speaks for it counts only if it was asked late enough.
+        """
+        until_s, asked_s, tries = settled_s + PROOF_S, settled_s, 0
+        while self._is_same_life(target) and (left_s := until_s - read_clock()) > 0:
+            question = self._join_question(target, is_first=tries == 0)
+            asked_s, answer = question
+            await asyncio.wait([answer], timeout=left_s)
+            word = answer.result() if answer.done() else _Word.NONE
+            if word is _Word.GONE or not self._is_same_life(target):
+                return _Word.GONE, asked_s
+            if word is _Word.ALIVE and asked_s >= settled_s:
+                return _Word.ALIVE, asked_s
+            if word is _Word.NONE:
+                tries += 1
+                await asyncio.sleep(RETRY_S)
+        return _Word.NONE, asked_s
 
     def _is_same_life(self, target: TargetRecord) -> bool:
         """Return whether the process that was sent to is the one that is registered now."""
         known = self._target_states.view.targets.record_of(target.target_id)
         return known is not None and known.incarnation == target.incarnation
 
-    def _probe(self, target: TargetRecord) -> asyncio.Task[bool]:
-        """Return a probe of a target, shared by the ends that wait for it at once."""
+    def _join_question(self, target: TargetRecord, is_first: bool) -> _Question:
+        """Return the question to a target that is under way, or ask one.
+
+        The first is asked on a pooled connection, if there is one: that is of the same process.
+        """
         target_id = target.target_id
-        probe = self._probes.get(target_id)
-        if probe is None:
-            self._tallies.count("unframed_end_probes")
-            probing = self._connections.probe(target_id, target.address)
-            probe = self._probes[target_id] = asyncio.ensure_future(probing)
-            probe.add_done_callback(lambda _: self._probes.pop(target_id))
-        return probe
+        question = self._questions.get(target_id)
+        if question is None:
+            self._tallies.count("unframed_end_questions")
+            asking = asyncio.ensure_future(self._ask(target, must_be_new=not is_first))
+            question = self._questions[target_id] = _Question(read_clock(), asking)
+            asking.add_done_callback(lambda _: self._questions.pop(target_id))
+        return question
+
+    async def _ask(self, target: TargetRecord, must_be_new: bool) -> _Word:
+        """Ask a target for its id."""
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                head = await self._checks.send(target, ANSWER_S, must_be_new)
+        except ConnectFailedError as error:
+            return _Word.GONE if str(error) == _REFUSED else _Word.NONE
+        except (AnswerBrokenError, TimeoutError):
+            return _Word.NONE
+        return self._read(head, target)
+
+    def _read(self, head: AnswerHead, target: TargetRecord) -> _Word:
+        """Return what the answer to a question shows."""
+        if head.status == MISDIRECTED:
+            return _Word.GONE
+        checks = self._checks
+        is_alive = checks.is_named_by(head, target) or checks.is_refused_by(head, target)
+        return _Word.ALIVE if is_alive else _Word.NONE
--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -93,7 +93,7 @@
     ) -> None:
         self.connections = target_states.connections
         self.activity = target_states.activity
-        self.answer_ends = AnswerEnds(target_states, tallies)
+        self.answer_ends = AnswerEnds(target_states, names, tallies)
         self.record_head = AnswerHeads(target_states, names).record
         self._waits = AnswerWaits(target_states, replacements)
         self.on_answer_started: Callable[[Call, str, float], None] = _ignore_answer_started
--- a/packages/router/src/damaskwind/router/forwarding/speed_probes.py
+++ b/packages/router/src/damaskwind/router/forwarding/speed_probes.py
@@ -1,7 +1,6 @@
 """Ask two targets for their load and speed before a request is sent to one of them."""
 
 import asyncio
-from urllib.parse import quote
 
 from loguru import logger
 
@@ -11,15 +10,11 @@
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.router.forwarding.attempt_outcome import AttemptEnd, AttemptOutcome, Placement
 from damaskwind.router.forwarding.call import Call
+from damaskwind.router.forwarding.health_checks import HealthChecks
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
-from damaskwind.runtime.http1.client import (
-    AnswerBrokenError,
-    AnswerHead,
-    ClientConnection,
-    ConnectFailedError,
-)
-from damaskwind.runtime.http1.messages import Request, header
+from damaskwind.runtime.http1.client import AnswerBrokenError, ConnectFailedError
+from damaskwind.runtime.http1.messages import header
 from damaskwind.runtime.tallies import Tallies
 
 __all__ = ["SpeedProbes"]
@@ -27,10 +22,6 @@
 # Targets answer health checks within 1 ms, a connection to another failure domain takes some ms.
 # A request waits no longer than this for a probe.
 PROBE_DEADLINE_S = 0.012
-# Health answers are short.
-ANSWER_LIMIT_BYTES = 16_384
-# Characters of a path and its query that are sent as they are, besides letters and digits.
-PATH_CHARACTERS = "/?&=%:@!$'()*+,;~"
 
 
 class SpeedProbes:
@@ -39,7 +30,7 @@
     def __init__(self, target_states: TargetStates, names: HeaderNames, tallies: Tallies) -> None:
         self.budget = ProbeBudget()
         self._target_states = target_states
-        self._connections = target_states.connections
+        self._checks = HealthChecks(target_states, names)
         self._names = names
         self._tallies = tallies
 
@@ -87,37 +78,10 @@
         """Probe one target; tell whether it reported its load by the deadline."""
         try:
             async with asyncio.timeout(PROBE_DEADLINE_S):
-                connection = await self._connections.acquire(
-                    target.target_id, target.address, PROBE_DEADLINE_S
-                )
-                head = await self._exchange(connection, target)
+                head = await self._checks.send(target, PROBE_DEADLINE_S)
         except (TimeoutError, ConnectFailedError, AnswerBrokenError):
             return False
-        if header(head.headers, self._names.instance_id) != target.target_id.encode("latin-1"):
+        if not self._checks.is_named_by(head, target):
             return False
         load = parse_target_load(header(head.headers, self._names.target_load))
         return load is not None and self._target_states.record_probe(target, load)
-
-    async def _exchange(self, connection: ClientConnection, target: TargetRecord) -> AnswerHead:
-        """Send a health check and return the head of its answer; pool a clean connection."""
-        try:
-            connection.send(self._request(target))
-            head = await connection.read_head()
-            await connection.read_body(ANSWER_LIMIT_BYTES)
-            self._connections.release(target.target_id, connection, head.headers)
-            return head
-        finally:
-            if connection.is_in_use:
-                connection.abort()
-
-    def _request(self, target: TargetRecord) -> Request:
-        """Return a health check that only this target should answer."""
-        target_id = target.target_id.encode("latin-1")
-        headers = [
-            (b"host", str(target.address).encode("latin-1")),
-            (self._names.expect_target, target_id),
-        ]
-        path = self._target_states.view.health_path(target.service)
-        # The path is configured by users; one that is not a valid target of a request is quoted.
-        quoted_path = quote(path, safe=PATH_CHARACTERS) or "/"
-        return Request(b"GET", quoted_path.encode("ascii"), headers, b"")
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_target_speeds.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_target_speeds.py
@@ -120,6 +120,7 @@
         self.answers = {b"GET": self.health(100, 100), b"POST": plain()}
         for number, target in enumerate(self.targets):
             target._default = partial(self.answer, number)
+            target.health_path = None
 
     def health(self, *percents):
         names = self.targets[0].names
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -275,8 +275,8 @@
         self.target = self.targets[0]
         self.ended_s = []
 
-    def probes(self):
-        return sum(self.forwarder.tallies.totals("unframed_end_probes").values())
+    def questions(self):
+        return sum(self.forwarder.tallies.totals("unframed_end_questions").values())
 
     def found(self):
         totals = self.forwarder.tallies.totals("unframed_end_checks")
@@ -310,7 +310,8 @@
         self.assertLess(waited_s, 0.2)
 
     @asyncio_test
-    async def test_other_open_connection_is_proof_enough(self):
+    async def test_target_that_is_asked_beside_an_open_connection_has_ended_its_answer(self):
+        """Guards against whole answers that are called cut, and against several questions."""
         held = asyncio.Event()
 
         async def hold(writer, request):
@@ -321,7 +322,7 @@
         other = asyncio.ensure_future(self.call(request_id=b"r2"))
         await asyncio.sleep(0.05)
         self.assertEqual((await self.call()).body, b"whole")
-        self.assertEqual((self.probes(), self.found()), (0, {"connection": 1}))
+        self.assertEqual((self.questions(), self.found()), (1, {"alive": 1}))
         held.set()
         await other
 
@@ -342,27 +343,27 @@
         other = asyncio.ensure_future(self.call(request_id=b"r2"))
         await asyncio.sleep(0.05)
         self.assertEqual((await self.call()).status, 502)
-        self.assertEqual(self.found().get("connection", 0), 0)
+        self.assertEqual(self.found().get("alive", 0), 0)
         held.set()
         self.assertEqual((await other).status, 502)
 
     @asyncio_test
-    async def test_ends_at_once_share_a_probe(self):
+    async def test_ends_at_once_share_a_question(self):
         """Guards against a burst of connections when many answers end together."""
         self.share(*[self.ending_after(0.1)] * 6)
         answers = await asyncio.gather(*(self.call(request_id=b"r%d" % n) for n in range(6)))
         self.assertEqual([answer.body for answer in answers], [b"whole"] * 6)
-        self.assertLessEqual(self.probes(), 2)
+        self.assertLessEqual(self.questions(), 2)
         self.assertLessEqual(self.target.connections, 6 + 2)
 
     @asyncio_test
-    async def test_connection_of_a_probe_is_used_by_the_next_request(self):
+    async def test_connection_of_a_question_is_used_by_the_next_request(self):
         """Guards against two new connections for each unframed answer."""
         self.share(*[unframed(b"whole")] * 10)
         for number in range(10):
             await self.call(request_id=b"r%d" % number)
-        self.assertEqual((self.probes(), self.target.connections), (10, 11))
-        self.assertEqual(self.found(), {"probe": 10})
+        self.assertEqual((self.questions(), self.target.connections), (10, 11))
+        self.assertEqual(self.found(), {"alive": 10})
 
     @asyncio_test
     async def test_target_that_restarted_meanwhile_is_no_proof(self):
--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
@@ -0,0 +1,121 @@
+"""Tests of unframed answers of targets whose process has ended, which nobody heard of.
+
+The word of an end comes by the network: it may be lost or come late, and what stands before a
+target may go on accepting connections for it.
+"""
+
+import asyncio
+
+from damaskwind.decisions.membership.target_record import TargetPhase
+from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.tests.bench import route
+from damaskwind.router.forwarding.tests.test_unframed_answers import EVENTS, UnframedTestCase
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.standins.scripted_target import event, plain, unframed
+
+TWO_EVENTS = event(1) + event(2)
+
+
+class UnheardEndTestCase(UnframedTestCase):
+    """One target serves, whose process ends with an unframed answer."""
+
+    async def start(self):
+        await super().start()
+        address = self.view.targets.record_of("t1").address
+        self.admit("t1", address, TargetPhase.LEAVING, 101)
+        self.target = self.targets[0]
+        self.publish(route(RouteKind.STREAMING))
+
+    def ending_process(self, body=TWO_EVENTS, is_accepting=False):
+        """Return a step whose process ends; of its other connections nothing is heard.
+
+        With `is_accepting`, something before it accepts new connections and says nothing.
+        """
+
+        async def step(writer, request):
+            self.target.is_alive = False
+            if not is_accepting:
+                self.target._server.close()
+            await unframed(body, (EVENTS,))(writer, request)
+
+        return step
+
+    async def open_connection(self):
+        """Let a request wait at the target on a connection of its own."""
+        waiting = asyncio.Event()
+
+        async def hold(writer, request):
+            waiting.set()
+            await asyncio.sleep(60.0)
+
+        self.share(hold)
+        other = asyncio.ensure_future(self.call(request_id=b"r2"))
+        self.addCleanup(other.cancel)
+        await waiting.wait()
+
+    async def pool_connection(self):
+        """Leave two connections to the target that no request uses."""
+        self.share(plain(), plain())
+        await asyncio.gather(*(self.call(request_id=b"r%d" % number) for number in (2, 3)))
+
+
+class UnheardEndTest(UnheardEndTestCase):
+    @asyncio_test
+    async def test_connection_whose_end_was_lost_is_no_proof(self):
+        """Guards against 12 of 1,300 streams that look complete where links lose packets."""
+        await self.open_connection()
+        self.share(self.ending_process())
+        self.assertEqual(await self.read(), (TWO_EVENTS, False))
+
+    @asyncio_test
+    async def test_pooled_connection_whose_end_was_lost_is_no_proof(self):
+        await self.pool_connection()
+        self.share(self.ending_process())
+        self.assertEqual(await self.read(), (TWO_EVENTS, False))
+
+    @asyncio_test
+    async def test_new_connection_to_what_stands_before_a_target_is_no_proof(self):
+        """Guards against a proxy or a full queue that accepts for a process that has ended."""
+        self.share(self.ending_process(is_accepting=True))
+        self.assertEqual(await self.read(), (TWO_EVENTS, False))
+
+    @asyncio_test
+    async def test_plain_answer_beside_a_connection_whose_end_was_lost_is_not_passed_on(self):
+        """Guards against a cut body that is passed on with a length that fits it."""
+        self.publish(route(RouteKind.NON_IDEMPOTENT))
+        await self.open_connection()
+        self.share(self.ending_process(b"who"))
+        self.assertEqual((await self.call()).status, 502)
+
+    @asyncio_test
+    async def test_answer_to_a_question_from_before_the_end_is_no_proof(self):
+        """Guards against a word that was on its way as its process ended."""
+        self.share(unframed(TWO_EVENTS, (EVENTS,)), self.ending_process())
+        self.target.answers_health_after_s = 0.1
+        first = asyncio.ensure_future(self.read())
+        await asyncio.sleep(0.06)
+        second = await self.read()
+        self.assertEqual((await first)[1], True)
+        self.assertEqual(second, (TWO_EVENTS, False))
+
+    @asyncio_test
+    async def test_end_is_believed_though_the_first_question_is_lost(self):
+        """Guards against whole answers that are called cut as one packet was lost."""
+        await self.pool_connection()
+        self.target.unanswered_health_checks = 1
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
+
+    @asyncio_test
+    async def test_full_target_that_refuses_the_question_is_alive(self):
+        """Guards against whole answers that are called cut as their target is full."""
+        self.target.refuses_health_checks = True
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
+
+    @asyncio_test
+    async def test_other_target_at_the_address_is_no_proof(self):
+        """Guards against a new process at the address that vouches for the one before."""
+        self.target.named_id = b"t7"
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, False))
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -55,9 +55,19 @@
 class ScriptedTarget:
     """Listen on loopback, record requests, and answer by the script, then by `default`.
 
-    `ends` records why connections ended.
+    `ends` records why connections ended. Health checks take no step and are not recorded: while it
+    `is_alive`, the target answers `answers_health_after_s` later with `named_id`, by default the
+    id of the target that is meant, or refuses them as a full one does; of the next ones it leaves
+    `unanswered_health_checks`. A stand-in that scripts health checks too has no `health_path`.
     """
 
+    health_path = b"/health"
+    is_alive = True
+    answers_health_after_s = 0.0
+    refuses_health_checks = False
+    unanswered_health_checks = 0
+    named_id: bytes | None = None
+
     def __init__(
         self, names: HeaderNames, host: str = "127.0.0.1", default: Step | None = None
     ) -> None:
@@ -67,6 +77,7 @@
         self.received: list[ReceivedRequest] = []
         self.ends: list[str] = []
         self.connections = 0
+        self.health_checks = 0
         self._in_progress = 0
         self._host = host
         self._server: asyncio.Server | None = None
@@ -106,6 +117,10 @@
         parser = h11.Connection(h11.SERVER)
         try:
             while (request := await self._read(reader, parser)) is not None:
+                if request.method == b"GET" and request.target == self.health_path:
+                    await self._answer_health_check(writer, request)
+                    parser = _next_parser(parser)
+                    continue
                 self.received.append(request)
                 step = self.script.pop(0) if self.script else self._default
                 self._in_progress += 1
@@ -124,6 +139,26 @@
             self.ends.append("closed")
             writer.close()
 
+    async def _answer_health_check(
+        self, writer: asyncio.StreamWriter, request: ReceivedRequest
+    ) -> None:
+        """Answer one health check, or leave it without an answer."""
+        self.health_checks += 1
+        step = self._health_step(request)
+        await asyncio.sleep(self.answers_health_after_s)
+        await step(writer, request)
+        await writer.drain()
+
+    def _health_step(self, request: ReceivedRequest) -> Step:
+        """Return how the next health check is answered."""
+        if not self.is_alive or self.unanswered_health_checks:
+            self.unanswered_health_checks = max(self.unanswered_health_checks - 1, 0)
+            return silent()
+        if self.refuses_health_checks:
+            return plain(503, b"", (self.names.not_run + b": 1",))
+        target_id = self.named_id or request.headers.get(self.names.expect_target, b"")
+        return plain(body=b"", fields=(self.names.instance_id + b": " + target_id,))
+
     async def _read(
         self, reader: asyncio.StreamReader, parser: h11.Connection
     ) -> ReceivedRequest | None:
