--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -102,26 +102,6 @@
         """Tell whether the last connection attempt to a target failed and it is being probed."""
         return target_id in self._watches
 
-    def has_open(self, target_id: str) -> bool:
-        """Tell whether a connection to a target is established that the target has not closed."""
-        return any(item.is_open for item in self._established.get(target_id, ()))
-
-    def count_open(self, target_id: str) -> int:
-        """Return how many connections to a target are established that it has not closed."""
-        return sum(item.is_open for item in self._established.get(target_id, ()))
-
-    def heard_s(self, target_id: str) -> float:
-        """Return when any open connection to a target last brought bytes, as monotonic time.
-
-        A new connection counts as heard when it was made; negative infinity if none is open.
-        """
-        times = (
-            max(item.made_s, item.last_heard_s)
-            for item in self._established.get(target_id, ())
-            if item.is_open
-        )
-        return max(times, default=float("-inf"))
-
     async def probe(
         self, target_id: str, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> bool:
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -133,8 +133,6 @@
         self._last_active_s = 0.0
         # When the answer to the present request was last received from, `None` for not yet.
         self.last_received_s: float | None = None
-        # When bytes last came, of whatever answer; negative infinity for never.
-        self.last_heard_s = float("-inf")
         self.made_s = read_clock()
         self.has_stray_bytes = False
         self.is_in_use = False
@@ -222,7 +220,7 @@
             self.has_stray_bytes = True
             self.abort()
             return
-        self._last_active_s = self.last_received_s = self.last_heard_s = read_clock()
+        self._last_active_s = self.last_received_s = read_clock()
         account = self.in_hand if self._account is None else self._account
         if account is not None:
             self._unread_bytes += len(data)
