--- a/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
@@ -241,6 +241,7 @@
         """Let requests share probes, and the caller of the first one leave meanwhile."""
         self.probes = 0
         self.connections.probe = self.slow_probe
+        self.targets[0].answers_health_after_s = 0.3
         self.share(*([step] * (1 + self.others)))
         # All of them are sent to the same target first.
         address = self.view.targets.record_of("t1").address
@@ -251,7 +252,7 @@
             asyncio.ensure_future(self.call(request_id=b"s%d" % number))
             for number in range(self.others)
         ]
-        while not self.probes:
+        while not self.probes and not self.targets[0].health_checks:
             await asyncio.sleep(0.005)
         await asyncio.sleep(0.1)
         self.assertEqual(len(self.received()), 1 + self.others)
@@ -271,7 +272,7 @@
         await self.check_shared(late(BROKEN))
 
     @asyncio_test
-    async def test_probe_at_the_end_of_an_unframed_answer_outlives_its_caller(self):
+    async def test_question_at_the_end_of_an_unframed_answer_outlives_its_caller(self):
         """Guards against an answer that is lost as another one's caller leaves."""
         await self.check_shared(unframed(b"whole"))
 
