Unframed ends: a question to one life of a target counts for that life alone

Callers saw: a whole answer of a target that was back under its id was called cut, or its end came late, where an end of the life before it still waited. Cause: questions under way were shared by the id alone, so an end of the new life joined the question to the old one, and a refused connection to the old address counted against it. They are now shared by id and incarnation.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -35,6 +35,10 @@
 _REFUSED = "ConnectionRefusedError"
 
 
+# The id of a target, and the sort key of its incarnation.
+_Life = tuple[str, tuple[int, int]]
+
+
 class _Word(StrEnum):
     """What a question to a target brought."""
 
@@ -57,7 +61,8 @@
         self._target_states = target_states
         self._checks = HealthChecks(target_states, names)
         self._tallies = tallies
-        self._questions: dict[str, _Question] = {}
+        # By the life of a target, since what one life is asked shows nothing of another.
+        self._questions: dict[_Life, _Question] = {}
 
     async def has_outlived(self, target: TargetRecord, request_id: bytes) -> bool:
         """Return whether a target ended the unframed answer that has just ended.
@@ -111,13 +116,13 @@
 
         The first is asked on a pooled connection, if there is one: that is of the same process.
         """
-        target_id = target.target_id
-        question = self._questions.get(target_id)
+        life = (target.target_id, target.incarnation)
+        question = self._questions.get(life)
         if question is None:
             self._tallies.count("unframed_end_questions")
             asking = asyncio.ensure_future(self._ask(target, must_be_new=not is_first))
-            question = self._questions[target_id] = _Question(read_clock(), asking)
-            asking.add_done_callback(lambda _: self._questions.pop(target_id))
+            question = self._questions[life] = _Question(read_clock(), asking)
+            asking.add_done_callback(lambda _: self._questions.pop(life))
         return question
 
     async def _ask(self, target: TargetRecord, must_be_new: bool) -> _Word:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
@@ -11,6 +11,7 @@
 from damaskwind.router.forwarding.tests.bench import route
 from damaskwind.router.forwarding.tests.test_unframed_answers import EVENTS, UnframedTestCase
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.scripted_target import event, plain, unframed
 
 TWO_EVENTS = event(1) + event(2)
@@ -58,6 +59,13 @@
         self.share(plain(), plain())
         await asyncio.gather(*(self.call(request_id=b"r%d" % number) for number in (2, 3)))
 
+    def end_life(self):
+        """Register the target in another life, with another process at another address."""
+        record = self.view.targets.record_of("t0")
+        address = self.view.targets.record_of("t1").address
+        following = record._replace(born_ms=record.born_ms + 1, address=address)
+        self.view.targets.merge(following, read_clock())
+
 
 class UnheardEndTest(UnheardEndTestCase):
     @asyncio_test
@@ -119,3 +127,17 @@
         self.target.named_id = b"t7"
         self.share(unframed(TWO_EVENTS, (EVENTS,)))
         self.assertEqual(await self.read(), (TWO_EVENTS, False))
+
+    @asyncio_test
+    async def test_question_to_an_earlier_life_counts_for_that_one_alone(self):
+        """Guards against a whole answer that is called cut as the life before it was gone."""
+        self.target.answers_health_after_s = 0.3
+        self.share(unframed(TWO_EVENTS, (EVENTS,)), unframed(TWO_EVENTS, (EVENTS,)))
+        first = asyncio.ensure_future(self.read())
+        await asyncio.sleep(0.1)
+        self.target.named_id = b"t7"
+        self.end_life()
+        begun_s = read_clock()
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
+        self.assertLess(read_clock() - begun_s, 0.15)
+        self.assertEqual((await first)[1], False)
