Unframed ends: a late answer to another request is no word of the target

Callers saw: a cut stream that ended as complete, or a whole one called cut, where an answer to an earlier request came late on the pooled connection of the question. Cause: a health check took the first answer that came for its own; a late refusal counted as the target's refusal of the check, a late 421 as another process at the address. A check carries no id, so an answer that states one belongs to another request, and is skipped as on the path of requests. Evidence: both new tests failed before and pass after.

--- a/packages/router/src/damaskwind/router/forwarding/health_checks.py
+++ b/packages/router/src/damaskwind/router/forwarding/health_checks.py
@@ -6,13 +6,15 @@
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.router.forwarding.answer_heads import MISDIRECTED
 from damaskwind.router.forwarding.target_states import TargetStates
-from damaskwind.runtime.http1.client import AnswerHead, ClientConnection
+from damaskwind.runtime.http1.client import AnswerBrokenError, AnswerHead, ClientConnection
 from damaskwind.runtime.http1.messages import Request, header
 
 __all__ = ["HealthChecks"]
 
 # Health answers are short.
 ANSWER_LIMIT_BYTES = 16_384
+# So many late answers of earlier requests are skipped on one connection.
+SKIPPED_ANSWERS = 2
 # Characters of a path and its query that are sent as they are, besides letters and digits.
 PATH_CHARACTERS = "/?&=%:@!$'()*+,;~"
 
@@ -55,14 +57,26 @@
         """Send a health check and return the head of its answer; pool a clean connection."""
         try:
             connection.send(self._request(target))
-            head = await connection.read_head()
-            await connection.read_body(ANSWER_LIMIT_BYTES)
+            head = await self._read_own(connection)
             self._connections.release(target.target_id, connection, head.headers)
             return head
         finally:
             if connection.is_in_use:
                 connection.abort()
 
+    async def _read_own(self, connection: ClientConnection) -> AnswerHead:
+        """Read the answer to a health check, skip those to other requests; return its head.
+
+        A check has no id, so that an answer which states one is late, of an earlier request.
+        """
+        for _ in range(SKIPPED_ANSWERS + 1):
+            head = await connection.read_head()
+            await connection.read_body(ANSWER_LIMIT_BYTES)
+            if not header(head.headers, self._names.request_id):
+                return head
+            connection.skip_answer()
+        raise AnswerBrokenError("only answers to other requests came")
+
     def _request(self, target: TargetRecord) -> Request:
         """Return a health check that only this target should answer."""
         headers = [
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
@@ -8,7 +8,7 @@
 
 from damaskwind.decisions.membership.target_record import TargetPhase
 from damaskwind.model.traffic_configuration import RouteKind
-from damaskwind.router.forwarding.tests.bench import route
+from damaskwind.router.forwarding.tests.bench import NAMES, route
 from damaskwind.router.forwarding.tests.test_unframed_answers import EVENTS, UnframedTestCase
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
@@ -17,6 +17,26 @@
 TWO_EVENTS = event(1) + event(2)
 
 
+def late_answer(status):
+    """Return the bytes of a refusal of a request that was sent earlier."""
+    return (
+        b"HTTP/1.1 %d X\r\nx-request-id: r7\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n" % status
+    )
+
+
+async def late_refusal(writer, request):
+    """Write what was on its way before the process ended, and nothing else."""
+    writer.write(late_answer(503))
+    await asyncio.sleep(60.0)
+
+
+async def late_misdirection_then_health(writer, request):
+    """Write a late answer, then that to the health check."""
+    writer.write(late_answer(421))
+    named = NAMES.instance_id + b": " + request.headers[NAMES.expect_target]
+    await plain(body=b"", fields=(named,))(writer, request)
+
+
 class UnheardEndTestCase(UnframedTestCase):
     """One target serves, whose process ends with an unframed answer."""
 
@@ -141,3 +161,19 @@
         self.assertEqual(await self.read(), (TWO_EVENTS, True))
         self.assertLess(read_clock() - begun_s, 0.15)
         self.assertEqual((await first)[1], False)
+
+    @asyncio_test
+    async def test_late_refusal_of_another_request_is_no_proof(self):
+        """Guards against an answer that was on its way as its process ended, read as its word."""
+        await self.pool_connection()
+        self.target.health_step = late_refusal
+        self.share(self.ending_process())
+        self.assertEqual(await self.read(), (TWO_EVENTS, False))
+
+    @asyncio_test
+    async def test_late_answer_of_another_target_to_another_request_is_no_word_against_it(self):
+        """Guards against a whole answer that is called cut for what came late."""
+        await self.pool_connection()
+        self.target.health_step = late_misdirection_then_health
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -58,7 +58,7 @@
     `ends` records why connections ended. Health checks take no step and are not recorded: while it
     `is_alive`, the target answers `answers_health_after_s` later with `named_id`, by default the
     id of the target that is meant, or refuses them as a full one does; of the next ones it leaves
-    `unanswered_health_checks`. A stand-in that scripts health checks too has no `health_path`.
+    `unanswered_health_checks`. A `health_step` answers them in place of all that. A stand-in that scripts health checks too has no `health_path`.
     """
 
     health_path = b"/health"
@@ -67,6 +67,7 @@
     refuses_health_checks = False
     unanswered_health_checks = 0
     named_id: bytes | None = None
+    health_step: "Step | None" = None
 
     def __init__(
         self, names: HeaderNames, host: str = "127.0.0.1", default: Step | None = None
@@ -151,6 +152,8 @@
 
     def _health_step(self, request: ReceivedRequest) -> Step:
         """Return how the next health check is answered."""
+        if self.health_step is not None:
+            return self.health_step
         if not self.is_alive or self.unanswered_health_checks:
             self.unanswered_health_checks = max(self.unanswered_health_checks - 1, 0)
             return silent()
