Unframed ends: a question that fails unexpectedly is asked again

Callers saw: a whole answer broken off by an error of the question after its target. Cause: the error went through to each answer that waited for it. It now counts as no word, is logged once, and the question is asked again within the time. Evidence: the test of it failed before; that a caller who leaves ends no shared question passed before as well and guards it.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -96,7 +96,7 @@
             question = self._join_question(target, is_first=tries == 0)
             asked_s, answer = question
             await asyncio.wait([answer], timeout=left_s)
-            word = answer.result() if answer.done() else _Word.NONE
+            word = _word_of(answer)
             if word is _Word.GONE or not self._is_same_life(target):
                 return _Word.GONE, asked_s
             if word is _Word.ALIVE and asked_s >= settled_s:
@@ -123,6 +123,7 @@
             asking = asyncio.ensure_future(self._ask(target, must_be_new=not is_first))
             question = self._questions[life] = _Question(read_clock(), asking)
             asking.add_done_callback(lambda _: self._questions.pop(life))
+            asking.add_done_callback(_log_failure)
         return question
 
     async def _ask(self, target: TargetRecord, must_be_new: bool) -> _Word:
@@ -143,3 +144,16 @@
         checks = self._checks
         is_alive = checks.is_named_by(head, target) or checks.is_refused_by(head, target)
         return _Word.ALIVE if is_alive else _Word.NONE
+
+
+def _word_of(answer: asyncio.Task[_Word]) -> _Word:
+    """Return what a question brought so far; one that failed here shows nothing."""
+    has_failed = answer.done() and (answer.cancelled() or answer.exception() is not None)
+    return answer.result() if answer.done() and not has_failed else _Word.NONE
+
+
+def _log_failure(answer: asyncio.Task[_Word]) -> None:
+    """Log an error that is not among those that a question expects."""
+    error = None if answer.cancelled() else answer.exception()
+    if error is not None:
+        logger.opt(exception=error).error("question to a target failed")
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
@@ -8,6 +8,7 @@
 
 from damaskwind.decisions.membership.target_record import TargetPhase
 from damaskwind.model.traffic_configuration import RouteKind
+from damaskwind.router.forwarding.health_checks import HealthChecks
 from damaskwind.router.forwarding.tests.bench import NAMES, route
 from damaskwind.router.forwarding.tests.test_unframed_answers import EVENTS, UnframedTestCase
 from damaskwind.runtime.bridge import asyncio_test
@@ -79,6 +80,10 @@
         self.share(plain(), plain())
         await asyncio.gather(*(self.call(request_id=b"r%d" % number) for number in (2, 3)))
 
+    def questions_under_way(self):
+        """Return how many questions the router remembers."""
+        return len(self.forwarder.sender.answer_ends._questions)
+
     def end_life(self):
         """Register the target in another life, with another process at another address."""
         record = self.view.targets.record_of("t0")
@@ -177,3 +182,32 @@
         self.target.health_step = late_misdirection_then_health
         self.share(unframed(TWO_EVENTS, (EVENTS,)))
         self.assertEqual(await self.read(), (TWO_EVENTS, True))
+
+    @asyncio_test
+    async def test_end_is_believed_though_the_first_question_fails_unexpectedly(self):
+        """Guards against a whole answer that is lost with an unforeseen error of a question."""
+        send = HealthChecks.send
+        failures = [RuntimeError("scripted")]
+
+        async def fail_once(*args):
+            if failures:
+                raise failures.pop()
+            return await send(*args)
+
+        self.patch(HealthChecks, "send", fail_once)
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
+
+    @asyncio_test
+    async def test_question_goes_on_though_a_caller_of_it_has_left(self):
+        """Guards against ends that are called cut as a caller that shares their question leaves."""
+        self.target.answers_health_after_s = 0.2
+        self.share(*[unframed(TWO_EVENTS, (EVENTS,))] * 2)
+        leaving = await self.connect()
+        leaving.send(self.request(request_id=b"r2"))
+        await leaving.read_head()
+        staying = asyncio.ensure_future(self.read())
+        await asyncio.sleep(0.1)
+        leaving.abort()
+        self.assertEqual(await staying, (TWO_EVENTS, True))
+        self.assertEqual(self.questions_under_way(), 0)
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -58,7 +58,8 @@
     `ends` records why connections ended. Health checks take no step and are not recorded: while it
     `is_alive`, the target answers `answers_health_after_s` later with `named_id`, by default the
     id of the target that is meant, or refuses them as a full one does; of the next ones it leaves
-    `unanswered_health_checks`. A `health_step` answers them in place of all that. A stand-in that scripts health checks too has no `health_path`.
+    `unanswered_health_checks`. A `health_step` answers them in place of all that. A stand-in that
+    scripts health checks too has no `health_path`.
     """
 
     health_path = b"/health"
