Unframed ends: a question goes on until it is answered, beside later ones

Callers saw: whole answers called cut where the target was busy (its health check waits for a slot longer than 0.4 s) or took no more connections, and ends that came 0.4 s late behind a question that was lost. Cause: a question that brought nothing within 0.4 s was dropped, with its place in the target's queue, all later ones were asked on new connections alone, and an end that came meanwhile waited for the earlier question. Now a question goes on for 1 s; if it is silent for 0.4 s (0.1 s for an end that came after it) another is asked on a new connection beside it, and one whose connection broke is followed by one on a pooled connection. The first answer counts.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -27,8 +27,10 @@
 
 # How long an end waits for the target's word. A lost packet is sent again after some 0.2 s.
 PROOF_S = 1.0
-# After this time a question is asked again on another connection: this one may be silent for good.
+# After this time another question is asked on another connection: this one may be silent for good.
 ANSWER_S = 0.4
+# An end that comes after a question was asked waits so long for it to end before it asks its own.
+SHARE_S = 0.1
 # A connection that is reset before an answer comes is followed by another one after this time.
 RETRY_S = 0.05
 # A machine on which nothing listens at the target's address.
@@ -62,7 +64,7 @@
         self._checks = HealthChecks(target_states, names)
         self._tallies = tallies
         # By the life of a target, since what one life is asked shows nothing of another.
-        self._questions: dict[_Life, _Question] = {}
+        self._questions: dict[_Life, list[_Question]] = {}
 
     async def has_outlived(self, target: TargetRecord, request_id: bytes) -> bool:
         """Return whether a target ended the unframed answer that has just ended.
@@ -88,21 +90,22 @@
     async def _find_word(self, target: TargetRecord, settled_s: float) -> tuple[_Word, float]:
         """Return what a question brought that was asked after `settled_s`, and when it was asked.
 
-        An end joins a question that is under way, since what that brings against the target
-        counts for all; what speaks for it counts only if it was asked late enough.
+        Ends at the same target share questions. What these bring against the target counts for
+        all ends; what speaks for it counts for an end only if it was asked late enough.
         """
-        until_s, asked_s, tries = settled_s + PROOF_S, settled_s, 0
+        until_s, asked_s = settled_s + PROOF_S, settled_s
         while self._is_same_life(target) and (left_s := until_s - read_clock()) > 0:
-            question = self._join_question(target, is_first=tries == 0)
-            asked_s, answer = question
-            await asyncio.wait([answer], timeout=left_s)
-            word = _word_of(answer)
-            if word is _Word.GONE or not self._is_same_life(target):
-                return _Word.GONE, asked_s
-            if word is _Word.ALIVE and asked_s >= settled_s:
-                return _Word.ALIVE, asked_s
-            if word is _Word.NONE:
-                tries += 1
+            questions = self._ask_if_due(target, settled_s)
+            wait_s = min(left_s, max(_due_s(questions[-1], settled_s) - read_clock(), 0.0))
+            answers = [question.answer for question in questions]
+            await asyncio.wait(answers, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+            for asked_s, answer in questions:
+                word = _word_of(answer)
+                if word is _Word.GONE or not self._is_same_life(target):
+                    return _Word.GONE, asked_s
+                if word is _Word.ALIVE and asked_s >= settled_s:
+                    return _Word.ALIVE, asked_s
+            if all(answer.done() and _word_of(answer) is _Word.NONE for answer in answers):
                 await asyncio.sleep(RETRY_S)
         return _Word.NONE, asked_s
 
@@ -111,26 +114,42 @@
         known = self._target_states.view.targets.record_of(target.target_id)
         return known is not None and known.incarnation == target.incarnation
 
-    def _join_question(self, target: TargetRecord, is_first: bool) -> _Question:
-        """Return the question to a target that is under way, or ask one.
+    def _ask_if_due(self, target: TargetRecord, settled_s: float) -> list[_Question]:
+        """Return the questions to a target that are under way, and ask another one if it is due.
 
         The first is asked on a pooled connection, if there is one: that is of the same process.
+        If it is not answered soon, others follow on new connections, and it goes on.
         """
         life = (target.target_id, target.incarnation)
-        question = self._questions.get(life)
-        if question is None:
-            self._tallies.count("unframed_end_questions")
-            asking = asyncio.ensure_future(self._ask(target, must_be_new=not is_first))
-            question = self._questions[life] = _Question(read_clock(), asking)
-            asking.add_done_callback(lambda _: self._questions.pop(life))
-            asking.add_done_callback(_log_failure)
+        questions = self._questions.get(life, [])
+        if not questions or read_clock() >= _due_s(questions[-1], settled_s):
+            questions = [*questions, self._begin_question(target, must_be_new=bool(questions))]
+            self._questions[life] = questions
+        return questions
+
+    def _begin_question(self, target: TargetRecord, must_be_new: bool) -> _Question:
+        """Ask a target, and forget the question once it has ended."""
+        self._tallies.count("unframed_end_questions")
+        asked_s = read_clock()
+        question = _Question(asked_s, asyncio.ensure_future(self._ask(target, must_be_new)))
+        question.answer.add_done_callback(lambda _: self._forget(target, question))
+        question.answer.add_done_callback(_log_failure)
         return question
 
+    def _forget(self, target: TargetRecord, question: _Question) -> None:
+        """Drop a question that has ended."""
+        life = (target.target_id, target.incarnation)
+        left = [other for other in self._questions[life] if other is not question]
+        if left:
+            self._questions[life] = left
+        else:
+            del self._questions[life]
+
     async def _ask(self, target: TargetRecord, must_be_new: bool) -> _Word:
         """Ask a target for its id."""
         try:
-            async with asyncio.timeout(ANSWER_S):
-                head = await self._checks.send(target, ANSWER_S, must_be_new)
+            async with asyncio.timeout(PROOF_S):
+                head = await self._checks.send(target, PROOF_S, must_be_new)
         except ConnectFailedError as error:
             return _Word.GONE if str(error) == _REFUSED else _Word.NONE
         except (AnswerBrokenError, TimeoutError):
@@ -146,6 +165,11 @@
         return _Word.ALIVE if is_alive else _Word.NONE
 
 
+def _due_s(latest: _Question, settled_s: float) -> float:
+    """Return when an end that settled at `settled_s` asks again after the latest question."""
+    return latest.asked_s + (ANSWER_S if latest.asked_s >= settled_s else SHARE_S)
+
+
 def _word_of(answer: asyncio.Task[_Word]) -> _Word:
     """Return what a question brought so far; one that failed here shows nothing."""
     has_failed = answer.done() and (answer.cancelled() or answer.exception() is not None)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unframed_answers.py
@@ -18,10 +18,10 @@
 
 
 class UnframedTestCase(ForwarderTestCase):
-    async def read(self):
+    async def read(self, **extra):
         """Return what a caller gets of an answer, and whether it was complete."""
         connection = await self.connect()
-        connection.send(self.request())
+        connection.send(self.request(**extra))
         await connection.read_head()
         pieces = []
         try:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
@@ -13,7 +13,8 @@
 from damaskwind.router.forwarding.tests.test_unframed_answers import EVENTS, UnframedTestCase
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
-from damaskwind.standins.scripted_target import event, plain, unframed
+from damaskwind.runtime.http1.client import ConnectFailedError
+from damaskwind.standins.scripted_target import ScriptedEndError, event, plain, unframed
 
 TWO_EVENTS = event(1) + event(2)
 
@@ -75,10 +76,16 @@
         self.addCleanup(other.cancel)
         await waiting.wait()
 
-    async def pool_connection(self):
-        """Leave two connections to the target that no request uses."""
-        self.share(plain(), plain())
-        await asyncio.gather(*(self.call(request_id=b"r%d" % number) for number in (2, 3)))
+    async def pool_connection(self, count=2):
+        """Leave connections to the target that no request uses."""
+
+        async def answer_together(writer, request):
+            await asyncio.sleep(0.05)
+            await plain()(writer, request)
+
+        self.share(*[answer_together] * count)
+        calls = [self.call(request_id=b"r%d" % (number + 2)) for number in range(count)]
+        await asyncio.gather(*calls)
 
     def questions_under_way(self):
         """Return how many questions the router remembers."""
@@ -211,3 +218,52 @@
         leaving.abort()
         self.assertEqual(await staying, (TWO_EVENTS, True))
         self.assertEqual(self.questions_under_way(), 0)
+
+    @asyncio_test
+    async def test_question_that_waits_for_a_slot_stays_in_its_queue(self):
+        """Guards against whole answers that are called cut as their target is busy."""
+        self.target.answers_health_after_s = 0.7
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
+
+    @asyncio_test
+    async def test_end_does_not_wait_for_long_behind_a_question_that_is_lost(self):
+        """Guards against ends that come 0.4 s late, as the question before them was lost."""
+        await self.pool_connection()
+        self.target.unanswered_health_checks = 1
+        self.share(*[unframed(TWO_EVENTS, (EVENTS,))] * 2)
+        first = asyncio.ensure_future(self.read())
+        await asyncio.sleep(0.1)
+        begun_s = read_clock()
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
+        self.assertLess(read_clock() - begun_s, 0.25)
+        self.assertEqual(await first, (TWO_EVENTS, True))
+
+    @asyncio_test
+    async def test_question_is_asked_at_a_target_that_takes_no_more_connections(self):
+        """Guards against whole answers that are called cut at a target's connection limit."""
+        await self.pool_connection(3)
+        self.target.health_step = self.closing_once
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        connect = self.connections.connect
+
+        async def reset(address, timeout_s):
+            raise ConnectFailedError("ConnectionResetError")
+
+        self.connections.connect = reset
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
+        self.connections.connect = connect
+
+    async def closing_once(self, writer, request):
+        """Close the connection of the next health check, as it was idle for too long."""
+        self.target.health_step = None
+        raise ScriptedEndError("scripted end")
+
+    @asyncio_test
+    async def test_end_that_waits_for_its_proof_is_not_held_beyond_the_deadline(self):
+        """Guards against callers that wait longer than they asked for."""
+        self.target.answers_health_after_s = 60.0
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        begun_s = read_clock()
+        self.assertEqual(await self.read(x_deadline_ms=b"300"), (TWO_EVENTS, False))
+        self.assertLess(read_clock() - begun_s, 0.45)
