--- a/packages/standins/src/damaskwind/standins/crashing_target.py
+++ b/packages/standins/src/damaskwind/standins/crashing_target.py
@@ -37,7 +37,8 @@
 class CrashingTarget(ScriptedTarget):
     """Answer after `work_s`, or crash `crash_delay_s` after a fatal request.
 
-    `crashes_s` are the times of the crashes. `target_id` changes with each incarnation.
+    `crashes_s` are the times of the crashes. `target_id` changes with each incarnation;
+    health checks are answered with the one that runs.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         """Start an incarnation; the address stays the same."""
         self.address = await super().start(self.address.port if self.address else port)
         self.target_id = f"i-{next(_TARGET_NUMBERS):06x}"
+        self.named_id = self.target_id.encode()
         self.is_running = True
         return self.address
 
--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -61,7 +61,7 @@
     `unanswered_health_checks`. A stand-in that scripts health checks too has no `health_path`.
     """
 
-    health_path = b"/health"
+    health_path: bytes | None = b"/health"
     is_alive = True
     answers_health_after_s = 0.0
     refuses_health_checks = False
