--- /dev/null
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends_restarts.py
@@ -0,0 +1,31 @@
+"""Tests of unframed answers of targets whose process ends and soon starts again."""
+
+import asyncio
+
+from damaskwind.router.forwarding.tests.bench import NAMES
+from damaskwind.router.forwarding.tests.test_unheard_ends import TWO_EVENTS
+from damaskwind.router.forwarding.tests.test_unheard_ends_behind_links import LinkedTestCase
+from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.standins.scripted_target import ScriptedTarget
+
+# How long a process takes to start again.
+DOWN_S = 0.1
+
+
+class RestartedTargetTest(LinkedTestCase):
+    async def start_again(self):
+        """Start the next process of the target, under the same id, of which no report is heard."""
+        await asyncio.sleep(DOWN_S)
+        following = ScriptedTarget(NAMES)
+        self.targets.append(following)
+        self.link.target = await following.start()
+
+    @asyncio_test
+    async def test_process_that_started_again_under_the_same_id_is_no_proof(self):
+        """Guards against a restarted process that vouches for the answer of the one before it."""
+        self.share(self.ending_process())
+        reading = asyncio.ensure_future(self.read())
+        while self.target.is_alive:
+            await asyncio.sleep(0.001)
+        await self.start_again()
+        self.assertEqual(await reading, (TWO_EVENTS, False))
