--- a/packages/standins/src/damaskwind/standins/scripted_target.py
+++ b/packages/standins/src/damaskwind/standins/scripted_target.py
@@ -62,7 +62,7 @@
     scripts health checks too has no `health_path`.
     """
 
-    health_path = b"/health"
+    health_path: bytes | None = b"/health"
     is_alive = True
     answers_health_after_s = 0.0
     refuses_health_checks = False
