Unframed ends: a target that may be back under its id vouches for itself alone

Callers saw (by reading and a test; the soak restarts targets so): a stream cut by a restart that ends as complete. Cause: a target that is back under its id, before its report has reached the router, answered the question with that id. Now, at a target that reports its start (so that an id may name several lives), once a question was reset only an answer on a connection from before the end counts, since that one leads to the same process. Targets that report no start have a new id in each life, and are asked as before, so that their resets at a connection limit cut nothing. What remains: such a target that ended and was back before the first question, 20 ms after its end was seen, or while it was silent.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from enum import StrEnum
+from math import inf
 from typing import NamedTuple
 
 from loguru import logger
@@ -33,8 +34,6 @@
 SHARE_S = 0.1
 # A connection that is reset before an answer comes is followed by another one after this time.
 RETRY_S = 0.05
-# A machine on which nothing listens at the target's address.
-_REFUSED = "ConnectionRefusedError"
 
 
 # The id of a target, and the sort key of its incarnation.
@@ -42,18 +41,65 @@
 
 
 class _Word(StrEnum):
-    """What a question to a target brought."""
+    """What a question to a target brought; `UNSURE` is the word of what may be another life."""
 
     ALIVE = "alive"
     GONE = "gone"
+    UNSURE = "unsure"
+    RESET = "reset"
     NONE = "none"
 
 
+# By the failure of a connection: on a machine that refuses, nothing listens at the address.
+_WORD_OF_FAILURE = {
+    ConnectionRefusedError.__name__: _Word.GONE,
+    ConnectionResetError.__name__: _Word.RESET,
+}
+_DECIDED = (_Word.ALIVE, _Word.GONE, _Word.UNSURE)
+
+
+class _Found(NamedTuple):
+    """What a question brought, by a connection that was made at `connected_s`."""
+
+    word: _Word
+    connected_s: float = inf
+
+
 class _Question(NamedTuple):
     """A question that was sent at `asked_s`, and the task that waits for its answer."""
 
     asked_s: float
-    answer: asyncio.Task[_Word]
+    answer: asyncio.Task[_Found]
+
+
+class _WaitingEnd:
+    """The end of one answer, which waits for its target's word."""
+
+    def __init__(self, target: TargetRecord, ended_s: float, settled_s: float) -> None:
+        self.target = target
+        self.settled_s = settled_s
+        self._ended_s = ended_s
+        self._was_reset = False
+
+    def judge(self, question: _Question) -> _Word:
+        """Return what a question shows of this end."""
+        found = _found_by(question.answer)
+        if found.word is _Word.RESET:
+            self._was_reset = True
+        if found.word is not _Word.ALIVE:
+            return found.word
+        if question.asked_s < self.settled_s:
+            return _Word.NONE
+        return _Word.UNSURE if self._may_be_another_life(found) else _Word.ALIVE
+
+    def _may_be_another_life(self, found: _Found) -> bool:
+        """Return whether the target may have ended and be back under its id.
+
+        One that reports its start may come back so. A connection from before the end leads to
+        the life that answered.
+        """
+        is_newer = found.connected_s > self._ended_s
+        return self.target.born_ms > 0 and self._was_reset and is_newer
 
 
 class AnswerEnds:
@@ -75,7 +121,7 @@
         """
         ended_s = read_clock()
         await asyncio.sleep(SETTLE_S)
-        word, asked_s = await self._find_word(target, read_clock())
+        word, asked_s = await self._find_word(_WaitingEnd(target, ended_s, read_clock()))
         self._tallies.count("unframed_end_checks", found=word.value)
         logger.info(
             "unframed end checked",
@@ -87,27 +133,28 @@
         )
         return word is _Word.ALIVE
 
-    async def _find_word(self, target: TargetRecord, settled_s: float) -> tuple[_Word, float]:
-        """Return what a question brought that was asked after `settled_s`, and when it was asked.
+    async def _find_word(self, end: _WaitingEnd) -> tuple[_Word, float]:
+        """Return what a question showed of an end, and when it was asked.
 
         Ends at the same target share questions. What these bring against the target counts for
         all ends; what speaks for it counts for an end only if it was asked late enough.
         """
-        until_s, asked_s = settled_s + PROOF_S, settled_s
+        target, settled_s = end.target, end.settled_s
+        until_s = settled_s + PROOF_S
         while self._is_same_life(target) and (left_s := until_s - read_clock()) > 0:
             questions = self._ask_if_due(target, settled_s)
             wait_s = min(left_s, max(_due_s(questions[-1], settled_s) - read_clock(), 0.0))
             answers = [question.answer for question in questions]
             await asyncio.wait(answers, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
-            for asked_s, answer in questions:
-                word = _word_of(answer)
-                if word is _Word.GONE or not self._is_same_life(target):
-                    return _Word.GONE, asked_s
-                if word is _Word.ALIVE and asked_s >= settled_s:
-                    return _Word.ALIVE, asked_s
-            if all(answer.done() and _word_of(answer) is _Word.NONE for answer in answers):
+            for question in questions:
+                word = end.judge(question)
+                if word in _DECIDED:
+                    return word if self._is_same_life(target) else _Word.GONE, question.asked_s
+            if all(
+                answer.done() and _found_by(answer).word is not _Word.ALIVE for answer in answers
+            ):
                 await asyncio.sleep(RETRY_S)
-        return _Word.NONE, asked_s
+        return _Word.NONE, settled_s
 
     def _is_same_life(self, target: TargetRecord) -> bool:
         """Return whether the process that was sent to is the one that is registered now."""
@@ -145,16 +192,18 @@
         else:
             del self._questions[life]
 
-    async def _ask(self, target: TargetRecord, must_be_new: bool) -> _Word:
+    async def _ask(self, target: TargetRecord, must_be_new: bool) -> _Found:
         """Ask a target for its id."""
         try:
             async with asyncio.timeout(PROOF_S):
-                head = await self._checks.send(target, PROOF_S, must_be_new)
+                head, connected_s = await self._checks.send(target, PROOF_S, must_be_new)
         except ConnectFailedError as error:
-            return _Word.GONE if str(error) == _REFUSED else _Word.NONE
-        except (AnswerBrokenError, TimeoutError):
-            return _Word.NONE
-        return self._read(head, target)
+            return _Found(_WORD_OF_FAILURE.get(str(error), _Word.NONE))
+        except AnswerBrokenError:
+            return _Found(_Word.RESET)
+        except TimeoutError:
+            return _Found(_Word.NONE)
+        return _Found(self._read(head, target), connected_s)
 
     def _read(self, head: AnswerHead, target: TargetRecord) -> _Word:
         """Return what the answer to a question shows."""
@@ -170,13 +219,13 @@
     return latest.asked_s + (ANSWER_S if latest.asked_s >= settled_s else SHARE_S)
 
 
-def _word_of(answer: asyncio.Task[_Word]) -> _Word:
+def _found_by(answer: asyncio.Task[_Found]) -> _Found:
     """Return what a question brought so far; one that failed here shows nothing."""
     has_failed = answer.done() and (answer.cancelled() or answer.exception() is not None)
-    return answer.result() if answer.done() and not has_failed else _Word.NONE
+    return answer.result() if answer.done() and not has_failed else _Found(_Word.NONE)
 
 
-def _log_failure(answer: asyncio.Task[_Word]) -> None:
+def _log_failure(answer: asyncio.Task[_Found]) -> None:
     """Log an error that is not among those that a question expects."""
     error = None if answer.cancelled() else answer.exception()
     if error is not None:
--- a/packages/router/src/damaskwind/router/forwarding/health_checks.py
+++ b/packages/router/src/damaskwind/router/forwarding/health_checks.py
@@ -1,5 +1,6 @@
 """Send health checks that only the target they are meant for should answer."""
 
+from typing import NamedTuple
 from urllib.parse import quote
 
 from damaskwind.decisions.membership.target_record import TargetRecord
@@ -9,7 +10,7 @@
 from damaskwind.runtime.http1.client import AnswerBrokenError, AnswerHead, ClientConnection
 from damaskwind.runtime.http1.messages import Request, header
 
-__all__ = ["HealthChecks"]
+__all__ = ["HealthAnswer", "HealthChecks"]
 
 # Health answers are short.
 ANSWER_LIMIT_BYTES = 16_384
@@ -19,6 +20,13 @@
 PATH_CHARACTERS = "/?&=%:@!$'()*+,;~"
 
 
+class HealthAnswer(NamedTuple):
+    """The head of the answer to a health check, and when its connection was made."""
+
+    head: AnswerHead
+    connected_s: float
+
+
 class HealthChecks:
     """The health checks of one router; they are sent on pooled connections."""
 
@@ -29,8 +37,8 @@
 
     async def send(
         self, target: TargetRecord, timeout_s: float, must_be_new: bool = False
-    ) -> AnswerHead:
-        """Check a target and return the head of the answer; pool a clean connection.
+    ) -> HealthAnswer:
+        """Check a target and return its answer; pool a clean connection.
 
         Raise `ConnectFailedError` if there is no connection within `timeout_s`, and
         `AnswerBrokenError` if no whole answer comes. How long that takes is up to the caller.
@@ -38,7 +46,7 @@
         connection = await self._connections.acquire(
             target.target_id, target.address, timeout_s, must_be_new=must_be_new
         )
-        return await self._exchange(connection, target)
+        return HealthAnswer(await self._exchange(connection, target), connection.made_s)
 
     def is_named_by(self, head: AnswerHead, target: TargetRecord) -> bool:
         """Return whether an answer names a target as the one that gave it."""
--- a/packages/router/src/damaskwind/router/forwarding/speed_probes.py
+++ b/packages/router/src/damaskwind/router/forwarding/speed_probes.py
@@ -78,7 +78,7 @@
         """Probe one target; tell whether it reported its load by the deadline."""
         try:
             async with asyncio.timeout(PROBE_DEADLINE_S):
-                head = await self._checks.send(target, PROBE_DEADLINE_S)
+                head, _ = await self._checks.send(target, PROBE_DEADLINE_S)
         except (TimeoutError, ConnectFailedError, AnswerBrokenError):
             return False
         if not self._checks.is_named_by(head, target):
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
@@ -267,3 +267,28 @@
         begun_s = read_clock()
         self.assertEqual(await self.read(x_deadline_ms=b"300"), (TWO_EVENTS, False))
         self.assertLess(read_clock() - begun_s, 0.45)
+
+    @asyncio_test
+    async def test_target_back_under_its_id_is_no_proof_once_a_connection_was_reset(self):
+        """Guards against a new life that vouches for the one before, not yet reported."""
+        record = self.view.targets.record_of("t0")
+        self.view.targets.merge(record._replace(born_ms=5, sequence=101), read_clock())
+        self.target.health_step = self.closing_once
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, False))
+
+    @asyncio_test
+    async def test_reset_of_a_question_is_no_word_against_a_target_whose_id_names_its_life(self):
+        """Guards against whole answers that are called cut at a target's connection limit."""
+        self.target.health_step = self.closing_once
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
+
+    @asyncio_test
+    async def test_older_connection_is_proof_at_a_target_that_may_be_back_under_its_id(self):
+        record = self.view.targets.record_of("t0")
+        self.view.targets.merge(record._replace(born_ms=5, sequence=101), read_clock())
+        await self.pool_connection(3)
+        self.target.health_step = self.closing_once
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertEqual(await self.read(), (TWO_EVENTS, True))
