Suspicions: what no replica confirmed is sent to the one that takes its place

A router that was cut off from all replicas for more than 10 s dropped the suspicions of before: it sent a replica that it heard first only those of the last 10 s. The test fails without the change.

--- a/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
@@ -163,12 +163,15 @@
         self._start_sending(host)
 
     def _update_reported(self, now_s: float) -> None:
-        """Choose the replicas that are sent changes; a new one is sent all recent changes."""
+        """Choose the replicas that are sent changes; a new one is sent what it may lack."""
         reported = self.order_hosts()[:REPORTED_REPLICAS]
         recent = self.table.changed_after(now_s - RECENT_S) if reported != self._reported else ()
+        dropped = [host for host in self._reported if host not in reported]
+        # What a dropped replica did not confirm may be known to no other one, however old it is.
+        unsent = [digest for host in dropped for digest in self._pending[host]]
         for host in set(reported) - set(self._reported):
-            self._pending.setdefault(host, {}).update(dict.fromkeys(recent))
-        for host in set(self._reported) - set(reported):
+            self._pending.setdefault(host, {}).update(dict.fromkeys((*recent, *unsent)))
+        for host in dropped:
             self._pending[host].clear()
         self._reported = reported
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_suspicion_relay.py
@@ -80,6 +80,21 @@
         self.hear("a")
         self.assertEqual(await self.end_calls(), [("a", b"x")])
 
+    @asyncio_test
+    async def test_change_that_no_replica_confirmed_is_sent_when_another_is_heard(self):
+        """Guards against a suspicion that only one router knows, since it was cut off for long."""
+        for host in HOSTS:
+            self.hear(host)
+        await self.end_calls()
+        self.unreachable = set(HOSTS)
+        self.relay.record_target_end([(b"x", SuspicionLevel())])
+        await self.end_calls()
+        self.now_s += RECENT_S + 1
+        self.unreachable.clear()
+        self.hosts = ["c"]
+        self.hear("c")
+        self.assertEqual(await self.end_calls(), [("c", b"x")])
+
     @asyncio_test
     async def test_fatal_request_is_reported_to_a_third_replica_if_two_are_lost(self):
         """Guards against a fatal request that is known to one router for 2.2 s."""
