Retries: as replicas restart, a router does not take the budget of all

The fixed part of the retry budget was divided by the last count of routers, and a replica that has just started counts those that it has heard so far: 44.8 retries at one of 50 routers in place of 1.1. Now by the highest count of the last 30 s, as for cold targets. The test fails without the change.

--- a/packages/router/src/damaskwind/router/forwarding/fleet_view.py
+++ b/packages/router/src/damaskwind/router/forwarding/fleet_view.py
@@ -215,6 +215,11 @@
         """Return this router's name."""
         return self._node_id
 
+    @property
+    def most_routers(self) -> int:
+        """Return the highest recent router count, for bounds that too low a count would exceed."""
+        return max(self.routers, self.max_routers.value(read_clock()) or 0)
+
     def count_reachable_replicas(self) -> int:
         """Return the number of replicas that were reached recently."""
         return len(self._reachable_hosts())
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -247,7 +247,7 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = SharedRetryBudget(
-                self._budget_terms, lambda: self.view.routers, self._started_s
+                self._budget_terms, lambda: self.view.most_routers, self._started_s
             )
             self._budgets[service] = budget
         return budget
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_forwarder.py
@@ -7,11 +7,12 @@
 from damaskwind.decisions.fatal_requests.identity import identify_request
 from damaskwind.decisions.fatal_requests.suspicion import Suspicion
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
+from damaskwind.decisions.retries.shared_budget import BudgetTerms
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.runtime.bridge import asyncio_test
-from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.clock import override_clock, read_clock
 from damaskwind.runtime.http1.client import AnswerBrokenError
 from damaskwind.runtime.http1.messages import header
 from damaskwind.standins.scripted_target import (
@@ -141,6 +142,16 @@
         self.assertEqual(len(self.received()), 6)
         await asyncio.gather(*calls, return_exceptions=True)
 
+    @asyncio_test
+    async def test_retries_are_shared_by_routers_that_restarted_replicas_have_yet_to_hear(self):
+        """Guards against routers that each take the retries of all, as replicas restart."""
+        begun_s = read_clock()
+        with override_clock(lambda: begun_s - 10.0):
+            self.view.handle_news("a", News("epoch", 1, 1, True, (), 50, (), ()))
+        self.view.handle_news("a", News("next epoch", 1, 1, True, (), 1, (), ()))
+        share = BudgetTerms().slack / 50
+        self.assertLessEqual(self.forwarder._budget("pool").allowance(read_clock()), share)
+
     @asyncio_test
     async def test_late_report_of_an_earlier_target_at_an_address_attracts_no_requests(self):
         self.admit("late", self.view.targets.record_of("t0").address, sequence=500)
