Crash verdicts: routers that don't answer confirm no crash

A router whose questions to its targets and to other routers stayed without an answer counted its targets as crashed and put its requests under suspicion: an answer that did not come counted as "not reached from there either".

--- a/packages/router/src/damaskwind/router/forwarding/connections.py
+++ b/packages/router/src/damaskwind/router/forwarding/connections.py
@@ -139,6 +139,15 @@
             self.return_unused(target_id, connection)
         return stays_open
 
+    async def refuses(self, address: Address) -> bool:
+        """Tell whether an address refuses connections, as that of an ended process does."""
+        try:
+            connection = await self.connect(address, CONNECT_TIMEOUT_S)
+        except ConnectFailedError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.abort()
+        return False
+
     async def _open(self, address: Address, timeout_s: float) -> ClientConnection:
         """Return a new connection, whose answers are bounded together with all others."""
         connection = await self.connect(address, timeout_s)
--- a/packages/router/src/damaskwind/router/forwarding/crash_detector.py
+++ b/packages/router/src/damaskwind/router/forwarding/crash_detector.py
@@ -80,20 +80,25 @@
                 target_id, target.address
             )
             # A router whose own path is cut must not take a sound target for crashed.
-            runs_elsewhere = not answers and await reach.runs_elsewhere(target)
+            runs_elsewhere = False if answers else await reach.runs_elsewhere(target)
+            # Silence of all others proves nothing, but a refusal of the target's own port does.
+            is_unsure = runs_elsewhere is None and not await self._connections.refuses(
+                target.address
+            )
         finally:
             del self._probes[target_id]
             broken = self._broken.pop(target_id)
         phase = self._target_states.view.targets.phase_of(target_id)
         has_announced = self._target_states.has_announced_leaving(target)
         is_leaving = has_announced or phase is not TargetPhase.SERVING
-        has_crashed = not answers and not runs_elsewhere and not is_leaving
+        has_crashed = not (answers or runs_elsewhere or is_unsure or is_leaving)
         logger.warning(
             "sends broken",
             target=target_id,
             address=str(target.address),
             answers=answers,
             runs_elsewhere=runs_elsewhere,
+            is_unsure=is_unsure,
             is_leaving=is_leaving,
             others_unreachable=reach.unreachable_targets(target.service),
             sends=len(broken),
--- a/packages/router/src/damaskwind/router/forwarding/peer_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -122,22 +122,29 @@
             asking = self._start_asking(peer, ())
             asking.add_done_callback(lambda _: self._checking.discard(peer.host))
 
-    async def confirm(self, target: TargetRecord) -> bool:
-        """Return whether some other router reaches a target now, by a probe of its own."""
+    async def confirm(self, target: TargetRecord) -> bool | None:
+        """Return whether some other router reaches a target now, by a probe of its own.
+
+        `None` if all that were asked are silent: they may be cut off from here as well.
+        """
         peers = self.endpoints
         drawn = self._random.sample(peers, min(CONFIRMING_PEERS, len(peers)))
         asking = (self._ask(peer, (), (target.target_id,)) for peer in drawn)
-        is_reached = any(
-            target.target_id in reach.reached for reach in await asyncio.gather(*asking)
-        )
+        answers = [reach for reach in await asyncio.gather(*asking) if reach is not None]
+        if drawn and not answers:
+            return None
+        is_reached = any(target.target_id in reach.reached for reach in answers)
         if not is_reached:
             self._gone_until_s[target.target_id] = read_clock() + REACH_TTL_S
         return is_reached
 
     async def _ask(
         self, peer: PeerEndpoint, services: tuple[str, ...], probed: tuple[str, ...] = ()
-    ) -> Reach:
-        """Ask a router; what it does not answer it does not reach."""
+    ) -> Reach | None:
+        """Ask a router what it reaches; return `None` if it is silent.
+
+        One that refuses connections has ended and reaches nothing.
+        """
         body = encode_message(ReachQuestion(peer.key, services, probed))
         address = self.address(peer)
         try:
@@ -147,7 +154,8 @@
         except CALL_ERRORS as error:
             logger.info("peer not asked", host=peer.host, why=repr(error))
             self.record_failure(peer)
-            return Reach((), (), (), 0)
+            has_ended = isinstance(error.__cause__, ConnectionRefusedError)
+            return Reach((), (), (), 0) if has_ended else None
         self._told_in_flight[peer.host] = reach.in_flight
         self._lookups.clear()
         unreachable, now_s = frozenset(reach.unreachable), read_clock()
--- a/packages/router/src/damaskwind/router/forwarding/service_reach.py
+++ b/packages/router/src/damaskwind/router/forwarding/service_reach.py
@@ -173,9 +173,12 @@
         is_off = self._connections.is_unreachable(target.target_id) or self.is_cut(target.service)
         return is_off and self.peers.reaches(target)
 
-    async def runs_elsewhere(self, target: TargetRecord) -> bool:
-        """Return whether another router reaches a target that this one does not."""
-        return self.peers is not None and await self.peers.confirm(target)
+    async def runs_elsewhere(self, target: TargetRecord) -> bool | None:
+        """Return whether another router reaches a target that this one does not.
+
+        `None` if all that were asked are silent.
+        """
+        return False if self.peers is None else await self.peers.confirm(target)
 
     def unreachable_digests(self, service: str) -> tuple[int, ...]:
         """Return the digests of a service's targets that are unreachable from here."""
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_crash_verdicts.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_crash_verdicts.py
@@ -23,6 +23,7 @@
     async def start(self):
         await super().start()
         self.is_peer_silent = False
+        self.cause = TimeoutError()
         server = HttpServer(self.answer, ServerLimits())
         self.addCleanup(server.abort)
         self.view.peers = (PeerEndpoint(HOST, "key", "domain"),)
@@ -32,7 +33,7 @@
         self.connections.connect = self.connect
 
     async def connect(self, address, timeout_s):
-        raise ConnectFailedError("no answer in time")
+        raise ConnectFailedError("not connected") from self.cause
 
     async def answer(self, exchange):
         while self.is_peer_silent:
@@ -50,6 +51,12 @@
         self.assertTrue(await self.probe())
         self.assertEqual(self.view.suspicions.count(Standing.SUSPECTED), 1)
 
+    @asyncio_test
+    async def test_target_whose_port_refuses_counts_as_crashed_though_others_are_silent(self):
+        """Guards against a fatal request that is never blamed, as other routers are busy."""
+        self.is_peer_silent, self.cause = True, ConnectionRefusedError()
+        self.assertTrue(await self.probe())
+
     @asyncio_test
     async def test_silence_of_target_and_other_router_is_no_crash(self):
         """Guards against a router that is cut off from all and blames its requests for it."""
