Commands: an answer that is cut is no success

An operator's command was told that it had succeeded on the strength of half a head: an endpoint or a proxy that stops in the middle of its answer's head and closes in an orderly way gave status 200 with an empty table, and a body that was cut gave status 200 too. A change could be reported as confirmed though its answer never came, and the next endpoint was not tried.

Cause: the client of the standard library takes the end of a connection for the end of a head, so that a head cut before the field with its frame is an unframed answer with no body; and its `read` with a limit returns what there is of a framed body without an error.

Why the fix works: the answer is read from the socket by the parser that routers use, which has no head before its empty line and no body before its length or its last chunk. An answer with neither is refused, since all endpoints frame theirs. A cut answer counts as none: what may have been accepted has an unknown outcome, as with a lost connection.

--- a/packages/commands/src/damaskwind/commands/operator_client.py
+++ b/packages/commands/src/damaskwind/commands/operator_client.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from damaskwind.commands.whole_answers import AnswerCutError, read_whole_answer
 from damaskwind.model.exception import DamaskwindError
 
 __all__ = [
@@ -137,14 +138,13 @@
             connection.connect()
             may_have_been_accepted = method != "GET"
             connection.request(method, path, _encoded(body), self._headers(body))
-            response = connection.getresponse()
-            content = response.read(_ANSWER_LIMIT_BYTES)
-        except (OSError, HTTPException) as error:
+            answer = read_whole_answer(connection.sock, method, _ANSWER_LIMIT_BYTES)
+        except (OSError, HTTPException, AnswerCutError) as error:
             return Answer(endpoint, 0, _network_error(endpoint, error), may_have_been_accepted)
         finally:
             connection.close()
-        is_unknown = may_have_been_accepted and response.status == _GATEWAY_TIMEOUT
-        return Answer(endpoint, response.status, _decoded(content), is_unknown)
+        is_unknown = may_have_been_accepted and answer.status == _GATEWAY_TIMEOUT
+        return Answer(endpoint, answer.status, _decoded(answer.body), is_unknown)
 
     def _headers(self, body: Any) -> dict[str, str]:
         """Return the authorization and content headers of a request."""
