Test: the restarted process is that of a target that reports its start

A target that reports none has a new id in each life, so that its id alone names the process, and the case is that of a target that reports one.

--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends_restarts.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends_restarts.py
@@ -6,6 +6,7 @@
 from damaskwind.router.forwarding.tests.test_unheard_ends import TWO_EVENTS
 from damaskwind.router.forwarding.tests.test_unheard_ends_behind_links import LinkedTestCase
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import read_clock
 from damaskwind.standins.scripted_target import ScriptedTarget
 
 # How long a process takes to start again.
@@ -13,6 +14,13 @@
 
 
 class RestartedTargetTest(LinkedTestCase):
+    """The target reports its start, as one does whose id may name several lives."""
+
+    async def start(self):
+        await super().start()
+        record = self.view.targets.record_of("t0")
+        self.view.targets.merge(record._replace(born_ms=1, sequence=102), read_clock())
+
     async def start_again(self):
         """Start the next process of the target, under the same id, of which no report is heard."""
         await asyncio.sleep(DOWN_S)
