Versions of streams: what isn't on record is proved by answers to a question asked after the take-up

Cause: a stream without a record went on at the only version known if a majority of replicas was heard within the last 2.2 s, or if all refused connections. Both are older than the take-up or say nothing of other routers. And a question counted as answered after 100 ms whatever had come, 5 ms after the first version was named; a caller that names no attempt may have begun at another.

Now a question also asks for the versions of the service. A replica tells those that targets run now or ran lately, the hosts of all replicas, and whether it has run long enough (3 s) for routers to have written down again what it lost in a restart. A record is confirmed by one replica, so that only the answers of all prove that there is no other. A stream that is not on record goes on at the only version if all replicas have answered and they and the router know just that one; a stream that is found by its content needs all answers too. A named attempt needs one, as before. Replicas that may still answer are waited for (0.55 s at most, as a call lasts); a failed call ends the wait where all answers are needed, and a replica that was not heard since a failure is waited for 20 ms. Refusals name a time to come back where replicas have not answered, or where they know the version on record and this router doesn't yet.

A replica of the version before refuses the new question (400); it is asked as before, and its answer proves nothing. Calls without a question, and answers to routers of the version before, are as they were.

Tests replaced, as they asked for the fault: replicas that are down let streams go on (now: they are no proof, and the refusal comes within 0.1 s); the first half of the test of a router that is cut off (now refused although all replicas were just heard); answers alone make no router informed (now: answers that tell no versions don't, and those that tell another version forbid to go on). Limits that were named by constants of the code stand as numbers, so that they are as strict. The split route's test had no replicas at all, which counted as all down; its verdict is now given.

--- a/packages/control/src/damaskwind/control/fleet/news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/news_feed.py
@@ -139,6 +139,10 @@
         self._waiters = NewsWaiters()
         self._last_change_s = float("-inf")
 
+    def replica_hosts(self) -> tuple[str, ...]:
+        """Return the hosts of all replicas."""
+        return self._hosts()
+
     def report(self, record: TargetRecord) -> bool:
         """Merge a report received from a target; return whether it changed anything."""
         now_s = read_clock()
--- a/packages/control/src/damaskwind/control/fleet/news_site.py
+++ b/packages/control/src/damaskwind/control/fleet/news_site.py
@@ -93,7 +93,7 @@
             NEWS_PATH: self._news,
             DOCUMENT_PATH: self._document,
             SUSPICIONS_PATH: self._suspicions,
-            ORIGINS_PATH: OriginsSite(tallies).handle,
+            ORIGINS_PATH: OriginsSite(tallies, feed.table, feed.replica_hosts).handle,
             ALIVE_PATH: answer_alive,
         }
 
--- a/packages/decisions/src/damaskwind/decisions/streams/version_history.py
+++ b/packages/decisions/src/damaskwind/decisions/streams/version_history.py
@@ -42,10 +42,14 @@
 
         They are empty if no target of the service reports its version.
         """
+        versions = self.reported(service, now_s)
+        return frozenset() if versions <= {""} else versions
+
+    def reported(self, service: str, now_s: float) -> frozenset[str]:
+        """Return the versions of a service; `""` stands for targets that report none."""
         former = self._former.get(service, {})
         lately = {version for version, until_s in former.items() if until_s > now_s}
-        versions = self._present.get(service, frozenset()) | lately
-        return frozenset() if versions <= {""} else versions
+        return self._present.get(service, frozenset()) | lately
 
     def has_several(self, service: str, now_s: float) -> bool:
         """Return whether more than one version of a service is known."""
--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from itertools import islice
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -33,7 +34,7 @@
     encode_message,
 )
 
-__all__ = ["BegunStream", "OriginLink"]
+__all__ = ["BegunStream", "OriginLink", "ReplicaAnswer"]
 
 CONNECT_TIMEOUT_S = 0.25
 ANSWER_TIMEOUT_S = 0.3
@@ -58,6 +59,29 @@
     """The replica is of an earlier version and holds no streams."""
 
 
+class _RefusedError(AnswerBrokenError):
+    """The replica doesn't understand the call."""
+
+
+class ReplicaAnswer(NamedTuple):
+    """What a replica knows of a key: its `versions`, and more if it tells the fleet's state.
+
+    `known` are the versions of the service, and `replicas` all hosts as it knows them. That it
+    holds no more of the key is proved only if it `is_proof`: it has not just restarted.
+    """
+
+    versions: frozenset[str]
+    known: frozenset[str] = frozenset()
+    replicas: frozenset[str] = frozenset()
+    is_proof: bool = False
+
+
+class _Question(NamedTuple):
+    key: bytes
+    service: str
+    answer: "asyncio.Future[ReplicaAnswer | None]"
+
+
 class BegunStream:
     """A stream that this router began or took up, as it is written down.
 
@@ -153,12 +177,14 @@
         self.is_failing = False
         self.is_down = False
         self.is_supported = True
+        # Whether the replica tells which versions it knows, as those of this version do.
+        self.tells_versions = True
         self._address = address
         self._tallies = tallies
         # Not yet written down, by writer: those that no replica has confirmed, and the others.
         self._urgent: dict[int, BegunStream] = {}
         self._lazy: dict[int, BegunStream] = {}
-        self._questions: list[tuple[bytes, asyncio.Future]] = []
+        self._questions: list[_Question] = []
         self._is_urgent = asyncio.Event()
         self._connection: ClientConnection | None = None
         self._calling: asyncio.Task | None = None
@@ -169,7 +195,7 @@
         if self._calling is not None:
             self._calling.cancel()
             await asyncio.gather(self._calling, return_exceptions=True)
-        self._answer_all(None)
+        self._answer_none()
         self._drop_connection()
 
     def is_usable(self, now_s: float) -> bool:
@@ -195,12 +221,12 @@
         self._urgent.pop(writer, None)
         self._lazy.pop(writer, None)
 
-    async def ask(self, key: bytes) -> tuple[str, ...] | None:
-        """Return the versions that the replica knows for a key, `None` if it doesn't answer."""
+    async def ask(self, key: bytes, service: str) -> ReplicaAnswer | None:
+        """Return what the replica knows of a key, `None` if it doesn't answer."""
         if not self.is_supported:
             return None
         answer = asyncio.get_running_loop().create_future()
-        self._questions.append((key, answer))
+        self._questions.append(_Question(key, service, answer))
         self._start(True)
         return await answer
 
@@ -208,6 +234,7 @@
         """Send what is pending, since the replica was heard."""
         self.is_failing = self.is_down = False
         self.is_supported = self.is_supported or is_restarted
+        self.tells_versions = self.tells_versions or is_restarted
         if self.pending:
             self._start(bool(self._urgent))
 
@@ -253,11 +280,12 @@
         questions = self._questions[:MAX_BATCH]
         del self._questions[:MAX_BATCH]
         entries = tuple(stream.entry(now_s) for stream in valid)
-        call = OriginCall(entries, tuple(key for key, _ in questions))
+        call = OriginCall(entries, tuple(question.key for question in questions))
+        services = tuple(dict.fromkeys(question.service for question in questions))
         for stream in valid:
             stream.sent_to |= {self}
         try:
-            answer = await self._call(call)
+            answer = await self._ask_with(call, services)
         except _UnsupportedError:
             self.is_supported = False
             self._urgent.clear()
@@ -273,14 +301,24 @@
             self.is_failing = self.is_down = False
             for stream in valid:
                 stream.confirm(self)
-            for (_, future), versions in zip(questions, answer.versions, strict=True):
-                _settle(future, versions)
+            for question, told in zip(questions, _told(questions, answer), strict=True):
+                _settle(question.answer, told)
             return True
-        for _, future in questions:
-            _settle(future, None)
-        self._answer_all(None)
+        for question in questions:
+            _settle(question.answer, None)
+        self._answer_none()
         return False
 
+    async def _ask_with(self, call: OriginCall, services: tuple[str, ...]) -> OriginAnswer:
+        """Make a call that also asks for the versions of services, if the replica tells them."""
+        if services and self.tells_versions:
+            try:
+                return await self._call(call._replace(services=services))
+            except _RefusedError:
+                self.tells_versions = False
+                logger.info("replica does not tell versions", host=self._address.host)
+        return await self._call(call)
+
     def _put_back(self, streams: list[BegunStream]) -> None:
         """Keep streams for a later call, unless a later write has replaced them."""
         for stream in streams:
@@ -303,9 +341,10 @@
         self.is_down = isinstance(error, ConnectFailedError) and str(error) == _REFUSED
         self._drop_connection()
 
-    def _answer_all(self, versions: tuple[str, ...] | None) -> None:
-        for _, future in self._questions:
-            _settle(future, versions)
+    def _answer_none(self) -> None:
+        """Let nobody wait for an answer any longer."""
+        for question in self._questions:
+            _settle(question.answer, None)
         self._questions.clear()
 
     async def _call(self, call: OriginCall) -> OriginAnswer:
@@ -319,6 +358,8 @@
             self._called_s = float("inf")
         if answer.status == 404:
             raise _UnsupportedError
+        if answer.status == 400:
+            raise _RefusedError("status 400")
         if answer.status != 200:
             raise AnswerBrokenError(f"status {answer.status}")
         self._tallies.count("stream_origin_calls")
@@ -326,6 +367,8 @@
         found = decode_answer(answer.body)
         if len(found.versions) != len(call.keys):
             raise AnswerBrokenError("not as many answers as questions")
+        if len(found.known) not in (0, len(call.services)):
+            raise AnswerBrokenError("not as many services as asked for")
         return found
 
     async def _fetch(self, request: Request) -> Answer:
@@ -347,6 +390,17 @@
             self._connection = None
 
 
-def _settle(future: asyncio.Future, versions: tuple[str, ...] | None) -> None:
+def _told(questions: list[_Question], answer: OriginAnswer) -> Iterator[ReplicaAnswer]:
+    """Return what an answer tells to each question."""
+    services = dict.fromkeys(question.service for question in questions)
+    known = dict(zip(services, map(frozenset, answer.known), strict=False))
+    replicas = frozenset(answer.replicas)
+    for question, versions in zip(questions, answer.versions, strict=True):
+        is_proof = answer.is_settled and question.service in known
+        told = known.get(question.service, frozenset())
+        yield ReplicaAnswer(frozenset(versions), told, replicas, is_proof)
+
+
+def _settle(future: asyncio.Future, answer: ReplicaAnswer | None) -> None:
     if not future.done():
-        future.set_result(versions)
+        future.set_result(answer)
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -12,10 +12,16 @@
 
 from damaskwind.decisions.membership.target_table import TargetTable
 from damaskwind.decisions.streams.holders import choose_holders
+from damaskwind.decisions.streams.known_versions import KnownVersions
 from damaskwind.decisions.streams.origin_table import OriginTable
-from damaskwind.decisions.streams.version_history import VersionHistory
 from damaskwind.model.targets import Address
-from damaskwind.router.forwarding.origin_link import BegunStream, OriginLink
+from damaskwind.router.forwarding.origin_link import (
+    ANSWER_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    BegunStream,
+    OriginLink,
+    ReplicaAnswer,
+)
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.tallies import Tallies
 from damaskwind.wire.news import News
@@ -32,26 +38,30 @@
 # (decisions/0034).
 HEDGE_SHARE = 0.1
 HEDGE_BURST = 3.0
-# How long a question waits for its first answer, and after that for one that differs.
-ASK_S = 0.1
+# How long a question waits for replicas that may still answer: as long as a call lasts at most.
+ASK_S = CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S
+# How long it waits for those that were not heard since a call to them failed. A replica that is
+# back answers in 1 to 5 ms.
+ASK_FAILING_S = 0.02
+# How long it waits for an answer that differs, once an attempt was named.
 ASK_GRACE_S = 0.005
 # A router of today's deployments begins some ten streams a second, of 20 s each.
 MAX_STREAMS = 4096
 MAX_KEYS = 3 * MAX_STREAMS
-# The table of targets drops silent ones without a new revision.
-REFRESH_S = 1.0
 
 
 class Asked(NamedTuple):
     """What the replicas answered: the versions for a key, and how many replicas `answered`.
 
-    Of all `replicas`, `down` have no process that could answer anybody.
+    `known` are the versions of the service that they know. What is not on record is certain only
+    if the answers are a `proof`: all replicas answered, each of which holds what it ever held.
     """
 
     versions: frozenset[str]
-    answered: int
-    down: int
-    replicas: int
+    known: frozenset[str] = frozenset()
+    answered: int = 0
+    replicas: int = 0
+    is_proof: bool = False
 
 
 class OriginRelay:
@@ -62,11 +72,8 @@
         self.table = OriginTable(MAX_KEYS)
         # The upper bits of the numbers by which writes of this process are told from others'.
         self.writer_base = (secrets.randbits(29) + 1) << 32
-        self._targets = targets
         self._news_port = news_port
-        self._history = VersionHistory()
-        self._seen_revision = -1
-        self._refreshed_s = float("-inf")
+        self._known = KnownVersions(targets)
         self._links: dict[str, OriginLink] = {}
         self._epochs: dict[str, str] = {}
         # In order of the last write, by writer.
@@ -101,7 +108,7 @@
         """Return the versions of a service known now or lately; none if no target reports any."""
         now_s = read_clock()
         self._refresh(now_s)
-        return self._history.versions(service, now_s)
+        return self._known.versions(service, now_s)
 
     def keep(self, stream: BegunStream) -> None:
         """Remember a stream here."""
@@ -153,19 +160,19 @@
         """
         return await stream.wait_replaced(CONFIRM_S)
 
-    async def ask(self, key: bytes, has_holders: bool) -> Asked:
+    async def ask(self, key: bytes, service: str, is_named: bool) -> Asked:
         """Ask the replicas for the versions of a key.
 
-        If the key `has_holders`, its first holder is asked before the others; otherwise any
-        replica may hold it.
+        If the key `is_named`, by the id of an attempt, its first holder is asked before the
+        others, and one that knows it is enough. Otherwise all replicas are waited for.
         """
-        order = choose_holders(key, self._links, self._failing()) if has_holders else []
-        questions = _Questions(list(self._links.values()))
+        order = choose_holders(key, self._links, self._failing()) if is_named else []
+        questions = _Questions(key, service, self._links, is_named)
         asked_s = read_clock()
         for host in order[:1]:
-            await questions.ask(key, [self._links[host]], asked_s + HEDGE_S)
+            await questions.ask([host], asked_s + HEDGE_S)
         if not questions.found:
-            await questions.ask(key, questions.unasked(), asked_s + ASK_S)
+            await questions.ask(questions.unasked(), asked_s + ASK_S)
         questions.cancel()
         return questions.result()
 
@@ -178,12 +185,7 @@
 
     def _refresh(self, now_s: float) -> None:
         """Take note of the versions in the table of targets."""
-        revision = self._targets.revision
-        if revision == self._seen_revision and now_s - self._refreshed_s < REFRESH_S:
-            return
-        self._seen_revision, self._refreshed_s = revision, now_s
-        for service in sorted(self._history.update(self._targets.versions(), now_s)):
-            versions = sorted(self._history.versions(service, now_s))
+        for service, versions in self._known.refresh(now_s).items():
             logger.info("several versions known", service=service, versions=versions)
 
     def _write_again(self, host: str, link: OriginLink, now_s: float) -> None:
@@ -197,38 +199,67 @@
 class _Questions:
     """The calls that look up one key."""
 
-    def __init__(self, links: list[OriginLink]) -> None:
+    def __init__(
+        self, key: bytes, service: str, links: dict[str, OriginLink], is_named: bool
+    ) -> None:
         self.found: set[str] = set()
+        self._key = key
+        self._service = service
         self._links = links
-        self._asked: set[OriginLink] = set()
-        self._waiting: set[asyncio.Future] = set()
-        self._answered = 0
+        self._is_named = is_named
+        self._failing = {host for host, link in links.items() if link.is_failing}
+        self._waiting: dict[asyncio.Future, str] = {}
+        self._asked: set[str] = set()
+        self._answers: dict[str, ReplicaAnswer] = {}
 
-    def unasked(self) -> list[OriginLink]:
+    def unasked(self) -> list[str]:
         """Return the replicas that were not asked yet."""
-        return [link for link in self._links if link not in self._asked]
-
-    async def ask(self, key: bytes, links: list[OriginLink], ends_s: float) -> None:
-        """Ask some replicas too, and wait until one knows the key or all have answered."""
-        self._asked.update(links)
-        self._waiting |= {asyncio.ensure_future(link.ask(key)) for link in links}
-        while self._waiting and (left_s := ends_s - read_clock()) > 0:
-            done, self._waiting = await asyncio.wait(
+        return [host for host in self._links if host not in self._asked]
+
+    async def ask(self, hosts: list[str], ends_s: float) -> None:
+        """Ask some replicas too, and wait for those that may still answer."""
+        self._asked.update(hosts)
+        for host in hosts:
+            asking = asyncio.ensure_future(self._links[host].ask(self._key, self._service))
+            self._waiting[asking] = host
+        failing_end_s = read_clock() + ASK_FAILING_S
+        while self._waiting:
+            if self._failing.issuperset(self._waiting.values()):
+                ends_s = min(ends_s, failing_end_s)
+            left_s = ends_s - read_clock()
+            if left_s <= 0:
+                return
+            done, _ = await asyncio.wait(
                 self._waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
             )
-            answers = [task.result() for task in done]
-            self._answered += sum(answer is not None for answer in answers)
-            versions = {version for answer in answers for version in answer or ()}
-            if versions and not self.found:
+            was_found = bool(self.found)
+            has_failed = None in [self._take(asking) for asking in done]
+            if self._is_named and self.found and not was_found:
                 ends_s = min(ends_s, read_clock() + ASK_GRACE_S)
-            self.found |= versions
+            if has_failed and not self._is_named:
+                # Without its answer, the others' prove nothing.
+                return
+
+    def _take(self, asking: asyncio.Future) -> ReplicaAnswer | None:
+        """Take an answer and return it, `None` if there is none."""
+        host = self._waiting.pop(asking)
+        answer = asking.result()
+        if answer is not None:
+            self._answers[host] = answer
+            self.found |= answer.versions
+        return answer
 
     def cancel(self) -> None:
         """Wait no longer."""
-        for task in self._waiting:
-            task.cancel()
+        for asking in self._waiting:
+            asking.cancel()
 
     def result(self) -> Asked:
         """Return what was answered so far."""
-        down = sum(link.is_down for link in self._links)
-        return Asked(frozenset(self.found), self._answered, down, len(self._links))
+        answers = self._answers.values()
+        known = frozenset().union(*(answer.known for answer in answers))
+        # A replica may have joined of which this router has not heard.
+        replicas = self._links.keys() | frozenset().union(*(one.replicas for one in answers))
+        is_proof = self._answers.keys() == replicas and all(one.is_proof for one in answers)
+        found = frozenset(self.found)
+        return Asked(found, known, len(answers), len(replicas), bool(answers) and is_proof)
--- a/packages/router/src/damaskwind/router/forwarding/stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/stream_origins.py
@@ -50,7 +50,7 @@
 
 
 ANYWHERE = OriginVerdict()
-_NOBODY_ASKED = Asked(frozenset(), 0, 0, 0)
+_NOBODY_ASKED = Asked(frozenset())
 # The targets that a router learns of while the stream waits may run any version.
 _NO_TARGET_YET = OriginVerdict(None, True, "no target of the service is known yet", RETRY_AFTER_S)
 
@@ -120,8 +120,9 @@
             source=source.value,
             known=sorted(known),
             answered=asked.answered,
-            down=asked.down,
             replicas=asked.replicas,
+            is_proof=asked.is_proof,
+            told=sorted(asked.known),
             news_age_ms=self._news_age_ms(),
             took_ms=round((read_clock() - started_s) * 1000, 1),
             retry_after_s=verdict.retry_after_s,
@@ -146,32 +147,18 @@
         here = self._relay.table.versions(key, read_clock())
         if resumes and len(here) == 1:
             return OriginVerdict(*here), OriginSource.HERE, _NOBODY_ASKED
-        asked = await self._relay.ask(key, has_holders=bool(resumes))
+        asked = await self._relay.ask(key, call.service, is_named=bool(resumes))
         found = here | asked.versions
-        if len(found) == 1:
-            return OriginVerdict(*found), OriginSource.REPLICAS, asked
-        if found:
+        if not found:
+            return *_judge_unknown(known, asked), asked
+        if len(found) > 1:
             why = "several versions may have begun the stream"
             return OriginVerdict(is_refused=True, why=why), OriginSource.NONE, asked
-        return *self._judge_unknown(known, asked), asked
-
-    def _judge_unknown(
-        self, known: frozenset[str], asked: Asked
-    ) -> tuple[OriginVerdict, OriginSource]:
-        """Return the verdict on a stream that nobody who answered has written down.
-
-        Such a stream went on without a record, or the replicas have lost it. A router that is cut
-        off may not know that another version has begun to serve. One whose replicas are all down
-        misses nothing, since no other router hears of it either.
-        """
-        if len(known) == 1:
-            if self._view.reaches_majority() or asked.down == asked.replicas:
-                return OriginVerdict(*known), OriginSource.ONLY_VERSION
-            why = "out of touch, and the version that began the stream is not known"
-            return OriginVerdict(None, True, why, RETRY_AFTER_S), OriginSource.NONE
-        why = "the version that began the stream is not known"
-        retry_after_s = None if asked.answered else RETRY_AFTER_S
-        return OriginVerdict(None, True, why, retry_after_s), OriginSource.NONE
+        if not resumes and not asked.is_proof:
+            # Another stream of the same content may have begun at another version.
+            why = "not all replicas have answered which version began the stream"
+            return OriginVerdict(None, True, why, RETRY_AFTER_S), OriginSource.NONE, asked
+        return _judge_found(found, known, asked), OriginSource.REPLICAS, asked
 
     def _log_unconfirmed(self, call: Call, took_s: float) -> None:
         self._unconfirmed += 1
@@ -186,3 +173,29 @@
             streams=self._unconfirmed,
         )
         self._logged_s, self._unconfirmed = now_s, 0
+
+
+def _judge_found(found: frozenset[str], known: frozenset[str], asked: Asked) -> OriginVerdict:
+    """Return the verdict on a stream whose version is on record."""
+    if found <= known or not found <= asked.known:
+        return OriginVerdict(*found)
+    why = "no target of the version that began the stream is known yet"
+    return OriginVerdict(None, True, why, RETRY_AFTER_S)
+
+
+def _judge_unknown(known: frozenset[str], asked: Asked) -> tuple[OriginVerdict, OriginSource]:
+    """Return the verdict on a stream that nobody who answered has written down.
+
+    Such a stream went on without a record, or the replicas have lost it. It goes on at the only
+    version that this router and all replicas know, of which they told after it was taken up.
+    """
+    versions = known | asked.known
+    if len(versions) > 1:
+        why = "the version that began the stream is not known"
+        has_all = asked.answered == asked.replicas > 0
+        retry_after_s = None if has_all else RETRY_AFTER_S
+        return OriginVerdict(None, True, why, retry_after_s), OriginSource.NONE
+    if asked.is_proof:
+        return OriginVerdict(*versions), OriginSource.ONLY_VERSION
+    why = "not all replicas have answered, and the version that began the stream is not known"
+    return OriginVerdict(None, True, why, RETRY_AFTER_S), OriginSource.NONE
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
@@ -9,7 +9,12 @@
 
 from damaskwind.decisions.membership.target_record import TargetPhase, TargetRecord
 from damaskwind.decisions.streams.holders import choose_holders
-from damaskwind.decisions.streams.origin_table import OriginTable, attempt_key
+from damaskwind.decisions.streams.origin_table import (
+    OriginEntry,
+    OriginTable,
+    attempt_key,
+    content_key,
+)
 from damaskwind.model.targets import Address
 from damaskwind.router.forwarding import origin_link, origin_relay
 from damaskwind.router.forwarding.call import Call, CallFacts
@@ -28,6 +33,8 @@
 # Entries that nobody waits for are sent after `LAZY_S` here, and have arrived after `SETTLED_S`.
 LAZY_S = 0.1
 SETTLED_S = LAZY_S + 0.15
+# Callers may wait this long beside a replica that hangs or is down.
+PROMPT_S = 0.1
 DIGESTS = count(1)
 
 
@@ -37,12 +44,19 @@
 
 
 class StandInReplica:
-    """Holds streams as a replica does; it may hang, and answer as one of an earlier version."""
+    """Holds streams as a replica does; it may hang, and answer as one of an earlier version.
+
+    It tells the versions `known`, unless it `is_former` and refuses questions for these.
+    """
 
     def __init__(self, host, port):
         self.host, self.port = host, port
         self.starts = 0
-        self.is_hanging = self.is_old = False
+        self.is_hanging = self.is_old = self.is_former = False
+        self.is_settled = True
+        self.answers_after_s = 0.0
+        self.known = ()
+        self.others = ()
         self.calls = []
         self.start()
 
@@ -63,13 +77,21 @@
             return
         if self.is_hanging:
             await asyncio.sleep(5.0)
+        await asyncio.sleep(self.answers_after_s)
         call = decode_call(exchange.request.body)
+        if self.is_former and call.services:
+            exchange.respond(Answer(400, []))
+            return
         self.calls.append(call)
         now_s = read_clock()
         for entry in call.entries:
             self.table.merge(entry, now_s)
-        found = (tuple(sorted(self.table.versions(key, now_s))) for key in call.keys)
-        exchange.respond(Answer(200, [], encode_message(OriginAnswer(tuple(found)))))
+        found = tuple(tuple(sorted(self.table.versions(key, now_s))) for key in call.keys)
+        answer = OriginAnswer(found)
+        if call.services:
+            known = (self.known,) * len(call.services)
+            answer = OriginAnswer(found, known, (self.host, *self.others), self.is_settled)
+        exchange.respond(Answer(200, [], encode_message(answer)))
 
     @property
     def entries(self):
@@ -85,8 +107,6 @@
         self.origins = StreamOrigins(self.view, self.tallies)
         for host in hosts:
             self.view.origins.follow(host)
-        self.is_in_touch = True
-        self.view.reaches_majority = lambda: self.is_in_touch
 
     def know(self, *versions, phase=TargetPhase.SERVING):
         """Learn of a target of each version; return the records."""
@@ -271,7 +291,7 @@
         router = self.router("v1", "v2")
         started_s = read_clock()
         self.check_refused(await router.take_up(b"a"), is_retried=False)
-        self.assertLess(read_clock() - started_s, origin_relay.ASK_S)
+        self.assertLess(read_clock() - started_s, PROMPT_S)
 
     @asyncio_test
     async def test_service_without_versions_is_left_alone(self):
@@ -317,7 +337,7 @@
         router = self.router("v1")
         started_s = read_clock()
         self.assertEqual((await router.take_up(None)).version, "v1")
-        self.assertLess(read_clock() - started_s, origin_relay.ASK_S)
+        self.assertLess(read_clock() - started_s, PROMPT_S)
         self.assertLessEqual(max(len(replica.calls) for replica in self.replicas), 1)
 
 
@@ -355,13 +375,70 @@
         self.check_refused(await self.router().take_up(b"a"), is_retried=True)
         self.check_refused(await self.router().take_up(None), is_retried=True)
 
+    async def take_up_both_ways(self, router):
+        """Take a stream up by the attempt's id, and one by its content."""
+        return [await router.take_up(b"a"), await router.take_up(None)]
+
+    @asyncio_test
+    async def test_replicas_tell_a_router_of_a_version_that_it_has_not_heard_of(self):
+        """Guards against a router that has just heard all replicas, but not of all targets."""
+        router = self.router("v1")
+        for replica in self.replicas:
+            replica.known = ("v1",)
+            router.hear(replica)
+        # One replica is enough: the others may not have heard of the release either.
+        self.replicas[1].known = ("v1", "v2")
+        for verdict in await self.take_up_both_ways(router):
+            self.check_refused(verdict, is_retried=False)
+
+    @asyncio_test
+    async def test_answers_that_tell_no_versions_make_no_router_informed(self):
+        """Guards against replicas of an earlier version, which don't say what they know."""
+        router = self.router("v1")
+        for replica in self.replicas:
+            router.hear(replica)
+        self.replicas[0].is_former = True
+        for verdict in await self.take_up_both_ways(router):
+            self.check_refused(verdict, is_retried=True)
+
     @asyncio_test
-    async def test_answers_to_a_question_alone_make_no_router_informed(self):
-        """Guards against a router that has asked replicas but not yet heard of all targets."""
+    async def test_replica_that_has_just_restarted_proves_nothing(self):
+        """Guards against a stream whose only record was lost with a replica's memory."""
         router = self.router("v1")
-        router.is_in_touch = False
-        self.check_refused(await router.take_up(b"a"), is_retried=True)
-        self.check_refused(await router.take_up(None), is_retried=True)
+        self.replicas[2].is_settled = False
+        for verdict in await self.take_up_both_ways(router):
+            self.check_refused(verdict, is_retried=True)
+
+    @asyncio_test
+    async def test_replica_that_the_router_has_not_heard_of_may_hold_the_stream(self):
+        """Guards against answers of all replicas that a router knows, which are not all."""
+        router = self.router("v1", replicas=self.replicas[:2])
+        self.replicas[0].others = (self.replicas[2].host,)
+        for verdict in await self.take_up_both_ways(router):
+            self.check_refused(verdict, is_retried=True)
+
+    @asyncio_test
+    async def test_stream_that_is_on_record_goes_on_beside_replicas_of_an_earlier_version(self):
+        """Guards against calls that an earlier version refuses, in a release of our own."""
+        for replica in self.replicas:
+            replica.is_former = True
+        first, second = self.router("v1"), self.router("v1")
+        await first.begin(b"a", "v1")
+        self.assertEqual((await second.take_up(b"a")).version, "v1")
+        self.assertEqual((await second.take_up(b"a", b"again")).version, "v1")
+        outcomes = first.tallies.totals("streams_written")
+        self.assertEqual(outcomes, {outcome("confirmed"): 1})
+
+    @asyncio_test
+    async def test_caller_is_asked_back_if_no_target_of_its_version_is_known_here_yet(self):
+        """Guards against a caller that gives up, though a target of its version serves."""
+        informed, late = self.router("v1", "v2"), self.router("v1")
+        await informed.begin(b"a", "v2")
+        for replica in self.replicas:
+            replica.known = ("v1", "v2")
+        self.check_refused(await late.take_up(b"a"), is_retried=True)
+        late.know("v2")
+        self.assertEqual((await late.take_up(b"a")).version, "v2")
 
     @asyncio_test
     async def test_streams_do_not_wait_for_replicas_that_were_not_heard_since_a_failure(self):
@@ -382,23 +459,61 @@
         self.assertEqual((await late.take_up(b"a")).version, "v2")
 
     @asyncio_test
-    async def test_replicas_that_are_down_do_not_keep_streams_from_going_on(self):
-        """Guards against refusals while all replicas restart and one version serves."""
+    async def test_replicas_that_are_down_are_no_proof(self):
+        """Guards against refused connections being taken for an end that others know of too.
+
+        What refuses them may be the router's own path, while others write and hear.
+        """
         router = self.router("v1")
-        router.is_in_touch = False
+        for replica in self.replicas:
+            router.hear(replica)
         await self.kill_replicas()
-        self.assertEqual((await router.take_up(b"a")).version, "v1")
+        started_s = read_clock()
+        for verdict in await self.take_up_both_ways(router):
+            self.check_refused(verdict, is_retried=True)
+        self.assertLess(read_clock() - started_s, PROMPT_S)
+
+    @asyncio_test
+    async def test_one_replica_that_is_down_is_no_proof(self):
+        """Guards against a record that only the replica which doesn't answer holds."""
+        router = self.router("v1")
+        await self.kill_replicas(self.replicas[0])
+        for verdict in await self.take_up_both_ways(router):
+            self.check_refused(verdict, is_retried=True)
 
     @asyncio_test
     async def test_router_that_is_cut_off_does_not_take_its_version_for_the_only_one(self):
-        """Guards against joined streams at a router that can't have heard of a release."""
+        """Guards against joined streams at a router that heard all replicas a moment ago."""
         router = self.router("v1")
         for replica in self.replicas:
+            router.hear(replica)
             replica.is_hanging = True
-        self.assertEqual((await router.take_up(b"a")).version, "v1")
-        router.is_in_touch = False
-        self.check_refused(await router.take_up(b"a"), is_retried=True)
-        self.check_refused(await router.take_up(None), is_retried=True)
+        for verdict in await self.take_up_both_ways(router):
+            self.check_refused(verdict, is_retried=True)
+
+    @asyncio_test
+    async def test_late_answer_is_waited_for(self):
+        """Guards against a stream that goes on at another version, as its record came late."""
+        informed, late = self.router("v1", "v2"), self.router("v1")
+        await informed.begin(b"a", "v2", digest=b"content1")
+        for replica in self.replicas:
+            replica.answers_after_s = 0.2
+        self.assertEqual((await late.take_up(b"a")).version, "v2")
+        self.assertEqual((await late.take_up(None, digest=b"content1")).version, "v2")
+
+    @asyncio_test
+    async def test_content_at_another_version_at_a_replica_that_answers_late_is_refused(self):
+        """Guards against the version of another stream, which the first answer names."""
+        router = self.router("v1", "v2")
+        for replica, version in zip(self.replicas, ("v1", "v2", "v2"), strict=True):
+            replica.answers_after_s = 0.1 if version == "v1" else 0.0
+            key = content_key("pool", b"content1")
+            replica.table.merge(OriginEntry((key,), version, 7, 1, 60_000), read_clock())
+        verdict = await router.take_up(None, digest=b"content1")
+        self.check_refused(verdict, is_retried=False)
+        self.replicas[0].is_hanging = True
+        verdict = await router.take_up(None, digest=b"content1")
+        self.check_refused(verdict, is_retried=True)
 
 
 class ReplicasTest(OriginsTestCase):
@@ -435,7 +550,7 @@
             await killed.kill()
             first, second = self.router("v1", "v2"), self.router("v1", "v2")
             waits = [await first.begin(b"%d" % number, "v1") for number in range(9)]
-            self.assertLess(max(waits), origin_relay.CONFIRM_S)
+            self.assertLess(max(waits), 1.0)
             # Only the first is tried at the replica that is down.
             self.assertLess(sorted(waits)[-2], origin_relay.HEDGE_S)
             self.assertLessEqual(sum(first.tallies.totals("stream_write_hedges").values()), 1)
@@ -451,7 +566,7 @@
             replica.is_hanging = True
         router = self.router("v1", "v2")
         waits = [await router.begin(b"%d" % number, "v1") for number in range(9)]
-        self.assertLess(max(waits), origin_relay.CONFIRM_S)
+        self.assertLess(max(waits), PROMPT_S)
         outcomes = router.tallies.totals("streams_written")
         self.assertEqual(outcomes, {outcome("confirmed"): 9})
 
@@ -461,7 +576,7 @@
         await self.kill_replicas()
         router = self.router("v1", "v2")
         waits = await asyncio.gather(*(router.begin(b"%d" % n, "v1") for n in range(50)))
-        self.assertLess(max(waits), origin_relay.CONFIRM_S + 0.1)
+        self.assertLess(max(waits), PROMPT_S + 0.1)
         self.assertEqual(router.tallies.totals("streams_written"), {outcome("late"): 50})
         other = self.router("v1", "v2")
         self.check_refused(await other.take_up(b"1"), is_retried=True)
@@ -504,7 +619,7 @@
         self.replicas[0].is_hanging = True
         started_s = read_clock()
         self.assertEqual((await second.take_up(b"a")).version, "v1")
-        self.assertLess(read_clock() - started_s, origin_relay.ASK_S)
+        self.assertLess(read_clock() - started_s, PROMPT_S)
 
     @asyncio_test
     async def test_replica_of_an_earlier_version_holds_nothing_and_is_not_asked_again(self):
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_versions.py
@@ -365,6 +365,12 @@
             if answer.status == 200:
                 began.append(b"a%d" % number)
         self.assertTrue(0 < len(began) < 12)
+
+        async def resolve(call):
+            return OriginVerdict("v1")
+
+        # Without replicas, this router would refuse all of them.
+        self.forwarder.origins.resolve = resolve
         for number, resumes in enumerate(began * 3):
             extra = {"last_event_id": b"1", "x_resumes": resumes}
             answer = await self.call(request_id=b"b%d" % number, **extra)
--- a/packages/wire/src/damaskwind/wire/tests/test_stream_origins.py
+++ b/packages/wire/src/damaskwind/wire/tests/test_stream_origins.py
@@ -1,6 +1,7 @@
 """Tests of the messages by which routers write down which versions began streams."""
 
 import unittest
+from typing import NamedTuple
 
 import msgspec
 from hypothesis import given
@@ -24,6 +25,19 @@
 MAX_ENTRY_BYTES = 42
 
 
+class FormerCall(NamedTuple):
+    """A call as replicas of the version before decode it."""
+
+    entries: tuple[OriginEntry, ...]
+    keys: tuple[bytes, ...] = ()
+
+
+class FormerAnswer(NamedTuple):
+    """An answer as routers of the version before decode it."""
+
+    versions: tuple[tuple[str, ...], ...]
+
+
 class MessagesTest(unittest.TestCase):
     def test_messages_survive_the_wire(self):
         """Guards against fields that are lost or swapped."""
@@ -31,6 +45,24 @@
         self.assertEqual(decode_call(encode_message(call)), call)
         answer = OriginAnswer(((), ("v1",), ("v1", "v2")))
         self.assertEqual(decode_answer(encode_message(answer)), answer)
+        asking = call._replace(services=("s", "t"))
+        self.assertEqual(decode_call(encode_message(asking)), asking)
+        telling = answer._replace(known=(("v1",), ()), replicas=("h",), is_settled=True)
+        self.assertEqual(decode_answer(encode_message(telling)), telling)
+
+    def test_version_before_understands_what_asks_for_no_services(self):
+        """Guards against replicas and routers that lose each other in a release of our own."""
+        call = OriginCall((ENTRY,), (KEY,))
+        data = encode_message(call)
+        self.assertEqual(msgspec.msgpack.decode(data, type=FormerCall), tuple(call[:2]))
+        data = encode_message(OriginAnswer((("v1",),)))
+        former = FormerAnswer((("v1",),))
+        self.assertEqual(msgspec.msgpack.decode(data, type=FormerAnswer), former)
+        data = msgspec.msgpack.encode(FormerCall((ENTRY,), (KEY,)))
+        self.assertEqual(decode_call(data), call)
+        self.assertEqual(
+            decode_answer(msgspec.msgpack.encode(former)), OriginAnswer(former.versions)
+        )
 
     def test_entry_is_small(self):
         """Guards against control traffic beyond what was reckoned with."""
