Versions of streams: a first event waits for the call that writes its stream down

Beside load, streams were joined after all routers were killed, since their first events had gone out after 100 ms without a confirmed record: the next stream of the same content was then the only one on record. Now the first event waits as long as a call lasts (0.3 s on an open connection, 0.55 s at most) while a holder's call is under way and may succeed, and not at all while none was heard since a call to it failed. Once the first holder's call fails, the others are called at once; one of an earlier version, which holds no streams, is not waited for.

What callers lose by the bound: a router that is cut off in silence holds the first events of the streams that begin until its calls fail, once; without a record, a stream is joined, or refused though its version serves.

--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from itertools import islice
 from typing import NamedTuple
@@ -143,9 +143,17 @@
         if self._change is not None:
             self._change.set()
 
-    async def wait_confirmed(self, limit_s: float) -> bool:
-        """Wait until a replica holds it; return whether one does in time."""
-        return await self._wait(lambda: self.is_confirmed, limit_s)
+    def note_failed(self) -> None:
+        """Record that a replica doesn't answer."""
+        if self._change is not None:
+            self._change.set()
+
+    async def wait_confirmed(self, links: "Iterable[OriginLink]", limit_s: float) -> bool:
+        """Wait until a replica holds it or none of some may answer; return whether one does."""
+        await self._wait(
+            lambda: self.is_confirmed or not any(link.may_answer for link in links), limit_s
+        )
+        return self.is_confirmed
 
     async def wait_replaced(self, limit_s: float) -> bool:
         """Wait until no replica holds another version of it; return whether that is so in time."""
@@ -198,9 +206,14 @@
         self._answer_none()
         self._drop_connection()
 
+    @property
+    def may_answer(self) -> bool:
+        """Return whether a call may succeed: the replica was heard since one failed."""
+        return self.is_supported and not self.is_failing
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether a call may be expected to succeed at once."""
-        return self.is_supported and not self.is_failing and now_s - self._called_s < SLOW_S
+        return self.may_answer and now_s - self._called_s < SLOW_S
 
     @property
     def pending(self) -> int:
@@ -288,6 +301,8 @@
             answer = await self._ask_with(call, services)
         except _UnsupportedError:
             self.is_supported = False
+            for stream in (*valid, *self._urgent.values(), *self._lazy.values()):
+                stream.note_failed()
             self._urgent.clear()
             self._lazy.clear()
             logger.info("replica holds no streams", host=self._address.host)
@@ -340,6 +355,8 @@
         self.is_failing = True
         self.is_down = isinstance(error, ConnectFailedError) and str(error) == _REFUSED
         self._drop_connection()
+        for stream in (*self._urgent.values(), *self._lazy.values()):
+            stream.note_failed()
 
     def _answer_none(self) -> None:
         """Let nobody wait for an answer any longer."""
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -29,8 +29,11 @@
 
 __all__ = ["Asked", "OriginRelay"]
 
-# The first event waits this long at most for a replica to confirm its stream.
-CONFIRM_S = 0.1
+# The first event waits this long at most for a replica to confirm its stream: as long as a call
+# lasts at most. A stream without a record may be joined, or refused though its version serves.
+CONFIRM_S = CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S
+# A request that was sent on to another version waits this long for the former one to be replaced.
+REPLACED_S = 0.1
 # When the first holder has not answered within this time, the others are called.
 HEDGE_S = 0.02
 # The others are sent this share of the streams at once, after a burst. Without a bound, replicas
@@ -129,36 +132,48 @@
                 link.drop(oldest.writer)
 
     async def write_down(self, stream: BegunStream) -> bool:
-        """Write a stream down; return whether a replica confirmed it in time."""
+        """Write a stream down; return whether a replica confirmed it in time.
+
+        A call under way is waited for. Replicas that were not heard since a call to them failed
+        are not; they are sent what is pending when they are heard again.
+        """
         if len(stream.version) > MAX_VERSION_CHARS:
             return False
-        first, *others = self._holders(stream) or [None]
+        first, *others = [self._links[host] for host in self._holders(stream)] or [None]
         if first is None:
             return False
-        self._links[first].write(stream, is_urgent=True)
-        for host in others:
-            self._links[host].write(stream, is_urgent=False)
+        first.write(stream, is_urgent=True)
+        for link in others:
+            link.write(stream, is_urgent=False)
         for link in stream.stale:
             link.write(stream, is_urgent=True)
-        if all(self._links[host].is_failing for host in (first, *others)):
-            # They are sent what is pending when they are heard again.
-            return False
         self._hedges = min(self._hedges + HEDGE_SHARE, HEDGE_BURST)
-        if await stream.wait_confirmed(HEDGE_S):
+        ends_s = read_clock() + CONFIRM_S
+        if await stream.wait_confirmed([first], HEDGE_S):
             return True
-        if self._hedges >= 1.0:
-            self._hedges -= 1.0
-            self.tallies.count("stream_write_hedges")
-            for host in others:
-                self._links[host].write(stream, is_urgent=True)
-        return await stream.wait_confirmed(CONFIRM_S - HEDGE_S)
+        if first.may_answer and not self._take_hedge():
+            await stream.wait_confirmed([first], ends_s - read_clock())
+            if first.may_answer:
+                return stream.is_confirmed
+        reachable = [link for link in others if link.may_answer]
+        for link in reachable:
+            link.write(stream, is_urgent=True)
+        return await stream.wait_confirmed([first, *reachable], ends_s - read_clock())
+
+    def _take_hedge(self) -> bool:
+        """Return whether other holders may be called beside the first one, which is slow."""
+        if self._hedges < 1.0:
+            return False
+        self._hedges -= 1.0
+        self.tallies.count("stream_write_hedges")
+        return True
 
     async def is_replaced(self, stream: BegunStream) -> bool:
         """Return whether no replica holds another version of a stream any more.
 
         The replica that is asked first may be one that has missed the last write.
         """
-        return await stream.wait_replaced(CONFIRM_S)
+        return await stream.wait_replaced(REPLACED_S)
 
     async def ask(self, key: bytes, service: str, is_named: bool) -> Asked:
         """Ask the replicas for the versions of a key.
@@ -207,7 +222,7 @@
         self._service = service
         self._links = links
         self._is_named = is_named
-        self._failing = {host for host, link in links.items() if link.is_failing}
+        self._failing = {host for host, link in links.items() if not link.may_answer}
         self._waiting: dict[asyncio.Future, str] = {}
         self._asked: set[str] = set()
         self._answers: dict[str, ReplicaAnswer] = {}
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_stream_origins.py
@@ -570,6 +570,38 @@
         outcomes = router.tallies.totals("streams_written")
         self.assertEqual(outcomes, {outcome("confirmed"): 9})
 
+    @asyncio_test
+    async def test_first_event_waits_for_a_confirmation_that_is_late(self):
+        """Guards against streams without a record, whose router is then killed."""
+        for replica in self.replicas:
+            replica.answers_after_s = 0.2
+        first, second = self.router("v1"), self.router("v1", "v2")
+        begun = (first.begin(b"%d" % number, "v1") for number in range(20))
+        waits = await asyncio.gather(*begun)
+        self.assertGreater(min(waits), 0.19)
+        self.assertEqual(first.tallies.totals("streams_written"), {outcome("confirmed"): 20})
+        await first.view.stop()
+        for number in (0, 10, 19):
+            self.assertEqual((await second.take_up(b"%d" % number)).version, "v1")
+
+    @asyncio_test
+    async def test_stream_is_confirmed_elsewhere_after_the_call_to_its_holder_failed(self):
+        """Guards against streams without a record, after a burst at a replica that is cut off."""
+        router = self.router("v1")
+        self.replicas[0].is_hanging = True
+        waits = await asyncio.gather(*(router.begin(b"%d" % n, "v1") for n in range(300)))
+        self.assertEqual(router.tallies.totals("streams_written"), {outcome("confirmed"): 300})
+        self.assertLess(max(waits), 0.6)
+
+    @asyncio_test
+    async def test_first_event_does_not_wait_for_replicas_of_an_earlier_version(self):
+        """Guards against a wait for those that hold no streams."""
+        for replica in self.replicas:
+            replica.is_old = True
+        router = self.router("v1")
+        waits = [await router.begin(b"%d" % number, "v1") for number in range(9)]
+        self.assertLess(max(waits), PROMPT_S)
+
     @asyncio_test
     async def test_without_replicas_streams_begin_and_are_counted(self):
         """Guards against streams that wait for replicas, and against silence about it."""
