Versions of streams: a replica that was removed is not needed for a proof

A router keeps asking a replica that was replaced until it restarts itself, so that callers that name no attempt would be refused there for good. Which replicas' answers are needed is now what the answers name, and those that the router alone knows are not. A replica that names none has not read its log and proves nothing.

--- a/packages/router/src/damaskwind/router/forwarding/origin_link.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_link.py
@@ -413,7 +413,7 @@
     known = dict(zip(services, map(frozenset, answer.known), strict=False))
     replicas = frozenset(answer.replicas)
     for question, versions in zip(questions, answer.versions, strict=True):
-        is_proof = answer.is_settled and question.service in known
+        is_proof = answer.is_settled and question.service in known and bool(replicas)
         told = known.get(question.service, frozenset())
         yield ReplicaAnswer(frozenset(versions), told, replicas, is_proof)
 
--- a/packages/router/src/damaskwind/router/forwarding/origin_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/origin_relay.py
@@ -225,6 +225,7 @@
         self._failing = {host for host, link in links.items() if not link.may_answer}
         self._waiting: dict[asyncio.Future, str] = {}
         self._asked: set[str] = set()
+        self._failed: set[str] = set()
         self._answers: dict[str, ReplicaAnswer] = {}
 
     def unasked(self) -> list[str]:
@@ -248,21 +249,30 @@
                 self._waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
             )
             was_found = bool(self.found)
-            has_failed = None in [self._take(asking) for asking in done]
+            for asking in done:
+                self._take(asking)
             if self._is_named and self.found and not was_found:
                 ends_s = min(ends_s, read_clock() + ASK_GRACE_S)
-            if has_failed and not self._is_named:
-                # Without its answer, the others' prove nothing.
+            if not self._is_named and not self._failed.isdisjoint(self._replicas()):
+                # Without their answers, the others' prove nothing.
                 return
 
-    def _take(self, asking: asyncio.Future) -> ReplicaAnswer | None:
-        """Take an answer and return it, `None` if there is none."""
+    def _take(self, asking: asyncio.Future) -> None:
+        """Take an answer, or note that there is none."""
         host = self._waiting.pop(asking)
         answer = asking.result()
-        if answer is not None:
+        if answer is None:
+            self._failed.add(host)
+        else:
             self._answers[host] = answer
             self.found |= answer.versions
-        return answer
+
+    def _replicas(self) -> frozenset[str]:
+        """Return the hosts of all replicas, as those that answered name them.
+
+        There may be others than this router knows, and some that it knows may have been removed.
+        """
+        return frozenset().union(*(answer.replicas for answer in self._answers.values()))
 
     def cancel(self) -> None:
         """Wait no longer."""
@@ -273,8 +283,8 @@
         """Return what was answered so far."""
         answers = self._answers.values()
         known = frozenset().union(*(answer.known for answer in answers))
-        # A replica may have joined of which this router has not heard.
-        replicas = self._links.keys() | frozenset().union(*(one.replicas for one in answers))
-        is_proof = self._answers.keys() == replicas and all(one.is_proof for one in answers)
+        replicas = self._replicas()
+        is_proof = all(one.is_proof for one in answers) and replicas <= self._answers.keys()
+        count = len(replicas) or len(self._links)
         found = frozenset(self.found)
-        return Asked(found, known, len(answers), len(replicas), bool(answers) and is_proof)
+        return Asked(found, known, len(answers), count, bool(replicas) and is_proof)
--- a/packages/router/src/damaskwind/router/forwarding/stream_origins.py
+++ b/packages/router/src/damaskwind/router/forwarding/stream_origins.py
@@ -192,7 +192,7 @@
     versions = known | asked.known
     if len(versions) > 1:
         why = "the version that began the stream is not known"
-        has_all = asked.answered == asked.replicas > 0
+        has_all = asked.answered >= asked.replicas > 0
         retry_after_s = None if has_all else RETRY_AFTER_S
         return OriginVerdict(None, True, why, retry_after_s), OriginSource.NONE
     if asked.is_proof:
