Replay of versions of streams: two confirmations, and what is provable

Adds a way that writes to two holders at once and waits for both, and the share of the streams taken up when enough replicas would answer to prove that there is no other record. Questions and answers carry what they do now.

--- a/benchmarks/stream_origins.py
+++ b/benchmarks/stream_origins.py
@@ -1,7 +1,8 @@
 """Replay streams that callers take up in a release over three versions, with three strategies.
 
 `written`: a router writes each stream down at replicas before its first event; variants send it
-to all holders at once, or to the first one at once and to the others a little later. `asked`: the
+to all holders at once, or to the first one at once and to the others a little later, or to two at
+once, both of which have to confirm it. `asked`: the
 routers are asked which of them served an attempt. `hashed`: the version is chosen by a hash of
 the attempt's id among those that serve, and worked out again from what serves then.
 
@@ -19,6 +20,7 @@
 from statistics import quantiles
 from typing import NamedTuple
 
+from damaskwind.control.fleet.origins_site import SETTLED_S
 from damaskwind.decisions.limits.slices import rendezvous_order
 from damaskwind.decisions.streams.holders import choose_holders
 from damaskwind.decisions.streams.origin_table import OriginEntry, OriginTable, attempt_key
@@ -35,7 +37,9 @@
 
 __all__ = ["STRATEGIES", "OriginFigures", "OriginLoad", "simulate"]
 
-STRATEGIES = ("written", "written to all", "asked", "hashed")
+STRATEGIES = ("written", "written to two", "written to all", "asked", "hashed")
+# Replicas that have to confirm a stream before its first event.
+CONFIRMATIONS = {"written to two": 2}
 # Processor time of a replica for one call and for each entry, on a quarter of a core.
 CALL_S = 4 * 190e-6
 ENTRY_S = 4 * 9e-6
@@ -75,12 +79,15 @@
     """Shares of the streams taken up, waits before a first event, and the price at replicas.
 
     A stream counts as taken up while a target of its version serves. `busiest_replica` is the
-    share of its quarter of a core that the busiest replica spends.
+    share of its quarter of a core that the busiest replica spends. `provable` is the share of the
+    streams taken up when so many replicas would answer, with all that they ever held, that none
+    of those confirmed could be missed: what goes on without the id of an attempt.
     """
 
     streams: int
     taken_up: int
     found: float
+    provable: float
     joined: int
     refused: float
     wait_ms: tuple[float, float, float]
@@ -93,7 +100,17 @@
 
 
 class _Stream:
-    __slots__ = ("begun_s", "confirmed_s", "ends_s", "entry", "key", "life", "router", "version")
+    __slots__ = (
+        "begun_s",
+        "confirmed_s",
+        "confirmations",
+        "ends_s",
+        "entry",
+        "key",
+        "life",
+        "router",
+        "version",
+    )
 
 
 class _Replica:
@@ -101,6 +118,7 @@
         self.table = OriginTable(131_072)
         self.life = 0
         self.is_up = True
+        self.settled_s = 0.0
         self.free_s = 0.0
         self.busy_s = 0.0
         self.calls = 0
@@ -138,6 +156,8 @@
         self.waits_s: list[float] = []
         self.take_up_s: list[float] = []
         self.bytes = self.messages = self.streams = 0
+        self.needed = CONFIRMATIONS.get(strategy, 1)
+        self.provable = 0
         self.outcomes = {"found": 0, "joined": 0, "refused": 0}
 
     def at(self, at_s: float, action: Callable[[], None]) -> None:
@@ -182,7 +202,7 @@
         stream.key = attempt_key("s", b"%016x" % self.random.getrandbits(64))
         stream.router, stream.life = router, self.router_lives[router]
         stream.version = self.choose_version(router, stream.key)
-        stream.begun_s, stream.confirmed_s = self.now_s, float("inf")
+        stream.begun_s, stream.confirmed_s, stream.confirmations = self.now_s, float("inf"), 0
         stream.ends_s = self.now_s + self.random.uniform(0.2, 2 * self.load.stream_s)
         lasts_ms = int((15.0 + MARGIN_S) * 1000)
         content = stream.key[::-1]
@@ -205,8 +225,8 @@
         ]
         first, *others = choose_holders(stream.key, self.hosts, down)
         self.put(router, first, stream, True)
-        for host in others:
-            self.put(router, host, stream, is_all)
+        for number, host in enumerate(others, 1):
+            self.put(router, host, stream, is_all or number < self.needed)
 
         def hedge() -> None:
             if stream.confirmed_s > self.now_s and self.take_hedge(router):
@@ -268,7 +288,9 @@
             link.is_calling, link.called_s = False, float("inf")
             if replica.life == life:
                 for stream in batch:
-                    stream.confirmed_s = min(stream.confirmed_s, self.now_s)
+                    stream.confirmations += 1
+                    if stream.confirmations >= self.needed:
+                        stream.confirmed_s = min(stream.confirmed_s, self.now_s)
                     replica.table.merge(stream.entry, self.now_s)
             elif self.router_lives[router] == router_life:
                 link.lazy.update({stream.entry.writer: stream for stream in batch})
@@ -301,6 +323,8 @@
         targets = RELEASE[self.phase(router)][1]
         if stream.version not in RELEASE[self.true_phase()][1]:
             return
+        answering = sum(one.is_up and one.settled_s <= self.now_s for one in self.replicas)
+        self.provable += answering > len(self.replicas) - self.needed
         version, took_s = self.resolve(router, stream)
         if version is None:
             self.outcomes["refused"] += 1
@@ -360,8 +384,10 @@
         self, replica: _Replica, stream: _Stream, after_s: float
     ) -> tuple[frozenset[str], float]:
         """Return what a replica answers and when, if it is asked after some time."""
-        size_bytes = len(encode_message(OriginCall((), (stream.key,))))
-        size_bytes += len(encode_message(OriginAnswer((("v1",),))))
+        size_bytes = len(encode_message(OriginCall((), (stream.key,), ("s",))))
+        hosts = tuple(f"10.0.0.{number}" for number in range(len(self.replicas)))
+        answer = OriginAnswer((("v1",),), (("v1", "v2"),), hosts, True)
+        size_bytes += len(encode_message(answer))
         done_s = self.serve(replica, 1, size_bytes)
         return replica.table.versions(stream.key, self.now_s), done_s - self.now_s + after_s
 
@@ -410,6 +436,7 @@
 
         def start() -> None:
             replica.is_up, replica.free_s = True, self.now_s
+            replica.settled_s = self.now_s + SETTLED_S
             host = next(name for name, one in self.hosts.items() if one is replica)
             for router in range(self.load.routers):
                 # Each router hears the replica within a second.
@@ -450,6 +477,7 @@
             self.streams,
             taken_up,
             self.outcomes["found"] / taken_up,
+            self.provable / taken_up,
             self.outcomes["joined"],
             self.outcomes["refused"] / taken_up,
             tuple(round(1000 * value, 2) for value in (cuts[49], cuts[98], max(self.waits_s))),
