Stand-ins: links of streams lose pieces

An impaired link of streams could delay all its connections, and be silent as a whole. Now a share of the pieces of a stream comes later by a set time, and what is behind one on its connection waits, while other connections go on; another share never comes, so that its connection is open and silent for good, its end included.

--- a/packages/standins/src/damaskwind/standins/impairment.py
+++ b/packages/standins/src/damaskwind/standins/impairment.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from math import inf
 from typing import NamedTuple
 
 __all__ = ["Impairment", "LinkImpairment", "Shaper"]
@@ -17,6 +18,8 @@
 
     `drop_share`, `reorder_share` and `corrupt_share` are fractions of the
     datagrams; `corrupt_share` applies to the pieces of a TCP stream too.
+    Of the pieces of a TCP stream, `lost_share` come `resent_after_s` later, and `mute_share` never
+    come; all that is behind one on its connection waits for it.
     `blackhole` drops datagrams silently and withholds a stream, including its
     end. A `bytes_per_s` of 0 means no limit.
     """
@@ -28,6 +31,9 @@
     corrupt_share: float = 0.0
     bytes_per_s: float = _NO_LIMIT
     blackhole: bool = False
+    lost_share: float = 0.0
+    resent_after_s: float = 0.2
+    mute_share: float = 0.0
 
 
 class LinkImpairment(NamedTuple):
@@ -54,6 +60,12 @@
         """Return whether a datagram is lost."""
         return self.impairment.blackhole or self._draw(self.impairment.drop_share)
 
+    def lost_for_s(self) -> float:
+        """Return how much later a piece of a stream comes, infinity if it never does."""
+        if self._draw(self.impairment.mute_share):
+            return inf
+        return self.impairment.resent_after_s if self._draw(self.impairment.lost_share) else 0.0
+
     def corrupt(self, data: bytes) -> bytes:
         """Return the data, with one random bit flipped for `corrupt_share` of the calls."""
         if not data or not self._draw(self.impairment.corrupt_share):
--- a/packages/standins/src/damaskwind/standins/tcp_link.py
+++ b/packages/standins/src/damaskwind/standins/tcp_link.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import deque
+from math import inf
 from typing import Any
 
 from twisted.internet.interfaces import IPushProducer
@@ -29,6 +30,8 @@
         self._shaper = shaper
         self._queue: deque[tuple[float, bytes | None]] = deque()
         self._queued_bytes = 0
+        # Until when a lost piece holds back what is behind it.
+        self._held_until_s = 0.0
         self._timer: Any = None
         self._sink_full = False
         self._closed = False
@@ -48,6 +51,8 @@
             data = self._shaper.corrupt(data)
             self._queued_bytes += len(data)
         due_s = self._shaper.due_s(self._clock.seconds(), len(data or b""), in_order=True)
+        due_s = max(due_s + self._shaper.lost_for_s(), self._held_until_s)
+        self._held_until_s = due_s
         self._queue.append((due_s, data))
         if self._queued_bytes > _QUEUE_LIMIT_BYTES and self.source is not None:
             self.source.pauseProducing()
@@ -58,7 +63,7 @@
         now_s = self._clock.seconds()
         while self._can_send() and self._queue[0][0] <= now_s:
             self._send(self._queue.popleft()[1])
-        if self._can_send() and self._timer is None:
+        if self._can_send() and self._timer is None and self._queue[0][0] < inf:
             self._timer = self._clock.callLater(self._queue[0][0] - now_s, self._on_timer)
 
     @property
--- a/packages/standins/src/damaskwind/standins/tests/test_faulty_network.py
+++ b/packages/standins/src/damaskwind/standins/tests/test_faulty_network.py
@@ -122,6 +122,34 @@
         third = await self._connect()
         await wait_until(lambda: third.lost, 10)
 
+    @asyncio_test
+    async def test_lost_piece_holds_back_what_is_behind_it_on_its_connection_alone(self) -> None:
+        """Guards against a link that delays all connections, or delivers past what was lost."""
+        first = await self._open()
+        second = await self._connect()
+        self.link.impair(LinkImpairment(Impairment(lost_share=1.0, resent_after_s=0.3)))
+        first.transport.write(b"lost")
+        connection = self.link.connections[0]
+        await wait_until(lambda: connection.to_target.has_queued_data, 10)
+        self.link.impair(LinkImpairment())
+        first.transport.write(b" behind")
+        second.transport.write(b"other")
+        await wait_until(lambda: second.received == b"other", 10)
+        self.assertEqual(first.received, b"")
+        await wait_until(lambda: first.received == b"lost behind", 10)
+
+    @asyncio_test
+    async def test_connection_that_fell_silent_says_nothing_of_its_end(self) -> None:
+        client = await self._open()
+        self.link.impair(LinkImpairment(to_caller=Impairment(mute_share=1.0)))
+        client.transport.write(b"x")
+        connection = self.link.connections[0]
+        await wait_until(lambda: connection.to_caller.has_queued_data, 10)
+        self.link.impair(LinkImpairment())
+        connection.target.transport.abortConnection()
+        await wait_until(lambda: not connection.target.transport.connected, 10)
+        self.assertEqual((client.received, client.lost), (b"", False))
+
     @asyncio_test
     async def test_reset_of_one_connection_is_no_orderly_end(self) -> None:
         """Guards against an answer without a length whose reset looks like its end."""
