--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends_behind_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends_behind_links.py
@@ -6,11 +6,12 @@
 
 from twisted.internet import reactor
 
+from damaskwind.router.forwarding.tests.bench import NAMES
 from damaskwind.router.forwarding.tests.test_unheard_ends import TWO_EVENTS, UnheardEndTestCase
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.standins.faulty_network import FaultyNetwork
 from damaskwind.standins.impairment import Impairment, LinkImpairment
-from damaskwind.standins.scripted_target import unframed
+from damaskwind.standins.scripted_target import ScriptedTarget, unframed
 
 BLACKHOLE = Impairment(blackhole=True)
 
@@ -65,3 +66,18 @@
 
         self.share(exit_process)
         self.assertEqual(await self.read(), (TWO_EVENTS, False))
+
+    @asyncio_test
+    async def test_next_process_that_listens_behind_the_link_is_no_proof(self):
+        """Guards against a target that says it leaves, ends and is replaced (seed 958460398)."""
+        following = ScriptedTarget(NAMES)
+        following.named_id = b"t7"
+        self.targets.append(following)
+        address = await following.start()
+
+        async def exit_process(writer, request):
+            self.link.target = address
+            await self.ending_process()(writer, request)
+
+        self.share(exit_process)
+        self.assertEqual(await self.read(), (TWO_EVENTS, False))
