Soak: news of ends and of versions is lost

What the users reported was not drawn: links that lose pieces while a target is killed, a router that hears no replica while another version joins, and targets that stop inside the head of an answer.

The promises are as they were.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -30,6 +30,7 @@
     only: str = "",
     folder: str = "",
     bug: str = "",
+    before_lost_news: bool = False,
 ) -> int:
     """Run soak tests sequentially; fail if one of them violated a guarantee.
 
@@ -38,12 +39,17 @@
     :param seconds: duration of the load and the faults of each seed
     :param only: indexes of the faults to keep, with commas, to shorten a failing plan by hand
     :param folder: folder of the findings; by default a new temporary folder
+    :param before_lost_news: play a seed that was found before lost news was drawn, as it was then
     :param bug: the guarantee whose seeded bug is injected into the programs
     """
     chosen_seeds = [seed] if seed else [random.randrange(1, SEED_BELOW) for _ in range(seeds)]
     kept_faults = {int(index) for index in only.split(",")} if only else None
     findings_folder = Path(folder or tempfile.mkdtemp(prefix="soak-"))
-    return run_on_reactor(lambda: _play(chosen_seeds, seconds, kept_faults, findings_folder, bug))
+    return run_on_reactor(
+        lambda: _play(
+            chosen_seeds, seconds, kept_faults, findings_folder, bug, not before_lost_news
+        )
+    )
 
 
 async def _play(
@@ -52,6 +58,7 @@
     kept_faults: set[int] | None,
     findings_folder: Path,
     bug: str,
+    has_lost_news: bool,
 ) -> int:
     """Run all seeds; keep the folders of those that violated a guarantee."""
     from damaskwind.platform.tests.soak.seeded_faults import SEEDED_FAULTS
@@ -75,6 +82,7 @@
             has_versions=True,
             has_silences=True,
             has_router_kills=True,
+            has_lost_news=has_lost_news,
         )
         duration_s = time.monotonic() - started_s
         status = "BROKEN" if verdict.broken else "held"
