Unframed ends: ends at a target that resets its connections share their questions

Seen by reading: where many unframed answers end at a target whose connections are reset, each end asked again by itself every 50 ms. Ten ends in turn made 101 health checks in a second. Cause: a question that brought nothing was forgotten at once, so that the next end to wake asked a new one. It is now remembered until the next one is due (50 ms), which also tells ends that came later of the reset. Evidence: the new test failed before (101 of at most 25) and passes after; test_unheard_ends 21 of 21, test_unframed_answers 37 of 37.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -170,19 +170,30 @@
         life = (target.target_id, target.incarnation)
         questions = self._questions.get(life, [])
         if not questions or read_clock() >= _due_s(questions[-1], settled_s):
-            questions = [*questions, self._begin_question(target, must_be_new=bool(questions))]
+            is_silent = any(not question.answer.done() for question in questions)
+            questions = [*questions, self._begin_question(target, must_be_new=is_silent)]
             self._questions[life] = questions
         return questions
 
     def _begin_question(self, target: TargetRecord, must_be_new: bool) -> _Question:
-        """Ask a target, and forget the question once it has ended."""
+        """Ask a target, and forget the question once it has ended.
+
+        One that brought nothing is remembered for `RETRY_S`, so that other ends don't ask at once.
+        """
         self._tallies.count("unframed_end_questions")
         asked_s = read_clock()
         question = _Question(asked_s, asyncio.ensure_future(self._ask(target, must_be_new)))
-        question.answer.add_done_callback(lambda _: self._forget(target, question))
+        question.answer.add_done_callback(lambda _: self._settle(target, question))
         question.answer.add_done_callback(_log_failure)
         return question
 
+    def _settle(self, target: TargetRecord, question: _Question) -> None:
+        """Forget a question that has ended, at once if it was answered."""
+        if _found_by(question.answer).word in _DECIDED:
+            self._forget(target, question)
+            return
+        asyncio.get_running_loop().call_later(RETRY_S, self._forget, target, question)
+
     def _forget(self, target: TargetRecord, question: _Question) -> None:
         """Drop a question that has ended."""
         life = (target.target_id, target.incarnation)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
@@ -292,3 +292,21 @@
         self.target.health_step = self.closing_once
         self.share(unframed(TWO_EVENTS, (EVENTS,)))
         self.assertEqual(await self.read(), (TWO_EVENTS, True))
+
+    @asyncio_test
+    async def test_ends_at_a_target_that_resets_its_connections_share_their_questions(self):
+        """Guards against hundreds of new connections a second where many answers end at once."""
+        self.target.health_step = self.closing
+
+        async def ending_in_turn(writer, request):
+            await asyncio.sleep(0.1 + 0.007 * int(request.headers[b"x-request-id"][1:]))
+            await unframed(TWO_EVENTS, (EVENTS,))(writer, request)
+
+        self.share(*[ending_in_turn] * 10)
+        reads = await asyncio.gather(*(self.read(request_id=b"r%d" % n) for n in range(10)))
+        self.assertEqual(reads, [(TWO_EVENTS, False)] * 10)
+        self.assertLessEqual(self.target.health_checks, 25)
+
+    async def closing(self, writer, request):
+        """Close the connection of a health check."""
+        raise ScriptedEndError("scripted end")
