Plain services: a broken-off answer to an HTTP/1.0 caller ends with a reset

A caller with HTTP/1.0 got a 200 with a short body that looked whole: the answer of a plain service that came in chunks and was cut ended with an orderly close, which is the only sign of a whole answer there.

Cause: the router showed the cut by the missing last chunk, which HTTP/1.0 does not have. The other path of a router resets such connections already.

Why the fix works: a reset is an error to such a caller, whatever it had read. Callers with HTTP/1.1 still get all bytes that were passed on. Streamed chats are left as they are: they end with their own marker, and a cut one has an error event instead, which a test guards.

--- a/packages/router/src/damaskwind/router/service_path.py
+++ b/packages/router/src/damaskwind/router/service_path.py
@@ -104,6 +104,17 @@
     return passed
 
 
+def _break_off(admitted: AdmittedRequest) -> None:
+    """End a caller's connection so that what it got of an answer doesn't look whole.
+
+    Chunks without a last one show it. HTTP/1.0 has none: there an orderly end completes an answer.
+    """
+    if admitted.request.clientproto == b"HTTP/1.0":
+        admitted.caller.abort()
+    else:
+        admitted.request.loseConnection()
+
+
 class _CallContext(NamedTuple):
     """The state of one call while it is served."""
 
@@ -249,5 +260,5 @@
         self._dispatcher.finish(work, answer, verdict, reason, detail)
         work.record.end(verdict, reason, detail, self._reactor.seconds())
         if not admitted.caller.gone:
-            admitted.request.loseConnection()
+            _break_off(admitted)
             await admitted.caller.wait_until_gone()
