Chats and plain calls: a refusal that is cut is no promise

A request that may run once was said not to have run, and could be sent to another target, on the strength of half an answer: a 503 whose head stated that the request did not run, and whose body was cut.

Cause: the verdict was taken from the head, whatever became of the body; a body that was cut only changed the text of the error. The other path of a router asks for the whole refusal already.

Why the fix works: the verdict counts as the target's word only if the answer was whole.

--- a/packages/router/src/damaskwind/router/engine_client.py
+++ b/packages/router/src/damaskwind/router/engine_client.py
@@ -66,22 +66,40 @@
         await check_refusal(response, clock)
 
 
-async def _refusal_text(response: IResponse, clock: Any) -> str:
-    """Return the start of an error's body, or why the body could not be read."""
+class _RefusalText(NamedTuple):
+    """The start of an error's body, or why the body could not be read."""
+
+    text: str
+    is_whole: bool
+
+
+async def _read_refusal(response: IResponse, clock: Any) -> _RefusalText:
+    """Read an error's body; without a length and chunks it is whole at its orderly end."""
     try:
-        body = await read_whole(response, _REFUSAL_LIMIT_BYTES, _REFUSAL_TIMEOUT_S, clock)
+        body = await read_whole(
+            response,
+            _REFUSAL_LIMIT_BYTES,
+            _REFUSAL_TIMEOUT_S,
+            clock,
+            shows_end=lambda body: True,
+        )
     except AttemptError as error:
-        return error.detail
-    return body[:_REFUSAL_SHOWN_BYTES].decode("utf-8", "replace")
+        return _RefusalText(error.detail, False)
+    return _RefusalText(body[:_REFUSAL_SHOWN_BYTES].decode("utf-8", "replace"), True)
 
 
 async def check_refusal(response: IResponse, clock: Any) -> None:
-    """Raise `AttemptError` if a target answered with an error status."""
+    """Raise `AttemptError` if a target answered with an error status.
+
+    That it did not run the request is believed only of a whole answer.
+    """
     if response.code < 400:
         return
-    reported_not_run = header_text(response, "x-verdict") == Verdict.NOT_RUN
+    refusal = await _read_refusal(response, clock)
+    states_not_run = header_text(response, "x-verdict") == Verdict.NOT_RUN
+    reported_not_run = states_not_run and refusal.is_whole
     verdict = Verdict.NOT_RUN if reported_not_run else Verdict.MAY_HAVE_RUN
-    detail = f"the target answered {response.code}: {await _refusal_text(response, clock)}"
+    detail = f"the target answered {response.code}: {refusal.text}"
     is_caller_error = response.code in _CALLER_ERROR_STATUSES
     reason = Reason.BAD_REQUEST if is_caller_error else Reason.TARGET_FAILED
     suspect = not reported_not_run and not is_caller_error
