Calls between processes: an answer without a frame is broken

What routers and replicas read from each other was believed at an orderly end even if the answer had neither a length nor chunks, so that one that ended early, behind anything that drops the frame, counted as all of it.

Cause: `fetch` read such a body to the end of its connection, which RFC 9112 allows, and nothing looked at whether the answer had a frame. All processes of the system frame what they answer.

Evidence: test_answer_without_a_frame_is_broken failed before: the first four bytes of a body came back as a whole answer.

Why the fix works: an answer without a frame is a broken one, which all callers handle as a lost connection. Answers that have no body by their status need no frame, which a test guards.

--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -476,9 +476,15 @@
 
 
 async def fetch(connection: ClientConnection, request: Request, limit_bytes: int) -> Answer:
-    """Send a request and return the whole answer, for calls between the system's processes."""
+    """Send a request and return the whole answer, for calls between the system's processes.
+
+    They frame all answers, so that one without a frame may have ended early.
+    """
     connection.send(request)
     head = await connection.read_head()
+    if head.is_unframed:
+        connection.abort()
+        raise AnswerBrokenError("the answer has neither a length nor chunks")
     body = await connection.read_body(limit_bytes)
     connection.release()
     return Answer(head.status, head.headers, body)
