Tests: the question after an unframed end outlives its caller, in place of the probe

test_probe_at_the_end_of_an_unframed_answer_outlives_its_caller waited for a probe (TargetConnections.probe) that the end check makes no more since, and so ran into its limit of 60 s there and here (1 of 1 in a run of the forwarding tests, 1 of 1 alone). It now delays the health check that took the probe's place and asks the same of it: the caller that asked leaves, both others are answered 200, nothing is unanswered.

--- a/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
@@ -17,12 +17,14 @@
 from damaskwind.model.traffic_configuration import RouteKind
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
+from damaskwind.router.forwarding.health_checks import HealthAnswer, HealthChecks
 from damaskwind.router.forwarding.held_bytes import HeldBytes
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.router.forwarding.unanswered_requests import UnansweredRequests, unanswered_totals
 from damaskwind.runtime.bridge import asyncio_test
-from damaskwind.runtime.http1.client import AnswerBrokenError
+from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.client import AnswerBrokenError, AnswerHead
 from damaskwind.runtime.http1.unanswered import UnansweredReason
 from damaskwind.standins.scripted_target import plain, raw, silent, stream, unframed
 
@@ -271,9 +273,16 @@
         await self.check_shared(late(BROKEN))
 
     @asyncio_test
-    async def test_probe_at_the_end_of_an_unframed_answer_outlives_its_caller(self):
+    async def test_question_at_the_end_of_an_unframed_answer_outlives_its_caller(self):
         """Guards against an answer that is lost as another one's caller leaves."""
+        self.patch(HealthChecks, "send", lambda _, target, *__: self.slow_health_check(target))
         await self.check_shared(unframed(b"whole"))
+        self.assertLessEqual(self.probes, 2)
+
+    async def slow_health_check(self, target):
+        await self.slow_probe()
+        named = (NAMES.instance_id, target.target_id.encode())
+        return HealthAnswer(AnswerHead(200, [named]), read_clock())
 
 
 class FailedRequestsTest(CancelingTestCase):
