Unframed ends: a wait for a silent question is no loop while another one was reset

A router spent its turns on nothing: a question that was reset is remembered for 50 ms, and the wait for the answers of all questions returned at once while one of them had ended, 7,120 looks in a second (test, 1 run; found by reading). Now it waits for those alone that are still to come. The test failed before and passes: fewer than 50 looks; test_unheard_ends 22 of 22, test_unframed_answers 37 of 37, test_canceled_requests 10 of 10.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -144,16 +144,11 @@
         while self._is_same_life(target) and (left_s := until_s - read_clock()) > 0:
             questions = self._ask_if_due(target, settled_s)
             wait_s = min(left_s, max(_due_s(questions[-1], settled_s) - read_clock(), 0.0))
-            answers = [question.answer for question in questions]
-            await asyncio.wait(answers, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+            await _wait_for_any(questions, wait_s)
             for question in questions:
                 word = end.judge(question)
                 if word in _DECIDED:
                     return word if self._is_same_life(target) else _Word.GONE, question.asked_s
-            if all(
-                answer.done() and _found_by(answer).word is not _Word.ALIVE for answer in answers
-            ):
-                await asyncio.sleep(RETRY_S)
         return _Word.NONE, settled_s
 
     def _is_same_life(self, target: TargetRecord) -> bool:
@@ -230,6 +225,15 @@
     return latest.asked_s + (ANSWER_S if latest.asked_s >= settled_s else SHARE_S)
 
 
+async def _wait_for_any(questions: list[_Question], limit_s: float) -> None:
+    """Wait for an answer that is still to come, or for `RETRY_S` if none is."""
+    waiting = [question.answer for question in questions if not question.answer.done()]
+    if waiting:
+        await asyncio.wait(waiting, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+    else:
+        await asyncio.sleep(RETRY_S)
+
+
 def _found_by(answer: asyncio.Task[_Found]) -> _Found:
     """Return what a question brought so far; one that failed here shows nothing."""
     has_failed = answer.done() and (answer.cancelled() or answer.exception() is not None)
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends.py
@@ -14,7 +14,7 @@
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.client import ConnectFailedError
-from damaskwind.standins.scripted_target import ScriptedEndError, event, plain, unframed
+from damaskwind.standins.scripted_target import ScriptedEndError, event, plain, silent, unframed
 
 TWO_EVENTS = event(1) + event(2)
 
@@ -307,6 +307,30 @@
         self.assertEqual(reads, [(TWO_EVENTS, False)] * 10)
         self.assertLessEqual(self.target.health_checks, 25)
 
+    @asyncio_test
+    async def test_wait_for_a_silent_question_is_no_loop_while_another_was_reset(self):
+        """Guards against a router that is busy with nothing, as one of two questions has ended."""
+        await self.pool_connection()
+        steps = [silent(), self.closing]
+
+        async def silent_then_closing(writer, request):
+            step = steps.pop(0) if steps else self.closing
+            await step(writer, request)
+
+        self.target.health_step = silent_then_closing
+        ends = self.forwarder.sender.answer_ends
+        ask_if_due, looks = ends._ask_if_due, []
+
+        def count_looks(target, settled_s):
+            looks.append(settled_s)
+            return ask_if_due(target, settled_s)
+
+        ends._ask_if_due = count_looks
+        self.share(unframed(TWO_EVENTS, (EVENTS,)))
+        self.assertFalse((await self.read())[1])
+        # In a second each of the questions that are reset is followed by another one.
+        self.assertLess(len(looks), 50)
+
     async def closing(self, writer, request):
         """Close the connection of a health check."""
         raise ScriptedEndError("scripted end")
