Unframed ends: what was found of a process counts for its ends that are heard later

Callers saw, by a test of the review: a target ends with two streams and is soon back under its id; the end of one is heard at once and its questions are reset or refused, the end of the other comes 0.2 s later, and a question for it was answered by the next process: complete. What was found against a life was forgotten with its question. Now a life that was refused or reset is in doubt for 10 s, and a connection made after the end or the doubt proves nothing of it; targets that report no start, whose ids name one life, are as before. The names of what a question brought are plainer.

--- a/packages/router/src/damaskwind/router/forwarding/answer_ends.py
+++ b/packages/router/src/damaskwind/router/forwarding/answer_ends.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from enum import StrEnum
-from math import inf
+from math import inf, isfinite
 from typing import NamedTuple
 
 from loguru import logger
@@ -26,7 +26,7 @@
 
 __all__ = ["AnswerEnds"]
 
-# How long an end waits for the target's word. A lost packet is sent again after some 0.2 s.
+# How long an end waits for the target's answer. A lost packet is sent again after some 0.2 s.
 PROOF_S = 1.0
 # After this time another question is asked on another connection: this one may be silent for good.
 ANSWER_S = 0.4
@@ -34,14 +34,17 @@
 SHARE_S = 0.1
 # A connection that is reset before an answer comes is followed by another one after this time.
 RETRY_S = 0.05
+# So long a life is in doubt after a question was refused or reset: ends of the same process are
+# heard within this time, and then its target reports as another life.
+DOUBT_S = 10.0
 
 
 # The id of a target, and the sort key of its incarnation.
-_Life = tuple[str, tuple[int, int]]
+_Incarnation = tuple[str, tuple[int, int]]
 
 
-class _Word(StrEnum):
-    """What a question to a target brought; `UNSURE` is the word of what may be another life."""
+class _Outcome(StrEnum):
+    """What a question to a target brought; `UNSURE` came from what may be another life."""
 
     ALIVE = "alive"
     GONE = "gone"
@@ -51,17 +54,17 @@
 
 
 # By the failure of a connection: on a machine that refuses, nothing listens at the address.
-_WORD_OF_FAILURE = {
-    ConnectionRefusedError.__name__: _Word.GONE,
-    ConnectionResetError.__name__: _Word.RESET,
+_OUTCOME_OF_FAILURE = {
+    ConnectionRefusedError.__name__: _Outcome.GONE,
+    ConnectionResetError.__name__: _Outcome.RESET,
 }
-_DECIDED = (_Word.ALIVE, _Word.GONE, _Word.UNSURE)
+_DECIDED = (_Outcome.ALIVE, _Outcome.GONE, _Outcome.UNSURE)
 
 
 class _Found(NamedTuple):
     """What a question brought, by a connection that was made at `connected_s`."""
 
-    word: _Word
+    outcome: _Outcome
     connected_s: float = inf
 
 
@@ -73,33 +76,26 @@
 
 
 class _WaitingEnd:
-    """The end of one answer, which waits for its target's word."""
+    """The end of one answer, which waits for what its target answers."""
 
     def __init__(self, target: TargetRecord, ended_s: float, settled_s: float) -> None:
         self.target = target
         self.settled_s = settled_s
         self._ended_s = ended_s
-        self._was_reset = False
 
-    def judge(self, question: _Question) -> _Word:
-        """Return what a question shows of this end."""
-        found = _found_by(question.answer)
-        if found.word is _Word.RESET:
-            self._was_reset = True
-        if found.word is not _Word.ALIVE:
-            return found.word
-        if question.asked_s < self.settled_s:
-            return _Word.NONE
-        return _Word.UNSURE if self._may_be_another_life(found) else _Word.ALIVE
+    def judge(self, question: _Question, doubted_s: float) -> _Outcome:
+        """Return what a question shows of this end; its target's life is in doubt since then.
 
-    def _may_be_another_life(self, found: _Found) -> bool:
-        """Return whether the target may have ended and be back under its id.
-
-        One that reports its start may come back so. A connection from before the end leads to
-        the life that answered.
+        A life that is in doubt is proved by a connection from before its end alone: the target may
+        be back under its id.
         """
-        is_newer = found.connected_s > self._ended_s
-        return self.target.born_ms > 0 and self._was_reset and is_newer
+        found = _found_by(question.answer)
+        if found.outcome is not _Outcome.ALIVE:
+            return found.outcome
+        if question.asked_s < self.settled_s:
+            return _Outcome.NONE
+        is_newer = found.connected_s > min(self._ended_s, doubted_s)
+        return _Outcome.UNSURE if isfinite(doubted_s) and is_newer else _Outcome.ALIVE
 
 
 class AnswerEnds:
@@ -110,7 +106,9 @@
         self._checks = HealthChecks(target_states, names)
         self._tallies = tallies
         # By the life of a target, since what one life is asked shows nothing of another.
-        self._questions: dict[_Life, list[_Question]] = {}
+        self._questions: dict[_Incarnation, list[_Question]] = {}
+        # Since when a life may have ended whose id may name several.
+        self._doubted_s: dict[_Incarnation, float] = {}
 
     async def has_outlived(self, target: TargetRecord, request_id: bytes) -> bool:
         """Return whether a target ended the unframed answer that has just ended.
@@ -121,19 +119,19 @@
         """
         ended_s = read_clock()
         await asyncio.sleep(SETTLE_S)
-        word, asked_s = await self._find_word(_WaitingEnd(target, ended_s, read_clock()))
-        self._tallies.count("unframed_end_checks", found=word.value)
+        outcome, asked_s = await self._find_outcome(_WaitingEnd(target, ended_s, read_clock()))
+        self._tallies.count("unframed_end_checks", found=outcome.value)
         logger.info(
             "unframed end checked",
             request_id=request_id.decode("latin-1"),
             target=target.target_id,
             asked_after_end_ms=round((asked_s - ended_s) * 1000, 1),
             took_ms=round((read_clock() - ended_s) * 1000, 1),
-            outcome=word.value,
+            outcome=outcome.value,
         )
-        return word is _Word.ALIVE
+        return outcome is _Outcome.ALIVE
 
-    async def _find_word(self, end: _WaitingEnd) -> tuple[_Word, float]:
+    async def _find_outcome(self, end: _WaitingEnd) -> tuple[_Outcome, float]:
         """Return what a question showed of an end, and when it was asked.
 
         Ends at the same target share questions. What these bring against the target counts for
@@ -146,10 +144,13 @@
             wait_s = min(left_s, max(_due_s(questions[-1], settled_s) - read_clock(), 0.0))
             await _wait_for_any(questions, wait_s)
             for question in questions:
-                word = end.judge(question)
-                if word in _DECIDED:
-                    return word if self._is_same_life(target) else _Word.GONE, question.asked_s
-        return _Word.NONE, settled_s
+                doubted_s = self._doubted_s.get((target.target_id, target.incarnation), inf)
+                outcome = end.judge(question, doubted_s)
+                if outcome in _DECIDED:
+                    return (
+                        outcome if self._is_same_life(target) else _Outcome.GONE
+                    ), question.asked_s
+        return _Outcome.NONE, settled_s
 
     def _is_same_life(self, target: TargetRecord) -> bool:
         """Return whether the process that was sent to is the one that is registered now."""
@@ -184,11 +185,25 @@
 
     def _settle(self, target: TargetRecord, question: _Question) -> None:
         """Forget a question that has ended, at once if it was answered."""
-        if _found_by(question.answer).word in _DECIDED:
+        outcome = _found_by(question.answer).outcome
+        if outcome in (_Outcome.GONE, _Outcome.RESET):
+            self._doubt(target)
+        if outcome in _DECIDED:
             self._forget(target, question)
             return
         asyncio.get_running_loop().call_later(RETRY_S, self._forget, target, question)
 
+    def _doubt(self, target: TargetRecord) -> None:
+        """Remember for a while that a target may have ended, and be back under its id.
+
+        One that reports no start has a new id in each life.
+        """
+        now_s = read_clock()
+        for life in [one for one, since_s in self._doubted_s.items() if since_s < now_s - DOUBT_S]:
+            del self._doubted_s[life]
+        if target.born_ms > 0:
+            self._doubted_s.setdefault((target.target_id, target.incarnation), now_s)
+
     def _forget(self, target: TargetRecord, question: _Question) -> None:
         """Drop a question that has ended."""
         life = (target.target_id, target.incarnation)
@@ -204,20 +219,20 @@
             async with asyncio.timeout(PROOF_S):
                 head, connected_s = await self._checks.send(target, PROOF_S, must_be_new)
         except ConnectFailedError as error:
-            return _Found(_WORD_OF_FAILURE.get(str(error), _Word.NONE))
+            return _Found(_OUTCOME_OF_FAILURE.get(str(error), _Outcome.NONE))
         except AnswerBrokenError:
-            return _Found(_Word.RESET)
+            return _Found(_Outcome.RESET)
         except TimeoutError:
-            return _Found(_Word.NONE)
+            return _Found(_Outcome.NONE)
         return _Found(self._read(head, target), connected_s)
 
-    def _read(self, head: AnswerHead, target: TargetRecord) -> _Word:
+    def _read(self, head: AnswerHead, target: TargetRecord) -> _Outcome:
         """Return what the answer to a question shows."""
         if head.status == MISDIRECTED:
-            return _Word.GONE
+            return _Outcome.GONE
         checks = self._checks
         is_alive = checks.is_named_by(head, target) or checks.is_refused_by(head, target)
-        return _Word.ALIVE if is_alive else _Word.NONE
+        return _Outcome.ALIVE if is_alive else _Outcome.NONE
 
 
 def _due_s(latest: _Question, settled_s: float) -> float:
@@ -237,7 +252,7 @@
 def _found_by(answer: asyncio.Task[_Found]) -> _Found:
     """Return what a question brought so far; one that failed here shows nothing."""
     has_failed = answer.done() and (answer.cancelled() or answer.exception() is not None)
-    return answer.result() if answer.done() and not has_failed else _Found(_Word.NONE)
+    return answer.result() if answer.done() and not has_failed else _Found(_Outcome.NONE)
 
 
 def _log_failure(answer: asyncio.Task[_Found]) -> None:
