Crash verdicts: a router that has ended is no opinion beside silent ones

A sound request could be blamed for a target's crash as the own path was silent, one other router restarted (its port refused) and the others were silent: the refusal counted as 'does not reach the target either'. Now one that has ended tells nothing, and a silent one without any answer leaves the verdict open.

--- a/packages/router/src/damaskwind/router/forwarding/peer_links.py
+++ b/packages/router/src/damaskwind/router/forwarding/peer_links.py
@@ -39,6 +39,10 @@
 LOOKUP_S = 0.02
 
 
+# What a router that has ended reaches.
+_ENDED = Reach((), (), (), 0)
+
+
 class _Answer(NamedTuple):
     """What a router answered for one service: the digests of targets it does not reach, and when.
 
@@ -130,8 +134,9 @@
         peers = self.endpoints
         drawn = self._random.sample(peers, min(CONFIRMING_PEERS, len(peers)))
         asking = (self._ask(peer, (), (target.target_id,)) for peer in drawn)
-        answers = [reach for reach in await asyncio.gather(*asking) if reach is not None]
-        if drawn and not answers:
+        told = await asyncio.gather(*asking)
+        answers = [reach for reach in told if reach is not None and reach is not _ENDED]
+        if None in told and not answers:
             return None
         is_reached = any(target.target_id in reach.reached for reach in answers)
         if not is_reached:
@@ -155,7 +160,7 @@
             logger.info("peer not asked", host=peer.host, why=repr(error))
             self.record_failure(peer)
             has_ended = isinstance(error.__cause__, ConnectionRefusedError)
-            return Reach((), (), (), 0) if has_ended else None
+            return _ENDED if has_ended else None
         self._told_in_flight[peer.host] = reach.in_flight
         self._lookups.clear()
         unreachable, now_s = frozenset(reach.unreachable), read_clock()
