Versions of streams: a replica that dropped records does not prove that there is none

Found by the review, by a table of 4 keys: a replica whose table was full dropped records that still counted, and went on to say that it holds all it ever held; a stream of the same content at another version would then be joined. It says so now until the dropped ones would have expired.

--- a/packages/control/src/damaskwind/control/fleet/origins_site.py
+++ b/packages/control/src/damaskwind/control/fleet/origins_site.py
@@ -64,5 +64,9 @@
         if not services:
             return OriginAnswer(found)
         known = tuple(tuple(sorted(self._known.reported(name, now_s))) for name in services)
-        is_settled = now_s - self._started_s >= SETTLED_S
-        return OriginAnswer(found, known, self._replicas(), is_settled)
+        return OriginAnswer(found, known, self._replicas(), self._is_settled(now_s))
+
+    def _is_settled(self, now_s: float) -> bool:
+        """Return whether all records that were written down here are still held."""
+        has_been_written_again = now_s - self._started_s >= SETTLED_S
+        return has_been_written_again and now_s >= self.table.incomplete_until_s
--- a/packages/control/src/damaskwind/control/fleet/tests/test_origins_site.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_origins_site.py
@@ -106,6 +106,23 @@
         with override_clock(lambda: later_s):
             self.assertTrue(decode_answer((await self.post(body)).body).is_settled)
 
+    @asyncio_test
+    async def test_replica_that_dropped_records_does_not_prove_that_there_is_none(self):
+        """Guards against a stream that is joined, as its record was dropped for want of room."""
+        self.patch(origins_site, "MAX_KEYS", 4)
+        await self.start()
+        entries = [OriginEntry((key(n),), "v1", n, 1, 60_000) for n in range(1, 9)]
+        later_s = read_clock() + 2 * origins_site.SETTLED_S
+        with override_clock(lambda: later_s):
+            for entry in entries:
+                await self.post(encode_message(OriginCall((entry,))))
+            answer = await self.post(encode_message(OriginCall((), (key(1),), ("s",))))
+        told = decode_answer(answer.body)
+        self.assertEqual((told.versions, told.is_settled), (((),), False))
+        with override_clock(lambda: later_s + 61.0):
+            answer = await self.post(encode_message(OriginCall((), (key(1),), ("s",))))
+        self.assertTrue(decode_answer(answer.body).is_settled)
+
     @asyncio_test
     async def test_memory_is_bounded(self):
         """Guards against a replica whose memory grows with the streams of a release."""
--- a/packages/decisions/src/damaskwind/decisions/streams/origin_table.py
+++ b/packages/decisions/src/damaskwind/decisions/streams/origin_table.py
@@ -83,6 +83,8 @@
     def __init__(self, max_keys: int) -> None:
         self._max_generation_keys = max(max_keys // 2, 1)
         self.evicted = 0
+        # Until when a record that was dropped for want of room would have lasted.
+        self.incomplete_until_s = float("-inf")
         self._present = _Generation(0.0)
         self._former = _Generation(0.0)
 
@@ -117,6 +119,7 @@
             return
         if former.expires_s > now_s:
             self.evicted += len(former.claims)
+            self.incomplete_until_s = max(self.incomplete_until_s, former.expires_s)
         self._former, self._present = present, _Generation(now_s)
 
 
