Versions of streams: a replica notices that a version ends also where nobody asks

Found by the review: a replica looked at its table of targets only when it was asked, so that a version that had left minutes before was told as one of lately for a minute more, and streams without a record were refused for good. It looks with each call now, also with those that write. The new test failed before; test_origins_site 7 of 7.

--- a/packages/control/src/damaskwind/control/fleet/origins_site.py
+++ b/packages/control/src/damaskwind/control/fleet/origins_site.py
@@ -48,6 +48,8 @@
             exchange.respond(Answer(400, [], str(error).encode()))
             return
         now_s = read_clock()
+        # Also where nothing is asked, so that a version that ends is noticed then.
+        self._known.refresh(now_s)
         for entry in call.entries:
             self.table.merge(entry, now_s)
         found = tuple(tuple(sorted(self.table.versions(key, now_s))) for key in call.keys)
--- a/packages/control/src/damaskwind/control/fleet/tests/test_origins_site.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_origins_site.py
@@ -95,6 +95,24 @@
         answer = decode_answer((await self.post(encode_message(without))).body)
         self.assertEqual(answer, OriginAnswer(((),)))
 
+    @asyncio_test
+    async def test_version_of_long_ago_is_not_told_as_one_of_lately(self):
+        """Guards against streams that are refused for good, minutes after a release."""
+        await self.start()
+        question = encode_message(OriginCall((), (key(1),), ("s",)))
+        write = encode_message(OriginCall((OriginEntry((key(1),), "v2", 1, 1, 5000),)))
+        self.feed.report(SERVING._replace(version="v1"))
+        await self.post(question)
+        self.feed.leave("t")
+        start_s = read_clock()
+        for later_s, body in ((70.0, write), (200.0, question)):
+            now_s = start_s + later_s
+            with override_clock(lambda now_s=now_s: now_s):
+                self.feed.report(SERVING._replace(target_id="u", version="v2", sequence=int(now_s)))
+                self.feed.table.forget(now_s)
+                answer = await self.post(body)
+        self.assertEqual(decode_answer(answer.body).known, (("v2",),))
+
     @asyncio_test
     async def test_replica_says_that_it_has_just_started(self):
         """Guards against an answer that counts before routers have written down again."""
