--- a/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends_restarts.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_unheard_ends_restarts.py
@@ -15,7 +15,7 @@
 DOWN_S = 0.1
 
 
-class RestartedTargetTest(LinkedTestCase):
+class RestartedTargetTestCase(LinkedTestCase):
     """The target reports its start, as one does whose id may name several lives."""
 
     async def start(self):
@@ -30,6 +30,8 @@
         self.targets.append(following)
         self.link.target = await following.start()
 
+
+class RestartedTargetTest(RestartedTargetTestCase):
     @asyncio_test
     async def test_process_that_started_again_under_the_same_id_is_no_proof(self):
         """Guards against a restarted process that vouches for the answer of the one before it."""
@@ -41,7 +43,7 @@
         self.assertEqual(await reading, (TWO_EVENTS, False))
 
 
-class LateEndTest(RestartedTargetTest):
+class LateEndTest(RestartedTargetTestCase):
     """Two streams of a process that ends; the end of the second one is heard late."""
 
     async def begin(self, ended):
