--- a/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_held_bytes.py
@@ -293,7 +293,14 @@
     async def test_target_that_reads_a_body_slowly_holds_up_no_other_request(self):
         target = self.targets[0]
         self.view.targets.leave("t1", read_clock())
-        stuck = await asyncio.start_server(lambda reader, writer: asyncio.sleep(9), "127.0.0.1", 0)
+        kept = []
+
+        async def keep(*streams):
+            # A stream that is no longer referenced ends its connection.
+            kept.append(streams)
+            await asyncio.sleep(9)
+
+        stuck = await asyncio.start_server(keep, "127.0.0.1", 0)
         self.addCleanup(stuck.close)
         self.admit("t2", Address(*stuck.sockets[0].getsockname()[:2]))
         self.view.targets.leave("t0", read_clock())
