--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -2,7 +2,8 @@
 
 Each module gets a new interpreter, since Twisted has one reactor per process, and
 runs under trial on the asyncio reactor. The counts are parsed from trial's summary.
-The doctests of the pure packages run as an additional job.
+The doctests of the pure packages run as an additional job. Modules in folders named
+`crowds` measure what a process uses, and run one at a time once all others have ended.
 """
 
 import os
@@ -24,7 +25,11 @@
     "packages/*/src/**/tests/test_*.py",
     "platform/src/**/tests/test_*.py",
     "benchmarks/**/tests/test_*.py",
+    "platform/src/**/tests/crowds/test_*.py",
+    "packages/*/src/**/tests/crowds/test_*.py",
 )
+# A module with this part in its name runs with no other beside it.
+ALONE_PART = ".crowds."
 DOCTEST_PACKAGES = ("model", "decisions")
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
@@ -49,7 +54,7 @@
 
 def test_paths() -> list[Path]:
     """Return every test module of the packages and of the benchmarks."""
-    return sorted(path for pattern in TEST_PATTERNS for path in ROOT.glob(pattern))
+    return sorted({path for pattern in TEST_PATTERNS for path in ROOT.glob(pattern)})
 
 
 def environment() -> dict[str, str]:
@@ -140,9 +145,12 @@
     names = [module_name(path) for path in test_paths()]
     if selected:
         names = [name for name in names if any(part in name for part in selected)]
+    alone = [name for name in names if ALONE_PART in name]
+    together = [name for name in names if ALONE_PART not in name]
     with ThreadPoolExecutor(WORKERS) as pool:
         doctests = None if selected else pool.submit(run_doctests)
-        results = list(pool.map(run_module, names))
+        results = list(pool.map(run_module, together))
+    results += [run_module(name) for name in alone]
     if doctests is not None:
         results.append(doctests.result())
     red = known_red()
