Callers: what is sent ahead is left in the socket, at every address

Callers that send many requests and read no answer made a router or replica keep all of them: 183 to 210 MiB of 100 at the addresses for callers, readiness, metrics, news, control and other routers. Cause: reading stopped only where bytes are accounted for, which one address does and only under contention; one read brought up to 256 KB, and the kernel's buffers grew to MBs.

A connection now has a phase, which says what may be read, in a table. Behind the request in hand 16 KB are read, into a buffer of the process's own, then nothing. The kernel's buffers are set at the listening socket, which accepted ones inherit. A caller that leaves while it is not read is noticed by asking the kernel each 0.2 s; others are noticed as before. Weighed: reading nothing behind a request. Then the kernel would have to be asked for every request in hand, a system call each 0.2 s, for callers of which none sends ahead.

`test_reading_ahead` guards the bound, the order of 3,000 answers and a caller that leaves. `request_programs` asks the phase in place of a flag.

--- a/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from damaskwind.runtime.http1.connection_phase import BODY_READ_BYTES, CHUNKED_READ_BYTES
 from damaskwind.runtime.http1.held_memory import HeldMemory, RequestAccount
 from damaskwind.runtime.http1.messages import Answer, header
 from damaskwind.runtime.http1.unanswered import UnansweredReason
@@ -68,8 +69,16 @@
         self._server = server
         self._pieces: list[bytes] = []
         self.size_bytes = 0
+        self._stated_bytes: int | None = None
         self._is_reading = False
 
+    @property
+    def next_read_bytes(self) -> int:
+        """Return how much to read next: no more than the body still brings, if that is known."""
+        if self._stated_bytes is None:
+            return CHUNKED_READ_BYTES
+        return min(BODY_READ_BYTES, self._stated_bytes - self.size_bytes)
+
     @property
     def is_blocked(self) -> bool:
         """Return whether what the caller sends must not be parsed now."""
@@ -83,11 +92,12 @@
     def begin(self, head: h11.Request) -> bool:
         """Return whether to read on; otherwise the body waits, or the request was refused."""
         self._pieces, self.size_bytes = [], 0
-        if self._server.memory is None:
-            return True
         headers = list(head.headers)
         length = header(headers, b"content-length")
-        size_bytes = 0 if length is None else int(length)
+        self._stated_bytes = None if length is None else int(length)
+        if self._server.memory is None:
+            return True
+        size_bytes = self._stated_bytes or 0
         if size_bytes > self._connection.max_body_bytes:
             self._connection.refuse(413, why="body too large")
             return False
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -6,12 +6,12 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.held_memory import HeldMemory
 from damaskwind.runtime.http1.limits import LimitHistory, ServerLimits
+from damaskwind.runtime.http1.listeners import open_listener
 from damaskwind.runtime.http1.server_connection import Handler, ServerConnection
 from damaskwind.runtime.http1.unanswered import (
     CALLER_LEFT,
@@ -73,7 +73,7 @@
 
     def listen(self, host: str, port: int, backlog: int = 512) -> int:
         """Open the socket and return its port."""
-        listener = socket.create_server((host, port), backlog=backlog)
+        listener = open_listener(host, port, backlog)
         loop = asyncio.get_running_loop()
         serving = loop.create_server(lambda: ServerConnection(self), sock=listener, backlog=backlog)
         self._opening = asyncio.ensure_future(serving)
--- a/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
@@ -1,7 +1,6 @@
 """One caller's connection to an HTTP/1.1 server, with one request in hand at a time."""
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -10,10 +9,18 @@
 
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.caller_output import CallerOutput
+from damaskwind.runtime.http1.connection_phase import (
+    PHASE_RULES,
+    READ_AHEAD_BYTES,
+    ConnectionPhase,
+    PhaseRule,
+)
 from damaskwind.runtime.http1.exchange import Exchange, answer_headers
 from damaskwind.runtime.http1.held_memory import RequestAccount
+from damaskwind.runtime.http1.leave_watch import LeaveWatch
 from damaskwind.runtime.http1.limits import LimitHistory, ServerLimits
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
+from damaskwind.runtime.http1.read_buffer import read_space, take_read
 from damaskwind.runtime.http1.request_bodies import BodyReader, BodyServer
 from damaskwind.runtime.http1.request_parser import (
     EMPTY_LINES,
@@ -33,11 +40,6 @@
 
 __all__ = ["ConnectionServer", "Handler", "ServerConnection"]
 
-# The kernel's buffer for a body that is left unread.
-RECEIVE_BUFFER_BYTES = 65_536
-# Where bytes are accounted for, at most about this much of later requests is read before an answer
-# ends. A caller that sends more and leaves is noticed only when its answer is written.
-READ_AHEAD_BYTES = 65_536
 # A caller whose body is not read to its end may still be sending: for this time, what it sends is
 # dropped, as a closed socket would answer with a reset that can overtake the answer.
 LINGER_S = 2.0
@@ -70,11 +72,12 @@
     is_closing: bool
 
 
-class ServerConnection(asyncio.Protocol):
-    """One caller's connection."""
+class ServerConnection(asyncio.BufferedProtocol):
+    """One caller's connection; `phase` says what is done with what the caller sends."""
 
     def __init__(self, server: ConnectionServer) -> None:
         self._server = server
+        self.phase = ConnectionPhase.IDLE
         self._transport: asyncio.Transport | None = None
         self._parser = RequestParser()
         self._head: h11.Request | None = None
@@ -83,12 +86,9 @@
         self._body = BodyReader(self, server)
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._is_lost = False
-        self._is_dropping = False
         self._is_ending = False
-        self._has_partial_head = False
         self._output: CallerOutput | None = None
-        self._ahead_bytes = 0
+        self._leave_watch: LeaveWatch | None = None
         # Of the present request: when the server began to read it, and when its first byte was
         # received at the earliest; whether all of it was read, and what was written of its answer.
         self._begun_s = 0.0
@@ -102,10 +102,14 @@
         self.loss: UnansweredReason | None = None
         self.requests = 0
 
+    @property
+    def _rule(self) -> PhaseRule:
+        return PHASE_RULES[self.phase]
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self._task is None and self._head is None and not self._has_partial_head
+        return self._rule.is_idle
 
     @property
     def is_busy(self) -> bool:
@@ -120,51 +124,85 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start to wait for the first request."""
         self._transport = transport
-        is_accounted = self._server.memory is not None
-        self._output = CallerOutput(transport, is_accounted)
-        if is_accounted:
-            handle = transport.get_extra_info("socket")
-            handle.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        handle = transport.get_extra_info("socket")
+        self._output = CallerOutput(transport, self._server.memory is not None)
+        self._leave_watch = LeaveWatch(handle, self._record_left)
         self._server.connections.add(self)
         self._restart_timer(self._server.limits.idle_timeout_s)
 
+    def _enter(self, phase: ConnectionPhase) -> None:
+        """Begin a phase, unless the connection has ended."""
+        if self.phase is not ConnectionPhase.ENDED:
+            self.phase = phase
+            self._regulate_reading()
+
+    def _regulate_reading(self) -> None:
+        """Read as the phase allows; requests are read ahead up to a bound, the rest is left."""
+        is_ahead = self.phase is ConnectionPhase.ANSWERING
+        if self._rule.read_bytes and not (is_ahead and self._ahead_left_bytes <= 0):
+            self._leave_watch.stop()
+            self._transport.resume_reading()
+            return
+        self._transport.pause_reading()
+        if is_ahead:
+            self._leave_watch.start()
+
+    @property
+    def _ahead_left_bytes(self) -> int:
+        """Return how much more of later requests may be read."""
+        return READ_AHEAD_BYTES - self._parser.unparsed_bytes
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the space for one read."""
+        if self.phase is ConnectionPhase.ANSWERING:
+            return read_space(self._ahead_left_bytes)
+        if self.phase is ConnectionPhase.BODY:
+            return read_space(self._body.next_read_bytes)
+        return read_space(self._rule.read_bytes)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what one read brought."""
+        self.data_received(take_read(nbytes))
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes; those after the present request are buffered until it is answered."""
-        if self.is_idle:
+        if self.phase is ConnectionPhase.IDLE:
             data = data.lstrip(EMPTY_LINES)
-        if self._is_dropping or not data:
+        if self._rule.drops or not data:
             return
         self._parser.receive(data)
-        if self._task is None:
-            if self._head is None and not self._has_partial_head:
-                self._begin_head()
-            self._read_events()
+        if self.phase is ConnectionPhase.ANSWERING:
+            self._ahead_s = self._ahead_s or read_clock()
+            self._regulate_reading()
             return
-        self._ahead_s = self._ahead_s or read_clock()
-        if self._server.memory is not None:
-            self._ahead_bytes += len(data)
-            if self._ahead_bytes > READ_AHEAD_BYTES:
-                self._transport.pause_reading()
+        if self.phase is ConnectionPhase.IDLE:
+            self._begin_head()
+        self._read_events()
 
     def _begin_head(self) -> None:
         """Record that a part of a request was read."""
-        self._has_partial_head = True
+        self._enter(ConnectionPhase.HEAD)
         self._begun_s = read_clock()
         self._received_s = self._ahead_s or self._begun_s
         self._restart_timer(self._server.limits.header_timeout_s)
 
-    def eof_received(self) -> bool:
-        """Drop unsent data, since the caller has left."""
+    def _record_left(self) -> None:
+        """End the connection of a caller that has left while it was not read."""
         self._lose(UnansweredReason.CALLER_CLOSED)
         self._transport.abort()
+
+    def eof_received(self) -> bool:
+        """Drop unsent data, since the caller has left."""
+        self._record_left()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for this caller."""
         why = "" if error is None else repr(error)
         self._lose(UnansweredReason.CLOSED if error is None else UnansweredReason.CALLER_RESET, why)
-        self._is_lost = True
+        self.phase = ConnectionPhase.ENDED
         self._stop_timer()
+        self._leave_watch.stop()
         self._server.connections.discard(self)
         self._output.end()
         if self._task is not None:
@@ -199,7 +237,7 @@
             logger.info("caller stalled", caller=self.caller, left_bytes=left_bytes)
             self.abort(UnansweredReason.CALLER_STALLED, f"{left_bytes} bytes not taken")
             return False
-        return not self._is_lost
+        return self.phase is not ConnectionPhase.ENDED
 
     @property
     def caller(self) -> str:
@@ -217,7 +255,7 @@
         self._is_ending = True
         if self._task is not None:
             self._task.cancel("the server stops")
-        elif not self.is_idle and not self._is_dropping:
+        elif not self.is_idle and not self._rule.drops:
             self._refuse_unread("the server stops")
 
     def _close(self) -> None:
@@ -287,7 +325,7 @@
         """Handle the parser's events until a request is complete."""
         try:
             while self._task is None:
-                if self._body.is_blocked or self._is_dropping:
+                if self._body.is_blocked or self._rule.drops:
                     return
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA:
@@ -344,6 +382,7 @@
             if not self._limit_head(event):
                 return False
             self._head_s = read_clock()
+            self._enter(ConnectionPhase.BODY)
             self._restart_timer(self._server.limits.idle_timeout_s)
             if not self._body.begin(event):
                 return False
@@ -368,33 +407,31 @@
     def pause_body(self) -> None:
         """Leave what the caller sends unread, without a time limit."""
         self._stop_timer()
-        self._transport.pause_reading()
+        self._enter(ConnectionPhase.UNREAD)
 
     def resume_body(self) -> None:
         """Read on, within the time limit for a body."""
-        if self._is_lost:
+        if self.phase is ConnectionPhase.ENDED:
             return
         self._restart_timer(self._server.limits.idle_timeout_s)
-        self._transport.resume_reading()
+        self._enter(ConnectionPhase.BODY)
         self._continue_body()
         self._read_events()
 
     def send_unread(self, answer: Answer) -> None:
         """Answer a request before its body was read, and drop what its caller still sends."""
-        if self._is_lost:
+        if self.phase is ConnectionPhase.ENDED:
             return
         self._stop_timer()
         self.send_whole(answer, True)
         self._body.close_account()
-        self._linger()
+        self._linger(ConnectionPhase.REFUSED)
 
-    def _linger(self) -> None:
+    def _linger(self, phase: ConnectionPhase) -> None:
         """Close after what was written, and drop what the caller still sends until then."""
-        self._is_dropping = True
         self._output.flush()
         self._transport.write_eof()
-        # Reading was stopped if the body had to wait.
-        self._transport.resume_reading()
+        self._enter(phase)
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
     def _start(self) -> None:
@@ -403,6 +440,7 @@
         self._stop_timer()
         request = Request(head.method, head.target, list(head.headers), self._body.join())
         self._ahead_s = self._received_s if self._parser.unparsed_bytes else 0.0
+        self._enter(ConnectionPhase.ANSWERING)
         self.requests += 1
         self._is_whole = True
         account = self._body.account
@@ -432,7 +470,8 @@
             self._body.close_account()
             self._task = None
             self._server.notify_request_end()
-        if exchange.is_finished and not self._is_dropping and not self._transport.is_closing():
+        is_answered = exchange.is_finished and not self._rule.drops
+        if is_answered and not self._transport.is_closing():
             self._next_request()
 
     def _answer_failure(self, reason: UnansweredReason, why: str) -> None:
@@ -441,7 +480,7 @@
         An answer that has begun is reset, and a whole one is kept.
         """
         if self._is_finished:
-            self._linger()
+            self._linger(ConnectionPhase.REFUSED)
             return
         if self.has_begun:
             self.abort(reason, why)
@@ -452,32 +491,23 @@
     def _next_request(self) -> None:
         """Prepare for the next request on this connection."""
         self._head = None
-        self._has_partial_head = False
         self._is_whole = False
         self._answer_bytes = 0
         if not self._parser.begin_next():
-            self._linger()
+            self._linger(ConnectionPhase.ANSWERED)
             return
         if self._parser.unparsed_bytes:
             self._begin_head()
         elif self._server.is_closing:
-            self._linger()
+            self._linger(ConnectionPhase.ANSWERED)
             return
         else:
+            self._enter(ConnectionPhase.IDLE)
             # Only empty lines may have come behind the request before.
             self._ahead_s = 0.0
             # The limit may have changed since it was stated.
             self._restart_timer(max(self._stated_idle_s, self._server.limits.idle_timeout_s))
         self._read_events()
-        if self._ahead_bytes:
-            self._read_on()
-
-    def _read_on(self) -> None:
-        """Read on after an answer, unless enough of later requests was already read."""
-        is_answering = self._task is not None
-        self._ahead_bytes = self._parser.unparsed_bytes if is_answering else 0
-        if self._ahead_bytes <= READ_AHEAD_BYTES and not self._body.is_waiting:
-            self._transport.resume_reading()
 
     def refuse(self, status: int, headers: Headers | None = None, why: str = "") -> None:
         """Answer a request that could not be read, and close."""
@@ -488,7 +518,7 @@
             self._log_refusal(status, why)
             self.send_whole(Answer(status, headers or []), True)
         self._body.close_account()
-        self._linger()
+        self._linger(ConnectionPhase.REFUSED)
 
     def _log_refusal(self, status: int, why: str) -> None:
         """Log a request that is refused before its handler has it, and the limits applied to it."""
@@ -547,7 +577,7 @@
 
     def _send(self, *events: Any) -> None:
         """Write events together unless the caller has left."""
-        if self._is_lost:
+        if self.phase is ConnectionPhase.ENDED:
             return
         if not self.has_begun:
             self._parser.recover()
--- a/packages/runtime/src/damaskwind/runtime/http1/tcp_state.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tcp_state.py
@@ -1,10 +1,14 @@
-"""Read from the kernel whether the peer of a TCP connection acknowledges what was sent to it."""
+"""Read from the kernel whether a TCP connection's peer acknowledges what was sent, or has left."""
 
 import socket
 import struct
 from typing import NamedTuple
 
-__all__ = ["TcpState", "read_tcp_state"]
+__all__ = ["TcpState", "has_peer_left", "read_tcp_state"]
+
+# States of a connection of which one side or both are closed (linux/tcp_states.h).
+_CLOSED = 7
+_CLOSE_WAIT = 8
 
 # Offsets of fields of `struct tcp_info` (linux/tcp.h), each an unsigned 32-bit integer.
 _UNACKNOWLEDGED_OFFSET = 24
@@ -29,3 +33,15 @@
     (unacknowledged,) = struct.unpack_from("=I", data, _UNACKNOWLEDGED_OFFSET)
     (silent_ms,) = struct.unpack_from("=I", data, _LAST_ACKNOWLEDGED_OFFSET)
     return TcpState(unacknowledged, silent_ms)
+
+
+def has_peer_left(handle: socket.socket) -> bool:
+    """Return whether the peer has closed or reset the connection, as far as the kernel heard it.
+
+    Bytes that came before may be unread. A socket that can't be asked tells nothing.
+    """
+    try:
+        data = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _SIZE_BYTES)
+    except OSError:
+        return False
+    return data[0] in (_CLOSED, _CLOSE_WAIT)
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/request_programs.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/request_programs.py
@@ -11,6 +11,7 @@
 import h11
 from hypothesis import strategies as st
 
+from damaskwind.runtime.http1.connection_phase import PHASE_RULES
 from damaskwind.runtime.http1.messages import Answer, Request
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.http1.server_connection import ServerConnection
@@ -240,7 +241,7 @@
     gate.set()
     for _ in range(SETTLE_TURNS * (1 + len(program.requests))):
         await asyncio.sleep(0)
-    is_closed = transport.is_closed or protocol._is_dropping
+    is_closed = transport.is_closed or PHASE_RULES[protocol.phase].drops
     outcome = _parse(program, transport.written, ran, is_closed)
     transport.close()
     for _ in range(3):
