Held bytes: one account for all addresses of a process, on all deployments

Bodies of 4 MB that nobody ended, routed or not, brought a router to 190 to 242 MiB of 100, and a replica to 195 and 197. Cause: the account of decision 0028 existed for callers of a router under contention alone; elsewhere bodies and unread answers had no bound in sum.

The account moves to `runtime/held_bytes.py`, and every address of routers and replicas uses the one of its process; where the memory isn't stated it is 300 MB. The bound on answers that are read remains for those passed on to other routers, 8 MiB as it was under contention. Weighed: a second account for what isn't covered; two bounds on one memory don't add up.

--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -37,9 +37,11 @@
 from damaskwind.decisions.membership.target_record import TargetRecord
 from damaskwind.decisions.routing.peers import NO_PEER, PeerEndpoint
 from damaskwind.model.evacuations import Evacuations
+from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.held_bytes import open_account
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.load_meter import LoadMeter
@@ -121,14 +123,15 @@
             self._has_enough_voters,
             settings.failure_domains,
         )
-        self._control = HttpServer(self._handle, CONTROL_LIMITS)
         self.tallies = Tallies()
+        self.held_bytes = open_account(settings.memory_bytes, HeaderNames(), self.tallies)
+        self._control = HttpServer(self._handle, CONTROL_LIMITS, self.held_bytes)
         self.calls.tallies = self.evacuation_calls.tallies = self.tallies
         self._documents = DocumentCache()
         site = NewsSite(self.feed, self._documents, self.tallies, settings.link_bytes_per_s)
-        self._news = HttpServer(site.handle, NEWS_LIMITS)
+        self._news = HttpServer(site.handle, NEWS_LIMITS, self.held_bytes)
         self._load = LoadMeter(self.tallies, self._slowest_call_s)
-        self._metrics = MetricsSite(self.tallies)
+        self._metrics = MetricsSite(self.tallies, self.held_bytes)
         self._metrics.handlers[FATAL_REQUESTS_PATH] = FatalRequestsSite(self.feed).handle
         evacuations = EvacuationsSite(self.evacuation_calls, self.feed)
         self._metrics.handlers[EVACUATIONS_PATH] = evacuations.handle
@@ -188,6 +191,7 @@
         show("requests_suspected", "in hand where targets ended", self._suspected_count)
         show("requests_held_fatal", "sent no more, as targets end", self._fatal_count)
         show("failure_domains_evacuated", "emptied by operators", self._evacuated_count)
+        self.held_bytes.register_gauges()
         show("log_opened", "1 while the disk is usable", lambda: float(self._access() is not None))
 
     def _suspected_count(self) -> float:
--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -22,6 +22,7 @@
     is the rate of the VM's link, by which documents are paced. `failure_domains` lists all
     failure domains; if it is empty, an evacuation order may name any. `catch_up_s` is the time
     from the start of a new replica until the one that it replaces no longer counts as a loss.
+    `memory_bytes` is the memory beyond which the process is killed, `None` if it isn't known.
     """
 
     node_id: str
@@ -41,6 +42,7 @@
     link_bytes_per_s: float = float("inf")
     failure_domains: tuple[str, ...] = ()
     catch_up_s: float = DEFAULT_CATCH_UP_S
+    memory_bytes: int | None = None
 
     @property
     def required_voters(self) -> int | None:
--- a/packages/decisions/src/damaskwind/decisions/held_bytes/bound.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/bound.py
@@ -2,7 +2,10 @@
 
 from typing import NamedTuple
 
-__all__ = ["MIN_HELD_BYTES", "HeldBounds", "derive_bounds"]
+__all__ = ["DEFAULT_MEMORY_BYTES", "MIN_HELD_BYTES", "HeldBounds", "derive_bounds"]
+
+# The memory of a process whose settings don't state it.
+DEFAULT_MEMORY_BYTES = 300 * 1024 * 1024
 
 # Part of the memory that stays free, as the operators require.
 FREE_SHARE = 0.2
@@ -24,14 +27,18 @@
     body_bytes: int
 
 
-def derive_bounds(memory_bytes: int) -> HeldBounds:
-    """Return the bounds of a process that is killed beyond `memory_bytes`.
+def derive_bounds(memory_bytes: int | None) -> HeldBounds:
+    """Return the bounds of a process that is killed beyond `memory_bytes`, if that is known.
 
     >>> [size // 2**20 for size in derive_bounds(152 * 2**20)]
     [49, 19]
     >>> [size // 2**20 for size in derive_bounds(64 * 2**20)]
     [8, 3]
+    >>> derive_bounds(None) == derive_bounds(DEFAULT_MEMORY_BYTES)
+    True
     """
+    if memory_bytes is None:
+        memory_bytes = DEFAULT_MEMORY_BYTES
     usable_bytes = (1.0 - FREE_SHARE) * memory_bytes - PROGRAM_BYTES
     total_bytes = max(MIN_HELD_BYTES, int(usable_bytes / BYTES_PER_HELD_BYTE))
     return HeldBounds(total_bytes, int(BODY_SHARE * total_bytes))
--- a/packages/router/src/damaskwind/router/forwarding/answers_in_hand.py
+++ b/packages/router/src/damaskwind/router/forwarding/answers_in_hand.py
@@ -1,8 +1,8 @@
-"""Bound the bytes that a router holds of all answers that it is reading, whatever deployment it is.
+"""Bound the bytes that a router holds of the answers that it reads for other routers.
 
-Where callers compete, `held_bytes` accounts for answers until their callers have taken them. This
-bound is for all other answers, from their arrival until they are passed on: bodies that are
-collected, starts of events, and what isn't parsed yet. A target that sends without end fills it.
+Its own callers' answers are accounted for by `runtime.held_bytes` until the callers have taken
+them. This bound is for all other answers, from their arrival until they are passed on: bodies that
+are collected, starts of events, and what isn't parsed yet. A target without end fills it.
 """
 
 from collections.abc import Callable
@@ -10,33 +10,15 @@
 
 from loguru import logger
 
-from damaskwind.decisions.held_bytes.bound import MIN_HELD_BYTES, derive_bounds
+from damaskwind.decisions.held_bytes.bound import MIN_HELD_BYTES
 from damaskwind.decisions.held_bytes.ledger import HeldLedger
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.tallies import Tallies
 
-__all__ = ["DEFAULT_BOUND_BYTES", "AnswersInHand", "answers_bound_bytes"]
+__all__ = ["RELAYED_BOUND_BYTES", "AnswersInHand"]
 
-# Eight of the largest answers; what a VM of 300 MB may hold.
-DEFAULT_BOUND_BYTES = 128 * 1024 * 1024
-
-
-def answers_bound_bytes(memory_bytes: int | None, has_held_bytes: bool) -> int:
-    """Return the bytes of answers that a process may hold, which is killed beyond `memory_bytes`.
-
-    With `has_held_bytes` only answers that are passed on to other routers are bounded here, since
-    all others have accounts of their own.
-
-    >>> [answers_bound_bytes(size, False) // 2**20 for size in (152 * 2**20, None)]
-    [49, 128]
-    >>> answers_bound_bytes(152 * 2**20, True) // 2**20
-    8
-    """
-    if has_held_bytes:
-        return MIN_HELD_BYTES
-    if memory_bytes is None:
-        return DEFAULT_BOUND_BYTES
-    return derive_bounds(memory_bytes).total_bytes
+# Pieces of answers are passed on as they come, so that little is in hand of each.
+RELAYED_BOUND_BYTES = MIN_HELD_BYTES
 
 
 class AnswerInHand:
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -12,6 +12,7 @@
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.exchange import Exchange
+from damaskwind.runtime.http1.held_memory import HeldMemory
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.wire.configuration_read import (
@@ -71,6 +72,10 @@
         # The handler of requests that are sent on for another router.
         self.forward_handler: Callable[[Exchange], Awaitable[None]] = _refuse_unknown
 
+    def bound_memory(self, memory: HeldMemory) -> None:
+        """Account for the bytes of requests and answers from now on."""
+        self._server.memory = memory
+
     def listen(self, host: str, port: int) -> None:
         """Open the socket; if that fails, other routers fetch from the replicas alone."""
         try:
--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -23,7 +23,6 @@
 from damaskwind.router.forwarding.fleet_shedding import FleetShedding
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.hedged_sends import HedgedSends
-from damaskwind.router.forwarding.held_bytes import GivenUpError
 from damaskwind.router.forwarding.origin_form import in_origin_form
 from damaskwind.router.forwarding.pool_admissions import PoolAdmissions
 from damaskwind.router.forwarding.recorded_sends import RecordedSends
@@ -37,6 +36,7 @@
 from damaskwind.router.forwarding.target_choice import TargetChooser
 from damaskwind.router.forwarding.target_states import TargetStates
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.held_bytes import GivenUpError
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Request, header
 from damaskwind.runtime.http1.unanswered import UnansweredReason, describe_cancellation
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -9,23 +9,22 @@
 from loguru import logger
 
 from damaskwind.decisions.fatal_requests.suspicion import Standing
-from damaskwind.decisions.held_bytes.bound import derive_bounds
 from damaskwind.decisions.target_signals.signal_table import TargetSignal
 from damaskwind.model.header_names import HeaderNames
 from damaskwind.model.traffic_configuration import TrafficConfiguration
-from damaskwind.router.forwarding.answers_in_hand import AnswersInHand, answers_bound_bytes
+from damaskwind.router.forwarding.answers_in_hand import RELAYED_BOUND_BYTES, AnswersInHand
 from damaskwind.router.forwarding.attempt_relay import AttemptRelay
 from damaskwind.router.forwarding.connections import TargetConnections
 from damaskwind.router.forwarding.fleet_view import FleetView
 from damaskwind.router.forwarding.forwarder import Forwarder
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
-from damaskwind.router.forwarding.held_bytes import HeldBytes
 from damaskwind.router.forwarding.peer_links import PeerLinks
 from damaskwind.router.forwarding.settings import ForwardingSettings
 from damaskwind.router.forwarding.status_site import ROUTER_STATUS_PATH, RouterStatusSite
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.unanswered_requests import UnansweredRequests
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.held_bytes import HeldBytes, open_account
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
@@ -91,11 +90,10 @@
             has_contention=settings.has_contention,
         )
         self.held_bytes = self._make_held_bytes(names)
-        has_held_bytes = self.held_bytes is not None
-        bound_bytes = answers_bound_bytes(settings.memory_bytes, has_held_bytes)
-        self.answers = AnswersInHand(bound_bytes, self.tallies)
+        self.view.relay.bound_memory(self.held_bytes)
+        self.answers = AnswersInHand(RELAYED_BOUND_BYTES, self.tallies)
         self.peers, self.attempt_relay = self._make_relay(names, random)
-        self._metrics = MetricsSite(self.tallies)
+        self._metrics = MetricsSite(self.tallies, self.held_bytes)
         self._metrics.handlers[ROUTER_STATUS_PATH] = RouterStatusSite(self.view).handle
         unanswered = UnansweredRequests(names, self.tallies)
         self._callers = HttpServer(
@@ -106,7 +104,7 @@
             self._count_refused,
             are_limits_known=False,
         )
-        self._ready = HttpServer(self._answer_ready, READY_LIMITS)
+        self._ready = HttpServer(self._answer_ready, READY_LIMITS, self.held_bytes)
         self._register_gauges()
         self.is_draining = False
         self._was_ready = False
@@ -141,16 +139,12 @@
             self.view.relay.handlers[SLOTS_PATH] = target_states.brittle.granting.answer
         return peers, relay
 
-    def _make_held_bytes(self, names: HeaderNames) -> HeldBytes | None:
-        """Return the accounts of held bytes, `None` if the settings don't enable them."""
-        memory_bytes = self.settings.memory_bytes
-        if not self.settings.has_contention or memory_bytes is None:
-            return None
-        bounds = derive_bounds(memory_bytes)
-        logger.info("held bytes bounded", memory_bytes=memory_bytes, **bounds._asdict())
-        bodies = TargetBodies(lambda: self.view.routers, self.tallies)
-        self.forwarder.bound_target_bodies(bodies)
-        return HeldBytes(bounds, names, self.tallies)
+    def _make_held_bytes(self, names: HeaderNames) -> HeldBytes:
+        """Return the account of held bytes; with contention those at targets are bounded too."""
+        if self.settings.has_contention:
+            bodies = TargetBodies(lambda: self.view.routers, self.tallies)
+            self.forwarder.bound_target_bodies(bodies)
+        return open_account(self.settings.memory_bytes, names, self.tallies)
 
     async def start(self) -> None:
         """Open the sockets and subscribe to the replicas."""
@@ -213,9 +207,9 @@
         show("ready", "1 while callers should come", lambda: float(self.is_ready))
         show("answer_bytes", "of answers being read", lambda: self.answers.held_bytes)
         show("answer_bytes_bound", "that may be in hand", lambda: self.answers.bound_bytes)
-        if self.held_bytes is not None:
-            self.held_bytes.register_gauges()
-            bodies = self.forwarder.steps.target_bodies
+        self.held_bytes.register_gauges()
+        bodies = self.forwarder.steps.target_bodies
+        if bodies is not None:
             show("target_body_bytes", "at the target that has most", bodies.max_in_hand_bytes)
 
     def _count_signals(self, signal: TargetSignal) -> float:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_canceled_requests.py
@@ -18,12 +18,12 @@
 from damaskwind.router.forwarding.connections import SETTLE_S
 from damaskwind.router.forwarding.delivery import Delivery
 from damaskwind.router.forwarding.health_checks import HealthAnswer, HealthChecks
-from damaskwind.router.forwarding.held_bytes import HeldBytes
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.tests.bench import NAMES, ForwarderTestCase, route
 from damaskwind.router.forwarding.unanswered_requests import UnansweredRequests, unanswered_totals
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.held_bytes import HeldBytes
 from damaskwind.runtime.http1.client import AnswerBrokenError, AnswerHead
 from damaskwind.runtime.http1.unanswered import UnansweredReason
 from damaskwind.standins.scripted_target import plain, raw, silent, stream, unframed
--- a/packages/router/src/damaskwind/router/forwarding/held_bytes.py
+++ b/packages/runtime/src/damaskwind/runtime/held_bytes.py
@@ -1,4 +1,7 @@
-"""Own the account of the bytes that this router holds, and give up what exceeds the bound."""
+"""Own the account of the bytes that a process holds, and give up what exceeds the bound.
+
+One account serves all listening addresses of a process, since its memory is one.
+"""
 
 import asyncio
 from contextlib import suppress
@@ -13,7 +16,7 @@
     BodyStep,
     is_body_stalled,
 )
-from damaskwind.decisions.held_bytes.bound import HeldBounds
+from damaskwind.decisions.held_bytes.bound import HeldBounds, derive_bounds
 from damaskwind.decisions.held_bytes.ledger import HeldLedger
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.header_names import HeaderNames
@@ -22,7 +25,7 @@
 from damaskwind.runtime.http1.messages import Headers, header
 from damaskwind.runtime.tallies import Tallies
 
-__all__ = ["GivenUpError", "HeldBytes", "HeldRequest"]
+__all__ = ["GivenUpError", "HeldBytes", "HeldRequest", "open_account"]
 
 
 class GivenUpError(DamaskwindError):
@@ -79,7 +82,7 @@
     def give_up(self) -> None:
         """Reset an answer that has begun; end the work for one that has not."""
         self._is_given_up = True
-        if self.caller.has_begun:
+        if self.caller.has_begun or self._task is None:
             self.caller.give_up()
         if self._task is not None:
             self._task.cancel()
@@ -106,7 +109,7 @@
 
 
 class HeldBytes:
-    """The accounts of all requests of one router.
+    """The accounts of all requests of one process.
 
     Bodies that wait unread are told to resume or to refuse in a later turn of the event loop.
     """
@@ -253,3 +256,10 @@
             waiting=self.bodies.waiting,
             expected_wait_s=round(self.bodies.expected_wait_s(request.size_bytes, read_clock()), 3),
         )
+
+
+def open_account(memory_bytes: int | None, names: HeaderNames, tallies: Tallies) -> HeldBytes:
+    """Return the account of a process that is killed beyond `memory_bytes`, if that is known."""
+    bounds = derive_bounds(memory_bytes)
+    logger.info("held bytes bounded", memory_bytes=memory_bytes, **bounds._asdict())
+    return HeldBytes(bounds, names, tallies)
--- a/packages/runtime/src/damaskwind/runtime/metrics_site.py
+++ b/packages/runtime/src/damaskwind/runtime/metrics_site.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from damaskwind.runtime.http1.exchange import Exchange
+from damaskwind.runtime.http1.held_memory import HeldMemory
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
 from damaskwind.runtime.tallies import Tallies
@@ -11,19 +12,21 @@
 __all__ = ["MetricsSite"]
 
 METRICS_PATH = b"/metrics"
+METRICS_LIMITS = ServerLimits(idle_timeout_s=30.0)
 _TEXT = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
 
 
 class MetricsSite:
     """The server at the metrics address.
 
-    `handlers` maps other path prefixes to their handlers.
+    With `memory` its requests and answers are accounted for there. `handlers` maps other path
+    prefixes to their handlers.
     """
 
-    def __init__(self, tallies: Tallies) -> None:
+    def __init__(self, tallies: Tallies, memory: HeldMemory | None = None) -> None:
         self._tallies = tallies
         self.handlers: dict[bytes, Callable[[Exchange], Awaitable[None]]] = {}
-        self._server = HttpServer(self._answer, ServerLimits(idle_timeout_s=30.0))
+        self._server = HttpServer(self._answer, METRICS_LIMITS, memory)
 
     def listen(self, host: str, port: int) -> int:
         """Open the socket and return its port."""
