Callers: a large body whose head is refused is not read

A body to a path without a route, or with an unknown key, was read whole before its 404 or 401: crowds of these held the room that bodies of ordinary callers need. Cause: the handler had no say before the body's end.

A request with a stated body of over 64 KB whose head the table in force refuses goes to its handler at once; the answer closes the connection, and what still comes is dropped for 2 s. If a newer table, for which the handler waits, allows the request, it gets 503 with Retry-After and has not run: its body is gone. Smaller bodies are read, so that connections are kept. Weighed: for all bodies; a refused request would then always cost its connection.

--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -57,6 +57,12 @@
     return AttemptOutcome(end, why)
 
 
+def _route_of(request: Request) -> tuple[str, str]:
+    """Return the host and the path by which the route of a request is found."""
+    host = (header(request.headers, b"host") or b"").decode("latin-1")
+    return host, request.target.partition(b"?")[0].decode("latin-1")
+
+
 class Forwarder:
     """The request handler of a router's caller-facing address.
 
@@ -185,6 +191,14 @@
         # A cancellation of this task takes effect at its next wait, of which there is none here.
         self.answers.finish(exchange, call, delivery, outcome, fault)
 
+    def is_refused_by_head(self, request: Request) -> bool:
+        """Return whether a request is refused by the table in force, whatever its body is."""
+        table = self.view.table
+        if table is None:
+            return True
+        key = read_key(request.headers, self._names)
+        return bool(table.find(*_route_of(in_origin_form(request)), key).refusal)
+
     async def _admit(self, exchange: Exchange) -> Call | None:
         """Resolve the request's route and account; answer it and return `None` if either fails."""
         exchange.request = request = in_origin_form(exchange.request)
@@ -192,8 +206,7 @@
         if self.view.table is None:
             self.answers.refuse(exchange, facts.request_id, 503, "no configuration is known yet")
             return None
-        host = (header(request.headers, b"host") or b"").decode("latin-1")
-        path = request.target.partition(b"?")[0].decode("latin-1")
+        host, path = _route_of(request)
         key = read_key(request.headers, self._names)
         limit_s = min(MAX_WAIT_S, facts.wait_s / 2)
         try:
@@ -208,6 +221,10 @@
             self.answers.refuse(exchange, facts.request_id, status, found.refusal, table.version)
             self._log_denial(request, status, host, path)
             return None
+        if exchange.is_body_unread:
+            # A newer table allows what the one in force at the head refused.
+            self.answers.refuse(exchange, facts.request_id, 503, "its body was not read")
+            return None
         # A stream goes on at the service that began it.
         attempt_id = facts.resumes or facts.request_id
         draw = facts.part_ids[-2] if len(facts.part_ids) > 1 else attempt_id
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -44,7 +44,8 @@
 END_S = 0.15
 # The headers that routers add to a request: its target, deadline, account and key.
 ADDED_HEADER_BYTES = 4096
-READY_LIMITS = ServerLimits(idle_timeout_s=60.0)
+# A readiness check has no body; a small one is ignored.
+READY_LIMITS = ServerLimits(body_bytes=65_536, idle_timeout_s=60.0)
 
 
 ReportHandler = Callable[[HeartbeatRelay, Exchange], Awaitable[None]]
@@ -103,6 +104,7 @@
             unanswered.record,
             self._count_refused,
             are_limits_known=False,
+            is_refused_by_head=self.forwarder.is_refused_by_head,
         )
         self._ready = HttpServer(self._answer_ready, READY_LIMITS, self.held_bytes)
         self._register_gauges()
--- a/packages/runtime/src/damaskwind/runtime/http1/exchange.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/exchange.py
@@ -86,6 +86,7 @@
 
     `started_s` is the monotonic time at which the request's head was read. With an `account`
     the answer may be written faster than the caller reads: it is held and accounted for.
+    If `is_body_unread`, the request has a body that isn't read, as its head is to be refused.
     """
 
     def __init__(
@@ -94,8 +95,10 @@
         request: Request,
         started_s: float,
         account: RequestAccount | None = None,
+        is_body_unread: bool = False,
     ) -> None:
         self.request = request
+        self.is_body_unread = is_body_unread
         self.account = account
         self.started_s = started_s
         self.has_begun = False
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -12,6 +12,7 @@
 from damaskwind.runtime.http1.held_memory import HeldMemory
 from damaskwind.runtime.http1.limits import LimitHistory, ServerLimits
 from damaskwind.runtime.http1.listeners import open_listener
+from damaskwind.runtime.http1.messages import Request
 from damaskwind.runtime.http1.server_connection import Handler, ServerConnection
 from damaskwind.runtime.http1.unanswered import (
     CALLER_LEFT,
@@ -36,6 +37,7 @@
     With `memory` the bytes of requests and answers are accounted for and may be given up.
     `on_unanswered` is called with each request that ends without a complete answer, and
     `on_refused` with the status of each that is refused before its handler has it.
+    A request with a large body that `is_refused_by_head` is handed over without that body.
     `reading` is the number of requests whose bodies are then being read. While the limits are not
     known, what is too large for those given gets 503, since it may be allowed.
     """
@@ -48,6 +50,7 @@
         on_unanswered: OnUnanswered = _log_unless_caller_left,
         on_refused: Callable[[int], None] = lambda status: None,
         are_limits_known: bool = True,
+        is_refused_by_head: Callable[[Request], bool] = lambda request: False,
     ) -> None:
         self.handler = handler
         self.limit_history = LimitHistory(limits)
@@ -55,6 +58,7 @@
         self.on_unanswered = on_unanswered
         self.on_refused = on_refused
         self.are_limits_known = are_limits_known
+        self.is_refused_by_head = is_refused_by_head
         self.reading = 0
         self.connections: set[ServerConnection] = set()
         self.active = 0
--- a/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
@@ -19,7 +19,7 @@
 from damaskwind.runtime.http1.held_memory import RequestAccount
 from damaskwind.runtime.http1.leave_watch import LeaveWatch
 from damaskwind.runtime.http1.limits import LimitHistory, ServerLimits
-from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
+from damaskwind.runtime.http1.messages import Answer, Headers, Request, header, is_bodiless
 from damaskwind.runtime.http1.read_buffer import read_space, take_read
 from damaskwind.runtime.http1.request_bodies import BodyReader, BodyServer
 from damaskwind.runtime.http1.request_parser import (
@@ -48,6 +48,8 @@
 STALLED_S = 60.0
 
 
+# A smaller body is read also where the request is refused, so that its connection can be kept.
+LARGE_BODY_BYTES = 65_536
 # When a caller should retry whose request failed while it was read.
 FAILED_RETRY_S = 1.0
 # When a caller should retry whose request is larger than the limits that hold until others come.
@@ -67,6 +69,7 @@
     are_limits_known: bool
     on_unanswered: OnUnanswered
     on_refused: Callable[[int], None]
+    is_refused_by_head: Callable[[Request], bool]
     connections: set["ServerConnection"]
     active: int
     is_closing: bool
@@ -96,6 +99,7 @@
         # Since when bytes of later requests have waited for the end of an answer; 0 for none.
         self._ahead_s = 0.0
         self._is_whole = False
+        self._is_body_unread = False
         self._answer_bytes = 0
         self._is_recorded = False
         self._stated_idle_s = 0
@@ -383,6 +387,9 @@
                 return False
             self._head_s = read_clock()
             self._enter(ConnectionPhase.BODY)
+            if self._is_refused_by_head(event):
+                self._start(is_body_unread=True)
+                return False
             self._restart_timer(self._server.limits.idle_timeout_s)
             if not self._body.begin(event):
                 return False
@@ -395,6 +402,15 @@
             return False
         return True
 
+    def _is_refused_by_head(self, head: h11.Request) -> bool:
+        """Return whether a request with a large body is refused whatever that body is."""
+        length = header(list(head.headers), b"content-length")
+        if length is None or int(length) <= LARGE_BODY_BYTES:
+            return False
+        return self._server.is_refused_by_head(
+            Request(head.method, head.target, list(head.headers))
+        )
+
     def _continue_body(self) -> None:
         """Ask for the body if the caller waits for that."""
         if self._parser.is_continue_awaited:
@@ -434,17 +450,19 @@
         self._enter(phase)
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
-    def _start(self) -> None:
-        """Start the handler on the complete request."""
+    def _start(self, is_body_unread: bool = False) -> None:
+        """Start the handler on the complete request, or on its head alone if that is refused."""
         head = self._head
         self._stop_timer()
-        request = Request(head.method, head.target, list(head.headers), self._body.join())
+        self._is_body_unread = is_body_unread
+        body = b"" if is_body_unread else self._body.join()
+        request = Request(head.method, head.target, list(head.headers), body)
         self._ahead_s = self._received_s if self._parser.unparsed_bytes else 0.0
         self._enter(ConnectionPhase.ANSWERING)
         self.requests += 1
-        self._is_whole = True
+        self._is_whole = not is_body_unread
         account = self._body.account
-        exchange = Exchange(self, request, self._head_s, account)
+        exchange = Exchange(self, request, self._head_s, account, is_body_unread)
         self._task = asyncio.ensure_future(self._run(exchange))
         if account is not None:
             # A task that is cancelled before its first step never runs its own clean-up.
@@ -560,7 +578,7 @@
         is_replaced = not self._parser.has_head
         # A request that was read ahead is answered before the connection is closed.
         is_last = self._server.is_closing and not self._parser.has_request_ahead
-        if close or is_last or is_replaced:
+        if close or is_last or is_replaced or self._is_body_unread:
             headers = [*headers, (b"connection", b"close")]
         elif self._server.limits.idle_timeout_s >= 1:
             self._stated_idle_s = int(self._server.limits.idle_timeout_s)
--- a/packages/runtime/src/damaskwind/runtime/metrics_site.py
+++ b/packages/runtime/src/damaskwind/runtime/metrics_site.py
@@ -12,7 +12,8 @@
 __all__ = ["MetricsSite"]
 
 METRICS_PATH = b"/metrics"
-METRICS_LIMITS = ServerLimits(idle_timeout_s=30.0)
+# A request for metrics has no body; a small one is ignored.
+METRICS_LIMITS = ServerLimits(body_bytes=65_536, idle_timeout_s=30.0)
 _TEXT = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
 
 
