Connections: each address has its part of descriptors and memory

600 connections that sent nothing took all 400 descriptors of a process, and ordinary callers got no answer at four of seven addresses; 600 callers with 0.5 MB each brought a router to 240 and 373 MiB of 100, 300 heads of small fields to 157. Cause: nothing bounded the number of connections, nor what a parsed head takes, 80 times its bytes for fields of four letters.

Each address has a largest number of connections, from the descriptors for sockets and half of what may be held. Accepting is done a few at a time. One more than the limit takes the place of the connection that has waited longest without a whole request, else of one whose caller has kept the process waiting for over a second; else it is reset at once. Connections (48 KB each) and header fields (320 bytes each) count in the account; while that is full after answers were given up, requests get 503 with Retry-After, not run. Weighed: leaving the new ones in the kernel's queue, where they wait for an answer that nobody makes; a bound for each client's address, which shuts out clients behind one balancer.

--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -24,7 +24,7 @@
     read_saved_state,
     was_first_start,
 )
-from damaskwind.control.fleet.settings import FleetControlSettings
+from damaskwind.control.fleet.settings import REPLICA_ADDRESSES, FleetControlSettings
 from damaskwind.control.operator_api.ports import ProposalPort
 from damaskwind.control.state.fleet_state import FleetState
 from damaskwind.control.state.published_configuration import PublishedConfiguration
@@ -41,6 +41,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.connection_limits import open_connection_limits
 from damaskwind.runtime.held_bytes import open_account
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.server import HttpServer, ServerLimits
@@ -125,13 +126,22 @@
         )
         self.tallies = Tallies()
         self.held_bytes = open_account(settings.memory_bytes, HeaderNames(), self.tallies)
-        self._control = HttpServer(self._handle, CONTROL_LIMITS, self.held_bytes)
+        limits = open_connection_limits(
+            REPLICA_ADDRESSES,
+            settings.max_sockets,
+            settings.max_connections,
+            self.held_bytes,
+            self.tallies,
+        )
+        self._control = HttpServer(
+            self._handle, CONTROL_LIMITS, self.held_bytes, limit=limits["control"]
+        )
         self.calls.tallies = self.evacuation_calls.tallies = self.tallies
         self._documents = DocumentCache()
         site = NewsSite(self.feed, self._documents, self.tallies, settings.link_bytes_per_s)
-        self._news = HttpServer(site.handle, NEWS_LIMITS, self.held_bytes)
+        self._news = HttpServer(site.handle, NEWS_LIMITS, self.held_bytes, limit=limits["news"])
         self._load = LoadMeter(self.tallies, self._slowest_call_s)
-        self._metrics = MetricsSite(self.tallies, self.held_bytes)
+        self._metrics = MetricsSite(self.tallies, self.held_bytes, limits["metrics"])
         self._metrics.handlers[FATAL_REQUESTS_PATH] = FatalRequestsSite(self.feed).handle
         evacuations = EvacuationsSite(self.evacuation_calls, self.feed)
         self._metrics.handlers[EVACUATIONS_PATH] = evacuations.handle
--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -1,8 +1,14 @@
 """Settings of a control replica of a fleet whose replicas discover each other."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
-__all__ = ["DEFAULT_CATCH_UP_S", "FleetControlSettings"]
+__all__ = ["DEFAULT_CATCH_UP_S", "REPLICA_ADDRESSES", "FleetControlSettings"]
+
+# The part of the descriptors, in 32nds, that the connections of each address may take. What is
+# left is for the log, other replicas and the disk.
+REPLICA_ADDRESSES = MappingProxyType({"control": 10, "news": 10, "metrics": 1})
 
 DEFAULT_CATCH_UP_S = 4.0
 # A silent voter is replaced after this fraction of the catch-up time of a new replica. The rest
@@ -22,7 +28,9 @@
     is the rate of the VM's link, by which documents are paced. `failure_domains` lists all
     failure domains; if it is empty, an evacuation order may name any. `catch_up_s` is the time
     from the start of a new replica until the one that it replaces no longer counts as a loss.
-    `memory_bytes` is the memory beyond which the process is killed, `None` if it isn't known.
+    `memory_bytes` is the memory beyond which the process is killed, and `max_sockets` how many
+    descriptors it may use for sockets; `None` if that isn't known. `max_connections` replaces the
+    largest number of connections of an address, by its name in `REPLICA_ADDRESSES`.
     """
 
     node_id: str
@@ -43,6 +51,8 @@
     failure_domains: tuple[str, ...] = ()
     catch_up_s: float = DEFAULT_CATCH_UP_S
     memory_bytes: int | None = None
+    max_sockets: int | None = None
+    max_connections: Mapping[str, int] = MappingProxyType({})
 
     @property
     def required_voters(self) -> int | None:
--- a/packages/decisions/src/damaskwind/decisions/held_bytes/body_queue.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/body_queue.py
@@ -31,8 +31,10 @@
     REFUSE = auto()
 
 
-def is_body_stalled(size_bytes: int, read_bytes: int, age_s: float) -> bool:
-    """Return whether a body of a known size comes too slowly to keep others waiting for it.
+def is_body_stalled(size_bytes: float, read_bytes: int, age_s: float) -> bool:
+    """Return whether a body comes too slowly to keep others waiting for it.
+
+    The size is infinite if it isn't known.
 
     >>> [is_body_stalled(4_000_000, read_bytes, 3.0) for read_bytes in (1, 100_000, 4_000_000)]
     [True, False, False]
--- a/packages/decisions/src/damaskwind/decisions/held_bytes/ledger.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/ledger.py
@@ -73,6 +73,11 @@
         self._order = order
         self._entries: dict[int, _Entry] = {}
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether the bytes in hand exceed their bound."""
+        return self.held_bytes > self.bound_bytes
+
     def open(self, number: int) -> None:
         """Begin to account for a request."""
         self.close(number)
@@ -84,6 +89,10 @@
         if entry is not None:
             self.held_bytes -= entry.answer_bytes + entry.body_bytes
 
+    def hold_base(self, size_bytes: int) -> None:
+        """Add bytes that no answer can be given up for; a negative size releases them."""
+        self.held_bytes += size_bytes
+
     def hold(self, number: int, size_bytes: int, now_s: float) -> None:
         """Add bytes of an answer; a negative size releases them."""
         entry = self._entries.get(number)
@@ -125,7 +134,7 @@
 
     def victim(self, now_s: float) -> int | None:
         """Return the request to give up, `None` while the bytes in hand are within the bound."""
-        if self.held_bytes <= self.bound_bytes:
+        if not self.is_full:
             return None
         held = [number for number, entry in self._entries.items() if entry.answer_bytes]
         return max(held, key=lambda number: self._rank(number, now_s), default=None)
--- a/packages/router/src/damaskwind/router/forwarding/document_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/document_relay.py
@@ -11,6 +11,7 @@
 from damaskwind.decisions.pacing.bulk_pacer import BulkPacer
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.connection_limit import ConnectionLimit
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.held_memory import HeldMemory
 from damaskwind.runtime.http1.messages import Answer
@@ -72,9 +73,10 @@
         # The handler of requests that are sent on for another router.
         self.forward_handler: Callable[[Exchange], Awaitable[None]] = _refuse_unknown
 
-    def bound_memory(self, memory: HeldMemory) -> None:
-        """Account for the bytes of requests and answers from now on."""
+    def bound(self, memory: HeldMemory, limit: ConnectionLimit) -> None:
+        """Bound the bytes of requests and answers, and the connections; call it before `listen`."""
         self._server.memory = memory
+        self._server.limit = limit
 
     def listen(self, host: str, port: int) -> None:
         """Open the socket; if that fails, other routers fetch from the replicas alone."""
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -19,11 +19,12 @@
 from damaskwind.router.forwarding.forwarder import Forwarder
 from damaskwind.router.forwarding.heartbeat_relay import HeartbeatRelay
 from damaskwind.router.forwarding.peer_links import PeerLinks
-from damaskwind.router.forwarding.settings import ForwardingSettings
+from damaskwind.router.forwarding.settings import ROUTER_ADDRESSES, ForwardingSettings
 from damaskwind.router.forwarding.status_site import ROUTER_STATUS_PATH, RouterStatusSite
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.unanswered_requests import UnansweredRequests
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.connection_limits import open_connection_limits
 from damaskwind.runtime.held_bytes import HeldBytes, open_account
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.messages import Answer
@@ -91,10 +92,17 @@
             has_contention=settings.has_contention,
         )
         self.held_bytes = self._make_held_bytes(names)
-        self.view.relay.bound_memory(self.held_bytes)
+        limits = open_connection_limits(
+            ROUTER_ADDRESSES,
+            settings.max_sockets,
+            settings.max_connections,
+            self.held_bytes,
+            self.tallies,
+        )
+        self.view.relay.bound(self.held_bytes, limits["internal"])
         self.answers = AnswersInHand(RELAYED_BOUND_BYTES, self.tallies)
         self.peers, self.attempt_relay = self._make_relay(names, random)
-        self._metrics = MetricsSite(self.tallies, self.held_bytes)
+        self._metrics = MetricsSite(self.tallies, self.held_bytes, limits["metrics"])
         self._metrics.handlers[ROUTER_STATUS_PATH] = RouterStatusSite(self.view).handle
         unanswered = UnansweredRequests(names, self.tallies)
         self._callers = HttpServer(
@@ -105,8 +113,11 @@
             self._count_refused,
             are_limits_known=False,
             is_refused_by_head=self.forwarder.is_refused_by_head,
+            limit=limits["callers"],
+        )
+        self._ready = HttpServer(
+            self._answer_ready, READY_LIMITS, self.held_bytes, limit=limits["ready"]
         )
-        self._ready = HttpServer(self._answer_ready, READY_LIMITS, self.held_bytes)
         self._register_gauges()
         self.is_draining = False
         self._was_ready = False
--- a/packages/router/src/damaskwind/router/forwarding/settings.py
+++ b/packages/router/src/damaskwind/router/forwarding/settings.py
@@ -7,7 +7,11 @@
 from damaskwind.decisions.retries.shared_budget import BudgetTerms
 from damaskwind.model.targets import Address
 
-__all__ = ["ForwardingSettings"]
+__all__ = ["ROUTER_ADDRESSES", "ForwardingSettings"]
+
+# The part of the descriptors, in 32nds, that the connections of each address may take. What is
+# left is for connections to targets, replicas and other routers.
+ROUTER_ADDRESSES = MappingProxyType({"callers": 10, "internal": 8, "ready": 1, "metrics": 1})
 
 
 class ForwardingSettings(NamedTuple):
@@ -17,7 +21,9 @@
     served. Without an `internal_host` no documents are served to other routers, which is done
     at `news_port`. `region_of` maps each failure domain to its region. `has_contention` states
     that callers compete for capacity and that callers and targets may read slowly;
-    `memory_bytes` is the memory beyond which the process is killed, `None` if there is no limit.
+    `memory_bytes` is the memory beyond which the process is killed, and `max_sockets` how many
+    descriptors it may use for sockets; `None` if that isn't known. `max_connections` replaces the
+    largest number of connections of an address, by its name in `ROUTER_ADDRESSES`.
     """
 
     node_id: str
@@ -35,3 +41,5 @@
     region_of: Mapping[str, str] = MappingProxyType({})
     has_contention: bool = False
     memory_bytes: int | None = None
+    max_sockets: int | None = None
+    max_connections: Mapping[str, int] = MappingProxyType({})
--- a/packages/runtime/src/damaskwind/runtime/held_bytes.py
+++ b/packages/runtime/src/damaskwind/runtime/held_bytes.py
@@ -17,6 +17,7 @@
     is_body_stalled,
 )
 from damaskwind.decisions.held_bytes.bound import HeldBounds, derive_bounds
+from damaskwind.decisions.held_bytes.connection_shares import CONNECTION_BYTES
 from damaskwind.decisions.held_bytes.ledger import HeldLedger
 from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.header_names import HeaderNames
@@ -28,6 +29,10 @@
 __all__ = ["GivenUpError", "HeldBytes", "HeldRequest", "open_account"]
 
 
+# What a header field takes as objects, of which there are three in the parser and one behind it.
+HEADER_FIELD_BYTES = 320
+
+
 class GivenUpError(DamaskwindError):
     """The answer to a request was given up, since too many bytes are in hand."""
 
@@ -137,8 +142,15 @@
         request = HeldRequest(self, next(self._numbers), caller, name)
         self._requests[request.number] = request
         self.ledger.open(request.number)
+        self.ledger.hold_body(request.number, len(headers) * HEADER_FIELD_BYTES)
         return request
 
+    def count_connections(self, change: int) -> None:
+        """Account for connections that were opened, or closed where the change is negative."""
+        self.ledger.hold_base(change * CONNECTION_BYTES)
+        if change > 0:
+            self.enforce_bound()
+
     def close(self, request: HeldRequest) -> None:
         """Drop what is held for a request, and read bodies that now have room."""
         if self._requests.pop(request.number, None) is None:
@@ -160,6 +172,11 @@
     def begin_body(self, request: HeldRequest) -> bool:
         """Decide about a request's body; return whether to read it now."""
         number, size_bytes = request.number, request.size_bytes
+        self.enforce_bound()
+        if self.ledger.is_full:
+            self._tallies.count("request_bodies", step="no room")
+            self._refuse_body(request)
+            return False
         step = self.bodies.offer(number, size_bytes, read_clock())
         if step is BodyStep.REFUSE and self._time_out_stalled():
             step = self.bodies.offer(number, size_bytes, read_clock())
--- a/packages/runtime/src/damaskwind/runtime/http1/caller_output.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/caller_output.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.held_memory import RequestAccount
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, WRITE_BYTES, Outbox
 
@@ -24,6 +25,7 @@
         self._high_bytes = WRITE_BYTES if is_accounted else WRITE_BUFFER_BYTES
         self._writable: asyncio.Future | None = None
         self._is_paused = False
+        self._paused_s = 0.0
         self._is_ended = False
         self._outbox: Outbox | None = None
         transport.set_write_buffer_limits(high=self._high_bytes)
@@ -32,6 +34,11 @@
             handle.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             self._outbox = Outbox(transport)
 
+    @property
+    def paused_since_s(self) -> float | None:
+        """Return since when the caller takes nothing, `None` while it takes what is written."""
+        return self._paused_s if self._is_paused else None
+
     @property
     def unsent_bytes(self) -> int:
         """Return what was written and the socket has not accepted yet."""
@@ -53,6 +60,7 @@
     def pause(self) -> None:
         """Record that the transport's buffer is full."""
         self._is_paused = True
+        self._paused_s = read_clock()
         if self._outbox is not None:
             self._outbox.pause()
 
--- a/packages/runtime/src/damaskwind/runtime/http1/connection_phase.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/connection_phase.py
@@ -37,12 +37,14 @@
 
     One read brings at most `read_bytes`; 0 means that nothing is read. With `parses` what was read
     is parsed at once, with `drops` it is dropped. In a phase that `is_idle` no request is in hand.
+    With `may_yield` the connection may be closed for another one.
     """
 
     read_bytes: int
     parses: bool = False
     drops: bool = False
     is_idle: bool = False
+    may_yield: bool = False
 
 
 class ConnectionPhase(StrEnum):
@@ -59,12 +61,12 @@
 
 
 PHASE_RULES = {
-    ConnectionPhase.IDLE: PhaseRule(HEAD_READ_BYTES, parses=True, is_idle=True),
-    ConnectionPhase.HEAD: PhaseRule(HEAD_READ_BYTES, parses=True),
+    ConnectionPhase.IDLE: PhaseRule(HEAD_READ_BYTES, parses=True, is_idle=True, may_yield=True),
+    ConnectionPhase.HEAD: PhaseRule(HEAD_READ_BYTES, parses=True, may_yield=True),
     ConnectionPhase.BODY: PhaseRule(BODY_READ_BYTES, parses=True),
     ConnectionPhase.UNREAD: PhaseRule(0),
     ConnectionPhase.ANSWERING: PhaseRule(READ_AHEAD_BYTES),
-    ConnectionPhase.ANSWERED: PhaseRule(BODY_READ_BYTES, drops=True, is_idle=True),
-    ConnectionPhase.REFUSED: PhaseRule(BODY_READ_BYTES, drops=True),
+    ConnectionPhase.ANSWERED: PhaseRule(BODY_READ_BYTES, drops=True, is_idle=True, may_yield=True),
+    ConnectionPhase.REFUSED: PhaseRule(BODY_READ_BYTES, drops=True, may_yield=True),
     ConnectionPhase.ENDED: PhaseRule(0, drops=True),
 }
--- a/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
@@ -4,10 +4,12 @@
 refused. Otherwise every body is read at once.
 """
 
+from math import inf
 from typing import Protocol
 
 import h11
 
+from damaskwind.decisions.held_bytes.body_queue import is_body_stalled
 from damaskwind.runtime.http1.connection_phase import BODY_READ_BYTES, CHUNKED_READ_BYTES
 from damaskwind.runtime.http1.held_memory import HeldMemory, RequestAccount
 from damaskwind.runtime.http1.messages import Answer, header
@@ -79,6 +81,13 @@
             return CHUNKED_READ_BYTES
         return min(BODY_READ_BYTES, self._stated_bytes - self.size_bytes)
 
+    def is_stalled(self, age_s: float) -> bool:
+        """Return whether the caller sends its body too slowly, `age_s` after its head."""
+        stated_bytes = self._stated_bytes
+        return is_body_stalled(
+            inf if stated_bytes is None else stated_bytes, self.size_bytes, age_s
+        )
+
     @property
     def is_blocked(self) -> bool:
         """Return whether what the caller sends must not be parsed now."""
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.acceptor import Acceptor
+from damaskwind.runtime.http1.connection_limit import ConnectionLimit
 from damaskwind.runtime.http1.held_memory import HeldMemory
 from damaskwind.runtime.http1.limits import LimitHistory, ServerLimits
 from damaskwind.runtime.http1.listeners import open_listener
@@ -37,7 +39,8 @@
     With `memory` the bytes of requests and answers are accounted for and may be given up.
     `on_unanswered` is called with each request that ends without a complete answer, and
     `on_refused` with the status of each that is refused before its handler has it.
-    A request with a large body that `is_refused_by_head` is handed over without that body.
+    `limit` bounds the open connections. A request with a large body that `is_refused_by_head` is
+    handed over without that body.
     `reading` is the number of requests whose bodies are then being read. While the limits are not
     known, what is too large for those given gets 503, since it may be allowed.
     """
@@ -51,6 +54,7 @@
         on_refused: Callable[[int], None] = lambda status: None,
         are_limits_known: bool = True,
         is_refused_by_head: Callable[[Request], bool] = lambda request: False,
+        limit: ConnectionLimit | None = None,
     ) -> None:
         self.handler = handler
         self.limit_history = LimitHistory(limits)
@@ -59,11 +63,12 @@
         self.on_refused = on_refused
         self.are_limits_known = are_limits_known
         self.is_refused_by_head = is_refused_by_head
+        self.limit = ConnectionLimit() if limit is None else limit
         self.reading = 0
         self.connections: set[ServerConnection] = set()
         self.active = 0
         self.is_closing = False
-        self._opening: asyncio.Future[asyncio.Server] | None = None
+        self._acceptor: Acceptor | None = None
         self._ended = asyncio.Event()
 
     @property
@@ -78,9 +83,7 @@
     def listen(self, host: str, port: int, backlog: int = 512) -> int:
         """Open the socket and return its port."""
         listener = open_listener(host, port, backlog)
-        loop = asyncio.get_running_loop()
-        serving = loop.create_server(lambda: ServerConnection(self), sock=listener, backlog=backlog)
-        self._opening = asyncio.ensure_future(serving)
+        self._acceptor = Acceptor(listener, self.limit, lambda: ServerConnection(self))
         return listener.getsockname()[1]
 
     def notify_request_end(self) -> None:
@@ -102,10 +105,10 @@
             connection.close_if_idle()
 
     async def stop_listening(self) -> None:
-        """Stop accepting connections, and wait until the socket is closed."""
-        opening, self._opening = self._opening, None
-        if opening is not None:
-            (await opening).close()
+        """Stop accepting connections, and close the socket."""
+        acceptor, self._acceptor = self._acceptor, None
+        if acceptor is not None:
+            acceptor.close()
 
     async def wait_until_idle(self, limit_s: float) -> bool:
         """Wait until no request is in progress; return `False` if the limit expires first."""
--- a/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
@@ -9,6 +9,7 @@
 
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.caller_output import CallerOutput
+from damaskwind.runtime.http1.connection_limit import ConnectionLimit
 from damaskwind.runtime.http1.connection_phase import (
     PHASE_RULES,
     READ_AHEAD_BYTES,
@@ -71,6 +72,7 @@
     on_refused: Callable[[int], None]
     is_refused_by_head: Callable[[Request], bool]
     connections: set["ServerConnection"]
+    limit: ConnectionLimit
     active: int
     is_closing: bool
 
@@ -132,6 +134,8 @@
         self._output = CallerOutput(transport, self._server.memory is not None)
         self._leave_watch = LeaveWatch(handle, self._record_left)
         self._server.connections.add(self)
+        self._server.limit.record_opened(self)
+        self._server.limit.begin_wait(self)
         self._restart_timer(self._server.limits.idle_timeout_s)
 
     def _enter(self, phase: ConnectionPhase) -> None:
@@ -139,6 +143,9 @@
         if self.phase is not ConnectionPhase.ENDED:
             self.phase = phase
             self._regulate_reading()
+            limit = self._server.limit
+            change = limit.begin_wait if self._rule.may_yield else limit.end_wait
+            change(self)
 
     def _regulate_reading(self) -> None:
         """Read as the phase allows; requests are read ahead up to a bound, the rest is left."""
@@ -208,6 +215,7 @@
         self._stop_timer()
         self._leave_watch.stop()
         self._server.connections.discard(self)
+        self._server.limit.record_closed(self)
         self._output.end()
         if self._task is not None:
             self._task.cancel(f"the caller's connection ended: {self.loss}")
@@ -267,10 +275,33 @@
         self._output.flush()
         self._transport.close()
 
+    @property
+    def stalled_since_s(self) -> float | None:
+        """Return since when the caller keeps this process waiting, `None` if it doesn't.
+
+        It sends its body too slowly, takes nothing of its answer, or sends much ahead of it.
+        """
+        if self.phase is ConnectionPhase.BODY:
+            return self._head_s if self._body.is_stalled(read_clock() - self._head_s) else None
+        if self.phase is not ConnectionPhase.ANSWERING:
+            return None
+        if self._ahead_left_bytes <= 0:
+            return self._ahead_s
+        return self._output.paused_since_s
+
+    def displace(self) -> None:
+        """Close the connection at once for another one, since it carries no request in hand."""
+        if self.phase is ConnectionPhase.IDLE:
+            self._server.connections.discard(self)
+            self._close()
+            return
+        self.abort(UnansweredReason.DISPLACED, "too many connections")
+
     def abort(self, reason: UnansweredReason, why: str = "") -> None:
         """Reset the connection."""
         self._lose(reason, why)
         self._server.connections.discard(self)
+        self._server.limit.record_closed(self)
         self._output.clear()
         reset(self._transport)
 
@@ -447,6 +478,7 @@
         """Close after what was written, and drop what the caller still sends until then."""
         self._output.flush()
         self._transport.write_eof()
+        self._head = None
         self._enter(phase)
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
--- a/packages/runtime/src/damaskwind/runtime/http1/unanswered.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/unanswered.py
@@ -31,6 +31,7 @@
     NO_ANSWER = "no answer"
     READING_FAILED = "reading failed"
     GIVEN_UP = "given up"
+    DISPLACED = "displaced"
     SERVER_STOPPED = "server stopped"
     CLOSED = "closed"
 
--- a/packages/runtime/src/damaskwind/runtime/metrics_site.py
+++ b/packages/runtime/src/damaskwind/runtime/metrics_site.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from damaskwind.runtime.http1.connection_limit import ConnectionLimit
 from damaskwind.runtime.http1.exchange import Exchange
 from damaskwind.runtime.http1.held_memory import HeldMemory
 from damaskwind.runtime.http1.messages import Answer
@@ -20,14 +21,20 @@
 class MetricsSite:
     """The server at the metrics address.
 
-    With `memory` its requests and answers are accounted for there. `handlers` maps other path
+    With `memory` its requests and answers are accounted for there, and `limit` bounds its
+    connections. `handlers` maps other path
     prefixes to their handlers.
     """
 
-    def __init__(self, tallies: Tallies, memory: HeldMemory | None = None) -> None:
+    def __init__(
+        self,
+        tallies: Tallies,
+        memory: HeldMemory | None = None,
+        limit: ConnectionLimit | None = None,
+    ) -> None:
         self._tallies = tallies
         self.handlers: dict[bytes, Callable[[Exchange], Awaitable[None]]] = {}
-        self._server = HttpServer(self._answer, METRICS_LIMITS, memory)
+        self._server = HttpServer(self._answer, METRICS_LIMITS, memory, limit=limit)
 
     def listen(self, host: str, port: int) -> int:
         """Open the socket and return its port."""
