Bodies: tiny chunks are joined as they come

Five bodies in chunks of two bytes kept ordinary callers without an answer for 20 s and took 88 MiB for 18 MiB that were sent. Cause: each chunk was kept as an object of 48 bytes with a place in a list, and 256 KB of them were parsed in one turn of the event loop.

Pieces below 4 KB are joined to 16 KB. A caller's body that takes over 2 ms to parse waits for its turn, one in each round of the event loop, as targets' answers do (their bound moves to `parsing_turns`).

--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -20,7 +20,7 @@
 from damaskwind.runtime.http1.held_memory import AnswerAccount
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, Outbox
-from damaskwind.runtime.http1.parsing_turns import ParsingTurns
+from damaskwind.runtime.http1.parsing_turns import MAX_PARSING_S, ParsingTurns
 from damaskwind.runtime.http1.tcp_state import read_tcp_state
 from damaskwind.runtime.http1.transports import reset
 from damaskwind.runtime.http1.unread_input import UnreadInput
@@ -37,9 +37,6 @@
 ANSWER_HEAD_BYTES = 65_536
 # A sound target sends one or two informational answers (100 to 199) before its answer.
 MAX_INFORMATIONAL = 32
-# A reader that parses for longer than this lets other tasks run: a target may send many thousand
-# small chunks in one piece.
-MAX_PARSING_S = 0.002
 # Pieces of a body that is collected are joined up to this size, since each small one of them
 # takes several times its length.
 JOINED_BYTES = 16_384
--- a/packages/runtime/src/damaskwind/runtime/http1/parsing_turns.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/parsing_turns.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections import deque
 
-__all__ = ["ParsingTurns"]
+__all__ = ["MAX_PARSING_S", "ParsingTurns"]
+
+# A reader that parses for longer than this lets other tasks run: a target may send many thousand
+# small chunks in one piece.
+MAX_PARSING_S = 0.002
 
 
 class ParsingTurns:
--- a/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/request_bodies.py
@@ -18,6 +18,11 @@
 __all__ = ["BodyConnection", "BodyReader", "BodyServer"]
 
 
+# Pieces below this size are joined until they have the size of a large one.
+SMALL_PIECE_BYTES = 4096
+JOINED_BYTES = 16_384
+
+
 class BodyServer(Protocol):
     """The server of a connection; `reading` counts the requests whose bodies are being read."""
 
@@ -70,6 +75,7 @@
         self._connection = connection
         self._server = server
         self._pieces: list[bytes] = []
+        self._small_pieces = bytearray()
         self.size_bytes = 0
         self._stated_bytes: int | None = None
         self._is_reading = False
@@ -100,7 +106,8 @@
 
     def begin(self, head: h11.Request) -> bool:
         """Return whether to read on; otherwise the body waits, or the request was refused."""
-        self._pieces, self.size_bytes = [], 0
+        self._drop()
+        self.size_bytes = 0
         headers = list(head.headers)
         length = header(headers, b"content-length")
         self._stated_bytes = None if length is None else int(length)
@@ -122,7 +129,7 @@
 
     def add(self, data: bytes) -> bool:
         """Add a piece; return whether to read on, otherwise the request was refused."""
-        self._pieces.append(data)
+        self._keep(data)
         self.size_bytes += len(data)
         if self.size_bytes > self._connection.max_body_bytes:
             self._connection.refuse(413, why="body too large")
@@ -131,9 +138,26 @@
 
     def join(self) -> bytes:
         """Return the whole body, and drop its pieces."""
-        body, self._pieces = b"".join(self._pieces), []
+        body = b"".join([*self._pieces, self._small_pieces])
+        self._drop()
         return body
 
+    def _keep(self, data: bytes) -> None:
+        """Keep a piece; small ones are joined, since an object takes more than its bytes."""
+        if len(data) < SMALL_PIECE_BYTES:
+            self._small_pieces += data
+            if len(self._small_pieces) < JOINED_BYTES:
+                return
+            data, self._small_pieces = bytes(self._small_pieces), bytearray()
+        elif self._small_pieces:
+            self._pieces.append(bytes(self._small_pieces))
+            self._small_pieces = bytearray()
+        self._pieces.append(data)
+
+    def _drop(self) -> None:
+        """Drop what was kept of a body."""
+        self._pieces, self._small_pieces = [], bytearray()
+
     def end_reading(self) -> None:
         """Record that the body is no longer being read."""
         if self._is_reading:
@@ -143,6 +167,7 @@
 
     def close_account(self) -> None:
         """Drop what is held for the present request."""
+        self._drop()
         account, self.account = self.account, None
         if account is None:
             return
@@ -173,5 +198,5 @@
         if self.is_refused:
             return
         self.is_refused = True
-        self._pieces = []
+        self._drop()
         self._connection.send_unread(answer)
--- a/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
@@ -21,6 +21,7 @@
 from damaskwind.runtime.http1.leave_watch import LeaveWatch
 from damaskwind.runtime.http1.limits import LimitHistory, ServerLimits
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, header, is_bodiless
+from damaskwind.runtime.http1.parsing_turns import MAX_PARSING_S, ParsingTurns
 from damaskwind.runtime.http1.read_buffer import read_space, take_read
 from damaskwind.runtime.http1.request_bodies import BodyReader, BodyServer
 from damaskwind.runtime.http1.request_parser import (
@@ -49,6 +50,8 @@
 STALLED_S = 60.0
 
 
+# The callers whose bodies take long to parse, in chunks of some bytes, go on one after the other.
+_TURNS = ParsingTurns()
 # A smaller body is read also where the request is refused, so that its connection can be kept.
 LARGE_BODY_BYTES = 65_536
 # When a caller should retry whose request failed while it was read.
@@ -91,6 +94,7 @@
         self._body = BodyReader(self, server)
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._turn: asyncio.Future | None = None
         self._is_ending = False
         self._output: CallerOutput | None = None
         self._leave_watch: LeaveWatch | None = None
@@ -214,6 +218,8 @@
         self.phase = ConnectionPhase.ENDED
         self._stop_timer()
         self._leave_watch.stop()
+        if self._turn is not None:
+            self._turn.cancel()
         self._server.connections.discard(self)
         self._server.limit.record_closed(self)
         self._output.end()
@@ -357,11 +363,15 @@
         self.refuse(408, why="read too slowly")
 
     def _read_events(self) -> None:
-        """Handle the parser's events until a request is complete."""
+        """Handle the parser's events until a request is complete, or it is others' turn."""
+        turn_ends_s = read_clock() + MAX_PARSING_S
         try:
             while self._task is None:
                 if self._body.is_blocked or self._rule.drops:
                     return
+                if self.phase is ConnectionPhase.BODY and read_clock() > turn_ends_s:
+                    self._wait_for_turn()
+                    return
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA:
                     self._limit_unparsed()
@@ -376,6 +386,18 @@
             logger.opt(exception=error).error("reading failed", why=repr(error))
             self._refuse_unread(repr(error))
 
+    def _wait_for_turn(self) -> None:
+        """Read and parse nothing until it is the turn of this connection again."""
+        self._transport.pause_reading()
+        self._turn = asyncio.ensure_future(_TURNS.wait())
+        self._turn.add_done_callback(self._go_on)
+
+    def _go_on(self, turn: asyncio.Future) -> None:
+        """Read and parse on, unless the body was given up meanwhile."""
+        if not turn.cancelled() and self.phase is ConnectionPhase.BODY:
+            self._regulate_reading()
+            self._read_events()
+
     def _limit_unparsed(self) -> None:
         """Refuse a request of which a head, or a line within its body, is too large."""
         max_bytes = self._allowed.header_bytes + REQUEST_LINE_BYTES
