Calls between processes: peers that don't read are not read, idle ones yield

Pings sent ahead at the address of a replica's log brought it to 104 MiB of 100, and an operator beside them got no answer within 20 s; 600 idle connections there took all 400 descriptors. Cause: the library answers pings by itself, read or not, and accepts any number of connections.

`BoundedServer` stops to read a connection while its peer takes nothing, sets small buffers at the listening socket, and uses the limit on connections: one without a call yields. It serves the log, `Follow`, claims and the routers of chats. Weighed: a limit in the listening socket's `accept`; it can't tell peers from idle connections.

--- a/packages/control/src/damaskwind/control/fleet/log_host.py
+++ b/packages/control/src/damaskwind/control/fleet/log_host.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from random import Random
 
-from grpclib.server import Server
 from loguru import logger
 
 from damaskwind.control.fleet.settings import FleetControlSettings
@@ -20,8 +19,10 @@
 from damaskwind.control.storage.files import FileSystem
 from damaskwind.model.exception import StorageError
 from damaskwind.runtime.clock import read_clock
+from damaskwind.runtime.http1.connection_limit import ConnectionLimit
 from damaskwind.runtime.settings import ControlSettings, NodeSettings, ReplicaSettings
 from damaskwind.runtime.tallies import Tallies
+from damaskwind.wire.bounded_server import BoundedServer
 
 __all__ = ["LogHost"]
 
@@ -45,7 +46,8 @@
 
     `state` is the state machine driven by the log, created again each time the log is
     opened. `on_applied` is called when it has changed. `started_s` is when the
-    process started: any promise that the replica made as a voter is older.
+    process started: any promise that the replica made as a voter is older. `limit` bounds the
+    connections of other replicas.
     """
 
     def __init__(
@@ -56,8 +58,10 @@
         on_applied: Callable[[], None],
         started_s: float,
         tallies: Tallies,
+        limit: ConnectionLimit | None = None,
     ) -> None:
         self._tallies = tallies
+        self._limit = limit
         self.state = FleetState()
         self._settings = settings
         self._files = files
@@ -66,7 +70,7 @@
         self._silent_since_s = started_s
         self._applied_version = 0
         self._node: ReplicaNode | None = None
-        self._server: Server | None = None
+        self._server: BoundedServer | None = None
         self._reopening: asyncio.Task | None = None
 
     @property
@@ -149,7 +153,7 @@
         self.state = state
         self._applied_version = state.configuration.version
         self._node = node
-        self._server = Server([node.service])
+        self._server = BoundedServer([node.service], self._limit)
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listening.bind((settings.host, settings.replica_port))
--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -63,6 +63,7 @@
 _LOG_MODULES = (
     "grpclib.server",
     "grpclib.client",
+    "damaskwind.wire.bounded_server",
     "damaskwind.wire.replication_pb2",
     "damaskwind.wire.replication_grpc",
     "damaskwind.decisions.replication.core",
@@ -133,6 +134,7 @@
             self.held_bytes,
             self.tallies,
         )
+        self._log_limit = limits["log"]
         self._control = HttpServer(
             self._handle, CONTROL_LIMITS, self.held_bytes, limit=limits["control"]
         )
@@ -166,7 +168,13 @@
             await asyncio.sleep(0)
         settings = settings._replace(may_found=self._may_found)
         self._log = module.LogHost(
-            settings, self._files, self._random, self._on_applied, self._started_s, self.tallies
+            settings,
+            self._files,
+            self._random,
+            self._on_applied,
+            self._started_s,
+            self.tallies,
+            self._log_limit,
         )
         await self._log.open()
 
--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -7,8 +7,8 @@
 __all__ = ["DEFAULT_CATCH_UP_S", "REPLICA_ADDRESSES", "FleetControlSettings"]
 
 # The part of the descriptors, in 32nds, that the connections of each address may take. What is
-# left is for the log, other replicas and the disk.
-REPLICA_ADDRESSES = MappingProxyType({"control": 10, "news": 10, "metrics": 1})
+# left is for connections to other replicas, and for the disk.
+REPLICA_ADDRESSES = MappingProxyType({"control": 10, "news": 10, "log": 2, "metrics": 1})
 
 DEFAULT_CATCH_UP_S = 4.0
 # A silent voter is replaced after this fraction of the catch-up time of a new replica. The rest
--- a/packages/control/src/damaskwind/control/process.py
+++ b/packages/control/src/damaskwind/control/process.py
@@ -6,7 +6,6 @@
 from random import Random
 from typing import Any
 
-from grpclib.server import Server
 from loguru import logger
 from twisted.internet.defer import maybeDeferred
 
@@ -24,6 +23,7 @@
 from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.files import write_ready_file
 from damaskwind.runtime.settings import Settings, parse_address
+from damaskwind.wire.bounded_server import BoundedServer
 from damaskwind.wire.follow_service import FollowService
 
 __all__ = ["ControlProcess", "start_control"]
@@ -63,7 +63,7 @@
             Random(secrets.randbits(64)),
         )
         self._reactor = reactor
-        self._server = Server([self.node.service, self.follow, self.claim_holder])
+        self._server = BoundedServer([self.node.service, self.follow, self.claim_holder])
         self._is_serving = False
         self._listener: Any = None
         self._tasks: list[asyncio.Task] = []
--- a/packages/router/src/damaskwind/router/fleet_links.py
+++ b/packages/router/src/damaskwind/router/fleet_links.py
@@ -6,7 +6,6 @@
 from random import Random
 from typing import Any
 
-from grpclib.server import Server
 from twisted.internet.defer import maybeDeferred
 
 from damaskwind.decisions.membership.outputs import Event, RevisionHeard
@@ -20,6 +19,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import Settings, parse_address
 from damaskwind.wire.authentication import CallSigner
+from damaskwind.wire.bounded_server import BoundedServer
 
 __all__ = ["FleetLinks"]
 
@@ -58,7 +58,7 @@
         )
         self.follower.charge_bytes(self._charge_control_bytes)
         self._router_id = node.node_id
-        self._server = Server([self.follower.service])
+        self._server = BoundedServer([self.follower.service])
         self.claims = self._make_claims(settings, random)
 
     def _make_claims(self, settings: Settings, random: Random) -> ClaimsClient | None:
