Chats: connections, reads and the kernel's buffers are bounded

20 callers that sent requests ahead and read nothing brought a router of chats to 148 MiB of 128, and another caller got no answer within 20 s. Cause: one read of 64 KB of small requests is answered whole, however little the caller takes, and the kernel's buffers grow.

`LimitedSite` reads 4 KB at a time outside of bodies, reads 4 KB ahead, keeps the kernel's buffers small and holds at most `max_connections` (1,000): one without a whole request yields. Routers and the intent API use it. Weighed: closing a connection that sends ahead; pipelining is allowed (RFC 9112, section 9.3.2).

--- a/packages/control/src/damaskwind/control/operator_api/bounded_site.py
+++ b/packages/control/src/damaskwind/control/operator_api/bounded_site.py
@@ -10,6 +10,9 @@
 from twisted.web.resource import IResource
 from twisted.web.server import Request, Site
 
+from damaskwind.runtime.http1.connection_limit import ConnectionLimit
+from damaskwind.runtime.limited_site import LimitedSite
+
 __all__ = ["bounded_site"]
 
 _PAYLOAD_TOO_LARGE = 413
@@ -48,9 +51,13 @@
     return BoundedRequest
 
 
-def bounded_site(resource: IResource, limit_bytes: int, idle_timeout_s: float) -> Site:
+def bounded_site(
+    resource: IResource,
+    limit_bytes: int,
+    idle_timeout_s: float,
+    max_connections: int,
+) -> Site:
     """Return a site for a resource; idle connections are closed after a timeout."""
     options: dict[str, Any] = {"requestFactory": _request_class(limit_bytes)}
-    site = Site(resource, timeout=idle_timeout_s, **options)
-    site.displayTracebacks = False
-    return site
+    limit = ConnectionLimit("operators", max_connections)
+    return LimitedSite(resource, limit, timeout=idle_timeout_s, **options)
--- a/packages/control/src/damaskwind/control/operator_api/http_api.py
+++ b/packages/control/src/damaskwind/control/operator_api/http_api.py
@@ -26,6 +26,7 @@
 from damaskwind.control.operator_api.views import change_view, configuration_view, order_view
 from damaskwind.control.state.command import WantedState
 from damaskwind.control.state.configuration_machine import ConfigurationMachine, operator_roles
+from damaskwind.decisions.held_bytes.connection_shares import DEFAULT_MAX_CONNECTIONS
 from damaskwind.model.checking import check_table
 from damaskwind.runtime.bridge import to_deferred
 from damaskwind.runtime.settings import parse_address
@@ -162,9 +163,9 @@
         """Return the web resource."""
         return self._klein.resource()
 
-    def site(self) -> Site:
-        """Return a site that limits the size of bodies and the time of idle connections."""
-        return bounded_site(self.resource(), BODY_LIMIT_BYTES, IDLE_TIMEOUT_S)
+    def site(self, max_connections: int = DEFAULT_MAX_CONNECTIONS) -> Site:
+        """Return a site that limits connections, the size of bodies and the time of idle ones."""
+        return bounded_site(self.resource(), BODY_LIMIT_BYTES, IDLE_TIMEOUT_S, max_connections)
 
     def _route(self) -> None:
         """Bind each path to its handler method."""
--- a/packages/control/src/damaskwind/control/process.py
+++ b/packages/control/src/damaskwind/control/process.py
@@ -22,6 +22,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.files import write_ready_file
+from damaskwind.runtime.limited_site import listen_with_small_buffers
 from damaskwind.runtime.settings import Settings, parse_address
 from damaskwind.wire.bounded_server import BoundedServer
 from damaskwind.wire.follow_service import FollowService
@@ -93,8 +94,8 @@
         await self._server.start(sock=listening)
         self._is_serving = True
         host, port = self.operator_address
-        site = self.operator_api.site()
-        self._listener = self._reactor.listenTCP(port, site, interface=host)
+        site = self.operator_api.site(control.max_connections)
+        self._listener = listen_with_small_buffers(self._reactor, port, site, interface=host)
         self.operator_address = Address(host, self._listener.getHost().port)
         self.follow.publish(self.machine.configuration)
         self.node.start(self.settings.node, control, str(self.replica_address))
--- a/packages/decisions/src/damaskwind/decisions/held_bytes/connection_shares.py
+++ b/packages/decisions/src/damaskwind/decisions/held_bytes/connection_shares.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CONNECTION_BYTES",
+    "DEFAULT_MAX_CONNECTIONS",
     "DEFAULT_SOCKETS",
     "ConnectionRoom",
     "derive_max_connections",
@@ -17,6 +18,8 @@
 
 # The descriptors for sockets of a process whose settings don't state them.
 DEFAULT_SOCKETS = 1024
+# The connections of an address whose process knows neither its descriptors nor its memory.
+DEFAULT_MAX_CONNECTIONS = 1000
 # What a connection holds at most that is not accounted for otherwise: its objects, a part of a
 # head, and the bytes in the kernel that its caller has not read.
 CONNECTION_BYTES = 49_152
--- a/packages/router/src/damaskwind/router/caller_site.py
+++ b/packages/router/src/damaskwind/router/caller_site.py
@@ -4,10 +4,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from twisted.web.http import HTTPChannel
-from twisted.web.server import Site
-
 from damaskwind.router.caller_request import CallerLimits, CallerRequest
+from damaskwind.runtime.http1.connection_limit import ConnectionLimit
+from damaskwind.runtime.limited_site import LimitedChannel, LimitedSite
 
 __all__ = ["CallerSite"]
 
@@ -36,7 +35,7 @@
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _DEAD_PEER_TIMEOUT_S * 1000)
 
 
-class CallerChannel(HTTPChannel):
+class CallerChannel(LimitedChannel):
     """One connection of a caller."""
 
     request_line = RequestLine()
@@ -60,24 +59,25 @@
         self.site.channel_lost(self)
 
 
-class CallerSite(Site):
+class CallerSite(LimitedSite):
     """The server factory; if `closing` is set, connections end after the answer in progress."""
 
     protocol = CallerChannel
-    noisy = False
 
-    def __init__(self, resource: Any, limits: CallerLimits, reactor: Any) -> None:
+    def __init__(
+        self, resource: Any, limits: CallerLimits, reactor: Any, limit: ConnectionLimit
+    ) -> None:
         def make_request(*arguments: Any, **options: Any) -> CallerRequest:
             return CallerRequest(limits, *arguments, **options)
 
         super().__init__(
             resource,
+            limit,
             requestFactory=make_request,
             parsePOSTFormSubmission=False,
             timeout=_IDLE_TIMEOUT_S,
             reactor=reactor,
         )
-        self.displayTracebacks = False
         self.closing = False
         self.channels: set[CallerChannel] = set()
         self._watchers: list[Callable[[], None]] = []
--- a/packages/router/src/damaskwind/router/process.py
+++ b/packages/router/src/damaskwind/router/process.py
@@ -40,6 +40,8 @@
 from damaskwind.router.telemetry import Telemetry
 from damaskwind.runtime.bridge import to_future
 from damaskwind.runtime.files import write_ready_file
+from damaskwind.runtime.http1.connection_limit import ConnectionLimit
+from damaskwind.runtime.limited_site import listen_with_small_buffers
 from damaskwind.runtime.settings import Settings, parse_address
 
 __all__ = ["RouterProcess", "start_router"]
@@ -121,7 +123,8 @@
             lambda: self.gateway.configuration.policy.body_limit_bytes,
             self._new_request_id,
         )
-        self.site = CallerSite(frontend.app.resource(), limits, reactor)
+        limit = ConnectionLimit("callers", router.max_connections)
+        self.site = CallerSite(frontend.app.resource(), limits, reactor, limit)
         self.http_address = parse_address(router.http_address)
 
     def _chat_path(self) -> ChatPath:
@@ -233,7 +236,9 @@
     def _listen(self) -> None:
         """Open the listening socket for callers."""
         host, port = self.http_address
-        listener = self._reactor.listenTCP(port, self.site, interface=host, backlog=_LISTEN_BACKLOG)
+        listener = listen_with_small_buffers(
+            self._reactor, port, self.site, interface=host, backlog=_LISTEN_BACKLOG
+        )
         self.http_address = Address(host, listener.getHost().port)
         router = self.settings.router
         self._drain = Drain(
--- a/packages/runtime/src/damaskwind/runtime/settings.py
+++ b/packages/runtime/src/damaskwind/runtime/settings.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from damaskwind.decisions.held_bytes.connection_shares import DEFAULT_MAX_CONNECTIONS
 from damaskwind.model.checking import check_table
 from damaskwind.model.exception import SettingsError
 from damaskwind.model.targets import Address
@@ -57,6 +58,7 @@
     `near_failure_domains` are those among whose engines each chat has a single home.
     `state_file`, when set, preserves the highest revision over a restart.
     `configuration_file` gives a fixed configuration, without any control replica.
+    `max_connections` callers may be connected at once.
     """
 
     http_address: str
@@ -76,6 +78,7 @@
     state_file: str = ""
     configuration_file: str = ""
     ready_file: str = ""
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
 
 
 class ControlSettings(NamedTuple):
@@ -91,7 +94,8 @@
     among the bootstrap replicas, and again when it finds that it was removed. A voter
     that is silent for `replace_after_s` is replaced by a newcomer, and after
     `remove_after_s` it is removed without one. At least `least_voters` and at most
-    `most_voters` replicas vote, once there are that many.
+    `most_voters` replicas vote, once there are that many. `max_connections` clients may be
+    connected to the intent API at once.
     """
 
     replica_address: str
@@ -111,6 +115,7 @@
     remove_after_s: float = float("inf")
     least_voters: int = 3
     most_voters: float = float("inf")
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
 
 
 class Settings(NamedTuple):
