--- a/packages/control/src/damaskwind/control/fleet/process.py
+++ b/packages/control/src/damaskwind/control/fleet/process.py
@@ -136,7 +136,10 @@
         )
         self._log_limit = limits["log"]
         self._control = HttpServer(
-            self._handle, CONTROL_LIMITS, self.held_bytes, limit=limits["control"]
+            self._handle,
+            CONTROL_LIMITS._replace(read_ahead_bytes=settings.read_ahead_bytes),
+            self.held_bytes,
+            limit=limits["control"],
         )
         self.calls.tallies = self.evacuation_calls.tallies = self.tallies
         self._documents = DocumentCache()
--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -4,6 +4,8 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from damaskwind.runtime.http1.limits import READ_AHEAD_BYTES
+
 __all__ = ["DEFAULT_CATCH_UP_S", "REPLICA_ADDRESSES", "FleetControlSettings"]
 
 # The part of the descriptors, in 32nds, that the connections of each address may take. What is
@@ -30,7 +32,8 @@
     from the start of a new replica until the one that it replaces no longer counts as a loss.
     `memory_bytes` is the memory beyond which the process is killed, and `max_sockets` how many
     descriptors it may use for sockets; `None` if that isn't known. `max_connections` replaces the
-    largest number of connections of an address, by its name in `REPLICA_ADDRESSES`.
+    largest number of connections of an address, by its name in `REPLICA_ADDRESSES`. Of a client's
+    later requests, `read_ahead_bytes` are read before an answer has ended.
     """
 
     node_id: str
@@ -53,6 +56,7 @@
     memory_bytes: int | None = None
     max_sockets: int | None = None
     max_connections: Mapping[str, int] = MappingProxyType({})
+    read_ahead_bytes: int = READ_AHEAD_BYTES
 
     @property
     def required_voters(self) -> int | None:
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -107,7 +107,7 @@
         unanswered = UnansweredRequests(names, self.tallies)
         self._callers = HttpServer(
             self.forwarder.handle,
-            ServerLimits(),
+            ServerLimits(read_ahead_bytes=settings.read_ahead_bytes),
             self.held_bytes,
             unanswered.record,
             self._count_refused,
@@ -278,13 +278,15 @@
 
     def _apply_limits(self, configuration: TrafficConfiguration) -> None:
         """Apply the published limits to callers' connections."""
-        self._callers.limits = limits = ServerLimits(*configuration.limits)
+        ahead_bytes = self.settings.read_ahead_bytes
+        limits = ServerLimits(*configuration.limits, read_ahead_bytes=ahead_bytes)
+        self._callers.limits = limits
         self._callers.are_limits_known = True
         # A request that is sent on has some more headers than its caller sent.
         header_bytes = limits.header_bytes + ADDED_HEADER_BYTES
         body_bytes = max(limits.body_bytes, ServerLimits().body_bytes)
         self.view.relay.limit_requests(
-            ServerLimits(header_bytes=header_bytes, body_bytes=body_bytes)
+            ServerLimits(header_bytes, body_bytes, read_ahead_bytes=ahead_bytes)
         )
 
     async def _answer_ready(self, exchange: Exchange) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/settings.py
+++ b/packages/router/src/damaskwind/router/forwarding/settings.py
@@ -6,6 +6,7 @@
 
 from damaskwind.decisions.retries.shared_budget import BudgetTerms
 from damaskwind.model.targets import Address
+from damaskwind.runtime.http1.limits import READ_AHEAD_BYTES
 
 __all__ = ["ROUTER_ADDRESSES", "ForwardingSettings"]
 
@@ -23,7 +24,8 @@
     that callers compete for capacity and that callers and targets may read slowly;
     `memory_bytes` is the memory beyond which the process is killed, and `max_sockets` how many
     descriptors it may use for sockets; `None` if that isn't known. `max_connections` replaces the
-    largest number of connections of an address, by its name in `ROUTER_ADDRESSES`.
+    largest number of connections of an address, by its name in `ROUTER_ADDRESSES`. Of a caller's
+    later requests, `read_ahead_bytes` are read before an answer has ended.
     """
 
     node_id: str
@@ -43,3 +45,4 @@
     memory_bytes: int | None = None
     max_sockets: int | None = None
     max_connections: Mapping[str, int] = MappingProxyType({})
+    read_ahead_bytes: int = READ_AHEAD_BYTES
--- a/packages/runtime/src/damaskwind/runtime/http1/connection_phase.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/connection_phase.py
@@ -17,7 +17,6 @@
     "BODY_READ_BYTES",
     "CHUNKED_READ_BYTES",
     "PHASE_RULES",
-    "READ_AHEAD_BYTES",
     "ConnectionPhase",
     "PhaseRule",
 ]
@@ -28,8 +27,6 @@
 BODY_READ_BYTES = 65_536
 # A body of unknown length may end anywhere in a read, and what follows is held as read ahead.
 CHUNKED_READ_BYTES = 16_384
-# Of the requests behind the present one, this much is read before its answer has ended.
-READ_AHEAD_BYTES = 16_384
 
 
 class PhaseRule(NamedTuple):
@@ -65,7 +62,7 @@
     ConnectionPhase.HEAD: PhaseRule(HEAD_READ_BYTES, parses=True, may_yield=True),
     ConnectionPhase.BODY: PhaseRule(BODY_READ_BYTES, parses=True),
     ConnectionPhase.UNREAD: PhaseRule(0),
-    ConnectionPhase.ANSWERING: PhaseRule(READ_AHEAD_BYTES),
+    ConnectionPhase.ANSWERING: PhaseRule(HEAD_READ_BYTES),
     ConnectionPhase.ANSWERED: PhaseRule(BODY_READ_BYTES, drops=True, is_idle=True, may_yield=True),
     ConnectionPhase.REFUSED: PhaseRule(BODY_READ_BYTES, drops=True, may_yield=True),
     ConnectionPhase.ENDED: PhaseRule(0, drops=True),
--- a/packages/runtime/src/damaskwind/runtime/http1/limits.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/limits.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
-__all__ = ["GRACE_S", "LimitHistory", "ServerLimits"]
+__all__ = ["GRACE_S", "READ_AHEAD_BYTES", "LimitHistory", "ServerLimits"]
 
 # A request that was sent under limits which have been replaced since may still be on its way for
 # this time, which is that of the first retransmission of a lost packet (RFC 6298).
@@ -13,13 +13,21 @@
 MAX_REPLACED = 64
 
 
+# An ordinary caller sends nothing before the answer to its last request has ended.
+READ_AHEAD_BYTES = 16_384
+
+
 class ServerLimits(NamedTuple):
-    """What a caller may send, and how long it may take or stay idle."""
+    """What a caller may send, and how long it may take or stay idle.
+
+    Of the requests behind the present one, `read_ahead_bytes` are read before its answer has ended.
+    """
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    read_ahead_bytes: int = READ_AHEAD_BYTES
 
 
 class _Replaced(NamedTuple):
--- a/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
@@ -12,7 +12,6 @@
 from damaskwind.runtime.http1.connection_limit import ConnectionLimit
 from damaskwind.runtime.http1.connection_phase import (
     PHASE_RULES,
-    READ_AHEAD_BYTES,
     ConnectionPhase,
     PhaseRule,
 )
@@ -165,12 +164,12 @@
     @property
     def _ahead_left_bytes(self) -> int:
         """Return how much more of later requests may be read."""
-        return READ_AHEAD_BYTES - self._parser.unparsed_bytes
+        return self._server.limits.read_ahead_bytes - self._parser.unparsed_bytes
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the space for one read."""
         if self.phase is ConnectionPhase.ANSWERING:
-            return read_space(self._ahead_left_bytes)
+            return read_space(min(self._rule.read_bytes, self._ahead_left_bytes))
         if self.phase is ConnectionPhase.BODY:
             return read_space(self._body.next_read_bytes)
         return read_space(self._rule.read_bytes)
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_limits.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_limits.py
@@ -2,7 +2,13 @@
 
 from twisted.trial.unittest import TestCase
 
-from damaskwind.runtime.http1.limits import GRACE_S, MAX_REPLACED, LimitHistory, ServerLimits
+from damaskwind.runtime.http1.limits import (
+    GRACE_S,
+    MAX_REPLACED,
+    READ_AHEAD_BYTES,
+    LimitHistory,
+    ServerLimits,
+)
 
 SMALL = ServerLimits(100, 1000)
 LARGE = ServerLimits(200, 2000)
@@ -24,7 +30,7 @@
         """Guards against idle and header timeouts of limits that were replaced."""
         history = LimitHistory(LARGE)
         history.replace(SMALL._replace(header_timeout_s=1.0, idle_timeout_s=2.0), 10.0)
-        self.assertEqual(history.largest_since(0.0)[2:], (1.0, 2.0))
+        self.assertEqual(history.largest_since(0.0)[2:], (1.0, 2.0, READ_AHEAD_BYTES))
 
     def test_same_limits_and_many_changes_take_no_space(self):
         """Guards against a history that grows with each version of the configuration."""
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_reading_ahead.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_reading_ahead.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from damaskwind.runtime.bridge import asyncio_test
-from damaskwind.runtime.http1.connection_phase import READ_AHEAD_BYTES
+from damaskwind.runtime.http1.limits import READ_AHEAD_BYTES
 from damaskwind.runtime.http1.messages import Answer
 from damaskwind.runtime.http1.tests.test_unanswered import HEAD, WAIT_S, ServerTestCase
 
