--- a/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
@@ -10,11 +10,7 @@
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.http1.caller_output import CallerOutput
 from damaskwind.runtime.http1.connection_limit import ConnectionLimit
-from damaskwind.runtime.http1.connection_phase import (
-    PHASE_RULES,
-    ConnectionPhase,
-    PhaseRule,
-)
+from damaskwind.runtime.http1.connection_phase import PHASE_RULES, ConnectionPhase, PhaseRule
 from damaskwind.runtime.http1.exchange import Exchange, answer_headers
 from damaskwind.runtime.http1.held_memory import RequestAccount
 from damaskwind.runtime.http1.leave_watch import LeaveWatch
@@ -22,6 +18,7 @@
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, header, is_bodiless
 from damaskwind.runtime.http1.parsing_turns import MAX_PARSING_S, ParsingTurns
 from damaskwind.runtime.http1.read_buffer import read_space, take_read
+from damaskwind.runtime.http1.refusals import UnreadRefusal, log_refusal
 from damaskwind.runtime.http1.request_bodies import BodyReader, BodyServer
 from damaskwind.runtime.http1.request_parser import (
     EMPTY_LINES,
@@ -47,8 +44,6 @@
 # A caller that has taken nothing for this time, while an answer waits for it, has stopped reading.
 # The kernel's buffer hides what a caller of 1 KB/s takes for some 20 s.
 STALLED_S = 60.0
-
-
 # The callers whose bodies take long to parse, in chunks of some bytes, go on one after the other.
 _TURNS = ParsingTurns()
 # A smaller body is read also where the request is refused, so that its connection can be kept.
@@ -592,24 +587,22 @@
         self._linger(ConnectionPhase.REFUSED)
 
     def _log_refusal(self, status: int, why: str) -> None:
-        """Log a request that is refused before its handler has it, and the limits applied to it."""
-        limits, allowed, head = self._server.limits, self._allowed, self._head
+        """Log a request that is refused before its handler has it."""
         self._server.on_refused(status)
-        logger.info(
-            "request refused unread",
-            status=status,
-            why=why,
-            caller=self.caller,
-            method="" if head is None else head.method.decode("latin-1"),
-            head_bytes=self._head_size_bytes,
-            body_bytes=self._body.size_bytes,
-            earlier_requests=self.requests,
-            applied_header_bytes=allowed.header_bytes,
-            applied_body_bytes=allowed.body_bytes,
-            header_bytes=limits.header_bytes,
-            max_body_bytes=limits.body_bytes,
-            unparsed_bytes=self._parser.unparsed_bytes,
-            took_s=round(read_clock() - self._begun_s, 3),
+        log_refusal(
+            UnreadRefusal(
+                status,
+                why,
+                self.caller,
+                self._head,
+                self._head_size_bytes,
+                self._body.size_bytes,
+                self._parser.unparsed_bytes,
+                self.requests,
+                self._allowed,
+                self._server.limits,
+                read_clock() - self._begun_s,
+            )
         )
 
     def send_head(self, status: int, headers: Headers, close: bool) -> None:
