Replicas: half of the addresses' descriptors are for news, of which routers keep two

News now has 15 of 32 parts in place of 10, control 6: 839 and 335 connections on a replica's machine. Weighed: a lower price of a connection in the account, which its heads and unread answers may use up.

--- a/packages/control/src/damaskwind/control/fleet/settings.py
+++ b/packages/control/src/damaskwind/control/fleet/settings.py
@@ -9,8 +9,8 @@
 __all__ = ["DEFAULT_CATCH_UP_S", "REPLICA_ADDRESSES", "FleetControlSettings"]
 
 # The part of the descriptors, in 32nds, that the connections of each address may take. What is
-# left is for connections to other replicas, and for the disk.
-REPLICA_ADDRESSES = MappingProxyType({"control": 10, "news": 10, "log": 2, "metrics": 1})
+# left is for connections to other replicas, and for the disk. A router keeps two for news.
+REPLICA_ADDRESSES = MappingProxyType({"control": 6, "news": 15, "log": 2, "metrics": 1})
 
 DEFAULT_CATCH_UP_S = 4.0
 # A silent voter is replaced after this fraction of the catch-up time of a new replica. The rest
