Callers: one that left unnoticed doesn't make the process's stop fail

Cause: a caller that is not read at the moment, as its body waits for room or for a turn, may have closed; the refusal that the drain writes is answered by a reset, and closing the sending side then raises OSError 107, which ended the stop.

The connection is dropped at once then. `test_drain_fails_by_a_caller_that_left_while_it_was_not_read` fails without the change with this error, 1 of 1; with it 86 of 86 tests of `runtime.http1`, the caller limits and tiny chunks pass. Weighed: noticing the end while nothing is read, which the kernel tells only once what came before is read.

--- a/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
@@ -492,10 +492,15 @@
 
     def _linger(self, phase: ConnectionPhase) -> None:
         """Close after what was written, and drop what the caller still sends until then."""
-        self._output.flush()
-        self._transport.write_eof()
         self._head = None
         self._enter(phase)
+        try:
+            self._output.flush()
+            self._transport.write_eof()
+        except OSError:
+            # The caller has left, which was not noticed as nothing was read.
+            self._transport.abort()
+            return
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
     def _start(self, is_body_unread: bool = False) -> None:
--- a/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tests/test_closing.py
@@ -105,6 +105,19 @@
         received = await asyncio.to_thread(self.send_late)
         self.assertIn(b" 413 ", received)
 
+    @asyncio_test
+    async def test_drain_fails_by_a_caller_that_left_while_it_was_not_read(self):
+        head = b"POST /whole HTTP/1.1\r\nhost: h\r\ncontent-length: 50\r\n\r\nx"
+        _, writer = await self.open(head)
+        await self.until(lambda: self.server.connections)
+        await asyncio.sleep(0.05)
+        (connection,) = self.server.connections
+        connection._transport.pause_reading()
+        writer.close()
+        await asyncio.sleep(0.05)
+        await self.server.end_requests(1.0)
+        await self.until(lambda: not self.server.connections)
+
     async def medium(self, exchange):
         exchange.respond(Answer(200, [], b"x" * MEDIUM_BYTES), close=True)
 
