--- a/packages/router/src/damaskwind/router/forwarding/tests/test_caller_limits.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_caller_limits.py
@@ -7,6 +7,7 @@
 from damaskwind.model.traffic_configuration import CallerLimits, TrafficConfiguration
 from damaskwind.router.forwarding.process import ForwardingRouter
 from damaskwind.router.forwarding.settings import ForwardingSettings
+from damaskwind.runtime.http1.limits import READ_AHEAD_BYTES
 
 
 class CallerLimitsTest(TestCase):
@@ -21,7 +22,7 @@
         self.assertFalse(callers.are_limits_known)
         self.router._apply_limits(TrafficConfiguration(1, limits=CallerLimits(100, 200, 1.0, 2.0)))
         self.assertTrue(callers.are_limits_known)
-        self.assertEqual(callers.limits, (100, 200, 1.0, 2.0))
+        self.assertEqual(callers.limits, (100, 200, 1.0, 2.0, READ_AHEAD_BYTES))
 
     def test_requests_for_other_routers_may_have_a_longer_head(self):
         """Guards against requests that no router can send on, as these add fields to them."""
