--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -20,6 +20,7 @@
 from damaskwind.control.replica.transport import CALL_ERRORS, Channels
 from damaskwind.control.storage.folder import DataFolder
 from damaskwind.control.storage.journal import Journal
+from damaskwind.decisions.replication.messages import Member
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import ReplicaSettings, parse_address
@@ -175,12 +176,27 @@
         timeout_ms=int(JOIN_TIMEOUT_S * 1000),
     )
     for peer in peers:
+        asked_s = read_clock()
         reply = await _call(peer, "Change", request, channels, signer, JOIN_TIMEOUT_S)
+        _log_answer(peer, member, reply, asked_s)
         if reply is not None and reply.state == "committed":
             logger.info("joined as a learner", replica=member.replica_id)
             return
 
 
+def _log_answer(peer: Address, member: Member, reply: Any, asked_s: float) -> None:
+    """Log what a peer replied to the request to add this replica, and after which time."""
+    logger.info(
+        "asked to be added",
+        peer=str(peer),
+        identity=member.identity,
+        outcome="no answer" if reply is None else reply.state,
+        why="" if reply is None else reply.detail,
+        leader="" if reply is None else reply.leader_id,
+        took_s=round(read_clock() - asked_s, 3),
+    )
+
+
 async def _call(
     address: Address,
     method: str,
--- a/packages/control/src/damaskwind/control/replica/proposal_log.py
+++ b/packages/control/src/damaskwind/control/replica/proposal_log.py
@@ -35,9 +35,15 @@
         self._replica = replica
 
     def forwarded(self, request: Any, left_s: float) -> None:
-        """Log that a request is about to be sent to the leader."""
+        """Log that a request is about to be sent to the leader, and which life of it is meant."""
         leader = self._replica.core.leader
-        self._log("proposal forwarded", request, to=_id_of(leader), left_s=round(left_s, 3))
+        self._log(
+            "proposal forwarded",
+            request,
+            to=_id_of(leader),
+            to_identity=_identity_of(leader),
+            left_s=round(left_s, 3),
+        )
 
     def answered(self, request: Any, outcome: ProposalOutcome, asked_s: float) -> None:
         """Log the leader's answer, or that there was none."""
@@ -91,7 +97,11 @@
         """Return the fields that identify a proposal or a change of the members."""
         payload = getattr(request, "payload", None)
         if payload is None:
-            return {"change": request.action, "replica": request.replica_id}
+            return {
+                "change": request.action,
+                "replica": request.replica_id,
+                "identity": request.identity,
+            }
         command = machine_payload(payload)
         return {} if command is None else self.describe(command)
 
@@ -100,5 +110,9 @@
     return leader.replica_id if leader is not None else ""
 
 
+def _identity_of(leader: Any) -> str:
+    return leader.identity if leader is not None else ""
+
+
 def _reason_of(outcome: ProposalOutcome) -> str:
     return str(outcome.reason or "")
--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -244,6 +244,7 @@
             "members changed",
             voters=[member.replica_id for member in members.voters],
             learners=[member.replica_id for member in members.learners],
+            identities=[member.identity for member in members.voters + members.learners],
             leads=self.is_leader,
         )
 
