Joins: a request for the leader names the member that is meant, and a leader whose disk is lost is not waited for

What callers saw: after a second lost disk no change was accepted and no configuration read back any more, though no more was lost than may be and catchUpS had passed.

Cause: a leader that was back without its disk before the others elected asked a follower to add it. That one knew its former self as the leader and forwarded the request to its address, the asker's own, which kept and retried it for 5 s; the asker waited for that answer before it asked anybody again. Until then the former self counted as a voter, so that the second loss left one of three.

Why this works: a forwarded request names replica and identity, and another life refuses it at once, as does a replica without a log; nothing is forwarded twice. The refusal proves that the leader has ended (its replica runs as another member, asked while it was known to lead), so that nobody holds the lease for which votes are withheld: its followers campaign at once. The joiner asks all members at once, also those that only other replicas know, and in turns, so that no answer is waited for alone. A request to add a member with its identity is repeated also when its outcome is unknown; the address is committed once.

--- a/packages/control/src/damaskwind/control/replica/address_book.py
+++ b/packages/control/src/damaskwind/control/replica/address_book.py
@@ -63,6 +63,11 @@
         """Return the record of a replica from the log, or else from the settings."""
         return self._logged.get(replica_id) or self._configured.get(replica_id)
 
+    def is_logged(self, record: AddressRecord) -> bool:
+        """Return whether the log has this record and nothing else is known since."""
+        is_latest = self.address_of(record.replica_id) == record.address
+        return is_latest and self._logged.get(record.replica_id) == record
+
     def snapshot(self) -> tuple[AddressRecord, ...]:
         """Return the records from the log."""
         return tuple(self._logged.values())
--- a/packages/control/src/damaskwind/control/replica/forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -10,11 +10,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError
-
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
 from damaskwind.control.replica.address_book import AddressRecord
+from damaskwind.control.replica.leader_calls import LeaderCalls, NotSentError
 from damaskwind.control.replica.proposal_log import ProposalLog
 from damaskwind.control.replica.replica import Replica
 from damaskwind.control.replica.replicated_state import address_command, machine_command
@@ -28,7 +26,6 @@
     Outcome,
     RefusalReason,
 )
-from damaskwind.model.exception import DamaskwindError
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import parse_address
@@ -36,26 +33,14 @@
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.replication_grpc import ReplicationStub
 
-__all__ = ["STOPPED", "LogAccess"]
+__all__ = ["LogAccess"]
 
 RETRY_PAUSE_S = 0.05
 READ_ATTEMPT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
-STOPPED = "stopped"
 _RETRYABLE_REASONS = frozenset(RefusalReason) - {RefusalReason.INVALID_CHANGE}
 
 
-class _NotSentError(DamaskwindError):
-    """A call failed and certainly had no effect."""
-
-
-def _is_not_sent(error: BaseException) -> bool:
-    """Return whether a failed call certainly had no effect."""
-    if isinstance(error, GRPCError):
-        return error.status is Status.UNAVAILABLE and error.message == STOPPED
-    return isinstance(error, ConnectionRefusedError)
-
-
 class LogAccess:
     """Access to the replicated log for the rest of the process."""
 
@@ -65,6 +50,7 @@
         self.log = ProposalLog(replica)
         self._signer = signer
         self._channels = Channels()
+        self._leader_calls = LeaderCalls(replica, signer, self._channels)
 
     async def propose(self, payload: bytes, timeout_s: float) -> CommitOutcome:
         """Propose a command to the state machine and wait until it is applied locally."""
@@ -177,12 +163,20 @@
         if member in _members(self.replica.core.membership):
             return _refused(RefusalReason.INVALID_CHANGE)
         record = AddressRecord(request.replica_id, address, request.failure_domain)
-        address_outcome = await self.replica.propose(address_command(record), timeout_s)
-        if address_outcome.outcome is not Outcome.COMMITTED:
-            return address_outcome
+        recorded = await self._record_address(record, timeout_s)
+        if recorded is not None and recorded.outcome is not Outcome.COMMITTED:
+            return recorded
         change = MembershipChange(ChangeKind.ADD_LEARNER, member)
         return await self.replica.propose_change(change, timeout_s)
 
+    async def _record_address(
+        self, record: AddressRecord, timeout_s: float
+    ) -> ProposalOutcome | None:
+        """Commit an address; `None` if the log has it already."""
+        if self.replica.state.addresses.is_logged(record):
+            return None
+        return await self.replica.propose(address_command(record), timeout_s)
+
     async def _remove_member(self, replica_id: str, timeout_s: float) -> ProposalOutcome:
         """Remove the member with this id; prefer a voter to a learner."""
         members = _members(self.replica.core.membership)
@@ -211,8 +205,8 @@
             return await self.read_index_locally(timeout_s)
         request = replication_pb2.ReadIndexRequest(timeout_ms=int(timeout_s * 1000))
         try:
-            reply = await self._call_leader("ReadIndex", request, timeout_s)
-        except _NotSentError:
+            reply = await self._leader_calls.call("ReadIndex", request, timeout_s)
+        except NotSentError:
             return None
         return reply.index if reply is not None and reply.is_current else None
 
@@ -227,8 +221,7 @@
                 break
             request.timeout_ms = max(int(left_s * 1000), 1)
             outcome = await self._attempt(method, request, left_s)
-            is_refused = outcome.outcome is Outcome.REFUSED
-            if not is_refused or outcome.reason not in _RETRYABLE_REASONS:
+            if not _may_repeat(request, outcome):
                 return outcome
             attempts += 1
             if attempts == 1:
@@ -242,7 +235,7 @@
         if self.replica.is_leader:
             execute = {"Propose": self.propose_locally, "Change": self.change_locally}[method]
             return await execute(request, timeout_s)
-        if self._leader_address() is None:
+        if self._leader_calls.leader() is None:
             return _refused(RefusalReason.NOT_LEADER)
         self.log.forwarded(request, timeout_s)
         asked_s = read_clock()
@@ -253,46 +246,14 @@
     async def _forward(self, method: str, request: Any, timeout_s: float) -> ProposalOutcome:
         """Execute a request at the leader; `UNKNOWN` when no reply arrived."""
         try:
-            reply = await self._call_leader(method, request, timeout_s)
-        except _NotSentError:
+            reply = await self._leader_calls.call(method, request, timeout_s)
+        except NotSentError:
             return _refused(RefusalReason.NOT_LEADER)
         if reply is None:
             return ProposalOutcome("", Outcome.UNKNOWN)
         reason = RefusalReason(reply.detail) if reply.detail else None
         return ProposalOutcome("", Outcome(reply.state), reply.index, reason)
 
-    async def _call_leader(self, method: str, request: Any, timeout_s: float) -> Any:
-        """Call the leader; return `None` when no reply arrived.
-
-        Raises `_NotSentError` when the call certainly had no effect: the
-        connection was refused, or the replica replied that it has stopped.
-        """
-        address = self._leader_address()
-        if address is None:
-            return None
-        stub = ReplicationStub(self._channels.get(address))
-        asked_s = read_clock()
-        try:
-            call = call_unary(getattr(stub, method), request, self._signer, timeout_s)
-            reply = await asyncio.wait_for(call, timeout_s)
-        except TimeoutError:
-            self._channels.record_timeout(address, asked_s)
-            return None
-        except CALL_ERRORS as error:
-            self._channels.drop(address)
-            if _is_not_sent(error):
-                raise _NotSentError from error
-            return None
-        self._channels.record_answer(address)
-        return reply
-
-    def _leader_address(self) -> Address | None:
-        """Return the address of the leader; `None` if unknown or this replica."""
-        leader = self.replica.core.leader
-        if leader is None or leader == self.replica.member:
-            return None
-        return self.replica.state.addresses.address_of(leader.replica_id)
-
     async def _wait_until_applied(self, index: int, timeout_s: float) -> bool:
         """Wait until the local state has applied an index; return whether it has."""
         state = self.replica.state
@@ -324,6 +285,17 @@
         }
 
 
+def _may_repeat(request: Any, outcome: ProposalOutcome) -> bool:
+    """Return whether a request may be sent again after this outcome.
+
+    A member that was added is not added again, so that a request to add one with its
+    identity may be sent again also when it is unknown whether it was carried out.
+    """
+    if outcome.outcome is Outcome.UNKNOWN:
+        return bool(getattr(request, "action", "") == "add" and request.identity)
+    return outcome.outcome is Outcome.REFUSED and outcome.reason in _RETRYABLE_REASONS
+
+
 def _members(membership: Membership) -> tuple[Member, ...]:
     """Return all members, voters first."""
     return membership.voters + membership.learners
--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -16,23 +16,22 @@
 from loguru import logger
 
 from damaskwind.control.replica.forwarding import LogAccess
+from damaskwind.control.replica.join_requests import JoinRequests
+from damaskwind.control.replica.peer_calls import call_peer
 from damaskwind.control.replica.service import ReplicationService
-from damaskwind.control.replica.transport import CALL_ERRORS, Channels
+from damaskwind.control.replica.transport import Channels
 from damaskwind.control.storage.folder import DataFolder
 from damaskwind.control.storage.journal import Journal
-from damaskwind.decisions.replication.messages import Member
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import ReplicaSettings, parse_address
 from damaskwind.wire import replication_pb2
-from damaskwind.wire.authentication import CallSigner, call_unary
-from damaskwind.wire.replication_grpc import ReplicationStub
+from damaskwind.wire.authentication import CallSigner
 
 __all__ = ["found_or_join_cluster", "rejoin_if_removed"]
 
 RETRY_S = 0.5
 HELLO_TIMEOUT_S = 1.0
-JOIN_TIMEOUT_S = 5.0
 # A replica without contact with a leader for several elections may have been removed.
 REJOIN_AFTER_S = 4.0
 
@@ -61,17 +60,13 @@
     is_listed = len(others) < len(bootstrap)
     may_ask = is_listed or joins_unlisted
     channels = Channels()
+    requests = JoinRequests(replica, service.address, failure_domain, signer)
     try:
         while replica.is_running and not replica.has_log:
             hellos = await _greet_bootstrap_replicas(others, channels, signer) if may_ask else []
-            with_log = [
-                parse_address(item.address)
-                for item, reply in zip(others, hellos, strict=False)
-                if reply is not None and reply.has_log
-            ]
-            if with_log:
-                address = service.address
-                await _ask_to_join(access, with_log, channels, signer, address, failure_domain)
+            members = _addresses_of_members(others, hellos, service.address)
+            if members:
+                await _ask_to_join(requests, members)
             elif is_listed and may_found and None not in hellos and not replica.has_log:
                 if not service.is_founding:
                     folder.mark_founding()
@@ -81,6 +76,7 @@
                     return
             await replica.wait_until(lambda: replica.has_log, random.uniform(0, RETRY_S))
     finally:
+        await requests.close()
         channels.close()
 
 
@@ -99,6 +95,7 @@
     replica = access.replica
     own_id = replica.member.replica_id
     channels = Channels()
+    requests = JoinRequests(replica, service.address, failure_domain, signer)
     last_led_s = float("-inf")
     try:
         while replica.is_running:
@@ -119,8 +116,9 @@
             logger.info(
                 "asking to be added again", silent_s=round(silent_s, 1), answering=len(reachable)
             )
-            await _ask_to_join(access, reachable, channels, signer, service.address, failure_domain)
+            await _ask_to_join(requests, reachable)
     finally:
+        await requests.close()
         channels.close()
 
 
@@ -131,6 +129,21 @@
     return bootstrap[0].replica_id == own_id and all(reply.is_founding for reply in hellos)
 
 
+def _addresses_of_members(
+    others: list[ReplicaSettings], hellos: list[Any], own_address: str
+) -> list[Address]:
+    """Return where replicas with a log listen, and the members that they know of.
+
+    Replicas other than the listed ones may vote, and each has to learn that a leader
+    that is back without its disk leads no more.
+    """
+    addresses: list[str] = []
+    for item, reply in zip(others, hellos, strict=False):
+        if reply is not None and reply.has_log:
+            addresses += [item.address, *reply.member_addresses]
+    return [parse_address(item) for item in dict.fromkeys(addresses) if item != own_address]
+
+
 async def _greet_bootstrap_replicas(
     others: list[ReplicaSettings], channels: Channels, signer: CallSigner
 ) -> list[Any]:
@@ -151,66 +164,14 @@
 ) -> list[Any]:
     """Call `Hello` at all addresses concurrently; `None` where no reply came in time."""
     calls = [
-        _call(address, "Hello", replication_pb2.HelloRequest(), channels, signer, HELLO_TIMEOUT_S)
+        call_peer(
+            address, "Hello", replication_pb2.HelloRequest(), channels, signer, HELLO_TIMEOUT_S
+        )
         for address in addresses
     ]
     return list(await asyncio.gather(*calls))
 
 
-async def _ask_to_join(
-    access: LogAccess,
-    peers: list[Address],
-    channels: Channels,
-    signer: CallSigner,
-    address: str,
-    failure_domain: str,
-) -> None:
-    """Ask one replica after another to add this one, until a change is committed."""
-    member = access.replica.member
-    request = replication_pb2.ChangeRequest(
-        action="add",
-        replica_id=member.replica_id,
-        identity=member.identity,
-        address=address,
-        failure_domain=failure_domain,
-        timeout_ms=int(JOIN_TIMEOUT_S * 1000),
-    )
-    for peer in peers:
-        asked_s = read_clock()
-        reply = await _call(peer, "Change", request, channels, signer, JOIN_TIMEOUT_S)
-        _log_answer(peer, member, reply, asked_s)
-        if reply is not None and reply.state == "committed":
-            logger.info("joined as a learner", replica=member.replica_id)
-            return
-
-
-def _log_answer(peer: Address, member: Member, reply: Any, asked_s: float) -> None:
-    """Log what a peer replied to the request to add this replica, and after which time."""
-    logger.info(
-        "asked to be added",
-        peer=str(peer),
-        identity=member.identity,
-        outcome="no answer" if reply is None else reply.state,
-        why="" if reply is None else reply.detail,
-        leader="" if reply is None else reply.leader_id,
-        took_s=round(read_clock() - asked_s, 3),
-    )
-
-
-async def _call(
-    address: Address,
-    method: str,
-    request: Any,
-    channels: Channels,
-    signer: CallSigner,
-    timeout_s: float,
-) -> Any:
-    """Make one call and return its reply, or `None` when it fails."""
-    stub = ReplicationStub(channels.get(address))
-    try:
-        call = call_unary(getattr(stub, method), request, signer, timeout_s)
-        return await asyncio.wait_for(call, timeout_s)
-    except CALL_ERRORS as error:
-        logger.debug("replica not reached", address=str(address), error=repr(error))
-        channels.drop(address)
-        return None
+async def _ask_to_join(requests: JoinRequests, peers: list[Address]) -> None:
+    """Ask the peers to add this replica, for one turn."""
+    await requests.ask(peers)
--- a/packages/control/src/damaskwind/control/replica/service.py
+++ b/packages/control/src/damaskwind/control/replica/service.py
@@ -7,8 +7,10 @@
 from loguru import logger
 
 from damaskwind.control.replica.codec import decode_envelope
-from damaskwind.control.replica.forwarding import STOPPED, LogAccess
+from damaskwind.control.replica.forwarding import LogAccess
+from damaskwind.control.replica.leader_calls import OTHER_LIFE, OTHER_REPLICA, STOPPED
 from damaskwind.decisions.replication.events import ProposalOutcome
+from damaskwind.decisions.replication.messages import Member, Outcome, RefusalReason
 from damaskwind.model.exception import MessageError
 from damaskwind.runtime.settings import parse_address
 from damaskwind.wire import replication_pb2
@@ -54,27 +56,39 @@
     async def Propose(self, stream: Any) -> None:  # noqa: N802
         """Commit an entry if this replica leads."""
         request = await self._receive(stream, "Propose")
+        self._refuse_if_other_meant(request)
         outcome = await self._access.propose_locally(request, request.timeout_ms / 1000)
         await stream.send_message(self._reply(outcome))
 
     async def Change(self, stream: Any) -> None:  # noqa: N802
-        """Change the membership if this replica leads, else forward to the leader."""
+        """Change the membership if this replica leads, else forward to the leader, once.
+
+        A request that was forwarded names the member that it is meant for.
+        """
         request = await self._receive(stream, "Change")
-        timeout_s = request.timeout_ms / 1000
-        access = self._access
-        is_leader = access.replica.is_leader
-        outcome = await (access.change_locally if is_leader else access.change)(request, timeout_s)
+        self._refuse_if_other_meant(request)
+        outcome = await self._change(request, request.timeout_ms / 1000)
         await stream.send_message(self._reply(outcome))
 
+    async def _change(self, request: Any, timeout_s: float) -> ProposalOutcome:
+        """Execute a change here, forward it, or refuse it at once."""
+        access = self._access
+        if access.replica.is_leader or request.HasField("meant"):
+            return await access.change_locally(request, timeout_s)
+        if not access.replica.has_log:
+            return ProposalOutcome("", Outcome.REFUSED, 0, RefusalReason.NOT_LEADER)
+        return await access.change(request, timeout_s)
+
     async def ReadIndex(self, stream: Any) -> None:  # noqa: N802
         """Return the read index if this replica leads."""
         request = await self._receive(stream, "ReadIndex")
+        self._refuse_if_other_meant(request)
         index = await self._access.read_index_locally(request.timeout_ms / 1000)
         reply = replication_pb2.ReadIndexReply(is_current=index is not None, index=index or 0)
         await stream.send_message(reply)
 
     async def Hello(self, stream: Any) -> None:  # noqa: N802
-        """Return this replica's ids, address and whether it has a log."""
+        """Return this replica's ids, address, whether it has a log, and the log's members."""
         await self._receive(stream, "Hello")
         replica = self._access.replica
         reply = replication_pb2.HelloReply(
@@ -84,6 +98,7 @@
             failure_domain=self._failure_domain,
             has_log=replica.has_log,
             is_founding=self.is_founding,
+            member_addresses=self._member_addresses(),
         )
         await stream.send_message(reply)
 
@@ -94,6 +109,30 @@
             raise GRPCError(Status.UNAVAILABLE, STOPPED)
         return request
 
+    def _refuse_if_other_meant(self, request: Any) -> None:
+        """Refuse a request that names another member than this one; it then had no effect."""
+        if not request.HasField("meant"):
+            return
+        member = self._access.replica.member
+        meant = Member(request.meant.replica_id, request.meant.identity)
+        if meant == member:
+            return
+        is_former_life = meant.replica_id == member.replica_id
+        logger.info(
+            "request for another member refused",
+            meant=meant.replica_id,
+            meant_identity=meant.identity,
+            identity=member.identity,
+        )
+        raise GRPCError(Status.FAILED_PRECONDITION, OTHER_LIFE if is_former_life else OTHER_REPLICA)
+
+    def _member_addresses(self) -> list[str]:
+        """Return the known addresses of the members of the log."""
+        replica = self._access.replica
+        members = replica.core.membership.voters + replica.core.membership.learners
+        addresses = [replica.state.addresses.address_of(item.replica_id) for item in members]
+        return [str(address) for address in dict.fromkeys(addresses) if address is not None]
+
     def _reply(self, outcome: ProposalOutcome) -> replication_pb2.ProposalOutcome:
         """Convert an outcome to its wire message."""
         leader = self._access.replica.core.leader
--- a/packages/decisions/src/damaskwind/decisions/replication/core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/core.py
@@ -23,6 +23,7 @@
 )
 from damaskwind.decisions.replication.events import (
     Input,
+    LeaderEnded,
     Output,
     Propose,
     ProposeMembership,
@@ -57,7 +58,12 @@
     VoteRequest,
     VoteResponse,
 )
-from damaskwind.decisions.replication.replica import Replica, apply_committed, record_sender
+from damaskwind.decisions.replication.replica import (
+    Replica,
+    apply_committed,
+    end_leader,
+    record_sender,
+)
 from damaskwind.decisions.replication.requests import (
     on_membership,
     on_propose,
@@ -125,6 +131,10 @@
     replica.outbox.mark_durable(event.write_id)
 
 
+def _on_leader_ended(replica: Replica, event: LeaderEnded) -> None:
+    end_leader(replica, event.leader)
+
+
 def _on_snapshot_taken(replica: Replica, event: SnapshotTaken) -> None:
     if replica.log.snapshot.index < event.index <= replica.applied_index:
         replica.log.compact(replica.log.snapshot_at(event.index), keep_suffix=True)
@@ -150,6 +160,7 @@
     ReadRequest: on_read,
     WritesDurable: _on_durable,
     SnapshotTaken: _on_snapshot_taken,
+    LeaderEnded: _on_leader_ended,
 }
 
 
--- a/packages/decisions/src/damaskwind/decisions/replication/events.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/events.py
@@ -26,6 +26,7 @@
     "BecameLeader",
     "Input",
     "InstallSnapshot",
+    "LeaderEnded",
     "Output",
     "ProposalOutcome",
     "PeerResponse",
@@ -95,7 +96,27 @@
     index: int
 
 
-Input = Tick | Received | Propose | ProposeMembership | ReadRequest | WritesDurable | SnapshotTaken
+class LeaderEnded(NamedTuple):
+    """The process that led as this member has ended, and its disk is lost.
+
+    Proof is that its replica answers with another identity to a question that was asked
+    when the member was known to lead: a replica runs as one identity after another, so
+    that the member answers no read any more, by a lease or otherwise.
+    """
+
+    leader: Member
+
+
+Input = (
+    Tick
+    | Received
+    | Propose
+    | ProposeMembership
+    | ReadRequest
+    | WritesDurable
+    | SnapshotTaken
+    | LeaderEnded
+)
 
 
 class Send(NamedTuple):
--- a/packages/decisions/src/damaskwind/decisions/replication/replica.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/replica.py
@@ -23,6 +23,7 @@
     "adopt_term",
     "apply_committed",
     "enter_term",
+    "end_leader",
     "has_recent_leader",
     "defer_campaign",
     "follow_leader",
@@ -47,7 +48,8 @@
     membership, and they may be a majority of the new one.
     `heard` are the members from which a message arrived since the last campaign began.
     `followed` is the leader that was followed last, also after its end, and
-    `followed_heard_s` the time of the last message from it.
+    `followed_heard_s` the time of the last message from it. `has_followed_ended` is set
+    once it is known to have ended for good.
     """
 
     role: Machine
@@ -80,6 +82,7 @@
         self.heard: set[Member] = set()
         self.followed: Member | None = None
         self.followed_heard_s = now_s
+        self.has_followed_ended = False
         self.failed_campaigns = 0
         self.leadership: Leadership | None = None
 
@@ -157,6 +160,7 @@
     replica.leader_seen_s = replica.now_s
     replica.followed = leader
     replica.followed_heard_s = replica.now_s
+    replica.has_followed_ended = False
     replica.failed_campaigns = 0
     replica.pre_votes = set()
     replica.votes = None
@@ -164,8 +168,24 @@
     reset_election_timer(replica)
 
 
+def end_leader(replica: Replica, leader: Member) -> None:
+    """Campaign soon, and be free to vote, if the leader followed last has ended for good.
+
+    Its lease is what votes are withheld for, and there is nobody left who holds it. The
+    leases of leaders before it had lapsed when it was elected.
+    """
+    if replica.followed != leader or replica.leader not in (None, leader):
+        return
+    replica.has_followed_ended = True
+    replica.leader = None
+    soon_s = replica.now_s + replica.random.uniform(0.0, replica.timing.first_campaign_s)
+    replica.election_due_s = min(replica.election_due_s, soon_s)
+
+
 def has_recent_leader(replica: Replica) -> bool:
     """Return whether a leader was seen so recently that no vote may be granted."""
+    if replica.has_followed_ended:
+        return False
     silent_s = replica.now_s - replica.leader_seen_s
     return silent_s < replica.timing.election_timeout_min_s
 
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -19,6 +19,7 @@
     BecameLeader,
     Input,
     InstallSnapshot,
+    LeaderEnded,
     Output,
     ProposalOutcome,
     Propose,
@@ -347,8 +348,16 @@
             change = MembershipChange(ChangeKind.ADD_LEARNER, node.member)
             for name in list(self.nodes):
                 if self.network.arrivals(node.member.replica_id, name):
+                    self._end_former_life(self.nodes[name], node.member)
                     self.change(name, change)
 
+    def _end_former_life(self, node: Node, member: Member) -> None:
+        """Tell a node that the leader it knows runs as another member now, if that is so."""
+        leader = node.core.leader if node.core is not None else None
+        is_former = leader is not None and leader.replica_id == member.replica_id
+        if is_former and leader != member and not self.is_paused(node):
+            self.feed(node, LeaderEnded(leader))
+
     def _deliver(self, envelope: Envelope) -> None:
         node = self.nodes.get(envelope.recipient.replica_id)
         if node is None:
