--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 soak: setup
 	$(BIN)/python tools/soak.py --seeds $(or $(SEEDS),1) --seconds $(or $(SECONDS),20) \
 		$(if $(SEED),--seed $(SEED)) $(if $(ONLY),--only $(ONLY)) $(if $(BUG),--bug "$(BUG)") \
-		$(if $(FOLDER),--folder $(FOLDER)) $(if $(BEFORE_LOST_NEWS),--before-lost-news)
+		$(if $(FOLDER),--folder $(FOLDER)) $(if $(BEFORE_LOST_NEWS),--before-lost-news) $(if $(LOST_DISKS),--lost-disks)
 
 measure: setup
 	$(BIN)/python -m benchmarks.measure --deployment $(or $(DEPLOYMENT),kenanga) \
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -31,6 +31,7 @@
     folder: str = "",
     bug: str = "",
     before_lost_news: bool = False,
+    lost_disks: bool = False,
 ) -> int:
     """Run soak tests sequentially; fail if one of them violated a guarantee.
 
@@ -40,6 +41,7 @@
     :param only: indexes of the faults to keep, with commas, to shorten a failing plan by hand
     :param folder: folder of the findings; by default a new temporary folder
     :param before_lost_news: play a seed that was found before lost news was drawn, as it was then
+    :param lost_disks: let replicas lose their disks one after another, in place of other faults
     :param bug: the guarantee whose seeded bug is injected into the programs
     """
     chosen_seeds = [seed] if seed else [random.randrange(1, SEED_BELOW) for _ in range(seeds)]
@@ -47,7 +49,13 @@
     findings_folder = Path(folder or tempfile.mkdtemp(prefix="soak-"))
     return run_on_reactor(
         lambda: _play(
-            chosen_seeds, seconds, kept_faults, findings_folder, bug, not before_lost_news
+            chosen_seeds,
+            seconds,
+            kept_faults,
+            findings_folder,
+            bug,
+            not before_lost_news,
+            lost_disks,
         )
     )
 
@@ -59,6 +67,7 @@
     findings_folder: Path,
     bug: str,
     has_lost_news: bool,
+    has_lost_disks: bool,
 ) -> int:
     """Run all seeds; keep the folders of those that violated a guarantee."""
     from damaskwind.platform.tests.soak.seeded_faults import SEEDED_FAULTS
@@ -83,6 +92,7 @@
             has_silences=True,
             has_router_kills=True,
             has_lost_news=has_lost_news,
+            has_lost_disks=has_lost_disks,
         )
         duration_s = time.monotonic() - started_s
         status = "BROKEN" if verdict.broken else "held"
