Joins: a delayed request of a former life puts out no life that runs

What callers saw: a replica that had lost its disk twice, and whose first request to be added arrived late, was dropped as a learner. As it had begun to take the log, it did not ask again, and never voted: one copy less from then on. Beside a life that votes already, the former one stayed among the learners, and an address that had been left was committed again.

Cause: a learner of the same replica takes the place of the earlier one, and nothing told which of the two is the earlier. Requests are kept for up to 5 s by a follower without a leader.

Why this works: before a leader adds a member whose replica is a member with another identity, it greets the replica, where the request says that it listens and where it is known to listen. If another life answers, and the one that asks does not, the request is refused. A replica that isn't reached is added as before, after 0.5 s at the latest. A join takes one round trip more, in parallel to nothing else; one of a new replica takes none.

--- a/packages/control/src/damaskwind/control/replica/forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -10,9 +10,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from loguru import logger
+
 from damaskwind.control.operator_api.ports import CommitOutcome, CommitVerdict
 from damaskwind.control.replica.address_book import AddressRecord
 from damaskwind.control.replica.leader_calls import LeaderCalls, NotSentError
+from damaskwind.control.replica.lives import has_ended
 from damaskwind.control.replica.proposal_log import ProposalLog
 from damaskwind.control.replica.replica import Replica
 from damaskwind.control.replica.replicated_state import address_command, machine_command
@@ -162,6 +165,11 @@
         member = Member(request.replica_id, identity)
         if member in _members(self.replica.core.membership):
             return _refused(RefusalReason.INVALID_CHANGE)
+        if await self._has_ended(member, address):
+            logger.info(
+                "former life not added", replica=member.replica_id, identity=member.identity
+            )
+            return _refused(RefusalReason.INVALID_CHANGE)
         record = AddressRecord(request.replica_id, address, request.failure_domain)
         recorded = await self._record_address(record, timeout_s)
         if recorded is not None and recorded.outcome is not Outcome.COMMITTED:
@@ -169,6 +177,14 @@
         change = MembershipChange(ChangeKind.ADD_LEARNER, member)
         return await self.replica.propose_change(change, timeout_s)
 
+    async def _has_ended(self, member: Member, address: Address) -> bool:
+        """Return whether a member to add is a former life of a replica that is a member."""
+        members = _members(self.replica.core.membership)
+        if all(other.replica_id != member.replica_id for other in members):
+            return False
+        known_address = self.replica.state.addresses.address_of(member.replica_id)
+        return await has_ended(member, address, known_address, self._channels, self._signer)
+
     async def _record_address(
         self, record: AddressRecord, timeout_s: float
     ) -> ProposalOutcome | None:
