--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -324,7 +324,12 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _load_and_send_snapshot(self, envelope: Envelope) -> None:
-        """Read the newest durable snapshot and send it."""
+        """Read the newest durable snapshot and send it, unless its recipient has ended.
+
+        Another life of the recipient drops it, and needs the link for a snapshot of its own.
+        """
+        if await self.transport.runs_as_another(envelope.recipient):
+            return
         try:
             snapshot, data = await self.writer.read_snapshot()
         except StorageError as error:
--- a/packages/control/src/damaskwind/control/replica/tests/cluster.py
+++ b/packages/control/src/damaskwind/control/replica/tests/cluster.py
@@ -76,12 +76,20 @@
         self.path = Path(folder.name)
         self.snapshot_every_entries = snapshot_every_entries
         self.addresses = {name: free_address() for name in names}
-        self.bootstrap = tuple(
-            ReplicaSettings(name, self.addresses[name], f"domain-{name}") for name in names
-        )
+        # Where a replica listens, if others reach it through a link at its address.
+        self.listening = {}
+        self.files = FileSystem()
+        self.list_replicas()
         self.running = {}
         self.standing_still = set()
 
+    def list_replicas(self):
+        """List the replicas that have addresses as those that found the cluster."""
+        self.bootstrap = tuple(
+            ReplicaSettings(name, address, f"domain-{name}")
+            for name, address in self.addresses.items()
+        )
+
     async def start(self, name, files=None, cluster_key="key"):
         node = NodeSettings(name, "kl", cluster_key, "kl-central", f"domain-{name}")
         address = self.addresses.setdefault(name, free_address())
@@ -93,9 +101,9 @@
             snapshot_every_entries=self.snapshot_every_entries,
         )
         machine = ListMachine()
-        opened = open_replica(node, control, machine, files or FileSystem(), Random(name))
+        opened = open_replica(node, control, machine, files or self.files, Random(name))
         server = Server([opened.service])
-        await server.start(*parse_address(address))
+        await server.start(*parse_address(self.listening.get(name, address)))
         opened.start(node, control, address)
         self.running[name] = RunningReplica(opened, machine, server)
         return self.running[name]
--- a/packages/control/src/damaskwind/control/replica/transport.py
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -21,12 +21,17 @@
 from loguru import logger
 
 from damaskwind.control.replica.codec import encode_envelope
-from damaskwind.decisions.replication.messages import AppendRequest, Envelope, Member
+from damaskwind.decisions.replication.messages import (
+    AppendRequest,
+    Envelope,
+    Member,
+    SnapshotRequest,
+)
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.authentication import CallSigner, call_unary
 from damaskwind.wire.replication_grpc import ReplicationStub
-from damaskwind.wire.replication_pb2 import CoreMessages
+from damaskwind.wire.replication_pb2 import CoreMessages, HelloRequest
 
 __all__ = ["CALLS_IN_FLIGHT", "CALL_ERRORS", "Channels", "Transport"]
 
@@ -38,6 +43,9 @@
 CALL_TIMEOUT_S = 2.0
 SILENT_LIMIT_S = 2.0
 MIN_BYTES_PER_S = 1024 * 1024
+# How long a replica may take to install a snapshot that was delivered.
+INSTALL_LIMIT_S = 1.0
+HELLO_TIMEOUT_S = 0.5
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
 
@@ -95,6 +103,7 @@
     recipient: Member
     is_append: bool
     is_heartbeat: bool
+    is_snapshot: bool
 
 
 class _PeerQueue:
@@ -106,6 +115,19 @@
         self.tasks: list[asyncio.Task] = []
         self.calls_started_s: dict[asyncio.Task | None, float] = {}
         self.last_call_duration_s = 0.0
+        self.bytes_in_flight = 0
+        self.snapshots_in_flight: list[Member] = []
+        self.snapshot_delivered_s: dict[Member, float] = {}
+
+    def may_send_snapshot_to(self, recipient: Member) -> bool:
+        """Return whether no snapshot is on its way here, or is being installed by a member.
+
+        One for another life of the replica counts too: it takes the same link.
+        """
+        delivered_s = self.snapshot_delivered_s.get(recipient, float("-inf"))
+        is_installing = read_clock() - delivered_s < INSTALL_LIMIT_S
+        is_waiting = any(queued.is_snapshot for queued in self.messages)
+        return not (is_installing or is_waiting or self.snapshots_in_flight)
 
     def add(self, queued: _Queued) -> None:
         """Add a message; an append replaces waiting heartbeats to the same recipient."""
@@ -142,7 +164,11 @@
         self._queues: dict[str, _PeerQueue] = {}
 
     def send(self, envelope: Envelope) -> None:
-        """Queue a message for its recipient; the oldest is dropped from a full queue."""
+        """Queue a message for its recipient; the oldest is dropped from a full queue.
+
+        A snapshot is not queued again while one is on its way. On a slow link it would
+        share the link with the first, and neither would arrive in time.
+        """
         if self._is_closed:
             return
         replica_id = envelope.recipient.replica_id
@@ -152,10 +178,26 @@
             for _ in range(CALLS_IN_FLIGHT):
                 queue.tasks.append(asyncio.ensure_future(self._run(replica_id, queue)))
         message = envelope.message
+        is_snapshot = isinstance(message, SnapshotRequest)
+        if is_snapshot and not queue.may_send_snapshot_to(envelope.recipient):
+            return
         is_append = isinstance(message, AppendRequest)
         is_heartbeat = is_append and not message.entries
         body = encode_envelope(envelope)
-        queue.add(_Queued(body, envelope.recipient, is_append, is_heartbeat))
+        queue.add(_Queued(body, envelope.recipient, is_append, is_heartbeat, is_snapshot))
+
+    async def runs_as_another(self, member: Member) -> bool:
+        """Return whether a member's replica answers as another life, without its disk."""
+        address = self._address_of(member.replica_id)
+        if address is None:
+            return False
+        stub = ReplicationStub(self.channels.get(address))
+        try:
+            call = call_unary(stub.Hello, HelloRequest(), self._signer, HELLO_TIMEOUT_S)
+            reply = await asyncio.wait_for(call, HELLO_TIMEOUT_S)
+        except CALL_ERRORS:
+            return False
+        return reply.replica_id == member.replica_id and reply.identity != member.identity
 
     def drop_appends(self) -> None:
         """Drop the waiting appends of this replica, which no longer leads.
@@ -195,19 +237,22 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self.channels.close()
 
-    def _next_batch(self, replica_id: str, queue: _PeerQueue) -> CoreMessages:
-        """Dequeue messages up to the batch size limit."""
+    def _next_batch(self, replica_id: str, queue: _PeerQueue) -> tuple[CoreMessages, list[Member]]:
+        """Dequeue messages up to the batch size limit; also return whose snapshots they are."""
         batch = CoreMessages(
             sender_id=self._signer.sender,
             recipient_id=replica_id,
             sender_address=self.own_address,
         )
         size_bytes = 0
+        snapshots = []
         while queue.messages and (not size_bytes or size_bytes < BATCH_LIMIT_BYTES):
-            body = queue.messages.popleft().body
-            size_bytes += len(body)
-            batch.bodies.append(body)
-        return batch
+            queued = queue.messages.popleft()
+            size_bytes += len(queued.body)
+            batch.bodies.append(queued.body)
+            if queued.is_snapshot:
+                snapshots.append(queued.recipient)
+        return batch, snapshots
 
     async def _run(self, replica_id: str, queue: _PeerQueue) -> None:
         """Send one batch after another until closed; back off after a failure, with jitter."""
@@ -236,21 +281,40 @@
 
     async def _send_batch(self, replica_id: str, queue: _PeerQueue) -> bool:
         """Send one batch and return whether it was delivered."""
-        batch = self._next_batch(replica_id, queue)
+        batch, snapshots = self._next_batch(replica_id, queue)
         address = self._address_of(replica_id)
         if address is None:
             return False
         size_bytes = batch.ByteSize()
-        timeout_s = CALL_TIMEOUT_S + size_bytes / MIN_BYTES_PER_S
         self.sent_bytes += size_bytes
         if self.on_sent is not None:
             self.on_sent(size_bytes)
+        queue.bytes_in_flight += size_bytes
+        queue.snapshots_in_flight += snapshots
+        try:
+            is_delivered = await self._deliver(batch, address, queue.bytes_in_flight)
+            if is_delivered:
+                queue.snapshot_delivered_s.update(dict.fromkeys(snapshots, read_clock()))
+            return is_delivered
+        finally:
+            queue.bytes_in_flight -= size_bytes
+            for recipient in snapshots:
+                queue.snapshots_in_flight.remove(recipient)
+
+    async def _deliver(self, batch: CoreMessages, address: Address, bytes_in_flight: int) -> bool:
+        """Call a replica with one batch and return whether it was delivered.
+
+        The time that the call may take counts all bytes in flight, since a call waits for
+        those before it: its end would end the connection, and them too.
+        """
+        timeout_s = CALL_TIMEOUT_S + bytes_in_flight / MIN_BYTES_PER_S
         channel = self.channels.get(address)
         stub = ReplicationStub(channel)
         try:
             call = call_unary(stub.Deliver, batch, self._signer, timeout_s)
             await asyncio.wait_for(call, timeout_s)
         except CALL_ERRORS as error:
+            replica_id = batch.recipient_id
             logger.debug("replica not reached", replica=replica_id, error=repr(error))
             self.channels.drop(address, channel)
             return False
