Test: histories in which disks are lost one after another

The leader's or another voter's disk is lost, back after 0.05 to 3 s, and 4 s after its return as many disks as are tolerated are lost, at times with the power of all others. A change must then be confirmed.

--- a/packages/decisions/src/damaskwind/decisions/replication/core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/core.py
@@ -62,6 +62,7 @@
     Replica,
     apply_committed,
     end_leader,
+    has_recent_leader,
     record_sender,
 )
 from damaskwind.decisions.replication.requests import (
@@ -201,6 +202,10 @@
         """Return whether this replica leads and its lease is still valid at `now_s`."""
         return holds_lease(self._replica, max(now_s, self._replica.now_s))
 
+    def withholds_vote(self) -> bool:
+        """Return whether this replica grants no vote at the time of its last input."""
+        return self.role == "leader" or has_recent_leader(self._replica)
+
     def snapshot_at(self, index: int) -> Snapshot:
         """Return the metadata of a snapshot of the state applied up to `index`."""
         return self._replica.log.snapshot_at(index)
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/seeded_bugs.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/seeded_bugs.py
@@ -3,20 +3,25 @@
 Each bug is a context manager that patches the core, and arguments for the cluster.
 """
 
-from contextlib import AbstractContextManager, nullcontext
+from contextlib import AbstractContextManager, ExitStack, nullcontext
 from typing import Any
 from unittest import mock
 
-from damaskwind.decisions.replication import election, leading, requests
+from damaskwind.decisions.replication import core, election, leading, requests
 from damaskwind.decisions.replication.events import Send
 from damaskwind.decisions.replication.leadership import Leadership, Progress, record_response
 from damaskwind.decisions.replication.membership import majority_value
 from damaskwind.decisions.replication.messages import Envelope, Member, VoteRequest
 from damaskwind.decisions.replication.outbox import Outbox
-from damaskwind.decisions.replication.replica import Replica
+from damaskwind.decisions.replication.replica import Replica, end_leader
+from damaskwind.decisions.replication.tests.cluster import JOIN_INTERVAL_S, Cluster
+from damaskwind.decisions.replication.tests.machines import Node
 
 __all__ = ["SEEDED_BUGS"]
 
+# How long a replica without a log kept a request that was forwarded to it.
+KEPT_REQUEST_S = 5.0
+
 
 def vote_twice() -> AbstractContextManager:
     """Grant a second vote in the same term."""
@@ -104,6 +109,42 @@
     return mock.patch.object(Outbox, "_send_after", send_now)
 
 
+def wait_for_former_self() -> AbstractContextManager:
+    """Let a leader that is back without its disk keep the request to add it, and wait for it."""
+
+    def join_interval_s(cluster: Cluster, node: Node) -> float:
+        leaders = {other.core.leader for other in cluster.running() if other is not node}
+        former = {item for item in leaders if item and item.replica_id == node.member.replica_id}
+        return KEPT_REQUEST_S if former - {node.member} else JOIN_INTERVAL_S
+
+    patches = ExitStack()
+    patches.enter_context(mock.patch.object(Cluster, "join_interval_s", join_interval_s))
+    patches.enter_context(mock.patch.object(Cluster, "tell_ended", lambda *ended: None))
+    return patches
+
+
+def end_any_leader() -> AbstractContextManager:
+    """Free the vote by the end of any leader, not only by that of the one followed last."""
+
+    def end_followed(replica: Replica, leader: Member) -> None:
+        if replica.leadership is None and replica.followed is not None:
+            replica.leader = None
+            end_leader(replica, replica.followed)
+
+    return mock.patch.object(core, "end_leader", end_followed)
+
+
+def end_running_leader() -> AbstractContextManager:
+    """Tell of the end of a leader that still runs, whoever asks to be added."""
+
+    def forward_join(cluster: Cluster, node: Node, member: Member) -> None:
+        leader = node.core.leader if node.core is not None else None
+        if leader is not None:
+            cluster.tell_ended(node, leader)
+
+    return mock.patch.object(Cluster, "forward_join", forward_join)
+
+
 SEEDED_BUGS: dict[str, tuple[Any, dict[str, bool]]] = {
     "skip_fsync": (nullcontext, {"syncs": False}),
     "keep_identity": (nullcontext, {"new_identity": False}),
@@ -116,4 +157,7 @@
     "commit_old_term": (commit_old_term, {}),
     "vote_while_led": (vote_while_led, {}),
     "change_unsettled": (change_unsettled, {}),
+    "wait_for_former_self": (wait_for_former_self, {}),
+    "end_any_leader": (end_any_leader, {}),
+    "end_running_leader": (end_running_leader, {}),
 }
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -65,6 +65,15 @@
     return fuzz_log(seed, seconds, histories, bug, PlannedLogHistory)
 
 
+@fuzz_target("lost-disks")
+def fuzz_lost_disks(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
+    """Fuzz the log of a fleet whose disks are lost one after another."""
+    from damaskwind.decisions.replication.tests.histories import fuzz_log
+    from damaskwind.decisions.replication.tests.lost_disk_histories import LostDiskHistory
+
+    return fuzz_log(seed, seconds, histories, bug, LostDiskHistory)
+
+
 @fuzz_target("configuration")
 def fuzz_configuration(seed: int, seconds: float, histories: int, bug: str | None) -> Result:
     """Fuzz the state machine of the configuration against a dict and a list."""
