--- a/packages/control/src/damaskwind/control/storage/journal.py
+++ b/packages/control/src/damaskwind/control/storage/journal.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from damaskwind.control.storage.files import FileSystem, write_file_durably
-from damaskwind.control.storage.frames import encode_frame, file_header, read_frames
+from damaskwind.control.storage.frames import FramedFile, encode_frame, file_header, read_frames
 from damaskwind.decisions.replication.events import (
     AppendEntries,
     InstallSnapshot,
@@ -182,9 +182,14 @@
         self._descriptor = self._files.open_append(path)
         self.size_bytes = size_bytes
 
-    def truncate_tail(self, size_bytes: int) -> None:
-        """Truncate a torn tail of the log file, durably."""
-        self._files.truncate(self._descriptor, size_bytes)
+    def keep_durably(self, framed: FramedFile) -> None:
+        """Make what was read from the log file durable, without its torn tail.
+
+        A process that ended before its sync leaves a group that is readable, and that the
+        next loss of power would take.
+        """
+        if framed.torn_bytes:
+            self._files.truncate(self._descriptor, framed.size_bytes)
         self._files.sync(self._descriptor)
 
 
@@ -228,8 +233,9 @@
 def open_journal(folder: Path, files: FileSystem) -> Journal:
     """Recover the durable state of a replica, or create an empty journal.
 
-    A torn tail is truncated. Raises `CorruptLogError` when anything before the
-    tail, or the snapshot, is damaged; damaged frames are never skipped.
+    A torn tail is truncated, and what is read is durable on return. Raises
+    `CorruptLogError` when anything before the tail, or the snapshot, is damaged; damaged
+    frames are never skipped.
     """
     numbers = [int(name[:-4]) for name in files.list_names(folder) if name.endswith(".log")]
     if not numbers:
@@ -247,7 +253,6 @@
             journal.apply(change)
     journal.snapshot_bytes = len(_read_snapshot(files, folder, journal.snapshot))
     journal.open_log_file(framed.size_bytes)
-    if framed.torn_bytes:
-        journal.truncate_tail(framed.size_bytes)
+    journal.keep_durably(framed)
     remove_stale_files(files, folder, number, journal.snapshot)
     return journal
