Storage: the folders above a new data folder are durable too

What callers saw: nothing yet; if folders above the data folder were new, a power failure could take it as a whole, and the replica came back with a new identity though it had voted. Cause: mkdir created all missing folders, and only the one right above the last was synced. Why this works: the folder above each created one is synced, from the top on. One that exists is left alone, as before.

--- a/packages/control/src/damaskwind/control/storage/files.py
+++ b/packages/control/src/damaskwind/control/storage/files.py
@@ -29,12 +29,12 @@
     """Operations on the files of the operating system."""
 
     def make_folder(self, path: Path) -> None:
-        """Create a folder durably unless it exists."""
-        if path.is_dir():
-            return
+        """Create a folder durably, and those above it, unless it exists."""
+        missing = [item for item in (path, *path.parents) if not item.is_dir()]
         with _convert_os_error("create folder", path):
             path.mkdir(parents=True, exist_ok=True)
-        self.sync_folder(path.parent)
+        for folder in reversed(missing):
+            self.sync_folder(folder.parent)
 
     def lock(self, path: Path) -> int:
         """Lock a file exclusively without waiting and return its descriptor."""
