Claims: a holder that is back reads the others side by side, so that one that stands still costs no vote

What callers saw: while a holder without records waited for one that accepts connections and never answers, requests with idempotency keys lacked its vote; one more holder down, and they were refused, though a majority ran.

Cause: the reads of the other holders went one after another, each with a limit of 30 s, and the order was that of the settings. Of five, three others are enough.

Why this works: each holder is read by its own task, and the first reads that suffice give the vote; the rest is canceled. What is read and merged is as before.

Of three holders both others are needed as before, so that a vote still waits for a silent one.

--- a/packages/control/src/damaskwind/control/claims/catch_up.py
+++ b/packages/control/src/damaskwind/control/claims/catch_up.py
@@ -33,23 +33,43 @@
 ) -> None:
     """Read the other holders repeatedly until `holder` is voting.
 
-    `addresses` maps the ids of the other holders to their addresses; it may
-    change during the call.
+    Each is read by itself, so that none that stands still delays the reads of the others.
+    `addresses` maps the ids of the other holders to their addresses.
     """
-    read_ids: set[str] = set()
-    while not holder.is_voting(clock()):
-        for holder_id, address in list(addresses.items()):
-            if holder_id in read_ids or holder_id == holder.holder_id:
-                continue
-            reply = await _read_holder(holder, holder_id, address, signer)
-            if reply is not None and reply.rejection == Rejection.NONE:
-                read_ids.add(holder_id)
-                holder.merge_catch_up(reply, clock())
-        if not holder.is_voting(clock()):
+    reads = [
+        asyncio.ensure_future(
+            _read_until_merged(holder, holder_id, address, signer, clock, pause_s)
+        )
+        for holder_id, address in addresses.items()
+        if holder_id != holder.holder_id
+    ]
+    try:
+        while not holder.is_voting(clock()):
             await asyncio.sleep(pause_s)
+    finally:
+        for read in reads:
+            read.cancel()
+        await asyncio.gather(*reads, return_exceptions=True)
     logger.info("claim holder votes", holder=holder.holder_id, records=len(holder))
 
 
+async def _read_until_merged(
+    holder: ClaimHolder,
+    holder_id: str,
+    address: Address,
+    signer: CallSigner,
+    clock: Callable[[], float],
+    pause_s: float,
+) -> None:
+    """Read one other holder repeatedly until its records are merged."""
+    while True:
+        reply = await _read_holder(holder, holder_id, address, signer)
+        if reply is not None and reply.rejection == Rejection.NONE:
+            holder.merge_catch_up(reply, clock())
+            return
+        await asyncio.sleep(pause_s)
+
+
 async def _read_holder(
     holder: ClaimHolder, holder_id: str, address: Address, signer: CallSigner
 ) -> CatchUpReply | None:
