Claims: a holder whose clock stood back when its disk was new outnumbers its earlier lives

What callers saw: such a holder said that it votes, but each write that relied on its promise was refused, also by itself; with one more of three holders down, requests with idempotency keys were refused, until the clock had passed the number of the earlier life.

Cause: the incarnation of a holder whose disk is lost counts from the wall clock at which the new disk was first used. After a step back it is lower than that of the earlier life, which the others know and never forget.

Why this works: the others name the newest incarnation of the reader in their replies. Where that isn't the present one, the reply isn't merged, the incarnation is raised above it, and all others are read anew, so that none of them relies on a promise that is lost. A clean stop keeps the number, and the next start outnumbers it too.

Not covered: two lost disks of one holder within the same second of its clock.

--- a/packages/control/src/damaskwind/control/claims/catch_up.py
+++ b/packages/control/src/damaskwind/control/claims/catch_up.py
@@ -9,7 +9,7 @@
 
 from damaskwind.decisions.claims.codec import decode_claim_message, encode_claim_message
 from damaskwind.decisions.claims.holder import ClaimHolder
-from damaskwind.decisions.claims.messages import CatchUpRead, CatchUpReply, Rejection
+from damaskwind.decisions.claims.messages import CatchUpRead, CatchUpReply
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
 from damaskwind.wire.authentication import CallSigner
@@ -37,9 +37,7 @@
     `addresses` maps the ids of the other holders to their addresses.
     """
     reads = [
-        asyncio.ensure_future(
-            _read_until_merged(holder, holder_id, address, signer, clock, pause_s)
-        )
+        asyncio.ensure_future(_keep_read(holder, holder_id, address, signer, clock, pause_s))
         for holder_id, address in addresses.items()
         if holder_id != holder.holder_id
     ]
@@ -53,7 +51,7 @@
     logger.info("claim holder votes", holder=holder.holder_id, records=len(holder))
 
 
-async def _read_until_merged(
+async def _keep_read(
     holder: ClaimHolder,
     holder_id: str,
     address: Address,
@@ -61,12 +59,15 @@
     clock: Callable[[], float],
     pause_s: float,
 ) -> None:
-    """Read one other holder repeatedly until its records are merged."""
+    """Read one other holder whenever its records are not merged, until canceled.
+
+    What was merged has to be read again once the incarnation of `holder` was raised.
+    """
     while True:
-        reply = await _read_holder(holder, holder_id, address, signer)
-        if reply is not None and reply.rejection == Rejection.NONE:
-            holder.merge_catch_up(reply, clock())
-            return
+        if not holder.has_read(holder_id):
+            reply = await _read_holder(holder, holder_id, address, signer)
+            if reply is not None:
+                holder.merge_catch_up(reply, clock())
         await asyncio.sleep(pause_s)
 
 
--- a/packages/control/src/damaskwind/control/claims/tests/test_catch_up.py
+++ b/packages/control/src/damaskwind/control/claims/tests/test_catch_up.py
@@ -1,7 +1,7 @@
 """Tests of claim holders that are back without their records.
 
-They guard against a holder that stays without a vote because it waits for one that stands
-still, though enough others answer.
+They guard against a holder that stays without a vote: because it waits for one that stands
+still, though enough others answer, or because its clock stood back when its disk was new.
 """
 
 import asyncio
@@ -14,6 +14,14 @@
 from damaskwind.control.claims.catch_up import catch_up
 from damaskwind.control.claims.service import ClaimHolderService
 from damaskwind.decisions.claims.holder import ClaimHolder, HolderPolicy
+from damaskwind.decisions.claims.messages import (
+    Ballot,
+    ClaimValue,
+    Order,
+    Promise,
+    Rejection,
+    Write,
+)
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
 from damaskwind.runtime.clock import read_clock
@@ -73,3 +81,33 @@
             await self.close()
         self.assertTrue(returned.is_voting(read_clock()))
         self.assertLess(took_s, VOTE_LIMIT_S)
+
+    @asyncio_test
+    async def test_holder_whose_clock_stood_back_takes_part_in_claims(self):
+        self.servers = []
+        ids = ["h0", "h1", "h2"]
+        others = {holder_id: self.make(ids, holder_id, 1, True) for holder_id in ids[1:]}
+        addresses = {}
+        try:
+            for holder_id, holder in others.items():
+                addresses[holder_id] = await self.serve(holder)
+            await self.read(self.make(ids, "h0", 1000), addresses)
+            returned = self.make(ids, "h0", 500)
+            await self.read(returned, addresses)
+        finally:
+            await self.close()
+        ballot = Ballot(1, "request")
+        voters = (returned, others["h1"])
+        now_s = read_clock()
+        promises = tuple(
+            Promise(voter.holder_id, voter.order(Order("key", ballot), now_s).incarnation)
+            for voter in voters
+        )
+        message = Write("key", ballot, ClaimValue("request", "digest"), promises)
+        replies = [voter.write(message, now_s).rejection for voter in voters]
+        self.assertEqual(replies, [Rejection.NONE, Rejection.NONE])
+        stale = (Promise("h0", 1000), promises[1])
+        self.assertEqual(
+            others["h1"].write(message._replace(promises=stale), now_s).rejection,
+            Rejection.STALE_INCARNATION,
+        )
--- a/packages/decisions/src/damaskwind/decisions/claims/holder.py
+++ b/packages/decisions/src/damaskwind/decisions/claims/holder.py
@@ -83,7 +83,8 @@
 class ClaimHolder:
     """Votes on claims: processes messages and returns the replies.
 
-    `incarnation` must be greater than in any earlier run of this holder.
+    `incarnation` must be greater than in any earlier run of this holder. Where it isn't, as
+    the disk that held the earlier one was lost, it is raised by what the others know of.
     `is_first_start` states that no earlier run ever voted, so that an empty state is
     correct; this must be derived from a durable marker. Otherwise the holder starts to
     vote after `merge_catch_up` has received the records of enough other holders, or
@@ -201,10 +202,17 @@
         )
 
     def merge_catch_up(self, reply: CatchUpReply, now_s: float) -> bool:
-        """Merge the records of another holder; return whether this holder may vote."""
+        """Merge the records of another holder; return whether this holder may vote.
+
+        A reply that doesn't name the present incarnation as the newest is not merged: the
+        other one has to be read again, as it may still rely on promises of an earlier run.
+        """
         is_other = reply.holder_id in self.holder_ids and reply.holder_id != self.holder_id
         if reply.rejection != Rejection.NONE or not is_other or self._voting:
             return self.is_voting(now_s)
+        if dict(reply.incarnations).get(self.holder_id) != self.incarnation:
+            self._outnumber_earlier_runs(reply.incarnations)
+            return False
         for promise in reply.incarnations:
             self._record_incarnation(promise)
         for record in reply.records:
@@ -214,6 +222,10 @@
             self._voting = True
         return self._voting
 
+    def has_read(self, holder_id: str) -> bool:
+        """Return whether the records of another holder were merged for this incarnation."""
+        return holder_id in self._caught_up_from
+
     def stop(self, now_s: float) -> HolderMemory | None:
         """Stop voting, and return the state to be stored for the next start.
 
@@ -237,9 +249,19 @@
             self._record_incarnation(promise)
         for record in memory.records:
             self._merge_record(record, now_s)
+        self._outnumber_earlier_runs(memory.incarnations)
         self._voting = True
         return True
 
+    def _outnumber_earlier_runs(self, known: tuple[Promise, ...]) -> None:
+        """Raise the incarnation above that of any earlier run; then all others are unread."""
+        newest = dict(known).get(self.holder_id, self.incarnation)
+        if newest < self.incarnation:
+            return
+        self.incarnation = newest + 1
+        self._incarnations[self.holder_id] = self.incarnation
+        self._caught_up_from.clear()
+
     def _live_records(self, now_s: float) -> tuple[ClaimRecord, ...]:
         """Return all records that have not expired."""
         return tuple(
