Replica: one that gets the log again is not current before it has what the leader committed

test_current_learners failed before (2 of 2 tests, 3 of 3 runs): a replica without its disk called itself current at index 0, and in one of the two again at 3 more moments with a part of the log, while the leader had committed all of it. What callers saw: a router that starts beside such a replica takes its configuration for the newest at once, as it does from a current one, in place of the highest among all; its claim holder counted lifetimes by an old policy; a status and the followers' streams said current at revision 0.

Cause: a replica compared what it had applied with its own commit index, which never exceeds the entries that it has. The leader's commit index, which each message names, was dropped beyond that. Messages for the life before, which still arrive at the address, counted as a sign of the leader too.

Why this works: LeaderContact keeps the highest index that a leader announced as committed, of messages for this life and the present term or a later one. What is committed stays so, so that the highest one holds across leaders.

--- a/packages/control/src/damaskwind/control/replica/replica.py
+++ b/packages/control/src/damaskwind/control/replica/replica.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from damaskwind.control.replica.election_log import ElectionLog
+from damaskwind.control.replica.leader_contact import LeaderContact
 from damaskwind.control.replica.replicated_state import ReplicatedState
 from damaskwind.control.replica.transport import Transport
 from damaskwind.control.replica.waiters import ConditionWaiters
@@ -46,14 +47,12 @@
 )
 from damaskwind.decisions.replication.log import initial_log, recover_log
 from damaskwind.decisions.replication.messages import (
-    AppendRequest,
     Envelope,
     Member,
     Membership,
     MembershipChange,
     Outcome,
     RefusalReason,
-    SnapshotRequest,
     Timing,
 )
 from damaskwind.model.exception import StorageError
@@ -91,7 +90,7 @@
         self._silent_since_s = silent_since_s
         self._snapshot_index = journal.snapshot.index
         self._is_taking_snapshot = False
-        self._leader_seen_s = float("-inf")
+        self._leader_contact = LeaderContact(member)
         self._pending: dict[str, asyncio.Future] = {}
         self._waiters = ConditionWaiters()
         self._events: deque[Input] = deque()
@@ -154,8 +153,10 @@
         now_s = read_clock()
         if self.core.holds_lease(now_s):
             return True
-        is_fresh = now_s - self._leader_seen_s < self.timing.election_timeout_min_s
-        return is_fresh and self.state.applied_index >= self.core.commit_index
+        contact = self._leader_contact
+        is_fresh = now_s - contact.seen_s < self.timing.election_timeout_min_s
+        committed_index = max(contact.commit_index, self.core.commit_index)
+        return is_fresh and self.state.applied_index >= committed_index
 
     def start(self) -> None:
         """Start the periodic ticks."""
@@ -187,11 +188,9 @@
 
     def receive(self, envelope: Envelope) -> None:
         """Process a message from another replica."""
-        is_from_leader = isinstance(envelope.message, AppendRequest | SnapshotRequest)
         self._elections.record_received(envelope, self.core, read_clock())
+        self._leader_contact.record(envelope, self.core.term, read_clock())
         self.feed(Received(envelope))
-        if is_from_leader and envelope.message.term == self.core.term:
-            self._leader_seen_s = read_clock()
 
     async def propose(self, payload: bytes, timeout_s: float) -> ProposalOutcome:
         """Propose a command at this replica; refused unless it leads."""
