Reads: a replica refers no caller to a router that has not asked for 1.5 s

test_large_document_is_read_locally_where_the_router_has_ended failed before (1 of 1: referred after 2 s and 3.9 s). What callers saw: where one router alone has a faster link than the replica and its process has ended, each read of a large configuration was referred to it for 4 s, and its address refused the connection.

Why this works: a router that runs asks again as soon as it is answered, after its long poll of 1 s and a turn of at most 0.4 s. Later the replica answers itself.

Measured: referred up to 1.3 s, served here from 2 s on; 62 of 63 tests of control.fleet pass (test_leave_at_one_replica is listed), test_narrow_reads 2 of 2. Within these 1.5 s a caller may still be referred to a router that has ended.

--- a/packages/control/src/damaskwind/control/fleet/news_feed.py
+++ b/packages/control/src/damaskwind/control/fleet/news_feed.py
@@ -4,6 +4,7 @@
 import time
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable
+from itertools import takewhile
 from random import Random
 from typing import NamedTuple
 
@@ -41,6 +42,9 @@
 
 # A subscriber without a request for this long is dropped: three long polls.
 SUBSCRIBER_TTL_S = 4.0
+# A router asks again as soon as it is answered, after a second and half of one at the latest. One
+# that did not has perhaps ended, and a caller that is sent to it would find nobody.
+RELAY_TTL_S = 1.5
 # Minimum time between two lists of heartbeats to one subscriber. During a release a subscriber
 # gets several answers a second, and two thirds of each would be heartbeat ages.
 HEARTBEAT_INTERVAL_S = 0.8
@@ -288,10 +292,11 @@
         return len(self._routers)
 
     def relay_endpoints(self) -> list[RelayEndpoint]:
-        """Return the relay endpoints of the subscribed routers, most recent request first."""
-        self._drop_expired(read_clock())
-        endpoints = (item.relay for item in reversed(self._subscriptions.values()))
-        return [endpoint for endpoint in endpoints if endpoint.host]
+        """Return the relay endpoints of the routers that run, most recent request first."""
+        since_s = read_clock() - RELAY_TTL_S
+        newest_first = reversed(self._subscriptions.values())
+        running = takewhile(lambda item: item.last_request_s >= since_s, newest_first)
+        return [item.relay for item in running if item.relay.host]
 
     def link_rate(self, host: str) -> float:
         """Return the link rate in bytes per second that a router last reported."""
--- a/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
+++ b/packages/control/src/damaskwind/control/fleet/tests/test_calls.py
@@ -19,6 +19,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.model.traffic_configuration import TrafficConfiguration
 from damaskwind.runtime.bridge import asyncio_test
+from damaskwind.runtime.clock import override_clock, read_clock
 from damaskwind.wire.news import NewsRequest, SubscriberKind
 
 
@@ -126,6 +127,19 @@
             read.redirect_url, "http://wide.example:8101/configuration?version=123456789"
         )
 
+    @asyncio_test
+    async def test_large_document_is_read_locally_where_the_router_has_ended(self):
+        """The only router with a faster link has ended; its subscription goes on for a while."""
+        endpoint = RelayEndpoint("wide.example", 1000.0)
+        request = NewsRequest("wide", SubscriberKind.ROUTER, "", 0, 0, 0.0, relay=endpoint)
+        await self.feed.wait_for_updates(request)
+        await self.calls.publish(b"123456789")
+        started_s = read_clock()
+        for silent_s, is_redirected in ((0.0, True), (1.3, True), (2.0, False), (3.9, False)):
+            with override_clock(lambda silent_s=silent_s: started_s + silent_s):
+                read = await self.calls.read("o")
+            self.assertEqual(bool(read.redirect_url), is_redirected, silent_s)
+
     @asyncio_test
     async def test_large_document_is_read_locally_while_no_router_is_subscribed(self):
         await self.calls.publish(b"123456789")
