--- a/packages/control/src/damaskwind/control/replica/tests/test_changes_beside_a_lost_leader.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_changes_beside_a_lost_leader.py
@@ -14,9 +14,10 @@
 
 AWAY_S = 0.1
 PAUSE_S = 0.02
-CHANGE_TIMEOUT_S = 5.0
+# An operator asks another replica after a second without an answer.
+CHANGE_TIMEOUT_S = 0.9
 WATCHED_S = 4.0
-LONGEST_WAIT_S = 2.0
+LONGEST_WAIT_S = 0.9
 
 
 class ChangesBesideLostLeaderTest(ClusterTestCase):
@@ -83,6 +84,7 @@
             f"longest changes {slow}, longest reads {sorted(waits, reverse=True)[:3]}, "
             f"in doubt {in_doubt}"
         )
+        self.assertNotIn("refused", [item[3] for item in results], figures)
         self.assertLess(max(slow), LONGEST_WAIT_S, figures)
         self.assertLess(max(waits)[0], LONGEST_WAIT_S, figures)
         self.assertTrue(all(is_read for _, is_read in waits), figures)
--- a/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
+++ b/packages/router/src/damaskwind/router/configuration/tests/test_follower.py
@@ -223,6 +223,31 @@
         finally:
             await self.stop_all()
 
+    @asyncio_test
+    async def test_start_beside_replicas_that_lost_their_disks_applies_no_older_revision(self):
+        """Two of three replicas are back without their disks, and the third hears no majority.
+
+        A replica without its disk has revision 0; one that called itself current too early is
+        among these, as replicas of an earlier version did.
+        """
+        for is_current in (False, True):
+            for stored in (None, 5):
+                lost = [await self.source(0, is_current) for _ in range(2)]
+                behind = await self.source(5, False)
+                if stored is not None:
+                    write_state_file(self.state_file, revision(stored))
+                file = self.state_file if stored is not None else None
+                follower = self.follower(*lost, behind, state_file=file)
+                try:
+                    await follower.start()
+                    await until(lambda follower=follower: follower.is_ready)
+                    for source in lost:
+                        source.service.publish(revision(3))
+                    await asyncio.sleep(0.5)
+                    self.assertEqual(self.applied, [5], (is_current, stored))
+                finally:
+                    await self.stop_all()
+
     @asyncio_test
     async def test_without_any_configuration_it_is_not_ready(self):
         lone = await self.source(0, is_current=False)
