--- a/packages/router/src/damaskwind/router/claims/tests/test_client.py
+++ b/packages/router/src/damaskwind/router/claims/tests/test_client.py
@@ -73,6 +73,45 @@
         finally:
             await self.tear_down()
 
+    @asyncio_test
+    async def test_no_claim_is_granted_twice_as_one_holder_after_the_other_restarts_empty(self):
+        await self.set_up()
+        try:
+            keys = [f"k{number}" for number in range(20)]
+            for key in keys:
+                self.assertEqual((await self.claim(key, f"r-{key}")).kind, ClaimKind.GRANTED)
+            for incarnation, holder_id in enumerate(("h0", "h1", "h2", "h0"), start=2):
+                await self.holders.kill(holder_id)
+                await self.holders.start(holder_id, incarnation)
+                await self.holders.catch_up(holder_id)
+                # In one process, a former life still answers on the connections that it has.
+                self.clients.append(self.make_client(f"router-{incarnation}"))
+                for key in keys:
+                    resent = await self.claim(key, f"r-{key}-{incarnation}", client=-1)
+                    self.assertEqual(resent.refusal.verdict, Verdict.MAY_HAVE_RUN)
+        finally:
+            await self.tear_down()
+
+    @asyncio_test
+    async def test_no_claim_is_granted_while_two_holders_that_restarted_empty_await_each_other(
+        self,
+    ):
+        """The second is lost before the first has caught up: more is lost than is tolerated."""
+        await self.set_up()
+        try:
+            self.assertEqual((await self.claim("k", "r0")).kind, ClaimKind.GRANTED)
+            for holder_id in ("h0", "h1"):
+                await self.holders.kill(holder_id)
+                await self.holders.start(holder_id, 2)
+            reads = [self.holders.catch_up(name, limit_s=1.0) for name in ("h0", "h1")]
+            ends = asyncio.gather(*reads, return_exceptions=True)
+            resent = await self.claim("k", "r1", client=1, timeout_s=0.8)
+            self.assertEqual(resent.refusal.verdict, Verdict.NOT_RUN)
+            self.assertEqual(resent.kind, ClaimKind.NO_QUORUM)
+            self.assertEqual([type(end) for end in await ends], [TimeoutError, TimeoutError])
+        finally:
+            await self.tear_down()
+
     @asyncio_test
     async def test_restarted_holder_does_not_vote_before_it_caught_up(self):
         await self.set_up()
