--- a/packages/decisions/src/damaskwind/decisions/claims/tests/test_holder.py
+++ b/packages/decisions/src/damaskwind/decisions/claims/tests/test_holder.py
@@ -220,6 +220,28 @@
         low = resumed.order(Order("other", Ballot(4, "r9")), 51.0)
         self.assertEqual((low.rejection, low.promised), (Rejection.STALE_BALLOT, later))
 
+    def test_holder_that_restores_state_outnumbers_its_earlier_run(self):
+        """Its incarnation was raised by what others knew, which is not on its disk."""
+        before = make(incarnation=1000)
+        accept(before)
+        after = make(incarnation=501, first=False)
+        self.assertTrue(after.resume(before.stop(0.0), 0.0))
+        self.assertEqual(accept(after, "other").rejection, Rejection.NONE)
+        self.assertGreater(after.incarnation, before.incarnation)
+
+    def test_reply_to_an_earlier_read_is_not_merged(self):
+        """It may have been sent before its holder learned of the present incarnation."""
+        others = {name: make(name) for name in ("h1", "h2")}
+        others["h1"].read_all(CatchUpRead("h0", 1000), 0.0)
+        returned = make(incarnation=500, first=False)
+        replies = [item.read_all(CatchUpRead("h0", 500), 0.0) for item in others.values()]
+        for reply in replies + replies:
+            self.assertFalse(returned.merge_catch_up(reply, 0.0))
+        self.assertEqual(returned.incarnation, 1001)
+        for item in others.values():
+            returned.merge_catch_up(item.read_all(CatchUpRead("h0", 1001), 0.0), 0.0)
+        self.assertTrue(returned.is_voting(0.0))
+
     def test_stopped_holder_does_not_vote_and_one_without_state_stores_nothing(self):
         holder = make()
         holder.stop(1.0)
