Suspicions: a replica that restarts during a call is sent all that it lost at once

What callers saw: for up to a second longer, until its next update, such a replica told other routers nothing of requests under which targets end, so that one more might be sent on.

Cause: as a replica is heard in a new epoch, what it lacks was put into a new dict, while the call in progress went on with the old one; and no second call is started beside it.

Why this works: what it lacks is added to the dict that the call in progress sends from, which then goes on with it.

--- a/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/suspicion_relay.py
@@ -159,7 +159,8 @@
         if self._epochs.get(host) != news.epoch:
             self._epochs[host] = news.epoch
             if host in self._reported:
-                self._pending[host] = dict.fromkeys(self.table.digests())
+                # Into the dict that a call in progress sends from, which then goes on with these.
+                self._pending.setdefault(host, {}).update(dict.fromkeys(self.table.digests()))
         self._start_sending(host)
 
     def _update_reported(self, now_s: float) -> None:
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_suspicion_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_suspicion_relay.py
@@ -1,5 +1,6 @@
 """Tests of which replicas a router reports suspicions of fatal requests to."""
 
+import asyncio
 from unittest.mock import patch
 
 from twisted.trial.unittest import TestCase
@@ -23,6 +24,8 @@
         self.now_s = 100.0
         self.enterContext(override_clock(lambda: self.now_s))
         self.calls, self.unreachable = [], set()
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
         self.relay = SuspicionRelay(1)
         for host in HOSTS:
             self.relay.follow(host)
@@ -33,6 +36,7 @@
         self.addCleanup(patcher.stop)
 
     async def record_call(self, host, digests):
+        await self.may_answer.wait()
         if host in self.unreachable:
             raise ConnectFailedError("unreachable")
         self.calls += [(host, digest) for digest in digests]
@@ -44,9 +48,9 @@
         calls, self.calls = self.calls, []
         return sorted(calls)
 
-    def hear(self, host):
+    def hear(self, host, epoch="epoch"):
         """Let a replica's update arrive."""
-        self.relay.handle_news(host, News("epoch", 1, 1, True, (), 1, (), ()))
+        self.relay.handle_news(host, News(epoch, 1, 1, True, (), 1, (), ()))
 
     @asyncio_test
     async def test_change_is_reported_to_two_replicas(self):
@@ -80,6 +84,20 @@
         self.hear("a")
         self.assertEqual(await self.end_calls(), [("a", b"x")])
 
+    @asyncio_test
+    async def test_replica_that_restarts_during_a_call_is_sent_all_at_once(self):
+        """Guards against a replica back without what it knew that waits for its next update."""
+        self.hear("a")
+        self.relay.record_target_end([(b"x", SuspicionLevel())])
+        await self.end_calls()
+        self.may_answer.clear()
+        self.relay.record_target_end([(b"y", SuspicionLevel())])
+        await asyncio.sleep(0)
+        self.hear("a", "epoch of the next life")
+        self.may_answer.set()
+        calls = await self.end_calls()
+        self.assertLessEqual({("a", b"x"), ("a", b"y")}, set(calls))
+
     @asyncio_test
     async def test_change_that_no_replica_confirmed_is_sent_when_another_is_heard(self):
         """Guards against a suspicion that only one router knows, since it was cut off for long."""
