Storage: a replica whose log is lost, though its identity is not, is another member

What callers would see: a member that has forgotten its votes and entries is counted for a majority, so that what was acknowledged may be lost, and two may lead in one term.

Cause: a log without an identity was refused, and an identity without a log opened as if it had never taken part. The mark that it was there before the cluster stayed too, and with it the right to found one.

Why this works: the log is written right after the identity, before the replica takes part. An identity without one has taken no part, or what it acknowledged is lost; a new one is right in both cases, and joins as a lost disk does.

test_identity_persists_with_the_folder_only opened folders without a log, as no replica does after its first start; it now writes the log between, and asks for the same as before.

--- a/packages/control/src/damaskwind/control/storage/folder.py
+++ b/packages/control/src/damaskwind/control/storage/folder.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 import msgspec
+from loguru import logger
 
 from damaskwind.control.storage.files import FileSystem, write_file_durably
 from damaskwind.control.storage.frames import encode_frame, file_header, read_frames
@@ -77,7 +78,10 @@
 
 
 def _load_identity(files: FileSystem, path: Path, cluster: str, replica_id: str) -> Identity:
-    """Return the folder's identity; create one in an unused folder.
+    """Return the folder's identity; create one in an unused folder, or if the log is lost.
+
+    A replica writes its log right after its identity, before it takes part. Without a log, this
+    identity has either never taken part, or what it acknowledged is lost.
 
     Raises `StorageError` when the folder has a log but no identity, or the
     identity of another replica.
@@ -94,7 +98,13 @@
             f"{path}: belongs to replica '{identity.replica_id}' of cluster"
             f" '{identity.cluster}', not to '{replica_id}' of '{cluster}'"
         )
-    return identity
+    if any(name.endswith(".log") for name in names):
+        return identity
+    logger.warning("identity without a log, replaced", identity=identity.identity)
+    if _FOUNDING_NAME in names:
+        files.remove(path / _FOUNDING_NAME)
+        files.sync_folder(path)
+    return _create_identity(files, path / _IDENTITY_NAME, cluster, replica_id)
 
 
 def open_data_folder(path: Path, cluster: str, replica_id: str, files: FileSystem) -> DataFolder:
--- a/packages/control/src/damaskwind/control/storage/tests/test_journal.py
+++ b/packages/control/src/damaskwind/control/storage/tests/test_journal.py
@@ -214,6 +214,7 @@
 
     def test_identity_persists_with_the_folder_only(self):
         folder = self.open()
+        open_journal(self.path, FileSystem()).close()
         folder.close()
         reopened = self.open()
         reopened.close()
