--- a/packages/control/src/damaskwind/control/claims/catch_up.py
+++ b/packages/control/src/damaskwind/control/claims/catch_up.py
@@ -9,7 +9,7 @@
 
 from damaskwind.decisions.claims.codec import decode_claim_message, encode_claim_message
 from damaskwind.decisions.claims.holder import ClaimHolder
-from damaskwind.decisions.claims.messages import CatchUpRead, CatchUpReply, Rejection
+from damaskwind.decisions.claims.messages import CatchUpRead, CatchUpReply
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
 from damaskwind.wire.authentication import CallSigner
@@ -33,23 +33,44 @@
 ) -> None:
     """Read the other holders repeatedly until `holder` is voting.
 
-    `addresses` maps the ids of the other holders to their addresses; it may
-    change during the call.
+    Each is read by itself, so that none that stands still delays the reads of the others.
+    `addresses` maps the ids of the other holders to their addresses.
     """
-    read_ids: set[str] = set()
-    while not holder.is_voting(clock()):
-        for holder_id, address in list(addresses.items()):
-            if holder_id in read_ids or holder_id == holder.holder_id:
-                continue
-            reply = await _read_holder(holder, holder_id, address, signer)
-            if reply is not None and reply.rejection == Rejection.NONE:
-                read_ids.add(holder_id)
-                holder.merge_catch_up(reply, clock())
-        if not holder.is_voting(clock()):
+    reads = [
+        asyncio.ensure_future(_keep_read(holder, holder_id, address, signer, clock, pause_s))
+        for holder_id, address in addresses.items()
+        if holder_id != holder.holder_id
+    ]
+    try:
+        while not holder.is_voting(clock()):
             await asyncio.sleep(pause_s)
+    finally:
+        for read in reads:
+            read.cancel()
+        await asyncio.gather(*reads, return_exceptions=True)
     logger.info("claim holder votes", holder=holder.holder_id, records=len(holder))
 
 
+async def _keep_read(
+    holder: ClaimHolder,
+    holder_id: str,
+    address: Address,
+    signer: CallSigner,
+    clock: Callable[[], float],
+    pause_s: float,
+) -> None:
+    """Read one other holder whenever its records are not merged, until canceled.
+
+    What was merged has to be read again once the incarnation of `holder` was raised.
+    """
+    while True:
+        if not holder.has_read(holder_id):
+            reply = await _read_holder(holder, holder_id, address, signer)
+            if reply is not None:
+                holder.merge_catch_up(reply, clock())
+        await asyncio.sleep(pause_s)
+
+
 async def _read_holder(
     holder: ClaimHolder, holder_id: str, address: Address, signer: CallSigner
 ) -> CatchUpReply | None:
