Answers: one without a length that began before its request was taken is not whole

A target that answered at once without a length and ended its direction of the connection while the upload was still being written got a length at the router: callers took a part for the whole answer.

Cause: the end of the connection was the answer's end, and the question after it shows that the process runs, which it does. Now the kernel is asked whether the request was acknowledged when the answer began, and the socket stays open until the question is answered, so that a reset after the end is seen. An upload that fits into the target's kernel unread is not detected.

`start_peer` of the relayed cut heads moved into a base class, unchanged.

--- a/packages/router/src/damaskwind/router/forwarding/attempt.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt.py
@@ -257,7 +257,7 @@
             outcome = await self._relay_stream(attempt, head, may_reroute)
             return outcome._replace(first_s=first_s, is_unframed=head.is_unframed)
         pieces = await connection.read_pieces(ANSWER_LIMIT_BYTES)
-        if not await self._is_end_sure(path, head, target, call):
+        if not await self._is_end_sure(attempt, head):
             return _UNSURE_END
         if head.status < 500:
             accept_answer(first_s)
@@ -366,7 +366,7 @@
                 call.begin_events(target)
             await delivery.drained()
         gap = delivery.find_gap(call.facts.resume_after)
-        if not gap and not await self._is_end_sure(path, head, target, call):
+        if not gap and not await self._is_end_sure(attempt, head):
             return _UNSURE_END
         path.release(connection, head.headers)
         if gap:
@@ -379,16 +379,16 @@
         delivery.end_stream()
         return AttemptOutcome(AttemptEnd.DELIVERED, "stream complete", is_answered=True)
 
-    async def _is_end_sure(
-        self, path: TargetPath, head: AnswerHead, target: TargetRecord, call: Call
-    ) -> bool:
+    async def _is_end_sure(self, attempt: WaitingAttempt, head: AnswerHead) -> bool:
         """Return whether an answer that has ended was ended by its target.
 
         Another router that sent the request on has checked that itself.
         """
-        if not head.is_unframed or path.via:
+        if not head.is_unframed or attempt.path.via:
             return True
-        return await self.answer_ends.has_outlived(target, call.facts.request_id)
+        request_id = attempt.call.facts.request_id
+        has_outlived = await self.answer_ends.has_outlived(attempt.target, request_id)
+        return has_outlived and attempt.connection.has_ended_orderly()
 
     async def _record_origin(self, call: Call, target: TargetRecord) -> str:
         """Record which version begins a stream; return why that isn't certain, if it isn't.
--- a/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
+++ b/packages/router/src/damaskwind/router/forwarding/attempt_relay.py
@@ -272,6 +272,8 @@
             await exchange.drained()
         if head.is_unframed:
             await self._check_end(exchange.request, head, target, is_empty)
+            if not connection.has_ended_orderly():
+                raise AnswerBrokenError("a reset followed the end of an answer without a frame")
         self._target_states.connections.release(target.target_id, connection, head.headers)
         exchange.finish()
 
--- a/packages/router/src/damaskwind/router/forwarding/tests/test_cut_heads_relayed.py
+++ b/packages/router/src/damaskwind/router/forwarding/tests/test_cut_heads_relayed.py
@@ -50,8 +50,8 @@
         return True
 
 
-class CutTargetBehindRouterTest(CutOnTheWayTestCase):
-    """The target's answer is cut, which the other router sees."""
+class BehindRouterTestCase(CutOnTheWayTestCase):
+    """The other router reaches the targets itself."""
 
     async def start_peer(self):
         """Start the other router, which reaches the same targets itself."""
@@ -70,6 +70,10 @@
         self.addCleanup(self.internal.abort)
         return self.internal.listen(HOST, 0)
 
+
+class CutTargetBehindRouterTest(BehindRouterTestCase):
+    """The target's answer is cut, which the other router sees."""
+
     @asyncio_test
     async def test_answer_of_a_target_that_is_cut_at_any_byte_is_not_whole(self):
         """Guards against another router that ends half an answer with a frame of its own."""
--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -21,7 +21,7 @@
 from damaskwind.runtime.http1.messages import Answer, Headers, Request, is_bodiless
 from damaskwind.runtime.http1.outbox import SEND_BUFFER_BYTES, Outbox
 from damaskwind.runtime.http1.parsing_turns import MAX_PARSING_S, ParsingTurns
-from damaskwind.runtime.http1.tcp_state import read_tcp_state
+from damaskwind.runtime.http1.tcp_state import has_taken_all, is_reset, read_tcp_state
 from damaskwind.runtime.http1.transports import reset
 from damaskwind.runtime.http1.unread_input import UnreadInput
 
@@ -126,6 +126,10 @@
         self._waiter: asyncio.Future | None = None
         self._is_lost = False
         self._has_received_eof = False
+        # Whether the peer had taken all of the request when its answer began.
+        self._is_request_taken = False
+        self._has_head = False
+        self._is_unframed = False
         self.is_timed_out = False
         self._last_active_s = 0.0
         # When the answer to the present request was last received from, `None` for not yet.
@@ -218,6 +222,8 @@
             self.abort()
             return
         self._last_active_s = self.last_received_s = read_clock()
+        if not self._has_head:
+            self._is_request_taken = self._has_sent_all()
         account = self.in_hand if self._account is None else self._account
         if account is not None:
             self._unread_bytes += len(data)
@@ -229,9 +235,29 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Record that the peer closed in an orderly way; the transport then closes itself."""
+        """Record that the peer closed in an orderly way; return whether the transport stays open.
+
+        It does after an answer that may end so, until `release` or `abort`: a reset may follow.
+        """
         self._has_received_eof = True
-        return False
+        if not self.is_in_use or self._parser is None:
+            return False
+        self._parser.receive_data(b"")
+        self._wake()
+        return True
+
+    def _has_sent_all(self) -> bool:
+        """Return whether the peer's kernel has acknowledged the whole request."""
+        is_held = self._outbox is not None and not self._outbox.is_empty
+        if is_held or self._transport.get_write_buffer_size():
+            return False
+        return has_taken_all(self._transport.get_extra_info("socket"))
+
+    def has_ended_orderly(self) -> bool:
+        """Return whether no reset has followed the end of an answer so far."""
+        if self._is_lost:
+            return False
+        return not is_reset(self._transport.get_extra_info("socket"))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end of the connection and whether it was orderly or a timeout."""
@@ -243,8 +269,6 @@
         # The transport doesn't distinguish a timeout from a reset; the length of silence does.
         silent_s = read_clock() - self._last_active_s
         self.is_timed_out = not self._has_received_eof and silent_s > UNACKNOWLEDGED_MS / 1000
-        if self._parser is not None and self._has_received_eof and self.is_in_use:
-            self._parser.receive_data(b"")
         self._wake()
         if self.on_lost is not None:
             self.on_lost(self)
@@ -270,6 +294,7 @@
         self._start_checking()
         self._last_active_s = read_clock()
         self.last_received_s = None
+        self._has_head = False
         self.requests += 1
         headers = [*request.headers]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -295,13 +320,16 @@
         Raise `AnswerTooLongError` after more than `MAX_INFORMATIONAL` informational answers.
         """
         self._is_collecting = False
+        self._has_head = False
         self._rest = memoryview(b"")
         for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                is_unframed = _is_unframed(self._sent_request.method, event)
-                return AnswerHead(event.status_code, list(event.headers), is_unframed)
+                self._has_head = True
+                self._is_unframed = _is_unframed(self._sent_request.method, event)
+                return AnswerHead(event.status_code, list(event.headers), self._is_unframed)
             if not isinstance(event, h11.InformationalResponse):
+                self.close()
                 raise AnswerBrokenError("the connection ended before an answer")
         raise AnswerTooLongError("series of informational answers", MAX_INFORMATIONAL, "heads")
 
@@ -315,9 +343,20 @@
             self._rest = memoryview(event.data)
             return self._next_piece()
         if isinstance(event, h11.EndOfMessage):
+            self._require_taken_request()
             return None
         raise AnswerBrokenError("the answer ended early")
 
+    def _require_taken_request(self) -> None:
+        """Raise `AnswerBrokenError` if the answer's end was the connection's, but it began early.
+
+        A peer that had not taken the whole request has not answered it, and what it sent may be a
+        part of what it meant to send.
+        """
+        if self._is_unframed and not self._is_request_taken:
+            self.abort()
+            raise AnswerBrokenError("an answer without a frame began before the request was taken")
+
     def _next_piece(self) -> bytes:
         """Return up to `PIECE_BYTES` of what is left of a piece that was parsed."""
         piece, self._rest = self._rest[:PIECE_BYTES], self._rest[PIECE_BYTES:]
@@ -376,9 +415,16 @@
             and not parser.trailing_data[0]
         )
         if not is_clean:
-            self.abort()
+            self._end()
         return is_clean
 
+    def _end(self) -> None:
+        """Close the connection if the peer did so after the whole request, otherwise reset it."""
+        if self._has_received_eof and self._is_request_taken:
+            self.close()
+        else:
+            self.abort()
+
     def is_unacknowledged(self) -> bool:
         """Tell whether the peer's kernel has left bytes unacknowledged for `UNACKNOWLEDGED_MS`.
 
@@ -447,6 +493,8 @@
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as error:
+            if self._has_received_eof:
+                self.close()
             if error.error_status_hint == HEAD_TOO_LONG:
                 raise AnswerTooLongError("head or chunk size", ANSWER_HEAD_BYTES) from error
             raise AnswerBrokenError(f"no whole answer: {error}") from error
--- a/packages/runtime/src/damaskwind/runtime/http1/tcp_state.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tcp_state.py
@@ -1,10 +1,12 @@
 """Read from the kernel whether a TCP connection's peer acknowledges what was sent, or has left."""
 
+import fcntl
 import socket
 import struct
+import termios
 from typing import NamedTuple
 
-__all__ = ["TcpState", "has_peer_left", "read_tcp_state"]
+__all__ = ["TcpState", "has_peer_left", "has_taken_all", "is_reset", "read_tcp_state"]
 
 # States of a connection of which one side or both are closed (linux/tcp_states.h).
 _CLOSED = 7
@@ -14,6 +16,8 @@
 _UNACKNOWLEDGED_OFFSET = 24
 _LAST_ACKNOWLEDGED_OFFSET = 56
 _SIZE_BYTES = 60
+# The size of the figure that `TIOCOUTQ` returns (tcp(7), there named SIOCOUTQ).
+_QUEUE_BYTES = 4
 
 
 class TcpState(NamedTuple):
@@ -45,3 +49,28 @@
     except OSError:
         return False
     return data[0] in (_CLOSED, _CLOSE_WAIT)
+
+
+def has_taken_all(handle: socket.socket) -> bool:
+    """Return whether the peer's kernel acknowledged all that was written to a socket.
+
+    A socket that can't be asked shows nothing, so that it counts as one with bytes left.
+    """
+    try:
+        data = fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, bytes(_QUEUE_BYTES))
+    except (OSError, ValueError):
+        return False
+    (unacknowledged_bytes,) = struct.unpack("=i", data)
+    return unacknowledged_bytes == 0 and not is_reset(handle)
+
+
+def is_reset(handle: socket.socket) -> bool:
+    """Return whether a connection was reset; also if the peer had closed its side before.
+
+    Such a reset shows neither in what is read from the socket nor in how its reading ends.
+    """
+    try:
+        data = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _SIZE_BYTES)
+    except OSError:
+        return True
+    return data[0] == _CLOSED
