Answers: a status above 599 is none

RFC 9110, section 15: a status code is a three-digit integer from 100 to 599, and others are invalid, to be treated as 5xx. The parser refused 000, 099, 20 and 2000, but answers with 600 and 999 were passed on as they were, directly and through another router. Calls between the system's processes read with the same client, so that they fail too.

--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -35,6 +35,8 @@
 
 # No target sends an answer whose head is larger than this.
 ANSWER_HEAD_BYTES = 65_536
+# The last valid status code (RFC 9110, section 15); the parser refuses those below 100.
+MAX_STATUS = 599
 # A sound target sends one or two informational answers (100 to 199) before its answer.
 MAX_INFORMATIONAL = 32
 # Pieces of a body that is collected are joined up to this size, since each small one of them
@@ -325,6 +327,8 @@
         for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise AnswerBrokenError(f"status {event.status_code} is none")
                 self._has_head = True
                 self._is_unframed = _is_unframed(self._sent_request.method, event)
                 return AnswerHead(event.status_code, list(event.headers), self._is_unframed)
