Chats: a target's status that is no status code is no answer

On the path of the chats the HTTP client takes any integer for a status, and what is below 400 counts as a success: 000, 099, 20, +200 and 2_00 were answers, 2000, 600 and 999 were final statuses.

--- a/packages/router/src/damaskwind/router/connection_pool.py
+++ b/packages/router/src/damaskwind/router/connection_pool.py
@@ -11,6 +11,8 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.web.client import HTTPConnectionPool
 
+from damaskwind.router.target_protocol import TargetProtocolFactory
+
 __all__ = ["CheckedConnectionPool"]
 
 _MAX_PER_TARGET = 256
@@ -30,6 +32,8 @@
 class CheckedConnectionPool(HTTPConnectionPool):
     """A pool without automatic retries whose idle connections are checked before reuse."""
 
+    _factory = TargetProtocolFactory
+
     def __init__(self, reactor: Any) -> None:
         super().__init__(reactor, persistent=True)
         self.retryAutomatically = False
