Chats: an event without end ends its stream

The scanner of events kept all bytes of an event that had no end, and copied and searched them again with each piece, so that other chats got no answer. What is kept is added to in place, and only new bytes are searched.

--- a/packages/router/src/damaskwind/router/event_stream.py
+++ b/packages/router/src/damaskwind/router/event_stream.py
@@ -17,6 +17,8 @@
 _FINISH = b'"finish_reason"'
 _NULL = b"null"
 _VALUE_BYTES = 7
+# No engine sends a larger event.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 def _is_plain_token(event: bytes) -> bool:
@@ -46,7 +48,8 @@
 
     `delivered_tokens` is the token from which an engine is asked to resume.
     `received_chunks` counts the pieces received, so that a stall can be detected.
-    `complete` is set at the end marker; nothing is forwarded after it.
+    `complete` is set at the end marker; nothing is forwarded after it. `is_too_long` is set
+    when an event exceeds `MAX_EVENT_BYTES`, so that it may have no end.
 
     >>> scanner = EventScanner(keep_usage=False)
     >>> scanner.feed(b"data: {}" + _END + b"data: {")
@@ -61,30 +64,38 @@
         self.delivered_tokens = 0
         self.received_chunks = 0
         self.complete = False
+        self.is_too_long = False
         self.usage: dict[str, Any] = {}
         self._keep_usage = keep_usage
-        self._partial = b""
+        self._partial = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """Process received bytes and return those to forward now."""
         self.received_chunks += 1
         if self.complete:
             return b""
-        if self._partial:
-            data = self._partial + data
-            self._partial = b""
-        if not data.endswith(_END):
-            end = data.rfind(_END) + len(_END)
-            if end < len(_END):
-                self._partial = data
-                return b""
-            self._partial = data[end:]
-            data = data[:end]
+        data = self._take_complete(data)
+        if not data:
+            return b""
         if data.count(_END) == 1 and _is_plain_token(data):
             self.delivered_tokens += 1
             return data
         return b"".join(self._process_event(event) for event in data.split(_END)[:-1])
 
+    def _take_complete(self, data: bytes) -> bytes:
+        """Return the complete events of what came so far, and keep the rest."""
+        if not self._partial and data.endswith(_END):
+            return data
+        searched_bytes = max(len(self._partial) - 1, 0)
+        self._partial += data
+        end = self._partial.rfind(_END, searched_bytes) + len(_END)
+        if end < len(_END):
+            self.is_too_long = len(self._partial) > MAX_EVENT_BYTES
+            return b""
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
+        return complete
+
     def _process_event(self, event: bytes) -> bytes:
         """Count one event and return the bytes of it to forward."""
         if self.complete:
@@ -109,7 +120,8 @@
 
     def restart(self) -> None:
         """Discard the partial event of a cut answer before a resumed answer follows."""
-        self._partial = b""
+        self._partial = bytearray()
+        self.is_too_long = False
 
 
 class PassThrough:
@@ -118,6 +130,7 @@
     def __init__(self) -> None:
         self.received_chunks = 0
         self.complete = False
+        self.is_too_long = False
 
     def feed(self, data: bytes) -> bytes:
         """Count a piece and return it."""
--- a/packages/router/src/damaskwind/router/stream_relay.py
+++ b/packages/router/src/damaskwind/router/stream_relay.py
@@ -39,10 +39,14 @@
         self._write = relay.request.write
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Forward the data that the scanner releases."""
+        """Forward the data that the scanner releases; drop a target whose event has no end."""
+        if self.ended.called and self._tail is None:
+            return
         forwarded = self._scanner.feed(data)
         if forwarded and not self._relay.caller.gone:
             self._write(forwarded)
+        if self._scanner.is_too_long:
+            self.drop(RelayEnd.CUT)
         if self._scanner.complete and self._tail is None:
             self._tail = self._relay.clock.callLater(_TAIL_TIMEOUT_S, self._close)
             self._end(RelayEnd.COMPLETE)
--- a/packages/router/src/damaskwind/router/tests/test_unframed_chats.py
+++ b/packages/router/src/damaskwind/router/tests/test_unframed_chats.py
@@ -23,7 +23,9 @@
 DONE = b"data: [DONE]\n\n"
 
 
-class UnframedChatsTest(TestCase):
+class UnframedChatsTestCase(TestCase):
+    """A router of chats with one scripted engine."""
+
     timeout = 60
 
     async def start(self):
@@ -68,6 +70,8 @@
         )
         return response, await to_future(response.content())
 
+
+class UnframedChatsTest(UnframedChatsTestCase):
     @asyncio_test
     async def test_whole_answer_is_not_called_cut(self):
         """Guards against a chat that is refused as maybe run though its answer is here."""
