Commands: informational answers without end and statuses above 599 are no answer

Two faults of one reader, each with a test in `test_endless_answers` that failed before (2 of 2): an endpoint that sent 100 Continue or 103 Early Hints without end held the command for as long as it sent (over 20 s at a timeout of 2 s, since each read ends in time), and a status of 600 was shown as the endpoint's answer, so that a change that may have been accepted was called refused. Now the 33rd informational answer and a status above 599 are no answer, with an unknown outcome; 2 of 2 pass.

--- a/packages/commands/src/damaskwind/commands/whole_answers.py
+++ b/packages/commands/src/damaskwind/commands/whole_answers.py
@@ -17,6 +17,10 @@
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # RFC 9110, section 15.3.5: such an answer has no body.
 _NO_CONTENT = 204
+# The last valid status code (RFC 9110, section 15); the parser refuses those below 100.
+_MAX_STATUS = 599
+# An endpoint sends one or two informational answers before its answer, if any.
+_MAX_INFORMATIONAL = 32
 
 
 class AnswerCutError(DamaskwindError):
@@ -55,10 +59,13 @@
 
     def read_status(self) -> int:
         """Return the status in the head of the answer, after informational ones."""
-        while isinstance(head := self._next_event(), h11.InformationalResponse):
-            pass
+        for _ in range(_MAX_INFORMATIONAL + 1):
+            if not isinstance(head := self._next_event(), h11.InformationalResponse):
+                break
         if not isinstance(head, h11.Response):
-            raise AnswerCutError("the connection ended before an answer")
+            raise AnswerCutError("there was no answer before the end or a bound")
+        if head.status_code > _MAX_STATUS:
+            raise AnswerCutError(f"status {head.status_code} is none")
         is_framed = any(name in _FRAMING_HEADERS for name, _ in head.headers)
         if not is_framed and head.status_code != _NO_CONTENT:
             raise AnswerCutError("the answer has neither a length nor chunks")
