Operators see that a majority of the voters has lost its logs

A replica that is alone with the log said no more than that no majority vouches for it. Each time that it asks to be added again it greets all members already; voters whose replicas answer as other members, without a log, are lost, and once they are a majority it says so: a line when that is found and one when it ends, the metric lost_voters, and lost_voters in the status of the log. The decision is a pure function. No repair follows from it.

--- a/packages/control/src/damaskwind/control/replica/forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/forwarding.py
@@ -16,6 +16,7 @@
 from damaskwind.control.replica.address_book import AddressRecord
 from damaskwind.control.replica.leader_calls import LeaderCalls, NotSentError
 from damaskwind.control.replica.lives import has_ended
+from damaskwind.control.replica.lost_voters import LostVoters
 from damaskwind.control.replica.proposal_log import ProposalLog
 from damaskwind.control.replica.replica import Replica
 from damaskwind.control.replica.replicated_state import address_command, machine_command
@@ -51,6 +52,7 @@
         self.replica = replica
         self.on_proposed: list[Callable[[ProposalOutcome, float], None]] = []
         self.log = ProposalLog(replica)
+        self.lost_voters = LostVoters()
         self._signer = signer
         self._channels = Channels()
         self._leader_calls = LeaderCalls(replica, signer, self._channels)
@@ -94,6 +96,7 @@
             "last_index": core.last_index,
             "voters": [self._describe(member) for member in membership.voters],
             "learners": [self._describe(member) for member in membership.learners],
+            "lost_voters": [self._describe(member) for member in self.lost_voters.members],
         }
 
     async def change_membership(
--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -17,11 +17,13 @@
 
 from damaskwind.control.replica.forwarding import LogAccess
 from damaskwind.control.replica.join_requests import JoinRequests
+from damaskwind.control.replica.lost_voters import Greeting, find_lost_majority
 from damaskwind.control.replica.peer_calls import call_peer
 from damaskwind.control.replica.service import ReplicationService
 from damaskwind.control.replica.transport import Channels
 from damaskwind.control.storage.folder import DataFolder
 from damaskwind.control.storage.journal import Journal
+from damaskwind.decisions.replication.messages import Member
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.runtime.settings import ReplicaSettings, parse_address
@@ -106,6 +108,7 @@
                 last_led_s = read_clock()
             silent_s = read_clock() - max(last_led_s, replica.core.leader_seen_s)
             if not replica.has_log or silent_s < REJOIN_AFTER_S:
+                access.lost_voters.record(())
                 continue
             members = replica.core.membership.voters + replica.core.membership.learners
             others = {member.replica_id for member in members} - {own_id}
@@ -114,7 +117,11 @@
             distinct = [address for address in dict.fromkeys(addresses) if address is not None]
             # A call into a network partition lasts for its whole timeout, even long after
             # the partition has healed. So only replicas that answer a short call are asked.
-            reachable = await _reachable(distinct, channels, signer)
+            hellos = await _call_hello(distinct, channels, signer)
+            reachable = _answering(distinct, hellos)
+            greetings = [_greeting(reply) for reply in hellos if reply is not None]
+            voters = replica.core.membership.voters
+            access.lost_voters.record(find_lost_majority(voters, greetings))
             logger.info(
                 "asking to be added again", silent_s=round(silent_s, 1), answering=len(reachable)
             )
@@ -180,10 +187,19 @@
     addresses: list[Address], channels: Channels, signer: CallSigner
 ) -> list[Address]:
     """Return the addresses at which a replica replies now."""
-    hellos = await _call_hello(addresses, channels, signer)
+    return _answering(addresses, await _call_hello(addresses, channels, signer))
+
+
+def _answering(addresses: list[Address], hellos: list[Any]) -> list[Address]:
+    """Return the addresses whose replies came."""
     return [address for address, reply in zip(addresses, hellos, strict=True) if reply is not None]
 
 
+def _greeting(reply: Any) -> Greeting:
+    """Return who replied to `Hello`."""
+    return Greeting(Member(reply.replica_id, reply.identity), reply.has_log)
+
+
 async def _call_hello(
     addresses: list[Address], channels: Channels, signer: CallSigner
 ) -> list[Any]:
--- a/packages/control/src/damaskwind/control/replica/tests/test_joining.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_joining.py
@@ -7,6 +7,7 @@
 from twisted.trial.unittest import TestCase
 
 from damaskwind.control.replica import joining
+from damaskwind.control.replica.lost_voters import LostVoters
 from damaskwind.decisions.replication.messages import Member, Membership
 from damaskwind.model.targets import Address
 from damaskwind.runtime.bridge import asyncio_test
@@ -44,7 +45,7 @@
         Returns the numbers of requests after `duration_s`, soon after the replica
         stopped leading, and at the end.
         """
-        access = SimpleNamespace(replica=self.replica)
+        access = SimpleNamespace(replica=self.replica, lost_voters=LostVoters())
         service = SimpleNamespace(address="127.0.0.1:1")
         with (
             patch.object(joining, "REJOIN_AFTER_S", REJOIN_AFTER_S),
--- a/packages/control/src/damaskwind/control/telemetry.py
+++ b/packages/control/src/damaskwind/control/telemetry.py
@@ -53,6 +53,11 @@
             "1 when this replica believes that it holds all that is confirmed.",
             lambda: int(replica.is_current),
         )
+        self._gauge(
+            "lost_voters",
+            "Voters that run without their logs, once they are a majority.",
+            lambda: len(access.lost_voters.members),
+        )
         self._gauge("log_commit_index", "Last entry committed.", lambda: replica.core.commit_index)
         self._gauge("log_applied_index", "Last entry applied.", lambda: replica.state.applied_index)
         self._gauge("log_last_index", "Last entry of the log.", lambda: replica.core.last_index)
