Lost voters: a learner with the beginning of a log counts as one without

Cause, by what the replicas answered: the last copy led for a moment, appended the change that adds one of the emptied replicas, and sent it; that one then had a log, though it can't vote. A replica that is a learner in the membership of the last copy now counts as one without a log.

If a majority of the voters has been replaced by lives that this replica knows as learners only, it may take them for lost until it hears a leader again. Nothing but the line, the metric and the status follows from it.

--- a/packages/control/src/damaskwind/control/replica/joining.py
+++ b/packages/control/src/damaskwind/control/replica/joining.py
@@ -119,7 +119,11 @@
             # the partition has healed. So only replicas that answer a short call are asked.
             hellos = await _call_hello(distinct, channels, signer)
             reachable = _answering(distinct, hellos)
-            greetings = [_greeting(reply) for reply in hellos if reply is not None]
+            greetings = [
+                _greeting(reply, replica.core.membership.learners)
+                for reply in hellos
+                if reply is not None
+            ]
             voters = replica.core.membership.voters
             access.lost_voters.record(find_lost_majority(voters, greetings))
             logger.info(
@@ -195,9 +199,10 @@
     return [address for address, reply in zip(addresses, hellos, strict=True) if reply is not None]
 
 
-def _greeting(reply: Any) -> Greeting:
-    """Return who replied to `Hello`."""
-    return Greeting(Member(reply.replica_id, reply.identity), reply.has_log)
+def _greeting(reply: Any, learners: tuple[Member, ...]) -> Greeting:
+    """Return who replied to `Hello`; a learner has no more than the beginning of a log."""
+    member = Member(reply.replica_id, reply.identity)
+    return Greeting(member, reply.has_log and member not in learners)
 
 
 async def _call_hello(
--- a/packages/control/src/damaskwind/control/replica/tests/test_lost_disks.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_lost_disks.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import shutil
 
+from damaskwind.control.replica.joining import REJOIN_AFTER_S, rejoin_if_removed
 from damaskwind.control.replica.tests.lost_disks import AWAY_S, CATCH_UP_S, LostDisksTestCase
 from damaskwind.runtime.bridge import asyncio_test
 
@@ -67,3 +69,28 @@
             self.assertEqual(kept, [b"%d" % number for number in range(20)] + [b"after both"])
         finally:
             await cluster.stop_all()
+
+    @asyncio_test
+    async def test_last_copy_of_a_log_tells_which_voters_are_lost(self):
+        cluster = self.make()
+        await cluster.start_all()
+        last = cluster.running["a"]
+        rejoining = asyncio.ensure_future(
+            rejoin_if_removed(
+                last.access, last.node.service, cluster.bootstrap, "domain-a", last.node.signer
+            )
+        )
+        try:
+            for name in "bc":
+                await cluster.stop(name)
+                shutil.rmtree(cluster.path / name)
+            for name in "bc":
+                await cluster.start(name)
+            lost = last.access.lost_voters
+            await last.replica.wait_until(lambda: bool(lost.members), 2 * REJOIN_AFTER_S)
+            described = last.access.status()["lost_voters"]
+            self.assertEqual([voter["replica_id"] for voter in described], ["b", "c"])
+        finally:
+            rejoining.cancel()
+            await asyncio.gather(rejoining, return_exceptions=True)
+            await cluster.stop_all()
