Calls between processes: a message without end is refused by its stated length

The library reads a message of whatever length its first bytes state, up to 4 GiB, and keeps it until the call times out; what listens at an address that is used again may state any. All four clients use the bounded channel: configurations, claims, their catching up and replication.

--- a/packages/control/src/damaskwind/control/claims/catch_up.py
+++ b/packages/control/src/damaskwind/control/claims/catch_up.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from loguru import logger
 
@@ -13,6 +12,7 @@
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
 from damaskwind.wire.authentication import CallSigner
+from damaskwind.wire.bounded_channel import BoundedChannel
 from damaskwind.wire.claims_grpc import ClaimsStub
 from damaskwind.wire.claims_pb2 import ClaimCall
 from damaskwind.wire.lost_connection import translate_lost_connections
@@ -56,7 +56,7 @@
     """Read all records of one other holder; return `None` when that fails."""
     read = CatchUpRead(holder.holder_id, holder.incarnation)
     request = ClaimCall(holder_id=holder_id, body=encode_claim_message(read))
-    channel = Channel(address.host, address.port)
+    channel = BoundedChannel(address.host, address.port)
     try:
         return await _read_pages(ClaimsStub(channel), request, signer)
     except _CALL_ERRORS as error:
--- a/packages/control/src/damaskwind/control/replica/transport.py
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -25,6 +25,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.authentication import CallSigner, call_unary
+from damaskwind.wire.bounded_channel import BoundedChannel
 from damaskwind.wire.replication_grpc import ReplicationStub
 from damaskwind.wire.replication_pb2 import CoreMessages
 
@@ -57,7 +58,7 @@
         """Return the channel to an address; create it if there is none."""
         channel = self._channels.get(address)
         if channel is None:
-            channel = self._channels[address] = Channel(address.host, address.port)
+            channel = self._channels[address] = BoundedChannel(address.host, address.port)
         return channel
 
     def drop(self, address: Address, failed: Channel | None = None) -> None:
--- a/packages/router/src/damaskwind/router/claims/client.py
+++ b/packages/router/src/damaskwind/router/claims/client.py
@@ -29,6 +29,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.model.verdict import Verdict
 from damaskwind.wire.authentication import CallSigner, call_unary
+from damaskwind.wire.bounded_channel import BoundedChannel
 from damaskwind.wire.claims_grpc import ClaimsStub
 from damaskwind.wire.claims_pb2 import ClaimCall
 from damaskwind.wire.follow_codec import CALL_BYTES, MESSAGE_OVERHEAD_BYTES
@@ -185,7 +186,7 @@
         channel = self._channels.get(holder_id)
         if channel is None:
             address = self._addresses[holder_id]
-            channel = self._channels[holder_id] = Channel(address.host, address.port)
+            channel = self._channels[holder_id] = BoundedChannel(address.host, address.port)
         return channel
 
     def _drop_channel(self, holder_id: str, channel: Channel | None = None) -> None:
--- a/packages/router/src/damaskwind/router/configuration/upstream.py
+++ b/packages/router/src/damaskwind/router/configuration/upstream.py
@@ -15,6 +15,7 @@
 from damaskwind.model.exception import MessageError
 from damaskwind.model.targets import Address
 from damaskwind.wire.authentication import CallSigner
+from damaskwind.wire.bounded_channel import BoundedChannel
 from damaskwind.wire.configuration_history import EncodedRevision
 from damaskwind.wire.follow_codec import (
     CALL_BYTES,
@@ -166,7 +167,7 @@
 
     def __init__(self, owner: Upstream, address: Address) -> None:
         self._owner = owner
-        self._channel = Channel(address.host, address.port)
+        self._channel = BoundedChannel(address.host, address.port)
 
     def __enter__(self) -> Channel:
         self._owner.add_channel(self._channel)
