Calls between processes: servers refuse a message without end before it is read

Servers checked a call's size after it was read as a whole, before they knew the caller: anyone could have them keep up to 4 GiB. Streams of servers are bounded as those of clients are, to the size that calls may have in any case.

--- a/packages/wire/src/damaskwind/wire/bounded_channel.py
+++ b/packages/wire/src/damaskwind/wire/bounded_channel.py
@@ -1,40 +1,22 @@
-"""A channel for calls to other processes that reads no message larger than any of them sends.
-
-The library reads as much as the first bytes of a message announce, up to 4 GiB, and keeps it.
-"""
+"""A channel for calls to other processes that reads no message larger than any of them sends."""
 
 from typing import Any
 
 from grpclib.client import Channel
-from grpclib.exceptions import StreamTerminatedError
-from grpclib.protocol import H2Protocol, Stream
+from grpclib.protocol import H2Protocol
 
-from damaskwind.wire.authentication import MESSAGE_LIMIT_BYTES
+from damaskwind.wire.bounded_streams import bound_streams
 
 __all__ = ["BoundedChannel"]
 
 
-def _bound(stream: Stream) -> Stream:
-    """Have a stream refuse to read more than `MESSAGE_LIMIT_BYTES` at once."""
-    receive = stream.recv_data
-
-    async def receive_bounded(size: int) -> bytes:
-        if size > MESSAGE_LIMIT_BYTES:
-            raise StreamTerminatedError(f"a message of over {MESSAGE_LIMIT_BYTES} bytes")
-        return await receive(size)
-
-    stream.recv_data = receive_bounded
-    return stream
-
-
 class _BoundedProtocol(H2Protocol):
     """A connection whose streams are bounded."""
 
     def connection_made(self, transport: Any) -> None:
         """Bound the streams that are made on the connection."""
         super().connection_made(transport)
-        create = self.connection.create_stream
-        self.connection.create_stream = lambda **options: _bound(create(**options))
+        bound_streams(self)
 
 
 class BoundedChannel(Channel):
--- a/packages/wire/src/damaskwind/wire/bounded_server.py
+++ b/packages/wire/src/damaskwind/wire/bounded_server.py
@@ -14,6 +14,7 @@
 from damaskwind.runtime.http1.connection_limit import ConnectionLimit
 from damaskwind.runtime.http1.listeners import keep_buffers_small
 from damaskwind.runtime.http1.transports import reset
+from damaskwind.wire.bounded_streams import bound_streams
 
 __all__ = ["MAX_PEER_CONNECTIONS", "BoundedServer"]
 
@@ -45,6 +46,7 @@
         self._limit.record_opened(self)
         self._limit.begin_wait(self)
         super().connection_made(transport)
+        bound_streams(self)
 
     def data_received(self, data: bytes) -> None:
         """Handle frames; the first call makes the connection one that is kept."""
