--- a/packages/control/src/damaskwind/control/replica/transport.py
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -30,6 +30,7 @@
 from damaskwind.model.targets import Address
 from damaskwind.runtime.clock import read_clock
 from damaskwind.wire.authentication import CallSigner, call_unary
+from damaskwind.wire.bounded_channel import BoundedChannel
 from damaskwind.wire.replication_grpc import ReplicationStub
 from damaskwind.wire.replication_pb2 import CoreMessages, HelloRequest
 
@@ -65,7 +66,7 @@
         """Return the channel to an address; create it if there is none."""
         channel = self._channels.get(address)
         if channel is None:
-            channel = self._channels[address] = Channel(address.host, address.port)
+            channel = self._channels[address] = BoundedChannel(address.host, address.port)
         return channel
 
     def drop(self, address: Address, failed: Channel | None = None) -> None:
