Stops: a router passes on only what it can answer before it ends

Callers saw, of 70 requests sent in the 2.5 s after the signal with a grace of 8 s: 22 in 502 (work of 5.5 and 8.5 s) and 4 cut streams; with more of them, requests held until the router ended and then refused. Cause: all that came was passed on, or waited for a place, until the end of the grace, where the router cut it. The targets went on: these 502 are the router's. Now a request is passed on if its deadline ends before the router does, or if the longest of its route's last 64 answers and 0.3 s would; else 503 at once, not run, with a time to come back. The same is asked while it waits for a place and before a send.

--- a/packages/router/src/damaskwind/router/forwarding/forwarder.py
+++ b/packages/router/src/damaskwind/router/forwarding/forwarder.py
@@ -31,6 +31,7 @@
 from damaskwind.router.forwarding.route_resolution import MAX_WAIT_S, RouteResolver
 from damaskwind.router.forwarding.service_throttles import ServiceThrottles
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
+from damaskwind.router.forwarding.stop_window import StopWindow
 from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
@@ -116,6 +117,8 @@
             self.tallies,
             self.memory,
         )
+        self.stop_window = StopWindow()
+        self.sends.on_delivered.append(self.stop_window.record_delivered)
         self._resolver = RouteResolver(view)
         self.shedding: FleetShedding | None = None
         gates: tuple[AdmissionGate, ...] = (self.throttles,)
@@ -142,6 +145,7 @@
             self.tallies,
             SpeedProbes(self.target_states, names, self.tallies),
             self.origins,
+            self.stop_window,
         )
         self.answers = FinalAnswers(self.admissions, self._started_s, self.tallies)
 
--- a/packages/router/src/damaskwind/router/forwarding/process.py
+++ b/packages/router/src/damaskwind/router/forwarding/process.py
@@ -39,6 +39,8 @@
 # Time for which a draining router still serves new connections: the load balancer checks its
 # health once a second and stops sending after two failed checks.
 LAME_DUCK_S = 2.6
+# A short grace period is divided: requests that come last need some of it to be answered.
+MAX_LAME_DUCK_SHARE = 0.5
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.6
 # Of that part, what the answers of requests that did not end in time may take.
@@ -249,11 +251,14 @@
     async def stop(self) -> None:
         """Drain: finish requests in progress, serving new ones until the load balancer reacts."""
         started_s = read_clock()
-        limit_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
+        serving_s = self.settings.grace_s - EXIT_MARGIN_S
+        lame_duck_s = min(LAME_DUCK_S, MAX_LAME_DUCK_SHARE * serving_s)
+        limit_s = started_s + serving_s
+        self.forwarder.stop_window.begin(limit_s, started_s + lame_duck_s)
         self.is_draining = self.attempt_relay.is_draining = True
         self._callers.close_after_answers()
         logger.info("drain begun", active=self._callers.active)
-        await asyncio.sleep(LAME_DUCK_S)
+        await asyncio.sleep(lame_duck_s)
         await self._callers.stop_listening()
         self._callers.close_idle()
         is_quiet = await self._callers.wait_until_idle(limit_s - read_clock())
--- a/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
+++ b/packages/router/src/damaskwind/router/forwarding/recorded_sends.py
@@ -29,8 +29,9 @@
 class RecordedSends:
     """The attempts of one router, each recorded when it begins and when it ends.
 
-    `on_started` is called when an answer begins that is not a refusal, and `on_ended` with the
-    seconds that an attempt took if its target did not refuse it.
+    `on_started` is called when an answer begins that is not a refusal, `on_ended` with the
+    seconds that an attempt took if its target did not refuse it, and `on_delivered` with those of
+    an attempt whose whole answer was passed on.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self._crash_detector = crash_detector
         self.on_started: list[Callable[[Call], None]] = []
         self.on_ended: list[Callable[[Call, float], None]] = []
+        self.on_delivered: list[Callable[[Call, float], None]] = []
         crash_detector.on_crashed.append(self._record_target_crash)
         sender.on_answer_started = self._record_answer_started
         sender.on_accepted = self._record_accepted
@@ -105,6 +107,8 @@
             return outcome
         if outcome.end is AttemptEnd.DELIVERED:
             self._target_states.target_speeds.record_ended(target, ended_s - begun_s, ended_s)
+            for callback in self.on_delivered:
+                callback(call, ended_s - begun_s)
         self._record_ended(call, target, outcome, begun_s, ended_s)
         self._record_crash_evidence(call, target, outcome, evidence)
         return outcome
--- a/packages/router/src/damaskwind/router/forwarding/request_steps.py
+++ b/packages/router/src/damaskwind/router/forwarding/request_steps.py
@@ -29,6 +29,7 @@
 from damaskwind.router.forwarding.replacements import Replacements
 from damaskwind.router.forwarding.slot_permits import Permit, PermitUse
 from damaskwind.router.forwarding.speed_probes import SpeedProbes
+from damaskwind.router.forwarding.stop_window import StopWindow, TooLateError
 from damaskwind.router.forwarding.stream_origins import StreamOrigins
 from damaskwind.router.forwarding.target_bodies import TargetBodies
 from damaskwind.router.forwarding.target_choice import TargetChooser
@@ -139,7 +140,9 @@
         tallies: Tallies,
         probes: SpeedProbes,
         origins: StreamOrigins,
+        stop_window: StopWindow,
     ) -> None:
+        self.stop_window = stop_window
         self.origins = origins
         self.probes = probes
         self.admissions = admissions
@@ -281,7 +284,11 @@
         """Wait for headroom in the pool; return the refusal if the request is rejected."""
         call, placement = progress.call, progress.placement
         home = placement.choice.candidate if call.key or placement.is_confined else None
-        return await self.admissions.admit(call, home)
+        try:
+            async with self.stop_window.waiting(call):
+                return await self.admissions.admit(call, home)
+        except TooLateError as error:
+            return PoolRejection(call.number, self.stop_window.retry_after_s(), str(error))
 
     async def send(self, progress: RequestProgress) -> AttemptOutcome:
         """Make one attempt at the target that was chosen.
@@ -363,7 +370,7 @@
     call = progress.call
     if await steps.place_when_settled(progress, must_fit=False) is RequestState.ENDED:
         return RequestState.ENDED
-    for gate in steps.gates:
+    for gate in (steps.stop_window, *steps.gates):
         refusal = gate.check(call)
         if refusal is not None:
             if refusal.text is not None:
@@ -373,7 +380,8 @@
     if was_probed and steps.place(progress, must_fit=False) is RequestState.ENDED:
         return RequestState.ENDED
     rejection = await steps.admit(progress)
-    steps.tallies.count("entries", step=call.entry.step)
+    if call.entry is not None:
+        steps.tallies.count("entries", step=call.entry.step)
     if steps.suspicions.find_held(call) is not None:
         return progress.refuse_fatal()
     if rejection is not None:
@@ -409,6 +417,9 @@
 async def _send_placed(steps: RequestSteps, progress: RequestProgress) -> RequestState:
     """Send a request to its target; a second send draws on the retry budget."""
     call = progress.call
+    refusal = None if call.may_have_run else steps.stop_window.check(call)
+    if refusal is not None:
+        return progress.refuse(refusal.why, refusal.retry_after_s)
     if call.reached and not steps.has_retry(progress):
         why = f"{progress.outcome.why}; retry budget spent"
         progress.outcome = progress.outcome._replace(why=why)
