Stops: a server that closes serves the connections and requests that have come by then

Callers saw no answer: what was in the queue of the kernel at the close of the listener was reset (40 of 40), new connections were closed before their first request, and a request on a kept connection was dropped unread. Tests of whole routers were not run on it yet.

--- a/packages/runtime/src/damaskwind/runtime/http1/acceptor.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/acceptor.py
@@ -43,26 +43,31 @@
         self._pause = None
         self._loop.add_reader(self._listener.fileno(), self._accept_some)
 
-    def close(self) -> None:
-        """Accept no more, and close the listening socket."""
+    async def close(self) -> None:
+        """Accept what is in the queue of the kernel, close the listener, and open these."""
+        while self._accept_some():
+            pass
         if self._pause is not None:
             self._pause.cancel()
         self._loop.remove_reader(self._listener.fileno())
         self._listener.close()
+        await asyncio.gather(*self._opening, return_exceptions=True)
 
-    def _accept_some(self) -> None:
+    def _accept_some(self) -> bool:
+        """Accept some connections; return whether there may be more."""
         for _ in range(ACCEPTS_PER_TURN):
             try:
                 handle, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:
                 self._rest(error)
-                return
+                return False
             if self._limit.make_room():
                 self._open(handle)
             else:
                 reset_socket(handle)
+        return True
 
     def _rest(self, error: OSError) -> None:
         """Accept nothing for a while, since descriptors or memory have run out."""
--- a/packages/runtime/src/damaskwind/runtime/http1/server.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server.py
@@ -108,7 +108,7 @@
         """Stop accepting connections, and close the socket."""
         acceptor, self._acceptor = self._acceptor, None
         if acceptor is not None:
-            acceptor.close()
+            await acceptor.close()
 
     async def wait_until_idle(self, limit_s: float) -> bool:
         """Wait until no request is in progress; return `False` if the limit expires first."""
--- a/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/server_connection.py
@@ -27,6 +27,7 @@
     head_bytes,
     header_bytes,
 )
+from damaskwind.runtime.http1.tcp_state import has_unread_bytes
 from damaskwind.runtime.http1.transports import reset
 from damaskwind.runtime.http1.unanswered import (
     CALLER_LEFT,
@@ -41,6 +42,8 @@
 # A caller whose body is not read to its end may still be sending: for this time, what it sends is
 # dropped, as a closed socket would answer with a reset that can overtake the answer.
 LINGER_S = 2.0
+# When a server closes, a connection that has carried none may send its first request for this time.
+FIRST_REQUEST_S = 0.3
 # A caller that has taken nothing for this time, while an answer waits for it, has stopped reading.
 # The kernel's buffer hides what a caller of 1 KB/s takes for some 20 s.
 STALLED_S = 60.0
@@ -90,6 +93,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._turn: asyncio.Future | None = None
         self._is_ending = False
+        self._is_awaited = False
         self._output: CallerOutput | None = None
         self._leave_watch: LeaveWatch | None = None
         # Of the present request: when the server began to read it, and when its first byte was
@@ -118,7 +122,7 @@
     @property
     def is_busy(self) -> bool:
         """Return whether a request is in hand, or the end of an answer is still to be sent."""
-        return not self.is_idle or bool(self._output.unsent_bytes)
+        return not self.is_idle or self._is_awaited or bool(self._output.unsent_bytes)
 
     @property
     def has_begun(self) -> bool:
@@ -191,6 +195,7 @@
     def _begin_head(self) -> None:
         """Record that a part of a request was read."""
         self._enter(ConnectionPhase.HEAD)
+        self._is_awaited = False
         self._begun_s = read_clock()
         self._received_s = self._ahead_s or self._begun_s
         self._restart_timer(self._server.limits.header_timeout_s)
@@ -259,6 +264,12 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it carries no request."""
+        if self.phase is ConnectionPhase.IDLE:
+            has_come = has_unread_bytes(self._transport.get_extra_info("socket"))
+            if has_come or not self.requests:
+                self._is_awaited = True
+                self._restart_timer(FIRST_REQUEST_S)
+                return
         if self.is_idle:
             self._close()
 
--- a/packages/runtime/src/damaskwind/runtime/http1/tcp_state.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tcp_state.py
@@ -1,10 +1,12 @@
 """Read from the kernel whether a TCP connection's peer acknowledges what was sent, or has left."""
 
+import fcntl
 import socket
 import struct
+import termios
 from typing import NamedTuple
 
-__all__ = ["TcpState", "has_peer_left", "read_tcp_state"]
+__all__ = ["TcpState", "has_peer_left", "has_unread_bytes", "read_tcp_state"]
 
 # States of a connection of which one side or both are closed (linux/tcp_states.h).
 _CLOSED = 7
@@ -35,6 +37,20 @@
     return TcpState(unacknowledged, silent_ms)
 
 
+def has_unread_bytes(handle: socket.socket | None) -> bool:
+    """Return whether bytes have come that were not read yet.
+
+    A socket that can't be asked, or a transport without one, tells nothing.
+    """
+    if handle is None:
+        return False
+    try:
+        data = fcntl.ioctl(handle.fileno(), termios.FIONREAD, bytes(4))
+    except (OSError, ValueError):
+        return False
+    return struct.unpack("=i", data)[0] > 0
+
+
 def has_peer_left(handle: socket.socket) -> bool:
     """Return whether the peer has closed or reset the connection, as far as the kernel heard it.
 
