--- a/packages/runtime/src/damaskwind/runtime/http1/acceptor.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/acceptor.py
@@ -17,6 +17,8 @@
 
 # Requests in hand have their turn after so many new connections.
 ACCEPTS_PER_TURN = 16
+# As the listener closes, so many turns empty its queue; what comes while that is done may be left.
+MAX_LAST_TURNS = 64
 # Without a free descriptor a listening socket stays readable, and is left alone for this time.
 EXHAUSTED_PAUSE_S = 0.1
 
@@ -43,26 +45,32 @@
         self._pause = None
         self._loop.add_reader(self._listener.fileno(), self._accept_some)
 
-    def close(self) -> None:
-        """Accept no more, and close the listening socket."""
+    async def close(self) -> None:
+        """Accept what is in the queue of the kernel, close the listener, and open these."""
+        for _ in range(MAX_LAST_TURNS):
+            if not self._accept_some():
+                break
         if self._pause is not None:
             self._pause.cancel()
         self._loop.remove_reader(self._listener.fileno())
         self._listener.close()
+        await asyncio.gather(*self._opening, return_exceptions=True)
 
-    def _accept_some(self) -> None:
+    def _accept_some(self) -> bool:
+        """Accept some connections; return whether there may be more."""
         for _ in range(ACCEPTS_PER_TURN):
             try:
                 handle, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:
                 self._rest(error)
-                return
+                return False
             if self._limit.make_room():
                 self._open(handle)
             else:
                 reset_socket(handle)
+        return True
 
     def _rest(self, error: OSError) -> None:
         """Accept nothing for a while, since descriptors or memory have run out."""
--- a/packages/runtime/src/damaskwind/runtime/http1/tcp_state.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/tcp_state.py
@@ -6,7 +6,14 @@
 import termios
 from typing import NamedTuple
 
-__all__ = ["TcpState", "has_peer_left", "has_taken_all", "is_reset", "read_tcp_state"]
+__all__ = [
+    "TcpState",
+    "has_peer_left",
+    "has_taken_all",
+    "has_unread_bytes",
+    "is_reset",
+    "read_tcp_state",
+]
 
 # States of a connection of which one side or both are closed (linux/tcp_states.h).
 _CLOSED = 7
@@ -16,7 +23,7 @@
 _UNACKNOWLEDGED_OFFSET = 24
 _LAST_ACKNOWLEDGED_OFFSET = 56
 _SIZE_BYTES = 60
-# The size of the figure that `TIOCOUTQ` returns (tcp(7), there named SIOCOUTQ).
+# The size of the figures that `TIOCOUTQ` and `FIONREAD` return (tcp(7), there SIOCOUTQ, SIOCINQ).
 _QUEUE_BYTES = 4
 
 
@@ -39,6 +46,20 @@
     return TcpState(unacknowledged, silent_ms)
 
 
+def has_unread_bytes(handle: socket.socket | None) -> bool:
+    """Return whether bytes have come that were not read yet.
+
+    A socket that can't be asked, or a transport without one, tells nothing.
+    """
+    if handle is None:
+        return False
+    try:
+        data = fcntl.ioctl(handle.fileno(), termios.FIONREAD, bytes(_QUEUE_BYTES))
+    except (OSError, ValueError):
+        return False
+    return struct.unpack("=i", data)[0] > 0
+
+
 def has_peer_left(handle: socket.socket) -> bool:
     """Return whether the peer has closed or reset the connection, as far as the kernel heard it.
 
