--- a/packages/runtime/src/damaskwind/runtime/http1/client.py
+++ b/packages/runtime/src/damaskwind/runtime/http1/client.py
@@ -480,7 +480,7 @@
             self._unread_input.clear()
             if not self._is_collecting:
                 self._release_read()
-            if self._is_lost:
+            if self._is_lost or self._has_received_eof:
                 raise AnswerBrokenError("the connection was lost")
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
