--- a/packages/router/src/damaskwind/router/forwarding/stop_window.py
+++ b/packages/router/src/damaskwind/router/forwarding/stop_window.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from math import inf
@@ -21,6 +21,8 @@
 # How many answers of a route are remembered, and for how long.
 REMEMBERED_ANSWERS = 64
 REMEMBERED_S = 60.0
+# Routes beyond this number are forgotten, the one without answers for longest first.
+REMEMBERED_ROUTES = 1024
 # A request may take this much longer than the slowest one that is remembered.
 SPARE_S = 0.3
 # A refused caller comes back after this share of the time in which new connections are still
@@ -45,12 +47,15 @@
     """How long the latest answers of each route took, from the send to the end."""
 
     def __init__(self) -> None:
-        self._answered: dict[str, deque[_Answered]] = {}
+        self._answered: OrderedDict[str, deque[_Answered]] = OrderedDict()
 
     def record(self, route: str, took_s: float, now_s: float) -> None:
         """Remember one answer."""
         answered = self._answered.setdefault(route, deque(maxlen=REMEMBERED_ANSWERS))
         answered.append(_Answered(now_s, took_s))
+        self._answered.move_to_end(route)
+        if len(self._answered) > REMEMBERED_ROUTES:
+            self._answered.popitem(last=False)
 
     def longest_s(self, route: str, now_s: float) -> float:
         """Return the longest time of a route's latest answers; infinite if there are none."""
