Log: news of a leader's end counts for the term that it led in alone

A read under a lease could have been answered though another leader was being elected. Cause: the news named a member alone. A process that was started without its disk (one that is mounted late, or put back) refuses as another life; with the disk it is the earlier member again and may lead. If the asker stood still meanwhile, it may take the new leader's message first and the refusal after it.

Why this works: the news names the term in which the asker knew the member as the leader. A member that leads again does so in a later term, and what a follower promised to it counts from that one.

--- a/packages/control/src/damaskwind/control/replica/leader_calls.py
+++ b/packages/control/src/damaskwind/control/replica/leader_calls.py
@@ -66,6 +66,7 @@
             return None
         request.meant.CopyFrom(MeantMember(replica_id=leader.replica_id, identity=leader.identity))
         stub = ReplicationStub(self._channels.get(address))
+        asked_term = self._replica.core.term
         asked_s = read_clock()
         try:
             call = call_unary(getattr(stub, method), request, self._signer, timeout_s)
@@ -75,7 +76,7 @@
             return None
         except CALL_ERRORS as error:
             self._channels.drop(address)
-            self._end_leader_if_other_life(leader, error, asked_s)
+            self._end_leader_if_other_life(leader, asked_term, error, asked_s)
             if _is_not_sent(error):
                 raise NotSentError from error
             return None
@@ -86,7 +87,7 @@
         return self._replica.state.addresses.address_of(leader.replica_id)
 
     def _end_leader_if_other_life(
-        self, leader: Member, error: BaseException, asked_s: float
+        self, leader: Member, asked_term: int, error: BaseException, asked_s: float
     ) -> None:
         """Tell the core that the leader has ended, if its replica runs as another member."""
         if not isinstance(error, GRPCError) or error.message != OTHER_LIFE:
@@ -98,7 +99,7 @@
             leader_age_s=round(asked_s - self._replica.core.leader_seen_s, 3),
             took_s=round(read_clock() - asked_s, 3),
         )
-        self._replica.feed(LeaderEnded(leader))
+        self._replica.feed(LeaderEnded(leader, asked_term))
 
 
 def _is_not_sent(error: BaseException) -> bool:
--- a/packages/decisions/src/damaskwind/decisions/replication/core.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/core.py
@@ -133,7 +133,7 @@
 
 
 def _on_leader_ended(replica: Replica, event: LeaderEnded) -> None:
-    end_leader(replica, event.leader)
+    end_leader(replica, event.leader, event.term)
 
 
 def _on_snapshot_taken(replica: Replica, event: SnapshotTaken) -> None:
--- a/packages/decisions/src/damaskwind/decisions/replication/events.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/events.py
@@ -97,14 +97,16 @@
 
 
 class LeaderEnded(NamedTuple):
-    """The process that led as this member has ended, and its disk is lost.
+    """The process that led as this member in this term has ended, and its disk is lost.
 
     Proof is that its replica answers with another identity to a question that was asked
     when the member was known to lead: a replica runs as one identity after another, so
-    that the member answers no read any more, by a lease or otherwise.
+    that the member answers no read any more, by a lease or otherwise. The news may be late,
+    and the disk be back by then: the member may lead again, in a later term.
     """
 
     leader: Member
+    term: int
 
 
 Input = (
--- a/packages/decisions/src/damaskwind/decisions/replication/replica.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/replica.py
@@ -47,9 +47,9 @@
     Once the term has a leader they must not count: the leader may have changed the
     membership, and they may be a majority of the new one.
     `heard` are the members from which a message arrived since the last campaign began.
-    `followed` is the leader that was followed last, also after its end, and
-    `followed_heard_s` the time of the last message from it. `has_followed_ended` is set
-    once it is known to have ended for good.
+    `followed` is the leader that was followed last, also after its end, `followed_term` the
+    term that it led in, and `followed_heard_s` the time of the last message from it.
+    `has_followed_ended` is set once it is known to have ended for good.
     """
 
     role: Machine
@@ -81,6 +81,7 @@
         self.vote_asked_s = now_s
         self.heard: set[Member] = set()
         self.followed: Member | None = None
+        self.followed_term = 0
         self.followed_heard_s = now_s
         self.has_followed_ended = False
         self.failed_campaigns = 0
@@ -159,6 +160,7 @@
     replica.leader = leader
     replica.leader_seen_s = replica.now_s
     replica.followed = leader
+    replica.followed_term = replica.state.term
     replica.followed_heard_s = replica.now_s
     replica.has_followed_ended = False
     replica.failed_campaigns = 0
@@ -168,13 +170,14 @@
     reset_election_timer(replica)
 
 
-def end_leader(replica: Replica, leader: Member) -> None:
+def end_leader(replica: Replica, leader: Member, term: int) -> None:
     """Campaign soon, and be free to vote, if the leader followed last has ended for good.
 
     Its lease is what votes are withheld for, and there is nobody left who holds it. The
     leases of leaders before it had lapsed when it was elected.
     """
-    if replica.followed != leader or replica.leader not in (None, leader):
+    is_followed_last = (replica.followed, replica.followed_term) == (leader, term)
+    if not is_followed_last or replica.leader not in (None, leader):
         return
     replica.has_followed_ended = True
     replica.leader = None
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/cluster.py
@@ -369,19 +369,20 @@
         leader = node.core.leader if node.core is not None else None
         is_former = leader is not None and leader.replica_id == member.replica_id
         if is_former and leader != member:
-            self.tell_ended(node, leader)
+            self.tell_ended(node, leader, node.core.term)
 
-    def tell_ended(self, node: Node, leader: Member) -> None:
+    def tell_ended(self, node: Node, leader: Member, term: int) -> None:
         """Let the refusal of a forwarded request arrive at a node, which may be late."""
         incarnation = node.incarnation
+        news = LeaderEnded(leader, term)
         for delay_s in self.network.arrivals(leader.replica_id, node.member.replica_id):
             is_late = self.random.random() < LATE_REFUSAL_RATIO
             wait_s = self.random.uniform(delay_s, LATE_REFUSAL_S) if is_late else delay_s
-            self._at(wait_s, partial(self._end_leader, node, incarnation, leader))
+            self._at(wait_s, partial(self._end_leader, node, incarnation, news))
 
-    def _end_leader(self, node: Node, incarnation: int, leader: Member) -> None:
+    def _end_leader(self, node: Node, incarnation: int, news: LeaderEnded) -> None:
         if node.incarnation == incarnation and not self.is_paused(node):
-            self.feed(node, LeaderEnded(leader))
+            self.feed(node, news)
 
     def _deliver(self, envelope: Envelope) -> None:
         node = self.nodes.get(envelope.recipient.replica_id)
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/seeded_bugs.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/seeded_bugs.py
@@ -126,10 +126,10 @@
 def end_any_leader() -> AbstractContextManager:
     """Free the vote by the end of any leader, not only by that of the one followed last."""
 
-    def end_followed(replica: Replica, leader: Member) -> None:
+    def end_followed(replica: Replica, leader: Member, term: int) -> None:
         if replica.leadership is None and replica.followed is not None:
             replica.leader = None
-            end_leader(replica, replica.followed)
+            end_leader(replica, replica.followed, replica.followed_term)
 
     return mock.patch.object(core, "end_leader", end_followed)
 
@@ -140,7 +140,7 @@
     def forward_join(cluster: Cluster, node: Node, member: Member) -> None:
         leader = node.core.leader if node.core is not None else None
         if leader is not None:
-            cluster.tell_ended(node, leader)
+            cluster.tell_ended(node, leader, node.core.term)
 
     return mock.patch.object(Cluster, "forward_join", forward_join)
 
--- a/packages/decisions/src/damaskwind/decisions/replication/tests/test_lost_disk_histories.py
+++ b/packages/decisions/src/damaskwind/decisions/replication/tests/test_lost_disk_histories.py
@@ -26,12 +26,12 @@
     """Tell of the end of a leader whose disk is lost, once its successor leads."""
     cluster.stabilize()
     leader = cluster.leader()
-    former = leader.member
+    former, term = leader.member, leader.core.term
     cluster.lose_disk(former.replica_id)
     cluster.run(ELECTED_S)
     assert cluster.has_leader_with_lease()
     for node in cluster.running():
-        cluster.tell_ended(node, former)
+        cluster.tell_ended(node, former, term)
     cluster.run(REFUSED_S)
 
 
