--- a/packages/control/src/damaskwind/control/replica/transport.py
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -116,6 +116,7 @@
         self.calls_started_s: dict[asyncio.Task | None, float] = {}
         self.last_call_duration_s = 0.0
         self.bytes_in_flight = 0
+        self.calls: dict[asyncio.Future[bool], Address] = {}
         self.snapshots_in_flight: list[Member] = []
         self.snapshot_delivered_s: dict[Member, float] = {}
 
@@ -137,6 +138,12 @@
         self.messages.append(queued)
         self.has_messages.set()
 
+    def end_calls_elsewhere(self, address: Address | None) -> None:
+        """End the calls to other addresses, where the replica listened before."""
+        for call, called_address in self.calls.items():
+            if called_address != address:
+                call.cancel()
+
     def keep(self, is_kept: Callable[[_Queued], bool]) -> None:
         """Drop all waiting messages except those that `is_kept` accepts."""
         kept = [queued for queued in self.messages if is_kept(queued)]
@@ -177,6 +184,7 @@
             queue = self._queues[replica_id] = _PeerQueue()
             for _ in range(CALLS_IN_FLIGHT):
                 queue.tasks.append(asyncio.ensure_future(self._run(replica_id, queue)))
+        queue.end_calls_elsewhere(self._address_of(replica_id))
         message = envelope.message
         is_snapshot = isinstance(message, SnapshotRequest)
         if is_snapshot and not queue.may_send_snapshot_to(envelope.recipient):
@@ -291,12 +299,17 @@
             self.on_sent(size_bytes)
         queue.bytes_in_flight += size_bytes
         queue.snapshots_in_flight += snapshots
+        call = asyncio.ensure_future(self._deliver(batch, address, queue.bytes_in_flight))
+        queue.calls[call] = address
         try:
-            is_delivered = await self._deliver(batch, address, queue.bytes_in_flight)
+            await asyncio.wait([call])
+            is_delivered = not call.cancelled() and call.result()
             if is_delivered:
                 queue.snapshot_delivered_s.update(dict.fromkeys(snapshots, read_clock()))
             return is_delivered
         finally:
+            call.cancel()
+            del queue.calls[call]
             queue.bytes_in_flight -= size_bytes
             for recipient in snapshots:
                 queue.snapshots_in_flight.remove(recipient)
