--- a/packages/control/src/damaskwind/control/replica/join_requests.py
+++ b/packages/control/src/damaskwind/control/replica/join_requests.py
@@ -22,7 +22,9 @@
 
 __all__ = ["JoinRequests"]
 
+# A peer may wait for an election, and for a commit on slow disks, before it answers.
 JOIN_TIMEOUT_S = 5.0
+# Sound peers answer within this time; beyond it, others may know more than those that were asked.
 JOIN_TURN_S = 1.0
 
 
--- a/packages/control/src/damaskwind/control/replica/lives.py
+++ b/packages/control/src/damaskwind/control/replica/lives.py
@@ -15,6 +15,7 @@
 
 __all__ = ["has_ended"]
 
+# A join waits for these greetings, so that a replica that isn't reached costs it little.
 HELLO_TIMEOUT_S = 0.5
 
 
--- a/packages/control/src/damaskwind/control/replica/tests/test_lost_disks.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_lost_disks.py
@@ -89,7 +89,7 @@
             lost = last.access.lost_voters
             await last.replica.wait_until(lambda: bool(lost.members), 2 * REJOIN_AFTER_S)
             described = last.access.status()["lost_voters"]
-            self.assertEqual([voter["replica_id"] for voter in described], ["b", "c"])
+            self.assertEqual(sorted(voter["replica_id"] for voter in described), ["b", "c"])
         finally:
             rejoining.cancel()
             await asyncio.gather(rejoining, return_exceptions=True)
--- a/packages/control/src/damaskwind/control/replica/transport.py
+++ b/packages/control/src/damaskwind/control/replica/transport.py
@@ -44,8 +44,10 @@
 CALL_TIMEOUT_S = 2.0
 SILENT_LIMIT_S = 2.0
 MIN_BYTES_PER_S = 1024 * 1024
-# How long a replica may take to install a snapshot that was delivered.
+# How long a replica may take to install a snapshot that was delivered: the core asks for another
+# one after this time.
 INSTALL_LIMIT_S = 1.0
+# A snapshot waits for this greeting, so that a replica that isn't reached costs it little.
 HELLO_TIMEOUT_S = 0.5
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
