--- a/packages/control/src/damaskwind/control/replica/tests/test_forwarding.py
+++ b/packages/control/src/damaskwind/control/replica/tests/test_forwarding.py
@@ -82,7 +82,7 @@
             failure=None,
             is_leader=False,
             member=Member("b", "1"),
-            core=SimpleNamespace(leader=Member("a", "1")),
+            core=SimpleNamespace(leader=Member("a", "1"), term=3),
             state=SimpleNamespace(addresses=SimpleNamespace(address_of=lambda _: address)),
         )
         access = LogAccess(follower, CallSigner("kl", "key", "b"))
