Tests: the replicas of a cluster get their ports together

'address already in use' in 1 of 8 tests of test_lost_disks, 1 run: a port was picked and given back for each replica in turn, so that two of a cluster could get the same one. Picked together, all are held until the last is known. test_lost_disks 8 of 8, the other tests of clusters and joins 33 of 33, 1 run each; no check changed.

--- a/packages/control/src/damaskwind/control/replica/tests/cluster.py
+++ b/packages/control/src/damaskwind/control/replica/tests/cluster.py
@@ -75,7 +75,7 @@
         case.addCleanup(folder.cleanup)
         self.path = Path(folder.name)
         self.snapshot_every_entries = snapshot_every_entries
-        self.addresses = {name: free_address() for name in names}
+        self.addresses = dict(zip(names, free_addresses(len(names)), strict=True))
         # Where a replica listens, if others reach it through a link at its address.
         self.listening = {}
         self.files = FileSystem()
